--- /dev/null
+++ b/Makefile
@@ -0,0 +1,28 @@
+# Two commands do everything: `make demo` and `make test`.
+VENV ?= .venv
+PYTHON ?= python3
+BIN = $(VENV)/bin
+
+.PHONY: demo test check format venv
+
+venv: $(VENV)/.installed
+
+$(VENV)/.installed: pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --editable '.[dev]'
+	touch $@
+
+demo: venv
+	$(BIN)/python -m kingcuphead.demo
+
+test: venv
+	$(BIN)/python .ci/test.py
+
+check: venv
+	$(BIN)/ruff format --check kingcuphead .ci
+	$(BIN)/ruff check kingcuphead
+	$(BIN)/mypy
+
+format: venv
+	$(BIN)/ruff format kingcuphead
+	$(BIN)/ruff check --fix kingcuphead
