Add membership, the wire format and the links between daemons

Cause: daemons must agree where to send a credit request or a bill first, and learn of leaving targets, quarantined requests and revisions within seconds.

Ruled out: a heartbeat from each daemon to each other one, which at 330 daemons and one a second costs each 330 messages a second; a member row in the table for each daemon, which costs 330 writes a second. Chosen: one random probe per interval with piggybacked facts (SWIM), so the cost per daemon is constant. The view only steers; it never creates spending authority.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 PYTHON ?= python3
 BIN = $(VENV)/bin
 
-.PHONY: demo test check format venv
+.PHONY: demo test check format venv wire
 
 venv: $(VENV)/.installed
 
@@ -26,3 +26,9 @@
 format: venv
 	$(BIN)/ruff format kingcuphead
 	$(BIN)/ruff check --fix kingcuphead
+
+# Needs the thrift compiler 0.17; its output is committed.
+wire:
+	mkdir -p build/thrift
+	thrift --gen py:slots -out build/thrift kingcuphead/wire/peer.thrift
+	cp build/thrift/generated/ttypes.py build/thrift/generated/constants.py kingcuphead/wire/generated/
--- /dev/null
+++ b/kingcuphead/peers/_server.py
@@ -0,0 +1,46 @@
+"""Receipt of peers' messages."""
+
+from collections.abc import Callable
+
+from expression import Result
+from loguru import logger
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpserver import TCPServer
+
+from kingcuphead.peers._frames import FrameTooLargeError, read_frame
+from kingcuphead.wire import Envelope, decode_envelope
+
+
+class PeerServer(TCPServer):
+    """Accepts peers' connections and hands each message on, in order of arrival.
+
+    Parameters
+    ----------
+    deliver
+        Receives every readable envelope.
+    """
+
+    def __init__(self, deliver: Callable[[Envelope], None]) -> None:
+        super().__init__()
+        self._deliver = deliver
+
+    async def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> None:
+        """Read frames until the peer closes or sends what is no frame."""
+        try:
+            while await self._read_one(stream):
+                pass
+        except StreamClosedError:
+            pass
+        except FrameTooLargeError as error:
+            logger.warning("{}", error)
+        finally:
+            stream.close()
+
+    async def _read_one(self, stream: IOStream) -> bool:
+        match decode_envelope(await read_frame(stream)):
+            case Result(tag="ok", ok=envelope):
+                self._deliver(envelope)
+                return True
+            case Result(error=fault):
+                logger.warning("{}", fault.message)
+        return False
--- /dev/null
+++ b/kingcuphead/wire/__init__.py
@@ -0,0 +1,20 @@
+"""The wire format between daemons: thrift structs for typed messages."""
+
+from kingcuphead.wire._envelope import (
+    MAX_FRAME_BYTES,
+    Envelope,
+    FrameFault,
+    decode_envelope,
+    encode_envelope,
+)
+from kingcuphead.wire._messages import MESSAGE_TYPES, PeerMessage
+
+__all__ = [
+    "MAX_FRAME_BYTES",
+    "MESSAGE_TYPES",
+    "Envelope",
+    "FrameFault",
+    "PeerMessage",
+    "decode_envelope",
+    "encode_envelope",
+]
--- /dev/null
+++ b/kingcuphead/wire/_messages.py
@@ -0,0 +1,11 @@
+"""Every message that daemons send each other."""
+
+import typing
+from typing import TypeAlias
+
+from kingcuphead.membership import Heartbeat, HeartbeatAcknowledged
+
+PeerMessage: TypeAlias = Heartbeat | HeartbeatAcknowledged
+
+#: The classes of `PeerMessage`, each with a struct of the same name in `peer.thrift`.
+MESSAGE_TYPES: tuple[type, ...] = typing.get_args(PeerMessage)
