--- a/kingcuphead/membership/tests/test_membership.py
+++ b/kingcuphead/membership/tests/test_membership.py
@@ -42,7 +42,7 @@
         self.notices = {}
         self.revisions = {}
         self.views = {}
-        self.machines = {}
+        self.machines: dict[str, Membership] = {}
         for number in range(size):
             self.start(make_member(number))
         self.list_instances(InstanceState.LIVE, *self.machines)
