Reach the platform over HTTP, with a stand-in that shows its faults

The daemon needs a table whose writes are classified truthfully: without effect, in effect, or unknown.

--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -1,5 +1,12 @@
 """The platform's table, object store and instance list, as the daemon sees them."""
 
+from kingcuphead.platform._client import (
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpTable,
+)
+from kingcuphead.platform._exchange import PlatformConnection, PlatformSettings
+from kingcuphead.platform._memory import MemoryTable, TableCounts
 from kingcuphead.platform._messages import (
     ABSENT,
     Check,
@@ -26,15 +33,22 @@
     "Committed",
     "Conflict",
     "Delete",
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "HttpTable",
     "Instance",
     "InstanceList",
     "InstanceState",
+    "MemoryTable",
     "ObjectStore",
+    "PlatformConnection",
     "PlatformFault",
+    "PlatformSettings",
     "Put",
     "Row",
     "ScanPage",
     "Table",
+    "TableCounts",
     "Transaction",
     "Unavailable",
     "Unknown",
--- /dev/null
+++ b/kingcuphead/platform/_memory.py
@@ -0,0 +1,163 @@
+"""The transactional table's semantics, held in memory."""
+
+import bisect
+import dataclasses
+from collections.abc import Iterator, Sequence
+
+from expression import Ok, Result
+
+from kingcuphead.platform._messages import (
+    ABSENT,
+    Check,
+    CommitOutcome,
+    Committed,
+    Conflict,
+    Delete,
+    PlatformFault,
+    Put,
+    Row,
+    ScanPage,
+    Transaction,
+)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TableCounts:
+    """Number of operations that a table has served."""
+
+    #: Transactions that took effect.
+    commits: int = 0
+    #: Transactions that failed a check.
+    conflicts: int = 0
+    #: Rows put or deleted by the transactions that took effect.
+    rows_written: int = 0
+    #: Calls to read, whatever their number of keys.
+    reads: int = 0
+    #: Pages scanned.
+    scans: int = 0
+
+    def with_changes(self, **changes: int) -> "TableCounts":
+        """Return a copy with the named fields replaced."""
+        return dataclasses.replace(self, **changes)
+
+
+class MemoryTable:
+    """A `Table` in memory: serializable transactions over versioned rows.
+
+    The number of a commit is the version of every row that it wrote. The
+    `*_now` methods are the same operations without a coroutine.
+    """
+
+    def __init__(self) -> None:
+        self._rows: dict[str, Row] = {}
+        self._keys: list[str] = []
+        self._last_commit = ABSENT
+        self._counts = TableCounts()
+
+    @property
+    def counts(self) -> TableCounts:
+        """Operations served so far."""
+        return self._counts
+
+    @property
+    def rows(self) -> tuple[Row, ...]:
+        """Every row in key order, outside the counts."""
+        return tuple(self._rows[key] for key in self._keys)
+
+    async def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Apply a transaction if every check holds."""
+        return self.commit_now(transaction)
+
+    async def read(self, keys: Sequence[str]) -> Result[tuple[Row, ...], PlatformFault]:
+        """Read rows at one moment; absent rows are left out."""
+        return Ok(self.read_now(keys))
+
+    async def scan(
+        self, prefix: str, after: str | None = None, limit: int = 500
+    ) -> Result[ScanPage, PlatformFault]:
+        """Read up to `limit` rows whose keys start with `prefix`, in key order."""
+        return Ok(self.scan_now(prefix, after, limit))
+
+    def commit_now(self, transaction: Transaction) -> Committed | Conflict:
+        """Apply a transaction if every check holds.
+
+        Parameters
+        ----------
+        transaction : Transaction
+            Checks and writes; a key written twice keeps its last write.
+
+        Returns
+        -------
+        Committed or Conflict
+            The commit number, or the rows behind the checks that failed.
+        """
+        failed = tuple(c.key for c in transaction.checks if not self._holds(c))
+        if failed:
+            self._count(conflicts=self._counts.conflicts + 1)
+            return Conflict(tuple(self._present(failed)))
+        self._last_commit += 1
+        for write in transaction.writes:
+            self._apply(write)
+        self._count(
+            commits=self._counts.commits + 1,
+            rows_written=self._counts.rows_written + len(transaction.writes),
+        )
+        return Committed(self._last_commit)
+
+    def read_now(self, keys: Sequence[str]) -> tuple[Row, ...]:
+        """Read rows at one moment; absent rows are left out."""
+        self._count(reads=self._counts.reads + 1)
+        return tuple(self._present(keys))
+
+    def scan_now(
+        self, prefix: str, after: str | None = None, limit: int = 500
+    ) -> ScanPage:
+        """Read one page of the rows whose keys start with `prefix`.
+
+        Parameters
+        ----------
+        prefix : str
+            Common start of the keys.
+        after : str, optional
+            Key after which the page starts, from an earlier page.
+        limit : int
+            Most rows in the page.
+
+        Returns
+        -------
+        ScanPage
+            The rows, and where to resume if more may follow.
+        """
+        self._count(scans=self._counts.scans + 1)
+        rows = tuple(self._matching(prefix, after, limit))
+        more = len(rows) == limit and limit > 0
+        return ScanPage(rows, rows[-1].key if more else None)
+
+    def _matching(self, prefix: str, after: str | None, limit: int) -> Iterator[Row]:
+        start = bisect.bisect_left(self._keys, prefix)
+        if after is not None:
+            start = max(start, bisect.bisect_right(self._keys, after))
+        for key in self._keys[start : start + limit]:
+            if not key.startswith(prefix):
+                return
+            yield self._rows[key]
+
+    def _present(self, keys: Sequence[str]) -> Iterator[Row]:
+        return (self._rows[key] for key in keys if key in self._rows)
+
+    def _holds(self, check: Check) -> bool:
+        row = self._rows.get(check.key)
+        return check.version == (ABSENT if row is None else row.version)
+
+    def _apply(self, write: Put | Delete) -> None:
+        match write:
+            case Put(key, value):
+                if key not in self._rows:
+                    bisect.insort(self._keys, key)
+                self._rows[key] = Row(key, self._last_commit, value)
+            case Delete(key):
+                if self._rows.pop(key, None) is not None:
+                    del self._keys[bisect.bisect_left(self._keys, key)]
+
+    def _count(self, **changes: int) -> None:
+        self._counts = self._counts.with_changes(**changes)
