Check the daemon's settings as a whole

Each key is converted by its own type and bounds, so that every fault of a file is listed at once instead of the first one. Ruled out: converting whole sections by msgspec, which stops at the first fault. Unknown sections and keys are faults.

--- /dev/null
+++ b/kingcuphead/settings/__init__.py
@@ -0,0 +1,41 @@
+"""The daemon's INI settings, checked as a whole at start."""
+
+from kingcuphead.settings._faults import KeyFault, SettingsFault
+from kingcuphead.settings._loading import load_settings, parse_settings
+from kingcuphead.settings._sections import (
+    BudgetSettings,
+    ConfigurationSettings,
+    InstanceSettings,
+    LimitSettings,
+    ListenSettings,
+    LogFormat,
+    LogLevel,
+    LogSettings,
+    OperatorSettings,
+    PeerSettings,
+    PlatformSettings,
+    Settings,
+    ShutdownSettings,
+    TargetSettings,
+)
+
+__all__ = [
+    "BudgetSettings",
+    "ConfigurationSettings",
+    "InstanceSettings",
+    "KeyFault",
+    "LimitSettings",
+    "ListenSettings",
+    "LogFormat",
+    "LogLevel",
+    "LogSettings",
+    "OperatorSettings",
+    "PeerSettings",
+    "PlatformSettings",
+    "Settings",
+    "SettingsFault",
+    "ShutdownSettings",
+    "TargetSettings",
+    "load_settings",
+    "parse_settings",
+]
