--- a/kingcuphead/records/_model.py
+++ b/kingcuphead/records/_model.py
@@ -9,6 +9,11 @@
 EMPTY: Mapping[str, Any] = MappingProxyType({})
 
 
+def _records() -> Any:
+    # A data class refuses the unhashable mapping itself as a default.
+    return dataclasses.field(default_factory=lambda: EMPTY)
+
+
 class ServiceKind(enum.StrEnum):
     """What stands behind a service."""
 
@@ -127,17 +132,17 @@
     #: Revision of the head row; a higher one replaces a lower one, never back.
     revision: int = 0
     #: Organisations by name.
-    organisations: Mapping[str, Organisation] = EMPTY
+    organisations: Mapping[str, Organisation] = _records()
     #: Budgets by name.
-    budgets: Mapping[str, Budget] = EMPTY
+    budgets: Mapping[str, Budget] = _records()
     #: Work classes by name.
-    classes: Mapping[str, WorkClass] = EMPTY
+    classes: Mapping[str, WorkClass] = _records()
     #: Models by name.
-    models: Mapping[str, Model] = EMPTY
+    models: Mapping[str, Model] = _records()
     #: Services by name.
-    services: Mapping[str, Service] = EMPTY
+    services: Mapping[str, Service] = _records()
     #: Targets by name.
-    targets: Mapping[str, Target] = EMPTY
+    targets: Mapping[str, Target] = _records()
 
     def with_changes(self, **changes: Any) -> "Configuration":
         """Return a copy with the named fields replaced."""
