Carry the budget messages between daemons

Cause: credit lines and bills cross daemons. Each message has a struct of the same name and fields; a test compares every class with its struct, so that a field added on one side only is found at once.

Ruled out: a second set of hand-written converters, one a message: 17 messages would mean 34 functions that can drift. Before: 2 messages. Conclusion: the ledger's messages can travel.

--- a/kingcuphead/wire/_messages.py
+++ b/kingcuphead/wire/_messages.py
@@ -3,9 +3,10 @@
 import typing
 from typing import TypeAlias
 
+from kingcuphead import budgets
 from kingcuphead.membership import Heartbeat, HeartbeatAcknowledged
 
-PeerMessage: TypeAlias = Heartbeat | HeartbeatAcknowledged
+PeerMessage: TypeAlias = Heartbeat | HeartbeatAcknowledged | budgets.PeerMessage
 
 #: The classes of `PeerMessage`, each with a struct of the same name in `peer.thrift`.
 MESSAGE_TYPES: tuple[type, ...] = typing.get_args(PeerMessage)
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -42,9 +42,142 @@
   5: list<Notice> notices
 }
 
+struct Bill {
+  1: string bill_id
+  2: string request_id
+  3: string budget
+  4: string organisation
+  5: string borrower
+  6: string grant_id
+  7: i64 tokens
+  8: i64 prompt_tokens
+  9: i64 completion_tokens
+  10: bool measured
+  11: double settled_at
+}
+
+struct CreditRequested {
+  1: string sender
+  2: string budget
+  3: string lender
+  4: i64 received_total
+  5: i64 returned_total
+  6: i64 needed
+  7: i64 wanted
+  8: string policy
+}
+
+struct CreditLent {
+  1: string sender
+  2: string budget
+  3: i64 lent_total
+  4: i64 returned_total
+}
+
+struct CreditDenied {
+  1: string sender
+  2: string budget
+  3: bool exhausted
+  4: double retry_after
+}
+
+struct CreditReturned {
+  1: string sender
+  2: string budget
+  3: string lender
+  4: i64 received_total
+  5: i64 returned_total
+}
+
+struct CreditRecalled {
+  1: string sender
+  2: string budget
+  3: i64 lent_total
+}
+
+struct GrantRecalled {
+  1: string sender
+  2: string budget
+}
+
+struct GrantYielded {
+  1: string sender
+  2: string budget
+}
+
+struct BillsSubmitted {
+  1: string sender
+  2: list<Bill> bills
+}
+
+struct BillsAccepted {
+  1: string sender
+  2: list<string> bill_ids
+}
+
+struct BillsCommitted {
+  1: string sender
+  2: list<string> bill_ids
+}
+
+struct BillsDuplicated {
+  1: string sender
+  2: list<string> bill_ids
+}
+
+struct BillsRejected {
+  1: string sender
+  2: list<string> bill_ids
+}
+
+struct BillsCopied {
+  1: string sender
+  2: list<Bill> bills
+}
+
+struct BillCopiesAcknowledged {
+  1: string sender
+  2: list<string> bill_ids
+}
+
+struct BillCopiesDropped {
+  1: string sender
+  2: list<string> bill_ids
+}
+
+struct SurrenderRequested {
+  1: string sender
+  2: string budget
+  3: string grant_id
+}
+
+struct Surrendered {
+  1: string sender
+  2: string budget
+  3: string grant_id
+  4: i64 outstanding
+}
+
 union PeerMessage {
   1: Heartbeat heartbeat
   2: HeartbeatAcknowledged heartbeat_acknowledged
+  10: CreditRequested credit_requested
+  11: CreditLent credit_lent
+  12: CreditDenied credit_denied
+  13: CreditReturned credit_returned
+  14: CreditRecalled credit_recalled
+  15: GrantRecalled grant_recalled
+  16: GrantYielded grant_yielded
+  17: BillsSubmitted bills_submitted
+  18: BillsAccepted bills_accepted
+  19: BillsCommitted bills_committed
+  20: BillsDuplicated bills_duplicated
+  21: BillsRejected bills_rejected
+  22: BillsCopied bills_copied
+  23: BillCopiesAcknowledged bill_copies_acknowledged
+  24: BillCopiesDropped bill_copies_dropped
+  25: SurrenderRequested surrender_requested
+  26: Surrendered surrendered
 }
 
 struct Envelope {
