Follow the configuration and accept changes to it

A change is one transaction that checks the head row and its own id, so racing operators conflict and a repetition has no second effect. The watcher reads the head row, replays the changes that it lacks and asks a peer for everything while the table is out of reach; a fingerprint in the head row proves each result whole before it applies.

Ruled out: scanning all records at each revision (one page per 500 records from 330 daemons); a failure for a commit whose reply was lost (it is read back by its id, and stays uncertain until the head row moves).

Mutations that the tests fail on: an offer or a lower head row that replaces a higher revision; a late reply that is taken for the read under way; a scan applied without the changes made meanwhile; confirmation dated at the arrival of an answer; a lost reply reported as not made; no check of the change id; no check of the head row; an older head row taken as proof that it moved. Three of these passed at first, and tests were added for them.

--- /dev/null
+++ b/kingcuphead/configuration/tests/test_acceptance.py
@@ -0,0 +1,223 @@
+import dataclasses
+
+import pytest
+
+from kingcuphead.configuration import (
+    HEAD_KEY,
+    Acceptance,
+    Change,
+    ChangeAccepted,
+    ChangeConflict,
+    ChangeInvalid,
+    ChangeNotMade,
+    ChangeRefused,
+    ChangeUncertain,
+    CommitReplied,
+    CommitWanted,
+    DeleteRecord,
+    PutRecord,
+    RaiseSchema,
+    RowsReplied,
+    RowsWanted,
+    Snapshot,
+    SnapshotRequested,
+    SnapshotTaken,
+    TimePassed,
+    WaitWanted,
+    build_change,
+)
+from kingcuphead.configuration.tests.scenes import (
+    BUDGET,
+    commit,
+    encode_budget,
+    encode_target,
+    fill_table,
+    make_change,
+)
+from kingcuphead.platform import MemoryTable, Unavailable, Unknown
+
+DEADLINE = 10.0
+PUT = PutRecord(encode_budget(), 0)
+
+
+class TestBuilding:
+    @pytest.mark.parametrize(
+        ("edits", "problem"),
+        [
+            ((), "0 edits"),
+            ((PUT, PUT), "edited twice"),
+            ((PutRecord(b"{}", 0),), "missing required field"),
+            ((PutRecord(encode_target(2), 0),), "service 's' does not exist"),
+            ((RaiseSchema(2),), "never lowered"),
+            ((RaiseSchema(3),), "reads 2"),
+        ],
+    )
+    def test_fault_is_named(self, edits, problem):
+        fault = build_change(Snapshot(), make_change("c", *edits)).error
+        assert isinstance(fault, ChangeInvalid)
+        assert problem in fault.message
+
+    def test_record_above_the_fleets_schema_is_refused(self):
+        head = dataclasses.replace(Snapshot().head, schema=1)
+        snapshot = dataclasses.replace(Snapshot(), head=head)
+        change = make_change("c", PutRecord(encode_target(2), 0))
+        assert "accepted are 1" in build_change(snapshot, change).error.message
+
+    @pytest.mark.parametrize(
+        ("edit", "found"),
+        [(PutRecord(encode_budget(), 0), 2), (DeleteRecord(BUDGET, 1), 2)],
+    )
+    def test_record_that_moved_is_a_conflict(self, edit, found):
+        _, snapshot = fill_table(2)
+        fault = build_change(snapshot, make_change("c", edit)).error
+        assert isinstance(fault, ChangeConflict)
+        assert (fault.name, fault.found, fault.revision) == (BUDGET, found, 2)
+
+
+class Drive:
+    """Answers an acceptance from a table; commits lose their replies on demand."""
+
+    def __init__(self, table: MemoryTable, snapshot: Snapshot, change: Change):
+        self.table = table
+        #: Snapshots to hand out, the last one again and again.
+        self.snapshots = [snapshot]
+        self.acceptance = Acceptance(change, DEADLINE)
+        #: Outcomes to report in place of the table's, with whether it takes effect.
+        self.lies: list[tuple[Unknown | Unavailable, bool]] = []
+
+    def run(self, now: float = 0.0):
+        (effect,) = self.acceptance.start()
+        for _ in range(50):
+            reply = self.answer(effect)
+            if reply is None:
+                return effect
+            now = DEADLINE if isinstance(effect, WaitWanted) else now
+            (effect,) = self.acceptance.receive(reply, now)
+        raise AssertionError("no outcome")
+
+    def answer(self, effect):
+        match effect:
+            case RowsWanted(keys=keys):
+                return RowsReplied(self.table.read_now(keys))
+            case SnapshotRequested():
+                if len(self.snapshots) > 1:
+                    return SnapshotTaken(self.snapshots.pop(0))
+                return SnapshotTaken(self.snapshots[0])
+            case CommitWanted(transaction=transaction) if self.lies:
+                lie, applied = self.lies.pop(0)
+                if applied:
+                    self.table.commit_now(transaction)
+                return CommitReplied(lie)
+            case CommitWanted(transaction=transaction):
+                return CommitReplied(self.table.commit_now(transaction))
+            case WaitWanted():
+                return TimePassed()
+        return None
+
+
+class TestAcceptance:
+    def test_change_is_accepted(self):
+        drive = Drive(*fill_table(2), make_change("c", PutRecord(encode_budget(), 2)))
+        assert drive.run() == ChangeAccepted("c", 3)
+
+    @pytest.mark.parametrize(
+        "lies",
+        [
+            [(Unknown(), True)],
+            [(Unknown(), False)],
+            [(Unknown(), False), (Unknown(), True)],
+        ],
+    )
+    def test_lost_reply_is_read_back(self, lies):
+        drive = Drive(*fill_table(0), make_change("c", PUT))
+        drive.lies = lies
+        assert drive.run() == ChangeAccepted("c", 1)
+        assert drive.table.counts.commits == 1
+
+    @pytest.mark.parametrize(
+        ("lies", "outcome"),
+        [
+            ([(Unavailable(), False)], ChangeNotMade("c")),
+            ([(Unknown(), False), (Unavailable(), False)], ChangeUncertain("c")),
+        ],
+    )
+    def test_deadline_tells_certain_from_uncertain(self, lies, outcome):
+        drive = Drive(*fill_table(0), make_change("c", PUT))
+        drive.lies = lies
+        assert drive.run() == outcome
+
+    def test_commit_without_reply_is_uncertain(self):
+        acceptance = Acceptance(make_change("c", PUT), DEADLINE)
+        acceptance.start()
+        acceptance.receive(RowsReplied(()), 0.0)
+        acceptance.receive(SnapshotTaken(Snapshot()), 0.0)
+        assert acceptance.receive(TimePassed(), DEADLINE) == (ChangeUncertain("c"),)
+
+    @pytest.mark.parametrize(
+        ("repeated", "outcome"),
+        [(False, ChangeNotMade("c")), (True, ChangeUncertain("c"))],
+    )
+    def test_repetition_that_cannot_look_up_stays_uncertain(self, repeated, outcome):
+        change = dataclasses.replace(make_change("c", PUT), repeated=repeated)
+        acceptance = Acceptance(change, DEADLINE)
+        acceptance.start()
+        assert acceptance.receive(TimePassed(), DEADLINE) == (outcome,)
+
+    def test_repetition_has_no_second_effect(self):
+        table, snapshot = fill_table(3)
+        drive = Drive(table, snapshot, make_change("c1", PUT))
+        assert drive.run() == ChangeAccepted("c1", 1)
+        assert table.counts.commits == 3
+
+    def test_delayed_repetition_does_not_undo_a_later_change(self):
+        change = make_change("c1", PUT)
+        delayed = Acceptance(change, DEADLINE)
+        delayed.start()
+        delayed.receive(RowsReplied(()), 0.0)
+        table, snapshot = fill_table(0)
+        snapshot = commit(table, snapshot, change)
+        removal = make_change("c2", DeleteRecord(BUDGET, 1))
+        snapshot = commit(table, snapshot, removal)
+        (wanted,) = delayed.receive(SnapshotTaken(snapshot), 1.0)
+        assert isinstance(wanted, CommitWanted)
+        reply = CommitReplied(table.commit_now(wanted.transaction))
+        assert delayed.receive(reply, 1.0) == (ChangeAccepted("c1", 1),)
+        assert table.counts.commits == 2
+
+    def test_older_head_row_settles_nothing(self):
+        table, base = fill_table(1)
+        old = table.read_now((HEAD_KEY,))
+        edit = PutRecord(encode_budget(), 1)
+        snapshot = commit(table, base, make_change("c2", edit))
+        change = make_change("c", PutRecord(encode_budget(), 2))
+        acceptance = Acceptance(change, DEADLINE)
+        acceptance.start()
+        acceptance.receive(RowsReplied(()), 0.0)
+        acceptance.receive(SnapshotTaken(snapshot), 0.0)
+        acceptance.receive(CommitReplied(Unknown()), 0.0)
+        (effect,) = acceptance.receive(RowsReplied(old), 0.0)
+        assert isinstance(effect, CommitWanted)
+        assert acceptance.receive(TimePassed(), DEADLINE) == (ChangeUncertain("c"),)
+
+    def test_racing_operators_get_the_other_change_named(self):
+        table, base = fill_table(1)
+        edit = PutRecord(encode_budget(), 1)
+        after = commit(table, base, make_change("won", edit, author="boris"))
+        drive = Drive(table, base, make_change("lost", edit))
+        drive.snapshots.append(after)
+        outcome = drive.run()
+        assert isinstance(outcome, ChangeRefused)
+        assert isinstance(outcome.fault, ChangeConflict)
+        assert outcome.fault.revision == 2
+        assert outcome.fault.message == (
+            "budget 'b' is at revision 2, not at 1: "
+            "revision 2 by boris touched budget b"
+        )
+
+    def test_unrelated_change_is_built_upon(self):
+        table, base = fill_table(1)
+        other = make_change("other", PutRecord(encode_budget("x"), 0))
+        after = commit(table, base, other)
+        drive = Drive(table, base, make_change("c", PutRecord(encode_budget(), 1)))
+        drive.snapshots.append(after)
+        assert drive.run() == ChangeAccepted("c", 3)
--- /dev/null
+++ b/kingcuphead/configuration/tests/test_watcher.py
@@ -0,0 +1,236 @@
+import dataclasses
+
+import pytest
+
+from kingcuphead.configuration import (
+    HEAD_KEY,
+    ChangesRead,
+    ConfigurationApplied,
+    ConfigurationOffered,
+    ConfigurationRequested,
+    Freshness,
+    HeadRead,
+    HeadRequested,
+    PeerAnswered,
+    PeerAsked,
+    PeerRevision,
+    PutRecord,
+    RaiseSchema,
+    ReadFailed,
+    ReadRequested,
+    RevisionRefused,
+    Snapshot,
+    Ticked,
+    Watcher,
+    WatcherEffect,
+    WatchPolicy,
+    encode_offer,
+)
+from kingcuphead.configuration.tests.scenes import (
+    commit,
+    encode_budget,
+    encode_target,
+    fill_table,
+    make_change,
+    serve,
+)
+from kingcuphead.platform import MemoryTable
+from kingcuphead.records import Service, ServiceKind, encode_record
+
+POLICY = WatchPolicy(stale_after=10.0, refuse_after=100.0)
+
+
+def follow(table: MemoryTable, policy: WatchPolicy = POLICY) -> Watcher:
+    watcher = Watcher("d", policy)
+    serve(watcher, watcher.receive(Ticked(), 0.0), table, 0.0)
+    return watcher
+
+
+def ask(watcher: Watcher, now: float) -> int:
+    """Tick and return the number of the read that follows."""
+    (asked,) = watcher.receive(Ticked(), now)
+    assert isinstance(asked, HeadRequested)
+    return asked.attempt
+
+
+def get_snapshot(watcher: Watcher) -> Snapshot:
+    assert watcher.snapshot is not None
+    return watcher.snapshot
+
+
+def get_revision(watcher: Watcher) -> int | None:
+    return watcher.snapshot.revision if watcher.snapshot else None
+
+
+def list_applied(effects: list[WatcherEffect]) -> list[int]:
+    applied = [e for e in effects if isinstance(e, ConfigurationApplied)]
+    return [effect.configuration.revision for effect in applied]
+
+
+class TestFollowing:
+    @pytest.mark.parametrize("changes", [0, 1, 5])
+    def test_first_reading_takes_everything(self, changes):
+        table, snapshot = fill_table(changes)
+        watcher = follow(table)
+        assert get_snapshot(watcher).head == snapshot.head
+        assert get_snapshot(watcher).records == snapshot.records
+
+    def test_change_during_the_scan_is_replayed(self):
+        table, snapshot = fill_table(2)
+        watcher = Watcher("d", POLICY)
+        attempt = ask(watcher, 0.0)
+        head = table.read_now((HEAD_KEY,))[0]
+        effects = watcher.receive(HeadRead(attempt, head), 0.0)
+        edit = PutRecord(encode_budget("other"), 0)
+        commit(table, snapshot, make_change("c3", edit))
+        rest = serve(watcher, effects, table, 0.1)
+        assert list_applied(rest) == [3]
+
+    def test_many_changes_are_followed_in_pieces(self):
+        table, snapshot = fill_table(1)
+        watcher = follow(table)
+        for number in range(2, 452):
+            edit = PutRecord(encode_budget(), snapshot.revision)
+            snapshot = commit(table, snapshot, make_change(f"c{number}", edit))
+        rest = serve(watcher, watcher.receive(Ticked(), 1.0), table, 1.0)
+        assert list_applied(rest) == [201, 401, 451]
+
+    def test_late_reply_neither_applies_nor_confirms(self):
+        table, snapshot = fill_table(1)
+        watcher = follow(table)
+        late = HeadRead(ask(watcher, 1.0), table.read_now((HEAD_KEY,))[0])
+        edit = PutRecord(encode_budget(), snapshot.revision)
+        commit(table, snapshot, make_change("c2", edit))
+        watcher.receive(Ticked(), 3.0)
+        ask(watcher, 4.0)
+        assert watcher.receive(late, 5.0) == ()
+        assert (get_revision(watcher), watcher.confirmed_at) == (1, 0.0)
+
+    def test_lower_head_neither_applies_nor_confirms(self):
+        watcher = follow(fill_table(3)[0])
+        older, _ = fill_table(2)
+        rest = serve(watcher, watcher.receive(Ticked(), 20.0), older, 20.0)
+        assert RevisionRefused(2, "3 was read before") in rest
+        assert watcher.assess(20.0) is Freshness.STALE
+
+    def test_another_history_is_refused(self):
+        watcher = follow(fill_table(1)[0])
+        table, other = MemoryTable(), Snapshot()
+        commit(table, other, make_change("x", PutRecord(encode_budget("x"), 0)))
+        rest = serve(watcher, watcher.receive(Ticked(), 1.0), table, 1.0)
+        assert rest == [RevisionRefused(1, "two changes claim this revision")]
+
+    def test_missing_change_row_is_refused(self):
+        table, snapshot = fill_table(1)
+        watcher = follow(table)
+        edit = PutRecord(encode_budget(), snapshot.revision)
+        commit(table, snapshot, make_change("c2", edit))
+        attempt = ask(watcher, 1.0)
+        head = table.read_now((HEAD_KEY,))[0]
+        (read,) = watcher.receive(HeadRead(attempt, head), 1.0)
+        assert isinstance(read, ReadRequested)
+        refused = watcher.receive(ChangesRead(read.attempt, ()), 1.0)
+        assert refused == (RevisionRefused(2, "changes are missing"),)
+
+    def test_invariant_is_asserted(self):
+        watcher = follow(fill_table(2)[0])
+        broken = dataclasses.replace(get_snapshot(watcher), fingerprint=1)
+        with pytest.raises(AssertionError, match="only whole snapshots"):
+            list(watcher._apply(broken, None))
+
+
+class TestMixedSchemas:
+    def test_older_build_keeps_the_whole_last_revision(self):
+        service = encode_record(Service("s", ServiceKind.PLAIN))
+        table = MemoryTable()
+        first = make_change("c1", PutRecord(service, 0), PutRecord(encode_target(1), 0))
+        snapshot = commit(table, Snapshot(), first)
+        older = follow(table, dataclasses.replace(POLICY, schema=1))
+        newer = follow(table)
+        edits = (PutRecord(encode_budget(), 0), PutRecord(encode_target(2), 1))
+        commit(table, snapshot, make_change("c2", *edits))
+        for watcher in (older, newer):
+            serve(watcher, watcher.receive(Ticked(), 11.0), table, 11.0)
+        assert (get_revision(older), get_revision(newer)) == (1, 2)
+        assert "b" not in get_snapshot(older).configuration.budgets
+        assert older.assess(11.0) is Freshness.STALE
+        assert (
+            get_snapshot(older).configuration.targets
+            == get_snapshot(newer).configuration.targets
+        )
+
+
+class TestFreshness:
+    @pytest.mark.parametrize(
+        ("age", "freshness"),
+        [
+            (0.0, Freshness.FRESH),
+            (9.9, Freshness.FRESH),
+            (10.0, Freshness.STALE),
+            (99.9, Freshness.STALE),
+            (100.0, Freshness.EXPIRED),
+        ],
+    )
+    def test_age_decides(self, age, freshness):
+        assert follow(fill_table(1)[0]).assess(age) is freshness
+
+    def test_pause_between_question_and_answer_counts_as_age(self):
+        table, _ = fill_table(1)
+        watcher = follow(table)
+        attempt = ask(watcher, 1.0)
+        answer = HeadRead(attempt, table.read_now((HEAD_KEY,))[0])
+        watcher.receive(answer, 60.0)
+        assert watcher.confirmed_at == 1.0
+        assert watcher.assess(60.0) is Freshness.STALE
+
+    def test_peer_confirms_the_same_revision_only(self):
+        watcher = follow(fill_table(2)[0])
+        watcher.receive(PeerRevision("p", 1, 50.0), 60.0)
+        assert watcher.confirmed_at == 0.0
+        watcher.receive(PeerRevision("p", 2, 50.0), 60.0)
+        assert watcher.confirmed_at == 50.0
+
+
+class TestPeers:
+    def test_daemon_starts_from_a_peer_while_the_table_is_down(self):
+        peer = follow(fill_table(3)[0])
+        watcher = Watcher("d", POLICY)
+        attempt = ask(watcher, 1000.0)
+        watcher.receive(ReadFailed(attempt), 1000.0)
+        asking = watcher.receive(PeerRevision("p", 3, 990.0), 1001.0)
+        assert asking == (PeerAsked("p"),)
+        (answer,) = peer.receive(ConfigurationRequested("d"), 1.0)
+        assert isinstance(answer, PeerAnswered)
+        watcher.receive(answer.offer, 1001.0)
+        assert get_revision(watcher) == 3
+        assert watcher.assess(1001.0) is Freshness.EXPIRED
+        watcher.receive(PeerRevision("p", 3, 995.0), 1002.0)
+        assert watcher.assess(1002.0) is Freshness.FRESH
+
+    @pytest.mark.parametrize("revision", [1, 2])
+    def test_offer_never_reverts(self, revision):
+        watcher = follow(fill_table(2)[0])
+        offer = ConfigurationOffered("p", encode_offer(fill_table(revision)[1]))
+        assert watcher.receive(offer, 1.0) == ()
+        assert get_revision(watcher) == 2
+
+    def test_offer_that_is_not_whole_is_refused(self):
+        snapshot = dataclasses.replace(fill_table(3)[1], records={})
+        watcher = follow(fill_table(1)[0])
+        offer = ConfigurationOffered("p", encode_offer(snapshot))
+        (refused,) = watcher.receive(offer, 1.0)
+        assert refused == RevisionRefused(3, "the offer is not whole")
+
+    def test_higher_peer_prompts_a_read(self):
+        watcher = follow(fill_table(1)[0])
+        (effect,) = watcher.receive(PeerRevision("p", 2), 0.5)
+        assert isinstance(effect, HeadRequested)
+
+    def test_raised_schema_is_followed(self):
+        table, snapshot = MemoryTable(), Snapshot()
+        snapshot = dataclasses.replace(
+            snapshot, head=dataclasses.replace(snapshot.head, schema=1)
+        )
+        commit(table, snapshot, make_change("c1", RaiseSchema(2)))
+        watcher = follow(table)
+        assert get_snapshot(watcher).head.schema == 2
