--- a/kingcuphead/budgets/_peer_messages.py
+++ b/kingcuphead/budgets/_peer_messages.py
@@ -6,12 +6,24 @@
 """
 
 import dataclasses
+import enum
 from typing import TypeAlias
 
 from kingcuphead.budgets._rows import Bill
 from kingcuphead.records import BudgetPolicy
 
 
+class Denial(enum.StrEnum):
+    """Why a home lends nothing."""
+
+    #: Every token is billed or covers a request that is being served.
+    EXHAUSTED = "exhausted"
+    #: Others hold credit that they have not answered for.
+    UNPROVEN = "unproven"
+    #: The table was not reached, or the home is shutting down.
+    UNREACHABLE = "unreachable"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CreditRequested:
     """A borrower asks the home to raise its credit line."""
@@ -26,10 +38,14 @@
     received_total: int
     #: Tokens returned on the line so far.
     returned_total: int
-    #: Fewest additional tokens that are of use.
+    #: Additional tokens that the first waiting hold needs, 0 if none waits.
     needed: int
+    #: Additional tokens that all waiting holds need.
+    queued: int
     #: Additional tokens wanted where the budget is plentiful.
     wanted: int
+    #: Number of the request on this line; answers repeat it.
+    sequence: int
     #: Policy of the budget.
     policy: BudgetPolicy
 
@@ -46,6 +62,8 @@
     lent_total: int
     #: Tokens that the lender has seen returned so far.
     returned_total: int
+    #: Whether the budget runs low, so that idle credit is to be returned at once.
+    scarce: bool
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -56,8 +74,10 @@
     sender: str
     #: Budget name.
     budget: str
-    #: Whether nothing is left; otherwise it could not be found out.
-    exhausted: bool
+    #: Number of the request that is denied.
+    sequence: int
+    #: Why.
+    denial: Denial
     #: Seconds after which another try may succeed.
     retry_after: float
 
--- /dev/null
+++ b/kingcuphead/budgets/_routing.py
@@ -0,0 +1,72 @@
+"""Which daemon is a shard's home, and which can witness a bill."""
+
+import dataclasses
+from collections.abc import Iterator
+
+from kingcuphead.budgets._messages import Member
+from kingcuphead.budgets._rendezvous import choose_member
+from kingcuphead.budgets._settings import Settings
+
+
+def get_instance(incarnation: str) -> str:
+    """Return the instance name of an incarnation."""
+    return incarnation.rpartition("/")[0]
+
+
+@dataclasses.dataclass(slots=True)
+class Routing:
+    """Beliefs about the other daemons; a wrong one costs a detour, never money."""
+
+    #: This daemon.
+    own: Member
+    #: Settings.
+    settings: Settings
+    #: Live members by name, this daemon included.
+    members: dict[str, Member] = dataclasses.field(default_factory=dict)
+    #: Monotonic time in seconds until which a silent member is passed over.
+    suspects: dict[str, float] = dataclasses.field(default_factory=dict)
+
+    def __post_init__(self) -> None:
+        """Start alone."""
+        self.members = {self.own.name: self.own}
+
+    def replace_members(self, members: tuple[Member, ...]) -> None:
+        """Take over a new view."""
+        self.members = {member.name: member for member in members}
+        self.members[self.own.name] = self.own
+
+    def suspect(self, instance: str, now: float) -> None:
+        """Pass over a member for a while."""
+        if instance != self.own.name:
+            self.suspects[instance] = now + self.settings.suspect_seconds
+
+    def trust(self, instance: str) -> None:
+        """Stop passing over a member that was heard of."""
+        self.suspects.pop(instance, None)
+
+    def is_reachable(self, instance: str, now: float) -> bool:
+        """Return whether a member is live and not suspected."""
+        return instance in self.members and self.suspects.get(instance, now) <= now
+
+    def iterate_reachable(self, now: float) -> Iterator[Member]:
+        """Yield the members that are live and not suspected."""
+        return (m for m in self.members.values() if self.is_reachable(m.name, now))
+
+    def choose_home(self, shard: int, now: float) -> Member:
+        """Return the home of a shard in this region, or this daemon itself."""
+        key = f"home/{shard}"
+        regional = [m for m in self.members.values() if m.region == self.own.region]
+        home = choose_member(key, regional)
+        if home is None or not self.is_reachable(home.name, now):
+            return self.own
+        return home
+
+    def choose_witness(self, shard: int, now: float) -> Member | None:
+        """Return a member in another zone that keeps copies of bills."""
+        candidates = (m for m in self.iterate_reachable(now) if self.is_apart(m.name))
+        return choose_member(f"witness/{self.own.name}/{shard}", candidates)
+
+    def is_apart(self, instance: str) -> bool:
+        """Return whether a member is in another availability zone."""
+        member = self.members.get(instance)
+        return member is not None and member.zone != self.own.zone
