Start the scheduler: queueing, placement and quarantine behind one receive

Cause: the daemon needs one sans-I/O surface that says when and where a request runs. The three concerns are packages of their own, joined by Scheduler.

--- /dev/null
+++ b/kingcuphead/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that run in virtual time, without processes."""
--- /dev/null
+++ b/kingcuphead/placement/__init__.py
@@ -0,0 +1,32 @@
+"""Placement: which target runs a request, and how much each may run."""
+
+from kingcuphead.placement._affinity import compute_score, encode_key
+from kingcuphead.placement._invariants import InvariantError, ensure
+from kingcuphead.placement._messages import (
+    PlacementEffect,
+    PlacementQuery,
+    ProbeRequested,
+    TargetStateChanged,
+)
+from kingcuphead.placement._placement import Attempt, Placement, Prospect, TargetView
+from kingcuphead.placement._settings import PlacementSettings
+from kingcuphead.placement._states import AnswerResult, SignSource, TargetState
+
+__all__ = [
+    "AnswerResult",
+    "Attempt",
+    "InvariantError",
+    "Placement",
+    "PlacementEffect",
+    "PlacementQuery",
+    "PlacementSettings",
+    "ProbeRequested",
+    "Prospect",
+    "SignSource",
+    "TargetState",
+    "TargetStateChanged",
+    "TargetView",
+    "compute_score",
+    "encode_key",
+    "ensure",
+]
--- /dev/null
+++ b/kingcuphead/quarantine/__init__.py
@@ -0,0 +1,23 @@
+"""Quarantine of requests that crash the targets that run them."""
+
+from kingcuphead.quarantine._messages import (
+    Crash,
+    CrashReported,
+    FingerprintQuarantined,
+    FingerprintReleased,
+    QuarantineEffect,
+    QuarantineEntry,
+)
+from kingcuphead.quarantine._quarantine import Quarantine
+from kingcuphead.quarantine._settings import QuarantineSettings
+
+__all__ = [
+    "Crash",
+    "CrashReported",
+    "FingerprintQuarantined",
+    "FingerprintReleased",
+    "Quarantine",
+    "QuarantineEffect",
+    "QuarantineEntry",
+    "QuarantineSettings",
+]
--- /dev/null
+++ b/kingcuphead/queueing/__init__.py
@@ -0,0 +1,49 @@
+"""Queueing: when each request runs, or why it is refused.
+
+`Scheduler` joins queueing with placement and quarantine; the daemon drives it.
+"""
+
+from kingcuphead.queueing._messages import (
+    AnswerFinished,
+    AnswerStarted,
+    ConfigurationApplied,
+    CrashLearnt,
+    Effect,
+    LoadReported,
+    PeersCounted,
+    ProbeAnswered,
+    QuarantineLearnt,
+    QuarantineReleased,
+    RequestArrived,
+    RequestPlaced,
+    RequestRejected,
+    RequestWithdrawn,
+    SchedulerMessage,
+    TargetReported,
+    Ticked,
+)
+from kingcuphead.queueing._scheduler import Scheduler
+from kingcuphead.queueing._settings import QueueingSettings, SchedulerSettings
+
+__all__ = [
+    "AnswerFinished",
+    "AnswerStarted",
+    "ConfigurationApplied",
+    "CrashLearnt",
+    "Effect",
+    "LoadReported",
+    "PeersCounted",
+    "ProbeAnswered",
+    "QuarantineLearnt",
+    "QuarantineReleased",
+    "QueueingSettings",
+    "RequestArrived",
+    "RequestPlaced",
+    "RequestRejected",
+    "RequestWithdrawn",
+    "Scheduler",
+    "SchedulerMessage",
+    "SchedulerSettings",
+    "TargetReported",
+    "Ticked",
+]
--- /dev/null
+++ b/kingcuphead/queueing/_backlog.py
@@ -0,0 +1,107 @@
+"""Every waiting request of one daemon, by kind of work and class."""
+
+import dataclasses
+from collections.abc import Iterator, Mapping
+
+from kingcuphead.placement import ensure
+from kingcuphead.queueing._fairness import FairQueue, Waiting
+from kingcuphead.queueing._messages import RequestArrived
+from kingcuphead.records import WorkClass
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Lane:
+    """Requests that the same targets can run."""
+
+    #: Service that does the work.
+    service: str
+    #: Model; empty for plain services.
+    model: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ClassQueue:
+    """The requests of one class in one lane."""
+
+    #: Kind of work.
+    lane: Lane
+    #: Class as configured.
+    work_class: WorkClass
+    #: The requests.
+    queue: FairQueue
+
+    def compute_rank(self, now: float) -> float:
+        """Return the priority of the next request, raised by its wait."""
+        head = next(self.queue.iterate())
+        raised = (now - head.arrived_at) / max(self.work_class.ageing, 1e-9)
+        return max(0.0, self.work_class.rank - raised)
+
+
+class Backlog:
+    """The waiting requests, in queues that are fair inside a class."""
+
+    def __init__(self) -> None:
+        self._queues: dict[tuple[Lane, str], FairQueue] = {}
+        self._waiting: dict[str, Waiting] = {}
+
+    def __len__(self) -> int:
+        return len(self._waiting)
+
+    def get(self, request_id: str) -> Waiting | None:
+        """Return a waiting request."""
+        return self._waiting.get(request_id)
+
+    def push(self, request: RequestArrived, weight: int, now: float) -> None:
+        """Add a request."""
+        ensure(
+            request.request_id not in self._waiting,
+            "a request waits once",
+            request_id=request.request_id,
+        )
+        waiting = Waiting(request, now, weight)
+        self._waiting[request.request_id] = waiting
+        self._get_queue(request).push(waiting)
+
+    def remove(self, request_id: str) -> Waiting | None:
+        """Take out a request that is not served."""
+        waiting = self._waiting.pop(request_id, None)
+        if waiting is not None:
+            self._get_queue(waiting.request).remove(waiting)
+        return waiting
+
+    def serve(self, request_id: str) -> Waiting:
+        """Take out a request that goes to a target."""
+        waiting = self._waiting.pop(request_id)
+        self._get_queue(waiting.request).serve(waiting)
+        return waiting
+
+    def iterate(self) -> Iterator[Waiting]:
+        """Yield every waiting request."""
+        yield from tuple(self._waiting.values())
+
+    def sort_queues(
+        self, classes: Mapping[str, WorkClass], now: float
+    ) -> list[ClassQueue]:
+        """Return the queues that hold requests, the most urgent first."""
+        queues = [
+            ClassQueue(lane, get_work_class(classes, name), queue)
+            for (lane, name), queue in self._queues.items()
+            if len(queue)
+        ]
+        return sorted(
+            queues,
+            key=lambda entry: (entry.compute_rank(now), entry.work_class.rank),
+        )
+
+    def _get_queue(self, request: RequestArrived) -> FairQueue:
+        key = (Lane(request.service, request.model), request.work_class)
+        return self._queues.setdefault(key, FairQueue())
+
+
+def get_work_class(classes: Mapping[str, WorkClass], name: str) -> WorkClass:
+    """Return a class by name; one that the configuration lacks goes last."""
+    found = classes.get(name)
+    if found is not None:
+        return found
+    last = max((work_class.rank for work_class in classes.values()), default=0)
+    return WorkClass(name, rank=last + 1, deadline=float("inf"))
