--- /dev/null
+++ b/kingcuphead/pipeline/__init__.py
@@ -0,0 +1,26 @@
+"""The request path: pipes and filters from a caller's request to its answer."""
+
+from kingcuphead.pipeline._chat import ChatPath, ChatTimes
+from kingcuphead.pipeline._gateway import Gateway, GatewaySettings, RequestEnd
+from kingcuphead.pipeline._observations import Phase, Stopwatch
+from kingcuphead.pipeline._ports import Caller, Holds, Targets
+from kingcuphead.pipeline._service import ServicePath
+from kingcuphead.pipeline._settlement import Settlements
+from kingcuphead.pipeline._stages import Placed, Received
+
+__all__ = [
+    "Caller",
+    "ChatPath",
+    "ChatTimes",
+    "Gateway",
+    "GatewaySettings",
+    "Holds",
+    "Phase",
+    "Placed",
+    "Received",
+    "RequestEnd",
+    "ServicePath",
+    "Settlements",
+    "Stopwatch",
+    "Targets",
+]
--- /dev/null
+++ b/kingcuphead/pipeline/_delivery.py
@@ -0,0 +1,157 @@
+"""Filter: the answer's way to the caller, streamed or in one body."""
+
+from collections.abc import Callable, Mapping
+from typing import Protocol
+
+from expression import Result
+
+from kingcuphead.api import (
+    AnswerEnd,
+    assemble_answer,
+    encode_error_event,
+    iterate_payloads,
+)
+from kingcuphead.pipeline._ports import Caller
+from kingcuphead.verdict import Verdict
+
+_DONE_PAYLOAD = b"[DONE]"
+
+
+class Delivery(Protocol):
+    """How one caller gets its answer."""
+
+    #: Whether the caller has got a part of the answer.
+    begun: bool
+
+    async def deliver(self, block: bytes) -> None:
+        """Take events that may be passed on now."""
+        ...
+
+    async def complete(self, end: AnswerEnd) -> Verdict | None:
+        """Pass on the end of a whole answer whose bill is safe."""
+        ...
+
+    async def break_off(self, verdict: Verdict) -> None:
+        """Tell a caller that has got a part of the answer how it ended."""
+        ...
+
+    def reset(self) -> None:
+        """Forget the events of an attempt that failed."""
+        ...
+
+
+class StreamedDelivery:
+    """Passes events on as they come.
+
+    Parameters
+    ----------
+    caller
+        The caller.
+    request_id
+        Echoed in the headers.
+    started
+        Called when the first event is passed on.
+    """
+
+    def __init__(
+        self, caller: Caller, request_id: str, started: Callable[[], None]
+    ) -> None:
+        self._caller = caller
+        self._request_id = request_id
+        self._started = started
+        #: Whether the caller has got a part of the answer.
+        self.begun = False
+
+    def reset(self) -> None:
+        """Nothing is kept here."""
+
+    async def deliver(self, block: bytes) -> None:
+        """Take events that may be passed on now."""
+        if not self.begun:
+            self.begun = True
+            self._started()
+            await self._caller.start(200, self._make_headers())
+        await self._caller.write(block)
+
+    async def complete(self, end: AnswerEnd) -> Verdict | None:
+        """Pass on the end of a whole answer whose bill is safe."""
+        await self.deliver(end.tail)
+        await self._caller.finish()
+        return None
+
+    async def break_off(self, verdict: Verdict) -> None:
+        """Tell a caller that has got a part of the answer how it ended."""
+        await self._caller.write(encode_error_event(verdict, self._request_id))
+        await self._caller.finish()
+
+    def _make_headers(self) -> Mapping[str, str]:
+        return {
+            "Content-Type": "text/event-stream",
+            "Cache-Control": "no-store",
+            "X-Request-Id": self._request_id,
+        }
+
+
+class AssembledDelivery:
+    """Keeps the events and passes one body on.
+
+    Parameters
+    ----------
+    caller
+        The caller.
+    request_id
+        Echoed in the headers.
+    started
+        Called when the first event comes.
+    """
+
+    def __init__(
+        self, caller: Caller, request_id: str, started: Callable[[], None]
+    ) -> None:
+        self._caller = caller
+        self._request_id = request_id
+        self._started = started
+        self._blocks: list[bytes] = []
+        #: Whether the caller has got a part of the answer.
+        self.begun = False
+
+    def reset(self) -> None:
+        """Forget the events of an attempt that failed."""
+        self._blocks.clear()
+
+    async def deliver(self, block: bytes) -> None:
+        """Take events that may be passed on now."""
+        if not self._blocks:
+            self._started()
+        self._blocks.append(block)
+
+    async def complete(self, end: AnswerEnd) -> Verdict | None:
+        """Pass on the body of a whole answer whose bill is safe."""
+        self._blocks.append(end.tail)
+        payloads = (
+            payload
+            for payload in iterate_payloads(b"".join(self._blocks))
+            if payload != _DONE_PAYLOAD
+        )
+        match assemble_answer(payloads):
+            case Result(tag="ok", ok=body):
+                await self._send(body)
+                return None
+            case Result(error=verdict):
+                return verdict
+
+    async def break_off(self, verdict: Verdict) -> None:
+        """Never happens: the caller gets nothing before the whole answer."""
+        raise AssertionError(f"an unstreamed answer was broken off: {verdict.message}")
+
+    async def _send(self, body: bytes) -> None:
+        self.begun = True
+        headers = {
+            "Content-Type": "application/json",
+            "Content-Length": str(len(body)),
+            "X-Request-Id": self._request_id,
+        }
+        await self._caller.start(200, headers)
+        await self._caller.write(body)
+        await self._caller.finish()
+
--- /dev/null
+++ b/kingcuphead/pipeline/_gateway.py
@@ -0,0 +1,282 @@
+"""The request path as a whole: filters from the caller to the answer."""
+
+import dataclasses
+from collections.abc import Callable
+from typing import Any
+
+from expression import Error, Ok, Result
+from loguru import logger
+
+from kingcuphead.api import (
+    ApiLimits,
+    KeyIndex,
+    Refusal,
+    describe_refusal,
+    encode_models,
+    identify_caller,
+)
+from kingcuphead.pipeline._admission import AdmissionRules, admit_chat, admit_service
+from kingcuphead.pipeline._chat import ChatPath
+from kingcuphead.pipeline._delivery import (
+    AssembledDelivery,
+    Delivery,
+    StreamedDelivery,
+)
+from kingcuphead.pipeline._identification import identify
+from kingcuphead.pipeline._observations import Stopwatch
+from kingcuphead.pipeline._ports import Caller, Targets
+from kingcuphead.pipeline._service import ServiceAnswer, ServicePath, is_repeatable
+from kingcuphead.pipeline._stages import (
+    Admitted,
+    ChatWork,
+    Identified,
+    Received,
+    ServiceWork,
+)
+from kingcuphead.records import Configuration
+from kingcuphead.verdict import Execution, Outcome, Reason, Verdict
+
+#: Seconds after which a caller may try another daemon or this one again.
+RETRY_AFTER = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class GatewaySettings:
+    """Bounds of the request path."""
+
+    #: Sizes beyond which a request is refused.
+    limits: ApiLimits
+    #: Seconds to the first token where neither caller nor class gives a deadline.
+    default_deadline: float
+    #: Most requests in the daemon at once.
+    concurrent_requests: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestEnd:
+    """How one request ended, for logs and metrics."""
+
+    #: The request.
+    received: Received
+    #: Organisation, "" if it is not known.
+    organisation: str
+    #: Work class, "" if it is not known.
+    work_class: str
+    #: The verdict, or None for a whole answer.
+    verdict: Verdict | None
+    #: Times of its phases.
+    stopwatch: Stopwatch
+
+
+class Gateway:
+    """Serves callers' requests under the configuration in force.
+
+    Parameters
+    ----------
+    settings
+        Bounds of the request path.
+    chat
+        The path of chat requests.
+    services
+        The path of calls to plain services.
+    targets
+        Told of first tokens.
+    report
+        Receives the end of every request.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        chat: ChatPath,
+        services: ServicePath,
+        targets: Targets,
+        report: Callable[[RequestEnd], None],
+    ) -> None:
+        self._settings = settings
+        self._chat = chat
+        self._services = services
+        self._targets = targets
+        self._report = report
+        self._configuration = Configuration()
+        self._index = KeyIndex.build(self._configuration)
+        self._closed_reason: Reason | None = Reason.CONFIGURATION_STALE
+        self._open_requests = 0
+
+    @property
+    def open_requests(self) -> int:
+        """Requests that have not ended."""
+        return self._open_requests
+
+    def apply(self, configuration: Configuration) -> None:
+        """Put a configuration in force for requests that arrive from now on."""
+        self._configuration = configuration
+        self._index = KeyIndex.build(configuration)
+
+    def close(self, reason: Reason) -> None:
+        """Refuse requests that arrive from now on."""
+        self._closed_reason = reason
+
+    def open(self) -> None:
+        """Serve requests again."""
+        self._closed_reason = None
+
+    def list_models(self, received: Received) -> Outcome[bytes]:
+        """Return the models that the caller's organisation may use."""
+        return identify_caller(received.headers, self._index).map(
+            lambda organisation: encode_models(organisation, self._configuration)
+        )
+
+    async def serve_chat(self, received: Received, caller: Caller) -> None:
+        """Serve a chat request."""
+        await self._serve(
+            received, caller, lambda identified: admit_chat(identified, self._rules)
+        )
+
+    async def serve_service(
+        self, received: Received, caller: Caller, name: str, path: str
+    ) -> None:
+        """Serve a call to a plain service."""
+        await self._serve(
+            received,
+            caller,
+            lambda identified: admit_service(identified, name, path, self._rules),
+        )
+
+    @property
+    def _rules(self) -> AdmissionRules:
+        return AdmissionRules(
+            self._configuration, self._settings.limits, self._settings.default_deadline
+        )
+
+    async def _serve(
+        self,
+        received: Received,
+        caller: Caller,
+        admit: Callable[[Identified], Outcome[Admitted]],
+    ) -> None:
+        stopwatch = Stopwatch(received.received_at)
+        admitted = (
+            self._check_open()
+            .bind(lambda _: identify(received, self._index, self._settings.limits))
+            .bind(admit)
+        )
+        match admitted:
+            case Result(tag="ok", ok=request):
+                await self._run(request, caller, stopwatch)
+            case Result(error=verdict):
+                await send_refusal(caller, verdict, received.request_id)
+                self._report(RequestEnd(received, "", "", verdict, stopwatch))
+
+    async def _run(
+        self, request: Admitted, caller: Caller, stopwatch: Stopwatch
+    ) -> None:
+        organisation = request.identified.organisation.name
+        self._open_requests += 1
+        verdict: Verdict | None = Verdict(
+            Execution.MAY_HAVE_RUN, Reason.CALLER_GONE, "the caller hung up"
+        )
+        try:
+            with logger.contextualize(
+                request_id=request.received.request_id, organisation=organisation
+            ):
+                verdict = await self._dispatch(request, caller, stopwatch)
+        finally:
+            self._open_requests -= 1
+            self._report(
+                RequestEnd(
+                    request.received,
+                    organisation,
+                    request.work_class.name,
+                    verdict,
+                    stopwatch,
+                )
+            )
+
+    async def _dispatch(
+        self, request: Admitted, caller: Caller, stopwatch: Stopwatch
+    ) -> Verdict | None:
+        match request.work:
+            case ChatWork() as work:
+                return await self._serve_admitted_chat(request, work, caller, stopwatch)
+            case ServiceWork() as work:
+                return await self._serve_call(request, work, caller, stopwatch)
+
+    async def _serve_admitted_chat(
+        self, request: Admitted, work: ChatWork, caller: Caller, stopwatch: Stopwatch
+    ) -> Verdict | None:
+        delivery = self._make_delivery(request, work, caller)
+        outcome = await self._chat.serve(request, work, delivery, stopwatch)
+        if outcome.is_ok():
+            return None
+        verdict = outcome.error
+        if delivery.begun:
+            await delivery.break_off(verdict)
+        else:
+            await send_refusal(
+                caller, verdict, request.received.request_id, request.idempotent
+            )
+        return verdict
+
+    def _make_delivery(
+        self, request: Admitted, work: ChatWork, caller: Caller
+    ) -> Delivery:
+        received = request.received
+
+        def start() -> None:
+            self._targets.start(received.operation_id)
+
+        if work.chat.stream:
+            return StreamedDelivery(caller, received.request_id, start)
+        return AssembledDelivery(caller, received.request_id, start)
+
+    async def _serve_call(
+        self, request: Admitted, work: ServiceWork, caller: Caller, stopwatch: Stopwatch
+    ) -> Verdict | None:
+        outcome = await self._services.serve(request, work, stopwatch)
+        match outcome:
+            case Result(tag="ok", ok=answer):
+                await send_answer(caller, answer, request.received.request_id)
+                return None
+            case Result(error=verdict):
+                await send_refusal(
+                    caller, verdict, request.received.request_id, is_repeatable(request)
+                )
+                return verdict
+
+    def _check_open(self) -> Outcome[None]:
+        if self._closed_reason is not None:
+            detail = "the daemon takes no requests now"
+            return _refuse(self._closed_reason, detail)
+        if self._open_requests >= self._settings.concurrent_requests:
+            detail = f"{self._open_requests} requests are in the daemon already"
+            return _refuse(Reason.QUEUE_FULL, detail)
+        return Ok(None)
+
+
+async def send_refusal(
+    caller: Caller, verdict: Verdict, request_id: str, idempotent: bool = False
+) -> None:
+    """Tell a caller that has got nothing yet what became of its request."""
+    refusal: Refusal = describe_refusal(verdict, request_id, idempotent=idempotent)
+    await caller.start(refusal.status, refusal.headers)
+    await caller.write(refusal.body)
+    await caller.finish()
+
+
+async def send_answer(caller: Caller, answer: ServiceAnswer, request_id: str) -> None:
+    """Pass the answer of a plain service on."""
+    headers = {
+        name: value
+        for name, value in answer.head.headers
+        if name.lower() != "content-length"
+    }
+    headers["X-Request-Id"] = request_id
+    await caller.start(answer.head.status, headers)
+    if answer.body:
+        await caller.write(answer.body)
+    await caller.finish()
+
+
+def _refuse(reason: Reason, detail: str) -> Outcome[Any]:
+    return Error(Verdict(Execution.NOT_RUN, reason, detail, retry_after=RETRY_AFTER))
--- /dev/null
+++ b/kingcuphead/pipeline/_identification.py
@@ -0,0 +1,21 @@
+"""Filter: from a received request to the organisation that sent it."""
+
+from kingcuphead.api import (
+    ApiLimits,
+    KeyIndex,
+    identify_caller,
+    parse_caller_headers,
+)
+from kingcuphead.pipeline._stages import Identified, Received
+from kingcuphead.verdict import Outcome
+
+
+def identify(
+    received: Received, index: KeyIndex, limits: ApiLimits
+) -> Outcome[Identified]:
+    """Find the organisation by the bearer key and check the steering headers."""
+    return identify_caller(received.headers, index).bind(
+        lambda organisation: parse_caller_headers(
+            received.headers, organisation, limits
+        ).map(lambda headers: Identified(received, organisation, headers))
+    )
--- /dev/null
+++ b/kingcuphead/pipeline/_ports.py
@@ -0,0 +1,68 @@
+"""What the request path needs from the tasks of the daemon."""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from kingcuphead.pipeline._stages import Placed
+from kingcuphead.placement import AnswerResult
+from kingcuphead.queueing import RequestArrived
+from kingcuphead.records import BudgetPolicy
+from kingcuphead.verdict import Outcome
+
+
+class Holds(Protocol):
+    """Credit and bills."""
+
+    async def hold(
+        self,
+        request_id: str,
+        organisation: str,
+        budget: str,
+        policy: BudgetPolicy,
+        tokens: int,
+        timeout: float,
+    ) -> Outcome[str]:
+        """Reserve `tokens`; the answer is the id of the hold."""
+        ...
+
+    def release(self, hold_id: str) -> None:
+        """Give a hold back whole: nothing of the request can have run."""
+        ...
+
+    async def settle(
+        self, hold_id: str, prompt_tokens: int, completion_tokens: int, measured: bool
+    ) -> None:
+        """Bill a request and wait until the bill is safe."""
+        ...
+
+
+class Targets(Protocol):
+    """Slots on targets."""
+
+    async def place(self, arrival: RequestArrived) -> Outcome[Placed]:
+        """Wait for a target; a placed request must be ended by `finish`."""
+        ...
+
+    def start(self, operation_id: str) -> None:
+        """Report the first token of an answer."""
+        ...
+
+    def finish(self, operation_id: str, target: str, result: AnswerResult) -> None:
+        """Report the end of an attempt on a target."""
+        ...
+
+
+class Caller(Protocol):
+    """The caller's side of one request."""
+
+    async def start(self, status: int, headers: Mapping[str, str]) -> None:
+        """Begin the answer."""
+        ...
+
+    async def write(self, content: bytes) -> None:
+        """Send a part of the answer and wait until the connection takes more."""
+        ...
+
+    async def finish(self) -> None:
+        """End the answer."""
+        ...
--- /dev/null
+++ b/kingcuphead/pipeline/_service.py
@@ -0,0 +1,179 @@
+"""The path of a call to a plain service: place, relay."""
+
+import dataclasses
+
+from expression import Error, Ok, Result
+
+from kingcuphead.pipeline._attempt import ORGANISATION_HEADER, judge_failure
+from kingcuphead.pipeline._observations import Observer, Phase
+from kingcuphead.pipeline._ports import Targets
+from kingcuphead.pipeline._stages import Admitted, Placed, ServiceWork
+from kingcuphead.placement import AnswerResult
+from kingcuphead.queueing import RequestArrived
+from kingcuphead.relay import Relay, RelayRequest, RelayStream, ResponseHead, Timeouts
+from kingcuphead.verdict import Execution, Outcome, Reason, Verdict
+
+#: Largest answer of a plain service, in bytes.
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+#: Methods whose repetition does no harm by the definition of HTTP.
+REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceAnswer:
+    """The whole answer of a plain service."""
+
+    #: Status and headers.
+    head: ResponseHead
+    #: Body.
+    body: bytes
+
+
+def is_repeatable(admitted: Admitted) -> bool:
+    """Return whether a call may be sent again after it may have run."""
+    return admitted.idempotent and admitted.received.method in REPEATABLE_METHODS
+
+
+class ServicePath:
+    """Serves calls to plain services.
+
+    Parameters
+    ----------
+    targets
+        Slots on targets.
+    relay
+        The way to targets.
+    timeouts
+        Limits towards targets.
+    """
+
+    def __init__(self, targets: Targets, relay: Relay, timeouts: Timeouts) -> None:
+        self._targets = targets
+        self._relay = relay
+        self._timeouts = timeouts
+
+    async def serve(
+        self, admitted: Admitted, work: ServiceWork, observer: Observer
+    ) -> Outcome[ServiceAnswer]:
+        """Run one call, on another target if that does no harm.
+
+        Returns
+        -------
+        Outcome
+            The whole answer, whatever its status, or a verdict.
+        """
+        arrival = _make_arrival(admitted, work)
+        while True:
+            match await self._targets.place(arrival):
+                case Result(tag="ok", ok=placed):
+                    observer.end_phase(Phase.QUEUE)
+                    answer = await self._run_attempt(admitted, work, placed)
+                case Result(error=verdict):
+                    return Error(verdict)
+            match answer:
+                case Result(tag="ok"):
+                    return answer
+                case Result(error=verdict) if not _may_retry(admitted, verdict):
+                    return answer
+                case Result(error=verdict):
+                    arrival = _exclude(arrival, placed.target, verdict)
+
+    async def _run_attempt(
+        self, admitted: Admitted, work: ServiceWork, placed: Placed
+    ) -> Outcome[ServiceAnswer]:
+        operation_id = admitted.received.operation_id
+        result = AnswerResult.CANCELLED
+        try:
+            answer = await self._call(admitted, work, placed)
+            result = _judge(answer)
+            return answer
+        finally:
+            self._targets.finish(operation_id, placed.target, result)
+
+    async def _call(
+        self, admitted: Admitted, work: ServiceWork, placed: Placed
+    ) -> Outcome[ServiceAnswer]:
+        opened = await self._relay.open(self._build_request(admitted, work, placed))
+        match opened:
+            case Result(tag="ok", ok=stream):
+                try:
+                    self._targets.start(admitted.received.operation_id)
+                    return await _read_answer(stream)
+                finally:
+                    stream.close()
+            case Result(error=verdict):
+                return Error(verdict)
+
+    def _build_request(
+        self, admitted: Admitted, work: ServiceWork, placed: Placed
+    ) -> RelayRequest:
+        received = admitted.received
+        headers = {
+            **received.headers,
+            "X-Request-Id": received.request_id,
+            ORGANISATION_HEADER: admitted.identified.organisation.name,
+        }
+        return RelayRequest(
+            address=placed.address,
+            method=received.method,
+            path=work.path,
+            headers=headers,
+            body=received.body or None,
+            idempotent=is_repeatable(admitted),
+            timeouts=self._timeouts,
+        )
+
+
+async def _read_answer(stream: RelayStream) -> Outcome[ServiceAnswer]:
+    blocks = []
+    size_bytes = 0
+    async for block in stream:
+        size_bytes += len(block)
+        if size_bytes > MAX_ANSWER_BYTES:
+            detail = f"the answer is larger than {MAX_ANSWER_BYTES} bytes"
+            return Error(Verdict(Execution.RAN, Reason.TRUNCATED, detail))
+        blocks.append(block)
+    if stream.verdict is not None:
+        return Error(stream.verdict)
+    return Ok(ServiceAnswer(stream.head, b"".join(blocks)))
+
+
+def _judge(answer: Outcome[ServiceAnswer]) -> AnswerResult:
+    match answer:
+        case Result(tag="ok"):
+            return AnswerResult.WHOLE
+        case Result(error=verdict):
+            return judge_failure(verdict)
+
+
+def _may_retry(admitted: Admitted, verdict: Verdict) -> bool:
+    match verdict.execution:
+        case Execution.NOT_RUN:
+            return True
+        case Execution.MAY_HAVE_RUN:
+            return is_repeatable(admitted)
+        case Execution.RAN:
+            return False
+
+
+def _make_arrival(admitted: Admitted, work: ServiceWork) -> RequestArrived:
+    return RequestArrived(
+        request_id=admitted.received.operation_id,
+        organisation=admitted.identified.organisation.name,
+        work_class=admitted.work_class.name,
+        service=work.service.name,
+        model="",
+        size=1,
+        deadline=admitted.deadline,
+        fingerprint=admitted.fingerprint,
+        is_idempotent=is_repeatable(admitted),
+    )
+
+
+def _exclude(arrival: RequestArrived, target: str, verdict: Verdict) -> RequestArrived:
+    execution = arrival.execution
+    if verdict.execution is not Execution.NOT_RUN:
+        execution = verdict.execution
+    return arrival.with_changes(
+        excluded=(*arrival.excluded, target), execution=execution
+    )
