--- a/kingcuphead/budgets/_account.py
+++ b/kingcuphead/budgets/_account.py
@@ -62,6 +62,8 @@
     scarce: bool = False
     #: Monotonic time in seconds of the last hold.
     used_at: float = float("-inf")
+    #: Highest number of a recall that was answered on each line.
+    recalls: dict[str, int] = dataclasses.field(default_factory=dict)
     #: Monotonic time in seconds of the last report on each line.
     reported_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
--- /dev/null
+++ b/kingcuphead/budgets/_billbook.py
@@ -0,0 +1,97 @@
+"""The bills that a home has seen: those in the table, and those that wait."""
+
+import collections
+import dataclasses
+import enum
+from collections.abc import Iterator
+
+from kingcuphead.budgets._rows import Bill, BillPage
+
+
+class BillStatus(enum.Enum):
+    """What a home knows of a bill."""
+
+    #: It waits to be committed.
+    PENDING = enum.auto()
+    #: It is in the table.
+    COMMITTED = enum.auto()
+    #: Another bill of the same request is in the table.
+    DUPLICATE = enum.auto()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PendingBill:
+    """A bill that waits to be committed."""
+
+    #: The bill.
+    bill: Bill
+    #: Monotonic time in seconds at which it arrived.
+    arrived_at: float
+    #: Incarnations that submitted it.
+    submitters: frozenset[str]
+
+
+@dataclasses.dataclass(slots=True)
+class BillBook:
+    """Recognises bills by request id and by bill id.
+
+    Attributes
+    ----------
+    window : int
+        Number of pages whose request ids are remembered.
+    """
+
+    window: int
+    #: Ids of the committed bills by request id.
+    committed: dict[str, str] = dataclasses.field(default_factory=dict)
+    #: Request ids of each page in the window.
+    pages: collections.deque[tuple[str, ...]] = dataclasses.field(
+        default_factory=collections.deque
+    )
+    #: Waiting bills by bill id, the oldest first.
+    pending: dict[str, PendingBill] = dataclasses.field(default_factory=dict)
+
+    def get_status(self, bill: Bill) -> BillStatus:
+        """Return what the pages in the window say of a bill."""
+        match self.committed.get(bill.request_id):
+            case None:
+                return BillStatus.PENDING
+            case bill_id if bill_id == bill.bill_id:
+                return BillStatus.COMMITTED
+            case _:
+                return BillStatus.DUPLICATE
+
+    def add(self, bill: Bill, submitter: str, now: float) -> bool:
+        """Keep a bill until it is committed; return whether it is new."""
+        known = self.pending.get(bill.bill_id)
+        if known is None:
+            self.pending[bill.bill_id] = PendingBill(bill, now, frozenset({submitter}))
+            return True
+        submitters = known.submitters | {submitter}
+        self.pending[bill.bill_id] = dataclasses.replace(known, submitters=submitters)
+        return False
+
+    def add_page(self, page: BillPage) -> None:
+        """Remember the bills of the next page and forget the oldest page."""
+        for bill in page.bills:
+            self.committed[bill.request_id] = bill.bill_id
+        self.pages.append(tuple(bill.request_id for bill in page.bills))
+        while len(self.pages) > self.window:
+            for request_id in self.pages.popleft():
+                self.committed.pop(request_id, None)
+
+    def take_resolved(self) -> Iterator[tuple[PendingBill, BillStatus]]:
+        """Remove and yield the waiting bills whose fate is in the table."""
+        for bill_id, pending in list(self.pending.items()):
+            status = self.get_status(pending.bill)
+            if status is not BillStatus.PENDING:
+                del self.pending[bill_id]
+                yield pending, status
+
+    def iterate_candidates(self) -> Iterator[PendingBill]:
+        """Yield the first waiting bill of each request."""
+        seen: set[str] = set()
+        for pending in self.pending.values():
+            if pending.bill.request_id not in seen:
+                seen.add(pending.bill.request_id)
+                yield pending
--- a/kingcuphead/budgets/_borrower.py
+++ b/kingcuphead/budgets/_borrower.py
@@ -137,8 +137,7 @@
     def receive_loan(self, message: CreditLent, now: float) -> Iterator[BorrowerEffect]:
         """Add credit that a home lent."""
         account = self.accounts.get(message.budget)
-        if account is None:
-            # The incarnation is part of the line, so this daemon asked before.
+        if account is None or message.borrower != self.incarnation:
             return
         instance = get_instance(message.sender)
         self.routing.trust(instance)
@@ -188,11 +187,13 @@
     def recall(self, message: CreditRecalled, now: float) -> Iterator[BorrowerEffect]:
         """Give idle credit back at once, and report the line in any case."""
         account = self.accounts.get(message.budget)
-        if account is None:
+        if account is None or message.borrower != self.incarnation:
             return
         line = account.get_line(message.sender)
         account.lines[message.sender] = line.with_receipt(message.lent_total, 0)
         account.scarce = True
+        answered = account.recalls.get(message.sender, 0)
+        account.recalls[message.sender] = max(answered, message.recall)
         yield from self.serve(account, now)
         yield from self.give_back(account, message.sender, now)
 
@@ -277,9 +278,9 @@
             return
         tokens = account.waiting[0].tokens if account.waiting else 0
         ask = account.ask
-        if ask is not None and ask.tokens == tokens:
-            if now - ask.sent_at < self.settings.ask_interval:
-                return
+        fresh = ask is not None and now - ask.sent_at < self.settings.ask_interval
+        if ask is not None and ask.tokens == tokens and fresh:
+            return
         yield self.build_request(account, tokens, reserve, now)
 
     def build_request(
@@ -347,17 +348,21 @@
         for grant_id, line in account.lines.items():
             reported_at = account.reported_at.get(grant_id, now)
             due = now - reported_at >= self.settings.resend_interval
-            unseen = line.returned > line.acknowledged
-            if due and unseen:
-                if self.routing.is_reachable(get_instance(grant_id), now):
-                    yield self.build_report(account, grant_id, now)
+            reachable = self.routing.is_reachable(get_instance(grant_id), now)
+            if due and reachable and line.returned > line.acknowledged:
+                yield self.build_report(account, grant_id, now)
 
     def build_report(self, account: Account, grant_id: str, now: float) -> SendToPeer:
         """Return a report of a line to its lender."""
         account.reported_at[grant_id] = now
         line = account.lines[grant_id]
         message = CreditReturned(
-            self.incarnation, account.budget, grant_id, line.received, line.returned
+            sender=self.incarnation,
+            budget=account.budget,
+            lender=grant_id,
+            received_total=line.received,
+            returned_total=line.returned,
+            recall=account.recalls.get(grant_id, 0),
         )
         return SendToPeer(get_instance(grant_id), message)
 
--- a/kingcuphead/budgets/_lines.py
+++ b/kingcuphead/budgets/_lines.py
@@ -17,8 +17,8 @@
     billed: int = 0
     #: Highest total that the borrower reported as received.
     confirmed: int = 0
-    #: Monotonic time in seconds at which the borrower last reported its totals.
-    reported_at: float = float("-inf")
+    #: Highest number of a recall that the borrower answered.
+    recall: int = 0
 
     def __post_init__(self) -> None:
         """Check that the borrower never gave back or billed what it did not have."""
@@ -37,13 +37,13 @@
         """Return a copy after a loan."""
         return dataclasses.replace(self, lent=self.lent + tokens)
 
-    def with_report(self, received: int, returned: int, now: float) -> "LentLine":
+    def with_report(self, received: int, returned: int, recall: int) -> "LentLine":
         """Return a copy after the borrower reported its totals."""
         return dataclasses.replace(
             self,
             returned=max(self.returned, returned),
             confirmed=max(self.confirmed, received),
-            reported_at=now,
+            recall=max(self.recall, recall),
         )
 
     def with_bill(self, tokens: int) -> "LentLine":
--- a/kingcuphead/budgets/_peer_messages.py
+++ b/kingcuphead/budgets/_peer_messages.py
@@ -56,6 +56,8 @@
 
     #: Incarnation of the lender.
     sender: str
+    #: Incarnation of the borrower.
+    borrower: str
     #: Budget name.
     budget: str
     #: Tokens lent on the line so far.
@@ -96,6 +98,8 @@
     received_total: int
     #: Tokens returned on the line so far.
     returned_total: int
+    #: Highest number of a recall that was answered on this line, 0 if none.
+    recall: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,10 +108,14 @@
 
     #: Incarnation of the lender.
     sender: str
+    #: Incarnation of the borrower.
+    borrower: str
     #: Budget name.
     budget: str
     #: Tokens lent on the line so far; tells the borrower of a lost loan.
     lent_total: int
+    #: Number of the recall; the answer repeats it.
+    recall: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/budgets/_settings.py
+++ b/kingcuphead/budgets/_settings.py
@@ -48,6 +48,8 @@
     home_timeout: float = 0.9
     #: Time for which an unreachable home is passed over.
     suspect_seconds: float = 3.0
+    #: Least time between two readings of a row because credit is short.
+    read_interval: float = 0.1
     #: Least time between two recalls of the same credit.
     recall_interval: float = 0.1
     #: Time after which an unanswered loan, return or bill is repeated.
@@ -58,6 +60,8 @@
     witness_grace: float = 3.0
     #: A witness submits a copy of this age itself, whether or not its drop was lost.
     copy_age: float = 60.0
+    #: Time after which a caller refused for an exhausted budget may try again.
+    exhausted_retry: float = 5.0
     #: First and longest wait after a failed access to the table.
     backoff_first: float = 0.2
     backoff_longest: float = 2.0
