--- /dev/null
+++ b/kingcuphead/daemon/_assembly.py
@@ -0,0 +1,218 @@
+"""Builds the tasks of a daemon from its settings."""
+
+import dataclasses
+import random
+import time
+
+from kingcuphead import budgets, configuration, membership, queueing
+from kingcuphead.api import ApiLimits
+from kingcuphead.daemon._announcements import Announcements, Parts
+from kingcuphead.daemon._ledger_task import LedgerTask
+from kingcuphead.daemon._membership_task import MembershipTask
+from kingcuphead.daemon._peer_router import PeerRouter
+from kingcuphead.daemon._request_log import RequestLog
+from kingcuphead.daemon._scheduler_task import SchedulerTask
+from kingcuphead.daemon._target_watch import TargetWatch
+from kingcuphead.peers import PeerLinks
+from kingcuphead.pipeline import (
+    ChatPath,
+    ChatTimes,
+    Gateway,
+    GatewaySettings,
+    ServicePath,
+    Settlements,
+)
+from kingcuphead.platform import HttpInstanceList, HttpTable, Table
+from kingcuphead.relay import Relay, Timeouts
+from kingcuphead.settings import Settings
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Assembly:
+    """Everything that a daemon runs, not yet started."""
+
+    #: The tasks that tell each other things.
+    parts: Parts
+    #: Who tells whom.
+    announcements: Announcements
+    #: Bills on their way.
+    settlements: Settlements
+    #: The way to targets.
+    relay: Relay
+    #: The connections to peers.
+    links: PeerLinks
+    #: The platform's table.
+    table: Table
+    #: The platform's instance list.
+    instances: HttpInstanceList
+
+
+def assemble(settings: Settings, own: membership.Member) -> Assembly:
+    """Build a daemon.
+
+    Parameters
+    ----------
+    settings
+        The checked settings.
+    own
+        This process as its peers will know it.
+    """
+    announcements = Announcements()
+    links = PeerLinks()
+    router = PeerRouter(own, links)
+    relay = Relay()
+    timeouts = make_timeouts(settings)
+    table = HttpTable(settings.platform.url, settings.platform.timeout_seconds)
+    ledger = _make_ledger_task(settings, own, table, router)
+    targets = TargetWatch(
+        relay, timeouts, lambda report: parts.scheduler.post(report)
+    )
+    scheduler = SchedulerTask(
+        _make_scheduler(settings), targets.probe, announcements.tell
+    )
+    settlements = Settlements(ledger)
+    chat_times = ChatTimes(settings.budgets.hold_timeout_seconds, timeouts)
+    gateway = Gateway(
+        _make_gateway_settings(settings),
+        ChatPath(ledger, settlements, scheduler, relay, chat_times),
+        ServicePath(scheduler, relay, timeouts),
+        scheduler,
+        RequestLog().report,
+    )
+    parts = Parts(
+        ledger=ledger,
+        scheduler=scheduler,
+        membership=_make_membership_task(settings, own, router, announcements),
+        configuration=_make_configuration_task(settings, table, router, announcements),
+        gateway=gateway,
+        targets=targets,
+        router=router,
+    )
+    announcements.connect(parts)
+    _route_messages(parts)
+    instances = HttpInstanceList(
+        settings.platform.url, settings.platform.timeout_seconds
+    )
+    return Assembly(
+        parts, announcements, settlements, relay, links, table, instances
+    )
+
+
+def make_timeouts(settings: Settings) -> Timeouts:
+    """Return how long a target may stay silent."""
+    return Timeouts(
+        connect=settings.targets.connect_timeout_seconds,
+        first_byte=settings.targets.first_byte_timeout_seconds,
+        idle=settings.targets.idle_timeout_seconds,
+    )
+
+
+def _make_ledger_task(
+    settings: Settings, own: membership.Member, table: Table, router: PeerRouter
+) -> LedgerTask:
+    ledger = budgets.Ledger(
+        own.name,
+        str(own.incarnation),
+        own.zone,
+        own.region,
+        budgets.Settings(
+            shards=settings.budgets.shards,
+            flush_interval=settings.budgets.flush_interval_seconds,
+        ),
+    )
+    return LedgerTask(ledger, table, router.send, lambda fault: None)
+
+
+def _make_scheduler(settings: Settings) -> queueing.Scheduler:
+    return queueing.Scheduler(
+        queueing.SchedulerSettings(
+            queueing=queueing.QueueingSettings(capacity=settings.limits.queue_length)
+        ),
+        settings.instance.name,
+        random.Random(settings.instance.name),
+    )
+
+
+def _make_gateway_settings(settings: Settings) -> GatewaySettings:
+    return GatewaySettings(
+        limits=ApiLimits(max_body_bytes=settings.limits.body_bytes),
+        default_deadline=settings.limits.default_deadline_seconds,
+        concurrent_requests=settings.limits.concurrent_requests,
+    )
+
+
+def _make_membership_task(
+    settings: Settings,
+    own: membership.Member,
+    router: PeerRouter,
+    announcements: Announcements,
+) -> MembershipTask:
+    machine = membership.Membership(
+        own,
+        membership.MembershipSettings(
+            probe_interval=settings.peers.probe_interval_seconds,
+            probe_timeout=settings.peers.request_timeout_seconds,
+            suspect_timeout=settings.peers.suspect_timeout_seconds,
+        ),
+        random.Random(own.incarnation),
+    )
+    return MembershipTask(
+        machine, router.send_to_address, announcements.take_membership
+    )
+
+
+def _make_configuration_task(
+    settings: Settings,
+    table: Table,
+    router: PeerRouter,
+    announcements: Announcements,
+) -> configuration.ConfigurationTask:
+    watcher = configuration.Watcher(
+        settings.instance.name,
+        configuration.WatchPolicy(
+            poll_interval=settings.configuration.poll_interval_seconds,
+            stale_after=settings.configuration.stale_seconds,
+            refuse_after=settings.configuration.refuse_seconds,
+        ),
+    )
+    return configuration.ConfigurationTask(
+        watcher,
+        table,
+        _PeerChannel(router),
+        time.monotonic,
+        announcements.take_configuration,
+    )
+
+
+class _PeerChannel:
+    """The configuration task's way to peers."""
+
+    def __init__(self, router: PeerRouter) -> None:
+        self._router = router
+
+    def send(
+        self,
+        instance: str,
+        message: configuration.ConfigurationRequested
+        | configuration.ConfigurationOffered,
+    ) -> None:
+        """Send a message to one peer."""
+        self._router.send(instance, message)
+
+    def announce(self, revision: int) -> None:
+        """Do nothing: heartbeats carry the revision once it is in force here."""
+
+
+def _route_messages(parts: Parts) -> None:
+    parts.router.route(
+        (membership.Heartbeat, membership.HeartbeatAcknowledged),
+        lambda envelope: parts.membership.post(envelope.message),
+    )
+    parts.router.route(
+        budgets.PEER_MESSAGE_TYPES,
+        lambda envelope: parts.ledger.post(envelope.message),
+    )
+    parts.router.route(
+        (configuration.ConfigurationRequested, configuration.ConfigurationOffered),
+        lambda envelope: parts.configuration.post(envelope.message),
+    )
--- /dev/null
+++ b/kingcuphead/daemon/_main.py
@@ -0,0 +1,56 @@
+"""Command line of the daemon."""
+
+import argparse
+import asyncio
+import sys
+from collections.abc import Sequence
+from pathlib import Path
+
+from expression import Result
+
+from kingcuphead.daemon._daemon import Daemon
+from kingcuphead.settings import Settings, load_settings
+
+#: Exit status for settings that cannot be used.
+EXIT_SETTINGS = 2
+#: Exit status after a failure inside the daemon or an unfinished shutdown.
+EXIT_FAILURE = 1
+
+
+def make_parser() -> argparse.ArgumentParser:
+    """Return the command line's parser."""
+    parser = argparse.ArgumentParser(
+        prog="kingcupheadd",
+        description="Router daemon between callers and model engines.",
+    )
+    parser.add_argument(
+        "--config", type=Path, required=True, help="INI file with the settings"
+    )
+    parser.add_argument(
+        "--check", action="store_true", help="check the settings and exit"
+    )
+    return parser
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the daemon; return its exit status."""
+    options = make_parser().parse_args(arguments)
+    match load_settings(options.config):
+        case Result(tag="ok", ok=settings):
+            return run(settings, check_only=options.check)
+        case Result(error=fault):
+            print(fault.message, file=sys.stderr)
+    return EXIT_SETTINGS
+
+
+def run(settings: Settings, *, check_only: bool) -> int:
+    """Run a daemon with checked settings; return its exit status."""
+    if check_only:
+        print("the settings are valid")
+        return 0
+    clean = asyncio.run(_run_daemon(settings))
+    return 0 if clean else EXIT_FAILURE
+
+
+async def _run_daemon(settings: Settings) -> bool:
+    return await Daemon(settings).run()
