Relay answers from targets with libcurl driven on the event loop

A relay has to pause a target when a caller reads slowly, to close the target's connection when a caller hangs up, and to know whether a byte of the request was written.

A request that must not run twice goes out on a new connection: on a reused one that turns out to be closed, libcurl sends it a second time by itself.

--- /dev/null
+++ b/kingcuphead/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the project's own processes; the product never imports them."""
--- /dev/null
+++ b/kingcuphead/relay/_handle.py
@@ -0,0 +1,92 @@
+"""Settings of one transfer in the HTTP library, and what it reports."""
+
+import pycurl
+
+from kingcuphead.relay._ending import EndCause, TransferEnd
+from kingcuphead.relay._headers import filter_request_headers, format_header_lines
+from kingcuphead.relay._messages import RelayLimits, RelayRequest
+from kingcuphead.relay._transfer import Transfer
+
+#: Headers that the library would add on its own; a colon alone removes them.
+_SUPPRESSED = ("Accept:", "Expect:", "User-Agent:", "Content-Type:")
+
+_MILLISECONDS = 1000
+
+
+def configure_handle(
+    handle: pycurl.Curl, request: RelayRequest, limits: RelayLimits
+) -> None:
+    """Set a fresh handle up for a request.
+
+    Raises
+    ------
+    ValueError
+        If the path or a header can't be sent as it is.
+    """
+    if not request.path.startswith("/") or any(c in request.path for c in "\r\n\0 "):
+        raise ValueError("a path starts with a slash and holds no control characters")
+    handle.setopt(pycurl.URL, f"http://{request.address}/")
+    handle.setopt(pycurl.REQUEST_TARGET, request.path)
+    handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+    handle.setopt(pycurl.HTTP09_ALLOWED, 0)
+    handle.setopt(pycurl.PROXY, "")
+    handle.setopt(pycurl.NOSIGNAL, 1)
+    handle.setopt(pycurl.MAXAGE_CONN, limits.connection_idle)
+    handle.setopt(
+        pycurl.CONNECTTIMEOUT_MS,
+        max(1, int(request.timeouts.connect * _MILLISECONDS)),
+    )
+    if not request.idempotent:
+        # On a reused connection that turns out to be closed, the library sends
+        # the request a second time.
+        handle.setopt(pycurl.FRESH_CONNECT, 1)
+    _set_method(handle, request)
+    _set_headers(handle, request)
+
+
+def read_end(
+    handle: pycurl.Curl, transfer: Transfer, code: int | None, text: str
+) -> TransferEnd:
+    """Return how a transfer ended.
+
+    Parameters
+    ----------
+    handle : pycurl.Curl
+        The handle, before it is reset.
+    transfer : Transfer
+        Its transfer.
+    code : int | None
+        Error code of the library; None if the answer came whole.
+    text : str
+        The library's text for the code.
+    """
+    sent = int(handle.getinfo(pycurl.REQUEST_SIZE))
+    received = transfer.received_bytes
+    match code:
+        case None if transfer.head is not None:
+            return TransferEnd(EndCause.COMPLETE, sent, received)
+        case pycurl.E_COULDNT_CONNECT:
+            return TransferEnd(EndCause.CONNECT_FAILED, sent, received, text)
+        case pycurl.E_OPERATION_TIMEDOUT:
+            return TransferEnd(EndCause.CONNECT_TIMEOUT, sent, received, text)
+        case _:
+            return TransferEnd(EndCause.BROKEN, sent, received, text)
+
+
+def _set_method(handle: pycurl.Curl, request: RelayRequest) -> None:
+    if request.method == "HEAD":
+        handle.setopt(pycurl.NOBODY, 1)
+    elif request.body is not None:
+        handle.setopt(pycurl.POST, 1)
+        handle.setopt(pycurl.POSTFIELDS, request.body)
+    else:
+        handle.setopt(pycurl.HTTPGET, 1)
+    handle.setopt(pycurl.CUSTOMREQUEST, request.method)
+
+
+def _set_headers(handle: pycurl.Curl, request: RelayRequest) -> None:
+    given = tuple(filter_request_headers(request.headers.items()))
+    lines = format_header_lines(given)
+    names = {name.lower() for name, _ in given}
+    lines += [line for line in _SUPPRESSED if line[:-1].lower() not in names]
+    handle.setopt(pycurl.HTTPHEADER, lines)
--- /dev/null
+++ b/kingcuphead/relay/_relay.py
@@ -0,0 +1,201 @@
+"""The task that owns the connections to targets."""
+
+import functools
+from collections.abc import Callable
+
+import pycurl
+from expression import Error, Ok
+from tornado.ioloop import IOLoop, PeriodicCallback
+
+from kingcuphead.relay._ending import EndCause, TransferEnd, judge_end
+from kingcuphead.relay._handle import configure_handle, read_end
+from kingcuphead.relay._messages import RelayLimits, RelayRequest
+from kingcuphead.relay._transfer import RelayStream, Transfer
+from kingcuphead.verdict import Outcome
+
+#: Milliseconds between two searches for transfers that timed out.
+SWEEP_INTERVAL_MS = 100
+#: Unused handles that are kept for the next request.
+MAX_SPARE_HANDLES = 64
+
+_EVENTS = {
+    pycurl.POLL_IN: IOLoop.READ,
+    pycurl.POLL_OUT: IOLoop.WRITE,
+    pycurl.POLL_INOUT: IOLoop.READ | IOLoop.WRITE,
+}
+
+
+class Relay:
+    """Sends requests to targets and streams their answers.
+
+    It owns every connection to the targets. Create it, use it and close it on one
+    event loop.
+
+    Parameters
+    ----------
+    limits : RelayLimits
+        Bounds on what is kept.
+    """
+
+    def __init__(self, limits: RelayLimits = RelayLimits()) -> None:  # noqa: B008
+        self._limits = limits
+        self._loop = IOLoop.current()
+        self._transfers: dict[pycurl.Curl, Transfer] = {}
+        self._spare: list[pycurl.Curl] = []
+        self._watched: set[int] = set()
+        self._timer: object | None = None
+        self._multi = pycurl.CurlMulti()
+        self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
+        self._multi.setopt(pycurl.M_TIMERFUNCTION, self._set_timer)
+        self._multi.setopt(pycurl.M_MAXCONNECTS, limits.idle_connections)
+        self._sweep = PeriodicCallback(self._end_silent, SWEEP_INTERVAL_MS)
+        self._sweep.start()
+
+    @property
+    def open_count(self) -> int:
+        """Number of transfers that have not ended."""
+        return len(self._transfers)
+
+    async def open(self, request: RelayRequest) -> Outcome[RelayStream]:
+        """Send a request and wait for the head of its answer.
+
+        Parameters
+        ----------
+        request : RelayRequest
+            What to send, and where.
+
+        Returns
+        -------
+        Outcome[RelayStream]
+            The answer whatever its status, or a verdict: *not run* if nothing of
+            the request was written, else *may have run*.
+        """
+        handle = self._spare.pop() if self._spare else pycurl.Curl()
+        transfer = Transfer(
+            self._limits,
+            request.timeouts,
+            self._loop.time(),
+            functools.partial(self._resume, handle),
+        )
+        configure_handle(handle, request, self._limits)
+        handle.setopt(pycurl.HEADERFUNCTION, _make_header_function(transfer))
+        handle.setopt(pycurl.WRITEFUNCTION, self._make_write_function(transfer))
+        self._transfers[handle] = transfer
+        cancel = functools.partial(self._cancel, handle, transfer)
+        try:
+            self._multi.add_handle(handle)
+            self._act(pycurl.SOCKET_TIMEOUT, 0)
+            await transfer.wait_head()
+        except BaseException:
+            cancel()
+            raise
+        if transfer.head is None and transfer.end is not None:
+            verdict = judge_end(transfer.end)
+            if verdict is not None:
+                return Error(verdict)
+        return Ok(RelayStream(transfer, cancel))
+
+    def close(self) -> None:
+        """End every transfer and close every connection."""
+        self._sweep.stop()
+        for handle, transfer in tuple(self._transfers.items()):
+            self._cancel(handle, transfer)
+        self._set_timer(-1)
+        self._multi.close()
+        self._spare.clear()
+
+    def _make_write_function(self, transfer: Transfer) -> Callable[[bytes], int | None]:
+        take_body = transfer.take_body
+        get_time = self._loop.time
+
+        def write(chunk: bytes) -> int | None:
+            if take_body(chunk, get_time()):
+                return None
+            return int(pycurl.WRITEFUNC_PAUSE)
+
+        return write
+
+    def _watch_socket(self, event: int, fd: int, multi: object, data: object) -> None:
+        """Follow the library's wishes about which sockets to watch.
+
+        A number may have been closed and given to a new socket in between, so it
+        is always removed before it is added.
+        """
+        if fd in self._watched:
+            self._loop.remove_handler(fd)
+            self._watched.discard(fd)
+        if event in _EVENTS:
+            self._loop.add_handler(fd, self._handle_socket, _EVENTS[event])
+            self._watched.add(fd)
+
+    def _set_timer(self, milliseconds: int) -> None:
+        if self._timer is not None:
+            self._loop.remove_timeout(self._timer)
+            self._timer = None
+        if milliseconds >= 0:
+            self._timer = self._loop.call_later(milliseconds / 1000, self._handle_timer)
+
+    def _handle_timer(self) -> None:
+        self._timer = None
+        self._act(pycurl.SOCKET_TIMEOUT, 0)
+
+    def _handle_socket(self, fd: int, events: int) -> None:
+        action = 0
+        if events & IOLoop.READ:
+            action |= pycurl.CSELECT_IN
+        if events & IOLoop.WRITE:
+            action |= pycurl.CSELECT_OUT
+        if events & IOLoop.ERROR:
+            action |= pycurl.CSELECT_ERR
+        self._act(fd, action)
+
+    def _act(self, fd: int, action: int) -> None:
+        """Let the library work, and collect what it has ended."""
+        _, running = self._multi.socket_action(fd, action)
+        if running < len(self._transfers):
+            self._collect_ended()
+
+    def _collect_ended(self) -> None:
+        queued = 1
+        while queued:
+            queued, complete, failed = self._multi.info_read()
+            for handle in complete:
+                self._end(handle, read_end(handle, self._transfers[handle], None, ""))
+            for handle, code, text in failed:
+                self._end(handle, read_end(handle, self._transfers[handle], code, text))
+
+    def _end(self, handle: pycurl.Curl, end: TransferEnd) -> None:
+        """Detach a transfer; an unfinished one closes its connection."""
+        transfer = self._transfers.pop(handle)
+        self._multi.remove_handle(handle)
+        handle.reset()
+        if len(self._spare) < MAX_SPARE_HANDLES:
+            self._spare.append(handle)
+        transfer.take_end(end)
+
+    def _cancel(self, handle: pycurl.Curl, transfer: Transfer) -> None:
+        if self._transfers.get(handle) is transfer:
+            self._end_early(handle, EndCause.CANCELLED)
+
+    def _end_early(self, handle: pycurl.Curl, cause: EndCause) -> None:
+        transfer = self._transfers[handle]
+        sent = int(handle.getinfo(pycurl.REQUEST_SIZE))
+        self._end(handle, TransferEnd(cause, sent, transfer.received_bytes))
+
+    def _resume(self, handle: pycurl.Curl) -> None:
+        if handle in self._transfers:
+            handle.pause(pycurl.PAUSE_CONT)
+
+    def _end_silent(self) -> None:
+        now = self._loop.time()
+        for handle, transfer in tuple(self._transfers.items()):
+            cause = transfer.find_timeout(now)
+            if cause is not None:
+                self._end_early(handle, cause)
+
+
+def _make_header_function(transfer: Transfer) -> Callable[[bytes], int | None]:
+    def take(line: bytes) -> int | None:
+        return None if transfer.take_header(line) else 0
+
+    return take
