--- a/kingcuphead/daemon/_announcements.py
+++ b/kingcuphead/daemon/_announcements.py
@@ -141,9 +141,7 @@
         scheduler = self.parts.scheduler
         match notice.kind:
             case kinds.TARGET_LEAVING:
-                self._report_target(
-                    notice.subject, placement.TargetState.LEAVING, peer
-                )
+                self._report_target(notice.subject, placement.TargetState.LEAVING, peer)
             case kinds.TARGET_SILENT:
                 self._report_target(notice.subject, placement.TargetState.SILENT, peer)
             case kinds.TARGET_CRASHED:
--- a/kingcuphead/daemon/_assembly.py
+++ b/kingcuphead/daemon/_assembly.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 import time
+import typing
 
 from kingcuphead import budgets, configuration, membership, queueing
 from kingcuphead.api import ApiLimits
@@ -64,9 +65,7 @@
     timeouts = make_timeouts(settings)
     table = HttpTable(settings.platform.url, settings.platform.timeout_seconds)
     ledger = _make_ledger_task(settings, own, table, router)
-    targets = TargetWatch(
-        relay, timeouts, lambda report: parts.scheduler.post(report)
-    )
+    targets = TargetWatch(relay, timeouts, lambda report: parts.scheduler.post(report))
     scheduler = SchedulerTask(
         _make_scheduler(settings), targets.probe, announcements.tell
     )
@@ -93,9 +92,7 @@
     instances = HttpInstanceList(
         settings.platform.url, settings.platform.timeout_seconds
     )
-    return Assembly(
-        parts, announcements, settlements, relay, links, table, instances
-    )
+    return Assembly(parts, announcements, settlements, relay, links, table, instances)
 
 
 def make_timeouts(settings: Settings) -> Timeouts:
@@ -209,7 +206,7 @@
         lambda envelope: parts.membership.post(envelope.message),
     )
     parts.router.route(
-        budgets.PEER_MESSAGE_TYPES,
+        typing.get_args(budgets.PeerMessage),
         lambda envelope: parts.ledger.post(envelope.message),
     )
     parts.router.route(
--- a/kingcuphead/daemon/_caller_handlers.py
+++ b/kingcuphead/daemon/_caller_handlers.py
@@ -127,12 +127,8 @@
         """Answer a fault of the daemon itself in the API's error shape."""
         detail = f"the daemon answered with status {status_code}"
         reason = Reason.INVALID_REQUEST if status_code < 500 else Reason.TARGET_FAILED
-        execution = (
-            Execution.NOT_RUN if status_code < 500 else Execution.MAY_HAVE_RUN
-        )
-        refusal = describe_refusal(
-            Verdict(execution, reason, detail), self._request_id
-        )
+        execution = Execution.NOT_RUN if status_code < 500 else Execution.MAY_HAVE_RUN
+        refusal = describe_refusal(Verdict(execution, reason, detail), self._request_id)
         for name, value in refusal.headers.items():
             self.set_header(name, value)
         self.finish(refusal.body)
@@ -201,9 +197,7 @@
         super().prepare()
         if not self._finished:
             detail = "no such path"
-            self._refuse(
-                Verdict(Execution.NOT_RUN, Reason.SERVICE_NOT_FOUND, detail)
-            )
+            self._refuse(Verdict(Execution.NOT_RUN, Reason.SERVICE_NOT_FOUND, detail))
 
 
 def make_caller_application(
@@ -225,5 +219,3 @@
 
 def _ignore(handler: RequestHandler) -> None:
     """Log nothing here: the request path logs each request's end."""
-
-
--- a/kingcuphead/daemon/_daemon.py
+++ b/kingcuphead/daemon/_daemon.py
@@ -126,7 +126,9 @@
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
 
-    async def _drain(self, assembly: Assembly, callers: "HTTPServer | PeerServer") -> bool:
+    async def _drain(
+        self, assembly: Assembly, callers: "HTTPServer | PeerServer"
+    ) -> bool:
         """Finish what is in flight, commit the bills and hand credit back."""
         grace = self._settings.shutdown.grace_seconds
         deadline = asyncio.get_running_loop().time() + grace
--- a/kingcuphead/daemon/_ledger_task.py
+++ b/kingcuphead/daemon/_ledger_task.py
@@ -92,7 +92,9 @@
             The id of the hold, or the verdict that refuses it.
         """
         hold_id = f"{request_id}#{next(self._numbers)}"
-        future: asyncio.Future[Outcome[str]] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[Outcome[str]] = (
+            asyncio.get_running_loop().create_future()
+        )
         self._holds[hold_id] = future
         deadline = time.monotonic() + timeout
         self.post(
@@ -154,7 +156,9 @@
             case budgets.BillSafe(hold_id):
                 self._answer_bill(hold_id)
             case budgets.FaultReported():
-                logger.warning("{} in {}: {}", effect.kind, effect.budget, effect.detail)
+                logger.warning(
+                    "{} in {}: {}", effect.kind, effect.budget, effect.detail
+                )
                 self._report(effect)
             case budgets.ShutdownFinished():
                 self._finished.set()
--- a/kingcuphead/daemon/_membership_task.py
+++ b/kingcuphead/daemon/_membership_task.py
@@ -24,7 +24,9 @@
     def __init__(
         self,
         machine: membership.Membership,
-        send: Callable[[str, membership.Heartbeat | membership.HeartbeatAcknowledged], None],
+        send: Callable[
+            [str, membership.Heartbeat | membership.HeartbeatAcknowledged], None
+        ],
         announce: Callable[[membership.Effect], None],
     ) -> None:
         self._task: MachineTask[membership.Input, membership.Effect] = MachineTask(
--- a/kingcuphead/daemon/_scheduler_task.py
+++ b/kingcuphead/daemon/_scheduler_task.py
@@ -111,9 +111,7 @@
                 logger.info("target {} is {} ({})", target, state.value, source.value)
                 self._tell_state(effect)
             case quarantine.CrashReported(fingerprint, target):
-                self._tell(
-                    NoticeRaised(NoticeKind.TARGET_CRASHED, fingerprint, target)
-                )
+                self._tell(NoticeRaised(NoticeKind.TARGET_CRASHED, fingerprint, target))
             case quarantine.FingerprintQuarantined(fingerprint, remaining):
                 logger.warning("request {} is quarantined", fingerprint)
                 kind = NoticeKind.FINGERPRINT_QUARANTINED
--- a/kingcuphead/pipeline/_chat.py
+++ b/kingcuphead/pipeline/_chat.py
@@ -189,9 +189,7 @@
             self._path._settlements.release(self._hold_id)
             return
         usage = self._last_attempt.usage if self._last_attempt else None
-        self._path._settlements.start(
-            self._hold_id, usage, self._work.bound_tokens
-        )
+        self._path._settlements.start(self._hold_id, usage, self._work.bound_tokens)
 
     def _make_arrival(self) -> RequestArrived:
         admitted = self._admitted
--- a/kingcuphead/pipeline/_delivery.py
+++ b/kingcuphead/pipeline/_delivery.py
@@ -154,4 +154,3 @@
         await self._caller.start(200, headers)
         await self._caller.write(body)
         await self._caller.finish()
-
--- a/kingcuphead/pipeline/_settlement.py
+++ b/kingcuphead/pipeline/_settlement.py
@@ -33,7 +33,9 @@
         """Give a hold back whole: nothing of the request can have run."""
         self._holds.release(hold_id)
 
-    def start(self, hold_id: str, usage: Usage | None, bound: int) -> asyncio.Task[None]:
+    def start(
+        self, hold_id: str, usage: Usage | None, bound: int
+    ) -> asyncio.Task[None]:
         """Bill a request; without a usage its upper bound is charged."""
         task = asyncio.create_task(self._settle(hold_id, usage, bound))
         self._tasks.add(task)
