--- /dev/null
+++ b/kingcuphead/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements of the product, run by developers."""
