--- a/Makefile
+++ b/Makefile
@@ -19,13 +19,13 @@
 	$(BIN)/python .ci/test.py
 
 check: venv
-	$(BIN)/ruff format --check kingcuphead .ci
-	$(BIN)/ruff check kingcuphead
+	$(BIN)/ruff format --check kingcuphead features .ci
+	$(BIN)/ruff check kingcuphead features .ci
 	$(BIN)/mypy
 
 format: venv
-	$(BIN)/ruff format kingcuphead
-	$(BIN)/ruff check --fix kingcuphead
+	$(BIN)/ruff format kingcuphead features .ci
+	$(BIN)/ruff check --fix kingcuphead features .ci
 
 # Needs the thrift compiler 0.17; its output is committed.
 wire:
--- a/kingcuphead/daemon/_announcements.py
+++ b/kingcuphead/daemon/_announcements.py
@@ -93,8 +93,8 @@
     def take_membership(self, effect: membership.Effect) -> None:
         """Take what the membership machine found."""
         match effect:
-            case membership.ViewChanged(members):
-                self._take_view(members)
+            case membership.ViewChanged():
+                self._take_view(effect)
             case membership.NoticeLearnt(notice):
                 self._take_notice(notice)
             case membership.PeerRevisionSeen(name, revision):
@@ -119,9 +119,10 @@
         """Pass a fact on to every peer."""
         self.parts.membership.post(notice)
 
-    def _take_view(self, members: tuple[membership.Member, ...]) -> None:
+    def _take_view(self, view: membership.ViewChanged) -> None:
+        members = view.members
         self.view = members
-        self.parts.router.locate(members)
+        self.parts.router.locate((*members, *view.leaving))
         known = tuple(budgets.Member(m.name, m.zone, m.region) for m in members)
         self.parts.ledger.post(budgets.ViewChanged(known))
         self.parts.scheduler.post(queueing.PeersCounted(max(1, len(members))))
--- a/kingcuphead/daemon/_assembly.py
+++ b/kingcuphead/daemon/_assembly.py
@@ -7,6 +7,7 @@
 
 from kingcuphead import budgets, configuration, membership, queueing
 from kingcuphead.api import ApiLimits
+from kingcuphead.claims import Claims
 from kingcuphead.daemon._announcements import Announcements, Parts
 from kingcuphead.daemon._ledger_task import LedgerTask
 from kingcuphead.daemon._membership_task import MembershipTask
@@ -18,12 +19,19 @@
 from kingcuphead.pipeline import (
     ChatPath,
     ChatTimes,
+    ClaimedCalls,
     Gateway,
     GatewaySettings,
     ServicePath,
     Settlements,
 )
-from kingcuphead.platform import HttpInstanceList, HttpTable, Table
+from kingcuphead.platform import (
+    HttpInstanceList,
+    HttpTable,
+    PlatformConnection,
+    PlatformSettings,
+    Table,
+)
 from kingcuphead.relay import Relay, Timeouts
 from kingcuphead.settings import Settings
 
@@ -63,7 +71,8 @@
     router = PeerRouter(own, links)
     relay = Relay()
     timeouts = make_timeouts(settings)
-    table = HttpTable(settings.platform.url, settings.platform.timeout_seconds)
+    platform = _make_platform_connection(settings)
+    table = HttpTable(platform)
     ledger = _make_ledger_task(settings, own, table, router)
     targets = TargetWatch(relay, timeouts, lambda report: parts.scheduler.post(report))
     scheduler = SchedulerTask(
@@ -75,6 +84,7 @@
         _make_gateway_settings(settings),
         ChatPath(ledger, settlements, scheduler, relay, chat_times),
         ServicePath(scheduler, relay, timeouts),
+        ClaimedCalls(Claims(table), own.name),
         scheduler,
         RequestLog().report,
     )
@@ -89,10 +99,15 @@
     )
     announcements.connect(parts)
     _route_messages(parts)
-    instances = HttpInstanceList(
-        settings.platform.url, settings.platform.timeout_seconds
+    return Assembly(
+        parts=parts,
+        announcements=announcements,
+        settlements=settlements,
+        relay=relay,
+        links=links,
+        table=table,
+        instances=HttpInstanceList(platform),
     )
-    return Assembly(parts, announcements, settlements, relay, links, table, instances)
 
 
 def make_timeouts(settings: Settings) -> Timeouts:
@@ -104,6 +119,14 @@
     )
 
 
+def _make_platform_connection(settings: Settings) -> PlatformConnection:
+    return PlatformConnection(
+        PlatformSettings(
+            settings.platform.url, request_timeout=settings.platform.timeout_seconds
+        )
+    )
+
+
 def _make_ledger_task(
     settings: Settings, own: membership.Member, table: Table, router: PeerRouter
 ) -> LedgerTask:
@@ -203,13 +226,13 @@
 def _route_messages(parts: Parts) -> None:
     parts.router.route(
         (membership.Heartbeat, membership.HeartbeatAcknowledged),
-        lambda envelope: parts.membership.post(envelope.message),
+        parts.membership.post,
     )
     parts.router.route(
         typing.get_args(budgets.PeerMessage),
-        lambda envelope: parts.ledger.post(envelope.message),
+        parts.ledger.post,
     )
     parts.router.route(
         (configuration.ConfigurationRequested, configuration.ConfigurationOffered),
-        lambda envelope: parts.configuration.post(envelope.message),
+        parts.configuration.post,
     )
--- a/kingcuphead/daemon/_daemon.py
+++ b/kingcuphead/daemon/_daemon.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import signal
+from collections.abc import Coroutine
+from typing import Any
 
 from loguru import logger
 from tornado.httpserver import HTTPServer
@@ -72,7 +74,7 @@
         logger.info("daemon {} ended", self._settings.instance.name)
         return clean
 
-    def _list_tasks(self, assembly: Assembly) -> list[object]:
+    def _list_tasks(self, assembly: Assembly) -> list[Coroutine[Any, Any, None]]:
         parts = assembly.parts
         interval = self._settings.platform.poll_interval_seconds
         return [
@@ -92,12 +94,12 @@
         assembly.parts.scheduler.post(queueing.Ticked())
         assembly.parts.membership.post(membership.Ticked())
 
-    def _start(self, coroutine: object) -> "asyncio.Task[None]":
-        task: asyncio.Task[None] = asyncio.ensure_future(coroutine)  # type: ignore[arg-type]
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(coroutine)
         task.add_done_callback(self._end_task)
         return task
 
-    def _end_task(self, task: "asyncio.Task[None]") -> None:
+    def _end_task(self, task: asyncio.Task[None]) -> None:
         """Stop the daemon when one of its tasks fails."""
         if task.cancelled() or task.exception() is None:
             return
--- a/kingcuphead/daemon/_machine_task.py
+++ b/kingcuphead/daemon/_machine_task.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import time
-from collections.abc import Callable
-from typing import Generic, Protocol, TypeVar
+from collections.abc import Callable, Coroutine
+from typing import Any, Generic, Protocol, TypeVar
 
 Input = TypeVar("Input", contravariant=True)
 Effect = TypeVar("Effect", covariant=True)
@@ -65,9 +65,9 @@
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
 
-    def start(self, coroutine: "asyncio._CoroutineLike[None]") -> None:
+    def start(self, coroutine: Coroutine[Any, Any, None]) -> None:
         """Run a coroutine beside the caller."""
-        task = asyncio.ensure_future(coroutine)
+        task = asyncio.create_task(coroutine)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
--- a/kingcuphead/daemon/_main.py
+++ b/kingcuphead/daemon/_main.py
@@ -2,6 +2,8 @@
 
 import argparse
 import asyncio
+import faulthandler
+import signal
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -48,6 +50,8 @@
     if check_only:
         print("the settings are valid")
         return 0
+    # For operators: SIGUSR1 writes what the daemon is doing to standard error.
+    faulthandler.register(signal.SIGUSR1)
     clean = asyncio.run(_run_daemon(settings))
     return 0 if clean else EXIT_FAILURE
 
--- a/kingcuphead/daemon/_membership_task.py
+++ b/kingcuphead/daemon/_membership_task.py
@@ -34,6 +34,7 @@
         )
         self._send = send
         self._announce = announce
+        self._names: tuple[str, ...] = ()
 
     async def run(self) -> None:
         """Own the machine until cancelled."""
@@ -48,7 +49,12 @@
             case membership.SendToAddress(address, message):
                 self._send(address, message)
             case membership.ViewChanged(members):
-                logger.info("view: {}", " ".join(member.name for member in members))
+                self._log_view(tuple(member.name for member in members))
                 self._announce(effect)
             case membership.NoticeLearnt() | membership.PeerRevisionSeen():
                 self._announce(effect)
+
+    def _log_view(self, names: tuple[str, ...]) -> None:
+        if names != self._names:
+            self._names = names
+            logger.info("daemons in view: {}", " ".join(names))
--- a/kingcuphead/daemon/_peer_router.py
+++ b/kingcuphead/daemon/_peer_router.py
@@ -9,7 +9,8 @@
 from kingcuphead.peers import PeerLinks
 from kingcuphead.wire import Envelope, PeerMessage, encode_envelope
 
-Handler = Callable[[Envelope], None]
+#: Takes one message of the types that it was registered for.
+Handler = Callable[[Any], None]
 
 
 class PeerRouter:
@@ -44,7 +45,7 @@
         if handler is None:
             logger.warning("no task takes {}", type(envelope.message).__name__)
             return
-        handler(envelope)
+        handler(envelope.message)
 
     def send(self, instance: str, message: PeerMessage) -> None:
         """Send a message to a peer by name; one that is not known is dropped."""
--- a/kingcuphead/daemon/_scheduler_task.py
+++ b/kingcuphead/daemon/_scheduler_task.py
@@ -1,8 +1,7 @@
 """The task that owns the scheduler: queue, targets and quarantine of this daemon."""
 
 import asyncio
-import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from expression import Error, Ok
 from loguru import logger
@@ -36,7 +35,7 @@
     def __init__(
         self,
         scheduler: queueing.Scheduler,
-        probe: "Callable[[str, str], asyncio._CoroutineLike[bool]]",
+        probe: Callable[[str, str], Awaitable[bool]],
         tell: Callable[[NoticeRaised], None],
     ) -> None:
         self._task: MachineTask[queueing.SchedulerMessage, queueing.Effect] = (
@@ -137,7 +136,6 @@
             self._tell(NoticeRaised(kind, change.target))
 
     async def _run_probe(self, target: str, address: str) -> None:
-        started_at = time.monotonic()
         healthy = await self._probe(target, address)
-        logger.debug("probe of {}: {} {:.3f}", target, healthy, started_at)
+        logger.debug("probe of {}: {}", target, "healthy" if healthy else "failed")
         self.post(queueing.ProbeAnswered(target, healthy))
--- /dev/null
+++ b/kingcuphead/demo/__init__.py
@@ -0,0 +1,1 @@
+"""A demonstration of the whole product on one machine."""
--- /dev/null
+++ b/kingcuphead/localfleet/__init__.py
@@ -0,0 +1,63 @@
+"""A fleet of separate processes on loopback, for the demo, scenarios and benches.
+
+Development code: the product itself starts no process.
+"""
+
+from kingcuphead.localfleet._audit import Evidence, Exchange, Finding, audit
+from kingcuphead.localfleet._books import (
+    BudgetBook,
+    Dispatch,
+    Execution,
+    read_budgets,
+    read_dispatches,
+    read_executions,
+)
+from kingcuphead.localfleet._callers import (
+    ChatCall,
+    ChatResult,
+    place_order,
+    send_chat,
+)
+from kingcuphead.localfleet._client import LocalClient, Reply
+from kingcuphead.localfleet._fleet import LocalFleet
+from kingcuphead.localfleet._plan import (
+    DaemonPlan,
+    EnginePlan,
+    FleetPlan,
+    ServicePlan,
+    make_plan,
+)
+from kingcuphead.localfleet._process import LocalProcess, ProcessError
+from kingcuphead.localfleet._records import LocalOrganisation
+from kingcuphead.localfleet._seed import SeedError, create_budget, seed_fleet
+
+__all__ = [
+    "BudgetBook",
+    "ChatCall",
+    "ChatResult",
+    "Dispatch",
+    "Evidence",
+    "Exchange",
+    "Finding",
+    "audit",
+    "Execution",
+    "place_order",
+    "read_budgets",
+    "read_dispatches",
+    "read_executions",
+    "send_chat",
+    "DaemonPlan",
+    "EnginePlan",
+    "FleetPlan",
+    "LocalClient",
+    "LocalFleet",
+    "LocalOrganisation",
+    "LocalProcess",
+    "ProcessError",
+    "Reply",
+    "SeedError",
+    "ServicePlan",
+    "create_budget",
+    "make_plan",
+    "seed_fleet",
+]
--- a/kingcuphead/membership/_membership.py
+++ b/kingcuphead/membership/_membership.py
@@ -82,7 +82,7 @@
         self._notice_number = 0
         self._revision = 0
         self._terminated: set[str] = set()
-        self._view: tuple[Member, ...] = ()
+        self._view = ViewChanged(())
         self._member_facts: Dissemination[Member] = Dissemination(MEMBER_CAPACITY)
         self._notice_facts: Dissemination[Notice] = Dissemination(NOTICE_CAPACITY)
         self._known_notices: dict[tuple[str, int], None] = {}
@@ -344,10 +344,13 @@
     # The view.
 
     def _compare_view(self) -> Iterator[Effect]:
-        usable = (MemberStatus.ALIVE, MemberStatus.SUSPECT)
-        everyone = [self._own, *self._members.values()]
-        chosen = [member for member in everyone if member.status in usable]
-        view = tuple(sorted(chosen, key=lambda member: member.name))
+        usable = self._select(MemberStatus.ALIVE, MemberStatus.SUSPECT)
+        view = ViewChanged(usable, self._select(MemberStatus.LEAVING))
         if view != self._view:
             self._view = view
-            yield ViewChanged(view)
+            yield view
+
+    def _select(self, *statuses: MemberStatus) -> tuple[Member, ...]:
+        everyone = (self._own, *self._members.values())
+        chosen = (member for member in everyone if member.status in statuses)
+        return tuple(sorted(chosen, key=lambda member: member.name))
--- a/kingcuphead/membership/_messages.py
+++ b/kingcuphead/membership/_messages.py
@@ -177,6 +177,8 @@
 
     #: Members believed alive or suspect, this daemon included, by name.
     members: tuple[Member, ...]
+    #: Members that leave: they take nothing new, but still wait for answers.
+    leaving: tuple[Member, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/peers/_links.py
+++ b/kingcuphead/peers/_links.py
@@ -14,6 +14,8 @@
 MAX_WAITING_MESSAGES = 4096
 #: Seconds to open a connection.
 CONNECT_TIMEOUT = 1.0
+#: Seconds between two looks at a link that has to send what waits.
+FLUSH_INTERVAL = 0.01
 #: Seconds that a link without messages stays open.
 IDLE_TIMEOUT = 60.0
 
@@ -67,6 +69,7 @@
             maxlen=MAX_WAITING_MESSAGES
         )
         self._arrived = asyncio.Event()
+        self._writing = False
         self._task = asyncio.create_task(self._run())
 
     def put(self, payload: bytes) -> None:
@@ -75,11 +78,14 @@
 
     async def finish(self, timeout: float) -> None:
         deadline = asyncio.get_running_loop().time() + timeout
-        while self._waiting and asyncio.get_running_loop().time() < deadline:
-            await asyncio.sleep(0.01)
+        while self._is_busy() and asyncio.get_running_loop().time() < deadline:
+            await asyncio.sleep(FLUSH_INTERVAL)
         self._task.cancel()
         await asyncio.gather(self._task, return_exceptions=True)
 
+    def _is_busy(self) -> bool:
+        return not self._task.done() and (bool(self._waiting) or self._writing)
+
     async def _run(self) -> None:
         try:
             await self._send_all()
@@ -97,7 +103,9 @@
             while await self._wait():
                 batch = b"".join(self._waiting)
                 self._waiting.clear()
+                self._writing = True
                 await stream.write(batch)
+                self._writing = False
         finally:
             stream.close()
 
--- a/kingcuphead/pipeline/__init__.py
+++ b/kingcuphead/pipeline/__init__.py
@@ -1,6 +1,7 @@
 """The request path: pipes and filters from a caller's request to its answer."""
 
 from kingcuphead.pipeline._chat import ChatPath, ChatTimes
+from kingcuphead.pipeline._claiming import ClaimedCalls
 from kingcuphead.pipeline._gateway import Gateway, GatewaySettings, RequestEnd
 from kingcuphead.pipeline._observations import Phase, Stopwatch
 from kingcuphead.pipeline._ports import Caller, Holds, Targets
@@ -12,6 +13,7 @@
     "Caller",
     "ChatPath",
     "ChatTimes",
+    "ClaimedCalls",
     "Gateway",
     "GatewaySettings",
     "Holds",
--- a/kingcuphead/pipeline/_chat.py
+++ b/kingcuphead/pipeline/_chat.py
@@ -10,6 +10,7 @@
     FailedAttempt,
     WholeAnswer,
 )
+from kingcuphead.pipeline._claiming import Permit
 from kingcuphead.pipeline._delivery import Delivery
 from kingcuphead.pipeline._observations import Observer, Phase
 from kingcuphead.pipeline._ports import Holds, Targets
@@ -63,7 +64,12 @@
         self._times = times
 
     async def serve(
-        self, admitted: Admitted, work: ChatWork, delivery: Delivery, observer: Observer
+        self,
+        admitted: Admitted,
+        work: ChatWork,
+        permit: Permit,
+        delivery: Delivery,
+        observer: Observer,
     ) -> Outcome[None]:
         """Serve one request.
 
@@ -77,7 +83,9 @@
         observer.end_phase(Phase.HOLD)
         match held:
             case Result(tag="ok", ok=hold_id):
-                run = _ChatRun(self, admitted, work, delivery, observer, hold_id)
+                run = _ChatRun(
+                    self, admitted, work, permit, delivery, observer, hold_id
+                )
                 return await run.serve()
             case Result(error=verdict):
                 return Error(verdict)
@@ -101,6 +109,7 @@
         path: ChatPath,
         admitted: Admitted,
         work: ChatWork,
+        permit: Permit,
         delivery: Delivery,
         observer: Observer,
         hold_id: str,
@@ -108,6 +117,7 @@
         self._path = path
         self._admitted = admitted
         self._work = work
+        self._permit = permit
         self._delivery = delivery
         self._observer = observer
         self._hold_id = hold_id
@@ -151,7 +161,10 @@
         self._last_attempt = attempt
         result = AnswerResult.CANCELLED
         try:
+            self._permit.start_dispatch()
             end = await attempt.run(placed, self._delivery.deliver)
+            if not attempt.sent:
+                self._permit.cancel_dispatch()
             result = _judge(end)
             return end
         finally:
--- a/kingcuphead/pipeline/_delivery.py
+++ b/kingcuphead/pipeline/_delivery.py
@@ -3,25 +3,31 @@
 from collections.abc import Callable, Mapping
 from typing import Protocol
 
-from expression import Result
+from expression import Error, Ok, Result
 
 from kingcuphead.api import (
     AnswerEnd,
+    Usage,
     assemble_answer,
     encode_error_event,
     iterate_payloads,
 )
+from kingcuphead.claims import RecordedAnswer
 from kingcuphead.pipeline._ports import Caller
-from kingcuphead.verdict import Verdict
+from kingcuphead.verdict import Outcome, Verdict
 
+#: Media type of a streamed answer.
+EVENT_STREAM = "text/event-stream"
 _DONE_PAYLOAD = b"[DONE]"
 
 
 class Delivery(Protocol):
     """How one caller gets its answer."""
 
-    #: Whether the caller has got a part of the answer.
-    begun: bool
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has got a part of the answer."""
+        ...
 
     async def deliver(self, block: bytes) -> None:
         """Take events that may be passed on now."""
@@ -86,7 +92,7 @@
 
     def _make_headers(self) -> Mapping[str, str]:
         return {
-            "Content-Type": "text/event-stream",
+            "Content-Type": EVENT_STREAM,
             "Cache-Control": "no-store",
             "X-Request-Id": self._request_id,
         }
@@ -154,3 +160,57 @@
         await self._caller.start(200, headers)
         await self._caller.write(body)
         await self._caller.finish()
+
+
+class RecordingDelivery:
+    """Passes events on and keeps them for a second try of the same call.
+
+    Parameters
+    ----------
+    inner
+        The way to the caller.
+    """
+
+    def __init__(self, inner: Delivery) -> None:
+        self._inner = inner
+        self._events: list[bytes] = []
+        #: Whether an attempt delivered anything.
+        self.used = False
+
+    @property
+    def begun(self) -> bool:
+        """Whether the caller has got a part of the answer."""
+        return self._inner.begun
+
+    def reset(self) -> None:
+        """Forget the events of an attempt that failed."""
+        self._events.clear()
+        self._inner.reset()
+
+    async def deliver(self, block: bytes) -> None:
+        """Take events that may be passed on now."""
+        self.used = True
+        self._events.append(block)
+        await self._inner.deliver(block)
+
+    async def complete(self, end: AnswerEnd) -> Verdict | None:
+        """Pass on the end of a whole answer whose bill is safe."""
+        self.used = True
+        self._events.append(end.tail)
+        return await self._inner.complete(end)
+
+    async def break_off(self, verdict: Verdict) -> None:
+        """Tell a caller that has got a part of the answer how it ended."""
+        await self._inner.break_off(verdict)
+
+    def make_answer(self) -> RecordedAnswer:
+        """Return the events as the answer to record."""
+        headers = (("Content-Type", EVENT_STREAM),)
+        return RecordedAnswer(200, headers, b"".join(self._events))
+
+
+async def replay_events(answer: RecordedAnswer, delivery: Delivery) -> Outcome[None]:
+    """Pass on the recorded events of an earlier try of the same call."""
+    end = AnswerEnd(answer.body or b"", Usage(0), "stop")
+    verdict = await delivery.complete(end)
+    return Ok(None) if verdict is None else Error(verdict)
--- a/kingcuphead/pipeline/_gateway.py
+++ b/kingcuphead/pipeline/_gateway.py
@@ -15,17 +15,21 @@
     encode_models,
     identify_caller,
 )
+from kingcuphead.claims import RecordedAnswer
 from kingcuphead.pipeline._admission import AdmissionRules, admit_chat, admit_service
 from kingcuphead.pipeline._chat import ChatPath
+from kingcuphead.pipeline._claiming import ClaimedCalls, FreePermit, Permit
 from kingcuphead.pipeline._delivery import (
     AssembledDelivery,
     Delivery,
+    RecordingDelivery,
     StreamedDelivery,
+    replay_events,
 )
 from kingcuphead.pipeline._identification import identify
 from kingcuphead.pipeline._observations import Stopwatch
 from kingcuphead.pipeline._ports import Caller, Targets
-from kingcuphead.pipeline._service import ServiceAnswer, ServicePath, is_repeatable
+from kingcuphead.pipeline._service import ServicePath, is_repeatable
 from kingcuphead.pipeline._stages import (
     Admitted,
     ChatWork,
@@ -79,6 +83,8 @@
         The path of chat requests.
     services
         The path of calls to plain services.
+    claimed
+        Calls that must not be repeated.
     targets
         Told of first tokens.
     report
@@ -90,12 +96,14 @@
         settings: GatewaySettings,
         chat: ChatPath,
         services: ServicePath,
+        claimed: ClaimedCalls,
         targets: Targets,
         report: Callable[[RequestEnd], None],
     ) -> None:
         self._settings = settings
         self._chat = chat
         self._services = services
+        self._claimed = claimed
         self._targets = targets
         self._report = report
         self._configuration = Configuration()
@@ -105,8 +113,8 @@
 
     @property
     def open_requests(self) -> int:
-        """Requests that have not ended."""
-        return self._open_requests
+        """Requests that have not ended, and calls whose outcome is not recorded."""
+        return self._open_requests + self._claimed.unfinished
 
     def apply(self, configuration: Configuration) -> None:
         """Put a configuration in force for requests that arrive from now on."""
@@ -124,7 +132,7 @@
     def list_models(self, received: Received) -> Outcome[bytes]:
         """Return the models that the caller's organisation may use."""
         return identify_caller(received.headers, self._index).map(
-            lambda organisation: encode_models(organisation, self._configuration)
+            lambda organisation: encode_models(self._configuration, organisation)
         )
 
     async def serve_chat(self, received: Received, caller: Caller) -> None:
@@ -206,7 +214,12 @@
         self, request: Admitted, work: ChatWork, caller: Caller, stopwatch: Stopwatch
     ) -> Verdict | None:
         delivery = self._make_delivery(request, work, caller)
-        outcome = await self._chat.serve(request, work, delivery, stopwatch)
+        if request.idempotent:
+            outcome = await self._chat.serve(
+                request, work, FreePermit(), delivery, stopwatch
+            )
+        else:
+            outcome = await self._serve_claimed_chat(request, work, delivery, stopwatch)
         if outcome.is_ok():
             return None
         verdict = outcome.error
@@ -218,6 +231,27 @@
             )
         return verdict
 
+    async def _serve_claimed_chat(
+        self,
+        request: Admitted,
+        work: ChatWork,
+        delivery: Delivery,
+        stopwatch: Stopwatch,
+    ) -> Outcome[None]:
+        """Serve a chat request that must not be repeated, or replay its answer."""
+        recording = RecordingDelivery(delivery)
+
+        async def operate(permit: Permit) -> Outcome[RecordedAnswer]:
+            served = await self._chat.serve(request, work, permit, recording, stopwatch)
+            return served.map(lambda _: recording.make_answer())
+
+        outcome = await self._claimed.run(request, operate)
+        if outcome.is_error():
+            return Error(outcome.error)
+        if not recording.used:
+            return await replay_events(outcome.ok, delivery)
+        return Ok(None)
+
     def _make_delivery(
         self, request: Admitted, work: ChatWork, caller: Caller
     ) -> Delivery:
@@ -233,7 +267,13 @@
     async def _serve_call(
         self, request: Admitted, work: ServiceWork, caller: Caller, stopwatch: Stopwatch
     ) -> Verdict | None:
-        outcome = await self._services.serve(request, work, stopwatch)
+        async def operate(permit: Permit) -> Outcome[RecordedAnswer]:
+            return await self._services.serve(request, work, permit, stopwatch)
+
+        if request.idempotent:
+            outcome = await operate(FreePermit())
+        else:
+            outcome = await self._claimed.run(request, operate)
         match outcome:
             case Result(tag="ok", ok=answer):
                 await send_answer(caller, answer, request.received.request_id)
@@ -264,15 +304,15 @@
     await caller.finish()
 
 
-async def send_answer(caller: Caller, answer: ServiceAnswer, request_id: str) -> None:
+async def send_answer(caller: Caller, answer: RecordedAnswer, request_id: str) -> None:
     """Pass the answer of a plain service on."""
     headers = {
         name: value
-        for name, value in answer.head.headers
+        for name, value in answer.headers
         if name.lower() != "content-length"
     }
     headers["X-Request-Id"] = request_id
-    await caller.start(answer.head.status, headers)
+    await caller.start(answer.status, headers)
     if answer.body:
         await caller.write(answer.body)
     await caller.finish()
--- a/kingcuphead/pipeline/_service.py
+++ b/kingcuphead/pipeline/_service.py
@@ -1,16 +1,16 @@
 """The path of a call to a plain service: place, relay."""
 
-import dataclasses
-
 from expression import Error, Ok, Result
 
+from kingcuphead.claims import RecordedAnswer
 from kingcuphead.pipeline._attempt import ORGANISATION_HEADER, judge_failure
+from kingcuphead.pipeline._claiming import Permit
 from kingcuphead.pipeline._observations import Observer, Phase
 from kingcuphead.pipeline._ports import Targets
 from kingcuphead.pipeline._stages import Admitted, Placed, ServiceWork
 from kingcuphead.placement import AnswerResult
 from kingcuphead.queueing import RequestArrived
-from kingcuphead.relay import Relay, RelayRequest, RelayStream, ResponseHead, Timeouts
+from kingcuphead.relay import Relay, RelayRequest, RelayStream, Timeouts
 from kingcuphead.verdict import Execution, Outcome, Reason, Verdict
 
 #: Largest answer of a plain service, in bytes.
@@ -19,16 +19,6 @@
 REPEATABLE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "PUT", "DELETE", "TRACE"})
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ServiceAnswer:
-    """The whole answer of a plain service."""
-
-    #: Status and headers.
-    head: ResponseHead
-    #: Body.
-    body: bytes
-
-
 def is_repeatable(admitted: Admitted) -> bool:
     """Return whether a call may be sent again after it may have run."""
     return admitted.idempotent and admitted.received.method in REPEATABLE_METHODS
@@ -53,8 +43,12 @@
         self._timeouts = timeouts
 
     async def serve(
-        self, admitted: Admitted, work: ServiceWork, observer: Observer
-    ) -> Outcome[ServiceAnswer]:
+        self,
+        admitted: Admitted,
+        work: ServiceWork,
+        permit: Permit,
+        observer: Observer,
+    ) -> Outcome[RecordedAnswer]:
         """Run one call, on another target if that does no harm.
 
         Returns
@@ -67,7 +61,7 @@
             match await self._targets.place(arrival):
                 case Result(tag="ok", ok=placed):
                     observer.end_phase(Phase.QUEUE)
-                    answer = await self._run_attempt(admitted, work, placed)
+                    answer = await self._run_attempt(admitted, work, permit, placed)
                 case Result(error=verdict):
                     return Error(verdict)
             match answer:
@@ -79,12 +73,15 @@
                     arrival = _exclude(arrival, placed.target, verdict)
 
     async def _run_attempt(
-        self, admitted: Admitted, work: ServiceWork, placed: Placed
-    ) -> Outcome[ServiceAnswer]:
+        self, admitted: Admitted, work: ServiceWork, permit: Permit, placed: Placed
+    ) -> Outcome[RecordedAnswer]:
         operation_id = admitted.received.operation_id
         result = AnswerResult.CANCELLED
         try:
+            permit.start_dispatch()
             answer = await self._call(admitted, work, placed)
+            if answer.is_error() and answer.error.execution is Execution.NOT_RUN:
+                permit.cancel_dispatch()
             result = _judge(answer)
             return answer
         finally:
@@ -92,7 +89,7 @@
 
     async def _call(
         self, admitted: Admitted, work: ServiceWork, placed: Placed
-    ) -> Outcome[ServiceAnswer]:
+    ) -> Outcome[RecordedAnswer]:
         opened = await self._relay.open(self._build_request(admitted, work, placed))
         match opened:
             case Result(tag="ok", ok=stream):
@@ -124,7 +121,7 @@
         )
 
 
-async def _read_answer(stream: RelayStream) -> Outcome[ServiceAnswer]:
+async def _read_answer(stream: RelayStream) -> Outcome[RecordedAnswer]:
     blocks = []
     size_bytes = 0
     async for block in stream:
@@ -135,10 +132,10 @@
         blocks.append(block)
     if stream.verdict is not None:
         return Error(stream.verdict)
-    return Ok(ServiceAnswer(stream.head, b"".join(blocks)))
+    return Ok(RecordedAnswer(stream.head.status, stream.head.headers, b"".join(blocks)))
 
 
-def _judge(answer: Outcome[ServiceAnswer]) -> AnswerResult:
+def _judge(answer: Outcome[RecordedAnswer]) -> AnswerResult:
     match answer:
         case Result(tag="ok"):
             return AnswerResult.WHOLE
--- a/kingcuphead/wire/_messages.py
+++ b/kingcuphead/wire/_messages.py
@@ -3,10 +3,16 @@
 import typing
 from typing import TypeAlias
 
-from kingcuphead import budgets
+from kingcuphead import budgets, configuration
 from kingcuphead.membership import Heartbeat, HeartbeatAcknowledged
 
-PeerMessage: TypeAlias = Heartbeat | HeartbeatAcknowledged | budgets.PeerMessage
+PeerMessage: TypeAlias = (
+    Heartbeat
+    | HeartbeatAcknowledged
+    | budgets.PeerMessage
+    | configuration.ConfigurationRequested
+    | configuration.ConfigurationOffered
+)
 
 #: The classes of `PeerMessage`, each with a struct of the same name in `peer.thrift`.
 MESSAGE_TYPES: tuple[type, ...] = typing.get_args(PeerMessage)
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -65,6 +65,8 @@
   6: i64 needed
   7: i64 wanted
   8: string policy
+  9: i64 queued
+  10: i64 sequence
 }
 
 struct CreditLent {
@@ -72,13 +74,16 @@
   2: string budget
   3: i64 lent_total
   4: i64 returned_total
+  5: string borrower
+  6: bool scarce
 }
 
 struct CreditDenied {
   1: string sender
   2: string budget
-  3: bool exhausted
   4: double retry_after
+  5: i64 sequence
+  6: string denial
 }
 
 struct CreditReturned {
@@ -87,12 +92,15 @@
   3: string lender
   4: i64 received_total
   5: i64 returned_total
+  6: i64 recall
 }
 
 struct CreditRecalled {
   1: string sender
   2: string budget
   3: i64 lent_total
+  4: string borrower
+  5: i64 recall
 }
 
 struct GrantRecalled {
@@ -158,6 +166,15 @@
   4: i64 outstanding
 }
 
+struct ConfigurationRequested {
+  1: string sender
+}
+
+struct ConfigurationOffered {
+  1: string sender
+  2: binary content
+}
+
 union PeerMessage {
   1: Heartbeat heartbeat
   2: HeartbeatAcknowledged heartbeat_acknowledged
@@ -178,6 +195,8 @@
   24: BillCopiesDropped bill_copies_dropped
   25: SurrenderRequested surrender_requested
   26: Surrendered surrendered
+  27: ConfigurationRequested configuration_requested
+  28: ConfigurationOffered configuration_offered
 }
 
 struct Envelope {
