--- a/kingcuphead/relay/_handle.py
+++ b/kingcuphead/relay/_handle.py
@@ -26,7 +26,7 @@
     if not request.path.startswith("/") or any(c in request.path for c in "\r\n\0 "):
         raise ValueError("a path starts with a slash and holds no control characters")
     handle.setopt(pycurl.URL, f"http://{request.address}/")
-    handle.setopt(pycurl.REQUEST_TARGET, request.path)
+    handle.setopt(pycurl.REQUEST_TARGET, request.path.encode("latin-1"))
     handle.setopt(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
     handle.setopt(pycurl.HTTP09_ALLOWED, 0)
     handle.setopt(pycurl.PROXY, "")
@@ -89,4 +89,4 @@
     lines = format_header_lines(given)
     names = {name.lower() for name, _ in given}
     lines += [line for line in _SUPPRESSED if line[:-1].lower() not in names]
-    handle.setopt(pycurl.HTTPHEADER, lines)
+    handle.setopt(pycurl.HTTPHEADER, [line.encode("latin-1") for line in lines])
--- a/kingcuphead/relay/_messages.py
+++ b/kingcuphead/relay/_messages.py
@@ -32,6 +32,9 @@
     connection_idle: int = 4
     #: Most bytes of the headers of one answer.
     header_bytes: int = 64 * 1024
+    #: Seconds for which pieces of answers are gathered while they come closely; this
+    #: is the most that a token is held up.
+    gather_seconds: float = 0.004
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/relay/_relay.py
+++ b/kingcuphead/relay/_relay.py
@@ -10,8 +10,9 @@
 from kingcuphead.relay._ending import EndCause, TransferEnd, judge_end
 from kingcuphead.relay._handle import configure_handle, read_end
 from kingcuphead.relay._messages import RelayLimits, RelayRequest
+from kingcuphead.relay._sockets import SocketWatch
 from kingcuphead.relay._transfer import RelayStream, Transfer
-from kingcuphead.verdict import Outcome
+from kingcuphead.verdict import Execution, Outcome, Reason, Verdict
 
 #: Milliseconds between two searches for transfers that timed out.
 SWEEP_INTERVAL_MS = 100
@@ -42,7 +43,10 @@
         self._loop = IOLoop.current()
         self._transfers: dict[pycurl.Curl, Transfer] = {}
         self._spare: list[pycurl.Curl] = []
-        self._watched: set[int] = set()
+        self._sockets = SocketWatch(
+            self._loop, limits.gather_seconds, self._handle_socket
+        )
+        self._fed: list[Transfer] = []
         self._timer: object | None = None
         self._multi = pycurl.CurlMulti()
         self._multi.setopt(pycurl.M_SOCKETFUNCTION, self._watch_socket)
@@ -77,7 +81,11 @@
             self._loop.time(),
             functools.partial(self._resume, handle),
         )
-        configure_handle(handle, request, self._limits)
+        try:
+            configure_handle(handle, request, self._limits)
+        except ValueError as error:
+            detail = str(error)
+            return Error(Verdict(Execution.NOT_RUN, Reason.INVALID_REQUEST, detail))
         handle.setopt(pycurl.HEADERFUNCTION, _make_header_function(transfer))
         handle.setopt(pycurl.WRITEFUNCTION, self._make_write_function(transfer))
         self._transfers[handle] = transfer
@@ -102,14 +110,17 @@
             self._cancel(handle, transfer)
         self._set_timer(-1)
         self._multi.close()
+        self._sockets.close()
         self._spare.clear()
 
     def _make_write_function(self, transfer: Transfer) -> Callable[[bytes], int | None]:
         take_body = transfer.take_body
         get_time = self._loop.time
+        fed = self._fed
 
         def write(chunk: bytes) -> int | None:
             if take_body(chunk, get_time()):
+                fed.append(transfer)
                 return None
             return int(pycurl.WRITEFUNC_PAUSE)
 
@@ -121,12 +132,10 @@
         A number may have been closed and given to a new socket in between, so it
         is always removed before it is added.
         """
-        if fd in self._watched:
-            self._loop.remove_handler(fd)
-            self._watched.discard(fd)
         if event in _EVENTS:
-            self._loop.add_handler(fd, self._handle_socket, _EVENTS[event])
-            self._watched.add(fd)
+            self._sockets.watch(fd, _EVENTS[event])
+        else:
+            self._sockets.unwatch(fd)
 
     def _set_timer(self, milliseconds: int) -> None:
         if self._timer is not None:
@@ -152,6 +161,9 @@
     def _act(self, fd: int, action: int) -> None:
         """Let the library work, and collect what it has ended."""
         _, running = self._multi.socket_action(fd, action)
+        for transfer in self._fed:
+            transfer.wake_reader()
+        self._fed.clear()
         if running < len(self._transfers):
             self._collect_ended()
 
--- a/kingcuphead/relay/_transfer.py
+++ b/kingcuphead/relay/_transfer.py
@@ -80,18 +80,23 @@
         self._waiting_bytes += len(chunk)
         self._received_bytes += len(chunk)
         self._last_received = now
-        self._wake_reader()
         return True
 
+    def wake_reader(self) -> None:
+        """Let the reader run if it waits."""
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+
     def take_end(self, end: TransferEnd) -> None:
         """Take the end of the transfer."""
         if self.end is None:
             self.end = end
-            self._wake_reader()
+            self.wake_reader()
 
     def find_timeout(self, now: float) -> EndCause | None:
         """Return the timeout that has passed; a slow reader is none."""
         if self._paused or self._chunks or self.end is not None:
+            self._last_received = now
             return None
         silence = now - self._last_received
         if self.head is None:
@@ -128,13 +133,9 @@
         pairs = (line.partition(":") for line in lines[1:])
         headers = ((name.strip(), value.strip()) for name, _, value in pairs)
         self.head = ResponseHead(status, tuple(filter_hop_by_hop(headers)))
-        self._wake_reader()
+        self.wake_reader()
         return True
 
-    def _wake_reader(self) -> None:
-        if self._reader is not None and not self._reader.done():
-            self._reader.set_result(None)
-
     async def _wait(self) -> None:
         self._reader = asyncio.get_running_loop().create_future()
         try:
