Measure requests by class and organisation in a registry of its own

Histograms of phases, first tokens and gaps between tokens, counters by verdict and reason, gauges of what a daemon holds. The first organisations up to a limit have series of their own and keep them, so that no counter goes back; the others share one. Gaps are followed by a small clock per answer and observed once per request: two observations per token would cost more than reading the token.

--- /dev/null
+++ b/kingcuphead/metrics/__init__.py
@@ -0,0 +1,24 @@
+"""What operators' dashboards read from a daemon, bounded in its series."""
+
+from kingcuphead.metrics._clock import TokenClock
+from kingcuphead.metrics._labels import NONE, OTHER, BoundedLabel
+from kingcuphead.metrics._messages import (
+    DaemonState,
+    MetricsSettings,
+    RequestMeasured,
+    StreamTimes,
+)
+from kingcuphead.metrics._metrics import CONTENT_TYPE, Metrics
+
+__all__ = [
+    "CONTENT_TYPE",
+    "NONE",
+    "OTHER",
+    "BoundedLabel",
+    "DaemonState",
+    "Metrics",
+    "MetricsSettings",
+    "RequestMeasured",
+    "StreamTimes",
+    "TokenClock",
+]
--- /dev/null
+++ b/kingcuphead/metrics/_metrics.py
@@ -0,0 +1,188 @@
+"""The metrics of one daemon, in a registry of their own."""
+
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    Gauge,
+    Histogram,
+    ProcessCollector,
+    disable_created_metrics,
+    generate_latest,
+)
+
+from kingcuphead.metrics._labels import BoundedLabel
+from kingcuphead.metrics._messages import (
+    DaemonState,
+    MetricsSettings,
+    RequestMeasured,
+    StreamTimes,
+)
+
+#: Upper bounds of the buckets for phases and first tokens, in seconds.
+PHASE_BUCKETS = (0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 0.89, 2.0, 5.0, 15.0, 60.0)
+#: Upper bounds of the buckets for times between tokens, in seconds.
+GAP_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.043, 0.06, 0.1, 0.25, 1.0, 5.0)
+#: `execution` of a request that was answered.
+ANSWERED = "answered"
+
+_PREFIX = "kingcuphead"
+
+
+class _Times:
+    """The histograms that are kept for one label.
+
+    Parameters
+    ----------
+    label : str
+        Name of the label, "class" or "organisation".
+    registry : CollectorRegistry
+        Where they are registered.
+    """
+
+    def __init__(self, label: str, registry: CollectorRegistry) -> None:
+        self._phases = Histogram(
+            f"{_PREFIX}_{label}_phase_seconds",
+            f"Time of a request in a phase, by {label}",
+            (label, "phase"),
+            buckets=PHASE_BUCKETS,
+            registry=registry,
+        )
+        self._first_token = Histogram(
+            f"{_PREFIX}_{label}_first_token_seconds",
+            f"Time from arrival to the first token, by {label}",
+            (label,),
+            buckets=PHASE_BUCKETS,
+            registry=registry,
+        )
+        self._mean_gap = Histogram(
+            f"{_PREFIX}_{label}_token_gap_seconds",
+            f"Mean time between tokens of an answer, by {label}",
+            (label,),
+            buckets=GAP_BUCKETS,
+            registry=registry,
+        )
+
+    def record(self, value: str, measured: RequestMeasured) -> None:
+        """Count a request under one value of the label."""
+        for phase, seconds in measured.phases:
+            self._phases.labels(value, str(phase)).observe(seconds)
+        if measured.stream is not None:
+            self._record_stream(value, measured.stream)
+
+    def _record_stream(self, value: str, stream: StreamTimes) -> None:
+        self._first_token.labels(value).observe(stream.first_token)
+        if stream.mean_gap is not None:
+            self._mean_gap.labels(value).observe(stream.mean_gap)
+
+
+class Metrics:
+    """Takes what tasks report and renders it for the operators' scraper.
+
+    Parameters
+    ----------
+    settings : MetricsSettings
+        Bounds on the number of series.
+    """
+
+    def __init__(self, settings: MetricsSettings | None = None) -> None:
+        settings = settings or MetricsSettings()
+        # The time of creation would double the series of every histogram.
+        disable_created_metrics()  # type: ignore[no-untyped-call]
+        self._registry = CollectorRegistry()
+        self._organisations = BoundedLabel(settings.organisations)
+        self._classes = BoundedLabel(settings.classes)
+        self._class_times = _Times("class", self._registry)
+        self._organisation_times = _Times("organisation", self._registry)
+        self._make_counters()
+        self._make_gauges()
+        ProcessCollector(namespace=_PREFIX, registry=self._registry)
+
+    def record_request(self, measured: RequestMeasured) -> None:
+        """Count the end of a request."""
+        organisation = self._organisations.choose(measured.organisation)
+        work_class = self._classes.choose(measured.work_class)
+        self._count_end(organisation, measured)
+        self._class_times.record(work_class, measured)
+        self._organisation_times.record(organisation, measured)
+        stream = measured.stream
+        if stream is not None and stream.longest_gap is not None:
+            self._longest_gap.labels(work_class).observe(stream.longest_gap)
+        self._count_tokens(organisation, measured)
+
+    def set_state(self, state: DaemonState) -> None:
+        """Take what the daemon holds now."""
+        self._open_requests.set(state.open_requests)
+        self._free_tokens.set(state.free_tokens)
+        self._held_tokens.set(state.held_tokens)
+        self._revision.set(state.revision)
+        self._ready.set(state.ready)
+        self._queued.clear()
+        for work_class, count in state.queued.items():
+            self._queued.labels(self._classes.choose(work_class)).inc(count)
+
+    def render(self) -> bytes:
+        """Return the text that `CONTENT_TYPE` describes."""
+        return generate_latest(self._registry)
+
+    def _count_end(self, organisation: str, measured: RequestMeasured) -> None:
+        verdict = measured.verdict
+        execution = ANSWERED if verdict is None else verdict.execution.value
+        reason = "" if verdict is None else verdict.reason.value
+        self._requests.labels(execution, reason).inc()
+        self._organisation_requests.labels(organisation, execution).inc()
+
+    def _count_tokens(self, organisation: str, measured: RequestMeasured) -> None:
+        if measured.prompt_tokens:
+            self._tokens.labels(organisation, "prompt").inc(measured.prompt_tokens)
+        if measured.completion_tokens:
+            self._tokens.labels(organisation, "completion").inc(
+                measured.completion_tokens
+            )
+
+    def _make_counters(self) -> None:
+        self._requests = Counter(
+            f"{_PREFIX}_requests",
+            "Requests that ended, by execution and reason",
+            ("execution", "reason"),
+            registry=self._registry,
+        )
+        self._organisation_requests = Counter(
+            f"{_PREFIX}_organisation_requests",
+            "Requests that ended, by organisation and execution",
+            ("organisation", "execution"),
+            registry=self._registry,
+        )
+        self._tokens = Counter(
+            f"{_PREFIX}_billed_tokens",
+            "Tokens billed, by organisation and kind",
+            ("organisation", "kind"),
+            registry=self._registry,
+        )
+        self._longest_gap = Histogram(
+            f"{_PREFIX}_class_longest_token_gap_seconds",
+            "Longest time between tokens of an answer, by class",
+            ("class",),
+            buckets=GAP_BUCKETS,
+            registry=self._registry,
+        )
+
+    def _make_gauges(self) -> None:
+        self._open_requests = self._make_gauge("open_requests", "Requests not ended")
+        self._free_tokens = self._make_gauge("free_tokens", "Granted and free tokens")
+        self._held_tokens = self._make_gauge("held_tokens", "Granted and held tokens")
+        self._revision = self._make_gauge("revision", "Revision in force")
+        self._ready = self._make_gauge("ready", "1 if requests are accepted")
+        self._queued = Gauge(
+            f"{_PREFIX}_queued_requests",
+            "Requests that wait for a target, by class",
+            ("class",),
+            registry=self._registry,
+        )
+
+    def _make_gauge(self, name: str, text: str) -> Gauge:
+        return Gauge(f"{_PREFIX}_{name}", text, registry=self._registry)
+
+
+#: Media type of the rendered text.
+CONTENT_TYPE = CONTENT_TYPE_LATEST
