Measure the processor time per relayed token

The bench starts a token source and each way of relaying as processes and runs them one after the other in each round. So 5 ms, the price being at most that much on a token.

--- a/kingcuphead/bench/_relay_server.py
+++ b/kingcuphead/bench/_relay_server.py
@@ -3,6 +3,7 @@
 import argparse
 import asyncio
 import time
+from collections.abc import Mapping
 from typing import Any
 
 from tornado.curl_httpclient import CurlAsyncHTTPClient
@@ -12,7 +13,7 @@
 from tornado.web import Application, RequestHandler
 
 from kingcuphead.api import AnswerStream
-from kingcuphead.relay import Relay, RelayRequest
+from kingcuphead.relay import Relay, RelayLimits, RelayRequest
 
 #: More streams than any run opens.
 _MAX_CLIENTS = 1000
@@ -22,6 +23,7 @@
     """Reports the processor time of this process, in seconds."""
 
     def get(self) -> None:
+        """Answer with the time."""
         self.write(str(time.process_time()))
 
 
@@ -29,10 +31,12 @@
     """The plain relay: tornado's default client, one write for each piece."""
 
     def initialize(self, target: str) -> None:
+        """Keep what the requests share."""
         self._target = target
         self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(max_clients=_MAX_CLIENTS)
 
     async def post(self) -> None:
+        """Relay one answer."""
         await self._client.fetch(
             HTTPRequest(
                 f"http://{self._target}/",
@@ -52,10 +56,12 @@
     """Tornado's curl client, whose callback can't be awaited."""
 
     def initialize(self, target: str) -> None:
+        """Keep what the requests share."""
         self._target = target
         self._client = CurlAsyncHTTPClient(max_clients=_MAX_CLIENTS)
 
     async def post(self) -> None:
+        """Relay one answer."""
         await self._client.fetch(
             HTTPRequest(
                 f"http://{self._target}/",
@@ -72,39 +78,19 @@
 
 
 class _ProductRelay(RequestHandler):
-    """The relay of the product, events inspected, written to the connection."""
+    """The relay of the product: events inspected, the end withheld, then passed."""
 
     def initialize(self, target: str, relay: Relay) -> None:
+        """Keep what the requests share."""
         self._target = target
         self._relay = relay
 
     async def post(self) -> None:
+        """Relay one answer."""
         request = RelayRequest(
             self._target, "POST", "/", body=self.request.body, idempotent=True
         )
-        opened = await self._relay.open(request)
-        stream = opened.ok
-        answer = AnswerStream(include_usage=True)
-        await self.flush()
-        connection = self.request.connection
-        assert connection is not None
-        async for block in stream:
-            passed = answer.feed(block)
-            if passed:
-                await connection.write(passed)
-        self.write(answer.finish().ok.tail)
-        stream.close()
-
-
-class _FlushedRelay(_ProductRelay):
-    """The relay of the product, written through the request handler."""
-
-    async def post(self) -> None:
-        request = RelayRequest(
-            self._target, "POST", "/", body=self.request.body, idempotent=True
-        )
-        opened = await self._relay.open(request)
-        stream = opened.ok
+        stream = (await self._relay.open(request)).ok
         answer = AnswerStream(include_usage=True)
         async for block in stream:
             passed = answer.feed(block)
@@ -115,11 +101,12 @@
         stream.close()
 
 
-VARIANTS = {
+#: Ways of relaying by name.
+VARIANTS: Mapping[str, type[RequestHandler]] = {
     "default": _DefaultClient,
     "curl": _CurlClient,
-    "relay": _ProductRelay,
-    "relay-flush": _FlushedRelay,
+    "ungathered": _ProductRelay,
+    "product": _ProductRelay,
 }
 
 
@@ -133,8 +120,11 @@
 
 async def _serve(arguments: argparse.Namespace) -> None:
     settings: dict[str, object] = {"target": arguments.target}
-    if arguments.variant.startswith("relay"):
-        settings["relay"] = Relay()
+    match arguments.variant:
+        case "product":
+            settings["relay"] = Relay()
+        case "ungathered":
+            settings["relay"] = Relay(RelayLimits(gather_seconds=0.0))
     routes: list[Any] = [
         (r"/cpu", _Cpu),
         (r"/.*", VARIANTS[arguments.variant], settings),
--- a/kingcuphead/relay/_messages.py
+++ b/kingcuphead/relay/_messages.py
@@ -34,7 +34,7 @@
     header_bytes: int = 64 * 1024
     #: Seconds for which pieces of answers are gathered while they come closely; this
     #: is the most that a token is held up.
-    gather_seconds: float = 0.004
+    gather_seconds: float = 0.005
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/relay/_transfer.py
+++ b/kingcuphead/relay/_transfer.py
@@ -36,6 +36,7 @@
         self._limits = limits
         self._timeouts = timeouts
         self._resume = resume
+        self._loop = asyncio.get_running_loop()
         self._last_received = now
         self._chunks: list[bytes] = []
         self._waiting_bytes = 0
@@ -137,14 +138,14 @@
         return True
 
     async def _wait(self) -> None:
-        self._reader = asyncio.get_running_loop().create_future()
+        self._reader = self._loop.create_future()
         try:
             await self._reader
         finally:
             self._reader = None
 
 
-class RelayStream:
+class RelayStream(AsyncIterator[bytes]):
     """The answer of a target, read block by block.
 
     Iterate over it to read; call `close` when done, whether or not the end was
@@ -175,10 +176,16 @@
         end = self._transfer.end
         return end is not None and end.cause is EndCause.COMPLETE
 
-    async def __aiter__(self) -> AsyncIterator[bytes]:
+    def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield the body in blocks until it ends or breaks off."""
-        while block := await self._transfer.read():
-            yield block
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next block."""
+        block = await self._transfer.read()
+        if not block:
+            raise StopAsyncIteration
+        return block
 
     def close(self) -> None:
         """End the transfer; an unfinished one closes the target's connection."""
