--- a/kingcuphead/placement/__init__.py
+++ b/kingcuphead/placement/__init__.py
@@ -8,9 +8,10 @@
     ProbeRequested,
     TargetStateChanged,
 )
-from kingcuphead.placement._placement import Attempt, Placement, Prospect, TargetView
+from kingcuphead.placement._placement import Placement, Prospect
 from kingcuphead.placement._settings import PlacementSettings
 from kingcuphead.placement._states import AnswerResult, SignSource, TargetState
+from kingcuphead.placement._views import Attempt, TargetView
 
 __all__ = [
     "AnswerResult",
--- a/kingcuphead/placement/_limit.py
+++ b/kingcuphead/placement/_limit.py
@@ -73,6 +73,18 @@
         value = max(self.floor, self.value * settings.limit_decrease)
         return self.with_changes(value=value, decreased_at=now)
 
+    def with_excess(
+        self, excess: float, now: float, settings: PlacementSettings
+    ) -> "AdaptiveLimit":
+        """Lower the limit by the ratio of a target's load to its slots.
+
+        Every daemon that shares the target lowers its own by the same ratio.
+        """
+        if now - self.decreased_at < settings.limit_cooldown:
+            return self
+        value = max(self.floor, self.value * max(1 / excess, settings.limit_decrease))
+        return self.with_changes(value=value, decreased_at=now)
+
     def with_restart(self) -> "AdaptiveLimit":
         """Return to the floor, as after a recovery."""
         return AdaptiveLimit(value=self.floor, floor=self.floor, ceiling=self.ceiling)
--- a/kingcuphead/placement/_messages.py
+++ b/kingcuphead/placement/_messages.py
@@ -45,7 +45,13 @@
     model: str = ""
     #: Requests with the same key do best on the same target.
     affinity_key: bytes = b""
+    #: Size in tokens.
+    size: int = 0
+    #: Priority that the target is given; 0 goes first.
+    priority: int = 0
     #: Targets that must not be chosen.
     excluded: tuple[str, ...] = ()
     #: Whether an earlier run may have crashed a target.
     is_suspect: bool = False
+    #: Whether it belongs to the first class, which adaptive limits do not hold back.
+    is_first: bool = False
--- a/kingcuphead/placement/_placement.py
+++ b/kingcuphead/placement/_placement.py
@@ -1,13 +1,11 @@
-"""Choice of a target for a request, within each target's limit."""
+"""The targets as one daemon sees them: states, limits, load and choice."""
 
-import dataclasses
 import enum
 import math
 import random
 from collections.abc import Iterator
-from typing import Any
 
-from kingcuphead.placement._affinity import compute_score
+from kingcuphead.placement._choice import TargetChooser
 from kingcuphead.placement._invariants import ensure
 from kingcuphead.placement._limit import AdaptiveLimit
 from kingcuphead.placement._liveness import Liveness
@@ -20,6 +18,7 @@
 )
 from kingcuphead.placement._settings import PlacementSettings
 from kingcuphead.placement._states import AnswerResult, SignSource, TargetState
+from kingcuphead.placement._views import EPSILON_SLOTS, Attempt, TargetView
 from kingcuphead.records import Configuration, Target
 
 
@@ -34,52 +33,6 @@
     NONE = enum.auto()
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Attempt:
-    """One request that runs on a target."""
-
-    #: Target that runs it.
-    target: str
-    #: When it was placed, in seconds.
-    placed_at: float
-    #: Its size in tokens.
-    size: int
-    #: Whether an earlier run may have crashed a target.
-    is_suspect: bool = False
-    #: When its first token came; None before.
-    started_at: float | None = None
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetView:
-    """Everything that placement knows of one target."""
-
-    #: Its record; the last one where the configuration has dropped it.
-    target: Target
-    #: Whether it may be given new work.
-    liveness: Liveness
-    #: How much it runs.
-    load: TargetLoad
-    #: How much this daemon may run on it.
-    limit: AdaptiveLimit
-    #: Requests in flight that may have crashed a target before.
-    suspects: int = 0
-
-    def with_changes(self, **changes: Any) -> "TargetView":
-        """Return a copy with the named fields replaced."""
-        return dataclasses.replace(self, **changes)
-
-    @property
-    def slots(self) -> int:
-        """Most requests of this daemon that may run on the target."""
-        return max(1, math.ceil(self.limit.value))
-
-    def serves(self, service: str, model: str) -> bool:
-        """Tell whether the target does this work."""
-        is_model_served = not model or model in self.target.models
-        return self.target.service == service and is_model_served
-
-
 class Placement:
     """The targets, their load, limits and states, as one daemon sees them.
 
@@ -95,9 +48,9 @@
         self, settings: PlacementSettings, random_source: random.Random
     ) -> None:
         self._settings = settings
-        self._random = random_source
         self._views: dict[str, TargetView] = {}
         self._attempts: dict[str, Attempt] = {}
+        self._chooser = TargetChooser(settings, random_source, self._attempts)
         self._peers = 1
 
     @property
@@ -113,6 +66,7 @@
         self, configuration: Configuration, now: float
     ) -> tuple[PlacementEffect, ...]:
         """Put the targets of a configuration in force."""
+        self._chooser.forget_homes()
         for target in configuration.targets.values():
             self._put_target(target)
         names = tuple(self._views)
@@ -125,6 +79,7 @@
     def count_peers(self, daemons: int) -> None:
         """Set the number of daemons that share the targets, this one included."""
         self._peers = max(1, daemons)
+        self._chooser.peers = self._peers
         for name, view in self._views.items():
             limit = view.limit.with_bounds(*self._compute_bounds(view.target))
             self._views[name] = view.with_changes(limit=limit)
@@ -136,7 +91,7 @@
             for view in self._views.values()
             if view.serves(service, model) and view.liveness.is_accepting
         )
-        return max(1, math.floor(total + 1e-9)) if total else 0
+        return max(1, math.floor(total + EPSILON_SLOTS)) if total else 0
 
     def count_in_flight(self, service: str, model: str) -> int:
         """Return own requests in flight on the targets that do this work."""
@@ -155,22 +110,18 @@
             return Prospect.CHECKING
         return Prospect.NONE
 
+    def choose_home(self, query: PlacementQuery, now: float) -> Target | None:
+        """Return the target that caches the request's prefix, if it has room."""
+        return self._chooser.choose_home(query, self._list_accepting(query), now)
+
     def choose(self, query: PlacementQuery, now: float) -> Target | None:
         """Return the target that suits the request best; None where none is free."""
-        eligible = [
-            view for view in self._filter_eligible(query) if view.liveness.is_accepting
-        ]
-        free = [view for view in eligible if self._has_slot(view, query, now)]
-        if not free:
-            return None
-        if query.affinity_key:
-            near = self._choose_by_affinity(query, eligible, free, now)
-            if near is not None:
-                return near.target
-        return min(free, key=lambda view: self._rate(view, now)).target
+        accepting = self._list_accepting(query)
+        home = self._chooser.choose_home(query, accepting, now)
+        return home or self._chooser.choose_least(query, accepting, now)
 
     def begin(
-        self, request_id: str, target: str, size: int, is_suspect: bool, now: float
+        self, request_id: str, target: str, query: PlacementQuery, now: float
     ) -> None:
         """Take a slot of `target` for a request."""
         view = self._views[target]
@@ -187,30 +138,34 @@
             state=view.liveness.state,
         )
         ensure(
-            view.load.own < view.slots,
+            view.load.own < view.most_slots,
             "requests in flight stay within the target's limit",
             target=target,
             in_flight=view.load.own,
-            slots=view.slots,
-        )
-        self._attempts[request_id] = Attempt(target, now, size, is_suspect)
-        self._views[target] = view.with_changes(
-            load=view.load.with_own(view.load.own + 1, now),
-            suspects=view.suspects + is_suspect,
+            slots=view.most_slots,
         )
+        self._attempts[request_id] = Attempt(target, query, now)
+        self._views[target] = view.with_begun(request_id, query, now)
 
     def start(self, request_id: str, now: float) -> None:
         """Note the first token of a request."""
         attempt = self._attempts.get(request_id)
         if attempt is None or attempt.started_at is not None:
             return
-        self._attempts[request_id] = dataclasses.replace(attempt, started_at=now)
+        self._attempts[request_id] = attempt.with_changes(started_at=now)
         view = self._views[attempt.target]
         limit = view.limit.with_first_token(
-            now - attempt.placed_at, attempt.size, view.load.own, now, self._settings
+            now - attempt.placed_at,
+            attempt.query.size,
+            view.load.own,
+            now,
+            self._settings,
+        )
+        self._views[attempt.target] = view.with_changes(
+            limit=limit,
+            liveness=view.liveness.with_changes(heard_at=now),
+            unstarted=view.unstarted - {request_id},
         )
-        liveness = view.liveness.with_changes(heard_at=now)
-        self._views[attempt.target] = view.with_changes(limit=limit, liveness=liveness)
 
     def finish(
         self, request_id: str, target: str, result: AnswerResult, now: float
@@ -229,18 +184,15 @@
         del self._attempts[request_id]
         view = self._views[target]
         ensure(
-            view.load.own > 0 and view.suspects >= attempt.is_suspect,
+            view.load.own > 0 and view.suspects >= attempt.query.is_suspect,
             "a freed slot was taken",
             target=target,
         )
-        limit = view.limit
+        ended = view.with_ended(request_id, attempt.query, now)
         if result is AnswerResult.REFUSED:
-            limit = limit.with_congestion(now, self._settings)
-        self._views[target] = view.with_changes(
-            load=view.load.with_own(view.load.own - 1, now),
-            limit=limit,
-            suspects=view.suspects - attempt.is_suspect,
-        )
+            limit = ended.limit.with_congestion(now, self._settings)
+            ended = ended.with_changes(limit=limit)
+        self._views[target] = ended
         liveness = view.liveness.with_answer(result, now, self._settings)
         return tuple(self._set_liveness(target, liveness, SignSource.ANSWER))
 
@@ -253,8 +205,9 @@
             return
         load = view.load.with_report(running, waiting, observed_at)
         limit = view.limit
-        if waiting > 0 and running + waiting > view.target.concurrency:
-            limit = limit.with_congestion(now, self._settings)
+        excess = (running + waiting) / max(1, view.target.concurrency)
+        if waiting > 0 and excess > 1:
+            limit = limit.with_excess(excess, now, self._settings)
         self._views[target] = view.with_changes(load=load, limit=limit)
 
     def report_state(
@@ -302,14 +255,16 @@
         floor, ceiling = self._compute_bounds(target)
         view = self._views.get(target.name)
         if view is None:
-            limit = AdaptiveLimit(ceiling / self._peers, floor, ceiling)
+            limit = AdaptiveLimit(2 * floor, floor, ceiling)
             view = TargetView(target, Liveness(), TargetLoad(), limit)
         limit = view.limit.with_bounds(floor, ceiling)
         self._views[target.name] = view.with_changes(target=target, limit=limit)
 
     def _compute_bounds(self, target: Target) -> tuple[float, float]:
-        ceiling = float(max(1, target.concurrency))
-        return ceiling / (2 * self._peers), ceiling
+        concurrency = max(1, target.concurrency)
+        fair = concurrency / self._peers
+        # Independent arrivals at the daemons deviate by the square root.
+        return fair / 2, min(concurrency, fair + math.sqrt(fair))
 
     def _apply_draining(
         self, name: str, configuration: Configuration, now: float
@@ -333,6 +288,7 @@
             limit = limit.with_restart()
         self._views[name] = view.with_changes(liveness=liveness, limit=limit)
         if liveness.state is not before:
+            self._chooser.forget_homes()
             yield TargetStateChanged(name, liveness.state, source)
 
     def _filter_eligible(self, query: PlacementQuery) -> Iterator[TargetView]:
@@ -343,42 +299,6 @@
             and view.target.name not in query.excluded
         )
 
-    def _has_slot(self, view: TargetView, query: PlacementQuery, now: float) -> bool:
-        if view.load.own >= view.slots:
-            return False
-        if query.is_suspect and view.suspects:
-            return False
-        fair_share = view.limit.ceiling / self._peers
-        others = view.load.estimate_others(now, self._settings.report_decay)
-        return view.load.own < fair_share or (
-            view.load.own + others < view.limit.ceiling
-        )
-
-    def _compute_load(self, view: TargetView, now: float) -> float:
-        others = view.load.estimate_others(now, self._settings.report_decay)
-        return (view.load.own + others) / view.limit.ceiling
-
-    def _rate(self, view: TargetView, now: float) -> tuple[float, bool, float]:
-        is_far = view.target.zone != self._settings.zone
-        return self._compute_load(view, now), is_far, self._random.random()
-
-    def _choose_by_affinity(
-        self,
-        query: PlacementQuery,
-        eligible: list[TargetView],
-        free: list[TargetView],
-        now: float,
-    ) -> TargetView | None:
-        loads = [self._compute_load(view, now) for view in eligible]
-        mean = sum(loads) / len(loads)
-        allowed = (
-            view
-            for view in free
-            if self._compute_load(view, now)
-            <= self._settings.affinity_load_factor * mean + 1 / view.limit.ceiling
-        )
-        return max(
-            allowed,
-            key=lambda view: compute_score(query.affinity_key, view.target.name),
-            default=None,
-        )
+    def _list_accepting(self, query: PlacementQuery) -> list[TargetView]:
+        eligible = self._filter_eligible(query)
+        return [view for view in eligible if view.liveness.is_accepting]
--- a/kingcuphead/placement/_settings.py
+++ b/kingcuphead/placement/_settings.py
@@ -17,12 +17,14 @@
     zone: str = ""
     #: Load of a target relative to the mean above which affinity is given up.
     affinity_load_factor: Annotated[float, Meta(ge=1)] = 1.25
+    #: Part of a request's tokens that a cached prefix is taken to save.
+    affinity_saving: Ratio = 0.5
     #: Factor on a target's limit when it shows congestion.
     limit_decrease: Ratio = 0.9
     #: Slots added to a limit for each limit's worth of uncongested answers.
     limit_increase: Positive = 1.0
     #: Seconds between two decreases of one limit.
-    limit_cooldown: Positive = 1.0
+    limit_cooldown: Positive = 3.0
     #: Time to first token, relative to its slow mean, that shows congestion.
     congestion_ratio: Annotated[float, Meta(gt=1)] = 2.0
     #: Seconds in which the weight of a load report falls to 1/e.
--- a/kingcuphead/queueing/_backlog.py
+++ b/kingcuphead/queueing/_backlog.py
@@ -1,6 +1,7 @@
 """Every waiting request of one daemon, by kind of work and class."""
 
 import dataclasses
+import math
 from collections.abc import Iterator, Mapping
 
 from kingcuphead.placement import ensure
@@ -8,6 +9,9 @@
 from kingcuphead.queueing._messages import RequestArrived
 from kingcuphead.records import WorkClass
 
+#: Least time of waiting that raises a request by one rank, in seconds.
+LEAST_AGEING_SECONDS = 0.1
+
 
 @dataclasses.dataclass(frozen=True, slots=True, order=True)
 class Lane:
@@ -30,11 +34,26 @@
     #: The requests.
     queue: FairQueue
 
-    def compute_rank(self, now: float) -> float:
-        """Return the priority of the next request, raised by its wait."""
+    def compute_urgency(self, now: float) -> "Urgency":
+        """Return the urgency of the next request."""
         head = next(self.queue.iterate())
-        raised = (now - head.arrived_at) / max(self.work_class.ageing, 1e-9)
-        return max(0.0, self.work_class.rank - raised)
+        ageing = max(self.work_class.ageing, LEAST_AGEING_SECONDS)
+        raised = math.floor((now - head.arrived_at) / ageing)
+        return Urgency(self.work_class.rank - raised, head.request.deadline)
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class Urgency:
+    """Order between classes: by rank, and by deadline where ranks are equal.
+
+    Deadlines keep a class that can wait longer from filling the queue until one
+    of the same rank that can't is refused.
+    """
+
+    #: Rank of the class, less the ranks that waiting has earned.
+    rank: int
+    #: Deadline of the next request, in seconds.
+    deadline: float
 
 
 class Backlog:
@@ -88,10 +107,7 @@
             for (lane, name), queue in self._queues.items()
             if len(queue)
         ]
-        return sorted(
-            queues,
-            key=lambda entry: (entry.compute_rank(now), entry.work_class.rank),
-        )
+        return sorted(queues, key=lambda entry: entry.compute_urgency(now))
 
     def _get_queue(self, request: RequestArrived) -> FairQueue:
         key = (Lane(request.service, request.model), request.work_class)
--- a/kingcuphead/queueing/_occupancy.py
+++ b/kingcuphead/queueing/_occupancy.py
@@ -71,7 +71,7 @@
             entry.share for entry in classes.values() if entry.rank >= work_class.rank
         ]
         largest = max([work_class.share, *shares])
-        return total < slots and group < count_share(largest, slots)
+        return group < count_share(largest, slots)
 
 
 def count_share(share: float, slots: int) -> int:
--- a/kingcuphead/queueing/_scheduler.py
+++ b/kingcuphead/queueing/_scheduler.py
@@ -1,8 +1,10 @@
 """The scheduler: queueing, placement and quarantine behind one `receive`."""
 
+import dataclasses
 import itertools
+import math
 import random
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Iterator
 
 from kingcuphead.placement import (
@@ -46,10 +48,19 @@
 from kingcuphead.queueing._retries import RetryBudget
 from kingcuphead.queueing._settings import SchedulerSettings
 from kingcuphead.queueing._waits import LaneState, find_late
-from kingcuphead.records import Configuration, Target
+from kingcuphead.records import Configuration, Target, WorkClass
 from kingcuphead.verdict import Execution, Verdict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Choice:
+    """A waiting request and the target that can run it now."""
+
+    waiting: Waiting
+    query: PlacementQuery
+    target: Target
+
+
 class Scheduler:
     """Decides when and where each request of one daemon runs.
 
@@ -78,6 +89,8 @@
         self._early_phase = settings.quarantine.early_phase
         self._backlog = Backlog()
         self._occupancy = Occupancy()
+        self._skips: Counter[str] = Counter()
+        self._first_seen_at: dict[Lane, float] = {}
         self._running: dict[str, RequestArrived] = {}
         self._retries = RetryBudget(settings.queueing)
         self._refusals = Refusals(settings.queueing, random_source)
@@ -114,6 +127,7 @@
                 yield from self._admit(message, now)
             case RequestWithdrawn(request_id):
                 self._backlog.remove(request_id)
+                self._skips.pop(request_id, None)
             case AnswerStarted(request_id):
                 self._start(request_id, now)
             case AnswerFinished():
@@ -168,6 +182,8 @@
         organisation = self._configuration.organisations.get(request.organisation)
         weight = organisation.weight if organisation else 1
         self._backlog.push(request, weight, now)
+        if self._is_first(self._get_class(request)):
+            self._first_seen_at[get_lane(request)] = now
         if len(self._backlog) > self._settings.capacity:
             yield from self._evict(now)
 
@@ -259,32 +275,61 @@
     def _place_each(self, now: float) -> Iterator[Effect]:
         classes = self._configuration.classes
         for entry in self._backlog.sort_queues(classes, now):
-            slots = self._placement.count_slots(entry.lane.service, entry.lane.model)
-            if not self._occupancy.has_slot(
-                entry.lane, entry.work_class, slots, classes
-            ):
+            slots = self._count_slots(entry, now)
+            if not self._has_class_slot(entry, slots):
                 continue
-            heads = itertools.islice(entry.queue.iterate(), self._settings.lookahead)
-            for waiting in heads:
-                query = self._build_query(waiting.request)
-                target = self._placement.choose(query, now)
-                if target is not None:
-                    yield self._place(waiting, query, target, now)
-
-    def _place(
-        self, waiting: Waiting, query: PlacementQuery, target: Target, now: float
-    ) -> Effect:
-        request = waiting.request
-        self._placement.begin(
-            request.request_id, target.name, request.size, query.is_suspect, now
-        )
+            effect = self._place_one(entry, now)
+            if effect is not None:
+                yield effect
+
+    def _place_one(self, entry: ClassQueue, now: float) -> Effect | None:
+        """Place the request that suits a free target best, near the queue's head."""
+        heads = tuple(itertools.islice(entry.queue.iterate(), self._settings.lookahead))
+        for match in (self._find_cached(heads, now), self._find_free(heads, now)):
+            choice = next(match, None)
+            if choice is not None:
+                self._count_skips(heads, choice.waiting)
+                return self._place(choice, now)
+        return None
+
+    def _find_cached(
+        self, heads: tuple[Waiting, ...], now: float
+    ) -> Iterator["_Choice"]:
+        """Yield requests whose own target is free, but none past a waiting one."""
+        for waiting in heads:
+            query = self._build_query(waiting.request)
+            target = self._placement.choose_home(query, now)
+            if target is not None:
+                yield _Choice(waiting, query, target)
+            if self._is_skipped_enough(waiting):
+                return
+
+    def _find_free(self, heads: tuple[Waiting, ...], now: float) -> Iterator["_Choice"]:
+        """Yield requests that some target has room for."""
+        for waiting in heads:
+            query = self._build_query(waiting.request)
+            target = self._placement.choose(query, now)
+            if target is not None:
+                yield _Choice(waiting, query, target)
+
+    def _is_skipped_enough(self, waiting: Waiting) -> bool:
+        skips = self._skips.get(waiting.request.request_id, 0)
+        return skips >= self._settings.longest_skip
+
+    def _count_skips(self, heads: tuple[Waiting, ...], chosen: Waiting) -> None:
+        for waiting in itertools.takewhile(lambda head: head is not chosen, heads):
+            self._skips[waiting.request.request_id] += 1
+
+    def _place(self, choice: "_Choice", now: float) -> Effect:
+        request = choice.waiting.request
+        target = choice.target
+        self._skips.pop(request.request_id, None)
+        self._placement.begin(request.request_id, target.name, choice.query, now)
         self._backlog.serve(request.request_id)
         self._occupancy.add(get_lane(request), request.work_class)
         self._running[request.request_id] = request
-        work_class = get_work_class(self._configuration.classes, request.work_class)
-        return RequestPlaced(
-            request.request_id, target.name, target.address, work_class.rank
-        )
+        rank = self._get_class(request).rank
+        return RequestPlaced(request.request_id, target.name, target.address, rank)
 
     def _give_up(self, message: SchedulerMessage, now: float) -> Iterator[Effect]:
         """Reject at once the requests that can't make their deadlines."""
@@ -314,7 +359,8 @@
 
         def get_margin(waiting: Waiting) -> float:
             is_new = waiting.request.request_id == newest
-            return 1.0 if is_new else self._settings.giving_up_margin
+            settings = self._settings
+            return settings.admission_margin if is_new else settings.giving_up_margin
 
         for late in tuple(find_late(state, queues, now, get_margin)):
             rate = rates[late.waiting.request.work_class]
@@ -337,6 +383,7 @@
     def _reject(self, waiting: Waiting, verdict: Verdict) -> RequestRejected:
         request_id = waiting.request.request_id
         removed = self._backlog.remove(request_id)
+        self._skips.pop(request_id, None)
         ensure(
             removed is not None,
             "each arrival gets one answer",
@@ -345,15 +392,45 @@
         )
         return RequestRejected(request_id, verdict)
 
+    def _get_class(self, request: RequestArrived) -> WorkClass:
+        return get_work_class(self._configuration.classes, request.work_class)
+
     def _build_query(self, request: RequestArrived) -> PlacementQuery:
         return PlacementQuery(
             request.service,
             request.model,
             encode_key(request.affinity_key),
-            request.excluded,
-            self._quarantine.is_suspect(request.fingerprint),
+            size=request.size,
+            priority=self._get_class(request).rank,
+            excluded=request.excluded,
+            is_suspect=self._quarantine.is_suspect(request.fingerprint),
+            is_first=self._is_first(self._get_class(request)),
         )
 
+    def _is_first(self, work_class: WorkClass) -> bool:
+        ranks = (entry.rank for entry in self._configuration.classes.values())
+        return work_class.rank <= min(ranks, default=work_class.rank)
+
+    def _has_class_slot(self, entry: ClassQueue, slots: int) -> bool:
+        """Tell whether the class may take one more of the lane's slots."""
+        if self._is_first(entry.work_class):
+            # The limits of the targets alone bound the first class.
+            return True
+        lane = entry.lane
+        if self._placement.count_in_flight(lane.service, lane.model) >= slots:
+            return False
+        classes = self._configuration.classes
+        return self._occupancy.has_slot(lane, entry.work_class, slots, classes)
+
+    def _count_slots(self, entry: ClassQueue, now: float) -> int:
+        """Return the lane's slots, less those kept for the first class."""
+        slots = self._placement.count_slots(entry.lane.service, entry.lane.model)
+        seen_at = self._first_seen_at.get(entry.lane, float("-inf"))
+        is_kept = now - seen_at < self._settings.reserve_memory
+        if not is_kept or self._is_first(entry.work_class):
+            return slots
+        return slots - min(slots - 1, math.ceil(slots * self._settings.reserve))
+
     def _get_rate(self, entry: ClassQueue) -> float:
         """Return the requests of a class that its slots serve each second."""
         slots = self._placement.count_slots(entry.lane.service, entry.lane.model)
--- a/kingcuphead/queueing/_settings.py
+++ b/kingcuphead/queueing/_settings.py
@@ -17,10 +17,18 @@
 
     #: Most requests that wait in one daemon.
     capacity: Annotated[int, Meta(ge=1)] = 2000
-    #: Requests of one class that are tried in turn when the first finds no target.
-    lookahead: Annotated[int, Meta(ge=1)] = 8
+    #: Requests of one class among which one is sought whose prefix a target caches.
+    lookahead: Annotated[int, Meta(ge=1)] = 16
+    #: Times that a request may be passed over for one that is cached.
+    longest_skip: Annotated[int, Meta(ge=0)] = 16
     #: Seconds that a request is assumed to hold a slot before any was seen to.
     initial_hold: Positive = 1.0
+    #: Part of the time to its deadline in which a new request's first token is due.
+    admission_margin: Annotated[float, Meta(gt=0, le=1)] = 0.8
+    #: Part of the slots that is kept for the first class while it sends requests.
+    reserve: Annotated[float, Meta(ge=0, lt=1)] = 0.05
+    #: Seconds for which slots are kept after a request of the first class.
+    reserve_memory: Positive = 60.0
     #: Ratio of estimated wait to time left above which a waiting request is given up.
     giving_up_margin: Annotated[float, Meta(ge=1)] = 1.5
     #: Shortest time to come back, in seconds.
--- a/kingcuphead/queueing/_waits.py
+++ b/kingcuphead/queueing/_waits.py
@@ -1,6 +1,8 @@
 """Estimate of how long each waiting request still waits."""
 
 import dataclasses
+import heapq
+import itertools
 from collections.abc import Callable, Iterator, Mapping
 
 from kingcuphead.queueing._backlog import ClassQueue, Lane
@@ -25,6 +27,16 @@
     first_token: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Queued:
+    """A waiting request with its class."""
+
+    #: The request.
+    waiting: Waiting
+    #: Class as configured.
+    work_class: WorkClass
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LaneState:
     """What the estimate needs to know of one lane."""
@@ -70,17 +82,28 @@
         Returns the ratio of expected time to time left that is put up with.
     """
     work_above = 0.0
-    for entry in queues:
-        estimate = state.estimates[entry.work_class.name]
-        slots = state.estimate_slots(entry.work_class)
+    for _, group in itertools.groupby(
+        queues, key=lambda entry: entry.compute_urgency(now).rank
+    ):
         work = 0.0
-        for waiting in entry.queue.iterate():
+        for queued in merge_by_deadline(list(group)):
+            estimate = state.estimates[queued.work_class.name]
+            slots = state.estimate_slots(queued.work_class)
             # Every slot is taken, so the next one frees after a part of a hold.
             wait = work_above / state.slots + (work + estimate.hold) / slots
             first_token = wait + estimate.first_token
-            left = waiting.request.deadline - now
-            if first_token > left * get_margin(waiting):
-                yield ExpectedWait(waiting, wait, first_token)
+            left = queued.waiting.request.deadline - now
+            if first_token > left * get_margin(queued.waiting):
+                yield ExpectedWait(queued.waiting, wait, first_token)
             else:
-                work += estimate.estimate_hold(waiting.request.size)
+                work += estimate.estimate_hold(queued.waiting.request.size)
         work_above += work
+
+
+def merge_by_deadline(queues: list[ClassQueue]) -> Iterator[Queued]:
+    """Yield the requests of classes of one rank in the order of service."""
+    streams = [
+        (Queued(waiting, entry.work_class) for waiting in entry.queue.iterate())
+        for entry in queues
+    ]
+    return heapq.merge(*streams, key=lambda queued: queued.waiting.request.deadline)
