--- /dev/null
+++ b/kingcuphead/logs/__init__.py
@@ -0,0 +1,5 @@
+"""Structured logs without prompt text or keys."""
+
+from kingcuphead.logs._setup import bind_request, set_up_logs
+
+__all__ = ["bind_request", "set_up_logs"]
