Claim calls that must not repeat before they are dispatched

One conditional write gives one attempt the right to dispatch; a second try gets the recorded answer or 'may have run'. A lost reply is read back and recognised by the attempt's id, and tried again if the row is absent.

A write that stays unresolved is refused as 'not run' and then undone by a released row, also where the row is absent: a delayed write would otherwise land later and hold the key for ever. Deleting the row instead was ruled out for that reason. A second row state before the dispatch ('claimed', then 'dispatched') was ruled out: it costs a third write per call, and the reply to the last write before the dispatch can be lost all the same.

--- /dev/null
+++ b/kingcuphead/claims/tests/test_driver.py
@@ -0,0 +1,137 @@
+import asyncio
+from collections.abc import Sequence
+
+import pytest
+from expression import Result
+
+from kingcuphead.claims import (
+    AnswerLost,
+    ClaimClosed,
+    Claims,
+    HeldClaim,
+    InvariantError,
+)
+from kingcuphead.claims.tests._calls import ANSWER, SETTINGS, make_request
+from kingcuphead.platform import (
+    CommitOutcome,
+    MemoryTable,
+    PlatformFault,
+    Row,
+    Transaction,
+    Unavailable,
+    Unknown,
+)
+from kingcuphead.verdict import Execution, Reason
+
+
+class FaultyTable(MemoryTable):
+    """Loses the next replies to commits, then refuses the next commits."""
+
+    def __init__(self, lost: int = 0, refused: int = 0) -> None:
+        super().__init__()
+        self.lost = lost
+        self.refused = refused
+
+    async def commit(self, transaction: Transaction) -> CommitOutcome:
+        await asyncio.sleep(0)
+        if self.lost > 0:
+            self.lost -= 1
+            self.commit_now(transaction)
+            return Unknown()
+        if self.refused > 0:
+            self.refused -= 1
+            return Unavailable()
+        return self.commit_now(transaction)
+
+    async def read(self, keys: Sequence[str]) -> Result[tuple[Row, ...], PlatformFault]:
+        await asyncio.sleep(0)
+        return await super().read(keys)
+
+
+def make_claims(table: MemoryTable) -> Claims:
+    return Claims(table, SETTINGS, pause=lambda _: asyncio.sleep(0))
+
+
+async def hold(claims: Claims, attempt: str = "a-1") -> HeldClaim:
+    held = (await claims.claim(make_request(attempt))).ok
+    assert isinstance(held, HeldClaim)
+    return held
+
+
+class TestClaims:
+    @pytest.mark.parametrize("lost", [0, 1])
+    def test_second_try_gets_the_recorded_answer(self, lost):
+        async def run() -> None:
+            claims = make_claims(FaultyTable(lost))
+            held = await hold(claims)
+            held.start_dispatch()
+            assert await claims.record(held, ANSWER) == ClaimClosed()
+            assert (await claims.claim(make_request("a-2"))).ok == ANSWER
+
+        asyncio.run(run())
+
+    def test_lost_answer_may_have_run(self):
+        async def run() -> None:
+            claims = make_claims(FaultyTable())
+            held = await hold(claims)
+            held.start_dispatch()
+            await claims.record(held, AnswerLost("reset"))
+            verdict = (await claims.claim(make_request("a-2"))).error
+            assert verdict.execution is Execution.MAY_HAVE_RUN
+
+        asyncio.run(run())
+
+    def test_abandoned_call_can_be_claimed_again(self):
+        async def run() -> None:
+            claims = make_claims(FaultyTable())
+            held = await hold(claims)
+            held.start_dispatch()
+            held.cancel_dispatch()
+            assert await claims.abandon(held) == ClaimClosed()
+            await hold(claims, "a-2")
+
+        asyncio.run(run())
+
+    def test_dispatched_call_cannot_be_abandoned(self):
+        async def run() -> None:
+            claims = make_claims(FaultyTable())
+            held = await hold(claims)
+            held.start_dispatch()
+            with pytest.raises(InvariantError):
+                await claims.abandon(held)
+
+        asyncio.run(run())
+
+    def test_outage_is_refused_without_a_pause(self):
+        async def run() -> None:
+            claims = make_claims(FaultyTable(refused=1))
+            verdict = (await claims.claim(make_request())).error
+            assert verdict.reason is Reason.PLATFORM_UNAVAILABLE
+            assert claims.unfinished == 0
+
+        asyncio.run(run())
+
+    def test_cancelled_claim_is_released(self):
+        async def run() -> None:
+            claims = make_claims(FaultyTable())
+            waiting = asyncio.ensure_future(claims.claim(make_request()))
+            await asyncio.sleep(0)
+            waiting.cancel()
+            await asyncio.gather(waiting, return_exceptions=True)
+            await claims.wait_until_finished()
+            await hold(claims, "a-2")
+
+        asyncio.run(run())
+
+    def test_cancelled_record_is_written(self):
+        async def run() -> None:
+            claims = make_claims(FaultyTable(refused=0))
+            held = await hold(claims)
+            held.start_dispatch()
+            recording = asyncio.ensure_future(claims.record(held, ANSWER))
+            await asyncio.sleep(0)
+            recording.cancel()
+            await claims.wait_until_finished()
+            assert (await claims.claim(make_request("a-2"))).ok == ANSWER
+
+        asyncio.run(run())
