Measure every request and keep its end for operators

Cause: dashboards and the explain command need times by class and organisation. The request path reports each piece of an answer to one observer, which also tells the scheduler of the first token; the deliveries no longer do. Nothing is measured yet but that the types agree.

--- a/features/steps/results.py
+++ b/features/steps/results.py
@@ -92,7 +92,9 @@
 
 @then("{organisation} has unattributed tokens")
 def check_unattributed(context, organisation):
-    books = {book.name: book for book in context.world.run(context.world.collect()).books}
+    books = {
+        book.name: book for book in context.world.run(context.world.collect()).books
+    }
     assert books[organisation].granted > 0, books
 
 
--- a/kingcuphead/daemon/_announcements.py
+++ b/kingcuphead/daemon/_announcements.py
@@ -52,6 +52,8 @@
         self._closing = False
         #: Instances of the daemons' own service, as last listed.
         self.instances: tuple[Instance, ...] = ()
+        #: Configuration revisions that peers last told, by instance name.
+        self.revisions: dict[str, int] = {}
         #: Members in the view, this daemon included.
         self.view: tuple[membership.Member, ...] = ()
         #: How sure the daemon is of its configuration.
@@ -98,6 +100,7 @@
             case membership.NoticeLearnt(notice):
                 self._take_notice(notice)
             case membership.PeerRevisionSeen(name, revision):
+                self.revisions[name] = revision
                 self.parts.configuration.post(
                     configuration.PeerRevision(name, revision)
                 )
--- a/kingcuphead/daemon/_assembly.py
+++ b/kingcuphead/daemon/_assembly.py
@@ -15,6 +15,7 @@
 from kingcuphead.daemon._request_log import RequestLog
 from kingcuphead.daemon._scheduler_task import SchedulerTask
 from kingcuphead.daemon._target_watch import TargetWatch
+from kingcuphead.metrics import Metrics
 from kingcuphead.peers import PeerLinks
 from kingcuphead.pipeline import (
     ChatPath,
@@ -52,6 +53,10 @@
     links: PeerLinks
     #: The platform's table.
     table: Table
+    #: What dashboards read.
+    metrics: Metrics
+    #: What became of recent requests.
+    requests: RequestLog
     #: The platform's instance list.
     instances: HttpInstanceList
 
@@ -79,14 +84,15 @@
         _make_scheduler(settings), targets.probe, announcements.tell
     )
     settlements = Settlements(ledger)
+    metrics = Metrics()
+    requests = RequestLog(own.name, metrics)
     chat_times = ChatTimes(settings.budgets.hold_timeout_seconds, timeouts)
     gateway = Gateway(
         _make_gateway_settings(settings),
         ChatPath(ledger, settlements, scheduler, relay, chat_times),
         ServicePath(scheduler, relay, timeouts),
         ClaimedCalls(Claims(table), own.name),
-        scheduler,
-        RequestLog().report,
+        requests.report,
     )
     parts = Parts(
         ledger=ledger,
@@ -106,6 +112,8 @@
         relay=relay,
         links=links,
         table=table,
+        metrics=metrics,
+        requests=requests,
         instances=HttpInstanceList(platform),
     )
 
--- a/kingcuphead/daemon/_ledger_task.py
+++ b/kingcuphead/daemon/_ledger_task.py
@@ -47,6 +47,7 @@
         self._background = BackgroundTasks()
         self._holds: dict[str, asyncio.Future[Outcome[str]]] = {}
         self._bills: dict[str, asyncio.Future[None]] = {}
+        self._surrenders: dict[tuple[str, str], frozenset[str]] = {}
         self._finished = asyncio.Event()
 
     async def run(self) -> None:
@@ -130,6 +131,22 @@
         finally:
             del self._bills[hold_id]
 
+    async def collect(
+        self, budget: str, grant_id: str, timeout: float
+    ) -> frozenset[str]:
+        """Ask every daemon to give up credit on a grant for good.
+
+        Returns
+        -------
+        frozenset of str
+            The daemons that hold nothing of it any more, after `timeout` seconds.
+        """
+        key = (budget, grant_id)
+        self._surrenders[key] = frozenset()
+        self.post(budgets.SurrenderStarted(budget, grant_id))
+        await asyncio.sleep(timeout)
+        return self._surrenders.pop(key, frozenset())
+
     async def shut_down(self, timeout: float) -> bool:
         """Give credit back and commit the bills; return whether all was done."""
         self.post(budgets.ShutdownStarted())
@@ -160,6 +177,9 @@
                     "{} in {}: {}", effect.kind, effect.budget, effect.detail
                 )
                 self._report(effect)
+            case budgets.SurrenderReported(budget, grant_id, surrendered):
+                if (budget, grant_id) in self._surrenders:
+                    self._surrenders[budget, grant_id] = frozenset(surrendered)
             case budgets.ShutdownFinished():
                 self._finished.set()
 
--- a/kingcuphead/pipeline/_chat.py
+++ b/kingcuphead/pipeline/_chat.py
@@ -123,6 +123,7 @@
         self._hold_id = hold_id
         self._sent = False
         self._settled = False
+        self._started = False
         self._last_attempt: ChatAttempt | None = None
 
     async def serve(self) -> Outcome[None]:
@@ -159,10 +160,11 @@
             self._path._relay, self._admitted, self._work, self._path._times.target
         )
         self._last_attempt = attempt
+        self._started = False
         result = AnswerResult.CANCELLED
         try:
             self._permit.start_dispatch()
-            end = await attempt.run(placed, self._delivery.deliver)
+            end = await attempt.run(placed, self._deliver)
             if not attempt.sent:
                 self._permit.cancel_dispatch()
             result = _judge(end)
@@ -173,6 +175,13 @@
                 self._admitted.received.operation_id, placed.target, result
             )
 
+    async def _deliver(self, block: bytes) -> None:
+        if not self._started:
+            self._started = True
+            self._path._targets.start(self._admitted.received.operation_id)
+        self._observer.take_piece()
+        await self._delivery.deliver(block)
+
     def _may_retry(self, failure: FailedAttempt) -> bool:
         if self._delivery.begun or failure.verdict.reason is Reason.INVALID_REQUEST:
             return False
@@ -182,6 +191,7 @@
 
     async def _complete(self, end: AnswerEnd) -> Outcome[None]:
         self._settled = True
+        self._observer.take_usage(end.usage)
         settled = await self._path._settlements.settle(
             self._hold_id, end.usage, self._work.bound_tokens
         )
--- a/kingcuphead/pipeline/_delivery.py
+++ b/kingcuphead/pipeline/_delivery.py
@@ -1,6 +1,6 @@
 """Filter: the answer's way to the caller, streamed or in one body."""
 
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from typing import Protocol
 
 from expression import Error, Ok, Result
@@ -55,16 +55,11 @@
         The caller.
     request_id
         Echoed in the headers.
-    started
-        Called when the first event is passed on.
     """
 
-    def __init__(
-        self, caller: Caller, request_id: str, started: Callable[[], None]
-    ) -> None:
+    def __init__(self, caller: Caller, request_id: str) -> None:
         self._caller = caller
         self._request_id = request_id
-        self._started = started
         #: Whether the caller has got a part of the answer.
         self.begun = False
 
@@ -75,7 +70,6 @@
         """Take events that may be passed on now."""
         if not self.begun:
             self.begun = True
-            self._started()
             await self._caller.start(200, self._make_headers())
         await self._caller.write(block)
 
@@ -107,16 +101,11 @@
         The caller.
     request_id
         Echoed in the headers.
-    started
-        Called when the first event comes.
     """
 
-    def __init__(
-        self, caller: Caller, request_id: str, started: Callable[[], None]
-    ) -> None:
+    def __init__(self, caller: Caller, request_id: str) -> None:
         self._caller = caller
         self._request_id = request_id
-        self._started = started
         self._blocks: list[bytes] = []
         #: Whether the caller has got a part of the answer.
         self.begun = False
@@ -127,8 +116,6 @@
 
     async def deliver(self, block: bytes) -> None:
         """Take events that may be passed on now."""
-        if not self._blocks:
-            self._started()
         self._blocks.append(block)
 
     async def complete(self, end: AnswerEnd) -> Verdict | None:
--- a/kingcuphead/pipeline/_gateway.py
+++ b/kingcuphead/pipeline/_gateway.py
@@ -28,7 +28,7 @@
 )
 from kingcuphead.pipeline._identification import identify
 from kingcuphead.pipeline._observations import Stopwatch
-from kingcuphead.pipeline._ports import Caller, Targets
+from kingcuphead.pipeline._ports import Caller
 from kingcuphead.pipeline._service import ServicePath, is_repeatable
 from kingcuphead.pipeline._stages import (
     Admitted,
@@ -85,8 +85,6 @@
         The path of calls to plain services.
     claimed
         Calls that must not be repeated.
-    targets
-        Told of first tokens.
     report
         Receives the end of every request.
     """
@@ -97,14 +95,12 @@
         chat: ChatPath,
         services: ServicePath,
         claimed: ClaimedCalls,
-        targets: Targets,
         report: Callable[[RequestEnd], None],
     ) -> None:
         self._settings = settings
         self._chat = chat
         self._services = services
         self._claimed = claimed
-        self._targets = targets
         self._report = report
         self._configuration = Configuration()
         self._index = KeyIndex.build(self._configuration)
@@ -255,14 +251,10 @@
     def _make_delivery(
         self, request: Admitted, work: ChatWork, caller: Caller
     ) -> Delivery:
-        received = request.received
-
-        def start() -> None:
-            self._targets.start(received.operation_id)
-
+        request_id = request.received.request_id
         if work.chat.stream:
-            return StreamedDelivery(caller, received.request_id, start)
-        return AssembledDelivery(caller, received.request_id, start)
+            return StreamedDelivery(caller, request_id)
+        return AssembledDelivery(caller, request_id)
 
     async def _serve_call(
         self, request: Admitted, work: ServiceWork, caller: Caller, stopwatch: Stopwatch
--- a/kingcuphead/pipeline/_observations.py
+++ b/kingcuphead/pipeline/_observations.py
@@ -4,13 +4,15 @@
 import time
 from typing import Protocol
 
+from kingcuphead.api import Usage
+from kingcuphead.metrics import StreamTimes, TokenClock
+
 
 class Phase(enum.StrEnum):
     """Part of the way of a request."""
 
     HOLD = "hold"
     QUEUE = "queue"
-    CLAIM = "claim"
     SETTLEMENT = "settlement"
 
 
@@ -21,9 +23,17 @@
         """Count the time since the last phase ended as this phase."""
         ...
 
+    def take_piece(self) -> None:
+        """Count a piece of the answer."""
+        ...
+
+    def take_usage(self, usage: Usage) -> None:
+        """Take the usage that is billed."""
+        ...
+
 
 class Stopwatch:
-    """Measures the phases of one request.
+    """Measures one request.
 
     Parameters
     ----------
@@ -33,11 +43,28 @@
 
     def __init__(self, started_at: float) -> None:
         self._last = started_at
+        self._tokens = TokenClock(started_at)
         #: Seconds of each phase, in order of their ends.
         self.phases: list[tuple[Phase, float]] = []
+        #: Usage that is billed.
+        self.usage = Usage(0)
+
+    @property
+    def stream(self) -> StreamTimes | None:
+        """Times of the pieces of the answer."""
+        return self._tokens.read()
 
     def end_phase(self, phase: Phase) -> None:
         """Count the time since the last phase ended as this phase."""
         now = time.monotonic()
         self.phases.append((phase, now - self._last))
         self._last = now
+
+    def take_piece(self) -> None:
+        """Count a piece of the answer."""
+        self._last = time.monotonic()
+        self._tokens.take(self._last)
+
+    def take_usage(self, usage: Usage) -> None:
+        """Take the usage that is billed."""
+        self.usage = usage
--- a/kingcuphead/queueing/_scheduler.py
+++ b/kingcuphead/queueing/_scheduler.py
@@ -5,17 +5,18 @@
 import math
 import random
 from collections import Counter, defaultdict
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 from kingcuphead.placement import (
     AnswerResult,
     Placement,
     PlacementQuery,
     Prospect,
+    TargetView,
     encode_key,
     ensure,
 )
-from kingcuphead.quarantine import Crash, Quarantine
+from kingcuphead.quarantine import Crash, Quarantine, QuarantineEntry
 from kingcuphead.queueing._backlog import (
     Backlog,
     ClassQueue,
@@ -126,6 +127,19 @@
         placed = tuple(self._dispatch(now))
         return direct + placed + tuple(self._give_up(message, now))
 
+    @property
+    def targets(self) -> tuple[TargetView, ...]:
+        """Every target as placement sees it."""
+        return self._placement.views
+
+    def list_quarantined(self, now: float) -> tuple[QuarantineEntry, ...]:
+        """Return the fingerprints that are not run."""
+        return self._quarantine.describe(now)
+
+    def count_queued(self) -> Mapping[str, int]:
+        """Return the number of waiting requests of each class."""
+        return Counter(w.request.work_class for w in self._backlog.iterate())
+
     def _handle(self, message: SchedulerMessage, now: float) -> Iterator[Effect]:
         match message:
             case RequestArrived():
