Prove the money by randomised runs, and mend what they found

Several ledgers run in virtual time over a table in memory, with lost, repeated and reordered messages, cuts, pauses, kills, wrong views, outages, lost replies (the write lands before, after or never), racing top-ups, reductions and releases. After each step the books are checked from outside: settled is the sum of the bills, one bill for a request, and for each grant the credit of all live daemons plus the open bills is covered by the row.

Found and mended: - A reserve request that brought nothing, or was denied, was repeated at once: two machines of one daemon answered each other without end. A bill now leaves its line only when it is committed.

--- /dev/null
+++ b/kingcuphead/bench/budgets_random.py
@@ -0,0 +1,40 @@
+"""Long randomised runs of the budgets: `python -m kingcuphead.bench.budgets_random`."""
+
+import argparse
+import sys
+import time
+
+from kingcuphead.bench._budgets_random import RandomRun
+
+
+def build_parser() -> argparse.ArgumentParser:
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m kingcuphead.bench.budgets_random")
+    parser.add_argument("--seed", type=int, default=1, help="first seed")
+    parser.add_argument("--runs", type=int, default=1, help="number of seeds")
+    parser.add_argument("--steps", type=int, default=500, help="steps of each run")
+    return parser
+
+
+def main() -> int:
+    """Run the seeds and print what happened in each run."""
+    arguments = build_parser().parse_args()
+    failed = 0
+    for seed in range(arguments.seed, arguments.seed + arguments.runs):
+        started = time.monotonic()
+        run = RandomRun(seed)
+        try:
+            books = run.run(arguments.steps)
+        except AssertionError as error:
+            failed += 1
+            print(f"seed {seed}: FAILED at {run.fleet.now:.3f} s: {error}")
+            continue
+        seconds = time.monotonic() - started
+        reports = " ".join(f"{key}={run.reports[key]}" for key in sorted(run.reports))
+        print(f"seed {seed}: ok, {seconds:.1f} s, {len(books.bills)} bills, {reports}")
+    print(f"{arguments.runs} runs of {arguments.steps} steps, {failed} failed")
+    return 1 if failed else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/kingcuphead/budgets/_billbook.py
+++ b/kingcuphead/budgets/_billbook.py
@@ -61,15 +61,14 @@
             case _:
                 return BillStatus.DUPLICATE
 
-    def add(self, bill: Bill, submitter: str, now: float) -> bool:
-        """Keep a bill until it is committed; return whether it is new."""
+    def add(self, bill: Bill, submitter: str, now: float) -> None:
+        """Keep a bill until its fate is in the table."""
         known = self.pending.get(bill.bill_id)
         if known is None:
             self.pending[bill.bill_id] = PendingBill(bill, now, frozenset({submitter}))
-            return True
+            return
         submitters = known.submitters | {submitter}
         self.pending[bill.bill_id] = dataclasses.replace(known, submitters=submitters)
-        return False
 
     def add_page(self, page: BillPage) -> None:
         """Remember the bills of the next page and forget the oldest page."""
--- a/kingcuphead/budgets/_borrower.py
+++ b/kingcuphead/budgets/_borrower.py
@@ -156,8 +156,9 @@
         ask = account.ask
         if ask is None or ask.instance != instance:
             return
-        done = gained or not account.waiting
-        account.ask = None if done else dataclasses.replace(ask, silent_since=now)
+        # An ask that brought nothing stays, so that the next one waits its interval.
+        answered = dataclasses.replace(ask, silent_since=now)
+        account.ask = None if gained else answered
 
     def receive_denial(
         self, message: CreditDenied, now: float
@@ -168,7 +169,12 @@
             return
         if message.sequence != account.sequence:
             return
-        ask, account.ask = account.ask, None
+        ask = account.ask
+        if not ask.tokens:
+            # Nobody waits, so the next try has time until its interval is over.
+            self.note_answer(account, ask.instance, False, now)
+            return
+        account.ask = None
         if message.denial is Denial.UNREACHABLE and ask.instance != self.own_name:
             self.routing.suspect(ask.instance, now)
         else:
@@ -272,7 +278,7 @@
 
     def ask_if_short(self, account: Account, now: float) -> Iterator[BorrowerEffect]:
         """Ask the home for credit if holds wait or the reserve is half used."""
-        reserve = account.compute_reserve(now)
+        reserve = 0 if self.closing else account.compute_reserve(now)
         if not account.waiting and account.free >= reserve / 2:
             account.ask = None
             return
--- a/kingcuphead/budgets/_home.py
+++ b/kingcuphead/budgets/_home.py
@@ -131,20 +131,11 @@
         for bill in message.bills:
             status = self.book.get_status(bill)
             replies.add(message.sender, status, bill.bill_id)
-            if status is BillStatus.PENDING and self.book.add(
-                bill, message.sender, now
-            ):
-                self.note_accepted(bill)
+            if status is BillStatus.PENDING:
+                self.book.add(bill, message.sender, now)
         yield from replies.build(self.incarnation)
         yield from self.advance(now)
 
-    def note_accepted(self, bill: Bill) -> None:
-        """Debit the line of a newly accepted bill on the own grant."""
-        if bill.grant_id == self.incarnation:
-            lender = self.open_lender(bill.budget, BudgetPolicy.STRICT)
-            lender.add_bill(bill)
-            lender.check()
-
     def receive_commit(
         self, message: CommitFinished, now: float
     ) -> Iterator[HomeEffect]:
@@ -238,9 +229,6 @@
                 self.note_committed(bill)
         replies = Replies()
         for pending, status in self.book.take_resolved():
-            if pending.bill.grant_id == self.incarnation:
-                lender = self.lenders[pending.bill.budget]
-                lender.finish_bill(pending.bill, status is BillStatus.COMMITTED)
             for submitter in pending.submitters:
                 replies.add(submitter, status, pending.bill.bill_id)
         for lender in self.lenders.values():
@@ -252,11 +240,10 @@
         yield from replies.build(self.incarnation)
 
     def note_committed(self, bill: Bill) -> None:
-        """Take note of a bill on the own grant that came through another home."""
-        own = bill.grant_id == self.incarnation
-        if own and bill.bill_id not in self.book.pending:
+        """Take note of a bill on the own grant, whichever home committed it."""
+        if bill.grant_id == self.incarnation:
             lender = self.open_lender(bill.budget, BudgetPolicy.STRICT)
-            lender.note_foreign_bill(bill)
+            lender.note_committed(bill)
 
     def sync_yields(self) -> None:
         """Set aside what the flush under way gives back, nothing else."""
--- a/kingcuphead/budgets/_ledger.py
+++ b/kingcuphead/budgets/_ledger.py
@@ -45,11 +45,15 @@
     SurrenderRequested,
 )
 from kingcuphead.budgets._routing import Routing, get_instance
-from kingcuphead.budgets._rows import compute_shard
+from kingcuphead.budgets._rows import compute_shard, ensure
 from kingcuphead.budgets._settings import Settings
 from kingcuphead.budgets._store import Store
 from kingcuphead.budgets._witness import Witness
 
+#: Most effects of one input; more would mean that two machines answer each other
+#: without end.
+INNER_LIMIT = 100_000
+
 InnerEffect = Effect | BillMade | BillDropped
 
 
@@ -110,8 +114,11 @@
     ) -> Iterator[Effect]:
         """Deliver messages between the own machines and yield the others."""
         queue = deque(effects)
+        delivered = 0
         while queue:
             effect = queue.popleft()
+            delivered += 1
+            ensure(delivered <= INNER_LIMIT, "inner messages come to an end")
             match effect:
                 case SendToPeer(instance=name, message=message) if (
                     name == self.routing.own.name
--- a/kingcuphead/budgets/_lender.py
+++ b/kingcuphead/budgets/_lender.py
@@ -41,8 +41,6 @@
     amount: int = 0
     #: Tokens that a flush under way gives back.
     yielding: int = 0
-    #: Tokens of accepted bills on the grant that are not committed.
-    pending: int = 0
     #: Credit lines by borrower.
     lines: dict[str, LentLine] = dataclasses.field(default_factory=dict)
     #: Waiting requests by borrower, the oldest first.
@@ -70,17 +68,16 @@
     @property
     def available(self) -> int:
         """Tokens that may be lent."""
-        return self.amount - self.yielding - self.pending - self.outstanding
+        return self.amount - self.yielding - self.outstanding
 
     def check(self) -> None:
         """Check that no more was lent than granted."""
         ensure(
             self.available >= 0,
-            "loans, bills and yields stay within the grant",
+            "loans and yields stay within the grant",
             budget=self.budget,
             amount=self.amount,
             yielding=self.yielding,
-            pending=self.pending,
             outstanding=self.outstanding,
         )
 
@@ -144,20 +141,8 @@
         self.lines[message.sender] = line.with_loan(tokens)
         self.demand = self.demand.with_sample(tokens, now)
 
-    def add_bill(self, bill: Bill) -> None:
-        """Move tokens of an accepted bill from its line to the pending bills."""
-        self.lines[bill.borrower] = self.get_line(bill.borrower).with_bill(bill.tokens)
-        self.pending += bill.tokens
-
-    def finish_bill(self, bill: Bill, charged: bool) -> None:
-        """Take a bill off the pending ones; one not charged goes back to its line."""
-        self.pending -= bill.tokens
-        if not charged:
-            line = self.get_line(bill.borrower)
-            self.lines[bill.borrower] = line.with_bill(-bill.tokens)
-
-    def note_foreign_bill(self, bill: Bill) -> None:
-        """Take note of a bill on this grant that another home committed."""
+    def note_committed(self, bill: Bill) -> None:
+        """Take a committed bill off its line; the row took it off the grant."""
         self.lines[bill.borrower] = self.get_line(bill.borrower).with_bill(bill.tokens)
 
     def is_pressed(self, now: float) -> bool:
--- a/kingcuphead/budgets/_lines.py
+++ b/kingcuphead/budgets/_lines.py
@@ -13,7 +13,7 @@
     lent: int = 0
     #: Highest total that the borrower reported as returned.
     returned: int = 0
-    #: Sum of the accepted bills.
+    #: Sum of the committed bills.
     billed: int = 0
     #: Highest total that the borrower reported as received.
     confirmed: int = 0
@@ -30,7 +30,7 @@
 
     @property
     def outstanding(self) -> int:
-        """Tokens that the borrower may still hold or bill."""
+        """Tokens that the borrower may hold or have billed, open bills included."""
         return self.lent - self.returned - self.billed
 
     def with_loan(self, tokens: int) -> "LentLine":
@@ -47,7 +47,7 @@
         )
 
     def with_bill(self, tokens: int) -> "LentLine":
-        """Return a copy after a bill was accepted, or dropped if negative."""
+        """Return a copy after a bill was committed."""
         return dataclasses.replace(self, billed=self.billed + tokens)
 
 
