Add the operators' command-line tool

Exit codes tell refused, usage, conflict, unreachable and unknown apart, and an unknown outcome shows the id under which to repeat the command. Keys are digested by the tool and never sent.

--- /dev/null
+++ b/kingcuphead/cli/_state_commands.py
@@ -0,0 +1,187 @@
+"""Commands on money and on the state of daemons."""
+
+import argparse
+import urllib.parse
+import uuid
+from typing import Any
+
+from expression import Result
+
+from kingcuphead.cli._client import Answer, Call, CallFault, Client
+from kingcuphead.cli._exit_codes import ExitCode
+from kingcuphead.cli._keys import digest_key, make_key
+from kingcuphead.cli._output import Output
+
+Outcome = Result[Output, CallFault]
+
+SPEND_COLUMNS = ("budget", "limit", "settled", "granted", "unattributed", "remaining")
+GRANT_COLUMNS = ("budget", "grant_id", "holder", "amount", "unattributed")
+
+
+def quote(text: str) -> str:
+    """Return a text as one segment of a path."""
+    return urllib.parse.quote(text, safe="")
+
+
+def show_spend(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Show limit, spending and open grants of one budget or of all."""
+    return _read_budgets(client, arguments).map(
+        lambda reports: Output(reports, [_sum(r) for r in reports], SPEND_COLUMNS)
+    )
+
+
+def show_grants(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Show open grants."""
+    return _read_budgets(client, arguments).map(
+        lambda reports: Output(_list_grants(reports), columns=GRANT_COLUMNS)
+    )
+
+
+def show_unattributed(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Show grants whose holder is gone."""
+    return _read_budgets(client, arguments).map(
+        lambda reports: Output(
+            [grant for grant in _list_grants(reports) if grant["unattributed"]],
+            columns=GRANT_COLUMNS,
+        )
+    )
+
+
+def _read_budgets(client: Client, arguments: argparse.Namespace) -> Answer:
+    if arguments.budget:
+        answer = client.get(f"/budgets/{quote(arguments.budget)}")
+        return answer.map(lambda report: [report])
+    return client.get("/budgets")
+
+
+def _sum(report: dict[str, Any]) -> dict[str, Any]:
+    grants = report["grants"]
+    gone = sum(grant["amount"] for grant in grants if grant["unattributed"])
+    granted = sum(grant["amount"] for grant in grants)
+    return report | {"granted": granted, "unattributed": gone}
+
+
+def _list_grants(reports: list[dict[str, Any]]) -> list[dict[str, Any]]:
+    return [
+        {"budget": report["budget"]} | grant
+        for report in reports
+        for grant in report["grants"]
+    ]
+
+
+def fund_budget(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Give a budget its first limit."""
+    body = {"limit": arguments.limit}
+    return _command(client, arguments, "POST", f"/budgets/{arguments.name}", body)
+
+
+def top_up_budget(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Raise a budget's limit."""
+    path = f"/budgets/{arguments.name}/top-ups"
+    return _command(client, arguments, "POST", path, {"tokens": arguments.tokens})
+
+
+def lower_budget(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Lower a budget's limit."""
+    path = f"/budgets/{arguments.name}/limit"
+    return _command(client, arguments, "PUT", path, {"limit": arguments.limit})
+
+
+def release_grant(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Give a dead instance's grant back to its budget."""
+    grant = quote(arguments.grant)
+    path = f"/budgets/{arguments.name}/grants/{grant}/release"
+    return _command(client, arguments, "POST", path, {})
+
+
+def _command(
+    client: Client,
+    arguments: argparse.Namespace,
+    method: str,
+    path: str,
+    body: dict[str, Any],
+) -> Outcome:
+    """Send a command under an id; an uncertain outcome says how to repeat it."""
+    id_ = arguments.id or uuid.uuid4().hex
+    answer = client.call(Call(method, path, body | {"id": id_}))
+    return answer.map(
+        lambda report: Output(report, [_sum(report)], SPEND_COLUMNS)
+    ).map_error(
+        lambda fault: CallFault(
+            fault.code,
+            f"{fault.message}\nrepeat it with --id {id_}"
+            if fault.code is ExitCode.UNCERTAIN
+            else fault.message,
+            fault.detail,
+        )
+    )
+
+
+def show_history(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Show accepted changes."""
+    path = f"/changes?after={arguments.after}&limit={arguments.limit}"
+    columns = ("revision", "at", "author", "touched", "id")
+    return client.get(path).map(lambda changes: Output(changes, columns=columns))
+
+
+def show_revision(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Show which revision is in force where."""
+    return client.get("/revision").map(_format_revision)
+
+
+def _format_revision(view: dict[str, Any]) -> Output:
+    own = {"instance": view["instance"], "revision": view["revision"]}
+    state = {"freshness": view["freshness"], "confirmed_age": view["confirmed_age"]}
+    rows = [own | state, *view["peers"]]
+    columns = ("instance", "zone", "revision", "freshness", "confirmed_age")
+    note = f"records up to schema version {view['schema']} are accepted"
+    return Output(view, rows, columns, note)
+
+
+def show_live_targets(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Show targets as one daemon sees them."""
+    columns = ("name", "service", "address", "state", "in_flight", "limit")
+    return client.get("/targets").map(lambda rows: Output(rows, columns=columns))
+
+
+def show_quarantine(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Show the requests that are not run."""
+    columns = ("fingerprint", "targets", "remaining")
+    return client.get("/quarantine").map(lambda rows: Output(rows, columns=columns))
+
+
+def release_fingerprint(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Let a request run again."""
+    path = f"/quarantine/{quote(arguments.fingerprint)}"
+    note = f"{arguments.fingerprint} is released"
+    return client.call(Call("DELETE", path)).map(lambda view: Output(view, note=note))
+
+
+def explain_request(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Show what became of a request."""
+    columns = (
+        "instance",
+        "organisation",
+        "work_class",
+        "execution",
+        "reason",
+        "message",
+        "phases",
+    )
+    answer = client.get(f"/explain/{quote(arguments.request)}")
+    return answer.map(lambda rows: Output(rows, columns=columns))
+
+
+def show_claims(client: Client, arguments: argparse.Namespace) -> Outcome:
+    """Show an organisation's calls that run at most once."""
+    columns = ("key", "state", "request_id", "instance", "claimed_at")
+    answer = client.get(f"/claims/{quote(arguments.organisation)}")
+    return answer.map(lambda rows: Output(rows, columns=columns))
+
+
+def make_token() -> Output:
+    """Make an operator's token and its digest, without a daemon."""
+    token = make_key()
+    digest = digest_key(token)
+    note = f"token, shown only once: {token}\ndigest for token_digests: {digest}"
+    return Output({"token": token, "digest": digest}, note=note)
