--- a/kingcuphead/relay/_transfer.py
+++ b/kingcuphead/relay/_transfer.py
@@ -36,6 +36,7 @@
         self._limits = limits
         self._timeouts = timeouts
         self._resume = resume
+        self._loop = asyncio.get_running_loop()
         self._last_received = now
         self._chunks: list[bytes] = []
         self._waiting_bytes = 0
@@ -80,18 +81,23 @@
         self._waiting_bytes += len(chunk)
         self._received_bytes += len(chunk)
         self._last_received = now
-        self._wake_reader()
         return True
 
+    def wake_reader(self) -> None:
+        """Let the reader run if it waits."""
+        if self._reader is not None and not self._reader.done():
+            self._reader.set_result(None)
+
     def take_end(self, end: TransferEnd) -> None:
         """Take the end of the transfer."""
         if self.end is None:
             self.end = end
-            self._wake_reader()
+            self.wake_reader()
 
     def find_timeout(self, now: float) -> EndCause | None:
         """Return the timeout that has passed; a slow reader is none."""
         if self._paused or self._chunks or self.end is not None:
+            self._last_received = now
             return None
         silence = now - self._last_received
         if self.head is None:
@@ -128,22 +134,18 @@
         pairs = (line.partition(":") for line in lines[1:])
         headers = ((name.strip(), value.strip()) for name, _, value in pairs)
         self.head = ResponseHead(status, tuple(filter_hop_by_hop(headers)))
-        self._wake_reader()
+        self.wake_reader()
         return True
 
-    def _wake_reader(self) -> None:
-        if self._reader is not None and not self._reader.done():
-            self._reader.set_result(None)
-
     async def _wait(self) -> None:
-        self._reader = asyncio.get_running_loop().create_future()
+        self._reader = self._loop.create_future()
         try:
             await self._reader
         finally:
             self._reader = None
 
 
-class RelayStream:
+class RelayStream(AsyncIterator[bytes]):
     """The answer of a target, read block by block.
 
     Iterate over it to read; call `close` when done, whether or not the end was
@@ -174,10 +176,16 @@
         end = self._transfer.end
         return end is not None and end.cause is EndCause.COMPLETE
 
-    async def __aiter__(self) -> AsyncIterator[bytes]:
+    def __aiter__(self) -> AsyncIterator[bytes]:
         """Yield the body in blocks until it ends or breaks off."""
-        while block := await self._transfer.read():
-            yield block
+        return self
+
+    async def __anext__(self) -> bytes:
+        """Return the next block."""
+        block = await self._transfer.read()
+        if not block:
+            raise StopAsyncIteration
+        return block
 
     def close(self) -> None:
         """End the transfer; an unfinished one closes the target's connection."""
