--- a/kingcuphead/api/_refusal.py
+++ b/kingcuphead/api/_refusal.py
@@ -28,6 +28,7 @@
     Reason.CALLER_GONE: 499,
     Reason.TARGET_FAILED: 502,
     Reason.TARGET_REFUSED: 502,
+    Reason.TARGET_TIMED_OUT: 504,
     Reason.TRUNCATED: 502,
     Reason.BILL_UNCERTAIN: 503,
     Reason.CONFIGURATION_STALE: 503,
