--- a/kingcuphead/budgets/_home.py
+++ b/kingcuphead/budgets/_home.py
@@ -322,16 +322,18 @@
         """Return why a request is denied, or None while it should wait."""
         late = now - waiting.arrived_at >= self.settings.answer_wait
         store = self.store
-        failed = store.failing and store.failed_at >= waiting.arrived_at
+        # A single lost reply is no outage: the next try may bring the credit.
+        outage = now - store.failing_since >= self.settings.outage_seconds
+        failed = store.failing and outage and store.failed_at >= waiting.arrived_at
         if self.closing:
             return Denial.UNREACHABLE
         if self.is_coverable(lender, waiting):
-            return Denial.UNREACHABLE if late or failed else None
+            return Denial.UNREACHABLE if failed else None
         silent = any(lender.iterate_silent(waiting.recall))
         if silent and not late:
             return None
         if store.fresh_at < waiting.arrived_at:
-            return Denial.UNREACHABLE if late or failed else None
+            return Denial.UNREACHABLE if failed else None
         if not silent and not self.has_unanswered(lender, waiting):
             return Denial.EXHAUSTED
         return Denial.UNPROVEN if late or not silent else None
--- a/kingcuphead/budgets/_settings.py
+++ b/kingcuphead/budgets/_settings.py
@@ -42,6 +42,8 @@
     demand_seconds: float = 5.0
     #: A home answers a credit request within this time.
     answer_wait: float = 0.5
+    #: A table that fails for this long is taken to be down.
+    outage_seconds: float = 1.0
     #: A borrower repeats an unanswered credit request after this time.
     ask_interval: float = 0.2
     #: A home that stays silent for this long is taken for unreachable.
@@ -63,7 +65,7 @@
     #: Time after which a caller refused for an exhausted budget may try again.
     exhausted_retry: float = 5.0
     #: First and longest wait after a failed access to the table.
-    backoff_first: float = 0.2
+    backoff_first: float = 0.05
     backoff_longest: float = 2.0
     #: Bill pages within which a request id is billed once.
     dedupe_pages: int = 20_000
--- a/kingcuphead/budgets/_store.py
+++ b/kingcuphead/budgets/_store.py
@@ -47,6 +47,8 @@
     failing: bool = False
     #: Monotonic time in seconds of the last failure.
     failed_at: float = float("-inf")
+    #: Time of the first failure in a row.
+    failing_since: float = float("-inf")
     #: Monotonic time in seconds before which the table is left alone.
     retry_at: float = float("-inf")
     #: Seconds of the next wait after a failure.
@@ -185,6 +187,8 @@
     def note_failure(self, now: float) -> None:
         """Wait before the next access, longer each time."""
         settings = self.settings
+        if not self.failing:
+            self.failing_since = now
         self.failing = True
         self.failed_at = now
         longer = max(settings.backoff_first, 2 * self.backoff)
--- a/kingcuphead/claims/__init__.py
+++ b/kingcuphead/claims/__init__.py
@@ -38,6 +38,9 @@
     RecordedAnswer,
     Released,
     Resolved,
+    decode_claim,
+    make_organisation_prefix,
+    split_row_key,
 )
 
 __all__ = [
@@ -76,5 +79,8 @@
     "ReleaseRequested",
     "Released",
     "Resolved",
+    "decode_claim",
     "fingerprint_request",
+    "make_organisation_prefix",
+    "split_row_key",
 ]
--- a/kingcuphead/daemon/_announcements.py
+++ b/kingcuphead/daemon/_announcements.py
@@ -49,7 +49,8 @@
     def __init__(self) -> None:
         self._parts: Parts | None = None
         self._configuration = Configuration()
-        self._closing = False
+        #: Whether the daemon shuts down.
+        self.closing = False
         #: Instances of the daemons' own service, as last listed.
         self.instances: tuple[Instance, ...] = ()
         #: Configuration revisions that peers last told, by instance name.
@@ -77,7 +78,7 @@
 
     def close(self) -> None:
         """Refuse callers from now on."""
-        self._closing = True
+        self.closing = True
         self.parts.gateway.close(Reason.SHUTTING_DOWN)
 
     def take_instances(self, instances: tuple[Instance, ...]) -> None:
@@ -131,7 +132,7 @@
         self.parts.scheduler.post(queueing.PeersCounted(max(1, len(members))))
 
     def _take_freshness(self, freshness: configuration.Freshness) -> None:
-        if self._closing:
+        if self.closing:
             return
         match freshness:
             case configuration.Freshness.FRESH | configuration.Freshness.STALE:
--- a/kingcuphead/daemon/_daemon.py
+++ b/kingcuphead/daemon/_daemon.py
@@ -17,6 +17,13 @@
 from kingcuphead.daemon._identity import make_own_member
 from kingcuphead.daemon._instance_watch import watch_instances
 from kingcuphead.daemon._machine_task import tick
+from kingcuphead.daemon._state_backend import DaemonBackend
+from kingcuphead.operators import (
+    OperatorBackend,
+    TableBudgets,
+    TableRecords,
+    make_operator_application,
+)
 from kingcuphead.peers import PeerServer
 from kingcuphead.settings import Settings
 
@@ -119,9 +126,29 @@
             max_header_size=limits.header_bytes,
         )
         callers.listen(listen.caller_port, listen.address)
+        operators = HTTPServer(
+            make_operator_application(
+                self._make_operator_backend(assembly),
+                self._settings.operators.token_digests,
+            )
+        )
+        operators.listen(listen.operator_port, listen.address)
         peers = PeerServer(assembly.parts.router.deliver)
         peers.listen(listen.peer_port, listen.address)
-        return [callers, peers]
+        return [callers, operators, peers]
+
+    def _make_operator_backend(self, assembly: Assembly) -> OperatorBackend:
+        parts = assembly.parts
+        return OperatorBackend(
+            records=TableRecords(parts.configuration, assembly.table),
+            budgets=TableBudgets(
+                assembly.table,
+                self._settings.budgets.shards,
+                lambda: assembly.announcements.instances,
+                parts.ledger,
+            ),
+            state=DaemonBackend(assembly, self._settings.instance.name),
+        )
 
     def _watch_signals(self) -> None:
         loop = asyncio.get_running_loop()
--- a/kingcuphead/daemon/_ledger_task.py
+++ b/kingcuphead/daemon/_ledger_task.py
@@ -1,6 +1,7 @@
 """The task that owns the ledger: credit, holds and bills of this daemon."""
 
 import asyncio
+import dataclasses
 import itertools
 import time
 from collections.abc import Callable
@@ -15,6 +16,16 @@
 from kingcuphead.verdict import Outcome, Verdict
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Credit:
+    """Credit at hand, in tokens."""
+
+    #: Neither held nor spent.
+    free: int
+    #: Held for requests.
+    held: int
+
+
 class LedgerTask:
     """Answers the pipeline's holds and bills by way of the ledger machine.
 
@@ -37,6 +48,7 @@
         send: Callable[[str, budgets.PeerMessage], None],
         report: Callable[[budgets.FaultReported], None],
     ) -> None:
+        self._ledger = ledger
         self._task: MachineTask[budgets.Input, budgets.Effect] = MachineTask(
             "ledger", ledger, self._execute
         )
@@ -131,6 +143,15 @@
         finally:
             del self._bills[hold_id]
 
+    def sum_credit(self) -> Credit:
+        """Return the credit at hand, over all budgets."""
+        accounts = self._ledger.borrower.accounts.values()
+        lines = [line for account in accounts for line in account.lines.values()]
+        return Credit(
+            free=sum(account.free for account in accounts),
+            held=sum(line.held for line in lines),
+        )
+
     async def collect(
         self, budget: str, grant_id: str, timeout: float
     ) -> frozenset[str]:
@@ -166,6 +187,19 @@
                 self._background.start(self._read(effect))
             case budgets.ScanRequested():
                 self._background.start(self._scan(effect))
+            case _:
+                self._answer(effect)
+
+    def _answer(
+        self,
+        effect: budgets.HoldGranted
+        | budgets.HoldRefused
+        | budgets.BillSafe
+        | budgets.FaultReported
+        | budgets.SurrenderReported
+        | budgets.ShutdownFinished,
+    ) -> None:
+        match effect:
             case budgets.HoldGranted(hold_id):
                 self._answer_hold(hold_id, Ok(hold_id))
             case budgets.HoldRefused(hold_id, verdict):
--- a/kingcuphead/daemon/_main.py
+++ b/kingcuphead/daemon/_main.py
@@ -11,6 +11,7 @@
 from expression import Result
 
 from kingcuphead.daemon._daemon import Daemon
+from kingcuphead.logs import set_up_logs
 from kingcuphead.settings import Settings, load_settings
 
 #: Exit status for settings that cannot be used.
@@ -50,6 +51,7 @@
     if check_only:
         print("the settings are valid")
         return 0
+    set_up_logs(settings.logs, settings.instance.name)
     # For operators: SIGUSR1 writes what the daemon is doing to standard error.
     faulthandler.register(signal.SIGUSR1)
     clean = asyncio.run(_run_daemon(settings))
--- a/kingcuphead/daemon/_scheduler_task.py
+++ b/kingcuphead/daemon/_scheduler_task.py
@@ -38,6 +38,8 @@
         probe: Callable[[str, str], Awaitable[bool]],
         tell: Callable[[NoticeRaised], None],
     ) -> None:
+        #: The machine, to be read only.
+        self.scheduler = scheduler
         self._task: MachineTask[queueing.SchedulerMessage, queueing.Effect] = (
             MachineTask("scheduler", scheduler, self._execute)
         )
