--- a/kingcuphead/bench/_budgets_table.py
+++ b/kingcuphead/bench/_budgets_table.py
@@ -1,5 +1,6 @@
 """A small table in memory, for runs in virtual time."""
 
+import bisect
 import dataclasses
 from collections.abc import Sequence
 
@@ -7,6 +8,7 @@
     ABSENT,
     Committed,
     Conflict,
+    Delete,
     Put,
     Row,
     ScanPage,
@@ -20,6 +22,8 @@
 
     #: Rows by key.
     rows: dict[str, Row] = dataclasses.field(default_factory=dict)
+    #: Keys of the rows in order.
+    keys: list[str] = dataclasses.field(default_factory=list)
     #: Number of the last commit.
     version: int = ABSENT
     #: Commits that were tried.
@@ -38,9 +42,12 @@
         for write in transaction.writes:
             match write:
                 case Put(key=key, value=value):
+                    if key not in self.rows:
+                        bisect.insort(self.keys, key)
                     self.rows[key] = Row(key, self.version, value)
-                case _:
-                    self.rows.pop(write.key, None)
+                case Delete(key=key):
+                    if self.rows.pop(key, None) is not None:
+                        self.keys.remove(key)
         return Committed(self.version)
 
     def read(self, keys: Sequence[str]) -> tuple[Row, ...]:
@@ -51,11 +58,11 @@
     def scan(self, prefix: str, after: str | None, limit: int) -> ScanPage:
         """Read rows in key order."""
         self.reads += 1
-        start = after or ""
-        keys = sorted(k for k in self.rows if k.startswith(prefix) and k > start)
+        first = bisect.bisect_right(self.keys, max(prefix, after or ""))
+        found = self.keys[first : first + limit + 1]
+        keys = [key for key in found if key.startswith(prefix)]
         rows = tuple(self.rows[key] for key in keys[:limit])
-        more = len(keys) > limit
-        return ScanPage(rows, rows[-1].key if more else None)
+        return ScanPage(rows, keys[limit - 1] if len(keys) > limit else None)
 
     def get_version(self, key: str) -> int:
         """Return the version of a row, `ABSENT` if there is none."""
--- a/kingcuphead/budgets/_home.py
+++ b/kingcuphead/budgets/_home.py
@@ -267,7 +267,7 @@
             if lender.compute_short(waiting.message) > lender.available:
                 continue
             del lender.waiting[borrower]
-            lender.lend(waiting.message, lender.is_scarce(remaining, now), now)
+            lender.lend(waiting.message, remaining, now)
             lender.check()
             yield self.build_loan(lender, borrower, now)
 
@@ -406,9 +406,16 @@
         elif store.flush is not None:
             # The row is unchanged, so the same transaction is tried again.
             yield store.start_flush(store.flush, now)
-        elif now - store.flushed_at >= self.settings.flush_interval:
+        elif now - store.flushed_at >= self.get_flush_interval():
             yield from self.start_flush(store.row, now)
 
+    def get_flush_interval(self) -> float:
+        """Return the least time between flushes, shorter while a request waits."""
+        settings = self.settings
+        waits = any(lender.waiting for lender in self.lenders.values())
+        urgent = min(settings.urgent_interval, settings.flush_interval)
+        return urgent if waits else settings.flush_interval
+
     def is_row_too_old(self, now: float) -> bool:
         """Return whether a request waits that the known row cannot cover."""
         if now - self.store.fresh_at < self.settings.read_interval:
@@ -480,7 +487,7 @@
     def plan_change(self, lender: Lender, remaining: int, now: float) -> int:
         """Return the tokens to take, or to give back if negative."""
         short = 0 if self.closing else lender.sum_shorts()
-        reserve = 0 if self.closing else lender.compute_reserve(now)
+        reserve = 0 if self.closing else lender.compute_reserve(remaining, now)
         available = lender.available
         if available < short or available < reserve / 2:
             return min(short + reserve - available, remaining)
--- a/kingcuphead/budgets/_lender.py
+++ b/kingcuphead/budgets/_lender.py
@@ -125,11 +125,25 @@
         lent = self.get_line(message.sender).lent
         return max(0, received + tokens - lent)
 
-    def lend(self, message: CreditRequested, scarce: bool, now: float) -> None:
-        """Debit a loan; the first hold's need must be available."""
+    def lend(self, message: CreditRequested, remaining: int, now: float) -> None:
+        """Debit a loan; the first hold's need must be available.
+
+        Parameters
+        ----------
+        message : CreditRequested
+            The request.
+        remaining : int
+            Tokens of the budget that are neither billed nor granted.
+        now : float
+            Monotonic time in seconds.
+        """
         short = self.compute_short(message)
-        most = message.queued if scarce else message.wanted
-        gap = self.compute_gap(message, max(message.needed, most))
+        needed = self.compute_gap(message, max(message.needed, message.queued))
+        wanted = self.compute_gap(message, message.wanted)
+        if self.is_scarce(remaining, now):
+            wanted = needed
+        spare = self.compute_spare(remaining)
+        gap = max(needed, min(wanted, needed + spare))
         tokens = max(short, min(gap, self.available))
         ensure(
             tokens <= self.available,
@@ -149,12 +163,17 @@
         """Return whether another holder lacks credit."""
         return now - self.pressed_at < PRESSED_SECONDS
 
-    def compute_reserve(self, now: float) -> int:
+    def compute_spare(self, remaining: int) -> int:
+        """Return the largest reserve that leaves enough of the budget to others."""
+        return int((remaining + self.available) * self.policy.reserve_share)
+
+    def compute_reserve(self, remaining: int, now: float) -> int:
         """Return the tokens to keep in the grant beyond the loans."""
         idle = now - self.used_at > self.policy.idle_seconds
         if idle or self.is_pressed(now):
             return 0
-        return int(self.demand.compute_rate(now) * self.policy.reserve_seconds)
+        wanted = int(self.demand.compute_rate(now) * self.policy.reserve_seconds)
+        return min(wanted, self.compute_spare(remaining))
 
     def is_scarce(self, remaining: int, now: float) -> bool:
         """Return whether the budget runs low.
--- a/kingcuphead/budgets/_routing.py
+++ b/kingcuphead/budgets/_routing.py
@@ -25,6 +25,8 @@
     members: dict[str, Member] = dataclasses.field(default_factory=dict)
     #: Monotonic time in seconds until which a silent member is passed over.
     suspects: dict[str, float] = dataclasses.field(default_factory=dict)
+    #: Length of the last suspicion of a member, in seconds.
+    spans: dict[str, float] = dataclasses.field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Start alone."""
@@ -36,13 +38,18 @@
         self.members[self.own.name] = self.own
 
     def suspect(self, instance: str, now: float) -> None:
-        """Pass over a member for a while."""
-        if instance != self.own.name:
-            self.suspects[instance] = now + self.settings.suspect_seconds
+        """Pass over a member for a while, each time for longer."""
+        if instance == self.own.name or self.suspects.get(instance, now) > now:
+            return
+        settings = self.settings
+        longer = max(settings.suspect_seconds, 2 * self.spans.get(instance, 0.0))
+        self.spans[instance] = min(settings.suspect_longest, longer)
+        self.suspects[instance] = now + self.spans[instance]
 
     def trust(self, instance: str) -> None:
         """Stop passing over a member that was heard of."""
         self.suspects.pop(instance, None)
+        self.spans.pop(instance, None)
 
     def is_reachable(self, instance: str, now: float) -> bool:
         """Return whether a member is live and not suspected."""
--- a/kingcuphead/budgets/_settings.py
+++ b/kingcuphead/budgets/_settings.py
@@ -15,18 +15,28 @@
     reserve_seconds: float
     #: The budget is scarce while less than this many seconds of demand is left.
     low_water_seconds: float
+    #: Largest share of what is left of the budget that is kept or lent in reserve.
+    reserve_share: float
     #: Seconds without a hold after which all free credit is given back.
     idle_seconds: float
 
 
 #: Least credit is left unattributed when an instance dies.
 STRICT = Policy(
-    chunk_seconds=2.0, reserve_seconds=3.0, low_water_seconds=15.0, idle_seconds=2.0
+    chunk_seconds=2.0,
+    reserve_seconds=3.0,
+    low_water_seconds=5.0,
+    reserve_share=0.01,
+    idle_seconds=2.0,
 )
 
 #: Most requests are served through an outage or a partition.
 AVAILABLE = Policy(
-    chunk_seconds=6.0, reserve_seconds=20.0, low_water_seconds=40.0, idle_seconds=15.0
+    chunk_seconds=4.0,
+    reserve_seconds=10.0,
+    low_water_seconds=10.0,
+    reserve_share=0.05,
+    idle_seconds=15.0,
 )
 
 
@@ -38,16 +48,19 @@
     shards: int
     #: Least time between the starts of two flushes of a shard.
     flush_interval: float = 0.1
+    #: The same while a request waits for a grant.
+    urgent_interval: float = 0.1
     #: Time constant of the demand estimate.
-    demand_seconds: float = 5.0
+    demand_seconds: float = 10.0
     #: A home answers a credit request within this time.
-    answer_wait: float = 0.5
+    answer_wait: float = 0.3
     #: A borrower repeats an unanswered credit request after this time.
-    ask_interval: float = 0.2
+    ask_interval: float = 0.15
     #: A home that stays silent for this long is taken for unreachable.
-    home_timeout: float = 0.9
-    #: Time for which an unreachable home is passed over.
+    home_timeout: float = 0.5
+    #: First and longest time for which an unreachable home is passed over.
     suspect_seconds: float = 3.0
+    suspect_longest: float = 24.0
     #: Least time between two readings of a row because credit is short.
     read_interval: float = 0.1
     #: Least time between two recalls of the same credit.
