Refuse as exhausted only after every reachable holder answered

A request that arrived between two recalls was denied at once as exhausted, since no recall counted as unanswered. Borrowers and holders that are not reachable are no longer waited for; the refusal then says that credit is held elsewhere.

Reserves and loans are smaller as well: 1 s of demand, 0.5 % of what is left (strict).

--- a/kingcuphead/budgets/_home.py
+++ b/kingcuphead/budgets/_home.py
@@ -327,22 +327,25 @@
             return Denial.UNREACHABLE
         if self.is_coverable(lender, waiting):
             return Denial.UNREACHABLE if late or failed else None
-        silent = any(lender.iterate_silent(waiting.recall))
-        if silent and not late:
-            return None
         if store.fresh_at < waiting.arrived_at:
             return Denial.UNREACHABLE if late or failed else None
-        if not silent and not self.has_unanswered(lender, waiting):
+        unanswered = set(self.iterate_unanswered(lender, waiting))
+        if not unanswered:
             return Denial.EXHAUSTED
-        return Denial.UNPROVEN if late or not silent else None
-
-    def has_unanswered(self, lender: Lender, waiting: WaitingRequest) -> bool:
-        """Return whether another holder has not answered for its grant."""
+        # Only those that are reachable can still answer.
+        hopeful = any(self.routing.is_reachable(name, now) for name in unanswered)
+        return None if hopeful and not late else Denial.UNPROVEN
+
+    def iterate_unanswered(
+        self, lender: Lender, waiting: WaitingRequest
+    ) -> Iterator[str]:
+        """Yield the instances that may hold idle credit which a request needs."""
+        for borrower in lender.iterate_unanswered(waiting):
+            yield get_instance(borrower)
         for grant_id in self.iterate_foreign(lender):
             yielded_at = lender.yielded_at.get(grant_id, float("-inf"))
             if not waiting.arrived_at <= yielded_at <= self.store.fresh_at:
-                return True
-        return False
+                yield get_instance(grant_id)
 
     def iterate_foreign(self, lender: Lender) -> Iterator[str]:
         """Yield the ids of other holders' grants."""
--- a/kingcuphead/budgets/_lender.py
+++ b/kingcuphead/budgets/_lender.py
@@ -212,6 +212,10 @@
             if line.outstanding and line.recall < recall:
                 yield borrower
 
+    def iterate_unanswered(self, waiting: WaitingRequest) -> Iterator[str]:
+        """Yield the borrowers that may hold idle credit which a request needs."""
+        yield from self.iterate_silent(waiting.recall or self.recall + 1)
+
     def iterate_unconfirmed(self) -> Iterator[str]:
         """Yield the borrowers that may not know of a loan."""
         for borrower, line in self.lines.items():
--- a/kingcuphead/budgets/_settings.py
+++ b/kingcuphead/budgets/_settings.py
@@ -23,10 +23,10 @@
 
 #: Least credit is left unattributed when an instance dies.
 STRICT = Policy(
-    chunk_seconds=2.0,
+    chunk_seconds=1.0,
     reserve_seconds=3.0,
     low_water_seconds=5.0,
-    reserve_share=0.01,
+    reserve_share=0.005,
     idle_seconds=2.0,
 )
 
