--- a/kingcuphead/budgets/_settings.py
+++ b/kingcuphead/budgets/_settings.py
@@ -49,7 +49,7 @@
     #: Least time between the starts of two flushes of a shard.
     flush_interval: float = 0.1
     #: The same while a request waits for a grant.
-    urgent_interval: float = 0.1
+    urgent_interval: float = 0.03
     #: Time constant of the demand estimate.
     demand_seconds: float = 10.0
     #: A home answers a credit request within this time.
