--- a/kingcuphead/budgets/_home.py
+++ b/kingcuphead/budgets/_home.py
@@ -267,7 +267,7 @@
             if lender.compute_short(waiting.message) > lender.available:
                 continue
             del lender.waiting[borrower]
-            lender.lend(waiting.message, lender.is_scarce(remaining, now), now)
+            lender.lend(waiting.message, remaining, now)
             lender.check()
             yield self.build_loan(lender, borrower, now)
 
@@ -329,22 +329,25 @@
             return Denial.UNREACHABLE
         if self.is_coverable(lender, waiting):
             return Denial.UNREACHABLE if failed else None
-        silent = any(lender.iterate_silent(waiting.recall))
-        if silent and not late:
-            return None
         if store.fresh_at < waiting.arrived_at:
             return Denial.UNREACHABLE if failed else None
-        if not silent and not self.has_unanswered(lender, waiting):
+        unanswered = set(self.iterate_unanswered(lender, waiting))
+        if not unanswered:
             return Denial.EXHAUSTED
-        return Denial.UNPROVEN if late or not silent else None
-
-    def has_unanswered(self, lender: Lender, waiting: WaitingRequest) -> bool:
-        """Return whether another holder has not answered for its grant."""
+        # Only those that are reachable can still answer.
+        hopeful = any(self.routing.is_reachable(name, now) for name in unanswered)
+        return None if hopeful and not late else Denial.UNPROVEN
+
+    def iterate_unanswered(
+        self, lender: Lender, waiting: WaitingRequest
+    ) -> Iterator[str]:
+        """Yield the instances that may hold idle credit which a request needs."""
+        for borrower in lender.iterate_unanswered(waiting):
+            yield get_instance(borrower)
         for grant_id in self.iterate_foreign(lender):
             yielded_at = lender.yielded_at.get(grant_id, float("-inf"))
             if not waiting.arrived_at <= yielded_at <= self.store.fresh_at:
-                return True
-        return False
+                yield get_instance(grant_id)
 
     def iterate_foreign(self, lender: Lender) -> Iterator[str]:
         """Yield the ids of other holders' grants."""
@@ -408,9 +411,16 @@
         elif store.flush is not None:
             # The row is unchanged, so the same transaction is tried again.
             yield store.start_flush(store.flush, now)
-        elif now - store.flushed_at >= self.settings.flush_interval:
+        elif now - store.flushed_at >= self.get_flush_interval():
             yield from self.start_flush(store.row, now)
 
+    def get_flush_interval(self) -> float:
+        """Return the least time between flushes, shorter while a request waits."""
+        settings = self.settings
+        waits = any(lender.waiting for lender in self.lenders.values())
+        urgent = min(settings.urgent_interval, settings.flush_interval)
+        return urgent if waits else settings.flush_interval
+
     def is_row_too_old(self, now: float) -> bool:
         """Return whether a request waits that the known row cannot cover."""
         if now - self.store.fresh_at < self.settings.read_interval:
@@ -472,14 +482,17 @@
             budget = row.budgets.get(lender.budget)
             if budget is None:
                 continue
-            tokens = self.plan_change(lender, budget.remaining, now)
+            # A bill that another home dropped may wait here still: its credit came
+            # back, so the grant would not cover both. The commit then conflicts.
+            amount = budget.get_grant(self.incarnation)
+            tokens = max(-amount, self.plan_change(lender, budget.remaining, now))
             if tokens:
                 yield GrantChange(lender.budget, tokens)
 
     def plan_change(self, lender: Lender, remaining: int, now: float) -> int:
         """Return the tokens to take, or to give back if negative."""
         short = 0 if self.closing else lender.sum_shorts()
-        reserve = 0 if self.closing else lender.compute_reserve(now)
+        reserve = 0 if self.closing else lender.compute_reserve(remaining, now)
         available = lender.available
         if available < short or available < reserve / 2:
             return min(short + reserve - available, remaining)
