Show, settle and remove claims

Operators list claims, find one by its key and settle one in doubt. A held claim is released only if its holder is terminated in the platform's list: a paused holder may still dispatch the call, and no length of time proves otherwise. Settling is conditional on the version that the operator saw.

Held and lost ones stay until they are settled, as their call may have run or may yet run.

Claims are also driven over HTTP against the stand-in platform with lost replies, outages, and a write that takes effect after its refusal.

--- a/kingcuphead/claims/__init__.py
+++ b/kingcuphead/claims/__init__.py
@@ -30,6 +30,9 @@
     ReleaseRequested,
     fingerprint_request,
 )
+from kingcuphead.claims._register import ClaimPage, ClaimRegister
+from kingcuphead.claims._resolution import ClaimEntry, Finding, ResolutionRefused
+from kingcuphead.claims._retention import RetentionSettings, SweepEnded
 from kingcuphead.claims._rows import (
     AnswerLost,
     ClaimRow,
@@ -38,7 +41,9 @@
     RecordedAnswer,
     Released,
     Resolved,
+    UnreadableClaim,
 )
+from kingcuphead.claims._sweeper import sweep_claims
 
 __all__ = [
     "AnswerLost",
@@ -46,8 +51,11 @@
     "AnswerObserved",
     "Claim",
     "ClaimClosed",
+    "ClaimEntry",
     "ClaimGranted",
+    "ClaimPage",
     "ClaimRefused",
+    "ClaimRegister",
     "ClaimReplayed",
     "ClaimRequest",
     "ClaimRow",
@@ -63,6 +71,7 @@
     "DispatchStarted",
     "Effect",
     "Ending",
+    "Finding",
     "Held",
     "HeldClaim",
     "InvariantError",
@@ -75,6 +84,11 @@
     "RecordedAnswer",
     "ReleaseRequested",
     "Released",
+    "ResolutionRefused",
     "Resolved",
+    "RetentionSettings",
+    "SweepEnded",
+    "UnreadableClaim",
     "fingerprint_request",
+    "sweep_claims",
 ]
--- a/kingcuphead/claims/_rows.py
+++ b/kingcuphead/claims/_rows.py
@@ -21,6 +21,9 @@
 class Released(msgspec.Struct, frozen=True, tag="released"):
     """The attempt has not dispatched the call and never will."""
 
+    #: Who found out, and how, where an operator released it.
+    note: str = ""
+
 
 class RecordedAnswer(msgspec.Struct, frozen=True, tag="recorded"):
     """The call was executed, and this is the answer to it."""
--- /dev/null
+++ b/kingcuphead/claims/tests/test_over_http.py
@@ -0,0 +1,83 @@
+"""Claims against the stand-in platform, with faults on the way."""
+
+import asyncio
+
+from tornado.testing import AsyncHTTPTestCase, gen_test
+
+from kingcuphead.claims import ClaimClosed, Claims, ClaimSettings, HeldClaim
+from kingcuphead.claims.tests._calls import ANSWER, make_request
+from kingcuphead.platform import HttpTable, PlatformConnection, PlatformSettings
+from kingcuphead.standins import platform
+from kingcuphead.standins._platform_faults import (
+    Outage,
+    PlatformSwitchesChange,
+    ServiceFaults,
+)
+from kingcuphead.standins._platform_state import PlatformState
+from kingcuphead.verdict import Execution
+
+SETTINGS = ClaimSettings(resolve_timeout=0.5, first_pause=0.02, longest_pause=0.1)
+REQUEST_TIMEOUT = 0.5
+
+
+class TestClaimsOverHttp(AsyncHTTPTestCase):
+    def get_app(self):
+        self.state = PlatformState()
+        return platform.make_application(self.state)
+
+    def setUp(self):
+        super().setUp()
+        self.connection = PlatformConnection(
+            PlatformSettings(self.get_url(""), request_timeout=REQUEST_TIMEOUT)
+        )
+        self.claims = Claims(HttpTable(self.connection), SETTINGS)
+
+    def tearDown(self):
+        self.connection.close()
+        super().tearDown()
+
+    def switch(self, faults: ServiceFaults) -> None:
+        self.state.change_switches(PlatformSwitchesChange(table=faults), 0.0)
+
+    async def hold(self, attempt: str) -> HeldClaim:
+        held = (await self.claims.claim(make_request(attempt))).ok
+        assert isinstance(held, HeldClaim)
+        return held
+
+    @gen_test
+    async def test_lost_replies_to_claim_and_record(self):
+        self.switch(ServiceFaults(lose_replies=1))
+        held = await self.hold("a-1")
+        held.start_dispatch()
+        self.switch(ServiceFaults(lose_replies=1))
+        assert await self.claims.record(held, ANSWER) == ClaimClosed()
+        assert (await self.claims.claim(make_request("a-2"))).ok == ANSWER
+
+    @gen_test
+    async def test_write_that_lands_after_the_refusal_is_undone(self):
+        self.switch(ServiceFaults(delay=SETTINGS.resolve_timeout * 2))
+        verdict = (await self.claims.claim(make_request("a-1"))).error
+        assert verdict.execution is Execution.NOT_RUN
+        self.switch(ServiceFaults())
+        await asyncio.sleep(SETTINGS.resolve_timeout * 2)
+        await self.claims.wait_until_finished()
+        await self.hold("a-2")
+
+    @gen_test
+    async def test_outage_during_the_record(self):
+        held = await self.hold("a-1")
+        held.start_dispatch()
+        self.switch(ServiceFaults(outage=Outage.REFUSE))
+        recording = asyncio.ensure_future(self.claims.record(held, ANSWER))
+        await asyncio.sleep(0.1)
+        assert not recording.done()
+        self.switch(ServiceFaults())
+        assert await recording == ClaimClosed()
+
+    @gen_test
+    async def test_refused_or_reset_is_not_run(self):
+        for outage in (Outage.REFUSE, Outage.RESET):
+            self.switch(ServiceFaults(outage=outage))
+            verdict = (await self.claims.claim(make_request(outage))).error
+            assert verdict.execution is Execution.NOT_RUN
+            assert not self.state.table.rows
