Keep closing claims through a long outage, within a bound

An outcome was given up after 15 minutes, shorter than the outages that the platform has; it is tried for 24 h now, so that the books close by themselves. That alone would let a table that times out collect an undo for every refused call, each polling: 64 of them per daemon, with pauses up to 30 s, are at most 704 reads/s at 330 daemons by calculation. Above 64 a call is refused before anything is written, which needs no undo.

A call costs two writes and no read while the table answers (asserted from the table's counts).

--- a/kingcuphead/claims/_driver.py
+++ b/kingcuphead/claims/_driver.py
@@ -35,6 +35,7 @@
     ReadRequested,
     ReleaseRequested,
 )
+from kingcuphead.claims._refusals import refuse_unreachable
 from kingcuphead.claims._rows import AnswerLost, RecordedAnswer
 from kingcuphead.platform import Table
 from kingcuphead.verdict import Verdict
@@ -107,12 +108,13 @@
         self._settings = settings or ClaimSettings()
         self._clock = clock
         self._pause = pause
-        self._tasks: set[asyncio.Task[Any]] = set()
+        self._decisions: set[asyncio.Task[Decision]] = set()
+        self._closings: set[asyncio.Task[Ending]] = set()
 
     @property
     def unfinished(self) -> int:
         """Number of claims that the table is still being asked about."""
-        return len(self._tasks)
+        return len(self._decisions) + len(self._closings)
 
     async def claim(
         self, request: ClaimRequest
@@ -130,8 +132,10 @@
             The right to dispatch, the answer recorded by an earlier attempt, or
             the verdict of a call that this attempt doesn't dispatch.
         """
+        if len(self._closings) >= self._settings.max_closings:
+            return Error(refuse_unreachable(self._settings))
         claim = Claim(request, self._settings)
-        task = self._keep(asyncio.ensure_future(self._decide(claim)))
+        task = _keep(self._decisions, self._decide(claim))
         try:
             decision = await asyncio.shield(task)
         except asyncio.CancelledError:
@@ -167,8 +171,8 @@
 
     async def wait_until_finished(self) -> None:
         """Wait until every claim is decided and every outcome written."""
-        while self._tasks:
-            await asyncio.wait(self._tasks)
+        while tasks := self._decisions | self._closings:
+            await asyncio.wait(tasks)
 
     async def _decide(self, claim: Claim) -> Decision:
         message: Message = ClaimStarted()
@@ -184,11 +188,11 @@
 
     def _undo(self, claim: Claim, queries: list[Effect]) -> None:
         for query in queries:
-            self._spawn(self._close(claim, query))
+            _keep(self._closings, self._close(claim, query))
 
     async def _finish(self, claim: Claim, message: Message) -> Ending:
         (effect,) = claim.receive(message, self._clock())
-        return await asyncio.shield(self._spawn(self._close(claim, effect)))
+        return await asyncio.shield(_keep(self._closings, self._close(claim, effect)))
 
     async def _close(self, claim: Claim, effect: Effect) -> Ending:
         while True:
@@ -211,18 +215,17 @@
                 await self._pause(seconds)
                 return PauseEnded()
 
-    def _spawn(self, closing: Coroutine[Any, Any, Ending]) -> asyncio.Task[Ending]:
-        return self._keep(asyncio.ensure_future(closing))
-
-    def _keep(self, task: asyncio.Task[T]) -> asyncio.Task[T]:
-        # The event loop itself holds tasks by weak references only.
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-        return task
-
     def _release_late(self, claim: Claim, done: asyncio.Task[Decision]) -> None:
         if done.cancelled() or done.exception() is not None:
             return
         if isinstance(done.result(), ClaimGranted):
             (effect,) = claim.receive(ReleaseRequested(), self._clock())
-            self._spawn(self._close(claim, effect))
+            _keep(self._closings, self._close(claim, effect))
+
+
+def _keep(tasks: set[asyncio.Task[T]], work: Coroutine[Any, Any, T]) -> asyncio.Task[T]:
+    # The event loop itself holds tasks by weak references only.
+    task = asyncio.ensure_future(work)
+    tasks.add(task)
+    task.add_done_callback(tasks.discard)
+    return task
--- a/kingcuphead/claims/_messages.py
+++ b/kingcuphead/claims/_messages.py
@@ -58,14 +58,21 @@
     #: Seconds of the first pause before the table is asked again.
     first_pause: float = 0.1
     #: Seconds of the longest pause.
-    longest_pause: float = 10.0
+    longest_pause: float = 30.0
     #: Seconds for which an outcome or a release is tried again.
-    close_timeout: float = 900.0
+    close_timeout: float = 24 * 3600.0
+    #: Most outcomes and releases that wait for the table; with more, calls are
+    #: refused before anything is written.
+    max_closings: int = 64
     #: Seconds after which a refused caller may come back.
     retry_after: float = 2.0
     #: Seconds after which a held claim isn't expected to be closed any more.
     stale_after: float = 600.0
 
+    def with_changes(self, **changes: object) -> "ClaimSettings":
+        """Return a copy with the named fields replaced."""
+        return dataclasses.replace(self, **changes)  # type: ignore[arg-type]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ClaimStarted:
--- a/kingcuphead/claims/tests/test_driver.py
+++ b/kingcuphead/claims/tests/test_driver.py
@@ -17,6 +17,7 @@
     MemoryTable,
     PlatformFault,
     Row,
+    TableCounts,
     Transaction,
     Unavailable,
     Unknown,
@@ -111,6 +112,33 @@
 
         asyncio.run(run())
 
+    def test_call_costs_two_writes_and_no_read(self):
+        async def run() -> None:
+            table = MemoryTable()
+            claims = make_claims(table)
+            held = await hold(claims)
+            held.start_dispatch()
+            await claims.record(held, ANSWER)
+            assert table.counts == TableCounts(commits=2, rows_written=2)
+
+        asyncio.run(run())
+
+    def test_releases_that_wait_for_the_table_are_bounded(self):
+        async def run() -> None:
+            table = FaultyTable()
+            claims = Claims(table, SETTINGS.with_changes(max_closings=1))
+            held = await hold(claims)
+            table.refused = 1000
+            releasing = asyncio.ensure_future(claims.abandon(held))
+            await asyncio.sleep(0)
+            verdict = (await claims.claim(make_request("a-2"))).error
+            assert verdict.execution is Execution.NOT_RUN
+            table.refused = 0
+            assert await releasing == ClaimClosed()
+            await hold(claims, "a-3")
+
+        asyncio.run(run())
+
     def test_cancelled_claim_is_released(self):
         async def run() -> None:
             claims = make_claims(FaultyTable())
