--- a/kingcuphead/daemon/_state_backend.py
+++ b/kingcuphead/daemon/_state_backend.py
@@ -6,12 +6,7 @@
 from expression import Error, Ok, Result
 
 from kingcuphead import queueing
-from kingcuphead.claims import (
-    ClaimRow,
-    decode_claim,
-    make_organisation_prefix,
-    split_row_key,
-)
+from kingcuphead.claims import ClaimEntry, ClaimRegister
 from kingcuphead.configuration import Freshness
 from kingcuphead.daemon._assembly import Assembly
 from kingcuphead.metrics import DaemonState
@@ -26,7 +21,6 @@
     RevisionView,
     TargetView,
 )
-from kingcuphead.platform import Row
 
 #: Most claims in one list.
 CLAIM_LIMIT = 500
@@ -102,10 +96,10 @@
         self, organisation: str
     ) -> Result[tuple[ClaimView, ...], OperatorFault]:
         """Return an organisation's claims, in order of their keys."""
-        prefix = make_organisation_prefix(organisation)
-        match await self._assembly.table.scan(prefix, limit=CLAIM_LIMIT):
+        register = ClaimRegister(self._assembly.table)
+        match await register.list_claims(organisation, limit=CLAIM_LIMIT):
             case Result(tag="ok", ok=page):
-                return Ok(tuple(_iterate_claims(page.rows)))
+                return Ok(tuple(map(_describe_claim, page.entries)))
             case Result(error=fault):
                 return Error(OperatorFault(FaultKind.UNAVAILABLE, fault.message))
 
@@ -143,18 +137,11 @@
                 yield PeerView(member.name, member.zone, revision)
 
 
-def _iterate_claims(rows: tuple[Row, ...]) -> Iterator[ClaimView]:
-    for row in rows:
-        decoded = decode_claim(row)
-        if decoded.is_ok():
-            yield _describe_claim(row.key, decoded.ok)
-
-
-def _describe_claim(row_key: str, claim: ClaimRow) -> ClaimView:
-    organisation, key = split_row_key(row_key)
+def _describe_claim(entry: ClaimEntry) -> ClaimView:
+    claim = entry.claim
     return ClaimView(
-        organisation=organisation,
-        key=key,
+        organisation=entry.organisation,
+        key=entry.key,
         state=type(claim.state).__name__.lower(),
         request_id=claim.request_id,
         instance=claim.instance,
