--- a/kingcuphead/metrics/_messages.py
+++ b/kingcuphead/metrics/_messages.py
@@ -11,7 +11,7 @@
     """Bounds of the metrics."""
 
     #: Most organisations with series of their own; the others share one.
-    organisations: int = 100
+    organisations: int = 50
     #: Most work classes with series of their own.
     classes: int = 32
 
--- a/kingcuphead/metrics/_metrics.py
+++ b/kingcuphead/metrics/_metrics.py
@@ -1,5 +1,8 @@
 """The metrics of one daemon, in a registry of their own."""
 
+from collections import Counter as Counts
+from collections.abc import Mapping, Sequence
+
 from prometheus_client import (
     CONTENT_TYPE_LATEST,
     CollectorRegistry,
@@ -19,10 +22,17 @@
     StreamTimes,
 )
 
-#: Upper bounds of the buckets for phases and first tokens, in seconds.
-PHASE_BUCKETS = (0.001, 0.005, 0.01, 0.05, 0.1, 0.25, 0.5, 0.89, 2.0, 5.0, 15.0, 60.0)
-#: Upper bounds of the buckets for times between tokens, in seconds.
-GAP_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.043, 0.06, 0.1, 0.25, 1.0, 5.0)
+#: Upper bounds of the buckets by class: phases and first tokens, in seconds.
+CLASS_PHASE_BUCKETS = (
+    *(0.001, 0.005, 0.01, 0.05, 0.1, 0.25),
+    *(0.5, 0.89, 2.0, 5.0, 15.0, 60.0),
+)
+#: Upper bounds of the buckets by class: times between tokens, in seconds.
+CLASS_GAP_BUCKETS = (0.005, 0.01, 0.02, 0.03, 0.043, 0.06, 0.1, 0.25, 1.0, 5.0)
+#: Upper bounds of the buckets by organisation: phases and first tokens, in seconds.
+ORGANISATION_PHASE_BUCKETS = (0.005, 0.05, 0.25, 0.89, 5.0, 60.0)
+#: Upper bounds of the buckets by organisation: times between tokens, in seconds.
+ORGANISATION_GAP_BUCKETS = (0.02, 0.043, 0.1, 1.0)
 #: `execution` of a request that was answered.
 ANSWERED = "answered"
 
@@ -38,28 +48,38 @@
         Name of the label, "class" or "organisation".
     registry : CollectorRegistry
         Where they are registered.
+    phase_buckets : Sequence[float]
+        Upper bounds of the buckets for phases and first tokens, in seconds.
+    gap_buckets : Sequence[float]
+        Upper bounds of the buckets for times between tokens, in seconds.
     """
 
-    def __init__(self, label: str, registry: CollectorRegistry) -> None:
+    def __init__(
+        self,
+        label: str,
+        registry: CollectorRegistry,
+        phase_buckets: Sequence[float],
+        gap_buckets: Sequence[float],
+    ) -> None:
         self._phases = Histogram(
             f"{_PREFIX}_{label}_phase_seconds",
             f"Time of a request in a phase, by {label}",
             (label, "phase"),
-            buckets=PHASE_BUCKETS,
+            buckets=phase_buckets,
             registry=registry,
         )
         self._first_token = Histogram(
             f"{_PREFIX}_{label}_first_token_seconds",
             f"Time from arrival to the first token, by {label}",
             (label,),
-            buckets=PHASE_BUCKETS,
+            buckets=phase_buckets,
             registry=registry,
         )
         self._mean_gap = Histogram(
             f"{_PREFIX}_{label}_token_gap_seconds",
             f"Mean time between tokens of an answer, by {label}",
             (label,),
-            buckets=GAP_BUCKETS,
+            buckets=gap_buckets,
             registry=registry,
         )
 
@@ -92,8 +112,16 @@
         self._registry = CollectorRegistry()
         self._organisations = BoundedLabel(settings.organisations)
         self._classes = BoundedLabel(settings.classes)
-        self._class_times = _Times("class", self._registry)
-        self._organisation_times = _Times("organisation", self._registry)
+        self._class_times = _Times(
+            "class", self._registry, CLASS_PHASE_BUCKETS, CLASS_GAP_BUCKETS
+        )
+        self._organisation_times = _Times(
+            "organisation",
+            self._registry,
+            ORGANISATION_PHASE_BUCKETS,
+            ORGANISATION_GAP_BUCKETS,
+        )
+        self._queued_classes: frozenset[str] = frozenset()
         self._make_counters()
         self._make_gauges()
         ProcessCollector(namespace=_PREFIX, registry=self._registry)
@@ -117,14 +145,25 @@
         self._held_tokens.set(state.held_tokens)
         self._revision.set(state.revision)
         self._ready.set(state.ready)
-        self._queued.clear()
-        for work_class, count in state.queued.items():
-            self._queued.labels(self._classes.choose(work_class)).inc(count)
+        self._set_queued(state.queued)
 
     def render(self) -> bytes:
-        """Return the text that `CONTENT_TYPE` describes."""
+        """Return the text that `CONTENT_TYPE` describes.
+
+        It may run in a thread of its own while the tasks go on recording.
+        """
         return generate_latest(self._registry)
 
+    def _set_queued(self, queued: Mapping[str, int]) -> None:
+        counts: Counts[str] = Counts()
+        for work_class, count in queued.items():
+            counts[self._classes.choose(work_class)] += count
+        for work_class, count in counts.items():
+            self._queued.labels(work_class).set(count)
+        for work_class in self._queued_classes - counts.keys():
+            self._queued.remove(work_class)
+        self._queued_classes = frozenset(counts)
+
     def _count_end(self, organisation: str, measured: RequestMeasured) -> None:
         verdict = measured.verdict
         execution = ANSWERED if verdict is None else verdict.execution.value
@@ -163,7 +202,7 @@
             f"{_PREFIX}_class_longest_token_gap_seconds",
             "Longest time between tokens of an answer, by class",
             ("class",),
-            buckets=GAP_BUCKETS,
+            buckets=CLASS_GAP_BUCKETS,
             registry=self._registry,
         )
 
--- a/kingcuphead/metrics/tests/test_metrics.py
+++ b/kingcuphead/metrics/tests/test_metrics.py
@@ -14,13 +14,26 @@
 REFUSED = Verdict(Execution.NOT_RUN, Reason.QUEUE_FULL, "full")
 
 
-def read(metrics):
-    families = text_string_to_metric_families(metrics.render().decode())
-    return {
-        (sample.name, frozenset(sample.labels.values())): sample.value
-        for family in families
-        for sample in family.samples
-    }
+class Scrape:
+    """The samples of one scrape, by name and values of the labels."""
+
+    def __init__(self, metrics):
+        families = text_string_to_metric_families(metrics.render().decode())
+        self.samples = {
+            (sample.name, frozenset(sample.labels.values())): sample.value
+            for family in families
+            for sample in family.samples
+        }
+
+    def get(self, name, *labels):
+        return self.samples.get((name, frozenset(labels)))
+
+    def select(self, wanted):
+        return {
+            labels: value
+            for (name, labels), value in self.samples.items()
+            if name == wanted
+        }
 
 
 class TestMetrics:
@@ -30,79 +43,60 @@
         metrics.record_request(
             RequestMeasured("atlas", "review", None, (("hold", 0.002),), stream, 9, 70)
         )
-        values = read(metrics)
-        assert values["kingcuphead_requests_total", frozenset({"answered", ""})] == 1
+        values = Scrape(metrics)
+        assert values.get("kingcuphead_requests_total", "answered", "") == 1
         assert (
-            values[
-                "kingcuphead_billed_tokens_total", frozenset({"atlas", "completion"})
-            ]
-            == 70
+            values.get("kingcuphead_billed_tokens_total", "atlas", "completion") == 70
         )
         for label, name in (("class", "review"), ("organisation", "atlas")):
             prefix = f"kingcuphead_{label}"
             assert (
-                values[
-                    f"{prefix}_phase_seconds_bucket", frozenset({name, "hold", "0.005"})
-                ]
-                == 1
-            )
-            assert (
-                values[
-                    f"{prefix}_phase_seconds_bucket", frozenset({name, "hold", "0.001"})
-                ]
-                == 0
+                values.get(f"{prefix}_phase_seconds_bucket", name, "hold", "0.005") == 1
             )
-            assert (
-                values[f"{prefix}_first_token_seconds_sum", frozenset({name})] == 0.04
-            )
-            assert values[f"{prefix}_token_gap_seconds_sum", frozenset({name})] == 0.02
+            assert values.get(f"{prefix}_first_token_seconds_sum", name) == 0.04
+            assert values.get(f"{prefix}_token_gap_seconds_sum", name) == 0.02
+        phases = "kingcuphead_class_phase_seconds_bucket"
+        assert values.get(phases, "review", "hold", "0.001") == 0
         longest = "kingcuphead_class_longest_token_gap_seconds_sum"
-        assert values[longest, frozenset({"review"})] == 0.3
+        assert values.get(longest, "review") == 0.3
 
     def test_refusals(self):
         metrics = Metrics()
         metrics.record_request(RequestMeasured("atlas", "review", REFUSED))
         metrics.record_request(RequestMeasured("", "", REFUSED))
-        values = read(metrics)
-        assert (
-            values["kingcuphead_requests_total", frozenset({"not_run", "queue_full"})]
-            == 2
-        )
+        values = Scrape(metrics)
+        assert values.get("kingcuphead_requests_total", "not_run", "queue_full") == 2
         requests = "kingcuphead_organisation_requests_total"
-        assert values[requests, frozenset({"atlas", "not_run"})] == 1
-        assert values[requests, frozenset({"none", "not_run"})] == 1
+        assert values.get(requests, "atlas", "not_run") == 1
+        assert values.get(requests, "none", "not_run") == 1
 
     def test_series_are_bounded(self):
         metrics = Metrics(MetricsSettings(organisations=3))
         for number in range(50):
             metrics.record_request(RequestMeasured(f"o{number}", "c", None))
         metrics.record_request(RequestMeasured("o0", "c", None))
-        values = read(metrics)
+        values = Scrape(metrics)
         requests = "kingcuphead_organisation_requests_total"
-        counts = {
-            labels - {"answered"}: count
-            for (name, labels), count in values.items()
-            if name == requests
-        }
+        counts = values.select(requests)
         expected = {"o0": 2, "o1": 1, "o2": 1, "other": 47}
-        assert counts == {frozenset({name}): n for name, n in expected.items()}
+        assert counts == {
+            frozenset({name, "answered"}): n for name, n in expected.items()
+        }
 
     def test_state_replaces_the_one_before(self):
         metrics = Metrics()
         metrics.set_state(DaemonState(3, {"review": 2}, 10, 20, 7, True))
         metrics.set_state(DaemonState(1, {"dealer": 5}, 11, 21, 8, False))
-        values = read(metrics)
-        assert values["kingcuphead_queued_requests", frozenset({"dealer"})] == 5
-        assert ("kingcuphead_queued_requests", frozenset({"review"})) not in values
-        assert values["kingcuphead_ready", frozenset()] == 0
-        assert values["kingcuphead_revision", frozenset()] == 8
+        values = Scrape(metrics)
+        assert values.get("kingcuphead_queued_requests", "dealer") == 5
+        assert values.get("kingcuphead_queued_requests", "review") is None
+        assert values.get("kingcuphead_ready") == 0
+        assert values.get("kingcuphead_revision") == 8
 
     def test_two_daemons_share_nothing(self):
         first, second = Metrics(), Metrics()
         first.record_request(RequestMeasured("atlas", "review", None))
-        assert not [
-            name for name, _ in read(second) if name == "kingcuphead_requests_total"
-        ]
+        assert Scrape(second).select("kingcuphead_requests_total") == {}
 
 
 class TestTokenClock:
