--- a/kingcuphead/daemon/_announcements.py
+++ b/kingcuphead/daemon/_announcements.py
@@ -52,6 +52,8 @@
         self._closing = False
         #: Instances of the daemons' own service, as last listed.
         self.instances: tuple[Instance, ...] = ()
+        #: Configuration revisions that peers last told, by instance name.
+        self.revisions: dict[str, int] = {}
         #: Members in the view, this daemon included.
         self.view: tuple[membership.Member, ...] = ()
         #: How sure the daemon is of its configuration.
@@ -93,11 +95,12 @@
     def take_membership(self, effect: membership.Effect) -> None:
         """Take what the membership machine found."""
         match effect:
-            case membership.ViewChanged(members):
-                self._take_view(members)
+            case membership.ViewChanged():
+                self._take_view(effect)
             case membership.NoticeLearnt(notice):
                 self._take_notice(notice)
             case membership.PeerRevisionSeen(name, revision):
+                self.revisions[name] = revision
                 self.parts.configuration.post(
                     configuration.PeerRevision(name, revision)
                 )
@@ -119,9 +122,10 @@
         """Pass a fact on to every peer."""
         self.parts.membership.post(notice)
 
-    def _take_view(self, members: tuple[membership.Member, ...]) -> None:
+    def _take_view(self, view: membership.ViewChanged) -> None:
+        members = view.members
         self.view = members
-        self.parts.router.locate(members)
+        self.parts.router.locate((*members, *view.leaving))
         known = tuple(budgets.Member(m.name, m.zone, m.region) for m in members)
         self.parts.ledger.post(budgets.ViewChanged(known))
         self.parts.scheduler.post(queueing.PeersCounted(max(1, len(members))))
--- a/kingcuphead/pipeline/_chat.py
+++ b/kingcuphead/pipeline/_chat.py
@@ -10,6 +10,7 @@
     FailedAttempt,
     WholeAnswer,
 )
+from kingcuphead.pipeline._claiming import Permit
 from kingcuphead.pipeline._delivery import Delivery
 from kingcuphead.pipeline._observations import Observer, Phase
 from kingcuphead.pipeline._ports import Holds, Targets
@@ -63,7 +64,12 @@
         self._times = times
 
     async def serve(
-        self, admitted: Admitted, work: ChatWork, delivery: Delivery, observer: Observer
+        self,
+        admitted: Admitted,
+        work: ChatWork,
+        permit: Permit,
+        delivery: Delivery,
+        observer: Observer,
     ) -> Outcome[None]:
         """Serve one request.
 
@@ -77,7 +83,9 @@
         observer.end_phase(Phase.HOLD)
         match held:
             case Result(tag="ok", ok=hold_id):
-                run = _ChatRun(self, admitted, work, delivery, observer, hold_id)
+                run = _ChatRun(
+                    self, admitted, work, permit, delivery, observer, hold_id
+                )
                 return await run.serve()
             case Result(error=verdict):
                 return Error(verdict)
@@ -101,6 +109,7 @@
         path: ChatPath,
         admitted: Admitted,
         work: ChatWork,
+        permit: Permit,
         delivery: Delivery,
         observer: Observer,
         hold_id: str,
@@ -108,11 +117,13 @@
         self._path = path
         self._admitted = admitted
         self._work = work
+        self._permit = permit
         self._delivery = delivery
         self._observer = observer
         self._hold_id = hold_id
         self._sent = False
         self._settled = False
+        self._started = False
         self._last_attempt: ChatAttempt | None = None
 
     async def serve(self) -> Outcome[None]:
@@ -149,9 +160,13 @@
             self._path._relay, self._admitted, self._work, self._path._times.target
         )
         self._last_attempt = attempt
+        self._started = False
         result = AnswerResult.CANCELLED
         try:
-            end = await attempt.run(placed, self._delivery.deliver)
+            self._permit.start_dispatch()
+            end = await attempt.run(placed, self._deliver)
+            if not attempt.sent:
+                self._permit.cancel_dispatch()
             result = _judge(end)
             return end
         finally:
@@ -160,6 +175,13 @@
                 self._admitted.received.operation_id, placed.target, result
             )
 
+    async def _deliver(self, block: bytes) -> None:
+        if not self._started:
+            self._started = True
+            self._path._targets.start(self._admitted.received.operation_id)
+        self._observer.take_piece()
+        await self._delivery.deliver(block)
+
     def _may_retry(self, failure: FailedAttempt) -> bool:
         if self._delivery.begun or failure.verdict.reason is Reason.INVALID_REQUEST:
             return False
@@ -169,6 +191,7 @@
 
     async def _complete(self, end: AnswerEnd) -> Outcome[None]:
         self._settled = True
+        self._observer.take_usage(end.usage)
         settled = await self._path._settlements.settle(
             self._hold_id, end.usage, self._work.bound_tokens
         )
