--- a/kingcuphead/relay/_relay.py
+++ b/kingcuphead/relay/_relay.py
@@ -1,5 +1,6 @@
 """The task that owns the connections to targets."""
 
+import contextlib
 import functools
 from collections.abc import Callable
 
@@ -195,7 +196,11 @@
         self._end(handle, TransferEnd(cause, sent, transfer.received_bytes))
 
     def _resume(self, handle: pycurl.Curl) -> None:
-        if handle in self._transfers:
+        if handle not in self._transfers:
+            return
+        # A transfer that failed while it was paused raises its error here; its end
+        # is collected like any other.
+        with contextlib.suppress(pycurl.error):
             handle.pause(pycurl.PAUSE_CONT)
 
     def _end_silent(self) -> None:
