--- a/kingcuphead/bench/_traffic_report.py
+++ b/kingcuphead/bench/_traffic_report.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+from collections import defaultdict
 from collections.abc import Iterable, Iterator
 
 from kingcuphead.bench._traffic_fleet import Record
@@ -9,6 +10,7 @@
     BURST_SECONDS,
     LEAD_SECONDS,
     RAMP_SECONDS,
+    Policy,
     RunResult,
 )
 
@@ -102,10 +104,109 @@
     return seconds / (WINDOW_END - WINDOW_START)
 
 
-def format_spread(values: Iterable[float], scale: float = 1.0, digits: int = 2) -> str:
+def format_spread(values: Iterable[float], digits: int = 2) -> str:
     """Return the median and the range of figures over the seeds."""
-    ordered = sorted(value * scale for value in values if not math.isnan(value))
+    ordered = sorted(value for value in values if not math.isnan(value))
     if not ordered:
         return "-"
     median = ordered[len(ordered) // 2]
     return f"{median:.{digits}f} ({ordered[0]:.{digits}f}-{ordered[-1]:.{digits}f})"
+
+
+def format_page(results: list[RunResult], rates: dict[str, float]) -> str:
+    """Return the tables of one deployment and one number of daemons."""
+    plan = results[0].plan
+    title = f"## {plan.deployment.name}, {plan.daemons} daemons"
+    calm = [result for result in results if not result.plan.has_leaving]
+    tables = (
+        title,
+        "\n".join(format_classes(calm)),
+        "\n".join(format_totals(results, rates)),
+        "\n".join(format_comparison(calm)),
+    )
+    return "\n\n".join(tables) + "\n"
+
+
+def format_classes(results: list[RunResult]) -> Iterator[str]:
+    """Yield the table of the classes."""
+    yield (
+        "| class | policy | TTFT p50, s | p95, s | p99, s | arrived | useful "
+        "| refused | after, s (p50) | cache hits |"
+    )
+    yield "|---|---|---|---|---|---|---|---|---|---|"
+    grouped: dict[tuple[str, str], list[ClassFigures]] = defaultdict(list)
+    for result in results:
+        label = result.plan.policy + (", alone" if result.plan.is_alone else "")
+        for figures in summarise(result):
+            grouped[figures.name, label].append(figures)
+    for name, label in sorted(grouped):
+        yield format_class(name, label, grouped[name, label])
+
+
+def format_class(name: str, label: str, figures: list[ClassFigures]) -> str:
+    """Return the row of one class under one policy."""
+    quantiles = (
+        format_spread(entry.first_token[place] for entry in figures)
+        for place in range(len(QUANTILES))
+    )
+    refusals = [
+        entry.refusal_seconds for entry in figures if entry.refusal_seconds is not None
+    ]
+    cells = (
+        name,
+        label,
+        *quantiles,
+        format_spread((entry.arrived for entry in figures), 0),
+        format_spread((entry.useful for entry in figures), 0),
+        format_spread((entry.refused for entry in figures), 0),
+        format_spread(refusals),
+        format_spread(entry.hits for entry in figures),
+    )
+    return f"| {' | '.join(cells)} |"
+
+
+def format_totals(results: list[RunResult], rates: dict[str, float]) -> Iterator[str]:
+    """Yield the table of what the policies make of the engines."""
+    yield "| policy | capacity in useful answers | leaving to last placement, s |"
+    yield "|---|---|---|"
+    for policy in dict.fromkeys(result.plan.policy for result in results):
+        own = [
+            result
+            for result in results
+            if result.plan.policy is policy and not result.plan.is_alone
+        ]
+        parts = (
+            compute_useful_part(result, rates)
+            for result in own
+            if not result.plan.has_leaving
+        )
+        leavings = (
+            result.leaving_seconds
+            for result in own
+            if result.leaving_seconds is not None
+        )
+        cells = (policy, format_spread(parts, 3), format_spread(leavings))
+        yield f"| {' | '.join(cells)} |"
+
+
+def format_comparison(results: list[RunResult]) -> Iterator[str]:
+    """Yield the ratios of the first class's times to those when it is alone."""
+    own = [result for result in results if result.plan.policy is Policy.KINGCUPHEAD]
+    alone = {
+        result.plan.seed: next(summarise(result))
+        for result in own
+        if result.plan.is_alone
+    }
+    shared = [
+        (alone[result.plan.seed], next(summarise(result)))
+        for result in own
+        if not result.plan.is_alone
+    ]
+    yield "| first class, ratio to when alone, same seed | ratio |"
+    yield "|---|---|"
+    for place, quantile in enumerate(QUANTILES):
+        ratios = (
+            figures.first_token[place] / base.first_token[place]
+            for base, figures in shared
+        )
+        yield f"| p{quantile * 100:.0f} | {format_spread(ratios)} |"
--- a/kingcuphead/bench/_traffic_runs.py
+++ b/kingcuphead/bench/_traffic_runs.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 import random
+from typing import Any
 
 from kingcuphead.bench._traffic_baselines import Choice, FirstComeRouter
 from kingcuphead.bench._traffic_clock import VirtualClock
@@ -26,7 +27,7 @@
 #: The burst, in seconds.
 BURST_SECONDS = 60.0
 #: The time after the burst, in seconds.
-TAIL_SECONDS = 30.0
+TAIL_SECONDS = 60.0
 #: The burst's first part, which the counts leave out, in seconds.
 RAMP_SECONDS = 10.0
 #: Load before and after the burst, relative to capacity.
@@ -62,6 +63,10 @@
     #: Whether the engines interrupt work for work of a higher priority.
     is_preemptive: bool = True
 
+    def with_changes(self, **changes: Any) -> "RunPlan":
+        """Return a copy with the named fields replaced."""
+        return dataclasses.replace(self, **changes)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class RunResult:
--- a/kingcuphead/placement/_placement.py
+++ b/kingcuphead/placement/_placement.py
@@ -205,7 +205,7 @@
             return
         load = view.load.with_report(running, waiting, observed_at)
         limit = view.limit
-        excess = (running + waiting) / max(1, view.target.concurrency)
+        excess = (running + waiting) / (view.concurrency * self._settings.limit_fill)
         if waiting > 0 and excess > 1:
             limit = limit.with_excess(excess, now, self._settings)
         self._views[target] = view.with_changes(load=load, limit=limit)
--- a/kingcuphead/placement/_settings.py
+++ b/kingcuphead/placement/_settings.py
@@ -21,6 +21,8 @@
     affinity_saving: Ratio = 0.5
     #: Factor on a target's limit when it shows congestion.
     limit_decrease: Ratio = 0.9
+    #: Load of a target, relative to its concurrency, above which limits fall.
+    limit_fill: Positive = 1.1
     #: Slots added to a limit for each limit's worth of uncongested answers.
     limit_increase: Positive = 1.0
     #: Seconds between two decreases of one limit.
--- a/kingcuphead/queueing/_fairness.py
+++ b/kingcuphead/queueing/_fairness.py
@@ -49,6 +49,15 @@
         """Tokens of all requests."""
         return sum(self._sizes.values())
 
+    def count_due(self, deadline: float) -> int:
+        """Return the tokens of the requests whose deadline comes no later."""
+        return sum(
+            waiting.request.size
+            for queue in self._queues.values()
+            for waiting in queue.values()
+            if waiting.request.deadline <= deadline
+        )
+
     def count_ahead(self, waiting: Waiting) -> float:
         """Return the tokens served before a request that was pushed last.
 
--- a/kingcuphead/queueing/_waits.py
+++ b/kingcuphead/queueing/_waits.py
@@ -87,13 +87,10 @@
         if entry is own:
             continue
         others = state.estimates[entry.work_class.name]
-        hold = others.estimate_hold(entry.queue.size)
         if entry.compute_urgency(now).rank < rank:
-            work_above += hold
+            work_above += others.estimate_hold(entry.queue.size)
         elif entry.work_class.rank == rank:
-            # Deadlines order it: of a class that waits longer, less comes before.
-            left = request.deadline - now
-            work += hold * min(1.0, left / max(entry.work_class.deadline, left))
+            work += others.estimate_hold(entry.queue.count_due(request.deadline))
     slots = state.estimate_slots(own.work_class)
     wait = work_above / state.slots + (work + estimate.hold) / slots
     return ExpectedWait(waiting, wait, wait + estimate.first_token)
