--- a/kingcuphead/bench/__init__.py
+++ b/kingcuphead/bench/__init__.py
@@ -1,1 +1,1 @@
-"""Measurements that run in virtual time, without processes."""
+"""Measurements of the product, run by developers."""
--- a/kingcuphead/verdict/_verdict.py
+++ b/kingcuphead/verdict/_verdict.py
@@ -40,6 +40,7 @@
     SHUTTING_DOWN = "shutting_down"
     TARGET_FAILED = "target_failed"
     TARGET_REFUSED = "target_refused"
+    TARGET_TIMED_OUT = "target_timed_out"
     TRUNCATED = "truncated"
     BILL_UNCERTAIN = "bill_uncertain"
     CALLER_GONE = "caller_gone"
