--- a/kingcuphead/queueing/__init__.py
+++ b/kingcuphead/queueing/__init__.py
@@ -24,6 +24,11 @@
 )
 from kingcuphead.queueing._scheduler import Scheduler
 from kingcuphead.queueing._settings import QueueingSettings, SchedulerSettings
+from kingcuphead.queueing._snapshot import (
+    QueueSnapshot,
+    SchedulerSnapshot,
+    TargetSnapshot,
+)
 
 __all__ = [
     "AnswerFinished",
@@ -36,6 +41,7 @@
     "ProbeAnswered",
     "QuarantineLearnt",
     "QuarantineReleased",
+    "QueueSnapshot",
     "QueueingSettings",
     "RequestArrived",
     "RequestPlaced",
@@ -44,6 +50,8 @@
     "Scheduler",
     "SchedulerMessage",
     "SchedulerSettings",
+    "SchedulerSnapshot",
     "TargetReported",
+    "TargetSnapshot",
     "Ticked",
 ]
--- a/kingcuphead/queueing/_backlog.py
+++ b/kingcuphead/queueing/_backlog.py
@@ -110,10 +110,15 @@
         return sorted(queues, key=lambda entry: entry.compute_urgency(now))
 
     def _get_queue(self, request: RequestArrived) -> FairQueue:
-        key = (Lane(request.service, request.model), request.work_class)
+        key = (get_lane(request), request.work_class)
         return self._queues.setdefault(key, FairQueue())
 
 
+def get_lane(request: RequestArrived) -> Lane:
+    """Return the kind of work that a request is."""
+    return Lane(request.service, request.model)
+
+
 def get_work_class(classes: Mapping[str, WorkClass], name: str) -> WorkClass:
     """Return a class by name; one that the configuration lacks goes last."""
     found = classes.get(name)
--- /dev/null
+++ b/kingcuphead/queueing/_rejection.py
@@ -0,0 +1,114 @@
+"""Rejection of waiting requests: late, crowded out, without target, quarantined."""
+
+from collections.abc import Iterator
+
+from kingcuphead.placement import Prospect, ensure
+from kingcuphead.queueing._backlog import ClassQueue, Lane, get_lane
+from kingcuphead.queueing._fairness import Waiting
+from kingcuphead.queueing._messages import RequestRejected
+from kingcuphead.queueing._refusals import Refusals
+from kingcuphead.queueing._state import SchedulerState
+from kingcuphead.queueing._waits import ExpectedWait, estimate_arrival, find_late
+from kingcuphead.verdict import Verdict
+
+
+class Rejector:
+    """Takes requests out of the backlog, each with a verdict at once.
+
+    Parameters
+    ----------
+    state : SchedulerState
+        The machines.
+    refusals : Refusals
+        Builds the verdicts.
+    """
+
+    def __init__(self, state: SchedulerState, refusals: Refusals) -> None:
+        self._state = state
+        self._refusals = refusals
+
+    def reject_late_arrival(
+        self, request_id: str, now: float
+    ) -> Iterator[RequestRejected]:
+        """Reject a request that has just been queued if it can't make its deadline."""
+        waiting = self._state.backlog.get(request_id)
+        if waiting is None:
+            return
+        lane = get_lane(waiting.request)
+        queues = [entry for entry in self._state.sort_queues(now) if entry.lane == lane]
+        lane_state = self._state.describe_lane(lane)
+        if not lane_state.slots:
+            return
+        expected = estimate_arrival(lane_state, queues, waiting, now)
+        left = waiting.request.deadline - now
+        if expected.first_token > left * self._state.settings.admission_margin:
+            yield self._reject_late(expected, queues, now)
+
+    def reject_late(self, now: float) -> Iterator[RequestRejected]:
+        """Reject the waiting requests that can no longer make their deadlines."""
+        queues = self._state.sort_queues(now)
+        for lane in dict.fromkeys(entry.lane for entry in queues):
+            lane_queues = [entry for entry in queues if entry.lane == lane]
+            yield from self._reject_late_in(lane, lane_queues, now)
+
+    def reject_overflow(self, now: float) -> Iterator[RequestRejected]:
+        """Reject the last request of the lowest class while the backlog is too long."""
+        while len(self._state.backlog) > self._state.settings.capacity:
+            queues = self._state.sort_queues(now)
+            last = max(queues, key=lambda entry: entry.work_class.rank)
+            *_, waiting = last.queue.iterate()
+            rate = self._state.compute_rate(last)
+            verdict = self._refusals.refuse_full(waiting.request, rate, now)
+            yield self._reject(waiting, verdict)
+
+    def reject_quarantined(self, now: float) -> Iterator[RequestRejected]:
+        """Reject the waiting requests that were quarantined meanwhile."""
+        quarantine = self._state.quarantine
+        for waiting in self._state.backlog.iterate():
+            if quarantine.is_quarantined(waiting.request.fingerprint, now):
+                verdict = self._refusals.refuse_quarantined(waiting.request)
+                yield self._reject(waiting, verdict)
+
+    def _reject_late_in(
+        self, lane: Lane, queues: list[ClassQueue], now: float
+    ) -> Iterator[RequestRejected]:
+        lane_state = self._state.describe_lane(lane)
+        if not lane_state.slots:
+            yield from self._reject_without_target(queues, now)
+            return
+        margin = self._state.settings.giving_up_margin
+        for late in tuple(find_late(lane_state, queues, now, margin)):
+            yield self._reject_late(late, queues, now)
+
+    def _reject_late(
+        self, late: ExpectedWait, queues: list[ClassQueue], now: float
+    ) -> RequestRejected:
+        name = late.waiting.request.work_class
+        own = next(entry for entry in queues if entry.work_class.name == name)
+        rate = self._state.compute_rate(own)
+        verdict = self._refusals.refuse_late(late, rate, now)
+        return self._reject(late.waiting, verdict)
+
+    def _reject_without_target(
+        self, queues: list[ClassQueue], now: float
+    ) -> Iterator[RequestRejected]:
+        requests = [
+            waiting for entry in queues for waiting in tuple(entry.queue.iterate())
+        ]
+        for waiting in requests:
+            request = waiting.request
+            prospect = self._state.placement.assess(self._state.build_query(request))
+            if prospect is Prospect.NONE or now >= request.deadline:
+                verdict = self._refusals.refuse_without_target(request)
+                yield self._reject(waiting, verdict)
+
+    def _reject(self, waiting: Waiting, verdict: Verdict) -> RequestRejected:
+        request_id = waiting.request.request_id
+        removed = self._state.backlog.remove(request_id)
+        ensure(
+            removed is not None,
+            "each arrival gets one answer",
+            request_id=request_id,
+            verdict=verdict,
+        )
+        return RequestRejected(request_id, verdict)
--- a/kingcuphead/queueing/_scheduler.py
+++ b/kingcuphead/queueing/_scheduler.py
@@ -1,29 +1,12 @@
 """The scheduler: queueing, placement and quarantine behind one `receive`."""
 
-import dataclasses
-import itertools
-import math
 import random
-from collections import Counter, defaultdict
 from collections.abc import Iterator
 
-from kingcuphead.placement import (
-    AnswerResult,
-    Placement,
-    PlacementQuery,
-    Prospect,
-    encode_key,
-    ensure,
-)
+from kingcuphead.placement import AnswerResult, Attempt, Placement, Prospect, ensure
 from kingcuphead.quarantine import Crash, Quarantine
-from kingcuphead.queueing._backlog import (
-    Backlog,
-    ClassQueue,
-    Lane,
-    get_work_class,
-)
-from kingcuphead.queueing._estimates import ServiceEstimate
-from kingcuphead.queueing._fairness import Waiting
+from kingcuphead.queueing._backlog import get_lane
+from kingcuphead.queueing._dispatch import Dispatcher
 from kingcuphead.queueing._messages import (
     AnswerFinished,
     AnswerStarted,
@@ -36,36 +19,22 @@
     QuarantineLearnt,
     QuarantineReleased,
     RequestArrived,
-    RequestPlaced,
     RequestRejected,
     RequestWithdrawn,
     SchedulerMessage,
     TargetReported,
     Ticked,
 )
-from kingcuphead.queueing._occupancy import Occupancy
 from kingcuphead.queueing._refusals import Refusals
+from kingcuphead.queueing._rejection import Rejector
 from kingcuphead.queueing._retries import RetryBudget
 from kingcuphead.queueing._settings import SchedulerSettings
-from kingcuphead.queueing._waits import (
-    ExpectedWait,
-    LaneState,
-    estimate_arrival,
-    find_late,
-)
-from kingcuphead.records import Configuration, Target, WorkClass
+from kingcuphead.queueing._snapshot import SchedulerSnapshot, build_snapshot
+from kingcuphead.queueing._state import SchedulerState
+from kingcuphead.records import Configuration
 from kingcuphead.verdict import Execution, Verdict
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _Choice:
-    """A waiting request and the target that can run it now."""
-
-    waiting: Waiting
-    query: PlacementQuery
-    target: Target
-
-
 class Scheduler:
     """Decides when and where each request of one daemon runs.
 
@@ -86,21 +55,17 @@
     def __init__(
         self, settings: SchedulerSettings, instance: str, random_source: random.Random
     ) -> None:
-        self.instance = instance
-        self._settings = settings.queueing
-        self._configuration = Configuration()
-        self._placement = Placement(settings.placement, random_source)
-        self._quarantine = Quarantine(settings.quarantine)
+        self._instance = instance
         self._early_phase = settings.quarantine.early_phase
-        self._backlog = Backlog()
-        self._occupancy = Occupancy()
-        self._skips: Counter[str] = Counter()
-        self._first_seen_at: dict[Lane, float] = {}
-        self._running: dict[str, RequestArrived] = {}
+        self._state = SchedulerState(
+            settings.queueing,
+            Placement(settings.placement, random_source),
+            Quarantine(settings.quarantine),
+        )
         self._retries = RetryBudget(settings.queueing)
         self._refusals = Refusals(settings.queueing, random_source)
-        self._estimates: defaultdict[Lane, defaultdict[str, ServiceEstimate]]
-        self._estimates = defaultdict(self._create_estimates)
+        self._dispatcher = Dispatcher(self._state)
+        self._rejector = Rejector(self._state, self._refusals)
 
     def receive(self, message: SchedulerMessage, now: float) -> tuple[Effect, ...]:
         """Take in one message and return what follows from it.
@@ -123,16 +88,25 @@
             A state that the design rules out was reached.
         """
         direct = tuple(self._handle(message, now))
-        placed = tuple(self._dispatch(now))
-        return direct + placed + tuple(self._give_up(message, now))
+        placed = tuple(self._dispatcher.dispatch(now))
+        late = tuple(self._give_up(message, now))
+        effects = direct + placed + late
+        for effect in effects:
+            if isinstance(effect, RequestRejected):
+                self._dispatcher.forget(effect.request_id)
+        return effects
+
+    def describe(self, now: float) -> SchedulerSnapshot:
+        """Return the queues, targets and quarantined requests for operators."""
+        return build_snapshot(self._instance, self._state, now)
 
     def _handle(self, message: SchedulerMessage, now: float) -> Iterator[Effect]:
         match message:
             case RequestArrived():
                 yield from self._admit(message, now)
             case RequestWithdrawn(request_id):
-                self._backlog.remove(request_id)
-                self._skips.pop(request_id, None)
+                self._state.backlog.remove(request_id)
+                self._dispatcher.forget(request_id)
             case AnswerStarted(request_id):
                 self._start(request_id, now)
             case AnswerFinished():
@@ -140,38 +114,40 @@
             case CrashLearnt() | QuarantineLearnt() | QuarantineReleased():
                 yield from self._learn(message, now)
             case Ticked():
-                yield from self._placement.tick(now)
-                yield from self._quarantine.tick(now)
-                yield from self._reject_quarantined(now)
+                yield from self._state.placement.tick(now)
+                yield from self._state.quarantine.tick(now)
+                yield from self._rejector.reject_quarantined(now)
             case _:
                 yield from self._watch_targets(message, now)
 
     def _watch_targets(self, message: SchedulerMessage, now: float) -> Iterator[Effect]:
+        placement = self._state.placement
         match message:
             case ConfigurationApplied(configuration):
                 yield from self._apply(configuration, now)
             case LoadReported(target, running, waiting, observed_at):
-                self._placement.report_load(target, running, waiting, observed_at, now)
+                placement.report_load(target, running, waiting, observed_at, now)
             case TargetReported(target, state, source):
-                yield from self._placement.report_state(target, state, source, now)
+                yield from placement.report_state(target, state, source, now)
             case ProbeAnswered(target, is_healthy):
-                yield from self._placement.answer_probe(target, is_healthy, now)
+                yield from placement.answer_probe(target, is_healthy, now)
             case PeersCounted(daemons):
-                self._placement.count_peers(daemons)
+                placement.count_peers(daemons)
 
     def _apply(self, configuration: Configuration, now: float) -> Iterator[Effect]:
         ensure(
-            configuration.revision >= self._configuration.revision,
+            configuration.revision >= self._state.configuration.revision,
             "a revision is only replaced by a higher one",
-            applied=self._configuration.revision,
+            applied=self._state.configuration.revision,
             offered=configuration.revision,
         )
-        self._configuration = configuration
-        yield from self._placement.apply(configuration, now)
+        self._state.configuration = configuration
+        yield from self._state.placement.apply(configuration, now)
 
     def _admit(self, request: RequestArrived, now: float) -> Iterator[Effect]:
+        state = self._state
         ensure(
-            request.request_id not in self._running,
+            request.request_id not in state.running,
             "a request is placed at most once at a time",
             request_id=request.request_id,
         )
@@ -184,18 +160,18 @@
         if verdict is not None:
             yield RequestRejected(request.request_id, verdict)
             return
-        organisation = self._configuration.organisations.get(request.organisation)
+        organisation = state.configuration.organisations.get(request.organisation)
         weight = organisation.weight if organisation else 1
-        self._backlog.push(request, weight, now)
-        if self._is_first(self._get_class(request)):
-            self._first_seen_at[get_lane(request)] = now
-        if len(self._backlog) > self._settings.capacity:
-            yield from self._evict(now)
+        state.backlog.push(request, weight, now)
+        if state.is_first(state.get_class(request)):
+            state.first_seen_at[get_lane(request)] = now
+        yield from self._rejector.reject_overflow(now)
 
     def _refuse_arrival(self, request: RequestArrived, now: float) -> Verdict | None:
-        if self._quarantine.is_quarantined(request.fingerprint, now):
+        state = self._state
+        if state.quarantine.is_quarantined(request.fingerprint, now):
             return self._refusals.refuse_quarantined(request)
-        if self._placement.assess(self._build_query(request)) is Prospect.NONE:
+        if state.placement.assess(state.build_query(request)) is Prospect.NONE:
             return self._refusals.refuse_without_target(request)
         if not request.is_retry:
             self._retries.earn()
@@ -204,268 +180,70 @@
             return self._refusals.refuse_retry(request)
         return None
 
-    def _evict(self, now: float) -> Iterator[Effect]:
-        """Reject the last request of the least urgent queue, for a full backlog."""
-        queues = self._sort_queues(now)
-        last = max(queues, key=lambda entry: entry.work_class.rank)
-        *_, waiting = last.queue.iterate()
-        yield self._reject(
-            waiting,
-            self._refusals.refuse_full(waiting.request, self._get_rate(last), now),
-        )
-
     def _start(self, request_id: str, now: float) -> None:
-        attempt = self._placement.get_attempt(request_id)
+        attempt = self._state.placement.get_attempt(request_id)
         if attempt is None or attempt.started_at is not None:
             return
-        request = self._running[request_id]
-        estimates = self._estimates[get_lane(request)]
+        request = self._state.running[request_id]
+        estimates = self._state.get_estimates(get_lane(request))
+        estimate = estimates[request.work_class]
         seconds = now - attempt.placed_at
-        estimates[request.work_class] = estimates[request.work_class].with_first_token(
-            seconds
-        )
-        self._placement.start(request_id, now)
+        estimates[request.work_class] = estimate.with_first_token(seconds)
+        self._state.placement.start(request_id, now)
 
     def _finish(self, message: AnswerFinished, now: float) -> Iterator[Effect]:
-        request = self._running.pop(message.request_id, None)
-        attempt = self._placement.get_attempt(message.request_id)
+        request = self._state.running.pop(message.request_id, None)
+        attempt = self._state.placement.get_attempt(message.request_id)
         if request is None or attempt is None:
+            # An attempt that ended before; its answer belongs to nobody.
             return
-        lane = get_lane(request)
-        self._occupancy.remove(lane, request.work_class)
-        yield from self._placement.finish(
+        self._state.occupancy.remove(get_lane(request), request.work_class)
+        yield from self._state.placement.finish(
             message.request_id, message.target, message.result, now
         )
         match message.result:
             case AnswerResult.WHOLE:
-                self._quarantine.clear(request.fingerprint)
-                estimates = self._estimates[lane]
-                estimates[request.work_class] = estimates[
-                    request.work_class
-                ].with_finish(now - attempt.placed_at, request.size)
+                self._learn_service_time(request, attempt, now)
             case AnswerResult.DIED if request.fingerprint:
-                started = attempt.started_at
-                is_early = started is None or now - started < self._early_phase
-                crash = Crash(request.fingerprint, message.target, is_early)
-                yield from self._quarantine.record(crash, now)
-                yield from self._reject_quarantined(now)
+                yield from self._record_crash(request, attempt, now)
+
+    def _learn_service_time(
+        self, request: RequestArrived, attempt: Attempt, now: float
+    ) -> None:
+        self._state.quarantine.clear(request.fingerprint)
+        estimates = self._state.get_estimates(get_lane(request))
+        estimate = estimates[request.work_class]
+        hold = now - attempt.placed_at
+        estimates[request.work_class] = estimate.with_finish(hold, request.size)
+
+    def _record_crash(
+        self, request: RequestArrived, attempt: Attempt, now: float
+    ) -> Iterator[Effect]:
+        started_at = attempt.started_at
+        is_early = started_at is None or now - started_at < self._early_phase
+        crash = Crash(request.fingerprint, attempt.target, is_early)
+        yield from self._state.quarantine.record(crash, now)
+        yield from self._rejector.reject_quarantined(now)
 
     def _learn(
         self,
         message: CrashLearnt | QuarantineLearnt | QuarantineReleased,
         now: float,
     ) -> Iterator[Effect]:
+        quarantine = self._state.quarantine
         match message:
             case CrashLearnt(fingerprint, target):
-                yield from self._quarantine.learn_crash(fingerprint, target, now)
+                yield from quarantine.learn_crash(fingerprint, target, now)
             case QuarantineLearnt(fingerprint, remaining):
-                self._quarantine.learn_entry(fingerprint, remaining, now)
+                quarantine.learn_entry(fingerprint, remaining, now)
             case QuarantineReleased(fingerprint):
-                yield from self._quarantine.release(fingerprint, now)
-        yield from self._reject_quarantined(now)
-
-    def _reject_quarantined(self, now: float) -> Iterator[Effect]:
-        for waiting in self._backlog.iterate():
-            if self._quarantine.is_quarantined(waiting.request.fingerprint, now):
-                verdict = self._refusals.refuse_quarantined(waiting.request)
-                yield self._reject(waiting, verdict)
-
-    def _dispatch(self, now: float) -> Iterator[Effect]:
-        """Place waiting requests until no class finds a slot."""
-        while True:
-            effect = next(self._place_each(now), None)
-            if effect is None:
-                return
-            yield effect
-
-    def _place_each(self, now: float) -> Iterator[Effect]:
-        for entry in self._sort_queues(now):
-            slots = self._count_slots(entry, now)
-            if not self._has_class_slot(entry, slots):
-                continue
-            effect = self._place_one(entry, now)
-            if effect is not None:
-                yield effect
-
-    def _place_one(self, entry: ClassQueue, now: float) -> Effect | None:
-        """Place the request that suits a free target best, near the queue's head."""
-        heads = tuple(itertools.islice(entry.queue.iterate(), self._settings.lookahead))
-        for match in (self._find_cached(heads, now), self._find_free(heads, now)):
-            choice = next(match, None)
-            if choice is not None:
-                self._count_skips(heads, choice.waiting)
-                return self._place(choice, now)
-        return None
-
-    def _find_cached(
-        self, heads: tuple[Waiting, ...], now: float
-    ) -> Iterator["_Choice"]:
-        """Yield requests whose own target is free, but none past a waiting one."""
-        for waiting in heads:
-            query = self._build_query(waiting.request)
-            target = self._placement.choose_home(query, now)
-            if target is not None:
-                yield _Choice(waiting, query, target)
-            if self._is_skipped_enough(waiting):
-                return
-
-    def _find_free(self, heads: tuple[Waiting, ...], now: float) -> Iterator["_Choice"]:
-        """Yield requests that some target has room for."""
-        for waiting in heads:
-            query = self._build_query(waiting.request)
-            target = self._placement.choose(query, now)
-            if target is not None:
-                yield _Choice(waiting, query, target)
-
-    def _is_skipped_enough(self, waiting: Waiting) -> bool:
-        skips = self._skips.get(waiting.request.request_id, 0)
-        return skips >= self._settings.longest_skip
-
-    def _count_skips(self, heads: tuple[Waiting, ...], chosen: Waiting) -> None:
-        for waiting in itertools.takewhile(lambda head: head is not chosen, heads):
-            self._skips[waiting.request.request_id] += 1
-
-    def _place(self, choice: "_Choice", now: float) -> Effect:
-        request = choice.waiting.request
-        target = choice.target
-        self._skips.pop(request.request_id, None)
-        self._placement.begin(request.request_id, target.name, choice.query, now)
-        self._backlog.serve(request.request_id)
-        self._occupancy.add(get_lane(request), request.work_class)
-        self._running[request.request_id] = request
-        rank = self._get_class(request).rank
-        return RequestPlaced(request.request_id, target.name, target.address, rank)
+                yield from quarantine.release(fingerprint, now)
+        yield from self._rejector.reject_quarantined(now)
 
     def _give_up(self, message: SchedulerMessage, now: float) -> Iterator[Effect]:
         """Reject at once the requests that can't make their deadlines."""
         match message:
             case RequestArrived(request_id):
-                waiting = self._backlog.get(request_id)
-                if waiting is not None:
-                    yield from self._give_up_arrival(waiting, now)
+                yield from self._rejector.reject_late_arrival(request_id, now)
             case Ticked() | TargetReported():
-                queues = self._sort_queues(now)
-                for lane in dict.fromkeys(entry.lane for entry in queues):
-                    lane_queues = [entry for entry in queues if entry.lane == lane]
-                    yield from self._give_up_lane(lane, lane_queues, now)
-
-    def _give_up_arrival(self, waiting: Waiting, now: float) -> Iterator[Effect]:
-        lane = get_lane(waiting.request)
-        queues = [entry for entry in self._sort_queues(now) if entry.lane == lane]
-        state = self._describe_lane(lane)
-        if not state.slots:
-            return
-        expected = estimate_arrival(state, queues, waiting, now)
-        left = waiting.request.deadline - now
-        if expected.first_token > left * self._settings.admission_margin:
-            yield self._reject_late(expected, queues, now)
-
-    def _give_up_lane(
-        self, lane: Lane, queues: list[ClassQueue], now: float
-    ) -> Iterator[Effect]:
-        state = self._describe_lane(lane)
-        if not state.slots:
-            yield from self._give_up_without_slots(queues, now)
-            return
-        margin = self._settings.giving_up_margin
-        for late in tuple(find_late(state, queues, now, margin)):
-            yield self._reject_late(late, queues, now)
-
-    def _reject_late(
-        self, late: ExpectedWait, queues: list[ClassQueue], now: float
-    ) -> Effect:
-        name = late.waiting.request.work_class
-        own = next(entry for entry in queues if entry.work_class.name == name)
-        verdict = self._refusals.refuse_late(late, self._get_rate(own), now)
-        return self._reject(late.waiting, verdict)
-
-    def _sort_queues(self, now: float) -> list[ClassQueue]:
-        return self._backlog.sort_queues(self._configuration.classes, now)
-
-    def _describe_lane(self, lane: Lane) -> LaneState:
-        return LaneState(
-            lane,
-            self._placement.count_slots(lane.service, lane.model),
-            self._configuration.classes,
-            self._estimates[lane],
-            self._occupancy,
-        )
-
-    def _give_up_without_slots(
-        self, queues: list[ClassQueue], now: float
-    ) -> Iterator[Effect]:
-        waiting_requests = [
-            waiting for entry in queues for waiting in tuple(entry.queue.iterate())
-        ]
-        for waiting in waiting_requests:
-            request = waiting.request
-            prospect = self._placement.assess(self._build_query(request))
-            if prospect is Prospect.NONE or now >= request.deadline:
-                verdict = self._refusals.refuse_without_target(request)
-                yield self._reject(waiting, verdict)
-
-    def _reject(self, waiting: Waiting, verdict: Verdict) -> RequestRejected:
-        request_id = waiting.request.request_id
-        removed = self._backlog.remove(request_id)
-        self._skips.pop(request_id, None)
-        ensure(
-            removed is not None,
-            "each arrival gets one answer",
-            request_id=request_id,
-            verdict=verdict,
-        )
-        return RequestRejected(request_id, verdict)
-
-    def _get_class(self, request: RequestArrived) -> WorkClass:
-        return get_work_class(self._configuration.classes, request.work_class)
-
-    def _build_query(self, request: RequestArrived) -> PlacementQuery:
-        return PlacementQuery(
-            request.service,
-            request.model,
-            encode_key(request.affinity_key),
-            size=request.size,
-            priority=self._get_class(request).rank,
-            excluded=request.excluded,
-            is_suspect=self._quarantine.is_suspect(request.fingerprint),
-            is_first=self._is_first(self._get_class(request)),
-        )
-
-    def _is_first(self, work_class: WorkClass) -> bool:
-        ranks = (entry.rank for entry in self._configuration.classes.values())
-        return work_class.rank <= min(ranks, default=work_class.rank)
-
-    def _has_class_slot(self, entry: ClassQueue, slots: int) -> bool:
-        """Tell whether the class may take one more of the lane's slots."""
-        if self._is_first(entry.work_class):
-            # The limits of the targets alone bound the first class.
-            return True
-        lane = entry.lane
-        if self._placement.count_in_flight(lane.service, lane.model) >= slots:
-            return False
-        classes = self._configuration.classes
-        return self._occupancy.has_slot(lane, entry.work_class, slots, classes)
-
-    def _count_slots(self, entry: ClassQueue, now: float) -> int:
-        """Return the lane's slots, less those kept for the first class."""
-        slots = self._placement.count_slots(entry.lane.service, entry.lane.model)
-        seen_at = self._first_seen_at.get(entry.lane, float("-inf"))
-        is_kept = now - seen_at < self._settings.reserve_memory
-        if not is_kept or self._is_first(entry.work_class):
-            return slots
-        return slots - min(slots - 1, math.ceil(slots * self._settings.reserve))
-
-    def _get_rate(self, entry: ClassQueue) -> float:
-        """Return the requests of a class that its slots serve each second."""
-        slots = self._placement.count_slots(entry.lane.service, entry.lane.model)
-        hold = self._estimates[entry.lane][entry.work_class.name].hold
-        return slots * entry.work_class.share / max(hold, 1e-3)
-
-    def _create_estimates(self) -> defaultdict[str, ServiceEstimate]:
-        hold = self._settings.initial_hold
-        return defaultdict(lambda: ServiceEstimate(hold))
-
-
-def get_lane(request: RequestArrived) -> Lane:
-    """Return the kind of work that a request is."""
-    return Lane(request.service, request.model)
+                yield from self._rejector.reject_late(now)
