--- /dev/null
+++ b/kingcuphead/placement/tests/test_liveness.py
@@ -0,0 +1,86 @@
+import pytest
+
+from kingcuphead.placement import (
+    AnswerResult,
+    PlacementSettings,
+    SignSource,
+    TargetState,
+)
+from kingcuphead.placement._liveness import Liveness
+
+SETTINGS = PlacementSettings()
+LEAVING = TargetState.LEAVING
+
+
+def probe_healthy(liveness, *times):
+    for time in times:
+        liveness = liveness.with_probe(True, time, SETTINGS)
+    return liveness
+
+
+class TestLiveness:
+    @pytest.mark.parametrize("source", list(SignSource))
+    def test_leaves_at_the_first_sign_of_any_source(self, source):
+        assert Liveness().with_report(LEAVING, source, 1.0).state is LEAVING
+
+    def test_lagging_list_does_not_undo_an_answer(self):
+        left = Liveness().with_report(LEAVING, SignSource.ANSWER, 1.0)
+        listed = left.with_report(TargetState.LIVE, SignSource.LIST, 2.0)
+        assert probe_healthy(listed, 2.0, 3.0, 4.0).state is LEAVING
+
+    def test_returns_by_probes_once_the_sign_is_old(self):
+        left = Liveness().with_report(LEAVING, SignSource.PEER, 1.0)
+        assert probe_healthy(left, 32.0, 33.0).state is LEAVING
+        assert probe_healthy(left, 32.0, 33.0, 34.0).state is TargetState.LIVE
+
+    def test_stays_while_the_list_says_leaving(self):
+        left = Liveness().with_report(LEAVING, SignSource.LIST, 1.0)
+        assert probe_healthy(left, 32.0, 33.0, 34.0).state is LEAVING
+
+    def test_end_of_draining_does_not_undo_a_peer(self):
+        left = Liveness().with_report(LEAVING, SignSource.PEER, 1.0)
+        drained = left.with_report(LEAVING, SignSource.CONFIGURATION, 2.0)
+        undrained = drained.with_report(TargetState.LIVE, SignSource.CONFIGURATION, 3.0)
+        assert undrained.state is LEAVING
+
+    @pytest.mark.parametrize(
+        ("result", "state"),
+        [
+            (AnswerResult.WHOLE, TargetState.LIVE),
+            (AnswerResult.CANCELLED, TargetState.LIVE),
+            (AnswerResult.REFUSED, TargetState.CHECKING),
+            (AnswerResult.UNREACHABLE, TargetState.CHECKING),
+            (AnswerResult.DIED, TargetState.CHECKING),
+            (AnswerResult.TIMED_OUT, TargetState.CHECKING),
+        ],
+    )
+    def test_failed_answer_stops_new_work(self, result, state):
+        assert Liveness().with_answer(result, 1.0, SETTINGS).state is state
+
+    def test_turns_silent_and_returns_with_hysteresis(self):
+        checked = Liveness().with_answer(AnswerResult.DIED, 1.0, SETTINGS)
+        failed = checked.with_probe(False, 1.1, SETTINGS)
+        assert failed.state is TargetState.CHECKING
+        silent = failed.with_probe(False, 1.7, SETTINGS)
+        assert silent.state is TargetState.SILENT
+        assert probe_healthy(silent, 3.0, 4.0).state is TargetState.SILENT
+        assert probe_healthy(silent, 3.0, 4.0, 5.0).state is TargetState.LIVE
+
+    def test_quiet_target_takes_nothing_new_within_three_seconds(self):
+        liveness = Liveness(heard_at=0.0)
+        now = 0.0
+        while liveness.is_accepting and now < 10:
+            now += 0.25
+            liveness = liveness.with_timeout(now, SETTINGS)
+            if liveness.is_probe_due(now, SETTINGS.quiet_interval, SETTINGS):
+                liveness = liveness.with_probe_sent(now)
+        assert now < 3.0
+
+    def test_probe_sent_before_a_failure_proves_nothing(self):
+        probed = Liveness().with_probe_sent(1.0)
+        checked = probed.with_answer(AnswerResult.DIED, 1.1, SETTINGS)
+        assert checked.is_probe_due(1.1, 1.0, SETTINGS)
+
+    def test_silence_of_a_peer_is_looked_into(self):
+        seen = Liveness().with_report(TargetState.SILENT, SignSource.PEER, 1.0)
+        assert seen.state is TargetState.CHECKING
--- a/kingcuphead/queueing/_retries.py
+++ b/kingcuphead/queueing/_retries.py
@@ -5,6 +5,9 @@
 
 from kingcuphead.queueing._settings import QueueingSettings
 
+#: Guards a whole retry against the rounding of its parts.
+EPSILON_TOKENS = 1e-9
+
 
 class RetryBudget:
     """Token bucket that first attempts fill and the router's retries drain.
@@ -26,9 +29,9 @@
 
     def spend(self) -> bool:
         """Take one retry; return whether there was one."""
-        if self._tokens < 1:
+        if self._tokens < 1 - EPSILON_TOKENS:
             return False
-        self._tokens -= 1
+        self._tokens = max(0.0, self._tokens - 1)
         return True
 
 
