--- a/kingcuphead/bench/_traffic_runs.py
+++ b/kingcuphead/bench/_traffic_runs.py
@@ -117,7 +117,7 @@
     """Draw a request whose prefix belongs to the first engine."""
     names = list_engines(deployment)
     for _ in range(1000):
-        job = create_job(deployment, load, 0.0, source)
+        job = create_job(deployment, load, "calibration", 0.0, source)
         key = encode_key(job.prefix_key)
         if max(names, key=lambda name: compute_score(key, name)) == names[0]:
             return job
--- a/kingcuphead/bench/_traffic_workload.py
+++ b/kingcuphead/bench/_traffic_workload.py
@@ -1,6 +1,7 @@
 """Workloads of the two deployments, with open arrivals and a burst."""
 
 import dataclasses
+import itertools
 import random
 from collections.abc import Iterator
 
@@ -171,11 +172,13 @@
     for load in deployment.loads:
         name = load.work_class.name
         source = random.Random(f"{seed}-{name}")
+        numbers = itertools.count()
         start = 0.0
         for phase in phases:
             rate = rates[name] * load.part * phase.load
             for at in generate_times(source, start, start + phase.seconds, rate):
-                yield create_job(deployment, load, at, source)
+                job_id = f"{name}-{next(numbers)}"
+                yield create_job(deployment, load, job_id, at, source)
             start += phase.seconds
 
 
@@ -190,7 +193,11 @@
 
 
 def create_job(
-    deployment: Deployment, load: ClassLoad, at: float, source: random.Random
+    deployment: Deployment,
+    load: ClassLoad,
+    job_id: str,
+    at: float,
+    source: random.Random,
 ) -> Job:
     """Draw one request of a class."""
     names = deployment.organisations
@@ -201,7 +208,7 @@
     body = load.prompt_tokens - load.prefix_tokens
     name = load.work_class.name
     return Job(
-        job_id=f"{name}-{at:.6f}",
+        job_id=job_id,
         arrives_at=at,
         organisation=organisation,
         work_class=name,
--- a/kingcuphead/placement/_choice.py
+++ b/kingcuphead/placement/_choice.py
@@ -84,7 +84,13 @@
         others = view.load.estimate_others(now, self._settings.report_decay)
         return view.load.own + others
 
-    def _compute_load(self, view: TargetView, now: float) -> float:
+    def _compute_load(
+        self, view: TargetView, query: PlacementQuery, now: float
+    ) -> float:
+        """Return the load that the request would meet, relative to the slots."""
+        if query.is_first:
+            # What others run makes way for the first class.
+            return view.firsts / view.concurrency
         return self._count_load(view, now) / view.concurrency
 
     def _count_pending(self, view: TargetView, query: PlacementQuery) -> int:
@@ -99,11 +105,9 @@
         free: list[TargetView],
         now: float,
     ) -> bool:
-        mean = sum(self._compute_load(view, now) for view in free) / len(free)
-        bound = self._settings.affinity_load_factor * mean + 1 / max(
-            1, home.concurrency
-        )
-        if self._compute_load(home, now) > bound:
+        mean = sum(self._compute_load(view, query, now) for view in free) / len(free)
+        bound = self._settings.affinity_load_factor * mean + 1 / home.concurrency
+        if self._compute_load(home, query, now) > bound:
             return True
         saved = self._settings.affinity_saving * query.size
         least = min(self._count_pending(view, query) for view in free)
@@ -132,4 +136,9 @@
     ) -> tuple[int, float, bool, float]:
         is_far = view.target.zone != self._settings.zone
         pending = self._count_pending(view, query)
-        return pending, self._compute_load(view, now), is_far, self._random.random()
+        return (
+            pending,
+            self._compute_load(view, query, now),
+            is_far,
+            self._random.random(),
+        )
