--- a/kingcuphead/queueing/_scheduler.py
+++ b/kingcuphead/queueing/_scheduler.py
@@ -1,10 +1,18 @@
 """The scheduler: queueing, placement and quarantine behind one `receive`."""
 
 import random
-from collections.abc import Iterator
+from collections import Counter
+from collections.abc import Iterator, Mapping
 
-from kingcuphead.placement import AnswerResult, Attempt, Placement, Prospect, ensure
-from kingcuphead.quarantine import Crash, Quarantine
+from kingcuphead.placement import (
+    AnswerResult,
+    Attempt,
+    Placement,
+    Prospect,
+    TargetView,
+    ensure,
+)
+from kingcuphead.quarantine import Crash, Quarantine, QuarantineEntry
 from kingcuphead.queueing._backlog import get_lane
 from kingcuphead.queueing._dispatch import Dispatcher
 from kingcuphead.queueing._messages import (
@@ -100,6 +108,19 @@
         """Return the queues, targets and quarantined requests for operators."""
         return build_snapshot(self._instance, self._state, now)
 
+    @property
+    def targets(self) -> tuple[TargetView, ...]:
+        """Every target as placement sees it."""
+        return self._state.placement.views
+
+    def list_quarantined(self, now: float) -> tuple[QuarantineEntry, ...]:
+        """Return the fingerprints that are not run."""
+        return self._state.quarantine.describe(now)
+
+    def count_queued(self) -> Mapping[str, int]:
+        """Return the number of waiting requests of each class."""
+        return Counter(w.request.work_class for w in self._state.backlog.iterate())
+
     def _handle(self, message: SchedulerMessage, now: float) -> Iterator[Effect]:
         match message:
             case RequestArrived():
