--- a/kingcuphead/placement/_settings.py
+++ b/kingcuphead/placement/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of placement, read from the INI section `[placement]`."""
+"""Settings of placement."""
 
 import dataclasses
 from typing import Annotated
--- a/kingcuphead/quarantine/_settings.py
+++ b/kingcuphead/quarantine/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the quarantine, read from the INI section `[quarantine]`."""
+"""Settings of the quarantine."""
 
 import dataclasses
 from typing import Annotated
--- a/kingcuphead/queueing/_settings.py
+++ b/kingcuphead/queueing/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of the scheduler, read from three INI sections."""
+"""Settings of the scheduler."""
 
 import dataclasses
 from typing import Annotated
@@ -13,7 +13,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QueueingSettings:
-    """How requests wait and when they are refused: the section `[queueing]`."""
+    """How requests wait and when they are refused."""
 
     #: Most requests that wait in one daemon.
     capacity: Annotated[int, Meta(ge=1)] = 2000
