--- a/kingcuphead/configuration/_reading.py
+++ b/kingcuphead/configuration/_reading.py
@@ -31,6 +31,8 @@
 
     #: Head row before the scan, with the records read so far.
     scanned: Snapshot
+    #: Key to continue after, or None for the first page.
+    after: str | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/configuration/_watcher.py
+++ b/kingcuphead/configuration/_watcher.py
@@ -51,6 +51,10 @@
 
 #: Least seconds between two reads of the head row that peers prompt.
 PROMPTED_INTERVAL_SECONDS = 0.1
+#: Seconds before a read is repeated that failed after a success.
+RETRY_SECONDS = 0.1
+#: Most times that the wait before a repeated read doubles.
+MAX_DOUBLINGS = 10
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,10 +89,12 @@
         self._policy = policy
         self._snapshot: Snapshot | None = None
         self._reading: Reading | None = None
+        # The step whose read failed; it is repeated at the next poll.
+        self._interrupted: Step | None = None
         self._attempt = 0
         self._next_poll = float("-inf")
         self._last_poll = float("-inf")
-        self._failing = False
+        self._failures = 0
         self._confirmed_at: float | None = None
         self._freshness = Freshness.MISSING
         self._peers: dict[str, int] = {}
@@ -162,9 +168,9 @@
             return  # A late reply to a read that was given up.
         self._reading = None
         if isinstance(reply, ReadFailed):
-            yield from self._give_up(now)
+            yield from self._give_up(reading.step, now)
             return
-        self._failing = False
+        self._failures = 0
         match reading.step, reply:
             case HeadStep(scanned=scanned), HeadRead(row=row):
                 yield from self._take_head(scanned, row, reading.started, now)
@@ -177,29 +183,35 @@
         reading = self._reading
         if reading and now - reading.started >= self._policy.read_timeout:
             self._reading = None
-            yield from self._give_up(now)
+            yield from self._give_up(reading.step, now)
         elif reading is None and now >= self._next_poll:
             yield from self._poll(now)
 
     def _poll(self, now: float) -> Iterator[WatcherEffect]:
         self._last_poll = now
-        self._next_poll = now + self._policy.poll_interval
-        yield self._start(HeadStep(None), now)
+        if self._interrupted is None:
+            self._next_poll = now + self._policy.poll_interval
+        yield self._start(self._interrupted or HeadStep(None), now)
 
-    def _start(self, step: Step, now: float, after: str | None = None) -> WatcherEffect:
+    def _start(self, step: Step, now: float) -> WatcherEffect:
+        self._interrupted = None
         self._attempt += 1
         self._reading = Reading(self._attempt, now, step)
         match step:
             case HeadStep():
                 return HeadRequested(self._attempt)
-            case ScanStep():
+            case ScanStep(after=after):
                 return ScanRequested(self._attempt, RECORD_PREFIX, after)
             case ChangesStep():
                 return ReadRequested(self._attempt, step.keys)
 
-    def _give_up(self, now: float) -> Iterator[WatcherEffect]:
-        self._failing = True
-        self._next_poll = max(self._next_poll, now)
+    def _give_up(self, step: Step, now: float) -> Iterator[WatcherEffect]:
+        self._interrupted = step
+        # One lost reply is made up for at once; an outage is not answered by more
+        # reads than usual.
+        backoff = RETRY_SECONDS * 2 ** min(self._failures, MAX_DOUBLINGS)
+        self._failures += 1
+        self._next_poll = now + min(backoff, self._policy.poll_interval)
         yield from self._ask_peer()
 
     def _take_head(
@@ -238,7 +250,7 @@
         if page.resume_after is None:
             yield self._start(HeadStep(scanned), now)
         else:
-            yield self._start(ScanStep(scanned), now, page.resume_after)
+            yield self._start(ScanStep(scanned, page.resume_after), now)
 
     def _take_changes(
         self, step: ChangesStep, rows: tuple[Row, ...], now: float
@@ -260,6 +272,7 @@
         current = self._snapshot
         if current is None or snapshot.revision > current.revision:
             self._snapshot = snapshot
+            self._interrupted = None
             self._peers = {
                 peer: revision
                 for peer, revision in self._peers.items()
@@ -292,7 +305,7 @@
         if peer.revision <= self._revision:
             return
         self._peers[peer.instance] = peer.revision
-        if self._failing:
+        if self._failures:
             yield from self._ask_peer()
         elif self._reading is None:
             prompted = self._last_poll + PROMPTED_INTERVAL_SECONDS
--- a/kingcuphead/configuration/tests/test_watcher.py
+++ b/kingcuphead/configuration/tests/test_watcher.py
@@ -18,7 +18,9 @@
     RaiseSchema,
     ReadFailed,
     ReadRequested,
+    RecordsRead,
     RevisionRefused,
+    ScanRequested,
     Snapshot,
     Ticked,
     Watcher,
@@ -234,3 +236,36 @@
         commit(table, snapshot, make_change("c1", RaiseSchema(2)))
         watcher = follow(table)
         assert get_snapshot(watcher).head.schema == 2
+
+
+class TestFailedReads:
+    def test_scan_continues_at_the_page_that_failed(self):
+        table, snapshot = MemoryTable(), Snapshot()
+        for name in "abcde":
+            change = make_change(name, PutRecord(encode_budget(name), 0))
+            snapshot = commit(table, snapshot, change)
+        watcher = Watcher("d", POLICY)
+        head = HeadRead(ask(watcher, 0.0), table.read_now((HEAD_KEY,))[0])
+        (scan,) = watcher.receive(head, 0.0)
+        assert isinstance(scan, ScanRequested)
+        page = table.scan_now(scan.prefix, None, limit=2)
+        records = RecordsRead(scan.attempt, page.rows, page.resume_after)
+        (scan,) = watcher.receive(records, 0.0)
+        assert isinstance(scan, ScanRequested)
+        watcher.receive(ReadFailed(scan.attempt), 0.0)
+        (again,) = watcher.receive(Ticked(), 1.0)
+        assert isinstance(again, ScanRequested)
+        assert again.after == page.resume_after
+        serve(watcher, (again,), table, 1.0)
+        assert get_snapshot(watcher).records == snapshot.records
+
+    def test_lost_reads_are_repeated_sooner_than_an_outage_is_asked(self):
+        watcher = follow(fill_table(1)[0])
+        asked_at = []
+        for tick in range(8, 16_000):
+            for effect in watcher.receive(Ticked(), tick / 8):
+                if isinstance(effect, HeadRequested):
+                    asked_at.append(tick / 8)
+                    watcher.receive(ReadFailed(effect.attempt), tick / 8)
+        assert asked_at[:4] == [1.0, 1.125, 1.375, 1.875]
+        assert len(asked_at) <= 2005
