--- a/kingcuphead/daemon/_state_backend.py
+++ b/kingcuphead/daemon/_state_backend.py
@@ -142,7 +142,7 @@
     return ClaimView(
         organisation=entry.organisation,
         key=entry.key,
-        state=type(claim.state).__name__.lower(),
+        state=entry.state_name,
         request_id=claim.request_id,
         instance=claim.instance,
         claimed_at=claim.claimed_at,
