--- a/kingcuphead/budgets/_account.py
+++ b/kingcuphead/budgets/_account.py
@@ -76,6 +76,14 @@
         """Free tokens on all lines."""
         return sum(line.free for line in self.lines.values())
 
+    def is_quiet(self) -> bool:
+        """Return whether time alone changes nothing here."""
+        settled = all(
+            not line.free and line.returned <= line.acknowledged
+            for line in self.lines.values()
+        )
+        return settled and not self.waiting and self.ask is None
+
     def compute_reserve(self, now: float) -> int:
         """Return the tokens that recent demand justifies to keep."""
         idle = now - self.used_at > self.policy.idle_seconds
--- a/kingcuphead/budgets/_borrower.py
+++ b/kingcuphead/budgets/_borrower.py
@@ -60,6 +60,8 @@
     routing: Routing
     #: State by budget name.
     accounts: dict[str, Account] = dataclasses.field(default_factory=dict)
+    #: Names of the budgets that have to be looked at as time passes.
+    active: set[str] = dataclasses.field(default_factory=set)
     #: Granted holds by hold id.
     holds: dict[str, Hold] = dataclasses.field(default_factory=dict)
     #: Whether the daemon is shutting down.
@@ -198,6 +200,7 @@
         line = account.get_line(message.sender)
         account.lines[message.sender] = line.with_receipt(message.lent_total, 0)
         account.scarce = True
+        self.active.add(account.budget)
         answered = account.recalls.get(message.sender, 0)
         account.recalls[message.sender] = max(answered, message.recall)
         yield from self.serve(account, now)
@@ -205,7 +208,8 @@
 
     def tick(self, now: float) -> Iterator[BorrowerEffect]:
         """Expire holds, repeat requests and return idle credit."""
-        for account in self.accounts.values():
+        for budget in sorted(self.active):
+            account = self.accounts[budget]
             for request in account.take_expired(now):
                 yield refuse(
                     request, Reason.CREDIT_UNAVAILABLE, "no credit before the deadline"
@@ -214,6 +218,8 @@
             yield from self.ask_if_short(account, now)
             yield from self.return_idle(account, now)
             yield from self.repeat_reports(account, now)
+            if account.is_quiet():
+                self.active.discard(budget)
 
     def close(self, now: float) -> Iterator[BorrowerEffect]:
         """Refuse what waits and start to give everything back."""
@@ -223,6 +229,7 @@
             for request in waiting:
                 yield refuse(request, Reason.SHUTTING_DOWN, "the daemon shuts down")
             account.scarce = True
+            self.active.add(account.budget)
             yield from self.return_idle(account, now)
 
     def surrender(self, budget: str, grant_id: str) -> int:
@@ -239,6 +246,7 @@
 
     def open_account(self, budget: str, kind: BudgetPolicy) -> Account:
         """Return the account of a budget under its present policy."""
+        self.active.add(budget)
         policy = self.settings.choose_policy(kind)
         account = self.accounts.get(budget)
         if account is None:
@@ -271,6 +279,7 @@
 
     def reuse(self, account: Account, now: float) -> Iterator[BorrowerEffect]:
         """Use credit that became free for waiting holds; return it if scarce."""
+        self.active.add(account.budget)
         yield from self.serve(account, now)
         yield from self.ask_if_short(account, now)
         if account.scarce:
--- a/kingcuphead/budgets/_routing.py
+++ b/kingcuphead/budgets/_routing.py
@@ -28,6 +28,9 @@
     #: Length of the last suspicion of a member, in seconds.
     spans: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    #: Home in this region by shard, until the view changes.
+    homes: dict[int, Member] = dataclasses.field(default_factory=dict)
+
     def __post_init__(self) -> None:
         """Start alone."""
         self.members = {self.own.name: self.own}
@@ -36,6 +39,7 @@
         """Take over a new view."""
         self.members = {member.name: member for member in members}
         self.members[self.own.name] = self.own
+        self.homes.clear()
 
     def suspect(self, instance: str, now: float) -> None:
         """Pass over a member for a while, each time for longer."""
@@ -61,12 +65,15 @@
 
     def choose_home(self, shard: int, now: float) -> Member:
         """Return the home of a shard in this region, or this daemon itself."""
-        key = f"home/{shard}"
-        regional = [m for m in self.members.values() if m.region == self.own.region]
-        home = choose_member(key, regional)
-        if home is None or not self.is_reachable(home.name, now):
-            return self.own
-        return home
+        home = self.homes.get(shard)
+        if home is None:
+            home = self.homes[shard] = self.rank_home(shard)
+        return home if self.is_reachable(home.name, now) else self.own
+
+    def rank_home(self, shard: int) -> Member:
+        """Return the preferred home of a shard, reachable or not."""
+        regional = (m for m in self.members.values() if m.region == self.own.region)
+        return choose_member(f"home/{shard}", regional) or self.own
 
     def choose_witness(self, shard: int, now: float) -> Member | None:
         """Return a member in another zone that keeps copies of bills."""
