--- a/kingcuphead/bench/_budgets_books.py
+++ b/kingcuphead/bench/_budgets_books.py
@@ -123,7 +123,7 @@
         line = account.get_line(grant_id)
         total += line.free + line.held
     for home in daemon.ledger.homes.values():
-        lender = home.lenders.get(name)
+        lender = home.lending.lenders.get(name)
         if lender is not None and lender.grant_id == grant_id:
             total += lender.available
     return total
--- a/kingcuphead/budgets/_ledger.py
+++ b/kingcuphead/budgets/_ledger.py
@@ -6,6 +6,7 @@
 from kingcuphead.budgets._billbook import BillBook
 from kingcuphead.budgets._borrower import BillMade, Borrower
 from kingcuphead.budgets._home import Home
+from kingcuphead.budgets._lending import Lending
 from kingcuphead.budgets._messages import (
     CommitFinished,
     Effect,
@@ -337,7 +338,8 @@
         if shard not in self.homes:
             store = Store(shard, self.settings)
             book = BillBook(self.settings.dedupe_pages)
-            home = Home(self.name, self.settings, self.routing, store, book)
-            home.closing = self.closing
+            lending = Lending(self.name, self.settings, self.routing, store)
+            lending.closing = self.closing
+            home = Home(self.name, self.settings, self.routing, store, book, lending)
             self.homes[shard] = home
         return self.homes[shard]
