--- a/kingcuphead/budgets/_home.py
+++ b/kingcuphead/budgets/_home.py
@@ -69,8 +69,12 @@
     ) -> Iterator[HomeEffect]:
         """Lend at once, or let the request wait for a grant or a return."""
         lender = self.lending.open_lender(message.budget, message.policy)
+        repeated = message.sender in lender.waiting
         lender.note_request(message, now)
         yield from self.lending.attend(lender, now)
+        if repeated and message.sender in lender.waiting:
+            # Shows that this home is alive, so that the borrower goes on waiting.
+            yield self.lending.build_loan(lender, message.sender, now)
         yield from self.advance(now)
 
     def return_credit(
--- a/kingcuphead/daemon/_scheduler_task.py
+++ b/kingcuphead/daemon/_scheduler_task.py
@@ -1,8 +1,7 @@
 """The task that owns the scheduler: queue, targets and quarantine of this daemon."""
 
 import asyncio
-import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 
 from expression import Error, Ok
 from loguru import logger
@@ -36,9 +35,11 @@
     def __init__(
         self,
         scheduler: queueing.Scheduler,
-        probe: "Callable[[str, str], asyncio._CoroutineLike[bool]]",
+        probe: Callable[[str, str], Awaitable[bool]],
         tell: Callable[[NoticeRaised], None],
     ) -> None:
+        #: The machine, to be read only.
+        self.scheduler = scheduler
         self._task: MachineTask[queueing.SchedulerMessage, queueing.Effect] = (
             MachineTask("scheduler", scheduler, self._execute)
         )
@@ -111,9 +112,7 @@
                 logger.info("target {} is {} ({})", target, state.value, source.value)
                 self._tell_state(effect)
             case quarantine.CrashReported(fingerprint, target):
-                self._tell(
-                    NoticeRaised(NoticeKind.TARGET_CRASHED, fingerprint, target)
-                )
+                self._tell(NoticeRaised(NoticeKind.TARGET_CRASHED, fingerprint, target))
             case quarantine.FingerprintQuarantined(fingerprint, remaining):
                 logger.warning("request {} is quarantined", fingerprint)
                 kind = NoticeKind.FINGERPRINT_QUARANTINED
@@ -139,7 +138,6 @@
             self._tell(NoticeRaised(kind, change.target))
 
     async def _run_probe(self, target: str, address: str) -> None:
-        started_at = time.monotonic()
         healthy = await self._probe(target, address)
-        logger.debug("probe of {}: {} {:.3f}", target, healthy, started_at)
+        logger.debug("probe of {}: {}", target, "healthy" if healthy else "failed")
         self.post(queueing.ProbeAnswered(target, healthy))
--- a/kingcuphead/placement/_settings.py
+++ b/kingcuphead/placement/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of placement, read from the INI section `[placement]`."""
+"""Settings of placement."""
 
 import dataclasses
 from typing import Annotated
@@ -17,12 +17,16 @@
     zone: str = ""
     #: Load of a target relative to the mean above which affinity is given up.
     affinity_load_factor: Annotated[float, Meta(ge=1)] = 1.25
+    #: Part of a request's tokens that a cached prefix is taken to save.
+    affinity_saving: Ratio = 0.5
     #: Factor on a target's limit when it shows congestion.
     limit_decrease: Ratio = 0.9
+    #: Load of a target, relative to its concurrency, above which limits fall.
+    limit_fill: Positive = 1.1
     #: Slots added to a limit for each limit's worth of uncongested answers.
     limit_increase: Positive = 1.0
     #: Seconds between two decreases of one limit.
-    limit_cooldown: Positive = 1.0
+    limit_cooldown: Positive = 3.0
     #: Time to first token, relative to its slow mean, that shows congestion.
     congestion_ratio: Annotated[float, Meta(gt=1)] = 2.0
     #: Seconds in which the weight of a load report falls to 1/e.
@@ -30,7 +34,7 @@
     #: Seconds between probes of a target that is being checked.
     check_interval: Positive = 0.5
     #: Seconds without a sign after which a busy target is probed.
-    quiet_interval: Positive = 1.0
+    quiet_interval: Positive = 0.75
     #: Seconds after which an unanswered probe counts as failed.
     probe_timeout: Positive = 0.7
     #: Failed probes that make a target silent.
