Test giving up, retries and the choice of cached requests

Mutations that turned the tests red: a full queue giving way from the front; no giving up while waiting; retries without a budget; a second run of what is not idempotent; a retry behind others; no bound on skips; no preference for what a target caches.

--- a/kingcuphead/bench/_traffic_fleet.py
+++ b/kingcuphead/bench/_traffic_fleet.py
@@ -2,7 +2,8 @@
 
 import dataclasses
 import random
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
+from functools import partial
 from types import MappingProxyType
 from typing import Protocol
 
@@ -121,12 +122,12 @@
             self._send(router, ConfigurationApplied(configuration))
             self._send(router, PeersCounted(len(self._routers)))
             offset = self._random.uniform(0, TICK_SECONDS)
-            self.clock.schedule(offset, lambda router=router: self._tick(router))  # type: ignore[misc]
+            self.clock.schedule(offset, partial(self._tick, router))
         for engine in self.engines.values():
             offset = self._random.uniform(0, REPORT_SECONDS)
-            self.clock.schedule(offset, lambda engine=engine: self._report(engine))  # type: ignore[misc]
+            self.clock.schedule(offset, partial(self._report, engine))
         for job in jobs:
-            self.clock.schedule(job.arrives_at, lambda job=job: self._arrive(job))  # type: ignore[misc]
+            self.clock.schedule(job.arrives_at, partial(self._arrive, job))
         self.clock.run_until(end)
 
     def leave(self, name: str) -> None:
@@ -144,11 +145,11 @@
             self._carry_out(router, effect)
 
     def _send_later(self, delay: float, router: int, message: SchedulerMessage) -> None:
-        self.clock.schedule(delay, lambda: self._send(router, message))
+        self.clock.schedule(delay, partial(self._send, router, message))
 
     def _tick(self, router: int) -> None:
         self._send(router, Ticked())
-        self.clock.schedule(TICK_SECONDS, lambda: self._tick(router))
+        self.clock.schedule(TICK_SECONDS, partial(self._tick, router))
 
     def _report(self, engine: Engine) -> None:
         message = LoadReported(
@@ -156,12 +157,12 @@
         )
         for router in range(len(self._routers)):
             self._send_later(REPORT_LAG_SECONDS, router, message)
-        self.clock.schedule(REPORT_SECONDS, lambda: self._report(engine))
+        self.clock.schedule(REPORT_SECONDS, partial(self._report, engine))
 
     def _arrive(self, job: Job) -> None:
         self.records[job.job_id] = Record(job)
         router = self._random.randrange(len(self._routers))
-        self.clock.schedule(job.patience, lambda: self._hang_up(router, job))
+        self.clock.schedule(job.patience, partial(self._hang_up, router, job))
         self._send(router, build_arrival(job))
 
     def _hang_up(self, router: int, job: Job) -> None:
@@ -207,14 +208,14 @@
         sequence = Sequence(
             job,
             placed.priority,
-            on_start=lambda is_hit: self._start(router, job, is_hit),
-            on_finish=lambda: self._finish(router, job, placed.target),
+            on_start=partial(self._start, router, job),
+            on_finish=partial(self._finish, router, job, placed.target),
         )
         self._sequences[job.job_id] = sequence
-        submit: Callable[[], None] = lambda: engine.submit(sequence)  # noqa: E731
+        reach = partial(engine.submit, sequence)
         if engine.is_leaving:
-            submit = lambda: self._refuse(router, job, placed.target)  # noqa: E731
-        self.clock.schedule(NETWORK_SECONDS, submit)
+            reach = partial(self._refuse, router, job, placed.target)
+        self.clock.schedule(NETWORK_SECONDS, reach)
 
     def _refuse(self, router: int, job: Job, target: str) -> None:
         if self._sequences.pop(job.job_id, None) is None:
--- a/kingcuphead/queueing/tests/test_queues.py
+++ b/kingcuphead/queueing/tests/test_queues.py
@@ -57,6 +57,13 @@
         push(queue, "a1", "a")
         assert list_ids(queue) == ["a1", "b0"]
 
+    def test_retry_goes_before_requests_that_never_ran(self):
+        queue = FairQueue()
+        push(queue, "a0", "a")
+        retry = build_request("a1", organisation="a", excluded=("t1",))
+        queue.push(Waiting(retry, 1.0))
+        assert list_ids(queue) == ["a1", "a0"]
+
     def test_counts_the_tokens_ahead(self):
         queue = FairQueue()
         for number in range(3):
--- a/kingcuphead/queueing/tests/test_scheduler.py
+++ b/kingcuphead/queueing/tests/test_scheduler.py
@@ -1,11 +1,21 @@
 import pytest
 
-from kingcuphead.placement import AnswerResult, SignSource, TargetState
+from kingcuphead.placement import (
+    AnswerResult,
+    InvariantError,
+    SignSource,
+    TargetState,
+    compute_score,
+    encode_key,
+)
 from kingcuphead.queueing import (
     AnswerFinished,
     AnswerStarted,
     ProbeAnswered,
+    QueueingSettings,
+    SchedulerSettings,
     TargetReported,
+    Ticked,
 )
 from kingcuphead.queueing.tests.factories import (
     build_request,
@@ -17,6 +27,10 @@
 from kingcuphead.verdict import Execution, Reason
 
 
+def find_home(key: str) -> str:
+    return max(("t1", "t2"), key=lambda name: compute_score(encode_key(key), name))
+
+
 class TestScheduler:
     def test_waiting_request_takes_the_slot_that_frees(self):
         scheduler = build_scheduler(build_target("t1", concurrency=1))
@@ -71,3 +85,68 @@
         again = build_request("r9", fingerprint="f-r1")
         (rejected,) = get_rejected(scheduler.receive(again, 0.4)).values()
         assert rejected.verdict.reason is Reason.QUARANTINED
+
+    def test_full_queue_gives_way_from_the_lowest_class(self):
+        settings = SchedulerSettings(queueing=QueueingSettings(capacity=1))
+        target = build_target("t1", concurrency=1)
+        scheduler = build_scheduler(target, settings=settings)
+        scheduler.receive(build_request("r1"), 0.0)
+        scheduler.receive(build_request("low", work_class="background"), 0.0)
+        rejected = get_rejected(scheduler.receive(build_request("r2"), 0.1))
+        assert rejected["low"].verdict.reason is Reason.QUEUE_FULL
+        assert scheduler.count_queued() == {"normal": 1}
+
+    def test_waiting_request_is_given_up_once_its_deadline_is_out_of_reach(self):
+        scheduler = build_scheduler(build_target("t1", concurrency=1))
+        scheduler.receive(build_request("r1"), 0.0)
+        assert scheduler.receive(build_request("r2", deadline=5.0), 0.0) == ()
+        assert not get_rejected(scheduler.receive(Ticked(), 1.0))
+        scheduler.receive(ProbeAnswered("t1", True), 1.0)
+        rejected = get_rejected(scheduler.receive(Ticked(), 4.5))
+        assert rejected["r2"].verdict.reason is Reason.DEADLINE
+
+    def test_spent_retry_budget_is_told_with_what_may_have_run(self):
+        settings = SchedulerSettings(queueing=QueueingSettings(retry_burst=1.0))
+        targets = build_target("t1"), build_target("t2")
+        scheduler = build_scheduler(*targets, settings=settings)
+        retry = {"excluded": ("t1",), "execution": Execution.MAY_HAVE_RUN}
+        assert get_placed(scheduler.receive(build_request("r1", **retry), 0.0))
+        effects = scheduler.receive(build_request("r2", **retry), 0.0)
+        verdict = get_rejected(effects)["r2"].verdict
+        assert verdict.reason is Reason.TARGET_FAILED
+        assert verdict.execution is Execution.MAY_HAVE_RUN
+
+    def test_request_that_is_not_idempotent_never_runs_again(self):
+        retry = {"excluded": ("t2",), "execution": Execution.MAY_HAVE_RUN}
+        request = build_request("r1", is_idempotent=False, **retry)
+        with pytest.raises(InvariantError):
+            build_scheduler().receive(request, 0.0)
+
+    @pytest.mark.parametrize(("longest_skip", "placed"), [(16, "near"), (0, "far")])
+    def test_freed_slot_goes_to_the_prefix_that_it_caches(self, longest_skip, placed):
+        settings = SchedulerSettings(QueueingSettings(longest_skip=longest_skip))
+        targets = [build_target(name, concurrency=1) for name in ("t1", "t2")]
+        scheduler = build_scheduler(*targets, settings=settings)
+        running = {}
+        for request_id in ("r1", "r2"):
+            request = build_request(request_id, work_class="urgent")
+            (target,) = get_placed(scheduler.receive(request, 0.0)).values()
+            running[target] = request_id
+        keys = {find_home(key): key for key in ("k1", "k2", "k3", "k4", "k5", "k6")}
+        scheduler.receive(
+            build_request("far", work_class="urgent", affinity_key=keys["t2"]), 0.0
+        )
+        scheduler.receive(
+            build_request("near", work_class="urgent", affinity_key=keys["t1"]), 0.0
+        )
+        finished = AnswerFinished(running["t1"], "t1", AnswerResult.WHOLE)
+        assert get_placed(scheduler.receive(finished, 1.0)) == {placed: "t1"}
+
+    def test_snapshot_shows_queues_and_targets(self):
+        scheduler = build_scheduler(build_target("t1", concurrency=1))
+        scheduler.receive(build_request("r1"), 0.0)
+        scheduler.receive(build_request("r2"), 1.0)
+        snapshot = scheduler.describe(3.0)
+        (queue,) = snapshot.queues
+        assert (queue.running, queue.waiting, queue.longest_wait) == (1, 1, 2.0)
+        assert snapshot.targets[0].state is TargetState.LIVE
