--- a/kingcuphead/placement/_placement.py
+++ b/kingcuphead/placement/_placement.py
@@ -282,6 +282,8 @@
         self, name: str, liveness: Liveness, source: SignSource
     ) -> Iterator[PlacementEffect]:
         view = self._views[name]
+        if liveness is view.liveness:
+            return
         before = view.liveness.state
         limit = view.limit
         if before is TargetState.SILENT and liveness.is_accepting:
