--- a/kingcuphead/budgets/_borrower.py
+++ b/kingcuphead/budgets/_borrower.py
@@ -23,14 +23,12 @@
     CreditReturned,
     Denial,
 )
+from kingcuphead.budgets._refusals import refuse, refuse_denied
 from kingcuphead.budgets._routing import Routing, get_instance
 from kingcuphead.budgets._rows import Bill, compute_shard, ensure
 from kingcuphead.budgets._settings import Settings
 from kingcuphead.records import BudgetPolicy
-from kingcuphead.verdict import Execution, Reason, Verdict
-
-#: Seconds after which a caller may try again where no better time is known.
-RETRY_SECONDS = 1.0
+from kingcuphead.verdict import Reason
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -60,6 +58,8 @@
     routing: Routing
     #: State by budget name.
     accounts: dict[str, Account] = dataclasses.field(default_factory=dict)
+    #: Names of the budgets that have to be looked at as time passes.
+    active: set[str] = dataclasses.field(default_factory=set)
     #: Granted holds by hold id.
     holds: dict[str, Hold] = dataclasses.field(default_factory=dict)
     #: Whether the daemon is shutting down.
@@ -198,6 +198,7 @@
         line = account.get_line(message.sender)
         account.lines[message.sender] = line.with_receipt(message.lent_total, 0)
         account.scarce = True
+        self.active.add(account.budget)
         answered = account.recalls.get(message.sender, 0)
         account.recalls[message.sender] = max(answered, message.recall)
         yield from self.serve(account, now)
@@ -205,7 +206,8 @@
 
     def tick(self, now: float) -> Iterator[BorrowerEffect]:
         """Expire holds, repeat requests and return idle credit."""
-        for account in self.accounts.values():
+        for budget in sorted(self.active):
+            account = self.accounts[budget]
             for request in account.take_expired(now):
                 yield refuse(
                     request, Reason.CREDIT_UNAVAILABLE, "no credit before the deadline"
@@ -214,6 +216,8 @@
             yield from self.ask_if_short(account, now)
             yield from self.return_idle(account, now)
             yield from self.repeat_reports(account, now)
+            if account.is_quiet():
+                self.active.discard(budget)
 
     def close(self, now: float) -> Iterator[BorrowerEffect]:
         """Refuse what waits and start to give everything back."""
@@ -223,6 +227,7 @@
             for request in waiting:
                 yield refuse(request, Reason.SHUTTING_DOWN, "the daemon shuts down")
             account.scarce = True
+            self.active.add(account.budget)
             yield from self.return_idle(account, now)
 
     def surrender(self, budget: str, grant_id: str) -> int:
@@ -239,6 +244,7 @@
 
     def open_account(self, budget: str, kind: BudgetPolicy) -> Account:
         """Return the account of a budget under its present policy."""
+        self.active.add(budget)
         policy = self.settings.choose_policy(kind)
         account = self.accounts.get(budget)
         if account is None:
@@ -271,6 +277,7 @@
 
     def reuse(self, account: Account, now: float) -> Iterator[BorrowerEffect]:
         """Use credit that became free for waiting holds; return it if scarce."""
+        self.active.add(account.budget)
         yield from self.serve(account, now)
         yield from self.ask_if_short(account, now)
         if account.scarce:
@@ -371,29 +378,3 @@
             recall=account.recalls.get(grant_id, 0),
         )
         return SendToPeer(get_instance(grant_id), message)
-
-
-def refuse(
-    request: HoldRequested,
-    reason: Reason,
-    detail: str,
-    retry_after: float | None = RETRY_SECONDS,
-) -> HoldRefused:
-    """Return the refusal of a request that certainly did not run."""
-    verdict = Verdict(Execution.NOT_RUN, reason, detail, retry_after)
-    return HoldRefused(request.hold_id, verdict)
-
-
-def refuse_denied(request: HoldRequested, message: CreditDenied) -> HoldRefused:
-    """Return the refusal that a home's denial leads to."""
-    after = message.retry_after
-    match message.denial:
-        case Denial.EXHAUSTED:
-            detail = f"budget {request.budget} does not cover {request.tokens} tokens"
-            return refuse(request, Reason.BUDGET_EXHAUSTED, detail, after)
-        case Denial.UNPROVEN:
-            detail = f"credit of budget {request.budget} is held elsewhere"
-            return refuse(request, Reason.CREDIT_UNAVAILABLE, detail, after)
-        case Denial.UNREACHABLE:
-            detail = f"the state of budget {request.budget} is not known"
-            return refuse(request, Reason.CREDIT_UNAVAILABLE, detail, after)
