--- a/kingcuphead/bench/budgets.py
+++ b/kingcuphead/bench/budgets.py
@@ -30,6 +30,9 @@
     parser.add_argument(
         "--flush", type=float, default=0.1, help="seconds between flushes of a shard"
     )
+    parser.add_argument(
+        "--urgent", type=float, default=0.03, help="the same while a request waits"
+    )
     parser.add_argument("--each", action="store_true", help="also one fault at a time")
     parser.add_argument("--output", type=Path, help="Markdown file to add the table to")
     return parser
@@ -74,11 +77,16 @@
 
 def build_lines(arguments: argparse.Namespace) -> Iterator[str]:
     """Yield the lines of the report."""
-    settings = Settings(shards=arguments.shards, flush_interval=arguments.flush)
+    settings = Settings(
+        shards=arguments.shards,
+        flush_interval=arguments.flush,
+        urgent_interval=arguments.urgent,
+    )
     yield (
         f"Command: `python -m kingcuphead.bench.budgets --fleets {arguments.fleets} "
         f"--seed {arguments.seed} --shards {arguments.shards} "
-        f"--flush {arguments.flush}{' --each' if arguments.each else ''}`"
+        f"--flush {arguments.flush} --urgent {arguments.urgent}"
+        f"{' --each' if arguments.each else ''}`"
     )
     yield ""
     yield HEADER
