Bill requests by organisation and id, not by id alone

Cause: callers choose request ids, and a home recognised a request by its id only. Two organisations whose budgets share a shard could use the same id; the second one's bill was dropped as a repetition, and its answer went unbilled. Seen by reading, then brought about: the scenario with equal ids failed with six unbilled answers ('r-1 in drava' to 'r-6') and passes now.

Ruled out: one page per budget instead of per shard, which costs a row write for each active budget in each flush.

--- a/features/money.feature
+++ b/features/money.feature
@@ -6,6 +6,7 @@
       | atlas        | 1000000 | available |
       | skupna       | 1000000 | strict    |
       | small        | 900     | strict    |
+      | drava        | 1000000 | strict    |
 
   Scenario: A daemon is killed in mid-stream and the caller retries elsewhere
     When atlas starts a stream "a" of 300 tokens through daemon 1
@@ -23,6 +24,13 @@
     Then request "b" is billed once
     And every rule holds
 
+  Scenario: Two organisations use the same request ids
+    # The budgets of these two are in the same shard.
+    When skupna sends requests "r-1" to "r-6" of 8 tokens to daemon 1
+    And drava sends requests "r-1" to "r-6" of 8 tokens to daemon 2
+    Then all of them are answered whole
+    And every rule holds
+
   Scenario: A budget is used up by every daemon at once
     When small sends 6 requests of 16 tokens to every daemon
     Then at least 3 of them are answered whole
--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -44,3 +44,18 @@
 def place_order(context, organisation, key, number):
     world = context.world
     world.results[key] = world.order(organisation, key, world.get_daemon(number))
+
+
+@when(
+    '{organisation} sends requests "{prefix}-1" to "{last}" of {tokens:d} tokens'
+    " to daemon {number:d}"
+)
+def send_numbered(context, organisation, prefix, last, tokens, number):
+    world = context.world
+    count = int(last.removeprefix(f"{prefix}-"))
+    calls = [
+        world.make_call(organisation, tokens, name=f"{prefix}-{each}")
+        for each in range(1, count + 1)
+    ]
+    daemon = world.get_daemon(number)
+    world.batch = [world.run(world.send(call, daemon)) for call in calls]
--- a/kingcuphead/budgets/_billbook.py
+++ b/kingcuphead/budgets/_billbook.py
@@ -31,21 +31,34 @@
     submitters: frozenset[str]
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RequestKey:
+    """What makes two bills the bills of one request.
+
+    Callers choose request ids, so those of two organisations may be equal.
+    """
+
+    #: Organisation that made the request.
+    organisation: str
+    #: Request id.
+    request_id: str
+
+
 @dataclasses.dataclass(slots=True)
 class BillBook:
-    """Recognises bills by request id and by bill id.
+    """Recognises bills by request and by bill id.
 
     Attributes
     ----------
     window : int
-        Number of pages whose request ids are remembered.
+        Number of pages whose requests are remembered.
     """
 
     window: int
-    #: Ids of the committed bills by request id.
-    committed: dict[str, str] = dataclasses.field(default_factory=dict)
-    #: Request ids of each page in the window.
-    pages: collections.deque[tuple[str, ...]] = dataclasses.field(
+    #: Ids of the committed bills by request.
+    committed: dict[RequestKey, str] = dataclasses.field(default_factory=dict)
+    #: Requests of each page in the window.
+    pages: collections.deque[tuple[RequestKey, ...]] = dataclasses.field(
         default_factory=collections.deque
     )
     #: Waiting bills by bill id, the oldest first.
@@ -53,7 +66,7 @@
 
     def get_status(self, bill: Bill) -> BillStatus:
         """Return what the pages in the window say of a bill."""
-        match self.committed.get(bill.request_id):
+        match self.committed.get(make_request_key(bill)):
             case None:
                 return BillStatus.PENDING
             case bill_id if bill_id == bill.bill_id:
@@ -73,11 +86,11 @@
     def add_page(self, page: BillPage) -> None:
         """Remember the bills of the next page and forget the oldest page."""
         for bill in page.bills:
-            self.committed[bill.request_id] = bill.bill_id
-        self.pages.append(tuple(bill.request_id for bill in page.bills))
+            self.committed[make_request_key(bill)] = bill.bill_id
+        self.pages.append(tuple(map(make_request_key, page.bills)))
         while len(self.pages) > self.window:
-            for request_id in self.pages.popleft():
-                self.committed.pop(request_id, None)
+            for key in self.pages.popleft():
+                self.committed.pop(key, None)
 
     def take_resolved(self) -> Iterator[tuple[PendingBill, BillStatus]]:
         """Remove and yield the waiting bills whose fate is in the table."""
@@ -89,8 +102,14 @@
 
     def iterate_candidates(self) -> Iterator[PendingBill]:
         """Yield the first waiting bill of each request."""
-        seen: set[str] = set()
+        seen: set[RequestKey] = set()
         for pending in self.pending.values():
-            if pending.bill.request_id not in seen:
-                seen.add(pending.bill.request_id)
+            key = make_request_key(pending.bill)
+            if key not in seen:
+                seen.add(key)
                 yield pending
+
+
+def make_request_key(bill: Bill) -> RequestKey:
+    """Return the key by which a request is billed once."""
+    return RequestKey(bill.organisation, bill.request_id)
