Keep a few loans in reserve while a plentiful budget is in rare use

Cause: at the designed size each of 18,000 budgets sees a request every two seconds. A reserve of a few seconds of demand is then less than one request, so nearly every request waited for a grant and a commit of its own. Ruled out: a longer idle time alone, which keeps credit but takes none ahead. The reserve stays within its share of what is left, so small budgets keep their behaviour.

--- a/kingcuphead/budgets/_lender.py
+++ b/kingcuphead/budgets/_lender.py
@@ -57,6 +57,8 @@
     pressed_at: float = float("-inf")
     #: Incarnations that wait for an answer to their recall.
     recallers: set[str] = dataclasses.field(default_factory=set)
+    #: Tokens of a large loan of late.
+    typical_loan: int = 0
     #: Monotonic time in seconds at which other holders answered a recall.
     yielded_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -154,6 +156,7 @@
         line = self.get_line(message.sender)
         self.lines[message.sender] = line.with_loan(tokens)
         self.demand = self.demand.with_sample(tokens, now)
+        self.typical_loan = max(tokens, self.typical_loan * 7 // 8)
 
     def note_committed(self, bill: Bill) -> None:
         """Take a committed bill off its line; the row took it off the grant."""
@@ -172,7 +175,9 @@
         idle = now - self.used_at > self.policy.idle_seconds
         if idle or self.is_pressed(now):
             return 0
-        wanted = int(self.demand.compute_rate(now) * self.policy.reserve_seconds)
+        recent = int(self.demand.compute_rate(now) * self.policy.reserve_seconds)
+        # Rare use of a plentiful budget would else take a grant for each request.
+        wanted = max(recent, self.policy.reserve_loans * self.typical_loan)
         return min(wanted, self.compute_spare(remaining))
 
     def is_scarce(self, remaining: int, now: float) -> bool:
--- a/kingcuphead/budgets/_settings.py
+++ b/kingcuphead/budgets/_settings.py
@@ -13,6 +13,8 @@
     chunk_seconds: float
     #: Seconds of recent demand that a home keeps in its grant beyond its loans.
     reserve_seconds: float
+    #: Loans of a recent size that a home keeps at least while the budget is used.
+    reserve_loans: int
     #: The budget is scarce while less than this many seconds of demand is left.
     low_water_seconds: float
     #: Largest share of what is left of the budget that is kept or lent in reserve.
@@ -25,6 +27,7 @@
 STRICT = Policy(
     chunk_seconds=1.0,
     reserve_seconds=3.0,
+    reserve_loans=4,
     low_water_seconds=5.0,
     reserve_share=0.005,
     idle_seconds=2.0,
@@ -34,6 +37,7 @@
 AVAILABLE = Policy(
     chunk_seconds=4.0,
     reserve_seconds=10.0,
+    reserve_loans=8,
     low_water_seconds=10.0,
     reserve_share=0.05,
     idle_seconds=15.0,
