Let an offer carry the age of its confirmation

A daemon that started from a peer during an outage of the table had no confirmation, so it refused every request: the offer was of no use. It now dates the offer at the first question to that peer, less the peer's age. Ruled out: dating at arrival, which a delayed offer would make too new (the randomised run fails on it).

The randomised run now checks each confirmation against the times of the commits.

--- a/kingcuphead/bench/configuration.py
+++ b/kingcuphead/bench/configuration.py
@@ -112,7 +112,7 @@
     spent = (time.process_time() - started) / REPETITIONS
     yield f"| put one change in force, ms | {spent * 1e3:.0f} |"
     started = time.process_time()
-    content = encode_offer(snapshot)
+    content = encode_offer(snapshot, 0.0)
     encoded = time.process_time() - started
     yield f"| whole configuration for a peer, KB | {len(content) / 1024:.0f} |"
     yield f"| encode it, ms | {encoded * 1e3:.0f} |"
--- a/kingcuphead/configuration/__init__.py
+++ b/kingcuphead/configuration/__init__.py
@@ -113,6 +113,7 @@
     "Head",
     "HeadRead",
     "HeadRequested",
+    "Offer",
     "PeerAnswered",
     "PeerAsked",
     "PeerChannel",
--- a/kingcuphead/configuration/_offers.py
+++ b/kingcuphead/configuration/_offers.py
@@ -1,5 +1,6 @@
 """The whole configuration in one message between daemons."""
 
+import dataclasses
 import zlib
 
 import msgspec
@@ -13,22 +14,42 @@
 COMPRESSION_LEVEL = 1
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Offer:
+    """A peer's configuration as it was decoded."""
+
+    #: The configuration; whole only if it says so.
+    snapshot: Snapshot
+    #: Seconds between the peer's last confirmation and its answer, or None if it
+    #: had none.
+    age: float | None
+
+
 class _WrittenOffer(msgspec.Struct, frozen=True):
+    age: float | None
     head: Head
     version: int
     records: tuple[msgspec.Raw, ...]
 
 
-def encode_offer(snapshot: Snapshot) -> bytes:
-    """Encode a snapshot for a peer."""
+def encode_offer(snapshot: Snapshot, age: float | None) -> bytes:
+    """Encode a snapshot for a peer.
+
+    Parameters
+    ----------
+    snapshot : Snapshot
+        What is in force here.
+    age : float or None
+        Seconds since it was confirmed as the newest one.
+    """
     records = snapshot.records.values()
     rows = tuple(msgspec.Raw(encode_stored(stored)) for stored in records)
-    offer = _WrittenOffer(snapshot.head, snapshot.version, rows)
+    offer = _WrittenOffer(age, snapshot.head, snapshot.version, rows)
     return zlib.compress(msgspec.json.encode(offer), COMPRESSION_LEVEL)
 
 
-def decode_offer(content: bytes, schema: int) -> Result[Snapshot, RecordFault]:
-    """Decode a snapshot from a peer.
+def decode_offer(content: bytes, schema: int) -> Result[Offer, RecordFault]:
+    """Decode what a peer sent.
 
     Parameters
     ----------
@@ -39,8 +60,8 @@
 
     Returns
     -------
-    Result[Snapshot, RecordFault]
-        The snapshot, or the first record that can't be read.
+    Result[Offer, RecordFault]
+        The offer, or the first record that can't be read.
     """
     try:
         offer = msgspec.json.decode(zlib.decompress(content), type=_WrittenOffer)
@@ -53,4 +74,5 @@
                 records.append(stored)
             case Result(error=fault):
                 return Error(fault)
-    return Ok(Snapshot(offer.head, offer.version).with_records(records))
+    snapshot = Snapshot(offer.head, offer.version).with_records(records)
+    return Ok(Offer(snapshot, offer.age))
--- a/kingcuphead/configuration/_watcher.py
+++ b/kingcuphead/configuration/_watcher.py
@@ -28,7 +28,7 @@
     WatcherEffect,
     WatcherMessage,
 )
-from kingcuphead.configuration._offers import decode_offer, encode_offer
+from kingcuphead.configuration._offers import Offer, decode_offer, encode_offer
 from kingcuphead.configuration._reading import (
     ChangesStep,
     HeadStep,
@@ -98,6 +98,8 @@
         self._confirmed_at: float | None = None
         self._freshness = Freshness.MISSING
         self._peers: dict[str, int] = {}
+        # When each peer was first asked: all of its answers are later than that.
+        self._first_asked: dict[str, float] = {}
 
     @property
     def name(self) -> str:
@@ -151,7 +153,7 @@
             case PeerRevision():
                 yield from self._take_peer_revision(message, now)
             case ConfigurationRequested(sender=sender):
-                yield from self._answer_peer(sender)
+                yield from self._answer_peer(sender, now)
             case ConfigurationOffered():
                 yield from self._take_offer(message)
             case RefreshRequested():
@@ -212,7 +214,7 @@
         backoff = RETRY_SECONDS * 2 ** min(self._failures, MAX_DOUBLINGS)
         self._failures += 1
         self._next_poll = now + min(backoff, self._policy.poll_interval)
-        yield from self._ask_peer()
+        yield from self._ask_peer(now)
 
     def _take_head(
         self, scanned: Snapshot | None, row: Row | None, started: float, now: float
@@ -279,7 +281,8 @@
                 if revision > snapshot.revision
             }
             yield ConfigurationApplied(snapshot.configuration)
-        if confirmed_at is not None and snapshot.revision == self._revision:
+        stands = self._snapshot is not None and snapshot.head == self._snapshot.head
+        if confirmed_at is not None and stands:
             self._confirm(confirmed_at)
 
     @property
@@ -306,32 +309,43 @@
             return
         self._peers[peer.instance] = peer.revision
         if self._failures:
-            yield from self._ask_peer()
+            yield from self._ask_peer(now)
         elif self._reading is None:
             prompted = self._last_poll + PROMPTED_INTERVAL_SECONDS
             self._next_poll = min(self._next_poll, prompted)
             if now >= prompted:
                 yield from self._poll(now)
 
-    def _ask_peer(self) -> Iterator[WatcherEffect]:
+    def _ask_peer(self, now: float) -> Iterator[WatcherEffect]:
         """Ask one of the peers that are ahead, another one each time."""
         if self._peers:
             names = sorted(self._peers)
-            yield PeerAsked(names[self._attempt % len(names)])
+            name = names[self._attempt % len(names)]
+            self._first_asked.setdefault(name, now)
+            yield PeerAsked(name)
 
-    def _answer_peer(self, instance: str) -> Iterator[WatcherEffect]:
+    def _answer_peer(self, instance: str, now: float) -> Iterator[WatcherEffect]:
         if self._snapshot is not None:
-            content = encode_offer(self._snapshot)
+            confirmed = self._confirmed_at
+            age = None if confirmed is None else now - confirmed
+            content = encode_offer(self._snapshot, age)
             offer = ConfigurationOffered(self._instance, content)
             yield PeerAnswered(instance, offer)
 
-    def _take_offer(self, offer: ConfigurationOffered) -> Iterator[WatcherEffect]:
-        match decode_offer(offer.content, self._policy.schema):
-            case Result(tag="ok", ok=offered) if offered.revision <= self._revision:
-                return
-            case Result(tag="ok", ok=offered) if offered.is_whole:
-                yield from self._apply(offered, None)
-            case Result(tag="ok", ok=offered):
-                yield RevisionRefused(offered.revision, "the offer is not whole")
+    def _take_offer(self, message: ConfigurationOffered) -> Iterator[WatcherEffect]:
+        match decode_offer(message.content, self._policy.schema):
+            case Result(tag="ok", ok=offer) if not offer.snapshot.is_whole:
+                problem = "the offer is not whole"
+                yield RevisionRefused(offer.snapshot.revision, problem)
+            case Result(tag="ok", ok=offer):
+                confirmed_at = self._date_offer(message.sender, offer)
+                yield from self._apply(offer.snapshot, confirmed_at)
             case Result(error=fault):
-                yield RevisionRefused(self._peers.get(offer.sender, 0), fault.message)
+                yield RevisionRefused(self._peers.get(message.sender, 0), fault.message)
+
+    def _date_offer(self, sender: str, offer: Offer) -> float | None:
+        """Return a time at which the offer was certainly the newest, if known."""
+        asked = self._first_asked.get(sender)
+        if asked is None or offer.age is None:
+            return None
+        return asked - offer.age
--- a/kingcuphead/configuration/tests/fleet.py
+++ b/kingcuphead/configuration/tests/fleet.py
@@ -43,7 +43,15 @@
     WatcherMessage,
     WatchPolicy,
 )
-from kingcuphead.platform import MemoryTable, Row, Unavailable, Unknown
+from kingcuphead.platform import (
+    Committed,
+    Conflict,
+    MemoryTable,
+    Row,
+    Transaction,
+    Unavailable,
+    Unknown,
+)
 
 TICK_SECONDS = 0.25
 GOSSIP_SECONDS = 1.0
@@ -71,6 +79,8 @@
         self.random = random_
         self.now = 0.0
         self.table = MemoryTable()
+        #: Times of the commits that took effect, the first one of revision 1.
+        self.commit_times: list[float] = []
         self.outage_until = 0.0
         self.trouble = 0.0
         self.outcomes: dict[str, ChangeOutcome] = {}
@@ -115,6 +125,15 @@
             return
         for effect in daemon.watcher.receive(message, self.now + daemon.offset):
             self._perform(daemon, effect)
+        self._check_confirmation(daemon)
+
+    def _check_confirmation(self, daemon: Daemon) -> None:
+        """Check that a confirmed revision was the newest at the time it is dated."""
+        confirmed, snapshot = daemon.watcher.confirmed_at, daemon.watcher.snapshot
+        if confirmed is not None and snapshot is not None:
+            at = confirmed - daemon.offset
+            newest = sum(committed < at for committed in self.commit_times)
+            assert snapshot.revision >= newest, (daemon.name, at, newest)
 
     def _tick(self, daemon: Daemon) -> None:
         if daemon.alive:
@@ -239,13 +258,19 @@
             if fate < self.trouble / 2:
                 # The commit takes effect long after its sender gave up on a reply.
                 late = self._delay() + 1.0
-                self.at(late, lambda: self.table.commit_now(wanted.transaction))
+                self.at(late, lambda: self._commit_now(wanted.transaction))
                 reply = CommitReplied(Unknown())
             else:
-                outcome = self.table.commit_now(wanted.transaction)
+                outcome = self._commit_now(wanted.transaction)
                 reply = CommitReplied(Unknown() if fate < self.trouble else outcome)
         self.at(self._delay(), lambda: self._drive(daemon, acceptance, reply))
 
+    def _commit_now(self, transaction: Transaction) -> Committed | Conflict:
+        outcome = self.table.commit_now(transaction)
+        if isinstance(outcome, Committed):
+            self.commit_times.append(self.now)
+        return outcome
+
     def _await_snapshot(
         self, daemon: Daemon, acceptance: Acceptance, asked: float
     ) -> None:
--- a/kingcuphead/configuration/tests/test_watcher.py
+++ b/kingcuphead/configuration/tests/test_watcher.py
@@ -201,25 +201,43 @@
         watcher.receive(ReadFailed(attempt), 1000.0)
         asking = watcher.receive(PeerRevision("p", 3, 990.0), 1001.0)
         assert asking == (PeerAsked("p"),)
-        (answer,) = peer.receive(ConfigurationRequested("d"), 1.0)
+        (answer,) = peer.receive(ConfigurationRequested("d"), 4.0)
         assert isinstance(answer, PeerAnswered)
-        watcher.receive(answer.offer, 1001.0)
+        offer = dataclasses.replace(answer.offer, sender="p")
+        watcher.receive(offer, 1005.0)
         assert get_revision(watcher) == 3
-        assert watcher.assess(1001.0) is Freshness.EXPIRED
-        watcher.receive(PeerRevision("p", 3, 995.0), 1002.0)
-        assert watcher.assess(1002.0) is Freshness.FRESH
+        assert watcher.confirmed_at == 1001.0 - 4.0
+        watcher.receive(PeerRevision("p", 3, 1001.0), 1006.0)
+        assert watcher.confirmed_at == 1001.0
+
+    def test_offer_of_a_peer_that_was_not_asked_confirms_nothing(self):
+        watcher = Watcher("d", POLICY)
+        offer = ConfigurationOffered("p", encode_offer(fill_table(3)[1], 0.0))
+        watcher.receive(offer, 1.0)
+        assert get_revision(watcher) == 3
+        assert watcher.assess(1.0) is Freshness.EXPIRED
 
     @pytest.mark.parametrize("revision", [1, 2])
     def test_offer_never_reverts(self, revision):
         watcher = follow(fill_table(2)[0])
-        offer = ConfigurationOffered("p", encode_offer(fill_table(revision)[1]))
+        offer = ConfigurationOffered("p", encode_offer(fill_table(revision)[1], 0.0))
         assert watcher.receive(offer, 1.0) == ()
         assert get_revision(watcher) == 2
 
+    def test_offer_from_another_history_confirms_nothing(self):
+        watcher = follow(fill_table(1)[0])
+        watcher.receive(ReadFailed(ask(watcher, 1.0)), 1.0)
+        assert watcher.receive(PeerRevision("p", 2), 1.0) == (PeerAsked("p"),)
+        change = make_change("x", PutRecord(encode_budget("x"), 0))
+        other = commit(MemoryTable(), Snapshot(), change)
+        offer = ConfigurationOffered("p", encode_offer(other, 0.0))
+        watcher.receive(offer, 2.0)
+        assert watcher.confirmed_at == 0.0
+
     def test_offer_that_is_not_whole_is_refused(self):
         snapshot = dataclasses.replace(fill_table(3)[1], records={})
         watcher = follow(fill_table(1)[0])
-        offer = ConfigurationOffered("p", encode_offer(snapshot))
+        offer = ConfigurationOffered("p", encode_offer(snapshot, 0.0))
         (refused,) = watcher.receive(offer, 1.0)
         assert refused == RevisionRefused(3, "the offer is not whole")
 
