Let the first change fix the accepted schema version

An empty table took the newest version of whichever build read it; now the build that makes the first change decides, so that an old build never accepts a limit that it can't read. The randomised roll-out replaces old daemons by new ones under lost replies: no record of version 2 is accepted before the limit is raised, no daemon meets one that it can't read, and all end with the same records. Two tests that set up revision 0 with a limit now build it by a change of an old build.

--- a/kingcuphead/configuration/_changes.py
+++ b/kingcuphead/configuration/_changes.py
@@ -202,8 +202,9 @@
 ) -> tuple[AcceptedChange, tuple[RecordFault, ...]]:
     """Return the change without its fingerprint, and the faults of its edits."""
     revision = snapshot.revision + 1
-    accepted = min(highest, snapshot.head.schema)
-    schema = snapshot.head.schema
+    # The first change fixes what the build that makes it reads.
+    schema = snapshot.head.schema if snapshot.revision else highest
+    accepted = min(highest, schema)
     puts: list[StoredRecord] = []
     deletes: list[RecordName] = []
     faults = [*_check_edits(change)]
--- a/kingcuphead/configuration/tests/fleet.py
+++ b/kingcuphead/configuration/tests/fleet.py
@@ -30,6 +30,7 @@
     ReadRequested,
     RecordsRead,
     RefreshRequested,
+    RevisionRefused,
     RowsReplied,
     RowsWanted,
     ScanRequested,
@@ -63,6 +64,8 @@
 
     name: str
     watcher: Watcher
+    #: Highest schema version that it reads.
+    schema: int
     #: Local clock less virtual time: no two daemons share a clock.
     offset: float
     paused_until: float = 0.0
@@ -85,6 +88,8 @@
         self.trouble = 0.0
         self.outcomes: dict[str, ChangeOutcome] = {}
         self.daemons: list[Daemon] = []
+        #: Problems of revisions that a daemon did not put in force.
+        self.refusals: list[str] = []
         #: Daemons that were replaced.
         self.gone: list[Daemon] = []
         self._events: list[tuple[float, int, Callable[[], object]]] = []
@@ -104,7 +109,7 @@
     def add_daemon(self, policy: WatchPolicy) -> Daemon:
         name = f"d{next(self._numbers)}"
         offset = self.random.uniform(0, 1000)
-        daemon = Daemon(name, Watcher(name, policy), offset)
+        daemon = Daemon(name, Watcher(name, policy), policy.schema, offset)
         self.daemons.append(daemon)
         self.at(self.random.uniform(0, 1), lambda: self._tick(daemon))
         self.at(self.random.uniform(0, 1), lambda: self._gossip(daemon))
@@ -183,6 +188,8 @@
                 peer = self._find(instance)
                 if peer is not None:
                     self._send(peer, offer)
+            case RevisionRefused(problem=problem):
+                self.refusals.append(problem)
             case ConfigurationApplied(configuration=configuration):
                 daemon.applied.append((self.now, configuration.revision))
 
@@ -212,7 +219,7 @@
 
     def submit(self, daemon: Daemon, change: Change, timeout: float = 10.0) -> None:
         """Let a daemon bring a change into the table."""
-        acceptance = Acceptance(change, self.now + timeout)
+        acceptance = Acceptance(change, self.now + timeout, daemon.schema)
         self.at(timeout, lambda: self._drive(daemon, acceptance, TimePassed()))
         for effect in acceptance.start():
             self._follow(daemon, acceptance, effect)
--- a/kingcuphead/configuration/tests/scenes.py
+++ b/kingcuphead/configuration/tests/scenes.py
@@ -21,6 +21,7 @@
 )
 from kingcuphead.platform import Committed, MemoryTable
 from kingcuphead.records import (
+    SCHEMA,
     Budget,
     BudgetPolicy,
     RecordKind,
@@ -35,8 +36,8 @@
     return encode_record(Budget(name, policy))
 
 
-def encode_target(schema: int) -> bytes:
-    common = {"kind": "target", "schema": schema, "name": "t", "service": "s"}
+def encode_target(schema: int, name: str = "t") -> bytes:
+    common = {"kind": "target", "schema": schema, "name": name, "service": "s"}
     first = {"host": "10.0.0.1", "port": 80, "zone": "z"}
     second = {"address": "10.0.0.1:80", "zone": "z"}
     return json.dumps(common | (first if schema == 1 else second)).encode()
@@ -46,9 +47,11 @@
     return Change(id_, author, 1.0, edits)
 
 
-def commit(table: MemoryTable, snapshot: Snapshot, change: Change) -> Snapshot:
+def commit(
+    table: MemoryTable, snapshot: Snapshot, change: Change, schema: int = SCHEMA
+) -> Snapshot:
     """Bring a change into the table and return what is then in force."""
-    accepted = build_change(snapshot, change).ok
+    accepted = build_change(snapshot, change, schema).ok
     outcome = table.commit_now(build_transaction(snapshot, accepted))
     assert isinstance(outcome, Committed)
     return snapshot.with_change(accepted).with_version(outcome.version)
--- a/kingcuphead/configuration/tests/test_acceptance.py
+++ b/kingcuphead/configuration/tests/test_acceptance.py
@@ -58,8 +58,8 @@
         assert problem in fault.message
 
     def test_record_above_the_fleets_schema_is_refused(self):
-        head = dataclasses.replace(Snapshot().head, schema=1)
-        snapshot = dataclasses.replace(Snapshot(), head=head)
+        first = make_change("first", PutRecord(encode_budget(), 0))
+        snapshot = commit(MemoryTable(), Snapshot(), first, schema=1)
         change = make_change("c", PutRecord(encode_target(2), 0))
         assert "accepted are 1" in build_change(snapshot, change).error.message
 
--- a/kingcuphead/configuration/tests/test_watcher.py
+++ b/kingcuphead/configuration/tests/test_watcher.py
@@ -248,10 +248,10 @@
 
     def test_raised_schema_is_followed(self):
         table, snapshot = MemoryTable(), Snapshot()
-        snapshot = dataclasses.replace(
-            snapshot, head=dataclasses.replace(snapshot.head, schema=1)
-        )
-        commit(table, snapshot, make_change("c1", RaiseSchema(2)))
+        first = make_change("c1", PutRecord(encode_budget(), 0))
+        snapshot = commit(table, snapshot, first, schema=1)
+        assert snapshot.head.schema == 1
+        commit(table, snapshot, make_change("c2", RaiseSchema(2)))
         watcher = follow(table)
         assert get_snapshot(watcher).head.schema == 2
 
