--- a/kingcuphead/cli/tests/test_tool.py
+++ b/kingcuphead/cli/tests/test_tool.py
@@ -43,10 +43,13 @@
         self._started.set()
 
     def stop(self) -> None:
-        self._loop.add_callback(self.desk.stop)
-        self._loop.add_callback(self._loop.stop)
+        self._loop.add_callback(self._end)
         self._thread.join()
 
+    async def _end(self) -> None:
+        await self.desk.stop()
+        self._loop.stop()
+
     def run(self, *arguments: str, token: str = TOKEN) -> tuple[int, str, str]:
         """Return exit code, standard output and standard error."""
         environment = {"KINGCUPHEAD_SERVER": self.server, "KINGCUPHEAD_TOKEN": token}
--- a/kingcuphead/operators/tests/fakes.py
+++ b/kingcuphead/operators/tests/fakes.py
@@ -155,7 +155,8 @@
         """Follow the table; needs a running loop."""
         self._running = asyncio.ensure_future(self.task.run())
 
-    def stop(self) -> None:
+    async def stop(self) -> None:
         """End following the table."""
         if self._running is not None:
             self._running.cancel()
+            await asyncio.gather(self._running, return_exceptions=True)
--- a/kingcuphead/operators/tests/test_api.py
+++ b/kingcuphead/operators/tests/test_api.py
@@ -29,7 +29,7 @@
         self.desk.start()
 
     def tearDown(self) -> None:
-        self.desk.stop()
+        self.io_loop.run_sync(self.desk.stop)
         super().tearDown()
 
     def call(
