Tell peers only what was seen first-hand about crashing requests

Cause: a daemon that learnt of a second crash, or of a release, told every peer in its turn; with 330 daemons one release would be told 109,000 times. Every daemon judges by itself what it learns. A release by a peer is a message of its own, ReleaseLearnt.

Mutations that turned the tests red: learnt crashes not judged; learnt in spite of a release; suspicion kept at a release. The randomised runs now carry these messages.

--- a/kingcuphead/quarantine/_quarantine.py
+++ b/kingcuphead/quarantine/_quarantine.py
@@ -92,14 +92,16 @@
         if fingerprint not in self._expiries:
             self._suspicions.pop(fingerprint, None)
 
-    def learn_crash(
-        self, fingerprint: str, target: str, now: float
-    ) -> tuple[QuarantineEffect, ...]:
-        """Take in a crash that a peer saw."""
+    def learn_crash(self, fingerprint: str, target: str, now: float) -> None:
+        """Take in a crash that a peer saw.
+
+        Nothing is told in return: every daemon learns of the same crashes and
+        judges by itself, so that one crash costs one message to each.
+        """
         if self._releases.get(fingerprint, now) > now:
-            return ()
+            return
         self._suspect(fingerprint, target, now)
-        return tuple(self._judge(fingerprint, now))
+        self._judge(fingerprint, now)
 
     def learn_entry(self, fingerprint: str, remaining: float, now: float) -> None:
         """Take in a peer's entry, which has `remaining` seconds to run."""
@@ -110,15 +112,17 @@
         self._trim(self._expiries)
 
     def release(self, fingerprint: str, now: float) -> tuple[QuarantineEffect, ...]:
-        """Let a fingerprint go on an operator's word, and tell peers once."""
-        if self._releases.get(fingerprint, now) > now:
-            return ()
+        """Let a fingerprint go on an operator's word, and tell peers."""
+        self.learn_release(fingerprint, now)
+        return (FingerprintReleased(fingerprint),)
+
+    def learn_release(self, fingerprint: str, now: float) -> None:
+        """Let a fingerprint go because a peer's operator did."""
         self._expiries.pop(fingerprint, None)
         self._suspicions.pop(fingerprint, None)
         # Gossip of the old entry may still be under way when the release arrives.
         self._releases[fingerprint] = now + self._settings.crash_window * 10
         self._trim(self._releases)
-        return (FingerprintReleased(fingerprint),)
 
     def tick(self, now: float) -> tuple[QuarantineEffect, ...]:
         """Judge the crashes whose window is over, and forget what has expired."""
@@ -151,7 +155,8 @@
     ) -> Iterator[QuarantineEffect]:
         self._suspect(fingerprint, target, now)
         yield CrashReported(fingerprint, target)
-        yield from self._judge(fingerprint, now)
+        if self._judge(fingerprint, now):
+            yield FingerprintQuarantined(fingerprint, self._settings.expiry)
 
     def _suspect(self, fingerprint: str, target: str, now: float) -> None:
         suspicion = self._suspicions.pop(fingerprint, _Suspicion(()))
@@ -160,13 +165,14 @@
         self._suspicions[fingerprint] = recent
         self._trim(self._suspicions)
 
-    def _judge(self, fingerprint: str, now: float) -> Iterator[QuarantineEffect]:
+    def _judge(self, fingerprint: str, now: float) -> bool:
+        """Quarantine a guilty fingerprint; return whether it is so anew."""
         is_guilty = len(self._get_targets(fingerprint)) >= self._settings.crashes
         if not is_guilty or self.is_quarantined(fingerprint, now):
-            return
+            return False
         self._expiries[fingerprint] = now + self._settings.expiry
         self._trim(self._expiries)
-        yield FingerprintQuarantined(fingerprint, self._settings.expiry)
+        return True
 
     def _get_targets(self, fingerprint: str) -> tuple[str, ...]:
         suspicion = self._suspicions.get(fingerprint)
--- a/kingcuphead/queueing/_messages.py
+++ b/kingcuphead/queueing/_messages.py
@@ -164,7 +164,15 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineReleased:
-    """An operator, here or at a peer, let a fingerprint go."""
+    """An operator let a fingerprint go here; peers are to be told."""
+
+    #: Fingerprint of the request.
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseLearnt:
+    """An operator let a fingerprint go at a peer."""
 
     #: Fingerprint of the request.
     fingerprint: str
@@ -189,6 +197,7 @@
     | CrashLearnt
     | QuarantineLearnt
     | QuarantineReleased
+    | ReleaseLearnt
     | Ticked
 )
 
--- a/kingcuphead/queueing/_scheduler.py
+++ b/kingcuphead/queueing/_scheduler.py
@@ -26,6 +26,7 @@
     ProbeAnswered,
     QuarantineLearnt,
     QuarantineReleased,
+    ReleaseLearnt,
     RequestArrived,
     RequestRejected,
     RequestWithdrawn,
@@ -132,8 +133,11 @@
                 self._start(request_id, now)
             case AnswerFinished():
                 yield from self._finish(message, now)
-            case CrashLearnt() | QuarantineLearnt() | QuarantineReleased():
-                yield from self._learn(message, now)
+            case QuarantineReleased(fingerprint):
+                yield from self._state.quarantine.release(fingerprint, now)
+            case CrashLearnt() | QuarantineLearnt() | ReleaseLearnt():
+                self._learn(message, now)
+                yield from self._rejector.reject_quarantined(now)
             case Ticked():
                 yield from self._state.placement.tick(now)
                 yield from self._state.quarantine.tick(now)
@@ -247,19 +251,16 @@
         yield from self._rejector.reject_quarantined(now)
 
     def _learn(
-        self,
-        message: CrashLearnt | QuarantineLearnt | QuarantineReleased,
-        now: float,
-    ) -> Iterator[Effect]:
+        self, message: CrashLearnt | QuarantineLearnt | ReleaseLearnt, now: float
+    ) -> None:
         quarantine = self._state.quarantine
         match message:
             case CrashLearnt(fingerprint, target):
-                yield from quarantine.learn_crash(fingerprint, target, now)
+                quarantine.learn_crash(fingerprint, target, now)
             case QuarantineLearnt(fingerprint, remaining):
                 quarantine.learn_entry(fingerprint, remaining, now)
-            case QuarantineReleased(fingerprint):
-                yield from quarantine.release(fingerprint, now)
-        yield from self._rejector.reject_quarantined(now)
+            case ReleaseLearnt(fingerprint):
+                quarantine.learn_release(fingerprint, now)
 
     def _give_up(self, message: SchedulerMessage, now: float) -> Iterator[Effect]:
         """Reject at once the requests that can't make their deadlines."""
--- a/kingcuphead/queueing/tests/test_random_runs.py
+++ b/kingcuphead/queueing/tests/test_random_runs.py
@@ -7,10 +7,14 @@
     AnswerFinished,
     AnswerStarted,
     ConfigurationApplied,
+    CrashLearnt,
     LoadReported,
     PeersCounted,
     ProbeAnswered,
+    QuarantineLearnt,
+    QuarantineReleased,
     QueueingSettings,
+    ReleaseLearnt,
     RequestPlaced,
     RequestRejected,
     RequestWithdrawn,
@@ -32,6 +36,7 @@
     *("arrive",) * 6,
     *("start", "finish") * 2,
     *("fail", "withdraw", "report", "load", "tick", "probe", "peers", "configure"),
+    "gossip",
 )
 
 
@@ -143,6 +148,16 @@
         configuration = build_configuration(*targets, revision=self.revision)
         self.send(ConfigurationApplied(configuration))
 
+    def gossip(self, number: int) -> None:
+        fingerprint = f"f{self.random.randrange(8)}"
+        messages = (
+            CrashLearnt(fingerprint, self.random.choice(TARGETS)),
+            QuarantineLearnt(fingerprint, self.random.uniform(1, 20)),
+            QuarantineReleased(fingerprint),
+            ReleaseLearnt(fingerprint),
+        )
+        self.send(self.random.choice(messages))
+
     def drain(self) -> None:
         for _ in range(400):
             self.now += 1.0
