--- a/kingcuphead/budgets/_ledger.py
+++ b/kingcuphead/budgets/_ledger.py
@@ -6,6 +6,7 @@
 from kingcuphead.budgets._billbook import BillBook
 from kingcuphead.budgets._borrower import BillMade, Borrower
 from kingcuphead.budgets._home import Home
+from kingcuphead.budgets._lending import Lending
 from kingcuphead.budgets._messages import (
     CommitFinished,
     Effect,
@@ -45,11 +46,15 @@
     SurrenderRequested,
 )
 from kingcuphead.budgets._routing import Routing, get_instance
-from kingcuphead.budgets._rows import compute_shard
+from kingcuphead.budgets._rows import compute_shard, ensure
 from kingcuphead.budgets._settings import Settings
 from kingcuphead.budgets._store import Store
 from kingcuphead.budgets._witness import Witness
 
+#: Most effects of one input; more would mean that two machines answer each other
+#: without end.
+INNER_LIMIT = 100_000
+
 InnerEffect = Effect | BillMade | BillDropped
 
 
@@ -110,8 +115,11 @@
     ) -> Iterator[Effect]:
         """Deliver messages between the own machines and yield the others."""
         queue = deque(effects)
+        delivered = 0
         while queue:
             effect = queue.popleft()
+            delivered += 1
+            ensure(delivered <= INNER_LIMIT, "inner messages come to an end")
             match effect:
                 case SendToPeer(instance=name, message=message) if (
                     name == self.routing.own.name
@@ -330,7 +338,8 @@
         if shard not in self.homes:
             store = Store(shard, self.settings)
             book = BillBook(self.settings.dedupe_pages)
-            home = Home(self.name, self.settings, self.routing, store, book)
-            home.closing = self.closing
+            lending = Lending(self.name, self.settings, self.routing, store)
+            lending.closing = self.closing
+            home = Home(self.name, self.settings, self.routing, store, book, lending)
             self.homes[shard] = home
         return self.homes[shard]
--- a/kingcuphead/budgets/_lender.py
+++ b/kingcuphead/budgets/_lender.py
@@ -41,8 +41,6 @@
     amount: int = 0
     #: Tokens that a flush under way gives back.
     yielding: int = 0
-    #: Tokens of accepted bills on the grant that are not committed.
-    pending: int = 0
     #: Credit lines by borrower.
     lines: dict[str, LentLine] = dataclasses.field(default_factory=dict)
     #: Waiting requests by borrower, the oldest first.
@@ -59,6 +57,8 @@
     pressed_at: float = float("-inf")
     #: Incarnations that wait for an answer to their recall.
     recallers: set[str] = dataclasses.field(default_factory=set)
+    #: Tokens of a large loan of late.
+    typical_loan: int = 0
     #: Monotonic time in seconds at which other holders answered a recall.
     yielded_at: dict[str, float] = dataclasses.field(default_factory=dict)
 
@@ -70,17 +70,16 @@
     @property
     def available(self) -> int:
         """Tokens that may be lent."""
-        return self.amount - self.yielding - self.pending - self.outstanding
+        return self.amount - self.yielding - self.outstanding
 
     def check(self) -> None:
         """Check that no more was lent than granted."""
         ensure(
             self.available >= 0,
-            "loans, bills and yields stay within the grant",
+            "loans and yields stay within the grant",
             budget=self.budget,
             amount=self.amount,
             yielding=self.yielding,
-            pending=self.pending,
             outstanding=self.outstanding,
         )
 
@@ -128,11 +127,25 @@
         lent = self.get_line(message.sender).lent
         return max(0, received + tokens - lent)
 
-    def lend(self, message: CreditRequested, scarce: bool, now: float) -> None:
-        """Debit a loan; the first hold's need must be available."""
+    def lend(self, message: CreditRequested, remaining: int, now: float) -> None:
+        """Debit a loan; the first hold's need must be available.
+
+        Parameters
+        ----------
+        message : CreditRequested
+            The request.
+        remaining : int
+            Tokens of the budget that are neither billed nor granted.
+        now : float
+            Monotonic time in seconds.
+        """
         short = self.compute_short(message)
-        most = message.queued if scarce else message.wanted
-        gap = self.compute_gap(message, max(message.needed, most))
+        needed = self.compute_gap(message, max(message.needed, message.queued))
+        wanted = self.compute_gap(message, message.wanted)
+        if self.waiting or self.is_scarce(remaining, now):
+            wanted = needed
+        spare = self.compute_spare(remaining)
+        gap = max(needed, min(wanted, needed + spare))
         tokens = max(short, min(gap, self.available))
         ensure(
             tokens <= self.available,
@@ -143,33 +156,29 @@
         line = self.get_line(message.sender)
         self.lines[message.sender] = line.with_loan(tokens)
         self.demand = self.demand.with_sample(tokens, now)
+        self.typical_loan = max(tokens, self.typical_loan * 7 // 8)
 
-    def add_bill(self, bill: Bill) -> None:
-        """Move tokens of an accepted bill from its line to the pending bills."""
-        self.lines[bill.borrower] = self.get_line(bill.borrower).with_bill(bill.tokens)
-        self.pending += bill.tokens
-
-    def finish_bill(self, bill: Bill, charged: bool) -> None:
-        """Take a bill off the pending ones; one not charged goes back to its line."""
-        self.pending -= bill.tokens
-        if not charged:
-            line = self.get_line(bill.borrower)
-            self.lines[bill.borrower] = line.with_bill(-bill.tokens)
-
-    def note_foreign_bill(self, bill: Bill) -> None:
-        """Take note of a bill on this grant that another home committed."""
+    def note_committed(self, bill: Bill) -> None:
+        """Take a committed bill off its line; the row took it off the grant."""
         self.lines[bill.borrower] = self.get_line(bill.borrower).with_bill(bill.tokens)
 
     def is_pressed(self, now: float) -> bool:
         """Return whether another holder lacks credit."""
         return now - self.pressed_at < PRESSED_SECONDS
 
-    def compute_reserve(self, now: float) -> int:
+    def compute_spare(self, remaining: int) -> int:
+        """Return the largest reserve that leaves enough of the budget to others."""
+        return int((remaining + self.available) * self.policy.reserve_share)
+
+    def compute_reserve(self, remaining: int, now: float) -> int:
         """Return the tokens to keep in the grant beyond the loans."""
         idle = now - self.used_at > self.policy.idle_seconds
         if idle or self.is_pressed(now):
             return 0
-        return int(self.demand.compute_rate(now) * self.policy.reserve_seconds)
+        recent = int(self.demand.compute_rate(now) * self.policy.reserve_seconds)
+        # Rare use of a plentiful budget would else take a grant for each request.
+        wanted = max(recent, self.policy.reserve_loans * self.typical_loan)
+        return min(wanted, self.compute_spare(remaining))
 
     def is_scarce(self, remaining: int, now: float) -> bool:
         """Return whether the budget runs low.
@@ -208,6 +217,10 @@
             if line.outstanding and line.recall < recall:
                 yield borrower
 
+    def iterate_unanswered(self, waiting: WaitingRequest) -> Iterator[str]:
+        """Yield the borrowers that may hold idle credit which a request needs."""
+        yield from self.iterate_silent(waiting.recall or self.recall + 1)
+
     def iterate_unconfirmed(self) -> Iterator[str]:
         """Yield the borrowers that may not know of a loan."""
         for borrower, line in self.lines.items():
--- a/kingcuphead/placement/_settings.py
+++ b/kingcuphead/placement/_settings.py
@@ -1,4 +1,4 @@
-"""Settings of placement, read from the INI section `[placement]`."""
+"""Settings of placement."""
 
 import dataclasses
 from typing import Annotated
@@ -21,6 +21,8 @@
     affinity_saving: Ratio = 0.5
     #: Factor on a target's limit when it shows congestion.
     limit_decrease: Ratio = 0.9
+    #: Load of a target, relative to its concurrency, above which limits fall.
+    limit_fill: Positive = 1.1
     #: Slots added to a limit for each limit's worth of uncongested answers.
     limit_increase: Positive = 1.0
     #: Seconds between two decreases of one limit.
@@ -32,7 +34,7 @@
     #: Seconds between probes of a target that is being checked.
     check_interval: Positive = 0.5
     #: Seconds without a sign after which a busy target is probed.
-    quiet_interval: Positive = 1.0
+    quiet_interval: Positive = 0.75
     #: Seconds after which an unanswered probe counts as failed.
     probe_timeout: Positive = 0.7
     #: Failed probes that make a target silent.
