Agree on a second home; return credit into a cut at most once

Daemons that miss the first home now ask the second by rendezvous rank, instead of each taking a grant. A borrower keeps one unacknowledged return for each lender: a cut daemon had given 3,840 tokens back into the cut, piece by piece.

--- a/kingcuphead/budgets/_borrower.py
+++ b/kingcuphead/budgets/_borrower.py
@@ -344,7 +344,10 @@
             return
         for grant_id, line in list(account.lines.items()):
             tokens = min(line.free, excess)
-            if tokens and self.routing.is_reachable(get_instance(grant_id), now):
+            # One return at a time: what is on the way into a cut helps nobody.
+            acknowledged = line.returned <= line.acknowledged
+            reachable = self.routing.is_reachable(get_instance(grant_id), now)
+            if tokens and acknowledged and reachable:
                 excess -= tokens
                 yield from self.give_back(account, grant_id, now, tokens)
 
--- a/kingcuphead/budgets/_rendezvous.py
+++ b/kingcuphead/budgets/_rendezvous.py
@@ -1,7 +1,7 @@
 """Rendezvous hashing over the live daemons."""
 
 import hashlib
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from kingcuphead.budgets._messages import Member
 
@@ -11,6 +11,13 @@
     return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
 
 
+def rank_members(key: str, members: Iterable[Member]) -> Iterator[Member]:
+    """Yield the members for a key, the preferred one first."""
+    yield from sorted(
+        members, key=lambda member: compute_weight(key, member.name), reverse=True
+    )
+
+
 def choose_member(key: str, members: Iterable[Member]) -> Member | None:
     """Return the preferred member for a key, or None where there is none."""
     return max(
--- a/kingcuphead/budgets/_routing.py
+++ b/kingcuphead/budgets/_routing.py
@@ -2,11 +2,15 @@
 
 import dataclasses
 from collections.abc import Iterator
+from itertools import islice
 
 from kingcuphead.budgets._messages import Member
-from kingcuphead.budgets._rendezvous import choose_member
+from kingcuphead.budgets._rendezvous import choose_member, rank_members
 from kingcuphead.budgets._settings import Settings
 
+#: Homes that are tried before a daemon acts as home itself.
+HOME_CANDIDATES = 2
+
 
 def get_instance(incarnation: str) -> str:
     """Return the instance name of an incarnation."""
@@ -28,8 +32,8 @@
     #: Length of the last suspicion of a member, in seconds.
     spans: dict[str, float] = dataclasses.field(default_factory=dict)
 
-    #: Home in this region by shard, until the view changes.
-    homes: dict[int, Member] = dataclasses.field(default_factory=dict)
+    #: Preferred homes in this region by shard, until the view changes.
+    homes: dict[int, tuple[Member, ...]] = dataclasses.field(default_factory=dict)
 
     def __post_init__(self) -> None:
         """Start alone."""
@@ -64,16 +68,20 @@
         return (m for m in self.members.values() if self.is_reachable(m.name, now))
 
     def choose_home(self, shard: int, now: float) -> Member:
-        """Return the home of a shard in this region, or this daemon itself."""
-        home = self.homes.get(shard)
-        if home is None:
-            home = self.homes[shard] = self.rank_home(shard)
-        return home if self.is_reachable(home.name, now) else self.own
-
-    def rank_home(self, shard: int) -> Member:
-        """Return the preferred home of a shard, reachable or not."""
-        regional = (m for m in self.members.values() if m.region == self.own.region)
-        return choose_member(f"home/{shard}", regional) or self.own
+        """Return the first reachable home of a shard, or this daemon itself.
+
+        Daemons that miss the first home agree on the second, so that the budget is
+        not spread over a grant for each of them.
+        """
+        if shard not in self.homes:
+            self.homes[shard] = self.rank_homes(shard)
+        reachable = (m for m in self.homes[shard] if self.is_reachable(m.name, now))
+        return next(reachable, self.own)
+
+    def rank_homes(self, shard: int) -> tuple[Member, ...]:
+        """Return the preferred homes of a shard, reachable or not."""
+        regional = [m for m in self.members.values() if m.region == self.own.region]
+        return tuple(islice(rank_members(f"home/{shard}", regional), HOME_CANDIDATES))
 
     def choose_witness(self, shard: int, now: float) -> Member | None:
         """Return a member in another zone that keeps copies of bills."""
