--- a/kingcuphead/bench/_capacity_ledger.py
+++ b/kingcuphead/bench/_capacity_ledger.py
@@ -6,11 +6,13 @@
 
 from kingcuphead.bench._budgets_fleet import Daemon, Fleet, Report
 from kingcuphead.bench._budgets_table import MemoryTable
-from kingcuphead.bench._capacity_results import Point, Slope
+from kingcuphead.bench._capacity_machines import measure_memory
+from kingcuphead.bench._capacity_results import Point, Slope, measure_slope
 from kingcuphead.budgets import (
     HoldGranted,
     HoldRequested,
     HoldSettled,
+    Ledger,
     Settings,
     build_creation,
     build_shard_key,
@@ -26,9 +28,9 @@
 #: Seconds between two flushes of a shard at the designed size.
 FLUSH_INTERVAL = 4.0
 #: Shards for each daemon at the designed size.
-SHARDS_PER_DAEMON = 1.0
+SHARDS_PER_DAEMON = 0.5
 #: Virtual seconds before the measurement and of it.
-WARM_UP_SECONDS = 12.0
+WARM_UP_SECONDS = 40.0
 MEASURED_SECONDS = 16.0
 #: Upper bound and cost of each request, in tokens.
 BOUND_TOKENS = 900
@@ -56,6 +58,8 @@
     messages: float
     #: Processor time for each daemon, in microseconds a second.
     processor: float
+    #: Peer messages for each request.
+    per_request: float
     #: Holds that were refused, of all.
     refused: float
 
@@ -98,6 +102,7 @@
             writes=(table.writes - before[0]) / MEASURED_SECONDS,
             reads=(table.reads - before[1]) / MEASURED_SECONDS,
             messages=(fleet.messages - before[2]) / MEASURED_SECONDS,
+            per_request=(fleet.messages - before[2]) / asked,
             processor=spent / MEASURED_SECONDS / self._daemons,
             refused=max(0, asked - granted) / asked,
         )
@@ -135,13 +140,14 @@
                 )
 
 
-def measure_ledger(sizes: tuple[int, ...] = (5, 10, 20)) -> Iterator[Slope]:
+def measure_ledger(sizes: tuple[int, ...] = (5, 10, 15)) -> Iterator[Slope]:
     """Yield the slopes of the budgets over the number of daemons."""
     loads = {size: LedgerRun(size).run() for size in sizes}
     for name, title, unit in (
         ("writes", "table commits of the fleet", "1/s"),
         ("reads", "table rows read by the fleet's ledgers", "1/s"),
         ("messages", "ledger messages of the fleet", "1/s"),
+        ("per_request", "ledger messages for each request", ""),
         ("processor", "ledger time of one daemon", "us/s"),
         ("refused", "share of holds refused", ""),
     ):
@@ -151,6 +157,40 @@
         yield Slope(f"ledger_{name}", title, unit, "daemons", points)
 
 
+def measure_accounts() -> Iterator[Slope]:
+    """Yield the memory of a ledger by the budgets that its callers have used."""
+    yield measure_slope(
+        "account_kb",
+        "memory of a ledger's accounts",
+        "KB",
+        "budgets",
+        (100, 1000, 4000),
+        _measure_account_memory,
+    )
+
+
+def _measure_account_memory(budgets: float) -> float:
+    def build() -> Ledger:
+        ledger = Ledger("entry-0", "1", "zone-a", "region-1", Settings(shards=165))
+        for number in range(int(budgets)):
+            name = f"hold-{number}"
+            ledger.receive(
+                HoldRequested(
+                    name,
+                    name,
+                    f"budget-{number}",
+                    "organisation",
+                    BOUND_TOKENS,
+                    BudgetPolicy.AVAILABLE,
+                    2.0,
+                ),
+                0.0,
+            )
+        return ledger
+
+    return measure_memory(build)
+
+
 def _create_budgets(table: MemoryTable, budgets: list[str], shards: int) -> None:
     for budget in budgets:
         number = compute_shard(budget, shards)
--- a/kingcuphead/bench/_capacity_machines.py
+++ b/kingcuphead/bench/_capacity_machines.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable, Iterator
 
 from kingcuphead.api import KeyIndex
-from kingcuphead.bench._capacity_results import Slope, measure_slope
+from kingcuphead.bench._capacity_results import Point, Slope, measure_slope
 from kingcuphead.bench._traffic_scale import build_scheduler, run_request, run_tick
 from kingcuphead.membership import (
     Heartbeat,
@@ -102,14 +102,22 @@
     )
 
 
-def measure_full_heartbeat_bytes() -> int:
-    """Return the size of a heartbeat that carries as many facts as it may."""
-    members = tuple(_make_member(number) for number in range(FULL))
+def measure_heartbeat_size() -> Iterator[Slope]:
+    """Yield the size of a heartbeat by the facts that it carries."""
+    points = tuple(
+        Point(facts, (float(count_heartbeat_bytes(facts)),)) for facts in (FULL, 4, 0)
+    )
+    yield Slope("heartbeat_bytes", "one heartbeat", "B", "facts of each kind", points)
+
+
+def count_heartbeat_bytes(facts: int) -> int:
+    """Return the size of a heartbeat with so many members and notices."""
+    members = tuple(_make_member(number) for number in range(facts))
     notices = tuple(
         Notice(NoticeKind.TARGET_LEAVING, f"runner-{number}", "", "entry-1/1", number)
-        for number in range(FULL)
+        for number in range(facts)
     )
-    beat = Heartbeat(1, members[0], 1, members, notices)
+    beat = Heartbeat(1, _make_member(0), 1, members, notices)
     return len(encode_envelope(Envelope("entry-1", 1, beat)))
 
 
--- a/kingcuphead/budgets/_lender.py
+++ b/kingcuphead/budgets/_lender.py
@@ -94,6 +94,8 @@
         earlier = self.waiting.get(message.sender)
         if earlier and earlier.message.sequence >= message.sequence:
             return
+        if message.needed:
+            self.typical_loan = max(message.needed, self.typical_loan * 7 // 8)
         # A repeated request keeps its place.
         same = earlier is not None and earlier.message.needed == message.needed
         if earlier and same:
@@ -156,8 +158,6 @@
         line = self.get_line(message.sender)
         self.lines[message.sender] = line.with_loan(tokens)
         self.demand = self.demand.with_sample(tokens, now)
-        if message.needed:
-            self.typical_loan = max(message.needed, self.typical_loan * 7 // 8)
 
     def note_committed(self, bill: Bill) -> None:
         """Take a committed bill off its line; the row took it off the grant."""
--- a/kingcuphead/daemon/_target_watch.py
+++ b/kingcuphead/daemon/_target_watch.py
@@ -15,7 +15,7 @@
 from kingcuphead.relay import Relay, RelayRequest, Timeouts
 
 #: Most load reports asked for in one second, whatever the number of targets.
-LOAD_POLLS_PER_SECOND = 20
+LOAD_POLLS_PER_SECOND = 8
 #: Path at which engines report their load.
 LOAD_PATH = "/load"
 #: Seconds between two rounds of load reports.
--- a/kingcuphead/localfleet/_process.py
+++ b/kingcuphead/localfleet/_process.py
@@ -49,6 +49,19 @@
         """Whether the process has started and not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self) -> int:
+        """Process id.
+
+        Raises
+        ------
+        ProcessError
+            The process was never started.
+        """
+        if self._process is None:
+            raise ProcessError(self.name, "was not started")
+        return self._process.pid
+
     async def start(self, address: str, port: int) -> None:
         """Start the process and wait until it accepts connections.
 
