--- a/kingcuphead/bench/_budgets_load.py
+++ b/kingcuphead/bench/_budgets_load.py
@@ -56,7 +56,7 @@
 
 
 @dataclasses.dataclass(slots=True)
-class Purse:
+class TrueBudget:
     """The truth about one budget, known to the measurement alone."""
 
     #: Tokens that were paid for.
@@ -85,9 +85,9 @@
     #: The requests in order of time.
     requests: tuple[Request, ...]
 
-    def build_purses(self) -> dict[str, Purse]:
-        """Return untouched purses."""
-        return {name: Purse(*limit) for name, limit in self.limits.items()}
+    def build_true_budgets(self) -> dict[str, TrueBudget]:
+        """Return untouched budgets."""
+        return {name: TrueBudget(*limit) for name, limit in self.limits.items()}
 
 
 def compute_rate(at: float) -> float:
@@ -152,7 +152,7 @@
     """What a scheme did with a load."""
 
     #: The truth by budget name.
-    purses: dict[str, Purse]
+    budgets: dict[str, TrueBudget]
     #: Requests that reached a live daemon.
     requests: int = 0
     #: Requests that were refused.
@@ -172,30 +172,32 @@
 
     def grant(self, request: Request, wait: float) -> None:
         """Take note of a grant."""
-        self.purses[request.budget].held += request.bound
+        self.budgets[request.budget].held += request.bound
         self.waits.append(wait)
 
     def settle(self, request: Request) -> None:
         """Take note of the end of a request."""
-        purse = self.purses[request.budget]
-        purse.held -= request.bound
-        purse.used += request.used
+        budget = self.budgets[request.budget]
+        budget.held -= request.bound
+        budget.used += request.used
 
     def refuse(self, request: Request, reason: str, outage: bool) -> None:
         """Take note of a refusal, given while the table was down or not."""
-        purse = self.purses[request.budget]
+        budget = self.budgets[request.budget]
         self.refused += 1
-        if purse.left >= request.bound:
+        if budget.left >= request.bound:
             self.false += 1
             self.reasons[reason] += 1
-            plenty = purse.left > PLENTY * purse.limit
+            plenty = budget.left > PLENTY * budget.limit
             self.false_plenty += plenty and not outage
             self.false_outage += plenty and outage
 
     @property
     def overspend(self) -> int:
         """Tokens used beyond the limits."""
-        return sum(max(0, purse.used - purse.limit) for purse in self.purses.values())
+        return sum(
+            max(0, budget.used - budget.limit) for budget in self.budgets.values()
+        )
 
     def compute_wait(self, quantile: float) -> float:
         """Return a quantile of the waits, in milliseconds."""
--- a/kingcuphead/bench/_budgets_schemes.py
+++ b/kingcuphead/bench/_budgets_schemes.py
@@ -59,7 +59,7 @@
 
     def __init__(self, load: Load, settings: Settings, seed: int) -> None:
         self.load = load
-        self.score = Score(load.build_purses())
+        self.score = Score(load.build_true_budgets())
         self.fleet = Fleet(settings, seed, self.take_report)
         self.dead: set[int] = set()
         self.writes = 0
--- a/kingcuphead/budgets/tests/test_ledger.py
+++ b/kingcuphead/budgets/tests/test_ledger.py
@@ -20,7 +20,7 @@
 LIMIT = 1000
 
 
-class Office:
+class Scenario:
     """Three daemons in three zones and one budget."""
 
     def __init__(self):
@@ -70,68 +70,68 @@
 
 
 @pytest.fixture
-def office():
-    return Office()
+def scenario():
+    return Scenario()
 
 
 class TestLedger:
-    def test_credit_that_others_leave_idle_is_found(self, office):
+    def test_credit_that_others_leave_idle_is_found(self, scenario):
         for index in range(3):
-            office.hold(index, f"h{index}", 200)
-            office.settle(index, f"h{index}", 10)
-        office.hold(1, "all", LIMIT - 30)
-        assert office.is_granted("all")
-
-    def test_a_spent_budget_is_exhausted(self, office):
-        office.hold(0, "first", LIMIT)
-        office.hold(1, "second", 1)
-        verdict = office.get_verdict("second")
+            scenario.hold(index, f"h{index}", 200)
+            scenario.settle(index, f"h{index}", 10)
+        scenario.hold(1, "all", LIMIT - 30)
+        assert scenario.is_granted("all")
+
+    def test_a_spent_budget_is_exhausted(self, scenario):
+        scenario.hold(0, "first", LIMIT)
+        scenario.hold(1, "second", 1)
+        verdict = scenario.get_verdict("second")
         assert verdict.reason is Reason.BUDGET_EXHAUSTED
         assert verdict.execution is Execution.NOT_RUN
 
-    def test_credit_of_a_dead_daemon_is_not_called_exhausted(self, office):
-        office.hold(0, "lost", 600)
-        office.fleet.kill(office.daemons[0])
-        office.fleet.announce()
-        office.hold(1, "next", 600, seconds=2.1)
-        assert office.get_verdict("next").reason is Reason.CREDIT_UNAVAILABLE
-        assert check_books(office.fleet).budgets["b"].granted >= 600
-
-    def test_a_retry_through_another_daemon_is_billed_once(self, office):
-        office.hold(0, "one", 400, "request")
-        office.hold(1, "two", 400, "request")
-        office.settle(0, "one", 50)
-        office.settle(1, "two", 60)
-        books = check_books(office.fleet)
+    def test_credit_of_a_dead_daemon_is_not_called_exhausted(self, scenario):
+        scenario.hold(0, "lost", 600)
+        scenario.fleet.kill(scenario.daemons[0])
+        scenario.fleet.announce()
+        scenario.hold(1, "next", 600, seconds=2.1)
+        assert scenario.get_verdict("next").reason is Reason.CREDIT_UNAVAILABLE
+        assert check_books(scenario.fleet).budgets["b"].granted >= 600
+
+    def test_a_retry_through_another_daemon_is_billed_once(self, scenario):
+        scenario.hold(0, "one", 400, "request")
+        scenario.hold(1, "two", 400, "request")
+        scenario.settle(0, "one", 50)
+        scenario.settle(1, "two", 60)
+        books = check_books(scenario.fleet)
         assert [bill.tokens for bill in books.bills] == [50]
-        office.hold(2, "rest", LIMIT - 50)
-        assert office.is_granted("rest")
-
-    def test_usage_above_the_bound_is_clamped_and_reported(self, office):
-        office.hold(0, "h", 100)
-        office.settle(0, "h", 150)
-        assert office.faults == ["usage_above_bound"]
-        assert check_books(office.fleet).budgets["b"].settled == 100
-
-    def test_an_outage_leaves_the_credit_at_hand(self, office):
-        office.hold(0, "before", 300)
-        office.settle(0, "before", 10, seconds=0.02)
-        office.fleet.faults.outage = True
-        office.hold(0, "within", 100, seconds=0.02)
-        office.hold(0, "beyond", 900, seconds=3.0)
-        office.settle(0, "within", 100, seconds=1.0)
-        assert office.is_granted("within")
-        assert office.is_safe("within")
-        assert office.get_verdict("beyond").reason is Reason.CREDIT_UNAVAILABLE
-        office.fleet.faults.outage = False
-        office.fleet.advance(10.0)
-        assert check_books(office.fleet).budgets["b"].settled == 110
-
-    def test_shutdown_gives_every_grant_back(self, office):
-        office.hold(0, "h", 300)
-        office.settle(0, "h", 10)
-        for daemon in office.daemons:
-            office.fleet.give(daemon, ShutdownStarted())
-        office.fleet.advance(5.0)
-        assert check_books(office.fleet).budgets["b"].remaining == LIMIT - 10
-        assert all(daemon.ledger.finished for daemon in office.daemons)
+        scenario.hold(2, "rest", LIMIT - 50)
+        assert scenario.is_granted("rest")
+
+    def test_usage_above_the_bound_is_clamped_and_reported(self, scenario):
+        scenario.hold(0, "h", 100)
+        scenario.settle(0, "h", 150)
+        assert scenario.faults == ["usage_above_bound"]
+        assert check_books(scenario.fleet).budgets["b"].settled == 100
+
+    def test_an_outage_leaves_the_credit_at_hand(self, scenario):
+        scenario.hold(0, "before", 300)
+        scenario.settle(0, "before", 10, seconds=0.02)
+        scenario.fleet.faults.outage = True
+        scenario.hold(0, "within", 100, seconds=0.02)
+        scenario.hold(0, "beyond", 900, seconds=3.0)
+        scenario.settle(0, "within", 100, seconds=1.0)
+        assert scenario.is_granted("within")
+        assert scenario.is_safe("within")
+        assert scenario.get_verdict("beyond").reason is Reason.CREDIT_UNAVAILABLE
+        scenario.fleet.faults.outage = False
+        scenario.fleet.advance(10.0)
+        assert check_books(scenario.fleet).budgets["b"].settled == 110
+
+    def test_shutdown_gives_every_grant_back(self, scenario):
+        scenario.hold(0, "h", 300)
+        scenario.settle(0, "h", 10)
+        for daemon in scenario.daemons:
+            scenario.fleet.give(daemon, ShutdownStarted())
+        scenario.fleet.advance(5.0)
+        assert check_books(scenario.fleet).budgets["b"].remaining == LIMIT - 10
+        assert all(daemon.ledger.finished for daemon in scenario.daemons)
