--- a/kingcuphead/configuration/tests/fleet.py
+++ b/kingcuphead/configuration/tests/fleet.py
@@ -30,6 +30,7 @@
     ReadRequested,
     RecordsRead,
     RefreshRequested,
+    RevisionRefused,
     RowsReplied,
     RowsWanted,
     ScanRequested,
@@ -43,7 +44,15 @@
     WatcherMessage,
     WatchPolicy,
 )
-from kingcuphead.platform import MemoryTable, Row, Unavailable, Unknown
+from kingcuphead.platform import (
+    Committed,
+    Conflict,
+    MemoryTable,
+    Row,
+    Transaction,
+    Unavailable,
+    Unknown,
+)
 
 TICK_SECONDS = 0.25
 GOSSIP_SECONDS = 1.0
@@ -55,6 +64,8 @@
 
     name: str
     watcher: Watcher
+    #: Highest schema version that it reads.
+    schema: int
     #: Local clock less virtual time: no two daemons share a clock.
     offset: float
     paused_until: float = 0.0
@@ -71,10 +82,14 @@
         self.random = random_
         self.now = 0.0
         self.table = MemoryTable()
+        #: Times of the commits that took effect, the first one of revision 1.
+        self.commit_times: list[float] = []
         self.outage_until = 0.0
         self.trouble = 0.0
         self.outcomes: dict[str, ChangeOutcome] = {}
         self.daemons: list[Daemon] = []
+        #: Problems of revisions that a daemon did not put in force.
+        self.refusals: list[str] = []
         #: Daemons that were replaced.
         self.gone: list[Daemon] = []
         self._events: list[tuple[float, int, Callable[[], object]]] = []
@@ -94,7 +109,7 @@
     def add_daemon(self, policy: WatchPolicy) -> Daemon:
         name = f"d{next(self._numbers)}"
         offset = self.random.uniform(0, 1000)
-        daemon = Daemon(name, Watcher(name, policy), offset)
+        daemon = Daemon(name, Watcher(name, policy), policy.schema, offset)
         self.daemons.append(daemon)
         self.at(self.random.uniform(0, 1), lambda: self._tick(daemon))
         self.at(self.random.uniform(0, 1), lambda: self._gossip(daemon))
@@ -115,6 +130,15 @@
             return
         for effect in daemon.watcher.receive(message, self.now + daemon.offset):
             self._perform(daemon, effect)
+        self._check_confirmation(daemon)
+
+    def _check_confirmation(self, daemon: Daemon) -> None:
+        """Check that a confirmed revision was the newest at the time it is dated."""
+        confirmed, snapshot = daemon.watcher.confirmed_at, daemon.watcher.snapshot
+        if confirmed is not None and snapshot is not None:
+            at = confirmed - daemon.offset
+            newest = sum(committed < at for committed in self.commit_times)
+            assert snapshot.revision >= newest, (daemon.name, at, newest)
 
     def _tick(self, daemon: Daemon) -> None:
         if daemon.alive:
@@ -164,6 +188,8 @@
                 peer = self._find(instance)
                 if peer is not None:
                     self._send(peer, offer)
+            case RevisionRefused(problem=problem):
+                self.refusals.append(problem)
             case ConfigurationApplied(configuration=configuration):
                 daemon.applied.append((self.now, configuration.revision))
 
@@ -193,7 +219,7 @@
 
     def submit(self, daemon: Daemon, change: Change, timeout: float = 10.0) -> None:
         """Let a daemon bring a change into the table."""
-        acceptance = Acceptance(change, self.now + timeout)
+        acceptance = Acceptance(change, self.now + timeout, daemon.schema)
         self.at(timeout, lambda: self._drive(daemon, acceptance, TimePassed()))
         for effect in acceptance.start():
             self._follow(daemon, acceptance, effect)
@@ -239,13 +265,19 @@
             if fate < self.trouble / 2:
                 # The commit takes effect long after its sender gave up on a reply.
                 late = self._delay() + 1.0
-                self.at(late, lambda: self.table.commit_now(wanted.transaction))
+                self.at(late, lambda: self._commit_now(wanted.transaction))
                 reply = CommitReplied(Unknown())
             else:
-                outcome = self.table.commit_now(wanted.transaction)
+                outcome = self._commit_now(wanted.transaction)
                 reply = CommitReplied(Unknown() if fate < self.trouble else outcome)
         self.at(self._delay(), lambda: self._drive(daemon, acceptance, reply))
 
+    def _commit_now(self, transaction: Transaction) -> Committed | Conflict:
+        outcome = self.table.commit_now(transaction)
+        if isinstance(outcome, Committed):
+            self.commit_times.append(self.now)
+        return outcome
+
     def _await_snapshot(
         self, daemon: Daemon, acceptance: Acceptance, asked: float
     ) -> None:
