--- a/kingcuphead/budgets/_borrower.py
+++ b/kingcuphead/budgets/_borrower.py
@@ -23,14 +23,12 @@
     CreditReturned,
     Denial,
 )
+from kingcuphead.budgets._refusals import refuse, refuse_denied
 from kingcuphead.budgets._routing import Routing, get_instance
 from kingcuphead.budgets._rows import Bill, compute_shard, ensure
 from kingcuphead.budgets._settings import Settings
 from kingcuphead.records import BudgetPolicy
-from kingcuphead.verdict import Execution, Reason, Verdict
-
-#: Seconds after which a caller may try again where no better time is known.
-RETRY_SECONDS = 1.0
+from kingcuphead.verdict import Reason
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -48,6 +46,10 @@
 )
 
 
+#: Ticks in which each account is looked at once, unless a hold waits on it.
+TICK_TURNS = 8
+
+
 @dataclasses.dataclass(slots=True)
 class Borrower:
     """Grants holds from credit lines and asks homes for more credit."""
@@ -60,12 +62,16 @@
     routing: Routing
     #: State by budget name.
     accounts: dict[str, Account] = dataclasses.field(default_factory=dict)
+    #: Names of the budgets that have to be looked at as time passes.
+    active: set[str] = dataclasses.field(default_factory=set)
     #: Granted holds by hold id.
     holds: dict[str, Hold] = dataclasses.field(default_factory=dict)
     #: Whether the daemon is shutting down.
     closing: bool = False
     #: Number of the last bill.
     bill_count: int = 0
+    #: Number of the last tick.
+    ticks: int = 0
 
     def request_hold(
         self, request: HoldRequested, now: float
@@ -156,9 +162,10 @@
         ask = account.ask
         if ask is None or ask.instance != instance:
             return
-        # An ask that brought nothing stays, so that the next one waits its interval.
+        # An ask that nobody waits for, or that brought nothing, stays, so that the
+        # next one waits its interval.
         answered = dataclasses.replace(ask, silent_since=now)
-        account.ask = None if gained else answered
+        account.ask = None if gained and account.waiting else answered
 
     def receive_denial(
         self, message: CreditDenied, now: float
@@ -198,22 +205,33 @@
         line = account.get_line(message.sender)
         account.lines[message.sender] = line.with_receipt(message.lent_total, 0)
         account.scarce = True
+        self.active.add(account.budget)
         answered = account.recalls.get(message.sender, 0)
         account.recalls[message.sender] = max(answered, message.recall)
         yield from self.serve(account, now)
         yield from self.give_back(account, message.sender, now)
 
     def tick(self, now: float) -> Iterator[BorrowerEffect]:
+        """Look after the accounts with waiting holds, and a part of the others."""
+        self.ticks += 1
+        turn = self.ticks % TICK_TURNS
+        for budget in sorted(self.active):
+            account = self.accounts[budget]
+            if account.waiting or account.turn == turn:
+                yield from self.attend(account, now)
+
+    def attend(self, account: Account, now: float) -> Iterator[BorrowerEffect]:
         """Expire holds, repeat requests and return idle credit."""
-        for account in self.accounts.values():
-            for request in account.take_expired(now):
-                yield refuse(
-                    request, Reason.CREDIT_UNAVAILABLE, "no credit before the deadline"
-                )
-            self.suspect_silent(account, now)
-            yield from self.ask_if_short(account, now)
-            yield from self.return_idle(account, now)
-            yield from self.repeat_reports(account, now)
+        for request in account.take_expired(now):
+            yield refuse(
+                request, Reason.CREDIT_UNAVAILABLE, "no credit before the deadline"
+            )
+        self.suspect_silent(account, now)
+        yield from self.ask_if_short(account, now)
+        yield from self.return_idle(account, now)
+        yield from self.repeat_reports(account, now)
+        if account.is_quiet():
+            self.active.discard(account.budget)
 
     def close(self, now: float) -> Iterator[BorrowerEffect]:
         """Refuse what waits and start to give everything back."""
@@ -223,6 +241,7 @@
             for request in waiting:
                 yield refuse(request, Reason.SHUTTING_DOWN, "the daemon shuts down")
             account.scarce = True
+            self.active.add(account.budget)
             yield from self.return_idle(account, now)
 
     def surrender(self, budget: str, grant_id: str) -> int:
@@ -239,12 +258,14 @@
 
     def open_account(self, budget: str, kind: BudgetPolicy) -> Account:
         """Return the account of a budget under its present policy."""
+        self.active.add(budget)
         policy = self.settings.choose_policy(kind)
         account = self.accounts.get(budget)
         if account is None:
             shard = compute_shard(budget, self.settings.shards)
             demand = Demand(self.settings.demand_seconds)
-            account = Account(budget, shard, kind, policy, demand)
+            turn = len(self.accounts) % TICK_TURNS
+            account = Account(budget, shard, kind, policy, demand, turn)
             self.accounts[budget] = account
         account.kind, account.policy = kind, policy
         return account
@@ -271,6 +292,7 @@
 
     def reuse(self, account: Account, now: float) -> Iterator[BorrowerEffect]:
         """Use credit that became free for waiting holds; return it if scarce."""
+        self.active.add(account.budget)
         yield from self.serve(account, now)
         yield from self.ask_if_short(account, now)
         if account.scarce:
@@ -336,7 +358,10 @@
             return
         for grant_id, line in list(account.lines.items()):
             tokens = min(line.free, excess)
-            if tokens and self.routing.is_reachable(get_instance(grant_id), now):
+            # One return at a time: what is on the way into a cut helps nobody.
+            acknowledged = line.returned <= line.acknowledged
+            reachable = self.routing.is_reachable(get_instance(grant_id), now)
+            if tokens and acknowledged and reachable:
                 excess -= tokens
                 yield from self.give_back(account, grant_id, now, tokens)
 
@@ -371,29 +396,3 @@
             recall=account.recalls.get(grant_id, 0),
         )
         return SendToPeer(get_instance(grant_id), message)
-
-
-def refuse(
-    request: HoldRequested,
-    reason: Reason,
-    detail: str,
-    retry_after: float | None = RETRY_SECONDS,
-) -> HoldRefused:
-    """Return the refusal of a request that certainly did not run."""
-    verdict = Verdict(Execution.NOT_RUN, reason, detail, retry_after)
-    return HoldRefused(request.hold_id, verdict)
-
-
-def refuse_denied(request: HoldRequested, message: CreditDenied) -> HoldRefused:
-    """Return the refusal that a home's denial leads to."""
-    after = message.retry_after
-    match message.denial:
-        case Denial.EXHAUSTED:
-            detail = f"budget {request.budget} does not cover {request.tokens} tokens"
-            return refuse(request, Reason.BUDGET_EXHAUSTED, detail, after)
-        case Denial.UNPROVEN:
-            detail = f"credit of budget {request.budget} is held elsewhere"
-            return refuse(request, Reason.CREDIT_UNAVAILABLE, detail, after)
-        case Denial.UNREACHABLE:
-            detail = f"the state of budget {request.budget} is not known"
-            return refuse(request, Reason.CREDIT_UNAVAILABLE, detail, after)
--- a/kingcuphead/budgets/_rendezvous.py
+++ b/kingcuphead/budgets/_rendezvous.py
@@ -20,4 +20,6 @@
 
 def choose_member(key: str, members: Iterable[Member]) -> Member | None:
     """Return the preferred member for a key, or None where there is none."""
-    return next(rank_members(key, members), None)
+    return max(
+        members, key=lambda member: compute_weight(key, member.name), default=None
+    )
--- a/kingcuphead/budgets/_routing.py
+++ b/kingcuphead/budgets/_routing.py
@@ -2,11 +2,15 @@
 
 import dataclasses
 from collections.abc import Iterator
+from itertools import islice
 
 from kingcuphead.budgets._messages import Member
-from kingcuphead.budgets._rendezvous import choose_member
+from kingcuphead.budgets._rendezvous import choose_member, rank_members
 from kingcuphead.budgets._settings import Settings
 
+#: Homes that are tried before a daemon acts as home itself.
+HOME_CANDIDATES = 2
+
 
 def get_instance(incarnation: str) -> str:
     """Return the instance name of an incarnation."""
@@ -28,6 +32,9 @@
     #: Length of the last suspicion of a member, in seconds.
     spans: dict[str, float] = dataclasses.field(default_factory=dict)
 
+    #: Preferred homes in this region by shard, until the view changes.
+    homes: dict[int, tuple[Member, ...]] = dataclasses.field(default_factory=dict)
+
     def __post_init__(self) -> None:
         """Start alone."""
         self.members = {self.own.name: self.own}
@@ -36,6 +43,7 @@
         """Take over a new view."""
         self.members = {member.name: member for member in members}
         self.members[self.own.name] = self.own
+        self.homes.clear()
 
     def suspect(self, instance: str, now: float) -> None:
         """Pass over a member for a while, each time for longer."""
@@ -60,13 +68,20 @@
         return (m for m in self.members.values() if self.is_reachable(m.name, now))
 
     def choose_home(self, shard: int, now: float) -> Member:
-        """Return the home of a shard in this region, or this daemon itself."""
-        key = f"home/{shard}"
+        """Return the first reachable home of a shard, or this daemon itself.
+
+        Daemons that miss the first home agree on the second, so that the budget is
+        not spread over a grant for each of them.
+        """
+        if shard not in self.homes:
+            self.homes[shard] = self.rank_homes(shard)
+        reachable = (m for m in self.homes[shard] if self.is_reachable(m.name, now))
+        return next(reachable, self.own)
+
+    def rank_homes(self, shard: int) -> tuple[Member, ...]:
+        """Return the preferred homes of a shard, reachable or not."""
         regional = [m for m in self.members.values() if m.region == self.own.region]
-        home = choose_member(key, regional)
-        if home is None or not self.is_reachable(home.name, now):
-            return self.own
-        return home
+        return tuple(islice(rank_members(f"home/{shard}", regional), HOME_CANDIDATES))
 
     def choose_witness(self, shard: int, now: float) -> Member | None:
         """Return a member in another zone that keeps copies of bills."""
