--- a/kingcuphead/bench/_capacity_page.py
+++ b/kingcuphead/bench/_capacity_page.py
@@ -153,7 +153,7 @@
         )
         yield self._make_row(
             "table: commits/s, whole fleet",
-            "ledger slope x daemons (today: daemons / flush interval) + claims + changes",
+            "ledger slope x daemons (today: one per flush interval) + claims + changes",
             self.reckon_writes,
             sizes.TABLE_WRITES,
             0,
