--- a/kingcuphead/bench/_budgets_books.py
+++ b/kingcuphead/bench/_budgets_books.py
@@ -13,7 +13,7 @@
     decode_page,
     decode_shard,
 )
-from kingcuphead.budgets._rows import ensure
+from kingcuphead.invariants import ensure
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/bench/_budgets_random.py
+++ b/kingcuphead/bench/_budgets_random.py
@@ -32,7 +32,7 @@
     compute_shard,
     parse_shard,
 )
-from kingcuphead.budgets._rows import ensure
+from kingcuphead.invariants import ensure
 from kingcuphead.platform import Committed, Instance, InstanceState, Transaction
 from kingcuphead.records import BudgetPolicy
 
--- a/kingcuphead/budgets/_borrower.py
+++ b/kingcuphead/budgets/_borrower.py
@@ -25,8 +25,9 @@
 )
 from kingcuphead.budgets._refusals import refuse, refuse_denied
 from kingcuphead.budgets._routing import Routing, get_instance
-from kingcuphead.budgets._rows import Bill, compute_shard, ensure
+from kingcuphead.budgets._rows import Bill, compute_shard
 from kingcuphead.budgets._settings import Settings
+from kingcuphead.invariants import ensure
 from kingcuphead.records import BudgetPolicy
 from kingcuphead.verdict import Reason
 
--- a/kingcuphead/budgets/_ledger.py
+++ b/kingcuphead/budgets/_ledger.py
@@ -46,10 +46,11 @@
     SurrenderRequested,
 )
 from kingcuphead.budgets._routing import Routing, get_instance
-from kingcuphead.budgets._rows import compute_shard, ensure
+from kingcuphead.budgets._rows import compute_shard
 from kingcuphead.budgets._settings import Settings
 from kingcuphead.budgets._store import Store
 from kingcuphead.budgets._witness import Witness
+from kingcuphead.invariants import ensure
 
 #: Most effects of one input; more would mean that two machines answer each other
 #: without end.
--- a/kingcuphead/budgets/_lender.py
+++ b/kingcuphead/budgets/_lender.py
@@ -6,8 +6,9 @@
 from kingcuphead.budgets._demand import Demand
 from kingcuphead.budgets._lines import LentLine
 from kingcuphead.budgets._peer_messages import CreditRequested, CreditReturned
-from kingcuphead.budgets._rows import Bill, ensure
+from kingcuphead.budgets._rows import Bill
 from kingcuphead.budgets._settings import Policy
+from kingcuphead.invariants import ensure
 
 #: Seconds for which a home lends no more than needed after another holder's recall.
 PRESSED_SECONDS = 2.0
--- a/kingcuphead/budgets/_lines.py
+++ b/kingcuphead/budgets/_lines.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from kingcuphead.budgets._rows import ensure
+from kingcuphead.invariants import ensure
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/budgets/_replica.py
+++ b/kingcuphead/budgets/_replica.py
@@ -13,9 +13,9 @@
     build_shard_key,
     decode_page,
     decode_shard,
-    ensure,
     parse_page_number,
 )
+from kingcuphead.invariants import ensure
 from kingcuphead.platform import ABSENT, Row, ScanPage
 
 
--- a/kingcuphead/budgets/_rows.py
+++ b/kingcuphead/budgets/_rows.py
@@ -6,38 +6,12 @@
 
 import msgspec
 
+from kingcuphead.invariants import ensure
+
 #: Key of the row that fixes the number of shards.
 LAYOUT_KEY = "layout"
 
 
-class InvariantError(AssertionError):
-    """A state that must be impossible was reached.
-
-    Attributes
-    ----------
-    rule : str
-        The rule that was broken.
-    facts : dict
-        The values that broke it.
-    """
-
-    def __init__(self, rule: str, **facts: object) -> None:
-        self.rule = rule
-        self.facts = facts
-        super().__init__(rule, facts)
-
-    def __str__(self) -> str:
-        """Return the rule and the values that broke it."""
-        values = ", ".join(f"{name}={value!r}" for name, value in self.facts.items())
-        return f"{self.rule}: {values}"
-
-
-def ensure(holds: bool, rule: str, **facts: object) -> None:
-    """Raise `InvariantError` unless the rule holds; stays active under `-O`."""
-    if not holds:
-        raise InvariantError(rule, **facts)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Layout:
     """Division of budgets into shards, fixed when the table is prepared."""
--- a/kingcuphead/budgets/tests/test_rows.py
+++ b/kingcuphead/budgets/tests/test_rows.py
@@ -1,7 +1,8 @@
 import pytest
 
-from kingcuphead.budgets import BudgetState, GrantState, InvariantError, ShardRow
+from kingcuphead.budgets import BudgetState, GrantState, ShardRow
 from kingcuphead.budgets._rows import compute_shard, decode_shard, encode
+from kingcuphead.invariants import InvariantError
 
 
 class TestBudgetState:
--- a/kingcuphead/claims/__init__.py
+++ b/kingcuphead/claims/__init__.py
@@ -2,7 +2,6 @@
 
 from kingcuphead.claims._claim import Claim
 from kingcuphead.claims._driver import Claims, HeldClaim
-from kingcuphead.claims._invariants import InvariantError
 from kingcuphead.claims._messages import (
     AnswerMissed,
     AnswerObserved,
@@ -44,6 +43,7 @@
     UnreadableClaim,
 )
 from kingcuphead.claims._sweeper import sweep_claims
+from kingcuphead.invariants import InvariantError
 
 __all__ = [
     "AnswerLost",
--- a/kingcuphead/claims/_acquisition.py
+++ b/kingcuphead/claims/_acquisition.py
@@ -1,6 +1,5 @@
 """Claims a call in the table, or finds out why it can't be claimed."""
 
-from kingcuphead.claims._invariants import check
 from kingcuphead.claims._messages import (
     ClaimGranted,
     ClaimRefused,
@@ -31,6 +30,7 @@
     decode_claim,
     encode_claim,
 )
+from kingcuphead.invariants import ensure
 from kingcuphead.platform import (
     ABSENT,
     Check,
@@ -132,7 +132,7 @@
                 return ClaimRefused(refusal)
 
     def _judge_own(self, claim: ClaimRow, version: int) -> Decision:
-        check(self._is_uncertain, "a claim's attempt id is unique", claim)
+        ensure(self._is_uncertain, "a claim's attempt id is unique", evidence=claim)
         if claim.state == Held():
             return ClaimGranted(version)
         refusal = refuse_claimed(claim, self._request, self._settings)
--- a/kingcuphead/claims/_claim.py
+++ b/kingcuphead/claims/_claim.py
@@ -5,7 +5,6 @@
 
 from kingcuphead.claims._acquisition import Acquisition
 from kingcuphead.claims._closing import Closing
-from kingcuphead.claims._invariants import InvariantError
 from kingcuphead.claims._messages import (
     AnswerMissed,
     AnswerObserved,
@@ -30,6 +29,7 @@
     ReleaseRequested,
 )
 from kingcuphead.claims._rows import AnswerLost, ClaimState, Released
+from kingcuphead.invariants import InvariantError
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,7 +135,7 @@
                 return self._close(AnswerLost(cause), version, now)
             case phase, _:
                 raise InvariantError(
-                    "a message fits the claim's phase", (phase, message)
+                    "a message fits the claim's phase", phase=phase, message=message
                 )
 
     def _continue(
--- a/kingcuphead/claims/_closing.py
+++ b/kingcuphead/claims/_closing.py
@@ -1,6 +1,5 @@
 """Writes into the table what became of a claimed call."""
 
-from kingcuphead.claims._invariants import check
 from kingcuphead.claims._messages import (
     ClaimClosed,
     ClaimSettings,
@@ -22,6 +21,7 @@
     decode_claim,
     encode_claim,
 )
+from kingcuphead.invariants import ensure
 from kingcuphead.platform import (
     ABSENT,
     Check,
@@ -120,7 +120,7 @@
 
     def _judge_other(self, claim: ClaimRow, version: int) -> Query | Ending:
         is_release = isinstance(self._target.state, Released)
-        check(is_release, "a dispatched call keeps its claim", claim)
+        ensure(is_release, "a dispatched call keeps its claim", evidence=claim)
         if isinstance(claim.state, Released):
             # The claim's own write may still be under way to replace this row.
             return self._write(version)
--- a/kingcuphead/claims/_driver.py
+++ b/kingcuphead/claims/_driver.py
@@ -8,7 +8,6 @@
 from expression import Error, Ok, Result
 
 from kingcuphead.claims._claim import Claim
-from kingcuphead.claims._invariants import InvariantError
 from kingcuphead.claims._messages import (
     AnswerMissed,
     AnswerObserved,
@@ -37,6 +36,7 @@
 )
 from kingcuphead.claims._refusals import refuse_unreachable
 from kingcuphead.claims._rows import AnswerLost, RecordedAnswer
+from kingcuphead.invariants import InvariantError
 from kingcuphead.platform import Table
 from kingcuphead.verdict import Verdict
 
@@ -184,7 +184,7 @@
                 case (CommitRequested() | ReadRequested() | PauseRequested() as query,):
                     message = await self._ask(query)
                 case effects:
-                    raise InvariantError("a claim asks or decides", effects)
+                    raise InvariantError("a claim asks or decides", effects=effects)
 
     def _undo(self, claim: Claim, queries: list[Effect]) -> None:
         for query in queries:
@@ -203,7 +203,7 @@
                     message = await self._ask(effect)
                     (effect,) = claim.receive(message, self._clock())
                 case _:
-                    raise InvariantError("a closing claim asks or ends", effect)
+                    raise InvariantError("a closing claim asks or ends", effect=effect)
 
     async def _ask(self, query: Query) -> Message:
         match query:
--- a/kingcuphead/configuration/_acceptance.py
+++ b/kingcuphead/configuration/_acceptance.py
@@ -29,7 +29,6 @@
     build_change,
     build_transaction,
 )
-from kingcuphead.configuration._invariants import require
 from kingcuphead.configuration._rows import (
     HEAD_KEY,
     decode_applied,
@@ -39,6 +38,7 @@
     make_change_key,
 )
 from kingcuphead.configuration._snapshot import Snapshot
+from kingcuphead.invariants import require
 from kingcuphead.platform import (
     CommitOutcome,
     Committed,
--- a/kingcuphead/configuration/_watcher.py
+++ b/kingcuphead/configuration/_watcher.py
@@ -5,7 +5,6 @@
 
 from expression import Result
 
-from kingcuphead.configuration._invariants import ensure
 from kingcuphead.configuration._messages import (
     ChangesRead,
     ConfigurationApplied,
@@ -46,6 +45,7 @@
     get_version,
 )
 from kingcuphead.configuration._snapshot import Snapshot
+from kingcuphead.invariants import ensure
 from kingcuphead.platform import Row
 from kingcuphead.records import SCHEMA, RecordFault
 
--- a/kingcuphead/daemon/_announcements.py
+++ b/kingcuphead/daemon/_announcements.py
@@ -1,6 +1,7 @@
 """Which task learns what from which other one."""
 
 import dataclasses
+import time
 
 from kingcuphead import budgets, configuration, membership, placement, queueing
 from kingcuphead.daemon._ledger_task import LedgerTask
@@ -16,6 +17,8 @@
 #: Name of the daemons' own service in the platform's instance list.
 DAEMON_SERVICE = "kingcuphead"
 
+_USABLE = frozenset({configuration.Freshness.FRESH, configuration.Freshness.STALE})
+
 _TARGET_STATES = {
     InstanceState.LIVE: placement.TargetState.LIVE,
     InstanceState.LEAVING: placement.TargetState.LEAVING,
@@ -81,6 +84,18 @@
         self.closing = True
         self.parts.gateway.close(Reason.SHUTTING_DOWN)
 
+    def tick_membership(self) -> None:
+        """Let the membership act, and tell it how fresh the configuration is."""
+        confirmed_at = self.parts.configuration.watcher.confirmed_at
+        if confirmed_at is not None:
+            self.parts.membership.post(membership.RevisionConfirmed(confirmed_at))
+        self.parts.membership.post(membership.Ticked())
+
+    def is_current(self) -> bool:
+        """Return whether the configuration in force may be used now."""
+        watcher = self.parts.configuration.watcher
+        return watcher.assess(time.monotonic()) in _USABLE
+
     def take_instances(self, instances: tuple[Instance, ...]) -> None:
         """Take the platform's instance list."""
         self.instances = tuple(i for i in instances if i.service == DAEMON_SERVICE)
@@ -100,10 +115,10 @@
                 self._take_view(effect)
             case membership.NoticeLearnt(notice):
                 self._take_notice(notice)
-            case membership.PeerRevisionSeen(name, revision):
+            case membership.PeerRevisionSeen(name, revision, confirmed_at):
                 self.revisions[name] = revision
                 self.parts.configuration.post(
-                    configuration.PeerRevision(name, revision)
+                    configuration.PeerRevision(name, revision, confirmed_at)
                 )
 
     def take_configuration(self, notice: configuration.ConfigurationNotice) -> None:
@@ -117,7 +132,6 @@
                 self.parts.membership.post(membership.RevisionApplied(applied.revision))
             case configuration.FreshnessChanged(freshness):
                 self.freshness = freshness
-                self._take_freshness(freshness)
 
     def tell(self, notice: membership.NoticeRaised) -> None:
         """Pass a fact on to every peer."""
@@ -131,15 +145,6 @@
         self.parts.ledger.post(budgets.ViewChanged(known))
         self.parts.scheduler.post(queueing.PeersCounted(max(1, len(members))))
 
-    def _take_freshness(self, freshness: configuration.Freshness) -> None:
-        if self.closing:
-            return
-        match freshness:
-            case configuration.Freshness.FRESH | configuration.Freshness.STALE:
-                self.parts.gateway.open()
-            case _:
-                self.parts.gateway.close(Reason.CONFIGURATION_STALE)
-
     def _take_notice(self, notice: membership.Notice) -> None:
         kinds = membership.NoticeKind
         peer = placement.SignSource.PEER
--- a/kingcuphead/daemon/_assembly.py
+++ b/kingcuphead/daemon/_assembly.py
@@ -5,7 +5,7 @@
 import time
 import typing
 
-from kingcuphead import budgets, configuration, membership, queueing
+from kingcuphead import budgets, configuration, membership, placement, queueing
 from kingcuphead.api import ApiLimits
 from kingcuphead.claims import Claims
 from kingcuphead.daemon._announcements import Announcements, Parts
@@ -78,13 +78,13 @@
     timeouts = make_timeouts(settings)
     platform = _make_platform_connection(settings)
     table = HttpTable(platform)
-    ledger = _make_ledger_task(settings, own, table, router)
+    metrics = Metrics()
+    ledger = _make_ledger_task(settings, own, table, router, metrics)
     targets = TargetWatch(relay, timeouts, lambda report: parts.scheduler.post(report))
     scheduler = SchedulerTask(
         _make_scheduler(settings), targets.probe, announcements.tell
     )
     settlements = Settlements(ledger)
-    metrics = Metrics()
     requests = RequestLog(own.name, metrics)
     chat_times = ChatTimes(settings.budgets.hold_timeout_seconds, timeouts)
     gateway = Gateway(
@@ -92,6 +92,7 @@
         ChatPath(ledger, settlements, scheduler, relay, chat_times),
         ServicePath(scheduler, relay, timeouts),
         ClaimedCalls(Claims(table), own.name),
+        announcements.is_current,
         requests.report,
     )
     parts = Parts(
@@ -136,7 +137,11 @@
 
 
 def _make_ledger_task(
-    settings: Settings, own: membership.Member, table: Table, router: PeerRouter
+    settings: Settings,
+    own: membership.Member,
+    table: Table,
+    router: PeerRouter,
+    metrics: Metrics,
 ) -> LedgerTask:
     ledger = budgets.Ledger(
         own.name,
@@ -148,13 +153,16 @@
             flush_interval=settings.budgets.flush_interval_seconds,
         ),
     )
-    return LedgerTask(ledger, table, router.send, lambda fault: None)
+    return LedgerTask(
+        ledger, table, router.send, lambda fault: metrics.count_fault(fault.kind)
+    )
 
 
 def _make_scheduler(settings: Settings) -> queueing.Scheduler:
     return queueing.Scheduler(
         queueing.SchedulerSettings(
-            queueing=queueing.QueueingSettings(capacity=settings.limits.queue_length)
+            queueing=queueing.QueueingSettings(capacity=settings.limits.queue_length),
+            placement=placement.PlacementSettings(zone=settings.instance.zone),
         ),
         settings.instance.name,
         random.Random(settings.instance.name),
--- a/kingcuphead/daemon/_daemon.py
+++ b/kingcuphead/daemon/_daemon.py
@@ -14,6 +14,7 @@
     CallerServerSettings,
     make_caller_application,
 )
+from kingcuphead.daemon._claim_sweep import sweep_regularly
 from kingcuphead.daemon._identity import make_own_member
 from kingcuphead.daemon._instance_watch import watch_instances
 from kingcuphead.daemon._machine_task import tick
@@ -95,9 +96,10 @@
             watch_instances(
                 assembly.instances, interval, assembly.announcements.take_instances
             ),
+            sweep_regularly(assembly.table),
             tick(LEDGER_TICK_INTERVAL, lambda: parts.ledger.post(budgets.Ticked())),
             tick(TICK_INTERVAL, lambda: parts.scheduler.post(queueing.Ticked())),
-            tick(TICK_INTERVAL, lambda: parts.membership.post(membership.Ticked())),
+            tick(TICK_INTERVAL, assembly.announcements.tick_membership),
         ]
 
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/kingcuphead/daemon/_state_backend.py
+++ b/kingcuphead/daemon/_state_backend.py
@@ -1,5 +1,6 @@
 """What operators read of the running daemon."""
 
+import asyncio
 import time
 from collections.abc import Iterator
 
@@ -114,8 +115,11 @@
         ready = freshness in _SERVING and not self._announcements.closing
         return ReadyView(ready, freshness.value, tuple(reasons))
 
-    def render_metrics(self) -> bytes:
-        """Return the metrics in the exposition format."""
+    async def render_metrics(self) -> bytes:
+        """Return the metrics in the exposition format.
+
+        A thread renders them, so that a scrape does not hold up the streams.
+        """
         parts = self._assembly.parts
         credit = parts.ledger.sum_credit()
         self._assembly.metrics.set_state(
@@ -128,7 +132,8 @@
                 ready=self.check_ready().ready,
             )
         )
-        return self._assembly.metrics.render()
+        loop = asyncio.get_running_loop()
+        return await loop.run_in_executor(None, self._assembly.metrics.render)
 
     def _iterate_peers(self) -> Iterator[PeerView]:
         for member in self._announcements.view:
--- /dev/null
+++ b/kingcuphead/invariants/__init__.py
@@ -0,0 +1,5 @@
+"""Checks of invariants that stay on in production."""
+
+from kingcuphead.invariants._invariants import InvariantError, ensure, require
+
+__all__ = ["InvariantError", "ensure", "require"]
--- a/kingcuphead/membership/_membership.py
+++ b/kingcuphead/membership/_membership.py
@@ -24,6 +24,7 @@
     NoticeRaised,
     PeerRevisionSeen,
     RevisionApplied,
+    RevisionConfirmed,
     SendToAddress,
     Ticked,
     ViewChanged,
@@ -81,6 +82,7 @@
         self._probe_number = 0
         self._notice_number = 0
         self._revision = 0
+        self._confirmed_at: float | None = None
         self._terminated: set[str] = set()
         self._view = ViewChanged(())
         self._member_facts: Dissemination[Member] = Dissemination(MEMBER_CAPACITY)
@@ -118,19 +120,20 @@
     def _handle(self, message: Input, now: float) -> Iterator[Effect]:
         match message:
             case Heartbeat():
-                yield from self._learn(message, now)
-                yield SendToAddress(
-                    message.sender.address, self._acknowledge(message.number)
-                )
+                yield from self._learn(message, None, now)
+                answer = self._acknowledge(message.number, now)
+                yield SendToAddress(message.sender.address, answer)
             case HeartbeatAcknowledged():
-                self._probes.pop(message.number, None)
-                yield from self._learn(message, now)
+                confirmed_at = self._take_confirmation(message)
+                yield from self._learn(message, confirmed_at, now)
             case InstancesListed(instances):
                 self._merge_list(instances, now)
             case NoticeRaised():
                 self._raise_notice(message)
             case RevisionApplied(revision):
                 self._revision = revision
+            case RevisionConfirmed(confirmed_at):
+                self._confirmed_at = confirmed_at
             case LeaveStarted():
                 yield from self._leave()
             case Ticked():
@@ -140,16 +143,29 @@
     # What peers say.
 
     def _learn(
-        self, message: Heartbeat | HeartbeatAcknowledged, now: float
+        self,
+        message: Heartbeat | HeartbeatAcknowledged,
+        confirmed_at: float | None,
+        now: float,
     ) -> Iterator[Effect]:
         self._hear_from(message.sender, now)
         for member in message.members:
             self._believe(member, now)
-        yield PeerRevisionSeen(message.sender.name, message.revision)
+        yield PeerRevisionSeen(message.sender.name, message.revision, confirmed_at)
         for notice in message.notices:
             if self._remember(notice):
                 yield NoticeLearnt(notice)
 
+    def _take_confirmation(self, message: HeartbeatAcknowledged) -> float | None:
+        """Return the local time at which the sender's revision was the newest.
+
+        It counts from the question, so that a delay on the way makes it older.
+        """
+        _, asked_at = self._probes.pop(message.number, ("", None))
+        if asked_at is None or message.confirmed_age is None:
+            return None
+        return asked_at - message.confirmed_age
+
     def _hear_from(self, sender: Member, now: float) -> None:
         """Believe a peer's own word over a suspicion of the same incarnation.
 
@@ -290,8 +306,11 @@
         elif member.status is MemberStatus.LEAVING:
             self._store(member.with_changes(status=MemberStatus.DEAD), now)
 
-    def _acknowledge(self, number: int) -> HeartbeatAcknowledged:
-        return HeartbeatAcknowledged(number, self._own, self._revision, *self._facts())
+    def _acknowledge(self, number: int, now: float) -> HeartbeatAcknowledged:
+        age = None if self._confirmed_at is None else now - self._confirmed_at
+        return HeartbeatAcknowledged(
+            number, self._own, self._revision, *self._facts(), confirmed_age=age
+        )
 
     def _facts(self) -> tuple[tuple[Member, ...], tuple[Notice, ...]]:
         count = len(self._members)
--- a/kingcuphead/membership/_messages.py
+++ b/kingcuphead/membership/_messages.py
@@ -110,6 +110,8 @@
     members: tuple[Member, ...]
     #: Recent notices.
     notices: tuple[Notice, ...]
+    #: Seconds since the sender's revision was certainly the newest; None if unknown.
+    confirmed_age: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +142,14 @@
     revision: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RevisionConfirmed:
+    """The revision in force here was certainly the newest one."""
+
+    #: Monotonic time in seconds at which it was.
+    confirmed_at: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class LeaveStarted:
     """The daemon begins its graceful shutdown."""
@@ -156,6 +166,7 @@
     | InstancesListed
     | NoticeRaised
     | RevisionApplied
+    | RevisionConfirmed
     | LeaveStarted
     | Ticked
 )
@@ -197,6 +208,8 @@
     name: str
     #: Its revision.
     revision: int
+    #: Monotonic time here at which that revision was certainly the newest, or None.
+    confirmed_at: float | None = None
 
 
 Effect: TypeAlias = SendToAddress | ViewChanged | NoticeLearnt | PeerRevisionSeen
--- a/kingcuphead/membership/tests/test_membership.py
+++ b/kingcuphead/membership/tests/test_membership.py
@@ -16,6 +16,7 @@
     NoticeRaised,
     PeerRevisionSeen,
     RevisionApplied,
+    RevisionConfirmed,
     SendToAddress,
     Ticked,
     ViewChanged,
@@ -192,3 +193,28 @@
         assert isinstance(answers[0], HeartbeatAcknowledged)
         assert answers[0].sender.counter == 1
         assert answers[0].sender.status is MemberStatus.ALIVE
+
+    @pytest.mark.parametrize(("delay", "confirmed_at"), [(0.1, 9.0), (0.4, 9.0)])
+    def test_delay_never_makes_a_confirmation_newer(self, delay, confirmed_at):
+        machine = Membership(make_member(0), SETTINGS, random.Random(1))
+        instances = (Instance("d1", "entry", "zone", "d1", InstanceState.LIVE),)
+        machine.receive(InstancesListed(instances), 10.0)
+        (probe,) = machine.receive(Ticked(), 10.0)
+        answer = HeartbeatAcknowledged(
+            probe.message.number, make_member(1), 5, (), (), confirmed_age=1.0
+        )
+        effects = machine.receive(answer, 10.0 + delay)
+        seen = [e for e in effects if isinstance(e, PeerRevisionSeen)]
+        assert seen == [PeerRevisionSeen("d1", 5, confirmed_at)]
+
+    def test_heartbeat_alone_confirms_nothing(self):
+        machine = Membership(make_member(0), SETTINGS, random.Random(1))
+        effects = machine.receive(Heartbeat(1, make_member(1), 5, (), ()), 10.0)
+        assert PeerRevisionSeen("d1", 5, None) in effects
+
+    def test_answer_carries_the_age_of_the_confirmation(self):
+        machine = Membership(make_member(0), SETTINGS, random.Random(1))
+        machine.receive(RevisionConfirmed(7.0), 8.0)
+        effects = machine.receive(Heartbeat(1, make_member(1), 5, (), ()), 10.0)
+        answers = [e.message for e in effects if isinstance(e, SendToAddress)]
+        assert [answer.confirmed_age for answer in answers] == [3.0]
--- a/kingcuphead/metrics/_metrics.py
+++ b/kingcuphead/metrics/_metrics.py
@@ -138,6 +138,10 @@
             self._longest_gap.labels(work_class).observe(stream.longest_gap)
         self._count_tokens(organisation, measured)
 
+    def count_fault(self, kind: str) -> None:
+        """Count a fault that the ledger reported, such as usage above its bound."""
+        self._faults.labels(kind).inc()
+
     def set_state(self, state: DaemonState) -> None:
         """Take what the daemon holds now."""
         self._open_requests.set(state.open_requests)
@@ -198,6 +202,12 @@
             ("organisation", "kind"),
             registry=self._registry,
         )
+        self._faults = Counter(
+            f"{_PREFIX}_ledger_faults",
+            "Faults that the ledger reported, by kind",
+            ("kind",),
+            registry=self._registry,
+        )
         self._longest_gap = Histogram(
             f"{_PREFIX}_class_longest_token_gap_seconds",
             "Longest time between tokens of an answer, by class",
--- a/kingcuphead/operators/_backends.py
+++ b/kingcuphead/operators/_backends.py
@@ -115,7 +115,7 @@
         """Return whether callers may be sent here."""
         ...
 
-    def render_metrics(self) -> bytes:
+    async def render_metrics(self) -> bytes:
         """Return the metrics in the exposition format."""
         ...
 
--- a/kingcuphead/operators/_handlers.py
+++ b/kingcuphead/operators/_handlers.py
@@ -220,10 +220,10 @@
 class MetricsHandler(OperatorHandler):
     """`/metrics`."""
 
-    def get(self) -> None:
+    async def get(self) -> None:
         """Expose the metrics."""
         self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.write(self.backend.state.render_metrics())
+        self.write(await self.backend.state.render_metrics())
 
 
 class HealthHandler(OperatorHandler):
--- a/kingcuphead/operators/tests/fakes.py
+++ b/kingcuphead/operators/tests/fakes.py
@@ -126,7 +126,7 @@
         reasons = () if self.ready else ("shutting down",)
         return ReadyView(self.ready, "fresh", reasons)
 
-    def render_metrics(self) -> bytes:
+    async def render_metrics(self) -> bytes:
         return b"requests_total 1\n"
 
 
--- a/kingcuphead/pipeline/_claiming.py
+++ b/kingcuphead/pipeline/_claiming.py
@@ -103,7 +103,12 @@
         held: HeldClaim,
         operate: Callable[[Permit], Awaitable[Outcome[RecordedAnswer]]],
     ) -> Outcome[RecordedAnswer]:
-        outcome = await operate(held)
+        try:
+            outcome = await operate(held)
+        except Exception as error:
+            # The call may have been sent; without this its claim would stay open.
+            await self._claims.record(held, AnswerLost(type(error).__name__))
+            raise
         closing = asyncio.ensure_future(self._close(held, outcome))
         self._tasks.add(closing)
         closing.add_done_callback(self._tasks.discard)
@@ -116,6 +121,8 @@
                 await self._claims.record(held, _bound(answer))
             case Result(error=Verdict(execution=Execution.NOT_RUN)):
                 await self._claims.abandon(held)
+            case Result(error=Verdict(execution=Execution.RAN)):
+                await self._claims.record(held, RecordedAnswer(200, (), None))
             case Result(error=verdict):
                 await self._claims.record(held, AnswerLost(verdict.detail))
 
--- a/kingcuphead/pipeline/_gateway.py
+++ b/kingcuphead/pipeline/_gateway.py
@@ -85,6 +85,9 @@
         The path of calls to plain services.
     claimed
         Calls that must not be repeated.
+    is_current
+        Returns whether the configuration in force may still be used; asked at each
+        request, for a daemon that wakes from a pause has not ticked yet.
     report
         Receives the end of every request.
     """
@@ -95,16 +98,18 @@
         chat: ChatPath,
         services: ServicePath,
         claimed: ClaimedCalls,
+        is_current: Callable[[], bool],
         report: Callable[[RequestEnd], None],
     ) -> None:
         self._settings = settings
         self._chat = chat
         self._services = services
         self._claimed = claimed
+        self._is_current = is_current
         self._report = report
         self._configuration = Configuration()
         self._index = KeyIndex.build(self._configuration)
-        self._closed_reason: Reason | None = Reason.CONFIGURATION_STALE
+        self._closed_reason: Reason | None = None
         self._open_requests = 0
 
     @property
@@ -118,13 +123,9 @@
         self._index = KeyIndex.build(configuration)
 
     def close(self, reason: Reason) -> None:
-        """Refuse requests that arrive from now on."""
+        """Refuse requests that arrive from now on, for good."""
         self._closed_reason = reason
 
-    def open(self) -> None:
-        """Serve requests again."""
-        self._closed_reason = None
-
     def list_models(self, received: Received) -> Outcome[bytes]:
         """Return the models that the caller's organisation may use."""
         return identify_caller(received.headers, self._index).map(
@@ -278,8 +279,10 @@
 
     def _check_open(self) -> Outcome[None]:
         if self._closed_reason is not None:
-            detail = "the daemon takes no requests now"
-            return _refuse(self._closed_reason, detail)
+            return _refuse(self._closed_reason, "the daemon takes no requests")
+        if not self._is_current():
+            detail = "the configuration could not be confirmed"
+            return _refuse(Reason.CONFIGURATION_STALE, detail)
         if self._open_requests >= self._settings.concurrent_requests:
             detail = f"{self._open_requests} requests are in the daemon already"
             return _refuse(Reason.QUEUE_FULL, detail)
--- a/kingcuphead/placement/__init__.py
+++ b/kingcuphead/placement/__init__.py
@@ -1,7 +1,6 @@
 """Placement: which target runs a request, and how much each may run."""
 
 from kingcuphead.placement._affinity import compute_score, encode_key
-from kingcuphead.placement._invariants import InvariantError, ensure
 from kingcuphead.placement._messages import (
     PlacementEffect,
     PlacementQuery,
@@ -16,7 +15,6 @@
 __all__ = [
     "AnswerResult",
     "Attempt",
-    "InvariantError",
     "Placement",
     "PlacementEffect",
     "PlacementQuery",
@@ -29,5 +27,4 @@
     "TargetView",
     "compute_score",
     "encode_key",
-    "ensure",
 ]
--- a/kingcuphead/placement/_placement.py
+++ b/kingcuphead/placement/_placement.py
@@ -5,8 +5,8 @@
 import random
 from collections.abc import Iterator
 
+from kingcuphead.invariants import ensure
 from kingcuphead.placement._choice import TargetChooser
-from kingcuphead.placement._invariants import ensure
 from kingcuphead.placement._limit import AdaptiveLimit
 from kingcuphead.placement._liveness import Liveness
 from kingcuphead.placement._load import TargetLoad
--- a/kingcuphead/placement/tests/test_placement.py
+++ b/kingcuphead/placement/tests/test_placement.py
@@ -2,9 +2,9 @@
 
 import pytest
 
+from kingcuphead.invariants import InvariantError
 from kingcuphead.placement import (
     AnswerResult,
-    InvariantError,
     Placement,
     PlacementQuery,
     PlacementSettings,
--- a/kingcuphead/queueing/_backlog.py
+++ b/kingcuphead/queueing/_backlog.py
@@ -4,7 +4,7 @@
 import math
 from collections.abc import Iterator, Mapping
 
-from kingcuphead.placement import ensure
+from kingcuphead.invariants import ensure
 from kingcuphead.queueing._fairness import FairQueue, Waiting
 from kingcuphead.queueing._messages import RequestArrived
 from kingcuphead.records import WorkClass
--- a/kingcuphead/queueing/_fairness.py
+++ b/kingcuphead/queueing/_fairness.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from kingcuphead.placement import ensure
+from kingcuphead.invariants import ensure
 from kingcuphead.queueing._messages import RequestArrived
 
 
--- a/kingcuphead/queueing/_rejection.py
+++ b/kingcuphead/queueing/_rejection.py
@@ -2,7 +2,8 @@
 
 from collections.abc import Iterator
 
-from kingcuphead.placement import Prospect, ensure
+from kingcuphead.invariants import ensure
+from kingcuphead.placement import Prospect
 from kingcuphead.queueing._backlog import ClassQueue, Lane, get_lane
 from kingcuphead.queueing._fairness import Waiting
 from kingcuphead.queueing._messages import RequestRejected
--- a/kingcuphead/queueing/_scheduler.py
+++ b/kingcuphead/queueing/_scheduler.py
@@ -4,13 +4,13 @@
 from collections import Counter
 from collections.abc import Iterator, Mapping
 
+from kingcuphead.invariants import ensure
 from kingcuphead.placement import (
     AnswerResult,
     Attempt,
     Placement,
     Prospect,
     TargetView,
-    ensure,
 )
 from kingcuphead.quarantine import Crash, Quarantine, QuarantineEntry
 from kingcuphead.queueing._backlog import get_lane
--- a/kingcuphead/queueing/tests/test_scheduler.py
+++ b/kingcuphead/queueing/tests/test_scheduler.py
@@ -1,8 +1,8 @@
 import pytest
 
+from kingcuphead.invariants import InvariantError
 from kingcuphead.placement import (
     AnswerResult,
-    InvariantError,
     SignSource,
     TargetState,
     compute_score,
--- a/kingcuphead/settings/_sections.py
+++ b/kingcuphead/settings/_sections.py
@@ -129,10 +129,6 @@
     shards: Annotated[int, msgspec.Meta(ge=1, le=4096)] = 64
     #: Seconds between two batches of bills and grants.
     flush_interval_seconds: Seconds = 0.5
-    #: Seconds of demand that one grant covers.
-    grant_seconds: Seconds = 5.0
-    #: Seconds without spending after which a grant is handed back.
-    idle_return_seconds: Seconds = 30.0
     #: Seconds that a request may wait for credit.
     hold_timeout_seconds: Seconds = 2.0
 
@@ -147,8 +143,6 @@
     first_byte_timeout_seconds: Seconds = 60.0
     #: Longest silence inside an answer in seconds.
     idle_timeout_seconds: Seconds = 30.0
-    #: Seconds between two probes of one target.
-    probe_interval_seconds: Seconds = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -40,6 +40,7 @@
   3: i64 revision
   4: list<Member> members
   5: list<Notice> notices
+  6: double confirmed_age
 }
 
 struct Bill {
