Try configuration changes with the command-line tool

Scenarios over separate processes: revoked key, new organisation, drained target, race of two operators, lost replies, frozen daemon, two schema versions, and a new instance that starts in an outage of the table. They share one fleet, because each leaves it as the next one needs it.

--- a/features/steps/callers.py
+++ b/features/steps/callers.py
@@ -4,6 +4,9 @@
 
 from behave import when
 
+#: Seconds in which a caller comes back as told.
+RETRY_TIMEOUT = 10.0
+
 
 @when('{organisation} sends request "{name}" of {tokens:d} tokens to daemon {number:d}')
 def send_request(context, organisation, name, tokens, number):
@@ -59,3 +62,21 @@
     ]
     daemon = world.get_daemon(number)
     world.batch = [world.run(world.send(call, daemon)) for call in calls]
+
+
+@when(
+    '{organisation} sends request "{name}" of {tokens:d} tokens to daemon {number:d}'
+    " again for as long as it is told to"
+)
+def send_again(context, organisation, name, tokens, number):
+    """Repeat a refusal that is not run and names a time to come back."""
+    world = context.world
+    call = world.make_call(organisation, tokens, name=name)
+    deadline = world.loop.time() + RETRY_TIMEOUT
+    while True:
+        result = world.run(world.send(call, world.get_daemon(number)))
+        world.results[name] = result
+        told = result.execution == "not_run" and result.retry_after
+        if not told or world.loop.time() > deadline:
+            return
+        world.sleep(float(result.retry_after))
--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -8,6 +8,8 @@
 
 @given("a fleet of {daemons:d} daemons and {engines:d} engines")
 def start_fleet(context, daemons, engines):
+    if context.world.fleet is not None:
+        return
     organisations = [
         make_organisation(row["organisation"], int(row["tokens"]), row["policy"])
         for row in context.table
@@ -28,6 +30,11 @@
     world.run(world.fleet.list_instance(name, InstanceState.TERMINATED))
 
 
+@when("daemon {number:d} is replaced by a new instance")
+def replace_daemon(context, number):
+    context.world.replace(number)
+
+
 @when("daemon {number:d} freezes")
 def freeze_daemon(context, number):
     context.world.signal(number, "SIGSTOP")
--- a/features/world.py
+++ b/features/world.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import itertools
+import shlex
 import signal
 
 from kingcuphead.localfleet import (
@@ -15,6 +16,7 @@
     read_budgets,
     read_dispatches,
     read_executions,
+    run_command,
     seed_fleet,
     send_chat,
 )
@@ -33,6 +35,9 @@
     def __init__(self, loop):
         self.loop = loop
         self.fleet = None
+        self.daemons = []
+        self.command = None
+        self.reply = None
         self.organisations = {}
         self.running = {}
         self.results = {}
@@ -56,14 +61,17 @@
             return ""
         logs = (
             f"--- {daemon.name}\n{self.fleet.get_process(daemon.name).read_log()}"
-            for daemon in self.fleet.plan.daemons
+            for daemon in self.daemons
         )
         return "\n".join(logs)
 
-    def start(self, daemons, engines, organisations, overrides=None):
+    def start(
+        self, daemons, engines, organisations, options=ENGINE_OPTIONS, overrides=None
+    ):
         self.organisations = {each.name: each for each in organisations}
-        plan = make_plan(daemons, engines, engine_options=ENGINE_OPTIONS)
+        plan = make_plan(daemons, engines, engine_options=options)
         self.fleet = LocalFleet(plan, overrides)
+        self.daemons = list(plan.daemons)
         self.run(self.fleet.start())
         self.run(seed_fleet(plan, tuple(organisations), max_output_tokens=400))
         self.run(self._wait_for_service())
@@ -90,13 +98,18 @@
     def list_serving(self):
         return [
             daemon
-            for daemon in self.fleet.plan.daemons
+            for daemon in self.daemons
             if self.fleet.get_process(daemon.name).running
             and daemon.name not in self.frozen
         ]
 
     def get_daemon(self, number):
-        return self.fleet.plan.daemons[number - 1]
+        return self.daemons[number - 1]
+
+    def replace(self, number):
+        """Start a new instance; it takes the number of the one that has ended."""
+        old = self.get_daemon(number)
+        self.daemons[number - 1] = self.run(self.fleet.replace_daemon(old.name))
 
     def make_call(self, organisation, tokens, stream=False, name=""):
         number = next(self.numbers)
@@ -133,6 +146,11 @@
             )
         )
 
+    def operate(self, number, text):
+        """Run the command-line tool as a process, through one daemon."""
+        arguments = tuple(shlex.split(text))
+        return self.run(run_command(self.get_daemon(number), arguments))
+
     def signal(self, number, name):
         self.fleet.signal(self.get_daemon(number).name, signal.Signals[name])
 
--- a/kingcuphead/localfleet/__init__.py
+++ b/kingcuphead/localfleet/__init__.py
@@ -19,8 +19,15 @@
     send_chat,
 )
 from kingcuphead.localfleet._client import LocalClient, Reply
+from kingcuphead.localfleet._command_line import (
+    CommandError,
+    CommandResult,
+    require_command,
+    run_command,
+)
 from kingcuphead.localfleet._fleet import LocalFleet
 from kingcuphead.localfleet._plan import (
+    OPERATOR_TOKEN,
     DaemonPlan,
     EnginePlan,
     FleetPlan,
@@ -28,11 +35,14 @@
     make_plan,
 )
 from kingcuphead.localfleet._process import LocalProcess, ProcessError
-from kingcuphead.localfleet._records import LocalOrganisation
+from kingcuphead.localfleet._records import LocalOrganisation, list_records
 from kingcuphead.localfleet._seed import SeedError, create_budget, seed_fleet
 
 __all__ = [
+    "OPERATOR_TOKEN",
     "BudgetBook",
+    "CommandError",
+    "CommandResult",
     "ChatCall",
     "ChatResult",
     "Dispatch",
@@ -58,6 +68,9 @@
     "SeedError",
     "ServicePlan",
     "create_budget",
+    "list_records",
     "make_plan",
+    "require_command",
+    "run_command",
     "seed_fleet",
 ]
