--- a/features/steps/operators.py
+++ b/features/steps/operators.py
@@ -133,3 +133,96 @@
     command = context.world.operate(1, "--json history")
     found = [change for change in json.loads(command.output) if change["id"] == id_]
     assert len(found) == 1, command
+
+
+@then("the spend of {organisation} is the sum of its bills")
+def check_spend(context, organisation):
+    world = context.world
+
+    async def agrees():
+        result = await run_command(
+            world.get_daemon(1), ("--json", "spend", organisation)
+        )
+        books = {book.name: book for book in (await world.collect()).books}
+        billed = sum(bill.tokens for bill in books[organisation].bills)
+        return result.decode()[0]["settled"] == billed > 0
+
+    world.run(world.wait_until(agrees))
+
+
+@then("budget {name} has a limit of {tokens:d} tokens")
+def check_limit(context, name, tokens):
+    books = context.world.run(context.world.collect()).books
+    assert [book.limit for book in books if book.name == name] == [tokens], books
+
+
+@when("an operator releases the grants of daemon {holder:d} in {budget}")
+def release_grants(context, holder, budget):
+    world = context.world
+    name = world.get_daemon(holder).name
+    shown = world.operate(1, f"--json grants {budget}").decode()
+    grants = [each["grant_id"] for each in shown if each["holder"] == name]
+    assert grants, shown
+    for grant in grants:
+        world.command = world.operate(1, f"release {budget} {grant}")
+
+
+@then("{budget} has an unattributed charge of daemon {holder:d}")
+def check_unattributed(context, budget, holder):
+    world = context.world
+    name = world.get_daemon(holder).name
+
+    async def is_shown():
+        result = await run_command(
+            world.get_daemon(1), ("--json", "unattributed", budget)
+        )
+        return name in {each["holder"] for each in result.decode()}
+
+    world.run(world.wait_until(is_shown))
+
+
+@then("{budget} has no grant of daemon {holder:d}")
+def check_no_grant(context, budget, holder):
+    world = context.world
+    shown = world.operate(1, f"--json grants {budget}").decode()
+    name = world.get_daemon(holder).name
+    assert all(each["holder"] != name for each in shown), shown
+
+
+@then("the operators' port of daemon {number:d} refuses {organisation}'s key")
+def check_operator_port(context, number, organisation):
+    world = context.world
+    address = world.get_daemon(number).operator_address
+    headers = {"Authorization": f"Bearer key-{organisation}"}
+    for path in ("budgets", "records/organisation", "metrics", "revision"):
+        reply = world.run(world.fleet.client.get(f"http://{address}/{path}", headers))
+        assert reply.status in (401, 403), (path, reply)
+
+
+@then("the callers' port of daemon {number:d} refuses the operators' token")
+def check_caller_port(context, number):
+    world = context.world
+    url = f"{world.get_daemon(number).caller_url}/v1/models"
+    reply = world.run(world.fleet.client.get(url, OPERATOR_HEADERS))
+    assert reply.status == 401, reply
+
+
+@then("daemon {number:d} says that it is not ready while it still runs")
+def check_not_ready(context, number):
+    world = context.world
+    daemon = world.get_daemon(number)
+    url = f"http://{daemon.operator_address}/readyz"
+
+    async def is_closing():
+        return (await world.fleet.client.get(url)).status == 503
+
+    world.run(world.wait_until(is_closing, FORCE_TIMEOUT))
+    assert world.fleet.get_process(daemon.name).running
+
+
+@when("the settings are checked")
+def check_settings(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "daemon.ini"
+        path.write_text(context.text)
+        context.world.command = context.world.check_settings(path)
--- a/features/world.py
+++ b/features/world.py
@@ -11,6 +11,7 @@
     Exchange,
     LocalFleet,
     LocalOrganisation,
+    check_settings,
     make_plan,
     place_order,
     read_budgets,
@@ -151,6 +152,9 @@
         arguments = tuple(shlex.split(text))
         return self.run(run_command(self.get_daemon(number), arguments))
 
+    def check_settings(self, path):
+        return self.run(check_settings(path))
+
     def signal(self, number, name):
         self.fleet.signal(self.get_daemon(number).name, signal.Signals[name])
 
--- a/kingcuphead/localfleet/__init__.py
+++ b/kingcuphead/localfleet/__init__.py
@@ -22,6 +22,7 @@
 from kingcuphead.localfleet._command_line import (
     CommandError,
     CommandResult,
+    check_settings,
     require_command,
     run_command,
 )
@@ -50,6 +51,7 @@
     "Exchange",
     "Finding",
     "audit",
+    "check_settings",
     "Execution",
     "place_order",
     "read_budgets",
--- a/kingcuphead/localfleet/_command_line.py
+++ b/kingcuphead/localfleet/_command_line.py
@@ -4,6 +4,7 @@
 import dataclasses
 import os
 import sys
+from pathlib import Path
 from typing import Any
 
 import msgspec
@@ -59,20 +60,16 @@
     TimeoutError
         The command did not end in time; it was killed.
     """
-    process = await asyncio.create_subprocess_exec(
-        *(sys.executable, "-m", "kingcuphead.cli", *arguments),
-        stdout=asyncio.subprocess.PIPE,
-        stderr=asyncio.subprocess.PIPE,
-        env=os.environ
-        | {"KINGCUPHEAD_SERVER": daemon.operator_address, "KINGCUPHEAD_TOKEN": token},
-    )
-    try:
-        output, error = await asyncio.wait_for(process.communicate(), COMMAND_TIMEOUT)
-    except TimeoutError:
-        process.kill()
-        await process.wait()
-        raise
-    return CommandResult(process.returncode or 0, output.decode(), error.decode())
+    environment = {
+        "KINGCUPHEAD_SERVER": daemon.operator_address,
+        "KINGCUPHEAD_TOKEN": token,
+    }
+    return await _run("kingcuphead.cli", arguments, environment)
+
+
+async def check_settings(path: Path) -> CommandResult:
+    """Let the daemon's program check a settings file."""
+    return await _run("kingcuphead.daemon", ("--config", str(path), "--check"), {})
 
 
 async def require_command(daemon: DaemonPlan, arguments: tuple[str, ...]) -> None:
@@ -86,3 +83,21 @@
     result = await run_command(daemon, arguments)
     if result.code != 0:
         raise CommandError(arguments, result)
+
+
+async def _run(
+    module: str, arguments: tuple[str, ...], environment: dict[str, str]
+) -> CommandResult:
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", module, *arguments),
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.PIPE,
+        env=os.environ | environment,
+    )
+    try:
+        output, error = await asyncio.wait_for(process.communicate(), COMMAND_TIMEOUT)
+    except TimeoutError:
+        process.kill()
+        await process.wait()
+        raise
+    return CommandResult(process.returncode or 0, output.decode(), error.decode())
