Try callers who hang up, err, or send what crashes engines

A hang-up cancels the engine's stream and bills no more than was generated; requests with faults get their status, reason and verdict; an engine dies under an unstreamed request (run again, billed once) and under a begun stream (error event, no [DONE]); a request that crashes two engines is refused by every daemon afterwards.

--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -2,19 +2,33 @@
 
 from behave import given, when
 
-from features.world import make_organisation
+from features.world import ENGINE_OPTIONS, make_organisation
 from kingcuphead.platform import InstanceState
 
 
 @given("a fleet of {daemons:d} daemons and {engines:d} engines")
 def start_fleet(context, daemons, engines):
+    start(context, daemons, engines, ENGINE_OPTIONS)
+
+
+@given(
+    "a fleet of {daemons:d} daemons, and {engines:d} engines"
+    ' that "{marker}" in a prompt restarts'
+)
+def start_fragile_fleet(context, daemons, engines, marker):
+    crash = ("--crash-marker", marker, "--crash-mode", "restart")
+    start(context, daemons, engines, ENGINE_OPTIONS + crash)
+
+
+def start(context, daemons, engines, options):
+    """Start a fleet, unless the feature's scenarios share one that runs already."""
     if context.world.fleet is not None:
         return
     organisations = [
         make_organisation(row["organisation"], int(row["tokens"]), row["policy"])
         for row in context.table
     ]
-    context.world.start(daemons, engines, organisations)
+    context.world.start(daemons, engines, organisations, options)
 
 
 @when("daemon {number:d} is killed")
--- /dev/null
+++ b/features/steps/requests.py
@@ -0,0 +1,142 @@
+"""Steps with requests that are out of the ordinary."""
+
+import asyncio
+import json
+
+from behave import then, when
+
+from kingcuphead.localfleet import LOOPBACK, read_executions
+
+CHAT_PATH = "/v1/chat/completions"
+#: Output tokens that a caller has read when it hangs up.
+READ_PARTS = 20
+
+
+@when('{organisation} hangs up during a stream "{name}" through daemon {number:d}')
+def hang_up(context, organisation, name, number):
+    world = context.world
+    call = world.make_call(organisation, 300, stream=True, name=name)
+    world.run(_hang_up(call, world.get_daemon(number)))
+
+
+async def _hang_up(call, daemon):
+    headers = call.headers | {"Host": LOOPBACK, "Content-Length": str(len(call.body))}
+    head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+    reader, writer = await asyncio.open_connection(LOOPBACK, daemon.caller_port)
+    writer.write(f"POST {CHAT_PATH} HTTP/1.1\r\n{head}\r\n".encode() + call.body)
+    for _ in range(READ_PARTS):
+        await reader.readuntil(b"data: ")
+    writer.close()
+    await writer.wait_closed()
+
+
+async def find_executions(world, name):
+    lost = frozenset(world.lost_engines)
+    executions = await read_executions(world.fleet.client, world.fleet.plan, lost)
+    return [each for each in executions if each.request_id == name]
+
+
+@then('the engine has cancelled "{name}"')
+def check_cancelled(context, name):
+    world = context.world
+
+    async def is_cancelled():
+        found = await find_executions(world, name)
+        return [each.state for each in found] == ["cancelled"]
+
+    world.run(world.wait_until(is_cancelled))
+
+
+@then('no more than was generated is billed for "{name}"')
+def check_partial_bill(context, name):
+    world = context.world
+
+    async def list_bills():
+        books = (await world.collect()).books
+        bills = [bill for book in books for bill in book.bills]
+        return [bill.tokens for bill in bills if bill.request_id == name]
+
+    async def is_billed():
+        return bool(await list_bills())
+
+    world.run(world.wait_until(is_billed))
+    (billed,) = world.run(list_bills())
+    (execution,) = world.run(find_executions(world, name))
+    assert READ_PARTS <= billed <= execution.tokens, (billed, execution)
+
+
+@then("these requests to daemon {number:d} are answered so")
+def check_answers(context, number):
+    world = context.world
+    for row in context.table:
+        reply = world.run(_send_odd(world, world.get_daemon(number), row))
+        error = reply.decode().get("error", {})
+        found = (reply.status, error.get("reason", ""), error.get("execution", ""))
+        expected = (int(row["status"]), row["reason"], row["execution"])
+        assert found == expected, (row, reply)
+        assert reply.headers.get("X-Request-Id"), (row, reply)
+
+
+async def _send_odd(world, daemon, row):
+    headers = {
+        "Authorization": f"Bearer {row['key']}",
+        "Content-Type": "application/json",
+    }
+    body = BODIES[row["body"]]
+    return await world.fleet.client.post(daemon.caller_url + row["path"], body, headers)
+
+
+def _make_body(**changes):
+    content = {
+        "model": "plan-review",
+        "messages": [{"role": "user", "content": "A question"}],
+        "max_tokens": 4,
+    }
+    content |= changes
+    kept = {name: value for name, value in content.items() if value is not None}
+    return json.dumps(kept).encode()
+
+
+BODIES = {
+    "correct": _make_body(),
+    "cut off": _make_body()[:-9],
+    "too large": _make_body(user="x" * 5_000_000),
+    "other model": _make_body(model="unheard-of"),
+    "unknown field": _make_body(colour="red"),
+    "wrong type": _make_body(max_tokens="four"),
+    "without max_tokens": _make_body(max_tokens=None),
+}
+
+
+@when('the engine that runs "{name}" is killed')
+def kill_running_engine(context, name):
+    world = context.world
+
+    async def find():
+        found = await find_executions(world, name)
+        return [each.target for each in found if each.state == "running"]
+
+    async def is_running():
+        return bool(await find())
+
+    world.run(world.wait_until(is_running))
+    (target,) = world.run(find())
+    world.lost_engines.add(target)
+    world.run(world.fleet.kill(target))
+
+
+@when(
+    '{organisation} starts request "{name}" of {tokens:d} tokens to daemon {number:d}'
+)
+def start_request(context, organisation, name, tokens, number):
+    world = context.world
+    call = world.make_call(organisation, tokens, name=name)
+    world.begin(name, call, world.get_daemon(number))
+    world.sleep(0.6)
+
+
+@then('"{name}" ends with an error that says {execution}, and without [DONE]')
+def check_error_event(context, name, execution):
+    result = context.world.get_result(name)
+    assert result.text and result.status == 200, result
+    assert result.execution == execution and not result.done, result
--- a/kingcuphead/localfleet/__init__.py
+++ b/kingcuphead/localfleet/__init__.py
@@ -28,6 +28,7 @@
 )
 from kingcuphead.localfleet._fleet import LocalFleet
 from kingcuphead.localfleet._plan import (
+    LOOPBACK,
     OPERATOR_TOKEN,
     DaemonPlan,
     EnginePlan,
@@ -40,6 +41,7 @@
 from kingcuphead.localfleet._seed import SeedError, create_budget, seed_fleet
 
 __all__ = [
+    "LOOPBACK",
     "OPERATOR_TOKEN",
     "BudgetBook",
     "CommandError",
--- a/kingcuphead/localfleet/_callers.py
+++ b/kingcuphead/localfleet/_callers.py
@@ -81,6 +81,8 @@
     reason: str = ""
     #: The header Retry-After, "" for none.
     retry_after: str = ""
+    #: Whether a stream ended with the mark of a whole answer.
+    done: bool = False
 
     def is_mixed_up(self, call: ChatCall) -> bool:
         """Return whether the answer belongs to another request."""
@@ -116,17 +118,21 @@
 
 def _read_stream(body: bytes, retry_after: str) -> ChatResult:
     text = ""
-    whole = False
+    refusal: ChatResult | None = None
+    done = False
     for payload in _iterate_payloads(body):
         if payload == _DONE:
-            whole = True
+            done = True
             continue
         event = msgspec.json.decode(payload)
         if "error" in event:
-            return _make_refusal(200, event["error"], text, retry_after)
+            refusal = _make_refusal(200, event["error"], text, retry_after)
+            continue
         for choice in event["choices"]:
             text += choice["delta"].get("content") or ""
-    return ChatResult(200, text, whole)
+    if refusal is not None:
+        return dataclasses.replace(refusal, done=done)
+    return ChatResult(200, text, whole=done, done=done)
 
 
 def _iterate_payloads(body: bytes) -> Iterator[str]:
