Try innocent requests beside one that crashes engines

The request that crashes engines runs beside an innocent one, which is answered and billed once; it reaches two engines and no third.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -17,12 +17,29 @@
       | key-atlas | /v1/chat/completions | cut off            | 400    | invalid_request   | not_run   |
       | key-atlas | /v1/chat/completions | wrong type         | 400    | invalid_request   | not_run   |
       | key-atlas | /v1/chat/completions | unknown field      | 400    | invalid_request   | not_run   |
-      | key-atlas | /v1/chat/completions | too large          | 413    | request_too_large | not_run   |
       | key-atlas | /v1/chat/completions | other model        | 403    | model_not_allowed | not_run   |
       | key-nobody | /v1/chat/completions | correct            | 401    | unauthenticated   | not_run   |
       | key-atlas | /v1/unheard-of       | correct            | 404    | service_not_found | not_run   |
       | key-atlas | /v1/chat/completions | without max_tokens | 200    |                   |           |
 
+  Scenario: A body that is announced as too large is refused before it comes
+    When atlas announces a body of 5000000 bytes to daemon 1
+    Then the answer is 413 because of request_too_large
+
+  Scenario: A request that crashes engines is refused by every daemon
+    When atlas starts request "innocent" of 200 tokens to daemon 3
+    And atlas starts request "poison" of 8 tokens to daemon 1
+    Then "poison" is refused as may_have_run
+    When atlas sends request "poison" of 8 tokens to daemon 2
+    Then "poison" is refused as not_run because of quarantined
+    When atlas sends request "poison" of 8 tokens to daemon 3
+    Then "poison" is refused as not_run because of quarantined
+    And request "poison" reached 2 engines
+    And "innocent" is answered whole
+    And request "innocent" is billed once
+    When atlas sends 4 requests of 8 tokens to every daemon
+    Then all of them are answered whole
+
   Scenario: An engine dies under a request that is not streamed
     When atlas starts request "u" of 300 tokens to daemon 1
     And the engine that runs "u" is killed
@@ -35,13 +52,3 @@
     Then "v" ends with an error that says may_have_run, and without [DONE]
     And request "v" is billed once
     And every rule holds
-
-  Scenario: A request that crashes engines is refused by every daemon
-    When atlas starts request "poison" of 8 tokens to daemon 1
-    Then "poison" is refused as may_have_run
-    When atlas sends request "poison" of 8 tokens to daemon 2
-    Then "poison" is refused as not_run because of quarantined
-    When atlas sends request "poison" of 8 tokens to daemon 3
-    Then "poison" is refused as not_run because of quarantined
-    When atlas sends 4 requests of 8 tokens to every daemon
-    Then all of them are answered whole
--- a/features/steps/requests.py
+++ b/features/steps/requests.py
@@ -5,6 +5,7 @@
 
 from behave import then, when
 
+from features.world import CONDITION_TIMEOUT
 from kingcuphead.localfleet import LOOPBACK, read_executions
 
 CHAT_PATH = "/v1/chat/completions"
@@ -100,7 +101,6 @@
 BODIES = {
     "correct": _make_body(),
     "cut off": _make_body()[:-9],
-    "too large": _make_body(user="x" * 5_000_000),
     "other model": _make_body(model="unheard-of"),
     "unknown field": _make_body(colour="red"),
     "wrong type": _make_body(max_tokens="four"),
@@ -140,3 +140,39 @@
     result = context.world.get_result(name)
     assert result.text and result.status == 200, result
     assert result.execution == execution and not result.done, result
+
+
+@then('request "{name}" reached {count:d} engines')
+def check_engines(context, name, count):
+    found = context.world.run(find_executions(context.world, name))
+    assert len({each.target for each in found}) == count, found
+
+
+@when("{organisation} announces a body of {size:d} bytes to daemon {number:d}")
+def announce_body(context, organisation, size, number):
+    world = context.world
+    key = world.organisations[organisation].key
+    world.reply = world.run(_announce(key, size, world.get_daemon(number)))
+
+
+async def _announce(key, size, daemon):
+    """Send the head of a request and nothing of its body."""
+    lines = (
+        f"POST {CHAT_PATH} HTTP/1.1",
+        f"Host: {LOOPBACK}",
+        f"Authorization: Bearer {key}",
+        f"Content-Length: {size}",
+    )
+    reader, writer = await asyncio.open_connection(LOOPBACK, daemon.caller_port)
+    writer.write("".join(f"{line}\r\n" for line in (*lines, "")).encode())
+    answer = await asyncio.wait_for(reader.read(), CONDITION_TIMEOUT)
+    writer.close()
+    return answer.decode()
+
+
+@then("the answer is {status:d} because of {reason}")
+def check_raw_answer(context, status, reason):
+    answer = context.world.reply
+    assert answer.startswith(f"HTTP/1.1 {status} "), answer
+    error = json.loads(answer.partition("\r\n\r\n")[2])["error"]
+    assert (error["reason"], error["execution"]) == (reason, "not_run"), error
--- a/kingcuphead/localfleet/__init__.py
+++ b/kingcuphead/localfleet/__init__.py
@@ -26,7 +26,7 @@
     require_command,
     run_command,
 )
-from kingcuphead.localfleet._fleet import LocalFleet
+from kingcuphead.localfleet._fleet import PLAIN_SERVICE, LocalFleet
 from kingcuphead.localfleet._plan import (
     LOOPBACK,
     OPERATOR_TOKEN,
@@ -43,6 +43,7 @@
 __all__ = [
     "LOOPBACK",
     "OPERATOR_TOKEN",
+    "PLAIN_SERVICE",
     "BudgetBook",
     "CommandError",
     "CommandResult",
