Set the demonstration up with the command-line tool

The demonstration wrote its records into the table itself, by a path that no operator has. It now runs the tool as a process: one record apply for classes, services, models and targets, single commands for budgets and organisations.

--- a/kingcuphead/demo/_scenario.py
+++ b/kingcuphead/demo/_scenario.py
@@ -6,6 +6,7 @@
 import signal
 from collections.abc import Callable
 
+from kingcuphead.demo._preparation import prepare_fleet
 from kingcuphead.localfleet import (
     ChatCall,
     ChatResult,
@@ -18,7 +19,6 @@
     read_budgets,
     read_dispatches,
     read_executions,
-    seed_fleet,
     send_chat,
 )
 
@@ -81,8 +81,8 @@
         return await self._collect()
 
     async def _prepare(self) -> None:
-        self._say("creating organisations, budgets, models and targets")
-        await seed_fleet(self._fleet.plan, ORGANISATIONS, LONG_ANSWER_TOKENS)
+        self._say("creating everything with the command-line tool")
+        await prepare_fleet(self._fleet.plan, ORGANISATIONS, LONG_ANSWER_TOKENS)
         probe = self._make_call(ATLAS, 4)
         deadline = asyncio.get_running_loop().time() + START_TIMEOUT
         for daemon in self._fleet.daemons:
