--- a/kingcuphead/localfleet/__init__.py
+++ b/kingcuphead/localfleet/__init__.py
@@ -19,8 +19,17 @@
     send_chat,
 )
 from kingcuphead.localfleet._client import LocalClient, Reply
-from kingcuphead.localfleet._fleet import LocalFleet
+from kingcuphead.localfleet._command_line import (
+    CommandError,
+    CommandResult,
+    check_settings,
+    require_command,
+    run_command,
+)
+from kingcuphead.localfleet._fleet import PLAIN_SERVICE, LocalFleet
 from kingcuphead.localfleet._plan import (
+    LOOPBACK,
+    OPERATOR_TOKEN,
     DaemonPlan,
     EnginePlan,
     FleetPlan,
@@ -28,11 +37,16 @@
     make_plan,
 )
 from kingcuphead.localfleet._process import LocalProcess, ProcessError
-from kingcuphead.localfleet._records import LocalOrganisation
+from kingcuphead.localfleet._records import LocalOrganisation, list_records
 from kingcuphead.localfleet._seed import SeedError, create_budget, seed_fleet
 
 __all__ = [
+    "LOOPBACK",
+    "OPERATOR_TOKEN",
+    "PLAIN_SERVICE",
     "BudgetBook",
+    "CommandError",
+    "CommandResult",
     "ChatCall",
     "ChatResult",
     "Dispatch",
@@ -40,6 +54,7 @@
     "Exchange",
     "Finding",
     "audit",
+    "check_settings",
     "Execution",
     "place_order",
     "read_budgets",
@@ -58,6 +73,9 @@
     "SeedError",
     "ServicePlan",
     "create_budget",
+    "list_records",
     "make_plan",
+    "require_command",
+    "run_command",
     "seed_fleet",
 ]
