--- a/.ci/test.py
+++ b/.ci/test.py
@@ -5,7 +5,7 @@
 import sys
 import tempfile
 import xml.etree.ElementTree as ElementTree
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from pathlib import Path
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -23,6 +23,16 @@
     passed: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Suite:
+    """The result of one test runner."""
+
+    #: Its test cases.
+    cases: tuple[Case, ...]
+    #: Whether it broke outside of its test cases.
+    broken: bool
+
+
 def read_known_red() -> tuple[str, ...]:
     """Return the test names that head the entries of KNOWN-RED.txt."""
     lines = KNOWN_RED.read_text().splitlines()
@@ -41,29 +51,32 @@
         yield Case(name, passed)
 
 
-def run(folder: Path) -> tuple[list[Case], int]:
-    """Run both suites; return their cases and the number of broken runners."""
+def run_suite(command: list[str], reports: Callable[[], Iterable[Path]]) -> Suite:
+    """Run one suite and read its reports."""
+    code = subprocess.run(command, cwd=ROOT).returncode
+    cases = tuple(case for path in reports() for case in read_cases(path))
+    # A runner that fails without a failed case broke before it could report one.
+    return Suite(cases, code != 0 and all(case.passed for case in cases))
+
+
+def run_all(folder: Path) -> Iterator[Suite]:
+    """Run both suites with their reports in a folder."""
     python = sys.executable
     report = folder / "pytest.xml"
-    commands = [[python, "-m", "pytest", f"--junit-xml={report}"]]
-    if FEATURES.exists():
-        commands.append(
-            [python, "-m", "behave", "--format=progress", "--junit"]
-            + [f"--junit-directory={folder / 'behave'}", str(FEATURES)]
-        )
-    codes = [subprocess.run(command, cwd=ROOT).returncode for command in commands]
-    cases = list(read_cases(report))
-    for path in sorted((folder / "behave").glob("*.xml")):
-        cases.extend(read_cases(path))
-    # A runner that fails without a failed case broke before it could report one.
-    broken = any(codes) and all(case.passed for case in cases)
-    return cases, int(broken)
+    command = [python, "-m", "pytest", f"--junit-xml={report}"]
+    yield run_suite(command, lambda: [report])
+    reports = folder / "behave"
+    command = [python, "-m", "behave", "--format=progress", "--junit"]
+    command += [f"--junit-directory={reports}", str(FEATURES)]
+    yield run_suite(command, lambda: sorted(reports.glob("*.xml")))
 
 
 def main() -> int:
     """Run everything and print the closing line."""
     with tempfile.TemporaryDirectory() as folder:
-        cases, broken = run(Path(folder))
+        suites = tuple(run_all(Path(folder)))
+    cases = [case for suite in suites for case in suite.cases]
+    broken = sum(suite.broken for suite in suites)
     known = read_known_red()
     red = [case for case in cases if not case.passed and case.name in known]
     failed = [case for case in cases if not case.passed and case.name not in known]
--- a/kingcuphead/bench/_capacity_machines.py
+++ b/kingcuphead/bench/_capacity_machines.py
@@ -26,6 +26,9 @@
 from kingcuphead.records import Budget, Configuration, Organisation
 from kingcuphead.wire import Envelope, decode_envelope, encode_envelope
 
+#: Name, title, unit and variable of a slope, its sizes, and what measures a size.
+Measurement = tuple[str, str, str, str, tuple[float, ...], Callable[[float], float]]
+
 MICROSECONDS = 1e6
 KILOBYTE = 1000.0
 #: Repetitions inside one run.
@@ -36,70 +39,30 @@
 
 def measure_machines() -> Iterator[Slope]:
     """Yield the slopes of membership, placement, configuration and metrics."""
-    yield measure_slope(
-        "heartbeat_us",
-        "one heartbeat sent, received and acknowledged, coding included",
-        "us",
-        "daemons",
-        (7, 50, 330),
-        measure_heartbeat,
-    )
-    yield measure_slope(
-        "member_kb",
-        "memory of the membership machine",
-        "KB",
-        "daemons",
-        (7, 50, 330),
-        measure_member_memory,
-    )
-    yield measure_slope(
-        "placement_us",
-        "one request placed, started and finished",
-        "us",
-        "targets",
-        (9, 100, 710),
-        measure_placement,
-    )
-    yield measure_slope(
-        "scheduler_tick_us",
-        "one tick of the scheduler",
-        "us",
-        "targets",
-        (9, 100, 710),
-        measure_scheduler_tick,
-    )
-    yield measure_slope(
-        "target_kb",
-        "memory of the scheduler",
-        "KB",
-        "targets",
-        (9, 100, 710),
-        measure_target_memory,
-    )
-    yield measure_slope(
-        "key_index_us",
-        "index of bearer keys, built anew at each change",
-        "us",
-        "organisations",
-        (10, 200, 1400),
-        measure_key_index,
-    )
-    yield measure_slope(
-        "scrape_us",
-        "one scrape of the metrics",
-        "us",
-        "organisations with series",
-        (10, 50, 100),
-        measure_scrape,
-    )
-    yield measure_slope(
-        "series_kb",
-        "memory of the metrics",
-        "KB",
-        "organisations with series",
-        (10, 50, 100),
-        measure_series_memory,
-    )
+    for name, title, unit, variable, sizes, measure in _list_measurements():
+        yield measure_slope(name, title, unit, variable, sizes, measure)
+
+
+def _list_measurements() -> Iterator[Measurement]:
+    daemons = ("daemons", (7, 50, 330))
+    targets = ("targets", (9, 100, 710))
+    series = ("organisations with series", (10, 50, 100))
+    exchange = "one heartbeat sent, received and acknowledged, coding included"
+    yield "heartbeat_us", exchange, "us", *daemons, measure_heartbeat
+    members = "memory of the membership machine"
+    yield "member_kb", members, "KB", *daemons, measure_member_memory
+    placement = "one request placed, started and finished"
+    yield "placement_us", placement, "us", *targets, measure_placement
+    tick = "one tick of the scheduler"
+    yield "scheduler_tick_us", tick, "us", *targets, measure_scheduler_tick
+    scheduler = "memory of the scheduler"
+    yield "target_kb", scheduler, "KB", *targets, measure_target_memory
+    index = "index of bearer keys, built anew at each change"
+    organisations = ("organisations", (10, 200, 1400))
+    yield "key_index_us", index, "us", *organisations, measure_key_index
+    yield "scrape_us", "one scrape of the metrics", "us", *series, measure_scrape
+    metrics = "memory of the metrics"
+    yield "series_kb", metrics, "KB", *series, measure_series_memory
 
 
 def measure_heartbeat_size() -> Iterator[Slope]:
--- a/kingcuphead/bench/_capacity_page.py
+++ b/kingcuphead/bench/_capacity_page.py
@@ -123,6 +123,11 @@
 
     def iterate_rows(self) -> Iterator[Row]:
         """Yield the reckoned figures."""
+        yield from self._iterate_control()
+        yield from self._iterate_table()
+        yield from self._iterate_data_path()
+
+    def _iterate_control(self) -> Iterator[Row]:
         yield self._make_row(
             "control: processor, % of a core",
             "idle + 2 heartbeats/s + 5 ticks/s + key index x changes + scrape / 30 s",
@@ -151,6 +156,8 @@
             ),
             sizes.CONTROL_BYTES / KILOBYTES_PER_MEGABYTE,
         )
+
+    def _iterate_table(self) -> Iterator[Row]:
         yield self._make_row(
             "table: commits/s, whole fleet",
             "ledger slope x daemons (today: one per flush interval) + claims + changes",
@@ -165,6 +172,8 @@
             sizes.TABLE_READS,
             0,
         )
+
+    def _iterate_data_path(self) -> Iterator[Row]:
         yield self._make_row(
             "data path: requests, % of a core",
             "request base x requests a daemon",
--- a/kingcuphead/daemon/_assembly.py
+++ b/kingcuphead/daemon/_assembly.py
@@ -45,8 +45,6 @@
     parts: Parts
     #: Who tells whom.
     announcements: Announcements
-    #: Bills on their way.
-    settlements: Settlements
     #: The way to targets.
     relay: Relay
     #: The connections to peers.
@@ -84,12 +82,10 @@
     scheduler = SchedulerTask(
         _make_scheduler(settings), targets.probe, announcements.tell
     )
-    settlements = Settlements(ledger)
     requests = RequestLog(own.name, metrics)
-    chat_times = ChatTimes(settings.budgets.hold_timeout_seconds, timeouts)
     gateway = Gateway(
         _make_gateway_settings(settings),
-        ChatPath(ledger, settlements, scheduler, relay, chat_times),
+        _make_chat_path(settings, ledger, scheduler, relay),
         ServicePath(scheduler, relay, timeouts),
         ClaimedCalls(Claims(table), own.name),
         announcements.is_current,
@@ -109,7 +105,6 @@
     return Assembly(
         parts=parts,
         announcements=announcements,
-        settlements=settlements,
         relay=relay,
         links=links,
         table=table,
@@ -158,6 +153,13 @@
     )
 
 
+def _make_chat_path(
+    settings: Settings, ledger: LedgerTask, scheduler: SchedulerTask, relay: Relay
+) -> ChatPath:
+    times = ChatTimes(settings.budgets.hold_timeout_seconds, make_timeouts(settings))
+    return ChatPath(ledger, Settlements(ledger), scheduler, relay, times)
+
+
 def _make_scheduler(settings: Settings) -> queueing.Scheduler:
     return queueing.Scheduler(
         queueing.SchedulerSettings(
--- a/kingcuphead/daemon/_daemon.py
+++ b/kingcuphead/daemon/_daemon.py
@@ -17,6 +17,7 @@
 from kingcuphead.daemon._claim_sweep import sweep_regularly
 from kingcuphead.daemon._identity import make_own_member
 from kingcuphead.daemon._instance_watch import watch_instances
+from kingcuphead.daemon._layout_check import check_layout
 from kingcuphead.daemon._machine_task import tick
 from kingcuphead.daemon._state_backend import DaemonBackend
 from kingcuphead.operators import (
@@ -97,6 +98,7 @@
                 assembly.instances, interval, assembly.announcements.take_instances
             ),
             sweep_regularly(assembly.table),
+            check_layout(assembly.table, self._settings.budgets.shards),
             tick(LEDGER_TICK_INTERVAL, lambda: parts.ledger.post(budgets.Ticked())),
             tick(TICK_INTERVAL, lambda: parts.scheduler.post(queueing.Ticked())),
             tick(TICK_INTERVAL, assembly.announcements.tick_membership),
--- a/kingcuphead/daemon/_ledger_task.py
+++ b/kingcuphead/daemon/_ledger_task.py
@@ -11,8 +11,8 @@
 
 from kingcuphead import budgets
 from kingcuphead.daemon._machine_task import BackgroundTasks, MachineTask
+from kingcuphead.pipeline import HoldTerms
 from kingcuphead.platform import Table
-from kingcuphead.records import BudgetPolicy
 from kingcuphead.verdict import Outcome, Verdict
 
 
@@ -73,48 +73,20 @@
         """Hand a message to the ledger."""
         self._task.post(message)
 
-    async def hold(
-        self,
-        request_id: str,
-        organisation: str,
-        budget: str,
-        policy: BudgetPolicy,
-        tokens: int,
-        timeout: float,
-    ) -> Outcome[str]:
+    async def hold(self, terms: HoldTerms) -> Outcome[str]:
         """Reserve credit for a request.
 
-        Parameters
-        ----------
-        request_id
-            Identifies the request across retries.
-        organisation
-            Organisation that asks.
-        budget
-            Budget that pays.
-        policy
-            Policy of the budget.
-        tokens
-            Upper bound on the cost.
-        timeout
-            Seconds that the request may wait for credit.
-
         Returns
         -------
         Outcome
             The id of the hold, or the verdict that refuses it.
         """
-        hold_id = f"{request_id}#{next(self._numbers)}"
+        hold_id = f"{terms.request_id}#{next(self._numbers)}"
         future: asyncio.Future[Outcome[str]] = (
             asyncio.get_running_loop().create_future()
         )
         self._holds[hold_id] = future
-        deadline = time.monotonic() + timeout
-        self.post(
-            budgets.HoldRequested(
-                hold_id, request_id, budget, organisation, tokens, policy, deadline
-            )
-        )
+        self.post(_make_request(hold_id, terms))
         try:
             return await future
         except asyncio.CancelledError:
@@ -244,3 +216,15 @@
         result = await self._table.scan(effect.prefix, effect.after, effect.limit)
         page = result.ok if result.is_ok() else None
         self.post(budgets.RowsScanned(effect.token, page))
+
+
+def _make_request(hold_id: str, terms: HoldTerms) -> budgets.HoldRequested:
+    return budgets.HoldRequested(
+        hold_id=hold_id,
+        request_id=terms.request_id,
+        budget=terms.budget,
+        organisation=terms.organisation,
+        tokens=terms.tokens,
+        policy=terms.policy,
+        deadline=time.monotonic() + terms.timeout,
+    )
--- a/kingcuphead/pipeline/__init__.py
+++ b/kingcuphead/pipeline/__init__.py
@@ -4,7 +4,7 @@
 from kingcuphead.pipeline._claiming import ClaimedCalls
 from kingcuphead.pipeline._gateway import Gateway, GatewaySettings, RequestEnd
 from kingcuphead.pipeline._observations import Phase, Stopwatch
-from kingcuphead.pipeline._ports import Caller, Holds, Targets
+from kingcuphead.pipeline._ports import Caller, Holds, HoldTerms, Targets
 from kingcuphead.pipeline._service import ServicePath
 from kingcuphead.pipeline._settlement import Settlements
 from kingcuphead.pipeline._stages import Placed, Received
@@ -16,6 +16,7 @@
     "ClaimedCalls",
     "Gateway",
     "GatewaySettings",
+    "HoldTerms",
     "Holds",
     "Phase",
     "Placed",
--- a/kingcuphead/pipeline/_chat.py
+++ b/kingcuphead/pipeline/_chat.py
@@ -13,7 +13,7 @@
 from kingcuphead.pipeline._claiming import Permit
 from kingcuphead.pipeline._delivery import Delivery
 from kingcuphead.pipeline._observations import Observer, Phase
-from kingcuphead.pipeline._ports import Holds, Targets
+from kingcuphead.pipeline._ports import Holds, HoldTerms, Targets
 from kingcuphead.pipeline._settlement import Settlements
 from kingcuphead.pipeline._stages import Admitted, ChatWork, Placed
 from kingcuphead.placement import AnswerResult
@@ -91,7 +91,7 @@
                 return Error(verdict)
 
     async def _hold(self, admitted: Admitted, work: ChatWork) -> Outcome[str]:
-        return await self._holds.hold(
+        terms = HoldTerms(
             request_id=admitted.received.request_id,
             organisation=admitted.identified.organisation.name,
             budget=work.budget.name,
@@ -99,6 +99,7 @@
             tokens=work.bound_tokens,
             timeout=self._times.hold_timeout,
         )
+        return await self._holds.hold(terms)
 
 
 class _ChatRun:
--- a/kingcuphead/pipeline/_ports.py
+++ b/kingcuphead/pipeline/_ports.py
@@ -1,5 +1,6 @@
 """What the request path needs from the tasks of the daemon."""
 
+import dataclasses
 from collections.abc import Mapping
 from typing import Protocol
 
@@ -10,19 +11,29 @@
 from kingcuphead.verdict import Outcome
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class HoldTerms:
+    """What a request needs of its budget."""
+
+    #: Identifies the request across retries.
+    request_id: str
+    #: Organisation that asks.
+    organisation: str
+    #: Budget that pays.
+    budget: str
+    #: Policy of the budget.
+    policy: BudgetPolicy
+    #: Upper bound on the cost, in tokens.
+    tokens: int
+    #: Seconds that the request may wait for credit.
+    timeout: float
+
+
 class Holds(Protocol):
     """Credit and bills."""
 
-    async def hold(
-        self,
-        request_id: str,
-        organisation: str,
-        budget: str,
-        policy: BudgetPolicy,
-        tokens: int,
-        timeout: float,
-    ) -> Outcome[str]:
-        """Reserve `tokens`; the answer is the id of the hold."""
+    async def hold(self, terms: HoldTerms) -> Outcome[str]:
+        """Reserve credit; the answer is the id of the hold."""
         ...
 
     def release(self, hold_id: str) -> None:
--- a/kingcuphead/pipeline/tests/_fakes.py
+++ b/kingcuphead/pipeline/tests/_fakes.py
@@ -10,6 +10,7 @@
 from kingcuphead.pipeline._chat import ChatPath, ChatTimes
 from kingcuphead.pipeline._delivery import AssembledDelivery, Delivery, StreamedDelivery
 from kingcuphead.pipeline._observations import Phase
+from kingcuphead.pipeline._ports import HoldTerms
 from kingcuphead.pipeline._settlement import Settlements
 from kingcuphead.pipeline._stages import (
     Admitted,
@@ -20,7 +21,7 @@
 )
 from kingcuphead.placement import AnswerResult
 from kingcuphead.queueing import RequestArrived
-from kingcuphead.records import Budget, BudgetPolicy, Model, Organisation, WorkClass
+from kingcuphead.records import Budget, Model, Organisation, WorkClass
 from kingcuphead.relay import Relay, RelayRequest, ResponseHead, Timeouts
 from kingcuphead.verdict import Execution, Outcome, Reason, Verdict
 
@@ -98,15 +99,7 @@
         self._log = log
         self._settles = settles
 
-    async def hold(
-        self,
-        request_id: str,
-        organisation: str,
-        budget: str,
-        policy: BudgetPolicy,
-        tokens: int,
-        timeout: float,
-    ) -> Outcome[str]:
+    async def hold(self, terms: HoldTerms) -> Outcome[str]:
         return Ok("hold")
 
     def release(self, hold_id: str) -> None:
