Tell the truth over all attempts of a request

Cause, found while reading as a newcomer: a first attempt that may have run, followed by one that a target rejected outright, ended as 'not run'.

--- a/kingcuphead/daemon/_assembly.py
+++ b/kingcuphead/daemon/_assembly.py
@@ -19,6 +19,7 @@
 from kingcuphead.peers import PeerLinks
 from kingcuphead.pipeline import (
     ChatPath,
+    ChatResources,
     ChatTimes,
     ClaimedCalls,
     Gateway,
@@ -157,7 +158,7 @@
     settings: Settings, ledger: LedgerTask, scheduler: SchedulerTask, relay: Relay
 ) -> ChatPath:
     times = ChatTimes(settings.budgets.hold_timeout_seconds, make_timeouts(settings))
-    return ChatPath(ledger, Settlements(ledger), scheduler, relay, times)
+    return ChatPath(ChatResources(ledger, Settlements(ledger), scheduler, relay, times))
 
 
 def _make_scheduler(settings: Settings) -> queueing.Scheduler:
--- a/kingcuphead/pipeline/__init__.py
+++ b/kingcuphead/pipeline/__init__.py
@@ -1,6 +1,6 @@
 """The request path: pipes and filters from a caller's request to its answer."""
 
-from kingcuphead.pipeline._chat import ChatPath, ChatTimes
+from kingcuphead.pipeline._chat import ChatPath, ChatResources, ChatTimes
 from kingcuphead.pipeline._claiming import ClaimedCalls
 from kingcuphead.pipeline._gateway import Gateway, GatewaySettings, RequestEnd
 from kingcuphead.pipeline._observations import Phase, Stopwatch
@@ -12,6 +12,7 @@
 __all__ = [
     "Caller",
     "ChatPath",
+    "ChatResources",
     "ChatTimes",
     "ClaimedCalls",
     "Gateway",
--- a/kingcuphead/pipeline/_chat.py
+++ b/kingcuphead/pipeline/_chat.py
@@ -14,12 +14,13 @@
 from kingcuphead.pipeline._delivery import Delivery
 from kingcuphead.pipeline._observations import Observer, Phase
 from kingcuphead.pipeline._ports import Holds, HoldTerms, Targets
+from kingcuphead.pipeline._retry import exclude_target, include_history
 from kingcuphead.pipeline._settlement import Settlements
 from kingcuphead.pipeline._stages import Admitted, ChatWork, Placed
 from kingcuphead.placement import AnswerResult
 from kingcuphead.queueing import RequestArrived
 from kingcuphead.relay import Relay, Timeouts
-from kingcuphead.verdict import Execution, Outcome, Reason, Verdict
+from kingcuphead.verdict import Execution, Outcome, Reason
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,36 +33,33 @@
     target: Timeouts
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ChatResources:
+    """What the path of a chat request works with."""
+
+    #: Credit.
+    holds: Holds
+    #: Bills.
+    settlements: Settlements
+    #: Slots on targets.
+    targets: Targets
+    #: The way to targets.
+    relay: Relay
+    #: Time limits.
+    times: ChatTimes
+
+
 class ChatPath:
     """Serves chat requests.
 
     Parameters
     ----------
-    holds
-        Credit.
-    settlements
-        Bills.
-    targets
-        Slots on targets.
-    relay
-        The way to targets.
-    times
-        Time limits.
+    resources
+        What the path works with.
     """
 
-    def __init__(
-        self,
-        holds: Holds,
-        settlements: Settlements,
-        targets: Targets,
-        relay: Relay,
-        times: ChatTimes,
-    ) -> None:
-        self._holds = holds
-        self._settlements = settlements
-        self._targets = targets
-        self._relay = relay
-        self._times = times
+    def __init__(self, resources: ChatResources) -> None:
+        self._resources = resources
 
     async def serve(
         self,
@@ -84,7 +82,7 @@
         match held:
             case Result(tag="ok", ok=hold_id):
                 run = _ChatRun(
-                    self, admitted, work, permit, delivery, observer, hold_id
+                    self._resources, admitted, work, permit, delivery, observer, hold_id
                 )
                 return await run.serve()
             case Result(error=verdict):
@@ -97,9 +95,9 @@
             budget=work.budget.name,
             policy=work.budget.policy,
             tokens=work.bound_tokens,
-            timeout=self._times.hold_timeout,
+            timeout=self._resources.times.hold_timeout,
         )
-        return await self._holds.hold(terms)
+        return await self._resources.holds.hold(terms)
 
 
 class _ChatRun:
@@ -107,7 +105,7 @@
 
     def __init__(
         self,
-        path: ChatPath,
+        resources: ChatResources,
         admitted: Admitted,
         work: ChatWork,
         permit: Permit,
@@ -115,7 +113,7 @@
         observer: Observer,
         hold_id: str,
     ) -> None:
-        self._path = path
+        self._resources = resources
         self._admitted = admitted
         self._work = work
         self._permit = permit
@@ -141,7 +139,7 @@
     async def _run_attempts(self, arrival: RequestArrived) -> Outcome[AnswerEnd]:
         """Try targets until one gives a whole answer or no retry is allowed."""
         while True:
-            match await self._path._targets.place(arrival):
+            match await self._resources.targets.place(arrival):
                 case Result(tag="ok", ok=placed):
                     self._observer.end_phase(Phase.QUEUE)
                     end = await self._run_attempt(placed)
@@ -151,14 +149,17 @@
                 case WholeAnswer(answer_end):
                     return Ok(answer_end)
                 case FailedAttempt(verdict) if not self._may_retry(end):
-                    return Error(verdict)
+                    return Error(include_history(arrival, verdict))
                 case FailedAttempt(verdict):
-                    arrival = _exclude(arrival, placed.target, verdict)
+                    arrival = exclude_target(arrival, placed.target, verdict)
                     self._delivery.reset()
 
     async def _run_attempt(self, placed: Placed) -> WholeAnswer | FailedAttempt:
         attempt = ChatAttempt(
-            self._path._relay, self._admitted, self._work, self._path._times.target
+            self._resources.relay,
+            self._admitted,
+            self._work,
+            self._resources.times.target,
         )
         self._last_attempt = attempt
         self._started = False
@@ -172,14 +173,14 @@
             return end
         finally:
             self._sent = self._sent or attempt.sent
-            self._path._targets.finish(
+            self._resources.targets.finish(
                 self._admitted.received.operation_id, placed.target, result
             )
 
     async def _deliver(self, block: bytes) -> None:
         if not self._started:
             self._started = True
-            self._path._targets.start(self._admitted.received.operation_id)
+            self._resources.targets.start(self._admitted.received.operation_id)
         self._observer.take_piece()
         await self._delivery.deliver(block)
 
@@ -193,7 +194,7 @@
     async def _complete(self, end: AnswerEnd) -> Outcome[None]:
         self._settled = True
         self._observer.take_usage(end.usage)
-        settled = await self._path._settlements.settle(
+        settled = await self._resources.settlements.settle(
             self._hold_id, end.usage, self._work.bound_tokens
         )
         self._observer.end_phase(Phase.SETTLEMENT)
@@ -210,10 +211,10 @@
             return
         self._settled = True
         if not self._sent:
-            self._path._settlements.release(self._hold_id)
+            self._resources.settlements.release(self._hold_id)
             return
         usage = self._last_attempt.usage if self._last_attempt else None
-        self._path._settlements.start(self._hold_id, usage, self._work.bound_tokens)
+        self._resources.settlements.start(self._hold_id, usage, self._work.bound_tokens)
 
     def _make_arrival(self) -> RequestArrived:
         admitted = self._admitted
@@ -237,13 +238,3 @@
             return AnswerResult.WHOLE
         case FailedAttempt(result=result):
             return result
-
-
-def _exclude(arrival: RequestArrived, target: str, verdict: Verdict) -> RequestArrived:
-    """Return the arrival of a retry that avoids the target that failed."""
-    execution = arrival.execution
-    if verdict.execution is not Execution.NOT_RUN:
-        execution = verdict.execution
-    return arrival.with_changes(
-        excluded=(*arrival.excluded, target), execution=execution
-    )
--- a/kingcuphead/pipeline/_service.py
+++ b/kingcuphead/pipeline/_service.py
@@ -7,6 +7,7 @@
 from kingcuphead.pipeline._claiming import Permit
 from kingcuphead.pipeline._observations import Observer, Phase
 from kingcuphead.pipeline._ports import Targets
+from kingcuphead.pipeline._retry import exclude_target, include_history
 from kingcuphead.pipeline._stages import Admitted, Placed, ServiceWork
 from kingcuphead.placement import AnswerResult
 from kingcuphead.queueing import RequestArrived
@@ -68,9 +69,9 @@
                 case Result(tag="ok"):
                     return answer
                 case Result(error=verdict) if not _may_retry(admitted, verdict):
-                    return answer
+                    return Error(include_history(arrival, verdict))
                 case Result(error=verdict):
-                    arrival = _exclude(arrival, placed.target, verdict)
+                    arrival = exclude_target(arrival, placed.target, verdict)
 
     async def _run_attempt(
         self, admitted: Admitted, work: ServiceWork, permit: Permit, placed: Placed
@@ -165,12 +166,3 @@
         fingerprint=admitted.fingerprint,
         is_idempotent=is_repeatable(admitted),
     )
-
-
-def _exclude(arrival: RequestArrived, target: str, verdict: Verdict) -> RequestArrived:
-    execution = arrival.execution
-    if verdict.execution is not Execution.NOT_RUN:
-        execution = verdict.execution
-    return arrival.with_changes(
-        excluded=(*arrival.excluded, target), execution=execution
-    )
--- a/kingcuphead/pipeline/tests/_fakes.py
+++ b/kingcuphead/pipeline/tests/_fakes.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok
 
 from kingcuphead.api import ApiLimits, CallerHeaders, Usage, parse_chat
-from kingcuphead.pipeline._chat import ChatPath, ChatTimes
+from kingcuphead.pipeline._chat import ChatPath, ChatResources, ChatTimes
 from kingcuphead.pipeline._delivery import AssembledDelivery, Delivery, StreamedDelivery
 from kingcuphead.pipeline._observations import Phase
 from kingcuphead.pipeline._ports import HoldTerms
@@ -206,7 +206,9 @@
         self.settlements = Settlements(holds)
         relay = cast(Relay, FakeRelay(self.log, *answers))
         times = ChatTimes(1.0, Timeouts())
-        self._path = ChatPath(holds, self.settlements, self.targets, relay, times)
+        self._path = ChatPath(
+            ChatResources(holds, self.settlements, self.targets, relay, times)
+        )
         make: Callable[[FakeCaller, str], Delivery] = (
             StreamedDelivery if streamed else AssembledDelivery
         )
