Drive daemons with the unmodified openai client

Cause: the client was tried against a server in a test and by hand only. The scenario lists models, gets a whole answer and a whole stream with its own content, and sees two refusals with their verdicts, through two daemons.

--- a/features/callers.feature
+++ b/features/callers.feature
@@ -6,6 +6,14 @@
       | organisation | tokens  | policy    |
       | atlas        | 1000000 | available |
 
+  Scenario: The unmodified openai client is served
+    Then the openai client lists the models of atlas at daemon 1
+    And the openai client gets a whole answer for atlas from daemon 1
+    And the openai client gets a whole stream for atlas from daemon 2
+    And the openai client sees that atlas may not use model other
+    And the openai client sees that the key wrong is not known
+    And every rule holds
+
   Scenario: A caller hangs up
     When atlas hangs up during a stream "h" through daemon 1
     Then the engine has cancelled "h"
--- /dev/null
+++ b/features/steps/openai_client.py
@@ -0,0 +1,81 @@
+"""Steps of a caller who uses the unmodified `openai` client."""
+
+import asyncio
+
+import openai
+from behave import then
+
+from kingcuphead.localfleet import ChatCall
+
+MODEL = "plan-review"
+PROMPT = "Question of the client"
+
+
+def make_client(context, number, key):
+    url = f"{context.world.get_daemon(number).caller_url}/v1"
+    return openai.OpenAI(base_url=url, api_key=key, max_retries=0)
+
+
+def call(context, action):
+    """Run a blocking call of the client beside the scenario's loop."""
+    return context.world.run(asyncio.to_thread(action))
+
+
+def ask(client, model=MODEL, **options):
+    messages = [{"role": "user", "content": PROMPT}]
+    return client.chat.completions.create(
+        model=model, messages=messages, max_tokens=8, **options
+    )
+
+
+def expect_own(context, organisation, text):
+    owner = context.world.organisations[organisation]
+    expected = ChatCall(owner, "", PROMPT).digest
+    assert text.startswith(expected), (expected, text)
+
+
+@then("the openai client lists the models of {organisation} at daemon {number:d}")
+def check_models(context, organisation, number):
+    client = make_client(context, number, context.world.organisations[organisation].key)
+    models = call(context, lambda: [model.id for model in client.models.list()])
+    assert models == [MODEL], models
+
+
+@then("the openai client gets a whole answer for {organisation} from daemon {number:d}")
+def check_answer(context, organisation, number):
+    client = make_client(context, number, context.world.organisations[organisation].key)
+    answer = call(context, lambda: ask(client))
+    expect_own(context, organisation, answer.choices[0].message.content)
+    assert answer.usage.completion_tokens == 8, answer.usage
+
+
+@then("the openai client gets a whole stream for {organisation} from daemon {number:d}")
+def check_stream(context, organisation, number):
+    client = make_client(context, number, context.world.organisations[organisation].key)
+    chunks = call(context, lambda: list(ask(client, stream=True)))
+    text = "".join(c.choices[0].delta.content or "" for c in chunks if c.choices)
+    expect_own(context, organisation, text)
+    assert chunks[-1].choices[0].finish_reason == "length", chunks[-1]
+
+
+@then("the openai client sees that {organisation} may not use model {model}")
+def check_refusal(context, organisation, model):
+    client = make_client(context, 1, context.world.organisations[organisation].key)
+    try:
+        call(context, lambda: ask(client, model))
+    except openai.PermissionDeniedError as error:
+        assert error.code == "model_not_allowed", error.body
+        assert error.body["execution"] == "not_run", error.body
+    else:
+        raise AssertionError("the client saw no refusal")
+
+
+@then("the openai client sees that the key {key} is not known")
+def check_key(context, key):
+    client = make_client(context, 1, key)
+    try:
+        call(context, lambda: ask(client))
+    except openai.AuthenticationError as error:
+        assert error.body["execution"] == "not_run", error.body
+    else:
+        raise AssertionError("the client saw no refusal")
