End a graceful shutdown only once returned credit is acknowledged

Cause: a daemon that shut down reported itself finished when its holds, bills and copies were gone, while its last return of credit could still be on the way; if that was lost, the credit stayed charged in the home's grant.

--- a/kingcuphead/budgets/_borrower.py
+++ b/kingcuphead/budgets/_borrower.py
@@ -246,6 +246,18 @@
             self.active.add(account.budget)
             yield from self.return_idle(account, now)
 
+    def is_settled(self, now: float) -> bool:
+        """Return whether every reachable lender knows that all was given back.
+
+        A return that is lost with the daemon would leave its credit charged.
+        """
+        return all(
+            not line.free and line.returned <= line.acknowledged
+            for account in self.accounts.values()
+            for grant_id, line in account.lines.items()
+            if self.routing.is_reachable(get_instance(grant_id), now)
+        )
+
     def surrender(self, budget: str, grant_id: str) -> int:
         """Give up a line for good; return the tokens that are still held."""
         account = self.open_account(budget, BudgetPolicy.STRICT)
--- a/kingcuphead/budgets/_ledger.py
+++ b/kingcuphead/budgets/_ledger.py
@@ -109,7 +109,7 @@
             A state that must be impossible was reached; the daemon must stop.
         """
         effects = tuple(self.settle_inner(self.dispatch(message, now), now))
-        return effects + tuple(self.report_finish())
+        return effects + tuple(self.report_finish(now))
 
     def settle_inner(
         self, effects: Iterable[InnerEffect], now: float
@@ -321,11 +321,12 @@
         for home in list(self.homes.values()):
             yield from home.close(now)
 
-    def report_finish(self) -> Iterator[ShutdownFinished]:
+    def report_finish(self, now: float) -> Iterator[ShutdownFinished]:
         """Report once that nothing is left here."""
         if not self.closing or self.finished:
             return
         empty = not (self.borrower.holds or self.outbox.entries or self.witness.copies)
+        empty = empty and self.borrower.is_settled(now)
         if empty and all(home.is_finished() for home in self.homes.values()):
             self.finished = True
             yield ShutdownFinished()
