--- a/kingcuphead/localfleet/_plan.py
+++ b/kingcuphead/localfleet/_plan.py
@@ -4,6 +4,7 @@
 import dataclasses
 import hashlib
 import io
+import random
 import socket
 from collections.abc import Iterator
 
@@ -15,6 +16,8 @@
 ZONES = ("zone-a", "zone-b", "zone-c")
 #: Region of a local fleet.
 REGION = "region-1"
+#: Ports that local fleets use.
+PORT_RANGE = range(12_000, 32_000)
 #: Shards of a local fleet.
 SHARDS = 8
 
@@ -139,15 +142,28 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Return ports that nothing listens on."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for each in sockets:
-            each.bind((LOOPBACK, 0))
-        return [each.getsockname()[1] for each in sockets]
-    finally:
-        for each in sockets:
-            each.close()
+    """Return ports that nothing listens on.
+
+    They lie below the range from which the system takes ports for outgoing
+    connections, or such a connection could take one before its process listens.
+    """
+    ports: list[int] = []
+    candidates = random.SystemRandom().sample(PORT_RANGE, len(PORT_RANGE))
+    for port in candidates:
+        if len(ports) == count:
+            break
+        if _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _is_free(port: int) -> bool:
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 def format_settings(
