Move the protocols for table, objects and instance list to kingcuphead/storage

Cause: kingcuphead/platform/ is to hold only the names, formats and calls of the users' platform. The protocols that lay there are the product's own. Ruled out: a second folder beside it for the users' platform; two folders of that meaning would need explaining.

--- a/features/steps/fleet.py
+++ b/features/steps/fleet.py
@@ -3,7 +3,7 @@
 from behave import given, when
 
 from features.world import ENGINE_OPTIONS, make_organisation
-from kingcuphead.platform import InstanceState
+from kingcuphead.storage import InstanceState
 
 
 @given("a fleet of {daemons:d} daemons and {engines:d} engines")
--- a/kingcuphead/bench/_budgets_fleet.py
+++ b/kingcuphead/bench/_budgets_fleet.py
@@ -29,7 +29,7 @@
     Ticked,
     ViewChanged,
 )
-from kingcuphead.platform import CommitOutcome, Unavailable, Unknown
+from kingcuphead.storage import CommitOutcome, Unavailable, Unknown
 
 #: Seconds between two ticks of a daemon.
 TICK_SECONDS = 0.05
--- a/kingcuphead/bench/_budgets_random.py
+++ b/kingcuphead/bench/_budgets_random.py
@@ -33,8 +33,8 @@
     parse_shard,
 )
 from kingcuphead.invariants import ensure
-from kingcuphead.platform import Committed, Instance, InstanceState, Transaction
 from kingcuphead.records import BudgetPolicy
+from kingcuphead.storage import Committed, Instance, InstanceState, Transaction
 
 #: Budgets of a run with their first limit, in tokens, and policy.
 BUDGETS = (
--- a/kingcuphead/bench/_budgets_table.py
+++ b/kingcuphead/bench/_budgets_table.py
@@ -4,7 +4,7 @@
 import dataclasses
 from collections.abc import Sequence
 
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     ABSENT,
     Committed,
     Conflict,
--- a/kingcuphead/bench/_capacity_machines.py
+++ b/kingcuphead/bench/_capacity_machines.py
@@ -22,8 +22,8 @@
     Ticked,
 )
 from kingcuphead.metrics import Metrics, MetricsSettings, RequestMeasured, StreamTimes
-from kingcuphead.platform import Instance, InstanceState
 from kingcuphead.records import Budget, Configuration, Organisation
+from kingcuphead.storage import Instance, InstanceState
 from kingcuphead.wire import Envelope, decode_envelope, encode_envelope
 
 #: Name, title, unit and variable of a slope, its sizes, and what measures a size.
--- a/kingcuphead/bench/_configuration_fleet.py
+++ b/kingcuphead/bench/_configuration_fleet.py
@@ -28,8 +28,8 @@
     build_change,
     build_transaction,
 )
-from kingcuphead.platform import MemoryTable
 from kingcuphead.records import Budget, RecordKind, RecordName, encode_record
+from kingcuphead.storage import MemoryTable
 
 TICK_SECONDS = 0.1
 HEARTBEAT_SECONDS = 1.0
--- a/kingcuphead/budgets/_administration.py
+++ b/kingcuphead/budgets/_administration.py
@@ -15,7 +15,7 @@
     decode_shard,
     encode,
 )
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     ABSENT,
     Check,
     Instance,
--- a/kingcuphead/budgets/_flush.py
+++ b/kingcuphead/budgets/_flush.py
@@ -12,7 +12,7 @@
     build_shard_key,
     encode,
 )
-from kingcuphead.platform import Check, Put, Transaction
+from kingcuphead.storage import Check, Put, Transaction
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/budgets/_messages.py
+++ b/kingcuphead/budgets/_messages.py
@@ -4,8 +4,8 @@
 from typing import TypeAlias
 
 from kingcuphead.budgets._peer_messages import PeerMessage
-from kingcuphead.platform import CommitOutcome, Row, ScanPage, Transaction
 from kingcuphead.records import BudgetPolicy
+from kingcuphead.storage import CommitOutcome, Row, ScanPage, Transaction
 from kingcuphead.verdict import Verdict
 
 
--- a/kingcuphead/budgets/_replica.py
+++ b/kingcuphead/budgets/_replica.py
@@ -16,7 +16,7 @@
     parse_page_number,
 )
 from kingcuphead.invariants import ensure
-from kingcuphead.platform import ABSENT, Row, ScanPage
+from kingcuphead.storage import ABSENT, Row, ScanPage
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/budgets/_store.py
+++ b/kingcuphead/budgets/_store.py
@@ -16,7 +16,7 @@
 from kingcuphead.budgets._replica import Reading, Snapshot, Step
 from kingcuphead.budgets._rows import ShardRow
 from kingcuphead.budgets._settings import Settings
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     ABSENT,
     Committed,
     Conflict,
--- a/kingcuphead/budgets/tests/test_administration.py
+++ b/kingcuphead/budgets/tests/test_administration.py
@@ -16,7 +16,7 @@
     decode_shard,
     parse_shard,
 )
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     Committed,
     Conflict,
     Instance,
--- a/kingcuphead/claims/_closing.py
+++ b/kingcuphead/claims/_closing.py
@@ -22,7 +22,7 @@
     encode_claim,
 )
 from kingcuphead.invariants import ensure
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     ABSENT,
     Check,
     CommitOutcome,
--- a/kingcuphead/claims/_driver.py
+++ b/kingcuphead/claims/_driver.py
@@ -37,7 +37,7 @@
 from kingcuphead.claims._refusals import refuse_unreachable
 from kingcuphead.claims._rows import AnswerLost, RecordedAnswer
 from kingcuphead.invariants import InvariantError
-from kingcuphead.platform import Table
+from kingcuphead.storage import Table
 from kingcuphead.verdict import Verdict
 
 T = TypeVar("T", Decision, Ending)
--- a/kingcuphead/claims/_messages.py
+++ b/kingcuphead/claims/_messages.py
@@ -7,7 +7,7 @@
 from expression import Result
 
 from kingcuphead.claims._rows import ClaimRow, Held, RecordedAnswer, make_row_key
-from kingcuphead.platform import CommitOutcome, PlatformFault, Row, Transaction
+from kingcuphead.storage import CommitOutcome, PlatformFault, Row, Transaction
 from kingcuphead.verdict import Verdict
 
 
--- a/kingcuphead/claims/_register.py
+++ b/kingcuphead/claims/_register.py
@@ -19,7 +19,7 @@
     make_row_key,
     split_row_key,
 )
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     Committed,
     Conflict,
     InstanceState,
--- a/kingcuphead/claims/_resolution.py
+++ b/kingcuphead/claims/_resolution.py
@@ -13,7 +13,7 @@
     Resolved,
     encode_claim,
 )
-from kingcuphead.platform import Check, InstanceState, Put, Transaction
+from kingcuphead.storage import Check, InstanceState, Put, Transaction
 
 #: What an operator found out: the call didn't run, or it did.
 Finding: TypeAlias = Released | Resolved
--- a/kingcuphead/claims/_retention.py
+++ b/kingcuphead/claims/_retention.py
@@ -11,7 +11,7 @@
     Resolved,
     decode_claim,
 )
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     Check,
     CommitOutcome,
     Committed,
--- a/kingcuphead/claims/_rows.py
+++ b/kingcuphead/claims/_rows.py
@@ -6,7 +6,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from kingcuphead.platform import Row
+from kingcuphead.storage import Row
 
 #: Folder of the table that holds every claim.
 CLAIMS_FOLDER = "claim/"
--- a/kingcuphead/claims/_sweeper.py
+++ b/kingcuphead/claims/_sweeper.py
@@ -12,7 +12,7 @@
     Sweep,
     SweepEnded,
 )
-from kingcuphead.platform import Table
+from kingcuphead.storage import Table
 
 
 async def sweep_claims(
--- a/kingcuphead/claims/tests/_calls.py
+++ b/kingcuphead/claims/tests/_calls.py
@@ -2,7 +2,7 @@
 
 from kingcuphead.claims import ClaimRequest, ClaimRow, ClaimSettings, RecordedAnswer
 from kingcuphead.claims._rows import encode_claim
-from kingcuphead.platform import Row
+from kingcuphead.storage import Row
 
 SETTINGS = ClaimSettings(resolve_timeout=2.0, first_pause=0.1, close_timeout=60.0)
 ANSWER = RecordedAnswer(201, (("Content-Type", "text/plain"),), b"order 7")
--- a/kingcuphead/claims/tests/_fleet.py
+++ b/kingcuphead/claims/tests/_fleet.py
@@ -35,7 +35,7 @@
 )
 from kingcuphead.claims._resolution import ClaimEntry, decide_resolution
 from kingcuphead.claims.tests._calls import SETTINGS
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     CommitOutcome,
     InstanceState,
     MemoryTable,
--- a/kingcuphead/claims/tests/test_claim.py
+++ b/kingcuphead/claims/tests/test_claim.py
@@ -31,7 +31,7 @@
     Resolved,
 )
 from kingcuphead.claims.tests._calls import ANSWER, SETTINGS, make_request, make_row
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     ABSENT,
     Committed,
     Conflict,
--- a/kingcuphead/claims/tests/test_driver.py
+++ b/kingcuphead/claims/tests/test_driver.py
@@ -12,7 +12,7 @@
     InvariantError,
 )
 from kingcuphead.claims.tests._calls import ANSWER, SETTINGS, make_request
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     CommitOutcome,
     MemoryTable,
     PlatformFault,
--- a/kingcuphead/claims/tests/test_over_http.py
+++ b/kingcuphead/claims/tests/test_over_http.py
@@ -6,7 +6,6 @@
 
 from kingcuphead.claims import ClaimClosed, Claims, ClaimSettings, HeldClaim
 from kingcuphead.claims.tests._calls import ANSWER, make_request
-from kingcuphead.platform import HttpTable, PlatformConnection, PlatformSettings
 from kingcuphead.standins import platform
 from kingcuphead.standins._platform_faults import (
     Outage,
@@ -14,6 +13,7 @@
     ServiceFaults,
 )
 from kingcuphead.standins._platform_state import PlatformState
+from kingcuphead.storage import HttpTable, PlatformConnection, PlatformSettings
 from kingcuphead.verdict import Execution
 
 SETTINGS = ClaimSettings(resolve_timeout=0.5, first_pause=0.02, longest_pause=0.1)
--- a/kingcuphead/claims/tests/test_register.py
+++ b/kingcuphead/claims/tests/test_register.py
@@ -14,7 +14,7 @@
 from kingcuphead.claims._resolution import decide_resolution
 from kingcuphead.claims._rows import encode_claim, make_row_key
 from kingcuphead.claims.tests._calls import ANSWER, make_request
-from kingcuphead.platform import InstanceState, MemoryTable, Put, Transaction
+from kingcuphead.storage import InstanceState, MemoryTable, Put, Transaction
 
 RAN = Resolved("seen at the mill")
 NOT_RUN = Released("the mill has no such order")
--- a/kingcuphead/claims/tests/test_retention.py
+++ b/kingcuphead/claims/tests/test_retention.py
@@ -15,7 +15,7 @@
 from kingcuphead.claims._retention import PageScanned, RemovalWanted, Sweep
 from kingcuphead.claims._rows import encode_claim
 from kingcuphead.claims.tests._calls import ANSWER, make_request
-from kingcuphead.platform import Conflict, MemoryTable, Put, ScanPage, Transaction
+from kingcuphead.storage import Conflict, MemoryTable, Put, ScanPage, Transaction
 
 NOW = 1_000_000.0
 SETTINGS = RetentionSettings(keep_for=100.0, page_size=2, page_interval=0.0)
--- a/kingcuphead/configuration/_acceptance.py
+++ b/kingcuphead/configuration/_acceptance.py
@@ -39,7 +39,8 @@
 )
 from kingcuphead.configuration._snapshot import Snapshot
 from kingcuphead.invariants import require
-from kingcuphead.platform import (
+from kingcuphead.records import SCHEMA
+from kingcuphead.storage import (
     CommitOutcome,
     Committed,
     Conflict,
@@ -48,7 +49,6 @@
     Unavailable,
     Unknown,
 )
-from kingcuphead.records import SCHEMA
 
 #: Seconds before a step is tried again.
 RETRY_SECONDS = 0.2
--- a/kingcuphead/configuration/_acceptance_messages.py
+++ b/kingcuphead/configuration/_acceptance_messages.py
@@ -5,7 +5,7 @@
 
 from kingcuphead.configuration._changes import ChangeConflict, ChangeInvalid
 from kingcuphead.configuration._snapshot import Snapshot
-from kingcuphead.platform import CommitOutcome, Row, Transaction
+from kingcuphead.storage import CommitOutcome, Row, Transaction
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/configuration/_changes.py
+++ b/kingcuphead/configuration/_changes.py
@@ -20,7 +20,6 @@
     make_record_key,
 )
 from kingcuphead.configuration._snapshot import Snapshot
-from kingcuphead.platform import ABSENT, Check, Delete, Put, Transaction
 from kingcuphead.records import (
     SCHEMA,
     RecordFault,
@@ -28,6 +27,7 @@
     check_configuration,
     decode_record,
 )
+from kingcuphead.storage import ABSENT, Check, Delete, Put, Transaction
 
 #: Most edits in one change.
 EDITS_PER_CHANGE = 500
--- a/kingcuphead/configuration/_messages.py
+++ b/kingcuphead/configuration/_messages.py
@@ -4,8 +4,8 @@
 import enum
 from typing import TypeAlias
 
-from kingcuphead.platform import Row
 from kingcuphead.records import Configuration
+from kingcuphead.storage import Row
 
 
 class Freshness(enum.StrEnum):
--- a/kingcuphead/configuration/_reading.py
+++ b/kingcuphead/configuration/_reading.py
@@ -10,8 +10,8 @@
     make_change_key,
 )
 from kingcuphead.configuration._snapshot import Snapshot
-from kingcuphead.platform import Row
 from kingcuphead.records import RecordFault
+from kingcuphead.storage import Row
 
 #: Most rows of changes in one read.
 CHANGES_PER_READ = 200
--- a/kingcuphead/configuration/_rows.py
+++ b/kingcuphead/configuration/_rows.py
@@ -6,7 +6,6 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from kingcuphead.platform import ABSENT, Row
 from kingcuphead.records import (
     SCHEMA,
     Record,
@@ -15,6 +14,7 @@
     decode_record,
     name_record,
 )
+from kingcuphead.storage import ABSENT, Row
 
 HEAD_KEY = "head"
 RECORD_PREFIX = "record/"
--- a/kingcuphead/configuration/_snapshot.py
+++ b/kingcuphead/configuration/_snapshot.py
@@ -11,8 +11,8 @@
     fingerprint_record,
     format_fingerprint,
 )
-from kingcuphead.platform import ABSENT
 from kingcuphead.records import Configuration, RecordName, build_configuration
+from kingcuphead.storage import ABSENT
 
 
 @dataclasses.dataclass(frozen=True)
--- a/kingcuphead/configuration/_task.py
+++ b/kingcuphead/configuration/_task.py
@@ -48,7 +48,7 @@
 from kingcuphead.configuration._rows import HEAD_KEY
 from kingcuphead.configuration._snapshot import Snapshot
 from kingcuphead.configuration._watcher import Watcher
-from kingcuphead.platform import Table
+from kingcuphead.storage import Table
 
 #: Seconds between two ticks of the watcher.
 TICK_SECONDS = 0.1
--- a/kingcuphead/configuration/_watcher.py
+++ b/kingcuphead/configuration/_watcher.py
@@ -46,8 +46,8 @@
 )
 from kingcuphead.configuration._snapshot import Snapshot
 from kingcuphead.invariants import ensure
-from kingcuphead.platform import Row
 from kingcuphead.records import SCHEMA, RecordFault
+from kingcuphead.storage import Row
 
 #: Least seconds between two reads of the head row that peers prompt.
 PROMPTED_INTERVAL_SECONDS = 0.1
--- a/kingcuphead/configuration/tests/fleet.py
+++ b/kingcuphead/configuration/tests/fleet.py
@@ -44,7 +44,7 @@
     WatcherMessage,
     WatchPolicy,
 )
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     Committed,
     Conflict,
     MemoryTable,
--- a/kingcuphead/configuration/tests/scenes.py
+++ b/kingcuphead/configuration/tests/scenes.py
@@ -19,7 +19,6 @@
     build_change,
     build_transaction,
 )
-from kingcuphead.platform import Committed, MemoryTable
 from kingcuphead.records import (
     SCHEMA,
     Budget,
@@ -28,6 +27,7 @@
     RecordName,
     encode_record,
 )
+from kingcuphead.storage import Committed, MemoryTable
 
 BUDGET = RecordName(RecordKind.BUDGET, "b")
 
--- a/kingcuphead/configuration/tests/test_acceptance.py
+++ b/kingcuphead/configuration/tests/test_acceptance.py
@@ -34,7 +34,7 @@
     fill_table,
     make_change,
 )
-from kingcuphead.platform import MemoryTable, Unavailable, Unknown
+from kingcuphead.storage import MemoryTable, Unavailable, Unknown
 
 DEADLINE = 10.0
 PUT = PutRecord(encode_budget(), 0)
--- a/kingcuphead/configuration/tests/test_watcher.py
+++ b/kingcuphead/configuration/tests/test_watcher.py
@@ -36,8 +36,8 @@
     make_change,
     serve,
 )
-from kingcuphead.platform import MemoryTable
 from kingcuphead.records import Service, ServiceKind, encode_record
+from kingcuphead.storage import MemoryTable
 
 POLICY = WatchPolicy(stale_after=10.0, refuse_after=100.0)
 
--- a/kingcuphead/daemon/_announcements.py
+++ b/kingcuphead/daemon/_announcements.py
@@ -10,8 +10,8 @@
 from kingcuphead.daemon._scheduler_task import SchedulerTask
 from kingcuphead.daemon._target_watch import TargetWatch
 from kingcuphead.pipeline import Gateway
-from kingcuphead.platform import Instance, InstanceState
 from kingcuphead.records import Configuration
+from kingcuphead.storage import Instance, InstanceState
 from kingcuphead.verdict import Reason
 
 #: Name of the daemons' own service in the platform's instance list.
--- a/kingcuphead/daemon/_assembly.py
+++ b/kingcuphead/daemon/_assembly.py
@@ -27,15 +27,15 @@
     ServicePath,
     Settlements,
 )
-from kingcuphead.platform import (
+from kingcuphead.relay import Relay, Timeouts
+from kingcuphead.settings import Settings
+from kingcuphead.storage import (
     HttpInstanceList,
     HttpTable,
     PlatformConnection,
     PlatformSettings,
     Table,
 )
-from kingcuphead.relay import Relay, Timeouts
-from kingcuphead.settings import Settings
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/daemon/_claim_sweep.py
+++ b/kingcuphead/daemon/_claim_sweep.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from kingcuphead.claims import RetentionSettings, sweep_claims
-from kingcuphead.platform import Table
+from kingcuphead.storage import Table
 
 #: Mean seconds between two sweeps of one daemon.
 SWEEP_INTERVAL = 6 * 3600.0
--- a/kingcuphead/daemon/_instance_watch.py
+++ b/kingcuphead/daemon/_instance_watch.py
@@ -6,7 +6,7 @@
 from expression import Result
 from loguru import logger
 
-from kingcuphead.platform import Instance, InstanceList
+from kingcuphead.storage import Instance, InstanceList
 
 
 async def watch_instances(
--- a/kingcuphead/daemon/_layout_check.py
+++ b/kingcuphead/daemon/_layout_check.py
@@ -5,7 +5,7 @@
 from expression import Result
 
 from kingcuphead.budgets import LAYOUT_KEY, decode_layout
-from kingcuphead.platform import Row, Table
+from kingcuphead.storage import Row, Table
 
 #: Seconds between two tries to read the layout while the table is out of reach.
 RETRY_INTERVAL = 1.0
--- a/kingcuphead/daemon/_ledger_task.py
+++ b/kingcuphead/daemon/_ledger_task.py
@@ -12,7 +12,7 @@
 from kingcuphead import budgets
 from kingcuphead.daemon._machine_task import BackgroundTasks, MachineTask
 from kingcuphead.pipeline import HoldTerms
-from kingcuphead.platform import Table
+from kingcuphead.storage import Table
 from kingcuphead.verdict import Outcome, Verdict
 
 
--- a/kingcuphead/daemon/tests/test_layout_check.py
+++ b/kingcuphead/daemon/tests/test_layout_check.py
@@ -4,7 +4,7 @@
 
 from kingcuphead.budgets import LAYOUT_KEY, Layout, encode
 from kingcuphead.daemon._layout_check import LayoutError, check_layout
-from kingcuphead.platform import MemoryTable, Put, Transaction
+from kingcuphead.storage import MemoryTable, Put, Transaction
 
 
 def make_table(shards):
--- a/kingcuphead/localfleet/_fleet.py
+++ b/kingcuphead/localfleet/_fleet.py
@@ -19,7 +19,7 @@
     plan_replacement,
 )
 from kingcuphead.localfleet._process import LocalProcess
-from kingcuphead.platform import Instance, InstanceState
+from kingcuphead.storage import Instance, InstanceState
 
 #: Name of the daemons' own service in the instance list.
 DAEMON_SERVICE = "kingcuphead"
--- a/kingcuphead/localfleet/_seed.py
+++ b/kingcuphead/localfleet/_seed.py
@@ -5,7 +5,7 @@
 from kingcuphead import budgets, configuration
 from kingcuphead.localfleet._plan import SHARDS, FleetPlan
 from kingcuphead.localfleet._records import LocalOrganisation, list_records
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     Committed,
     HttpTable,
     PlatformConnection,
--- a/kingcuphead/membership/_membership.py
+++ b/kingcuphead/membership/_membership.py
@@ -29,7 +29,7 @@
     Ticked,
     ViewChanged,
 )
-from kingcuphead.platform import Instance, InstanceState
+from kingcuphead.storage import Instance, InstanceState
 
 #: Member facts carried by one message.
 MEMBERS_PER_MESSAGE = 8
--- a/kingcuphead/membership/_messages.py
+++ b/kingcuphead/membership/_messages.py
@@ -4,7 +4,7 @@
 import enum
 from typing import TypeAlias
 
-from kingcuphead.platform import Instance
+from kingcuphead.storage import Instance
 
 
 class MemberStatus(enum.StrEnum):
--- a/kingcuphead/membership/tests/test_membership.py
+++ b/kingcuphead/membership/tests/test_membership.py
@@ -21,7 +21,7 @@
     Ticked,
     ViewChanged,
 )
-from kingcuphead.platform import Instance, InstanceState
+from kingcuphead.storage import Instance, InstanceState
 
 STEP = 0.1
 SETTINGS = MembershipSettings()
--- a/kingcuphead/operators/_budgets.py
+++ b/kingcuphead/operators/_budgets.py
@@ -26,7 +26,7 @@
     parse_shard,
 )
 from kingcuphead.operators._messages import FaultKind, OperatorFault, encode_view
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     ABSENT,
     Check,
     CommitOutcome,
--- a/kingcuphead/operators/_records.py
+++ b/kingcuphead/operators/_records.py
@@ -26,8 +26,8 @@
     OperatorFault,
     RecordView,
 )
-from kingcuphead.platform import Row, Table
 from kingcuphead.records import RecordKind, RecordName
+from kingcuphead.storage import Row, Table
 
 #: Seconds in which a change is accepted or refused.
 ACCEPTANCE_SECONDS = 10.0
--- a/kingcuphead/operators/tests/fakes.py
+++ b/kingcuphead/operators/tests/fakes.py
@@ -20,7 +20,7 @@
     TableRecords,
     TargetView,
 )
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     CommitOutcome,
     Instance,
     InstanceState,
--- a/kingcuphead/operators/tests/test_api.py
+++ b/kingcuphead/operators/tests/test_api.py
@@ -9,7 +9,7 @@
 from kingcuphead.budgets import build_shard_key, compute_shard, decode_shard, encode
 from kingcuphead.operators import make_operator_application
 from kingcuphead.operators.tests.fakes import SHARDS, TOKEN, Desk
-from kingcuphead.platform import Put, Transaction
+from kingcuphead.storage import Put, Transaction
 
 AUTHORISED = {"Authorization": f"Bearer {TOKEN}", "Operator": "ana"}
 BUDGET = {"kind": "budget", "schema": 1, "name": "b"}
--- a/kingcuphead/orders/_dispatch.py
+++ b/kingcuphead/orders/_dispatch.py
@@ -30,7 +30,7 @@
     encode_order,
     make_order_key,
 )
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     ABSENT,
     Check,
     Committed,
--- a/kingcuphead/orders/_messages.py
+++ b/kingcuphead/orders/_messages.py
@@ -4,7 +4,7 @@
 import enum
 from typing import TypeAlias
 
-from kingcuphead.platform import CommitOutcome, Row, Transaction
+from kingcuphead.storage import CommitOutcome, Row, Transaction
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/orders/_rows.py
+++ b/kingcuphead/orders/_rows.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from kingcuphead.orders._messages import Order
-from kingcuphead.platform import Row
+from kingcuphead.storage import Row
 
 ORDER_PREFIX = "order/"
 
--- a/kingcuphead/orders/tests/test_dispatch.py
+++ b/kingcuphead/orders/tests/test_dispatch.py
@@ -25,7 +25,7 @@
     UnloadModel,
     WaitWanted,
 )
-from kingcuphead.platform import MemoryTable, Unavailable, Unknown
+from kingcuphead.storage import MemoryTable, Unavailable, Unknown
 
 DEADLINE = 60.0
 LOAD_1 = LoadModel("large", "1")
--- a/kingcuphead/standins/_lagging_list.py
+++ b/kingcuphead/standins/_lagging_list.py
@@ -1,6 +1,6 @@
 """An instance list that shows the state of some time ago."""
 
-from kingcuphead.platform import Instance
+from kingcuphead.storage import Instance
 
 
 class LaggingList:
--- a/kingcuphead/standins/_platform_handlers.py
+++ b/kingcuphead/standins/_platform_handlers.py
@@ -8,13 +8,13 @@
 import msgspec
 from tornado.web import HTTPError
 
-from kingcuphead.platform import Row, TableCounts, wire
 from kingcuphead.standins._platform_faults import (
     Outage,
     PlatformSwitchesChange,
 )
 from kingcuphead.standins._platform_state import PlatformState
 from kingcuphead.standins._serving import StandInHandler
+from kingcuphead.storage import Row, TableCounts, wire
 
 
 class TableContents(msgspec.Struct, frozen=True):
--- a/kingcuphead/standins/_platform_state.py
+++ b/kingcuphead/standins/_platform_state.py
@@ -2,13 +2,13 @@
 
 import msgspec
 
-from kingcuphead.platform import MemoryTable
 from kingcuphead.standins._lagging_list import LaggingList
 from kingcuphead.standins._platform_faults import (
     PlatformSwitches,
     PlatformSwitchesChange,
     ServiceFaults,
 )
+from kingcuphead.storage import MemoryTable
 
 
 class PlatformState:
--- a/kingcuphead/standins/platform.py
+++ b/kingcuphead/standins/platform.py
@@ -5,7 +5,6 @@
 
 from tornado.web import Application
 
-from kingcuphead.platform import wire
 from kingcuphead.standins._platform_handlers import (
     CommitHandler,
     InstancesHandler,
@@ -17,6 +16,7 @@
 )
 from kingcuphead.standins._platform_state import PlatformState
 from kingcuphead.standins._serving import make_parser, serve
+from kingcuphead.storage import wire
 
 
 def make_application(state: PlatformState | None = None) -> Application:
--- a/kingcuphead/standins/tests/test_platform.py
+++ b/kingcuphead/standins/tests/test_platform.py
@@ -4,7 +4,10 @@
 import pytest
 from tornado.testing import AsyncHTTPTestCase, gen_test
 
-from kingcuphead.platform import (
+from kingcuphead.standins import platform
+from kingcuphead.standins._lagging_list import LaggingList
+from kingcuphead.standins._platform_state import PlatformState
+from kingcuphead.storage import (
     ABSENT,
     Check,
     CommitOutcome,
@@ -23,9 +26,6 @@
     Unavailable,
     Unknown,
 )
-from kingcuphead.standins import platform
-from kingcuphead.standins._lagging_list import LaggingList
-from kingcuphead.standins._platform_state import PlatformState
 
 INSERT = Transaction((Check("a", ABSENT),), (Put("a", b"\x00\xff"),))
 INSTANCE = Instance("i-1", "pool", "z", "127.0.0.1:1", InstanceState.LIVE)
--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/storage/__init__.py
@@ -1,13 +1,13 @@
 """The platform's table, object store and instance list, as the daemon sees them."""
 
-from kingcuphead.platform._client import (
+from kingcuphead.storage._client import (
     HttpInstanceList,
     HttpObjectStore,
     HttpTable,
 )
-from kingcuphead.platform._exchange import PlatformConnection, PlatformSettings
-from kingcuphead.platform._memory import MemoryTable, TableCounts
-from kingcuphead.platform._messages import (
+from kingcuphead.storage._exchange import PlatformConnection, PlatformSettings
+from kingcuphead.storage._memory import MemoryTable, TableCounts
+from kingcuphead.storage._messages import (
     ABSENT,
     Check,
     CommitOutcome,
@@ -24,7 +24,7 @@
     Unavailable,
     Unknown,
 )
-from kingcuphead.platform._protocols import InstanceList, ObjectStore, Table
+from kingcuphead.storage._protocols import InstanceList, ObjectStore, Table
 
 __all__ = [
     "ABSENT",
--- a/kingcuphead/platform/_client.py
+++ b/kingcuphead/storage/_client.py
@@ -6,14 +6,14 @@
 import msgspec
 from expression import Error, Ok, Result
 
-from kingcuphead.platform._exchange import (
+from kingcuphead.storage._exchange import (
     Exchange,
     NotSent,
     PlatformConnection,
     Replied,
     ReplyLost,
 )
-from kingcuphead.platform._messages import (
+from kingcuphead.storage._messages import (
     CommitOutcome,
     Instance,
     PlatformFault,
@@ -23,7 +23,7 @@
     Unavailable,
     Unknown,
 )
-from kingcuphead.platform.wire import (
+from kingcuphead.storage.wire import (
     COMMIT_PATH,
     INSTANCES_PATH,
     OBJECTS_PATH,
--- a/kingcuphead/platform/_exchange.py
+++ b/kingcuphead/storage/_exchange.py
@@ -9,7 +9,7 @@
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
-from kingcuphead.platform.wire import REFUSED_STATUS
+from kingcuphead.storage.wire import REFUSED_STATUS
 
 #: Largest reply that is read, in bytes.
 MAX_REPLY_BYTES = 64 * 1024 * 1024
--- a/kingcuphead/platform/_memory.py
+++ b/kingcuphead/storage/_memory.py
@@ -6,7 +6,7 @@
 
 from expression import Ok, Result
 
-from kingcuphead.platform._messages import (
+from kingcuphead.storage._messages import (
     ABSENT,
     Check,
     CommitOutcome,
--- a/kingcuphead/platform/_protocols.py
+++ b/kingcuphead/storage/_protocols.py
@@ -5,7 +5,7 @@
 
 from expression import Result
 
-from kingcuphead.platform._messages import (
+from kingcuphead.storage._messages import (
     CommitOutcome,
     Instance,
     PlatformFault,
--- a/kingcuphead/platform/tests/test_memory.py
+++ b/kingcuphead/storage/tests/test_memory.py
@@ -1,6 +1,6 @@
 import pytest
 
-from kingcuphead.platform import (
+from kingcuphead.storage import (
     ABSENT,
     Check,
     Committed,
--- a/kingcuphead/platform/wire.py
+++ b/kingcuphead/storage/wire.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from kingcuphead.platform._messages import (
+from kingcuphead.storage._messages import (
     Check,
     CommitOutcome,
     Committed,
