Serve the users' platform: adapter, routing, targets, credit, dispatch, forwarding

Cause: the users ask for the fleet on their platform, without control instances or disks. This is the whole path, thin: settings file, configuration and entries followed by the store's feed, credit taken straight from the store in conditional transactions, targets chosen by rendezvous hashing on the shared start of a prompt, attempts with resume, graceful shutdown. Ruled out: carrying the homes, loans and gossip over; the store serves every instance.

--- /dev/null
+++ b/kingcuphead/credit/__init__.py
@@ -0,0 +1,23 @@
+"""Credit taken from the platform's store, so that no budget is exceeded."""
+
+from kingcuphead.credit._book import CreditBook
+from kingcuphead.credit._messages import (
+    CreditSettings,
+    Hold,
+    HolderRow,
+    Shortage,
+    TotalRow,
+)
+from kingcuphead.credit._task import CreditRefused, CreditTable, CreditTask
+
+__all__ = [
+    "CreditBook",
+    "CreditRefused",
+    "CreditSettings",
+    "CreditTable",
+    "CreditTask",
+    "Hold",
+    "HolderRow",
+    "Shortage",
+    "TotalRow",
+]
--- /dev/null
+++ b/kingcuphead/credit/_book.py
@@ -0,0 +1,238 @@
+"""Takes credit from the platform's store and gives it back, one transaction at a time.
+
+The tokens that all daemons together hold and have spent never exceed an organisation's
+limit: a grant is used only after the transaction that charges it is known to have been
+applied, and credit that is returned is set aside before its transaction is sent. A
+daemon that dies leaves its credit charged for good, since nobody can tell what it spent.
+"""
+
+import dataclasses
+import itertools
+from collections.abc import Iterable, Iterator, Mapping
+
+import msgspec
+
+from kingcuphead.credit._account import Account, Adjustment
+from kingcuphead.credit._messages import (
+    CreditSettings,
+    Hold,
+    HolderRow,
+    Shortage,
+    TotalRow,
+)
+from kingcuphead.invariants import ensure, require
+from kingcuphead.routing import Organisation
+from kingcuphead.storage import (
+    ABSENT,
+    Check,
+    CommitOutcome,
+    Committed,
+    Conflict,
+    Put,
+    Row,
+    Transaction,
+    Unavailable,
+    Unknown,
+)
+
+_TOTAL_PREFIX = "total/"
+_HOLDER_PREFIX = "holder/"
+_TOTAL = msgspec.json.Decoder(TotalRow)
+_HOLDER = msgspec.json.Decoder(HolderRow)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Sent:
+    """A transaction that was sent."""
+
+    #: Its number.
+    attempt: int
+    #: What it does to each organisation.
+    adjustments: Mapping[str, Adjustment]
+    #: The totals that it writes.
+    totals: Mapping[str, TotalRow]
+
+
+class CreditBook:
+    """The credit of one life of a daemon, without input or output.
+
+    Parameters
+    ----------
+    incarnation
+        Identity of this life of the daemon, never used again.
+    settings
+        How much credit is kept at hand.
+    """
+
+    def __init__(
+        self,
+        incarnation: str,
+        settings: CreditSettings = CreditSettings(),  # noqa: B008
+    ) -> None:
+        self._settings = settings
+        self._holder_key = _HOLDER_PREFIX + incarnation
+        self._holder_version = ABSENT
+        self._attempt = 0
+        self._accounts: dict[str, Account] = {}
+        self._sent: _Sent | None = None
+        #: Sent earlier and not answered. Each changes the holder row on condition of
+        #: the same version, so that at most one of all of them is ever applied.
+        self._undecided: list[_Sent] = []
+        self._is_closing = False
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether a request waits for credit."""
+        return any(account.wanted for account in self._accounts.values())
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no credit is left in this daemon."""
+        return not self._undecided and not any(
+            account.free or account.held or account.unreported
+            for account in self._accounts.values()
+        )
+
+    def apply_limits(self, organisations: Iterable[Organisation], version: int) -> None:
+        """Take the prepaid tokens of a configuration version."""
+        for organisation in organisations:
+            if organisation.prepaid_tokens is None:
+                continue
+            account = self._get_account(organisation.name)
+            if version >= account.limit_version:
+                account.limit = organisation.prepaid_tokens
+                account.limit_version = version
+
+    def count_demand(self, organisation: str, tokens: int, now: float) -> None:
+        """Take note of a new request; the credit kept at hand follows the demand."""
+        self._get_account(organisation).count_demand(tokens, now)
+
+    def hold(self, organisation: str, tokens: int) -> Hold | None:
+        """Reserve the most that a request can cost, or return None for now."""
+        if self._get_account(organisation).hold(tokens):
+            return Hold(organisation, tokens)
+        return None
+
+    def want(self, organisation: str, tokens: int) -> None:
+        """Ask the next transaction for what a waiting request needs."""
+        self._get_account(organisation).wanted += tokens
+
+    def unwant(self, organisation: str, tokens: int) -> None:
+        """Take back what a request asked for that no longer waits."""
+        self._get_account(organisation).wanted -= tokens
+
+    def settle(self, hold: Hold, spent: int) -> None:
+        """End a reservation with what the request cost."""
+        ensure(not hold.is_settled, "a hold is settled once")
+        ensure(0 <= spent <= hold.tokens, "a request costs at most its hold")
+        hold.is_settled = True
+        self._get_account(hold.organisation).settle(hold.tokens, spent)
+
+    def find_shortage(self, organisation: str, tokens: int) -> Shortage | None:
+        """Return why a transaction would not help a request, or None if it might."""
+        account = self._get_account(organisation)
+        if not account.is_known:
+            return None
+        if account.unspent < tokens:
+            return Shortage.EXHAUSTED
+        if account.available + account.free < tokens:
+            return Shortage.UNPROVEN
+        return None
+
+    def close(self) -> None:
+        """Return everything that is at hand from the next transaction on."""
+        self._is_closing = True
+
+    def plan_transaction(self, now: float) -> Transaction | None:
+        """Return the next transaction, or None if there is nothing to change."""
+        adjustments = dict(self._plan_adjustments(now))
+        if not adjustments and not self._undecided:
+            return None
+        checks = [Check(self._holder_key, self._holder_version)]
+        totals = {}
+        for name, adjustment in adjustments.items():
+            account = self._accounts[name]
+            checks.append(Check(_TOTAL_PREFIX + name, account.row_version))
+            totals[name] = account.begin(adjustment)
+        self._attempt += 1
+        self._sent = _Sent(self._attempt, adjustments, totals)
+        return Transaction(tuple(checks), tuple(self._list_writes(self._sent)))
+
+    def take_outcome(self, outcome: CommitOutcome) -> None:
+        """Take what became of the transaction that was planned last."""
+        sent = require(self._sent, "an outcome follows a transaction")
+        self._sent = None
+        match outcome:
+            case Committed(version):
+                self._cancel_undecided()
+                self._confirm(sent, version)
+                self._holder_version = version
+            case Conflict(rows):
+                self._cancel(sent)
+                self._learn({row.key: row for row in rows})
+            case Unavailable():
+                self._cancel(sent)
+            case Unknown():
+                self._undecided.append(sent)
+
+    def _plan_adjustments(self, now: float) -> Iterator[tuple[str, Adjustment]]:
+        planned = (
+            (name, self._plan_account(account, now))
+            for name, account in self._accounts.items()
+        )
+        due = ((name, each) for name, each in planned if each is not None)
+        yield from itertools.islice(due, self._settings.batch_size)
+
+    def _plan_account(self, account: Account, now: float) -> Adjustment | None:
+        if not self._is_closing:
+            return account.plan(now)
+        if account.free or account.unreported:
+            return Adjustment(-account.free, account.unreported)
+        return None
+
+    def _list_writes(self, sent: _Sent) -> Iterator[Put]:
+        holder = HolderRow(sent.attempt)
+        yield Put(self._holder_key, msgspec.json.encode(holder))
+        for name, total in sent.totals.items():
+            yield Put(_TOTAL_PREFIX + name, msgspec.json.encode(total))
+
+    def _learn(self, rows: Mapping[str, Row]) -> None:
+        """Take the rows as they are, after a condition of a transaction failed."""
+        holder = rows.get(self._holder_key)
+        if holder is not None and holder.version != self._holder_version:
+            self._decide(holder)
+        for name, account in self._accounts.items():
+            row = rows.get(_TOTAL_PREFIX + name)
+            if row is not None:
+                account.take_total(_TOTAL.decode(row.value), row.version)
+
+    def _decide(self, holder: Row) -> None:
+        """Confirm the transaction that the holder row names, and cancel the others."""
+        attempt = _HOLDER.decode(holder.value).attempt
+        applied = [each for each in self._undecided if each.attempt == attempt]
+        ensure(len(applied) == 1, "only this daemon writes its row", attempt=attempt)
+        self._undecided.remove(applied[0])
+        self._cancel_undecided()
+        self._confirm(applied[0], holder.version)
+        self._holder_version = holder.version
+
+    def _confirm(self, sent: _Sent, version: int) -> None:
+        for name, adjustment in sent.adjustments.items():
+            account = self._accounts[name]
+            account.confirm(adjustment)
+            account.take_total(sent.totals[name], version)
+
+    def _cancel(self, sent: _Sent) -> None:
+        for name, adjustment in sent.adjustments.items():
+            self._accounts[name].cancel(adjustment)
+
+    def _cancel_undecided(self) -> None:
+        for sent in self._undecided:
+            self._cancel(sent)
+        self._undecided.clear()
+
+    def _get_account(self, organisation: str) -> Account:
+        account = self._accounts.get(organisation)
+        if account is None:
+            account = self._accounts[organisation] = Account(self._settings)
+        return account
--- /dev/null
+++ b/kingcuphead/credit/_task.py
@@ -0,0 +1,193 @@
+"""The task that renews the credit of a daemon."""
+
+import asyncio
+import dataclasses
+from typing import Protocol
+
+from expression import Error, Ok, Result
+from loguru import logger
+
+from kingcuphead.credit._book import CreditBook
+from kingcuphead.credit._messages import CreditSettings, Hold, Shortage
+from kingcuphead.storage import (
+    CommitOutcome,
+    Committed,
+    Conflict,
+    Transaction,
+    Unavailable,
+    Unknown,
+)
+
+#: Seconds before a transaction that had no effect is sent again.
+FAILURE_PAUSE = 0.1
+#: Seconds between two looks at requests that wait for credit.
+WAIT_INTERVAL = 0.02
+
+
+class CreditTable(Protocol):
+    """Where the totals are kept."""
+
+    async def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Apply a transaction; never raises for a fault of the store."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CreditRefused:
+    """A request gets no credit."""
+
+    #: Why.
+    shortage: Shortage
+
+
+class CreditTask:
+    """Owns a credit book and its way to the store.
+
+    Parameters
+    ----------
+    book
+        The credit of this daemon.
+    table
+        Where the totals are kept.
+    settings
+        How often credit is renewed.
+    """
+
+    def __init__(
+        self,
+        book: CreditBook,
+        table: CreditTable,
+        settings: CreditSettings = CreditSettings(),  # noqa: B008
+    ) -> None:
+        self._book = book
+        self._table = table
+        self._settings = settings
+        self._wake = asyncio.Event()
+        self._changed = asyncio.Condition()
+        self._is_store_down = False
+
+    @property
+    def book(self) -> CreditBook:
+        """The credit that is at hand."""
+        return self._book
+
+    async def hold(
+        self, organisation: str, tokens: int, timeout: float
+    ) -> Result[Hold, CreditRefused]:
+        """Reserve the most that a request can cost, waiting for a renewal if need be.
+
+        Parameters
+        ----------
+        organisation
+            Organisation that pays.
+        tokens
+            The most that the request can cost.
+        timeout
+            Longest time in seconds to wait.
+        """
+        self._book.count_demand(organisation, tokens, self._get_time())
+        hold = self._book.hold(organisation, tokens)
+        if hold is not None:
+            return Ok(hold)
+        self._book.want(organisation, tokens)
+        try:
+            return await self._wait(organisation, tokens, timeout)
+        finally:
+            self._book.unwant(organisation, tokens)
+
+    def settle(self, hold: Hold, spent: int) -> None:
+        """End a reservation with what the request cost."""
+        self._book.settle(hold, min(spent, hold.tokens))
+
+    async def run(self) -> None:
+        """Renew credit for ever."""
+        while True:
+            await self._renew()
+            await self._pause()
+
+    async def shut_down(self, timeout: float) -> bool:
+        """Return all credit; the renewals of `run` must have been ended before.
+
+        Returns
+        -------
+        bool
+            Whether the store has acknowledged it.
+        """
+        self._book.close()
+        deadline = self._get_time() + timeout
+        while not self._book.is_empty and self._get_time() < deadline:
+            if not await self._renew():
+                await asyncio.sleep(FAILURE_PAUSE)
+        return self._book.is_empty
+
+    async def _wait(
+        self, organisation: str, tokens: int, timeout: float
+    ) -> Result[Hold, CreditRefused]:
+        deadline = self._get_time() + timeout
+        refused = CreditRefused(Shortage.UNPROVEN)
+        while self._get_time() < deadline:
+            self._wake.set()
+            renewed = await self._wait_renewal(deadline - self._get_time())
+            hold = self._book.hold(organisation, tokens)
+            if hold is not None:
+                return Ok(hold)
+            shortage = self._book.find_shortage(organisation, tokens)
+            if shortage is not None and renewed:
+                return Error(CreditRefused(shortage))
+        return Error(refused)
+
+    async def _wait_renewal(self, timeout: float) -> bool:
+        """Wait for a transaction that took effect; False if none did in time."""
+        try:
+            async with asyncio.timeout(timeout), self._changed:
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    async def _pause(self) -> None:
+        self._wake.clear()
+        if self._book.is_waiting:
+            await asyncio.sleep(FAILURE_PAUSE if self._is_store_down else WAIT_INTERVAL)
+            return
+        try:
+            async with asyncio.timeout(self._settings.renewal_interval):
+                await self._wake.wait()
+        except TimeoutError:
+            return
+
+    async def _renew(self) -> bool:
+        """Send one transaction, again at once while others interfere."""
+        while True:
+            transaction = self._book.plan_transaction(self._get_time())
+            if transaction is None:
+                await self._tell()
+                return True
+            outcome = await self._table.commit(transaction)
+            self._book.take_outcome(outcome)
+            self._note_store(outcome)
+            match outcome:
+                case Committed():
+                    await self._tell()
+                    return True
+                case Unavailable():
+                    return False
+                case Conflict() | Unknown():
+                    continue
+
+    def _note_store(self, outcome: CommitOutcome) -> None:
+        is_down = isinstance(outcome, Unavailable | Unknown)
+        if is_down != self._is_store_down:
+            self._is_store_down = is_down
+            if is_down:
+                logger.warning("credit can't be renewed: {}", type(outcome).__name__)
+            else:
+                logger.info("credit is renewed again")
+
+    async def _tell(self) -> None:
+        async with self._changed:
+            self._changed.notify_all()
+
+    @staticmethod
+    def _get_time() -> float:
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -0,0 +1,120 @@
+"""Chooses the target of each request from what this daemon has seen itself.
+
+The load of one daemon is a sample of the load of all: requests of one shared start go
+to the same target from every daemon, by rendezvous hashing, so that its prompt is read
+once; a target that this daemon finds slow, failing or full is left for the next.
+"""
+
+import hashlib
+import random
+from collections.abc import Collection, Iterable
+
+from kingcuphead.dispatch._messages import (
+    AttemptResult,
+    DispatchSettings,
+    Work,
+)
+from kingcuphead.dispatch._target_state import Placement, TargetState
+from kingcuphead.targets import Target
+
+
+class Dispatcher:
+    """State of the choice, without input or output.
+
+    Parameters
+    ----------
+    settings
+        How targets are compared.
+    draw
+        Source of chance for targets that are equal.
+    """
+
+    def __init__(self, settings: DispatchSettings, draw: random.Random) -> None:
+        self._settings = settings
+        self._draw = draw
+        self._states: dict[str, TargetState] = {}
+
+    def place(
+        self,
+        work: Work,
+        candidates: Iterable[Target],
+        excluded: Collection[str],
+        now: float,
+    ) -> Placement | None:
+        """Choose a target and count the request there; None if there is none.
+
+        Parameters
+        ----------
+        work
+            What the request asks for.
+        candidates
+            Targets that may get new requests.
+        excluded
+            Names of targets that have tried it already.
+        now
+            Time in seconds.
+        """
+        usable = [target for target in candidates if target.name not in excluded]
+        awake = [
+            target for target in usable if not self._get(target).health.is_paused(now)
+        ]
+        if not usable:
+            return None
+        ranked = self._rank(work, awake or usable)
+        home = ranked[0].name
+        best = min(ranked, key=lambda target: self._estimate(work, target, home, now))
+        state = self._get(best)
+        unread = state.count_unread(work, is_home=best.name == home, now=now)
+        placement = Placement(best, state, unread, now)
+        state.add(placement, work, now)
+        return placement
+
+    def start(self, placement: Placement, now: float) -> None:
+        """Take note that the answer of a request began."""
+        if not placement.is_started:
+            placement.is_started = True
+            placement.state.start(placement, now)
+
+    def finish(self, placement: Placement, result: AttemptResult, now: float) -> None:
+        """Take note that an attempt ended; called once for each placement."""
+        placement.state.remove(placement)
+        placement.state.health.take_result(result, now)
+
+    def forget(self, target: Target) -> None:
+        """Forget a target that left, or an earlier life of it."""
+        self._states.pop(target.name, None)
+
+    def _rank(self, work: Work, targets: list[Target]) -> list[Target]:
+        """Return the targets, those first that most likely hold the shared start."""
+        key = work.shared[-1].key if work.shared else ""
+        if not key:
+            return self._draw.sample(targets, len(targets))
+        return sorted(
+            targets, key=lambda target: _score(key, target.name), reverse=True
+        )
+
+    def _estimate(self, work: Work, target: Target, home: str, now: float) -> float:
+        """Return the expected seconds to the first byte, with what else counts."""
+        settings = self._settings
+        state = self._get(target)
+        unread = state.count_unread(work, is_home=target.name == home, now=now)
+        waiting = state.unread_tokens * settings.daemons
+        reading = (unread + waiting) / settings.read_tokens_per_second
+        running = state.running * settings.running_cost * settings.daemons
+        cost = (reading + running) * state.slowness
+        if state.running >= target.slots:
+            cost += settings.failure_cost
+        if target.zone != settings.zone:
+            cost += settings.zone_cost
+        return cost + state.health.get_failure_rate(now) * settings.failure_cost
+
+    def _get(self, target: Target) -> TargetState:
+        state = self._states.get(target.name)
+        if state is None or state.started_at_ms != target.started_at_ms:
+            state = TargetState(target.started_at_ms, self._settings)
+            self._states[target.name] = state
+        return state
+
+
+def _score(key: str, name: str) -> bytes:
+    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/kingcuphead/dispatch/_messages.py
@@ -0,0 +1,67 @@
+"""Messages between the request path and the choice of targets."""
+
+import dataclasses
+import enum
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Work:
+    """What a request asks of a target."""
+
+    #: Service that does it.
+    service: str
+    #: Pieces of the prompt that other requests share, longest start last, as keys
+    #: with the tokens up to and with the piece; empty for plain services.
+    shared: tuple["SharedStart", ...] = ()
+    #: Tokens of the whole prompt; 0 for plain services.
+    prompt_tokens: int = 0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class SharedStart:
+    """The start of a prompt up to and with one piece."""
+
+    #: Identity of the start.
+    key: str
+    #: Its tokens.
+    tokens: int
+
+
+class AttemptResult(enum.StrEnum):
+    """How an attempt ended, as far as its target is concerned."""
+
+    #: Answered whole.
+    ANSWERED = "answered"
+    #: Refused, and not run.
+    REFUSED = "refused"
+    #: Answered with a failure of the target's own.
+    FAILED = "failed"
+    #: No connection could be opened.
+    UNREACHABLE = "unreachable"
+    #: The connection broke, or what came is no answer.
+    BROKEN = "broken"
+    #: No answer came in time.
+    SILENT = "silent"
+    #: Ended by this fleet or its caller; says nothing about the target.
+    CANCELLED = "cancelled"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class DispatchSettings:
+    """How targets are compared.
+
+    All figures in seconds are seconds of waiting that a choice is worth.
+    """
+
+    #: Availability zone of this daemon.
+    zone: str
+    #: Prompt tokens that an engine reads in a second until observed otherwise.
+    read_tokens_per_second: float = 50_000.0
+    #: Seconds that one running request adds to the wait of the next.
+    running_cost: float = 0.004
+    #: Seconds that a target in another zone must be better by.
+    zone_cost: float = 0.0
+    #: Seconds that a certain failure is worth.
+    failure_cost: float = 2.0
+    #: Daemons that share the targets, as far as is known.
+    daemons: int = 1
--- /dev/null
+++ b/kingcuphead/dispatch/_target_state.py
@@ -0,0 +1,98 @@
+"""The load and the speed of one target, as one daemon sees them."""
+
+import dataclasses
+from collections import OrderedDict
+
+from kingcuphead.dispatch._health import TargetHealth
+from kingcuphead.dispatch._messages import DispatchSettings, Work
+from kingcuphead.targets import Target
+
+#: Shared starts that are remembered for each target.
+MAX_STARTS = 512
+#: Seconds for which a shared start that was sent is taken to be in memory.
+START_LIFETIME = 20.0
+#: Weight of the newest observation in the slowness.
+SLOWNESS_WEIGHT = 0.2
+#: Bounds of the slowness.
+LEAST_SLOWNESS, MOST_SLOWNESS = 0.5, 20.0
+#: Seconds to a first byte that nothing is learnt from, since they are mostly network.
+UNMEASURABLE = 0.04
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Placement:
+    """A request at a target."""
+
+    #: The target.
+    target: Target
+    #: What is known of this life of the target.
+    state: "TargetState"
+    #: Prompt tokens that the target most likely has to read.
+    unread_tokens: int
+    #: Time of placement in seconds.
+    placed_at: float
+    #: Whether the answer began.
+    is_started: bool = False
+
+
+class TargetState:
+    """Counts what is at one life of a target.
+
+    Parameters
+    ----------
+    started_at_ms
+        Start of this life of the target.
+    settings
+        How targets are compared.
+    """
+
+    def __init__(self, started_at_ms: int, settings: DispatchSettings) -> None:
+        self._settings = settings
+        self._starts: OrderedDict[str, float] = OrderedDict()
+        #: Start of this life of the target.
+        self.started_at_ms = started_at_ms
+        #: Requests that it has from this daemon.
+        self.running = 0
+        #: Prompt tokens of those whose answers have not begun.
+        self.unread_tokens = 0
+        #: How much slower it is than expected.
+        self.slowness = 1.0
+        #: What outcomes say about it.
+        self.health = TargetHealth()
+
+    def count_unread(self, work: Work, is_home: bool, now: float) -> int:
+        """Return the prompt tokens that it most likely has to read."""
+        for start in reversed(work.shared):
+            sent_at = self._starts.get(start.key)
+            if is_home or (sent_at is not None and now - sent_at < START_LIFETIME):
+                return max(0, work.prompt_tokens - start.tokens)
+        return work.prompt_tokens
+
+    def add(self, placement: Placement, work: Work, now: float) -> None:
+        """Count a request that is sent to it."""
+        self.running += 1
+        self.unread_tokens += placement.unread_tokens
+        for start in work.shared:
+            self._starts[start.key] = now
+            self._starts.move_to_end(start.key)
+        while len(self._starts) > MAX_STARTS:
+            self._starts.popitem(last=False)
+
+    def start(self, placement: Placement, now: float) -> None:
+        """Take note that an answer began."""
+        self.unread_tokens -= placement.unread_tokens
+        self._learn_speed(placement, now)
+
+    def remove(self, placement: Placement) -> None:
+        """Take note that an attempt ended."""
+        self.running -= 1
+        if not placement.is_started:
+            self.unread_tokens -= placement.unread_tokens
+
+    def _learn_speed(self, placement: Placement, now: float) -> None:
+        seconds = now - placement.placed_at
+        expected = UNMEASURABLE + (
+            placement.unread_tokens / self._settings.read_tokens_per_second
+        )
+        ratio = min(max(seconds / expected, LEAST_SLOWNESS), MOST_SLOWNESS)
+        self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
--- /dev/null
+++ b/kingcuphead/entry/_daemon.py
@@ -0,0 +1,196 @@
+"""The life of an entry daemon on the platform: start, run, graceful shutdown."""
+
+import asyncio
+import random
+import secrets
+import signal
+import time
+from collections.abc import Coroutine
+from typing import Any
+
+from loguru import logger
+
+from kingcuphead.credit import CreditBook, CreditTask
+from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
+from kingcuphead.entry._caller_server import CallerServer
+from kingcuphead.entry._followers import ConfigurationFollower, TargetFollower
+from kingcuphead.entry._following import TableWatch
+from kingcuphead.entry._readiness import serve_readiness
+from kingcuphead.forwarding import (
+    AttemptRunner,
+    ConnectionPool,
+    RequestPath,
+    Surroundings,
+)
+from kingcuphead.platform import (
+    CONFIGURATION_TABLE,
+    TARGETS_TABLE,
+    PlatformHeaders,
+    Profile,
+    Store,
+    StoreTable,
+)
+from kingcuphead.routing import RoutingConfiguration, RoutingTable
+from kingcuphead.targets import DirectoryChange, TargetDirectory, TargetLeft
+
+#: Table and part in which credit is kept.
+CREDIT_TABLE, CREDIT_PART = "credit", "totals"
+#: Seconds between two looks at lapsed entries and idle connections.
+SWEEP_INTERVAL = 0.25
+#: Seconds after SIGTERM in which new callers may still come.
+HANDOVER_PERIOD = 3.0
+#: Seconds before the end of the grace period at which the daemon ends for certain.
+GRACE_MARGIN = 0.7
+#: Seconds of the grace period that are kept for returning credit.
+CREDIT_RETURN_TIMEOUT = 1.0
+#: Daemons among which the fixed part of the retry budget is divided.
+ASSUMED_DAEMONS = 12
+
+
+class EntryDaemon:
+    """One entry daemon.
+
+    Parameters
+    ----------
+    profile
+        What the platform tells about this process.
+    """
+
+    def __init__(self, profile: Profile) -> None:
+        self._profile = profile
+        self._stop = asyncio.Event()
+        self._is_stopping = False
+        self._has_configuration = False
+        draw = random.Random()
+        incarnation = f"{profile.instance}/{secrets.token_hex(6)}"
+        self._store = Store(f"{profile.store.host}:{profile.store.port}")
+        self._directory = TargetDirectory()
+        self._dispatcher = Dispatcher(DispatchSettings(profile.zone), draw)
+        self._pool = ConnectionPool()
+        self._credit = CreditTask(
+            CreditBook(incarnation), StoreTable(self._store, CREDIT_TABLE, CREDIT_PART)
+        )
+        retries = profile.retries
+        self._path = RequestPath(
+            Surroundings(
+                self._directory,
+                self._dispatcher,
+                RetryAllowance(
+                    retries.ratio, retries.burst / ASSUMED_DAEMONS, retries.window
+                ),
+                self._credit,
+                AttemptRunner(self._pool, PlatformHeaders()),
+            ),
+            draw,
+        )
+        self._callers = CallerServer(self._path)
+        self._targets = TargetFollower(self._directory, self._take_change)
+        self._failure: BaseException | None = None
+
+    async def run(self) -> bool:
+        """Run until a signal or a failure ends the daemon.
+
+        Returns
+        -------
+        bool
+            Whether it ended by a signal.
+        """
+        self._watch_signals()
+        tasks = [self._start(each) for each in self._list_tasks()]
+        renewal = self._start(self._credit.run())
+        profile = self._profile
+        readiness = serve_readiness(
+            profile.readiness.host, profile.readiness.port, self._is_ready
+        )
+        self._callers.listen(profile.callers.host, profile.callers.port)
+        logger.info("entry daemon started")
+        await self._stop.wait()
+        if self._failure is None:
+            await self._drain(renewal)
+        await self._callers.close()
+        readiness.stop()
+        for task in tasks:
+            task.cancel()
+        self._pool.close()
+        self._store.close()
+        logger.info("entry daemon ended")
+        return self._failure is None
+
+    def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
+        configuration = ConfigurationFollower(self._apply)
+        report = self._note_store_failure
+        return [
+            TableWatch(self._store, CONFIGURATION_TABLE, configuration, report).run(),
+            TableWatch(self._store, TARGETS_TABLE, self._targets, report).run(),
+            self._sweep(),
+        ]
+
+    def _start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(coroutine)
+        task.add_done_callback(self._end_task)
+        return task
+
+    def _end_task(self, task: asyncio.Task[None]) -> None:
+        """Stop the daemon when one of its tasks fails."""
+        if task.cancelled() or task.exception() is None:
+            return
+        self._failure = task.exception()
+        logger.opt(exception=self._failure).critical("a task failed")
+        self._stop.set()
+
+    def _watch_signals(self) -> None:
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+
+    def _note_reload(self) -> None:
+        logger.info("settings are read again")
+
+    def _is_ready(self) -> bool:
+        return (
+            self._has_configuration
+            and not self._directory.is_empty
+            and not self._is_stopping
+        )
+
+    def _apply(self, configuration: RoutingConfiguration) -> None:
+        self._path.apply(RoutingTable(configuration))
+        self._callers.apply(configuration.limits)
+        self._credit.book.apply_limits(
+            configuration.organisations.values(), configuration.version
+        )
+        self._has_configuration = True
+
+    def _take_change(self, change: DirectoryChange) -> None:
+        if isinstance(change, TargetLeft):
+            self._pool.close_address(change.target.address)
+            if change.is_removed:
+                self._dispatcher.forget(change.target)
+
+    def _note_store_failure(self) -> None:
+        self._directory.note_store_failure(time.monotonic())
+
+    async def _sweep(self) -> None:
+        while True:
+            await asyncio.sleep(SWEEP_INTERVAL)
+            self._targets.tick()
+            self._pool.sweep()
+
+    async def _drain(self, renewal: asyncio.Task[None]) -> None:
+        """Finish what is in flight and hand credit back."""
+        loop = asyncio.get_running_loop()
+        started_at = loop.time()
+        end = started_at + self._profile.grace - GRACE_MARGIN
+        logger.info("shutdown started; {} s of grace", self._profile.grace)
+        self._is_stopping = True
+        self._callers.announce_close()
+        while loop.time() < end - CREDIT_RETURN_TIMEOUT:
+            is_handed_over = loop.time() > started_at + HANDOVER_PERIOD
+            if is_handed_over and not self._callers.open_requests:
+                break
+            await asyncio.sleep(SWEEP_INTERVAL / 5)
+        renewal.cancel()
+        await asyncio.gather(renewal, return_exceptions=True)
+        if not await self._credit.shut_down(end - loop.time()):
+            logger.warning("shutdown ends with credit that was not returned")
--- /dev/null
+++ b/kingcuphead/entry/_main.py
@@ -0,0 +1,41 @@
+"""Command line of the entry daemon."""
+
+import argparse
+import asyncio
+import os
+import sys
+from collections.abc import Sequence
+
+from expression import Result
+
+from kingcuphead.entry._daemon import EntryDaemon
+from kingcuphead.logs import set_up_logs
+from kingcuphead.platform import SETTINGS_VARIABLE, read_profile
+from kingcuphead.settings import LogSettings
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run the entry daemon.
+
+    Returns
+    -------
+    int
+        Exit status: 0 after a signal, 1 after a failure, 2 for faulty settings.
+    """
+    parser = argparse.ArgumentParser(
+        prog="python -m kingcuphead.entry",
+        description="Entry daemon of a kingcuphead fleet on the platform.",
+    )
+    parser.add_argument(
+        "--profile",
+        default=os.environ.get(SETTINGS_VARIABLE, ""),
+        help=f"settings file of the platform (default: ${SETTINGS_VARIABLE})",
+    )
+    options = parser.parse_args(arguments)
+    match read_profile(options.profile):
+        case Result(tag="ok", ok=profile):
+            set_up_logs(LogSettings(), profile.instance, sys.stdout)
+            return 0 if asyncio.run(EntryDaemon(profile).run()) else 1
+        case Result(error=fault):
+            print(f"settings: {fault.key}: {fault.cause}", file=sys.stderr)
+            return 2
--- /dev/null
+++ b/kingcuphead/platform/__init__.py
@@ -0,0 +1,55 @@
+"""The users' platform: its names, formats, headers and calls; it decides nothing."""
+
+from kingcuphead.platform._configuration import decode_configuration
+from kingcuphead.platform._entries import decode_target
+from kingcuphead.platform._headers import (
+    PlatformHeaders,
+    decode_request,
+    make_refusal_headers,
+)
+from kingcuphead.platform._profile import (
+    READINESS_PATH,
+    SETTINGS_VARIABLE,
+    Endpoint,
+    Profile,
+    ProfileFault,
+    RetryBudget,
+    parse_profile,
+    read_profile,
+)
+from kingcuphead.platform._store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    TARGETS_TABLE,
+    Change,
+    Changes,
+    HistoryLost,
+    Snapshot,
+    Store,
+    StoreTable,
+)
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TABLE",
+    "Change",
+    "Changes",
+    "Endpoint",
+    "HistoryLost",
+    "PlatformHeaders",
+    "Profile",
+    "ProfileFault",
+    "READINESS_PATH",
+    "RetryBudget",
+    "SETTINGS_VARIABLE",
+    "Snapshot",
+    "Store",
+    "StoreTable",
+    "TARGETS_TABLE",
+    "decode_configuration",
+    "decode_request",
+    "decode_target",
+    "make_refusal_headers",
+    "parse_profile",
+    "read_profile",
+]
--- /dev/null
+++ b/kingcuphead/platform/_configuration.py
@@ -0,0 +1,143 @@
+"""Decodes the operator's configuration."""
+
+import msgspec
+from expression import Error, Ok, Result
+
+from kingcuphead.routing import (
+    CallerLimits,
+    EngineProfile,
+    Organisation,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    Service,
+    WeightedService,
+)
+
+_KINDS = {
+    "safe": RequestKind.IDEMPOTENT,
+    "unsafe": RequestKind.AT_MOST_ONCE,
+    "streaming": RequestKind.STREAM,
+}
+
+
+class _Split(msgspec.Struct):
+    service: str
+    weight: float
+
+
+class _Route(msgspec.Struct):
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_ms: float = 60_000
+    # Not a latency that was measured: the time within which an answer is on time.
+    target_latency_ms: float = 1_000
+    priority: int = 5
+    service: str = ""
+    traffic_split: list[_Split] = []
+    max_attempts: int = 1
+    allow_anonymous: bool = False
+    stream_resume: bool = False
+    gap_aim_ms: float = 1_000
+
+
+class _Engine(msgspec.Struct):
+    slots: int = 1
+    kv_capacity_tokens: int = 0
+    # Tokens in one event of a stream.
+    stride: int = 1
+
+
+class _Service(msgspec.Struct):
+    name: str
+    max_connections: int = 100
+    engine: _Engine | None = None
+
+
+class _Limits(msgspec.Struct):
+    max_header_bytes: int = 16_384
+    max_body_bytes: int = 4_194_304
+    header_timeout_ms: float = 3_000
+    idle_timeout_ms: float = 15_000
+
+
+class _Tenant(msgspec.Struct):
+    name: str
+    api_keys: list[str] = []
+    priority: int | None = None
+    # A total for the whole day, not a rate.
+    prepaid: int | None = None
+
+
+class _Configuration(msgspec.Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+    tenants: list[_Tenant] = []
+
+
+_DECODER = msgspec.json.Decoder(_Configuration, strict=False)
+
+
+def decode_configuration(content: bytes) -> Result[RoutingConfiguration, str]:
+    """Decode one version of the configuration, or say what is wrong with it."""
+    try:
+        decoded = _DECODER.decode(content)
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(str(error))
+    return Ok(
+        RoutingConfiguration(
+            version=decoded.version,
+            routes=tuple(_make_route(each) for each in decoded.routes),
+            services={each.name: _make_service(each) for each in decoded.services},
+            organisations={
+                each.name: Organisation(each.name, each.priority, each.prepaid)
+                for each in decoded.tenants
+            },
+            keys={key: each.name for each in decoded.tenants for key in each.api_keys},
+            limits=_make_limits(decoded.limits),
+        )
+    )
+
+
+def _make_route(route: _Route) -> Route:
+    services = tuple(
+        WeightedService(each.service, each.weight) for each in route.traffic_split
+    )
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        prefix=route.prefix,
+        # A kind that is not known must not be repeated.
+        kind=_KINDS.get(route.kind, RequestKind.AT_MOST_ONCE),
+        services=services or (WeightedService(route.service, 1.0),),
+        timeout=route.timeout_ms / 1000,
+        objective=route.target_latency_ms / 1000,
+        longest_pause=route.gap_aim_ms / 1000,
+        rank=route.priority,
+        max_attempts=max(1, route.max_attempts),
+        is_anonymous=route.allow_anonymous,
+        is_resumable=route.stream_resume,
+    )
+
+
+def _make_service(service: _Service) -> Service:
+    engine = service.engine
+    profile = None
+    if engine is not None:
+        profile = EngineProfile(
+            engine.slots, engine.kv_capacity_tokens, max(1, engine.stride)
+        )
+    return Service(service.name, service.max_connections, profile)
+
+
+def _make_limits(limits: _Limits) -> CallerLimits:
+    return CallerLimits(
+        header_bytes=limits.max_header_bytes,
+        body_bytes=limits.max_body_bytes,
+        header_timeout=limits.header_timeout_ms / 1000,
+        idle_timeout=limits.idle_timeout_ms / 1000,
+    )
--- a/kingcuphead/storage/__init__.py
+++ b/kingcuphead/storage/__init__.py
@@ -5,7 +5,14 @@
     HttpObjectStore,
     HttpTable,
 )
-from kingcuphead.storage._exchange import PlatformConnection, PlatformSettings
+from kingcuphead.storage._exchange import (
+    Exchange,
+    NotSent,
+    PlatformConnection,
+    PlatformSettings,
+    Replied,
+    ReplyLost,
+)
 from kingcuphead.storage._memory import MemoryTable, TableCounts
 from kingcuphead.storage._messages import (
     ABSENT,
@@ -33,6 +40,10 @@
     "Committed",
     "Conflict",
     "Delete",
+    "ReplyLost",
+    "Replied",
+    "NotSent",
+    "Exchange",
     "HttpInstanceList",
     "HttpObjectStore",
     "HttpTable",
--- a/kingcuphead/storage/_exchange.py
+++ b/kingcuphead/storage/_exchange.py
@@ -3,7 +3,7 @@
 import dataclasses
 import urllib.parse
 from asyncio import Future
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import TypeAlias, cast
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
@@ -27,6 +27,8 @@
     request_timeout: float = 3.0
     #: Most requests in flight at once.
     max_connections: int = 64
+    #: Media type of the bodies.
+    content_type: str = "application/octet-stream"
 
     def with_changes(self, **changes: object) -> "PlatformSettings":
         """Return a copy with the named fields replaced."""
@@ -83,7 +85,12 @@
         )
 
     async def exchange(
-        self, method: str, path: str, body: bytes | None = None
+        self,
+        method: str,
+        path: str,
+        body: bytes | None = None,
+        query: Mapping[str, str] | None = None,
+        timeout: float | None = None,
     ) -> Exchange:
         """Send a request and wait for the answer.
 
@@ -98,6 +105,10 @@
             Path, unquoted.
         body : bytes, optional
             Content of the request.
+        query : Mapping[str, str], optional
+            Parameters of the query.
+        timeout : float, optional
+            Seconds to wait for the reply, where the settings' own don't fit.
 
         Returns
         -------
@@ -107,7 +118,8 @@
         sending = _Sending(body)
         try:
             response = await self._client.fetch(
-                self._make_request(method, path, sending), raise_error=False
+                self._make_request(method, path, sending, query, timeout),
+                raise_error=False,
             )
         # Whatever went wrong, the only question is whether the body was sent.
         except Exception as error:
@@ -122,18 +134,28 @@
         """Close the client; requests in flight end as `ReplyLost`."""
         self._client.close()
 
-    def _make_request(self, method: str, path: str, sending: "_Sending") -> HTTPRequest:
+    def _make_request(
+        self,
+        method: str,
+        path: str,
+        sending: "_Sending",
+        query: Mapping[str, str] | None,
+        timeout: float | None,
+    ) -> HTTPRequest:
+        url = self._settings.url + urllib.parse.quote(path)
+        if query:
+            url = f"{url}?{urllib.parse.urlencode(query)}"
         has_body = sending.body is not None
-        headers = {"Content-Type": "application/octet-stream"}
+        headers = {"Content-Type": self._settings.content_type}
         if sending.body is not None:
             headers["Content-Length"] = str(len(sending.body))
         return HTTPRequest(
-            self._settings.url + urllib.parse.quote(path),
+            url,
             method=method,
             headers=headers,
             body_producer=cast(_BodyProducer, sending.produce) if has_body else None,
             connect_timeout=self._settings.connect_timeout,
-            request_timeout=self._settings.request_timeout,
+            request_timeout=timeout or self._settings.request_timeout,
             follow_redirects=False,
         )
 
--- /dev/null
+++ b/kingcuphead/targets/__init__.py
@@ -0,0 +1,18 @@
+"""Which targets exist, and which of them may get new requests."""
+
+from kingcuphead.targets._directory import (
+    DirectoryChange,
+    TargetAdded,
+    TargetDirectory,
+    TargetLeft,
+)
+from kingcuphead.targets._messages import Availability, Target
+
+__all__ = [
+    "Availability",
+    "DirectoryChange",
+    "Target",
+    "TargetAdded",
+    "TargetDirectory",
+    "TargetLeft",
+]
