--- a/kingcuphead/credit/__init__.py
+++ b/kingcuphead/credit/__init__.py
@@ -3,6 +3,7 @@
 from kingcuphead.credit._book import CreditBook
 from kingcuphead.credit._messages import (
     CreditSettings,
+    CreditState,
     Hold,
     HolderRow,
     Shortage,
@@ -14,6 +15,7 @@
     "CreditBook",
     "CreditRefused",
     "CreditSettings",
+    "CreditState",
     "CreditTable",
     "CreditTask",
     "Hold",
--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -3,7 +3,14 @@
 import dataclasses
 import math
 
-from kingcuphead.credit._messages import CreditSettings, TotalRow
+from kingcuphead.credit._messages import CreditSettings, CreditState, TotalRow
+
+#: Tokens of a usual request before there was one.
+FIRST_USUAL_REQUEST = 4_000
+#: Seconds after which the total is looked at again where credit is at hand.
+STALE_AFTER = 3.0
+#: Weight of the newest request in the usual one.
+USUAL_REQUEST_WEIGHT = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -29,6 +36,8 @@
         self._settings = settings
         self._demand_per_second = 0.0
         self._demand_at = 0.0
+        self._seen_at = 0.0
+        self._usual_request = float(FIRST_USUAL_REQUEST)
         #: Prepaid tokens by the configuration in force here.
         self.limit = 0
         #: Version of that configuration.
@@ -58,11 +67,23 @@
         """Tokens that are not proved to be spent, as last seen."""
         return max(0, self._get_limit() - self.total.settled - self.unreported)
 
-    def take_total(self, total: TotalRow, version: int) -> None:
+    def take_total(self, total: TotalRow, version: int, now: float) -> None:
         """Take the total as it is in the store now."""
         self.total = total
         self.row_version = version
         self.is_known = True
+        self._seen_at = now
+
+    def describe(self, now: float) -> CreditState:
+        """Return what is known, for a log line."""
+        return CreditState(
+            limit=self._get_limit(),
+            charged=self.total.charged,
+            settled=self.total.settled,
+            free=self.free,
+            held=self.held,
+            age=now - self._seen_at,
+        )
 
     def hold(self, tokens: int) -> bool:
         """Reserve tokens if enough are at hand."""
@@ -81,7 +102,7 @@
     def plan(self, now: float) -> Adjustment | None:
         """Return what the next transaction should do, or None for nothing."""
         granted = self._plan_grant(now)
-        if granted == 0 and self.unreported == 0 and self.is_known:
+        if granted == 0 and self.unreported == 0 and not self._is_stale(now):
             return None
         return Adjustment(granted, self.unreported)
 
@@ -106,13 +127,17 @@
         self.free -= min(0, adjustment.granted)
         self.unreported += adjustment.settled
 
+    def _is_stale(self, now: float) -> bool:
+        """Whether credit is kept here that others may need by now."""
+        age = now - self._seen_at
+        return not self.is_known or (self.free > 0 and age > STALE_AFTER)
+
     def _plan_grant(self, now: float) -> int:
         reserve = self._get_reserve(now)
         if self.wanted > self.free or self.free < reserve / 2:
             # A request that waits may take the last tokens, a reserve may not.
             extra = max(0, self.wanted - self.free)
-            ahead = min(reserve, int(self.available * self._settings.reserve_share))
-            needed = extra + max(0, ahead - max(0, self.free - self.wanted))
+            needed = extra + max(0, reserve - max(0, self.free - self.wanted))
             if extra <= self.available:
                 return min(needed, self.available)
         if self._is_overdrawn():
@@ -121,19 +146,29 @@
         return -excess if excess > reserve / 2 else 0
 
     def _get_reserve(self, now: float) -> int:
-        elapsed = max(0.0, now - self._demand_at)
-        demand = self._demand_per_second * math.exp(
-            -elapsed / self._settings.demand_period
+        """Return the tokens that should be at hand."""
+        settings = self._settings
+        demand = self._demand_per_second * self._get_decay(now)
+        share = self.available * settings.demand_share
+        idle_share = self.available * settings.idle_share
+        return int(
+            max(
+                min(demand * settings.reserve_seconds, share),
+                min(self._usual_request * settings.reserve_requests, idle_share),
+            )
         )
-        share = int(self.available * self._settings.reserve_share)
-        return min(int(demand * self._settings.reserve_seconds), share)
 
     def count_demand(self, tokens: int, now: float) -> None:
         """Take note that a request wants tokens."""
-        period = self._settings.demand_period
-        decay = math.exp(-max(0.0, now - self._demand_at) / period)
-        self._demand_per_second = self._demand_per_second * decay + tokens / period
+        rate = tokens / self._settings.demand_period
+        self._demand_per_second = self._demand_per_second * self._get_decay(now) + rate
         self._demand_at = now
+        change = tokens - self._usual_request
+        self._usual_request += USUAL_REQUEST_WEIGHT * change
+
+    def _get_decay(self, now: float) -> float:
+        elapsed = max(0.0, now - self._demand_at)
+        return math.exp(-elapsed / self._settings.demand_period)
 
     def _get_limit(self) -> int:
         if self.total.limit_version > self.limit_version:
--- a/kingcuphead/credit/_book.py
+++ b/kingcuphead/credit/_book.py
@@ -3,7 +3,7 @@
 The tokens that all daemons together hold and have spent never exceed an organisation's
 limit: a grant is used only after the transaction that charges it is known to have been
 applied, and credit that is returned is set aside before its transaction is sent. A
-daemon that dies leaves its credit charged for good, since nobody can tell what it spent.
+daemon that dies leaves its credit charged for good: nobody can tell what it spent.
 """
 
 import dataclasses
@@ -15,6 +15,7 @@
 from kingcuphead.credit._account import Account, Adjustment
 from kingcuphead.credit._messages import (
     CreditSettings,
+    CreditState,
     Hold,
     HolderRow,
     Shortage,
@@ -139,12 +140,21 @@
             return Shortage.UNPROVEN
         return None
 
+    def describe(self, organisation: str, now: float) -> CreditState:
+        """Return what is known of an organisation's credit, for a log line."""
+        return self._get_account(organisation).describe(now)
+
     def close(self) -> None:
         """Return everything that is at hand from the next transaction on."""
         self._is_closing = True
 
     def plan_transaction(self, now: float) -> Transaction | None:
-        """Return the next transaction, or None if there is nothing to change."""
+        """Return the next transaction, or None if there is nothing to change.
+
+        A transaction that was planned before and got no outcome may have been applied.
+        """
+        if self._sent is not None:
+            self.take_outcome(Unknown(), now)
         adjustments = dict(self._plan_adjustments(now))
         if not adjustments and not self._undecided:
             return None
@@ -158,18 +168,18 @@
         self._sent = _Sent(self._attempt, adjustments, totals)
         return Transaction(tuple(checks), tuple(self._list_writes(self._sent)))
 
-    def take_outcome(self, outcome: CommitOutcome) -> None:
+    def take_outcome(self, outcome: CommitOutcome, now: float) -> None:
         """Take what became of the transaction that was planned last."""
         sent = require(self._sent, "an outcome follows a transaction")
         self._sent = None
         match outcome:
             case Committed(version):
                 self._cancel_undecided()
-                self._confirm(sent, version)
+                self._confirm(sent, version, now)
                 self._holder_version = version
             case Conflict(rows):
                 self._cancel(sent)
-                self._learn({row.key: row for row in rows})
+                self._learn({row.key: row for row in rows}, now)
             case Unavailable():
                 self._cancel(sent)
             case Unknown():
@@ -196,31 +206,31 @@
         for name, total in sent.totals.items():
             yield Put(_TOTAL_PREFIX + name, msgspec.json.encode(total))
 
-    def _learn(self, rows: Mapping[str, Row]) -> None:
+    def _learn(self, rows: Mapping[str, Row], now: float) -> None:
         """Take the rows as they are, after a condition of a transaction failed."""
         holder = rows.get(self._holder_key)
         if holder is not None and holder.version != self._holder_version:
-            self._decide(holder)
+            self._decide(holder, now)
         for name, account in self._accounts.items():
             row = rows.get(_TOTAL_PREFIX + name)
             if row is not None:
-                account.take_total(_TOTAL.decode(row.value), row.version)
+                account.take_total(_TOTAL.decode(row.value), row.version, now)
 
-    def _decide(self, holder: Row) -> None:
+    def _decide(self, holder: Row, now: float) -> None:
         """Confirm the transaction that the holder row names, and cancel the others."""
         attempt = _HOLDER.decode(holder.value).attempt
         applied = [each for each in self._undecided if each.attempt == attempt]
         ensure(len(applied) == 1, "only this daemon writes its row", attempt=attempt)
         self._undecided.remove(applied[0])
         self._cancel_undecided()
-        self._confirm(applied[0], holder.version)
+        self._confirm(applied[0], holder.version, now)
         self._holder_version = holder.version
 
-    def _confirm(self, sent: _Sent, version: int) -> None:
+    def _confirm(self, sent: _Sent, version: int, now: float) -> None:
         for name, adjustment in sent.adjustments.items():
             account = self._accounts[name]
             account.confirm(adjustment)
-            account.take_total(sent.totals[name], version)
+            account.take_total(sent.totals[name], version, now)
 
     def _cancel(self, sent: _Sent) -> None:
         for name, adjustment in sent.adjustments.items():
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -31,26 +31,61 @@
 
     #: What is proved to be spent leaves no room for the request.
     EXHAUSTED = "exhausted"
-    #: Other daemons hold the rest, or the store can't be asked.
+    #: Other daemons hold the rest.
     UNPROVEN = "unproven"
+    #: The store can't be asked.
+    UNREACHABLE = "unreachable"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CreditSettings:
-    """How much credit a daemon keeps at hand."""
+    """How much credit a daemon keeps at hand.
+
+    What is kept at hand serves callers while the store can't be reached; it is lost if
+    the daemon dies.
+    """
 
     #: Seconds of the usual demand that are kept at hand.
-    reserve_seconds: float = 4.0
-    #: Largest part of the remaining prepaid tokens that one daemon keeps at hand.
-    reserve_share: float = 0.06
+    reserve_seconds: float = 11.0
+    #: Usual requests that are kept at hand where there was no demand lately.
+    reserve_requests: float = 1.5
+    #: Largest part of the tokens that nobody has taken for the demand.
+    demand_share: float = 0.35
+    #: Largest part of the tokens that nobody has taken where there was no demand.
+    idle_share: float = 0.03
     #: Seconds between two regular renewals.
     renewal_interval: float = 1.0
     #: Seconds over which the demand is averaged.
-    demand_period: float = 5.0
+    demand_period: float = 6.0
     #: Most organisations in one transaction.
     batch_size: int = 40
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class CreditState:
+    """What a daemon knows of an organisation's credit; the inputs of a refusal."""
+
+    #: Prepaid tokens.
+    limit: int
+    #: Tokens granted to all daemons, as last seen.
+    charged: int
+    #: Tokens proved to be spent, as last seen.
+    settled: int
+    #: Tokens at hand here.
+    free: int
+    #: Tokens reserved here for requests.
+    held: int
+    #: Seconds since the total was seen.
+    age: float
+
+    def __str__(self) -> str:
+        """Return the state as part of a log line."""
+        return (
+            f"limit={self.limit} charged={self.charged} settled={self.settled} "
+            f"free={self.free} held={self.held} age={self.age:.3f}s"
+        )
+
+
 @dataclasses.dataclass(slots=True)
 class Hold:
     """Credit reserved for the most that one request can cost."""
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from kingcuphead.credit._book import CreditBook
-from kingcuphead.credit._messages import CreditSettings, Hold, Shortage
+from kingcuphead.credit._messages import CreditSettings, CreditState, Hold, Shortage
 from kingcuphead.storage import (
     CommitOutcome,
     Committed,
@@ -38,6 +38,8 @@
 
     #: Why.
     shortage: Shortage
+    #: What the decision was made from.
+    state: CreditState
 
 
 class CreditTask:
@@ -64,7 +66,8 @@
         self._settings = settings
         self._wake = asyncio.Event()
         self._changed = asyncio.Condition()
-        self._is_store_down = False
+        #: Whether the last transactions got no answer.
+        self.is_store_down = False
 
     @property
     def book(self) -> CreditBook:
@@ -89,6 +92,8 @@
         hold = self._book.hold(organisation, tokens)
         if hold is not None:
             return Ok(hold)
+        if self.is_store_down:
+            return Error(self._refuse(organisation, Shortage.UNREACHABLE))
         self._book.want(organisation, tokens)
         try:
             return await self._wait(organisation, tokens, timeout)
@@ -124,8 +129,7 @@
         self, organisation: str, tokens: int, timeout: float
     ) -> Result[Hold, CreditRefused]:
         deadline = self._get_time() + timeout
-        refused = CreditRefused(Shortage.UNPROVEN)
-        while self._get_time() < deadline:
+        while self._get_time() < deadline and not self.is_store_down:
             self._wake.set()
             renewed = await self._wait_renewal(deadline - self._get_time())
             hold = self._book.hold(organisation, tokens)
@@ -133,8 +137,12 @@
                 return Ok(hold)
             shortage = self._book.find_shortage(organisation, tokens)
             if shortage is not None and renewed:
-                return Error(CreditRefused(shortage))
-        return Error(refused)
+                return Error(self._refuse(organisation, shortage))
+        return Error(self._refuse(organisation, Shortage.UNREACHABLE))
+
+    def _refuse(self, organisation: str, shortage: Shortage) -> CreditRefused:
+        state = self._book.describe(organisation, self._get_time())
+        return CreditRefused(shortage, state)
 
     async def _wait_renewal(self, timeout: float) -> bool:
         """Wait for a transaction that took effect; False if none did in time."""
@@ -148,7 +156,7 @@
     async def _pause(self) -> None:
         self._wake.clear()
         if self._book.is_waiting:
-            await asyncio.sleep(FAILURE_PAUSE if self._is_store_down else WAIT_INTERVAL)
+            await asyncio.sleep(FAILURE_PAUSE if self.is_store_down else WAIT_INTERVAL)
             return
         try:
             async with asyncio.timeout(self._settings.renewal_interval):
@@ -164,7 +172,7 @@
                 await self._tell()
                 return True
             outcome = await self._table.commit(transaction)
-            self._book.take_outcome(outcome)
+            self._book.take_outcome(outcome, self._get_time())
             self._note_store(outcome)
             match outcome:
                 case Committed():
@@ -177,8 +185,8 @@
 
     def _note_store(self, outcome: CommitOutcome) -> None:
         is_down = isinstance(outcome, Unavailable | Unknown)
-        if is_down != self._is_store_down:
-            self._is_store_down = is_down
+        if is_down != self.is_store_down:
+            self.is_store_down = is_down
             if is_down:
                 logger.warning("credit can't be renewed: {}", type(outcome).__name__)
             else:
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -62,10 +62,13 @@
             return None
         ranked = self._rank(work, awake or usable)
         home = ranked[0].name
-        best = min(ranked, key=lambda target: self._estimate(work, target, home, now))
+        costs = [self._estimate(work, target, home, now) for target in ranked]
+        cost = min(costs)
+        best = ranked[costs.index(cost)]
         state = self._get(best)
-        unread = state.count_unread(work, is_home=best.name == home, now=now)
-        placement = Placement(best, state, unread, now)
+        is_home = best.name == home
+        unread = state.count_unread(work, is_home, now)
+        placement = Placement(best, state, unread, now, is_home, cost)
         state.add(placement, work, now)
         return placement
 
@@ -102,6 +105,8 @@
         reading = (unread + waiting) / settings.read_tokens_per_second
         running = state.running * settings.running_cost * settings.daemons
         cost = (reading + running) * state.slowness
+        own_tokens = work.prompt_tokens - work.shared_tokens
+        cost += (unread - own_tokens) / 1000 * settings.reread_cost
         if state.running >= target.slots:
             cost += settings.failure_cost
         if target.zone != settings.zone:
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -16,6 +16,11 @@
     #: Tokens of the whole prompt; 0 for plain services.
     prompt_tokens: int = 0
 
+    @property
+    def shared_tokens(self) -> int:
+        """Tokens of the longest shared start."""
+        return self.shared[-1].tokens if self.shared else 0
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class SharedStart:
@@ -57,6 +62,8 @@
     zone: str
     #: Prompt tokens that an engine reads in a second until observed otherwise.
     read_tokens_per_second: float = 50_000.0
+    #: Seconds that reading 1,000 tokens anew is worth which another target holds.
+    reread_cost: float = 0.06
     #: Seconds that one running request adds to the wait of the next.
     running_cost: float = 0.004
     #: Seconds that a target in another zone must be better by.
--- a/kingcuphead/dispatch/_retries.py
+++ b/kingcuphead/dispatch/_retries.py
@@ -6,7 +6,7 @@
 
 
 class RetryAllowance:
-    """This daemon's part of the repeats that a service may get.
+    """The part of one daemon in the repeats that a service may get.
 
     The part that grows with requests is safe by itself: each daemon repeats at most a
     share of its own requests. The fixed part is divided by the number of daemons.
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -31,6 +31,10 @@
     unread_tokens: int
     #: Time of placement in seconds.
     placed_at: float
+    #: Whether every daemon would choose this target for the shared start.
+    is_home: bool
+    #: Expected seconds to the first byte, with what else counted in the choice.
+    cost: float
     #: Whether the answer began.
     is_started: bool = False
 
--- a/kingcuphead/entry/_main.py
+++ b/kingcuphead/entry/_main.py
@@ -9,7 +9,7 @@
 from expression import Result
 
 from kingcuphead.entry._daemon import EntryDaemon
-from kingcuphead.logs import set_up_logs
+from kingcuphead.logs import BoundedStream, set_up_logs
 from kingcuphead.platform import SETTINGS_VARIABLE, read_profile
 from kingcuphead.settings import LogSettings
 
@@ -34,7 +34,9 @@
     options = parser.parse_args(arguments)
     match read_profile(options.profile):
         case Result(tag="ok", ok=profile):
-            set_up_logs(LogSettings(), profile.instance, sys.stdout)
+            set_up_logs(
+                LogSettings(), profile.instance, BoundedStream(sys.stdout.fileno())
+            )
             return 0 if asyncio.run(EntryDaemon(profile).run()) else 1
         case Result(error=fault):
             print(f"settings: {fault.key}: {fault.cause}", file=sys.stderr)
--- a/kingcuphead/forwarding/_path.py
+++ b/kingcuphead/forwarding/_path.py
@@ -5,7 +5,6 @@
 import random
 
 from expression import Error, Ok, Result
-from loguru import logger
 
 from kingcuphead.credit import CreditTask, Hold, Shortage
 from kingcuphead.dispatch import (
@@ -13,8 +12,6 @@
     Dispatcher,
     Placement,
     RetryAllowance,
-    SharedStart,
-    Work,
 )
 from kingcuphead.forwarding._attempt import (
     Answered,
@@ -24,14 +21,17 @@
     AttemptRunner,
     StreamDelivered,
 )
+from kingcuphead.forwarding._journey import (
+    AttemptRecord,
+    Journey,
+    log_rejection,
+)
 from kingcuphead.forwarding._messages import CallerRequest, SendOptions
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.routing import (
-    Organisation,
     RequestKind,
-    Route,
     RoutingTable,
     choose_service,
 )
@@ -42,12 +42,14 @@
 CREDIT_TIMEOUT = 1.0
 #: Seconds after which a caller may come back for credit that others hold.
 CREDIT_RETRY_AFTER = 1.0
+#: Seconds after which a caller may come back while the store can't be reached.
+STORE_RETRY_AFTER = 3.0
 #: Seconds after which a caller may come back when no target was to be had.
 TARGET_RETRY_AFTER = 0.3
 #: Part of the remaining time after which another target is tried at the latest.
 PATIENCE_SHARE = 0.6
 #: Objectives without a first byte after which another target is tried.
-PATIENCE_OBJECTIVES = 1.5
+PATIENCE_OBJECTIVES = 2.2
 #: Seconds of silence within a stream after which it goes on elsewhere, at least.
 STALL_TIMEOUT = 1.0
 
@@ -68,35 +70,6 @@
     runner: AttemptRunner
 
 
-@dataclasses.dataclass(slots=True)
-class Journey:
-    """One request on its way."""
-
-    #: The request.
-    request: CallerRequest
-    #: Its route.
-    route: Route
-    #: Service that serves it.
-    service: str
-    #: Who pays; None on routes without a key.
-    organisation: Organisation | None
-    #: Time in seconds at which the caller gets a final answer at the latest.
-    deadline: float
-    #: Tokens that one event of a stream holds.
-    tokens_per_event: int = 1
-    #: Targets that were tried.
-    tried: list[str] = dataclasses.field(default_factory=list)
-    #: Whether a target may have run it.
-    execution: Execution = Execution.NOT_RUN
-
-    @property
-    def rank(self) -> int:
-        """Urgency; 0 goes first."""
-        if self.organisation is not None and self.organisation.rank is not None:
-            return self.organisation.rank
-        return self.route.rank
-
-
 class RequestPath:
     """Serves requests.
 
@@ -128,20 +101,32 @@
         """
         admitted = self._admit(request)
         if admitted.is_error():
+            log_rejection(request, admitted.error)
             return admitted.error
         journey = admitted.ok
+        refusal = None
+        try:
+            refusal = await self._serve_admitted(journey, caller)
+        finally:
+            journey.log_end(refusal, _get_time())
+        return refusal
+
+    async def _serve_admitted(self, journey: Journey, caller: Caller) -> Refusal | None:
         held = await self._hold(journey)
         if held.is_error():
             return held.error
         stream = None
         if journey.route.kind is RequestKind.STREAM:
-            stream = AnswerStream(caller, request.resume_after)
+            stream = AnswerStream(caller, journey.request.resume_after)
         try:
             async with asyncio.timeout_at(journey.deadline):
                 return await self._run_attempts(journey, caller, stream)
         except TimeoutError:
             return self._end_late(journey, caller, stream)
         finally:
+            if stream is not None and stream.is_started:
+                started_after = stream.started_at - journey.request.arrived_at
+                journey.first_event_seconds = round(started_after, 3)
             self._settle(journey, held.ok, stream)
 
     def _admit(self, request: CallerRequest) -> Result[Journey, Refusal]:
@@ -159,7 +144,12 @@
             patience = min(patience, request.patience)
         service = choose_service(route, self._draw.random())
         journey = Journey(
-            request, route, service, organisation, request.arrived_at + patience
+            request=request,
+            route=route,
+            service=service,
+            organisation=organisation,
+            deadline=request.arrived_at + patience,
+            revision=table.configuration.version,
         )
         profile = table.configuration.services.get(service)
         if profile is not None and profile.engine is not None:
@@ -173,14 +163,19 @@
             return Ok(None)
         tokens = size.prompt_tokens + size.output_tokens
         timeout = min(CREDIT_TIMEOUT, journey.deadline - _get_time())
+        asked_at = _get_time()
         held = await self._shared.credit.hold(organisation.name, tokens, timeout)
+        journey.credit_seconds = _get_time() - asked_at
         if held.is_ok():
             return Ok(held.ok)
+        journey.credit_state = held.error.state
         match held.error.shortage:
             case Shortage.EXHAUSTED:
                 return Error(refuse(402, Reason.BUDGET_EXHAUSTED))
             case Shortage.UNPROVEN:
                 return Error(refuse(503, Reason.CREDIT_UNAVAILABLE, CREDIT_RETRY_AFTER))
+            case Shortage.UNREACHABLE:
+                return Error(refuse(503, Reason.CREDIT_UNAVAILABLE, STORE_RETRY_AFTER))
 
     def _settle(
         self, journey: Journey, hold: Hold | None, stream: AnswerStream | None
@@ -193,6 +188,7 @@
             events = stream.events if stream is not None else 0
             output = min(events * journey.tokens_per_event, size.output_tokens)
             spent = size.prompt_tokens + output
+        journey.spent = spent
         self._shared.credit.settle(hold, spent)
 
     async def _run_attempts(
@@ -205,10 +201,12 @@
             end = await self._run_attempt(journey, placement, stream)
             match end:
                 case StreamDelivered():
+                    journey.status = 200
                     return None
                 case Answered() if self._is_worth_repeating(journey, end):
                     continue
                 case Answered():
+                    journey.status = end.head.status
                     await _pass_on(caller, end)
                     return None
                 case AttemptFailed() as failure:
@@ -217,7 +215,7 @@
 
     def _place(self, journey: Journey) -> Placement | None:
         return self._shared.dispatcher.place(
-            _describe_work(journey),
+            journey.describe_work(),
             self._shared.directory.list_usable(journey.service),
             journey.tried,
             _get_time(),
@@ -227,6 +225,8 @@
         self, journey: Journey, placement: Placement, stream: AnswerStream | None
     ) -> AttemptEnd:
         journey.tried.append(placement.target.name)
+        started_at = _get_time()
+        outcome = "cancelled"
         result = AttemptResult.CANCELLED
         before, journey.execution = journey.execution, Execution.MAY_HAVE_RUN
         try:
@@ -235,9 +235,19 @@
             result = _judge(end)
             if isinstance(end, AttemptFailed) and end.execution is Execution.NOT_RUN:
                 journey.execution = before
-            self._log_attempt(journey, placement, end)
+            outcome = _describe_end(end)
             return end
         finally:
+            seconds = _get_time() - started_at
+            journey.records.append(
+                AttemptRecord(
+                    placement.target.name,
+                    placement.is_home,
+                    placement.cost,
+                    outcome,
+                    seconds,
+                )
+            )
             self._shared.dispatcher.finish(placement, result, _get_time())
 
     def _make_attempt(
@@ -247,7 +257,7 @@
         remaining = journey.deadline - now
         options = SendOptions(
             target=placement.target.name,
-            organisation=journey.organisation.name if journey.organisation else "",
+            organisation=journey.payer,
             remaining=remaining,
             rank=journey.rank,
             resume_after=stream.last_number if stream is not None else 0,
@@ -316,27 +326,15 @@
             return None
         return refuse(504, Reason.TARGET_TIMED_OUT)
 
-    def _log_attempt(
-        self, journey: Journey, placement: Placement, end: AttemptEnd
-    ) -> None:
-        if isinstance(end, AttemptFailed):
-            logger.bind(
-                request_id=journey.request.request_id, target=placement.target.name
-            ).warning("attempt failed, {}: {}", end.execution.value, end.cause)
-
-
-def _describe_work(journey: Journey) -> Work:
-    size = journey.request.size
-    if size is None:
-        return Work(journey.service)
-    starts = []
-    tokens = 0
-    key = ""
-    for part in size.parts[:-1]:
-        tokens += part.tokens
-        key = f"{key}/{part.name}"
-        starts.append(SharedStart(key, tokens))
-    return Work(journey.service, tuple(starts), size.prompt_tokens)
+
+def _describe_end(end: AttemptEnd) -> str:
+    match end:
+        case StreamDelivered():
+            return "streamed"
+        case Answered(head):
+            return f"answered {head.status}"
+        case AttemptFailed(result, _, cause):
+            return f"{result.value} ({cause})"
 
 
 def _judge(end: AttemptEnd) -> AttemptResult:
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -1,5 +1,7 @@
 """The stream that one caller gets, over all attempts of its request."""
 
+import asyncio
+
 from kingcuphead.forwarding._events import Event
 from kingcuphead.forwarding._messages import AnswerHead
 from kingcuphead.forwarding._ports import Caller
@@ -22,6 +24,8 @@
         self._caller = caller
         self._last_number = resume_after
         self.is_started = False
+        #: Time in seconds at which the first event was passed on.
+        self.started_at = 0.0
         #: Events that were passed on.
         self.events = 0
 
@@ -50,4 +54,5 @@
     async def _start(self, head: AnswerHead) -> None:
         if not self.is_started:
             self.is_started = True
+            self.started_at = asyncio.get_running_loop().time()
             await self._caller.start(head.status, head.headers)
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -4,11 +4,12 @@
 import sys
 import traceback
 from contextlib import AbstractContextManager
-from typing import TYPE_CHECKING, TextIO
+from typing import TYPE_CHECKING, Any, TextIO
 
 import msgspec
 from loguru import logger
 
+from kingcuphead.logs._bounded import BoundedStream
 from kingcuphead.settings import LogFormat, LogSettings
 
 if TYPE_CHECKING:
@@ -18,17 +19,30 @@
 #: prompt text or key can reach the log by way of a careless binding.
 ALLOWED_FIELDS = frozenset(
     {
+        "age_seconds",
         "attempt",
+        "attempts",
         "budget",
+        "cause",
+        "credit",
+        "credit_seconds",
+        "events",
         "execution",
+        "first_event_seconds",
         "instance",
         "organisation",
         "peer",
         "phases",
         "reason",
         "request_id",
+        "retry_after",
         "revision",
+        "route",
+        "seconds",
+        "service",
+        "status",
         "target",
+        "tokens",
         "work_class",
     }
 )
@@ -38,7 +52,9 @@
 
 
 def set_up_logs(
-    settings: LogSettings, instance: str, stream: TextIO = sys.stderr
+    settings: LogSettings,
+    instance: str,
+    stream: TextIO | BoundedStream = sys.stderr,
 ) -> None:
     """Send every log line of the process to one stream.
 
@@ -53,8 +69,9 @@
     """
     logger.remove()
     logger.configure(extra={"instance": instance}, patcher=_prepare_record)
+    sink: Any = stream
     logger.add(
-        stream,
+        sink,
         level=settings.level.value.upper(),
         format=_get_format(settings.format),
         # Values of local variables in a traceback may hold prompt text or keys.
