--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -7,6 +7,8 @@
 
 #: Tokens of a usual request before there was one.
 FIRST_USUAL_REQUEST = 4_000
+#: Seconds of demand at least that an average is taken from.
+SHORTEST_OBSERVATION = 2.0
 #: Seconds after which the total is looked at again where credit is at hand.
 STALE_AFTER = 3.0
 #: Weight of the newest request in the usual one.
@@ -36,6 +38,7 @@
         self._settings = settings
         self._demand_per_second = 0.0
         self._demand_at = 0.0
+        self._first_demand_at: float | None = None
         self._seen_at = 0.0
         self._usual_request = float(FIRST_USUAL_REQUEST)
         #: Prepaid tokens by the configuration in force here.
@@ -148,9 +151,9 @@
     def _get_reserve(self, now: float) -> int:
         """Return the tokens that should be at hand."""
         settings = self._settings
-        demand = self._demand_per_second * self._get_decay(now)
-        share = self.available * settings.demand_share
-        idle_share = self.available * settings.idle_share
+        demand = self._get_demand(now)
+        share = (self.available + self.free) * settings.demand_share
+        idle_share = (self.available + self.free) * settings.idle_share
         return int(
             max(
                 min(demand * settings.reserve_seconds, share),
@@ -160,12 +163,22 @@
 
     def count_demand(self, tokens: int, now: float) -> None:
         """Take note that a request wants tokens."""
+        if self._first_demand_at is None:
+            self._first_demand_at = now
         rate = tokens / self._settings.demand_period
         self._demand_per_second = self._demand_per_second * self._get_decay(now) + rate
         self._demand_at = now
         change = tokens - self._usual_request
         self._usual_request += USUAL_REQUEST_WEIGHT * change
 
+    def _get_demand(self, now: float) -> float:
+        """Return the tokens wanted in a second, averaged since the first request."""
+        if self._first_demand_at is None:
+            return 0.0
+        age = max(SHORTEST_OBSERVATION, now - self._first_demand_at)
+        observed = 1 - math.exp(-age / self._settings.demand_period)
+        return self._demand_per_second * self._get_decay(now) / observed
+
     def _get_decay(self, now: float) -> float:
         elapsed = max(0.0, now - self._demand_at)
         return math.exp(-elapsed / self._settings.demand_period)
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -46,13 +46,13 @@
     """
 
     #: Seconds of the usual demand that are kept at hand.
-    reserve_seconds: float = 11.0
+    reserve_seconds: float = 13.0
     #: Usual requests that are kept at hand where there was no demand lately.
-    reserve_requests: float = 1.5
-    #: Largest part of the tokens that nobody has taken for the demand.
-    demand_share: float = 0.35
-    #: Largest part of the tokens that nobody has taken where there was no demand.
-    idle_share: float = 0.03
+    reserve_requests: float = 3.0
+    #: Largest part, for the demand, of the tokens that no other daemon has taken.
+    demand_share: float = 0.5
+    #: The same where there was no demand.
+    idle_share: float = 0.04
     #: Seconds between two regular renewals.
     renewal_interval: float = 1.0
     #: Seconds over which the demand is averaged.
