Take reserves of killed daemons back; count 421 as a repeat; bound lapsed entries

Targets that restart under a new name answer 421 to all until their entry is seen, and each was tried by each request. An entry removed within 2.5 s of a noted failure of the store stayed usable for 2.5 s more. Ruled out: smaller reserves (8 s cuts from the store refuse 6 in 100 then); other daemons revoking reserves (a daemon that is cut off would lose what it needs).

--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -7,6 +7,8 @@
 
 #: Tokens of a usual request before there was one.
 FIRST_USUAL_REQUEST = 4_000
+#: Part of a target below which a change is left for later.
+DAMPING = 0.2
 #: Seconds of demand at least that an average is taken from.
 SHORTEST_OBSERVATION = 2.0
 #: Seconds after which the total is looked at again where credit is at hand.
@@ -17,13 +19,25 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Adjustment:
-    """What one transaction does to an organisation's total, seen from this daemon."""
+    """What one transaction does to an organisation's credit in this daemon."""
 
-    #: Tokens taken from the total; negative where credit is returned.
-    granted: int
+    #: Change of the tokens that may be spent at any time.
+    free: int
+    #: Change of the tokens set aside for an outage.
+    reserve: int
     #: Tokens newly proved to be spent.
     settled: int
 
+    @property
+    def granted(self) -> int:
+        """Tokens taken from the total; negative where credit is returned."""
+        return self.free + self.reserve
+
+    @property
+    def touches_total(self) -> bool:
+        """Whether the total changes."""
+        return bool(self.granted or self.settled)
+
 
 class Account:
     """Credit at hand, holds and demand of one organisation.
@@ -53,6 +67,8 @@
         self.is_known = False
         #: Tokens at hand that nothing is reserved for.
         self.free = 0
+        #: Tokens set aside for an outage of the store.
+        self.reserve = 0
         #: Tokens reserved for requests.
         self.held = 0
         #: Tokens spent that the total does not show yet.
@@ -84,6 +100,7 @@
             charged=self.total.charged,
             settled=self.total.settled,
             free=self.free,
+            reserve=self.reserve,
             held=self.held,
             age=now - self._seen_at,
         )
@@ -102,16 +119,28 @@
         self.free += held - spent
         self.unreported += spent
 
+    def use_reserve(self, tokens: int) -> None:
+        """Make enough of what was set aside available for a request."""
+        missing = min(max(0, tokens - self.free), self.reserve)
+        self.free += missing
+        self.reserve -= missing
+
     def plan(self, now: float) -> Adjustment | None:
         """Return what the next transaction should do, or None for nothing."""
-        granted = self._plan_grant(now)
-        if granted == 0 and self.unreported == 0 and not self._is_stale(now):
+        if self._is_overdrawn():
+            adjustment = Adjustment(-self.free, -self.reserve, self.unreported)
+        else:
+            free, reserve = self._plan_changes(now)
+            adjustment = Adjustment(free, reserve, self.unreported)
+        is_idle = adjustment.free == 0 and adjustment.reserve == 0
+        if is_idle and not self.unreported and not self._is_stale(now):
             return None
-        return Adjustment(granted, self.unreported)
+        return adjustment
 
     def begin(self, adjustment: Adjustment) -> TotalRow:
         """Set aside what a transaction gives away, and return the new total."""
-        self.free += min(0, adjustment.granted)
+        self.free += min(0, adjustment.free)
+        self.reserve += min(0, adjustment.reserve)
         self.unreported -= adjustment.settled
         version = max(self.limit_version, self.total.limit_version)
         return TotalRow(
@@ -123,43 +152,44 @@
 
     def confirm(self, adjustment: Adjustment) -> None:
         """Take what a transaction granted, once it is known to have been applied."""
-        self.free += max(0, adjustment.granted)
+        self.free += max(0, adjustment.free)
+        self.reserve += max(0, adjustment.reserve)
 
     def cancel(self, adjustment: Adjustment) -> None:
         """Take back what was set aside for a transaction that had no effect."""
-        self.free -= min(0, adjustment.granted)
+        self.free -= min(0, adjustment.free)
+        self.reserve -= min(0, adjustment.reserve)
         self.unreported += adjustment.settled
 
     def _is_stale(self, now: float) -> bool:
         """Whether credit is kept here that others may need by now."""
         age = now - self._seen_at
-        return not self.is_known or (self.free > 0 and age > STALE_AFTER)
-
-    def _plan_grant(self, now: float) -> int:
-        reserve = self._get_reserve(now)
-        if self.wanted > self.free or self.free < reserve / 2:
-            # A request that waits may take the last tokens, a reserve may not.
-            extra = max(0, self.wanted - self.free)
-            needed = extra + max(0, reserve - max(0, self.free - self.wanted))
-            if extra <= self.available:
-                return min(needed, self.available)
-        if self._is_overdrawn():
-            return -self.free
-        excess = self.free - self.wanted - 2 * reserve
-        return -excess if excess > reserve / 2 else 0
+        at_hand = self.free + self.reserve
+        return not self.is_known or (at_hand > 0 and age > STALE_AFTER)
 
-    def _get_reserve(self, now: float) -> int:
-        """Return the tokens that should be at hand."""
+    def _plan_changes(self, now: float) -> tuple[int, int]:
+        """Return the changes of what may be spent and of what is set aside."""
         settings = self._settings
-        demand = self._get_demand(now)
-        share = (self.available + self.free) * settings.demand_share
-        idle_share = (self.available + self.free) * settings.idle_share
-        return int(
-            max(
-                min(demand * settings.reserve_seconds, share),
-                min(self._usual_request * settings.reserve_requests, idle_share),
-            )
+        target = self._get_target(
+            settings.spending_seconds, settings.spending_requests, now
+        )
+        total_target = self._get_target(
+            settings.reserve_seconds, settings.reserve_requests, now
         )
+        free = _damp(self.wanted + target - self.free, target)
+        # What a waiting request needs may come out of what was set aside.
+        free = min(free, self.available + self.reserve)
+        left = self.available - free
+        reserve = _damp(total_target - target - self.reserve, total_target)
+        return free, max(min(reserve, left), -self.reserve)
+
+    def _get_target(self, seconds: float, requests: float, now: float) -> int:
+        """Return the tokens that should be at hand for a time or some requests."""
+        settings = self._settings
+        untaken = self.available + self.free + self.reserve
+        demand = min(self._get_demand(now) * seconds, untaken * settings.demand_share)
+        idle = min(self._usual_request * requests, untaken * settings.idle_share)
+        return int(max(demand, idle))
 
     def count_demand(self, tokens: int, now: float) -> None:
         """Take note that a request wants tokens."""
@@ -191,3 +221,10 @@
     def _is_overdrawn(self) -> bool:
         """Whether the limit was cut below what the daemons hold already."""
         return self.is_known and self.total.charged > self._get_limit()
+
+
+def _damp(change: int, target: int) -> int:
+    """Return a change, or 0 where it is too small to be worth a transaction."""
+    if change >= 0:
+        return change if change > DAMPING * target else 0
+    return change if -change > target * (1 + DAMPING) else 0
--- a/kingcuphead/credit/_book.py
+++ b/kingcuphead/credit/_book.py
@@ -3,11 +3,14 @@
 The tokens that all daemons together hold and have spent never exceed an organisation's
 limit: a grant is used only after the transaction that charges it is known to have been
 applied, and credit that is returned is set aside before its transaction is sent. A
-daemon that dies leaves its credit charged for good: nobody can tell what it spent.
+daemon that dies leaves charged what it could have spent at any time: nobody can tell
+what it did spend. Its reserves for an outage come back if its next life starts early
+enough to know that they were not touched (see `_reclaim`).
 """
 
 import dataclasses
 import itertools
+import math
 from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
@@ -21,6 +24,7 @@
     Shortage,
     TotalRow,
 )
+from kingcuphead.credit._reclaim import TOTAL_PREFIX
 from kingcuphead.invariants import ensure, require
 from kingcuphead.routing import Organisation
 from kingcuphead.storage import (
@@ -36,7 +40,6 @@
     Unknown,
 )
 
-_TOTAL_PREFIX = "total/"
 _HOLDER_PREFIX = "holder/"
 _TOTAL = msgspec.json.Decoder(TotalRow)
 _HOLDER = msgspec.json.Decoder(HolderRow)
@@ -59,6 +62,8 @@
 
     Parameters
     ----------
+    instance
+        Identity of the daemon; only one life of it runs at a time.
     incarnation
         Identity of this life of the daemon, never used again.
     settings
@@ -67,11 +72,13 @@
 
     def __init__(
         self,
+        instance: str,
         incarnation: str,
         settings: CreditSettings = CreditSettings(),  # noqa: B008
     ) -> None:
         self._settings = settings
-        self._holder_key = _HOLDER_PREFIX + incarnation
+        self._holder_prefix = f"{_HOLDER_PREFIX}{instance}/"
+        self._holder_key = self._holder_prefix + incarnation
         self._holder_version = ABSENT
         self._attempt = 0
         self._accounts: dict[str, Account] = {}
@@ -80,6 +87,9 @@
         #: the same version, so that at most one of all of them is ever applied.
         self._undecided: list[_Sent] = []
         self._is_closing = False
+        #: Time at which the first transaction was sent of those that the store has not
+        #: answered since it last did.
+        self._unanswered_since: float | None = None
 
     @property
     def is_waiting(self) -> bool:
@@ -90,7 +100,7 @@
     def is_empty(self) -> bool:
         """Whether no credit is left in this daemon."""
         return not self._undecided and not any(
-            account.free or account.held or account.unreported
+            account.free or account.reserve or account.held or account.unreported
             for account in self._accounts.values()
         )
 
@@ -108,9 +118,24 @@
         """Take note of a new request; the credit kept at hand follows the demand."""
         self._get_account(organisation).count_demand(tokens, now)
 
-    def hold(self, organisation: str, tokens: int) -> Hold | None:
+    @property
+    def holder_prefix(self) -> str:
+        """Start of the keys of the rows of all lives of this daemon."""
+        return self._holder_prefix
+
+    def is_isolated(self, now: float) -> bool:
+        """Whether the store has not answered for so long that reserves may be spent."""
+        if self._unanswered_since is None:
+            return False
+        period = self._settings.isolation_period + self._settings.clock_margin
+        return now - self._unanswered_since >= period
+
+    def hold(self, organisation: str, tokens: int, now: float) -> Hold | None:
         """Reserve the most that a request can cost, or return None for now."""
-        if self._get_account(organisation).hold(tokens):
+        account = self._get_account(organisation)
+        if self.is_isolated(now):
+            account.use_reserve(tokens)
+        if account.hold(tokens):
             return Hold(organisation, tokens)
         return None
 
@@ -136,7 +161,7 @@
             return None
         if account.unspent < tokens:
             return Shortage.EXHAUSTED
-        if account.available + account.free < tokens:
+        if account.available + account.free + account.reserve < tokens:
             return Shortage.UNPROVEN
         return None
 
@@ -148,25 +173,41 @@
         """Return everything that is at hand from the next transaction on."""
         self._is_closing = True
 
-    def plan_transaction(self, now: float) -> Transaction | None:
-        """Return the next transaction, or None if there is nothing to change.
+    def plan_transaction(
+        self, now: float, store_time: int | None
+    ) -> Transaction | None:
+        """Return the next transaction, or None if there is nothing to write.
 
         A transaction that was planned before and got no outcome may have been applied.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        store_time
+            The store's own time in milliseconds, or earlier; None if it is not known.
         """
         if self._sent is not None:
             self.take_outcome(Unknown(), now)
         adjustments = dict(self._plan_adjustments(now))
-        if not adjustments and not self._undecided:
+        if not adjustments and not self._has_to_write():
             return None
+        if self._unanswered_since is None:
+            self._unanswered_since = now
         checks = [Check(self._holder_key, self._holder_version)]
         totals = {}
         for name, adjustment in adjustments.items():
             account = self._accounts[name]
-            checks.append(Check(_TOTAL_PREFIX + name, account.row_version))
-            totals[name] = account.begin(adjustment)
+            total = account.begin(adjustment)
+            if adjustment.touches_total or account.free or account.reserve:
+                checks.append(Check(TOTAL_PREFIX + name, account.row_version))
+                totals[name] = total
         self._attempt += 1
         self._sent = _Sent(self._attempt, adjustments, totals)
-        return Transaction(tuple(checks), tuple(self._list_writes(self._sent)))
+        stamp = 0
+        if store_time is not None:
+            stamp = store_time - math.ceil((now - self._unanswered_since) * 1000)
+        return Transaction(tuple(checks), tuple(self._list_writes(self._sent, stamp)))
 
     def take_outcome(self, outcome: CommitOutcome, now: float) -> None:
         """Take what became of the transaction that was planned last."""
@@ -177,9 +218,12 @@
                 self._cancel_undecided()
                 self._confirm(sent, version, now)
                 self._holder_version = version
+                self._unanswered_since = None
             case Conflict(rows):
                 self._cancel(sent)
                 self._learn({row.key: row for row in rows}, now)
+                if not self._undecided:
+                    self._unanswered_since = None
             case Unavailable():
                 self._cancel(sent)
             case Unknown():
@@ -193,18 +237,35 @@
         due = ((name, each) for name, each in planned if each is not None)
         yield from itertools.islice(due, self._settings.batch_size)
 
+    def _has_to_write(self) -> bool:
+        """Whether the holder row has to be written though no credit changes.
+
+        Its stamp keeps the reserves reclaimable.
+        """
+        if self._attempt == 0 or self._undecided:
+            return True
+        return any(account.reserve for account in self._accounts.values())
+
     def _plan_account(self, account: Account, now: float) -> Adjustment | None:
         if not self._is_closing:
             return account.plan(now)
-        if account.free or account.unreported:
-            return Adjustment(-account.free, account.unreported)
-        return None
+        adjustment = Adjustment(-account.free, -account.reserve, account.unreported)
+        return adjustment if adjustment.touches_total else None
 
-    def _list_writes(self, sent: _Sent) -> Iterator[Put]:
-        holder = HolderRow(sent.attempt)
+    def _list_writes(self, sent: _Sent, stamp: int) -> Iterator[Put]:
+        reserves = dict(self._list_reserves(sent)) if stamp else {}
+        holder = HolderRow(sent.attempt, stamp, reserves)
         yield Put(self._holder_key, msgspec.json.encode(holder))
         for name, total in sent.totals.items():
-            yield Put(_TOTAL_PREFIX + name, msgspec.json.encode(total))
+            yield Put(TOTAL_PREFIX + name, msgspec.json.encode(total))
+
+    def _list_reserves(self, sent: _Sent) -> Iterator[tuple[str, int]]:
+        """Yield what is set aside once a transaction is applied."""
+        for name, account in self._accounts.items():
+            adjustment = sent.adjustments.get(name)
+            added = max(0, adjustment.reserve) if adjustment is not None else 0
+            if account.reserve + added:
+                yield name, account.reserve + added
 
     def _learn(self, rows: Mapping[str, Row], now: float) -> None:
         """Take the rows as they are, after a condition of a transaction failed."""
@@ -212,7 +273,7 @@
         if holder is not None and holder.version != self._holder_version:
             self._decide(holder, now)
         for name, account in self._accounts.items():
-            row = rows.get(_TOTAL_PREFIX + name)
+            row = rows.get(TOTAL_PREFIX + name)
             if row is not None:
                 account.take_total(_TOTAL.decode(row.value), row.version, now)
 
@@ -230,7 +291,8 @@
         for name, adjustment in sent.adjustments.items():
             account = self._accounts[name]
             account.confirm(adjustment)
-            account.take_total(sent.totals[name], version, now)
+            if name in sent.totals:
+                account.take_total(sent.totals[name], version, now)
 
     def _cancel(self, sent: _Sent) -> None:
         for name, adjustment in sent.adjustments.items():
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -20,10 +20,17 @@
 
 
 class HolderRow(msgspec.Struct, frozen=True):
-    """The last transaction of one life of a daemon; it decides lost replies."""
+    """What one life of a daemon holds, as of its last transaction."""
 
-    #: Number of the transaction.
+    #: Number of the transaction; it decides lost replies.
     attempt: int
+    #: The store's time in milliseconds before which the reserves are certainly unused,
+    #: less `CreditSettings.isolation_period`.
+    stamp_ms: int = 0
+    #: Tokens set aside for an outage of the store, by organisation.
+    reserves: dict[str, int] = {}
+    #: Whether a later life of the daemon has taken the reserves back.
+    is_closed: bool = False
 
 
 class Shortage(enum.StrEnum):
@@ -41,20 +48,29 @@
 class CreditSettings:
     """How much credit a daemon keeps at hand.
 
-    What is kept at hand serves callers while the store can't be reached; it is lost if
-    the daemon dies.
+    What may be spent at any time is lost if the daemon dies. What is set aside for an
+    outage of the store may be spent only after `isolation_period` without an answer; a
+    later life of the daemon that starts sooner takes it back.
     """
 
-    #: Seconds of the usual demand that are kept at hand.
+    #: Seconds of the usual demand that are kept to be spent.
+    spending_seconds: float = 5.0
+    #: Seconds of the usual demand that are kept at hand in all.
     reserve_seconds: float = 13.0
-    #: Usual requests that are kept at hand where there was no demand lately.
+    #: Usual requests that are kept to be spent where there was no demand lately.
+    spending_requests: float = 1.5
+    #: Usual requests that are kept at hand in all where there was no demand lately.
     reserve_requests: float = 3.0
     #: Largest part, for the demand, of the tokens that no other daemon has taken.
     demand_share: float = 0.5
     #: The same where there was no demand.
     idle_share: float = 0.04
+    #: Seconds without an answer of the store after which the reserves may be spent.
+    isolation_period: float = 3.5
+    #: Seconds that clocks may differ over that period.
+    clock_margin: float = 0.2
     #: Seconds between two regular renewals.
-    renewal_interval: float = 1.0
+    renewal_interval: float = 0.7
     #: Seconds over which the demand is averaged.
     demand_period: float = 6.0
     #: Most organisations in one transaction.
@@ -73,6 +89,8 @@
     settled: int
     #: Tokens at hand here.
     free: int
+    #: Tokens set aside here for an outage of the store.
+    reserve: int
     #: Tokens reserved here for requests.
     held: int
     #: Seconds since the total was seen.
@@ -82,7 +100,8 @@
         """Return the state as part of a log line."""
         return (
             f"limit={self.limit} charged={self.charged} settled={self.settled} "
-            f"free={self.free} held={self.held} age={self.age:.3f}s"
+            f"free={self.free} reserve={self.reserve} held={self.held} "
+            f"age={self.age:.3f}s"
         )
 
 
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+from collections.abc import Sequence
 from typing import Protocol
 
 from expression import Error, Ok, Result
@@ -9,10 +10,13 @@
 
 from kingcuphead.credit._book import CreditBook
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold, Shortage
+from kingcuphead.credit._reclaim import find_reclaimable, plan_reclaim
 from kingcuphead.storage import (
     CommitOutcome,
     Committed,
     Conflict,
+    PlatformFault,
+    Row,
     Transaction,
     Unavailable,
     Unknown,
@@ -20,6 +24,8 @@
 
 #: Seconds before a transaction that had no effect is sent again.
 FAILURE_PAUSE = 0.1
+#: Transactions that are tried to take the reserves of one earlier life back.
+RECLAIM_TRIES = 20
 #: Seconds between two looks at requests that wait for credit.
 WAIT_INTERVAL = 0.02
 
@@ -31,6 +37,14 @@
         """Apply a transaction; never raises for a fault of the store."""
         ...
 
+    async def read_prefix(self, prefix: str) -> Result[tuple[Row, ...], PlatformFault]:
+        """Read the rows whose keys start with a prefix."""
+        ...
+
+    def estimate_time(self) -> int | None:
+        """Return the store's time in milliseconds, or earlier; None if not known."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CreditRefused:
@@ -89,7 +103,7 @@
             Longest time in seconds to wait.
         """
         self._book.count_demand(organisation, tokens, self._get_time())
-        hold = self._book.hold(organisation, tokens)
+        hold = self._book.hold(organisation, tokens, self._get_time())
         if hold is not None:
             return Ok(hold)
         if self.is_store_down:
@@ -105,9 +119,12 @@
         self._book.settle(hold, min(spent, hold.tokens))
 
     async def run(self) -> None:
-        """Renew credit for ever."""
+        """Take back what earlier lives left, then renew credit for ever."""
+        is_reclaimed = False
         while True:
-            await self._renew()
+            if await self._renew() and not is_reclaimed:
+                is_reclaimed = True
+                await self._reclaim()
             await self._pause()
 
     async def shut_down(self, timeout: float) -> bool:
@@ -121,7 +138,8 @@
         self._book.close()
         deadline = self._get_time() + timeout
         while not self._book.is_empty and self._get_time() < deadline:
-            if not await self._renew():
+            await self._renew()
+            if not self._book.is_empty:
                 await asyncio.sleep(FAILURE_PAUSE)
         return self._book.is_empty
 
@@ -132,7 +150,7 @@
         while self._get_time() < deadline and not self.is_store_down:
             self._wake.set()
             renewed = await self._wait_renewal(deadline - self._get_time())
-            hold = self._book.hold(organisation, tokens)
+            hold = self._book.hold(organisation, tokens, self._get_time())
             if hold is not None:
                 return Ok(hold)
             shortage = self._book.find_shortage(organisation, tokens)
@@ -140,6 +158,29 @@
                 return Error(self._refuse(organisation, shortage))
         return Error(self._refuse(organisation, Shortage.UNREACHABLE))
 
+    async def _reclaim(self) -> None:
+        """Give back the reserves of earlier lives of this daemon."""
+        match await self._table.read_prefix(self._book.holder_prefix):
+            case Result(tag="ok", ok=rows):
+                store_time = self._table.estimate_time() or 0
+                for holder in find_reclaimable(rows, store_time, self._settings):
+                    await self._reclaim_holder(holder)
+            case Result(error=fault):
+                logger.warning("reserves can't be taken back: {}", fault.message)
+
+    async def _reclaim_holder(self, holder: Row) -> None:
+        totals: dict[str, Row] = {}
+        for _ in range(RECLAIM_TRIES):
+            outcome = await self._table.commit(plan_reclaim(holder, totals))
+            if isinstance(outcome, Committed):
+                logger.info("reserves of {} were taken back", holder.key)
+                return
+            if isinstance(outcome, Conflict):
+                totals = {row.key: row for row in outcome.rows}
+                if not _has_row(outcome.rows, holder):
+                    break
+        logger.warning("reserves of {} stay charged", holder.key)
+
     def _refuse(self, organisation: str, shortage: Shortage) -> CreditRefused:
         state = self._book.describe(organisation, self._get_time())
         return CreditRefused(shortage, state)
@@ -167,7 +208,9 @@
     async def _renew(self) -> bool:
         """Send one transaction, again at once while others interfere."""
         while True:
-            transaction = self._book.plan_transaction(self._get_time())
+            transaction = self._book.plan_transaction(
+                self._get_time(), self._table.estimate_time()
+            )
             if transaction is None:
                 await self._tell()
                 return True
@@ -199,3 +242,8 @@
     @staticmethod
     def _get_time() -> float:
         return asyncio.get_running_loop().time()
+
+
+def _has_row(rows: Sequence[Row], wanted: Row) -> bool:
+    """Whether a row is among others and still the same."""
+    return any(row.key == wanted.key and row.version == wanted.version for row in rows)
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -95,9 +95,12 @@
         """Ask callers with each answer to use another connection."""
         self._server.conn_params.no_keep_alive = True
 
-    async def close(self) -> None:
-        """Close the port and every connection."""
+    def stop_listening(self) -> None:
+        """Close the port; open connections stay."""
         self._server.stop()
+
+    async def close(self) -> None:
+        """Close every connection."""
         for task in tuple(self._tasks):
             task.cancel()
         await self._server.close_all_connections()
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -4,7 +4,6 @@
 import random
 import secrets
 import signal
-import time
 from collections.abc import Coroutine
 from typing import Any
 
@@ -40,9 +39,7 @@
 #: Seconds after SIGTERM in which new callers may still come.
 HANDOVER_PERIOD = 3.0
 #: Seconds before the end of the grace period at which the daemon ends for certain.
-GRACE_MARGIN = 0.7
-#: Seconds of the grace period that are kept for returning credit.
-CREDIT_RETURN_TIMEOUT = 1.0
+GRACE_MARGIN = 0.5
 #: Daemons among which the fixed part of the retry budget is divided.
 ASSUMED_DAEMONS = 12
 
@@ -62,13 +59,15 @@
         self._is_stopping = False
         self._has_configuration = False
         draw = random.Random()
-        incarnation = f"{profile.instance}/{secrets.token_hex(6)}"
+        # A machine that takes another's name has another address.
+        instance = f"{profile.instance}@{profile.ip}"
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), draw)
         self._pool = ConnectionPool()
         self._credit = CreditTask(
-            CreditBook(incarnation), StoreTable(self._store, CREDIT_TABLE, CREDIT_PART)
+            CreditBook(instance, secrets.token_hex(6)),
+            StoreTable(self._store, CREDIT_TABLE, CREDIT_PART),
         )
         retries = profile.retries
         self._path = RequestPath(
@@ -107,6 +106,7 @@
         await self._stop.wait()
         if self._failure is None:
             await self._drain(renewal)
+        self._callers.stop_listening()
         await self._callers.close()
         readiness.stop()
         for task in tasks:
@@ -118,7 +118,7 @@
 
     def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
         configuration = ConfigurationFollower(self._apply)
-        report = self._note_store_failure
+        report = self._directory.note_store_failure
         return [
             TableWatch(self._store, CONFIGURATION_TABLE, configuration, report).run(),
             TableWatch(self._store, TARGETS_TABLE, self._targets, report).run(),
@@ -168,9 +168,6 @@
             if change.is_removed:
                 self._dispatcher.forget(change.target)
 
-    def _note_store_failure(self) -> None:
-        self._directory.note_store_failure(time.monotonic())
-
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL)
@@ -180,17 +177,19 @@
     async def _drain(self, renewal: asyncio.Task[None]) -> None:
         """Finish what is in flight and hand credit back."""
         loop = asyncio.get_running_loop()
-        started_at = loop.time()
-        end = started_at + self._profile.grace - GRACE_MARGIN
+        end = loop.time() + self._profile.grace - GRACE_MARGIN
         logger.info("shutdown started; {} s of grace", self._profile.grace)
         self._is_stopping = True
         self._callers.announce_close()
-        while loop.time() < end - CREDIT_RETURN_TIMEOUT:
-            is_handed_over = loop.time() > started_at + HANDOVER_PERIOD
-            if is_handed_over and not self._callers.open_requests:
-                break
-            await asyncio.sleep(SWEEP_INTERVAL / 5)
+        await asyncio.sleep(min(HANDOVER_PERIOD, self._profile.grace / 2))
+        self._callers.stop_listening()
         renewal.cancel()
         await asyncio.gather(renewal, return_exceptions=True)
-        if not await self._credit.shut_down(end - loop.time()):
+        is_returned = False
+        while loop.time() < end and not is_returned:
+            is_returned = await self._credit.shut_down(SWEEP_INTERVAL)
+            if self._callers.open_requests:
+                is_returned = False
+                await asyncio.sleep(SWEEP_INTERVAL / 5)
+        if not is_returned:
             logger.warning("shutdown ends with credit that was not returned")
--- a/kingcuphead/entry/_following.py
+++ b/kingcuphead/entry/_following.py
@@ -1,6 +1,7 @@
 """Follows a table of the platform's store."""
 
 import asyncio
+import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
@@ -40,7 +41,7 @@
     follower
         Takes rows and changes.
     report_failure
-        Called for each call that failed.
+        Called for each call that failed with the time of its start.
     """
 
     def __init__(
@@ -48,7 +49,7 @@
         store: Store,
         table: str,
         follower: Follower,
-        report_failure: Callable[[], None],
+        report_failure: Callable[[float], None],
     ) -> None:
         self._store = store
         self._table = table
@@ -66,15 +67,17 @@
                 await self._follow(self._version)
 
     async def _read(self) -> None:
+        started_at = time.monotonic()
         match await self._store.read_table(self._table):
             case Result(tag="ok", ok=snapshot):
                 self._follower.take_snapshot(snapshot.rows)
                 self._version = snapshot.version
                 self._note_success()
             case Result(error=fault):
-                await self._note_failure(fault)
+                await self._note_failure(fault, started_at)
 
     async def _follow(self, version: int) -> None:
+        started_at = time.monotonic()
         match await self._store.follow_table(self._table, version, POLL_WAIT):
             case Result(tag="ok", ok=Changes(changes, newest)):
                 self._follower.take_changes(changes)
@@ -86,15 +89,15 @@
             case Result(error=fault):
                 # Changes may be held back behind a broken connection.
                 self._version = None
-                await self._note_failure(fault)
+                await self._note_failure(fault, started_at)
 
     def _note_success(self) -> None:
         if self._is_lost:
             self._is_lost = False
             logger.info("table {} is followed again", self._table)
 
-    async def _note_failure(self, fault: PlatformFault) -> None:
-        self._report_failure()
+    async def _note_failure(self, fault: PlatformFault, started_at: float) -> None:
+        self._report_failure(started_at)
         if not self._is_lost:
             self._is_lost = True
             logger.warning("table {} can't be followed: {}", self._table, fault.message)
--- a/kingcuphead/forwarding/_path.py
+++ b/kingcuphead/forwarding/_path.py
@@ -48,6 +48,8 @@
 TARGET_RETRY_AFTER = 0.3
 #: Part of the remaining time after which another target is tried at the latest.
 PATIENCE_SHARE = 0.6
+#: Targets that are tried where no connection can be opened.
+MAX_UNREACHABLE = 4
 #: Objectives without a first byte after which another target is tried.
 PATIENCE_OBJECTIVES = 2.2
 #: Seconds of silence within a stream after which it goes on elsewhere, at least.
@@ -236,6 +238,8 @@
             if isinstance(end, AttemptFailed) and end.execution is Execution.NOT_RUN:
                 journey.execution = before
             outcome = _describe_end(end)
+            if isinstance(end, AttemptFailed) and end.is_misdirected:
+                self._shared.directory.mark_replaced(placement.target)
             return end
         finally:
             seconds = _get_time() - started_at
@@ -277,8 +281,11 @@
 
     def _may_try_again(self, journey: Journey, failure: AttemptFailed) -> bool:
         if failure.execution is Execution.NOT_RUN:
-            if failure.is_misdirected or failure.result is AttemptResult.UNREACHABLE:
-                return len(journey.tried) < journey.route.max_attempts + 2
+            if failure.result is AttemptResult.UNREACHABLE:
+                # Nothing arrived, so that it counts neither as attempt nor as repeat.
+                return len(journey.tried) < MAX_UNREACHABLE
+            if failure.is_misdirected:
+                return self._has_other_target(journey) and self._spend_repeat(journey)
             return self._has_attempts_left(journey) and self._spend_repeat(journey)
         if failure.result is AttemptResult.SILENT:
             # It was counted when the decision to leave the target was made.
--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -2,6 +2,8 @@
 
 import base64
 import dataclasses
+import math
+import time
 from collections.abc import Sequence
 
 import msgspec
@@ -32,6 +34,8 @@
 CONFIGURATION_KEY = "config"
 #: Table with the entries of targets.
 TARGETS_TABLE = "servers"
+#: Sorts after every key that starts the same.
+_AFTER_ALL_KEYS = "\x7f"
 #: Seconds beyond a long poll's own wait before its connection counts as silent.
 POLL_SLACK = 1.0
 #: Seconds before any other call counts as lost.
@@ -57,10 +61,13 @@
     rows: list[_Row] = []
     has_more: bool = False
     ver: int = 0
+    now_ms: int = 0
 
 
 class _Version(msgspec.Struct):
     ver: int = 0
+    # A steady clock of the store, in milliseconds since an unknown moment.
+    now_ms: int = 0
 
 
 _ROWS = msgspec.json.Decoder(_Rows)
@@ -120,23 +127,34 @@
                 content_type="application/json",
             )
         )
+        self._time_offset: float | None = None
 
-    async def read_table(self, table: str) -> Result[Snapshot, PlatformFault]:
-        """Read every row of a table's unnamed part."""
+    async def read_table(
+        self, table: str, part: str = "", prefix: str = ""
+    ) -> Result[Snapshot, PlatformFault]:
+        """Read the rows of one part of a table whose keys start with a prefix."""
         rows: list[Row] = []
         version = 0
-        start = ""
+        query = {"table": table, "part": part, "from": prefix}
+        if prefix:
+            query["to"] = prefix + _AFTER_ALL_KEYS
         while True:
-            query = {"table": table, "part": "", "from": start}
             reply = await self._connection.exchange("GET", "/api/rows-get", None, query)
             page = _decode_rows("read", reply)
             if page.is_error():
                 return Error(page.error)
+            self._note_time(page.ok.now_ms)
             rows.extend(_make_rows(page.ok.rows))
             version = version or page.ok.ver
             if not page.ok.has_more or not page.ok.rows:
                 return Ok(Snapshot(tuple(rows), version))
-            start = page.ok.rows[-1].key + "\0"
+            query["from"] = page.ok.rows[-1].key + "\0"
+
+    def estimate_time(self) -> int | None:
+        """Return the store's time in milliseconds, or earlier; None if not known."""
+        if self._time_offset is None:
+            return None
+        return math.floor(time.monotonic() * 1000 + self._time_offset)
 
     async def follow_table(
         self, table: str, version: int, wait: float
@@ -172,12 +190,19 @@
         reply = await self._connection.exchange("POST", "/api/rows-tx", body)
         match reply:
             case Replied(status, content) if status in (_OK, _CONFLICT):
+                self._note_time(_decode_time(content))
                 return _decode_outcome(status, content)
             case Replied() | NotSent():
                 return Unavailable()
             case ReplyLost():
                 return Unknown()
 
+    def _note_time(self, store_time: int) -> None:
+        """Take the store's time as of some moment before now."""
+        offset = store_time - time.monotonic() * 1000
+        if store_time and (self._time_offset is None or offset > self._time_offset):
+            self._time_offset = offset
+
     def close(self) -> None:
         """Close the connections."""
         self._connection.close()
@@ -201,11 +226,28 @@
         self._table = table
         self._part = part
 
+    async def read_prefix(self, prefix: str) -> Result[tuple[Row, ...], PlatformFault]:
+        """Read the rows whose keys start with a prefix."""
+        snapshot = await self._store.read_table(self._table, self._part, prefix)
+        return snapshot.map(lambda found: found.rows)
+
+    def estimate_time(self) -> int | None:
+        """Return the store's time in milliseconds, or earlier; None if not known."""
+        return self._store.estimate_time()
+
     async def commit(self, transaction: Transaction) -> CommitOutcome:
         """Apply a transaction; never raises for a fault of the store."""
         return await self._store.commit(self._table, self._part, transaction)
 
 
+def _decode_time(content: bytes) -> int:
+    try:
+        return _VERSION.decode(content).now_ms
+    except msgspec.MsgspecError:
+        # `_decode_outcome` logs what can't be read.
+        return 0
+
+
 def _decode_outcome(status: int, content: bytes) -> CommitOutcome:
     try:
         if status == _OK:
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -5,8 +5,9 @@
 
 from kingcuphead.targets._messages import Availability, Target
 
-#: Seconds after the store's return in which entries that lapsed are written again.
-RETURN_PERIOD = 2.5
+#: Seconds after the start of the last call that the store did not answer, in which
+#: entries that lapsed are written again.
+RETURN_PERIOD = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -35,13 +36,14 @@
 
     An entry that disappears means that its target is leaving. Entries lapse also
     because their targets could not reach the store; so an entry that disappears while
-    the store was out of order stays usable until `RETURN_PERIOD` after the store's
-    return, and counts as gone if it is still missing then.
+    the store was out of order stays usable for `RETURN_PERIOD`, and counts as gone if
+    it is still missing then.
     """
 
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
-        self._lapsed: dict[str, float] = {}
+        self._lapsed: set[str] = set()
+        self._replaced: set[tuple[str, int]] = set()
         self._usable: dict[str, tuple[Target, ...]] = {}
         self._store_failed_at = float("-inf")
 
@@ -50,15 +52,15 @@
         """Whether no target is known."""
         return not self._targets
 
-    def note_store_failure(self, now: float) -> None:
-        """Take note that the store did not serve at this time."""
-        self._store_failed_at = now
+    def note_store_failure(self, started_at: float) -> None:
+        """Take note that the store did not answer a call that started at this time."""
+        self._store_failed_at = max(self._store_failed_at, started_at)
 
     def put(self, target: Target) -> Iterator[DirectoryChange]:
         """Take the entry of a target."""
         known = self._targets.get(target.name)
         self._targets[target.name] = target
-        self._lapsed.pop(target.name, None)
+        self._lapsed.discard(target.name)
         self._usable.clear()
         is_same_life = known is not None and known.started_at_ms == target.started_at_ms
         was_ready = known is None or known.availability is Availability.READY
@@ -77,7 +79,7 @@
         if is_store_sound or known.availability is Availability.DRAINING:
             yield from self._drop(known)
         else:
-            self._lapsed[name] = now
+            self._lapsed.add(name)
 
     def replace_all(
         self, targets: Iterable[Target], now: float
@@ -90,10 +92,20 @@
             if name not in found:
                 yield from self.remove(name, now)
 
+    def mark_replaced(self, target: Target) -> None:
+        """Take note that another life has the address of a target.
+
+        The target stays unusable until its entry says that it lives again.
+        """
+        known = self._targets.get(target.name)
+        if known is not None and known.started_at_ms == target.started_at_ms:
+            self._replaced.add((target.name, target.started_at_ms))
+            self._usable.clear()
+
     def tick(self, now: float) -> Iterator[DirectoryChange]:
         """Drop the targets whose lapsed entries did not come back."""
-        for name, lapsed_at in tuple(self._lapsed.items()):
-            if now - max(lapsed_at, self._store_failed_at) > RETURN_PERIOD:
+        if now - self._store_failed_at > RETURN_PERIOD:
+            for name in tuple(self._lapsed):
                 yield from self._drop(self._targets[name])
 
     def list_usable(self, service: str) -> tuple[Target, ...]:
@@ -105,21 +117,14 @@
                 for target in self._targets.values()
                 if target.service == service
                 and target.availability is Availability.READY
+                and (target.name, target.started_at_ms) not in self._replaced
             )
             self._usable[service] = usable
         return usable
 
-    def is_usable(self, target: Target) -> bool:
-        """Return whether this life of a target may get new requests."""
-        known = self._targets.get(target.name)
-        return (
-            known is not None
-            and known.started_at_ms == target.started_at_ms
-            and known.availability is Availability.READY
-        )
-
     def _drop(self, target: Target) -> Iterator[DirectoryChange]:
         del self._targets[target.name]
-        self._lapsed.pop(target.name, None)
+        self._replaced.discard((target.name, target.started_at_ms))
+        self._lapsed.discard(target.name)
         self._usable.clear()
         yield TargetLeft(target, is_removed=True)
