--- a/kingcuphead/credit/__init__.py
+++ b/kingcuphead/credit/__init__.py
@@ -9,6 +9,7 @@
     Shortage,
     TotalRow,
 )
+from kingcuphead.credit._reclaim import find_reclaimable, plan_reclaim
 from kingcuphead.credit._task import CreditRefused, CreditTable, CreditTask
 
 __all__ = [
@@ -22,4 +23,6 @@
     "HolderRow",
     "Shortage",
     "TotalRow",
+    "find_reclaimable",
+    "plan_reclaim",
 ]
--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -13,6 +13,8 @@
 SHORTEST_OBSERVATION = 2.0
 #: Seconds after which the total is looked at again where credit is at hand.
 STALE_AFTER = 3.0
+#: The same where a request waits for credit.
+STALE_FOR_WAITING = 0.2
 #: Weight of the newest request in the usual one.
 USUAL_REQUEST_WEIGHT = 0.2
 
@@ -38,6 +40,14 @@
         """Whether the total changes."""
         return bool(self.granted or self.settled)
 
+    @property
+    def is_internal(self) -> bool:
+        """Whether it only moves tokens inside the daemon; else the total is read too.
+
+        An adjustment that changes nothing serves to see the total again.
+        """
+        return bool(self.free) and not self.touches_total
+
 
 class Account:
     """Credit at hand, holds and demand of one organisation.
@@ -164,8 +174,9 @@
     def _is_stale(self, now: float) -> bool:
         """Whether credit is kept here that others may need by now."""
         age = now - self._seen_at
-        at_hand = self.free + self.reserve
-        return not self.is_known or (at_hand > 0 and age > STALE_AFTER)
+        if not self.is_known or (self.wanted > self.free and age > STALE_FOR_WAITING):
+            return True
+        return self.free + self.reserve > 0 and age > STALE_AFTER
 
     def _plan_changes(self, now: float) -> tuple[int, int]:
         """Return the changes of what may be spent and of what is set aside."""
--- a/kingcuphead/credit/_book.py
+++ b/kingcuphead/credit/_book.py
@@ -123,6 +123,11 @@
         """Start of the keys of the rows of all lives of this daemon."""
         return self._holder_prefix
 
+    @property
+    def holder_key(self) -> str:
+        """Key of the row of this life."""
+        return self._holder_key
+
     def is_isolated(self, now: float) -> bool:
         """Whether the store has not answered for so long that reserves may be spent."""
         if self._unanswered_since is None:
@@ -199,7 +204,7 @@
         for name, adjustment in adjustments.items():
             account = self._accounts[name]
             total = account.begin(adjustment)
-            if adjustment.touches_total or account.free or account.reserve:
+            if not adjustment.is_internal:
                 checks.append(Check(TOTAL_PREFIX + name, account.row_version))
                 totals[name] = total
         self._attempt += 1
--- a/kingcuphead/credit/_reclaim.py
+++ b/kingcuphead/credit/_reclaim.py
@@ -19,7 +19,7 @@
 
 
 def find_reclaimable(
-    rows: Iterable[Row], store_time: int, settings: CreditSettings
+    rows: Iterable[Row], own_key: str, store_time: int, settings: CreditSettings
 ) -> tuple[Row, ...]:
     """Return the rows of earlier lives whose reserves are certainly untouched.
 
@@ -27,13 +27,19 @@
     ----------
     rows
         Rows of all lives of this daemon.
+    own_key
+        Key of the row of this life.
     store_time
         The store's time in milliseconds, or later, after this life started.
     settings
         How long a daemon leaves its reserves alone.
     """
     period = settings.isolation_period * 1000
-    return tuple(row for row in rows if _is_reclaimable(row, store_time - period))
+    return tuple(
+        row
+        for row in rows
+        if row.key != own_key and _is_reclaimable(row, store_time - period)
+    )
 
 
 def plan_reclaim(holder: Row, totals: Mapping[str, Row]) -> Transaction:
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -163,7 +163,9 @@
         match await self._table.read_prefix(self._book.holder_prefix):
             case Result(tag="ok", ok=rows):
                 store_time = self._table.estimate_time() or 0
-                for holder in find_reclaimable(rows, store_time, self._settings):
+                own_key = self._book.holder_key
+                earlier = find_reclaimable(rows, own_key, store_time, self._settings)
+                for holder in earlier:
                     await self._reclaim_holder(holder)
             case Result(error=fault):
                 logger.warning("reserves can't be taken back: {}", fault.message)
--- /dev/null
+++ b/kingcuphead/credit/tests/test_book.py
@@ -0,0 +1,134 @@
+import random
+
+import msgspec
+
+from kingcuphead.credit import (
+    CreditBook,
+    CreditSettings,
+    HolderRow,
+    Shortage,
+    find_reclaimable,
+    plan_reclaim,
+)
+from kingcuphead.credit.tests._store import FaultyStore
+from kingcuphead.routing import Organisation
+from kingcuphead.storage import Conflict, Put, Transaction, Unknown
+
+ATELIER = Organisation("atelier", None, 100_000)
+
+
+def make_book(life="life-1", organisation=ATELIER, version=1):
+    book = CreditBook("d1", life)
+    book.apply_limits([organisation], version)
+    return book
+
+
+def renew(book, store, now=None):
+    now = store.now if now is None else now
+    while True:
+        transaction = book.plan_transaction(now, store.time_ms)
+        if transaction is None:
+            return None
+        outcome = store.commit(transaction, is_cut=False)
+        book.take_outcome(outcome, now)
+        if not isinstance(outcome, Conflict):
+            return outcome
+
+
+class TestCreditBook:
+    def test_a_request_is_held_once_the_grant_is_committed(self):
+        store, book = FaultyStore(random.Random(1)), make_book()
+        assert book.hold("atelier", 500, 0.0) is None
+        book.want("atelier", 500)
+        renew(book, store)
+        book.unwant("atelier", 500)
+        assert book.hold("atelier", 500, 0.0) is not None
+
+    def test_a_grant_whose_reply_was_lost_is_found_by_the_next_transaction(self):
+        store, book = FaultyStore(random.Random(1)), make_book()
+        book.want("atelier", 500)
+        store.apply(book.plan_transaction(0.0, 1))
+        book.take_outcome(Unknown(), 0.0)
+        assert book.hold("atelier", 500, 0.0) is None
+        renew(book, store)
+        assert book.hold("atelier", 500, 0.0) is not None
+
+    def test_a_grant_that_is_applied_late_is_not_counted_twice(self):
+        store, book = FaultyStore(random.Random(1)), make_book()
+        book.want("atelier", 500)
+        late = book.plan_transaction(0.0, 1)
+        book.take_outcome(Unknown(), 0.0)
+        renew(book, store)
+        assert isinstance(store.apply(late), Conflict)
+
+    def test_an_exhausted_budget_is_told_from_credit_that_others_hold(self):
+        store = FaultyStore(random.Random(1))
+        first, second = make_book(), CreditBook("d2", "life-1")
+        second.apply_limits([ATELIER], 1)
+        first.want("atelier", 99_000)
+        renew(first, store)
+        first.unwant("atelier", 99_000)
+        hold = first.hold("atelier", 99_000, 0.0)
+        second.want("atelier", 5_000)
+        renew(second, store)
+        assert second.find_shortage("atelier", 5_000) is Shortage.UNPROVEN
+        first.settle(hold, 99_000)
+        renew(first, store)
+        renew(second, store, now=1.0)
+        assert second.find_shortage("atelier", 5_000) is Shortage.EXHAUSTED
+
+    def test_a_limit_that_was_cut_stops_spending_and_returns_credit(self):
+        store, book = FaultyStore(random.Random(1)), make_book()
+        book.want("atelier", 50_000)
+        renew(book, store)
+        book.unwant("atelier", 50_000)
+        book.apply_limits([Organisation("atelier", None, 1_000)], 2)
+        assert book.hold("atelier", 100, 0.0) is None
+        renew(book, store)
+        assert store.read_total("atelier").charged <= 1_000
+
+    def test_an_older_limit_does_not_replace_a_newer_one(self):
+        store, book = FaultyStore(random.Random(1)), make_book(version=5)
+        book.apply_limits([Organisation("atelier", None, 9_000_000)], 4)
+        book.want("atelier", 200_000)
+        renew(book, store)
+        book.unwant("atelier", 200_000)
+        assert book.hold("atelier", 200_000, 0.0) is None
+
+    def test_closing_returns_what_is_at_hand(self):
+        store, book = FaultyStore(random.Random(1)), make_book()
+        book.count_demand("atelier", 5_000, 0.0)
+        book.want("atelier", 5_000)
+        renew(book, store)
+        book.unwant("atelier", 5_000)
+        book.close()
+        renew(book, store)
+        assert book.is_empty
+        assert store.read_total("atelier").charged == 0
+
+
+class TestReclaim:
+    def make_row(self, store, stamp_ms, key="holder/d1/life-1"):
+        row = HolderRow(3, stamp_ms, {"atelier": 700})
+        store.apply(Transaction((), (Put(key, msgspec.json.encode(row)),)))
+        return store.rows[key]
+
+    def test_a_reserve_comes_back_within_the_isolation_period(self):
+        store, settings = FaultyStore(random.Random(1)), CreditSettings()
+        row = self.make_row(store, stamp_ms=10_000)
+        found = find_reclaimable([row], "holder/d1/life-2", 13_400, settings)
+        assert found == (row,)
+        store.apply(plan_reclaim(row, {}))
+        assert store.read_total("atelier").charged == -700
+        closed = store.rows[row.key]
+        assert not find_reclaimable([closed], "", 13_400, settings)
+
+    def test_a_reserve_that_may_have_been_used_stays_charged(self):
+        store, settings = FaultyStore(random.Random(1)), CreditSettings()
+        row = self.make_row(store, stamp_ms=10_000)
+        assert not find_reclaimable([row], "holder/d1/life-2", 13_501, settings)
+
+    def test_the_row_of_the_running_life_is_left_alone(self):
+        store, settings = FaultyStore(random.Random(1)), CreditSettings()
+        row = self.make_row(store, stamp_ms=10_000)
+        assert not find_reclaimable([row], row.key, 10_100, settings)
