Judge reserves by the time at which a life started, not by its first reply

Cause: after a fault of the store and all daemons the first reply came 3.8 s after the kill, so that no reserve came back although the daemons had started after 2.6 s. Ruled out: a longer isolation period (more is lost with each kill then).

--- a/kingcuphead/credit/_reclaim.py
+++ b/kingcuphead/credit/_reclaim.py
@@ -19,7 +19,7 @@
 
 
 def find_reclaimable(
-    rows: Iterable[Row], own_key: str, store_time: int, settings: CreditSettings
+    rows: Iterable[Row], own_key: str, started_at: int, settings: CreditSettings
 ) -> tuple[Row, ...]:
     """Return the rows of earlier lives whose reserves are certainly untouched.
 
@@ -29,8 +29,8 @@
         Rows of all lives of this daemon.
     own_key
         Key of the row of this life.
-    store_time
-        The store's time in milliseconds, or later, after this life started.
+    started_at
+        The store's time in milliseconds when this life started, or later.
     settings
         How long a daemon leaves its reserves alone.
     """
@@ -38,7 +38,7 @@
     return tuple(
         row
         for row in rows
-        if row.key != own_key and _is_reclaimable(row, store_time - period)
+        if row.key != own_key and _is_reclaimable(row, started_at - period)
     )
 
 
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import time
 from collections.abc import Sequence
 from typing import Protocol
 
@@ -11,6 +12,7 @@
 from kingcuphead.credit._book import CreditBook
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold, Shortage
 from kingcuphead.credit._reclaim import find_reclaimable, plan_reclaim
+from kingcuphead.invariants import require
 from kingcuphead.storage import (
     CommitOutcome,
     Committed,
@@ -45,6 +47,10 @@
         """Return the store's time in milliseconds, or earlier; None if not known."""
         ...
 
+    def bound_time(self, moment: float) -> int | None:
+        """Return the store's time in milliseconds at a local time, or later."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CreditRefused:
@@ -78,6 +84,7 @@
         self._book = book
         self._table = table
         self._settings = settings
+        self._started_at = time.monotonic()
         self._wake = asyncio.Event()
         self._changed = asyncio.Condition()
         #: Whether the last transactions got no answer.
@@ -162,9 +169,11 @@
         """Give back the reserves of earlier lives of this daemon."""
         match await self._table.read_prefix(self._book.holder_prefix):
             case Result(tag="ok", ok=rows):
-                store_time = self._table.estimate_time() or 0
+                started_at = require(
+                    self._table.bound_time(self._started_at), "a renewal came first"
+                )
                 own_key = self._book.holder_key
-                earlier = find_reclaimable(rows, own_key, store_time, self._settings)
+                earlier = find_reclaimable(rows, own_key, started_at, self._settings)
                 for holder in earlier:
                     await self._reclaim_holder(holder)
             case Result(error=fault):
--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -127,7 +127,9 @@
                 content_type="application/json",
             )
         )
+        # Bounds of the store's time less the local time, in milliseconds.
         self._time_offset: float | None = None
+        self._latest_offset: float | None = None
 
     async def read_table(
         self, table: str, part: str = "", prefix: str = ""
@@ -187,16 +189,33 @@
     ) -> CommitOutcome:
         """Apply a transaction to one part of a table."""
         body = _encode_transaction(table, part, transaction)
+        sent_at = time.monotonic()
         reply = await self._connection.exchange("POST", "/api/rows-tx", body)
         match reply:
             case Replied(status, content) if status in (_OK, _CONFLICT):
-                self._note_time(_decode_time(content))
+                self._note_commit_time(_decode_time(content), sent_at)
                 return _decode_outcome(status, content)
             case Replied() | NotSent():
                 return Unavailable()
             case ReplyLost():
                 return Unknown()
 
+    def bound_time(self, moment: float) -> int | None:
+        """Return the store's time in milliseconds at a local time, or later.
+
+        Only replies to transactions count: those to reads may be of an earlier time.
+        """
+        if self._latest_offset is None:
+            return None
+        return math.ceil(moment * 1000 + self._latest_offset)
+
+    def _note_commit_time(self, store_time: int, sent_at: float) -> None:
+        """Take the store's time as of some moment after a call was sent."""
+        self._note_time(store_time)
+        offset = store_time - sent_at * 1000
+        if store_time and (self._latest_offset is None or offset < self._latest_offset):
+            self._latest_offset = offset
+
     def _note_time(self, store_time: int) -> None:
         """Take the store's time as of some moment before now."""
         offset = store_time - time.monotonic() * 1000
@@ -235,6 +254,10 @@
         """Return the store's time in milliseconds, or earlier; None if not known."""
         return self._store.estimate_time()
 
+    def bound_time(self, moment: float) -> int | None:
+        """Return the store's time in milliseconds at a local time, or later."""
+        return self._store.bound_time(moment)
+
     async def commit(self, transaction: Transaction) -> CommitOutcome:
         """Apply a transaction; never raises for a fault of the store."""
         return await self._store.commit(self._table, self._part, transaction)
