Spend for 3.6 s of demand at any time; reserves after 2.5 s without the store

Cause: what a daemon may spend at any time is lost with it; 5 s of demand in each daemon were 17 to 22 in 100 of a budget after the closing fault.

--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -54,11 +54,11 @@
     """
 
     #: Seconds of the usual demand that are kept to be spent.
-    spending_seconds: float = 5.0
+    spending_seconds: float = 3.6
     #: Seconds of the usual demand that are kept at hand in all.
-    reserve_seconds: float = 13.0
+    reserve_seconds: float = 12.0
     #: Usual requests that are kept to be spent where there was no demand lately.
-    spending_requests: float = 1.5
+    spending_requests: float = 1.0
     #: Usual requests that are kept at hand in all where there was no demand lately.
     reserve_requests: float = 3.0
     #: Largest part, for the demand, of the tokens that no other daemon has taken.
@@ -66,7 +66,7 @@
     #: The same where there was no demand.
     idle_share: float = 0.04
     #: Seconds without an answer of the store after which the reserves may be spent.
-    isolation_period: float = 3.5
+    isolation_period: float = 2.5
     #: Seconds that clocks may differ over that period.
     clock_margin: float = 0.2
     #: Seconds between two regular renewals.
