--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -1,13 +1,14 @@
-"""Chooses the target of each request from what this daemon has seen itself.
+"""Chooses the target of each request.
 
-The load of one daemon is a sample of the load of all: requests of one shared start go
-to the same target from every daemon, by rendezvous hashing, so that its prompt is read
-once; a target that this daemon finds slow, failing or full is left for the next.
+Requests of one shared start go to the same target from every daemon, by rendezvous
+hashing, so that its prompt is read once. A target that has much to read, by the loads
+of this daemon and those that others report, is left for the next, and so is one that
+this daemon finds slow or failing.
 """
 
 import hashlib
 import random
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Iterator
 
 from kingcuphead.dispatch._messages import (
     AttemptResult,
@@ -15,6 +16,7 @@
     Work,
 )
 from kingcuphead.dispatch._target_state import Placement, TargetState
+from kingcuphead.loads import LoadBoard, TargetLoad
 from kingcuphead.targets import Target
 
 
@@ -25,12 +27,17 @@
     ----------
     settings
         How targets are compared.
+    board
+        Load that other daemons put on targets.
     draw
         Source of chance for targets that are equal.
     """
 
-    def __init__(self, settings: DispatchSettings, draw: random.Random) -> None:
+    def __init__(
+        self, settings: DispatchSettings, board: LoadBoard, draw: random.Random
+    ) -> None:
         self._settings = settings
+        self._board = board
         self._draw = draw
         self._states: dict[str, TargetState] = {}
 
@@ -68,7 +75,8 @@
         state = self._get(best)
         is_home = best.name == home
         unread = state.count_unread(work, is_home, now)
-        placement = Placement(best, state, unread, now, is_home, cost)
+        wait = self._expect_wait(state, best, unread)
+        placement = Placement(best, state, unread, now, wait, is_home, cost)
         state.add(placement, work, now)
         return placement
 
@@ -83,6 +91,12 @@
         placement.state.remove(placement)
         placement.state.health.take_result(result, now)
 
+    def list_loads(self) -> Iterator[TargetLoad]:
+        """Yield the load of this daemon on each target that has any."""
+        for name, state in self._states.items():
+            if state.running:
+                yield TargetLoad(name, state.running, state.unread_tokens)
+
     def forget(self, target: Target) -> None:
         """Forget a target that left, or an earlier life of it."""
         self._states.pop(target.name, None)
@@ -97,22 +111,35 @@
         )
 
     def _estimate(self, work: Work, target: Target, home: str, now: float) -> float:
-        """Return the expected seconds to the first byte, with what else counts."""
+        """Return the cost of sending a request to a target."""
         settings = self._settings
         state = self._get(target)
         unread = state.count_unread(work, is_home=target.name == home, now=now)
-        waiting = state.unread_tokens * settings.daemons
-        reading = (unread + waiting) / settings.read_tokens_per_second
-        running = state.running * settings.running_cost * settings.daemons
-        cost = (reading + running) * state.slowness
+        seconds = self._expect_wait(state, target, unread) * state.slowness
+        cost = self._weigh_wait(seconds / work.objective)
+        running = state.running + self._board.get_load(target.name).running
         own_tokens = work.prompt_tokens - work.shared_tokens
         cost += (unread - own_tokens) / 1000 * settings.reread_cost
-        if state.running >= target.slots:
+        if running >= target.slots:
             cost += settings.failure_cost
         if target.zone != settings.zone:
             cost += settings.zone_cost
         return cost + state.health.get_failure_rate(now) * settings.failure_cost
 
+    def _expect_wait(self, state: TargetState, target: Target, unread: int) -> float:
+        """Return the seconds to the first byte at a target of ordinary speed."""
+        settings = self._settings
+        others = self._board.get_load(target.name)
+        waiting = state.unread_tokens + others.unread_tokens
+        running = state.running + others.running
+        reading = (unread + waiting) / settings.read_tokens_per_second
+        return reading + running * settings.running_seconds
+
+    def _weigh_wait(self, wait: float) -> float:
+        """Return the cost of a wait given in objectives."""
+        share = self._settings.linear_share
+        return share * wait + (1 - share) * wait * wait
+
     def _get(self, target: Target) -> TargetState:
         state = self._states.get(target.name)
         if state is None or state.started_at_ms != target.started_at_ms:
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -15,6 +15,8 @@
     shared: tuple["SharedStart", ...] = ()
     #: Tokens of the whole prompt; 0 for plain services.
     prompt_tokens: int = 0
+    #: Seconds to the first byte that count as on time.
+    objective: float = 1.0
 
     @property
     def shared_tokens(self) -> int:
@@ -55,20 +57,21 @@
 class DispatchSettings:
     """How targets are compared.
 
-    All figures in seconds are seconds of waiting that a choice is worth.
+    Costs are in objectives: 1 is the cost of a wait as long as the objective.
     """
 
     #: Availability zone of this daemon.
     zone: str
     #: Prompt tokens that an engine reads in a second until observed otherwise.
     read_tokens_per_second: float = 50_000.0
-    #: Seconds that reading 1,000 tokens anew is worth which another target holds.
+    #: Cost of reading 1,000 tokens anew that another target holds.
     reread_cost: float = 0.06
     #: Seconds that one running request adds to the wait of the next.
-    running_cost: float = 0.004
-    #: Seconds that a target in another zone must be better by.
+    running_seconds: float = 0.004
+    #: Part of the cost of a wait that grows with the wait alone; the rest grows with
+    #: its square, since only waits near the objective make answers late.
+    linear_share: float = 0.15
+    #: Cost of a target in another zone.
     zone_cost: float = 0.0
-    #: Seconds that a certain failure is worth.
+    #: Cost of a certain failure.
     failure_cost: float = 2.0
-    #: Daemons that share the targets, as far as is known.
-    daemons: int = 1
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -31,9 +31,11 @@
     unread_tokens: int
     #: Time of placement in seconds.
     placed_at: float
+    #: Expected seconds to the first byte at a target of ordinary speed.
+    expected_wait: float
     #: Whether every daemon would choose this target for the shared start.
     is_home: bool
-    #: Expected seconds to the first byte, with what else counted in the choice.
+    #: Cost of the choice.
     cost: float
     #: Whether the answer began.
     is_started: bool = False
@@ -95,8 +97,6 @@
 
     def _learn_speed(self, placement: Placement, now: float) -> None:
         seconds = now - placement.placed_at
-        expected = UNMEASURABLE + (
-            placement.unread_tokens / self._settings.read_tokens_per_second
-        )
+        expected = UNMEASURABLE + placement.expected_wait
         ratio = min(max(seconds / expected, LEAST_SLOWNESS), MOST_SLOWNESS)
         self.slowness += SLOWNESS_WEIGHT * (ratio - self.slowness)
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -14,6 +14,7 @@
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._followers import ConfigurationFollower, TargetFollower
 from kingcuphead.entry._following import TableWatch
+from kingcuphead.entry._peers import PeerWatch
 from kingcuphead.entry._readiness import serve_readiness
 from kingcuphead.forwarding import (
     AttemptRunner,
@@ -21,6 +22,7 @@
     RequestPath,
     Surroundings,
 )
+from kingcuphead.loads import LoadBoard, LoadExchange
 from kingcuphead.platform import (
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
@@ -61,12 +63,19 @@
         draw = random.Random()
         # A machine that takes another's name has another address.
         instance = f"{profile.instance}@{profile.ip}"
+        life = secrets.token_hex(6)
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory()
-        self._dispatcher = Dispatcher(DispatchSettings(profile.zone), draw)
+        board = LoadBoard()
+        self._dispatcher = Dispatcher(DispatchSettings(profile.zone), board, draw)
+        self._loads = LoadExchange(
+            f"{instance}/{life}", board, self._dispatcher.list_loads, draw
+        )
+        self._internal = (profile.ip, profile.internal_port)
+        self._peers = PeerWatch(self._store, self._internal, self._take_peers)
         self._pool = ConnectionPool()
         self._credit = CreditTask(
-            CreditBook(instance, secrets.token_hex(6)),
+            CreditBook(instance, life),
             StoreTable(self._store, CREDIT_TABLE, CREDIT_PART),
         )
         retries = profile.retries
@@ -123,6 +132,8 @@
             TableWatch(self._store, CONFIGURATION_TABLE, configuration, report).run(),
             TableWatch(self._store, TARGETS_TABLE, self._targets, report).run(),
             self._sweep(),
+            self._loads.run(self._internal),
+            self._peers.run(),
         ]
 
     def _start(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -162,6 +173,9 @@
         )
         self._has_configuration = True
 
+    def _take_peers(self, peers: tuple[tuple[str, int], ...]) -> None:
+        self._loads.peers = peers
+
     def _take_change(self, change: DirectoryChange) -> None:
         if isinstance(change, TargetLeft):
             self._pool.close_address(change.target.address)
@@ -181,6 +195,7 @@
         logger.info("shutdown started; {} s of grace", self._profile.grace)
         self._is_stopping = True
         self._callers.announce_close()
+        self._start(self._peers.withdraw())
         await asyncio.sleep(min(HANDOVER_PERIOD, self._profile.grace / 2))
         self._callers.stop_listening()
         renewal.cancel()
--- a/kingcuphead/forwarding/_journey.py
+++ b/kingcuphead/forwarding/_journey.py
@@ -20,7 +20,7 @@
     target: str
     #: Whether it is the target that every daemon would choose.
     is_home: bool
-    #: Expected seconds, with what else counted in the choice.
+    #: Cost of the choice.
     cost: float
     #: Outcome, in English.
     outcome: str
@@ -87,7 +87,7 @@
         """Return what the request asks of a target."""
         size = self.request.size
         if size is None:
-            return Work(self.service)
+            return Work(self.service, objective=self.route.objective)
         starts = []
         tokens = 0
         key = ""
@@ -96,7 +96,9 @@
             tokens += part.tokens
             key = f"{key}/{part.name}"
             starts.append(SharedStart(key, tokens))
-        return Work(self.service, tuple(starts), size.prompt_tokens)
+        return Work(
+            self.service, tuple(starts), size.prompt_tokens, self.route.objective
+        )
 
     def log_end(self, refusal: Refusal | None, now: float) -> None:
         """Write the line that explains what became of the request."""
--- a/kingcuphead/wire/__init__.py
+++ b/kingcuphead/wire/__init__.py
@@ -1,11 +1,13 @@
 """The wire format between daemons: thrift structs for typed messages."""
 
+from kingcuphead.wire._conversion import find_codec
 from kingcuphead.wire._envelope import (
     MAX_FRAME_BYTES,
     Envelope,
     FrameFault,
     decode_envelope,
     encode_envelope,
+    ttypes,
 )
 from kingcuphead.wire._messages import MESSAGE_TYPES, PeerMessage
 
@@ -17,4 +19,6 @@
     "PeerMessage",
     "decode_envelope",
     "encode_envelope",
+    "find_codec",
+    "ttypes",
 ]
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -176,6 +176,18 @@
   2: binary content
 }
 
+struct TargetLoad {
+  1: string target
+  2: i32 running
+  3: i64 unread_tokens
+}
+
+struct LoadsReported {
+  1: string sender
+  2: i64 number
+  3: list<TargetLoad> loads
+}
+
 union PeerMessage {
   1: Heartbeat heartbeat
   2: HeartbeatAcknowledged heartbeat_acknowledged
