--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -65,7 +65,7 @@
     #: Prompt tokens that an engine reads in a second until observed otherwise.
     read_tokens_per_second: float = 50_000.0
     #: Cost of reading 1,000 tokens anew that another target holds.
-    reread_cost: float = 0.06
+    reread_cost: float = 0.2
     #: Seconds that one running request adds to the wait of the next.
     running_seconds: float = 0.004
     #: Part of the cost of a wait that grows with the wait alone; the rest grows with
