Refuse what comes on open connections after the port is closed

Ruled out: closing kept connections at once; a request that crosses the close is lost too. Before and after: the new test got a 200 that the process did not live to finish; now 503 with a time.

--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -24,6 +24,8 @@
 
 #: Seconds beyond the configured idle time that a connection is kept.
 IDLE_SLACK = 2.0
+#: Seconds after which a caller may come back, to another daemon.
+SHUTDOWN_RETRY_AFTER = 0.05
 
 
 class HttpCaller:
@@ -72,6 +74,7 @@
         self._path = path
         self._limits = CallerLimits()
         self._tasks: set[asyncio.Task[None]] = set()
+        self._is_closing = False
         self._server = HTTPServer(self)
 
     @property
@@ -96,7 +99,8 @@
         self._server.conn_params.no_keep_alive = True
 
     def stop_listening(self) -> None:
-        """Close the port; open connections stay."""
+        """Close the port and refuse what still comes on open connections."""
+        self._is_closing = True
         self._server.stop()
 
     async def close(self) -> None:
@@ -136,8 +140,12 @@
         caller = HttpCaller(connection)
         now = asyncio.get_running_loop().time()
         request_id = ""
+        refusal: Refusal | None
         try:
             match decode_request(start_line, headers, body, now):
+                case Result(tag="ok", ok=request) if self._is_closing:
+                    request_id = request.request_id
+                    refusal = refuse(503, Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
                 case Result(tag="ok", ok=request):
                     request_id = request.request_id
                     refusal = await self._path.serve(request, caller)
--- /dev/null
+++ b/kingcuphead/entry/tests/test_caller_server.py
@@ -0,0 +1,133 @@
+import asyncio
+
+import pytest
+
+from kingcuphead.entry._caller_server import CallerServer
+from kingcuphead.forwarding import RequestPath
+from kingcuphead.routing import CallerLimits
+
+
+class EchoPath(RequestPath):
+    """Answers each request with its body, or waits for ever."""
+
+    def __init__(self):
+        self.served = []
+        self.is_waiting = False
+        self.cancelled = asyncio.Event()
+
+    async def serve(self, request, caller):
+        self.served.append(request)
+        if self.is_waiting:
+            try:
+                await asyncio.sleep(60)
+            finally:
+                self.cancelled.set()
+        headers = request.headers.copy()
+        headers["Content-Length"] = str(len(request.body))
+        await caller.start(200, headers)
+        await caller.write(request.body)
+        caller.finish()
+
+
+def run(play):
+    async def main():
+        path = EchoPath()
+        server = CallerServer(path)
+        server.apply(CallerLimits(body_bytes=1_000))
+        server.listen("127.0.0.1", 0)
+        (socket,) = server._server._sockets.values()
+        reader, writer = await asyncio.open_connection(*socket.getsockname())
+        try:
+            async with asyncio.timeout(5):
+                await play(path, server, reader, writer)
+        finally:
+            writer.close()
+            server.stop_listening()
+            await server.close()
+
+    asyncio.run(main())
+
+
+def make_request(*headers, body=b"hello", uri="/a/b?c=%2f"):
+    lines = [f"POST {uri} HTTP/1.1", "Host: h", "Attempt-Id: r1", *headers]
+    if not any("coding" in each or "ength" in each for each in headers):
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+class TestCallerServer:
+    @pytest.mark.parametrize(
+        "request_bytes",
+        [
+            make_request(),
+            make_request(
+                "Transfer-Encoding: chunked", body=b"2\r\nhe\r\n3\r\nllo\r\n0\r\n\r\n"
+            ),
+        ],
+    )
+    def test_requests_are_read_whole(self, request_bytes):
+        async def play(path, server, reader, writer):
+            writer.write(request_bytes)
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            assert path.served[0].body == b"hello"
+            assert path.served[0].uri == "/a/b?c=%2f"
+
+        run(play)
+
+    @pytest.mark.parametrize(
+        "request_bytes",
+        [
+            make_request("Content-Length: 5", "Content-Length: 6"),
+            make_request("Content-Length: 5", "Transfer-Encoding: chunked"),
+            make_request("Content-Length: +5"),
+            make_request("Transfer-Encoding: chunked, identity"),
+            make_request("Content-Length: 5000"),
+            make_request(body=b"").replace(b"Attempt-Id: r1\r\n", b""),
+        ],
+    )
+    def test_requests_that_can_be_read_in_two_ways_are_not_served(self, request_bytes):
+        async def play(path, server, reader, writer):
+            writer.write(request_bytes)
+            answer = await reader.read(100)
+            assert b"200" not in answer
+            assert not path.served
+
+        run(play)
+
+    def test_a_caller_that_leaves_cancels_its_request(self):
+        async def play(path, server, reader, writer):
+            path.is_waiting = True
+            writer.write(make_request())
+            while not path.served:
+                await asyncio.sleep(0.01)
+            writer.close()
+            await asyncio.wait_for(path.cancelled.wait(), 0.5)
+
+        run(play)
+
+    def test_connections_are_given_up_with_an_answer(self):
+        async def play(path, server, reader, writer):
+            server.announce_close()
+            writer.write(make_request())
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"Connection: close" in head
+
+        run(play)
+
+    def test_late_requests_are_refused_as_not_run(self):
+        """Seen on mix --seed 950701704296: taken 7 s after SIGTERM, then cut off."""
+
+        async def play(path, server, reader, writer):
+            writer.write(make_request())
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(5)
+            server.announce_close()
+            server.stop_listening()
+            writer.write(make_request())
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 503")
+            assert b"Retry-After" in head
+            assert len(path.served) == 1
+
+        run(play)
--- /dev/null
+++ b/kingcuphead/forwarding/tests/_target.py
@@ -0,0 +1,117 @@
+"""A scripted target: it answers each connection with bytes that a test gives."""
+
+import asyncio
+import dataclasses
+import socket
+import struct
+
+from kingcuphead.targets import Availability, Target
+
+
+@dataclasses.dataclass
+class Received:
+    head: bytes
+    body: bytes
+
+    def get_header(self, name: str) -> str:
+        for line in self.head.decode().split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return ""
+
+
+class ScriptedTarget:
+    """Answers request after request with what its script says.
+
+    A step is bytes to send, or a number of seconds to wait. `CLOSE` ends the
+    connection, `RESET` breaks it.
+    """
+
+    CLOSE = "close"
+    RESET = "reset"
+
+    def __init__(self, name="t1", service="pool"):
+        self.name = name
+        self.service = service
+        self.script = []
+        self.received = []
+        self.is_cancelled = asyncio.Event()
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        host, port = self._server.sockets[0].getsockname()
+        return Target(
+            self.name, self.service, f"{host}:{port}", "z", 4, Availability.READY, 1
+        )
+
+    def stop(self):
+        if self._server is not None:
+            self._server.close()
+
+    def answer(self, status="200 OK", body=b"whole", *headers):
+        """Return the bytes of an ordinary answer; the id is filled in later."""
+        lines = [f"HTTP/1.1 {status}", "Attempt-Id: @id", "Response-Seal: s", *headers]
+        lines.append(f"Content-Length: {len(body)}")
+        return ["\r\n".join(lines).encode() + b"\r\n\r\n" + body]
+
+    def stream(self, numbers, is_whole=True, head=True):
+        """Return the steps of a stream of numbered events."""
+        steps = []
+        if head:
+            steps.append(
+                b"HTTP/1.1 200 OK\r\nAttempt-Id: @id\r\nResponse-Seal: s\r\n"
+                b"Content-Type: text/event-stream\r\n"
+                b"Transfer-Encoding: chunked\r\n\r\n"
+            )
+        for number in numbers:
+            event = f"id: {number}\ndata: x{number}\n\n".encode()
+            steps.append(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        if is_whole:
+            steps.append(b"0\r\n\r\n")
+        return steps
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                received = Received(head, b"")
+                length = int(received.get_header("Content-Length") or 0)
+                received.body = await reader.readexactly(length)
+                self.received.append(received)
+                if not await self._play(received, reader, writer):
+                    return
+        except (asyncio.IncompleteReadError, ConnectionError):
+            self.is_cancelled.set()
+        finally:
+            writer.close()
+
+    async def _play(self, received, reader, writer):
+        request_id = received.get_header("Attempt-Id").encode()
+        for step in self.script.pop(0):
+            if step == self.CLOSE:
+                return False
+            if step == self.RESET:
+                # Closing without lingering sends a reset.
+                linger = struct.pack("ii", 1, 0)
+                sock = writer.get_extra_info("socket")
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+                writer.transport.abort()
+                return False
+            if isinstance(step, bytes):
+                writer.write(step.replace(b"@id", request_id))
+                await writer.drain()
+            elif await self._wait(reader, step):
+                return False
+        return True
+
+    async def _wait(self, reader, seconds):
+        """Wait; return whether the daemon closed the connection meanwhile."""
+        try:
+            async with asyncio.timeout(seconds):
+                await reader.read(1)
+        except TimeoutError:
+            return False
+        self.is_cancelled.set()
+        return True
