Counters and latency histograms on a port of their own; settings read again

Before and after: 9464/metrics answers; a changed store address or retry budget is in force after 2 s.

--- a/kingcuphead/dispatch/_retries.py
+++ b/kingcuphead/dispatch/_retries.py
@@ -22,15 +22,20 @@
     """
 
     def __init__(self, ratio: float, burst: float, window: float) -> None:
-        self._ratio = ratio
-        self._burst = burst
+        self.apply(ratio, burst, window)
         self._requests: dict[str, SlidingCount] = defaultdict(
-            lambda: SlidingCount(window)
+            lambda: SlidingCount(self._window)
         )
         self._repeats: dict[str, SlidingCount] = defaultdict(
-            lambda: SlidingCount(window)
+            lambda: SlidingCount(self._window)
         )
 
+    def apply(self, ratio: float, burst: float, window: float) -> None:
+        """Take other bounds; a window that changed counts from new services on."""
+        self._ratio = ratio
+        self._burst = burst
+        self._window = window
+
     def count_request(self, service: str, now: float) -> None:
         """Count a request of a caller."""
         self._requests[service].add(now)
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -1,12 +1,14 @@
 """The life of an entry daemon on the platform: start, run, graceful shutdown."""
 
 import asyncio
+import contextlib
 import random
 import secrets
 import signal
 from collections.abc import Coroutine
 from typing import Any
 
+from expression import Result
 from loguru import logger
 
 from kingcuphead.credit import CreditBook, CreditTask
@@ -14,6 +16,7 @@
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._followers import ConfigurationFollower, TargetFollower
 from kingcuphead.entry._following import TableWatch
+from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
 from kingcuphead.entry._peers import PeerWatch
 from kingcuphead.entry._readiness import serve_readiness
 from kingcuphead.forwarding import (
@@ -30,6 +33,7 @@
     Profile,
     Store,
     StoreTable,
+    read_profile,
 )
 from kingcuphead.routing import RoutingConfiguration, RoutingTable
 from kingcuphead.targets import DirectoryChange, TargetDirectory, TargetLeft
@@ -38,6 +42,8 @@
 CREDIT_TABLE, CREDIT_PART = "credit", "totals"
 #: Seconds between two looks at lapsed entries and idle connections.
 SWEEP_INTERVAL = 0.25
+#: Seconds after which the settings file is read again without a signal.
+SETTINGS_INTERVAL = 2.0
 #: Seconds after SIGTERM in which new callers may still come.
 HANDOVER_PERIOD = 3.0
 #: Seconds before the end of the grace period at which the daemon ends for certain.
@@ -53,10 +59,14 @@
     ----------
     profile
         What the platform tells about this process.
+    path_of_settings
+        File that the profile was read from.
     """
 
-    def __init__(self, profile: Profile) -> None:
+    def __init__(self, profile: Profile, path_of_settings: str) -> None:
         self._profile = profile
+        self._path_of_settings = path_of_settings
+        self._reload = asyncio.Event()
         self._stop = asyncio.Event()
         self._is_stopping = False
         self._has_configuration = False
@@ -66,6 +76,7 @@
         life = secrets.token_hex(6)
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory()
+        self._metrics = DaemonMetrics()
         board = LoadBoard()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), board, draw)
         self._loads = LoadExchange(
@@ -79,17 +90,19 @@
             StoreTable(self._store, CREDIT_TABLE, CREDIT_PART),
         )
         retries = profile.retries
+        self._retries = RetryAllowance(
+            retries.ratio, retries.burst / ASSUMED_DAEMONS, retries.window
+        )
         self._path = RequestPath(
             Surroundings(
                 self._directory,
                 self._dispatcher,
-                RetryAllowance(
-                    retries.ratio, retries.burst / ASSUMED_DAEMONS, retries.window
-                ),
+                self._retries,
                 self._credit,
                 AttemptRunner(self._pool, PlatformHeaders()),
             ),
             draw,
+            self._metrics.record,
         )
         self._callers = CallerServer(self._path)
         self._targets = TargetFollower(self._directory, self._take_change)
@@ -110,6 +123,7 @@
         readiness = serve_readiness(
             profile.readiness.host, profile.readiness.port, self._is_ready
         )
+        metrics = serve_metrics(profile.ip, self._metrics)
         self._callers.listen(profile.callers.host, profile.callers.port)
         logger.info("entry daemon started")
         await self._stop.wait()
@@ -118,6 +132,7 @@
         self._callers.stop_listening()
         await self._callers.close()
         readiness.stop()
+        metrics.stop()
         for task in tasks:
             task.cancel()
         self._pool.close()
@@ -132,6 +147,7 @@
             TableWatch(self._store, CONFIGURATION_TABLE, configuration, report).run(),
             TableWatch(self._store, TARGETS_TABLE, self._targets, report).run(),
             self._sweep(),
+            self._watch_settings(),
             self._loads.run(self._internal),
             self._peers.run(),
         ]
@@ -153,10 +169,34 @@
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
             loop.add_signal_handler(number, self._stop.set)
-        loop.add_signal_handler(signal.SIGHUP, self._note_reload)
+        loop.add_signal_handler(signal.SIGHUP, self._reload.set)
 
-    def _note_reload(self) -> None:
-        logger.info("settings are read again")
+    async def _watch_settings(self) -> None:
+        """Read the settings file again after SIGHUP, and now and then without."""
+        while True:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(SETTINGS_INTERVAL):
+                    await self._reload.wait()
+            self._reload.clear()
+            match read_profile(self._path_of_settings):
+                case Result(tag="ok", ok=profile):
+                    self._apply_profile(profile)
+                case Result(error=fault):
+                    logger.error(
+                        "settings stay as they are: {} {}", fault.key, fault.cause
+                    )
+
+    def _apply_profile(self, profile: Profile) -> None:
+        if profile == self._profile:
+            return
+        self._profile = profile
+        logger.info("settings changed")
+        self._store.change_address(f"{profile.store.host}:{profile.store.port}")
+        self._retries.apply(
+            profile.retries.ratio,
+            profile.retries.burst / ASSUMED_DAEMONS,
+            profile.retries.window,
+        )
 
     def _is_ready(self) -> bool:
         return (
--- a/kingcuphead/entry/_main.py
+++ b/kingcuphead/entry/_main.py
@@ -37,7 +37,7 @@
             set_up_logs(
                 LogSettings(), profile.instance, BoundedStream(sys.stdout.fileno())
             )
-            return 0 if asyncio.run(EntryDaemon(profile).run()) else 1
+            return 0 if asyncio.run(EntryDaemon(profile, options.profile).run()) else 1
         case Result(error=fault):
             print(f"settings: {fault.key}: {fault.cause}", file=sys.stderr)
             return 2
--- /dev/null
+++ b/kingcuphead/entry/_metrics.py
@@ -0,0 +1,120 @@
+"""Counters and latency histograms of one daemon, for the platform to fetch."""
+
+import asyncio
+
+from prometheus_client import (
+    CONTENT_TYPE_LATEST,
+    CollectorRegistry,
+    Counter,
+    Histogram,
+    generate_latest,
+)
+from tornado.httpserver import HTTPServer
+from tornado.web import Application, RequestHandler
+
+from kingcuphead.forwarding import Journey, Refusal
+
+#: Port of the metrics; the deploy file names it too.
+METRICS_PORT = 9464
+#: Path of the metrics; the deploy file names it too.
+METRICS_PATH = "/metrics"
+#: Organisations and classes with series of their own; the others share one.
+MAX_SERIES = 50
+#: Name of the series that the others share.
+OTHERS = "other"
+#: Upper bounds of the latency buckets in seconds.
+BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 1.5, 3.0, 5.0, 15.0)
+
+
+class DaemonMetrics:
+    """Counts what became of requests."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._names: set[str] = set()
+        self._requests = Counter(
+            "kingcuphead_requests",
+            "Requests by class, organisation, status and reason of a refusal.",
+            ("work_class", "organisation", "status", "reason"),
+            registry=self._registry,
+        )
+        self._attempts = Counter(
+            "kingcuphead_attempts",
+            "Attempts at targets by service.",
+            ("service",),
+            registry=self._registry,
+        )
+        self._tokens = Counter(
+            "kingcuphead_tokens",
+            "Tokens settled by organisation.",
+            ("organisation",),
+            registry=self._registry,
+        )
+        self._seconds = Histogram(
+            "kingcuphead_request_seconds",
+            "Seconds from arrival to the end, by class.",
+            ("work_class",),
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        self._first_event = Histogram(
+            "kingcuphead_first_event_seconds",
+            "Seconds from arrival to the first event of a stream, by class.",
+            ("work_class",),
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        self._credit = Histogram(
+            "kingcuphead_credit_wait_seconds",
+            "Seconds that requests waited for credit.",
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+
+    def record(self, journey: Journey, refusal: Refusal | None) -> None:
+        """Count the end of one request."""
+        now = asyncio.get_running_loop().time()
+        work_class = self._bound(journey.route.name)
+        organisation = self._bound(journey.payer)
+        status = journey.status if refusal is None else refusal.status
+        reason = "" if refusal is None else refusal.reason.value
+        self._requests.labels(work_class, organisation, status, reason).inc()
+        self._attempts.labels(journey.service).inc(len(journey.records))
+        self._tokens.labels(organisation).inc(journey.spent)
+        seconds = now - journey.request.arrived_at
+        self._seconds.labels(work_class).observe(seconds)
+        if journey.first_event_seconds is not None:
+            self._first_event.labels(work_class).observe(journey.first_event_seconds)
+        if journey.credit_seconds:
+            self._credit.observe(journey.credit_seconds)
+
+    def render(self) -> bytes:
+        """Return the page that the platform fetches."""
+        return generate_latest(self._registry)
+
+    def _bound(self, name: str) -> str:
+        """Return a label's value; names beyond the first few share one."""
+        if name in self._names or len(self._names) < 2 * MAX_SERIES:
+            self._names.add(name)
+            return name
+        return OTHERS
+
+
+class _MetricsHandler(RequestHandler):
+    def initialize(self, metrics: DaemonMetrics) -> None:
+        self._metrics = metrics
+
+    def get(self) -> None:
+        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
+        self.write(self._metrics.render())
+
+
+def serve_metrics(host: str, metrics: DaemonMetrics) -> HTTPServer:
+    """Answer the platform's fetches at an address."""
+    application = Application(
+        [(METRICS_PATH, _MetricsHandler, {"metrics": metrics})],
+        log_function=lambda handler: None,
+    )
+    server = HTTPServer(application)
+    server.listen(METRICS_PORT, host)
+    return server
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -1,6 +1,7 @@
 """Forwards callers' requests to targets and their answers back."""
 
 from kingcuphead.forwarding._attempt import AttemptRunner
+from kingcuphead.forwarding._journey import Journey
 from kingcuphead.forwarding._messages import (
     AnswerHead,
     CallerRequest,
@@ -20,6 +21,7 @@
     "CallerRequest",
     "ConnectionPool",
     "HeaderCodec",
+    "Journey",
     "PromptPart",
     "PromptSize",
     "Refusal",
--- a/kingcuphead/forwarding/_path.py
+++ b/kingcuphead/forwarding/_path.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import random
+from collections.abc import Callable
 
 from expression import Error, Ok, Result
 
@@ -81,11 +82,19 @@
         What all requests share.
     draw
         Source of chance for routes with several services.
+    report
+        Called at the end of each request that had a route, with its refusal.
     """
 
-    def __init__(self, surroundings: Surroundings, draw: random.Random) -> None:
+    def __init__(
+        self,
+        surroundings: Surroundings,
+        draw: random.Random,
+        report: Callable[[Journey, Refusal | None], None],
+    ) -> None:
         self._shared = surroundings
         self._draw = draw
+        self._report = report
         self._table: RoutingTable | None = None
 
     def apply(self, table: RoutingTable) -> None:
@@ -111,6 +120,7 @@
             refusal = await self._serve_admitted(journey, caller)
         finally:
             journey.log_end(refusal, _get_time())
+            self._report(journey, refusal)
         return refusal
 
     async def _serve_admitted(self, journey: Journey, caller: Caller) -> Refusal | None:
--- a/kingcuphead/forwarding/tests/test_path.py
+++ b/kingcuphead/forwarding/tests/test_path.py
@@ -113,6 +113,7 @@
     def __init__(self, routes, prepaid=None):
         self.first, self.second = ScriptedTarget("t1"), ScriptedTarget("t2")
         self.routes = routes
+        self.ended = []
         self.prepaid = prepaid
 
     async def __aenter__(self):
@@ -136,6 +137,7 @@
                 AttemptRunner(self.pool, PlatformHeaders()),
             ),
             random.Random(1),
+            lambda journey, refusal: self.ended.append((journey, refusal)),
         )
         self.path.apply(
             RoutingTable(
--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -119,18 +119,18 @@
     """
 
     def __init__(self, address: str) -> None:
-        self._connection = PlatformConnection(
-            PlatformSettings(
-                url=f"http://{address}",
-                connect_timeout=CONNECT_TIMEOUT,
-                request_timeout=CALL_TIMEOUT,
-                content_type="application/json",
-            )
-        )
+        self._address = address
+        self._connection = _connect(address)
         # Bounds of the store's time less the local time, in milliseconds.
         self._time_offset: float | None = None
         self._latest_offset: float | None = None
 
+    def change_address(self, address: str) -> None:
+        """Make further calls to another address; open ones go on."""
+        if address != self._address:
+            self._address = address
+            self._connection = _connect(address)
+
     async def read_table(
         self, table: str, part: str = "", prefix: str = ""
     ) -> Result[Snapshot, PlatformFault]:
@@ -263,6 +263,17 @@
         return await self._store.commit(self._table, self._part, transaction)
 
 
+def _connect(address: str) -> PlatformConnection:
+    return PlatformConnection(
+        PlatformSettings(
+            url=f"http://{address}",
+            connect_timeout=CONNECT_TIMEOUT,
+            request_timeout=CALL_TIMEOUT,
+            content_type="application/json",
+        )
+    )
+
+
 def _decode_time(content: bytes) -> int:
     try:
         return _VERSION.decode(content).now_ms
