--- /dev/null
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -0,0 +1,153 @@
+import json
+
+import pytest
+
+from kingcuphead.platform import (
+    decode_configuration,
+    decode_target,
+    parse_profile,
+)
+from kingcuphead.routing import RequestKind, RoutingTable, choose_service
+from kingcuphead.targets import Availability
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "a",
+            "host": "H.example",
+            "prefix": "/p/",
+            "kind": "streaming",
+            "timeout_ms": 15000,
+            "target_latency_ms": 800,
+            "priority": 0,
+            "traffic_split": [
+                {"service": "s1", "weight": 90},
+                {"service": "s2", "weight": 10},
+            ],
+            "max_attempts": 2,
+            "stream_resume": True,
+            "new_field": [1],
+        },
+        {
+            "name": "b",
+            "host": "h.example",
+            "prefix": "/p/q/",
+            "kind": "safe",
+            "service": "s3",
+        },
+        {
+            "name": "c",
+            "host": "h.example",
+            "prefix": "/",
+            "kind": "unheard-of",
+            "service": "s3",
+        },
+    ],
+    "services": [{"name": "s1", "engine": {"slots": 64, "stride": 6}}],
+    "tenants": [{"name": "t", "api_keys": ["k1", "k2"], "prepaid": 100}],
+}
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "state": "ready",
+    "zone": "z",
+    "slots": 4,
+    "born": 5,
+}
+PROFILE = """
+node=front-1
+zone=z
+ip=10.1.0.4
+listen.front=10.1.0.4:80
+listen.ready=10.1.0.4:81
+internal_ports=7340,7355
+bounds.retry_budget_ratio=0.3
+platform.address=10.2.0.1:82
+a.field.to.come=1
+"""
+
+
+class TestConfiguration:
+    @pytest.fixture
+    def table(self):
+        return RoutingTable(decode_configuration(json.dumps(CONFIGURATION).encode()).ok)
+
+    @pytest.mark.parametrize(
+        ("host", "path", "name"),
+        [
+            ("h.example", "/p/x", "a"),
+            ("H.EXAMPLE:80", "/p/q/x", "b"),
+            ("h.example", "/p/q", "a"),
+            ("h.example", "/other", "c"),
+            ("g.example", "/p/x", None),
+        ],
+    )
+    def test_the_longest_prefix_of_the_host_wins(self, table, host, path, name):
+        route = table.find_route(host, path)
+        assert (route.name if route else None) == name
+
+    def test_a_kind_that_is_not_known_is_never_repeated(self, table):
+        route = table.find_route("h.example", "/other")
+        assert route.kind is RequestKind.AT_MOST_ONCE
+
+    def test_services_share_a_route_by_weight(self, table):
+        route = table.find_route("h.example", "/p/x")
+        drawn = [choose_service(route, number / 100) for number in range(100)]
+        assert drawn.count("s1") == 90
+
+    def test_keys_name_their_organisation(self, table):
+        assert table.find_organisation("k2").prepaid_tokens == 100
+        assert table.find_organisation("k3") is None
+
+    @pytest.mark.parametrize("content", [b"", b"{}", b"\xff", b'{"version": []}'])
+    def test_what_can_not_be_read_is_an_error(self, content):
+        assert decode_configuration(content).is_error()
+
+
+class TestEntries:
+    def test_an_entry_names_one_life_of_a_target(self):
+        target = decode_target("i-1", json.dumps(ENTRY).encode())
+        assert target is not None
+        assert (target.name, target.started_at_ms) == ("i-1", 5)
+        assert target.availability is Availability.READY
+
+    @pytest.mark.parametrize(
+        "changes",
+        [
+            {"state": "odd"},
+            {"state": None},
+            {"address": "nowhere"},
+            {"address": 5},
+            {"service": None},
+            {"slots": "many"},
+            {"born": "x"},
+        ],
+    )
+    def test_an_entry_of_another_writer_names_no_target(self, changes):
+        content = json.dumps({**ENTRY, **changes}).encode()
+        assert decode_target("i-1", content) is None
+
+    @pytest.mark.parametrize("content", [b"", b"\xff\x00", b"[]", b"null"])
+    def test_bytes_that_are_no_entry_name_no_target(self, content):
+        assert decode_target("i-1", content) is None
+
+
+class TestProfile:
+    def test_known_keys_are_read_and_others_ignored(self):
+        profile = parse_profile(PROFILE).ok
+        assert profile.instance == "front-1"
+        assert (profile.store.host, profile.store.port) == ("10.2.0.1", 82)
+        assert profile.internal_port == 7340
+        assert profile.retries.ratio == 0.3
+
+    @pytest.mark.parametrize(
+        ("text", "key"),
+        [
+            (PROFILE.replace("zone=z\n", ""), "zone"),
+            (PROFILE.replace("10.2.0.1:82", "here"), "platform.address"),
+            (PROFILE.replace("0.3", "much"), "bounds.retry_budget_ratio"),
+        ],
+    )
+    def test_the_key_at_fault_is_named(self, text, key):
+        assert parse_profile(text).error.key == key
--- /dev/null
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -0,0 +1,118 @@
+import pytest
+from tornado.httputil import HTTPHeaders, RequestStartLine
+
+from kingcuphead.forwarding import PromptPart, PromptSize, SendOptions
+from kingcuphead.platform import (
+    PlatformHeaders,
+    decode_request,
+    make_refusal_headers,
+)
+
+START = RequestStartLine("POST", "/a/b?c=1", "HTTP/1.1")
+OPTIONS = SendOptions("i-1", "atelier", 1.5, 3, 12)
+
+
+def decode(**headers):
+    lines = {"Attempt-Id": "r1", "Host": "h"}
+    lines.update({name.replace("_", "-"): value for name, value in headers.items()})
+    return decode_request(START, HTTPHeaders(lines), b"body", 7.0)
+
+
+class TestDecodeRequest:
+    def test_sizes_and_parts(self):
+        request = decode(
+            Token_Counts="1460,80", Prompt_Prefix="5c:800,91:410", Deadline_Ms="1500"
+        ).ok
+        parts = (PromptPart("5c", 800), PromptPart("91", 410))
+        assert request.size == PromptSize(1460, 80, parts)
+        assert request.patience == 1.5
+        assert (request.uri, request.path) == ("/a/b?c=1", "/a/b")
+
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            {"Attempt_Id": ""},
+            {"Deadline_Ms": "soon"},
+            {"Deadline_Ms": "nan"},
+            {"Deadline_Ms": "-5"},
+            {"Token_Counts": "many"},
+            {"Prompt_Prefix": "5c:x", "Token_Counts": "1,1"},
+            {"Last_Event_Id": "x"},
+        ],
+    )
+    def test_unreadable_headers_are_an_error(self, headers):
+        assert decode(**headers).is_error()
+
+
+class TestEncodeRequest:
+    @pytest.mark.parametrize(
+        "name",
+        [
+            "Hold",
+            "Pin-Ms",
+            "Kv-Backup",
+            "Kv-From",
+            "Kv-Fetch",
+            "Wait-Ms",
+            "Expect-Version",
+            "Api-Key",
+            "Connection",
+            "Keep-Alive",
+            "TE",
+            "Upgrade",
+        ],
+    )
+    def test_what_callers_may_not_set_does_not_pass(self, name):
+        request = decode(**{name: "forged"}).ok
+        sent = PlatformHeaders().encode_request(request, OPTIONS)
+        assert "forged" not in [value for _, value in sent.get_all()]
+
+    def test_the_fleets_own_headers_replace_the_callers(self):
+        request = decode(
+            Tenant="forged",
+            Request_Priority="0",
+            Expect_Instance="x",
+            Token_Counts="1,1",
+        ).ok
+        sent = PlatformHeaders().encode_request(request, OPTIONS)
+        assert sent.get_list("Tenant") == ["atelier"]
+        assert sent.get_list("Expect-Instance") == ["i-1"]
+        assert sent.get_list("Request-Priority") == ["3"]
+        assert sent["Deadline-Ms"] == "1500"
+        assert sent["Last-Event-Id"] == "12"
+
+    def test_headers_that_the_connection_header_names_are_dropped(self):
+        request = decode(Connection="close, X-Hop, Model", X_Hop="1", Model="m").ok
+        sent = PlatformHeaders().encode_request(request, OPTIONS)
+        assert "X-Hop" not in sent
+        assert sent["Model"] == "m"
+
+
+class TestDecodeAnswer:
+    @pytest.mark.parametrize(
+        ("status", "headers", "is_not_run"),
+        [(503, {"Not-Executed": "1"}, True), (503, {}, False), (421, {}, True)],
+    )
+    def test_only_targets_say_not_run(self, status, headers, is_not_run):
+        lines = HTTPHeaders({"Content-Length": "0", **headers})
+        head = PlatformHeaders().decode_answer(status, lines, "GET")
+        assert head.is_not_run is is_not_run
+
+    @pytest.mark.parametrize(
+        ("headers", "closes", "idle"),
+        [
+            ({"Content-Length": "1", "Keep-Alive": "timeout=5, max=9"}, False, 5.0),
+            ({"Content-Length": "1", "Connection": "close"}, True, None),
+            ({}, True, None),
+        ],
+    )
+    def test_how_long_the_connection_lasts(self, headers, closes, idle):
+        head = PlatformHeaders().decode_answer(200, HTTPHeaders(headers), "GET")
+        assert (head.closes_connection, head.idle_timeout) == (closes, idle)
+
+
+class TestRefusalHeaders:
+    def test_a_time_to_come_back_keeps_its_fraction(self):
+        headers = make_refusal_headers("r1", 0.25)
+        assert headers["Retry-After"] == "0.250"
+        assert headers["Attempt-Id"] == "r1"
