Use reserves while every race for the totals is lost; come back late when dry

Cause: with the store answering after 300 ms each renewal lost its race against six other daemons, which reset the count towards the reserves; requests waited 1 s and were refused. Callers of a budget that others hold came back after 1 s and were refused again. Ruled out: a part of the store for each organisation (every daemon serves all of them).

--- a/kingcuphead/credit/_book.py
+++ b/kingcuphead/credit/_book.py
@@ -41,6 +41,8 @@
 )
 
 _HOLDER_PREFIX = "holder/"
+#: Conflicts in a row after which only what requests wait for is asked.
+CONTENTION = 2
 _TOTAL = msgspec.json.Decoder(TotalRow)
 _HOLDER = msgspec.json.Decoder(HolderRow)
 
@@ -87,9 +89,10 @@
         #: the same version, so that at most one of all of them is ever applied.
         self._undecided: list[_Sent] = []
         self._is_closing = False
-        #: Time at which the first transaction was sent of those that the store has not
-        #: answered since it last did.
-        self._unanswered_since: float | None = None
+        #: Time at which the first transaction was sent since the last that is known to
+        #: have been applied.
+        self._unapplied_since: float | None = None
+        self._conflicts = 0
 
     @property
     def is_waiting(self) -> bool:
@@ -129,11 +132,11 @@
         return self._holder_key
 
     def is_isolated(self, now: float) -> bool:
-        """Whether the store has not answered for so long that reserves may be spent."""
-        if self._unanswered_since is None:
+        """Whether no transaction was applied for so long that reserves may be spent."""
+        if self._unapplied_since is None:
             return False
         period = self._settings.isolation_period + self._settings.clock_margin
-        return now - self._unanswered_since >= period
+        return now - self._unapplied_since >= period
 
     def hold(self, organisation: str, tokens: int, now: float) -> Hold | None:
         """Reserve the most that a request can cost, or return None for now."""
@@ -197,8 +200,8 @@
         adjustments = dict(self._plan_adjustments(now))
         if not adjustments and not self._has_to_write():
             return None
-        if self._unanswered_since is None:
-            self._unanswered_since = now
+        if self._unapplied_since is None:
+            self._unapplied_since = now
         checks = [Check(self._holder_key, self._holder_version)]
         totals = {}
         for name, adjustment in adjustments.items():
@@ -211,7 +214,7 @@
         self._sent = _Sent(self._attempt, adjustments, totals)
         stamp = 0
         if store_time is not None:
-            stamp = store_time - math.ceil((now - self._unanswered_since) * 1000)
+            stamp = store_time - math.ceil((now - self._unapplied_since) * 1000)
         return Transaction(tuple(checks), tuple(self._list_writes(self._sent, stamp)))
 
     def take_outcome(self, outcome: CommitOutcome, now: float) -> None:
@@ -223,12 +226,12 @@
                 self._cancel_undecided()
                 self._confirm(sent, version, now)
                 self._holder_version = version
-                self._unanswered_since = None
+                self._unapplied_since = None
+                self._conflicts = 0
             case Conflict(rows):
                 self._cancel(sent)
                 self._learn({row.key: row for row in rows}, now)
-                if not self._undecided:
-                    self._unanswered_since = None
+                self._conflicts += 1
             case Unavailable():
                 self._cancel(sent)
             case Unknown():
@@ -237,11 +240,25 @@
     def _plan_adjustments(self, now: float) -> Iterator[tuple[str, Adjustment]]:
         planned = (
             (name, self._plan_account(account, now))
-            for name, account in self._accounts.items()
+            for name, account in self._list_contended()
         )
         due = ((name, each) for name, each in planned if each is not None)
         yield from itertools.islice(due, self._settings.batch_size)
 
+    def _list_contended(self) -> Iterator[tuple[str, Account]]:
+        """Yield all accounts; only those that requests wait for while others interfere.
+
+        The fewer totals a transaction changes, the fewer other daemons it meets.
+        """
+        waiting = [
+            (name, account)
+            for name, account in self._accounts.items()
+            if account.wanted > account.free
+        ]
+        if waiting and self._conflicts >= CONTENTION:
+            return iter(waiting)
+        return iter(self._accounts.items())
+
     def _has_to_write(self) -> bool:
         """Whether the holder row has to be written though no credit changes.
 
--- a/kingcuphead/credit/tests/test_book.py
+++ b/kingcuphead/credit/tests/test_book.py
@@ -107,6 +107,51 @@
         assert store.read_total("atelier").charged == 0
 
 
+class TestContention:
+    """The load: seven daemons renew against a store that answers after 300 ms."""
+
+    def make_book(self, store):
+        book = CreditBook("d1", "life-1")
+        book.apply_limits([ATELIER, Organisation("builder", None, 100_000)], 1)
+        for name in ("atelier", "builder"):
+            book.count_demand(name, 9_000, 0.0)
+        renew(book, store)
+        return book
+
+    def lose_race(self, book, store, now):
+        transaction = book.plan_transaction(now, store.time_ms)
+        for check in transaction.checks[1:]:
+            row = store.rows[check.key]
+            store.apply(Transaction((), (Put(row.key, row.value),)))
+        outcome = store.apply(transaction)
+        assert isinstance(outcome, Conflict)
+        book.take_outcome(outcome, now)
+        return transaction
+
+    def test_only_what_requests_wait_for_is_asked_after_conflicts(self):
+        store = FaultyStore(random.Random(1))
+        book = self.make_book(store)
+        book.want("atelier", 30_000)
+        for name in ("atelier", "builder"):
+            book.count_demand(name, 9_000, 1.0)
+        assert len(self.lose_race(book, store, 1.0).checks) == 3
+        self.lose_race(book, store, 1.3)
+        assert len(self.lose_race(book, store, 1.6).checks) == 2
+
+    def test_reserves_are_used_when_every_race_is_lost(self):
+        store = FaultyStore(random.Random(1))
+        book = self.make_book(store)
+        state = book.describe("atelier", 0.0)
+        book.want("atelier", 30_000)
+        for number in range(10):
+            now = 1.0 + 0.3 * number
+            is_isolated = now - 1.0 >= 2.7
+            assert book.is_isolated(now) is is_isolated
+            self.lose_race(book, store, now)
+        assert state.reserve > 0
+        assert book.hold("atelier", state.free + 1, 4.0) is not None
+
+
 class TestReclaim:
     def make_row(self, store, stamp_ms, key="holder/d1/life-1"):
         row = HolderRow(3, stamp_ms, {"atelier": 700})
--- a/kingcuphead/forwarding/_path.py
+++ b/kingcuphead/forwarding/_path.py
@@ -41,8 +41,9 @@
 
 #: Longest time in seconds that a request waits for credit.
 CREDIT_TIMEOUT = 1.0
-#: Seconds after which a caller may come back for credit that others hold.
-CREDIT_RETRY_AFTER = 1.0
+#: Seconds after which a caller may come back for credit that others hold; what a daemon
+#: took along that died does not come back at all.
+CREDIT_RETRY_AFTER = 8.0
 #: Seconds after which a caller may come back while the store can't be reached.
 STORE_RETRY_AFTER = 3.0
 #: Seconds after which a caller may come back when no target was to be had.
