--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -24,8 +24,8 @@
 
     #: Number of the transaction; it decides lost replies.
     attempt: int
-    #: The store's time in milliseconds before which the reserves are certainly unused,
-    #: less `CreditSettings.isolation_period`.
+    #: Time of the store in milliseconds from which the isolation period counts: the
+    #: reserves are untouched until it has passed. 0 where no time is known.
     stamp_ms: int = 0
     #: Tokens set aside for an outage of the store, by organisation.
     reserves: dict[str, int] = {}
--- a/kingcuphead/forwarding/_path.py
+++ b/kingcuphead/forwarding/_path.py
@@ -46,6 +46,8 @@
 CREDIT_RETRY_AFTER = 8.0
 #: Seconds after which a caller may come back while the store can't be reached.
 STORE_RETRY_AFTER = 3.0
+#: Seconds after which a caller may come back to a daemon that has just started.
+CONFIGURATION_RETRY_AFTER = 0.5
 #: Seconds after which a caller may come back when no target was to be had.
 TARGET_RETRY_AFTER = 0.3
 #: Part of the remaining time after which another target is tried at the latest.
@@ -145,7 +147,9 @@
     def _admit(self, request: CallerRequest) -> Result[Journey, Refusal]:
         table = self._table
         if table is None:
-            return Error(refuse(503, Reason.CONFIGURATION_STALE, 0.5))
+            return Error(
+                refuse(503, Reason.CONFIGURATION_STALE, CONFIGURATION_RETRY_AFTER)
+            )
         route = table.find_route(request.host, request.path)
         if route is None:
             return Error(refuse(404, Reason.SERVICE_NOT_FOUND))
--- a/kingcuphead/forwarding/_ports.py
+++ b/kingcuphead/forwarding/_ports.py
@@ -1,6 +1,5 @@
 """What the request path needs from others."""
 
-from collections.abc import Mapping
 from typing import Protocol
 
 from tornado.httputil import HTTPHeaders
@@ -42,7 +41,3 @@
     def abort(self) -> None:
         """Close the connection, so that the answer is visibly incomplete."""
         ...
-
-
-#: Headers of an answer of this fleet's own.
-OwnHeaders = Mapping[str, str]
