--- a/kingcuphead/credit/__init__.py
+++ b/kingcuphead/credit/__init__.py
@@ -1,6 +1,8 @@
 """Credit taken from the platform's store, so that no budget is exceeded."""
 
 from kingcuphead.credit._book import CreditBook
+from kingcuphead.credit._borrower import Borrower
+from kingcuphead.credit._lending import CreditAsked, CreditHanded, Lending
 from kingcuphead.credit._messages import (
     CreditSettings,
     CreditState,
@@ -13,7 +15,10 @@
 from kingcuphead.credit._task import CreditRefused, CreditTable, CreditTask
 
 __all__ = [
+    "Borrower",
+    "CreditAsked",
     "CreditBook",
+    "CreditHanded",
     "CreditRefused",
     "CreditSettings",
     "CreditState",
@@ -21,6 +26,7 @@
     "CreditTask",
     "Hold",
     "HolderRow",
+    "Lending",
     "Shortage",
     "TotalRow",
     "find_reclaimable",
--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -129,6 +129,17 @@
         self.free += held - spent
         self.unreported += spent
 
+    def lend(self, tokens: int) -> int:
+        """Give up to so many tokens away; those that requests wait for stay."""
+        spare = 0 if self._is_overdrawn() else self.free - self.wanted
+        lent = max(0, min(tokens, spare))
+        self.free -= lent
+        return lent
+
+    def borrow(self, tokens: int) -> None:
+        """Take tokens that another daemon gave away."""
+        self.free += tokens
+
     def use_reserve(self, tokens: int) -> None:
         """Make enough of what was set aside available for a request."""
         missing = min(max(0, tokens - self.free), self.reserve)
--- a/kingcuphead/credit/_book.py
+++ b/kingcuphead/credit/_book.py
@@ -162,6 +162,21 @@
         hold.is_settled = True
         self._get_account(hold.organisation).settle(hold.tokens, spent)
 
+    def get_free(self, organisation: str) -> int:
+        """Return the tokens that may be spent at any time."""
+        return self._get_account(organisation).free
+
+    def lend(self, organisation: str, tokens: int, now: float) -> int:
+        """Give up to so many tokens to another daemon, and return how many."""
+        account = self._get_account(organisation)
+        if self.is_isolated(now):
+            account.use_reserve(tokens + account.wanted)
+        return account.lend(tokens)
+
+    def borrow(self, organisation: str, tokens: int) -> None:
+        """Take tokens that another daemon gave away."""
+        self._get_account(organisation).borrow(tokens)
+
     def find_shortage(self, organisation: str, tokens: int) -> Shortage | None:
         """Return why a transaction would not help a request, or None if it might."""
         account = self._get_account(organisation)
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -10,6 +10,7 @@
 from loguru import logger
 
 from kingcuphead.credit._book import CreditBook
+from kingcuphead.credit._borrower import Borrower
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold, Shortage
 from kingcuphead.credit._reclaim import find_reclaimable, plan_reclaim
 from kingcuphead.invariants import require
@@ -28,6 +29,8 @@
 FAILURE_PAUSE = 0.1
 #: Transactions that are tried to take the reserves of one earlier life back.
 RECLAIM_TRIES = 20
+#: Seconds without a renewal after which a waiting request gets credit elsewhere.
+BORROWING_DELAY = 0.12
 #: Seconds between two looks at requests that wait for credit.
 WAIT_INTERVAL = 0.02
 
@@ -87,6 +90,8 @@
         self._started_at = time.monotonic()
         self._wake = asyncio.Event()
         self._changed = asyncio.Condition()
+        #: Gets credit from other daemons, if there are any.
+        self.borrower: Borrower | None = None
         #: Whether the last transactions got no answer.
         self.is_store_down = False
 
@@ -113,6 +118,10 @@
         hold = self._book.hold(organisation, tokens, self._get_time())
         if hold is not None:
             return Ok(hold)
+        if self.is_store_down or self._is_taken(organisation, tokens):
+            hold = await self._borrow(organisation, tokens)
+            if hold is not None:
+                return Ok(hold)
         if self.is_store_down:
             return Error(self._refuse(organisation, Shortage.UNREACHABLE))
         self._book.want(organisation, tokens)
@@ -156,8 +165,11 @@
         deadline = self._get_time() + timeout
         while self._get_time() < deadline and not self.is_store_down:
             self._wake.set()
-            renewed = await self._wait_renewal(deadline - self._get_time())
+            left = deadline - self._get_time()
+            renewed = await self._wait_renewal(min(left, BORROWING_DELAY))
             hold = self._book.hold(organisation, tokens, self._get_time())
+            if hold is None and not renewed:
+                hold = await self._borrow(organisation, tokens)
             if hold is not None:
                 return Ok(hold)
             shortage = self._book.find_shortage(organisation, tokens)
@@ -165,6 +177,19 @@
                 return Error(self._refuse(organisation, shortage))
         return Error(self._refuse(organisation, Shortage.UNREACHABLE))
 
+    def _is_taken(self, organisation: str, tokens: int) -> bool:
+        """Whether only other daemons have enough credit, as last seen."""
+        shortage = self._book.find_shortage(organisation, tokens)
+        return shortage is Shortage.UNPROVEN
+
+    async def _borrow(self, organisation: str, tokens: int) -> Hold | None:
+        """Get what is missing for a request from other daemons, if they have it."""
+        if self.borrower is None:
+            return None
+        missing = tokens - self._book.get_free(organisation)
+        await self.borrower.borrow(organisation, missing)
+        return self._book.hold(organisation, tokens, self._get_time())
+
     async def _reclaim(self) -> None:
         """Give back the reserves of earlier lives of this daemon."""
         match await self._table.read_prefix(self._book.holder_prefix):
--- a/kingcuphead/credit/tests/test_random_runs.py
+++ b/kingcuphead/credit/tests/test_random_runs.py
@@ -6,12 +6,15 @@
 import pytest
 
 from kingcuphead.credit import (
+    CreditAsked,
     CreditBook,
     CreditSettings,
     HolderRow,
+    Lending,
     find_reclaimable,
     plan_reclaim,
 )
+from kingcuphead.credit._account import Account
 from kingcuphead.credit.tests._store import FaultyStore
 from kingcuphead.routing import Organisation
 from kingcuphead.storage import Committed, Conflict, Row
@@ -39,6 +42,7 @@
         self.book = CreditBook(self.name, f"life-{self.life}", self.world.settings)
         self.book.apply_limits(self.world.list_organisations(), self.world.version)
         self.holds = []
+        self.lending = Lending(self.book, f"{self.name}/{self.life}")
         self.is_up = True
         self.is_reclaimed = False
 
@@ -100,6 +104,22 @@
             self.renew()
             self.book.unwant(name, tokens)
 
+    def borrow(self):
+        draw = self.world.draw
+        asked = self.lending.ask(draw.choice(NAMES), draw.randint(1, 2_000))
+        lender = draw.choice(self.world.daemons)
+        for _ in range(draw.choice((1, 1, 2))):
+            self.world.send(lender, asked)
+
+    def take_datagram(self, message):
+        if isinstance(message, CreditAsked):
+            answer = self.lending.answer(message, self.world.store.now)
+            receiver = self.world.find_daemon(message.sender)
+            for _ in range(self.world.draw.choice((1, 1, 2))):
+                self.world.send(receiver, answer)
+        else:
+            self.lending.take(message)
+
     def end_request(self):
         if not self.holds:
             return
@@ -109,6 +129,16 @@
         self.world.spent[hold.organisation] -= hold.tokens - spent
 
 
+def keep_what_is_lent(account, tokens):
+    return max(0, min(tokens, account.free))
+
+
+def take_always(lending, handed):
+    organisation = NAMES[handed.number % len(NAMES)]
+    lending._book.borrow(organisation, handed.tokens)
+    return True
+
+
 class World:
     def __init__(self, seed, trusted_period=None):
         self.draw = random.Random(seed)
@@ -122,6 +152,7 @@
         self.is_calm = False
         self.spent = dict.fromkeys(NAMES, 0)
         self.dead = {}
+        self.datagrams = []
         self.daemons = [Daemon(self, f"d{number}") for number in range(4)]
 
     def list_organisations(self):
@@ -131,12 +162,34 @@
         for _ in range(steps):
             self.store.advance(STEP)
             self.disturb()
+            self.deliver()
             for daemon in self.daemons:
                 if daemon.is_up:
                     self.act(daemon)
             self.check()
 
+    def send(self, receiver, message):
+        """Deliver a message at once, late, or never."""
+        fate = 0.0 if self.is_calm else self.draw.random()
+        if fate < 0.7:
+            self.datagrams.append((self.store.now, receiver, message))
+        elif fate < 0.9:
+            due = self.store.now + self.draw.uniform(0.1, 5.0)
+            self.datagrams.append((due, receiver, message))
+
+    def find_daemon(self, life):
+        return next(each for each in self.daemons if life.startswith(f"{each.name}/"))
+
+    def deliver(self):
+        due = [each for each in self.datagrams if each[0] <= self.store.now]
+        self.datagrams = [each for each in self.datagrams if each[0] > self.store.now]
+        for _, receiver, message in due:
+            if receiver.is_up:
+                receiver.take_datagram(message)
+
     def act(self, daemon):
+        if self.draw.random() < 0.2:
+            daemon.borrow()
         if self.draw.random() < 0.5:
             daemon.request()
         if self.draw.random() < 0.45:
@@ -189,6 +242,19 @@
             for seed in range(60):
                 World(seed, trusted_period=60.0).run(600)
 
+    def test_runs_find_credit_that_is_handed_over_and_kept(self, monkeypatch):
+        """The same runs fail where a daemon goes on to spend what it lent."""
+        monkeypatch.setattr(Account, "lend", keep_what_is_lent)
+        with pytest.raises(AssertionError, match="atelier|builder"):
+            for seed in range(60):
+                World(seed).run(600)
+
+    def test_runs_find_answers_that_count_twice(self, monkeypatch):
+        monkeypatch.setattr(Lending, "take", take_always)
+        with pytest.raises(AssertionError, match="atelier|builder"):
+            for seed in range(60):
+                World(seed).run(600)
+
     def test_without_faults_nearly_all_can_be_spent(self):
         world = World(1)
         world.is_calm = True
--- /dev/null
+++ b/kingcuphead/datagrams/_codec.py
@@ -0,0 +1,44 @@
+"""Messages as datagrams, in thrift's compact protocol."""
+
+from typing import Any
+
+from expression import Error, Ok, Result
+from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
+from thrift.TSerialization import deserialize, serialize
+
+from kingcuphead.credit import CreditAsked, CreditHanded
+from kingcuphead.loads import LoadsReported
+from kingcuphead.wire import find_codec, name_field, ttypes
+
+#: Largest datagram in bytes.
+MAX_DATAGRAM_BYTES = 60_000
+
+Datagram = LoadsReported | CreditAsked | CreditHanded
+
+_TYPES = {name_field(cls): cls for cls in (LoadsReported, CreditAsked, CreditHanded)}
+_FACTORY = TCompactProtocolAcceleratedFactory(
+    string_length_limit=MAX_DATAGRAM_BYTES, container_length_limit=MAX_DATAGRAM_BYTES
+)
+
+
+def encode_datagram(message: Datagram) -> bytes:
+    """Return the bytes of a message."""
+    cls: Any = type(message)
+    union = ttypes.Datagram(**{name_field(cls): find_codec(cls).encode(message)})
+    return bytes(serialize(union, _FACTORY))
+
+
+def decode_datagram(datagram: bytes) -> Result[Datagram, str]:
+    """Return the message of a datagram, or what is wrong with it."""
+    union: Any = ttypes.Datagram()
+    try:
+        deserialize(union, datagram, _FACTORY)
+        for field, cls in _TYPES.items():
+            struct = getattr(union, field)
+            if struct is not None:
+                message: Datagram = find_codec(cls).decode(struct)
+                return Ok(message)
+    # The accelerated decoder raises many types for hostile bytes.
+    except Exception as error:
+        return Error(f"{type(error).__name__}: {error}")
+    return Error("no known message")
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -11,7 +11,15 @@
 from expression import Result
 from loguru import logger
 
-from kingcuphead.credit import CreditBook, CreditTask
+from kingcuphead.credit import (
+    Borrower,
+    CreditAsked,
+    CreditBook,
+    CreditHanded,
+    CreditTask,
+    Lending,
+)
+from kingcuphead.datagrams import Address, Datagram, DatagramSocket
 from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._followers import ConfigurationFollower, TargetFollower
@@ -25,7 +33,7 @@
     RequestPath,
     Surroundings,
 )
-from kingcuphead.loads import LoadBoard, LoadExchange
+from kingcuphead.loads import LoadBoard, LoadExchange, LoadsReported
 from kingcuphead.platform import (
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
@@ -79,16 +87,26 @@
         self._metrics = DaemonMetrics()
         board = LoadBoard()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), board, draw)
+        self._datagrams = DatagramSocket(self._take_datagram)
         self._loads = LoadExchange(
-            f"{instance}/{life}", board, self._dispatcher.list_loads, draw
+            f"{instance}/{life}",
+            board,
+            self._dispatcher.list_loads,
+            self._datagrams.send,
+            draw,
         )
         self._internal = (profile.ip, profile.internal_port)
         self._peers = PeerWatch(self._store, self._internal, self._take_peers)
         self._pool = ConnectionPool()
+        book = CreditBook(instance, life)
         self._credit = CreditTask(
-            CreditBook(instance, life),
-            StoreTable(self._store, CREDIT_TABLE, CREDIT_PART),
+            book, StoreTable(self._store, CREDIT_TABLE, CREDIT_PART)
         )
+        self._lending = Lending(book, f"{instance}/{life}")
+        self._borrower = Borrower(
+            self._lending, self._datagrams.send, lambda: self._loads.peers, draw
+        )
+        self._credit.borrower = self._borrower
         retries = profile.retries
         self._retries = RetryAllowance(
             retries.ratio, retries.burst / ASSUMED_DAEMONS, retries.window
@@ -117,6 +135,7 @@
             Whether it ended by a signal.
         """
         self._watch_signals()
+        await self._datagrams.open(self._internal)
         tasks = [self._start(each) for each in self._list_tasks()]
         renewal = self._start(self._credit.run())
         profile = self._profile
@@ -135,6 +154,7 @@
         metrics.stop()
         for task in tasks:
             task.cancel()
+        self._datagrams.close()
         self._pool.close()
         self._store.close()
         logger.info("entry daemon ended")
@@ -148,7 +168,7 @@
             TableWatch(self._store, TARGETS_TABLE, self._targets, report).run(),
             self._sweep(),
             self._watch_settings(),
-            self._loads.run(self._internal),
+            self._loads.run(),
             self._peers.run(),
         ]
 
@@ -213,7 +233,17 @@
         )
         self._has_configuration = True
 
-    def _take_peers(self, peers: tuple[tuple[str, int], ...]) -> None:
+    def _take_datagram(self, message: Datagram, sender: Address) -> None:
+        match message:
+            case LoadsReported():
+                self._loads.take(message)
+            case CreditAsked():
+                now = asyncio.get_running_loop().time()
+                self._datagrams.send(self._lending.answer(message, now), sender)
+            case CreditHanded():
+                self._borrower.take(message)
+
+    def _take_peers(self, peers: tuple[Address, ...]) -> None:
         self._loads.peers = peers
 
     def _take_change(self, change: DirectoryChange) -> None:
--- a/kingcuphead/loads/__init__.py
+++ b/kingcuphead/loads/__init__.py
@@ -1,7 +1,6 @@
 """The load of the whole fleet on each target, told from daemon to daemon."""
 
 from kingcuphead.loads._board import REPORT_LIFETIME, LoadBoard
-from kingcuphead.loads._codec import decode_report, encode_report
 from kingcuphead.loads._exchange import LoadExchange
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
 
@@ -11,6 +10,4 @@
     "LoadExchange",
     "LoadsReported",
     "TargetLoad",
-    "decode_report",
-    "encode_report",
 ]
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -1,14 +1,10 @@
-"""Sends this daemon's loads to others and takes theirs, by datagrams."""
+"""Sends this daemon's loads to others now and then."""
 
 import asyncio
 import random
 from collections.abc import Callable, Iterable
 
-from expression import Result
-from loguru import logger
-
 from kingcuphead.loads._board import LoadBoard
-from kingcuphead.loads._codec import decode_report, encode_report
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
 
 #: Seconds between two reports.
@@ -21,17 +17,19 @@
 Address = tuple[str, int]
 
 
-class LoadExchange(asyncio.DatagramProtocol):
-    """Owns the socket between daemons.
+class LoadExchange:
+    """Owns this daemon's reports.
 
     Parameters
     ----------
     sender
         Identity of this life of the daemon.
     board
-        Takes the reports of the others.
+        Holds the reports of the others.
     list_loads
         Returns this daemon's own loads.
+    send
+        Sends a report to a daemon.
     draw
         Source of chance for the receivers.
     """
@@ -41,44 +39,31 @@
         sender: str,
         board: LoadBoard,
         list_loads: Callable[[], Iterable[TargetLoad]],
+        send: Callable[[LoadsReported, Address], None],
         draw: random.Random,
     ) -> None:
         self._sender = sender
         self._board = board
         self._list_loads = list_loads
+        self._send = send
         self._draw = draw
         self._number = 0
         self._last_loads: tuple[TargetLoad, ...] = ()
         self._quiet = 0
-        self._transport: asyncio.DatagramTransport | None = None
         #: Addresses of the other daemons.
         self.peers: tuple[Address, ...] = ()
 
-    async def run(self, address: Address) -> None:
-        """Exchange reports for ever."""
+    async def run(self) -> None:
+        """Report for ever."""
         loop = asyncio.get_running_loop()
-        transport, _ = await loop.create_datagram_endpoint(
-            lambda: self, local_addr=address
-        )
-        self._transport = transport
-        try:
-            while True:
-                await asyncio.sleep(REPORT_INTERVAL)
-                self._board.expire(loop.time())
-                self._report()
-        finally:
-            transport.close()
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL)
+            self._board.expire(loop.time())
+            self._report()
 
-    def datagram_received(self, data: bytes, addr: Address) -> None:
+    def take(self, report: LoadsReported) -> None:
         """Take a report of another daemon."""
-        match decode_report(data):
-            case Result(tag="ok", ok=report):
-                self._board.take(report, asyncio.get_running_loop().time())
-            case Result(error=cause):
-                logger.warning("a datagram of {} can't be read: {}", addr[0], cause)
-
-    def error_received(self, exc: Exception) -> None:
-        """Ignore a daemon that is not there; the next list leaves it out."""
+        self._board.take(report, asyncio.get_running_loop().time())
 
     def _report(self) -> None:
         loads = tuple(self._list_loads())
@@ -87,10 +72,9 @@
             return
         self._last_loads = loads
         self._number += 1
-        datagram = encode_report(LoadsReported(self._sender, self._number, loads))
+        report = LoadsReported(self._sender, self._number, loads)
         for peer in self._choose_receivers():
-            if self._transport is not None:
-                self._transport.sendto(datagram, peer)
+            self._send(report, peer)
 
     def _choose_receivers(self) -> Iterable[Address]:
         if len(self.peers) <= MAX_RECEIVERS:
--- a/kingcuphead/loads/tests/test_loads.py
+++ b/kingcuphead/loads/tests/test_loads.py
@@ -1,18 +1,14 @@
 import asyncio
-import functools
 import random
 
-import pytest
-
 from kingcuphead.loads import (
     REPORT_LIFETIME,
     LoadBoard,
     LoadExchange,
     LoadsReported,
     TargetLoad,
-    decode_report,
-    encode_report,
 )
+from kingcuphead.loads._exchange import MAX_RECEIVERS, REPORT_INTERVAL
 
 
 def make_report(sender, number, running, unread=0):
@@ -40,42 +36,46 @@
         assert board.get_load("t1").running == 0
 
 
-class TestCodec:
-    def test_a_report_survives_the_wire(self):
-        report = make_report("a/1", 7, 3, 900)
-        assert decode_report(encode_report(report)).ok == report
-
-    @pytest.mark.parametrize("datagram", [b"", b"\xff" * 40, b"\x00"])
-    def test_hostile_bytes_are_an_error(self, datagram):
-        assert decode_report(datagram).is_error()
-
-
 class TestLoadExchange:
-    def test_daemons_hear_each_other(self):
+    def test_reports_reach_the_others(self):
         async def run():
-            boards = [LoadBoard(), LoadBoard()]
-            own = [(TargetLoad("t1", 1, 10),), (TargetLoad("t1", 2, 20),)]
-            ports = [(f"127.0.0.{10 + number}", 21_719) for number in range(2)]
-            exchanges = []
-            for number in range(2):
-                exchange = LoadExchange(
-                    f"d{number}",
-                    boards[number],
-                    functools.partial(own.__getitem__, number),
-                    random.Random(1),
-                )
-                exchange.peers = (ports[1 - number],)
-                exchanges.append(exchange)
-            tasks = [
-                asyncio.create_task(exchange.run(port))
-                for exchange, port in zip(exchanges, ports, strict=True)
-            ]
+            board = LoadBoard()
+            own = (TargetLoad("t1", 1, 10),)
+            other = LoadExchange("d2", board, tuple, send_nothing, random.Random(1))
+            exchange = LoadExchange(
+                "d1",
+                LoadBoard(),
+                lambda: own,
+                lambda report, peer: other.take(report),
+                random.Random(1),
+            )
+            exchange.peers = (("10.0.0.2", 9000),)
+            task = asyncio.create_task(exchange.run())
             async with asyncio.timeout(5):
-                while boards[0].get_load("t1").running != 2:
-                    await asyncio.sleep(0.01)
-                while boards[1].get_load("t1").running != 1:
+                while board.get_load("t1").running != 1:
                     await asyncio.sleep(0.01)
-            for task in tasks:
-                task.cancel()
+            task.cancel()
 
         asyncio.run(run())
+
+    def test_a_report_goes_to_a_few_of_many_daemons(self):
+        async def run():
+            receivers = []
+            exchange = LoadExchange(
+                "d1",
+                LoadBoard(),
+                lambda: (TargetLoad("t1", 1, 10),),
+                lambda report, peer: receivers.append(peer),
+                random.Random(1),
+            )
+            exchange.peers = tuple((f"10.0.0.{n}", 9000) for n in range(200))
+            task = asyncio.create_task(exchange.run())
+            await asyncio.sleep(REPORT_INTERVAL * 1.5)
+            task.cancel()
+            assert len(set(receivers)) == len(receivers) == MAX_RECEIVERS
+
+        asyncio.run(run())
+
+
+def send_nothing(report, peer):
+    """Stand in for a daemon without others."""
--- a/kingcuphead/wire/__init__.py
+++ b/kingcuphead/wire/__init__.py
@@ -7,6 +7,7 @@
     FrameFault,
     decode_envelope,
     encode_envelope,
+    name_field,
     ttypes,
 )
 from kingcuphead.wire._messages import MESSAGE_TYPES, PeerMessage
@@ -20,5 +21,6 @@
     "decode_envelope",
     "encode_envelope",
     "find_codec",
+    "name_field",
     "ttypes",
 ]
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -188,6 +188,25 @@
   3: list<TargetLoad> loads
 }
 
+struct CreditAsked {
+  1: string sender
+  2: i64 number
+  3: string organisation
+  4: i64 tokens
+}
+
+struct CreditHanded {
+  1: string receiver
+  2: i64 number
+  3: i64 tokens
+}
+
+union Datagram {
+  1: LoadsReported loads_reported
+  2: CreditAsked credit_asked
+  3: CreditHanded credit_handed
+}
+
 union PeerMessage {
   1: Heartbeat heartbeat
   2: HeartbeatAcknowledged heartbeat_acknowledged
