--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -223,6 +223,14 @@
         change = tokens - self._usual_request
         self._usual_request += USUAL_REQUEST_WEIGHT * change
 
+    def correct_demand(self, unspent: int, asked_at: float, now: float) -> None:
+        """Take back what a request asked for and did not spend."""
+        period = self._settings.demand_period
+        rate = unspent / period * math.exp((asked_at - now) / period)
+        left = self._demand_per_second * self._get_decay(now) - rate
+        self._demand_per_second = max(0.0, left)
+        self._demand_at = now
+
     def _get_demand(self, now: float) -> float:
         """Return the tokens wanted in a second, averaged since the first request."""
         if self._first_demand_at is None:
--- a/kingcuphead/credit/_book.py
+++ b/kingcuphead/credit/_book.py
@@ -121,6 +121,12 @@
         """Take note of a new request; the credit kept at hand follows the demand."""
         self._get_account(organisation).count_demand(tokens, now)
 
+    def discount_demand(
+        self, organisation: str, tokens: int, asked_at: float, now: float
+    ) -> None:
+        """Take back the demand of a request that was refused; it may come again."""
+        self._get_account(organisation).correct_demand(tokens, asked_at, now)
+
     @property
     def holder_prefix(self) -> str:
         """Start of the keys of the rows of all lives of this daemon."""
@@ -144,7 +150,7 @@
         if self.is_isolated(now):
             account.use_reserve(tokens)
         if account.hold(tokens):
-            return Hold(organisation, tokens)
+            return Hold(organisation, tokens, now)
         return None
 
     def want(self, organisation: str, tokens: int) -> None:
@@ -155,12 +161,14 @@
         """Take back what a request asked for that no longer waits."""
         self._get_account(organisation).wanted -= tokens
 
-    def settle(self, hold: Hold, spent: int) -> None:
+    def settle(self, hold: Hold, spent: int, now: float) -> None:
         """End a reservation with what the request cost."""
         ensure(not hold.is_settled, "a hold is settled once")
         ensure(0 <= spent <= hold.tokens, "a request costs at most its hold")
         hold.is_settled = True
-        self._get_account(hold.organisation).settle(hold.tokens, spent)
+        account = self._get_account(hold.organisation)
+        account.settle(hold.tokens, spent)
+        account.correct_demand(hold.tokens - spent, hold.held_at, now)
 
     def get_free(self, organisation: str) -> int:
         """Return the tokens that may be spent at any time."""
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -54,9 +54,9 @@
     """
 
     #: Seconds of the usual demand that are kept to be spent.
-    spending_seconds: float = 3.6
+    spending_seconds: float = 4.0
     #: Seconds of the usual demand that are kept at hand in all.
-    reserve_seconds: float = 12.0
+    reserve_seconds: float = 16.0
     #: Usual requests that are kept to be spent where there was no demand lately.
     spending_requests: float = 1.0
     #: Usual requests that are kept at hand in all where there was no demand lately.
@@ -66,7 +66,7 @@
     #: The same where there was no demand.
     idle_share: float = 0.04
     #: Seconds without an answer of the store after which the reserves may be spent.
-    isolation_period: float = 2.5
+    isolation_period: float = 4.6
     #: Seconds that clocks may differ over that period.
     clock_margin: float = 0.2
     #: Seconds between two regular renewals.
@@ -113,5 +113,7 @@
     organisation: str
     #: Tokens reserved.
     tokens: int
+    #: Time in seconds.
+    held_at: float
     #: Whether it was settled; a hold is settled once.
     is_settled: bool = False
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -114,7 +114,20 @@
         timeout
             Longest time in seconds to wait.
         """
-        self._book.count_demand(organisation, tokens, self._get_time())
+        asked_at = self._get_time()
+        self._book.count_demand(organisation, tokens, asked_at)
+        held = await self._find_credit(organisation, tokens, timeout)
+        if held.is_error():
+            self._book.discount_demand(organisation, tokens, asked_at, self._get_time())
+        return held
+
+    def settle(self, hold: Hold, spent: int) -> None:
+        """End a reservation with what the request cost."""
+        self._book.settle(hold, min(spent, hold.tokens), self._get_time())
+
+    async def _find_credit(
+        self, organisation: str, tokens: int, timeout: float
+    ) -> Result[Hold, CreditRefused]:
         hold = self._book.hold(organisation, tokens, self._get_time())
         if hold is not None:
             return Ok(hold)
@@ -130,10 +143,6 @@
         finally:
             self._book.unwant(organisation, tokens)
 
-    def settle(self, hold: Hold, spent: int) -> None:
-        """End a reservation with what the request cost."""
-        self._book.settle(hold, min(spent, hold.tokens))
-
     async def run(self) -> None:
         """Take back what earlier lives left, then renew credit for ever."""
         is_reclaimed = False
--- a/kingcuphead/credit/tests/test_book.py
+++ b/kingcuphead/credit/tests/test_book.py
@@ -14,6 +14,8 @@
 from kingcuphead.routing import Organisation
 from kingcuphead.storage import Conflict, Put, Transaction, Unknown
 
+#: Seconds without an answer of the store after which reserves may be spent.
+PERIOD = CreditSettings().isolation_period + CreditSettings().clock_margin
 ATELIER = Organisation("atelier", None, 100_000)
 
 
@@ -72,7 +74,7 @@
         second.want("atelier", 5_000)
         renew(second, store)
         assert second.find_shortage("atelier", 5_000) is Shortage.UNPROVEN
-        first.settle(hold, 99_000)
+        first.settle(hold, 99_000, 0.0)
         renew(first, store)
         renew(second, store, now=1.0)
         assert second.find_shortage("atelier", 5_000) is Shortage.EXHAUSTED
@@ -143,13 +145,45 @@
         book = self.make_book(store)
         state = book.describe("atelier", 0.0)
         book.want("atelier", 30_000)
-        for number in range(10):
+        for number in range(int(PERIOD / 0.3) + 2):
             now = 1.0 + 0.3 * number
-            is_isolated = now - 1.0 >= 2.7
+            is_isolated = now - 1.0 >= PERIOD
             assert book.is_isolated(now) is is_isolated
             self.lose_race(book, store, now)
         assert state.reserve > 0
-        assert book.hold("atelier", state.free + 1, 4.0) is not None
+        assert book.hold("atelier", state.free + 1, now) is not None
+
+
+class TestDemand:
+    """The load: requests that may cost far more than they do, and refused ones."""
+
+    def count_charged(self, tokens, spent):
+        store, book = FaultyStore(random.Random(1)), make_book()
+        for number in range(40):
+            now = 0.1 * number
+            store.advance(0.1)
+            book.count_demand("atelier", tokens, now)
+            hold = book.hold("atelier", tokens, now)
+            if hold is None:
+                book.want("atelier", tokens)
+                renew(book, store, now)
+                book.unwant("atelier", tokens)
+                hold = book.hold("atelier", tokens, now)
+            book.settle(hold, spent, now + 0.05)
+            renew(book, store, now)
+        total = store.read_total("atelier")
+        return total.charged - total.settled
+
+    def test_credit_at_hand_follows_what_requests_cost(self):
+        assert self.count_charged(1_000, 100) < 0.5 * self.count_charged(1_000, 1_000)
+
+    def test_refused_requests_do_not_raise_it(self):
+        store, book = FaultyStore(random.Random(1)), make_book()
+        for _ in range(50):
+            book.count_demand("atelier", 60_000, 1.0)
+            book.discount_demand("atelier", 60_000, 1.0, 1.5)
+        renew(book, store, 1.6)
+        assert store.read_total("atelier").charged <= 5_000
 
 
 class TestReclaim:
@@ -161,17 +195,19 @@
     def test_a_reserve_comes_back_within_the_isolation_period(self):
         store, settings = FaultyStore(random.Random(1)), CreditSettings()
         row = self.make_row(store, stamp_ms=10_000)
-        found = find_reclaimable([row], "holder/d1/life-2", 12_400, settings)
+        early = 9_900 + int(settings.isolation_period * 1000)
+        found = find_reclaimable([row], "holder/d1/life-2", early, settings)
         assert found == (row,)
         store.apply(plan_reclaim(row, {}))
         assert store.read_total("atelier").charged == -700
         closed = store.rows[row.key]
-        assert not find_reclaimable([closed], "", 12_400, settings)
+        assert not find_reclaimable([closed], "", early, settings)
 
     def test_a_reserve_that_may_have_been_used_stays_charged(self):
         store, settings = FaultyStore(random.Random(1)), CreditSettings()
         row = self.make_row(store, stamp_ms=10_000)
-        assert not find_reclaimable([row], "holder/d1/life-2", 12_501, settings)
+        late = 10_001 + int(settings.isolation_period * 1000)
+        assert not find_reclaimable([row], "holder/d1/life-2", late, settings)
 
     def test_the_row_of_the_running_life_is_left_alone(self):
         store, settings = FaultyStore(random.Random(1)), CreditSettings()
--- a/kingcuphead/credit/tests/test_lending.py
+++ b/kingcuphead/credit/tests/test_lending.py
@@ -77,7 +77,8 @@
         self.lender.take_outcome(self.store.commit(transaction, is_cut=True), 0.0)
         early = self.lending.answer(self.borrowing.ask(NAME, LIMIT), 1.0)
         assert early.tokens == free
-        late = self.lending.answer(self.borrowing.ask(NAME, 1_000), 3.0)
+        period = CreditSettings().isolation_period + CreditSettings().clock_margin
+        late = self.lending.answer(self.borrowing.ask(NAME, 1_000), period)
         assert late.tokens == 1_000
 
     def test_an_unknown_organisation_lends_nothing(self):
--- a/kingcuphead/credit/tests/test_random_runs.py
+++ b/kingcuphead/credit/tests/test_random_runs.py
@@ -125,7 +125,7 @@
             return
         hold = self.holds.pop(self.world.draw.randrange(len(self.holds)))
         spent = self.world.draw.randint(0, hold.tokens)
-        self.book.settle(hold, spent)
+        self.book.settle(hold, spent, self.world.store.now)
         self.world.spent[hold.organisation] -= hold.tokens - spent
 
 
