--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -15,7 +15,7 @@
     DispatchSettings,
     Work,
 )
-from kingcuphead.dispatch._target_state import Placement, TargetState
+from kingcuphead.dispatch._target_state import Placement, Reading, TargetState
 from kingcuphead.loads import LoadBoard, TargetLoad
 from kingcuphead.targets import Target
 
@@ -68,15 +68,17 @@
         if not usable:
             return None
         ranked = self._rank(work, awake or usable)
-        home = ranked[0].name
-        costs = [self._estimate(work, target, home, now) for target in ranked]
+        readings = [self._plan_reading(work, each, ranked, now) for each in ranked]
+        costs = [
+            self._estimate(work, target, reading, now)
+            for target, reading in zip(ranked, readings, strict=True)
+        ]
         cost = min(costs)
-        best = ranked[costs.index(cost)]
+        choice = costs.index(cost)
+        best, reading = ranked[choice], readings[choice]
         state = self._get(best)
-        is_home = best.name == home
-        unread = state.count_unread(work, is_home, now)
-        wait = self._expect_wait(state, best, unread)
-        placement = Placement(best, state, unread, now, wait, is_home, cost)
+        wait = self._expect_wait(state, best, reading)
+        placement = Placement(best, state, reading, now, wait, choice == 0, cost)
         state.add(placement, work, now)
         return placement
 
@@ -110,30 +112,58 @@
             targets, key=lambda target: _score(key, target.name), reverse=True
         )
 
-    def _estimate(self, work: Work, target: Target, home: str, now: float) -> float:
+    def _plan_reading(
+        self, work: Work, target: Target, ranked: list[Target], now: float
+    ) -> Reading:
+        """Return how a target would get the prompt.
+
+        The home of a shared start is taken to hold it; any other target copies it from
+        there. A home that this daemon has not sent it to copies from one that has it.
+        """
+        held = self._get(target).count_held(work, now)
+        wanted = work.shared_tokens
+        is_home = target is ranked[0]
+        unread = work.prompt_tokens - (wanted if is_home else held)
+        if wanted - held < self._settings.least_copied_tokens:
+            return Reading(unread)
+        if not is_home:
+            return Reading(work.prompt_tokens - wanted, wanted - held, ranked[0])
+        others = (each for each in ranked[1:] if self._holds(each, work, now))
+        return Reading(unread, 0, next(others, None))
+
+    def _holds(self, target: Target, work: Work, now: float) -> bool:
+        return self._get(target).count_held(work, now) >= work.shared_tokens
+
+    def _estimate(
+        self, work: Work, target: Target, reading: Reading, now: float
+    ) -> float:
         """Return the cost of sending a request to a target."""
         settings = self._settings
         state = self._get(target)
-        unread = state.count_unread(work, is_home=target.name == home, now=now)
-        seconds = self._expect_wait(state, target, unread) * state.slowness
+        seconds = self._expect_wait(state, target, reading) * state.slowness
         cost = self._weigh_wait(seconds / work.objective)
         running = state.running + self._board.get_load(target.name).running
         own_tokens = work.prompt_tokens - work.shared_tokens
-        cost += (unread - own_tokens) / 1000 * settings.reread_cost
+        cost += (reading.unread_tokens - own_tokens) / 1000 * settings.reread_cost
+        cost += reading.copied_tokens / 1000 * settings.copy_cost
         if running >= target.slots:
             cost += settings.failure_cost
         if target.zone != settings.zone:
             cost += settings.zone_cost
         return cost + state.health.get_failure_rate(now) * settings.failure_cost
 
-    def _expect_wait(self, state: TargetState, target: Target, unread: int) -> float:
+    def _expect_wait(
+        self, state: TargetState, target: Target, reading: Reading
+    ) -> float:
         """Return the seconds to the first byte at a target of ordinary speed."""
         settings = self._settings
         others = self._board.get_load(target.name)
         waiting = state.unread_tokens + others.unread_tokens
         running = state.running + others.running
-        reading = (unread + waiting) / settings.read_tokens_per_second
-        return reading + running * settings.running_seconds
+        unread = reading.unread_tokens + waiting
+        seconds = unread / settings.read_tokens_per_second
+        seconds += reading.copied_tokens / settings.copied_tokens_per_second
+        return seconds + running * settings.running_seconds
 
     def _weigh_wait(self, wait: float) -> float:
         """Return the cost of a wait given in objectives."""
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -66,6 +66,12 @@
     read_tokens_per_second: float = 50_000.0
     #: Cost of reading 1,000 tokens anew that another target holds.
     reread_cost: float = 0.2
+    #: Cost of copying 1,000 tokens from the memory of another target.
+    copy_cost: float = 0.2
+    #: Tokens copied in a second.
+    copied_tokens_per_second: float = 50_000.0
+    #: Fewest tokens that are copied; to read fewer takes no longer.
+    least_copied_tokens: int = 300
     #: Seconds that one running request adds to the wait of the next.
     running_seconds: float = 0.004
     #: Part of the cost of a wait that grows with the wait alone; the rest grows with
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -19,6 +19,18 @@
 UNMEASURABLE = 0.04
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reading:
+    """How a target gets the prompt of a request."""
+
+    #: Prompt tokens that it has to read.
+    unread_tokens: int
+    #: Tokens that it copies from the memory of another target.
+    copied_tokens: int = 0
+    #: That other target.
+    source: Target | None = None
+
+
 @dataclasses.dataclass(slots=True, eq=False)
 class Placement:
     """A request at a target."""
@@ -27,8 +39,8 @@
     target: Target
     #: What is known of this life of the target.
     state: "TargetState"
-    #: Prompt tokens that the target most likely has to read.
-    unread_tokens: int
+    #: How it most likely gets the prompt.
+    reading: Reading
     #: Time of placement in seconds.
     placed_at: float
     #: Expected seconds to the first byte at a target of ordinary speed.
@@ -66,18 +78,18 @@
         #: What outcomes say about it.
         self.health = TargetHealth()
 
-    def count_unread(self, work: Work, is_home: bool, now: float) -> int:
-        """Return the prompt tokens that it most likely has to read."""
+    def count_held(self, work: Work, now: float) -> int:
+        """Return the tokens of the shared start that this daemon has sent to it."""
         for start in reversed(work.shared):
             sent_at = self._starts.get(start.key)
-            if is_home or (sent_at is not None and now - sent_at < START_LIFETIME):
-                return max(0, work.prompt_tokens - start.tokens)
-        return work.prompt_tokens
+            if sent_at is not None and now - sent_at < START_LIFETIME:
+                return min(start.tokens, work.prompt_tokens)
+        return 0
 
     def add(self, placement: Placement, work: Work, now: float) -> None:
         """Count a request that is sent to it."""
         self.running += 1
-        self.unread_tokens += placement.unread_tokens
+        self.unread_tokens += placement.reading.unread_tokens
         for start in work.shared:
             self._starts[start.key] = now
             self._starts.move_to_end(start.key)
@@ -86,14 +98,14 @@
 
     def start(self, placement: Placement, now: float) -> None:
         """Take note that an answer began."""
-        self.unread_tokens -= placement.unread_tokens
+        self.unread_tokens -= placement.reading.unread_tokens
         self._learn_speed(placement, now)
 
     def remove(self, placement: Placement) -> None:
         """Take note that an attempt ended."""
         self.running -= 1
         if not placement.is_started:
-            self.unread_tokens -= placement.unread_tokens
+            self.unread_tokens -= placement.reading.unread_tokens
 
     def _learn_speed(self, placement: Placement, now: float) -> None:
         seconds = now - placement.placed_at
--- a/kingcuphead/dispatch/tests/test_dispatch.py
+++ b/kingcuphead/dispatch/tests/test_dispatch.py
@@ -1,3 +1,4 @@
+import dataclasses
 import random
 
 import pytest
@@ -58,6 +59,54 @@
         assert max(each.expected_wait for each in placements) < 1.2
 
 
+class TestCopying:
+    """The load: a session whose home is busy, so that its start is read elsewhere."""
+
+    def place_until_elsewhere(self, dispatcher):
+        while True:
+            placement = dispatcher.place(make_work(own=7_000), TARGETS, (), 0.0)
+            if not placement.is_home:
+                return placement
+
+    def test_another_target_copies_the_shared_start_from_the_home(self):
+        dispatcher = make_dispatcher()
+        home = dispatcher.place(make_work(own=7_000), TARGETS, (), 0.0).target
+        placement = self.place_until_elsewhere(dispatcher)
+        assert placement.reading.source == home
+        assert placement.reading.copied_tokens == 5_000
+
+    def test_the_home_reads_what_nobody_has(self):
+        placement = make_dispatcher().place(make_work(), TARGETS, (), 0.0)
+        assert placement.is_home
+        assert placement.reading.source is None
+
+    def test_a_home_that_was_away_copies_from_where_the_start_was_read(self):
+        dispatcher = make_dispatcher()
+        home = dispatcher.place(make_work(), TARGETS, (), 0.0)
+        dispatcher.finish(home, AttemptResult.ANSWERED, 0.1)
+        others = [each for each in TARGETS if each != home.target]
+        other = dispatcher.place(make_work(), others, (), 0.2)
+        dispatcher.finish(other, AttemptResult.ANSWERED, 0.3)
+        back = dataclasses.replace(home.target, started_at_ms=2)
+        placement = dispatcher.place(make_work(), [back, *others], (), 0.4)
+        assert placement.target == back
+        assert placement.reading.source == other.target
+
+    def test_a_target_that_is_left_alone_is_no_source(self):
+        dispatcher = make_dispatcher()
+        home = dispatcher.place(make_work(own=7_000), TARGETS, (), 0.0)
+        for _ in range(6):
+            dispatcher.finish(home, AttemptResult.UNREACHABLE, 0.1)
+        placement = dispatcher.place(make_work(own=7_000), TARGETS, (), 0.1)
+        assert home.target not in (placement.target, placement.reading.source)
+
+    def test_short_starts_are_read(self):
+        dispatcher = make_dispatcher()
+        work = make_work(shared=200, own=12_000)
+        placements = [dispatcher.place(work, TARGETS, (), 0.0) for _ in range(12)]
+        assert not any(each.reading.source for each in placements)
+
+
 class TestLoadOfOthers:
     def test_a_target_that_others_load_is_avoided(self):
         board = LoadBoard()
--- a/kingcuphead/forwarding/_journey.py
+++ b/kingcuphead/forwarding/_journey.py
@@ -20,6 +20,8 @@
     target: str
     #: Whether it is the target that every daemon would choose.
     is_home: bool
+    #: Tokens of the prompt that were to be copied from another target.
+    copied_tokens: int
     #: Cost of the choice.
     cost: float
     #: Outcome, in English.
@@ -31,7 +33,8 @@
         """Return the record as one word of a log line."""
         choice = "home" if self.is_home else "other"
         return (
-            f"{self.target} {choice} cost={self.cost:.3f} "
+            f"{self.target} {choice} copied={self.copied_tokens} "
+            f"cost={self.cost:.3f} "
             f"{self.outcome} {self.seconds:.3f}s"
         )
 
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -74,6 +74,9 @@
     rank: int
     #: Event after which the stream goes on; 0 from the start.
     resume_after: int
+    #: Address of a target from whose memory the start of the prompt is copied; empty
+    #: for none.
+    copy_from: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/forwarding/_path.py
+++ b/kingcuphead/forwarding/_path.py
@@ -262,6 +262,7 @@
                 AttemptRecord(
                     placement.target.name,
                     placement.is_home,
+                    placement.reading.copied_tokens,
                     placement.cost,
                     outcome,
                     seconds,
@@ -274,12 +275,14 @@
     ) -> Attempt:
         now = _get_time()
         remaining = journey.deadline - now
+        source = placement.reading.source
         options = SendOptions(
             target=placement.target.name,
             organisation=journey.payer,
             remaining=remaining,
             rank=journey.rank,
             resume_after=stream.last_number if stream is not None else 0,
+            copy_from=source.address if source is not None else "",
         )
         patience = PATIENCE_OBJECTIVES * journey.route.objective
         return Attempt(
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -25,6 +25,7 @@
 _ORGANISATION = "Tenant"
 _EXPECTED_TARGET = "Expect-Instance"
 _RANK = "Request-Priority"
+_COPY_FROM = "Kv-Fetch"
 _SIGNATURE = "Response-Seal"
 _NOT_RUN = "Not-Executed"
 #: Targets take ranks from 0 to 9.
@@ -60,10 +61,10 @@
         _ORGANISATION.lower(),
         _EXPECTED_TARGET.lower(),
         _RANK.lower(),
+        _COPY_FROM.lower(),
         "expect-version",
         "hold",
         "kv-backup",
-        "kv-fetch",
         "kv-from",
         "pin-ms",
         "wait-ms",
@@ -117,6 +118,8 @@
             headers[_RESUME] = str(options.resume_after)
         if request.size is not None:
             headers[_RANK] = str(min(max(options.rank, 0), _LOWEST_RANK))
+        if options.copy_from:
+            headers[_COPY_FROM] = options.copy_from
         if request.body or request.method in ("POST", "PUT", "PATCH"):
             headers["Content-Length"] = str(len(request.body))
         return headers
--- a/kingcuphead/platform/tests/test_headers.py
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -1,3 +1,5 @@
+import dataclasses
+
 import pytest
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
@@ -45,6 +47,14 @@
 
 
 class TestEncodeRequest:
+    def test_the_target_to_copy_from_is_named(self):
+        request = decode(Kv_Fetch="10.9.9.9:1").ok
+        plain = PlatformHeaders().encode_request(request, OPTIONS)
+        assert "Kv-Fetch" not in plain
+        options = dataclasses.replace(OPTIONS, copy_from="10.0.0.7:8700")
+        headers = PlatformHeaders().encode_request(request, options)
+        assert headers.get_list("Kv-Fetch") == ["10.0.0.7:8700"]
+
     @pytest.mark.parametrize(
         "name",
         [
