--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -8,7 +8,7 @@
 
 import hashlib
 import random
-from collections.abc import Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator
 
 from kingcuphead.dispatch._messages import (
     AttemptResult,
@@ -40,6 +40,8 @@
         self._board = board
         self._draw = draw
         self._states: dict[str, TargetState] = {}
+        #: Called when a large prompt was placed, of which others should know at once.
+        self.announce: Callable[[], None] | None = None
 
     def place(
         self,
@@ -80,6 +82,9 @@
         wait = self._expect_wait(state, best, reading)
         placement = Placement(best, state, reading, now, wait, choice == 0, cost)
         state.add(placement, work, now)
+        is_large = reading.unread_tokens >= self._settings.announced_tokens
+        if is_large and self.announce is not None:
+            self.announce()
         return placement
 
     def start(self, placement: Placement, now: float) -> None:
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -72,6 +72,8 @@
     copied_tokens_per_second: float = 50_000.0
     #: Fewest tokens that are copied; to read fewer takes no longer.
     least_copied_tokens: int = 300
+    #: Prompt tokens to be read from which on other daemons are told at once.
+    announced_tokens: int = 4_000
     #: Seconds that one running request adds to the wait of the next.
     running_seconds: float = 0.004
     #: Part of the cost of a wait that grows with the wait alone; the rest grows with
--- a/kingcuphead/dispatch/tests/test_dispatch.py
+++ b/kingcuphead/dispatch/tests/test_dispatch.py
@@ -127,6 +127,16 @@
         assert not list(dispatcher.list_loads())
 
 
+class TestAnnouncing:
+    @pytest.mark.parametrize("own, told", [(1_000, 0), (30_000, 1)])
+    def test_large_prompts_are_announced(self, own, told):
+        dispatcher = make_dispatcher()
+        calls = []
+        dispatcher.announce = lambda: calls.append(1)
+        dispatcher.place(make_work(own=own), TARGETS, (), 0.0)
+        assert len(calls) == told
+
+
 class TestHealth:
     @pytest.mark.parametrize(
         "result", [AttemptResult.UNREACHABLE, AttemptResult.SILENT]
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -95,6 +95,7 @@
             self._datagrams.send,
             draw,
         )
+        self._dispatcher.announce = self._loads.hasten
         self._internal = (profile.ip, profile.internal_port)
         self._peers = PeerWatch(self._store, self._internal, self._take_peers)
         self._pool = ConnectionPool()
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -1,6 +1,7 @@
-"""Sends this daemon's loads to others now and then."""
+"""Sends this daemon's loads to others, now and then and after each large change."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable, Iterable
 
@@ -9,6 +10,8 @@
 
 #: Seconds between two reports.
 REPORT_INTERVAL = 0.1
+#: Least seconds between two reports.
+LEAST_INTERVAL = 0.005
 #: Reports without change after which one is sent all the same.
 QUIET_REPORTS = 4
 #: Most daemons that get one report; among more, others are drawn each time.
@@ -50,6 +53,7 @@
         self._number = 0
         self._last_loads: tuple[TargetLoad, ...] = ()
         self._quiet = 0
+        self._hurry = asyncio.Event()
         #: Addresses of the other daemons.
         self.peers: tuple[Address, ...] = ()
 
@@ -57,14 +61,25 @@
         """Report for ever."""
         loop = asyncio.get_running_loop()
         while True:
-            await asyncio.sleep(REPORT_INTERVAL)
+            await self._wait()
             self._board.expire(loop.time())
             self._report()
+            await asyncio.sleep(LEAST_INTERVAL)
+
+    def hasten(self) -> None:
+        """Report soon, since the loads have changed much."""
+        self._hurry.set()
 
     def take(self, report: LoadsReported) -> None:
         """Take a report of another daemon."""
         self._board.take(report, asyncio.get_running_loop().time())
 
+    async def _wait(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REPORT_INTERVAL):
+                await self._hurry.wait()
+        self._hurry.clear()
+
     def _report(self) -> None:
         loads = tuple(self._list_loads())
         self._quiet = self._quiet + 1 if loads == self._last_loads else 0
--- a/kingcuphead/loads/tests/test_loads.py
+++ b/kingcuphead/loads/tests/test_loads.py
@@ -58,6 +58,31 @@
 
         asyncio.run(run())
 
+    def test_a_large_change_is_told_before_the_next_report_is_due(self):
+        """The load: a prompt of 60,000 tokens, then small ones at other daemons."""
+
+        async def run():
+            told = []
+            loop = asyncio.get_running_loop()
+            exchange = LoadExchange(
+                "d1",
+                LoadBoard(),
+                lambda: (TargetLoad("t1", 1, 60_000),),
+                lambda report, peer: told.append(loop.time()),
+                random.Random(1),
+            )
+            exchange.peers = (("10.0.0.2", 9000),)
+            task = asyncio.create_task(exchange.run())
+            await asyncio.sleep(0)
+            started_at = loop.time()
+            exchange.hasten()
+            await asyncio.sleep(REPORT_INTERVAL * 3)
+            task.cancel()
+            return [at - started_at for at in told]
+
+        told = asyncio.run(run())
+        assert told[0] < REPORT_INTERVAL / 2
+
     def test_a_report_goes_to_a_few_of_many_daemons(self):
         async def run():
             receivers = []
