--- a/kingcuphead/credit/__init__.py
+++ b/kingcuphead/credit/__init__.py
@@ -11,7 +11,7 @@
     Shortage,
     TotalRow,
 )
-from kingcuphead.credit._reclaim import find_reclaimable, plan_reclaim
+from kingcuphead.credit._reclaim import Reclaim, find_reclaimable, plan_reclaim
 from kingcuphead.credit._task import CreditRefused, CreditTable, CreditTask
 
 __all__ = [
@@ -27,6 +27,7 @@
     "Hold",
     "HolderRow",
     "Lending",
+    "Reclaim",
     "Shortage",
     "TotalRow",
     "find_reclaimable",
--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -79,6 +79,8 @@
         self.free = 0
         #: Tokens set aside for an outage of the store.
         self.reserve = 0
+        #: Tokens that were freed from it since the store answered last.
+        self.used_reserve = 0
         #: Tokens reserved for requests.
         self.held = 0
         #: Tokens spent that the total does not show yet.
@@ -140,11 +142,14 @@
         """Take tokens that another daemon gave away."""
         self.free += tokens
 
-    def use_reserve(self, tokens: int) -> None:
-        """Make enough of what was set aside available for a request."""
-        missing = min(max(0, tokens - self.free), self.reserve)
-        self.free += missing
-        self.reserve -= missing
+    def use_reserve(self, tokens: int, share: float) -> None:
+        """Free what a request lacks, up to a share of what was set aside."""
+        released = math.floor((self.reserve + self.used_reserve) * share)
+        missing = max(0, tokens - self.free)
+        used = min(missing, max(0, released - self.used_reserve), self.reserve)
+        self.free += used
+        self.reserve -= used
+        self.used_reserve += used
 
     def plan(self, now: float) -> Adjustment | None:
         """Return what the next transaction should do, or None for nothing."""
--- a/kingcuphead/credit/_book.py
+++ b/kingcuphead/credit/_book.py
@@ -4,8 +4,8 @@
 limit: a grant is used only after the transaction that charges it is known to have been
 applied, and credit that is returned is set aside before its transaction is sent. A
 daemon that dies leaves charged what it could have spent at any time: nobody can tell
-what it did spend. Its reserves for an outage come back if its next life starts early
-enough to know that they were not touched (see `_reclaim`).
+what it did spend. Of its reserves for an outage the part comes back that can't have
+been free yet when its next life started (see `_reclaim`).
 """
 
 import dataclasses
@@ -137,18 +137,17 @@
         """Key of the row of this life."""
         return self._holder_key
 
-    def is_isolated(self, now: float) -> bool:
-        """Whether no transaction was applied for so long that reserves may be spent."""
+    def get_released_share(self, now: float) -> float:
+        """Return the share of the reserves that may be spent, by now."""
         if self._unapplied_since is None:
-            return False
-        period = self._settings.isolation_period + self._settings.clock_margin
-        return now - self._unapplied_since >= period
+            return 0.0
+        age = now - self._unapplied_since - self._settings.clock_margin
+        return self._settings.get_released_share(age)
 
     def hold(self, organisation: str, tokens: int, now: float) -> Hold | None:
         """Reserve the most that a request can cost, or return None for now."""
         account = self._get_account(organisation)
-        if self.is_isolated(now):
-            account.use_reserve(tokens)
+        account.use_reserve(tokens, self.get_released_share(now))
         if account.hold(tokens):
             return Hold(organisation, tokens, now)
         return None
@@ -177,8 +176,8 @@
     def lend(self, organisation: str, tokens: int, now: float) -> int:
         """Give up to so many tokens to another daemon, and return how many."""
         account = self._get_account(organisation)
-        if self.is_isolated(now):
-            account.use_reserve(tokens + account.wanted)
+        wanted = tokens + account.wanted
+        account.use_reserve(wanted, self.get_released_share(now))
         return account.lend(tokens)
 
     def borrow(self, organisation: str, tokens: int) -> None:
@@ -250,6 +249,8 @@
                 self._confirm(sent, version, now)
                 self._holder_version = version
                 self._unapplied_since = None
+                for account in self._accounts.values():
+                    account.used_reserve = 0
                 self._conflicts = 0
             case Conflict(rows):
                 self._cancel(sent)
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -24,8 +24,8 @@
 
     #: Number of the transaction; it decides lost replies.
     attempt: int
-    #: Time of the store in milliseconds from which the isolation period counts: the
-    #: reserves are untouched until it has passed. 0 where no time is known.
+    #: Time of the store in milliseconds from which the release of the reserves counts,
+    #: or earlier. 0 where no time is known.
     stamp_ms: int = 0
     #: Tokens set aside for an outage of the store, by organisation.
     reserves: dict[str, int] = {}
@@ -49,14 +49,14 @@
     """How much credit a daemon keeps at hand.
 
     What may be spent at any time is lost if the daemon dies. What is set aside for an
-    outage of the store may be spent only after `isolation_period` without an answer; a
-    later life of the daemon that starts sooner takes it back.
+    outage of the store becomes free little by little while the store does not answer; a
+    later life of the daemon takes back what can't have been free when it started.
     """
 
     #: Seconds of the usual demand that are kept to be spent.
-    spending_seconds: float = 4.0
+    spending_seconds: float = 3.0
     #: Seconds of the usual demand that are kept at hand in all.
-    reserve_seconds: float = 16.0
+    reserve_seconds: float = 20.0
     #: Usual requests that are kept to be spent where there was no demand lately.
     spending_requests: float = 1.0
     #: Usual requests that are kept at hand in all where there was no demand lately.
@@ -65,9 +65,11 @@
     demand_share: float = 0.5
     #: The same where there was no demand.
     idle_share: float = 0.04
-    #: Seconds without an answer of the store after which the reserves may be spent.
-    isolation_period: float = 4.6
-    #: Seconds that clocks may differ over that period.
+    #: Seconds without an answer of the store after which reserves begin to be freed.
+    release_delay: float = 1.0
+    #: Seconds from then until they are all free.
+    release_period: float = 10.0
+    #: Seconds that clocks may differ over both.
     clock_margin: float = 0.2
     #: Seconds between two regular renewals.
     renewal_interval: float = 0.7
@@ -76,6 +78,13 @@
     #: Most organisations in one transaction.
     batch_size: int = 40
 
+    def get_released_share(self, age: float) -> float:
+        """Return the share of the reserves that is free after an age in seconds.
+
+        The age counts from the first transaction that got no answer.
+        """
+        return min(1.0, max(0.0, (age - self.release_delay) / self.release_period))
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CreditState:
--- a/kingcuphead/credit/_reclaim.py
+++ b/kingcuphead/credit/_reclaim.py
@@ -1,11 +1,12 @@
 """Takes back what earlier lives of a daemon had set aside for an outage.
 
-An earlier life spends its reserves only when the store has not answered it for
-`CreditSettings.isolation_period`, counted from a moment that is not earlier than the
-stamp in its row. A life that finds itself started before that moment knows that the
-reserves are untouched, since only one life of a daemon runs at a time.
+An earlier life frees its reserves evenly while the store does not answer it, counted
+from a moment that is not earlier than the stamp in its row. Only one life of a daemon
+runs at a time, so that what was not free yet when the next life started is untouched.
 """
 
+import dataclasses
+import math
 from collections.abc import Iterable, Mapping
 
 import msgspec
@@ -18,10 +19,20 @@
 _HOLDER = msgspec.json.Decoder(HolderRow)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reclaim:
+    """What an earlier life certainly has not spent."""
+
+    #: Row of that life.
+    holder: Row
+    #: Untouched tokens by organisation.
+    untouched: Mapping[str, int]
+
+
 def find_reclaimable(
     rows: Iterable[Row], own_key: str, started_at: int, settings: CreditSettings
-) -> tuple[Row, ...]:
-    """Return the rows of earlier lives whose reserves are certainly untouched.
+) -> tuple[Reclaim, ...]:
+    """Return what earlier lives certainly have not spent.
 
     Parameters
     ----------
@@ -32,31 +43,31 @@
     started_at
         The store's time in milliseconds when this life started, or later.
     settings
-        How long a daemon leaves its reserves alone.
+        How fast a daemon frees its reserves.
     """
-    period = settings.isolation_period * 1000
-    return tuple(
-        row
-        for row in rows
-        if row.key != own_key and _is_reclaimable(row, started_at - period)
+    others = (row for row in rows if row.key != own_key)
+    found = (
+        Reclaim(row, _count_untouched(row, started_at, settings)) for row in others
     )
+    return tuple(each for each in found if each.untouched)
 
 
-def plan_reclaim(holder: Row, totals: Mapping[str, Row]) -> Transaction:
-    """Return the transaction that gives the reserves of an earlier life back.
+def plan_reclaim(reclaim: Reclaim, totals: Mapping[str, Row]) -> Transaction:
+    """Return the transaction that gives the untouched reserves of a life back.
 
     Parameters
     ----------
-    holder
-        Row of the earlier life.
+    reclaim
+        What is given back.
     totals
         Rows of the totals, by their keys, as last seen.
     """
+    holder = reclaim.holder
     row = _HOLDER.decode(holder.value)
     closed = msgspec.structs.replace(row, reserves={}, is_closed=True)
     checks = [Check(holder.key, holder.version)]
     writes = [Put(holder.key, msgspec.json.encode(closed))]
-    for name, tokens in row.reserves.items():
+    for name, tokens in reclaim.untouched.items():
         key = TOTAL_PREFIX + name
         seen = totals.get(key)
         checks.append(Check(key, seen.version if seen is not None else ABSENT))
@@ -66,6 +77,15 @@
     return Transaction(tuple(checks), tuple(writes))
 
 
-def _is_reclaimable(holder: Row, unused_since: float) -> bool:
+def _count_untouched(
+    holder: Row, started_at: int, settings: CreditSettings
+) -> dict[str, int]:
+    """Return the tokens that were not free yet when the next life started."""
     row = _HOLDER.decode(holder.value)
-    return bool(row.reserves) and not row.is_closed and row.stamp_ms > unused_since
+    if row.is_closed or not row.stamp_ms:
+        return {}
+    share = 1 - settings.get_released_share((started_at - row.stamp_ms) / 1000)
+    untouched = {
+        name: math.floor(tokens * share) for name, tokens in row.reserves.items()
+    }
+    return {name: tokens for name, tokens in untouched.items() if tokens}
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -12,7 +12,7 @@
 from kingcuphead.credit._book import CreditBook
 from kingcuphead.credit._borrower import Borrower
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold, Shortage
-from kingcuphead.credit._reclaim import find_reclaimable, plan_reclaim
+from kingcuphead.credit._reclaim import Reclaim, find_reclaimable, plan_reclaim
 from kingcuphead.invariants import require
 from kingcuphead.storage import (
     CommitOutcome,
@@ -208,17 +208,19 @@
                 )
                 own_key = self._book.holder_key
                 earlier = find_reclaimable(rows, own_key, started_at, self._settings)
-                for holder in earlier:
-                    await self._reclaim_holder(holder)
+                for reclaim in earlier:
+                    await self._take_back(reclaim)
             case Result(error=fault):
                 logger.warning("reserves can't be taken back: {}", fault.message)
 
-    async def _reclaim_holder(self, holder: Row) -> None:
+    async def _take_back(self, reclaim: Reclaim) -> None:
+        holder = reclaim.holder
         totals: dict[str, Row] = {}
         for _ in range(RECLAIM_TRIES):
-            outcome = await self._table.commit(plan_reclaim(holder, totals))
+            outcome = await self._table.commit(plan_reclaim(reclaim, totals))
             if isinstance(outcome, Committed):
-                logger.info("reserves of {} were taken back", holder.key)
+                tokens = sum(reclaim.untouched.values())
+                logger.info("{} tokens of {} were taken back", tokens, holder.key)
                 return
             if isinstance(outcome, Conflict):
                 totals = {row.key: row for row in outcome.rows}
--- a/kingcuphead/credit/tests/test_book.py
+++ b/kingcuphead/credit/tests/test_book.py
@@ -1,6 +1,7 @@
 import random
 
 import msgspec
+import pytest
 
 from kingcuphead.credit import (
     CreditBook,
@@ -14,8 +15,11 @@
 from kingcuphead.routing import Organisation
 from kingcuphead.storage import Conflict, Put, Transaction, Unknown
 
-#: Seconds without an answer of the store after which reserves may be spent.
-PERIOD = CreditSettings().isolation_period + CreditSettings().clock_margin
+SETTINGS = CreditSettings()
+#: Seconds without an answer of the store after which reserves begin to be free.
+DELAY = SETTINGS.release_delay + SETTINGS.clock_margin
+#: Seconds after which they are all free.
+PERIOD = DELAY + SETTINGS.release_period
 ATELIER = Organisation("atelier", None, 100_000)
 
 
@@ -147,8 +151,9 @@
         book.want("atelier", 30_000)
         for number in range(int(PERIOD / 0.3) + 2):
             now = 1.0 + 0.3 * number
-            is_isolated = now - 1.0 >= PERIOD
-            assert book.is_isolated(now) is is_isolated
+            share = (now - 1.0 - DELAY) / SETTINGS.release_period
+            expected = min(1.0, max(0.0, share))
+            assert book.get_released_share(now) == pytest.approx(expected)
             self.lose_race(book, store, now)
         assert state.reserve > 0
         assert book.hold("atelier", state.free + 1, now) is not None
@@ -192,22 +197,34 @@
         store.apply(Transaction((), (Put(key, msgspec.json.encode(row)),)))
         return store.rows[key]
 
-    def test_a_reserve_comes_back_within_the_isolation_period(self):
-        store, settings = FaultyStore(random.Random(1)), CreditSettings()
+    @pytest.mark.parametrize(
+        "age, untouched",
+        [
+            (0.0, 700),
+            (SETTINGS.release_delay, 700),
+            (SETTINGS.release_delay + SETTINGS.release_period / 4, 525),
+            (SETTINGS.release_delay + SETTINGS.release_period / 2, 350),
+            (SETTINGS.release_delay + SETTINGS.release_period, 0),
+            (60.0, 0),
+        ],
+    )
+    def test_what_was_not_free_yet_comes_back(self, age, untouched):
+        store = FaultyStore(random.Random(1))
         row = self.make_row(store, stamp_ms=10_000)
-        early = 9_900 + int(settings.isolation_period * 1000)
-        found = find_reclaimable([row], "holder/d1/life-2", early, settings)
-        assert found == (row,)
-        store.apply(plan_reclaim(row, {}))
-        assert store.read_total("atelier").charged == -700
+        started_at = 10_000 + round(age * 1000)
+        found = find_reclaimable([row], "holder/d1/life-2", started_at, SETTINGS)
+        assert sum(each.untouched["atelier"] for each in found) == untouched
+        for each in found:
+            store.apply(plan_reclaim(each, {}))
+        assert store.read_total("atelier").charged == -untouched
         closed = store.rows[row.key]
-        assert not find_reclaimable([closed], "", early, settings)
+        if untouched:
+            assert not find_reclaimable([closed], "", started_at, SETTINGS)
 
-    def test_a_reserve_that_may_have_been_used_stays_charged(self):
-        store, settings = FaultyStore(random.Random(1)), CreditSettings()
-        row = self.make_row(store, stamp_ms=10_000)
-        late = 10_001 + int(settings.isolation_period * 1000)
-        assert not find_reclaimable([row], "holder/d1/life-2", late, settings)
+    def test_a_row_without_a_time_gives_nothing_back(self):
+        store = FaultyStore(random.Random(1))
+        row = self.make_row(store, stamp_ms=0)
+        assert not find_reclaimable([row], "holder/d1/life-2", 0, SETTINGS)
 
     def test_the_row_of_the_running_life_is_left_alone(self):
         store, settings = FaultyStore(random.Random(1)), CreditSettings()
--- a/kingcuphead/credit/tests/test_lending.py
+++ b/kingcuphead/credit/tests/test_lending.py
@@ -70,16 +70,21 @@
         self.lender.want(NAME, self.lender.get_free(NAME) - 100)
         assert self.lending.answer(self.borrowing.ask(NAME, 5_000), 0.0).tokens == 100
 
-    def test_reserves_are_lent_only_after_the_isolation_period(self):
+    def test_reserves_are_lent_only_as_they_are_released(self):
         transaction = self.lender.plan_transaction(0.0, self.store.time_ms)
         assert transaction is not None
-        free = self.lender.get_free(NAME)
+        state = self.lender.describe(NAME, 0.0)
         self.lender.take_outcome(self.store.commit(transaction, is_cut=True), 0.0)
-        early = self.lending.answer(self.borrowing.ask(NAME, LIMIT), 1.0)
-        assert early.tokens == free
-        period = CreditSettings().isolation_period + CreditSettings().clock_margin
-        late = self.lending.answer(self.borrowing.ask(NAME, 1_000), period)
-        assert late.tokens == 1_000
+        settings = CreditSettings()
+        begin = settings.release_delay + settings.clock_margin
+        early = self.lending.answer(self.borrowing.ask(NAME, LIMIT), begin)
+        assert early.tokens == state.free
+        half = begin + settings.release_period / 2
+        later = self.lending.answer(self.borrowing.ask(NAME, LIMIT), half)
+        assert later.tokens == pytest.approx(state.reserve / 2, abs=1)
+        end = begin + settings.release_period
+        last = self.lending.answer(self.borrowing.ask(NAME, LIMIT), end)
+        assert later.tokens + last.tokens == state.reserve
 
     def test_an_unknown_organisation_lends_nothing(self):
         assert self.lending.answer(CreditAsked("b/1", 1, "nobody", 5), 0.0).tokens == 0
--- a/kingcuphead/credit/tests/test_random_runs.py
+++ b/kingcuphead/credit/tests/test_random_runs.py
@@ -2,14 +2,12 @@
 
 import random
 
-import msgspec
 import pytest
 
 from kingcuphead.credit import (
     CreditAsked,
     CreditBook,
     CreditSettings,
-    HolderRow,
     Lending,
     find_reclaimable,
     plan_reclaim,
@@ -70,25 +68,25 @@
         ]
         own_key = self.book.holder_key
         settings = self.world.reclaim_settings
-        for row in find_reclaimable(rows, own_key, store.time_ms, settings):
-            self.check_untouched(row)
+        for reclaim in find_reclaimable(rows, own_key, store.time_ms, settings):
+            self.check_untouched(reclaim)
             totals: dict[str, Row] = {}
             for _ in range(5):
-                outcome = store.apply(plan_reclaim(row, totals))
+                outcome = store.apply(plan_reclaim(reclaim, totals))
                 if not isinstance(outcome, Conflict):
                     break
                 totals = {each.key: each for each in outcome.rows}
 
-    def check_untouched(self, row):
+    def check_untouched(self, reclaim):
         """Check that an earlier life has not spent what is taken back."""
-        book = self.world.dead[row.key]
+        key = reclaim.holder.key
+        book = self.world.dead[key]
         sent = [*book._undecided, *([book._sent] if book._sent else [])]
-        holder = msgspec.json.decode(row.value, type=HolderRow)
-        for name, tokens in holder.reserves.items():
+        for name, tokens in reclaim.untouched.items():
             moving = [each.adjustments.get(name) for each in sent]
             left = book._accounts[name].reserve
             left += sum(abs(each.reserve) for each in moving if each is not None)
-            assert tokens <= left, (name, row.key, self.world.store.now)
+            assert tokens <= left, (name, key, self.world.store.now)
 
     def request(self):
         draw = self.world.draw
@@ -145,7 +143,7 @@
         self.settings = CreditSettings()
         self.reclaim_settings = self.settings
         if trusted_period is not None:
-            self.reclaim_settings = CreditSettings(isolation_period=trusted_period)
+            self.reclaim_settings = CreditSettings(release_delay=trusted_period)
         self.store = FaultyStore(self.draw)
         self.limits = dict.fromkeys(NAMES, 60_000)
         self.version = 1
