--- a/kingcuphead/credit/_borrower.py
+++ b/kingcuphead/credit/_borrower.py
@@ -66,8 +66,11 @@
                 break
         else:
             self._short_until[organisation] = now + SHORTAGE_PERIOD
-        logger.debug(
-            "{} of {} tokens came from {} daemons", tokens - missing, tokens, asked
+        logger.bind(organisation=organisation).info(
+            "credit borrowed: {} of {} tokens, {} daemons asked",
+            tokens - max(0, missing),
+            tokens,
+            asked,
         )
 
     def take(self, handed: CreditHanded) -> None:
