--- a/kingcuphead/forwarding/_path.py
+++ b/kingcuphead/forwarding/_path.py
@@ -222,6 +222,9 @@
                     return None
                 case Answered() if self._is_worth_repeating(journey, end):
                     continue
+                case Answered() if stream is not None and stream.is_started:
+                    # Its head and body can't follow events of another target.
+                    return self._give_up(journey, caller, stream, None)
                 case Answered():
                     journey.status = end.head.status
                     await _pass_on(caller, end)
--- /dev/null
+++ b/kingcuphead/forwarding/tests/_fleet.py
@@ -0,0 +1,181 @@
+import asyncio
+import random
+
+from expression import Ok
+from tornado.httputil import HTTPHeaders
+
+from kingcuphead.credit import CreditBook, CreditTask
+from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
+from kingcuphead.forwarding import (
+    AttemptRunner,
+    CallerRequest,
+    ConnectionPool,
+    RequestPath,
+    Surroundings,
+)
+from kingcuphead.forwarding.tests._target import ScriptedTarget
+from kingcuphead.loads import LoadBoard
+from kingcuphead.platform import PlatformHeaders
+from kingcuphead.routing import (
+    CallerLimits,
+    Organisation,
+    RequestKind,
+    Route,
+    RoutingConfiguration,
+    RoutingTable,
+    WeightedService,
+)
+from kingcuphead.storage import Committed
+from kingcuphead.targets import TargetDirectory
+
+
+class WillingTable:
+    """A store in which every transaction succeeds."""
+
+    def __init__(self):
+        self.version = 0
+
+    async def commit(self, transaction):
+        self.version += 1
+        return Committed(self.version)
+
+    async def read_prefix(self, prefix):
+        return Ok(())
+
+    def estimate_time(self):
+        return 1
+
+    def bound_time(self, moment):
+        return 1
+
+
+class RecordingCaller:
+    def __init__(self):
+        self.status = 0
+        self.headers = None
+        self.body = b""
+        self.end = ""
+
+    async def start(self, status, headers):
+        assert not self.status, "an answer starts once"
+        self.status, self.headers = status, headers
+
+    async def write(self, chunk):
+        self.body += chunk
+
+    def finish(self):
+        self.end = "whole"
+
+    def abort(self):
+        self.end = "broken"
+
+
+def make_route(kind, attempts=2, resumable=False, timeout=2.0, objective=0.2):
+    return Route(
+        name=kind.value,
+        host="h",
+        prefix=f"/{kind.value}/",
+        kind=kind,
+        services=(WeightedService("pool", 1),),
+        timeout=timeout,
+        objective=objective,
+        longest_pause=0.1,
+        rank=0,
+        max_attempts=attempts,
+        is_anonymous=False,
+        is_resumable=resumable,
+    )
+
+
+def make_request(kind, size=None, request_id="r1", **changes):
+    values = {
+        "request_id": request_id,
+        "method": "POST",
+        "uri": f"/{kind.value}/x?y=1",
+        "host": "h",
+        "headers": HTTPHeaders({"Attempt-Id": request_id, "Host": "h"}),
+        "body": b"body",
+        "key": "k",
+        "patience": None,
+        "size": size,
+        "resume_after": 0,
+        "arrived_at": asyncio.get_running_loop().time(),
+    }
+    return CallerRequest(**{**values, **changes})
+
+
+class Fleet:
+    """A request path before two scripted targets."""
+
+    def __init__(self, routes, prepaid=None):
+        self.first, self.second = ScriptedTarget("t1"), ScriptedTarget("t2")
+        self.routes = routes
+        self.ended = []
+        self.prepaid = prepaid
+
+    async def __aenter__(self):
+        self.directory = TargetDirectory()
+        for target in (self.first, self.second):
+            list(self.directory.put(await target.start()))
+        self.pool = ConnectionPool()
+        book = CreditBook("d1", "life-1")
+        organisation = Organisation("atelier", None, self.prepaid)
+        book.apply_limits([organisation], 1)
+        self.book = book
+        credit = CreditTask(book, WillingTable())
+        self.renewal = asyncio.create_task(credit._renew())
+        dispatcher = Dispatcher(DispatchSettings("z"), LoadBoard(), FirstFirst())
+        self.path = RequestPath(
+            Surroundings(
+                self.directory,
+                dispatcher,
+                RetryAllowance(0.0, 10.0, 10.0),
+                credit,
+                AttemptRunner(self.pool, PlatformHeaders()),
+            ),
+            random.Random(1),
+            lambda journey, refusal: self.ended.append((journey, refusal)),
+        )
+        self.path.apply(
+            RoutingTable(
+                RoutingConfiguration(
+                    1,
+                    tuple(self.routes),
+                    {},
+                    {"atelier": organisation},
+                    {"k": "atelier"},
+                    CallerLimits(),
+                )
+            )
+        )
+        return self
+
+    async def __aexit__(self, *error):
+        self.pool.close()
+        self.first.stop()
+        self.second.stop()
+
+    async def serve(self, request):
+        caller = RecordingCaller()
+        refusal = await self.path.serve(request, caller)
+        return caller, refusal
+
+
+class FirstFirst(random.Random):
+    """A source of chance that keeps the order of targets."""
+
+    def sample(self, population, k, *, counts=None):
+        return list(population)[:k]
+
+
+def run(routes, play, prepaid=None):
+    async def main():
+        async with asyncio.timeout(20), Fleet(routes, prepaid) as fleet:
+            await play(fleet)
+
+    asyncio.run(main())
+
+
+IDEMPOTENT = RequestKind.IDEMPOTENT
+ONCE = RequestKind.AT_MOST_ONCE
+STREAM = RequestKind.STREAM
