--- a/kingcuphead/budgets/_borrower.py
+++ b/kingcuphead/budgets/_borrower.py
@@ -2,14 +2,13 @@
 
 import dataclasses
 from collections.abc import Iterator
-from typing import TypeAlias
 
 from kingcuphead.budgets._account import Account, Ask, Hold
+from kingcuphead.budgets._borrower_effects import BillMade, BorrowerEffect
 from kingcuphead.budgets._demand import Demand
 from kingcuphead.budgets._messages import (
     FaultReported,
     HoldGranted,
-    HoldRefused,
     HoldReleased,
     HoldRequested,
     HoldSettled,
@@ -31,22 +30,6 @@
 from kingcuphead.records import BudgetPolicy
 from kingcuphead.verdict import Reason
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class BillMade:
-    """A hold was settled; its bill has to be made safe and committed."""
-
-    #: The hold.
-    hold_id: str
-    #: The bill.
-    bill: Bill
-
-
-BorrowerEffect: TypeAlias = (
-    SendToPeer | HoldGranted | HoldRefused | FaultReported | BillMade
-)
-
-
 #: Ticks in which each account is looked at once, unless a hold waits on it.
 TICK_TURNS = 8
 
--- a/kingcuphead/budgets/_ledger.py
+++ b/kingcuphead/budgets/_ledger.py
@@ -4,7 +4,8 @@
 from collections.abc import Iterable, Iterator
 
 from kingcuphead.budgets._billbook import BillBook
-from kingcuphead.budgets._borrower import BillMade, Borrower
+from kingcuphead.budgets._borrower import Borrower
+from kingcuphead.budgets._borrower_effects import BillMade
 from kingcuphead.budgets._home import Home
 from kingcuphead.budgets._lending import Lending
 from kingcuphead.budgets._messages import (
--- a/kingcuphead/cli/_fields.py
+++ b/kingcuphead/cli/_fields.py
@@ -44,7 +44,7 @@
     "class": "work classes: priority, deadline, ageing, share",
     "model": "models that callers can name",
     "service": "groups of targets that do the same work",
-    "target": "back ends: model runners and instances of plain services",
+    "target": "model engines and instances of plain services",
 }
 
 FIELDS: dict[str, tuple[Field, ...]] = {
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -71,13 +71,20 @@
     release_period: float = 10.0
     #: Seconds that clocks may differ over both.
     clock_margin: float = 0.2
-    #: Seconds between two regular renewals.
+    #: Seconds between two regular renewals in a small fleet.
     renewal_interval: float = 0.7
+    #: Daemons from which on the interval grows with the fleet, so that all of them
+    #: together renew no more often.
+    small_fleet: int = 20
     #: Seconds over which the demand is averaged.
     demand_period: float = 6.0
     #: Most organisations in one transaction.
     batch_size: int = 40
 
+    def get_renewal_interval(self, daemons: int) -> float:
+        """Return the seconds between two regular renewals in a fleet of a size."""
+        return self.renewal_interval * max(1.0, daemons / self.small_fleet)
+
     def get_released_share(self, age: float) -> float:
         """Return the share of the reserves that is free after an age in seconds.
 
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -92,6 +92,8 @@
         self._changed = asyncio.Condition()
         #: Gets credit from other daemons, if there are any.
         self.borrower: Borrower | None = None
+        #: Daemons of the fleet, as far as known.
+        self.daemons = 1
         #: Whether the last transactions got no answer.
         self.is_store_down = False
 
@@ -246,8 +248,9 @@
         if self._book.is_waiting:
             await asyncio.sleep(FAILURE_PAUSE if self.is_store_down else WAIT_INTERVAL)
             return
+        interval = self._settings.get_renewal_interval(self.daemons)
         try:
-            async with asyncio.timeout(self._settings.renewal_interval):
+            async with asyncio.timeout(interval):
                 await self._wake.wait()
         except TimeoutError:
             return
--- a/kingcuphead/credit/tests/test_book.py
+++ b/kingcuphead/credit/tests/test_book.py
@@ -159,6 +159,16 @@
         assert book.hold("atelier", state.free + 1, now) is not None
 
 
+class TestRenewalInterval:
+    """The load: a store that takes 200 transactions a second for one part."""
+
+    @pytest.mark.parametrize("daemons", [1, 7, 20, 62, 90, 330])
+    def test_regular_renewals_of_all_daemons_leave_room(self, daemons):
+        interval = SETTINGS.get_renewal_interval(daemons)
+        assert interval >= SETTINGS.renewal_interval
+        assert daemons / interval <= 200 / 4
+
+
 class TestDemand:
     """The load: requests that may cost far more than they do, and refused ones."""
 
--- a/kingcuphead/credit/tests/test_task.py
+++ b/kingcuphead/credit/tests/test_task.py
@@ -1,11 +1,13 @@
 import asyncio
 import random
 
+import pytest
 from expression import Ok
 
 from kingcuphead.credit import (
     Borrower,
     CreditBook,
+    CreditSettings,
     CreditTask,
     Lending,
     Shortage,
@@ -44,6 +46,36 @@
     return book
 
 
+class CountingTable(CutTable):
+    """Counts transactions."""
+
+    count = 0
+
+    async def commit(self, transaction):
+        self.count += 1
+        return await super().commit(transaction)
+
+
+class TestRenewal:
+    @pytest.mark.parametrize("daemons, least, most", [(7, 2, 4), (330, 1, 1)])
+    def test_a_daemon_of_a_large_fleet_renews_less_often(self, daemons, least, most):
+        async def play():
+            table = CountingTable(FaultyStore(random.Random(1)))
+            settings = CreditSettings(renewal_interval=0.2)
+            book = CreditBook("a", "1", settings)
+            book.apply_limits([Organisation(NAME, None, 100_000)], 1)
+            now = asyncio.get_running_loop().time()
+            book.count_demand(NAME, 5_000, now)
+            task = CreditTask(book, table, settings)
+            task.daemons = daemons
+            renewal = asyncio.create_task(task.run())
+            await asyncio.sleep(0.7)
+            renewal.cancel()
+            return table.count
+
+        assert least <= asyncio.run(play()) <= most
+
+
 class TestBorrowingTask:
     """Requests that another daemon has credit for are not refused."""
 
--- a/kingcuphead/daemon/_assembly.py
+++ b/kingcuphead/daemon/_assembly.py
@@ -84,20 +84,19 @@
         _make_scheduler(settings), targets.probe, announcements.tell
     )
     requests = RequestLog(own.name, metrics)
-    gateway = Gateway(
-        _make_gateway_settings(settings),
-        _make_chat_path(settings, ledger, scheduler, relay),
-        ServicePath(scheduler, relay, timeouts),
-        ClaimedCalls(Claims(table), own.name),
-        announcements.is_current,
-        requests.report,
-    )
     parts = Parts(
         ledger=ledger,
         scheduler=scheduler,
         membership=_make_membership_task(settings, own, router, announcements),
         configuration=_make_configuration_task(settings, table, router, announcements),
-        gateway=gateway,
+        gateway=Gateway(
+            _make_gateway_settings(settings),
+            _make_chat_path(settings, ledger, scheduler, relay),
+            ServicePath(scheduler, relay, timeouts),
+            ClaimedCalls(Claims(table), own.name),
+            announcements.is_current,
+            requests.report,
+        ),
         targets=targets,
         router=router,
     )
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -246,6 +246,7 @@
 
     def _take_peers(self, peers: tuple[Address, ...]) -> None:
         self._loads.peers = peers
+        self._credit.daemons = len(peers) + 1
 
     def _take_change(self, change: DirectoryChange) -> None:
         if isinstance(change, TargetLeft):
--- a/kingcuphead/records/_model.py
+++ b/kingcuphead/records/_model.py
@@ -104,7 +104,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Target:
-    """One back end: a model runner or an instance of a plain service."""
+    """A model engine or an instance of a plain service."""
 
     #: Unique name, equal to its name in the platform's instance list.
     name: str
