--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -54,7 +54,7 @@
     """
 
     #: Seconds of the usual demand that are kept to be spent.
-    spending_seconds: float = 3.0
+    spending_seconds: float = 2.0
     #: Seconds of the usual demand that are kept at hand in all.
     reserve_seconds: float = 20.0
     #: Usual requests that are kept to be spent where there was no demand lately.
