Drop probes of removed members, and reject malformed records as faults

Membership: a pending probe outlived its member. If the platform unlists a daemon that is already dead, a late probe of it raised KeyError in _suspect and ended the task. The probe is dropped with the member; ruled out: keeping the member until the probe ends, which would list a daemon that the platform has removed.

Configuration: decode_stored and decode_change let msgspec's error leave for a row that is no object or lacks a field, though they are documented to return a fault. Both return a RecordFault now, so an offer with such a record is refused.

Before: the six new cases fail at (KeyError 'd1'; ValidationError).

--- a/kingcuphead/configuration/_rows.py
+++ b/kingcuphead/configuration/_rows.py
@@ -137,7 +137,10 @@
     value: bytes, max_schema: int = SCHEMA
 ) -> Result[StoredRecord, RecordFault]:
     """Decode the row of a record, up to the schema version `max_schema`."""
-    parsed = msgspec.json.decode(value, type=_WrittenRecord)
+    try:
+        parsed = msgspec.json.decode(value, type=_WrittenRecord)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Error(RecordFault("row", "", str(error)))
     return _decode_stored_content(parsed.revision, bytes(parsed.record), max_schema)
 
 
@@ -159,7 +162,10 @@
     value: bytes, max_schema: int = SCHEMA
 ) -> Result[AcceptedChange, RecordFault]:
     """Decode the row of a change; one invalid record makes the whole row invalid."""
-    parsed = msgspec.json.decode(value, type=_WrittenChange)
+    try:
+        parsed = msgspec.json.decode(value, type=_WrittenChange)
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return Error(RecordFault("change", "", str(error)))
     puts = []
     for content in parsed.puts:
         match _decode_stored_content(parsed.head.revision, bytes(content), max_schema):
--- a/kingcuphead/configuration/tests/test_watcher.py
+++ b/kingcuphead/configuration/tests/test_watcher.py
@@ -1,4 +1,6 @@
 import dataclasses
+import json
+import zlib
 
 import pytest
 
@@ -252,6 +254,18 @@
             3, "the records of the offer do not match its fingerprint"
         )
 
+    @pytest.mark.parametrize(
+        "record", [{"revision": "x"}, {}, [], None, {"revision": 1, "record": 5}]
+    )
+    def test_offer_with_a_malformed_record_is_rejected(self, record):
+        content = json.loads(zlib.decompress(encode_offer(fill_table(3)[1], 0.0)))
+        content["records"] = [record]
+        offer = ConfigurationOffered("p", zlib.compress(json.dumps(content).encode()))
+        watcher = make_watcher(fill_table(1)[0])
+        (rejected,) = watcher.receive(offer, 1.0)
+        assert isinstance(rejected, RevisionRefused)
+        assert get_revision(watcher) == 1
+
     def test_higher_revision_of_a_peer_triggers_a_read(self):
         watcher = make_watcher(fill_table(1)[0])
         (effect,) = watcher.receive(PeerRevision("p", 2), 0.5)
--- a/kingcuphead/membership/_membership.py
+++ b/kingcuphead/membership/_membership.py
@@ -238,6 +238,11 @@
         ]
         for name in removed:
             del self._members[name]
+        self._pending_probes = {
+            number: probe
+            for number, probe in self._pending_probes.items()
+            if probe[0] in self._members
+        }
         self._terminated &= listed
 
     def _add_listed(self, instance: Instance, now: float) -> None:
--- a/kingcuphead/membership/tests/test_membership.py
+++ b/kingcuphead/membership/tests/test_membership.py
@@ -102,6 +102,18 @@
         remaining = set(fleet.daemons) - {"d3"}
         assert all(fleet.views[name] == remaining for name in remaining)
 
+    def test_pending_probe_of_an_unlisted_daemon_is_dropped(self):
+        """A daemon that never acknowledges dies, and the platform unlists it."""
+        membership = Membership(make_member(0), SETTINGS, random.Random(1))
+        instances = (Instance("d1", "entry", "zone", "d1", InstanceState.LIVE),)
+        membership.receive(InstancesListed(instances), 0.0)
+        for step in range(1, 200):
+            now = step * STEP
+            if step >= 60:
+                membership.receive(InstancesListed(()), now)
+            membership.receive(Ticked(), now)
+        assert membership.members == ()
+
     def test_paused_daemon_rejoins_with_the_same_incarnation(self):
         fleet = SimulatedFleet(5)
         fleet.run(2)
