Read the era of the platform's store, and split its client

The store may come back from a copy; the header with its era is in all replies. The bounds of the store's clock begin again with each era. An era that is no number, or sent twice, counts as absent and is logged.

--- a/kingcuphead/entry/tests/test_table_listeners.py
+++ b/kingcuphead/entry/tests/test_table_listeners.py
@@ -6,8 +6,8 @@
 
 from kingcuphead.entry._table_listeners import ConfigurationListener, TargetListener
 from kingcuphead.entry._table_watch import TableWatch
-from kingcuphead.platform import Change, Changes, HistoryLost, Snapshot
-from kingcuphead.storage import PlatformFault, Row
+from kingcuphead.platform import Change, Changes, HistoryLost
+from kingcuphead.storage import PlatformFault, Row, RowSnapshot
 from kingcuphead.targets import TargetDirectory
 
 
@@ -80,16 +80,18 @@
         [
             ([Changes((), 8)], ["read", 7, 8]),
             ([Changes((), 3)], ["read", 7, 7]),
-            ([HistoryLost(), Snapshot((), 9)], ["read", 7, "read", 9]),
+            ([HistoryLost(), RowSnapshot((), 9)], ["read", 7, "read", 9]),
         ],
     )
     def test_each_poll_starts_at_the_latest_version(self, replies, calls):
-        store = ScriptedStore(Ok(Snapshot((), 7)), *(Ok(each) for each in replies))
+        store = ScriptedStore(Ok(RowSnapshot((), 7)), *(Ok(each) for each in replies))
         assert self.run(store) == calls
 
     def test_the_table_is_read_again_after_a_failed_call(self):
         fault = PlatformFault("follow", "silent")
-        store = ScriptedStore(Ok(Snapshot((), 7)), Error(fault), Ok(Snapshot((), 8)))
+        store = ScriptedStore(
+            Ok(RowSnapshot((), 7)), Error(fault), Ok(RowSnapshot((), 8))
+        )
         failures: list[float] = []
         assert self.run(store, failures) == ["read", 7, "read", 8]
         assert len(failures) == 1
--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -21,13 +21,10 @@
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
-    Change,
-    Changes,
-    HistoryLost,
-    Snapshot,
     Store,
     StoreTable,
 )
+from kingcuphead.platform._store_codec import Change, Changes, HistoryLost
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -42,7 +39,6 @@
     "READINESS_PATH",
     "RetryBudget",
     "SETTINGS_VARIABLE",
-    "Snapshot",
     "Store",
     "StoreTable",
     "TARGETS_TABLE",
--- a/kingcuphead/storage/_exchange.py
+++ b/kingcuphead/storage/_exchange.py
@@ -7,6 +7,7 @@
 from typing import TypeAlias, cast
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
+from tornado.httputil import HTTPHeaders
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from kingcuphead.storage.wire import REFUSED_STATUS
@@ -43,6 +44,8 @@
     status: int
     #: Body of the reply.
     body: bytes
+    #: Headers of the reply.
+    headers: HTTPHeaders = dataclasses.field(default_factory=HTTPHeaders)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,7 +136,7 @@
             return NotSent(f"HTTP {response.code}")
         if _is_client_failure(response):
             return _classify_failure(sending, response.error)
-        return Replied(response.code, response.body)
+        return Replied(response.code, response.body, response.headers)
 
     def close(self) -> None:
         """Close the client; requests in flight end as `ReplyLost`."""
--- a/kingcuphead/storage/_messages.py
+++ b/kingcuphead/storage/_messages.py
@@ -20,6 +20,18 @@
     value: bytes
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RowSnapshot:
+    """Rows that were read together from one part of a table."""
+
+    #: The rows, ordered by key.
+    rows: tuple[Row, ...]
+    #: Newest version of the store when the read began.
+    version: int
+    #: Era of the store in which the rows were read.
+    era: int = 0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Check:
     """Precondition of a transaction: the row has this version."""
@@ -64,6 +76,8 @@
 
     #: Version of every row that it wrote.
     version: int
+    #: Era of the store in which it was applied.
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +86,8 @@
 
     #: Current rows of the failed checks; absent rows are omitted.
     rows: tuple[Row, ...]
+    #: Era of the store from which the rows are.
+    era: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
