Honour what targets say of themselves, and positions of one era only

Server-Leaving in any answer, a refusal too, marks that incarnation of the target as leaving at once and for good; an answer of another target at the address (421) says nothing. Retry-After of a 503: nothing is sent to that target from this daemon until its end, at most 30 s; where all targets of a service ask for time, callers are refused at once with the earliest end. A value that is no positive number counts as absent.

After the store was restored from a copy, a feed's position of the earlier era isn't used, changes of another era are dropped and the table is read again. An incarnation that was draining doesn't become ready again by an old entry, and a removed one returns only with a later entry than its last.

Told to other daemons it isn't yet.

--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -54,7 +54,8 @@
     ) -> Placement | None:
         """Choose the target with the lowest cost and count the request there.
 
-        Targets that are backing off are used only if there are no others.
+        Targets that are backing off are used only if there are no others; those that
+        are paused are not used.
 
         Parameters
         ----------
@@ -70,9 +71,14 @@
         Returns
         -------
         Placement or None
-            The choice; None if every candidate is excluded.
+            The choice; None if every candidate is excluded or paused.
         """
-        usable = [target for target in candidates if target.name not in excluded]
+        usable = [
+            target
+            for target in candidates
+            if target.name not in excluded
+            and not self._get_state(target).is_paused(now)
+        ]
         available = [
             target
             for target in usable
@@ -98,6 +104,26 @@
             self.announce()
         return placement
 
+    def pause(self, placement: Placement, seconds: float, now: float) -> None:
+        """Send nothing to a target for a time that it asked for."""
+        state = placement.state
+        state.paused_until = max(state.paused_until, now + seconds)
+
+    def get_resume_delay(
+        self, candidates: Iterable[Target], now: float
+    ) -> float | None:
+        """Return the seconds until the first candidate is no longer paused.
+
+        Returns
+        -------
+        float or None
+            The time; None if there is no candidate, or if one is not paused.
+        """
+        ends = [self._get_state(target).paused_until for target in candidates]
+        if not ends or min(ends) <= now:
+            return None
+        return min(ends) - now
+
     def record_answer_start(self, placement: Placement, now: float) -> None:
         """Record that the answer of a request has begun; later calls do nothing."""
         if not placement.is_started:
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -120,6 +120,7 @@
         self._retries = RetryAllowance(
             retries.ratio, retries.burst / ASSUMED_DAEMONS, retries.window
         )
+        self._targets = TargetListener(self._directory, self._handle_change)
         self._forwarder = RequestForwarder(
             Dependencies(
                 self._directory,
@@ -127,12 +128,12 @@
                 self._retries,
                 self._credit,
                 AttemptRunner(self._pool, PlatformHeaders()),
+                self._targets.handle_leaving,
             ),
             rng,
             self._metrics.record,
         )
         self._callers = CallerServer(self._forwarder)
-        self._targets = TargetListener(self._directory, self._handle_change)
         self._failure: BaseException | None = None
 
     async def run(self) -> bool:
--- a/kingcuphead/entry/_table_listeners.py
+++ b/kingcuphead/entry/_table_listeners.py
@@ -100,6 +100,10 @@
             if target is not None:
                 self._publish(self._directory.put(target))
 
+    def handle_leaving(self, target: Target) -> None:
+        """Handle an answer in which a target says that it leaves."""
+        self._publish(self._directory.mark_leaving(target))
+
     def tick(self) -> None:
         """Drop targets whose expired entries weren't written again in time."""
         self._publish(self._directory.tick(time.monotonic()))
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -1,6 +1,7 @@
 """Follows a table of the platform's store by long polling."""
 
 import asyncio
+import dataclasses
 import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -17,6 +18,16 @@
 RETRY_DELAY = 0.2
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Position:
+    """Where the feed of a table was read up to."""
+
+    #: Version of the last change.
+    version: int
+    #: Era of the store that gave out the version.
+    era: int
+
+
 class TableListener(Protocol):
     """Receives the contents and the changes of a table."""
 
@@ -55,43 +66,49 @@
         self._table = table
         self._listener = listener
         self._report_failure = report_failure
-        self._version: int | None = None
+        self._position: _Position | None = None
         self._is_failing = False
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            if self._version is None:
+            if self._position is None:
                 await self._read_snapshot()
             else:
-                await self._poll_changes(self._version)
+                await self._poll_changes(self._position)
 
     async def _read_snapshot(self) -> None:
         started_at = time.monotonic()
         match await self._store.read_table(self._table):
             case Result(tag="ok", ok=snapshot):
                 self._listener.apply_snapshot(snapshot.rows)
-                self._version = snapshot.version
+                self._position = _Position(snapshot.version, snapshot.era)
                 self._record_success()
             case Result(error=fault):
                 await self._record_failure(fault, started_at)
 
-    async def _poll_changes(self, version: int) -> None:
+    async def _poll_changes(self, position: _Position) -> None:
         started_at = time.monotonic()
-        match await self._store.follow_table(self._table, version, LONG_POLL_TIMEOUT):
+        match await self._store.follow_table(
+            self._table, position.version, LONG_POLL_TIMEOUT
+        ):
+            case Result(tag="ok", ok=Changes(era=era)) if era != position.era:
+                logger.info("the store was restored; reading table {}", self._table)
+                self._position = None
             case Result(tag="ok", ok=Changes(changes, newest)):
                 self._listener.apply_changes(changes)
-                self._version = max(version, newest)
+                version = max(position.version, newest)
+                self._position = _Position(version, position.era)
                 self._record_success()
             case Result(tag="ok", ok=HistoryLost()):
                 logger.info(
                     "changes of table {} are no longer available; reading all rows",
                     self._table,
                 )
-                self._version = None
+                self._position = None
             case Result(error=fault):
                 # A broken connection may delay changes, so the table is read again.
-                self._version = None
+                self._position = None
                 await self._record_failure(fault, started_at)
 
     def _record_success(self) -> None:
--- a/kingcuphead/entry/tests/test_table_listeners.py
+++ b/kingcuphead/entry/tests/test_table_listeners.py
@@ -96,8 +96,21 @@
         assert self.run(store, failures) == ["read", 7, "read", 8]
         assert len(failures) == 1
 
-    def run(self, store, failures=None):
-        listener = ConfigurationListener(lambda each: None)
+    def test_changes_of_a_new_era_are_dropped_and_the_table_is_read_again(self):
+        """The store was restored: its versions are unrelated to the position."""
+        store = ScriptedStore(
+            Ok(RowSnapshot((), 7, era=1)),
+            Ok(Changes((Change("config", make_content(9)),), 8, era=2)),
+            Ok(RowSnapshot((), 5, era=2)),
+            Ok(Changes((), 6, era=2)),
+        )
+        applied: list[object] = []
+        assert self.run(store, applied=applied) == ["read", 7, "read", 5, 6]
+        assert applied == []
+
+    def run(self, store, failures=None, applied=None):
+        applied = [] if applied is None else applied
+        listener = ConfigurationListener(applied.append)
         failures = [] if failures is None else failures
         watch = TableWatch(store, "op", listener, failures.append)
         with pytest.raises(asyncio.CancelledError):
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -7,7 +7,7 @@
 from typing import TypeAlias, TypeVar
 
 from kingcuphead.dispatch import AttemptResult
-from kingcuphead.forwarding._connection import AnswerEnd, RawHead, TargetAnswer
+from kingcuphead.forwarding._connection import AnswerEnd, TargetAnswer
 from kingcuphead.forwarding._events import EventSplitter
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
@@ -20,6 +20,9 @@
 #: Largest answer in bytes, streams excepted.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
+#: HTTP status of a target that is not the one the request was meant for.
+MISDIRECTED = 421
+
 T = TypeVar("T")
 
 
@@ -74,6 +77,8 @@
     #: Returns whether the request may be retried at another target after it may have
     #: run; a retry that is allowed is counted.
     claim_retry: Callable[[], bool]
+    #: Called with the status and headers of an answer of the target.
+    record_head: Callable[[AnswerHead], None]
 
 
 class AttemptRunner:
@@ -150,9 +155,14 @@
             return raw
         if raw is None:
             return _make_broken_failure("the connection broke before the answer")
-        head = self._decode(attempt, raw)
-        if isinstance(head, AttemptFailed):
-            return head
+        head = self._codec.decode_answer(
+            raw.status, raw.headers, attempt.request.method
+        )
+        if head.status != MISDIRECTED:
+            attempt.record_head(head)
+        fault = _find_fault(attempt, head)
+        if fault is not None:
+            return fault
         if head.is_not_run:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(_read_body(answer), CONNECT_TIMEOUT)
@@ -160,23 +170,20 @@
                 AttemptResult.REFUSED,
                 Execution.NOT_RUN,
                 f"refused with status {head.status}",
-                is_misdirected=head.status == 421,
+                is_misdirected=head.status == MISDIRECTED,
             )
         if head.is_success and stream is not None:
             return await _read_stream(attempt, answer, head, stream)
         return await _read_whole(answer, head)
 
-    def _decode(self, attempt: Attempt, raw: RawHead) -> AnswerHead | AttemptFailed:
-        head = self._codec.decode_answer(
-            raw.status, raw.headers, attempt.request.method
-        )
-        if head.request_id != attempt.request.request_id and not head.is_not_run:
-            return _make_broken_failure("the answer has the id of another request")
-        if head.is_success and (not head.is_signed or head.is_encoded):
-            return _make_broken_failure(
-                "the answer has no seal or has a content encoding"
-            )
-        return head
+
+def _find_fault(attempt: Attempt, head: AnswerHead) -> AttemptFailed | None:
+    """Return why an answer can't be sent to the caller, or None."""
+    if head.request_id != attempt.request.request_id and not head.is_not_run:
+        return _make_broken_failure("the answer has the id of another request")
+    if head.is_success and (not head.is_signed or head.is_encoded):
+        return _make_broken_failure("the answer has no seal or has a content encoding")
+    return None
 
 
 async def _wait_for_first_bytes(
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -27,7 +27,7 @@
     RequestContext,
     log_rejection,
 )
-from kingcuphead.forwarding._messages import CallerRequest, SendOptions
+from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._stream import AnswerStream
@@ -36,7 +36,7 @@
     RoutingTable,
     choose_service,
 )
-from kingcuphead.targets import TargetDirectory
+from kingcuphead.targets import Target, TargetDirectory
 from kingcuphead.verdict import Execution, Reason
 
 #: Bound in seconds on waiting for credit.
@@ -75,6 +75,8 @@
     credit: CreditTask
     #: Sends attempts to targets.
     runner: AttemptRunner
+    #: Called with a target that says in an answer that it leaves.
+    report_leaving: Callable[[Target], None]
 
 
 class RequestForwarder:
@@ -305,8 +307,18 @@
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
             stall_timeout=max(MIN_STALL_TIMEOUT, 2 * context.route.event_gap_objective),
             claim_retry=lambda: self._claim_retry(context),
+            record_head=lambda head: self._record_head(placement, head),
         )
 
+    def _record_head(self, placement: Placement, head: AnswerHead) -> None:
+        """Apply what a target says about itself in an answer."""
+        if head.is_leaving:
+            self._dependencies.report_leaving(placement.target)
+        if head.retry_after is not None:
+            self._dependencies.dispatcher.pause(
+                placement, head.retry_after, _get_time()
+            )
+
     def _claim_retry_after_answer(
         self, context: RequestContext, answer: Answered
     ) -> bool:
@@ -364,9 +376,16 @@
             caller.abort()
             return None
         if context.execution is Execution.NOT_RUN:
-            return refuse(503, Reason.NO_TARGET, TARGET_RETRY_AFTER)
+            return refuse(503, Reason.NO_TARGET, self._get_retry_after(context))
         return refuse(502, Reason.TARGET_FAILED)
 
+    def _get_retry_after(self, context: RequestContext) -> float:
+        """Return the seconds after which a target may have room for a request."""
+        delay = self._dependencies.dispatcher.get_resume_delay(
+            self._dependencies.directory.list_usable(context.service), _get_time()
+        )
+        return TARGET_RETRY_AFTER if delay is None else delay
+
     def _time_out(
         self, context: RequestContext, caller: Caller, stream: AnswerStream | None
     ) -> Refusal | None:
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -103,6 +103,10 @@
     is_unframed: bool
     #: Seconds that the target keeps the connection idle; None if it states none.
     idle_timeout: float | None
+    #: Whether the target states that it is about to shut down.
+    is_leaving: bool = False
+    #: Seconds for which the target wants no requests; None if it states none.
+    retry_after: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -136,6 +136,7 @@
                 RetryAllowance(0.0, 10.0, 10.0),
                 credit,
                 AttemptRunner(self.pool, PlatformHeaders()),
+                self.handle_leaving,
             ),
             random.Random(1),
             lambda context, refusal: self.ended.append((context, refusal)),
@@ -154,6 +155,9 @@
         )
         return self
 
+    def handle_leaving(self, target):
+        list(self.directory.mark_leaving(target))
+
     async def __aexit__(self, *error):
         self.renewal.cancel()
         self.pool.close()
--- a/kingcuphead/forwarding/tests/test_forwarder.py
+++ b/kingcuphead/forwarding/tests/test_forwarder.py
@@ -13,6 +13,59 @@
 from kingcuphead.verdict import Reason
 
 
+class TestTargetStates:
+    """What a target says of itself in an answer holds for the next request."""
+
+    def test_a_target_that_leaves_gets_nothing_new(self):
+        async def scenario(harness):
+            first, second = harness.first, harness.second
+            first.script = [first.answer("200 OK", b"1", "Server-Leaving: 1")]
+            second.script = [second.answer("200 OK", b"2")]
+            caller, _ = await harness.serve(make_request(IDEMPOTENT))
+            assert caller.body == b"1"
+            caller, _ = await harness.serve(make_request(IDEMPOTENT, request_id="r2"))
+            assert caller.body == b"2"
+            assert len(first.received) == 1
+
+        run([make_route(IDEMPOTENT)], scenario)
+
+    def test_a_refusal_says_so_too(self):
+        async def scenario(harness):
+            first, second = harness.first, harness.second
+            headers = ("Not-Executed: 1", "Server-Leaving: 1")
+            first.script = [first.answer("503 Busy", b"", *headers)]
+            second.script = [second.answer("200 OK", b"2")]
+            caller, _ = await harness.serve(make_request(ONCE))
+            assert caller.body == b"2"
+            assert harness.directory.list_usable("pool")[0].name == "t2"
+
+        run([make_route(ONCE)], scenario)
+
+    def test_what_another_target_at_the_address_says_is_ignored(self):
+        async def scenario(harness):
+            first, second = harness.first, harness.second
+            first.script = [first.answer("421 Gone", b"", "Server-Leaving: 1")]
+            second.script = [second.answer("200 OK", b"2")]
+            await harness.serve(make_request(IDEMPOTENT))
+            assert not harness.directory.list_leaving()
+
+        run([make_route(IDEMPOTENT)], scenario)
+
+    def test_callers_learn_when_all_targets_have_room_again(self):
+        async def scenario(harness):
+            for target, seconds in ((harness.first, "5"), (harness.second, "2.5")):
+                headers = ("Not-Executed: 1", f"Retry-After: {seconds}")
+                target.script = [target.answer("503 Busy", b"", *headers)]
+            _, refusal = await harness.serve(make_request(IDEMPOTENT))
+            assert (refusal.status, refusal.reason) == (503, Reason.NO_TARGET)
+            assert 2.0 < refusal.retry_after <= 2.5
+            _, refusal = await harness.serve(make_request(IDEMPOTENT, request_id="r2"))
+            assert 2.0 < refusal.retry_after <= 2.5
+            assert len(harness.first.received) == len(harness.second.received) == 1
+
+        run([make_route(IDEMPOTENT)], scenario)
+
+
 class TestRouting:
     @pytest.mark.parametrize(
         ("changes", "status", "reason"),
--- a/kingcuphead/platform/_entries.py
+++ b/kingcuphead/platform/_entries.py
@@ -15,6 +15,7 @@
     slots: int = 1
     # Process start in Unix milliseconds; older target versions don't set it.
     born: int = 0
+    sequence: int = 0
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
@@ -51,4 +52,5 @@
         slots=entry.slots,
         availability=availability,
         started_at_ms=entry.born,
+        sequence=entry.sequence,
     )
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -1,9 +1,11 @@
 """Headers of callers' requests and of targets' responses: names and codecs."""
 
+import http
 import math
 from collections.abc import Iterator
 
 from expression import Error, Ok, Result
+from loguru import logger
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from kingcuphead.forwarding import (
@@ -28,6 +30,9 @@
 _KV_FETCH = "Kv-Fetch"
 _SIGNATURE = "Response-Seal"
 _NOT_RUN = "Not-Executed"
+_LEAVING = "Server-Leaving"
+#: Upper bound in seconds of the time for which a target may ask for no requests.
+_MAX_RETRY_AFTER = 30.0
 #: Least urgent rank; targets accept 0 (most urgent) to 9.
 _LOWEST_RANK = 9
 
@@ -188,6 +193,8 @@
             closes_connection="close" in options or is_unframed,
             is_unframed=is_unframed,
             idle_timeout=_parse_idle_timeout(headers.get("Keep-Alive", "")),
+            is_leaving=headers.get(_LEAVING, "") == "1",
+            retry_after=_parse_retry_after(status, headers.get(RETRY_AFTER, "")),
         )
 
 
@@ -242,6 +249,23 @@
     return None
 
 
+def _parse_retry_after(status: int, text: str) -> float | None:
+    """Return the seconds for which a busy target wants no requests, or None.
+
+    A value that is no positive number counts as absent.
+    """
+    if status != http.HTTPStatus.SERVICE_UNAVAILABLE or not text:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = math.nan
+    if not seconds > 0:
+        logger.warning("invalid {} of a target: {!r}", RETRY_AFTER, text[:40])
+        return None
+    return min(seconds, _MAX_RETRY_AFTER)
+
+
 def _copy_headers(headers: HTTPHeaders, excluded: frozenset[str]) -> HTTPHeaders:
     """Copy the end-to-end headers, without the excluded names."""
     connection_options = headers.get("Connection", "").lower().split(",")
--- a/kingcuphead/platform/tests/test_headers.py
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -120,6 +120,39 @@
         head = PlatformHeaders().decode_answer(200, HTTPHeaders(headers), "GET")
         assert (head.closes_connection, head.idle_timeout) == (closes, idle)
 
+    @pytest.mark.parametrize(
+        ("status", "text", "seconds"),
+        [
+            (503, "2", 2.0),
+            (503, "0.25", 0.25),
+            (503, "1e9", 30.0),
+            (503, "inf", 30.0),
+            (503, "0", None),
+            (503, "-1", None),
+            (503, "nan", None),
+            (503, "soon", None),
+            (503, "1,2", None),
+            (200, "2", None),
+            (429, "2", None),
+        ],
+    )
+    def test_time_without_requests_is_bounded(self, status, text, seconds):
+        headers = HTTPHeaders({"Content-Length": "0", "Retry-After": text})
+        head = PlatformHeaders().decode_answer(status, headers, "GET")
+        assert head.retry_after == seconds
+
+    @pytest.mark.parametrize(
+        ("values", "is_leaving"), [((), False), (("1",), True), (("0",), False)]
+    )
+    def test_a_target_says_that_it_leaves(self, values, is_leaving):
+        headers = HTTPHeaders({"Content-Length": "0"})
+        for value in values:
+            headers.add("Server-Leaving", value)
+        assert (
+            PlatformHeaders().decode_answer(503, headers, "GET").is_leaving
+            is is_leaving
+        )
+
 
 class TestRefusalHeaders:
     def test_retry_after_keeps_its_fraction(self):
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -1,6 +1,7 @@
 """The targets whose entries one daemon has read, and which of them are usable."""
 
 import dataclasses
+from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
 from kingcuphead.targets._messages import Availability, Target
@@ -8,6 +9,8 @@
 #: Seconds after the start of the last failed call to the store within which targets
 #: write their expired entries again.
 REREGISTRATION_PERIOD = 3.0
+#: Number of removed incarnations that are remembered.
+MAX_REMOVED = 4_096
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -44,6 +47,10 @@
         self._targets: dict[str, Target] = {}
         self._expired: set[str] = set()
         self._replaced: set[tuple[str, int]] = set()
+        #: Incarnations, by name and start time, that said that they leave.
+        self._leaving: set[tuple[str, int]] = set()
+        #: Sequence numbers of the last entries of removed incarnations.
+        self._removed: OrderedDict[tuple[str, int], int] = OrderedDict()
         self._usable: dict[str, tuple[Target, ...]] = {}
         self._store_failed_at = float("-inf")
 
@@ -57,7 +64,18 @@
         self._store_failed_at = max(self._store_failed_at, started_at)
 
     def put(self, target: Target) -> Iterator[DirectoryChange]:
-        """Add or replace the entry of a target and yield the resulting changes."""
+        """Add or replace the entry of a target and yield the resulting changes.
+
+        An incarnation that is leaving does not become ready again, and a removed one
+        does not return with its last entry: a store that was restored from a copy
+        returns such entries.
+        """
+        if self._is_outdated(target):
+            return
+        if _identify(target) in self._leaving:
+            target = dataclasses.replace(target, availability=Availability.DRAINING)
+        elif target.availability is Availability.DRAINING:
+            self._leaving.add(_identify(target))
         previous = self._targets.get(target.name)
         self._targets[target.name] = target
         self._expired.discard(target.name)
@@ -94,6 +112,27 @@
             if name not in targets_by_name:
                 yield from self.remove(name, now)
 
+    def mark_leaving(self, target: Target) -> Iterator[DirectoryChange]:
+        """Handle an answer in which a target says that it leaves.
+
+        Yields the resulting changes; none if the target has restarted or is known to
+        leave.
+        """
+        current = self._targets.get(target.name)
+        if current is None or _identify(current) != _identify(target):
+            return
+        yield from self.put(
+            dataclasses.replace(current, availability=Availability.DRAINING)
+        )
+
+    def list_leaving(self) -> tuple[Target, ...]:
+        """Return the targets that have an entry and are leaving."""
+        return tuple(
+            target
+            for target in self._targets.values()
+            if target.availability is Availability.DRAINING
+        )
+
     def mark_replaced(self, target: Target) -> None:
         """Mark a target as unusable because another incarnation has its address.
 
@@ -101,7 +140,7 @@
         """
         previous = self._targets.get(target.name)
         if previous is not None and previous.started_at_ms == target.started_at_ms:
-            self._replaced.add((target.name, target.started_at_ms))
+            self._replaced.add(_identify(target))
             self._usable.clear()
 
     def tick(self, now: float) -> Iterator[DirectoryChange]:
@@ -119,14 +158,34 @@
                 for target in self._targets.values()
                 if target.service == service
                 and target.availability is Availability.READY
-                and (target.name, target.started_at_ms) not in self._replaced
+                and _identify(target) not in self._replaced
             )
             self._usable[service] = usable
         return usable
 
     def _drop(self, target: Target) -> Iterator[DirectoryChange]:
         del self._targets[target.name]
-        self._replaced.discard((target.name, target.started_at_ms))
+        self._replaced.discard(_identify(target))
+        self._removed[_identify(target)] = target.sequence
+        if len(self._removed) > MAX_REMOVED:
+            identity, _ = self._removed.popitem(last=False)
+            self._leaving.discard(identity)
         self._expired.discard(target.name)
         self._usable.clear()
         yield TargetLeft(target, is_removed=True)
+
+    def _is_outdated(self, target: Target) -> bool:
+        """Whether an entry is not newer than the removal of its incarnation."""
+        identity = _identify(target)
+        sequence = self._removed.get(identity)
+        if sequence is None:
+            return False
+        if identity in self._leaving or target.sequence <= sequence:
+            return True
+        del self._removed[identity]
+        return False
+
+
+def _identify(target: Target) -> tuple[str, int]:
+    """Return what identifies an incarnation of a target."""
+    return target.name, target.started_at_ms
--- a/kingcuphead/targets/_messages.py
+++ b/kingcuphead/targets/_messages.py
@@ -31,3 +31,5 @@
     availability: Availability
     #: Start time in Unix milliseconds; distinguishes incarnations under the same name.
     started_at_ms: int
+    #: Number of the entry; it rises with each heartbeat of the incarnation.
+    sequence: int = 0
--- a/kingcuphead/targets/tests/test_directory.py
+++ b/kingcuphead/targets/tests/test_directory.py
@@ -21,6 +21,51 @@
     return directory
 
 
+class TestLeaving:
+    """Guards against new requests to a target that an old entry says is ready.
+
+    A store that was restored from a copy returns the entries of an earlier time.
+    """
+
+    def test_a_draining_incarnation_never_becomes_ready_again(self, directory):
+        list(directory.put(DRAINING))
+        assert list(directory.put(READY)) == []
+        assert directory.list_usable("pool") == ()
+        assert list(directory.replace_all([READY], 0.0)) == []
+        assert directory.list_usable("pool") == ()
+
+    def test_a_target_that_says_it_leaves_is_not_usable_at_once(self, directory):
+        assert list(directory.mark_leaving(READY)) == [TargetLeft(DRAINING, False)]
+        assert directory.list_usable("pool") == ()
+        assert list(directory.mark_leaving(READY)) == []
+        assert list(directory.put(READY)) == []
+        assert directory.list_usable("pool") == ()
+
+    def test_what_an_earlier_incarnation_says_is_ignored(self, directory):
+        restarted = dataclasses.replace(READY, started_at_ms=2)
+        list(directory.put(restarted))
+        assert list(directory.mark_leaving(READY)) == []
+        assert directory.list_usable("pool") == (restarted,)
+
+    def test_a_removed_incarnation_does_not_return_with_an_old_entry(self, directory):
+        list(directory.remove("t1", 100.0))
+        assert list(directory.replace_all([READY], 101.0)) == []
+        assert directory.list_usable("pool") == ()
+
+    def test_a_removed_incarnation_returns_with_a_newer_entry(self, directory):
+        """Its entry had expired although it was running."""
+        list(directory.remove("t1", 100.0))
+        newer = dataclasses.replace(READY, sequence=1)
+        assert list(directory.put(newer)) == [TargetAdded(newer)]
+        assert directory.list_usable("pool") == (newer,)
+
+    def test_a_removed_draining_incarnation_never_returns(self, directory):
+        list(directory.put(DRAINING))
+        list(directory.remove("t1", 100.0))
+        assert list(directory.put(dataclasses.replace(READY, sequence=9))) == []
+        assert directory.list_usable("pool") == ()
+
+
 class TestTargetDirectory:
     def test_a_draining_target_is_not_usable(self, directory):
         assert list(directory.put(DRAINING)) == [TargetLeft(DRAINING, False)]
