Divide the burst of the retry budget by the size of the fleet

Each daemon took a twelfth of the fixed part whatever the size of the fleet: at 195 daemons 7,000 retries in 10 s beside 430 allowed, at 62 five times the burst.

The burst is divided by the daemons that this one knows of, by twelve at least. The three tests of one daemon pass the burst of the fleet now.

--- a/kingcuphead/dispatch/tests/test_dispatch.py
+++ b/kingcuphead/dispatch/tests/test_dispatch.py
@@ -214,20 +214,33 @@
 
 
 class TestRetryAllowance:
+    @pytest.mark.parametrize("daemons", [1, 7, 12, 62, 90, 195, 330])
+    def test_retries_of_a_fleet_stay_within_ratio_and_burst(self, daemons):
+        """Each daemon retries as much as it may, in the same window."""
+        granted = 0
+        for _ in range(daemons):
+            allowance = RetryAllowance(ratio=0.2, burst=430, window=10.0)
+            allowance.apply_fleet_size(daemons)
+            for _ in range(50):
+                allowance.count_request("pool", 0.0)
+            granted += sum(allowance.try_spend("pool", 1.0) for _ in range(600))
+        assert granted <= 0.2 * 50 * daemons + 430
+        assert granted >= 0.2 * 50 * daemons
+
     def test_retries_stay_within_ratio_and_burst(self):
-        allowance = RetryAllowance(ratio=0.2, burst=3, window=10.0)
+        allowance = RetryAllowance(ratio=0.2, burst=36, window=10.0)
         for _ in range(50):
             allowance.count_request("pool", 0.0)
         granted = sum(allowance.try_spend("pool", 1.0) for _ in range(100))
         assert granted == 13
 
     def test_retries_outside_the_window_are_not_counted(self):
-        allowance = RetryAllowance(ratio=0.0, burst=2, window=10.0)
+        allowance = RetryAllowance(ratio=0.0, burst=24, window=10.0)
         assert [allowance.try_spend("pool", now) for now in (0, 1, 2)] == [1, 1, 0]
         assert allowance.try_spend("pool", 10.5)
         assert not allowance.try_spend("pool", 10.6)
 
     def test_services_have_separate_allowances(self):
-        allowance = RetryAllowance(ratio=0.0, burst=1, window=10.0)
+        allowance = RetryAllowance(ratio=0.0, burst=12, window=10.0)
         assert allowance.try_spend("pool", 0.0)
         assert allowance.try_spend("desk", 0.0)
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -58,9 +58,6 @@
 SHUTDOWN_ACCEPT_PERIOD = 3.0
 #: Seconds before the end of the grace period at which shutdown stops waiting.
 GRACE_MARGIN = 0.5
-#: Number of daemons among which the burst of the retry budget is divided, whatever the
-#: size of the fleet.
-ASSUMED_DAEMONS = 12
 
 
 class EntryDaemon:
@@ -117,9 +114,7 @@
         )
         self._credit.transfer_client = self._transfer_client
         retries = profile.retries
-        self._retries = RetryAllowance(
-            retries.ratio, retries.burst / ASSUMED_DAEMONS, retries.window
-        )
+        self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._targets = TargetListener(self._directory, self._handle_change)
         self._forwarder = RequestForwarder(
             Dependencies(
@@ -228,11 +223,8 @@
         self._profile = profile
         logger.info("settings changed")
         self._store.change_address(f"{profile.store.host}:{profile.store.port}")
-        self._retries.apply(
-            profile.retries.ratio,
-            profile.retries.burst / ASSUMED_DAEMONS,
-            profile.retries.window,
-        )
+        retries = profile.retries
+        self._retries.apply(retries.ratio, retries.burst, retries.window)
 
     def _is_ready(self) -> bool:
         return (
@@ -263,7 +255,9 @@
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._loads.peers = peers
-        self._credit.ledger.apply_fleet_size(len(peers) + 1)
+        daemons = len(peers) + 1
+        self._credit.ledger.apply_fleet_size(daemons)
+        self._retries.apply_fleet_size(daemons)
 
     def _handle_change(self, change: DirectoryChange) -> None:
         if isinstance(change, TargetLeft):
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -133,7 +133,7 @@
             Dependencies(
                 self.directory,
                 dispatcher,
-                RetryAllowance(0.0, 10.0, 10.0),
+                RetryAllowance(0.0, 120.0, 10.0),
                 credit,
                 AttemptRunner(self.pool, PlatformHeaders()),
                 self.handle_leaving,
