--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -44,6 +44,8 @@
         Address at which this daemon receives datagrams.
     apply_peers
         Called after each successful poll with the addresses of the other daemons.
+    poll_interval
+        Seconds between two polls.
     """
 
     def __init__(
@@ -51,27 +53,38 @@
         store: Store,
         own_address: Address,
         apply_peers: Callable[[tuple[Address, ...]], None],
+        poll_interval: float = POLL_INTERVAL,
     ) -> None:
         self._store = store
         self._own_address = own_address
         self._key = own_address[0]
         self._apply_peers = apply_peers
+        self._poll_interval = poll_interval
+        self._is_leaving = False
 
     async def run(self) -> None:
-        """Register this daemon, then poll for the others until cancelled."""
+        """Register this daemon, then poll for the others until cancelled.
+
+        The registration is repeated if a poll doesn't show it: the write was lost, or
+        the store was restored from an earlier copy.
+        """
         row = Put(self._key, msgspec.json.encode(DaemonRow(*self._own_address)))
         await self._commit(Transaction((), (row,)))
         while True:
             match await self._store.read_table(DAEMONS_TABLE, DAEMONS_PART):
                 case Result(tag="ok", ok=snapshot):
                     self._apply_peers(tuple(self._decode_peers(snapshot.rows)))
+                    is_listed = any(each.key == self._key for each in snapshot.rows)
+                    if not is_listed and not self._is_leaving:
+                        await self._commit(Transaction((), (row,)))
                 case Result(error=fault):
                     # The last list remains in use, since datagrams need not arrive.
                     logger.debug("cannot list daemons: {}", fault.message)
-            await asyncio.sleep(POLL_INTERVAL)
+            await asyncio.sleep(self._poll_interval)
 
     async def deregister(self) -> None:
-        """Remove the row of this daemon."""
+        """Remove the row of this daemon for good."""
+        self._is_leaving = True
         await self._commit(Transaction((), (Delete(self._key),)))
 
     async def _commit(self, transaction: Transaction) -> None:
--- /dev/null
+++ b/kingcuphead/entry/tests/test_peers.py
@@ -0,0 +1,98 @@
+import asyncio
+
+import msgspec
+import pytest
+from expression import Error, Ok
+
+from kingcuphead.entry._peers import DaemonRow, PeerDiscovery
+from kingcuphead.storage import (
+    Committed,
+    Delete,
+    PlatformFault,
+    Put,
+    Row,
+    RowSnapshot,
+    Unavailable,
+)
+
+OWN = ("10.0.0.1", 7340)
+OTHER = Row("10.0.0.2", 1, msgspec.json.encode(DaemonRow("10.0.0.2", 7340)))
+
+
+class ScriptedStore:
+    """Loses the first writes, and forgets rows when the test says so."""
+
+    def __init__(self, lost_writes=0):
+        self.lost_writes = lost_writes
+        self.rows = {OTHER.key: OTHER}
+        self.is_down = False
+
+    async def commit(self, table, part, transaction):
+        if self.lost_writes:
+            self.lost_writes -= 1
+            return Unavailable()
+        for write in transaction.writes:
+            match write:
+                case Put(key, value):
+                    self.rows[key] = Row(key, 2, value)
+                case Delete(key):
+                    del self.rows[key]
+        return Committed(2)
+
+    async def read_table(self, table, part):
+        if self.is_down:
+            return Error(PlatformFault("read", "down"))
+        return Ok(RowSnapshot(tuple(self.rows.values()), 2))
+
+
+class TestPeerDiscovery:
+    def run(self, store, change=None):
+        """Discover peers for several polls; call `change` between two of them."""
+
+        async def discover():
+            task = asyncio.create_task(discovery.run())
+            await asyncio.sleep(0.05)
+            if change is not None:
+                change()
+            await asyncio.sleep(0.05)
+            task.cancel()
+
+        peers: list[tuple[tuple[str, int], ...]] = []
+        discovery = PeerDiscovery(store, OWN, peers.append, poll_interval=0.01)
+        asyncio.run(discover())
+        return peers
+
+    def test_the_other_daemons_are_listed(self):
+        store = ScriptedStore()
+        assert self.run(store)[-1] == (("10.0.0.2", 7340),)
+        assert OWN[0] in store.rows
+
+    @pytest.mark.parametrize("lost_writes", [1, 3])
+    def test_a_lost_registration_is_repeated(self, lost_writes):
+        store = ScriptedStore(lost_writes)
+        self.run(store)
+        assert OWN[0] in store.rows
+
+    def test_a_row_that_a_restore_removed_is_written_again(self):
+        store = ScriptedStore()
+        self.run(store, lambda: store.rows.pop(OWN[0]))
+        assert OWN[0] in store.rows
+
+    def test_a_daemon_that_leaves_does_not_register_again(self):
+        store = ScriptedStore()
+
+        async def leave():
+            discovery = PeerDiscovery(store, OWN, lambda peers: None, 0.01)
+            task = asyncio.create_task(discovery.run())
+            await asyncio.sleep(0.05)
+            await discovery.deregister()
+            await asyncio.sleep(0.05)
+            task.cancel()
+
+        asyncio.run(leave())
+        assert OWN[0] not in store.rows
+
+    def test_the_last_list_stays_while_the_store_is_down(self):
+        store = ScriptedStore()
+        store.is_down = True
+        assert self.run(store) == []
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -127,7 +127,9 @@
             tokens=self.spent,
             seconds=round(now - self.request.arrived_at, 3),
         )
-        if refusal is None:
+        if refusal is None and not self.status:
+            bound.info("request aborted")
+        elif refusal is None:
             bound.bind(status=self.status).info("request answered")
         else:
             bound.bind(
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -232,13 +232,20 @@
         return None
     prompt, _, output = text.partition(",")
     parts = tuple(_parse_prompt_parts(headers.get(_PROMPT_PREFIX, "")))
-    return PromptSize(int(prompt), int(output), parts)
+    return PromptSize(_parse_count(prompt), _parse_count(output), parts)
+
+
+def _parse_count(text: str) -> int:
+    count = int(text)
+    if count < 0:
+        raise ValueError(f"token count {count} is negative")
+    return count
 
 
 def _parse_prompt_parts(text: str) -> Iterator[PromptPart]:
     for entry in filter(None, text.split(",")):
         name, _, tokens = entry.strip().partition(":")
-        yield PromptPart(name, int(tokens))
+        yield PromptPart(name, _parse_count(tokens))
 
 
 def _parse_idle_timeout(text: str) -> float | None:
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -1,6 +1,7 @@
 """Parser of the settings file that the platform writes for each process."""
 
 import dataclasses
+import math
 from collections.abc import Iterator, Mapping
 
 from expression import Error, Ok, Result
@@ -119,9 +120,12 @@
         if not text:
             return default
         try:
-            return float(text)
+            number = float(text)
         except ValueError:
             raise _InvalidValueError(key, f"{text!r} is not a number") from None
+        if not math.isfinite(number):
+            raise _InvalidValueError(key, f"{text!r} is not finite")
+        return number
 
     def get_endpoint(self, key: str) -> Endpoint:
         host, _, port = self._values[key].rpartition(":")
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -147,6 +147,8 @@
             (PROFILE.replace("zone=z\n", ""), "zone"),
             (PROFILE.replace("10.2.0.1:82", "here"), "platform.address"),
             (PROFILE.replace("0.3", "much"), "bounds.retry_budget_ratio"),
+            (PROFILE.replace("0.3", "nan"), "bounds.retry_budget_ratio"),
+            (PROFILE + "limits.max_fds=inf\n", "limits.max_fds"),
         ],
     )
     def test_fault_names_the_invalid_key(self, text, key):
--- a/kingcuphead/platform/tests/test_headers.py
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -21,6 +21,18 @@
 
 
 class TestDecodeRequest:
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            {"Token_Counts": "-1,80"},
+            {"Token_Counts": "10,-80"},
+            {"Token_Counts": "10,80", "Prompt_Prefix": "5c:-1"},
+        ],
+    )
+    def test_a_negative_count_is_rejected(self, headers):
+        """A hold of fewer tokens than none would add to a budget."""
+        assert decode(**headers).is_error()
+
     def test_token_counts_and_prompt_prefix(self):
         request = decode(
             Token_Counts="1460,80", Prompt_Prefix="5c:800,91:410", Deadline_Ms="1500"
