--- a/kingcuphead/entry/tests/test_peers.py
+++ b/kingcuphead/entry/tests/test_peers.py
@@ -45,6 +45,10 @@
         return Ok(RowSnapshot(tuple(self.rows.values()), 2))
 
 
+def make_discovery(store, apply_peers):
+    return PeerDiscovery(store, OWN, apply_peers, poll_interval=0.01)
+
+
 class TestPeerDiscovery:
     def run(self, store, change=None):
         """Discover peers for several polls; call `change` between two of them."""
@@ -58,7 +62,7 @@
             task.cancel()
 
         peers: list[tuple[tuple[str, int], ...]] = []
-        discovery = PeerDiscovery(store, OWN, peers.append, poll_interval=0.01)
+        discovery = make_discovery(store, peers.append)
         asyncio.run(discover())
         return peers
 
@@ -82,7 +86,7 @@
         store = ScriptedStore()
 
         async def leave():
-            discovery = PeerDiscovery(store, OWN, lambda peers: None, 0.01)
+            discovery = make_discovery(store, lambda peers: None)
             task = asyncio.create_task(discovery.run())
             await asyncio.sleep(0.05)
             await discovery.deregister()
