Bound what daemons keep by what is left unallocated, not by equal shares

Each daemon keeps what it wants by its demand while half of what is unspent is left unallocated, and less the less is left, down to nothing at a fifth. The maximum shares of one daemon shrink above 10 daemons (a sparse daemon takes one request for a high demand).

--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -282,12 +282,13 @@
     ) -> int:
         """Return the tokens to keep for a period of demand or a number of requests.
 
-        The share of one daemon of a fleet may be less than a request needs. Such an
-        amount serves no request here and is missing elsewhere, so it is not kept.
+        As little of the budget is left unallocated, all daemons keep less, so that each
+        can allocate for the requests it gets. An amount that is less than a request
+        needs serves no request here and is missing elsewhere, so it is not kept.
         """
         settings = self._settings
-        share = 1 / self.daemons
         obtainable = self.unallocated + self.free + self.reserve
+        share = settings.get_fleet_share(self.daemons)
         demand = min(
             self._get_demand(now) * seconds,
             obtainable * settings.demand_share * share,
@@ -296,8 +297,10 @@
             self._mean_request_tokens * requests,
             obtainable * settings.idle_share * share,
         )
-        desired = int(max(demand, idle))
-        return desired if desired >= self._mean_request_tokens * (1 - share) else 0
+        kept = settings.get_kept_share(self.unallocated, self.unspent)
+        desired = int(max(demand, idle) * kept)
+        least = self._mean_request_tokens * (1 - share)
+        return desired if desired >= least else 0
 
     def record_demand(self, tokens: int, now: float) -> None:
         """Add the tokens of a new request to the demand and to the mean request."""
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -78,12 +78,18 @@
     #: Requests of mean cost kept as free credit and reserve together without recent
     #: demand.
     combined_requests: float = 3.0
-    #: Maximum share, of the tokens not allocated to other daemons, kept for demand;
-    #: divided by the number of daemons.
+    #: Maximum share, of the tokens not allocated to other daemons, kept for demand.
     demand_share: float = 0.5
     #: Maximum share, of the tokens not allocated to other daemons, kept without recent
-    #: demand; divided by the number of daemons.
+    #: demand.
     idle_share: float = 0.04
+    #: Number of daemons above which both shares shrink in proportion. It is larger than
+    #: 1 because callers aren't evenly divided among daemons.
+    full_share_fleet_size: int = 10
+    #: Bounds of the share of the unspent tokens that is not allocated to any daemon.
+    #: Daemons keep what they want at the second and nothing at the first.
+    min_unallocated_share: float = 0.2
+    full_unallocated_share: float = 0.5
     #: Seconds without a reply from the store before the release of reserves starts.
     release_delay: float = 1.0
     #: Seconds from the start of the release until all of the reserves are released.
@@ -109,6 +115,24 @@
         """Return the seconds between two regular renewals for a number of daemons."""
         return self.renewal_interval * max(1.0, daemons / self.small_fleet_size)
 
+    def get_fleet_share(self, daemons: int) -> float:
+        """Return the factor by which the maximum shares of one daemon shrink."""
+        return min(1.0, self.full_share_fleet_size / daemons)
+
+    def get_kept_share(self, unallocated: int, unspent: int) -> float:
+        """Return which share of the credit that daemons want they may keep.
+
+        Parameters
+        ----------
+        unallocated
+            Tokens of the budget not allocated to any daemon.
+        unspent
+            Tokens of the budget that are not spent.
+        """
+        share = unallocated / max(1, unspent) - self.min_unallocated_share
+        span = self.full_unallocated_share - self.min_unallocated_share
+        return min(1.0, max(0.0, share / span))
+
     def get_released_share(self, age: float) -> float:
         """Return the share of the reserves that is released after `age` seconds.
 
