Split what had grown: the era of a ledger, the ends of attempts, the choice of targets

Behaviour as before, by the same tests. Unused names are gone (decode_events, partial_event, sum_outstanding_tokens).

--- a/kingcuphead/api/__init__.py
+++ b/kingcuphead/api/__init__.py
@@ -26,7 +26,6 @@
     DONE_EVENT,
     EventSplitter,
     OversizedEventError,
-    decode_events,
     encode_event,
     iterate_payloads,
 )
@@ -60,7 +59,6 @@
     "assemble_answer",
     "bound_tokens",
     "choose_status",
-    "decode_events",
     "describe_refusal",
     "digest_key",
     "encode_error_event",
--- a/kingcuphead/api/_events.py
+++ b/kingcuphead/api/_events.py
@@ -1,6 +1,6 @@
 """Splitting, encoding and decoding of server-sent events."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterator
 
 #: Blank line that terminates an event.
 EVENT_END = b"\n\n"
@@ -37,11 +37,6 @@
         self._max_event_bytes = max_event_bytes
         self._partial_event = b""
 
-    @property
-    def partial_event(self) -> bytes:
-        """The buffered bytes of an incomplete event."""
-        return self._partial_event
-
     def split(self, chunk: bytes) -> bytes:
         """Return all events that this chunk completes, as one block.
 
@@ -86,16 +81,3 @@
         if line.startswith(_DATA)
     ]
     return b"\n".join(lines) if lines else None
-
-
-def decode_events(chunks: Iterable[bytes], max_event_bytes: int) -> Iterator[bytes]:
-    """Yield the data of each event in a stream of byte chunks.
-
-    Raises
-    ------
-    OversizedEventError
-        If an incomplete event exceeds `max_event_bytes`.
-    """
-    splitter = EventSplitter(max_event_bytes)
-    for chunk in chunks:
-        yield from iterate_payloads(splitter.split(chunk))
--- a/kingcuphead/bench/_budgets_audit.py
+++ b/kingcuphead/bench/_budgets_audit.py
@@ -139,15 +139,3 @@
     yield from (replica.bill for replica in ledger.replica_holder.replicas.values())
     for home in ledger.homes.values():
         yield from (pending.bill for pending in home.bill_index.pending.values())
-
-
-def sum_outstanding_tokens(fleet: Fleet, name: str) -> int:
-    """Return the tokens of a budget in holds and open bills."""
-    held = sum(
-        hold.request.tokens
-        for daemon in fleet.iterate_alive()
-        for hold in daemon.ledger.borrower.holds.values()
-        if hold.request.budget == name
-    )
-    open_bills = collect_open_bills(fleet, read_audit_records(fleet)).values()
-    return held + sum(bill.tokens for bill in open_bills if bill.budget == name)
--- a/kingcuphead/credit/_era.py
+++ b/kingcuphead/credit/_era.py
@@ -10,9 +10,10 @@
 
 import msgspec
 
-from kingcuphead.credit._budget import Budget, Shard
+from kingcuphead.credit._budget import Budget, Limit, Shard
 from kingcuphead.credit._messages import HolderRow, ShardRow
 from kingcuphead.credit._rows import (
+    SHARDS_PREFIX,
     find_latest_holder,
     get_holder_era,
     get_shard_era,
@@ -65,6 +66,85 @@
         return Budget().with_shards(shards)
 
 
+class EraState:
+    """The era of the store in which one incarnation commits, and what it records there.
+
+    Parameters
+    ----------
+    holder_prefix
+        Prefix of the holder rows of the incarnation.
+    """
+
+    def __init__(self, holder_prefix: str) -> None:
+        self._holder_prefix = holder_prefix
+        #: Whether the incarnation began before the era and has not written in it.
+        self._must_record = False
+        #: What the shard rows contain of it; None until that is read.
+        self._recorded: Received | None = None
+        #: Number of the era; None before the first read.
+        self.number: int | None = None
+        #: Shard rows of an earlier era, which the next transaction replaces.
+        self.earlier: EarlierShards | None = None
+
+    @property
+    def rows_prefix(self) -> str:
+        """Key prefix of the rows to read before the next transaction.
+
+        The incarnation's own row of an earlier era has to be from the same read as the
+        shard rows.
+        """
+        is_recorded_unknown = self._must_record and self._recorded is None
+        return "" if is_recorded_unknown else SHARDS_PREFIX
+
+    def begin(self, era: int, has_written: bool) -> bool:
+        """Begin an era that is later than the current one; return whether it is.
+
+        Parameters
+        ----------
+        era
+            Number of the era.
+        has_written
+            Whether the incarnation has written rows before.
+        """
+        if self.number is None or era <= self.number:
+            return False
+        self.number = era
+        self.earlier = None
+        self._must_record = has_written
+        self._recorded = None
+        return True
+
+    def apply_rows(self, snapshot: RowSnapshot) -> Budget:
+        """Apply rows that were read in this era, and return the budget by them."""
+        budget = read_budget(snapshot)
+        self.earlier = None if budget.exists else find_earlier_shards(snapshot)
+        if self._must_record and self._recorded is None:
+            self._recorded = find_recorded(
+                snapshot, self._holder_prefix, budget, self.earlier
+            )
+        return budget if self.earlier is None else self.earlier.budget
+
+    def opens(self, budget: Budget) -> bool:
+        """Whether the next transaction is the first one in an era after a restore."""
+        return not budget.exists and (self._must_record or self.earlier is not None)
+
+    def count_unrecorded(self, received: Received) -> Received:
+        """Return what the shard rows lack of what the incarnation has received.
+
+        They lack something only before the first transaction in an era that began while
+        the incarnation was running.
+        """
+        if not self._must_record or self._recorded is None:
+            return Received()
+        return received.subtract(self._recorded)
+
+    def confirm(self, wrote_shards: bool) -> None:
+        """Handle a committed transaction of the incarnation."""
+        self._must_record = False
+        if wrote_shards:
+            self.earlier = None
+
+
 def decode_shards(rows: Mapping[int, Row]) -> dict[int, Shard]:
     """Decode shard rows, by index."""
     return {
@@ -168,3 +248,19 @@
     checks = [Check(keys[index], budget.shards[index].version) for index in rows]
     puts = [Put(keys[index], msgspec.json.encode(row)) for index, row in rows.items()]
     return checks, puts
+
+
+def check_other_shards(
+    era: int, rows: Mapping[int, ShardRow], budget: Budget, limit: Limit
+) -> list[Check]:
+    """Return checks of the shards that aren't changed, if any shard is overdrawn.
+
+    The room in a shard then depends on what is allocated from the others.
+    """
+    if not budget.has_overdrawn_shard(limit):
+        return []
+    return [
+        Check(make_shard_key(era, index), shard.version)
+        for index, shard in enumerate(budget.shards)
+        if index not in rows
+    ]
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -23,18 +23,16 @@
 from kingcuphead.credit._account import Account, Adjustment
 from kingcuphead.credit._budget import Shard
 from kingcuphead.credit._era import (
-    EarlierShards,
+    EraState,
     Received,
+    check_other_shards,
     decode_shards,
-    find_earlier_shards,
-    find_recorded,
     open_era,
-    read_budget,
     replace_earlier,
     write_shards,
 )
 from kingcuphead.credit._messages import CreditSettings, HolderRow, ShardRow, Shortage
-from kingcuphead.credit._rows import SHARDS_PREFIX, make_holder_key, make_shard_key
+from kingcuphead.credit._rows import make_holder_key, make_shard_key
 from kingcuphead.invariants import ensure
 from kingcuphead.storage import (
     ABSENT,
@@ -99,14 +97,7 @@
         self._unconfirmed_since: float | None = None
         #: Time in seconds of the first read without a reply; None if there is none.
         self._unread_since: float | None = None
-        #: Era of the store of which rows were read; None before the first read.
-        self._era: int | None = None
-        #: Shard rows of an earlier era, which the next transaction replaces.
-        self._earlier: EarlierShards | None = None
-        #: Whether the incarnation began before the era and has not written in it.
-        self._must_record = False
-        #: What the shard rows contain of it; None until that is read.
-        self._recorded: Received | None = None
+        self._era = EraState(make_holder_key(instance, incarnation))
         #: Free credit, reserve and holds of the organisation in this daemon.
         self.account = Account(settings)
 
@@ -120,7 +111,7 @@
     @property
     def era(self) -> int | None:
         """Era of the store of which rows were read; None before the first read."""
-        return self._era
+        return self._era.number
 
     @property
     def holder_prefix(self) -> str:
@@ -130,17 +121,12 @@
     @property
     def holder_key(self) -> str:
         """Key of the holder row of this incarnation in the current era."""
-        return make_holder_key(self._instance, self._incarnation, self._era or 0)
+        return make_holder_key(self._instance, self._incarnation, self.era or 0)
 
     @property
     def rows_prefix(self) -> str:
-        """Key prefix of the rows that `apply_rows` needs.
-
-        The incarnation's own row of an earlier era has to be from the same read as the
-        shard rows.
-        """
-        is_recorded_unknown = self._must_record and self._recorded is None
-        return "" if is_recorded_unknown else SHARDS_PREFIX
+        """Key prefix of the rows that `apply_rows` needs."""
+        return self._era.rows_prefix
 
     def apply_limit(self, limit: int, version: int) -> None:
         """Apply the prepaid tokens of a configuration version, unless it is older."""
@@ -154,15 +140,11 @@
         Transactions without a known outcome are abandoned: tokens that they allocate
         are not used, and tokens that they return stay deducted.
         """
-        if self._era is None or era <= self._era:
+        if not self._era.begin(era, has_written=bool(self._attempt)):
             return
-        self._era = era
         self._sent = None
         self._in_doubt.clear()
         self._holder_version = ABSENT
-        self._must_record = bool(self._attempt)
-        self._recorded = None
-        self._earlier = None
         self.account.is_budget_known = False
 
     def needs_rows(self, now: float) -> bool:
@@ -191,19 +173,11 @@
             Time in seconds.
         """
         self._unread_since = None
-        if self._era is None:
-            self._era = snapshot.era
+        if self._era.number is None:
+            self._era.number = snapshot.era
         self.begin_era(snapshot.era)
-        if snapshot.era != self._era or prefix != self.rows_prefix:
-            return
-        budget = read_budget(snapshot)
-        self._earlier = None if budget.exists else find_earlier_shards(snapshot)
-        if self._must_record and self._recorded is None:
-            prefix = make_holder_key(self._instance, self._incarnation)
-            self._recorded = find_recorded(snapshot, prefix, budget, self._earlier)
-        if self._earlier is not None:
-            budget = self._earlier.budget
-        self.account.update_budget(budget, now)
+        if snapshot.era == self.era and prefix == self.rows_prefix:
+            self.account.update_budget(self._era.apply_rows(snapshot), now)
 
     def find_shortage(self, tokens: int, store_time: int | None) -> Shortage | None:
         """Return why a transaction can't serve a request, or None if it may."""
@@ -271,7 +245,7 @@
         if sent is None:
             return
         match outcome:
-            case Committed(era=era) | Conflict(era=era) if era != self._era:
+            case Committed(era=era) | Conflict(era=era) if era != self.era:
                 self._in_doubt.append(sent)
                 self.begin_era(era)
             case Committed(version):
@@ -287,16 +261,9 @@
             case Unknown():
                 self._in_doubt.append(sent)
 
-    @property
-    def _opens_era(self) -> bool:
-        """Whether the next transaction is the first one in an era after a restore."""
-        if self.account.budget.exists:
-            return False
-        return self._must_record or self._earlier is not None
-
     def _may_allocate(self, store_time: int | None) -> bool:
         """Whether daemons had time to record what they hold since a restore."""
-        if self._opens_era:
+        if self._era.opens(self.account.budget):
             return False
         opened = self.account.budget.opened_ms
         if not opened:
@@ -331,13 +298,14 @@
         holder = self._make_holder_row(adjustment, stamp)
         checks = [Check(self.holder_key, self._holder_version)]
         writes: list[Put | Delete] = [Put(self.holder_key, msgspec.json.encode(holder))]
-        shard_checks, puts = write_shards(self._era or 0, shards, self.account.budget)
+        shard_checks, puts = write_shards(self.era or 0, shards, self.account.budget)
         checks += shard_checks
         writes += puts
         if shards:
-            checks += self._check_other_shards(shards)
-        if shards and self._earlier is not None:
-            earlier_checks, deletes = replace_earlier(self._earlier)
+            budget, limit = self.account.budget, self.account.get_limit()
+            checks += check_other_shards(self.era or 0, shards, budget, limit)
+        if shards and self._era.earlier is not None:
+            earlier_checks, deletes = replace_earlier(self._era.earlier)
             checks += earlier_checks
             writes += deletes
         return Transaction(tuple(checks), tuple(writes))
@@ -356,30 +324,13 @@
             account.get_limit(),
             self._rng,
         )
-        if not self._opens_era:
+        if not self._era.opens(account.budget):
             return shards
-        return open_era(shards, account.budget, self._earlier, store_time or 0)
-
-    def _check_other_shards(self, shards: Mapping[int, ShardRow]) -> list[Check]:
-        """Return checks of all other shards if one of them is overdrawn."""
-        budget = self.account.budget
-        if not budget.has_overdrawn_shard(self.account.get_limit()):
-            return []
-        return [
-            Check(make_shard_key(self._era or 0, index), shard.version)
-            for index, shard in enumerate(budget.shards)
-            if index not in shards
-        ]
+        return open_era(shards, account.budget, self._era.earlier, store_time or 0)
 
     def _count_unrecorded(self) -> Received:
-        """Return what the shard rows of this era lack of this incarnation.
-
-        They lack something only before the first transaction in an era that began while
-        the incarnation was running.
-        """
-        if not self._must_record or self._recorded is None:
-            return Received()
-        return self._count_received().subtract(self._recorded)
+        """Return what the shard rows of this era lack of this incarnation."""
+        return self._era.count_unrecorded(self._count_received())
 
     def _count_received(self) -> Received:
         """Return what this incarnation has received and recorded as spent.
@@ -403,7 +354,7 @@
         reserve = self.account.reserve + max(0, adjustment.reserve)
         return HolderRow(
             attempt=self._attempt,
-            era=self._era or 0,
+            era=self.era or 0,
             received=received.tokens + added,
             settled=received.settled,
             stamp_ms=stamp,
@@ -416,11 +367,11 @@
         if holder is not None and holder.version != self._holder_version:
             self._resolve_in_doubt(holder)
         account = self.account
-        if self._opens_era:
+        if self._era.opens(self.account.budget):
             account.is_budget_known = False
             return
         keys = {
-            index: make_shard_key(self._era or 0, index)
+            index: make_shard_key(self.era or 0, index)
             for index in range(len(account.budget.shards))
         }
         current = {index: rows[key] for index, key in keys.items() if key in rows}
@@ -444,10 +395,9 @@
 
     def _confirm(self, sent: _SentTransaction, version: int) -> None:
         self._holder_version = version
-        self._must_record = False
+        self._era.confirm(wrote_shards=bool(sent.shards))
         self.account.confirm(sent.adjustment)
         if sent.shards:
-            self._earlier = None
             written = {index: Shard(row, version) for index, row in sent.shards.items()}
             self.account.replace_shards(written)
 
--- a/kingcuphead/credit/tests/test_random_runs.py
+++ b/kingcuphead/credit/tests/test_random_runs.py
@@ -286,7 +286,7 @@
         """Let the daemon record its credit at once, as it is woken in a new era."""
         daemon.see_era()
         parts = [daemon.ledger.get_organisation(name) for name in NAMES]
-        if any(part._must_record for part in parts):
+        if any(part._era._must_record for part in parts):
             daemon.renew()
         super().run_daemon(daemon)
 
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -73,20 +73,10 @@
         Placement or None
             The choice; None if every candidate is excluded or paused.
         """
-        usable = [
-            target
-            for target in candidates
-            if target.name not in excluded
-            and not self._get_state(target).is_paused(now)
-        ]
-        available = [
-            target
-            for target in usable
-            if not self._get_state(target).health.is_backing_off(now)
-        ]
-        if not usable:
+        available = self._select_available(candidates, excluded, now)
+        if not available:
             return None
-        ranked = self._rank(request, available or usable)
+        ranked = self._rank(request, available)
         plans = [self._plan_prefill(request, each, ranked, now) for each in ranked]
         costs = [
             self._compute_cost(request, target, plan, now)
@@ -99,9 +89,7 @@
         wait = self._estimate_wait(state, best, plan)
         placement = Placement(best, state, plan, now, wait, choice == 0, cost)
         state.add(placement, request, now)
-        is_large = plan.prefill_tokens >= self._settings.min_announced_tokens
-        if is_large and self.announce is not None:
-            self.announce()
+        self._announce_if_large(plan)
         return placement
 
     def pause(self, placement: Placement, seconds: float, now: float) -> None:
@@ -147,6 +135,28 @@
         """Drop the state of a target that was removed."""
         self._states.pop(target.name, None)
 
+    def _select_available(
+        self, candidates: Iterable[Target], excluded: Collection[str], now: float
+    ) -> list[Target]:
+        """Return the candidates to choose from: those not backing off, if there are."""
+        usable = [
+            target
+            for target in candidates
+            if target.name not in excluded
+            and not self._get_state(target).is_paused(now)
+        ]
+        available = [
+            target
+            for target in usable
+            if not self._get_state(target).health.is_backing_off(now)
+        ]
+        return available or usable
+
+    def _announce_if_large(self, plan: PrefillPlan) -> None:
+        is_large = plan.prefill_tokens >= self._settings.min_announced_tokens
+        if is_large and self.announce is not None:
+            self.announce()
+
     def _rank(self, request: PlacementRequest, targets: list[Target]) -> list[Target]:
         """Return the targets in rendezvous order of the longest shared prefix.
 
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -2,7 +2,8 @@
 
 from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.forwarding._context import RequestContext
-from kingcuphead.forwarding._forwarder import Dependencies, RequestForwarder
+from kingcuphead.forwarding._dependencies import Dependencies
+from kingcuphead.forwarding._forwarder import RequestForwarder
 from kingcuphead.forwarding._messages import (
     AnswerHead,
     CallerRequest,
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -8,7 +8,7 @@
 
 from kingcuphead.dispatch import AttemptResult
 from kingcuphead.forwarding._connection import AnswerEnd, TargetAnswer
-from kingcuphead.forwarding._events import EventSplitter
+from kingcuphead.forwarding._events import MAX_EVENT_BYTES, EventSplitter
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
 from kingcuphead.forwarding._ports import HeaderCodec
@@ -186,6 +186,30 @@
     return None
 
 
+def describe_end(end: AttemptEnd) -> str:
+    """Return the outcome of an attempt for the log."""
+    match end:
+        case StreamDelivered():
+            return "streamed"
+        case Answered(head):
+            return f"answered {head.status}"
+        case AttemptFailed(result, _, cause):
+            return f"{result.value} ({cause})"
+
+
+def classify_end(end: AttemptEnd) -> AttemptResult:
+    """Return the outcome of an attempt for the health of its target."""
+    match end:
+        case StreamDelivered():
+            return AttemptResult.ANSWERED
+        case Answered(head) if head.status < 500:
+            return AttemptResult.ANSWERED
+        case Answered():
+            return AttemptResult.FAILED
+        case AttemptFailed(result):
+            return result
+
+
 async def _wait_for_first_bytes(
     attempt: Attempt, read: Callable[[], Awaitable[T]]
 ) -> T | AttemptFailed:
@@ -242,6 +266,10 @@
             if not stream.is_next(event):
                 return _make_broken_failure("an event id is not in sequence")
             await stream.deliver(head, event)
+        if splitter.is_oversized:
+            return _make_broken_failure(
+                f"an event is larger than {MAX_EVENT_BYTES} bytes"
+            )
         block = await _read_next(attempt, answer)
     if answer.end is AnswerEnd.BROKEN or splitter.has_partial_event:
         return _make_broken_failure("the connection broke within the stream")
--- /dev/null
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -0,0 +1,27 @@
+"""Objects that the requests of one daemon share."""
+
+import dataclasses
+from collections.abc import Callable
+
+from kingcuphead.credit import CreditTask
+from kingcuphead.dispatch import Dispatcher, RetryAllowance
+from kingcuphead.forwarding._attempt import AttemptRunner
+from kingcuphead.targets import Target, TargetDirectory
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dependencies:
+    """Objects shared by all requests."""
+
+    #: Lists the targets of a service that accept requests.
+    directory: TargetDirectory
+    #: Chooses the target of each attempt.
+    dispatcher: Dispatcher
+    #: Retry budget of this daemon for each service.
+    retries: RetryAllowance
+    #: Holds and settles the credit of organisations.
+    credit: CreditTask
+    #: Sends attempts to targets.
+    runner: AttemptRunner
+    #: Called with a target that says in an answer that it leaves.
+    report_leaving: Callable[[Target], None]
--- a/kingcuphead/forwarding/_events.py
+++ b/kingcuphead/forwarding/_events.py
@@ -25,6 +25,11 @@
     def __init__(self) -> None:
         self._buffer = b""
 
+    @property
+    def is_oversized(self) -> bool:
+        """Whether the buffer holds more bytes than an event may have."""
+        return len(self._buffer) > MAX_EVENT_BYTES
+
     @property
     def has_partial_event(self) -> bool:
         """Whether the buffer holds bytes of an incomplete event."""
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -1,32 +1,31 @@
 """Serves a request: routing, authentication, credit hold, attempts and settlement."""
 
 import asyncio
-import dataclasses
 import random
 from collections.abc import Callable
 
 from expression import Error, Ok, Result
 
-from kingcuphead.credit import CreditTask, Hold, Shortage
+from kingcuphead.credit import Hold, Shortage
 from kingcuphead.dispatch import (
     AttemptResult,
-    Dispatcher,
     Placement,
-    RetryAllowance,
 )
 from kingcuphead.forwarding._attempt import (
     Answered,
     Attempt,
     AttemptEnd,
     AttemptFailed,
-    AttemptRunner,
     StreamDelivered,
+    classify_end,
+    describe_end,
 )
 from kingcuphead.forwarding._context import (
     AttemptRecord,
     RequestContext,
     log_rejection,
 )
+from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.forwarding._refusals import Refusal, refuse
@@ -36,7 +35,6 @@
     RoutingTable,
     choose_service,
 )
-from kingcuphead.targets import Target, TargetDirectory
 from kingcuphead.verdict import Execution, Reason
 
 #: Bound in seconds on waiting for credit.
@@ -61,24 +59,6 @@
 MIN_STALL_TIMEOUT = 1.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Dependencies:
-    """Objects shared by all requests."""
-
-    #: Lists the targets of a service that accept requests.
-    directory: TargetDirectory
-    #: Chooses the target of each attempt.
-    dispatcher: Dispatcher
-    #: Retry budget of this daemon for each service.
-    retries: RetryAllowance
-    #: Holds and settles the credit of organisations.
-    credit: CreditTask
-    #: Sends attempts to targets.
-    runner: AttemptRunner
-    #: Called with a target that says in an answer that it leaves.
-    report_leaving: Callable[[Target], None]
-
-
 class RequestForwarder:
     """Serves callers' requests by the current configuration.
 
@@ -264,10 +244,10 @@
         try:
             attempt = self._make_attempt(context, placement, stream)
             end = await self._dependencies.runner.run(attempt, stream)
-            result = _classify_end(end)
+            result = classify_end(end)
             if isinstance(end, AttemptFailed) and end.execution is Execution.NOT_RUN:
                 context.execution = previous_execution
-            outcome = _describe_end(end)
+            outcome = describe_end(end)
             if isinstance(end, AttemptFailed) and end.is_misdirected:
                 self._dependencies.directory.mark_replaced(placement.target)
             return end
@@ -396,28 +376,6 @@
         return refuse(504, Reason.TARGET_TIMED_OUT)
 
 
-def _describe_end(end: AttemptEnd) -> str:
-    match end:
-        case StreamDelivered():
-            return "streamed"
-        case Answered(head):
-            return f"answered {head.status}"
-        case AttemptFailed(result, _, cause):
-            return f"{result.value} ({cause})"
-
-
-def _classify_end(end: AttemptEnd) -> AttemptResult:
-    match end:
-        case StreamDelivered():
-            return AttemptResult.ANSWERED
-        case Answered(head) if head.status < 500:
-            return AttemptResult.ANSWERED
-        case Answered():
-            return AttemptResult.FAILED
-        case AttemptFailed(result):
-            return result
-
-
 async def _send_answer(caller: Caller, answer: Answered) -> None:
     headers = answer.head.headers
     headers["Content-Length"] = str(len(answer.body))
--- a/kingcuphead/forwarding/tests/test_streams.py
+++ b/kingcuphead/forwarding/tests/test_streams.py
@@ -5,6 +5,7 @@
 from kingcuphead.forwarding import (
     PromptSize,
 )
+from kingcuphead.forwarding._events import MAX_EVENT_BYTES, EventSplitter
 from kingcuphead.forwarding.tests._harness import (
     STREAM,
     make_request,
@@ -75,6 +76,17 @@
         run([make_route(STREAM, resumable=True)], scenario)
 
 
+class TestEventSplitter:
+    @pytest.mark.parametrize(
+        ("size", "is_oversized"),
+        [(MAX_EVENT_BYTES, False), (MAX_EVENT_BYTES + 1, True)],
+    )
+    def test_an_event_that_never_ends_is_detected(self, size, is_oversized):
+        splitter = EventSplitter()
+        assert list(splitter.feed(b"x" * size)) == []
+        assert splitter.is_oversized is is_oversized
+
+
 class TestSettlement:
     SIZE = PromptSize(100, 50, ())
 
