--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -49,11 +49,6 @@
         """Whether the values in the shards change."""
         return bool(self.allocated or self.settled)
 
-    @property
-    def is_internal(self) -> bool:
-        """Whether tokens at most move between free credit and reserve."""
-        return not self.changes_budget
-
 
 class Account:
     """Free credit, reserve, holds and demand of one organisation.
@@ -282,9 +277,9 @@
     ) -> int:
         """Return the tokens to keep for a period of demand or a number of requests.
 
-        As little of the budget is left unallocated, all daemons keep less, so that each
-        can allocate for the requests it gets. An amount that is less than a request
-        needs serves no request here and is missing elsewhere, so it is not kept.
+        When little of the budget is left unallocated, all daemons keep less, so that
+        each of them can still allocate for its requests. An amount that is less than a
+        request needs is not kept, since it would be missing elsewhere.
         """
         settings = self._settings
         obtainable = self.unallocated + self.free + self.reserve
