--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -19,6 +19,8 @@
 #: Seconds after which the shards are read again while requests wait for credit, and
 #: before a transaction, which would conflict if another daemon has changed them.
 FRESH_BUDGET_MAX_AGE_SECONDS = 0.2
+#: Share of the desired free tokens below which credit is renewed at once.
+LOW_CREDIT_SHARE = 0.5
 #: Weight of the newest request in the moving average of tokens per request.
 REQUEST_TOKENS_WEIGHT = 0.2
 
@@ -189,6 +191,17 @@
         self.reserve -= released
         self.released_reserve += released
 
+    def is_low(self, now: float) -> bool:
+        """Whether so little is free that a renewal should not wait for its interval.
+
+        Free credit has to last from the loss of the store until the reserve's release.
+        """
+        settings = self._settings
+        desired = self._compute_desired_tokens(
+            settings.free_seconds, settings.free_requests, now
+        )
+        return self.free < LOW_CREDIT_SHARE * desired
+
     def needs_budget(self, now: float) -> bool:
         """Whether the shards have to be read before the next transaction.
 
@@ -198,7 +211,7 @@
         age = now - self._budget_read_at
         if not self.is_budget_known:
             return self._has_use_for_credit(now)
-        if self.waiting_tokens > self.free or self.unreported:
+        if self.waiting_tokens > self.free or self.unreported or self.is_low(now):
             return age > FRESH_BUDGET_MAX_AGE_SECONDS
         return self.free + self.reserve > 0 and age > BUDGET_MAX_AGE_SECONDS
 
@@ -292,7 +305,7 @@
             self._mean_request_tokens * requests,
             obtainable * settings.idle_share * share,
         )
-        kept = settings.get_kept_share(self.unallocated, self.unspent)
+        kept = settings.get_kept_share(self.unallocated, self.unspent, self.daemons)
         desired = int(max(demand, idle) * kept)
         least = self._mean_request_tokens * (1 - share)
         return desired if desired >= least else 0
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -86,10 +86,14 @@
     #: Number of daemons above which both shares shrink in proportion. It is larger than
     #: 1 because callers aren't evenly divided among daemons.
     full_share_fleet_size: int = 10
-    #: Bounds of the share of the unspent tokens that is not allocated to any daemon.
-    #: Daemons keep what they want at the second and nothing at the first.
+    #: Share of the unspent tokens, not allocated to any daemon, below which daemons of
+    #: a large fleet keep nothing; 0 in a small fleet.
     min_unallocated_share: float = 0.2
+    #: The same share at which daemons of a large fleet keep all that they want.
     full_unallocated_share: float = 0.5
+    #: The same share at which daemons of a small fleet keep all that they want. What a
+    #: daemon keeps there is used where it lies, as each serves many of the callers.
+    small_fleet_unallocated_share: float = 0.2
     #: Seconds without a reply from the store before the release of reserves starts.
     release_delay: float = 1.0
     #: Seconds from the start of the release until all of the reserves are released.
@@ -119,7 +123,7 @@
         """Return the factor by which the maximum shares of one daemon shrink."""
         return min(1.0, self.full_share_fleet_size / daemons)
 
-    def get_kept_share(self, unallocated: int, unspent: int) -> float:
+    def get_kept_share(self, unallocated: int, unspent: int, daemons: int) -> float:
         """Return which share of the credit that daemons want they may keep.
 
         Parameters
@@ -128,10 +132,16 @@
             Tokens of the budget not allocated to any daemon.
         unspent
             Tokens of the budget that are not spent.
+        daemons
+            Number of daemons in the fleet.
         """
-        share = unallocated / max(1, unspent) - self.min_unallocated_share
-        span = self.full_unallocated_share - self.min_unallocated_share
-        return min(1.0, max(0.0, share / span))
+        # 0 up to the size at which one daemon's share shrinks, 1 from twice that on.
+        largeness = min(1.0, max(0.0, daemons / self.full_share_fleet_size - 1))
+        least = self.min_unallocated_share * largeness
+        small, large = self.small_fleet_unallocated_share, self.full_unallocated_share
+        full = small + (large - small) * largeness
+        share = unallocated / max(1, unspent)
+        return min(1.0, max(0.0, (share - least) / (full - least)))
 
     def get_released_share(self, age: float) -> float:
         """Return the share of the reserves that is released after `age` seconds.
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -104,6 +104,11 @@
         """Renew without waiting for the end of the interval."""
         self._wake.set()
 
+    def wake_if_low(self) -> None:
+        """Renew without waiting for the interval if little credit is free."""
+        if not self.is_store_down and self._ledger.account.is_low(_get_time()):
+            self._wake.set()
+
     def begin_era(self, era: int) -> None:
         """Record this daemon's credit again after a restore of the store."""
         if self._ledger.era is None or era <= self._ledger.era:
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -145,6 +145,7 @@
         renewal = self._get_renewal(organisation)
         hold = self._ledger.hold(organisation, tokens, _get_time())
         if hold is not None:
+            renewal.wake_if_low()
             return Ok(hold)
         if renewal.is_store_down or self._is_held_elsewhere(renewal, tokens):
             hold = await self._request_transfer(organisation, tokens)
--- a/kingcuphead/credit/tests/test_task.py
+++ b/kingcuphead/credit/tests/test_task.py
@@ -135,3 +135,29 @@
         shortage = third.get_organisation(NAME).find_shortage(100_000, 0)
         assert shortage is Shortage.UNPROVEN
         assert asyncio.run(self.hold(30_000)).is_ok()
+
+
+class TestLowCredit:
+    """Guards against free credit that has run out when the store is lost."""
+
+    @pytest.mark.parametrize("free_share, is_renewed", [(0.9, False), (0.2, True)])
+    def test_low_credit_is_renewed_before_the_interval_ends(
+        self, free_share, is_renewed
+    ):
+        async def count_transactions():
+            table = CountingTable(FaultyStore(random.Random(1)))
+            task = CreditTask(CreditLedger("a", "1"), lambda name: table)
+            task.apply_limits([Organisation(NAME, None, LIMIT)], 1)
+            now = asyncio.get_running_loop().time()
+            task.ledger.record_demand(NAME, 50_000, now)
+            renewal = asyncio.create_task(task.run())
+            task._get_renewal(NAME).wake()
+            await asyncio.sleep(0.1)
+            before = table.count
+            free = task.ledger.get_free_tokens(NAME)
+            await task.hold(NAME, int(free * (1 - free_share)), timeout=0.1)
+            await asyncio.sleep(0.3)
+            renewal.cancel()
+            return table.count - before
+
+        assert bool(asyncio.run(count_transactions())) is is_renewed
