Release the reserves of all organisations when the store stops answering any

Cause: each organisation's ledger counted the silence of the store from its own first call without a reply, so in a cut the release of its reserve began only when a call was made for it, 1.2 s and more after the others.

The daemon's ledgers share when the store last answered.

--- /dev/null
+++ b/kingcuphead/credit/_contact.py
@@ -0,0 +1,19 @@
+"""When the platform's store last answered one daemon, for any organisation."""
+
+
+class StoreContact:
+    """Records the calls of all organisations' renewals to the store."""
+
+    def __init__(self) -> None:
+        #: Time in seconds of the first call that was sent after the last answer; None
+        #: if there is none.
+        self.silent_since: float | None = None
+
+    def record_call(self, now: float) -> None:
+        """Record that a call is sent."""
+        if self.silent_since is None:
+            self.silent_since = now
+
+    def record_answer(self) -> None:
+        """Record that the store has answered a call."""
+        self.silent_since = None
--- a/kingcuphead/credit/_ledger.py
+++ b/kingcuphead/credit/_ledger.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Iterator
 
+from kingcuphead.credit._contact import StoreContact
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
 from kingcuphead.invariants import ensure
@@ -35,6 +36,7 @@
         self._settings = settings
         self._ledgers: dict[str, OrganisationLedger] = {}
         self._daemons = 1
+        self._contact = StoreContact()
 
     @property
     def is_empty(self) -> bool:
@@ -50,7 +52,7 @@
         ledger = self._ledgers.get(name)
         if ledger is None:
             ledger = OrganisationLedger(
-                self._instance, self._incarnation, self._settings
+                self._instance, self._incarnation, self._settings, self._contact
             )
             ledger.account.daemons = self._daemons
             self._ledgers[name] = ledger
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -22,6 +22,7 @@
 
 from kingcuphead.credit._account import Account, Adjustment
 from kingcuphead.credit._budget import Shard
+from kingcuphead.credit._contact import StoreContact
 from kingcuphead.credit._era import (
     EraState,
     Received,
@@ -75,12 +76,19 @@
         Identity of this incarnation, never used again.
     settings
         How much credit the daemon keeps.
+    contact
+        When the store last answered this daemon.
     """
 
     def __init__(
-        self, instance: str, incarnation: str, settings: CreditSettings
+        self,
+        instance: str,
+        incarnation: str,
+        settings: CreditSettings,
+        contact: StoreContact,
     ) -> None:
         self._settings = settings
+        self._contact = contact
         # Daemons differ in their choice of shards.
         self._rng = random.Random(f"{instance}/{incarnation}")
         self._instance = instance
@@ -95,8 +103,9 @@
         #: Time in seconds of the first transaction sent after the last one known to be
         #: committed; None if there is none.
         self._unconfirmed_since: float | None = None
-        #: Time in seconds of the first read without a reply; None if there is none.
-        self._unread_since: float | None = None
+        #: Time in seconds at which the last committed transaction was planned.
+        self._confirmed_at = float("-inf")
+        self._planned_at = float("-inf")
         self._era = EraState(make_holder_key(instance, incarnation))
         #: Free credit, reserve and holds of the organisation in this daemon.
         self.account = Account(settings)
@@ -157,8 +166,7 @@
 
     def start_read(self, now: float) -> None:
         """Record that a read of rows is sent; `apply_rows` follows if it succeeds."""
-        if self._unread_since is None:
-            self._unread_since = now
+        self._contact.record_call(now)
 
     def apply_rows(self, prefix: str, snapshot: RowSnapshot, now: float) -> None:
         """Apply rows that were read.
@@ -172,7 +180,7 @@
         now
             Time in seconds.
         """
-        self._unread_since = None
+        self._contact.record_answer()
         if self._era.number is None:
             self._era.number = snapshot.era
         self.begin_era(snapshot.era)
@@ -193,12 +201,19 @@
         return None
 
     def get_released_share(self, now: float) -> float:
-        """Return the share of the reserve that is released at the time `now`."""
-        times = (self._unconfirmed_since, self._unread_since)
-        known = [each for each in times if each is not None]
-        if not known:
+        """Return the share of the reserve that is released at the time `now`.
+
+        The release begins when the store stops answering, whichever organisation's call
+        shows it, but not before the transaction that wrote the stamp of the reserve.
+        """
+        times = []
+        if self._unconfirmed_since is not None:
+            times.append(self._unconfirmed_since)
+        if self._contact.silent_since is not None:
+            times.append(max(self._contact.silent_since, self._confirmed_at))
+        if not times:
             return 0.0
-        age = now - min(known) - self._settings.clock_margin
+        age = now - min(times) - self._settings.clock_margin
         return self._settings.get_released_share(age)
 
     def close(self) -> None:
@@ -228,6 +243,8 @@
         if adjustment is None and not self._must_write():
             return None
         adjustment = adjustment or Adjustment(0, 0, 0)
+        self._planned_at = now
+        self._contact.record_call(now)
         if self._unconfirmed_since is None:
             self._unconfirmed_since = now
         stamp = 0
@@ -241,6 +258,8 @@
         An outcome in another era than that of the transaction proves nothing about the
         rows of the new one, because versions are given out again.
         """
+        if isinstance(outcome, Committed | Conflict):
+            self._contact.record_answer()
         sent, self._sent = self._sent, None
         if sent is None:
             return
@@ -251,6 +270,7 @@
             case Committed(version):
                 self._cancel_in_doubt()
                 self._confirm(sent, version)
+                self._confirmed_at = self._planned_at
                 self._unconfirmed_since = None
                 self.account.released_reserve = 0
             case Conflict(rows):
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -93,7 +93,8 @@
         self._table = table
         self._settings = settings
         self._started_at = time.monotonic()
-        self._rng = random.Random()
+        # Daemons and organisations differ in their delays.
+        self._rng = random.Random(f"{ledger.holder_key}/{name}")
         self._is_reclaimed = False
         self._wake = asyncio.Event()
         self._renewed = asyncio.Condition()
--- a/kingcuphead/credit/tests/test_ledger.py
+++ b/kingcuphead/credit/tests/test_ledger.py
@@ -166,6 +166,29 @@
         assert state.reserve > 0
         assert ledger.hold("atelier", state.free + 1, now) is not None
 
+    def test_silence_for_one_organisation_releases_the_reserves_of_all(self):
+        """A cut from the store is seen by the first call of any organisation."""
+        store, ledger = FaultyStore(random.Random(1)), make_ledger()
+        ledger.apply_limits([Organisation("builder", None, 100_000)], 1)
+        for name in ("atelier", "builder"):
+            ledger.record_demand(name, 9_000, 0.0)
+        renew(ledger, store)
+        ledger.add_waiting("builder", 60_000)
+        renew(ledger, store, 10.0, is_disconnected=True, names=["builder"])
+        part = ledger.get_organisation("atelier")
+        assert part.get_released_share(10.0) == 0.0
+        assert part.get_released_share(10.0 + PERIOD) == pytest.approx(1.0)
+        renew(ledger, store, 20.0, names=["builder"])
+        assert part.get_released_share(20.0 + PERIOD) == 0.0
+
+    def test_silence_before_the_last_transaction_does_not_release_its_reserve(self):
+        store, ledger = FaultyStore(random.Random(1)), make_ledger()
+        ledger.record_demand("atelier", 9_000, 0.0)
+        part = ledger.get_organisation("atelier")
+        renew(ledger, store, 30.0)
+        part._contact.silent_since = 10.0
+        assert part.get_released_share(30.0 + DELAY) == 0.0
+
     def test_reserves_are_released_while_reads_get_no_reply(self):
         store, ledger = FaultyStore(random.Random(1)), make_ledger()
         ledger.record_demand("atelier", 9_000, 0.0)
