Log the fingerprint of each request, and count attempts by result

Metrics counted attempts, not how they ended.

Ruled out: the id of a try as the key; callers give each try a new one.

--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -45,6 +45,12 @@
             ("service",),
             registry=self._registry,
         )
+        self._attempt_results = Counter(
+            "kingcuphead_attempt_results",
+            "Attempts at targets by service and result.",
+            ("service", "result"),
+            registry=self._registry,
+        )
         self._tokens = Counter(
             "kingcuphead_tokens",
             "Tokens settled by organisation.",
@@ -81,6 +87,8 @@
         reason = "" if refusal is None else refusal.reason.value
         self._requests.labels(work_class, organisation, status, reason).inc()
         self._attempts.labels(context.service).inc(len(context.records))
+        for record in context.records:
+            self._attempt_results.labels(context.service, record.result.value).inc()
         self._tokens.labels(organisation).inc(context.spent)
         seconds = now - context.request.arrived_at
         self._seconds.labels(work_class).observe(seconds)
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -5,7 +5,7 @@
 from loguru import logger
 
 from kingcuphead.credit import CreditState
-from kingcuphead.dispatch import PlacementRequest, SharedPrefix
+from kingcuphead.dispatch import AttemptResult, PlacementRequest, SharedPrefix
 from kingcuphead.forwarding._messages import CallerRequest
 from kingcuphead.forwarding._refusals import Refusal
 from kingcuphead.routing import Organisation, Route
@@ -24,6 +24,8 @@
     copied_tokens: int
     #: Cost of the target in units of the latency objective.
     cost: float
+    #: Result for the health of the target.
+    result: AttemptResult
     #: Description of the outcome.
     outcome: str
     #: Duration in seconds.
@@ -55,6 +57,8 @@
     deadline: float
     #: Version of the configuration that the request is served by.
     revision: int
+    #: Digest that all tries of the request share.
+    fingerprint: str = ""
     #: Output tokens in one event of a stream.
     tokens_per_event: int = 1
     #: Names of the targets of all attempts so far.
@@ -116,6 +120,7 @@
         """
         bound = logger.bind(
             request_id=self.request.request_id,
+            fingerprint=self.fingerprint,
             organisation=self.payer,
             route=self.route.name,
             service=self.service,
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -26,6 +26,7 @@
     log_rejection,
 )
 from kingcuphead.forwarding._dependencies import Dependencies
+from kingcuphead.forwarding._fingerprint import fingerprint_request
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.forwarding._refusals import Refusal, refuse
@@ -153,6 +154,7 @@
             deadline=request.arrived_at + timeout,
             revision=table.configuration.version,
         )
+        context.fingerprint = fingerprint_request(request, context.payer)
         profile = table.configuration.services.get(service)
         if profile is not None and profile.engine is not None:
             context.tokens_per_event = profile.engine.tokens_per_event
@@ -259,6 +261,7 @@
                     placement.is_preferred,
                     placement.prefill.copied_tokens,
                     placement.cost,
+                    result,
                     outcome,
                     seconds,
                 )
