--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -28,6 +28,7 @@
         "credit_seconds",
         "events",
         "execution",
+        "fingerprint",
         "first_event_seconds",
         "instance",
         "organisation",
