Move the decision on retries out of the request forwarder

Ruled out: a change of behaviour; the conditions are the same, letter for letter, and use the same budget. `_get_time` became `_clock.get_time`, since two modules need it.

Conclusion: whether a request is retried is one class with one job.

--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -48,7 +48,8 @@
         self._disconnect()
 
     def _disconnect(self):
-        self._server.close()
+        if self._server is not None:
+            self._server.close()
         for writer in self._writers:
             writer.transport.abort()
 
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -7,10 +7,7 @@
 from expression import Error, Ok, Result
 
 from kingcuphead.credit import Hold, Shortage
-from kingcuphead.dispatch import (
-    AttemptResult,
-    Placement,
-)
+from kingcuphead.dispatch import AttemptResult, Placement
 from kingcuphead.forwarding._attempt import (
     Answered,
     Attempt,
@@ -20,6 +17,7 @@
     classify_end,
     describe_end,
 )
+from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import (
     AttemptRecord,
     RequestContext,
@@ -30,6 +28,7 @@
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.forwarding._refusals import Refusal, refuse
+from kingcuphead.forwarding._retry_decision import RetryDecision
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.routing import (
     RequestKind,
@@ -52,8 +51,6 @@
 #: Upper bound of the first-byte timeout as a share of the time until the deadline; the
 #: rest is left for a retry.
 FIRST_BYTE_TIMEOUT_SHARE = 0.6
-#: Number of attempted targets from which on a failure to connect ends the request.
-MAX_UNREACHABLE_TARGETS = 4
 #: First-byte timeout in units of the route's latency objective.
 FIRST_BYTE_TIMEOUT_OBJECTIVES = 2.2
 #: Lower bound of the stall timeout of a stream in seconds.
@@ -83,6 +80,7 @@
         self._rng = rng
         self._record_end = record_end
         self._table: RoutingTable | None = None
+        self._retries = RetryDecision(dependencies.directory, dependencies.retries)
 
     def apply(self, table: RoutingTable) -> None:
         """Replace the configuration for requests that arrive from now on."""
@@ -106,7 +104,7 @@
         try:
             refusal = await self._serve_admitted(context, caller)
         finally:
-            context.log_end(refusal, _get_time())
+            context.log_end(refusal, get_time())
             self._record_end(context, refusal)
         return refusal
 
@@ -158,7 +156,7 @@
         profile = table.configuration.services.get(service)
         if profile is not None and profile.engine is not None:
             context.tokens_per_event = profile.engine.tokens_per_event
-        self._dependencies.retries.count_request(service, _get_time())
+        self._dependencies.retries.count_request(service, get_time())
         return Ok(context)
 
     async def _acquire_hold(
@@ -168,10 +166,10 @@
         if organisation is None or organisation.prepaid_tokens is None or size is None:
             return Ok(None)
         tokens = size.prompt_tokens + size.output_tokens
-        timeout = min(CREDIT_TIMEOUT, context.deadline - _get_time())
-        requested_at = _get_time()
+        timeout = min(CREDIT_TIMEOUT, context.deadline - get_time())
+        requested_at = get_time()
         held = await self._dependencies.credit.hold(organisation.name, tokens, timeout)
-        context.credit_seconds = _get_time() - requested_at
+        context.credit_seconds = get_time() - requested_at
         if held.is_ok():
             return Ok(held.ok)
         context.credit_state = held.error.state
@@ -210,7 +208,7 @@
                 case StreamDelivered():
                     context.status = 200
                     return None
-                case Answered() if self._claim_retry_after_answer(context, end):
+                case Answered() if self._retries.claim_after_answer(context, end):
                     continue
                 case Answered() if stream is not None and stream.is_started:
                     # Events of another target precede it, so the head and the body of
@@ -221,7 +219,7 @@
                     await _send_answer(caller, end)
                     return None
                 case AttemptFailed() as failure:
-                    if not self._claim_retry_after_failure(context, failure):
+                    if not self._retries.claim_after_failure(context, failure):
                         return self._abandon(context, caller, stream, failure)
 
     def _place(self, context: RequestContext) -> Placement | None:
@@ -229,14 +227,14 @@
             context.make_placement_request(),
             self._dependencies.directory.list_usable(context.service),
             context.tried,
-            _get_time(),
+            get_time(),
         )
 
     async def _run_attempt(
         self, context: RequestContext, placement: Placement, stream: AnswerStream | None
     ) -> AttemptEnd:
         context.tried.append(placement.target.name)
-        started_at = _get_time()
+        started_at = get_time()
         outcome = "cancelled"
         result = AttemptResult.CANCELLED
         previous_execution, context.execution = (
@@ -254,7 +252,7 @@
                 self._dependencies.directory.mark_replaced(placement.target)
             return end
         finally:
-            seconds = _get_time() - started_at
+            seconds = get_time() - started_at
             context.records.append(
                 AttemptRecord(
                     placement.target.name,
@@ -266,12 +264,12 @@
                     seconds,
                 )
             )
-            self._dependencies.dispatcher.record_result(placement, result, _get_time())
+            self._dependencies.dispatcher.record_result(placement, result, get_time())
 
     def _make_attempt(
         self, context: RequestContext, placement: Placement, stream: AnswerStream | None
     ) -> Attempt:
-        now = _get_time()
+        now = get_time()
         remaining = context.deadline - now
         source = placement.prefill.source
         options = SendOptions(
@@ -289,7 +287,7 @@
             address=placement.target.address,
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
             stall_timeout=max(MIN_STALL_TIMEOUT, 2 * context.route.event_gap_objective),
-            claim_retry=lambda: self._claim_retry(context),
+            claim_retry=lambda: self._retries.claim(context),
             record_head=lambda head: self._record_head(placement, head),
         )
 
@@ -298,54 +296,7 @@
         if head.is_leaving:
             self._dependencies.report_leaving(placement.target)
         if head.retry_after is not None:
-            self._dependencies.dispatcher.pause(
-                placement, head.retry_after, _get_time()
-            )
-
-    def _claim_retry_after_answer(
-        self, context: RequestContext, answer: Answered
-    ) -> bool:
-        """Return whether an error answer is discarded for a retry; count the retry."""
-        return answer.head.status >= 500 and self._claim_retry(context)
-
-    def _claim_retry_after_failure(
-        self, context: RequestContext, failure: AttemptFailed
-    ) -> bool:
-        """Return whether another attempt follows a failed one; count it as a retry.
-
-        An attempt that opened no connection is not counted.
-        """
-        if failure.execution is Execution.NOT_RUN:
-            if failure.result is AttemptResult.UNREACHABLE:
-                # Nothing was sent: neither the attempt limit nor the retry budget
-                # applies.
-                return len(context.tried) < MAX_UNREACHABLE_TARGETS
-            if failure.is_misdirected:
-                return self._has_other_target(context) and self._spend_retry(context)
-            return self._has_attempts_left(context) and self._spend_retry(context)
-        if failure.result is AttemptResult.SILENT:
-            # The retry was counted when the attempt was abandoned.
-            return True
-        return self._claim_retry(context)
-
-    def _claim_retry(self, context: RequestContext) -> bool:
-        """Return whether a request that may have run is retried; count the retry."""
-        return (
-            context.route.may_run_again
-            and self._has_attempts_left(context)
-            and self._has_other_target(context)
-            and self._spend_retry(context)
-        )
-
-    def _has_attempts_left(self, context: RequestContext) -> bool:
-        return len(context.tried) < context.route.max_attempts
-
-    def _has_other_target(self, context: RequestContext) -> bool:
-        usable = self._dependencies.directory.list_usable(context.service)
-        return any(target.name not in context.tried for target in usable)
-
-    def _spend_retry(self, context: RequestContext) -> bool:
-        return self._dependencies.retries.try_spend(context.service, _get_time())
+            self._dependencies.dispatcher.pause(placement, head.retry_after, get_time())
 
     def _abandon(
         self,
@@ -365,7 +316,7 @@
     def _get_retry_after(self, context: RequestContext) -> float:
         """Return the seconds after which a target may have room for a request."""
         delay = self._dependencies.dispatcher.get_resume_delay(
-            self._dependencies.directory.list_usable(context.service), _get_time()
+            self._dependencies.directory.list_usable(context.service), get_time()
         )
         return TARGET_RETRY_AFTER if delay is None else delay
 
@@ -386,7 +337,3 @@
     if answer.body:
         await caller.write(answer.body)
     caller.finish()
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
