Send datagrams to peers from one place

Cause: the exchange of loads kept the list of peers for itself and for the transfers of credit, and chose the receivers of a report.

Ruled out: a second sample of receivers beside the first.

The test of 200 peers moved to `PeerSender` and checks as much, at three sizes.

Conclusion: `datagrams.PeerSender` gossips and broadcasts; loads only report.

--- a/kingcuphead/datagrams/__init__.py
+++ b/kingcuphead/datagrams/__init__.py
@@ -1,12 +1,14 @@
 """Datagrams between daemons; they may be lost, delayed, reordered or duplicated."""
 
 from kingcuphead.datagrams._codec import Datagram, decode_datagram, encode_datagram
+from kingcuphead.datagrams._peers import PeerSender
 from kingcuphead.datagrams._socket import Address, DatagramSocket
 
 __all__ = [
     "Address",
     "Datagram",
     "DatagramSocket",
+    "PeerSender",
     "decode_datagram",
     "encode_datagram",
 ]
--- /dev/null
+++ b/kingcuphead/datagrams/_peers.py
@@ -0,0 +1,41 @@
+"""Sends datagrams to all other daemons of the fleet, or to some of them."""
+
+import random
+
+from kingcuphead.datagrams._codec import Datagram
+from kingcuphead.datagrams._socket import Address, DatagramSocket
+
+#: Maximum number of receivers of gossip; in a larger fleet, a random sample of the
+#: daemons receives it.
+MAX_RECEIVERS = 12
+
+
+class PeerSender:
+    """Sends messages to the other daemons, unacknowledged.
+
+    Parameters
+    ----------
+    datagrams
+        Socket of this daemon.
+    rng
+        Selects the receivers of gossip.
+    """
+
+    def __init__(self, datagrams: DatagramSocket, rng: random.Random) -> None:
+        self._datagrams = datagrams
+        self._rng = rng
+        #: Addresses of the other daemons.
+        self.peers: tuple[Address, ...] = ()
+
+    def broadcast(self, message: Datagram) -> None:
+        """Send a message to all other daemons."""
+        for peer in self.peers:
+            self._datagrams.send(message, peer)
+
+    def gossip(self, message: Datagram) -> None:
+        """Send a message to at most `MAX_RECEIVERS` other daemons."""
+        peers = self.peers
+        if len(peers) > MAX_RECEIVERS:
+            peers = tuple(self._rng.sample(peers, MAX_RECEIVERS))
+        for peer in peers:
+            self._datagrams.send(message, peer)
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -1,5 +1,6 @@
 import asyncio
 import functools
+import random
 
 import pytest
 
@@ -7,9 +8,11 @@
 from kingcuphead.datagrams import (
     Datagram,
     DatagramSocket,
+    PeerSender,
     decode_datagram,
     encode_datagram,
 )
+from kingcuphead.datagrams._peers import MAX_RECEIVERS
 from kingcuphead.loads import LoadsReported, TargetLoad
 
 MESSAGES = (
@@ -34,6 +37,39 @@
         assert decode_datagram(datagram).is_error()
 
 
+class RecordingSocket(DatagramSocket):
+    """Records the receivers instead of sending."""
+
+    def __init__(self):
+        self.receivers = []
+
+    def send(self, message, receiver):
+        self.receivers.append(receiver)
+
+
+class TestPeerSender:
+    PEERS = tuple((f"10.0.0.{number}", 9000) for number in range(200))
+
+    @pytest.mark.parametrize(
+        ("peers", "gossiped"), [((), 0), (PEERS[:7], 7), (PEERS, MAX_RECEIVERS)]
+    )
+    def test_gossip_goes_to_a_sample_of_many_daemons(self, peers, gossiped):
+        socket = RecordingSocket()
+        sender = PeerSender(socket, random.Random(1))
+        sender.peers = peers
+        sender.gossip(MESSAGES[0])
+        receivers = socket.receivers
+        assert len(set(receivers)) == len(receivers) == gossiped
+        assert set(receivers) <= set(peers)
+
+    def test_a_broadcast_goes_to_all(self):
+        socket = RecordingSocket()
+        sender = PeerSender(socket, random.Random(1))
+        sender.peers = self.PEERS
+        sender.broadcast(MESSAGES[0])
+        assert socket.receivers == list(self.PEERS)
+
+
 class TestDatagramSocket:
     def test_messages_are_received_by_the_addressed_daemon_only(self):
         async def run():
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -19,7 +19,7 @@
     TransferClient,
     TransferEndpoint,
 )
-from kingcuphead.datagrams import Address, Datagram, DatagramSocket
+from kingcuphead.datagrams import Address, Datagram, DatagramSocket, PeerSender
 from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
@@ -89,12 +89,12 @@
         peer_loads = PeerLoads()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
         self._datagrams = DatagramSocket(self._handle_datagram)
+        self._sender = PeerSender(self._datagrams, rng)
         self._loads = LoadExchange(
             f"{instance}/{incarnation}",
             peer_loads,
             self._dispatcher.list_loads,
-            self._datagrams.send,
-            rng,
+            self._sender.gossip,
         )
         self._dispatcher.announce = self._loads.trigger_report
         self._peer_address = (profile.ip, profile.internal_port)
@@ -109,7 +109,7 @@
         self._transfer_client = TransferClient(
             self._transfer_endpoint,
             self._datagrams.send,
-            lambda: self._loads.peers,
+            lambda: self._sender.peers,
             rng,
         )
         self._credit.transfer_client = self._transfer_client
@@ -254,7 +254,7 @@
                 self._transfer_client.handle_reply(message)
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
-        self._loads.peers = peers
+        self._sender.peers = peers
         daemons = len(peers) + 1
         self._credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import random
 from collections.abc import Callable, Iterable
 
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
@@ -15,11 +14,6 @@
 #: Maximum number of unchanged reports in a row that are skipped. An unchanged report
 #: is sent again before `REPORT_LIFETIME` ends.
 MAX_SKIPPED_REPORTS = 4
-#: Maximum number of receivers of one report; in a larger fleet, a random sample of
-#: the daemons receives it.
-MAX_RECEIVERS = 12
-
-Address = tuple[str, int]
 
 
 class LoadExchange:
@@ -34,9 +28,7 @@
     list_loads
         Returns this daemon's own loads.
     send
-        Sends a report to the address of a daemon.
-    rng
-        Random number generator that selects the receivers.
+        Sends a report to other daemons.
     """
 
     def __init__(
@@ -44,20 +36,16 @@
         sender: str,
         peer_loads: PeerLoads,
         list_loads: Callable[[], Iterable[TargetLoad]],
-        send: Callable[[LoadsReported, Address], None],
-        rng: random.Random,
+        send: Callable[[LoadsReported], None],
     ) -> None:
         self._sender = sender
         self._peer_loads = peer_loads
         self._list_loads = list_loads
         self._send = send
-        self._rng = rng
         self._number = 0
         self._last_loads: tuple[TargetLoad, ...] = ()
         self._unchanged_count = 0
         self._trigger = asyncio.Event()
-        #: Addresses of the other daemons.
-        self.peers: tuple[Address, ...] = ()
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -91,11 +79,4 @@
             return
         self._last_loads = loads
         self._number += 1
-        report = LoadsReported(self._sender, self._number, loads)
-        for peer in self._choose_receivers():
-            self._send(report, peer)
-
-    def _choose_receivers(self) -> Iterable[Address]:
-        if len(self.peers) <= MAX_RECEIVERS:
-            return self.peers
-        return self._rng.sample(self.peers, MAX_RECEIVERS)
+        self._send(LoadsReported(self._sender, self._number, loads))
--- a/kingcuphead/loads/tests/test_loads.py
+++ b/kingcuphead/loads/tests/test_loads.py
@@ -1,5 +1,4 @@
 import asyncio
-import random
 
 from kingcuphead.loads import (
     REPORT_LIFETIME,
@@ -8,7 +7,7 @@
     PeerLoads,
     TargetLoad,
 )
-from kingcuphead.loads._exchange import MAX_RECEIVERS, REPORT_INTERVAL
+from kingcuphead.loads._exchange import REPORT_INTERVAL
 
 
 def make_report(sender, number, running, unread_tokens=0):
@@ -41,17 +40,13 @@
         async def run():
             peer_loads = PeerLoads()
             own = (TargetLoad("t1", 1, 10),)
-            other = LoadExchange(
-                "d2", peer_loads, tuple, send_nothing, random.Random(1)
-            )
+            other = LoadExchange("d2", peer_loads, tuple, send_nothing)
             exchange = LoadExchange(
                 "d1",
                 PeerLoads(),
                 lambda: own,
-                lambda report, peer: other.handle_report(report),
-                random.Random(1),
+                other.handle_report,
             )
-            exchange.peers = (("10.0.0.2", 9000),)
             task = asyncio.create_task(exchange.run())
             async with asyncio.timeout(5):
                 while peer_loads.get_load("t1").running != 1:
@@ -75,10 +70,8 @@
                 "d1",
                 PeerLoads(),
                 lambda: (TargetLoad("t1", 1, 60_000),),
-                lambda report, peer: sent_at.append(loop.time()),
-                random.Random(1),
+                lambda report: sent_at.append(loop.time()),
             )
-            exchange.peers = (("10.0.0.2", 9000),)
             task = asyncio.create_task(exchange.run())
             await asyncio.sleep(0)
             started_at = loop.time()
@@ -90,24 +83,6 @@
         sent_at = asyncio.run(run())
         assert sent_at[0] < REPORT_INTERVAL / 2
 
-    def test_a_report_goes_to_a_sample_of_many_daemons(self):
-        async def run():
-            receivers = []
-            exchange = LoadExchange(
-                "d1",
-                PeerLoads(),
-                lambda: (TargetLoad("t1", 1, 10),),
-                lambda report, peer: receivers.append(peer),
-                random.Random(1),
-            )
-            exchange.peers = tuple((f"10.0.0.{n}", 9000) for n in range(200))
-            task = asyncio.create_task(exchange.run())
-            await asyncio.sleep(REPORT_INTERVAL * 1.5)
-            task.cancel()
-            assert len(set(receivers)) == len(receivers) == MAX_RECEIVERS
-
-        asyncio.run(run())
-
 
-def send_nothing(report, peer):
+def send_nothing(report):
     """Discard a report, as a daemon without peers does."""
