Stop sending a request that has crashed three targets

Cause: the entry daemon kept nothing of a request beyond its end. The package `quarantine` was used by kingcupheadd only; when the entry daemon was written for the platform, nothing took its place.

Why this works: tries are recognised by organisation, method, host, path and body. A connection that breaks before the end of an answer counts as a crash of that incarnation; three of them without a complete answer in between quarantine the request. Each crash is broadcast; quarantined requests are gossiped every second, since datagrams get lost, and kept in the store, since all daemons may be killed at once.

Ruled out: two crashes as the threshold, as in kingcupheadd, which probes targets; here a broken connection alone is the evidence, and a caller whose first try met two resets would be refused.

--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -8,15 +8,29 @@
 
 from kingcuphead.credit import CreditAsked, CreditHanded
 from kingcuphead.loads import LoadsReported
+from kingcuphead.quarantine import (
+    CrashReported,
+    QuarantineMessage,
+    QuarantineReported,
+    SuspicionCleared,
+)
 from kingcuphead.wire import find_codec, name_field, ttypes
 
 #: Maximum size of a datagram in bytes, used as the length limit of the strings and
 #: containers in it.
 MAX_DATAGRAM_BYTES = 60_000
 
-Datagram = LoadsReported | CreditAsked | CreditHanded
+Datagram = LoadsReported | CreditAsked | CreditHanded | QuarantineMessage
 
-_TYPES = {name_field(cls): cls for cls in (LoadsReported, CreditAsked, CreditHanded)}
+_CLASSES = (
+    LoadsReported,
+    CreditAsked,
+    CreditHanded,
+    CrashReported,
+    SuspicionCleared,
+    QuarantineReported,
+)
+_TYPES = {name_field(cls): cls for cls in _CLASSES}
 _FACTORY = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_DATAGRAM_BYTES, container_length_limit=MAX_DATAGRAM_BYTES
 )
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -14,12 +14,21 @@
 )
 from kingcuphead.datagrams._peers import MAX_RECEIVERS
 from kingcuphead.loads import LoadsReported, TargetLoad
+from kingcuphead.quarantine import (
+    CrashReported,
+    FingerprintQuarantined,
+    QuarantineReported,
+    SuspicionCleared,
+)
 
 MESSAGES = (
     LoadsReported("a/1", 7, (TargetLoad("t1", 3, 900),)),
     LoadsReported("a/1", 8, ()),
     CreditAsked("a/1", 3, "atelier", 12_000),
     CreditHanded("a/1", 3, 0),
+    CrashReported("f", "t1@5"),
+    SuspicionCleared("f"),
+    QuarantineReported((FingerprintQuarantined("f", 3599.5),)),
 )
 
 
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -43,11 +43,25 @@
     StoreTable,
     read_profile,
 )
+from kingcuphead.quarantine import (
+    CrashReported,
+    QuarantineExchange,
+    QuarantineReported,
+    QuarantineSettings,
+    SuspicionCleared,
+)
 from kingcuphead.routing import RoutingConfiguration, RoutingTable
 from kingcuphead.targets import DirectoryChange, TargetDirectory, TargetLeft
 
 #: Table of the store that contains the credit rows, in one part per organisation.
 CREDIT_TABLE = "credit"
+#: Table of the store that contains the quarantined requests, and its only part.
+QUARANTINE_TABLE, QUARANTINE_PART = "quarantine", "all"
+#: A broken connection alone is weak evidence of a crash, so one more is asked for than
+#: where targets are probed. The next crash after the end of a quarantine renews it.
+QUARANTINE_SETTINGS = QuarantineSettings(
+    min_crashed_targets=3, crash_retention=2 * QuarantineSettings().expiry
+)
 #: Seconds between two sweeps that drop expired entries and idle connections; also the
 #: timeout of one attempt to return credit during shutdown.
 SWEEP_INTERVAL = 0.25
@@ -113,6 +127,12 @@
             rng,
         )
         self._credit.transfer_client = self._transfer_client
+        self._quarantine = QuarantineExchange(
+            QUARANTINE_SETTINGS,
+            StoreTable(self._store, QUARANTINE_TABLE, QUARANTINE_PART),
+            self._sender.broadcast,
+            self._sender.gossip,
+        )
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._targets = TargetListener(self._directory, self._handle_change)
@@ -123,6 +143,7 @@
                 self._retries,
                 self._credit,
                 AttemptRunner(self._pool, PlatformHeaders()),
+                self._quarantine,
                 self._targets.handle_leaving,
             ),
             rng,
@@ -176,6 +197,7 @@
             self._sweep(),
             self._watch_settings(),
             self._loads.run(),
+            self._quarantine.run(),
             self._peers.run(),
         ]
 
@@ -252,6 +274,8 @@
                 )
             case CreditHanded():
                 self._transfer_client.handle_reply(message)
+            case CrashReported() | SuspicionCleared() | QuarantineReported():
+                self._quarantine.handle_message(message)
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -53,6 +53,8 @@
     cause: str
     #: Whether another target has taken over the address (HTTP status 421).
     is_misdirected: bool = False
+    #: Whether the connection broke before the end of the answer.
+    is_connection_lost: bool = False
 
 
 AttemptEnd: TypeAlias = Answered | StreamDelivered | AttemptFailed
@@ -154,7 +156,7 @@
         if isinstance(raw, AttemptFailed):
             return raw
         if raw is None:
-            return _make_broken_failure("the connection broke before the answer")
+            return _make_lost_failure("the connection broke before the answer")
         head = self._codec.decode_answer(
             raw.status, raw.headers, attempt.request.method
         )
@@ -239,7 +241,7 @@
             f"the answer is larger than {MAX_ANSWER_BYTES} bytes"
         )
     if answer.end is AnswerEnd.BROKEN:
-        return _make_broken_failure("the connection broke within the answer")
+        return _make_lost_failure("the connection broke within the answer")
     return Answered(head, body)
 
 
@@ -271,8 +273,10 @@
                 f"an event is larger than {MAX_EVENT_BYTES} bytes"
             )
         block = await _read_next(attempt, answer)
-    if answer.end is AnswerEnd.BROKEN or splitter.has_partial_event:
-        return _make_broken_failure("the connection broke within the stream")
+    if answer.end is AnswerEnd.BROKEN:
+        return _make_lost_failure("the connection broke within the stream")
+    if splitter.has_partial_event:
+        return _make_broken_failure("the stream ended within an event")
     await stream.finish(head)
     return StreamDelivered()
 
@@ -297,3 +301,7 @@
 
 def _make_broken_failure(cause: str) -> AttemptFailed:
     return AttemptFailed(AttemptResult.BROKEN, Execution.MAY_HAVE_RUN, cause)
+
+
+def _make_lost_failure(cause: str) -> AttemptFailed:
+    return dataclasses.replace(_make_broken_failure(cause), is_connection_lost=True)
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -6,6 +6,7 @@
 from kingcuphead.credit import CreditTask
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.forwarding._attempt import AttemptRunner
+from kingcuphead.quarantine import QuarantineExchange
 from kingcuphead.targets import Target, TargetDirectory
 
 
@@ -23,5 +24,7 @@
     credit: CreditTask
     #: Sends attempts to targets.
     runner: AttemptRunner
+    #: Knows the requests that crashed targets, of the whole fleet.
+    quarantine: QuarantineExchange
     #: Called with a target that says in an answer that it leaves.
     report_leaving: Callable[[Target], None]
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -111,6 +111,8 @@
     async def _serve_admitted(
         self, context: RequestContext, caller: Caller
     ) -> Refusal | None:
+        if self._is_quarantined(context):
+            return self._refuse_quarantined(context)
         held = await self._acquire_hold(context)
         if held.is_error():
             return held.error
@@ -200,9 +202,11 @@
         self, context: RequestContext, caller: Caller, stream: AnswerStream | None
     ) -> Refusal | None:
         while True:
+            if self._is_quarantined(context):
+                return self._abandon(context, caller, stream)
             placement = self._place(context)
             if placement is None:
-                return self._abandon(context, caller, stream, None)
+                return self._abandon(context, caller, stream)
             end = await self._run_attempt(context, placement, stream)
             match end:
                 case StreamDelivered():
@@ -213,14 +217,14 @@
                 case Answered() if stream is not None and stream.is_started:
                     # Events of another target precede it, so the head and the body of
                     # this answer can't be sent any more.
-                    return self._abandon(context, caller, stream, None)
+                    return self._abandon(context, caller, stream)
                 case Answered():
                     context.status = end.head.status
                     await _send_answer(caller, end)
                     return None
                 case AttemptFailed() as failure:
                     if not self._retries.claim_after_failure(context, failure):
-                        return self._abandon(context, caller, stream, failure)
+                        return self._abandon(context, caller, stream)
 
     def _place(self, context: RequestContext) -> Placement | None:
         return self._dependencies.dispatcher.place(
@@ -235,6 +239,8 @@
     ) -> AttemptEnd:
         context.tried.append(placement.target.name)
         started_at = get_time()
+        if stream is not None:
+            stream.begin_attempt()
         outcome = "cancelled"
         result = AttemptResult.CANCELLED
         previous_execution, context.execution = (
@@ -248,6 +254,7 @@
             if isinstance(end, AttemptFailed) and end.execution is Execution.NOT_RUN:
                 context.execution = previous_execution
             outcome = describe_end(end)
+            self._record_suspicion(context, placement, end, stream)
             if isinstance(end, AttemptFailed) and end.is_misdirected:
                 self._dependencies.directory.mark_replaced(placement.target)
             return end
@@ -298,17 +305,40 @@
         if head.retry_after is not None:
             self._dependencies.dispatcher.pause(placement, head.retry_after, get_time())
 
-    def _abandon(
+    def _record_suspicion(
         self,
         context: RequestContext,
-        caller: Caller,
+        placement: Placement,
+        end: AttemptEnd,
         stream: AnswerStream | None,
-        failure: AttemptFailed | None,
+    ) -> None:
+        """Record whether a target was lost under the request or answered it."""
+        quarantine = self._dependencies.quarantine
+        match end:
+            case AttemptFailed(is_connection_lost=True):
+                seconds = 0.0 if stream is None else stream.get_running_seconds()
+                target = placement.target.incarnation
+                quarantine.record_crash(context.fingerprint, target, seconds)
+            case StreamDelivered() | Answered():
+                quarantine.record_success(context.fingerprint)
+
+    def _is_quarantined(self, context: RequestContext) -> bool:
+        remaining = self._dependencies.quarantine.get_remaining(context.fingerprint)
+        return remaining > 0
+
+    def _refuse_quarantined(self, context: RequestContext) -> Refusal:
+        remaining = self._dependencies.quarantine.get_remaining(context.fingerprint)
+        return refuse(503, Reason.QUARANTINED, remaining)
+
+    def _abandon(
+        self, context: RequestContext, caller: Caller, stream: AnswerStream | None
     ) -> Refusal | None:
         """Abort a stream that has begun; else return the final refusal."""
         if stream is not None and stream.is_started:
             caller.abort()
             return None
+        if context.execution is Execution.NOT_RUN and self._is_quarantined(context):
+            return self._refuse_quarantined(context)
         if context.execution is Execution.NOT_RUN:
             return refuse(503, Reason.NO_TARGET, self._get_retry_after(context))
         return refuse(502, Reason.TARGET_FAILED)
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -1,7 +1,6 @@
 """The event stream sent to one caller, across all attempts of its request."""
 
-import asyncio
-
+from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._events import Event
 from kingcuphead.forwarding._messages import AnswerHead
 from kingcuphead.forwarding._ports import Caller
@@ -29,12 +28,23 @@
         self.started_at = 0.0
         #: Number of events sent to the caller.
         self.event_count = 0
+        self._attempt_started_at: float | None = None
 
     @property
     def last_event_id(self) -> int:
         """Id of the last event that the caller has."""
         return self._last_event_id
 
+    def begin_attempt(self) -> None:
+        """Note that the next event is the first one of another attempt."""
+        self._attempt_started_at = None
+
+    def get_running_seconds(self) -> float:
+        """Return the seconds since the first event of the attempt; 0 without one."""
+        if self._attempt_started_at is None:
+            return 0.0
+        return get_time() - self._attempt_started_at
+
     def is_next(self, event: Event) -> bool:
         """Whether an event directly follows the last one; true for one without id."""
         return event.event_id is None or event.event_id == self._last_event_id + 1
@@ -44,6 +54,8 @@
         await self._start(head)
         if event.event_id is not None:
             self._last_event_id = event.event_id
+        if self._attempt_started_at is None:
+            self._attempt_started_at = get_time()
         self.event_count += 1
         await self._caller.write(event.content)
 
@@ -55,5 +67,5 @@
     async def _start(self, head: AnswerHead) -> None:
         if not self.is_started:
             self.is_started = True
-            self.started_at = asyncio.get_running_loop().time()
+            self.started_at = get_time()
             await self._caller.start(head.status, head.headers)
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -16,6 +16,7 @@
 from kingcuphead.forwarding.tests._target import ScriptedTarget
 from kingcuphead.loads import PeerLoads
 from kingcuphead.platform import PlatformHeaders
+from kingcuphead.quarantine import QuarantineExchange, QuarantineSettings
 from kingcuphead.routing import (
     CallerLimits,
     Organisation,
@@ -28,6 +29,8 @@
 from kingcuphead.storage import Committed, RowSnapshot
 from kingcuphead.targets import TargetDirectory
 
+QUARANTINE_SETTINGS = QuarantineSettings(min_crashed_targets=3)
+
 
 class CommittingTable:
     """An empty credit table in which every transaction commits."""
@@ -114,6 +117,7 @@
         self.routes = routes
         self.ended = []
         self.prepaid = prepaid
+        self.broadcasts = []
 
     async def __aenter__(self):
         self.directory = TargetDirectory()
@@ -129,6 +133,12 @@
         dispatcher = Dispatcher(
             DispatchSettings("z"), PeerLoads(), OrderPreservingRandom()
         )
+        self.quarantine = QuarantineExchange(
+            QUARANTINE_SETTINGS,
+            CommittingTable(),
+            self.broadcasts.append,
+            lambda message: None,
+        )
         self.forwarder = RequestForwarder(
             Dependencies(
                 self.directory,
@@ -136,6 +146,7 @@
                 RetryAllowance(0.0, 120.0, 10.0),
                 credit,
                 AttemptRunner(self.pool, PlatformHeaders()),
+                self.quarantine,
                 self.handle_leaving,
             ),
             random.Random(1),
--- /dev/null
+++ b/kingcuphead/forwarding/tests/test_quarantine.py
@@ -0,0 +1,91 @@
+import pytest
+
+from kingcuphead.forwarding import PromptSize
+from kingcuphead.forwarding._fingerprint import fingerprint_request
+from kingcuphead.forwarding.tests._harness import (
+    IDEMPOTENT,
+    ONCE,
+    STREAM,
+    make_request,
+    make_route,
+    run,
+)
+from kingcuphead.forwarding.tests._target import ScriptedTarget
+from kingcuphead.quarantine import CrashReported, SuspicionCleared
+from kingcuphead.verdict import Reason
+
+OTHER_ID = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n"
+
+
+def report_crashes(harness, request, count):
+    """Let other daemons report crashes of targets under a request."""
+    fingerprint = fingerprint_request(request, "atelier")
+    for number in range(count):
+        crash = CrashReported(fingerprint, f"other-{number}@1")
+        harness.quarantine.handle_message(crash)
+    return fingerprint
+
+
+class TestQuarantine:
+    @pytest.mark.parametrize("kind", [IDEMPOTENT, ONCE, STREAM])
+    def test_a_quarantined_request_is_refused_at_once_as_not_run(self, kind):
+        async def scenario(harness):
+            request = make_request(kind, PromptSize(10, 10, ()))
+            report_crashes(harness, request, 3)
+            _, refusal = await harness.serve(request)
+            assert (refusal.status, refusal.reason) == (503, Reason.QUARANTINED)
+            assert 3_590 < refusal.retry_after <= 3_600
+            assert not harness.first.received
+            assert not harness.ended[0][0].credit_seconds
+
+        run([make_route(kind)], scenario, prepaid=1_000)
+
+    @pytest.mark.parametrize("kind", [IDEMPOTENT, STREAM])
+    def test_no_other_target_gets_a_request_after_its_third_crash(self, kind):
+        async def scenario(harness):
+            request = make_request(kind)
+            report_crashes(harness, request, 2)
+            harness.first.script = [[ScriptedTarget.RESET]]
+            _, refusal = await harness.serve(request)
+            assert (refusal.status, refusal.reason) == (502, Reason.TARGET_FAILED)
+            assert not harness.second.received
+
+        run([make_route(kind, resumable=True)], scenario)
+
+    def test_a_crash_is_told_to_other_daemons_and_cleared_by_an_answer(self):
+        async def scenario(harness):
+            request = make_request(IDEMPOTENT)
+            fingerprint = fingerprint_request(request, "atelier")
+            harness.first.script = [[ScriptedTarget.RESET]]
+            harness.second.script = [harness.second.answer()]
+            await harness.serve(request)
+            crash = CrashReported(fingerprint, "t1@1")
+            assert harness.broadcasts == [crash, SuspicionCleared(fingerprint)]
+
+        run([make_route(IDEMPOTENT)], scenario)
+
+    @pytest.mark.parametrize(
+        "answer", [[OTHER_ID], [b"HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n"]]
+    )
+    def test_a_wrong_answer_is_no_crash(self, answer):
+        async def scenario(harness):
+            harness.first.script = [answer]
+            harness.second.script = [harness.second.answer()]
+            await harness.serve(make_request(IDEMPOTENT))
+            assert harness.broadcasts == []
+
+        run([make_route(IDEMPOTENT)], scenario)
+
+    @pytest.mark.parametrize(("seconds", "is_suspect"), [(0.05, True), (2.2, False)])
+    def test_a_stream_that_ran_for_a_while_is_no_suspect_at_once(
+        self, seconds, is_suspect
+    ):
+        """Other requests of the target may have ended it; they are suspected first."""
+
+        async def scenario(harness):
+            steps = harness.first.stream([1], is_complete=False)
+            harness.first.script = [[*steps, seconds, ScriptedTarget.RESET]]
+            await harness.serve(make_request(STREAM))
+            assert bool(harness.broadcasts) is is_suspect
+
+        run([make_route(STREAM, timeout=5.0)], scenario)
--- a/kingcuphead/quarantine/__init__.py
+++ b/kingcuphead/quarantine/__init__.py
@@ -1,5 +1,10 @@
 """Quarantine of requests whose execution repeatedly crashes targets."""
 
+from kingcuphead.quarantine._exchange import (
+    QuarantineExchange,
+    QuarantineMessage,
+    QuarantineTable,
+)
 from kingcuphead.quarantine._messages import (
     Crash,
     CrashReported,
@@ -7,6 +12,8 @@
     FingerprintReleased,
     QuarantineEffect,
     QuarantineEntry,
+    QuarantineReported,
+    SuspicionCleared,
 )
 from kingcuphead.quarantine._quarantine import Quarantine
 from kingcuphead.quarantine._settings import QuarantineSettings
@@ -19,5 +26,10 @@
     "Quarantine",
     "QuarantineEffect",
     "QuarantineEntry",
+    "QuarantineExchange",
+    "QuarantineMessage",
+    "QuarantineReported",
     "QuarantineSettings",
+    "QuarantineTable",
+    "SuspicionCleared",
 ]
--- a/kingcuphead/quarantine/_messages.py
+++ b/kingcuphead/quarantine/_messages.py
@@ -32,6 +32,22 @@
     fingerprint: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SuspicionCleared:
+    """A suspect request got a complete answer; sent to peers."""
+
+    #: Fingerprint of the requests.
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QuarantineReported:
+    """Quarantined fingerprints of the sender; sent to peers again and again."""
+
+    #: The fingerprints with the time that is left.
+    entries: tuple[FingerprintQuarantined, ...]
+
+
 #: Effects that the daemon gossips to its peers.
 QuarantineEffect: TypeAlias = (
     CrashReported | FingerprintQuarantined | FingerprintReleased
@@ -60,3 +76,5 @@
     targets: tuple[str, ...]
     #: Seconds until the quarantine ends.
     remaining: float
+    #: Whether this daemon saw one of the crashes itself.
+    has_own_crash: bool = False
--- a/kingcuphead/quarantine/_quarantine.py
+++ b/kingcuphead/quarantine/_quarantine.py
@@ -14,22 +14,40 @@
 from kingcuphead.quarantine._settings import QuarantineSettings
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _RecordedCrash:
+    """The crash of one target."""
+
+    #: Target that crashed.
+    target: str
+    #: When it was recorded, in seconds on the monotonic clock.
+    recorded_at: float
+    #: Whether this daemon saw it, rather than a peer.
+    is_own: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class _Suspicion:
-    """Crashes attributed to one fingerprint, as pairs of target and crash time."""
+    """Crashes attributed to one fingerprint."""
 
-    crashes: tuple[tuple[str, float], ...]
+    crashes: tuple[_RecordedCrash, ...]
 
-    def with_crash(self, target: str, now: float) -> "_Suspicion":
-        others = tuple(crash for crash in self.crashes if crash[0] != target)
-        return _Suspicion((*others, (target, now)))
+    def with_crash(self, crash: _RecordedCrash) -> "_Suspicion":
+        others = tuple(each for each in self.crashes if each.target != crash.target)
+        return _Suspicion((*others, crash))
 
     def without_crashes_before(self, oldest: float) -> "_Suspicion":
-        return _Suspicion(tuple(crash for crash in self.crashes if crash[1] >= oldest))
+        return _Suspicion(
+            tuple(crash for crash in self.crashes if crash.recorded_at >= oldest)
+        )
 
     @property
     def targets(self) -> tuple[str, ...]:
-        return tuple(target for target, _ in self.crashes)
+        return tuple(crash.target for crash in self.crashes)
+
+    @property
+    def has_own_crash(self) -> bool:
+        return any(crash.is_own for crash in self.crashes)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -65,7 +83,11 @@
 
     def is_quarantined(self, fingerprint: str, now: float) -> bool:
         """Return whether requests with this fingerprint are rejected."""
-        return self._expiries.get(fingerprint, now) > now
+        return self.get_remaining(fingerprint, now) > 0
+
+    def get_remaining(self, fingerprint: str, now: float) -> float:
+        """Return the seconds until a fingerprint's quarantine ends; 0 without one."""
+        return max(0.0, self._expiries.get(fingerprint, now) - now)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a crash is, or can still be, attributed to a fingerprint."""
@@ -76,7 +98,7 @@
     def describe(self, now: float) -> tuple[QuarantineEntry, ...]:
         """Return the quarantined fingerprints for operators."""
         return tuple(
-            QuarantineEntry(fingerprint, self._get_targets(fingerprint), expiry - now)
+            self._describe_entry(fingerprint, expiry - now)
             for fingerprint, expiry in self._expiries.items()
             if expiry > now
         )
@@ -101,16 +123,24 @@
         if fingerprint not in self._expiries:
             self._suspicions.pop(fingerprint, None)
 
-    def apply_peer_crash(self, fingerprint: str, target: str, now: float) -> None:
+    def apply_peer_crash(
+        self, fingerprint: str, target: str, now: float
+    ) -> tuple[QuarantineEffect, ...]:
         """Apply a crash report from a peer.
 
-        It yields no effect: every daemon receives the same reports and decides
-        locally, so one crash costs one message to each daemon.
+        Every daemon receives the same reports and decides locally. Only the daemons
+        that saw one of the crashes themselves return the resulting quarantine as an
+        effect, so its announcements are as few as the crashes.
         """
         if self._releases.get(fingerprint, now) > now:
-            return
-        self._add_suspicion(fingerprint, target, now)
-        self._quarantine_if_repeated(fingerprint, now)
+            return ()
+        suspicion = self._add_suspicion(
+            fingerprint, _RecordedCrash(target, now, is_own=False), now
+        )
+        is_new = self._quarantine_if_repeated(fingerprint, now)
+        if is_new and suspicion.has_own_crash:
+            return (FingerprintQuarantined(fingerprint, self._settings.expiry),)
+        return ()
 
     def apply_peer_quarantine(
         self, fingerprint: str, remaining: float, now: float
@@ -164,17 +194,20 @@
     def _attribute_crash(
         self, fingerprint: str, target: str, now: float
     ) -> Iterator[QuarantineEffect]:
-        self._add_suspicion(fingerprint, target, now)
+        self._add_suspicion(fingerprint, _RecordedCrash(target, now, is_own=True), now)
         yield CrashReported(fingerprint, target)
         if self._quarantine_if_repeated(fingerprint, now):
             yield FingerprintQuarantined(fingerprint, self._settings.expiry)
 
-    def _add_suspicion(self, fingerprint: str, target: str, now: float) -> None:
+    def _add_suspicion(
+        self, fingerprint: str, crash: _RecordedCrash, now: float
+    ) -> _Suspicion:
         suspicion = self._suspicions.pop(fingerprint, _Suspicion(()))
         oldest = now - self._settings.crash_retention
-        recent = suspicion.without_crashes_before(oldest).with_crash(target, now)
+        recent = suspicion.without_crashes_before(oldest).with_crash(crash)
         self._suspicions[fingerprint] = recent
         self._trim(self._suspicions)
+        return recent
 
     def _quarantine_if_repeated(self, fingerprint: str, now: float) -> bool:
         """Quarantine a fingerprint at the threshold; return whether that is new."""
@@ -187,6 +220,12 @@
         self._trim(self._expiries)
         return True
 
+    def _describe_entry(self, fingerprint: str, remaining: float) -> QuarantineEntry:
+        suspicion = self._suspicions.get(fingerprint, _Suspicion(()))
+        return QuarantineEntry(
+            fingerprint, suspicion.targets, remaining, suspicion.has_own_crash
+        )
+
     def _get_targets(self, fingerprint: str) -> tuple[str, ...]:
         suspicion = self._suspicions.get(fingerprint)
         return suspicion.targets if suspicion else ()
--- /dev/null
+++ b/kingcuphead/quarantine/tests/test_exchange.py
@@ -0,0 +1,286 @@
+import asyncio
+import dataclasses
+import random
+
+import pytest
+from expression import Error, Ok
+
+from kingcuphead.quarantine import (
+    CrashReported,
+    FingerprintQuarantined,
+    QuarantineExchange,
+    QuarantineMessage,
+    QuarantineReported,
+    QuarantineSettings,
+    SuspicionCleared,
+)
+from kingcuphead.storage import (
+    Committed,
+    Delete,
+    PlatformFault,
+    Row,
+    RowSnapshot,
+    Unavailable,
+)
+
+SETTINGS = QuarantineSettings(min_crashed_targets=3, crash_retention=7_200.0)
+
+
+class Clock:
+    def __init__(self):
+        self.now = 1_000.0
+
+
+class QuarantineRows:
+    """The rows that all daemons see; calls fail while the store is down."""
+
+    def __init__(self, clock):
+        self.clock = clock
+        self.rows = {}
+        self.is_down = False
+
+    async def read_prefix(self, prefix):
+        if self.is_down:
+            return Error(PlatformFault("read", "down"))
+        rows = (Row(key, 1, value) for key, value in sorted(self.rows.items()))
+        return Ok(RowSnapshot(tuple(rows), 1))
+
+    async def commit(self, transaction):
+        if self.is_down:
+            return Unavailable()
+        for write in transaction.writes:
+            if isinstance(write, Delete):
+                self.rows.pop(write.key, None)
+            else:
+                self.rows[write.key] = write.value
+        return Committed(1)
+
+    def estimate_time(self):
+        return None if self.is_down else int(self.clock.now * 1_000)
+
+
+class Daemon:
+    """One exchange whose messages are recorded."""
+
+    def __init__(self, clock, table):
+        self.sent: list[QuarantineMessage] = []
+        self.exchange = QuarantineExchange(
+            SETTINGS,
+            table,
+            self.sent.append,
+            self.sent.append,
+            lambda: clock.now,
+        )
+
+    def crash(self, target, fingerprint="f"):
+        self.exchange.record_crash(fingerprint, target, running_seconds=0.0)
+
+    @property
+    def is_quarantined(self):
+        return self.exchange.get_remaining("f") > 0
+
+
+@pytest.fixture
+def clock():
+    return Clock()
+
+
+@pytest.fixture
+def table(clock):
+    return QuarantineRows(clock)
+
+
+@pytest.fixture
+def daemon(clock, table):
+    return Daemon(clock, table)
+
+
+class TestMessages:
+    def test_each_crash_and_the_quarantine_are_broadcast(self, daemon):
+        for number in range(3):
+            daemon.crash(f"t{number}")
+        crashes = [CrashReported("f", f"t{number}") for number in range(3)]
+        quarantined = QuarantineReported((FingerprintQuarantined("f", 3_600.0),))
+        assert daemon.sent == [*crashes, quarantined]
+
+    def test_a_complete_answer_clears_the_suspicion_everywhere(self, daemon):
+        daemon.crash("t1")
+        daemon.exchange.record_success("f")
+        daemon.exchange.record_success("f")
+        assert daemon.sent[1:] == [SuspicionCleared("f")]
+        daemon.crash("t2")
+        daemon.exchange.handle_message(CrashReported("f", "t3"))
+        daemon.exchange.handle_message(SuspicionCleared("f"))
+        daemon.crash("t4")
+        assert not daemon.is_quarantined
+
+    def test_the_last_of_three_crashes_counts_wherever_it_happens(self, daemon):
+        daemon.crash("t1")
+        daemon.exchange.handle_message(CrashReported("f", "t2"))
+        daemon.exchange.handle_message(CrashReported("f", "t3"))
+        assert daemon.is_quarantined
+        assert isinstance(daemon.sent[-1], QuarantineReported)
+
+    def test_a_daemon_without_a_crash_of_its_own_announces_none(self, daemon):
+        for number in range(3):
+            daemon.exchange.handle_message(CrashReported("f", f"t{number}"))
+        assert daemon.is_quarantined
+        assert daemon.sent == []
+
+    def test_all_quarantined_fingerprints_are_reported_again(self, daemon):
+        for number in range(100):
+            entry = FingerprintQuarantined(f"f{number}", 50.0)
+            daemon.exchange.handle_message(QuarantineReported((entry,)))
+        daemon.exchange.report()
+        reported = {
+            entry.fingerprint for message in daemon.sent for entry in message.entries
+        }
+        assert len(reported) == 100
+
+
+class TestTable:
+    def synchronise(self, daemon):
+        asyncio.run(daemon.exchange.synchronise())
+
+    def test_a_new_daemon_reads_what_is_quarantined(self, clock, table, daemon):
+        for number in range(3):
+            daemon.crash(f"t{number}")
+        self.synchronise(daemon)
+        clock.now += 600.0
+        other = Daemon(clock, table)
+        self.synchronise(other)
+        assert other.exchange.get_remaining("f") == pytest.approx(3_000.0, abs=0.01)
+
+    def test_a_write_that_the_store_missed_is_repeated(self, table, daemon):
+        for number in range(3):
+            daemon.crash(f"t{number}")
+        table.is_down = True
+        self.synchronise(daemon)
+        table.is_down = False
+        self.synchronise(daemon)
+        assert list(table.rows) == ["f"]
+
+    def test_an_expired_row_is_removed(self, clock, table, daemon):
+        for number in range(3):
+            daemon.crash(f"t{number}")
+        self.synchronise(daemon)
+        clock.now += SETTINGS.expiry + 1
+        daemon.exchange.report()
+        self.synchronise(daemon)
+        assert table.rows == {}
+        assert not daemon.is_quarantined
+
+    def test_the_next_crash_after_the_end_renews_the_quarantine(self, clock, daemon):
+        for number in range(3):
+            daemon.crash(f"t{number}")
+        clock.now += SETTINGS.expiry + 1
+        daemon.exchange.report()
+        daemon.crash("t4")
+        assert daemon.is_quarantined
+
+    @pytest.mark.parametrize("value", [b"", b"{}", b'{"expires_ms":"x"}', b"\xff"])
+    def test_a_malformed_row_is_left_out(self, table, daemon, value):
+        table.rows["f"] = value
+        self.synchronise(daemon)
+        assert not daemon.is_quarantined
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """The crashing request reached a target."""
+
+    time: float
+    #: Whether its daemon had neither restarted nor been cut off lately.
+    is_in_touch: bool
+
+
+class RandomFleet:
+    """Daemons that exchange datagrams, are killed and are cut off, by one seed.
+
+    Each daemon is asked to serve the crashing request again and again.
+    """
+
+    SIZE = 6
+    #: Seconds between two steps.
+    STEP = 0.05
+    #: Seconds without a disturbance after which a daemon is in touch.
+    STABLE_WINDOW = 3.0
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.clock = Clock()
+        self.table = QuarantineRows(self.clock)
+        self.daemons = [Daemon(self.clock, self.table) for _ in range(self.SIZE)]
+        self.disturbed_at = [float("-inf")] * self.SIZE
+        self.cut_until = [0.0] * self.SIZE
+        self.store_down_until = 0.0
+        self.in_flight = []
+        self.arrivals = []
+
+    async def run(self, steps):
+        for number in range(steps):
+            self.clock.now += self.STEP
+            self._disturb()
+            self._deliver()
+            self._send_crashing_request()
+            for index, daemon in enumerate(self.daemons):
+                if (number + index) % 20 == 0:
+                    daemon.exchange.report()
+                if (number + 7 * index) % 100 == 0 or daemon.exchange.is_unsaved:
+                    await daemon.exchange.synchronise()
+
+    def _disturb(self):
+        now, rng = self.clock.now, self.rng
+        if rng.random() < 0.002:
+            self.store_down_until = now + rng.uniform(1.0, 6.0)
+        self.table.is_down = now < self.store_down_until
+        if rng.random() < 0.004:
+            for index in rng.sample(range(self.SIZE), rng.choice((1, 2, self.SIZE))):
+                self.daemons[index] = Daemon(self.clock, self.table)
+                self.disturbed_at[index] = now
+        if rng.random() < 0.01:
+            self.cut_until[rng.randrange(self.SIZE)] = now + rng.uniform(0.5, 5.0)
+        for index, until in enumerate(self.cut_until):
+            if now < until:
+                self.disturbed_at[index] = now
+
+    def _deliver(self):
+        now, rng = self.clock.now, self.rng
+        for sender, daemon in enumerate(self.daemons):
+            for message in daemon.sent:
+                for receiver in range(self.SIZE):
+                    if receiver != sender and rng.random() > 0.1:
+                        due = now + rng.uniform(0.0, 0.2)
+                        self.in_flight.append((due, sender, receiver, message))
+            daemon.sent.clear()
+        arrived = [each for each in self.in_flight if each[0] <= now]
+        self.in_flight = [each for each in self.in_flight if each[0] > now]
+        for _, sender, receiver, message in arrived:
+            if max(self.cut_until[sender], self.cut_until[receiver]) <= now:
+                self.daemons[receiver].exchange.handle_message(message)
+
+    def _send_crashing_request(self):
+        now = self.clock.now
+        index = self.rng.randrange(self.SIZE)
+        daemon = self.daemons[index]
+        if self.rng.random() < 0.03 and not daemon.is_quarantined:
+            is_in_touch = now - self.disturbed_at[index] > self.STABLE_WINDOW
+            self.arrivals.append(Arrival(now, is_in_touch))
+            daemon.crash(f"t{len(self.arrivals)}")
+
+
+class TestRandomRuns:
+    @pytest.mark.parametrize("seed", range(40))
+    def test_a_request_that_crashed_three_targets_reaches_three_more_at_most(
+        self, seed
+    ):
+        fleet = RandomFleet(seed)
+        asyncio.run(fleet.run(steps=3_000))
+        assert len(fleet.arrivals) >= 3
+        known_at = fleet.arrivals[2].time + fleet.STABLE_WINDOW
+        late = [
+            arrival
+            for arrival in fleet.arrivals[3:]
+            if arrival.is_in_touch and arrival.time > known_at
+        ]
+        assert len(late) <= 3
--- a/kingcuphead/targets/_messages.py
+++ b/kingcuphead/targets/_messages.py
@@ -33,3 +33,8 @@
     started_at_ms: int
     #: Number of the entry; it rises with each heartbeat of the incarnation.
     sequence: int = 0
+
+    @property
+    def incarnation(self) -> str:
+        """Identity of one run of the target's process."""
+        return f"{self.name}@{self.started_at_ms}"
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -202,10 +202,31 @@
   3: i64 tokens
 }
 
+struct CrashReported {
+  1: string fingerprint
+  2: string target
+}
+
+struct SuspicionCleared {
+  1: string fingerprint
+}
+
+struct FingerprintQuarantined {
+  1: string fingerprint
+  2: double remaining
+}
+
+struct QuarantineReported {
+  1: list<FingerprintQuarantined> entries
+}
+
 union Datagram {
   1: LoadsReported loads_reported
   2: CreditAsked credit_asked
   3: CreditHanded credit_handed
+  4: CrashReported crash_reported
+  5: SuspicionCleared suspicion_cleared
+  6: QuarantineReported quarantine_reported
 }
 
 union PeerMessage {
