Keep the platform's formats out of the tests of entry

Cause: the stand-ins of the new tests of whole daemons wrote the platform's documents and headers in the package `entry`; only the adapter knows them.

Conclusion: the stand-in of the store and the documents are in `platform/tests`; the fleet of the tests is in `entry/tests`.

--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -1,16 +1,19 @@
 """Daemons, their store and their targets in one event loop, on loopback addresses."""
 
 import asyncio
-import base64
-import json
 
 from tornado.httpclient import AsyncHTTPClient
 from tornado.testing import bind_unused_port
 
 from kingcuphead.entry._daemon import EntryDaemon
-from kingcuphead.entry.tests._store import TableStore
 from kingcuphead.entry.tests._target import CrashingTarget
 from kingcuphead.platform import Endpoint, Profile, RetryBudget
+from kingcuphead.platform.tests._documents import (
+    encode_configuration,
+    encode_entry,
+    make_caller_headers,
+)
+from kingcuphead.platform.tests._table_store import TableStore
 
 #: Port of every daemon for callers; each daemon has an address of its own.
 CALLER_PORT = 21_801
@@ -20,26 +23,6 @@
 PEER_POLL_INTERVAL = 0.1
 
 
-def encode(content):
-    return base64.b64encode(json.dumps(content).encode()).decode()
-
-
-def make_configuration(kind, max_attempts):
-    route = {
-        "name": "r",
-        "host": "h",
-        "prefix": "/r/",
-        "kind": kind,
-        "service": "pool",
-        "max_attempts": max_attempts,
-        "timeout_ms": 2_000,
-        "target_latency_ms": 500,
-    }
-    tenants = [{"name": "atelier", "api_keys": ["k"]}]
-    services = [{"name": "pool"}]
-    return {"version": 1, "routes": [route], "services": services, "tenants": tenants}
-
-
 def make_profile(number, store_port):
     ip = f"127.0.1.{number}"
     return Profile(
@@ -74,7 +57,7 @@
 
     def __init__(self, daemons=3, targets=6, kind="safe", max_attempts=2):
         self._daemon_count = daemons
-        self._configuration = make_configuration(kind, max_attempts)
+        self._configuration = encode_configuration(kind, max_attempts)
         self._requests = 0
         self._daemons = {}
         self.store = TableStore()
@@ -90,7 +73,7 @@
     async def __aenter__(self):
         sock, self._store_port = bind_unused_port()
         self._server = self.store.serve(sock)
-        self.store.put("op", "", "config", encode(self._configuration))
+        self.store.put("op", "", "config", self._configuration)
         for target in self.targets:
             await target.start()
         await self.start_daemons()
@@ -128,12 +111,7 @@
         Returns the status of the answer, or 0 if the daemon sent none.
         """
         self._requests += 1
-        headers = {
-            "Host": "h",
-            "Api-Key": "k",
-            "Attempt-Id": f"{self._requests:016x}",
-            "Deadline-Ms": "2000",
-        }
+        headers = make_caller_headers(f"{self._requests:016x}")
         url = f"http://127.0.1.{number}:{CALLER_PORT}/r/1"
         try:
             answer = await AsyncHTTPClient().fetch(
@@ -145,14 +123,5 @@
         return answer.code
 
     def _register(self, name, address):
-        entry = None
-        if address is not None:
-            state = {
-                "state": "ready",
-                "zone": "z",
-                "slots": 8,
-                "born": 1,
-                "sequence": 1,
-            }
-            entry = encode({"service": "pool", "address": address, **state})
+        entry = None if address is None else encode_entry(address)
         self.store.put("servers", "", name, entry)
--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -3,6 +3,8 @@
 import asyncio
 import contextlib
 
+from kingcuphead.platform.tests._documents import make_answer
+
 #: Seconds for which a crashed target is down.
 DOWN_SECONDS = 0.4
 #: Body of the request under which targets crash.
@@ -77,16 +79,7 @@
                 if body == CRASHING_BODY:
                     self._crash()
                     return
-                writer.write(self._make_answer(headers["attempt-id"]))
+                writer.write(make_answer(headers["attempt-id"], b"ok"))
                 await writer.drain()
         self._writers.discard(writer)
         writer.close()
-
-    def _make_answer(self, request_id):
-        lines = [
-            "HTTP/1.1 200 OK",
-            f"Attempt-Id: {request_id}",
-            "Response-Seal: s",
-            "Content-Length: 2",
-        ]
-        return "\r\n".join(lines).encode() + b"\r\n\r\nok"
