Split the links to other daemons from the entry daemon

Ruled out: a change of behaviour; the same parts are built in the same way.

Conclusion: `FleetLinks` owns the socket between daemons, discovery, loads, credit and quarantine; the daemon owns servers, watches and the shutdown.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -3,7 +3,6 @@
 import asyncio
 import contextlib
 import random
-import secrets
 import signal
 from collections.abc import Coroutine
 from typing import Any
@@ -11,19 +10,10 @@
 from expression import Result
 from loguru import logger
 
-from kingcuphead.credit import (
-    CreditAsked,
-    CreditHanded,
-    CreditLedger,
-    CreditTask,
-    TransferClient,
-    TransferEndpoint,
-)
-from kingcuphead.datagrams import Address, Datagram, DatagramSocket, PeerSender
 from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
 from kingcuphead.entry._caller_server import CallerServer
+from kingcuphead.entry._fleet_links import FleetLinks
 from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
-from kingcuphead.entry._peers import PeerDiscovery
 from kingcuphead.entry._readiness import serve_readiness
 from kingcuphead.entry._table_listeners import ConfigurationListener, TargetListener
 from kingcuphead.entry._table_watch import TableWatch
@@ -33,35 +23,18 @@
     Dependencies,
     RequestForwarder,
 )
-from kingcuphead.loads import LoadExchange, LoadsReported, PeerLoads
+from kingcuphead.loads import PeerLoads
 from kingcuphead.platform import (
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
     PlatformHeaders,
     Profile,
     Store,
-    StoreTable,
     read_profile,
 )
-from kingcuphead.quarantine import (
-    CrashReported,
-    QuarantineExchange,
-    QuarantineReported,
-    QuarantineSettings,
-    SuspicionCleared,
-)
 from kingcuphead.routing import RoutingConfiguration, RoutingTable
 from kingcuphead.targets import DirectoryChange, TargetDirectory, TargetLeft
 
-#: Table of the store that contains the credit rows, in one part per organisation.
-CREDIT_TABLE = "credit"
-#: Table of the store that contains the quarantined requests, and its only part.
-QUARANTINE_TABLE, QUARANTINE_PART = "quarantine", "all"
-#: A broken connection alone is weak evidence of a crash, so one more is asked for than
-#: where targets are probed. The next crash after the end of a quarantine renews it.
-QUARANTINE_SETTINGS = QuarantineSettings(
-    min_crashed_targets=3, crash_retention=2 * QuarantineSettings().expiry
-)
 #: Seconds between two sweeps that drop expired entries and idle connections; also the
 #: timeout of one attempt to return credit during shutdown.
 SWEEP_INTERVAL = 0.25
@@ -93,57 +66,26 @@
         self._is_stopping = False
         self._has_configuration = False
         rng = random.Random()
-        # The IP address distinguishes this instance from a later one that gets the same
-        # name on another machine.
-        instance = f"{profile.instance}@{profile.ip}"
-        incarnation = secrets.token_hex(6)
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory()
         self._metrics = DaemonMetrics()
         peer_loads = PeerLoads()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
-        self._datagrams = DatagramSocket(self._handle_datagram)
-        self._sender = PeerSender(self._datagrams, rng)
-        self._loads = LoadExchange(
-            f"{instance}/{incarnation}",
-            peer_loads,
-            self._dispatcher.list_loads,
-            self._sender.gossip,
-        )
-        self._dispatcher.announce = self._loads.trigger_report
-        self._peer_address = (profile.ip, profile.internal_port)
-        self._peers = PeerDiscovery(self._store, self._peer_address, self._apply_peers)
         self._pool = ConnectionPool()
-        ledger = CreditLedger(instance, incarnation)
-        self._credit = CreditTask(
-            ledger, lambda name: StoreTable(self._store, CREDIT_TABLE, name)
-        )
-        self._store.report_era = self._credit.begin_era
-        self._transfer_endpoint = TransferEndpoint(ledger, f"{instance}/{incarnation}")
-        self._transfer_client = TransferClient(
-            self._transfer_endpoint,
-            self._datagrams.send,
-            lambda: self._sender.peers,
-            rng,
-        )
-        self._credit.transfer_client = self._transfer_client
-        self._quarantine = QuarantineExchange(
-            QUARANTINE_SETTINGS,
-            StoreTable(self._store, QUARANTINE_TABLE, QUARANTINE_PART),
-            self._sender.broadcast,
-            self._sender.gossip,
-        )
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
+        self._links = FleetLinks(
+            profile, self._store, self._dispatcher, peer_loads, self._retries, rng
+        )
         self._targets = TargetListener(self._directory, self._handle_change)
         self._forwarder = RequestForwarder(
             Dependencies(
                 self._directory,
                 self._dispatcher,
                 self._retries,
-                self._credit,
+                self._links.credit,
                 AttemptRunner(self._pool, PlatformHeaders()),
-                self._quarantine,
+                self._links.quarantine,
                 self._targets.handle_leaving,
             ),
             rng,
@@ -161,9 +103,9 @@
             Whether a signal ended the daemon, rather than a failure.
         """
         self._watch_signals()
-        await self._datagrams.open(self._peer_address)
+        await self._links.open()
         tasks = [self._start_task(each) for each in self._list_tasks()]
-        renewal = self._start_task(self._credit.run())
+        renewal = self._start_task(self._links.credit.run())
         profile = self._profile
         readiness = serve_readiness(
             profile.readiness.host, profile.readiness.port, self._is_ready
@@ -180,7 +122,7 @@
         metrics.stop()
         for task in tasks:
             task.cancel()
-        self._datagrams.close()
+        self._links.close()
         self._pool.close()
         self._store.close()
         logger.info("entry daemon ended")
@@ -196,9 +138,7 @@
             TableWatch(self._store, TARGETS_TABLE, self._targets, report_failure).run(),
             self._sweep(),
             self._watch_settings(),
-            self._loads.run(),
-            self._quarantine.run(),
-            self._peers.run(),
+            *self._links.list_tasks(),
         ]
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
@@ -258,31 +198,11 @@
     def _apply_configuration(self, configuration: RoutingConfiguration) -> None:
         self._forwarder.apply(RoutingTable(configuration))
         self._callers.apply_limits(configuration.limits)
-        self._credit.apply_limits(
+        self._links.credit.apply_limits(
             configuration.organisations.values(), configuration.version
         )
         self._has_configuration = True
 
-    def _handle_datagram(self, message: Datagram, sender: Address) -> None:
-        match message:
-            case LoadsReported():
-                self._loads.handle_report(message)
-            case CreditAsked():
-                now = asyncio.get_running_loop().time()
-                self._datagrams.send(
-                    self._transfer_endpoint.handle_request(message, now), sender
-                )
-            case CreditHanded():
-                self._transfer_client.handle_reply(message)
-            case CrashReported() | SuspicionCleared() | QuarantineReported():
-                self._quarantine.handle_message(message)
-
-    def _apply_peers(self, peers: tuple[Address, ...]) -> None:
-        self._sender.peers = peers
-        daemons = len(peers) + 1
-        self._credit.ledger.apply_fleet_size(daemons)
-        self._retries.apply_fleet_size(daemons)
-
     def _handle_change(self, change: DirectoryChange) -> None:
         if isinstance(change, TargetLeft):
             self._pool.close_address(change.target.address)
@@ -302,14 +222,14 @@
         logger.info("shutdown started; grace period {} s", self._profile.grace)
         self._is_stopping = True
         self._callers.announce_close()
-        self._start_task(self._peers.deregister())
+        self._start_task(self._links.deregister())
         await asyncio.sleep(min(SHUTDOWN_ACCEPT_PERIOD, self._profile.grace / 2))
         self._callers.stop_listening()
         renewal.cancel()
         await asyncio.gather(renewal, return_exceptions=True)
         is_returned = False
         while loop.time() < end and not is_returned:
-            is_returned = await self._credit.shut_down(SWEEP_INTERVAL)
+            is_returned = await self._links.credit.shut_down(SWEEP_INTERVAL)
             if self._callers.open_requests:
                 is_returned = False
                 await asyncio.sleep(SWEEP_INTERVAL / 5)
--- /dev/null
+++ b/kingcuphead/entry/_fleet_links.py
@@ -0,0 +1,138 @@
+"""What one daemon exchanges with the others: loads, credit and the quarantine."""
+
+import asyncio
+import random
+import secrets
+from collections.abc import Coroutine
+from typing import Any
+
+from kingcuphead.credit import (
+    CreditAsked,
+    CreditHanded,
+    CreditLedger,
+    CreditTask,
+    TransferClient,
+    TransferEndpoint,
+)
+from kingcuphead.datagrams import Address, Datagram, DatagramSocket, PeerSender
+from kingcuphead.dispatch import Dispatcher, RetryAllowance
+from kingcuphead.entry._peers import PeerDiscovery
+from kingcuphead.loads import LoadExchange, LoadsReported, PeerLoads
+from kingcuphead.platform import Profile, Store, StoreTable
+from kingcuphead.quarantine import (
+    CrashReported,
+    QuarantineExchange,
+    QuarantineReported,
+    QuarantineSettings,
+    SuspicionCleared,
+)
+
+#: Table of the store that contains the credit rows, in one part per organisation.
+CREDIT_TABLE = "credit"
+#: Table of the store that contains the quarantined requests, and its only part.
+QUARANTINE_TABLE, QUARANTINE_PART = "quarantine", "all"
+#: A broken connection alone is weak evidence of a crash, so one more is asked for than
+#: where targets are probed. The next crash after the end of a quarantine renews it.
+QUARANTINE_SETTINGS = QuarantineSettings(
+    min_crashed_targets=3, crash_retention=2 * QuarantineSettings().expiry
+)
+
+
+class FleetLinks:
+    """The parts of a daemon that send datagrams to the others or receive them.
+
+    Parameters
+    ----------
+    profile
+        Settings of this process.
+    store
+        Client of the platform's store.
+    dispatcher
+        Chooses targets; its loads are reported.
+    peer_loads
+        Stores the loads that other daemons report.
+    retries
+        Retry budget of this daemon, which depends on the size of the fleet.
+    rng
+        Selects receivers.
+    """
+
+    def __init__(
+        self,
+        profile: Profile,
+        store: Store,
+        dispatcher: Dispatcher,
+        peer_loads: PeerLoads,
+        retries: RetryAllowance,
+        rng: random.Random,
+    ) -> None:
+        # The IP address distinguishes this instance from a later one that gets the same
+        # name on another machine.
+        instance = f"{profile.instance}@{profile.ip}"
+        incarnation = secrets.token_hex(6)
+        identity = f"{instance}/{incarnation}"
+        self._retries = retries
+        self._address = (profile.ip, profile.internal_port)
+        self._datagrams = DatagramSocket(self._handle_datagram)
+        self._sender = PeerSender(self._datagrams, rng)
+        self._peers = PeerDiscovery(store, self._address, self._apply_peers)
+        self._loads = LoadExchange(
+            identity, peer_loads, dispatcher.list_loads, self._sender.gossip
+        )
+        dispatcher.announce = self._loads.trigger_report
+        ledger = CreditLedger(instance, incarnation)
+        self._transfer_endpoint = TransferEndpoint(ledger, identity)
+        self._transfer_client = TransferClient(
+            self._transfer_endpoint,
+            self._datagrams.send,
+            lambda: self._sender.peers,
+            rng,
+        )
+        #: Holds and settles the credit of organisations.
+        self.credit = CreditTask(
+            ledger, lambda name: StoreTable(store, CREDIT_TABLE, name)
+        )
+        self.credit.transfer_client = self._transfer_client
+        store.report_era = self.credit.begin_era
+        #: Knows the requests that crashed targets.
+        self.quarantine = QuarantineExchange(
+            QUARANTINE_SETTINGS,
+            StoreTable(store, QUARANTINE_TABLE, QUARANTINE_PART),
+            self._sender.broadcast,
+            self._sender.gossip,
+        )
+
+    async def open(self) -> None:
+        """Start receiving datagrams."""
+        await self._datagrams.open(self._address)
+
+    def close(self) -> None:
+        """Stop receiving datagrams."""
+        self._datagrams.close()
+
+    def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
+        """Return the coroutines that run until the daemon ends."""
+        return [self._loads.run(), self.quarantine.run(), self._peers.run()]
+
+    async def deregister(self) -> None:
+        """Remove this daemon from the list of daemons, for good."""
+        await self._peers.deregister()
+
+    def _handle_datagram(self, message: Datagram, sender: Address) -> None:
+        match message:
+            case LoadsReported():
+                self._loads.handle_report(message)
+            case CreditAsked():
+                now = asyncio.get_running_loop().time()
+                reply = self._transfer_endpoint.handle_request(message, now)
+                self._datagrams.send(reply, sender)
+            case CreditHanded():
+                self._transfer_client.handle_reply(message)
+            case CrashReported() | SuspicionCleared() | QuarantineReported():
+                self.quarantine.handle_message(message)
+
+    def _apply_peers(self, peers: tuple[Address, ...]) -> None:
+        self._sender.peers = peers
+        daemons = len(peers) + 1
+        self.credit.ledger.apply_fleet_size(daemons)
+        self._retries.apply_fleet_size(daemons)
--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -90,7 +90,7 @@
         """Start all daemons and wait until each of them serves."""
         for number in range(1, self._daemon_count + 1):
             daemon = EntryDaemon(make_profile(number, self._store_port), "")
-            daemon._peers._poll_interval = PEER_POLL_INTERVAL
+            daemon._links._peers._poll_interval = PEER_POLL_INTERVAL
             self._daemons[number] = (daemon, asyncio.create_task(daemon.run()))
         for number in self._daemons:
             while await self.send(number, b"probe") != 200:
