Log the software version of targets, and the try that a stream resumes

Ruled out: the version of the model weights, which has the same name in another field of the entry.

An entry whose version is no text is now malformed, like one with another field of a wrong type; one without a version still counts.

Conclusion: `software_version` of a target, the version in each attempt and `resumes` in a request's line; nothing decides by them yet.

--- a/kingcuphead/entry/_table_listeners.py
+++ b/kingcuphead/entry/_table_listeners.py
@@ -110,7 +110,10 @@
 
     def _publish(self, changes: Iterator[DirectoryChange]) -> None:
         for change in changes:
-            bound = logger.bind(target=change.target.name)
+            bound = logger.bind(
+                target=change.target.name,
+                software_version=change.target.software_version,
+            )
             match change:
                 case TargetAdded(target):
                     bound.info("target of {} at {}", target.service, target.address)
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -18,6 +18,8 @@
 
     #: Name of the target.
     target: str
+    #: Version of the target's software.
+    software_version: str
     #: Whether the target was the preferred one; `home` or `other` in the log.
     is_preferred: bool
     #: Prompt tokens whose KV cache was to be copied from another target.
@@ -35,8 +37,8 @@
         """Return the record as an entry of the log field `attempts`."""
         choice = "home" if self.is_preferred else "other"
         return (
-            f"{self.target} {choice} copied={self.copied_tokens} "
-            f"cost={self.cost:.3f} "
+            f"{self.target} {self.software_version or '-'} {choice} "
+            f"copied={self.copied_tokens} cost={self.cost:.3f} "
             f"{self.outcome} {self.seconds:.3f}s"
         )
 
@@ -121,6 +123,7 @@
         bound = logger.bind(
             request_id=self.request.request_id,
             fingerprint=self.fingerprint,
+            resumes=self.request.resumed_id,
             organisation=self.payer,
             route=self.route.name,
             service=self.service,
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -263,6 +263,7 @@
             context.records.append(
                 AttemptRecord(
                     placement.target.name,
+                    placement.target.software_version,
                     placement.is_preferred,
                     placement.prefill.copied_tokens,
                     placement.cost,
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -54,6 +54,9 @@
     resume_after: int
     #: Time of arrival in seconds of the event loop's clock.
     arrived_at: float
+    #: Id of the try that brought the first event of the stream that this one takes up;
+    #: empty if the caller names none.
+    resumed_id: str = ""
 
     @property
     def path(self) -> str:
--- a/kingcuphead/platform/_entries.py
+++ b/kingcuphead/platform/_entries.py
@@ -16,6 +16,8 @@
     # Process start in Unix milliseconds; older target versions don't set it.
     born: int = 0
     sequence: int = 0
+    # Version of the target's software, not of the model weights.
+    version: str = ""
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
@@ -53,4 +55,5 @@
         availability=availability,
         started_at_ms=entry.born,
         sequence=entry.sequence,
+        software_version=entry.version,
     )
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -22,6 +22,7 @@
 _DEADLINE = "Deadline-Ms"
 _API_KEY = "Api-Key"
 _LAST_EVENT_ID = "Last-Event-Id"
+_RESUMES = "Resumes"
 _TOKEN_COUNTS = "Token-Counts"
 _PROMPT_PREFIX = "Prompt-Prefix"
 _ORGANISATION = "Tenant"
@@ -127,6 +128,7 @@
             timeout=caller_timeout,
             size=size,
             resume_after=resume_after,
+            resumed_id=headers.get(_RESUMES, ""),
             arrived_at=now,
         )
     )
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -112,6 +112,16 @@
         assert (target.name, target.started_at_ms) == ("i-1", 5)
         assert target.availability is Availability.READY
 
+    @pytest.mark.parametrize(
+        ("changes", "version"), [({}, ""), ({"version": "v2"}, "v2")]
+    )
+    def test_entry_names_the_version_of_the_software(self, changes, version):
+        models = [{"name": "m", "version": 7}]
+        entry = {**ENTRY, "models": models, **changes}
+        target = decode_target("i-1", json.dumps(entry).encode())
+        assert target is not None
+        assert target.software_version == version
+
     @pytest.mark.parametrize(
         "changes",
         [
@@ -122,6 +132,7 @@
             {"service": None},
             {"slots": "many"},
             {"born": "x"},
+            {"version": 2},
         ],
     )
     def test_entry_with_invalid_field_is_ignored(self, changes):
--- a/kingcuphead/platform/tests/test_headers.py
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -42,6 +42,15 @@
         assert request.timeout == 1.5
         assert (request.uri, request.path) == ("/a/b?c=1", "/a/b")
 
+    @pytest.mark.parametrize(
+        ("headers", "resumed"), [({}, ""), ({"Resumes": "r0"}, "r0")]
+    )
+    def test_a_resumed_stream_names_the_try_that_began_it(self, headers, resumed):
+        request = decode(Last_Event_Id="4", **headers).ok
+        assert request.resumed_id == resumed
+        sent = PlatformHeaders().encode_request(request, OPTIONS)
+        assert sent.get("Resumes", "") == resumed
+
     @pytest.mark.parametrize(
         "headers",
         [
--- a/kingcuphead/targets/_messages.py
+++ b/kingcuphead/targets/_messages.py
@@ -33,6 +33,8 @@
     started_at_ms: int
     #: Number of the entry; it rises with each heartbeat of the incarnation.
     sequence: int = 0
+    #: Version of the target's software; its model weights have versions of their own.
+    software_version: str = ""
 
     @property
     def incarnation(self) -> str:
