--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -1,12 +1,14 @@
 """Daemons, their store and their targets in one event loop, on loopback addresses."""
 
 import asyncio
+import contextlib
+import dataclasses
 
 from tornado.httpclient import AsyncHTTPClient
 from tornado.testing import bind_unused_port
 
 from kingcuphead.entry._daemon import EntryDaemon
-from kingcuphead.entry.tests._target import CrashingTarget
+from kingcuphead.entry.tests._target import STREAM_EVENTS
 from kingcuphead.platform import Endpoint, Profile, RetryBudget
 from kingcuphead.platform.tests._documents import (
     encode_configuration,
@@ -40,34 +42,46 @@
     )
 
 
+@dataclasses.dataclass(frozen=True)
+class StreamPart:
+    """What a caller got of a stream in one try."""
+
+    #: Id of the try.
+    request_id: str
+    #: HTTP status; 0 without an answer.
+    status: int
+    #: Ids of the events.
+    event_ids: tuple[int, ...] = ()
+    #: Versions of the targets that made the events.
+    versions: tuple[str, ...] = ()
+
+
 class Fleet:
     """A fleet that serves one route.
 
     Parameters
     ----------
-    daemons
-        Number of daemons.
-    targets
-        Number of targets.
+    make_targets
+        Returns the targets; called with their `register` function.
     kind
         Kind of the route, as the platform names it.
-    max_attempts
-        Number of targets that one try of a caller may reach.
+    is_resumable
+        Whether streams of the route may be resumed.
     """
 
-    def __init__(self, daemons=3, targets=6, kind="safe", max_attempts=2):
-        self._daemon_count = daemons
-        self._configuration = encode_configuration(kind, max_attempts)
+    #: Number of daemons.
+    SIZE = 3
+
+    def __init__(self, make_targets, kind="safe", is_resumable=False):
+        self._configuration = encode_configuration(kind, 2, is_resumable)
         self._requests = 0
         self._daemons = {}
         self.store = TableStore()
-        self.targets = [
-            CrashingTarget(f"t{number}", self._register) for number in range(targets)
-        ]
+        self.targets = make_targets(self._register)
 
     @property
     def crashes(self):
-        """How often the request that crashes targets has reached one."""
+        """How often targets have crashed."""
         return sum(target.crashes for target in self.targets)
 
     async def __aenter__(self):
@@ -88,30 +102,29 @@
 
     async def start_daemons(self):
         """Start all daemons and wait until each of them serves."""
-        for number in range(1, self._daemon_count + 1):
-            daemon = EntryDaemon(make_profile(number, self._store_port), "")
-            daemon._links._peers._poll_interval = PEER_POLL_INTERVAL
-            self._daemons[number] = (daemon, asyncio.create_task(daemon.run()))
+        for number in range(1, self.SIZE + 1):
+            self._start_daemon(number)
         for number in self._daemons:
             while await self.send(number, b"probe") != 200:
                 await asyncio.sleep(0.05)
 
-    async def kill_daemons(self):
-        """End all daemons without a shutdown: nothing in their memory is passed on."""
-        for daemon, task in self._daemons.values():
+    async def kill_daemons(self, numbers=(1, 2, 3)):
+        """End daemons without a shutdown: nothing in their memory is passed on."""
+        for number in numbers:
+            if number not in self._daemons:
+                continue
+            daemon, task = self._daemons.pop(number)
             # A daemon that fails skips the steps of a graceful shutdown.
             daemon._failure = RuntimeError("killed by the test")
             daemon._stop.set()
             await task
-        self._daemons.clear()
 
     async def send(self, number, body):
         """Send a request with an id of its own to a daemon.
 
         Returns the status of the answer, or 0 if the daemon sent none.
         """
-        self._requests += 1
-        headers = make_caller_headers(f"{self._requests:016x}")
+        headers = make_caller_headers(self._make_request_id())
         url = f"http://127.0.1.{number}:{CALLER_PORT}/r/1"
         try:
             answer = await AsyncHTTPClient().fetch(
@@ -122,6 +135,58 @@
             return 0
         return answer.code
 
-    def _register(self, name, address):
-        entry = None if address is None else encode_entry(address)
+    async def read_stream(self, number, count=STREAM_EVENTS, resumed=None, last=0):
+        """Read a stream from a daemon and leave after some events.
+
+        Parameters
+        ----------
+        number
+            Number of the daemon.
+        count
+            Number of events after which the caller leaves.
+        resumed
+            Id of the try that began the stream; None to begin one.
+        last
+            Id of the last event that the caller has.
+        """
+        request_id = self._make_request_id()
+        headers = make_caller_headers(request_id, resumed or "", last)
+        lines = ["POST /r/1 HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        reader, writer = await asyncio.open_connection(f"127.0.1.{number}", CALLER_PORT)
+        writer.write("\r\n".join([*lines, "Content-Length: 0", "", ""]).encode())
+        try:
+            return await _read_part(reader, request_id, count)
+        finally:
+            writer.close()
+
+    def _make_request_id(self):
+        self._requests += 1
+        return f"{self._requests:016x}"
+
+    def _start_daemon(self, number):
+        daemon = EntryDaemon(make_profile(number, self._store_port), "")
+        daemon._links._peers._poll_interval = PEER_POLL_INTERVAL
+        self._daemons[number] = (daemon, asyncio.create_task(daemon.run()))
+
+    def _register(self, name, address, version):
+        entry = None if address is None else encode_entry(address, version)
         self.store.put("servers", "", name, entry)
+
+
+async def _read_part(reader, request_id, count):
+    """Read events until there are `count` of them, or the answer ends."""
+    event_ids: list[int] = []
+    versions: list[str] = []
+    status = 0
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        status = int((await reader.readline()).split()[1])
+        while status == 200 and len(versions) < count:
+            line = await reader.readline()
+            if not line or line == b"0\r\n":
+                break
+            name, _, value = line.decode().strip().partition(": ")
+            if name == "id":
+                event_ids.append(int(value))
+            elif name == "data":
+                versions.append(value)
+    return StreamPart(request_id, status, tuple(event_ids), tuple(versions))
--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -1,29 +1,40 @@
-"""A target that ends when it begins to run a certain request, and starts again."""
+"""Targets on loopback that register in the store and may crash."""
 
 import asyncio
 import contextlib
 
-from kingcuphead.platform.tests._documents import make_answer
+from kingcuphead.platform.tests._documents import (
+    make_answer,
+    make_event,
+    make_stream_head,
+    parse_headers,
+    parse_resumption,
+)
 
 #: Seconds for which a crashed target is down.
 DOWN_SECONDS = 0.4
 #: Body of the request under which targets crash.
 CRASHING_BODY = b"crash"
+#: Events of a complete stream, and seconds between two of them.
+STREAM_EVENTS = 6
+EVENT_GAP = 0.02
 
 
-class CrashingTarget:
-    """Answers every request except those with `CRASHING_BODY`.
+class LocalTarget:
+    """Serves requests until it crashes, and starts again under another name.
 
     Parameters
     ----------
     name
         Name of the first incarnation; later ones append their number.
+    version
+        Version of its software.
     register
-        Called with the name and the address of each incarnation that starts, and with
-        the name and None when one is gone.
+        Called with the name, the address and the version of each incarnation that
+        starts, and with the name and None when one is gone.
     """
 
-    def __init__(self, name, register):
+    def __init__(self, name, version, register):
         self._base_name = name
         self._register = register
         self._starts = 0
@@ -32,7 +43,8 @@
         self._writers = set()
         self._restart = None
         self.name = ""
-        #: Number of arrivals of the request that crashes.
+        self.version = version
+        #: How often it crashed.
         self.crashes = 0
 
     async def start(self):
@@ -42,44 +54,64 @@
             self._serve, "127.0.0.1", self._port, reuse_address=True
         )
         host, self._port = self._server.sockets[0].getsockname()
-        self._register(self.name, f"{host}:{self._port}")
+        self._register(self.name, f"{host}:{self._port}", self.version)
 
     def stop(self):
         if self._restart is not None:
             self._restart.cancel()
         self._disconnect()
 
+    def crash(self):
+        """Close all connections; come back after `DOWN_SECONDS`."""
+        self.crashes += 1
+        self._disconnect()
+        self._restart = asyncio.create_task(self._start_again(self.name))
+
+    async def answer(self, headers, body, writer):
+        """Answer one request."""
+        raise NotImplementedError
+
     def _disconnect(self):
         if self._server is not None:
             self._server.close()
         for writer in self._writers:
             writer.transport.abort()
 
-    def _crash(self):
-        self.crashes += 1
-        self._disconnect()
-        self._restart = asyncio.create_task(self._start_again(self.name))
-
     async def _start_again(self, previous_name):
         await asyncio.sleep(DOWN_SECONDS)
-        self._register(previous_name, None)
+        self._register(previous_name, None, self.version)
         await self.start()
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode()
-                headers = dict(
-                    line.lower().split(": ", 1)
-                    for line in head.split("\r\n")[1:]
-                    if line
-                )
+                headers = parse_headers(await reader.readuntil(b"\r\n\r\n"))
                 body = await reader.readexactly(int(headers.get("content-length", 0)))
-                if body == CRASHING_BODY:
-                    self._crash()
-                    return
-                writer.write(make_answer(headers["attempt-id"], b"ok"))
+                await self.answer(headers, body, writer)
                 await writer.drain()
         self._writers.discard(writer)
         writer.close()
+
+
+class CrashingTarget(LocalTarget):
+    """Answers every request except those with `CRASHING_BODY`, which crash it."""
+
+    async def answer(self, headers, body, writer):
+        if body == CRASHING_BODY:
+            self.crash()
+        else:
+            writer.write(make_answer(headers["attempt-id"], b"ok"))
+
+
+class StreamingTarget(LocalTarget):
+    """Answers with a stream whose events carry the version of the target."""
+
+    async def answer(self, headers, body, writer):
+        writer.write(make_stream_head(headers["attempt-id"]))
+        first = parse_resumption(headers) + 1
+        for event_id in range(first, STREAM_EVENTS + 1):
+            writer.write(make_event(event_id, self.version))
+            await writer.drain()
+            await asyncio.sleep(EVENT_GAP)
+        writer.write(b"0\r\n\r\n")
--- a/kingcuphead/entry/tests/test_crashing_requests.py
+++ b/kingcuphead/entry/tests/test_crashing_requests.py
@@ -3,15 +3,23 @@
 import pytest
 
 from kingcuphead.entry.tests._fleet import Fleet
-from kingcuphead.entry.tests._target import CRASHING_BODY, DOWN_SECONDS
+from kingcuphead.entry.tests._target import (
+    CRASHING_BODY,
+    DOWN_SECONDS,
+    CrashingTarget,
+)
 
 #: Targets that a request may crash: three, and three more until all daemons know of it.
 MAX_CRASHES = 6
 
 
+def make_targets(register):
+    return [CrashingTarget(f"t{number}", "v1", register) for number in range(6)]
+
+
 def run(scenario, **options):
     async def main():
-        async with asyncio.timeout(40), Fleet(**options) as fleet:
+        async with asyncio.timeout(40), Fleet(make_targets, **options) as fleet:
             await scenario(fleet)
 
     asyncio.run(main())
--- a/kingcuphead/platform/tests/_documents.py
+++ b/kingcuphead/platform/tests/_documents.py
@@ -31,7 +31,7 @@
     return encode_value(content)
 
 
-def encode_entry(address):
+def encode_entry(address, version):
     """Return the row of a target of the service `pool` that is ready."""
     content = {
         "service": "pool",
@@ -41,18 +41,36 @@
         "slots": 8,
         "born": 1,
         "sequence": 1,
+        "version": version,
     }
     return encode_value(content)
 
 
-def make_caller_headers(request_id):
-    """Return the headers of a caller's request to the route."""
-    return {
+def make_caller_headers(request_id, resumed_id="", last_event_id=0):
+    """Return the headers of a caller's request to the route.
+
+    With an id of an earlier try, it takes up the stream that the try began.
+    """
+    headers = {
         "Host": "h",
         "Api-Key": "k",
         "Attempt-Id": request_id,
         "Deadline-Ms": "2000",
     }
+    if resumed_id:
+        headers |= {"Resumes": resumed_id, "Last-Event-Id": str(last_event_id)}
+    return headers
+
+
+def parse_headers(head):
+    """Return the headers of a request or an answer by their names in lower case."""
+    lines = head.decode().split("\r\n")[1:]
+    return dict(line.lower().split(": ", 1) for line in lines if line)
+
+
+def parse_resumption(headers):
+    """Return the id of the last event that the caller has; 0 for none."""
+    return int(headers.get("last-event-id", 0))
 
 
 def make_answer(request_id, body):
@@ -64,3 +82,21 @@
         f"Content-Length: {len(body)}",
     ]
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+
+
+def make_stream_head(request_id):
+    """Return the status and the headers of a target's stream."""
+    lines = [
+        "HTTP/1.1 200 OK",
+        f"Attempt-Id: {request_id}",
+        "Response-Seal: s",
+        "Content-Type: text/event-stream",
+        "Transfer-Encoding: chunked",
+    ]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
+def make_event(event_id, data):
+    """Return the chunk of one event."""
+    event = f"id: {event_id}\ndata: {data}\n\n".encode()
+    return f"{len(event):x}\r\n".encode() + event + b"\r\n"
