Resume a stream within its answer only at the version that began it

A stream whose target broke was resumed at the cheapest one.

Why this works: the version of the target whose first event goes to the caller binds the request, before that event is sent. From then on only targets of that version are eligible, for the placement as for the question whether another target is left; without one the answer is broken off, and a stream that stalls is waited for.

Ruled out: binding at the placement of the first attempt; an attempt without an event leaves the caller nothing that a second version could contradict.

--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -1,6 +1,7 @@
 """State of one request while it is served, and its log lines."""
 
 import dataclasses
+from collections.abc import Iterable
 
 from loguru import logger
 
@@ -9,6 +10,7 @@
 from kingcuphead.forwarding._messages import CallerRequest
 from kingcuphead.forwarding._refusals import Refusal
 from kingcuphead.routing import Organisation, Route
+from kingcuphead.targets import Target
 from kingcuphead.verdict import Execution
 
 
@@ -63,6 +65,9 @@
     fingerprint: str = ""
     #: Output tokens in one event of a stream.
     tokens_per_event: int = 1
+    #: Software version whose events the caller has; only targets of that version may
+    #: go on with the stream. None before the first event.
+    bound_version: str | None = None
     #: Names of the targets of all attempts so far.
     tried: list[str] = dataclasses.field(default_factory=list)
     #: Outcomes of the attempts, in order.
@@ -92,6 +97,19 @@
         """Name of the paying organisation; empty for an anonymous request."""
         return "" if self.organisation is None else self.organisation.name
 
+    def select_eligible(self, targets: Iterable[Target]) -> tuple[Target, ...]:
+        """Return those targets that may run the request.
+
+        Events of two software versions don't make up one stream.
+        """
+        if self.bound_version is None:
+            return tuple(targets)
+        return tuple(
+            target
+            for target in targets
+            if target.software_version == self.bound_version
+        )
+
     def make_placement_request(self) -> PlacementRequest:
         """Return the properties by which the dispatcher chooses a target."""
         size = self.request.size
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -35,6 +35,7 @@
     RoutingTable,
     choose_service,
 )
+from kingcuphead.targets import Target
 from kingcuphead.verdict import Execution, Reason
 
 #: Bound in seconds on waiting for credit.
@@ -229,18 +230,23 @@
     def _place(self, context: RequestContext) -> Placement | None:
         return self._dependencies.dispatcher.place(
             context.make_placement_request(),
-            self._dependencies.directory.list_usable(context.service),
+            self._list_eligible(context),
             context.tried,
             get_time(),
         )
 
+    def _list_eligible(self, context: RequestContext) -> tuple[Target, ...]:
+        usable = self._dependencies.directory.list_usable(context.service)
+        return context.select_eligible(usable)
+
     async def _run_attempt(
         self, context: RequestContext, placement: Placement, stream: AnswerStream | None
     ) -> AttemptEnd:
         context.tried.append(placement.target.name)
         started_at = get_time()
         if stream is not None:
-            stream.begin_attempt()
+            version = placement.target.software_version
+            stream.begin_attempt(lambda: self._bind_version(context, version))
         outcome = "cancelled"
         result = AttemptResult.CANCELLED
         previous_execution, context.execution = (
@@ -306,6 +312,11 @@
         if head.retry_after is not None:
             self._dependencies.dispatcher.pause(placement, head.retry_after, get_time())
 
+    def _bind_version(self, context: RequestContext, version: str) -> None:
+        """Record the software version of the first event that the caller gets."""
+        if context.bound_version is None:
+            context.bound_version = version
+
     def _record_suspicion(
         self,
         context: RequestContext,
@@ -347,7 +358,7 @@
     def _get_retry_after(self, context: RequestContext) -> float:
         """Return the seconds after which a target may have room for a request."""
         delay = self._dependencies.dispatcher.get_resume_delay(
-            self._dependencies.directory.list_usable(context.service), get_time()
+            self._list_eligible(context), get_time()
         )
         return TARGET_RETRY_AFTER if delay is None else delay
 
--- a/kingcuphead/forwarding/_retry_decision.py
+++ b/kingcuphead/forwarding/_retry_decision.py
@@ -64,7 +64,8 @@
 
     def _has_other_target(self, context: RequestContext) -> bool:
         usable = self._directory.list_usable(context.service)
-        return any(target.name not in context.tried for target in usable)
+        eligible = context.select_eligible(usable)
+        return any(target.name not in context.tried for target in eligible)
 
     def _spend_retry(self, context: RequestContext) -> bool:
         return self._allowance.try_spend(context.service, get_time())
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -1,5 +1,7 @@
 """The event stream sent to one caller, across all attempts of its request."""
 
+from collections.abc import Callable
+
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._events import Event
 from kingcuphead.forwarding._messages import AnswerHead
@@ -29,15 +31,23 @@
         #: Number of events sent to the caller.
         self.event_count = 0
         self._attempt_started_at: float | None = None
+        self._report_start: Callable[[], None] = _report_nothing
 
     @property
     def last_event_id(self) -> int:
         """Id of the last event that the caller has."""
         return self._last_event_id
 
-    def begin_attempt(self) -> None:
-        """Note that the next event is the first one of another attempt."""
+    def begin_attempt(self, report_start: Callable[[], None]) -> None:
+        """Note that the next event is the first one of another attempt.
+
+        Parameters
+        ----------
+        report_start
+            Called before that event is sent to the caller.
+        """
         self._attempt_started_at = None
+        self._report_start = report_start
 
     def get_running_seconds(self) -> float:
         """Return the seconds since the first event of the attempt; 0 without one."""
@@ -51,11 +61,12 @@
 
     async def deliver(self, head: AnswerHead, event: Event) -> None:
         """Send an event to the caller, and before the first event the head."""
+        if self._attempt_started_at is None:
+            self._attempt_started_at = get_time()
+            self._report_start()
         await self._start(head)
         if event.event_id is not None:
             self._last_event_id = event.event_id
-        if self._attempt_started_at is None:
-            self._attempt_started_at = get_time()
         self.event_count += 1
         await self._caller.write(event.content)
 
@@ -69,3 +80,7 @@
             self.is_started = True
             self.started_at = get_time()
             await self._caller.start(head.status, head.headers)
+
+
+def _report_nothing() -> None:
+    """Do nothing, before the first attempt."""
--- a/kingcuphead/forwarding/tests/_target.py
+++ b/kingcuphead/forwarding/tests/_target.py
@@ -33,6 +33,7 @@
 
     def __init__(self, name="t1", service="pool"):
         self.name = name
+        self.software_version = "v1"
         self.service = service
         self.script = []
         self.received = []
@@ -43,7 +44,14 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
         host, port = self._server.sockets[0].getsockname()
         return Target(
-            self.name, self.service, f"{host}:{port}", "z", 4, Availability.READY, 1
+            self.name,
+            self.service,
+            f"{host}:{port}",
+            "z",
+            4,
+            Availability.READY,
+            1,
+            software_version=self.software_version,
         )
 
     def stop(self):
