Describe a part of the store's table once

Cause: credit and the quarantine each had a protocol for one part of a table; streams that are taken up again need a third.

Ruled out: a change of behaviour; mypy checks the uses.

Figures: tests of credit's task, quarantine and storage pass.

Conclusion: `storage.TablePart` takes the place of both.

--- a/kingcuphead/credit/__init__.py
+++ b/kingcuphead/credit/__init__.py
@@ -11,7 +11,6 @@
 )
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
 from kingcuphead.credit._reclaim import Reclaim, find_reclaimable, plan_reclaim
-from kingcuphead.credit._renewal import CreditTable
 from kingcuphead.credit._task import CreditRefused, CreditTask
 from kingcuphead.credit._transfer import CreditAsked, CreditHanded, TransferEndpoint
 from kingcuphead.credit._transfer_client import TransferClient
@@ -23,7 +22,6 @@
     "CreditRefused",
     "CreditSettings",
     "CreditState",
-    "CreditTable",
     "CreditTask",
     "Hold",
     "HolderRow",
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -5,7 +5,6 @@
 import random
 import time
 from collections.abc import Sequence
-from typing import Protocol
 
 from expression import Result
 from loguru import logger
@@ -16,13 +15,10 @@
 from kingcuphead.credit._rows import SHARDS_PREFIX, select_shards
 from kingcuphead.invariants import require
 from kingcuphead.storage import (
-    CommitOutcome,
     Committed,
     Conflict,
-    PlatformFault,
     Row,
-    RowSnapshot,
-    Transaction,
+    TablePart,
     Unavailable,
     Unknown,
 )
@@ -43,29 +39,6 @@
 ERA_SPREAD_SECONDS = 1.0
 
 
-class CreditTable(Protocol):
-    """The part of the store's table with the rows of one organisation."""
-
-    async def commit(self, transaction: Transaction) -> CommitOutcome:
-        """Commit a transaction; store faults are outcomes, not exceptions."""
-        ...
-
-    async def read_prefix(self, prefix: str) -> Result[RowSnapshot, PlatformFault]:
-        """Read the rows whose keys start with a prefix."""
-        ...
-
-    def estimate_time(self) -> int | None:
-        """Return a lower bound of the store's time in milliseconds; None if unknown."""
-        ...
-
-    def bound_time(self, moment: float) -> int | None:
-        """Return an upper bound of the store's time at a local monotonic time.
-
-        The bound is in milliseconds; None if it is not known.
-        """
-        ...
-
-
 class OrganisationRenewal:
     """Renews one organisation's ledger from the store.
 
@@ -85,7 +58,7 @@
         self,
         name: str,
         ledger: OrganisationLedger,
-        table: CreditTable,
+        table: TablePart,
         settings: CreditSettings,
     ) -> None:
         self._name = name
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -10,11 +10,11 @@
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold, Shortage
 from kingcuphead.credit._renewal import (
     RETRY_DELAY_SECONDS,
-    CreditTable,
     OrganisationRenewal,
 )
 from kingcuphead.credit._transfer_client import TransferClient
 from kingcuphead.routing import Organisation
+from kingcuphead.storage import TablePart
 
 #: Seconds without a renewal after which a waiting request tries a credit transfer.
 TRANSFER_DELAY_SECONDS = 0.12
@@ -46,7 +46,7 @@
     def __init__(
         self,
         ledger: CreditLedger,
-        get_table: Callable[[str], CreditTable],
+        get_table: Callable[[str], TablePart],
         settings: CreditSettings = CreditSettings(),  # noqa: B008
     ) -> None:
         self._ledger = ledger
--- a/kingcuphead/quarantine/__init__.py
+++ b/kingcuphead/quarantine/__init__.py
@@ -3,7 +3,6 @@
 from kingcuphead.quarantine._exchange import (
     QuarantineExchange,
     QuarantineMessage,
-    QuarantineTable,
 )
 from kingcuphead.quarantine._messages import (
     Crash,
@@ -30,6 +29,5 @@
     "QuarantineMessage",
     "QuarantineReported",
     "QuarantineSettings",
-    "QuarantineTable",
     "SuspicionCleared",
 ]
--- a/kingcuphead/quarantine/_exchange.py
+++ b/kingcuphead/quarantine/_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterable, Sequence
-from typing import Protocol, TypeAlias
+from typing import TypeAlias
 
 from expression import Result
 from loguru import logger
@@ -22,11 +22,10 @@
 from kingcuphead.quarantine._settings import QuarantineSettings
 from kingcuphead.storage import (
     Check,
-    CommitOutcome,
     Delete,
-    PlatformFault,
     Put,
     RowSnapshot,
+    TablePart,
     Transaction,
 )
 
@@ -41,22 +40,6 @@
 QuarantineMessage: TypeAlias = CrashReported | SuspicionCleared | QuarantineReported
 
 
-class QuarantineTable(Protocol):
-    """The part of a table that has a row for each quarantined fingerprint."""
-
-    async def read_prefix(self, prefix: str) -> Result[RowSnapshot, PlatformFault]:
-        """Read the rows whose keys have a prefix."""
-        ...
-
-    async def commit(self, transaction: Transaction) -> CommitOutcome:
-        """Apply a transaction."""
-        ...
-
-    def estimate_time(self) -> int | None:
-        """Return the store's time in milliseconds, if known."""
-        ...
-
-
 class QuarantineExchange:
     """Applies crashes and successes of this daemon and of the others.
 
@@ -77,7 +60,7 @@
     def __init__(
         self,
         settings: QuarantineSettings,
-        table: QuarantineTable,
+        table: TablePart,
         broadcast: Callable[[QuarantineMessage], None],
         gossip: Callable[[QuarantineMessage], None],
         get_time: Callable[[], float] | None = None,
--- a/kingcuphead/storage/__init__.py
+++ b/kingcuphead/storage/__init__.py
@@ -32,7 +32,7 @@
     Unavailable,
     Unknown,
 )
-from kingcuphead.storage._protocols import InstanceList, ObjectStore, Table
+from kingcuphead.storage._protocols import InstanceList, ObjectStore, Table, TablePart
 
 __all__ = [
     "ABSENT",
@@ -62,6 +62,7 @@
     "ScanPage",
     "Table",
     "TableCounts",
+    "TablePart",
     "Transaction",
     "Unavailable",
     "Unknown",
--- a/kingcuphead/storage/_protocols.py
+++ b/kingcuphead/storage/_protocols.py
@@ -10,6 +10,7 @@
     Instance,
     PlatformFault,
     Row,
+    RowSnapshot,
     ScanPage,
     Transaction,
 )
@@ -33,6 +34,29 @@
         ...
 
 
+class TablePart(Protocol):
+    """One part of a table, with the clock of the store that keeps it."""
+
+    async def commit(self, transaction: Transaction) -> CommitOutcome:
+        """Commit a transaction; store faults are outcomes, not exceptions."""
+        ...
+
+    async def read_prefix(self, prefix: str) -> Result[RowSnapshot, PlatformFault]:
+        """Read the rows whose keys start with a prefix."""
+        ...
+
+    def estimate_time(self) -> int | None:
+        """Return a lower bound of the store's time in milliseconds; None if unknown."""
+        ...
+
+    def bound_time(self, moment: float) -> int | None:
+        """Return an upper bound of the store's time at a local monotonic time.
+
+        The bound is in milliseconds; None if it is not known.
+        """
+        ...
+
+
 class ObjectStore(Protocol):
     """Store of named objects."""
 
