Let a stream that a caller takes up go on only at the version that began it

Cause: a caller reaches any daemon, and no daemon knew which try, and so which target and version, had begun the stream; the id of that try, which callers name, was passed on unread.

Why this works: a daemon remembers for a minute which version began each stream. While a service had one version for that long, nothing else is needed and nothing is sent. Once it has several, each begun stream, and those begun shortly before, is told to up to twelve daemons 20 ms after its first event, so that it goes on although its daemon was killed; a daemon that doesn't know a stream asks all others, three times in 0.3 s. What served before a daemon started is known from the table `versions`. A stream of unknown origin is refused as not run, with a time.

Ruled out: a row in the store for each stream (hundreds of writes a second on the grown sites, and a wait before the first event); a version chosen from the id (the set of versions changes meanwhile); taking the stream up at any daemon and beginning anew (the caller has events already).

Found on the way: `service` is a keyword of Thrift, so the field is `service_name`.

Streams whose daemon and all that it told are killed at the same moment can't go on while a service has several versions.

--- a/kingcuphead/api/_refusal.py
+++ b/kingcuphead/api/_refusal.py
@@ -36,6 +36,7 @@
     Reason.NO_TARGET: 503,
     Reason.PLATFORM_UNAVAILABLE: 503,
     Reason.SHUTTING_DOWN: 503,
+    Reason.STREAM_UNKNOWN: 503,
 }
 
 
--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -14,13 +14,16 @@
     QuarantineReported,
     SuspicionCleared,
 )
+from kingcuphead.resumption import ResumptionMessage, StreamAsked, StreamsBegan
 from kingcuphead.wire import find_codec, name_field, ttypes
 
 #: Maximum size of a datagram in bytes, used as the length limit of the strings and
 #: containers in it.
 MAX_DATAGRAM_BYTES = 60_000
 
-Datagram = LoadsReported | CreditAsked | CreditHanded | QuarantineMessage
+Datagram = (
+    LoadsReported | CreditAsked | CreditHanded | QuarantineMessage | ResumptionMessage
+)
 
 _CLASSES = (
     LoadsReported,
@@ -29,6 +32,8 @@
     CrashReported,
     SuspicionCleared,
     QuarantineReported,
+    StreamsBegan,
+    StreamAsked,
 )
 _TYPES = {name_field(cls): cls for cls in _CLASSES}
 _FACTORY = TCompactProtocolAcceleratedFactory(
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -20,6 +20,7 @@
     QuarantineReported,
     SuspicionCleared,
 )
+from kingcuphead.resumption import BegunStream, StreamAsked, StreamsBegan
 
 MESSAGES = (
     LoadsReported("a/1", 7, (TargetLoad("t1", 3, 900),)),
@@ -28,6 +29,8 @@
     CreditHanded("a/1", 3, 0),
     CrashReported("f", "t1@5"),
     SuspicionCleared("f"),
+    StreamsBegan((BegunStream("r1", "pool", "v1.1"),)),
+    StreamAsked("r1"),
     QuarantineReported((FingerprintQuarantined("f", 3599.5),)),
 )
 
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -75,7 +75,13 @@
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._links = FleetLinks(
-            profile, self._store, self._dispatcher, peer_loads, self._retries, rng
+            profile,
+            self._store,
+            self._directory,
+            self._dispatcher,
+            peer_loads,
+            self._retries,
+            rng,
         )
         self._targets = TargetListener(self._directory, self._handle_change)
         self._forwarder = RequestForwarder(
@@ -86,6 +92,7 @@
                 self._links.credit,
                 AttemptRunner(self._pool, PlatformHeaders()),
                 self._links.quarantine,
+                self._links.resumption,
                 self._targets.handle_leaving,
             ),
             rng,
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Iterator
 from typing import Any
 
 from kingcuphead.credit import (
@@ -26,11 +26,20 @@
     QuarantineSettings,
     SuspicionCleared,
 )
+from kingcuphead.resumption import (
+    ResumptionExchange,
+    ServedVersion,
+    StreamAsked,
+    StreamsBegan,
+)
+from kingcuphead.targets import TargetDirectory
 
 #: Table of the store that contains the credit rows, in one part per organisation.
 CREDIT_TABLE = "credit"
 #: Table of the store that contains the quarantined requests, and its only part.
 QUARANTINE_TABLE, QUARANTINE_PART = "quarantine", "all"
+#: Table of the store that contains the software versions that serve, and its only part.
+VERSIONS_TABLE, VERSIONS_PART = "versions", "all"
 #: A broken connection alone is weak evidence of a crash, so one more is asked for than
 #: where targets are probed. The next crash after the end of a quarantine renews it.
 QUARANTINE_SETTINGS = QuarantineSettings(
@@ -47,6 +56,8 @@
         Settings of this process.
     store
         Client of the platform's store.
+    directory
+        Knows the software versions of targets.
     dispatcher
         Chooses targets; its loads are reported.
     peer_loads
@@ -61,6 +72,7 @@
         self,
         profile: Profile,
         store: Store,
+        directory: TargetDirectory,
         dispatcher: Dispatcher,
         peer_loads: PeerLoads,
         retries: RetryAllowance,
@@ -101,6 +113,13 @@
             self._sender.broadcast,
             self._sender.gossip,
         )
+        #: Knows the software versions that began streams.
+        self.resumption = ResumptionExchange(
+            StoreTable(store, VERSIONS_TABLE, VERSIONS_PART),
+            lambda: _list_versions(directory),
+            self._sender.broadcast,
+            self._sender.gossip,
+        )
 
     async def open(self) -> None:
         """Start receiving datagrams."""
@@ -112,7 +131,12 @@
 
     def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines that run until the daemon ends."""
-        return [self._loads.run(), self.quarantine.run(), self._peers.run()]
+        return [
+            self._loads.run(),
+            self.quarantine.run(),
+            self.resumption.run(),
+            self._peers.run(),
+        ]
 
     async def deregister(self) -> None:
         """Remove this daemon from the list of daemons, for good."""
@@ -130,9 +154,18 @@
                 self._transfer_client.handle_reply(message)
             case CrashReported() | SuspicionCleared() | QuarantineReported():
                 self.quarantine.handle_message(message)
+            case StreamsBegan() | StreamAsked():
+                self.resumption.handle_message(
+                    message, lambda reply: self._datagrams.send(reply, sender)
+                )
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
+
+
+def _list_versions(directory: TargetDirectory) -> Iterator[ServedVersion]:
+    for target in directory.list_all():
+        yield ServedVersion(target.service, target.software_version)
--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -151,7 +151,9 @@
         """
         request_id = self._make_request_id()
         headers = make_caller_headers(request_id, resumed or "", last)
-        lines = ["POST /r/1 HTTP/1.1", *(f"{k}: {v}" for k, v in headers.items())]
+        # All tries of one stream have the same path.
+        start_line = f"POST /r/{resumed or request_id} HTTP/1.1"
+        lines = [start_line, *(f"{k}: {v}" for k, v in headers.items())]
         reader, writer = await asyncio.open_connection(f"127.0.1.{number}", CALLER_PORT)
         writer.write("\r\n".join([*lines, "Content-Length: 0", "", ""]).encode())
         try:
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -97,6 +97,11 @@
         """Name of the paying organisation; empty for an anonymous request."""
         return "" if self.organisation is None else self.organisation.name
 
+    @property
+    def takes_up_stream(self) -> bool:
+        """Whether the caller has events of the stream from an earlier try."""
+        return self.route.is_resumable and self.request.resume_after > 0
+
     def select_eligible(self, targets: Iterable[Target]) -> tuple[Target, ...]:
         """Return those targets that may run the request.
 
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -7,6 +7,7 @@
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.quarantine import QuarantineExchange
+from kingcuphead.resumption import ResumptionExchange
 from kingcuphead.targets import Target, TargetDirectory
 
 
@@ -26,5 +27,7 @@
     runner: AttemptRunner
     #: Knows the requests that crashed targets, of the whole fleet.
     quarantine: QuarantineExchange
+    #: Knows the software versions that began streams, of the whole fleet.
+    resumption: ResumptionExchange
     #: Called with a target that says in an answer that it leaves.
     report_leaving: Callable[[Target], None]
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -30,6 +30,7 @@
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._retry_decision import RetryDecision
 from kingcuphead.forwarding._stream import AnswerStream
+from kingcuphead.resumption import BegunStream
 from kingcuphead.routing import (
     RequestKind,
     RoutingTable,
@@ -47,6 +48,9 @@
 STORE_RETRY_AFTER = 3.0
 #: Seconds after which a caller may retry at a daemon that has no configuration yet.
 CONFIGURATION_RETRY_AFTER = 0.5
+#: Seconds after which a caller may take up a stream of unknown origin again, in case
+#: the daemon that knows it can be reached then.
+ORIGIN_RETRY_AFTER = 1.0
 #: Seconds after which a caller may retry if no target ran the request.
 TARGET_RETRY_AFTER = 0.3
 #: Upper bound of the first-byte timeout as a share of the time until the deadline; the
@@ -114,6 +118,8 @@
     ) -> Refusal | None:
         if self._is_quarantined(context):
             return self._refuse_quarantined(context)
+        if context.takes_up_stream and not await self._find_origin(context):
+            return refuse(503, Reason.STREAM_UNKNOWN, ORIGIN_RETRY_AFTER)
         held = await self._acquire_hold(context)
         if held.is_error():
             return held.error
@@ -156,12 +162,29 @@
             revision=table.configuration.version,
         )
         context.fingerprint = fingerprint_request(request, context.payer)
-        profile = table.configuration.services.get(service)
-        if profile is not None and profile.engine is not None:
-            context.tokens_per_event = profile.engine.tokens_per_event
+        context.tokens_per_event = table.get_tokens_per_event(service)
         self._dependencies.retries.count_request(service, get_time())
         return Ok(context)
 
+    async def _find_origin(self, context: RequestContext) -> bool:
+        """Bind a stream that a caller takes up to the version that began it.
+
+        Returns
+        -------
+        bool
+            Whether that version is known.
+        """
+        services = [each.service for each in context.route.services]
+        origin = await self._dependencies.resumption.find_origin(
+            context.request.resumed_id, services
+        )
+        if origin is None:
+            return False
+        context.bound_version = origin.software_version
+        if origin.service in services:
+            context.service = origin.service
+        return True
+
     async def _acquire_hold(
         self, context: RequestContext
     ) -> Result[Hold | None, Refusal]:
@@ -245,8 +268,7 @@
         context.tried.append(placement.target.name)
         started_at = get_time()
         if stream is not None:
-            version = placement.target.software_version
-            stream.begin_attempt(lambda: self._bind_version(context, version))
+            stream.begin_attempt(lambda: self._record_start(context, placement.target))
         outcome = "cancelled"
         result = AttemptResult.CANCELLED
         previous_execution, context.execution = (
@@ -312,10 +334,15 @@
         if head.retry_after is not None:
             self._dependencies.dispatcher.pause(placement, head.retry_after, get_time())
 
-    def _bind_version(self, context: RequestContext, version: str) -> None:
+    def _record_start(self, context: RequestContext, target: Target) -> None:
         """Record the software version of the first event that the caller gets."""
         if context.bound_version is None:
-            context.bound_version = version
+            context.bound_version = target.software_version
+        if context.route.is_resumable:
+            stream = BegunStream(
+                context.request.stream_id, target.service, context.bound_version
+            )
+            self._dependencies.resumption.record_start(stream)
 
     def _record_suspicion(
         self,
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -58,6 +58,11 @@
     #: empty if the caller names none.
     resumed_id: str = ""
 
+    @property
+    def stream_id(self) -> str:
+        """Id of the try that began the stream: this one, or that which it takes up."""
+        return self.resumed_id if self.resume_after else self.request_id
+
     @property
     def path(self) -> str:
         """The path without its query."""
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -17,6 +17,7 @@
 from kingcuphead.loads import PeerLoads
 from kingcuphead.platform import PlatformHeaders
 from kingcuphead.quarantine import QuarantineExchange, QuarantineSettings
+from kingcuphead.resumption import ResumptionExchange, ServedVersion
 from kingcuphead.routing import (
     CallerLimits,
     Organisation,
@@ -139,6 +140,15 @@
             self.broadcasts.append,
             lambda message: None,
         )
+        self.resumption = ResumptionExchange(
+            CommittingTable(),
+            lambda: [
+                ServedVersion(target.service, target.software_version)
+                for target in self.directory.list_all()
+            ],
+            self.broadcasts.append,
+            self.broadcasts.append,
+        )
         self.forwarder = RequestForwarder(
             Dependencies(
                 self.directory,
@@ -147,6 +157,7 @@
                 credit,
                 AttemptRunner(self.pool, PlatformHeaders()),
                 self.quarantine,
+                self.resumption,
                 self.handle_leaving,
             ),
             random.Random(1),
--- a/kingcuphead/forwarding/tests/test_versions.py
+++ b/kingcuphead/forwarding/tests/test_versions.py
@@ -1,5 +1,7 @@
 import dataclasses
 
+import pytest
+
 from kingcuphead.forwarding.tests._harness import (
     IDEMPOTENT,
     STREAM,
@@ -8,6 +10,8 @@
     run,
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
+from kingcuphead.resumption import BegunStream, StreamOrigin
+from kingcuphead.verdict import Reason
 
 
 def upgrade(harness, target):
@@ -18,6 +22,62 @@
             list(harness.directory.put(newer))
 
 
+class TestStreamThatACallerTakesUp:
+    @pytest.mark.parametrize("begun_at", ["t1", "t2"])
+    def test_it_goes_on_at_the_version_that_began_it(self, begun_at):
+        async def scenario(harness):
+            upgrade(harness, harness.second)
+            await harness.resumption.synchronise()
+            versions = {"t1": "v1", "t2": "v2"}
+            stream = BegunStream("r0", "pool", versions[begun_at])
+            harness.resumption.record_start(stream)
+            targets = {"t1": harness.first, "t2": harness.second}
+            target = targets[begun_at]
+            target.script = [target.stream([3, 4])]
+            request = make_request(STREAM, resumed_id="r0", resume_after=2)
+            caller, _ = await harness.serve(request)
+            assert (caller.body.count(b"id:"), caller.end) == (2, "finished")
+            assert target.received[0].get_header("Last-Event-Id") == "2"
+
+        run([make_route(STREAM, resumable=True)], scenario)
+
+    @pytest.mark.parametrize("resumed_id", ["r0", ""])
+    def test_it_is_refused_as_not_run_if_nobody_knows_its_origin(self, resumed_id):
+        async def scenario(harness):
+            upgrade(harness, harness.second)
+            await harness.resumption.synchronise()
+            request = make_request(STREAM, resumed_id=resumed_id, resume_after=2)
+            _, refusal = await harness.serve(request)
+            assert (refusal.status, refusal.reason) == (503, Reason.STREAM_UNKNOWN)
+            assert refusal.retry_after
+            assert not harness.first.received
+            assert not harness.second.received
+
+        run([make_route(STREAM, resumable=True)], scenario)
+
+    def test_it_is_refused_with_a_time_if_no_target_of_its_version_is_left(self):
+        async def scenario(harness):
+            harness.resumption.record_start(BegunStream("r0", "pool", "v0"))
+            request = make_request(STREAM, resumed_id="r0", resume_after=2)
+            _, refusal = await harness.serve(request)
+            assert (refusal.status, refusal.reason) == (503, Reason.NO_TARGET)
+            assert refusal.retry_after
+
+        run([make_route(STREAM, resumable=True)], scenario)
+
+    def test_a_stream_that_goes_on_keeps_the_id_of_its_first_try(self):
+        async def scenario(harness):
+            await harness.resumption.synchronise()
+            harness.first.script = [harness.first.stream([3, 4])]
+            request = make_request(STREAM, resumed_id="r0", resume_after=2)
+            await harness.serve(request)
+            upgrade(harness, harness.second)
+            origin = await harness.resumption.find_origin("r0", ["pool"])
+            assert origin == StreamOrigin("v1", "pool")
+
+        run([make_route(STREAM, resumable=True)], scenario)
+
+
 class TestStreamWithinOneAnswer:
     def test_a_stream_is_not_resumed_at_another_version(self):
         async def scenario(harness):
--- /dev/null
+++ b/kingcuphead/resumption/__init__.py
@@ -0,0 +1,26 @@
+"""Which software version began a stream that a caller takes up again."""
+
+from kingcuphead.resumption._exchange import ResumptionExchange
+from kingcuphead.resumption._history import VersionHistory
+from kingcuphead.resumption._messages import (
+    BegunStream,
+    ResumptionMessage,
+    ServedVersion,
+    StreamAsked,
+    StreamOrigin,
+    StreamsBegan,
+)
+from kingcuphead.resumption._registry import STREAM_LIFETIME, StreamRegistry
+
+__all__ = [
+    "STREAM_LIFETIME",
+    "BegunStream",
+    "ResumptionExchange",
+    "ResumptionMessage",
+    "ServedVersion",
+    "StreamAsked",
+    "StreamOrigin",
+    "StreamRegistry",
+    "StreamsBegan",
+    "VersionHistory",
+]
--- /dev/null
+++ b/kingcuphead/resumption/_history.py
@@ -0,0 +1,55 @@
+"""The software versions that may have begun a stream that a caller takes up."""
+
+from collections.abc import Iterable, Iterator
+
+from kingcuphead.resumption._messages import ServedVersion
+from kingcuphead.resumption._registry import STREAM_LIFETIME
+
+
+class VersionHistory:
+    """Remembers when each software version of a service was last seen; does no I/O.
+
+    What served before this daemon started is known from the store. Until that was
+    read, the history is incomplete.
+    """
+
+    def __init__(self) -> None:
+        self._seen_at: dict[ServedVersion, float] = {}
+        #: Whether versions that only earlier daemons saw are included.
+        self.is_complete = False
+
+    def observe(self, versions: Iterable[ServedVersion], now: float) -> None:
+        """Record versions that serve now."""
+        for version in versions:
+            self._seen_at[version] = now
+
+    def load(self, versions: Iterable[ServedVersion], now: float) -> None:
+        """Include versions that other daemons have seen, as if they served now."""
+        if self.is_complete:
+            return
+        self.is_complete = True
+        for version in versions:
+            self._seen_at.setdefault(version, now)
+
+    def list_recent(self, now: float) -> Iterator[ServedVersion]:
+        """Yield the versions whose streams callers may still take up."""
+        for version, seen_at in self._seen_at.items():
+            if now - seen_at <= STREAM_LIFETIME:
+                yield version
+
+    def list_versions(self, services: Iterable[str], now: float) -> frozenset[str]:
+        """Return the versions of some services that may have begun a stream."""
+        names = frozenset(services)
+        return frozenset(
+            version.software_version
+            for version in self.list_recent(now)
+            if version.service in names
+        )
+
+    def find_only_version(self, services: Iterable[str], now: float) -> str | None:
+        """Return the version of some services if there was certainly just one."""
+        versions = self.list_versions(services, now)
+        if not self.is_complete or len(versions) != 1:
+            return None
+        (only,) = versions
+        return only
--- /dev/null
+++ b/kingcuphead/resumption/_messages.py
@@ -0,0 +1,56 @@
+"""What daemons tell each other about streams that have begun."""
+
+import dataclasses
+from typing import TypeAlias
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class BegunStream:
+    """A stream of which a caller has the first event."""
+
+    #: Id of the try that brought the first event.
+    request_id: str
+    #: Service of the target that made it; `service` alone is a keyword of Thrift.
+    service_name: str
+    #: Version of that target's software.
+    software_version: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamsBegan:
+    """Streams that began at the sender, or the answer to `StreamAsked`."""
+
+    #: The streams.
+    streams: tuple[BegunStream, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamAsked:
+    """Asks for the origin of a stream; daemons that don't know it don't answer."""
+
+    #: Id of the try that brought the first event.
+    request_id: str
+
+
+#: Messages that the daemons of a fleet exchange.
+ResumptionMessage: TypeAlias = StreamsBegan | StreamAsked
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StreamOrigin:
+    """Where a stream has to go on."""
+
+    #: Version of the software that made its events.
+    software_version: str
+    #: Service that began it; None if only the version is certain.
+    service: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServedVersion:
+    """A software version of a service."""
+
+    #: Name of the service.
+    service: str
+    #: Version of its targets' software.
+    software_version: str
--- /dev/null
+++ b/kingcuphead/resumption/tests/test_exchange.py
@@ -0,0 +1,207 @@
+import asyncio
+
+import pytest
+from expression import Error, Ok
+
+from kingcuphead.resumption import (
+    BegunStream,
+    ResumptionExchange,
+    ServedVersion,
+    StreamAsked,
+    StreamOrigin,
+    StreamsBegan,
+)
+from kingcuphead.resumption._exchange import ANNOUNCEMENT_DELAY
+from kingcuphead.storage import Committed, Delete, PlatformFault, Row, RowSnapshot
+
+V1, V2 = ServedVersion("pool", "v1"), ServedVersion("pool", "v2")
+STREAM = BegunStream("r1", "pool", "v1")
+
+
+class VersionRows:
+    """The rows that all daemons see; calls fail while the store is down."""
+
+    def __init__(self):
+        self.rows = {}
+        self.is_down = False
+
+    async def read_prefix(self, prefix):
+        if self.is_down:
+            return Error(PlatformFault("read", "down"))
+        rows = (Row(key, 1, value) for key, value in sorted(self.rows.items()))
+        return Ok(RowSnapshot(tuple(rows), 1))
+
+    async def commit(self, transaction):
+        for write in transaction.writes:
+            if isinstance(write, Delete):
+                self.rows.pop(write.key, None)
+            else:
+                self.rows[write.key] = write.value
+        return Committed(1)
+
+    def estimate_time(self):
+        return 1
+
+    def bound_time(self, moment):
+        return 1
+
+
+class Network:
+    """Daemons that hear each other at once, unless they were killed."""
+
+    def __init__(self):
+        self.table = VersionRows()
+        self.versions = [V1]
+        self.sent = []
+        self.exchanges = {}
+
+    async def start(self, name):
+        def broadcast(message):
+            self.sent.append(message)
+            for other in [each for each in self.exchanges if each != name]:
+                self.exchanges[other].handle_message(
+                    message, lambda reply: exchange.handle_message(reply, broadcast)
+                )
+
+        exchange = ResumptionExchange(
+            self.table, lambda: self.versions, broadcast, broadcast
+        )
+        self.exchanges[name] = exchange
+        await exchange.synchronise()
+        return exchange
+
+
+def run(scenario):
+    async def main():
+        async with asyncio.timeout(10):
+            await scenario(Network())
+
+    asyncio.run(main())
+
+
+class TestOneVersion:
+    def test_nothing_is_sent(self):
+        async def scenario(network):
+            daemon = await network.start("a")
+            daemon.record_start(STREAM)
+            await asyncio.sleep(2 * ANNOUNCEMENT_DELAY)
+            assert network.sent == []
+
+        run(scenario)
+
+    @pytest.mark.parametrize("request_id", ["unknown", ""])
+    def test_a_stream_of_unknown_origin_can_only_have_begun_there(self, request_id):
+        async def scenario(network):
+            daemon = await network.start("a")
+            origin = await daemon.find_origin(request_id, ["pool"])
+            assert origin == StreamOrigin("v1")
+            assert network.sent == []
+
+        run(scenario)
+
+    def test_new_daemons_know_the_versions_before_their_time(self):
+        async def scenario(network):
+            await network.start("a")
+            network.versions = [V2]
+            network.exchanges.clear()
+            daemon = await network.start("b")
+            assert await daemon.find_origin("r1", ["pool"]) is None
+
+        run(scenario)
+
+    def test_new_daemons_are_not_certain_before_they_read_the_table(self):
+        async def scenario(network):
+            network.table.is_down = True
+            daemon = await network.start("a")
+            assert await daemon.find_origin("r1", ["pool"]) is None
+            network.table.is_down = False
+            await daemon.synchronise()
+            assert await daemon.find_origin("r1", ["pool"]) == StreamOrigin("v1")
+
+        run(scenario)
+
+
+class TestSeveralVersions:
+    def test_another_daemon_is_asked(self):
+        async def scenario(network):
+            first, second = await network.start("a"), await network.start("b")
+            first.record_start(STREAM)
+            network.versions = [V1, V2]
+            origin = await second.find_origin("r1", ["pool"])
+            assert origin == StreamOrigin("v1", "pool")
+            assert network.sent[0] == StreamAsked("r1")
+
+        run(scenario)
+
+    @pytest.mark.parametrize("is_begun_before", [True, False])
+    def test_the_others_know_the_streams_of_a_daemon_that_was_killed(
+        self, is_begun_before
+    ):
+        """Also those that began before the second version came."""
+
+        async def scenario(network):
+            first, second = await network.start("a"), await network.start("b")
+            if is_begun_before:
+                first.record_start(STREAM)
+                network.versions = [V1, V2]
+                task = asyncio.create_task(first.run())
+            else:
+                network.versions = [V1, V2]
+                task = asyncio.create_task(first.run())
+                await asyncio.sleep(0)
+                first.record_start(STREAM)
+            await asyncio.sleep(3 * ANNOUNCEMENT_DELAY)
+            task.cancel()
+            del network.exchanges["a"]
+            network.sent.clear()
+            origin = await second.find_origin("r1", ["pool"])
+            assert origin == StreamOrigin("v1", "pool")
+            assert network.sent == []
+
+        run(scenario)
+
+    def test_a_stream_that_nobody_knows_has_no_origin(self):
+        async def scenario(network):
+            network.versions = [V1, V2]
+            daemon = await network.start("a")
+            assert await daemon.find_origin("r1", ["pool"]) is None
+            assert network.sent == [StreamAsked("r1")] * 3
+
+        run(scenario)
+
+    def test_streams_are_announced_together(self):
+        async def scenario(network):
+            network.versions = [V1, V2]
+            daemon = await network.start("a")
+            streams = tuple(BegunStream(f"r{n}", "pool", "v1") for n in range(30))
+            for stream in streams:
+                daemon.record_start(stream)
+            await asyncio.sleep(3 * ANNOUNCEMENT_DELAY)
+            assert network.sent == [StreamsBegan(streams)]
+
+        run(scenario)
+
+
+class TestTable:
+    def test_a_version_is_stored_once_and_removed_after_its_streams(self, monkeypatch):
+        async def scenario(network):
+            daemon = await network.start("a")
+            assert len(network.table.rows) == 1
+            monkeypatch.setattr("kingcuphead.resumption._history.STREAM_LIFETIME", 0.05)
+            network.versions = [V2]
+            await asyncio.sleep(0.1)
+            await daemon.find_origin("r1", ["pool"])
+            await daemon.synchronise()
+            assert len(network.table.rows) == 1
+            assert b"v2" in next(iter(network.table.rows.values()))
+
+        run(scenario)
+
+    @pytest.mark.parametrize("value", [b"", b"{}", b'{"service":1}', b"\xff"])
+    def test_a_malformed_row_is_left_out(self, value):
+        async def scenario(network):
+            network.table.rows["k"] = value
+            daemon = await network.start("a")
+            assert await daemon.find_origin("r1", ["pool"]) == StreamOrigin("v1")
+
+        run(scenario)
--- a/kingcuphead/routing/_table.py
+++ b/kingcuphead/routing/_table.py
@@ -42,6 +42,13 @@
                 return route
         return None
 
+    def get_tokens_per_event(self, service: str) -> int:
+        """Return the output tokens in one event of a service's streams."""
+        profile = self.configuration.services.get(service)
+        if profile is None or profile.engine is None:
+            return 1
+        return profile.engine.tokens_per_event
+
     def find_organisation(self, key: str) -> Organisation | None:
         """Return the organisation of an API key, or None if the key is unknown."""
         name = self.configuration.keys.get(key)
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -125,6 +125,10 @@
             dataclasses.replace(current, availability=Availability.DRAINING)
         )
 
+    def list_all(self) -> tuple[Target, ...]:
+        """Return the targets that have an entry, usable or not."""
+        return tuple(self._targets.values())
+
     def list_leaving(self) -> tuple[Target, ...]:
         """Return the targets that have an entry and are leaving."""
         return tuple(
--- a/kingcuphead/verdict/_verdict.py
+++ b/kingcuphead/verdict/_verdict.py
@@ -34,6 +34,7 @@
     DEADLINE = "deadline"
     NO_TARGET = "no_target"
     QUARANTINED = "quarantined"
+    STREAM_UNKNOWN = "stream_unknown"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
     ALREADY_CLAIMED = "already_claimed"
     CONFIGURATION_STALE = "configuration_stale"
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -220,6 +220,20 @@
   1: list<FingerprintQuarantined> entries
 }
 
+struct BegunStream {
+  1: string request_id
+  2: string service_name
+  3: string software_version
+}
+
+struct StreamsBegan {
+  1: list<BegunStream> streams
+}
+
+struct StreamAsked {
+  1: string request_id
+}
+
 union Datagram {
   1: LoadsReported loads_reported
   2: CreditAsked credit_asked
@@ -227,6 +241,8 @@
   4: CrashReported crash_reported
   5: SuspicionCleared suspicion_cleared
   6: QuarantineReported quarantine_reported
+  7: StreamsBegan streams_began
+  8: StreamAsked stream_asked
 }
 
 union PeerMessage {
