Don't suspect a request that was answered within the last minute

What callers would have seen: a popular request, sent by many callers of one organisation with the same path and body, refused by every daemon for an hour because three targets happened to crash under it one after the other.

Cause: only the crashes since the last complete answer counted, however many answers there had been shortly before.

Evidence: test_versions.py failed once in three runs, since its streams had one fingerprint and it crashes targets itself; traced to the quarantine by the statuses of the later streams. The new tests of `TestRequestsThatAreAnsweredToo` need the change.

Why this works: each daemon remembers the last 4,096 answered fingerprints for a minute. It doesn't count crashes under them, and answers a peer's report of one with the message that clears it, which the reporter passes on. A request that crashes each target that runs it is never answered.

Ruled out: a shorter quarantine, which would let a request that does crash targets crash one more each time.

--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -143,21 +143,21 @@
         await self._peers.deregister()
 
     def _handle_datagram(self, message: Datagram, sender: Address) -> None:
+        def reply(answer: Datagram) -> None:
+            self._datagrams.send(answer, sender)
+
         match message:
             case LoadsReported():
                 self._loads.handle_report(message)
             case CreditAsked():
                 now = asyncio.get_running_loop().time()
-                reply = self._transfer_endpoint.handle_request(message, now)
-                self._datagrams.send(reply, sender)
+                reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
                 self._transfer_client.handle_reply(message)
             case CrashReported() | SuspicionCleared() | QuarantineReported():
-                self.quarantine.handle_message(message)
+                self.quarantine.handle_message(message, reply)
             case StreamsBegan() | StreamAsked():
-                self.resumption.handle_message(
-                    message, lambda reply: self._datagrams.send(reply, sender)
-                )
+                self.resumption.handle_message(message, reply)
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
--- a/kingcuphead/forwarding/tests/test_quarantine.py
+++ b/kingcuphead/forwarding/tests/test_quarantine.py
@@ -22,7 +22,7 @@
     fingerprint = fingerprint_request(request, "atelier")
     for number in range(count):
         crash = CrashReported(fingerprint, f"other-{number}@1")
-        harness.quarantine.handle_message(crash)
+        harness.quarantine.handle_message(crash, harness.broadcasts.append)
     return fingerprint
 
 
--- a/kingcuphead/quarantine/_exchange.py
+++ b/kingcuphead/quarantine/_exchange.py
@@ -8,6 +8,7 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.quarantine._answers import AnsweredRequests
 from kingcuphead.quarantine._messages import (
     Crash,
     CrashReported,
@@ -67,6 +68,7 @@
     ) -> None:
         self._settings = settings
         self._quarantine = Quarantine(settings)
+        self._answers = AnsweredRequests()
         self._table = table
         self._broadcast = broadcast
         self._gossip = gossip
@@ -96,29 +98,41 @@
         running_seconds
             Seconds since the first event of the answer; 0 if there was none.
         """
-        is_early = running_seconds < self._settings.early_phase
+        now = self._get_time()
+        is_answered = self._answers.is_recent(fingerprint, now)
         logger.bind(fingerprint=fingerprint, target=target).info(
-            "target lost under a request"
+            "target lost under a request{}",
+            " that was answered lately" if is_answered else "",
         )
+        if is_answered:
+            return
+        is_early = running_seconds < self._settings.early_phase
         crash = Crash(fingerprint, target, is_early)
-        self._publish(self._quarantine.record_crash(crash, self._get_time()))
+        self._publish(self._quarantine.record_crash(crash, now))
 
     def record_success(self, fingerprint: str) -> None:
         """Record a complete answer of a target."""
+        self._answers.record(fingerprint, self._get_time())
         if self._quarantine.is_suspect(fingerprint):
             self._quarantine.clear_suspicion(fingerprint)
             self._broadcast(SuspicionCleared(fingerprint))
 
-    def handle_message(self, message: QuarantineMessage) -> None:
-        """Apply a message of another daemon."""
+    def handle_message(
+        self, message: QuarantineMessage, reply: Callable[[QuarantineMessage], None]
+    ) -> None:
+        """Apply a message of another daemon; `reply` sends an answer to it."""
         now = self._get_time()
         match message:
+            case CrashReported(fingerprint) if self._answers.is_recent(
+                fingerprint, now
+            ):
+                reply(SuspicionCleared(fingerprint))
             case CrashReported(fingerprint, target):
                 self._publish(
                     self._quarantine.apply_peer_crash(fingerprint, target, now)
                 )
             case SuspicionCleared(fingerprint):
-                self._quarantine.clear_suspicion(fingerprint)
+                self._clear_suspicion(fingerprint)
             case QuarantineReported(entries):
                 self._apply_entries(entries)
 
@@ -134,6 +148,13 @@
                     await self._unsaved.wait()
             self.report()
 
+    def _clear_suspicion(self, fingerprint: str) -> None:
+        """Clear a suspicion for another daemon, and where this one had spread it."""
+        has_spread = self._quarantine.has_own_crash(fingerprint)
+        self._quarantine.clear_suspicion(fingerprint)
+        if has_spread and not self._quarantine.has_own_crash(fingerprint):
+            self._broadcast(SuspicionCleared(fingerprint))
+
     def _publish(self, effects: Iterable[QuarantineEffect]) -> None:
         for effect in effects:
             match effect:
--- a/kingcuphead/quarantine/_quarantine.py
+++ b/kingcuphead/quarantine/_quarantine.py
@@ -95,6 +95,11 @@
             return True
         return any(fingerprint in crash.late for crash in self._pending.values())
 
+    def has_own_crash(self, fingerprint: str) -> bool:
+        """Return whether this daemon saw a crash attributed to a fingerprint."""
+        suspicion = self._suspicions.get(fingerprint)
+        return suspicion is not None and suspicion.has_own_crash
+
     def describe(self, now: float) -> tuple[QuarantineEntry, ...]:
         """Return the quarantined fingerprints for operators."""
         return tuple(
--- a/kingcuphead/quarantine/tests/test_exchange.py
+++ b/kingcuphead/quarantine/tests/test_exchange.py
@@ -14,6 +14,11 @@
     QuarantineSettings,
     SuspicionCleared,
 )
+from kingcuphead.quarantine._answers import (
+    ANSWER_LIFETIME,
+    MAX_ANSWERED,
+    AnsweredRequests,
+)
 from kingcuphead.storage import (
     Committed,
     Delete,
@@ -59,6 +64,10 @@
         return None if self.is_down else int(self.clock.now * 1_000)
 
 
+def ignore(message):
+    """Drop a reply."""
+
+
 class Daemon:
     """One exchange whose messages are recorded."""
 
@@ -75,6 +84,9 @@
     def crash(self, target, fingerprint="f"):
         self.exchange.record_crash(fingerprint, target, running_seconds=0.0)
 
+    def handle(self, message):
+        self.exchange.handle_message(message, ignore)
+
     @property
     def is_quarantined(self):
         return self.exchange.get_remaining("f") > 0
@@ -109,28 +121,28 @@
         daemon.exchange.record_success("f")
         assert daemon.sent[1:] == [SuspicionCleared("f")]
         daemon.crash("t2")
-        daemon.exchange.handle_message(CrashReported("f", "t3"))
-        daemon.exchange.handle_message(SuspicionCleared("f"))
+        daemon.handle(CrashReported("f", "t3"))
+        daemon.handle(SuspicionCleared("f"))
         daemon.crash("t4")
         assert not daemon.is_quarantined
 
     def test_the_last_of_three_crashes_counts_wherever_it_happens(self, daemon):
         daemon.crash("t1")
-        daemon.exchange.handle_message(CrashReported("f", "t2"))
-        daemon.exchange.handle_message(CrashReported("f", "t3"))
+        daemon.handle(CrashReported("f", "t2"))
+        daemon.handle(CrashReported("f", "t3"))
         assert daemon.is_quarantined
         assert isinstance(daemon.sent[-1], QuarantineReported)
 
     def test_a_daemon_without_a_crash_of_its_own_announces_none(self, daemon):
         for number in range(3):
-            daemon.exchange.handle_message(CrashReported("f", f"t{number}"))
+            daemon.handle(CrashReported("f", f"t{number}"))
         assert daemon.is_quarantined
         assert daemon.sent == []
 
     def test_all_quarantined_fingerprints_are_reported_again(self, daemon):
         for number in range(100):
             entry = FingerprintQuarantined(f"f{number}", 50.0)
-            daemon.exchange.handle_message(QuarantineReported((entry,)))
+            daemon.handle(QuarantineReported((entry,)))
         daemon.exchange.report()
         reported = {
             entry.fingerprint for message in daemon.sent for entry in message.entries
@@ -138,6 +150,42 @@
         assert len(reported) == 100
 
 
+class TestRequestsThatAreAnsweredToo:
+    """Guards against refusing a popular request because its targets happen to crash."""
+
+    def test_a_request_that_was_answered_lately_is_not_suspected(self, clock, daemon):
+        daemon.exchange.record_success("f")
+        clock.now += ANSWER_LIFETIME - 1.0
+        for number in range(3):
+            daemon.crash(f"t{number}")
+        assert not daemon.is_quarantined
+        assert daemon.sent == []
+
+    def test_it_is_suspected_after_a_while_without_an_answer(self, clock, daemon):
+        daemon.exchange.record_success("f")
+        clock.now += ANSWER_LIFETIME + 1.0
+        for number in range(3):
+            daemon.crash(f"t{number}")
+        assert daemon.is_quarantined
+
+    def test_daemons_that_answered_it_tell_the_others(self, clock, table, daemon):
+        other = Daemon(clock, table)
+        other.exchange.record_success("f")
+        for number in range(3):
+            daemon.crash(f"t{number}")
+            report = daemon.sent.pop()
+            other.exchange.handle_message(report, daemon.handle)
+            assert daemon.sent.pop() == SuspicionCleared("f")
+        assert not daemon.is_quarantined
+
+    def test_memory_of_answers_is_bounded(self):
+        answers = AnsweredRequests()
+        for number in range(MAX_ANSWERED + 1):
+            answers.record(f"f{number}", 0.0)
+        assert not answers.is_recent("f0", 0.0)
+        assert answers.is_recent(f"f{MAX_ANSWERED}", 0.0)
+
+
 class TestTable:
     def synchronise(self, daemon):
         asyncio.run(daemon.exchange.synchronise())
@@ -257,7 +305,7 @@
         self.in_flight = [each for each in self.in_flight if each[0] > now]
         for _, sender, receiver, message in arrived:
             if max(self.cut_until[sender], self.cut_until[receiver]) <= now:
-                self.daemons[receiver].exchange.handle_message(message)
+                self.daemons[receiver].handle(message)
 
     def _send_crashing_request(self):
         now = self.clock.now
