Copy KV cache only between targets of one software version

A request that was moved away from the preferred target of its prefix was told to copy the prefix from there, also if that target ran another version. Nobody has reported harm from it.

Ruled out: a preferred target for each version; hardly any request reaches the second one, so its cache would be assumed to hold what it doesn't.

Figures: the new test fails before (a target of v2 copies from one of v1) and passes; the other tests of dispatch pass unchanged.

Conclusion: a target copies from the preferred one or, if that has another version, from one of its own to which this daemon has sent the prefix; else it processes the whole prompt, and that is what its cost counts.

--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -180,8 +180,9 @@
         """Return which tokens the target would process and which it would copy.
 
         The preferred target is assumed to have the shared prefix cached; any other
-        target copies its KV cache from there. A preferred target to which this daemon
-        has not sent the prefix copies from a target to which it has.
+        target copies its KV cache from there. A target that can't, because it is the
+        preferred one itself or has another software version, copies from a target to
+        which this daemon has sent the prefix, if there is one of its own version.
         """
         cached = self._get_state(target).count_cached_tokens(request, now)
         shared = request.shared_tokens
@@ -189,12 +190,27 @@
         prefill = request.prompt_tokens - (shared if is_preferred else cached)
         if shared - cached < self._settings.min_copied_tokens:
             return PrefillPlan(prefill)
-        if not is_preferred:
-            return PrefillPlan(
-                request.prompt_tokens - shared, shared - cached, ranked[0]
-            )
-        others = (each for each in ranked[1:] if self._has_prefix(each, request, now))
-        return PrefillPlan(prefill, 0, next(others, None))
+        if not is_preferred and _is_same_version(ranked[0], target):
+            source: Target | None = ranked[0]
+        else:
+            source = self._find_source(request, target, ranked, now)
+        if is_preferred or source is None:
+            return PrefillPlan(prefill, 0, source)
+        return PrefillPlan(request.prompt_tokens - shared, shared - cached, source)
+
+    def _find_source(
+        self,
+        request: PlacementRequest,
+        target: Target,
+        ranked: list[Target],
+        now: float,
+    ) -> Target | None:
+        """Return a target that has the shared prefix and can copy it to another."""
+        for each in ranked:
+            is_source = each is not target and _is_same_version(each, target)
+            if is_source and self._has_prefix(each, request, now):
+                return each
+        return None
 
     def _has_prefix(
         self, target: Target, request: PlacementRequest, now: float
@@ -251,6 +267,11 @@
         return state
 
 
+def _is_same_version(first: Target, second: Target) -> bool:
+    """Return whether one target can use what the other has written."""
+    return first.software_version == second.software_version
+
+
 def _score(key: str, name: str) -> bytes:
     """Return the rendezvous score of a target for a prefix key."""
     return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- a/kingcuphead/dispatch/tests/test_dispatch.py
+++ b/kingcuphead/dispatch/tests/test_dispatch.py
@@ -103,6 +103,26 @@
             if not placement.is_preferred:
                 return placement
 
+    def test_nothing_is_copied_from_a_target_of_another_version(self):
+        """What two software versions write does not fit together."""
+        first = make_dispatcher().place(make_request(), TARGETS, (), 0.0).target
+        targets = tuple(
+            dataclasses.replace(each, software_version="v1" if each == first else "v2")
+            for each in TARGETS
+        )
+        dispatcher = make_dispatcher()
+        placements = [
+            dispatcher.place(make_request(own=7_000), targets, (), 0.0)
+            for _ in range(20)
+        ]
+        moved = [each for each in placements if not each.is_preferred]
+        assert moved
+        for placement in moved:
+            source = placement.prefill.source
+            version = placement.target.software_version
+            assert source is None or source.software_version == version
+        assert moved[0].prefill.prefill_tokens == 12_000
+
     def test_another_target_copies_the_shared_prefix_from_the_preferred_one(self):
         dispatcher = make_dispatcher()
         preferred = dispatcher.place(make_request(own=7_000), TARGETS, (), 0.0).target
