Report the quarantine while the store doesn't answer

Cause: one loop reported to other daemons and called the store, so a call that got no answer held the reports back for the two seconds of its timeout.

Ruled out: a shorter timeout of the store for this one table.

Conclusion: two tasks, one for reports and one for the table.

--- a/kingcuphead/quarantine/_exchange.py
+++ b/kingcuphead/quarantine/_exchange.py
@@ -138,15 +138,21 @@
 
     async def run(self) -> None:
         """Report and save the quarantine until cancelled."""
-        read_at = self._get_time()
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._report_repeatedly())
+            tasks.create_task(self._synchronise_repeatedly())
+
+    async def _report_repeatedly(self) -> None:
         while True:
-            if self.is_unsaved or self._get_time() >= read_at:
-                read_at = self._get_time() + READ_INTERVAL
-                await self.synchronise()
+            await asyncio.sleep(REPORT_INTERVAL)
+            self.report()
+
+    async def _synchronise_repeatedly(self) -> None:
+        while True:
+            await self.synchronise()
             with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(REPORT_INTERVAL):
+                async with asyncio.timeout(READ_INTERVAL):
                     await self._unsaved.wait()
-            self.report()
 
     def _clear_suspicion(self, fingerprint: str) -> None:
         """Clear a suspicion for another daemon, and where this one had spread it."""
