Trust only a current view of the versions that serve

What callers could have seen: streams of two versions after all, at a daemon that was cut from the store while a release began: it knew one version, took that for certain, and let a stream that had begun at a newer one go on there.

A daemon that saw one version of a service didn't ask others, however old its view was, and read the version table once only.

Ruled out: asking others for 0.3 s in every case; with one version here and a current view a single question and 50 ms do, since only a daemon that began the stream at a newer version could object.

Why this works: a view counts as certain if the feed of entries was answered within 1.5 s, on a clock that counts suspension, and the version table was read after the last failed call; rows read after a gap count as serving until then. Otherwise a stream that nobody knows is refused.

--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Coroutine, Iterator
+from collections.abc import Coroutine
 from typing import Any
 
 from kingcuphead.credit import (
@@ -28,7 +28,6 @@
 )
 from kingcuphead.resumption import (
     ResumptionExchange,
-    ServedVersion,
     StreamAsked,
     StreamsBegan,
 )
@@ -116,7 +115,7 @@
         #: Knows the software versions that began streams.
         self.resumption = ResumptionExchange(
             StoreTable(store, VERSIONS_TABLE, VERSIONS_PART),
-            lambda: _list_versions(directory),
+            directory,
             self._sender.broadcast,
             self._sender.gossip,
         )
@@ -164,8 +163,3 @@
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
-
-
-def _list_versions(directory: TargetDirectory) -> Iterator[ServedVersion]:
-    for target in directory.list_all():
-        yield ServedVersion(target.service, target.software_version)
--- a/kingcuphead/entry/_table_listeners.py
+++ b/kingcuphead/entry/_table_listeners.py
@@ -88,10 +88,12 @@
     def apply_snapshot(self, rows: Iterable[Row]) -> None:
         """Apply the complete contents of the table."""
         targets = _decode_targets((row.key, row.value) for row in rows)
+        self._directory.record_read()
         self._publish(self._directory.replace_all(targets, time.monotonic()))
 
     def apply_changes(self, changes: Iterable[Change]) -> None:
         """Apply changes in the order in which they were committed."""
+        self._directory.record_read()
         for change in changes:
             if change.value is None:
                 self._publish(self._directory.remove(change.key, time.monotonic()))
--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+import os
 
 from tornado.httpclient import AsyncHTTPClient
 from tornado.testing import bind_unused_port
@@ -17,6 +18,8 @@
 )
 from kingcuphead.platform.tests._table_store import TableStore
 
+#: Loopback network of this process, so that two test runs don't meet.
+NETWORK = f"127.{16 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
 #: Port of every daemon for callers; each daemon has an address of its own.
 CALLER_PORT = 21_801
 READINESS_PORT = 21_802
@@ -26,7 +29,7 @@
 
 
 def make_profile(number, store_port):
-    ip = f"127.0.1.{number}"
+    ip = f"{NETWORK}.{number}"
     return Profile(
         instance=f"d{number}",
         zone="z",
@@ -125,7 +128,7 @@
         Returns the status of the answer, or 0 if the daemon sent none.
         """
         headers = make_caller_headers(self._make_request_id())
-        url = f"http://127.0.1.{number}:{CALLER_PORT}/r/1"
+        url = f"http://{NETWORK}.{number}:{CALLER_PORT}/r/1"
         try:
             answer = await AsyncHTTPClient().fetch(
                 url, method="POST", headers=headers, body=body, raise_error=False
@@ -154,7 +157,9 @@
         # All tries of one stream have the same path.
         start_line = f"POST /r/{resumed or request_id} HTTP/1.1"
         lines = [start_line, *(f"{k}: {v}" for k, v in headers.items())]
-        reader, writer = await asyncio.open_connection(f"127.0.1.{number}", CALLER_PORT)
+        reader, writer = await asyncio.open_connection(
+            f"{NETWORK}.{number}", CALLER_PORT
+        )
         writer.write("\r\n".join([*lines, "Content-Length: 0", "", ""]).encode())
         try:
             return await _read_part(reader, request_id, count)
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -17,7 +17,7 @@
 from kingcuphead.loads import PeerLoads
 from kingcuphead.platform import PlatformHeaders
 from kingcuphead.quarantine import QuarantineExchange, QuarantineSettings
-from kingcuphead.resumption import ResumptionExchange, ServedVersion
+from kingcuphead.resumption import ResumptionExchange
 from kingcuphead.routing import (
     CallerLimits,
     Organisation,
@@ -122,6 +122,7 @@
 
     async def __aenter__(self):
         self.directory = TargetDirectory()
+        self.directory.record_read()
         for target in (self.first, self.second):
             list(self.directory.put(await target.start()))
         self.pool = ConnectionPool()
@@ -142,10 +143,7 @@
         )
         self.resumption = ResumptionExchange(
             CommittingTable(),
-            lambda: [
-                ServedVersion(target.service, target.software_version)
-                for target in self.directory.list_all()
-            ],
+            self.directory,
             self.broadcasts.append,
             self.broadcasts.append,
         )
--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections import deque
 from collections.abc import Callable, Collection, Iterable
+from typing import Protocol
 
 from expression import Result
 from loguru import logger
@@ -20,6 +21,7 @@
 from kingcuphead.resumption._registry import StreamRegistry
 from kingcuphead.resumption._rows import decode_rows, encode_row, make_key
 from kingcuphead.storage import Check, Delete, RowSnapshot, TablePart, Transaction
+from kingcuphead.targets import Target
 
 #: Seconds for which begun streams are collected before other daemons are told.
 ANNOUNCEMENT_DELAY = 0.02
@@ -31,25 +33,48 @@
 ASK_INTERVAL = 0.1
 #: Number of questions after which a stream counts as unknown.
 MAX_QUESTIONS = 3
+#: Seconds to wait for an answer if the service has one version here. Only a daemon that
+#: knows of a newer one could object.
+OBJECTION_TIMEOUT = 0.05
+#: Age in seconds from which on the view of the targets may lack a version. The store
+#: answers the feed of entries at least once a second.
+MAX_VIEW_AGE = 1.5
 #: Seconds between two comparisons of the version table with what this daemon saw.
 SYNCHRONISATION_INTERVAL = 30.0
 #: Seconds before a comparison that failed is repeated.
 RETRY_DELAY = 0.5
 
 
+class TargetView(Protocol):
+    """What a daemon knows of targets, and since when."""
+
+    @property
+    def store_failed_at(self) -> float:
+        """Start of the last call to the store that failed, on the monotonic clock."""
+        ...
+
+    def list_all(self) -> Iterable[Target]:
+        """Return the targets that have an entry."""
+        ...
+
+    def get_age(self) -> float:
+        """Return the seconds since the store last told of the entries."""
+        ...
+
+
 class ResumptionExchange:
     """Shares the origins of streams with the other daemons.
 
-    While a service has one software version, a stream can only have begun there, and
-    nothing is sent. Once it has several, other daemons are told of each begun stream,
-    so that it can go on although the daemon that began it was killed.
+    While a service has one software version, a stream can only have begun there. Once
+    it has several, other daemons are told of each begun stream, so that it can go on
+    although the daemon that began it was killed.
 
     Parameters
     ----------
     table
         Keeps the versions that served lately while no daemon runs.
-    list_versions
-        Returns the versions of all targets that this daemon knows.
+    view
+        The targets that this daemon knows.
     broadcast
         Sends a message to all other daemons, unacknowledged.
     gossip
@@ -59,31 +84,30 @@
     def __init__(
         self,
         table: TablePart,
-        list_versions: Callable[[], Iterable[ServedVersion]],
+        view: TargetView,
         broadcast: Callable[[ResumptionMessage], None],
         gossip: Callable[[ResumptionMessage], None],
     ) -> None:
         self._table = table
-        self._list_versions = list_versions
+        self._view = view
         self._broadcast = broadcast
         self._gossip = gossip
         self._registry = StreamRegistry()
         self._history = VersionHistory()
         self._saved: frozenset[ServedVersion] = frozenset()
+        self._synchronised_at: float | None = None
         self._unannounced: deque[BegunStream] = deque(maxlen=MAX_UNANNOUNCED)
         self._is_announcing = False
         self._waiting: dict[str, asyncio.Event] = {}
 
     def record_start(self, stream: BegunStream) -> None:
         """Record that a caller is about to get the first event of a stream."""
-        self._observe()
         now = _get_time()
         self._registry.record(stream, now)
-        self._history.observe(
-            [ServedVersion(stream.service_name, stream.software_version)], now
-        )
+        version = ServedVersion(stream.service_name, stream.software_version)
+        self._history.observe([version], now)
         self._unannounced.append(stream)
-        self._schedule_announcement()
+        self._schedule_announcement([stream.service_name])
 
     async def find_origin(
         self, request_id: str, services: Collection[str]
@@ -97,12 +121,13 @@
         services
             Services that the stream may have begun at.
         """
-        self._observe()
-        origin = self._find_known_origin(request_id, services)
-        if origin is None and request_id:
-            await self._ask(request_id)
-            origin = self._find_known_origin(request_id, services)
-        return origin
+        if self._registry.find(request_id) is None and request_id:
+            await self._ask(request_id, services)
+        stream = self._registry.find(request_id)
+        if stream is not None:
+            return StreamOrigin(stream.software_version, stream.service_name)
+        only_version = self._find_only_version(services)
+        return None if only_version is None else StreamOrigin(only_version)
 
     def handle_message(
         self, message: ResumptionMessage, reply: Callable[[StreamsBegan], None]
@@ -122,41 +147,52 @@
 
     async def run(self) -> None:
         """Keep the version table up to date until cancelled."""
-        synchronised_at = float("-inf")
         while True:
             self._observe()
-            self._schedule_announcement()
+            services = {stream.service_name for stream in self._unannounced}
+            self._schedule_announcement(services)
             self._registry.expire(_get_time())
-            age = _get_time() - synchronised_at
-            recent = frozenset(self._history.list_recent(_get_time()))
-            is_due = recent != self._saved or age >= SYNCHRONISATION_INTERVAL
-            if is_due and await self.synchronise():
-                synchronised_at = _get_time()
+            if self._is_synchronisation_due():
+                await self.synchronise()
             await asyncio.sleep(RETRY_DELAY)
 
-    async def synchronise(self) -> bool:
+    async def synchronise(self) -> None:
         """Load the version table, write what it lacks and remove what is gone.
 
-        Returns
-        -------
-        bool
-            Whether the table was read; a write that fails is repeated later.
+        A call that fails is repeated later.
         """
         self._observe()
+        started_at = _get_time()
         match await self._table.read_prefix(""):
             case Result(tag="ok", ok=snapshot):
                 stored = frozenset(decode_rows(snapshot.rows))
             case Result(error=fault):
                 logger.debug("cannot read the version table: {}", fault.message)
-                return False
-        self._history.load(stored, _get_time())
-        recent = frozenset(self._history.list_recent(_get_time()))
-        self._saved = recent
-        puts = tuple(encode_row(version) for version in recent - stored)
+                return
+        if not self._is_continuous:
+            # Any of them may have served until now, unseen by this daemon.
+            self._history.observe(stored, _get_time())
+        self._synchronised_at = started_at
+        self._saved = frozenset(self._history.list_recent(_get_time()))
+        puts = tuple(encode_row(version) for version in self._saved - stored)
         if puts:
             await self._commit(Transaction((), puts))
-        await self._remove(snapshot, stored - recent)
-        return True
+        await self._remove(snapshot, stored - self._saved)
+
+    @property
+    def _is_continuous(self) -> bool:
+        """Whether no call to the store failed since the table was read."""
+        return (
+            self._synchronised_at is not None
+            and self._synchronised_at > self._view.store_failed_at
+        )
+
+    def _is_synchronisation_due(self) -> bool:
+        if self._synchronised_at is None or not self._is_continuous:
+            return True
+        recent = frozenset(self._history.list_recent(_get_time()))
+        age = _get_time() - self._synchronised_at
+        return recent != self._saved or age >= SYNCHRONISATION_INTERVAL
 
     async def _remove(
         self, snapshot: RowSnapshot, gone: Collection[ServedVersion]
@@ -173,22 +209,23 @@
         logger.debug("write to the version table: {}", type(outcome).__name__)
 
     def _observe(self) -> None:
-        self._history.observe(self._list_versions(), _get_time())
+        versions = (
+            ServedVersion(target.service, target.software_version)
+            for target in self._view.list_all()
+        )
+        self._history.observe(versions, _get_time())
 
-    def _find_known_origin(
-        self, request_id: str, services: Collection[str]
-    ) -> StreamOrigin | None:
-        stream = self._registry.find(request_id)
-        if stream is not None:
-            return StreamOrigin(stream.software_version, stream.service_name)
-        only_version = self._history.find_only_version(services, _get_time())
-        return None if only_version is None else StreamOrigin(only_version)
+    def _find_only_version(self, services: Collection[str]) -> str | None:
+        """Return the version of some services if there was certainly just one."""
+        self._observe()
+        if self._view.get_age() > MAX_VIEW_AGE or not self._is_continuous:
+            return None
+        return self._history.find_only_version(services, _get_time())
 
-    def _schedule_announcement(self) -> None:
+    def _schedule_announcement(self, services: Collection[str]) -> None:
         """Announce soon what other daemons weren't told, if it may matter to them."""
         if self._is_announcing or not self._unannounced:
             return
-        services = {stream.service_name for stream in self._unannounced}
         if self._history.find_only_version(services, _get_time()) is None:
             self._is_announcing = True
             asyncio.get_running_loop().call_later(ANNOUNCEMENT_DELAY, self._announce)
@@ -200,15 +237,17 @@
         for start in range(0, len(streams), MAX_ANNOUNCED):
             self._gossip(StreamsBegan(streams[start : start + MAX_ANNOUNCED]))
 
-    async def _ask(self, request_id: str) -> None:
+    async def _ask(self, request_id: str, services: Collection[str]) -> None:
         """Ask all other daemons for a stream until one of them answers."""
         answered = self._waiting.setdefault(request_id, asyncio.Event())
         try:
             for _ in range(MAX_QUESTIONS):
                 self._broadcast(StreamAsked(request_id))
+                is_certain = self._find_only_version(services) is not None
+                timeout = OBJECTION_TIMEOUT if is_certain else ASK_INTERVAL
                 with contextlib.suppress(TimeoutError):
-                    await asyncio.wait_for(answered.wait(), ASK_INTERVAL)
-                if answered.is_set():
+                    await asyncio.wait_for(answered.wait(), timeout)
+                if is_certain or answered.is_set():
                     return
         finally:
             self._waiting.pop(request_id, None)
--- a/kingcuphead/resumption/_history.py
+++ b/kingcuphead/resumption/_history.py
@@ -9,28 +9,18 @@
 class VersionHistory:
     """Remembers when each software version of a service was last seen; does no I/O.
 
-    What served before this daemon started is known from the store. Until that was
-    read, the history is incomplete.
+    What served before this daemon started, or while it was cut from the store, has to
+    be added from the rows that other daemons wrote.
     """
 
     def __init__(self) -> None:
         self._seen_at: dict[ServedVersion, float] = {}
-        #: Whether versions that only earlier daemons saw are included.
-        self.is_complete = False
 
     def observe(self, versions: Iterable[ServedVersion], now: float) -> None:
-        """Record versions that serve now."""
+        """Record versions that serve now, or may have served until now."""
         for version in versions:
             self._seen_at[version] = now
 
-    def load(self, versions: Iterable[ServedVersion], now: float) -> None:
-        """Include versions that other daemons have seen, as if they served now."""
-        if self.is_complete:
-            return
-        self.is_complete = True
-        for version in versions:
-            self._seen_at.setdefault(version, now)
-
     def list_recent(self, now: float) -> Iterator[ServedVersion]:
         """Yield the versions whose streams callers may still take up."""
         for version, seen_at in self._seen_at.items():
@@ -47,9 +37,9 @@
         )
 
     def find_only_version(self, services: Iterable[str], now: float) -> str | None:
-        """Return the version of some services if there was certainly just one."""
+        """Return the version of some services if just one was seen lately."""
         versions = self.list_versions(services, now)
-        if not self.is_complete or len(versions) != 1:
+        if len(versions) != 1:
             return None
         (only,) = versions
         return only
--- a/kingcuphead/resumption/tests/test_exchange.py
+++ b/kingcuphead/resumption/tests/test_exchange.py
@@ -11,10 +11,12 @@
     StreamOrigin,
     StreamsBegan,
 )
-from kingcuphead.resumption._exchange import ANNOUNCEMENT_DELAY
+from kingcuphead.resumption._exchange import ANNOUNCEMENT_DELAY, MAX_VIEW_AGE
+from kingcuphead.resumption._rows import encode_row
 from kingcuphead.storage import Committed, Delete, PlatformFault, Row, RowSnapshot
+from kingcuphead.targets import Availability, Target
 
-V1, V2 = ServedVersion("pool", "v1"), ServedVersion("pool", "v2")
+V1, V2 = "v1", "v2"
 STREAM = BegunStream("r1", "pool", "v1")
 
 
@@ -46,12 +48,41 @@
         return 1
 
 
+def make_target(version):
+    return Target(
+        f"t-{version}",
+        "pool",
+        "10.0.0.1:80",
+        "z",
+        4,
+        Availability.READY,
+        1,
+        software_version=version,
+    )
+
+
+class View:
+    """A view of the targets, in the place of a daemon's directory."""
+
+    def __init__(self, network):
+        self.network = network
+        self.age = 0.0
+        self.store_failed_at = float("-inf")
+
+    def list_all(self):
+        return [make_target(version) for version in self.network.versions]
+
+    def get_age(self):
+        return self.age
+
+
 class Network:
     """Daemons that hear each other at once, unless they were killed."""
 
     def __init__(self):
         self.table = VersionRows()
         self.versions = [V1]
+        self.views = {}
         self.sent = []
         self.exchanges = {}
 
@@ -63,9 +94,8 @@
                     message, lambda reply: exchange.handle_message(reply, broadcast)
                 )
 
-        exchange = ResumptionExchange(
-            self.table, lambda: self.versions, broadcast, broadcast
-        )
+        view = self.views[name] = View(self)
+        exchange = ResumptionExchange(self.table, view, broadcast, broadcast)
         self.exchanges[name] = exchange
         await exchange.synchronise()
         return exchange
@@ -95,7 +125,44 @@
             daemon = await network.start("a")
             origin = await daemon.find_origin(request_id, ["pool"])
             assert origin == StreamOrigin("v1")
-            assert network.sent == []
+
+        run(scenario)
+
+    def test_the_daemon_that_began_a_stream_knows_better(self):
+        """A target of another version may have come and not be known here."""
+
+        async def scenario(network):
+            first, second = await network.start("a"), await network.start("b")
+            first.record_start(BegunStream("r1", "pool", "v2"))
+            origin = await second.find_origin("r1", ["pool"])
+            assert origin == StreamOrigin("v2", "pool")
+
+        run(scenario)
+
+    def test_a_daemon_that_is_cut_from_the_store_is_not_certain(self):
+        async def scenario(network):
+            daemon = await network.start("a")
+            network.views["a"].age = MAX_VIEW_AGE + 0.1
+            assert await daemon.find_origin("r1", ["pool"]) is None
+
+        run(scenario)
+
+    @pytest.mark.parametrize("was_known", [False, True])
+    def test_nor_one_that_missed_versions_while_it_was_cut(
+        self, was_known, monkeypatch
+    ):
+        async def scenario(network):
+            row = encode_row(ServedVersion("pool", "v2"))
+            if was_known:
+                network.table.rows[row.key] = row.value
+            daemon = await network.start("a")
+            monkeypatch.setattr("kingcuphead.resumption._history.STREAM_LIFETIME", 0.05)
+            await asyncio.sleep(0.1)
+            network.views["a"].store_failed_at = asyncio.get_running_loop().time()
+            assert await daemon.find_origin("", ["pool"]) is None
+            network.table.rows[row.key] = row.value
+            await daemon.synchronise()
+            assert await daemon.find_origin("", ["pool"]) is None
 
         run(scenario)
 
@@ -174,9 +241,12 @@
             network.versions = [V1, V2]
             daemon = await network.start("a")
             streams = tuple(BegunStream(f"r{n}", "pool", "v1") for n in range(30))
+            task = asyncio.create_task(daemon.run())
+            await asyncio.sleep(0)
             for stream in streams:
                 daemon.record_start(stream)
             await asyncio.sleep(3 * ANNOUNCEMENT_DELAY)
+            task.cancel()
             assert network.sent == [StreamsBegan(streams)]
 
         run(scenario)
--- a/kingcuphead/resumption/tests/test_registry.py
+++ b/kingcuphead/resumption/tests/test_registry.py
@@ -50,22 +50,13 @@
     )
     def test_the_only_version_of_some_services(self, observed, services, expected):
         history = VersionHistory()
-        history.load([], 0.0)
         history.observe(observed, 0.0)
         assert history.find_only_version(services, 1.0) == expected
 
     def test_a_version_that_is_gone_counts_for_the_lifetime_of_its_streams(self):
         history = VersionHistory()
-        history.load([], 0.0)
         history.observe([V1], 0.0)
         history.observe([V2], 1.0)
         assert history.find_only_version(["pool"], STREAM_LIFETIME) is None
         history.observe([V2], STREAM_LIFETIME)
         assert history.find_only_version(["pool"], STREAM_LIFETIME + 0.1) == "v2"
-
-    def test_nothing_is_certain_before_the_versions_of_the_past_are_known(self):
-        history = VersionHistory()
-        history.observe([V2], 0.0)
-        assert history.find_only_version(["pool"], 0.0) is None
-        history.load([V1], 1.0)
-        assert history.find_only_version(["pool"], 1.0) is None
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -1,6 +1,7 @@
 """The targets whose entries one daemon has read, and which of them are usable."""
 
 import dataclasses
+import time
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
@@ -46,13 +47,19 @@
     def __init__(self) -> None:
         self._targets: dict[str, Target] = {}
         self._expired: set[str] = set()
-        self._replaced: set[tuple[str, int]] = set()
-        #: Incarnations, by name and start time, that said that they leave.
-        self._leaving: set[tuple[str, int]] = set()
+        self._replaced: set[str] = set()
+        #: Incarnations that said that they leave.
+        self._leaving: set[str] = set()
         #: Sequence numbers of the last entries of removed incarnations.
-        self._removed: OrderedDict[tuple[str, int], int] = OrderedDict()
+        self._removed: OrderedDict[str, int] = OrderedDict()
         self._usable: dict[str, tuple[Target, ...]] = {}
         self._store_failed_at = float("-inf")
+        self._read_at = float("-inf")
+
+    @property
+    def store_failed_at(self) -> float:
+        """Start of the last call to the store that failed, on the monotonic clock."""
+        return self._store_failed_at
 
     @property
     def is_empty(self) -> bool:
@@ -63,6 +70,17 @@
         """Record the start time of a call that the store didn't answer."""
         self._store_failed_at = max(self._store_failed_at, started_at)
 
+    def record_read(self) -> None:
+        """Record that the store has just told of the entries, or of no change."""
+        self._read_at = _read_boot_clock()
+
+    def get_age(self) -> float:
+        """Return the seconds since the store last told of the entries.
+
+        Time in which the instance was suspended counts.
+        """
+        return _read_boot_clock() - self._read_at
+
     def put(self, target: Target) -> Iterator[DirectoryChange]:
         """Add or replace the entry of a target and yield the resulting changes.
 
@@ -72,10 +90,10 @@
         """
         if self._is_outdated(target):
             return
-        if _identify(target) in self._leaving:
+        if target.incarnation in self._leaving:
             target = dataclasses.replace(target, availability=Availability.DRAINING)
         elif target.availability is Availability.DRAINING:
-            self._leaving.add(_identify(target))
+            self._leaving.add(target.incarnation)
         previous = self._targets.get(target.name)
         self._targets[target.name] = target
         self._expired.discard(target.name)
@@ -119,7 +137,7 @@
         leave.
         """
         current = self._targets.get(target.name)
-        if current is None or _identify(current) != _identify(target):
+        if current is None or current.incarnation != target.incarnation:
             return
         yield from self.put(
             dataclasses.replace(current, availability=Availability.DRAINING)
@@ -144,7 +162,7 @@
         """
         previous = self._targets.get(target.name)
         if previous is not None and previous.started_at_ms == target.started_at_ms:
-            self._replaced.add(_identify(target))
+            self._replaced.add(target.incarnation)
             self._usable.clear()
 
     def tick(self, now: float) -> Iterator[DirectoryChange]:
@@ -162,15 +180,15 @@
                 for target in self._targets.values()
                 if target.service == service
                 and target.availability is Availability.READY
-                and _identify(target) not in self._replaced
+                and target.incarnation not in self._replaced
             )
             self._usable[service] = usable
         return usable
 
     def _drop(self, target: Target) -> Iterator[DirectoryChange]:
         del self._targets[target.name]
-        self._replaced.discard(_identify(target))
-        self._removed[_identify(target)] = target.sequence
+        self._replaced.discard(target.incarnation)
+        self._removed[target.incarnation] = target.sequence
         if len(self._removed) > MAX_REMOVED:
             identity, _ = self._removed.popitem(last=False)
             self._leaving.discard(identity)
@@ -180,7 +198,7 @@
 
     def _is_outdated(self, target: Target) -> bool:
         """Whether an entry is not newer than the removal of its incarnation."""
-        identity = _identify(target)
+        identity = target.incarnation
         sequence = self._removed.get(identity)
         if sequence is None:
             return False
@@ -190,6 +208,6 @@
         return False
 
 
-def _identify(target: Target) -> tuple[str, int]:
-    """Return what identifies an incarnation of a target."""
-    return target.name, target.started_at_ms
+def _read_boot_clock() -> float:
+    """Return seconds of a clock that, unlike the monotonic one, counts suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
