--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -1,4 +1,4 @@
-"""What one daemon exchanges with the others: loads, credit and the quarantine."""
+"""What one daemon exchanges with others: loads, credit, crashes, origins of streams."""
 
 import asyncio
 import random
