--- a/kingcuphead/quarantine/_exchange.py
+++ b/kingcuphead/quarantine/_exchange.py
@@ -22,12 +22,11 @@
 from kingcuphead.quarantine._rows import decode_rows, encode_row
 from kingcuphead.quarantine._settings import QuarantineSettings
 from kingcuphead.storage import (
-    Check,
-    Delete,
     Put,
     RowSnapshot,
     TablePart,
     Transaction,
+    make_removal,
 )
 
 #: Seconds between two reports of all quarantined fingerprints to other daemons.
@@ -221,9 +220,7 @@
     async def _remove(self, snapshot: RowSnapshot, expired: set[str]) -> None:
         rows = [row for row in snapshot.rows if row.key in expired]
         if rows:
-            checks = tuple(Check(row.key, row.version) for row in rows)
-            deletes = tuple(Delete(row.key) for row in rows)
-            await self._commit(Transaction(checks, deletes))
+            await self._commit(make_removal(rows))
 
     async def _save(self, snapshot: RowSnapshot, store_time: int) -> None:
         """Write the rows of requests that crashed targets of this daemon."""
--- a/kingcuphead/quarantine/tests/test_exchange.py
+++ b/kingcuphead/quarantine/tests/test_exchange.py
@@ -3,7 +3,6 @@
 import random
 
 import pytest
-from expression import Error, Ok
 
 from kingcuphead.quarantine import (
     CrashReported,
@@ -19,14 +18,7 @@
     MAX_ANSWERED,
     AnsweredRequests,
 )
-from kingcuphead.storage import (
-    Committed,
-    Delete,
-    PlatformFault,
-    Row,
-    RowSnapshot,
-    Unavailable,
-)
+from kingcuphead.storage.tests._memory_part import MemoryTablePart
 
 SETTINGS = QuarantineSettings(min_crashed_targets=3, crash_retention=7_200.0)
 
@@ -36,34 +28,6 @@
         self.now = 1_000.0
 
 
-class QuarantineRows:
-    """The rows that all daemons see; calls fail while the store is down."""
-
-    def __init__(self, clock):
-        self.clock = clock
-        self.rows = {}
-        self.is_down = False
-
-    async def read_prefix(self, prefix):
-        if self.is_down:
-            return Error(PlatformFault("read", "down"))
-        rows = (Row(key, 1, value) for key, value in sorted(self.rows.items()))
-        return Ok(RowSnapshot(tuple(rows), 1))
-
-    async def commit(self, transaction):
-        if self.is_down:
-            return Unavailable()
-        for write in transaction.writes:
-            if isinstance(write, Delete):
-                self.rows.pop(write.key, None)
-            else:
-                self.rows[write.key] = write.value
-        return Committed(1)
-
-    def estimate_time(self):
-        return None if self.is_down else int(self.clock.now * 1_000)
-
-
 def ignore(message):
     """Drop a reply."""
 
@@ -99,7 +63,7 @@
 
 @pytest.fixture
 def table(clock):
-    return QuarantineRows(clock)
+    return MemoryTablePart(lambda: clock.now)
 
 
 @pytest.fixture
@@ -257,7 +221,7 @@
     def __init__(self, seed):
         self.rng = random.Random(seed)
         self.clock = Clock()
-        self.table = QuarantineRows(self.clock)
+        self.table = MemoryTablePart(lambda: self.clock.now)
         self.daemons = [Daemon(self.clock, self.table) for _ in range(self.SIZE)]
         self.disturbed_at = [float("-inf")] * self.SIZE
         self.cut_until = [0.0] * self.SIZE
--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -20,7 +20,7 @@
 )
 from kingcuphead.resumption._registry import StreamRegistry
 from kingcuphead.resumption._rows import decode_rows, encode_row, make_key
-from kingcuphead.storage import Check, Delete, RowSnapshot, TablePart, Transaction
+from kingcuphead.storage import RowSnapshot, TablePart, Transaction, make_removal
 from kingcuphead.targets import Target
 
 #: Seconds for which begun streams are collected before other daemons are told.
@@ -200,9 +200,7 @@
         keys = {make_key(version) for version in gone}
         rows = [row for row in snapshot.rows if row.key in keys]
         if rows:
-            checks = tuple(Check(row.key, row.version) for row in rows)
-            deletes = tuple(Delete(row.key) for row in rows)
-            await self._commit(Transaction(checks, deletes))
+            await self._commit(make_removal(rows))
 
     async def _commit(self, transaction: Transaction) -> None:
         outcome = await self._table.commit(transaction)
--- a/kingcuphead/resumption/tests/test_exchange.py
+++ b/kingcuphead/resumption/tests/test_exchange.py
@@ -1,7 +1,6 @@
 import asyncio
 
 import pytest
-from expression import Error, Ok
 
 from kingcuphead.resumption import (
     BegunStream,
@@ -13,41 +12,13 @@
 )
 from kingcuphead.resumption._exchange import ANNOUNCEMENT_DELAY, MAX_VIEW_AGE
 from kingcuphead.resumption._rows import encode_row
-from kingcuphead.storage import Committed, Delete, PlatformFault, Row, RowSnapshot
+from kingcuphead.storage.tests._memory_part import MemoryTablePart
 from kingcuphead.targets import Availability, Target
 
 V1, V2 = "v1", "v2"
 STREAM = BegunStream("r1", "pool", "v1")
 
 
-class VersionRows:
-    """The rows that all daemons see; calls fail while the store is down."""
-
-    def __init__(self):
-        self.rows = {}
-        self.is_down = False
-
-    async def read_prefix(self, prefix):
-        if self.is_down:
-            return Error(PlatformFault("read", "down"))
-        rows = (Row(key, 1, value) for key, value in sorted(self.rows.items()))
-        return Ok(RowSnapshot(tuple(rows), 1))
-
-    async def commit(self, transaction):
-        for write in transaction.writes:
-            if isinstance(write, Delete):
-                self.rows.pop(write.key, None)
-            else:
-                self.rows[write.key] = write.value
-        return Committed(1)
-
-    def estimate_time(self):
-        return 1
-
-    def bound_time(self, moment):
-        return 1
-
-
 def make_target(version):
     return Target(
         f"t-{version}",
@@ -80,7 +51,7 @@
     """Daemons that hear each other at once, unless they were killed."""
 
     def __init__(self):
-        self.table = VersionRows()
+        self.table = MemoryTablePart()
         self.versions = [V1]
         self.views = {}
         self.sent = []
--- a/kingcuphead/storage/__init__.py
+++ b/kingcuphead/storage/__init__.py
@@ -31,6 +31,7 @@
     Transaction,
     Unavailable,
     Unknown,
+    make_removal,
 )
 from kingcuphead.storage._protocols import InstanceList, ObjectStore, Table, TablePart
 
@@ -66,4 +67,5 @@
     "Transaction",
     "Unavailable",
     "Unknown",
+    "make_removal",
 ]
--- a/kingcuphead/storage/_messages.py
+++ b/kingcuphead/storage/_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+from collections.abc import Iterable
 from typing import TypeAlias
 
 #: Version in a `Check` for a row that must not exist.
@@ -70,6 +71,15 @@
     writes: tuple[Put | Delete, ...]
 
 
+def make_removal(rows: Iterable[Row]) -> Transaction:
+    """Return the transaction that removes rows unless they have changed since."""
+    removed = tuple(rows)
+    return Transaction(
+        tuple(Check(row.key, row.version) for row in removed),
+        tuple(Delete(row.key) for row in removed),
+    )
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Committed:
     """The transaction took effect."""
