Keep streams apart whose callers name no try

The first such stream was recorded under the empty id, and each later one was taken for the same: its version and service.

Evidence: the new case of forwarding/tests/test_versions.py fails before (the origin of the first stream is returned for the second) and passes.

Conclusion: a stream without an id is not recorded.

--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -338,10 +338,9 @@
         """Record the software version of the first event that the caller gets."""
         if context.bound_version is None:
             context.bound_version = target.software_version
-        if context.route.is_resumable:
-            stream = BegunStream(
-                context.request.stream_id, target.service, context.bound_version
-            )
+        stream_id = context.request.stream_id
+        if context.route.is_resumable and stream_id:
+            stream = BegunStream(stream_id, target.service, context.bound_version)
             self._dependencies.resumption.record_start(stream)
 
     def _record_suspicion(
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -60,7 +60,10 @@
 
     @property
     def stream_id(self) -> str:
-        """Id of the try that began the stream: this one, or that which it takes up."""
+        """Id of the try that began the stream: this one, or that which it takes up.
+
+        Empty if it takes up a stream and names no try.
+        """
         return self.resumed_id if self.resume_after else self.request_id
 
     @property
--- a/kingcuphead/forwarding/tests/test_versions.py
+++ b/kingcuphead/forwarding/tests/test_versions.py
@@ -65,6 +65,16 @@
 
         run([make_route(STREAM, resumable=True)], scenario)
 
+    def test_streams_of_callers_that_name_no_try_are_kept_apart(self):
+        async def scenario(harness):
+            await harness.resumption.synchronise()
+            harness.first.script = [harness.first.stream([3, 4])]
+            await harness.serve(make_request(STREAM, resume_after=2))
+            upgrade(harness, harness.second)
+            assert await harness.resumption.find_origin("", ["pool"]) is None
+
+        run([make_route(STREAM, resumable=True)], scenario)
+
     def test_a_stream_that_goes_on_keeps_the_id_of_its_first_try(self):
         async def scenario(harness):
             await harness.resumption.synchronise()
