Let callers that name no try go on where one version is known

Cause: a current view was asked for from every caller, also from those that name no try, whom the daemon has nobody to ask about.

Ruled out: the same for callers that name the try; they know of versions, and a daemon that is cut can't exclude a newer one.

Conclusion: without an id, the only known version is taken; with several known, the stream is refused as before.

--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -126,7 +126,7 @@
         stream = self._registry.find(request_id)
         if stream is not None:
             return StreamOrigin(stream.software_version, stream.service_name)
-        only_version = self._find_only_version(services)
+        only_version = self._find_only_version(services, is_named=bool(request_id))
         return None if only_version is None else StreamOrigin(only_version)
 
     def handle_message(
@@ -213,10 +213,17 @@
         )
         self._history.observe(versions, _get_time())
 
-    def _find_only_version(self, services: Collection[str]) -> str | None:
-        """Return the version of some services if there was certainly just one."""
+    def _find_only_version(
+        self, services: Collection[str], is_named: bool
+    ) -> str | None:
+        """Return the version of some services if there was just one.
+
+        Callers that name the try that began their stream know of versions, so that it
+        has to be certain for them.
+        """
         self._observe()
-        if self._view.get_age() > MAX_VIEW_AGE or not self._is_continuous:
+        is_current = self._view.get_age() <= MAX_VIEW_AGE and self._is_continuous
+        if is_named and not is_current:
             return None
         return self._history.find_only_version(services, _get_time())
 
@@ -241,7 +248,8 @@
         try:
             for _ in range(MAX_QUESTIONS):
                 self._broadcast(StreamAsked(request_id))
-                is_certain = self._find_only_version(services) is not None
+                only_version = self._find_only_version(services, is_named=True)
+                is_certain = only_version is not None
                 timeout = OBJECTION_TIMEOUT if is_certain else ASK_INTERVAL
                 with contextlib.suppress(TimeoutError):
                     await asyncio.wait_for(answered.wait(), timeout)
