--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -5,7 +5,7 @@
 import dataclasses
 import os
 
-from tornado.httpclient import AsyncHTTPClient
+from tornado.httpclient import AsyncHTTPClient, HTTPClientError
 from tornado.testing import bind_unused_port
 
 from kingcuphead.entry._daemon import EntryDaemon
@@ -122,19 +122,26 @@
             daemon._stop.set()
             await task
 
-    async def send(self, number, body):
+    async def send(self, number, body, patience=20.0):
         """Send a request with an id of its own to a daemon.
 
-        Returns the status of the answer, or 0 if the daemon sent none.
+        Returns the status of the answer, or 0 if the daemon sent none. The caller
+        leaves after `patience` seconds.
         """
         headers = make_caller_headers(self._make_request_id())
         url = f"http://{NETWORK}.{number}:{CALLER_PORT}/r/1"
         try:
             answer = await AsyncHTTPClient().fetch(
-                url, method="POST", headers=headers, body=body, raise_error=False
+                url,
+                method="POST",
+                headers=headers,
+                body=body,
+                raise_error=False,
+                request_timeout=patience,
             )
-        except OSError:
-            # The daemon does not listen yet, or closed the connection.
+        except (OSError, HTTPClientError):
+            # The daemon does not listen yet or closed the connection, or the caller
+            # has left.
             return 0
         return answer.code
 
--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -7,6 +7,7 @@
     make_answer,
     make_event,
     make_stream_head,
+    make_unframed_head,
     parse_headers,
     parse_resumption,
 )
@@ -104,6 +105,78 @@
             writer.write(make_answer(headers["attempt-id"], b"ok"))
 
 
+class OftenFailingTarget(CrashingTarget):
+    """Answers each third try of the crashing request with status 500 instead.
+
+    Parameters
+    ----------
+    tries
+        Counts the tries at all targets of the fleet.
+    """
+
+    def __init__(self, name, version, register, tries):
+        super().__init__(name, version, register)
+        self._tries = tries
+
+    async def answer(self, headers, body, writer):
+        if body == CRASHING_BODY and next(self._tries) % 3 == 2:
+            status = "500 Internal Server Error"
+            writer.write(make_answer(headers["attempt-id"], b"failed", status))
+            return
+        await super().answer(headers, body, writer)
+
+
+class OnceAnsweringTarget(CrashingTarget):
+    """Answers the first try of the crashing request at any target of the fleet.
+
+    Parameters
+    ----------
+    tries
+        Counts the tries at all targets of the fleet.
+    """
+
+    def __init__(self, name, version, register, tries):
+        super().__init__(name, version, register)
+        self._tries = tries
+
+    async def answer(self, headers, body, writer):
+        if body == CRASHING_BODY and next(self._tries) == 0:
+            writer.write(make_answer(headers["attempt-id"], b"ok"))
+            return
+        await super().answer(headers, body, writer)
+
+
+class SlowlyCrashingTarget(CrashingTarget):
+    """Crashes some time after it has received the crashing request.
+
+    Parameters
+    ----------
+    delay
+        Seconds between the request and the crash.
+    """
+
+    def __init__(self, name, version, register, delay):
+        super().__init__(name, version, register)
+        self._delay = delay
+
+    async def answer(self, headers, body, writer):
+        if body == CRASHING_BODY:
+            await asyncio.sleep(self._delay)
+        await super().answer(headers, body, writer)
+
+
+class UnframedTarget(CrashingTarget):
+    """Crashes within an answer without length, whose end looks like a complete one."""
+
+    async def answer(self, headers, body, writer):
+        if body == CRASHING_BODY:
+            writer.write(make_unframed_head(headers["attempt-id"]) + b"half an ans")
+            await writer.drain()
+            writer.close()
+            await writer.wait_closed()
+        await super().answer(headers, body, writer)
+
+
 class StreamingTarget(LocalTarget):
     """Answers with a stream whose events carry the version of the target."""
 
--- a/kingcuphead/entry/tests/test_crashing_requests.py
+++ b/kingcuphead/entry/tests/test_crashing_requests.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 
 import pytest
 
@@ -7,17 +8,23 @@
     CRASHING_BODY,
     DOWN_SECONDS,
     CrashingTarget,
+    OftenFailingTarget,
+    OnceAnsweringTarget,
+    SlowlyCrashingTarget,
+    UnframedTarget,
 )
 
 #: Targets that a request may crash: three, and three more until all daemons know of it.
 MAX_CRASHES = 6
 
 
-def make_targets(register):
-    return [CrashingTarget(f"t{number}", "v1", register) for number in range(6)]
+def run(scenario, target_class=CrashingTarget, target_options=(), **options):
+    def make_targets(register):
+        return [
+            target_class(f"t{number}", "v1", register, *target_options)
+            for number in range(6)
+        ]
 
-
-def run(scenario, **options):
     async def main():
         async with asyncio.timeout(40), Fleet(make_targets, **options) as fleet:
             await scenario(fleet)
@@ -25,14 +32,14 @@
     asyncio.run(main())
 
 
-async def send_to_each(fleet, body, rounds):
+async def send_to_each(fleet, body, rounds, **options):
     """Send a request to each daemon in turn and return the statuses.
 
     Targets that crash in one round are back before the next.
     """
     statuses = []
     for _ in range(rounds):
-        statuses += [await fleet.send(number, body) for number in (1, 2, 3)]
+        statuses += [await fleet.send(number, body, **options) for number in (1, 2, 3)]
         await asyncio.sleep(DOWN_SECONDS + 0.1)
     return statuses
 
@@ -65,3 +72,61 @@
                 assert await send_to_each(fleet, body, rounds=1) == [200, 200, 200]
 
         run(scenario)
+
+
+class TestCrashesWithoutProofOfHarmlessness:
+    """Guards against sending a request on because it looked harmless in between."""
+
+    def test_a_failure_of_some_targets_does_not_hide_crashes_of_others(self):
+        async def scenario(fleet):
+            await send_to_each(fleet, CRASHING_BODY, rounds=7)
+            assert fleet.crashes <= MAX_CRASHES
+
+        run(scenario, OftenFailingTarget, (itertools.count(),))
+
+    def test_an_earlier_answer_does_not_hide_crashes(self):
+        async def scenario(fleet):
+            await send_to_each(fleet, CRASHING_BODY, rounds=7)
+            assert fleet.crashes <= MAX_CRASHES
+
+        run(scenario, OnceAnsweringTarget, (itertools.count(),))
+
+    def test_the_end_of_a_connection_does_not_make_an_answer_whole(self):
+        async def scenario(fleet):
+            await send_to_each(fleet, CRASHING_BODY, rounds=7)
+            assert fleet.crashes <= MAX_CRASHES
+
+        run(scenario, UnframedTarget)
+
+
+class TestCrashesAfterAbandonedAttempts:
+    """Guards against crashes that nobody counts since the attempt was over."""
+
+    @pytest.mark.parametrize("delay", [0.1, 0.4])
+    def test_a_caller_that_leaves_does_not_hide_the_crash(self, delay):
+        async def scenario(fleet):
+            await send_to_each(fleet, CRASHING_BODY, rounds=7, patience=0.05)
+            assert fleet.crashes <= MAX_CRASHES
+
+        run(scenario, SlowlyCrashingTarget, (delay,))
+
+    def test_nor_does_a_deadline(self):
+        async def scenario(fleet):
+            for _ in range(7):
+                tries = [fleet.send(number, CRASHING_BODY) for number in (1, 2, 3)]
+                await asyncio.gather(*tries)
+                await asyncio.sleep(DOWN_SECONDS + 0.1)
+            assert fleet.crashes <= MAX_CRASHES
+
+        run(scenario, SlowlyCrashingTarget, (2.1,), kind="unsafe")
+
+    def test_nor_do_daemons_that_are_all_replaced_after_each_crash(self):
+        async def scenario(fleet):
+            for _ in range(9):
+                await fleet.send(1, CRASHING_BODY)
+                await asyncio.sleep(DOWN_SECONDS + 0.1)
+                await fleet.kill_daemons()
+                await fleet.start_daemons()
+            assert fleet.crashes <= MAX_CRASHES
+
+        run(scenario, kind="unsafe")
--- a/kingcuphead/platform/tests/_documents.py
+++ b/kingcuphead/platform/tests/_documents.py
@@ -73,10 +73,10 @@
     return int(headers.get("last-event-id", 0))
 
 
-def make_answer(request_id, body):
+def make_answer(request_id, body, status="200 OK"):
     """Return the bytes of a target's complete answer."""
     lines = [
-        "HTTP/1.1 200 OK",
+        f"HTTP/1.1 {status}",
         f"Attempt-Id: {request_id}",
         "Response-Seal: s",
         f"Content-Length: {len(body)}",
@@ -84,6 +84,12 @@
     return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
 
 
+def make_unframed_head(request_id):
+    """Return the head of an answer that ends with its connection."""
+    lines = ["HTTP/1.1 200 OK", f"Attempt-Id: {request_id}", "Response-Seal: s"]
+    return "\r\n".join(lines).encode() + b"\r\n\r\n"
+
+
 def make_stream_head(request_id):
     """Return the status and the headers of a target's stream."""
     lines = [
