Take only a success for proof that a request crashes no target

Callers saw a request sent on that had crashed three targets and more. Cause: any complete answer, also one with status 500, cleared the suspicion in the whole fleet. A target that fails a part of its requests doesn't run them.

test_a_failure_of_some_targets_does_not_hide_crashes_of_others: 25 and 27 crashes before, passes now (6 allowed). Ruled out: that the daemons missed the crashes; each has its line "target lost under a request", with "that was answered lately".

--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -357,7 +357,10 @@
                 seconds = 0.0 if stream is None else stream.get_running_seconds()
                 target = placement.target.incarnation
                 quarantine.record_crash(context.fingerprint, target, seconds)
-            case StreamDelivered() | Answered():
+            case StreamDelivered():
+                quarantine.record_success(context.fingerprint)
+            case Answered(head) if head.is_success:
+                # A target that answers with an error may not have run the request.
                 quarantine.record_success(context.fingerprint)
 
     def _is_quarantined(self, context: RequestContext) -> bool:
