Watch the targets of attempts that break or are abandoned

Callers saw a request sent on to 21 targets that it crashed, in 21 tries, when each caller left 50 ms after sending (the target crashed 50 or 350 ms later), or when the deadline passed before the crash. Cause: with the connection of an abandoned attempt the daemon lost all knowledge of the target.

Now a target is watched for 2 s after such an attempt, over a connection that carries no request; if that breaks and the target refuses another one, its process has ended, and the crash counts against the request. The same check decides where a connection broke: the reset of a connection of a living target was taken for a crash before (answers that are lost, connections that are reset), and the end of a target that leaves, too.

Ruled out: to close the sending side only and to wait for the target's end on the same connection; a target that drops the request closes it as well.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -21,7 +21,9 @@
     AttemptRunner,
     ConnectionPool,
     Dependencies,
+    EvidenceRecorder,
     RequestForwarder,
+    TargetWatch,
 )
 from kingcuphead.loads import PeerLoads
 from kingcuphead.platform import (
@@ -84,6 +86,7 @@
             rng,
         )
         self._targets = TargetListener(self._directory, self._handle_change)
+        self._watch = TargetWatch(self._pool, self._directory)
         self._forwarder = RequestForwarder(
             Dependencies(
                 self._directory,
@@ -92,6 +95,7 @@
                 self._links.credit,
                 AttemptRunner(self._pool, PlatformHeaders()),
                 self._links.quarantine,
+                EvidenceRecorder(self._links.quarantine, self._watch),
                 self._links.resumption,
                 self._targets.handle_leaving,
             ),
@@ -130,6 +134,7 @@
         for task in tasks:
             task.cancel()
         self._links.close()
+        self._watch.close()
         self._pool.close()
         self._store.close()
         logger.info("entry daemon ended")
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
+from kingcuphead.forwarding._evidence import EvidenceRecorder
 from kingcuphead.forwarding._forwarder import RequestForwarder
 from kingcuphead.forwarding._messages import (
     AnswerHead,
@@ -14,6 +15,7 @@
 from kingcuphead.forwarding._pool import ConnectionPool
 from kingcuphead.forwarding._ports import Caller, HeaderCodec
 from kingcuphead.forwarding._refusals import Refusal, refuse
+from kingcuphead.forwarding._target_watch import TargetWatch
 
 __all__ = [
     "AnswerHead",
@@ -22,6 +24,7 @@
     "CallerRequest",
     "ConnectionPool",
     "Dependencies",
+    "EvidenceRecorder",
     "HeaderCodec",
     "PromptPart",
     "PromptSize",
@@ -29,5 +32,6 @@
     "RequestContext",
     "RequestForwarder",
     "SendOptions",
+    "TargetWatch",
     "refuse",
 ]
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -40,6 +40,9 @@
 class StreamDelivered:
     """The stream was sent to the caller up to its end."""
 
+    #: Status and headers of the answer.
+    head: AnswerHead
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptFailed:
@@ -278,7 +281,7 @@
     if splitter.has_partial_event:
         return _make_broken_failure("the stream ended within an event")
     await stream.finish(head)
-    return StreamDelivered()
+    return StreamDelivered(head)
 
 
 async def _read_next(attempt: Attempt, answer: TargetAnswer) -> bytes | AttemptFailed:
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -6,6 +6,7 @@
 from kingcuphead.credit import CreditTask
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.forwarding._attempt import AttemptRunner
+from kingcuphead.forwarding._evidence import EvidenceRecorder
 from kingcuphead.quarantine import QuarantineExchange
 from kingcuphead.resumption import ResumptionExchange
 from kingcuphead.targets import Target, TargetDirectory
@@ -27,6 +28,8 @@
     runner: AttemptRunner
     #: Knows the requests that crashed targets, of the whole fleet.
     quarantine: QuarantineExchange
+    #: Records what the ends of attempts prove about their requests.
+    evidence: EvidenceRecorder
     #: Knows the software versions that began streams, of the whole fleet.
     resumption: ResumptionExchange
     #: Called with a target that says in an answer that it leaves.
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -1,6 +1,7 @@
 """Serves a request: routing, authentication, credit hold, attempts and settlement."""
 
 import asyncio
+import contextlib
 import random
 from collections.abc import Callable
 
@@ -24,6 +25,7 @@
     log_rejection,
 )
 from kingcuphead.forwarding._dependencies import Dependencies
+from kingcuphead.forwarding._evidence import EndedAttempt
 from kingcuphead.forwarding._fingerprint import fingerprint_request
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 from kingcuphead.forwarding._ports import Caller
@@ -56,6 +58,9 @@
 #: Upper bound of the first-byte timeout as a share of the time until the deadline; the
 #: rest is left for a retry.
 FIRST_BYTE_TIMEOUT_SHARE = 0.6
+#: Seconds for which a retry waits until it is known whether the target of the attempt
+#: before was lost; a process that has ended refuses connections within a round trip.
+CHECK_TIMEOUT = 0.05
 #: First-byte timeout in units of the route's latency objective.
 FIRST_BYTE_TIMEOUT_OBJECTIVES = 2.2
 #: Lower bound of the stall timeout of a stream in seconds.
@@ -269,38 +274,60 @@
         started_at = get_time()
         if stream is not None:
             stream.begin_attempt(lambda: self._record_start(context, placement.target))
-        outcome = "cancelled"
-        result = AttemptResult.CANCELLED
         previous_execution, context.execution = (
             context.execution,
             Execution.MAY_HAVE_RUN,
         )
+        end: AttemptEnd | None = None
         try:
             attempt = self._make_attempt(context, placement, stream)
             end = await self._dependencies.runner.run(attempt, stream)
-            result = classify_end(end)
-            if isinstance(end, AttemptFailed) and end.execution is Execution.NOT_RUN:
-                context.execution = previous_execution
-            outcome = describe_end(end)
-            self._record_suspicion(context, placement, end, stream)
-            if isinstance(end, AttemptFailed) and end.is_misdirected:
-                self._dependencies.directory.mark_replaced(placement.target)
-            return end
         finally:
-            seconds = get_time() - started_at
-            context.records.append(
-                AttemptRecord(
-                    placement.target.name,
-                    placement.target.software_version,
-                    placement.is_preferred,
-                    placement.prefill.copied_tokens,
-                    placement.cost,
-                    result,
-                    outcome,
-                    seconds,
-                )
+            self._record_attempt(context, placement, end, get_time() - started_at)
+            checked = self._record_evidence(context, placement, end, stream)
+        match end:
+            case AttemptFailed(execution=Execution.NOT_RUN):
+                context.execution = previous_execution
+            case AttemptFailed(is_connection_lost=True) if checked is not None:
+                await _wait_briefly(checked)
+        if isinstance(end, AttemptFailed) and end.is_misdirected:
+            self._dependencies.directory.mark_replaced(placement.target)
+        return end
+
+    def _record_attempt(
+        self,
+        context: RequestContext,
+        placement: Placement,
+        end: AttemptEnd | None,
+        seconds: float,
+    ) -> None:
+        """Record the outcome of an attempt for the log and the health of its target.
+
+        Parameters
+        ----------
+        context
+            Request of the attempt.
+        placement
+            Target of the attempt.
+        end
+            How the attempt ended; None if it was abandoned.
+        seconds
+            Duration of the attempt.
+        """
+        result = AttemptResult.CANCELLED if end is None else classify_end(end)
+        context.records.append(
+            AttemptRecord(
+                placement.target.name,
+                placement.target.software_version,
+                placement.is_preferred,
+                placement.prefill.copied_tokens,
+                placement.cost,
+                result,
+                "cancelled" if end is None else describe_end(end),
+                seconds,
             )
-            self._dependencies.dispatcher.record_result(placement, result, get_time())
+        )
+        self._dependencies.dispatcher.record_result(placement, result, get_time())
 
     def _make_attempt(
         self, context: RequestContext, placement: Placement, stream: AnswerStream | None
@@ -343,25 +370,17 @@
             stream = BegunStream(stream_id, target.service, context.bound_version)
             self._dependencies.resumption.record_start(stream)
 
-    def _record_suspicion(
+    def _record_evidence(
         self,
         context: RequestContext,
         placement: Placement,
-        end: AttemptEnd,
+        end: AttemptEnd | None,
         stream: AnswerStream | None,
-    ) -> None:
-        """Record whether a target was lost under the request or answered it."""
-        quarantine = self._dependencies.quarantine
-        match end:
-            case AttemptFailed(is_connection_lost=True):
-                seconds = 0.0 if stream is None else stream.get_running_seconds()
-                target = placement.target.incarnation
-                quarantine.record_crash(context.fingerprint, target, seconds)
-            case StreamDelivered():
-                quarantine.record_answer(context.fingerprint)
-            case Answered(head) if head.is_success:
-                # A target that answers with an error may not have run the request.
-                quarantine.record_answer(context.fingerprint)
+    ) -> asyncio.Event | None:
+        seconds = 0.0 if stream is None else stream.get_running_seconds()
+        return self._dependencies.evidence.record(
+            EndedAttempt(context.fingerprint, placement.target, end, seconds)
+        )
 
     def _is_quarantined(self, context: RequestContext) -> bool:
         remaining = self._dependencies.quarantine.get_remaining(context.fingerprint)
@@ -401,6 +420,13 @@
         return refuse(504, Reason.TARGET_TIMED_OUT)
 
 
+async def _wait_briefly(checked: asyncio.Event) -> None:
+    """Wait until it is known whether a target was lost, for `CHECK_TIMEOUT` at most."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CHECK_TIMEOUT):
+            await checked.wait()
+
+
 async def _send_answer(caller: Caller, answer: Answered) -> None:
     headers = answer.head.headers
     headers["Content-Length"] = str(len(answer.body))
--- a/kingcuphead/forwarding/_pool.py
+++ b/kingcuphead/forwarding/_pool.py
@@ -22,8 +22,9 @@
     connection: TargetConnection
     #: Address of the target as `IP:port`.
     address: str
-    #: Whether the connection has served another request before.
-    is_reused: bool
+    #: When an idle connection taken from the pool expires, in seconds of the event
+    #: loop's clock; None for a new one.
+    expires_at: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -59,10 +60,10 @@
             candidate = idle.pop()
             candidate.connection.set_close_callback(None)
             if candidate.connection.is_reusable and candidate.expires_at > now:
-                return Lease(candidate.connection, address, is_reused=True)
+                return Lease(candidate.connection, address, candidate.expires_at)
             candidate.connection.close()
         connection = await connect_to_target(address, timeout)
-        return Lease(connection, address, is_reused=False)
+        return Lease(connection, address)
 
     def release(self, lease: Lease, idle_timeout: float | None) -> None:
         """Return the connection of a completed request to the pool.
@@ -74,17 +75,20 @@
         idle_timeout
             Seconds that the target keeps the connection idle; None if it states none.
         """
-        idle = self._idle[lease.address]
-        if len(idle) >= MAX_IDLE or not lease.connection.is_reusable:
-            lease.connection.close()
-            return
         seconds = IDLE_TIMEOUT
         if idle_timeout is not None:
             seconds = min(seconds, idle_timeout - IDLE_MARGIN)
-        expires_at = asyncio.get_running_loop().time() + seconds
-        entry = _IdleConnection(lease.connection, expires_at)
-        idle.append(entry)
-        lease.connection.set_close_callback(lambda: self._discard(lease.address, entry))
+        self._keep(lease, asyncio.get_running_loop().time() + seconds)
+
+    def release_unused(self, lease: Lease) -> None:
+        """Return a connection that served no request; close it if it was new.
+
+        How long the target keeps a new connection idle is unknown.
+        """
+        if lease.expires_at is None:
+            lease.connection.close()
+        else:
+            self._keep(lease, lease.expires_at)
 
     def sweep(self) -> None:
         """Close the idle connections that have expired."""
@@ -108,6 +112,15 @@
         for address in tuple(self._idle):
             self.close_address(address)
 
+    def _keep(self, lease: Lease, expires_at: float) -> None:
+        idle = self._idle[lease.address]
+        if len(idle) >= MAX_IDLE or not lease.connection.is_reusable:
+            lease.connection.close()
+            return
+        entry = _IdleConnection(lease.connection, expires_at)
+        idle.append(entry)
+        lease.connection.set_close_callback(lambda: self._discard(lease.address, entry))
+
     def _discard(self, address: str, entry: _IdleConnection) -> None:
         idle = self._idle.get(address, [])
         if entry in idle:
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -11,7 +11,9 @@
     CallerRequest,
     ConnectionPool,
     Dependencies,
+    EvidenceRecorder,
     RequestForwarder,
+    TargetWatch,
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
 from kingcuphead.loads import PeerLoads
@@ -142,6 +144,7 @@
             self.broadcasts.append,
             lambda message: None,
         )
+        self.watch = TargetWatch(self.pool, self.directory)
         self.resumption = ResumptionExchange(
             CommittingTable(),
             self.directory,
@@ -156,6 +159,7 @@
                 credit,
                 AttemptRunner(self.pool, PlatformHeaders()),
                 self.quarantine,
+                EvidenceRecorder(self.quarantine, self.watch),
                 self.resumption,
                 self.handle_leaving,
             ),
@@ -181,6 +185,7 @@
 
     async def __aexit__(self, *error):
         self.renewal.cancel()
+        self.watch.close()
         self.pool.close()
         self.first.stop()
         self.second.stop()
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -155,6 +155,11 @@
             if target.availability is Availability.DRAINING
         )
 
+    def has_left(self, target: Target) -> bool:
+        """Return whether an incarnation is leaving, or its entry was removed."""
+        identity = target.incarnation
+        return identity in self._leaving or identity in self._removed
+
     def mark_replaced(self, target: Target) -> None:
         """Mark a target as unusable because another incarnation has its address.
 
