Don't take an answer that ends with its connection for whole on its own

Callers saw a request sent on to 21 targets that it crashed, in 21 tries, when the crash closed the connection within an answer without length. Such an answer looks whole, and counted as proof that the request is harmless.

Its target is now watched like that of an abandoned attempt: the answer counts if the target lives 2 s later, and the crash counts if it has ended. The answer is still passed on at once.

--- a/kingcuphead/forwarding/_evidence.py
+++ b/kingcuphead/forwarding/_evidence.py
@@ -63,6 +63,9 @@
                 return self._follow(attempt, is_connection_lost)
             case None:
                 return self._follow(attempt, is_connection_lost=False)
+            case (Answered() | StreamDelivered()) as answer if answer.head.is_unframed:
+                # A crash that closes the connection ends such an answer, too.
+                return self._follow(attempt, is_connection_lost=True)
             case Answered() | StreamDelivered():
                 self._record_answer(attempt)
                 return None
@@ -71,6 +74,7 @@
         return self._watch.follow(
             attempt.target,
             lambda: self._record_crash(attempt),
+            lambda: self._record_answer(attempt),
             is_connection_lost=is_connection_lost,
         )
 
--- a/kingcuphead/forwarding/tests/test_quarantine.py
+++ b/kingcuphead/forwarding/tests/test_quarantine.py
@@ -4,6 +4,7 @@
 
 from kingcuphead.forwarding import PromptSize
 from kingcuphead.forwarding._fingerprint import fingerprint_request
+from kingcuphead.forwarding._target_watch import WATCH_PERIOD
 from kingcuphead.forwarding.tests._harness import (
     IDEMPOTENT,
     ONCE,
@@ -17,6 +18,7 @@
 from kingcuphead.verdict import Reason
 
 OTHER_ID = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\nAttempt-Id: @id\r\nResponse-Seal: s\r\n\r\ntext"
 
 
 def report_crashes(harness, request, count):
@@ -90,6 +92,26 @@
 
         run([make_route(IDEMPOTENT)], scenario)
 
+    @pytest.mark.parametrize(
+        ("end", "is_crash"),
+        [(ScriptedTarget.CRASH_CLOSED, True), (ScriptedTarget.CLOSE, False)],
+    )
+    def test_an_answer_that_ends_with_its_connection(self, end, is_crash):
+        """It proves that the request is harmless only if its target lives on."""
+
+        async def scenario(harness):
+            request = make_request(IDEMPOTENT)
+            fingerprint = fingerprint_request(request, "atelier")
+            harness.first.script = [[UNFRAMED, end]]
+            caller, _ = await harness.serve(request)
+            assert (caller.status, caller.body) == (200, b"text")
+            await asyncio.sleep(WATCH_PERIOD + 0.1)
+            assert bool(harness.broadcasts) is is_crash
+            answers = harness.quarantine._quarantine.count_answers(fingerprint, 0.0)
+            assert bool(answers) is not is_crash
+
+        run([make_route(IDEMPOTENT)], scenario)
+
     def test_a_crash_after_the_caller_left_is_told_to_other_daemons(self):
         async def scenario(harness):
             request = make_request(ONCE)
