Keep crashes in the store until they lead to a quarantine or are outweighed

Callers saw a request sent on to nine targets that it crashed, in nine tries, when all daemons were replaced after each crash. Cause: only a quarantine was kept in the table; a daemon that ended took its crashes along.

Reading and writing of the table is a module of its own.

Ruled out: to ask the other daemons at the start; it doesn't help where all end at once.

--- a/kingcuphead/quarantine/_exchange.py
+++ b/kingcuphead/quarantine/_exchange.py
@@ -2,10 +2,9 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Iterable, Sequence
+from collections.abc import Callable, Iterable
 from typing import TypeAlias
 
-from expression import Result
 from loguru import logger
 
 from kingcuphead.quarantine._messages import (
@@ -18,15 +17,9 @@
     QuarantineReported,
 )
 from kingcuphead.quarantine._quarantine import Quarantine
-from kingcuphead.quarantine._rows import decode_rows, encode_row
 from kingcuphead.quarantine._settings import QuarantineSettings
-from kingcuphead.storage import (
-    Put,
-    RowSnapshot,
-    TablePart,
-    Transaction,
-    make_removal,
-)
+from kingcuphead.quarantine._table import QuarantineTable
+from kingcuphead.storage import TablePart
 
 #: Seconds between two reports of all quarantined fingerprints to other daemons.
 REPORT_INTERVAL = 1.0
@@ -34,6 +27,9 @@
 MAX_REPORTED = 40
 #: Seconds between two reads of the quarantine table.
 READ_INTERVAL = 5.0
+#: Seconds after a crash or a quarantine until it is written; other requests that the
+#: same target ran are written with it.
+SAVE_DELAY = 0.1
 
 #: Messages that the daemons of a fleet exchange.
 QuarantineMessage: TypeAlias = CrashReported | AnswersReported | QuarantineReported
@@ -49,7 +45,7 @@
     settings
         Thresholds and retention times.
     table
-        Keeps the quarantined fingerprints while no daemon runs.
+        Keeps crashes and quarantined fingerprints while no daemon runs.
     broadcast
         Sends a message to all other daemons, unacknowledged.
     gossip
@@ -70,7 +66,7 @@
         self._identity = identity
         self._settings = settings
         self._quarantine = Quarantine(settings)
-        self._table = table
+        self._table = QuarantineTable(table)
         self._broadcast = broadcast
         self._gossip = gossip
         self._get_time = get_time or _get_loop_time
@@ -78,7 +74,7 @@
 
     @property
     def is_unsaved(self) -> bool:
-        """Whether a fingerprint was quarantined since the last `synchronise`."""
+        """Whether there was a crash or a quarantine since the last `synchronise`."""
         return self._unsaved.is_set()
 
     def get_remaining(self, fingerprint: str) -> float:
@@ -149,6 +145,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(READ_INTERVAL):
                     await self._unsaved.wait()
+                    await asyncio.sleep(SAVE_DELAY)
 
     def _make_report(self, fingerprint: str) -> AnswersReported:
         answers = self._quarantine.count_answers(fingerprint, self._get_time())
@@ -170,6 +167,7 @@
             match effect:
                 case CrashReported():
                     self._broadcast(effect)
+                    self._unsaved.set()
                 case FingerprintQuarantined(fingerprint):
                     logger.bind(fingerprint=fingerprint).warning(
                         "request quarantined: it crashed several targets"
@@ -208,44 +206,22 @@
     async def synchronise(self) -> None:
         """Apply the rows of the table, write those that it lacks, drop expired ones."""
         self._unsaved.clear()
-        match await self._table.read_prefix(""):
-            case Result(tag="ok", ok=snapshot):
-                store_time = self._table.estimate_time()
-            case Result(error=fault):
-                logger.debug("cannot read the quarantine table: {}", fault.message)
-                return
-        if store_time is None:
+        rows = await self._table.read()
+        if rows is None:
             return
-        entries = tuple(decode_rows(snapshot.rows, store_time))
-        self._apply_entries(entry for entry in entries if entry.remaining > 0)
-        expired = {entry.fingerprint for entry in entries if entry.remaining <= 0}
-        await self._remove(snapshot, expired)
-        await self._save(snapshot, store_time)
-
-    async def _remove(self, snapshot: RowSnapshot, expired: set[str]) -> None:
-        rows = [row for row in snapshot.rows if row.key in expired]
-        if rows:
-            await self._commit(make_removal(rows))
-
-    async def _save(self, snapshot: RowSnapshot, store_time: int) -> None:
-        """Write the rows of requests that crashed targets of this daemon."""
-        saved = {row.key for row in snapshot.rows}
-        missing = [
-            entry
-            for entry in self._quarantine.describe(self._get_time())
-            if entry.has_own_crash and entry.fingerprint not in saved
-        ]
-        puts: Sequence[Put] = [
-            Put(entry.fingerprint, encode_row(entry.remaining, store_time))
-            for entry in missing
-        ]
-        if puts:
-            await self._commit(Transaction((), tuple(puts)))
-
-    async def _commit(self, transaction: Transaction) -> None:
-        # A write that fails is repeated after the next read.
-        outcome = await self._table.commit(transaction)
-        logger.debug("write to the quarantine table: {}", type(outcome).__name__)
+        now = self._get_time()
+        self._apply_entries(rows.quarantined)
+        for crash in rows.crashes:
+            self._publish(
+                self._quarantine.apply_peer_crash(
+                    crash.fingerprint, crash.target, now, crash.age
+                )
+            )
+        await self._table.save(
+            rows,
+            [each for each in self._quarantine.describe(now) if each.has_own_crash],
+            self._quarantine.list_own_crashes(now),
+        )
 
 
 def _get_loop_time() -> float:
--- a/kingcuphead/quarantine/_quarantine.py
+++ b/kingcuphead/quarantine/_quarantine.py
@@ -12,6 +12,7 @@
     QuarantineEffect,
     QuarantineEntry,
 )
+from kingcuphead.quarantine._rows import SavedCrash
 from kingcuphead.quarantine._settings import QuarantineSettings
 
 
@@ -140,9 +141,10 @@
 
     def needs_answers(self, fingerprint: str, now: float) -> bool:
         """Return whether another answer may decide about a suspect fingerprint."""
-        crashes = len(self._get_targets(fingerprint))
-        bound = crashes + self._settings.min_crashed_targets
-        return crashes > 0 and self._answers.count_all(fingerprint, now) <= bound
+        if fingerprint not in self._suspicions:
+            return False
+        excess = self._count_excess(fingerprint, now)
+        return -excess <= self._settings.min_crashed_targets
 
     def clear_suspicion(self, fingerprint: str) -> None:
         """Discard the crashes of a fingerprint after a complete answer.
@@ -152,10 +154,24 @@
         if fingerprint not in self._expiries:
             self._suspicions.pop(fingerprint, None)
 
+    def list_own_crashes(self, now: float) -> tuple[SavedCrash, ...]:
+        """Return the crashes that this daemon saw and that may lead to a quarantine.
+
+        Those that answers outweigh are left out.
+        """
+        return tuple(
+            SavedCrash(fingerprint, crash.target, now - crash.recorded_at)
+            for fingerprint, suspicion in self._suspicions.items()
+            if self._count_excess(fingerprint, now) > 0
+            if not self.is_quarantined(fingerprint, now)
+            for crash in suspicion.crashes
+            if crash.is_own
+        )
+
     def apply_peer_crash(
-        self, fingerprint: str, target: str, now: float
+        self, fingerprint: str, target: str, now: float, age: float = 0.0
     ) -> tuple[QuarantineEffect, ...]:
-        """Apply a crash report from a peer.
+        """Apply a crash report from a peer, or from the time before this process.
 
         Every daemon receives the same reports and decides locally. Only the daemons
         that saw one of the crashes themselves return the resulting quarantine as an
@@ -163,8 +179,10 @@
         """
         if self._releases.get(fingerprint, now) > now:
             return ()
+        if target in self._get_targets(fingerprint):
+            return ()
         suspicion = self._add_suspicion(
-            fingerprint, _RecordedCrash(target, now, is_own=False), now
+            fingerprint, _RecordedCrash(target, now - age, is_own=False), now
         )
         is_new = self._quarantine_if_repeated(fingerprint, now)
         if is_new and suspicion.has_own_crash:
@@ -243,7 +261,7 @@
         crashes = len(self._get_targets(fingerprint))
         if crashes < self._settings.min_crashed_targets:
             return False
-        if crashes <= self._answers.count_all(fingerprint, now):
+        if self._count_excess(fingerprint, now) <= 0:
             return False
         if self.is_quarantined(fingerprint, now):
             return False
@@ -251,6 +269,11 @@
         self._trim(self._expiries)
         return True
 
+    def _count_excess(self, fingerprint: str, now: float) -> int:
+        """Return by how much the crashes outnumber the answers."""
+        crashes = len(self._get_targets(fingerprint))
+        return crashes - self._answers.count_all(fingerprint, now)
+
     def _describe_entry(self, fingerprint: str, remaining: float) -> QuarantineEntry:
         suspicion = self._suspicions.get(fingerprint, _Suspicion(()))
         return QuarantineEntry(
--- a/kingcuphead/quarantine/tests/test_exchange.py
+++ b/kingcuphead/quarantine/tests/test_exchange.py
@@ -14,6 +14,7 @@
     QuarantineSettings,
 )
 from kingcuphead.quarantine._answers import AnswerCounts
+from kingcuphead.quarantine._table import CRASH_LIFETIME, MAX_CRASHES
 from kingcuphead.storage.tests._memory_part import MemoryTablePart
 
 SETTINGS = QuarantineSettings(min_crashed_targets=3, crash_retention=7_200.0)
@@ -192,6 +193,42 @@
         self.synchronise(other)
         assert other.exchange.get_remaining("f") == pytest.approx(3_000.0, abs=0.01)
 
+    def test_crashes_count_after_the_daemons_that_saw_them_are_gone(self, clock, table):
+        for number in range(3):
+            daemon = Daemon(clock, table)
+            self.synchronise(daemon)
+            assert not daemon.is_quarantined
+            daemon.crash(f"t{number}")
+            self.synchronise(daemon)
+            clock.now += 60.0
+        assert daemon.is_quarantined
+
+    def test_crashes_that_answers_outweigh_are_not_kept(self, table, daemon):
+        daemon.crash("t1")
+        daemon.exchange.record_answer("f")
+        self.synchronise(daemon)
+        assert table.rows == {}
+
+    def test_crashes_are_removed_after_a_while(self, clock, table, daemon):
+        daemon.crash("t1")
+        self.synchronise(daemon)
+        assert list(table.rows) == ["crash/f/t1"]
+        clock.now += CRASH_LIFETIME + 1.0
+        self.synchronise(Daemon(clock, table))
+        assert table.rows == {}
+
+    def test_the_number_of_kept_crashes_is_bounded(self, clock, table, daemon):
+        for number in range(3 * MAX_CRASHES):
+            clock.now += 0.1
+            daemon.crash("t1", fingerprint=f"f{number}")
+            if number % 50 == 0:
+                self.synchronise(daemon)
+        for _ in range(2):
+            self.synchronise(daemon)
+        self.synchronise(Daemon(clock, table))
+        assert len(table.rows) == MAX_CRASHES
+        assert f"crash/f{3 * MAX_CRASHES - 1}/t1" in table.rows
+
     def test_a_write_that_the_store_missed_is_repeated(self, table, daemon):
         for number in range(3):
             daemon.crash(f"t{number}")
@@ -220,8 +257,9 @@
         assert daemon.is_quarantined
 
     @pytest.mark.parametrize("value", [b"", b"{}", b'{"expires_ms":"x"}', b"\xff"])
-    def test_a_malformed_row_is_left_out(self, table, daemon, value):
-        table.rows["f"] = value
+    @pytest.mark.parametrize("key", ["f", "crash/f", "crash/f/t1"])
+    def test_a_malformed_row_is_left_out(self, table, daemon, key, value):
+        table.rows[key] = value
         self.synchronise(daemon)
         assert not daemon.is_quarantined
 
