Let the number of answers of a suspect request pass the filter of log fields

The field of `target lost under a request` that says how many answers weigh against the crash was dropped; the test of the filter now sends a request that loses a target (it failed before).

--- a/kingcuphead/forwarding/tests/test_log.py
+++ b/kingcuphead/forwarding/tests/test_log.py
@@ -6,6 +6,7 @@
     make_route,
     run,
 )
+from kingcuphead.forwarding.tests._target import ScriptedTarget
 from kingcuphead.logs import ALLOWED_FIELDS
 
 
@@ -15,7 +16,8 @@
         fields = set()
 
         async def scenario(harness):
-            harness.first.script = [harness.first.answer()]
+            harness.first.script = [[ScriptedTarget.CRASH]]
+            harness.second.script = [harness.second.answer()]
             await harness.serve(make_request(IDEMPOTENT))
 
         sink = logger.add(lambda message: fields.update(message.record["extra"]))
@@ -23,5 +25,5 @@
             run([make_route(IDEMPOTENT)], scenario)
         finally:
             logger.remove(sink)
-        assert "fingerprint" in fields
+        assert {"fingerprint", "answers"} <= fields
         assert fields - {"line", "fields"} <= ALLOWED_FIELDS
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -20,6 +20,7 @@
 ALLOWED_FIELDS = frozenset(
     {
         "age_seconds",
+        "answers",
         "attempt",
         "attempts",
         "budget",
