--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -13,6 +13,9 @@
 from kingcuphead.targets import Target
 from kingcuphead.verdict import Execution
 
+#: Characters of the names of a prompt's parts in a log line.
+MAX_LOGGED_PARTS = 200
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AttemptRecord:
@@ -123,8 +126,7 @@
         prefixes = []
         tokens = 0
         key = ""
-        # The last part is specific to the request, so no other request shares it.
-        for part in size.parts[:-1]:
+        for part in self.request.shared_parts:
             tokens += part.tokens
             key = f"{key}/{part.name}"
             prefixes.append(SharedPrefix(key, tokens))
@@ -132,6 +134,11 @@
             self.service, tuple(prefixes), size.prompt_tokens, self.route.objective
         )
 
+    def _describe_parts(self) -> str:
+        """Return the names of the shared parts of the prompt, for the log."""
+        names = [part.name for part in self.request.shared_parts]
+        return "/".join(names)[:MAX_LOGGED_PARTS]
+
     def log_end(self, refusal: Refusal | None, now: float) -> None:
         """Log the outcome of the request.
 
@@ -146,6 +153,7 @@
         bound = logger.bind(
             request_id=self.request.request_id,
             fingerprint=self.fingerprint,
+            parts=self._describe_parts(),
             resumes=self.request.resumed_id,
             organisation=self.payer,
             route=self.route.name,
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -66,6 +66,14 @@
         """
         return self.resumed_id if self.resume_after else self.request_id
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """Parts of the prompt that other requests may contain too.
+
+        The last part is specific to the request.
+        """
+        return () if self.size is None else self.size.parts[:-1]
+
     @property
     def path(self) -> str:
         """The path without its query."""
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -33,6 +33,7 @@
         "first_event_seconds",
         "instance",
         "organisation",
+        "parts",
         "peer",
         "phases",
         "reason",
