--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -58,6 +58,11 @@
     #: Versions of the targets that made the events.
     versions: tuple[str, ...] = ()
 
+    @property
+    def is_whole(self):
+        """Whether the caller got each event of the stream."""
+        return self.status == 200 and len(self.event_ids) == STREAM_EVENTS
+
 
 class Fleet:
     """A fleet that serves one route.
@@ -145,7 +150,9 @@
             return 0
         return answer.code
 
-    async def read_stream(self, number, count=STREAM_EVENTS, resumed=None, last=0):
+    async def read_stream(
+        self, number, count=STREAM_EVENTS, resumed=None, last=0, parts=()
+    ):
         """Read a stream from a daemon and leave after some events.
 
         Parameters
@@ -158,9 +165,11 @@
             Id of the try that began the stream; None to begin one.
         last
             Id of the last event that the caller has.
+        parts
+            Names of the parts of the prompt.
         """
         request_id = self._make_request_id()
-        headers = make_caller_headers(request_id, resumed or "", last)
+        headers = make_caller_headers(request_id, resumed or "", last, parts)
         # All tries of one stream have the same path.
         start_line = f"POST /r/{resumed or request_id} HTTP/1.1"
         lines = [start_line, *(f"{k}: {v}" for k, v in headers.items())]
--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -9,6 +9,7 @@
     make_stream_head,
     make_unframed_head,
     parse_headers,
+    parse_parts,
     parse_resumption,
 )
 
@@ -18,6 +19,10 @@
 CRASHING_BODY = b"crash"
 #: Seconds for which a slow target works on a request.
 SLOW_SECONDS = 0.05
+#: Part of a prompt under which targets crash when they begin to answer.
+CRASHING_PART = "bad0"
+#: Seconds that a target reads a prompt before it begins to answer.
+PREFILL_SECONDS = 0.03
 #: Events of a complete stream, and seconds between two of them.
 STREAM_EVENTS = 6
 EVENT_GAP = 0.02
@@ -200,3 +205,16 @@
             await writer.drain()
             await asyncio.sleep(EVENT_GAP)
         writer.write(b"0\r\n\r\n")
+
+
+class PromptTarget(StreamingTarget):
+    """Streams, and crashes when it begins to answer on a certain part of a prompt."""
+
+    async def answer(self, headers, body, writer):
+        await asyncio.sleep(PREFILL_SECONDS)
+        if CRASHING_PART not in parse_parts(headers):
+            await super().answer(headers, body, writer)
+            return
+        writer.write(make_stream_head(headers["attempt-id"]))
+        await writer.drain()
+        self.crash()
--- a/kingcuphead/platform/tests/_documents.py
+++ b/kingcuphead/platform/tests/_documents.py
@@ -46,10 +46,11 @@
     return encode_value(content)
 
 
-def make_caller_headers(request_id, resumed_id="", last_event_id=0):
+def make_caller_headers(request_id, resumed_id="", last_event_id=0, parts=()):
     """Return the headers of a caller's request to the route.
 
-    With an id of an earlier try, it takes up the stream that the try began.
+    With an id of an earlier try, it takes up the stream that the try began. `parts` are
+    the names of the parts of its prompt.
     """
     headers = {
         "Host": "h",
@@ -59,6 +60,9 @@
     }
     if resumed_id:
         headers |= {"Resumes": resumed_id, "Last-Event-Id": str(last_event_id)}
+    if parts:
+        prompt = ",".join(f"{part}:100" for part in parts)
+        headers |= {"Token-Counts": f"{100 * len(parts)},50", "Prompt-Prefix": prompt}
     return headers
 
 
@@ -73,6 +77,12 @@
     return int(headers.get("last-event-id", 0))
 
 
+def parse_parts(headers):
+    """Return the names of the parts of a prompt."""
+    entries = headers.get("prompt-prefix", "").split(",")
+    return [entry.partition(":")[0] for entry in entries]
+
+
 def make_answer(request_id, body, status="200 OK"):
     """Return the bytes of a target's complete answer."""
     lines = [
