Quarantine the part of a prompt that crashes targets

Cause: the quarantine knew a request only as a whole, and no two of these are alike.

Now a crash is attributed to the request and to those parts of its prompt, but the last, that were never answered. Four crashed targets under different requests accuse a part; find_culprits tells it from its neighbours: a part that is in all requests of the crashes, where others were only beside them. Parts that always came together are refused only together, and an answer clears the parts that it contains, in the whole fleet. A verdict explains the crashes: requests that were lost beside are no longer suspected. Other daemons have 0.1 s to object; crashes and verdicts are kept in the store as for requests.

Ruled out: the first part of the prompt or the whole key, which sound requests share; a count by part alone, which met the parts of neighbours and the first part.

--- a/kingcuphead/daemon/_scheduler_task.py
+++ b/kingcuphead/daemon/_scheduler_task.py
@@ -113,10 +113,9 @@
                     "target {} is {} (source: {})", target, state.value, source.value
                 )
                 self._raise_state_notice(effect)
-            case quarantine.CrashReported(fingerprint, target):
-                self._raise_notice(
-                    NoticeRaised(NoticeKind.TARGET_CRASHED, fingerprint, target)
-                )
+            case quarantine.CrashReported(target, request):
+                kind = NoticeKind.TARGET_CRASHED
+                self._raise_notice(NoticeRaised(kind, request.fingerprint, target))
             case quarantine.FingerprintQuarantined(fingerprint, remaining):
                 logger.warning("quarantined the request fingerprint {}", fingerprint)
                 kind = NoticeKind.FINGERPRINT_QUARANTINED
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -19,6 +19,7 @@
     CrashReported,
     FingerprintQuarantined,
     QuarantineReported,
+    RequestIdentity,
 )
 from kingcuphead.resumption import BegunStream, StreamAsked, StreamsBegan
 
@@ -27,7 +28,7 @@
     LoadsReported("a/1", 8, ()),
     CreditAsked("a/1", 3, "atelier", 12_000),
     CreditHanded("a/1", 3, 0),
-    CrashReported("f", "t1@5"),
+    CrashReported("t1@5", RequestIdentity("f", ("part:a0", "part:b1"))),
     AnswersReported("f", "a/1", 2),
     StreamsBegan((BegunStream("r1", "pool", "v1.1"),)),
     StreamAsked("r1"),
--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -197,7 +197,10 @@
 
 
 async def _read_part(reader, request_id, count):
-    """Read events until there are `count` of them, or the answer ends."""
+    """Read events until there are `count` of them, or the answer ends.
+
+    A caller that wants all of them reads the end of the stream, too.
+    """
     event_ids: list[int] = []
     versions: list[str] = []
     status = 0
@@ -212,4 +215,6 @@
                 event_ids.append(int(value))
             elif name == "data":
                 versions.append(value)
+        if len(versions) == STREAM_EVENTS:
+            await reader.readuntil(b"0\r\n\r\n")
     return StreamPart(request_id, status, tuple(event_ids), tuple(versions))
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -9,6 +9,7 @@
 from kingcuphead.dispatch import AttemptResult, PlacementRequest, SharedPrefix
 from kingcuphead.forwarding._messages import CallerRequest
 from kingcuphead.forwarding._refusals import Refusal
+from kingcuphead.quarantine import RequestIdentity
 from kingcuphead.routing import Organisation, Route
 from kingcuphead.targets import Target
 from kingcuphead.verdict import Execution
@@ -64,8 +65,8 @@
     deadline: float
     #: Version of the configuration that the request is served by.
     revision: int
-    #: Digest that all tries of the request share.
-    fingerprint: str = ""
+    #: What recognises the request, or one that shares parts of its prompt.
+    identity: RequestIdentity = RequestIdentity("")
     #: Output tokens in one event of a stream.
     tokens_per_event: int = 1
     #: Software version whose events the caller has; only targets of that version may
@@ -152,7 +153,7 @@
         """
         bound = logger.bind(
             request_id=self.request.request_id,
-            fingerprint=self.fingerprint,
+            fingerprint=self.identity.fingerprint,
             parts=self._describe_parts(),
             resumes=self.request.resumed_id,
             organisation=self.payer,
--- a/kingcuphead/forwarding/_evidence.py
+++ b/kingcuphead/forwarding/_evidence.py
@@ -10,7 +10,7 @@
     StreamDelivered,
 )
 from kingcuphead.forwarding._target_watch import TargetWatch
-from kingcuphead.quarantine import QuarantineExchange
+from kingcuphead.quarantine import QuarantineExchange, RequestIdentity
 from kingcuphead.targets import Target
 from kingcuphead.verdict import Execution
 
@@ -19,8 +19,8 @@
 class EndedAttempt:
     """An attempt that has ended, in one way or another."""
 
-    #: Fingerprint of the request.
-    fingerprint: str
+    #: What recognises the request.
+    request: RequestIdentity
     #: Target that the request was sent to.
     target: Target
     #: How the attempt ended; None if it was abandoned.
@@ -61,6 +61,9 @@
                 return None
             case AttemptFailed(is_connection_lost=is_connection_lost):
                 return self._follow(attempt, is_connection_lost)
+            case None if attempt.running_seconds:
+                # It had been answered for a while; a crash later has another cause.
+                return None
             case None:
                 return self._follow(attempt, is_connection_lost=False)
             case (Answered() | StreamDelivered()) as answer if answer.head.is_unframed:
@@ -80,11 +83,11 @@
 
     def _record_crash(self, attempt: EndedAttempt) -> None:
         self._quarantine.record_crash(
-            attempt.fingerprint, attempt.target.incarnation, attempt.running_seconds
+            attempt.request, attempt.target.incarnation, attempt.running_seconds
         )
 
     def _record_answer(self, attempt: EndedAttempt) -> None:
         """Count a success; a target that answers an error may not have run it."""
         match attempt.end:
             case (Answered() | StreamDelivered()) as answer if answer.head.is_success:
-                self._quarantine.record_answer(attempt.fingerprint)
+                self._quarantine.record_answer(attempt.request)
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -26,7 +26,7 @@
 )
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EndedAttempt
-from kingcuphead.forwarding._fingerprint import fingerprint_request
+from kingcuphead.forwarding._fingerprint import identify_request
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.forwarding._refusals import Refusal, refuse
@@ -166,7 +166,7 @@
             deadline=request.arrived_at + timeout,
             revision=table.configuration.version,
         )
-        context.fingerprint = fingerprint_request(request, context.payer)
+        context.identity = identify_request(request, context.payer)
         context.tokens_per_event = table.get_tokens_per_event(service)
         self._dependencies.retries.count_request(service, get_time())
         return Ok(context)
@@ -379,15 +379,15 @@
     ) -> asyncio.Event | None:
         seconds = 0.0 if stream is None else stream.get_running_seconds()
         return self._dependencies.evidence.record(
-            EndedAttempt(context.fingerprint, placement.target, end, seconds)
+            EndedAttempt(context.identity, placement.target, end, seconds)
         )
 
     def _is_quarantined(self, context: RequestContext) -> bool:
-        remaining = self._dependencies.quarantine.get_remaining(context.fingerprint)
+        remaining = self._dependencies.quarantine.get_remaining(context.identity)
         return remaining > 0
 
     def _refuse_quarantined(self, context: RequestContext) -> Refusal:
-        remaining = self._dependencies.quarantine.get_remaining(context.fingerprint)
+        remaining = self._dependencies.quarantine.get_remaining(context.identity)
         return refuse(503, Reason.QUARANTINED, remaining)
 
     def _abandon(
--- a/kingcuphead/forwarding/tests/test_quarantine.py
+++ b/kingcuphead/forwarding/tests/test_quarantine.py
@@ -3,7 +3,7 @@
 import pytest
 
 from kingcuphead.forwarding import PromptSize
-from kingcuphead.forwarding._fingerprint import fingerprint_request
+from kingcuphead.forwarding._fingerprint import identify_request
 from kingcuphead.forwarding._target_watch import WATCH_PERIOD
 from kingcuphead.forwarding.tests._harness import (
     IDEMPOTENT,
@@ -23,11 +23,10 @@
 
 def report_crashes(harness, request, count):
     """Let other daemons report crashes of targets under a request."""
-    fingerprint = fingerprint_request(request, "atelier")
+    identity = identify_request(request, "atelier")
     for number in range(count):
-        crash = CrashReported(fingerprint, f"other-{number}@1")
+        crash = CrashReported(f"other-{number}@1", identity)
         harness.quarantine.handle_message(crash, harness.broadcasts.append)
-    return fingerprint
 
 
 class TestQuarantine:
@@ -59,12 +58,12 @@
     def test_a_crash_and_the_answer_after_it_are_told_to_other_daemons(self):
         async def scenario(harness):
             request = make_request(IDEMPOTENT)
-            fingerprint = fingerprint_request(request, "atelier")
+            identity = identify_request(request, "atelier")
             harness.first.script = [[ScriptedTarget.CRASH]]
             harness.second.script = [harness.second.answer()]
             await harness.serve(request)
-            crash = CrashReported(fingerprint, "t1@1")
-            answers = AnswersReported(fingerprint, "d1/1", 1)
+            crash = CrashReported("t1@1", identity)
+            answers = AnswersReported(identity.fingerprint, "d1/1", 1)
             assert harness.broadcasts == [crash, answers]
 
         run([make_route(IDEMPOTENT)], scenario)
@@ -101,13 +100,15 @@
 
         async def scenario(harness):
             request = make_request(IDEMPOTENT)
-            fingerprint = fingerprint_request(request, "atelier")
+            identity = identify_request(request, "atelier")
             harness.first.script = [[UNFRAMED, end]]
             caller, _ = await harness.serve(request)
             assert (caller.status, caller.body) == (200, b"text")
             await asyncio.sleep(WATCH_PERIOD + 0.1)
             assert bool(harness.broadcasts) is is_crash
-            answers = harness.quarantine._quarantine.count_answers(fingerprint, 0.0)
+            answers = harness.quarantine._quarantine.count_answers(
+                identity.fingerprint, 0.0
+            )
             assert bool(answers) is not is_crash
 
         run([make_route(IDEMPOTENT)], scenario)
@@ -123,8 +124,8 @@
             assert harness.broadcasts == []
             harness.first.end()
             await asyncio.sleep(0.05)
-            fingerprint = fingerprint_request(request, "atelier")
-            assert harness.broadcasts == [CrashReported(fingerprint, "t1@1")]
+            identity = identify_request(request, "atelier")
+            assert harness.broadcasts == [CrashReported("t1@1", identity)]
 
         run([make_route(ONCE)], scenario)
 
--- a/kingcuphead/quarantine/__init__.py
+++ b/kingcuphead/quarantine/__init__.py
@@ -1,4 +1,4 @@
-"""Quarantine of requests whose execution repeatedly crashes targets."""
+"""Quarantine of requests, and of parts of prompts, that repeatedly crash targets."""
 
 from kingcuphead.quarantine._exchange import (
     QuarantineExchange,
@@ -10,12 +10,14 @@
     CrashReported,
     FingerprintQuarantined,
     FingerprintReleased,
+    PartsAccused,
     QuarantineEffect,
     QuarantineEntry,
     QuarantineReported,
 )
 from kingcuphead.quarantine._quarantine import Quarantine
 from kingcuphead.quarantine._settings import QuarantineSettings
+from kingcuphead.quarantine._subjects import RequestIdentity, name_parts
 
 __all__ = [
     "AnswersReported",
@@ -23,6 +25,7 @@
     "CrashReported",
     "FingerprintQuarantined",
     "FingerprintReleased",
+    "PartsAccused",
     "Quarantine",
     "QuarantineEffect",
     "QuarantineEntry",
@@ -30,4 +33,6 @@
     "QuarantineMessage",
     "QuarantineReported",
     "QuarantineSettings",
+    "RequestIdentity",
+    "name_parts",
 ]
--- a/kingcuphead/quarantine/_exchange.py
+++ b/kingcuphead/quarantine/_exchange.py
@@ -13,11 +13,13 @@
     CrashReported,
     FingerprintQuarantined,
     FingerprintReleased,
+    PartsAccused,
     QuarantineEffect,
     QuarantineReported,
 )
 from kingcuphead.quarantine._quarantine import Quarantine
 from kingcuphead.quarantine._settings import QuarantineSettings
+from kingcuphead.quarantine._subjects import RequestIdentity, is_part, split_key
 from kingcuphead.quarantine._table import QuarantineTable
 from kingcuphead.storage import TablePart
 
@@ -31,6 +33,10 @@
 #: same target ran are written with it.
 SAVE_DELAY = 0.1
 
+#: Seconds between an accusation of parts and the verdict, in which other daemons tell
+#: of answers to them.
+OBJECTION_PERIOD = 0.1
+
 #: Messages that the daemons of a fleet exchange.
 QuarantineMessage: TypeAlias = CrashReported | AnswersReported | QuarantineReported
 
@@ -71,45 +77,45 @@
         self._gossip = gossip
         self._get_time = get_time or _get_loop_time
         self._unsaved = asyncio.Event()
+        self._accused = asyncio.Event()
 
     @property
     def is_unsaved(self) -> bool:
         """Whether there was a crash or a quarantine since the last `synchronise`."""
         return self._unsaved.is_set()
 
-    def get_remaining(self, fingerprint: str) -> float:
-        """Return the seconds until a fingerprint's quarantine ends; 0 without one."""
-        return self._quarantine.get_remaining(fingerprint, self._get_time())
+    def get_remaining(self, request: RequestIdentity) -> float:
+        """Return the seconds until the quarantine of a request ends; 0 without one."""
+        return self._quarantine.get_remaining(request, self._get_time())
 
     def record_crash(
-        self, fingerprint: str, target: str, running_seconds: float
+        self, request: RequestIdentity, target: str, running_seconds: float
     ) -> None:
-        """Record that the connection to a target broke under a request.
+        """Record that a target crashed while it ran a request.
 
         Parameters
         ----------
-        fingerprint
-            Fingerprint of the request.
+        request
+            The request.
         target
             Incarnation of the target.
         running_seconds
             Seconds since the first event of the answer; 0 if there was none.
         """
         now = self._get_time()
+        fingerprint = request.fingerprint
         answers = self._quarantine.count_answers(fingerprint, now)
         logger.bind(fingerprint=fingerprint, target=target, answers=answers).info(
             "target lost under a request"
         )
         is_early = running_seconds < self._settings.early_phase
-        crash = Crash(fingerprint, target, is_early)
+        crash = Crash(target, request, is_early)
         self._publish(self._quarantine.record_crash(crash, now))
 
-    def record_answer(self, fingerprint: str) -> None:
+    def record_answer(self, request: RequestIdentity) -> None:
         """Record a complete answer of a target."""
-        now = self._get_time()
-        self._quarantine.record_answer(fingerprint, now)
-        if self._quarantine.needs_answers(fingerprint, now):
-            self._broadcast(self._make_report(fingerprint))
+        for subject in self._quarantine.record_answer(request, self._get_time()):
+            self._broadcast(self._make_report(subject))
 
     def handle_message(
         self, message: QuarantineMessage, reply: Callable[[QuarantineMessage], None]
@@ -117,22 +123,26 @@
         """Apply a message of another daemon; `reply` sends an answer to it."""
         now = self._get_time()
         match message:
-            case CrashReported(fingerprint, target):
-                if self._quarantine.count_answers(fingerprint, now):
-                    reply(self._make_report(fingerprint))
-                self._publish(
-                    self._quarantine.apply_peer_crash(fingerprint, target, now)
-                )
+            case CrashReported(target, request):
+                self._object(request.subjects, reply)
+                self._publish(self._quarantine.apply_peer_crash(target, request, now))
             case AnswersReported():
                 self._apply_answers(message)
             case QuarantineReported(entries):
+                parts = (each for key in entries for each in split_key(key.fingerprint))
+                self._object(filter(is_part, parts), reply)
                 self._apply_entries(entries)
 
+    def judge_parts(self) -> None:
+        """Quarantine the parts that crashes are due to, after the time to object."""
+        self._publish(self._quarantine.judge_parts(self._get_time()))
+
     async def run(self) -> None:
         """Report and save the quarantine until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             tasks.create_task(self._report_repeatedly())
             tasks.create_task(self._synchronise_repeatedly())
+            tasks.create_task(self._judge_repeatedly())
 
     async def _report_repeatedly(self) -> None:
         while True:
@@ -147,19 +157,36 @@
                     await self._unsaved.wait()
                     await asyncio.sleep(SAVE_DELAY)
 
-    def _make_report(self, fingerprint: str) -> AnswersReported:
-        answers = self._quarantine.count_answers(fingerprint, self._get_time())
-        return AnswersReported(fingerprint, self._identity, answers)
+    async def _judge_repeatedly(self) -> None:
+        while True:
+            await self._accused.wait()
+            self._accused.clear()
+            await asyncio.sleep(OBJECTION_PERIOD)
+            self.judge_parts()
+
+    def _object(
+        self, subjects: Iterable[str], reply: Callable[[QuarantineMessage], None]
+    ) -> None:
+        """Tell a daemon of answers to what it suspects."""
+        now = self._get_time()
+        for subject in subjects:
+            if self._quarantine.count_answers(subject, now):
+                reply(self._make_report(subject))
+
+    def _make_report(self, subject: str) -> AnswersReported:
+        answers = self._quarantine.count_answers(subject, self._get_time())
+        return AnswersReported(subject, self._identity, answers)
 
     def _apply_answers(self, message: AnswersReported) -> None:
         """Count the answers of another daemon, also where this one spread a crash."""
         now = self._get_time()
-        fingerprint = message.fingerprint
-        is_useful = self._quarantine.needs_answers(fingerprint, now)
+        subject = message.subject
+        is_useful = self._quarantine.needs_answers(subject, now)
+        has_spread = self._quarantine.has_own_crash(subject)
         is_new = self._quarantine.apply_peer_answers(
-            fingerprint, message.reporter, message.answers, now
+            subject, message.reporter, message.answers, now
         )
-        if is_new and is_useful and self._quarantine.has_own_crash(fingerprint):
+        if is_new and is_useful and has_spread:
             self._broadcast(message)
 
     def _publish(self, effects: Iterable[QuarantineEffect]) -> None:
@@ -168,6 +195,8 @@
                 case CrashReported():
                     self._broadcast(effect)
                     self._unsaved.set()
+                case PartsAccused():
+                    self._accused.set()
                 case FingerprintQuarantined(fingerprint):
                     logger.bind(fingerprint=fingerprint).warning(
                         "request quarantined: it crashed several targets"
@@ -214,12 +243,12 @@
         for crash in rows.crashes:
             self._publish(
                 self._quarantine.apply_peer_crash(
-                    crash.fingerprint, crash.target, now, crash.age
+                    crash.target, crash.request, now, crash.age
                 )
             )
         await self._table.save(
             rows,
-            [each for each in self._quarantine.describe(now) if each.has_own_crash],
+            [each for each in self._quarantine.describe(now) if each.is_announced],
             self._quarantine.list_own_crashes(now),
         )
 
--- a/kingcuphead/quarantine/_messages.py
+++ b/kingcuphead/quarantine/_messages.py
@@ -3,22 +3,24 @@
 import dataclasses
 from typing import TypeAlias
 
+from kingcuphead.quarantine._subjects import RequestIdentity
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CrashReported:
     """A target crashed while it ran a suspect request; sent to peers."""
 
-    #: Fingerprint of the request.
-    fingerprint: str
     #: Target that crashed.
     target: str
+    #: The request, with those parts that were never answered.
+    request: RequestIdentity
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class FingerprintQuarantined:
-    """Requests with a fingerprint are no longer run; sent to peers."""
+    """Requests are no longer run; sent to peers."""
 
-    #: Fingerprint of the requests.
+    #: Key of the quarantine: fingerprint of the requests, or parts that they contain.
     fingerprint: str
     #: Seconds until the quarantine ends.
     remaining: float
@@ -34,10 +36,10 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswersReported:
-    """A suspect request got complete answers too; sent to peers."""
+    """A suspect request or part got complete answers too; sent to peers."""
 
-    #: Fingerprint of the requests.
-    fingerprint: str
+    #: Fingerprint of the requests, or name of the part.
+    subject: str
     #: Identity of the daemon that passed the answers on.
     reporter: str
     #: Number of these answers.
@@ -52,33 +54,50 @@
     entries: tuple[FingerprintQuarantined, ...]
 
 
-#: Effects that the daemon gossips to its peers.
+@dataclasses.dataclass(frozen=True, slots=True)
+class PartsAccused:
+    """Parts of prompts may have to be quarantined, unless another daemon objects."""
+
+
+#: Effects of the quarantine; all but `PartsAccused` are sent to peers.
 QuarantineEffect: TypeAlias = (
-    CrashReported | FingerprintQuarantined | FingerprintReleased
+    CrashReported | FingerprintQuarantined | FingerprintReleased | PartsAccused
 )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Crash:
-    """One stream that broke because its target crashed."""
+    """One request that was lost because its target crashed."""
 
-    #: Fingerprint of the request.
-    fingerprint: str
     #: Target that crashed.
     target: str
+    #: The request.
+    request: RequestIdentity
     #: Whether the request was before its first token or in its early phase.
     is_early: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class SavedCrash:
+    """A crash under a request, as kept in the table."""
+
+    #: Incarnation of the target.
+    target: str
+    #: The request.
+    request: RequestIdentity
+    #: Seconds since the crash.
+    age: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class QuarantineEntry:
-    """A quarantined fingerprint, in the form shown to operators."""
+    """What is quarantined, in the form shown to operators."""
 
-    #: Fingerprint of the requests.
+    #: Key of the quarantine: fingerprint of the requests, or parts that they contain.
     fingerprint: str
     #: Crashed targets, as recorded by this daemon or reported by peers.
     targets: tuple[str, ...]
     #: Seconds until the quarantine ends.
     remaining: float
-    #: Whether this daemon saw one of the crashes itself.
-    has_own_crash: bool = False
+    #: Whether this daemon announced it, having seen one of the crashes itself.
+    is_announced: bool = False
--- a/kingcuphead/quarantine/_quarantine.py
+++ b/kingcuphead/quarantine/_quarantine.py
@@ -1,76 +1,75 @@
-"""Detection and quarantine of requests that crash targets."""
+"""Detection and quarantine of what crashes targets: requests, and parts of prompts."""
 
 import dataclasses
-from collections.abc import Iterator
+from collections import OrderedDict
+from collections.abc import Iterable, Iterator
 
 from kingcuphead.quarantine._answers import AnswerCounts
+from kingcuphead.quarantine._culprits import Crashes, find_culprits, is_any_accused
+from kingcuphead.quarantine._entries import QuarantinedKeys
 from kingcuphead.quarantine._messages import (
     Crash,
     CrashReported,
     FingerprintQuarantined,
     FingerprintReleased,
+    PartsAccused,
     QuarantineEffect,
     QuarantineEntry,
+    SavedCrash,
 )
-from kingcuphead.quarantine._rows import SavedCrash
 from kingcuphead.quarantine._settings import QuarantineSettings
+from kingcuphead.quarantine._subjects import (
+    RequestIdentity,
+    is_part,
+    join_subjects,
+    split_key,
+)
+from kingcuphead.quarantine._suspicions import (
+    CrashedRequest,
+    RecordedCrash,
+    Suspicions,
+)
 
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class _RecordedCrash:
-    """The crash of one target."""
-
-    #: Target that crashed.
-    target: str
-    #: When it was recorded, in seconds on the monotonic clock.
-    recorded_at: float
-    #: Whether this daemon saw it, rather than a peer.
-    is_own: bool
+#: Crashes of this daemon that are kept for the table.
+MAX_OWN_CRASHES = 100
+#: Targets that are remembered because the cause of their crash is known.
+MAX_EXPLAINED = 256
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Suspicion:
-    """Crashes attributed to one fingerprint."""
-
-    crashes: tuple[_RecordedCrash, ...]
-
-    def with_crash(self, crash: _RecordedCrash) -> "_Suspicion":
-        others = tuple(each for each in self.crashes if each.target != crash.target)
-        return _Suspicion((*others, crash))
-
-    def without_crashes_before(self, oldest: float) -> "_Suspicion":
-        return _Suspicion(
-            tuple(crash for crash in self.crashes if crash.recorded_at >= oldest)
-        )
-
-    @property
-    def targets(self) -> tuple[str, ...]:
-        return tuple(crash.target for crash in self.crashes)
+class _PendingCrash:
+    """Requests of one target that were lost within one crash window."""
 
-    @property
-    def has_own_crash(self) -> bool:
-        return any(crash.is_own for crash in self.crashes)
+    #: When the first of them was lost, in seconds on the monotonic clock.
+    began_at: float
+    #: Whether one of the requests was in its early phase.
+    has_early: bool = False
+    #: The requests that were past their early phase.
+    late: tuple[RequestIdentity, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _PendingCrash:
-    """Streams of one target that broke within one crash window."""
+class _OwnCrash:
+    """A request that this daemon lost with a target."""
 
-    #: When the first of them broke, in seconds on the monotonic clock.
-    began_at: float
-    #: Whether one of the requests was in its early phase.
-    has_early: bool
-    #: Fingerprints of the requests that were past their early phase.
-    late: tuple[str, ...] = ()
+    #: Incarnation of the target.
+    target: str
+    #: The request.
+    request: RequestIdentity
+    #: When the target crashed, in seconds on the monotonic clock.
+    crashed_at: float
 
 
 class Quarantine:
-    """Quarantines fingerprints whose requests crashed several targets.
+    """Quarantines requests and parts of prompts under which several targets crashed.
+
+    A crash loses every request of the target. It is attributed to the requests in
+    their early phase, or to the later ones if none was early, and to those parts of
+    their prompts that were never answered.
 
-    A crash breaks every stream of the target. It is attributed to the requests in
-    their early phase, or to the later ones if none was early. A fingerprint is
-    quarantined once its crashes are repeated and outnumber its answers: a popular
-    request that is answered all the time is lost with targets that others crash.
+    A request is quarantined once its crashes are repeated and outnumber its answers: a
+    popular request that is answered all the time is lost with targets that others
+    crash. Parts are quarantined by `find_culprits`; one answer clears a part.
 
     Parameters
     ----------
@@ -79,125 +78,159 @@
     """
 
     def __init__(self, settings: QuarantineSettings) -> None:
+        retention, capacity = settings.crash_retention, settings.capacity
         self._settings = settings
-        self._suspicions: dict[str, _Suspicion] = {}
+        self._suspicions = Suspicions(retention, capacity)
+        self._request_answers = AnswerCounts(retention, capacity)
+        self._part_answers = AnswerCounts(retention, capacity)
+        self._keys = QuarantinedKeys(retention - settings.expiry, capacity)
         self._pending: dict[str, _PendingCrash] = {}
-        self._expiries: dict[str, float] = {}
+        self._explained: OrderedDict[str, None] = OrderedDict()
+        #: Keys whose quarantine this daemon announced.
+        self._announced: set[str] = set()
+        self._own_crashes: OrderedDict[CrashedRequest, _OwnCrash] = OrderedDict()
         self._releases: dict[str, float] = {}
-        self._answers = AnswerCounts(settings.crash_retention, settings.capacity)
 
     def is_quarantined(self, fingerprint: str, now: float) -> bool:
         """Return whether requests with this fingerprint are rejected."""
-        return self.get_remaining(fingerprint, now) > 0
+        return self._keys.get_remaining(fingerprint, now) > 0
 
-    def get_remaining(self, fingerprint: str, now: float) -> float:
-        """Return the seconds until a fingerprint's quarantine ends; 0 without one."""
-        return max(0.0, self._expiries.get(fingerprint, now) - now)
+    def get_remaining(self, request: RequestIdentity, now: float) -> float:
+        """Return the seconds until the quarantine of a request ends; 0 without one."""
+        keys = self._keys.find_covering(request.subjects)
+        return max((self._keys.get_remaining(key, now) for key in keys), default=0.0)
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a crash is, or can still be, attributed to a fingerprint."""
         if fingerprint in self._suspicions:
             return True
-        return any(fingerprint in crash.late for crash in self._pending.values())
+        return any(
+            fingerprint == request.fingerprint
+            for crash in self._pending.values()
+            for request in crash.late
+        )
 
-    def has_own_crash(self, fingerprint: str) -> bool:
-        """Return whether this daemon saw a crash attributed to a fingerprint."""
-        suspicion = self._suspicions.get(fingerprint)
-        return suspicion is not None and suspicion.has_own_crash
+    def has_own_crash(self, subject: str) -> bool:
+        """Return whether this daemon saw a crash that is attributed to a subject."""
+        return self._suspicions.get(subject).has_own_crash
 
     def describe(self, now: float) -> tuple[QuarantineEntry, ...]:
-        """Return the quarantined fingerprints for operators."""
+        """Return the quarantined keys for operators."""
+        return tuple(
+            self._describe_entry(key, remaining)
+            for key, remaining in self._keys.list_active(now)
+        )
+
+    def list_own_crashes(self, now: float) -> tuple[SavedCrash, ...]:
+        """Return the crashes that this daemon saw and that matter to later daemons.
+
+        These are the crashes that quarantined parts explain, and those that may yet
+        lead to a quarantine.
+        """
         return tuple(
-            self._describe_entry(fingerprint, expiry - now)
-            for fingerprint, expiry in self._expiries.items()
-            if expiry > now
+            SavedCrash(crash.target, crash.request, now - crash.crashed_at)
+            for crash in self._own_crashes.values()
+            if any(self._keys.find_covering(crash.request.parts))
+            or self._may_convict(crash.target, crash.request, now)
         )
 
     def record_crash(self, crash: Crash, now: float) -> tuple[QuarantineEffect, ...]:
-        """Record a stream that broke because its target crashed."""
-        pending = self._pending.get(crash.target)
-        if pending is None or now - pending.began_at > self._settings.crash_window:
-            pending = _PendingCrash(now, has_early=False)
+        """Record a request that was lost because its target crashed."""
+        pending = self._get_pending(crash.target, now)
         if not crash.is_early:
-            late = (*pending.late, crash.fingerprint)
-            self._pending[crash.target] = dataclasses.replace(pending, late=late)
+            pending = dataclasses.replace(pending, late=(*pending.late, crash.request))
+            self._pending[crash.target] = pending
             return ()
         self._pending[crash.target] = dataclasses.replace(pending, has_early=True)
-        return tuple(self._attribute_crash(crash.fingerprint, crash.target, now))
+        return tuple(self._attribute_own(crash.target, crash.request, now))
 
-    def record_answer(self, fingerprint: str, now: float) -> None:
-        """Count a complete answer that this daemon passed on."""
-        self._answers.record(fingerprint, now)
+    def apply_peer_crash(
+        self, target: str, request: RequestIdentity, now: float, age: float = 0.0
+    ) -> tuple[QuarantineEffect, ...]:
+        """Apply a crash report from a peer, or from the time before this process.
 
-    def count_answers(self, fingerprint: str, now: float) -> int:
-        """Return the number of complete answers that this daemon passed on."""
-        return self._answers.count_own(fingerprint, now)
+        Every daemon receives the same reports and decides locally. Only the daemons
+        that saw one of the crashes themselves return the resulting quarantine as an
+        effect, so its announcements are as few as the crashes.
+        """
+        if self._releases.get(request.fingerprint, now) > now:
+            return ()
+        crashed = CrashedRequest(target, request.fingerprint)
+        known = self._suspicions.get(request.fingerprint)
+        if any(crash.crashed == crashed for crash in known.crashes):
+            return ()
+        pending = self._pending.get(target)
+        if pending is not None:
+            self._pending[target] = dataclasses.replace(pending, has_early=True)
+        crash = RecordedCrash(crashed, now - age, is_own=False)
+        return tuple(self._attribute(crash, request, now))
+
+    def record_answer(self, request: RequestIdentity, now: float) -> tuple[str, ...]:
+        """Count a complete answer that this daemon passed on.
+
+        Returns
+        -------
+        tuple of str
+            Subjects whose answers other daemons need to know.
+        """
+        needed = tuple(
+            each for each in request.subjects if self.needs_answers(each, now)
+        )
+        self._request_answers.record(request.fingerprint, now)
+        for part in request.parts:
+            self._part_answers.record(part, now)
+            self._clear_part(part)
+        return needed
 
     def apply_peer_answers(
-        self, fingerprint: str, reporter: str, answers: int, now: float
+        self, subject: str, reporter: str, answers: int, now: float
     ) -> bool:
         """Apply a peer's number of answers; return whether it is new."""
-        return self._answers.apply_report(fingerprint, reporter, answers, now)
+        counts = self._get_answers(subject)
+        is_new = counts.apply_report(subject, reporter, answers, now)
+        if is_part(subject):
+            self._clear_part(subject)
+        return is_new
+
+    def count_answers(self, subject: str, now: float) -> int:
+        """Return the number of complete answers that this daemon passed on."""
+        return self._get_answers(subject).count_own(subject, now)
 
-    def needs_answers(self, fingerprint: str, now: float) -> bool:
-        """Return whether another answer may decide about a suspect fingerprint."""
-        if fingerprint not in self._suspicions:
+    def needs_answers(self, subject: str, now: float) -> bool:
+        """Return whether another answer may decide about a suspect subject."""
+        if is_part(subject):
+            return subject in self._suspicions or bool(self._keys.list_with(subject))
+        if subject not in self._suspicions:
             return False
-        excess = self._count_excess(fingerprint, now)
-        return -excess <= self._settings.min_crashed_targets
+        return -self._count_excess(subject, now) <= self._min_targets
 
     def clear_suspicion(self, fingerprint: str) -> None:
         """Discard the crashes of a fingerprint after a complete answer.
 
         The crashes of a quarantined fingerprint are kept.
         """
-        if fingerprint not in self._expiries:
-            self._suspicions.pop(fingerprint, None)
+        if fingerprint not in self._keys:
+            self._suspicions.clear(fingerprint)
 
-    def list_own_crashes(self, now: float) -> tuple[SavedCrash, ...]:
-        """Return the crashes that this daemon saw and that may lead to a quarantine.
+    def judge_parts(self, now: float) -> tuple[QuarantineEffect, ...]:
+        """Quarantine the parts that explain repeated crashes."""
+        effects: list[QuarantineEffect] = []
+        while culprits := self._find_culprits(now):
+            for parts in culprits:
+                effects += self._quarantine_parts(parts, now)
+        return tuple(effects)
 
-        Those that answers outweigh are left out.
-        """
-        return tuple(
-            SavedCrash(fingerprint, crash.target, now - crash.recorded_at)
-            for fingerprint, suspicion in self._suspicions.items()
-            if self._count_excess(fingerprint, now) > 0
-            if not self.is_quarantined(fingerprint, now)
-            for crash in suspicion.crashes
-            if crash.is_own
-        )
+    def apply_peer_quarantine(self, key: str, remaining: float, now: float) -> None:
+        """Apply a peer's quarantine, which ends in `remaining` seconds.
 
-    def apply_peer_crash(
-        self, fingerprint: str, target: str, now: float, age: float = 0.0
-    ) -> tuple[QuarantineEffect, ...]:
-        """Apply a crash report from a peer, or from the time before this process.
-
-        Every daemon receives the same reports and decides locally. Only the daemons
-        that saw one of the crashes themselves return the resulting quarantine as an
-        effect, so its announcements are as few as the crashes.
+        Parts that were answered are left out.
         """
-        if self._releases.get(fingerprint, now) > now:
-            return ()
-        if target in self._get_targets(fingerprint):
-            return ()
-        suspicion = self._add_suspicion(
-            fingerprint, _RecordedCrash(target, now - age, is_own=False), now
-        )
-        is_new = self._quarantine_if_repeated(fingerprint, now)
-        if is_new and suspicion.has_own_crash:
-            return (FingerprintQuarantined(fingerprint, self._settings.expiry),)
-        return ()
-
-    def apply_peer_quarantine(
-        self, fingerprint: str, remaining: float, now: float
-    ) -> None:
-        """Apply a peer's quarantine, which ends in `remaining` seconds."""
-        if self._releases.get(fingerprint, now) > now:
+        if self._releases.get(key, now) > now:
             return
-        expiry = now + min(remaining, self._settings.expiry)
-        self._expiries[fingerprint] = max(expiry, self._expiries.get(fingerprint, now))
-        self._trim(self._expiries)
+        subjects = [each for each in split_key(key) if not self._is_cleared(each, now)]
+        if subjects:
+            end = now + min(remaining, self._settings.expiry)
+            self._keys.put(join_subjects(subjects), end)
 
     def release(self, fingerprint: str, now: float) -> tuple[QuarantineEffect, ...]:
         """Release a fingerprint for an operator, and return the notice to peers."""
@@ -206,24 +239,30 @@
 
     def apply_peer_release(self, fingerprint: str, now: float) -> None:
         """Apply a release that an operator made on a peer."""
-        self._expiries.pop(fingerprint, None)
-        self._suspicions.pop(fingerprint, None)
+        self._keys.pop(fingerprint)
+        self._suspicions.clear(fingerprint)
         # Gossip of the old quarantine may still arrive after the release.
         self._releases[fingerprint] = now + self._settings.crash_window * 10
-        self._trim(self._releases)
+        while len(self._releases) > self._settings.capacity:
+            del self._releases[next(iter(self._releases))]
 
     def tick(self, now: float) -> tuple[QuarantineEffect, ...]:
         """Resolve crashes whose window has ended, and drop expired entries."""
         effects = tuple(self._resolve_pending(now))
-        self._expiries = {
-            name: expiry for name, expiry in self._expiries.items() if expiry > now
-        }
+        self._keys.expire(now)
+        self._announced = {key for key in self._announced if key in self._keys}
+        self._suspicions.expire(now)
         self._releases = {
             name: expiry for name, expiry in self._releases.items() if expiry > now
         }
-        self._suspicions = dict(self._filter_recent(now))
         return effects
 
+    def _get_pending(self, target: str, now: float) -> _PendingCrash:
+        pending = self._pending.get(target)
+        if pending is None or now - pending.began_at > self._settings.crash_window:
+            return _PendingCrash(now)
+        return pending
+
     def _resolve_pending(self, now: float) -> Iterator[QuarantineEffect]:
         window = self._settings.crash_window
         ended = {
@@ -235,62 +274,139 @@
             del self._pending[target]
             # Later requests are suspected only if no early request was running.
             attributed = () if crash.has_early else dict.fromkeys(crash.late)
-            for fingerprint in attributed:
-                yield from self._attribute_crash(fingerprint, target, now)
+            for request in attributed:
+                yield from self._attribute_own(target, request, now)
 
-    def _attribute_crash(
-        self, fingerprint: str, target: str, now: float
+    def _attribute_own(
+        self, target: str, request: RequestIdentity, now: float
     ) -> Iterator[QuarantineEffect]:
-        self._add_suspicion(fingerprint, _RecordedCrash(target, now, is_own=True), now)
-        yield CrashReported(fingerprint, target)
-        if self._quarantine_if_repeated(fingerprint, now):
-            yield FingerprintQuarantined(fingerprint, self._settings.expiry)
-
-    def _add_suspicion(
-        self, fingerprint: str, crash: _RecordedCrash, now: float
-    ) -> _Suspicion:
-        suspicion = self._suspicions.pop(fingerprint, _Suspicion(()))
-        oldest = now - self._settings.crash_retention
-        recent = suspicion.without_crashes_before(oldest).with_crash(crash)
-        self._suspicions[fingerprint] = recent
-        self._trim(self._suspicions)
-        return recent
-
-    def _quarantine_if_repeated(self, fingerprint: str, now: float) -> bool:
-        """Quarantine a fingerprint at the threshold; return whether that is new."""
-        crashes = len(self._get_targets(fingerprint))
-        if crashes < self._settings.min_crashed_targets:
-            return False
-        if self._count_excess(fingerprint, now) <= 0:
-            return False
-        if self.is_quarantined(fingerprint, now):
-            return False
-        self._expiries[fingerprint] = now + self._settings.expiry
-        self._trim(self._expiries)
-        return True
-
-    def _count_excess(self, fingerprint: str, now: float) -> int:
-        """Return by how much the crashes outnumber the answers."""
-        crashes = len(self._get_targets(fingerprint))
-        return crashes - self._answers.count_all(fingerprint, now)
-
-    def _describe_entry(self, fingerprint: str, remaining: float) -> QuarantineEntry:
-        suspicion = self._suspicions.get(fingerprint, _Suspicion(()))
-        return QuarantineEntry(
-            fingerprint, suspicion.targets, remaining, suspicion.has_own_crash
+        parts = tuple(each for each in request.parts if not self._is_cleared(each, now))
+        request = RequestIdentity(request.fingerprint, parts)
+        yield CrashReported(target, request)
+        crashed = CrashedRequest(target, request.fingerprint)
+        self._own_crashes[crashed] = _OwnCrash(target, request, now)
+        if len(self._own_crashes) > MAX_OWN_CRASHES:
+            self._own_crashes.popitem(last=False)
+        crash = RecordedCrash(crashed, now, is_own=True)
+        yield from self._attribute(crash, request, now)
+
+    def _attribute(
+        self, crash: RecordedCrash, request: RequestIdentity, now: float
+    ) -> Iterator[QuarantineEffect]:
+        """Attribute a crash to the subjects of a request, unless its cause is known."""
+        covering = tuple(self._keys.find_covering(request.subjects))
+        if covering:
+            yield from self._renew(covering, crash, now)
+            return
+        if crash.crashed.target in self._explained:
+            return
+        fingerprint = request.fingerprint
+        self._suspicions.add(fingerprint, crash, now)
+        if self._is_repeated(fingerprint, now):
+            yield from self._quarantine(fingerprint, now)
+        parts = [part for part in request.parts if not self._is_cleared(part, now)]
+        for part in parts:
+            self._suspicions.add(part, crash, now)
+        if is_any_accused(
+            self._list_crashes(parts), self._settings.min_targets_of_part
+        ):
+            yield PartsAccused()
+
+    def _renew(
+        self, keys: Iterable[str], crash: RecordedCrash, now: float
+    ) -> Iterator[QuarantineEffect]:
+        """Quarantine keys again whose quarantine has ended; they explain the crash."""
+        self._explain([crash.crashed.target])
+        for key in keys:
+            if not self.is_quarantined(key, now):
+                yield from self._quarantine(key, now, is_announced=crash.is_own)
+
+    def _may_convict(self, target: str, request: RequestIdentity, now: float) -> bool:
+        """Whether a crash may yet lead to the quarantine of its request or parts."""
+        fingerprint = request.fingerprint
+        is_open = target not in self._explained and fingerprint not in self._keys
+        return is_open and self._count_excess(fingerprint, now) > 0
+
+    def _is_repeated(self, fingerprint: str, now: float) -> bool:
+        crashes = len(self._suspicions.get(fingerprint).targets)
+        return crashes >= self._min_targets and self._count_excess(fingerprint, now) > 0
+
+    def _find_culprits(self, now: float) -> tuple[frozenset[str], ...]:
+        parts = [
+            subject
+            for subject in self._suspicions.list_subjects()
+            if is_part(subject) and not self._is_cleared(subject, now)
+        ]
+        return find_culprits(
+            self._list_crashes(parts),
+            self._settings.min_targets_of_part,
+            self._settings.max_disputed,
         )
 
-    def _get_targets(self, fingerprint: str) -> tuple[str, ...]:
-        suspicion = self._suspicions.get(fingerprint)
-        return suspicion.targets if suspicion else ()
+    def _list_crashes(self, parts: Iterable[str]) -> Crashes:
+        return {
+            part: frozenset(crash.crashed for crash in suspicion.crashes)
+            for part, suspicion in self._suspicions.select(parts).items()
+        }
 
-    def _filter_recent(self, now: float) -> Iterator[tuple[str, _Suspicion]]:
-        oldest = now - self._settings.crash_retention
-        for fingerprint, suspicion in self._suspicions.items():
-            recent = suspicion.without_crashes_before(oldest)
-            if recent.crashes:
-                yield fingerprint, recent
+    def _quarantine_parts(
+        self, parts: frozenset[str], now: float
+    ) -> Iterator[QuarantineEffect]:
+        """Quarantine parts that were lost together; they explain these crashes."""
+        suspicions = self._suspicions.select(parts).values()
+        common = frozenset.intersection(*(frozenset(s.targets) for s in suspicions))
+        yield from self._quarantine(join_subjects(parts), now)
+        self._explain(common)
+
+    def _quarantine(
+        self, key: str, now: float, is_announced: bool | None = None
+    ) -> Iterator[QuarantineEffect]:
+        """Quarantine a key; only those who saw one of its crashes announce it."""
+        if is_announced is None:
+            is_announced = any(map(self.has_own_crash, split_key(key)))
+        self._keys.put(key, now + self._settings.expiry)
+        if is_announced:
+            self._announced.add(key)
+            yield FingerprintQuarantined(key, self._settings.expiry)
+
+    def _explain(self, targets: Iterable[str]) -> None:
+        """Stop suspecting others of the crashes of targets, now and later."""
+        for target in targets:
+            self._explained[target] = None
+        while len(self._explained) > MAX_EXPLAINED:
+            self._explained.popitem(last=False)
+        self._suspicions.clear_targets(targets)
+
+    def _clear_part(self, part: str) -> None:
+        """Stop suspecting a part; what it was quarantined with stays quarantined."""
+        self._suspicions.clear(part)
+        for key in self._keys.list_with(part):
+            end = self._keys.pop(key)
+            others = split_key(key) - {part}
+            if others and end is not None:
+                self._keys.put(join_subjects(others), end)
+            if key in self._announced:
+                self._announced.remove(key)
+                self._announced.add(join_subjects(others))
+
+    def _is_cleared(self, subject: str, now: float) -> bool:
+        return is_part(subject) and self._part_answers.count_all(subject, now) > 0
+
+    def _get_answers(self, subject: str) -> AnswerCounts:
+        return self._part_answers if is_part(subject) else self._request_answers
 
-    def _trim(self, entries: dict[str, float] | dict[str, _Suspicion]) -> None:
-        while len(entries) > self._settings.capacity:
-            del entries[next(iter(entries))]
+    def _count_excess(self, fingerprint: str, now: float) -> int:
+        """Return by how much the crashes of a request outnumber its answers."""
+        crashes = len(self._suspicions.get(fingerprint).targets)
+        return crashes - self._request_answers.count_all(fingerprint, now)
+
+    def _describe_entry(self, key: str, remaining: float) -> QuarantineEntry:
+        suspicions = [self._suspicions.get(subject) for subject in split_key(key)]
+        targets = dict.fromkeys(
+            target for each in suspicions for target in each.targets
+        )
+        return QuarantineEntry(key, tuple(targets), remaining, key in self._announced)
+
+    @property
+    def _min_targets(self) -> int:
+        return self._settings.min_crashed_targets
--- a/kingcuphead/quarantine/_rows.py
+++ b/kingcuphead/quarantine/_rows.py
@@ -1,11 +1,10 @@
 """Rows of crashes and quarantined fingerprints, which outlast the daemons."""
 
-import dataclasses
-
 import msgspec
 from loguru import logger
 
-from kingcuphead.quarantine._messages import FingerprintQuarantined
+from kingcuphead.quarantine._messages import FingerprintQuarantined, SavedCrash
+from kingcuphead.quarantine._subjects import RequestIdentity
 from kingcuphead.storage import Row
 
 #: First part of the keys of crashes; the other keys are quarantined fingerprints.
@@ -14,23 +13,6 @@
 MAX_KEY_BYTES = 200
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class SavedCrash:
-    """A crash under a request, as kept in the table."""
-
-    #: Fingerprint of the request.
-    fingerprint: str
-    #: Incarnation of the target that crashed.
-    target: str
-    #: Seconds since the crash.
-    age: float
-
-    @property
-    def key(self) -> str:
-        """Key of its row."""
-        return f"{CRASH_PREFIX}{self.fingerprint}/{self.target}"
-
-
 class _QuarantineRow(msgspec.Struct, frozen=True):
     # End of the quarantine on the store's clock, in milliseconds.
     expires_ms: int
@@ -39,14 +21,21 @@
 class _CrashRow(msgspec.Struct, frozen=True):
     # Time of the crash on the store's clock, in milliseconds.
     crashed_ms: int
+    # Parts of the request's prompt that were never answered.
+    parts: tuple[str, ...] = ()
 
 
 _QUARANTINE_DECODER = msgspec.json.Decoder(_QuarantineRow)
 _CRASH_DECODER = msgspec.json.Decoder(_CrashRow)
 
 
+def make_crash_key(crash: SavedCrash) -> str:
+    """Return the key of the row of a crash."""
+    return f"{CRASH_PREFIX}{crash.request.fingerprint}/{crash.target}"
+
+
 def encode_quarantine(remaining: float, store_time: int) -> bytes:
-    """Return the value of the row of one fingerprint.
+    """Return the value of the row of a quarantine.
 
     Parameters
     ----------
@@ -69,7 +58,8 @@
     store_time
         Time of the store in milliseconds.
     """
-    return msgspec.json.encode(_CrashRow(store_time - int(crash.age * 1000)))
+    crashed_ms = store_time - int(crash.age * 1000)
+    return msgspec.json.encode(_CrashRow(crashed_ms, crash.request.parts))
 
 
 def decode_row(row: Row, store_time: int) -> FingerprintQuarantined | SavedCrash | None:
@@ -93,8 +83,9 @@
 
 
 def _decode_crash(row: Row, store_time: int) -> SavedCrash:
-    crashed_ms = _CRASH_DECODER.decode(row.value).crashed_ms
+    content = _CRASH_DECODER.decode(row.value)
     fingerprint, separator, target = row.key.removeprefix(CRASH_PREFIX).partition("/")
     if not separator:
         raise ValueError("the key names no target")
-    return SavedCrash(fingerprint, target, (store_time - crashed_ms) / 1000)
+    request = RequestIdentity(fingerprint, content.parts)
+    return SavedCrash(target, request, (store_time - content.crashed_ms) / 1000)
--- a/kingcuphead/quarantine/_settings.py
+++ b/kingcuphead/quarantine/_settings.py
@@ -14,6 +14,12 @@
 
     #: Distinct crashed targets at which a fingerprint is quarantined.
     min_crashed_targets: Annotated[int, Meta(ge=2)] = 2
+    #: Distinct crashed targets at which a part of prompts is accused; a wrong verdict
+    #: meets more requests than one on a single request.
+    min_targets_of_part: Annotated[int, Meta(ge=2)] = 4
+    #: Distinct crashed targets at which several accused parts of prompts are all
+    #: quarantined; with fewer, the next crash is awaited.
+    max_disputed: Annotated[int, Meta(ge=2)] = 5
     #: Seconds after its first token during which a request is the likely crash cause.
     early_phase: Positive = 2.0
     #: Seconds within which broken streams of one target count as one crash.
--- a/kingcuphead/quarantine/_table.py
+++ b/kingcuphead/quarantine/_table.py
@@ -6,13 +6,17 @@
 from expression import Result
 from loguru import logger
 
-from kingcuphead.quarantine._messages import FingerprintQuarantined, QuarantineEntry
+from kingcuphead.quarantine._messages import (
+    FingerprintQuarantined,
+    QuarantineEntry,
+    SavedCrash,
+)
 from kingcuphead.quarantine._rows import (
     MAX_KEY_BYTES,
-    SavedCrash,
     decode_row,
     encode_crash,
     encode_quarantine,
+    make_crash_key,
 )
 from kingcuphead.storage import Put, Row, TablePart, Transaction, make_removal
 
@@ -102,7 +106,9 @@
         for _, each in contents
         if isinstance(each, FingerprintQuarantined) and each.remaining > 0
     ]
-    kept = {crash.key for crash in crashes} | {each.fingerprint for each in quarantined}
+    kept = set(map(make_crash_key, crashes)) | {
+        each.fingerprint for each in quarantined
+    }
     expired = [
         row for row, each in contents if each is not None and row.key not in kept
     ]
@@ -116,7 +122,7 @@
 ) -> Iterable[Put]:
     saved = {each.fingerprint for each in rows.quarantined}
     for entry in entries:
-        if entry.fingerprint not in saved:
+        if entry.fingerprint not in saved and _is_valid(entry.fingerprint):
             value = encode_quarantine(entry.remaining, rows.store_time)
             yield Put(entry.fingerprint, value)
 
@@ -124,12 +130,16 @@
 def _list_missing_crashes(
     rows: QuarantineRows, crashes: Iterable[SavedCrash]
 ) -> Iterable[Put]:
-    saved = {crash.key for crash in rows.crashes}
+    saved = set(map(make_crash_key, rows.crashes))
     max_age = CRASH_LIFETIME
     if len(rows.crashes) == MAX_CRASHES:
         max_age = rows.crashes[-1].age
     latest = sorted(crashes, key=lambda crash: crash.age)[:MAX_CRASHES]
     for crash in latest:
-        is_short = len(crash.key.encode()) <= MAX_KEY_BYTES
-        if crash.key not in saved and crash.age < max_age and is_short:
-            yield Put(crash.key, encode_crash(crash, rows.store_time))
+        key = make_crash_key(crash)
+        if key not in saved and crash.age < max_age and _is_valid(key):
+            yield Put(key, encode_crash(crash, rows.store_time))
+
+
+def _is_valid(key: str) -> bool:
+    return len(key.encode()) <= MAX_KEY_BYTES
--- a/kingcuphead/queueing/_messages.py
+++ b/kingcuphead/queueing/_messages.py
@@ -10,11 +10,7 @@
     TargetState,
     TargetStateChanged,
 )
-from kingcuphead.quarantine import (
-    CrashReported,
-    FingerprintQuarantined,
-    FingerprintReleased,
-)
+from kingcuphead.quarantine import QuarantineEffect
 from kingcuphead.records import Configuration
 from kingcuphead.verdict import Execution, Verdict
 
@@ -232,7 +228,5 @@
     | RequestRejected
     | ProbeRequested
     | TargetStateChanged
-    | CrashReported
-    | FingerprintQuarantined
-    | FingerprintReleased
+    | QuarantineEffect
 )
--- a/kingcuphead/queueing/_scheduler.py
+++ b/kingcuphead/queueing/_scheduler.py
@@ -12,7 +12,12 @@
     Prospect,
     TargetView,
 )
-from kingcuphead.quarantine import Crash, Quarantine, QuarantineEntry
+from kingcuphead.quarantine import (
+    Crash,
+    Quarantine,
+    QuarantineEntry,
+    RequestIdentity,
+)
 from kingcuphead.queueing._backlog import get_lane
 from kingcuphead.queueing._dispatch import Dispatcher
 from kingcuphead.queueing._messages import (
@@ -252,7 +257,8 @@
     ) -> Iterator[Effect]:
         first_token_at = attempt.first_token_at
         is_early = first_token_at is None or now - first_token_at < self._early_phase
-        crash = Crash(request.fingerprint, attempt.target, is_early)
+        identity = RequestIdentity(request.fingerprint)
+        crash = Crash(attempt.target, identity, is_early)
         yield from self._state.quarantine.record_crash(crash, now)
         yield from self._rejector.reject_quarantined(now)
 
@@ -264,7 +270,7 @@
         quarantine = self._state.quarantine
         match message:
             case PeerCrashReported(fingerprint, target):
-                quarantine.apply_peer_crash(fingerprint, target, now)
+                quarantine.apply_peer_crash(target, RequestIdentity(fingerprint), now)
             case PeerQuarantineReported(fingerprint, remaining):
                 quarantine.apply_peer_quarantine(fingerprint, remaining, now)
             case PeerReleaseReported(fingerprint):
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -202,13 +202,18 @@
   3: i64 tokens
 }
 
-struct CrashReported {
+struct RequestIdentity {
   1: string fingerprint
-  2: string target
+  2: list<string> parts
+}
+
+struct CrashReported {
+  1: string target
+  2: RequestIdentity request
 }
 
 struct AnswersReported {
-  1: string fingerprint
+  1: string subject
   2: string reporter
   3: i32 answers
 }
@@ -240,11 +245,11 @@
   1: LoadsReported loads_reported
   2: CreditAsked credit_asked
   3: CreditHanded credit_handed
-  4: CrashReported crash_reported
   6: QuarantineReported quarantine_reported
   7: StreamsBegan streams_began
   8: StreamAsked stream_asked
   9: AnswersReported answers_reported
+  10: CrashReported crash_reported
 }
 
 union PeerMessage {
