Take an unframed stream without an event for broken off

Callers would get an empty stream as a whole one when a target closed the connection right after the head of an answer that has neither a length nor chunks. The new test failed before (no refusal); now the attempt fails and the request may go to another target. Beside it, tests of such streams that passed before: events are sent as they arrive, a stream that is reset or ends within an event is resumed or aborted.

--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -280,6 +280,8 @@
         return _make_lost_failure("the connection broke within the stream")
     if splitter.has_partial_event:
         return _make_broken_failure("the stream ended within an event")
+    if head.is_unframed and not stream.has_attempt_events:
+        return _make_broken_failure("the stream ended before its first event")
     await stream.finish(head)
     return StreamDelivered(head)
 
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -38,6 +38,11 @@
         """Id of the last event that the caller has."""
         return self._last_event_id
 
+    @property
+    def has_attempt_events(self) -> bool:
+        """Whether the current attempt has brought an event."""
+        return self._attempt_started_at is not None
+
     def begin_attempt(self, report_start: Callable[[], None]) -> None:
         """Note that the next event is the first one of another attempt.
 
--- a/kingcuphead/forwarding/tests/test_streams.py
+++ b/kingcuphead/forwarding/tests/test_streams.py
@@ -8,6 +8,7 @@
 from kingcuphead.forwarding._events import MAX_EVENT_BYTES, EventSplitter
 from kingcuphead.forwarding.tests._harness import (
     STREAM,
+    RecordingCaller,
     make_request,
     make_route,
     run,
@@ -76,6 +77,60 @@
         run([make_route(STREAM, resumable=True)], scenario)
 
 
+class TestStreamsThatEndWithTheirConnection:
+    """Streams with neither a length nor chunks."""
+
+    HEAD = (
+        b"HTTP/1.1 200 OK\r\nAttempt-Id: @id\r\nResponse-Seal: s\r\n"
+        b"Content-Type: text/event-stream\r\n\r\n"
+    )
+    EVENTS = (b"id: 1\ndata: x1\n\n", b"id: 2\ndata: x2\n\n")
+
+    def test_events_are_sent_as_they_arrive(self):
+        async def scenario(harness):
+            steps = [self.HEAD, self.EVENTS[0], 0.3, self.EVENTS[1]]
+            harness.first.script = [[*steps, ScriptedTarget.CLOSE]]
+            caller = RecordingCaller()
+            request = make_request(STREAM)
+            serving = asyncio.create_task(harness.forwarder.serve(request, caller))
+            await asyncio.sleep(0.15)
+            assert caller.body == self.EVENTS[0]
+            assert await serving is None
+            assert (caller.body, caller.end) == (b"".join(self.EVENTS), "finished")
+
+        run([make_route(STREAM)], scenario)
+
+    @pytest.mark.parametrize(
+        "steps",
+        [
+            [EVENTS[0], ScriptedTarget.RESET],
+            [EVENTS[0], b"id: 2\nda", ScriptedTarget.CLOSE],
+            [EVENTS[0], b"id: 2\nda", ScriptedTarget.RESET],
+        ],
+        ids=["reset", "closed within an event", "reset within an event"],
+    )
+    @pytest.mark.parametrize("is_resumable", [False, True])
+    def test_a_stream_that_breaks_off_is_not_whole(self, steps, is_resumable):
+        async def scenario(harness):
+            harness.first.script = [[self.HEAD, steps[0], 0.05, *steps[1:]]]
+            harness.second.script = [harness.second.stream([2])]
+            caller, _ = await harness.serve(make_request(STREAM))
+            if is_resumable:
+                assert (caller.body, caller.end) == (b"".join(self.EVENTS), "finished")
+            else:
+                assert (caller.body, caller.end) == (self.EVENTS[0], "aborted")
+
+        run([make_route(STREAM, resumable=is_resumable)], scenario)
+
+    def test_a_stream_without_events_is_not_whole(self):
+        async def scenario(harness):
+            harness.first.script = [[self.HEAD, ScriptedTarget.CLOSE]]
+            caller, refusal = await harness.serve(make_request(STREAM))
+            assert (caller.end, refusal.status) == ("", 502)
+
+        run([make_route(STREAM)], scenario)
+
+
 class TestEventSplitter:
     @pytest.mark.parametrize(
         ("size", "is_oversized"),
