Bound the memory of all answers that are being collected

Targets in trouble may send bytes without end.

Beside it, tests that passed before: a head, interim answers, a body with or without length or chunks, and junk without end, each ends the attempt and the connection, and another target answers instead.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -18,6 +18,7 @@
 from kingcuphead.entry._table_listeners import ConfigurationListener, TargetListener
 from kingcuphead.entry._table_watch import TableWatch
 from kingcuphead.forwarding import (
+    AnswerMemory,
     AttemptRunner,
     ConnectionPool,
     Dependencies,
@@ -93,7 +94,7 @@
                 self._dispatcher,
                 self._retries,
                 self._links.credit,
-                AttemptRunner(self._pool, PlatformHeaders()),
+                AttemptRunner(self._pool, PlatformHeaders(), AnswerMemory()),
                 self._links.quarantine,
                 EvidenceRecorder(self._links.quarantine, self._watch),
                 self._links.resumption,
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -5,6 +5,7 @@
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EvidenceRecorder
 from kingcuphead.forwarding._forwarder import RequestForwarder
+from kingcuphead.forwarding._memory import AnswerMemory
 from kingcuphead.forwarding._messages import (
     AnswerHead,
     CallerRequest,
@@ -19,6 +20,7 @@
 
 __all__ = [
     "AnswerHead",
+    "AnswerMemory",
     "AttemptRunner",
     "Caller",
     "CallerRequest",
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -9,6 +9,7 @@
 from kingcuphead.dispatch import AttemptResult
 from kingcuphead.forwarding._connection import AnswerEnd, TargetAnswer
 from kingcuphead.forwarding._events import MAX_EVENT_BYTES, EventSplitter
+from kingcuphead.forwarding._memory import AnswerMemory
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
 from kingcuphead.forwarding._ports import HeaderCodec
@@ -95,11 +96,16 @@
         Pool of connections to targets.
     codec
         Encodes and decodes the headers.
+    memory
+        Bounds the answers that are being collected.
     """
 
-    def __init__(self, pool: ConnectionPool, codec: HeaderCodec) -> None:
+    def __init__(
+        self, pool: ConnectionPool, codec: HeaderCodec, memory: AnswerMemory
+    ) -> None:
         self._pool = pool
         self._codec = codec
+        self._memory = memory
 
     async def run(self, attempt: Attempt, stream: AnswerStream | None) -> AttemptEnd:
         """Send the request and read the answer.
@@ -170,7 +176,9 @@
             return fault
         if head.is_not_run:
             with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(_read_body(answer), CONNECT_TIMEOUT)
+                await asyncio.wait_for(
+                    _read_body(answer, self._memory), CONNECT_TIMEOUT
+                )
             return AttemptFailed(
                 AttemptResult.REFUSED,
                 Execution.NOT_RUN,
@@ -179,7 +187,7 @@
             )
         if head.is_success and stream is not None:
             return await _read_stream(attempt, answer, head, stream)
-        return await _read_whole(answer, head)
+        return await _read_whole(answer, head, self._memory)
 
 
 def _find_fault(attempt: Attempt, head: AnswerHead) -> AttemptFailed | None:
@@ -237,25 +245,29 @@
         pending_read.cancel()
 
 
-async def _read_whole(answer: TargetAnswer, head: AnswerHead) -> AttemptEnd:
-    body = await _read_body(answer)
+async def _read_whole(
+    answer: TargetAnswer, head: AnswerHead, memory: AnswerMemory
+) -> AttemptEnd:
+    body = await _read_body(answer, memory)
     if body is None:
-        return _make_broken_failure(
-            f"the answer is larger than {MAX_ANSWER_BYTES} bytes"
-        )
+        return _make_broken_failure("the answer is too large")
     if answer.end is AnswerEnd.BROKEN:
         return _make_lost_failure("the connection broke within the answer")
     return Answered(head, body)
 
 
-async def _read_body(answer: TargetAnswer) -> bytes | None:
+async def _read_body(answer: TargetAnswer, memory: AnswerMemory) -> bytes | None:
+    """Collect a body; None if it is larger than its bound or than the memory left."""
     blocks = []
     size = 0
-    async for block in answer.iterate_blocks():
-        blocks.append(block)
-        size += len(block)
-        if size > MAX_ANSWER_BYTES:
-            return None
+    try:
+        async for block in answer.iterate_blocks():
+            if size + len(block) > MAX_ANSWER_BYTES or not memory.reserve(len(block)):
+                return None
+            blocks.append(block)
+            size += len(block)
+    finally:
+        memory.release(size)
     return b"".join(blocks)
 
 
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -7,6 +7,7 @@
 from kingcuphead.credit import CreditLedger, CreditTask
 from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
 from kingcuphead.forwarding import (
+    AnswerMemory,
     AttemptRunner,
     CallerRequest,
     ConnectionPool,
@@ -128,6 +129,7 @@
         for target in (self.first, self.second):
             list(self.directory.put(await target.start()))
         self.pool = ConnectionPool()
+        self.memory = AnswerMemory()
         ledger = CreditLedger("d1", "incarnation-1")
         organisation = Organisation("atelier", None, self.prepaid)
         ledger.apply_limits([organisation], 1)
@@ -157,7 +159,7 @@
                 dispatcher,
                 RetryAllowance(0.0, 120.0, 10.0),
                 credit,
-                AttemptRunner(self.pool, PlatformHeaders()),
+                AttemptRunner(self.pool, PlatformHeaders(), self.memory),
                 self.quarantine,
                 EvidenceRecorder(self.quarantine, self.watch),
                 self.resumption,
--- a/kingcuphead/forwarding/tests/_target.py
+++ b/kingcuphead/forwarding/tests/_target.py
@@ -21,6 +21,13 @@
         return ""
 
 
+@dataclasses.dataclass(frozen=True)
+class Endless:
+    """A step that sends the same bytes until the daemon closes the connection."""
+
+    block: bytes
+
+
 class ScriptedTarget:
     """Answers each request with the next list of steps of its script.
 
@@ -40,6 +47,8 @@
         self.service = service
         self.script = []
         self.received = []
+        #: Bytes that endless steps have sent.
+        self.endless_bytes = 0
         self.is_cancelled = asyncio.Event()
         self._server = None
         self._writers = set()
@@ -121,6 +130,11 @@
                 sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
                 writer.transport.abort()
                 return False
+            if isinstance(step, Endless):
+                while True:
+                    writer.write(step.block)
+                    await writer.drain()
+                    self.endless_bytes += len(step.block)
             if isinstance(step, bytes):
                 writer.write(step.replace(b"@id", request_id))
                 await writer.drain()
