Split from the quarantine the requests that are held back

Requests past their early phase are suspected only if no other was lost with the target; that is a state of its own. Nothing changes in behaviour.

--- a/kingcuphead/quarantine/_quarantine.py
+++ b/kingcuphead/quarantine/_quarantine.py
@@ -17,6 +17,7 @@
     QuarantineEntry,
     SavedCrash,
 )
+from kingcuphead.quarantine._pending import LostRequest, PendingCrashes
 from kingcuphead.quarantine._settings import QuarantineSettings
 from kingcuphead.quarantine._subjects import (
     RequestIdentity,
@@ -36,18 +37,6 @@
 MAX_EXPLAINED = 256
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class _PendingCrash:
-    """Requests of one target that were lost within one crash window."""
-
-    #: When the first of them was lost, in seconds on the monotonic clock.
-    began_at: float
-    #: Whether one of the requests was in its early phase.
-    has_early: bool = False
-    #: The requests that were past their early phase.
-    late: tuple[RequestIdentity, ...] = ()
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class _OwnCrash:
     """A request that this daemon lost with a target."""
@@ -84,7 +73,7 @@
         self._request_answers = AnswerCounts(retention, capacity)
         self._part_answers = AnswerCounts(retention, capacity)
         self._keys = QuarantinedKeys(retention - settings.expiry, capacity)
-        self._pending: dict[str, _PendingCrash] = {}
+        self._pending = PendingCrashes(settings.crash_window)
         self._explained: OrderedDict[str, None] = OrderedDict()
         #: Keys whose quarantine this daemon announced.
         self._announced: set[str] = set()
@@ -102,13 +91,7 @@
 
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a crash is, or can still be, attributed to a fingerprint."""
-        if fingerprint in self._suspicions:
-            return True
-        return any(
-            fingerprint == request.fingerprint
-            for crash in self._pending.values()
-            for request in crash.late
-        )
+        return fingerprint in self._suspicions or fingerprint in self._pending
 
     def has_own_crash(self, subject: str) -> bool:
         """Return whether this daemon saw a crash that is attributed to a subject."""
@@ -136,12 +119,10 @@
 
     def record_crash(self, crash: Crash, now: float) -> tuple[QuarantineEffect, ...]:
         """Record a request that was lost because its target crashed."""
-        pending = self._get_pending(crash.target, now)
         if not crash.is_early:
-            pending = dataclasses.replace(pending, late=(*pending.late, crash.request))
-            self._pending[crash.target] = pending
+            self._pending.hold_back(LostRequest(crash.target, crash.request), now)
             return ()
-        self._pending[crash.target] = dataclasses.replace(pending, has_early=True)
+        self._pending.note_early(crash.target, now)
         return tuple(self._attribute_own(crash.target, crash.request, now))
 
     def apply_peer_crash(
@@ -159,9 +140,7 @@
         known = self._suspicions.get(request.fingerprint)
         if any(crash.crashed == crashed for crash in known.crashes):
             return ()
-        pending = self._pending.get(target)
-        if pending is not None:
-            self._pending[target] = dataclasses.replace(pending, has_early=True)
+        self._pending.note_early(target, now)
         crash = RecordedCrash(crashed, now - age, is_own=False)
         return tuple(self._attribute(crash, request, now))
 
@@ -248,7 +227,11 @@
 
     def tick(self, now: float) -> tuple[QuarantineEffect, ...]:
         """Resolve crashes whose window has ended, and drop expired entries."""
-        effects = tuple(self._resolve_pending(now))
+        effects = tuple(
+            effect
+            for lost in self._pending.resolve(now)
+            for effect in self._attribute_own(lost.target, lost.request, now)
+        )
         self._keys.expire(now)
         self._announced = {key for key in self._announced if key in self._keys}
         self._suspicions.expire(now)
@@ -257,26 +240,6 @@
         }
         return effects
 
-    def _get_pending(self, target: str, now: float) -> _PendingCrash:
-        pending = self._pending.get(target)
-        if pending is None or now - pending.began_at > self._settings.crash_window:
-            return _PendingCrash(now)
-        return pending
-
-    def _resolve_pending(self, now: float) -> Iterator[QuarantineEffect]:
-        window = self._settings.crash_window
-        ended = {
-            target: crash
-            for target, crash in self._pending.items()
-            if now - crash.began_at >= window
-        }
-        for target, crash in ended.items():
-            del self._pending[target]
-            # Later requests are suspected only if no early request was running.
-            attributed = () if crash.has_early else dict.fromkeys(crash.late)
-            for request in attributed:
-                yield from self._attribute_own(target, request, now)
-
     def _attribute_own(
         self, target: str, request: RequestIdentity, now: float
     ) -> Iterator[QuarantineEffect]:
