Take a stream without events for no proof that a request is harmless

A whole stream without an event, as a caller gets that already has the last one, cleared the parts of its prompt, although the target wrote nothing. The new test failed before.

--- a/kingcuphead/forwarding/_evidence.py
+++ b/kingcuphead/forwarding/_evidence.py
@@ -25,8 +25,8 @@
     target: Target
     #: How the attempt ended; None if it was abandoned.
     end: AttemptEnd | None
-    #: Seconds since the first event of the answer; 0 if there was none.
-    running_seconds: float
+    #: Seconds since the first event of the answer; None if there was none.
+    running_seconds: float | None
 
 
 class EvidenceRecorder:
@@ -61,7 +61,7 @@
                 return None
             case AttemptFailed(is_connection_lost=is_connection_lost):
                 return self._follow(attempt, is_connection_lost)
-            case None if attempt.running_seconds:
+            case None if attempt.running_seconds is not None:
                 # It had been answered for a while; a crash later has another cause.
                 return None
             case None:
@@ -83,11 +83,16 @@
 
     def _record_crash(self, attempt: EndedAttempt) -> None:
         self._quarantine.record_crash(
-            attempt.request, attempt.target.incarnation, attempt.running_seconds
+            attempt.request, attempt.target.incarnation, attempt.running_seconds or 0.0
         )
 
     def _record_answer(self, attempt: EndedAttempt) -> None:
-        """Count a success; a target that answers an error may not have run it."""
+        """Count a success; a target that answers an error may not have run it.
+
+        Nor may one that ends a stream without an event.
+        """
         match attempt.end:
-            case (Answered() | StreamDelivered()) as answer if answer.head.is_success:
+            case Answered(head) if head.is_success:
+                self._quarantine.record_answer(attempt.request)
+            case StreamDelivered() if attempt.running_seconds is not None:
                 self._quarantine.record_answer(attempt.request)
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -377,7 +377,7 @@
         end: AttemptEnd | None,
         stream: AnswerStream | None,
     ) -> asyncio.Event | None:
-        seconds = 0.0 if stream is None else stream.get_running_seconds()
+        seconds = None if stream is None else stream.get_running_seconds()
         return self._dependencies.evidence.record(
             EndedAttempt(context.identity, placement.target, end, seconds)
         )
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -54,10 +54,10 @@
         self._attempt_started_at = None
         self._report_start = report_start
 
-    def get_running_seconds(self) -> float:
-        """Return the seconds since the first event of the attempt; 0 without one."""
+    def get_running_seconds(self) -> float | None:
+        """Return the seconds since the first event of the attempt; None without one."""
         if self._attempt_started_at is None:
-            return 0.0
+            return None
         return get_time() - self._attempt_started_at
 
     def is_next(self, event: Event) -> bool:
--- a/kingcuphead/forwarding/tests/test_quarantine.py
+++ b/kingcuphead/forwarding/tests/test_quarantine.py
@@ -113,6 +113,18 @@
 
         run([make_route(IDEMPOTENT)], scenario)
 
+    @pytest.mark.parametrize(("event_ids", "answers"), [([], 0), ([1], 1)])
+    def test_a_stream_without_events_proves_nothing(self, event_ids, answers):
+        async def scenario(harness):
+            request = make_request(STREAM)
+            harness.first.script = [harness.first.stream(event_ids)]
+            await harness.serve(request)
+            fingerprint = identify_request(request, "atelier").fingerprint
+            counted = harness.quarantine._quarantine.count_answers(fingerprint, 0.0)
+            assert counted == answers
+
+        run([make_route(STREAM)], scenario)
+
     def test_a_crash_after_the_caller_left_is_told_to_other_daemons(self):
         async def scenario(harness):
             request = make_request(ONCE)
