--- /dev/null
+++ b/kingcuphead/forwarding/_charging.py
@@ -0,0 +1,75 @@
+"""Holds and settles the credit of requests for generated text."""
+
+from expression import Error, Ok, Result
+
+from kingcuphead.credit import CreditTask, Hold, Shortage
+from kingcuphead.forwarding._clock import get_time
+from kingcuphead.forwarding._context import RequestContext
+from kingcuphead.forwarding._refusals import Refusal, refuse
+from kingcuphead.forwarding._stream import AnswerStream
+from kingcuphead.verdict import Execution, Reason
+
+#: Bound in seconds on waiting for credit.
+CREDIT_TIMEOUT = 1.0
+#: Seconds after which a caller may retry while other daemons hold the missing credit.
+#: Credit lost with a crashed daemon never becomes available.
+CREDIT_RETRY_AFTER = 8.0
+#: Seconds after which a caller may retry while the store is unreachable.
+STORE_RETRY_AFTER = 3.0
+
+
+class Charging:
+    """Charges organisations for requests.
+
+    Parameters
+    ----------
+    credit
+        Holds and settles the credit of organisations.
+    """
+
+    def __init__(self, credit: CreditTask) -> None:
+        self._credit = credit
+
+    async def acquire_hold(
+        self, context: RequestContext
+    ) -> Result[Hold | None, Refusal]:
+        """Hold the tokens that a request may cost at most.
+
+        Returns
+        -------
+        Result[Hold or None, Refusal]
+            The hold, None if the request is free of charge, or the refusal.
+        """
+        organisation, size = context.organisation, context.request.size
+        if organisation is None or organisation.prepaid_tokens is None or size is None:
+            return Ok(None)
+        tokens = size.prompt_tokens + size.output_tokens
+        timeout = min(CREDIT_TIMEOUT, context.deadline - get_time())
+        requested_at = get_time()
+        held = await self._credit.hold(organisation.name, tokens, timeout)
+        context.credit_seconds = get_time() - requested_at
+        if held.is_ok():
+            return Ok(held.ok)
+        context.credit_state = held.error.state
+        match held.error.shortage:
+            case Shortage.EXHAUSTED:
+                return Error(refuse(402, Reason.BUDGET_EXHAUSTED))
+            case Shortage.UNPROVEN:
+                return Error(refuse(503, Reason.CREDIT_UNAVAILABLE, CREDIT_RETRY_AFTER))
+            case Shortage.UNREACHABLE | Shortage.RESTORING:
+                return Error(refuse(503, Reason.CREDIT_UNAVAILABLE, STORE_RETRY_AFTER))
+
+    def settle(
+        self, context: RequestContext, hold: Hold | None, stream: AnswerStream | None
+    ) -> None:
+        """Settle the hold with the prompt and the events sent, or 0 if nothing ran."""
+        if hold is None:
+            return
+        spent = 0
+        size = context.request.size
+        if context.execution is not Execution.NOT_RUN and size is not None:
+            event_count = stream.event_count if stream is not None else 0
+            output = min(event_count * context.tokens_per_event, size.output_tokens)
+            spent = size.prompt_tokens + output
+        context.spent = spent
+        self._credit.settle(hold, spent)
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -7,7 +7,6 @@
 
 from expression import Error, Ok, Result
 
-from kingcuphead.credit import Hold, Shortage
 from kingcuphead.dispatch import AttemptResult, Placement
 from kingcuphead.forwarding._attempt import (
     Answered,
@@ -18,6 +17,7 @@
     classify_end,
     describe_end,
 )
+from kingcuphead.forwarding._charging import Charging
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import (
     AttemptRecord,
@@ -41,13 +41,6 @@
 from kingcuphead.targets import Target
 from kingcuphead.verdict import Execution, Reason
 
-#: Bound in seconds on waiting for credit.
-CREDIT_TIMEOUT = 1.0
-#: Seconds after which a caller may retry while other daemons hold the missing credit.
-#: Credit lost with a crashed daemon never becomes available.
-CREDIT_RETRY_AFTER = 8.0
-#: Seconds after which a caller may retry while the store is unreachable.
-STORE_RETRY_AFTER = 3.0
 #: Seconds after which a caller may retry at a daemon that has no configuration yet.
 CONFIGURATION_RETRY_AFTER = 0.5
 #: Seconds after which a caller may take up a stream of unknown origin again, in case
@@ -90,6 +83,7 @@
         self._rng = rng
         self._record_end = record_end
         self._table: RoutingTable | None = None
+        self._charging = Charging(dependencies.credit)
         self._retries = RetryDecision(dependencies.directory, dependencies.retries)
 
     def apply(self, table: RoutingTable) -> None:
@@ -125,7 +119,7 @@
             return self._refuse_quarantined(context)
         if context.takes_up_stream and not await self._find_origin(context):
             return refuse(503, Reason.STREAM_UNKNOWN, ORIGIN_RETRY_AFTER)
-        held = await self._acquire_hold(context)
+        held = await self._charging.acquire_hold(context)
         if held.is_error():
             return held.error
         stream = None
@@ -140,7 +134,7 @@
             if stream is not None and stream.is_started:
                 started_after = stream.started_at - context.request.arrived_at
                 context.first_event_seconds = round(started_after, 3)
-            self._settle(context, held.ok, stream)
+            self._charging.settle(context, held.ok, stream)
 
     def _admit(self, request: CallerRequest) -> Result[RequestContext, Refusal]:
         table = self._table
@@ -190,43 +184,6 @@
             context.service = origin.service
         return True
 
-    async def _acquire_hold(
-        self, context: RequestContext
-    ) -> Result[Hold | None, Refusal]:
-        organisation, size = context.organisation, context.request.size
-        if organisation is None or organisation.prepaid_tokens is None or size is None:
-            return Ok(None)
-        tokens = size.prompt_tokens + size.output_tokens
-        timeout = min(CREDIT_TIMEOUT, context.deadline - get_time())
-        requested_at = get_time()
-        held = await self._dependencies.credit.hold(organisation.name, tokens, timeout)
-        context.credit_seconds = get_time() - requested_at
-        if held.is_ok():
-            return Ok(held.ok)
-        context.credit_state = held.error.state
-        match held.error.shortage:
-            case Shortage.EXHAUSTED:
-                return Error(refuse(402, Reason.BUDGET_EXHAUSTED))
-            case Shortage.UNPROVEN:
-                return Error(refuse(503, Reason.CREDIT_UNAVAILABLE, CREDIT_RETRY_AFTER))
-            case Shortage.UNREACHABLE | Shortage.RESTORING:
-                return Error(refuse(503, Reason.CREDIT_UNAVAILABLE, STORE_RETRY_AFTER))
-
-    def _settle(
-        self, context: RequestContext, hold: Hold | None, stream: AnswerStream | None
-    ) -> None:
-        """Settle the hold with the prompt and the events sent, or 0 if nothing ran."""
-        if hold is None:
-            return
-        spent = 0
-        size = context.request.size
-        if context.execution is not Execution.NOT_RUN and size is not None:
-            event_count = stream.event_count if stream is not None else 0
-            output = min(event_count * context.tokens_per_event, size.output_tokens)
-            spent = size.prompt_tokens + output
-        context.spent = spent
-        self._dependencies.credit.settle(hold, spent)
-
     async def _run_attempts(
         self, context: RequestContext, caller: Caller, stream: AnswerStream | None
     ) -> Refusal | None:
