--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -39,8 +39,8 @@
 QUARANTINE_TABLE, QUARANTINE_PART = "quarantine", "all"
 #: Table of the store that contains the software versions that serve, and its only part.
 VERSIONS_TABLE, VERSIONS_PART = "versions", "all"
-#: A broken connection alone is weak evidence of a crash, so one more is asked for than
-#: where targets are probed. The next crash after the end of a quarantine renews it.
+#: Targets end for other reasons too, so one crash more is asked for than where they are
+#: probed. The next crash after the end of a quarantine renews it.
 QUARANTINE_SETTINGS = QuarantineSettings(
     min_crashed_targets=3, crash_retention=2 * QuarantineSettings().expiry
 )
