Read and log the limits that targets state in their answers

The headers are decoded now, the newest terms of each target are kept, and each change is a log line. Nothing is decided by them yet.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -27,6 +27,7 @@
     TargetWatch,
 )
 from kingcuphead.loads import PeerLoads
+from kingcuphead.permits import TermsTable
 from kingcuphead.platform import (
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
@@ -75,6 +76,7 @@
         peer_loads = PeerLoads()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
         self._pool = ConnectionPool()
+        self._terms = TermsTable()
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._links = FleetLinks(
@@ -99,6 +101,7 @@
                 EvidenceRecorder(self._links.quarantine, self._watch),
                 self._links.resumption,
                 self._targets.handle_leaving,
+                self._terms,
             ),
             rng,
             self._metrics.record,
@@ -221,6 +224,7 @@
             self._pool.close_address(change.target.address)
             if change.is_removed:
                 self._dispatcher.forget(change.target)
+                self._terms.forget(change.target)
 
     async def _sweep(self) -> None:
         while True:
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -317,6 +317,7 @@
             self._dependencies.report_leaving(placement.target)
         if head.retry_after is not None:
             self._dependencies.dispatcher.pause(placement, head.retry_after, get_time())
+        self._dependencies.terms.record(placement.target, head.terms)
 
     def _record_start(self, context: RequestContext, target: Target) -> None:
         """Record the software version of the first event that the caller gets."""
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -4,6 +4,8 @@
 
 from tornado.httputil import HTTPHeaders
 
+from kingcuphead.permits import TargetTerms
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
@@ -126,6 +128,8 @@
     is_leaving: bool = False
     #: Seconds for which the target wants no requests; None if it states none.
     retry_after: float | None = None
+    #: What the target states about the requests that it accepts.
+    terms: TargetTerms = TargetTerms()
 
     @property
     def is_success(self) -> bool:
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -18,6 +18,7 @@
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
 from kingcuphead.loads import PeerLoads
+from kingcuphead.permits import TermsTable
 from kingcuphead.platform import PlatformHeaders
 from kingcuphead.quarantine import QuarantineExchange, QuarantineSettings
 from kingcuphead.resumption import ResumptionExchange
@@ -130,6 +131,7 @@
             list(self.directory.put(await target.start()))
         self.pool = ConnectionPool()
         self.memory = AnswerMemory()
+        self.terms = TermsTable()
         ledger = CreditLedger("d1", "incarnation-1")
         organisation = Organisation("atelier", None, self.prepaid)
         ledger.apply_limits([organisation], 1)
@@ -164,6 +166,7 @@
                 EvidenceRecorder(self.quarantine, self.watch),
                 self.resumption,
                 self.handle_leaving,
+                self.terms,
             ),
             random.Random(1),
             lambda context, refusal: self.ended.append((context, refusal)),
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -15,6 +15,7 @@
     PromptSize,
     SendOptions,
 )
+from kingcuphead.permits import TargetTerms
 
 REQUEST_ID = "Attempt-Id"
 RETRY_AFTER = "Retry-After"
@@ -32,8 +33,12 @@
 _SIGNATURE = "Response-Seal"
 _NOT_RUN = "Not-Executed"
 _LEAVING = "Server-Leaving"
+_RATE_LIMIT = "Server-Limit"
+_REJECTION_LIMIT = "Server-Brittle"
 #: Upper bound in seconds of the time for which a target may ask for no requests.
 _MAX_RETRY_AFTER = 30.0
+#: Upper bound of the requests per second that a target may state.
+_MAX_PER_SECOND = 1_000_000.0
 #: Least urgent rank; targets accept 0 (most urgent) to 9.
 _LOWEST_RANK = 9
 
@@ -197,6 +202,7 @@
             idle_timeout=_parse_idle_timeout(headers.get("Keep-Alive", "")),
             is_leaving=headers.get(_LEAVING, "") == "1",
             retry_after=_parse_retry_after(status, headers.get(RETRY_AFTER, "")),
+            terms=_parse_terms(headers),
         )
 
 
@@ -263,16 +269,35 @@
 
     A value that is no positive number counts as absent.
     """
-    if status != http.HTTPStatus.SERVICE_UNAVAILABLE or not text:
+    if status != http.HTTPStatus.SERVICE_UNAVAILABLE:
+        return None
+    seconds = _parse_number(RETRY_AFTER, text)
+    if seconds is None or seconds == 0:
+        return None
+    return min(seconds, _MAX_RETRY_AFTER)
+
+
+def _parse_terms(headers: HTTPHeaders) -> TargetTerms:
+    rate = _parse_number(_RATE_LIMIT, headers.get(_RATE_LIMIT, ""))
+    rejections = _parse_number(_REJECTION_LIMIT, headers.get(_REJECTION_LIMIT, ""))
+    return TargetTerms(
+        None if rate is None else min(rate, _MAX_PER_SECOND),
+        None if rejections is None else math.floor(min(rejections, _MAX_PER_SECOND)),
+    )
+
+
+def _parse_number(name: str, text: str) -> float | None:
+    """Return a number that a target states in a header; None without a valid one."""
+    if not text:
         return None
     try:
-        seconds = float(text)
+        number = float(text)
     except ValueError:
-        seconds = math.nan
-    if not seconds > 0:
-        logger.warning("invalid {} of a target: {!r}", RETRY_AFTER, text[:40])
+        number = math.nan
+    if not number >= 0:
+        logger.warning("invalid {} of a target: {!r}", name, text[:40])
         return None
-    return min(seconds, _MAX_RETRY_AFTER)
+    return number
 
 
 def _copy_headers(headers: HTTPHeaders, excluded: frozenset[str]) -> HTTPHeaders:
--- a/kingcuphead/platform/tests/test_headers.py
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -4,6 +4,7 @@
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from kingcuphead.forwarding import PromptPart, PromptSize, SendOptions
+from kingcuphead.permits import TargetTerms
 from kingcuphead.platform import (
     PlatformHeaders,
     decode_request,
@@ -174,6 +175,24 @@
             is is_leaving
         )
 
+    @pytest.mark.parametrize(
+        ("lines", "terms"),
+        [
+            ({}, TargetTerms()),
+            ({"Server-Limit": "1.2"}, TargetTerms(1.2)),
+            ({"Server-Limit": "0"}, TargetTerms(0.0)),
+            ({"Server-Brittle": "3"}, TargetTerms(None, 3)),
+            ({"Server-Limit": "5", "Server-Brittle": "2"}, TargetTerms(5.0, 2)),
+            ({"Server-Limit": "-1"}, TargetTerms()),
+            ({"Server-Limit": "many"}, TargetTerms()),
+            ({"Server-Limit": "nan"}, TargetTerms()),
+            ({"Server-Brittle": "inf"}, TargetTerms(None, 1_000_000)),
+        ],
+    )
+    def test_a_target_states_its_terms(self, lines, terms):
+        headers = HTTPHeaders({"Content-Length": "0", **lines})
+        assert PlatformHeaders().decode_answer(200, headers, "GET").terms == terms
+
 
 class TestRefusalHeaders:
     def test_retry_after_keeps_its_fraction(self):
