--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -108,11 +108,11 @@
         self._server.stop()
         await self._server.close_all_connections()
 
-    async def start_daemons(self):
-        """Start all daemons and wait until each of them serves."""
-        for number in range(1, self.SIZE + 1):
+    async def start_daemons(self, numbers=(1, 2, 3)):
+        """Start daemons and wait until each of them serves."""
+        for number in numbers:
             self._start_daemon(number)
-        for number in self._daemons:
+        for number in numbers:
             while await self.send(number, b"probe") != 200:
                 await asyncio.sleep(0.05)
 
@@ -127,6 +127,11 @@
             daemon._stop.set()
             await task
 
+    def cut_datagrams(self):
+        """Lose all datagrams of the daemons that run now."""
+        for daemon, _ in self._daemons.values():
+            daemon._links._datagrams.send = _lose
+
     async def send(self, number, body, patience=20.0):
         """Send a request with an id of its own to a daemon.
 
@@ -196,6 +201,10 @@
         self.store.put("servers", "", name, entry)
 
 
+def _lose(message, receiver):
+    """Send nothing."""
+
+
 async def _read_part(reader, request_id, count):
     """Read events until there are `count` of them, or the answer ends.
 
--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -194,6 +194,27 @@
         writer.write(make_answer(headers["attempt-id"], b"ok"))
 
 
+class LimitedTarget(LocalTarget):
+    """Answers at once and states how many requests a second it takes.
+
+    Parameters
+    ----------
+    limit
+        Requests per second; None to state no limit.
+    """
+
+    def __init__(self, name, version, register, limit):
+        super().__init__(name, version, register)
+        self.limit = limit
+        #: When each request arrived, in seconds of the event loop's clock.
+        self.arrivals = []
+
+    async def answer(self, headers, body, writer):
+        self.arrivals.append(asyncio.get_running_loop().time())
+        lines = [] if self.limit is None else [f"Server-Limit: {self.limit}"]
+        writer.write(make_answer(headers["attempt-id"], b"ok", lines=lines))
+
+
 class StreamingTarget(LocalTarget):
     """Answers with a stream whose events carry the version of the target."""
 
--- a/kingcuphead/platform/tests/_documents.py
+++ b/kingcuphead/platform/tests/_documents.py
@@ -83,15 +83,16 @@
     return [entry.partition(":")[0] for entry in entries]
 
 
-def make_answer(request_id, body, status="200 OK"):
-    """Return the bytes of a target's complete answer."""
-    lines = [
+def make_answer(request_id, body, status="200 OK", lines=()):
+    """Return the bytes of a target's complete answer, with more lines in its head."""
+    head = [
         f"HTTP/1.1 {status}",
         f"Attempt-Id: {request_id}",
         "Response-Seal: s",
         f"Content-Length: {len(body)}",
+        *lines,
     ]
-    return "\r\n".join(lines).encode() + b"\r\n\r\n" + body
+    return "\r\n".join(head).encode() + b"\r\n\r\n" + body
 
 
 def make_unframed_head(request_id):
