Grant the requests to a limited target by one daemon of the fleet

Cause: no module read the limit; and a limit that each daemon keeps by itself is exceeded by their number.

For each request to a target that states a limit a daemon now gets a permit from the daemon that is first in the rendezvous order of the target; retries need one, too. The coordinator holds a token bucket. A daemon that may not be the only coordinator (lists of daemons differ, the first one is silent, it has just regained contact, it shuts down) grants 0.4 of the limit; one that hears of nobody 0.75 of the limit divided by the daemons. Changed limits are told to all daemons at once. A target without a permit is closed until the next one; if all are closed, the request is refused at once with that time. Times that targets ask for are part of the same account, moved from dispatch with their tests.

--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -8,6 +8,14 @@
 
 from kingcuphead.credit import CreditAsked, CreditHanded
 from kingcuphead.loads import LoadsReported
+from kingcuphead.permits import (
+    CoordinatorProbed,
+    PermitAnswered,
+    PermitAsked,
+    PermitMessage,
+    ProbeAnswered,
+    TermsReported,
+)
 from kingcuphead.quarantine import (
     AnswersReported,
     CrashReported,
@@ -22,7 +30,12 @@
 MAX_DATAGRAM_BYTES = 60_000
 
 Datagram = (
-    LoadsReported | CreditAsked | CreditHanded | QuarantineMessage | ResumptionMessage
+    LoadsReported
+    | CreditAsked
+    | CreditHanded
+    | QuarantineMessage
+    | ResumptionMessage
+    | PermitMessage
 )
 
 _CLASSES = (
@@ -34,6 +47,11 @@
     QuarantineReported,
     StreamsBegan,
     StreamAsked,
+    PermitAsked,
+    PermitAnswered,
+    CoordinatorProbed,
+    ProbeAnswered,
+    TermsReported,
 )
 _TYPES = {name_field(cls): cls for cls in _CLASSES}
 _FACTORY = TCompactProtocolAcceleratedFactory(
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -14,6 +14,14 @@
 )
 from kingcuphead.datagrams._peers import MAX_RECEIVERS
 from kingcuphead.loads import LoadsReported, TargetLoad
+from kingcuphead.permits import (
+    CoordinatorProbed,
+    PermitAnswered,
+    PermitAsked,
+    ProbeAnswered,
+    TargetTerms,
+    TermsReported,
+)
 from kingcuphead.quarantine import (
     AnswersReported,
     CrashReported,
@@ -32,6 +40,11 @@
     AnswersReported("f", "a/1", 2),
     StreamsBegan((BegunStream("r1", "pool", "v1.1"),)),
     StreamAsked("r1"),
+    PermitAsked(4, "t1@5", TargetTerms(1.5, 3)),
+    PermitAnswered(4, False, 0.25),
+    CoordinatorProbed(),
+    ProbeAnswered(True),
+    TermsReported("t1@5", TargetTerms()),
     QuarantineReported((FingerprintQuarantined("f", 3599.5),)),
 )
 
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -54,8 +54,7 @@
     ) -> Placement | None:
         """Choose the target with the lowest cost and count the request there.
 
-        Targets that are backing off are used only if there are no others; those that
-        are paused are not used.
+        Targets that are backing off are used only if there are no others.
 
         Parameters
         ----------
@@ -71,7 +70,7 @@
         Returns
         -------
         Placement or None
-            The choice; None if every candidate is excluded or paused.
+            The choice; None if every candidate is excluded.
         """
         available = self._select_available(candidates, excluded, now)
         if not available:
@@ -92,25 +91,9 @@
         self._announce_if_large(plan)
         return placement
 
-    def pause(self, placement: Placement, seconds: float, now: float) -> None:
-        """Send nothing to a target for a time that it asked for."""
-        state = placement.state
-        state.paused_until = max(state.paused_until, now + seconds)
-
-    def get_resume_delay(
-        self, candidates: Iterable[Target], now: float
-    ) -> float | None:
-        """Return the seconds until the first candidate is no longer paused.
-
-        Returns
-        -------
-        float or None
-            The time; None if there is no candidate, or if one is not paused.
-        """
-        ends = [self._get_state(target).paused_until for target in candidates]
-        if not ends or min(ends) <= now:
-            return None
-        return min(ends) - now
+    def withdraw(self, placement: Placement) -> None:
+        """Stop counting a request that is not sent to the chosen target."""
+        placement.state.remove(placement)
 
     def record_answer_start(self, placement: Placement, now: float) -> None:
         """Record that the answer of a request has begun; later calls do nothing."""
@@ -139,12 +122,7 @@
         self, candidates: Iterable[Target], excluded: Collection[str], now: float
     ) -> list[Target]:
         """Return the candidates to choose from: those not backing off, if there are."""
-        usable = [
-            target
-            for target in candidates
-            if target.name not in excluded
-            and not self._get_state(target).is_paused(now)
-        ]
+        usable = [target for target in candidates if target.name not in excluded]
         available = [
             target
             for target in usable
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -81,12 +81,6 @@
         self.latency_ratio = 1.0
         #: Failure rate and backoff.
         self.health = TargetHealth()
-        #: Time in seconds until which the target wants no requests of this daemon.
-        self.paused_until = float("-inf")
-
-    def is_paused(self, now: float) -> bool:
-        """Whether the target wants no requests of this daemon now."""
-        return now < self.paused_until
 
     def count_cached_tokens(self, request: PlacementRequest, now: float) -> int:
         """Return the tokens of a prompt that the target is assumed to have cached.
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -27,7 +27,6 @@
     TargetWatch,
 )
 from kingcuphead.loads import PeerLoads
-from kingcuphead.permits import TermsTable
 from kingcuphead.platform import (
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
@@ -76,7 +75,6 @@
         peer_loads = PeerLoads()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
         self._pool = ConnectionPool()
-        self._terms = TermsTable()
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._links = FleetLinks(
@@ -101,7 +99,7 @@
                 EvidenceRecorder(self._links.quarantine, self._watch),
                 self._links.resumption,
                 self._targets.handle_leaving,
-                self._terms,
+                self._links.permits,
             ),
             rng,
             self._metrics.record,
@@ -224,7 +222,7 @@
             self._pool.close_address(change.target.address)
             if change.is_removed:
                 self._dispatcher.forget(change.target)
-                self._terms.forget(change.target)
+                self._links.permits.forget(change.target)
 
     async def _sweep(self) -> None:
         while True:
@@ -238,6 +236,7 @@
         end = loop.time() + self._profile.grace - GRACE_MARGIN
         logger.info("shutdown started; grace period {} s", self._profile.grace)
         self._is_stopping = True
+        self._links.permits.ranking.begin_leaving()
         self._callers.announce_close()
         self._start_task(self._links.deregister())
         await asyncio.sleep(min(SHUTDOWN_ACCEPT_PERIOD, self._profile.grace / 2))
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -1,4 +1,4 @@
-"""What one daemon exchanges with others: loads, credit, crashes, origins of streams."""
+"""What one daemon exchanges with others: loads, credit, crashes, streams, permits."""
 
 import asyncio
 import random
@@ -18,6 +18,15 @@
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.entry._peers import PeerDiscovery
 from kingcuphead.loads import LoadExchange, LoadsReported, PeerLoads
+from kingcuphead.permits import (
+    CoordinatorProbed,
+    PermitAnswered,
+    PermitAsked,
+    PermitCoordinator,
+    PermitExchange,
+    ProbeAnswered,
+    TermsReported,
+)
 from kingcuphead.platform import Profile, Store, StoreTable
 from kingcuphead.quarantine import (
     AnswersReported,
@@ -113,6 +122,13 @@
             self._sender.broadcast,
             self._sender.gossip,
         )
+        #: What targets take from the whole fleet.
+        self.permits = PermitExchange(
+            self._address,
+            PermitCoordinator(rng),
+            self._datagrams.send,
+            self._sender.broadcast,
+        )
         #: Knows the software versions that began streams.
         self.resumption = ResumptionExchange(
             StoreTable(store, VERSIONS_TABLE, VERSIONS_PART),
@@ -146,21 +162,31 @@
         def reply(answer: Datagram) -> None:
             self._datagrams.send(answer, sender)
 
+        now = asyncio.get_running_loop().time()
+        self.permits.ranking.record_message(sender, now)
         match message:
             case LoadsReported():
                 self._loads.handle_report(message)
             case CreditAsked():
-                now = asyncio.get_running_loop().time()
                 reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
                 self._transfer_client.handle_reply(message)
             case CrashReported() | AnswersReported() | QuarantineReported():
                 self.quarantine.handle_message(message, reply)
+            case (
+                PermitAsked()
+                | PermitAnswered()
+                | CoordinatorProbed()
+                | ProbeAnswered()
+                | TermsReported()
+            ):
+                self.permits.handle_message(message, sender)
             case StreamsBegan() | StreamAsked():
                 self.resumption.handle_message(message, reply)
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
+        self.permits.ranking.apply_peers(peers)
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -7,7 +7,7 @@
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.forwarding._evidence import EvidenceRecorder
-from kingcuphead.permits import TermsTable
+from kingcuphead.permits import PermitExchange
 from kingcuphead.quarantine import QuarantineExchange
 from kingcuphead.resumption import ResumptionExchange
 from kingcuphead.targets import Target, TargetDirectory
@@ -35,5 +35,5 @@
     resumption: ResumptionExchange
     #: Called with a target that says in an answer that it leaves.
     report_leaving: Callable[[Target], None]
-    #: What targets state about the requests that they accept.
-    terms: TermsTable
+    #: What targets take from the whole fleet.
+    permits: PermitExchange
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -56,6 +56,8 @@
 CHECK_TIMEOUT = 0.05
 #: First-byte timeout in units of the route's latency objective.
 FIRST_BYTE_TIMEOUT_OBJECTIVES = 2.2
+#: Number of targets that a request claims a permit of before it is refused.
+MAX_CLAIMS = 8
 #: Lower bound of the stall timeout of a stream in seconds.
 MIN_STALL_TIMEOUT = 1.0
 
@@ -190,7 +192,7 @@
         while True:
             if self._is_quarantined(context):
                 return self._abandon(context, caller, stream)
-            placement = self._place(context)
+            placement = await self._place(context)
             if placement is None:
                 return self._abandon(context, caller, stream)
             end = await self._run_attempt(context, placement, stream)
@@ -212,13 +214,27 @@
                     if not self._retries.claim_after_failure(context, failure):
                         return self._abandon(context, caller, stream)
 
-    def _place(self, context: RequestContext) -> Placement | None:
-        return self._dependencies.dispatcher.place(
-            context.make_placement_request(),
-            self._list_eligible(context),
-            context.tried,
-            get_time(),
-        )
+    async def _place(self, context: RequestContext) -> Placement | None:
+        """Choose a target of which a permit can be had; None if there is none."""
+        for _ in range(MAX_CLAIMS):
+            placement = self._dependencies.dispatcher.place(
+                context.make_placement_request(),
+                self._dependencies.permits.select_open(self._list_eligible(context)),
+                context.tried,
+                get_time(),
+            )
+            if placement is None or await self._claim_permit(placement):
+                return placement
+        return None
+
+    async def _claim_permit(self, placement: Placement) -> bool:
+        is_granted = False
+        try:
+            is_granted = await self._dependencies.permits.claim(placement.target)
+        finally:
+            if not is_granted:
+                self._dependencies.dispatcher.withdraw(placement)
+        return is_granted
 
     def _list_eligible(self, context: RequestContext) -> tuple[Target, ...]:
         usable = self._dependencies.directory.list_usable(context.service)
@@ -308,16 +324,20 @@
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
             stall_timeout=max(MIN_STALL_TIMEOUT, 2 * context.route.event_gap_objective),
             claim_retry=lambda: self._retries.claim(context),
-            record_head=lambda head: self._record_head(placement, head),
+            record_head=lambda head: self._record_head(context, placement.target, head),
         )
 
-    def _record_head(self, placement: Placement, head: AnswerHead) -> None:
+    def _record_head(
+        self, context: RequestContext, target: Target, head: AnswerHead
+    ) -> None:
         """Apply what a target says about itself in an answer."""
+        permits = self._dependencies.permits
         if head.is_leaving:
-            self._dependencies.report_leaving(placement.target)
+            self._dependencies.report_leaving(target)
         if head.retry_after is not None:
-            self._dependencies.dispatcher.pause(placement, head.retry_after, get_time())
-        self._dependencies.terms.record(placement.target, head.terms)
+            permits.pause(target, head.retry_after)
+        if head.request_id == context.request.request_id:
+            permits.record_terms(target, head.terms)
 
     def _record_start(self, context: RequestContext, target: Target) -> None:
         """Record the software version of the first event that the caller gets."""
@@ -363,9 +383,7 @@
 
     def _get_retry_after(self, context: RequestContext) -> float:
         """Return the seconds after which a target may have room for a request."""
-        delay = self._dependencies.dispatcher.get_resume_delay(
-            self._list_eligible(context), get_time()
-        )
+        delay = self._dependencies.permits.get_delay(self._list_eligible(context))
         return TARGET_RETRY_AFTER if delay is None else delay
 
     def _time_out(
--- /dev/null
+++ b/kingcuphead/permits/_bucket.py
@@ -0,0 +1,48 @@
+"""A token bucket whose rate may change."""
+
+#: Seconds of its rate that a bucket holds at most, beside one token.
+BURST_SECONDS = 0.2
+#: Tokens per second of a target that states a limit of 0 or nearly so; without any
+#: request it could not state the end of the limit.
+MIN_RATE = 0.2
+
+
+class TokenBucket:
+    """Counts the permits that may be granted now.
+
+    Parameters
+    ----------
+    tokens
+        Tokens at the beginning.
+    now
+        Current time in seconds.
+    """
+
+    def __init__(self, tokens: float, now: float) -> None:
+        self._tokens = tokens
+        self._rate = MIN_RATE
+        self._updated_at = now
+
+    def apply_rate(self, rate: float, now: float) -> None:
+        """Change the rate in tokens per second, from now on."""
+        self._fill(now)
+        self._rate = rate
+
+    def try_take(self, now: float) -> bool:
+        """Take a token if there is one."""
+        self._fill(now)
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def get_wait(self, now: float) -> float:
+        """Return the seconds until there is a token."""
+        self._fill(now)
+        return max(0.0, 1 - self._tokens) / self._rate
+
+    def _fill(self, now: float) -> None:
+        capacity = 1 + BURST_SECONDS * self._rate
+        earned = self._rate * max(0.0, now - self._updated_at)
+        self._tokens = min(capacity, self._tokens + earned)
+        self._updated_at = now
--- /dev/null
+++ b/kingcuphead/permits/_messages.py
@@ -0,0 +1,58 @@
+"""Messages about permits between the daemon that asks and the one that coordinates."""
+
+import dataclasses
+from typing import TypeAlias
+
+from kingcuphead.permits._terms import TargetTerms
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitAsked:
+    """A daemon wants to send one request to a target."""
+
+    #: Number of the question, for the answer.
+    number: int
+    #: Incarnation of the target.
+    target: str
+    #: Terms of the target that the asking daemon knows.
+    terms: TargetTerms
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitAnswered:
+    """The coordinator's answer to one question."""
+
+    #: Number of the question.
+    number: int
+    #: Whether the request may be sent.
+    is_granted: bool
+    #: Seconds until the next permit may be had; 0 if this one is granted.
+    wait: float
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CoordinatorProbed:
+    """A daemon wants to know whether the receiver lives and knows of it."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ProbeAnswered:
+    """The answer to a probe."""
+
+    #: Whether the daemon that probes is in the receiver's list of daemons.
+    is_known: bool
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TermsReported:
+    """A target has changed its terms."""
+
+    #: Incarnation of the target.
+    target: str
+    #: The new terms.
+    terms: TargetTerms
+
+
+PermitMessage: TypeAlias = (
+    PermitAsked | PermitAnswered | CoordinatorProbed | ProbeAnswered | TermsReported
+)
--- a/kingcuphead/permits/_terms.py
+++ b/kingcuphead/permits/_terms.py
@@ -4,8 +4,6 @@
 
 from loguru import logger
 
-from kingcuphead.targets import Target
-
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class TargetTerms:
@@ -17,6 +15,11 @@
     #: fails; None if it states none.
     rejections_per_second: int | None = None
 
+    @property
+    def is_unlimited(self) -> bool:
+        """Whether requests need no permit."""
+        return self.requests_per_second is None
+
 
 #: The terms of a target that states nothing.
 NO_TERMS = TargetTerms()
@@ -28,12 +31,12 @@
     def __init__(self) -> None:
         self._terms: dict[str, TargetTerms] = {}
 
-    def get(self, target: Target) -> TargetTerms:
-        """Return the terms of a target."""
-        return self._terms.get(target.incarnation, NO_TERMS)
+    def get(self, target: str) -> TargetTerms:
+        """Return the terms of an incarnation of a target."""
+        return self._terms.get(target, NO_TERMS)
 
-    def record(self, target: Target, terms: TargetTerms) -> bool:
-        """Replace the terms of a target.
+    def record(self, target: str, terms: TargetTerms) -> bool:
+        """Replace the terms of an incarnation of a target.
 
         Returns
         -------
@@ -43,17 +46,16 @@
         if terms == self.get(target):
             return False
         if terms == NO_TERMS:
-            del self._terms[target.incarnation]
+            del self._terms[target]
         else:
-            self._terms[target.incarnation] = terms
+            self._terms[target] = terms
         logger.bind(
-            target=target.name,
-            service=target.service,
+            target=target,
             requests_per_second=terms.requests_per_second,
             rejections_per_second=terms.rejections_per_second,
         ).info("terms of target changed")
         return True
 
-    def forget(self, target: Target) -> None:
-        """Drop the terms of a target that was removed."""
-        self._terms.pop(target.incarnation, None)
+    def forget(self, target: str) -> None:
+        """Drop the terms of an incarnation that was removed."""
+        self._terms.pop(target, None)
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -241,6 +241,35 @@
   1: string request_id
 }
 
+struct TargetTerms {
+  1: optional double requests_per_second
+  2: optional i32 rejections_per_second
+}
+
+struct PermitAsked {
+  1: i64 number
+  2: string target
+  3: TargetTerms terms
+}
+
+struct PermitAnswered {
+  1: i64 number
+  2: bool is_granted
+  3: double wait
+}
+
+struct CoordinatorProbed {
+}
+
+struct ProbeAnswered {
+  1: bool is_known
+}
+
+struct TermsReported {
+  1: string target
+  2: TargetTerms terms
+}
+
 union Datagram {
   1: LoadsReported loads_reported
   2: CreditAsked credit_asked
@@ -250,6 +279,11 @@
   8: StreamAsked stream_asked
   9: AnswersReported answers_reported
   10: CrashReported crash_reported
+  11: PermitAsked permit_asked
+  12: PermitAnswered permit_answered
+  13: CoordinatorProbed coordinator_probed
+  14: ProbeAnswered probe_answered
+  15: TermsReported terms_reported
 }
 
 union PeerMessage {
