--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import contextvars
 import dataclasses
 import os
 
@@ -9,6 +10,7 @@
 from tornado.testing import bind_unused_port
 
 from kingcuphead.entry._daemon import EntryDaemon
+from kingcuphead.entry.tests._cut import current_daemon
 from kingcuphead.entry.tests._target import STREAM_EVENTS
 from kingcuphead.platform import Endpoint, Profile, RetryBudget
 from kingcuphead.platform.tests._documents import (
@@ -194,7 +196,10 @@
     def _start_daemon(self, number):
         daemon = EntryDaemon(make_profile(number, self._store_port), "")
         daemon._links._peers._poll_interval = PEER_POLL_INTERVAL
-        self._daemons[number] = (daemon, asyncio.create_task(daemon.run()))
+        context = contextvars.copy_context()
+        context.run(current_daemon.set, number)
+        task = asyncio.create_task(daemon.run(), context=context)
+        self._daemons[number] = (daemon, task)
 
     def _register(self, name, address, version):
         entry = None if address is None else encode_entry(address, version)
--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+from collections import Counter
 
 from kingcuphead.platform.tests._documents import (
     make_answer,
@@ -46,7 +47,7 @@
         self._base_name = name
         self._register = register
         self._starts = 0
-        self._port = 0
+        self.port = 0
         self._server = None
         self._writers = set()
         self._restart = None
@@ -59,10 +60,10 @@
         self._starts += 1
         self.name = f"{self._base_name}-{self._starts}"
         self._server = await asyncio.start_server(
-            self._serve, "127.0.0.1", self._port, reuse_address=True
+            self._serve, "127.0.0.1", self.port, reuse_address=True
         )
-        host, self._port = self._server.sockets[0].getsockname()
-        self._register(self.name, f"{host}:{self._port}", self.version)
+        host, self.port = self._server.sockets[0].getsockname()
+        self._register(self.name, f"{host}:{self.port}", self.version)
 
     def stop(self):
         if self._restart is not None:
@@ -239,3 +240,32 @@
         writer.write(make_stream_head(headers["attempt-id"]))
         await writer.drain()
         self.crash()
+
+
+class ClosingTarget(LocalTarget):
+    """Answers after `SLOW_SECONDS` and closes the connection; counts the runs.
+
+    Attributes
+    ----------
+    runs
+        How often each request was run, by its id.
+    abandoned
+        Number of requests whose connection was closed while they ran.
+    """
+
+    def __init__(self, name, version, register):
+        super().__init__(name, version, register)
+        self.runs: Counter[str] = Counter()
+        self.abandoned = 0
+
+    async def answer(self, headers, body, writer):
+        request_id = headers["attempt-id"]
+        self.runs[request_id] += 1
+        await asyncio.sleep(float(body) if body[:1].isdigit() else SLOW_SECONDS)
+        if writer.transport.is_closing():
+            self.abandoned += 1
+            return
+        lines = ["Connection: close"]
+        writer.write(make_answer(request_id, b"ok", lines=lines))
+        await writer.drain()
+        writer.close()
