Reach targets through another daemon when the own path is lost

Cause: a daemon knew no way to a target but its own. A fault of the same class beside it: a connection that the cut refused counted as the crash of its target, so that sound requests were quarantined in the whole fleet.

When two targets can't be connected to, with no connection in between, the path counts as lost. From then on the daemon opens connections through another one that says that it reaches targets. A tunnel carries the bytes of one connection; permits, credit, retries, deadlines, order and resumption stay with the daemon that took the request, so they are counted once. A refused connection proves a crash only at a daemon that reaches other targets.

--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -7,6 +7,7 @@
 from thrift.TSerialization import deserialize, serialize
 
 from kingcuphead.credit import CreditAsked, CreditHanded
+from kingcuphead.forwarding import TargetStated
 from kingcuphead.loads import LoadsReported
 from kingcuphead.permits import (
     CoordinatorProbed,
@@ -36,6 +37,7 @@
     | QuarantineMessage
     | ResumptionMessage
     | PermitMessage
+    | TargetStated
 )
 
 _CLASSES = (
@@ -52,6 +54,7 @@
     CoordinatorProbed,
     ProbeAnswered,
     TermsReported,
+    TargetStated,
 )
 _TYPES = {name_field(cls): cls for cls in _CLASSES}
 _FACTORY = TCompactProtocolAcceleratedFactory(
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -13,6 +13,7 @@
     encode_datagram,
 )
 from kingcuphead.datagrams._peers import MAX_RECEIVERS
+from kingcuphead.forwarding import TargetStated
 from kingcuphead.loads import LoadsReported, TargetLoad
 from kingcuphead.permits import (
     CoordinatorProbed,
@@ -34,6 +35,8 @@
 MESSAGES = (
     LoadsReported("a/1", 7, (TargetLoad("t1", 3, 900),)),
     LoadsReported("a/1", 8, ()),
+    LoadsReported("a/1", 9, (), is_cut_off=True),
+    TargetStated("t1", True, 2.5),
     CreditAsked("a/1", 3, "atelier", 12_000),
     CreditHanded("a/1", 3, 0),
     CrashReported("t1@5", RequestIdentity("f", ("part:a0", "part:b1"))),
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -27,6 +27,7 @@
     TargetWatch,
 )
 from kingcuphead.loads import PeerLoads
+from kingcuphead.paths import Connector, TunnelServer
 from kingcuphead.platform import (
     CONFIGURATION_TABLE,
     TARGETS_TABLE,
@@ -74,7 +75,6 @@
         self._metrics = DaemonMetrics()
         peer_loads = PeerLoads()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
-        self._pool = ConnectionPool()
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._links = FleetLinks(
@@ -87,6 +87,17 @@
             rng,
         )
         self._targets = TargetListener(self._directory, self._handle_change)
+        self._links.report_leaving = self._targets.handle_leaving
+        self._connector = Connector(
+            self._links.path_monitor,
+            self._links.peer_paths,
+            self._directory.list_addresses,
+            rng,
+        )
+        self._tunnels = TunnelServer(
+            self._connector, self._links.path_monitor, self._accepts_requests
+        )
+        self._pool = ConnectionPool(self._connector)
         self._watch = TargetWatch(self._pool, self._directory)
         self._forwarder = RequestForwarder(
             Dependencies(
@@ -99,6 +110,7 @@
                 EvidenceRecorder(self._links.quarantine, self._watch),
                 self._links.resumption,
                 self._targets.handle_leaving,
+                self._links.report_statement,
                 self._links.permits,
             ),
             rng,
@@ -125,6 +137,7 @@
         )
         metrics = serve_metrics(profile.ip, self._metrics)
         self._callers.listen(profile.callers.host, profile.callers.port)
+        self._tunnels.listen(profile.ip, profile.internal_port)
         logger.info("entry daemon started")
         await self._stop.wait()
         if self._failure is None:
@@ -136,6 +149,7 @@
         for task in tasks:
             task.cancel()
         self._links.close()
+        self._tunnels.close()
         self._watch.close()
         self._pool.close()
         self._store.close()
@@ -152,6 +166,7 @@
             TableWatch(self._store, TARGETS_TABLE, self._targets, report_failure).run(),
             self._sweep(),
             self._watch_settings(),
+            self._connector.run(),
             *self._links.list_tasks(),
         ]
 
@@ -209,6 +224,11 @@
             and not self._is_stopping
         )
 
+    def _accepts_requests(self, address: str) -> bool:
+        """Whether the target at an address may get requests of another daemon."""
+        target = self._directory.find_usable(address)
+        return target is not None and bool(self._links.permits.select_open([target]))
+
     def _apply_configuration(self, configuration: RoutingConfiguration) -> None:
         self._forwarder.apply(RoutingTable(configuration))
         self._callers.apply_limits(configuration.limits)
@@ -241,12 +261,13 @@
         self._start_task(self._links.deregister())
         await asyncio.sleep(min(SHUTDOWN_ACCEPT_PERIOD, self._profile.grace / 2))
         self._callers.stop_listening()
+        self._tunnels.stop_accepting()
         renewal.cancel()
         await asyncio.gather(renewal, return_exceptions=True)
         is_returned = False
         while loop.time() < end and not is_returned:
             is_returned = await self._links.credit.shut_down(SWEEP_INTERVAL)
-            if self._callers.open_requests:
+            if self._callers.open_requests or self._tunnels.open_tunnels:
                 is_returned = False
                 await asyncio.sleep(SWEEP_INTERVAL / 5)
         if not is_returned:
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import secrets
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from kingcuphead.credit import (
@@ -17,7 +17,9 @@
 from kingcuphead.datagrams import Address, Datagram, DatagramSocket, PeerSender
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.entry._peers import PeerDiscovery
+from kingcuphead.forwarding import TargetStated
 from kingcuphead.loads import LoadExchange, LoadsReported, PeerLoads
+from kingcuphead.paths import PathMonitor, PeerPaths
 from kingcuphead.permits import (
     CoordinatorProbed,
     PermitAnswered,
@@ -40,7 +42,7 @@
     StreamAsked,
     StreamsBegan,
 )
-from kingcuphead.targets import TargetDirectory
+from kingcuphead.targets import Target, TargetDirectory
 
 #: Table of the store that contains the credit rows, in one part per organisation.
 CREDIT_TABLE = "credit"
@@ -96,8 +98,20 @@
         self._datagrams = DatagramSocket(self._handle_datagram)
         self._sender = PeerSender(self._datagrams, rng)
         self._peers = PeerDiscovery(store, self._address, self._apply_peers)
+        #: Whether this daemon can connect to targets itself.
+        self.path_monitor = PathMonitor()
+        #: Which daemons can help if it can't.
+        self.peer_paths = PeerPaths(rng)
+        #: Called with a target that said, in an answer passed on to another daemon,
+        #: that it leaves.
+        self.report_leaving: Callable[[Target], None] | None = None
+        self._directory = directory
         self._loads = LoadExchange(
-            identity, peer_loads, dispatcher.list_loads, self._sender.gossip
+            identity,
+            peer_loads,
+            dispatcher.list_loads,
+            self._sender.gossip,
+            lambda: self.path_monitor.is_lost,
         )
         dispatcher.announce = self._loads.trigger_report
         ledger = CreditLedger(instance, incarnation)
@@ -167,6 +181,7 @@
         match message:
             case LoadsReported():
                 self._loads.handle_report(message)
+                self.peer_paths.record_report(sender, message.is_cut_off, now)
             case CreditAsked():
                 reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
@@ -181,12 +196,29 @@
                 | TermsReported()
             ):
                 self.permits.handle_message(message, sender)
+            case TargetStated():
+                self._apply_statement(message)
             case StreamsBegan() | StreamAsked():
                 self.resumption.handle_message(message, reply)
 
+    def report_statement(self, statement: TargetStated, receiver: Address) -> None:
+        """Tell a daemon that passed on an answer what the target said in it."""
+        self._datagrams.send(statement, receiver)
+
+    def _apply_statement(self, statement: TargetStated) -> None:
+        """Apply what a target said in an answer that this daemon passed on."""
+        target = self._directory.find(statement.target)
+        if target is None:
+            return
+        if statement.pause:
+            self.permits.pause(target, statement.pause)
+        if statement.is_leaving and self.report_leaving is not None:
+            self.report_leaving(target)
+
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
         self.permits.ranking.apply_peers(peers)
+        self.peer_paths.apply_peers(peers)
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -50,6 +50,7 @@
         self.port = 0
         self._server = None
         self._writers = set()
+        self._readers = {}
         self._restart = None
         self.name = ""
         self.version = version
@@ -93,6 +94,7 @@
 
     async def _serve(self, reader, writer):
         self._writers.add(writer)
+        self._readers[writer] = reader
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
             while True:
                 headers = parse_headers(await reader.readuntil(b"\r\n\r\n"))
@@ -100,6 +102,7 @@
                 await self.answer(headers, body, writer)
                 await writer.drain()
         self._writers.discard(writer)
+        del self._readers[writer]
         writer.close()
 
 
@@ -262,7 +265,7 @@
         request_id = headers["attempt-id"]
         self.runs[request_id] += 1
         await asyncio.sleep(float(body) if body[:1].isdigit() else SLOW_SECONDS)
-        if writer.transport.is_closing():
+        if self._readers[writer].at_eof():
             self.abandoned += 1
             return
         lines = ["Connection: close"]
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -1,6 +1,14 @@
 """Forwards callers' requests to targets and the targets' answers to callers."""
 
 from kingcuphead.forwarding._attempt import AttemptRunner
+from kingcuphead.forwarding._connection import (
+    TargetConnection,
+    TargetStream,
+    connect_to_target,
+    is_refusal,
+    open_stream,
+    set_socket_options,
+)
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EvidenceRecorder
@@ -12,6 +20,7 @@
     PromptPart,
     PromptSize,
     SendOptions,
+    TargetStated,
 )
 from kingcuphead.forwarding._pool import ConnectionPool
 from kingcuphead.forwarding._ports import Caller, HeaderCodec
@@ -34,6 +43,13 @@
     "RequestContext",
     "RequestForwarder",
     "SendOptions",
+    "TargetConnection",
+    "TargetStated",
+    "TargetStream",
     "TargetWatch",
+    "connect_to_target",
+    "is_refusal",
+    "open_stream",
     "refuse",
+    "set_socket_options",
 ]
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -25,6 +25,7 @@
 MISDIRECTED = 421
 
 T = TypeVar("T")
+Address: TypeAlias = tuple[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -83,8 +84,9 @@
     #: Returns whether the request may be retried at another target after it may have
     #: run; a retry that is allowed is counted.
     claim_retry: Callable[[], bool]
-    #: Called with the status and headers of an answer of the target.
-    record_head: Callable[[AnswerHead], None]
+    #: Called with the status and headers of an answer of the target, and with the
+    #: address of the daemon that passed it on, if there is one.
+    record_head: Callable[[AnswerHead, Address | None], None]
 
 
 class AttemptRunner:
@@ -131,7 +133,7 @@
                 self._codec.encode_request(request, attempt.options),
                 request.body,
             )
-            end = await self._read(attempt, answer, stream)
+            end = await self._read(attempt, answer, stream, lease.connection.helper)
             is_complete = answer.is_exchange_complete
             return end
         finally:
@@ -159,7 +161,11 @@
             self._pool.release(lease, head.idle_timeout)
 
     async def _read(
-        self, attempt: Attempt, answer: TargetAnswer, stream: AnswerStream | None
+        self,
+        attempt: Attempt,
+        answer: TargetAnswer,
+        stream: AnswerStream | None,
+        helper: Address | None,
     ) -> AttemptEnd:
         raw = await _wait_for_first_bytes(attempt, answer.wait_for_head)
         if isinstance(raw, AttemptFailed):
@@ -170,7 +176,7 @@
             raw.status, raw.headers, attempt.request.method
         )
         if head.status != MISDIRECTED:
-            attempt.record_head(head)
+            attempt.record_head(head, helper)
         fault = _find_fault(attempt, head)
         if fault is not None:
             return fault
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -48,7 +48,21 @@
 
 
 class TargetStream(IOStream):
-    """A byte stream that exposes whether its read buffer is empty."""
+    """A byte stream that exposes whether its read buffer is empty.
+
+    Parameters
+    ----------
+    sock
+        Socket, which this object closes.
+    is_tunnel
+        Whether another daemon passes on the bytes. The end of that daemon closes the
+        connection, too, so a close doesn't mark the end of an answer then.
+    """
+
+    def __init__(self, sock: socket.socket, is_tunnel: bool = False) -> None:
+        super().__init__(sock)
+        #: Whether another daemon passes on the bytes.
+        self.is_tunnel = is_tunnel
 
     @property
     def has_unread_bytes(self) -> bool:
@@ -85,9 +99,7 @@
         The connection was not opened in time; nothing was sent.
     """
     host, _, port = address.rpartition(":")
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    _set_options(sock)
-    stream = TargetStream(sock)
+    stream = open_stream()
     try:
         async with asyncio.timeout(timeout):
             await stream.connect((host, int(port)))
@@ -97,7 +109,21 @@
     return TargetConnection(stream)
 
 
-def _set_options(sock: socket.socket) -> None:
+def open_stream(is_tunnel: bool = False) -> TargetStream:
+    """Return a stream that is not connected yet."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    set_socket_options(sock)
+    return TargetStream(sock, is_tunnel)
+
+
+def is_refusal(error: Exception) -> bool:
+    """Whether a connection failed because no process listens at the address."""
+    cause = error.real_error if isinstance(error, StreamClosedError) else error
+    return isinstance(cause, ConnectionRefusedError)
+
+
+def set_socket_options(sock: socket.socket) -> None:
+    """Send without delay, and detect a peer that has gone silent."""
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(
         socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
@@ -115,10 +141,21 @@
     ----------
     stream
         Connected byte stream; this object closes it.
+    helper
+        Address of the daemon that passes on the bytes; None without one.
     """
 
-    def __init__(self, stream: TargetStream) -> None:
+    def __init__(
+        self, stream: TargetStream, helper: tuple[str, int] | None = None
+    ) -> None:
         self._stream = stream
+        #: Address of the daemon that passes on the bytes; None without one.
+        self.helper = helper
+
+    @property
+    def stream(self) -> TargetStream:
+        """The byte stream."""
+        return self._stream
 
     @property
     def is_reusable(self) -> bool:
@@ -216,7 +253,7 @@
         """Record the end of the body."""
         if not self._is_unframed:
             self._record_end(AnswerEnd.COMPLETE)
-        elif self._stream.error is None:
+        elif self._stream.error is None and not self._stream.is_tunnel:
             self._record_end(AnswerEnd.CLOSED)
         else:
             self._record_end(AnswerEnd.BROKEN)
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -5,8 +5,9 @@
 
 from kingcuphead.credit import CreditTask
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
-from kingcuphead.forwarding._attempt import AttemptRunner
+from kingcuphead.forwarding._attempt import Address, AttemptRunner
 from kingcuphead.forwarding._evidence import EvidenceRecorder
+from kingcuphead.forwarding._messages import TargetStated
 from kingcuphead.permits import PermitExchange
 from kingcuphead.quarantine import QuarantineExchange
 from kingcuphead.resumption import ResumptionExchange
@@ -35,5 +36,7 @@
     resumption: ResumptionExchange
     #: Called with a target that says in an answer that it leaves.
     report_leaving: Callable[[Target], None]
+    #: Tells a daemon that passed on an answer what the target said of itself in it.
+    report_statement: Callable[[TargetStated, Address], None]
     #: What targets take from the whole fleet.
     permits: PermitExchange
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -9,6 +9,7 @@
 
 from kingcuphead.dispatch import AttemptResult, Placement
 from kingcuphead.forwarding._attempt import (
+    Address,
     Answered,
     Attempt,
     AttemptEnd,
@@ -27,7 +28,12 @@
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EndedAttempt
 from kingcuphead.forwarding._fingerprint import identify_request
-from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
+from kingcuphead.forwarding._messages import (
+    AnswerHead,
+    CallerRequest,
+    SendOptions,
+    TargetStated,
+)
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._retry_decision import RetryDecision
@@ -324,13 +330,24 @@
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
             stall_timeout=max(MIN_STALL_TIMEOUT, 2 * context.route.event_gap_objective),
             claim_retry=lambda: self._retries.claim(context),
-            record_head=lambda head: self._record_head(context, placement.target, head),
+            record_head=lambda head, helper: self._record_head(
+                context, placement.target, head, helper
+            ),
         )
 
     def _record_head(
-        self, context: RequestContext, target: Target, head: AnswerHead
+        self,
+        context: RequestContext,
+        target: Target,
+        head: AnswerHead,
+        helper: Address | None,
     ) -> None:
         """Apply what a target says about itself in an answer."""
+        if helper is not None and (head.is_leaving or head.retry_after is not None):
+            self._dependencies.report_statement(
+                TargetStated(target.name, head.is_leaving, head.retry_after or 0.0),
+                helper,
+            )
         permits = self._dependencies.permits
         if head.is_leaving:
             self._dependencies.report_leaving(target)
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -102,6 +102,18 @@
     copy_from: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TargetStated:
+    """What a target said of itself in an answer that another daemon passed on."""
+
+    #: Name of the target.
+    target: str
+    #: Whether it is about to shut down.
+    is_leaving: bool
+    #: Seconds for which it wants no requests; 0 if it states none.
+    pause: float
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class AnswerHead:
     """Status and headers of a target's answer."""
--- a/kingcuphead/forwarding/_pool.py
+++ b/kingcuphead/forwarding/_pool.py
@@ -4,7 +4,8 @@
 import dataclasses
 from collections import defaultdict
 
-from kingcuphead.forwarding._connection import TargetConnection, connect_to_target
+from kingcuphead.forwarding._connection import TargetConnection
+from kingcuphead.forwarding._ports import TargetConnector
 
 #: Seconds that an idle connection is kept if the target states no timeout.
 IDLE_TIMEOUT = 4.0
@@ -34,9 +35,16 @@
 
 
 class ConnectionPool:
-    """Opens connections and keeps idle ones for later requests."""
+    """Opens connections and keeps idle ones for later requests.
 
-    def __init__(self) -> None:
+    Parameters
+    ----------
+    connector
+        Opens the connections.
+    """
+
+    def __init__(self, connector: TargetConnector) -> None:
+        self._connector = connector
         self._idle: dict[str, list[_IdleConnection]] = defaultdict(list)
 
     async def acquire(self, address: str, timeout: float) -> Lease:
@@ -54,16 +62,25 @@
         OSError
             No connection could be opened; nothing was sent.
         """
-        now = asyncio.get_running_loop().time()
-        idle = self._idle[address]
-        while idle:
-            candidate = idle.pop()
-            candidate.connection.set_close_callback(None)
-            if candidate.connection.is_reusable and candidate.expires_at > now:
-                return Lease(candidate.connection, address, candidate.expires_at)
-            candidate.connection.close()
-        connection = await connect_to_target(address, timeout)
-        return Lease(connection, address)
+        if self._connector.uses_idle_connections:
+            lease = self._take_idle(address)
+            if lease is not None:
+                return lease
+        return await self.open(address, timeout)
+
+    async def open(self, address: str, timeout: float) -> Lease:
+        """Open a new connection to an address.
+
+        Raises
+        ------
+        OSError
+            No connection could be opened; nothing was sent.
+        """
+        return Lease(await self._connector.connect(address, timeout), address)
+
+    async def confirm_refusal(self, address: str, timeout: float) -> bool:
+        """Return whether a refused connection proves that the target has ended."""
+        return await self._connector.confirm_refusal(address, timeout)
 
     def release(self, lease: Lease, idle_timeout: float | None) -> None:
         """Return the connection of a completed request to the pool.
@@ -112,10 +129,24 @@
         for address in tuple(self._idle):
             self.close_address(address)
 
+    def _take_idle(self, address: str) -> Lease | None:
+        now = asyncio.get_running_loop().time()
+        idle = self._idle[address]
+        while idle:
+            candidate = idle.pop()
+            candidate.connection.set_close_callback(None)
+            if candidate.connection.is_reusable and candidate.expires_at > now:
+                return Lease(candidate.connection, address, candidate.expires_at)
+            candidate.connection.close()
+        return None
+
     def _keep(self, lease: Lease, expires_at: float) -> None:
         idle = self._idle[lease.address]
-        if len(idle) >= MAX_IDLE or not lease.connection.is_reusable:
-            lease.connection.close()
+        connection = lease.connection
+        # A connection through another daemon is of no use once the own path is back.
+        is_tunnel = connection.helper is not None
+        if is_tunnel or len(idle) >= MAX_IDLE or not connection.is_reusable:
+            connection.close()
             return
         entry = _IdleConnection(lease.connection, expires_at)
         idle.append(entry)
--- a/kingcuphead/forwarding/_ports.py
+++ b/kingcuphead/forwarding/_ports.py
@@ -4,6 +4,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from kingcuphead.forwarding._connection import TargetConnection
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 
 
@@ -33,6 +34,29 @@
         ...
 
 
+class TargetConnector(Protocol):
+    """Opens connections to targets."""
+
+    @property
+    def uses_idle_connections(self) -> bool:
+        """Whether connections that are already open may be used."""
+        ...
+
+    async def connect(self, address: str, timeout: float) -> TargetConnection:
+        """Open a connection.
+
+        Raises
+        ------
+        OSError
+            The connection could not be opened; nothing was sent.
+        """
+        ...
+
+    async def confirm_refusal(self, address: str, timeout: float) -> bool:
+        """Return whether a refused connection proves that the target has ended."""
+        ...
+
+
 class Caller(Protocol):
     """The connection on which a caller receives its answer."""
 
--- a/kingcuphead/forwarding/_target_watch.py
+++ b/kingcuphead/forwarding/_target_watch.py
@@ -6,10 +6,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from tornado.iostream import StreamClosedError
-
 from kingcuphead.forwarding._clock import get_time
-from kingcuphead.forwarding._connection import connect_to_target
+from kingcuphead.forwarding._connection import is_refusal
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
 from kingcuphead.targets import Target, TargetDirectory
 
@@ -139,7 +137,7 @@
             try:
                 lease = await self._connect()
             except (OSError, TimeoutError) as error:
-                return _is_refusal(error)
+                return is_refusal(error) and await self._confirm_refusal()
             if not await self._hold(lease):
                 return False
         return False
@@ -149,7 +147,10 @@
         if self._uses_idle:
             self._uses_idle = False
             return await self._pool.acquire(address, CONNECT_TIMEOUT)
-        return Lease(await connect_to_target(address, CONNECT_TIMEOUT), address)
+        return await self._pool.open(address, CONNECT_TIMEOUT)
+
+    async def _confirm_refusal(self) -> bool:
+        return await self._pool.confirm_refusal(self.target.address, CONNECT_TIMEOUT)
 
     def report_loss(self) -> None:
         """Tell the followers that are left."""
@@ -180,9 +181,3 @@
         self.followers = [each for each in self.followers if each.deadline > now]
         for follower in due:
             follower.report_survived()
-
-
-def _is_refusal(error: Exception) -> bool:
-    """Whether a connection failed because no process listens at the address."""
-    cause = error.real_error if isinstance(error, StreamClosedError) else error
-    return isinstance(cause, ConnectionRefusedError)
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -15,6 +15,7 @@
     EvidenceRecorder,
     RequestForwarder,
     TargetWatch,
+    connect_to_target,
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
 from kingcuphead.loads import PeerLoads
@@ -57,6 +58,18 @@
         return 1
 
 
+class DirectConnector:
+    """Connects on the daemon's own path; there is no other daemon."""
+
+    uses_idle_connections = True
+
+    async def connect(self, address, timeout):
+        return await connect_to_target(address, timeout)
+
+    async def confirm_refusal(self, address, timeout):
+        return True
+
+
 class RecordingCaller:
     """Records the answer; `end` is `finished` or `aborted` after its end."""
 
@@ -129,7 +142,7 @@
         self.directory.record_read()
         for target in (self.first, self.second):
             list(self.directory.put(await target.start()))
-        self.pool = ConnectionPool()
+        self.pool = ConnectionPool(DirectConnector())
         self.memory = AnswerMemory()
         self.permits = PermitExchange(
             ("10.0.0.1", 1),
@@ -172,6 +185,7 @@
                 EvidenceRecorder(self.quarantine, self.watch),
                 self.resumption,
                 self.handle_leaving,
+                lambda message, receiver: None,
                 self.permits,
             ),
             random.Random(1),
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -29,6 +29,8 @@
         Returns this daemon's own loads.
     send
         Sends a report to other daemons.
+    is_cut_off
+        Returns whether this daemon can't open connections to targets.
     """
 
     def __init__(
@@ -37,13 +39,16 @@
         peer_loads: PeerLoads,
         list_loads: Callable[[], Iterable[TargetLoad]],
         send: Callable[[LoadsReported], None],
+        is_cut_off: Callable[[], bool] = lambda: False,
     ) -> None:
         self._sender = sender
         self._peer_loads = peer_loads
         self._list_loads = list_loads
         self._send = send
+        self._is_cut_off = is_cut_off
         self._number = 0
         self._last_loads: tuple[TargetLoad, ...] = ()
+        self._was_cut_off = False
         self._unchanged_count = 0
         self._trigger = asyncio.Event()
 
@@ -72,11 +77,12 @@
 
     def _send_report(self) -> None:
         loads = tuple(self._list_loads())
-        self._unchanged_count = (
-            self._unchanged_count + 1 if loads == self._last_loads else 0
-        )
+        is_cut_off = self._is_cut_off()
+        is_changed = loads != self._last_loads or is_cut_off != self._was_cut_off
+        self._unchanged_count = 0 if is_changed else self._unchanged_count + 1
         if self._unchanged_count % (MAX_SKIPPED_REPORTS + 1):
             return
         self._last_loads = loads
+        self._was_cut_off = is_cut_off
         self._number += 1
-        self._send(LoadsReported(self._sender, self._number, loads))
+        self._send(LoadsReported(self._sender, self._number, loads, is_cut_off))
--- a/kingcuphead/loads/_messages.py
+++ b/kingcuphead/loads/_messages.py
@@ -25,3 +25,5 @@
     number: int
     #: Loads per target; targets without load are left out.
     loads: tuple[TargetLoad, ...]
+    #: Whether the sender can't open connections to targets.
+    is_cut_off: bool = False
--- /dev/null
+++ b/kingcuphead/paths/_connector.py
@@ -0,0 +1,224 @@
+"""Opens connections to targets, on the daemon's own path or through another daemon."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from loguru import logger
+
+from kingcuphead.forwarding import (
+    TargetConnection,
+    TargetStream,
+    connect_to_target,
+    open_stream,
+)
+from kingcuphead.paths._frames import (
+    MalformedMessageError,
+    read_message,
+    write_message,
+)
+from kingcuphead.paths._messages import TunnelAnswered, TunnelAsked, TunnelOutcome
+from kingcuphead.paths._monitor import PathMonitor
+from kingcuphead.paths._peers import Address, PeerPaths
+
+#: Number of daemons that are asked for one tunnel.
+MAX_HELPERS = 3
+#: Number of targets that are tried at once to find out about a path.
+MAX_PROBED = 3
+#: Seconds between two attempts to connect to targets while the path is lost.
+PROBE_INTERVAL = 0.25
+#: Bound in seconds on such an attempt.
+PROBE_TIMEOUT = 0.4
+
+
+class Connector:
+    """Connects to targets, and finds out when the daemon's own path is back.
+
+    Parameters
+    ----------
+    monitor
+        Tells whether the own path is lost.
+    peer_paths
+        Knows which daemons can help.
+    list_addresses
+        Returns the addresses of all targets that accept requests.
+    rng
+        Chooses the targets that are probed.
+    """
+
+    def __init__(
+        self,
+        monitor: PathMonitor,
+        peer_paths: PeerPaths,
+        list_addresses: Callable[[], Iterable[str]],
+        rng: random.Random,
+    ) -> None:
+        self._monitor = monitor
+        self._peer_paths = peer_paths
+        self._list_addresses = list_addresses
+        self._rng = rng
+
+    @property
+    def uses_idle_connections(self) -> bool:
+        """Whether connections that are already open may be used.
+
+        They may hang while the path is lost.
+        """
+        return not self._monitor.is_lost
+
+    async def run(self) -> None:
+        """Look for the own path while it is lost, until cancelled."""
+        while True:
+            await asyncio.sleep(PROBE_INTERVAL)
+            if self._monitor.is_lost:
+                await self._probe_path()
+
+    async def connect(self, address: str, timeout: float) -> TargetConnection:
+        """Open a connection to a target.
+
+        Parameters
+        ----------
+        address
+            Address as `IP:port`.
+        timeout
+            Bound in seconds on opening the connection.
+
+        Raises
+        ------
+        OSError
+            The connection could not be opened; nothing was sent.
+        TimeoutError
+            The connection was not opened in time; nothing was sent.
+        """
+        if self._monitor.is_lost:
+            return await self._connect_through_peer(address, timeout)
+        return await self._connect_directly(address, timeout)
+
+    async def connect_directly(self, address: str, timeout: float) -> TargetConnection:
+        """Open a connection for another daemon, which may have come through a peer.
+
+        Raises
+        ------
+        OSError
+            The connection could not be opened.
+        """
+        return await self._connect_directly(address, timeout)
+
+    async def confirm_refusal(self, address: str, timeout: float) -> bool:
+        """Return whether a target refuses connections because it has ended.
+
+        A daemon whose path is lost may be refused connections to living targets, so a
+        refusal counts only at a daemon that reaches other targets: another one, or this
+        one if nobody else helps.
+        """
+        try:
+            connection = await self._connect_through_peer(address, timeout)
+        except ConnectionRefusedError:
+            return True
+        except NoHelperError:
+            return await self.reaches_others(address)
+        except (OSError, TimeoutError):
+            return False
+        connection.close()
+        return False
+
+    async def reaches_others(self, address: str) -> bool:
+        """Return whether this daemon can connect to targets at other addresses.
+
+        Without other targets nothing speaks against it.
+        """
+        others = [each for each in self._list_addresses() if each != address]
+        sample = self._rng.sample(others, min(len(others), MAX_PROBED))
+        return not others or await self._probe_any(sample)
+
+    async def _connect_directly(self, address: str, timeout: float) -> TargetConnection:
+        try:
+            connection = await connect_to_target(address, timeout)
+        except (OSError, TimeoutError):
+            self._monitor.record_failure(address, _get_time())
+            raise
+        self._monitor.record_success()
+        return connection
+
+    async def _connect_through_peer(
+        self, address: str, timeout: float
+    ) -> TargetConnection:
+        helpers = self._peer_paths.list_helpers(_get_time())
+        async with asyncio.timeout(timeout):
+            for helper in helpers[:MAX_HELPERS]:
+                connection = await self._open_tunnel(helper, address, timeout / 2)
+                if connection is not None:
+                    return connection
+        raise NoHelperError(address)
+
+    async def _open_tunnel(
+        self, helper: Address, address: str, timeout: float
+    ) -> TargetConnection | None:
+        """Open a connection through a daemon; None if that daemon can't help.
+
+        Raises
+        ------
+        OSError
+            The helping daemon could not connect to the target.
+        """
+        stream = open_stream(is_tunnel=True)
+        try:
+            async with asyncio.timeout(timeout):
+                outcome = await _ask_for_tunnel(stream, helper, address)
+        except (OSError, TimeoutError, MalformedMessageError) as error:
+            cause = f"{type(error).__name__} {error}"
+            logger.bind(peer=helper[0], cause=cause).warning("no tunnel")
+            outcome = TunnelOutcome.UNAVAILABLE
+        except BaseException:
+            stream.close()
+            raise
+        if outcome is TunnelOutcome.OPENED:
+            return TargetConnection(stream, helper)
+        stream.close()
+        match outcome:
+            case TunnelOutcome.REFUSED:
+                raise ConnectionRefusedError(f"{helper[0]} is refused by {address}")
+            case TunnelOutcome.UNREACHABLE | TunnelOutcome.CLOSED:
+                raise OSError(f"{helper[0]} can't use {address}: {outcome.value}")
+        self._peer_paths.record_failure(helper, _get_time())
+        return None
+
+    async def _probe_path(self) -> None:
+        addresses = tuple(self._list_addresses())
+        sample = self._rng.sample(addresses, min(len(addresses), MAX_PROBED))
+        await self._probe_any(sample)
+
+    async def _probe_any(self, addresses: Iterable[str]) -> bool:
+        """Try to connect to some targets at once; return whether it worked with any."""
+        probes = [self._probe(address) for address in addresses]
+        return any(await asyncio.gather(*probes))
+
+    async def _probe(self, address: str) -> bool:
+        try:
+            connection = await self._connect_directly(address, PROBE_TIMEOUT)
+        except (OSError, TimeoutError):
+            return False
+        connection.close()
+        return True
+
+
+class NoHelperError(OSError):
+    """No other daemon helps to connect to a target."""
+
+    def __init__(self, address: str) -> None:
+        super().__init__(f"no other daemon connects to {address}")
+        #: Address of the target.
+        self.address = address
+
+
+async def _ask_for_tunnel(
+    stream: TargetStream, helper: Address, address: str
+) -> TunnelOutcome:
+    await stream.connect(helper)
+    await write_message(stream, TunnelAsked(address))
+    answer = await read_message(stream, TunnelAnswered)
+    return answer.outcome
+
+
+def _get_time() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/kingcuphead/paths/_monitor.py
@@ -0,0 +1,41 @@
+"""Tells whether this daemon can open connections to targets."""
+
+from loguru import logger
+
+#: Number of targets that can't be connected to, with no other that can in between, from
+#: which on the daemon takes its path to all of them for lost.
+MIN_FAILED_TARGETS = 2
+#: Seconds after which a failure no longer counts.
+FAILURE_LIFETIME = 3.0
+
+
+class PathMonitor:
+    """Judges the daemon's own path by the connections that it opens; does no I/O.
+
+    Connections that are already open prove nothing: they may go on when new ones are
+    refused, and hang without any sign when the path is lost.
+    """
+
+    def __init__(self) -> None:
+        self._failed_at: dict[str, float] = {}
+        #: Whether the path is lost.
+        self.is_lost = False
+
+    def record_success(self) -> None:
+        """Record that a connection to a target was opened."""
+        self._failed_at.clear()
+        if self.is_lost:
+            self.is_lost = False
+            logger.info("path to targets is back")
+
+    def record_failure(self, address: str, now: float) -> None:
+        """Record that a target could not be connected to."""
+        self._failed_at[address] = now
+        self._failed_at = {
+            each: failed_at
+            for each, failed_at in self._failed_at.items()
+            if now - failed_at <= FAILURE_LIFETIME
+        }
+        if not self.is_lost and len(self._failed_at) >= MIN_FAILED_TARGETS:
+            self.is_lost = True
+            logger.warning("path to targets is lost: {}", ", ".join(self._failed_at))
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -147,6 +147,23 @@
         """Return the targets that have an entry, usable or not."""
         return tuple(self._targets.values())
 
+    def list_addresses(self) -> tuple[str, ...]:
+        """Return the addresses of all targets that accept new requests."""
+        return tuple(
+            each.address for each in self._targets.values() if self._is_usable(each)
+        )
+
+    def find(self, name: str) -> Target | None:
+        """Return the target of a name, usable or not; None if there is none."""
+        return self._targets.get(name)
+
+    def find_usable(self, address: str) -> Target | None:
+        """Return the target at an address that accepts new requests."""
+        for target in self._targets.values():
+            if target.address == address and self._is_usable(target):
+                return target
+        return None
+
     def list_leaving(self) -> tuple[Target, ...]:
         """Return the targets that have an entry and are leaving."""
         return tuple(
@@ -183,13 +200,17 @@
             usable = tuple(
                 target
                 for target in self._targets.values()
-                if target.service == service
-                and target.availability is Availability.READY
-                and target.incarnation not in self._replaced
+                if target.service == service and self._is_usable(target)
             )
             self._usable[service] = usable
         return usable
 
+    def _is_usable(self, target: Target) -> bool:
+        return (
+            target.availability is Availability.READY
+            and target.incarnation not in self._replaced
+        )
+
     def _drop(self, target: Target) -> Iterator[DirectoryChange]:
         del self._targets[target.name]
         self._replaced.discard(target.incarnation)
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -187,6 +187,7 @@
   1: string sender
   2: i64 number
   3: list<TargetLoad> loads
+  4: bool is_cut_off
 }
 
 struct CreditAsked {
@@ -270,6 +271,21 @@
   2: TargetTerms terms
 }
 
+struct TargetStated {
+  1: string target
+  2: bool is_leaving
+  3: double pause
+}
+
+/* The first messages on a connection between two daemons; see kingcuphead/paths. */
+struct TunnelAsked {
+  1: string address
+}
+
+struct TunnelAnswered {
+  1: string outcome
+}
+
 union Datagram {
   1: LoadsReported loads_reported
   2: CreditAsked credit_asked
@@ -284,6 +300,7 @@
   13: CoordinatorProbed coordinator_probed
   14: ProbeAnswered probe_answered
   15: TermsReported terms_reported
+  16: TargetStated target_stated
 }
 
 union PeerMessage {
