Tests that fail: brittle targets fall over

Three daemons, six targets with two slots and one place to wait, which fall over when they have to reject more than three requests in a second; 2 falls allowed.

--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -20,6 +20,10 @@
 )
 from kingcuphead.platform.tests._table_store import TableStore
 
+#: Requests of callers that may be open at once.
+MAX_OPEN_REQUESTS = 400
+AsyncHTTPClient.configure(None, max_clients=MAX_OPEN_REQUESTS)
+
 #: Loopback network of this process, so that two test runs don't meet.
 NETWORK = f"127.{16 + os.getpid() % 200}.{os.getpid() // 200 % 250}"
 #: Port of every daemon for callers; each daemon has an address of its own.
@@ -77,13 +81,16 @@
         Kind of the route, as the platform names it.
     is_resumable
         Whether streams of the route may be resumed.
+    slots
+        Requests that each target runs at once, as its entry says.
     """
 
     #: Number of daemons.
     SIZE = 3
 
-    def __init__(self, make_targets, kind="safe", is_resumable=False):
+    def __init__(self, make_targets, kind="safe", is_resumable=False, slots=8):
         self._configuration = encode_configuration(kind, 2, is_resumable)
+        self._slots = slots
         self._requests = 0
         self._daemons = {}
         self.store = TableStore()
@@ -202,7 +209,9 @@
         self._daemons[number] = (daemon, task)
 
     def _register(self, name, address, version):
-        entry = None if address is None else encode_entry(address, version)
+        entry = None
+        if address is not None:
+            entry = encode_entry(address, version, self._slots)
         self.store.put("servers", "", name, entry)
 
 
--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -219,6 +219,58 @@
         writer.write(make_answer(headers["attempt-id"], b"ok", lines=lines))
 
 
+class BrittleTarget(LocalTarget):
+    """Falls over when it has to reject too many requests in a second.
+
+    Parameters
+    ----------
+    rejections
+        Requests that it can reject in a second; it states this in all its answers.
+    slots
+        Requests that it runs at once, `SLOW_SECONDS` each.
+    waiting
+        Requests that may wait, from `STRICT_AFTER` on; before, all others may.
+    """
+
+    #: Seconds after its start from which on few requests may wait.
+    STRICT_AFTER = 1.0
+
+    def __init__(self, name, version, register, rejections, slots, waiting):
+        super().__init__(name, version, register)
+        self._rejections = rejections
+        self._slots = asyncio.Semaphore(slots)
+        self._places = slots + waiting
+        self._present = 0
+        self._rejected_at = []
+        self._strict_from = asyncio.get_running_loop().time() + self.STRICT_AFTER
+
+    async def answer(self, headers, body, writer):
+        request_id = headers["attempt-id"]
+        lines = [f"Server-Brittle: {self._rejections}"]
+        now = asyncio.get_running_loop().time()
+        if self._present >= self._places and now >= self._strict_from:
+            status = "503 Service Unavailable"
+            writer.write(
+                make_answer(request_id, b"", status, [*lines, "Not-Executed: 1"])
+            )
+            self._count_rejection(now)
+            return
+        self._present += 1
+        try:
+            async with self._slots:
+                await asyncio.sleep(SLOW_SECONDS)
+        finally:
+            self._present -= 1
+        writer.write(make_answer(request_id, b"ok", lines=lines))
+
+    def _count_rejection(self, now):
+        recent = [each for each in self._rejected_at if now - each < 1.0]
+        self._rejected_at = [*recent, now]
+        if len(self._rejected_at) > self._rejections:
+            self._rejected_at = []
+            self.crash()
+
+
 class StreamingTarget(LocalTarget):
     """Answers with a stream whose events carry the version of the target."""
 
--- a/kingcuphead/platform/tests/_documents.py
+++ b/kingcuphead/platform/tests/_documents.py
@@ -31,14 +31,14 @@
     return encode_value(content)
 
 
-def encode_entry(address, version):
+def encode_entry(address, version, slots=8):
     """Return the row of a target of the service `pool` that is ready."""
     content = {
         "service": "pool",
         "address": address,
         "state": "ready",
         "zone": "z",
-        "slots": 8,
+        "slots": slots,
         "born": 1,
         "sequence": 1,
         "version": version,
