Share the room of brittle targets as permits

Room is now a part of the same account as limits and pauses: the coordinator of a target grants as many permits as the target runs requests at once, daemons say how many they have open with each question and at each end, and once a second.

Ruled out by the tests that passed before: a cause in the choice of one daemon alone.

--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -15,6 +15,7 @@
     PermitAsked,
     PermitMessage,
     ProbeAnswered,
+    RoomReported,
     TermsReported,
 )
 from kingcuphead.quarantine import (
@@ -55,6 +56,7 @@
     ProbeAnswered,
     TermsReported,
     TargetStated,
+    RoomReported,
 )
 _TYPES = {name_field(cls): cls for cls in _CLASSES}
 _FACTORY = TCompactProtocolAcceleratedFactory(
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -20,6 +20,7 @@
     PermitAnswered,
     PermitAsked,
     ProbeAnswered,
+    RoomReported,
     TargetTerms,
     TermsReported,
 )
@@ -43,7 +44,8 @@
     AnswersReported("f", "a/1", 2),
     StreamsBegan((BegunStream("r1", "pool", "v1.1"),)),
     StreamAsked("r1"),
-    PermitAsked(4, "t1@5", TargetTerms(1.5, 3)),
+    PermitAsked(4, "t1@5", TargetTerms(1.5, 3), 8, 2),
+    RoomReported(5, "t1@5", 1, True),
     PermitAnswered(4, False, 0.25),
     CoordinatorProbed(),
     ProbeAnswered(True),
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -27,6 +27,7 @@
     PermitCoordinator,
     PermitExchange,
     ProbeAnswered,
+    RoomReported,
     TermsReported,
 )
 from kingcuphead.platform import Profile, Store, StoreTable
@@ -165,6 +166,7 @@
             self._loads.run(),
             self.quarantine.run(),
             self.resumption.run(),
+            self.permits.run(),
             self._peers.run(),
         ]
 
@@ -193,6 +195,7 @@
                 | PermitAnswered()
                 | CoordinatorProbed()
                 | ProbeAnswered()
+                | RoomReported()
                 | TermsReported()
             ):
                 self.permits.handle_message(message, sender)
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -54,6 +54,9 @@
 ORIGIN_RETRY_AFTER = 1.0
 #: Seconds after which a caller may retry if no target ran the request.
 TARGET_RETRY_AFTER = 0.3
+#: Lower bound in seconds of the time after which a caller may retry when the targets
+#: have no permits left; the next ones go to requests that come meanwhile.
+MIN_RETRY_AFTER = 0.1
 #: Upper bound of the first-byte timeout as a share of the time until the deadline; the
 #: rest is left for a retry.
 FIRST_BYTE_TIMEOUT_SHARE = 0.6
@@ -307,6 +310,9 @@
             )
         )
         self._dependencies.dispatcher.record_result(placement, result, get_time())
+        self._dependencies.permits.release(
+            placement.target, was_rejected=result is AttemptResult.REFUSED
+        )
 
     def _make_attempt(
         self, context: RequestContext, placement: Placement, stream: AnswerStream | None
@@ -401,7 +407,7 @@
     def _get_retry_after(self, context: RequestContext) -> float:
         """Return the seconds after which a target may have room for a request."""
         delay = self._dependencies.permits.get_delay(self._list_eligible(context))
-        return TARGET_RETRY_AFTER if delay is None else delay
+        return TARGET_RETRY_AFTER if delay is None else max(delay, MIN_RETRY_AFTER)
 
     def _time_out(
         self, context: RequestContext, caller: Caller, stream: AnswerStream | None
--- a/kingcuphead/permits/__init__.py
+++ b/kingcuphead/permits/__init__.py
@@ -13,6 +13,7 @@
     PermitAsked,
     PermitMessage,
     ProbeAnswered,
+    RoomReported,
     TermsReported,
 )
 from kingcuphead.permits._terms import TargetTerms, TermsTable
@@ -25,6 +26,7 @@
     "PermitExchange",
     "PermitMessage",
     "ProbeAnswered",
+    "RoomReported",
     "TargetTerms",
     "TermsReported",
     "TermsTable",
--- a/kingcuphead/permits/_coordinator.py
+++ b/kingcuphead/permits/_coordinator.py
@@ -4,8 +4,12 @@
 import random
 
 from kingcuphead.permits._bucket import MIN_RATE, TokenBucket
+from kingcuphead.permits._room import OpenRequests, TargetRoom
 from kingcuphead.permits._terms import TargetTerms
 
+#: Seconds after which a place may be free again.
+ROOM_WAIT = 0.02
+
 #: Seconds without a question after which what is known of a target is dropped.
 ACCOUNT_LIFETIME = 60.0
 #: Number of targets from which on expired accounts are looked for.
@@ -22,9 +26,24 @@
     wait: float = 0.0
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitClaim:
+    """A daemon wants to send one request to a target."""
+
+    #: Incarnation of the target.
+    target: str
+    #: Its terms, as that daemon knows them.
+    terms: TargetTerms
+    #: Requests that the target runs at once.
+    slots: int
+    #: Requests that the daemon has open there, with this one.
+    open_requests: OpenRequests
+
+
 @dataclasses.dataclass(slots=True)
 class _Account:
     bucket: TokenBucket
+    room: TargetRoom
     asked_at: float
 
 
@@ -42,35 +61,43 @@
         self._rng = rng
         self._accounts: dict[str, _Account] = {}
 
-    def decide(
-        self, target: str, terms: TargetTerms, share: float, now: float
-    ) -> Decision:
+    def decide(self, claim: PermitClaim, share: float, now: float) -> Decision:
         """Grant or deny a permit for one request.
 
         Parameters
         ----------
-        target
-            Incarnation of the target.
-        terms
-            Its terms, as the asking daemon knows them.
+        claim
+            What is wanted.
         share
             Share of what the target takes that may be granted here.
         now
             Current time in seconds.
         """
-        if terms.requests_per_second is None:
-            return Decision(True)
-        bucket = self._find_account(target, now).bucket
-        bucket.apply_rate(max(MIN_RATE, terms.requests_per_second) * share, now)
-        if bucket.try_take(now):
-            return Decision(True)
-        return Decision(False, bucket.get_wait(now))
+        account = self._find_account(claim.target, now)
+        if claim.terms.is_brittle:
+            places = max(1, int(claim.slots * share))
+            if not account.room.has_place(claim.open_requests, places, now):
+                return Decision(False, ROOM_WAIT)
+        decision = _decide_by_rate(account.bucket, claim.terms, share, now)
+        if decision.is_granted:
+            account.room.record(claim.open_requests, now)
+        return decision
+
+    def record_open_requests(
+        self, target: str, open_requests: OpenRequests, was_rejected: bool, now: float
+    ) -> None:
+        """Apply what a daemon reports of its open requests at a target."""
+        room = self._find_account(target, now).room
+        room.record(open_requests, now)
+        if was_rejected:
+            room.record_rejection(now)
 
     def _find_account(self, target: str, now: float) -> _Account:
         account = self._accounts.get(target)
         if account is None:
             self._drop_expired(now)
-            account = _Account(TokenBucket(self._rng.random(), now), now)
+            bucket = TokenBucket(self._rng.random(), now)
+            account = _Account(bucket, TargetRoom(now), now)
             self._accounts[target] = account
         account.asked_at = now
         return account
@@ -83,3 +110,14 @@
             for target, account in self._accounts.items()
             if now - account.asked_at < ACCOUNT_LIFETIME
         }
+
+
+def _decide_by_rate(
+    bucket: TokenBucket, terms: TargetTerms, share: float, now: float
+) -> Decision:
+    if terms.requests_per_second is None:
+        return Decision(True)
+    bucket.apply_rate(max(MIN_RATE, terms.requests_per_second) * share, now)
+    if bucket.try_take(now):
+        return Decision(True)
+    return Decision(False, bucket.get_wait(now))
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -2,10 +2,11 @@
 
 import asyncio
 import itertools
+from collections import Counter
 from collections.abc import Callable, Iterable
 from typing import Protocol
 
-from kingcuphead.permits._coordinator import Decision, PermitCoordinator
+from kingcuphead.permits._coordinator import Decision, PermitClaim, PermitCoordinator
 from kingcuphead.permits._gate import TargetGate
 from kingcuphead.permits._messages import (
     CoordinatorProbed,
@@ -13,9 +14,11 @@
     PermitAsked,
     PermitMessage,
     ProbeAnswered,
+    RoomReported,
     TermsReported,
 )
 from kingcuphead.permits._ranking import ANSWER_TIMEOUT, Address, CoordinatorRanking
+from kingcuphead.permits._room import OpenRequests
 from kingcuphead.permits._terms import TargetTerms, TermsTable
 from kingcuphead.targets import Target
 
@@ -24,6 +27,11 @@
 MAX_WAIT = 1.0
 #: Number of daemons that are asked for one permit before this one decides by itself.
 MAX_QUESTIONS = 2
+#: Seconds between two reports of the open requests at targets that are short of room.
+REPORT_INTERVAL = 1.0
+#: Upper bound in seconds of the time for which a daemon that hears of no other sends
+#: nothing to a brittle target that had no room.
+MAX_REJECTION_PAUSE = 5.0
 
 
 class Sender(Protocol):
@@ -61,11 +69,20 @@
         self._broadcast = broadcast
         self._terms = TermsTable()
         self._gate = TargetGate()
+        self._open_requests: Counter[str] = Counter()
         self._numbers = itertools.count(1)
         self._questions: dict[int, asyncio.Future[Decision]] = {}
         #: Which daemon coordinates the permits of a target.
         self.ranking = CoordinatorRanking(own_address, self._probe)
 
+    async def run(self) -> None:
+        """Report the open requests at brittle targets until cancelled."""
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL)
+            for target in self._terms.list_brittle():
+                if self._open_requests[target]:
+                    self._report_room(target, was_rejected=False)
+
     def record_terms(self, target: Target, terms: TargetTerms) -> None:
         """Apply the terms that a target states; tell the other daemons of a change."""
         if self._terms.record(target.incarnation, terms):
@@ -90,34 +107,63 @@
         Returns
         -------
         bool
-            Whether the request may be sent. If not, the target is closed until the
-            next permit may be had.
+            Whether the request may be sent; `release` has to follow it. If not, the
+            target is closed until the next permit may be had.
         """
-        terms = self._terms.get(target.incarnation)
-        if terms.is_unlimited:
-            return True
-        decision = await self._ask_fleet(target.incarnation, terms)
+        identity = target.incarnation
+        self._open_requests[identity] += 1
+        decision = Decision(False)
+        try:
+            decision = await self._decide_claim(target)
+        finally:
+            if not decision.is_granted:
+                self._open_requests[identity] -= 1
         if not decision.is_granted:
             self._gate.close(target, min(decision.wait, MAX_WAIT), _get_time())
         return decision.is_granted
 
+    def release(self, target: Target, was_rejected: bool) -> None:
+        """Give back the place of a request that has ended.
+
+        Parameters
+        ----------
+        target
+            Target that it was sent to.
+        was_rejected
+            Whether the target did not run it.
+        """
+        identity = target.incarnation
+        self._open_requests[identity] -= 1
+        terms = self._terms.get(identity)
+        if not terms.is_brittle:
+            return
+        self._report_room(identity, was_rejected)
+        if was_rejected and self.ranking.is_isolated(_get_time()):
+            rejections = max(1, terms.rejections_per_second or 0)
+            pause = min(MAX_REJECTION_PAUSE, self.ranking.daemons / rejections)
+            self._gate.close(target, pause, _get_time())
+
     def forget(self, target: Target) -> None:
         """Drop the state of a target that was removed."""
         self._terms.forget(target.incarnation)
         self._gate.forget(target)
+        if not self._open_requests[target.incarnation]:
+            del self._open_requests[target.incarnation]
 
     def handle_message(self, message: PermitMessage, sender: Address) -> None:
         """Process a message of another daemon."""
         match message:
-            case PermitAsked(number, target, terms):
-                decision = self._decide(target, terms, is_asked=True)
-                self._send(
-                    PermitAnswered(number, decision.is_granted, decision.wait), sender
-                )
+            case PermitAsked(number):
+                claim = _make_claim(message, sender)
+                decision = self._decide(claim, is_asked=True)
+                answer = PermitAnswered(number, decision.is_granted, decision.wait)
+                self._send(answer, sender)
             case PermitAnswered(number, is_granted, wait):
                 question = self._questions.get(number)
                 if question is not None and not question.done():
                     question.set_result(Decision(is_granted, wait))
+            case RoomReported():
+                self._apply_room(message, sender)
             case CoordinatorProbed():
                 self._send(ProbeAnswered(self.ranking.knows(sender)), sender)
             case ProbeAnswered(is_known):
@@ -126,42 +172,86 @@
             case TermsReported(target, terms):
                 self._terms.record(target, terms)
 
-    async def _ask_fleet(self, target: str, terms: TargetTerms) -> Decision:
+    async def _decide_claim(self, target: Target) -> Decision:
+        terms = self._terms.get(target.incarnation)
+        if terms.is_unlimited:
+            return Decision(True)
+        return await self._ask_fleet(target, terms)
+
+    async def _ask_fleet(self, target: Target, terms: TargetTerms) -> Decision:
         """Ask the coordinator, then the next one; decide alone if none answers."""
+        identity = target.incarnation
         for _ in range(MAX_QUESTIONS):
-            address = self.ranking.find_coordinator(target, _get_time())
+            address = self.ranking.find_coordinator(identity, _get_time())
             if address == self._own_address:
                 break
-            decision = await self._ask(address, target, terms)
+            decision = await self._ask(address, self._make_question(target, terms))
             if decision is not None:
                 return decision
-        return self._decide(target, terms, is_asked=False)
+        question = self._make_question(target, terms)
+        return self._decide(_make_claim(question, self._own_address), is_asked=False)
+
+    def _make_question(self, target: Target, terms: TargetTerms) -> PermitAsked:
+        identity = target.incarnation
+        return PermitAsked(
+            next(self._numbers),
+            identity,
+            terms,
+            target.slots,
+            self._open_requests[identity],
+        )
 
-    async def _ask(
-        self, address: Address, target: str, terms: TargetTerms
-    ) -> Decision | None:
+    async def _ask(self, address: Address, question: PermitAsked) -> Decision | None:
         """Ask one daemon; None if it doesn't answer."""
-        number = next(self._numbers)
         answer: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-        self._questions[number] = answer
+        self._questions[question.number] = answer
         self.ranking.record_question(address, _get_time())
-        self._send(PermitAsked(number, target, terms), address)
+        self._send(question, address)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 return await answer
         except TimeoutError:
             return None
         finally:
-            del self._questions[number]
+            del self._questions[question.number]
 
-    def _decide(self, target: str, terms: TargetTerms, is_asked: bool) -> Decision:
+    def _decide(self, claim: PermitClaim, is_asked: bool) -> Decision:
         now = _get_time()
-        share = self.ranking.compute_share(target, is_asked, now)
-        return self._coordinator.decide(target, terms, share, now)
+        share = self.ranking.compute_share(claim.target, is_asked, now)
+        return self._coordinator.decide(claim, share, now)
+
+    def _report_room(self, target: str, was_rejected: bool) -> None:
+        """Tell the coordinator of a target how many requests are open there."""
+        report = RoomReported(
+            next(self._numbers), target, self._open_requests[target], was_rejected
+        )
+        address = self.ranking.find_coordinator(target, _get_time())
+        if address == self._own_address:
+            self._apply_room(report, address)
+        else:
+            self._send(report, address)
+
+    def _apply_room(self, report: RoomReported, sender: Address) -> None:
+        holder = _name_holder(sender)
+        open_requests = OpenRequests(holder, report.number, report.open_requests)
+        self._coordinator.record_open_requests(
+            report.target, open_requests, report.was_rejected, _get_time()
+        )
 
     def _probe(self, address: Address) -> None:
         self._send(CoordinatorProbed(), address)
 
 
+def _make_claim(question: PermitAsked, sender: Address) -> PermitClaim:
+    holder = _name_holder(sender)
+    open_requests = OpenRequests(holder, question.number, question.open_requests)
+    return PermitClaim(question.target, question.terms, question.slots, open_requests)
+
+
+def _name_holder(address: Address) -> str:
+    host, port = address
+    return f"{host}:{port}"
+
+
 def _get_time() -> float:
     return asyncio.get_running_loop().time()
--- a/kingcuphead/permits/_messages.py
+++ b/kingcuphead/permits/_messages.py
@@ -16,6 +16,10 @@
     target: str
     #: Terms of the target that the asking daemon knows.
     terms: TargetTerms
+    #: Requests that the target runs at once.
+    slots: int
+    #: Requests that the asking daemon has open there, with this one.
+    open_requests: int
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -30,6 +34,20 @@
     wait: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class RoomReported:
+    """A daemon has other requests open at a target than before."""
+
+    #: Number of the report, of the same sequence as those of questions.
+    number: int
+    #: Incarnation of the target.
+    target: str
+    #: Requests that the daemon has open there.
+    open_requests: int
+    #: Whether the target had no room for a request.
+    was_rejected: bool
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CoordinatorProbed:
     """A daemon wants to know whether the receiver lives and knows of it."""
@@ -54,5 +72,10 @@
 
 
 PermitMessage: TypeAlias = (
-    PermitAsked | PermitAnswered | CoordinatorProbed | ProbeAnswered | TermsReported
+    PermitAsked
+    | PermitAnswered
+    | RoomReported
+    | CoordinatorProbed
+    | ProbeAnswered
+    | TermsReported
 )
--- a/kingcuphead/permits/_ranking.py
+++ b/kingcuphead/permits/_ranking.py
@@ -81,7 +81,7 @@
 
     def record_message(self, sender: Address, now: float) -> None:
         """Record that a daemon lives."""
-        if self._is_isolated(now):
+        if self.is_isolated(now):
             # Silence while this daemon was cut off says nothing about the others.
             self._silent_since.clear()
             self._probed_at.clear()
@@ -97,9 +97,13 @@
         """Record that a daemon was asked something; it is silent until it answers."""
         self._silent_since.setdefault(receiver, now)
 
+    def is_isolated(self, now: float) -> bool:
+        """Whether there are other daemons, and none was heard of lately."""
+        return self._peers != frozenset() and now - self._heard_at > CONTACT_TIMEOUT
+
     def find_coordinator(self, target: str, now: float) -> Address:
         """Return the daemon to ask: the first one that isn't silent, or this one."""
-        if self._is_isolated(now):
+        if self.is_isolated(now):
             return self._own_address
         for address in self._rank(target):
             if address == self._own_address or not self._is_silent(
@@ -126,7 +130,7 @@
         ranks = self._rank(target)
         position = ranks.index(self._own_address)
         before, after = ranks[:position], ranks[position + 1 :]
-        if self._is_isolated(now):
+        if self.is_isolated(now):
             self._probe_first(ranks, now)
             return ISOLATED_SHARE / self.daemons
         if not all(self._is_lost(address, now) for address in before):
@@ -136,10 +140,6 @@
             return UNCERTAIN_SHARE
         return 1.0
 
-    def _is_isolated(self, now: float) -> bool:
-        """Whether nothing was heard of any other daemon lately."""
-        return now - self._heard_at > CONTACT_TIMEOUT
-
     def _is_confirmed(self, after: tuple[Address, ...], now: float) -> bool:
         """Whether the daemon that would coordinate without this one knows of it."""
         for address in after:
--- a/kingcuphead/permits/_terms.py
+++ b/kingcuphead/permits/_terms.py
@@ -18,7 +18,12 @@
     @property
     def is_unlimited(self) -> bool:
         """Whether requests need no permit."""
-        return self.requests_per_second is None
+        return self.requests_per_second is None and not self.is_brittle
+
+    @property
+    def is_brittle(self) -> bool:
+        """Whether the target may fail when requests find no room."""
+        return self.rejections_per_second is not None
 
 
 #: The terms of a target that states nothing.
@@ -56,6 +61,10 @@
         ).info("terms of target changed")
         return True
 
+    def list_brittle(self) -> tuple[str, ...]:
+        """Return the incarnations of targets that may fail for want of room."""
+        return tuple(each for each, terms in self._terms.items() if terms.is_brittle)
+
     def forget(self, target: str) -> None:
         """Drop the terms of an incarnation that was removed."""
         self._terms.pop(target, None)
--- a/kingcuphead/permits/tests/_simulation.py
+++ b/kingcuphead/permits/tests/_simulation.py
@@ -3,8 +3,10 @@
 import random
 
 from kingcuphead.permits import PermitCoordinator, TargetTerms
+from kingcuphead.permits._coordinator import PermitClaim
 from kingcuphead.permits._exchange import MAX_WAIT
 from kingcuphead.permits._ranking import ANSWER_TIMEOUT, CoordinatorRanking
+from kingcuphead.permits._room import OpenRequests
 
 TARGET = "t1@1"
 #: Seconds between two polls of the list of daemons, and between two rounds of gossip.
@@ -40,7 +42,8 @@
 
     def decide(self, terms, is_asked):
         share = self.ranking.compute_share(TARGET, is_asked, self._fleet.now)
-        return self.coordinator.decide(TARGET, terms, share, self._fleet.now)
+        claim = PermitClaim(TARGET, terms, 8, OpenRequests("d", 1, 1))
+        return self.coordinator.decide(claim, share, self._fleet.now)
 
     def claim(self, terms):
         """Return whether a request may be sent to the target."""
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -251,6 +251,15 @@
   1: i64 number
   2: string target
   3: TargetTerms terms
+  4: i32 slots
+  5: i32 open_requests
+}
+
+struct RoomReported {
+  1: i64 number
+  2: string target
+  3: i32 open_requests
+  4: bool was_rejected
 }
 
 struct PermitAnswered {
@@ -301,6 +310,7 @@
   14: ProbeAnswered probe_answered
   15: TermsReported terms_reported
   16: TargetStated target_stated
+  17: RoomReported room_reported
 }
 
 union PeerMessage {
