Let a sound target be silent for a second

A target that falls silent for a second or so and goes on lost its streams: the stall timeout abandoned them after 1.0 s, the kernel closed connections after 1.0 s (the user timeout also decides when keep-alive probes give up), and each request that met the same silence doubled the backoff, up to 3 s without new requests. Now 1.6 s and 2.0 s, and a backoff that is running isn't lengthened. Looked at and left: the first-byte timeout (2.2 objectives, a retry elsewhere serves the caller sooner), the connect timeouts (nothing was sent), the watch of targets (a refusal only). A probe of the path ends with the first target that answers.

--- a/kingcuphead/dispatch/_health.py
+++ b/kingcuphead/dispatch/_health.py
@@ -44,10 +44,12 @@
         self._failure_rate = rate + RESULT_WEIGHT * (failure - rate)
         self._updated_at = now
         if result in _BACKOFF_RESULTS:
-            self._backoff = min(
-                MAX_BACKOFF_SECONDS, max(MIN_BACKOFF_SECONDS, 2 * self._backoff)
-            )
-            self._backoff_until = now + self._backoff
+            # Requests that met the same silence must not lengthen it.
+            if not self.is_backing_off(now):
+                self._backoff = min(
+                    MAX_BACKOFF_SECONDS, max(MIN_BACKOFF_SECONDS, 2 * self._backoff)
+                )
+                self._backoff_until = now + self._backoff
         elif result is AttemptResult.ANSWERED:
             self._backoff = 0.0
 
--- a/kingcuphead/dispatch/tests/test_dispatch.py
+++ b/kingcuphead/dispatch/tests/test_dispatch.py
@@ -11,6 +11,7 @@
     RetryAllowance,
     SharedPrefix,
 )
+from kingcuphead.dispatch._health import MIN_BACKOFF_SECONDS
 from kingcuphead.loads import LoadsReported, PeerLoads, TargetLoad
 from kingcuphead.targets import Availability, Target
 
@@ -165,6 +166,19 @@
 
 
 class TestHealth:
+    def test_one_silence_that_many_requests_meet_counts_once(self):
+        dispatcher = make_dispatcher()
+        placements = [
+            dispatcher.place(make_request(), TARGETS[:1], (), 0.0) for _ in range(6)
+        ]
+        for placement in placements:
+            dispatcher.record_result(placement, AttemptResult.SILENT, 1.0)
+        other = dispatcher.place(make_request(), TARGETS[:2], (), 1.1)
+        assert other.target != TARGETS[0]
+        health = placements[0].state.health
+        assert health.is_backing_off(1.1)
+        assert not health.is_backing_off(1.0 + 2 * MIN_BACKOFF_SECONDS)
+
     @pytest.mark.parametrize(
         "result", [AttemptResult.UNREACHABLE, AttemptResult.SILENT]
     )
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -23,12 +23,13 @@
 #: Unread bytes of an answer from which on reading pauses, for backpressure from a slow
 #: caller to the target.
 MAX_BUFFERED_BYTES = 262_144
-#: Milliseconds that sent data may stay unacknowledged before the kernel closes the
-#: connection.
-UNACKNOWLEDGED_TIMEOUT_MS = 1_000
+#: Milliseconds that sent data or keep-alive probes may stay unacknowledged before the
+#: kernel closes the connection; a sound target may be silent for a second or so.
+UNACKNOWLEDGED_TIMEOUT_MS = 2_000
 #: Idle seconds before the first TCP keep-alive probe, and seconds between probes.
 KEEPALIVE_INTERVAL = 1
-#: Unanswered keep-alive probes after which the kernel closes the connection.
+#: Unanswered keep-alive probes after which the kernel closes the connection, unless the
+#: timeout for unacknowledged data decides.
 KEEPALIVE_PROBES = 1
 
 _PARAMETERS = HTTP1ConnectionParameters(
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -67,8 +67,9 @@
 FIRST_BYTE_TIMEOUT_OBJECTIVES = 2.2
 #: Number of targets that a request claims a permit of before it is refused.
 MAX_CLAIMS = 8
-#: Lower bound of the stall timeout of a stream in seconds.
-MIN_STALL_TIMEOUT = 1.0
+#: Lower bound of the stall timeout of a stream in seconds; a sound target may be silent
+#: for a second or so.
+MIN_STALL_TIMEOUT = 1.6
 
 
 class RequestForwarder:
--- a/kingcuphead/paths/_connector.py
+++ b/kingcuphead/paths/_connector.py
@@ -190,8 +190,15 @@
 
     async def _probe_any(self, addresses: Iterable[str]) -> bool:
         """Try to connect to some targets at once; return whether it worked with any."""
-        probes = [self._probe(address) for address in addresses]
-        return any(await asyncio.gather(*probes))
+        probes = [asyncio.create_task(self._probe(each)) for each in addresses]
+        try:
+            for probe in asyncio.as_completed(probes):
+                if await probe:
+                    return True
+            return False
+        finally:
+            for task in probes:
+                task.cancel()
 
     async def _probe(self, address: str) -> bool:
         try:
