Log which daemon passed on an attempt, and refusals for want of permits

A request that found all targets at their limits was logged as no_target, like one that has no target at all; its reason is targets_closed now, and the test of pauses asks for that one. Entries of attempts name the daemon that passed on the bytes.

--- a/kingcuphead/api/_refusal.py
+++ b/kingcuphead/api/_refusal.py
@@ -34,6 +34,7 @@
     Reason.CONFIGURATION_STALE: 503,
     Reason.DEADLINE: 503,
     Reason.NO_TARGET: 503,
+    Reason.TARGETS_CLOSED: 503,
     Reason.PLATFORM_UNAVAILABLE: 503,
     Reason.SHUTTING_DOWN: 503,
     Reason.STREAM_UNKNOWN: 503,
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -10,7 +10,12 @@
 from kingcuphead.forwarding._connection import AnswerEnd, TargetAnswer
 from kingcuphead.forwarding._events import MAX_EVENT_BYTES, EventSplitter
 from kingcuphead.forwarding._memory import AnswerMemory
-from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
+from kingcuphead.forwarding._messages import (
+    Address,
+    AnswerHead,
+    CallerRequest,
+    SendOptions,
+)
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
 from kingcuphead.forwarding._ports import HeaderCodec
 from kingcuphead.forwarding._stream import AnswerStream
@@ -25,7 +30,6 @@
 MISDIRECTED = 421
 
 T = TypeVar("T")
-Address: TypeAlias = tuple[str, int]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,9 +88,11 @@
     #: Returns whether the request may be retried at another target after it may have
     #: run; a retry that is allowed is counted.
     claim_retry: Callable[[], bool]
-    #: Called with the status and headers of an answer of the target, and with the
-    #: address of the daemon that passed it on, if there is one.
-    record_head: Callable[[AnswerHead, Address | None], None]
+    #: Called with the address of the daemon that passes on the bytes, before the
+    #: request is sent; None without one.
+    record_helper: Callable[[Address | None], None]
+    #: Called with the status and headers of an answer of the target.
+    record_head: Callable[[AnswerHead], None]
 
 
 class AttemptRunner:
@@ -127,13 +133,14 @@
         is_complete = False
         try:
             request = attempt.request
+            attempt.record_helper(lease.connection.helper)
             answer = lease.connection.send(
                 request.method,
                 request.uri,
                 self._codec.encode_request(request, attempt.options),
                 request.body,
             )
-            end = await self._read(attempt, answer, stream, lease.connection.helper)
+            end = await self._read(attempt, answer, stream)
             is_complete = answer.is_exchange_complete
             return end
         finally:
@@ -161,11 +168,7 @@
             self._pool.release(lease, head.idle_timeout)
 
     async def _read(
-        self,
-        attempt: Attempt,
-        answer: TargetAnswer,
-        stream: AnswerStream | None,
-        helper: Address | None,
+        self, attempt: Attempt, answer: TargetAnswer, stream: AnswerStream | None
     ) -> AttemptEnd:
         raw = await _wait_for_first_bytes(attempt, answer.wait_for_head)
         if isinstance(raw, AttemptFailed):
@@ -176,7 +179,7 @@
             raw.status, raw.headers, attempt.request.method
         )
         if head.status != MISDIRECTED:
-            attempt.record_head(head, helper)
+            attempt.record_head(head)
         fault = _find_fault(attempt, head)
         if fault is not None:
             return fault
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -16,6 +16,8 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from kingcuphead.forwarding._messages import Address
+
 #: Largest status line and headers of an answer in bytes.
 MAX_HEADER_BYTES = 65_536
 #: Largest body of an answer in bytes.
@@ -146,9 +148,7 @@
         Address of the daemon that passes on the bytes; None without one.
     """
 
-    def __init__(
-        self, stream: TargetStream, helper: tuple[str, int] | None = None
-    ) -> None:
+    def __init__(self, stream: TargetStream, helper: Address | None = None) -> None:
         self._stream = stream
         #: Address of the daemon that passes on the bytes; None without one.
         self.helper = helper
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -7,7 +7,7 @@
 
 from kingcuphead.credit import CreditState
 from kingcuphead.dispatch import AttemptResult, PlacementRequest, SharedPrefix
-from kingcuphead.forwarding._messages import CallerRequest
+from kingcuphead.forwarding._messages import Address, CallerRequest
 from kingcuphead.forwarding._refusals import Refusal
 from kingcuphead.quarantine import RequestIdentity
 from kingcuphead.routing import Organisation, Route
@@ -38,14 +38,17 @@
     outcome: str
     #: Duration in seconds.
     seconds: float
+    #: Daemon that passed on the bytes; None if the attempt had a connection of its own.
+    helper: Address | None = None
 
     def __str__(self) -> str:
         """Return the record as an entry of the log field `attempts`."""
         choice = "home" if self.is_preferred else "other"
+        path = f"via={self.helper[0]} " if self.helper else ""
         return (
             f"{self.target} {self.software_version or '-'} {choice} "
             f"copied={self.copied_tokens} cost={self.cost:.3f} "
-            f"{self.outcome} {self.seconds:.3f}s"
+            f"{path}{self.outcome} {self.seconds:.3f}s"
         )
 
 
@@ -76,6 +79,8 @@
     tried: list[str] = dataclasses.field(default_factory=list)
     #: Outcomes of the attempts, in order.
     records: list[AttemptRecord] = dataclasses.field(default_factory=list)
+    #: Daemon that passes on the bytes of the last attempt; None without one.
+    helper: Address | None = None
     #: Whether a target may have run the request.
     execution: Execution = Execution.NOT_RUN
     #: Seconds spent waiting for credit.
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -5,9 +5,9 @@
 
 from kingcuphead.credit import CreditTask
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
-from kingcuphead.forwarding._attempt import Address, AttemptRunner
+from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.forwarding._evidence import EvidenceRecorder
-from kingcuphead.forwarding._messages import TargetStated
+from kingcuphead.forwarding._messages import Address, TargetStated
 from kingcuphead.permits import PermitExchange
 from kingcuphead.quarantine import QuarantineExchange
 from kingcuphead.resumption import ResumptionExchange
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -9,7 +9,6 @@
 
 from kingcuphead.dispatch import AttemptResult, Placement
 from kingcuphead.forwarding._attempt import (
-    Address,
     Answered,
     Attempt,
     AttemptEnd,
@@ -254,6 +253,7 @@
         self, context: RequestContext, placement: Placement, stream: AnswerStream | None
     ) -> AttemptEnd:
         context.tried.append(placement.target.name)
+        context.helper = None
         started_at = get_time()
         if stream is not None:
             stream.begin_attempt(lambda: self._record_start(context, placement.target))
@@ -308,6 +308,7 @@
                 result,
                 "cancelled" if end is None else describe_end(end),
                 seconds,
+                context.helper,
             )
         )
         self._dependencies.dispatcher.record_result(placement, result, get_time())
@@ -337,9 +338,8 @@
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
             stall_timeout=max(MIN_STALL_TIMEOUT, 2 * context.route.event_gap_objective),
             claim_retry=lambda: self._retries.claim(context),
-            record_head=lambda head, helper: self._record_head(
-                context, placement.target, head, helper
-            ),
+            record_helper=lambda helper: setattr(context, "helper", helper),
+            record_head=lambda head: self._record_head(context, placement.target, head),
         )
 
     def _record_head(
@@ -347,14 +347,13 @@
         context: RequestContext,
         target: Target,
         head: AnswerHead,
-        helper: Address | None,
     ) -> None:
         """Apply what a target says about itself in an answer."""
-        if helper is not None and (head.is_leaving or head.retry_after is not None):
-            self._dependencies.report_statement(
-                TargetStated(target.name, head.is_leaving, head.retry_after or 0.0),
-                helper,
-            )
+        is_stated = head.is_leaving or head.retry_after is not None
+        if context.helper is not None and is_stated:
+            pause = head.retry_after or 0.0
+            statement = TargetStated(target.name, head.is_leaving, pause)
+            self._dependencies.report_statement(statement, context.helper)
         permits = self._dependencies.permits
         if head.is_leaving:
             self._dependencies.report_leaving(target)
@@ -402,13 +401,15 @@
         if context.execution is Execution.NOT_RUN and self._is_quarantined(context):
             return self._refuse_quarantined(context)
         if context.execution is Execution.NOT_RUN:
-            return refuse(503, Reason.NO_TARGET, self._get_retry_after(context))
+            return self._refuse_without_target(context)
         return refuse(502, Reason.TARGET_FAILED)
 
-    def _get_retry_after(self, context: RequestContext) -> float:
-        """Return the seconds after which a target may have room for a request."""
+    def _refuse_without_target(self, context: RequestContext) -> Refusal:
+        """Refuse a request until a target may have room for it."""
         delay = self._dependencies.permits.get_delay(self._list_eligible(context))
-        return TARGET_RETRY_AFTER if delay is None else max(delay, MIN_RETRY_AFTER)
+        if delay is None:
+            return refuse(503, Reason.NO_TARGET, TARGET_RETRY_AFTER)
+        return refuse(503, Reason.TARGETS_CLOSED, max(delay, MIN_RETRY_AFTER))
 
     def _time_out(
         self, context: RequestContext, caller: Caller, stream: AnswerStream | None
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -1,11 +1,15 @@
 """Types for a caller's request and for a target's answer to one attempt."""
 
 import dataclasses
+from typing import TypeAlias
 
 from tornado.httputil import HTTPHeaders
 
 from kingcuphead.permits import TargetTerms
 
+#: IP address and port of a daemon.
+Address: TypeAlias = tuple[str, int]
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class PromptPart:
--- a/kingcuphead/forwarding/tests/test_forwarder.py
+++ b/kingcuphead/forwarding/tests/test_forwarder.py
@@ -57,7 +57,7 @@
                 headers = ("Not-Executed: 1", f"Retry-After: {seconds}")
                 target.script = [target.answer("503 Busy", b"", *headers)]
             _, refusal = await harness.serve(make_request(IDEMPOTENT))
-            assert (refusal.status, refusal.reason) == (503, Reason.NO_TARGET)
+            assert (refusal.status, refusal.reason) == (503, Reason.TARGETS_CLOSED)
             assert 2.0 < refusal.retry_after <= 2.5
             _, refusal = await harness.serve(make_request(IDEMPOTENT, request_id="r2"))
             assert 2.0 < refusal.retry_after <= 2.5
--- a/kingcuphead/verdict/_verdict.py
+++ b/kingcuphead/verdict/_verdict.py
@@ -33,6 +33,7 @@
     QUEUE_FULL = "queue_full"
     DEADLINE = "deadline"
     NO_TARGET = "no_target"
+    TARGETS_CLOSED = "targets_closed"
     QUARANTINED = "quarantined"
     STREAM_UNKNOWN = "stream_unknown"
     PLATFORM_UNAVAILABLE = "platform_unavailable"
