Open no tunnels once a daemon shuts down

A stream through a daemon that has begun its shutdown could last beyond the grace period and be cut off; the daemon that asks finds another one at once.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -257,11 +257,12 @@
         logger.info("shutdown started; grace period {} s", self._profile.grace)
         self._is_stopping = True
         self._links.permits.ranking.begin_leaving()
+        # Another daemon can help; a stream that begins here might be cut off.
+        self._tunnels.stop_accepting()
         self._callers.announce_close()
         self._start_task(self._links.deregister())
         await asyncio.sleep(min(SHUTDOWN_ACCEPT_PERIOD, self._profile.grace / 2))
         self._callers.stop_listening()
-        self._tunnels.stop_accepting()
         renewal.cancel()
         await asyncio.gather(renewal, return_exceptions=True)
         is_returned = False
