Split the choice of a target and the driving of attempts from the request forwarder

The parts of the links between daemons are made by functions of their own. Nothing changes in behaviour.

--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -107,13 +107,7 @@
         #: that it leaves.
         self.report_leaving: Callable[[Target], None] | None = None
         self._directory = directory
-        self._loads = LoadExchange(
-            identity,
-            peer_loads,
-            dispatcher.list_loads,
-            self._sender.gossip,
-            lambda: self.path_monitor.is_lost,
-        )
+        self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
         ledger = CreditLedger(instance, incarnation)
         self._transfer_endpoint = TransferEndpoint(ledger, identity)
@@ -130,27 +124,11 @@
         self.credit.transfer_client = self._transfer_client
         store.report_era = self.credit.begin_era
         #: Knows the requests that crashed targets.
-        self.quarantine = QuarantineExchange(
-            identity,
-            QUARANTINE_SETTINGS,
-            StoreTable(store, QUARANTINE_TABLE, QUARANTINE_PART),
-            self._sender.broadcast,
-            self._sender.gossip,
-        )
+        self.quarantine = self._make_quarantine(identity, store)
         #: What targets take from the whole fleet.
-        self.permits = PermitExchange(
-            self._address,
-            PermitCoordinator(rng),
-            self._datagrams.send,
-            self._sender.broadcast,
-        )
+        self.permits = self._make_permits(rng)
         #: Knows the software versions that began streams.
-        self.resumption = ResumptionExchange(
-            StoreTable(store, VERSIONS_TABLE, VERSIONS_PART),
-            directory,
-            self._sender.broadcast,
-            self._sender.gossip,
-        )
+        self.resumption = self._make_resumption(store)
 
     async def open(self) -> None:
         """Start receiving datagrams."""
@@ -170,6 +148,42 @@
             self._peers.run(),
         ]
 
+    def _make_loads(
+        self, identity: str, peer_loads: PeerLoads, dispatcher: Dispatcher
+    ) -> LoadExchange:
+        return LoadExchange(
+            identity,
+            peer_loads,
+            dispatcher.list_loads,
+            self._sender.gossip,
+            lambda: self.path_monitor.is_lost,
+        )
+
+    def _make_quarantine(self, identity: str, store: Store) -> QuarantineExchange:
+        return QuarantineExchange(
+            identity,
+            QUARANTINE_SETTINGS,
+            StoreTable(store, QUARANTINE_TABLE, QUARANTINE_PART),
+            self._sender.broadcast,
+            self._sender.gossip,
+        )
+
+    def _make_permits(self, rng: random.Random) -> PermitExchange:
+        return PermitExchange(
+            self._address,
+            PermitCoordinator(rng),
+            self._datagrams.send,
+            self._sender.broadcast,
+        )
+
+    def _make_resumption(self, store: Store) -> ResumptionExchange:
+        return ResumptionExchange(
+            StoreTable(store, VERSIONS_TABLE, VERSIONS_PART),
+            self._directory,
+            self._sender.broadcast,
+            self._sender.gossip,
+        )
+
     async def deregister(self) -> None:
         """Remove this daemon from the list of daemons, for good."""
         await self._peers.deregister()
--- /dev/null
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -0,0 +1,200 @@
+"""Runs the attempts of requests and records what each of them shows."""
+
+import asyncio
+import contextlib
+
+from kingcuphead.dispatch import AttemptResult, Placement
+from kingcuphead.forwarding._attempt import (
+    Attempt,
+    AttemptEnd,
+    AttemptFailed,
+    classify_end,
+    describe_end,
+)
+from kingcuphead.forwarding._clock import get_time
+from kingcuphead.forwarding._context import AttemptRecord, RequestContext
+from kingcuphead.forwarding._dependencies import Dependencies
+from kingcuphead.forwarding._evidence import EndedAttempt
+from kingcuphead.forwarding._messages import AnswerHead, SendOptions, TargetStated
+from kingcuphead.forwarding._retry_decision import RetryDecision
+from kingcuphead.forwarding._stream import AnswerStream
+from kingcuphead.resumption import BegunStream
+from kingcuphead.targets import Target
+from kingcuphead.verdict import Execution
+
+#: Upper bound of the first-byte timeout as a share of the time until the deadline; the
+#: rest is left for a retry.
+FIRST_BYTE_TIMEOUT_SHARE = 0.6
+#: Seconds for which a retry waits until it is known whether the target of the attempt
+#: before was lost; a process that has ended refuses connections within a round trip.
+CHECK_TIMEOUT = 0.05
+#: First-byte timeout in units of the route's latency objective.
+FIRST_BYTE_TIMEOUT_OBJECTIVES = 2.2
+#: Lower bound of the stall timeout of a stream in seconds; a sound target may be silent
+#: for a second or so.
+MIN_STALL_TIMEOUT = 1.6
+
+
+class AttemptDriver:
+    """Sends requests to chosen targets.
+
+    Parameters
+    ----------
+    dependencies
+        Objects shared by all requests.
+    retries
+        Decides whether an attempt without an answer is given up for another one.
+    """
+
+    def __init__(self, dependencies: Dependencies, retries: RetryDecision) -> None:
+        self._dependencies = dependencies
+        self._retries = retries
+
+    async def run(
+        self, context: RequestContext, placement: Placement, stream: AnswerStream | None
+    ) -> AttemptEnd:
+        """Send a request to the chosen target and read the answer.
+
+        Parameters
+        ----------
+        context
+            Request, which keeps what the attempt shows.
+        placement
+            Choice of the target.
+        stream
+            Receives the events; None for an answer that is returned when complete.
+        """
+        context.tried.append(placement.target.name)
+        context.helper = None
+        started_at = get_time()
+        if stream is not None:
+            stream.begin_attempt(lambda: self._record_start(context, placement.target))
+        previous_execution, context.execution = (
+            context.execution,
+            Execution.MAY_HAVE_RUN,
+        )
+        end: AttemptEnd | None = None
+        try:
+            attempt = self._make_attempt(context, placement, stream)
+            end = await self._dependencies.runner.run(attempt, stream)
+        finally:
+            self._record_attempt(context, placement, end, get_time() - started_at)
+            checked = self._record_evidence(context, placement, end, stream)
+        match end:
+            case AttemptFailed(execution=Execution.NOT_RUN):
+                context.execution = previous_execution
+            case AttemptFailed(is_connection_lost=True) if checked is not None:
+                await _wait_briefly(checked)
+        if isinstance(end, AttemptFailed) and end.is_misdirected:
+            self._dependencies.directory.mark_replaced(placement.target)
+        return end
+
+    def _record_attempt(
+        self,
+        context: RequestContext,
+        placement: Placement,
+        end: AttemptEnd | None,
+        seconds: float,
+    ) -> None:
+        """Record the outcome of an attempt for the log and the health of its target.
+
+        Parameters
+        ----------
+        context
+            Request of the attempt.
+        placement
+            Target of the attempt.
+        end
+            How the attempt ended; None if it was abandoned.
+        seconds
+            Duration of the attempt.
+        """
+        result = AttemptResult.CANCELLED if end is None else classify_end(end)
+        context.records.append(
+            AttemptRecord(
+                placement.target.name,
+                placement.target.software_version,
+                placement.is_preferred,
+                placement.prefill.copied_tokens,
+                placement.cost,
+                result,
+                "cancelled" if end is None else describe_end(end),
+                seconds,
+                context.helper,
+            )
+        )
+        self._dependencies.dispatcher.record_result(placement, result, get_time())
+        self._dependencies.permits.release(
+            placement.target, was_rejected=result is AttemptResult.REFUSED
+        )
+
+    def _make_attempt(
+        self, context: RequestContext, placement: Placement, stream: AnswerStream | None
+    ) -> Attempt:
+        now = get_time()
+        remaining = context.deadline - now
+        source = placement.prefill.source
+        options = SendOptions(
+            target=placement.target.name,
+            organisation=context.payer,
+            remaining=remaining,
+            rank=context.rank,
+            resume_after=stream.last_event_id if stream is not None else 0,
+            copy_from=source.address if source is not None else "",
+        )
+        timeout = FIRST_BYTE_TIMEOUT_OBJECTIVES * context.route.objective
+        return Attempt(
+            request=context.request,
+            options=options,
+            address=placement.target.address,
+            first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
+            stall_timeout=max(MIN_STALL_TIMEOUT, 2 * context.route.event_gap_objective),
+            claim_retry=lambda: self._retries.claim(context),
+            record_helper=context.record_helper,
+            record_head=lambda head: self._record_head(context, placement.target, head),
+        )
+
+    def _record_head(
+        self, context: RequestContext, target: Target, head: AnswerHead
+    ) -> None:
+        """Apply what a target says about itself in an answer."""
+        is_stated = head.is_leaving or head.retry_after is not None
+        if context.helper is not None and is_stated:
+            pause = head.retry_after or 0.0
+            statement = TargetStated(target.name, head.is_leaving, pause)
+            self._dependencies.report_statement(statement, context.helper)
+        permits = self._dependencies.permits
+        if head.is_leaving:
+            self._dependencies.report_leaving(target)
+        if head.retry_after is not None:
+            permits.pause(target, head.retry_after)
+        if head.request_id == context.request.request_id:
+            permits.record_terms(target, head.terms)
+
+    def _record_start(self, context: RequestContext, target: Target) -> None:
+        """Record the software version of the first event that the caller gets."""
+        if context.bound_version is None:
+            context.bound_version = target.software_version
+        stream_id = context.request.stream_id
+        if context.route.is_resumable and stream_id:
+            stream = BegunStream(stream_id, target.service, context.bound_version)
+            self._dependencies.resumption.record_start(stream)
+
+    def _record_evidence(
+        self,
+        context: RequestContext,
+        placement: Placement,
+        end: AttemptEnd | None,
+        stream: AnswerStream | None,
+    ) -> asyncio.Event | None:
+        seconds = None if stream is None else stream.get_running_seconds()
+        return self._dependencies.evidence.record(
+            EndedAttempt(context.identity, placement.target, end, seconds)
+        )
+
+
+async def _wait_briefly(checked: asyncio.Event) -> None:
+    """Wait until it is known whether a target was lost, for `CHECK_TIMEOUT` at most."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CHECK_TIMEOUT):
+            await checked.wait()
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -124,6 +124,10 @@
             if target.software_version == self.bound_version
         )
 
+    def record_helper(self, helper: Address | None) -> None:
+        """Record which daemon passes on the bytes of the attempt; None without one."""
+        self.helper = helper
+
     def make_placement_request(self) -> PlacementRequest:
         """Return the properties by which the dispatcher chooses a target."""
         size = self.request.size
--- /dev/null
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -0,0 +1,71 @@
+"""Chooses the target of an attempt among those that take the request now."""
+
+from kingcuphead.dispatch import Dispatcher, Placement
+from kingcuphead.forwarding._clock import get_time
+from kingcuphead.forwarding._context import RequestContext
+from kingcuphead.permits import PermitExchange
+from kingcuphead.targets import Target, TargetDirectory
+
+#: Number of targets that a request claims a permit of before it is refused.
+MAX_CLAIMS = 8
+
+
+class TargetChoice:
+    """Chooses targets of which a permit can be had.
+
+    Parameters
+    ----------
+    directory
+        Lists the targets that accept requests.
+    dispatcher
+        Chooses the target with the lowest cost.
+    permits
+        What targets take from the whole fleet.
+    """
+
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        dispatcher: Dispatcher,
+        permits: PermitExchange,
+    ) -> None:
+        self._directory = directory
+        self._dispatcher = dispatcher
+        self._permits = permits
+
+    async def place(self, context: RequestContext) -> Placement | None:
+        """Choose a target of which a permit can be had; None if there is none."""
+        for _ in range(MAX_CLAIMS):
+            placement = self._dispatcher.place(
+                context.make_placement_request(),
+                self._permits.select_open(self.list_eligible(context)),
+                context.tried,
+                get_time(),
+            )
+            if placement is None or await self._claim_permit(placement):
+                return placement
+        return None
+
+    def get_delay(self, context: RequestContext) -> float | None:
+        """Return the seconds until a target may take a request.
+
+        Returns
+        -------
+        float or None
+            The time; None if no target is closed, or if there is none.
+        """
+        return self._permits.get_delay(self.list_eligible(context))
+
+    async def _claim_permit(self, placement: Placement) -> bool:
+        is_granted = False
+        try:
+            is_granted = await self._permits.claim(placement.target)
+        finally:
+            if not is_granted:
+                self._dispatcher.withdraw(placement)
+        return is_granted
+
+    def list_eligible(self, context: RequestContext) -> tuple[Target, ...]:
+        """Return the targets that may run a request, closed ones included."""
+        usable = self._directory.list_usable(context.service)
+        return context.select_eligible(usable)
--- a/kingcuphead/paths/_connector.py
+++ b/kingcuphead/paths/_connector.py
@@ -92,17 +92,7 @@
         """
         if self._monitor.is_lost:
             return await self._connect_through_peer(address, timeout)
-        return await self._connect_directly(address, timeout)
-
-    async def connect_directly(self, address: str, timeout: float) -> TargetConnection:
-        """Open a connection for another daemon, which may have come through a peer.
-
-        Raises
-        ------
-        OSError
-            The connection could not be opened.
-        """
-        return await self._connect_directly(address, timeout)
+        return await self.connect_directly(address, timeout)
 
     async def confirm_refusal(self, address: str, timeout: float) -> bool:
         """Return whether a target refuses connections because it has ended.
@@ -131,7 +121,16 @@
         sample = self._rng.sample(others, min(len(others), MAX_PROBED))
         return not others or await self._probe_any(sample)
 
-    async def _connect_directly(self, address: str, timeout: float) -> TargetConnection:
+    async def connect_directly(self, address: str, timeout: float) -> TargetConnection:
+        """Open a connection on the daemon's own path.
+
+        Raises
+        ------
+        OSError
+            The connection could not be opened; nothing was sent.
+        TimeoutError
+            The connection was not opened in time; nothing was sent.
+        """
         try:
             connection = await connect_to_target(address, timeout)
         except (OSError, TimeoutError):
@@ -202,7 +201,7 @@
 
     async def _probe(self, address: str) -> bool:
         try:
-            connection = await self._connect_directly(address, PROBE_TIMEOUT)
+            connection = await self.connect_directly(address, PROBE_TIMEOUT)
         except (OSError, TimeoutError):
             return False
         connection.close()
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -4,7 +4,6 @@
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable
-from typing import Protocol
 
 from kingcuphead.permits._coordinator import Decision, PermitClaim, PermitCoordinator
 from kingcuphead.permits._gate import TargetGate
@@ -34,13 +33,6 @@
 MAX_REJECTION_PAUSE = 5.0
 
 
-class Sender(Protocol):
-    """Sends a message to one daemon, unacknowledged."""
-
-    def __call__(self, message: PermitMessage, receiver: Address) -> None:
-        """Send the message."""
-
-
 class PermitExchange:
     """The account of what targets take, shared with the other daemons.
 
@@ -51,16 +43,16 @@
     coordinator
         Counts the permits that this daemon grants.
     send
-        Sends a message to one daemon.
+        Sends a message to one daemon, unacknowledged.
     broadcast
-        Sends a message to all other daemons.
+        Sends a message to all other daemons, unacknowledged.
     """
 
     def __init__(
         self,
         own_address: Address,
         coordinator: PermitCoordinator,
-        send: Sender,
+        send: Callable[[PermitMessage, Address], None],
         broadcast: Callable[[PermitMessage], None],
     ) -> None:
         self._own_address = own_address
