Take the path for lost only after other targets were tried

Two targets that end at the same moment, with no new connection to another one in between, looked like a lost path: up to 0.25 s of requests went through other daemons. Five targets are tried now before the path counts as lost. New tests: targets that end together, a helping daemon that shuts down.

--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -92,7 +92,7 @@
         self._configuration = encode_configuration(kind, 2, is_resumable)
         self._slots = slots
         self._requests = 0
-        self._daemons = {}
+        self.daemons = {}
         self.store = TableStore()
         self.targets = make_targets(self._register)
 
@@ -128,17 +128,23 @@
     async def kill_daemons(self, numbers=(1, 2, 3)):
         """End daemons without a shutdown: nothing in their memory is passed on."""
         for number in numbers:
-            if number not in self._daemons:
+            if number not in self.daemons:
                 continue
-            daemon, task = self._daemons.pop(number)
+            daemon, task = self.daemons.pop(number)
             # A daemon that fails skips the steps of a graceful shutdown.
             daemon._failure = RuntimeError("killed by the test")
             daemon._stop.set()
             await task
 
+    async def stop_daemon(self, number):
+        """Shut a daemon down gracefully."""
+        daemon, task = self.daemons.pop(number)
+        daemon._stop.set()
+        await task
+
     def cut_datagrams(self):
         """Lose all datagrams of the daemons that run now."""
-        for daemon, _ in self._daemons.values():
+        for daemon, _ in self.daemons.values():
             daemon._links._datagrams.send = _lose
 
     async def send(self, number, body, patience=20.0):
@@ -206,7 +212,7 @@
         context = contextvars.copy_context()
         context.run(current_daemon.set, number)
         task = asyncio.create_task(daemon.run(), context=context)
-        self._daemons[number] = (daemon, task)
+        self.daemons[number] = (daemon, task)
 
     def _register(self, name, address, version):
         entry = None
--- a/kingcuphead/entry/tests/test_lost_paths.py
+++ b/kingcuphead/entry/tests/test_lost_paths.py
@@ -117,6 +117,29 @@
 
         run(scenario)
 
+    def test_a_helping_daemon_that_shuts_down_finishes_what_it_passes_on(self):
+        async def scenario(fleet):
+            with TargetCut(fleet, (1, 2), is_hanging=False):
+                await load(fleet, DETECTION_SECONDS)
+                sending = asyncio.create_task(fleet.send(1, b"0.3"))
+                await asyncio.sleep(0.1)
+                await fleet.stop_daemon(3)
+                assert await sending == 200
+
+        run(scenario, kind="unsafe")
+
+    @pytest.mark.parametrize("ended", [2, 3])
+    def test_targets_that_end_together_are_no_lost_path(self, ended):
+        async def scenario(fleet):
+            await load(fleet, 0.5)
+            for target in fleet.targets[:ended]:
+                target.stop()
+            await load(fleet, 1.0)
+            daemons = [daemon for daemon, _ in fleet.daemons.values()]
+            assert not any(each._links.path_monitor.is_lost for each in daemons)
+
+        run(scenario)
+
     def test_nothing_is_held_back_when_nobody_reaches_a_target(self):
         async def scenario(fleet):
             with TargetCut(fleet, (1, 2, 3), is_hanging=False):
--- a/kingcuphead/paths/_connector.py
+++ b/kingcuphead/paths/_connector.py
@@ -24,7 +24,7 @@
 #: Number of daemons that are asked for one tunnel.
 MAX_HELPERS = 3
 #: Number of targets that are tried at once to find out about a path.
-MAX_PROBED = 3
+MAX_PROBED = 5
 #: Seconds between two attempts to connect to targets while the path is lost.
 PROBE_INTERVAL = 0.25
 #: Bound in seconds on such an attempt.
@@ -57,6 +57,7 @@
         self._peer_paths = peer_paths
         self._list_addresses = list_addresses
         self._rng = rng
+        self._check: asyncio.Task[None] | None = None
 
     @property
     def uses_idle_connections(self) -> bool:
@@ -135,6 +136,7 @@
             connection = await connect_to_target(address, timeout)
         except (OSError, TimeoutError):
             self._monitor.record_failure(address, _get_time())
+            self._check_path()
             raise
         self._monitor.record_success()
         return connection
@@ -182,10 +184,23 @@
         self._peer_paths.record_failure(helper, _get_time())
         return None
 
-    async def _probe_path(self) -> None:
+    def _check_path(self) -> None:
+        """Start to find out whether the path is lost, if it is in doubt."""
+        if self._monitor.is_in_doubt and self._check is None:
+            self._check = asyncio.create_task(self._confirm_loss())
+
+    async def _confirm_loss(self) -> None:
+        try:
+            if not await self._probe_path():
+                self._monitor.record_loss()
+        finally:
+            self._check = None
+
+    async def _probe_path(self) -> bool:
+        """Try to connect to some targets; return whether it worked with any."""
         addresses = tuple(self._list_addresses())
         sample = self._rng.sample(addresses, min(len(addresses), MAX_PROBED))
-        await self._probe_any(sample)
+        return await self._probe_any(sample)
 
     async def _probe_any(self, addresses: Iterable[str]) -> bool:
         """Try to connect to some targets at once; return whether it worked with any."""
--- a/kingcuphead/paths/_monitor.py
+++ b/kingcuphead/paths/_monitor.py
@@ -3,7 +3,7 @@
 from loguru import logger
 
 #: Number of targets that can't be connected to, with no other that can in between, from
-#: which on the daemon takes its path to all of them for lost.
+#: which on the path to all of them is in doubt.
 MIN_FAILED_TARGETS = 2
 #: Seconds after which a failure no longer counts.
 FAILURE_LIFETIME = 3.0
@@ -21,6 +21,14 @@
         #: Whether the path is lost.
         self.is_lost = False
 
+    @property
+    def is_in_doubt(self) -> bool:
+        """Whether other targets should be tried, to find out if the path is lost.
+
+        Some targets may also have ended at the same time.
+        """
+        return not self.is_lost and len(self._failed_at) >= MIN_FAILED_TARGETS
+
     def record_success(self) -> None:
         """Record that a connection to a target was opened."""
         self._failed_at.clear()
@@ -36,6 +44,9 @@
             for each, failed_at in self._failed_at.items()
             if now - failed_at <= FAILURE_LIFETIME
         }
-        if not self.is_lost and len(self._failed_at) >= MIN_FAILED_TARGETS:
+
+    def record_loss(self) -> None:
+        """Record that no target could be connected to when the path was in doubt."""
+        if self.is_in_doubt:
             self.is_lost = True
             logger.warning("path to targets is lost: {}", ", ".join(self._failed_at))
--- a/kingcuphead/paths/tests/test_paths.py
+++ b/kingcuphead/paths/tests/test_paths.py
@@ -11,7 +11,7 @@
 
 class TestPathMonitor:
     @pytest.mark.parametrize(
-        ("failures", "is_lost"),
+        ("failures", "is_in_doubt"),
         [
             ([("t1", 0.0)], False),
             ([("t1", 0.0), ("t1", 0.1)], False),
@@ -19,25 +19,33 @@
             ([("t1", 0.0), ("t2", FAILURE_LIFETIME + 0.1)], False),
         ],
     )
-    def test_two_targets_without_a_connection_make_a_lost_path(self, failures, is_lost):
+    def test_two_targets_without_a_connection_make_it_doubtful(
+        self, failures, is_in_doubt
+    ):
         monitor = PathMonitor()
         for address, now in failures:
             monitor.record_failure(address, now)
-        assert monitor.is_lost is is_lost
+        assert monitor.is_in_doubt is is_in_doubt
+        monitor.record_loss()
+        assert monitor.is_lost is is_in_doubt
 
     def test_a_connection_in_between_shows_that_there_is_a_path(self):
         monitor = PathMonitor()
         monitor.record_failure("t1", 0.0)
         monitor.record_success()
         monitor.record_failure("t2", 0.1)
+        monitor.record_loss()
         assert not monitor.is_lost
 
     def test_a_connection_ends_the_loss(self):
         monitor = PathMonitor()
         monitor.record_failure("t1", 0.0)
         monitor.record_failure("t2", 0.1)
+        monitor.record_loss()
+        assert monitor.is_lost
         monitor.record_success()
         assert not monitor.is_lost
+        assert not monitor.is_in_doubt
 
 
 class TestPeerPaths:
