Read the list of daemons when an unlisted one is heard of

Daemons polled their list every 5 s only. Until then a daemon that starts, and the one that coordinated before it, may both take themselves for the coordinator of a target, and the first daemon of a new fleet takes itself for the only one. A load report of an unlisted daemon makes its receiver read the list at once, once for each sender. The new test failed before (no such call, 60 s between two polls).

--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -193,6 +193,7 @@
             self._datagrams.send(answer, sender)
 
         now = asyncio.get_running_loop().time()
+        self._peers.record_sender(sender)
         self.permits.ranking.record_message(sender, now)
         match message:
             case LoadsReported():
--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -1,6 +1,7 @@
 """Service discovery of the other daemons by their rows in the platform's store."""
 
 import asyncio
+import contextlib
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -61,6 +62,8 @@
         self._apply_peers = apply_peers
         self._poll_interval = poll_interval
         self._is_leaving = False
+        self._known: set[Address] = set()
+        self._unknown_heard = asyncio.Event()
 
     async def run(self) -> None:
         """Register this daemon, then poll for the others until cancelled.
@@ -73,20 +76,38 @@
         while True:
             match await self._store.read_table(DAEMONS_TABLE, DAEMONS_PART):
                 case Result(tag="ok", ok=snapshot):
-                    self._apply_peers(tuple(self._decode_peers(snapshot.rows)))
+                    peers = tuple(self._decode_peers(snapshot.rows))
+                    self._known.update(peers)
+                    self._apply_peers(peers)
                     is_listed = any(each.key == self._key for each in snapshot.rows)
                     if not is_listed and not self._is_leaving:
                         await self._commit(Transaction((), (row,)))
                 case Result(error=fault):
                     # The last list remains in use, since datagrams need not arrive.
                     logger.debug("cannot list daemons: {}", fault.message)
-            await asyncio.sleep(self._poll_interval)
+            await self._wait_for_poll_time()
+
+    def record_sender(self, sender: Address) -> None:
+        """Poll at once if a daemon is heard of that has started since the last poll.
+
+        A daemon that isn't listed after that poll either has removed its row, and makes
+        no difference any more.
+        """
+        if sender not in self._known:
+            self._known.add(sender)
+            self._unknown_heard.set()
 
     async def deregister(self) -> None:
         """Remove the row of this daemon for good."""
         self._is_leaving = True
         await self._commit(Transaction((), (Delete(self._key),)))
 
+    async def _wait_for_poll_time(self) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(self._poll_interval):
+                await self._unknown_heard.wait()
+        self._unknown_heard.clear()
+
     async def _commit(self, transaction: Transaction) -> None:
         outcome = await self._store.commit(DAEMONS_TABLE, DAEMONS_PART, transaction)
         logger.debug("write to the row of this daemon: {}", type(outcome).__name__)
--- a/kingcuphead/entry/tests/test_peers.py
+++ b/kingcuphead/entry/tests/test_peers.py
@@ -77,6 +77,25 @@
         self.run(store)
         assert OWN[0] in store.rows
 
+    def test_a_daemon_that_is_heard_of_first_is_listed_at_once(self):
+        store = ScriptedStore()
+        new = Row("10.0.0.3", 1, msgspec.json.encode(DaemonRow("10.0.0.3", 7340)))
+        peers: list[tuple[tuple[str, int], ...]] = []
+
+        async def discover():
+            discovery = PeerDiscovery(store, OWN, peers.append, poll_interval=60.0)
+            task = asyncio.create_task(discovery.run())
+            await asyncio.sleep(0.02)
+            store.rows[new.key] = new
+            for _ in range(3):
+                discovery.record_sender(("10.0.0.3", 7340))
+                await asyncio.sleep(0.02)
+            task.cancel()
+
+        asyncio.run(discover())
+        assert len(peers) == 2
+        assert ("10.0.0.3", 7340) in peers[-1]
+
     def test_a_row_that_a_restore_removed_is_written_again(self):
         store = ScriptedStore()
         self.run(store, lambda: store.rows.pop(OWN[0]))
