--- a/kingcuphead/entry/tests/test_peers.py
+++ b/kingcuphead/entry/tests/test_peers.py
@@ -45,8 +45,8 @@
         return Ok(RowSnapshot(tuple(self.rows.values()), 2))
 
 
-def make_discovery(store, apply_peers):
-    return PeerDiscovery(store, OWN, apply_peers, poll_interval=0.01)
+def make_discovery(store, apply_peers, poll_interval=0.01):
+    return PeerDiscovery(store, OWN, apply_peers, poll_interval)
 
 
 class TestPeerDiscovery:
@@ -83,7 +83,7 @@
         peers: list[tuple[tuple[str, int], ...]] = []
 
         async def discover():
-            discovery = PeerDiscovery(store, OWN, peers.append, poll_interval=60.0)
+            discovery = make_discovery(store, peers.append, poll_interval=60.0)
             task = asyncio.create_task(discovery.run())
             await asyncio.sleep(0.02)
             store.rows[new.key] = new
