Serve the requests that find the path lost

When a daemon lost its path, requests that came at once were refused: each was refused four connections before the path counted as lost. An attempt whose connection fails while the path is in doubt now waits until that is known, and goes through another daemon. The new test failed before: 0 of 12 served.

--- a/kingcuphead/entry/tests/test_lost_paths.py
+++ b/kingcuphead/entry/tests/test_lost_paths.py
@@ -70,6 +70,15 @@
 
         run(scenario, StreamingTarget, kind="streaming")
 
+    def test_requests_that_find_the_path_lost_at_once_are_served(self):
+        async def scenario(fleet):
+            with TargetCut(fleet, (1, 2), is_hanging=False):
+                sent = [fleet.send(1, b"body") for _ in range(12)]
+                statuses = await asyncio.gather(*sent)
+            assert statuses.count(200) >= SERVED_SHARE * len(statuses)
+
+        run(scenario, kind="unsafe")
+
     @MODES
     def test_they_go_back_to_their_own_path(self, is_hanging):
         async def scenario(fleet):
--- a/kingcuphead/paths/_connector.py
+++ b/kingcuphead/paths/_connector.py
@@ -93,7 +93,12 @@
         """
         if self._monitor.is_lost:
             return await self._connect_through_peer(address, timeout)
-        return await self.connect_directly(address, timeout)
+        try:
+            return await self.connect_directly(address, timeout)
+        except (OSError, TimeoutError):
+            if not await self._learn_of_loss():
+                raise
+        return await self._connect_through_peer(address, timeout)
 
     async def confirm_refusal(self, address: str, timeout: float) -> bool:
         """Return whether a target refuses connections because it has ended.
@@ -189,6 +194,12 @@
         if self._monitor.is_in_doubt and self._check is None:
             self._check = asyncio.create_task(self._confirm_loss())
 
+    async def _learn_of_loss(self) -> bool:
+        """Return whether the path is lost; wait until it is known if it is in doubt."""
+        if self._check is not None:
+            await asyncio.shield(self._check)
+        return self._monitor.is_lost
+
     async def _confirm_loss(self) -> None:
         try:
             if not await self._probe_path():
