Load only the entry daemon's packages at its start

An entry daemon loaded budgets, configuration, membership, records and settings by way of the wire package and the log settings. Envelopes and their message types move to kingcuphead.peers, the messages of entry daemons to wire/datagram.thrift with a generated module of their own (same field numbers), the settings of the log to kingcuphead.logs.

--- a/Makefile
+++ b/Makefile
@@ -28,7 +28,9 @@
 	$(BIN)/ruff check --fix kingcuphead features .ci
 
 # Needs the thrift compiler 0.17; its output is committed.
-wire:
+wire: wire-peer wire-datagram
+
+wire-%: kingcuphead/wire/%.thrift
 	mkdir -p build/thrift
-	thrift --gen py:slots -out build/thrift kingcuphead/wire/peer.thrift
-	cp build/thrift/generated/ttypes.py build/thrift/generated/constants.py kingcuphead/wire/generated/
+	thrift --gen py:slots -out build/thrift $<
+	cp build/thrift/$*/ttypes.py kingcuphead/wire/generated/$*.py
--- a/kingcuphead/bench/_capacity_state_machines.py
+++ b/kingcuphead/bench/_capacity_state_machines.py
@@ -22,9 +22,9 @@
     Ticked,
 )
 from kingcuphead.metrics import Metrics, MetricsSettings, RequestMeasured, StreamTimes
+from kingcuphead.peers import Envelope, decode_envelope, encode_envelope
 from kingcuphead.records import Budget, Configuration, Organisation
 from kingcuphead.storage import Instance, InstanceState
-from kingcuphead.wire import Envelope, decode_envelope, encode_envelope
 
 #: Name, title, unit and variable of a slope, its sizes, and the function that returns
 #: the cost at a size.
--- a/kingcuphead/daemon/_peer_router.py
+++ b/kingcuphead/daemon/_peer_router.py
@@ -6,8 +6,7 @@
 from loguru import logger
 
 from kingcuphead.membership import Member
-from kingcuphead.peers import PeerLinks
-from kingcuphead.wire import Envelope, PeerMessage, encode_envelope
+from kingcuphead.peers import Envelope, PeerLinks, PeerMessage, encode_envelope
 
 #: Handles one message of a type that it is registered for.
 Handler = Callable[[Any], None]
--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -25,7 +25,11 @@
     QuarantineReported,
 )
 from kingcuphead.resumption import ResumptionMessage, StreamAsked, StreamsBegan
-from kingcuphead.wire import find_codec, name_field, ttypes
+from kingcuphead.wire import find_codec, name_field
+from kingcuphead.wire.generated import datagram as generated
+
+# The generated code has no type annotations.
+structs: Any = generated
 
 #: Maximum size of a datagram in bytes, used as the length limit of the strings and
 #: containers in it.
@@ -67,19 +71,21 @@
 def encode_datagram(message: Datagram) -> bytes:
     """Return a message as the bytes of one datagram."""
     cls: Any = type(message)
-    union = ttypes.Datagram(**{name_field(cls): find_codec(cls).encode(message)})
+    union = structs.Datagram(
+        **{name_field(cls): find_codec(cls, structs).encode(message)}
+    )
     return bytes(serialize(union, _FACTORY))
 
 
 def decode_datagram(datagram: bytes) -> Result[Datagram, str]:
     """Return the message of a datagram, or the cause of the decoding error."""
-    union: Any = ttypes.Datagram()
+    union: Any = structs.Datagram()
     try:
         deserialize(union, datagram, _FACTORY)
         for field, cls in _TYPES.items():
             struct = getattr(union, field)
             if struct is not None:
-                message: Datagram = find_codec(cls).decode(struct)
+                message: Datagram = find_codec(cls, structs).decode(struct)
                 return Ok(message)
     # The accelerated decoder raises exceptions of many types for malformed input.
     except Exception as error:
--- a/kingcuphead/entry/_main.py
+++ b/kingcuphead/entry/_main.py
@@ -9,9 +9,8 @@
 from expression import Result
 
 from kingcuphead.entry._daemon import EntryDaemon
-from kingcuphead.logs import BoundedStream, set_up_logs
+from kingcuphead.logs import BoundedStream, LogSettings, set_up_logs
 from kingcuphead.platform import SETTINGS_VARIABLE, read_profile
-from kingcuphead.settings import LogSettings
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from kingcuphead.logs._bounded import BoundedStream
-from kingcuphead.settings import LogFormat, LogSettings
+from kingcuphead.logs._settings import LogFormat, LogSettings
 
 if TYPE_CHECKING:
     from loguru import FormatFunction, Record
--- a/kingcuphead/logs/tests/test_logs.py
+++ b/kingcuphead/logs/tests/test_logs.py
@@ -6,8 +6,13 @@
 import pytest
 from loguru import logger
 
-from kingcuphead.logs import bind_request, set_up_logs
-from kingcuphead.settings import LogFormat, LogLevel, LogSettings
+from kingcuphead.logs import (
+    LogFormat,
+    LogLevel,
+    LogSettings,
+    bind_request,
+    set_up_logs,
+)
 
 
 @pytest.fixture
--- a/kingcuphead/paths/_frames.py
+++ b/kingcuphead/paths/_frames.py
@@ -8,7 +8,8 @@
 from tornado.iostream import IOStream
 
 from kingcuphead.paths._messages import TunnelAnswered, TunnelAsked
-from kingcuphead.wire import find_codec, ttypes
+from kingcuphead.wire import find_codec
+from kingcuphead.wire.generated import datagram as structs
 
 #: Largest message in bytes.
 MAX_MESSAGE_BYTES = 1_024
@@ -30,7 +31,7 @@
 ) -> None:
     """Send a message."""
     cls: Any = type(message)
-    content = bytes(serialize(find_codec(cls).encode(message), _FACTORY))
+    content = bytes(serialize(find_codec(cls, structs).encode(message), _FACTORY))
     await stream.write(_LENGTH.pack(len(content)) + content)
 
 
@@ -49,10 +50,10 @@
         raise MalformedMessageError(f"a message of {length} bytes")
     content = await stream.read_bytes(length)
     name: Any = cls
-    encoded: Any = getattr(ttypes, cls.__name__)()
+    encoded: Any = getattr(structs, cls.__name__)()
     try:
         deserialize(encoded, content, _FACTORY)
-        message: T = find_codec(name).decode(encoded)
+        message: T = find_codec(name, structs).decode(encoded)
     # The accelerated decoder raises exceptions of many types for malformed input.
     except Exception as error:
         raise MalformedMessageError(f"{type(error).__name__}: {error}") from error
--- a/kingcuphead/wire/_envelope.py
+++ b/kingcuphead/peers/_envelope.py
@@ -1,33 +1,27 @@
 """Encoding of envelopes in Thrift's compact protocol."""
 
 import dataclasses
-import re
 from typing import Any
 
 from expression import Error, Ok, Result
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
-from kingcuphead.wire._conversion import find_codec
-from kingcuphead.wire._messages import MESSAGE_TYPES, PeerMessage
-from kingcuphead.wire.generated import ttypes as generated
+from kingcuphead.peers._messages import MESSAGE_TYPES, PeerMessage
+from kingcuphead.wire import find_codec, name_field
+from kingcuphead.wire.generated import peer as generated
 
 #: Maximum size of a frame payload in bytes.
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 
 # The generated code has no type annotations.
-ttypes: Any = generated
+peer: Any = generated
 
 _FACTORY = TCompactProtocolAcceleratedFactory(
     string_length_limit=MAX_FRAME_BYTES, container_length_limit=MAX_FRAME_BYTES
 )
 
 
-def name_field(cls: type[Any]) -> str:
-    """Return the union field of a message class: the class name in snake case."""
-    return re.sub(r"(?<!^)(?=[A-Z])", "_", cls.__name__).lower()
-
-
 _FIELDS: dict[Any, str] = {cls: name_field(cls) for cls in MESSAGE_TYPES}
 _TYPES = {field: cls for cls, field in _FIELDS.items()}
 
@@ -60,12 +54,10 @@
 def encode_envelope(envelope: Envelope) -> bytes:
     """Encode an envelope as a frame payload, without the length prefix."""
     cls: Any = type(envelope.message)
-    struct = find_codec(cls).encode(envelope.message)
-    union = ttypes.PeerMessage(**{_FIELDS[cls]: struct})
+    struct = find_codec(cls, peer).encode(envelope.message)
+    union = peer.PeerMessage(**{_FIELDS[cls]: struct})
     return bytes(
-        serialize(
-            ttypes.Envelope(envelope.sender, envelope.incarnation, union), _FACTORY
-        )
+        serialize(peer.Envelope(envelope.sender, envelope.incarnation, union), _FACTORY)
     )
 
 
@@ -79,9 +71,9 @@
         of a newer release, or has a field value that is invalid for its type.
     """
     try:
-        struct = deserialize(ttypes.Envelope(), payload, _FACTORY)
+        struct = deserialize(peer.Envelope(), payload, _FACTORY)
         field = next(name for name in _TYPES if getattr(struct.message, name, None))
-        decoded = find_codec(_TYPES[field]).decode(getattr(struct.message, field))
+        decoded = find_codec(_TYPES[field], peer).decode(getattr(struct.message, field))
     except StopIteration:
         return Error(FrameFault("the envelope contains no known message type"))
     # The accelerated decoder raises exceptions of many types for malformed input.
--- a/kingcuphead/peers/_frames.py
+++ b/kingcuphead/peers/_frames.py
@@ -4,7 +4,7 @@
 
 from tornado.iostream import IOStream
 
-from kingcuphead.wire import MAX_FRAME_BYTES
+from kingcuphead.peers._envelope import MAX_FRAME_BYTES
 
 _LENGTH = struct.Struct(">I")
 
--- a/kingcuphead/peers/_server.py
+++ b/kingcuphead/peers/_server.py
@@ -7,8 +7,8 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
+from kingcuphead.peers._envelope import Envelope, decode_envelope
 from kingcuphead.peers._frames import FrameTooLargeError, read_frame
-from kingcuphead.wire import Envelope, decode_envelope
 
 
 class PeerServer(TCPServer):
--- a/kingcuphead/wire/tests/test_envelope.py
+++ b/kingcuphead/peers/tests/test_envelope.py
@@ -4,14 +4,14 @@
 from hypothesis import given, strategies
 
 from kingcuphead.membership import Heartbeat, Member, MemberStatus, Notice, NoticeKind
-from kingcuphead.wire import (
+from kingcuphead.peers import (
     MESSAGE_TYPES,
     Envelope,
     decode_envelope,
     encode_envelope,
 )
-from kingcuphead.wire._conversion import find_codec
-from kingcuphead.wire.generated import ttypes
+from kingcuphead.wire import find_codec
+from kingcuphead.wire.generated import peer
 
 MEMBER = Member("d1", "127.0.0.1:7001", "lj-a", "ljubljana", 7, 2, MemberStatus.ALIVE)
 NOTICE = Notice(NoticeKind.TARGET_LEAVING, "runner-1", "", "d1/7", 4)
@@ -47,7 +47,7 @@
 class TestMessageTypes:
     @pytest.mark.parametrize("cls", MESSAGE_TYPES)
     def test_every_message_has_a_struct_with_the_same_fields(self, cls):
-        struct = getattr(ttypes, cls.__name__)()
+        struct = getattr(peer, cls.__name__)()
         names = {field.name for field in dataclasses.fields(cls)}
         assert set(struct.__slots__) == names
-        assert find_codec(cls)
+        assert find_codec(cls, peer)
--- a/kingcuphead/peers/tests/test_links.py
+++ b/kingcuphead/peers/tests/test_links.py
@@ -7,9 +7,8 @@
 from tornado.netutil import bind_sockets
 from tornado.tcpserver import TCPServer
 
-from kingcuphead.peers import PeerLinks, PeerServer
+from kingcuphead.peers import MAX_FRAME_BYTES, Envelope, PeerLinks, PeerServer
 from kingcuphead.peers._frames import read_frame
-from kingcuphead.wire import MAX_FRAME_BYTES, Envelope
 
 LOOPBACK = "127.0.0.1"
 #: Timeout of each wait in seconds.
--- a/kingcuphead/settings/_sections.py
+++ b/kingcuphead/settings/_sections.py
@@ -1,11 +1,12 @@
 """Sections of the settings file as frozen data classes with value constraints."""
 
 import dataclasses
-import enum
 from typing import Annotated
 
 import msgspec
 
+from kingcuphead.logs import LogSettings
+
 OCTET = r"(25[0-5]|2[0-4][0-9]|1[0-9]{2}|[1-9]?[0-9])"
 ADDRESS = rf"{OCTET}(\.{OCTET}){{3}}"
 
@@ -43,22 +44,6 @@
 Count = Annotated[int, msgspec.Meta(ge=1, le=1_000_000)]
 
 
-class LogFormat(enum.StrEnum):
-    """Format of a log line."""
-
-    JSON = "json"
-    TEXT = "text"
-
-
-class LogLevel(enum.StrEnum):
-    """Minimum severity of logged messages."""
-
-    DEBUG = "debug"
-    INFO = "info"
-    WARNING = "warning"
-    ERROR = "error"
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceSettings:
     """Identity and location of this daemon's instance."""
@@ -178,16 +163,6 @@
     grace_seconds: Seconds = 120.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LogSettings:
-    """Format and level of the log."""
-
-    #: Format of a log line.
-    format: LogFormat = LogFormat.JSON
-    #: Minimum severity of logged messages.
-    level: LogLevel = LogLevel.INFO
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class Settings:
     """All sections of the settings file; each field is one section."""
--- a/kingcuphead/settings/tests/test_settings.py
+++ b/kingcuphead/settings/tests/test_settings.py
@@ -6,9 +6,9 @@
 
 import pytest
 
+from kingcuphead.logs import LogFormat
 from kingcuphead.settings import (
     KeyFault,
-    LogFormat,
     Settings,
     load_settings,
     parse_settings,
--- a/kingcuphead/wire/__init__.py
+++ b/kingcuphead/wire/__init__.py
@@ -1,26 +1,8 @@
-"""Wire format of messages between daemons, encoded with Thrift."""
+"""Thrift structs of the messages between daemons, and their conversion.
 
-from kingcuphead.wire._conversion import find_codec
-from kingcuphead.wire._envelope import (
-    MAX_FRAME_BYTES,
-    Envelope,
-    FrameFault,
-    decode_envelope,
-    encode_envelope,
-    name_field,
-    ttypes,
-)
-from kingcuphead.wire._messages import MESSAGE_TYPES, PeerMessage
+The generated modules are imported separately, so that a daemon loads only its own.
+"""
 
-__all__ = [
-    "MAX_FRAME_BYTES",
-    "MESSAGE_TYPES",
-    "Envelope",
-    "FrameFault",
-    "PeerMessage",
-    "decode_envelope",
-    "encode_envelope",
-    "find_codec",
-    "name_field",
-    "ttypes",
-]
+from kingcuphead.wire._conversion import find_codec, name_field
+
+__all__ = ["find_codec", "name_field"]
--- a/kingcuphead/wire/_conversion.py
+++ b/kingcuphead/wire/_conversion.py
@@ -7,13 +7,12 @@
 import dataclasses
 import enum
 import functools
+import re
 import types
 import typing
 from collections.abc import Callable, Iterator
 from typing import Any
 
-from kingcuphead.wire.generated import ttypes
-
 Converter = Callable[[Any], Any]
 
 
@@ -54,10 +53,22 @@
     return value
 
 
+def name_field(cls: type[Any]) -> str:
+    """Return the union field of a message class: the class name in snake case."""
+    return re.sub(r"(?<!^)(?=[A-Z])", "_", cls.__name__).lower()
+
+
 @functools.cache
-def find_codec(hint: Any) -> Codec:
+def find_codec(hint: Any, structs: types.ModuleType) -> Codec:
     """Return the codec for a type hint.
 
+    Parameters
+    ----------
+    hint
+        A data class, or the type of one of its fields.
+    structs
+        Generated module that contains the structs.
+
     Raises
     ------
     UnsupportedTypeError
@@ -66,21 +77,21 @@
     if hint in (int, str, bool, bytes, float):
         return Codec(identity, identity)
     if isinstance(hint, types.UnionType):
-        return _find_optional_codec(hint)
+        return _find_optional_codec(hint, structs)
     if typing.get_origin(hint) is tuple:
-        return _find_tuple_codec(hint)
+        return _find_tuple_codec(hint, structs)
     if isinstance(hint, type) and issubclass(hint, enum.Enum):
         return Codec(lambda value: value.value, hint)
     if dataclasses.is_dataclass(hint):
-        return _find_struct_codec(hint)
+        return _find_struct_codec(hint, structs)
     raise UnsupportedTypeError(hint)
 
 
-def _find_optional_codec(hint: types.UnionType) -> Codec:
+def _find_optional_codec(hint: types.UnionType, structs: types.ModuleType) -> Codec:
     members = [member for member in typing.get_args(hint) if member is not type(None)]
     if len(members) != 1:
         raise UnsupportedTypeError(hint)
-    inner = find_codec(members[0])
+    inner = find_codec(members[0], structs)
     return Codec(
         lambda value: None if value is None else inner.encode(value),
         lambda value: None if value is None else inner.decode(value),
@@ -88,24 +99,25 @@
     )
 
 
-def _find_tuple_codec(hint: Any) -> Codec:
+def _find_tuple_codec(hint: Any, structs: types.ModuleType) -> Codec:
     arguments = typing.get_args(hint)
     if len(arguments) != 2 or arguments[1] is not Ellipsis:
         raise UnsupportedTypeError(hint)
-    inner = find_codec(arguments[0])
+    inner = find_codec(arguments[0], structs)
     return Codec(
         lambda values: [inner.encode(value) for value in values],
         lambda values: tuple(inner.decode(value) for value in values or ()),
     )
 
 
-def _find_struct_codec(cls: Any) -> Codec:
-    struct = getattr(ttypes, cls.__name__, None)
+def _find_struct_codec(cls: Any, structs: types.ModuleType) -> Codec:
+    struct = getattr(structs, cls.__name__, None)
     if struct is None:
         raise UnsupportedTypeError(cls)
     hints = typing.get_type_hints(cls)
     codecs = {
-        field.name: find_codec(hints[field.name]) for field in dataclasses.fields(cls)
+        field.name: find_codec(hints[field.name], structs)
+        for field in dataclasses.fields(cls)
     }
 
     required = frozenset(
