Move callers away from a daemon that is loaded far above its zone

Callers' connections stay with the daemon that the balancer's hash gives them, so one daemon of a zone may carry most of its requests. It now measures its load, compares it with reports of the others and, while it is far above them, fails readiness checks and closes the busiest connections after their answers.

Tested: entry/tests/test_caller_server.py, test_metrics.py, platform, datagrams, wire.

--- /dev/null
+++ b/kingcuphead/capacity/_exchange.py
@@ -0,0 +1,225 @@
+"""Measures this daemon's load, tells the other daemons, and sheds load."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from kingcuphead.capacity._connections import CallerConnections
+from kingcuphead.capacity._messages import CapacityReported, Readiness
+from kingcuphead.capacity._meter import (
+    InstanceCapacity,
+    LoadMeter,
+    OwnLoad,
+    Sample,
+)
+from kingcuphead.capacity._shedder import (
+    CandidateAnnounced,
+    CloseRequested,
+    Effect,
+    LoadShedder,
+    Observation,
+    SheddingBegan,
+    SheddingEnded,
+)
+from kingcuphead.capacity._traffic import LINK_TRAFFIC
+from kingcuphead.capacity._zone_loads import ZoneLoads
+
+#: Seconds between two samples of the load.
+SAMPLE_INTERVAL = 0.1
+#: Seconds between two reports to other daemons.
+REPORT_INTERVAL = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapacityFigures:
+    """Figures for metrics."""
+
+    #: Load of this daemon.
+    load: OwnLoad
+    #: Total number of connections closed to shed load.
+    closed_connections: int
+    #: Total seconds in which this daemon was unready to shed load.
+    unready_seconds: float
+
+
+class CapacityExchange:
+    """Runs the load shedder of this daemon; does nothing until it is enabled.
+
+    Parameters
+    ----------
+    sender
+        Identity of this incarnation of the daemon.
+    zone
+        Availability zone of this daemon.
+    gossip
+        Sends a report to some other daemons.
+    broadcast
+        Sends a report to all other daemons.
+    """
+
+    def __init__(
+        self,
+        sender: str,
+        zone: str,
+        gossip: Callable[[CapacityReported], None],
+        broadcast: Callable[[CapacityReported], None],
+    ) -> None:
+        self._sender = sender
+        self._zone = zone
+        self._gossip = gossip
+        self._broadcast = broadcast
+        self._enabled = asyncio.Event()
+        self._number = 0
+        self._reported_at = 0.0
+        self._load = OwnLoad()
+        self._meter: LoadMeter | None = None
+        self._zone_loads = ZoneLoads(zone)
+        self._shedder: LoadShedder | None = None
+        #: Connections of callers.
+        self.connections = CallerConnections()
+        #: Returns whether this daemon is ready, shedding apart.
+        self.is_serving: Callable[[], bool] = lambda: True
+        #: Called with the figures for metrics after each report.
+        self.record: Callable[[CapacityFigures], None] = lambda figures: None
+
+    @property
+    def is_shedding(self) -> bool:
+        """Whether this daemon refuses new connections to shed load."""
+        return (
+            self._shedder is not None and self._shedder.readiness is Readiness.UNREADY
+        )
+
+    def apply_limits(self, capacity: InstanceCapacity, is_enabled: bool) -> None:
+        """Apply the settings of the process.
+
+        Parameters
+        ----------
+        capacity
+            What the instance offers this process.
+        is_enabled
+            Whether this daemon measures its load, reports it and sheds.
+        """
+        if not is_enabled:
+            self._enabled.clear()
+            self._shedder = self._meter = None
+            self.connections.unmark()
+            return
+        if self._meter is None:
+            self._meter = LoadMeter(capacity)
+        self._meter.capacity = capacity
+        self._enabled.set()
+
+    async def run(self) -> None:
+        """Measure, report and shed load until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._enabled.wait()
+            due = loop.time() + SAMPLE_INTERVAL
+            await asyncio.sleep(SAMPLE_INTERVAL)
+            now = loop.time()
+            self.tick(now, now - due, time.process_time())
+
+    def tick(self, now: float, lag: float, processor_seconds: float) -> None:
+        """Take a sample and apply what follows from it.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        lag
+            Seconds by which the call is late.
+        processor_seconds
+            Processor time of this process.
+        """
+        if self._meter is None:
+            return
+        if self._shedder is None:
+            self._shedder = LoadShedder(self._sender, self._zone_loads, now)
+        traffic = LINK_TRAFFIC
+        self._load = self._meter.measure(
+            Sample(now, processor_seconds, traffic.sent, traffic.received, lag)
+        )
+        self._zone_loads.expire(now)
+        self.connections.rotate(now)
+        observation = Observation(
+            now, self._load.peak, self.is_serving(), self.connections.marked_count
+        )
+        for effect in self._shedder.step(observation):
+            self._apply(effect, self._shedder)
+        if now - self._reported_at >= REPORT_INTERVAL:
+            self._reported_at = now
+            self._gossip(self._make_report(self._shedder))
+            self._record_figures(self._shedder)
+
+    def handle_report(self, report: CapacityReported) -> None:
+        """Store a report received from another daemon."""
+        self._zone_loads.apply_report(report, asyncio.get_running_loop().time())
+
+    def record_check(self, is_ready: bool) -> None:
+        """Record an answer to a readiness check of the platform."""
+        if self._shedder is not None:
+            self._shedder.record_check(is_ready, asyncio.get_running_loop().time())
+
+    def _apply(self, effect: Effect, shedder: LoadShedder) -> None:
+        match effect:
+            case CandidateAnnounced():
+                self._broadcast(self._make_report(shedder))
+            case SheddingBegan():
+                self._broadcast(self._make_report(shedder))
+                self._log_begin(effect)
+            case CloseRequested(share):
+                chosen = self.connections.mark(share)
+                logger.bind(share=round(share, 3), connections=chosen).info(
+                    "closing connections of callers after their answers"
+                )
+            case SheddingEnded():
+                self._log_end(effect)
+                self.connections.unmark()
+                self._broadcast(self._make_report(shedder))
+
+    def _make_report(self, shedder: LoadShedder) -> CapacityReported:
+        self._number += 1
+        readiness = shedder.readiness if self.is_serving() else Readiness.UNREADY
+        return CapacityReported(
+            self._sender,
+            self._number,
+            self._zone,
+            shedder.get_reported_load(self._load.peak),
+            readiness,
+        )
+
+    def _record_figures(self, shedder: LoadShedder) -> None:
+        figures = CapacityFigures(
+            self._load, self.connections.closed, shedder.unready_time.total
+        )
+        self.record(figures)
+
+    def _log_begin(self, began: SheddingBegan) -> None:
+        overload = began.overload
+        logger.bind(
+            **_describe_load(self._load),
+            median=round(overload.median, 3),
+            threshold=round(overload.threshold, 3),
+            others=overload.others,
+            unready=began.unready,
+            allowed=began.allowed,
+        ).info("load shedding began")
+
+    def _log_end(self, ended: SheddingEnded) -> None:
+        logger.bind(
+            **_describe_load(self._load),
+            reason=ended.reason.value,
+            seconds=round(ended.seconds, 3),
+            still_open=self.connections.marked_count,
+        ).info("load shedding ended")
+
+
+def _describe_load(load: OwnLoad) -> dict[str, float]:
+    return {
+        "link": round(load.link, 3),
+        "processor": round(load.processor, 3),
+        "lag": round(load.lag, 3),
+    }
--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -6,6 +6,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
+from kingcuphead.capacity import CapacityReported
 from kingcuphead.credit import CreditAsked, CreditHanded
 from kingcuphead.forwarding import TargetStated
 from kingcuphead.loads import LoadsReported
@@ -39,6 +40,7 @@
     | ResumptionMessage
     | PermitMessage
     | TargetStated
+    | CapacityReported
 )
 
 _CLASSES = (
@@ -57,6 +59,7 @@
     TermsReported,
     TargetStated,
     RoomReported,
+    CapacityReported,
 )
 _TYPES = {name_field(cls): cls for cls in _CLASSES}
 _FACTORY = TCompactProtocolAcceleratedFactory(
--- a/kingcuphead/datagrams/_socket.py
+++ b/kingcuphead/datagrams/_socket.py
@@ -6,10 +6,14 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.capacity import LINK_TRAFFIC
 from kingcuphead.datagrams._codec import Datagram, decode_datagram, encode_datagram
 
 Address = tuple[str, int]
 
+#: Bytes of the UDP, IP and Ethernet headers of a datagram.
+PACKET_OVERHEAD_BYTES = 46
+
 
 class DatagramSocket(asyncio.DatagramProtocol):
     """Sends and receives the datagrams of one daemon.
@@ -39,10 +43,13 @@
     def send(self, message: Datagram, receiver: Address) -> None:
         """Send a message, unacknowledged; discard it if the socket isn't open."""
         if self._transport is not None and not self._transport.is_closing():
-            self._transport.sendto(encode_datagram(message), receiver)
+            data = encode_datagram(message)
+            LINK_TRAFFIC.record_sent(len(data) + PACKET_OVERHEAD_BYTES)
+            self._transport.sendto(data, receiver)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Decode a datagram and pass its message on; log and drop a malformed one."""
+        LINK_TRAFFIC.record_received(len(data) + PACKET_OVERHEAD_BYTES)
         match decode_datagram(data):
             case Result(tag="ok", ok=message):
                 self._handle_message(message, addr)
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -17,6 +17,11 @@
 )
 from tornado.iostream import StreamClosedError
 
+from kingcuphead.capacity import (
+    MESSAGE_OVERHEAD_BYTES,
+    CallerConnection,
+    CallerConnections,
+)
 from kingcuphead.forwarding import Refusal, RequestForwarder, refuse
 from kingcuphead.platform import decode_request, make_refusal_headers
 from kingcuphead.routing import CallerLimits
@@ -35,10 +40,13 @@
     ----------
     connection
         Connection on which the request arrived.
+    traffic
+        Counts the bytes of the connection and tells whether it should close.
     """
 
-    def __init__(self, connection: HTTPConnection) -> None:
+    def __init__(self, connection: HTTPConnection, traffic: CallerConnection) -> None:
         self._connection = connection
+        self._traffic = traffic
         #: Whether the status line and the headers were sent.
         self.is_answered = False
 
@@ -47,10 +55,15 @@
         self.is_answered = True
         reason = http.client.responses.get(status, "Unknown")
         start_line = ResponseStartLine("HTTP/1.1", status, reason)
+        self._traffic.record_sent(MESSAGE_OVERHEAD_BYTES)
+        if self._traffic.is_marked:
+            # Adds `Connection: close`; Tornado has no public way for one connection.
+            self._connection._disconnect_on_finish = True  # type: ignore[attr-defined]
         await self._connection.write_headers(start_line, headers)
 
     async def write(self, chunk: bytes) -> None:
         """Send a part of the body; wait while the connection applies backpressure."""
+        self._traffic.record_sent(len(chunk))
         await self._connection.write(chunk)
 
     def finish(self) -> None:
@@ -69,10 +82,15 @@
     ----------
     forwarder
         Serves the requests.
+    connections
+        Keeps the open connections.
     """
 
-    def __init__(self, forwarder: RequestForwarder) -> None:
+    def __init__(
+        self, forwarder: RequestForwarder, connections: CallerConnections
+    ) -> None:
         self._forwarder = forwarder
+        self._connections = connections
         self._limits = CallerLimits()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closing = False
@@ -114,31 +132,35 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads the next request of a connection."""
-        return _RequestReader(request_conn, self._start_task)
+        caller = request_conn.context.remote_ip  # type: ignore[attr-defined]
+        traffic = self._connections.find(server_conn, caller)
+        return _RequestReader(request_conn, traffic, self._start_task)
 
     def on_close(self, server_conn: object) -> None:
-        """Do nothing; each request registers a close callback of its own."""
+        """Forget a connection; each request registers a close callback of its own."""
+        self._connections.remove(server_conn)
 
     def _start_task(
         self,
         connection: HTTPConnection,
+        traffic: CallerConnection,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
     ) -> None:
-        task = asyncio.create_task(self._serve(connection, start_line, headers, body))
+        caller = HttpCaller(connection, traffic)
+        task = asyncio.create_task(self._serve(caller, start_line, headers, body))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         connection.set_close_callback(task.cancel)  # type: ignore[attr-defined]
 
     async def _serve(
         self,
-        connection: HTTPConnection,
+        caller: HttpCaller,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
     ) -> None:
-        caller = HttpCaller(connection)
         now = asyncio.get_running_loop().time()
         request_id = ""
         refusal: Refusal | None
@@ -170,11 +192,14 @@
     def __init__(
         self,
         connection: HTTPConnection,
+        traffic: CallerConnection,
         start_task: Callable[
-            [HTTPConnection, RequestStartLine, HTTPHeaders, bytes], None
+            [HTTPConnection, CallerConnection, RequestStartLine, HTTPHeaders, bytes],
+            None,
         ],
     ) -> None:
         self._connection = connection
+        self._traffic = traffic
         self._start_task = start_task
         self._start_line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
@@ -184,19 +209,23 @@
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         """Store the request line and the headers."""
+        self._traffic.record_received(MESSAGE_OVERHEAD_BYTES)
         if isinstance(start_line, RequestStartLine):
             self._start_line = start_line
             self._headers = headers
 
     def data_received(self, chunk: bytes) -> None:
         """Store a part of the body."""
+        self._traffic.record_received(len(chunk))
         self._chunks.append(chunk)
 
     def finish(self) -> None:
         """Start serving the complete request."""
         if self._start_line is not None:
             body = b"".join(self._chunks)
-            self._start_task(self._connection, self._start_line, self._headers, body)
+            self._start_task(
+                self._connection, self._traffic, self._start_line, self._headers, body
+            )
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -116,7 +116,9 @@
             rng,
             self._metrics.record,
         )
-        self._callers = CallerServer(self._forwarder)
+        self._links.capacity.is_serving = self._is_serving
+        self._links.capacity.record = self._metrics.record_capacity
+        self._callers = CallerServer(self._forwarder, self._links.capacity.connections)
         self._failure: BaseException | None = None
 
     async def run(self) -> bool:
@@ -133,7 +135,10 @@
         renewal = self._start_task(self._links.credit.run())
         profile = self._profile
         readiness = serve_readiness(
-            profile.readiness.host, profile.readiness.port, self._is_ready
+            profile.readiness.host,
+            profile.readiness.port,
+            self._is_ready,
+            self._links.capacity.record_check,
         )
         metrics = serve_metrics(profile.ip, self._metrics)
         self._callers.listen(profile.callers.host, profile.callers.port)
@@ -216,8 +221,12 @@
         self._store.change_address(f"{profile.store.host}:{profile.store.port}")
         retries = profile.retries
         self._retries.apply(retries.ratio, retries.burst, retries.window)
+        self._links.apply_limits(profile)
 
     def _is_ready(self) -> bool:
+        return self._is_serving() and not self._links.capacity.is_shedding
+
+    def _is_serving(self) -> bool:
         return (
             self._has_configuration
             and not self._directory.is_empty
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from kingcuphead.capacity import CapacityExchange, CapacityReported, InstanceCapacity
 from kingcuphead.credit import (
     CreditAsked,
     CreditHanded,
@@ -106,6 +107,11 @@
         #: Called with a target that said, in an answer passed on to another daemon,
         #: that it leaves.
         self.report_leaving: Callable[[Target], None] | None = None
+        #: Load of this daemon, and whether it sheds.
+        self.capacity = CapacityExchange(
+            identity, profile.zone, self._sender.gossip, self._sender.broadcast
+        )
+        self.apply_limits(profile)
         self._directory = directory
         self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
@@ -145,9 +151,18 @@
             self.quarantine.run(),
             self.resumption.run(),
             self.permits.run(),
+            self.capacity.run(),
             self._peers.run(),
         ]
 
+    def apply_limits(self, profile: Profile) -> None:
+        """Apply the limits of the instance."""
+        limits = profile.limits
+        capacity = InstanceCapacity.from_limits(
+            limits.cores, limits.cpu_share, limits.link_mbps
+        )
+        self.capacity.apply_limits(capacity, profile.has_scarce_capacity)
+
     def _make_loads(
         self, identity: str, peer_loads: PeerLoads, dispatcher: Dispatcher
     ) -> LoadExchange:
@@ -199,6 +214,8 @@
             case LoadsReported():
                 self._loads.handle_report(message)
                 self.peer_paths.record_report(sender, message.is_cut_off, now)
+            case CapacityReported():
+                self.capacity.handle_report(message)
             case CreditAsked():
                 reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -6,12 +6,14 @@
     CONTENT_TYPE_LATEST,
     CollectorRegistry,
     Counter,
+    Gauge,
     Histogram,
     generate_latest,
 )
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from kingcuphead.capacity import CapacityFigures, OwnLoad
 from kingcuphead.forwarding import Refusal, RequestContext
 
 #: Port of the metrics endpoint; the deployment file contains it too.
@@ -77,6 +79,34 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._load = Gauge(
+            "kingcuphead_load",
+            "Load of this daemon by resource, 1 being its capacity.",
+            ("resource",),
+            registry=self._registry,
+        )
+        self._closed_connections = Counter(
+            "kingcuphead_shed_connections",
+            "Connections of callers that were closed to shed load.",
+            registry=self._registry,
+        )
+        self._unready = Counter(
+            "kingcuphead_shed_seconds",
+            "Seconds in which this daemon was unready to shed load.",
+            registry=self._registry,
+        )
+        self._capacity = CapacityFigures(OwnLoad(), 0, 0.0)
+
+    def record_capacity(self, figures: CapacityFigures) -> None:
+        """Record the load of this daemon and the totals of what it shed."""
+        previous, self._capacity = self._capacity, figures
+        self._load.labels("link").set(figures.load.link)
+        self._load.labels("processor").set(figures.load.processor)
+        self._load.labels("event_loop").set(figures.load.lag)
+        self._closed_connections.inc(
+            figures.closed_connections - previous.closed_connections
+        )
+        self._unready.inc(max(0.0, figures.unready_seconds - previous.unready_seconds))
 
     def record(self, context: RequestContext, refusal: Refusal | None) -> None:
         """Record a request that ended, with its refusal if it was refused."""
--- a/kingcuphead/entry/_readiness.py
+++ b/kingcuphead/entry/_readiness.py
@@ -8,17 +8,23 @@
 from kingcuphead.platform import READINESS_PATH
 
 ReadinessCheck = Callable[[], bool]
+CheckRecorder = Callable[[bool], None]
 
 
 class _ReadinessHandler(RequestHandler):
-    def initialize(self, is_ready: ReadinessCheck) -> None:
+    def initialize(self, is_ready: ReadinessCheck, record: CheckRecorder) -> None:
         self._is_ready = is_ready
+        self._record = record
 
     def get(self) -> None:
-        self.set_status(200 if self._is_ready() else 503)
+        is_ready = self._is_ready()
+        self._record(is_ready)
+        self.set_status(200 if is_ready else 503)
 
 
-def serve_readiness(host: str, port: int, is_ready: ReadinessCheck) -> HTTPServer:
+def serve_readiness(
+    host: str, port: int, is_ready: ReadinessCheck, record: CheckRecorder
+) -> HTTPServer:
     """Serve the readiness endpoint on an address.
 
     Parameters
@@ -29,9 +35,12 @@
         Port to listen on.
     is_ready
         Returns whether this daemon is ready for requests of callers.
+    record
+        Called with the answer to each check.
     """
+    arguments = {"is_ready": is_ready, "record": record}
     application = Application(
-        [(READINESS_PATH, _ReadinessHandler, {"is_ready": is_ready})],
+        [(READINESS_PATH, _ReadinessHandler, arguments)],
         log_function=lambda handler: None,
     )
     server = HTTPServer(application)
--- a/kingcuphead/entry/tests/test_caller_server.py
+++ b/kingcuphead/entry/tests/test_caller_server.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from kingcuphead.capacity import CallerConnections
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.forwarding import RequestForwarder
 from kingcuphead.routing import CallerLimits
@@ -32,7 +33,7 @@
 def run(scenario):
     async def main():
         forwarder = EchoForwarder()
-        server = CallerServer(forwarder)
+        server = CallerServer(forwarder, CallerConnections())
         server.apply_limits(CallerLimits(body_bytes=1_000))
         server.listen("127.0.0.1", 0)
         (socket,) = server._server._sockets.values()
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -16,6 +16,7 @@
 )
 from tornado.iostream import IOStream, StreamClosedError
 
+from kingcuphead.capacity import LINK_TRAFFIC, MESSAGE_OVERHEAD_BYTES
 from kingcuphead.forwarding._messages import Address
 
 #: Largest status line and headers of an answer in bytes.
@@ -182,6 +183,7 @@
         start_line = RequestStartLine(method, uri, "HTTP/1.1")
         protocol.write_headers(start_line, headers, body or None)
         protocol.finish()
+        LINK_TRAFFIC.record_sent(len(body) + MESSAGE_OVERHEAD_BYTES)
         answer.start_reading()
         return answer
 
@@ -242,6 +244,7 @@
         asyncio.Future or None
             A future, if the buffer is full; reading pauses until it is done.
         """
+        LINK_TRAFFIC.record_received(len(chunk))
         self._blocks.append(chunk)
         self._buffered_bytes += len(chunk)
         self._state_changed.set()
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -1,10 +1,13 @@
 """Parser of the settings file that the platform writes for each process."""
 
 import dataclasses
+import functools
 import math
+import re
 from collections.abc import Iterator, Mapping
 
 from expression import Error, Ok, Result
+from loguru import logger
 
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "KINGCUPHEAD_CONFIG"
@@ -34,6 +37,20 @@
     window: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceLimits:
+    """What the instance offers the process; the defaults are the smallest known."""
+
+    #: Number of processor cores.
+    cores: float = 0.387
+    #: Share of the cores that the process may use.
+    cpu_share: float = 1.0
+    #: Memory of the process in megabytes.
+    memory_mb: float = 160.0
+    #: Capacity of the link in Mbit/s, each way.
+    link_mbps: float = 5.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Profile:
     """Settings that the platform writes for one process."""
@@ -60,6 +77,10 @@
     drain: float
     #: Bound on retries per service.
     retries: RetryBudget
+    #: What the instance offers the process.
+    limits: InstanceLimits = InstanceLimits()
+    #: Whether callers may need more than instances or targets can serve.
+    has_scarce_capacity: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +117,14 @@
         return Error(ProfileFault(error.key, error.cause))
 
 
+#: Contracts under which callers compete for capacity.
+_SCARCITY_CONTRACTS = frozenset({"pressure", "places"})
+#: Share of the cores that an unreadable share counts as; with the fewest cores it makes
+#: the smallest processor of an instance.
+_SMALLEST_CPU_SHARE = 0.31
+#: Characters of an invalid value that are logged.
+_MAX_LOGGED = 100
+
 _REQUIRED = ("node", "zone", "ip", "listen.front", "listen.ready", "platform.address")
 
 
@@ -127,6 +156,23 @@
             raise _InvalidValueError(key, f"{text!r} is not finite")
         return number
 
+    def get_limit(self, key: str, default: float, fallback: float) -> float:
+        """Return a positive number: the fallback if it is invalid."""
+        text = self._values.get(key, "")
+        if not text:
+            return default
+        try:
+            number = float(text)
+        except ValueError:
+            number = 0.0
+        if math.isfinite(number) and number > 0:
+            return number
+        _warn_once(key, text[:_MAX_LOGGED])
+        return fallback
+
+    def get_names(self, key: str) -> frozenset[str]:
+        return frozenset(re.findall(r"[\w-]+", self._values.get(key, "")))
+
     def get_endpoint(self, key: str) -> Endpoint:
         host, _, port = self._values[key].rpartition(":")
         if not host or not port.isdecimal():
@@ -145,6 +191,27 @@
             yield key.strip(), value.strip()
 
 
+@functools.lru_cache(maxsize=64)
+def _warn_once(key: str, text: str) -> None:
+    """Log an invalid limit; the settings are read again every few seconds."""
+    logger.bind(key=key, value=text).warning("invalid limit; using the smallest")
+
+
+def _make_limits(reader: _ValueReader) -> InstanceLimits:
+    smallest = InstanceLimits()
+    return InstanceLimits(
+        *(
+            reader.get_limit(f"limits.{name}", default, fallback)
+            for name, default, fallback in (
+                ("cores", smallest.cores, smallest.cores),
+                ("cpu_share", smallest.cpu_share, _SMALLEST_CPU_SHARE),
+                ("memory_mb", smallest.memory_mb, smallest.memory_mb),
+                ("link_mbps", smallest.link_mbps, smallest.link_mbps),
+            )
+        )
+    )
+
+
 def _make_profile(reader: _ValueReader) -> Profile:
     return Profile(
         instance=reader.get_text("node"),
@@ -162,4 +229,8 @@
             burst=int(reader.get_number("bounds.retry_budget_burst", 10)),
             window=reader.get_number("bounds.budget_window_s", 10.0),
         ),
+        limits=_make_limits(reader),
+        has_scarce_capacity=not _SCARCITY_CONTRACTS.isdisjoint(
+            reader.get_names("contracts")
+        ),
     )
--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -6,6 +6,7 @@
 from expression import Error, Ok, Result
 from loguru import logger
 
+from kingcuphead.capacity import LINK_TRAFFIC, MESSAGE_OVERHEAD_BYTES
 from kingcuphead.platform._store_clock import StoreClock
 from kingcuphead.platform._store_codec import (
     GONE,
@@ -180,7 +181,9 @@
     ) -> Exchange:
         """Call the store; report a new era before the reply is used."""
         reply = await self._connection.exchange(method, path, body, query, timeout)
+        LINK_TRAFFIC.record_sent(len(body or b"") + MESSAGE_OVERHEAD_BYTES)
         if isinstance(reply, Replied):
+            LINK_TRAFFIC.record_received(len(reply.body) + MESSAGE_OVERHEAD_BYTES)
             self._record_era(decode_era(reply))
         return reply
 
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -295,6 +295,14 @@
   1: string outcome
 }
 
+struct CapacityReported {
+  1: string sender
+  2: i64 number
+  3: string zone
+  4: double load
+  5: string readiness
+}
+
 union Datagram {
   1: LoadsReported loads_reported
   2: CreditAsked credit_asked
@@ -311,6 +319,7 @@
   15: TermsReported terms_reported
   16: TargetStated target_stated
   17: RoomReported room_reported
+  18: CapacityReported capacity_reported
 }
 
 union PeerMessage {
