Create frozen data classes with one compiled function each

dataclasses compiles six functions for each class with frozen=True and slots=True. The decorator frozen compiles only __init__ and shares the others; equality, hash, text, patterns, replace and copies are as before (tests compare it with the standard library).

--- a/kingcuphead/entry/_get_server.py
+++ b/kingcuphead/entry/_get_server.py
@@ -4,15 +4,16 @@
 entry daemon doesn't use.
 """
 
-import dataclasses
 import http.client
 from collections.abc import Callable
 
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
+from kingcuphead.frozen import frozen
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@frozen
 class Answer:
     """Answer to a request for the resource."""
 
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -1,7 +1,6 @@
 """Follows a table of the platform's store by long polling."""
 
 import asyncio
-import dataclasses
 import time
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -9,6 +8,7 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.frozen import frozen
 from kingcuphead.platform import Change, Changes, HistoryLost, Store
 from kingcuphead.storage import PlatformFault, Row
 
@@ -18,7 +18,7 @@
 RETRY_DELAY = 0.2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _Position:
     """Where the feed of a table was read up to."""
 
--- a/kingcuphead/loads/_messages.py
+++ b/kingcuphead/loads/_messages.py
@@ -1,9 +1,9 @@
 """Reports that daemons send each other about the load that they put on targets."""
 
-import dataclasses
+from kingcuphead.frozen import frozen
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TargetLoad:
     """The load of one daemon, or of several together, on one target."""
 
@@ -15,7 +15,7 @@
     unread_tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class LoadsReported:
     """All loads of one incarnation of a daemon."""
 
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -1,15 +1,15 @@
 """The load that other daemons put on targets, from their latest reports."""
 
-import dataclasses
 from collections import Counter
 
+from kingcuphead.frozen import frozen
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
 
 #: Seconds after its receipt at which a report expires.
 REPORT_LIFETIME = 0.6
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _ReceivedReport:
     report: LoadsReported
     received_at: float
--- a/kingcuphead/logs/_settings.py
+++ b/kingcuphead/logs/_settings.py
@@ -1,8 +1,9 @@
 """Settings of the log."""
 
-import dataclasses
 import enum
 
+from kingcuphead.frozen import frozen
+
 
 class LogFormat(enum.StrEnum):
     """Format of a log line."""
@@ -20,7 +21,7 @@
     ERROR = "error"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class LogSettings:
     """Format and level of the log."""
 
--- a/kingcuphead/paths/_messages.py
+++ b/kingcuphead/paths/_messages.py
@@ -1,8 +1,9 @@
 """The messages that open a tunnel; the bytes of the connection follow them."""
 
-import dataclasses
 import enum
 
+from kingcuphead.frozen import frozen
+
 
 class TunnelOutcome(enum.StrEnum):
     """What became of a request for a tunnel; without one, nothing was sent."""
@@ -19,7 +20,7 @@
     UNAVAILABLE = "unavailable"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TunnelAsked:
     """A daemon wants a connection to a target."""
 
@@ -27,7 +28,7 @@
     address: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TunnelAnswered:
     """The answer of the helping daemon."""
 
--- a/kingcuphead/peers/_envelope.py
+++ b/kingcuphead/peers/_envelope.py
@@ -1,12 +1,12 @@
 """Encoding of envelopes in Thrift's compact protocol."""
 
-import dataclasses
 from typing import Any
 
 from expression import Error, Ok, Result
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
+from kingcuphead.frozen import frozen
 from kingcuphead.peers._messages import MESSAGE_TYPES, PeerMessage
 from kingcuphead.wire import find_codec, name_field
 from kingcuphead.wire.generated import peer as generated
@@ -26,7 +26,7 @@
 _TYPES = {field: cls for cls, field in _FIELDS.items()}
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Envelope:
     """A message with the identity of its sender."""
 
@@ -38,7 +38,7 @@
     message: PeerMessage
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class FrameFault:
     """Error value for a frame payload that cannot be decoded."""
 
--- a/kingcuphead/quarantine/_answers.py
+++ b/kingcuphead/quarantine/_answers.py
@@ -3,8 +3,10 @@
 import dataclasses
 from collections import OrderedDict
 
+from kingcuphead.frozen import frozen
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@frozen
 class _Answers:
     """The complete answers to one request."""
 
--- a/kingcuphead/quarantine/_messages.py
+++ b/kingcuphead/quarantine/_messages.py
@@ -1,12 +1,12 @@
 """Inputs, effects and views of the quarantine."""
 
-import dataclasses
 from typing import TypeAlias
 
+from kingcuphead.frozen import frozen
 from kingcuphead.quarantine._subjects import RequestIdentity
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CrashReported:
     """A target crashed while it ran a suspect request; sent to peers."""
 
@@ -16,7 +16,7 @@
     request: RequestIdentity
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class FingerprintQuarantined:
     """Requests are no longer run; sent to peers."""
 
@@ -26,7 +26,7 @@
     remaining: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class FingerprintReleased:
     """An operator released a fingerprint from quarantine; sent to peers."""
 
@@ -34,7 +34,7 @@
     fingerprint: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class AnswersReported:
     """A suspect request or part got complete answers too; sent to peers."""
 
@@ -46,7 +46,7 @@
     answers: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class QuarantineReported:
     """Quarantined fingerprints of the sender; sent to peers again and again."""
 
@@ -54,7 +54,7 @@
     entries: tuple[FingerprintQuarantined, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PartsAccused:
     """Parts of prompts may have to be quarantined, unless another daemon objects."""
 
@@ -65,7 +65,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Crash:
     """One request that was lost because its target crashed."""
 
@@ -77,7 +77,7 @@
     is_early: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class SavedCrash:
     """A crash under a request, as kept in the table."""
 
@@ -89,7 +89,7 @@
     age: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class QuarantineEntry:
     """What is quarantined, in the form shown to operators."""
 
--- a/kingcuphead/quarantine/_pending.py
+++ b/kingcuphead/quarantine/_pending.py
@@ -3,10 +3,11 @@
 import dataclasses
 from collections.abc import Iterator
 
+from kingcuphead.frozen import frozen
 from kingcuphead.quarantine._subjects import RequestIdentity
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class LostRequest:
     """A request that was lost with a target."""
 
@@ -16,7 +17,7 @@
     request: RequestIdentity
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _PendingCrash:
     """Requests of one target that were lost within one window."""
 
--- a/kingcuphead/quarantine/_quarantine.py
+++ b/kingcuphead/quarantine/_quarantine.py
@@ -1,9 +1,9 @@
 """Detection and quarantine of what crashes targets: requests, and parts of prompts."""
 
-import dataclasses
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
+from kingcuphead.frozen import frozen
 from kingcuphead.quarantine._answers import AnswerCounts
 from kingcuphead.quarantine._culprits import Crashes, find_culprits, is_any_accused
 from kingcuphead.quarantine._entries import QuarantinedKeys
@@ -37,7 +37,7 @@
 MAX_EXPLAINED = 256
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _OwnCrash:
     """A request that this daemon lost with a target."""
 
--- a/kingcuphead/quarantine/_settings.py
+++ b/kingcuphead/quarantine/_settings.py
@@ -1,14 +1,15 @@
 """Settings of the quarantine."""
 
-import dataclasses
 from typing import Annotated
 
 from msgspec import Meta
 
+from kingcuphead.frozen import frozen
+
 Positive = Annotated[float, Meta(gt=0)]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class QuarantineSettings:
     """Thresholds for crash attribution and quarantine."""
 
--- a/kingcuphead/quarantine/_subjects.py
+++ b/kingcuphead/quarantine/_subjects.py
@@ -5,10 +5,11 @@
 `SEPARATOR`.
 """
 
-import dataclasses
 import hashlib
 from collections.abc import Iterable
 
+from kingcuphead.frozen import frozen
+
 #: Precedes the name of a part, so that it differs from any fingerprint.
 PART_PREFIX = "part:"
 #: Joins the names of subjects in a key.
@@ -21,7 +22,7 @@
 DIGEST_BYTES = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class RequestIdentity:
     """What recognises a request, or one that shares parts of its prompt."""
 
--- a/kingcuphead/quarantine/_suspicions.py
+++ b/kingcuphead/quarantine/_suspicions.py
@@ -1,13 +1,14 @@
 """Crashes by the subjects that they may be due to."""
 
-import dataclasses
 from collections.abc import Iterable, Iterator, Mapping
 
+from kingcuphead.frozen import frozen
+
 #: Maximum number of crashes that are kept for one subject; the oldest are dropped.
 MAX_CRASHES = 64
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CrashedRequest:
     """One request that was lost with a target."""
 
@@ -17,7 +18,7 @@
     fingerprint: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class RecordedCrash:
     """One request that was lost with a target, as recorded for a subject."""
 
@@ -29,7 +30,7 @@
     is_own: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Suspicion:
     """The crashes that one subject may have caused."""
 
--- a/kingcuphead/quarantine/_table.py
+++ b/kingcuphead/quarantine/_table.py
@@ -1,11 +1,11 @@
 """Keeps crashes and quarantined fingerprints in a part of the store's table."""
 
-import dataclasses
 from collections.abc import Iterable
 
 from expression import Result
 from loguru import logger
 
+from kingcuphead.frozen import frozen
 from kingcuphead.quarantine._messages import (
     FingerprintQuarantined,
     QuarantineEntry,
@@ -26,7 +26,7 @@
 MAX_CRASHES = 100
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class QuarantineRows:
     """What one read of the table found."""
 
--- a/kingcuphead/resumption/_messages.py
+++ b/kingcuphead/resumption/_messages.py
@@ -1,10 +1,11 @@
 """What daemons tell each other about streams that have begun."""
 
-import dataclasses
 from typing import TypeAlias
 
+from kingcuphead.frozen import frozen
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@frozen
 class BegunStream:
     """A stream of which a caller has the first event."""
 
@@ -16,7 +17,7 @@
     software_version: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class StreamsBegan:
     """Streams that began at the sender, or the answer to `StreamAsked`."""
 
@@ -24,7 +25,7 @@
     streams: tuple[BegunStream, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class StreamAsked:
     """Asks for the origin of a stream; daemons that don't know it don't answer."""
 
@@ -36,7 +37,7 @@
 ResumptionMessage: TypeAlias = StreamsBegan | StreamAsked
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class StreamOrigin:
     """Where a stream has to go on."""
 
@@ -46,7 +47,7 @@
     service: str | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ServedVersion:
     """A software version of a service."""
 
--- a/kingcuphead/resumption/_registry.py
+++ b/kingcuphead/resumption/_registry.py
@@ -1,8 +1,8 @@
 """The streams that began lately, as far as one daemon knows."""
 
-import dataclasses
 from collections import OrderedDict
 
+from kingcuphead.frozen import frozen
 from kingcuphead.resumption._messages import BegunStream
 
 #: Seconds for which a caller may take a stream up again after it began.
@@ -11,7 +11,7 @@
 MAX_STREAMS = 20_000
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _Record:
     stream: BegunStream
     expires_at: float
--- a/kingcuphead/storage/_exchange.py
+++ b/kingcuphead/storage/_exchange.py
@@ -10,13 +10,14 @@
 from tornado.httputil import HTTPHeaders
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from kingcuphead.frozen import frozen
 from kingcuphead.storage.wire import REFUSED_STATUS
 
 #: Maximum size of a reply body in bytes.
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PlatformSettings:
     """Address, timeouts and limits of a connection to the platform."""
 
@@ -36,7 +37,7 @@
         return dataclasses.replace(self, **changes)  # type: ignore[arg-type]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Replied:
     """The platform replied."""
 
@@ -48,7 +49,7 @@
     headers: HTTPHeaders = dataclasses.field(default_factory=HTTPHeaders)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class NotSent:
     """The request certainly had no effect.
 
@@ -60,7 +61,7 @@
     cause: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ReplyLost:
     """The request was sent and no reply arrived; it may have had an effect."""
 
--- a/kingcuphead/storage/_memory.py
+++ b/kingcuphead/storage/_memory.py
@@ -6,6 +6,7 @@
 
 from expression import Ok, Result
 
+from kingcuphead.frozen import frozen
 from kingcuphead.storage._messages import (
     ABSENT,
     Check,
@@ -21,7 +22,7 @@
 )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TableCounts:
     """Numbers of operations that a table has executed."""
 
--- a/kingcuphead/storage/_messages.py
+++ b/kingcuphead/storage/_messages.py
@@ -1,15 +1,16 @@
 """Rows, transactions, outcomes and faults of the platform's services."""
 
-import dataclasses
 import enum
 from collections.abc import Iterable
 from typing import TypeAlias
 
+from kingcuphead.frozen import frozen
+
 #: Version in a `Check` for a row that must not exist.
 ABSENT = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Row:
     """One versioned row of the table."""
 
@@ -21,7 +22,7 @@
     value: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class RowSnapshot:
     """Rows that were read together from one part of a table."""
 
@@ -33,7 +34,7 @@
     era: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Check:
     """Precondition of a transaction: the row has this version."""
 
@@ -43,7 +44,7 @@
     version: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Put:
     """Write one row."""
 
@@ -53,7 +54,7 @@
     value: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Delete:
     """Remove one row."""
 
@@ -61,7 +62,7 @@
     key: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Transaction:
     """Writes that are applied atomically if every check holds."""
 
@@ -80,7 +81,7 @@
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Committed:
     """The transaction took effect."""
 
@@ -90,7 +91,7 @@
     era: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Conflict:
     """A check failed and nothing was written."""
 
@@ -100,12 +101,12 @@
     era: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Unknown:
     """No valid reply arrived: the transaction may or may not have taken effect."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Unavailable:
     """The table was unreachable or refused the transaction, which had no effect."""
 
@@ -113,7 +114,7 @@
 CommitOutcome: TypeAlias = Committed | Conflict | Unknown | Unavailable
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ScanPage:
     """One page of rows in key order."""
 
@@ -123,7 +124,7 @@
     resume_after: str | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PlatformFault:
     """Failure of a call to the platform other than a commit."""
 
@@ -146,7 +147,7 @@
     TERMINATED = "terminated"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Instance:
     """One entry of the platform's instance list."""
 
--- a/kingcuphead/verdict/_verdict.py
+++ b/kingcuphead/verdict/_verdict.py
@@ -6,6 +6,8 @@
 
 from expression import Result
 
+from kingcuphead.frozen import frozen
+
 T = TypeVar("T")
 
 
@@ -48,7 +50,7 @@
     CALLER_GONE = "caller_gone"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Verdict:
     """A refusal: whether the request may have run, the cause, and when to retry.
 
--- a/kingcuphead/wire/_conversion.py
+++ b/kingcuphead/wire/_conversion.py
@@ -13,10 +13,12 @@
 from collections.abc import Callable, Iterator
 from typing import Any
 
+from kingcuphead.frozen import frozen
+
 Converter = Callable[[Any], Any]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Codec:
     """Pair of converters for one type."""
 
