Send load reports when loads have changed, to all daemons in turn

A daemon sent a report every 0.1 s whenever one request had begun or ended. Receivers get reports in turn in place of random samples, so that with 71 daemons a report of each one arrives within REPORT_LIFETIME.

--- a/kingcuphead/datagrams/_peers.py
+++ b/kingcuphead/datagrams/_peers.py
@@ -1,5 +1,6 @@
 """Sends datagrams to all other daemons of the fleet, or to some of them."""
 
+import collections
 import random
 
 from kingcuphead.datagrams._codec import Datagram
@@ -26,6 +27,8 @@
         self._rng = rng
         #: Addresses of the other daemons.
         self.peers: tuple[Address, ...] = ()
+        self._turns: collections.deque[Address] = collections.deque()
+        self._turn_peers: tuple[Address, ...] = ()
 
     def broadcast(self, message: Datagram) -> None:
         """Send a message to all other daemons."""
@@ -37,3 +40,19 @@
         if len(peers) > MAX_RECEIVERS:
             peers = tuple(self._rng.sample(peers, MAX_RECEIVERS))
         self._datagrams.send(message, *peers)
+
+    def send_in_turn(self, message: Datagram) -> None:
+        """Send a message to the next `MAX_RECEIVERS` other daemons.
+
+        Unlike with `gossip`, each daemon receives such messages equally often. Only one
+        kind of message is sent so, or two kinds might always meet the same receivers.
+        """
+        if self._turn_peers != self.peers:
+            self._turn_peers = self.peers
+            self._turns = collections.deque(
+                self._rng.sample(self.peers, len(self.peers))
+            )
+        count = min(MAX_RECEIVERS, len(self._turns))
+        receivers = [self._turns[position] for position in range(count)]
+        self._turns.rotate(-count)
+        self._datagrams.send(message, *receivers)
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -1,6 +1,7 @@
 import asyncio
 import functools
 import random
+from collections import Counter
 from unittest import mock
 
 import pytest
@@ -95,6 +96,25 @@
         assert len(set(receivers)) == len(receivers) == gossiped
         assert set(receivers) <= set(peers)
 
+    @pytest.mark.parametrize("count", [0, 7, 25, 60])
+    def test_messages_in_turn_reach_all_daemons_equally_often(self, count):
+        socket = RecordingSocket()
+        sender = PeerSender(socket, random.Random(1))
+        sender.peers = self.PEERS[:count]
+        for _ in range(count):
+            sender.send_in_turn(MESSAGES[0])
+        sent = Counter(socket.receivers)
+        assert set(sent) == set(sender.peers)
+        assert set(sent.values()) <= {min(count, MAX_RECEIVERS)}
+
+    def test_messages_in_turn_follow_changes_of_the_fleet(self):
+        socket = RecordingSocket()
+        sender = PeerSender(socket, random.Random(1))
+        for peers in (self.PEERS[:3], self.PEERS[2:5]):
+            sender.peers = peers
+            sender.send_in_turn(MESSAGES[0])
+        assert set(socket.receivers[3:]) == set(self.PEERS[2:5])
+
     def test_a_broadcast_goes_to_all(self):
         socket = RecordingSocket()
         sender = PeerSender(socket, random.Random(1))
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -155,7 +155,7 @@
             identity,
             peer_loads,
             dispatcher.list_loads,
-            self._sender.gossip,
+            self._sender.send_in_turn,
             lambda: self.path_monitor.is_lost,
         )
 
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -1,19 +1,17 @@
-"""Sends this daemon's loads to others, periodically and after each large change."""
+"""Sends this daemon's loads to others, when they have changed or are old."""
 
 import asyncio
 import contextlib
 from collections.abc import Callable, Iterable
 
+from kingcuphead.loads._changes import LoadChanges
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
 from kingcuphead.loads._peer_loads import PeerLoads
 
-#: Seconds between two periodic reports.
+#: Seconds between two looks at the loads.
 REPORT_INTERVAL = 0.1
 #: Minimum seconds between two reports.
 MIN_REPORT_INTERVAL = 0.005
-#: Maximum number of unchanged reports in a row that are skipped. An unchanged report
-#: is sent again before `REPORT_LIFETIME` ends.
-MAX_SKIPPED_REPORTS = 4
 
 
 class LoadExchange:
@@ -47,18 +45,16 @@
         self._send = send
         self._is_cut_off = is_cut_off
         self._number = 0
-        self._last_loads: tuple[TargetLoad, ...] = ()
-        self._was_cut_off = False
-        self._unchanged_count = 0
+        self._changes = LoadChanges()
         self._trigger = asyncio.Event()
 
     async def run(self) -> None:
         """Send reports until cancelled."""
         loop = asyncio.get_running_loop()
         while True:
-            await self._wait_for_report_time()
+            is_urgent = await self._wait_for_report_time()
             self._peer_loads.expire(loop.time())
-            self._send_report()
+            self._send_report(is_urgent)
             await asyncio.sleep(MIN_REPORT_INTERVAL)
 
     def trigger_report(self) -> None:
@@ -69,20 +65,19 @@
         """Store a report received from another daemon."""
         self._peer_loads.apply_report(report, asyncio.get_running_loop().time())
 
-    async def _wait_for_report_time(self) -> None:
+    async def _wait_for_report_time(self) -> bool:
+        """Wait for the next report, and return whether it was triggered."""
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(REPORT_INTERVAL):
                 await self._trigger.wait()
+        is_triggered = self._trigger.is_set()
         self._trigger.clear()
+        return is_triggered
 
-    def _send_report(self) -> None:
+    def _send_report(self, is_urgent: bool) -> None:
         loads = tuple(self._list_loads())
         is_cut_off = self._is_cut_off()
-        is_changed = loads != self._last_loads or is_cut_off != self._was_cut_off
-        self._unchanged_count = 0 if is_changed else self._unchanged_count + 1
-        if self._unchanged_count % (MAX_SKIPPED_REPORTS + 1):
+        if not self._changes.is_report_due(loads, is_cut_off, is_urgent):
             return
-        self._last_loads = loads
-        self._was_cut_off = is_cut_off
         self._number += 1
         self._send(LoadsReported(self._sender, self._number, loads, is_cut_off))
