--- a/kingcuphead/datagrams/_socket.py
+++ b/kingcuphead/datagrams/_socket.py
@@ -40,12 +40,16 @@
         if self._transport is not None:
             self._transport.close()
 
-    def send(self, message: Datagram, receiver: Address) -> None:
+    def send(self, message: Datagram, *receivers: Address) -> None:
         """Send a message, unacknowledged; discard it if the socket isn't open."""
-        if self._transport is not None and not self._transport.is_closing():
-            data = encode_datagram(message)
-            LINK_TRAFFIC.record_sent(len(data) + PACKET_OVERHEAD_BYTES)
-            self._transport.sendto(data, receiver)
+        transport = self._transport
+        if transport is None or transport.is_closing() or not receivers:
+            return
+        datagram = encode_datagram(message)
+        size = len(datagram) + PACKET_OVERHEAD_BYTES
+        LINK_TRAFFIC.record_sent(size * len(receivers))
+        for receiver in receivers:
+            transport.sendto(datagram, receiver)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Decode a datagram and pass its message on; log and drop a malformed one."""
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -1,6 +1,8 @@
 import asyncio
 import functools
 import random
+from collections import Counter
+from unittest import mock
 
 import pytest
 
@@ -9,6 +11,7 @@
     Datagram,
     DatagramSocket,
     PeerSender,
+    _socket,
     decode_datagram,
     encode_datagram,
 )
@@ -74,8 +77,8 @@
     def __init__(self):
         self.receivers = []
 
-    def send(self, message, receiver):
-        self.receivers.append(receiver)
+    def send(self, message, *receivers):
+        self.receivers.extend(receivers)
 
 
 class TestPeerSender:
@@ -93,6 +96,25 @@
         assert len(set(receivers)) == len(receivers) == gossiped
         assert set(receivers) <= set(peers)
 
+    @pytest.mark.parametrize("count", [0, 7, 25, 60])
+    def test_messages_in_turn_reach_all_daemons_equally_often(self, count):
+        socket = RecordingSocket()
+        sender = PeerSender(socket, random.Random(1))
+        sender.peers = self.PEERS[:count]
+        for _ in range(count):
+            sender.send_in_turn(MESSAGES[0])
+        sent = Counter(socket.receivers)
+        assert set(sent) == set(sender.peers)
+        assert set(sent.values()) <= {min(count, MAX_RECEIVERS)}
+
+    def test_messages_in_turn_follow_changes_of_the_fleet(self):
+        socket = RecordingSocket()
+        sender = PeerSender(socket, random.Random(1))
+        for peers in (self.PEERS[:3], self.PEERS[2:5]):
+            sender.peers = peers
+            sender.send_in_turn(MESSAGES[0])
+        assert set(socket.receivers[3:]) == set(self.PEERS[2:5])
+
     def test_a_broadcast_goes_to_all(self):
         socket = RecordingSocket()
         sender = PeerSender(socket, random.Random(1))
@@ -124,6 +146,15 @@
 
         asyncio.run(run())
 
+    def test_a_message_to_several_daemons_is_encoded_once(self, monkeypatch):
+        encoded: list[Datagram] = []
+        monkeypatch.setattr(_socket, "encode_datagram", encoded.append)
+        socket = DatagramSocket(lambda message, sender: None)
+        socket._transport = mock.Mock(is_closing=lambda: False)
+        socket.send(MESSAGES[0], ("127.0.0.1", 1), ("127.0.0.2", 1))
+        assert encoded == [MESSAGES[0]]
+        assert socket._transport.sendto.call_count == 2
+
     def test_malformed_datagrams_are_dropped(self):
         received = []
         socket = DatagramSocket(lambda message, sender: received.append(message))
