--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -148,7 +148,12 @@
 
     def test_a_message_to_several_daemons_is_encoded_once(self, monkeypatch):
         encoded: list[Datagram] = []
-        monkeypatch.setattr(_socket, "encode_datagram", encoded.append)
+
+        def encode(message):
+            encoded.append(message)
+            return b"datagram"
+
+        monkeypatch.setattr(_socket, "encode_datagram", encode)
         socket = DatagramSocket(lambda message, sender: None)
         socket._transport = mock.Mock(is_closing=lambda: False)
         socket.send(MESSAGES[0], ("127.0.0.1", 1), ("127.0.0.2", 1))
