Read evacuated zones and cold targets

Rows that evacuate a zone and the cold state of targets were not read. The directory now excludes the targets of evacuated zones and keeps until when each target is cold: by its entry, by its start, and after its zone was taken back until its next entry.

Tests of targets, platform and routing pass.

--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -1,6 +1,9 @@
 """The platform's wire names, formats, headers and calls, without any policy."""
 
-from kingcuphead.platform._configuration import decode_configuration
+from kingcuphead.platform._configuration import (
+    decode_configuration,
+    decode_evacuated_zone,
+)
 from kingcuphead.platform._entries import decode_target
 from kingcuphead.platform._headers import (
     PlatformHeaders,
@@ -43,6 +46,7 @@
     "StoreTable",
     "TARGETS_TABLE",
     "decode_configuration",
+    "decode_evacuated_zone",
     "decode_request",
     "decode_target",
     "make_refusal_headers",
--- a/kingcuphead/platform/_configuration.py
+++ b/kingcuphead/platform/_configuration.py
@@ -1,8 +1,11 @@
 """Decoder of the operator's routing configuration."""
 
+from typing import Any
+
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuphead.platform._numbers import read_number
 from kingcuphead.routing import (
     CallerLimits,
     EngineProfile,
@@ -14,6 +17,13 @@
     WeightedService,
 )
 
+#: Prefix of the keys of rows that evacuate a zone, in the configuration's table.
+_EVACUATION_PREFIX = "evacuate/"
+#: Requests per second that a cold target takes if its limit is invalid.
+_MIN_COLD_LIMIT = 1.0
+#: Seconds for which a target is cold after its start if the period is invalid.
+_DEFAULT_COLD_PERIOD = 10.0
+
 _KINDS = {
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.AT_MOST_ONCE,
@@ -54,6 +64,8 @@
     name: str
     max_connections: int = 100
     engine: _Engine | None = None
+    cold_start_s: Any = 0
+    cold_per_s: Any = 0
 
 
 class _Limits(msgspec.Struct):
@@ -114,6 +126,13 @@
     )
 
 
+def decode_evacuated_zone(key: str) -> str | None:
+    """Return the zone that a row of the configuration's table evacuates, or None."""
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(_EVACUATION_PREFIX)
+
+
 def _make_route(route: _Route) -> Route:
     services = tuple(
         WeightedService(each.service, each.weight) for each in route.traffic_split
@@ -142,7 +161,19 @@
         profile = EngineProfile(
             engine.slots, engine.kv_capacity_tokens, max(1, engine.stride)
         )
-    return Service(service.name, service.max_connections, profile)
+    limit = _read_optional(
+        f"cold_per_s of {service.name}", service.cold_per_s, _MIN_COLD_LIMIT
+    )
+    period = _read_optional(
+        f"cold_start_s of {service.name}", service.cold_start_s, _DEFAULT_COLD_PERIOD
+    )
+    return Service(
+        service.name, service.max_connections, profile, limit or None, period
+    )
+
+
+def _read_optional(name: str, value: Any, fallback: float) -> float:
+    return 0.0 if value is None else read_number(name, value, fallback)
 
 
 def _make_limits(limits: _Limits) -> CallerLimits:
--- a/kingcuphead/platform/_entries.py
+++ b/kingcuphead/platform/_entries.py
@@ -1,9 +1,16 @@
 """Decoder of the entries that targets write to the platform's store."""
 
+from typing import Any
+
 import msgspec
 
+from kingcuphead.platform._numbers import read_number
 from kingcuphead.targets import Availability, Target
 
+#: Upper bound in seconds of the time for which an entry may call its target cold; also
+#: what an invalid value counts as, until the next entry.
+MAX_COLD_LEFT = 60.0
+
 _STATES = {"ready": Availability.READY, "draining": Availability.DRAINING}
 
 
@@ -18,6 +25,7 @@
     sequence: int = 0
     # Version of the target's software, not of the model weights.
     version: str = ""
+    cold_left_ms: Any = None
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
@@ -56,4 +64,12 @@
         started_at_ms=entry.born,
         sequence=entry.sequence,
         software_version=entry.version,
+        cold_left=_read_cold_left(entry.cold_left_ms),
     )
+
+
+def _read_cold_left(value: Any) -> float | None:
+    if value is None:
+        return None
+    milliseconds = read_number("cold_left_ms", value, MAX_COLD_LEFT * 1000)
+    return min(milliseconds / 1000, MAX_COLD_LEFT)
--- /dev/null
+++ b/kingcuphead/platform/_numbers.py
@@ -0,0 +1,42 @@
+"""Lenient reader of numbers that operators and targets write."""
+
+import math
+from typing import Any
+
+from loguru import logger
+
+#: Characters of an invalid value in a log line.
+MAX_LOGGED_VALUE = 100
+#: Number of invalid values that are remembered so that each is logged once.
+MAX_REMEMBERED = 1_024
+
+_logged: set[tuple[str, str]] = set()
+
+
+def read_number(name: str, value: Any, fallback: float) -> float:
+    """Return a non-negative number; log an invalid value once.
+
+    Parameters
+    ----------
+    name
+        What the value states, for the log.
+    value
+        Value as decoded.
+    fallback
+        Result for an invalid value.
+    """
+    try:
+        number = math.nan if isinstance(value, bool) else float(value)
+    except (TypeError, ValueError, OverflowError):
+        number = math.nan
+    if math.isfinite(number) and number >= 0:
+        return number
+    _log_once(name, repr(value)[:MAX_LOGGED_VALUE], fallback)
+    return fallback
+
+
+def _log_once(name: str, text: str, fallback: float) -> None:
+    if (name, text) in _logged or len(_logged) >= MAX_REMEMBERED:
+        return
+    _logged.add((name, text))
+    logger.bind(value=text).warning("invalid {}; it counts as {}", name, fallback)
--- a/kingcuphead/routing/_messages.py
+++ b/kingcuphead/routing/_messages.py
@@ -84,6 +84,11 @@
     max_connections: int
     #: Properties of the targets if they are model engines; None for plain services.
     engine: EngineProfile | None
+    #: Requests per second that a cold target takes from all daemons together; None for
+    #: no limit.
+    cold_limit: float | None = None
+    #: Seconds after its start for which a target is cold.
+    cold_period: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -3,8 +3,9 @@
 import dataclasses
 import time
 from collections import OrderedDict
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator, Mapping
 
+from kingcuphead.targets._cold import ColdLimit, ColdStart, ColdTargets
 from kingcuphead.targets._messages import Availability, Target
 
 #: Seconds after the start of the last failed call to the store within which targets
@@ -12,6 +13,9 @@
 REREGISTRATION_PERIOD = 3.0
 #: Number of removed incarnations that are remembered.
 MAX_REMOVED = 4_096
+#: Seconds without news from the store after which a target may have become cold without
+#: this daemon knowing it.
+MAX_COLD_VIEW_AGE = 3.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,7 +36,33 @@
     is_removed: bool
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneEvacuated:
+    """The targets of a zone get no new requests from now on."""
+
+    #: Name of the zone.
+    zone: str
+    #: Its targets that have an entry.
+    targets: tuple[Target, ...]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZoneReadmitted:
+    """The targets of a zone get requests again."""
+
+    #: Name of the zone.
+    zone: str
+    #: Its targets that have an entry.
+    targets: tuple[Target, ...]
+
+
 DirectoryChange = TargetAdded | TargetLeft
+ZoneChange = ZoneEvacuated | ZoneReadmitted
+
+
+def read_boot_clock() -> float:
+    """Return seconds of a clock that, unlike the monotonic one, counts suspension."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class TargetDirectory:
@@ -42,9 +72,25 @@
     their targets can't reach the store. A target whose entry disappears during or soon
     after an outage of the store therefore stays usable for `REREGISTRATION_PERIOD`, and
     is dropped if the entry is still missing afterwards.
+
+    Parameters
+    ----------
+    read_clock
+        Returns seconds of a clock that counts the time in which the instance was
+        suspended.
+    read_unix_time
+        Returns the Unix time in seconds.
     """
 
-    def __init__(self) -> None:
+    def __init__(
+        self,
+        read_clock: Callable[[], float] = read_boot_clock,
+        read_unix_time: Callable[[], float] = time.time,
+    ) -> None:
+        self._read_clock = read_clock
+        self._cold = ColdTargets(read_unix_time)
+        #: Zones that the operator has evacuated, also those without known targets.
+        self._evacuated: set[str] = set()
         self._targets: dict[str, Target] = {}
         self._expired: set[str] = set()
         self._replaced: set[str] = set()
@@ -61,6 +107,11 @@
         """Start of the last call to the store that failed, on the monotonic clock."""
         return self._store_failed_at
 
+    @property
+    def cold_count(self) -> int:
+        """Number of targets that are known to be cold."""
+        return self._cold.cold_count
+
     @property
     def is_empty(self) -> bool:
         """Whether the directory contains no target."""
@@ -72,14 +123,14 @@
 
     def record_read(self) -> None:
         """Record that the store has just told of the entries, or of no change."""
-        self._read_at = _read_boot_clock()
+        self._read_at = self._read_clock()
 
     def get_age(self) -> float:
         """Return the seconds since the store last told of the entries.
 
         Time in which the instance was suspended counts.
         """
-        return _read_boot_clock() - self._read_at
+        return self._read_clock() - self._read_at
 
     def put(self, target: Target) -> Iterator[DirectoryChange]:
         """Add or replace the entry of a target and yield the resulting changes.
@@ -96,6 +147,7 @@
             self._leaving.add(target.incarnation)
         previous = self._targets.get(target.name)
         self._targets[target.name] = target
+        self._cold.record_entry(target, self._read_clock())
         self._expired.discard(target.name)
         self._usable.clear()
         is_same_incarnation = (
@@ -187,8 +239,87 @@
             self._replaced.add(target.incarnation)
             self._usable.clear()
 
+    def evacuate_zone(self, zone: str) -> Iterator[ZoneChange]:
+        """Exclude the targets of a zone, present and later ones, from new requests."""
+        if zone not in self._evacuated:
+            self._evacuated.add(zone)
+            self._usable.clear()
+            yield ZoneEvacuated(zone, self._list_zone(zone))
+
+    def readmit_zone(self, zone: str) -> Iterator[ZoneChange]:
+        """Take a zone back; its targets may have become cold meanwhile."""
+        if zone not in self._evacuated:
+            return
+        self._evacuated.discard(zone)
+        self._usable.clear()
+        targets = self._list_zone(zone)
+        for target in targets:
+            self._cold.record_readmission(target, self._read_clock())
+        yield ZoneReadmitted(zone, targets)
+
+    def replace_evacuated_zones(self, zones: Iterable[str]) -> Iterator[ZoneChange]:
+        """Apply a snapshot of all evacuated zones and yield the resulting changes."""
+        zones = frozenset(zones)
+        for zone in sorted(self._evacuated - zones):
+            yield from self.readmit_zone(zone)
+        for zone in sorted(zones):
+            yield from self.evacuate_zone(zone)
+
+    def list_evacuated(self) -> tuple[Target, ...]:
+        """Return the targets of the evacuated zones."""
+        if not self._evacuated:
+            return ()
+        return tuple(
+            each for each in self._targets.values() if self._is_evacuated(each)
+        )
+
+    def list_evacuated_zones(self) -> tuple[str, ...]:
+        """Return the evacuated zones that have targets."""
+        return tuple(sorted({each.zone for each in self.list_evacuated()}))
+
+    def list_unknown_zones(self) -> tuple[str, ...]:
+        """Return the evacuated zones that have no targets; none before any is known."""
+        if not self._evacuated or self.is_empty:
+            return ()
+        return tuple(sorted(self._evacuated.difference(self.list_evacuated_zones())))
+
+    def apply_cold_starts(self, starts: Mapping[str, ColdStart]) -> None:
+        """Replace what is known of the starts of targets, by service."""
+        self._cold.apply_starts(starts, self._read_clock())
+
+    def is_cold(self, target: Target) -> bool:
+        """Whether a target is known to be cold."""
+        return self._cold.cold_count > 0 and self._cold.is_cold(
+            target, self._read_clock()
+        )
+
+    def find_cold_limit(self, target: Target) -> ColdLimit | None:
+        """Return what a target takes because it is cold or may be; None for no limit.
+
+        While the store tells nothing, a target may become cold unnoticed.
+        """
+        limit = self._cold.get_limit(target.service)
+        if limit is None:
+            return None
+        if self.is_cold(target):
+            return ColdLimit(limit, is_certain=True)
+        if self.get_age() > MAX_COLD_VIEW_AGE:
+            return ColdLimit(limit, is_certain=False)
+        return None
+
+    def is_known_warm(self, incarnation: str) -> bool:
+        """Whether an incarnation is warm, by news from the store that aren't old."""
+        target = self._targets.get(incarnation.rpartition("@")[0])
+        return (
+            target is not None
+            and target.incarnation == incarnation
+            and self.get_age() <= MAX_COLD_VIEW_AGE
+            and not self.is_cold(target)
+        )
+
     def tick(self, now: float) -> Iterator[DirectoryChange]:
         """Drop targets whose expired entries weren't written again in time."""
+        self._cold.tick(self._read_clock())
         if now - self._store_failed_at > REREGISTRATION_PERIOD:
             for name in tuple(self._expired):
                 yield from self._drop(self._targets[name])
@@ -209,10 +340,20 @@
         return (
             target.availability is Availability.READY
             and target.incarnation not in self._replaced
+            and not self._is_evacuated(target)
+        )
+
+    def _is_evacuated(self, target: Target) -> bool:
+        return bool(target.zone) and target.zone in self._evacuated
+
+    def _list_zone(self, zone: str) -> tuple[Target, ...]:
+        return tuple(
+            each for each in self._targets.values() if each.zone == zone and zone
         )
 
     def _drop(self, target: Target) -> Iterator[DirectoryChange]:
         del self._targets[target.name]
+        self._cold.forget(target)
         self._replaced.discard(target.incarnation)
         self._removed[target.incarnation] = target.sequence
         if len(self._removed) > MAX_REMOVED:
@@ -232,8 +373,3 @@
             return True
         del self._removed[identity]
         return False
-
-
-def _read_boot_clock() -> float:
-    """Return seconds of a clock that, unlike the monotonic one, counts suspension."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
--- a/kingcuphead/targets/_messages.py
+++ b/kingcuphead/targets/_messages.py
@@ -35,6 +35,9 @@
     sequence: int = 0
     #: Version of the target's software; its model weights have versions of their own.
     software_version: str = ""
+    #: Seconds for which the target stays cold, counted from its entry; None if the
+    #: entry states nothing.
+    cold_left: float | None = None
 
     @property
     def incarnation(self) -> str:
