Require permits for requests to cold targets

The parts don't depend on who is reachable, since two groups of daemons that are cut off from each other would both grant the whole otherwise. A part is used only when the daemons that would take it over by an older list confirm that they know its owner.

--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -68,7 +68,7 @@
     store
         Client of the platform's store.
     directory
-        Knows the software versions of targets.
+        Knows the software versions of targets, and which of them are cold.
     dispatcher
         Chooses targets; its loads are reported.
     peer_loads
@@ -127,6 +127,7 @@
         self.quarantine = self._make_quarantine(identity, store)
         #: What targets take from the whole fleet.
         self.permits = self._make_permits(rng)
+        self.permits.apply_cold_bounds(profile.cold_bounds)
         #: Knows the software versions that began streams.
         self.resumption = self._make_resumption(store)
 
@@ -174,6 +175,7 @@
             PermitCoordinator(rng),
             self._datagrams.send,
             self._sender.broadcast,
+            self._directory,
         )
 
     def _make_resumption(self, store: Store) -> ResumptionExchange:
@@ -235,7 +237,8 @@
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
-        self.permits.ranking.apply_peers(peers)
+        now = asyncio.get_running_loop().time()
+        self.permits.ranking.apply_peers(peers, now)
         self.peer_paths.apply_peers(peers)
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -150,7 +150,7 @@
             lambda message, receiver: None,
             self.broadcasts.append,
         )
-        self.permits.ranking.apply_peers(())
+        self.permits.ranking.apply_peers((), 0.0)
         ledger = CreditLedger("d1", "incarnation-1")
         organisation = Organisation("atelier", None, self.prepaid)
         ledger.apply_limits([organisation], 1)
--- a/kingcuphead/permits/__init__.py
+++ b/kingcuphead/permits/__init__.py
@@ -5,6 +5,7 @@
 send a request there.
 """
 
+from kingcuphead.permits._cold import ColdBounds
 from kingcuphead.permits._coordinator import PermitCoordinator
 from kingcuphead.permits._exchange import PermitExchange
 from kingcuphead.permits._messages import (
@@ -19,6 +20,7 @@
 from kingcuphead.permits._terms import TargetTerms, TermsTable
 
 __all__ = [
+    "ColdBounds",
     "CoordinatorProbed",
     "PermitAnswered",
     "PermitAsked",
--- a/kingcuphead/permits/_bucket.py
+++ b/kingcuphead/permits/_bucket.py
@@ -16,10 +16,15 @@
         Tokens at the beginning.
     now
         Current time in seconds.
+    burst_seconds
+        Seconds of its rate that the bucket holds at most, beside one token.
     """
 
-    def __init__(self, tokens: float, now: float) -> None:
+    def __init__(
+        self, tokens: float, now: float, burst_seconds: float = BURST_SECONDS
+    ) -> None:
         self._tokens = tokens
+        self._burst_seconds = burst_seconds
         self._rate = MIN_RATE
         self._updated_at = now
 
@@ -42,7 +47,7 @@
         return max(0.0, 1 - self._tokens) / self._rate
 
     def _fill(self, now: float) -> None:
-        capacity = 1 + BURST_SECONDS * self._rate
+        capacity = 1 + self._burst_seconds * self._rate
         earned = self._rate * max(0.0, now - self._updated_at)
         self._tokens = min(capacity, self._tokens + earned)
         self._updated_at = now
--- a/kingcuphead/permits/_coordinator.py
+++ b/kingcuphead/permits/_coordinator.py
@@ -4,6 +4,7 @@
 import random
 
 from kingcuphead.permits._bucket import MIN_RATE, TokenBucket
+from kingcuphead.permits._cold import NO_HOLDER_WAIT, ColdBounds
 from kingcuphead.permits._room import OpenRequests, TargetRoom
 from kingcuphead.permits._terms import TargetTerms
 
@@ -24,6 +25,12 @@
     is_granted: bool
     #: Seconds until the next permit may be had; 0 if this one is granted.
     wait: float = 0.0
+    #: Whether the daemon that decides owns a part of the permits of the target.
+    is_holder: bool = True
+
+
+#: Decision of a daemon that owns no part of the permits of a cold target.
+NO_HOLDER = Decision(False, NO_HOLDER_WAIT, is_holder=False)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,11 +45,14 @@
     slots: int
     #: Requests that the daemon has open there, with this one.
     open_requests: OpenRequests
+    #: Whether that daemon doesn't know if the target is cold.
+    is_doubtful: bool = False
 
 
 @dataclasses.dataclass(slots=True)
 class _Account:
     bucket: TokenBucket
+    cold_bucket: TokenBucket
     room: TargetRoom
     asked_at: float
 
@@ -60,8 +70,12 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._accounts: dict[str, _Account] = {}
+        #: Bound on the requests to cold targets.
+        self.cold_bounds = ColdBounds()
 
-    def decide(self, claim: PermitClaim, share: float, now: float) -> Decision:
+    def decide(
+        self, claim: PermitClaim, share: float, now: float, position: int | None = None
+    ) -> Decision:
         """Grant or deny a permit for one request.
 
         Parameters
@@ -72,8 +86,20 @@
             Share of what the target takes that may be granted here.
         now
             Current time in seconds.
+        position
+            Position of this daemon among those that own the permits of the target while
+            it is cold; None if it owns none.
         """
         account = self._find_account(claim.target, now)
+        cold_limit = claim.terms.cold_requests_per_second
+        if cold_limit is not None:
+            if position is None or position >= self.cold_bounds.holders:
+                return NO_HOLDER
+            rate = self.cold_bounds.compute_rate(cold_limit, position)
+            account.cold_bucket.apply_rate(rate, now)
+            wait = account.cold_bucket.get_wait(now)
+            if wait > 0:
+                return Decision(False, wait)
         if claim.terms.is_brittle:
             places = max(1, int(claim.slots * share))
             if not account.room.has_place(claim.open_requests, places, now):
@@ -81,6 +107,8 @@
         decision = _decide_by_rate(account.bucket, claim.terms, share, now)
         if decision.is_granted:
             account.room.record(claim.open_requests, now)
+            if cold_limit is not None:
+                account.cold_bucket.try_take(now)
         return decision
 
     def record_open_requests(
@@ -96,8 +124,12 @@
         account = self._accounts.get(target)
         if account is None:
             self._drop_expired(now)
-            bucket = TokenBucket(self._rng.random(), now)
-            account = _Account(bucket, TargetRoom(now), now)
+            account = _Account(
+                bucket=TokenBucket(self._rng.random(), now),
+                cold_bucket=TokenBucket(1.0, now, burst_seconds=0.0),
+                room=TargetRoom(now),
+                asked_at=now,
+            )
             self._accounts[target] = account
         account.asked_at = now
         return account
@@ -115,9 +147,10 @@
 def _decide_by_rate(
     bucket: TokenBucket, terms: TargetTerms, share: float, now: float
 ) -> Decision:
-    if terms.requests_per_second is None:
+    limit = terms.requests_per_second
+    if limit is None or limit == terms.cold_requests_per_second:
         return Decision(True)
-    bucket.apply_rate(max(MIN_RATE, terms.requests_per_second) * share, now)
+    bucket.apply_rate(max(MIN_RATE, limit) * share, now)
     if bucket.try_take(now):
         return Decision(True)
     return Decision(False, bucket.get_wait(now))
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -1,11 +1,18 @@
 """Asks coordinators for permits, and answers the questions of other daemons."""
 
 import asyncio
+import dataclasses
 import itertools
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from kingcuphead.permits._coordinator import Decision, PermitClaim, PermitCoordinator
+from kingcuphead.permits._cold import ColdBounds, ColdView, NoColdTargets
+from kingcuphead.permits._coordinator import (
+    NO_HOLDER,
+    Decision,
+    PermitClaim,
+    PermitCoordinator,
+)
 from kingcuphead.permits._gate import TargetGate
 from kingcuphead.permits._messages import (
     CoordinatorProbed,
@@ -46,6 +53,8 @@
         Sends a message to one daemon, unacknowledged.
     broadcast
         Sends a message to all other daemons, unacknowledged.
+    cold_view
+        What this daemon knows about cold targets.
     """
 
     def __init__(
@@ -54,11 +63,13 @@
         coordinator: PermitCoordinator,
         send: Callable[[PermitMessage, Address], None],
         broadcast: Callable[[PermitMessage], None],
+        cold_view: ColdView | None = None,
     ) -> None:
         self._own_address = own_address
         self._coordinator = coordinator
         self._send = send
         self._broadcast = broadcast
+        self._cold_view: ColdView = cold_view or NoColdTargets()
         self._terms = TermsTable()
         self._gate = TargetGate()
         self._open_requests: Counter[str] = Counter()
@@ -66,6 +77,12 @@
         self._questions: dict[int, asyncio.Future[Decision]] = {}
         #: Which daemon coordinates the permits of a target.
         self.ranking = CoordinatorRanking(own_address, self._probe)
+        #: Called with each target of which a permit was denied because it is cold.
+        self.report_cold_denial: Callable[[Target], None] = lambda target: None
+
+    def apply_cold_bounds(self, bounds: ColdBounds) -> None:
+        """Replace the bound on the requests to cold targets."""
+        self._coordinator.cold_bounds = bounds
 
     async def run(self) -> None:
         """Report the open requests at brittle targets until cancelled."""
@@ -148,12 +165,14 @@
             case PermitAsked(number):
                 claim = _make_claim(message, sender)
                 decision = self._decide(claim, is_asked=True)
-                answer = PermitAnswered(number, decision.is_granted, decision.wait)
+                answer = PermitAnswered(
+                    number, decision.is_granted, decision.wait, decision.is_holder
+                )
                 self._send(answer, sender)
-            case PermitAnswered(number, is_granted, wait):
+            case PermitAnswered(number, is_granted, wait, is_holder):
                 question = self._questions.get(number)
                 if question is not None and not question.done():
-                    question.set_result(Decision(is_granted, wait))
+                    question.set_result(Decision(is_granted, wait, is_holder))
             case RoomReported():
                 self._apply_room(message, sender)
             case CoordinatorProbed():
@@ -166,10 +185,37 @@
 
     async def _decide_claim(self, target: Target) -> Decision:
         terms = self._terms.get(target.incarnation)
+        limit = self._cold_view.find_cold_limit(target)
+        if limit is not None:
+            terms = terms.restrict(limit.requests_per_second)
+            is_doubtful = not limit.is_certain
+            decision = await self._ask_holders(target, terms, is_doubtful)
+            if not decision.is_granted:
+                self.report_cold_denial(target)
+            return decision
         if terms.is_unlimited:
             return Decision(True)
         return await self._ask_fleet(target, terms)
 
+    async def _ask_holders(
+        self, target: Target, terms: TargetTerms, is_doubtful: bool
+    ) -> Decision:
+        """Ask the owners of a cold target's permits until one of them decides."""
+        identity = target.incarnation
+        count = self._coordinator.cold_bounds.holders
+        for address in self.ranking.list_holders(identity, count):
+            question = self._make_question(target, terms, is_doubtful)
+            if address == self._own_address:
+                claim = _make_claim(question, address)
+                decision: Decision | None = self._decide(claim, is_asked=False)
+            elif self.ranking.is_passed_over(address, _get_time()):
+                continue
+            else:
+                decision = await self._ask(address, question)
+            if decision is not None and decision.is_holder:
+                return decision
+        return NO_HOLDER
+
     async def _ask_fleet(self, target: Target, terms: TargetTerms) -> Decision:
         """Ask the coordinator, then the next one; decide alone if none answers."""
         identity = target.incarnation
@@ -183,7 +229,9 @@
         question = self._make_question(target, terms)
         return self._decide(_make_claim(question, self._own_address), is_asked=False)
 
-    def _make_question(self, target: Target, terms: TargetTerms) -> PermitAsked:
+    def _make_question(
+        self, target: Target, terms: TargetTerms, is_doubtful: bool = False
+    ) -> PermitAsked:
         identity = target.incarnation
         return PermitAsked(
             next(self._numbers),
@@ -191,6 +239,7 @@
             terms,
             target.slots,
             self._open_requests[identity],
+            is_doubtful,
         )
 
     async def _ask(self, address: Address, question: PermitAsked) -> Decision | None:
@@ -209,8 +258,17 @@
 
     def _decide(self, claim: PermitClaim, is_asked: bool) -> Decision:
         now = _get_time()
+        if claim.is_doubtful and self._cold_view.is_known_warm(claim.target):
+            terms = self._terms.get(claim.target)
+            if terms.is_unlimited:
+                return Decision(True)
+            claim = dataclasses.replace(claim, terms=terms)
         share = self.ranking.compute_share(claim.target, is_asked, now)
-        return self._coordinator.decide(claim, share, now)
+        position = None
+        if claim.terms.cold_requests_per_second is not None:
+            holders = self._coordinator.cold_bounds.holders
+            position = self.ranking.find_position(claim.target, holders, now)
+        return self._coordinator.decide(claim, share, now, position)
 
     def _report_room(self, target: str, was_rejected: bool) -> None:
         """Tell the coordinator of a target how many requests are open there."""
@@ -237,7 +295,13 @@
 def _make_claim(question: PermitAsked, sender: Address) -> PermitClaim:
     holder = _name_holder(sender)
     open_requests = OpenRequests(holder, question.number, question.open_requests)
-    return PermitClaim(question.target, question.terms, question.slots, open_requests)
+    return PermitClaim(
+        question.target,
+        question.terms,
+        question.slots,
+        open_requests,
+        question.is_doubtful,
+    )
 
 
 def _name_holder(address: Address) -> str:
--- a/kingcuphead/permits/_messages.py
+++ b/kingcuphead/permits/_messages.py
@@ -20,6 +20,9 @@
     slots: int
     #: Requests that the asking daemon has open there, with this one.
     open_requests: int
+    #: Whether the asking daemon doesn't know if the target is cold, and takes it for
+    #: cold to be safe.
+    is_doubtful: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +35,8 @@
     is_granted: bool
     #: Seconds until the next permit may be had; 0 if this one is granted.
     wait: float
+    #: Whether the daemon that answers owns a part of the permits of the target.
+    is_holder: bool = True
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/permits/_ranking.py
+++ b/kingcuphead/permits/_ranking.py
@@ -28,6 +28,10 @@
 #: Sum of the shares of daemons that don't hear of each other; the rest is for the one
 #: that has not noticed yet that the others no longer ask it.
 ISOLATED_SHARE = 0.75
+#: Seconds for which a daemon that is no longer listed keeps its place in the order of
+#: the owners of cold targets' permits. A restored store may have lost the row of a
+#: daemon that lives; that daemon writes it again within two polls of the list.
+DEPARTURE_PERIOD = 12.0
 #: Number of targets whose order of daemons is kept.
 MAX_RANKED_TARGETS = 512
 #: Number of daemons that is assumed before the list of daemons was read.
@@ -56,15 +60,22 @@
         self._heard_at = float("-inf")
         self._in_contact_since = float("-inf")
         self._ranks: dict[str, tuple[Address, ...]] = {}
+        #: When daemons were last listed that no longer are.
+        self._departed: dict[Address, float] = {}
 
     @property
     def daemons(self) -> int:
         """Number of daemons, this one included."""
         return ASSUMED_DAEMONS if self._peers is None else len(self._peers) + 1
 
-    def apply_peers(self, peers: Iterable[Address]) -> None:
+    def apply_peers(self, peers: Iterable[Address], now: float) -> None:
         """Replace the list of the other daemons."""
-        self._peers = frozenset(peers)
+        peers = frozenset(peers)
+        for address in (self._peers or frozenset()) - peers:
+            self._departed[address] = now
+        for address in peers:
+            self._departed.pop(address, None)
+        self._peers = peers
         self._ranks.clear()
         for state in (self._silent_since, self._probed_at):
             for address in state.keys() - self._peers:
@@ -140,6 +151,65 @@
             return UNCERTAIN_SHARE
         return 1.0
 
+    def list_holders(self, target: str, count: int) -> tuple[Address, ...]:
+        """Return the daemons to ask for permits of a cold target, in order."""
+        return self._rank(target)[:count]
+
+    def is_passed_over(self, address: Address, now: float) -> bool:
+        """Whether a daemon is silent; it is probed until it answers."""
+        is_silent = self._is_silent(address, ANSWER_TIMEOUT, now)
+        if is_silent:
+            self._probe_if_due(address, now)
+        return is_silent
+
+    def find_position(self, target: str, count: int, now: float) -> int | None:
+        """Return this daemon's position among the owners of a cold target's permits.
+
+        A daemon whose list lacks this one takes itself for the owner of the part before
+        its own. So a part is only used once those after it confirm that they know this
+        daemon, whether they can be reached later or not.
+
+        Parameters
+        ----------
+        target
+            Incarnation of the target.
+        count
+            Number of daemons that own a part.
+        now
+            Current time in seconds.
+
+        Returns
+        -------
+        int or None
+            The position; None if this daemon owns no part.
+        """
+        if self._peers is None or self._is_leaving:
+            return None
+        ranks = self._rank_with_departed(target, now)
+        position = ranks.index(self._own_address)
+        if position >= count:
+            return None
+        unconfirmed = [
+            address
+            for address in ranks[position + 1 : count + 1]
+            if address in self._peers and address not in self._confirmed
+        ]
+        for address in unconfirmed:
+            self._probe_if_due(address, now)
+        return None if unconfirmed else position
+
+    def _rank_with_departed(self, target: str, now: float) -> tuple[Address, ...]:
+        ranks = self._rank(target)
+        if not self._departed:
+            return ranks
+        self._departed = {
+            address: departed_at
+            for address, departed_at in self._departed.items()
+            if now - departed_at < DEPARTURE_PERIOD
+        }
+        addresses = {*ranks, *self._departed}
+        return tuple(sorted(addresses, key=lambda each: _score(target, each)))
+
     def _is_confirmed(self, after: tuple[Address, ...], now: float) -> bool:
         """Whether the daemon that would coordinate without this one knows of it."""
         for address in after:
--- a/kingcuphead/permits/_terms.py
+++ b/kingcuphead/permits/_terms.py
@@ -14,6 +14,9 @@
     #: Requests per second that the target can reject for want of room before it
     #: fails; None if it states none.
     rejections_per_second: int | None = None
+    #: Requests per second while the target is, or may be, cold; None if it is warm.
+    #: `requests_per_second` is at most this, for daemons that don't know cold targets.
+    cold_requests_per_second: float | None = None
 
     @property
     def is_unlimited(self) -> bool:
@@ -25,6 +28,13 @@
         """Whether the target may fail when requests find no room."""
         return self.rejections_per_second is not None
 
+    def restrict(self, cold_limit: float) -> "TargetTerms":
+        """Return the terms of the target while it is cold."""
+        limit = cold_limit
+        if self.requests_per_second is not None:
+            limit = min(limit, self.requests_per_second)
+        return TargetTerms(limit, self.rejections_per_second, cold_limit)
+
 
 #: The terms of a target that states nothing.
 NO_TERMS = TargetTerms()
--- a/kingcuphead/permits/tests/_simulation.py
+++ b/kingcuphead/permits/tests/_simulation.py
@@ -38,7 +38,7 @@
 
     def poll(self):
         self.peers = tuple(self._fleet.listed - {self.address})
-        self.ranking.apply_peers(self.peers)
+        self.ranking.apply_peers(self.peers, self._fleet.now)
 
     def decide(self, terms, is_asked):
         share = self.ranking.compute_share(TARGET, is_asked, self._fleet.now)
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -6,6 +6,9 @@
 
 from expression import Error, Ok, Result
 
+from kingcuphead.permits import ColdBounds
+from kingcuphead.platform._numbers import read_number
+
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "KINGCUPHEAD_CONFIG"
 #: Path of the platform's readiness probe.
@@ -60,6 +63,8 @@
     drain: float
     #: Bound on retries per service.
     retries: RetryBudget
+    #: Bound on the requests that a cold target gets in one second.
+    cold_bounds: ColdBounds = ColdBounds()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -127,6 +132,10 @@
             raise _InvalidValueError(key, f"{text!r} is not finite")
         return number
 
+    def get_lenient_number(self, key: str, default: float, fallback: float) -> float:
+        text = self._values.get(key, "")
+        return read_number(key, text, fallback) if text else default
+
     def get_endpoint(self, key: str) -> Endpoint:
         host, _, port = self._values[key].rpartition(":")
         if not host or not port.isdecimal():
@@ -162,4 +171,8 @@
             burst=int(reader.get_number("bounds.retry_budget_burst", 10)),
             window=reader.get_number("bounds.budget_window_s", 10.0),
         ),
+        cold_bounds=ColdBounds(
+            ratio=reader.get_lenient_number("bounds.cold_over", 1.5, 1.0),
+            extra=reader.get_lenient_number("bounds.cold_slack", 5.0, 1.0),
+        ),
     )
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -245,6 +245,7 @@
 struct TargetTerms {
   1: optional double requests_per_second
   2: optional i32 rejections_per_second
+  3: optional double cold_requests_per_second
 }
 
 struct PermitAsked {
@@ -253,6 +254,7 @@
   3: TargetTerms terms
   4: i32 slots
   5: i32 open_requests
+  6: bool is_doubtful = 0
 }
 
 struct RoomReported {
@@ -266,6 +268,7 @@
   1: i64 number
   2: bool is_granted
   3: double wait
+  4: bool is_holder = 1
 }
 
 struct CoordinatorProbed {
