Apply evacuations and cold targets in the entry daemon

Rows of evacuations are read with the configuration, before it; idle connections to evacuated targets are closed. Urgent requests avoid cold targets, the others warm them evenly. Adds the counter of denied permits and gauges of evacuated zones and cold targets.

--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -11,6 +11,7 @@
 import random
 from collections.abc import Callable, Collection, Iterable, Iterator
 
+from kingcuphead.dispatch._cold_costs import ColdCosts
 from kingcuphead.dispatch._messages import (
     AttemptResult,
     DispatchSettings,
@@ -44,6 +45,8 @@
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
+        #: Costs of cold targets.
+        self.cold_costs = ColdCosts(settings)
 
     def place(
         self,
@@ -77,8 +80,10 @@
             return None
         ranked = self._rank(request, available)
         plans = [self._plan_prefill(request, each, ranked, now) for each in ranked]
+        cold_costs = self.cold_costs.compute(request, ranked)
         costs = [
             self._compute_cost(request, target, plan, now)
+            + cold_costs.get(target.name, 0.0)
             for target, plan in zip(ranked, plans, strict=True)
         ]
         cost = min(costs)
@@ -88,12 +93,14 @@
         wait = self._estimate_wait(state, best, plan)
         placement = Placement(best, state, plan, now, wait, choice == 0, cost)
         state.add(placement, request, now)
+        self.cold_costs.record(best)
         self._announce_if_large(plan)
         return placement
 
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
         placement.state.remove(placement)
+        self.cold_costs.withdraw(placement.target)
 
     def record_answer_start(self, placement: Placement, now: float) -> None:
         """Record that the answer of a request has begun; later calls do nothing."""
@@ -117,6 +124,7 @@
     def forget(self, target: Target) -> None:
         """Drop the state of a target that was removed."""
         self._states.pop(target.name, None)
+        self.cold_costs.forget(target)
 
     def _select_available(
         self, candidates: Iterable[Target], excluded: Collection[str], now: float
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -17,6 +17,8 @@
     prompt_tokens: int = 0
     #: Latency objective for the first byte of the answer in seconds.
     objective: float = 1.0
+    #: Whether the request has the most urgent rank.
+    is_urgent: bool = False
 
     @property
     def shared_tokens(self) -> int:
@@ -88,3 +90,8 @@
     #: Cost of a target whose failure rate is 1; also added to a target whose slots
     #: are all taken.
     failure_cost: float = 2.0
+    #: Cost of a cold target for an urgent request.
+    cold_cost: float = 2.0
+    #: Cost, for other requests, of a cold target for each request that it got more than
+    #: the cold target with the fewest.
+    uneven_warming_cost: float = 0.2
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -15,8 +15,12 @@
 from kingcuphead.entry._fleet_links import FleetLinks
 from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
 from kingcuphead.entry._readiness import serve_readiness
-from kingcuphead.entry._table_listeners import ConfigurationListener, TargetListener
-from kingcuphead.entry._table_watch import TableWatch
+from kingcuphead.entry._table_listeners import (
+    ConfigurationListener,
+    EvacuationListener,
+    TargetListener,
+)
+from kingcuphead.entry._table_watch import ListenerGroup, TableWatch
 from kingcuphead.forwarding import (
     AnswerMemory,
     AttemptRunner,
@@ -37,7 +41,14 @@
     read_profile,
 )
 from kingcuphead.routing import RoutingConfiguration, RoutingTable
-from kingcuphead.targets import DirectoryChange, TargetDirectory, TargetLeft
+from kingcuphead.targets import (
+    ColdStart,
+    DirectoryChange,
+    TargetDirectory,
+    TargetLeft,
+    ZoneChange,
+    ZoneEvacuated,
+)
 
 #: Seconds between two sweeps that drop expired entries and idle connections; also the
 #: timeout of one attempt to return credit during shutdown.
@@ -73,8 +84,10 @@
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory()
         self._metrics = DaemonMetrics()
+        self._metrics.observe_targets(self._directory)
         peer_loads = PeerLoads()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
+        self._dispatcher.cold_costs.is_cold = self._directory.is_cold
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._links = FleetLinks(
@@ -87,7 +100,11 @@
             rng,
         )
         self._targets = TargetListener(self._directory, self._handle_change)
+        self._evacuations = EvacuationListener(
+            self._directory, self._handle_zone_change
+        )
         self._links.report_leaving = self._targets.handle_leaving
+        self._links.permits.report_cold_denial = self._metrics.record_cold_denial
         self._connector = Connector(
             self._links.path_monitor,
             self._links.peer_paths,
@@ -157,11 +174,14 @@
         return self._failure is None
 
     def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        configuration = ConfigurationListener(self._apply_configuration)
+        # Evacuations come first: with the configuration this daemon becomes ready.
+        operator = ListenerGroup(
+            (self._evacuations, ConfigurationListener(self._apply_configuration))
+        )
         report_failure = self._directory.record_store_failure
         return [
             TableWatch(
-                self._store, CONFIGURATION_TABLE, configuration, report_failure
+                self._store, CONFIGURATION_TABLE, operator, report_failure
             ).run(),
             TableWatch(self._store, TARGETS_TABLE, self._targets, report_failure).run(),
             self._sweep(),
@@ -216,6 +236,7 @@
         self._store.change_address(f"{profile.store.host}:{profile.store.port}")
         retries = profile.retries
         self._retries.apply(retries.ratio, retries.burst, retries.window)
+        self._links.permits.apply_cold_bounds(profile.cold_bounds)
 
     def _is_ready(self) -> bool:
         return (
@@ -231,6 +252,12 @@
 
     def _apply_configuration(self, configuration: RoutingConfiguration) -> None:
         self._forwarder.apply(RoutingTable(configuration))
+        self._directory.apply_cold_starts(
+            {
+                service.name: ColdStart(service.cold_period, service.cold_limit)
+                for service in configuration.services.values()
+            }
+        )
         self._callers.apply_limits(configuration.limits)
         self._links.credit.apply_limits(
             configuration.organisations.values(), configuration.version
@@ -244,10 +271,19 @@
                 self._dispatcher.forget(change.target)
                 self._links.permits.forget(change.target)
 
+    def _handle_zone_change(self, change: ZoneChange) -> None:
+        if isinstance(change, ZoneEvacuated):
+            for target in change.targets:
+                self._pool.close_address(target.address)
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL)
             self._targets.tick()
+            self._evacuations.tick()
+            # Attempts that were running have returned their connections to the pool.
+            for target in self._directory.list_evacuated():
+                self._pool.close_address(target.address)
             self._pool.sweep()
 
     async def _drain(self, renewal: asyncio.Task[None]) -> None:
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -6,6 +6,7 @@
     CONTENT_TYPE_LATEST,
     CollectorRegistry,
     Counter,
+    Gauge,
     Histogram,
     generate_latest,
 )
@@ -13,6 +14,7 @@
 from tornado.web import Application, RequestHandler
 
 from kingcuphead.forwarding import Refusal, RequestContext
+from kingcuphead.targets import Target, TargetDirectory
 
 #: Port of the metrics endpoint; the deployment file contains it too.
 METRICS_PORT = 9464
@@ -77,6 +79,33 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._cold_denials = Counter(
+            "kingcuphead_cold_denials",
+            "Permits denied because the target is or may be cold, by service.",
+            ("service",),
+            registry=self._registry,
+        )
+        self._evacuated_zones = Gauge(
+            "kingcuphead_evacuated_zones",
+            "Evacuated zones that have targets.",
+            registry=self._registry,
+        )
+        self._cold_targets = Gauge(
+            "kingcuphead_cold_targets",
+            "Targets that are known to be cold.",
+            registry=self._registry,
+        )
+
+    def observe_targets(self, directory: TargetDirectory) -> None:
+        """Read the gauges of targets from the directory whenever they are scraped."""
+        self._evacuated_zones.set_function(
+            lambda: len(directory.list_evacuated_zones())
+        )
+        self._cold_targets.set_function(lambda: directory.cold_count)
+
+    def record_cold_denial(self, target: Target) -> None:
+        """Count a permit that was denied because the target is cold."""
+        self._cold_denials.labels(self._choose_label(target.service)).inc()
 
     def record(self, context: RequestContext, refusal: Refusal | None) -> None:
         """Record a request that ended, with its refusal if it was refused."""
--- a/kingcuphead/entry/_table_listeners.py
+++ b/kingcuphead/entry/_table_listeners.py
@@ -1,4 +1,4 @@
-"""Listeners that decode table rows into configuration versions and targets."""
+"""Listeners that decode table rows into configurations, evacuations and targets."""
 
 import time
 from collections.abc import Callable, Iterable, Iterator
@@ -10,6 +10,7 @@
     CONFIGURATION_KEY,
     Change,
     decode_configuration,
+    decode_evacuated_zone,
     decode_target,
 )
 from kingcuphead.routing import RoutingConfiguration
@@ -20,8 +21,14 @@
     TargetAdded,
     TargetDirectory,
     TargetLeft,
+    ZoneChange,
+    ZoneEvacuated,
+    ZoneReadmitted,
 )
 
+#: Characters of a zone's name in a log line.
+MAX_LOGGED_NAME = 100
+
 
 class ConfigurationListener:
     """Applies each configuration version that is higher than the current one.
@@ -66,6 +73,68 @@
                 logger.error("cannot decode configuration: {}", cause)
 
 
+class EvacuationListener:
+    """Excludes the targets of the zones that the operator evacuates.
+
+    Parameters
+    ----------
+    directory
+        Directory that is updated.
+    handle_change
+        Called with each change of the evacuated zones.
+    """
+
+    def __init__(
+        self,
+        directory: TargetDirectory,
+        handle_change: Callable[[ZoneChange], None],
+    ) -> None:
+        self._directory = directory
+        self._handle_change = handle_change
+        self._reported: set[str] = set()
+
+    def apply_snapshot(self, rows: Iterable[Row]) -> None:
+        """Replace the evacuated zones by those of the complete table."""
+        zones = (decode_evacuated_zone(row.key) for row in rows)
+        self._publish(
+            self._directory.replace_evacuated_zones(
+                zone for zone in zones if zone is not None
+            )
+        )
+
+    def apply_changes(self, changes: Iterable[Change]) -> None:
+        """Apply changes in the order in which they were committed."""
+        for change in changes:
+            zone = decode_evacuated_zone(change.key)
+            if zone is None:
+                continue
+            if change.value is None:
+                self._publish(self._directory.readmit_zone(zone))
+            else:
+                self._publish(self._directory.evacuate_zone(zone))
+
+    def tick(self) -> None:
+        """Log each evacuated zone that no target is in, once."""
+        unknown = set(self._directory.list_unknown_zones())
+        for zone in sorted(unknown - self._reported):
+            logger.bind(zone=zone[:MAX_LOGGED_NAME]).warning(
+                "evacuation of a zone without targets has no effect"
+            )
+        self._reported = unknown
+
+    def _publish(self, changes: Iterator[ZoneChange]) -> None:
+        for change in changes:
+            bound = logger.bind(
+                zone=change.zone[:MAX_LOGGED_NAME], targets=len(change.targets)
+            )
+            match change:
+                case ZoneEvacuated():
+                    bound.info("evacuation of zone begins")
+                case ZoneReadmitted():
+                    bound.info("evacuation of zone ends")
+            self._handle_change(change)
+
+
 class TargetListener:
     """Updates the target directory from the entries of targets.
 
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -3,7 +3,7 @@
 import asyncio
 import dataclasses
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Sequence
 from typing import Protocol
 
 from expression import Result
@@ -40,6 +40,31 @@
         ...
 
 
+class ListenerGroup:
+    """Passes the contents of a table to several listeners, in order.
+
+    Parameters
+    ----------
+    listeners
+        Listeners for different rows of the table.
+    """
+
+    def __init__(self, listeners: Sequence[TableListener]) -> None:
+        self._listeners = listeners
+
+    def apply_snapshot(self, rows: Iterable[Row]) -> None:
+        """Apply the complete contents of the table."""
+        rows = tuple(rows)
+        for listener in self._listeners:
+            listener.apply_snapshot(rows)
+
+    def apply_changes(self, changes: Iterable[Change]) -> None:
+        """Apply changes in the order in which they were committed."""
+        changes = tuple(changes)
+        for listener in self._listeners:
+            listener.apply_changes(changes)
+
+
 class TableWatch:
     """Passes the contents of a table, and then its changes, to a listener.
 
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -16,6 +16,8 @@
 
 #: Characters of the names of a prompt's parts in a log line.
 MAX_LOGGED_PARTS = 200
+#: Rank of the requests that go before all others.
+MOST_URGENT_RANK = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -132,7 +134,11 @@
         """Return the properties by which the dispatcher chooses a target."""
         size = self.request.size
         if size is None:
-            return PlacementRequest(self.service, objective=self.route.objective)
+            return PlacementRequest(
+                self.service,
+                objective=self.route.objective,
+                is_urgent=self.rank == MOST_URGENT_RANK,
+            )
         prefixes = []
         tokens = 0
         key = ""
@@ -141,7 +147,11 @@
             key = f"{key}/{part.name}"
             prefixes.append(SharedPrefix(key, tokens))
         return PlacementRequest(
-            self.service, tuple(prefixes), size.prompt_tokens, self.route.objective
+            self.service,
+            tuple(prefixes),
+            size.prompt_tokens,
+            self.route.objective,
+            self.rank == MOST_URGENT_RANK,
         )
 
     def _describe_parts(self) -> str:
