--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -1,13 +1,14 @@
 """Parser of the settings file that the platform writes for each process."""
 
 import dataclasses
-import functools
 import math
 import re
 from collections.abc import Iterator, Mapping
 
 from expression import Error, Ok, Result
-from loguru import logger
+
+from kingcuphead.permits import ColdBounds
+from kingcuphead.platform._numbers import read_number
 
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "KINGCUPHEAD_CONFIG"
@@ -81,6 +82,8 @@
     limits: InstanceLimits = InstanceLimits()
     #: Whether callers may need more than instances or targets can serve.
     has_scarce_capacity: bool = False
+    #: Bound on the requests that a cold target gets in one second.
+    cold_bounds: ColdBounds = ColdBounds()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -122,8 +125,6 @@
 #: Share of the cores that an unreadable share counts as; with the fewest cores it makes
 #: the smallest processor of an instance.
 _SMALLEST_CPU_SHARE = 0.31
-#: Characters of an invalid value that are logged.
-_MAX_LOGGED = 100
 
 _REQUIRED = ("node", "zone", "ip", "listen.front", "listen.ready", "platform.address")
 
@@ -159,20 +160,15 @@
     def get_limit(self, key: str, default: float, fallback: float) -> float:
         """Return a positive number: the fallback if it is invalid."""
         text = self._values.get(key, "")
-        if not text:
-            return default
-        try:
-            number = float(text)
-        except ValueError:
-            number = 0.0
-        if math.isfinite(number) and number > 0:
-            return number
-        _warn_once(key, text[:_MAX_LOGGED])
-        return fallback
+        return read_number(key, text, fallback, is_positive=True) if text else default
 
     def get_names(self, key: str) -> frozenset[str]:
         return frozenset(re.findall(r"[\w-]+", self._values.get(key, "")))
 
+    def get_lenient_number(self, key: str, default: float, fallback: float) -> float:
+        text = self._values.get(key, "")
+        return read_number(key, text, fallback) if text else default
+
     def get_endpoint(self, key: str) -> Endpoint:
         host, _, port = self._values[key].rpartition(":")
         if not host or not port.isdecimal():
@@ -191,12 +187,6 @@
             yield key.strip(), value.strip()
 
 
-@functools.lru_cache(maxsize=64)
-def _warn_once(key: str, text: str) -> None:
-    """Log an invalid limit; the settings are read again every few seconds."""
-    logger.bind(key=key, value=text).warning("invalid limit; using the smallest")
-
-
 def _make_limits(reader: _ValueReader) -> InstanceLimits:
     smallest = InstanceLimits()
     return InstanceLimits(
@@ -233,4 +223,8 @@
         has_scarce_capacity=not _SCARCITY_CONTRACTS.isdisjoint(
             reader.get_names("contracts")
         ),
+        cold_bounds=ColdBounds(
+            ratio=reader.get_lenient_number("bounds.cold_over", 1.5, 1.0),
+            extra=reader.get_lenient_number("bounds.cold_slack", 5.0, 1.0),
+        ),
     )
