Ask the daemons with most free credit, several at once, and move reserves on request

A request that lacked credit asked 12 random daemons one after the other for what they had free; reserves weren't transferred. Near the end of small budgets what was left lay scattered over free credit and reserves, and requests were refused.

Replies now state what the sender still has free and in its reserve. A round asks the daemons without a fresh statement for one, then those with most credit for tokens, in parallel. A daemon that has too little free moves the missing part of its reserve by a transaction of its holder row alone, so a later incarnation doesn't reclaim it.

--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -21,6 +21,8 @@
 FRESH_BUDGET_MAX_AGE_SECONDS = 0.2
 #: Share of the desired free tokens below which credit is renewed at once.
 LOW_CREDIT_SHARE = 0.5
+#: Seconds for which a request of another daemon for tokens of the reserve is open.
+RESERVE_REQUEST_SECONDS = 0.3
 #: Weight of the newest request in the moving average of tokens per request.
 REQUEST_TOKENS_WEIGHT = 0.2
 
@@ -90,6 +92,8 @@
         self.unreported = 0
         #: Tokens that waiting requests need.
         self.waiting_tokens = 0
+        self._requested_reserve = 0
+        self._requested_until = float("-inf")
         #: Tokens spent since the incarnation started.
         self.spent = 0
         #: Tokens transferred to other daemons, less those transferred from them, since
@@ -166,12 +170,37 @@
 
         Tokens that local requests wait for are not transferred.
         """
-        spare = 0 if self._is_overdrawn() else self.free - self.waiting_tokens
-        transferred = max(0, min(tokens, spare))
+        transferred = max(0, min(tokens, self.count_transferable()))
         self.free -= transferred
         self.transferred += transferred
         return transferred
 
+    def count_transferable(self) -> int:
+        """Return the free tokens that no local request waits for."""
+        if self._is_overdrawn():
+            return 0
+        return max(0, self.free - self.waiting_tokens)
+
+    def count_surplus(self, now: float) -> int:
+        """Return the free tokens beyond what the demand here needs."""
+        needed = self._get_demand(now) * self._settings.free_seconds
+        return max(0, self.count_transferable() - math.ceil(needed))
+
+    def request_reserve(self, tokens: int, now: float) -> None:
+        """Plan to move tokens from the reserve to the free credit.
+
+        The reserve of the holder row shrinks by the same transaction, so a later
+        incarnation doesn't reclaim tokens that were transferred.
+        """
+        self._requested_reserve = max(self.count_requested_reserve(now), tokens)
+        self._requested_until = now + RESERVE_REQUEST_SECONDS
+
+    def count_requested_reserve(self, now: float) -> int:
+        """Return the tokens of the reserve that other daemons have asked for."""
+        if now > self._requested_until or self._is_overdrawn():
+            return 0
+        return min(self._requested_reserve, self.reserve)
+
     def transfer_in(self, tokens: int) -> None:
         """Add tokens received from another daemon."""
         self.free += tokens
@@ -182,15 +211,17 @@
 
         Tokens released since the last committed transaction count towards the share.
         """
-        releasable = math.floor((self.reserve + self.released_reserve) * share)
         missing = max(0, tokens - self.free)
-        released = min(
-            missing, max(0, releasable - self.released_reserve), self.reserve
-        )
+        released = min(missing, self.count_releasable(share))
         self.free += released
         self.reserve -= released
         self.released_reserve += released
 
+    def count_releasable(self, share: float) -> int:
+        """Return the tokens of the reserve that are released, up to a share of it."""
+        releasable = math.floor((self.reserve + self.released_reserve) * share)
+        return min(max(0, releasable - self.released_reserve), self.reserve)
+
     def is_low(self, now: float) -> bool:
         """Whether so little is free that a renewal should not wait for its interval.
 
@@ -211,6 +242,8 @@
         age = now - self._budget_read_at
         if not self.is_budget_known:
             return self._has_use_for_credit(now)
+        if self.count_requested_reserve(now):
+            return False
         if self.waiting_tokens > self.free or self.unreported or self.is_low(now):
             return age > FRESH_BUDGET_MAX_AGE_SECONDS
         return self.free + self.reserve > 0 and age > BUDGET_MAX_AGE_SECONDS
@@ -227,6 +260,9 @@
         """
         if self._is_overdrawn():
             adjustment = Adjustment(-self.free, -self.reserve, self.unreported)
+        elif requested := self.count_requested_reserve(now):
+            # Changes no shard, so it can't conflict with other daemons.
+            adjustment = Adjustment(requested, -requested, 0)
         else:
             free, reserve = self._plan_changes(now)
             if not may_allocate and free + reserve > 0:
@@ -247,6 +283,8 @@
 
     def confirm(self, adjustment: Adjustment) -> None:
         """Add the tokens that a committed transaction allocated."""
+        if adjustment.reserve < 0 < adjustment.free:
+            self._requested_reserve = 0
         self.free += max(0, adjustment.free)
         self.reserve += max(0, adjustment.reserve)
 
--- a/kingcuphead/credit/_contact.py
+++ b/kingcuphead/credit/_contact.py
@@ -1,5 +1,8 @@
 """When the platform's store last answered one daemon, for any organisation."""
 
+#: Seconds after which a call without an answer counts as a sign of an outage.
+SILENT_SECONDS = 0.12
+
 
 class StoreContact:
     """Records the calls of all organisations' renewals to the store."""
@@ -17,3 +20,9 @@
     def record_answer(self) -> None:
         """Record that the store has answered a call."""
         self.silent_since = None
+
+    def is_silent(self, now: float) -> bool:
+        """Whether a call has waited for its answer for longer than usual."""
+        return (
+            self.silent_since is not None and now - self.silent_since > SILENT_SECONDS
+        )
--- a/kingcuphead/credit/_ledger.py
+++ b/kingcuphead/credit/_ledger.py
@@ -1,6 +1,6 @@
 """The credit of all organisations in one daemon."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Callable, Iterable, Iterator
 
 from kingcuphead.credit._contact import StoreContact
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold
@@ -37,6 +37,8 @@
         self._ledgers: dict[str, OrganisationLedger] = {}
         self._daemons = 1
         self._contact = StoreContact()
+        #: Called with an organisation of which another daemon needs the reserve.
+        self.report_reserve_requested: Callable[[str], None] | None = None
 
     @property
     def is_empty(self) -> bool:
@@ -119,6 +121,35 @@
         account.release_reserve(needed, ledger.get_released_share(now))
         return account.transfer_out(tokens)
 
+    def transfer_surplus(self, organisation: str, tokens: int, now: float) -> int:
+        """Deduct at most `tokens` of what the demand here doesn't need."""
+        account = self.get_organisation(organisation).account
+        return account.transfer_out(min(tokens, account.count_surplus(now)))
+
+    def count_transferable(self, organisation: str, now: float) -> int:
+        """Return the tokens that could be transferred at once."""
+        ledger = self.get_organisation(organisation)
+        released = ledger.account.count_releasable(ledger.get_released_share(now))
+        return ledger.account.count_transferable() + released
+
+    def count_movable_reserve(self, organisation: str, now: float) -> int:
+        """Return the tokens of the reserve that a transaction can make free.
+
+        There are none while the store doesn't answer this daemon.
+        """
+        ledger = self.get_organisation(organisation)
+        if not ledger.can_move_reserve(now):
+            return 0
+        return ledger.account.reserve
+
+    def request_reserve(self, organisation: str, tokens: int, now: float) -> None:
+        """Move tokens from the reserve to the free credit by the next transaction."""
+        if not self.count_movable_reserve(organisation, now):
+            return
+        self.get_organisation(organisation).account.request_reserve(tokens, now)
+        if self.report_reserve_requested is not None:
+            self.report_reserve_requested(organisation)
+
     def transfer_in(self, organisation: str, tokens: int) -> None:
         """Add tokens received from another daemon."""
         self.get_organisation(organisation).account.transfer_in(tokens)
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -216,6 +216,12 @@
         age = now - min(times) - self._settings.clock_margin
         return self._settings.get_released_share(age)
 
+    def can_move_reserve(self, now: float) -> bool:
+        """Whether a transaction can move tokens from the reserve to the free credit."""
+        if self._is_closing or self._in_doubt or not self.account.is_budget_known:
+            return False
+        return not self._contact.is_silent(now)
+
     def close(self) -> None:
         """Return all free credit and the reserve from the next transaction on."""
         self._is_closing = True
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -162,7 +162,8 @@
 
     async def _wait_for_next_renewal(self) -> None:
         self._wake.clear()
-        if self._ledger.account.waiting_tokens:
+        account = self._ledger.account
+        if account.waiting_tokens or account.count_requested_reserve(_get_time()):
             await asyncio.sleep(
                 RETRY_DELAY_SECONDS if self.is_store_down else WAITING_RENEWAL_SECONDS
             )
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -56,6 +56,7 @@
         self._tasks: asyncio.TaskGroup | None = None
         #: Requests credit transfers from other daemons; None if transfers are disabled.
         self.transfer_client: TransferClient | None = None
+        ledger.report_reserve_requested = self._wake_renewal
 
     @property
     def ledger(self) -> CreditLedger:
@@ -139,6 +140,9 @@
                 self._tasks.create_task(renewal.run())
         return renewal
 
+    def _wake_renewal(self, organisation: str) -> None:
+        self._get_renewal(organisation).wake()
+
     async def _acquire_hold(
         self, organisation: str, tokens: int, timeout: float
     ) -> Result[Hold, CreditRefused]:
--- a/kingcuphead/credit/_transfer.py
+++ b/kingcuphead/credit/_transfer.py
@@ -3,6 +3,10 @@
 A daemon deducts the tokens it transfers before it sends the reply, and the requester
 applies each reply once. A lost reply leaves its tokens charged, and no token can be
 spent twice.
+
+Only free credit is transferred. A daemon that lacks it moves a part of its outage
+reserve to its free credit by a transaction (see `_account`), and the requester asks
+again once that is committed.
 """
 
 import dataclasses
@@ -12,11 +16,16 @@
 
 #: Maximum number of sent replies kept for resending, and of requests kept open.
 MAX_RETAINED_MESSAGES = 4_096
+#: Value of an amount that a reply doesn't state.
+UNSTATED = -1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class CreditAsked:
-    """A daemon's request for a credit transfer from another daemon."""
+    """A daemon's request for a credit transfer from another daemon.
+
+    A request for 0 tokens asks only what the other daemon could transfer.
+    """
 
     #: Identity of the requesting incarnation.
     sender: str
@@ -24,8 +33,10 @@
     number: int
     #: Organisation that pays.
     organisation: str
-    #: Tokens requested.
+    #: Tokens that requests lack.
     tokens: int
+    #: Further tokens, of what the other daemon doesn't need for its own demand.
+    extra: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,6 +49,11 @@
     number: int
     #: Tokens transferred, often fewer than requested.
     tokens: int
+    #: Tokens that the sender could still transfer at once; `UNSTATED` if it is of a
+    #: release that doesn't state them.
+    free: int = UNSTATED
+    #: Tokens of the sender's reserve that it can move to its free credit on request.
+    reserve: int = 0
 
 
 class TransferEndpoint:
@@ -58,13 +74,15 @@
         self._open: OrderedDict[int, str] = OrderedDict()
         self._replies: OrderedDict[tuple[str, int], CreditHanded] = OrderedDict()
 
-    def create_request(self, organisation: str, tokens: int) -> CreditAsked:
+    def create_request(
+        self, organisation: str, tokens: int, extra: int = 0
+    ) -> CreditAsked:
         """Open a transfer request and return it; it may be sent several times."""
         self._number += 1
         self._open[self._number] = organisation
         if len(self._open) > MAX_RETAINED_MESSAGES:
             self._open.popitem(last=False)
-        return CreditAsked(self._incarnation, self._number, organisation, tokens)
+        return CreditAsked(self._incarnation, self._number, organisation, tokens, extra)
 
     def handle_request(self, request: CreditAsked, now: float) -> CreditHanded:
         """Deduct spare credit and return the reply.
@@ -75,8 +93,7 @@
         sent = self._replies.get(key)
         if sent is not None:
             return sent
-        tokens = self._ledger.transfer_out(request.organisation, request.tokens, now)
-        reply = CreditHanded(request.sender, request.number, tokens)
+        reply = self._transfer(request, now)
         self._replies[key] = reply
         if len(self._replies) > MAX_RETAINED_MESSAGES:
             self._replies.popitem(last=False)
@@ -91,3 +108,17 @@
             return False
         self._ledger.transfer_in(organisation, reply.tokens)
         return True
+
+    def _transfer(self, request: CreditAsked, now: float) -> CreditHanded:
+        ledger, organisation = self._ledger, request.organisation
+        tokens = ledger.transfer_out(organisation, request.tokens, now)
+        if tokens < request.tokens:
+            ledger.request_reserve(organisation, request.tokens - tokens, now)
+        tokens += ledger.transfer_surplus(organisation, request.extra, now)
+        return CreditHanded(
+            request.sender,
+            request.number,
+            tokens,
+            ledger.count_transferable(organisation, now),
+            ledger.count_movable_reserve(organisation, now),
+        )
--- a/kingcuphead/credit/_transfer_client.py
+++ b/kingcuphead/credit/_transfer_client.py
@@ -1,34 +1,91 @@
-"""Requests credit transfers from other daemons, one after the other."""
+"""Requests credit transfers from other daemons, several at once."""
 
 import asyncio
+import dataclasses
 import random
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterable
 
 from loguru import logger
 
+from kingcuphead.credit._peer_credit import Address, PeerStatements, PlannedRequest
 from kingcuphead.credit._transfer import CreditAsked, CreditHanded, TransferEndpoint
 
 #: Seconds to wait for a reply before the request is sent again or abandoned.
 REPLY_TIMEOUT_SECONDS = 0.04
 #: Maximum number of times that a request is sent to one daemon.
 MAX_SENDS = 2
-#: Maximum number of daemons asked to cover one shortage.
-MAX_PEERS = 12
-#: Number of daemons without a reply after which a request is abandoned: most likely
-#: this daemon is cut off from the others.
+#: Maximum number of daemons asked at once what they have.
+MAX_PARALLEL_PROBES = 32
+#: Maximum number of daemons asked what they have to cover one shortage.
+MAX_PROBES = 96
+#: Number of daemons without a reply after which a round is abandoned: most likely this
+#: daemon is cut off from the others.
 MAX_UNRESPONSIVE_PEERS = 3
 #: Seconds for which a daemon that did not reply is skipped.
 UNRESPONSIVE_SECONDS = 2.0
+#: Seconds after which a round is abandoned.
+MAX_ROUND_SECONDS = 0.3
 #: Seconds for which no transfer is requested for an organisation after all daemons
 #: asked had too few tokens together.
 SHORTAGE_SECONDS = 0.2
 
-Address = tuple[str, int]
+
+@dataclasses.dataclass(slots=True)
+class _Round:
+    """The transfers that cover what the requests of one organisation lack now."""
+
+    #: Organisation that pays.
+    organisation: str
+    #: Time in seconds at which the round is abandoned.
+    deadline: float
+    #: Tokens that requests lacked when they joined the round.
+    wanted: int = 0
+    #: The least of these.
+    least: int = 0
+    #: Further tokens to ask for, of what other daemons don't need.
+    extra: int = 0
+    #: Tokens received.
+    received: int = 0
+    #: Daemons asked what they have.
+    probed: int = 0
+    #: Daemons that sent a reply.
+    replied: int = 0
+    #: Daemons that sent none in time.
+    unresponsive: int = 0
+
+    @property
+    def missing(self) -> int:
+        """Tokens that are still missing."""
+        return max(0, self.wanted - self.received)
+
+    @property
+    def is_cut_off(self) -> bool:
+        """Whether no daemon replies, most likely because this one is cut off."""
+        return not self.replied and self.unresponsive >= MAX_UNRESPONSIVE_PEERS
+
+    def join(self, tokens: int, extra: int) -> None:
+        """Add what one request lacks."""
+        self.least = min(tokens, self.least) if self.wanted else tokens
+        self.wanted += tokens
+        self.extra = max(self.extra, extra)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Pending:
+    """A request that was sent."""
+
+    peer: Address
+    request: CreditAsked
+    round: _Round
+    replied: asyncio.Future[None]
 
 
 class TransferClient:
     """Sends this daemon's transfer requests and matches replies to them.
 
+    One round of requests runs at a time for each organisation; requests of callers that
+    lack credit meanwhile join it.
+
     Parameters
     ----------
     endpoint
@@ -52,64 +109,206 @@
         self._send = send
         self._list_peers = list_peers
         self._rng = rng
-        self._pending: dict[int, asyncio.Future[int]] = {}
+        self._statements = PeerStatements()
+        self._pending: dict[int, _Pending] = {}
+        self._rounds: dict[str, tuple[_Round, asyncio.Task[None]]] = {}
         self._unresponsive_until: dict[Address, float] = {}
         self._short_until: dict[str, float] = {}
 
-    async def request_credit(self, organisation: str, tokens: int) -> None:
-        """Request transfers until enough is received or all chosen peers were asked."""
-        now = asyncio.get_running_loop().time()
-        if tokens <= 0 or now < self._short_until.get(organisation, 0.0):
+    async def request_credit(
+        self, organisation: str, tokens: int, extra: int = 0
+    ) -> None:
+        """Request transfers until enough is received or no daemon has more.
+
+        Parameters
+        ----------
+        organisation
+            Organisation that pays.
+        tokens
+            Tokens that a request lacks.
+        extra
+            Further tokens, of what other daemons don't need for their own demand.
+        """
+        now = _get_time()
+        if tokens <= 0 and extra <= 0:
             return
-        missing = tokens
-        peer_count = unresponsive_count = 0
-        for peer in self._choose_peers(now):
-            peer_count += 1
-            missing -= await self._request_from(peer, organisation, missing)
-            unresponsive_count += peer in self._unresponsive_until
-            if missing <= 0 or unresponsive_count >= MAX_UNRESPONSIVE_PEERS:
-                break
-        else:
-            self._short_until[organisation] = now + SHORTAGE_SECONDS
-        logger.bind(organisation=organisation).info(
-            "credit borrowed: {} of {} tokens, {} daemons asked",
-            tokens - max(0, missing),
-            tokens,
-            peer_count,
-        )
+        if now < self._short_until.get(organisation, 0.0):
+            return
+        running = self._rounds.get(organisation)
+        if running is None:
+            round_ = _Round(organisation, now + MAX_ROUND_SECONDS)
+            running = round_, asyncio.create_task(self._run_round(round_))
+            self._rounds[organisation] = running
+        running[0].join(max(0, tokens), max(0, extra))
+        # The round serves other requests too.
+        await asyncio.shield(running[1])
 
     def handle_reply(self, reply: CreditHanded) -> None:
         """Apply a reply, including one that arrives after the timeout."""
         pending = self._pending.pop(reply.number, None)
         is_applied = self._endpoint.handle_reply(reply)
-        if pending is not None and not pending.done():
-            pending.set_result(reply.tokens if is_applied else 0)
+        if pending is None or not is_applied:
+            return
+        request, round_ = pending.request, pending.round
+        round_.received += reply.tokens
+        round_.replied += 1
+        self._unresponsive_until.pop(pending.peer, None)
+        self._statements.record(
+            request.organisation, pending.peer, request.tokens, reply, _get_time()
+        )
+        if not pending.replied.done():
+            pending.replied.set_result(None)
+
+    async def _run_round(self, round_: _Round) -> None:
+        try:
+            # Requests that arrive together join before the first message.
+            await asyncio.sleep(0)
+            is_short = await self._collect(round_)
+        finally:
+            del self._rounds[round_.organisation]
+        if is_short:
+            until = _get_time() + SHORTAGE_SECONDS
+            self._short_until[round_.organisation] = until
+        logger.bind(organisation=round_.organisation).info(
+            "credit borrowed: {} of {} tokens, {} replies of daemons, {} missing",
+            round_.received,
+            round_.wanted,
+            round_.replied,
+            round_.unresponsive,
+        )
+
+    async def _collect(self, round_: _Round) -> bool:
+        """Request what is missing; return whether the daemons asked had too little."""
+        while not round_.is_cut_off and _get_time() < round_.deadline:
+            peers = self._list_responsive_peers()
+            if not self._knows_enough(round_, peers):
+                if await self._probe(round_, peers):
+                    continue
+                if not self._may_serve_one(round_, peers):
+                    return True
+            if await self._request_missing(round_, peers):
+                if not round_.missing:
+                    return False
+                continue
+            ready_at = self._statements.find_ready_time(
+                round_.organisation, peers, _get_time()
+            )
+            if ready_at is None:
+                return True
+            await asyncio.sleep(ready_at - _get_time())
+        return bool(round_.missing)
+
+    def _knows_enough(self, round_: _Round, peers: tuple[Address, ...]) -> bool:
+        """Whether the free credit known of covers what is missing."""
+        now = _get_time()
+        free, _ = self._statements.count_known(round_.organisation, peers, now)
+        return free >= max(1, round_.missing)
 
-    async def _request_from(self, peer: Address, organisation: str, tokens: int) -> int:
-        """Request tokens from a daemon and return how many it transfers.
+    def _may_serve_one(self, round_: _Round, peers: tuple[Address, ...]) -> bool:
+        """Whether what is known of may serve the smallest request that waits.
 
-        Returns 0 if the daemon does not reply.
+        Tokens that serve none stay where they are, since they may serve others there.
         """
-        request = self._endpoint.create_request(organisation, tokens)
-        loop = asyncio.get_running_loop()
-        transferred: asyncio.Future[int] = loop.create_future()
-        self._pending[request.number] = transferred
+        now = _get_time()
+        known = sum(self._statements.count_known(round_.organisation, peers, now))
+        return known + round_.received >= max(1, round_.least)
+
+    async def _probe(self, round_: _Round, peers: tuple[Address, ...]) -> bool:
+        """Ask some daemons what they have; return False if none is left to ask."""
+        unknown = self._statements.list_unknown(round_.organisation, peers, _get_time())
+        count = min(MAX_PARALLEL_PROBES, MAX_PROBES - round_.probed, len(unknown))
+        if count <= 0:
+            return False
+        round_.probed += count
+        chosen = self._rng.sample(unknown, count)
+        await self._exchange(
+            round_,
+            [PlannedRequest(peer) for peer in chosen],
+            lambda: self._knows_enough(round_, peers),
+        )
+        return True
+
+    async def _request_missing(
+        self, round_: _Round, peers: tuple[Address, ...]
+    ) -> bool:
+        """Request what is missing; return False if no daemon is ready to be asked."""
+        planned = self._statements.plan_requests(
+            round_.organisation, round_.missing or round_.extra, peers, _get_time()
+        )
+        if not planned:
+            return False
+        if round_.missing:
+            extra = round_.extra // len(planned)
+            planned = tuple(dataclasses.replace(each, extra=extra) for each in planned)
+        else:
+            planned = tuple(
+                PlannedRequest(each.peer, 0, each.tokens) for each in planned
+            )
+        await self._exchange(round_, planned, lambda: not round_.missing)
+        return True
+
+    async def _exchange(
+        self,
+        round_: _Round,
+        planned: Iterable[PlannedRequest],
+        suffices: Callable[[], bool],
+    ) -> None:
+        """Send requests and wait until the replies suffice, all came, or time out."""
+        sent = [self._open(round_, each) for each in planned]
         try:
             for _ in range(MAX_SENDS):
-                self._send(request, peer)
-                await asyncio.wait([transferred], timeout=REPLY_TIMEOUT_SECONDS)
-                if transferred.done():
-                    self._unresponsive_until.pop(peer, None)
-                    return transferred.result()
+                for each in sent:
+                    if not each.replied.done():
+                        self._send(each.request, each.peer)
+                if await _wait_for_replies(sent, suffices):
+                    return
         finally:
-            self._pending.pop(request.number, None)
-        self._unresponsive_until[peer] = loop.time() + UNRESPONSIVE_SECONDS
-        return 0
+            for each in sent:
+                self._pending.pop(each.request.number, None)
+        self._record_unresponsive(round_, sent)
+
+    def _open(self, round_: _Round, planned: PlannedRequest) -> _Pending:
+        request = self._endpoint.create_request(
+            round_.organisation, planned.tokens, planned.extra
+        )
+        replied: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        pending = _Pending(planned.peer, request, round_, replied)
+        self._pending[request.number] = pending
+        return pending
 
-    def _choose_peers(self, now: float) -> Iterator[Address]:
-        peers = [
+    def _record_unresponsive(self, round_: _Round, sent: Iterable[_Pending]) -> None:
+        until = _get_time() + UNRESPONSIVE_SECONDS
+        for each in sent:
+            if not each.replied.done():
+                round_.unresponsive += 1
+                self._unresponsive_until[each.peer] = until
+                self._statements.forget(round_.organisation, each.peer)
+
+    def _list_responsive_peers(self) -> tuple[Address, ...]:
+        now = _get_time()
+        return tuple(
             peer
             for peer in self._list_peers()
             if self._unresponsive_until.get(peer, 0.0) <= now
-        ]
-        yield from self._rng.sample(peers, min(MAX_PEERS, len(peers)))
+        )
+
+
+async def _wait_for_replies(
+    sent: Iterable[_Pending], suffices: Callable[[], bool]
+) -> bool:
+    """Wait for replies; return False after `REPLY_TIMEOUT_SECONDS`."""
+    end = _get_time() + REPLY_TIMEOUT_SECONDS
+    while True:
+        open_ = [each.replied for each in sent if not each.replied.done()]
+        if not open_ or suffices():
+            return True
+        remaining = end - _get_time()
+        if remaining <= 0:
+            return False
+        await asyncio.wait(
+            open_, timeout=remaining, return_when=asyncio.FIRST_COMPLETED
+        )
+
+
+def _get_time() -> float:
+    return asyncio.get_running_loop().time()
--- a/kingcuphead/credit/tests/test_random_runs.py
+++ b/kingcuphead/credit/tests/test_random_runs.py
@@ -22,11 +22,12 @@
 from kingcuphead.credit._rows import select_shards
 from kingcuphead.credit.tests._store import FaultyStore, renew
 from kingcuphead.routing import Organisation
-from kingcuphead.storage import Committed, Conflict
+from kingcuphead.storage import Committed, Conflict, Unknown
 
 NAMES = ("atelier", "builder")
 STEP = 0.1
 SETTINGS = CreditSettings()
+HANDLE_OUTCOME = OrganisationLedger.handle_outcome
 
 
 class Daemon:
@@ -62,6 +63,7 @@
         store = self.simulation.store
         for name in NAMES:
             ledger = self.ledger.get_organisation(name)
+            requested = ledger.account.count_requested_reserve(store.now)
             outcome = renew(
                 self.ledger,
                 store,
@@ -70,6 +72,7 @@
                 attempts=4,
             )
             if isinstance(outcome, Committed):
+                self.simulation.moved_reserves += bool(requested)
                 self.reclaim(name, ledger)
 
     def see_era(self):
@@ -121,7 +124,9 @@
 
     def request_transfer(self):
         rng = self.simulation.rng
-        request = self.endpoint.create_request(rng.choice(NAMES), rng.randint(1, 2_000))
+        tokens = rng.choice((0, rng.randint(1, 2_000)))
+        extra = rng.choice((0, rng.randint(1, 2_000)))
+        request = self.endpoint.create_request(rng.choice(NAMES), tokens, extra)
         peer = rng.choice(self.simulation.daemons)
         for _ in range(rng.choice((1, 1, 2))):
             self.simulation.send(peer, request)
@@ -148,6 +153,24 @@
     return max(0, min(tokens, account.free))
 
 
+def transfer_from_reserve(ledger, organisation, tokens, now):
+    """Make tokens of the reserve free without a transaction."""
+    account = ledger.get_organisation(organisation).account
+    moved = min(tokens, account.reserve)
+    account.reserve -= moved
+    account.free += moved
+
+
+def confirm_without_outcome(ledger, outcome):
+    """Treat a transaction without an outcome as committed."""
+    sent = ledger._sent
+    if isinstance(outcome, Unknown) and sent is not None:
+        adjustment = sent.adjustment
+        if adjustment.reserve < 0 < adjustment.free:
+            ledger.account.free += adjustment.free
+    return HANDLE_OUTCOME(ledger, outcome)
+
+
 def apply_any_reply(endpoint, reply):
     organisation = NAMES[reply.number % len(NAMES)]
     endpoint._ledger.transfer_in(organisation, reply.tokens)
@@ -167,6 +190,7 @@
         self.is_fault_free = False
         self.spent = dict.fromkeys(NAMES, 0)
         self.ended = {}
+        self.moved_reserves = 0
         self.datagrams = []
         self.daemons = [Daemon(self, f"d{number}") for number in range(4)]
 
@@ -364,6 +388,28 @@
             for seed in range(60):
                 Simulation(seed).run(600)
 
+    @pytest.mark.parametrize(
+        "owner, method, mutation",
+        [
+            (CreditLedger, "request_reserve", transfer_from_reserve),
+            (OrganisationLedger, "handle_outcome", confirm_without_outcome),
+        ],
+    )
+    def test_simulations_detect_reserves_that_are_transferred_too_early(
+        self, monkeypatch, owner, method, mutation
+    ):
+        """The check fails unless the holder row lacks the tokens before."""
+        monkeypatch.setattr(owner, method, mutation)
+        with pytest.raises(AssertionError, match="atelier|builder"):
+            for seed in range(60):
+                Simulation(seed).run(600)
+
+    def test_reserves_are_transferred_in_simulations(self):
+        """Otherwise the simulations above would prove nothing about them."""
+        simulation = Simulation(1)
+        simulation.run(600)
+        assert simulation.moved_reserves > 10
+
     def test_without_faults_nine_tenths_of_the_budget_can_be_spent(self):
         simulation = Simulation(1)
         simulation.is_fault_free = True
--- a/kingcuphead/credit/tests/test_transfer.py
+++ b/kingcuphead/credit/tests/test_transfer.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 
 from kingcuphead.credit import (
@@ -8,9 +9,11 @@
     CreditHanded,
     CreditLedger,
     CreditSettings,
+    HolderRow,
     TransferClient,
     TransferEndpoint,
 )
+from kingcuphead.credit._transfer_client import REPLY_TIMEOUT_SECONDS
 from kingcuphead.credit.tests._store import FaultyStore, renew
 from kingcuphead.routing import Organisation
 
@@ -110,6 +113,72 @@
         )
 
 
+class EarlierEndpoint:
+    """Replies as a release without the fields for what the sender still has."""
+
+    def __init__(self, endpoint):
+        self.endpoint = endpoint
+
+    def handle_request(self, request, now):
+        reply = self.endpoint.handle_request(request, now)
+        return CreditHanded(reply.receiver, reply.number, reply.tokens)
+
+
+class TestReserveOnRequest:
+    """Guards against credit that idle daemons keep while requests are refused."""
+
+    def setup_method(self):
+        self.store = FaultyStore(random.Random(1))
+        self.store.advance(1.0)
+        self.sender_ledger, self.sender = make_endpoint(self.store, "a/1", 0)
+        _, self.receiver = make_endpoint(self.store, "b/1", 0)
+        self.state = self.sender_ledger.describe(NAME, 0.0)
+
+    def request(self, tokens, extra=0):
+        return self.sender.handle_request(
+            self.receiver.create_request(NAME, tokens, extra), self.store.now
+        )
+
+    def test_the_reply_states_what_is_left(self):
+        reply = self.request(1_000)
+        assert reply.free == self.state.free - 1_000
+        assert reply.reserve == self.state.reserve > 0
+
+    def test_the_reserve_is_transferred_once_the_holder_row_lacks_it(self):
+        wanted = self.state.free + 5_000
+        assert self.request(wanted).tokens == self.state.free
+        assert self.request(5_000).tokens == 0
+        charged = self.store.read_budget(NAME).charged
+        transactions = self.store.version
+        renew(self.sender_ledger, self.store, attempts=1)
+        assert self.store.version == transactions + 1
+        assert self.store.read_budget(NAME).charged == charged
+        (row,) = self.store.read(NAME, "holder/a/1").rows
+        holder = msgspec.json.decode(row.value, type=HolderRow)
+        assert holder.reserve == self.state.reserve - 5_000
+        assert self.request(5_000).tokens == 5_000
+
+    def test_the_reserve_stays_while_the_store_does_not_answer(self):
+        self.store.advance(5.0)
+        renew(self.sender_ledger, self.store, is_disconnected=True)
+        self.store.advance(0.5)
+        assert self.request(self.state.free + 5_000).reserve == 0
+        renew(self.sender_ledger, self.store, is_disconnected=True)
+        assert self.request(5_000).tokens == 0
+
+    def test_a_transaction_in_doubt_transfers_nothing(self):
+        self.request(self.state.free + 5_000)
+        self.store.lost_share = 1.0
+        renew(self.sender_ledger, self.store, attempts=1)
+        assert self.request(5_000).tokens == 0
+        assert self.request(5_000).reserve == 0
+
+    @pytest.mark.parametrize("demand, expected", [(0, 3_000), (1_000_000, 0)])
+    def test_extra_tokens_are_those_that_the_demand_leaves(self, demand, expected):
+        self.sender_ledger.record_demand(NAME, demand, 0.0)
+        assert self.request(0, extra=3_000).tokens == expected
+
+
 class TestTransferClient:
     def setup_method(self):
         store = FaultyStore(random.Random(1))
@@ -121,16 +190,18 @@
         self.unresponsive = set()
         self.lost_replies = 0
         self.requested = []
+        self.sent = []
         self.client = TransferClient(
             self.endpoint, self.send, lambda: tuple(self.peers), random.Random(2)
         )
 
     def send(self, request, peer):
         self.requested.append(peer)
+        self.sent.append((request, peer))
         if peer in self.unresponsive:
             return
         reply = self.peers[peer].handle_request(request, 0.0)
-        if self.lost_replies:
+        if self.lost_replies and request.tokens:
             self.lost_replies -= 1
             return
         loop = asyncio.get_running_loop()
@@ -143,7 +214,10 @@
         before = self.ledger.get_free_tokens(NAME)
         self.request_credit(25_000)
         assert self.ledger.get_free_tokens(NAME) == before + 25_000
-        assert len(self.requested) < len(self.peers)
+        asked = [peer for request, peer in self.sent if request.tokens]
+        probed = [peer for request, peer in self.sent if not request.tokens]
+        assert len(set(asked)) == len(asked) < len(self.peers)
+        assert len(set(probed)) == len(probed)
 
     def test_no_request_is_sent_if_no_tokens_are_missing(self):
         self.request_credit(0)
@@ -154,7 +228,8 @@
         before = self.ledger.get_free_tokens(NAME)
         self.request_credit(5_000)
         assert self.ledger.get_free_tokens(NAME) == before + 5_000
-        assert self.requested == [self.requested[0]] * 2
+        asked = [each for each in self.sent if each[0].tokens]
+        assert asked == [asked[0]] * 2
 
     def test_an_unresponsive_daemon_is_skipped_for_a_period(self):
         self.unresponsive = set(list(self.peers)[:3])
@@ -168,6 +243,50 @@
         asyncio.run(run())
         assert set(self.requested) == set(self.peers) - self.unresponsive
 
+    def test_those_with_most_free_credit_are_asked_first(self):
+        rich = next(iter(self.peers))
+        self.peers[rich]._ledger.transfer_in(NAME, 50_000)
+        self.request_credit(40_000)
+        assert [peer for request, peer in self.sent if request.tokens] == [rich]
+
+    def test_several_daemons_are_asked_at_once(self):
+        """Guards against one lost reply that delays the tokens of all others."""
+
+        async def run():
+            silent = next(iter(self.peers))
+            self.unresponsive = {silent}
+            start = asyncio.get_running_loop().time()
+            await self.client.request_credit(NAME, 25_000)
+            return asyncio.get_running_loop().time() - start
+
+        before = self.ledger.get_free_tokens(NAME)
+        assert asyncio.run(run()) < REPLY_TIMEOUT_SECONDS
+        assert self.ledger.get_free_tokens(NAME) == before + 25_000
+
+    def test_requests_that_lack_credit_together_share_one_round(self):
+        async def run():
+            requests = [self.client.request_credit(NAME, 4_000) for _ in range(5)]
+            await asyncio.gather(*requests)
+
+        before = self.ledger.get_free_tokens(NAME)
+        asyncio.run(run())
+        assert self.ledger.get_free_tokens(NAME) == before + 20_000
+        assert len(self.sent) <= len(self.peers) + 3
+
+    def test_tokens_too_few_for_any_request_stay_where_they_are(self):
+        before = self.ledger.get_free_tokens(NAME)
+        self.request_credit(LIMIT)
+        assert self.ledger.get_free_tokens(NAME) == before
+
+    def test_a_daemon_of_an_earlier_release_is_asked(self):
+        """Such a daemon doesn't state what it has."""
+        peer = next(iter(self.peers))
+        endpoint = self.peers.pop(peer)
+        self.peers = {peer: EarlierEndpoint(endpoint)}
+        before = self.ledger.get_free_tokens(NAME)
+        self.request_credit(3_000)
+        assert self.ledger.get_free_tokens(NAME) == before + 3_000
+
     def test_no_request_is_sent_directly_after_all_daemons_had_too_little(self):
         async def run():
             await self.client.request_credit(NAME, LIMIT)
--- a/kingcuphead/wire/datagram.thrift
+++ b/kingcuphead/wire/datagram.thrift
@@ -27,12 +27,15 @@
   2: i64 number
   3: string organisation
   4: i64 tokens
+  5: i64 extra = 0
 }
 
 struct CreditHanded {
   1: string receiver
   2: i64 number
   3: i64 tokens
+  4: i64 free = -1
+  5: i64 reserve = 0
 }
 
 struct RequestIdentity {
