Read answers of targets over asyncio transports; cost fewer targets

Each chunk of an answer was read by a coroutine of its own, each event was written by another, and the event loop's handler was added and removed around nearly every read. The reader now stays registered for the life of a connection, parses all that has arrived, and passes complete events on in one write without a task switch. The dispatcher costs ten targets at most, and keeps the rendezvous order of recent prefixes.

--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -7,7 +7,7 @@
 daemons report, or when this daemon observes high latency or failures there.
 """
 
-import hashlib
+import heapq
 import random
 from collections.abc import Callable, Collection, Iterable, Iterator
 
@@ -16,10 +16,23 @@
     DispatchSettings,
     PlacementRequest,
 )
-from kingcuphead.dispatch._target_state import Placement, PrefillPlan, TargetState
+from kingcuphead.dispatch._rankings import Rankings
+from kingcuphead.dispatch._target_state import (
+    NETWORK_ALLOWANCE_SECONDS,
+    Placement,
+    PrefillPlan,
+    TargetState,
+)
 from kingcuphead.loads import PeerLoads, TargetLoad
 from kingcuphead.targets import Target
 
+#: Targets whose cost is computed because they come first in rendezvous order.
+MAX_RANKED = 4
+#: Further targets whose cost is computed because of their small load.
+MAX_LEAST_LOADED = 6
+
+_NO_PREFILL = PrefillPlan(0)
+
 
 class Dispatcher:
     """Chooses targets and tracks their load; does no I/O.
@@ -41,6 +54,7 @@
         self._peer_loads = peer_loads
         self._rng = rng
         self._states: dict[str, TargetState] = {}
+        self._rankings = Rankings()
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
@@ -76,14 +90,15 @@
         if not available:
             return None
         ranked = self._rank(request, available)
-        plans = [self._plan_prefill(request, each, ranked, now) for each in ranked]
+        shortlist = self._make_shortlist(ranked)
+        plans = [self._plan_prefill(request, each, ranked, now) for each in shortlist]
         costs = [
             self._compute_cost(request, target, plan, now)
-            for target, plan in zip(ranked, plans, strict=True)
+            for target, plan in zip(shortlist, plans, strict=True)
         ]
         cost = min(costs)
         choice = costs.index(cost)
-        best, plan = ranked[choice], plans[choice]
+        best, plan = shortlist[choice], plans[choice]
         state = self._get_state(best)
         wait = self._estimate_wait(state, best, plan)
         placement = Placement(best, state, plan, now, wait, choice == 0, cost)
@@ -144,9 +159,26 @@
         key = request.prefixes[-1].key if request.prefixes else ""
         if not key:
             return self._rng.sample(targets, len(targets))
-        return sorted(
-            targets, key=lambda target: _score(key, target.name), reverse=True
+        return self._rankings.rank(key, targets)
+
+    def _make_shortlist(self, ranked: list[Target]) -> list[Target]:
+        """Return the targets to compute the cost of, in rendezvous order at first.
+
+        These are the first ones in that order, and those that keep a request waiting
+        least; the effort for a request doesn't grow with the fleet.
+        """
+        if len(ranked) <= MAX_RANKED + MAX_LEAST_LOADED:
+            return ranked
+        others = heapq.nsmallest(
+            MAX_LEAST_LOADED, ranked[MAX_RANKED:], key=self._estimate_delay
         )
+        return ranked[:MAX_RANKED] + others
+
+    def _estimate_delay(self, target: Target) -> float:
+        """Return the seconds that the load of a target adds to any request there."""
+        state = self._get_state(target)
+        seconds = self._estimate_wait(state, target, _NO_PREFILL)
+        return (seconds + NETWORK_ALLOWANCE_SECONDS) * state.latency_ratio
 
     def _plan_prefill(
         self,
@@ -248,8 +280,3 @@
 def _is_same_version(first: Target, second: Target) -> bool:
     """Return whether one target can use what the other has written."""
     return first.software_version == second.software_version
-
-
-def _score(key: str, name: str) -> bytes:
-    """Return the rendezvous score of a target for a prefix key."""
-    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -1,11 +1,14 @@
 """The HTTP server for callers, which serves each complete request in its own task."""
 
 import asyncio
+import contextlib
 import http.client
 from collections.abc import Callable
+from typing import cast
 
 from expression import Result
 from loguru import logger
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -31,35 +34,85 @@
 class HttpCaller:
     """Writes the answer to one request.
 
+    The head is sent in one write with the first part of the body.
+
     Parameters
     ----------
     connection
         Connection on which the request arrived.
     """
 
-    def __init__(self, connection: HTTPConnection) -> None:
+    def __init__(self, connection: HTTP1Connection) -> None:
         self._connection = connection
-        #: Whether the status line and the headers were sent.
-        self.is_answered = False
+        self._unsent_head: tuple[ResponseStartLine, HTTPHeaders] | None = None
+        self._is_chunked = False
 
-    async def start(self, status: int, headers: HTTPHeaders) -> None:
-        """Send the status line and the headers of the answer."""
-        self.is_answered = True
-        reason = http.client.responses.get(status, "Unknown")
-        start_line = ResponseStartLine("HTTP/1.1", status, reason)
-        await self._connection.write_headers(start_line, headers)
+    @property
+    def is_congested(self) -> bool:
+        """Whether sent bytes are still unread by the caller."""
+        return self._connection.stream.writing()
 
-    async def write(self, chunk: bytes) -> None:
-        """Send a part of the body; wait while the connection applies backpressure."""
-        await self._connection.write(chunk)
+    def start(self, status: int, headers: HTTPHeaders) -> None:
+        """Set the status line and the headers of the answer."""
+        reason = http.client.responses.get(status, "Unknown")
+        self._unsent_head = (ResponseStartLine("HTTP/1.1", status, reason), headers)
+
+    def send(self, chunk: bytes) -> None:
+        """Send a part of the body, and buffer what the connection doesn't take.
+
+        Raises
+        ------
+        StreamClosedError
+            The connection is closed.
+        """
+        stream = self._connection.stream
+        if stream.closed():
+            raise StreamClosedError(real_error=stream.error)
+        if self._unsent_head is not None:
+            self._send_head(chunk)
+        elif self._is_chunked:
+            self._send_bytes(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+        else:
+            self._connection.write(chunk)
+
+    async def drain(self) -> None:
+        """Wait until the connection has taken all that was sent."""
+        stream = self._connection.stream
+        if stream.writing():
+            # The future of this write is done once all bytes before are sent, too.
+            await stream.write(b"")
 
     def finish(self) -> None:
         """Complete the answer."""
+        if self._unsent_head is not None:
+            self._send_head(None)
         self._connection.finish()
 
     def abort(self) -> None:
         """Close the connection, so that the caller detects the incomplete answer."""
-        self._connection.close()  # type: ignore[attr-defined]
+        self._connection.close()
+
+    def _send_bytes(self, data: bytes) -> None:
+        """Pass bytes to the kernel; the stream buffers those that it doesn't take."""
+        stream = self._connection.stream
+        sent = 0
+        if not stream.writing():
+            with contextlib.suppress(OSError):
+                sent = stream.write_to_fd(memoryview(data)) or 0
+        if sent < len(data):
+            stream.write(data[sent:])
+
+    def _send_head(self, chunk: bytes | None) -> None:
+        if self._unsent_head is None:
+            return
+        start_line, headers = self._unsent_head
+        self._unsent_head = None
+        self._connection.write_headers(start_line, headers, chunk)
+        # The library adds this header unless the answer has a length.
+        self._is_chunked = headers.get("Transfer-Encoding") == "chunked"
+        if self._is_chunked:
+            # The next event doesn't wait until the caller has acknowledged this one.
+            self._connection.stream.set_nodelay(True)
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -114,14 +167,14 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads the next request of a connection."""
-        return _RequestReader(request_conn, self._start_task)
+        return _RequestReader(cast(HTTP1Connection, request_conn), self._start_task)
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing; each request registers a close callback of its own."""
 
     def _start_task(
         self,
-        connection: HTTPConnection,
+        connection: HTTP1Connection,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
@@ -129,11 +182,11 @@
         task = asyncio.create_task(self._serve(connection, start_line, headers, body))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        connection.set_close_callback(task.cancel)  # type: ignore[attr-defined]
+        connection.set_close_callback(lambda: _cancel(task))
 
     async def _serve(
         self,
-        connection: HTTPConnection,
+        connection: HTTP1Connection,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
@@ -169,9 +222,9 @@
 
     def __init__(
         self,
-        connection: HTTPConnection,
+        connection: HTTP1Connection,
         start_task: Callable[
-            [HTTPConnection, RequestStartLine, HTTPHeaders, bytes], None
+            [HTTP1Connection, RequestStartLine, HTTPHeaders, bytes], None
         ],
     ) -> None:
         self._connection = connection
@@ -208,6 +261,11 @@
     body = f"{refusal.reason.value}\n".encode()
     headers["Content-Type"] = "text/plain"
     headers["Content-Length"] = str(len(body))
-    await caller.start(refusal.status, headers)
-    await caller.write(body)
+    caller.start(refusal.status, headers)
+    caller.send(body)
+    await caller.drain()
     caller.finish()
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
--- a/kingcuphead/entry/tests/_cut.py
+++ b/kingcuphead/entry/tests/_cut.py
@@ -4,7 +4,7 @@
 import contextvars
 import unittest.mock
 
-from kingcuphead.forwarding._connection import TargetStream
+from kingcuphead.forwarding import TargetStream
 
 #: Number of the daemon in whose tasks the code runs; 0 in those of the test.
 current_daemon = contextvars.ContextVar("current_daemon", default=0)
--- a/kingcuphead/entry/tests/test_caller_server.py
+++ b/kingcuphead/entry/tests/test_caller_server.py
@@ -24,8 +24,9 @@
                 self.cancelled.set()
         headers = request.headers.copy()
         headers["Content-Length"] = str(len(request.body))
-        await caller.start(200, headers)
-        await caller.write(request.body)
+        caller.start(200, headers)
+        caller.send(request.body)
+        await caller.drain()
         caller.finish()
 
 
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -3,11 +3,8 @@
 from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.forwarding._connection import (
     TargetConnection,
-    TargetStream,
     connect_to_target,
     is_refusal,
-    open_stream,
-    set_socket_options,
 )
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
@@ -25,6 +22,11 @@
 from kingcuphead.forwarding._pool import ConnectionPool
 from kingcuphead.forwarding._ports import Caller, HeaderCodec
 from kingcuphead.forwarding._refusals import Refusal, refuse
+from kingcuphead.forwarding._target_stream import (
+    TargetStream,
+    open_stream,
+    set_socket_options,
+)
 from kingcuphead.forwarding._target_watch import TargetWatch
 
 __all__ = [
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -7,8 +7,8 @@
 from typing import TypeAlias, TypeVar
 
 from kingcuphead.dispatch import AttemptResult
-from kingcuphead.forwarding._connection import AnswerEnd, TargetAnswer
-from kingcuphead.forwarding._events import MAX_EVENT_BYTES, EventSplitter
+from kingcuphead.forwarding._answer_parser import AnswerEnd
+from kingcuphead.forwarding._connection import TargetAnswer
 from kingcuphead.forwarding._memory import AnswerMemory
 from kingcuphead.forwarding._messages import (
     Address,
@@ -19,6 +19,7 @@
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
 from kingcuphead.forwarding._ports import HeaderCodec
 from kingcuphead.forwarding._stream import AnswerStream
+from kingcuphead.forwarding._transfer import EventTransfer
 from kingcuphead.verdict import Execution
 
 #: Bound in seconds on opening a connection to a target.
@@ -130,7 +131,7 @@
         except (OSError, TimeoutError) as error:
             cause = f"no connection: {type(error).__name__} {error}"
             return AttemptFailed(AttemptResult.UNREACHABLE, Execution.NOT_RUN, cause)
-        is_complete = False
+        answer: TargetAnswer | None = None
         try:
             request = attempt.request
             attempt.record_helper(lease.connection.helper)
@@ -140,11 +141,9 @@
                 self._codec.encode_request(request, attempt.options),
                 request.body,
             )
-            end = await self._read(attempt, answer, stream)
-            is_complete = answer.is_exchange_complete
-            return end
+            return await self._read(attempt, answer, stream)
         finally:
-            self._release_connection(lease, answer if is_complete else None)
+            self._release_connection(lease, answer)
 
     def _release_connection(self, lease: Lease, answer: TargetAnswer | None) -> None:
         """Return the connection to the pool after a complete exchange; else close it.
@@ -156,9 +155,11 @@
         lease
             Lease that ends.
         answer
-            Answer of the exchange; None if it is incomplete.
+            Answer of the exchange; None if the request was not sent.
         """
-        if answer is None or answer.head is None:
+        if answer is not None:
+            answer.release()
+        if answer is None or answer.head is None or not answer.is_exchange_complete:
             lease.connection.close()
             return
         head = self._codec.decode_answer(answer.head.status, answer.head.headers, "")
@@ -233,25 +234,23 @@
 
 
 async def _wait_for_first_bytes(
-    attempt: Attempt, read: Callable[[], Awaitable[T]]
+    attempt: Attempt, read: Callable[[float | None], Awaitable[T]]
 ) -> T | AttemptFailed:
     """Wait for the first bytes of an answer or of its stream.
 
     After the first-byte timeout the attempt is abandoned if the request may be retried;
     otherwise the wait continues.
     """
-    pending_read = asyncio.ensure_future(read())
     try:
-        done, _ = await asyncio.wait({pending_read}, timeout=attempt.first_byte_timeout)
-        if not done and attempt.claim_retry():
+        return await read(attempt.first_byte_timeout)
+    except TimeoutError:
+        if attempt.claim_retry():
             return AttemptFailed(
                 AttemptResult.SILENT,
                 Execution.MAY_HAVE_RUN,
                 f"no answer within {attempt.first_byte_timeout:.3f} s",
             )
-        return await pending_read
-    finally:
-        pending_read.cancel()
+    return await read(None)
 
 
 async def _read_whole(
@@ -283,39 +282,42 @@
 async def _read_stream(
     attempt: Attempt, answer: TargetAnswer, head: AnswerHead, stream: AnswerStream
 ) -> AttemptEnd:
-    splitter = EventSplitter()
+    transfer = EventTransfer(head, stream)
     block = await _wait_for_first_bytes(attempt, answer.read)
-    while block:
-        if isinstance(block, AttemptFailed):
-            return block
-        for event in splitter.feed(block):
-            if not stream.is_next(event):
-                return _make_broken_failure("an event id is not in sequence")
-            await stream.deliver(head, event)
-        if splitter.is_oversized:
-            return _make_broken_failure(
-                f"an event is larger than {MAX_EVENT_BYTES} bytes"
-            )
-        block = await _read_next(attempt, answer)
+    if isinstance(block, AttemptFailed):
+        return block
+    takes_more = not block or transfer.consume(block)
+    while transfer.fault is None:
+        if not takes_more:
+            await stream.drain()
+        if answer.end is not None and not answer.has_unread_blocks:
+            break
+        stall = await _forward(attempt, answer, transfer)
+        if stall is not None:
+            return stall
+        takes_more = False
+    if transfer.fault is not None:
+        return _make_broken_failure(transfer.fault)
     if answer.end is AnswerEnd.BROKEN:
         return _make_lost_failure("the connection broke within the stream")
-    if splitter.has_partial_event:
+    if transfer.has_partial_event:
         return _make_broken_failure("the stream ended within an event")
     if head.is_unframed and not stream.has_attempt_events:
         return _make_broken_failure("the stream ended before its first event")
-    await stream.finish(head)
+    stream.finish(head)
     return StreamDelivered(head)
 
 
-async def _read_next(attempt: Attempt, answer: TargetAnswer) -> bytes | AttemptFailed:
-    """Return the next bytes of a stream, or a failure when the stream stalls.
+async def _forward(
+    attempt: Attempt, answer: TargetAnswer, transfer: EventTransfer
+) -> AttemptFailed | None:
+    """Forward events until the end or a pause; return a failure when the stream stalls.
 
     A stream that stalls is abandoned only if the request may be retried.
     """
     while True:
         try:
-            async with asyncio.timeout(attempt.stall_timeout):
-                return await answer.read()
+            await answer.forward(transfer.consume, attempt.stall_timeout)
         except TimeoutError:
             if attempt.claim_retry():
                 return AttemptFailed(
@@ -323,6 +325,8 @@
                     Execution.MAY_HAVE_RUN,
                     f"no data in the stream for {attempt.stall_timeout:.3f} s",
                 )
+        else:
+            return None
 
 
 def _make_broken_failure(cause: str) -> AttemptFailed:
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -2,86 +2,24 @@
 
 import asyncio
 import contextlib
-import dataclasses
-import enum
-import socket
+import re
 from collections.abc import AsyncIterator, Callable
 
-from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
-from tornado.httputil import (
-    HTTPHeaders,
-    HTTPMessageDelegate,
-    RequestStartLine,
-    ResponseStartLine,
-)
-from tornado.iostream import IOStream, StreamClosedError
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
 
+from kingcuphead.forwarding._answer_parser import AnswerEnd, AnswerParser, RawHead
 from kingcuphead.forwarding._messages import Address
-
-#: Largest status line and headers of an answer in bytes.
-MAX_HEADER_BYTES = 65_536
-#: Largest body of an answer in bytes.
-MAX_BODY_BYTES = 64 * 1024 * 1024
-#: Unread bytes of an answer from which on reading pauses, for backpressure from a slow
-#: caller to the target.
-MAX_BUFFERED_BYTES = 262_144
-#: Milliseconds that sent data or keep-alive probes may stay unacknowledged before the
-#: kernel closes the connection; a sound target may be silent for a second or so.
-UNACKNOWLEDGED_TIMEOUT_MS = 2_000
-#: Idle seconds before the first TCP keep-alive probe, and seconds between probes.
-KEEPALIVE_INTERVAL = 1
-#: Unanswered keep-alive probes after which the kernel closes the connection, unless the
-#: timeout for unacknowledged data decides.
-KEEPALIVE_PROBES = 1
-
-_PARAMETERS = HTTP1ConnectionParameters(
-    max_header_size=MAX_HEADER_BYTES, max_body_size=MAX_BODY_BYTES, decompress=False
+from kingcuphead.forwarding._target_stream import (
+    MAX_BUFFERED_BYTES,
+    TargetStream,
+    open_stream,
 )
 
+#: Largest body in bytes that is joined with its head for one write.
+MAX_JOINED_BYTES = 65_536
 
-class AnswerEnd(enum.StrEnum):
-    """How the body of an answer ended."""
-
-    #: The body was received completely, by its length or its last chunk.
-    COMPLETE = "complete"
-    #: The target closed the connection cleanly, which alone marks the end of the body.
-    CLOSED = "closed"
-    #: The connection broke, or the answer is malformed.
-    BROKEN = "broken"
-
-
-class TargetStream(IOStream):
-    """A byte stream that exposes whether its read buffer is empty.
-
-    Parameters
-    ----------
-    sock
-        Socket, which this object closes.
-    is_tunnel
-        Whether another daemon passes on the bytes. The end of that daemon closes the
-        connection, too, so a close doesn't mark the end of an answer then.
-    """
-
-    def __init__(self, sock: socket.socket, is_tunnel: bool = False) -> None:
-        super().__init__(sock)
-        #: Whether another daemon passes on the bytes.
-        self.is_tunnel = is_tunnel
-
-    @property
-    def has_unread_bytes(self) -> bool:
-        """Whether received bytes have not been read yet."""
-        # Tornado has no public attribute for this, and a read would block.
-        return bool(self._read_buffer_size)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class RawHead:
-    """Status and headers of an answer as received."""
-
-    #: HTTP status.
-    status: int
-    #: All headers, hop-by-hop headers included.
-    headers: HTTPHeaders
+_LINE_END = re.compile(r"[\r\n]")
 
 
 async def connect_to_target(address: str, timeout: float) -> "TargetConnection":
@@ -112,31 +50,12 @@
     return TargetConnection(stream)
 
 
-def open_stream(is_tunnel: bool = False) -> TargetStream:
-    """Return a stream that is not connected yet."""
-    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    set_socket_options(sock)
-    return TargetStream(sock, is_tunnel)
-
-
 def is_refusal(error: Exception) -> bool:
     """Whether a connection failed because no process listens at the address."""
     cause = error.real_error if isinstance(error, StreamClosedError) else error
     return isinstance(cause, ConnectionRefusedError)
 
 
-def set_socket_options(sock: socket.socket) -> None:
-    """Send without delay, and detect a peer that has gone silent."""
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_TIMEOUT_MS
-    )
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEPALIVE_INTERVAL)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEPALIVE_INTERVAL)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEPALIVE_PROBES)
-
-
 class TargetConnection:
     """A connection that carries at most one request at a time.
 
@@ -177,12 +96,13 @@
         TargetAnswer
             Answer that becomes available while it is received.
         """
-        protocol = HTTP1Connection(self._stream, True, _PARAMETERS)
-        answer = TargetAnswer(self._stream, protocol)
-        start_line = RequestStartLine(method, uri, "HTTP/1.1")
-        protocol.write_headers(start_line, headers, body or None)
-        protocol.finish()
-        answer.start_reading()
+        head = _encode_head(method, uri, headers, body)
+        answer = TargetAnswer(self._stream, method)
+        if len(body) <= MAX_JOINED_BYTES:
+            self._stream.send(head + body)
+        else:
+            self._stream.send(head)
+            self._stream.send(body)
         return answer
 
     def close(self) -> None:
@@ -190,112 +110,197 @@
         self._stream.close()
 
 
-class TargetAnswer(HTTPMessageDelegate):
-    """The answer to one request, received incrementally by a background task."""
+class TargetAnswer:
+    """The answer to one request, which is received in the background.
+
+    Parameters
+    ----------
+    stream
+        Stream of the connection, whose bytes this object takes until the end.
+    method
+        Method of the request.
+    """
 
-    def __init__(self, stream: TargetStream, protocol: HTTP1Connection) -> None:
+    def __init__(self, stream: TargetStream, method: str) -> None:
         self._stream = stream
-        self._protocol = protocol
+        self._parser = AnswerParser(method)
         self._blocks: list[bytes] = []
         self._buffered_bytes = 0
-        self._state_changed = asyncio.Event()
-        self._buffer_drained: asyncio.Future[None] | None = None
-        self._read_task: asyncio.Task[None] | None = None
-        self._is_unframed = False
-        #: Status and headers; None until they are received.
-        self.head: RawHead | None = None
-        #: How the body ended; None until then.
-        self.end: AnswerEnd | None = None
+        self._waiter: asyncio.Future[bool] | None = None
+        self._consume: Callable[[bytes], bool] | None = None
+        self._received_at = 0.0
+        self._failure: Exception | None = None
+        stream.set_receiver(self)
+
+    @property
+    def head(self) -> RawHead | None:
+        """Status and headers; None until they are received."""
+        return self._parser.head
+
+    @property
+    def end(self) -> AnswerEnd | None:
+        """How the body ended; None until then."""
+        return self._parser.end
 
     @property
     def is_exchange_complete(self) -> bool:
-        """Whether the request was sent and its answer received completely."""
+        """Whether the request was sent and its answer received, and nothing else."""
         return (
-            self.end is AnswerEnd.COMPLETE
-            and self._read_task is not None
-            and self._read_task.done()
-        )
-
-    def start_reading(self) -> None:
-        """Start the background task that receives the answer."""
-        self._read_task = asyncio.create_task(self._receive())
-
-    def headers_received(
-        self,
-        start_line: RequestStartLine | ResponseStartLine,
-        headers: HTTPHeaders,
-    ) -> None:
-        """Store the status and headers; informational 1xx answers are ignored."""
-        if not isinstance(start_line, ResponseStartLine) or start_line.code < 200:
-            return
-        self._is_unframed = (
-            "Content-Length" not in headers and "Transfer-Encoding" not in headers
+            self._parser.end is AnswerEnd.COMPLETE
+            and not self._parser.has_surplus
+            and not self._stream.has_unsent_bytes
         )
-        self.head = RawHead(start_line.code, headers)
-        self._state_changed.set()
 
-    def data_received(self, chunk: bytes) -> asyncio.Future[None] | None:
-        """Buffer bytes of the body.
+    def receive(self, data: bytes) -> None:
+        """Parse received bytes; reading pauses while many of them are unread."""
+        blocks = self._parser.feed(data)
+        for block in blocks:
+            self._buffered_bytes += len(block)
+        self._blocks += blocks
+        if self._consume is not None and blocks:
+            self._pass_on(self._consume)
+        elif blocks or self.head is not None or self.end is not None:
+            self._wake()
+        if self._buffered_bytes >= MAX_BUFFERED_BYTES:
+            self._stream.pause_reading()
+
+    def handle_close(self, is_clean: bool) -> None:
+        """Note the end of the connection."""
+        self._parser.close(is_clean)
+        self._wake()
 
-        Returns
-        -------
-        asyncio.Future or None
-            A future, if the buffer is full; reading pauses until it is done.
+    @property
+    def has_unread_blocks(self) -> bool:
+        """Whether blocks of the body have arrived that were not read."""
+        return bool(self._blocks)
+
+    def release(self) -> None:
+        """Stop to take the bytes of the connection."""
+        self._stream.set_receiver(None)
+        self._stream.resume_reading()
+
+    async def wait_for_head(self, timeout: float | None = None) -> RawHead | None:
+        """Wait for the status and headers; None if the connection broke before them.
+
+        Raises
+        ------
+        TimeoutError
+            They did not arrive within the timeout in seconds.
         """
-        self._blocks.append(chunk)
-        self._buffered_bytes += len(chunk)
-        self._state_changed.set()
-        if self._buffered_bytes < MAX_BUFFERED_BYTES:
-            return None
-        self._buffer_drained = asyncio.get_running_loop().create_future()
-        return self._buffer_drained
-
-    def finish(self) -> None:
-        """Record the end of the body."""
-        if not self._is_unframed:
-            self._record_end(AnswerEnd.COMPLETE)
-        elif self._stream.error is None and not self._stream.is_tunnel:
-            self._record_end(AnswerEnd.CLOSED)
-        else:
-            self._record_end(AnswerEnd.BROKEN)
-
-    def on_connection_close(self) -> None:
-        """Record that the connection closed before the end of the answer."""
-        self._record_end(AnswerEnd.BROKEN)
-
-    async def wait_for_head(self) -> RawHead | None:
-        """Wait for the status and headers; None if the connection broke before them."""
         while self.head is None and self.end is None:
-            await self._wait_for_change()
+            await self._wait(timeout)
         return self.head
 
-    async def read(self) -> bytes:
-        """Wait for bytes and return all that are buffered; empty at the end."""
+    async def read(self, timeout: float | None = None) -> bytes:
+        """Wait for bytes and return all that are buffered; empty at the end.
+
+        Raises
+        ------
+        TimeoutError
+            None arrived within the timeout in seconds.
+        """
         while not self._blocks and self.end is None:
-            await self._wait_for_change()
-        block = b"".join(self._blocks)
-        self._blocks.clear()
-        self._buffered_bytes = 0
-        if self._buffer_drained is not None and not self._buffer_drained.done():
-            self._buffer_drained.set_result(None)
-        return block
+            await self._wait(timeout)
+        return self._take_blocks()
+
+    async def forward(self, consume: Callable[[bytes], bool], timeout: float) -> None:
+        """Pass blocks to a function as they arrive, without a task switch for each.
+
+        Ends when the function returns false, and at the end of the body; the exception
+        that the function raises is raised here.
+
+        Parameters
+        ----------
+        consume
+            Takes a block; returns whether it takes more.
+        timeout
+            Seconds without data.
+
+        Raises
+        ------
+        TimeoutError
+            No data arrived within the timeout.
+        """
+        if self._blocks and not consume(self._take_blocks()):
+            return
+        loop = asyncio.get_running_loop()
+        self._received_at = loop.time()
+        self._consume = consume
+        try:
+            while self._consume is not None and self.end is None:
+                idle_seconds = loop.time() - self._received_at
+                if idle_seconds >= timeout:
+                    raise TimeoutError
+                with contextlib.suppress(TimeoutError):
+                    await self._wait(timeout - idle_seconds)
+        finally:
+            self._consume = None
+        if self._failure is not None:
+            raise self._failure
 
     async def iterate_blocks(self) -> AsyncIterator[bytes]:
         """Yield the bytes of the body as they are received."""
         while block := await self.read():
             yield block
 
-    async def _wait_for_change(self) -> None:
-        self._state_changed.clear()
-        await self._state_changed.wait()
+    def _take_blocks(self) -> bytes:
+        blocks = self._blocks
+        block = blocks[0] if len(blocks) == 1 else b"".join(blocks)
+        blocks.clear()
+        self._buffered_bytes = 0
+        self._stream.resume_reading()
+        return block
 
-    async def _receive(self) -> None:
-        with contextlib.suppress(StreamClosedError):
-            await self._protocol.read_response(self)
-        if self.end is None:
-            self._record_end(AnswerEnd.BROKEN)
+    def _pass_on(self, consume: Callable[[bytes], bool]) -> None:
+        self._received_at = asyncio.get_running_loop().time()
+        try:
+            takes_more = consume(self._take_blocks())
+        except Exception as error:
+            self._failure = error
+            takes_more = False
+        if not takes_more:
+            self._consume = None
+        if not takes_more or self.end is not None:
+            self._wake()
+
+    async def _wait(self, timeout: float | None) -> None:
+        loop = asyncio.get_running_loop()
+        waiter = self._waiter = loop.create_future()
+        timer = None
+        if timeout is not None:
+            timer = loop.call_later(timeout, _end_wait, waiter, False)
+        try:
+            if not await waiter:
+                raise TimeoutError
+        finally:
+            self._waiter = None
+            if timer is not None:
+                timer.cancel()
+
+    def _wake(self) -> None:
+        if self._waiter is not None:
+            _end_wait(self._waiter, True)
+
+
+def _end_wait(waiter: "asyncio.Future[bool]", has_changed: bool) -> None:
+    if not waiter.done():
+        waiter.set_result(has_changed)
+
+
+def _encode_head(method: str, uri: str, headers: HTTPHeaders, body: bytes) -> bytes:
+    """Return the request line and the headers as they are sent.
 
-    def _record_end(self, end: AnswerEnd) -> None:
-        if self.end is None:
-            self.end = end
-            self._state_changed.set()
+    Raises
+    ------
+    ValueError
+        A value contains a line end.
+    """
+    lines = [f"{name}: {value}" for name, value in headers.get_all()]
+    if body and "Content-Length" not in headers:
+        lines.append(f"Content-Length: {len(body)}")
+    start_line = f"{method} {uri} HTTP/1.1"
+    for line in (start_line, *lines):
+        if _LINE_END.search(line):
+            raise ValueError(f"a line end in the header {line!r}")
+    fields = "".join(f"{line}\r\n" for line in lines)
+    return start_line.encode() + f"\r\n{fields}\r\n".encode("latin1")
--- a/kingcuphead/forwarding/_events.py
+++ b/kingcuphead/forwarding/_events.py
@@ -1,11 +1,16 @@
 """Splits the bytes of a server-sent event stream into complete events."""
 
 import dataclasses
-from collections.abc import Iterator
+import re
 
 #: Upper bound of an event in bytes.
 MAX_EVENT_BYTES = 1_048_576
-_ENDS = (b"\n\n", b"\r\n\r\n")
+
+_EVENT_END = re.compile(rb"\n\n|\r\n\r\n")
+#: Bytes of the longest end of an event.
+_MAX_END_BYTES = 4
+#: The first `id` field of an event with a numeric value.
+_EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ \t\v\f]*([0-9]+)[ \t\v\f]*(?=[\r\n])")
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -24,36 +29,34 @@
 
     def __init__(self) -> None:
         self._buffer = b""
-
-    @property
-    def is_oversized(self) -> bool:
-        """Whether the buffer holds more bytes than an event may have."""
-        return len(self._buffer) > MAX_EVENT_BYTES
+        #: Whether an event has more bytes than it may have.
+        self.is_oversized = False
 
     @property
     def has_partial_event(self) -> bool:
         """Whether the buffer holds bytes of an incomplete event."""
         return bool(self._buffer)
 
-    def feed(self, block: bytes) -> Iterator[Event]:
-        """Append bytes to the buffer and yield the events that are now complete."""
-        self._buffer += block
-        while (end := _find_end(self._buffer)) > 0:
-            content, self._buffer = self._buffer[:end], self._buffer[end:]
-            yield Event(_parse_event_id(content), content)
-
-
-def _find_end(buffer: bytes) -> int:
-    """Return the index after the first event, or -1 if it is incomplete."""
-    ends = [
-        position + len(mark) for mark in _ENDS if (position := buffer.find(mark)) >= 0
-    ]
-    return min(ends, default=-1)
-
-
-def _parse_event_id(content: bytes) -> int | None:
-    for line in content.splitlines():
-        name, _, value = line.partition(b":")
-        if name == b"id" and value.strip().isdigit():
-            return int(value)
-    return None
+    def feed(self, block: bytes) -> list[Event]:
+        """Append bytes to the buffer and return the events that are now complete.
+
+        Nothing after an event that is too large is returned.
+        """
+        search_start = max(0, len(self._buffer) - _MAX_END_BYTES + 1)
+        buffer = self._buffer + block if self._buffer else block
+        events: list[Event] = []
+        start = 0
+        for match in _EVENT_END.finditer(buffer, search_start):
+            end = match.end()
+            if end - start > MAX_EVENT_BYTES:
+                break
+            events.append(_make_event(buffer[start:end]))
+            start = end
+        self._buffer = buffer[start:] if start else buffer
+        self.is_oversized = len(self._buffer) > MAX_EVENT_BYTES
+        return events
+
+
+def _make_event(content: bytes) -> Event:
+    match = _EVENT_ID.search(content)
+    return Event(None if match is None else int(match[1]), content)
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -244,7 +244,8 @@
 async def _send_answer(caller: Caller, answer: Answered) -> None:
     headers = answer.head.headers
     headers["Content-Length"] = str(len(answer.body))
-    await caller.start(answer.head.status, headers)
+    caller.start(answer.head.status, headers)
     if answer.body:
-        await caller.write(answer.body)
+        caller.send(answer.body)
+        await caller.drain()
     caller.finish()
--- a/kingcuphead/forwarding/_ports.py
+++ b/kingcuphead/forwarding/_ports.py
@@ -60,12 +60,21 @@
 class Caller(Protocol):
     """The connection on which a caller receives its answer."""
 
-    async def start(self, status: int, headers: HTTPHeaders) -> None:
-        """Send the status and the headers."""
+    @property
+    def is_congested(self) -> bool:
+        """Whether the caller has to read before more is sent."""
+        ...
+
+    def start(self, status: int, headers: HTTPHeaders) -> None:
+        """Set the status and the headers."""
+        ...
+
+    def send(self, chunk: bytes) -> None:
+        """Send bytes of the body, and buffer what the connection doesn't take yet."""
         ...
 
-    async def write(self, chunk: bytes) -> None:
-        """Send bytes of the body."""
+    async def drain(self) -> None:
+        """Wait until the caller has taken most of what was sent."""
         ...
 
     def finish(self) -> None:
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -1,6 +1,6 @@
 """The event stream sent to one caller, across all attempts of its request."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._events import Event
@@ -38,6 +38,11 @@
         """Id of the last event that the caller has."""
         return self._last_event_id
 
+    @property
+    def is_congested(self) -> bool:
+        """Whether the caller has to read before more is sent."""
+        return self._caller.is_congested
+
     @property
     def has_attempt_events(self) -> bool:
         """Whether the current attempt has brought an event."""
@@ -60,31 +65,46 @@
             return None
         return get_time() - self._attempt_started_at
 
-    def is_next(self, event: Event) -> bool:
-        """Whether an event directly follows the last one; true for one without id."""
-        return event.event_id is None or event.event_id == self._last_event_id + 1
+    def count_next(self, events: Sequence[Event]) -> int:
+        """Return how many of the events directly follow the last one and each other.
 
-    async def deliver(self, head: AnswerHead, event: Event) -> None:
-        """Send an event to the caller, and before the first event the head."""
+        An event without id follows any other.
+        """
+        last = self._last_event_id
+        for index, event in enumerate(events):
+            if event.event_id is None:
+                continue
+            if event.event_id != last + 1:
+                return index
+            last = event.event_id
+        return len(events)
+
+    def deliver(self, head: AnswerHead, events: Sequence[Event]) -> None:
+        """Send events to the caller at once, and before the first event the head."""
         if self._attempt_started_at is None:
             self._attempt_started_at = get_time()
             self._report_start()
-        await self._start(head)
-        if event.event_id is not None:
-            self._last_event_id = event.event_id
-        self.event_count += 1
-        await self._caller.write(event.content)
-
-    async def finish(self, head: AnswerHead) -> None:
+        self._start(head)
+        for event in events:
+            if event.event_id is not None:
+                self._last_event_id = event.event_id
+        self.event_count += len(events)
+        self._caller.send(b"".join([event.content for event in events]))
+
+    async def drain(self) -> None:
+        """Wait until the caller has taken most of what was sent."""
+        await self._caller.drain()
+
+    def finish(self, head: AnswerHead) -> None:
         """End the stream as complete."""
-        await self._start(head)
+        self._start(head)
         self._caller.finish()
 
-    async def _start(self, head: AnswerHead) -> None:
+    def _start(self, head: AnswerHead) -> None:
         if not self.is_started:
             self.is_started = True
             self.started_at = get_time()
-            await self._caller.start(head.status, head.headers)
+            self._caller.start(head.status, head.headers)
 
 
 def _report_nothing() -> None:
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -79,13 +79,18 @@
         self.body = b""
         self.end = ""
 
-    async def start(self, status, headers):
+    is_congested = False
+
+    def start(self, status, headers):
         assert not self.status, "start() was called twice"
         self.status, self.headers = status, headers
 
-    async def write(self, chunk):
+    def send(self, chunk):
         self.body += chunk
 
+    async def drain(self):
+        pass
+
     def finish(self):
         self.end = "finished"
 
--- a/kingcuphead/paths/_frames.py
+++ b/kingcuphead/paths/_frames.py
@@ -7,6 +7,7 @@
 from thrift.TSerialization import deserialize, serialize
 from tornado.iostream import IOStream
 
+from kingcuphead.forwarding import TargetStream
 from kingcuphead.paths._messages import TunnelAnswered, TunnelAsked
 from kingcuphead.wire import find_codec, ttypes
 
@@ -26,7 +27,7 @@
 
 
 async def write_message(
-    stream: IOStream, message: TunnelAsked | TunnelAnswered
+    stream: IOStream | TargetStream, message: TunnelAsked | TunnelAnswered
 ) -> None:
     """Send a message."""
     cls: Any = type(message)
@@ -34,7 +35,7 @@
     await stream.write(_LENGTH.pack(len(content)) + content)
 
 
-async def read_message(stream: IOStream, cls: type[T]) -> T:
+async def read_message(stream: IOStream | TargetStream, cls: type[T]) -> T:
     """Receive a message.
 
     Raises
--- a/kingcuphead/paths/_server.py
+++ b/kingcuphead/paths/_server.py
@@ -9,7 +9,12 @@
 from tornado.iostream import IOStream, StreamClosedError
 from tornado.tcpserver import TCPServer
 
-from kingcuphead.forwarding import TargetConnection, is_refusal, set_socket_options
+from kingcuphead.forwarding import (
+    TargetConnection,
+    TargetStream,
+    is_refusal,
+    set_socket_options,
+)
 from kingcuphead.paths._connector import Connector
 from kingcuphead.paths._frames import (
     MalformedMessageError,
@@ -133,7 +138,7 @@
         self._start_tunnel(stream)
 
 
-async def _join(first: IOStream, second: IOStream) -> None:
+async def _join(first: IOStream, second: TargetStream) -> None:
     """Pass bytes on in both directions until either side closes."""
     copies = {
         asyncio.create_task(_copy(first, second)),
@@ -146,7 +151,7 @@
             copy.cancel()
 
 
-async def _copy(source: IOStream, sink: IOStream) -> None:
+async def _copy(source: IOStream | TargetStream, sink: IOStream | TargetStream) -> None:
     with contextlib.suppress(StreamClosedError):
         while True:
             block = await source.read_bytes(BLOCK_BYTES, partial=True)
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -89,6 +89,7 @@
         "wait-ms",
     }
 )
+_NOT_FROM_CALLERS = _HOP_BY_HOP | _FLEET_ONLY
 
 
 def decode_request(
@@ -127,7 +128,7 @@
             method=start_line.method,
             uri=start_line.path,
             host=headers.get("Host", ""),
-            headers=_copy_headers(headers, _FLEET_ONLY),
+            headers=_copy_headers(headers, _NOT_FROM_CALLERS),
             body=body,
             key=headers.get(_API_KEY, ""),
             timeout=caller_timeout,
@@ -154,7 +155,9 @@
         options
             Values that the fleet sets for this attempt.
         """
-        headers = request.headers.copy()
+        headers = HTTPHeaders()
+        for name in request.headers:
+            _copy_values(request.headers, name, headers)
         headers[_EXPECTED_TARGET] = options.target
         headers[_DEADLINE] = str(max(1, math.floor(options.remaining * 1000)))
         if options.organisation:
@@ -192,7 +195,7 @@
         )
         return AnswerHead(
             status=status,
-            headers=_copy_headers(headers, frozenset()),
+            headers=_copy_headers(headers, _HOP_BY_HOP),
             request_id=headers.get(REQUEST_ID, ""),
             is_not_run=_NOT_RUN in headers or status == 421,
             is_signed=_SIGNATURE in headers,
@@ -302,11 +305,25 @@
 
 def _copy_headers(headers: HTTPHeaders, excluded: frozenset[str]) -> HTTPHeaders:
     """Copy the end-to-end headers, without the excluded names."""
-    connection_options = headers.get("Connection", "").lower().split(",")
-    connection_headers = {name.strip() for name in connection_options} - _END_TO_END
-    dropped = _HOP_BY_HOP | excluded | connection_headers
+    dropped = excluded | _list_connection_headers(headers)
     copy = HTTPHeaders()
-    for name, value in headers.get_all():
+    for name in headers:
         if name.lower() not in dropped:
-            copy.add(name, value)
+            _copy_values(headers, name, copy)
     return copy
+
+
+def _list_connection_headers(headers: HTTPHeaders) -> frozenset[str]:
+    """Return the headers that the Connection header names as hop-by-hop."""
+    if "Connection" not in headers:
+        return frozenset()
+    options = headers["Connection"].lower().split(",")
+    return frozenset(name.strip() for name in options) - _END_TO_END
+
+
+def _copy_values(source: HTTPHeaders, name: str, copy: HTTPHeaders) -> None:
+    """Copy the values of a header, which were validated when they were received."""
+    first, *others = source.get_list(name)
+    copy[name] = first
+    for value in others:
+        copy.add(name, value)
