--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -1,11 +1,14 @@
 """The HTTP server for callers, which serves each complete request in its own task."""
 
 import asyncio
+import contextlib
 import http.client
 from collections.abc import Callable
+from typing import cast
 
 from expression import Result
 from loguru import logger
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -36,6 +39,8 @@
 class HttpCaller:
     """Writes the answer to one request.
 
+    The head is sent in one write with the first part of the body.
+
     Parameters
     ----------
     connection
@@ -44,35 +49,83 @@
         Counts the bytes of the connection and tells whether it should close.
     """
 
-    def __init__(self, connection: HTTPConnection, traffic: CallerConnection) -> None:
+    def __init__(self, connection: HTTP1Connection, traffic: CallerConnection) -> None:
         self._connection = connection
         self._traffic = traffic
-        #: Whether the status line and the headers were sent.
-        self.is_answered = False
+        self._unsent_head: tuple[ResponseStartLine, HTTPHeaders] | None = None
+        self._is_chunked = False
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether sent bytes are still unread by the caller."""
+        return self._connection.stream.writing()
 
-    async def start(self, status: int, headers: HTTPHeaders) -> None:
-        """Send the status line and the headers of the answer."""
-        self.is_answered = True
+    def start(self, status: int, headers: HTTPHeaders) -> None:
+        """Set the status line and the headers of the answer."""
         reason = http.client.responses.get(status, "Unknown")
-        start_line = ResponseStartLine("HTTP/1.1", status, reason)
-        self._traffic.record_sent(MESSAGE_OVERHEAD_BYTES)
-        if self._traffic.is_marked:
-            # Adds `Connection: close`; Tornado has no public way for one connection.
-            self._connection._disconnect_on_finish = True  # type: ignore[attr-defined]
-        await self._connection.write_headers(start_line, headers)
+        self._unsent_head = (ResponseStartLine("HTTP/1.1", status, reason), headers)
 
-    async def write(self, chunk: bytes) -> None:
-        """Send a part of the body; wait while the connection applies backpressure."""
+    def send(self, chunk: bytes) -> None:
+        """Send a part of the body, and buffer what the connection doesn't take.
+
+        Raises
+        ------
+        StreamClosedError
+            The connection is closed.
+        """
         self._traffic.record_sent(len(chunk))
-        await self._connection.write(chunk)
+        stream = self._connection.stream
+        if stream.closed():
+            raise StreamClosedError(real_error=stream.error)
+        if self._unsent_head is not None:
+            self._send_head(chunk)
+        elif self._is_chunked:
+            self._send_bytes(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+        else:
+            self._connection.write(chunk)
+
+    async def drain(self) -> None:
+        """Wait until the connection has taken all that was sent."""
+        stream = self._connection.stream
+        if stream.writing():
+            # The future of this write is done once all bytes before are sent, too.
+            await stream.write(b"")
 
     def finish(self) -> None:
         """Complete the answer."""
+        if self._unsent_head is not None:
+            self._send_head(None)
         self._connection.finish()
 
     def abort(self) -> None:
         """Close the connection, so that the caller detects the incomplete answer."""
-        self._connection.close()  # type: ignore[attr-defined]
+        self._connection.close()
+
+    def _send_bytes(self, data: bytes) -> None:
+        """Pass bytes to the kernel; the stream buffers those that it doesn't take."""
+        stream = self._connection.stream
+        sent = 0
+        if not stream.writing():
+            with contextlib.suppress(OSError):
+                sent = stream.write_to_fd(memoryview(data)) or 0
+        if sent < len(data):
+            stream.write(data[sent:])
+
+    def _send_head(self, chunk: bytes | None) -> None:
+        if self._unsent_head is None:
+            return
+        start_line, headers = self._unsent_head
+        self._unsent_head = None
+        self._traffic.record_sent(MESSAGE_OVERHEAD_BYTES)
+        if self._traffic.is_marked:
+            # Adds `Connection: close`; Tornado has no public way for one connection.
+            self._connection._disconnect_on_finish = True
+        self._connection.write_headers(start_line, headers, chunk)
+        # The library adds this header unless the answer has a length.
+        self._is_chunked = headers.get("Transfer-Encoding") == "chunked"
+        if self._is_chunked:
+            # The next event doesn't wait until the caller has acknowledged this one.
+            self._connection.stream.set_nodelay(True)
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -134,7 +187,8 @@
         """Return the delegate that reads the next request of a connection."""
         caller = request_conn.context.remote_ip  # type: ignore[attr-defined]
         traffic = self._connections.find(server_conn, caller)
-        return _RequestReader(request_conn, traffic, self._start_task)
+        connection = cast(HTTP1Connection, request_conn)
+        return _RequestReader(connection, traffic, self._start_task)
 
     def on_close(self, server_conn: object) -> None:
         """Forget a connection; each request registers a close callback of its own."""
@@ -142,7 +196,7 @@
 
     def _start_task(
         self,
-        connection: HTTPConnection,
+        connection: HTTP1Connection,
         traffic: CallerConnection,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
@@ -152,7 +206,7 @@
         task = asyncio.create_task(self._serve(caller, start_line, headers, body))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        connection.set_close_callback(task.cancel)  # type: ignore[attr-defined]
+        connection.set_close_callback(lambda: _cancel(task))
 
     async def _serve(
         self,
@@ -191,10 +245,10 @@
 
     def __init__(
         self,
-        connection: HTTPConnection,
+        connection: HTTP1Connection,
         traffic: CallerConnection,
         start_task: Callable[
-            [HTTPConnection, CallerConnection, RequestStartLine, HTTPHeaders, bytes],
+            [HTTP1Connection, CallerConnection, RequestStartLine, HTTPHeaders, bytes],
             None,
         ],
     ) -> None:
@@ -237,6 +291,11 @@
     body = f"{refusal.reason.value}\n".encode()
     headers["Content-Type"] = "text/plain"
     headers["Content-Length"] = str(len(body))
-    await caller.start(refusal.status, headers)
-    await caller.write(body)
+    caller.start(refusal.status, headers)
+    caller.send(body)
+    await caller.drain()
     caller.finish()
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
