Move FairQueue to a package of its own, generic over its request type

The entry daemon will queue requests too, and kingcuphead.queueing imports the records that it doesn't use.

--- a/kingcuphead/queueing/_backlog.py
+++ b/kingcuphead/queueing/_backlog.py
@@ -4,6 +4,7 @@
 import math
 from collections.abc import Iterator, Mapping
 
+from kingcuphead import fairness
 from kingcuphead.invariants import ensure
 from kingcuphead.queueing._fairness import FairQueue, WaitingRequest
 from kingcuphead.queueing._messages import RequestArrived
@@ -77,7 +78,7 @@
             "a request is queued at most once",
             request_id=request.request_id,
         )
-        waiting = WaitingRequest(request, now, weight)
+        waiting = fairness.WaitingRequest(request, now, weight)
         self._waiting[request.request_id] = waiting
         self._get_queue(request).push(waiting)
 
