Add admission: requests wait for room before a target is chosen

Each request went to the cheapest target at once, however long the wait there, so in a burst all were late. With queues_requests, requests wait in a bounded queue for each service and are refused at once if they can't begin in time. Off by default.

--- /dev/null
+++ b/kingcuphead/admission/__init__.py
@@ -0,0 +1,24 @@
+"""Admission: requests wait for room at targets, or are refused at once."""
+
+from kingcuphead.admission._answer_times import AnswerTimes
+from kingcuphead.admission._bounds import QueueBounds
+from kingcuphead.admission._gate import AdmissionGate, RoomQuery
+from kingcuphead.admission._messages import (
+    AdmissionRequest,
+    Admitted,
+    Decision,
+    QueueFigures,
+    Refused,
+)
+
+__all__ = [
+    "AdmissionGate",
+    "AdmissionRequest",
+    "Admitted",
+    "AnswerTimes",
+    "Decision",
+    "QueueBounds",
+    "QueueFigures",
+    "Refused",
+    "RoomQuery",
+]
--- /dev/null
+++ b/kingcuphead/admission/_messages.py
@@ -0,0 +1,114 @@
+"""Requests that ask for admission, and the decisions about them."""
+
+import dataclasses
+import enum
+from typing import TypeAlias
+
+from kingcuphead.verdict import Reason
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AdmissionRequest:
+    """A request that is to be sent to a target of its service."""
+
+    #: Id of the arrival, unique in this daemon.
+    request_id: str
+    #: Name of the service.
+    service: str
+    #: Name of the paying organisation; empty for an anonymous request.
+    organisation: str
+    #: Priority; 0 is the most urgent.
+    rank: int
+    #: Size in tokens, 1 for requests without token counts.
+    size: int
+    #: Length of the body in bytes.
+    body_bytes: int
+    #: Digest that all tries of one request share.
+    fingerprint: str
+    #: Time of arrival in seconds.
+    arrived_at: float
+    #: Time in seconds at which the latency objective passes.
+    objective_ends_at: float
+    #: Time in seconds by which the final answer is due.
+    deadline: float
+    #: Expected seconds from admission to the first answer.
+    answer_seconds: float = 0.0
+
+    @property
+    def is_retry(self) -> bool:
+        """Whether it goes ahead of its organisation's requests; never by itself."""
+        return False
+
+    @property
+    def last_start_in_time(self) -> float:
+        """Last time of admission at which the objective is expected to be met."""
+        return self.objective_ends_at - self.answer_seconds
+
+    @property
+    def last_start(self) -> float:
+        """Last time of admission at which the deadline is expected to be met."""
+        return self.deadline - self.answer_seconds
+
+
+class Standing(enum.IntEnum):
+    """Place of a request among those of its rank; the lowest value is served first."""
+
+    #: Was refused before and came back when it was told to.
+    RETURNED = 0
+    #: Is expected to meet its objective.
+    TIMELY = 1
+    #: Is expected to miss its objective.
+    LATE = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class QueueFigures:
+    """What a refusal was based on, for the log."""
+
+    #: Number of requests that waited for the service.
+    waiting: int
+    #: Number of requests ahead.
+    ahead: int
+    #: Requests admitted per second; None before it is measured.
+    rate: float | None
+    #: Seconds that were left for the wait.
+    remaining: float
+
+    def __str__(self) -> str:
+        """Return the figures as a field of a log line."""
+        rate = "-" if self.rate is None else f"{self.rate:.1f}/s"
+        return (
+            f"waiting={self.waiting} ahead={self.ahead} rate={rate} "
+            f"remaining={self.remaining:.3f}s"
+        )
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """The request may be sent to a target now."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Refused:
+    """The request is not going to run."""
+
+    #: Machine-readable cause.
+    reason: Reason
+    #: Seconds until room for the request is expected.
+    retry_after: float
+    #: What the refusal was based on.
+    figures: QueueFigures
+
+
+#: Decision about one request.
+Decision: TypeAlias = Admitted | Refused
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rejection:
+    """A request that was removed from a queue unserved."""
+
+    #: The request.
+    request: AdmissionRequest
+    #: Answer to it.
+    refused: Refused
--- /dev/null
+++ b/kingcuphead/admission/_service_queue.py
@@ -0,0 +1,213 @@
+"""The waiting requests of one service, in the order in which they are admitted."""
+
+import dataclasses
+import itertools
+from collections.abc import Callable, Iterator
+
+from kingcuphead.admission._messages import AdmissionRequest, Standing
+from kingcuphead.fairness import FairQueue, WaitingRequest
+
+#: Number of waiting requests that are examined for one admission.
+LOOKAHEAD = 16
+#: Times that a request is passed over before it holds back the requests behind it.
+MAX_PASSES = 16
+#: Seconds for which a request that was passed over holds back others.
+HOLD_BACK_SECONDS = 0.15
+#: Wait in units of the objective after which a request counts as aged.
+AGED_OBJECTIVES = 2.0
+#: Lower bound of that wait in seconds.
+MIN_AGED_SECONDS = 0.2
+#: One of this number of admissions goes to the request that has waited longest, if it
+#: is aged. A larger share would make more of the timely requests late.
+AGED_INTERVAL = 16
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class Entry:
+    """A waiting request."""
+
+    #: The request.
+    request: AdmissionRequest
+    #: The request as an element of a fair queue.
+    waiting: WaitingRequest[AdmissionRequest]
+    #: Place among the requests of its rank.
+    standing: Standing
+    #: Number of admissions that passed it over.
+    passes: int = 0
+    #: End of the time in seconds for which it holds back others; None before it does.
+    holds_back_until: float | None = None
+
+    def is_aged(self, now: float) -> bool:
+        """Return whether it has waited so long that it may overtake others."""
+        objective = self.request.objective_ends_at - self.request.arrived_at
+        bound = max(MIN_AGED_SECONDS, AGED_OBJECTIVES * objective)
+        return now - self.request.arrived_at > bound
+
+    def holds_back(self, now: float) -> bool:
+        """Return whether the requests behind it have to wait for it."""
+        if self.passes < MAX_PASSES:
+            return False
+        if self.holds_back_until is None:
+            self.holds_back_until = now + HOLD_BACK_SECONDS
+        if now < self.holds_back_until:
+            return True
+        self.passes = 0
+        self.holds_back_until = None
+        return False
+
+
+class ServiceQueue:
+    """Orders waiting requests; does no I/O.
+
+    The order is by rank, then by standing. Within these, organisations share by tokens;
+    requests of one organisation, and organisations that have got equal shares, are
+    ordered by the last time at which they start in time. Without the time that the
+    answer takes, large requests would be the first to miss their objectives.
+    """
+
+    def __init__(self) -> None:
+        self._entries: dict[str, Entry] = {}
+        self._queues: dict[tuple[int, Standing], FairQueue[AdmissionRequest]] = {}
+        self._admissions_until_aged = AGED_INTERVAL
+        #: Bytes in the bodies of the waiting requests.
+        self.body_bytes = 0
+
+    def __len__(self) -> int:
+        return len(self._entries)
+
+    def __contains__(self, request_id: str) -> bool:
+        return request_id in self._entries
+
+    @property
+    def late_count(self) -> int:
+        """Number of waiting requests that are expected to miss their objectives."""
+        return sum(
+            len(queue)
+            for (_, standing), queue in self._queues.items()
+            if standing is Standing.LATE
+        )
+
+    @property
+    def ranks(self) -> set[int]:
+        """Ranks of the waiting requests."""
+        return {rank for (rank, _), queue in self._queues.items() if len(queue)}
+
+    def push(self, request: AdmissionRequest, standing: Standing, now: float) -> None:
+        """Add a request."""
+        entry = Entry(request, WaitingRequest(request, now), standing)
+        self._entries[request.request_id] = entry
+        self._get_queue(entry).push(entry.waiting)
+        self.body_bytes += request.body_bytes
+
+    def remove(self, request_id: str) -> bool:
+        """Remove a request that leaves unserved; return whether it waited."""
+        entry = self._entries.pop(request_id, None)
+        if entry is None:
+            return False
+        self._get_queue(entry).remove(entry.waiting)
+        self._end(entry)
+        return True
+
+    def mark_late(self, request_id: str) -> None:
+        """Record that a request is expected to miss its objective."""
+        entry = self._entries[request_id]
+        if entry.standing is Standing.TIMELY:
+            self._get_queue(entry).remove(entry.waiting)
+            entry.standing = Standing.LATE
+            self._get_queue(entry).push(entry.waiting)
+
+    def is_late(self, request_id: str) -> bool:
+        """Return whether a waiting request is expected to miss its objective."""
+        return self._entries[request_id].standing is Standing.LATE
+
+    def refresh(self, now: float) -> None:
+        """Mark the requests that can no longer start in time."""
+        for entry in tuple(self._entries.values()):
+            if entry.request.last_start_in_time < now:
+                self.mark_late(entry.request.request_id)
+
+    def iterate(self) -> Iterator[AdmissionRequest]:
+        """Yield the requests in their order, without regard to ageing."""
+        for key in sorted(self._queues):
+            for waiting in self._queues[key].iterate():
+                yield waiting.request
+
+    def find_last(self) -> AdmissionRequest | None:
+        """Return the last request of the least urgent rank; None if none waits."""
+        return next(reversed(tuple(self.iterate())), None)
+
+    def admit(
+        self,
+        has_room: Callable[[AdmissionRequest], bool],
+        may_overtake: Callable[[int], bool],
+        now: float,
+    ) -> AdmissionRequest | None:
+        """Remove and return the first request that there is room for.
+
+        Parameters
+        ----------
+        has_room
+            Returns whether a target has room for a request.
+        may_overtake
+            Returns whether an aged request of a rank may go ahead of more urgent ones.
+        now
+            Current time in seconds.
+        """
+        self.refresh(now)
+        passed: list[Entry] = []
+        for entry in self._list_candidates(may_overtake, now):
+            if has_room(entry.request):
+                self._record_admission(entry, passed, now)
+                return entry.request
+            passed.append(entry)
+            if entry.holds_back(now):
+                return None
+        return None
+
+    def _list_candidates(
+        self, may_overtake: Callable[[int], bool], now: float
+    ) -> list[Entry]:
+        ordered = itertools.islice(self.iterate(), LOOKAHEAD)
+        entries = [self._entries[request.request_id] for request in ordered]
+        aged = self._find_aged(now) if self._admissions_until_aged <= 0 else None
+        if aged is None or not may_overtake(aged.request.rank):
+            return entries
+        return [aged, *(entry for entry in entries if entry is not aged)]
+
+    def _find_aged(self, now: float) -> Entry | None:
+        """Return the request that has waited longest if it is aged."""
+        oldest = min(
+            self._entries.values(),
+            key=lambda entry: entry.request.arrived_at,
+            default=None,
+        )
+        return oldest if oldest is not None and oldest.is_aged(now) else None
+
+    def _record_admission(
+        self, admitted: Entry, passed: list[Entry], now: float
+    ) -> None:
+        for entry in passed:
+            entry.passes += 1
+        was_aged = admitted.is_aged(now)
+        self._admissions_until_aged -= 1
+        if was_aged:
+            self._admissions_until_aged = AGED_INTERVAL
+        del self._entries[admitted.request.request_id]
+        self._get_queue(admitted).serve(admitted.waiting)
+        self._end(admitted)
+
+    def _end(self, entry: Entry) -> None:
+        self.body_bytes -= entry.request.body_bytes
+        if not self._entries:
+            # What organisations got earlier doesn't count when nothing waits.
+            self._queues.clear()
+
+    def _get_queue(self, entry: Entry) -> FairQueue[AdmissionRequest]:
+        key = (entry.request.rank, entry.standing)
+        if key not in self._queues:
+            self._queues[key] = FairQueue(_get_urgency)
+        return self._queues[key]
+
+
+def _get_urgency(request: AdmissionRequest) -> float:
+    return request.last_start_in_time
--- a/kingcuphead/dispatch/__init__.py
+++ b/kingcuphead/dispatch/__init__.py
@@ -8,6 +8,7 @@
     SharedPrefix,
 )
 from kingcuphead.dispatch._retries import RetryAllowance
+from kingcuphead.dispatch._room import RoomCheck
 from kingcuphead.dispatch._target_state import Placement
 
 __all__ = [
@@ -17,5 +18,6 @@
     "Placement",
     "PlacementRequest",
     "RetryAllowance",
+    "RoomCheck",
     "SharedPrefix",
 ]
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -16,6 +16,7 @@
     DispatchSettings,
     PlacementRequest,
 )
+from kingcuphead.dispatch._room import TargetRoom
 from kingcuphead.dispatch._target_state import Placement, PrefillPlan, TargetState
 from kingcuphead.loads import PeerLoads, TargetLoad
 from kingcuphead.targets import Target
@@ -91,6 +92,34 @@
         self._announce_if_large(plan)
         return placement
 
+    def has_room(
+        self, request: PlacementRequest, candidates: Iterable[Target], now: float
+    ) -> bool:
+        """Return whether some target has room for a request that waits.
+
+        Parameters
+        ----------
+        request
+            Properties of the request.
+        candidates
+            Targets that accept new requests.
+        now
+            Current time in seconds.
+        """
+        available = self._select_available(candidates, (), now)
+        rooms = [(target, self._describe_room(target)) for target in available]
+        if any(room.accepts_on_old_reports(request, now) for _, room in rooms):
+            return True
+        free = {target.name for target, room in rooms if room.has_slot}
+        if not free or request.objective_ends_at <= now:
+            return bool(free)
+        ranked = self._rank(request, available) if request.prefixes else available
+        return any(
+            self._is_in_time(request, target, ranked, now)
+            for target in ranked
+            if target.name in free
+        )
+
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
         placement.state.remove(placement)
@@ -130,6 +159,29 @@
         ]
         return available or usable
 
+    def _describe_room(self, target: Target) -> TargetRoom:
+        reported = self._peer_loads.get_load(target.name).running
+        return TargetRoom(target.slots, self._get_state(target).running, reported)
+
+    def _is_in_time(
+        self,
+        request: PlacementRequest,
+        target: Target,
+        ranked: list[Target],
+        now: float,
+    ) -> bool:
+        """Return whether a free target is expected to meet a request's objective.
+
+        Also true if the request alone takes longer there, as waiting wouldn't help.
+        """
+        plan = self._plan_prefill(request, target, ranked, now)
+        state = self._get_state(target)
+        remaining = request.objective_ends_at - now
+        wait = self._estimate_wait(state, target, plan) * state.latency_ratio
+        if wait < remaining:
+            return True
+        return self._estimate_prefill(plan) * state.latency_ratio >= remaining
+
     def _announce_if_large(self, plan: PrefillPlan) -> None:
         is_large = plan.prefill_tokens >= self._settings.min_announced_tokens
         if is_large and self.announce is not None:
@@ -226,11 +278,16 @@
         others = self._peer_loads.get_load(target.name)
         pending = state.pending_prefill_tokens + others.unread_tokens
         running = state.running + others.running
-        prefill = plan.prefill_tokens + pending
-        seconds = prefill / settings.prefill_tokens_per_second
-        seconds += plan.copied_tokens / settings.kv_copy_tokens_per_second
+        seconds = pending / settings.prefill_tokens_per_second
+        seconds += self._estimate_prefill(plan)
         return seconds + running * settings.wait_per_running_request
 
+    def _estimate_prefill(self, plan: PrefillPlan) -> float:
+        """Return the seconds that a prompt takes on an idle target."""
+        settings = self._settings
+        seconds = plan.prefill_tokens / settings.prefill_tokens_per_second
+        return seconds + plan.copied_tokens / settings.kv_copy_tokens_per_second
+
     def _compute_wait_cost(self, wait: float) -> float:
         """Return the cost of a wait given in units of the latency objective."""
         share = self._settings.linear_share
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,6 +18,10 @@
     prompt_tokens: int = 0
     #: Latency objective for the first byte of the answer in seconds.
     objective: float = 1.0
+    #: Time in seconds at which the objective passes; infinite if it isn't known.
+    objective_ends_at: float = math.inf
+    #: Time in seconds since which it waits for room; infinite if it doesn't wait.
+    waiting_since: float = math.inf
 
     @property
     def shared_tokens(self) -> int:
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -10,6 +10,7 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.admission import AdmissionGate, QueueBounds
 from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._fleet_links import FleetLinks
@@ -37,7 +38,12 @@
     read_profile,
 )
 from kingcuphead.routing import RoutingConfiguration, RoutingTable
-from kingcuphead.targets import DirectoryChange, TargetDirectory, TargetLeft
+from kingcuphead.targets import (
+    DirectoryChange,
+    TargetAdded,
+    TargetDirectory,
+    TargetLeft,
+)
 
 #: Seconds between two sweeps that drop expired entries and idle connections; also the
 #: timeout of one attempt to return credit during shutdown.
@@ -60,9 +66,13 @@
         Settings of this process, as the platform provides them.
     settings_path
         Path of the file that the profile was read from.
+    queues_requests
+        Whether requests wait until targets have room.
     """
 
-    def __init__(self, profile: Profile, settings_path: str) -> None:
+    def __init__(
+        self, profile: Profile, settings_path: str, queues_requests: bool = False
+    ) -> None:
         self._profile = profile
         self._settings_path = settings_path
         self._reload = asyncio.Event()
@@ -86,6 +96,10 @@
             self._retries,
             rng,
         )
+        self._admission: AdmissionGate | None = None
+        if queues_requests:
+            self._admission = AdmissionGate(self._dispatcher, QueueBounds())
+        self._links.admission = self._metrics.admission = self._admission
         self._targets = TargetListener(self._directory, self._handle_change)
         self._links.report_leaving = self._targets.handle_leaving
         self._connector = Connector(
@@ -112,6 +126,7 @@
                 self._targets.handle_leaving,
                 self._links.report_statement,
                 self._links.permits,
+                self._admission,
             ),
             rng,
             self._metrics.record,
@@ -238,6 +253,8 @@
         self._has_configuration = True
 
     def _handle_change(self, change: DirectoryChange) -> None:
+        if isinstance(change, TargetAdded) and self._admission is not None:
+            self._admission.wake(change.target.service)
         if isinstance(change, TargetLeft):
             self._pool.close_address(change.target.address)
             if change.is_removed:
@@ -260,6 +277,8 @@
         # Another daemon can help; a stream that begins here might be cut off.
         self._tunnels.stop_accepting()
         self._callers.announce_close()
+        if self._admission is not None:
+            self._admission.close()
         self._start_task(self._links.deregister())
         await asyncio.sleep(min(SHUTDOWN_ACCEPT_PERIOD, self._profile.grace / 2))
         self._callers.stop_listening()
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from kingcuphead.admission import AdmissionGate
 from kingcuphead.credit import (
     CreditAsked,
     CreditHanded,
@@ -106,6 +107,8 @@
         #: Called with a target that said, in an answer passed on to another daemon,
         #: that it leaves.
         self.report_leaving: Callable[[Target], None] | None = None
+        #: Holds requests back until targets have room; None if none wait.
+        self.admission: AdmissionGate | None = None
         self._directory = directory
         self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
@@ -199,6 +202,8 @@
             case LoadsReported():
                 self._loads.handle_report(message)
                 self.peer_paths.record_report(sender, message.is_cut_off, now)
+                if self.admission is not None:
+                    self.admission.wake()
             case CreditAsked():
                 reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
@@ -240,3 +245,5 @@
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
+        if self.admission is not None:
+            self.admission.bounds.daemons = daemons
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -6,12 +6,14 @@
     CONTENT_TYPE_LATEST,
     CollectorRegistry,
     Counter,
+    Gauge,
     Histogram,
     generate_latest,
 )
 from tornado.httpserver import HTTPServer
 from tornado.web import Application, RequestHandler
 
+from kingcuphead.admission import AdmissionGate
 from kingcuphead.forwarding import Refusal, RequestContext
 
 #: Port of the metrics endpoint; the deployment file contains it too.
@@ -77,6 +79,27 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._queue_seconds = Histogram(
+            "kingcuphead_queue_seconds",
+            "Seconds that requests waited for room, by service.",
+            ("service",),
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        self._queue_refusals = Counter(
+            "kingcuphead_queue_refusals",
+            "Requests refused for want of room, by service and reason.",
+            ("service", "reason"),
+            registry=self._registry,
+        )
+        self._queue_length = Gauge(
+            "kingcuphead_queue_length",
+            "Requests that wait for room, by service.",
+            ("service",),
+            registry=self._registry,
+        )
+        #: Holds requests back until targets have room; None if none wait.
+        self.admission: AdmissionGate | None = None
 
     def record(self, context: RequestContext, refusal: Refusal | None) -> None:
         """Record a request that ended, with its refusal if it was refused."""
@@ -96,9 +119,16 @@
             self._first_event.labels(work_class).observe(context.first_event_seconds)
         if context.credit_seconds:
             self._credit.observe(context.credit_seconds)
+        if self.admission is not None:
+            self._queue_seconds.labels(context.service).observe(context.queue_seconds)
+        if context.queue_figures is not None:
+            self._queue_refusals.labels(context.service, reason).inc()
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        if self.admission is not None:
+            for service, length in self.admission.count_waiting():
+                self._queue_length.labels(service).set(length)
         return generate_latest(self._registry)
 
     def _choose_label(self, name: str) -> str:
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -68,7 +68,7 @@
         context.helper = None
         started_at = get_time()
         if stream is not None:
-            stream.begin_attempt(lambda: self._record_start(context, placement.target))
+            stream.begin_attempt(lambda: self._record_start(context, placement))
         previous_execution, context.execution = (
             context.execution,
             Execution.MAY_HAVE_RUN,
@@ -127,6 +127,8 @@
         self._dependencies.permits.release(
             placement.target, was_rejected=result is AttemptResult.REFUSED
         )
+        if self._dependencies.admission is not None:
+            self._dependencies.admission.wake(context.service)
 
     def _make_attempt(
         self, context: RequestContext, placement: Placement, stream: AnswerStream | None
@@ -171,8 +173,13 @@
         if head.request_id == context.request.request_id:
             permits.record_terms(target, head.terms)
 
-    def _record_start(self, context: RequestContext, target: Target) -> None:
+    def _record_start(self, context: RequestContext, placement: Placement) -> None:
         """Record the software version of the first event that the caller gets."""
+        target = placement.target
+        if self._dependencies.admission is not None:
+            # Prompts that were processed take no room from those that wait.
+            self._dependencies.dispatcher.record_answer_start(placement, get_time())
+            self._dependencies.admission.wake(context.service)
         if context.bound_version is None:
             context.bound_version = target.software_version
         stream_id = context.request.stream_id
--- a/kingcuphead/forwarding/_charging.py
+++ b/kingcuphead/forwarding/_charging.py
@@ -47,7 +47,7 @@
         timeout = min(CREDIT_TIMEOUT, context.deadline - get_time())
         requested_at = get_time()
         held = await self._credit.hold(organisation.name, tokens, timeout)
-        context.credit_seconds = get_time() - requested_at
+        context.credit_seconds += get_time() - requested_at
         if held.is_ok():
             return Ok(held.ok)
         context.credit_state = held.error.state
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from kingcuphead.admission import QueueFigures
 from kingcuphead.credit import CreditState
 from kingcuphead.dispatch import AttemptResult, PlacementRequest, SharedPrefix
 from kingcuphead.forwarding._messages import Address, CallerRequest
@@ -85,6 +86,12 @@
     execution: Execution = Execution.NOT_RUN
     #: Seconds spent waiting for credit.
     credit_seconds: float = 0.0
+    #: Seconds spent waiting for room at a target.
+    queue_seconds: float = 0.0
+    #: What a refusal for want of room was based on; None without one.
+    queue_figures: QueueFigures | None = None
+    #: Time in seconds at which it was admitted to the targets.
+    admitted_at: float = 0.0
     #: Credit of the organisation when the hold was denied; None otherwise.
     credit_state: CreditState | None = None
     #: Seconds from arrival to the first event of the stream; None without one.
@@ -172,6 +179,7 @@
             execution=self.execution.value,
             attempts=[str(record) for record in self.records],
             credit_seconds=round(self.credit_seconds, 3),
+            queue_seconds=round(self.queue_seconds, 3),
             first_event_seconds=self.first_event_seconds,
             tokens=self.spent,
             seconds=round(now - self.request.arrived_at, 3),
@@ -186,6 +194,7 @@
                 reason=refusal.reason.value,
                 retry_after=refusal.retry_after,
                 credit=str(self.credit_state or ""),
+                queue=str(self.queue_figures or ""),
             ).info("request refused")
 
 
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -3,6 +3,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from kingcuphead.admission import AdmissionGate
 from kingcuphead.credit import CreditTask
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.forwarding._attempt import AttemptRunner
@@ -40,3 +41,5 @@
     report_statement: Callable[[TargetStated, Address], None]
     #: What targets take from the whole fleet.
     permits: PermitExchange
+    #: Holds requests back until targets have room; None to send all at once.
+    admission: AdmissionGate | None = None
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -6,6 +6,7 @@
 
 from expression import Error, Ok, Result
 
+from kingcuphead.forwarding._admission import AdmissionStep
 from kingcuphead.forwarding._attempt import (
     Answered,
     AttemptFailed,
@@ -76,6 +77,7 @@
         self._targets = TargetChoice(
             dependencies.directory, dependencies.dispatcher, dependencies.permits
         )
+        self._admission = AdmissionStep(dependencies.admission, self._targets)
 
     def apply(self, table: RoutingTable) -> None:
         """Replace the configuration for requests that arrive from now on."""
@@ -110,6 +112,10 @@
             return self._refuse_quarantined(context)
         if context.takes_up_stream and not await self._find_origin(context):
             return refuse(503, Reason.STREAM_UNKNOWN, ORIGIN_RETRY_AFTER)
+        # A request that waits holds no credit.
+        refusal = await self._admission.enter(context)
+        if refusal is not None:
+            return refusal
         held = await self._charging.acquire_hold(context)
         if held.is_error():
             return held.error
@@ -125,6 +131,7 @@
             if stream is not None and stream.is_started:
                 started_after = stream.started_at - context.request.arrived_at
                 context.first_event_seconds = round(started_after, 3)
+            self._admission.record_end(context, stream)
             self._charging.settle(context, held.ok, stream)
 
     def _admit(self, request: CallerRequest) -> Result[RequestContext, Refusal]:
@@ -238,6 +245,9 @@
         if stream is not None and stream.is_started:
             caller.abort()
             return None
+        is_admission_used = self._dependencies.admission is not None
+        if is_admission_used and context.execution is Execution.NOT_RUN:
+            return refuse(503, Reason.DEADLINE, TARGET_RETRY_AFTER)
         return refuse(504, Reason.TARGET_TIMED_OUT)
 
 
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -38,7 +38,7 @@
         for _ in range(MAX_CLAIMS):
             placement = self._dispatcher.place(
                 context.make_placement_request(),
-                self._permits.select_open(self.list_eligible(context)),
+                self.list_open(context),
                 context.tried,
                 get_time(),
             )
@@ -65,6 +65,10 @@
                 self._dispatcher.withdraw(placement)
         return is_granted
 
+    def list_open(self, context: RequestContext) -> tuple[Target, ...]:
+        """Return the targets that may run a request now."""
+        return self._permits.select_open(self.list_eligible(context))
+
     def list_eligible(self, context: RequestContext) -> tuple[Target, ...]:
         """Return the targets that may run a request, closed ones included."""
         usable = self._directory.list_usable(context.service)
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -36,6 +36,8 @@
         "parts",
         "peer",
         "phases",
+        "queue",
+        "queue_seconds",
         "reason",
         "rejections_per_second",
         "request_id",
--- a/kingcuphead/queueing/tests/test_queues.py
+++ b/kingcuphead/queueing/tests/test_queues.py
@@ -2,9 +2,10 @@
 
 import pytest
 
-from kingcuphead.fairness import FairQueue, WaitingRequest
+from kingcuphead.fairness import WaitingRequest
 from kingcuphead.queueing import QueueingSettings
 from kingcuphead.queueing._backlog import Backlog, Lane
+from kingcuphead.queueing._fairness import FairQueue
 from kingcuphead.queueing._occupancy import Occupancy
 from kingcuphead.queueing._retries import RetryBudget, RetrySchedule
 from kingcuphead.queueing.tests.factories import CLASSES, build_request
