--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -24,6 +24,9 @@
 
 #: Seconds between two checks for room while requests wait.
 TIMER_INTERVAL = 0.02
+#: Seconds after a load report at which room is checked for, once for all reports that
+#: arrive meanwhile.
+REPORT_DELAY = 0.005
 #: Seconds after which a caller refused during shutdown may retry, at another daemon.
 SHUTDOWN_RETRY_AFTER = 0.05
 
@@ -69,6 +72,7 @@
         #: Request of each service that was admitted but not yet counted at a target.
         self._in_transit: dict[str, str] = {}
         self._timer: asyncio.TimerHandle | None = None
+        self._report_timer: asyncio.TimerHandle | None = None
         self._is_closed = False
         #: Bounds on the waiting requests.
         self.bounds = bounds
@@ -117,6 +121,16 @@
         for name in names:
             self._admit_next(name)
 
+    def wake_soon(self) -> None:
+        """Admit waiting requests if there is room after load reports."""
+        if self._report_timer is None and self._waits:
+            loop = asyncio.get_running_loop()
+            self._report_timer = loop.call_later(REPORT_DELAY, self._handle_reports)
+
+    def _handle_reports(self) -> None:
+        self._report_timer = None
+        self.wake()
+
     def close(self) -> None:
         """Refuse all waiting requests, and later ones that would have to wait."""
         self._is_closed = True
@@ -125,9 +139,10 @@
             for request in tuple(service.queue.iterate()):
                 service.withdraw(request.request_id, now)
                 self._decide(request, _refuse_at_shutdown(request, now))
-        if self._timer is not None:
-            self._timer.cancel()
-            self._timer = None
+        for timer in (self._timer, self._report_timer):
+            if timer is not None:
+                timer.cancel()
+        self._timer = self._report_timer = None
 
     async def _wait(
         self,
--- a/kingcuphead/admission/_messages.py
+++ b/kingcuphead/admission/_messages.py
@@ -53,8 +53,9 @@
 class Standing(enum.IntEnum):
     """Place of a request among those of its rank; the lowest value is served first."""
 
-    #: Was refused before and came back when it was told to.
-    RETURNED = 0
+    #: Was refused before and came back when it was told to, or is large while large
+    #: requests get a smaller share of their demand.
+    EXPEDITED = 0
     #: Is expected to meet its objective.
     TIMELY = 1
     #: Is expected to miss its objective.
--- a/kingcuphead/admission/_reservations.py
+++ b/kingcuphead/admission/_reservations.py
@@ -1,7 +1,8 @@
 """Times at which refused requests were told to come back."""
 
 import dataclasses
-from collections import OrderedDict
+import itertools
+from collections import OrderedDict, defaultdict, deque
 
 from kingcuphead.admission._messages import AdmissionRequest
 
@@ -13,8 +14,9 @@
 RETURNING_SHARE = 0.5
 #: Seconds between two of them before the rate of admissions is measured.
 DEFAULT_INTERVAL = 0.02
-#: Seconds after its time for which a place in the queue is kept for a request.
-PLACE_LIFETIME = 0.5
+#: Seconds after its time for which a place in the queue is kept for a request. Most
+#: callers that come back do so at once, and many go to another daemon.
+PLACE_LIFETIME = 0.1
 #: Seconds after its time for which a request is recognised.
 LIFETIME = 5.0
 #: Seconds by which a request may be early: `Retry-After` has milliseconds.
@@ -39,6 +41,8 @@
     def __init__(self) -> None:
         self._reservations: OrderedDict[str, Reservation] = OrderedDict()
         self._last_due_at: dict[int, float] = {}
+        #: Due times and fingerprints by rank, in order of time.
+        self._places: defaultdict[int, deque[tuple[float, str]]] = defaultdict(deque)
 
     def reserve(
         self, request: AdmissionRequest, rate: float | None, now: float
@@ -62,6 +66,7 @@
             self._last_due_at[request.rank] = due_at
             self._reservations[request.fingerprint] = Reservation(request.rank, due_at)
             self._reservations.move_to_end(request.fingerprint)
+            self._places[request.rank].append((due_at, request.fingerprint))
         self._expire(now)
         return min(MAX_RETRY_AFTER, due_at - now)
 
@@ -76,11 +81,17 @@
     def count_places(self, rank: int, now: float) -> int:
         """Return the places kept now for requests of a rank and more urgent ones."""
         return sum(
-            reservation.rank <= rank
-            and reservation.due_at <= now <= reservation.due_at + PLACE_LIFETIME
-            for reservation in self._reservations.values()
+            self._count_places_of(places, now)
+            for other, places in self._places.items()
+            if other <= rank
         )
 
+    def _count_places_of(self, places: deque[tuple[float, str]], now: float) -> int:
+        while places and places[0][0] < now - PLACE_LIFETIME:
+            places.popleft()
+        due = itertools.takewhile(lambda place: place[0] <= now, places)
+        return sum(fingerprint in self._reservations for _, fingerprint in due)
+
     def _find_last(self, rank: int) -> float:
         """Return the last time given to a request of a rank or a more urgent one."""
         times = (at for other, at in self._last_due_at.items() if other <= rank)
--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterator
 
-from kingcuphead.admission._bounds import LATE_SHARE
+from kingcuphead.admission._bounds import KEPT_SHARE, LATE_SHARE
 from kingcuphead.admission._messages import (
     AdmissionRequest,
     QueueFigures,
@@ -13,12 +13,16 @@
 from kingcuphead.admission._rate import AdmissionRate
 from kingcuphead.admission._reservations import Reservations
 from kingcuphead.admission._service_queue import ServiceQueue
-from kingcuphead.admission._shares import RankShares
+from kingcuphead.admission._shares import RankShares, SizeShares
+from kingcuphead.invariants import require
 from kingcuphead.verdict import Reason
 
 #: Lower bound of the time in seconds that is left for an answer when a request is
 #: admitted.
 MIN_ANSWER_SECONDS = 0.02
+#: Seconds after which a request that waits isn't refused in favour of a new one of the
+#: same organisation and rank.
+MAX_REFUSAL_DELAY = 0.05
 #: Ratio of the expected to the remaining wait above which a request that waits already
 #: is refused; the estimate varies while it waits.
 WAITING_MARGIN = 1.25
@@ -31,20 +35,21 @@
         self.queue = ServiceQueue()
         self._rate = AdmissionRate()
         self._shares = RankShares()
+        self._sizes = SizeShares()
         self._reservations = Reservations()
 
     def record_direct(self, request: AdmissionRequest, now: float) -> None:
         """Record a request that was admitted on arrival, as nothing waited."""
         self._reservations.claim(request.fingerprint, now)
-        self._shares.record_arrival(request.rank, now)
-        self._shares.record_admission(request.rank, now)
+        self._record_arrival(request, now)
+        self._record_admission(request, now)
 
     def push(self, request: AdmissionRequest, now: float) -> None:
         """Add a request that arrived to the queue."""
-        self._shares.record_arrival(request.rank, now)
-        standing = Standing.TIMELY
-        if self._reservations.claim(request.fingerprint, now):
-            standing = Standing.RETURNED
+        self._record_arrival(request, now)
+        has_returned = self._reservations.claim(request.fingerprint, now)
+        is_expedited = has_returned or self._sizes.is_neglected(request.size)
+        standing = Standing.EXPEDITED if is_expedited else Standing.TIMELY
         self.queue.push(request, standing, now)
 
     def admit(
@@ -59,7 +64,7 @@
         )
         if admitted is not None:
             self._rate.record_admission(now)
-            self._shares.record_admission(admitted.rank, now)
+            self._record_admission(admitted, now)
         self.track(now)
         return admitted
 
@@ -94,12 +99,19 @@
         if now + wait > request.last_start_in_time:
             self.queue.mark_late(request.request_id)
             wait = self._estimate_wait(request, rate, now)
+        if self.queue.is_only_of_rank(request):
+            # Ageing lets it begin, whatever waits in more urgent ranks.
+            wait = 0.0
         if now + wait > request.last_start - self._get_reserve(request):
             yield self.reject(request, Reason.DEADLINE, now)
+        elif self.queue.is_only_of_rank(request):
+            return
         elif self._shares.is_refused_less(request.rank, now):
             yield self.reject(request, Reason.QUEUE_FULL, now)
         elif self._is_over(request, limit, now):
-            yield self.reject_last(now)
+            yield self.reject(
+                self._choose_surplus(request, now), Reason.QUEUE_FULL, now
+            )
 
     def review(self, now: float) -> Iterator[Rejection]:
         """Yield the waiting requests that can't begin before their deadlines."""
@@ -107,7 +119,10 @@
         ahead = 0
         for request in tuple(self.queue.iterate()):
             remaining = request.last_start - self._get_reserve(request) - now
-            wait = 0.0 if rate is None else (ahead + 1) / rate
+            left = self._shares.compute_left(request.rank, now)
+            wait = 0.0 if rate is None else (ahead + 1) / (rate * left)
+            if self.queue.is_only_of_rank(request):
+                wait = 0.0
             if remaining < 0 or wait > remaining * WAITING_MARGIN:
                 yield self.reject(request, Reason.DEADLINE, now)
             else:
@@ -115,7 +130,7 @@
 
     def reject_last(self, now: float) -> Rejection:
         """Remove the last request of the least urgent rank; the queue isn't empty."""
-        *_, last = self.queue.iterate()
+        last = require(self.queue.find_surplus(), "the queue isn't empty")
         return self.reject(last, Reason.QUEUE_FULL, now)
 
     def reject(
@@ -135,13 +150,26 @@
         retry_after = self._reservations.reserve(request, rate, now)
         return Rejection(request, Refused(reason, retry_after, figures))
 
+    def _choose_surplus(
+        self, request: AdmissionRequest, now: float
+    ) -> AdmissionRequest:
+        """Return the request to refuse when one too many waits."""
+        last = require(self.queue.find_surplus(), "a queue over its bound isn't empty")
+        has_equal_claim = (last.rank, last.organisation) == (
+            request.rank,
+            request.organisation,
+        )
+        if has_equal_claim and now - last.arrived_at > MAX_REFUSAL_DELAY:
+            return request
+        return last
+
     def _is_over(self, request: AdmissionRequest, limit: int, now: float) -> bool:
         """Return whether one request more waits than the bounds allow."""
         is_late = self.queue.is_late(request.request_id)
         if is_late and self.queue.late_count > LATE_SHARE * limit:
             return True
         kept = self._reservations.count_places(request.rank, now)
-        return len(self.queue) + kept > limit
+        return len(self.queue) + min(kept, KEPT_SHARE * limit) > limit
 
     def _estimate_wait(
         self, request: AdmissionRequest, rate: float | None, now: float
@@ -151,7 +179,7 @@
             return 0.0
         ahead = self._count_ahead(request)
         ahead += self._reservations.count_places(request.rank, now)
-        return (ahead + 1) / rate
+        return (ahead + 1) / (rate * self._shares.compute_left(request.rank, now))
 
     def _count_ahead(self, request: AdmissionRequest) -> int:
         for index, other in enumerate(self.queue.iterate()):
@@ -159,6 +187,14 @@
                 return index
         return len(self.queue)
 
+    def _record_arrival(self, request: AdmissionRequest, now: float) -> None:
+        self._shares.record_arrival(request.rank, now)
+        self._sizes.record_arrival(request.size, now)
+
+    def _record_admission(self, request: AdmissionRequest, now: float) -> None:
+        self._shares.record_admission(request.rank, now)
+        self._sizes.record_admission(request.size, now)
+
     @staticmethod
     def _get_reserve(request: AdmissionRequest) -> float:
         """Return the seconds by which a request has to begin earlier."""
--- a/kingcuphead/admission/_service_queue.py
+++ b/kingcuphead/admission/_service_queue.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import itertools
+from collections import Counter
 from collections.abc import Callable, Iterator
 
 from kingcuphead.admission._messages import AdmissionRequest, Standing
@@ -19,7 +20,7 @@
 MIN_AGED_SECONDS = 0.2
 #: One of this number of admissions goes to the request that has waited longest, if it
 #: is aged. A larger share would make more of the timely requests late.
-AGED_INTERVAL = 16
+AGED_INTERVAL = 32
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -132,9 +133,31 @@
             for waiting in self._queues[key].iterate():
                 yield waiting.request
 
-    def find_last(self) -> AdmissionRequest | None:
-        """Return the last request of the least urgent rank; None if none waits."""
-        return next(reversed(tuple(self.iterate())), None)
+    def is_only_of_rank(self, request: AdmissionRequest) -> bool:
+        """Return whether no other request of its rank waits."""
+        return self._count_rank(request.rank) == 1
+
+    def find_surplus(self) -> AdmissionRequest | None:
+        """Return the request to refuse when one too many waits; None if none waits.
+
+        It is the last one of the organisation with the most waiting requests in the
+        least urgent rank. The last waiting request of a rank is refused only if there
+        is no other, so that no rank is starved.
+        """
+        ranks = self.ranks
+        rank = max((each for each in ranks if self._count_rank(each) > 1), default=None)
+        if rank is None:
+            rank = max(ranks, default=None)
+        requests = [each for each in self.iterate() if each.rank == rank]
+        lengths = Counter(each.organisation for each in requests)
+        longest = max(lengths.values(), default=0)
+        surplus = (each for each in requests if lengths[each.organisation] == longest)
+        return next(reversed(tuple(surplus)), None)
+
+    def _count_rank(self, rank: int) -> int:
+        return sum(
+            len(queue) for (other, _), queue in self._queues.items() if other == rank
+        )
 
     def admit(
         self,
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -107,18 +107,16 @@
             Current time in seconds.
         """
         available = self._select_available(candidates, (), now)
-        rooms = [(target, self._describe_room(target)) for target in available]
-        if any(room.accepts_on_old_reports(request, now) for _, room in rooms):
-            return True
-        free = {target.name for target, room in rooms if room.has_slot}
-        if not free or request.objective_ends_at <= now:
-            return bool(free)
-        ranked = self._rank(request, available) if request.prefixes else available
-        return any(
-            self._is_in_time(request, target, ranked, now)
-            for target in ranked
-            if target.name in free
-        )
+        ranked = available
+        if request.prefixes and request.objective_ends_at > now:
+            ranked = self._rank(request, available)
+        for target in ranked:
+            room = self._describe_room(target)
+            if room.accepts_on_old_reports(request, now):
+                return True
+            if room.has_slot and self._is_in_time(request, target, ranked, now):
+                return True
+        return False
 
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
@@ -172,11 +170,14 @@
     ) -> bool:
         """Return whether a free target is expected to meet a request's objective.
 
-        Also true if the request alone takes longer there, as waiting wouldn't help.
+        Also true if the objective has passed, or if the request alone takes longer
+        there, as waiting wouldn't help.
         """
+        remaining = request.objective_ends_at - now
+        if remaining <= 0:
+            return True
         plan = self._plan_prefill(request, target, ranked, now)
         state = self._get_state(target)
-        remaining = request.objective_ends_at - now
         wait = self._estimate_wait(state, target, plan) * state.latency_ratio
         if wait < remaining:
             return True
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -203,7 +203,7 @@
                 self._loads.handle_report(message)
                 self.peer_paths.record_report(sender, message.is_cut_off, now)
                 if self.admission is not None:
-                    self.admission.wake()
+                    self.admission.wake_soon()
             case CreditAsked():
                 reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
--- a/kingcuphead/fairness/_fair_queue.py
+++ b/kingcuphead/fairness/_fair_queue.py
@@ -134,12 +134,14 @@
 
     def iterate(self) -> Iterator[WaitingRequest[R]]:
         """Yield the requests in the order of service."""
+        queues = {name: tuple(queue.values()) for name, queue in self._queues.items()}
+        if len(queues) == 1:
+            yield from next(iter(queues.values()))
+            return
         heap = [
-            (self._virtual_times[name], self._compute_urgency(requests[0]), name, 0)
-            for name, queue in self._queues.items()
-            if (requests := tuple(queue.values()))
+            (self._virtual_times[name], self._compute_urgency(queue[0]), name, 0)
+            for name, queue in queues.items()
         ]
-        queues = {name: tuple(queue.values()) for name, queue in self._queues.items()}
         heapq.heapify(heap)
         while heap:
             virtual_time, _, name, index = heapq.heappop(heap)
