--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -235,15 +235,25 @@
         """
         if not candidates:
             return True
+        pace = self._get_service(request.service).pace
+        if pace.is_due(now):
+            pace.update(self._room.describe_load(candidates), now)
         objective_ends_at = request.objective_ends_at
         if request.last_start_in_time <= now:
             objective_ends_at = now
         placement = dataclasses.replace(
-            query.make_placement_request(),
-            objective_ends_at=objective_ends_at,
-            waiting_since=request.arrived_at,
+            query.make_placement_request(), objective_ends_at=objective_ends_at
         )
-        return self._room.has_room(placement, candidates, now)
+        is_allowed = pace.allows(self._room.count_own(candidates))
+        if is_allowed and self._room.has_room(placement, candidates, now):
+            return True
+        if not pace.may_probe(now - request.arrived_at):
+            return False
+        placement = dataclasses.replace(placement, waiting_since=request.arrived_at)
+        if not self._room.has_room(placement, candidates, now):
+            return False
+        pace.record_probe()
+        return True
 
     def _review_bodies(self) -> Iterator[Rejection]:
         """Yield what is refused for want of memory, the least urgent first."""
--- /dev/null
+++ b/kingcuphead/admission/_pace.py
@@ -0,0 +1,57 @@
+"""Bound on the requests that one daemon has in progress while a service is busy.
+
+Reports are up to 0.6 s old. Without a bound all daemons would use the places that they
+see free at the same time.
+"""
+
+from kingcuphead.dispatch import ServiceLoad
+
+#: Seconds between two changes of the bound, the interval of load reports.
+INTERVAL = 0.1
+#: Share of the slots from which on a service isn't busy if they are free.
+OPEN_SHARE = 0.25
+#: Load in units of the slots that the daemons aim at together. Above 1, a target gets
+#: its next request before a report tells that the last one ended.
+AIMED_LOAD = 1.25
+#: Part of the difference from the aimed load that is made up in one interval.
+GAIN = 0.5
+#: Seconds of waiting after which a request may go to a target that is reported as full.
+MAX_REPORT_DELAY = 0.1
+
+
+class Pace:
+    """Bound on the requests in progress of one service; does no I/O."""
+
+    def __init__(self) -> None:
+        self._limit: float | None = None
+        self._probes = 0.0
+        self._changed_at = float("-inf")
+
+    def is_due(self, now: float) -> bool:
+        """Return whether the bound is to be changed by the newest reports."""
+        return now - self._changed_at >= INTERVAL
+
+    def update(self, load: ServiceLoad, now: float) -> None:
+        """Change the bound so that the load of all daemons approaches the aim."""
+        self._changed_at = now
+        self._probes = max(1.0, load.unused_targets / load.daemons)
+        if load.slots - load.total > OPEN_SHARE * load.slots:
+            self._limit = None
+            return
+        missing = AIMED_LOAD * load.slots - load.total
+        limit = load.own if self._limit is None else self._limit
+        limit += GAIN * missing / load.daemons
+        largest = load.own + max(1.0, load.slots / load.daemons)
+        self._limit = min(max(1.0, limit), largest)
+
+    def allows(self, own: int) -> bool:
+        """Return whether another request may be in progress beside those that are."""
+        return self._limit is None or own < self._limit
+
+    def may_probe(self, waited: float) -> bool:
+        """Return whether a request that waited may go to a target reported as full."""
+        return waited >= MAX_REPORT_DELAY and self._probes >= 1
+
+    def record_probe(self) -> None:
+        """Count a request that was sent to such a target."""
+        self._probes -= 1
--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -10,6 +10,7 @@
     Rejection,
     Standing,
 )
+from kingcuphead.admission._pace import Pace
 from kingcuphead.admission._rate import AdmissionRate
 from kingcuphead.admission._reservations import Reservations
 from kingcuphead.admission._service_queue import ServiceQueue
@@ -32,7 +33,10 @@
     """Queue of one service with its estimates; does no I/O."""
 
     def __init__(self) -> None:
+        #: The waiting requests.
         self.queue = ServiceQueue()
+        #: Bound on the requests in progress.
+        self.pace = Pace()
         self._rate = AdmissionRate()
         self._shares = RankShares()
         self._sizes = SizeShares()
--- a/kingcuphead/admission/tests/_load.py
+++ b/kingcuphead/admission/tests/_load.py
@@ -68,6 +68,8 @@
     work_per_token: float = 0.0
     objective: float = 0.845
     timeout: float = 12.7
+    #: Share of the work after which the answer begins.
+    first_share: float = 1.0
     is_queued: bool = True
     daemons: int = 1
 
@@ -131,6 +133,7 @@
         self.dispatcher = Dispatcher(
             DispatchSettings("z"), self.peer_loads, random.Random(1)
         )
+        self.dispatcher.daemons = profile.daemons
         self.gate = AdmissionGate(self.dispatcher, QueueBounds(profile.daemons))
         self.places = places or {
             target.name: asyncio.Semaphore(target.slots) for target in self.targets
@@ -194,9 +197,10 @@
         )
         work = self.profile.work + self.profile.work_per_token * outcome.tokens
         async with self.places[placement.target.name]:
-            await asyncio.sleep(work)
-        outcome.ended_at = loop.time()
-        outcome.is_in_time = outcome.seconds <= self.profile.objective
+            await asyncio.sleep(work * self.profile.first_share)
+            outcome.ended_at = loop.time()
+            outcome.is_in_time = outcome.seconds <= self.profile.objective
+            await asyncio.sleep(work * (1 - self.profile.first_share))
         assert placement is not None
         self.dispatcher.record_result(placement, AttemptResult.ANSWERED, loop.time())
         self.gate.answer_times.record(
--- a/kingcuphead/dispatch/__init__.py
+++ b/kingcuphead/dispatch/__init__.py
@@ -8,7 +8,7 @@
     SharedPrefix,
 )
 from kingcuphead.dispatch._retries import RetryAllowance
-from kingcuphead.dispatch._room import RoomCheck
+from kingcuphead.dispatch._room import RoomCheck, ServiceLoad
 from kingcuphead.dispatch._target_state import Placement
 
 __all__ = [
@@ -19,5 +19,6 @@
     "PlacementRequest",
     "RetryAllowance",
     "RoomCheck",
+    "ServiceLoad",
     "SharedPrefix",
 ]
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -16,7 +16,7 @@
     DispatchSettings,
     PlacementRequest,
 )
-from kingcuphead.dispatch._room import TargetRoom
+from kingcuphead.dispatch._room import ServiceLoad, TargetRoom, extrapolate
 from kingcuphead.dispatch._target_state import Placement, PrefillPlan, TargetState
 from kingcuphead.loads import PeerLoads, TargetLoad
 from kingcuphead.targets import Target
@@ -42,6 +42,8 @@
         self._peer_loads = peer_loads
         self._rng = rng
         self._states: dict[str, TargetState] = {}
+        #: Number of daemons that share the targets, this one included; 1 if unknown.
+        self.daemons = 1
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
@@ -118,6 +120,22 @@
                 return True
         return False
 
+    def describe_load(self, candidates: Collection[Target]) -> ServiceLoad:
+        """Return the load of all daemons on some targets."""
+        rooms = [self._describe_room(target) for target in candidates]
+        users = self._peer_loads.count_users({target.name for target in candidates})
+        return ServiceLoad(
+            sum(room.slots for room in rooms),
+            sum(room.own for room in rooms),
+            sum(room.reported for room in rooms),
+            sum(not room.own for room in rooms),
+            1 + self._extrapolate(users),
+        )
+
+    def count_own(self, candidates: Iterable[Target]) -> int:
+        """Return the number of requests that this daemon has at some targets."""
+        return sum(self._get_state(target).running for target in candidates)
+
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
         placement.state.remove(placement)
@@ -159,7 +177,11 @@
 
     def _describe_room(self, target: Target) -> TargetRoom:
         reported = self._peer_loads.get_load(target.name).running
-        return TargetRoom(target.slots, self._get_state(target).running, reported)
+        others = self._extrapolate(reported)
+        return TargetRoom(target.slots, self._get_state(target).running, others)
+
+    def _extrapolate(self, reported: int) -> float:
+        return extrapolate(reported, self._peer_loads.reporters, self.daemons - 1)
 
     def _is_in_time(
         self,
--- a/kingcuphead/dispatch/_room.py
+++ b/kingcuphead/dispatch/_room.py
@@ -1,7 +1,7 @@
 """Room for requests that wait before a target is chosen."""
 
 import dataclasses
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from typing import Protocol
 
 from kingcuphead.dispatch._messages import PlacementRequest
@@ -13,9 +13,38 @@
 MAX_REPORTED_LOAD = 1.5
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceLoad:
+    """Load of all daemons on the targets of a service."""
+
+    #: Maximum number of requests that the targets run concurrently.
+    slots: int
+    #: Number of requests that this daemon has in progress.
+    own: int
+    #: Number of requests that other daemons are expected to have in progress.
+    others: float
+    #: Number of targets where this daemon has none.
+    unused_targets: int
+    #: Number of daemons that use the targets, this one included.
+    daemons: float
+
+    @property
+    def total(self) -> float:
+        """Number of requests that all daemons are expected to have in progress."""
+        return self.own + self.others
+
+
 class RoomCheck(Protocol):
     """Tells whether a request that waits may be sent to a target."""
 
+    def describe_load(self, candidates: Collection[Target]) -> ServiceLoad:
+        """Return the load on the candidates."""
+        ...
+
+    def count_own(self, candidates: Iterable[Target]) -> int:
+        """Return the number of requests that this daemon has at the candidates."""
+        ...
+
     def has_room(
         self, request: PlacementRequest, candidates: Iterable[Target], now: float
     ) -> bool:
@@ -31,8 +60,8 @@
     slots: int
     #: Number of requests that this daemon has in progress there.
     own: int
-    #: Number of requests that other daemons report there.
-    reported: int
+    #: Number of requests that other daemons are expected to have there.
+    reported: float
 
     @property
     def has_slot(self) -> bool:
@@ -48,3 +77,18 @@
         if now - request.waiting_since < MAX_REPORT_DELAY or self.own:
             return False
         return self.reported < MAX_REPORTED_LOAD * self.slots
+
+
+def extrapolate(reported: int, reporters: int, others: int) -> float:
+    """Return the load of all other daemons by the reports of a part of them.
+
+    Parameters
+    ----------
+    reported
+        Number of requests that were reported.
+    reporters
+        Number of daemons that reported.
+    others
+        Number of other daemons.
+    """
+    return reported * max(1.0, others / reporters) if reporters else float(reported)
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -96,6 +96,7 @@
         incarnation = secrets.token_hex(6)
         identity = f"{instance}/{incarnation}"
         self._retries = retries
+        self._dispatcher = dispatcher
         self._address = (profile.ip, profile.internal_port)
         self._datagrams = DatagramSocket(self._handle_datagram)
         self._sender = PeerSender(self._datagrams, rng)
@@ -247,3 +248,4 @@
         self._retries.apply_fleet_size(daemons)
         if self.admission is not None:
             self.admission.bounds.daemons = daemons
+            self._dispatcher.daemons = daemons
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections import Counter
+from collections.abc import Collection
 
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
 
@@ -40,6 +41,18 @@
                 del self._reports[sender]
                 self._add(received.report, -1)
 
+    @property
+    def reporters(self) -> int:
+        """Number of other daemons whose reports are in use."""
+        return len(self._reports)
+
+    def count_users(self, targets: Collection[str]) -> int:
+        """Return the number of other daemons that report load on one of the targets."""
+        return sum(
+            any(load.target in targets for load in received.report.loads)
+            for received in self._reports.values()
+        )
+
     def get_load(self, target: str) -> TargetLoad:
         """Return the load of all other daemons on a target."""
         return TargetLoad(target, self._running[target], self._unread_tokens[target])
