--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -18,6 +18,7 @@
     PlacementRequest,
 )
 from kingcuphead.dispatch._rankings import Rankings
+from kingcuphead.dispatch._room import ServiceLoad, TargetRoom, extrapolate
 from kingcuphead.dispatch._target_state import (
     NETWORK_ALLOWANCE_SECONDS,
     Placement,
@@ -56,6 +57,8 @@
         self._rng = rng
         self._states: dict[str, TargetState] = {}
         self._rankings = Rankings()
+        #: Number of daemons that share the targets, this one included; 1 if unknown.
+        self.daemons = 1
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
@@ -112,6 +115,48 @@
         self._announce_if_large(plan)
         return placement
 
+    def has_room(
+        self, request: PlacementRequest, candidates: Iterable[Target], now: float
+    ) -> bool:
+        """Return whether some target has room for a request that waits.
+
+        Parameters
+        ----------
+        request
+            Properties of the request.
+        candidates
+            Targets that accept new requests.
+        now
+            Current time in seconds.
+        """
+        available = self._select_available(candidates, (), now)
+        ranked = available
+        if request.prefixes and request.objective_ends_at > now:
+            ranked = self._rank(request, available)
+        for target in ranked:
+            room = self._describe_room(target)
+            if room.accepts_on_old_reports(request, now):
+                return True
+            if room.has_slot and self._is_in_time(request, target, ranked, now):
+                return True
+        return False
+
+    def describe_load(self, candidates: Collection[Target]) -> ServiceLoad:
+        """Return the load of all daemons on some targets."""
+        rooms = [self._describe_room(target) for target in candidates]
+        users = self._peer_loads.count_users({target.name for target in candidates})
+        return ServiceLoad(
+            sum(room.slots for room in rooms),
+            sum(room.own for room in rooms),
+            sum(room.reported for room in rooms),
+            sum(not room.own for room in rooms),
+            1 + self._extrapolate(users),
+        )
+
+    def count_own(self, candidates: Iterable[Target]) -> int:
+        """Return the number of requests that this daemon has at some targets."""
+        return sum(self._get_state(target).running for target in candidates)
+
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
         placement.state.remove(placement)
@@ -153,6 +198,36 @@
         ]
         return available or usable
 
+    def _describe_room(self, target: Target) -> TargetRoom:
+        reported = self._peer_loads.get_load(target.name).running
+        others = self._extrapolate(reported)
+        return TargetRoom(target.slots, self._get_state(target).running, others)
+
+    def _extrapolate(self, reported: int) -> float:
+        return extrapolate(reported, self._peer_loads.reporters, self.daemons - 1)
+
+    def _is_in_time(
+        self,
+        request: PlacementRequest,
+        target: Target,
+        ranked: list[Target],
+        now: float,
+    ) -> bool:
+        """Return whether a free target is expected to meet a request's objective.
+
+        Also true if the objective has passed, or if the request alone takes longer
+        there, as waiting wouldn't help.
+        """
+        remaining = request.objective_ends_at - now
+        if remaining <= 0:
+            return True
+        plan = self._plan_prefill(request, target, ranked, now)
+        state = self._get_state(target)
+        wait = self._estimate_wait(state, target, plan) * state.latency_ratio
+        if wait < remaining:
+            return True
+        return self._estimate_prefill(plan) * state.latency_ratio >= remaining
+
     def _announce_if_large(self, plan: PrefillPlan) -> None:
         is_large = plan.prefill_tokens >= self._settings.min_announced_tokens
         if is_large and self.announce is not None:
@@ -266,11 +341,16 @@
         others = self._peer_loads.get_load(target.name)
         pending = state.pending_prefill_tokens + others.unread_tokens
         running = state.running + others.running
-        prefill = plan.prefill_tokens + pending
-        seconds = prefill / settings.prefill_tokens_per_second
-        seconds += plan.copied_tokens / settings.kv_copy_tokens_per_second
+        seconds = pending / settings.prefill_tokens_per_second
+        seconds += self._estimate_prefill(plan)
         return seconds + running * settings.wait_per_running_request
 
+    def _estimate_prefill(self, plan: PrefillPlan) -> float:
+        """Return the seconds that a prompt takes on an idle target."""
+        settings = self._settings
+        seconds = plan.prefill_tokens / settings.prefill_tokens_per_second
+        return seconds + plan.copied_tokens / settings.kv_copy_tokens_per_second
+
     def _compute_wait_cost(self, wait: float) -> float:
         """Return the cost of a wait given in units of the latency objective."""
         share = self._settings.linear_share
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -19,6 +20,10 @@
     objective: float = 1.0
     #: Whether the request has the most urgent rank.
     is_urgent: bool = False
+    #: Time in seconds at which the objective passes; infinite if it isn't known.
+    objective_ends_at: float = math.inf
+    #: Time in seconds since which it waits for room; infinite if it doesn't wait.
+    waiting_since: float = math.inf
 
     @property
     def shared_tokens(self) -> int:
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -10,6 +10,7 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.admission import AdmissionGate, QueueBounds, bound_memory
 from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._fleet_links import FleetLinks
@@ -44,6 +45,7 @@
 from kingcuphead.targets import (
     ColdStart,
     DirectoryChange,
+    TargetAdded,
     TargetDirectory,
     TargetLeft,
     ZoneChange,
@@ -99,6 +101,11 @@
             self._retries,
             rng,
         )
+        self._admission: AdmissionGate | None = None
+        if profile.has_scarce_capacity:
+            bounds = QueueBounds(body_bytes=bound_memory(profile.limits.memory_bytes))
+            self._admission = AdmissionGate(self._dispatcher, bounds)
+        self._links.admission = self._metrics.admission = self._admission
         self._targets = TargetListener(self._directory, self._handle_change)
         self._evacuations = EvacuationListener(
             self._directory, self._handle_zone_change
@@ -129,6 +136,7 @@
                 self._targets.handle_leaving,
                 self._links.report_statement,
                 self._links.permits,
+                self._admission,
             ),
             rng,
             self._metrics.record,
@@ -274,6 +282,8 @@
         self._has_configuration = True
 
     def _handle_change(self, change: DirectoryChange) -> None:
+        if isinstance(change, TargetAdded) and self._admission is not None:
+            self._admission.wake(change.target.service)
         if isinstance(change, TargetLeft):
             self._pool.close_address(change.target.address)
             if change.is_removed:
@@ -305,6 +315,8 @@
         # Another daemon can help; a stream that begins here might be cut off.
         self._tunnels.stop_accepting()
         self._callers.announce_close()
+        if self._admission is not None:
+            self._admission.close()
         self._start_task(self._links.deregister())
         await asyncio.sleep(min(SHUTDOWN_ACCEPT_PERIOD, self._profile.grace / 2))
         self._callers.stop_listening()
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from kingcuphead.admission import AdmissionGate
 from kingcuphead.capacity import CapacityExchange, CapacityReported, InstanceCapacity
 from kingcuphead.credit import (
     CreditAsked,
@@ -96,6 +97,7 @@
         incarnation = secrets.token_hex(6)
         identity = f"{instance}/{incarnation}"
         self._retries = retries
+        self._dispatcher = dispatcher
         self._address = (profile.ip, profile.internal_port)
         self._datagrams = DatagramSocket(self._handle_datagram)
         self._sender = PeerSender(self._datagrams, rng)
@@ -112,6 +114,8 @@
             identity, profile.zone, self._sender.gossip, self._sender.broadcast
         )
         self.apply_limits(profile)
+        #: Holds requests back until targets have room; None if none wait.
+        self.admission: AdmissionGate | None = None
         self._directory = directory
         self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
@@ -214,8 +218,7 @@
         self.permits.ranking.record_message(sender, now)
         match message:
             case LoadsReported():
-                self._loads.handle_report(message)
-                self.peer_paths.record_report(sender, message.is_cut_off, now)
+                self._apply_loads(message, sender, now)
             case CapacityReported():
                 self.capacity.handle_report(message)
             case CreditAsked():
@@ -238,6 +241,13 @@
             case StreamsBegan() | StreamAsked():
                 self.resumption.handle_message(message, reply)
 
+    def _apply_loads(self, message: LoadsReported, sender: Address, now: float) -> None:
+        """Apply the loads of another daemon; targets may have room by them."""
+        self._loads.handle_report(message)
+        self.peer_paths.record_report(sender, message.is_cut_off, now)
+        if self.admission is not None:
+            self.admission.wake_soon()
+
     def report_statement(self, statement: TargetStated, receiver: Address) -> None:
         """Tell a daemon that passed on an answer what the target said in it."""
         self._datagrams.send(statement, receiver)
@@ -260,3 +270,6 @@
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
+        if self.admission is not None:
+            self.admission.bounds.daemons = daemons
+            self._dispatcher.daemons = daemons
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -12,6 +12,7 @@
 )
 from tornado.httpserver import HTTPServer
 
+from kingcuphead.admission import AdmissionGate
 from kingcuphead.capacity import CapacityFigures, OwnLoad
 from kingcuphead.entry._get_server import Answer, serve_get
 from kingcuphead.forwarding import Refusal, RequestContext
@@ -97,17 +98,6 @@
             registry=self._registry,
         )
         self._capacity = CapacityFigures(OwnLoad(), 0, 0.0)
-
-    def record_capacity(self, figures: CapacityFigures) -> None:
-        """Record the load of this daemon and the totals of what it shed."""
-        previous, self._capacity = self._capacity, figures
-        self._load.labels("link").set(figures.load.link)
-        self._load.labels("processor").set(figures.load.processor)
-        self._load.labels("event_loop").set(figures.load.lag)
-        self._closed_connections.inc(
-            figures.closed_connections - previous.closed_connections
-        )
-        self._unready.inc(max(0.0, figures.unready_seconds - previous.unready_seconds))
         self._cold_denials = Counter(
             "kingcuphead_cold_denials",
             "Permits denied because the target is or may be cold, by service.",
@@ -124,6 +114,38 @@
             "Targets that are known to be cold.",
             registry=self._registry,
         )
+        self._queue_seconds = Histogram(
+            "kingcuphead_queue_seconds",
+            "Seconds that requests waited for room, by service.",
+            ("service",),
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        self._queue_refusals = Counter(
+            "kingcuphead_queue_refusals",
+            "Requests refused for want of room, by service and reason.",
+            ("service", "reason"),
+            registry=self._registry,
+        )
+        self._queue_length = Gauge(
+            "kingcuphead_queue_length",
+            "Requests that wait for room, by service.",
+            ("service",),
+            registry=self._registry,
+        )
+        #: Holds requests back until targets have room; None if none wait.
+        self.admission: AdmissionGate | None = None
+
+    def record_capacity(self, figures: CapacityFigures) -> None:
+        """Record the load of this daemon and the totals of what it shed."""
+        previous, self._capacity = self._capacity, figures
+        self._load.labels("link").set(figures.load.link)
+        self._load.labels("processor").set(figures.load.processor)
+        self._load.labels("event_loop").set(figures.load.lag)
+        self._closed_connections.inc(
+            figures.closed_connections - previous.closed_connections
+        )
+        self._unready.inc(max(0.0, figures.unready_seconds - previous.unready_seconds))
 
     def observe_targets(self, directory: TargetDirectory) -> None:
         """Read the gauges of targets from the directory whenever they are scraped."""
@@ -154,9 +176,16 @@
             self._first_event.labels(work_class).observe(context.first_event_seconds)
         if context.credit_seconds:
             self._credit.observe(context.credit_seconds)
+        if self.admission is not None:
+            self._queue_seconds.labels(context.service).observe(context.queue_seconds)
+        if context.queue_figures is not None:
+            self._queue_refusals.labels(context.service, reason).inc()
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
+        if self.admission is not None:
+            for service, length in self.admission.count_waiting():
+                self._queue_length.labels(service).set(length)
         return generate_latest(self._registry)
 
     def _choose_label(self, name: str) -> str:
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -51,6 +51,11 @@
     #: Capacity of the link in Mbit/s, each way.
     link_mbps: float = 5.0
 
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the process in bytes."""
+        return int(self.memory_mb * 1_000_000)
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Profile:
