Deflect callers of daemons that shed load; play a skewed zone in tests

A model of one zone showed that a caller whose connections all have one hash moved between two daemons for good: 14 times in 100 s. Daemons with much load are now unready while others shed, and candidates announce themselves before they begin.

Tested: capacity (69 tests).

--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -8,6 +8,14 @@
 from loguru import logger
 
 from kingcuphead.capacity._connections import CallerConnections
+from kingcuphead.capacity._decisions import (
+    CloseRequested,
+    DeflectionBegan,
+    Effect,
+    Observation,
+    SheddingBegan,
+    UnreadyEnded,
+)
 from kingcuphead.capacity._messages import CapacityReported, Readiness
 from kingcuphead.capacity._meter import (
     InstanceCapacity,
@@ -15,22 +23,13 @@
     OwnLoad,
     Sample,
 )
-from kingcuphead.capacity._shedder import (
-    CandidateAnnounced,
-    CloseRequested,
-    Effect,
-    LoadShedder,
-    Observation,
-    SheddingBegan,
-    SheddingEnded,
-)
+from kingcuphead.capacity._schedule import Receivers, ReportSchedule
+from kingcuphead.capacity._shedder import LoadShedder
 from kingcuphead.capacity._traffic import LINK_TRAFFIC
 from kingcuphead.capacity._zone_loads import ZoneLoads
 
 #: Seconds between two samples of the load.
 SAMPLE_INTERVAL = 0.1
-#: Seconds between two reports to other daemons.
-REPORT_INTERVAL = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -73,7 +72,7 @@
         self._broadcast = broadcast
         self._enabled = asyncio.Event()
         self._number = 0
-        self._reported_at = 0.0
+        self._schedule = ReportSchedule()
         self._load = OwnLoad()
         self._meter: LoadMeter | None = None
         self._zone_loads = ZoneLoads(zone)
@@ -86,11 +85,9 @@
         self.record: Callable[[CapacityFigures], None] = lambda figures: None
 
     @property
-    def is_shedding(self) -> bool:
-        """Whether this daemon refuses new connections to shed load."""
-        return (
-            self._shedder is not None and self._shedder.readiness is Readiness.UNREADY
-        )
+    def is_unready(self) -> bool:
+        """Whether this daemon accepts no new connections, to shed or deflect load."""
+        return self._shedder is not None and self._shedder.is_unready
 
     def apply_limits(self, capacity: InstanceCapacity, is_enabled: bool) -> None:
         """Apply the settings of the process.
@@ -148,11 +145,8 @@
             now, self._load.peak, self.is_serving(), self.connections.marked_count
         )
         for effect in self._shedder.step(observation):
-            self._apply(effect, self._shedder)
-        if now - self._reported_at >= REPORT_INTERVAL:
-            self._reported_at = now
-            self._gossip(self._make_report(self._shedder))
-            self._record_figures(self._shedder)
+            self._apply(effect)
+        self._report(observation, self._shedder)
 
     def handle_report(self, report: CapacityReported) -> None:
         """Store a report received from another daemon."""
@@ -163,33 +157,38 @@
         if self._shedder is not None:
             self._shedder.record_check(is_ready, asyncio.get_running_loop().time())
 
-    def _apply(self, effect: Effect, shedder: LoadShedder) -> None:
+    def _apply(self, effect: Effect) -> None:
         match effect:
-            case CandidateAnnounced():
-                self._broadcast(self._make_report(shedder))
             case SheddingBegan():
-                self._broadcast(self._make_report(shedder))
-                self._log_begin(effect)
+                self._log_begin("load shedding began", effect)
+            case DeflectionBegan():
+                self._log_begin("unready while other daemons shed load", effect)
             case CloseRequested(share):
                 chosen = self.connections.mark(share)
                 logger.bind(share=round(share, 3), connections=chosen).info(
                     "closing connections of callers after their answers"
                 )
-            case SheddingEnded():
+            case UnreadyEnded():
                 self._log_end(effect)
                 self.connections.unmark()
-                self._broadcast(self._make_report(shedder))
 
-    def _make_report(self, shedder: LoadShedder) -> CapacityReported:
+    def _report(self, observation: Observation, shedder: LoadShedder) -> None:
+        readiness = shedder.readiness
+        if not observation.is_serving:
+            readiness = Readiness.UNREADY
+        receivers = self._schedule.choose_receivers(readiness, observation.now)
+        if receivers is None:
+            return
         self._number += 1
-        readiness = shedder.readiness if self.is_serving() else Readiness.UNREADY
-        return CapacityReported(
-            self._sender,
-            self._number,
-            self._zone,
-            shedder.get_reported_load(self._load.peak),
-            readiness,
+        load = shedder.get_reported_load(observation.load)
+        report = CapacityReported(
+            self._sender, self._number, self._zone, load, readiness
         )
+        if receivers is Receivers.ALL:
+            self._broadcast(report)
+        else:
+            self._gossip(report)
+            self._record_figures(shedder)
 
     def _record_figures(self, shedder: LoadShedder) -> None:
         figures = CapacityFigures(
@@ -197,7 +196,7 @@
         )
         self.record(figures)
 
-    def _log_begin(self, began: SheddingBegan) -> None:
+    def _log_begin(self, text: str, began: SheddingBegan | DeflectionBegan) -> None:
         overload = began.overload
         logger.bind(
             **_describe_load(self._load),
@@ -206,15 +205,15 @@
             others=overload.others,
             unready=began.unready,
             allowed=began.allowed,
-        ).info("load shedding began")
+        ).info(text)
 
-    def _log_end(self, ended: SheddingEnded) -> None:
+    def _log_end(self, ended: UnreadyEnded) -> None:
         logger.bind(
             **_describe_load(self._load),
             reason=ended.reason.value,
             seconds=round(ended.seconds, 3),
             still_open=self.connections.marked_count,
-        ).info("load shedding ended")
+        ).info("ready again")
 
 
 def _describe_load(load: OwnLoad) -> dict[str, float]:
--- a/kingcuphead/capacity/_messages.py
+++ b/kingcuphead/capacity/_messages.py
@@ -5,16 +5,22 @@
 
 
 class Readiness(enum.StrEnum):
-    """Whether a daemon takes new connections of callers."""
+    """Whether a daemon accepts new connections of callers."""
 
     #: It does.
     READY = "ready"
-    #: It does, and will stop doing so unless too many others with more load do.
+    #: It does, and will shed load unless too many others with more load do.
     CANDIDATE = "candidate"
-    #: It does not.
+    #: It doesn't, and closes connections of callers.
+    SHEDDING = "shedding"
+    #: It doesn't, for any other reason.
     UNREADY = "unready"
 
 
+#: Readiness of daemons that don't accept new connections.
+UNREADY_STATES = frozenset({Readiness.SHEDDING, Readiness.UNREADY})
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class CapacityReported:
     """The load of one incarnation of a daemon."""
@@ -25,8 +31,8 @@
     number: int
     #: Availability zone of the sender.
     zone: str
-    #: Load as a part of the sender's capacity. While the sender sheds load or is a
-    #: candidate, this is the load that decided it, so that all daemons rank it alike.
+    #: Load as a part of the sender's capacity. Unless the sender is ready, it is the
+    #: load that decided so; thus all daemons rank the sender alike.
     load: float
-    #: Whether the sender takes new connections.
+    #: Whether the sender accepts new connections.
     readiness: Readiness
--- a/kingcuphead/capacity/_unready_time.py
+++ b/kingcuphead/capacity/_unready_time.py
@@ -2,11 +2,14 @@
 
 #: Part of the time in which a daemon may be unready to shed load.
 UNREADY_SHARE = 0.1
+#: Saved seconds at start. Less than `MIN_SAVED`: a daemon that has just started doesn't
+#: know its load yet, and one that restarts often must stay within the bound.
+INITIAL_SAVED = 2.0
 #: Most unready seconds that a daemon saves up.
 MAX_SAVED = 8.0
 #: Saved seconds needed to become unready: for two readiness checks, for the answers
 #: after which connections close, and until the next check.
-MIN_SAVED = 2.5
+MIN_SAVED = 3.0
 #: Most seconds that a daemon can owe, if it isn't checked any more while unready.
 MAX_OWED = 4.0
 
@@ -14,8 +17,6 @@
 class UnreadyTime:
     """Token bucket of unready seconds, filled by the time that passes.
 
-    It is empty at start, so that the bound also holds for a daemon that restarts often.
-
     Parameters
     ----------
     now
@@ -23,7 +24,7 @@
     """
 
     def __init__(self, now: float) -> None:
-        self._saved = 0.0
+        self._saved = INITIAL_SAVED
         self._updated_at = now
         #: Total seconds in which this daemon was unready.
         self.total = 0.0
--- a/kingcuphead/capacity/_zone_loads.py
+++ b/kingcuphead/capacity/_zone_loads.py
@@ -1,15 +1,28 @@
 """The loads of the other daemons of a zone, from their latest reports."""
 
 import dataclasses
-from collections.abc import Iterator
+import statistics
 
-from kingcuphead.capacity._messages import CapacityReported, Readiness
+from kingcuphead.capacity._decisions import Overload
+from kingcuphead.capacity._messages import (
+    UNREADY_STATES,
+    CapacityReported,
+    Readiness,
+)
 
 #: Seconds after its receipt in which a report says what the load of its sender is.
 REPORT_LIFETIME = 2.0
 #: Seconds after its receipt in which a report says that its sender exists, and that it
 #: is unready if it was. Longer than a daemon sheds load at a time.
 MEMBER_LIFETIME = 6.0
+#: Multiple of the zone's median load that is more load than the others have.
+MEDIAN_RATIO = 1.5
+#: Other daemons with known load without which a daemon's load is not compared.
+MIN_OTHERS = 5
+#: Daemons of a zone for each one that may be unready.
+DAEMONS_PER_UNREADY = 6
+
+Rank = tuple[float, str]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,6 +30,10 @@
     report: CapacityReported
     received_at: float
 
+    @property
+    def rank(self) -> Rank:
+        return self.report.load, self.report.sender
+
 
 class ZoneLoads:
     """Keeps the newest report of each other daemon of the zone; does no I/O.
@@ -31,11 +48,6 @@
         self._zone = zone
         self._reports: dict[str, _ReceivedReport] = {}
 
-    @property
-    def member_count(self) -> int:
-        """Number of daemons of the zone that have been heard of, and this one."""
-        return len(self._reports) + 1
-
     def apply_report(self, report: CapacityReported, now: float) -> None:
         """Replace the sender's previous report; ignore reports out of order."""
         if report.zone != self._zone:
@@ -52,26 +64,74 @@
             if now - received.received_at <= MEMBER_LIFETIME
         }
 
-    def list_fresh(self, now: float) -> list[CapacityReported]:
-        """Return the reports that still describe the load of their senders."""
-        return [
-            received.report
-            for received in self._reports.values()
-            if now - received.received_at <= REPORT_LIFETIME
-        ]
+    def find_overload(self, load: float, limit: float, now: float) -> Overload | None:
+        """Compare a load with a limit and with the zone.
+
+        Parameters
+        ----------
+        load
+            Load of this daemon.
+        limit
+            Load up to which no daemon is overloaded.
+        now
+            Time in seconds.
+
+        Returns
+        -------
+        Overload or None
+            The figures; None if the load isn't above both, or if too few daemons have
+            been heard of.
+        """
+        if load <= limit:
+            return None
+        others = [each.report.load for each in self._list_fresh(now)]
+        median = statistics.median([*others, load])
+        threshold = max(limit, MEDIAN_RATIO * median)
+        if len(others) < MIN_OTHERS or load <= threshold:
+            return None
+        return Overload(load, median, threshold, len(others))
+
+    def count_allowed(self) -> int:
+        """Return the number of daemons of the zone that may be unready at once."""
+        return (len(self._reports) + 1) // DAEMONS_PER_UNREADY
 
-    def list_candidates(self, now: float) -> Iterator[CapacityReported]:
-        """Yield the fresh reports of daemons that are about to shed load."""
-        return (
-            report
-            for report in self.list_fresh(now)
-            if report.readiness is Readiness.CANDIDATE
+    def count_unready(self) -> int:
+        """Return the number of other daemons that are unready as far as is known."""
+        return sum(
+            each.report.readiness in UNREADY_STATES for each in self._reports.values()
         )
 
-    def list_unready(self) -> Iterator[CapacityReported]:
-        """Yield the reports of daemons that are unready as far as is known."""
-        return (
-            received.report
-            for received in self._reports.values()
-            if received.report.readiness is Readiness.UNREADY
+    def count_unready_above(self, rank: Rank) -> int:
+        """Return the number of other daemons with more load that are unready."""
+        return sum(
+            each.report.readiness in UNREADY_STATES and each.rank > rank
+            for each in self._reports.values()
         )
+
+    def count_candidates_above(self, rank: Rank, now: float) -> int:
+        """Return the number of other daemons with more load that are candidates."""
+        return sum(
+            each.report.readiness is Readiness.CANDIDATE and each.rank > rank
+            for each in self._list_fresh(now)
+        )
+
+    def count_ready_above(self, rank: Rank, now: float) -> int:
+        """Return the number of other daemons with more load that are ready."""
+        return sum(
+            each.report.readiness not in UNREADY_STATES and each.rank > rank
+            for each in self._list_fresh(now)
+        )
+
+    def is_any_shedding(self) -> bool:
+        """Whether another daemon closes connections as far as is known."""
+        return any(
+            each.report.readiness is Readiness.SHEDDING
+            for each in self._reports.values()
+        )
+
+    def _list_fresh(self, now: float) -> list[_ReceivedReport]:
+        return [
+            each
+            for each in self._reports.values()
+            if now - each.received_at <= REPORT_LIFETIME
+        ]
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -224,7 +224,7 @@
         self._links.apply_limits(profile)
 
     def _is_ready(self) -> bool:
-        return self._is_serving() and not self._links.capacity.is_shedding
+        return self._is_serving() and not self._links.capacity.is_unready
 
     def _is_serving(self) -> bool:
         return (
