--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -253,7 +253,7 @@
         self._links.permits.apply_cold_bounds(profile.cold_bounds)
 
     def _is_ready(self) -> bool:
-        return self._is_serving() and not self._links.capacity.is_shedding
+        return self._is_serving() and not self._links.capacity.is_unready
 
     def _is_serving(self) -> bool:
         return (
