Decode only what a configuration version changes

Parts of a version that the one before had are now recognised by their bytes and stay the same objects; an unchanged row is skipped. The newest of a batch of changes was already the only one that is decoded.

--- /dev/null
+++ b/kingcuphead/bench/_entry_cost_probe.py
@@ -0,0 +1,93 @@
+"""Measures one cost of an entry daemon; run by `entry_cost` in each of two checkouts.
+
+It uses only what both versions have, and prints seconds of processor time.
+"""
+
+import asyncio
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+from loguru import logger
+
+from kingcuphead.datagrams import decode_datagram, encode_datagram
+from kingcuphead.entry._daemon import EntryDaemon
+from kingcuphead.entry._table_listeners import ConfigurationListener
+from kingcuphead.entry.tests._fleet import Fleet, make_profile
+from kingcuphead.entry.tests._target import CrashingTarget
+from kingcuphead.loads import LoadsReported, TargetLoad
+from kingcuphead.storage import Row
+
+# Test helpers have no type annotations.
+make_fleet: Any = Fleet
+make_target: Any = CrashingTarget
+make_daemon_profile: Any = make_profile
+
+#: Seconds for which the daemons of the fleet idle before and during the measurement.
+SETTLING_SECONDS, IDLE_SECONDS = 2.0, 10.0
+#: Reports encoded or decoded in one measurement.
+REPORTS = 2_000
+REPORT = LoadsReported(
+    "d17@10.0.0.17/abcdefabcdef",
+    7_123,
+    tuple(TargetLoad(f"engine-{n}@12{n}", n % 5 + 1, 1_200 * n) for n in range(12)),
+)
+
+
+async def measure_idle_second() -> float:
+    """Return the processor time of a second of one of three daemons without requests.
+
+    A third of their store and target is included.
+    """
+    async with make_fleet(lambda register: [make_target("t1", "v1", register)]):
+        await asyncio.sleep(SETTLING_SECONDS)
+        started_at = time.process_time()
+        await asyncio.sleep(IDLE_SECONDS)
+        spent = time.process_time() - started_at
+    return spent / IDLE_SECONDS / Fleet.SIZE
+
+
+async def measure_encoding() -> float:
+    """Return the processor time of encoding a load report."""
+    return _measure(REPORTS, lambda number: encode_datagram(REPORT))
+
+
+async def measure_decoding() -> float:
+    """Return the processor time of decoding a load report."""
+    datagram = encode_datagram(REPORT)
+    return _measure(REPORTS, lambda number: decode_datagram(datagram))
+
+
+async def measure_configuration(path: str) -> float:
+    """Return the processor time of applying one of the versions in a file's lines.
+
+    The time of the first version isn't included.
+    """
+    daemon = EntryDaemon(make_daemon_profile(1, 1), "")
+    listener = ConfigurationListener(daemon._apply_configuration)
+    first, *rows = (
+        Row("config", number, content)
+        for number, content in enumerate(Path(path).read_bytes().splitlines())
+    )
+    listener.apply_snapshot([first])
+    return _measure(len(rows), lambda number: listener.apply_snapshot([rows[number]]))
+
+
+def _measure(count: int, run: Callable[[int], object]) -> float:
+    started_at = time.process_time()
+    for number in range(count):
+        run(number)
+    return (time.process_time() - started_at) / count
+
+
+def main(cost: str, *arguments: str) -> None:
+    """Measure the cost of this name and print it."""
+    logger.remove()
+    measure = globals()[f"measure_{cost}"]
+    print(asyncio.run(measure(*arguments)))
+
+
+if __name__ == "__main__":
+    main(*sys.argv[1:])
--- a/kingcuphead/entry/_table_listeners.py
+++ b/kingcuphead/entry/_table_listeners.py
@@ -9,7 +9,7 @@
 from kingcuphead.platform import (
     CONFIGURATION_KEY,
     Change,
-    decode_configuration,
+    ConfigurationDecoder,
     decode_target,
 )
 from kingcuphead.routing import RoutingConfiguration
@@ -34,7 +34,9 @@
 
     def __init__(self, apply: Callable[[RoutingConfiguration], None]) -> None:
         self._apply = apply
+        self._decoder = ConfigurationDecoder()
         self._version: int | None = None
+        self._content = b""
 
     def apply_snapshot(self, rows: Iterable[Row]) -> None:
         """Apply the complete contents of the table."""
@@ -52,7 +54,11 @@
             self._apply_content(newest)
 
     def _apply_content(self, content: bytes) -> None:
-        match decode_configuration(content):
+        if content == self._content:
+            # Snapshots after a lost connection mostly repeat the row.
+            return
+        self._content = content
+        match self._decoder.decode(content):
             case Result(tag="ok", ok=configuration):
                 if self._version is None or configuration.version > self._version:
                     self._version = configuration.version
--- a/kingcuphead/entry/tests/test_table_listeners.py
+++ b/kingcuphead/entry/tests/test_table_listeners.py
@@ -6,7 +6,7 @@
 
 from kingcuphead.entry._table_listeners import ConfigurationListener, TargetListener
 from kingcuphead.entry._table_watch import TableWatch
-from kingcuphead.platform import Change, Changes, HistoryLost
+from kingcuphead.platform import Change, Changes, ConfigurationDecoder, HistoryLost
 from kingcuphead.storage import PlatformFault, Row, RowSnapshot
 from kingcuphead.targets import TargetDirectory
 
@@ -42,6 +42,21 @@
         listener.apply_changes([Change("config", b"broken"), Change("other", b"")])
         assert applied_versions == [3]
 
+    def test_a_row_that_has_not_changed_is_not_decoded_again(self, monkeypatch):
+        """Guards against the cost of snapshots while calls to the store fail."""
+        decoded = []
+        decode = ConfigurationDecoder.decode
+
+        def record(decoder, content):
+            decoded.append(content)
+            return decode(decoder, content)
+
+        monkeypatch.setattr(ConfigurationDecoder, "decode", record)
+        listener = ConfigurationListener(lambda each: None)
+        for number in range(3):
+            listener.apply_snapshot([Row("config", number, make_content(3))])
+        assert decoded == [make_content(3)]
+
 
 class TestTargetListener:
     def test_undecodable_entries_leave_the_targets_unchanged(self):
--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -1,6 +1,9 @@
 """The platform's wire names, formats, headers and calls, without any policy."""
 
-from kingcuphead.platform._configuration import decode_configuration
+from kingcuphead.platform._configuration import (
+    ConfigurationDecoder,
+    decode_configuration,
+)
 from kingcuphead.platform._entries import decode_target
 from kingcuphead.platform._headers import (
     PlatformHeaders,
@@ -30,6 +33,7 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
     "Change",
+    "ConfigurationDecoder",
     "Changes",
     "Endpoint",
     "HistoryLost",
--- a/kingcuphead/platform/_configuration.py
+++ b/kingcuphead/platform/_configuration.py
@@ -1,8 +1,12 @@
 """Decoder of the operator's routing configuration."""
 
+from collections.abc import Callable, Iterable
+from typing import Generic, TypeVar
+
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuphead.frozen import frozen
 from kingcuphead.routing import (
     CallerLimits,
     EngineProfile,
@@ -73,45 +77,105 @@
 
 class _Configuration(msgspec.Struct):
     version: int
-    routes: list[_Route] = []
+    routes: list[msgspec.Raw] = []
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    tenants: list[msgspec.Raw] = []
+
+
+@frozen
+class _Caller:
+    """An organisation with its keys."""
+
+    organisation: Organisation
+    keys: tuple[str, ...]
 
 
 _DECODER = msgspec.json.Decoder(_Configuration, strict=False)
+_ROUTE_DECODER = msgspec.json.Decoder(_Route, strict=False)
+_TENANT_DECODER = msgspec.json.Decoder(_Tenant, strict=False)
 
+T = TypeVar("T")
 
-def decode_configuration(content: bytes) -> Result[RoutingConfiguration, str]:
-    """Decode one version of the configuration.
 
-    Parameters
-    ----------
-    content
-        Configuration as JSON; unknown fields are ignored.
+class _PartCache(Generic[T]):
+    """Decodes parts of a version; those in the version before aren't decoded again.
+
+    Versions come several times a second in a rollout, and differ in few parts.
+    """
+
+    def __init__(self, decode: Callable[[bytes], T]) -> None:
+        self._decode = decode
+        self._parts: dict[bytes, T] = {}
+
+    def decode_all(self, contents: Iterable[msgspec.Raw]) -> tuple[T, ...]:
+        """Return the decoded parts, and forget those of earlier versions."""
+        keys = [bytes(content) for content in contents]
+        known = self._parts
+        parts = {key: known[key] if key in known else self._decode(key) for key in keys}
+        self._parts = parts
+        return tuple([parts[key] for key in keys])
+
 
-    Returns
-    -------
-    Result[RoutingConfiguration, str]
-        The configuration, or the decoder's error message.
+class ConfigurationDecoder:
+    """Decodes successive versions of the configuration.
+
+    Routes and organisations that a version has in common with the one before are the
+    same objects.
     """
-    try:
-        decoded = _DECODER.decode(content)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Error(str(error))
-    return Ok(
-        RoutingConfiguration(
-            version=decoded.version,
-            routes=tuple(_make_route(each) for each in decoded.routes),
-            services={each.name: _make_service(each) for each in decoded.services},
-            organisations={
-                each.name: Organisation(each.name, each.priority, each.prepaid)
-                for each in decoded.tenants
-            },
-            keys={key: each.name for each in decoded.tenants for key in each.api_keys},
-            limits=_make_limits(decoded.limits),
+
+    def __init__(self) -> None:
+        self._routes = _PartCache(_decode_route)
+        self._callers = _PartCache(_decode_caller)
+
+    def decode(self, content: bytes) -> Result[RoutingConfiguration, str]:
+        """Decode one version.
+
+        Parameters
+        ----------
+        content
+            Configuration as JSON; unknown fields are ignored.
+
+        Returns
+        -------
+        Result[RoutingConfiguration, str]
+            The configuration, or the decoder's error message.
+        """
+        try:
+            decoded = _DECODER.decode(content)
+            routes = self._routes.decode_all(decoded.routes)
+            callers = self._callers.decode_all(decoded.tenants)
+        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            return Error(str(error))
+        return Ok(
+            RoutingConfiguration(
+                version=decoded.version,
+                routes=routes,
+                services={each.name: _make_service(each) for each in decoded.services},
+                organisations={
+                    each.organisation.name: each.organisation for each in callers
+                },
+                keys={
+                    key: each.organisation.name for each in callers for key in each.keys
+                },
+                limits=_make_limits(decoded.limits),
+            )
         )
-    )
+
+
+def decode_configuration(content: bytes) -> Result[RoutingConfiguration, str]:
+    """Decode a single version of the configuration; see `ConfigurationDecoder`."""
+    return ConfigurationDecoder().decode(content)
+
+
+def _decode_route(content: bytes) -> Route:
+    return _make_route(_ROUTE_DECODER.decode(content))
+
+
+def _decode_caller(content: bytes) -> _Caller:
+    tenant = _TENANT_DECODER.decode(content)
+    organisation = Organisation(tenant.name, tenant.priority, tenant.prepaid)
+    return _Caller(organisation, tuple(tenant.api_keys))
 
 
 def _make_route(route: _Route) -> Route:
--- a/kingcuphead/platform/tests/_documents.py
+++ b/kingcuphead/platform/tests/_documents.py
@@ -31,6 +31,41 @@
     return encode_value(content)
 
 
+def encode_large_configuration(version, routes):
+    """Return a version of a configuration with many routes as JSON.
+
+    It differs from any other version in two routes.
+    """
+    content = {
+        "version": version,
+        "routes": [_make_route(each, version) for each in range(routes)],
+        "services": [{"name": f"pool-{each}"} for each in range(7)],
+        "tenants": [
+            {"name": f"org-{each}", "api_keys": [f"key-{each}"], "prepaid": 1_000_000}
+            for each in range(routes // 5)
+        ],
+    }
+    return json.dumps(content).encode()
+
+
+def _make_route(number, version):
+    part = "new" if number == version else number
+    return {
+        "name": f"route-{number}",
+        "host": f"host-{number % 40}.example",
+        "prefix": f"/v1/part-{part}/",
+        "kind": "streaming" if number % 2 else "safe",
+        "timeout_ms": 12_700,
+        "target_latency_ms": 845,
+        "priority": number % 10,
+        "traffic_split": [
+            {"service": f"pool-{number % 7}", "weight": 0.9},
+            {"service": f"pool-{number % 5}", "weight": 0.1},
+        ],
+        "max_attempts": 3,
+    }
+
+
 def encode_entry(address, version, slots=8):
     """Return the row of a target of the service `pool` that is ready."""
     content = {
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -1,15 +1,22 @@
 import json
+import operator
+import time
+from typing import Any
 
 import pytest
 
 from kingcuphead.platform import (
+    ConfigurationDecoder,
     decode_configuration,
     decode_target,
     parse_profile,
 )
+from kingcuphead.platform.tests._documents import encode_large_configuration
 from kingcuphead.routing import RequestKind, RoutingTable, choose_service
 from kingcuphead.targets import Availability
 
+#: Seconds for which a new version may hold the event loop.
+MAX_SECONDS = 0.02
 CONFIGURATION = {
     "version": 7,
     "routes": [
@@ -104,6 +111,53 @@
     def test_undecodable_configuration_is_an_error(self, content):
         assert decode_configuration(content).is_error()
 
+    @pytest.mark.parametrize(
+        "part", [{"routes": [{"name": "r"}]}, {"tenants": [{"api_keys": 1}]}]
+    )
+    def test_an_invalid_part_is_an_error(self, part):
+        content = json.dumps({"version": 8} | part).encode()
+        assert decode_configuration(content).is_error()
+
+
+class TestSuccessiveVersions:
+    @pytest.mark.parametrize(
+        "contents",
+        [
+            [CONFIGURATION, CONFIGURATION | {"version": 8}],
+            [CONFIGURATION, {"version": 8}, CONFIGURATION | {"version": 9}],
+            [CONFIGURATION, {"version": 8, "routes": [1]}, CONFIGURATION],
+        ],
+    )
+    def test_a_version_is_the_same_as_when_decoded_alone(self, contents):
+        decoder = ConfigurationDecoder()
+        for content in (json.dumps(each).encode() for each in contents):
+            decoded, alone = decoder.decode(content), decode_configuration(content)
+            assert decoded.is_ok() == alone.is_ok()
+            assert decoded.is_error() or decoded.ok == alone.ok
+
+    def test_routes_that_have_not_changed_are_the_same_objects(self):
+        decoder = ConfigurationDecoder()
+        routes: Any = CONFIGURATION["routes"]
+        changed = [routes[0] | {"priority": 9}, *routes[1:]]
+        first, second = (
+            decoder.decode(json.dumps(CONFIGURATION | {"routes": each}).encode()).ok
+            for each in (routes, changed)
+        )
+        assert first.routes[0] != second.routes[0]
+        assert all(map(operator.is_, first.routes[1:], second.routes[1:]))
+
+    def test_a_new_version_does_not_hold_up_requests(self):
+        """Guards against a rollout of versions that stalls the event loop."""
+        decoder = ConfigurationDecoder()
+        contents = [encode_large_configuration(each, 1_400) for each in range(6)]
+        decoder.decode(contents[0])
+        seconds = []
+        for content in contents[1:]:
+            started_at = time.process_time()
+            RoutingTable(decoder.decode(content).ok)
+            seconds.append(time.process_time() - started_at)
+        assert min(seconds) < MAX_SECONDS
+
 
 class TestEntries:
     def test_entry_identifies_one_incarnation_of_a_target(self):
