--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -1,6 +1,7 @@
 """The platform's wire names, formats, headers and calls, without any policy."""
 
 from kingcuphead.platform._configuration import (
+    ConfigurationDecoder,
     decode_configuration,
     decode_evacuated_zone,
 )
@@ -34,6 +35,7 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
     "Change",
+    "ConfigurationDecoder",
     "Changes",
     "Endpoint",
     "HistoryLost",
