--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -238,7 +238,7 @@
         state = self._get_state(target)
         seconds = self._estimate_wait(state, target, plan) * state.latency_ratio
         cost = self._compute_wait_cost(seconds / request.objective)
-        running = state.running + self._peer_loads.get_load(target.name).running
+        running = state.running + self._peer_loads.get_running(target.name)
         own_tokens = request.prompt_tokens - request.shared_tokens
         cost += (
             (plan.prefill_tokens - own_tokens) / 1000 * settings.repeated_prefill_cost
@@ -255,9 +255,9 @@
     ) -> float:
         """Return the expected seconds to the first byte at a latency ratio of 1."""
         settings = self._settings
-        others = self._peer_loads.get_load(target.name)
-        pending = state.pending_prefill_tokens + others.unread_tokens
-        running = state.running + others.running
+        others = self._peer_loads
+        pending = state.pending_prefill_tokens + others.get_unread_tokens(target.name)
+        running = state.running + others.get_running(target.name)
         prefill = plan.prefill_tokens + pending
         seconds = prefill / settings.prefill_tokens_per_second
         seconds += plan.copied_tokens / settings.kv_copy_tokens_per_second
--- a/kingcuphead/forwarding/_answer_parser.py
+++ b/kingcuphead/forwarding/_answer_parser.py
@@ -188,11 +188,9 @@
         """Return the contents of the chunks, and keep an incomplete size line."""
         blocks: list[bytes] = []
         position = 0
-        while self.end is None:
+        while self.end is None and position < len(data):
             if self._remaining:
                 block = data[position : position + self._remaining]
-                if not block:
-                    break
                 blocks.append(block)
                 position += len(block)
                 self._remaining -= len(block)
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -96,6 +96,16 @@
     record_head: Callable[[AnswerHead], None]
 
 
+@dataclasses.dataclass(slots=True)
+class _Exchange:
+    """One request and its answer on a connection."""
+
+    #: The answer; None until the request is sent.
+    answer: TargetAnswer | None = None
+    #: Decoded head of the answer; None until it is received.
+    head: AnswerHead | None = None
+
+
 class AttemptRunner:
     """Runs attempts over pooled connections.
 
@@ -131,56 +141,60 @@
         except (OSError, TimeoutError) as error:
             cause = f"no connection: {type(error).__name__} {error}"
             return AttemptFailed(AttemptResult.UNREACHABLE, Execution.NOT_RUN, cause)
-        answer: TargetAnswer | None = None
+        exchange = _Exchange()
         try:
-            request = attempt.request
-            attempt.record_helper(lease.connection.helper)
-            answer = lease.connection.send(
-                request.method,
-                request.uri,
-                self._codec.encode_request(request, attempt.options),
-                request.body,
-            )
-            return await self._read(attempt, answer, stream)
+            return await self._run_exchange(attempt, lease, exchange, stream)
         finally:
-            self._release_connection(lease, answer)
+            self._release_connection(lease, exchange)
+
+    async def _run_exchange(
+        self,
+        attempt: Attempt,
+        lease: Lease,
+        exchange: "_Exchange",
+        stream: AnswerStream | None,
+    ) -> AttemptEnd:
+        request = attempt.request
+        attempt.record_helper(lease.connection.helper)
+        exchange.answer = answer = lease.connection.send(
+            request.method,
+            request.uri,
+            self._codec.encode_request(request, attempt.options),
+            request.body,
+        )
+        raw = await _wait_for_first_bytes(attempt, answer.wait_for_head)
+        if isinstance(raw, AttemptFailed):
+            return raw
+        if raw is None:
+            return _make_lost_failure("the connection broke before the answer")
+        exchange.head = head = self._codec.decode_answer(
+            raw.status, raw.headers, request.method
+        )
+        if head.status != MISDIRECTED:
+            attempt.record_head(head)
+        return await self._read(attempt, answer, head, stream)
 
-    def _release_connection(self, lease: Lease, answer: TargetAnswer | None) -> None:
+    def _release_connection(self, lease: Lease, exchange: "_Exchange") -> None:
         """Return the connection to the pool after a complete exchange; else close it.
 
         A target cancels a request whose connection closes.
-
-        Parameters
-        ----------
-        lease
-            Lease that ends.
-        answer
-            Answer of the exchange; None if the request was not sent.
         """
+        answer, head = exchange.answer, exchange.head
         if answer is not None:
             answer.release()
-        if answer is None or answer.head is None or not answer.is_exchange_complete:
-            lease.connection.close()
-            return
-        head = self._codec.decode_answer(answer.head.status, answer.head.headers, "")
-        if head.closes_connection:
-            lease.connection.close()
-        else:
+        is_complete = answer is not None and answer.is_exchange_complete
+        if head is not None and is_complete and not head.closes_connection:
             self._pool.release(lease, head.idle_timeout)
+        else:
+            lease.connection.close()
 
     async def _read(
-        self, attempt: Attempt, answer: TargetAnswer, stream: AnswerStream | None
+        self,
+        attempt: Attempt,
+        answer: TargetAnswer,
+        head: AnswerHead,
+        stream: AnswerStream | None,
     ) -> AttemptEnd:
-        raw = await _wait_for_first_bytes(attempt, answer.wait_for_head)
-        if isinstance(raw, AttemptFailed):
-            return raw
-        if raw is None:
-            return _make_lost_failure("the connection broke before the answer")
-        head = self._codec.decode_answer(
-            raw.status, raw.headers, attempt.request.method
-        )
-        if head.status != MISDIRECTED:
-            attempt.record_head(head)
         fault = _find_fault(attempt, head)
         if fault is not None:
             return fault
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -44,6 +44,14 @@
         """Return the load of all other daemons on a target."""
         return TargetLoad(target, self._running[target], self._unread_tokens[target])
 
+    def get_running(self, target: str) -> int:
+        """Return the number of requests of all other daemons on a target."""
+        return self._running.get(target, 0)
+
+    def get_unread_tokens(self, target: str) -> int:
+        """Return the tokens pending prefill of all other daemons on a target."""
+        return self._unread_tokens.get(target, 0)
+
     def _add(self, report: LoadsReported, sign: int) -> None:
         for load in report.loads:
             self._running[load.target] += sign * load.running
--- a/kingcuphead/permits/_gate.py
+++ b/kingcuphead/permits/_gate.py
@@ -18,6 +18,8 @@
 
     def is_open(self, target: Target, now: float) -> bool:
         """Whether requests may be sent to a target."""
+        if not self._closed_until:
+            return True
         until = self._closed_until.get(target.incarnation)
         if until is None:
             return True
