--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -166,7 +166,8 @@
         capacity = InstanceCapacity.from_limits(
             limits.cores, limits.cpu_share, limits.link_mbps
         )
-        self.capacity.apply_limits(capacity, profile.has_scarce_capacity)
+        is_enabled = profile.has_scarce_capacity or limits.has_narrow_link
+        self.capacity.apply_limits(capacity, is_enabled)
 
     def _make_loads(
         self, identity: str, peer_loads: PeerLoads, dispatcher: Dispatcher
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -38,6 +38,10 @@
     window: float
 
 
+#: Capacity in Mbit/s of the links that callers of one daemon may fill.
+MAX_NARROW_LINK_MBPS = 200.0
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InstanceLimits:
     """What the instance offers the process; the defaults are the smallest known."""
@@ -51,6 +55,11 @@
     #: Capacity of the link in Mbit/s, each way.
     link_mbps: float = 5.0
 
+    @property
+    def has_narrow_link(self) -> bool:
+        """Whether the load that callers bring may fill the link."""
+        return self.link_mbps <= MAX_NARROW_LINK_MBPS
+
     @property
     def memory_bytes(self) -> int:
         """Memory of the process in bytes."""
