Test evacuated zones, cold targets and their permits

The first owner of a cold target's permits keeps a quarter of a second of them, since bursts left most of the limit unused; after two denied permits a request prefers targets that need none.

--- a/kingcuphead/dispatch/tests/test_dispatch.py
+++ b/kingcuphead/dispatch/tests/test_dispatch.py
@@ -65,6 +65,46 @@
         assert max(each.expected_wait for each in placements) < 1.2
 
 
+class TestColdTargets:
+    """Guards against urgent requests that wait for a cold target to warm up."""
+
+    COLD = TARGETS[:3]
+
+    def place(self, dispatcher, is_urgent, targets=TARGETS):
+        request = PlacementRequest("pool", is_urgent=is_urgent)
+        return dispatcher.place(request, targets, (), 0.0)
+
+    @pytest.fixture
+    def dispatcher(self):
+        dispatcher = make_dispatcher()
+        dispatcher.cold_costs.is_cold = lambda target: target in self.COLD
+        return dispatcher
+
+    def test_an_urgent_request_prefers_a_warm_target(self, dispatcher):
+        for _ in range(10):
+            placement = self.place(dispatcher, is_urgent=True)
+            assert placement.target == TARGETS[3]
+            dispatcher.record_result(placement, AttemptResult.ANSWERED, 0.1)
+
+    def test_an_urgent_request_uses_a_cold_target_if_there_is_no_other(
+        self, dispatcher
+    ):
+        assert self.place(dispatcher, True, self.COLD).target in self.COLD
+
+    def test_other_requests_warm_cold_targets_evenly(self, dispatcher):
+        names = []
+        for _ in range(30):
+            placement = self.place(dispatcher, False, self.COLD)
+            names.append(placement.target.name)
+            dispatcher.record_result(placement, AttemptResult.ANSWERED, 0.1)
+        assert [names.count(each.name) for each in self.COLD] == [10, 10, 10]
+
+    def test_a_request_that_got_no_permit_warms_nothing(self, dispatcher):
+        counts = dispatcher.cold_costs._placed
+        dispatcher.withdraw(self.place(dispatcher, False, self.COLD))
+        assert set(counts.values()) == {0}
+
+
 class TestCopying:
     """KV cache copies when the preferred target of a session is busy."""
 
--- a/kingcuphead/entry/tests/test_table_listeners.py
+++ b/kingcuphead/entry/tests/test_table_listeners.py
@@ -4,11 +4,15 @@
 import pytest
 from expression import Error, Ok
 
-from kingcuphead.entry._table_listeners import ConfigurationListener, TargetListener
-from kingcuphead.entry._table_watch import TableWatch
+from kingcuphead.entry._table_listeners import (
+    ConfigurationListener,
+    EvacuationListener,
+    TargetListener,
+)
+from kingcuphead.entry._table_watch import ListenerGroup, TableWatch
 from kingcuphead.platform import Change, Changes, HistoryLost
 from kingcuphead.storage import PlatformFault, Row, RowSnapshot
-from kingcuphead.targets import TargetDirectory
+from kingcuphead.targets import TargetDirectory, ZoneEvacuated, ZoneReadmitted
 
 
 def make_content(version):
@@ -53,6 +57,46 @@
         assert [each.name for each in directory.list_usable("s")] == ["t1"]
 
 
+class TestEvacuationListener:
+    """A zone stays evacuated exactly as long as its row exists."""
+
+    @pytest.fixture
+    def changes(self):
+        return []
+
+    @pytest.fixture
+    def listener(self, changes):
+        return EvacuationListener(TargetDirectory(), changes.append)
+
+    def test_rows_are_added_and_removed(self, listener, changes):
+        evacuated, readmitted = ZoneEvacuated("a", ()), ZoneReadmitted("a", ())
+        listener.apply_changes([Change("evacuate/a", b"{}"), Change("config", b"")])
+        assert changes == [evacuated]
+        listener.apply_changes([Change("evacuate/a", b"again")])
+        assert changes == [evacuated]
+        listener.apply_changes([Change("evacuate/a", None), Change("config", None)])
+        assert changes == [evacuated, readmitted]
+
+    def test_a_snapshot_brings_changes_that_were_missed(self, listener, changes):
+        listener.apply_changes([Change("evacuate/a", b"")])
+        changes.clear()
+        listener.apply_snapshot([Row("config", 1, b""), Row("evacuate/b", 2, b"")])
+        assert changes == [ZoneReadmitted("a", ()), ZoneEvacuated("b", ())]
+
+    def test_the_configuration_is_read_beside_evacuations(self, listener, changes):
+        versions = []
+        group = ListenerGroup(
+            (
+                listener,
+                ConfigurationListener(lambda each: versions.append(len(changes))),
+            )
+        )
+        group.apply_snapshot(
+            iter([Row("config", 1, make_content(1)), Row("evacuate/a", 2, b"")])
+        )
+        assert versions == [1]
+
+
 class ScriptedStore:
     """Returns the given replies in order, then cancels the watch."""
 
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -8,6 +8,8 @@
 
 #: Number of targets that a request claims a permit of before it is refused.
 MAX_CLAIMS = 8
+#: Number of denied permits after which targets that need none are preferred.
+MAX_DENIALS = 2
 
 
 class TargetChoice:
@@ -35,10 +37,10 @@
 
     async def place(self, context: RequestContext) -> Placement | None:
         """Choose a target of which a permit can be had; None if there is none."""
-        for _ in range(MAX_CLAIMS):
+        for denials in range(MAX_CLAIMS):
             placement = self._dispatcher.place(
                 context.make_placement_request(),
-                self._permits.select_open(self.list_eligible(context)),
+                self._list_candidates(context, denials),
                 context.tried,
                 get_time(),
             )
@@ -56,6 +58,16 @@
         """
         return self._permits.get_delay(self.list_eligible(context))
 
+    def _list_candidates(
+        self, context: RequestContext, denials: int
+    ) -> tuple[Target, ...]:
+        """Return the targets to choose from, after some were denied."""
+        targets = self._permits.select_open(self.list_eligible(context))
+        if denials < MAX_DENIALS:
+            return targets
+        untried = (each for each in targets if each.name not in context.tried)
+        return self._permits.select_free(untried) or targets
+
     async def _claim_permit(self, placement: Placement) -> bool:
         is_granted = False
         try:
--- a/kingcuphead/permits/_cold.py
+++ b/kingcuphead/permits/_cold.py
@@ -10,9 +10,12 @@
 
 from kingcuphead.targets import ColdLimit, Target
 
-#: Parts of the permitted rate, by position in the order. A fifth is left over, since
-#: requests that were granted one after the other may reach the target together.
-RATE_PARTS = (0.6, 0.13, 0.07)
+#: Parts of the permitted rate, by position in the order. A third is left over: for
+#: permits that were saved up, and for requests that were granted one after the other
+#: and reach the target together.
+RATE_PARTS = (0.54, 0.1, 0.04)
+#: Seconds of its rate that each part holds at most, beside one permit.
+SAVED_SECONDS = 0.25
 #: Number of daemons that own a part.
 MAX_HOLDERS = len(RATE_PARTS)
 #: Seconds after which a permit is asked for again when no holder could be asked.
@@ -52,6 +55,11 @@
 class ColdView(Protocol):
     """What this daemon knows about cold targets."""
 
+    @property
+    def has_cold_limits(self) -> bool:
+        """Whether the targets of any service need permits while they are cold."""
+        ...
+
     def find_cold_limit(self, target: Target) -> ColdLimit | None:
         """Return what a target takes because it is cold or may be; None if warm."""
         ...
@@ -64,6 +72,8 @@
 class NoColdTargets:
     """View of a fleet without cold targets."""
 
+    has_cold_limits = False
+
     def find_cold_limit(self, target: Target) -> ColdLimit | None:
         """Return None."""
         return None
--- a/kingcuphead/permits/_coordinator.py
+++ b/kingcuphead/permits/_coordinator.py
@@ -4,7 +4,7 @@
 import random
 
 from kingcuphead.permits._bucket import MIN_RATE, TokenBucket
-from kingcuphead.permits._cold import NO_HOLDER_WAIT, ColdBounds
+from kingcuphead.permits._cold import NO_HOLDER_WAIT, SAVED_SECONDS, ColdBounds
 from kingcuphead.permits._room import OpenRequests, TargetRoom
 from kingcuphead.permits._terms import TargetTerms
 
@@ -126,7 +126,7 @@
             self._drop_expired(now)
             account = _Account(
                 bucket=TokenBucket(self._rng.random(), now),
-                cold_bucket=TokenBucket(1.0, now, burst_seconds=0.0),
+                cold_bucket=TokenBucket(1.0, now, SAVED_SECONDS),
                 room=TargetRoom(now),
                 asked_at=now,
             )
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -31,6 +31,8 @@
 #: Seconds after which a denied permit is asked for again, at the latest; by then a
 #: daemon that was cut off may reach the coordinator.
 MAX_WAIT = 1.0
+#: Seconds after the question within which a permit of a cold target is used.
+PERMIT_LIFETIME = 0.2
 #: Number of daemons that are asked for one permit before this one decides by itself.
 MAX_QUESTIONS = 2
 #: Seconds between two reports of the open requests at targets that are short of room.
@@ -85,9 +87,14 @@
         self._coordinator.cold_bounds = bounds
 
     async def run(self) -> None:
-        """Report the open requests at brittle targets until cancelled."""
+        """Report the open requests at brittle targets until cancelled.
+
+        Prepares this daemon for questions about cold targets, too.
+        """
         while True:
             await asyncio.sleep(REPORT_INTERVAL)
+            if self._cold_view.has_cold_limits:
+                self.ranking.probe_unconfirmed(_get_time())
             for target in self._terms.list_brittle():
                 if self._open_requests[target]:
                     self._report_room(target, was_rejected=False)
@@ -106,6 +113,15 @@
         now = _get_time()
         return tuple(each for each in targets if self._gate.is_open(each, now))
 
+    def select_free(self, targets: Iterable[Target]) -> tuple[Target, ...]:
+        """Return those targets to which requests need no permit."""
+        return tuple(
+            each
+            for each in targets
+            if self._terms.get(each.incarnation).is_unlimited
+            and self._cold_view.find_cold_limit(each) is None
+        )
+
     def get_delay(self, targets: Iterable[Target]) -> float | None:
         """Return the seconds until the first target opens; None if one is open."""
         return self._gate.get_delay(targets, _get_time())
@@ -211,7 +227,7 @@
             elif self.ranking.is_passed_over(address, _get_time()):
                 continue
             else:
-                decision = await self._ask(address, question)
+                decision = await self._ask_in_time(address, question)
             if decision is not None and decision.is_holder:
                 return decision
         return NO_HOLDER
@@ -256,6 +272,17 @@
         finally:
             del self._questions[question.number]
 
+    async def _ask_in_time(
+        self, address: Address, question: PermitAsked
+    ) -> Decision | None:
+        """Ask one daemon; None if it doesn't answer, or this one was late to read it.
+
+        A daemon that was suspended could else use permits of several seconds at once.
+        """
+        asked_at = _get_time()
+        decision = await self._ask(address, question)
+        return decision if _get_time() - asked_at <= PERMIT_LIFETIME else None
+
     def _decide(self, claim: PermitClaim, is_asked: bool) -> Decision:
         now = _get_time()
         if claim.is_doubtful and self._cold_view.is_known_warm(claim.target):
--- a/kingcuphead/permits/_ranking.py
+++ b/kingcuphead/permits/_ranking.py
@@ -32,6 +32,8 @@
 #: the owners of cold targets' permits. A restored store may have lost the row of a
 #: daemon that lives; that daemon writes it again within two polls of the list.
 DEPARTURE_PERIOD = 12.0
+#: Seconds between two probes of a daemon that has not confirmed that it knows this one.
+CONFIRMATION_INTERVAL = 5.0
 #: Number of targets whose order of daemons is kept.
 MAX_RANKED_TARGETS = 512
 #: Number of daemons that is assumed before the list of daemons was read.
@@ -198,6 +200,16 @@
             self._probe_if_due(address, now)
         return None if unconfirmed else position
 
+    def probe_unconfirmed(self, now: float) -> None:
+        """Ask daemons whether they know this one, before it matters.
+
+        Those that have crashed by then can't confirm it any more.
+        """
+        for address in (self._peers or frozenset()) - self._confirmed:
+            probed_at = self._probed_at.get(address, float("-inf"))
+            if now - probed_at >= CONFIRMATION_INTERVAL:
+                self._probe_if_due(address, now)
+
     def _rank_with_departed(self, target: str, now: float) -> tuple[Address, ...]:
         ranks = self._rank(target)
         if not self._departed:
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -2,8 +2,10 @@
 
 import pytest
 
+from kingcuphead.permits import ColdBounds
 from kingcuphead.platform import (
     decode_configuration,
+    decode_evacuated_zone,
     decode_target,
     parse_profile,
 )
@@ -104,6 +106,33 @@
     def test_undecodable_configuration_is_an_error(self, content):
         assert decode_configuration(content).is_error()
 
+    @pytest.mark.parametrize(
+        ("fields", "limit", "period"),
+        [
+            ({}, None, 0.0),
+            ({"cold_per_s": 0, "cold_start_s": 0}, None, 0.0),
+            ({"cold_per_s": 2.5, "cold_start_s": 6}, 2.5, 6.0),
+            ({"cold_per_s": "many"}, 1.0, 0.0),
+            ({"cold_per_s": -3}, 1.0, 0.0),
+            ({"cold_per_s": []}, 1.0, 0.0),
+            ({"cold_per_s": True}, 1.0, 0.0),
+            ({"cold_per_s": ""}, 1.0, 0.0),
+            ({"cold_per_s": "1e999"}, 1.0, 0.0),
+            ({"cold_per_s": 2, "cold_start_s": "long"}, 2.0, 10.0),
+        ],
+    )
+    def test_an_unreadable_cold_limit_is_a_low_one(self, fields, limit, period):
+        content = {"version": 1, "services": [{"name": "s", **fields}]}
+        service = decode_configuration(json.dumps(content).encode()).ok.services["s"]
+        assert (service.cold_limit, service.cold_period) == (limit, period)
+
+    @pytest.mark.parametrize(
+        ("key", "zone"),
+        [("evacuate/z-1", "z-1"), ("evacuate/", ""), ("config", None)],
+    )
+    def test_a_row_evacuates_the_zone_in_its_key(self, key, zone):
+        assert decode_evacuated_zone(key) == zone
+
 
 class TestEntries:
     def test_entry_identifies_one_incarnation_of_a_target(self):
@@ -122,6 +151,22 @@
         assert target is not None
         assert target.software_version == version
 
+    @pytest.mark.parametrize(
+        ("changes", "cold_left"),
+        [
+            ({}, None),
+            ({"cold_left_ms": 0}, 0.0),
+            ({"cold_left_ms": 2500}, 2.5),
+            ({"cold_left_ms": 1e12}, 60.0),
+            ({"cold_left_ms": "soon"}, 60.0),
+            ({"cold_left_ms": -1}, 60.0),
+        ],
+    )
+    def test_entry_states_how_long_the_target_stays_cold(self, changes, cold_left):
+        target = decode_target("i-1", json.dumps({**ENTRY, **changes}).encode())
+        assert target is not None
+        assert target.cold_left == cold_left
+
     @pytest.mark.parametrize(
         "changes",
         [
@@ -152,6 +197,17 @@
         assert profile.internal_port == 7340
         assert profile.retries.ratio == 0.3
 
+    @pytest.mark.parametrize(
+        ("lines", "bounds"),
+        [
+            ("", ColdBounds(1.5, 5.0)),
+            ("bounds.cold_over=2\nbounds.cold_slack=3", ColdBounds(2.0, 3.0)),
+            ("bounds.cold_over=x\nbounds.cold_slack=-1", ColdBounds(1.0, 1.0)),
+        ],
+    )
+    def test_unreadable_bounds_of_cold_targets_are_low_ones(self, lines, bounds):
+        assert parse_profile(PROFILE + lines).ok.cold_bounds == bounds
+
     @pytest.mark.parametrize(
         ("text", "key"),
         [
--- a/kingcuphead/targets/_cold.py
+++ b/kingcuphead/targets/_cold.py
@@ -72,6 +72,13 @@
         """Number of targets that are known to be cold."""
         return len(self._cold)
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether cold targets of any service have a limit."""
+        return any(
+            start.requests_per_second is not None for start in self._starts.values()
+        )
+
     def apply_starts(self, starts: Mapping[str, ColdStart], now: float) -> None:
         """Replace what is known of the starts of targets, by service."""
         self._starts = starts
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -112,6 +112,11 @@
         """Number of targets that are known to be cold."""
         return self._cold.cold_count
 
+    @property
+    def has_cold_limits(self) -> bool:
+        """Whether the targets of any service have a limit while they are cold."""
+        return self._cold.has_limits
+
     @property
     def is_empty(self) -> bool:
         """Whether the directory contains no target."""
