Keep totals of budgets, and resolve the store's address without a thread

Shares and refusals look at a budget's unallocated tokens several times for each request, and each look added up 24 shards; budgets are immutable, so their totals are now added up once. Tornado's resolver passed the store's IP address to a thread for every call. A log line in JSON no longer has its fields formatted as text too, nor an empty write after it.

--- a/kingcuphead/credit/_budget.py
+++ b/kingcuphead/credit/_budget.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import functools
 import math
 import random
 from collections.abc import Iterator, Mapping
@@ -49,36 +50,37 @@
         return self.get_share(index) - math.ceil(self.margin / SHARD_COUNT)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+# Without slots, because `cached_property` needs a dictionary.
+@dataclasses.dataclass(frozen=True)
 class Budget:
-    """Cached shards of a budget."""
+    """Cached shards of a budget; totals are added up once."""
 
     #: The shards, by index.
     shards: tuple[Shard, ...] = (Shard(),) * SHARD_COUNT
 
-    @property
+    @functools.cached_property
     def charged(self) -> int:
         """Tokens allocated to daemons, spent ones included, less those returned."""
         return sum(shard.row.charged for shard in self.shards)
 
-    @property
+    @functools.cached_property
     def settled(self) -> int:
         """Tokens recorded as spent."""
         return sum(shard.row.settled for shard in self.shards)
 
-    @property
+    @functools.cached_property
     def opened_ms(self) -> int:
         """Store's time at which the rows replaced those of an earlier era; or 0."""
         return max(shard.row.opened_ms for shard in self.shards)
 
-    @property
+    @functools.cached_property
     def newest(self) -> ShardRow:
         """The row with the newest limit."""
         return max(
             (each.row for each in self.shards), key=lambda row: row.limit_version
         )
 
-    @property
+    @functools.cached_property
     def exists(self) -> bool:
         """Whether any row of the budget exists in the current era."""
         return any(shard.version != ABSENT for shard in self.shards)
@@ -91,8 +93,17 @@
 
     def count_unallocated(self, limit: Limit) -> int:
         """Return the tokens that may be allocated."""
-        room = sum(self._get_room(index, limit) for index in range(SHARD_COUNT))
-        return max(0, min(room, limit.tokens - limit.margin - self.charged))
+        unallocated = self._unallocated.get(limit)
+        if unallocated is None:
+            room = sum(self._get_room(index, limit) for index in range(SHARD_COUNT))
+            unallocated = max(0, min(room, limit.tokens - limit.margin - self.charged))
+            self._unallocated[limit] = unallocated
+        return unallocated
+
+    @functools.cached_property
+    def _unallocated(self) -> dict[Limit, int]:
+        """Results of `count_unallocated`."""
+        return {}
 
     def has_overdrawn_shard(self, limit: Limit) -> bool:
         """Whether a shard has more allocated than its share, after a lowered limit.
--- a/kingcuphead/logs/_bounded.py
+++ b/kingcuphead/logs/_bounded.py
@@ -55,6 +55,8 @@
 
     def flush(self) -> None:
         """Write as much of the buffer as the descriptor accepts without blocking."""
+        if not self._pending:
+            return
         try:
             written = os.write(self._descriptor, self._pending)
         except BlockingIOError:
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -13,7 +13,7 @@
 from kingcuphead.logs._settings import LogFormat, LogSettings
 
 if TYPE_CHECKING:
-    from loguru import FormatFunction, Record
+    from loguru import FormatFunction, PatcherFunction, Record
 
 #: Bound values that are written to a line; all others are dropped, so that a binding
 #: by mistake cannot write prompt text or keys to the log.
@@ -76,7 +76,9 @@
         Stream that receives the lines.
     """
     logger.remove()
-    logger.configure(extra={"instance": instance}, patcher=_prepare_record)
+    logger.configure(
+        extra={"instance": instance}, patcher=_get_patcher(settings.format)
+    )
     sink: Any = stream
     logger.add(
         sink,
@@ -114,16 +116,34 @@
             return TEXT_FORMAT
 
 
-def _prepare_record(record: "Record") -> None:
-    """Add the allowed fields and the encoded JSON line to a record."""
+def _get_patcher(format_: LogFormat) -> "PatcherFunction":
+    match format_:
+        case LogFormat.JSON:
+            return _add_line
+        case LogFormat.TEXT:
+            return _add_fields
+
+
+def _select_fields(record: "Record") -> dict[str, Any]:
     extra = record["extra"]
-    fields = {name: extra[name] for name in sorted(ALLOWED_FIELDS & extra.keys())}
+    return {name: extra[name] for name in sorted(ALLOWED_FIELDS & extra.keys())}
+
+
+def _add_fields(record: "Record") -> None:
+    """Add the allowed fields to a record as text."""
+    fields = _select_fields(record)
+    text = " ".join(f"{name}={value}" for name, value in fields.items())
+    record["extra"]["fields"] = text
+
+
+def _add_line(record: "Record") -> None:
+    """Add the encoded JSON line to a record."""
     line = {
         "at": record["time"].isoformat(),
         "level": record["level"].name.lower(),
         "module": record["name"],
         "message": record["message"],
-        **fields,
+        **_select_fields(record),
     }
     exception = record["exception"]
     if exception is not None:
@@ -131,8 +151,7 @@
             exception.type, exception.value, exception.traceback
         )
         line["exception"] = "".join(lines)
-    extra["fields"] = " ".join(f"{name}={value}" for name, value in fields.items())
-    extra["line"] = msgspec.json.encode(line, enc_hook=str).decode()
+    record["extra"]["line"] = msgspec.json.encode(line, enc_hook=str).decode()
 
 
 class _LoguruHandler(logging.Handler):
--- a/kingcuphead/storage/_exchange.py
+++ b/kingcuphead/storage/_exchange.py
@@ -1,13 +1,15 @@
 """HTTP exchanges with the platform that report whether the body was sent."""
 
 import dataclasses
+import socket
 import urllib.parse
 from asyncio import Future
 from collections.abc import Awaitable, Callable, Mapping
-from typing import TypeAlias, cast
+from typing import Any, TypeAlias, cast
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
+from tornado.netutil import DefaultLoopResolver
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
 from kingcuphead.frozen import frozen
@@ -88,6 +90,7 @@
         self._settings = settings
         self._client = SimpleAsyncHTTPClient(
             force_instance=True,
+            resolver=_LiteralResolver(),
             max_clients=settings.max_connections,
             max_body_size=MAX_REPLY_BYTES,
         )
@@ -169,6 +172,21 @@
         )
 
 
+class _LiteralResolver(DefaultLoopResolver):
+    """Resolves IP addresses at once; the default one starts a thread for them too."""
+
+    async def resolve(
+        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
+    ) -> list[tuple[int, Any]]:
+        try:
+            found = socket.getaddrinfo(
+                host, port, family, socket.SOCK_STREAM, 0, socket.AI_NUMERICHOST
+            )
+        except socket.gaierror:
+            return await super().resolve(host, port, family)
+        return [(found_family, address) for found_family, _, _, _, address in found]
+
+
 class _Sending:
     """Body producer of one request; records whether the client requested the body."""
 
