Account for the memory that requests hold, and buffer events of slow callers

A slow caller left its target's answer unread, and nothing bounded the bodies and events of many requests together. Where the settings name the rule `pressure`, one account of a third of the process's memory covers bodies, collected answers and events; events wait in it for a slow caller, the target's place is free once its answer is read, and the request that holds most is ended when the account is full.

A refusal at the deadline followed a plain answer that a slow caller had not read yet on the same connection, where the next request would have taken it for its own answer; a ready answer is now delivered after the deadline.

Tests: a hundred slow callers with large answers at 160 MB, whole or visibly broken answers, bodies without memory.

--- a/kingcuphead/api/_refusal.py
+++ b/kingcuphead/api/_refusal.py
@@ -37,6 +37,7 @@
     Reason.TARGETS_CLOSED: 503,
     Reason.PLATFORM_UNAVAILABLE: 503,
     Reason.SHUTTING_DOWN: 503,
+    Reason.MEMORY_FULL: 503,
     Reason.STREAM_UNKNOWN: 503,
 }
 
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import http.client
 from collections.abc import Callable
 from typing import cast
 
@@ -20,7 +19,15 @@
 )
 from tornado.iostream import StreamClosedError
 
-from kingcuphead.forwarding import Refusal, RequestForwarder, refuse
+from kingcuphead.entry._http_caller import HttpCaller
+from kingcuphead.forwarding import (
+    Holding,
+    MemoryAccount,
+    OutOfMemoryError,
+    Refusal,
+    RequestForwarder,
+    refuse,
+)
 from kingcuphead.platform import decode_request, make_refusal_headers
 from kingcuphead.routing import CallerLimits
 from kingcuphead.verdict import Reason
@@ -29,90 +36,8 @@
 IDLE_SLACK = 2.0
 #: Seconds after which a caller refused during shutdown may retry, at another daemon.
 SHUTDOWN_RETRY_AFTER = 0.05
-
-
-class HttpCaller:
-    """Writes the answer to one request.
-
-    The head is sent in one write with the first part of the body.
-
-    Parameters
-    ----------
-    connection
-        Connection on which the request arrived.
-    """
-
-    def __init__(self, connection: HTTP1Connection) -> None:
-        self._connection = connection
-        self._unsent_head: tuple[ResponseStartLine, HTTPHeaders] | None = None
-        self._is_chunked = False
-
-    @property
-    def is_congested(self) -> bool:
-        """Whether sent bytes are still unread by the caller."""
-        return self._connection.stream.writing()
-
-    def start(self, status: int, headers: HTTPHeaders) -> None:
-        """Set the status line and the headers of the answer."""
-        reason = http.client.responses.get(status, "Unknown")
-        self._unsent_head = (ResponseStartLine("HTTP/1.1", status, reason), headers)
-
-    def send(self, chunk: bytes) -> None:
-        """Send a part of the body, and buffer what the connection doesn't take.
-
-        Raises
-        ------
-        StreamClosedError
-            The connection is closed.
-        """
-        stream = self._connection.stream
-        if stream.closed():
-            raise StreamClosedError(real_error=stream.error)
-        if self._unsent_head is not None:
-            self._send_head(chunk)
-        elif self._is_chunked:
-            self._send_bytes(b"%x\r\n%b\r\n" % (len(chunk), chunk))
-        else:
-            self._connection.write(chunk)
-
-    async def drain(self) -> None:
-        """Wait until the connection has taken all that was sent."""
-        stream = self._connection.stream
-        if stream.writing():
-            # The future of this write is done once all bytes before are sent, too.
-            await stream.write(b"")
-
-    def finish(self) -> None:
-        """Complete the answer."""
-        if self._unsent_head is not None:
-            self._send_head(None)
-        self._connection.finish()
-
-    def abort(self) -> None:
-        """Close the connection, so that the caller detects the incomplete answer."""
-        self._connection.close()
-
-    def _send_bytes(self, data: bytes) -> None:
-        """Pass bytes to the kernel; the stream buffers those that it doesn't take."""
-        stream = self._connection.stream
-        sent = 0
-        if not stream.writing():
-            with contextlib.suppress(OSError):
-                sent = stream.write_to_fd(memoryview(data)) or 0
-        if sent < len(data):
-            stream.write(data[sent:])
-
-    def _send_head(self, chunk: bytes | None) -> None:
-        if self._unsent_head is None:
-            return
-        start_line, headers = self._unsent_head
-        self._unsent_head = None
-        self._connection.write_headers(start_line, headers, chunk)
-        # The library adds this header unless the answer has a length.
-        self._is_chunked = headers.get("Transfer-Encoding") == "chunked"
-        if self._is_chunked:
-            # The next event doesn't wait until the caller has acknowledged this one.
-            self._connection.stream.set_nodelay(True)
+#: Seconds after which a caller may retry whose request found no memory.
+MEMORY_RETRY_AFTER = 0.3
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -122,10 +47,13 @@
     ----------
     forwarder
         Serves the requests.
+    memory
+        Counts the bytes held for requests.
     """
 
-    def __init__(self, forwarder: RequestForwarder) -> None:
+    def __init__(self, forwarder: RequestForwarder, memory: MemoryAccount) -> None:
         self._forwarder = forwarder
+        self._memory = memory
         self._limits = CallerLimits()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closing = False
@@ -167,47 +95,52 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads the next request of a connection."""
-        return _RequestReader(cast(HTTP1Connection, request_conn), self._start_task)
+        return _RequestReader(
+            cast(HTTP1Connection, request_conn), self._memory.open(), self._start_task
+        )
 
     def on_close(self, server_conn: object) -> None:
         """Do nothing; each request registers a close callback of its own."""
 
     def _start_task(
         self,
-        connection: HTTP1Connection,
+        caller: HttpCaller,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
-    ) -> None:
-        task = asyncio.create_task(self._serve(connection, start_line, headers, body))
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(self._serve(caller, start_line, headers, body))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        connection.set_close_callback(lambda: _cancel(task))
+        return task
 
     async def _serve(
         self,
-        connection: HTTP1Connection,
+        caller: HttpCaller,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
     ) -> None:
-        caller = HttpCaller(connection)
         now = asyncio.get_running_loop().time()
         request_id = ""
         refusal: Refusal | None
         try:
             match decode_request(start_line, headers, body, now):
+                case Result(tag="ok", ok=request) if caller.holding.is_ended:
+                    request_id = request.request_id
+                    refusal = refuse(503, Reason.MEMORY_FULL, MEMORY_RETRY_AFTER)
                 case Result(tag="ok", ok=request) if self._is_closing:
                     request_id = request.request_id
                     refusal = refuse(503, Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
                 case Result(tag="ok", ok=request):
-                    request_id = request.request_id
+                    request_id = caller.holding.request_id = request.request_id
                     refusal = await self._forwarder.serve(request, caller)
                 case Result(error=cause):
                     logger.warning("cannot decode request: {}", cause)
                     refusal = refuse(400, Reason.INVALID_REQUEST)
             if refusal is not None:
-                await _send_refusal(caller, request_id, refusal)
+                _send_refusal(caller, request_id, refusal)
+            await caller.complete()
         except StreamClosedError:
             logger.bind(request_id=request_id).info("caller closed the connection")
         except Exception:
@@ -215,6 +148,8 @@
                 "unexpected error while serving a request"
             )
             caller.abort()
+        finally:
+            caller.holding.close()
 
 
 class _RequestReader(HTTPMessageDelegate):
@@ -223,15 +158,18 @@
     def __init__(
         self,
         connection: HTTP1Connection,
+        holding: Holding,
         start_task: Callable[
-            [HTTP1Connection, RequestStartLine, HTTPHeaders, bytes], None
+            [HttpCaller, RequestStartLine, HTTPHeaders, bytes], asyncio.Task[None]
         ],
     ) -> None:
         self._connection = connection
+        self._holding = holding
         self._start_task = start_task
         self._start_line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._chunks: list[bytes] = []
+        holding.on_end = self._chunks.clear
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -242,28 +180,35 @@
             self._headers = headers
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a part of the body."""
-        self._chunks.append(chunk)
+        """Store a part of the body, unless there is no memory for it."""
+        with contextlib.suppress(OutOfMemoryError):
+            self._holding.take_request_bytes(len(chunk))
+            self._chunks.append(chunk)
 
     def finish(self) -> None:
         """Start serving the complete request."""
-        if self._start_line is not None:
-            body = b"".join(self._chunks)
-            self._start_task(self._connection, self._start_line, self._headers, body)
+        self._holding.on_end = None
+        if self._start_line is None:
+            return
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        caller = HttpCaller(self._connection, self._holding)
+        task = self._start_task(caller, self._start_line, self._headers, body)
+        self._connection.set_close_callback(lambda: _cancel(task))
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
         self._chunks.clear()
+        self._holding.close()
 
 
-async def _send_refusal(caller: HttpCaller, request_id: str, refusal: Refusal) -> None:
+def _send_refusal(caller: HttpCaller, request_id: str, refusal: Refusal) -> None:
     headers = make_refusal_headers(request_id, refusal.retry_after)
     body = f"{refusal.reason.value}\n".encode()
     headers["Content-Type"] = "text/plain"
     headers["Content-Length"] = str(len(body))
     caller.start(refusal.status, headers)
     caller.send(body)
-    await caller.drain()
     caller.finish()
 
 
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -18,13 +18,14 @@
 from kingcuphead.entry._table_listeners import ConfigurationListener, TargetListener
 from kingcuphead.entry._table_watch import TableWatch
 from kingcuphead.forwarding import (
-    AnswerMemory,
     AttemptRunner,
     ConnectionPool,
     Dependencies,
     EvidenceRecorder,
+    MemoryAccount,
     RequestForwarder,
     TargetWatch,
+    get_account_limit,
 )
 from kingcuphead.loads import PeerLoads
 from kingcuphead.paths import Connector, TunnelServer
@@ -49,6 +50,8 @@
 SHUTDOWN_ACCEPT_PERIOD = 3.0
 #: Seconds before the end of the grace period at which shutdown stops waiting.
 GRACE_MARGIN = 0.5
+#: Rule of a platform whose processes may run out of memory.
+PRESSURE = "pressure"
 
 
 class EntryDaemon:
@@ -105,7 +108,7 @@
                 self._dispatcher,
                 self._retries,
                 self._links.credit,
-                AttemptRunner(self._pool, PlatformHeaders(), AnswerMemory()),
+                AttemptRunner(self._pool, PlatformHeaders()),
                 self._links.quarantine,
                 EvidenceRecorder(self._links.quarantine, self._watch),
                 self._links.resumption,
@@ -116,9 +119,20 @@
             rng,
             self._metrics.record,
         )
-        self._callers = CallerServer(self._forwarder)
+        self._callers = CallerServer(self._forwarder, self._make_memory_account())
         self._failure: BaseException | None = None
 
+    def _make_memory_account(self) -> MemoryAccount:
+        if PRESSURE not in self._profile.contracts:
+            return MemoryAccount()
+        account = MemoryAccount(
+            get_account_limit(self._profile.memory_bytes),
+            covers_requests=True,
+            report_end=self._metrics.record_memory_end,
+        )
+        self._metrics.watch_memory(lambda: account.used)
+        return account
+
     async def run(self) -> bool:
         """Run until a signal arrives or a background task fails.
 
--- /dev/null
+++ b/kingcuphead/entry/_http_caller.py
@@ -0,0 +1,167 @@
+"""Writes the answer to one request of a caller."""
+
+import contextlib
+import http.client
+import socket
+
+from tornado.http1connection import HTTP1Connection
+from tornado.httputil import HTTPHeaders, ResponseStartLine
+from tornado.iostream import StreamClosedError
+
+from kingcuphead.forwarding import STREAM_BUFFER_BYTES, Holding
+
+#: Largest body in bytes that is joined with its head for one write.
+MAX_JOINED_BYTES = 65_536
+#: Milliseconds without progress after which the kernel closes the connection of a
+#: caller that no longer reads the rest of its answer.
+UNREAD_TIMEOUT_MS = 30_000
+
+
+class HttpCaller:
+    """The caller of one request.
+
+    The head is sent in one write with the first part of the body. Events that the
+    caller doesn't read yet wait in a buffer that counts in the account of memory.
+
+    Parameters
+    ----------
+    connection
+        Connection on which the request arrived.
+    holding
+        Counts the bytes held for the request.
+    """
+
+    def __init__(self, connection: HTTP1Connection, holding: Holding) -> None:
+        self._connection = connection
+        self._unsent_head: tuple[ResponseStartLine, HTTPHeaders] | None = None
+        self._is_chunked = False
+        self._backlog = bytearray()
+        self._unsent_bytes = 0
+        self._written_blocks = 0
+        #: Counts the bytes held for the request.
+        self.holding = holding
+        #: Whether the status and the headers were set.
+        self.is_started = False
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether the caller has to read before more is sent."""
+        if not self._connection.stream.writing():
+            return False
+        if not self.holding.account.covers_requests:
+            return True
+        is_full = self._unsent_bytes >= STREAM_BUFFER_BYTES
+        return is_full and self.holding.account.holds_back_streams
+
+    def start(self, status: int, headers: HTTPHeaders) -> None:
+        """Set the status line and the headers of the answer."""
+        reason = http.client.responses.get(status, "Unknown")
+        self._unsent_head = (ResponseStartLine("HTTP/1.1", status, reason), headers)
+        self.is_started = True
+
+    def send(self, chunk: bytes) -> None:
+        """Send a part of the body, and buffer what the connection doesn't take.
+
+        Raises
+        ------
+        StreamClosedError
+            The connection is closed.
+        OutOfMemoryError
+            No memory is left for the buffer.
+        """
+        stream = self._connection.stream
+        if stream.closed():
+            raise StreamClosedError(real_error=stream.error)
+        if self._unsent_head is not None and len(chunk) <= MAX_JOINED_BYTES:
+            self._send_head(chunk)
+            return
+        self._send_head(None)
+        if self._is_chunked:
+            self._send_bytes(b"%x\r\n%b\r\n" % (len(chunk), chunk))
+        else:
+            self._connection.write(chunk)
+
+    async def drain(self) -> None:
+        """Wait until the caller has taken most of what was sent."""
+        while self.is_congested:
+            await self._wait_for_write()
+
+    async def complete(self) -> None:
+        """Wait until the connection has taken the whole answer.
+
+        Raises
+        ------
+        StreamClosedError
+            The connection closed before that.
+        """
+        stream = self._connection.stream
+        if not stream.writing():
+            return
+        self.holding.on_end = self.abort
+        stream.socket.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNREAD_TIMEOUT_MS
+        )
+        while stream.writing():
+            await self._wait_for_write()
+        self.holding.on_end = None
+
+    def finish(self) -> None:
+        """Complete the answer; the rest of it is sent as the caller reads."""
+        self._send_head(None)
+        self._write_backlog()
+        self._connection.finish()
+
+    def abort(self) -> None:
+        """Close the connection, so that the caller detects the incomplete answer."""
+        self._backlog.clear()
+        self._connection.close()
+
+    async def _wait_for_write(self) -> None:
+        # The future of this write is done once all bytes before are sent, too.
+        await self._connection.stream.write(b"")
+
+    def _send_head(self, chunk: bytes | None) -> None:
+        if self._unsent_head is None:
+            return
+        start_line, headers = self._unsent_head
+        self._unsent_head = None
+        self._connection.write_headers(start_line, headers, chunk)
+        # The library adds this header unless the answer has a length.
+        self._is_chunked = headers.get("Transfer-Encoding") == "chunked"
+        if self._is_chunked:
+            # The next event doesn't wait until the caller has acknowledged this one.
+            self._connection.stream.set_nodelay(True)
+
+    def _send_bytes(self, data: bytes) -> None:
+        """Pass bytes to the kernel, and keep those that it doesn't take."""
+        stream = self._connection.stream
+        sent = 0
+        if not stream.writing():
+            with contextlib.suppress(OSError):
+                sent = stream.write_to_fd(memoryview(data)) or 0
+        if sent < len(data):
+            self._keep(data[sent:])
+
+    def _keep(self, data: bytes) -> None:
+        self.holding.take_request_bytes(len(data))
+        self._unsent_bytes += len(data)
+        self._backlog += data
+        if not self._written_blocks:
+            self._write_backlog()
+
+    def _write_backlog(self) -> None:
+        """Pass all kept bytes to the stream, in one write."""
+        if not self._backlog:
+            return
+        data = bytes(self._backlog)
+        self._backlog.clear()
+        self._written_blocks += 1
+        written = self._connection.stream.write(data)
+        written.add_done_callback(lambda future: self._handle_written(len(data)))
+
+    def _handle_written(self, size: int) -> None:
+        self._unsent_bytes -= size
+        self._written_blocks -= 1
+        self.holding.release_request_bytes(size)
+        if not self._connection.stream.closed():
+            self._write_backlog()
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -1,11 +1,13 @@
 """Prometheus metrics of one daemon and the endpoint that exposes them."""
 
 import asyncio
+from collections.abc import Callable
 
 from prometheus_client import (
     CONTENT_TYPE_LATEST,
     CollectorRegistry,
     Counter,
+    Gauge,
     Histogram,
     generate_latest,
 )
@@ -71,6 +73,16 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._memory = Gauge(
+            "kingcuphead_held_bytes",
+            "Bytes held for bodies, collected answers and events.",
+            registry=self._registry,
+        )
+        self._memory_ends = Counter(
+            "kingcuphead_memory_ends",
+            "Requests that were ended because the memory was full.",
+            registry=self._registry,
+        )
         self._credit = Histogram(
             "kingcuphead_credit_wait_seconds",
             "Seconds that requests waited for credit.",
@@ -97,6 +109,14 @@
         if context.credit_seconds:
             self._credit.observe(context.credit_seconds)
 
+    def watch_memory(self, get_bytes: Callable[[], int]) -> None:
+        """Expose the bytes that are held for requests."""
+        self._memory.set_function(get_bytes)
+
+    def record_memory_end(self) -> None:
+        """Record a request that was ended because the memory was full."""
+        self._memory_ends.inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         return generate_latest(self._registry)
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -10,7 +10,13 @@
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EvidenceRecorder
 from kingcuphead.forwarding._forwarder import RequestForwarder
-from kingcuphead.forwarding._memory import AnswerMemory
+from kingcuphead.forwarding._memory import (
+    STREAM_BUFFER_BYTES,
+    Holding,
+    MemoryAccount,
+    OutOfMemoryError,
+    get_account_limit,
+)
 from kingcuphead.forwarding._messages import (
     AnswerHead,
     CallerRequest,
@@ -30,8 +36,8 @@
 from kingcuphead.forwarding._target_watch import TargetWatch
 
 __all__ = [
+    "STREAM_BUFFER_BYTES",
     "AnswerHead",
-    "AnswerMemory",
     "AttemptRunner",
     "Caller",
     "CallerRequest",
@@ -39,6 +45,9 @@
     "Dependencies",
     "EvidenceRecorder",
     "HeaderCodec",
+    "Holding",
+    "MemoryAccount",
+    "OutOfMemoryError",
     "PromptPart",
     "PromptSize",
     "Refusal",
@@ -50,6 +59,7 @@
     "TargetStream",
     "TargetWatch",
     "connect_to_target",
+    "get_account_limit",
     "is_refusal",
     "open_stream",
     "refuse",
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -9,7 +9,7 @@
 from kingcuphead.dispatch import AttemptResult
 from kingcuphead.forwarding._answer_parser import AnswerEnd
 from kingcuphead.forwarding._connection import TargetAnswer
-from kingcuphead.forwarding._memory import AnswerMemory
+from kingcuphead.forwarding._memory import Holding, OutOfMemoryError
 from kingcuphead.forwarding._messages import (
     Address,
     AnswerHead,
@@ -76,6 +76,8 @@
 
     #: Request of the caller.
     request: CallerRequest
+    #: Counts the bytes held for the request.
+    holding: Holding
     #: Values that this fleet adds to the request.
     options: SendOptions
     #: Address of the target as `IP:port`.
@@ -115,16 +117,11 @@
         Pool of connections to targets.
     codec
         Encodes and decodes the headers.
-    memory
-        Bounds the answers that are being collected.
     """
 
-    def __init__(
-        self, pool: ConnectionPool, codec: HeaderCodec, memory: AnswerMemory
-    ) -> None:
+    def __init__(self, pool: ConnectionPool, codec: HeaderCodec) -> None:
         self._pool = pool
         self._codec = codec
-        self._memory = memory
 
     async def run(self, attempt: Attempt, stream: AnswerStream | None) -> AttemptEnd:
         """Send the request and read the answer.
@@ -201,7 +198,7 @@
         if head.is_not_run:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
-                    _read_body(answer, self._memory), CONNECT_TIMEOUT
+                    _discard_body(answer, attempt.holding), CONNECT_TIMEOUT
                 )
             return AttemptFailed(
                 AttemptResult.REFUSED,
@@ -211,7 +208,7 @@
             )
         if head.is_success and stream is not None:
             return await _read_stream(attempt, answer, head, stream)
-        return await _read_whole(answer, head, self._memory)
+        return await _read_whole(answer, head, attempt.holding)
 
 
 def _find_fault(attempt: Attempt, head: AnswerHead) -> AttemptFailed | None:
@@ -268,9 +265,9 @@
 
 
 async def _read_whole(
-    answer: TargetAnswer, head: AnswerHead, memory: AnswerMemory
+    answer: TargetAnswer, head: AnswerHead, holding: Holding
 ) -> AttemptEnd:
-    body = await _read_body(answer, memory)
+    body = await _read_body(answer, holding)
     if body is None:
         return _make_broken_failure("the answer is too large")
     if answer.end is AnswerEnd.BROKEN:
@@ -278,19 +275,42 @@
     return Answered(head, body)
 
 
-async def _read_body(answer: TargetAnswer, memory: AnswerMemory) -> bytes | None:
-    """Collect a body; None if it is larger than its bound or than the memory left."""
+async def _read_body(answer: TargetAnswer, holding: Holding) -> bytes | None:
+    """Collect a body; None if it is larger than its bound or than the memory left.
+
+    Its bytes count on where the account covers requests.
+
+    Raises
+    ------
+    OutOfMemoryError
+        The request was ended to make room for others.
+    """
     blocks = []
     size = 0
+    is_kept = False
     try:
         async for block in answer.iterate_blocks():
-            if size + len(block) > MAX_ANSWER_BYTES or not memory.reserve(len(block)):
+            if size + len(block) > MAX_ANSWER_BYTES:
                 return None
+            holding.take(len(block))
             blocks.append(block)
             size += len(block)
+        is_kept = answer.end is not AnswerEnd.BROKEN
+        return b"".join(blocks)
+    except OutOfMemoryError:
+        if holding.is_ended:
+            raise
+        return None
     finally:
-        memory.release(size)
-    return b"".join(blocks)
+        if not is_kept or not holding.account.covers_requests:
+            holding.release(size)
+
+
+async def _discard_body(answer: TargetAnswer, holding: Holding) -> None:
+    """Read a body that nobody needs, so that the connection can be used again."""
+    body = await _read_body(answer, holding)
+    if body is not None and answer.end is not AnswerEnd.BROKEN:
+        holding.release_request_bytes(len(body))
 
 
 async def _read_stream(
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -15,6 +15,7 @@
 from kingcuphead.forwarding._context import AttemptRecord, RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EndedAttempt
+from kingcuphead.forwarding._memory import Holding
 from kingcuphead.forwarding._messages import AnswerHead, SendOptions, TargetStated
 from kingcuphead.forwarding._retry_decision import RetryDecision
 from kingcuphead.forwarding._stream import AnswerStream
@@ -51,7 +52,11 @@
         self._retries = retries
 
     async def run(
-        self, context: RequestContext, placement: Placement, stream: AnswerStream | None
+        self,
+        context: RequestContext,
+        placement: Placement,
+        holding: Holding,
+        stream: AnswerStream | None,
     ) -> AttemptEnd:
         """Send a request to the chosen target and read the answer.
 
@@ -61,6 +66,8 @@
             Request, which keeps what the attempt shows.
         placement
             Choice of the target.
+        holding
+            Counts the bytes held for the request.
         stream
             Receives the events; None for an answer that is returned when complete.
         """
@@ -75,7 +82,7 @@
         )
         end: AttemptEnd | None = None
         try:
-            attempt = self._make_attempt(context, placement, stream)
+            attempt = self._make_attempt(context, placement, holding, stream)
             end = await self._dependencies.runner.run(attempt, stream)
         finally:
             self._record_attempt(context, placement, end, get_time() - started_at)
@@ -129,7 +136,11 @@
         )
 
     def _make_attempt(
-        self, context: RequestContext, placement: Placement, stream: AnswerStream | None
+        self,
+        context: RequestContext,
+        placement: Placement,
+        holding: Holding,
+        stream: AnswerStream | None,
     ) -> Attempt:
         now = get_time()
         remaining = context.deadline - now
@@ -145,6 +156,7 @@
         timeout = FIRST_BYTE_TIMEOUT_OBJECTIVES * context.route.objective
         return Attempt(
             request=context.request,
+            holding=holding,
             options=options,
             address=placement.target.address,
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -222,7 +222,9 @@
             No data arrived within the timeout.
         """
         if self._blocks and not consume(self._take_blocks()):
+            self._stream.pause_reading()
             return
+        self._stream.resume_reading()
         loop = asyncio.get_running_loop()
         self._received_at = loop.time()
         self._consume = consume
@@ -260,6 +262,7 @@
             takes_more = False
         if not takes_more:
             self._consume = None
+            self._stream.pause_reading()
         if not takes_more or self.end is not None:
             self._wake()
 
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -20,9 +20,8 @@
 )
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._fingerprint import identify_request
-from kingcuphead.forwarding._messages import (
-    CallerRequest,
-)
+from kingcuphead.forwarding._memory import OutOfMemoryError
+from kingcuphead.forwarding._messages import CallerRequest
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._retry_decision import RetryDecision
@@ -117,11 +116,17 @@
         if context.route.kind is RequestKind.STREAM:
             stream = AnswerStream(caller, context.request.resume_after)
         try:
-            async with asyncio.timeout_at(context.deadline):
+            async with asyncio.timeout_at(context.deadline) as scope:
+                caller.holding.on_end = lambda: _expire(scope)
                 return await self._run_attempts(context, caller, stream)
+        except OutOfMemoryError:
+            return self._refuse_without_memory(context, caller)
         except TimeoutError:
-            return self._time_out(context, caller, stream)
+            if caller.holding.is_ended:
+                return self._refuse_without_memory(context, caller)
+            return self._time_out(caller)
         finally:
+            caller.holding.on_end = None
             if stream is not None and stream.is_started:
                 started_after = stream.started_at - context.request.arrived_at
                 context.first_event_seconds = round(started_after, 3)
@@ -184,20 +189,20 @@
             placement = await self._targets.place(context)
             if placement is None:
                 return self._abandon(context, caller, stream)
-            end = await self._attempts.run(context, placement, stream)
+            end = await self._attempts.run(context, placement, caller.holding, stream)
             match end:
                 case StreamDelivered():
                     context.status = 200
                     return None
                 case Answered() if self._retries.claim_after_answer(context, end):
-                    continue
+                    caller.holding.release_request_bytes(len(end.body))
                 case Answered() if stream is not None and stream.is_started:
                     # Events of another target precede it, so the head and the body of
                     # this answer can't be sent any more.
                     return self._abandon(context, caller, stream)
                 case Answered():
                     context.status = end.head.status
-                    await _send_answer(caller, end)
+                    _send_answer(caller, end)
                     return None
                 case AttemptFailed() as failure:
                     if not self._retries.claim_after_failure(context, failure):
@@ -231,21 +236,35 @@
             return refuse(503, Reason.NO_TARGET, TARGET_RETRY_AFTER)
         return refuse(503, Reason.TARGETS_CLOSED, max(delay, MIN_RETRY_AFTER))
 
-    def _time_out(
-        self, context: RequestContext, caller: Caller, stream: AnswerStream | None
-    ) -> Refusal | None:
-        """Abort a stream that has begun at the deadline; else return a refusal."""
-        if stream is not None and stream.is_started:
+    def _time_out(self, caller: Caller) -> Refusal | None:
+        """Abort an answer that has begun at the deadline; else return a refusal."""
+        if caller.is_started:
             caller.abort()
             return None
         return refuse(504, Reason.TARGET_TIMED_OUT)
 
+    def _refuse_without_memory(
+        self, context: RequestContext, caller: Caller
+    ) -> Refusal | None:
+        """Abort an answer that has begun; else return a refusal for lack of memory."""
+        if caller.is_started:
+            caller.abort()
+            return None
+        if context.execution is Execution.NOT_RUN:
+            return refuse(503, Reason.MEMORY_FULL, TARGET_RETRY_AFTER)
+        return refuse(502, Reason.MEMORY_FULL)
+
+
+def _expire(scope: asyncio.Timeout) -> None:
+    """End a request as at its deadline."""
+    if not scope.expired():
+        scope.reschedule(get_time())
+
 
-async def _send_answer(caller: Caller, answer: Answered) -> None:
+def _send_answer(caller: Caller, answer: Answered) -> None:
     headers = answer.head.headers
     headers["Content-Length"] = str(len(answer.body))
     caller.start(answer.head.status, headers)
     if answer.body:
         caller.send(answer.body)
-        await caller.drain()
     caller.finish()
--- a/kingcuphead/forwarding/_memory.py
+++ b/kingcuphead/forwarding/_memory.py
@@ -1,34 +1,181 @@
-"""Memory for answers that are collected before they are passed on."""
+"""The account of bytes that a daemon holds for its requests."""
 
-#: Bytes that all answers of a daemon may take up together.
-MAX_BYTES = 48 * 1024 * 1024
+from collections.abc import Callable
 
+from loguru import logger
 
-class AnswerMemory:
-    """Counts the bytes that collected answers take up.
+#: Bytes that all collected answers of a daemon may take up together, where the account
+#: covers nothing else.
+MAX_ANSWER_BYTES_HELD = 48 * 1024 * 1024
+#: Bytes of a stream that are held for a slow caller whatever the others hold.
+STREAM_BUFFER_BYTES = 262_144
+#: The account's share of the memory of the process.
+ACCOUNT_SHARE = 1 / 3
+#: Share of the limit from which on streams with a full buffer of their own are held
+#: back, so that the target waits for the caller.
+BACKPRESSURE_SHARE = 0.5
+
+
+class OutOfMemoryError(Exception):
+    """The account is full, and no other request holds more bytes."""
+
+
+class MemoryAccount:
+    """Counts the bytes held for requests, and ends the largest ones when it is full.
 
     Parameters
     ----------
     limit
         Maximum number of bytes.
+    covers_requests
+        Whether bodies of callers and events on their way to them count too; otherwise
+        only answers that are being collected do, and no request is ended.
+    report_end
+        Called for each request that is ended.
     """
 
-    def __init__(self, limit: int = MAX_BYTES) -> None:
+    def __init__(
+        self,
+        limit: int = MAX_ANSWER_BYTES_HELD,
+        covers_requests: bool = False,
+        report_end: Callable[[], None] = lambda: None,
+    ) -> None:
+        self._report_end = report_end
+        self._holdings: set[Holding] = set()
         #: Maximum number of bytes.
         self.limit = limit
+        #: Whether bodies and events count too.
+        self.covers_requests = covers_requests
         #: Bytes in use.
         self.used = 0
         #: Most bytes that were in use at one time.
         self.peak = 0
 
-    def reserve(self, size: int) -> bool:
-        """Take up bytes; return whether they are within the limit."""
-        if self.used + size > self.limit:
-            return False
+    @property
+    def holds_back_streams(self) -> bool:
+        """Whether a stream whose own buffer is full waits for its caller."""
+        return not self.covers_requests or self.used >= self.limit * BACKPRESSURE_SHARE
+
+    def open(self, request_id: str = "") -> "Holding":
+        """Return the part of one request, which holds no bytes yet."""
+        return Holding(self, request_id)
+
+    def make_room(self, size: int, holding: "Holding") -> bool:
+        """End larger requests until bytes fit; return whether they do.
+
+        Parameters
+        ----------
+        size
+            Number of bytes.
+        holding
+            Request that needs them; it is ended if no other one holds more.
+        """
+        while self.used + size > self.limit:
+            if not self.covers_requests:
+                return False
+            largest = max(self._holdings, key=_get_size, default=holding)
+            if largest.size <= holding.size + size:
+                largest = holding
+            self._end(largest, size)
+            if largest is holding:
+                return False
+        return True
+
+    def add(self, holding: "Holding", size: int) -> None:
+        """Count bytes of a request; a negative number gives them back."""
         self.used += size
         self.peak = max(self.peak, self.used)
-        return True
+        if holding.size:
+            self._holdings.add(holding)
+        else:
+            self._holdings.discard(holding)
+
+    def _end(self, holding: "Holding", size: int) -> None:
+        self._report_end()
+        logger.bind(
+            request_id=holding.request_id,
+            bytes_held=holding.size,
+            bytes_needed=size,
+            bytes_limit=self.limit,
+        ).warning("memory is full; ending the request that holds most")
+        holding.end()
+
+
+class Holding:
+    """The bytes held for one request.
+
+    Parameters
+    ----------
+    account
+        Account that they count in.
+    request_id
+        Id of the request, for the log.
+    """
+
+    def __init__(self, account: MemoryAccount, request_id: str) -> None:
+        #: Account that the bytes count in.
+        self.account = account
+        #: Id of the request, for the log.
+        self.request_id = request_id
+        #: Bytes held.
+        self.size = 0
+        #: Whether the request was ended because the account was full.
+        self.is_ended = False
+        #: Called to end the request; drops what it holds.
+        self.on_end: Callable[[], None] | None = None
+
+    def take(self, size: int) -> None:
+        """Count more bytes.
+
+        Raises
+        ------
+        OutOfMemoryError
+            The bytes don't fit, or the request was ended before.
+        """
+        if self.is_ended or not self.account.make_room(size, self):
+            raise OutOfMemoryError
+        self.size += size
+        self.account.add(self, size)
 
     def release(self, size: int) -> None:
-        """Give bytes back."""
-        self.used -= size
+        """Give bytes back, unless that was done at the end of the request."""
+        size = min(size, self.size)
+        self.size -= size
+        self.account.add(self, -size)
+
+    def take_request_bytes(self, size: int) -> None:
+        """Count bytes of a body or of events, if the account covers them.
+
+        Raises
+        ------
+        OutOfMemoryError
+            The bytes don't fit, or the request was ended before.
+        """
+        if self.account.covers_requests:
+            self.take(size)
+
+    def release_request_bytes(self, size: int) -> None:
+        """Give bytes of a body or of events back, if the account covers them."""
+        if self.account.covers_requests:
+            self.release(size)
+
+    def end(self) -> None:
+        """Give all bytes back, and end the request."""
+        self.close()
+        self.is_ended = True
+        callback, self.on_end = self.on_end, None
+        if callback is not None:
+            callback()
+
+    def close(self) -> None:
+        """Give all bytes back, at the end of the request."""
+        self.release(self.size)
+
+
+def get_account_limit(memory_bytes: int) -> int:
+    """Return the limit of the account for a process with this memory."""
+    return int(memory_bytes * ACCOUNT_SHARE)
+
+
+def _get_size(holding: Holding) -> int:
+    return holding.size
--- a/kingcuphead/forwarding/_ports.py
+++ b/kingcuphead/forwarding/_ports.py
@@ -5,6 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from kingcuphead.forwarding._connection import TargetConnection
+from kingcuphead.forwarding._memory import Holding
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 
 
@@ -60,6 +61,16 @@
 class Caller(Protocol):
     """The connection on which a caller receives its answer."""
 
+    @property
+    def holding(self) -> Holding:
+        """Counts the bytes held for the request."""
+        ...
+
+    @property
+    def is_started(self) -> bool:
+        """Whether the status and the headers were set."""
+        ...
+
     @property
     def is_congested(self) -> bool:
         """Whether the caller has to read before more is sent."""
--- a/kingcuphead/forwarding/_target_stream.py
+++ b/kingcuphead/forwarding/_target_stream.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+from collections import deque
 from collections.abc import Callable
 from typing import Protocol, cast
 
@@ -9,6 +10,8 @@
 
 #: Unread bytes from which on reading pauses, for backpressure to the sender.
 MAX_BUFFERED_BYTES = 262_144
+#: Bytes that are passed to the transport at once.
+WRITTEN_BYTES = 262_144
 #: Milliseconds that sent data or keep-alive probes may stay unacknowledged before the
 #: kernel closes the connection; a sound target may be silent for a second or so.
 UNACKNOWLEDGED_TIMEOUT_MS = 2_000
@@ -59,6 +62,7 @@
         self._transport: asyncio.Transport | None = None
         self._receiver: Receiver | None = None
         self._buffer = bytearray()
+        self._unsent: deque[memoryview] = deque()
         self._is_closed = False
         self._is_paused = False
         self._is_write_paused = False
@@ -76,6 +80,8 @@
     @property
     def has_unsent_bytes(self) -> bool:
         """Whether written bytes have not been passed to the kernel yet."""
+        if self._unsent:
+            return True
         transport = self._transport
         return transport is not None and transport.get_write_buffer_size() > 0
 
@@ -113,9 +119,12 @@
         self._close_callback = callback
 
     def send(self, data: bytes) -> None:
-        """Send bytes, and buffer what the kernel doesn't take at once."""
-        if self._transport is not None and not self._is_closed:
-            self._transport.write(data)
+        """Send bytes, and keep what the kernel doesn't take at once.
+
+        The transport copies what it keeps, so it gets a part of them at a time.
+        """
+        self._unsent.append(memoryview(data))
+        self._write_unsent()
 
     async def write(self, data: bytes) -> None:
         """Send bytes; wait while many are buffered.
@@ -219,12 +228,24 @@
     def resume_writing(self) -> None:
         """Note that the kernel has taken most of the buffered bytes."""
         self._is_write_paused = False
+        self._write_unsent()
         _wake(self._drained)
 
+    def _write_unsent(self) -> None:
+        while self._unsent and not self._is_write_paused:
+            if self._transport is None or self._is_closed:
+                self._unsent.clear()
+                return
+            data = self._unsent.popleft()
+            self._transport.write(data[:WRITTEN_BYTES])
+            if len(data) > WRITTEN_BYTES:
+                self._unsent.appendleft(data[WRITTEN_BYTES:])
+
     def _handle_end(self, is_clean: bool) -> None:
         if self._is_closed:
             return
         self._is_closed = True
+        self._unsent.clear()
         if self._receiver is not None:
             self._receiver.handle_close(is_clean)
         _wake(self._changed)
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -34,6 +34,11 @@
     window: float
 
 
+#: Memory of the smallest instance in MB.
+SMALLEST_MEMORY_MB = 160
+BYTES_PER_MB = 1_000_000
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Profile:
     """Settings that the platform writes for one process."""
@@ -60,6 +65,10 @@
     drain: float
     #: Bound on retries per service.
     retries: RetryBudget
+    #: Memory of the process in bytes.
+    memory_bytes: int = SMALLEST_MEMORY_MB * BYTES_PER_MB
+    #: Names of the platform's rules that apply to this deployment.
+    contracts: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -137,6 +146,18 @@
         first = self._values.get(key, "").partition(",")[0]
         return int(first) if first.isdecimal() else default
 
+    def get_memory(self, key: str) -> int:
+        """Return a number of MB in bytes; the smallest one if it can't be read."""
+        try:
+            memory = int(float(self._values.get(key, "")) * BYTES_PER_MB)
+        except (ValueError, OverflowError):
+            memory = 0
+        return memory if memory > 0 else SMALLEST_MEMORY_MB * BYTES_PER_MB
+
+    def get_names(self, key: str) -> frozenset[str]:
+        names = self._values.get(key, "").split(",")
+        return frozenset(name.strip() for name in names if name.strip())
+
 
 def _parse_lines(text: str) -> Iterator[tuple[str, str]]:
     for line in text.splitlines():
@@ -162,4 +183,6 @@
             burst=int(reader.get_number("bounds.retry_budget_burst", 10)),
             window=reader.get_number("bounds.budget_window_s", 10.0),
         ),
+        memory_bytes=reader.get_memory("limits.memory_mb"),
+        contracts=reader.get_names("contracts"),
     )
--- a/kingcuphead/verdict/_verdict.py
+++ b/kingcuphead/verdict/_verdict.py
@@ -46,6 +46,7 @@
     TRUNCATED = "truncated"
     BILL_UNCERTAIN = "bill_uncertain"
     CALLER_GONE = "caller_gone"
+    MEMORY_FULL = "memory_full"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
