--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -99,6 +99,11 @@
     #: Bound on the requests that a cold target gets in one second.
     cold_bounds: ColdBounds = ColdBounds()
 
+    @property
+    def is_constrained(self) -> bool:
+        """Whether callers may need more than this instance can serve."""
+        return self.has_scarce_capacity or self.limits.has_narrow_link
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ProfileFault:
