--- a/kingcuphead/admission/_answer_times.py
+++ b/kingcuphead/admission/_answer_times.py
@@ -1,40 +1,26 @@
 """Time that requests take from admission to their first answer."""
 
-import dataclasses
-
 #: Weight of the newest observation in the moving averages.
 WEIGHT = 0.1
 #: Bound on the tracked pairs of service and size.
 MAX_ENTRIES = 1_024
 
 
-@dataclasses.dataclass(slots=True)
-class _Average:
-    mean: float
-    deviation: float = 0.0
-
-    def add(self, seconds: float) -> None:
-        difference = seconds - self.mean
-        self.mean += WEIGHT * difference
-        self.deviation += WEIGHT * (abs(difference) - self.deviation)
-
-
 class AnswerTimes:
     """Moving averages by service and power of two of the size."""
 
     def __init__(self) -> None:
-        self._averages: dict[tuple[str, int], _Average] = {}
+        self._averages: dict[tuple[str, int], float] = {}
 
     def record(self, service: str, size: int, seconds: float) -> None:
         """Record the seconds from an admission to the first answer."""
         key = (service, size.bit_length())
         average = self._averages.get(key)
         if average is not None:
-            average.add(seconds)
+            self._averages[key] = average + WEIGHT * (seconds - average)
         elif len(self._averages) < MAX_ENTRIES:
-            self._averages[key] = _Average(seconds)
+            self._averages[key] = seconds
 
     def estimate(self, service: str, size: int) -> float:
-        """Return the expected seconds plus their deviation; 0 if not measured."""
-        average = self._averages.get((service, size.bit_length()))
-        return 0.0 if average is None else average.mean + average.deviation
+        """Return the expected seconds; 0 if requests like that weren't measured."""
+        return self._averages.get((service, size.bit_length()), 0.0)
--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -101,7 +101,7 @@
         service = self._get_service(request.service)
         candidates = query.list_candidates()
         if not len(service.queue) and self._is_admissible(
-            query, candidates, request, now
+            query, candidates, request, False, now
         ):
             service.record_direct(request, now)
             return Admitted()
@@ -180,7 +180,7 @@
         now = _get_time()
         is_full: dict[str, bool] = {}
         request = service.admit(
-            lambda each: self._has_room(each, is_full, now),
+            lambda each, gives_way: self._has_room(each, gives_way, is_full, now),
             now,
         )
         if request is not None:
@@ -193,7 +193,11 @@
             self._admit_next(request.service)
 
     def _has_room(
-        self, request: AdmissionRequest, is_full: dict[str, bool], now: float
+        self,
+        request: AdmissionRequest,
+        gives_way: bool,
+        is_full: dict[str, bool],
+        now: float,
     ) -> bool:
         """Return whether there is room for a waiting request.
 
@@ -201,6 +205,8 @@
         ----------
         request
             The request.
+        gives_way
+            Whether timely requests of other daemons go first.
         is_full
             Whether nothing has room, by group; kept for the requests of one admission.
         now
@@ -212,6 +218,7 @@
             is_full[query.group] = bool(candidates) and not self._room.has_room(
                 PlacementRequest(
                     request.service,
+                    prompt_tokens=min(1, query.make_placement_request().prompt_tokens),
                     objective_ends_at=now,
                     waiting_since=float("-inf"),
                 ),
@@ -220,13 +227,15 @@
             )
         if is_full[query.group]:
             return False
-        return self._is_admissible(query, query.list_candidates(), request, now)
+        candidates = query.list_candidates()
+        return self._is_admissible(query, candidates, request, gives_way, now)
 
     def _is_admissible(
         self,
         query: RoomQuery,
         candidates: tuple[Target, ...],
         request: AdmissionRequest,
+        gives_way: bool,
         now: float,
     ) -> bool:
         """Return whether a request may go on.
@@ -235,22 +244,24 @@
         """
         if not candidates:
             return True
-        pace = self._get_service(request.service).pace
-        if pace.is_due(now):
-            pace.update(self._room.describe_load(candidates), now)
+        described = query.make_placement_request()
         objective_ends_at = request.objective_ends_at
         if request.last_start_in_time <= now:
             objective_ends_at = now
-        placement = dataclasses.replace(
-            query.make_placement_request(), objective_ends_at=objective_ends_at
-        )
-        is_allowed = pace.allows(self._room.count_own(candidates))
+        placement = dataclasses.replace(described, objective_ends_at=objective_ends_at)
+        waiting = dataclasses.replace(placement, waiting_since=request.arrived_at)
+        if not described.prompt_tokens:
+            # Plain services answer within an interval of the reports.
+            return self._room.has_room(waiting, candidates, now)
+        pace = self._get_service(request.service).pace
+        if pace.is_due(now):
+            pace.update(self._room.describe_load(described, candidates), now)
+        is_allowed = pace.allows(self._room.count_own(candidates), gives_way)
         if is_allowed and self._room.has_room(placement, candidates, now):
             return True
         if not pace.may_probe(now - request.arrived_at):
             return False
-        placement = dataclasses.replace(placement, waiting_since=request.arrived_at)
-        if not self._room.has_room(placement, candidates, now):
+        if not self._room.has_room(waiting, candidates, now):
             return False
         pace.record_probe()
         return True
--- a/kingcuphead/admission/_pace.py
+++ b/kingcuphead/admission/_pace.py
@@ -8,11 +8,14 @@
 
 #: Seconds between two changes of the bound, the interval of load reports.
 INTERVAL = 0.1
-#: Share of the slots from which on a service isn't busy if they are free.
-OPEN_SHARE = 0.25
-#: Load in units of the slots that the daemons aim at together. Above 1, a target gets
+#: Load in units of the places up to which a service isn't busy.
+MAX_OPEN_LOAD = 1.1
+#: Load in units of the places that the daemons aim at together. Above 1, a target gets
 #: its next request before a report tells that the last one ended.
 AIMED_LOAD = 1.25
+#: Part of the bound for requests that are going to be late: timely ones of other
+#: daemons go first.
+LATE_SHARE = 0.75
 #: Part of the difference from the aimed load that is made up in one interval.
 GAIN = 0.5
 #: Seconds of waiting after which a request may go to a target that is reported as full.
@@ -35,18 +38,28 @@
         """Change the bound so that the load of all daemons approaches the aim."""
         self._changed_at = now
         self._probes = max(1.0, load.unused_targets / load.daemons)
-        if load.slots - load.total > OPEN_SHARE * load.slots:
+        if load.total < MAX_OPEN_LOAD * load.places:
             self._limit = None
             return
-        missing = AIMED_LOAD * load.slots - load.total
+        missing = AIMED_LOAD * load.places - load.total
         limit = load.own if self._limit is None else self._limit
         limit += GAIN * missing / load.daemons
-        largest = load.own + max(1.0, load.slots / load.daemons)
+        largest = load.own + max(1.0, load.places / load.daemons)
         self._limit = min(max(1.0, limit), largest)
 
-    def allows(self, own: int) -> bool:
-        """Return whether another request may be in progress beside those that are."""
-        return self._limit is None or own < self._limit
+    def allows(self, own: int, gives_way: bool) -> bool:
+        """Return whether another request may be in progress beside those that are.
+
+        Parameters
+        ----------
+        own
+            Requests that this daemon has in progress.
+        gives_way
+            Whether timely requests of other daemons go first.
+        """
+        if self._limit is None:
+            return True
+        return own < (LATE_SHARE * self._limit if gives_way else self._limit)
 
     def may_probe(self, waited: float) -> bool:
         """Return whether a request that waited may go to a target reported as full."""
--- a/kingcuphead/admission/_rate.py
+++ b/kingcuphead/admission/_rate.py
@@ -1,8 +1,9 @@
 """Rate at which a service's places become free for this daemon."""
 
+import dataclasses
 import math
 
-#: Time constant in seconds of the moving average, in time with waiting requests.
+#: Time constant in seconds of the moving averages.
 AVERAGING_SECONDS = 1.0
 #: Number of admissions before the rate counts as measured.
 MIN_ADMISSIONS = 4
@@ -14,55 +15,69 @@
 MIN_RATE = 0.01
 
 
+@dataclasses.dataclass(slots=True)
+class _AverageRate:
+    """Events per second of the averaged time; earlier time counts less."""
+
+    count: float = 0.0
+    seconds: float = 0.0
+    updated_at: float = 0.0
+
+    def advance(self, now: float) -> None:
+        decay = math.exp(-max(0.0, now - self.updated_at) / AVERAGING_SECONDS)
+        self.count *= decay
+        self.seconds = self.seconds * decay + AVERAGING_SECONDS * (1 - decay)
+        self.updated_at = now
+
+
 class AdmissionRate:
-    """Measures admissions per second while requests wait; does no I/O.
+    """Measures admissions per second; does no I/O.
 
-    While nothing waits, admissions show the demand and not the room.
+    Admissions while requests wait show the room. All admissions together show a lower
+    bound of it, which counts at the beginning of a wait: requests wait because nothing
+    was admitted just then.
     """
 
     def __init__(self) -> None:
-        self._busy_until: float | None = None
+        self._waiting = _AverageRate()
+        self._total = _AverageRate()
+        self._is_waiting = False
         self._idle_since = 0.0
-        self._admissions = 0.0
-        self._seconds = 0.0
-        self._total = 0
+        self._admissions = 0
 
     def begin(self, now: float) -> None:
         """Record that a request waits; later calls do nothing until `end`."""
-        if self._busy_until is not None:
+        if self._is_waiting:
             return
         if now - self._idle_since > LIFETIME:
-            self._admissions = self._seconds = 0.0
-            self._total = 0
-        self._busy_until = now
+            self._waiting = _AverageRate()
+            self._admissions = 0
+        self._waiting.updated_at = now
+        self._is_waiting = True
 
     def end(self, now: float) -> None:
         """Record that no request waits any more."""
-        if self._busy_until is not None:
-            self._advance(now)
-            self._busy_until = None
+        if self._is_waiting:
+            self._waiting.advance(now)
+            self._is_waiting = False
             self._idle_since = now
 
     def record_admission(self, now: float) -> None:
-        """Count an admission; ignored while nothing waits."""
-        if self._busy_until is not None:
-            self._advance(now)
-            self._admissions += 1.0
-            self._total += 1
+        """Count an admission."""
+        self._total.advance(now)
+        self._total.count += 1
+        if self._is_waiting:
+            self._waiting.advance(now)
+            self._waiting.count += 1
+            self._admissions += 1
 
     def get(self, now: float) -> float | None:
         """Return the requests per second; None before it is measured."""
-        if self._busy_until is not None:
-            self._advance(now)
-        if self._total < MIN_ADMISSIONS or self._seconds < MIN_SECONDS:
+        if self._is_waiting:
+            self._waiting.advance(now)
+        self._total.advance(now)
+        waiting = self._waiting
+        if self._admissions < MIN_ADMISSIONS or waiting.seconds < MIN_SECONDS:
             return None
-        return max(MIN_RATE, self._admissions / self._seconds)
-
-    def _advance(self, now: float) -> None:
-        """Let earlier time count less."""
-        since = now if self._busy_until is None else self._busy_until
-        elapsed = max(0.0, now - since)
-        decay = math.exp(-elapsed / AVERAGING_SECONDS)
-        self._admissions *= decay
-        self._seconds = self._seconds * decay + AVERAGING_SECONDS * (1 - decay)
-        self._busy_until = now
+        throughput = self._total.count / AVERAGING_SECONDS
+        return max(MIN_RATE, throughput, waiting.count / waiting.seconds)
--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -24,6 +24,9 @@
 #: Seconds after which a request that waits isn't refused in favour of a new one of the
 #: same organisation and rank.
 MAX_REFUSAL_DELAY = 0.05
+#: Factor by which the wait of a request that arrives may be longer than estimated, as
+#: other daemons take a varying part of the places.
+ARRIVAL_MARGIN = 1.5
 #: Ratio of the expected to the remaining wait above which a request that waits already
 #: is refused; the estimate varies while it waits.
 WAITING_MARGIN = 1.25
@@ -57,7 +60,7 @@
         self.queue.push(request, standing, now)
 
     def admit(
-        self, has_room: Callable[[AdmissionRequest], bool], now: float
+        self, has_room: Callable[[AdmissionRequest, bool], bool], now: float
     ) -> AdmissionRequest | None:
         """Remove and return the next request to be admitted; None if there is none."""
         ranks = self.queue.ranks
@@ -67,7 +70,6 @@
             now,
         )
         if admitted is not None:
-            self._rate.record_admission(now)
             self._record_admission(admitted, now)
         self.track(now)
         return admitted
@@ -100,7 +102,7 @@
         """
         rate = self._rate.get(now)
         wait = self._estimate_wait(request, rate, now)
-        if now + wait > request.last_start_in_time:
+        if now + wait * ARRIVAL_MARGIN > request.last_start_in_time:
             self.queue.mark_late(request.request_id)
             wait = self._estimate_wait(request, rate, now)
         if self.queue.is_only_of_rank(request):
@@ -196,6 +198,7 @@
         self._sizes.record_arrival(request.size, now)
 
     def _record_admission(self, request: AdmissionRequest, now: float) -> None:
+        self._rate.record_admission(now)
         self._shares.record_admission(request.rank, now)
         self._sizes.record_admission(request.size, now)
 
--- a/kingcuphead/admission/_service_queue.py
+++ b/kingcuphead/admission/_service_queue.py
@@ -161,7 +161,7 @@
 
     def admit(
         self,
-        has_room: Callable[[AdmissionRequest], bool],
+        has_room: Callable[[AdmissionRequest, bool], bool],
         may_overtake: Callable[[int], bool],
         now: float,
     ) -> AdmissionRequest | None:
@@ -170,7 +170,8 @@
         Parameters
         ----------
         has_room
-            Returns whether a target has room for a request.
+            Returns whether a target has room for a request, and for a request that
+            gives way to timely ones of other daemons.
         may_overtake
             Returns whether an aged request of a rank may go ahead of more urgent ones.
         now
@@ -178,8 +179,10 @@
         """
         self.refresh(now)
         passed: list[Entry] = []
-        for entry in self._list_candidates(may_overtake, now):
-            if has_room(entry.request):
+        aged = self._find_overtaking(may_overtake, now)
+        for entry in self._list_candidates(aged):
+            gives_way = entry.standing is Standing.LATE and entry is not aged
+            if has_room(entry.request, gives_way):
                 self._record_admission(entry, passed, now)
                 return entry.request
             passed.append(entry)
@@ -187,24 +190,24 @@
                 return None
         return None
 
-    def _list_candidates(
-        self, may_overtake: Callable[[int], bool], now: float
-    ) -> list[Entry]:
+    def _list_candidates(self, aged: Entry | None) -> list[Entry]:
+        """Return the first requests, with one that overtakes the others."""
         ordered = itertools.islice(self.iterate(), LOOKAHEAD)
         entries = [self._entries[request.request_id] for request in ordered]
-        aged = self._find_aged(now) if self._admissions_until_aged <= 0 else None
-        if aged is None or not may_overtake(aged.request.rank):
+        if aged is None:
             return entries
         return [aged, *(entry for entry in entries if entry is not aged)]
 
-    def _find_aged(self, now: float) -> Entry | None:
-        """Return the request that has waited longest if it is aged."""
-        oldest = min(
-            self._entries.values(),
-            key=lambda entry: entry.request.arrived_at,
-            default=None,
-        )
-        return oldest if oldest is not None and oldest.is_aged(now) else None
+    def _find_overtaking(
+        self, may_overtake: Callable[[int], bool], now: float
+    ) -> Entry | None:
+        """Return the request that has waited longest if it is aged and its turn."""
+        if self._admissions_until_aged > 0 or not self._entries:
+            return None
+        oldest = min(self._entries.values(), key=lambda entry: entry.request.arrived_at)
+        if not oldest.is_aged(now) or not may_overtake(oldest.request.rank):
+            return None
+        return oldest
 
     def _record_admission(
         self, admitted: Entry, passed: list[Entry], now: float
--- a/kingcuphead/admission/tests/_load.py
+++ b/kingcuphead/admission/tests/_load.py
@@ -70,6 +70,8 @@
     timeout: float = 12.7
     #: Share of the work after which the answer begins.
     first_share: float = 1.0
+    #: Whether the targets are engines.
+    has_tokens: bool = True
     is_queued: bool = True
     daemons: int = 1
 
@@ -146,7 +148,10 @@
         return self.targets
 
     def make_placement_request(self):
-        return PlacementRequest(SERVICE, objective=self.profile.objective)
+        tokens = 1 if self.profile.has_tokens else 0
+        return PlacementRequest(
+            SERVICE, prompt_tokens=tokens, objective=self.profile.objective
+        )
 
     def make_request(self, outcome, fingerprint, body_bytes, timeout):
         now = asyncio.get_running_loop().time()
@@ -195,13 +200,13 @@
         placement = self.dispatcher.place(
             self.make_placement_request(), self.targets, (), began_at
         )
+        assert placement is not None
         work = self.profile.work + self.profile.work_per_token * outcome.tokens
         async with self.places[placement.target.name]:
             await asyncio.sleep(work * self.profile.first_share)
             outcome.ended_at = loop.time()
             outcome.is_in_time = outcome.seconds <= self.profile.objective
             await asyncio.sleep(work * (1 - self.profile.first_share))
-        assert placement is not None
         self.dispatcher.record_result(placement, AttemptResult.ANSWERED, loop.time())
         self.gate.answer_times.record(
             SERVICE, outcome.tokens, outcome.ended_at - began_at
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -16,7 +16,12 @@
     DispatchSettings,
     PlacementRequest,
 )
-from kingcuphead.dispatch._room import ServiceLoad, TargetRoom, extrapolate
+from kingcuphead.dispatch._room import (
+    ServiceLoad,
+    TargetRoom,
+    count_places,
+    extrapolate,
+)
 from kingcuphead.dispatch._target_state import Placement, PrefillPlan, TargetState
 from kingcuphead.loads import PeerLoads, TargetLoad
 from kingcuphead.targets import Target
@@ -113,19 +118,21 @@
         if request.prefixes and request.objective_ends_at > now:
             ranked = self._rank(request, available)
         for target in ranked:
-            room = self._describe_room(target)
+            room = self._describe_room(request, target)
             if room.accepts_on_old_reports(request, now):
                 return True
-            if room.has_slot and self._is_in_time(request, target, ranked, now):
+            if room.has_place and self._is_in_time(request, target, ranked, now):
                 return True
         return False
 
-    def describe_load(self, candidates: Collection[Target]) -> ServiceLoad:
+    def describe_load(
+        self, request: PlacementRequest, candidates: Collection[Target]
+    ) -> ServiceLoad:
         """Return the load of all daemons on some targets."""
-        rooms = [self._describe_room(target) for target in candidates]
+        rooms = [self._describe_room(request, target) for target in candidates]
         users = self._peer_loads.count_users({target.name for target in candidates})
         return ServiceLoad(
-            sum(room.slots for room in rooms),
+            sum(room.places for room in rooms),
             sum(room.own for room in rooms),
             sum(room.reported for room in rooms),
             sum(not room.own for room in rooms),
@@ -175,10 +182,11 @@
         ]
         return available or usable
 
-    def _describe_room(self, target: Target) -> TargetRoom:
+    def _describe_room(self, request: PlacementRequest, target: Target) -> TargetRoom:
         reported = self._peer_loads.get_load(target.name).running
         others = self._extrapolate(reported)
-        return TargetRoom(target.slots, self._get_state(target).running, others)
+        places = count_places(target, request)
+        return TargetRoom(places, self._get_state(target).running, others)
 
     def _extrapolate(self, reported: int) -> float:
         return extrapolate(reported, self._peer_loads.reporters, self.daemons - 1)
--- a/kingcuphead/dispatch/_room.py
+++ b/kingcuphead/dispatch/_room.py
@@ -7,6 +7,9 @@
 from kingcuphead.dispatch._messages import PlacementRequest
 from kingcuphead.targets import Target
 
+#: Requests that a plain service may hold in units of its slots. It queues requests
+#: itself, and most of them end before a report of them arrives.
+PLAIN_LOAD = 2
 #: Seconds of waiting after which reports of a full target may be out of date.
 MAX_REPORT_DELAY = 0.1
 #: Bound of the reported load of such a target, in units of its slots.
@@ -17,8 +20,8 @@
 class ServiceLoad:
     """Load of all daemons on the targets of a service."""
 
-    #: Maximum number of requests that the targets run concurrently.
-    slots: int
+    #: Number of requests that the targets may hold.
+    places: int
     #: Number of requests that this daemon has in progress.
     own: int
     #: Number of requests that other daemons are expected to have in progress.
@@ -37,7 +40,9 @@
 class RoomCheck(Protocol):
     """Tells whether a request that waits may be sent to a target."""
 
-    def describe_load(self, candidates: Collection[Target]) -> ServiceLoad:
+    def describe_load(
+        self, request: PlacementRequest, candidates: Collection[Target]
+    ) -> ServiceLoad:
         """Return the load on the candidates."""
         ...
 
@@ -56,17 +61,17 @@
 class TargetRoom:
     """How much of a target is taken."""
 
-    #: Maximum number of requests that the target runs concurrently.
-    slots: int
+    #: Number of requests that the target may hold.
+    places: int
     #: Number of requests that this daemon has in progress there.
     own: int
     #: Number of requests that other daemons are expected to have there.
     reported: float
 
     @property
-    def has_slot(self) -> bool:
-        """Whether the target can run another request at once."""
-        return self.own + self.reported < self.slots
+    def has_place(self) -> bool:
+        """Whether the target may get another request."""
+        return self.own + self.reported < self.places
 
     def accepts_on_old_reports(self, request: PlacementRequest, now: float) -> bool:
         """Return whether a request may go to a target that is reported as full.
@@ -76,7 +81,12 @@
         """
         if now - request.waiting_since < MAX_REPORT_DELAY or self.own:
             return False
-        return self.reported < MAX_REPORTED_LOAD * self.slots
+        return self.reported < MAX_REPORTED_LOAD * self.places
+
+
+def count_places(target: Target, request: PlacementRequest) -> int:
+    """Return how many requests like this one a target may hold."""
+    return target.slots * (1 if request.prompt_tokens else PLAIN_LOAD)
 
 
 def extrapolate(reported: int, reporters: int, others: int) -> float:
