Prefer a small subset of the engines for short shared prefixes

Cause: a daemon spread few requests over all engines of a service, so that nearly each one opened a connection. Change: with DispatchSettings.has_contended_engines, engines rank the daemons by rendezvous hashing; a daemon prefers the engines that rank it among the first, and goes beyond them when a request would wait there.

--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -7,6 +7,7 @@
 daemons report, or when this daemon observes high latency or failures there.
 """
 
+import dataclasses
 import hashlib
 import random
 from collections.abc import Callable, Collection, Iterable, Iterator
@@ -16,6 +17,8 @@
     DispatchSettings,
     PlacementRequest,
 )
+from kingcuphead.dispatch._options import Option, choose_cheapest
+from kingcuphead.dispatch._subset import Address, EngineSubset
 from kingcuphead.dispatch._target_state import Placement, PrefillPlan, TargetState
 from kingcuphead.loads import PeerLoads, TargetLoad
 from kingcuphead.targets import Target
@@ -41,10 +44,15 @@
         self._peer_loads = peer_loads
         self._rng = rng
         self._states: dict[str, TargetState] = {}
+        self._subset = EngineSubset(settings.subset_size)
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
 
+    def apply_daemons(self, own: Address, peers: Iterable[Address]) -> None:
+        """Replace the known daemons of the fleet: this one, and the others."""
+        self._subset.apply_daemons(own, peers)
+
     def place(
         self,
         request: PlacementRequest,
@@ -75,20 +83,19 @@
         available = self._select_available(candidates, excluded, now)
         if not available:
             return None
-        ranked = self._rank(request, available)
-        plans = [self._plan_prefill(request, each, ranked, now) for each in ranked]
-        costs = [
-            self._compute_cost(request, target, plan, now)
-            for target, plan in zip(ranked, plans, strict=True)
-        ]
-        cost = min(costs)
-        choice = costs.index(cost)
-        best, plan = ranked[choice], plans[choice]
-        state = self._get_state(best)
-        wait = self._estimate_wait(state, best, plan)
-        placement = Placement(best, state, plan, now, wait, choice == 0, cost)
+        option = self._choose(request, available, now)
+        state = option.state
+        placement = Placement(
+            option.target,
+            state,
+            option.plan,
+            now,
+            option.wait,
+            option.is_preferred,
+            option.cost,
+        )
         state.add(placement, request, now)
-        self._announce_if_large(plan)
+        self._announce_if_large(option.plan)
         return placement
 
     def withdraw(self, placement: Placement) -> None:
@@ -117,6 +124,7 @@
     def forget(self, target: Target) -> None:
         """Drop the state of a target that was removed."""
         self._states.pop(target.name, None)
+        self._subset.forget(target.name)
 
     def _select_available(
         self, candidates: Iterable[Target], excluded: Collection[str], now: float
@@ -130,6 +138,64 @@
         ]
         return available or usable
 
+    def _choose(
+        self, request: PlacementRequest, available: list[Target], now: float
+    ) -> Option:
+        """Choose among the preferred engines, or among all if these are busy."""
+        preferred = self._select_preferred(request, available)
+        options = self._list_options(request, preferred, now)
+        if len(preferred) < len(available) and self._is_busy(request, options):
+            names = {target.name for target in preferred}
+            others = [target for target in available if target.name not in names]
+            options += [
+                dataclasses.replace(
+                    option,
+                    cost=option.cost + self._settings.connection_cost,
+                    is_preferred=False,
+                )
+                for option in self._list_options(request, others, now)
+            ]
+        return choose_cheapest(options)
+
+    def _select_preferred(
+        self, request: PlacementRequest, available: list[Target]
+    ) -> list[Target]:
+        """Return the engines that this daemon prefers for a request.
+
+        A long shared prefix is processed once in the fleet, so that all daemons send
+        its requests to the same engine.
+        """
+        settings = self._settings
+        is_bound = request.shared_tokens > settings.max_subset_prefix_tokens
+        if not settings.has_contended_engines or not request.prompt_tokens or is_bound:
+            return available
+        return self._subset.select(available)
+
+    def _is_busy(self, request: PlacementRequest, options: list[Option]) -> bool:
+        """Whether a request would wait for others at each of some targets."""
+        settings = self._settings
+        wait = min(
+            option.wait
+            - option.plan.prefill_tokens / settings.prefill_tokens_per_second
+            for option in options
+        )
+        return wait > settings.max_subset_wait * request.objective
+
+    def _list_options(
+        self, request: PlacementRequest, targets: list[Target], now: float
+    ) -> list[Option]:
+        """Return the options of a request, in the order of its preference."""
+        ranked = self._rank(request, targets)
+        options = []
+        for target in ranked:
+            plan = self._plan_prefill(request, target, ranked, now)
+            cost = self._compute_cost(request, target, plan, now)
+            state = self._get_state(target)
+            wait = self._estimate_wait(state, target, plan)
+            is_preferred = target is ranked[0]
+            options.append(Option(target, state, plan, wait, cost, is_preferred))
+        return options
+
     def _announce_if_large(self, plan: PrefillPlan) -> None:
         is_large = plan.prefill_tokens >= self._settings.min_announced_tokens
         if is_large and self.announce is not None:
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -88,3 +88,16 @@
     #: Cost of a target whose failure rate is 1; also added to a target whose slots
     #: are all taken.
     failure_cost: float = 2.0
+    #: Whether many daemons compete for engines that fail when they hold more tokens
+    #: than their memory has room for. The settings below apply only then.
+    has_contended_engines: bool = False
+    #: Average number of engines of a service that a daemon prefers, in a large fleet.
+    subset_size: int = 6
+    #: Longest shared prefix in tokens of a request that stays among these engines; its
+    #: prefill takes less time than a wait for the engine that has the prefix.
+    max_subset_prefix_tokens: int = 1_000
+    #: Wait for other requests, in units of the latency objective, above which a request
+    #: may go to any engine.
+    max_subset_wait: float = 0.1
+    #: Cost of an engine to which this daemon probably has no open connection.
+    connection_cost: float = 0.05
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -107,6 +107,7 @@
         #: that it leaves.
         self.report_leaving: Callable[[Target], None] | None = None
         self._directory = directory
+        self._dispatcher = dispatcher
         self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
         ledger = CreditLedger(instance, incarnation)
@@ -237,6 +238,7 @@
         self._sender.peers = peers
         self.permits.ranking.apply_peers(peers)
         self.peer_paths.apply_peers(peers)
+        self._dispatcher.apply_daemons(self._address, peers)
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
