Spread long prompts over engines with stale reports

Cause: daemons with the same reports chose the one cheapest engine, 12 of 66 heard of a long prompt within 0.1 s, and the first event of a stream never reached the dispatcher, so that a prompt counted as unread until the end of its answer. Change: with has_contended_engines the choice is random among engines of nearly the same cost, a prefill of 4,000 tokens or more is announced to all daemons with its target (PlacementAnnounced), and forwarding reports first events.

--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -8,7 +8,7 @@
 
 from kingcuphead.credit import CreditAsked, CreditHanded
 from kingcuphead.forwarding import TargetStated
-from kingcuphead.loads import LoadsReported
+from kingcuphead.loads import LoadsReported, PlacementAnnounced
 from kingcuphead.permits import (
     CoordinatorProbed,
     PermitAnswered,
@@ -37,6 +37,7 @@
 
 Datagram = (
     LoadsReported
+    | PlacementAnnounced
     | CreditAsked
     | CreditHanded
     | QuarantineMessage
@@ -47,6 +48,7 @@
 
 _CLASSES = (
     LoadsReported,
+    PlacementAnnounced,
     CreditAsked,
     CreditHanded,
     CrashReported,
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -17,7 +17,7 @@
     DispatchSettings,
     PlacementRequest,
 )
-from kingcuphead.dispatch._options import Option, choose_cheapest
+from kingcuphead.dispatch._options import Option, choose_cheapest, choose_near_cheapest
 from kingcuphead.dispatch._subset import Address, EngineSubset
 from kingcuphead.dispatch._target_state import Placement, PrefillPlan, TargetState
 from kingcuphead.loads import PeerLoads, TargetLoad
@@ -48,6 +48,9 @@
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
+        #: Called instead of `announce`, with what the prompt adds to its target, where
+        #: many daemons compete for engines.
+        self.announce_placement: Callable[[TargetLoad], None] | None = None
 
     def apply_daemons(self, own: Address, peers: Iterable[Address]) -> None:
         """Replace the known daemons of the fleet: this one, and the others."""
@@ -95,7 +98,7 @@
             option.cost,
         )
         state.add(placement, request, now)
-        self._announce_if_large(option.plan)
+        self._announce_if_large(placement)
         return placement
 
     def withdraw(self, placement: Placement) -> None:
@@ -108,6 +111,11 @@
             placement.is_started = True
             placement.state.record_answer_start(placement, now)
 
+    def record_first_event(self, placement: Placement, now: float) -> None:
+        """Record the first event of a stream, where daemons compete for engines."""
+        if self._settings.has_contended_engines:
+            self.record_answer_start(placement, now)
+
     def record_result(
         self, placement: Placement, result: AttemptResult, now: float
     ) -> None:
@@ -155,6 +163,10 @@
                 )
                 for option in self._list_options(request, others, now)
             ]
+        if self._settings.has_contended_engines and request.prompt_tokens:
+            return choose_near_cheapest(
+                options, self._settings.cost_tolerance, self._rng
+            )
         return choose_cheapest(options)
 
     def _select_preferred(
@@ -196,9 +208,14 @@
             options.append(Option(target, state, plan, wait, cost, is_preferred))
         return options
 
-    def _announce_if_large(self, plan: PrefillPlan) -> None:
-        is_large = plan.prefill_tokens >= self._settings.min_announced_tokens
-        if is_large and self.announce is not None:
+    def _announce_if_large(self, placement: Placement) -> None:
+        settings = self._settings
+        tokens = placement.prefill.prefill_tokens
+        if tokens < settings.min_announced_tokens:
+            return
+        if settings.has_contended_engines and self.announce_placement is not None:
+            self.announce_placement(TargetLoad(placement.target.name, 1, tokens))
+        elif self.announce is not None:
             self.announce()
 
     def _rank(self, request: PlacementRequest, targets: list[Target]) -> list[Target]:
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -101,3 +101,6 @@
     max_subset_wait: float = 0.1
     #: Cost of an engine to which this daemon probably has no open connection.
     connection_cost: float = 0.05
+    #: Difference of costs at which an engine is chosen 1/e times as often as the
+    #: cheapest one.
+    cost_tolerance: float = 0.01
--- a/kingcuphead/dispatch/tests/_fleet.py
+++ b/kingcuphead/dispatch/tests/_fleet.py
@@ -13,7 +13,7 @@
     PlacementRequest,
     SharedPrefix,
 )
-from kingcuphead.loads import LoadsReported, PeerLoads
+from kingcuphead.loads import LoadsReported, PeerLoads, PlacementAnnounced
 from kingcuphead.targets import Availability, Target
 
 SLOTS = 16
@@ -129,7 +129,7 @@
         rng = random.Random(f"{fleet.seed}/{number}")
         self.dispatcher = Dispatcher(settings, self.peer_loads, rng)
         self.dispatcher.announce = self.report
-        self.is_new = settings.has_contended_engines
+        self.dispatcher.announce_placement = self.announce
         self._numbers = itertools.count(1)
         self._used_at = {}
 
@@ -148,9 +148,7 @@
         self._fleet.engines[name].add(request)
 
     def record_start(self, request):
-        # The code before doesn't report first events to the dispatcher.
-        if self.is_new:
-            self.dispatcher.record_answer_start(request.placement, self._fleet.now)
+        self.dispatcher.record_first_event(request.placement, self._fleet.now)
 
     def record_end(self, request):
         self._used_at[request.placement.target.name] = self._fleet.now
@@ -158,6 +156,14 @@
             request.placement, AttemptResult.ANSWERED, self._fleet.now
         )
 
+    def announce(self, load):
+        message = PlacementAnnounced(str(self.number), load)
+        for receiver in self._fleet.choose_listeners(self):
+            self._fleet.announcements += 1
+            self._fleet.send(
+                self, receiver, receiver.peer_loads.apply_announcement, message
+            )
+
     def report(self):
         self.peer_loads.expire(self._fleet.now)
         report = LoadsReported(
@@ -180,7 +186,8 @@
         self.refused = 0
         self.connections: Counter[bool] = Counter()
         self.placed = []
-        self.datagrams = 0
+        self.datagrams = self.announcements = 0
+        self.is_broadcast = True
         self.is_cut = False
         self._rng = random.Random(seed)
         self._loss, self._max_delay = loss, max_delay
@@ -212,6 +219,12 @@
         delay = self._rng.uniform(0.0005, self._max_delay)
         self.schedule(self.now + delay, lambda: apply(message, self.now))
 
+    def choose_listeners(self, sender):
+        """Return the receivers of announcements."""
+        if self.is_broadcast:
+            return [each for each in self.daemons if each is not sender]
+        return self.choose_receivers(sender)
+
     def choose_receivers(self, sender):
         others = [each for each in self.daemons if each is not sender]
         return self._rng.sample(others, min(RECEIVERS, len(others)))
@@ -245,6 +258,26 @@
             if request.first_event_at and is_wanted(request)
         )
 
+    def list_delays(self, is_wanted=lambda request: True):
+        """Return the sorted waits without the time that the own prompts take."""
+        return sorted(
+            request.first_event_at
+            - request.arrived_at
+            - request.prefill_tokens / self.engines[request.placement.target.name].rate
+            for request in self.placed
+            if request.first_event_at and is_wanted(request)
+        )
+
+    def count_collisions(self):
+        """Return how many large prompts were placed where another one was unread."""
+        last: dict[str, float] = {}
+        collisions = 0
+        for request in filter(is_large, self.placed):
+            name = request.placement.target.name
+            collisions += last.get(name, 0.0) > request.arrived_at
+            last[name] = max(last.get(name, 0.0), request.first_event_at)
+        return collisions
+
     @property
     def reuse_share(self):
         """Share of requests that find an open connection to their engine."""
@@ -274,5 +307,9 @@
     return request.placement_request.prompt_tokens < SMALL_TOKENS
 
 
+def is_large(request):
+    return request.prefill_tokens >= LARGE_TOKENS
+
+
 def get_quantile(values, share):
     return statistics.quantiles(values, n=100)[round(share * 100) - 1]
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -18,7 +18,13 @@
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.entry._peers import PeerDiscovery
 from kingcuphead.forwarding import TargetStated
-from kingcuphead.loads import LoadExchange, LoadsReported, PeerLoads
+from kingcuphead.loads import (
+    LoadExchange,
+    LoadsReported,
+    PeerLoads,
+    PlacementAnnounced,
+    TargetLoad,
+)
 from kingcuphead.paths import PathMonitor, PeerPaths
 from kingcuphead.permits import (
     CoordinatorProbed,
@@ -110,6 +116,9 @@
         self._dispatcher = dispatcher
         self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
+        dispatcher.announce_placement = self._announce_placement
+        self._identity = identity
+        self._peer_loads = peer_loads
         ledger = CreditLedger(instance, incarnation)
         self._transfer_endpoint = TransferEndpoint(ledger, identity)
         self._transfer_client = TransferClient(
@@ -200,6 +209,8 @@
             case LoadsReported():
                 self._loads.handle_report(message)
                 self.peer_paths.record_report(sender, message.is_cut_off, now)
+            case PlacementAnnounced():
+                self._peer_loads.apply_announcement(message, now)
             case CreditAsked():
                 reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
@@ -220,6 +231,10 @@
             case StreamsBegan() | StreamAsked():
                 self.resumption.handle_message(message, reply)
 
+    def _announce_placement(self, load: TargetLoad) -> None:
+        """Tell all daemons of a large prompt, before two of them choose one engine."""
+        self._sender.broadcast(PlacementAnnounced(self._identity, load))
+
     def report_statement(self, statement: TargetStated, receiver: Address) -> None:
         """Tell a daemon that passed on an answer what the target said in it."""
         self._datagrams.send(statement, receiver)
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -68,7 +68,7 @@
         context.helper = None
         started_at = get_time()
         if stream is not None:
-            stream.begin_attempt(lambda: self._record_start(context, placement.target))
+            stream.begin_attempt(lambda: self._record_start(context, placement))
         previous_execution, context.execution = (
             context.execution,
             Execution.MAY_HAVE_RUN,
@@ -171,8 +171,10 @@
         if head.request_id == context.request.request_id:
             permits.record_terms(target, head.terms)
 
-    def _record_start(self, context: RequestContext, target: Target) -> None:
+    def _record_start(self, context: RequestContext, placement: Placement) -> None:
         """Record the software version of the first event that the caller gets."""
+        target = placement.target
+        self._dependencies.dispatcher.record_first_event(placement, get_time())
         if context.bound_version is None:
             context.bound_version = target.software_version
         stream_id = context.request.stream_id
--- a/kingcuphead/loads/_messages.py
+++ b/kingcuphead/loads/_messages.py
@@ -13,6 +13,9 @@
     running: int
     #: Tokens pending prefill: those of the prompts whose answers have not begun.
     unread_tokens: int
+    #: Tokens of engine memory that its open requests take: prompts, without the parts
+    #: that several of them share, and the longest answers.
+    memory_tokens: int = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,3 +30,13 @@
     loads: tuple[TargetLoad, ...]
     #: Whether the sender can't open connections to targets.
     is_cut_off: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class PlacementAnnounced:
+    """A daemon has just sent a large prompt to a target."""
+
+    #: Identity of the incarnation of the daemon.
+    sender: str
+    #: What the request adds to the load of the target.
+    load: TargetLoad
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -3,7 +3,7 @@
 import dataclasses
 from collections import Counter
 
-from kingcuphead.loads._messages import LoadsReported, TargetLoad
+from kingcuphead.loads._messages import LoadsReported, PlacementAnnounced, TargetLoad
 
 #: Seconds after its receipt at which a report expires.
 REPORT_LIFETIME = 0.6
@@ -15,13 +15,29 @@
     received_at: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _ReceivedAnnouncement:
+    load: TargetLoad
+    received_at: float
+
+
 class PeerLoads:
-    """Adds up the newest report of each other daemon; does no I/O."""
+    """Adds up the newest report of each other daemon; does no I/O.
+
+    A placement that was announced counts until the next report of its daemon.
+    """
 
     def __init__(self) -> None:
         self._reports: dict[str, _ReceivedReport] = {}
         self._running: Counter[str] = Counter()
         self._unread_tokens: Counter[str] = Counter()
+        self._memory_tokens: Counter[str] = Counter()
+        self._announced: dict[str, list[_ReceivedAnnouncement]] = {}
+
+    @property
+    def reporters(self) -> int:
+        """Number of daemons whose last report has not expired."""
+        return len(self._reports)
 
     def apply_report(self, report: LoadsReported, now: float) -> None:
         """Replace the sender's previous report; ignore reports out of order."""
@@ -30,21 +46,45 @@
             if previous.report.number >= report.number:
                 return
             self._add(previous.report, -1)
+        for announcement in self._announced.pop(report.sender, ()):
+            self._add_load(announcement.load, -1)
         self._reports[report.sender] = _ReceivedReport(report, now)
         self._add(report, 1)
 
+    def apply_announcement(self, message: PlacementAnnounced, now: float) -> None:
+        """Count a placement that the next report of its daemon will contain."""
+        announcement = _ReceivedAnnouncement(message.load, now)
+        self._announced.setdefault(message.sender, []).append(announcement)
+        self._add_load(message.load, 1)
+
     def expire(self, now: float) -> None:
         """Drop the reports that are older than `REPORT_LIFETIME`."""
         for sender, received in tuple(self._reports.items()):
             if now - received.received_at > REPORT_LIFETIME:
                 del self._reports[sender]
                 self._add(received.report, -1)
+        for sender, announcements in tuple(self._announced.items()):
+            while (
+                announcements and now - announcements[0].received_at > REPORT_LIFETIME
+            ):
+                self._add_load(announcements.pop(0).load, -1)
+            if not announcements:
+                del self._announced[sender]
 
     def get_load(self, target: str) -> TargetLoad:
         """Return the load of all other daemons on a target."""
-        return TargetLoad(target, self._running[target], self._unread_tokens[target])
+        return TargetLoad(
+            target,
+            self._running[target],
+            self._unread_tokens[target],
+            self._memory_tokens[target],
+        )
 
     def _add(self, report: LoadsReported, sign: int) -> None:
         for load in report.loads:
-            self._running[load.target] += sign * load.running
-            self._unread_tokens[load.target] += sign * load.unread_tokens
+            self._add_load(load, sign)
+
+    def _add_load(self, load: TargetLoad, sign: int) -> None:
+        self._running[load.target] += sign * load.running
+        self._unread_tokens[load.target] += sign * load.unread_tokens
+        self._memory_tokens[load.target] += sign * load.memory_tokens
--- a/kingcuphead/loads/tests/test_loads.py
+++ b/kingcuphead/loads/tests/test_loads.py
@@ -5,6 +5,7 @@
     LoadExchange,
     LoadsReported,
     PeerLoads,
+    PlacementAnnounced,
     TargetLoad,
 )
 from kingcuphead.loads._exchange import REPORT_INTERVAL
@@ -86,3 +87,28 @@
 
 def send_nothing(report):
     """Discard a report, as a daemon without peers does."""
+
+
+class TestAnnouncements:
+    """Two daemons must not choose one engine between two reports."""
+
+    def make_announced(self):
+        peer_loads = PeerLoads()
+        peer_loads.apply_report(make_report("a", 1, 1, 500), 0.0)
+        load = TargetLoad("t1", 1, 9_000, 9_100)
+        peer_loads.apply_announcement(PlacementAnnounced("a", load), 0.0)
+        return peer_loads
+
+    def test_an_announced_placement_adds_to_the_last_report(self):
+        load = self.make_announced().get_load("t1")
+        assert load == TargetLoad("t1", 2, 9_500, 9_100)
+
+    def test_the_next_report_of_the_daemon_replaces_it(self):
+        peer_loads = self.make_announced()
+        peer_loads.apply_report(make_report("a", 2, 2, 9_500), 0.1)
+        assert peer_loads.get_load("t1") == TargetLoad("t1", 2, 9_500)
+
+    def test_it_expires_without_a_report(self):
+        peer_loads = self.make_announced()
+        peer_loads.expire(REPORT_LIFETIME + 0.01)
+        assert peer_loads.get_load("t1") == TargetLoad("t1", 0, 0)
--- a/kingcuphead/wire/datagram.thrift
+++ b/kingcuphead/wire/datagram.thrift
@@ -13,6 +13,7 @@
   1: string target
   2: i32 running
   3: i64 unread_tokens
+  4: optional i64 memory_tokens
 }
 
 struct LoadsReported {
@@ -22,6 +23,11 @@
   4: bool is_cut_off
 }
 
+struct PlacementAnnounced {
+  1: string sender
+  2: TargetLoad load
+}
+
 struct CreditAsked {
   1: string sender
   2: i64 number
@@ -143,4 +149,5 @@
   15: TermsReported terms_reported
   16: TargetStated target_stated
   17: RoomReported room_reported
+  18: PlacementAnnounced placement_announced
 }
