--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -9,7 +9,7 @@
 from kingcuphead.capacity import CapacityReported
 from kingcuphead.credit import CreditAsked, CreditHanded
 from kingcuphead.forwarding import TargetStated
-from kingcuphead.loads import LoadsReported
+from kingcuphead.loads import LoadsReported, PlacementAnnounced
 from kingcuphead.permits import (
     CoordinatorProbed,
     PermitAnswered,
@@ -38,6 +38,7 @@
 
 Datagram = (
     LoadsReported
+    | PlacementAnnounced
     | CreditAsked
     | CreditHanded
     | QuarantineMessage
@@ -49,6 +50,7 @@
 
 _CLASSES = (
     LoadsReported,
+    PlacementAnnounced,
     CreditAsked,
     CreditHanded,
     CrashReported,
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -7,6 +7,7 @@
 daemons report, or when this daemon observes high latency or failures there.
 """
 
+import dataclasses
 import heapq
 import random
 from collections.abc import Callable, Collection, Iterable, Iterator
@@ -17,6 +18,7 @@
     DispatchSettings,
     PlacementRequest,
 )
+from kingcuphead.dispatch._options import Option, choose_cheapest, choose_near_cheapest
 from kingcuphead.dispatch._rankings import Rankings
 from kingcuphead.dispatch._room import (
     ServiceLoad,
@@ -24,6 +26,7 @@
     count_places,
     extrapolate,
 )
+from kingcuphead.dispatch._subset import Address, EngineSubset
 from kingcuphead.dispatch._target_state import (
     NETWORK_ALLOWANCE_SECONDS,
     Placement,
@@ -62,14 +65,22 @@
         self._rng = rng
         self._states: dict[str, TargetState] = {}
         self._rankings = Rankings()
+        self._subset = EngineSubset(settings.subset_size)
         #: Number of daemons that share the targets, this one included; 1 if unknown.
         self.daemons = 1
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
+        #: Called instead of `announce`, with what the prompt adds to its target, where
+        #: many daemons compete for engines.
+        self.announce_placement: Callable[[TargetLoad], None] | None = None
         #: Costs of cold targets.
         self.cold_costs = ColdCosts(settings)
 
+    def apply_daemons(self, own: Address, peers: Iterable[Address]) -> None:
+        """Replace the known daemons of the fleet: this one, and the others."""
+        self._subset.apply_daemons(own, peers)
+
     def place(
         self,
         request: PlacementRequest,
@@ -100,24 +111,20 @@
         available = self._select_available(candidates, excluded, now)
         if not available:
             return None
-        ranked = self._rank(request, available)
-        shortlist = self._make_shortlist(ranked)
-        plans = [self._plan_prefill(request, each, ranked, now) for each in shortlist]
-        cold_costs = self.cold_costs.compute(request, shortlist)
-        costs = [
-            self._compute_cost(request, target, plan, now)
-            + cold_costs.get(target.name, 0.0)
-            for target, plan in zip(shortlist, plans, strict=True)
-        ]
-        cost = min(costs)
-        choice = costs.index(cost)
-        best, plan = shortlist[choice], plans[choice]
-        state = self._get_state(best)
-        wait = self._estimate_wait(state, best, plan)
-        placement = Placement(best, state, plan, now, wait, choice == 0, cost)
+        option = self._choose(request, available, now)
+        state = option.state
+        placement = Placement(
+            option.target,
+            state,
+            option.plan,
+            now,
+            option.wait,
+            option.is_preferred,
+            option.cost,
+        )
         state.add(placement, request, now)
-        self.cold_costs.record(best)
-        self._announce_if_large(plan)
+        self.cold_costs.record(option.target)
+        self._announce_if_large(placement)
         return placement
 
     def has_room(
@@ -175,6 +182,11 @@
             placement.is_started = True
             placement.state.record_answer_start(placement, now)
 
+    def record_first_event(self, placement: Placement, now: float) -> None:
+        """Record the first event of a stream, where daemons compete for engines."""
+        if self._settings.has_contended_engines:
+            self.record_answer_start(placement, now)
+
     def record_result(
         self, placement: Placement, result: AttemptResult, now: float
     ) -> None:
@@ -192,6 +204,7 @@
         """Drop the state of a target that was removed."""
         self._states.pop(target.name, None)
         self.cold_costs.forget(target)
+        self._subset.forget(target.name)
 
     def _select_available(
         self, candidates: Iterable[Target], excluded: Collection[str], now: float
@@ -236,9 +249,79 @@
             return True
         return self._estimate_prefill(plan) * state.latency_ratio >= remaining
 
-    def _announce_if_large(self, plan: PrefillPlan) -> None:
-        is_large = plan.prefill_tokens >= self._settings.min_announced_tokens
-        if is_large and self.announce is not None:
+    def _choose(
+        self, request: PlacementRequest, available: list[Target], now: float
+    ) -> Option:
+        """Choose among the preferred engines, or among all if these are busy."""
+        preferred = self._select_preferred(request, available)
+        options = self._list_options(request, preferred, now)
+        if len(preferred) < len(available) and self._is_busy(request, options):
+            names = {target.name for target in preferred}
+            others = [target for target in available if target.name not in names]
+            options += [
+                dataclasses.replace(
+                    option,
+                    cost=option.cost + self._settings.connection_cost,
+                    is_preferred=False,
+                )
+                for option in self._list_options(request, others, now)
+            ]
+        if self._settings.has_contended_engines and request.prompt_tokens:
+            return choose_near_cheapest(
+                options, self._settings.cost_tolerance, self._rng
+            )
+        return choose_cheapest(options)
+
+    def _select_preferred(
+        self, request: PlacementRequest, available: list[Target]
+    ) -> list[Target]:
+        """Return the engines that this daemon prefers for a request.
+
+        A long shared prefix is processed once in the fleet, so that all daemons send
+        its requests to the same engine.
+        """
+        settings = self._settings
+        is_bound = request.shared_tokens > settings.max_subset_prefix_tokens
+        if not settings.has_contended_engines or not request.prompt_tokens or is_bound:
+            return available
+        return self._subset.select(available)
+
+    def _is_busy(self, request: PlacementRequest, options: list[Option]) -> bool:
+        """Whether a request would wait for others at each of some targets."""
+        settings = self._settings
+        wait = min(
+            option.wait
+            - option.plan.prefill_tokens / settings.prefill_tokens_per_second
+            for option in options
+        )
+        return wait > settings.max_subset_wait * request.objective
+
+    def _list_options(
+        self, request: PlacementRequest, targets: list[Target], now: float
+    ) -> list[Option]:
+        """Return the options of a request, in the order of its preference."""
+        ranked = self._rank(request, targets)
+        shortlist = self._make_shortlist(ranked)
+        cold_costs = self.cold_costs.compute(request, shortlist)
+        options = []
+        for target in shortlist:
+            plan = self._plan_prefill(request, target, ranked, now)
+            cost = self._compute_cost(request, target, plan, now)
+            cost += cold_costs.get(target.name, 0.0)
+            state = self._get_state(target)
+            wait = self._estimate_wait(state, target, plan)
+            is_preferred = target is ranked[0]
+            options.append(Option(target, state, plan, wait, cost, is_preferred))
+        return options
+
+    def _announce_if_large(self, placement: Placement) -> None:
+        settings = self._settings
+        tokens = placement.prefill.prefill_tokens
+        if tokens < settings.min_announced_tokens:
+            return
+        if settings.has_contended_engines and self.announce_placement is not None:
+            self.announce_placement(TargetLoad(placement.target.name, 1, tokens))
+        elif self.announce is not None:
             self.announce()
 
     def _rank(self, request: PlacementRequest, targets: list[Target]) -> list[Target]:
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -100,3 +100,19 @@
     #: Cost, for other requests, of a cold target for each request that it got more than
     #: the cold target with the fewest.
     uneven_warming_cost: float = 0.2
+    #: Whether many daemons compete for engines that fail when they hold more tokens
+    #: than their memory has room for. The settings below apply only then.
+    has_contended_engines: bool = False
+    #: Average number of engines of a service that a daemon prefers, in a large fleet.
+    subset_size: int = 6
+    #: Longest shared prefix in tokens of a request that stays among these engines; its
+    #: prefill takes less time than a wait for the engine that has the prefix.
+    max_subset_prefix_tokens: int = 1_000
+    #: Wait for other requests, in units of the latency objective, above which a request
+    #: may go to any engine.
+    max_subset_wait: float = 0.1
+    #: Cost of an engine to which this daemon probably has no open connection.
+    connection_cost: float = 0.05
+    #: Difference of costs at which an engine is chosen 1/e times as often as the
+    #: cheapest one.
+    cost_tolerance: float = 0.01
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -89,7 +89,10 @@
         self._metrics = DaemonMetrics()
         self._metrics.observe_targets(self._directory)
         peer_loads = PeerLoads()
-        self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
+        settings = DispatchSettings(
+            profile.zone, has_contended_engines=profile.is_constrained
+        )
+        self._dispatcher = Dispatcher(settings, peer_loads, rng)
         self._dispatcher.cold_costs.is_cold = self._directory.is_cold
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -20,7 +20,13 @@
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.entry._peers import PeerDiscovery
 from kingcuphead.forwarding import TargetStated
-from kingcuphead.loads import LoadExchange, LoadsReported, PeerLoads
+from kingcuphead.loads import (
+    LoadExchange,
+    LoadsReported,
+    PeerLoads,
+    PlacementAnnounced,
+    TargetLoad,
+)
 from kingcuphead.paths import PathMonitor, PeerPaths
 from kingcuphead.permits import (
     CoordinatorProbed,
@@ -117,8 +123,12 @@
         #: Holds requests back until targets have room; None if none wait.
         self.admission: AdmissionGate | None = None
         self._directory = directory
+        self._dispatcher = dispatcher
         self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
+        dispatcher.announce_placement = self._announce_placement
+        self._identity = identity
+        self._peer_loads = peer_loads
         ledger = CreditLedger(instance, incarnation)
         self._transfer_endpoint = TransferEndpoint(ledger, identity)
         self._transfer_client = TransferClient(
@@ -217,10 +227,8 @@
         self._peers.record_sender(sender)
         self.permits.ranking.record_message(sender, now)
         match message:
-            case LoadsReported():
-                self._apply_loads(message, sender, now)
-            case CapacityReported():
-                self.capacity.handle_report(message)
+            case LoadsReported() | CapacityReported() | PlacementAnnounced():
+                self._apply_load(message, sender, now)
             case CreditAsked():
                 reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
@@ -241,12 +249,28 @@
             case StreamsBegan() | StreamAsked():
                 self.resumption.handle_message(message, reply)
 
-    def _apply_loads(self, message: LoadsReported, sender: Address, now: float) -> None:
-        """Apply the loads of another daemon; targets may have room by them."""
-        self._loads.handle_report(message)
-        self.peer_paths.record_report(sender, message.is_cut_off, now)
-        if self.admission is not None:
-            self.admission.wake_soon()
+    def _apply_load(
+        self,
+        message: LoadsReported | CapacityReported | PlacementAnnounced,
+        sender: Address,
+        now: float,
+    ) -> None:
+        """Apply what another daemon reports about its load or that of targets."""
+        match message:
+            case LoadsReported():
+                self._loads.handle_report(message)
+                self.peer_paths.record_report(sender, message.is_cut_off, now)
+                if self.admission is not None:
+                    # Targets may have room by these loads.
+                    self.admission.wake_soon()
+            case CapacityReported():
+                self.capacity.handle_report(message)
+            case PlacementAnnounced():
+                self._peer_loads.apply_announcement(message, now)
+
+    def _announce_placement(self, load: TargetLoad) -> None:
+        """Tell all daemons of a large prompt, before two of them choose one engine."""
+        self._sender.broadcast(PlacementAnnounced(self._identity, load))
 
     def report_statement(self, statement: TargetStated, receiver: Address) -> None:
         """Tell a daemon that passed on an answer what the target said in it."""
@@ -267,6 +291,7 @@
         now = asyncio.get_running_loop().time()
         self.permits.ranking.apply_peers(peers, now)
         self.peer_paths.apply_peers(peers)
+        self._dispatcher.apply_daemons(self._address, peers)
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -192,6 +192,7 @@
             # Prompts that were processed take no room from those that wait.
             self._dependencies.dispatcher.record_answer_start(placement, get_time())
             self._dependencies.admission.wake(context.service)
+        self._dependencies.dispatcher.record_first_event(placement, get_time())
         if context.bound_version is None:
             context.bound_version = target.software_version
         stream_id = context.request.stream_id
