--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -145,7 +145,7 @@
     def cut_datagrams(self):
         """Lose all datagrams of the daemons that run now."""
         for daemon, _ in self.daemons.values():
-            daemon._links._datagrams.send = _lose
+            daemon._links._datagrams._handle_message = _lose
 
     async def send(self, number, body, patience=20.0):
         """Send a request with an id of its own to a daemon.
@@ -221,8 +221,8 @@
         self.store.put("servers", "", name, entry)
 
 
-def _lose(message, receiver):
-    """Send nothing."""
+def _lose(message, sender):
+    """Receive nothing."""
 
 
 async def _read_part(reader, request_id, count):
