--- /dev/null
+++ b/kingcuphead/capacity/_exchange.py
@@ -0,0 +1,224 @@
+"""Measures this daemon's load, tells the other daemons, and sheds load."""
+
+import asyncio
+import dataclasses
+import time
+from collections.abc import Callable
+
+from loguru import logger
+
+from kingcuphead.capacity._connections import CallerConnections
+from kingcuphead.capacity._decisions import (
+    CloseRequested,
+    DeflectionBegan,
+    Effect,
+    Observation,
+    SheddingBegan,
+    UnreadyEnded,
+)
+from kingcuphead.capacity._messages import CapacityReported, Readiness
+from kingcuphead.capacity._meter import (
+    InstanceCapacity,
+    LoadMeter,
+    OwnLoad,
+    Sample,
+)
+from kingcuphead.capacity._schedule import Receivers, ReportSchedule
+from kingcuphead.capacity._shedder import LoadShedder
+from kingcuphead.capacity._traffic import LINK_TRAFFIC
+from kingcuphead.capacity._zone_loads import ZoneLoads
+
+#: Seconds between two samples of the load.
+SAMPLE_INTERVAL = 0.1
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CapacityFigures:
+    """Figures for metrics."""
+
+    #: Load of this daemon.
+    load: OwnLoad
+    #: Total number of connections closed to shed load.
+    closed_connections: int
+    #: Total seconds in which this daemon was unready to shed load.
+    unready_seconds: float
+
+
+class CapacityExchange:
+    """Runs the load shedder of this daemon; does nothing until it is enabled.
+
+    Parameters
+    ----------
+    sender
+        Identity of this incarnation of the daemon.
+    zone
+        Availability zone of this daemon.
+    gossip
+        Sends a report to some other daemons.
+    broadcast
+        Sends a report to all other daemons.
+    """
+
+    def __init__(
+        self,
+        sender: str,
+        zone: str,
+        gossip: Callable[[CapacityReported], None],
+        broadcast: Callable[[CapacityReported], None],
+    ) -> None:
+        self._sender = sender
+        self._zone = zone
+        self._gossip = gossip
+        self._broadcast = broadcast
+        self._enabled = asyncio.Event()
+        self._number = 0
+        self._schedule = ReportSchedule()
+        self._load = OwnLoad()
+        self._meter: LoadMeter | None = None
+        self._zone_loads = ZoneLoads(zone)
+        self._shedder: LoadShedder | None = None
+        #: Connections of callers.
+        self.connections = CallerConnections()
+        #: Returns whether this daemon is ready, shedding apart.
+        self.is_serving: Callable[[], bool] = lambda: True
+        #: Called with the figures for metrics after each report.
+        self.record: Callable[[CapacityFigures], None] = lambda figures: None
+
+    @property
+    def is_unready(self) -> bool:
+        """Whether this daemon accepts no new connections, to shed or deflect load."""
+        return self._shedder is not None and self._shedder.is_unready
+
+    def apply_limits(self, capacity: InstanceCapacity, is_enabled: bool) -> None:
+        """Apply the settings of the process.
+
+        Parameters
+        ----------
+        capacity
+            What the instance offers this process.
+        is_enabled
+            Whether this daemon measures its load, reports it and sheds.
+        """
+        if not is_enabled:
+            self._enabled.clear()
+            self._shedder = self._meter = None
+            self.connections.unmark()
+            return
+        if self._meter is None:
+            self._meter = LoadMeter(capacity)
+        self._meter.capacity = capacity
+        self._enabled.set()
+
+    async def run(self) -> None:
+        """Measure, report and shed load until cancelled."""
+        loop = asyncio.get_running_loop()
+        while True:
+            await self._enabled.wait()
+            due = loop.time() + SAMPLE_INTERVAL
+            await asyncio.sleep(SAMPLE_INTERVAL)
+            now = loop.time()
+            self.tick(now, now - due, time.process_time())
+
+    def tick(self, now: float, lag: float, processor_seconds: float) -> None:
+        """Take a sample and apply what follows from it.
+
+        Parameters
+        ----------
+        now
+            Time in seconds.
+        lag
+            Seconds by which the call is late.
+        processor_seconds
+            Processor time of this process.
+        """
+        if self._meter is None:
+            return
+        if self._shedder is None:
+            self._shedder = LoadShedder(self._sender, self._zone_loads, now)
+        traffic = LINK_TRAFFIC
+        self._load = self._meter.measure(
+            Sample(now, processor_seconds, traffic.sent, traffic.received, lag)
+        )
+        self._zone_loads.expire(now)
+        self.connections.rotate(now)
+        observation = Observation(
+            now, self._load.peak, self.is_serving(), self.connections.marked_count
+        )
+        for effect in self._shedder.step(observation):
+            self._apply(effect)
+        self._report(observation, self._shedder)
+
+    def handle_report(self, report: CapacityReported) -> None:
+        """Store a report received from another daemon."""
+        self._zone_loads.apply_report(report, asyncio.get_running_loop().time())
+
+    def record_check(self, is_ready: bool) -> None:
+        """Record an answer to a readiness check of the platform."""
+        if self._shedder is not None:
+            self._shedder.record_check(is_ready, asyncio.get_running_loop().time())
+
+    def _apply(self, effect: Effect) -> None:
+        match effect:
+            case SheddingBegan():
+                self._log_begin("load shedding began", effect)
+            case DeflectionBegan():
+                self._log_begin("unready while other daemons shed load", effect)
+            case CloseRequested(share):
+                chosen = self.connections.mark(share)
+                logger.bind(share=round(share, 3), connections=chosen).info(
+                    "closing connections of callers after their answers"
+                )
+            case UnreadyEnded():
+                self._log_end(effect)
+                self.connections.unmark()
+
+    def _report(self, observation: Observation, shedder: LoadShedder) -> None:
+        readiness = shedder.readiness
+        if not observation.is_serving:
+            readiness = Readiness.UNREADY
+        receivers = self._schedule.choose_receivers(readiness, observation.now)
+        if receivers is None:
+            return
+        self._number += 1
+        load = shedder.get_reported_load(observation.load)
+        report = CapacityReported(
+            self._sender, self._number, self._zone, load, readiness
+        )
+        if receivers is Receivers.ALL:
+            self._broadcast(report)
+        else:
+            self._gossip(report)
+            self._record_figures(shedder)
+
+    def _record_figures(self, shedder: LoadShedder) -> None:
+        figures = CapacityFigures(
+            self._load, self.connections.closed, shedder.unready_time.total
+        )
+        self.record(figures)
+
+    def _log_begin(self, text: str, began: SheddingBegan | DeflectionBegan) -> None:
+        overload = began.overload
+        logger.bind(
+            **_describe_load(self._load),
+            median=round(overload.median, 3),
+            threshold=round(overload.threshold, 3),
+            others=overload.others,
+            unready=began.unready,
+            allowed=began.allowed,
+        ).info(text)
+
+    def _log_end(self, ended: UnreadyEnded) -> None:
+        logger.bind(
+            **_describe_load(self._load),
+            reason=ended.reason.value,
+            seconds=round(ended.seconds, 3),
+            still_open=self.connections.marked_count,
+        ).info("ready again")
+
+
+def _describe_load(load: OwnLoad) -> dict[str, float]:
+    return {
+        "link": round(load.link, 3),
+        "processor": round(load.processor, 3),
+        "lag": round(load.lag, 3),
+    }
--- /dev/null
+++ b/kingcuphead/capacity/_shedder.py
@@ -0,0 +1,240 @@
+"""Decides when this daemon sheds load: a state machine without I/O."""
+
+from collections.abc import Iterator
+
+from kingcuphead.capacity._decisions import (
+    CloseRequested,
+    DeflectionBegan,
+    Effect,
+    EndReason,
+    Observation,
+    Overload,
+    SheddingBegan,
+    UnreadyEnded,
+)
+from kingcuphead.capacity._messages import UNREADY_STATES, Readiness
+from kingcuphead.capacity._unready_time import UnreadyTime
+from kingcuphead.capacity._zone_loads import Rank, ZoneLoads
+
+#: Load above which a daemon sheds.
+MAX_LOAD = 0.7
+#: The same within `REPEAT_PERIOD` of the last time, for hysteresis.
+REPEATED_MAX_LOAD = 0.85
+#: Seconds after shedding in which `REPEATED_MAX_LOAD` applies.
+REPEAT_PERIOD = 60.0
+#: Load at which shedding ends.
+TARGET_LOAD = 0.5
+#: Seconds of overload after which a daemon sheds.
+OVERLOAD_PERIOD = 1.0
+#: Last part of this period, in which a daemon is a candidate: time for the others to
+#: hear of it, so that they don't all begin at once.
+ANNOUNCEMENT_PERIOD = 0.5
+#: Seconds after becoming a candidate until a daemon may become one again.
+CANDIDATE_INTERVAL = 2.0
+#: Longest time in seconds for which a daemon is unready.
+MAX_DURATION = 4.0
+#: Seconds after shedding until a daemon may shed again.
+COOLDOWN = 8.0
+#: Seconds after deflection until a daemon may deflect again.
+DEFLECTION_COOLDOWN = 2.0
+#: Failed readiness checks after which a daemon gets no new connections.
+FAILED_CHECKS = 2
+#: Shortest time in seconds between two checks that count separately.
+MIN_CHECK_INTERVAL = 0.5
+#: Seconds for the last failed check to take effect before connections are closed.
+CHECK_DELAY = 0.2
+#: The same while other daemons are unready, whose checks may fail a little later.
+DEFLECTION_CHECK_DELAY = 1.0
+
+
+class LoadShedder:
+    """Makes this daemon unready while load should move to others.
+
+    A daemon sheds: it closes connections of callers, who connect to others. Daemons
+    that have much load themselves, though less, deflect meanwhile: they are unready and
+    close nothing. The balancer hashes callers, so without deflection two daemons could
+    pass the same callers to and fro.
+
+    Parameters
+    ----------
+    sender
+        Identity of this incarnation of the daemon; breaks ties of equal loads.
+    zone
+        Loads of the other daemons of the zone.
+    now
+        Time of the start in seconds.
+    """
+
+    def __init__(self, sender: str, zone: ZoneLoads, now: float) -> None:
+        self._sender = sender
+        self._zone = zone
+        self._decisive_load = 0.0
+        self._overloaded_since: float | None = None
+        self._candidate_at = now
+        self._began_at = now
+        self._shed_at: float | None = None
+        self._deflected_at: float | None = None
+        self._failed_checks = 0
+        self._failed_at = now
+        self._is_seen_unready = False
+        self._is_closing = False
+        #: Whether this daemon accepts new connections.
+        self.readiness = Readiness.READY
+        #: Bound on unready time.
+        self.unready_time = UnreadyTime(now)
+
+    @property
+    def is_unready(self) -> bool:
+        """Whether this daemon accepts no new connections."""
+        return self.readiness in UNREADY_STATES
+
+    def get_reported_load(self, load: float) -> float:
+        """Return the load to report to other daemons."""
+        return load if self.readiness is Readiness.READY else self._decisive_load
+
+    def record_check(self, is_ready: bool, now: float) -> None:
+        """Record an answer to a readiness check.
+
+        The platform takes this daemon for unready from the first failed check until the
+        next successful one.
+        """
+        if is_ready:
+            self._is_seen_unready = False
+        elif self.is_unready:
+            self._is_seen_unready = True
+            if not self._failed_checks or now - self._failed_at >= MIN_CHECK_INTERVAL:
+                self._failed_checks += 1
+                self._failed_at = now
+
+    def step(self, observation: Observation) -> Iterator[Effect]:
+        """Apply an observation and yield what follows from it."""
+        self.unready_time.advance(observation.now, self._is_seen_unready)
+        match self.readiness:
+            case Readiness.READY | Readiness.CANDIDATE:
+                yield from self._consider_shedding(observation)
+                yield from self._consider_deflection(observation)
+            case Readiness.SHEDDING:
+                yield from self._shed(observation)
+            case Readiness.UNREADY:
+                yield from self._deflect(observation)
+
+    def _consider_shedding(self, observation: Observation) -> Iterator[Effect]:
+        load, now = observation.load, observation.now
+        is_repeated = _is_within(REPEAT_PERIOD, self._shed_at, now)
+        limit = REPEATED_MAX_LOAD if is_repeated else MAX_LOAD
+        overload = self._zone.find_overload(load, limit, now)
+        if (
+            overload is None
+            or not self._may_be_unready(observation)
+            or _is_within(COOLDOWN, self._shed_at, now)
+        ):
+            self._overloaded_since = None
+            self.readiness = Readiness.READY
+            return
+        if self._overloaded_since is None:
+            self._overloaded_since = now
+        if self.readiness is Readiness.CANDIDATE:
+            if now - self._candidate_at >= ANNOUNCEMENT_PERIOD:
+                yield from self._begin_shedding(overload, now)
+        elif (
+            now - self._overloaded_since >= OVERLOAD_PERIOD - ANNOUNCEMENT_PERIOD
+            and now - self._candidate_at >= CANDIDATE_INTERVAL
+        ):
+            self.readiness = Readiness.CANDIDATE
+            self._candidate_at = now
+            self._decisive_load = load
+
+    def _begin_shedding(self, overload: Overload, now: float) -> Iterator[Effect]:
+        unready = self._zone.count_unready()
+        ahead = self._zone.count_candidates_above(self._rank, now)
+        allowed = self._zone.count_allowed()
+        if unready + ahead < allowed:
+            self._begin(Readiness.SHEDDING, now)
+            yield SheddingBegan(overload, unready, allowed)
+
+    def _consider_deflection(self, observation: Observation) -> Iterator[Effect]:
+        load, now = observation.load, observation.now
+        if (
+            self.readiness is not Readiness.READY
+            or self._overloaded_since is not None
+            or not self._zone.is_any_shedding()
+            or not self._may_be_unready(observation)
+            or _is_within(DEFLECTION_COOLDOWN, self._deflected_at, now)
+        ):
+            return
+        overload = self._zone.find_overload(load, TARGET_LOAD, now)
+        if overload is None:
+            return
+        unready = self._zone.count_unready()
+        ahead = self._zone.count_ready_above((load, self._sender), now)
+        allowed = self._zone.count_allowed()
+        if unready + ahead < allowed:
+            self._decisive_load = load
+            self._begin(Readiness.UNREADY, now)
+            yield DeflectionBegan(overload, unready, allowed)
+
+    def _may_be_unready(self, observation: Observation) -> bool:
+        return observation.is_serving and self.unready_time.is_sufficient
+
+    def _begin(self, readiness: Readiness, now: float) -> None:
+        self.readiness = readiness
+        self._began_at = now
+        self._failed_checks = 0
+        self._is_closing = False
+
+    def _shed(self, observation: Observation) -> Iterator[Effect]:
+        now = observation.now
+        reason = self._find_end(observation)
+        if reason is None and self._is_closing and not observation.open_connections:
+            reason = EndReason.CLOSED
+        if reason is not None:
+            self._shed_at = now
+            yield self._end(reason, now)
+        elif not self._is_closing and self._is_unlisted(now):
+            self._is_closing = True
+            yield CloseRequested(1 - TARGET_LOAD / observation.load)
+
+    def _deflect(self, observation: Observation) -> Iterator[Effect]:
+        reason = self._find_end(observation)
+        if reason is None and not self._zone.is_any_shedding():
+            reason = EndReason.OTHERS_ENDED
+        if reason is not None:
+            self._deflected_at = observation.now
+            yield self._end(reason, observation.now)
+
+    def _end(self, reason: EndReason, now: float) -> UnreadyEnded:
+        self.readiness = Readiness.READY
+        self._overloaded_since = None
+        return UnreadyEnded(reason, now - self._began_at)
+
+    def _is_unlisted(self, now: float) -> bool:
+        """Whether the balancer sends callers to other daemons than the unready ones."""
+        delay = DEFLECTION_CHECK_DELAY if self._zone.count_unready() else CHECK_DELAY
+        return self._failed_checks >= FAILED_CHECKS and now - self._failed_at >= delay
+
+    def _find_end(self, observation: Observation) -> EndReason | None:
+        if not observation.is_serving:
+            return EndReason.NOT_SERVING
+        if observation.load <= TARGET_LOAD:
+            return EndReason.RELIEVED
+        if observation.now - self._began_at >= MAX_DURATION:
+            return EndReason.EXPIRED
+        if self.unready_time.is_used_up:
+            return EndReason.UNREADY_TOO_LONG
+        # Reports of others may be late. Until the last failed check there is time to
+        # become ready again with no effect on callers.
+        if self._failed_checks < FAILED_CHECKS and self._is_outranked():
+            return EndReason.OUTRANKED
+        return None
+
+    def _is_outranked(self) -> bool:
+        ahead = self._zone.count_unready_above(self._rank)
+        return ahead >= self._zone.count_allowed()
+
+    @property
+    def _rank(self) -> Rank:
+        return self._decisive_load, self._sender
+
+
+def _is_within(period: float, since: float | None, now: float) -> bool:
+    return since is not None and now - since < period
--- a/kingcuphead/datagrams/_socket.py
+++ b/kingcuphead/datagrams/_socket.py
@@ -6,10 +6,14 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.capacity import LINK_TRAFFIC
 from kingcuphead.datagrams._codec import Datagram, decode_datagram, encode_datagram
 
 Address = tuple[str, int]
 
+#: Bytes of the UDP, IP and Ethernet headers of a datagram.
+PACKET_OVERHEAD_BYTES = 46
+
 
 class DatagramSocket(asyncio.DatagramProtocol):
     """Sends and receives the datagrams of one daemon.
@@ -42,11 +46,14 @@
         if transport is None or transport.is_closing() or not receivers:
             return
         datagram = encode_datagram(message)
+        size = len(datagram) + PACKET_OVERHEAD_BYTES
+        LINK_TRAFFIC.record_sent(size * len(receivers))
         for receiver in receivers:
             transport.sendto(datagram, receiver)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Decode a datagram and pass its message on; log and drop a malformed one."""
+        LINK_TRAFFIC.record_received(len(data) + PACKET_OVERHEAD_BYTES)
         match decode_datagram(data):
             case Result(tag="ok", ok=message):
                 self._handle_message(message, addr)
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -42,14 +42,18 @@
     LoadsReported("a/1", 9, (), is_cut_off=True),
     TargetStated("t1", True, 2.5),
     CreditAsked("a/1", 3, "atelier", 12_000),
+    CreditAsked("a/1", 4, "atelier", 0, extra=9_000),
     CreditHanded("a/1", 3, 0),
+    CreditHanded("a/1", 4, 0, free=700, reserve=30_000),
     CrashReported("t1@5", RequestIdentity("f", ("part:a0", "part:b1"))),
     AnswersReported("f", "a/1", 2),
     StreamsBegan((BegunStream("r1", "pool", "v1.1"),)),
     StreamAsked("r1"),
     PermitAsked(4, "t1@5", TargetTerms(1.5, 3), 8, 2),
+    PermitAsked(5, "t1@5", TargetTerms().restrict(2.0), 8, 2, is_doubtful=True),
     RoomReported(5, "t1@5", 1, True),
     PermitAnswered(4, False, 0.25),
+    PermitAnswered(5, False, 0.25, is_holder=False),
     CoordinatorProbed(),
     ProbeAnswered(True),
     TermsReported("t1@5", TargetTerms()),
@@ -148,7 +152,12 @@
 
     def test_a_message_to_several_daemons_is_encoded_once(self, monkeypatch):
         encoded: list[Datagram] = []
-        monkeypatch.setattr(_socket, "encode_datagram", encoded.append)
+
+        def encode(message):
+            encoded.append(message)
+            return b"datagram"
+
+        monkeypatch.setattr(_socket, "encode_datagram", encode)
         socket = DatagramSocket(lambda message, sender: None)
         socket._transport = mock.Mock(is_closing=lambda: False)
         socket.send(MESSAGES[0], ("127.0.0.1", 1), ("127.0.0.2", 1))
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -7,19 +7,34 @@
 daemons report, or when this daemon observes high latency or failures there.
 """
 
-import hashlib
+import heapq
 import random
 from collections.abc import Callable, Collection, Iterable, Iterator
 
+from kingcuphead.dispatch._cold_costs import ColdCosts
 from kingcuphead.dispatch._messages import (
     AttemptResult,
     DispatchSettings,
     PlacementRequest,
 )
-from kingcuphead.dispatch._target_state import Placement, PrefillPlan, TargetState
+from kingcuphead.dispatch._rankings import Rankings
+from kingcuphead.dispatch._room import ServiceLoad, TargetRoom, extrapolate
+from kingcuphead.dispatch._target_state import (
+    NETWORK_ALLOWANCE_SECONDS,
+    Placement,
+    PrefillPlan,
+    TargetState,
+)
 from kingcuphead.loads import PeerLoads, TargetLoad
 from kingcuphead.targets import Target
 
+#: Targets whose cost is computed because they come first in rendezvous order.
+MAX_RANKED = 4
+#: Further targets whose cost is computed because of their small load.
+MAX_LEAST_LOADED = 6
+
+_NO_PREFILL = PrefillPlan(0)
+
 
 class Dispatcher:
     """Chooses targets and tracks their load; does no I/O.
@@ -41,9 +56,14 @@
         self._peer_loads = peer_loads
         self._rng = rng
         self._states: dict[str, TargetState] = {}
+        self._rankings = Rankings()
+        #: Number of daemons that share the targets, this one included; 1 if unknown.
+        self.daemons = 1
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
+        #: Costs of cold targets.
+        self.cold_costs = ColdCosts(settings)
 
     def place(
         self,
@@ -76,24 +96,71 @@
         if not available:
             return None
         ranked = self._rank(request, available)
-        plans = [self._plan_prefill(request, each, ranked, now) for each in ranked]
+        shortlist = self._make_shortlist(ranked)
+        plans = [self._plan_prefill(request, each, ranked, now) for each in shortlist]
+        cold_costs = self.cold_costs.compute(request, shortlist)
         costs = [
             self._compute_cost(request, target, plan, now)
-            for target, plan in zip(ranked, plans, strict=True)
+            + cold_costs.get(target.name, 0.0)
+            for target, plan in zip(shortlist, plans, strict=True)
         ]
         cost = min(costs)
         choice = costs.index(cost)
-        best, plan = ranked[choice], plans[choice]
+        best, plan = shortlist[choice], plans[choice]
         state = self._get_state(best)
         wait = self._estimate_wait(state, best, plan)
         placement = Placement(best, state, plan, now, wait, choice == 0, cost)
         state.add(placement, request, now)
+        self.cold_costs.record(best)
         self._announce_if_large(plan)
         return placement
 
+    def has_room(
+        self, request: PlacementRequest, candidates: Iterable[Target], now: float
+    ) -> bool:
+        """Return whether some target has room for a request that waits.
+
+        Parameters
+        ----------
+        request
+            Properties of the request.
+        candidates
+            Targets that accept new requests.
+        now
+            Current time in seconds.
+        """
+        available = self._select_available(candidates, (), now)
+        ranked = available
+        if request.prefixes and request.objective_ends_at > now:
+            ranked = self._rank(request, available)
+        for target in ranked:
+            room = self._describe_room(target)
+            if room.accepts_on_old_reports(request, now):
+                return True
+            if room.has_slot and self._is_in_time(request, target, ranked, now):
+                return True
+        return False
+
+    def describe_load(self, candidates: Collection[Target]) -> ServiceLoad:
+        """Return the load of all daemons on some targets."""
+        rooms = [self._describe_room(target) for target in candidates]
+        users = self._peer_loads.count_users({target.name for target in candidates})
+        return ServiceLoad(
+            sum(room.slots for room in rooms),
+            sum(room.own for room in rooms),
+            sum(room.reported for room in rooms),
+            sum(not room.own for room in rooms),
+            1 + self._extrapolate(users),
+        )
+
+    def count_own(self, candidates: Iterable[Target]) -> int:
+        """Return the number of requests that this daemon has at some targets."""
+        return sum(self._get_state(target).running for target in candidates)
+
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
         placement.state.remove(placement)
+        self.cold_costs.withdraw(placement.target)
 
     def record_answer_start(self, placement: Placement, now: float) -> None:
         """Record that the answer of a request has begun; later calls do nothing."""
@@ -117,6 +184,7 @@
     def forget(self, target: Target) -> None:
         """Drop the state of a target that was removed."""
         self._states.pop(target.name, None)
+        self.cold_costs.forget(target)
 
     def _select_available(
         self, candidates: Iterable[Target], excluded: Collection[str], now: float
@@ -130,6 +198,36 @@
         ]
         return available or usable
 
+    def _describe_room(self, target: Target) -> TargetRoom:
+        reported = self._peer_loads.get_load(target.name).running
+        others = self._extrapolate(reported)
+        return TargetRoom(target.slots, self._get_state(target).running, others)
+
+    def _extrapolate(self, reported: int) -> float:
+        return extrapolate(reported, self._peer_loads.reporters, self.daemons - 1)
+
+    def _is_in_time(
+        self,
+        request: PlacementRequest,
+        target: Target,
+        ranked: list[Target],
+        now: float,
+    ) -> bool:
+        """Return whether a free target is expected to meet a request's objective.
+
+        Also true if the objective has passed, or if the request alone takes longer
+        there, as waiting wouldn't help.
+        """
+        remaining = request.objective_ends_at - now
+        if remaining <= 0:
+            return True
+        plan = self._plan_prefill(request, target, ranked, now)
+        state = self._get_state(target)
+        wait = self._estimate_wait(state, target, plan) * state.latency_ratio
+        if wait < remaining:
+            return True
+        return self._estimate_prefill(plan) * state.latency_ratio >= remaining
+
     def _announce_if_large(self, plan: PrefillPlan) -> None:
         is_large = plan.prefill_tokens >= self._settings.min_announced_tokens
         if is_large and self.announce is not None:
@@ -144,9 +242,26 @@
         key = request.prefixes[-1].key if request.prefixes else ""
         if not key:
             return self._rng.sample(targets, len(targets))
-        return sorted(
-            targets, key=lambda target: _score(key, target.name), reverse=True
+        return self._rankings.rank(key, targets)
+
+    def _make_shortlist(self, ranked: list[Target]) -> list[Target]:
+        """Return the targets to compute the cost of, in rendezvous order at first.
+
+        These are the first ones in that order, and those that keep a request waiting
+        least; the effort for a request doesn't grow with the fleet.
+        """
+        if len(ranked) <= MAX_RANKED + MAX_LEAST_LOADED:
+            return ranked
+        others = heapq.nsmallest(
+            MAX_LEAST_LOADED, ranked[MAX_RANKED:], key=self._estimate_delay
         )
+        return ranked[:MAX_RANKED] + others
+
+    def _estimate_delay(self, target: Target) -> float:
+        """Return the seconds that the load of a target adds to any request there."""
+        state = self._get_state(target)
+        seconds = self._estimate_wait(state, target, _NO_PREFILL)
+        return (seconds + NETWORK_ALLOWANCE_SECONDS) * state.latency_ratio
 
     def _plan_prefill(
         self,
@@ -206,7 +321,7 @@
         state = self._get_state(target)
         seconds = self._estimate_wait(state, target, plan) * state.latency_ratio
         cost = self._compute_wait_cost(seconds / request.objective)
-        running = state.running + self._peer_loads.get_load(target.name).running
+        running = state.running + self._peer_loads.get_running(target.name)
         own_tokens = request.prompt_tokens - request.shared_tokens
         cost += (
             (plan.prefill_tokens - own_tokens) / 1000 * settings.repeated_prefill_cost
@@ -223,14 +338,19 @@
     ) -> float:
         """Return the expected seconds to the first byte at a latency ratio of 1."""
         settings = self._settings
-        others = self._peer_loads.get_load(target.name)
-        pending = state.pending_prefill_tokens + others.unread_tokens
-        running = state.running + others.running
-        prefill = plan.prefill_tokens + pending
-        seconds = prefill / settings.prefill_tokens_per_second
-        seconds += plan.copied_tokens / settings.kv_copy_tokens_per_second
+        others = self._peer_loads
+        pending = state.pending_prefill_tokens + others.get_unread_tokens(target.name)
+        running = state.running + others.get_running(target.name)
+        seconds = pending / settings.prefill_tokens_per_second
+        seconds += self._estimate_prefill(plan)
         return seconds + running * settings.wait_per_running_request
 
+    def _estimate_prefill(self, plan: PrefillPlan) -> float:
+        """Return the seconds that a prompt takes on an idle target."""
+        settings = self._settings
+        seconds = plan.prefill_tokens / settings.prefill_tokens_per_second
+        return seconds + plan.copied_tokens / settings.kv_copy_tokens_per_second
+
     def _compute_wait_cost(self, wait: float) -> float:
         """Return the cost of a wait given in units of the latency objective."""
         share = self._settings.linear_share
@@ -248,8 +368,3 @@
 def _is_same_version(first: Target, second: Target) -> bool:
     """Return whether one target can use what the other has written."""
     return first.software_version == second.software_version
-
-
-def _score(key: str, name: str) -> bytes:
-    """Return the rendezvous score of a target for a prefix key."""
-    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -10,13 +10,18 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.admission import AdmissionGate, QueueBounds, bound_memory
 from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._fleet_links import FleetLinks
 from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
 from kingcuphead.entry._readiness import serve_readiness
-from kingcuphead.entry._table_listeners import ConfigurationListener, TargetListener
-from kingcuphead.entry._table_watch import TableWatch
+from kingcuphead.entry._table_listeners import (
+    ConfigurationListener,
+    EvacuationListener,
+    TargetListener,
+)
+from kingcuphead.entry._table_watch import ListenerGroup, TableWatch
 from kingcuphead.forwarding import (
     AnswerMemory,
     AttemptRunner,
@@ -37,7 +42,15 @@
     read_profile,
 )
 from kingcuphead.routing import RoutingConfiguration, RoutingTable
-from kingcuphead.targets import DirectoryChange, TargetDirectory, TargetLeft
+from kingcuphead.targets import (
+    ColdStart,
+    DirectoryChange,
+    TargetAdded,
+    TargetDirectory,
+    TargetLeft,
+    ZoneChange,
+    ZoneEvacuated,
+)
 
 #: Seconds between two sweeps that drop expired entries and idle connections; also the
 #: timeout of one attempt to return credit during shutdown.
@@ -73,8 +86,10 @@
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory()
         self._metrics = DaemonMetrics()
+        self._metrics.observe_targets(self._directory)
         peer_loads = PeerLoads()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
+        self._dispatcher.cold_costs.is_cold = self._directory.is_cold
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._links = FleetLinks(
@@ -86,8 +101,17 @@
             self._retries,
             rng,
         )
+        self._admission: AdmissionGate | None = None
+        if profile.has_scarce_capacity:
+            bounds = QueueBounds(body_bytes=bound_memory(profile.limits.memory_bytes))
+            self._admission = AdmissionGate(self._dispatcher, bounds)
+        self._links.admission = self._metrics.admission = self._admission
         self._targets = TargetListener(self._directory, self._handle_change)
+        self._evacuations = EvacuationListener(
+            self._directory, self._handle_zone_change
+        )
         self._links.report_leaving = self._targets.handle_leaving
+        self._links.permits.report_cold_denial = self._metrics.record_cold_denial
         self._connector = Connector(
             self._links.path_monitor,
             self._links.peer_paths,
@@ -112,11 +136,14 @@
                 self._targets.handle_leaving,
                 self._links.report_statement,
                 self._links.permits,
+                self._admission,
             ),
             rng,
             self._metrics.record,
         )
-        self._callers = CallerServer(self._forwarder)
+        self._links.capacity.is_serving = self._is_serving
+        self._links.capacity.record = self._metrics.record_capacity
+        self._callers = CallerServer(self._forwarder, self._links.capacity.connections)
         self._failure: BaseException | None = None
 
     async def run(self) -> bool:
@@ -133,7 +160,10 @@
         renewal = self._start_task(self._links.credit.run())
         profile = self._profile
         readiness = serve_readiness(
-            profile.readiness.host, profile.readiness.port, self._is_ready
+            profile.readiness.host,
+            profile.readiness.port,
+            self._is_ready,
+            self._links.capacity.record_check,
         )
         metrics = serve_metrics(profile.ip, self._metrics)
         self._callers.listen(profile.callers.host, profile.callers.port)
@@ -157,11 +187,14 @@
         return self._failure is None
 
     def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        configuration = ConfigurationListener(self._apply_configuration)
+        # Evacuations come first: with the configuration this daemon becomes ready.
+        operator = ListenerGroup(
+            (self._evacuations, ConfigurationListener(self._apply_configuration))
+        )
         report_failure = self._directory.record_store_failure
         return [
             TableWatch(
-                self._store, CONFIGURATION_TABLE, configuration, report_failure
+                self._store, CONFIGURATION_TABLE, operator, report_failure
             ).run(),
             TableWatch(self._store, TARGETS_TABLE, self._targets, report_failure).run(),
             self._sweep(),
@@ -216,8 +249,13 @@
         self._store.change_address(f"{profile.store.host}:{profile.store.port}")
         retries = profile.retries
         self._retries.apply(retries.ratio, retries.burst, retries.window)
+        self._links.apply_limits(profile)
+        self._links.permits.apply_cold_bounds(profile.cold_bounds)
 
     def _is_ready(self) -> bool:
+        return self._is_serving() and not self._links.capacity.is_unready
+
+    def _is_serving(self) -> bool:
         return (
             self._has_configuration
             and not self._directory.is_empty
@@ -231,6 +269,12 @@
 
     def _apply_configuration(self, configuration: RoutingConfiguration) -> None:
         self._forwarder.apply(RoutingTable(configuration))
+        self._directory.apply_cold_starts(
+            {
+                service.name: ColdStart(service.cold_period, service.cold_limit)
+                for service in configuration.services.values()
+            }
+        )
         self._callers.apply_limits(configuration.limits)
         self._links.credit.apply_limits(
             configuration.organisations.values(), configuration.version
@@ -238,16 +282,27 @@
         self._has_configuration = True
 
     def _handle_change(self, change: DirectoryChange) -> None:
+        if isinstance(change, TargetAdded) and self._admission is not None:
+            self._admission.wake(change.target.service)
         if isinstance(change, TargetLeft):
             self._pool.close_address(change.target.address)
             if change.is_removed:
                 self._dispatcher.forget(change.target)
                 self._links.permits.forget(change.target)
 
+    def _handle_zone_change(self, change: ZoneChange) -> None:
+        if isinstance(change, ZoneEvacuated):
+            for target in change.targets:
+                self._pool.close_address(target.address)
+
     async def _sweep(self) -> None:
         while True:
             await asyncio.sleep(SWEEP_INTERVAL)
             self._targets.tick()
+            self._evacuations.tick()
+            # Attempts that were running have returned their connections to the pool.
+            for target in self._directory.list_evacuated():
+                self._pool.close_address(target.address)
             self._pool.sweep()
 
     async def _drain(self, renewal: asyncio.Task[None]) -> None:
@@ -260,6 +315,8 @@
         # Another daemon can help; a stream that begins here might be cut off.
         self._tunnels.stop_accepting()
         self._callers.announce_close()
+        if self._admission is not None:
+            self._admission.close()
         self._start_task(self._links.deregister())
         await asyncio.sleep(min(SHUTDOWN_ACCEPT_PERIOD, self._profile.grace / 2))
         self._callers.stop_listening()
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from kingcuphead.admission import AdmissionGate
+from kingcuphead.capacity import CapacityExchange, CapacityReported, InstanceCapacity
 from kingcuphead.credit import (
     CreditAsked,
     CreditHanded,
@@ -68,7 +70,7 @@
     store
         Client of the platform's store.
     directory
-        Knows the software versions of targets.
+        Knows the software versions of targets, and which of them are cold.
     dispatcher
         Chooses targets; its loads are reported.
     peer_loads
@@ -95,6 +97,7 @@
         incarnation = secrets.token_hex(6)
         identity = f"{instance}/{incarnation}"
         self._retries = retries
+        self._dispatcher = dispatcher
         self._address = (profile.ip, profile.internal_port)
         self._datagrams = DatagramSocket(self._handle_datagram)
         self._sender = PeerSender(self._datagrams, rng)
@@ -106,6 +109,13 @@
         #: Called with a target that said, in an answer passed on to another daemon,
         #: that it leaves.
         self.report_leaving: Callable[[Target], None] | None = None
+        #: Load of this daemon, and whether it sheds.
+        self.capacity = CapacityExchange(
+            identity, profile.zone, self._sender.gossip, self._sender.broadcast
+        )
+        self.apply_limits(profile)
+        #: Holds requests back until targets have room; None if none wait.
+        self.admission: AdmissionGate | None = None
         self._directory = directory
         self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
@@ -127,6 +137,7 @@
         self.quarantine = self._make_quarantine(identity, store)
         #: What targets take from the whole fleet.
         self.permits = self._make_permits(rng)
+        self.permits.apply_cold_bounds(profile.cold_bounds)
         #: Knows the software versions that began streams.
         self.resumption = self._make_resumption(store)
 
@@ -145,9 +156,19 @@
             self.quarantine.run(),
             self.resumption.run(),
             self.permits.run(),
+            self.capacity.run(),
             self._peers.run(),
         ]
 
+    def apply_limits(self, profile: Profile) -> None:
+        """Apply the limits of the instance."""
+        limits = profile.limits
+        capacity = InstanceCapacity.from_limits(
+            limits.cores, limits.cpu_share, limits.link_mbps
+        )
+        is_enabled = profile.has_scarce_capacity or limits.has_narrow_link
+        self.capacity.apply_limits(capacity, is_enabled)
+
     def _make_loads(
         self, identity: str, peer_loads: PeerLoads, dispatcher: Dispatcher
     ) -> LoadExchange:
@@ -174,6 +195,7 @@
             PermitCoordinator(rng),
             self._datagrams.send,
             self._sender.broadcast,
+            self._directory,
         )
 
     def _make_resumption(self, store: Store) -> ResumptionExchange:
@@ -197,8 +219,9 @@
         self.permits.ranking.record_message(sender, now)
         match message:
             case LoadsReported():
-                self._loads.handle_report(message)
-                self.peer_paths.record_report(sender, message.is_cut_off, now)
+                self._apply_loads(message, sender, now)
+            case CapacityReported():
+                self.capacity.handle_report(message)
             case CreditAsked():
                 reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
@@ -219,6 +242,13 @@
             case StreamsBegan() | StreamAsked():
                 self.resumption.handle_message(message, reply)
 
+    def _apply_loads(self, message: LoadsReported, sender: Address, now: float) -> None:
+        """Apply the loads of another daemon; targets may have room by them."""
+        self._loads.handle_report(message)
+        self.peer_paths.record_report(sender, message.is_cut_off, now)
+        if self.admission is not None:
+            self.admission.wake_soon()
+
     def report_statement(self, statement: TargetStated, receiver: Address) -> None:
         """Tell a daemon that passed on an answer what the target said in it."""
         self._datagrams.send(statement, receiver)
@@ -235,8 +265,12 @@
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
-        self.permits.ranking.apply_peers(peers)
+        now = asyncio.get_running_loop().time()
+        self.permits.ranking.apply_peers(peers, now)
         self.peer_paths.apply_peers(peers)
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
+        if self.admission is not None:
+            self.admission.bounds.daemons = daemons
+            self._dispatcher.daemons = daemons
--- a/kingcuphead/entry/_readiness.py
+++ b/kingcuphead/entry/_readiness.py
@@ -8,9 +8,12 @@
 from kingcuphead.platform import READINESS_PATH
 
 ReadinessCheck = Callable[[], bool]
+CheckRecorder = Callable[[bool], None]
 
 
-def serve_readiness(host: str, port: int, is_ready: ReadinessCheck) -> HTTPServer:
+def serve_readiness(
+    host: str, port: int, is_ready: ReadinessCheck, record: CheckRecorder
+) -> HTTPServer:
     """Serve the readiness endpoint on an address.
 
     Parameters
@@ -21,7 +24,13 @@
         Port to listen on.
     is_ready
         Returns whether this daemon is ready for requests of callers.
+    record
+        Called with the answer to each check.
     """
-    return serve_get(
-        host, port, READINESS_PATH, lambda: Answer(200 if is_ready() else 503)
-    )
+
+    def answer_check() -> Answer:
+        is_accepting = is_ready()
+        record(is_accepting)
+        return Answer(200 if is_accepting else 503)
+
+    return serve_get(host, port, READINESS_PATH, answer_check)
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from kingcuphead.admission import QueueFigures
 from kingcuphead.credit import CreditState
 from kingcuphead.dispatch import AttemptResult, PlacementRequest, SharedPrefix
 from kingcuphead.forwarding._messages import Address, CallerRequest
@@ -16,6 +17,8 @@
 
 #: Characters of the names of a prompt's parts in a log line.
 MAX_LOGGED_PARTS = 200
+#: Rank of the requests that go before all others.
+MOST_URGENT_RANK = 0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +88,12 @@
     execution: Execution = Execution.NOT_RUN
     #: Seconds spent waiting for credit.
     credit_seconds: float = 0.0
+    #: Seconds spent waiting for room at a target.
+    queue_seconds: float = 0.0
+    #: What a refusal for want of room was based on; None without one.
+    queue_figures: QueueFigures | None = None
+    #: Time in seconds at which it was admitted to the targets.
+    admitted_at: float = 0.0
     #: Credit of the organisation when the hold was denied; None otherwise.
     credit_state: CreditState | None = None
     #: Seconds from arrival to the first event of the stream; None without one.
@@ -132,7 +141,11 @@
         """Return the properties by which the dispatcher chooses a target."""
         size = self.request.size
         if size is None:
-            return PlacementRequest(self.service, objective=self.route.objective)
+            return PlacementRequest(
+                self.service,
+                objective=self.route.objective,
+                is_urgent=self.rank == MOST_URGENT_RANK,
+            )
         prefixes = []
         tokens = 0
         key = ""
@@ -141,7 +154,11 @@
             key = f"{key}/{part.name}"
             prefixes.append(SharedPrefix(key, tokens))
         return PlacementRequest(
-            self.service, tuple(prefixes), size.prompt_tokens, self.route.objective
+            self.service,
+            tuple(prefixes),
+            size.prompt_tokens,
+            self.route.objective,
+            self.rank == MOST_URGENT_RANK,
         )
 
     def _describe_parts(self) -> str:
@@ -172,6 +189,7 @@
             execution=self.execution.value,
             attempts=[str(record) for record in self.records],
             credit_seconds=round(self.credit_seconds, 3),
+            queue_seconds=round(self.queue_seconds, 3),
             first_event_seconds=self.first_event_seconds,
             tokens=self.spent,
             seconds=round(now - self.request.arrived_at, 3),
@@ -186,6 +204,7 @@
                 reason=refusal.reason.value,
                 retry_after=refusal.retry_after,
                 credit=str(self.credit_state or ""),
+                queue=str(self.queue_figures or ""),
             ).info("request refused")
 
 
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -79,13 +79,18 @@
         self.body = b""
         self.end = ""
 
-    async def start(self, status, headers):
+    is_congested = False
+
+    def start(self, status, headers):
         assert not self.status, "start() was called twice"
         self.status, self.headers = status, headers
 
-    async def write(self, chunk):
+    def send(self, chunk):
         self.body += chunk
 
+    async def drain(self):
+        pass
+
     def finish(self):
         self.end = "finished"
 
@@ -150,7 +155,7 @@
             lambda message, receiver: None,
             self.broadcasts.append,
         )
-        self.permits.ranking.apply_peers(())
+        self.permits.ranking.apply_peers((), 0.0)
         ledger = CreditLedger("d1", "incarnation-1")
         organisation = Organisation("atelier", None, self.prepaid)
         ledger.apply_limits([organisation], 1)
--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -3,6 +3,7 @@
 from kingcuphead.platform._configuration import (
     ConfigurationDecoder,
     decode_configuration,
+    decode_evacuated_zone,
 )
 from kingcuphead.platform._entries import decode_target
 from kingcuphead.platform._headers import (
@@ -14,6 +15,7 @@
     READINESS_PATH,
     SETTINGS_VARIABLE,
     Endpoint,
+    InstanceLimits,
     Profile,
     ProfileFault,
     RetryBudget,
@@ -37,6 +39,7 @@
     "Changes",
     "Endpoint",
     "HistoryLost",
+    "InstanceLimits",
     "PlatformHeaders",
     "Profile",
     "ProfileFault",
@@ -47,6 +50,7 @@
     "StoreTable",
     "TARGETS_TABLE",
     "decode_configuration",
+    "decode_evacuated_zone",
     "decode_request",
     "decode_target",
     "make_refusal_headers",
--- a/kingcuphead/wire/datagram.thrift
+++ b/kingcuphead/wire/datagram.thrift
@@ -27,12 +27,15 @@
   2: i64 number
   3: string organisation
   4: i64 tokens
+  5: i64 extra = 0
 }
 
 struct CreditHanded {
   1: string receiver
   2: i64 number
   3: i64 tokens
+  4: i64 free = -1
+  5: i64 reserve = 0
 }
 
 struct RequestIdentity {
@@ -77,6 +80,7 @@
 struct TargetTerms {
   1: optional double requests_per_second
   2: optional i32 rejections_per_second
+  3: optional double cold_requests_per_second
 }
 
 struct PermitAsked {
@@ -85,6 +89,7 @@
   3: TargetTerms terms
   4: i32 slots
   5: i32 open_requests
+  6: bool is_doubtful = 0
 }
 
 struct RoomReported {
@@ -98,6 +103,7 @@
   1: i64 number
   2: bool is_granted
   3: double wait
+  4: bool is_holder = 1
 }
 
 struct CoordinatorProbed {
@@ -127,6 +133,14 @@
   1: string outcome
 }
 
+struct CapacityReported {
+  1: string sender
+  2: i64 number
+  3: string zone
+  4: double load
+  5: string readiness
+}
+
 union Datagram {
   1: LoadsReported loads_reported
   2: CreditAsked credit_asked
@@ -143,4 +157,5 @@
   15: TermsReported terms_reported
   16: TargetStated target_stated
   17: RoomReported room_reported
+  18: CapacityReported capacity_reported
 }
