Load prometheus_client only for a scrape

Values are recorded by small classes with the library's interface; the library still renders them, imported in a thread at the first scrape.

--- a/kingcuphead/entry/_get_server.py
+++ b/kingcuphead/entry/_get_server.py
@@ -4,9 +4,12 @@
 entry daemon doesn't use.
 """
 
+import asyncio
 import http.client
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
+from typing import Any
 
+from loguru import logger
 from tornado.httpserver import HTTPServer
 from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
 
@@ -25,9 +28,10 @@
     content_type: str = "text/html; charset=UTF-8"
 
 
-def serve_get(
-    host: str, port: int, path: str, get_answer: Callable[[], Answer]
-) -> HTTPServer:
+GetAnswer = Callable[[], Answer | Coroutine[Any, Any, Answer]]
+
+
+def serve_get(host: str, port: int, path: str, get_answer: GetAnswer) -> HTTPServer:
     """Serve one resource on an address.
 
     Parameters
@@ -39,11 +43,18 @@
     path
         Path of the resource.
     get_answer
-        Returns the answer to each GET request.
+        Returns the answer to each GET request, or a coroutine that does.
     """
+    tasks: set[asyncio.Task[None]] = set()
 
     def handle_request(request: HTTPServerRequest) -> None:
-        _write(request, _choose_answer(request, path, get_answer))
+        answer = _choose_answer(request, path, get_answer)
+        if isinstance(answer, Answer):
+            _write(request, answer)
+        else:
+            task = asyncio.create_task(_write_later(request, answer))
+            tasks.add(task)
+            task.add_done_callback(tasks.discard)
 
     server = HTTPServer(handle_request)
     server.listen(port, host)
@@ -51,13 +62,24 @@
 
 
 def _choose_answer(
-    request: HTTPServerRequest, path: str, get_answer: Callable[[], Answer]
-) -> Answer:
+    request: HTTPServerRequest, path: str, get_answer: GetAnswer
+) -> Answer | Coroutine[Any, Any, Answer]:
     if request.path != path:
         return Answer(404)
     return get_answer() if request.method == "GET" else Answer(405)
 
 
+async def _write_later(
+    request: HTTPServerRequest, pending: Coroutine[Any, Any, Answer]
+) -> None:
+    try:
+        answer = await pending
+    except Exception:
+        logger.exception("cannot answer a request for {}", request.path)
+        answer = Answer(500)
+    _write(request, answer)
+
+
 def _write(request: HTTPServerRequest, answer: Answer) -> None:
     connection = request.connection
     if connection is None:
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -2,19 +2,19 @@
 
 import asyncio
 
-from prometheus_client import (
-    CONTENT_TYPE_LATEST,
-    CollectorRegistry,
-    Counter,
-    Gauge,
-    Histogram,
-    generate_latest,
-)
 from tornado.httpserver import HTTPServer
 
 from kingcuphead.admission import AdmissionGate
 from kingcuphead.capacity import CapacityFigures, OwnLoad
 from kingcuphead.entry._get_server import Answer, serve_get
+from kingcuphead.entry._instruments import (
+    CONTENT_TYPE,
+    Counter,
+    Gauge,
+    Histogram,
+    Registry,
+    load_library,
+)
 from kingcuphead.forwarding import Refusal, RequestContext
 from kingcuphead.targets import Target, TargetDirectory
 
@@ -35,7 +35,7 @@
     """Records counters and latency histograms of completed requests."""
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
+        self._registry = Registry()
         self._labels: set[str] = set()
         self._requests = Counter(
             "kingcuphead_requests",
@@ -186,7 +186,7 @@
         if self.admission is not None:
             for service, length in self.admission.count_waiting():
                 self._queue_length.labels(service).set(length)
-        return generate_latest(self._registry)
+        return self._registry.render()
 
     def _choose_label(self, name: str) -> str:
         """Return the label value of a name; `OTHER_LABEL` once the limit is reached."""
@@ -198,9 +198,9 @@
 
 def serve_metrics(host: str, metrics: DaemonMetrics) -> HTTPServer:
     """Serve the metrics endpoint on an address."""
-    return serve_get(
-        host,
-        METRICS_PORT,
-        METRICS_PATH,
-        lambda: Answer(200, metrics.render(), CONTENT_TYPE_LATEST),
-    )
+
+    async def answer_scrape() -> Answer:
+        await asyncio.to_thread(load_library)
+        return Answer(200, metrics.render(), CONTENT_TYPE)
+
+    return serve_get(host, METRICS_PORT, METRICS_PATH, answer_scrape)
--- a/kingcuphead/entry/tests/test_imports.py
+++ b/kingcuphead/entry/tests/test_imports.py
@@ -34,6 +34,7 @@
             "kingcuphead.records",
             "kingcuphead.settings",
             "kingcuphead.wire.generated.peer",
+            "prometheus_client",
             "tornado.web",
         ],
     )
