--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -23,13 +23,14 @@
 )
 from kingcuphead.entry._table_watch import ListenerGroup, TableWatch
 from kingcuphead.forwarding import (
-    AnswerMemory,
     AttemptRunner,
     ConnectionPool,
     Dependencies,
     EvidenceRecorder,
+    MemoryAccount,
     RequestForwarder,
     TargetWatch,
+    get_account_limit,
 )
 from kingcuphead.loads import PeerLoads
 from kingcuphead.paths import Connector, TunnelServer
@@ -129,7 +130,7 @@
                 self._dispatcher,
                 self._retries,
                 self._links.credit,
-                AttemptRunner(self._pool, PlatformHeaders(), AnswerMemory()),
+                AttemptRunner(self._pool, PlatformHeaders()),
                 self._links.quarantine,
                 EvidenceRecorder(self._links.quarantine, self._watch),
                 self._links.resumption,
@@ -143,9 +144,24 @@
         )
         self._links.capacity.is_serving = self._is_serving
         self._links.capacity.record = self._metrics.record_capacity
-        self._callers = CallerServer(self._forwarder, self._links.capacity.connections)
+        self._callers = CallerServer(
+            self._forwarder,
+            self._make_memory_account(),
+            self._links.capacity.connections,
+        )
         self._failure: BaseException | None = None
 
+    def _make_memory_account(self) -> MemoryAccount:
+        if not self._profile.is_constrained:
+            return MemoryAccount()
+        account = MemoryAccount(
+            get_account_limit(self._profile.limits.memory_bytes),
+            covers_requests=True,
+            report_end=self._metrics.record_memory_end,
+        )
+        self._metrics.watch_memory(lambda: account.used)
+        return account
+
     async def run(self) -> bool:
         """Run until a signal arrives or a background task fails.
 
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -166,8 +166,7 @@
         capacity = InstanceCapacity.from_limits(
             limits.cores, limits.cpu_share, limits.link_mbps
         )
-        is_enabled = profile.has_scarce_capacity or limits.has_narrow_link
-        self.capacity.apply_limits(capacity, is_enabled)
+        self.capacity.apply_limits(capacity, profile.is_constrained)
 
     def _make_loads(
         self, identity: str, peer_loads: PeerLoads, dispatcher: Dispatcher
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -1,6 +1,7 @@
 """Prometheus metrics of one daemon and the endpoint that exposes them."""
 
 import asyncio
+from collections.abc import Callable
 
 from tornado.httpserver import HTTPServer
 
@@ -75,6 +76,16 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._memory = Gauge(
+            "kingcuphead_held_bytes",
+            "Bytes held for bodies, collected answers and events.",
+            registry=self._registry,
+        )
+        self._memory_ends = Counter(
+            "kingcuphead_memory_ends",
+            "Requests that were ended because the memory was full.",
+            registry=self._registry,
+        )
         self._credit = Histogram(
             "kingcuphead_credit_wait_seconds",
             "Seconds that requests waited for credit.",
@@ -181,6 +192,14 @@
         if context.queue_figures is not None:
             self._queue_refusals.labels(context.service, reason).inc()
 
+    def watch_memory(self, get_bytes: Callable[[], int]) -> None:
+        """Expose the bytes that are held for requests."""
+        self._memory.set_function(get_bytes)
+
+    def record_memory_end(self) -> None:
+        """Record a request that was ended because the memory was full."""
+        self._memory_ends.inc()
+
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
         if self.admission is not None:
