--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -1,5 +1,6 @@
 """Decides for one service which requests wait, are admitted or are refused."""
 
+import itertools
 from collections.abc import Callable, Iterator
 
 from kingcuphead.admission._bounds import KEPT_SHARE, LATE_SHARE
@@ -13,8 +14,8 @@
 from kingcuphead.admission._pace import Pace
 from kingcuphead.admission._rate import AdmissionRate
 from kingcuphead.admission._reservations import Reservations
-from kingcuphead.admission._service_queue import ServiceQueue
-from kingcuphead.admission._shares import RankShares, SizeShares
+from kingcuphead.admission._service_queue import AGED_INTERVAL, ServiceQueue
+from kingcuphead.admission._shares import Counts, RankShares, SizeShares
 from kingcuphead.invariants import require
 from kingcuphead.verdict import Reason
 
@@ -43,6 +44,8 @@
         self._rate = AdmissionRate()
         self._shares = RankShares()
         self._sizes = SizeShares()
+        #: Admissions after a wait, and those of them that were late.
+        self._late = Counts()
         self._reservations = Reservations()
 
     def record_direct(self, request: AdmissionRequest, now: float) -> None:
@@ -69,10 +72,14 @@
             lambda rank: self._shares.may_overtake(rank, ranks, now),
             now,
         )
-        if admitted is not None:
-            self._record_admission(admitted, now)
         self.track(now)
-        return admitted
+        if admitted is None:
+            return None
+        self._record_admission(admitted.request, now)
+        self._late.advance(now)
+        self._late.arrived += 1
+        self._late.admitted += admitted.standing is Standing.LATE
+        return admitted.request
 
     def withdraw(self, request_id: str, now: float) -> None:
         """Remove a request whose caller is gone."""
@@ -122,17 +129,19 @@
     def review(self, now: float) -> Iterator[Rejection]:
         """Yield the waiting requests that can't begin before their deadlines."""
         rate = self._rate.get(now)
-        ahead = 0
+        ahead = late_ahead = 0
         for request in tuple(self.queue.iterate()):
+            is_late = self.queue.is_late(request.request_id)
             remaining = request.last_start - self._get_reserve(request) - now
-            left = self._shares.compute_left(request.rank, now)
-            wait = 0.0 if rate is None else (ahead + 1) / (rate * left)
-            if self.queue.is_only_of_rank(request):
-                wait = 0.0
+            wait = 0.0
+            if rate is not None and not self.queue.is_only_of_rank(request):
+                counted = late_ahead if is_late else ahead
+                wait = (counted + 1) / (rate * self._compute_left(request, now))
             if remaining < 0 or wait > remaining * WAITING_MARGIN:
                 yield self.reject(request, Reason.DEADLINE, now)
             else:
                 ahead += 1
+                late_ahead += is_late
 
     def reject_last(self, now: float) -> Rejection:
         """Remove the last request of the least urgent rank; the queue isn't empty."""
@@ -183,15 +192,25 @@
         """Return the expected seconds until a request is admitted; 0 if unknown."""
         if rate is None:
             return 0.0
-        ahead = self._count_ahead(request)
+        is_late = self.queue.is_late(request.request_id)
+        ahead = self._count_ahead(request, only_late=is_late)
         ahead += self._reservations.count_places(request.rank, now)
-        return (ahead + 1) / (rate * self._shares.compute_left(request.rank, now))
-
-    def _count_ahead(self, request: AdmissionRequest) -> int:
-        for index, other in enumerate(self.queue.iterate()):
-            if other is request:
-                return index
-        return len(self.queue)
+        return (ahead + 1) / (rate * self._compute_left(request, now))
+
+    def _compute_left(self, request: AdmissionRequest, now: float) -> float:
+        """Return the share of the admissions that is left to requests like this one."""
+        left = self._shares.compute_left(request.rank, now)
+        if not self.queue.is_late(request.request_id):
+            return left
+        return left * max(1 / AGED_INTERVAL, self._late.admitted_share)
+
+    def _count_ahead(self, request: AdmissionRequest, only_late: bool = False) -> int:
+        ahead = itertools.takewhile(
+            lambda other: other is not request, self.queue.iterate()
+        )
+        return sum(
+            not only_late or self.queue.is_late(other.request_id) for other in ahead
+        )
 
     def _record_arrival(self, request: AdmissionRequest, now: float) -> None:
         self._shares.record_arrival(request.rank, now)
--- a/kingcuphead/admission/_service_queue.py
+++ b/kingcuphead/admission/_service_queue.py
@@ -164,7 +164,7 @@
         has_room: Callable[[AdmissionRequest, bool], bool],
         may_overtake: Callable[[int], bool],
         now: float,
-    ) -> AdmissionRequest | None:
+    ) -> Entry | None:
         """Remove and return the first request that there is room for.
 
         Parameters
@@ -184,7 +184,7 @@
             gives_way = entry.standing is Standing.LATE and entry is not aged
             if has_room(entry.request, gives_way):
                 self._record_admission(entry, passed, now)
-                return entry.request
+                return entry
             passed.append(entry)
             if entry.holds_back(now):
                 return None
