--- a/kingcuphead/admission/_messages.py
+++ b/kingcuphead/admission/_messages.py
@@ -6,6 +6,11 @@
 
 from kingcuphead.verdict import Reason
 
+#: Wait in units of the objective after which a request counts as aged.
+AGED_OBJECTIVES = 2.0
+#: Lower bound of that wait in seconds.
+MIN_AGED_SECONDS = 0.2
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class AdmissionRequest:
@@ -39,6 +44,12 @@
         """Whether it goes ahead of its organisation's requests; never by itself."""
         return False
 
+    @property
+    def aged_at(self) -> float:
+        """Time from which on it has waited so long that it may overtake others."""
+        objective = self.objective_ends_at - self.arrived_at
+        return self.arrived_at + max(MIN_AGED_SECONDS, AGED_OBJECTIVES * objective)
+
     @property
     def last_start_in_time(self) -> float:
         """Last time of admission at which the objective is expected to be met."""
--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -136,7 +136,7 @@
             wait = 0.0
             if rate is not None and not self.queue.is_only_of_rank(request):
                 counted = late_ahead if is_late else ahead
-                wait = (counted + 1) / (rate * self._compute_left(request, now))
+                wait = self._compute_wait(request, counted, rate, now)
             if remaining < 0 or wait > remaining * WAITING_MARGIN:
                 yield self.reject(request, Reason.DEADLINE, now)
             else:
@@ -195,14 +195,20 @@
         is_late = self.queue.is_late(request.request_id)
         ahead = self._count_ahead(request, only_late=is_late)
         ahead += self._reservations.count_places(request.rank, now)
-        return (ahead + 1) / (rate * self._compute_left(request, now))
+        return self._compute_wait(request, ahead, rate, now)
 
-    def _compute_left(self, request: AdmissionRequest, now: float) -> float:
-        """Return the share of the admissions that is left to requests like this one."""
-        left = self._shares.compute_left(request.rank, now)
+    def _compute_wait(
+        self, request: AdmissionRequest, ahead: int, rate: float, now: float
+    ) -> float:
+        """Return the expected seconds by the number of requests ahead."""
+        wait = (ahead + 1) / (rate * self._shares.compute_left(request.rank, now))
         if not self.queue.is_late(request.request_id):
-            return left
-        return left * max(1 / AGED_INTERVAL, self._late.admitted_share)
+            return wait
+        late_share = self._late.admitted_share
+        if late_share > 1 / AGED_INTERVAL:
+            return wait / late_share
+        # Timely requests leave nothing but the admissions of aged ones.
+        return max(0.0, request.aged_at - now) + wait * AGED_INTERVAL
 
     def _count_ahead(self, request: AdmissionRequest, only_late: bool = False) -> int:
         ahead = itertools.takewhile(
--- a/kingcuphead/admission/_service_queue.py
+++ b/kingcuphead/admission/_service_queue.py
@@ -14,10 +14,6 @@
 MAX_PASSES = 16
 #: Seconds for which a request that was passed over holds back others.
 HOLD_BACK_SECONDS = 0.15
-#: Wait in units of the objective after which a request counts as aged.
-AGED_OBJECTIVES = 2.0
-#: Lower bound of that wait in seconds.
-MIN_AGED_SECONDS = 0.2
 #: One of this number of admissions goes to the request that has waited longest, if it
 #: is aged. A larger share would make more of the timely requests late.
 AGED_INTERVAL = 32
@@ -38,12 +34,6 @@
     #: End of the time in seconds for which it holds back others; None before it does.
     holds_back_until: float | None = None
 
-    def is_aged(self, now: float) -> bool:
-        """Return whether it has waited so long that it may overtake others."""
-        objective = self.request.objective_ends_at - self.request.arrived_at
-        bound = max(MIN_AGED_SECONDS, AGED_OBJECTIVES * objective)
-        return now - self.request.arrived_at > bound
-
     def holds_back(self, now: float) -> bool:
         """Return whether the requests behind it have to wait for it."""
         if self.passes < MAX_PASSES:
@@ -205,7 +195,7 @@
         if self._admissions_until_aged > 0 or not self._entries:
             return None
         oldest = min(self._entries.values(), key=lambda entry: entry.request.arrived_at)
-        if not oldest.is_aged(now) or not may_overtake(oldest.request.rank):
+        if now < oldest.request.aged_at or not may_overtake(oldest.request.rank):
             return None
         return oldest
 
@@ -214,9 +204,8 @@
     ) -> None:
         for entry in passed:
             entry.passes += 1
-        was_aged = admitted.is_aged(now)
         self._admissions_until_aged -= 1
-        if was_aged:
+        if now >= admitted.request.aged_at:
             self._admissions_until_aged = AGED_INTERVAL
         del self._entries[admitted.request.request_id]
         self._get_queue(admitted).serve(admitted.waiting)
