Learn the speed of engines from times to first events

Cause: the expected wait used one prefill rate for all targets, and a target's slowness showed only in requests that had ended. Change: with has_contended_engines each daemon learns prefill rate and step time for each target; a new target starts from the medians of its service; a slowness that an answer or an overdue request shows raises the cost for about 0.6 s.

--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -10,6 +10,7 @@
 import dataclasses
 import hashlib
 import random
+from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Iterator
 
 from kingcuphead.dispatch._messages import (
@@ -18,6 +19,7 @@
     PlacementRequest,
 )
 from kingcuphead.dispatch._options import Option, choose_cheapest, choose_near_cheapest
+from kingcuphead.dispatch._speed import ServiceSpeed, TargetSpeed
 from kingcuphead.dispatch._subset import Address, EngineSubset
 from kingcuphead.dispatch._target_state import Placement, PrefillPlan, TargetState
 from kingcuphead.loads import PeerLoads, TargetLoad
@@ -44,6 +46,9 @@
         self._peer_loads = peer_loads
         self._rng = rng
         self._states: dict[str, TargetState] = {}
+        self._speeds: defaultdict[str, ServiceSpeed] = defaultdict(
+            lambda: ServiceSpeed(settings)
+        )
         self._subset = EngineSubset(settings.subset_size)
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
@@ -97,6 +102,9 @@
             option.is_preferred,
             option.cost,
         )
+        others = self._peer_loads.get_load(option.target.name)
+        placement.tokens_ahead = state.pending_prefill_tokens + others.unread_tokens
+        placement.running_ahead = state.running + others.running
         state.add(placement, request, now)
         self._announce_if_large(placement)
         return placement
@@ -133,6 +141,7 @@
         """Drop the state of a target that was removed."""
         self._states.pop(target.name, None)
         self._subset.forget(target.name)
+        self._speeds[target.service].forget(target.name)
 
     def _select_available(
         self, candidates: Iterable[Target], excluded: Collection[str], now: float
@@ -185,13 +194,12 @@
 
     def _is_busy(self, request: PlacementRequest, options: list[Option]) -> bool:
         """Whether a request would wait for others at each of some targets."""
-        settings = self._settings
         wait = min(
-            option.wait
-            - option.plan.prefill_tokens / settings.prefill_tokens_per_second
+            option.wait * option.state.latency_ratio
+            - option.plan.prefill_tokens / option.state.speed.rate
             for option in options
         )
-        return wait > settings.max_subset_wait * request.objective
+        return wait > self._settings.max_subset_wait * request.objective
 
     def _list_options(
         self, request: PlacementRequest, targets: list[Target], now: float
@@ -201,8 +209,10 @@
         options = []
         for target in ranked:
             plan = self._plan_prefill(request, target, ranked, now)
-            cost = self._compute_cost(request, target, plan, now)
             state = self._get_state(target)
+            if self._settings.has_contended_engines:
+                state.refresh_latency_ratio(now)
+            cost = self._compute_cost(request, target, plan, now)
             wait = self._estimate_wait(state, target, plan)
             is_preferred = target is ranked[0]
             options.append(Option(target, state, plan, wait, cost, is_preferred))
@@ -310,9 +320,9 @@
         pending = state.pending_prefill_tokens + others.unread_tokens
         running = state.running + others.running
         prefill = plan.prefill_tokens + pending
-        seconds = prefill / settings.prefill_tokens_per_second
+        seconds = prefill / state.speed.rate
         seconds += plan.copied_tokens / settings.kv_copy_tokens_per_second
-        return seconds + running * settings.wait_per_running_request
+        return seconds + running * state.speed.step
 
     def _compute_wait_cost(self, wait: float) -> float:
         """Return the cost of a wait given in units of the latency objective."""
@@ -323,7 +333,8 @@
         """Return the state of the target's incarnation, creating it if needed."""
         state = self._states.get(target.name)
         if state is None or state.started_at_ms != target.started_at_ms:
-            state = TargetState(target.started_at_ms, self._settings)
+            speed = TargetSpeed(target.name, self._speeds[target.service])
+            state = TargetState(target.started_at_ms, self._settings, speed)
             self._states[target.name] = state
         return state
 
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -5,6 +5,11 @@
 
 from kingcuphead.dispatch._health import TargetHealth
 from kingcuphead.dispatch._messages import DispatchSettings, PlacementRequest
+from kingcuphead.dispatch._speed import (
+    MIN_SLOWNESS,
+    OVERDUE_ALLOWANCE_SECONDS,
+    TargetSpeed,
+)
 from kingcuphead.targets import Target
 
 #: Shared prefixes that are tracked per target; the least recently sent is evicted.
@@ -55,6 +60,10 @@
     cost: float
     #: Whether the answer has begun.
     is_started: bool = False
+    #: Known prompt tokens that were pending on the target before this request.
+    tokens_ahead: int = 0
+    #: Known requests that were running on the target.
+    running_ahead: int = 0
 
 
 class TargetState:
@@ -66,10 +75,15 @@
         Unix time in milliseconds at which the incarnation started.
     settings
         Weights of the cost function.
+    speed
+        Speed of the target, learnt where daemons compete for engines.
     """
 
-    def __init__(self, started_at_ms: int, settings: DispatchSettings) -> None:
+    def __init__(
+        self, started_at_ms: int, settings: DispatchSettings, speed: TargetSpeed
+    ) -> None:
         self._settings = settings
+        self._waiting: dict[int, Placement] = {}
         self._prefixes_sent_at: OrderedDict[str, float] = OrderedDict()
         #: Unix time in milliseconds at which the incarnation started.
         self.started_at_ms = started_at_ms
@@ -79,6 +93,8 @@
         self.pending_prefill_tokens = 0
         #: Moving average of the observed wait divided by the expected wait.
         self.latency_ratio = 1.0
+        #: Prefill rate and step time.
+        self.speed = speed
         #: Failure rate and backoff.
         self.health = TargetHealth()
 
@@ -98,6 +114,7 @@
         """Count a request that is sent to the target."""
         self.running += 1
         self.pending_prefill_tokens += placement.prefill.prefill_tokens
+        self._waiting[id(placement)] = placement
         for prefix in request.prefixes:
             self._prefixes_sent_at[prefix.key] = now
             self._prefixes_sent_at.move_to_end(prefix.key)
@@ -107,11 +124,35 @@
     def record_answer_start(self, placement: Placement, now: float) -> None:
         """Remove the pending prefill of a request and update the latency ratio."""
         self.pending_prefill_tokens -= placement.prefill.prefill_tokens
-        self._update_latency_ratio(placement, now)
+        self._waiting.pop(id(placement), None)
+        if not self._settings.has_contended_engines:
+            self._update_latency_ratio(placement, now)
+            return
+        self.speed.record_wait(
+            placement.tokens_ahead + placement.prefill.prefill_tokens,
+            placement.running_ahead,
+            now - placement.placed_at,
+            placement.expected_wait,
+            now,
+        )
+
+    def refresh_latency_ratio(self, now: float) -> None:
+        """Apply how much slower than usual the target is now.
+
+        A request that is overdue shows it before its first event does.
+        """
+        self.latency_ratio = self.speed.get_slowness(now)
+        oldest = next(iter(self._waiting.values()), None)
+        if oldest is not None:
+            expected = OVERDUE_ALLOWANCE_SECONDS + oldest.expected_wait
+            overdue = (now - oldest.placed_at) / expected
+            if overdue >= MIN_SLOWNESS:
+                self.latency_ratio = max(self.latency_ratio, overdue)
 
     def remove(self, placement: Placement) -> None:
         """Stop counting a request whose attempt has ended."""
         self.running -= 1
+        self._waiting.pop(id(placement), None)
         if not placement.is_started:
             self.pending_prefill_tokens -= placement.prefill.prefill_tokens
 
