--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -10,6 +10,7 @@
 import dataclasses
 import heapq
 import random
+from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Iterator
 
 from kingcuphead.dispatch._cold_costs import ColdCosts
@@ -26,6 +27,7 @@
     count_places,
     extrapolate,
 )
+from kingcuphead.dispatch._speed import ServiceSpeed, TargetSpeed
 from kingcuphead.dispatch._subset import Address, EngineSubset
 from kingcuphead.dispatch._target_state import (
     NETWORK_ALLOWANCE_SECONDS,
@@ -65,6 +67,9 @@
         self._rng = rng
         self._states: dict[str, TargetState] = {}
         self._rankings = Rankings()
+        self._speeds: defaultdict[str, ServiceSpeed] = defaultdict(
+            lambda: ServiceSpeed(settings)
+        )
         self._subset = EngineSubset(settings.subset_size)
         #: Number of daemons that share the targets, this one included; 1 if unknown.
         self.daemons = 1
@@ -122,6 +127,9 @@
             option.is_preferred,
             option.cost,
         )
+        others = self._peer_loads.get_load(option.target.name)
+        placement.tokens_ahead = state.pending_prefill_tokens + others.unread_tokens
+        placement.running_ahead = state.running + others.running
         state.add(placement, request, now)
         self.cold_costs.record(option.target)
         self._announce_if_large(placement)
@@ -205,6 +213,7 @@
         self._states.pop(target.name, None)
         self.cold_costs.forget(target)
         self._subset.forget(target.name)
+        self._speeds[target.service].forget(target.name)
 
     def _select_available(
         self, candidates: Iterable[Target], excluded: Collection[str], now: float
@@ -247,7 +256,7 @@
         wait = self._estimate_wait(state, target, plan) * state.latency_ratio
         if wait < remaining:
             return True
-        return self._estimate_prefill(plan) * state.latency_ratio >= remaining
+        return self._estimate_prefill(state, plan) * state.latency_ratio >= remaining
 
     def _choose(
         self, request: PlacementRequest, available: list[Target], now: float
@@ -288,13 +297,12 @@
 
     def _is_busy(self, request: PlacementRequest, options: list[Option]) -> bool:
         """Whether a request would wait for others at each of some targets."""
-        settings = self._settings
         wait = min(
-            option.wait
-            - option.plan.prefill_tokens / settings.prefill_tokens_per_second
+            option.wait * option.state.latency_ratio
+            - option.plan.prefill_tokens / option.state.speed.rate
             for option in options
         )
-        return wait > settings.max_subset_wait * request.objective
+        return wait > self._settings.max_subset_wait * request.objective
 
     def _list_options(
         self, request: PlacementRequest, targets: list[Target], now: float
@@ -306,9 +314,11 @@
         options = []
         for target in shortlist:
             plan = self._plan_prefill(request, target, ranked, now)
+            state = self._get_state(target)
+            if self._settings.has_contended_engines:
+                state.refresh_latency_ratio(now)
             cost = self._compute_cost(request, target, plan, now)
             cost += cold_costs.get(target.name, 0.0)
-            state = self._get_state(target)
             wait = self._estimate_wait(state, target, plan)
             is_preferred = target is ranked[0]
             options.append(Option(target, state, plan, wait, cost, is_preferred))
@@ -428,19 +438,16 @@
         self, state: TargetState, target: Target, plan: PrefillPlan
     ) -> float:
         """Return the expected seconds to the first byte at a latency ratio of 1."""
-        settings = self._settings
         others = self._peer_loads
         pending = state.pending_prefill_tokens + others.get_unread_tokens(target.name)
         running = state.running + others.get_running(target.name)
-        seconds = pending / settings.prefill_tokens_per_second
-        seconds += self._estimate_prefill(plan)
-        return seconds + running * settings.wait_per_running_request
+        seconds = pending / state.speed.rate + self._estimate_prefill(state, plan)
+        return seconds + running * state.speed.step
 
-    def _estimate_prefill(self, plan: PrefillPlan) -> float:
+    def _estimate_prefill(self, state: TargetState, plan: PrefillPlan) -> float:
         """Return the seconds that a prompt takes on an idle target."""
-        settings = self._settings
-        seconds = plan.prefill_tokens / settings.prefill_tokens_per_second
-        return seconds + plan.copied_tokens / settings.kv_copy_tokens_per_second
+        seconds = plan.prefill_tokens / state.speed.rate
+        return seconds + plan.copied_tokens / self._settings.kv_copy_tokens_per_second
 
     def _compute_wait_cost(self, wait: float) -> float:
         """Return the cost of a wait given in units of the latency objective."""
@@ -451,7 +458,8 @@
         """Return the state of the target's incarnation, creating it if needed."""
         state = self._states.get(target.name)
         if state is None or state.started_at_ms != target.started_at_ms:
-            state = TargetState(target.started_at_ms, self._settings)
+            speed = TargetSpeed(target.name, self._speeds[target.service])
+            state = TargetState(target.started_at_ms, self._settings, speed)
             self._states[target.name] = state
         return state
 
