Tell daemons without the store which zones are evacuated

A daemon that is cut off from the store when a zone is evacuated would go on sending there. It now asks others, which answer while they have news of the table themselves; the later position of the table counts.

--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -25,6 +25,7 @@
     QuarantineReported,
 )
 from kingcuphead.resumption import ResumptionMessage, StreamAsked, StreamsBegan
+from kingcuphead.targets import ZonesAsked, ZonesReported
 from kingcuphead.wire import find_codec, name_field, ttypes
 
 #: Maximum size of a datagram in bytes, used as the length limit of the strings and
@@ -39,6 +40,8 @@
     | ResumptionMessage
     | PermitMessage
     | TargetStated
+    | ZonesAsked
+    | ZonesReported
 )
 
 _CLASSES = (
@@ -57,6 +60,8 @@
     TermsReported,
     TargetStated,
     RoomReported,
+    ZonesAsked,
+    ZonesReported,
 )
 _TYPES = {name_field(cls): cls for cls in _CLASSES}
 _FACTORY = TCompactProtocolAcceleratedFactory(
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -32,6 +32,7 @@
     RequestIdentity,
 )
 from kingcuphead.resumption import BegunStream, StreamAsked, StreamsBegan
+from kingcuphead.targets import ZonesAsked, ZonesReported
 
 MESSAGES = (
     LoadsReported("a/1", 7, (TargetLoad("t1", 3, 900),)),
@@ -52,6 +53,8 @@
     CoordinatorProbed(),
     ProbeAnswered(True),
     TermsReported("t1@5", TargetTerms()),
+    ZonesAsked(),
+    ZonesReported(1, 7, ("z-1", "z-2")),
     QuarantineReported((FingerprintQuarantined("f", 3599.5),)),
 )
 
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -12,6 +12,7 @@
 
 from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
 from kingcuphead.entry._caller_server import CallerServer
+from kingcuphead.entry._evacuation_exchange import EvacuationExchange
 from kingcuphead.entry._fleet_links import FleetLinks
 from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
 from kingcuphead.entry._readiness import serve_readiness
@@ -103,6 +104,10 @@
         self._evacuations = EvacuationListener(
             self._directory, self._handle_zone_change
         )
+        self._evacuation_exchange = EvacuationExchange(
+            self._evacuations, self._links.ask_zones
+        )
+        self._links.evacuations = self._evacuation_exchange
         self._links.report_leaving = self._targets.handle_leaving
         self._links.permits.report_cold_denial = self._metrics.record_cold_denial
         self._connector = Connector(
@@ -179,10 +184,13 @@
             (self._evacuations, ConfigurationListener(self._apply_configuration))
         )
         report_failure = self._directory.record_store_failure
+        operator_watch = TableWatch(
+            self._store, CONFIGURATION_TABLE, operator, report_failure
+        )
+        self._evacuation_exchange.get_position = lambda: operator_watch.last_position
         return [
-            TableWatch(
-                self._store, CONFIGURATION_TABLE, operator, report_failure
-            ).run(),
+            operator_watch.run(),
+            self._evacuation_exchange.run(),
             TableWatch(self._store, TARGETS_TABLE, self._targets, report_failure).run(),
             self._sweep(),
             self._watch_settings(),
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -16,6 +16,7 @@
 )
 from kingcuphead.datagrams import Address, Datagram, DatagramSocket, PeerSender
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
+from kingcuphead.entry._evacuation_exchange import EvacuationExchange
 from kingcuphead.entry._peers import PeerDiscovery
 from kingcuphead.forwarding import TargetStated
 from kingcuphead.loads import LoadExchange, LoadsReported, PeerLoads
@@ -43,7 +44,7 @@
     StreamAsked,
     StreamsBegan,
 )
-from kingcuphead.targets import Target, TargetDirectory
+from kingcuphead.targets import Target, TargetDirectory, ZonesAsked, ZonesReported
 
 #: Table of the store that contains the credit rows, in one part per organisation.
 CREDIT_TABLE = "credit"
@@ -106,6 +107,8 @@
         #: Called with a target that said, in an answer passed on to another daemon,
         #: that it leaves.
         self.report_leaving: Callable[[Target], None] | None = None
+        #: Answers which zones are evacuated, and asks while the store is lost.
+        self.evacuations: EvacuationExchange | None = None
         self._directory = directory
         self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
@@ -220,6 +223,25 @@
                 self._apply_statement(message)
             case StreamsBegan() | StreamAsked():
                 self.resumption.handle_message(message, reply)
+            case ZonesAsked() | ZonesReported():
+                self._handle_zones(message, reply)
+
+    def ask_zones(self, question: ZonesAsked) -> None:
+        """Ask some of the other daemons for the evacuated zones."""
+        self._sender.gossip(question)
+
+    def _handle_zones(
+        self, message: ZonesAsked | ZonesReported, reply: Callable[[Datagram], None]
+    ) -> None:
+        if self.evacuations is None:
+            return
+        match message:
+            case ZonesAsked():
+                answer = self.evacuations.make_answer()
+                if answer is not None:
+                    reply(answer)
+            case ZonesReported():
+                self.evacuations.handle_report(message)
 
     def report_statement(self, statement: TargetStated, receiver: Address) -> None:
         """Tell a daemon that passed on an answer what the target said in it."""
--- a/kingcuphead/entry/_table_listeners.py
+++ b/kingcuphead/entry/_table_listeners.py
@@ -24,6 +24,7 @@
     ZoneChange,
     ZoneEvacuated,
     ZoneReadmitted,
+    read_boot_clock,
 )
 
 #: Characters of a zone's name in a log line.
@@ -92,18 +93,29 @@
         self._directory = directory
         self._handle_change = handle_change
         self._reported: set[str] = set()
+        self._read_at = float("-inf")
 
     def apply_snapshot(self, rows: Iterable[Row]) -> None:
         """Replace the evacuated zones by those of the complete table."""
+        self._read_at = read_boot_clock()
         zones = (decode_evacuated_zone(row.key) for row in rows)
-        self._publish(
-            self._directory.replace_evacuated_zones(
-                zone for zone in zones if zone is not None
-            )
-        )
+        self.replace_zones(zone for zone in zones if zone is not None)
+
+    def replace_zones(self, zones: Iterable[str]) -> None:
+        """Replace the evacuated zones."""
+        self._publish(self._directory.replace_evacuated_zones(zones))
+
+    def list_zones(self) -> tuple[str, ...]:
+        """Return the zones that have a row, also those without targets."""
+        return self._directory.evacuated_zones
+
+    def get_age(self) -> float:
+        """Return the seconds since the store last told of the rows, or of no change."""
+        return read_boot_clock() - self._read_at
 
     def apply_changes(self, changes: Iterable[Change]) -> None:
         """Apply changes in the order in which they were committed."""
+        self._read_at = read_boot_clock()
         for change in changes:
             zone = decode_evacuated_zone(change.key)
             if zone is None:
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -19,7 +19,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class _Position:
+class Position:
     """Where the feed of a table was read up to."""
 
     #: Version of the last change.
@@ -91,8 +91,10 @@
         self._table = table
         self._listener = listener
         self._report_failure = report_failure
-        self._position: _Position | None = None
+        self._position: Position | None = None
         self._is_failing = False
+        #: Where the feed was last read up to; it is kept when the store is lost.
+        self.last_position: Position | None = None
 
     async def run(self) -> None:
         """Follow the table until cancelled."""
@@ -107,12 +109,12 @@
         match await self._store.read_table(self._table):
             case Result(tag="ok", ok=snapshot):
                 self._listener.apply_snapshot(snapshot.rows)
-                self._position = _Position(snapshot.version, snapshot.era)
+                self._position = Position(snapshot.version, snapshot.era)
                 self._record_success()
             case Result(error=fault):
                 await self._record_failure(fault, started_at)
 
-    async def _poll_changes(self, position: _Position) -> None:
+    async def _poll_changes(self, position: Position) -> None:
         started_at = time.monotonic()
         match await self._store.follow_table(
             self._table, position.version, LONG_POLL_TIMEOUT
@@ -123,7 +125,7 @@
             case Result(tag="ok", ok=Changes(changes, newest)):
                 self._listener.apply_changes(changes)
                 version = max(position.version, newest)
-                self._position = _Position(version, position.era)
+                self._position = Position(version, position.era)
                 self._record_success()
             case Result(tag="ok", ok=HistoryLost()):
                 logger.info(
@@ -137,6 +139,7 @@
                 await self._record_failure(fault, started_at)
 
     def _record_success(self) -> None:
+        self.last_position = self._position
         if self._is_failing:
             self._is_failing = False
             logger.info("table {} is followed again", self._table)
--- a/kingcuphead/targets/__init__.py
+++ b/kingcuphead/targets/__init__.py
@@ -1,16 +1,21 @@
 """The directory of targets, with those that accept new requests."""
 
-from kingcuphead.targets._cold import ColdLimit, ColdStart
-from kingcuphead.targets._directory import (
+from kingcuphead.targets._changes import (
     DirectoryChange,
     TargetAdded,
-    TargetDirectory,
     TargetLeft,
     ZoneChange,
     ZoneEvacuated,
     ZoneReadmitted,
 )
-from kingcuphead.targets._messages import Availability, Target
+from kingcuphead.targets._cold import ColdLimit, ColdStart
+from kingcuphead.targets._directory import TargetDirectory, read_boot_clock
+from kingcuphead.targets._messages import (
+    Availability,
+    Target,
+    ZonesAsked,
+    ZonesReported,
+)
 
 __all__ = [
     "Availability",
@@ -24,4 +29,7 @@
     "ZoneChange",
     "ZoneEvacuated",
     "ZoneReadmitted",
+    "ZonesAsked",
+    "ZonesReported",
+    "read_boot_clock",
 ]
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -5,6 +5,16 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
+from loguru import logger
+
+from kingcuphead.targets._changes import (
+    DirectoryChange,
+    TargetAdded,
+    TargetLeft,
+    ZoneChange,
+    ZoneEvacuated,
+    ZoneReadmitted,
+)
 from kingcuphead.targets._cold import ColdLimit, ColdStart, ColdTargets
 from kingcuphead.targets._messages import Availability, Target
 
@@ -18,48 +28,6 @@
 MAX_COLD_VIEW_AGE = 3.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetAdded:
-    """A target was added, or restarted under the same name as a new incarnation."""
-
-    #: The target, as described by its new entry.
-    target: Target
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TargetLeft:
-    """A target no longer accepts new requests."""
-
-    #: The target, as described by its last entry.
-    target: Target
-    #: Whether the entry was removed (True), or the target is draining (False).
-    is_removed: bool
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ZoneEvacuated:
-    """The targets of a zone get no new requests from now on."""
-
-    #: Name of the zone.
-    zone: str
-    #: Its targets that have an entry.
-    targets: tuple[Target, ...]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class ZoneReadmitted:
-    """The targets of a zone get requests again."""
-
-    #: Name of the zone.
-    zone: str
-    #: Its targets that have an entry.
-    targets: tuple[Target, ...]
-
-
-DirectoryChange = TargetAdded | TargetLeft
-ZoneChange = ZoneEvacuated | ZoneReadmitted
-
-
 def read_boot_clock() -> float:
     """Return seconds of a clock that, unlike the monotonic one, counts suspension."""
     return time.clock_gettime(time.CLOCK_BOOTTIME)
@@ -91,6 +59,7 @@
         self._cold = ColdTargets(read_unix_time)
         #: Zones that the operator has evacuated, also those without known targets.
         self._evacuated: set[str] = set()
+        self._is_in_doubt = False
         self._targets: dict[str, Target] = {}
         self._expired: set[str] = set()
         self._replaced: set[str] = set()
@@ -270,6 +239,11 @@
         for zone in sorted(zones):
             yield from self.evacuate_zone(zone)
 
+    @property
+    def evacuated_zones(self) -> tuple[str, ...]:
+        """The evacuated zones, also those without known targets."""
+        return tuple(sorted(self._evacuated))
+
     def list_evacuated(self) -> tuple[Target, ...]:
         """Return the targets of the evacuated zones."""
         if not self._evacuated:
@@ -325,6 +299,7 @@
     def tick(self, now: float) -> Iterator[DirectoryChange]:
         """Drop targets whose expired entries weren't written again in time."""
         self._cold.tick(self._read_clock())
+        self._log_doubt()
         if now - self._store_failed_at > REREGISTRATION_PERIOD:
             for name in tuple(self._expired):
                 yield from self._drop(self._targets[name])
@@ -341,6 +316,17 @@
             self._usable[service] = usable
         return usable
 
+    def _log_doubt(self) -> None:
+        """Log when the targets of limited services begin or cease to count as cold."""
+        is_in_doubt = self.has_cold_limits and self.get_age() > MAX_COLD_VIEW_AGE
+        if is_in_doubt == self._is_in_doubt:
+            return
+        self._is_in_doubt = is_in_doubt
+        if is_in_doubt:
+            logger.warning("no news from the store: any target may be cold")
+        else:
+            logger.info("the store tells again which targets are cold")
+
     def _is_usable(self, target: Target) -> bool:
         return (
             target.availability is Availability.READY
--- a/kingcuphead/targets/_messages.py
+++ b/kingcuphead/targets/_messages.py
@@ -43,3 +43,20 @@
     def incarnation(self) -> str:
         """Identity of one run of the target's process."""
         return f"{self.name}@{self.started_at_ms}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZonesAsked:
+    """A daemon without news from the store asks for the evacuated zones."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZonesReported:
+    """The evacuated zones, as a daemon has just read them."""
+
+    #: Era of the store.
+    era: int
+    #: Version of the table.
+    version: int
+    #: Names of the zones.
+    zones: tuple[str, ...]
--- a/kingcuphead/wire/peer.thrift
+++ b/kingcuphead/wire/peer.thrift
@@ -289,6 +289,15 @@
   3: double pause
 }
 
+struct ZonesAsked {
+}
+
+struct ZonesReported {
+  1: i64 era
+  2: i64 version
+  3: list<string> zones
+}
+
 /* The first messages on a connection between two daemons; see kingcuphead/paths. */
 struct TunnelAsked {
   1: string address
@@ -314,6 +323,8 @@
   15: TermsReported terms_reported
   16: TargetStated target_stated
   17: RoomReported room_reported
+  18: ZonesAsked zones_asked
+  19: ZonesReported zones_reported
 }
 
 union PeerMessage {
