--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -26,6 +26,7 @@
     QuarantineReported,
 )
 from kingcuphead.resumption import ResumptionMessage, StreamAsked, StreamsBegan
+from kingcuphead.targets import ZonesAsked, ZonesReported
 from kingcuphead.wire import find_codec, name_field
 from kingcuphead.wire.generated import datagram as generated
 
@@ -46,6 +47,8 @@
     | PermitMessage
     | TargetStated
     | CapacityReported
+    | ZonesAsked
+    | ZonesReported
 )
 
 _CLASSES = (
@@ -66,6 +69,8 @@
     TargetStated,
     RoomReported,
     CapacityReported,
+    ZonesAsked,
+    ZonesReported,
 )
 #: Union field of each class.
 _FIELDS: dict[Any, str] = {cls: name_field(cls) for cls in _CLASSES}
--- a/kingcuphead/wire/datagram.thrift
+++ b/kingcuphead/wire/datagram.thrift
@@ -147,6 +147,15 @@
   5: string readiness
 }
 
+struct ZonesAsked {
+}
+
+struct ZonesReported {
+  1: i64 era
+  2: i64 version
+  3: list<string> zones
+}
+
 union Datagram {
   1: LoadsReported loads_reported
   2: CreditAsked credit_asked
@@ -165,4 +174,6 @@
   17: RoomReported room_reported
   18: CapacityReported capacity_reported
   19: PlacementAnnounced placement_announced
+  20: ZonesAsked zones_asked
+  21: ZonesReported zones_reported
 }
