--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -259,12 +259,7 @@
         is_allowed = pace.allows(self._room.count_own(candidates), gives_way)
         if is_allowed and self._room.has_room(placement, candidates, now):
             return True
-        if not pace.may_probe(now - request.arrived_at):
-            return False
-        if not self._room.has_room(waiting, candidates, now):
-            return False
-        pace.record_probe()
-        return True
+        return self._room.accepts_on_old_reports(waiting, candidates, now)
 
     def _review_bodies(self) -> Iterator[Rejection]:
         """Yield what is refused for want of memory, the least urgent first."""
--- a/kingcuphead/admission/_pace.py
+++ b/kingcuphead/admission/_pace.py
@@ -18,8 +18,6 @@
 LATE_SHARE = 0.75
 #: Part of the difference from the aimed load that is made up in one interval.
 GAIN = 0.5
-#: Seconds of waiting after which a request may go to a target that is reported as full.
-MAX_REPORT_DELAY = 0.1
 
 
 class Pace:
@@ -27,7 +25,6 @@
 
     def __init__(self) -> None:
         self._limit: float | None = None
-        self._probes = 0.0
         self._changed_at = float("-inf")
 
     def is_due(self, now: float) -> bool:
@@ -37,7 +34,6 @@
     def update(self, load: ServiceLoad, now: float) -> None:
         """Change the bound so that the load of all daemons approaches the aim."""
         self._changed_at = now
-        self._probes = max(1.0, load.unused_targets / load.daemons)
         if load.total < MAX_OPEN_LOAD * load.places:
             self._limit = None
             return
@@ -60,11 +56,3 @@
         if self._limit is None:
             return True
         return own < (LATE_SHARE * self._limit if gives_way else self._limit)
-
-    def may_probe(self, waited: float) -> bool:
-        """Return whether a request that waited may go to a target reported as full."""
-        return waited >= MAX_REPORT_DELAY and self._probes >= 1
-
-    def record_probe(self) -> None:
-        """Count a request that was sent to such a target."""
-        self._probes -= 1
--- a/kingcuphead/admission/_reservations.py
+++ b/kingcuphead/admission/_reservations.py
@@ -68,7 +68,7 @@
             self._reservations.move_to_end(request.fingerprint)
             self._places[request.rank].append((due_at, request.fingerprint))
         self._expire(now)
-        return min(MAX_RETRY_AFTER, due_at - now)
+        return min(MAX_RETRY_AFTER, max(MIN_RETRY_AFTER, due_at - now))
 
     def claim(self, fingerprint: str, now: float) -> bool:
         """End the reservation of a request; whether it came back when it was told."""
--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -117,9 +117,7 @@
             wait = 0.0
         if now + wait > request.last_start - self._get_reserve(request):
             yield self.reject(request, Reason.DEADLINE, now)
-        elif self.queue.is_only_of_rank(request):
-            return
-        elif self._shares.is_refused_less(request.rank, now):
+        elif self._is_refused_less(request, now):
             yield self.reject(request, Reason.QUEUE_FULL, now)
         elif self._is_over(request, limit, now):
             yield self.reject(
@@ -170,14 +168,21 @@
     ) -> AdmissionRequest:
         """Return the request to refuse when one too many waits."""
         last = require(self.queue.find_surplus(), "a queue over its bound isn't empty")
-        has_equal_claim = (last.rank, last.organisation) == (
-            request.rank,
-            request.organisation,
+        has_equal_claim = (
+            not self.queue.is_expedited(request.request_id)
+            and last.rank == request.rank
+            and last.organisation == request.organisation
         )
         if has_equal_claim and now - last.arrived_at > MAX_REFUSAL_DELAY:
             return request
         return last
 
+    def _is_refused_less(self, request: AdmissionRequest, now: float) -> bool:
+        """Return whether more urgent ranks are refused a larger share."""
+        if self.queue.is_only_of_rank(request):
+            return False
+        return self._shares.is_refused_less(request.rank, now)
+
     def _is_over(self, request: AdmissionRequest, limit: int, now: float) -> bool:
         """Return whether one request more waits than the bounds allow."""
         is_late = self.queue.is_late(request.request_id)
--- a/kingcuphead/admission/_service_queue.py
+++ b/kingcuphead/admission/_service_queue.py
@@ -111,6 +111,10 @@
         """Return whether a waiting request is expected to miss its objective."""
         return self._entries[request_id].standing is Standing.LATE
 
+    def is_expedited(self, request_id: str) -> bool:
+        """Return whether a waiting request goes ahead of the others of its rank."""
+        return self._entries[request_id].standing is Standing.EXPEDITED
+
     def refresh(self, now: float) -> None:
         """Mark the requests that can no longer start in time."""
         for entry in tuple(self._entries.values()):
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -125,6 +125,15 @@
                 return True
         return False
 
+    def accepts_on_old_reports(
+        self, request: PlacementRequest, candidates: Iterable[Target], now: float
+    ) -> bool:
+        """Return whether a request has waited so long that it may ignore reports."""
+        return any(
+            self._describe_room(request, target).accepts_on_old_reports(request, now)
+            for target in candidates
+        )
+
     def describe_load(
         self, request: PlacementRequest, candidates: Collection[Target]
     ) -> ServiceLoad:
@@ -135,7 +144,6 @@
             sum(room.places for room in rooms),
             sum(room.own for room in rooms),
             sum(room.reported for room in rooms),
-            sum(not room.own for room in rooms),
             1 + self._extrapolate(users),
         )
 
--- a/kingcuphead/dispatch/_room.py
+++ b/kingcuphead/dispatch/_room.py
@@ -26,8 +26,6 @@
     own: int
     #: Number of requests that other daemons are expected to have in progress.
     others: float
-    #: Number of targets where this daemon has none.
-    unused_targets: int
     #: Number of daemons that use the targets, this one included.
     daemons: float
 
@@ -46,6 +44,12 @@
         """Return the load on the candidates."""
         ...
 
+    def accepts_on_old_reports(
+        self, request: PlacementRequest, candidates: Iterable[Target], now: float
+    ) -> bool:
+        """Return whether a request has waited so long that it may ignore reports."""
+        ...
+
     def count_own(self, candidates: Iterable[Target]) -> int:
         """Return the number of requests that this daemon has at the candidates."""
         ...
