Share rounds of transfers, ask at once while the store is silent, ask before credit ends

Requests of one organisation share a round, which another request can no longer cut short by taking what was received.

--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -23,6 +23,8 @@
 LOW_CREDIT_SHARE = 0.5
 #: Seconds for which a request of another daemon for tokens of the reserve is open.
 RESERVE_REQUEST_SECONDS = 0.3
+#: Seconds of demand that a daemon requests from others while the store doesn't answer.
+TRANSFER_SECONDS = 0.5
 #: Weight of the newest request in the moving average of tokens per request.
 REQUEST_TOKENS_WEIGHT = 0.2
 
@@ -186,6 +188,11 @@
         needed = self._get_demand(now) * self._settings.free_seconds
         return max(0, self.count_transferable() - math.ceil(needed))
 
+    def count_lacking(self, now: float) -> int:
+        """Return what the free tokens lack for `TRANSFER_SECONDS` of demand."""
+        needed = math.ceil(self._get_demand(now) * TRANSFER_SECONDS)
+        return max(0, needed - self.count_transferable())
+
     def request_reserve(self, tokens: int, now: float) -> None:
         """Plan to move tokens from the reserve to the free credit.
 
--- a/kingcuphead/credit/_ledger.py
+++ b/kingcuphead/credit/_ledger.py
@@ -132,6 +132,14 @@
         released = ledger.account.count_releasable(ledger.get_released_share(now))
         return ledger.account.count_transferable() + released
 
+    def count_lacking(self, organisation: str, now: float) -> int:
+        """Return what the free credit lacks for the demand until the next transfer."""
+        return self.get_organisation(organisation).account.count_lacking(now)
+
+    def is_store_silent(self, now: float) -> bool:
+        """Whether a call to the store has waited for its answer for long."""
+        return self._contact.is_silent(now)
+
     def count_movable_reserve(self, organisation: str, now: float) -> int:
         """Return the tokens of the reserve that a transaction can make free.
 
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -17,7 +17,12 @@
 from kingcuphead.storage import TablePart
 
 #: Seconds without a renewal after which a waiting request tries a credit transfer.
-TRANSFER_DELAY_SECONDS = 0.12
+TRANSFER_DELAY_SECONDS = 0.06
+#: Seconds for which a request waits while other daemons hold the missing credit: it may
+#: be on its way from one of them to the store or to another daemon.
+UNPROVEN_SECONDS = 0.25
+#: Maximum number of rounds of transfers for one request.
+MAX_TRANSFER_ROUNDS = 3
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -149,19 +154,38 @@
         renewal = self._get_renewal(organisation)
         hold = self._ledger.hold(organisation, tokens, _get_time())
         if hold is not None:
-            renewal.wake_if_low()
+            self._refill(renewal, organisation)
             return Ok(hold)
-        if renewal.is_store_down or self._is_held_elsewhere(renewal, tokens):
+        self._ledger.add_waiting(organisation, tokens)
+        try:
+            return await self._obtain_credit(renewal, organisation, tokens, timeout)
+        finally:
+            self._ledger.remove_waiting(organisation, tokens)
+
+    def _refill(self, renewal: OrganisationRenewal, organisation: str) -> None:
+        """Obtain credit for the next requests if little is left."""
+        if not self._is_store_silent(renewal):
+            renewal.wake_if_low()
+        elif self.transfer_client is not None:
+            lacking = self._ledger.count_lacking(organisation, _get_time())
+            self.transfer_client.prefetch_credit(organisation, lacking)
+
+    async def _obtain_credit(
+        self,
+        renewal: OrganisationRenewal,
+        organisation: str,
+        tokens: int,
+        timeout: float,
+    ) -> Result[Hold, CreditRefused]:
+        is_silent = self._is_store_silent(renewal)
+        if is_silent or self._is_held_elsewhere(renewal, tokens):
+            renewal.wake()
             hold = await self._request_transfer(organisation, tokens)
             if hold is not None:
                 return Ok(hold)
         if renewal.is_store_down:
             return Error(self._refuse(organisation, Shortage.UNREACHABLE))
-        self._ledger.add_waiting(organisation, tokens)
-        try:
-            return await self._wait_for_credit(renewal, organisation, tokens, timeout)
-        finally:
-            self._ledger.remove_waiting(organisation, tokens)
+        return await self._wait_for_credit(renewal, organisation, tokens, timeout)
 
     async def _wait_for_credit(
         self,
@@ -171,6 +195,7 @@
         timeout: float,
     ) -> Result[Hold, CreditRefused]:
         deadline = _get_time() + timeout
+        unproven_until = _get_time() + UNPROVEN_SECONDS
         while _get_time() < deadline and not renewal.is_store_down:
             renewal.wake()
             remaining = deadline - _get_time()
@@ -183,6 +208,8 @@
                 hold = await self._request_transfer(organisation, tokens)
             if hold is not None:
                 return Ok(hold)
+            if shortage is Shortage.UNPROVEN and _get_time() < unproven_until:
+                continue
             if shortage is not None and renewed:
                 return Error(self._refuse(organisation, shortage))
         return Error(self._refuse(organisation, Shortage.UNREACHABLE))
@@ -192,13 +219,30 @@
         """Whether other daemons hold the credit that a request lacks."""
         return renewal.find_shortage(tokens) is Shortage.UNPROVEN
 
+    def _is_store_silent(self, renewal: OrganisationRenewal) -> bool:
+        """Whether the store doesn't answer, by any organisation's calls."""
+        return renewal.is_store_down or self._ledger.is_store_silent(_get_time())
+
     async def _request_transfer(self, organisation: str, tokens: int) -> Hold | None:
-        """Request the tokens a request lacks from other daemons, then try to hold."""
+        """Request the tokens a request lacks from other daemons, then try to hold.
+
+        Another request may take what was received for this one.
+        """
         if self.transfer_client is None:
             return None
-        missing = tokens - self._ledger.get_free_tokens(organisation)
-        await self.transfer_client.request_credit(organisation, missing)
-        return self._ledger.hold(organisation, tokens, _get_time())
+        for _ in range(MAX_TRANSFER_ROUNDS):
+            now = _get_time()
+            missing = tokens - self._ledger.get_free_tokens(organisation)
+            extra = 0
+            if self._ledger.is_store_silent(now):
+                extra = self._ledger.count_lacking(organisation, now)
+            is_received = await self.transfer_client.request_credit(
+                organisation, missing, extra
+            )
+            hold = self._ledger.hold(organisation, tokens, _get_time())
+            if hold is not None or not is_received:
+                return hold
+        return None
 
     def _refuse(self, organisation: str, shortage: Shortage) -> CreditRefused:
         state = self._ledger.describe(organisation, _get_time())
--- a/kingcuphead/credit/_transfer_client.py
+++ b/kingcuphead/credit/_transfer_client.py
@@ -65,7 +65,8 @@
 
     def join(self, tokens: int, extra: int) -> None:
         """Add what one request lacks."""
-        self.least = min(tokens, self.least) if self.wanted else tokens
+        if tokens:
+            self.least = min(tokens, self.least) if self.wanted else tokens
         self.wanted += tokens
         self.extra = max(self.extra, extra)
 
@@ -111,13 +112,14 @@
         self._rng = rng
         self._statements = PeerStatements()
         self._pending: dict[int, _Pending] = {}
-        self._rounds: dict[str, tuple[_Round, asyncio.Task[None]]] = {}
+        self._rounds: dict[str, tuple[_Round, asyncio.Task[bool]]] = {}
         self._unresponsive_until: dict[Address, float] = {}
         self._short_until: dict[str, float] = {}
+        self._no_surplus_until: dict[str, float] = {}
 
     async def request_credit(
         self, organisation: str, tokens: int, extra: int = 0
-    ) -> None:
+    ) -> bool:
         """Request transfers until enough is received or no daemon has more.
 
         Parameters
@@ -128,20 +130,27 @@
             Tokens that a request lacks.
         extra
             Further tokens, of what other daemons don't need for their own demand.
+
+        Returns
+        -------
+        bool
+            Whether all was received that requests lacked.
         """
+        if tokens <= 0:
+            return True
+        if _get_time() < self._short_until.get(organisation, 0.0):
+            return False
+        # The round serves other requests too.
+        return await asyncio.shield(self._join_round(organisation, tokens, extra))
+
+    def prefetch_credit(self, organisation: str, tokens: int) -> None:
+        """Request tokens that other daemons don't need, without waiting for them."""
         now = _get_time()
-        if tokens <= 0 and extra <= 0:
-            return
-        if now < self._short_until.get(organisation, 0.0):
+        if organisation in self._rounds or tokens <= 0:
             return
-        running = self._rounds.get(organisation)
-        if running is None:
-            round_ = _Round(organisation, now + MAX_ROUND_SECONDS)
-            running = round_, asyncio.create_task(self._run_round(round_))
-            self._rounds[organisation] = running
-        running[0].join(max(0, tokens), max(0, extra))
-        # The round serves other requests too.
-        await asyncio.shield(running[1])
+        if now >= self._no_surplus_until.get(organisation, 0.0):
+            self._no_surplus_until[organisation] = now + SHORTAGE_SECONDS
+            self._join_round(organisation, 0, tokens)
 
     def handle_reply(self, reply: CreditHanded) -> None:
         """Apply a reply, including one that arrives after the timeout."""
@@ -159,14 +168,26 @@
         if not pending.replied.done():
             pending.replied.set_result(None)
 
-    async def _run_round(self, round_: _Round) -> None:
+    def _join_round(
+        self, organisation: str, tokens: int, extra: int
+    ) -> asyncio.Task[bool]:
+        running = self._rounds.get(organisation)
+        if running is None:
+            round_ = _Round(organisation, _get_time() + MAX_ROUND_SECONDS)
+            running = round_, asyncio.create_task(self._run_round(round_))
+            self._rounds[organisation] = running
+        running[0].join(tokens, extra)
+        return running[1]
+
+    async def _run_round(self, round_: _Round) -> bool:
+        """Run a round; return whether all was received that requests lacked."""
         try:
             # Requests that arrive together join before the first message.
             await asyncio.sleep(0)
-            is_short = await self._collect(round_)
+            await self._collect(round_)
         finally:
             del self._rounds[round_.organisation]
-        if is_short:
+        if round_.missing:
             until = _get_time() + SHORTAGE_SECONDS
             self._short_until[round_.organisation] = until
         logger.bind(organisation=round_.organisation).info(
@@ -176,27 +197,27 @@
             round_.replied,
             round_.unresponsive,
         )
+        return not round_.missing
 
-    async def _collect(self, round_: _Round) -> bool:
-        """Request what is missing; return whether the daemons asked had too little."""
+    async def _collect(self, round_: _Round) -> None:
+        """Request what is missing until it is received or no daemon has more."""
         while not round_.is_cut_off and _get_time() < round_.deadline:
             peers = self._list_responsive_peers()
             if not self._knows_enough(round_, peers):
                 if await self._probe(round_, peers):
                     continue
                 if not self._may_serve_one(round_, peers):
-                    return True
+                    return
             if await self._request_missing(round_, peers):
                 if not round_.missing:
-                    return False
+                    return
                 continue
             ready_at = self._statements.find_ready_time(
                 round_.organisation, peers, _get_time()
             )
             if ready_at is None:
-                return True
+                return
             await asyncio.sleep(ready_at - _get_time())
-        return bool(round_.missing)
 
     def _knows_enough(self, round_: _Round, peers: tuple[Address, ...]) -> bool:
         """Whether the free credit known of covers what is missing."""
--- /dev/null
+++ b/kingcuphead/credit/tests/test_outage.py
@@ -0,0 +1,63 @@
+"""Plays outages of the store for a fleet with uneven demand.
+
+Guards against credit that idle daemons keep while a daemon with much demand refuses
+requests.
+"""
+
+import asyncio
+
+import pytest
+
+from kingcuphead.credit.tests._fleet import START_SECONDS, Fleet, SimulatedTimeLoop
+
+#: Organisation whose requests go to few daemons.
+NAME = "o0"
+#: Share of the budget that may be on its way or in transactions without an outcome.
+IN_FLIGHT_SHARE = 0.01
+
+
+class UnevenFleet(Fleet):
+    """A fleet where a share of one organisation's requests goes to one daemon."""
+
+    def __init__(self, hot_share, outage, *arguments, **options):
+        super().__init__(*arguments, **options)
+        self.hot_share = hot_share
+        self.outage = outage
+        self.covered = self.refused = self.refused_though_covered = 0
+        self.waits = []
+
+    def is_store_cut(self):
+        begin, end = self.outage
+        now = asyncio.get_running_loop().time() - START_SECONDS
+        return begin <= now < end
+
+    def choose_daemon(self, organisation):
+        is_hot = organisation == NAME and self.rng.random() < self.hot_share
+        task = self.tasks[0] if is_hot else super().choose_daemon(organisation)
+        return RecordingTask(self, task)
+
+
+class RecordingTask:
+    """Records the requests of the organisation that come during the outage."""
+
+    def __init__(self, fleet, task):
+        self.fleet = fleet
+        self.task = task
+
+    async def hold(self, name, tokens, timeout):
+        if name != NAME or not self.fleet.is_store_cut():
+            return await self.task.hold(name, tokens, timeout)
+        fleet, loop = self.fleet, asyncio.get_running_loop()
+        slack = IN_FLIGHT_SHARE * fleet.budgets[name]
+        is_covered = fleet.count_transferable(name) >= tokens + slack
+        begun_at = loop.time()
+        held = await self.task.hold(name, tokens, timeout)
+        fleet.covered += is_covered
+        fleet.refused += held.is_error()
+        fleet.refused_though_covered += is_covered and held.is_error()
+        if held.is_ok():
+            fleet.waits.append(loop.time() - begun_at)
+        return held
+
+    def settle(self, hold, spent):
+        self.task.settle(hold, spent)
--- a/kingcuphead/credit/tests/test_random_runs.py
+++ b/kingcuphead/credit/tests/test_random_runs.py
@@ -6,6 +6,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from kingcuphead.credit import (
@@ -22,12 +23,12 @@
 from kingcuphead.credit._rows import select_shards
 from kingcuphead.credit.tests._store import FaultyStore, renew
 from kingcuphead.routing import Organisation
-from kingcuphead.storage import Committed, Conflict, Unknown
+from kingcuphead.storage import Committed, Conflict
 
 NAMES = ("atelier", "builder")
 STEP = 0.1
 SETTINGS = CreditSettings()
-HANDLE_OUTCOME = OrganisationLedger.handle_outcome
+MAKE_HOLDER_ROW = OrganisationLedger._make_holder_row
 
 
 class Daemon:
@@ -161,14 +162,12 @@
     account.free += moved
 
 
-def confirm_without_outcome(ledger, outcome):
-    """Treat a transaction without an outcome as committed."""
-    sent = ledger._sent
-    if isinstance(outcome, Unknown) and sent is not None:
-        adjustment = sent.adjustment
-        if adjustment.reserve < 0 < adjustment.free:
-            ledger.account.free += adjustment.free
-    return HANDLE_OUTCOME(ledger, outcome)
+def keep_reserve_in_row(ledger, adjustment, stamp):
+    """Write a holder row that still has the tokens moved from the reserve."""
+    row = MAKE_HOLDER_ROW(ledger, adjustment, stamp)
+    if stamp and adjustment.reserve < 0 < adjustment.free:
+        return msgspec.structs.replace(row, reserve=row.reserve - adjustment.reserve)
+    return row
 
 
 def apply_any_reply(endpoint, reply):
@@ -266,8 +265,16 @@
             daemon.ledger.apply_limits(self.list_organisations(), self.version)
 
     def check(self):
+        """Check that what is spent and what daemons may still spend is in the limit."""
         for name in NAMES:
-            assert self.spent[name] <= self.limits[name], (name, self.store.now)
+            accounts = [
+                each.ledger.get_organisation(name).account
+                for each in self.daemons
+                if each.is_up
+            ]
+            kept = sum(each.free + each.reserve for each in accounts)
+            spent = self.spent[name]
+            assert spent + kept <= self.limits[name], (name, self.store.now)
 
 
 def forget_what_was_received(ledger):
@@ -392,7 +399,7 @@
         "owner, method, mutation",
         [
             (CreditLedger, "request_reserve", transfer_from_reserve),
-            (OrganisationLedger, "handle_outcome", confirm_without_outcome),
+            (OrganisationLedger, "_make_holder_row", keep_reserve_in_row),
         ],
     )
     def test_simulations_detect_reserves_that_are_transferred_too_early(
