--- a/kingcuphead/capacity/__init__.py
+++ b/kingcuphead/capacity/__init__.py
@@ -1,9 +1,10 @@
 """Load of this daemon, and moving callers to other daemons when it is too large."""
 
+from kingcuphead.capacity._busy_time import TimedSelector
 from kingcuphead.capacity._connections import CallerConnection, CallerConnections
 from kingcuphead.capacity._exchange import CapacityExchange, CapacityFigures
 from kingcuphead.capacity._messages import CapacityReported, Readiness
-from kingcuphead.capacity._meter import InstanceCapacity, OwnLoad
+from kingcuphead.capacity._meter import OwnLoad
 from kingcuphead.capacity._traffic import (
     LINK_TRAFFIC,
     MESSAGE_OVERHEAD_BYTES,
@@ -18,8 +19,8 @@
     "CapacityExchange",
     "CapacityFigures",
     "CapacityReported",
-    "InstanceCapacity",
     "LinkTraffic",
     "OwnLoad",
     "Readiness",
+    "TimedSelector",
 ]
--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import dataclasses
-import time
 from collections.abc import Callable
 
 from loguru import logger
@@ -18,7 +17,6 @@
 )
 from kingcuphead.capacity._messages import CapacityReported, Readiness
 from kingcuphead.capacity._meter import (
-    InstanceCapacity,
     LoadMeter,
     OwnLoad,
     Sample,
@@ -79,6 +77,8 @@
         self._shedder: LoadShedder | None = None
         #: Connections of callers.
         self.connections = CallerConnections()
+        #: Returns the total seconds in which the event loop was busy.
+        self.read_busy_seconds: Callable[[], float] = lambda: 0.0
         #: Returns whether this daemon is ready, shedding apart.
         self.is_serving: Callable[[], bool] = lambda: True
         #: Called with the figures for metrics after each report.
@@ -89,13 +89,13 @@
         """Whether this daemon accepts no new connections, to shed or deflect load."""
         return self._shedder is not None and self._shedder.is_unready
 
-    def apply_limits(self, capacity: InstanceCapacity, is_enabled: bool) -> None:
+    def apply_limits(self, link_mbps: float, is_enabled: bool) -> None:
         """Apply the settings of the process.
 
         Parameters
         ----------
-        capacity
-            What the instance offers this process.
+        link_mbps
+            Capacity of the instance's link in Mbit/s, each way.
         is_enabled
             Whether this daemon measures its load, reports it and sheds.
         """
@@ -105,8 +105,8 @@
             self.connections.unmark()
             return
         if self._meter is None:
-            self._meter = LoadMeter(capacity)
-        self._meter.capacity = capacity
+            self._meter = LoadMeter(link_mbps)
+        self._meter.apply_link(link_mbps)
         self._enabled.set()
 
     async def run(self) -> None:
@@ -117,9 +117,9 @@
             due = loop.time() + SAMPLE_INTERVAL
             await asyncio.sleep(SAMPLE_INTERVAL)
             now = loop.time()
-            self.tick(now, now - due, time.process_time())
+            self.tick(now, now - due, self.read_busy_seconds())
 
-    def tick(self, now: float, lag: float, processor_seconds: float) -> None:
+    def tick(self, now: float, lag: float, busy_seconds: float) -> None:
         """Take a sample and apply what follows from it.
 
         Parameters
@@ -128,8 +128,8 @@
             Time in seconds.
         lag
             Seconds by which the call is late.
-        processor_seconds
-            Processor time of this process.
+        busy_seconds
+            Total seconds in which the event loop was busy.
         """
         if self._meter is None:
             return
@@ -137,7 +137,7 @@
             self._shedder = LoadShedder(self._sender, self._zone_loads, now)
         traffic = LINK_TRAFFIC
         self._load = self._meter.measure(
-            Sample(now, processor_seconds, traffic.sent, traffic.received, lag)
+            Sample(now, busy_seconds, traffic.sent, traffic.received, lag)
         )
         self._zone_loads.expire(now)
         self.connections.rotate(now)
--- a/kingcuphead/capacity/_meter.py
+++ b/kingcuphead/capacity/_meter.py
@@ -8,46 +8,17 @@
 WINDOW = 1.0
 #: Median event loop lag in seconds that counts as full load.
 FULL_LAG = 0.05
-#: Cores that a process with a single event loop can use.
-MAX_CORES = 1.0
 #: Bits in a byte.
 BYTE_BITS = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class InstanceCapacity:
-    """What the instance offers this process."""
-
-    #: Cores that the process may use.
-    cores: float
-    #: Bytes a second that the link carries, each way.
-    link_rate: float
-
-    @classmethod
-    def from_limits(
-        cls, cores: float, cpu_share: float, link_mbps: float
-    ) -> "InstanceCapacity":
-        """Return the capacity within the limits of an instance.
-
-        Parameters
-        ----------
-        cores
-            Cores of the instance.
-        cpu_share
-            Share of the cores that the process may use.
-        link_mbps
-            Capacity of the link in Mbit/s, each way.
-        """
-        return cls(min(cores * cpu_share, MAX_CORES), link_mbps * 1e6 / BYTE_BITS)
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class OwnLoad:
     """Loads of one daemon as parts of its capacity."""
 
     #: Load of the link, in its busier direction.
     link: float = 0.0
-    #: Load of the processor.
+    #: Share of the time in which the event loop is busy.
     processor: float = 0.0
     #: Lag of the event loop.
     lag: float = 0.0
@@ -64,8 +35,8 @@
 
     #: Time in seconds.
     at: float
-    #: Total processor time in seconds.
-    processor_seconds: float
+    #: Total seconds in which the event loop was busy.
+    busy_seconds: float
     #: Total bytes sent.
     sent: int
     #: Total bytes received.
@@ -79,15 +50,18 @@
 
     Parameters
     ----------
-    capacity
-        What the instance offers this process.
+    link_mbps
+        Capacity of the link in Mbit/s, each way.
     """
 
-    def __init__(self, capacity: InstanceCapacity) -> None:
-        #: What the instance offers this process.
-        self.capacity = capacity
+    def __init__(self, link_mbps: float) -> None:
+        self.apply_link(link_mbps)
         self._samples: deque[Sample] = deque()
 
+    def apply_link(self, link_mbps: float) -> None:
+        """Replace the capacity of the link in Mbit/s."""
+        self._link_rate = link_mbps * 1e6 / BYTE_BITS
+
     def measure(self, sample: Sample) -> OwnLoad:
         """Add a sample and return the load; no load before the first whole window."""
         samples = self._samples
@@ -101,11 +75,11 @@
         busier_direction = max(
             sample.sent - first.sent, sample.received - first.received
         )
-        processor_seconds = sample.processor_seconds - first.processor_seconds
+        busy_seconds = sample.busy_seconds - first.busy_seconds
         # The median ignores a single long callback.
         lag = statistics.median(each.lag for each in samples)
         return OwnLoad(
-            link=busier_direction / seconds / self.capacity.link_rate,
-            processor=processor_seconds / seconds / self.capacity.cores,
+            link=busier_direction / seconds / self._link_rate,
+            processor=busy_seconds / seconds,
             lag=max(0.0, min(lag / FULL_LAG, 1.0)),
         )
--- a/kingcuphead/credit/tests/test_outage.py
+++ b/kingcuphead/credit/tests/test_outage.py
@@ -6,9 +6,7 @@
 
 import asyncio
 
-import pytest
-
-from kingcuphead.credit.tests._fleet import START_SECONDS, Fleet, SimulatedTimeLoop
+from kingcuphead.credit.tests._fleet import START_SECONDS, Fleet
 
 #: Organisation whose requests go to few daemons.
 NAME = "o0"
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import signal
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from expression import Result
@@ -170,6 +170,16 @@
         self._metrics.watch_memory(lambda: account.used)
         return account
 
+    def measure_load(self, read_busy_seconds: Callable[[], float]) -> None:
+        """Measure the load of the processor by the busy time of the event loop.
+
+        Parameters
+        ----------
+        read_busy_seconds
+            Returns the total seconds in which the event loop was busy.
+        """
+        self._links.capacity.read_busy_seconds = read_busy_seconds
+
     async def run(self) -> bool:
         """Run until a signal arrives or a background task fails.
 
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from kingcuphead.admission import AdmissionGate
-from kingcuphead.capacity import CapacityExchange, CapacityReported, InstanceCapacity
+from kingcuphead.capacity import CapacityExchange, CapacityReported
 from kingcuphead.credit import (
     CreditAsked,
     CreditHanded,
@@ -175,11 +175,7 @@
 
     def apply_limits(self, profile: Profile) -> None:
         """Apply the limits of the instance."""
-        limits = profile.limits
-        capacity = InstanceCapacity.from_limits(
-            limits.cores, limits.cpu_share, limits.link_mbps
-        )
-        self.capacity.apply_limits(capacity, profile.is_constrained)
+        self.capacity.apply_limits(profile.limits.link_mbps, profile.is_constrained)
 
     def _make_loads(
         self, identity: str, peer_loads: PeerLoads, dispatcher: Dispatcher
--- a/kingcuphead/entry/_main.py
+++ b/kingcuphead/entry/_main.py
@@ -8,6 +8,7 @@
 
 from expression import Result
 
+from kingcuphead.capacity import TimedSelector
 from kingcuphead.entry._daemon import EntryDaemon
 from kingcuphead.logs import BoundedStream, LogSettings, set_up_logs
 from kingcuphead.platform import SETTINGS_VARIABLE, read_profile
@@ -36,7 +37,17 @@
             set_up_logs(
                 LogSettings(), profile.instance, BoundedStream(sys.stdout.fileno())
             )
-            return 0 if asyncio.run(EntryDaemon(profile, options.profile).run()) else 1
+            return 0 if _run_daemon(EntryDaemon(profile, options.profile)) else 1
         case Result(error=fault):
             print(f"settings: {fault.key}: {fault.cause}", file=sys.stderr)
             return 2
+
+
+def _run_daemon(daemon: EntryDaemon) -> bool:
+    """Run a daemon on an event loop that measures its own load."""
+    selector = TimedSelector()
+    daemon.measure_load(selector.get_busy_seconds)
+    with asyncio.Runner(
+        loop_factory=lambda: asyncio.SelectorEventLoop(selector)
+    ) as runner:
+        return runner.run(daemon.run())
