Count permits of cold targets by name of the target

A daemon that was cut off may ask about an incarnation that others have replaced; each incarnation had an account and owners of its own.

Tests of permits and targets pass.

--- a/kingcuphead/permits/_bucket.py
+++ b/kingcuphead/permits/_bucket.py
@@ -46,8 +46,16 @@
         self._fill(now)
         return max(0.0, 1 - self._tokens) / self._rate
 
+    def is_full(self, now: float) -> bool:
+        """Whether no more tokens are added."""
+        self._fill(now)
+        return self._tokens >= self._capacity
+
+    @property
+    def _capacity(self) -> float:
+        return 1 + self._burst_seconds * self._rate
+
     def _fill(self, now: float) -> None:
-        capacity = 1 + self._burst_seconds * self._rate
         earned = self._rate * max(0.0, now - self._updated_at)
-        self._tokens = min(capacity, self._tokens + earned)
+        self._tokens = min(self._capacity, self._tokens + earned)
         self._updated_at = now
--- a/kingcuphead/permits/_coordinator.py
+++ b/kingcuphead/permits/_coordinator.py
@@ -7,6 +7,7 @@
 from kingcuphead.permits._cold import NO_HOLDER_WAIT, SAVED_SECONDS, ColdBounds
 from kingcuphead.permits._room import OpenRequests, TargetRoom
 from kingcuphead.permits._terms import TargetTerms
+from kingcuphead.targets import get_target_name
 
 #: Seconds after which a place may be free again.
 ROOM_WAIT = 0.02
@@ -52,7 +53,6 @@
 @dataclasses.dataclass(slots=True)
 class _Account:
     bucket: TokenBucket
-    cold_bucket: TokenBucket
     room: TargetRoom
     asked_at: float
 
@@ -70,6 +70,9 @@
     def __init__(self, rng: random.Random) -> None:
         self._rng = rng
         self._accounts: dict[str, _Account] = {}
+        #: By name of the target: a daemon that was cut off may ask about an incarnation
+        #: that another one has replaced.
+        self._cold_buckets: dict[str, TokenBucket] = {}
         #: Bound on the requests to cold targets.
         self.cold_bounds = ColdBounds()
 
@@ -96,8 +99,9 @@
             if position is None or position >= self.cold_bounds.holders:
                 return NO_HOLDER
             rate = self.cold_bounds.compute_rate(cold_limit, position)
-            account.cold_bucket.apply_rate(rate, now)
-            wait = account.cold_bucket.get_wait(now)
+            cold_bucket = self._find_cold_bucket(claim.target, now)
+            cold_bucket.apply_rate(rate, now)
+            wait = cold_bucket.get_wait(now)
             if wait > 0:
                 return Decision(False, wait)
         if claim.terms.is_brittle:
@@ -108,7 +112,7 @@
         if decision.is_granted:
             account.room.record(claim.open_requests, now)
             if cold_limit is not None:
-                account.cold_bucket.try_take(now)
+                self._find_cold_bucket(claim.target, now).try_take(now)
         return decision
 
     def record_open_requests(
@@ -126,7 +130,6 @@
             self._drop_expired(now)
             account = _Account(
                 bucket=TokenBucket(self._rng.random(), now),
-                cold_bucket=TokenBucket(1.0, now, SAVED_SECONDS),
                 room=TargetRoom(now),
                 asked_at=now,
             )
@@ -134,6 +137,23 @@
         account.asked_at = now
         return account
 
+    def _find_cold_bucket(self, target: str, now: float) -> TokenBucket:
+        name = get_target_name(target)
+        bucket = self._cold_buckets.get(name)
+        if bucket is None:
+            if len(self._cold_buckets) >= MANY_ACCOUNTS:
+                self._drop_full_buckets(now)
+            bucket = self._cold_buckets[name] = TokenBucket(1.0, now, SAVED_SECONDS)
+        return bucket
+
+    def _drop_full_buckets(self, now: float) -> None:
+        """Drop the buckets of targets that got no permit lately."""
+        self._cold_buckets = {
+            name: bucket
+            for name, bucket in self._cold_buckets.items()
+            if not bucket.is_full(now)
+        }
+
     def _drop_expired(self, now: float) -> None:
         if len(self._accounts) < MANY_ACCOUNTS:
             return
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -26,7 +26,7 @@
 from kingcuphead.permits._ranking import ANSWER_TIMEOUT, Address, CoordinatorRanking
 from kingcuphead.permits._room import OpenRequests
 from kingcuphead.permits._terms import TargetTerms, TermsTable
-from kingcuphead.targets import Target
+from kingcuphead.targets import Target, get_target_name
 
 #: Seconds after which a denied permit is asked for again, at the latest; by then a
 #: daemon that was cut off may reach the coordinator.
@@ -217,9 +217,8 @@
         self, target: Target, terms: TargetTerms, is_doubtful: bool
     ) -> Decision:
         """Ask the owners of a cold target's permits until one of them decides."""
-        identity = target.incarnation
         count = self._coordinator.cold_bounds.holders
-        for address in self.ranking.list_holders(identity, count):
+        for address in self.ranking.list_holders(target.name, count):
             question = self._make_question(target, terms, is_doubtful)
             if address == self._own_address:
                 claim = _make_claim(question, address)
@@ -294,7 +293,8 @@
         position = None
         if claim.terms.cold_requests_per_second is not None:
             holders = self._coordinator.cold_bounds.holders
-            position = self.ranking.find_position(claim.target, holders, now)
+            name = get_target_name(claim.target)
+            position = self.ranking.find_position(name, holders, now)
         return self._coordinator.decide(claim, share, now, position)
 
     def _report_room(self, target: str, was_rejected: bool) -> None:
--- a/kingcuphead/permits/_ranking.py
+++ b/kingcuphead/permits/_ranking.py
@@ -174,7 +174,7 @@
         Parameters
         ----------
         target
-            Incarnation of the target.
+            Name of the target.
         count
             Number of daemons that own a part.
         now
--- a/kingcuphead/permits/tests/_cold_fleet.py
+++ b/kingcuphead/permits/tests/_cold_fleet.py
@@ -36,6 +36,8 @@
     def __init__(self, address, fleet):
         self._fleet = fleet
         self.address = address
+        #: What the daemon's last entry of the target says.
+        self.target = TARGET
         #: Daemons of another group can't be reached.
         self.group = 0
         self.has_store = True
@@ -112,7 +114,7 @@
         """Return the daemons in the order of the target, by the list in the store."""
         reader = next(each for each in self.daemons.values() if each.has_store)
         ranking = reader.exchange.ranking
-        ranks = ranking.list_holders(TARGET.incarnation, len(self.listed))
+        ranks = ranking.list_holders(TARGET.name, len(self.listed))
         return [self.daemons[each] for each in ranks if each in self.daemons]
 
     def kill(self, daemon):
@@ -149,12 +151,12 @@
         return sum(each >= start for each in self.sent_at)
 
     async def _serve(self, daemon):
-        if not daemon.exchange.select_open([TARGET]):
+        if not daemon.exchange.select_open([daemon.target]):
             return
-        if await daemon.exchange.claim(TARGET):
+        if await daemon.exchange.claim(daemon.target):
             await asyncio.sleep(self.rng.uniform(*CONNECT_DELAY))
             self.sent_at.append(self.now)
-            daemon.exchange.release(TARGET, was_rejected=False)
+            daemon.exchange.release(daemon.target, was_rejected=False)
 
     async def _run_clocks(self, end):
         polls = {
--- a/kingcuphead/permits/tests/test_cold_fleet.py
+++ b/kingcuphead/permits/tests/test_cold_fleet.py
@@ -1,8 +1,11 @@
+import dataclasses
+
 import pytest
 
 from kingcuphead.permits.tests._cold_fleet import (
     EVEN_INTERVAL,
     EVEN_REQUESTS,
+    TARGET,
     ColdFleet,
 )
 from kingcuphead.permits.tests._virtual_time import run
@@ -78,6 +81,17 @@
 
         play(limit, seed, scenario)
 
+    def test_while_some_daemons_know_an_earlier_incarnation(self, limit, seed):
+        """Each incarnation would have an account and owners of its own."""
+
+        async def scenario(fleet):
+            restarted = dataclasses.replace(TARGET, started_at_ms=2)
+            for daemon in fleet.list_holders()[::2]:
+                daemon.target = restarted
+            await fleet.run(8)
+
+        play(limit, seed, scenario)
+
     def test_while_each_zone_is_cut_off_from_the_others(self, limit, seed):
         """Each zone would find a coordinator of its own that grants the whole."""
 
--- a/kingcuphead/targets/__init__.py
+++ b/kingcuphead/targets/__init__.py
@@ -15,6 +15,7 @@
     Target,
     ZonesAsked,
     ZonesReported,
+    get_target_name,
 )
 
 __all__ = [
@@ -31,5 +32,6 @@
     "ZoneReadmitted",
     "ZonesAsked",
     "ZonesReported",
+    "get_target_name",
     "read_boot_clock",
 ]
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -16,7 +16,7 @@
     ZoneReadmitted,
 )
 from kingcuphead.targets._cold import ColdLimit, ColdStart, ColdTargets
-from kingcuphead.targets._messages import Availability, Target
+from kingcuphead.targets._messages import Availability, Target, get_target_name
 
 #: Seconds after the start of the last failed call to the store within which targets
 #: write their expired entries again.
@@ -288,7 +288,7 @@
 
     def is_known_warm(self, incarnation: str) -> bool:
         """Whether an incarnation is warm, by news from the store that aren't old."""
-        target = self._targets.get(incarnation.rpartition("@")[0])
+        target = self._targets.get(get_target_name(incarnation))
         return (
             target is not None
             and target.incarnation == incarnation
--- a/kingcuphead/targets/_messages.py
+++ b/kingcuphead/targets/_messages.py
@@ -45,6 +45,11 @@
         return f"{self.name}@{self.started_at_ms}"
 
 
+def get_target_name(incarnation: str) -> str:
+    """Return the name of the target that an incarnation is of."""
+    return incarnation.rpartition("@")[0]
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class ZonesAsked:
     """A daemon without news from the store asks for the evacuated zones."""
