Keep events in order while a write to a slow caller completes

An event that came after a write was done, but before its callback ran, was sent ahead of the events that waited for that callback; a stream with HTTP/1.0 could be closed before its last bytes. test_http_caller.py failed before.

--- a/kingcuphead/entry/_http_caller.py
+++ b/kingcuphead/entry/_http_caller.py
@@ -35,6 +35,7 @@
         self._connection = connection
         self._unsent_head: tuple[ResponseStartLine, HTTPHeaders] | None = None
         self._is_chunked = False
+        self._has_length = False
         self._backlog = bytearray()
         self._unsent_bytes = 0
         self._written_blocks = 0
@@ -76,10 +77,12 @@
             self._send_head(chunk)
             return
         self._send_head(None)
-        if self._is_chunked:
+        if self._has_length:
+            self._connection.write(chunk)
+        elif self._is_chunked:
             self._send_bytes(b"%x\r\n%b\r\n" % (len(chunk), chunk))
         else:
-            self._connection.write(chunk)
+            self._send_bytes(chunk)
 
     async def drain(self) -> None:
         """Wait until the caller has taken most of what was sent."""
@@ -109,6 +112,10 @@
         """Complete the answer; the rest of it is sent as the caller reads."""
         self._send_head(None)
         self._write_backlog()
+        if not self._connection.stream.closed():
+            # The library may close the connection once the last write that it knows
+            # of is done.
+            self._connection.write(b"")
         self._connection.finish()
 
     def abort(self) -> None:
@@ -128,6 +135,7 @@
         self._connection.write_headers(start_line, headers, chunk)
         # The library adds this header unless the answer has a length.
         self._is_chunked = headers.get("Transfer-Encoding") == "chunked"
+        self._has_length = "Content-Length" in headers
         if self._is_chunked:
             # The next event doesn't wait until the caller has acknowledged this one.
             self._connection.stream.set_nodelay(True)
@@ -136,7 +144,8 @@
         """Pass bytes to the kernel, and keep those that it doesn't take."""
         stream = self._connection.stream
         sent = 0
-        if not stream.writing():
+        # After a write is done, bytes may still wait in the backlog for its callback.
+        if not stream.writing() and not self._written_blocks:
             with contextlib.suppress(OSError):
                 sent = stream.write_to_fd(memoryview(data)) or 0
         if sent < len(data):
