Prepare a log record for its format only; cost eight targets at most

The text of the fields was built for JSON lines too. Tests: logs, dispatch, platform, loads, permits pass; TestShortlist finds the only idle target of 70.

--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -29,9 +29,7 @@
 #: Targets whose cost is computed because they come first in rendezvous order.
 MAX_RANKED = 4
 #: Further targets whose cost is computed because of their small load.
-MAX_LEAST_LOADED = 6
-
-_NO_PREFILL = PrefillPlan(0)
+MAX_LEAST_LOADED = 4
 
 
 class Dispatcher:
@@ -176,8 +174,12 @@
 
     def _estimate_delay(self, target: Target) -> float:
         """Return the seconds that the load of a target adds to any request there."""
+        settings, others = self._settings, self._peer_loads
         state = self._get_state(target)
-        seconds = self._estimate_wait(state, target, _NO_PREFILL)
+        pending = state.pending_prefill_tokens + others.get_unread_tokens(target.name)
+        running = state.running + others.get_running(target.name)
+        seconds = pending / settings.prefill_tokens_per_second
+        seconds += running * settings.wait_per_running_request
         return (seconds + NETWORK_ALLOWANCE_SECONDS) * state.latency_ratio
 
     def _plan_prefill(
--- a/kingcuphead/dispatch/tests/test_dispatch.py
+++ b/kingcuphead/dispatch/tests/test_dispatch.py
@@ -248,3 +248,46 @@
         allowance = RetryAllowance(ratio=0.0, burst=12, window=10.0)
         assert allowance.try_spend("pool", 0.0)
         assert allowance.try_spend("desk", 0.0)
+
+
+class TestShortlist:
+    """Only a few of many targets are costed."""
+
+    TARGETS = tuple(
+        dataclasses.replace(
+            TARGETS[0], name=f"t{number}", address=f"10.0.1.{number}:80"
+        )
+        for number in range(70)
+    )
+
+    @pytest.mark.parametrize("shared", [0, 5_000])
+    def test_the_only_idle_target_of_many_is_found(self, shared):
+        """A bound on the candidates must not hide the target with most room."""
+        peer_loads = PeerLoads()
+        dispatcher = make_dispatcher(peer_loads)
+        for number in range(20):
+            idle = f"t{(7 * number) % 70}"
+            loads = tuple(
+                TargetLoad(target.name, 8, 60_000)
+                for target in self.TARGETS
+                if target.name != idle
+            )
+            peer_loads.apply_report(LoadsReported("d2", number + 1, loads), 0.0)
+            request = PlacementRequest("pool", (), 1_000)
+            if shared:
+                request = make_request(f"s{number}", shared)
+            placement = dispatcher.place(request, self.TARGETS, (), 0.0)
+            assert placement.target.name == idle
+            dispatcher.withdraw(placement)
+
+    def test_the_preferred_target_stays_when_entries_are_replaced(self):
+        """Each heartbeat of a target replaces its entry."""
+        dispatcher = make_dispatcher()
+        first = dispatcher.place(make_request(), self.TARGETS, (), 0.0)
+        replaced = tuple(dataclasses.replace(each, sequence=9) for each in self.TARGETS)
+        second = dispatcher.place(make_request(), replaced, (), 0.0)
+        assert second.target.name == first.target.name
+        assert second.target.sequence == 9
+        without = [each for each in replaced if each.name != first.target.name]
+        third = dispatcher.place(make_request(), without, (), 0.0)
+        assert third.target.name != first.target.name
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -13,7 +13,7 @@
 from kingcuphead.settings import LogFormat, LogSettings
 
 if TYPE_CHECKING:
-    from loguru import FormatFunction, Record
+    from loguru import FormatFunction, PatcherFunction, Record
 
 #: Bound values that are written to a line; all others are dropped, so that a binding
 #: by mistake cannot write prompt text or keys to the log.
@@ -79,7 +79,9 @@
         Stream that receives the lines.
     """
     logger.remove()
-    logger.configure(extra={"instance": instance}, patcher=_prepare_record)
+    logger.configure(
+        extra={"instance": instance}, patcher=_get_patcher(settings.format)
+    )
     sink: Any = stream
     logger.add(
         sink,
@@ -117,16 +119,23 @@
             return TEXT_FORMAT
 
 
-def _prepare_record(record: "Record") -> None:
-    """Add the allowed fields and the encoded JSON line to a record."""
-    extra = record["extra"]
-    fields = {name: extra[name] for name in sorted(ALLOWED_FIELDS & extra.keys())}
+def _get_patcher(format_: LogFormat) -> "PatcherFunction":
+    """Return the function that prepares a record for a format."""
+    match format_:
+        case LogFormat.JSON:
+            return _prepare_json
+        case LogFormat.TEXT:
+            return _prepare_text
+
+
+def _prepare_json(record: "Record") -> None:
+    """Add the JSON line with the allowed fields to a record."""
     line = {
         "at": record["time"].isoformat(),
         "level": record["level"].name.lower(),
         "module": record["name"],
         "message": record["message"],
-        **fields,
+        **_select_fields(record),
     }
     exception = record["exception"]
     if exception is not None:
@@ -134,8 +143,18 @@
             exception.type, exception.value, exception.traceback
         )
         line["exception"] = "".join(lines)
-    extra["fields"] = " ".join(f"{name}={value}" for name, value in fields.items())
-    extra["line"] = msgspec.json.encode(line, enc_hook=str).decode()
+    record["extra"]["line"] = msgspec.json.encode(line, enc_hook=str).decode()
+
+
+def _prepare_text(record: "Record") -> None:
+    """Add the text of the allowed fields to a record."""
+    fields = _select_fields(record)
+    record["extra"]["fields"] = " ".join(f"{key}={fields[key]}" for key in fields)
+
+
+def _select_fields(record: "Record") -> dict[str, Any]:
+    extra = record["extra"]
+    return {name: extra[name] for name in sorted(ALLOWED_FIELDS & extra.keys())}
 
 
 class _LoguruHandler(logging.Handler):
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -323,7 +323,7 @@
 
 def _copy_values(source: HTTPHeaders, name: str, copy: HTTPHeaders) -> None:
     """Copy the values of a header, which were validated when they were received."""
-    first, *others = source.get_list(name)
-    copy[name] = first
-    for value in others:
+    values = source.get_list(name)
+    copy[name] = values[0]
+    for value in values[1:]:
         copy.add(name, value)
