--- a/kingcuphead/admission/tests/test_load.py
+++ b/kingcuphead/admission/tests/test_load.py
@@ -5,6 +5,7 @@
 import pytest
 
 from kingcuphead.admission.tests._load import (
+    Outcome,
     Profile,
     Service,
     arrive,
@@ -21,6 +22,8 @@
 FAST_PLAIN = Profile(
     targets=4, slots=6, work=0.0225, objective=0.163, timeout=1.0, has_tokens=False
 )
+#: Rates and the values of the requests.
+Arrivals = list[tuple[float, dict[str, object]]]
 #: Seconds within which a refusal is sent.
 REFUSAL_SECONDS = 0.05
 
@@ -45,7 +48,7 @@
     """Twice the capacity for 3 s."""
 
     def play_burst(self, profile, seed):
-        arrivals = [(2 * profile.capacity, {})]
+        arrivals: Arrivals = [(2 * profile.capacity, {})]
         outcomes = play_arrivals(profile, 3, arrivals, seed)
         direct = play_arrivals(
             dataclasses.replace(profile, is_queued=False), 3, arrivals, seed
@@ -77,7 +80,7 @@
 
         async def scenario():
             service, rng = Service(ENGINES), random.Random(1)
-            tasks = []
+            tasks: list[asyncio.Task[Outcome]] = []
             while asyncio.get_running_loop().time() < 3:
                 await asyncio.sleep(rng.expovariate(2 * ENGINES.capacity))
                 tasks.append(asyncio.create_task(send(service, rng, len(tasks))))
@@ -99,7 +102,7 @@
     @pytest.mark.parametrize("profile", [ENGINES, PLAIN])
     def test_one_with_ten_times_the_demand_delays_only_itself(self, profile):
         rate = 1.5 * profile.capacity / 16
-        arrivals = [(10 * rate, {"organisation": "heavy"})]
+        arrivals: Arrivals = [(10 * rate, {"organisation": "heavy"})]
         arrivals += [(rate, {"organisation": f"o{number}"}) for number in range(6)]
         outcomes = play_arrivals(profile, 4, arrivals)
         others = [each for each in outcomes if each.organisation != "heavy"]
@@ -160,7 +163,7 @@
     )
     def test_a_burst_is_served_better_than_without_a_queue(self, profile):
         """Daemons that use each free place together fill the queues of targets."""
-        arrivals = [(2 * profile.capacity, {})]
+        arrivals: Arrivals = [(2 * profile.capacity, {})]
         outcomes = play_arrivals(profile, 3, arrivals)
         direct = play_arrivals(
             dataclasses.replace(profile, is_queued=False), 3, arrivals
@@ -179,7 +182,7 @@
             service = Service(profile)
             loads = tuple(TargetLoad(target.name, 4, 0) for target in service.targets)
             service.peer_loads.apply_report(LoadsReported("d1", 1, loads), 0.0)
-            tasks = []
+            tasks: list[asyncio.Task[Outcome]] = []
             await arrive(service, 20.0, 0.5, random.Random(1), tasks)
             return await asyncio.gather(*tasks)
 
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -130,11 +130,12 @@
 class Harness:
     """A request forwarder with two scripted targets, which prefers `first`."""
 
-    def __init__(self, routes, prepaid=None):
+    def __init__(self, routes, prepaid=None, admission=None):
         self.first, self.second = ScriptedTarget("t1"), ScriptedTarget("t2")
         self.routes = routes
         self.ended = []
         self.prepaid = prepaid
+        self.admission = admission
         self.broadcasts = []
 
     async def __aenter__(self):
@@ -187,6 +188,7 @@
                 self.handle_leaving,
                 lambda message, receiver: None,
                 self.permits,
+                self.admission,
             ),
             random.Random(1),
             lambda context, refusal: self.ended.append((context, refusal)),
