--- a/kingcuphead/platform/tests/test_names.py
+++ b/kingcuphead/platform/tests/test_names.py
@@ -9,7 +9,8 @@
 WIRE_NAMES = re.compile(
     r"Attempt-Id|Token-Counts|Prompt-Prefix|Response-Seal|Not-Executed|Deadline-Ms"
     r"|Expect-Instance|Api-Key|Request-Priority|rows-(tx|get|feed)|target_latency_ms"
-    r"|traffic_split|cold_left_ms|KINGCUPHEAD_CONFIG|api/ready"
+    r"|traffic_split|cold_left_ms|cold_per_s|cold_start_s|bounds\.cold|evacuate/"
+    r"|KINGCUPHEAD_CONFIG|api/ready"
 )
 
 
