--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -80,12 +80,7 @@
             return None
         ranked = self._rank(request, available)
         plans = [self._plan_prefill(request, each, ranked, now) for each in ranked]
-        cold_costs = self.cold_costs.compute(request, ranked)
-        costs = [
-            self._compute_cost(request, target, plan, now)
-            + cold_costs.get(target.name, 0.0)
-            for target, plan in zip(ranked, plans, strict=True)
-        ]
+        costs = self._compute_costs(request, ranked, plans, now)
         cost = min(costs)
         choice = costs.index(cost)
         best, plan = ranked[choice], plans[choice]
@@ -206,6 +201,20 @@
             >= request.shared_tokens
         )
 
+    def _compute_costs(
+        self,
+        request: PlacementRequest,
+        targets: list[Target],
+        plans: list[PrefillPlan],
+        now: float,
+    ) -> list[float]:
+        cold_costs = self.cold_costs.compute(request, targets)
+        return [
+            self._compute_cost(request, target, plan, now)
+            + cold_costs.get(target.name, 0.0)
+            for target, plan in zip(targets, plans, strict=True)
+        ]
+
     def _compute_cost(
         self, request: PlacementRequest, target: Target, plan: PrefillPlan, now: float
     ) -> float:
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -85,10 +85,8 @@
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory()
         self._metrics = DaemonMetrics()
-        self._metrics.observe_targets(self._directory)
         peer_loads = PeerLoads()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
-        self._dispatcher.cold_costs.is_cold = self._directory.is_cold
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._links = FleetLinks(
@@ -107,9 +105,7 @@
         self._evacuation_exchange = EvacuationExchange(
             self._evacuations, self._links.ask_zones
         )
-        self._links.evacuations = self._evacuation_exchange
-        self._links.report_leaving = self._targets.handle_leaving
-        self._links.permits.report_cold_denial = self._metrics.record_cold_denial
+        self._connect_targets()
         self._connector = Connector(
             self._links.path_monitor,
             self._links.peer_paths,
@@ -141,6 +137,14 @@
         self._callers = CallerServer(self._forwarder)
         self._failure: BaseException | None = None
 
+    def _connect_targets(self) -> None:
+        """Pass on what becomes known of targets."""
+        self._links.evacuations = self._evacuation_exchange
+        self._links.report_leaving = self._targets.handle_leaving
+        self._links.permits.report_cold_denial = self._metrics.record_cold_denial
+        self._dispatcher.cold_costs.is_cold = self._directory.is_cold
+        self._metrics.observe_targets(self._directory)
+
     async def run(self) -> bool:
         """Run until a signal arrives or a background task fails.
 
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -85,23 +85,21 @@
             ("service",),
             registry=self._registry,
         )
-        self._evacuated_zones = Gauge(
+
+    def observe_targets(self, directory: TargetDirectory) -> None:
+        """Add gauges that read the directory of targets whenever they are scraped."""
+        evacuated = Gauge(
             "kingcuphead_evacuated_zones",
             "Evacuated zones that have targets.",
             registry=self._registry,
         )
-        self._cold_targets = Gauge(
+        evacuated.set_function(lambda: len(directory.list_evacuated_zones()))
+        cold = Gauge(
             "kingcuphead_cold_targets",
             "Targets that are known to be cold.",
             registry=self._registry,
         )
-
-    def observe_targets(self, directory: TargetDirectory) -> None:
-        """Read the gauges of targets from the directory whenever they are scraped."""
-        self._evacuated_zones.set_function(
-            lambda: len(directory.list_evacuated_zones())
-        )
-        self._cold_targets.set_function(lambda: directory.cold_count)
+        cold.set_function(lambda: directory.cold_count)
 
     def record_cold_denial(self, target: Target) -> None:
         """Count a permit that was denied because the target is cold."""
--- a/kingcuphead/entry/tests/test_metrics.py
+++ b/kingcuphead/entry/tests/test_metrics.py
@@ -6,6 +6,7 @@
     run as run_forwarder,
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
+from kingcuphead.targets import Availability, Target, TargetDirectory
 
 
 class TestAttemptResults:
@@ -24,3 +25,20 @@
         name = "kingcuphead_attempt_results_total"
         assert f'{name}{{result="broken",service="pool"}} 1.0' in lines
         assert f'{name}{{result="answered",service="pool"}} 1.0' in lines
+
+
+class TestTargetMetrics:
+    def test_the_gauges_follow_the_directory(self):
+        """An operator sees by them which daemons know of an evacuation."""
+        metrics, directory = DaemonMetrics(), TargetDirectory()
+        metrics.observe_targets(directory)
+        target = Target(
+            "t1", "pool", "10.0.0.1:80", "z", 4, Availability.READY, 1, cold_left=5.0
+        )
+        list(directory.put(target))
+        list(directory.replace_evacuated_zones(["z", "unknown"]))
+        metrics.record_cold_denial(target)
+        lines = metrics.render().decode().splitlines()
+        assert "kingcuphead_evacuated_zones 1.0" in lines
+        assert "kingcuphead_cold_targets 1.0" in lines
+        assert 'kingcuphead_cold_denials_total{service="pool"} 1.0' in lines
