--- a/kingcuphead/targets/_cold.py
+++ b/kingcuphead/targets/_cold.py
@@ -11,8 +11,8 @@
 #: Seconds by which the clock of a target may be ahead of that of this daemon. Entries
 #: that state how long the target stays cold need no such allowance.
 CLOCK_TOLERANCE = 3.0
-#: Seconds after which the targets of a zone that was taken back count as warm, if
-#: neither their entries nor the configuration tell how long they are cold.
+#: Seconds after which the targets of a zone that was taken back count as warm, if their
+#: service has a limit for cold targets, but no period.
 DEFAULT_COLD_PERIOD = 5.0
 
 
@@ -145,7 +145,7 @@
         return max(
             state.stated_until,
             state.started_at + start.period,
-            state.readmitted_at + (start.period or DEFAULT_COLD_PERIOD),
+            state.readmitted_at + _get_readmission_period(start),
         )
 
     def _update(self, state: _State, now: float) -> None:
@@ -162,6 +162,12 @@
             bound.info("target is warm")
 
 
+def _get_readmission_period(start: ColdStart) -> float:
+    if start.period or start.requests_per_second is None:
+        return start.period
+    return DEFAULT_COLD_PERIOD
+
+
 def _is_newer(target: Target, previous: Target) -> bool:
     """Whether an entry was written after another one of the same incarnation."""
     if target.sequence == previous.sequence:
--- a/kingcuphead/targets/tests/test_cold.py
+++ b/kingcuphead/targets/tests/test_cold.py
@@ -135,6 +135,18 @@
         put(directory, *entries)
         assert find_end(directory, clock) == end
 
+    @pytest.mark.parametrize(
+        ("start", "end"), [(ColdStart(0.0, 2.0), 5), (ColdStart(0.0, None), 0)]
+    )
+    def test_services_without_cold_starts_are_warm_when_taken_back(
+        self, directory, clock, start, end
+    ):
+        directory.apply_cold_starts({"pool": start})
+        put(directory, make_entry())
+        list(directory.evacuate_zone("z"))
+        list(directory.readmit_zone("z"))
+        assert find_end(directory, clock) == end
+
     def test_the_count_falls_when_targets_become_warm(self, directory, clock):
         put(directory, make_entry(5.0))
         assert directory.cold_count == 1
