--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -424,6 +424,20 @@
             >= request.shared_tokens
         )
 
+    def _compute_costs(
+        self,
+        request: PlacementRequest,
+        targets: list[Target],
+        plans: list[PrefillPlan],
+        now: float,
+    ) -> list[float]:
+        cold_costs = self.cold_costs.compute(request, targets)
+        return [
+            self._compute_cost(request, target, plan, now)
+            + cold_costs.get(target.name, 0.0)
+            for target, plan in zip(targets, plans, strict=True)
+        ]
+
     def _compute_cost(
         self, request: PlacementRequest, target: Target, plan: PrefillPlan, now: float
     ) -> float:
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -115,16 +115,6 @@
             ("service",),
             registry=self._registry,
         )
-        self._evacuated_zones = Gauge(
-            "kingcuphead_evacuated_zones",
-            "Evacuated zones that have targets.",
-            registry=self._registry,
-        )
-        self._cold_targets = Gauge(
-            "kingcuphead_cold_targets",
-            "Targets that are known to be cold.",
-            registry=self._registry,
-        )
         self._queue_seconds = Histogram(
             "kingcuphead_queue_seconds",
             "Seconds that requests waited for room, by service.",
@@ -159,11 +149,19 @@
         self._unready.inc(max(0.0, figures.unready_seconds - previous.unready_seconds))
 
     def observe_targets(self, directory: TargetDirectory) -> None:
-        """Read the gauges of targets from the directory whenever they are scraped."""
-        self._evacuated_zones.set_function(
-            lambda: len(directory.list_evacuated_zones())
+        """Add gauges that read the directory of targets whenever they are scraped."""
+        evacuated = Gauge(
+            "kingcuphead_evacuated_zones",
+            "Evacuated zones that have targets.",
+            registry=self._registry,
+        )
+        evacuated.set_function(lambda: len(directory.list_evacuated_zones()))
+        cold = Gauge(
+            "kingcuphead_cold_targets",
+            "Targets that are known to be cold.",
+            registry=self._registry,
         )
-        self._cold_targets.set_function(lambda: directory.cold_count)
+        cold.set_function(lambda: directory.cold_count)
 
     def record_cold_denial(self, target: Target) -> None:
         """Count a permit that was denied because the target is cold."""
--- a/kingcuphead/entry/tests/test_http_caller.py
+++ b/kingcuphead/entry/tests/test_http_caller.py
@@ -2,6 +2,7 @@
 
 from tornado.httputil import HTTPHeaders
 
+from kingcuphead.capacity import CallerConnection
 from kingcuphead.entry._http_caller import HttpCaller
 from kingcuphead.forwarding import MemoryAccount
 
@@ -69,7 +70,8 @@
         async def main():
             stream = FakeStream()
             account = MemoryAccount(1_000, covers_requests=True)
-            caller = HttpCaller(FakeConnection(stream), account.open())  # type: ignore[arg-type]
+            connection = FakeConnection(stream)
+            caller = HttpCaller(connection, account.open(), CallerConnection(""))  # type: ignore[arg-type]
             caller.start(200, HTTPHeaders())
             caller.send(b"first")
             await scenario(caller, stream, account)
