--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -287,11 +287,14 @@
 
     def _handle_timer(self) -> None:
         self._timer = None
-        for name, service in self._services.items():
-            self._admit_next(name)
-            self._refuse(service.review(_get_time()))
-        if any(len(service.queue) for service in self._services.values()):
-            self._start_timer()
+        try:
+            for name, service in self._services.items():
+                self._admit_next(name)
+                self._refuse(service.review(_get_time()))
+        finally:
+            # A request whose timer has stopped would wait forever.
+            if any(len(service.queue) for service in self._services.values()):
+                self._start_timer()
 
     def _get_service(self, name: str) -> ServiceAdmission:
         service = self._services.get(name)
--- a/kingcuphead/admission/tests/test_gate.py
+++ b/kingcuphead/admission/tests/test_gate.py
@@ -30,7 +30,7 @@
         (refused, other) = run(scenario, dataclasses.replace(SINGLE, work=60.0))
         for outcome in (refused, other):
             assert outcome.refused.reason is Reason.DEADLINE
-            assert outcome.seconds < SINGLE.timeout
+            assert SINGLE.timeout - 0.05 <= outcome.seconds < SINGLE.timeout
 
     def test_requests_go_on_when_all_targets_are_gone(self):
         """The caller learns at once that there is no target, as without a queue."""
--- a/kingcuphead/entry/tests/test_metrics.py
+++ b/kingcuphead/entry/tests/test_metrics.py
@@ -1,11 +1,16 @@
+import asyncio
+
+from kingcuphead.admission import AdmissionGate, QueueBounds
 from kingcuphead.entry._metrics import DaemonMetrics
 from kingcuphead.forwarding.tests._harness import (
     IDEMPOTENT,
+    Harness,
     make_request,
     make_route,
     run as run_forwarder,
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
+from kingcuphead.forwarding.tests.test_admission import NoRoom
 
 
 class TestAttemptResults:
@@ -24,3 +29,25 @@
         name = "kingcuphead_attempt_results_total"
         assert f'{name}{{result="broken",service="pool"}} 1.0' in lines
         assert f'{name}{{result="answered",service="pool"}} 1.0' in lines
+
+
+class TestQueue:
+    def test_waits_and_refusals_are_counted_by_service(self):
+        metrics = DaemonMetrics()
+        metrics.admission = AdmissionGate(NoRoom(), QueueBounds())
+
+        async def scenario():
+            route = make_route(IDEMPOTENT, timeout=0.2)
+            async with Harness([route], admission=metrics.admission) as harness:
+                serving = asyncio.create_task(harness.serve(make_request(IDEMPOTENT)))
+                await asyncio.sleep(0.05)
+                assert 'queue_length{service="pool"} 1.0' in metrics.render().decode()
+                await serving
+                metrics.record(*harness.ended[0])
+
+        asyncio.run(scenario())
+        text = metrics.render().decode()
+        labels = '{reason="deadline",service="pool"}'
+        assert f"kingcuphead_queue_refusals_total{labels} 1.0" in text
+        assert 'kingcuphead_queue_seconds_count{service="pool"} 1.0' in text
+        assert 'kingcuphead_queue_length{service="pool"} 0.0' in text
--- a/kingcuphead/forwarding/_admission.py
+++ b/kingcuphead/forwarding/_admission.py
@@ -51,12 +51,10 @@
         """Record how long the first answer took, if one attempt brought it."""
         if self._gate is None or context.status != 200 or len(context.records) != 1:
             return
-        answered_at = get_time()
+        seconds = context.records[0].seconds
         if stream is not None and stream.is_started:
-            answered_at = stream.started_at
-        self._gate.answer_times.record(
-            context.service, _get_size(context), answered_at - context.admitted_at
-        )
+            seconds = stream.started_at - context.admitted_at
+        self._gate.answer_times.record(context.service, _get_size(context), seconds)
 
     def _make_request(
         self, gate: AdmissionGate, context: RequestContext
@@ -84,6 +82,7 @@
     def __init__(self, context: RequestContext, targets: TargetChoice) -> None:
         self._context = context
         self._targets = targets
+        self._placement_request = context.make_placement_request()
 
     @property
     def group(self) -> str:
@@ -96,7 +95,7 @@
 
     def make_placement_request(self) -> PlacementRequest:
         """Return the properties on which the choice of a target depends."""
-        return self._context.make_placement_request()
+        return self._placement_request
 
 
 def _get_size(context: RequestContext) -> int:
