--- a/kingcuphead/credit/tests/test_ledger.py
+++ b/kingcuphead/credit/tests/test_ledger.py
@@ -202,6 +202,30 @@
         part = ledger.get_organisation("atelier")
         assert part.get_released_share(10.0 + PERIOD) == pytest.approx(1.0)
 
+    def test_a_call_lost_on_a_full_link_releases_only_what_requests_lack(self):
+        """The release ends with the next answer, and the row lacks what it took.
+
+        The stamp of that row is still that of the lost call; the next one is of now.
+        """
+        store, ledger = FaultyStore(random.Random(1)), make_ledger()
+        store.advance(1.0)
+        ledger.record_demand("atelier", 9_000, store.now)
+        renew(ledger, store)
+        before = ledger.describe("atelier", store.now)
+        store.advance(1.0)
+        renew(ledger, store, is_disconnected=True)
+        store.advance(PERIOD)
+        assert ledger.hold("atelier", before.free + 500, store.now) is not None
+        assert ledger.describe("atelier", store.now).reserve == before.reserve - 500
+        renew(ledger, store)
+        part = ledger.get_organisation("atelier")
+        assert part.get_released_share(store.now) == 0
+        renew(ledger, store)
+        (row,) = store.read("atelier", part.holder_prefix).rows
+        holder = msgspec.json.decode(row.value, type=HolderRow)
+        assert holder.reserve == part.account.reserve
+        assert holder.stamp_ms >= store.time_ms
+
 
 class TestRenewalInterval:
     """Guards against renewals that overload one partition of the store.
--- a/kingcuphead/credit/tests/test_transfer.py
+++ b/kingcuphead/credit/tests/test_transfer.py
@@ -273,6 +273,20 @@
         assert self.ledger.get_free_tokens(NAME) == before + 20_000
         assert len(self.sent) <= len(self.peers) + 3
 
+    def test_tokens_for_the_next_requests_are_those_that_others_do_not_need(self):
+        needing = next(iter(self.peers))
+        self.peers[needing]._ledger.record_demand(NAME, 1_000_000, 0.0)
+
+        async def run():
+            self.client.prefetch_credit(NAME, 35_000)
+            await asyncio.sleep(0.05)
+
+        before = self.ledger.get_free_tokens(NAME)
+        free = self.peers[needing]._ledger.get_free_tokens(NAME)
+        asyncio.run(run())
+        assert self.ledger.get_free_tokens(NAME) >= before + 20_000
+        assert self.peers[needing]._ledger.get_free_tokens(NAME) == free
+
     def test_tokens_too_few_for_any_request_stay_where_they_are(self):
         before = self.ledger.get_free_tokens(NAME)
         self.request_credit(LIMIT)
