--- a/kingcuphead/datagrams/_codec.py
+++ b/kingcuphead/datagrams/_codec.py
@@ -6,9 +6,10 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.TSerialization import deserialize, serialize
 
+from kingcuphead.capacity import CapacityReported
 from kingcuphead.credit import CreditAsked, CreditHanded
 from kingcuphead.forwarding import TargetStated
-from kingcuphead.loads import LoadsReported
+from kingcuphead.loads import LoadsReported, PlacementAnnounced
 from kingcuphead.permits import (
     CoordinatorProbed,
     PermitAnswered,
@@ -25,6 +26,7 @@
     QuarantineReported,
 )
 from kingcuphead.resumption import ResumptionMessage, StreamAsked, StreamsBegan
+from kingcuphead.targets import ZonesAsked, ZonesReported
 from kingcuphead.wire import find_codec, name_field
 from kingcuphead.wire.generated import datagram as generated
 
@@ -37,16 +39,21 @@
 
 Datagram = (
     LoadsReported
+    | PlacementAnnounced
     | CreditAsked
     | CreditHanded
     | QuarantineMessage
     | ResumptionMessage
     | PermitMessage
     | TargetStated
+    | CapacityReported
+    | ZonesAsked
+    | ZonesReported
 )
 
 _CLASSES = (
     LoadsReported,
+    PlacementAnnounced,
     CreditAsked,
     CreditHanded,
     CrashReported,
@@ -61,19 +68,25 @@
     TermsReported,
     TargetStated,
     RoomReported,
+    CapacityReported,
+    ZonesAsked,
+    ZonesReported,
 )
-_TYPES = {name_field(cls): cls for cls in _CLASSES}
+#: Union field of each class.
+_FIELDS: dict[Any, str] = {cls: name_field(cls) for cls in _CLASSES}
+# The encoder in Python, which would be the fallback, accepts only generated structs.
 _FACTORY = TCompactProtocolAcceleratedFactory(
-    string_length_limit=MAX_DATAGRAM_BYTES, container_length_limit=MAX_DATAGRAM_BYTES
+    string_length_limit=MAX_DATAGRAM_BYTES,
+    container_length_limit=MAX_DATAGRAM_BYTES,
+    fallback=False,
 )
 
 
 def encode_datagram(message: Datagram) -> bytes:
     """Return a message as the bytes of one datagram."""
     cls: Any = type(message)
-    union = structs.Datagram(
-        **{name_field(cls): find_codec(cls, structs).encode(message)}
-    )
+    struct = find_codec(cls, structs).encode(message)
+    union = structs.Datagram(**{_FIELDS[cls]: struct})
     return bytes(serialize(union, _FACTORY))
 
 
@@ -82,7 +95,7 @@
     union: Any = structs.Datagram()
     try:
         deserialize(union, datagram, _FACTORY)
-        for field, cls in _TYPES.items():
+        for cls, field in _FIELDS.items():
             struct = getattr(union, field)
             if struct is not None:
                 message: Datagram = find_codec(cls, structs).decode(struct)
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -1,6 +1,8 @@
 import asyncio
 import functools
 import random
+from collections import Counter
+from unittest import mock
 
 import pytest
 
@@ -9,6 +11,7 @@
     Datagram,
     DatagramSocket,
     PeerSender,
+    _socket,
     decode_datagram,
     encode_datagram,
 )
@@ -32,6 +35,7 @@
     RequestIdentity,
 )
 from kingcuphead.resumption import BegunStream, StreamAsked, StreamsBegan
+from kingcuphead.targets import ZonesAsked, ZonesReported
 
 MESSAGES = (
     LoadsReported("a/1", 7, (TargetLoad("t1", 3, 900),)),
@@ -47,11 +51,15 @@
     StreamsBegan((BegunStream("r1", "pool", "v1.1"),)),
     StreamAsked("r1"),
     PermitAsked(4, "t1@5", TargetTerms(1.5, 3), 8, 2),
+    PermitAsked(5, "t1@5", TargetTerms().restrict(2.0), 8, 2, is_doubtful=True),
     RoomReported(5, "t1@5", 1, True),
     PermitAnswered(4, False, 0.25),
+    PermitAnswered(5, False, 0.25, is_holder=False),
     CoordinatorProbed(),
     ProbeAnswered(True),
     TermsReported("t1@5", TargetTerms()),
+    ZonesAsked(),
+    ZonesReported(1, 7, ("z-1", "z-2")),
     QuarantineReported((FingerprintQuarantined("f", 3599.5),)),
 )
 
@@ -76,8 +84,8 @@
     def __init__(self):
         self.receivers = []
 
-    def send(self, message, receiver):
-        self.receivers.append(receiver)
+    def send(self, message, *receivers):
+        self.receivers.extend(receivers)
 
 
 class TestPeerSender:
@@ -95,6 +103,25 @@
         assert len(set(receivers)) == len(receivers) == gossiped
         assert set(receivers) <= set(peers)
 
+    @pytest.mark.parametrize("count", [0, 7, 25, 60])
+    def test_messages_in_turn_reach_all_daemons_equally_often(self, count):
+        socket = RecordingSocket()
+        sender = PeerSender(socket, random.Random(1))
+        sender.peers = self.PEERS[:count]
+        for _ in range(count):
+            sender.send_in_turn(MESSAGES[0])
+        sent = Counter(socket.receivers)
+        assert set(sent) == set(sender.peers)
+        assert set(sent.values()) <= {min(count, MAX_RECEIVERS)}
+
+    def test_messages_in_turn_follow_changes_of_the_fleet(self):
+        socket = RecordingSocket()
+        sender = PeerSender(socket, random.Random(1))
+        for peers in (self.PEERS[:3], self.PEERS[2:5]):
+            sender.peers = peers
+            sender.send_in_turn(MESSAGES[0])
+        assert set(socket.receivers[3:]) == set(self.PEERS[2:5])
+
     def test_a_broadcast_goes_to_all(self):
         socket = RecordingSocket()
         sender = PeerSender(socket, random.Random(1))
@@ -126,6 +153,20 @@
 
         asyncio.run(run())
 
+    def test_a_message_to_several_daemons_is_encoded_once(self, monkeypatch):
+        encoded: list[Datagram] = []
+
+        def encode(message):
+            encoded.append(message)
+            return b"datagram"
+
+        monkeypatch.setattr(_socket, "encode_datagram", encode)
+        socket = DatagramSocket(lambda message, sender: None)
+        socket._transport = mock.Mock(is_closing=lambda: False)
+        socket.send(MESSAGES[0], ("127.0.0.1", 1), ("127.0.0.2", 1))
+        assert encoded == [MESSAGES[0]]
+        assert socket._transport.sendto.call_count == 2
+
     def test_malformed_datagrams_are_dropped(self):
         received = []
         socket = DatagramSocket(lambda message, sender: received.append(message))
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import enum
+import math
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -17,6 +18,12 @@
     prompt_tokens: int = 0
     #: Latency objective for the first byte of the answer in seconds.
     objective: float = 1.0
+    #: Whether the request has the most urgent rank.
+    is_urgent: bool = False
+    #: Time in seconds at which the objective passes; infinite if it isn't known.
+    objective_ends_at: float = math.inf
+    #: Time in seconds since which it waits for room; infinite if it doesn't wait.
+    waiting_since: float = math.inf
 
     @property
     def shared_tokens(self) -> int:
@@ -88,3 +95,24 @@
     #: Cost of a target whose failure rate is 1; also added to a target whose slots
     #: are all taken.
     failure_cost: float = 2.0
+    #: Cost of a cold target for an urgent request.
+    cold_cost: float = 2.0
+    #: Cost, for other requests, of a cold target for each request that it got more than
+    #: the cold target with the fewest.
+    uneven_warming_cost: float = 0.2
+    #: Whether many daemons compete for engines that fail when they hold more tokens
+    #: than their memory has room for. The settings below apply only then.
+    has_contended_engines: bool = False
+    #: Average number of engines of a service that a daemon prefers, in a large fleet.
+    subset_size: int = 6
+    #: Longest shared prefix in tokens of a request that stays among these engines; its
+    #: prefill takes less time than a wait for the engine that has the prefix.
+    max_subset_prefix_tokens: int = 1_000
+    #: Wait for other requests, in units of the latency objective, above which a request
+    #: may go to any engine.
+    max_subset_wait: float = 0.1
+    #: Cost of an engine to which this daemon probably has no open connection.
+    connection_cost: float = 0.05
+    #: Difference of costs at which an engine is chosen 1/e times as often as the
+    #: cheapest one.
+    cost_tolerance: float = 0.01
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -1,11 +1,13 @@
 """The HTTP server for callers, which serves each complete request in its own task."""
 
 import asyncio
-import http.client
+import contextlib
 from collections.abc import Callable
+from typing import cast
 
 from expression import Result
 from loguru import logger
+from tornado.http1connection import HTTP1Connection
 from tornado.httpserver import HTTPServer
 from tornado.httputil import (
     HTTPConnection,
@@ -17,7 +19,20 @@
 )
 from tornado.iostream import StreamClosedError
 
-from kingcuphead.forwarding import Refusal, RequestForwarder, refuse
+from kingcuphead.capacity import (
+    MESSAGE_OVERHEAD_BYTES,
+    CallerConnection,
+    CallerConnections,
+)
+from kingcuphead.entry._http_caller import HttpCaller
+from kingcuphead.forwarding import (
+    Holding,
+    MemoryAccount,
+    OutOfMemoryError,
+    Refusal,
+    RequestForwarder,
+    refuse,
+)
 from kingcuphead.platform import decode_request, make_refusal_headers
 from kingcuphead.routing import CallerLimits
 from kingcuphead.verdict import Reason
@@ -26,40 +41,8 @@
 IDLE_SLACK = 2.0
 #: Seconds after which a caller refused during shutdown may retry, at another daemon.
 SHUTDOWN_RETRY_AFTER = 0.05
-
-
-class HttpCaller:
-    """Writes the answer to one request.
-
-    Parameters
-    ----------
-    connection
-        Connection on which the request arrived.
-    """
-
-    def __init__(self, connection: HTTPConnection) -> None:
-        self._connection = connection
-        #: Whether the status line and the headers were sent.
-        self.is_answered = False
-
-    async def start(self, status: int, headers: HTTPHeaders) -> None:
-        """Send the status line and the headers of the answer."""
-        self.is_answered = True
-        reason = http.client.responses.get(status, "Unknown")
-        start_line = ResponseStartLine("HTTP/1.1", status, reason)
-        await self._connection.write_headers(start_line, headers)
-
-    async def write(self, chunk: bytes) -> None:
-        """Send a part of the body; wait while the connection applies backpressure."""
-        await self._connection.write(chunk)
-
-    def finish(self) -> None:
-        """Complete the answer."""
-        self._connection.finish()
-
-    def abort(self) -> None:
-        """Close the connection, so that the caller detects the incomplete answer."""
-        self._connection.close()  # type: ignore[attr-defined]
+#: Seconds after which a caller may retry whose request found no memory.
+MEMORY_RETRY_AFTER = 0.3
 
 
 class CallerServer(HTTPServerConnectionDelegate):
@@ -69,10 +52,21 @@
     ----------
     forwarder
         Serves the requests.
+    memory
+        Counts the bytes held for requests.
+    connections
+        Keeps the open connections.
     """
 
-    def __init__(self, forwarder: RequestForwarder) -> None:
+    def __init__(
+        self,
+        forwarder: RequestForwarder,
+        memory: MemoryAccount,
+        connections: CallerConnections,
+    ) -> None:
         self._forwarder = forwarder
+        self._memory = memory
+        self._connections = connections
         self._limits = CallerLimits()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closing = False
@@ -114,47 +108,57 @@
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
         """Return the delegate that reads the next request of a connection."""
-        return _RequestReader(request_conn, self._start_task)
+        caller = request_conn.context.remote_ip  # type: ignore[attr-defined]
+        return _RequestReader(
+            cast(HTTP1Connection, request_conn),
+            self._memory.open(),
+            self._connections.find(server_conn, caller),
+            self._start_task,
+        )
 
     def on_close(self, server_conn: object) -> None:
-        """Do nothing; each request registers a close callback of its own."""
+        """Forget a connection; each request registers a close callback of its own."""
+        self._connections.remove(server_conn)
 
     def _start_task(
         self,
-        connection: HTTPConnection,
+        caller: HttpCaller,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
-    ) -> None:
-        task = asyncio.create_task(self._serve(connection, start_line, headers, body))
+    ) -> asyncio.Task[None]:
+        task = asyncio.create_task(self._serve(caller, start_line, headers, body))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
-        connection.set_close_callback(task.cancel)  # type: ignore[attr-defined]
+        return task
 
     async def _serve(
         self,
-        connection: HTTPConnection,
+        caller: HttpCaller,
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
     ) -> None:
-        caller = HttpCaller(connection)
         now = asyncio.get_running_loop().time()
         request_id = ""
         refusal: Refusal | None
         try:
             match decode_request(start_line, headers, body, now):
+                case Result(tag="ok", ok=request) if caller.holding.is_ended:
+                    request_id = request.request_id
+                    refusal = refuse(503, Reason.MEMORY_FULL, MEMORY_RETRY_AFTER)
                 case Result(tag="ok", ok=request) if self._is_closing:
                     request_id = request.request_id
                     refusal = refuse(503, Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
                 case Result(tag="ok", ok=request):
-                    request_id = request.request_id
+                    request_id = caller.holding.request_id = request.request_id
                     refusal = await self._forwarder.serve(request, caller)
                 case Result(error=cause):
                     logger.warning("cannot decode request: {}", cause)
                     refusal = refuse(400, Reason.INVALID_REQUEST)
             if refusal is not None:
-                await _send_refusal(caller, request_id, refusal)
+                _send_refusal(caller, request_id, refusal)
+            await caller.complete()
         except StreamClosedError:
             logger.bind(request_id=request_id).info("caller closed the connection")
         except Exception:
@@ -162,6 +166,8 @@
                 "unexpected error while serving a request"
             )
             caller.abort()
+        finally:
+            caller.holding.close()
 
 
 class _RequestReader(HTTPMessageDelegate):
@@ -169,45 +175,64 @@
 
     def __init__(
         self,
-        connection: HTTPConnection,
+        connection: HTTP1Connection,
+        holding: Holding,
+        traffic: CallerConnection,
         start_task: Callable[
-            [HTTPConnection, RequestStartLine, HTTPHeaders, bytes], None
+            [HttpCaller, RequestStartLine, HTTPHeaders, bytes], asyncio.Task[None]
         ],
     ) -> None:
         self._connection = connection
+        self._holding = holding
+        self._traffic = traffic
         self._start_task = start_task
         self._start_line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._chunks: list[bytes] = []
+        holding.on_end = self._chunks.clear
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
     ) -> None:
         """Store the request line and the headers."""
+        self._traffic.record_received(MESSAGE_OVERHEAD_BYTES)
         if isinstance(start_line, RequestStartLine):
             self._start_line = start_line
             self._headers = headers
 
     def data_received(self, chunk: bytes) -> None:
-        """Store a part of the body."""
-        self._chunks.append(chunk)
+        """Store a part of the body, unless there is no memory for it."""
+        self._traffic.record_received(len(chunk))
+        with contextlib.suppress(OutOfMemoryError):
+            self._holding.take_request_bytes(len(chunk))
+            self._chunks.append(chunk)
 
     def finish(self) -> None:
         """Start serving the complete request."""
-        if self._start_line is not None:
-            body = b"".join(self._chunks)
-            self._start_task(self._connection, self._start_line, self._headers, body)
+        self._holding.on_end = None
+        if self._start_line is None:
+            return
+        body = b"".join(self._chunks)
+        self._chunks.clear()
+        caller = HttpCaller(self._connection, self._holding, self._traffic)
+        task = self._start_task(caller, self._start_line, self._headers, body)
+        self._connection.set_close_callback(lambda: _cancel(task))
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
         self._chunks.clear()
+        self._holding.close()
 
 
-async def _send_refusal(caller: HttpCaller, request_id: str, refusal: Refusal) -> None:
+def _send_refusal(caller: HttpCaller, request_id: str, refusal: Refusal) -> None:
     headers = make_refusal_headers(request_id, refusal.retry_after)
     body = f"{refusal.reason.value}\n".encode()
     headers["Content-Type"] = "text/plain"
     headers["Content-Length"] = str(len(body))
-    await caller.start(refusal.status, headers)
-    await caller.write(body)
+    caller.start(refusal.status, headers)
+    caller.send(body)
     caller.finish()
+
+
+def _cancel(task: asyncio.Task[None]) -> None:
+    task.cancel()
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -6,6 +6,8 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from kingcuphead.admission import AdmissionGate
+from kingcuphead.capacity import CapacityExchange, CapacityReported, InstanceCapacity
 from kingcuphead.credit import (
     CreditAsked,
     CreditHanded,
@@ -16,9 +18,16 @@
 )
 from kingcuphead.datagrams import Address, Datagram, DatagramSocket, PeerSender
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
+from kingcuphead.entry._evacuation_exchange import EvacuationExchange
 from kingcuphead.entry._peers import PeerDiscovery
 from kingcuphead.forwarding import TargetStated
-from kingcuphead.loads import LoadExchange, LoadsReported, PeerLoads
+from kingcuphead.loads import (
+    LoadExchange,
+    LoadsReported,
+    PeerLoads,
+    PlacementAnnounced,
+    TargetLoad,
+)
 from kingcuphead.paths import PathMonitor, PeerPaths
 from kingcuphead.permits import (
     CoordinatorProbed,
@@ -43,7 +52,7 @@
     StreamAsked,
     StreamsBegan,
 )
-from kingcuphead.targets import Target, TargetDirectory
+from kingcuphead.targets import Target, TargetDirectory, ZonesAsked, ZonesReported
 
 #: Table of the store that contains the credit rows, in one part per organisation.
 CREDIT_TABLE = "credit"
@@ -68,7 +77,7 @@
     store
         Client of the platform's store.
     directory
-        Knows the software versions of targets.
+        Knows the software versions of targets, and which of them are cold.
     dispatcher
         Chooses targets; its loads are reported.
     peer_loads
@@ -95,6 +104,7 @@
         incarnation = secrets.token_hex(6)
         identity = f"{instance}/{incarnation}"
         self._retries = retries
+        self._dispatcher = dispatcher
         self._address = (profile.ip, profile.internal_port)
         self._datagrams = DatagramSocket(self._handle_datagram)
         self._sender = PeerSender(self._datagrams, rng)
@@ -106,9 +116,22 @@
         #: Called with a target that said, in an answer passed on to another daemon,
         #: that it leaves.
         self.report_leaving: Callable[[Target], None] | None = None
+        #: Load of this daemon, and whether it sheds.
+        self.capacity = CapacityExchange(
+            identity, profile.zone, self._sender.gossip, self._sender.broadcast
+        )
+        self.apply_limits(profile)
+        #: Holds requests back until targets have room; None if none wait.
+        self.admission: AdmissionGate | None = None
+        #: Answers which zones are evacuated, and asks while the store is lost.
+        self.evacuations: EvacuationExchange | None = None
         self._directory = directory
+        self._dispatcher = dispatcher
         self._loads = self._make_loads(identity, peer_loads, dispatcher)
         dispatcher.announce = self._loads.trigger_report
+        dispatcher.announce_placement = self._announce_placement
+        self._identity = identity
+        self._peer_loads = peer_loads
         ledger = CreditLedger(instance, incarnation)
         self._transfer_endpoint = TransferEndpoint(ledger, identity)
         self._transfer_client = TransferClient(
@@ -127,6 +150,7 @@
         self.quarantine = self._make_quarantine(identity, store)
         #: What targets take from the whole fleet.
         self.permits = self._make_permits(rng)
+        self.permits.apply_cold_bounds(profile.cold_bounds)
         #: Knows the software versions that began streams.
         self.resumption = self._make_resumption(store)
 
@@ -145,9 +169,18 @@
             self.quarantine.run(),
             self.resumption.run(),
             self.permits.run(),
+            self.capacity.run(),
             self._peers.run(),
         ]
 
+    def apply_limits(self, profile: Profile) -> None:
+        """Apply the limits of the instance."""
+        limits = profile.limits
+        capacity = InstanceCapacity.from_limits(
+            limits.cores, limits.cpu_share, limits.link_mbps
+        )
+        self.capacity.apply_limits(capacity, profile.is_constrained)
+
     def _make_loads(
         self, identity: str, peer_loads: PeerLoads, dispatcher: Dispatcher
     ) -> LoadExchange:
@@ -155,7 +188,7 @@
             identity,
             peer_loads,
             dispatcher.list_loads,
-            self._sender.gossip,
+            self._sender.send_in_turn,
             lambda: self.path_monitor.is_lost,
         )
 
@@ -174,6 +207,7 @@
             PermitCoordinator(rng),
             self._datagrams.send,
             self._sender.broadcast,
+            self._directory,
         )
 
     def _make_resumption(self, store: Store) -> ResumptionExchange:
@@ -196,9 +230,8 @@
         self._peers.record_sender(sender)
         self.permits.ranking.record_message(sender, now)
         match message:
-            case LoadsReported():
-                self._loads.handle_report(message)
-                self.peer_paths.record_report(sender, message.is_cut_off, now)
+            case LoadsReported() | CapacityReported() | PlacementAnnounced():
+                self._apply_load(message, sender, now)
             case CreditAsked():
                 reply(self._transfer_endpoint.handle_request(message, now))
             case CreditHanded():
@@ -218,6 +251,48 @@
                 self._apply_statement(message)
             case StreamsBegan() | StreamAsked():
                 self.resumption.handle_message(message, reply)
+            case ZonesAsked() | ZonesReported():
+                self._handle_zones(message, reply)
+
+    def ask_zones(self, question: ZonesAsked) -> None:
+        """Ask some of the other daemons for the evacuated zones."""
+        self._sender.gossip(question)
+
+    def _handle_zones(
+        self, message: ZonesAsked | ZonesReported, reply: Callable[[Datagram], None]
+    ) -> None:
+        if self.evacuations is None:
+            return
+        match message:
+            case ZonesAsked():
+                answer = self.evacuations.make_answer()
+                if answer is not None:
+                    reply(answer)
+            case ZonesReported():
+                self.evacuations.handle_report(message)
+
+    def _apply_load(
+        self,
+        message: LoadsReported | CapacityReported | PlacementAnnounced,
+        sender: Address,
+        now: float,
+    ) -> None:
+        """Apply what another daemon reports about its load or that of targets."""
+        match message:
+            case LoadsReported():
+                self._loads.handle_report(message)
+                self.peer_paths.record_report(sender, message.is_cut_off, now)
+                if self.admission is not None:
+                    # Targets may have room by these loads.
+                    self.admission.wake_soon()
+            case CapacityReported():
+                self.capacity.handle_report(message)
+            case PlacementAnnounced():
+                self._peer_loads.apply_announcement(message, now)
+
+    def _announce_placement(self, load: TargetLoad) -> None:
+        """Tell all daemons of a large prompt, before two of them choose one engine."""
+        self._sender.broadcast(PlacementAnnounced(self._identity, load))
 
     def report_statement(self, statement: TargetStated, receiver: Address) -> None:
         """Tell a daemon that passed on an answer what the target said in it."""
@@ -235,8 +310,13 @@
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
-        self.permits.ranking.apply_peers(peers)
+        now = asyncio.get_running_loop().time()
+        self.permits.ranking.apply_peers(peers, now)
         self.peer_paths.apply_peers(peers)
+        self._dispatcher.apply_daemons(self._address, peers)
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
+        if self.admission is not None:
+            self.admission.bounds.daemons = daemons
+            self._dispatcher.daemons = daemons
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -1,18 +1,23 @@
 """Prometheus metrics of one daemon and the endpoint that exposes them."""
 
 import asyncio
+from collections.abc import Callable
 
-from prometheus_client import (
-    CONTENT_TYPE_LATEST,
-    CollectorRegistry,
+from tornado.httpserver import HTTPServer
+
+from kingcuphead.admission import AdmissionGate
+from kingcuphead.capacity import CapacityFigures, OwnLoad
+from kingcuphead.entry._get_server import Answer, serve_get
+from kingcuphead.entry._instruments import (
+    CONTENT_TYPE,
     Counter,
+    Gauge,
     Histogram,
-    generate_latest,
+    Registry,
+    load_library,
 )
-from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
-
 from kingcuphead.forwarding import Refusal, RequestContext
+from kingcuphead.targets import Target, TargetDirectory
 
 #: Port of the metrics endpoint; the deployment file contains it too.
 METRICS_PORT = 9464
@@ -31,7 +36,7 @@
     """Records counters and latency histograms of completed requests."""
 
     def __init__(self) -> None:
-        self._registry = CollectorRegistry()
+        self._registry = Registry()
         self._labels: set[str] = set()
         self._requests = Counter(
             "kingcuphead_requests",
@@ -71,12 +76,98 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._memory = Gauge(
+            "kingcuphead_held_bytes",
+            "Bytes held for bodies, collected answers and events.",
+            registry=self._registry,
+        )
+        self._memory_ends = Counter(
+            "kingcuphead_memory_ends",
+            "Requests that were ended because the memory was full.",
+            registry=self._registry,
+        )
         self._credit = Histogram(
             "kingcuphead_credit_wait_seconds",
             "Seconds that requests waited for credit.",
             buckets=BUCKETS,
             registry=self._registry,
         )
+        self._load = Gauge(
+            "kingcuphead_load",
+            "Load of this daemon by resource, 1 being its capacity.",
+            ("resource",),
+            registry=self._registry,
+        )
+        self._closed_connections = Counter(
+            "kingcuphead_shed_connections",
+            "Connections of callers that were closed to shed load.",
+            registry=self._registry,
+        )
+        self._unready = Counter(
+            "kingcuphead_shed_seconds",
+            "Seconds in which this daemon was unready to shed load.",
+            registry=self._registry,
+        )
+        self._capacity = CapacityFigures(OwnLoad(), 0, 0.0)
+        self._cold_denials = Counter(
+            "kingcuphead_cold_denials",
+            "Permits denied because the target is or may be cold, by service.",
+            ("service",),
+            registry=self._registry,
+        )
+        self._evacuated_zones = Gauge(
+            "kingcuphead_evacuated_zones",
+            "Evacuated zones that have targets.",
+            registry=self._registry,
+        )
+        self._cold_targets = Gauge(
+            "kingcuphead_cold_targets",
+            "Targets that are known to be cold.",
+            registry=self._registry,
+        )
+        self._queue_seconds = Histogram(
+            "kingcuphead_queue_seconds",
+            "Seconds that requests waited for room, by service.",
+            ("service",),
+            buckets=BUCKETS,
+            registry=self._registry,
+        )
+        self._queue_refusals = Counter(
+            "kingcuphead_queue_refusals",
+            "Requests refused for want of room, by service and reason.",
+            ("service", "reason"),
+            registry=self._registry,
+        )
+        self._queue_length = Gauge(
+            "kingcuphead_queue_length",
+            "Requests that wait for room, by service.",
+            ("service",),
+            registry=self._registry,
+        )
+        #: Holds requests back until targets have room; None if none wait.
+        self.admission: AdmissionGate | None = None
+
+    def record_capacity(self, figures: CapacityFigures) -> None:
+        """Record the load of this daemon and the totals of what it shed."""
+        previous, self._capacity = self._capacity, figures
+        self._load.labels("link").set(figures.load.link)
+        self._load.labels("processor").set(figures.load.processor)
+        self._load.labels("event_loop").set(figures.load.lag)
+        self._closed_connections.inc(
+            figures.closed_connections - previous.closed_connections
+        )
+        self._unready.inc(max(0.0, figures.unready_seconds - previous.unready_seconds))
+
+    def observe_targets(self, directory: TargetDirectory) -> None:
+        """Read the gauges of targets from the directory whenever they are scraped."""
+        self._evacuated_zones.set_function(
+            lambda: len(directory.list_evacuated_zones())
+        )
+        self._cold_targets.set_function(lambda: directory.cold_count)
+
+    def record_cold_denial(self, target: Target) -> None:
+        """Count a permit that was denied because the target is cold."""
+        self._cold_denials.labels(self._choose_label(target.service)).inc()
 
     def record(self, context: RequestContext, refusal: Refusal | None) -> None:
         """Record a request that ended, with its refusal if it was refused."""
@@ -96,10 +187,25 @@
             self._first_event.labels(work_class).observe(context.first_event_seconds)
         if context.credit_seconds:
             self._credit.observe(context.credit_seconds)
+        if self.admission is not None:
+            self._queue_seconds.labels(context.service).observe(context.queue_seconds)
+        if context.queue_figures is not None:
+            self._queue_refusals.labels(context.service, reason).inc()
+
+    def watch_memory(self, get_bytes: Callable[[], int]) -> None:
+        """Expose the bytes that are held for requests."""
+        self._memory.set_function(get_bytes)
+
+    def record_memory_end(self) -> None:
+        """Record a request that was ended because the memory was full."""
+        self._memory_ends.inc()
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
-        return generate_latest(self._registry)
+        if self.admission is not None:
+            for service, length in self.admission.count_waiting():
+                self._queue_length.labels(service).set(length)
+        return self._registry.render()
 
     def _choose_label(self, name: str) -> str:
         """Return the label value of a name; `OTHER_LABEL` once the limit is reached."""
@@ -109,21 +215,11 @@
         return OTHER_LABEL
 
 
-class _MetricsHandler(RequestHandler):
-    def initialize(self, metrics: DaemonMetrics) -> None:
-        self._metrics = metrics
-
-    def get(self) -> None:
-        self.set_header("Content-Type", CONTENT_TYPE_LATEST)
-        self.write(self._metrics.render())
-
-
 def serve_metrics(host: str, metrics: DaemonMetrics) -> HTTPServer:
     """Serve the metrics endpoint on an address."""
-    application = Application(
-        [(METRICS_PATH, _MetricsHandler, {"metrics": metrics})],
-        log_function=lambda handler: None,
-    )
-    server = HTTPServer(application)
-    server.listen(METRICS_PORT, host)
-    return server
+
+    async def answer_scrape() -> Answer:
+        await asyncio.to_thread(load_library)
+        return Answer(200, metrics.render(), CONTENT_TYPE)
+
+    return serve_get(host, METRICS_PORT, METRICS_PATH, answer_scrape)
--- a/kingcuphead/entry/_readiness.py
+++ b/kingcuphead/entry/_readiness.py
@@ -3,22 +3,17 @@
 from collections.abc import Callable
 
 from tornado.httpserver import HTTPServer
-from tornado.web import Application, RequestHandler
 
+from kingcuphead.entry._get_server import Answer, serve_get
 from kingcuphead.platform import READINESS_PATH
 
 ReadinessCheck = Callable[[], bool]
+CheckRecorder = Callable[[bool], None]
 
 
-class _ReadinessHandler(RequestHandler):
-    def initialize(self, is_ready: ReadinessCheck) -> None:
-        self._is_ready = is_ready
-
-    def get(self) -> None:
-        self.set_status(200 if self._is_ready() else 503)
-
-
-def serve_readiness(host: str, port: int, is_ready: ReadinessCheck) -> HTTPServer:
+def serve_readiness(
+    host: str, port: int, is_ready: ReadinessCheck, record: CheckRecorder
+) -> HTTPServer:
     """Serve the readiness endpoint on an address.
 
     Parameters
@@ -29,11 +24,13 @@
         Port to listen on.
     is_ready
         Returns whether this daemon is ready for requests of callers.
+    record
+        Called with the answer to each check.
     """
-    application = Application(
-        [(READINESS_PATH, _ReadinessHandler, {"is_ready": is_ready})],
-        log_function=lambda handler: None,
-    )
-    server = HTTPServer(application)
-    server.listen(port, host)
-    return server
+
+    def answer_check() -> Answer:
+        is_accepting = is_ready()
+        record(is_accepting)
+        return Answer(200 if is_accepting else 503)
+
+    return serve_get(host, port, READINESS_PATH, answer_check)
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -3,17 +3,20 @@
 from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.forwarding._connection import (
     TargetConnection,
-    TargetStream,
     connect_to_target,
     is_refusal,
-    open_stream,
-    set_socket_options,
 )
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EvidenceRecorder
 from kingcuphead.forwarding._forwarder import RequestForwarder
-from kingcuphead.forwarding._memory import AnswerMemory
+from kingcuphead.forwarding._memory import (
+    STREAM_BUFFER_BYTES,
+    Holding,
+    MemoryAccount,
+    OutOfMemoryError,
+    get_account_limit,
+)
 from kingcuphead.forwarding._messages import (
     AnswerHead,
     CallerRequest,
@@ -25,11 +28,16 @@
 from kingcuphead.forwarding._pool import ConnectionPool
 from kingcuphead.forwarding._ports import Caller, HeaderCodec
 from kingcuphead.forwarding._refusals import Refusal, refuse
+from kingcuphead.forwarding._target_stream import (
+    TargetStream,
+    open_stream,
+    set_socket_options,
+)
 from kingcuphead.forwarding._target_watch import TargetWatch
 
 __all__ = [
+    "STREAM_BUFFER_BYTES",
     "AnswerHead",
-    "AnswerMemory",
     "AttemptRunner",
     "Caller",
     "CallerRequest",
@@ -37,6 +45,9 @@
     "Dependencies",
     "EvidenceRecorder",
     "HeaderCodec",
+    "Holding",
+    "MemoryAccount",
+    "OutOfMemoryError",
     "PromptPart",
     "PromptSize",
     "Refusal",
@@ -48,6 +59,7 @@
     "TargetStream",
     "TargetWatch",
     "connect_to_target",
+    "get_account_limit",
     "is_refusal",
     "open_stream",
     "refuse",
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -7,9 +7,9 @@
 from typing import TypeAlias, TypeVar
 
 from kingcuphead.dispatch import AttemptResult
-from kingcuphead.forwarding._connection import AnswerEnd, TargetAnswer
-from kingcuphead.forwarding._events import MAX_EVENT_BYTES, EventSplitter
-from kingcuphead.forwarding._memory import AnswerMemory
+from kingcuphead.forwarding._answer_parser import AnswerEnd
+from kingcuphead.forwarding._connection import TargetAnswer
+from kingcuphead.forwarding._memory import Holding, OutOfMemoryError
 from kingcuphead.forwarding._messages import (
     Address,
     AnswerHead,
@@ -19,6 +19,7 @@
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
 from kingcuphead.forwarding._ports import HeaderCodec
 from kingcuphead.forwarding._stream import AnswerStream
+from kingcuphead.forwarding._transfer import EventTransfer
 from kingcuphead.verdict import Execution
 
 #: Bound in seconds on opening a connection to a target.
@@ -75,6 +76,8 @@
 
     #: Request of the caller.
     request: CallerRequest
+    #: Counts the bytes held for the request.
+    holding: Holding
     #: Values that this fleet adds to the request.
     options: SendOptions
     #: Address of the target as `IP:port`.
@@ -95,6 +98,16 @@
     record_head: Callable[[AnswerHead], None]
 
 
+@dataclasses.dataclass(slots=True)
+class _Exchange:
+    """One request and its answer on a connection."""
+
+    #: The answer; None until the request is sent.
+    answer: TargetAnswer | None = None
+    #: Decoded head of the answer; None until it is received.
+    head: AnswerHead | None = None
+
+
 class AttemptRunner:
     """Runs attempts over pooled connections.
 
@@ -104,16 +117,11 @@
         Pool of connections to targets.
     codec
         Encodes and decodes the headers.
-    memory
-        Bounds the answers that are being collected.
     """
 
-    def __init__(
-        self, pool: ConnectionPool, codec: HeaderCodec, memory: AnswerMemory
-    ) -> None:
+    def __init__(self, pool: ConnectionPool, codec: HeaderCodec) -> None:
         self._pool = pool
         self._codec = codec
-        self._memory = memory
 
     async def run(self, attempt: Attempt, stream: AnswerStream | None) -> AttemptEnd:
         """Send the request and read the answer.
@@ -130,63 +138,67 @@
         except (OSError, TimeoutError) as error:
             cause = f"no connection: {type(error).__name__} {error}"
             return AttemptFailed(AttemptResult.UNREACHABLE, Execution.NOT_RUN, cause)
-        is_complete = False
+        exchange = _Exchange()
         try:
-            request = attempt.request
-            attempt.record_helper(lease.connection.helper)
-            answer = lease.connection.send(
-                request.method,
-                request.uri,
-                self._codec.encode_request(request, attempt.options),
-                request.body,
-            )
-            end = await self._read(attempt, answer, stream)
-            is_complete = answer.is_exchange_complete
-            return end
+            return await self._run_exchange(attempt, lease, exchange, stream)
         finally:
-            self._release_connection(lease, answer if is_complete else None)
-
-    def _release_connection(self, lease: Lease, answer: TargetAnswer | None) -> None:
-        """Return the connection to the pool after a complete exchange; else close it.
-
-        A target cancels a request whose connection closes.
-
-        Parameters
-        ----------
-        lease
-            Lease that ends.
-        answer
-            Answer of the exchange; None if it is incomplete.
-        """
-        if answer is None or answer.head is None:
-            lease.connection.close()
-            return
-        head = self._codec.decode_answer(answer.head.status, answer.head.headers, "")
-        if head.closes_connection:
-            lease.connection.close()
-        else:
-            self._pool.release(lease, head.idle_timeout)
-
-    async def _read(
-        self, attempt: Attempt, answer: TargetAnswer, stream: AnswerStream | None
+            self._release_connection(lease, exchange)
+
+    async def _run_exchange(
+        self,
+        attempt: Attempt,
+        lease: Lease,
+        exchange: "_Exchange",
+        stream: AnswerStream | None,
     ) -> AttemptEnd:
+        request = attempt.request
+        attempt.record_helper(lease.connection.helper)
+        exchange.answer = answer = lease.connection.send(
+            request.method,
+            request.uri,
+            self._codec.encode_request(request, attempt.options),
+            request.body,
+        )
         raw = await _wait_for_first_bytes(attempt, answer.wait_for_head)
         if isinstance(raw, AttemptFailed):
             return raw
         if raw is None:
             return _make_lost_failure("the connection broke before the answer")
-        head = self._codec.decode_answer(
-            raw.status, raw.headers, attempt.request.method
+        exchange.head = head = self._codec.decode_answer(
+            raw.status, raw.headers, request.method
         )
         if head.status != MISDIRECTED:
             attempt.record_head(head)
+        return await self._read(attempt, answer, head, stream)
+
+    def _release_connection(self, lease: Lease, exchange: "_Exchange") -> None:
+        """Return the connection to the pool after a complete exchange; else close it.
+
+        A target cancels a request whose connection closes.
+        """
+        answer, head = exchange.answer, exchange.head
+        if answer is not None:
+            answer.release()
+        is_complete = answer is not None and answer.is_exchange_complete
+        if head is not None and is_complete and not head.closes_connection:
+            self._pool.release(lease, head.idle_timeout)
+        else:
+            lease.connection.close()
+
+    async def _read(
+        self,
+        attempt: Attempt,
+        answer: TargetAnswer,
+        head: AnswerHead,
+        stream: AnswerStream | None,
+    ) -> AttemptEnd:
         fault = _find_fault(attempt, head)
         if fault is not None:
             return fault
         if head.is_not_run:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
-                    _read_body(answer, self._memory), CONNECT_TIMEOUT
+                    _discard_body(answer, attempt.holding), CONNECT_TIMEOUT
                 )
             return AttemptFailed(
                 AttemptResult.REFUSED,
@@ -196,7 +208,7 @@
             )
         if head.is_success and stream is not None:
             return await _read_stream(attempt, answer, head, stream)
-        return await _read_whole(answer, head, self._memory)
+        return await _read_whole(answer, head, attempt.holding)
 
 
 def _find_fault(attempt: Attempt, head: AnswerHead) -> AttemptFailed | None:
@@ -233,31 +245,29 @@
 
 
 async def _wait_for_first_bytes(
-    attempt: Attempt, read: Callable[[], Awaitable[T]]
+    attempt: Attempt, read: Callable[[float | None], Awaitable[T]]
 ) -> T | AttemptFailed:
     """Wait for the first bytes of an answer or of its stream.
 
     After the first-byte timeout the attempt is abandoned if the request may be retried;
     otherwise the wait continues.
     """
-    pending_read = asyncio.ensure_future(read())
     try:
-        done, _ = await asyncio.wait({pending_read}, timeout=attempt.first_byte_timeout)
-        if not done and attempt.claim_retry():
+        return await read(attempt.first_byte_timeout)
+    except TimeoutError:
+        if attempt.claim_retry():
             return AttemptFailed(
                 AttemptResult.SILENT,
                 Execution.MAY_HAVE_RUN,
                 f"no answer within {attempt.first_byte_timeout:.3f} s",
             )
-        return await pending_read
-    finally:
-        pending_read.cancel()
+    return await read(None)
 
 
 async def _read_whole(
-    answer: TargetAnswer, head: AnswerHead, memory: AnswerMemory
+    answer: TargetAnswer, head: AnswerHead, holding: Holding
 ) -> AttemptEnd:
-    body = await _read_body(answer, memory)
+    body = await _read_body(answer, holding)
     if body is None:
         return _make_broken_failure("the answer is too large")
     if answer.end is AnswerEnd.BROKEN:
@@ -265,57 +275,83 @@
     return Answered(head, body)
 
 
-async def _read_body(answer: TargetAnswer, memory: AnswerMemory) -> bytes | None:
-    """Collect a body; None if it is larger than its bound or than the memory left."""
+async def _read_body(answer: TargetAnswer, holding: Holding) -> bytes | None:
+    """Collect a body; None if it is larger than its bound or than the memory left.
+
+    Its bytes count on where the account covers requests.
+
+    Raises
+    ------
+    OutOfMemoryError
+        The request was ended to make room for others.
+    """
     blocks = []
     size = 0
+    is_kept = False
     try:
         async for block in answer.iterate_blocks():
-            if size + len(block) > MAX_ANSWER_BYTES or not memory.reserve(len(block)):
+            if size + len(block) > MAX_ANSWER_BYTES:
                 return None
+            holding.take(len(block))
             blocks.append(block)
             size += len(block)
+        is_kept = answer.end is not AnswerEnd.BROKEN
+        return b"".join(blocks)
+    except OutOfMemoryError:
+        if holding.is_ended:
+            raise
+        return None
     finally:
-        memory.release(size)
-    return b"".join(blocks)
+        if not is_kept or not holding.account.covers_requests:
+            holding.release(size)
+
+
+async def _discard_body(answer: TargetAnswer, holding: Holding) -> None:
+    """Read a body that nobody needs, so that the connection can be used again."""
+    body = await _read_body(answer, holding)
+    if body is not None and answer.end is not AnswerEnd.BROKEN:
+        holding.release_request_bytes(len(body))
 
 
 async def _read_stream(
     attempt: Attempt, answer: TargetAnswer, head: AnswerHead, stream: AnswerStream
 ) -> AttemptEnd:
-    splitter = EventSplitter()
+    transfer = EventTransfer(head, stream)
     block = await _wait_for_first_bytes(attempt, answer.read)
-    while block:
-        if isinstance(block, AttemptFailed):
-            return block
-        for event in splitter.feed(block):
-            if not stream.is_next(event):
-                return _make_broken_failure("an event id is not in sequence")
-            await stream.deliver(head, event)
-        if splitter.is_oversized:
-            return _make_broken_failure(
-                f"an event is larger than {MAX_EVENT_BYTES} bytes"
-            )
-        block = await _read_next(attempt, answer)
+    if isinstance(block, AttemptFailed):
+        return block
+    takes_more = not block or transfer.consume(block)
+    while transfer.fault is None:
+        if not takes_more:
+            await stream.drain()
+        if answer.end is not None and not answer.has_unread_blocks:
+            break
+        stall = await _forward(attempt, answer, transfer)
+        if stall is not None:
+            return stall
+        takes_more = False
+    if transfer.fault is not None:
+        return _make_broken_failure(transfer.fault)
     if answer.end is AnswerEnd.BROKEN:
         return _make_lost_failure("the connection broke within the stream")
-    if splitter.has_partial_event:
+    if transfer.has_partial_event:
         return _make_broken_failure("the stream ended within an event")
     if head.is_unframed and not stream.has_attempt_events:
         return _make_broken_failure("the stream ended before its first event")
-    await stream.finish(head)
+    stream.finish(head)
     return StreamDelivered(head)
 
 
-async def _read_next(attempt: Attempt, answer: TargetAnswer) -> bytes | AttemptFailed:
-    """Return the next bytes of a stream, or a failure when the stream stalls.
+async def _forward(
+    attempt: Attempt, answer: TargetAnswer, transfer: EventTransfer
+) -> AttemptFailed | None:
+    """Forward events until the end or a pause; return a failure when the stream stalls.
 
     A stream that stalls is abandoned only if the request may be retried.
     """
     while True:
         try:
-            async with asyncio.timeout(attempt.stall_timeout):
-                return await answer.read()
+            await answer.forward(transfer.consume, attempt.stall_timeout)
         except TimeoutError:
             if attempt.claim_retry():
                 return AttemptFailed(
@@ -323,6 +359,8 @@
                     Execution.MAY_HAVE_RUN,
                     f"no data in the stream for {attempt.stall_timeout:.3f} s",
                 )
+        else:
+            return None
 
 
 def _make_broken_failure(cause: str) -> AttemptFailed:
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -15,6 +15,7 @@
 from kingcuphead.forwarding._context import AttemptRecord, RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EndedAttempt
+from kingcuphead.forwarding._memory import Holding
 from kingcuphead.forwarding._messages import AnswerHead, SendOptions, TargetStated
 from kingcuphead.forwarding._retry_decision import RetryDecision
 from kingcuphead.forwarding._stream import AnswerStream
@@ -51,7 +52,11 @@
         self._retries = retries
 
     async def run(
-        self, context: RequestContext, placement: Placement, stream: AnswerStream | None
+        self,
+        context: RequestContext,
+        placement: Placement,
+        holding: Holding,
+        stream: AnswerStream | None,
     ) -> AttemptEnd:
         """Send a request to the chosen target and read the answer.
 
@@ -61,6 +66,8 @@
             Request, which keeps what the attempt shows.
         placement
             Choice of the target.
+        holding
+            Counts the bytes held for the request.
         stream
             Receives the events; None for an answer that is returned when complete.
         """
@@ -68,14 +75,14 @@
         context.helper = None
         started_at = get_time()
         if stream is not None:
-            stream.begin_attempt(lambda: self._record_start(context, placement.target))
+            stream.begin_attempt(lambda: self._record_start(context, placement))
         previous_execution, context.execution = (
             context.execution,
             Execution.MAY_HAVE_RUN,
         )
         end: AttemptEnd | None = None
         try:
-            attempt = self._make_attempt(context, placement, stream)
+            attempt = self._make_attempt(context, placement, holding, stream)
             end = await self._dependencies.runner.run(attempt, stream)
         finally:
             self._record_attempt(context, placement, end, get_time() - started_at)
@@ -127,9 +134,15 @@
         self._dependencies.permits.release(
             placement.target, was_rejected=result is AttemptResult.REFUSED
         )
+        if self._dependencies.admission is not None:
+            self._dependencies.admission.wake(context.service)
 
     def _make_attempt(
-        self, context: RequestContext, placement: Placement, stream: AnswerStream | None
+        self,
+        context: RequestContext,
+        placement: Placement,
+        holding: Holding,
+        stream: AnswerStream | None,
     ) -> Attempt:
         now = get_time()
         remaining = context.deadline - now
@@ -145,6 +158,7 @@
         timeout = FIRST_BYTE_TIMEOUT_OBJECTIVES * context.route.objective
         return Attempt(
             request=context.request,
+            holding=holding,
             options=options,
             address=placement.target.address,
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
@@ -171,8 +185,14 @@
         if head.request_id == context.request.request_id:
             permits.record_terms(target, head.terms)
 
-    def _record_start(self, context: RequestContext, target: Target) -> None:
+    def _record_start(self, context: RequestContext, placement: Placement) -> None:
         """Record the software version of the first event that the caller gets."""
+        target = placement.target
+        if self._dependencies.admission is not None:
+            # Prompts that were processed take no room from those that wait.
+            self._dependencies.dispatcher.record_answer_start(placement, get_time())
+            self._dependencies.admission.wake(context.service)
+        self._dependencies.dispatcher.record_first_event(placement, get_time())
         if context.bound_version is None:
             context.bound_version = target.software_version
         stream_id = context.request.stream_id
--- a/kingcuphead/loads/_messages.py
+++ b/kingcuphead/loads/_messages.py
@@ -1,9 +1,9 @@
 """Reports that daemons send each other about the load that they put on targets."""
 
-import dataclasses
+from kingcuphead.frozen import frozen
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TargetLoad:
     """The load of one daemon, or of several together, on one target."""
 
@@ -13,9 +13,12 @@
     running: int
     #: Tokens pending prefill: those of the prompts whose answers have not begun.
     unread_tokens: int
+    #: Tokens of engine memory that its open requests take: prompts, without the parts
+    #: that several of them share, and the longest answers.
+    memory_tokens: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class LoadsReported:
     """All loads of one incarnation of a daemon."""
 
@@ -27,3 +30,13 @@
     loads: tuple[TargetLoad, ...]
     #: Whether the sender can't open connections to targets.
     is_cut_off: bool = False
+
+
+@frozen
+class PlacementAnnounced:
+    """A daemon has just sent a large prompt to a target."""
+
+    #: Identity of the incarnation of the daemon.
+    sender: str
+    #: What the request adds to the load of the target.
+    load: TargetLoad
--- a/kingcuphead/paths/_frames.py
+++ b/kingcuphead/paths/_frames.py
@@ -7,8 +7,9 @@
 from thrift.TSerialization import deserialize, serialize
 from tornado.iostream import IOStream
 
+from kingcuphead.forwarding import TargetStream
 from kingcuphead.paths._messages import TunnelAnswered, TunnelAsked
-from kingcuphead.wire import find_codec
+from kingcuphead.wire import find_codec, make_struct
 from kingcuphead.wire.generated import datagram as structs
 
 #: Largest message in bytes.
@@ -27,15 +28,14 @@
 
 
 async def write_message(
-    stream: IOStream, message: TunnelAsked | TunnelAnswered
+    stream: IOStream | TargetStream, message: TunnelAsked | TunnelAnswered
 ) -> None:
     """Send a message."""
-    cls: Any = type(message)
-    content = bytes(serialize(find_codec(cls, structs).encode(message), _FACTORY))
+    content = bytes(serialize(make_struct(message, structs), _FACTORY))
     await stream.write(_LENGTH.pack(len(content)) + content)
 
 
-async def read_message(stream: IOStream, cls: type[T]) -> T:
+async def read_message(stream: IOStream | TargetStream, cls: type[T]) -> T:
     """Receive a message.
 
     Raises
--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -1,6 +1,10 @@
 """The platform's wire names, formats, headers and calls, without any policy."""
 
-from kingcuphead.platform._configuration import decode_configuration
+from kingcuphead.platform._configuration import (
+    ConfigurationDecoder,
+    decode_configuration,
+    decode_evacuated_zone,
+)
 from kingcuphead.platform._entries import decode_target
 from kingcuphead.platform._headers import (
     PlatformHeaders,
@@ -11,6 +15,7 @@
     READINESS_PATH,
     SETTINGS_VARIABLE,
     Endpoint,
+    InstanceLimits,
     Profile,
     ProfileFault,
     RetryBudget,
@@ -30,9 +35,11 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
     "Change",
+    "ConfigurationDecoder",
     "Changes",
     "Endpoint",
     "HistoryLost",
+    "InstanceLimits",
     "PlatformHeaders",
     "Profile",
     "ProfileFault",
@@ -43,6 +50,7 @@
     "StoreTable",
     "TARGETS_TABLE",
     "decode_configuration",
+    "decode_evacuated_zone",
     "decode_request",
     "decode_target",
     "make_refusal_headers",
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -2,10 +2,14 @@
 
 import dataclasses
 import math
+import re
 from collections.abc import Iterator, Mapping
 
 from expression import Error, Ok, Result
 
+from kingcuphead.permits import ColdBounds
+from kingcuphead.platform._numbers import read_number
+
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "KINGCUPHEAD_CONFIG"
 #: Path of the platform's readiness probe.
@@ -34,6 +38,34 @@
     window: float
 
 
+#: Capacity in Mbit/s of the links that callers of one daemon may fill.
+MAX_NARROW_LINK_MBPS = 200.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class InstanceLimits:
+    """What the instance offers the process; the defaults are the smallest known."""
+
+    #: Number of processor cores.
+    cores: float = 0.387
+    #: Share of the cores that the process may use.
+    cpu_share: float = 1.0
+    #: Memory of the process in megabytes.
+    memory_mb: float = 160.0
+    #: Capacity of the link in Mbit/s, each way.
+    link_mbps: float = 5.0
+
+    @property
+    def has_narrow_link(self) -> bool:
+        """Whether the load that callers bring may fill the link."""
+        return self.link_mbps <= MAX_NARROW_LINK_MBPS
+
+    @property
+    def memory_bytes(self) -> int:
+        """Memory of the process in bytes."""
+        return int(self.memory_mb * 1_000_000)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Profile:
     """Settings that the platform writes for one process."""
@@ -60,6 +92,17 @@
     drain: float
     #: Bound on retries per service.
     retries: RetryBudget
+    #: What the instance offers the process.
+    limits: InstanceLimits = InstanceLimits()
+    #: Whether callers may need more than instances or targets can serve.
+    has_scarce_capacity: bool = False
+    #: Bound on the requests that a cold target gets in one second.
+    cold_bounds: ColdBounds = ColdBounds()
+
+    @property
+    def is_constrained(self) -> bool:
+        """Whether callers may need more than this instance can serve."""
+        return self.has_scarce_capacity or self.limits.has_narrow_link
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -96,6 +139,12 @@
         return Error(ProfileFault(error.key, error.cause))
 
 
+#: Contracts under which callers compete for capacity.
+_SCARCITY_CONTRACTS = frozenset({"pressure", "places"})
+#: Share of the cores that an unreadable share counts as; with the fewest cores it makes
+#: the smallest processor of an instance.
+_SMALLEST_CPU_SHARE = 0.31
+
 _REQUIRED = ("node", "zone", "ip", "listen.front", "listen.ready", "platform.address")
 
 
@@ -127,6 +176,18 @@
             raise _InvalidValueError(key, f"{text!r} is not finite")
         return number
 
+    def get_limit(self, key: str, default: float, fallback: float) -> float:
+        """Return a positive number: the fallback if it is invalid."""
+        text = self._values.get(key, "")
+        return read_number(key, text, fallback, is_positive=True) if text else default
+
+    def get_names(self, key: str) -> frozenset[str]:
+        return frozenset(re.findall(r"[\w-]+", self._values.get(key, "")))
+
+    def get_lenient_number(self, key: str, default: float, fallback: float) -> float:
+        text = self._values.get(key, "")
+        return read_number(key, text, fallback) if text else default
+
     def get_endpoint(self, key: str) -> Endpoint:
         host, _, port = self._values[key].rpartition(":")
         if not host or not port.isdecimal():
@@ -145,6 +206,21 @@
             yield key.strip(), value.strip()
 
 
+def _make_limits(reader: _ValueReader) -> InstanceLimits:
+    smallest = InstanceLimits()
+    return InstanceLimits(
+        *(
+            reader.get_limit(f"limits.{name}", default, fallback)
+            for name, default, fallback in (
+                ("cores", smallest.cores, smallest.cores),
+                ("cpu_share", smallest.cpu_share, _SMALLEST_CPU_SHARE),
+                ("memory_mb", smallest.memory_mb, smallest.memory_mb),
+                ("link_mbps", smallest.link_mbps, smallest.link_mbps),
+            )
+        )
+    )
+
+
 def _make_profile(reader: _ValueReader) -> Profile:
     return Profile(
         instance=reader.get_text("node"),
@@ -162,4 +238,12 @@
             burst=int(reader.get_number("bounds.retry_budget_burst", 10)),
             window=reader.get_number("bounds.budget_window_s", 10.0),
         ),
+        limits=_make_limits(reader),
+        has_scarce_capacity=not _SCARCITY_CONTRACTS.isdisjoint(
+            reader.get_names("contracts")
+        ),
+        cold_bounds=ColdBounds(
+            ratio=reader.get_lenient_number("bounds.cold_over", 1.5, 1.0),
+            extra=reader.get_lenient_number("bounds.cold_slack", 5.0, 1.0),
+        ),
     )
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -1,15 +1,24 @@
 import json
+import operator
+import time
+from typing import Any
 
 import pytest
 
+from kingcuphead.permits import ColdBounds
 from kingcuphead.platform import (
+    ConfigurationDecoder,
     decode_configuration,
+    decode_evacuated_zone,
     decode_target,
     parse_profile,
 )
+from kingcuphead.platform.tests._documents import encode_large_configuration
 from kingcuphead.routing import RequestKind, RoutingTable, choose_service
 from kingcuphead.targets import Availability
 
+#: Seconds for which a new version may hold the event loop.
+MAX_SECONDS = 0.02
 CONFIGURATION = {
     "version": 7,
     "routes": [
@@ -104,6 +113,80 @@
     def test_undecodable_configuration_is_an_error(self, content):
         assert decode_configuration(content).is_error()
 
+    @pytest.mark.parametrize(
+        "part", [{"routes": [{"name": "r"}]}, {"tenants": [{"api_keys": 1}]}]
+    )
+    def test_an_invalid_part_is_an_error(self, part):
+        content = json.dumps({"version": 8} | part).encode()
+        assert decode_configuration(content).is_error()
+
+    @pytest.mark.parametrize(
+        ("fields", "limit", "period"),
+        [
+            ({}, None, 0.0),
+            ({"cold_per_s": 0, "cold_start_s": 0}, None, 0.0),
+            ({"cold_per_s": 2.5, "cold_start_s": 6}, 2.5, 6.0),
+            ({"cold_per_s": "many"}, 1.0, 0.0),
+            ({"cold_per_s": -3}, 1.0, 0.0),
+            ({"cold_per_s": []}, 1.0, 0.0),
+            ({"cold_per_s": True}, 1.0, 0.0),
+            ({"cold_per_s": ""}, 1.0, 0.0),
+            ({"cold_per_s": "1e999"}, 1.0, 0.0),
+            ({"cold_per_s": 2, "cold_start_s": "long"}, 2.0, 10.0),
+        ],
+    )
+    def test_an_unreadable_cold_limit_is_a_low_one(self, fields, limit, period):
+        content = {"version": 1, "services": [{"name": "s", **fields}]}
+        service = decode_configuration(json.dumps(content).encode()).ok.services["s"]
+        assert (service.cold_limit, service.cold_period) == (limit, period)
+
+    @pytest.mark.parametrize(
+        ("key", "zone"),
+        [("evacuate/z-1", "z-1"), ("evacuate/", ""), ("config", None)],
+    )
+    def test_a_row_evacuates_the_zone_in_its_key(self, key, zone):
+        assert decode_evacuated_zone(key) == zone
+
+
+class TestSuccessiveVersions:
+    @pytest.mark.parametrize(
+        "contents",
+        [
+            [CONFIGURATION, CONFIGURATION | {"version": 8}],
+            [CONFIGURATION, {"version": 8}, CONFIGURATION | {"version": 9}],
+            [CONFIGURATION, {"version": 8, "routes": [1]}, CONFIGURATION],
+        ],
+    )
+    def test_a_version_is_the_same_as_when_decoded_alone(self, contents):
+        decoder = ConfigurationDecoder()
+        for content in (json.dumps(each).encode() for each in contents):
+            decoded, alone = decoder.decode(content), decode_configuration(content)
+            assert decoded.is_ok() == alone.is_ok()
+            assert decoded.is_error() or decoded.ok == alone.ok
+
+    def test_routes_that_have_not_changed_are_the_same_objects(self):
+        decoder = ConfigurationDecoder()
+        routes: Any = CONFIGURATION["routes"]
+        changed = [routes[0] | {"priority": 9}, *routes[1:]]
+        first, second = (
+            decoder.decode(json.dumps(CONFIGURATION | {"routes": each}).encode()).ok
+            for each in (routes, changed)
+        )
+        assert first.routes[0] != second.routes[0]
+        assert all(map(operator.is_, first.routes[1:], second.routes[1:]))
+
+    def test_a_new_version_does_not_hold_up_requests(self):
+        """Guards against a rollout of versions that stalls the event loop."""
+        decoder = ConfigurationDecoder()
+        contents = [encode_large_configuration(each, 1_400) for each in range(6)]
+        decoder.decode(contents[0])
+        seconds = []
+        for content in contents[1:]:
+            started_at = time.process_time()
+            RoutingTable(decoder.decode(content).ok)
+            seconds.append(time.process_time() - started_at)
+        assert min(seconds) < MAX_SECONDS
+
 
 class TestEntries:
     def test_entry_identifies_one_incarnation_of_a_target(self):
@@ -122,6 +205,22 @@
         assert target is not None
         assert target.software_version == version
 
+    @pytest.mark.parametrize(
+        ("changes", "cold_left"),
+        [
+            ({}, None),
+            ({"cold_left_ms": 0}, 0.0),
+            ({"cold_left_ms": 2500}, 2.5),
+            ({"cold_left_ms": 1e12}, 60.0),
+            ({"cold_left_ms": "soon"}, 60.0),
+            ({"cold_left_ms": -1}, 60.0),
+        ],
+    )
+    def test_entry_states_how_long_the_target_stays_cold(self, changes, cold_left):
+        target = decode_target("i-1", json.dumps({**ENTRY, **changes}).encode())
+        assert target is not None
+        assert target.cold_left == cold_left
+
     @pytest.mark.parametrize(
         "changes",
         [
@@ -152,6 +251,17 @@
         assert profile.internal_port == 7340
         assert profile.retries.ratio == 0.3
 
+    @pytest.mark.parametrize(
+        ("lines", "bounds"),
+        [
+            ("", ColdBounds(1.5, 5.0)),
+            ("bounds.cold_over=2\nbounds.cold_slack=3", ColdBounds(2.0, 3.0)),
+            ("bounds.cold_over=x\nbounds.cold_slack=-1", ColdBounds(1.0, 1.0)),
+        ],
+    )
+    def test_unreadable_bounds_of_cold_targets_are_low_ones(self, lines, bounds):
+        assert parse_profile(PROFILE + lines).ok.cold_bounds == bounds
+
     @pytest.mark.parametrize(
         ("text", "key"),
         [
--- a/kingcuphead/storage/_exchange.py
+++ b/kingcuphead/storage/_exchange.py
@@ -1,22 +1,25 @@
 """HTTP exchanges with the platform that report whether the body was sent."""
 
 import dataclasses
+import socket
 import urllib.parse
 from asyncio import Future
 from collections.abc import Awaitable, Callable, Mapping
-from typing import TypeAlias, cast
+from typing import Any, TypeAlias, cast
 
 from tornado.httpclient import HTTPRequest, HTTPResponse
 from tornado.httputil import HTTPHeaders
+from tornado.netutil import DefaultLoopResolver
 from tornado.simple_httpclient import SimpleAsyncHTTPClient
 
+from kingcuphead.frozen import frozen
 from kingcuphead.storage.wire import REFUSED_STATUS
 
 #: Maximum size of a reply body in bytes.
 MAX_REPLY_BYTES = 64 * 1024 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PlatformSettings:
     """Address, timeouts and limits of a connection to the platform."""
 
@@ -36,7 +39,7 @@
         return dataclasses.replace(self, **changes)  # type: ignore[arg-type]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Replied:
     """The platform replied."""
 
@@ -48,7 +51,7 @@
     headers: HTTPHeaders = dataclasses.field(default_factory=HTTPHeaders)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class NotSent:
     """The request certainly had no effect.
 
@@ -60,7 +63,7 @@
     cause: str
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ReplyLost:
     """The request was sent and no reply arrived; it may have had an effect."""
 
@@ -87,6 +90,7 @@
         self._settings = settings
         self._client = SimpleAsyncHTTPClient(
             force_instance=True,
+            resolver=_LiteralResolver(),
             max_clients=settings.max_connections,
             max_body_size=MAX_REPLY_BYTES,
         )
@@ -168,6 +172,21 @@
         )
 
 
+class _LiteralResolver(DefaultLoopResolver):
+    """Resolves IP addresses at once; the default one starts a thread for them too."""
+
+    async def resolve(
+        self, host: str, port: int, family: socket.AddressFamily = socket.AF_UNSPEC
+    ) -> list[tuple[int, Any]]:
+        try:
+            found = socket.getaddrinfo(
+                host, port, family, socket.SOCK_STREAM, 0, socket.AI_NUMERICHOST
+            )
+        except socket.gaierror:
+            return await super().resolve(host, port, family)
+        return [(found_family, address) for found_family, _, _, _, address in found]
+
+
 class _Sending:
     """Body producer of one request; records whether the client requested the body."""
 
--- a/kingcuphead/targets/__init__.py
+++ b/kingcuphead/targets/__init__.py
@@ -1,18 +1,35 @@
 """The directory of targets, with those that accept new requests."""
 
-from kingcuphead.targets._directory import (
+from kingcuphead.targets._changes import (
     DirectoryChange,
     TargetAdded,
-    TargetDirectory,
     TargetLeft,
+    ZoneChange,
+    ZoneEvacuated,
+    ZoneReadmitted,
+)
+from kingcuphead.targets._cold import ColdLimit, ColdStart
+from kingcuphead.targets._directory import TargetDirectory, read_boot_clock
+from kingcuphead.targets._messages import (
+    Availability,
+    Target,
+    ZonesAsked,
+    ZonesReported,
 )
-from kingcuphead.targets._messages import Availability, Target
 
 __all__ = [
     "Availability",
+    "ColdLimit",
+    "ColdStart",
     "DirectoryChange",
     "Target",
     "TargetAdded",
     "TargetDirectory",
     "TargetLeft",
+    "ZoneChange",
+    "ZoneEvacuated",
+    "ZoneReadmitted",
+    "ZonesAsked",
+    "ZonesReported",
+    "read_boot_clock",
 ]
--- a/kingcuphead/targets/_messages.py
+++ b/kingcuphead/targets/_messages.py
@@ -35,8 +35,28 @@
     sequence: int = 0
     #: Version of the target's software; its model weights have versions of their own.
     software_version: str = ""
+    #: Seconds for which the target stays cold, counted from its entry; None if the
+    #: entry states nothing.
+    cold_left: float | None = None
 
     @property
     def incarnation(self) -> str:
         """Identity of one run of the target's process."""
         return f"{self.name}@{self.started_at_ms}"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZonesAsked:
+    """A daemon without news from the store asks for the evacuated zones."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ZonesReported:
+    """The evacuated zones, as a daemon has just read them."""
+
+    #: Era of the store.
+    era: int
+    #: Version of the table.
+    version: int
+    #: Names of the zones.
+    zones: tuple[str, ...]
--- a/kingcuphead/verdict/_verdict.py
+++ b/kingcuphead/verdict/_verdict.py
@@ -6,6 +6,8 @@
 
 from expression import Result
 
+from kingcuphead.frozen import frozen
+
 T = TypeVar("T")
 
 
@@ -46,9 +48,10 @@
     TRUNCATED = "truncated"
     BILL_UNCERTAIN = "bill_uncertain"
     CALLER_GONE = "caller_gone"
+    MEMORY_FULL = "memory_full"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Verdict:
     """A refusal: whether the request may have run, the cause, and when to retry.
 
--- a/kingcuphead/wire/datagram.thrift
+++ b/kingcuphead/wire/datagram.thrift
@@ -13,6 +13,7 @@
   1: string target
   2: i32 running
   3: i64 unread_tokens
+  4: optional i64 memory_tokens
 }
 
 struct LoadsReported {
@@ -22,6 +23,11 @@
   4: bool is_cut_off
 }
 
+struct PlacementAnnounced {
+  1: string sender
+  2: TargetLoad load
+}
+
 struct CreditAsked {
   1: string sender
   2: i64 number
@@ -80,6 +86,7 @@
 struct TargetTerms {
   1: optional double requests_per_second
   2: optional i32 rejections_per_second
+  3: optional double cold_requests_per_second
 }
 
 struct PermitAsked {
@@ -88,6 +95,7 @@
   3: TargetTerms terms
   4: i32 slots
   5: i32 open_requests
+  6: bool is_doubtful = 0
 }
 
 struct RoomReported {
@@ -101,6 +109,7 @@
   1: i64 number
   2: bool is_granted
   3: double wait
+  4: bool is_holder = 1
 }
 
 struct CoordinatorProbed {
@@ -130,6 +139,23 @@
   1: string outcome
 }
 
+struct CapacityReported {
+  1: string sender
+  2: i64 number
+  3: string zone
+  4: double load
+  5: string readiness
+}
+
+struct ZonesAsked {
+}
+
+struct ZonesReported {
+  1: i64 era
+  2: i64 version
+  3: list<string> zones
+}
+
 union Datagram {
   1: LoadsReported loads_reported
   2: CreditAsked credit_asked
@@ -146,4 +172,8 @@
   15: TermsReported terms_reported
   16: TargetStated target_stated
   17: RoomReported room_reported
+  18: CapacityReported capacity_reported
+  19: PlacementAnnounced placement_announced
+  20: ZonesAsked zones_asked
+  21: ZonesReported zones_reported
 }
