Tell the caller server of closed connections; test meters, choice and reports

Tornado's server doesn't pass the close of a connection on to a delegate, so the counts of closed connections would have stayed. A test found it.

--- /dev/null
+++ b/kingcuphead/capacity/tests/test_meter.py
@@ -0,0 +1,78 @@
+import pytest
+
+from kingcuphead.capacity import InstanceCapacity, OwnLoad
+from kingcuphead.capacity._meter import LoadMeter, Sample
+
+#: Half a core, and 625,000 bytes a second each way.
+CAPACITY = InstanceCapacity.from_limits(cores=1.0, cpu_share=0.5, link_mbps=5.0)
+
+
+def measure(meter, start=0.0, seconds=2.0, cpu=0.0, sent=0, received=0, lags=(0.0,)):
+    """Return the load after samples every 0.1 s with rates for each second."""
+    load = OwnLoad()
+    for number in range(round(seconds * 10) + 1):
+        passed = number / 10
+        load = meter.measure(
+            Sample(
+                start + passed,
+                cpu * passed,
+                round(sent * passed),
+                round(received * passed),
+                lags[number % len(lags)],
+            )
+        )
+    return load
+
+
+class TestInstanceCapacity:
+    @pytest.mark.parametrize(
+        ("cores", "share", "expected"),
+        [(0.5, 0.5, 0.25), (1.0, 1.0, 1.0), (2.15, 1.0, 1.0), (2.15, 0.25, 0.5375)],
+    )
+    def test_one_event_loop_uses_one_core_at_most(self, cores, share, expected):
+        """Guards against a saturated event loop on two cores that seems half idle."""
+        capacity = InstanceCapacity.from_limits(cores, share, 100.0)
+        assert capacity.cores == pytest.approx(expected)
+        assert capacity.link_rate == 12_500_000
+
+
+class TestLoadMeter:
+    @pytest.mark.parametrize(
+        ("rates", "expected"),
+        [
+            ({"sent": 500_000}, OwnLoad(link=0.8)),
+            ({"sent": 100_000, "received": 250_000}, OwnLoad(link=0.4)),
+            ({"cpu": 0.25}, OwnLoad(processor=0.5)),
+            ({"lags": (0.025,)}, OwnLoad(lag=0.5)),
+            ({"lags": (0.2,)}, OwnLoad(lag=1.0)),
+            ({"lags": (0.3,) + 9 * (0.0,)}, OwnLoad()),
+            ({"lags": (-0.001,)}, OwnLoad()),
+        ],
+    )
+    def test_each_resource_is_measured(self, rates, expected):
+        load = measure(LoadMeter(CAPACITY), **rates)
+        assert load.link == pytest.approx(expected.link, abs=0.01)
+        assert load.processor == pytest.approx(expected.processor, abs=0.01)
+        assert load.lag == pytest.approx(expected.lag, abs=0.01)
+
+    def test_the_largest_load_counts(self):
+        assert OwnLoad(link=0.2, processor=0.9, lag=0.4).peak == 0.9
+
+    def test_a_short_measurement_gives_no_load(self):
+        """Guards against a rate computed from a few packets in a few milliseconds."""
+        load = measure(LoadMeter(CAPACITY), seconds=0.5, sent=10_000_000)
+        assert load == OwnLoad()
+
+    def test_load_that_ended_is_forgotten_after_the_window(self):
+        meter = LoadMeter(CAPACITY)
+        measure(meter, sent=600_000)
+        for number in range(1, 12):
+            load = meter.measure(Sample(2 + number / 10, 0.0, 1_200_000, 0, 0.0))
+        assert load.link == 0
+
+    def test_changed_limits_apply_to_the_next_sample(self):
+        meter = LoadMeter(CAPACITY)
+        measure(meter, sent=500_000)
+        meter.capacity = InstanceCapacity.from_limits(1.0, 0.5, 50.0)
+        load = meter.measure(Sample(2.1, 0.0, 1_050_000, 0, 0.0))
+        assert load.link == pytest.approx(0.08, abs=0.01)
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -75,6 +75,16 @@
         self._connection.close()  # type: ignore[attr-defined]
 
 
+class _ConnectionServer(HTTPServer):
+    """An HTTP server that tells its delegate of closed connections."""
+
+    def on_close(self, server_conn: object) -> None:
+        """Forget a closed connection."""
+        super().on_close(server_conn)
+        if isinstance(self.request_callback, HTTPServerConnectionDelegate):
+            self.request_callback.on_close(server_conn)
+
+
 class CallerServer(HTTPServerConnectionDelegate):
     """Accepts connections of callers and starts a task for each request.
 
@@ -94,7 +104,7 @@
         self._limits = CallerLimits()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closing = False
-        self._server = HTTPServer(self)
+        self._server = _ConnectionServer(self)
 
     @property
     def open_requests(self) -> int:
--- a/kingcuphead/entry/tests/test_caller_server.py
+++ b/kingcuphead/entry/tests/test_caller_server.py
@@ -14,6 +14,7 @@
     def __init__(self):
         self.served = []
         self.is_waiting = False
+        self.resume = None
         self.cancelled = asyncio.Event()
 
     async def serve(self, request, caller):
@@ -26,6 +27,8 @@
         headers = request.headers.copy()
         headers["Content-Length"] = str(len(request.body))
         await caller.start(200, headers)
+        if self.resume is not None:
+            await self.resume.wait()
         await caller.write(request.body)
         caller.finish()
 
@@ -136,3 +139,64 @@
             assert len(forwarder.served) == 1
 
         run(scenario)
+
+
+async def read_answer(reader):
+    """Return the head of an answer to `make_request`."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    assert await reader.readexactly(5) == b"hello"
+    return head
+
+
+class TestClosedConnections:
+    def test_a_marked_connection_closes_after_its_next_answer(self):
+        async def scenario(forwarder, server, reader, writer):
+            writer.write(make_request())
+            assert b"Connection: close" not in await read_answer(reader)
+            assert server._connections.mark(1.0) == 1
+            writer.write(make_request())
+            assert b"Connection: close" in await read_answer(reader)
+            assert await reader.read(1) == b""
+            while server._connections.closed != 1:
+                await asyncio.sleep(0.01)
+            assert server._connections.marked_count == 0
+
+        run(scenario)
+
+    def test_an_idle_connection_stays_open(self):
+        """Guards against closing a connection that a request is on the way on."""
+
+        async def scenario(forwarder, server, reader, writer):
+            writer.write(make_request())
+            await read_answer(reader)
+            server._connections.mark(1.0)
+            with pytest.raises(TimeoutError):
+                async with asyncio.timeout(0.2):
+                    await reader.read(1)
+
+        run(scenario)
+
+    def test_an_answer_that_has_begun_is_not_cut(self):
+        async def scenario(forwarder, server, reader, writer):
+            forwarder.resume = asyncio.Event()
+            writer.write(make_request())
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert b"Connection: close" not in head
+            server._connections.mark(1.0)
+            forwarder.resume.set()
+            assert await reader.readexactly(5) == b"hello"
+            writer.write(make_request())
+            assert b"Connection: close" in await read_answer(reader)
+            assert await reader.read(1) == b""
+
+        run(scenario)
+
+    def test_requests_and_answers_are_counted(self):
+        async def scenario(forwarder, server, reader, writer):
+            writer.write(make_request(body=b"x" * 900))
+            await reader.readuntil(b"x" * 900)
+            (connection,) = server._connections._connections.values()
+            assert 1_800 <= connection.recent_bytes <= 4_000
+            assert connection.caller == "127.0.0.1"
+
+        run(scenario)
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -1,8 +1,10 @@
 import json
 
 import pytest
+from loguru import logger
 
 from kingcuphead.platform import (
+    InstanceLimits,
     decode_configuration,
     decode_target,
     parse_profile,
@@ -164,3 +166,44 @@
     )
     def test_fault_names_the_invalid_key(self, text, key):
         assert parse_profile(text).error.key == key
+
+    @pytest.mark.parametrize(
+        ("line", "expected"),
+        [
+            ("", False),
+            ("contracts=", False),
+            ("contracts=pressure", True),
+            ("contracts=prices, places", True),
+            ('contracts=["pressure"]', True),
+            ("contracts=pressures,replaces", False),
+            ("contracts=\ufffd,,;", False),
+        ],
+    )
+    def test_scarce_capacity_follows_from_the_contracts(self, line, expected):
+        profile = parse_profile(f"{PROFILE}{line}\n").ok
+        assert profile.has_scarce_capacity is expected
+
+    def test_limits_of_the_instance_are_read(self):
+        text = PROFILE + (
+            "limits.cores=2.15\nlimits.cpu_share=0.5\n"
+            "limits.memory_mb=552\nlimits.link_mbps=100\n"
+        )
+        assert parse_profile(text).ok.limits == InstanceLimits(2.15, 0.5, 552.0, 100.0)
+
+    @pytest.mark.parametrize("value", ["many", "-1", "0", "nan", "inf", "5 Mbit"])
+    def test_invalid_limits_count_as_the_smallest(self, value):
+        """Guards against a daemon that doesn't start, or overloads its instance."""
+        names = ("cores", "memory_mb", "link_mbps")
+        lines = "".join(f"limits.{name}={value}\n" for name in names)
+        assert parse_profile(PROFILE + lines).ok.limits == InstanceLimits()
+        profile = parse_profile(f"{PROFILE}limits.cpu_share={value}\n").ok
+        assert 0 < profile.limits.cpu_share < 0.5
+
+    def test_an_invalid_limit_is_logged_once_and_truncated(self):
+        """Guards against a line every 2 s, as the settings are read again."""
+        lines = []
+        sink = logger.add(lambda line: lines.append(line.record["extra"]))
+        for _ in range(3):
+            parse_profile(f"{PROFILE}limits.cores={'x' * 500}\n")
+        logger.remove(sink)
+        assert lines == [{"key": "limits.cores", "value": "x" * 100}]
