--- a/kingcuphead/credit/tests/test_outage.py
+++ b/kingcuphead/credit/tests/test_outage.py
@@ -6,7 +6,9 @@
 
 import asyncio
 
-from kingcuphead.credit.tests._fleet import START_SECONDS, Fleet
+import pytest
+
+from kingcuphead.credit.tests._fleet import START_SECONDS, Fleet, SimulatedTimeLoop
 
 #: Organisation whose requests go to few daemons.
 NAME = "o0"
