--- a/kingcuphead/capacity/_meter.py
+++ b/kingcuphead/capacity/_meter.py
@@ -1,9 +1,10 @@
 """Measurement of this daemon's own load."""
 
 import dataclasses
-import statistics
 from collections import deque
 
+from kingcuphead.capacity._median import compute_median
+
 #: Seconds over which load is measured.
 WINDOW = 1.0
 #: Median event loop lag in seconds that counts as full load.
@@ -103,7 +104,7 @@
         )
         processor_seconds = sample.processor_seconds - first.processor_seconds
         # The median ignores a single long callback.
-        lag = statistics.median(each.lag for each in samples)
+        lag = compute_median(each.lag for each in samples)
         return OwnLoad(
             link=busier_direction / seconds / self.capacity.link_rate,
             processor=processor_seconds / seconds / self.capacity.cores,
--- a/kingcuphead/capacity/_zone_loads.py
+++ b/kingcuphead/capacity/_zone_loads.py
@@ -1,9 +1,9 @@
 """The loads of the other daemons of a zone, from their latest reports."""
 
 import dataclasses
-import statistics
 
 from kingcuphead.capacity._decisions import Overload
+from kingcuphead.capacity._median import compute_median
 from kingcuphead.capacity._messages import (
     UNREADY_STATES,
     CapacityReported,
@@ -85,7 +85,7 @@
         if load <= limit:
             return None
         others = [each.report.load for each in self._list_fresh(now)]
-        median = statistics.median([*others, load])
+        median = compute_median([*others, load])
         threshold = max(limit, MEDIAN_RATIO * median)
         if len(others) < MIN_OTHERS or load <= threshold:
             return None
--- a/kingcuphead/capacity/tests/test_meter.py
+++ b/kingcuphead/capacity/tests/test_meter.py
@@ -1,6 +1,7 @@
 import pytest
 
 from kingcuphead.capacity import InstanceCapacity, OwnLoad
+from kingcuphead.capacity._median import compute_median
 from kingcuphead.capacity._meter import LoadMeter, Sample
 
 #: Half a core, and 625,000 bytes a second each way.
@@ -76,3 +77,12 @@
         meter.capacity = InstanceCapacity.from_limits(1.0, 0.5, 50.0)
         load = meter.measure(Sample(2.1, 0.0, 1_050_000, 0, 0.0))
         assert load.link == pytest.approx(0.08, abs=0.01)
+
+
+class TestMedian:
+    @pytest.mark.parametrize(
+        ("numbers", "expected"),
+        [([3.0], 3.0), ([3.0, 1.0], 2.0), ([9.0, 1.0, 2.0], 2.0), ([4, 1, 3, 2], 2.5)],
+    )
+    def test_the_middle_is_returned(self, numbers, expected):
+        assert compute_median(numbers) == expected
