--- a/kingcuphead/capacity/tests/test_meter.py
+++ b/kingcuphead/capacity/tests/test_meter.py
@@ -1,6 +1,7 @@
 import pytest
 
 from kingcuphead.capacity import OwnLoad
+from kingcuphead.capacity._median import compute_median
 from kingcuphead.capacity._meter import LoadMeter, Sample
 
 #: Capacity of the link in Mbit/s: 625,000 bytes a second each way.
@@ -66,3 +67,12 @@
         meter.apply_link(10 * LINK_MBPS)
         load = meter.measure(Sample(2.1, 0.0, 1_050_000, 0, 0.0))
         assert load.link == pytest.approx(0.08, abs=0.01)
+
+
+class TestMedian:
+    @pytest.mark.parametrize(
+        ("numbers", "expected"),
+        [([3.0], 3.0), ([3.0, 1.0], 2.0), ([9.0, 1.0, 2.0], 2.0), ([4, 1, 3, 2], 2.5)],
+    )
+    def test_the_middle_is_returned(self, numbers, expected):
+        assert compute_median(numbers) == expected
