--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -117,6 +117,8 @@
             stream = AnswerStream(caller, context.request.resume_after)
         try:
             async with asyncio.timeout_at(context.deadline) as scope:
+                if caller.holding.is_ended:
+                    raise OutOfMemoryError
                 caller.holding.on_end = lambda: _expire(scope)
                 return await self._run_attempts(context, caller, stream)
         except OutOfMemoryError:
--- a/kingcuphead/forwarding/_memory.py
+++ b/kingcuphead/forwarding/_memory.py
@@ -161,14 +161,15 @@
 
     def end(self) -> None:
         """Give all bytes back, and end the request."""
+        callback = self.on_end
         self.close()
         self.is_ended = True
-        callback, self.on_end = self.on_end, None
         if callback is not None:
             callback()
 
     def close(self) -> None:
         """Give all bytes back, at the end of the request."""
+        self.on_end = None
         self.release(self.size)
 
 
--- a/kingcuphead/forwarding/tests/test_memory.py
+++ b/kingcuphead/forwarding/tests/test_memory.py
@@ -1,3 +1,4 @@
+import asyncio
 import contextlib
 
 import pytest
@@ -7,6 +8,15 @@
     OutOfMemoryError,
     get_account_limit,
 )
+from kingcuphead.forwarding.tests._harness import (
+    ONCE,
+    STREAM,
+    RecordingCaller,
+    make_request,
+    make_route,
+    run,
+)
+from kingcuphead.verdict import Reason
 
 
 def open_holdings(account, *sizes):
@@ -81,3 +91,54 @@
 
     def test_it_takes_up_a_third_of_the_memory(self):
         assert get_account_limit(160_000_000) == 53_333_333
+
+
+class TestEndedRequests:
+    """Requests that are ended to make room for others."""
+
+    @pytest.mark.parametrize(
+        ("kind", "steps", "status"),
+        [
+            (ONCE, [0.5], 502),
+            (STREAM, [0.5], 502),
+            (STREAM, "events", None),
+        ],
+    )
+    def test_one_that_may_have_run_is_not_refused_as_not_run(self, kind, steps, status):
+        """Nor is an answer that has begun followed by a refusal."""
+
+        async def scenario(harness):
+            events = harness.first.stream([1], is_complete=False)
+            harness.first.script = [[*events, 0.5] if steps == "events" else steps]
+            caller = RecordingCaller(MemoryAccount(100, covers_requests=True))
+            asyncio.get_running_loop().call_later(0.1, caller.holding.end)
+            refusal = await harness.forwarder.serve(make_request(kind), caller)
+            if status is None:
+                assert (refusal, caller.end) == (None, "aborted")
+            else:
+                assert (refusal.status, refusal.reason) == (502, Reason.MEMORY_FULL)
+            assert len(harness.first.received) == 1
+            assert not harness.second.received
+            async with asyncio.timeout(1):
+                await harness.first.is_cancelled.wait()
+
+        run([make_route(kind, resumable=True)], scenario)
+
+    def test_one_that_was_ended_before_its_first_attempt_has_not_run(self):
+        async def scenario(harness):
+            caller = RecordingCaller(MemoryAccount(100, covers_requests=True))
+            caller.holding.end()
+            refusal = await harness.forwarder.serve(make_request(ONCE), caller)
+            assert (refusal.status, refusal.reason) == (503, Reason.MEMORY_FULL)
+            assert not harness.first.received
+
+        run([make_route(ONCE)], scenario)
+
+    def test_an_answer_larger_than_the_memory_is_refused_truthfully(self):
+        async def scenario(harness):
+            harness.first.script = [harness.first.answer("200 OK", b"x" * 1_000)]
+            caller = RecordingCaller(MemoryAccount(100, covers_requests=True))
+            refusal = await harness.forwarder.serve(make_request(ONCE), caller)
+            assert (refusal.status, refusal.reason) == (502, Reason.MEMORY_FULL)
+
+        run([make_route(ONCE)], scenario)
