--- a/kingcuphead/admission/_messages.py
+++ b/kingcuphead/admission/_messages.py
@@ -1,13 +1,13 @@
 """Requests that ask for admission, and the decisions about them."""
 
-import dataclasses
 import enum
 from typing import TypeAlias
 
+from kingcuphead.frozen import frozen
 from kingcuphead.verdict import Reason
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class AdmissionRequest:
     """A request that is to be sent to a target of its service."""
 
@@ -62,7 +62,7 @@
     LATE = 2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class QueueFigures:
     """What a refusal was based on, for the log."""
 
@@ -84,12 +84,12 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Admitted:
     """The request may be sent to a target now."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Refused:
     """The request is not going to run."""
 
@@ -105,7 +105,7 @@
 Decision: TypeAlias = Admitted | Refused
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Rejection:
     """A request that was removed from a queue unserved."""
 
--- a/kingcuphead/admission/_reservations.py
+++ b/kingcuphead/admission/_reservations.py
@@ -1,10 +1,10 @@
 """Times at which refused requests were told to come back."""
 
-import dataclasses
 import itertools
 from collections import OrderedDict, defaultdict, deque
 
 from kingcuphead.admission._messages import AdmissionRequest
+from kingcuphead.frozen import frozen
 
 #: Lower bound in seconds of the time after which a refused caller may retry.
 MIN_RETRY_AFTER = 0.05
@@ -25,7 +25,7 @@
 MAX_RESERVATIONS = 1_024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Reservation:
     """A place that is kept for a refused request."""
 
--- a/kingcuphead/capacity/_decisions.py
+++ b/kingcuphead/capacity/_decisions.py
@@ -1,11 +1,12 @@
 """Messages to and from the state machine that sheds load."""
 
-import dataclasses
 import enum
 from typing import TypeAlias
 
+from kingcuphead.frozen import frozen
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@frozen
 class Observation:
     """What the state machine is told at each step."""
 
@@ -19,7 +20,7 @@
     open_connections: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Overload:
     """Figures by which a daemon has more load than others of its zone."""
 
@@ -52,7 +53,7 @@
     NOT_SERVING = "not serving"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class SheddingBegan:
     """The daemon is unready and will close connections."""
 
@@ -64,7 +65,7 @@
     allowed: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class DeflectionBegan:
     """The daemon is unready, so that callers of others don't come to it."""
 
@@ -76,7 +77,7 @@
     allowed: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CloseRequested:
     """Connections should be closed after their answers."""
 
@@ -84,7 +85,7 @@
     share: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class UnreadyEnded:
     """The daemon is ready again."""
 
--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -1,7 +1,6 @@
 """Measures this daemon's load, tells the other daemons, and sheds load."""
 
 import asyncio
-import dataclasses
 import time
 from collections.abc import Callable
 
@@ -27,12 +26,13 @@
 from kingcuphead.capacity._shedder import LoadShedder
 from kingcuphead.capacity._traffic import LINK_TRAFFIC
 from kingcuphead.capacity._zone_loads import ZoneLoads
+from kingcuphead.frozen import frozen
 
 #: Seconds between two samples of the load.
 SAMPLE_INTERVAL = 0.1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CapacityFigures:
     """Figures for metrics."""
 
--- a/kingcuphead/capacity/_messages.py
+++ b/kingcuphead/capacity/_messages.py
@@ -1,8 +1,9 @@
 """Reports that daemons send each other about their own load."""
 
-import dataclasses
 import enum
 
+from kingcuphead.frozen import frozen
+
 
 class Readiness(enum.StrEnum):
     """Whether a daemon accepts new connections of callers."""
@@ -21,7 +22,7 @@
 UNREADY_STATES = frozenset({Readiness.SHEDDING, Readiness.UNREADY})
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CapacityReported:
     """The load of one incarnation of a daemon."""
 
--- a/kingcuphead/capacity/_meter.py
+++ b/kingcuphead/capacity/_meter.py
@@ -1,9 +1,10 @@
 """Measurement of this daemon's own load."""
 
-import dataclasses
 import statistics
 from collections import deque
 
+from kingcuphead.frozen import frozen
+
 #: Seconds over which load is measured.
 WINDOW = 1.0
 #: Median event loop lag in seconds that counts as full load.
@@ -14,7 +15,7 @@
 BYTE_BITS = 8
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class InstanceCapacity:
     """What the instance offers this process."""
 
@@ -41,7 +42,7 @@
         return cls(min(cores * cpu_share, MAX_CORES), link_mbps * 1e6 / BYTE_BITS)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class OwnLoad:
     """Loads of one daemon as parts of its capacity."""
 
@@ -58,7 +59,7 @@
         return max(self.link, self.processor, self.lag)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Sample:
     """Readings of the counters of a process at one moment."""
 
--- a/kingcuphead/capacity/_zone_loads.py
+++ b/kingcuphead/capacity/_zone_loads.py
@@ -1,6 +1,5 @@
 """The loads of the other daemons of a zone, from their latest reports."""
 
-import dataclasses
 import statistics
 
 from kingcuphead.capacity._decisions import Overload
@@ -9,6 +8,7 @@
     CapacityReported,
     Readiness,
 )
+from kingcuphead.frozen import frozen
 
 #: Seconds after its receipt in which a report says what the load of its sender is.
 REPORT_LIFETIME = 2.0
@@ -25,7 +25,7 @@
 Rank = tuple[float, str]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _ReceivedReport:
     report: CapacityReported
     received_at: float
--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -1,11 +1,11 @@
 """The credit of one organisation in one daemon."""
 
-import dataclasses
 import math
 from collections.abc import Mapping
 
 from kingcuphead.credit._budget import Budget, Limit, Shard
 from kingcuphead.credit._messages import CreditSettings, CreditState
+from kingcuphead.frozen import frozen
 
 #: Initial estimate of the mean tokens of a request, before any request is recorded.
 INITIAL_REQUEST_TOKENS = 4_000
@@ -27,7 +27,7 @@
 REQUEST_TOKENS_WEIGHT = 0.2
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Adjustment:
     """Changes that one transaction makes to an organisation's credit in this daemon."""
 
--- a/kingcuphead/credit/_budget.py
+++ b/kingcuphead/credit/_budget.py
@@ -13,6 +13,7 @@
 import msgspec
 
 from kingcuphead.credit._messages import ShardRow
+from kingcuphead.frozen import frozen
 from kingcuphead.storage import ABSENT
 
 #: Number of shards of each budget. The transaction that replaces all shard rows of an
@@ -20,7 +21,7 @@
 SHARD_COUNT = 24
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Shard:
     """A cached shard row."""
 
@@ -30,7 +31,7 @@
     version: int = ABSENT
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Limit:
     """Prepaid tokens of a configuration version."""
 
--- a/kingcuphead/credit/_era.py
+++ b/kingcuphead/credit/_era.py
@@ -5,7 +5,6 @@
 received beyond its holder row in the copy.
 """
 
-import dataclasses
 from collections.abc import Mapping
 
 import msgspec
@@ -22,13 +21,14 @@
     select_earlier_shards,
     select_shards,
 )
+from kingcuphead.frozen import frozen
 from kingcuphead.storage import Check, Delete, Put, Row, RowSnapshot
 
 _SHARD = msgspec.json.Decoder(ShardRow)
 _HOLDER = msgspec.json.Decoder(HolderRow)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Received:
     """Credit of one incarnation of a daemon since it started."""
 
@@ -42,7 +42,7 @@
         return Received(self.tokens - other.tokens, self.settled - other.settled)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class EarlierShards:
     """Shard rows of an earlier era, which the rows of the current one replace."""
 
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -5,6 +5,8 @@
 
 import msgspec
 
+from kingcuphead.frozen import frozen
+
 
 class ShardRow(msgspec.Struct, frozen=True, array_like=True):
     """Tokens that daemons have allocated from one shard of an organisation's budget."""
@@ -60,7 +62,7 @@
     UNREACHABLE = "unreachable"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CreditSettings:
     """Amounts of credit that a daemon keeps, and timing of renewal and release.
 
@@ -151,7 +153,7 @@
         return min(1.0, max(0.0, (age - self.release_delay) / self.release_period))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CreditState:
     """An organisation's credit in one daemon, as logged when a request is refused."""
 
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -13,7 +13,6 @@
 change those of the current one (see `_era`).
 """
 
-import dataclasses
 import math
 import random
 from collections.abc import Mapping
@@ -34,6 +33,7 @@
 )
 from kingcuphead.credit._messages import CreditSettings, HolderRow, ShardRow, Shortage
 from kingcuphead.credit._rows import make_holder_key, make_shard_key
+from kingcuphead.frozen import frozen
 from kingcuphead.invariants import ensure
 from kingcuphead.storage import (
     ABSENT,
@@ -53,7 +53,7 @@
 _HOLDER = msgspec.json.Decoder(HolderRow)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _SentTransaction:
     """A transaction that was sent to the store."""
 
--- a/kingcuphead/credit/_peer_credit.py
+++ b/kingcuphead/credit/_peer_credit.py
@@ -1,10 +1,10 @@
 """What other daemons have said that they can transfer, and whom to ask for how much."""
 
-import dataclasses
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
 from kingcuphead.credit._transfer import UNSTATED, CreditHanded
+from kingcuphead.frozen import frozen
 
 #: Seconds for which a daemon's statement is used to choose whom to ask.
 STATEMENT_RETENTION_SECONDS = 2.0
@@ -23,7 +23,7 @@
 Address = tuple[str, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PeerStatement:
     """What one daemon said last about its credit of one organisation."""
 
@@ -42,7 +42,7 @@
         return self.free + self.reserve
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PlannedRequest:
     """A transfer request to send."""
 
--- a/kingcuphead/credit/_reclaim.py
+++ b/kingcuphead/credit/_reclaim.py
@@ -6,20 +6,20 @@
 row of an earlier era proves nothing, since later transactions may be lost.
 """
 
-import dataclasses
 import math
 from collections.abc import Iterable
 
 import msgspec
 
 from kingcuphead.credit._messages import CreditSettings, HolderRow, ShardRow
+from kingcuphead.frozen import frozen
 from kingcuphead.storage import Check, Put, Row, Transaction
 
 _SHARD = msgspec.json.Decoder(ShardRow)
 _HOLDER = msgspec.json.Decoder(HolderRow)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Reclaim:
     """The part of a reserve that an ended incarnation cannot have spent."""
 
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -1,7 +1,6 @@
 """Acquires holds for requests, from renewals and transfers of credit."""
 
 import asyncio
-import dataclasses
 from collections.abc import Callable, Iterable
 
 from expression import Error, Ok, Result
@@ -13,6 +12,7 @@
     OrganisationRenewal,
 )
 from kingcuphead.credit._transfer_client import TransferClient
+from kingcuphead.frozen import frozen
 from kingcuphead.routing import Organisation
 from kingcuphead.storage import TablePart
 
@@ -20,7 +20,7 @@
 TRANSFER_DELAY_SECONDS = 0.12
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CreditRefused:
     """The reason and the credit state of a request that gets no hold."""
 
--- a/kingcuphead/credit/_transfer.py
+++ b/kingcuphead/credit/_transfer.py
@@ -9,10 +9,10 @@
 again once that is committed.
 """
 
-import dataclasses
 from collections import OrderedDict
 
 from kingcuphead.credit._ledger import CreditLedger
+from kingcuphead.frozen import frozen
 
 #: Maximum number of sent replies kept for resending, and of requests kept open.
 MAX_RETAINED_MESSAGES = 4_096
@@ -20,7 +20,7 @@
 UNSTATED = -1
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CreditAsked:
     """A daemon's request for a credit transfer from another daemon.
 
@@ -39,7 +39,7 @@
     extra: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CreditHanded:
     """The reply to a transfer request; its tokens belong to the receiver."""
 
--- a/kingcuphead/credit/_transfer_client.py
+++ b/kingcuphead/credit/_transfer_client.py
@@ -9,6 +9,7 @@
 
 from kingcuphead.credit._peer_credit import Address, PeerStatements, PlannedRequest
 from kingcuphead.credit._transfer import CreditAsked, CreditHanded, TransferEndpoint
+from kingcuphead.frozen import frozen
 
 #: Seconds to wait for a reply before the request is sent again or abandoned.
 REPLY_TIMEOUT_SECONDS = 0.04
@@ -70,7 +71,7 @@
         self.extra = max(self.extra, extra)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _Pending:
     """A request that was sent."""
 
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -1,11 +1,12 @@
 """Types that the request forwarder exchanges with the dispatcher."""
 
-import dataclasses
 import enum
 import math
 
+from kingcuphead.frozen import frozen
 
-@dataclasses.dataclass(frozen=True, slots=True)
+
+@frozen
 class PlacementRequest:
     """The properties of a request on which the choice of its target depends."""
 
@@ -31,7 +32,7 @@
         return self.prefixes[-1].tokens if self.prefixes else 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class SharedPrefix:
     """The first parts of a prompt, which other requests may have in common with it."""
 
@@ -60,7 +61,7 @@
     CANCELLED = "cancelled"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class DispatchSettings:
     """Weights of the cost function that ranks targets.
 
--- a/kingcuphead/dispatch/_rankings.py
+++ b/kingcuphead/dispatch/_rankings.py
@@ -1,16 +1,16 @@
 """Rendezvous order of targets for prefixes of prompts."""
 
-import dataclasses
 import hashlib
 from collections import OrderedDict
 
+from kingcuphead.frozen import frozen
 from kingcuphead.targets import Target
 
 #: Prefixes whose order is kept; the least recently used one is evicted.
 MAX_PREFIXES = 512
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _Ranking:
     names: list[str]
     #: Indexes into the names, the preferred target's first.
--- a/kingcuphead/dispatch/_room.py
+++ b/kingcuphead/dispatch/_room.py
@@ -1,10 +1,10 @@
 """Room for requests that wait before a target is chosen."""
 
-import dataclasses
 from collections.abc import Collection, Iterable
 from typing import Protocol
 
 from kingcuphead.dispatch._messages import PlacementRequest
+from kingcuphead.frozen import frozen
 from kingcuphead.targets import Target
 
 #: Requests that a plain service may hold in units of its slots. It queues requests
@@ -16,7 +16,7 @@
 MAX_REPORTED_LOAD = 1.5
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ServiceLoad:
     """Load of all daemons on the targets of a service."""
 
@@ -57,7 +57,7 @@
         ...
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TargetRoom:
     """How much of a target is taken."""
 
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -5,6 +5,7 @@
 
 from kingcuphead.dispatch._health import TargetHealth
 from kingcuphead.dispatch._messages import DispatchSettings, PlacementRequest
+from kingcuphead.frozen import frozen
 from kingcuphead.targets import Target
 
 #: Shared prefixes that are tracked per target; the least recently sent is evicted.
@@ -21,7 +22,7 @@
 NETWORK_ALLOWANCE_SECONDS = 0.04
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PrefillPlan:
     """Which prompt tokens a target processes itself and which it copies."""
 
--- a/kingcuphead/forwarding/_answer_parser.py
+++ b/kingcuphead/forwarding/_answer_parser.py
@@ -1,6 +1,5 @@
 """Parses the bytes of one answer of a target, in whatever blocks they arrive."""
 
-import dataclasses
 import enum
 import re
 
@@ -11,6 +10,8 @@
 )
 from tornado.httputil import HTTPHeaders, HTTPInputError, parse_response_start_line
 
+from kingcuphead.frozen import frozen
+
 #: Largest status line and headers of an answer in bytes.
 MAX_HEADER_BYTES = 65_536
 #: Largest body of an answer in bytes.
@@ -38,7 +39,7 @@
     BROKEN = "broken"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class RawHead:
     """Status and headers of an answer as received."""
 
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -20,6 +20,7 @@
 from kingcuphead.forwarding._ports import HeaderCodec
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.forwarding._transfer import EventTransfer
+from kingcuphead.frozen import frozen
 from kingcuphead.verdict import Execution
 
 #: Bound in seconds on opening a connection to a target.
@@ -33,7 +34,7 @@
 T = TypeVar("T")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Answered:
     """The target sent a complete answer that is not a stream."""
 
@@ -43,7 +44,7 @@
     body: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class StreamDelivered:
     """The stream was sent to the caller up to its end."""
 
@@ -51,7 +52,7 @@
     head: AnswerHead
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class AttemptFailed:
     """The attempt ended without a usable answer."""
 
@@ -70,7 +71,7 @@
 AttemptEnd: TypeAlias = Answered | StreamDelivered | AttemptFailed
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Attempt:
     """Parameters of one attempt."""
 
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -10,6 +10,7 @@
 from kingcuphead.dispatch import AttemptResult, PlacementRequest, SharedPrefix
 from kingcuphead.forwarding._messages import Address, CallerRequest
 from kingcuphead.forwarding._refusals import Refusal
+from kingcuphead.frozen import frozen
 from kingcuphead.quarantine import RequestIdentity
 from kingcuphead.routing import Organisation, Route
 from kingcuphead.targets import Target
@@ -21,7 +22,7 @@
 MOST_URGENT_RANK = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class AttemptRecord:
     """Outcome of one attempt, for the log."""
 
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -1,6 +1,5 @@
 """Objects that the requests of one daemon share."""
 
-import dataclasses
 from collections.abc import Callable
 
 from kingcuphead.admission import AdmissionGate
@@ -9,13 +8,14 @@
 from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.forwarding._evidence import EvidenceRecorder
 from kingcuphead.forwarding._messages import Address, TargetStated
+from kingcuphead.frozen import frozen
 from kingcuphead.permits import PermitExchange
 from kingcuphead.quarantine import QuarantineExchange
 from kingcuphead.resumption import ResumptionExchange
 from kingcuphead.targets import Target, TargetDirectory
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Dependencies:
     """Objects shared by all requests."""
 
--- a/kingcuphead/forwarding/_events.py
+++ b/kingcuphead/forwarding/_events.py
@@ -1,8 +1,9 @@
 """Splits the bytes of a server-sent event stream into complete events."""
 
-import dataclasses
 import re
 
+from kingcuphead.frozen import frozen
+
 #: Upper bound of an event in bytes.
 MAX_EVENT_BYTES = 1_048_576
 
@@ -13,7 +14,7 @@
 _EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ \t\v\f]*([0-9]+)[ \t\v\f]*(?=[\r\n])")
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Event:
     """One complete event of a stream."""
 
--- a/kingcuphead/forwarding/_evidence.py
+++ b/kingcuphead/forwarding/_evidence.py
@@ -1,7 +1,6 @@
 """Decides what the end of an attempt proves about its request."""
 
 import asyncio
-import dataclasses
 
 from kingcuphead.forwarding._attempt import (
     Answered,
@@ -10,12 +9,13 @@
     StreamDelivered,
 )
 from kingcuphead.forwarding._target_watch import TargetWatch
+from kingcuphead.frozen import frozen
 from kingcuphead.quarantine import QuarantineExchange, RequestIdentity
 from kingcuphead.targets import Target
 from kingcuphead.verdict import Execution
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class EndedAttempt:
     """An attempt that has ended, in one way or another."""
 
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -1,17 +1,17 @@
 """Types for a caller's request and for a target's answer to one attempt."""
 
-import dataclasses
 from typing import TypeAlias
 
 from tornado.httputil import HTTPHeaders
 
+from kingcuphead.frozen import frozen
 from kingcuphead.permits import TargetTerms
 
 #: IP address and port of a daemon.
 Address: TypeAlias = tuple[str, int]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PromptPart:
     """A part of a prompt that other requests may contain too."""
 
@@ -21,7 +21,7 @@
     tokens: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PromptSize:
     """Token counts that bound the cost of a request for generated text."""
 
@@ -33,7 +33,7 @@
     parts: tuple[PromptPart, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CallerRequest:
     """A complete request as received from a caller."""
 
@@ -86,7 +86,7 @@
         return self.uri.partition("?")[0]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class SendOptions:
     """Values that this fleet adds to the request of one attempt."""
 
@@ -106,7 +106,7 @@
     copy_from: str = ""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TargetStated:
     """What a target said of itself in an answer that another daemon passed on."""
 
@@ -118,7 +118,7 @@
     pause: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class AnswerHead:
     """Status and headers of a target's answer."""
 
--- a/kingcuphead/forwarding/_pool.py
+++ b/kingcuphead/forwarding/_pool.py
@@ -1,11 +1,11 @@
 """Pool of idle connections to targets."""
 
 import asyncio
-import dataclasses
 from collections import defaultdict
 
 from kingcuphead.forwarding._connection import TargetConnection
 from kingcuphead.forwarding._ports import TargetConnector
+from kingcuphead.frozen import frozen
 
 #: Seconds that an idle connection is kept if the target states no timeout.
 IDLE_TIMEOUT = 4.0
@@ -15,7 +15,7 @@
 MAX_IDLE = 16
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Lease:
     """A connection taken from the pool for one request."""
 
@@ -28,7 +28,7 @@
     expires_at: float | None = None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _IdleConnection:
     connection: TargetConnection
     expires_at: float
--- a/kingcuphead/forwarding/_refusals.py
+++ b/kingcuphead/forwarding/_refusals.py
@@ -1,11 +1,10 @@
 """Error answers that this fleet sends itself."""
 
-import dataclasses
-
+from kingcuphead.frozen import frozen
 from kingcuphead.verdict import Reason
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Refusal:
     """A final error answer that no target sent."""
 
--- a/kingcuphead/forwarding/_target_watch.py
+++ b/kingcuphead/forwarding/_target_watch.py
@@ -1,7 +1,6 @@
 """Finds out whether targets outlive the attempts that were sent to them."""
 
 import asyncio
-import dataclasses
 from collections import OrderedDict
 from collections.abc import Callable, Coroutine
 from typing import Any
@@ -9,6 +8,7 @@
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._connection import is_refusal
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
+from kingcuphead.frozen import frozen
 from kingcuphead.targets import Target, TargetDirectory
 
 #: Seconds for which a target is watched after an attempt; a target that doesn't notice
@@ -23,7 +23,7 @@
 MAX_LOST = 256
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Follower:
     """Who wants to know what becomes of a target."""
 
--- a/kingcuphead/permits/_cold.py
+++ b/kingcuphead/permits/_cold.py
@@ -5,9 +5,9 @@
 below the bound whichever daemons have crashed or are cut off from each other.
 """
 
-import dataclasses
 from typing import Protocol
 
+from kingcuphead.frozen import frozen
 from kingcuphead.targets import ColdLimit, Target
 
 #: Parts of the permitted rate, by position in the order. A third is left over: for
@@ -22,7 +22,7 @@
 NO_HOLDER_WAIT = 0.25
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ColdBounds:
     """Bound on the requests that a cold target gets in any one second.
 
--- a/kingcuphead/permits/_coordinator.py
+++ b/kingcuphead/permits/_coordinator.py
@@ -3,6 +3,7 @@
 import dataclasses
 import random
 
+from kingcuphead.frozen import frozen
 from kingcuphead.permits._bucket import MIN_RATE, TokenBucket
 from kingcuphead.permits._cold import NO_HOLDER_WAIT, SAVED_SECONDS, ColdBounds
 from kingcuphead.permits._room import OpenRequests, TargetRoom
@@ -17,7 +18,7 @@
 MANY_ACCOUNTS = 256
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Decision:
     """Whether a request may be sent, or when another one may."""
 
@@ -33,7 +34,7 @@
 NO_HOLDER = Decision(False, NO_HOLDER_WAIT, is_holder=False)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PermitClaim:
     """A daemon wants to send one request to a target."""
 
--- a/kingcuphead/permits/_messages.py
+++ b/kingcuphead/permits/_messages.py
@@ -1,12 +1,12 @@
 """Messages about permits between the daemon that asks and the one that coordinates."""
 
-import dataclasses
 from typing import TypeAlias
 
+from kingcuphead.frozen import frozen
 from kingcuphead.permits._terms import TargetTerms
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PermitAsked:
     """A daemon wants to send one request to a target."""
 
@@ -25,7 +25,7 @@
     is_doubtful: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class PermitAnswered:
     """The coordinator's answer to one question."""
 
@@ -39,7 +39,7 @@
     is_holder: bool = True
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class RoomReported:
     """A daemon has other requests open at a target than before."""
 
@@ -53,12 +53,12 @@
     was_rejected: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CoordinatorProbed:
     """A daemon wants to know whether the receiver lives and knows of it."""
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ProbeAnswered:
     """The answer to a probe."""
 
@@ -66,7 +66,7 @@
     is_known: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TermsReported:
     """A target has changed its terms."""
 
--- a/kingcuphead/permits/_room.py
+++ b/kingcuphead/permits/_room.py
@@ -1,6 +1,6 @@
 """Counts the requests that all daemons have open at one target."""
 
-import dataclasses
+from kingcuphead.frozen import frozen
 
 #: Seconds after its last report in which the requests of a daemon still count.
 REPORT_LIFETIME = 3.0
@@ -11,7 +11,7 @@
 REJECTION_PENALTY = 2.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class OpenRequests:
     """The requests that one daemon has open at a target."""
 
@@ -23,7 +23,7 @@
     count: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class _Report:
     open_requests: OpenRequests
     received_at: float
--- a/kingcuphead/permits/_terms.py
+++ b/kingcuphead/permits/_terms.py
@@ -1,11 +1,11 @@
 """The terms on which targets accept requests, as they state them in answers."""
 
-import dataclasses
-
 from loguru import logger
 
+from kingcuphead.frozen import frozen
+
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TargetTerms:
     """What a target states about the requests that it accepts from all daemons."""
 
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -1,12 +1,12 @@
 """Parser of the settings file that the platform writes for each process."""
 
-import dataclasses
 import math
 import re
 from collections.abc import Iterator, Mapping
 
 from expression import Error, Ok, Result
 
+from kingcuphead.frozen import frozen
 from kingcuphead.permits import ColdBounds
 from kingcuphead.platform._numbers import read_number
 
@@ -16,7 +16,7 @@
 READINESS_PATH = "/api/ready"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Endpoint:
     """IP address and port of a TCP endpoint."""
 
@@ -26,7 +26,7 @@
     port: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class RetryBudget:
     """Bound on the retries that all daemons together send to one service."""
 
@@ -42,7 +42,7 @@
 MAX_NARROW_LINK_MBPS = 200.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class InstanceLimits:
     """What the instance offers the process; the defaults are the smallest known."""
 
@@ -66,7 +66,7 @@
         return int(self.memory_mb * 1_000_000)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Profile:
     """Settings that the platform writes for one process."""
 
@@ -105,7 +105,7 @@
         return self.has_scarce_capacity or self.limits.has_narrow_link
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ProfileFault:
     """Reason why a settings file is rejected."""
 
--- a/kingcuphead/platform/_store_codec.py
+++ b/kingcuphead/platform/_store_codec.py
@@ -2,13 +2,13 @@
 
 import base64
 import binascii
-import dataclasses
 from collections.abc import Iterator, Sequence
 
 import msgspec
 from expression import Error, Ok, Result
 from loguru import logger
 
+from kingcuphead.frozen import frozen
 from kingcuphead.storage import (
     CommitOutcome,
     Committed,
@@ -58,7 +58,7 @@
 _VERSION = msgspec.json.Decoder(_Version)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Change:
     """A row that was written or removed."""
 
@@ -68,7 +68,7 @@
     value: bytes | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Changes:
     """Changes of a table after one version, up to and including another."""
 
@@ -80,7 +80,7 @@
     era: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class HistoryLost:
     """The store no longer has the requested changes; the table must be read again."""
 
--- a/kingcuphead/routing/_messages.py
+++ b/kingcuphead/routing/_messages.py
@@ -1,9 +1,10 @@
 """Data classes for the routes, services and callers of one configuration version."""
 
-import dataclasses
 import enum
 from collections.abc import Mapping
 
+from kingcuphead.frozen import frozen
+
 
 class RequestKind(enum.StrEnum):
     """Kind of a request, which decides whether a failed attempt may be retried."""
@@ -16,7 +17,7 @@
     STREAM = "stream"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class WeightedService:
     """A service that receives a share of the requests of a route."""
 
@@ -26,7 +27,7 @@
     weight: float
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Route:
     """The services and limits for the requests of one host and path prefix."""
 
@@ -62,7 +63,7 @@
         return self.kind is RequestKind.IDEMPOTENT or self.is_resumable
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class EngineProfile:
     """Properties of the engines of a service, as the operator configures them."""
 
@@ -74,7 +75,7 @@
     tokens_per_event: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Service:
     """A service, which runs on one or more targets."""
 
@@ -91,7 +92,7 @@
     cold_period: float = 0.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Organisation:
     """A paying organisation."""
 
@@ -103,7 +104,7 @@
     prepaid_tokens: int | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class CallerLimits:
     """Limits on the requests and connections of callers."""
 
@@ -117,7 +118,7 @@
     idle_timeout: float = 15.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class RoutingConfiguration:
     """One complete version of the configuration."""
 
--- a/kingcuphead/targets/_cold.py
+++ b/kingcuphead/targets/_cold.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from kingcuphead.frozen import frozen
 from kingcuphead.targets._messages import Target
 
 #: Seconds by which the clock of a target may be ahead of that of this daemon. Entries
@@ -16,7 +17,7 @@
 DEFAULT_COLD_PERIOD = 5.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ColdStart:
     """How the targets of a service start."""
 
@@ -26,7 +27,7 @@
     requests_per_second: float | None
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ColdLimit:
     """What a target takes from the whole fleet because it is, or may be, cold."""
 
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -5,6 +5,7 @@
 from collections import OrderedDict
 from collections.abc import Callable, Iterable, Iterator, Mapping
 
+from kingcuphead.frozen import frozen
 from kingcuphead.targets._cold import ColdLimit, ColdStart, ColdTargets
 from kingcuphead.targets._messages import Availability, Target
 
@@ -18,7 +19,7 @@
 MAX_COLD_VIEW_AGE = 3.0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TargetAdded:
     """A target was added, or restarted under the same name as a new incarnation."""
 
@@ -26,7 +27,7 @@
     target: Target
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class TargetLeft:
     """A target no longer accepts new requests."""
 
@@ -36,7 +37,7 @@
     is_removed: bool
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ZoneEvacuated:
     """The targets of a zone get no new requests from now on."""
 
@@ -46,7 +47,7 @@
     targets: tuple[Target, ...]
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class ZoneReadmitted:
     """The targets of a zone get requests again."""
 
--- a/kingcuphead/targets/_messages.py
+++ b/kingcuphead/targets/_messages.py
@@ -1,8 +1,9 @@
 """Targets, as described by their entries in the platform's store."""
 
-import dataclasses
 import enum
 
+from kingcuphead.frozen import frozen
+
 
 class Availability(enum.StrEnum):
     """Whether a target accepts new requests, according to its entry."""
@@ -13,7 +14,7 @@
     DRAINING = "draining"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+@frozen
 class Target:
     """One incarnation of a model engine or of an instance of a plain service."""
 
