--- a/kingcuphead/bench/_entry_cost_probe.py
+++ b/kingcuphead/bench/_entry_cost_probe.py
@@ -14,7 +14,9 @@
 
 from kingcuphead.datagrams import decode_datagram, encode_datagram
 from kingcuphead.entry._daemon import EntryDaemon
+from kingcuphead.entry._peers import POLL_INTERVAL
 from kingcuphead.entry._table_listeners import ConfigurationListener
+from kingcuphead.entry.tests import _fleet
 from kingcuphead.entry.tests._fleet import Fleet, make_profile
 from kingcuphead.entry.tests._target import CrashingTarget
 from kingcuphead.loads import LoadsReported, TargetLoad
@@ -39,8 +41,10 @@
 async def measure_idle_second() -> float:
     """Return the processor time of a second of one of three daemons without requests.
 
-    A third of their store and target is included.
+    A third of their store and target is included. Daemons list their peers as seldom as
+    in production, not as often as in tests.
     """
+    _fleet.PEER_POLL_INTERVAL = POLL_INTERVAL
     async with make_fleet(lambda register: [make_target("t1", "v1", register)]):
         await asyncio.sleep(SETTLING_SECONDS)
         started_at = time.process_time()
