--- a/kingcuphead/entry/tests/test_capacity.py
+++ b/kingcuphead/entry/tests/test_capacity.py
@@ -2,13 +2,12 @@
 
 from tornado.httpclient import AsyncHTTPClient
 
-from kingcuphead.capacity import InstanceCapacity
 from kingcuphead.entry.tests._fleet import NETWORK, READINESS_PORT, Fleet
 from kingcuphead.entry.tests._target import StreamingTarget
 from kingcuphead.platform import READINESS_PATH
 
-#: So small that each daemon is above its limit.
-CAPACITY = InstanceCapacity.from_limits(cores=0.01, cpu_share=1.0, link_mbps=0.001)
+#: Capacity of the link in Mbit/s, so small that each daemon is above its limit.
+LINK_MBPS = 0.001
 
 
 def make_targets(register):
@@ -25,7 +24,7 @@
                     daemon._links.capacity for daemon, _ in fleet.daemons.values()
                 ]
                 for exchange in exchanges:
-                    exchange.apply_limits(CAPACITY, True)
+                    exchange.apply_limits(LINK_MBPS, True)
                 while any(len(each._zone_loads._reports) < 2 for each in exchanges):
                     await asyncio.sleep(0.05)
                 while any(each._load.peak < 1 for each in exchanges):
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -121,6 +121,20 @@
         stream = None
         if context.route.kind is RequestKind.STREAM:
             stream = AnswerStream(caller, context.request.resume_after)
+        try:
+            return await self._serve_until_deadline(context, caller, stream)
+        finally:
+            caller.holding.on_end = None
+            if stream is not None and stream.is_started:
+                started_after = stream.started_at - context.request.arrived_at
+                context.first_event_seconds = round(started_after, 3)
+            self._admission.record_end(context, stream)
+            self._charging.settle(context, held.ok, stream)
+
+    async def _serve_until_deadline(
+        self, context: RequestContext, caller: Caller, stream: AnswerStream | None
+    ) -> Refusal | None:
+        """Run attempts until the deadline, or until the memory is needed elsewhere."""
         try:
             async with asyncio.timeout_at(context.deadline) as scope:
                 if caller.holding.is_ended:
@@ -133,13 +147,6 @@
             if caller.holding.is_ended:
                 return self._refuse_without_memory(context, caller)
             return self._time_out(context, caller)
-        finally:
-            caller.holding.on_end = None
-            if stream is not None and stream.is_started:
-                started_after = stream.started_at - context.request.arrived_at
-                context.first_event_seconds = round(started_after, 3)
-            self._admission.record_end(context, stream)
-            self._charging.settle(context, held.ok, stream)
 
     def _admit(self, request: CallerRequest) -> Result[RequestContext, Refusal]:
         table = self._table
