Start a second attempt beside one that takes long

Cause: a request waits for a slow target although others are free. The first usable end wins, the other attempt is cancelled.

--- a/kingcuphead/dispatch/__init__.py
+++ b/kingcuphead/dispatch/__init__.py
@@ -1,6 +1,12 @@
 """Chooses a target for each attempt of a request, and limits retries per service."""
 
 from kingcuphead.dispatch._dispatcher import Dispatcher
+from kingcuphead.dispatch._hedging import (
+    HedgeConditions,
+    HedgeDenial,
+    HedgingPolicy,
+    RequestClass,
+)
 from kingcuphead.dispatch._messages import (
     AttemptResult,
     DispatchSettings,
@@ -15,8 +21,12 @@
     "AttemptResult",
     "DispatchSettings",
     "Dispatcher",
+    "HedgeConditions",
+    "HedgeDenial",
+    "HedgingPolicy",
     "Placement",
     "PlacementRequest",
+    "RequestClass",
     "RetryAllowance",
     "RoomCheck",
     "ServiceLoad",
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -11,12 +11,18 @@
 from loguru import logger
 
 from kingcuphead.admission import AdmissionGate, QueueBounds, bound_memory
-from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
+from kingcuphead.dispatch import (
+    Dispatcher,
+    DispatchSettings,
+    HedgingPolicy,
+    RetryAllowance,
+)
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._evacuation_exchange import EvacuationExchange
 from kingcuphead.entry._fleet_links import FleetLinks
 from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
 from kingcuphead.entry._readiness import serve_readiness
+from kingcuphead.entry._settings import EntrySettings
 from kingcuphead.entry._table_listeners import (
     ConfigurationListener,
     EvacuationListener,
@@ -75,9 +81,16 @@
         Settings of this process, as the platform provides them.
     settings_path
         Path of the file that the profile was read from.
+    settings
+        What the operator sets for this daemon.
     """
 
-    def __init__(self, profile: Profile, settings_path: str) -> None:
+    def __init__(
+        self,
+        profile: Profile,
+        settings_path: str,
+        settings: EntrySettings = EntrySettings(),  # noqa: B008
+    ) -> None:
         self._profile = profile
         self._settings_path = settings_path
         self._reload = asyncio.Event()
@@ -90,13 +103,14 @@
         self._metrics = DaemonMetrics()
         self._metrics.observe_targets(self._directory)
         peer_loads = PeerLoads()
-        settings = DispatchSettings(
+        dispatch_settings = DispatchSettings(
             profile.zone, has_contended_engines=profile.is_constrained
         )
-        self._dispatcher = Dispatcher(settings, peer_loads, rng)
+        self._dispatcher = Dispatcher(dispatch_settings, peer_loads, rng)
         self._dispatcher.cold_costs.is_cold = self._directory.is_cold
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
+        self._hedging = HedgingPolicy(settings.max_hedged_share, self._retries)
         self._links = FleetLinks(
             profile,
             self._store,
@@ -146,6 +160,7 @@
                 self._links.report_statement,
                 self._links.permits,
                 self._admission,
+                self._hedging,
             ),
             rng,
             self._metrics.record,
@@ -325,6 +340,7 @@
             self._pool.close_address(change.target.address)
             if change.is_removed:
                 self._dispatcher.forget(change.target)
+                self._hedging.forget(change.target.name)
                 self._links.permits.forget(change.target)
 
     def _handle_zone_change(self, change: ZoneChange) -> None:
--- a/kingcuphead/entry/_main.py
+++ b/kingcuphead/entry/_main.py
@@ -10,6 +10,7 @@
 
 from kingcuphead.capacity import TimedSelector
 from kingcuphead.entry._daemon import EntryDaemon
+from kingcuphead.entry._settings import EntrySettings, read_settings
 from kingcuphead.logs import BoundedStream, LogSettings, set_up_logs
 from kingcuphead.platform import SETTINGS_VARIABLE, read_profile
 
@@ -31,13 +32,27 @@
         default=os.environ.get(SETTINGS_VARIABLE, ""),
         help=f"settings file of the platform (default: ${SETTINGS_VARIABLE})",
     )
+    parser.add_argument(
+        "--settings",
+        default="",
+        help="file with the operator's settings of the daemon (default: none)",
+    )
     options = parser.parse_args(arguments)
+    settings = EntrySettings()
+    if options.settings:
+        match read_settings(options.settings):
+            case Result(tag="ok", ok=settings):
+                pass
+            case Result(error=invalid):
+                print(f"settings: {invalid}", file=sys.stderr)
+                return 2
     match read_profile(options.profile):
         case Result(tag="ok", ok=profile):
             set_up_logs(
                 LogSettings(), profile.instance, BoundedStream(sys.stdout.fileno())
             )
-            return 0 if _run_daemon(EntryDaemon(profile, options.profile)) else 1
+            daemon = EntryDaemon(profile, options.profile, settings)
+            return 0 if _run_daemon(daemon) else 1
         case Result(error=fault):
             print(f"settings: {fault.key}: {fault.cause}", file=sys.stderr)
             return 2
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -16,7 +16,7 @@
     Registry,
     load_library,
 )
-from kingcuphead.forwarding import Refusal, RequestContext
+from kingcuphead.forwarding import HedgeRecord, Refusal, RequestContext
 from kingcuphead.targets import Target, TargetDirectory
 
 #: Port of the metrics endpoint; the deployment file contains it too.
@@ -144,6 +144,18 @@
             ("service",),
             registry=self._registry,
         )
+        self._hedges = Counter(
+            "kingcuphead_hedges",
+            "Second attempts beside running ones, by service and event.",
+            ("service", "event"),
+            registry=self._registry,
+        )
+        self._hedge_denials = Counter(
+            "kingcuphead_hedge_denials",
+            "Second attempts that were not started, by service and reason.",
+            ("service", "reason"),
+            registry=self._registry,
+        )
         #: Holds requests back until targets have room; None if none wait.
         self.admission: AdmissionGate | None = None
 
@@ -191,6 +203,19 @@
             self._queue_seconds.labels(context.service).observe(context.queue_seconds)
         if context.queue_figures is not None:
             self._queue_refusals.labels(context.service, reason).inc()
+        if context.hedge is not None:
+            self._record_hedge(context.service, context.hedge)
+
+    def _record_hedge(self, service: str, hedge: HedgeRecord) -> None:
+        """Record the second attempt of a request, or why there was none."""
+        if hedge.denial is not None:
+            self._hedge_denials.labels(service, hedge.denial.value).inc()
+            return
+        self._hedges.labels(service, "started").inc()
+        if hedge.is_won:
+            self._hedges.labels(service, "won").inc()
+        if hedge.is_cancelled:
+            self._hedges.labels(service, "cancelled").inc()
 
     def watch_memory(self, get_bytes: Callable[[], int]) -> None:
         """Expose the bytes that are held for requests."""
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -6,7 +6,7 @@
     connect_to_target,
     is_refusal,
 )
-from kingcuphead.forwarding._context import RequestContext
+from kingcuphead.forwarding._context import HedgeRecord, RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EvidenceRecorder
 from kingcuphead.forwarding._forwarder import RequestForwarder
@@ -45,6 +45,7 @@
     "Dependencies",
     "EvidenceRecorder",
     "HeaderCodec",
+    "HedgeRecord",
     "Holding",
     "MemoryAccount",
     "OutOfMemoryError",
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import dataclasses
 
 from kingcuphead.dispatch import AttemptResult, Placement
 from kingcuphead.forwarding._attempt import (
@@ -16,7 +17,12 @@
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EndedAttempt
 from kingcuphead.forwarding._memory import Holding
-from kingcuphead.forwarding._messages import AnswerHead, SendOptions, TargetStated
+from kingcuphead.forwarding._messages import (
+    Address,
+    AnswerHead,
+    SendOptions,
+    TargetStated,
+)
 from kingcuphead.forwarding._retry_decision import RetryDecision
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.resumption import BegunStream
@@ -36,6 +42,18 @@
 MIN_STALL_TIMEOUT = 1.6
 
 
+@dataclasses.dataclass(slots=True)
+class AttemptPath:
+    """How the bytes of one attempt travel."""
+
+    #: Daemon that passes them on; None without one.
+    helper: Address | None = None
+
+    def record_helper(self, helper: Address | None) -> None:
+        """Record which daemon passes on the bytes; None without one."""
+        self.helper = helper
+
+
 class AttemptDriver:
     """Sends requests to chosen targets.
 
@@ -72,24 +90,22 @@
             Receives the events; None for an answer that is returned when complete.
         """
         context.tried.append(placement.target.name)
-        context.helper = None
+        path = AttemptPath()
         started_at = get_time()
         if stream is not None:
             stream.begin_attempt(lambda: self._record_start(context, placement))
-        previous_execution, context.execution = (
-            context.execution,
-            Execution.MAY_HAVE_RUN,
-        )
+        context.possible_runs += 1
         end: AttemptEnd | None = None
         try:
-            attempt = self._make_attempt(context, placement, holding, stream)
+            attempt = self._make_attempt(context, placement, path, holding, stream)
             end = await self._dependencies.runner.run(attempt, stream)
         finally:
-            self._record_attempt(context, placement, end, get_time() - started_at)
+            seconds = get_time() - started_at
+            self._record_attempt(context, placement, path, end, seconds)
             checked = self._record_evidence(context, placement, end, stream)
         match end:
             case AttemptFailed(execution=Execution.NOT_RUN):
-                context.execution = previous_execution
+                context.possible_runs -= 1
             case AttemptFailed(is_connection_lost=True) if checked is not None:
                 await _wait_briefly(checked)
         if isinstance(end, AttemptFailed) and end.is_misdirected:
@@ -100,6 +116,7 @@
         self,
         context: RequestContext,
         placement: Placement,
+        path: AttemptPath,
         end: AttemptEnd | None,
         seconds: float,
     ) -> None:
@@ -111,6 +128,8 @@
             Request of the attempt.
         placement
             Target of the attempt.
+        path
+            How its bytes travelled.
         end
             How the attempt ended; None if it was abandoned.
         seconds
@@ -127,7 +146,7 @@
                 result,
                 "cancelled" if end is None else describe_end(end),
                 seconds,
-                context.helper,
+                path.helper,
             )
         )
         self._dependencies.dispatcher.record_result(placement, result, get_time())
@@ -141,6 +160,7 @@
         self,
         context: RequestContext,
         placement: Placement,
+        path: AttemptPath,
         holding: Holding,
         stream: AnswerStream | None,
     ) -> Attempt:
@@ -164,19 +184,25 @@
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
             stall_timeout=max(MIN_STALL_TIMEOUT, 2 * context.route.event_gap_objective),
             claim_retry=lambda: self._retries.claim(context),
-            record_helper=context.record_helper,
-            record_head=lambda head: self._record_head(context, placement.target, head),
+            record_helper=path.record_helper,
+            record_head=lambda head: self._record_head(
+                context, placement.target, path, head
+            ),
         )
 
     def _record_head(
-        self, context: RequestContext, target: Target, head: AnswerHead
+        self,
+        context: RequestContext,
+        target: Target,
+        path: AttemptPath,
+        head: AnswerHead,
     ) -> None:
         """Apply what a target says about itself in an answer."""
         is_stated = head.is_leaving or head.retry_after is not None
-        if context.helper is not None and is_stated:
+        if path.helper is not None and is_stated:
             pause = head.retry_after or 0.0
             statement = TargetStated(target.name, head.is_leaving, pause)
-            self._dependencies.report_statement(statement, context.helper)
+            self._dependencies.report_statement(statement, path.helper)
         permits = self._dependencies.permits
         if head.is_leaving:
             self._dependencies.report_leaving(target)
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -7,7 +7,12 @@
 
 from kingcuphead.admission import QueueFigures
 from kingcuphead.credit import CreditState
-from kingcuphead.dispatch import AttemptResult, PlacementRequest, SharedPrefix
+from kingcuphead.dispatch import (
+    AttemptResult,
+    HedgeDenial,
+    PlacementRequest,
+    SharedPrefix,
+)
 from kingcuphead.forwarding._messages import Address, CallerRequest
 from kingcuphead.forwarding._refusals import Refusal
 from kingcuphead.quarantine import RequestIdentity
@@ -55,6 +60,24 @@
         )
 
 
+@dataclasses.dataclass(slots=True)
+class HedgeRecord:
+    """What became of the second attempt of a request beside its first one."""
+
+    #: Why no second attempt started; None if one did.
+    denial: HedgeDenial | None = None
+    #: Whether the second attempt brought the answer.
+    is_won: bool = False
+    #: Whether one attempt was cancelled after the other one's answer.
+    is_cancelled: bool = False
+
+    def __str__(self) -> str:
+        """Return the record as the log field `hedged`."""
+        if self.denial is not None:
+            return f"denied {self.denial.value}"
+        return "won" if self.is_won else "started"
+
+
 @dataclasses.dataclass(slots=True)
 class RequestContext:
     """One request with the decisions made for it."""
@@ -82,10 +105,10 @@
     tried: list[str] = dataclasses.field(default_factory=list)
     #: Outcomes of the attempts, in order.
     records: list[AttemptRecord] = dataclasses.field(default_factory=list)
-    #: Daemon that passes on the bytes of the last attempt; None without one.
-    helper: Address | None = None
-    #: Whether a target may have run the request.
-    execution: Execution = Execution.NOT_RUN
+    #: Number of attempts, running ones included, whose target may have run the request.
+    possible_runs: int = 0
+    #: Second attempt beside a running one; None if the delay for it didn't pass.
+    hedge: HedgeRecord | None = None
     #: Seconds spent waiting for credit.
     credit_seconds: float = 0.0
     #: Seconds spent waiting for room at a target.
@@ -103,6 +126,11 @@
     #: HTTP status of the target's answer that was sent to the caller; 0 for none.
     status: int = 0
 
+    @property
+    def execution(self) -> Execution:
+        """Whether a target may have run the request."""
+        return Execution.MAY_HAVE_RUN if self.possible_runs else Execution.NOT_RUN
+
     @property
     def rank(self) -> int:
         """Priority; 0 is the most urgent."""
@@ -133,10 +161,6 @@
             if target.software_version == self.bound_version
         )
 
-    def record_helper(self, helper: Address | None) -> None:
-        """Record which daemon passes on the bytes of the attempt; None without one."""
-        self.helper = helper
-
     def make_placement_request(self) -> PlacementRequest:
         """Return the properties by which the dispatcher chooses a target."""
         size = self.request.size
@@ -191,6 +215,7 @@
             credit_seconds=round(self.credit_seconds, 3),
             queue_seconds=round(self.queue_seconds, 3),
             first_event_seconds=self.first_event_seconds,
+            hedged=str(self.hedge or ""),
             tokens=self.spent,
             seconds=round(now - self.request.arrived_at, 3),
         )
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -5,7 +5,7 @@
 
 from kingcuphead.admission import AdmissionGate
 from kingcuphead.credit import CreditTask
-from kingcuphead.dispatch import Dispatcher, RetryAllowance
+from kingcuphead.dispatch import Dispatcher, HedgingPolicy, RetryAllowance
 from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.forwarding._evidence import EvidenceRecorder
 from kingcuphead.forwarding._messages import Address, TargetStated
@@ -43,3 +43,5 @@
     permits: PermitExchange
     #: Holds requests back until targets have room; None to send all at once.
     admission: AdmissionGate | None = None
+    #: Decides on second attempts beside running ones; None for no such attempts.
+    hedging: HedgingPolicy | None = None
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -21,6 +21,7 @@
 )
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._fingerprint import identify_request
+from kingcuphead.forwarding._hedged_attempts import HedgedAttempts
 from kingcuphead.forwarding._memory import OutOfMemoryError
 from kingcuphead.forwarding._messages import CallerRequest
 from kingcuphead.forwarding._ports import Caller
@@ -72,10 +73,12 @@
         self._table: RoutingTable | None = None
         self._charging = Charging(dependencies.credit)
         self._retries = RetryDecision(dependencies.directory, dependencies.retries)
-        self._attempts = AttemptDriver(dependencies, self._retries)
         self._targets = TargetChoice(
             dependencies.directory, dependencies.dispatcher, dependencies.permits
         )
+        self._attempts = HedgedAttempts(
+            dependencies, AttemptDriver(dependencies, self._retries), self._targets
+        )
         self._admission = AdmissionStep(dependencies.admission, self._targets)
 
     def apply(self, table: RoutingTable) -> None:
@@ -166,6 +169,8 @@
         context.identity = identify_request(request, context.payer)
         context.tokens_per_event = table.get_tokens_per_event(service)
         self._dependencies.retries.count_request(service, get_time())
+        if self._dependencies.hedging is not None:
+            self._dependencies.hedging.count_request(service, get_time())
         return Ok(context)
 
     async def _find_origin(self, context: RequestContext) -> bool:
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -1,5 +1,7 @@
 """Chooses the target of an attempt among those that take the request now."""
 
+from collections.abc import Callable
+
 from kingcuphead.dispatch import Dispatcher, Placement
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
@@ -48,6 +50,35 @@
                 return placement
         return None
 
+    async def place_second(
+        self, context: RequestContext, is_slow: Callable[[Target], bool]
+    ) -> Placement | None:
+        """Choose a target for an attempt beside a running one; None if there is none.
+
+        Parameters
+        ----------
+        context
+            Request, whose attempts' targets are excluded.
+        is_slow
+            Returns whether a target is too slow for that.
+        """
+        candidates = [
+            target
+            for target in self._permits.select_free(self.list_open(context))
+            if not self._directory.is_cold(target) and not is_slow(target)
+        ]
+        placement = self._dispatcher.place(
+            context.make_placement_request(), candidates, context.tried, get_time()
+        )
+        if placement is None or await self._claim_permit(placement):
+            return placement
+        return None
+
+    def withdraw(self, placement: Placement) -> None:
+        """Give up a choice for which a permit was had; nothing was sent."""
+        self._dispatcher.withdraw(placement)
+        self._permits.release(placement.target, was_rejected=False)
+
     def get_delay(self, context: RequestContext) -> float | None:
         """Return the seconds until a target may take a request.
 
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -36,6 +36,7 @@
         "execution",
         "fingerprint",
         "first_event_seconds",
+        "hedged",
         "instance",
         "lag",
         "link",
