--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -22,7 +22,7 @@
 from kingcuphead.entry._fleet_links import FleetLinks
 from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
 from kingcuphead.entry._readiness import serve_readiness
-from kingcuphead.entry._settings import EntrySettings
+from kingcuphead.entry._settings import DEFAULT_SETTINGS, EntrySettings
 from kingcuphead.entry._table_listeners import (
     ConfigurationListener,
     EvacuationListener,
@@ -89,7 +89,7 @@
         self,
         profile: Profile,
         settings_path: str,
-        settings: EntrySettings = EntrySettings(),  # noqa: B008
+        settings: EntrySettings = DEFAULT_SETTINGS,
     ) -> None:
         self._profile = profile
         self._settings_path = settings_path
--- a/kingcuphead/entry/_main.py
+++ b/kingcuphead/entry/_main.py
@@ -10,7 +10,7 @@
 
 from kingcuphead.capacity import TimedSelector
 from kingcuphead.entry._daemon import EntryDaemon
-from kingcuphead.entry._settings import EntrySettings, read_settings
+from kingcuphead.entry._settings import DEFAULT_SETTINGS, read_settings
 from kingcuphead.logs import BoundedStream, LogSettings, set_up_logs
 from kingcuphead.platform import SETTINGS_VARIABLE, read_profile
 
@@ -38,7 +38,7 @@
         help="file with the operator's settings of the daemon (default: none)",
     )
     options = parser.parse_args(arguments)
-    settings = EntrySettings()
+    settings = DEFAULT_SETTINGS
     if options.settings:
         match read_settings(options.settings):
             case Result(tag="ok", ok=settings):
--- a/kingcuphead/entry/_settings.py
+++ b/kingcuphead/entry/_settings.py
@@ -18,6 +18,10 @@
     max_hedged_share: float = 0.0
 
 
+#: Settings without a file.
+DEFAULT_SETTINGS = EntrySettings()
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class InvalidSettings:
     """Why a settings file can't be used."""
@@ -59,7 +63,8 @@
             if key != SHARE_KEY:
                 location = f"[{section}] {key}"
                 return Error(InvalidSettings(path, location, "unknown key"))
-    text = parser.get(HEDGING_SECTION, SHARE_KEY, fallback="0")
+    default = str(DEFAULT_SETTINGS.max_hedged_share)
+    text = parser.get(HEDGING_SECTION, SHARE_KEY, fallback=default)
     share = _parse_share(text)
     if share is None:
         cause = f"{text!r} is not a number from 0 to 1"
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -163,12 +163,12 @@
         )
         self.permits.ranking.apply_peers((), 0.0)
         ledger = CreditLedger("d1", "incarnation-1")
-        organisation = Organisation("atelier", None, self.prepaid)
-        ledger.apply_limits([organisation], 1)
+        self.organisation = Organisation("atelier", None, self.prepaid)
+        ledger.apply_limits([self.organisation], 1)
         self.ledger = ledger
-        credit = CreditTask(ledger, lambda name: CommittingTable())
-        self.renewal = asyncio.create_task(credit.run())
-        dispatcher = Dispatcher(
+        self.credit = CreditTask(ledger, lambda name: CommittingTable())
+        self.renewal = asyncio.create_task(self.credit.run())
+        self.dispatcher = Dispatcher(
             DispatchSettings("z"), PeerLoads(), OrderPreservingRandom()
         )
         self.quarantine = QuarantineExchange(
@@ -185,12 +185,17 @@
             self.broadcasts.append,
             self.broadcasts.append,
         )
+        self.enable_hedging(None)
+        return self
+
+    def enable_hedging(self, hedging):
+        """Serve requests with a policy of second attempts; None for none."""
         self.forwarder = RequestForwarder(
             Dependencies(
                 self.directory,
-                dispatcher,
+                self.dispatcher,
                 RetryAllowance(0.0, 120.0, 10.0),
-                credit,
+                self.credit,
                 AttemptRunner(self.pool, PlatformHeaders()),
                 self.quarantine,
                 EvidenceRecorder(self.quarantine, self.watch),
@@ -199,6 +204,7 @@
                 lambda message, receiver: None,
                 self.permits,
                 self.admission,
+                hedging,
             ),
             random.Random(1),
             lambda context, refusal: self.ended.append((context, refusal)),
@@ -209,13 +215,12 @@
                     1,
                     tuple(self.routes),
                     {},
-                    {"atelier": organisation},
+                    {"atelier": self.organisation},
                     {"k": "atelier"},
                     CallerLimits(),
                 )
             )
         )
-        return self
 
     def handle_leaving(self, target):
         list(self.directory.mark_leaving(target))
