--- a/kingcuphead/forwarding/tests/test_hedging.py
+++ b/kingcuphead/forwarding/tests/test_hedging.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -6,6 +7,7 @@
     AttemptResult,
     HedgeDenial,
     HedgingPolicy,
+    PlacementRequest,
     RequestClass,
     RetryAllowance,
 )
@@ -20,6 +22,7 @@
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
 from kingcuphead.forwarding.tests.test_quarantine import report_crashes
+from kingcuphead.permits import TargetTerms
 from kingcuphead.verdict import Execution, Reason
 
 #: Seconds that measured answers took, and that a slow target takes.
@@ -76,8 +79,8 @@
             assert context.hedge.is_won
             assert context.hedge.is_cancelled
             assert context.execution is Execution.MAY_HAVE_RUN
-            # Both attempts belong to one bill.
-            assert context.spent <= SIZE.prompt_tokens + SIZE.output_tokens
+            # The request is billed once, although it may have run twice.
+            assert context.spent == SIZE.prompt_tokens
             assert not list(harness.dispatcher.list_loads())
 
         play(scenario)
@@ -158,6 +161,59 @@
         play(scenario)
 
 
+def state_limit(harness, policy, target):
+    harness.permits.record_terms(target, TargetTerms(1_000.0))
+
+
+def make_cold(harness, policy, target):
+    list(harness.directory.put(dataclasses.replace(target, cold_left=9.0, sequence=9)))
+
+
+def make_slow(harness, policy, target):
+    policy.record_late(target.name, asyncio.get_running_loop().time())
+
+
+def make_busy(harness, policy, target):
+    """Send more requests to a target than half of the slots of both."""
+    for _ in range(target.slots + 1):
+        harness.dispatcher.place(PlacementRequest("pool"), [target], (), 0.0)
+
+
+def lower_estimate(harness, policy, target):
+    """Let the expected wait exceed the time that is left."""
+    harness.dispatcher.place(PlacementRequest("pool"), [target], (), 0.0)
+    harness.dispatcher._get_state(target).latency_ratio = 1_000.0
+
+
+class TestOtherTargets:
+    """A second attempt must not add to the load of a target that can't bear it."""
+
+    @pytest.mark.parametrize(
+        ("prepare", "denial"),
+        [
+            (state_limit, HedgeDenial.NO_TARGET),
+            (make_cold, HedgeDenial.NO_TARGET),
+            (make_slow, HedgeDenial.NO_TARGET),
+            (make_busy, HedgeDenial.BUSY),
+            (lower_estimate, HedgeDenial.NO_TIME),
+        ],
+    )
+    def test_it_gets_no_second_attempt(self, prepare, denial):
+        async def main(harness):
+            policy = make_policy()
+            harness.enable_hedging(policy)
+            harness.first.script = [[4 * USUAL, *harness.first.answer(body=b"1")]]
+            prepare(harness, policy, harness.directory.list_usable("pool")[1])
+            load_before = list(harness.dispatcher.list_loads())
+            caller, _ = await harness.serve(make_request(IDEMPOTENT, SIZE))
+            assert caller.body == b"1"
+            assert not harness.second.received
+            assert get_context(harness).hedge.denial is denial
+            assert list(harness.dispatcher.list_loads()) == load_before
+
+        run([make_route(IDEMPOTENT, timeout=4.0, objective=1.0)], main)
+
+
 class TestFailures:
     def test_a_target_that_loses_its_answer_is_made_up_for(self):
         async def scenario(harness):
