--- a/kingcuphead/entry/tests/test_metrics.py
+++ b/kingcuphead/entry/tests/test_metrics.py
@@ -1,8 +1,12 @@
 import asyncio
 
+import pytest
+
 from kingcuphead.admission import AdmissionGate, QueueBounds
 from kingcuphead.capacity import CapacityFigures, OwnLoad
+from kingcuphead.dispatch import HedgeDenial
 from kingcuphead.entry._metrics import DaemonMetrics
+from kingcuphead.forwarding import HedgeRecord
 from kingcuphead.forwarding.tests._harness import (
     IDEMPOTENT,
     Harness,
@@ -83,3 +87,39 @@
         assert 'kingcuphead_load{resource="event_loop"} 0.0' in lines
         assert "kingcuphead_shed_connections_total 7.0" in lines
         assert "kingcuphead_shed_seconds_total 2.0" in lines
+
+
+class TestHedges:
+    @pytest.mark.parametrize(
+        ("hedge", "series"),
+        [
+            (HedgeRecord(), ['hedges_total{event="started",service="pool"}']),
+            (
+                HedgeRecord(is_won=True, is_cancelled=True),
+                [
+                    'hedges_total{event="cancelled",service="pool"}',
+                    'hedges_total{event="started",service="pool"}',
+                    'hedges_total{event="won",service="pool"}',
+                ],
+            ),
+            (
+                HedgeRecord(HedgeDenial.BUSY),
+                ['hedge_denials_total{reason="busy",service="pool"}'],
+            ),
+        ],
+    )
+    def test_second_attempts_are_counted_by_what_became_of_them(self, hedge, series):
+        metrics = DaemonMetrics()
+
+        async def scenario(harness):
+            harness.first.script = [harness.first.answer()]
+            await harness.serve(make_request(IDEMPOTENT))
+            context, refusal = harness.ended[0]
+            context.hedge = hedge
+            metrics.record(context, refusal)
+
+        run_forwarder([make_route(IDEMPOTENT)], scenario)
+        lines = metrics.render().decode().splitlines()
+        counted = [line for line in lines if line.startswith("kingcuphead_hedge")]
+        totals = sorted(line for line in counted if "_total{" in line)
+        assert totals == [f"kingcuphead_{name} 1.0" for name in series]
