Send a hundred slow requests at the rate of the busiest daemons in a test

All at once they kept the event loop of the test busy for 0.7 s beside a load average of 18, whoever read slowly. Its target waited after the last block of an answer and took the next request on the connection for a disconnect.

--- a/kingcuphead/entry/tests/test_slow_callers.py
+++ b/kingcuphead/entry/tests/test_slow_callers.py
@@ -20,6 +20,8 @@
 LARGE_BYTES = LARGE_EVENT_BYTES * LARGE_EVENTS
 #: Bytes a second that reach a daemon by the fastest link, 100 Mbit/s.
 LINK_BYTES_PER_SECOND = 12_500_000
+#: Requests a second that reach the busiest daemons.
+REQUESTS_PER_SECOND = 100
 #: Small events that are sent without a pause.
 SMALL_EVENTS = 3_000
 
@@ -48,7 +50,9 @@
                 (answer,) = self.answer("200 OK", b"x" * LARGE_BYTES)
                 size = LARGE_EVENT_BYTES
                 blocks = [answer[at : at + size] for at in range(0, len(answer), size)]
-                return [step for block in blocks for step in (block, self.interval)]
+                steps = [step for block in blocks for step in (block, self.interval)]
+                # After the last block the connection may bring the next request.
+                return steps[:-1]
             case _:
                 return self.answer()
 
@@ -203,8 +207,11 @@
             for target in (entrance.harness.first, entrance.harness.second):
                 target.interval = seconds / LARGE_EVENTS
             callers = [SlowCaller(entrance.address, path) for _ in range(SLOW_CALLERS)]
+            seconds += SLOW_CALLERS / REQUESTS_PER_SECOND
             others = asyncio.create_task(entrance.call_until(seconds))
-            await asyncio.gather(*(each.send() for each in callers))
+            for caller in callers:
+                await caller.send()
+                await asyncio.sleep(1 / REQUESTS_PER_SECOND)
             assert await others <= OBJECTIVE
             assert memory.peak <= memory.limit
             assert memory.used > memory.limit / 4
