--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -72,14 +72,14 @@
             lambda rank: self._shares.may_overtake(rank, ranks, now),
             now,
         )
+        if admitted is not None:
+            self._record_admission(admitted.request, now)
+            self._late.advance(now)
+            self._late.arrived += 1
+            self._late.admitted += admitted.standing is Standing.LATE
+        # After the admission, which counts as one after a wait.
         self.track(now)
-        if admitted is None:
-            return None
-        self._record_admission(admitted.request, now)
-        self._late.advance(now)
-        self._late.arrived += 1
-        self._late.admitted += admitted.standing is Standing.LATE
-        return admitted.request
+        return None if admitted is None else admitted.request
 
     def withdraw(self, request_id: str, now: float) -> None:
         """Remove a request whose caller is gone."""
