--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -249,7 +249,10 @@
         if request.last_start_in_time <= now:
             objective_ends_at = now
         placement = dataclasses.replace(described, objective_ends_at=objective_ends_at)
-        waiting = dataclasses.replace(placement, waiting_since=request.arrived_at)
+        waiting = placement
+        if not gives_way:
+            # Late requests would go ahead of timely ones of other daemons.
+            waiting = dataclasses.replace(placement, waiting_since=request.arrived_at)
         if not described.prompt_tokens:
             # Plain services answer within an interval of the reports.
             return self._room.has_room(waiting, candidates, now)
--- a/kingcuphead/admission/tests/test_load.py
+++ b/kingcuphead/admission/tests/test_load.py
@@ -22,6 +22,10 @@
 FAST_PLAIN = Profile(
     targets=4, slots=6, work=0.0225, objective=0.163, timeout=1.0, has_tokens=False
 )
+FLEETS = [
+    Profile(targets=12, slots=16, work=0.5, first_share=0.4, daemons=12),
+    dataclasses.replace(PLAIN, daemons=12),
+]
 #: Rates and the values of the requests.
 Arrivals = list[tuple[float, dict[str, object]]]
 #: Seconds within which a refusal is sent.
@@ -154,13 +158,7 @@
 class TestFleet:
     """Daemons that know of each other by reports that are late and incomplete."""
 
-    @pytest.mark.parametrize(
-        "profile",
-        [
-            Profile(targets=12, slots=16, work=0.5, first_share=0.4, daemons=12),
-            dataclasses.replace(PLAIN, daemons=12),
-        ],
-    )
+    @pytest.mark.parametrize("profile", FLEETS)
     def test_a_burst_is_served_better_than_without_a_queue(self, profile):
         """Daemons that use each free place together fill the queues of targets."""
         arrivals: Arrivals = [(2 * profile.capacity, {})]
@@ -172,6 +170,15 @@
         assert in_time >= 1.3 * len(select(direct, is_in_time=True))
         assert in_time >= 0.7 * 3 * profile.capacity
 
+    @pytest.mark.parametrize("profile", FLEETS)
+    def test_few_are_late_and_refusals_are_prompt(self, profile):
+        """The target of a burst of twice the capacity, for a whole fleet."""
+        outcomes = play_arrivals(profile, 3, [(2 * profile.capacity, {})])
+        served = select(outcomes, is_served=True)
+        refused = select(outcomes, is_served=False)
+        assert max(each.seconds for each in refused) <= REFUSAL_SECONDS
+        assert compute_share(served, is_in_time) >= 0.9
+
     def test_no_target_stays_idle_because_of_old_reports(self):
         """Another daemon reported full targets and is gone since.
 
