--- a/kingcuphead/dispatch/tests/test_hedging.py
+++ b/kingcuphead/dispatch/tests/test_hedging.py
@@ -121,7 +121,7 @@
             policy.record_end(KIND, "t", AttemptResult.ANSWERED, seconds, 0.0)
         assert 0.95 <= policy.get_delay(KIND) <= 0.95 * 1.15
 
-    def test_attempts_that_were_cut_short_do_not_lower_it(self):
+    def test_attempts_that_were_cut_short_early_do_not_lower_it(self):
         policy = make_policy()
         before = policy.get_delay(KIND)
         for _ in range(3):
@@ -129,6 +129,12 @@
             policy.record_end(KIND, "t", AttemptResult.CANCELLED, SLOW, 0.0)
         assert policy.get_delay(KIND) == before
 
+    def test_attempts_that_were_cut_short_count_with_the_time_that_they_ran(self):
+        policy = make_policy(answers=92)
+        for _ in range(8):
+            policy.record_end(KIND, "t", AttemptResult.CANCELLED, SLOW, 0.0)
+        assert policy.get_delay(KIND) >= SLOW
+
     def test_other_sizes_are_measured_apart(self):
         other = dataclasses.replace(KIND, size_class=8)
         assert make_policy().get_delay(other) == math.inf
