Close connections for two seconds once a daemon sheds; report loads once a second

The time for the checks to fail and the time to close connections are now bounded apart, and less load ends shedding only before connections close.

--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -27,7 +27,7 @@
 from kingcuphead.capacity._zone_loads import ZoneLoads
 
 #: Seconds between two samples of the load.
-SAMPLE_INTERVAL = 0.1
+SAMPLE_INTERVAL = 0.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/capacity/_schedule.py
+++ b/kingcuphead/capacity/_schedule.py
@@ -5,7 +5,7 @@
 from kingcuphead.capacity._messages import UNREADY_STATES, Readiness
 
 #: Seconds between two reports to some of the other daemons.
-REPORT_INTERVAL = 0.5
+REPORT_INTERVAL = 1.0
 #: Seconds after which a daemon that is not ready repeats its report to all others. Less
 #: than the lifetime of a report, so that candidates always know each other.
 BROADCAST_INTERVAL = 1.5
--- a/kingcuphead/capacity/_shedder.py
+++ b/kingcuphead/capacity/_shedder.py
@@ -31,8 +31,11 @@
 ANNOUNCEMENT_PERIOD = 0.5
 #: Seconds after becoming a candidate until a daemon may become one again.
 CANDIDATE_INTERVAL = 2.0
-#: Longest time in seconds for which a daemon is unready.
+#: Longest time in seconds for which a daemon is unready before it closes connections.
 MAX_DURATION = 4.0
+#: Longest time in seconds for which a daemon closes connections. Their callers would
+#: come back to it if it were ready before they have reconnected.
+CLOSE_PERIOD = 2.0
 #: Seconds after shedding until a daemon may shed again.
 COOLDOWN = 8.0
 #: Seconds after the begin of deflection until readiness checks fail.
@@ -81,6 +84,7 @@
         self._failed_at = now
         self._is_seen_unready = False
         self._is_closing = False
+        self._closing_at = now
         #: Whether this daemon accepts new connections.
         self.readiness = Readiness.READY
         #: Bound on unready time.
@@ -205,6 +209,7 @@
             yield self._end(reason, now)
         elif not self._is_closing and self._is_unlisted(now):
             self._is_closing = True
+            self._closing_at = now
             yield CloseRequested(1 - TARGET_LOAD / observation.load)
 
     def _deflect(self, observation: Observation) -> Iterator[Effect]:
@@ -228,9 +233,9 @@
     def _find_end(self, observation: Observation) -> EndReason | None:
         if not observation.is_serving:
             return EndReason.NOT_SERVING
-        if observation.load <= TARGET_LOAD:
+        if not self._is_closing and observation.load <= TARGET_LOAD:
             return EndReason.RELIEVED
-        if observation.now - self._began_at >= MAX_DURATION:
+        if self._is_expired(observation.now):
             return EndReason.EXPIRED
         if self.unready_time.is_used_up:
             return EndReason.UNREADY_TOO_LONG
@@ -240,6 +245,11 @@
             return EndReason.OUTRANKED
         return None
 
+    def _is_expired(self, now: float) -> bool:
+        if self._is_closing:
+            return now - self._closing_at >= CLOSE_PERIOD
+        return now - self._began_at >= MAX_DURATION
+
     def _is_outranked(self) -> bool:
         if self.readiness is Readiness.SHEDDING:
             ahead = self._zone.count_shedding_above(self._rank)
--- a/kingcuphead/capacity/_zone_loads.py
+++ b/kingcuphead/capacity/_zone_loads.py
@@ -11,7 +11,7 @@
 )
 
 #: Seconds after its receipt in which a report says what the load of its sender is.
-REPORT_LIFETIME = 2.0
+REPORT_LIFETIME = 4.0
 #: Seconds after its receipt in which a report says that its sender exists, and that it
 #: is unready if it was. Longer than a daemon sheds load at a time.
 MEMBER_LIFETIME = 6.0
