--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -8,21 +8,23 @@
 """
 
 import dataclasses
-import hashlib
 import random
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
+from kingcuphead.dispatch._memory import MemoryCapacities, MemoryUse
 from kingcuphead.dispatch._messages import (
     AttemptResult,
     DispatchSettings,
     PlacementRequest,
 )
 from kingcuphead.dispatch._options import Option, choose_cheapest, choose_near_cheapest
+from kingcuphead.dispatch._prefill import PrefillPlanner
 from kingcuphead.dispatch._speed import ServiceSpeed, TargetSpeed
 from kingcuphead.dispatch._subset import Address, EngineSubset
 from kingcuphead.dispatch._target_state import Placement, PrefillPlan, TargetState
 from kingcuphead.loads import PeerLoads, TargetLoad
+from kingcuphead.routing import Service
 from kingcuphead.targets import Target
 
 
@@ -46,21 +48,36 @@
         self._peer_loads = peer_loads
         self._rng = rng
         self._states: dict[str, TargetState] = {}
+        self._capacities = MemoryCapacities()
         self._speeds: defaultdict[str, ServiceSpeed] = defaultdict(
             lambda: ServiceSpeed(settings)
         )
+        self._planner = PrefillPlanner(settings, self._get_state, rng)
         self._subset = EngineSubset(settings.subset_size)
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
         #: Called instead of `announce`, with what the prompt adds to its target, where
         #: many daemons compete for engines.
+        #: Called with the tokens that this daemon holds in a target's memory, after a
+        #: change.
+        self.report_memory: Callable[[Target, int], None] | None = None
         self.announce_placement: Callable[[TargetLoad], None] | None = None
 
     def apply_daemons(self, own: Address, peers: Iterable[Address]) -> None:
         """Replace the known daemons of the fleet: this one, and the others."""
         self._subset.apply_daemons(own, peers)
 
+    def apply_services(self, services: Mapping[str, Service]) -> None:
+        """Replace the properties of the services."""
+        self._capacities.apply_services(services)
+
+    def is_too_large(self, request: PlacementRequest) -> bool:
+        """Whether a request needs more memory than any engine of its service has."""
+        capacity = self._get_capacity(request)
+        tokens = request.prompt_tokens + request.output_tokens
+        return capacity is not None and tokens > capacity
+
     def place(
         self,
         request: PlacementRequest,
@@ -86,9 +103,11 @@
         Returns
         -------
         Placement or None
-            The choice; None if every candidate is excluded.
+            The choice; None if every candidate is excluded or has no memory left.
         """
         available = self._select_available(candidates, excluded, now)
+        if self._get_capacity(request) is not None:
+            available = [each for each in available if self._has_memory(request, each)]
         if not available:
             return None
         option = self._choose(request, available, now)
@@ -105,13 +124,22 @@
         others = self._peer_loads.get_load(option.target.name)
         placement.tokens_ahead = state.pending_prefill_tokens + others.unread_tokens
         placement.running_ahead = state.running + others.running
+        placement.memory = self._count_memory(request, option.target)
         state.add(placement, request, now)
+        if placement.memory is not None and not placement.memory.needs_permit:
+            self._report_memory(placement)
         self._announce_if_large(placement)
         return placement
 
+    def confirm(self, placement: Placement) -> None:
+        """Record that a request is sent to the chosen target after it got a permit."""
+        if placement.memory is not None and placement.memory.needs_permit:
+            self._report_memory(placement)
+
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
         placement.state.remove(placement)
+        self._report_memory(placement)
 
     def record_answer_start(self, placement: Placement, now: float) -> None:
         """Record that the answer of a request has begun; later calls do nothing."""
@@ -130,12 +158,17 @@
         """Record the end of an attempt; called once for each placement."""
         placement.state.remove(placement)
         placement.state.health.record_result(result, now)
+        self._report_memory(placement)
 
     def list_loads(self) -> Iterator[TargetLoad]:
         """Yield this daemon's load on each target that runs requests of it."""
         for name, state in self._states.items():
             if state.running:
-                yield TargetLoad(name, state.running, state.pending_prefill_tokens)
+                is_limited = self._settings.has_contended_engines
+                memory = state.held_tokens.total if is_limited else 0
+                yield TargetLoad(
+                    name, state.running, state.pending_prefill_tokens, memory
+                )
 
     def forget(self, target: Target) -> None:
         """Drop the state of a target that was removed."""
@@ -205,10 +238,10 @@
         self, request: PlacementRequest, targets: list[Target], now: float
     ) -> list[Option]:
         """Return the options of a request, in the order of its preference."""
-        ranked = self._rank(request, targets)
+        ranked = self._planner.rank(request, targets)
         options = []
         for target in ranked:
-            plan = self._plan_prefill(request, target, ranked, now)
+            plan = self._planner.plan(request, target, ranked, now)
             state = self._get_state(target)
             if self._settings.has_contended_engines:
                 state.refresh_latency_ratio(now)
@@ -218,79 +251,53 @@
             options.append(Option(target, state, plan, wait, cost, is_preferred))
         return options
 
+    def _get_capacity(self, request: PlacementRequest) -> int | None:
+        """Return the memory of an engine in tokens; None if it isn't limited."""
+        if not self._settings.has_contended_engines:
+            return None
+        return self._capacities.get(request.service)
+
+    def _has_memory(self, request: PlacementRequest, target: Target) -> bool:
+        memory = self._count_memory(request, target)
+        return memory is None or memory.fits
+
+    def _count_memory(
+        self, request: PlacementRequest, target: Target
+    ) -> MemoryUse | None:
+        """Return the memory of a target with a request on it."""
+        capacity = self._get_capacity(request)
+        if capacity is None:
+            return None
+        held = self._get_state(target).held_tokens
+        added = held.count_added(request)
+        peers = self._subset.peers
+        known_share = min(1.0, self._peer_loads.reporters / peers) if peers else 1.0
+        return MemoryUse(
+            capacity,
+            held.total + added,
+            self._peer_loads.get_load(target.name).memory_tokens,
+            added,
+            known_share,
+            target.slots,
+        )
+
+    def _report_memory(self, placement: Placement) -> None:
+        if placement.memory is not None and self.report_memory is not None:
+            tokens = placement.state.held_tokens.total
+            self.report_memory(placement.target, tokens)
+
     def _announce_if_large(self, placement: Placement) -> None:
         settings = self._settings
         tokens = placement.prefill.prefill_tokens
         if tokens < settings.min_announced_tokens:
             return
         if settings.has_contended_engines and self.announce_placement is not None:
-            self.announce_placement(TargetLoad(placement.target.name, 1, tokens))
+            memory = 0 if placement.memory is None else placement.memory.added_tokens
+            name = placement.target.name
+            self.announce_placement(TargetLoad(name, 1, tokens, memory))
         elif self.announce is not None:
             self.announce()
 
-    def _rank(self, request: PlacementRequest, targets: list[Target]) -> list[Target]:
-        """Return the targets in rendezvous order of the longest shared prefix.
-
-        The first one is the preferred target. Without a shared prefix the order is
-        random.
-        """
-        key = request.prefixes[-1].key if request.prefixes else ""
-        if not key:
-            return self._rng.sample(targets, len(targets))
-        return sorted(
-            targets, key=lambda target: _score(key, target.name), reverse=True
-        )
-
-    def _plan_prefill(
-        self,
-        request: PlacementRequest,
-        target: Target,
-        ranked: list[Target],
-        now: float,
-    ) -> PrefillPlan:
-        """Return which tokens the target would process and which it would copy.
-
-        The preferred target is assumed to have the shared prefix cached; any other
-        target copies its KV cache from there. A target that can't, because it is the
-        preferred one itself or has another software version, copies from a target to
-        which this daemon has sent the prefix, if there is one of its own version.
-        """
-        cached = self._get_state(target).count_cached_tokens(request, now)
-        shared = request.shared_tokens
-        is_preferred = target is ranked[0]
-        prefill = request.prompt_tokens - (shared if is_preferred else cached)
-        if shared - cached < self._settings.min_copied_tokens:
-            return PrefillPlan(prefill)
-        if not is_preferred and _is_same_version(ranked[0], target):
-            source: Target | None = ranked[0]
-        else:
-            source = self._find_source(request, target, ranked, now)
-        if is_preferred or source is None:
-            return PrefillPlan(prefill, 0, source)
-        return PrefillPlan(request.prompt_tokens - shared, shared - cached, source)
-
-    def _find_source(
-        self,
-        request: PlacementRequest,
-        target: Target,
-        ranked: list[Target],
-        now: float,
-    ) -> Target | None:
-        """Return a target that has the shared prefix and can copy it to another."""
-        for each in ranked:
-            is_source = each is not target and _is_same_version(each, target)
-            if is_source and self._has_prefix(each, request, now):
-                return each
-        return None
-
-    def _has_prefix(
-        self, target: Target, request: PlacementRequest, now: float
-    ) -> bool:
-        return (
-            self._get_state(target).count_cached_tokens(request, now)
-            >= request.shared_tokens
-        )
-
     def _compute_cost(
         self, request: PlacementRequest, target: Target, plan: PrefillPlan, now: float
     ) -> float:
@@ -337,13 +344,3 @@
             state = TargetState(target.started_at_ms, self._settings, speed)
             self._states[target.name] = state
         return state
-
-
-def _is_same_version(first: Target, second: Target) -> bool:
-    """Return whether one target can use what the other has written."""
-    return first.software_version == second.software_version
-
-
-def _score(key: str, name: str) -> bytes:
-    """Return the rendezvous score of a target for a prefix key."""
-    return hashlib.blake2b(f"{key}\0{name}".encode(), digest_size=8).digest()
--- /dev/null
+++ b/kingcuphead/dispatch/_memory.py
@@ -0,0 +1,122 @@
+"""Whether requests fit into the memory of engines that other daemons use too."""
+
+import dataclasses
+from collections import Counter
+from collections.abc import Mapping
+
+from kingcuphead.dispatch._messages import PlacementRequest
+from kingcuphead.routing import Service
+
+#: Factor on the tokens that other daemons report; the reports are late and reach only
+#: a part of the fleet.
+PEER_MARGIN = 1.5
+#: Factor while no coordinator can be reached.
+UNREACHABLE_PEER_MARGIN = 2 * PEER_MARGIN
+#: Share of the memory above which the coordinator is asked.
+PERMIT_SHARE = 0.5
+#: Share of the memory that this daemon alone may take while no coordinator can be
+#: reached; coordinators leave it free.
+UNREACHABLE_SHARE = 0.2
+
+
+class HeldTokens:
+    """The tokens that this daemon's requests hold on one engine.
+
+    The parts of prompts that several requests share count once.
+    """
+
+    def __init__(self) -> None:
+        self._segments: Counter[str] = Counter()
+        #: Tokens of all requests.
+        self.total = 0
+
+    def count_added(self, request: PlacementRequest) -> int:
+        """Return the tokens that one more request would add."""
+        tokens = request.prompt_tokens - request.shared_tokens + request.output_tokens
+        for key, length in _list_segments(request):
+            if not self._segments[key]:
+                tokens += length
+        return tokens
+
+    def add(self, request: PlacementRequest) -> None:
+        """Count a request that is sent to the engine."""
+        self.total += self.count_added(request)
+        self._segments.update(key for key, _ in _list_segments(request))
+
+    def remove(self, request: PlacementRequest) -> None:
+        """Stop counting a request that has ended."""
+        self._segments.subtract(key for key, _ in _list_segments(request))
+        self._segments = +self._segments
+        self.total -= self.count_added(request)
+
+
+def _list_segments(request: PlacementRequest) -> list[tuple[str, int]]:
+    """Return the shared prefixes with the tokens that each adds to the one before."""
+    segments = []
+    end = 0
+    for prefix in request.prefixes:
+        segments.append((prefix.key, prefix.tokens - end))
+        end = prefix.tokens
+    return segments
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryUse:
+    """The memory of an engine as one daemon knows it, with a request on it."""
+
+    #: Tokens that the memory has room for.
+    capacity: int
+    #: Tokens that the requests of this daemon hold, with that request.
+    held_tokens: int
+    #: Tokens that other daemons report.
+    peer_tokens: int
+    #: Tokens that the request adds.
+    added_tokens: int
+    #: Share of the other daemons whose reports are known; 1 if there are none.
+    known_share: float
+    #: Requests that the engine runs at once.
+    slots: int
+
+    @property
+    def fits(self) -> bool:
+        """Whether the request may be placed on the engine."""
+        return self.held_tokens + PEER_MARGIN * self.peer_tokens <= self.capacity
+
+    @property
+    def needs_permit(self) -> bool:
+        """Whether the coordinator of the engine has to be asked.
+
+        Without it, no request may take more than its share, since other daemons may
+        place theirs at the same time.
+        """
+        if not self.known_share or self.added_tokens * self.slots > self.capacity:
+            return True
+        margin = max(PEER_MARGIN, 1 / self.known_share)
+        expected = self.held_tokens + margin * self.peer_tokens
+        return expected > PERMIT_SHARE * self.capacity
+
+    @property
+    def fits_unasked(self) -> bool:
+        """Whether the request may be placed while no coordinator can be reached."""
+        expected = self.held_tokens + UNREACHABLE_PEER_MARGIN * self.peer_tokens
+        is_own_share = self.held_tokens <= UNREACHABLE_SHARE * self.capacity
+        return is_own_share and expected <= self.capacity
+
+
+class MemoryCapacities:
+    """Sizes of the memory of the engines of each service."""
+
+    def __init__(self) -> None:
+        self._capacities: dict[str, int] = {}
+
+    def apply_services(self, services: Mapping[str, Service]) -> None:
+        """Replace the sizes; a service without a size isn't limited."""
+        self._capacities = {
+            name: service.engine.kv_cache_tokens
+            for name, service in services.items()
+            if service.engine is not None and service.engine.kv_cache_tokens > 0
+        }
+
+    def get(self, service: str) -> int | None:
+        """Return the tokens that an engine has room for; None without a limit."""
+        return self._capacities.get(service)
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -17,6 +17,8 @@
     prompt_tokens: int = 0
     #: Latency objective for the first byte of the answer in seconds.
     objective: float = 1.0
+    #: Upper bound of the answer in tokens; 0 for plain services.
+    output_tokens: int = 0
 
     @property
     def shared_tokens(self) -> int:
--- a/kingcuphead/dispatch/_subset.py
+++ b/kingcuphead/dispatch/_subset.py
@@ -40,6 +40,11 @@
             self._own, self._peers = own, others
             self._positions.clear()
 
+    @property
+    def peers(self) -> int:
+        """Number of the other daemons."""
+        return len(self._peers)
+
     def select(self, targets: Sequence[Target]) -> list[Target]:
         """Return the preferred engines; all of them in a small fleet.
 
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -4,6 +4,7 @@
 from collections import OrderedDict
 
 from kingcuphead.dispatch._health import TargetHealth
+from kingcuphead.dispatch._memory import HeldTokens, MemoryUse
 from kingcuphead.dispatch._messages import DispatchSettings, PlacementRequest
 from kingcuphead.dispatch._speed import (
     MIN_SLOWNESS,
@@ -64,6 +65,10 @@
     tokens_ahead: int = 0
     #: Known requests that were running on the target.
     running_ahead: int = 0
+    #: Memory of the target with this request; None where memory isn't limited.
+    memory: MemoryUse | None = None
+    #: Properties of the request; None until it is counted.
+    request: PlacementRequest | None = None
 
 
 class TargetState:
@@ -84,6 +89,8 @@
     ) -> None:
         self._settings = settings
         self._waiting: dict[int, Placement] = {}
+        #: Tokens that the requests of this daemon hold in the target's memory.
+        self.held_tokens = HeldTokens()
         self._prefixes_sent_at: OrderedDict[str, float] = OrderedDict()
         #: Unix time in milliseconds at which the incarnation started.
         self.started_at_ms = started_at_ms
@@ -115,6 +122,8 @@
         self.running += 1
         self.pending_prefill_tokens += placement.prefill.prefill_tokens
         self._waiting[id(placement)] = placement
+        placement.request = request
+        self.held_tokens.add(request)
         for prefix in request.prefixes:
             self._prefixes_sent_at[prefix.key] = now
             self._prefixes_sent_at.move_to_end(prefix.key)
@@ -152,6 +161,8 @@
     def remove(self, placement: Placement) -> None:
         """Stop counting a request whose attempt has ended."""
         self.running -= 1
+        if placement.request is not None:
+            self.held_tokens.remove(placement.request)
         self._waiting.pop(id(placement), None)
         if not placement.is_started:
             self.pending_prefill_tokens -= placement.prefill.prefill_tokens
--- a/kingcuphead/dispatch/tests/_fleet.py
+++ b/kingcuphead/dispatch/tests/_fleet.py
@@ -131,12 +131,15 @@
         self.dispatcher.announce = self.report
         self.dispatcher.announce_placement = self.announce
         self._numbers = itertools.count(1)
-        self._used_at = {}
+        self._used_at: dict[str, float] = {}
 
-    def place(self, request):
-        placement = self.dispatcher.place(
+    def choose(self, request):
+        return self.dispatcher.place(
             request.placement_request, self._fleet.targets, (), self._fleet.now
         )
+
+    def place(self, request):
+        placement = self.choose(request)
         if placement is None:
             self._fleet.refused += 1
             return
@@ -161,7 +164,7 @@
         for receiver in self._fleet.choose_listeners(self):
             self._fleet.announcements += 1
             self._fleet.send(
-                self, receiver, receiver.peer_loads.apply_announcement, message
+                self, receiver, receiver.receive_announcement, message
             )
 
     def report(self):
@@ -172,14 +175,32 @@
             tuple(self.dispatcher.list_loads()),
         )
         for receiver in self._fleet.choose_receivers(self):
-            self._fleet.send(self, receiver, receiver.peer_loads.apply_report, report)
+            self._fleet.send(self, receiver, receiver.receive_report, (self, report))
+
+    def receive_announcement(self, message, now):
+        if not self._fleet.is_without_reports:
+            self.peer_loads.apply_announcement(message, now)
+
+    def receive_report(self, sent, now):
+        sender, report = sent
+        if hasattr(self, "ranking"):
+            self.ranking.record_message(sender.address, now)
+        if not self._fleet.is_without_reports:
+            self.peer_loads.apply_report(report, now)
 
 
 class PlayedFleet:
     """A fleet, its engines, and the datagrams between the daemons."""
 
     def __init__(
-        self, settings, daemons=67, engines=70, seed=1, loss=0.1, max_delay=0.03
+        self,
+        settings,
+        daemons=67,
+        engines=70,
+        seed=1,
+        loss=0.1,
+        max_delay=0.03,
+        make_daemon=PlayedDaemon,
     ):
         self.seed = seed
         self.now = 0.0
@@ -188,7 +209,7 @@
         self.placed = []
         self.datagrams = self.announcements = 0
         self.is_broadcast = True
-        self.is_cut = False
+        self.is_cut = self.is_without_reports = False
         self._rng = random.Random(seed)
         self._loss, self._max_delay = loss, max_delay
         self._events = []
@@ -200,12 +221,14 @@
             )
             for target in self.targets
         }
-        self.daemons = [PlayedDaemon(self, each, settings) for each in range(daemons)]
+        self.daemons = [make_daemon(self, each, settings) for each in range(daemons)]
         addresses = [daemon.address for daemon in self.daemons]
         for daemon in self.daemons:
             peers = [each for each in addresses if each != daemon.address]
             daemon.dispatcher.apply_daemons(daemon.address, peers)
             self.schedule(self._rng.uniform(0, REPORT_INTERVAL), self._report, daemon)
+            if hasattr(daemon, "ranking"):
+                daemon.ranking.apply_peers(peers)
 
     def schedule(self, time, call, *arguments):
         heapq.heappush(self._events, (time, next(self._order), call, arguments))
@@ -213,12 +236,20 @@
     def send(self, sender, receiver, apply, message):
         """Deliver a message later, or lose it."""
         self.datagrams += 1
-        is_cut = self.is_cut and (sender.number - receiver.number) % 2
-        if is_cut or self._rng.random() < self._loss:
+        if self.loses(sender, receiver):
             return
         delay = self._rng.uniform(0.0005, self._max_delay)
         self.schedule(self.now + delay, lambda: apply(message, self.now))
 
+    def find(self, address):
+        """Return the daemon at an address."""
+        return next(each for each in self.daemons if each.address == address)
+
+    def loses(self, sender, receiver):
+        """Whether the next datagram is lost; a cut separates the even numbers."""
+        is_cut = self.is_cut and (sender.number - receiver.number) % 2
+        return is_cut or self._rng.random() < self._loss
+
     def choose_listeners(self, sender):
         """Return the receivers of announcements."""
         if self.is_broadcast:
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -231,6 +231,7 @@
 
     def _apply_configuration(self, configuration: RoutingConfiguration) -> None:
         self._forwarder.apply(RoutingTable(configuration))
+        self._dispatcher.apply_services(configuration.services)
         self._callers.apply_limits(configuration.limits)
         self._links.credit.apply_limits(
             configuration.organisations.values(), configuration.version
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -137,6 +137,7 @@
         self.quarantine = self._make_quarantine(identity, store)
         #: What targets take from the whole fleet.
         self.permits = self._make_permits(rng)
+        dispatcher.report_memory = self.permits.report_memory
         #: Knows the software versions that began streams.
         self.resumption = self._make_resumption(store)
 
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -141,7 +141,11 @@
             key = f"{key}/{part.name}"
             prefixes.append(SharedPrefix(key, tokens))
         return PlacementRequest(
-            self.service, tuple(prefixes), size.prompt_tokens, self.route.objective
+            self.service,
+            tuple(prefixes),
+            size.prompt_tokens,
+            self.route.objective,
+            size.output_tokens,
         )
 
     def _describe_parts(self) -> str:
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -42,6 +42,9 @@
 ORIGIN_RETRY_AFTER = 1.0
 #: Seconds after which a caller may retry if no target ran the request.
 TARGET_RETRY_AFTER = 0.3
+#: Seconds after which a caller may retry a request that no target has the memory for;
+#: by then there may be another configuration.
+TOO_LARGE_RETRY_AFTER = 5.0
 #: Lower bound in seconds of the time after which a caller may retry when the targets
 #: have no permits left; the next ones go to requests that come meanwhile.
 MIN_RETRY_AFTER = 0.1
@@ -110,6 +113,8 @@
             return self._refuse_quarantined(context)
         if context.takes_up_stream and not await self._find_origin(context):
             return refuse(503, Reason.STREAM_UNKNOWN, ORIGIN_RETRY_AFTER)
+        if self._targets.is_too_large(context):
+            return refuse(503, Reason.REQUEST_TOO_LARGE, TOO_LARGE_RETRY_AFTER)
         held = await self._charging.acquire_hold(context)
         if held.is_error():
             return held.error
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -3,7 +3,7 @@
 from kingcuphead.dispatch import Dispatcher, Placement
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
-from kingcuphead.permits import PermitExchange
+from kingcuphead.permits import MemoryClaim, PermitExchange
 from kingcuphead.targets import Target, TargetDirectory
 
 #: Number of targets that a request claims a permit of before it is refused.
@@ -35,17 +35,25 @@
 
     async def place(self, context: RequestContext) -> Placement | None:
         """Choose a target of which a permit can be had; None if there is none."""
+        # Targets whose memory has no room for the request.
+        full: list[str] = []
         for _ in range(MAX_CLAIMS):
             placement = self._dispatcher.place(
                 context.make_placement_request(),
                 self._permits.select_open(self.list_eligible(context)),
-                context.tried,
+                [*context.tried, *full],
                 get_time(),
             )
             if placement is None or await self._claim_permit(placement):
                 return placement
+            if placement.memory is not None:
+                full.append(placement.target.name)
         return None
 
+    def is_too_large(self, context: RequestContext) -> bool:
+        """Whether no target of the service can ever run a request."""
+        return self._dispatcher.is_too_large(context.make_placement_request())
+
     def get_delay(self, context: RequestContext) -> float | None:
         """Return the seconds until a target may take a request.
 
@@ -59,9 +67,13 @@
     async def _claim_permit(self, placement: Placement) -> bool:
         is_granted = False
         try:
-            is_granted = await self._permits.claim(placement.target)
+            is_granted = await self._permits.claim(
+                placement.target, _make_memory_claim(placement)
+            )
         finally:
-            if not is_granted:
+            if is_granted:
+                self._dispatcher.confirm(placement)
+            else:
                 self._dispatcher.withdraw(placement)
         return is_granted
 
@@ -69,3 +81,11 @@
         """Return the targets that may run a request, closed ones included."""
         usable = self._directory.list_usable(context.service)
         return context.select_eligible(usable)
+
+
+def _make_memory_claim(placement: Placement) -> MemoryClaim | None:
+    """Return what to ask the coordinator for; None if memory is certainly left."""
+    memory = placement.memory
+    if memory is None or not memory.needs_permit:
+        return None
+    return MemoryClaim(memory.held_tokens, memory.capacity, memory.fits_unasked)
--- a/kingcuphead/permits/__init__.py
+++ b/kingcuphead/permits/__init__.py
@@ -7,6 +7,7 @@
 
 from kingcuphead.permits._coordinator import PermitCoordinator
 from kingcuphead.permits._exchange import PermitExchange
+from kingcuphead.permits._memory import MemoryClaim
 from kingcuphead.permits._messages import (
     CoordinatorProbed,
     PermitAnswered,
@@ -20,6 +21,7 @@
 
 __all__ = [
     "CoordinatorProbed",
+    "MemoryClaim",
     "PermitAnswered",
     "PermitAsked",
     "PermitCoordinator",
--- a/kingcuphead/permits/_coordinator.py
+++ b/kingcuphead/permits/_coordinator.py
@@ -4,12 +4,16 @@
 import random
 
 from kingcuphead.permits._bucket import MIN_RATE, TokenBucket
+from kingcuphead.permits._memory import COORDINATOR_SHARE, MemoryAccount, MemoryClaim
 from kingcuphead.permits._room import OpenRequests, TargetRoom
 from kingcuphead.permits._terms import TargetTerms
 
 #: Seconds after which a place may be free again.
 ROOM_WAIT = 0.02
 
+#: Seconds after which memory may be free again.
+MEMORY_WAIT = 0.1
+
 #: Seconds without a question after which what is known of a target is dropped.
 ACCOUNT_LIFETIME = 60.0
 #: Number of targets from which on expired accounts are looked for.
@@ -24,6 +28,8 @@
     is_granted: bool
     #: Seconds until the next permit may be had; 0 if this one is granted.
     wait: float = 0.0
+    #: Whether the memory of the target lacks room for this request.
+    is_full: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -38,12 +44,15 @@
     slots: int
     #: Requests that the daemon has open there, with this one.
     open_requests: OpenRequests
+    #: What it holds in the memory of the target; None where that is not limited.
+    memory: MemoryClaim | None = None
 
 
 @dataclasses.dataclass(slots=True)
 class _Account:
     bucket: TokenBucket
     room: TargetRoom
+    memory: MemoryAccount
     asked_at: float
 
 
@@ -61,7 +70,13 @@
         self._rng = rng
         self._accounts: dict[str, _Account] = {}
 
-    def decide(self, claim: PermitClaim, share: float, now: float) -> Decision:
+    def decide(
+        self,
+        claim: PermitClaim,
+        share: float,
+        now: float,
+        memory_share: float = COORDINATOR_SHARE,
+    ) -> Decision:
         """Grant or deny a permit for one request.
 
         Parameters
@@ -72,8 +87,15 @@
             Share of what the target takes that may be granted here.
         now
             Current time in seconds.
+        memory_share
+            Share of the target's memory that may be granted here.
         """
         account = self._find_account(claim.target, now)
+        holder = claim.open_requests.holder
+        if claim.memory is not None and not account.memory.has_room(
+            holder, claim.memory, memory_share, now
+        ):
+            return Decision(False, MEMORY_WAIT, is_full=True)
         if claim.terms.is_brittle:
             places = max(1, int(claim.slots * share))
             if not account.room.has_place(claim.open_requests, places, now):
@@ -81,6 +103,10 @@
         decision = _decide_by_rate(account.bucket, claim.terms, share, now)
         if decision.is_granted:
             account.room.record(claim.open_requests, now)
+            if claim.memory is not None:
+                account.memory.record(
+                    holder, claim.memory.tokens, claim.open_requests.number, now
+                )
         return decision
 
     def record_open_requests(
@@ -92,12 +118,18 @@
         if was_rejected:
             room.record_rejection(now)
 
+    def record_memory(
+        self, target: str, holder: str, tokens: int, number: int, now: float
+    ) -> None:
+        """Apply what a daemon reports of the tokens that it holds at a target."""
+        self._find_account(target, now).memory.record(holder, tokens, number, now)
+
     def _find_account(self, target: str, now: float) -> _Account:
         account = self._accounts.get(target)
         if account is None:
             self._drop_expired(now)
             bucket = TokenBucket(self._rng.random(), now)
-            account = _Account(bucket, TargetRoom(now), now)
+            account = _Account(bucket, TargetRoom(now), MemoryAccount(), now)
             self._accounts[target] = account
         account.asked_at = now
         return account
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -5,8 +5,18 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
-from kingcuphead.permits._coordinator import Decision, PermitClaim, PermitCoordinator
+from kingcuphead.permits._coordinator import (
+    MEMORY_WAIT,
+    Decision,
+    PermitClaim,
+    PermitCoordinator,
+)
 from kingcuphead.permits._gate import TargetGate
+from kingcuphead.permits._memory import (
+    COORDINATOR_SHARE,
+    SUBSTITUTE_SHARE,
+    MemoryClaim,
+)
 from kingcuphead.permits._messages import (
     CoordinatorProbed,
     PermitAnswered,
@@ -28,6 +38,8 @@
 MAX_QUESTIONS = 2
 #: Seconds between two reports of the open requests at targets that are short of room.
 REPORT_INTERVAL = 1.0
+#: Number of times that a daemon repeats that it holds no memory of a target any more.
+MAX_ZERO_REPORTS = 4
 #: Upper bound in seconds of the time for which a daemon that hears of no other sends
 #: nothing to a brittle target that had no room.
 MAX_REJECTION_PAUSE = 5.0
@@ -62,17 +74,20 @@
         self._terms = TermsTable()
         self._gate = TargetGate()
         self._open_requests: Counter[str] = Counter()
+        self._memory_tokens: dict[str, int] = {}
+        self._zero_reports: Counter[str] = Counter()
         self._numbers = itertools.count(1)
         self._questions: dict[int, asyncio.Future[Decision]] = {}
         #: Which daemon coordinates the permits of a target.
         self.ranking = CoordinatorRanking(own_address, self._probe)
 
     async def run(self) -> None:
-        """Report the open requests at brittle targets until cancelled."""
+        """Report what this daemon has open at targets until cancelled."""
         while True:
             await asyncio.sleep(REPORT_INTERVAL)
+            self._repeat_memory_reports()
             for target in self._terms.list_brittle():
-                if self._open_requests[target]:
+                if self._open_requests[target] and target not in self._memory_tokens:
                     self._report_room(target, was_rejected=False)
 
     def record_terms(self, target: Target, terms: TargetTerms) -> None:
@@ -93,9 +108,17 @@
         """Return the seconds until the first target opens; None if one is open."""
         return self._gate.get_delay(targets, _get_time())
 
-    async def claim(self, target: Target) -> bool:
+    async def claim(self, target: Target, memory: MemoryClaim | None = None) -> bool:
         """Get a permit for one request to a target.
 
+        Parameters
+        ----------
+        target
+            The target.
+        memory
+            What this daemon holds in its memory; None if it isn't limited, or has room
+            in any case.
+
         Returns
         -------
         bool
@@ -106,11 +129,11 @@
         self._open_requests[identity] += 1
         decision = Decision(False)
         try:
-            decision = await self._decide_claim(target)
+            decision = await self._decide_claim(target, memory)
         finally:
             if not decision.is_granted:
                 self._open_requests[identity] -= 1
-        if not decision.is_granted:
+        if not decision.is_granted and not decision.is_full:
             self._gate.close(target, min(decision.wait, MAX_WAIT), _get_time())
         return decision.is_granted
 
@@ -135,8 +158,16 @@
             pause = min(MAX_REJECTION_PAUSE, self.ranking.daemons / rejections)
             self._gate.close(target, pause, _get_time())
 
+    def report_memory(self, target: Target, tokens: int) -> None:
+        """Report how many tokens this daemon holds in the memory of a target."""
+        self._memory_tokens[target.incarnation] = tokens
+        self._zero_reports[target.incarnation] = 0
+        self._report_room(target.incarnation, was_rejected=False)
+
     def forget(self, target: Target) -> None:
         """Drop the state of a target that was removed."""
+        self._memory_tokens.pop(target.incarnation, None)
+        self._zero_reports.pop(target.incarnation, None)
         self._terms.forget(target.incarnation)
         self._gate.forget(target)
         if not self._open_requests[target.incarnation]:
@@ -148,12 +179,14 @@
             case PermitAsked(number):
                 claim = _make_claim(message, sender)
                 decision = self._decide(claim, is_asked=True)
-                answer = PermitAnswered(number, decision.is_granted, decision.wait)
+                answer = PermitAnswered(
+                    number, decision.is_granted, decision.wait, decision.is_full
+                )
                 self._send(answer, sender)
-            case PermitAnswered(number, is_granted, wait):
+            case PermitAnswered(number, is_granted, wait, is_full):
                 question = self._questions.get(number)
                 if question is not None and not question.done():
-                    question.set_result(Decision(is_granted, wait))
+                    question.set_result(Decision(is_granted, wait, is_full))
             case RoomReported():
                 self._apply_room(message, sender)
             case CoordinatorProbed():
@@ -164,26 +197,44 @@
             case TermsReported(target, terms):
                 self._terms.record(target, terms)
 
-    async def _decide_claim(self, target: Target) -> Decision:
+    async def _decide_claim(
+        self, target: Target, memory: MemoryClaim | None
+    ) -> Decision:
         terms = self._terms.get(target.incarnation)
-        if terms.is_unlimited:
+        if terms.is_unlimited and memory is None:
             return Decision(True)
-        return await self._ask_fleet(target, terms)
+        return await self._ask_fleet(target, terms, memory)
 
-    async def _ask_fleet(self, target: Target, terms: TargetTerms) -> Decision:
+    async def _ask_fleet(
+        self, target: Target, terms: TargetTerms, memory: MemoryClaim | None
+    ) -> Decision:
         """Ask the coordinator, then the next one; decide alone if none answers."""
         identity = target.incarnation
         for _ in range(MAX_QUESTIONS):
             address = self.ranking.find_coordinator(identity, _get_time())
             if address == self._own_address:
                 break
-            decision = await self._ask(address, self._make_question(target, terms))
+            question = self._make_question(target, terms, memory)
+            decision = await self._ask(address, question)
             if decision is not None:
                 return decision
-        question = self._make_question(target, terms)
+        if memory is not None and self._is_alone(identity):
+            if not memory.fits_unasked:
+                return Decision(False, MEMORY_WAIT, is_full=True)
+            memory = None
+        question = self._make_question(target, terms, memory)
         return self._decide(_make_claim(question, self._own_address), is_asked=False)
 
-    def _make_question(self, target: Target, terms: TargetTerms) -> PermitAsked:
+    def _is_alone(self, target: str) -> bool:
+        """Whether no daemon that could coordinate a target was reached."""
+        now = _get_time()
+        return self.ranking.is_isolated(now) or (
+            self.ranking.find_coordinator(target, now) != self._own_address
+        )
+
+    def _make_question(
+        self, target: Target, terms: TargetTerms, memory: MemoryClaim | None
+    ) -> PermitAsked:
         identity = target.incarnation
         return PermitAsked(
             next(self._numbers),
@@ -191,6 +242,8 @@
             terms,
             target.slots,
             self._open_requests[identity],
+            None if memory is None else memory.tokens,
+            None if memory is None else memory.capacity,
         )
 
     async def _ask(self, address: Address, question: PermitAsked) -> Decision | None:
@@ -210,12 +263,26 @@
     def _decide(self, claim: PermitClaim, is_asked: bool) -> Decision:
         now = _get_time()
         share = self.ranking.compute_share(claim.target, is_asked, now)
-        return self._coordinator.decide(claim, share, now)
+        is_only = share == 1.0 and self.ranking.is_first(claim.target)
+        memory_share = COORDINATOR_SHARE if is_only else SUBSTITUTE_SHARE
+        return self._coordinator.decide(claim, share, now, memory_share)
+
+    def _repeat_memory_reports(self) -> None:
+        """Report again what this daemon holds, since a report may get lost."""
+        for target, tokens in tuple(self._memory_tokens.items()):
+            self._report_room(target, was_rejected=False)
+            self._zero_reports[target] += not tokens
+            if self._zero_reports[target] >= MAX_ZERO_REPORTS:
+                del self._memory_tokens[target], self._zero_reports[target]
 
     def _report_room(self, target: str, was_rejected: bool) -> None:
         """Tell the coordinator of a target how many requests are open there."""
         report = RoomReported(
-            next(self._numbers), target, self._open_requests[target], was_rejected
+            next(self._numbers),
+            target,
+            self._open_requests[target],
+            was_rejected,
+            self._memory_tokens.get(target),
         )
         address = self.ranking.find_coordinator(target, _get_time())
         if address == self._own_address:
@@ -229,6 +296,10 @@
         self._coordinator.record_open_requests(
             report.target, open_requests, report.was_rejected, _get_time()
         )
+        if report.memory_tokens is not None:
+            self._coordinator.record_memory(
+                report.target, holder, report.memory_tokens, report.number, _get_time()
+            )
 
     def _probe(self, address: Address) -> None:
         self._send(CoordinatorProbed(), address)
@@ -237,7 +308,12 @@
 def _make_claim(question: PermitAsked, sender: Address) -> PermitClaim:
     holder = _name_holder(sender)
     open_requests = OpenRequests(holder, question.number, question.open_requests)
-    return PermitClaim(question.target, question.terms, question.slots, open_requests)
+    memory = None
+    if question.memory_tokens is not None and question.memory_capacity is not None:
+        memory = MemoryClaim(question.memory_tokens, question.memory_capacity)
+    return PermitClaim(
+        question.target, question.terms, question.slots, open_requests, memory
+    )
 
 
 def _name_holder(address: Address) -> str:
--- /dev/null
+++ b/kingcuphead/permits/_memory.py
@@ -0,0 +1,80 @@
+"""Counts the tokens that all daemons hold in the memory of one engine."""
+
+import dataclasses
+
+#: Seconds after its last report for which the tokens of a daemon still count. A daemon
+#: that can't be heard may have requests there until their deadlines.
+REPORT_LIFETIME = 15.0
+#: Seconds after which a report with a lower number comes from a restarted daemon.
+REORDERING_PERIOD = 1.0
+#: Share of the memory that the first coordinator grants. The rest is for daemons that
+#: can't reach it.
+COORDINATOR_SHARE = 0.8
+#: Share up to which a daemon grants that is not certain to be the only coordinator.
+SUBSTITUTE_SHARE = 0.2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MemoryClaim:
+    """A daemon wants to send a request to an engine."""
+
+    #: Tokens that its requests hold there, with that one.
+    tokens: int
+    #: Tokens that the memory of the engine has room for.
+    capacity: int
+    #: Whether the request may be sent if no coordinator can be reached.
+    fits_unasked: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Report:
+    tokens: int
+    number: int
+    received_at: float
+
+
+class MemoryAccount:
+    """The tokens in the memory of one engine; does no I/O."""
+
+    def __init__(self) -> None:
+        self._reports: dict[str, _Report] = {}
+
+    def has_room(
+        self, holder: str, claim: MemoryClaim, share: float, now: float
+    ) -> bool:
+        """Return whether a daemon may send a request.
+
+        Parameters
+        ----------
+        holder
+            The daemon.
+        claim
+            What its requests hold, with that one.
+        share
+            Share of the memory that may be granted here.
+        now
+            Current time in seconds.
+        """
+        others = self.count_tokens(now, holder)
+        if not others and share == COORDINATOR_SHARE:
+            return claim.tokens <= claim.capacity
+        return others + claim.tokens <= share * claim.capacity
+
+    def record(self, holder: str, tokens: int, number: int, now: float) -> None:
+        """Replace the report of a daemon, unless a later one has arrived."""
+        previous = self._reports.get(holder)
+        is_late = (
+            previous is not None
+            and number < previous.number
+            and now - previous.received_at < REORDERING_PERIOD
+        )
+        if not is_late:
+            self._reports[holder] = _Report(tokens, number, now)
+
+    def count_tokens(self, now: float, excluded: str = "") -> int:
+        """Return the tokens of all daemons but one."""
+        return sum(
+            report.tokens
+            for holder, report in self._reports.items()
+            if holder != excluded and now - report.received_at <= REPORT_LIFETIME
+        )
--- a/kingcuphead/permits/_messages.py
+++ b/kingcuphead/permits/_messages.py
@@ -20,6 +20,10 @@
     slots: int
     #: Requests that the asking daemon has open there, with this one.
     open_requests: int
+    #: Tokens that they hold in the memory of the target; None if it isn't limited.
+    memory_tokens: int | None = None
+    #: Tokens that the memory has room for; None if it isn't limited.
+    memory_capacity: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -32,6 +36,8 @@
     is_granted: bool
     #: Seconds until the next permit may be had; 0 if this one is granted.
     wait: float
+    #: Whether the memory of the target lacks room for the request.
+    is_full: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,6 +52,8 @@
     open_requests: int
     #: Whether the target had no room for a request.
     was_rejected: bool
+    #: Tokens that they hold in the memory of the target; None if it isn't limited.
+    memory_tokens: int | None = None
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/kingcuphead/permits/_ranking.py
+++ b/kingcuphead/permits/_ranking.py
@@ -140,6 +140,10 @@
             return UNCERTAIN_SHARE
         return 1.0
 
+    def is_first(self, target: str) -> bool:
+        """Whether this daemon coordinates a target while all daemons live."""
+        return self._rank(target)[0] == self._own_address
+
     def _is_confirmed(self, after: tuple[Address, ...], now: float) -> bool:
         """Whether the daemon that would coordinate without this one knows of it."""
         for address in after:
--- a/kingcuphead/wire/datagram.thrift
+++ b/kingcuphead/wire/datagram.thrift
@@ -91,6 +91,8 @@
   3: TargetTerms terms
   4: i32 slots
   5: i32 open_requests
+  6: optional i64 memory_tokens
+  7: optional i64 memory_capacity
 }
 
 struct RoomReported {
@@ -98,12 +100,14 @@
   2: string target
   3: i32 open_requests
   4: bool was_rejected
+  5: optional i64 memory_tokens
 }
 
 struct PermitAnswered {
   1: i64 number
   2: bool is_granted
   3: double wait
+  4: optional bool is_full
 }
 
 struct CoordinatorProbed {
