Prefer engines of the own zone, and show how full engines are

Cause: bytes between zones are expensive for one deployment, and zones didn't count; operators couldn't see whether engines were full. Change: with has_contended_engines a target of another zone costs 0.008 objectives for each 1,000 bytes of the body, 0.06 at most; metrics of wait errors, memory shares and denials; a request without memory anywhere gets Retry-After 0.3.

--- a/kingcuphead/dispatch/__init__.py
+++ b/kingcuphead/dispatch/__init__.py
@@ -7,6 +7,7 @@
     PlacementRequest,
     SharedPrefix,
 )
+from kingcuphead.dispatch._observer import EngineObserver, MemoryDenial
 from kingcuphead.dispatch._retries import RetryAllowance
 from kingcuphead.dispatch._target_state import Placement
 
@@ -14,6 +15,8 @@
     "AttemptResult",
     "DispatchSettings",
     "Dispatcher",
+    "EngineObserver",
+    "MemoryDenial",
     "Placement",
     "PlacementRequest",
     "RetryAllowance",
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -18,6 +18,7 @@
     DispatchSettings,
     PlacementRequest,
 )
+from kingcuphead.dispatch._observer import EngineObserver, MemoryDenial
 from kingcuphead.dispatch._options import Option, choose_cheapest, choose_near_cheapest
 from kingcuphead.dispatch._prefill import PrefillPlanner
 from kingcuphead.dispatch._speed import ServiceSpeed, TargetSpeed
@@ -59,6 +60,8 @@
         self.announce: Callable[[], None] | None = None
         #: Called instead of `announce`, with what the prompt adds to its target, where
         #: many daemons compete for engines.
+        #: Records what placements on engines show.
+        self.observer: EngineObserver | None = None
         #: Called with the tokens that this daemon holds in a target's memory, after a
         #: change.
         self.report_memory: Callable[[Target, int], None] | None = None
@@ -78,6 +81,11 @@
         tokens = request.prompt_tokens + request.output_tokens
         return capacity is not None and tokens > capacity
 
+    def is_full(self, request: PlacementRequest, targets: Iterable[Target]) -> bool:
+        """Whether none of some targets has memory left for a request."""
+        fits = [self._has_memory(request, each) for each in targets]
+        return bool(fits) and not any(fits)
+
     def place(
         self,
         request: PlacementRequest,
@@ -106,11 +114,12 @@
             The choice; None if every candidate is excluded or has no memory left.
         """
         available = self._select_available(candidates, excluded, now)
-        if self._get_capacity(request) is not None:
-            available = [each for each in available if self._has_memory(request, each)]
-        if not available:
+        fitting = [each for each in available if self._has_memory(request, each)]
+        if not fitting:
+            if available:
+                self.record_denial(request, MemoryDenial.KNOWN_LOAD)
             return None
-        option = self._choose(request, available, now)
+        option = self._choose(request, fitting, now)
         state = option.state
         placement = Placement(
             option.target,
@@ -127,14 +136,25 @@
         placement.memory = self._count_memory(request, option.target)
         state.add(placement, request, now)
         if placement.memory is not None and not placement.memory.needs_permit:
-            self._report_memory(placement)
+            self.confirm(placement)
         self._announce_if_large(placement)
         return placement
 
     def confirm(self, placement: Placement) -> None:
-        """Record that a request is sent to the chosen target after it got a permit."""
-        if placement.memory is not None and placement.memory.needs_permit:
-            self._report_memory(placement)
+        """Record that a request is sent to the chosen target after it got a permit.
+
+        Called for placements whose memory needs one.
+        """
+        self._report_memory(placement)
+        if placement.memory is not None and self.observer is not None:
+            self.observer.record_engine_memory(
+                placement.target.service, placement.memory.used_share
+            )
+
+    def record_denial(self, request: PlacementRequest, cause: MemoryDenial) -> None:
+        """Record that a request got no memory of an engine."""
+        if self.observer is not None:
+            self.observer.record_memory_denial(request.service, cause)
 
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
@@ -149,8 +169,15 @@
 
     def record_first_event(self, placement: Placement, now: float) -> None:
         """Record the first event of a stream, where daemons compete for engines."""
-        if self._settings.has_contended_engines:
-            self.record_answer_start(placement, now)
+        if not self._settings.has_contended_engines or placement.is_started:
+            return
+        self.record_answer_start(placement, now)
+        if self.observer is not None:
+            self.observer.record_engine_wait(
+                placement.target.service,
+                placement.expected_wait,
+                now - placement.placed_at,
+            )
 
     def record_result(
         self, placement: Placement, result: AttemptResult, now: float
@@ -246,6 +273,7 @@
             if self._settings.has_contended_engines:
                 state.refresh_latency_ratio(now)
             cost = self._compute_cost(request, target, plan, now)
+            cost += self._compute_transfer_cost(request, target)
             wait = self._estimate_wait(state, target, plan)
             is_preferred = target is ranked[0]
             options.append(Option(target, state, plan, wait, cost, is_preferred))
@@ -298,6 +326,16 @@
         elif self.announce is not None:
             self.announce()
 
+    def _compute_transfer_cost(
+        self, request: PlacementRequest, target: Target
+    ) -> float:
+        """Return the cost of the bytes that a request moves between zones."""
+        settings = self._settings
+        if not settings.has_contended_engines or target.zone == settings.zone:
+            return 0.0
+        cost = settings.zone_transfer_cost * max(1.0, request.body_bytes / 1000)
+        return min(cost, settings.max_zone_transfer_cost)
+
     def _compute_cost(
         self, request: PlacementRequest, target: Target, plan: PrefillPlan, now: float
     ) -> float:
--- a/kingcuphead/dispatch/_memory.py
+++ b/kingcuphead/dispatch/_memory.py
@@ -77,6 +77,11 @@
     #: Requests that the engine runs at once.
     slots: int
 
+    @property
+    def used_share(self) -> float:
+        """Known share of the memory that is taken, with the request."""
+        return (self.held_tokens + self.peer_tokens) / self.capacity
+
     @property
     def fits(self) -> bool:
         """Whether the request may be placed on the engine."""
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -19,6 +19,8 @@
     objective: float = 1.0
     #: Upper bound of the answer in tokens; 0 for plain services.
     output_tokens: int = 0
+    #: Size of the body in bytes.
+    body_bytes: int = 0
 
     @property
     def shared_tokens(self) -> int:
@@ -103,6 +105,10 @@
     max_subset_wait: float = 0.1
     #: Cost of an engine to which this daemon probably has no open connection.
     connection_cost: float = 0.05
+    #: Cost of sending 1,000 bytes of a body to another availability zone, and its upper
+    #: bound for one request. A body counts as 1,000 bytes at least, for the answer.
+    zone_transfer_cost: float = 0.008
+    max_zone_transfer_cost: float = 0.06
     #: Difference of costs at which an engine is chosen 1/e times as often as the
     #: cheapest one.
     cost_tolerance: float = 0.01
--- a/kingcuphead/dispatch/tests/_fleet.py
+++ b/kingcuphead/dispatch/tests/_fleet.py
@@ -20,6 +20,7 @@
 OBJECTIVE = 0.845
 STEP_SECONDS = 0.00289
 EVENTS = 38
+BODY_BYTES = 3_200
 #: Prompt tokens that an engine of average speed processes in a second.
 PREFILL_RATE = 55_000.0
 REPORT_INTERVAL = 0.1
@@ -307,6 +308,15 @@
             last[name] = max(last.get(name, 0.0), request.first_event_at)
         return collisions
 
+    @property
+    def other_zone_share(self):
+        """Share of requests that are sent to another zone."""
+        others = sum(
+            request.placement.target.zone != f"z{request.daemon.number % ZONES}"
+            for request in self.placed
+        )
+        return others / len(self.placed)
+
     @property
     def reuse_share(self):
         """Share of requests that find an open connection to their engine."""
@@ -324,7 +334,12 @@
             min(64_000, int(3_000 + rng.expovariate(1 / 13_000))),
         )
     return PlacementRequest(
-        "pool", (SharedPrefix(session, shared),), shared + own, OBJECTIVE
+        "pool",
+        (SharedPrefix(session, shared),),
+        shared + own,
+        OBJECTIVE,
+        EVENTS,
+        BODY_BYTES,
     )
 
 
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -75,6 +75,7 @@
         self._metrics = DaemonMetrics()
         peer_loads = PeerLoads()
         self._dispatcher = Dispatcher(DispatchSettings(profile.zone), peer_loads, rng)
+        self._dispatcher.observer = self._metrics.engines
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._links = FleetLinks(
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -11,6 +11,7 @@
 )
 from tornado.httpserver import HTTPServer
 
+from kingcuphead.entry._engine_metrics import EngineMetrics
 from kingcuphead.entry._get_server import Answer, serve_get
 from kingcuphead.forwarding import Refusal, RequestContext
 
@@ -77,6 +78,8 @@
             buckets=BUCKETS,
             registry=self._registry,
         )
+        #: Placements on engines.
+        self.engines = EngineMetrics(self._registry, self._choose_label)
 
     def record(self, context: RequestContext, refusal: Refusal | None) -> None:
         """Record a request that ended, with its refusal if it was refused."""
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -89,6 +89,8 @@
     credit_state: CreditState | None = None
     #: Seconds from arrival to the first event of the stream; None without one.
     first_event_seconds: float | None = None
+    #: Whether no target had memory left for the request.
+    lacks_memory: bool = False
     #: Tokens charged when the hold was settled.
     spent: int = 0
     #: HTTP status of the target's answer that was sent to the caller; 0 for none.
@@ -132,7 +134,11 @@
         """Return the properties by which the dispatcher chooses a target."""
         size = self.request.size
         if size is None:
-            return PlacementRequest(self.service, objective=self.route.objective)
+            return PlacementRequest(
+                self.service,
+                objective=self.route.objective,
+                body_bytes=len(self.request.body),
+            )
         prefixes = []
         tokens = 0
         key = ""
@@ -146,6 +152,7 @@
             size.prompt_tokens,
             self.route.objective,
             size.output_tokens,
+            len(self.request.body),
         )
 
     def _describe_parts(self) -> str:
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -1,6 +1,13 @@
 """Chooses the target of an attempt among those that take the request now."""
 
-from kingcuphead.dispatch import Dispatcher, Placement
+from loguru import logger
+
+from kingcuphead.dispatch import (
+    Dispatcher,
+    MemoryDenial,
+    Placement,
+    PlacementRequest,
+)
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.permits import MemoryClaim, PermitExchange
@@ -8,6 +15,8 @@
 
 #: Number of targets that a request claims a permit of before it is refused.
 MAX_CLAIMS = 8
+#: Seconds after which an engine may have memory for a request again.
+MEMORY_RETRY_AFTER = 0.3
 
 
 class TargetChoice:
@@ -35,24 +44,47 @@
 
     async def place(self, context: RequestContext) -> Placement | None:
         """Choose a target of which a permit can be had; None if there is none."""
+        request = context.make_placement_request()
         # Targets whose memory has no room for the request.
         full: list[str] = []
         for _ in range(MAX_CLAIMS):
             placement = self._dispatcher.place(
-                context.make_placement_request(),
+                request,
                 self._permits.select_open(self.list_eligible(context)),
                 [*context.tried, *full],
                 get_time(),
             )
-            if placement is None or await self._claim_permit(placement):
+            if placement is None:
+                break
+            if await self._claim_permit(placement):
                 return placement
             if placement.memory is not None:
                 full.append(placement.target.name)
+                self._dispatcher.record_denial(request, MemoryDenial.COORDINATOR)
+        self._record_shortage(context, request, full)
         return None
 
+    def _record_shortage(
+        self, context: RequestContext, request: PlacementRequest, full: list[str]
+    ) -> None:
+        """Record whether a request found no target for want of memory."""
+        eligible = self.list_eligible(context)
+        context.lacks_memory = bool(full) or self._dispatcher.is_full(request, eligible)
+        if context.lacks_memory:
+            logger.bind(
+                request_id=context.request.request_id,
+                service=context.service,
+                tokens=request.prompt_tokens + request.output_tokens,
+                denied_by=full,
+            ).info("no engine has memory for the request")
+
     def is_too_large(self, context: RequestContext) -> bool:
         """Whether no target of the service can ever run a request."""
-        return self._dispatcher.is_too_large(context.make_placement_request())
+        request = context.make_placement_request()
+        is_too_large = self._dispatcher.is_too_large(request)
+        if is_too_large:
+            self._dispatcher.record_denial(request, MemoryDenial.TOO_LARGE)
+        return is_too_large
 
     def get_delay(self, context: RequestContext) -> float | None:
         """Return the seconds until a target may take a request.
@@ -62,6 +94,8 @@
         float or None
             The time; None if no target is closed, or if there is none.
         """
+        if context.lacks_memory:
+            return MEMORY_RETRY_AFTER
         return self._permits.get_delay(self.list_eligible(context))
 
     async def _claim_permit(self, placement: Placement) -> bool:
@@ -71,10 +105,10 @@
                 placement.target, _make_memory_claim(placement)
             )
         finally:
-            if is_granted:
-                self._dispatcher.confirm(placement)
-            else:
+            if not is_granted:
                 self._dispatcher.withdraw(placement)
+            elif placement.memory is not None and placement.memory.needs_permit:
+                self._dispatcher.confirm(placement)
         return is_granted
 
     def list_eligible(self, context: RequestContext) -> tuple[Target, ...]:
