Announce and count a placement only after its permit

Cause: a large prompt whose permit was denied was announced to all daemons, and the memory of all engines was counted for requests that stay in their subset. Change: confirm() reports and announces; memory is checked for the options that are looked at.

--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -14,7 +14,7 @@
 )
 from kingcuphead.datagrams._peers import MAX_RECEIVERS
 from kingcuphead.forwarding import TargetStated
-from kingcuphead.loads import LoadsReported, TargetLoad
+from kingcuphead.loads import LoadsReported, PlacementAnnounced, TargetLoad
 from kingcuphead.permits import (
     CoordinatorProbed,
     PermitAnswered,
@@ -35,6 +35,8 @@
 
 MESSAGES = (
     LoadsReported("a/1", 7, (TargetLoad("t1", 3, 900),)),
+    LoadsReported("a/1", 7, (TargetLoad("t1", 3, 900, 1_200),)),
+    PlacementAnnounced("a/1", TargetLoad("t1", 1, 900, 1_200)),
     LoadsReported("a/1", 8, ()),
     LoadsReported("a/1", 9, (), is_cut_off=True),
     TargetStated("t1", True, 2.5),
@@ -46,6 +48,8 @@
     StreamAsked("r1"),
     PermitAsked(4, "t1@5", TargetTerms(1.5, 3), 8, 2),
     RoomReported(5, "t1@5", 1, True),
+    RoomReported(5, "t1@5", 1, True, memory_tokens=900),
+    PermitAnswered(5, False, 0.1, is_full=True),
     PermitAnswered(4, False, 0.25),
     CoordinatorProbed(),
     ProbeAnswered(True),
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -114,38 +114,25 @@
             The choice; None if every candidate is excluded or has no memory left.
         """
         available = self._select_available(candidates, excluded, now)
-        fitting = [each for each in available if self._has_memory(request, each)]
-        if not fitting:
-            if available:
-                self.record_denial(request, MemoryDenial.KNOWN_LOAD)
+        if not available:
             return None
-        option = self._choose(request, fitting, now)
-        state = option.state
-        placement = Placement(
-            option.target,
-            state,
-            option.plan,
-            now,
-            option.wait,
-            option.is_preferred,
-            option.cost,
-        )
-        others = self._peer_loads.get_load(option.target.name)
-        placement.tokens_ahead = state.pending_prefill_tokens + others.unread_tokens
-        placement.running_ahead = state.running + others.running
-        placement.memory = self._count_memory(request, option.target)
-        state.add(placement, request, now)
-        if placement.memory is not None and not placement.memory.needs_permit:
+        option = self._choose(request, available, now)
+        if option is None:
+            self.record_denial(request, MemoryDenial.KNOWN_LOAD)
+            return None
+        placement = self._make_placement(request, option, now)
+        option.state.add(placement, request, now)
+        if not placement.needs_permit:
             self.confirm(placement)
-        self._announce_if_large(placement)
         return placement
 
     def confirm(self, placement: Placement) -> None:
-        """Record that a request is sent to the chosen target after it got a permit.
+        """Record that a request is sent to the chosen target.
 
-        Called for placements whose memory needs one.
+        A placement that needs a permit is confirmed after it got one.
         """
         self._report_memory(placement)
+        self._announce_if_large(placement)
         if placement.memory is not None and self.observer is not None:
             self.observer.record_engine_memory(
                 placement.target.service, placement.memory.used_share
@@ -215,10 +202,34 @@
         ]
         return available or usable
 
+    def _make_placement(
+        self, request: PlacementRequest, option: Option, now: float
+    ) -> Placement:
+        state = option.state
+        others = self._peer_loads.get_load(option.target.name)
+        return Placement(
+            option.target,
+            state,
+            option.plan,
+            now,
+            option.wait,
+            option.is_preferred,
+            option.cost,
+            tokens_ahead=state.pending_prefill_tokens + others.unread_tokens,
+            running_ahead=state.running + others.running,
+            memory=self._count_memory(request, option.target),
+        )
+
     def _choose(
         self, request: PlacementRequest, available: list[Target], now: float
-    ) -> Option:
-        """Choose among the preferred engines, or among all if these are busy."""
+    ) -> Option | None:
+        """Choose among the preferred engines, or among all if these are busy.
+
+        Returns
+        -------
+        Option or None
+            The choice; None if no target has memory left.
+        """
         preferred = self._select_preferred(request, available)
         options = self._list_options(request, preferred, now)
         if len(preferred) < len(available) and self._is_busy(request, options):
@@ -232,6 +243,8 @@
                 )
                 for option in self._list_options(request, others, now)
             ]
+        if not options:
+            return None
         if self._settings.has_contended_engines and request.prompt_tokens:
             return choose_near_cheapest(
                 options, self._settings.cost_tolerance, self._rng
@@ -254,6 +267,8 @@
 
     def _is_busy(self, request: PlacementRequest, options: list[Option]) -> bool:
         """Whether a request would wait for others at each of some targets."""
+        if not options:
+            return True
         wait = min(
             option.wait * option.state.latency_ratio
             - option.plan.prefill_tokens / option.state.speed.rate
@@ -265,7 +280,8 @@
         self, request: PlacementRequest, targets: list[Target], now: float
     ) -> list[Option]:
         """Return the options of a request, in the order of its preference."""
-        ranked = self._planner.rank(request, targets)
+        fitting = [each for each in targets if self._has_memory(request, each)]
+        ranked = self._planner.rank(request, fitting)
         options = []
         for target in ranked:
             plan = self._planner.plan(request, target, ranked, now)
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -70,6 +70,11 @@
     #: Properties of the request; None until it is counted.
     request: PlacementRequest | None = None
 
+    @property
+    def needs_permit(self) -> bool:
+        """Whether the memory of the target needs a permit of its coordinator."""
+        return self.memory is not None and self.memory.needs_permit
+
 
 class TargetState:
     """Tracks this daemon's requests to one incarnation of a target.
--- a/kingcuphead/dispatch/tests/_coordination.py
+++ b/kingcuphead/dispatch/tests/_coordination.py
@@ -34,7 +34,7 @@
                 request.placement_request, self._fleet.targets, full, self._fleet.now
             )
             if placement is None or self._claim(placement).is_granted:
-                if placement is not None and needs_permit(placement):
+                if placement is not None and placement.needs_permit:
                     self.dispatcher.confirm(placement)
                 return placement
             self.dispatcher.withdraw(placement)
@@ -43,7 +43,7 @@
 
     def _claim(self, placement):
         memory, now = placement.memory, self._fleet.now
-        if not needs_permit(placement):
+        if not placement.needs_permit:
             return Decision(True)
         name = placement.target.name
         claim = PermitClaim(
@@ -110,7 +110,3 @@
         other.ranking.record_message(self.address, now)
         self.ranking.record_message(address, now)
         self.ranking.record_confirmation(address)
-
-
-def needs_permit(placement):
-    return placement.memory is not None and placement.memory.needs_permit
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -58,7 +58,7 @@
                 break
             if await self._claim_permit(placement):
                 return placement
-            if placement.memory is not None:
+            if placement.needs_permit:
                 full.append(placement.target.name)
                 self._dispatcher.record_denial(request, MemoryDenial.COORDINATOR)
         self._record_shortage(context, request, full)
@@ -107,7 +107,7 @@
         finally:
             if not is_granted:
                 self._dispatcher.withdraw(placement)
-            elif placement.memory is not None and placement.memory.needs_permit:
+            elif placement.needs_permit:
                 self._dispatcher.confirm(placement)
         return is_granted
 
@@ -120,7 +120,7 @@
 def _make_memory_claim(placement: Placement) -> MemoryClaim | None:
     """Return what to ask the coordinator for; None if memory is certainly left."""
     memory = placement.memory
-    if memory is None or not memory.needs_permit:
+    if memory is None or not placement.needs_permit:
         return None
     return MemoryClaim(
         memory.held_tokens,
