Ask for permits while few of the other daemons are heard

Cause: in a fleet cut in halves, daemons placed requests by the reports of their half; once placements without a permit were no longer announced, engines held up to 1.15 of their memory. Change: below 0.6 of the daemons heard, each placement needs a permit, and none is made without an answer.

--- a/kingcuphead/dispatch/_memory.py
+++ b/kingcuphead/dispatch/_memory.py
@@ -14,6 +14,9 @@
 UNREACHABLE_PEER_MARGIN = 2 * PEER_MARGIN
 #: Share of the memory above which the coordinator is asked.
 PERMIT_SHARE = 0.5
+#: Share of the other daemons whose reports have to be known to place a request without
+#: asking; in a fleet that is cut in two, a daemon hears half of it.
+MIN_KNOWN_SHARE = 0.6
 #: Share of the memory that this daemon alone may take while no coordinator can be
 #: reached; coordinators leave it free.
 UNREACHABLE_SHARE = 0.2
@@ -94,7 +97,8 @@
         Without it, no request may take more than its share, since other daemons may
         place theirs at the same time.
         """
-        if not self.known_share or self.added_tokens * self.slots > self.capacity:
+        is_uninformed = self.known_share < MIN_KNOWN_SHARE
+        if is_uninformed or self.added_tokens * self.slots > self.capacity:
             return True
         margin = max(PEER_MARGIN, 1 / self.known_share)
         expected = self.held_tokens + margin * self.peer_tokens
@@ -103,7 +107,7 @@
     @property
     def fits_unasked(self) -> bool:
         """Whether the request may be placed while no coordinator can be reached."""
-        if not self.known_share:
+        if self.known_share < MIN_KNOWN_SHARE:
             return False
         margin = max(UNREACHABLE_PEER_MARGIN, 2 / self.known_share)
         expected = self.held_tokens + margin * self.peer_tokens
