--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -17,7 +17,7 @@
 )
 from kingcuphead.datagrams._peers import MAX_RECEIVERS
 from kingcuphead.forwarding import TargetStated
-from kingcuphead.loads import LoadsReported, TargetLoad
+from kingcuphead.loads import LoadsReported, PlacementAnnounced, TargetLoad
 from kingcuphead.permits import (
     CoordinatorProbed,
     PermitAnswered,
@@ -39,6 +39,8 @@
 
 MESSAGES = (
     LoadsReported("a/1", 7, (TargetLoad("t1", 3, 900),)),
+    LoadsReported("a/1", 7, (TargetLoad("t1", 3, 900, 1_200),)),
+    PlacementAnnounced("a/1", TargetLoad("t1", 1, 900, 1_200)),
     LoadsReported("a/1", 8, ()),
     LoadsReported("a/1", 9, (), is_cut_off=True),
     TargetStated("t1", True, 2.5),
@@ -53,6 +55,8 @@
     PermitAsked(4, "t1@5", TargetTerms(1.5, 3), 8, 2),
     PermitAsked(5, "t1@5", TargetTerms().restrict(2.0), 8, 2, is_doubtful=True),
     RoomReported(5, "t1@5", 1, True),
+    RoomReported(5, "t1@5", 1, True, memory_tokens=900),
+    PermitAnswered(5, False, 0.1, is_full=True),
     PermitAnswered(4, False, 0.25),
     PermitAnswered(5, False, 0.25, is_holder=False),
     CoordinatorProbed(),
--- a/kingcuphead/dispatch/_room.py
+++ b/kingcuphead/dispatch/_room.py
@@ -1,10 +1,14 @@
 """Room for requests that wait before a target is chosen."""
 
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import Protocol
 
+from kingcuphead.dispatch._costs import CostFunction
 from kingcuphead.dispatch._messages import PlacementRequest
+from kingcuphead.dispatch._prefill import PrefillPlanner
+from kingcuphead.dispatch._target_state import TargetState
 from kingcuphead.frozen import frozen
+from kingcuphead.loads import PeerLoads
 from kingcuphead.targets import Target
 
 #: Requests that a plain service may hold in units of its slots. It queues requests
@@ -106,3 +110,114 @@
         Number of other daemons.
     """
     return reported * max(1.0, others / reporters) if reporters else float(reported)
+
+
+class RoomEstimator:
+    """Estimates the room at targets from own requests and reports of other daemons.
+
+    Parameters
+    ----------
+    peer_loads
+        Loads that other daemons report.
+    get_state
+        Returns the state of a target.
+    planner
+        Plans the prefill of a request.
+    costs
+        Estimates the wait of a request.
+    """
+
+    def __init__(
+        self,
+        peer_loads: PeerLoads,
+        get_state: Callable[[Target], TargetState],
+        planner: PrefillPlanner,
+        costs: CostFunction,
+    ) -> None:
+        self._peer_loads = peer_loads
+        self._get_state = get_state
+        self._planner = planner
+        self._costs = costs
+        #: Number of daemons that share the targets, this one included; 1 if unknown.
+        self.daemons = 1
+
+    def has_room(
+        self, request: PlacementRequest, available: list[Target], now: float
+    ) -> bool:
+        """Return whether some target has room for a request that waits.
+
+        Parameters
+        ----------
+        request
+            Properties of the request.
+        available
+            Targets that accept new requests and aren't backing off.
+        now
+            Current time in seconds.
+        """
+        ranked = available
+        if request.prefixes and request.objective_ends_at > now:
+            ranked = self._planner.rank(request, available)
+        for target in ranked:
+            room = self._describe_room(request, target)
+            if room.accepts_on_old_reports(request, now):
+                return True
+            if room.has_place and self._is_in_time(request, target, ranked, now):
+                return True
+        return False
+
+    def accepts_on_old_reports(
+        self, request: PlacementRequest, candidates: Iterable[Target], now: float
+    ) -> bool:
+        """Return whether a request has waited so long that it may ignore reports."""
+        return any(
+            self._describe_room(request, target).accepts_on_old_reports(request, now)
+            for target in candidates
+        )
+
+    def describe_load(
+        self, request: PlacementRequest, candidates: Collection[Target]
+    ) -> ServiceLoad:
+        """Return the load of all daemons on some targets."""
+        rooms = [self._describe_room(request, target) for target in candidates]
+        users = self._peer_loads.count_users({target.name for target in candidates})
+        return ServiceLoad(
+            sum(room.places for room in rooms),
+            sum(room.own for room in rooms),
+            sum(room.reported for room in rooms),
+            1 + self._extrapolate(users),
+        )
+
+    def count_own(self, candidates: Iterable[Target]) -> int:
+        """Return the number of requests that this daemon has at some targets."""
+        return sum(self._get_state(target).running for target in candidates)
+
+    def _describe_room(self, request: PlacementRequest, target: Target) -> TargetRoom:
+        reported = self._peer_loads.get_load(target.name).running
+        others = self._extrapolate(reported)
+        places = count_places(target, request)
+        return TargetRoom(places, self._get_state(target).running, others)
+
+    def _extrapolate(self, reported: int) -> float:
+        return extrapolate(reported, self._peer_loads.reporters, self.daemons - 1)
+
+    def _is_in_time(
+        self,
+        request: PlacementRequest,
+        target: Target,
+        ranked: list[Target],
+        now: float,
+    ) -> bool:
+        """Return whether a free target is expected to meet a request's objective.
+
+        Also true if the objective has passed, or if the request alone takes longer
+        there, as waiting wouldn't help.
+        """
+        remaining = request.objective_ends_at - now
+        if remaining <= 0:
+            return True
+        plan = self._planner.plan(request, target, ranked, now)
+        ratio = self._get_state(target).latency_ratio
+        if self._costs.estimate_wait(target, plan) * ratio < remaining:
+            return True
+        return self._costs.estimate_prefill(target, plan) * ratio >= remaining
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -106,6 +106,7 @@
             profile.zone, has_contended_engines=profile.is_constrained
         )
         self._dispatcher = Dispatcher(dispatch_settings, peer_loads, rng)
+        self._dispatcher.observer = self._metrics.engines
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._hedging = HedgingPolicy(settings.max_hedged_share, self._retries)
@@ -331,6 +332,7 @@
                 for service in configuration.services.values()
             }
         )
+        self._dispatcher.apply_services(configuration.services)
         self._callers.apply_limits(configuration.limits)
         self._links.credit.apply_limits(
             configuration.organisations.values(), configuration.version
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -151,6 +151,7 @@
         #: What targets take from the whole fleet.
         self.permits = self._make_permits(rng)
         self.permits.apply_cold_bounds(profile.cold_bounds)
+        dispatcher.report_memory = self.permits.report_memory
         #: Knows the software versions that began streams.
         self.resumption = self._make_resumption(store)
 
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -122,6 +122,8 @@
     credit_state: CreditState | None = None
     #: Seconds from arrival to the first event of the stream; None without one.
     first_event_seconds: float | None = None
+    #: Whether no target had memory left for the request.
+    lacks_memory: bool = False
     #: Tokens charged when the hold was settled.
     spent: int = 0
     #: HTTP status of the target's answer that was sent to the caller; 0 for none.
@@ -169,6 +171,7 @@
             return PlacementRequest(
                 self.service,
                 objective=self.route.objective,
+                body_bytes=len(self.request.body),
                 is_urgent=self.rank == MOST_URGENT_RANK,
             )
         prefixes = []
@@ -183,6 +186,8 @@
             tuple(prefixes),
             size.prompt_tokens,
             self.route.objective,
+            size.output_tokens,
+            len(self.request.body),
             self.rank == MOST_URGENT_RANK,
         )
 
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -6,14 +6,18 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from kingcuphead.permits._claims import make_claim, name_holder
 from kingcuphead.permits._cold import ColdBounds, ColdView, NoColdTargets
 from kingcuphead.permits._coordinator import (
+    MEMORY_WAIT,
     NO_HOLDER,
     Decision,
     PermitClaim,
     PermitCoordinator,
 )
 from kingcuphead.permits._gate import TargetGate
+from kingcuphead.permits._memory import MemoryClaim, compute_memory_share
+from kingcuphead.permits._memory_reports import MemoryReports
 from kingcuphead.permits._messages import (
     CoordinatorProbed,
     PermitAnswered,
@@ -75,6 +79,7 @@
         self._terms = TermsTable()
         self._gate = TargetGate()
         self._open_requests: Counter[str] = Counter()
+        self._memory_reports = MemoryReports()
         self._numbers = itertools.count(1)
         self._questions: dict[int, asyncio.Future[Decision]] = {}
         #: Which daemon coordinates the permits of a target.
@@ -87,7 +92,7 @@
         self._coordinator.cold_bounds = bounds
 
     async def run(self) -> None:
-        """Report the open requests at brittle targets until cancelled.
+        """Report what this daemon has open at targets until cancelled.
 
         Prepares this daemon for questions about cold targets, too.
         """
@@ -95,8 +100,12 @@
             await asyncio.sleep(REPORT_INTERVAL)
             if self._cold_view.has_cold_limits:
                 self.ranking.probe_unconfirmed(_get_time())
+            # A report may get lost.
+            for target in self._memory_reports.list_repeated():
+                self._report_room(target, was_rejected=False)
             for target in self._terms.list_brittle():
-                if self._open_requests[target]:
+                is_reported = self._memory_reports.get(target) is not None
+                if self._open_requests[target] and not is_reported:
                     self._report_room(target, was_rejected=False)
 
     def record_terms(self, target: Target, terms: TargetTerms) -> None:
@@ -126,9 +135,17 @@
         """Return the seconds until the first target opens; None if one is open."""
         return self._gate.get_delay(targets, _get_time())
 
-    async def claim(self, target: Target) -> bool:
+    async def claim(self, target: Target, memory: MemoryClaim | None = None) -> bool:
         """Get a permit for one request to a target.
 
+        Parameters
+        ----------
+        target
+            The target.
+        memory
+            What this daemon holds in its memory; None if it isn't limited, or has room
+            in any case.
+
         Returns
         -------
         bool
@@ -139,11 +156,11 @@
         self._open_requests[identity] += 1
         decision = Decision(False)
         try:
-            decision = await self._decide_claim(target)
+            decision = await self._decide_claim(target, memory)
         finally:
             if not decision.is_granted:
                 self._open_requests[identity] -= 1
-        if not decision.is_granted:
+        if not decision.is_granted and not decision.is_full:
             self._gate.close(target, min(decision.wait, MAX_WAIT), _get_time())
         return decision.is_granted
 
@@ -168,8 +185,14 @@
             pause = min(MAX_REJECTION_PAUSE, self.ranking.daemons / rejections)
             self._gate.close(target, pause, _get_time())
 
+    def report_memory(self, target: Target, tokens: int) -> None:
+        """Report how many tokens this daemon holds in the memory of a target."""
+        self._memory_reports.record(target.incarnation, tokens)
+        self._report_room(target.incarnation, was_rejected=False)
+
     def forget(self, target: Target) -> None:
         """Drop the state of a target that was removed."""
+        self._memory_reports.forget(target.incarnation)
         self._terms.forget(target.incarnation)
         self._gate.forget(target)
         if not self._open_requests[target.incarnation]:
@@ -179,16 +202,20 @@
         """Process a message of another daemon."""
         match message:
             case PermitAsked(number):
-                claim = _make_claim(message, sender)
+                claim = make_claim(message, sender)
                 decision = self._decide(claim, is_asked=True)
                 answer = PermitAnswered(
-                    number, decision.is_granted, decision.wait, decision.is_holder
+                    number,
+                    decision.is_granted,
+                    decision.wait,
+                    decision.is_holder,
+                    decision.is_full,
                 )
                 self._send(answer, sender)
-            case PermitAnswered(number, is_granted, wait, is_holder):
+            case PermitAnswered(number, is_granted, wait, is_holder, is_full):
                 question = self._questions.get(number)
                 if question is not None and not question.done():
-                    question.set_result(Decision(is_granted, wait, is_holder))
+                    question.set_result(Decision(is_granted, wait, is_holder, is_full))
             case RoomReported():
                 self._apply_room(message, sender)
             case CoordinatorProbed():
@@ -199,19 +226,26 @@
             case TermsReported(target, terms):
                 self._terms.record(target, terms)
 
-    async def _decide_claim(self, target: Target) -> Decision:
+    async def _decide_claim(
+        self, target: Target, memory: MemoryClaim | None
+    ) -> Decision:
         terms = self._terms.get(target.incarnation)
         limit = self._cold_view.find_cold_limit(target)
         if limit is not None:
+            if memory is not None:
+                # Asked first: unlike a permit for a cold target, memory is given back.
+                decision = await self._ask_fleet(target, TargetTerms(), memory)
+                if not decision.is_granted:
+                    return decision
             terms = terms.restrict(limit.requests_per_second)
             is_doubtful = not limit.is_certain
             decision = await self._ask_holders(target, terms, is_doubtful)
             if not decision.is_granted:
                 self.report_cold_denial(target)
             return decision
-        if terms.is_unlimited:
+        if terms.is_unlimited and memory is None:
             return Decision(True)
-        return await self._ask_fleet(target, terms)
+        return await self._ask_fleet(target, terms, memory)
 
     async def _ask_holders(
         self, target: Target, terms: TargetTerms, is_doubtful: bool
@@ -219,9 +253,9 @@
         """Ask the owners of a cold target's permits until one of them decides."""
         count = self._coordinator.cold_bounds.holders
         for address in self.ranking.list_holders(target.name, count):
-            question = self._make_question(target, terms, is_doubtful)
+            question = self._make_question(target, terms, None, is_doubtful)
             if address == self._own_address:
-                claim = _make_claim(question, address)
+                claim = make_claim(question, address)
                 decision: Decision | None = self._decide(claim, is_asked=False)
             elif self.ranking.is_passed_over(address, _get_time()):
                 continue
@@ -231,21 +265,42 @@
                 return decision
         return NO_HOLDER
 
-    async def _ask_fleet(self, target: Target, terms: TargetTerms) -> Decision:
+    async def _ask_fleet(
+        self, target: Target, terms: TargetTerms, memory: MemoryClaim | None
+    ) -> Decision:
         """Ask the coordinator, then the next one; decide alone if none answers."""
         identity = target.incarnation
         for _ in range(MAX_QUESTIONS):
             address = self.ranking.find_coordinator(identity, _get_time())
             if address == self._own_address:
                 break
-            decision = await self._ask(address, self._make_question(target, terms))
+            question = self._make_question(target, terms, memory)
+            decision = await self._ask(address, question)
             if decision is not None:
                 return decision
-        question = self._make_question(target, terms)
-        return self._decide(_make_claim(question, self._own_address), is_asked=False)
+        if memory is not None:
+            fits = self._fits_unasked(identity, memory)
+            if fits is False:
+                return Decision(False, MEMORY_WAIT, is_full=True)
+            memory = None if fits else memory
+        question = self._make_question(target, terms, memory)
+        return self._decide(make_claim(question, self._own_address), is_asked=False)
+
+    def _fits_unasked(self, target: str, memory: MemoryClaim) -> bool | None:
+        """Return whether a request fits; None if this daemon may coordinate."""
+        now = _get_time()
+        if self.ranking.is_isolated(now):
+            return memory.fits_isolated
+        if self.ranking.find_coordinator(target, now) != self._own_address:
+            return memory.fits_unasked
+        return None
 
     def _make_question(
-        self, target: Target, terms: TargetTerms, is_doubtful: bool = False
+        self,
+        target: Target,
+        terms: TargetTerms,
+        memory: MemoryClaim | None,
+        is_doubtful: bool = False,
     ) -> PermitAsked:
         identity = target.incarnation
         return PermitAsked(
@@ -254,6 +309,8 @@
             terms,
             target.slots,
             self._open_requests[identity],
+            None if memory is None else memory.tokens,
+            None if memory is None else memory.capacity,
             is_doubtful,
         )
 
@@ -295,46 +352,42 @@
             holders = self._coordinator.cold_bounds.holders
             name = get_target_name(claim.target)
             position = self.ranking.find_position(name, holders, now)
-        return self._coordinator.decide(claim, share, now, position)
+        rank = self.ranking.get_position(claim.target)
+        memory_share = compute_memory_share(rank, share == 1.0)
+        return self._coordinator.decide(claim, share, now, memory_share, position)
 
     def _report_room(self, target: str, was_rejected: bool) -> None:
         """Tell the coordinator of a target how many requests are open there."""
         report = RoomReported(
-            next(self._numbers), target, self._open_requests[target], was_rejected
+            next(self._numbers),
+            target,
+            self._open_requests[target],
+            was_rejected,
+            self._memory_reports.get(target),
         )
-        address = self.ranking.find_coordinator(target, _get_time())
-        if address == self._own_address:
-            self._apply_room(report, address)
-        else:
-            self._send(report, address)
+        receivers = {self.ranking.find_coordinator(target, _get_time())}
+        if report.memory_tokens is not None:
+            receivers.update(self.ranking.list_observers(target))
+        for address in receivers:
+            if address == self._own_address:
+                self._apply_room(report, address)
+            else:
+                self._send(report, address)
 
     def _apply_room(self, report: RoomReported, sender: Address) -> None:
-        holder = _name_holder(sender)
+        holder = name_holder(sender)
         open_requests = OpenRequests(holder, report.number, report.open_requests)
         self._coordinator.record_open_requests(
             report.target, open_requests, report.was_rejected, _get_time()
         )
+        if report.memory_tokens is not None:
+            self._coordinator.record_memory(
+                report.target, holder, report.memory_tokens, report.number, _get_time()
+            )
 
     def _probe(self, address: Address) -> None:
         self._send(CoordinatorProbed(), address)
 
 
-def _make_claim(question: PermitAsked, sender: Address) -> PermitClaim:
-    holder = _name_holder(sender)
-    open_requests = OpenRequests(holder, question.number, question.open_requests)
-    return PermitClaim(
-        question.target,
-        question.terms,
-        question.slots,
-        open_requests,
-        question.is_doubtful,
-    )
-
-
-def _name_holder(address: Address) -> str:
-    host, port = address
-    return f"{host}:{port}"
-
-
 def _get_time() -> float:
     return asyncio.get_running_loop().time()
--- a/kingcuphead/permits/_messages.py
+++ b/kingcuphead/permits/_messages.py
@@ -20,6 +20,10 @@
     slots: int
     #: Requests that the asking daemon has open there, with this one.
     open_requests: int
+    #: Tokens that they hold in the memory of the target; None if it isn't limited.
+    memory_tokens: int | None = None
+    #: Tokens that the memory has room for; None if it isn't limited.
+    memory_capacity: int | None = None
     #: Whether the asking daemon doesn't know if the target is cold, and takes it for
     #: cold to be safe.
     is_doubtful: bool = False
@@ -37,6 +41,8 @@
     wait: float
     #: Whether the daemon that answers owns a part of the permits of the target.
     is_holder: bool = True
+    #: Whether the memory of the target lacks room for the request.
+    is_full: bool = False
 
 
 @frozen
@@ -51,6 +57,8 @@
     open_requests: int
     #: Whether the target had no room for a request.
     was_rejected: bool
+    #: Tokens that they hold in the memory of the target; None if it isn't limited.
+    memory_tokens: int | None = None
 
 
 @frozen
--- a/kingcuphead/permits/_ranking.py
+++ b/kingcuphead/permits/_ranking.py
@@ -34,6 +34,9 @@
 DEPARTURE_PERIOD = 12.0
 #: Seconds between two probes of a daemon that has not confirmed that it knows this one.
 CONFIRMATION_INTERVAL = 5.0
+#: Number of daemons that are told what is held at a target, so that the second one can
+#: take over.
+OBSERVERS = 2
 #: Number of targets whose order of daemons is kept.
 MAX_RANKED_TARGETS = 512
 #: Number of daemons that is assumed before the list of daemons was read.
@@ -222,6 +225,14 @@
         addresses = {*ranks, *self._departed}
         return tuple(sorted(addresses, key=lambda each: _score(target, each)))
 
+    def list_observers(self, target: str) -> tuple[Address, ...]:
+        """Return the daemons that may coordinate a target now or next."""
+        return self._rank(target)[:OBSERVERS]
+
+    def get_position(self, target: str) -> int:
+        """Return the number of daemons that are ranked before this one."""
+        return self._rank(target).index(self._own_address)
+
     def _is_confirmed(self, after: tuple[Address, ...], now: float) -> bool:
         """Whether the daemon that would coordinate without this one knows of it."""
         for address in after:
--- a/kingcuphead/wire/datagram.thrift
+++ b/kingcuphead/wire/datagram.thrift
@@ -96,6 +96,8 @@
   4: i32 slots
   5: i32 open_requests
   6: bool is_doubtful = 0
+  7: optional i64 memory_tokens
+  8: optional i64 memory_capacity
 }
 
 struct RoomReported {
@@ -103,6 +105,7 @@
   2: string target
   3: i32 open_requests
   4: bool was_rejected
+  5: optional i64 memory_tokens
 }
 
 struct PermitAnswered {
@@ -110,6 +113,7 @@
   2: bool is_granted
   3: double wait
   4: bool is_holder = 1
+  5: optional bool is_full
 }
 
 struct CoordinatorProbed {
