CLI: check a routing configuration before it is sent

Faults of a configuration were seen only once a daemon had read it. `kingcuphead check FILE [--against FILE] [--json]` reports errors, warnings and the differences from the version in force, without a server. The decisions are in kingcuphead/review; the platform package gives the values that decoding merges or corrects.

--- a/kingcuphead/cli/_exit_codes.py
+++ b/kingcuphead/cli/_exit_codes.py
@@ -22,6 +22,17 @@
     UNCERTAIN = 5
 
 
+class CheckStatus(enum.IntEnum):
+    """Outcome of checking a configuration file, for scripts."""
+
+    #: No finding.
+    CLEAN = 0
+    #: Warnings only.
+    WARNINGS = 1
+    #: At least one error.
+    ERRORS = 2
+
+
 #: Exit code by kind of fault; all other kinds exit with `REFUSED`.
 EXIT_CODES = {
     FaultKind.CONFLICT: ExitCode.CONFLICT,
--- a/kingcuphead/cli/_main.py
+++ b/kingcuphead/cli/_main.py
@@ -15,7 +15,6 @@
 from kingcuphead.cli._exit_codes import ExitCode
 from kingcuphead.cli._output import Output
 from kingcuphead.cli._parser import make_parser
-from kingcuphead.cli._state_commands import make_token
 
 #: IP number and port of a daemon.
 SERVER_PATTERN = re.compile(r"\d{1,3}(\.\d{1,3}){3}:\d{1,5}")
@@ -40,8 +39,8 @@
     """
     parsed = make_parser().parse_args(arguments)
     if parsed.run is None:
-        print(make_token().format(parsed.json))
-        return ExitCode.OK
+        status: int = parsed.run_locally(parsed)
+        return status
     result: Result[Output, CallFault] = _make_client(parsed, environment).bind(
         lambda client: parsed.run(client, parsed)
     )
--- a/kingcuphead/cli/_parser.py
+++ b/kingcuphead/cli/_parser.py
@@ -4,6 +4,7 @@
 from typing import Any
 
 from kingcuphead.cli import _record_commands as records, _state_commands as state
+from kingcuphead.cli._check import check_files
 from kingcuphead.cli._fields import FIELDS, KIND_HELP, Field
 
 EPILOG = """\
@@ -22,6 +23,7 @@
   3  conflict with another change; nothing was changed
   4  daemon or platform not reached; nothing was changed
   5  outcome unknown; repeat the command with the id that is shown
+  check: 0 no finding, 1 warnings only, 2 errors
 
 example:
   kingcuphead model create large --versions 1 --max-output-tokens 4096
@@ -56,6 +58,7 @@
     _add_configuration_commands(commands)
     _add_budget_reports(commands)
     _add_request_commands(commands)
+    _add_local_commands(commands)
     return parser
 
 
@@ -211,5 +214,19 @@
     claims = commands.add_parser("claims", help="calls that run at most once")
     claims.add_argument("organisation")
     claims.set_defaults(run=state.show_claims)
+
+
+def _add_local_commands(commands: Subparsers) -> None:
     token = commands.add_parser("token", help="make an operator's token")
-    token.set_defaults(run=None)
+    token.set_defaults(run=None, run_locally=state.print_token)
+    check = commands.add_parser("check", help="check a routing configuration file")
+    check.add_argument("file", help="routing configuration as JSON")
+    check.add_argument("--against", metavar="FILE", help="the version in force")
+    # Without SUPPRESS, the default would override a --json before the command.
+    check.add_argument(
+        "--json",
+        action="store_true",
+        default=argparse.SUPPRESS,
+        help="print JSON for programs",
+    )
+    check.set_defaults(run=None, run_locally=check_files)
--- a/kingcuphead/cli/_state_commands.py
+++ b/kingcuphead/cli/_state_commands.py
@@ -190,3 +190,9 @@
     digest = digest_key(token)
     note = f"token, shown only once: {token}\ndigest for token_digests: {digest}"
     return Output({"token": token, "digest": digest}, note=note)
+
+
+def print_token(arguments: argparse.Namespace) -> int:
+    """Print a new operator's token."""
+    print(make_token().format(arguments.json))
+    return ExitCode.OK
--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -2,8 +2,11 @@
 
 from kingcuphead.platform._configuration import (
     ConfigurationDecoder,
+    KeyHolder,
+    StatedValues,
     decode_configuration,
     decode_evacuated_zone,
+    decode_stated_values,
 )
 from kingcuphead.platform._entries import decode_target
 from kingcuphead.platform._headers import (
@@ -40,18 +43,21 @@
     "Endpoint",
     "HistoryLost",
     "InstanceLimits",
+    "KeyHolder",
     "PlatformHeaders",
     "Profile",
     "ProfileFault",
     "READINESS_PATH",
     "RetryBudget",
     "SETTINGS_VARIABLE",
+    "StatedValues",
     "Store",
     "StoreTable",
     "TARGETS_TABLE",
     "decode_configuration",
     "decode_evacuated_zone",
     "decode_request",
+    "decode_stated_values",
     "decode_target",
     "make_refusal_headers",
     "parse_profile",
--- a/kingcuphead/platform/_configuration.py
+++ b/kingcuphead/platform/_configuration.py
@@ -245,3 +245,42 @@
         header_timeout=limits.header_timeout_ms / 1000,
         idle_timeout=limits.idle_timeout_ms / 1000,
     )
+
+
+@frozen
+class KeyHolder:
+    """An organisation as the configuration states it, with its API keys."""
+
+    name: str
+    keys: tuple[str, ...]
+
+
+@frozen
+class StatedValues:
+    """Values that decoding merges or corrects, in the order of the file."""
+
+    #: Stated maximum number of attempts of each route.
+    attempts: tuple[int, ...]
+    #: Name of each service.
+    services: tuple[str, ...]
+    #: Each organisation with its keys.
+    holders: tuple[KeyHolder, ...]
+
+
+def decode_stated_values(content: bytes) -> Result[StatedValues, str]:
+    """Decode the values that `decode_configuration` merges or corrects."""
+    try:
+        decoded = _DECODER.decode(content)
+        routes = [_ROUTE_DECODER.decode(each) for each in decoded.routes]
+        tenants = [_TENANT_DECODER.decode(each) for each in decoded.tenants]
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(str(error))
+    return Ok(
+        StatedValues(
+            attempts=tuple(each.max_attempts for each in routes),
+            services=tuple(each.name for each in decoded.services),
+            holders=tuple(
+                KeyHolder(each.name, tuple(each.api_keys)) for each in tenants
+            ),
+        )
+    )
--- /dev/null
+++ b/kingcuphead/review/_differences.py
@@ -0,0 +1,120 @@
+"""Differences between two configuration versions."""
+
+import dataclasses
+import enum
+import math
+from collections import Counter
+from collections.abc import Iterator, Mapping
+from typing import Any
+
+from kingcuphead.frozen import frozen
+from kingcuphead.routing import EngineProfile, RoutingConfiguration
+
+#: Fields whose lower value takes something away from callers; None is no limit.
+_LOWER_TAKES_AWAY = frozenset(
+    {
+        "body_bytes",
+        "cold_limit",
+        "header_bytes",
+        "header_timeout",
+        "idle_timeout",
+        "is_anonymous",
+        "is_resumable",
+        "kv_cache_tokens",
+        "max_attempts",
+        "max_connections",
+        "prepaid_tokens",
+        "slots",
+        "timeout",
+    }
+)
+
+
+class DifferenceKind(enum.StrEnum):
+    """What happened to a part of the configuration."""
+
+    ADDED = "added"
+    REMOVED = "removed"
+    CHANGED = "changed"
+
+
+@frozen
+class Difference:
+    """One difference from the version in force."""
+
+    kind: DifferenceKind
+    place: str
+    detail: str
+    #: Whether callers lose something by it.
+    takes_away: bool
+
+
+def compare(old: RoutingConfiguration, new: RoutingConfiguration) -> list[Difference]:
+    """Return the differences of a version from the one in force."""
+    return [
+        *_compare_parts("route", _index_routes(old), _index_routes(new)),
+        *_compare_parts("service", old.services, new.services),
+        *_compare_parts("organisation", old.organisations, new.organisations),
+        *_compare_keys(old.keys, new.keys),
+        *_compare_fields("limits", old.limits, new.limits),
+    ]
+
+
+def _index_routes(configuration: RoutingConfiguration) -> dict[str, Any]:
+    return {f"{each.host}{each.prefix}": each for each in configuration.routes}
+
+
+def _compare_parts(
+    kind: str, old: Mapping[str, Any], new: Mapping[str, Any]
+) -> Iterator[Difference]:
+    for name in sorted(old.keys() | new.keys()):
+        place = f'{kind} "{name}"'
+        if name not in new:
+            yield Difference(DifferenceKind.REMOVED, place, "", takes_away=True)
+        elif name not in old:
+            yield Difference(DifferenceKind.ADDED, place, "", takes_away=False)
+        else:
+            yield from _compare_fields(place, old[name], new[name])
+
+
+def _compare_fields(place: str, old: Any, new: Any) -> Iterator[Difference]:
+    for field in dataclasses.fields(old):
+        before, after = getattr(old, field.name), getattr(new, field.name)
+        if before == after:
+            continue
+        if isinstance(before, EngineProfile) and isinstance(after, EngineProfile):
+            yield from _compare_fields(f"{place} engine", before, after)
+            continue
+        takes_away = field.name in _LOWER_TAKES_AWAY and _is_lower(before, after)
+        detail = f"{field.name}: {_format(before)} -> {_format(after)}"
+        yield Difference(DifferenceKind.CHANGED, place, detail, takes_away)
+
+
+def _format(value: Any) -> str:
+    match value:
+        case tuple():
+            return ", ".join(f"{each.service}={each.weight:g}" for each in value)
+        case EngineProfile():
+            return f"{value.slots} slots, {value.kv_cache_tokens} tokens"
+    return str(value)
+
+
+def _is_lower(before: float | None, after: float | None) -> bool:
+    limits = [math.inf if each is None else each for each in (before, after)]
+    return limits[1] < limits[0]
+
+
+def _compare_keys(
+    old: Mapping[str, str], new: Mapping[str, str]
+) -> Iterator[Difference]:
+    # The keys are secrets, so only their number is reported.
+    removed = Counter(old[key] for key in old if new.get(key) != old[key])
+    added = Counter(new[key] for key in new if old.get(key) != new[key])
+    for kind, counts in (
+        (DifferenceKind.REMOVED, removed),
+        (DifferenceKind.ADDED, added),
+    ):
+        for name, count in sorted(counts.items()):
+            takes_away = kind is DifferenceKind.REMOVED
+            place = f'keys of organisation "{name}"'
+            yield Difference(kind, place, f"number: {count}", takes_away)
--- /dev/null
+++ b/kingcuphead/review/_review.py
@@ -0,0 +1,77 @@
+"""Review of the content of a configuration file."""
+
+from expression import Error, Ok, Result
+
+from kingcuphead.frozen import frozen
+from kingcuphead.platform import (
+    StatedValues,
+    decode_configuration,
+    decode_stated_values,
+)
+from kingcuphead.review._checks import check
+from kingcuphead.review._differences import Difference, compare
+from kingcuphead.review._findings import Finding, Severity, make_error
+from kingcuphead.routing import RoutingConfiguration
+
+#: Maximum size of a configuration file in bytes.
+MAX_FILE_BYTES = 40_000_000
+
+
+@frozen
+class Review:
+    """Findings about a file, and its differences from the version in force."""
+
+    findings: tuple[Finding, ...]
+    differences: tuple[Difference, ...] = ()
+
+    def has(self, severity: Severity) -> bool:
+        """Return whether there is a finding of a severity."""
+        return any(each.severity is severity for each in self.findings)
+
+
+@frozen
+class _Version:
+    configuration: RoutingConfiguration
+    stated: StatedValues
+
+
+def review(content: bytes, in_force: bytes | None = None) -> Review:
+    """Review a configuration.
+
+    Parameters
+    ----------
+    content
+        Content of the file.
+    in_force
+        Content of the version in force; None to compare with nothing.
+    """
+    new = _decode("file", content)
+    if new.is_error():
+        return Review((new.error,))
+    configuration = new.ok.configuration
+    findings = tuple(check(configuration, new.ok.stated))
+    if in_force is None:
+        return Review(findings)
+    old = _decode("version in force", in_force)
+    if old.is_error():
+        return Review((old.error, *findings))
+    current = old.ok.configuration
+    if configuration.version <= current.version:
+        cause = f"{configuration.version} is not above {current.version} in force"
+        findings = (make_error("version", cause), *findings)
+    return Review(findings, tuple(compare(current, configuration)))
+
+
+def _decode(place: str, content: bytes) -> Result[_Version, Finding]:
+    if len(content) > MAX_FILE_BYTES:
+        return Error(make_error(place, f"larger than {MAX_FILE_BYTES:,} bytes"))
+    try:
+        configuration = decode_configuration(content)
+        stated = decode_stated_values(content)
+    except RecursionError:
+        return Error(make_error(place, "nested too deeply"))
+    if configuration.is_error():
+        return Error(make_error(place, f"can't be decoded: {configuration.error}"))
+    if stated.is_error():
+        return Error(make_error(place, f"can't be decoded: {stated.error}"))
+    return Ok(_Version(configuration.ok, stated.ok))
