Take a deeply nested configuration for an invalid one

The decoder raised RecursionError in place of returning an error, which would have ended the daemon that read such a row. The new test failed before.

--- a/kingcuphead/platform/_configuration.py
+++ b/kingcuphead/platform/_configuration.py
@@ -155,7 +155,7 @@
             decoded = _DECODER.decode(content)
             routes = self._routes.decode_all(decoded.routes)
             callers = self._callers.decode_all(decoded.tenants)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             return Error(str(error))
         return Ok(
             RoutingConfiguration(
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -150,6 +150,13 @@
         assert decode_evacuated_zone(key) == zone
 
 
+class TestNesting:
+    def test_a_deeply_nested_row_is_an_error(self):
+        """Guards against a daemon that ends because of a row that it can't decode."""
+        content = b'{"version": 1, "unknown": ' + b"[" * 100_000
+        assert decode_configuration(content).is_error()
+
+
 class TestSuccessiveVersions:
     @pytest.mark.parametrize(
         "contents",
