--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -221,8 +221,7 @@
         """Yield this daemon's load on each target that runs requests of it."""
         for name, state in self._states.items():
             if state.running:
-                is_limited = self._settings.has_contended_engines
-                memory = state.held_tokens.total if is_limited else 0
+                memory = state.held_tokens.total if self._bounds_memory else 0
                 yield TargetLoad(
                     name, state.running, state.pending_prefill_tokens, memory
                 )
@@ -341,9 +340,14 @@
             options.append(Option(target, state, plan, wait, cost, is_preferred))
         return options
 
+    @property
+    def _bounds_memory(self) -> bool:
+        settings = self._settings
+        return settings.has_contended_engines and settings.bounds_engine_memory
+
     def _get_capacity(self, request: PlacementRequest) -> int | None:
         """Return the memory of an engine in tokens; None if it isn't limited."""
-        if not self._settings.has_contended_engines:
+        if not self._bounds_memory:
             return None
         return self._capacities.get(request.service)
 
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -108,6 +108,8 @@
     #: Whether many daemons compete for engines that fail when they hold more tokens
     #: than their memory has room for. The settings below apply only then.
     has_contended_engines: bool = False
+    #: Whether the memory of contended engines is accounted for and bounded.
+    bounds_engine_memory: bool = True
     #: Average number of engines of a service that a daemon prefers, in a large fleet.
     subset_size: int = 6
     #: Longest shared prefix in tokens of a request that stays among these engines; its
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -103,7 +103,11 @@
         self._metrics = DaemonMetrics()
         peer_loads = PeerLoads()
         dispatch_settings = DispatchSettings(
-            profile.zone, has_contended_engines=profile.is_constrained
+            profile.zone,
+            has_contended_engines=profile.is_constrained,
+            # Admission doesn't know the memory of engines yet: it would admit requests
+            # that are refused then.
+            bounds_engine_memory=False,
         )
         self._dispatcher = Dispatcher(dispatch_settings, peer_loads, rng)
         self._dispatcher.observer = self._metrics.engines
