--- a/kingcuphead/dispatch/__init__.py
+++ b/kingcuphead/dispatch/__init__.py
@@ -13,6 +13,7 @@
     PlacementRequest,
     SharedPrefix,
 )
+from kingcuphead.dispatch._observer import EngineObserver, MemoryDenial
 from kingcuphead.dispatch._retries import RetryAllowance
 from kingcuphead.dispatch._room import RoomCheck, ServiceLoad
 from kingcuphead.dispatch._target_state import Placement
@@ -21,6 +22,8 @@
     "AttemptResult",
     "DispatchSettings",
     "Dispatcher",
+    "EngineObserver",
+    "MemoryDenial",
     "HedgeConditions",
     "HedgeDenial",
     "HedgingPolicy",
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -8,41 +8,29 @@
 """
 
 import dataclasses
-import heapq
 import random
 from collections import defaultdict
-from collections.abc import Callable, Collection, Iterable, Iterator
+from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
 from kingcuphead.dispatch._cold_costs import ColdCosts
+from kingcuphead.dispatch._costs import CostFunction
+from kingcuphead.dispatch._memory import MemoryCapacities, MemoryUse
 from kingcuphead.dispatch._messages import (
     AttemptResult,
     DispatchSettings,
     PlacementRequest,
 )
+from kingcuphead.dispatch._observer import EngineObserver, MemoryDenial
 from kingcuphead.dispatch._options import Option, choose_cheapest, choose_near_cheapest
-from kingcuphead.dispatch._rankings import Rankings
-from kingcuphead.dispatch._room import (
-    ServiceLoad,
-    TargetRoom,
-    count_places,
-    extrapolate,
-)
+from kingcuphead.dispatch._prefill import PrefillPlanner
+from kingcuphead.dispatch._room import RoomEstimator, ServiceLoad
 from kingcuphead.dispatch._speed import ServiceSpeed, TargetSpeed
 from kingcuphead.dispatch._subset import Address, EngineSubset
-from kingcuphead.dispatch._target_state import (
-    NETWORK_ALLOWANCE_SECONDS,
-    Placement,
-    PrefillPlan,
-    TargetState,
-)
+from kingcuphead.dispatch._target_state import Placement, TargetState
 from kingcuphead.loads import PeerLoads, TargetLoad
+from kingcuphead.routing import Service
 from kingcuphead.targets import Target
 
-#: Targets whose cost is computed because they come first in rendezvous order.
-MAX_RANKED = 4
-#: Further targets whose cost is computed because of their small load.
-MAX_LEAST_LOADED = 4
-
 
 class Dispatcher:
     """Chooses targets and tracks their load; does no I/O.
@@ -64,26 +52,58 @@
         self._peer_loads = peer_loads
         self._rng = rng
         self._states: dict[str, TargetState] = {}
-        self._rankings = Rankings()
+        self._capacities = MemoryCapacities()
         self._speeds: defaultdict[str, ServiceSpeed] = defaultdict(
             lambda: ServiceSpeed(settings)
         )
+        self._planner = PrefillPlanner(settings, self._get_state, rng)
+        self._costs = CostFunction(settings, peer_loads, self._get_state)
+        self._rooms = RoomEstimator(
+            peer_loads, self._get_state, self._planner, self._costs
+        )
         self._subset = EngineSubset(settings.subset_size)
-        #: Number of daemons that share the targets, this one included; 1 if unknown.
-        self.daemons = 1
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
         #: Called instead of `announce`, with what the prompt adds to its target, where
         #: many daemons compete for engines.
         self.announce_placement: Callable[[TargetLoad], None] | None = None
+        #: Records what placements on engines show.
+        self.observer: EngineObserver | None = None
+        #: Called with the tokens that this daemon holds in a target's memory, after a
+        #: change.
+        self.report_memory: Callable[[Target, int], None] | None = None
         #: Costs of cold targets.
         self.cold_costs = ColdCosts(settings)
 
+    @property
+    def daemons(self) -> int:
+        """Number of daemons that share the targets, this one included; 1 if unknown."""
+        return self._rooms.daemons
+
+    @daemons.setter
+    def daemons(self, daemons: int) -> None:
+        self._rooms.daemons = daemons
+
     def apply_daemons(self, own: Address, peers: Iterable[Address]) -> None:
         """Replace the known daemons of the fleet: this one, and the others."""
         self._subset.apply_daemons(own, peers)
 
+    def apply_services(self, services: Mapping[str, Service]) -> None:
+        """Replace the properties of the services."""
+        self._capacities.apply_services(services)
+
+    def is_too_large(self, request: PlacementRequest) -> bool:
+        """Whether a request needs more memory than any engine of its service has."""
+        capacity = self._get_capacity(request)
+        tokens = request.prompt_tokens + request.output_tokens
+        return capacity is not None and tokens > capacity
+
+    def is_full(self, request: PlacementRequest, targets: Iterable[Target]) -> bool:
+        """Whether none of some targets has memory left for a request."""
+        fits = [self._has_memory(request, each) for each in targets]
+        return bool(fits) and not any(fits)
+
     def place(
         self,
         request: PlacementRequest,
@@ -109,86 +129,67 @@
         Returns
         -------
         Placement or None
-            The choice; None if every candidate is excluded.
+            The choice; None if every candidate is excluded or has no memory left.
         """
         available = self._select_available(candidates, excluded, now)
         if not available:
             return None
         option = self._choose(request, available, now)
-        state = option.state
-        placement = Placement(
-            option.target,
-            state,
-            option.plan,
-            now,
-            option.wait,
-            option.is_preferred,
-            option.cost,
-        )
-        others = self._peer_loads.get_load(option.target.name)
-        placement.tokens_ahead = state.pending_prefill_tokens + others.unread_tokens
-        placement.running_ahead = state.running + others.running
-        state.add(placement, request, now)
+        if option is None:
+            self.record_denial(request, MemoryDenial.KNOWN_LOAD)
+            return None
+        placement = self._make_placement(request, option, now)
+        option.state.add(placement, request, now)
         self.cold_costs.record(option.target)
-        self._announce_if_large(placement)
+        if not placement.needs_permit:
+            self.confirm(placement)
         return placement
 
     def has_room(
         self, request: PlacementRequest, candidates: Iterable[Target], now: float
     ) -> bool:
-        """Return whether some target has room for a request that waits.
-
-        Parameters
-        ----------
-        request
-            Properties of the request.
-        candidates
-            Targets that accept new requests.
-        now
-            Current time in seconds.
-        """
+        """Return whether some target has room for a request; see `RoomCheck`."""
         available = self._select_available(candidates, (), now)
-        ranked = available
-        if request.prefixes and request.objective_ends_at > now:
-            ranked = self._rank(request, available)
-        for target in ranked:
-            room = self._describe_room(request, target)
-            if room.accepts_on_old_reports(request, now):
-                return True
-            if room.has_place and self._is_in_time(request, target, ranked, now):
-                return True
-        return False
+        return self._rooms.has_room(request, available, now)
 
     def accepts_on_old_reports(
         self, request: PlacementRequest, candidates: Iterable[Target], now: float
     ) -> bool:
         """Return whether a request has waited so long that it may ignore reports."""
-        return any(
-            self._describe_room(request, target).accepts_on_old_reports(request, now)
-            for target in candidates
-        )
+        return self._rooms.accepts_on_old_reports(request, candidates, now)
 
     def describe_load(
         self, request: PlacementRequest, candidates: Collection[Target]
     ) -> ServiceLoad:
         """Return the load of all daemons on some targets."""
-        rooms = [self._describe_room(request, target) for target in candidates]
-        users = self._peer_loads.count_users({target.name for target in candidates})
-        return ServiceLoad(
-            sum(room.places for room in rooms),
-            sum(room.own for room in rooms),
-            sum(room.reported for room in rooms),
-            1 + self._extrapolate(users),
-        )
+        return self._rooms.describe_load(request, candidates)
 
     def count_own(self, candidates: Iterable[Target]) -> int:
         """Return the number of requests that this daemon has at some targets."""
-        return sum(self._get_state(target).running for target in candidates)
+        return self._rooms.count_own(candidates)
+
+    def confirm(self, placement: Placement) -> None:
+        """Record that a request is sent to the chosen target.
+
+        A placement that needs a permit is confirmed after it got one.
+        """
+        self._report_memory(placement)
+        self._announce_if_large(placement)
+        if placement.memory is not None and self.observer is not None:
+            self.observer.record_engine_memory(
+                placement.target.service, placement.memory.used_share
+            )
+
+    def record_denial(self, request: PlacementRequest, cause: MemoryDenial) -> None:
+        """Record that a request got no memory of an engine."""
+        if self.observer is not None:
+            self.observer.record_memory_denial(request.service, cause)
 
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
         placement.state.remove(placement)
         self.cold_costs.withdraw(placement.target)
+        self._report_memory(placement)
 
     def record_answer_start(self, placement: Placement, now: float) -> None:
         """Record that the answer of a request has begun; later calls do nothing."""
@@ -198,8 +199,15 @@
 
     def record_first_event(self, placement: Placement, now: float) -> None:
         """Record the first event of a stream, where daemons compete for engines."""
-        if self._settings.has_contended_engines:
-            self.record_answer_start(placement, now)
+        if not self._settings.has_contended_engines or placement.is_started:
+            return
+        self.record_answer_start(placement, now)
+        if self.observer is not None:
+            self.observer.record_engine_wait(
+                placement.target.service,
+                placement.expected_wait,
+                now - placement.placed_at,
+            )
 
     def record_result(
         self, placement: Placement, result: AttemptResult, now: float
@@ -207,12 +215,16 @@
         """Record the end of an attempt; called once for each placement."""
         placement.state.remove(placement)
         placement.state.health.record_result(result, now)
+        self._report_memory(placement)
 
     def list_loads(self) -> Iterator[TargetLoad]:
         """Yield this daemon's load on each target that runs requests of it."""
         for name, state in self._states.items():
             if state.running:
-                yield TargetLoad(name, state.running, state.pending_prefill_tokens)
+                memory = state.held_tokens.total if self._bounds_memory else 0
+                yield TargetLoad(
+                    name, state.running, state.pending_prefill_tokens, memory
+                )
 
     def forget(self, target: Target) -> None:
         """Drop the state of a target that was removed."""
@@ -233,41 +245,34 @@
         ]
         return available or usable
 
-    def _describe_room(self, request: PlacementRequest, target: Target) -> TargetRoom:
-        reported = self._peer_loads.get_load(target.name).running
-        others = self._extrapolate(reported)
-        places = count_places(target, request)
-        return TargetRoom(places, self._get_state(target).running, others)
-
-    def _extrapolate(self, reported: int) -> float:
-        return extrapolate(reported, self._peer_loads.reporters, self.daemons - 1)
-
-    def _is_in_time(
-        self,
-        request: PlacementRequest,
-        target: Target,
-        ranked: list[Target],
-        now: float,
-    ) -> bool:
-        """Return whether a free target is expected to meet a request's objective.
-
-        Also true if the objective has passed, or if the request alone takes longer
-        there, as waiting wouldn't help.
-        """
-        remaining = request.objective_ends_at - now
-        if remaining <= 0:
-            return True
-        plan = self._plan_prefill(request, target, ranked, now)
-        state = self._get_state(target)
-        wait = self._estimate_wait(state, target, plan) * state.latency_ratio
-        if wait < remaining:
-            return True
-        return self._estimate_prefill(state, plan) * state.latency_ratio >= remaining
+    def _make_placement(
+        self, request: PlacementRequest, option: Option, now: float
+    ) -> Placement:
+        state = option.state
+        others = self._peer_loads.get_load(option.target.name)
+        return Placement(
+            option.target,
+            state,
+            option.plan,
+            now,
+            option.wait,
+            option.is_preferred,
+            option.cost,
+            tokens_ahead=state.pending_prefill_tokens + others.unread_tokens,
+            running_ahead=state.running + others.running,
+            memory=self._count_memory(request, option.target),
+        )
 
     def _choose(
         self, request: PlacementRequest, available: list[Target], now: float
-    ) -> Option:
-        """Choose among the preferred engines, or among all if these are busy."""
+    ) -> Option | None:
+        """Choose among the preferred engines, or among all if these are busy.
+
+        Returns
+        -------
+        Option or None
+            The choice; None if no target has memory left.
+        """
         preferred = self._select_preferred(request, available)
         options = self._list_options(request, preferred, now)
         if len(preferred) < len(available) and self._is_busy(request, options):
@@ -281,6 +286,8 @@
                 )
                 for option in self._list_options(request, others, now)
             ]
+        if not options:
+            return None
         if self._settings.has_contended_engines and request.prompt_tokens:
             return choose_near_cheapest(
                 options, self._settings.cost_tolerance, self._rng
@@ -303,6 +310,8 @@
 
     def _is_busy(self, request: PlacementRequest, options: list[Option]) -> bool:
         """Whether a request would wait for others at each of some targets."""
+        if not options:
+            return True
         wait = min(
             option.wait * option.state.latency_ratio
             - option.plan.prefill_tokens / option.state.speed.rate
@@ -314,170 +323,75 @@
         self, request: PlacementRequest, targets: list[Target], now: float
     ) -> list[Option]:
         """Return the options of a request, in the order of its preference."""
-        ranked = self._rank(request, targets)
-        shortlist = self._make_shortlist(ranked)
+        fitting = [each for each in targets if self._has_memory(request, each)]
+        ranked = self._planner.rank(request, fitting)
+        shortlist = self._costs.make_shortlist(ranked)
         cold_costs = self.cold_costs.compute(request, shortlist)
         options = []
         for target in shortlist:
-            plan = self._plan_prefill(request, target, ranked, now)
+            plan = self._planner.plan(request, target, ranked, now)
             state = self._get_state(target)
             if self._settings.has_contended_engines:
                 state.refresh_latency_ratio(now)
-            cost = self._compute_cost(request, target, plan, now)
+            cost = self._costs.compute(request, target, plan, now)
             cost += cold_costs.get(target.name, 0.0)
-            wait = self._estimate_wait(state, target, plan)
+            wait = self._costs.estimate_wait(target, plan)
             is_preferred = target is ranked[0]
             options.append(Option(target, state, plan, wait, cost, is_preferred))
         return options
 
+    @property
+    def _bounds_memory(self) -> bool:
+        settings = self._settings
+        return settings.has_contended_engines and settings.bounds_engine_memory
+
+    def _get_capacity(self, request: PlacementRequest) -> int | None:
+        """Return the memory of an engine in tokens; None if it isn't limited."""
+        if not self._bounds_memory:
+            return None
+        return self._capacities.get(request.service)
+
+    def _has_memory(self, request: PlacementRequest, target: Target) -> bool:
+        memory = self._count_memory(request, target)
+        return memory is None or memory.fits
+
+    def _count_memory(
+        self, request: PlacementRequest, target: Target
+    ) -> MemoryUse | None:
+        """Return the memory of a target with a request on it."""
+        capacity = self._get_capacity(request)
+        if capacity is None:
+            return None
+        held = self._get_state(target).held_tokens
+        added = held.count_added(request)
+        peers = self._subset.peers
+        known_share = min(1.0, self._peer_loads.reporters / peers) if peers else 1.0
+        return MemoryUse(
+            capacity,
+            held.total + added,
+            self._peer_loads.get_load(target.name).memory_tokens,
+            added,
+            known_share,
+            target.slots,
+        )
+
+    def _report_memory(self, placement: Placement) -> None:
+        if placement.memory is not None and self.report_memory is not None:
+            tokens = placement.state.held_tokens.total
+            self.report_memory(placement.target, tokens)
+
     def _announce_if_large(self, placement: Placement) -> None:
         settings = self._settings
         tokens = placement.prefill.prefill_tokens
         if tokens < settings.min_announced_tokens:
             return
         if settings.has_contended_engines and self.announce_placement is not None:
-            self.announce_placement(TargetLoad(placement.target.name, 1, tokens))
+            memory = 0 if placement.memory is None else placement.memory.added_tokens
+            name = placement.target.name
+            self.announce_placement(TargetLoad(name, 1, tokens, memory))
         elif self.announce is not None:
             self.announce()
 
-    def _rank(self, request: PlacementRequest, targets: list[Target]) -> list[Target]:
-        """Return the targets in rendezvous order of the longest shared prefix.
-
-        The first one is the preferred target. Without a shared prefix the order is
-        random.
-        """
-        key = request.prefixes[-1].key if request.prefixes else ""
-        if not key:
-            return self._rng.sample(targets, len(targets))
-        return self._rankings.rank(key, targets)
-
-    def _make_shortlist(self, ranked: list[Target]) -> list[Target]:
-        """Return the targets to compute the cost of, in rendezvous order at first.
-
-        These are the first ones in that order, and those that keep a request waiting
-        least; the effort for a request doesn't grow with the fleet.
-        """
-        if len(ranked) <= MAX_RANKED + MAX_LEAST_LOADED:
-            return ranked
-        others = heapq.nsmallest(
-            MAX_LEAST_LOADED, ranked[MAX_RANKED:], key=self._estimate_delay
-        )
-        return ranked[:MAX_RANKED] + others
-
-    def _estimate_delay(self, target: Target) -> float:
-        """Return the seconds that the load of a target adds to any request there."""
-        settings, others = self._settings, self._peer_loads
-        state = self._get_state(target)
-        pending = state.pending_prefill_tokens + others.get_unread_tokens(target.name)
-        running = state.running + others.get_running(target.name)
-        seconds = pending / settings.prefill_tokens_per_second
-        seconds += running * settings.wait_per_running_request
-        return (seconds + NETWORK_ALLOWANCE_SECONDS) * state.latency_ratio
-
-    def _plan_prefill(
-        self,
-        request: PlacementRequest,
-        target: Target,
-        ranked: list[Target],
-        now: float,
-    ) -> PrefillPlan:
-        """Return which tokens the target would process and which it would copy.
-
-        The preferred target is assumed to have the shared prefix cached; any other
-        target copies its KV cache from there. A target that can't, because it is the
-        preferred one itself or has another software version, copies from a target to
-        which this daemon has sent the prefix, if there is one of its own version.
-        """
-        cached = self._get_state(target).count_cached_tokens(request, now)
-        shared = request.shared_tokens
-        is_preferred = target is ranked[0]
-        prefill = request.prompt_tokens - (shared if is_preferred else cached)
-        if shared - cached < self._settings.min_copied_tokens:
-            return PrefillPlan(prefill)
-        if not is_preferred and _is_same_version(ranked[0], target):
-            source: Target | None = ranked[0]
-        else:
-            source = self._find_source(request, target, ranked, now)
-        if is_preferred or source is None:
-            return PrefillPlan(prefill, 0, source)
-        return PrefillPlan(request.prompt_tokens - shared, shared - cached, source)
-
-    def _find_source(
-        self,
-        request: PlacementRequest,
-        target: Target,
-        ranked: list[Target],
-        now: float,
-    ) -> Target | None:
-        """Return a target that has the shared prefix and can copy it to another."""
-        for each in ranked:
-            is_source = each is not target and _is_same_version(each, target)
-            if is_source and self._has_prefix(each, request, now):
-                return each
-        return None
-
-    def _has_prefix(
-        self, target: Target, request: PlacementRequest, now: float
-    ) -> bool:
-        return (
-            self._get_state(target).count_cached_tokens(request, now)
-            >= request.shared_tokens
-        )
-
-    def _compute_costs(
-        self,
-        request: PlacementRequest,
-        targets: list[Target],
-        plans: list[PrefillPlan],
-        now: float,
-    ) -> list[float]:
-        cold_costs = self.cold_costs.compute(request, targets)
-        return [
-            self._compute_cost(request, target, plan, now)
-            + cold_costs.get(target.name, 0.0)
-            for target, plan in zip(targets, plans, strict=True)
-        ]
-
-    def _compute_cost(
-        self, request: PlacementRequest, target: Target, plan: PrefillPlan, now: float
-    ) -> float:
-        """Return the cost of a target in units of the latency objective."""
-        settings = self._settings
-        state = self._get_state(target)
-        seconds = self._estimate_wait(state, target, plan) * state.latency_ratio
-        cost = self._compute_wait_cost(seconds / request.objective)
-        running = state.running + self._peer_loads.get_running(target.name)
-        own_tokens = request.prompt_tokens - request.shared_tokens
-        cost += (
-            (plan.prefill_tokens - own_tokens) / 1000 * settings.repeated_prefill_cost
-        )
-        cost += plan.copied_tokens / 1000 * settings.kv_copy_cost
-        if running >= target.slots:
-            cost += settings.failure_cost
-        if target.zone != settings.zone:
-            cost += settings.zone_cost
-        return cost + state.health.get_failure_rate(now) * settings.failure_cost
-
-    def _estimate_wait(
-        self, state: TargetState, target: Target, plan: PrefillPlan
-    ) -> float:
-        """Return the expected seconds to the first byte at a latency ratio of 1."""
-        others = self._peer_loads
-        pending = state.pending_prefill_tokens + others.get_unread_tokens(target.name)
-        running = state.running + others.get_running(target.name)
-        seconds = pending / state.speed.rate + self._estimate_prefill(state, plan)
-        return seconds + running * state.speed.step
-
-    def _estimate_prefill(self, state: TargetState, plan: PrefillPlan) -> float:
-        """Return the seconds that a prompt takes on an idle target."""
-        seconds = plan.prefill_tokens / state.speed.rate
-        return seconds + plan.copied_tokens / self._settings.kv_copy_tokens_per_second
-
-    def _compute_wait_cost(self, wait: float) -> float:
-        """Return the cost of a wait given in units of the latency objective."""
-        share = self._settings.linear_share
-        return share * wait + (1 - share) * wait * wait
-
     def _get_state(self, target: Target) -> TargetState:
         """Return the state of the target's incarnation, creating it if needed."""
         state = self._states.get(target.name)
@@ -486,8 +400,3 @@
             state = TargetState(target.started_at_ms, self._settings, speed)
             self._states[target.name] = state
         return state
-
-
-def _is_same_version(first: Target, second: Target) -> bool:
-    """Return whether one target can use what the other has written."""
-    return first.software_version == second.software_version
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -103,9 +103,14 @@
         self._metrics = DaemonMetrics()
         peer_loads = PeerLoads()
         dispatch_settings = DispatchSettings(
-            profile.zone, has_contended_engines=profile.is_constrained
+            profile.zone,
+            has_contended_engines=profile.is_constrained,
+            # Admission doesn't know the memory of engines yet: it would admit requests
+            # that are refused then.
+            bounds_engine_memory=False,
         )
         self._dispatcher = Dispatcher(dispatch_settings, peer_loads, rng)
+        self._dispatcher.observer = self._metrics.engines
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
         self._hedging = HedgingPolicy(settings.max_hedged_share, self._retries)
@@ -331,6 +336,7 @@
                 for service in configuration.services.values()
             }
         )
+        self._dispatcher.apply_services(configuration.services)
         self._callers.apply_limits(configuration.limits)
         self._links.credit.apply_limits(
             configuration.organisations.values(), configuration.version
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -7,6 +7,7 @@
 
 from kingcuphead.admission import AdmissionGate
 from kingcuphead.capacity import CapacityFigures, OwnLoad
+from kingcuphead.entry._engine_metrics import EngineMetrics
 from kingcuphead.entry._get_server import Answer, serve_get
 from kingcuphead.entry._instruments import (
     CONTENT_TYPE,
@@ -146,6 +147,8 @@
             ("service", "reason"),
             registry=self._registry,
         )
+        #: Placements on engines.
+        self.engines = EngineMetrics(self._registry, self._choose_label)
         #: Holds requests back until targets have room; None if none wait.
         self.admission: AdmissionGate | None = None
 
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -2,16 +2,25 @@
 
 from collections.abc import Callable
 
-from kingcuphead.dispatch import Dispatcher, Placement
+from loguru import logger
+
+from kingcuphead.dispatch import (
+    Dispatcher,
+    MemoryDenial,
+    Placement,
+    PlacementRequest,
+)
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
-from kingcuphead.permits import PermitExchange
+from kingcuphead.permits import MemoryClaim, PermitExchange
 from kingcuphead.targets import Target, TargetDirectory
 
 #: Number of targets that a request claims a permit of before it is refused.
 MAX_CLAIMS = 8
 #: Number of denied permits after which targets that need none are preferred.
 MAX_DENIALS = 2
+#: Seconds after which an engine may have memory for a request again.
+MEMORY_RETRY_AFTER = 0.3
 
 
 class TargetChoice:
@@ -39,15 +48,24 @@
 
     async def place(self, context: RequestContext) -> Placement | None:
         """Choose a target of which a permit can be had; None if there is none."""
+        request = context.make_placement_request()
+        # Targets whose memory has no room for the request.
+        full: list[str] = []
         for denials in range(MAX_CLAIMS):
             placement = self._dispatcher.place(
-                context.make_placement_request(),
+                request,
                 self._list_candidates(context, denials),
-                context.tried,
+                [*context.tried, *full],
                 get_time(),
             )
-            if placement is None or await self._claim_permit(placement):
+            if placement is None:
+                break
+            if await self._claim_permit(placement):
                 return placement
+            if placement.needs_permit:
+                full.append(placement.target.name)
+                self._dispatcher.record_denial(request, MemoryDenial.COORDINATOR)
+        self._record_shortage(context, request, full)
         return None
 
     async def place_second(
@@ -79,6 +97,28 @@
         self._dispatcher.withdraw(placement)
         self._permits.release(placement.target, was_rejected=False)
 
+    def _record_shortage(
+        self, context: RequestContext, request: PlacementRequest, full: list[str]
+    ) -> None:
+        """Record whether a request found no target for want of memory."""
+        eligible = self.list_eligible(context)
+        context.lacks_memory = bool(full) or self._dispatcher.is_full(request, eligible)
+        if context.lacks_memory:
+            logger.bind(
+                request_id=context.request.request_id,
+                service=context.service,
+                tokens=request.prompt_tokens + request.output_tokens,
+                denied_by=full,
+            ).info("no engine has memory for the request")
+
+    def is_too_large(self, context: RequestContext) -> bool:
+        """Whether no target of the service can ever run a request."""
+        request = context.make_placement_request()
+        is_too_large = self._dispatcher.is_too_large(request)
+        if is_too_large:
+            self._dispatcher.record_denial(request, MemoryDenial.TOO_LARGE)
+        return is_too_large
+
     def get_delay(self, context: RequestContext) -> float | None:
         """Return the seconds until a target may take a request.
 
@@ -87,6 +127,8 @@
         float or None
             The time; None if no target is closed, or if there is none.
         """
+        if context.lacks_memory:
+            return MEMORY_RETRY_AFTER
         return self._permits.get_delay(self.list_eligible(context))
 
     def _list_candidates(
@@ -102,10 +144,14 @@
     async def _claim_permit(self, placement: Placement) -> bool:
         is_granted = False
         try:
-            is_granted = await self._permits.claim(placement.target)
+            is_granted = await self._permits.claim(
+                placement.target, _make_memory_claim(placement)
+            )
         finally:
             if not is_granted:
                 self._dispatcher.withdraw(placement)
+            elif placement.needs_permit:
+                self._dispatcher.confirm(placement)
         return is_granted
 
     def list_open(self, context: RequestContext) -> tuple[Target, ...]:
@@ -116,3 +162,16 @@
         """Return the targets that may run a request, closed ones included."""
         usable = self._directory.list_usable(context.service)
         return context.select_eligible(usable)
+
+
+def _make_memory_claim(placement: Placement) -> MemoryClaim | None:
+    """Return what to ask the coordinator for; None if memory is certainly left."""
+    memory = placement.memory
+    if memory is None or not placement.needs_permit:
+        return None
+    return MemoryClaim(
+        memory.held_tokens,
+        memory.capacity,
+        memory.fits_unasked,
+        memory.fits_isolated,
+    )
--- a/kingcuphead/loads/_changes.py
+++ b/kingcuphead/loads/_changes.py
@@ -77,8 +77,10 @@
 
 
 def _is_far(reported: TargetLoad, load: TargetLoad) -> bool:
-    return _is_far_amount(reported.running, load.running) or _is_far_amount(
-        reported.unread_tokens, load.unread_tokens
+    return (
+        _is_far_amount(reported.running, load.running)
+        or _is_far_amount(reported.unread_tokens, load.unread_tokens)
+        or _is_far_amount(reported.memory_tokens, load.memory_tokens)
     )
 
 
--- a/kingcuphead/permits/_coordinator.py
+++ b/kingcuphead/permits/_coordinator.py
@@ -6,6 +6,7 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.permits._bucket import MIN_RATE, TokenBucket
 from kingcuphead.permits._cold import NO_HOLDER_WAIT, SAVED_SECONDS, ColdBounds
+from kingcuphead.permits._memory import COORDINATOR_SHARE, MemoryAccount, MemoryClaim
 from kingcuphead.permits._room import OpenRequests, TargetRoom
 from kingcuphead.permits._terms import TargetTerms
 from kingcuphead.targets import get_target_name
@@ -13,6 +14,9 @@
 #: Seconds after which a place may be free again.
 ROOM_WAIT = 0.02
 
+#: Seconds after which memory may be free again.
+MEMORY_WAIT = 0.1
+
 #: Seconds without a question after which what is known of a target is dropped.
 ACCOUNT_LIFETIME = 60.0
 #: Number of targets from which on expired accounts are looked for.
@@ -29,6 +33,8 @@
     wait: float = 0.0
     #: Whether the daemon that decides owns a part of the permits of the target.
     is_holder: bool = True
+    #: Whether the memory of the target lacks room for this request.
+    is_full: bool = False
 
 
 #: Decision of a daemon that owns no part of the permits of a cold target.
@@ -47,6 +53,8 @@
     slots: int
     #: Requests that the daemon has open there, with this one.
     open_requests: OpenRequests
+    #: What it holds in the memory of the target; None where that is not limited.
+    memory: MemoryClaim | None = None
     #: Whether that daemon doesn't know if the target is cold.
     is_doubtful: bool = False
 
@@ -55,6 +63,7 @@
 class _Account:
     bucket: TokenBucket
     room: TargetRoom
+    memory: MemoryAccount
     asked_at: float
 
 
@@ -78,7 +87,12 @@
         self.cold_bounds = ColdBounds()
 
     def decide(
-        self, claim: PermitClaim, share: float, now: float, position: int | None = None
+        self,
+        claim: PermitClaim,
+        share: float,
+        now: float,
+        memory_share: float = COORDINATOR_SHARE,
+        position: int | None = None,
     ) -> Decision:
         """Grant or deny a permit for one request.
 
@@ -90,6 +104,8 @@
             Share of what the target takes that may be granted here.
         now
             Current time in seconds.
+        memory_share
+            Share of the target's memory that may be granted here.
         position
             Position of this daemon among those that own the permits of the target while
             it is cold; None if it owns none.
@@ -97,14 +113,14 @@
         account = self._find_account(claim.target, now)
         cold_limit = claim.terms.cold_requests_per_second
         if cold_limit is not None:
-            if position is None or position >= self.cold_bounds.holders:
-                return NO_HOLDER
-            rate = self.cold_bounds.compute_rate(cold_limit, position)
-            cold_bucket = self._find_cold_bucket(claim.target, now)
-            cold_bucket.apply_rate(rate, now)
-            wait = cold_bucket.get_wait(now)
-            if wait > 0:
-                return Decision(False, wait)
+            denial = self._check_cold(claim.target, cold_limit, position, now)
+            if denial is not None:
+                return denial
+        holder = claim.open_requests.holder
+        if claim.memory is not None and not account.memory.has_room(
+            holder, claim.memory, memory_share, now
+        ):
+            return Decision(False, MEMORY_WAIT, is_full=True)
         if claim.terms.is_brittle:
             places = max(1, int(claim.slots * share))
             if not account.room.has_place(claim.open_requests, places, now):
@@ -114,8 +130,23 @@
             account.room.record(claim.open_requests, now)
             if cold_limit is not None:
                 self._find_cold_bucket(claim.target, now).try_take(now)
+            if claim.memory is not None:
+                account.memory.record(
+                    holder, claim.memory.tokens, claim.open_requests.number, now
+                )
         return decision
 
+    def _check_cold(
+        self, target: str, limit: float, position: int | None, now: float
+    ) -> Decision | None:
+        """Return why a cold target takes no request now; None if it takes one."""
+        if position is None or position >= self.cold_bounds.holders:
+            return NO_HOLDER
+        bucket = self._find_cold_bucket(target, now)
+        bucket.apply_rate(self.cold_bounds.compute_rate(limit, position), now)
+        wait = bucket.get_wait(now)
+        return Decision(False, wait) if wait > 0 else None
+
     def record_open_requests(
         self, target: str, open_requests: OpenRequests, was_rejected: bool, now: float
     ) -> None:
@@ -125,6 +156,12 @@
         if was_rejected:
             room.record_rejection(now)
 
+    def record_memory(
+        self, target: str, holder: str, tokens: int, number: int, now: float
+    ) -> None:
+        """Apply what a daemon reports of the tokens that it holds at a target."""
+        self._find_account(target, now).memory.record(holder, tokens, number, now)
+
     def _find_account(self, target: str, now: float) -> _Account:
         account = self._accounts.get(target)
         if account is None:
@@ -132,6 +169,7 @@
             account = _Account(
                 bucket=TokenBucket(self._rng.random(), now),
                 room=TargetRoom(now),
+                memory=MemoryAccount(),
                 asked_at=now,
             )
             self._accounts[target] = account
