Report each change of loads in small fleets; cost all of up to 16 targets

Both now apply only to fleets where reports reach a part of the daemons, and to services with more than 16 targets.

--- a/kingcuphead/dispatch/_costs.py
+++ b/kingcuphead/dispatch/_costs.py
@@ -12,6 +12,8 @@
 from kingcuphead.loads import PeerLoads
 from kingcuphead.targets import Target
 
+#: Number of targets up to which all are costed.
+MAX_ALL_COSTED = 16
 #: Targets whose cost is computed because they come first in rendezvous order.
 MAX_RANKED = 4
 #: Further targets whose cost is computed because of their small load.
@@ -47,7 +49,7 @@
         These are the first ones in that order, and those that keep a request waiting
         least; the effort for a request doesn't grow with the fleet.
         """
-        if len(ranked) <= MAX_RANKED + MAX_LEAST_LOADED:
+        if len(ranked) <= MAX_ALL_COSTED:
             return ranked
         others = heapq.nsmallest(
             MAX_LEAST_LOADED, ranked[MAX_RANKED:], key=self._estimate_delay
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -16,7 +16,13 @@
     TransferClient,
     TransferEndpoint,
 )
-from kingcuphead.datagrams import Address, Datagram, DatagramSocket, PeerSender
+from kingcuphead.datagrams import (
+    MAX_RECEIVERS,
+    Address,
+    Datagram,
+    DatagramSocket,
+    PeerSender,
+)
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
 from kingcuphead.entry._evacuation_exchange import EvacuationExchange
 from kingcuphead.entry._peers import PeerDiscovery
@@ -307,6 +313,7 @@
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
+        self._loads.apply_fleet_size(len(peers) > MAX_RECEIVERS)
         now = asyncio.get_running_loop().time()
         self.permits.ranking.apply_peers(peers, now)
         self.peer_paths.apply_peers(peers)
--- a/kingcuphead/loads/_changes.py
+++ b/kingcuphead/loads/_changes.py
@@ -26,6 +26,8 @@
     """
 
     def __init__(self) -> None:
+        #: Whether each change counts, as it does where there are few receivers.
+        self.reports_all_changes = True
         self._reported: dict[str, TargetLoad] = {}
         self._previous: dict[str, TargetLoad] = {}
         self._was_cut_off = False
@@ -49,9 +51,11 @@
         is_light = sum(load.running for load in current.values()) <= LIGHT_REQUESTS
         previous = self._previous if is_light and not is_urgent else current
         self._previous = current
-        is_changed = is_cut_off != self._was_cut_off or self._has_lasting_change(
-            previous, current
-        )
+        if self.reports_all_changes:
+            has_new_loads = current != self._reported
+        else:
+            has_new_loads = self._has_lasting_change(previous, current)
+        is_changed = is_cut_off != self._was_cut_off or has_new_loads
         if not is_changed and self._skipped < self._get_skip_limit(current):
             self._skipped += 1
             return False
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -57,6 +57,10 @@
             self._send_report(is_urgent)
             await asyncio.sleep(MIN_REPORT_INTERVAL)
 
+    def apply_fleet_size(self, is_large: bool) -> None:
+        """Report small changes too, unless reports would reach a part of the fleet."""
+        self._changes.reports_all_changes = not is_large
+
     def trigger_report(self) -> None:
         """Send the next report without waiting for `REPORT_INTERVAL`."""
         self._trigger.set()
--- a/kingcuphead/review/_checks.py
+++ b/kingcuphead/review/_checks.py
@@ -79,7 +79,9 @@
             yield make_warning(place, "no route leads to it")
         service = configuration.services[name]
         if service.cold_period > 0 and service.cold_limit is None:
-            yield make_warning(place, "cold_start_s without a cold_per_s")
+            yield make_warning(
+                place, "a cold period without a limit of requests a second"
+            )
         yield from _check_engine(place, service, configuration.limits.body_bytes)
 
 
@@ -90,11 +92,13 @@
     prompt = body_bytes // BYTES_PER_TOKEN
     share = engine.kv_cache_tokens // max(1, engine.slots)
     if engine.kv_cache_tokens <= 0:
-        yield make_warning(place, f"kv_capacity_tokens is {engine.kv_cache_tokens}")
+        yield make_warning(
+            place, f"the memory of its engines in tokens is {engine.kv_cache_tokens}"
+        )
     elif share < prompt:
         yield make_warning(
             place,
-            f"a slot's share of {share} tokens (kv_capacity_tokens "
+            f"a slot's share of {share} tokens (memory of an engine "
             f"{engine.kv_cache_tokens} / {engine.slots} slots) is below the largest "
             f"prompt of {prompt} tokens (max_body_bytes {body_bytes} / "
             f"{BYTES_PER_TOKEN} bytes per token)",
