--- a/kingcuphead/loads/tests/test_changes.py
+++ b/kingcuphead/loads/tests/test_changes.py
@@ -15,9 +15,16 @@
 MANY = (TargetLoad("t1", 8, 4_000), TargetLoad("t2", 1, 0))
 
 
+def make_changes():
+    """Return the changes of a daemon in a large fleet."""
+    changes = LoadChanges()
+    changes.reports_all_changes = False
+    return changes
+
+
 def list_reports(loads, changes=None, **options):
     """Return whether each of these loads, one for each interval, is reported."""
-    changes = changes or LoadChanges()
+    changes = changes or make_changes()
     settings = {"is_cut_off": False, "is_urgent": False} | options
     return [changes.is_report_due(each, **settings) for each in loads]
 
@@ -68,3 +75,11 @@
         interval = MAX_SKIPPED_EMPTY_REPORTS + 1
         assert list_reports((NONE,) * interval) == [False] * (interval - 1) + [True]
         assert 2 * interval * REPORT_INTERVAL < CONTACT_TIMEOUT
+
+
+class TestSmallFleet:
+    def test_each_change_is_reported_at_once(self):
+        """Guards against placement by old loads where reports reach all daemons."""
+        changes = LoadChanges()
+        for running in (1, 2, 1):
+            assert changes.is_report_due([TargetLoad("t", running, 0)], False, False)
--- a/kingcuphead/review/tests/test_review.py
+++ b/kingcuphead/review/tests/test_review.py
@@ -69,7 +69,13 @@
             ),
             ((*R, "target_latency_ms"), 60001, "warning", "routes[0]", "above timeout"),
             ((*R, "gap_aim_ms"), 1001, "warning", "routes[0]", "pause objective"),
-            ((*S, "cold_per_s"), 0, "warning", "services[0]", "without a cold_per_s"),
+            (
+                (*S, "cold_per_s"),
+                0,
+                "warning",
+                "services[0]",
+                "without a limit of requests",
+            ),
             (
                 (*S, "engine", "kv_capacity_tokens"),
                 524287,
