Know the memory of daemons that leave out reports; keep requests without memory waiting

Coordinators were only confirmed by their first question, so the first large requests after the start were denied. `has_room` ignored memory and denials. Change: `PeerMemory` keeps the last report of each daemon until its next one is due, for the decision whether to ask. Without an answer of coordinators only fresh reports count. Coordinators probe ahead for confirmation. A denial closes the engine for requests as large or larger for its wait, in `place` and `has_room`; only a denial for memory does. `claim` returns the decision. What is known of memory moved to `MemoryEstimator`. Tests: in test_memory, fleets leave out reports as the daemon does; bounds unchanged. In TestMemoryUse the engine has one slot in place of four, since a request of 20 of 100 tokens is now large for four; that is the stricter rule.

--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -14,7 +14,7 @@
 
 from kingcuphead.dispatch._cold_costs import ColdCosts
 from kingcuphead.dispatch._costs import CostFunction
-from kingcuphead.dispatch._memory import MemoryCapacities, MemoryUse
+from kingcuphead.dispatch._memory_estimator import MemoryEstimator
 from kingcuphead.dispatch._messages import (
     AttemptResult,
     DispatchSettings,
@@ -52,16 +52,26 @@
         self._peer_loads = peer_loads
         self._rng = rng
         self._states: dict[str, TargetState] = {}
-        self._capacities = MemoryCapacities()
         self._speeds: defaultdict[str, ServiceSpeed] = defaultdict(
             lambda: ServiceSpeed(settings)
         )
         self._planner = PrefillPlanner(settings, self._get_state, rng)
         self._costs = CostFunction(settings, peer_loads, self._get_state)
+        self._subset = EngineSubset(settings.subset_size)
+        #: What is known of the memory of engines.
+        self.memory = MemoryEstimator(
+            settings.has_contended_engines and settings.bounds_engine_memory,
+            peer_loads,
+            self._get_state,
+            self._subset,
+        )
         self._rooms = RoomEstimator(
-            peer_loads, self._get_state, self._planner, self._costs
+            peer_loads,
+            self._get_state,
+            self._planner,
+            self._costs,
+            self.memory.has_room,
         )
-        self._subset = EngineSubset(settings.subset_size)
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
         self.announce: Callable[[], None] | None = None
@@ -91,18 +101,7 @@
 
     def apply_services(self, services: Mapping[str, Service]) -> None:
         """Replace the properties of the services."""
-        self._capacities.apply_services(services)
-
-    def is_too_large(self, request: PlacementRequest) -> bool:
-        """Whether a request needs more memory than any engine of its service has."""
-        capacity = self._get_capacity(request)
-        tokens = request.prompt_tokens + request.output_tokens
-        return capacity is not None and tokens > capacity
-
-    def is_full(self, request: PlacementRequest, targets: Iterable[Target]) -> bool:
-        """Whether none of some targets has memory left for a request."""
-        fits = [self._has_memory(request, each) for each in targets]
-        return bool(fits) and not any(fits)
+        self.memory.apply_services(services)
 
     def place(
         self,
@@ -185,6 +184,24 @@
         if self.observer is not None:
             self.observer.record_memory_denial(request.service, cause)
 
+    def record_full(self, placement: Placement, wait: float, now: float) -> None:
+        """Record that a target's coordinator has denied memory for a request.
+
+        Parameters
+        ----------
+        placement
+            Choice of the target.
+        wait
+            Seconds until there may be room for the request.
+        now
+            Current time in seconds.
+        """
+        if placement.memory is None or placement.request is None:
+            return
+        tokens = placement.memory.added_tokens
+        placement.state.denied_memory.record(tokens, now + wait, now)
+        self.record_denial(placement.request, MemoryDenial.COORDINATOR)
+
     def withdraw(self, placement: Placement) -> None:
         """Stop counting a request that is not sent to the chosen target."""
         placement.state.remove(placement)
@@ -221,7 +238,7 @@
         """Yield this daemon's load on each target that runs requests of it."""
         for name, state in self._states.items():
             if state.running:
-                memory = state.held_tokens.total if self._bounds_memory else 0
+                memory = state.held_tokens.total if self.memory.is_enabled else 0
                 yield TargetLoad(
                     name, state.running, state.pending_prefill_tokens, memory
                 )
@@ -260,7 +277,7 @@
             option.cost,
             tokens_ahead=state.pending_prefill_tokens + others.unread_tokens,
             running_ahead=state.running + others.running,
-            memory=self._count_memory(request, option.target),
+            memory=self.memory.describe(request, option.target),
         )
 
     def _choose(
@@ -323,7 +340,7 @@
         self, request: PlacementRequest, targets: list[Target], now: float
     ) -> list[Option]:
         """Return the options of a request, in the order of its preference."""
-        fitting = [each for each in targets if self._has_memory(request, each)]
+        fitting = [each for each in targets if self.memory.has_room(request, each, now)]
         ranked = self._planner.rank(request, fitting)
         shortlist = self._costs.make_shortlist(ranked)
         cold_costs = self.cold_costs.compute(request, shortlist)
@@ -340,41 +357,6 @@
             options.append(Option(target, state, plan, wait, cost, is_preferred))
         return options
 
-    @property
-    def _bounds_memory(self) -> bool:
-        settings = self._settings
-        return settings.has_contended_engines and settings.bounds_engine_memory
-
-    def _get_capacity(self, request: PlacementRequest) -> int | None:
-        """Return the memory of an engine in tokens; None if it isn't limited."""
-        if not self._bounds_memory:
-            return None
-        return self._capacities.get(request.service)
-
-    def _has_memory(self, request: PlacementRequest, target: Target) -> bool:
-        memory = self._count_memory(request, target)
-        return memory is None or memory.fits
-
-    def _count_memory(
-        self, request: PlacementRequest, target: Target
-    ) -> MemoryUse | None:
-        """Return the memory of a target with a request on it."""
-        capacity = self._get_capacity(request)
-        if capacity is None:
-            return None
-        held = self._get_state(target).held_tokens
-        added = held.count_added(request)
-        peers = self._subset.peers
-        known_share = min(1.0, self._peer_loads.reporters / peers) if peers else 1.0
-        return MemoryUse(
-            capacity,
-            held.total + added,
-            self._peer_loads.get_load(target.name).memory_tokens,
-            added,
-            known_share,
-            target.slots,
-        )
-
     def _report_memory(self, placement: Placement) -> None:
         if placement.memory is not None and self.report_memory is not None:
             tokens = placement.state.held_tokens.total
--- a/kingcuphead/dispatch/_memory.py
+++ b/kingcuphead/dispatch/_memory.py
@@ -1,11 +1,9 @@
 """Whether requests fit into the memory of engines that other daemons use too."""
 
 from collections import Counter
-from collections.abc import Mapping
 
 from kingcuphead.dispatch._messages import PlacementRequest
 from kingcuphead.frozen import frozen
-from kingcuphead.routing import Service
 
 #: Factor on the tokens that other daemons report; the reports are late and reach only
 #: a part of the fleet.
@@ -13,7 +11,10 @@
 #: Factor while no coordinator can be reached.
 UNREACHABLE_PEER_MARGIN = 2 * PEER_MARGIN
 #: Share of the memory above which the coordinator is asked.
-PERMIT_SHARE = 0.5
+PERMIT_SHARE = 0.45
+#: Share of a slot's part of the memory above which the coordinator is asked for a
+#: request. Several daemons may place such requests before they know of each other.
+PERMIT_SLOT_SHARE = 0.25
 #: Share of the other daemons whose reports have to be known to place a request without
 #: asking; in a fleet that is cut in two, a daemon hears half of it.
 MIN_KNOWN_SHARE = 0.6
@@ -71,19 +72,23 @@
     capacity: int
     #: Tokens that the requests of this daemon hold, with that request.
     held_tokens: int
-    #: Tokens that other daemons report.
+    #: Tokens that other daemons have reported lately.
     peer_tokens: int
     #: Tokens that the request adds.
     added_tokens: int
-    #: Share of the other daemons whose reports are known; 1 if there are none.
+    #: Share of the other daemons whose memory is known; 1 if there are none.
     known_share: float
     #: Requests that the engine runs at once.
     slots: int
+    #: Tokens in the last report of each of these daemons.
+    last_peer_tokens: int = 0
+    #: Share of the other daemons whose reports aren't older than load reports count.
+    fresh_share: float = 1.0
 
     @property
     def used_share(self) -> float:
         """Known share of the memory that is taken, with the request."""
-        return (self.held_tokens + self.peer_tokens) / self.capacity
+        return (self.held_tokens + self._expected_peer_tokens) / self.capacity
 
     @property
     def fits(self) -> bool:
@@ -94,45 +99,63 @@
     def needs_permit(self) -> bool:
         """Whether the coordinator of the engine has to be asked.
 
-        Without it, no request may take more than its share, since other daemons may
+        Without it, no request may take much of the memory, since other daemons may
         place theirs at the same time.
         """
         is_uninformed = self.known_share < MIN_KNOWN_SHARE
-        if is_uninformed or self.added_tokens * self.slots > self.capacity:
+        largest = PERMIT_SLOT_SHARE * self.capacity / self.slots
+        if is_uninformed or self.added_tokens > largest:
             return True
         margin = max(PEER_MARGIN, 1 / self.known_share)
-        expected = self.held_tokens + margin * self.peer_tokens
+        expected = self.held_tokens + margin * self._expected_peer_tokens
         return expected > PERMIT_SHARE * self.capacity
 
     @property
     def fits_unasked(self) -> bool:
-        """Whether the request may be placed while no coordinator can be reached."""
-        if self.known_share < MIN_KNOWN_SHARE:
+        """Whether the request may be placed while no coordinator can be reached.
+
+        Older reports don't count: the daemons that can't be heard may use the engine.
+        """
+        known_share = min(self.known_share, self.fresh_share)
+        if known_share < MIN_KNOWN_SHARE:
             return False
-        margin = max(UNREACHABLE_PEER_MARGIN, 2 / self.known_share)
-        expected = self.held_tokens + margin * self.peer_tokens
+        margin = max(UNREACHABLE_PEER_MARGIN, 2 / known_share)
+        expected = self.held_tokens + margin * self._expected_peer_tokens
         return self.fits_isolated and expected <= PERMIT_SHARE * self.capacity
 
+    @property
+    def _expected_peer_tokens(self) -> int:
+        """The larger one of two estimates: both leave out what isn't reported."""
+        return max(self.peer_tokens, self.last_peer_tokens)
+
     @property
     def fits_isolated(self) -> bool:
         """Whether the request may be placed while no other daemon can be heard."""
         return self.held_tokens <= UNREACHABLE_SHARE * self.capacity
 
 
-class MemoryCapacities:
-    """Sizes of the memory of the engines of each service."""
+class DeniedMemory:
+    """The smallest request that the memory of an engine lately had no room for."""
 
     def __init__(self) -> None:
-        self._capacities: dict[str, int] = {}
-
-    def apply_services(self, services: Mapping[str, Service]) -> None:
-        """Replace the sizes; a service without a size isn't limited."""
-        self._capacities = {
-            name: service.engine.kv_cache_tokens
-            for name, service in services.items()
-            if service.engine is not None and service.engine.kv_cache_tokens > 0
-        }
-
-    def get(self, service: str) -> int | None:
-        """Return the tokens that an engine has room for; None without a limit."""
-        return self._capacities.get(service)
+        self._tokens = 0
+        self._ends_at = float("-inf")
+
+    def record(self, tokens: int, ends_at: float, now: float) -> None:
+        """Record that a request was denied.
+
+        Parameters
+        ----------
+        tokens
+            Tokens that it would have added.
+        ends_at
+            Time in seconds from which on there may be room for it.
+        now
+            Current time in seconds.
+        """
+        self._tokens = min(self._tokens, tokens) if now < self._ends_at else tokens
+        self._ends_at = max(self._ends_at, ends_at)
+
+    def covers(self, tokens: int, now: float) -> bool:
+        """Whether a request would be denied as well."""
+        return now < self._ends_at and tokens >= self._tokens
--- a/kingcuphead/dispatch/_room.py
+++ b/kingcuphead/dispatch/_room.py
@@ -125,6 +125,8 @@
         Plans the prefill of a request.
     costs
         Estimates the wait of a request.
+    has_memory
+        Returns whether the memory of a target has room for a request.
     """
 
     def __init__(
@@ -133,11 +135,13 @@
         get_state: Callable[[Target], TargetState],
         planner: PrefillPlanner,
         costs: CostFunction,
+        has_memory: Callable[[PlacementRequest, Target, float], bool],
     ) -> None:
         self._peer_loads = peer_loads
         self._get_state = get_state
         self._planner = planner
         self._costs = costs
+        self._has_memory = has_memory
         #: Number of daemons that share the targets, this one included; 1 if unknown.
         self.daemons = 1
 
@@ -160,9 +164,10 @@
             ranked = self._planner.rank(request, available)
         for target in ranked:
             room = self._describe_room(request, target)
-            if room.accepts_on_old_reports(request, now):
-                return True
-            if room.has_place and self._is_in_time(request, target, ranked, now):
+            is_free = room.accepts_on_old_reports(request, now) or (
+                room.has_place and self._is_in_time(request, target, ranked, now)
+            )
+            if is_free and self._has_memory(request, target, now):
                 return True
         return False
 
@@ -172,6 +177,7 @@
         """Return whether a request has waited so long that it may ignore reports."""
         return any(
             self._describe_room(request, target).accepts_on_old_reports(request, now)
+            and self._has_memory(request, target, now)
             for target in candidates
         )
 
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -4,7 +4,7 @@
 from collections import OrderedDict
 
 from kingcuphead.dispatch._health import TargetHealth
-from kingcuphead.dispatch._memory import HeldTokens, MemoryUse
+from kingcuphead.dispatch._memory import DeniedMemory, HeldTokens, MemoryUse
 from kingcuphead.dispatch._messages import DispatchSettings, PlacementRequest
 from kingcuphead.dispatch._speed import (
     MIN_SLOWNESS,
@@ -96,6 +96,8 @@
         self._waiting: dict[int, Placement] = {}
         #: Tokens that the requests of this daemon hold in the target's memory.
         self.held_tokens = HeldTokens()
+        #: What the coordinator of its memory has denied.
+        self.denied_memory = DeniedMemory()
         self._prefixes_sent_at: OrderedDict[str, float] = OrderedDict()
         #: Unix time in milliseconds at which the incarnation started.
         self.started_at_ms = started_at_ms
--- a/kingcuphead/dispatch/tests/_coordination.py
+++ b/kingcuphead/dispatch/tests/_coordination.py
@@ -83,6 +83,7 @@
         self._send_memory(target.name)
 
     def _repeat(self):
+        self.ranking.probe_unconfirmed(self._fleet.now)
         for name in self._held:
             self._send_memory(name)
         self._fleet.schedule(self._fleet.now + REPORT_INTERVAL, self._repeat)
--- a/kingcuphead/dispatch/tests/_fleet.py
+++ b/kingcuphead/dispatch/tests/_fleet.py
@@ -1,8 +1,10 @@
 """Daemons that place requests on engines, each with what it knows, in virtual time."""
 
+import collections
 import dataclasses
 import heapq
 import itertools
+import math
 import random
 import statistics
 from collections import Counter
@@ -14,6 +16,7 @@
     SharedPrefix,
 )
 from kingcuphead.loads import LoadsReported, PeerLoads, PlacementAnnounced
+from kingcuphead.loads._changes import LoadChanges
 from kingcuphead.targets import Availability, Target
 
 SLOTS = 16
@@ -133,6 +136,10 @@
         self.dispatcher.announce_placement = self.announce
         self._numbers = itertools.count(1)
         self._used_at: dict[str, float] = {}
+        self._changes = LoadChanges()
+        self._changes.reports_all_changes = fleet.rounds <= 1
+        self.peer_loads.apply_report_rounds(fleet.rounds)
+        self._turns: collections.deque[PlayedDaemon] = collections.deque()
 
     def choose(self, request):
         return self.dispatcher.place(
@@ -168,14 +175,25 @@
 
     def report(self):
         self.peer_loads.expire(self._fleet.now)
-        report = LoadsReported(
-            str(self.number),
-            next(self._numbers),
-            tuple(self.dispatcher.list_loads()),
-        )
-        for receiver in self._fleet.choose_receivers(self):
+        loads = tuple(self.dispatcher.list_loads())
+        if self._fleet.leaves_out_reports and not self._changes.is_report_due(
+            loads, is_cut_off=False, is_urgent=False
+        ):
+            return
+        report = LoadsReported(str(self.number), next(self._numbers), loads)
+        for receiver in self._choose_receivers():
             self._fleet.send(self, receiver, receiver.receive_report, (self, report))
 
+    def _choose_receivers(self):
+        if not self._fleet.leaves_out_reports:
+            return self._fleet.choose_receivers(self)
+        if not self._turns:
+            others = [each for each in self._fleet.daemons if each is not self]
+            self._turns.extend(self._fleet.shuffle(others))
+        receivers = list(itertools.islice(self._turns, RECEIVERS))
+        self._turns.rotate(-RECEIVERS)
+        return receivers
+
     def receive_announcement(self, message, now):
         if not self._fleet.is_without_reports:
             self.peer_loads.apply_announcement(message, now)
@@ -200,9 +218,13 @@
         loss=0.1,
         max_delay=0.03,
         make_daemon=PlayedDaemon,
+        leaves_out_reports=False,
     ):
         self.seed = seed
         self.now = 0.0
+        #: Whether reports without new information are left out.
+        self.leaves_out_reports = leaves_out_reports
+        self.rounds = math.ceil((daemons - 1) / RECEIVERS)
         self.refused = 0
         self.connections: Counter[bool] = Counter()
         self.placed = []
@@ -259,6 +281,9 @@
         others = [each for each in self.daemons if each is not sender]
         return self._rng.sample(others, min(RECEIVERS, len(others)))
 
+    def shuffle(self, daemons):
+        return self._rng.sample(daemons, len(daemons))
+
     def _report(self, daemon):
         daemon.report()
         self.schedule(self.now + REPORT_INTERVAL, self._report, daemon)
--- a/kingcuphead/dispatch/tests/test_memory.py
+++ b/kingcuphead/dispatch/tests/test_memory.py
@@ -10,7 +10,7 @@
     PlacementRequest,
     SharedPrefix,
 )
-from kingcuphead.dispatch._memory import HeldTokens, MemoryUse
+from kingcuphead.dispatch._memory import DeniedMemory, HeldTokens, MemoryUse
 from kingcuphead.dispatch.tests._coordination import CoordinatedDaemon
 from kingcuphead.dispatch.tests._fleet import (
     EVENTS,
@@ -18,6 +18,7 @@
     SLOTS,
     PlayedFleet,
     get_quantile,
+    is_small,
     make_prompt,
     make_targets,
 )
@@ -57,7 +58,7 @@
 
 
 class TestMemoryUse:
-    USE = MemoryUse(100, 0, 0, 0, known_share=0.7, slots=4)
+    USE = MemoryUse(100, 0, 0, 0, known_share=0.7, slots=1)
 
     @pytest.mark.parametrize(
         "held, peers, fits, needs_permit, fits_unasked",
@@ -90,6 +91,64 @@
         )
         assert use.needs_permit
 
+    def test_tokens_that_were_reported_some_time_ago_count_for_a_permit(self):
+        """Most daemons have no newer report while nothing changes."""
+        use = dataclasses.replace(self.USE, held_tokens=20, last_peer_tokens=40)
+        assert use.needs_permit
+        assert not use.fits_unasked
+        assert not dataclasses.replace(self.USE, fresh_share=0.5).fits_unasked
+        # They may have been given back; the coordinator knows.
+        assert dataclasses.replace(use, last_peer_tokens=60).fits
+
+
+class TestDeniedMemory:
+    def test_requests_at_least_as_large_are_denied_until_then(self):
+        denied = DeniedMemory()
+        assert not denied.covers(500, 0.0)
+        denied.record(500, 1.1, 1.0)
+        assert denied.covers(500, 1.05)
+        assert not denied.covers(499, 1.05)
+        assert not denied.covers(500, 1.1)
+
+    def test_the_smallest_one_counts_while_it_lasts(self):
+        denied = DeniedMemory()
+        denied.record(500, 1.1, 1.0)
+        denied.record(800, 1.15, 1.05)
+        assert denied.covers(500, 1.14)
+        denied.record(800, 1.3, 1.2)
+        assert not denied.covers(500, 1.21)
+
+
+class TestRoom:
+    """A request that is admitted without memory would be refused afterwards."""
+
+    REQUEST = dataclasses.replace(make_request(30_000), objective_ends_at=100.0)
+
+    def has_room(self, dispatcher, now, **changes):
+        request = dataclasses.replace(self.REQUEST, **changes)
+        return dispatcher.has_room(request, TARGETS[:1], now)
+
+    def test_there_is_none_without_memory(self):
+        peer_loads = PeerLoads()
+        load = TargetLoad(TARGETS[0].name, 4, 0, 270_000)
+        peer_loads.apply_report(LoadsReported("d2", 1, (load,)), 0.0)
+        dispatcher = make_dispatcher(peer_loads)
+        assert not self.has_room(dispatcher, 0.0)
+        assert not self.has_room(dispatcher, 1.0, waiting_since=0.0)
+        waiting = dataclasses.replace(self.REQUEST, waiting_since=0.0)
+        assert not dispatcher.accepts_on_old_reports(waiting, TARGETS[:1], 1.0)
+        assert self.has_room(dispatcher, 0.0, prompt_tokens=1_000)
+
+    def test_there_is_none_for_the_wait_after_a_denial(self):
+        dispatcher = make_dispatcher()
+        placement = dispatcher.place(self.REQUEST, TARGETS[:1], (), 0.0)
+        dispatcher.withdraw(placement)
+        dispatcher.record_full(placement, 0.1, 0.0)
+        assert not self.has_room(dispatcher, 0.05)
+        assert dispatcher.place(self.REQUEST, TARGETS[:1], (), 0.05) is None
+        assert self.has_room(dispatcher, 0.05, prompt_tokens=1_000)
+        assert self.has_room(dispatcher, 0.1)
+
 
 class TestPlacement:
     def test_a_request_goes_where_memory_is_left(self):
@@ -122,7 +181,7 @@
         self, tokens, is_contended, is_too_large
     ):
         dispatcher = make_dispatcher(is_contended=is_contended)
-        assert dispatcher.is_too_large(make_request(tokens)) is is_too_large
+        assert dispatcher.memory.is_too_large(make_request(tokens)) is is_too_large
 
     def test_changes_are_reported(self):
         dispatcher = make_dispatcher()
@@ -143,7 +202,20 @@
     return make_request(tokens)
 
 
-def play(is_contended, engines, seed=1, loss=0.1, trouble=""):
+def make_short_prompt(rng):
+    """Return a prompt that needs no permit by its own size."""
+    return make_request(rng.randrange(3_000, 6_500))
+
+
+def play(
+    is_contended,
+    engines,
+    seed=1,
+    loss=0.1,
+    trouble="",
+    make_request=make_large_prompt,
+    per_engine=8,
+):
     """Play six seconds of several times the load that the engines can take."""
     settings = DispatchSettings("z", has_contended_engines=is_contended)
     fleet = PlayedFleet(
@@ -152,12 +224,13 @@
         seed=seed,
         loss=loss,
         make_daemon=CoordinatedDaemon,
+        leaves_out_reports=True,
     )
     fleet.is_without_reports = trouble == "no reports"
     for daemon in fleet.daemons:
         daemon.dispatcher.apply_services(SERVICES)
     fleet.run(3)
-    fleet.offer(6, 8 * engines, make_large_prompt)
+    fleet.offer(6, per_engine * engines, make_request)
     fleet.run(2)
     fleet.is_cut = trouble == "cut"
     fleet.run(3)
@@ -187,6 +260,29 @@
         # The memory is used; it isn't kept empty for safety.
         assert most >= 0.5 * CAPACITY
 
+    @pytest.mark.parametrize("trouble", ["", "cut"])
+    @pytest.mark.parametrize("loss, seed", [(0.1, 1), (0.3, 2)])
+    def test_many_requests_without_permits_overfill_none(self, loss, trouble, seed):
+        fleet = play(True, 10, seed, loss, trouble, make_short_prompt, 30)
+        most = max(engine.max_held_tokens for engine in fleet.engines.values())
+        assert 0.5 * CAPACITY <= most <= CAPACITY
+
+    def test_small_requests_need_no_permit_in_calm_hours(self):
+        """Daemons leave out reports without news; those that do are known still."""
+        settings = DispatchSettings("z", has_contended_engines=True)
+        fleet = PlayedFleet(
+            settings, make_daemon=CoordinatedDaemon, leaves_out_reports=True
+        )
+        for daemon in fleet.daemons:
+            daemon.dispatcher.apply_services(SERVICES)
+        # Until each daemon has heard of the others.
+        fleet.run(6)
+        fleet.offer(6, 150, make_prompt)
+        fleet.run(7)
+        small = [each.placement for each in fleet.placed if is_small(each)]
+        assert len(small) > 300
+        assert not any(placement.needs_permit for placement in small)
+
     def test_the_same_load_overfills_all_engines_without_the_bound(self):
         fleet = play(False, 10)
         held = [engine.max_held_tokens for engine in fleet.engines.values()]
@@ -196,7 +292,9 @@
         waits = []
         for services in ({}, SERVICES):
             settings = DispatchSettings("z", has_contended_engines=True)
-            fleet = PlayedFleet(settings, make_daemon=CoordinatedDaemon)
+            fleet = PlayedFleet(
+                settings, make_daemon=CoordinatedDaemon, leaves_out_reports=True
+            )
             for daemon in fleet.daemons:
                 daemon.dispatcher.apply_services(services)
             # Daemons that all start at once first have to find the coordinators.
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -1,6 +1,7 @@
 """What one daemon exchanges with others: loads, credit, crashes, streams, permits."""
 
 import asyncio
+import math
 import random
 import secrets
 from collections.abc import Callable, Coroutine
@@ -157,6 +158,7 @@
         #: What targets take from the whole fleet.
         self.permits = self._make_permits(rng)
         self.permits.apply_cold_bounds(profile.cold_bounds)
+        self.permits.bounds_memory = dispatcher.memory.is_enabled
         dispatcher.report_memory = self.permits.report_memory
         #: Knows the software versions that began streams.
         self.resumption = self._make_resumption(store)
@@ -313,7 +315,7 @@
 
     def _apply_peers(self, peers: tuple[Address, ...]) -> None:
         self._sender.peers = peers
-        self._loads.apply_fleet_size(len(peers) > MAX_RECEIVERS)
+        self._loads.apply_report_rounds(math.ceil(len(peers) / MAX_RECEIVERS))
         now = asyncio.get_running_loop().time()
         self.permits.ranking.apply_peers(peers, now)
         self.peer_paths.apply_peers(peers)
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -12,7 +12,7 @@
 )
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
-from kingcuphead.permits import MemoryClaim, PermitExchange
+from kingcuphead.permits import Decision, MemoryClaim, PermitExchange
 from kingcuphead.targets import Target, TargetDirectory
 
 #: Number of targets that a request claims a permit of before it is refused.
@@ -60,11 +60,11 @@
             )
             if placement is None:
                 break
-            if await self._claim_permit(placement):
+            decision = await self._claim_permit(placement)
+            if decision.is_granted:
                 return placement
-            if placement.needs_permit:
+            if decision.is_full:
                 full.append(placement.target.name)
-                self._dispatcher.record_denial(request, MemoryDenial.COORDINATOR)
         self._record_shortage(context, request, full)
         return None
 
@@ -88,9 +88,10 @@
         placement = self._dispatcher.place(
             context.make_placement_request(), candidates, context.tried, get_time()
         )
-        if placement is None or await self._claim_permit(placement):
-            return placement
-        return None
+        if placement is None:
+            return None
+        decision = await self._claim_permit(placement)
+        return placement if decision.is_granted else None
 
     def withdraw(self, placement: Placement) -> None:
         """Give up a choice for which a permit was had; nothing was sent."""
@@ -102,7 +103,9 @@
     ) -> None:
         """Record whether a request found no target for want of memory."""
         eligible = self.list_eligible(context)
-        context.lacks_memory = bool(full) or self._dispatcher.is_full(request, eligible)
+        context.lacks_memory = bool(full) or self._dispatcher.memory.is_full(
+            request, eligible, get_time()
+        )
         if context.lacks_memory:
             logger.bind(
                 request_id=context.request.request_id,
@@ -114,7 +117,7 @@
     def is_too_large(self, context: RequestContext) -> bool:
         """Whether no target of the service can ever run a request."""
         request = context.make_placement_request()
-        is_too_large = self._dispatcher.is_too_large(request)
+        is_too_large = self._dispatcher.memory.is_too_large(request)
         if is_too_large:
             self._dispatcher.record_denial(request, MemoryDenial.TOO_LARGE)
         return is_too_large
@@ -141,18 +144,20 @@
         untried = (each for each in targets if each.name not in context.tried)
         return self._permits.select_free(untried) or targets
 
-    async def _claim_permit(self, placement: Placement) -> bool:
-        is_granted = False
+    async def _claim_permit(self, placement: Placement) -> Decision:
+        decision = Decision(False)
         try:
-            is_granted = await self._permits.claim(
+            decision = await self._permits.claim(
                 placement.target, _make_memory_claim(placement)
             )
         finally:
-            if not is_granted:
+            if not decision.is_granted:
                 self._dispatcher.withdraw(placement)
             elif placement.needs_permit:
                 self._dispatcher.confirm(placement)
-        return is_granted
+        if decision.is_full:
+            self._dispatcher.record_full(placement, decision.wait, get_time())
+        return decision
 
     def list_open(self, context: RequestContext) -> tuple[Target, ...]:
         """Return the targets that may run a request now."""
--- a/kingcuphead/loads/_changes.py
+++ b/kingcuphead/loads/_changes.py
@@ -4,6 +4,8 @@
 
 from kingcuphead.loads._messages import TargetLoad
 
+#: Seconds between two looks at the loads.
+REPORT_INTERVAL = 0.1
 #: A load is reported again when it differs by more than one part in this many.
 CHANGE_DIVISOR = 4
 #: Up to this many open requests in all, a change must be seen twice to be reported.
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -4,12 +4,10 @@
 import contextlib
 from collections.abc import Callable, Iterable
 
-from kingcuphead.loads._changes import LoadChanges
+from kingcuphead.loads._changes import REPORT_INTERVAL, LoadChanges
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
 from kingcuphead.loads._peer_loads import PeerLoads
 
-#: Seconds between two looks at the loads.
-REPORT_INTERVAL = 0.1
 #: Minimum seconds between two reports.
 MIN_REPORT_INTERVAL = 0.005
 
@@ -57,9 +55,13 @@
             self._send_report(is_urgent)
             await asyncio.sleep(MIN_REPORT_INTERVAL)
 
-    def apply_fleet_size(self, is_large: bool) -> None:
-        """Report small changes too, unless reports would reach a part of the fleet."""
-        self._changes.reports_all_changes = not is_large
+    def apply_report_rounds(self, rounds: int) -> None:
+        """Adapt to the number of reports until each other daemon got one.
+
+        Small changes are reported too if a report reaches the whole fleet.
+        """
+        self._changes.reports_all_changes = rounds <= 1
+        self._peer_loads.apply_report_rounds(max(1, rounds))
 
     def trigger_report(self) -> None:
         """Send the next report without waiting for `REPORT_INTERVAL`."""
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -4,10 +4,14 @@
 from collections.abc import Collection
 
 from kingcuphead.frozen import frozen
+from kingcuphead.loads._changes import MAX_SKIPPED_EMPTY_REPORTS, REPORT_INTERVAL
 from kingcuphead.loads._messages import LoadsReported, PlacementAnnounced, TargetLoad
+from kingcuphead.loads._peer_memory import PeerMemory
 
 #: Seconds after its receipt at which a report expires.
 REPORT_LIFETIME = 0.6
+#: Seconds between two reports of a daemon, at the most.
+MAX_REPORT_INTERVAL = (MAX_SKIPPED_EMPTY_REPORTS + 1) * REPORT_INTERVAL
 
 
 @frozen
@@ -34,6 +38,13 @@
         self._unread_tokens: Counter[str] = Counter()
         self._memory_tokens: Counter[str] = Counter()
         self._announced: dict[str, list[_ReceivedAnnouncement]] = {}
+        #: Memory of engines by the last reports, which count longer than their loads.
+        self.memory = PeerMemory()
+        self.apply_report_rounds(1)
+
+    def apply_report_rounds(self, rounds: int) -> None:
+        """Set how many reports a daemon sends until each of the others got one."""
+        self.memory.lifetime = rounds * MAX_REPORT_INTERVAL + REPORT_LIFETIME
 
     @property
     def reporters(self) -> int:
@@ -51,6 +62,7 @@
             self._add_load(announcement.load, -1)
         self._reports[report.sender] = _ReceivedReport(report, now)
         self._add(report, 1)
+        self.memory.apply_report(report, now)
 
     def apply_announcement(self, message: PlacementAnnounced, now: float) -> None:
         """Count a placement that the next report of its daemon will contain."""
@@ -64,6 +76,7 @@
             if now - received.received_at > REPORT_LIFETIME:
                 del self._reports[sender]
                 self._add(received.report, -1)
+        self.memory.expire(now)
         for sender, announcements in tuple(self._announced.items()):
             while (
                 announcements and now - announcements[0].received_at > REPORT_LIFETIME
--- a/kingcuphead/loads/tests/test_changes.py
+++ b/kingcuphead/loads/tests/test_changes.py
@@ -4,9 +4,9 @@
 from kingcuphead.loads._changes import (
     MAX_SKIPPED_EMPTY_REPORTS,
     MAX_SKIPPED_REPORTS,
+    REPORT_INTERVAL,
     LoadChanges,
 )
-from kingcuphead.loads._exchange import REPORT_INTERVAL
 from kingcuphead.permits._ranking import CONTACT_TIMEOUT
 
 NONE: tuple[TargetLoad, ...] = ()
--- a/kingcuphead/loads/tests/test_loads.py
+++ b/kingcuphead/loads/tests/test_loads.py
@@ -8,7 +8,8 @@
     PlacementAnnounced,
     TargetLoad,
 )
-from kingcuphead.loads._exchange import REPORT_INTERVAL
+from kingcuphead.loads._changes import REPORT_INTERVAL
+from kingcuphead.loads._peer_loads import MAX_REPORT_INTERVAL
 
 
 def make_report(sender, number, running, unread_tokens=0):
@@ -36,6 +37,37 @@
         assert peer_loads.get_load("t1").running == 0
 
 
+class TestPeerMemory:
+    ROUNDS = 6
+
+    def make_loads(self, tokens=300):
+        peer_loads = PeerLoads()
+        peer_loads.apply_report_rounds(self.ROUNDS)
+        load = TargetLoad("t1", 1, 0, tokens)
+        peer_loads.apply_report(LoadsReported("a", 1, (load,)), 0.0)
+        peer_loads.apply_report(LoadsReported("idle", 1, ()), 0.0)
+        return peer_loads
+
+    def test_a_daemon_is_known_until_its_next_report_is_due(self):
+        """Each request would need a permit in a large fleet, even if it were idle."""
+        peer_loads = self.make_loads()
+        due = self.ROUNDS * MAX_REPORT_INTERVAL
+        peer_loads.expire(due)
+        assert not peer_loads.reporters
+        assert peer_loads.memory.daemons == 2
+        assert peer_loads.memory.get_tokens("t1") == 300
+        peer_loads.expire(due + REPORT_LIFETIME + 0.01)
+        assert not peer_loads.memory.daemons
+        assert not peer_loads.memory.get_tokens("t1")
+
+    def test_the_next_report_replaces_the_tokens(self):
+        peer_loads = self.make_loads()
+        peer_loads.apply_report(LoadsReported("a", 2, ()), 2.0)
+        assert not peer_loads.memory.get_tokens("t1")
+        peer_loads.apply_report(make_report("a", 1, 5), 2.1)
+        assert peer_loads.memory.daemons == 2
+
+
 class TestLoadExchange:
     def test_reports_reach_other_daemons(self):
         async def run():
--- a/kingcuphead/permits/__init__.py
+++ b/kingcuphead/permits/__init__.py
@@ -6,7 +6,7 @@
 """
 
 from kingcuphead.permits._cold import ColdBounds
-from kingcuphead.permits._coordinator import PermitCoordinator
+from kingcuphead.permits._coordinator import Decision, PermitCoordinator
 from kingcuphead.permits._exchange import PermitExchange
 from kingcuphead.permits._memory import MemoryClaim
 from kingcuphead.permits._messages import (
@@ -23,6 +23,7 @@
 __all__ = [
     "ColdBounds",
     "CoordinatorProbed",
+    "Decision",
     "MemoryClaim",
     "PermitAnswered",
     "PermitAsked",
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -84,6 +84,8 @@
         self._questions: dict[int, asyncio.Future[Decision]] = {}
         #: Which daemon coordinates the permits of a target.
         self.ranking = CoordinatorRanking(own_address, self._probe)
+        #: Whether permits are asked for memory of targets.
+        self.bounds_memory = False
         #: Called with each target of which a permit was denied because it is cold.
         self.report_cold_denial: Callable[[Target], None] = lambda target: None
 
@@ -94,11 +96,12 @@
     async def run(self) -> None:
         """Report what this daemon has open at targets until cancelled.
 
-        Prepares this daemon for questions about cold targets, too.
+        Prepares this daemon for questions about cold targets and memory, too: it grants
+        little before the others confirm that they know it.
         """
         while True:
             await asyncio.sleep(REPORT_INTERVAL)
-            if self._cold_view.has_cold_limits:
+            if self._cold_view.has_cold_limits or self.bounds_memory:
                 self.ranking.probe_unconfirmed(_get_time())
             # A report may get lost.
             for target in self._memory_reports.list_repeated():
@@ -135,7 +138,9 @@
         """Return the seconds until the first target opens; None if one is open."""
         return self._gate.get_delay(targets, _get_time())
 
-    async def claim(self, target: Target, memory: MemoryClaim | None = None) -> bool:
+    async def claim(
+        self, target: Target, memory: MemoryClaim | None = None
+    ) -> Decision:
         """Get a permit for one request to a target.
 
         Parameters
@@ -148,9 +153,10 @@
 
         Returns
         -------
-        bool
+        Decision
             Whether the request may be sent; `release` has to follow it. If not, the
-            target is closed until the next permit may be had.
+            target is closed until the next permit may be had, unless only its memory
+            lacks room for this request.
         """
         identity = target.incarnation
         self._open_requests[identity] += 1
@@ -162,7 +168,7 @@
                 self._open_requests[identity] -= 1
         if not decision.is_granted and not decision.is_full:
             self._gate.close(target, min(decision.wait, MAX_WAIT), _get_time())
-        return decision.is_granted
+        return decision
 
     def release(self, target: Target, was_rejected: bool) -> None:
         """Give back the place of a request that has ended.
--- a/kingcuphead/permits/tests/_cold_fleet.py
+++ b/kingcuphead/permits/tests/_cold_fleet.py
@@ -153,7 +153,8 @@
     async def _serve(self, daemon):
         if not daemon.exchange.select_open([daemon.target]):
             return
-        if await daemon.exchange.claim(daemon.target):
+        decision = await daemon.exchange.claim(daemon.target)
+        if decision.is_granted:
             await asyncio.sleep(self.rng.uniform(*CONNECT_DELAY))
             self.sent_at.append(self.now)
             daemon.exchange.release(daemon.target, was_rejected=False)
--- a/kingcuphead/permits/tests/test_memory.py
+++ b/kingcuphead/permits/tests/test_memory.py
@@ -104,7 +104,8 @@
                 exchange.ranking.record_message(address, now)
                 exchange.ranking.record_confirmation(address)
             coordinator.report_memory(TARGET, 500)
-            granted = [await other.claim(TARGET, claim) for claim in claims]
+            decisions = [await other.claim(TARGET, claim) for claim in claims]
+            granted = [each.is_granted for each in decisions]
             return granted, other.select_open([TARGET])
 
         return asyncio.run(ask())
