Let a request that no engine has memory for wait again

Cause: a request that admission let through and coordinators then denied asked up to eight of them and was refused, although memory might be free 0.1 s later. Change: it goes back to the queue, holds no credit there, and is refused before its deadline. It asks three engines at a time. What the coordinator knows already isn't reported to it again, which was so after each denial.

--- a/kingcuphead/dispatch/_memory.py
+++ b/kingcuphead/dispatch/_memory.py
@@ -64,6 +64,11 @@
     return segments
 
 
+def fits(held_tokens: int, peer_tokens: int, capacity: int) -> bool:
+    """Whether the requests of this daemon fit beside what others have reported."""
+    return held_tokens + PEER_MARGIN * peer_tokens <= capacity
+
+
 @frozen
 class MemoryUse:
     """The memory of an engine as one daemon knows it, with a request on it."""
@@ -93,7 +98,7 @@
     @property
     def fits(self) -> bool:
         """Whether the request may be placed on the engine."""
-        return self.held_tokens + PEER_MARGIN * self.peer_tokens <= self.capacity
+        return fits(self.held_tokens, self.peer_tokens, self.capacity)
 
     @property
     def needs_permit(self) -> bool:
--- a/kingcuphead/dispatch/_memory_estimator.py
+++ b/kingcuphead/dispatch/_memory_estimator.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Iterable, Mapping
 
-from kingcuphead.dispatch._memory import MemoryUse
+from kingcuphead.dispatch._memory import MemoryUse, fits
 from kingcuphead.dispatch._messages import PlacementRequest
 from kingcuphead.dispatch._subset import EngineSubset
 from kingcuphead.dispatch._target_state import TargetState
@@ -57,11 +57,22 @@
 
     def has_room(self, request: PlacementRequest, target: Target, now: float) -> bool:
         """Whether a target has memory left for a request."""
-        memory = self.describe(request, target)
-        if memory is None:
+        capacity = self._get_capacity(request)
+        if capacity is None:
+            return True
+        state = self._get_state(target)
+        peer_tokens = self._peer_loads.get_memory_tokens(target.name)
+
+        def has_room_for(added: int) -> bool:
+            held = state.held_tokens.total + added
+            is_denied = state.denied_memory.covers(added, now)
+            return not is_denied and fits(held, peer_tokens, capacity)
+
+        # Most requests fit even if they shared nothing, which is quicker to tell.
+        if has_room_for(request.prompt_tokens + request.output_tokens):
             return True
-        denied = self._get_state(target).denied_memory
-        return memory.fits and not denied.covers(memory.added_tokens, now)
+        is_sharing = bool(request.prefixes)
+        return is_sharing and has_room_for(state.held_tokens.count_added(request))
 
     def is_full(
         self, request: PlacementRequest, targets: Iterable[Target], now: float
@@ -81,7 +92,7 @@
         return MemoryUse(
             capacity,
             held.total + added,
-            self._peer_loads.get_load(target.name).memory_tokens,
+            self._peer_loads.get_memory_tokens(target.name),
             added,
             _compute_share(known.daemons, peers),
             target.slots,
--- a/kingcuphead/forwarding/_admission.py
+++ b/kingcuphead/forwarding/_admission.py
@@ -28,6 +28,11 @@
         self._targets = targets
         self._numbers = itertools.count(1)
 
+    @property
+    def is_enabled(self) -> bool:
+        """Whether requests wait for room."""
+        return self._gate is not None
+
     async def enter(self, context: RequestContext) -> Refusal | None:
         """Wait until a request may be sent; return its refusal if it may not."""
         if self._gate is None:
@@ -38,7 +43,7 @@
             request = self._make_request(self._gate, context)
             decision = await self._gate.enter(request, query)
         finally:
-            context.queue_seconds = get_time() - began_at
+            context.queue_seconds += get_time() - began_at
         match decision:
             case Admitted():
                 context.admitted_at = get_time()
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -46,6 +46,9 @@
 #: Seconds after which a caller may retry a request that no target has the memory for;
 #: by then there may be another configuration.
 TOO_LARGE_RETRY_AFTER = 5.0
+#: Seconds until a request that no engine had memory for waits for room again; without
+#: them, a request that is admitted at once would occupy the event loop.
+MEMORY_CHECK_INTERVAL = 0.02
 #: Lower bound in seconds of the time after which a caller may retry when the targets
 #: have no permits left; the next ones go to requests that come meanwhile.
 MIN_RETRY_AFTER = 0.1
@@ -119,6 +122,27 @@
             return refuse(503, Reason.STREAM_UNKNOWN, ORIGIN_RETRY_AFTER)
         if self._targets.is_too_large(context):
             return refuse(503, Reason.REQUEST_TOO_LARGE, TOO_LARGE_RETRY_AFTER)
+        while True:
+            refusal = await self._serve_after_wait(context, caller)
+            if not self._waits_for_memory(context, refusal):
+                return refusal
+            await asyncio.sleep(MEMORY_CHECK_INTERVAL)
+
+    def _waits_for_memory(
+        self, context: RequestContext, refusal: Refusal | None
+    ) -> bool:
+        """Whether a request waits again, as no engine had memory for it after all."""
+        return (
+            self._admission.is_enabled
+            and refusal is not None
+            and refusal.reason is Reason.TARGETS_CLOSED
+            and context.lacks_memory
+            and get_time() + 2 * MEMORY_CHECK_INTERVAL < context.deadline
+        )
+
+    async def _serve_after_wait(
+        self, context: RequestContext, caller: Caller
+    ) -> Refusal | None:
         # A request that waits holds no credit.
         refusal = await self._admission.enter(context)
         if refusal is not None:
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -19,6 +19,8 @@
 MAX_CLAIMS = 8
 #: Number of denied permits after which targets that need none are preferred.
 MAX_DENIALS = 2
+#: Number of engines whose memory is asked for before a request waits again.
+MAX_MEMORY_CLAIMS = 3
 #: Seconds after which an engine may have memory for a request again.
 MEMORY_RETRY_AFTER = 0.3
 
@@ -62,9 +64,12 @@
                 break
             decision = await self._claim_permit(placement)
             if decision.is_granted:
+                context.lacks_memory = False
                 return placement
             if decision.is_full:
                 full.append(placement.target.name)
+                if len(full) == MAX_MEMORY_CLAIMS:
+                    break
         self._record_shortage(context, request, full)
         return None
 
@@ -103,10 +108,11 @@
     ) -> None:
         """Record whether a request found no target for want of memory."""
         eligible = self.list_eligible(context)
+        lacked_before = context.lacks_memory
         context.lacks_memory = bool(full) or self._dispatcher.memory.is_full(
             request, eligible, get_time()
         )
-        if context.lacks_memory:
+        if context.lacks_memory and not lacked_before:
             logger.bind(
                 request_id=context.request.request_id,
                 service=context.service,
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -109,6 +109,10 @@
         """Return the tokens pending prefill of all other daemons on a target."""
         return self._unread_tokens.get(target, 0)
 
+    def get_memory_tokens(self, target: str) -> int:
+        """Return the tokens that all other daemons hold in the memory of a target."""
+        return self._memory_tokens.get(target, 0)
+
     def _add(self, report: LoadsReported, sign: int) -> None:
         for load in report.loads:
             self._add_load(load, sign)
--- a/kingcuphead/loads/_peer_memory.py
+++ b/kingcuphead/loads/_peer_memory.py
@@ -33,7 +33,7 @@
 
     def get_tokens(self, target: str) -> int:
         """Return the tokens that all these daemons hold in the memory of a target."""
-        return self._tokens[target]
+        return self._tokens.get(target, 0)
 
     def apply_report(self, report: LoadsReported, now: float) -> None:
         """Replace the report of a daemon; the new one has a higher number."""
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -96,8 +96,7 @@
     async def run(self) -> None:
         """Report what this daemon has open at targets until cancelled.
 
-        Prepares this daemon for questions about cold targets and memory, too: it grants
-        little before the others confirm that they know it.
+        Also asks the others to confirm this daemon, which grants little before.
         """
         while True:
             await asyncio.sleep(REPORT_INTERVAL)
@@ -155,8 +154,7 @@
         -------
         Decision
             Whether the request may be sent; `release` has to follow it. If not, the
-            target is closed until the next permit may be had, unless only its memory
-            lacks room for this request.
+            target is closed for a while, unless its memory lacks room for the request.
         """
         identity = target.incarnation
         self._open_requests[identity] += 1
@@ -193,8 +191,8 @@
 
     def report_memory(self, target: Target, tokens: int) -> None:
         """Report how many tokens this daemon holds in the memory of a target."""
-        self._memory_reports.record(target.incarnation, tokens)
-        self._report_room(target.incarnation, was_rejected=False)
+        if self._memory_reports.record(target.incarnation, tokens):
+            self._report_room(target.incarnation, was_rejected=False)
 
     def forget(self, target: Target) -> None:
         """Drop the state of a target that was removed."""
@@ -284,6 +282,8 @@
             decision = await self._ask(address, question)
             if decision is not None:
                 return decision
+            if memory is not None:
+                self._memory_reports.mark_doubtful(identity)
         if memory is not None:
             fits = self._fits_unasked(identity, memory)
             if fits is False:
--- a/kingcuphead/permits/_memory_reports.py
+++ b/kingcuphead/permits/_memory_reports.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterator
 
 #: Number of times that a daemon repeats that it holds no memory of a target any more.
-MAX_ZERO_REPORTS = 4
+MAX_ZERO_REPORTS = 2
 
 
 class MemoryReports:
@@ -13,11 +13,27 @@
     def __init__(self) -> None:
         self._tokens: dict[str, int] = {}
         self._zero_reports: Counter[str] = Counter()
-
-    def record(self, target: str, tokens: int) -> None:
-        """Replace the tokens that this daemon holds in the memory of a target."""
+        self._doubtful: set[str] = set()
+
+    def record(self, target: str, tokens: int) -> bool:
+        """Replace the tokens that this daemon holds in the memory of a target.
+
+        Returns
+        -------
+        bool
+            Whether to report them: the coordinator may know another number.
+        """
+        is_known = tokens == self._tokens.get(target, 0)
+        if is_known and target not in self._doubtful:
+            return False
+        self._doubtful.discard(target)
         self._tokens[target] = tokens
         self._zero_reports[target] = 0
+        return True
+
+    def mark_doubtful(self, target: str) -> None:
+        """Record that a coordinator may have granted a permit that didn't arrive."""
+        self._doubtful.add(target)
 
     def get(self, target: str) -> int | None:
         """Return the tokens to report; None if there is nothing to report."""
@@ -35,3 +51,4 @@
         """Drop the report on a target."""
         self._tokens.pop(target, None)
         self._zero_reports.pop(target, None)
+        self._doubtful.discard(target)
--- a/kingcuphead/permits/tests/test_memory.py
+++ b/kingcuphead/permits/tests/test_memory.py
@@ -19,6 +19,7 @@
     MemoryAccount,
     compute_memory_share,
 )
+from kingcuphead.permits._memory_reports import MemoryReports
 from kingcuphead.targets import Availability, Target
 
 CAPACITY = 1_000
@@ -69,6 +70,18 @@
         assert sum(shares) <= 1.0
 
 
+class TestMemoryReports:
+    def test_only_what_the_coordinator_may_not_know_is_reported(self):
+        """Each denial would else cause a report of what is known."""
+        reports = MemoryReports()
+        assert not reports.record("e1", 0)
+        assert reports.record("e1", 300)
+        assert not reports.record("e1", 300)
+        reports.mark_doubtful("e1")
+        assert reports.record("e1", 300)
+        assert not reports.record("e1", 300)
+
+
 class TestMemoryPermits:
     """Two daemons, of which one coordinates; its answers may get lost."""
 
