Bound the memory of engines where the contracts have `pressure`

Cause: an engine that holds more tokens than its memory crashes; the bound was left off because admission didn't know it and most requests asked for permits. Change: `Profile.engines_crash_when_full` is read from `contracts` and sets `bounds_engine_memory`; other deployments are served as before.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -105,9 +105,7 @@
         dispatch_settings = DispatchSettings(
             profile.zone,
             has_contended_engines=profile.is_constrained,
-            # Admission doesn't know the memory of engines yet: it would admit requests
-            # that are refused then.
-            bounds_engine_memory=False,
+            bounds_engine_memory=profile.engines_crash_when_full,
         )
         self._dispatcher = Dispatcher(dispatch_settings, peer_loads, rng)
         self._dispatcher.observer = self._metrics.engines
--- a/kingcuphead/entry/tests/_played_daemons.py
+++ b/kingcuphead/entry/tests/_played_daemons.py
@@ -214,12 +214,11 @@
             drain=2.0,
             retries=RetryBudget(0.2, 174, 10.0),
             has_scarce_capacity=True,
+            engines_crash_when_full=is_bounded,
         )
         daemon = EntryDaemon(profile, "")
         # All parts of a daemon share one source of randomness.
         daemon._dispatcher._rng.seed(f"{self._seed}/{number}")
-        daemon._dispatcher.memory.is_enabled = is_bounded
-        daemon._links.permits.bounds_memory = is_bounded
 
         def send(message, *receivers):
             self._send(address, message, receivers)
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -96,6 +96,8 @@
     limits: InstanceLimits = InstanceLimits()
     #: Whether callers may need more than instances or targets can serve.
     has_scarce_capacity: bool = False
+    #: Whether an engine that holds more tokens than its memory has room for crashes.
+    engines_crash_when_full: bool = False
     #: Bound on the requests that a cold target gets in one second.
     cold_bounds: ColdBounds = ColdBounds()
 
@@ -141,6 +143,8 @@
 
 #: Contracts under which callers compete for capacity.
 _SCARCITY_CONTRACTS = frozenset({"pressure", "places"})
+#: Contract under which an engine crashes when its memory is overfilled.
+_CRASH_CONTRACT = "pressure"
 #: Share of the cores that an unreadable share counts as; with the fewest cores it makes
 #: the smallest processor of an instance.
 _SMALLEST_CPU_SHARE = 0.31
@@ -242,6 +246,7 @@
         has_scarce_capacity=not _SCARCITY_CONTRACTS.isdisjoint(
             reader.get_names("contracts")
         ),
+        engines_crash_when_full=_CRASH_CONTRACT in reader.get_names("contracts"),
         cold_bounds=ColdBounds(
             ratio=reader.get_lenient_number("bounds.cold_over", 1.5, 1.0),
             extra=reader.get_lenient_number("bounds.cold_slack", 5.0, 1.0),
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -300,6 +300,20 @@
         profile = parse_profile(f"{PROFILE}{line}\n").ok
         assert profile.has_scarce_capacity is expected
 
+    @pytest.mark.parametrize(
+        ("line", "expected"),
+        [
+            ("", False),
+            ("contracts=pressure", True),
+            ("contracts=prices, places", False),
+            ('contracts=["places", "pressure"]', True),
+            ("contracts=pressures", False),
+        ],
+    )
+    def test_engines_crash_when_full_only_under_pressure(self, line, expected):
+        profile = parse_profile(f"{PROFILE}{line}\n").ok
+        assert profile.engines_crash_when_full is expected
+
     def test_limits_of_the_instance_are_read(self):
         text = PROFILE + (
             "limits.cores=2.15\nlimits.cpu_share=0.5\n"
