--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -20,11 +20,12 @@
 FRESH_BUDGET_MAX_AGE_SECONDS = 0.2
 #: Share of the desired free tokens below which credit is renewed at once.
 LOW_CREDIT_SHARE = 0.5
-#: Seconds for which a request of another daemon for tokens of the reserve is open.
+#: Seconds after which another daemon's request for tokens of the reserve expires.
 RESERVE_REQUEST_SECONDS = 0.3
 #: Seconds of demand that a daemon requests from others while the store doesn't answer.
 TRANSFER_SECONDS = 0.5
-#: Requests of mean cost that other daemons are assumed to have spent.
+#: Requests of mean cost that other daemons are assumed to have spent, so that the first
+#: requests of an organisation don't give one daemon the whole share.
 SPEND_PRIOR_REQUESTS = 20
 #: Weight of the newest request in the moving average of tokens per request.
 REQUEST_TOKENS_WEIGHT = 0.2
@@ -94,6 +95,7 @@
         self.unreported = 0
         #: Tokens that waiting requests need.
         self.waiting_tokens = 0
+        #: Tokens of the reserve that other daemons asked for, until a time in seconds.
         self._requested_reserve = 0
         self._requested_until = float("-inf")
         #: Tokens spent since the incarnation started.
--- a/kingcuphead/credit/_contact.py
+++ b/kingcuphead/credit/_contact.py
@@ -1,6 +1,6 @@
 """When the platform's store last answered one daemon, for any organisation."""
 
-#: Seconds after which a call without an answer counts as a sign of an outage.
+#: Seconds after which a call without an answer is taken for a sign of an outage.
 SILENT_SECONDS = 0.12
 
 
--- a/kingcuphead/credit/_demand.py
+++ b/kingcuphead/credit/_demand.py
@@ -4,7 +4,7 @@
 
 #: Time constant, in seconds, of the average that follows a daemon that becomes busy.
 FAST_PERIOD_SECONDS = 1.5
-#: Requests within that time from which on its average is used; fewer say little.
+#: Requests within that time below which its average is too noisy to be used.
 MIN_FAST_REQUESTS = 10.0
 #: Minimum seconds over which demand is averaged after an organisation's first request.
 MIN_OBSERVATION_SECONDS = 2.0
@@ -21,7 +21,7 @@
         self._updated_at = 0.0
 
     def add(self, amount: float, now: float) -> None:
-        """Add an amount of the present."""
+        """Add an amount at the time `now`."""
         self._value = self.get(now) + amount
         self._updated_at = now
 
@@ -99,6 +99,15 @@
             self._total.add(total - last[1], now)
 
     def get(self, prior: float, now: float) -> float:
-        """Return the share; `prior` tokens of other daemons are added to the total."""
+        """Return the share.
+
+        Parameters
+        ----------
+        prior
+            Tokens that other daemons are assumed to have spent, in addition to those
+            that were recorded.
+        now
+            Time in seconds.
+        """
         share = self._own.get(now) / max(1.0, prior + self._total.get(now))
         return min(1.0, max(0.0, share))
--- a/kingcuphead/credit/_era.py
+++ b/kingcuphead/credit/_era.py
@@ -138,6 +138,41 @@
             return Received()
         return received.subtract(self._recorded)
 
+    def complete_shards(
+        self, rows: Mapping[int, ShardRow], budget: Budget, store_time: int
+    ) -> dict[int, ShardRow]:
+        """Return the shard rows to write, given those that change.
+
+        The first transaction in an era after a restore writes all of them.
+        """
+        if not self.opens(budget):
+            return dict(rows)
+        return open_era(rows, budget, self.earlier, store_time)
+
+    def write_shards(
+        self, rows: Mapping[int, ShardRow], budget: Budget, limit: Limit
+    ) -> tuple[list[Check], list[Put | Delete]]:
+        """Return the checks and writes of a transaction that changes shard rows.
+
+        Parameters
+        ----------
+        rows
+            The changed rows, by index; none if only the holder row changes.
+        budget
+            The budget before the transaction.
+        limit
+            Prepaid tokens.
+        """
+        if not rows:
+            return [], []
+        era = self.number or 0
+        checks, puts = write_shards(era, rows, budget)
+        checks += check_other_shards(era, rows, budget, limit)
+        if self.earlier is None:
+            return checks, [*puts]
+        earlier_checks, deletes = replace_earlier(self.earlier)
+        return [*checks, *earlier_checks], [*puts, *deletes]
+
     def confirm(self, wrote_shards: bool) -> None:
         """Handle a committed transaction of the incarnation."""
         self._must_record = False
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -25,13 +25,10 @@
 from kingcuphead.credit._era import (
     EraState,
     Received,
-    check_other_shards,
     decode_shards,
-    open_era,
-    replace_earlier,
-    write_shards,
 )
 from kingcuphead.credit._messages import CreditSettings, HolderRow, ShardRow, Shortage
+from kingcuphead.credit._release import ReserveRelease
 from kingcuphead.credit._rows import make_holder_key, make_shard_key
 from kingcuphead.frozen import frozen
 from kingcuphead.invariants import ensure
@@ -41,7 +38,6 @@
     CommitOutcome,
     Committed,
     Conflict,
-    Delete,
     Put,
     Row,
     RowSnapshot,
@@ -100,12 +96,7 @@
         #: the holder row and change it, so at most one of them is ever applied.
         self._in_doubt: list[_SentTransaction] = []
         self._is_closing = False
-        #: Time in seconds of the first transaction sent after the last one known to be
-        #: committed; None if there is none.
-        self._unconfirmed_since: float | None = None
-        #: Time in seconds at which the last committed transaction was planned.
-        self._confirmed_at = float("-inf")
-        self._planned_at = float("-inf")
+        self._release = ReserveRelease(settings, contact)
         self._era = EraState(make_holder_key(instance, incarnation))
         #: Free credit, reserve and holds of the organisation in this daemon.
         self.account = Account(settings)
@@ -201,20 +192,8 @@
         return None
 
     def get_released_share(self, now: float) -> float:
-        """Return the share of the reserve that is released at the time `now`.
-
-        The release begins when the store stops answering, whichever organisation's call
-        shows it, but not before the transaction that wrote the stamp of the reserve.
-        """
-        times = []
-        if self._unconfirmed_since is not None:
-            times.append(self._unconfirmed_since)
-        if self._contact.silent_since is not None:
-            times.append(max(self._contact.silent_since, self._confirmed_at))
-        if not times:
-            return 0.0
-        age = now - min(times) - self._settings.clock_margin
-        return self._settings.get_released_share(age)
+        """Return the share of the reserve that is released at the time `now`."""
+        return self._release.get_share(now)
 
     def can_move_reserve(self, now: float) -> bool:
         """Whether a transaction can move tokens from the reserve to the free credit."""
@@ -249,13 +228,9 @@
         if adjustment is None and not self._must_write():
             return None
         adjustment = adjustment or Adjustment(0, 0, 0)
-        self._planned_at = now
         self._contact.record_call(now)
-        if self._unconfirmed_since is None:
-            self._unconfirmed_since = now
-        stamp = 0
-        if store_time is not None:
-            stamp = store_time - math.ceil((now - self._unconfirmed_since) * 1000)
+        self._release.record_transaction(now)
+        stamp = self._release.compute_stamp(now, store_time)
         return self._make_transaction(adjustment, stamp, store_time)
 
     def handle_outcome(self, outcome: CommitOutcome) -> None:
@@ -276,14 +251,13 @@
             case Committed(version):
                 self._cancel_in_doubt()
                 self._confirm(sent, version)
-                self._confirmed_at = self._planned_at
-                self._unconfirmed_since = None
+                self._release.record_commit()
                 self.account.released_reserve = 0
             case Conflict(rows):
-                self._cancel(sent)
+                self.account.cancel(sent.adjustment)
                 self._apply_conflict({row.key: row for row in rows})
             case Unavailable():
-                self._cancel(sent)
+                self.account.cancel(sent.adjustment)
             case Unknown():
                 self._in_doubt.append(sent)
 
@@ -322,19 +296,13 @@
         self._attempt += 1
         self._sent = _SentTransaction(self._attempt, adjustment, shards)
         holder = self._make_holder_row(adjustment, stamp)
-        checks = [Check(self.holder_key, self._holder_version)]
-        writes: list[Put | Delete] = [Put(self.holder_key, msgspec.json.encode(holder))]
-        shard_checks, puts = write_shards(self.era or 0, shards, self.account.budget)
-        checks += shard_checks
-        writes += puts
-        if shards:
-            budget, limit = self.account.budget, self.account.get_limit()
-            checks += check_other_shards(self.era or 0, shards, budget, limit)
-        if shards and self._era.earlier is not None:
-            earlier_checks, deletes = replace_earlier(self._era.earlier)
-            checks += earlier_checks
-            writes += deletes
-        return Transaction(tuple(checks), tuple(writes))
+        checks, writes = self._era.write_shards(
+            shards, self.account.budget, self.account.get_limit()
+        )
+        return Transaction(
+            (Check(self.holder_key, self._holder_version), *checks),
+            (Put(self.holder_key, msgspec.json.encode(holder)), *writes),
+        )
 
     def _change_shards(
         self, adjustment: Adjustment, store_time: int | None
@@ -350,9 +318,7 @@
             account.get_limit(),
             self._rng,
         )
-        if not self._era.opens(account.budget):
-            return shards
-        return open_era(shards, account.budget, self._era.earlier, store_time or 0)
+        return self._era.complete_shards(shards, account.budget, store_time or 0)
 
     def _count_unrecorded(self) -> Received:
         """Return what the shard rows of this era lack of this incarnation."""
@@ -427,10 +393,7 @@
             written = {index: Shard(row, version) for index, row in sent.shards.items()}
             self.account.replace_shards(written)
 
-    def _cancel(self, sent: _SentTransaction) -> None:
-        self.account.cancel(sent.adjustment)
-
     def _cancel_in_doubt(self) -> None:
         for sent in self._in_doubt:
-            self._cancel(sent)
+            self.account.cancel(sent.adjustment)
         self._in_doubt.clear()
--- a/kingcuphead/credit/_peer_credit.py
+++ b/kingcuphead/credit/_peer_credit.py
@@ -1,4 +1,4 @@
-"""What other daemons have said that they can transfer, and whom to ask for how much."""
+"""Credit that other daemons have offered, and whom to ask for how much."""
 
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
@@ -8,12 +8,12 @@
 
 #: Seconds for which a daemon's statement is used to choose whom to ask.
 STATEMENT_RETENTION_SECONDS = 2.0
-#: Seconds for which a daemon isn't asked again what it has, while credit is missing.
+#: Seconds after a statement before the daemon is asked again what it has.
 STATEMENT_FRESH_SECONDS = 0.2
 #: Seconds that a daemon needs to move tokens from its reserve to its free credit: one
 #: transaction, and the time until it is begun.
 RESERVE_MOVE_SECONDS = 0.03
-#: Free tokens assumed of a daemon whose release doesn't state them.
+#: Free tokens assumed of a daemon of an earlier release, which doesn't state them.
 UNSTATED_FREE_TOKENS = 4_000
 #: Maximum number of daemons asked for tokens at once.
 MAX_PARALLEL_REQUESTS = 16
@@ -50,7 +50,8 @@
     peer: Address
     #: Tokens to ask for.
     tokens: int = 0
-    #: Further tokens, of what it doesn't need itself; 0 of both asks only what it has.
+    #: Further tokens, of what it doesn't need itself. If both are 0, the request only
+    #: asks what the daemon has.
     extra: int = 0
 
 
@@ -87,7 +88,7 @@
     def count_known(
         self, organisation: str, peers: Iterable[Address], now: float
     ) -> tuple[int, int]:
-        """Return the free tokens and those in reserves that are known of."""
+        """Return the known free tokens and reserve tokens of some daemons."""
         known = [each for _, each in self._list_known(organisation, peers, now)]
         return sum(each.free for each in known), sum(each.reserve for each in known)
 
@@ -119,7 +120,19 @@
     ) -> tuple[PlannedRequest, ...]:
         """Return the requests that cover what is missing, as far as is known.
 
-        Those with most free credit are asked first, then those with most reserve.
+        Daemons with the most free credit are asked first, then those with the largest
+        reserve.
+
+        Parameters
+        ----------
+        organisation
+            Organisation that pays.
+        missing
+            Tokens to ask for.
+        peers
+            Daemons that may be asked.
+        now
+            Time in seconds.
         """
         ready = [
             (peer, each)
--- /dev/null
+++ b/kingcuphead/credit/_release.py
@@ -0,0 +1,65 @@
+"""When the outage reserve of one organisation is released for use."""
+
+import math
+
+from kingcuphead.credit._contact import StoreContact
+from kingcuphead.credit._messages import CreditSettings
+
+
+class ReserveRelease:
+    """Computes how much of the reserve is released while the store doesn't answer.
+
+    The release begins when the store stops answering, whichever organisation's call
+    shows it, but not before the transaction that wrote the stamp of the reserve.
+
+    Parameters
+    ----------
+    settings
+        Delay and period of the release.
+    contact
+        When the store last answered this daemon.
+    """
+
+    def __init__(self, settings: CreditSettings, contact: StoreContact) -> None:
+        self._settings = settings
+        self._contact = contact
+        #: Time in seconds of the first transaction sent after the last one known to be
+        #: committed; None if there is none.
+        self._unconfirmed_since: float | None = None
+        #: Time in seconds at which the last committed transaction was planned.
+        self._confirmed_at = float("-inf")
+        self._planned_at = float("-inf")
+
+    def record_transaction(self, now: float) -> None:
+        """Record that a transaction is sent."""
+        self._planned_at = now
+        if self._unconfirmed_since is None:
+            self._unconfirmed_since = now
+
+    def record_commit(self) -> None:
+        """Record that the transaction that was sent last is committed."""
+        self._confirmed_at = self._planned_at
+        self._unconfirmed_since = None
+
+    def compute_stamp(self, now: float, store_time: int | None) -> int:
+        """Return the stamp of a holder row in milliseconds of the store's time.
+
+        It is that of the first transaction that isn't known to be committed, or 0 if
+        the store's time isn't known.
+        """
+        if store_time is None:
+            return 0
+        since = now if self._unconfirmed_since is None else self._unconfirmed_since
+        return store_time - math.ceil((now - since) * 1000)
+
+    def get_share(self, now: float) -> float:
+        """Return the share of the reserve that is released at the time `now`."""
+        times = []
+        if self._unconfirmed_since is not None:
+            times.append(self._unconfirmed_since)
+        if self._contact.silent_since is not None:
+            times.append(max(self._contact.silent_since, self._confirmed_at))
+        if not times:
+            return 0.0
+        age = now - min(times) - self._settings.clock_margin
+        return self._settings.get_released_share(age)
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -9,6 +9,7 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._messages import CreditSettings, Shortage
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
 from kingcuphead.credit._reclaim import Reclaim, find_reclaimable, plan_reclaim
@@ -80,7 +81,7 @@
 
     def wake_if_low(self) -> None:
         """Renew without waiting for the interval if little credit is free."""
-        if not self.is_store_down and self._ledger.account.is_low(_get_time()):
+        if not self.is_store_down and self._ledger.account.is_low(get_time()):
             self._wake.set()
 
     def begin_era(self, era: int) -> None:
@@ -112,10 +113,10 @@
         """
         conflict_delay = MIN_CONFLICT_DELAY_SECONDS
         while True:
-            if self._ledger.needs_rows(_get_time()) and not await self._read_rows():
+            if self._ledger.needs_rows(get_time()) and not await self._read_rows():
                 return False
             transaction = self._ledger.plan_transaction(
-                _get_time(), self._table.estimate_time()
+                get_time(), self._table.estimate_time()
             )
             if transaction is None:
                 await self._notify()
@@ -149,10 +150,10 @@
     async def _read_rows(self) -> bool:
         """Read the rows that the ledger needs; return whether the store replied."""
         prefix = self._ledger.rows_prefix
-        self._ledger.start_read(_get_time())
+        self._ledger.start_read(get_time())
         match await self._table.read_prefix(prefix):
             case Result(tag="ok", ok=snapshot):
-                self._ledger.apply_rows(prefix, snapshot, _get_time())
+                self._ledger.apply_rows(prefix, snapshot, get_time())
                 self._update_store_status(is_down=False)
                 return True
             case Result(error=fault):
@@ -163,7 +164,7 @@
     async def _wait_for_next_renewal(self) -> None:
         self._wake.clear()
         account = self._ledger.account
-        if account.waiting_tokens or account.count_requested_reserve(_get_time()):
+        if account.waiting_tokens or account.count_requested_reserve(get_time()):
             await asyncio.sleep(
                 RETRY_DELAY_SECONDS if self.is_store_down else WAITING_RENEWAL_SECONDS
             )
@@ -251,7 +252,3 @@
     return any(
         row.key == expected.key and row.version == expected.version for row in rows
     )
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -5,6 +5,7 @@
 
 from expression import Error, Ok, Result
 
+from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._ledger import CreditLedger
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold, Shortage
 from kingcuphead.credit._renewal import (
@@ -18,11 +19,11 @@
 
 #: Seconds without a renewal after which a waiting request tries a credit transfer.
 TRANSFER_DELAY_SECONDS = 0.06
-#: Seconds for which a request waits while other daemons hold the missing credit: it may
-#: be on its way from one of them to the store or to another daemon.
+#: Seconds for which a request waits although other daemons hold the missing credit: the
+#: credit may be in transit from one of them to the store or to another daemon.
 UNPROVEN_SECONDS = 0.25
-#: Seconds from the first round of transfers for a request to the beginning of the last;
-#: other requests may take what was received for it.
+#: Seconds from the first round of transfers for a request to the start of the last.
+#: Rounds are repeated because other requests may take what was received for it.
 MAX_TRANSFER_SECONDS = 0.2
 
 
@@ -94,18 +95,18 @@
         timeout
             Maximum time to wait, in seconds.
         """
-        requested_at = _get_time()
+        requested_at = get_time()
         self._ledger.record_demand(organisation, tokens, requested_at)
         held = await self._acquire_hold(organisation, tokens, timeout)
         if held.is_error():
-            self._ledger.retract_demand(organisation, tokens, requested_at, _get_time())
+            self._ledger.retract_demand(organisation, tokens, requested_at, get_time())
             # Returns what was allocated or transferred for the request.
             self._get_renewal(organisation).wake()
         return held
 
     def settle(self, hold: Hold, spent: int) -> None:
         """End a hold with the tokens that the request spent, capped at the hold."""
-        self._ledger.settle(hold, min(spent, hold.tokens), _get_time())
+        self._ledger.settle(hold, min(spent, hold.tokens), get_time())
 
     async def run(self) -> None:
         """Renew the credit of every organisation until cancelled."""
@@ -124,8 +125,8 @@
             Whether the store has confirmed that all credit is returned.
         """
         self._ledger.close()
-        deadline = _get_time() + timeout
-        while not self._ledger.is_empty and _get_time() < deadline:
+        deadline = get_time() + timeout
+        while not self._ledger.is_empty and get_time() < deadline:
             renewals = tuple(self._renewals.values())
             await asyncio.gather(*(renewal.renew() for renewal in renewals))
             if not self._ledger.is_empty:
@@ -153,7 +154,7 @@
         self, organisation: str, tokens: int, timeout: float
     ) -> Result[Hold, CreditRefused]:
         renewal = self._get_renewal(organisation)
-        hold = self._ledger.hold(organisation, tokens, _get_time())
+        hold = self._ledger.hold(organisation, tokens, get_time())
         if hold is not None:
             self._refill(renewal, organisation)
             return Ok(hold)
@@ -168,7 +169,7 @@
         if not self._is_store_silent(renewal):
             renewal.wake_if_low()
         elif self.transfer_client is not None:
-            lacking = self._ledger.count_lacking(organisation, _get_time())
+            lacking = self._ledger.count_lacking(organisation, get_time())
             self.transfer_client.prefetch_credit(organisation, lacking)
 
     async def _obtain_credit(
@@ -195,21 +196,21 @@
         tokens: int,
         timeout: float,
     ) -> Result[Hold, CreditRefused]:
-        deadline = _get_time() + timeout
-        unproven_until = _get_time() + UNPROVEN_SECONDS
-        while _get_time() < deadline and not renewal.is_store_down:
+        deadline = get_time() + timeout
+        unproven_until = get_time() + UNPROVEN_SECONDS
+        while get_time() < deadline and not renewal.is_store_down:
             renewal.wake()
-            remaining = deadline - _get_time()
+            remaining = deadline - get_time()
             renewed = await renewal.wait_for_renewal(
                 min(remaining, TRANSFER_DELAY_SECONDS)
             )
-            hold = self._ledger.hold(organisation, tokens, _get_time())
+            hold = self._ledger.hold(organisation, tokens, get_time())
             shortage = renewal.find_shortage(tokens)
             if hold is None and (not renewed or shortage is Shortage.UNPROVEN):
                 hold = await self._request_transfer(organisation, tokens)
             if hold is not None:
                 return Ok(hold)
-            if shortage is Shortage.UNPROVEN and _get_time() < unproven_until:
+            if shortage is Shortage.UNPROVEN and get_time() < unproven_until:
                 continue
             if shortage is not None and renewed:
                 return Error(self._refuse(organisation, shortage))
@@ -222,13 +223,13 @@
 
     def _is_store_silent(self, renewal: OrganisationRenewal) -> bool:
         """Whether the store doesn't answer, by any organisation's calls."""
-        return renewal.is_store_down or self._ledger.is_store_silent(_get_time())
+        return renewal.is_store_down or self._ledger.is_store_silent(get_time())
 
     async def _request_transfer(self, organisation: str, tokens: int) -> Hold | None:
         """Request the tokens a request lacks from other daemons, then try to hold."""
         if self.transfer_client is None:
             return None
-        now = _get_time()
+        now = get_time()
         until = now + MAX_TRANSFER_SECONDS
         while now < until:
             missing = tokens - self._ledger.get_free_tokens(organisation)
@@ -241,16 +242,12 @@
             is_received = await self.transfer_client.request_credit(
                 organisation, missing, extra
             )
-            now = _get_time()
+            now = get_time()
             hold = self._ledger.hold(organisation, tokens, now)
             if hold is not None or not is_received:
                 return hold
         return None
 
     def _refuse(self, organisation: str, shortage: Shortage) -> CreditRefused:
-        state = self._ledger.describe(organisation, _get_time())
+        state = self._ledger.describe(organisation, get_time())
         return CreditRefused(shortage, state)
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/kingcuphead/credit/_transfer.py
+++ b/kingcuphead/credit/_transfer.py
@@ -49,8 +49,8 @@
     number: int
     #: Tokens transferred, often fewer than requested.
     tokens: int
-    #: Tokens that the sender could still transfer at once; `UNSTATED` if it is of a
-    #: release that doesn't state them.
+    #: Tokens that the sender could still transfer at once; `UNSTATED` from a sender of
+    #: an earlier release.
     free: int = UNSTATED
     #: Tokens of the sender's reserve that it can move to its free credit on request.
     reserve: int = 0
--- a/kingcuphead/credit/_transfer_client.py
+++ b/kingcuphead/credit/_transfer_client.py
@@ -7,6 +7,7 @@
 
 from loguru import logger
 
+from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._peer_credit import Address, PeerStatements, PlannedRequest
 from kingcuphead.credit._transfer import CreditAsked, CreditHanded, TransferEndpoint
 from kingcuphead.frozen import frozen
@@ -15,9 +16,9 @@
 REPLY_TIMEOUT_SECONDS = 0.04
 #: Maximum number of times that a request is sent to one daemon.
 MAX_SENDS = 2
-#: Maximum number of daemons asked at once what they have.
+#: Maximum number of daemons asked in parallel how much they can transfer.
 MAX_PARALLEL_PROBES = 32
-#: Maximum number of daemons asked what they have to cover one shortage.
+#: Maximum number of daemons asked how much they can transfer, in one round.
 MAX_PROBES = 96
 #: Number of daemons without a reply after which a round is abandoned: most likely this
 #: daemon is cut off from the others.
@@ -26,8 +27,8 @@
 UNRESPONSIVE_SECONDS = 2.0
 #: Seconds after which a round is abandoned.
 MAX_ROUND_SECONDS = 0.3
-#: Seconds for which no transfer is requested for an organisation after all daemons
-#: asked had too few tokens together.
+#: Seconds for which no transfer is requested for an organisation after a round that
+#: did not receive enough.
 SHORTAGE_SECONDS = 0.2
 
 
@@ -41,17 +42,17 @@
     deadline: float
     #: Tokens that requests lacked when they joined the round.
     wanted: int = 0
-    #: The least of these.
+    #: Smallest amount that any of these requests lacked.
     least: int = 0
     #: Further tokens to ask for, of what other daemons don't need.
     extra: int = 0
     #: Tokens received.
     received: int = 0
-    #: Daemons asked what they have.
+    #: Daemons asked how much they can transfer.
     probed: int = 0
     #: Daemons that sent a reply.
     replied: int = 0
-    #: Daemons that sent none in time.
+    #: Daemons that did not reply in time.
     unresponsive: int = 0
 
     @property
@@ -76,9 +77,13 @@
 class _Pending:
     """A request that was sent."""
 
+    #: The daemon that was asked.
     peer: Address
+    #: The request.
     request: CreditAsked
+    #: Round that the request is part of.
     round: _Round
+    #: Done once the reply has arrived.
     replied: asyncio.Future[None]
 
 
@@ -139,14 +144,14 @@
         """
         if tokens <= 0:
             return True
-        if _get_time() < self._short_until.get(organisation, 0.0):
+        if get_time() < self._short_until.get(organisation, 0.0):
             return False
         # The round serves other requests too.
         return await asyncio.shield(self._join_round(organisation, tokens, extra))
 
     def prefetch_credit(self, organisation: str, tokens: int) -> None:
         """Request tokens that other daemons don't need, without waiting for them."""
-        now = _get_time()
+        now = get_time()
         if organisation in self._rounds or tokens <= 0:
             return
         if now >= self._no_surplus_until.get(organisation, 0.0):
@@ -164,7 +169,7 @@
         round_.replied += 1
         self._unresponsive_until.pop(pending.peer, None)
         self._statements.record(
-            request.organisation, pending.peer, request.tokens, reply, _get_time()
+            request.organisation, pending.peer, request.tokens, reply, get_time()
         )
         if not pending.replied.done():
             pending.replied.set_result(None)
@@ -174,7 +179,7 @@
     ) -> asyncio.Task[bool]:
         running = self._rounds.get(organisation)
         if running is None:
-            round_ = _Round(organisation, _get_time() + MAX_ROUND_SECONDS)
+            round_ = _Round(organisation, get_time() + MAX_ROUND_SECONDS)
             running = round_, asyncio.create_task(self._run_round(round_))
             self._rounds[organisation] = running
         running[0].join(tokens, extra)
@@ -189,10 +194,10 @@
         finally:
             del self._rounds[round_.organisation]
         if round_.missing:
-            until = _get_time() + SHORTAGE_SECONDS
+            until = get_time() + SHORTAGE_SECONDS
             self._short_until[round_.organisation] = until
         logger.bind(organisation=round_.organisation).info(
-            "credit borrowed: {} of {} tokens, {} replies of daemons, {} missing",
+            "credit borrowed: {} of {} tokens; {} daemons replied, {} did not",
             round_.received,
             round_.wanted,
             round_.replied,
@@ -202,7 +207,7 @@
 
     async def _collect(self, round_: _Round) -> None:
         """Request what is missing until it is received or no daemon has more."""
-        while not round_.is_cut_off and _get_time() < round_.deadline:
+        while not round_.is_cut_off and get_time() < round_.deadline:
             peers = self._list_responsive_peers()
             if not self._knows_enough(round_, peers):
                 if await self._probe(round_, peers):
@@ -214,30 +219,36 @@
                     return
                 continue
             ready_at = self._statements.find_ready_time(
-                round_.organisation, peers, _get_time()
+                round_.organisation, peers, get_time()
             )
             if ready_at is None:
                 return
-            await asyncio.sleep(ready_at - _get_time())
+            await asyncio.sleep(ready_at - get_time())
 
     def _knows_enough(self, round_: _Round, peers: tuple[Address, ...]) -> bool:
-        """Whether the free credit known of covers what is missing."""
-        now = _get_time()
+        """Whether the known free credit of other daemons covers what is missing."""
+        now = get_time()
         free, _ = self._statements.count_known(round_.organisation, peers, now)
         return free >= max(1, round_.missing)
 
     def _may_serve_one(self, round_: _Round, peers: tuple[Address, ...]) -> bool:
-        """Whether what is known of may serve the smallest request that waits.
+        """Whether the known credit may suffice for the smallest waiting request.
 
-        Tokens that serve none stay where they are, since they may serve others there.
+        Otherwise the tokens stay where they are, since they may serve requests there.
         """
-        now = _get_time()
+        now = get_time()
         known = sum(self._statements.count_known(round_.organisation, peers, now))
         return known + round_.received >= max(1, round_.least)
 
     async def _probe(self, round_: _Round, peers: tuple[Address, ...]) -> bool:
-        """Ask some daemons what they have; return False if none is left to ask."""
-        unknown = self._statements.list_unknown(round_.organisation, peers, _get_time())
+        """Ask some daemons how much they can transfer.
+
+        Returns
+        -------
+        bool
+            Whether any daemon was left to ask.
+        """
+        unknown = self._statements.list_unknown(round_.organisation, peers, get_time())
         count = min(MAX_PARALLEL_PROBES, MAX_PROBES - round_.probed, len(unknown))
         if count <= 0:
             return False
@@ -255,7 +266,7 @@
     ) -> bool:
         """Request what is missing; return False if no daemon is ready to be asked."""
         planned = self._statements.plan_requests(
-            round_.organisation, round_.missing or round_.extra, peers, _get_time()
+            round_.organisation, round_.missing or round_.extra, peers, get_time()
         )
         if not planned:
             return False
@@ -275,7 +286,7 @@
         planned: Iterable[PlannedRequest],
         suffices: Callable[[], bool],
     ) -> None:
-        """Send requests and wait until the replies suffice, all came, or time out."""
+        """Send requests; wait until replies suffice, all arrived, or the timeout."""
         sent = [self._open(round_, each) for each in planned]
         try:
             for _ in range(MAX_SENDS):
@@ -299,7 +310,7 @@
         return pending
 
     def _record_unresponsive(self, round_: _Round, sent: Iterable[_Pending]) -> None:
-        until = _get_time() + UNRESPONSIVE_SECONDS
+        until = get_time() + UNRESPONSIVE_SECONDS
         for each in sent:
             if not each.replied.done():
                 round_.unresponsive += 1
@@ -307,7 +318,7 @@
                 self._statements.forget(round_.organisation, each.peer)
 
     def _list_responsive_peers(self) -> tuple[Address, ...]:
-        now = _get_time()
+        now = get_time()
         return tuple(
             peer
             for peer in self._list_peers()
@@ -319,18 +330,14 @@
     sent: Iterable[_Pending], suffices: Callable[[], bool]
 ) -> bool:
     """Wait for replies; return False after `REPLY_TIMEOUT_SECONDS`."""
-    end = _get_time() + REPLY_TIMEOUT_SECONDS
+    end = get_time() + REPLY_TIMEOUT_SECONDS
     while True:
         open_ = [each.replied for each in sent if not each.replied.done()]
         if not open_ or suffices():
             return True
-        remaining = end - _get_time()
+        remaining = end - get_time()
         if remaining <= 0:
             return False
         await asyncio.wait(
             open_, timeout=remaining, return_when=asyncio.FIRST_COMPLETED
         )
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
