platform: order constants, name limits by field, reword

Cause: constants of _profile.py stood between functions, limits of the instance were passed by position from a generator, two readers of lenient numbers did the same, and _Caller was the name of an organisation with its keys.

Change: constants at the top, keyword arguments, one reader, _OrganisationWithKeys. The log line of an invalid number says which value is used instead. Behaviour is unchanged; the tests of the package passed.

--- a/kingcuphead/platform/_configuration.py
+++ b/kingcuphead/platform/_configuration.py
@@ -94,8 +94,8 @@
 
 
 @frozen
-class _Caller:
-    """An organisation with its keys."""
+class _OrganisationWithKeys:
+    """A decoded organisation and its API keys."""
 
     organisation: Organisation
     keys: tuple[str, ...]
@@ -109,9 +109,10 @@
 
 
 class _PartCache(Generic[T]):
-    """Decodes parts of a version; those in the version before aren't decoded again.
+    """Decodes parts of a version, and reuses those of the version before.
 
-    Versions come several times a second in a rollout, and differ in few parts.
+    In a rollout versions follow each other several times a second and differ in few
+    parts.
     """
 
     def __init__(self, decode: Callable[[bytes], T]) -> None:
@@ -136,7 +137,7 @@
 
     def __init__(self) -> None:
         self._routes = _PartCache(_decode_route)
-        self._callers = _PartCache(_decode_caller)
+        self._organisations = _PartCache(_decode_organisation)
 
     def decode(self, content: bytes) -> Result[RoutingConfiguration, str]:
         """Decode one version.
@@ -154,7 +155,7 @@
         try:
             decoded = _DECODER.decode(content)
             routes = self._routes.decode_all(decoded.routes)
-            callers = self._callers.decode_all(decoded.tenants)
+            organisations = self._organisations.decode_all(decoded.tenants)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
             return Error(str(error))
         return Ok(
@@ -163,10 +164,12 @@
                 routes=routes,
                 services={each.name: _make_service(each) for each in decoded.services},
                 organisations={
-                    each.organisation.name: each.organisation for each in callers
+                    each.organisation.name: each.organisation for each in organisations
                 },
                 keys={
-                    key: each.organisation.name for each in callers for key in each.keys
+                    key: each.organisation.name
+                    for each in organisations
+                    for key in each.keys
                 },
                 limits=_make_limits(decoded.limits),
             )
@@ -178,21 +181,21 @@
     return ConfigurationDecoder().decode(content)
 
 
+def decode_evacuated_zone(key: str) -> str | None:
+    """Return the zone that a row of the configuration's table evacuates, or None."""
+    if not key.startswith(_EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(_EVACUATION_PREFIX)
+
+
 def _decode_route(content: bytes) -> Route:
     return _make_route(_ROUTE_DECODER.decode(content))
 
 
-def _decode_caller(content: bytes) -> _Caller:
+def _decode_organisation(content: bytes) -> _OrganisationWithKeys:
     tenant = _TENANT_DECODER.decode(content)
     organisation = Organisation(tenant.name, tenant.priority, tenant.prepaid)
-    return _Caller(organisation, tuple(tenant.api_keys))
-
-
-def decode_evacuated_zone(key: str) -> str | None:
-    """Return the zone that a row of the configuration's table evacuates, or None."""
-    if not key.startswith(_EVACUATION_PREFIX):
-        return None
-    return key.removeprefix(_EVACUATION_PREFIX)
+    return _OrganisationWithKeys(organisation, tuple(tenant.api_keys))
 
 
 def _make_route(route: _Route) -> Route:
@@ -235,6 +238,7 @@
 
 
 def _read_optional(name: str, value: Any, fallback: float) -> float:
+    """Return a non-negative number; 0 for null, and the fallback for a wrong value."""
     return 0.0 if value is None else read_number(name, value, fallback)
 
 
@@ -251,7 +255,9 @@
 class KeyHolder:
     """An organisation as the configuration states it, with its API keys."""
 
+    #: Name of the organisation.
     name: str
+    #: Its API keys, which other organisations may hold too by mistake.
     keys: tuple[str, ...]
 
 
@@ -268,7 +274,18 @@
 
 
 def decode_stated_values(content: bytes) -> Result[StatedValues, str]:
-    """Decode the values that `decode_configuration` merges or corrects."""
+    """Decode the values that `decode_configuration` merges or corrects.
+
+    Parameters
+    ----------
+    content
+        Configuration as JSON; unknown fields are ignored.
+
+    Returns
+    -------
+    Result[StatedValues, str]
+        The values, or the decoder's error message.
+    """
     try:
         decoded = _DECODER.decode(content)
         routes = [_ROUTE_DECODER.decode(each) for each in decoded.routes]
--- a/kingcuphead/platform/_entries.py
+++ b/kingcuphead/platform/_entries.py
@@ -7,8 +7,8 @@
 from kingcuphead.platform._numbers import read_number
 from kingcuphead.targets import Availability, Target
 
-#: Upper bound in seconds of the time for which an entry may call its target cold; also
-#: what an invalid value counts as, until the next entry.
+#: Longest time in seconds for which an entry may state that its target stays cold; an
+#: invalid value is replaced by it.
 MAX_COLD_LEFT = 60.0
 
 _STATES = {"ready": Availability.READY, "draining": Availability.DRAINING}
--- a/kingcuphead/platform/_numbers.py
+++ b/kingcuphead/platform/_numbers.py
@@ -1,4 +1,4 @@
-"""Lenient reader of numbers that operators and targets write."""
+"""Reads numbers that operators and targets write, and tolerates invalid ones."""
 
 import math
 from typing import Any
@@ -21,7 +21,7 @@
     Parameters
     ----------
     name
-        What the value states, for the log.
+        Name of the setting or field, for the log.
     value
         Value as decoded.
     fallback
@@ -44,4 +44,4 @@
     if (name, text) in _logged or len(_logged) >= MAX_REMEMBERED:
         return
     _logged.add((name, text))
-    logger.bind(value=text).warning("invalid {}; it counts as {}", name, fallback)
+    logger.bind(value=text).warning("invalid {}; using {}", name, fallback)
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -14,6 +14,15 @@
 SETTINGS_VARIABLE = "KINGCUPHEAD_CONFIG"
 #: Path of the platform's readiness probe.
 READINESS_PATH = "/api/ready"
+#: Largest capacity in Mbit/s of a link that the callers of one daemon may fill.
+MAX_NARROW_LINK_MBPS = 200.0
+
+#: Contracts under which callers compete for capacity.
+_SCARCITY_CONTRACTS = frozenset({"pressure", "places"})
+#: Share of the cores that replaces an invalid one: the smallest known.
+_SMALLEST_CPU_SHARE = 0.31
+#: Keys without which a settings file is rejected.
+_REQUIRED = ("node", "zone", "ip", "listen.front", "listen.ready", "platform.address")
 
 
 @frozen
@@ -38,13 +47,9 @@
     window: float
 
 
-#: Capacity in Mbit/s of the links that callers of one daemon may fill.
-MAX_NARROW_LINK_MBPS = 200.0
-
-
 @frozen
 class InstanceLimits:
-    """What the instance offers the process; the defaults are the smallest known."""
+    """Resources of the instance; the defaults are the smallest known."""
 
     #: Number of processor cores.
     cores: float = 0.387
@@ -92,7 +97,7 @@
     drain: float
     #: Bound on retries per service.
     retries: RetryBudget
-    #: What the instance offers the process.
+    #: Resources of the instance.
     limits: InstanceLimits = InstanceLimits()
     #: Whether callers may need more than instances or targets can serve.
     has_scarce_capacity: bool = False
@@ -139,15 +144,6 @@
         return Error(ProfileFault(error.key, error.cause))
 
 
-#: Contracts under which callers compete for capacity.
-_SCARCITY_CONTRACTS = frozenset({"pressure", "places"})
-#: Share of the cores that an unreadable share counts as; with the fewest cores it makes
-#: the smallest processor of an instance.
-_SMALLEST_CPU_SHARE = 0.31
-
-_REQUIRED = ("node", "zone", "ip", "listen.front", "listen.ready", "platform.address")
-
-
 class _InvalidValueError(Exception):
     def __init__(self, key: str, cause: str) -> None:
         super().__init__(key, cause)
@@ -176,17 +172,15 @@
             raise _InvalidValueError(key, f"{text!r} is not finite")
         return number
 
-    def get_limit(self, key: str, default: float, fallback: float) -> float:
-        """Return a positive number: the fallback if it is invalid."""
-        text = self._values.get(key, "")
-        return read_number(key, text, fallback, is_positive=True) if text else default
-
     def get_names(self, key: str) -> frozenset[str]:
         return frozenset(re.findall(r"[\w-]+", self._values.get(key, "")))
 
-    def get_lenient_number(self, key: str, default: float, fallback: float) -> float:
+    def get_lenient_number(
+        self, key: str, default: float, fallback: float, is_positive: bool = False
+    ) -> float:
+        """Return the default for a missing number, the fallback for an invalid one."""
         text = self._values.get(key, "")
-        return read_number(key, text, fallback) if text else default
+        return read_number(key, text, fallback, is_positive) if text else default
 
     def get_endpoint(self, key: str) -> Endpoint:
         host, _, port = self._values[key].rpartition(":")
@@ -208,16 +202,20 @@
 
 def _make_limits(reader: _ValueReader) -> InstanceLimits:
     smallest = InstanceLimits()
-    return InstanceLimits(
-        *(
-            reader.get_limit(f"limits.{name}", default, fallback)
-            for name, default, fallback in (
-                ("cores", smallest.cores, smallest.cores),
-                ("cpu_share", smallest.cpu_share, _SMALLEST_CPU_SHARE),
-                ("memory_mb", smallest.memory_mb, smallest.memory_mb),
-                ("link_mbps", smallest.link_mbps, smallest.link_mbps),
-            )
+
+    def get_limit(name: str, default: float, fallback: float | None = None) -> float:
+        return reader.get_lenient_number(
+            f"limits.{name}",
+            default,
+            default if fallback is None else fallback,
+            is_positive=True,
         )
+
+    return InstanceLimits(
+        cores=get_limit("cores", smallest.cores),
+        cpu_share=get_limit("cpu_share", smallest.cpu_share, _SMALLEST_CPU_SHARE),
+        memory_mb=get_limit("memory_mb", smallest.memory_mb),
+        link_mbps=get_limit("link_mbps", smallest.link_mbps),
     )
 
 
