targets: say that the store doesn't answer, reword

Cause: log lines and comments spoke of news that the store tells and of zones that are taken back.

Behaviour is unchanged; the tests of the package passed.

--- a/kingcuphead/targets/_cold.py
+++ b/kingcuphead/targets/_cold.py
@@ -1,4 +1,4 @@
-"""Which targets are cold: slow after their start, or after a time without requests."""
+"""Tracks which targets are cold: slow after a start or a period without requests."""
 
 import dataclasses
 import time
@@ -12,8 +12,8 @@
 #: Seconds by which the clock of a target may be ahead of that of this daemon. Entries
 #: that state how long the target stays cold need no such allowance.
 CLOCK_TOLERANCE = 3.0
-#: Seconds after which the targets of a zone that was taken back count as warm, if their
-#: service has a limit for cold targets, but no period.
+#: Seconds after which the targets of a readmitted zone count as warm, if their service
+#: has a limit for cold targets, but no period.
 DEFAULT_COLD_PERIOD = 5.0
 
 
@@ -42,18 +42,21 @@
 
 
 @dataclasses.dataclass(slots=True)
-class _State:
+class _TargetState:
+    """Until when one incarnation of a target may be cold."""
+
+    #: The target, as described by its last entry.
     target: Target
     #: Latest possible start on the clock of this daemon.
     started_at: float
-    #: End of the time that the last entry states.
+    #: End of the cold period that the last entry states.
     stated_until: float = float("-inf")
-    #: When the zone was taken back, unless a later entry states the target's state.
+    #: When the zone was readmitted, unless a later entry states whether it is cold.
     readmitted_at: float = float("-inf")
 
 
 class ColdTargets:
-    """Keeps until when each target is cold; does no I/O.
+    """Keeps track of until when each target is cold; performs no I/O.
 
     Parameters
     ----------
@@ -64,7 +67,7 @@
     def __init__(self, read_unix_time: Callable[[], float] = time.time) -> None:
         self._read_unix_time = read_unix_time
         self._starts: Mapping[str, ColdStart] = {}
-        self._states: dict[str, _State] = {}
+        self._states: dict[str, _TargetState] = {}
         #: Names of the targets that were cold at the last update.
         self._cold: set[str] = set()
 
@@ -81,7 +84,7 @@
         )
 
     def apply_starts(self, starts: Mapping[str, ColdStart], now: float) -> None:
-        """Replace what is known of the starts of targets, by service."""
+        """Replace the cold starts of all services, by service."""
         self._starts = starts
         self.tick(now)
 
@@ -89,7 +92,7 @@
         """Apply the entry of a target; the same entry read again changes nothing."""
         state = self._states.get(target.name)
         if state is None or state.target.incarnation != target.incarnation:
-            state = _State(target, self._bound_start(target, now))
+            state = _TargetState(target, self._bound_start(target, now))
             self._apply_statement(state, target, now)
             self._states[target.name] = state
         elif _is_newer(target, state.target):
@@ -124,7 +127,7 @@
         self._cold.discard(target.name)
 
     def tick(self, now: float) -> None:
-        """Find out which targets have become warm."""
+        """Update which targets are cold, and log those that have become warm."""
         for state in self._states.values():
             self._update(state, now)
 
@@ -136,12 +139,12 @@
         tolerance = CLOCK_TOLERANCE if target.cold_left is None else 0.0
         return now - max(0.0, age - tolerance)
 
-    def _apply_statement(self, state: _State, target: Target, now: float) -> None:
+    def _apply_statement(self, state: _TargetState, target: Target, now: float) -> None:
         if target.cold_left is not None:
             state.stated_until = now + target.cold_left
             state.readmitted_at = float("-inf")
 
-    def _get_end(self, state: _State) -> float:
+    def _get_end(self, state: _TargetState) -> float:
         start = self._starts.get(state.target.service, NO_COLD_START)
         return max(
             state.stated_until,
@@ -149,7 +152,7 @@
             state.readmitted_at + _get_readmission_period(start),
         )
 
-    def _update(self, state: _State, now: float) -> None:
+    def _update(self, state: _TargetState, now: float) -> None:
         name = state.target.name
         remaining = self._get_end(state) - now
         if (remaining > 0) == (name in self._cold):
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -23,8 +23,8 @@
 REREGISTRATION_PERIOD = 3.0
 #: Number of removed incarnations that are remembered.
 MAX_REMOVED = 4_096
-#: Seconds without news from the store after which a target may have become cold without
-#: this daemon knowing it.
+#: Seconds without an answer of the store after which a target may have become cold
+#: without this daemon knowing it.
 MAX_COLD_VIEW_AGE = 3.0
 
 
@@ -59,6 +59,7 @@
         self._cold = ColdTargets(read_unix_time)
         #: Zones that the operator has evacuated, also those without known targets.
         self._evacuated: set[str] = set()
+        #: Whether it was last logged that any target may be cold.
         self._is_in_doubt = False
         self._targets: dict[str, Target] = {}
         self._expired: set[str] = set()
@@ -91,16 +92,21 @@
         """Whether the directory contains no target."""
         return not self._targets
 
+    @property
+    def evacuated_zones(self) -> tuple[str, ...]:
+        """The evacuated zones, also those without known targets."""
+        return tuple(sorted(self._evacuated))
+
     def record_store_failure(self, started_at: float) -> None:
         """Record the start time of a call that the store didn't answer."""
         self._store_failed_at = max(self._store_failed_at, started_at)
 
     def record_read(self) -> None:
-        """Record that the store has just told of the entries, or of no change."""
+        """Record that the store has just answered a read of the entries or changes."""
         self._read_at = self._read_clock()
 
     def get_age(self) -> float:
-        """Return the seconds since the store last told of the entries.
+        """Return the seconds since the store last answered such a read.
 
         Time in which the instance was suspended counts.
         """
@@ -221,7 +227,7 @@
             yield ZoneEvacuated(zone, self._list_zone(zone))
 
     def readmit_zone(self, zone: str) -> Iterator[ZoneChange]:
-        """Take a zone back; its targets may have become cold meanwhile."""
+        """Let a zone get requests again; its targets may have become cold meanwhile."""
         if zone not in self._evacuated:
             return
         self._evacuated.discard(zone)
@@ -239,11 +245,6 @@
         for zone in sorted(zones):
             yield from self.evacuate_zone(zone)
 
-    @property
-    def evacuated_zones(self) -> tuple[str, ...]:
-        """The evacuated zones, also those without known targets."""
-        return tuple(sorted(self._evacuated))
-
     def list_evacuated(self) -> tuple[Target, ...]:
         """Return the targets of the evacuated zones."""
         if not self._evacuated:
@@ -263,7 +264,7 @@
         return tuple(sorted(self._evacuated.difference(self.list_evacuated_zones())))
 
     def apply_cold_starts(self, starts: Mapping[str, ColdStart]) -> None:
-        """Replace what is known of the starts of targets, by service."""
+        """Replace the cold starts of all services, by service."""
         self._cold.apply_starts(starts, self._read_clock())
 
     def is_cold(self, target: Target) -> bool:
@@ -273,9 +274,9 @@
         )
 
     def find_cold_limit(self, target: Target) -> ColdLimit | None:
-        """Return what a target takes because it is cold or may be; None for no limit.
+        """Return the limit of a target that is or may be cold; None for no limit.
 
-        While the store tells nothing, a target may become cold unnoticed.
+        While the store doesn't answer, a target may become cold unnoticed.
         """
         limit = self._cold.get_limit(target.service)
         if limit is None:
@@ -287,7 +288,7 @@
         return None
 
     def is_known_warm(self, incarnation: str) -> bool:
-        """Whether an incarnation is warm, by news from the store that aren't old."""
+        """Whether an incarnation is warm, by entries that are up to date."""
         target = self._targets.get(get_target_name(incarnation))
         return (
             target is not None
@@ -317,15 +318,15 @@
         return usable
 
     def _log_doubt(self) -> None:
-        """Log when the targets of limited services begin or cease to count as cold."""
+        """Log when it becomes unknown, and known again, which targets are cold."""
         is_in_doubt = self.has_cold_limits and self.get_age() > MAX_COLD_VIEW_AGE
         if is_in_doubt == self._is_in_doubt:
             return
         self._is_in_doubt = is_in_doubt
         if is_in_doubt:
-            logger.warning("no news from the store: any target may be cold")
+            logger.warning("the store doesn't answer: any target may be cold")
         else:
-            logger.info("the store tells again which targets are cold")
+            logger.info("the store answers again: cold targets are known")
 
     def _is_usable(self, target: Target) -> bool:
         return (
--- a/kingcuphead/targets/_messages.py
+++ b/kingcuphead/targets/_messages.py
@@ -53,12 +53,12 @@
 
 @frozen
 class ZonesAsked:
-    """A daemon without news from the store asks for the evacuated zones."""
+    """A daemon that can't reach the store asks for the evacuated zones."""
 
 
 @frozen
 class ZonesReported:
-    """The evacuated zones, as a daemon has just read them."""
+    """The evacuated zones, as a daemon has just read them from the store."""
 
     #: Era of the store.
     era: int
