review: describe findings and differences, reword messages

Cause: fields of public classes had no description, and a duplicate was reported as 'stands above'.

Change: doc comments, and messages that say 'another service of this name is defined above'.

--- a/kingcuphead/review/_checks.py
+++ b/kingcuphead/review/_checks.py
@@ -8,12 +8,20 @@
 
 #: Smallest header limit in bytes that leaves room for the headers of the project.
 MIN_HEADER_BYTES = 4_096
-#: Bytes of a request body that are reckoned as one token of a prompt.
+#: Bytes of a request body for each token of its prompt, as an estimate.
 BYTES_PER_TOKEN = 4
 
 
 def check(configuration: RoutingConfiguration, stated: StatedValues) -> list[Finding]:
-    """Return the findings of one version."""
+    """Return the findings about one version.
+
+    Parameters
+    ----------
+    configuration
+        The decoded configuration.
+    stated
+        Values of the file that the decoded configuration lacks.
+    """
     return [
         *_check_routes(configuration, stated),
         *_check_services(configuration, stated),
@@ -72,7 +80,7 @@
     for index, name in enumerate(stated.services):
         place = f'services[{index}] "{name}"'
         if name in seen:
-            yield make_error(place, "a service of this name stands above")
+            yield make_error(place, "another service of this name is defined above")
             continue
         seen.add(name)
         if name not in routed:
@@ -80,7 +88,7 @@
         service = configuration.services[name]
         if service.cold_period > 0 and service.cold_limit is None:
             yield make_warning(
-                place, "a cold period without a limit of requests a second"
+                place, "a cold period without a limit of requests per second"
             )
         yield from _check_engine(place, service, configuration.limits.body_bytes)
 
@@ -111,7 +119,9 @@
     for index, holder in enumerate(stated.holders):
         place = f'tenants[{index}] "{holder.name}"'
         if holder.name in names:
-            yield make_error(place, "an organisation of this name stands above")
+            yield make_error(
+                place, "another organisation of this name is defined above"
+            )
         names.add(holder.name)
         if not holder.keys:
             yield make_warning(place, "organisation without keys")
--- a/kingcuphead/review/_differences.py
+++ b/kingcuphead/review/_differences.py
@@ -10,7 +10,7 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.routing import EngineProfile, RoutingConfiguration
 
-#: Fields whose lower value takes something away from callers; None is no limit.
+#: Fields where a lower value takes something away from callers; None means no limit.
 _LOWER_TAKES_AWAY = frozenset(
     {
         "body_bytes",
@@ -42,15 +42,26 @@
 class Difference:
     """One difference from the version in force."""
 
+    #: Whether the part was added, removed or changed.
     kind: DifferenceKind
+    #: The part, such as `service "name"`.
     place: str
+    #: What has changed in it; empty if the part was added or removed as a whole.
     detail: str
-    #: Whether callers lose something by it.
+    #: Whether callers lose something by it, such as a service or a part of a limit.
     takes_away: bool
 
 
 def compare(old: RoutingConfiguration, new: RoutingConfiguration) -> list[Difference]:
-    """Return the differences of a version from the one in force."""
+    """Return the differences between two versions.
+
+    Parameters
+    ----------
+    old
+        The version in force.
+    new
+        The version that would replace it.
+    """
     return [
         *_compare_parts("route", _index_routes(old), _index_routes(new)),
         *_compare_parts("service", old.services, new.services),
@@ -100,8 +111,10 @@
 
 
 def _is_lower(before: float | None, after: float | None) -> bool:
-    limits = [math.inf if each is None else each for each in (before, after)]
-    return limits[1] < limits[0]
+    old_limit, new_limit = (
+        math.inf if each is None else each for each in (before, after)
+    )
+    return new_limit < old_limit
 
 
 def _compare_keys(
--- a/kingcuphead/review/_findings.py
+++ b/kingcuphead/review/_findings.py
@@ -6,9 +6,11 @@
 
 
 class Severity(enum.StrEnum):
-    """Whether a configuration with the finding should be sent."""
+    """Severity of a finding."""
 
+    #: The configuration can't be decoded or wouldn't work as stated.
     ERROR = "error"
+    #: Most likely a mistake, but the configuration can be used.
     WARNING = "warning"
 
 
@@ -16,9 +18,11 @@
 class Finding:
     """One fault of a configuration."""
 
+    #: Whether the fault is an error or a warning.
     severity: Severity
     #: Part of the file, such as `routes[3] "name"`.
     place: str
+    #: Description of the fault, in English.
     cause: str
 
 
--- a/kingcuphead/review/_review.py
+++ b/kingcuphead/review/_review.py
@@ -21,7 +21,9 @@
 class Review:
     """Findings about a file, and its differences from the version in force."""
 
+    #: Faults of the file, or why one of the files can't be decoded.
     findings: tuple[Finding, ...]
+    #: Differences; empty without a version in force.
     differences: tuple[Difference, ...] = ()
 
     def has(self, severity: Severity) -> bool:
@@ -31,19 +33,21 @@
 
 @frozen
 class _Version:
+    """One decoded version of the configuration."""
+
     configuration: RoutingConfiguration
     stated: StatedValues
 
 
 def review(content: bytes, in_force: bytes | None = None) -> Review:
-    """Review a configuration.
+    """Check a configuration, and compare it with the version in force.
 
     Parameters
     ----------
     content
         Content of the file.
     in_force
-        Content of the version in force; None to compare with nothing.
+        Content of the version in force; None for no comparison.
     """
     new = _decode("file", content)
     if new.is_error():
@@ -57,7 +61,10 @@
         return Review((old.error, *findings))
     current = old.ok.configuration
     if configuration.version <= current.version:
-        cause = f"{configuration.version} is not above {current.version} in force"
+        cause = (
+            f"{configuration.version} is not above {current.version}, "
+            "the version in force"
+        )
         findings = (make_error("version", cause), *findings)
     return Review(findings, tuple(compare(current, configuration)))
 
