loads, fairness, frozen, wire: reword comments and private names

Change: _differs_much, checks of loads, _format, doc comments with parameters. Behaviour is unchanged; the tests of these packages passed.

--- a/kingcuphead/fairness/_fair_queue.py
+++ b/kingcuphead/fairness/_fair_queue.py
@@ -133,7 +133,7 @@
         self._length += 1
 
     def iterate(self) -> Iterator[WaitingRequest[R]]:
-        """Yield the requests in the order of service."""
+        """Yield the requests in the order in which they would be served."""
         queues = {name: tuple(queue.values()) for name, queue in self._queues.items()}
         if len(queues) == 1:
             yield from next(iter(queues.values()))
@@ -190,7 +190,7 @@
     entry: dict[str, WaitingRequest[R]],
     compute_urgency: Callable[[WaitingRequest[R]], float],
 ) -> dict[str, WaitingRequest[R]]:
-    """Return the requests with one more, after those that are as urgent."""
+    """Return a copy with one more request, placed after those that are as urgent."""
     (waiting,) = entry.values()
     urgency = compute_urgency(waiting)
     last = next(reversed(queue.values()), None)
--- a/kingcuphead/frozen/_frozen.py
+++ b/kingcuphead/frozen/_frozen.py
@@ -40,7 +40,7 @@
     made.__getstate__ = lambda self: read_fields(self)
     made.__setstate__ = _set_state
     if "__repr__" not in cls.__dict__:
-        made.__repr__ = _describe
+        made.__repr__ = _format
     result: type[T] = made
     return result
 
@@ -57,6 +57,7 @@
 
 
 def _make_init(cls: Any, fields: tuple[dataclasses.Field[Any], ...]) -> Any:
+    """Compile an initialiser that assigns the fields in spite of `__setattr__`."""
     names: dict[str, Any] = {
         "_set": object.__setattr__,
         "_MISSING": dataclasses.MISSING,
@@ -81,7 +82,7 @@
     return names["__init__"]
 
 
-def _describe(self: Any) -> str:
+def _format(self: Any) -> str:
     fields = (f"{name}={getattr(self, name)!r}" for name in self.__match_args__)
     return f"{type(self).__qualname__}({', '.join(fields)})"
 
--- a/kingcuphead/loads/_changes.py
+++ b/kingcuphead/loads/_changes.py
@@ -11,15 +11,15 @@
 #: Maximum number of reports in a row that are skipped while there is or was load. A
 #: report is sent again before `REPORT_LIFETIME` ends.
 MAX_SKIPPED_REPORTS = 4
-#: The same without load. Other daemons take one that sends nothing to be unreachable,
-#: so that reports don't stop altogether.
+#: The same without load. Reports don't stop altogether, because other daemons assume
+#: that a silent one is unreachable.
 MAX_SKIPPED_EMPTY_REPORTS = 6
 
 _NO_LOAD = TargetLoad("", 0, 0)
 
 
 class LoadChanges:
-    """Compares this daemon's loads with those that it last reported; does no I/O.
+    """Compares this daemon's loads with those it last reported; performs no I/O.
 
     While there are few requests, a change counts when it is seen twice in a row: most
     requests to plain services end sooner than a report about them arrives.
@@ -69,9 +69,9 @@
     ) -> bool:
         for target in self._reported.keys() | (previous.keys() & current.keys()):
             reported = self._reported.get(target, _NO_LOAD)
-            if _is_far(reported, previous.get(target, _NO_LOAD)) and _is_far(
-                reported, current.get(target, _NO_LOAD)
-            ):
+            if _differs_much(
+                reported, previous.get(target, _NO_LOAD)
+            ) and _differs_much(reported, current.get(target, _NO_LOAD)):
                 return True
         return False
 
@@ -80,13 +80,13 @@
         return MAX_SKIPPED_REPORTS if has_load else MAX_SKIPPED_EMPTY_REPORTS
 
 
-def _is_far(reported: TargetLoad, load: TargetLoad) -> bool:
+def _differs_much(reported: TargetLoad, load: TargetLoad) -> bool:
     return (
-        _is_far_amount(reported.running, load.running)
-        or _is_far_amount(reported.unread_tokens, load.unread_tokens)
-        or _is_far_amount(reported.memory_tokens, load.memory_tokens)
+        _has_changed_much(reported.running, load.running)
+        or _has_changed_much(reported.unread_tokens, load.unread_tokens)
+        or _has_changed_much(reported.memory_tokens, load.memory_tokens)
     )
 
 
-def _is_far_amount(reported: int, amount: int) -> bool:
+def _has_changed_much(reported: int, amount: int) -> bool:
     return abs(amount - reported) * CHANGE_DIVISOR > reported
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -1,4 +1,4 @@
-"""Sends this daemon's loads to others, when they have changed or are old."""
+"""Sends this daemon's loads to others when they have changed or would expire."""
 
 import asyncio
 import contextlib
@@ -8,7 +8,7 @@
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
 from kingcuphead.loads._peer_loads import PeerLoads
 
-#: Seconds between two looks at the loads.
+#: Seconds between two checks of the loads.
 REPORT_INTERVAL = 0.1
 #: Minimum seconds between two reports.
 MIN_REPORT_INTERVAL = 0.005
@@ -58,7 +58,10 @@
             await asyncio.sleep(MIN_REPORT_INTERVAL)
 
     def apply_fleet_size(self, is_large: bool) -> None:
-        """Report small changes too, unless reports would reach a part of the fleet."""
+        """Report small changes too, unless the fleet is large.
+
+        In a large fleet each report reaches only some of the daemons.
+        """
         self._changes.reports_all_changes = not is_large
 
     def trigger_report(self) -> None:
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -12,13 +12,20 @@
 
 @frozen
 class _ReceivedReport:
+    """The newest report of a daemon."""
+
     report: LoadsReported
+    #: Time of receipt in seconds.
     received_at: float
 
 
 @frozen
 class _ReceivedAnnouncement:
+    """A placement that the reports of its daemon don't contain yet."""
+
+    #: What the request adds to the load of its target.
     load: TargetLoad
+    #: Time of receipt in seconds.
     received_at: float
 
 
--- a/kingcuphead/wire/_conversion.py
+++ b/kingcuphead/wire/_conversion.py
@@ -103,6 +103,7 @@
 
 
 def _skip_none(convert: Converter) -> Converter:
+    """Return a converter that leaves None unchanged."""
     if convert is identity:
         return identity
     return lambda value: None if value is None else convert(value)
@@ -121,7 +122,15 @@
 
 
 def make_struct(message: Any, structs: types.ModuleType) -> Any:
-    """Return the struct of a message, for encoding it outside of another struct."""
+    """Return the struct of a message that is encoded alone, not as a field.
+
+    Parameters
+    ----------
+    message
+        Instance of a frozen data class.
+    structs
+        Generated module that contains the struct of the same name.
+    """
     cls: Any = type(message)
     return _make_struct(message, _find_struct(cls, structs), _list_codecs(cls, structs))
 
