cli, bench: document parameters, list the measurements of the probe

Cause: public functions lacked the parts of a NumPy doc comment, and the probe looked up its functions by name in globals().

Change: doc comments, and a table MEASUREMENTS. Behaviour is unchanged; the types are checked, the benchmark was not run.

--- a/kingcuphead/bench/_entry_cost_probe.py
+++ b/kingcuphead/bench/_entry_cost_probe.py
@@ -6,7 +6,7 @@
 import asyncio
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Coroutine
 from pathlib import Path
 from typing import Any
 
@@ -41,8 +41,8 @@
 async def measure_idle_second() -> float:
     """Return the processor time of a second of one of three daemons without requests.
 
-    A third of their store and target is included. Daemons list their peers as seldom as
-    in production, not as often as in tests.
+    A third of their store and target is included. Daemons poll the list of their peers
+    at the interval of production, which is longer than that of tests.
     """
     _fleet.PEER_POLL_INTERVAL = POLL_INTERVAL
     async with make_fleet(lambda register: [make_target("t1", "v1", register)]):
@@ -86,11 +86,19 @@
     return (time.process_time() - started_at) / count
 
 
+#: Functions that measure a cost, by its name on the command line.
+MEASUREMENTS: dict[str, Callable[..., Coroutine[Any, Any, float]]] = {
+    "idle_second": measure_idle_second,
+    "encoding": measure_encoding,
+    "decoding": measure_decoding,
+    "configuration": measure_configuration,
+}
+
+
 def main(cost: str, *arguments: str) -> None:
     """Measure the cost of this name and print it."""
     logger.remove()
-    measure = globals()[f"measure_{cost}"]
-    print(asyncio.run(measure(*arguments)))
+    print(asyncio.run(MEASUREMENTS[cost](*arguments)))
 
 
 if __name__ == "__main__":
--- a/kingcuphead/bench/entry_cost.py
+++ b/kingcuphead/bench/entry_cost.py
@@ -24,6 +24,7 @@
 
 #: Root of this checkout.
 ROOT = Path(__file__).parents[2]
+#: Script that measures one cost in a checkout.
 PROBE = Path(__file__).with_name("_entry_cost_probe.py")
 #: Costs by description: the arguments of the probe, or none for a start.
 COSTS: dict[str, tuple[str, ...]] = {
@@ -69,7 +70,14 @@
 def compare(other: Path, rounds: int, directory: Path) -> Iterator[Comparison]:
     """Yield a comparison with another checkout for each cost.
 
-    The configurations are written to the directory.
+    Parameters
+    ----------
+    other
+        Root of the other checkout.
+    rounds
+        Number of measurements of each cost in each checkout.
+    directory
+        Directory to which configurations for the measurements are written.
     """
     for cost, arguments in (COSTS | _write_configurations(directory)).items():
         pairs = [
@@ -90,7 +98,15 @@
 
 
 def measure(checkout: Path, arguments: tuple[str, ...]) -> float:
-    """Return the seconds of processor time of one cost in a checkout."""
+    """Return the seconds of processor time of one cost in a checkout.
+
+    Parameters
+    ----------
+    checkout
+        Root of the checkout.
+    arguments
+        Arguments of the probe; none to measure a start of the daemon.
+    """
     if not arguments:
         return _measure_start(checkout)
     output = _run(checkout, "-P", str(PROBE), *arguments)
--- a/kingcuphead/cli/_check.py
+++ b/kingcuphead/cli/_check.py
@@ -12,7 +12,18 @@
 
 
 def check_files(arguments: argparse.Namespace) -> int:
-    """Check a file, print the findings, and return a `CheckStatus`."""
+    """Check a file and print the findings.
+
+    Parameters
+    ----------
+    arguments
+        Parsed arguments of the command.
+
+    Returns
+    -------
+    int
+        Value of a `CheckStatus`.
+    """
     result = _review_files(arguments.file, arguments.against)
     status = _get_status(result)
     if arguments.json:
--- a/kingcuphead/cli/_main.py
+++ b/kingcuphead/cli/_main.py
@@ -35,10 +35,11 @@
     Returns
     -------
     int
-        Value of an `ExitCode`.
+        Value of an `ExitCode`, or of a `CheckStatus` for `check`.
     """
     parsed = make_parser().parse_args(arguments)
     if parsed.run is None:
+        # Commands without a server have `run_locally` in place of `run`.
         status: int = parsed.run_locally(parsed)
         return status
     result: Result[Output, CallFault] = _make_client(parsed, environment).bind(
