entry: split the constructors and the metrics, reword

Cause: EntryDaemon.__init__ (89 lines), FleetLinks.__init__ (66) and DaemonMetrics.__init__ (115) were too long to read at once, Dependencies had 13 positional arguments, positions of the feed were compared by tuples in two places, and comments spoke of news that the store tells.

Change: _assembly.py makes what depends on the settings of the platform, _request_metrics.py and _resource_metrics.py have the groups of metrics, FleetLinks makes each component in a method and applies a profile by apply_profile, Position.is_after compares positions.

--- a/kingcuphead/entry/__main__.py
+++ b/kingcuphead/entry/__main__.py
@@ -3,8 +3,8 @@
 import gc
 import sys
 
-# Modules and classes live until the process ends: they neither need collections while
-# they are loaded nor an examination in later ones.
+# Modules and classes live until the process ends, so the garbage collector needn't run
+# while they are loaded, nor examine them later.
 gc.disable()
 
 from kingcuphead.entry._main import main  # noqa: E402
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -41,12 +41,12 @@
 IDLE_SLACK = 2.0
 #: Seconds after which a caller refused during shutdown may retry, at another daemon.
 SHUTDOWN_RETRY_AFTER = 0.05
-#: Seconds after which a caller may retry whose request found no memory.
+#: Seconds after which a caller may retry a request that was refused for want of memory.
 MEMORY_RETRY_AFTER = 0.3
 
 
 class _ConnectionServer(HTTPServer):
-    """An HTTP server that tells its delegate of closed connections."""
+    """An HTTP server that notifies its delegate of closed connections."""
 
     def on_close(self, server_conn: object) -> None:
         """Forget a closed connection."""
@@ -65,7 +65,7 @@
     memory
         Counts the bytes held for requests.
     connections
-        Keeps the open connections.
+        Counts the bytes of each open connection.
     """
 
     def __init__(
@@ -181,7 +181,7 @@
 
 
 class _RequestReader(HTTPMessageDelegate):
-    """Reads one complete request."""
+    """Reads one request, and starts a task for it once it is complete."""
 
     def __init__(
         self,
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -10,12 +10,12 @@
 from expression import Result
 from loguru import logger
 
-from kingcuphead.admission import AdmissionGate, QueueBounds, bound_memory
-from kingcuphead.dispatch import (
-    Dispatcher,
-    DispatchSettings,
-    HedgingPolicy,
-    RetryAllowance,
+from kingcuphead.dispatch import HedgingPolicy
+from kingcuphead.entry._assembly import (
+    make_admission,
+    make_dispatcher,
+    make_memory_account,
+    make_retries,
 )
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._evacuation_exchange import EvacuationExchange
@@ -34,10 +34,8 @@
     ConnectionPool,
     Dependencies,
     EvidenceRecorder,
-    MemoryAccount,
     RequestForwarder,
     TargetWatch,
-    get_account_limit,
 )
 from kingcuphead.loads import PeerLoads
 from kingcuphead.paths import Connector, TunnelServer
@@ -82,7 +80,7 @@
     settings_path
         Path of the file that the profile was read from.
     settings
-        What the operator sets for this daemon.
+        Settings of the operator for this daemon.
     """
 
     def __init__(
@@ -97,22 +95,14 @@
         self._stop = asyncio.Event()
         self._is_stopping = False
         self._has_configuration = False
+        self._failure: BaseException | None = None
         rng = random.Random()
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory()
         self._metrics = DaemonMetrics()
         peer_loads = PeerLoads()
-        dispatch_settings = DispatchSettings(
-            profile.zone,
-            has_contended_engines=profile.is_constrained,
-            # Admission doesn't know the memory of engines yet: it would admit requests
-            # that are refused then.
-            bounds_engine_memory=False,
-        )
-        self._dispatcher = Dispatcher(dispatch_settings, peer_loads, rng)
-        self._dispatcher.observer = self._metrics.engines
-        retries = profile.retries
-        self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
+        self._dispatcher = make_dispatcher(profile, peer_loads, rng)
+        self._retries = make_retries(profile)
         self._hedging = HedgingPolicy(settings.max_hedged_share, self._retries)
         self._links = FleetLinks(
             profile,
@@ -123,11 +113,7 @@
             self._retries,
             rng,
         )
-        self._admission: AdmissionGate | None = None
-        if profile.has_scarce_capacity:
-            bounds = QueueBounds(body_bytes=bound_memory(profile.limits.memory_bytes))
-            self._admission = AdmissionGate(self._dispatcher, bounds)
-        self._links.admission = self._metrics.admission = self._admission
+        self._admission = make_admission(profile, self._dispatcher)
         self._targets = TargetListener(self._directory, self._handle_change)
         self._evacuations = EvacuationListener(
             self._directory, self._handle_zone_change
@@ -135,56 +121,62 @@
         self._evacuation_exchange = EvacuationExchange(
             self._evacuations, self._links.ask_zones
         )
-        self._connect_targets()
-        self._connector = Connector(
+        self._connector, self._tunnels = self._make_paths(rng)
+        self._pool = ConnectionPool(self._connector)
+        self._watch = TargetWatch(self._pool, self._directory)
+        self._forwarder = self._make_forwarder(rng)
+        self._callers = self._make_caller_server()
+        self._connect_components()
+
+    def _make_paths(self, rng: random.Random) -> tuple[Connector, TunnelServer]:
+        """Return the connector to targets and the server that helps other daemons."""
+        connector = Connector(
             self._links.path_monitor,
             self._links.peer_paths,
             self._directory.list_addresses,
             rng,
         )
-        self._tunnels = TunnelServer(
-            self._connector, self._links.path_monitor, self._accepts_requests
+        tunnels = TunnelServer(
+            connector, self._links.path_monitor, self._accepts_requests
         )
-        self._pool = ConnectionPool(self._connector)
-        self._watch = TargetWatch(self._pool, self._directory)
-        self._forwarder = RequestForwarder(
-            Dependencies(
-                self._directory,
-                self._dispatcher,
-                self._retries,
-                self._links.credit,
-                AttemptRunner(self._pool, PlatformHeaders()),
-                self._links.quarantine,
-                EvidenceRecorder(self._links.quarantine, self._watch),
-                self._links.resumption,
-                self._targets.handle_leaving,
-                self._links.report_statement,
-                self._links.permits,
-                self._admission,
-                self._hedging,
-            ),
-            rng,
-            self._metrics.record,
+        return connector, tunnels
+
+    def _make_forwarder(self, rng: random.Random) -> RequestForwarder:
+        dependencies = Dependencies(
+            directory=self._directory,
+            dispatcher=self._dispatcher,
+            retries=self._retries,
+            credit=self._links.credit,
+            runner=AttemptRunner(self._pool, PlatformHeaders()),
+            quarantine=self._links.quarantine,
+            evidence=EvidenceRecorder(self._links.quarantine, self._watch),
+            resumption=self._links.resumption,
+            report_leaving=self._targets.handle_leaving,
+            report_statement=self._links.report_statement,
+            permits=self._links.permits,
+            admission=self._admission,
+            hedging=self._hedging,
         )
-        self._links.capacity.is_serving = self._is_serving
-        self._links.capacity.record = self._metrics.record_capacity
-        self._callers = CallerServer(
+        return RequestForwarder(dependencies, rng, self._metrics.record)
+
+    def _make_caller_server(self) -> CallerServer:
+        return CallerServer(
             self._forwarder,
-            self._make_memory_account(),
+            make_memory_account(self._profile, self._metrics),
             self._links.capacity.connections,
         )
-        self._failure: BaseException | None = None
 
-    def _make_memory_account(self) -> MemoryAccount:
-        if not self._profile.is_constrained:
-            return MemoryAccount()
-        account = MemoryAccount(
-            get_account_limit(self._profile.limits.memory_bytes),
-            covers_requests=True,
-            report_end=self._metrics.record_memory_end,
-        )
-        self._metrics.watch_memory(lambda: account.used)
-        return account
+    def _connect_components(self) -> None:
+        """Register the components that call each other."""
+        self._links.admission = self._metrics.admission = self._admission
+        self._links.evacuations = self._evacuation_exchange
+        self._links.report_leaving = self._targets.handle_leaving
+        self._links.permits.report_cold_denial = self._metrics.record_cold_denial
+        self._links.capacity.is_serving = self._is_serving
+        self._links.capacity.record = self._metrics.record_capacity
+        self._dispatcher.observer = self._metrics.engines
+        self._dispatcher.cold_costs.is_cold = self._directory.is_cold
+        self._metrics.observe_targets(self._directory)
 
     def measure_load(self, read_busy_seconds: Callable[[], float]) -> None:
         """Measure the load of the processor by the busy time of the event loop.
@@ -196,14 +188,6 @@
         """
         self._links.capacity.read_busy_seconds = read_busy_seconds
 
-    def _connect_targets(self) -> None:
-        """Pass on what becomes known of targets."""
-        self._links.evacuations = self._evacuation_exchange
-        self._links.report_leaving = self._targets.handle_leaving
-        self._links.permits.report_cold_denial = self._metrics.record_cold_denial
-        self._dispatcher.cold_costs.is_cold = self._directory.is_cold
-        self._metrics.observe_targets(self._directory)
-
     async def run(self) -> bool:
         """Run until a signal arrives or a background task fails.
 
@@ -245,17 +229,20 @@
         return self._failure is None
 
     def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        # Evacuations come first: with the configuration this daemon becomes ready.
-        operator = ListenerGroup(
+        # Evacuations are applied first, because the configuration makes this daemon
+        # ready for callers.
+        listeners = ListenerGroup(
             (self._evacuations, ConfigurationListener(self._apply_configuration))
         )
         report_failure = self._directory.record_store_failure
-        operator_watch = TableWatch(
-            self._store, CONFIGURATION_TABLE, operator, report_failure
+        configuration_watch = TableWatch(
+            self._store, CONFIGURATION_TABLE, listeners, report_failure
+        )
+        self._evacuation_exchange.get_position = lambda: (
+            configuration_watch.last_position
         )
-        self._evacuation_exchange.get_position = lambda: operator_watch.last_position
         return [
-            operator_watch.run(),
+            configuration_watch.run(),
             self._evacuation_exchange.run(),
             TableWatch(self._store, TARGETS_TABLE, self._targets, report_failure).run(),
             self._sweep(),
@@ -310,8 +297,7 @@
         self._store.change_address(f"{profile.store.host}:{profile.store.port}")
         retries = profile.retries
         self._retries.apply(retries.ratio, retries.burst, retries.window)
-        self._links.apply_limits(profile)
-        self._links.permits.apply_cold_bounds(profile.cold_bounds)
+        self._links.apply_profile(profile)
 
     def _is_ready(self) -> bool:
         return self._is_serving() and not self._links.capacity.is_unready
--- a/kingcuphead/entry/_evacuation_exchange.py
+++ b/kingcuphead/entry/_evacuation_exchange.py
@@ -1,4 +1,4 @@
-"""Tells daemons that can't reach the store which zones are evacuated."""
+"""Exchange of the evacuated zones with daemons that can't reach the store."""
 
 import asyncio
 from collections.abc import Callable
@@ -7,22 +7,24 @@
 from kingcuphead.entry._table_watch import Position
 from kingcuphead.targets import ZonesAsked, ZonesReported
 
-#: Seconds without news from the store after which others are asked. A long poll that
-#: works returns within one second.
-MAX_NEWS_AGE = 1.5
-#: Seconds between two questions.
+#: Seconds since the last answer of the store after which other daemons are asked. The
+#: store answers a long poll within one second.
+MAX_READ_AGE = 1.5
+#: Seconds between two queries to other daemons.
 ASK_INTERVAL = 0.5
+#: Position before any change.
+NO_POSITION = Position(-1, -1)
 
 
 class EvacuationExchange:
-    """Asks other daemons for the evacuated zones while the store tells nothing.
+    """Asks other daemons for the evacuated zones while the store doesn't answer.
 
     Parameters
     ----------
     listener
         Knows and changes the evacuated zones.
     ask
-        Sends a question to some of the other daemons, unacknowledged.
+        Sends a query to some of the other daemons, unacknowledged.
     """
 
     def __init__(
@@ -30,38 +32,37 @@
     ) -> None:
         self._listener = listener
         self._ask = ask
-        self._reported = Position(-1, -1)
+        self._reported = NO_POSITION
         #: Returns the position of the last read of the table; None before the first.
         self.get_position: Callable[[], Position | None] = lambda: None
 
     async def run(self) -> None:
-        """Ask whenever there is no news, until cancelled."""
+        """Ask while the store doesn't answer, until cancelled."""
         while True:
             await asyncio.sleep(ASK_INTERVAL)
             self.ask_if_due()
 
     def ask_if_due(self) -> None:
-        """Ask others if the store tells nothing."""
-        if not self._has_news():
+        """Ask other daemons if the store doesn't answer."""
+        if not self._is_up_to_date():
             self._ask(ZonesAsked())
 
     def make_answer(self) -> ZonesReported | None:
-        """Return the answer to a question; None if this daemon has no news itself."""
+        """Return the answer to a query; None if this daemon can't reach the store."""
         position = self.get_position()
-        if position is None or not self._has_news():
+        if position is None or not self._is_up_to_date():
             return None
         zones = self._listener.list_zones()
         return ZonesReported(position.era, position.version, zones)
 
     def handle_report(self, report: ZonesReported) -> None:
-        """Apply an answer, unless the store or a later answer told more."""
+        """Apply an answer, unless the store or another answer was more recent."""
         position = Position(report.version, report.era)
-        known = self.get_position() or Position(-1, -1)
-        newest = max(known, self._reported, key=lambda each: (each.era, each.version))
-        is_later = (position.era, position.version) > (newest.era, newest.version)
-        if is_later and not self._has_news():
+        known = self.get_position() or NO_POSITION
+        is_later = position.is_after(known) and position.is_after(self._reported)
+        if is_later and not self._is_up_to_date():
             self._reported = position
             self._listener.replace_zones(report.zones)
 
-    def _has_news(self) -> bool:
-        return self._listener.get_age() <= MAX_NEWS_AGE
+    def _is_up_to_date(self) -> bool:
+        return self._listener.get_age() <= MAX_READ_AGE
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -1,4 +1,4 @@
-"""What one daemon exchanges with others: loads, credit, crashes, streams, permits."""
+"""Exchanges of one daemon with the others, by datagrams."""
 
 import asyncio
 import random
@@ -66,15 +66,21 @@
 QUARANTINE_TABLE, QUARANTINE_PART = "quarantine", "all"
 #: Table of the store that contains the software versions that serve, and its only part.
 VERSIONS_TABLE, VERSIONS_PART = "versions", "all"
-#: Targets end for other reasons too, so one crash more is asked for than where they are
-#: probed. The next crash after the end of a quarantine renews it.
+#: One crash more is required than in daemons that probe their targets, because here a
+#: target may also have ended for another reason. Crashes are kept for longer than a
+#: quarantine lasts, so that the next one renews it.
 QUARANTINE_SETTINGS = QuarantineSettings(
     min_crashed_targets=3, crash_retention=2 * QuarantineSettings().expiry
 )
 
 
+def _identify_instance(profile: Profile) -> str:
+    """Return an identity that a later instance of the same name doesn't share."""
+    return f"{profile.instance}@{profile.ip}"
+
+
 class FleetLinks:
-    """The parts of a daemon that send datagrams to the others or receive them.
+    """The components of a daemon that exchange datagrams with other daemons.
 
     Parameters
     ----------
@@ -104,14 +110,14 @@
         retries: RetryAllowance,
         rng: random.Random,
     ) -> None:
-        # The IP address distinguishes this instance from a later one that gets the same
-        # name on another machine.
-        instance = f"{profile.instance}@{profile.ip}"
+        instance = _identify_instance(profile)
         incarnation = secrets.token_hex(6)
-        identity = f"{instance}/{incarnation}"
-        self._retries = retries
-        self._dispatcher = dispatcher
+        self._identity = f"{instance}/{incarnation}"
         self._address = (profile.ip, profile.internal_port)
+        self._directory = directory
+        self._dispatcher = dispatcher
+        self._peer_loads = peer_loads
+        self._retries = retries
         self._datagrams = DatagramSocket(self._handle_datagram)
         self._sender = PeerSender(self._datagrams, rng)
         self._peers = PeerDiscovery(store, self._address, self._apply_peers)
@@ -119,47 +125,28 @@
         self.path_monitor = PathMonitor()
         #: Which daemons can help if it can't.
         self.peer_paths = PeerPaths(rng)
-        #: Called with a target that said, in an answer passed on to another daemon,
-        #: that it leaves.
+        #: Called with a target whose answer to another daemon says that it leaves.
         self.report_leaving: Callable[[Target], None] | None = None
-        #: Load of this daemon, and whether it sheds.
-        self.capacity = CapacityExchange(
-            identity, profile.zone, self._sender.gossip, self._sender.broadcast
-        )
-        self.apply_limits(profile)
         #: Holds requests back until targets have room; None if none wait.
         self.admission: AdmissionGate | None = None
-        #: Answers which zones are evacuated, and asks while the store is lost.
+        #: Answers which zones are evacuated, and asks while the store is unavailable.
         self.evacuations: EvacuationExchange | None = None
-        self._directory = directory
-        self._dispatcher = dispatcher
-        self._loads = self._make_loads(identity, peer_loads, dispatcher)
-        dispatcher.announce = self._loads.trigger_report
-        dispatcher.announce_placement = self._announce_placement
-        self._identity = identity
-        self._peer_loads = peer_loads
+        #: Load of this daemon, and whether it sheds.
+        self.capacity = self._make_capacity(profile)
+        self._loads = self._make_loads()
         ledger = CreditLedger(instance, incarnation)
-        self._transfer_endpoint = TransferEndpoint(ledger, identity)
-        self._transfer_client = TransferClient(
-            self._transfer_endpoint,
-            self._datagrams.send,
-            lambda: self._sender.peers,
-            rng,
-        )
+        self._transfer_endpoint = TransferEndpoint(ledger, self._identity)
+        self._transfer_client = self._make_transfer_client(rng)
         #: Holds and settles the credit of organisations.
-        self.credit = CreditTask(
-            ledger, lambda name: StoreTable(store, CREDIT_TABLE, name)
-        )
-        self.credit.transfer_client = self._transfer_client
-        store.report_era = self.credit.begin_era
+        self.credit = self._make_credit(ledger, store)
         #: Knows the requests that crashed targets.
-        self.quarantine = self._make_quarantine(identity, store)
+        self.quarantine = self._make_quarantine(store)
         #: What targets take from the whole fleet.
         self.permits = self._make_permits(rng)
-        self.permits.apply_cold_bounds(profile.cold_bounds)
-        dispatcher.report_memory = self.permits.report_memory
         #: Knows the software versions that began streams.
         self.resumption = self._make_resumption(store)
+        self.apply_profile(profile)
+        self._connect_dispatcher()
 
     async def open(self) -> None:
         """Start receiving datagrams."""
@@ -180,24 +167,48 @@
             self._peers.run(),
         ]
 
-    def apply_limits(self, profile: Profile) -> None:
-        """Apply the limits of the instance."""
+    def apply_profile(self, profile: Profile) -> None:
+        """Apply the limits of the instance and of cold targets."""
         self.capacity.apply_limits(profile.limits.link_mbps, profile.is_constrained)
+        self.permits.apply_cold_bounds(profile.cold_bounds)
+
+    def _connect_dispatcher(self) -> None:
+        """Send what the dispatcher has to announce to other daemons."""
+        self._dispatcher.announce = self._loads.trigger_report
+        self._dispatcher.announce_placement = self._announce_placement
+        self._dispatcher.report_memory = self.permits.report_memory
+
+    def _make_capacity(self, profile: Profile) -> CapacityExchange:
+        return CapacityExchange(
+            self._identity, profile.zone, self._sender.gossip, self._sender.broadcast
+        )
 
-    def _make_loads(
-        self, identity: str, peer_loads: PeerLoads, dispatcher: Dispatcher
-    ) -> LoadExchange:
+    def _make_loads(self) -> LoadExchange:
         return LoadExchange(
-            identity,
-            peer_loads,
-            dispatcher.list_loads,
+            self._identity,
+            self._peer_loads,
+            self._dispatcher.list_loads,
             self._sender.send_in_turn,
             lambda: self.path_monitor.is_lost,
         )
 
-    def _make_quarantine(self, identity: str, store: Store) -> QuarantineExchange:
+    def _make_transfer_client(self, rng: random.Random) -> TransferClient:
+        return TransferClient(
+            self._transfer_endpoint,
+            self._datagrams.send,
+            lambda: self._sender.peers,
+            rng,
+        )
+
+    def _make_credit(self, ledger: CreditLedger, store: Store) -> CreditTask:
+        credit = CreditTask(ledger, lambda name: StoreTable(store, CREDIT_TABLE, name))
+        credit.transfer_client = self._transfer_client
+        store.report_era = credit.begin_era
+        return credit
+
+    def _make_quarantine(self, store: Store) -> QuarantineExchange:
         return QuarantineExchange(
-            identity,
+            self._identity,
             QUARANTINE_SETTINGS,
             StoreTable(store, QUARANTINE_TABLE, QUARANTINE_PART),
             self._sender.broadcast,
@@ -286,7 +297,7 @@
                 self._loads.handle_report(message)
                 self.peer_paths.record_report(sender, message.is_cut_off, now)
                 if self.admission is not None:
-                    # Targets may have room by these loads.
+                    # According to the new loads, targets may have room.
                     self.admission.wake_soon()
             case CapacityReported():
                 self.capacity.handle_report(message)
@@ -294,7 +305,7 @@
                 self._peer_loads.apply_announcement(message, now)
 
     def _announce_placement(self, load: TargetLoad) -> None:
-        """Tell all daemons of a large prompt, before two of them choose one engine."""
+        """Announce a large prompt, lest another daemon choose the same engine."""
         self._sender.broadcast(PlacementAnnounced(self._identity, load))
 
     def report_statement(self, statement: TargetStated, receiver: Address) -> None:
--- a/kingcuphead/entry/_get_server.py
+++ b/kingcuphead/entry/_get_server.py
@@ -28,6 +28,7 @@
     content_type: str = "text/html; charset=UTF-8"
 
 
+#: Returns the answer to a GET request, at once or by a coroutine.
 GetAnswer = Callable[[], Answer | Coroutine[Any, Any, Answer]]
 
 
--- a/kingcuphead/entry/_http_caller.py
+++ b/kingcuphead/entry/_http_caller.py
@@ -11,7 +11,7 @@
 from kingcuphead.capacity import MESSAGE_OVERHEAD_BYTES, CallerConnection
 from kingcuphead.forwarding import STREAM_BUFFER_BYTES, Holding
 
-#: Largest body in bytes that is joined with its head for one write.
+#: Largest part of a body in bytes that is copied in order to send it with the head.
 MAX_JOINED_BYTES = 65_536
 #: Milliseconds without progress after which the kernel closes the connection of a
 #: caller that no longer reads the rest of its answer.
@@ -19,10 +19,10 @@
 
 
 class HttpCaller:
-    """The caller of one request.
+    """The caller of one request, to whom the answer is written.
 
     The head is sent in one write with the first part of the body. Events that the
-    caller doesn't read yet wait in a buffer that counts in the account of memory.
+    caller hasn't read yet wait in a buffer, whose bytes the memory account includes.
 
     Parameters
     ----------
@@ -123,8 +123,8 @@
         self._send_head(None)
         self._write_backlog()
         if not self._connection.stream.closed():
-            # The library may close the connection once the last write that it knows
-            # of is done.
+            # Tornado closes the connection once its own last write is done, so it has
+            # to know of one that follows the backlog.
             self._connection.write(b"")
         self._connection.finish()
 
@@ -134,7 +134,7 @@
         self._connection.close()
 
     async def _wait_for_write(self) -> None:
-        # The future of this write is done once all bytes before are sent, too.
+        # The future of a write is done once all earlier bytes are sent, too.
         await self._connection.stream.write(b"")
 
     def _send_head(self, chunk: bytes | None) -> None:
@@ -147,7 +147,7 @@
             # Adds `Connection: close`; Tornado has no public way for one connection.
             self._connection._disconnect_on_finish = True
         self._connection.write_headers(start_line, headers, chunk)
-        # The library adds this header unless the answer has a length.
+        # Tornado has added this header unless the answer has a length.
         self._is_chunked = headers.get("Transfer-Encoding") == "chunked"
         self._has_length = "Content-Length" in headers
         if self._is_chunked:
@@ -155,17 +155,18 @@
             self._connection.stream.set_nodelay(True)
 
     def _send_bytes(self, data: bytes) -> None:
-        """Pass bytes to the kernel, and keep those that it doesn't take."""
+        """Pass bytes to the kernel, and buffer those that it doesn't accept."""
         stream = self._connection.stream
         sent = 0
-        # After a write is done, bytes may still wait in the backlog for its callback.
+        # Bytes in the backlog go first. They may still be there after a write is done,
+        # until its callback runs.
         if not stream.writing() and not self._written_blocks:
             with contextlib.suppress(OSError):
                 sent = stream.write_to_fd(memoryview(data)) or 0
         if sent < len(data):
-            self._keep(data[sent:])
+            self._buffer(data[sent:])
 
-    def _keep(self, data: bytes) -> None:
+    def _buffer(self, data: bytes) -> None:
         self.holding.take_request_bytes(len(data))
         self._unsent_bytes += len(data)
         self._backlog += data
@@ -173,7 +174,7 @@
             self._write_backlog()
 
     def _write_backlog(self) -> None:
-        """Pass all kept bytes to the stream, in one write."""
+        """Pass all buffered bytes to the stream, in one write."""
         if not self._backlog:
             return
         data = bytes(self._backlog)
--- a/kingcuphead/entry/_instruments.py
+++ b/kingcuphead/entry/_instruments.py
@@ -65,7 +65,7 @@
 
 
 def load_library() -> None:
-    """Import the library, which takes so long that a thread had better do it."""
+    """Import the library; call this in a thread, lest it block the event loop."""
     import prometheus_client  # noqa: F401
 
 
@@ -73,7 +73,7 @@
 
 
 class _Family(Generic[S]):
-    """Series of one name, by the values of their labels."""
+    """A metric with its series, by the values of their labels."""
 
     #: Type in the Prometheus text format.
     kind: str
@@ -162,10 +162,10 @@
 
 
 class Registry:
-    """All families of a daemon."""
+    """All metrics of a daemon."""
 
     def __init__(self) -> None:
-        #: The families in the order of their creation.
+        #: The metrics in the order of their creation.
         self.families: list[_Family[Any]] = []
 
     def render(self) -> bytes:
@@ -175,7 +175,7 @@
         return prometheus_client.generate_latest(self)
 
     def collect(self) -> Iterator[Any]:
-        """Yield the families as metrics of `prometheus_client`."""
+        """Yield the metrics as those of `prometheus_client`."""
         import prometheus_client
 
         for family in self.families:
--- a/kingcuphead/entry/_readiness.py
+++ b/kingcuphead/entry/_readiness.py
@@ -7,7 +7,9 @@
 from kingcuphead.entry._get_server import Answer, serve_get
 from kingcuphead.platform import READINESS_PATH
 
+#: Returns whether the daemon is ready.
 ReadinessCheck = Callable[[], bool]
+#: Receives whether the answer to a check was that the daemon is ready.
 CheckRecorder = Callable[[bool], None]
 
 
--- a/kingcuphead/entry/_settings.py
+++ b/kingcuphead/entry/_settings.py
@@ -6,15 +6,15 @@
 
 from expression import Error, Ok, Result
 
-#: Section and key of the share of second attempts.
+#: Section and key of the largest share of hedged requests.
 HEDGING_SECTION, SHARE_KEY = "hedging", "max_share"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class EntrySettings:
-    """What the operator sets for one entry daemon."""
+    """Settings of the operator for one entry daemon."""
 
-    #: Largest number of second attempts as a share of requests; 0 for none.
+    #: Largest share of requests that get a second attempt beside the first; 0 for none.
     max_hedged_share: float = 0.0
 
 
@@ -40,7 +40,18 @@
 
 
 def read_settings(path: str) -> Result[EntrySettings, InvalidSettings]:
-    """Read and check a settings file; missing keys keep their defaults."""
+    """Read and check a settings file; missing keys keep their defaults.
+
+    Parameters
+    ----------
+    path
+        Path of an INI file.
+
+    Returns
+    -------
+    Result[EntrySettings, InvalidSettings]
+        The settings, or what is wrong with the file.
+    """
     parser = configparser.ConfigParser(interpolation=None, default_section="")
     try:
         with open(path, encoding="utf-8") as file:
--- a/kingcuphead/entry/_table_listeners.py
+++ b/kingcuphead/entry/_table_listeners.py
@@ -116,7 +116,7 @@
         return self._directory.evacuated_zones
 
     def get_age(self) -> float:
-        """Return the seconds since the store last told of the rows, or of no change."""
+        """Return the seconds since the store last answered a read of the rows."""
         return read_boot_clock() - self._read_at
 
     def apply_changes(self, changes: Iterable[Change]) -> None:
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -20,13 +20,17 @@
 
 @frozen
 class Position:
-    """Where the feed of a table was read up to."""
+    """Position in the feed of a table: the last change that was read."""
 
-    #: Version of the last change.
+    #: Version of the change.
     version: int
-    #: Era of the store that gave out the version.
+    #: Era of the store that assigned the version.
     era: int
 
+    def is_after(self, other: "Position") -> bool:
+        """Whether the change is later than another one."""
+        return (self.era, self.version) > (other.era, other.version)
+
 
 class TableListener(Protocol):
     """Receives the contents and the changes of a table."""
@@ -93,7 +97,7 @@
         self._report_failure = report_failure
         self._position: Position | None = None
         self._is_failing = False
-        #: Where the feed was last read up to; it is kept when the store is lost.
+        #: Last position that was read; it is kept while the store is unavailable.
         self.last_position: Position | None = None
 
     async def run(self) -> None:
--- a/kingcuphead/entry/tests/test_evacuation_exchange.py
+++ b/kingcuphead/entry/tests/test_evacuation_exchange.py
@@ -45,7 +45,9 @@
         assert daemon.listener.list_zones() == ("b",)
 
     @pytest.mark.parametrize("has_store", [True, False])
-    def test_only_a_daemon_without_news_asks_and_only_others_answer(self, has_store):
+    def test_only_a_daemon_without_the_store_asks_and_only_others_answer(
+        self, has_store
+    ):
         daemon = Daemon(has_store)
         daemon.exchange.ask_if_due()
         answer = daemon.exchange.make_answer()
@@ -56,7 +58,7 @@
             assert daemon.asked == [ZonesAsked()]
             assert answer is None
 
-    def test_a_daemon_with_news_ignores_reports(self):
+    def test_a_daemon_with_the_store_ignores_reports(self):
         daemon = Daemon(has_store=True)
         daemon.exchange.handle_report(ZonesReported(1, 8, ()))
         assert daemon.listener.list_zones() == ("a",)
