Let scripted targets yield on endless answers

The two interim cases of test_endless_answers got 504 at the deadline of 2 s in place of 502, now and then beside load. The cause is the scripted target: drain() doesn't suspend while the kernel takes the bytes, so that an endless step of 25 bytes a write made about 160,000 writes (4 MB) in one turn of the event loop that it shares with the daemon. A target in a process of its own can't do that. It now yields every 64 KiB.

The daemon isn't at fault: its transport reads 64 KiB at most in a turn, and ends the answer with the eleventh informational answer.

--- a/kingcuphead/forwarding/tests/_target.py
+++ b/kingcuphead/forwarding/tests/_target.py
@@ -7,6 +7,10 @@
 
 from kingcuphead.targets import Availability, Target
 
+#: Bytes of an endless step after which the daemon runs, which shares the event loop.
+#: While the kernel takes them, a write doesn't yield, however many follow.
+ENDLESS_BURST_BYTES = 65_536
+
 
 @dataclasses.dataclass
 class Received:
@@ -131,10 +135,7 @@
                 writer.transport.abort()
                 return False
             if isinstance(step, Endless):
-                while True:
-                    writer.write(step.block)
-                    await writer.drain()
-                    self.endless_bytes += len(step.block)
+                await self._send_without_end(writer, step.block)
             if isinstance(step, bytes):
                 writer.write(step.replace(b"@id", request_id))
                 await writer.drain()
@@ -142,6 +143,18 @@
                 return False
         return True
 
+    async def _send_without_end(self, writer, block):
+        """Send a block again and again until the daemon closes the connection."""
+        burst = 0
+        while True:
+            writer.write(block)
+            await writer.drain()
+            self.endless_bytes += len(block)
+            burst += len(block)
+            if burst >= ENDLESS_BURST_BYTES:
+                burst = 0
+                await asyncio.sleep(0)
+
     async def _wait(self, reader, seconds):
         """Wait; return whether the daemon closed the connection during the wait."""
         try:
