Let the admission gate decide 0.02 s before the deadline

The fault is the daemon's: the gate refuses a request that can't begin any more at the first tick of its 20 ms timer after deadline - 20 ms, so that the refusal came at any time up to the deadline itself: after 0.4975 s in one of 8 trials at a load average of 9, without a late timer. A refusal of that moment reaches the caller after its deadline.

The check and its bound are unchanged.

--- a/kingcuphead/forwarding/_admission.py
+++ b/kingcuphead/forwarding/_admission.py
@@ -11,6 +11,10 @@
 from kingcuphead.forwarding._target_choice import TargetChoice
 from kingcuphead.targets import Target
 
+#: Seconds before the deadline by which the gate has to decide. It looks for requests
+#: that can't begin any more at intervals of this length, so a refusal may be as late.
+REFUSAL_MARGIN = 0.02
+
 
 class AdmissionStep:
     """Admission of requests on their way to a target.
@@ -71,7 +75,7 @@
             fingerprint=context.identity.fingerprint,
             arrived_at=request.arrived_at,
             objective_ends_at=request.arrived_at + context.route.objective,
-            deadline=context.deadline,
+            deadline=context.deadline - REFUSAL_MARGIN,
             answer_seconds=gate.answer_times.estimate(context.service, size),
         )
 
