Give each attempt its own part of the caller's stream

A stream kept the start and the first-event callback of one attempt, so that two attempts at the same time would have overwritten each other's, and both could have sent events.

Each attempt now opens its part of the stream. The first one with an event that follows what the caller has becomes the sender, and the others are closed for good in the same step. Attempts still run one at a time, so nothing changes for callers.

Tests of forwarding for streams, hedging and the parts of a stream pass.

--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -18,8 +18,8 @@
 )
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
 from kingcuphead.forwarding._ports import HeaderCodec
-from kingcuphead.forwarding._stream import AnswerStream
-from kingcuphead.forwarding._transfer import EventTransfer
+from kingcuphead.forwarding._stream import AttemptStream
+from kingcuphead.forwarding._transfer import OTHER_ATTEMPT, EventTransfer
 from kingcuphead.frozen import frozen
 from kingcuphead.verdict import Execution
 
@@ -124,7 +124,7 @@
         self._pool = pool
         self._codec = codec
 
-    async def run(self, attempt: Attempt, stream: AnswerStream | None) -> AttemptEnd:
+    async def run(self, attempt: Attempt, stream: AttemptStream | None) -> AttemptEnd:
         """Send the request and read the answer.
 
         Parameters
@@ -150,7 +150,7 @@
         attempt: Attempt,
         lease: Lease,
         exchange: "_Exchange",
-        stream: AnswerStream | None,
+        stream: AttemptStream | None,
     ) -> AttemptEnd:
         request = attempt.request
         attempt.record_helper(lease.connection.helper)
@@ -191,7 +191,7 @@
         attempt: Attempt,
         answer: TargetAnswer,
         head: AnswerHead,
-        stream: AnswerStream | None,
+        stream: AttemptStream | None,
     ) -> AttemptEnd:
         fault = _find_fault(attempt, head)
         if fault is not None:
@@ -315,7 +315,7 @@
 
 
 async def _read_stream(
-    attempt: Attempt, answer: TargetAnswer, head: AnswerHead, stream: AnswerStream
+    attempt: Attempt, answer: TargetAnswer, head: AnswerHead, stream: AttemptStream
 ) -> AttemptEnd:
     transfer = EventTransfer(head, stream)
     block = await _wait_for_first_bytes(attempt, answer.read)
@@ -331,15 +331,26 @@
         if stall is not None:
             return stall
         takes_more = False
+    return _end_stream(answer, head, transfer, stream)
+
+
+def _end_stream(
+    answer: TargetAnswer,
+    head: AnswerHead,
+    transfer: EventTransfer,
+    stream: AttemptStream,
+) -> AttemptEnd:
+    """Finish a stream that is complete; else return what is wrong with it."""
     if transfer.fault is not None:
         return _make_broken_failure(transfer.fault)
     if answer.end is AnswerEnd.BROKEN:
         return _make_lost_failure("the connection broke within the stream")
     if transfer.has_partial_event:
         return _make_broken_failure("the stream ended within an event")
-    if head.is_unframed and not stream.has_attempt_events:
+    if head.is_unframed and not stream.has_events:
         return _make_broken_failure("the stream ended before its first event")
-    stream.finish(head)
+    if not stream.finish(head):
+        return _make_broken_failure(OTHER_ATTEMPT)
     return StreamDelivered(head)
 
 
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import dataclasses
+from collections.abc import Callable
 
 from kingcuphead.dispatch import AttemptResult, Placement
 from kingcuphead.forwarding._attempt import (
@@ -24,7 +25,7 @@
     TargetStated,
 )
 from kingcuphead.forwarding._retry_decision import RetryDecision
-from kingcuphead.forwarding._stream import AnswerStream
+from kingcuphead.forwarding._stream import AnswerStream, AttemptStream
 from kingcuphead.resumption import BegunStream
 from kingcuphead.targets import Target
 from kingcuphead.verdict import Execution
@@ -75,6 +76,7 @@
         placement: Placement,
         holding: Holding,
         stream: AnswerStream | None,
+        report_first_event: Callable[[], None] = lambda: None,
     ) -> AttemptEnd:
         """Send a request to the chosen target and read the answer.
 
@@ -88,21 +90,26 @@
             Counts the bytes held for the request.
         stream
             Receives the events; None for an answer that is returned when complete.
+        report_first_event
+            Called before the first event is sent to the caller.
         """
         context.tried.append(placement.target.name)
         path = AttemptPath()
         started_at = get_time()
+        events = None
         if stream is not None:
-            stream.begin_attempt(lambda: self._record_start(context, placement))
+            events = self._begin_events(context, placement, stream, report_first_event)
         context.possible_runs += 1
         end: AttemptEnd | None = None
         try:
             attempt = self._make_attempt(context, placement, path, holding, stream)
-            end = await self._dependencies.runner.run(attempt, stream)
+            end = await self._dependencies.runner.run(attempt, events)
         finally:
+            if events is not None:
+                events.close()
             seconds = get_time() - started_at
             self._record_attempt(context, placement, path, end, seconds)
-            checked = self._record_evidence(context, placement, end, stream)
+            checked = self._record_evidence(context, placement, end, events)
         match end:
             case AttemptFailed(execution=Execution.NOT_RUN):
                 context.possible_runs -= 1
@@ -112,6 +119,19 @@
             self._dependencies.directory.mark_replaced(placement.target)
         return end
 
+    def _begin_events(
+        self,
+        context: RequestContext,
+        placement: Placement,
+        stream: AnswerStream,
+        report_first_event: Callable[[], None],
+    ) -> AttemptStream:
+        def report_start() -> None:
+            self._record_start(context, placement)
+            report_first_event()
+
+        return stream.begin_attempt(report_start)
+
     def _record_attempt(
         self,
         context: RequestContext,
@@ -231,9 +251,9 @@
         context: RequestContext,
         placement: Placement,
         end: AttemptEnd | None,
-        stream: AnswerStream | None,
+        events: AttemptStream | None,
     ) -> asyncio.Event | None:
-        seconds = None if stream is None else stream.get_running_seconds()
+        seconds = None if events is None else events.get_running_seconds()
         return self._dependencies.evidence.record(
             EndedAttempt(context.identity, placement.target, end, seconds)
         )
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -11,7 +11,9 @@
 class AnswerStream:
     """Sends complete events to a caller and tracks the id of the last one.
 
-    The caller receives the head of the first target that delivers an event.
+    The caller receives the head of the first target that delivers an event. Of attempts
+    that run at the same time, the first one with an event becomes the sender; nothing
+    is taken of the others any more, so that events of two runs are never combined.
 
     Parameters
     ----------
@@ -30,40 +32,59 @@
         self.started_at = 0.0
         #: Number of events sent to the caller.
         self.event_count = 0
-        self._attempt_started_at: float | None = None
-        self._report_start: Callable[[], None] = _report_nothing
+        self._open_attempts: set[AttemptStream] = set()
+        self._sender: AttemptStream | None = None
 
     @property
     def last_event_id(self) -> int:
         """Id of the last event that the caller has."""
         return self._last_event_id
 
+    @property
+    def has_begun(self) -> bool:
+        """Whether the caller has events, be it from an earlier try."""
+        return self.is_started or self._last_event_id > 0
+
     @property
     def is_congested(self) -> bool:
         """Whether the caller has to read before more is sent."""
         return self._caller.is_congested
 
-    @property
-    def has_attempt_events(self) -> bool:
-        """Whether the current attempt has brought an event."""
-        return self._attempt_started_at is not None
-
-    def begin_attempt(self, report_start: Callable[[], None]) -> None:
-        """Note that the next event is the first one of another attempt.
+    def begin_attempt(self, report_start: Callable[[], None]) -> "AttemptStream":
+        """Return the part of an attempt in the stream, which is open until its end.
 
         Parameters
         ----------
         report_start
-            Called before that event is sent to the caller.
+            Called before the first event of the attempt is sent to the caller.
         """
-        self._attempt_started_at = None
-        self._report_start = report_start
-
-    def get_running_seconds(self) -> float | None:
-        """Return the seconds since the first event of the attempt; None without one."""
-        if self._attempt_started_at is None:
-            return None
-        return get_time() - self._attempt_started_at
+        attempt = AttemptStream(self, report_start)
+        self._open_attempts.add(attempt)
+        return attempt
+
+    def close_attempts(self) -> None:
+        """Take no more events of the attempts that are open."""
+        self._open_attempts.clear()
+        self._sender = None
+
+    def close(self, attempt: "AttemptStream") -> None:
+        """Take no more events of an attempt."""
+        self._open_attempts.discard(attempt)
+        if self._sender is attempt:
+            self._sender = None
+
+    def claim(self, attempt: "AttemptStream") -> bool:
+        """Make an open attempt the sender and close the others.
+
+        Returns
+        -------
+        bool
+            Whether it is the sender; false if it is closed, or while there is another.
+        """
+        if self._sender is None and attempt in self._open_attempts:
+            self._sender = attempt
+            self._open_attempts = {attempt}
+        return self._sender is attempt
 
     def count_next(self, events: Sequence[Event]) -> int:
         """Return how many of the events directly follow the last one and each other.
@@ -79,11 +100,8 @@
             last = event.event_id
         return len(events)
 
-    def deliver(self, head: AnswerHead, events: Sequence[Event]) -> None:
+    def send(self, head: AnswerHead, events: Sequence[Event]) -> None:
         """Send events to the caller at once, and before the first event the head."""
-        if self._attempt_started_at is None:
-            self._attempt_started_at = get_time()
-            self._report_start()
         self._start(head)
         for event in events:
             if event.event_id is not None:
@@ -107,5 +125,63 @@
             self._caller.start(head.status, head.headers)
 
 
-def _report_nothing() -> None:
-    """Do nothing, before the first attempt."""
+class AttemptStream:
+    """What one attempt adds to the stream of its caller.
+
+    Parameters
+    ----------
+    stream
+        Stream to the caller.
+    report_start
+        Called before the first event of the attempt is sent to the caller.
+    """
+
+    def __init__(self, stream: AnswerStream, report_start: Callable[[], None]) -> None:
+        self._stream = stream
+        self._report_start = report_start
+        self._started_at: float | None = None
+
+    @property
+    def is_congested(self) -> bool:
+        """Whether the caller has to read before more is sent."""
+        return self._stream.is_congested
+
+    @property
+    def has_events(self) -> bool:
+        """Whether an event of the attempt was sent."""
+        return self._started_at is not None
+
+    def get_running_seconds(self) -> float | None:
+        """Return the seconds since the first event of the attempt; None without one."""
+        if self._started_at is None:
+            return None
+        return get_time() - self._started_at
+
+    def count_next(self, events: Sequence[Event]) -> int:
+        """Return how many of the events directly follow the last one and each other."""
+        return self._stream.count_next(events)
+
+    def deliver(self, head: AnswerHead, events: Sequence[Event]) -> bool:
+        """Send events to the caller at once; return false if another attempt has."""
+        if not self._stream.claim(self):
+            return False
+        if self._started_at is None:
+            self._started_at = get_time()
+            self._report_start()
+        self._stream.send(head, events)
+        return True
+
+    async def drain(self) -> None:
+        """Wait until the caller has taken most of what was sent."""
+        await self._stream.drain()
+
+    def finish(self, head: AnswerHead) -> bool:
+        """End the stream as complete; return false if another attempt has events."""
+        if not self._stream.claim(self):
+            return False
+        self._stream.finish(head)
+        return True
+
+    def close(self) -> None:
+        """Send nothing more, at the end of the attempt."""
+        self._stream.close(self)
--- a/kingcuphead/forwarding/_transfer.py
+++ b/kingcuphead/forwarding/_transfer.py
@@ -2,7 +2,10 @@
 
 from kingcuphead.forwarding._events import MAX_EVENT_BYTES, EventSplitter
 from kingcuphead.forwarding._messages import AnswerHead
-from kingcuphead.forwarding._stream import AnswerStream
+from kingcuphead.forwarding._stream import AttemptStream
+
+#: Why the events of an attempt are dropped after the first event of another one.
+OTHER_ATTEMPT = "another attempt sends the stream"
 
 
 class EventTransfer:
@@ -13,10 +16,10 @@
     head
         Head of the answer.
     stream
-        Stream to the caller.
+        Part of the attempt in the stream to the caller.
     """
 
-    def __init__(self, head: AnswerHead, stream: AnswerStream) -> None:
+    def __init__(self, head: AnswerHead, stream: AttemptStream) -> None:
         self._head = head
         self._stream = stream
         self._splitter = EventSplitter()
@@ -39,9 +42,9 @@
         """
         events = self._splitter.feed(block)
         count = self._stream.count_next(events)
-        if count:
-            self._stream.deliver(self._head, events[:count])
-        if count < len(events):
+        if count and not self._stream.deliver(self._head, events[:count]):
+            self.fault = OTHER_ATTEMPT
+        elif count < len(events):
             self.fault = "an event id is not in sequence"
         elif self._splitter.is_oversized:
             self.fault = f"an event is larger than {MAX_EVENT_BYTES} bytes"
