Send second attempts of streams before their first event

Second attempts beside slow ones existed for idempotent requests only. With the policy's covers_streams, a stream gets one too if it may be resumed and its caller has no event of it. The delay is measured to first events, by the size of the prompt.

--- a/kingcuphead/dispatch/_hedging.py
+++ b/kingcuphead/dispatch/_hedging.py
@@ -9,6 +9,7 @@
 from kingcuphead.dispatch._messages import AttemptResult
 from kingcuphead.dispatch._retries import RetryAllowance
 from kingcuphead.dispatch._sliding_window import SlidingWindowCounter
+from kingcuphead.routing import RequestKind, Route
 
 #: Share of the attempts that end before the delay of a second attempt.
 DELAY_QUANTILE = 0.95
@@ -90,10 +91,15 @@
         Largest number of second attempts as a share of requests; 0 for none.
     retries
         Retry budget, which second attempts count against.
+    covers_streams
+        Whether streams may get a second attempt before their first event.
     """
 
-    def __init__(self, max_share: float, retries: RetryAllowance) -> None:
+    def __init__(
+        self, max_share: float, retries: RetryAllowance, covers_streams: bool = False
+    ) -> None:
         self._max_share = max_share
+        self._covers_streams = covers_streams
         self._retries = retries
         self._histograms: dict[RequestClass, AnswerHistogram] = {}
         self._requests: defaultdict[str, SlidingWindowCounter] = defaultdict(
@@ -110,6 +116,27 @@
         """Whether the operator allows second attempts."""
         return self._max_share > 0
 
+    def covers(self, route: Route, has_begun: bool) -> bool:
+        """Return whether a request may get a second attempt.
+
+        Parameters
+        ----------
+        route
+            Route of the request.
+        has_begun
+            Whether the caller has events of the stream. It then goes on at one target
+            at a time.
+        """
+        if not self.is_enabled:
+            return False
+        match route.kind:
+            case RequestKind.IDEMPOTENT:
+                return True
+            case RequestKind.STREAM:
+                return self._covers_streams and route.is_resumable and not has_begun
+            case _:
+                return False
+
     def count_request(self, service: str, now: float) -> None:
         """Count a request received from a caller."""
         if self.is_enabled:
@@ -141,7 +168,7 @@
         result
             How the attempt ended.
         seconds
-            Time from its start to its end.
+            Time from its start to its end, or to the first event of a stream.
         now
             Current time in seconds.
         """
--- a/kingcuphead/dispatch/tests/test_hedging.py
+++ b/kingcuphead/dispatch/tests/test_hedging.py
@@ -12,6 +12,7 @@
     RequestClass,
     RetryAllowance,
 )
+from kingcuphead.routing import RequestKind, Route, WeightedService
 
 KIND = RequestClass("pool", "idempotent", 7)
 CALM = HedgeConditions("pool", True, False, 0.0, running=2, slots=16)
@@ -32,6 +33,23 @@
     return policy
 
 
+def make_route(kind, is_resumable):
+    return Route(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=kind,
+        services=(WeightedService("pool", 1),),
+        timeout=2.0,
+        objective=0.2,
+        event_gap_objective=0.1,
+        rank=0,
+        max_attempts=2,
+        is_anonymous=False,
+        is_resumable=is_resumable,
+    )
+
+
 @dataclasses.dataclass
 class Outcome:
     """What one load came to."""
@@ -109,6 +127,37 @@
         assert outcome.get_share() <= SHARE
 
 
+class TestCoveredRequests:
+    @pytest.mark.parametrize(
+        ("kind", "is_resumable", "has_begun", "is_covered"),
+        [
+            (RequestKind.IDEMPOTENT, False, False, True),
+            (RequestKind.AT_MOST_ONCE, False, False, False),
+            (RequestKind.STREAM, True, False, True),
+            # It would go on at two targets.
+            (RequestKind.STREAM, True, True, False),
+            # It must not run twice.
+            (RequestKind.STREAM, False, False, False),
+        ],
+    )
+    def test_kinds(self, kind, is_resumable, has_begun, is_covered):
+        policy = HedgingPolicy(SHARE, RetryAllowance(0.2, 0.0, 10.0), True)
+        assert policy.covers(make_route(kind, is_resumable), has_begun) is is_covered
+
+    @pytest.mark.parametrize(
+        ("share", "covers_streams", "covered"),
+        [
+            (0.0, True, []),
+            (SHARE, False, [RequestKind.IDEMPOTENT]),
+        ],
+    )
+    def test_they_are_off_by_default(self, share, covers_streams, covered):
+        retries = RetryAllowance(0.2, 0.0, 10.0)
+        policy = HedgingPolicy(share, retries, covers_streams)
+        routes = [make_route(kind, is_resumable=True) for kind in RequestKind]
+        assert [each.kind for each in routes if policy.covers(each, False)] == covered
+
+
 class TestDelay:
     def test_it_is_unknown_before_50_observations(self):
         assert make_policy(answers=49).get_delay(KIND) == math.inf
--- a/kingcuphead/forwarding/tests/_target.py
+++ b/kingcuphead/forwarding/tests/_target.py
@@ -32,6 +32,13 @@
     block: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class Unaware:
+    """A step that waits, without noticing that the daemon closes the connection."""
+
+    seconds: float
+
+
 class ScriptedTarget:
     """Answers each request with the next list of steps of its script.
 
@@ -53,6 +60,8 @@
         self.received = []
         #: Bytes that endless steps have sent.
         self.endless_bytes = 0
+        #: Unaware steps that have ended.
+        self.unaware_ends = 0
         self.is_cancelled = asyncio.Event()
         self._server = None
         self._writers = set()
@@ -136,6 +145,10 @@
                 return False
             if isinstance(step, Endless):
                 await self._send_without_end(writer, step.block)
+            if isinstance(step, Unaware):
+                await asyncio.sleep(step.seconds)
+                self.unaware_ends += 1
+                continue
             if isinstance(step, bytes):
                 writer.write(step.replace(b"@id", request_id))
                 await writer.drain()
--- a/kingcuphead/forwarding/tests/test_hedging.py
+++ b/kingcuphead/forwarding/tests/test_hedging.py
@@ -38,12 +38,12 @@
         pass
 
 
-def make_policy(share=1.0, policy_class=LagIgnoringPolicy):
+def make_policy(share=1.0, policy_class=LagIgnoringPolicy, covers_streams=False):
     """Return a policy that has measured requests of all kinds."""
-    policy = policy_class(share, RetryAllowance(1.0, 120.0, 10.0))
+    policy = policy_class(share, RetryAllowance(1.0, 120.0, 10.0), covers_streams)
     now = asyncio.get_running_loop().time()
-    for kind in (IDEMPOTENT, ONCE, STREAM):
-        measured = RequestClass("pool", kind.value, (20).bit_length())
+    for kind, tokens in ((IDEMPOTENT, 20), (ONCE, 20), (STREAM, 10)):
+        measured = RequestClass("pool", kind.value, tokens.bit_length())
         for _ in range(60):
             policy.count_request("pool", now)
             policy.record_end(measured, "t9", AttemptResult.ANSWERED, USUAL, now)
@@ -56,12 +56,13 @@
     prepaid=1_000,
     share=1.0,
     policy_class=LagIgnoringPolicy,
+    covers_streams=False,
     **changes,
 ):
     """Run a scenario with second attempts and an objective of 1 s."""
 
     async def main(harness):
-        harness.enable_hedging(make_policy(share, policy_class))
+        harness.enable_hedging(make_policy(share, policy_class, covers_streams))
         await scenario(harness)
 
     values = {"timeout": 4.0, "objective": 1.0, **changes}
