Let operators allow second attempts of streams

The key streams of the section [hedging], no by default, so that a daemon with max_share doesn't send prompts twice after an update.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -113,7 +113,9 @@
         self._dispatcher.observer = self._metrics.engines
         retries = profile.retries
         self._retries = RetryAllowance(retries.ratio, retries.burst, retries.window)
-        self._hedging = HedgingPolicy(settings.max_hedged_share, self._retries)
+        self._hedging = HedgingPolicy(
+            settings.max_hedged_share, self._retries, settings.hedges_streams
+        )
         self._links = FleetLinks(
             profile,
             self._store,
--- a/kingcuphead/entry/_settings.py
+++ b/kingcuphead/entry/_settings.py
@@ -6,8 +6,10 @@
 
 from expression import Error, Ok, Result
 
-#: Section and key of the share of second attempts.
-HEDGING_SECTION, SHARE_KEY = "hedging", "max_share"
+#: Section of second attempts beside slow ones.
+HEDGING_SECTION = "hedging"
+#: Keys of their share of the requests, and of whether streams get them.
+SHARE_KEY, STREAMS_KEY = "max_share", "streams"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -16,6 +18,8 @@
 
     #: Largest number of second attempts as a share of requests; 0 for none.
     max_hedged_share: float = 0.0
+    #: Whether streams that may be resumed get second attempts, too.
+    hedges_streams: bool = False
 
 
 #: Settings without a file.
@@ -60,7 +64,7 @@
         if section != HEDGING_SECTION:
             return Error(InvalidSettings(path, f"[{section}]", "unknown section"))
         for key in parser[section]:
-            if key != SHARE_KEY:
+            if key not in (SHARE_KEY, STREAMS_KEY):
                 location = f"[{section}] {key}"
                 return Error(InvalidSettings(path, location, "unknown key"))
     default = str(DEFAULT_SETTINGS.max_hedged_share)
@@ -68,9 +72,20 @@
     share = _parse_share(text)
     if share is None:
         cause = f"{text!r} is not a number from 0 to 1"
-        location = f"[{HEDGING_SECTION}] {SHARE_KEY}"
-        return Error(InvalidSettings(path, location, cause))
-    return Ok(EntrySettings(share))
+        return Error(_make_value_fault(path, SHARE_KEY, cause))
+    try:
+        hedges_streams = parser.getboolean(
+            HEDGING_SECTION, STREAMS_KEY, fallback=DEFAULT_SETTINGS.hedges_streams
+        )
+    except ValueError:
+        text = parser.get(HEDGING_SECTION, STREAMS_KEY)
+        cause = f"{text!r} is neither yes nor no"
+        return Error(_make_value_fault(path, STREAMS_KEY, cause))
+    return Ok(EntrySettings(share, hedges_streams))
+
+
+def _make_value_fault(path: str, key: str, cause: str) -> InvalidSettings:
+    return InvalidSettings(path, f"[{HEDGING_SECTION}] {key}", cause)
 
 
 def _parse_share(text: str) -> float | None:
--- a/kingcuphead/entry/tests/test_settings.py
+++ b/kingcuphead/entry/tests/test_settings.py
@@ -1,4 +1,5 @@
 import pathlib
+import re
 
 import pytest
 
@@ -11,18 +12,23 @@
 
 class TestSettings:
     @pytest.mark.parametrize(
-        ("text", "share"),
+        ("text", "settings"),
         [
-            ("", 0.0),
-            ("[hedging]\n", 0.0),
-            ("[hedging]\nmax_share = 0.02\n", 0.02),
-            ("[hedging]\nmax_share = 0\n", 0.0),
+            ("", EntrySettings()),
+            ("[hedging]\n", EntrySettings()),
+            ("[hedging]\nmax_share = 0.02\n", EntrySettings(0.02)),
+            ("[hedging]\nmax_share = 0\n", EntrySettings(0.0)),
+            (
+                "[hedging]\nmax_share = 0.02\nstreams = yes\n",
+                EntrySettings(0.02, True),
+            ),
+            ("[hedging]\nstreams = no\n", EntrySettings(0.0, False)),
         ],
     )
-    def test_valid_files(self, tmp_path, text, share):
+    def test_valid_files(self, tmp_path, text, settings):
         path = tmp_path / "entry.ini"
         path.write_text(text)
-        assert read_settings(str(path)).ok == EntrySettings(share)
+        assert read_settings(str(path)).ok == settings
 
     @pytest.mark.parametrize(
         ("text", "part"),
@@ -31,6 +37,7 @@
             ("[hedging]\nmax_share = nan\n", "from 0 to 1"),
             ("[hedging]\nmax_share = -0.1\n", "from 0 to 1"),
             ("[hedging]\nmax_share = 2\n", "from 0 to 1"),
+            ("[hedging]\nstreams = 2\n", "[hedging] streams: '2'"),
             ("[hedging]\nshare = 0.1\n", "[hedging] share: unknown key"),
             ("[hedge]\nmax_share = 0.1\n", "[hedge]: unknown section"),
             ("max_share = 0.1\n", "no section headers"),
@@ -51,5 +58,5 @@
     def test_the_example_shows_the_defaults(self, tmp_path):
         assert read_settings(str(EXAMPLE)).ok == EntrySettings()
         path = tmp_path / "entry.ini"
-        path.write_text(EXAMPLE.read_text().replace("\n#max", "\nmax"))
+        path.write_text(re.sub(r"^#(?=\w)", "", EXAMPLE.read_text(), flags=re.M))
         assert read_settings(str(path)).ok == EntrySettings()
