--- a/kingcuphead/forwarding/tests/test_attempt_race.py
+++ b/kingcuphead/forwarding/tests/test_attempt_race.py
@@ -1,11 +1,21 @@
 import asyncio
 import dataclasses
+import random
 
 import pytest
-
-from kingcuphead.dispatch import HedgingPolicy, RetryAllowance
+from tornado.httputil import HTTPHeaders
+
+from kingcuphead.dispatch import (
+    Dispatcher,
+    DispatchSettings,
+    HedgingPolicy,
+    Placement,
+    PlacementRequest,
+    RetryAllowance,
+)
 from kingcuphead.forwarding import HedgeRecord, MemoryAccount, RequestContext
 from kingcuphead.forwarding._attempt import Answered, StreamDelivered
+from kingcuphead.forwarding._attempt_driver import AttemptDriver
 from kingcuphead.forwarding._attempt_race import AttemptRace
 from kingcuphead.forwarding._events import Event
 from kingcuphead.forwarding._stream import AnswerStream
@@ -15,33 +25,36 @@
     make_request,
     make_route,
 )
+from kingcuphead.loads import PeerLoads
 from kingcuphead.platform import PlatformHeaders
+from kingcuphead.targets import Availability, Target
 
-HEAD = PlatformHeaders().decode_answer(200, {}, "POST")
+HEAD = PlatformHeaders().decode_answer(200, HTTPHeaders(), "POST")
 NOT_FOUND = dataclasses.replace(HEAD, status=404)
 
 
-@dataclasses.dataclass(frozen=True)
-class Target:
-    name: str
-
-
-@dataclasses.dataclass(frozen=True)
-class Placement:
-    target: Target
+def place(name):
+    """Return the choice of a target."""
+    dispatcher = Dispatcher(DispatchSettings("z"), PeerLoads(), random.Random(1))
+    target = Target(name, "pool", "127.0.0.1:9", "z", 4, Availability.READY, 1)
+    placement = dispatcher.place(PlacementRequest("pool"), [target], (), 0.0)
+    assert placement is not None
+    return placement
 
 
-FIRST, SECOND = Placement(Target("t1")), Placement(Target("t2"))
+FIRST, SECOND = place("t1"), place("t2")
 
 
-class ScriptedDriver:
+class ScriptedDriver(AttemptDriver):
     """Attempts that send events and end when the test says so."""
 
     def __init__(self):
         self.events = {}
         self.ends = {}
 
-    async def run(self, context, placement, holding, stream, report_first_event):
+    async def run(
+        self, context, placement, holding, stream, report_first_event=lambda: None
+    ):
         name = placement.target.name
         self.events[name] = stream.begin_attempt(report_first_event)
         self.ends[name] = asyncio.get_running_loop().create_future()
@@ -61,7 +74,7 @@
     def __init__(self):
         self.driver = ScriptedDriver()
         self.caller = RecordingCaller(MemoryAccount(covers_requests=True))
-        self.withdrawn = []
+        self.withdrawn: list[Placement] = []
         self.context = RequestContext(
             make_request(STREAM), make_route(STREAM), "pool", None, 9.0, 1
         )
--- a/kingcuphead/forwarding/tests/test_hedged_streams.py
+++ b/kingcuphead/forwarding/tests/test_hedged_streams.py
@@ -321,10 +321,9 @@
         async def scenario(harness):
             for name in ("first", "second"):
                 target = getattr(harness, name)
-                steps = [ScriptedTarget.RESET]
+                target.script = [[4 * USUAL, ScriptedTarget.RESET]]
                 if name != failing:
-                    steps = [2 * USUAL, *stream(target, [1])]
-                target.script = [[4 * USUAL, *steps]]
+                    target.script = [[6 * USUAL, *stream(target, [1])]]
             caller, _ = await harness.serve(make_request(STREAM, SIZE))
             assert caller.body.startswith(b"id: 1\n")
             assert caller.end == "finished"
--- a/kingcuphead/forwarding/tests/test_stream.py
+++ b/kingcuphead/forwarding/tests/test_stream.py
@@ -1,4 +1,7 @@
+import functools
+
 import pytest
+from tornado.httputil import HTTPHeaders
 
 from kingcuphead.forwarding import _stream
 from kingcuphead.forwarding._events import Event
@@ -7,7 +10,7 @@
 from kingcuphead.forwarding.tests._harness import RecordingCaller
 from kingcuphead.platform import PlatformHeaders
 
-HEAD = PlatformHeaders().decode_answer(200, {}, "POST")
+HEAD = PlatformHeaders().decode_answer(200, HTTPHeaders(), "POST")
 
 
 @pytest.fixture(autouse=True)
@@ -21,9 +24,9 @@
     def make_streams(self):
         caller = RecordingCaller()
         stream = AnswerStream(caller, 0)
-        starts = []
+        starts: list[int] = []
         attempts = [
-            stream.begin_attempt(lambda number=number: starts.append(number))
+            stream.begin_attempt(functools.partial(starts.append, number))
             for number in (1, 2)
         ]
         return caller, stream, attempts, starts
