--- a/kingcuphead/forwarding/_attempt_race.py
+++ b/kingcuphead/forwarding/_attempt_race.py
@@ -63,6 +63,7 @@
         self._stream = stream
         self._withdraw = withdraw
         self._tasks: list[asyncio.Task[AttemptEnd]] = []
+        # Attempts whose tasks haven't run yet; one that is cancelled before never does.
         self._unstarted: dict[asyncio.Task[Any], Placement] = {}
         self._second: asyncio.Task[AttemptEnd] | None = None
         #: Task of the attempt that has sent an event; None before.
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -67,7 +67,7 @@
         self._open_attempts.clear()
         self._sender = None
 
-    def close(self, attempt: "AttemptStream") -> None:
+    def close_attempt(self, attempt: "AttemptStream") -> None:
         """Take no more events of an attempt."""
         self._open_attempts.discard(attempt)
         if self._sender is attempt:
@@ -184,4 +184,4 @@
 
     def close(self) -> None:
         """Send nothing more, at the end of the attempt."""
-        self._stream.close(self)
+        self._stream.close_attempt(self)
