--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -209,7 +209,10 @@
                 hold = await self._request_transfer(organisation, tokens)
             if hold is not None:
                 return Ok(hold)
-            if shortage is Shortage.UNPROVEN and _get_time() < unproven_until:
+            is_unproven = shortage is Shortage.UNPROVEN
+            if is_unproven and self._is_certainly_short(organisation, tokens):
+                return Error(self._refuse(organisation, Shortage.UNPROVEN))
+            if is_unproven and _get_time() < unproven_until:
                 continue
             if shortage is not None and renewed:
                 return Error(self._refuse(organisation, shortage))
@@ -220,6 +223,13 @@
         """Whether other daemons hold the credit that a request lacks."""
         return renewal.find_shortage(tokens) is Shortage.UNPROVEN
 
+    def _is_certainly_short(self, organisation: str, tokens: int) -> bool:
+        """Whether no transfer can serve a request, by what all daemons have said."""
+        if self.transfer_client is None:
+            return False
+        missing = tokens - self._ledger.get_free_tokens(organisation)
+        return self.transfer_client.is_certainly_short(organisation, missing)
+
     def _is_store_silent(self, renewal: OrganisationRenewal) -> bool:
         """Whether the store doesn't answer, by any organisation's calls."""
         return renewal.is_store_down or self._ledger.is_store_silent(_get_time())
--- a/kingcuphead/credit/_transfer_client.py
+++ b/kingcuphead/credit/_transfer_client.py
@@ -72,6 +72,16 @@
         self.extra = max(self.extra, extra)
 
 
+@frozen
+class _Shortfall:
+    """What the other daemons lacked at the end of a round."""
+
+    #: Time in seconds until which it is assumed to last.
+    until: float
+    #: Tokens that they have together; None if some daemons did not say.
+    available: int | None
+
+
 @frozen
 class _Pending:
     """A request that was sent."""
@@ -115,7 +125,7 @@
         self._pending: dict[int, _Pending] = {}
         self._rounds: dict[str, tuple[_Round, asyncio.Task[bool]]] = {}
         self._unresponsive_until: dict[Address, float] = {}
-        self._short_until: dict[str, float] = {}
+        self._shortfalls: dict[str, _Shortfall] = {}
         self._no_surplus_until: dict[str, float] = {}
 
     async def request_credit(
@@ -139,11 +149,18 @@
         """
         if tokens <= 0:
             return True
-        if _get_time() < self._short_until.get(organisation, 0.0):
+        if self._find_shortfall(organisation) is not None:
             return False
         # The round serves other requests too.
         return await asyncio.shield(self._join_round(organisation, tokens, extra))
 
+    def is_certainly_short(self, organisation: str, tokens: int) -> bool:
+        """Whether all other daemons have just said that they lack these tokens."""
+        shortfall = self._find_shortfall(organisation)
+        if shortfall is None or shortfall.available is None:
+            return False
+        return shortfall.available < tokens
+
     def prefetch_credit(self, organisation: str, tokens: int) -> None:
         """Request tokens that other daemons don't need, without waiting for them."""
         now = _get_time()
@@ -189,8 +206,7 @@
         finally:
             del self._rounds[round_.organisation]
         if round_.missing:
-            until = _get_time() + SHORTAGE_SECONDS
-            self._short_until[round_.organisation] = until
+            self._record_shortfall(round_)
         logger.bind(organisation=round_.organisation).info(
             "credit borrowed: {} of {} tokens, {} replies of daemons, {} missing",
             round_.received,
@@ -200,6 +216,23 @@
         )
         return not round_.missing
 
+    def _record_shortfall(self, round_: _Round) -> None:
+        now = _get_time()
+        # A daemon that doesn't reply can't transfer anything either.
+        peers, organisation = self._list_responsive_peers(), round_.organisation
+        available = None
+        unknown = self._statements.list_unknown(organisation, peers, now)
+        if round_.replied and not unknown:
+            available = sum(self._statements.count_known(organisation, peers, now))
+        shortfall = _Shortfall(now + SHORTAGE_SECONDS, available)
+        self._shortfalls[organisation] = shortfall
+
+    def _find_shortfall(self, organisation: str) -> _Shortfall | None:
+        shortfall = self._shortfalls.get(organisation)
+        if shortfall is None or _get_time() >= shortfall.until:
+            return None
+        return shortfall
+
     async def _collect(self, round_: _Round) -> None:
         """Request what is missing until it is received or no daemon has more."""
         while not round_.is_cut_off and _get_time() < round_.deadline:
