--- a/kingcuphead/credit/_ledger.py
+++ b/kingcuphead/credit/_ledger.py
@@ -5,6 +5,7 @@
 from kingcuphead.credit._contact import StoreContact
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
+from kingcuphead.credit._stamp import ReserveStamp
 from kingcuphead.invariants import ensure
 from kingcuphead.routing import Organisation
 
@@ -35,8 +36,11 @@
         self._incarnation = incarnation
         self._settings = settings
         self._ledgers: dict[str, OrganisationLedger] = {}
-        self._daemons = 1
+        #: Number of daemons in the fleet; includes this one.
+        self.daemons = 1
         self._contact = StoreContact()
+        #: Keeps the reserves of all organisations reclaimable.
+        self.stamp = ReserveStamp(instance, incarnation, self._contact)
         #: Called with an organisation of which another daemon needs the reserve.
         self.report_reserve_requested: Callable[[str], None] | None = None
 
@@ -45,6 +49,11 @@
         """Whether all credit is returned and settled, with no transaction in doubt."""
         return all(ledger.is_empty for ledger in self._ledgers.values())
 
+    @property
+    def has_unrecorded_release(self) -> bool:
+        """Whether a holder row contains tokens that left their reserve since."""
+        return any(each.has_unrecorded_release for each in self._ledgers.values())
+
     def list_organisations(self) -> Iterator[str]:
         """Yield the names of the organisations that have a ledger."""
         yield from tuple(self._ledgers)
@@ -54,9 +63,13 @@
         ledger = self._ledgers.get(name)
         if ledger is None:
             ledger = OrganisationLedger(
-                self._instance, self._incarnation, self._settings, self._contact
+                self._instance,
+                self._incarnation,
+                self._settings,
+                self._contact,
+                self.stamp,
             )
-            ledger.account.daemons = self._daemons
+            ledger.account.daemons = self.daemons
             self._ledgers[name] = ledger
         return ledger
 
@@ -69,7 +82,7 @@
 
     def apply_fleet_size(self, daemons: int) -> None:
         """Apply the number of daemons in the fleet; it includes this one."""
-        self._daemons = daemons
+        self.daemons = daemons
         for ledger in self._ledgers.values():
             ledger.account.daemons = daemons
 
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -33,6 +33,7 @@
 )
 from kingcuphead.credit._messages import CreditSettings, HolderRow, ShardRow, Shortage
 from kingcuphead.credit._rows import make_holder_key, make_shard_key
+from kingcuphead.credit._stamp import ReserveStamp
 from kingcuphead.frozen import frozen
 from kingcuphead.invariants import ensure
 from kingcuphead.storage import (
@@ -63,6 +64,8 @@
     adjustment: Adjustment
     #: Shard rows that the transaction writes, by index.
     shards: Mapping[int, ShardRow]
+    #: Reserve in the holder row that it writes.
+    reserve: int
 
 
 class OrganisationLedger:
@@ -78,6 +81,8 @@
         How much credit the daemon keeps.
     contact
         When the store last answered this daemon.
+    stamp
+        Proof, for all organisations, of when reserves were not yet released.
     """
 
     def __init__(
@@ -86,14 +91,18 @@
         incarnation: str,
         settings: CreditSettings,
         contact: StoreContact,
+        stamp: ReserveStamp,
     ) -> None:
         self._settings = settings
         self._contact = contact
+        self._stamp = stamp
         # Daemons differ in their choice of shards.
         self._rng = random.Random(f"{instance}/{incarnation}")
         self._instance = instance
         self._incarnation = incarnation
         self._holder_version = ABSENT
+        #: Reserve in the holder row.
+        self._recorded_reserve = 0
         self._attempt = 0
         self._sent: _SentTransaction | None = None
         #: Transactions with an unknown outcome. All of them check the same version of
@@ -132,6 +141,14 @@
         """Key of the holder row of this incarnation in the current era."""
         return make_holder_key(self._instance, self._incarnation, self.era or 0)
 
+    @property
+    def has_unrecorded_release(self) -> bool:
+        """Whether the holder row contains tokens that left the reserve since.
+
+        A later stamp would make them reclaimable although they may be spent.
+        """
+        return self.account.reserve < self._recorded_reserve
+
     @property
     def rows_prefix(self) -> str:
         """Key prefix of the rows that `apply_rows` needs."""
@@ -154,6 +171,7 @@
         self._sent = None
         self._in_doubt.clear()
         self._holder_version = ABSENT
+        self._recorded_reserve = 0
         self.account.is_budget_known = False
 
     def needs_rows(self, now: float) -> bool:
@@ -204,7 +222,8 @@
         """Return the share of the reserve that is released at the time `now`.
 
         The release begins when the store stops answering, whichever organisation's call
-        shows it, but not before the transaction that wrote the stamp of the reserve.
+        shows it, but not before the time of any stamp that makes the reserve
+        reclaimable.
         """
         times = []
         if self._unconfirmed_since is not None:
@@ -213,7 +232,8 @@
             times.append(max(self._contact.silent_since, self._confirmed_at))
         if not times:
             return 0.0
-        age = now - min(times) - self._settings.clock_margin
+        start = max(min(times), self._stamp.release_bound)
+        age = now - start - self._settings.clock_margin
         return self._settings.get_released_share(age)
 
     def can_move_reserve(self, now: float) -> bool:
@@ -276,11 +296,14 @@
             case Committed(version):
                 self._cancel_in_doubt()
                 self._confirm(sent, version)
+                if sent.shards:
+                    self.account.record_commit(has_conflicted=False)
                 self._confirmed_at = self._planned_at
                 self._unconfirmed_since = None
                 self.account.released_reserve = 0
             case Conflict(rows):
                 self._cancel(sent)
+                self.account.record_commit(has_conflicted=True)
                 self._apply_conflict({row.key: row for row in rows})
             case Unavailable():
                 self._cancel(sent)
@@ -307,10 +330,13 @@
     def _must_write(self) -> bool:
         """Whether to write rows although no credit changes.
 
-        A recent stamp in the holder row keeps the reserve reclaimable, and a new era
-        needs a record of what the daemon holds.
+        A released part of the reserve has to be removed from the holder row. Without
+        the daemon's stamp, a recent one in that row keeps the reserve reclaimable. A
+        new era needs a record of what the daemon holds.
         """
-        if self._in_doubt or self.account.reserve:
+        if self._in_doubt or self.has_unrecorded_release:
+            return True
+        if self.account.reserve and not self._stamp.is_established:
             return True
         return self._count_unrecorded() != Received()
 
@@ -320,8 +346,10 @@
         shards = self._change_shards(adjustment, store_time)
         self.account.begin(adjustment)
         self._attempt += 1
-        self._sent = _SentTransaction(self._attempt, adjustment, shards)
         holder = self._make_holder_row(adjustment, stamp)
+        self._sent = _SentTransaction(
+            self._attempt, adjustment, shards, holder.reserve
+        )
         checks = [Check(self.holder_key, self._holder_version)]
         writes: list[Put | Delete] = [Put(self.holder_key, msgspec.json.encode(holder))]
         shard_checks, puts = write_shards(self.era or 0, shards, self.account.budget)
@@ -421,6 +449,7 @@
 
     def _confirm(self, sent: _SentTransaction, version: int) -> None:
         self._holder_version = version
+        self._recorded_reserve = sent.reserve
         self._era.confirm(wrote_shards=bool(sent.shards))
         self.account.confirm(sent.adjustment)
         if sent.shards:
--- a/kingcuphead/credit/_reclaim.py
+++ b/kingcuphead/credit/_reclaim.py
@@ -1,17 +1,20 @@
 """Reclaims the outage reserves of earlier incarnations of a daemon.
 
 An incarnation releases its reserve linearly while the store does not answer, counted
-from a time not earlier than the stamp in its holder row. Only one incarnation of a
-daemon runs at a time, so what was not released when the next one started is unspent. A
-row of an earlier era proves nothing, since later transactions may be lost.
+from a time not earlier than the stamp in its holder row or in its stamp row. Only one
+incarnation of a daemon runs at a time, so what was not released when the next one
+started is unspent. A row of an earlier era proves nothing, since later transactions may
+be lost.
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
 from kingcuphead.credit._messages import CreditSettings, HolderRow, ShardRow
+from kingcuphead.credit._rows import get_holder_incarnation
+from kingcuphead.credit._stamp import StampRow
 from kingcuphead.frozen import frozen
 from kingcuphead.storage import Check, Put, Row, Transaction
 
@@ -35,6 +38,7 @@
     era: int,
     started_at: int,
     settings: CreditSettings,
+    stamps: Mapping[str, StampRow],
 ) -> tuple[Reclaim, ...]:
     """Return the unreleased reserves of earlier incarnations.
 
@@ -51,10 +55,12 @@
         incarnation started.
     settings
         Delay and period of the release of reserves.
+    stamps
+        Stamp rows of earlier incarnations, by incarnation.
     """
     others = (row for row in rows if row.key != own_key)
     reclaims = (
-        Reclaim(row, _count_unreleased(row, era, started_at, settings))
+        Reclaim(row, _count_unreleased(row, era, started_at, settings, stamps))
         for row in others
     )
     return tuple(each for each in reclaims if each.unreleased)
@@ -86,11 +92,19 @@
 
 
 def _count_unreleased(
-    holder: Row, era: int, started_at: int, settings: CreditSettings
+    holder: Row,
+    era: int,
+    started_at: int,
+    settings: CreditSettings,
+    stamps: Mapping[str, StampRow],
 ) -> int:
     """Return the tokens not yet released when the next incarnation started."""
     row = _HOLDER.decode(holder.value)
     if row.is_closed or not row.stamp_ms or row.era != era:
         return 0
-    share = 1 - settings.get_released_share((started_at - row.stamp_ms) / 1000)
+    stamp_ms = row.stamp_ms
+    stamp = stamps.get(get_holder_incarnation(holder.key))
+    if stamp is not None and stamp.era == era:
+        stamp_ms = max(stamp_ms, stamp.stamp_ms)
+    share = 1 - settings.get_released_share((started_at - stamp_ms) / 1000)
     return math.floor(row.reserve * share)
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -13,6 +13,7 @@
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
 from kingcuphead.credit._reclaim import Reclaim, find_reclaimable, plan_reclaim
 from kingcuphead.credit._rows import SHARDS_PREFIX, select_shards
+from kingcuphead.credit._stamp import ReserveStamp
 from kingcuphead.invariants import require
 from kingcuphead.storage import (
     Committed,
@@ -52,6 +53,8 @@
         The part of the store's table with its rows.
     settings
         Renewal interval and release of the reserves.
+    stamp
+        Stamps of this daemon and of its earlier incarnations.
     """
 
     def __init__(
@@ -60,11 +63,13 @@
         ledger: OrganisationLedger,
         table: TablePart,
         settings: CreditSettings,
+        stamp: ReserveStamp,
     ) -> None:
         self._name = name
         self._ledger = ledger
         self._table = table
         self._settings = settings
+        self._stamp = stamp
         self._started_at = time.monotonic()
         # Daemons and organisations differ in their delays.
         self._rng = random.Random(f"{ledger.holder_key}/{name}")
@@ -178,11 +183,14 @@
                 await self._wake.wait()
 
     def _get_interval(self) -> float:
-        return self._settings.get_renewal_interval(self._ledger.account.daemons)
+        account = self._ledger.account
+        interval = self._settings.get_renewal_interval(account.daemons)
+        return interval * account.interval_factor
 
     async def _reclaim(self) -> None:
         """Reclaim the unreleased reserves of earlier incarnations, once."""
-        if self._is_reclaimed:
+        stamps = self._stamp.earlier
+        if self._is_reclaimed or stamps is None:
             return
         self._is_reclaimed = True
         match await self._table.read_prefix(self._ledger.holder_prefix):
@@ -197,6 +205,7 @@
                     snapshot.era,
                     started_at,
                     self._settings,
+                    stamps,
                 )
                 for reclaim in earlier:
                     await self._commit_reclaim(reclaim)
--- a/kingcuphead/credit/_rows.py
+++ b/kingcuphead/credit/_rows.py
@@ -42,6 +42,11 @@
     return int(key.rpartition("/")[2])
 
 
+def get_holder_incarnation(key: str) -> str:
+    """Return the incarnation in the key of a holder row."""
+    return key.split("/")[-2]
+
+
 def select_shards(rows: Iterable[Row], era: int) -> tuple[Row, ...]:
     """Return the shard rows of an era."""
     prefix = _make_shards_prefix(era)
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -11,6 +11,7 @@
     RETRY_DELAY_SECONDS,
     OrganisationRenewal,
 )
+from kingcuphead.credit._stamp_renewal import StampRenewal
 from kingcuphead.credit._transfer_client import TransferClient
 from kingcuphead.frozen import frozen
 from kingcuphead.routing import Organisation
@@ -47,6 +48,9 @@
         Returns the part of the store's table with the rows of an organisation.
     settings
         Renewal interval and release of the reserves.
+    stamp_table
+        The part of the store's table with the stamps of all daemons; without it, each
+        organisation's transactions keep its reserve reclaimable.
     """
 
     def __init__(
@@ -54,10 +58,12 @@
         ledger: CreditLedger,
         get_table: Callable[[str], TablePart],
         settings: CreditSettings = CreditSettings(),  # noqa: B008
+        stamp_table: TablePart | None = None,
     ) -> None:
         self._ledger = ledger
         self._get_table = get_table
         self._settings = settings
+        self._stamp_renewal = self._make_stamp_renewal(stamp_table)
         self._renewals: dict[str, OrganisationRenewal] = {}
         self._tasks: asyncio.TaskGroup | None = None
         #: Requests credit transfers from other daemons; None if transfers are disabled.
@@ -77,6 +83,7 @@
 
     def begin_era(self, era: int) -> None:
         """Record this daemon's credit again after a restore of the store."""
+        self._ledger.stamp.begin_era(era)
         for renewal in self._renewals.values():
             renewal.begin_era(era)
 
@@ -111,6 +118,8 @@
         """Renew the credit of every organisation until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             self._tasks = tasks
+            if self._stamp_renewal is not None:
+                tasks.create_task(self._stamp_renewal.run())
             for renewal in self._renewals.values():
                 tasks.create_task(renewal.run())
             await asyncio.Event().wait()
@@ -132,6 +141,17 @@
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
         return self._ledger.is_empty
 
+    def _make_stamp_renewal(self, table: TablePart | None) -> StampRenewal | None:
+        if table is None:
+            # There are no stamps of earlier incarnations either.
+            self._ledger.stamp.earlier = {}
+            return None
+        return StampRenewal(
+            self._ledger,
+            table,
+            lambda: self._settings.get_renewal_interval(self._ledger.daemons),
+        )
+
     def _get_renewal(self, organisation: str) -> OrganisationRenewal:
         renewal = self._renewals.get(organisation)
         if renewal is None:
@@ -140,6 +160,7 @@
                 self._ledger.get_organisation(organisation),
                 self._get_table(organisation),
                 self._settings,
+                self._ledger.stamp,
             )
             self._renewals[organisation] = renewal
             if self._tasks is not None:
--- a/kingcuphead/credit/tests/_fleet.py
+++ b/kingcuphead/credit/tests/_fleet.py
@@ -121,7 +121,9 @@
     def make_task(self, number, daemons):
         ledger = CreditLedger(f"d{number}", "1")
         ledger.apply_fleet_size(daemons)
-        task = CreditTask(ledger, lambda name: Part(self, name))
+        task = CreditTask(
+            ledger, lambda name: Part(self, name), stamp_table=Part(self, "stamps")
+        )
         task.apply_limits(self.limits, 1)
         endpoint = TransferEndpoint(ledger, f"d{number}/1")
         client = TransferClient(
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -62,6 +62,9 @@
 
 #: Table of the store that contains the credit rows, in one part per organisation.
 CREDIT_TABLE = "credit"
+#: Table and part of the store that contain the stamps of the daemons' reserves.
+STAMPS_TABLE = "stamps"
+STAMPS_PART = "credit"
 #: Table of the store that contains the quarantined requests, and its only part.
 QUARANTINE_TABLE, QUARANTINE_PART = "quarantine", "all"
 #: Table of the store that contains the software versions that serve, and its only part.
@@ -148,7 +151,9 @@
         )
         #: Holds and settles the credit of organisations.
         self.credit = CreditTask(
-            ledger, lambda name: StoreTable(store, CREDIT_TABLE, name)
+            ledger,
+            lambda name: StoreTable(store, CREDIT_TABLE, name),
+            stamp_table=StoreTable(store, STAMPS_TABLE, STAMPS_PART),
         )
         self.credit.transfer_client = self._transfer_client
         store.report_era = self.credit.begin_era
