--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -25,13 +25,10 @@
 from kingcuphead.credit._era import (
     EraState,
     Received,
-    check_other_shards,
     decode_shards,
-    open_era,
-    replace_earlier,
-    write_shards,
 )
 from kingcuphead.credit._messages import CreditSettings, HolderRow, ShardRow, Shortage
+from kingcuphead.credit._release import ReserveRelease
 from kingcuphead.credit._rows import make_holder_key, make_shard_key
 from kingcuphead.credit._stamp import ReserveStamp
 from kingcuphead.frozen import frozen
@@ -42,7 +39,6 @@
     CommitOutcome,
     Committed,
     Conflict,
-    Delete,
     Put,
     Row,
     RowSnapshot,
@@ -109,12 +105,7 @@
         #: the holder row and change it, so at most one of them is ever applied.
         self._in_doubt: list[_SentTransaction] = []
         self._is_closing = False
-        #: Time in seconds of the first transaction sent after the last one known to be
-        #: committed; None if there is none.
-        self._unconfirmed_since: float | None = None
-        #: Time in seconds at which the last committed transaction was planned.
-        self._confirmed_at = float("-inf")
-        self._planned_at = float("-inf")
+        self._release = ReserveRelease(settings, contact, stamp)
         self._era = EraState(make_holder_key(instance, incarnation))
         #: Free credit, reserve and holds of the organisation in this daemon.
         self.account = Account(settings)
@@ -219,22 +210,8 @@
         return None
 
     def get_released_share(self, now: float) -> float:
-        """Return the share of the reserve that is released at the time `now`.
-
-        The release begins when the store stops answering, whichever organisation's call
-        shows it, but not before the time of any stamp that makes the reserve
-        reclaimable.
-        """
-        times = []
-        if self._unconfirmed_since is not None:
-            times.append(self._unconfirmed_since)
-        if self._contact.silent_since is not None:
-            times.append(max(self._contact.silent_since, self._confirmed_at))
-        if not times:
-            return 0.0
-        start = max(min(times), self._stamp.release_bound)
-        age = now - start - self._settings.clock_margin
-        return self._settings.get_released_share(age)
+        """Return the share of the reserve that is released at the time `now`."""
+        return self._release.get_share(now)
 
     def can_move_reserve(self, now: float) -> bool:
         """Whether a transaction can move tokens from the reserve to the free credit."""
@@ -269,13 +246,9 @@
         if adjustment is None and not self._must_write():
             return None
         adjustment = adjustment or Adjustment(0, 0, 0)
-        self._planned_at = now
         self._contact.record_call(now)
-        if self._unconfirmed_since is None:
-            self._unconfirmed_since = now
-        stamp = 0
-        if store_time is not None:
-            stamp = store_time - math.ceil((now - self._unconfirmed_since) * 1000)
+        self._release.record_transaction(now)
+        stamp = self._release.compute_stamp(now, store_time)
         return self._make_transaction(adjustment, stamp, store_time)
 
     def handle_outcome(self, outcome: CommitOutcome) -> None:
@@ -298,15 +271,14 @@
                 self._confirm(sent, version)
                 if sent.shards:
                     self.account.record_commit(has_conflicted=False)
-                self._confirmed_at = self._planned_at
-                self._unconfirmed_since = None
+                self._release.record_commit()
                 self.account.released_reserve = 0
             case Conflict(rows):
-                self._cancel(sent)
+                self.account.cancel(sent.adjustment)
                 self.account.record_commit(has_conflicted=True)
                 self._apply_conflict({row.key: row for row in rows})
             case Unavailable():
-                self._cancel(sent)
+                self.account.cancel(sent.adjustment)
             case Unknown():
                 self._in_doubt.append(sent)
 
@@ -347,22 +319,14 @@
         self.account.begin(adjustment)
         self._attempt += 1
         holder = self._make_holder_row(adjustment, stamp)
-        self._sent = _SentTransaction(
-            self._attempt, adjustment, shards, holder.reserve
+        self._sent = _SentTransaction(self._attempt, adjustment, shards, holder.reserve)
+        checks, writes = self._era.write_shards(
+            shards, self.account.budget, self.account.get_limit()
+        )
+        return Transaction(
+            (Check(self.holder_key, self._holder_version), *checks),
+            (Put(self.holder_key, msgspec.json.encode(holder)), *writes),
         )
-        checks = [Check(self.holder_key, self._holder_version)]
-        writes: list[Put | Delete] = [Put(self.holder_key, msgspec.json.encode(holder))]
-        shard_checks, puts = write_shards(self.era or 0, shards, self.account.budget)
-        checks += shard_checks
-        writes += puts
-        if shards:
-            budget, limit = self.account.budget, self.account.get_limit()
-            checks += check_other_shards(self.era or 0, shards, budget, limit)
-        if shards and self._era.earlier is not None:
-            earlier_checks, deletes = replace_earlier(self._era.earlier)
-            checks += earlier_checks
-            writes += deletes
-        return Transaction(tuple(checks), tuple(writes))
 
     def _change_shards(
         self, adjustment: Adjustment, store_time: int | None
@@ -378,9 +342,7 @@
             account.get_limit(),
             self._rng,
         )
-        if not self._era.opens(account.budget):
-            return shards
-        return open_era(shards, account.budget, self._era.earlier, store_time or 0)
+        return self._era.complete_shards(shards, account.budget, store_time or 0)
 
     def _count_unrecorded(self) -> Received:
         """Return what the shard rows of this era lack of this incarnation."""
@@ -456,10 +418,7 @@
             written = {index: Shard(row, version) for index, row in sent.shards.items()}
             self.account.replace_shards(written)
 
-    def _cancel(self, sent: _SentTransaction) -> None:
-        self.account.cancel(sent.adjustment)
-
     def _cancel_in_doubt(self) -> None:
         for sent in self._in_doubt:
-            self._cancel(sent)
+            self.account.cancel(sent.adjustment)
         self._in_doubt.clear()
--- a/kingcuphead/credit/_stamp.py
+++ b/kingcuphead/credit/_stamp.py
@@ -21,8 +21,8 @@
     Transaction,
 )
 
-#: Milliseconds after which the row of an earlier incarnation is deleted. The reserves of
-#: that incarnation are reclaimed within seconds of the next start.
+#: Milliseconds after which the row of an earlier incarnation is deleted. Its reserves
+#: are reclaimed within seconds of the next start.
 STAMP_RETENTION_MS = 300_000
 
 
--- a/kingcuphead/credit/_stamp_renewal.py
+++ b/kingcuphead/credit/_stamp_renewal.py
@@ -7,6 +7,7 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._ledger import CreditLedger
 from kingcuphead.storage import TablePart, Unavailable, Unknown
 
@@ -60,8 +61,9 @@
         """Commit one transaction; return the seconds until the next one."""
         if self._ledger.has_unrecorded_release:
             return UNRECORDED_DELAY_SECONDS
-        now = asyncio.get_running_loop().time()
-        transaction = self._stamp.plan_transaction(now, self._table.estimate_time())
+        transaction = self._stamp.plan_transaction(
+            get_time(), self._table.estimate_time()
+        )
         if transaction is None:
             return RETRY_DELAY_SECONDS
         outcome = await self._table.commit(transaction)
