--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -103,7 +103,9 @@
         peer_loads = PeerLoads()
         self._dispatcher = make_dispatcher(profile, peer_loads, rng)
         self._retries = make_retries(profile)
-        self._hedging = HedgingPolicy(settings.max_hedged_share, self._retries)
+        self._hedging = HedgingPolicy(
+            settings.max_hedged_share, self._retries, settings.hedges_streams
+        )
         self._links = FleetLinks(
             profile,
             self._store,
