--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -135,6 +135,8 @@
         amounts, which nobody needs while the budget is ample.
         """
         settings = self._settings
+        if not self.is_budget_known:
+            return 1.0
         is_large = self.daemons > settings.full_share_fleet_size
         kept = settings.get_kept_share(self.unallocated, self.unspent, self.daemons)
         return settings.ample_interval_factor if is_large and kept == 1.0 else 1.0
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -136,11 +136,15 @@
             self._prefixes_sent_at.popitem(last=False)
 
     def record_answer_start(self, placement: Placement, now: float) -> None:
-        """Remove the pending prefill of a request and update the latency ratio."""
+        """Remove the pending prefill of a request, and learn the target's speed.
+
+        The speed is learnt only where daemons compete for engines: elsewhere a few
+        late answers would move prompts away from the target that has their prefix
+        cached.
+        """
         self.pending_prefill_tokens -= placement.prefill.prefill_tokens
         self._waiting.pop(id(placement), None)
         if not self._settings.has_contended_engines:
-            self._update_latency_ratio(placement, now)
             return
         self.speed.record_wait(
             placement.tokens_ahead + placement.prefill.prefill_tokens,
@@ -172,8 +176,3 @@
         if not placement.is_started:
             self.pending_prefill_tokens -= placement.prefill.prefill_tokens
 
-    def _update_latency_ratio(self, placement: Placement, now: float) -> None:
-        seconds = now - placement.placed_at
-        expected = NETWORK_ALLOWANCE_SECONDS + placement.expected_wait
-        ratio = min(max(seconds / expected, MIN_LATENCY_RATIO), MAX_LATENCY_RATIO)
-        self.latency_ratio += LATENCY_RATIO_WEIGHT * (ratio - self.latency_ratio)
