--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -18,10 +18,6 @@
 #: Seconds after the last request with a shared prefix for which the prefix is assumed
 #: to be in the KV cache of the target.
 PREFIX_LIFETIME_SECONDS = 20.0
-#: Weight of the newest observation in the moving average of the latency ratio.
-LATENCY_RATIO_WEIGHT = 0.2
-#: Bounds of an observed latency ratio.
-MIN_LATENCY_RATIO, MAX_LATENCY_RATIO = 0.5, 20.0
 #: Seconds added to the expected wait before it is compared with the observed one; a
 #: wait this short is mostly network latency and says nothing about the target.
 NETWORK_ALLOWANCE_SECONDS = 0.04
@@ -175,4 +171,3 @@
         self._waiting.pop(id(placement), None)
         if not placement.is_started:
             self.pending_prefill_tokens -= placement.prefill.prefill_tokens
-
