--- a/kingcuphead/credit/_release.py
+++ b/kingcuphead/credit/_release.py
@@ -4,13 +4,14 @@
 
 from kingcuphead.credit._contact import StoreContact
 from kingcuphead.credit._messages import CreditSettings
+from kingcuphead.credit._stamp import ReserveStamp
 
 
 class ReserveRelease:
     """Computes how much of the reserve is released while the store doesn't answer.
 
     The release begins when the store stops answering, whichever organisation's call
-    shows it, but not before the transaction that wrote the stamp of the reserve.
+    shows it, but not before the time of any stamp that makes the reserve reclaimable.
 
     Parameters
     ----------
@@ -18,11 +19,16 @@
         Delay and period of the release.
     contact
         When the store last answered this daemon.
+    stamp
+        Stamp of this daemon, for all organisations.
     """
 
-    def __init__(self, settings: CreditSettings, contact: StoreContact) -> None:
+    def __init__(
+        self, settings: CreditSettings, contact: StoreContact, stamp: ReserveStamp
+    ) -> None:
         self._settings = settings
         self._contact = contact
+        self._stamp = stamp
         #: Time in seconds of the first transaction sent after the last one known to be
         #: committed; None if there is none.
         self._unconfirmed_since: float | None = None
@@ -61,5 +67,6 @@
             times.append(max(self._contact.silent_since, self._confirmed_at))
         if not times:
             return 0.0
-        age = now - min(times) - self._settings.clock_margin
+        start = max(min(times), self._stamp.release_bound)
+        age = now - start - self._settings.clock_margin
         return self._settings.get_released_share(age)
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -12,6 +12,7 @@
     RETRY_DELAY_SECONDS,
     OrganisationRenewal,
 )
+from kingcuphead.credit._stamp_renewal import StampRenewal
 from kingcuphead.credit._transfer_client import TransferClient
 from kingcuphead.frozen import frozen
 from kingcuphead.routing import Organisation
@@ -48,6 +49,9 @@
         Returns the part of the store's table with the rows of an organisation.
     settings
         Renewal interval and release of the reserves.
+    stamp_table
+        The part of the store's table with the stamps of all daemons; without it, each
+        organisation's transactions keep its reserve reclaimable.
     """
 
     def __init__(
@@ -55,10 +59,12 @@
         ledger: CreditLedger,
         get_table: Callable[[str], TablePart],
         settings: CreditSettings = CreditSettings(),  # noqa: B008
+        stamp_table: TablePart | None = None,
     ) -> None:
         self._ledger = ledger
         self._get_table = get_table
         self._settings = settings
+        self._stamp_renewal = self._make_stamp_renewal(stamp_table)
         self._renewals: dict[str, OrganisationRenewal] = {}
         self._tasks: asyncio.TaskGroup | None = None
         #: Requests credit transfers from other daemons; None if transfers are disabled.
@@ -78,6 +84,7 @@
 
     def begin_era(self, era: int) -> None:
         """Record this daemon's credit again after a restore of the store."""
+        self._ledger.stamp.begin_era(era)
         for renewal in self._renewals.values():
             renewal.begin_era(era)
 
@@ -112,6 +119,8 @@
         """Renew the credit of every organisation until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             self._tasks = tasks
+            if self._stamp_renewal is not None:
+                tasks.create_task(self._stamp_renewal.run())
             for renewal in self._renewals.values():
                 tasks.create_task(renewal.run())
             await asyncio.Event().wait()
@@ -133,6 +142,17 @@
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
         return self._ledger.is_empty
 
+    def _make_stamp_renewal(self, table: TablePart | None) -> StampRenewal | None:
+        if table is None:
+            # There are no stamps of earlier incarnations either.
+            self._ledger.stamp.earlier = {}
+            return None
+        return StampRenewal(
+            self._ledger,
+            table,
+            lambda: self._settings.get_renewal_interval(self._ledger.daemons),
+        )
+
     def _get_renewal(self, organisation: str) -> OrganisationRenewal:
         renewal = self._renewals.get(organisation)
         if renewal is None:
@@ -141,6 +161,7 @@
                 self._ledger.get_organisation(organisation),
                 self._get_table(organisation),
                 self._settings,
+                self._ledger.stamp,
             )
             self._renewals[organisation] = renewal
             if self._tasks is not None:
@@ -210,7 +231,10 @@
                 hold = await self._request_transfer(organisation, tokens)
             if hold is not None:
                 return Ok(hold)
-            if shortage is Shortage.UNPROVEN and get_time() < unproven_until:
+            is_unproven = shortage is Shortage.UNPROVEN
+            if is_unproven and self._is_certainly_short(organisation, tokens):
+                return Error(self._refuse(organisation, Shortage.UNPROVEN))
+            if is_unproven and get_time() < unproven_until:
                 continue
             if shortage is not None and renewed:
                 return Error(self._refuse(organisation, shortage))
@@ -221,6 +245,13 @@
         """Whether other daemons hold the credit that a request lacks."""
         return renewal.find_shortage(tokens) is Shortage.UNPROVEN
 
+    def _is_certainly_short(self, organisation: str, tokens: int) -> bool:
+        """Whether no transfer can serve a request, by what all daemons have said."""
+        if self.transfer_client is None:
+            return False
+        missing = tokens - self._ledger.get_free_tokens(organisation)
+        return self.transfer_client.is_certainly_short(organisation, missing)
+
     def _is_store_silent(self, renewal: OrganisationRenewal) -> bool:
         """Whether the store doesn't answer, by any organisation's calls."""
         return renewal.is_store_down or self._ledger.is_store_silent(get_time())
--- a/kingcuphead/credit/tests/_simulation.py
+++ b/kingcuphead/credit/tests/_simulation.py
@@ -22,6 +22,10 @@
 NAMES = ("atelier", "builder")
 #: Seconds of simulated time for each step.
 STEP = 0.1
+#: Part of the table with the stamps of all daemons.
+STAMPS = "stamps"
+#: Share of the renewals of credit that also renew the stamp.
+STAMP_SHARE = 0.3
 SETTINGS = CreditSettings()
 
 
@@ -69,22 +73,37 @@
             if isinstance(outcome, Committed):
                 self.simulation.moved_reserves += bool(requested)
                 self.reclaim(name, ledger)
+        if self.simulation.rng.random() < STAMP_SHARE:
+            self.renew_stamp()
+
+    def renew_stamp(self):
+        store, stamp = self.simulation.store, self.ledger.stamp
+        if stamp.earlier is None:
+            if not self.is_disconnected:
+                stamp.apply_rows(store.read(STAMPS, stamp.prefix), store.time_ms)
+        elif not self.ledger.has_unrecorded_release:
+            transaction = stamp.plan_transaction(store.now, store.time_ms)
+            outcome = store.commit(STAMPS, transaction, self.is_disconnected)
+            stamp.handle_outcome(outcome)
+            self.simulation.stamps += isinstance(outcome, Committed)
 
     def see_era(self):
         """Receive a reply of the store that is not about credit."""
         if not self.is_disconnected:
+            self.ledger.stamp.begin_era(self.simulation.store.era)
             for name in NAMES:
                 self.ledger.get_organisation(name).begin_era(self.simulation.store.era)
 
     def reclaim(self, name, part):
-        if name in self.reclaimed:
+        stamps = self.ledger.stamp.earlier
+        if name in self.reclaimed or stamps is None:
             return
         self.reclaimed.add(name)
         store = self.simulation.store
         rows = store.read(name, part.holder_prefix).rows
         settings = self.simulation.reclaim_settings
         for reclaim in find_reclaimable(
-            rows, part.holder_key, store.era, store.time_ms, settings
+            rows, part.holder_key, store.era, store.time_ms, settings, stamps
         ):
             self.check_unreleased(name, reclaim)
             for _ in range(5):
@@ -158,6 +177,7 @@
         self.spent = dict.fromkeys(NAMES, 0)
         self.ended = {}
         self.moved_reserves = 0
+        self.stamps = 0
         self.datagrams = []
         self.daemons = [Daemon(self, f"d{number}") for number in range(4)]
 
--- a/kingcuphead/credit/tests/test_ledger.py
+++ b/kingcuphead/credit/tests/test_ledger.py
@@ -1,4 +1,5 @@
 import random
+from typing import ClassVar
 
 import msgspec
 import pytest
@@ -13,6 +14,7 @@
     plan_reclaim,
 )
 from kingcuphead.credit._rows import make_shard_key
+from kingcuphead.credit._stamp import StampRow
 from kingcuphead.credit.tests._store import FaultyStore, renew
 from kingcuphead.routing import Organisation
 from kingcuphead.storage import (
@@ -288,6 +290,7 @@
     ERA = 2
     KEY = "holder/d1/incarnation-1/00000002"
     OWN_KEY = "holder/d1/incarnation-2/00000002"
+    NO_STAMPS: ClassVar[dict[str, StampRow]] = {}
     SHARD = Row("shard/00000002/00", ABSENT, msgspec.json.encode(ShardRow()))
 
     def make_row(self, store, stamp_ms, era=ERA):
@@ -296,8 +299,8 @@
         store.apply("atelier", Transaction((), (put,)))
         return store.rows["atelier", self.KEY]
 
-    def find(self, row, started_at, own_key=OWN_KEY):
-        return find_reclaimable([row], own_key, self.ERA, started_at, SETTINGS)
+    def find(self, row, started_at, own_key=OWN_KEY, stamps=NO_STAMPS):
+        return find_reclaimable([row], own_key, self.ERA, started_at, SETTINGS, stamps)
 
     @pytest.mark.parametrize(
         "age, unreleased",
@@ -323,6 +326,17 @@
         if unreleased:
             assert not self.find(closed, started_at, own_key="")
 
+    @pytest.mark.parametrize(
+        "era, stamp_ms, unreleased",
+        [(ERA, 25_000, 700), (ERA, 5_000, 350), (ERA - 1, 25_000, 350)],
+    )
+    def test_a_later_stamp_of_the_daemon_counts(self, era, stamp_ms, unreleased):
+        row = self.make_row(FaultyStore(random.Random(1)), stamp_ms=10_000)
+        half = SETTINGS.release_delay + SETTINGS.release_period / 2
+        stamps = {"incarnation-1": StampRow(era, stamp_ms)}
+        found = self.find(row, 10_000 + round(half * 1000), stamps=stamps)
+        assert [each.unreleased for each in found] == [unreleased]
+
     def test_a_holder_row_without_a_stamp_is_not_reclaimed(self):
         row = self.make_row(FaultyStore(random.Random(1)), stamp_ms=0)
         assert not self.find(row, 0)
--- a/kingcuphead/credit/tests/test_random_runs.py
+++ b/kingcuphead/credit/tests/test_random_runs.py
@@ -129,6 +129,11 @@
             for seed in range(60):
                 Simulation(seed).run(600)
 
+    def test_stamps_are_renewed_in_simulations(self):
+        simulation = Simulation(1)
+        simulation.run(600)
+        assert simulation.stamps > 10
+
     def test_reserves_are_transferred_in_simulations(self):
         """Otherwise the simulations above would prove nothing about them."""
         simulation = Simulation(1)
