--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -15,12 +15,9 @@
 #: Seconds after which the shards are read again while this daemon keeps free credit
 #: or a reserve, which other daemons may need by then.
 BUDGET_MAX_AGE_SECONDS = 3.0
-#: Seconds after which the shards are read again while requests wait for credit that
-#: they don't show.
+#: Seconds after which the shards are read again while requests wait for credit, and
+#: before a transaction, which would conflict if another daemon has changed them.
 FRESH_BUDGET_MAX_AGE_SECONDS = 0.2
-#: Factors on the age up to which shards are used for a transaction, after one that
-#: conflicted because another daemon had changed them, and after one that didn't.
-CONFLICT_AGE_FACTOR, COMMIT_AGE_FACTOR = 0.5, 1.2
 #: Share of the desired free tokens below which credit is renewed at once.
 LOW_CREDIT_SHARE = 0.5
 #: Seconds after which another daemon's request for tokens of the reserve expires.
@@ -75,7 +72,6 @@
         self._demand = Demand(settings.demand_period)
         self._spend_share = SpendShare()
         self._budget_read_at = 0.0
-        self._max_budget_age = BUDGET_MAX_AGE_SECONDS
         self._mean_request_tokens = float(INITIAL_REQUEST_TOKENS)
         #: Number of daemons in the fleet, by the membership view; includes this one.
         self.daemons = 1
@@ -161,15 +157,6 @@
         self._budget_read_at = now
         self._spend_share.record(self.spent - self.unreported, budget.settled, now)
 
-    def record_commit(self, has_conflicted: bool) -> None:
-        """Adapt the age up to which shards are used to how often others change them.
-
-        A conflict costs as much as a read, and returns the rows that have changed.
-        """
-        factor = CONFLICT_AGE_FACTOR if has_conflicted else COMMIT_AGE_FACTOR
-        age = min(self._max_budget_age * factor, BUDGET_MAX_AGE_SECONDS)
-        self._max_budget_age = max(age, FRESH_BUDGET_MAX_AGE_SECONDS)
-
     def describe(self, now: float) -> CreditState:
         """Return the current values for a log line."""
         return CreditState(
@@ -281,11 +268,8 @@
             return self._has_use_for_credit(now)
         if self.count_requested_reserve(now):
             return False
-        obtainable = self.unallocated + self.free + self.reserve
-        if self.waiting_tokens > obtainable:
-            return age > FRESH_BUDGET_MAX_AGE_SECONDS
         if self.waiting_tokens > self.free or self.unreported or self.is_low(now):
-            return age > self._max_budget_age
+            return age > FRESH_BUDGET_MAX_AGE_SECONDS
         max_age = BUDGET_MAX_AGE_SECONDS * self.interval_factor
         return self.free + self.reserve > 0 and age > max_age
 
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -106,7 +106,7 @@
     #: Seconds between two regular renewals in a fleet of at most `small_fleet_size`.
     renewal_interval: float = 2.5
     #: Factor on that interval while a large fleet has an ample budget.
-    ample_interval_factor: float = 4.0
+    ample_interval_factor: float = 2.0
     #: Number of daemons above which the interval grows in proportion to the fleet, so
     #: that the renewals per second of the whole fleet stay constant.
     small_fleet_size: int = 70
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -269,13 +269,10 @@
             case Committed(version):
                 self._cancel_in_doubt()
                 self._confirm(sent, version)
-                if sent.shards:
-                    self.account.record_commit(has_conflicted=False)
                 self._release.record_commit()
                 self.account.released_reserve = 0
             case Conflict(rows):
                 self.account.cancel(sent.adjustment)
-                self.account.record_commit(has_conflicted=True)
                 self._apply_conflict({row.key: row for row in rows})
             case Unavailable():
                 self.account.cancel(sent.adjustment)
