Reclaim reserves of crashed daemons without a transaction of their own

After a crash of all daemons the budget may have nothing left to allocate. A failed read also kept them charged for good. The stamp is renewed each second, as what may have been released since it is lost.

--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -105,7 +105,10 @@
     clock_margin: float = 0.2
     #: Seconds between two regular renewals in a fleet of at most `small_fleet_size`.
     renewal_interval: float = 2.5
-    #: Factor on that interval while a large fleet has an ample budget.
+    #: Seconds between two renewals of a daemon's stamp in such a fleet. What a crashed
+    #: daemon may have released of its reserves grows by it.
+    stamp_interval: float = 1.0
+    #: Factor on the renewal interval while a large fleet has an ample budget.
     ample_interval_factor: float = 2.0
     #: Number of daemons above which the interval grows in proportion to the fleet, so
     #: that the renewals per second of the whole fleet stay constant.
@@ -123,6 +126,10 @@
         """Return the seconds between two regular renewals for a number of daemons."""
         return self.renewal_interval * max(1.0, daemons / self.small_fleet_size)
 
+    def get_stamp_interval(self, daemons: int) -> float:
+        """Return the seconds between two stamps for a number of daemons."""
+        return self.stamp_interval * max(1.0, daemons / self.small_fleet_size)
+
     def get_fleet_share(self, daemons: int) -> float:
         """Return the factor by which the maximum shares of one daemon shrink."""
         return min(1.0, self.full_share_fleet_size / daemons)
--- /dev/null
+++ b/kingcuphead/credit/_reclaimer.py
@@ -0,0 +1,127 @@
+"""Returns the reserves of earlier incarnations of a daemon to one budget."""
+
+import random
+import time
+from collections.abc import Sequence
+
+from expression import Result
+from loguru import logger
+
+from kingcuphead.credit._messages import CreditSettings
+from kingcuphead.credit._organisation_ledger import OrganisationLedger
+from kingcuphead.credit._reclaim import Reclaim, find_reclaimable, plan_reclaim
+from kingcuphead.credit._rows import SHARDS_PREFIX, select_shards
+from kingcuphead.credit._stamp import ReserveStamp
+from kingcuphead.storage import (
+    Committed,
+    Conflict,
+    Row,
+    RowSnapshot,
+    TablePart,
+    Unavailable,
+)
+
+#: Maximum number of transactions to reclaim the reserve of one earlier incarnation.
+MAX_ATTEMPTS = 20
+
+
+class Reclaimer:
+    """Reclaims the unreleased reserves of one organisation, once.
+
+    It needs no transaction of the new incarnation: when a whole fleet has crashed, the
+    budget may have nothing to allocate until reserves are reclaimed.
+
+    Parameters
+    ----------
+    ledger
+        The organisation's credit in this daemon.
+    table
+        The part of the store's table with its rows.
+    settings
+        Delay and period of the release of reserves.
+    stamp
+        Stamps of this daemon and of its earlier incarnations.
+    rng
+        Chooses the shard that gets a reserve back.
+    """
+
+    def __init__(
+        self,
+        ledger: OrganisationLedger,
+        table: TablePart,
+        settings: CreditSettings,
+        stamp: ReserveStamp,
+        rng: random.Random,
+    ) -> None:
+        self._ledger = ledger
+        self._table = table
+        self._settings = settings
+        self._stamp = stamp
+        self._rng = rng
+        self._started_at = time.monotonic()
+        self._is_done = False
+
+    @property
+    def is_pending(self) -> bool:
+        """Whether an earlier incarnation may have left a reserve."""
+        return not self._is_done and bool(self._stamp.earlier)
+
+    async def run(self) -> None:
+        """Reclaim, unless it is done or what it needs isn't known yet."""
+        started_at = self._table.bound_time(self._started_at)
+        stamps = self._stamp.earlier
+        if self._is_done or stamps is None or started_at is None:
+            return
+        match await self._table.read_prefix(self._ledger.holder_prefix):
+            case Result(tag="ok", ok=snapshot):
+                self._is_done = True
+                earlier = find_reclaimable(
+                    snapshot.rows,
+                    self._ledger.holder_key,
+                    snapshot.era,
+                    started_at,
+                    self._settings,
+                    stamps,
+                )
+                for reclaim in earlier:
+                    await self._commit(reclaim, snapshot)
+            case Result(error=fault):
+                logger.debug("reserves can't be reclaimed yet: {}", fault.message)
+
+    async def _commit(self, reclaim: Reclaim, snapshot: RowSnapshot) -> None:
+        for _ in range(MAX_ATTEMPTS):
+            shard = await self._read_shard(snapshot.era)
+            if shard is None:
+                break
+            outcome = await self._table.commit(plan_reclaim(reclaim, shard))
+            match outcome:
+                case Committed():
+                    logger.info(
+                        "{} tokens of {} were taken back",
+                        reclaim.unreleased,
+                        reclaim.holder.key,
+                    )
+                    return
+                case Conflict(rows) if not _has_row(rows, reclaim.holder):
+                    break
+                case Unavailable():
+                    self._is_done = False
+                    return
+        logger.warning("the reserve of {} stays charged", reclaim.holder.key)
+
+    async def _read_shard(self, era: int) -> Row | None:
+        """Return a shard row of an era, or None if there is none."""
+        match await self._table.read_prefix(SHARDS_PREFIX):
+            case Result(tag="ok", ok=snapshot):
+                rows = select_shards(snapshot.rows, era)
+                return self._rng.choice(rows) if rows else None
+            case Result(error=fault):
+                logger.warning("the shards can't be read: {}", fault.message)
+        return None
+
+
+def _has_row(rows: Sequence[Row], expected: Row) -> bool:
+    """Whether the rows contain a row in the same version."""
+    return any(
+        row.key == expected.key and row.version == expected.version for row in rows
+    )
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -3,8 +3,6 @@
 import asyncio
 import contextlib
 import random
-import time
-from collections.abc import Sequence
 
 from expression import Result
 from loguru import logger
@@ -12,14 +10,11 @@
 from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._messages import CreditSettings, Shortage
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
-from kingcuphead.credit._reclaim import Reclaim, find_reclaimable, plan_reclaim
-from kingcuphead.credit._rows import SHARDS_PREFIX, select_shards
+from kingcuphead.credit._reclaimer import Reclaimer
 from kingcuphead.credit._stamp import ReserveStamp
-from kingcuphead.invariants import require
 from kingcuphead.storage import (
     Committed,
     Conflict,
-    Row,
     TablePart,
     Unavailable,
     Unknown,
@@ -27,11 +22,11 @@
 
 #: Seconds before a call to the store that failed is retried.
 RETRY_DELAY_SECONDS = 0.1
+#: Seconds between two renewals while reserves remain to be reclaimed.
+PENDING_RECLAIM_SECONDS = 0.5
 #: Bounds in seconds of the random delay after a conflict; the first doubles with each
 #: further conflict up to the second.
 MIN_CONFLICT_DELAY_SECONDS, MAX_CONFLICT_DELAY_SECONDS = 0.01, 0.3
-#: Maximum number of transactions to reclaim the reserve of one earlier incarnation.
-MAX_RECLAIM_ATTEMPTS = 20
 #: Seconds between two renewals while requests wait for credit.
 WAITING_RENEWAL_SECONDS = 0.02
 #: Share of the renewal interval by which it varies, so that daemons that started at the
@@ -70,11 +65,9 @@
         self._ledger = ledger
         self._table = table
         self._settings = settings
-        self._stamp = stamp
-        self._started_at = time.monotonic()
         # Daemons and organisations differ in their delays.
         self._rng = random.Random(f"{ledger.holder_key}/{name}")
-        self._is_reclaimed = False
+        self._reclaimer = Reclaimer(ledger, table, settings, stamp, self._rng)
         self._wake = asyncio.Event()
         self._renewed = asyncio.Condition()
         #: Whether the store was unavailable or sent no reply to the last call.
@@ -125,6 +118,7 @@
             )
             if transaction is None:
                 await self._notify()
+                await self._reclaimer.run()
                 return True
             outcome = await self._table.commit(transaction)
             self._ledger.handle_outcome(outcome)
@@ -132,7 +126,7 @@
             match outcome:
                 case Committed():
                     await self._notify()
-                    await self._reclaim()
+                    await self._reclaimer.run()
                     return True
                 case Unavailable():
                     return False
@@ -174,6 +168,9 @@
                 RETRY_DELAY_SECONDS if self.is_store_down else WAITING_RENEWAL_SECONDS
             )
             return
+        if self._reclaimer.is_pending:
+            await self._wait(PENDING_RECLAIM_SECONDS)
+            return
         jitter = self._rng.uniform(1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER)
         await self._wait(self._get_interval() * jitter)
 
@@ -188,60 +185,6 @@
         interval = self._settings.get_renewal_interval(account.daemons)
         return interval * account.interval_factor
 
-    async def _reclaim(self) -> None:
-        """Reclaim the unreleased reserves of earlier incarnations, once."""
-        stamps = self._stamp.earlier
-        if self._is_reclaimed or stamps is None:
-            return
-        self._is_reclaimed = True
-        match await self._table.read_prefix(self._ledger.holder_prefix):
-            case Result(tag="ok", ok=snapshot):
-                started_at = require(
-                    self._table.bound_time(self._started_at),
-                    "reclaiming requires an earlier transaction",
-                )
-                earlier = find_reclaimable(
-                    snapshot.rows,
-                    self._ledger.holder_key,
-                    snapshot.era,
-                    started_at,
-                    self._settings,
-                    stamps,
-                )
-                for reclaim in earlier:
-                    await self._commit_reclaim(reclaim)
-            case Result(error=fault):
-                logger.warning("reserves can't be reclaimed: {}", fault.message)
-
-    async def _commit_reclaim(self, reclaim: Reclaim) -> None:
-        for _ in range(MAX_RECLAIM_ATTEMPTS):
-            shard = await self._read_shard()
-            if shard is None:
-                break
-            outcome = await self._table.commit(plan_reclaim(reclaim, shard))
-            if isinstance(outcome, Committed):
-                logger.info(
-                    "{} tokens of {} were taken back",
-                    reclaim.unreleased,
-                    reclaim.holder.key,
-                )
-                return
-            if isinstance(outcome, Conflict) and not _has_row(
-                outcome.rows, reclaim.holder
-            ):
-                break
-        logger.warning("the reserve of {} stays charged", reclaim.holder.key)
-
-    async def _read_shard(self) -> Row | None:
-        """Return a shard row of the current era, or None if there is none."""
-        match await self._table.read_prefix(SHARDS_PREFIX):
-            case Result(tag="ok", ok=snapshot):
-                rows = select_shards(snapshot.rows, self._ledger.era or 0)
-                return self._rng.choice(rows) if rows else None
-            case Result(error=fault):
-                logger.warning("the shards can't be read: {}", fault.message)
-        return None
-
     def _update_store_status(self, is_down: bool) -> None:
         if is_down != self.is_store_down:
             self.is_store_down = is_down
@@ -254,10 +197,3 @@
     async def _notify(self) -> None:
         async with self._renewed:
             self._renewed.notify_all()
-
-
-def _has_row(rows: Sequence[Row], expected: Row) -> bool:
-    """Whether the rows contain a row in the same version."""
-    return any(
-        row.key == expected.key and row.version == expected.version for row in rows
-    )
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -150,7 +150,7 @@
         return StampRenewal(
             self._ledger,
             table,
-            lambda: self._settings.get_renewal_interval(self._ledger.daemons),
+            lambda: self._settings.get_stamp_interval(self._ledger.daemons),
         )
 
     def _get_renewal(self, organisation: str) -> OrganisationRenewal:
--- /dev/null
+++ b/kingcuphead/credit/tests/test_reclaimer.py
@@ -0,0 +1,66 @@
+import asyncio
+import random
+
+import msgspec
+import pytest
+
+from kingcuphead.credit import CreditLedger, CreditTask, HolderRow, ShardRow
+from kingcuphead.credit.tests._store import FaultyStore
+from kingcuphead.credit.tests.test_task import NAME, DisconnectableTable
+from kingcuphead.routing import Organisation
+from kingcuphead.storage import Put, Transaction
+
+LIMIT = 100_000
+RESERVE = 50_000
+
+
+def make_store(reserve):
+    """Return a store whose budget is allocated to a daemon that has crashed."""
+    store = FaultyStore(random.Random(1))
+    store.advance(1.0)
+    shard = ShardRow(charged=LIMIT, settled=LIMIT - RESERVE)
+    holder = HolderRow(1, stamp_ms=store.time_ms, reserve=reserve)
+    rows = {"shard/00000000/00": shard, "holder/a/1/00000000": holder}
+    puts = [Put(key, msgspec.json.encode(row)) for key, row in rows.items()]
+    store.apply(NAME, Transaction((), tuple(puts)))
+    return store
+
+
+async def hold(store, is_disconnected=False):
+    """Return whether the next incarnation gets the credit of a request."""
+    table = DisconnectableTable(store)
+    table.is_disconnected = is_disconnected
+    task = CreditTask(CreditLedger("a", "2"), lambda name: table)
+    task.apply_limits([Organisation(NAME, None, LIMIT)], 1)
+    renewal = asyncio.create_task(task.run())
+    asyncio.get_running_loop().call_later(0.1, setattr, table, "is_disconnected", False)
+    await asyncio.sleep(0.2 if is_disconnected else 0.0)
+    held = await task.hold(NAME, 5_000, timeout=1.0)
+    renewal.cancel()
+    return held.is_ok()
+
+
+class TestReclaimer:
+    """Guards against budgets that stay charged with reserves of crashed daemons."""
+
+    @pytest.mark.parametrize("is_disconnected", [False, True])
+    def test_a_request_gets_a_reserve_when_nothing_else_is_left(self, is_disconnected):
+        assert asyncio.run(hold(make_store(RESERVE), is_disconnected))
+
+    def test_without_a_reserve_it_is_refused(self):
+        assert not asyncio.run(hold(make_store(0)))
+
+    def test_a_reserve_is_reclaimed_without_requests(self):
+        async def run():
+            store = make_store(RESERVE)
+            task = CreditTask(
+                CreditLedger("a", "2"), lambda name: DisconnectableTable(store)
+            )
+            task.apply_limits([Organisation(NAME, None, LIMIT)], 1)
+            renewal = asyncio.create_task(task.run())
+            await asyncio.sleep(2.0)
+            renewal.cancel()
+            return store.read_budget(NAME).charged
+
+        # The new incarnation keeps a part of what it reclaimed.
+        assert asyncio.run(run()) < LIMIT
