Dispatch: spread the requests to a busy service by room

Cause: with admission, all daemons place their next requests by reports of the same age. A target that was reported with one free slot got the requests of all daemons (42 requests for 16 slots within 0.1 s in a fleet of 12), and the extra cost of a full target made that the only choice while others idled.

Change: from 0.75 requests a place on, a target is chosen at random by its room relative to the mean load, and by its cost without that extra cost. In force where `spreads_load` is set: in daemons that queue requests. The choice is a module of its own. ServiceLoad gets the loads of the single daemons.

The tests' daemons get the setting as the real ones do, where they queue.

--- a/kingcuphead/admission/tests/_load.py
+++ b/kingcuphead/admission/tests/_load.py
@@ -132,9 +132,9 @@
         self.profile = profile
         self.targets = profile.list_targets()
         self.peer_loads = PeerLoads()
-        self.dispatcher = Dispatcher(
-            DispatchSettings("z"), self.peer_loads, random.Random(1)
-        )
+        # As in the daemon, targets are chosen by their room where requests are queued.
+        settings = DispatchSettings("z", spreads_load=profile.is_queued)
+        self.dispatcher = Dispatcher(settings, self.peer_loads, random.Random(1))
         self.dispatcher.daemons = profile.daemons
         self.gate = AdmissionGate(self.dispatcher, QueueBounds(profile.daemons))
         self.places = places or {
@@ -243,7 +243,7 @@
         tasks.append(asyncio.create_task(service.send(**chosen)))
 
 
-def play_arrivals(profile, seconds, arrivals, seed=1):
+def play_arrivals(profile, seconds, arrivals, seed=1, extra=0.0):
     """Play groups of arrivals side by side and return the outcomes.
 
     Parameters
@@ -254,6 +254,10 @@
         Length of the arrivals; the outcomes are complete.
     arrivals
         Pairs of a rate and the values of the requests.
+    seed
+        Seed of the arrivals and of the reports that are lost.
+    extra
+        Rate of further requests to the first daemon.
     """
 
     async def scenario():
@@ -262,20 +266,22 @@
             services.append(Service(profile, services[0].places))
         tasks: list[asyncio.Task[Outcome]] = []
         exchange = asyncio.create_task(exchange_loads(services, random.Random(seed)))
-        await asyncio.gather(
-            *(
-                arrive(
-                    service,
-                    rate / len(services),
-                    seconds,
-                    random.Random(f"{seed}/{index}/{number}"),
-                    tasks,
-                    **values,
-                )
-                for index, (rate, values) in enumerate(arrivals)
-                for number, service in enumerate(services)
+        groups = [
+            arrive(
+                service,
+                rate / len(services),
+                seconds,
+                random.Random(f"{seed}/{index}/{number}"),
+                tasks,
+                **values,
             )
-        )
+            for index, (rate, values) in enumerate(arrivals)
+            for number, service in enumerate(services)
+        ]
+        if extra:
+            rng = random.Random(f"{seed}/extra")
+            groups.append(arrive(services[0], extra, seconds, rng, tasks))
+        await asyncio.gather(*groups)
         await asyncio.gather(*tasks)
         exchange.cancel()
         return [outcome for service in services for outcome in service.outcomes]
--- a/kingcuphead/dispatch/_costs.py
+++ b/kingcuphead/dispatch/_costs.py
@@ -59,24 +59,30 @@
     def compute(
         self, request: PlacementRequest, target: Target, plan: PrefillPlan, now: float
     ) -> float:
-        """Return the cost of a target in units of the latency objective."""
+        """Return the cost of a target in units of the latency objective.
+
+        That of a target whose slots are all taken is left out; see `compute_full_cost`.
+        """
         settings = self._settings
         state = self._get_state(target)
         seconds = self.estimate_wait(target, plan) * state.latency_ratio
         cost = self._compute_wait_cost(seconds / request.objective)
-        running = state.running + self._peer_loads.get_running(target.name)
         own_tokens = request.prompt_tokens - request.shared_tokens
         cost += (
             (plan.prefill_tokens - own_tokens) / 1000 * settings.repeated_prefill_cost
         )
         cost += plan.copied_tokens / 1000 * settings.kv_copy_cost
-        if running >= target.slots:
-            cost += settings.failure_cost
         if target.zone != settings.zone:
             cost += settings.zone_cost
         cost += self._compute_transfer_cost(request, target)
         return cost + state.health.get_failure_rate(now) * settings.failure_cost
 
+    def compute_full_cost(self, target: Target) -> float:
+        """Return the cost of a target because its slots are all taken."""
+        others = self._peer_loads.get_running(target.name)
+        running = self._get_state(target).running + others
+        return self._settings.failure_cost if running >= target.slots else 0.0
+
     def estimate_wait(self, target: Target, plan: PrefillPlan) -> float:
         """Return the expected seconds to the first byte at a latency ratio of 1."""
         state, others = self._get_state(target), self._peer_loads
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -12,6 +12,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
+from kingcuphead.dispatch._chooser import OptionChooser
 from kingcuphead.dispatch._cold_costs import ColdCosts
 from kingcuphead.dispatch._costs import CostFunction
 from kingcuphead.dispatch._memory import MemoryCapacities, MemoryUse
@@ -21,7 +22,7 @@
     PlacementRequest,
 )
 from kingcuphead.dispatch._observer import EngineObserver, MemoryDenial
-from kingcuphead.dispatch._options import Option, choose_cheapest, choose_near_cheapest
+from kingcuphead.dispatch._options import Option, keeps_waiting
 from kingcuphead.dispatch._prefill import PrefillPlanner
 from kingcuphead.dispatch._room import RoomEstimator, ServiceLoad
 from kingcuphead.dispatch._speed import ServiceSpeed, TargetSpeed
@@ -61,6 +62,7 @@
         self._rooms = RoomEstimator(
             peer_loads, self._get_state, self._planner, self._costs
         )
+        self._chooser = OptionChooser(settings, self._rooms, rng)
         self._subset = EngineSubset(settings.subset_size)
         #: Called after a prompt of at least `min_announced_tokens` is placed, to
         #: report the new load to other daemons at once.
@@ -275,7 +277,8 @@
         """
         preferred = self._select_preferred(request, available)
         options = self._list_options(request, preferred, now)
-        if len(preferred) < len(available) and self._is_busy(request, options):
+        max_wait = self._settings.max_subset_wait * request.objective
+        if len(preferred) < len(available) and keeps_waiting(options, max_wait):
             names = {target.name for target in preferred}
             others = [target for target in available if target.name not in names]
             options += [
@@ -286,13 +289,7 @@
                 )
                 for option in self._list_options(request, others, now)
             ]
-        if not options:
-            return None
-        if self._settings.has_contended_engines and request.prompt_tokens:
-            return choose_near_cheapest(
-                options, self._settings.cost_tolerance, self._rng
-            )
-        return choose_cheapest(options)
+        return self._chooser.choose(request, options) if options else None
 
     def _select_preferred(
         self, request: PlacementRequest, available: list[Target]
@@ -308,17 +305,6 @@
             return available
         return self._subset.select(available)
 
-    def _is_busy(self, request: PlacementRequest, options: list[Option]) -> bool:
-        """Whether a request would wait for others at each of some targets."""
-        if not options:
-            return True
-        wait = min(
-            option.wait * option.state.latency_ratio
-            - option.plan.prefill_tokens / option.state.speed.rate
-            for option in options
-        )
-        return wait > self._settings.max_subset_wait * request.objective
-
     def _list_options(
         self, request: PlacementRequest, targets: list[Target], now: float
     ) -> list[Option]:
@@ -334,10 +320,13 @@
             if self._settings.has_contended_engines:
                 state.refresh_latency_ratio(now)
             cost = self._costs.compute(request, target, plan, now)
-            cost += cold_costs.get(target.name, 0.0)
+            full_cost = self._costs.compute_full_cost(target)
+            cost += cold_costs.get(target.name, 0.0) + full_cost
             wait = self._costs.estimate_wait(target, plan)
             is_preferred = target is ranked[0]
-            options.append(Option(target, state, plan, wait, cost, is_preferred))
+            options.append(
+                Option(target, state, plan, wait, cost, is_preferred, full_cost)
+            )
         return options
 
     @property
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -105,6 +105,8 @@
     #: Cost, for other requests, of a cold target for each request that it got more than
     #: the cold target with the fewest.
     uneven_warming_cost: float = 0.2
+    #: Whether requests to a busy service are spread over its targets by their room.
+    spreads_load: bool = False
     #: Whether many daemons compete for engines that fail when they hold more tokens
     #: than their memory has room for. The settings below apply only then.
     has_contended_engines: bool = False
--- a/kingcuphead/dispatch/_options.py
+++ b/kingcuphead/dispatch/_options.py
@@ -25,6 +25,26 @@
     cost: float
     #: Whether the target ranks first among the available ones.
     is_preferred: bool
+    #: Part of the cost because all slots of the target are taken.
+    full_cost: float = 0.0
+
+
+def keeps_waiting(options: Sequence[Option], limit: float) -> bool:
+    """Return whether a request would wait for others at each of some targets.
+
+    Parameters
+    ----------
+    options
+        Targets that the request may be placed on.
+    limit
+        Seconds of waiting that don't count.
+    """
+    waits = (
+        option.wait * option.state.latency_ratio
+        - option.plan.prefill_tokens / option.state.speed.rate
+        for option in options
+    )
+    return min(waits, default=math.inf) > limit
 
 
 def choose_cheapest(options: Sequence[Option]) -> Option:
--- a/kingcuphead/dispatch/_room.py
+++ b/kingcuphead/dispatch/_room.py
@@ -32,6 +32,8 @@
     others: float
     #: Number of daemons that use the targets, this one included.
     daemons: float
+    #: Number of requests of each other daemon that reported any.
+    reported: tuple[int, ...] = ()
 
     @property
     def total(self) -> float:
@@ -76,10 +78,15 @@
     #: Number of requests that other daemons are expected to have there.
     reported: float
 
+    @property
+    def load(self) -> float:
+        """Number of requests that all daemons are expected to have there."""
+        return self.own + self.reported
+
     @property
     def has_place(self) -> bool:
         """Whether the target may get another request."""
-        return self.own + self.reported < self.places
+        return self.load < self.places
 
     def accepts_on_old_reports(self, request: PlacementRequest, now: float) -> bool:
         """Return whether a request may go to a target that is reported as full.
@@ -159,7 +166,7 @@
         if request.prefixes and request.objective_ends_at > now:
             ranked = self._planner.rank(request, available)
         for target in ranked:
-            room = self._describe_room(request, target)
+            room = self.describe_room(request, target)
             if room.accepts_on_old_reports(request, now):
                 return True
             if room.has_place and self._is_in_time(request, target, ranked, now):
@@ -171,7 +178,7 @@
     ) -> bool:
         """Return whether a request has waited so long that it may ignore reports."""
         return any(
-            self._describe_room(request, target).accepts_on_old_reports(request, now)
+            self.describe_room(request, target).accepts_on_old_reports(request, now)
             for target in candidates
         )
 
@@ -179,20 +186,23 @@
         self, request: PlacementRequest, candidates: Collection[Target]
     ) -> ServiceLoad:
         """Return the load of all daemons on some targets."""
-        rooms = [self._describe_room(request, target) for target in candidates]
-        users = self._peer_loads.count_users({target.name for target in candidates})
+        rooms = [self.describe_room(request, target) for target in candidates]
+        running = self._peer_loads.list_running({target.name for target in candidates})
+        reported = tuple(number for number in running if number)
         return ServiceLoad(
             sum(room.places for room in rooms),
             sum(room.own for room in rooms),
             sum(room.reported for room in rooms),
-            1 + self._extrapolate(users),
+            1 + self._extrapolate(len(reported)),
+            reported,
         )
 
     def count_own(self, candidates: Iterable[Target]) -> int:
         """Return the number of requests that this daemon has at some targets."""
         return sum(self._get_state(target).running for target in candidates)
 
-    def _describe_room(self, request: PlacementRequest, target: Target) -> TargetRoom:
+    def describe_room(self, request: PlacementRequest, target: Target) -> TargetRoom:
+        """Return how much of a target is taken."""
         reported = self._peer_loads.get_load(target.name).running
         others = self._extrapolate(reported)
         places = count_places(target, request)
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -104,6 +104,7 @@
         peer_loads = PeerLoads()
         dispatch_settings = DispatchSettings(
             profile.zone,
+            spreads_load=profile.has_scarce_capacity,
             has_contended_engines=profile.is_constrained,
             # Admission doesn't know the memory of engines yet: it would admit requests
             # that are refused then.
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -1,7 +1,7 @@
 """The load that other daemons put on targets, from their latest reports."""
 
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 from kingcuphead.frozen import frozen
 from kingcuphead.loads._messages import LoadsReported, PlacementAnnounced, TargetLoad
@@ -72,12 +72,12 @@
             if not announcements:
                 del self._announced[sender]
 
-    def count_users(self, targets: Collection[str]) -> int:
-        """Return the number of other daemons that report load on one of the targets."""
-        return sum(
-            any(load.target in targets for load in received.report.loads)
-            for received in self._reports.values()
-        )
+    def list_running(self, targets: Collection[str]) -> Iterator[int]:
+        """Yield the number of requests that each other daemon has on some targets."""
+        for received in self._reports.values():
+            yield sum(
+                load.running for load in received.report.loads if load.target in targets
+            )
 
     def get_load(self, target: str) -> TargetLoad:
         """Return the load of all other daemons on a target."""
--- a/kingcuphead/loads/tests/test_loads.py
+++ b/kingcuphead/loads/tests/test_loads.py
@@ -35,6 +35,14 @@
         peer_loads.expire(REPORT_LIFETIME + 0.01)
         assert peer_loads.get_load("t1").running == 0
 
+    def test_each_daemon_counts_once_for_the_targets_asked_for(self):
+        """Requests at targets of other services would take its share of these."""
+        peer_loads = PeerLoads()
+        loads = tuple(TargetLoad(f"t{number}", number, 0) for number in (1, 2, 3))
+        peer_loads.apply_report(LoadsReported("a", 1, loads), 0.0)
+        peer_loads.apply_report(make_report("b", 1, 4), 0.0)
+        assert list(peer_loads.list_running({"t1", "t2"})) == [3, 4]
+
 
 class TestLoadExchange:
     def test_reports_reach_other_daemons(self):
