Admission: fair share of the places, and few late refusals

Causes, by traces of 12 daemons: - A request that waited 0.1 s ignored the reports wherever its daemon had no request. In a burst most admissions came this way, and the bound on the requests in progress fell to 1 because of them. Now only below an equal share of the places. - That bound was an integrator that began 0.3 s after the slots were full, and there was none for plain services. Now it is the max-min fair share by the reported loads, for each group of targets. - Before the rate and the answers were measured, everything was expected to be in time.

--- a/kingcuphead/admission/_bounds.py
+++ b/kingcuphead/admission/_bounds.py
@@ -10,7 +10,7 @@
 #: Lower bound of the waiting requests for one service.
 MIN_REQUESTS = 16
 #: Share of the bound for requests that are expected to miss their objectives.
-LATE_SHARE = 0.125
+LATE_SHARE = 1 / 32
 #: Share of the bound for places that are kept for requests that may come back.
 KEPT_SHARE = 0.25
 #: Share of the process's memory for the bodies of waiting requests.
--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -158,7 +158,9 @@
             self._admit_next(request.service)
             if not decision.done():
                 limit = self.bounds.count_requests(candidates)
-                self._refuse(service.review_arrival(request, limit, _get_time()))
+                running = self._room.count_own(candidates)
+                now = _get_time()
+                self._refuse(service.review_arrival(request, limit, running, now))
                 self._refuse(self._review_bodies())
                 self._start_timer()
             return await decision
@@ -253,16 +255,18 @@
         if not gives_way:
             # Late requests would go ahead of timely ones of other daemons.
             waiting = dataclasses.replace(placement, waiting_since=request.arrived_at)
-        if not described.prompt_tokens:
-            # Plain services answer within an interval of the reports.
-            return self._room.has_room(waiting, candidates, now)
-        pace = self._get_service(request.service).pace
+        pace = self._get_service(request.service).get_pace(query.group)
         if pace.is_due(now):
             pace.update(self._room.describe_load(described, candidates), now)
-        is_allowed = pace.allows(self._room.count_own(candidates), gives_way)
-        if is_allowed and self._room.has_room(placement, candidates, now):
+        own = self._room.count_own(candidates)
+        if pace.allows(own, gives_way) and self._room.has_room(
+            placement, candidates, now
+        ):
             return True
-        return self._room.accepts_on_old_reports(waiting, candidates, now)
+        # Else all daemons that wait would ignore the reports of each other.
+        return not pace.has_equal_share(own) and self._room.accepts_on_old_reports(
+            waiting, candidates, now
+        )
 
     def _review_bodies(self) -> Iterator[Rejection]:
         """Yield what is refused for want of memory, the least urgent first."""
--- a/kingcuphead/admission/_messages.py
+++ b/kingcuphead/admission/_messages.py
@@ -36,7 +36,7 @@
     objective_ends_at: float
     #: Time in seconds by which the final answer is due.
     deadline: float
-    #: Expected seconds from admission to the first answer.
+    #: Expected seconds from admission to the first answer; 0 if unknown.
     answer_seconds: float = 0.0
 
     @property
--- a/kingcuphead/admission/_pace.py
+++ b/kingcuphead/admission/_pace.py
@@ -8,23 +8,27 @@
 
 #: Seconds between two changes of the bound, the interval of load reports.
 INTERVAL = 0.1
-#: Load in units of the places up to which a service isn't busy.
-MAX_OPEN_LOAD = 1.1
 #: Load in units of the places that the daemons aim at together. Above 1, a target gets
 #: its next request before a report tells that the last one ended.
-AIMED_LOAD = 1.25
+AIMED_LOAD = 1.1
+#: Load in units of the places above which a daemon takes no more than an equal part of
+#: the places that are left: the others take theirs before they report it.
+MIN_BUSY_LOAD = 1.0
 #: Part of the bound for requests that are going to be late: timely ones of other
 #: daemons go first.
 LATE_SHARE = 0.75
-#: Part of the difference from the aimed load that is made up in one interval.
-GAIN = 0.5
 
 
 class Pace:
-    """Bound on the requests in progress of one service; does no I/O."""
+    """Bound on the requests in progress at a group of targets; does no I/O.
+
+    It is the max-min fair share of the aimed load: daemons with little demand keep what
+    they have, and the others share the rest equally.
+    """
 
     def __init__(self) -> None:
-        self._limit: float | None = None
+        self._limit = float("inf")
+        self._equal_share = float("inf")
         self._changed_at = float("-inf")
 
     def is_due(self, now: float) -> bool:
@@ -34,14 +38,12 @@
     def update(self, load: ServiceLoad, now: float) -> None:
         """Change the bound so that the load of all daemons approaches the aim."""
         self._changed_at = now
-        if load.total < MAX_OPEN_LOAD * load.places:
-            self._limit = None
-            return
-        missing = AIMED_LOAD * load.places - load.total
-        limit = load.own if self._limit is None else self._limit
-        limit += GAIN * missing / load.daemons
-        largest = load.own + max(1.0, load.places / load.daemons)
-        self._limit = min(max(1.0, limit), largest)
+        self._equal_share = max(1.0, load.places / load.daemons)
+        aimed = AIMED_LOAD * load.places
+        self._limit = max(1.0, _compute_fair_share(load, aimed))
+        if load.total > MIN_BUSY_LOAD * load.places:
+            part = max(0.0, aimed - load.total) / load.daemons
+            self._limit = min(self._limit, max(self._equal_share, load.own + part))
 
     def allows(self, own: int, gives_way: bool) -> bool:
         """Return whether another request may be in progress beside those that are.
@@ -53,6 +55,29 @@
         gives_way
             Whether timely requests of other daemons go first.
         """
-        if self._limit is None:
-            return True
         return own < (LATE_SHARE * self._limit if gives_way else self._limit)
+
+    def has_equal_share(self, own: int) -> bool:
+        """Return whether this daemon uses an equal share of the places or more.
+
+        Parameters
+        ----------
+        own
+            Requests that this daemon has in progress.
+        """
+        return own >= self._equal_share
+
+
+def _compute_fair_share(load: ServiceLoad, total: float) -> float:
+    """Return the max-min fair share of a total number of requests for one daemon.
+
+    A report also stands for the daemons that weren't heard of.
+    """
+    weight = (load.daemons - 1) / max(1, len(load.reported))
+    remaining, daemons = total, load.daemons
+    for number in sorted(load.reported):
+        if number >= remaining / daemons:
+            break
+        remaining -= weight * number
+        daemons -= weight
+    return remaining / daemons
--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -3,6 +3,7 @@
 import itertools
 from collections.abc import Callable, Iterator
 
+from kingcuphead.admission._admission_times import AdmissionTimes
 from kingcuphead.admission._bounds import KEPT_SHARE, LATE_SHARE
 from kingcuphead.admission._messages import (
     AdmissionRequest,
@@ -27,10 +28,22 @@
 MAX_REFUSAL_DELAY = 0.05
 #: Factor by which the wait of a request that arrives may be longer than estimated, as
 #: other daemons take a varying part of the places.
-ARRIVAL_MARGIN = 1.5
+ARRIVAL_MARGIN = 1.75
 #: Ratio of the expected to the remaining wait above which a request that waits already
 #: is refused; the estimate varies while it waits.
 WAITING_MARGIN = 1.25
+#: Number of late requests that wait on after `MAX_REFUSAL_DELAY` in any case; others do
+#: if they begin before their deadlines with the share of the admissions below.
+MAX_KEPT_LATE = 4
+#: Largest share of the admissions for late requests that go ahead of timely ones.
+OVERTAKING_SHARE = 0.1
+#: Lower bound of the number of admissions of which it is the share.
+MIN_COUNTED_ADMISSIONS = 20
+#: Largest part of the objective that an answer is expected to take before one was
+#: measured. The first event of a stream comes long before its end.
+MAX_UNMEASURED_PART = 0.5
+#: Bound on the groups of targets whose bounds are remembered.
+MAX_PACES = 32
 
 
 class ServiceAdmission:
@@ -39,15 +52,23 @@
     def __init__(self) -> None:
         #: The waiting requests.
         self.queue = ServiceQueue()
-        #: Bound on the requests in progress.
-        self.pace = Pace()
+        self._paces: dict[str, Pace] = {}
         self._rate = AdmissionRate()
+        self._times = AdmissionTimes()
         self._shares = RankShares()
         self._sizes = SizeShares()
         #: Admissions after a wait, and those of them that were late.
         self._late = Counts()
+        #: Admissions after a wait, and late requests that were put ahead of others.
+        self._overtaking = Counts()
         self._reservations = Reservations()
 
+    def get_pace(self, group: str) -> Pace:
+        """Return the bound on the requests in progress at a group of targets."""
+        if group not in self._paces and len(self._paces) >= MAX_PACES:
+            self._paces.clear()
+        return self._paces.setdefault(group, Pace())
+
     def record_direct(self, request: AdmissionRequest, now: float) -> None:
         """Record a request that was admitted on arrival, as nothing waited."""
         self._reservations.claim(request.fingerprint, now)
@@ -74,8 +95,9 @@
         )
         if admitted is not None:
             self._record_admission(admitted.request, now)
-            self._late.advance(now)
-            self._late.arrived += 1
+            for counts in (self._late, self._overtaking):
+                counts.advance(now)
+                counts.arrived += 1
             self._late.admitted += admitted.standing is Standing.LATE
         # After the admission, which counts as one after a wait.
         self.track(now)
@@ -94,7 +116,7 @@
             self._rate.end(now)
 
     def review_arrival(
-        self, request: AdmissionRequest, limit: int, now: float
+        self, request: AdmissionRequest, limit: int, running: int, now: float
     ) -> Iterator[Rejection]:
         """Yield what is refused because of a request that was just added.
 
@@ -104,14 +126,14 @@
             Request that still waits after all room was used.
         limit
             Bound on the waiting requests.
+        running
+            Number of requests that this daemon has in progress.
         now
             Current time in seconds.
         """
-        rate = self._rate.get(now)
-        wait = self._estimate_wait(request, rate, now)
-        if now + wait * ARRIVAL_MARGIN > request.last_start_in_time:
+        if self._is_expected_late(request, running, now):
             self.queue.mark_late(request.request_id)
-            wait = self._estimate_wait(request, rate, now)
+        wait = self._estimate_wait(request, self._rate.get(now), now)
         if self.queue.is_only_of_rank(request):
             # Ageing lets it begin, whatever waits in more urgent ranks.
             wait = 0.0
@@ -130,12 +152,8 @@
         ahead = late_ahead = 0
         for request in tuple(self.queue.iterate()):
             is_late = self.queue.is_late(request.request_id)
-            remaining = request.last_start - self._get_reserve(request) - now
-            wait = 0.0
-            if rate is not None and not self.queue.is_only_of_rank(request):
-                counted = late_ahead if is_late else ahead
-                wait = self._compute_wait(request, counted, rate, now)
-            if remaining < 0 or wait > remaining * WAITING_MARGIN:
+            counted = late_ahead if is_late else ahead
+            if self._is_given_up(request, counted, rate, now):
                 yield self.reject(request, Reason.DEADLINE, now)
             else:
                 ahead += 1
@@ -163,6 +181,71 @@
         retry_after = self._reservations.reserve(request, rate, now)
         return Rejection(request, Refused(reason, retry_after, figures))
 
+    def _is_given_up(
+        self, request: AdmissionRequest, ahead: int, rate: float | None, now: float
+    ) -> bool:
+        """Return whether a waiting request is refused, or put it ahead if it is kept.
+
+        Parameters
+        ----------
+        request
+            The request.
+        ahead
+            Number of requests ahead; of late ones if it is late.
+        rate
+            Requests admitted per second; None before it is measured.
+        now
+            Current time in seconds.
+        """
+        remaining = request.last_start - self._get_reserve(request) - now
+        if remaining < 0:
+            return True
+        if rate is None or self.queue.is_only_of_rank(request):
+            return False
+        wait = self._compute_wait(request, ahead, rate, now)
+        if wait <= remaining * WAITING_MARGIN:
+            return False
+        if not self._is_kept(request, ahead, rate, now):
+            return True
+        self._expedite_late(request)
+        return False
+
+    def _is_kept(
+        self, request: AdmissionRequest, late_ahead: int, rate: float, now: float
+    ) -> bool:
+        """Return whether a late request is kept because a refusal would be late too."""
+        has_waited = now - request.arrived_at > MAX_REFUSAL_DELAY
+        if not has_waited or not self.queue.is_late(request.request_id):
+            return False
+        left = rate * self._shares.compute_left(request.rank, now) * OVERTAKING_SHARE
+        begins_at = now + (late_ahead + 1) / left
+        return late_ahead < MAX_KEPT_LATE or begins_at < request.last_start
+
+    def _expedite_late(self, request: AdmissionRequest) -> None:
+        """Put a late request ahead of timely ones unless too many were put there."""
+        admissions = max(MIN_COUNTED_ADMISSIONS, self._overtaking.arrived)
+        if self._overtaking.admitted < OVERTAKING_SHARE * admissions:
+            self._overtaking.admitted += 1
+            self.queue.expedite(request.request_id)
+
+    def _is_expected_late(
+        self, request: AdmissionRequest, running: int, now: float
+    ) -> bool:
+        """Return whether a request that arrives is expected to miss its objective.
+
+        Before anything is measured, requests are expected to take as long as the oldest
+        one in progress has taken so far.
+        """
+        rate, answer_seconds = self._rate.get(now), request.answer_seconds
+        age = self._times.get_age(running, now)
+        if rate is None and age > 0:
+            rate = running / age
+        if not answer_seconds:
+            objective = request.objective_ends_at - request.arrived_at
+            answer_seconds = min(age, MAX_UNMEASURED_PART * objective)
+        wait = self._estimate_wait(request, rate, now)
+        return now + wait * ARRIVAL_MARGIN + answer_seconds > request.objective_ends_at
+
     def _choose_surplus(
         self, request: AdmissionRequest, now: float
     ) -> AdmissionRequest:
@@ -184,9 +267,13 @@
         return self._shares.is_refused_less(request.rank, now)
 
     def _is_over(self, request: AdmissionRequest, limit: int, now: float) -> bool:
-        """Return whether one request more waits than the bounds allow."""
+        """Return whether one request more waits than the bounds allow.
+
+        A late one may always wait alone, as it may be late without a wait.
+        """
         is_late = self.queue.is_late(request.request_id)
-        if is_late and self.queue.late_count > LATE_SHARE * limit:
+        is_alone = len(self.queue) == 1
+        if is_late and not is_alone and self.queue.late_count > LATE_SHARE * limit:
             return True
         kept = self._reservations.count_places(request.rank, now)
         return len(self.queue) + min(kept, KEPT_SHARE * limit) > limit
@@ -229,6 +316,7 @@
 
     def _record_admission(self, request: AdmissionRequest, now: float) -> None:
         self._rate.record_admission(now)
+        self._times.record(now)
         self._shares.record_admission(request.rank, now)
         self._sizes.record_admission(request.size, now)
 
--- a/kingcuphead/admission/_service_queue.py
+++ b/kingcuphead/admission/_service_queue.py
@@ -103,9 +103,11 @@
         """Record that a request is expected to miss its objective."""
         entry = self._entries[request_id]
         if entry.standing is Standing.TIMELY:
-            self._get_queue(entry).remove(entry.waiting)
-            entry.standing = Standing.LATE
-            self._get_queue(entry).push(entry.waiting)
+            self._move(entry, Standing.LATE)
+
+    def expedite(self, request_id: str) -> None:
+        """Let a request go ahead of the others of its rank."""
+        self._move(self._entries[request_id], Standing.EXPEDITED)
 
     def is_late(self, request_id: str) -> bool:
         """Return whether a waiting request is expected to miss its objective."""
@@ -215,6 +217,11 @@
         self._get_queue(admitted).serve(admitted.waiting)
         self._end(admitted)
 
+    def _move(self, entry: Entry, standing: Standing) -> None:
+        self._get_queue(entry).remove(entry.waiting)
+        entry.standing = standing
+        self._get_queue(entry).push(entry.waiting)
+
     def _end(self, entry: Entry) -> None:
         self.body_bytes -= entry.request.body_bytes
         if not self._entries:
--- a/kingcuphead/admission/tests/test_service_queue.py
+++ b/kingcuphead/admission/tests/test_service_queue.py
@@ -11,7 +11,16 @@
 )
 
 
-def make_request(name, organisation="a", rank=0, objective=1.0, answer=0.0, size=10):
+def make_request(
+    name,
+    organisation="a",
+    rank=0,
+    objective=1.0,
+    answer=0.0,
+    size=10,
+    arrived=0.0,
+    deadline=60.0,
+):
     return AdmissionRequest(
         request_id=name,
         service="pool",
@@ -20,9 +29,9 @@
         size=size,
         body_bytes=1,
         fingerprint=name,
-        arrived_at=0.0,
+        arrived_at=arrived,
         objective_ends_at=objective,
-        deadline=60.0,
+        deadline=deadline,
         answer_seconds=answer,
     )
 
