--- a/kingcuphead/admission/tests/test_load.py
+++ b/kingcuphead/admission/tests/test_load.py
@@ -170,15 +170,52 @@
         assert in_time >= 1.3 * len(select(direct, is_in_time=True))
         assert in_time >= 0.7 * 3 * profile.capacity
 
+    @pytest.mark.parametrize("seed", [1, 2, 3])
     @pytest.mark.parametrize("profile", FLEETS)
-    def test_few_are_late_and_refusals_are_prompt(self, profile):
+    def test_few_are_late_and_refusals_are_prompt(self, profile, seed):
         """The target of a burst of twice the capacity, for a whole fleet."""
-        outcomes = play_arrivals(profile, 3, [(2 * profile.capacity, {})])
+        outcomes = play_arrivals(profile, 3, [(2 * profile.capacity, {})], seed)
         served = select(outcomes, is_served=True)
         refused = select(outcomes, is_served=False)
         assert max(each.seconds for each in refused) <= REFUSAL_SECONDS
         assert compute_share(served, is_in_time) >= 0.9
 
+    @pytest.mark.parametrize("busiest", [1, 11])
+    @pytest.mark.parametrize("profile", FLEETS)
+    def test_nothing_waits_below_the_capacity(self, profile, busiest):
+        """Bounds for each daemon must not hold one back that has most of the demand.
+
+        The first daemon has as much demand as the others, or eleven times as much.
+        """
+        rate = 0.6 * profile.capacity / (busiest + profile.daemons - 1)
+        arrivals: Arrivals = [(profile.daemons * rate, {})]
+        outcomes = play_arrivals(profile, 3, arrivals, extra=(busiest - 1) * rate)
+        assert all(outcome.is_in_time for outcome in outcomes)
+        assert compute_share(outcomes, lambda each: each.waited < 0.01) >= 0.99
+
+    @pytest.mark.parametrize("profile", FLEETS)
+    @pytest.mark.parametrize(
+        ("urgent", "other"), [(1.5, 0.1), (1.2, 1.2), (0.5, 1.5), (1.9, 0.3)]
+    )
+    def test_the_most_urgent_never_gets_a_smaller_share(self, profile, urgent, other):
+        """Daemons that ignore each other's reports serve ranks in no order."""
+        rates = [
+            (urgent * profile.capacity, {"rank": 0}),
+            (other * profile.capacity, {"rank": 2}),
+        ]
+        outcomes = play_arrivals(profile, 4, rates)
+        for is_counted in (is_served, is_in_time):
+            assert compute_share(select(outcomes, rank=0), is_counted) >= (
+                compute_share(select(outcomes, rank=2), is_counted)
+            )
+
+    @pytest.mark.parametrize("profile", FLEETS)
+    def test_refusals_are_prompt_beside_more_urgent_requests(self, profile):
+        """More urgent requests take the room that others were expected to get."""
+        rates = [(1.2 * profile.capacity, {"rank": rank}) for rank in (0, 2)]
+        refused = select(play_arrivals(profile, 4, rates), is_served=False)
+        assert max(each.seconds for each in refused) <= REFUSAL_SECONDS
+
     def test_no_target_stays_idle_because_of_old_reports(self):
         """Another daemon reported full targets and is gone since.
 
