--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -5,12 +5,14 @@
 
 from expression import Error, Ok, Result
 
+from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._ledger import CreditLedger
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold, Shortage
 from kingcuphead.credit._renewal import (
     RETRY_DELAY_SECONDS,
     OrganisationRenewal,
 )
+from kingcuphead.credit._stamp_renewal import StampRenewal
 from kingcuphead.credit._transfer_client import TransferClient
 from kingcuphead.frozen import frozen
 from kingcuphead.routing import Organisation
@@ -18,11 +20,11 @@
 
 #: Seconds without a renewal after which a waiting request tries a credit transfer.
 TRANSFER_DELAY_SECONDS = 0.06
-#: Seconds for which a request waits while other daemons hold the missing credit: it may
-#: be on its way from one of them to the store or to another daemon.
+#: Seconds for which a request waits although other daemons hold the missing credit: the
+#: credit may be in transit from one of them to the store or to another daemon.
 UNPROVEN_SECONDS = 0.25
-#: Seconds from the first round of transfers for a request to the beginning of the last;
-#: other requests may take what was received for it.
+#: Seconds from the first round of transfers for a request to the start of the last.
+#: Rounds are repeated because other requests may take what was received for it.
 MAX_TRANSFER_SECONDS = 0.2
 
 
@@ -47,6 +49,9 @@
         Returns the part of the store's table with the rows of an organisation.
     settings
         Renewal interval and release of the reserves.
+    stamp_table
+        The part of the store's table with the stamps of all daemons; without it, each
+        organisation's transactions keep its reserve reclaimable.
     """
 
     def __init__(
@@ -54,10 +59,12 @@
         ledger: CreditLedger,
         get_table: Callable[[str], TablePart],
         settings: CreditSettings = CreditSettings(),  # noqa: B008
+        stamp_table: TablePart | None = None,
     ) -> None:
         self._ledger = ledger
         self._get_table = get_table
         self._settings = settings
+        self._stamp_renewal = self._make_stamp_renewal(stamp_table)
         self._renewals: dict[str, OrganisationRenewal] = {}
         self._tasks: asyncio.TaskGroup | None = None
         #: Requests credit transfers from other daemons; None if transfers are disabled.
@@ -77,6 +84,7 @@
 
     def begin_era(self, era: int) -> None:
         """Record this daemon's credit again after a restore of the store."""
+        self._ledger.stamp.begin_era(era)
         for renewal in self._renewals.values():
             renewal.begin_era(era)
 
@@ -94,23 +102,25 @@
         timeout
             Maximum time to wait, in seconds.
         """
-        requested_at = _get_time()
+        requested_at = get_time()
         self._ledger.record_demand(organisation, tokens, requested_at)
         held = await self._acquire_hold(organisation, tokens, timeout)
         if held.is_error():
-            self._ledger.retract_demand(organisation, tokens, requested_at, _get_time())
+            self._ledger.retract_demand(organisation, tokens, requested_at, get_time())
             # Returns what was allocated or transferred for the request.
             self._get_renewal(organisation).wake()
         return held
 
     def settle(self, hold: Hold, spent: int) -> None:
         """End a hold with the tokens that the request spent, capped at the hold."""
-        self._ledger.settle(hold, min(spent, hold.tokens), _get_time())
+        self._ledger.settle(hold, min(spent, hold.tokens), get_time())
 
     async def run(self) -> None:
         """Renew the credit of every organisation until cancelled."""
         async with asyncio.TaskGroup() as tasks:
             self._tasks = tasks
+            if self._stamp_renewal is not None:
+                tasks.create_task(self._stamp_renewal.run())
             for renewal in self._renewals.values():
                 tasks.create_task(renewal.run())
             await asyncio.Event().wait()
@@ -124,14 +134,25 @@
             Whether the store has confirmed that all credit is returned.
         """
         self._ledger.close()
-        deadline = _get_time() + timeout
-        while not self._ledger.is_empty and _get_time() < deadline:
+        deadline = get_time() + timeout
+        while not self._ledger.is_empty and get_time() < deadline:
             renewals = tuple(self._renewals.values())
             await asyncio.gather(*(renewal.renew() for renewal in renewals))
             if not self._ledger.is_empty:
                 await asyncio.sleep(RETRY_DELAY_SECONDS)
         return self._ledger.is_empty
 
+    def _make_stamp_renewal(self, table: TablePart | None) -> StampRenewal | None:
+        if table is None:
+            # There are no stamps of earlier incarnations either.
+            self._ledger.stamp.earlier = {}
+            return None
+        return StampRenewal(
+            self._ledger,
+            table,
+            lambda: self._settings.get_stamp_interval(self._ledger.daemons),
+        )
+
     def _get_renewal(self, organisation: str) -> OrganisationRenewal:
         renewal = self._renewals.get(organisation)
         if renewal is None:
@@ -140,6 +161,7 @@
                 self._ledger.get_organisation(organisation),
                 self._get_table(organisation),
                 self._settings,
+                self._ledger.stamp,
             )
             self._renewals[organisation] = renewal
             if self._tasks is not None:
@@ -153,7 +175,7 @@
         self, organisation: str, tokens: int, timeout: float
     ) -> Result[Hold, CreditRefused]:
         renewal = self._get_renewal(organisation)
-        hold = self._ledger.hold(organisation, tokens, _get_time())
+        hold = self._ledger.hold(organisation, tokens, get_time())
         if hold is not None:
             self._refill(renewal, organisation)
             return Ok(hold)
@@ -168,7 +190,7 @@
         if not self._is_store_silent(renewal):
             renewal.wake_if_low()
         elif self.transfer_client is not None:
-            lacking = self._ledger.count_lacking(organisation, _get_time())
+            lacking = self._ledger.count_lacking(organisation, get_time())
             self.transfer_client.prefetch_credit(organisation, lacking)
 
     async def _obtain_credit(
@@ -195,21 +217,24 @@
         tokens: int,
         timeout: float,
     ) -> Result[Hold, CreditRefused]:
-        deadline = _get_time() + timeout
-        unproven_until = _get_time() + UNPROVEN_SECONDS
-        while _get_time() < deadline and not renewal.is_store_down:
+        deadline = get_time() + timeout
+        unproven_until = get_time() + UNPROVEN_SECONDS
+        while get_time() < deadline and not renewal.is_store_down:
             renewal.wake()
-            remaining = deadline - _get_time()
+            remaining = deadline - get_time()
             renewed = await renewal.wait_for_renewal(
                 min(remaining, TRANSFER_DELAY_SECONDS)
             )
-            hold = self._ledger.hold(organisation, tokens, _get_time())
+            hold = self._ledger.hold(organisation, tokens, get_time())
             shortage = renewal.find_shortage(tokens)
             if hold is None and (not renewed or shortage is Shortage.UNPROVEN):
                 hold = await self._request_transfer(organisation, tokens)
             if hold is not None:
                 return Ok(hold)
-            if shortage is Shortage.UNPROVEN and _get_time() < unproven_until:
+            is_unproven = shortage is Shortage.UNPROVEN
+            if is_unproven and self._is_certainly_short(organisation, tokens):
+                return Error(self._refuse(organisation, Shortage.UNPROVEN))
+            if is_unproven and get_time() < unproven_until:
                 continue
             if shortage is not None and renewed:
                 return Error(self._refuse(organisation, shortage))
@@ -220,15 +245,22 @@
         """Whether other daemons hold the credit that a request lacks."""
         return renewal.find_shortage(tokens) is Shortage.UNPROVEN
 
+    def _is_certainly_short(self, organisation: str, tokens: int) -> bool:
+        """Whether no transfer can serve a request, by what all daemons have said."""
+        if self.transfer_client is None:
+            return False
+        missing = tokens - self._ledger.get_free_tokens(organisation)
+        return self.transfer_client.is_certainly_short(organisation, missing)
+
     def _is_store_silent(self, renewal: OrganisationRenewal) -> bool:
         """Whether the store doesn't answer, by any organisation's calls."""
-        return renewal.is_store_down or self._ledger.is_store_silent(_get_time())
+        return renewal.is_store_down or self._ledger.is_store_silent(get_time())
 
     async def _request_transfer(self, organisation: str, tokens: int) -> Hold | None:
         """Request the tokens a request lacks from other daemons, then try to hold."""
         if self.transfer_client is None:
             return None
-        now = _get_time()
+        now = get_time()
         until = now + MAX_TRANSFER_SECONDS
         while now < until:
             missing = tokens - self._ledger.get_free_tokens(organisation)
@@ -241,16 +273,12 @@
             is_received = await self.transfer_client.request_credit(
                 organisation, missing, extra
             )
-            now = _get_time()
+            now = get_time()
             hold = self._ledger.hold(organisation, tokens, now)
             if hold is not None or not is_received:
                 return hold
         return None
 
     def _refuse(self, organisation: str, shortage: Shortage) -> CreditRefused:
-        state = self._ledger.describe(organisation, _get_time())
+        state = self._ledger.describe(organisation, get_time())
         return CreditRefused(shortage, state)
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
