--- a/kingcuphead/entry/_assembly.py
+++ b/kingcuphead/entry/_assembly.py
@@ -26,6 +26,7 @@
     """
     settings = DispatchSettings(
         profile.zone,
+        spreads_load=profile.has_scarce_capacity,
         has_contended_engines=profile.is_constrained,
         # Admission doesn't know the memory of engines yet: it would admit requests
         # that are refused then.
