Count the whole zone when daemons shed load

A single caller with 1.6 of a daemon's capacity went on moving between three daemons. Each report reaches 12 of the fleet, so a daemon had heard of three quarters of its zone (two thirds in a fleet of 71) within the 6 s for which members count. Of 20 daemons two were allowed to be unready in place of three: one that shed and one that deflected, so that the callers of the first came to the second of the other two.

Instances now count for 20 s; a restarted daemon counts once. Connections close when the checks of daemons that deflect have failed as well: 1 s after the own second check some had failed one.

--- a/kingcuphead/capacity/_shedder.py
+++ b/kingcuphead/capacity/_shedder.py
@@ -48,8 +48,9 @@
 MIN_CHECK_INTERVAL = 0.5
 #: Seconds for the last failed check to take effect before connections are closed.
 CHECK_DELAY = 0.2
-#: The same while other daemons are unready, whose checks may fail a little later.
-DEFLECTION_CHECK_DELAY = 1.0
+#: Seconds after a daemon became unready in which those that deflect fail two checks,
+#: too: a report and `DEFLECTION_DELAY` later than the first moment at which it can.
+DEFLECTION_CHECK_PERIOD = 2.5
 
 
 class LoadShedder:
@@ -227,8 +228,10 @@
 
     def _is_unlisted(self, now: float) -> bool:
         """Whether the balancer sends callers to other daemons than the unready ones."""
-        delay = DEFLECTION_CHECK_DELAY if self._zone.list_unready() else CHECK_DELAY
-        return self._failed_checks >= FAILED_CHECKS and now - self._failed_at >= delay
+        if self._failed_checks < FAILED_CHECKS or now - self._failed_at < CHECK_DELAY:
+            return False
+        has_deflecting = bool(self._zone.list_unready())
+        return not has_deflecting or now - self._began_at >= DEFLECTION_CHECK_PERIOD
 
     def _find_end(self, observation: Observation) -> EndReason | None:
         if not observation.is_serving:
--- a/kingcuphead/capacity/_zone_loads.py
+++ b/kingcuphead/capacity/_zone_loads.py
@@ -15,6 +15,10 @@
 #: Seconds after its receipt in which a report says that its sender exists, and that it
 #: is unready if it was. Longer than a daemon sheds load at a time.
 MEMBER_LIFETIME = 6.0
+#: Seconds after its receipt in which a report counts its sender's instance as one of
+#: the zone. Longer than `MEMBER_LIFETIME`, in which the reports of a third of the zone
+#: go to other receivers, so that too few daemons would be allowed to be unready.
+COUNT_LIFETIME = 20.0
 #: Multiple of the zone's median load that is more load than the others have.
 MEDIAN_RATIO = 1.5
 #: Other daemons with known load without which a daemon's load is not compared.
@@ -47,6 +51,7 @@
     def __init__(self, zone: str) -> None:
         self._zone = zone
         self._reports: dict[str, _ReceivedReport] = {}
+        self._heard_at: dict[str, float] = {}
 
     def apply_report(self, report: CapacityReported, now: float) -> None:
         """Replace the sender's previous report; ignore reports out of order."""
@@ -55,14 +60,20 @@
         previous = self._reports.get(report.sender)
         if previous is None or previous.report.number < report.number:
             self._reports[report.sender] = _ReceivedReport(report, now)
+            self._heard_at[_get_instance(report.sender)] = now
 
     def expire(self, now: float) -> None:
-        """Drop the daemons that have not been heard of for `MEMBER_LIFETIME`."""
+        """Drop the daemons that have not been heard of for too long."""
         self._reports = {
             sender: received
             for sender, received in self._reports.items()
             if now - received.received_at <= MEMBER_LIFETIME
         }
+        self._heard_at = {
+            instance: heard_at
+            for instance, heard_at in self._heard_at.items()
+            if now - heard_at <= COUNT_LIFETIME
+        }
 
     def find_overload(self, load: float, limit: float, now: float) -> Overload | None:
         """Compare a load with a limit and with the zone.
@@ -93,7 +104,7 @@
 
     def count_allowed(self) -> int:
         """Return the number of daemons of the zone that may be unready at once."""
-        return (len(self._reports) + 1) // DAEMONS_PER_UNREADY
+        return (len(self._heard_at) + 1) // DAEMONS_PER_UNREADY
 
     def list_unready(self) -> frozenset[str]:
         """Return the other daemons that are unready as far as is known."""
@@ -159,3 +170,8 @@
             for each in self._reports.values()
             if now - each.received_at <= REPORT_LIFETIME
         ]
+
+
+def _get_instance(sender: str) -> str:
+    """Return the instance of an incarnation, so that a restart isn't counted twice."""
+    return sender.partition("/")[0]
--- a/kingcuphead/capacity/tests/test_shedder.py
+++ b/kingcuphead/capacity/tests/test_shedder.py
@@ -1,3 +1,5 @@
+import itertools
+
 import pytest
 
 from kingcuphead.capacity._decisions import (
@@ -12,7 +14,11 @@
 from kingcuphead.capacity._schedule import Receivers, ReportSchedule
 from kingcuphead.capacity._shedder import COOLDOWN, LoadShedder
 from kingcuphead.capacity._unready_time import UnreadyTime
-from kingcuphead.capacity._zone_loads import MIN_OTHERS, ZoneLoads
+from kingcuphead.capacity._zone_loads import (
+    COUNT_LIFETIME,
+    MIN_OTHERS,
+    ZoneLoads,
+)
 
 #: Seconds of one step.
 STEP = 0.1
@@ -135,6 +141,30 @@
         assert isinstance(player.last, CloseRequested)
         assert player.last.share == pytest.approx(4 / 9)
 
+    @pytest.mark.parametrize(
+        ("readiness", "expected"),
+        [(Readiness.UNREADY, False), (Readiness.READY, True)],
+    )
+    def test_connections_close_after_the_checks_of_others_failed(
+        self, readiness, expected
+    ):
+        """Guards against callers that move to a daemon that deflects.
+
+        It begins to fail checks 0.5 s later, and its second check may be 1.5 s after
+        the second one of this daemon.
+        """
+        player = Player()
+        player.play(1.1, 0.9)
+        player.others["o0"] = (0.6, readiness)
+        # This daemon's checks fail as early as they can: at once, and 1 s later.
+        player.shedder.record_check(False, player.now)
+        player.play(1.0, 0.9)
+        player.shedder.record_check(False, player.now)
+        player.play(1.3, 0.9)
+        assert isinstance(player.last, CloseRequested) is expected
+        player.play(0.3, 0.9)
+        assert isinstance(player.last, CloseRequested)
+
     def test_no_connection_closes_without_checks(self):
         """Guards against callers that come back, as the balancer knows of nothing."""
         player = Player()
@@ -285,6 +315,27 @@
         zone.apply_report(CapacityReported("b", 1, "y", 0.5, Readiness.UNREADY), 0.1)
         assert zone.list_unready() == {"a"}
 
+    def test_daemons_count_while_their_reports_go_to_others(self):
+        """Guards against too few unready daemons, as each report reaches a sample."""
+        zone = ZoneLoads("z")
+        for number in range(23):
+            sender = f"d{number}@10.0.0.{number}/1"
+            zone.apply_report(
+                CapacityReported(sender, 1, "z", 0.5, Readiness.READY), number / 2
+            )
+        zone.expire(19.0)
+        assert zone.count_allowed() == 4
+
+    def test_instances_that_restarted_or_left_do_not_count(self):
+        """Guards against more unready daemons than one in six."""
+        zone = ZoneLoads("z")
+        for number, incarnation in itertools.product(range(11), "ab"):
+            sender = f"d{number}@10.0.0.{number}/{incarnation}"
+            zone.apply_report(CapacityReported(sender, 1, "z", 0.5, Readiness.READY), 0)
+        assert zone.count_allowed() == 2
+        zone.expire(COUNT_LIFETIME + 0.1)
+        assert zone.count_allowed() == 0
+
     def test_a_daemon_that_is_silent_is_forgotten(self):
         """Guards against a daemon that crashed while unready and blocks the others."""
         zone = ZoneLoads("z")
