Let periodic tasks share wakeups, and reports wait for one timer

An idle daemon woke up 35 times a second, for eight tasks with timers of their own, and waited for each load report with a time-out, an event and a second sleep. Periods are aligned now, with a phase for each process, and a load report waits for one timer; only after a triggered one there is a minimum interval. Old reports are found at the front of the dict in place of a search.

--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -25,6 +25,7 @@
 from kingcuphead.capacity._shedder import LoadShedder
 from kingcuphead.capacity._traffic import LINK_TRAFFIC
 from kingcuphead.capacity._zone_loads import ZoneLoads
+from kingcuphead.timing import sleep_until_tick
 
 #: Seconds between two samples of the load.
 SAMPLE_INTERVAL = 0.2
@@ -116,10 +117,8 @@
         loop = asyncio.get_running_loop()
         while True:
             await self._enabled.wait()
-            due = loop.time() + SAMPLE_INTERVAL
-            await asyncio.sleep(SAMPLE_INTERVAL)
-            now = loop.time()
-            self.tick(now, now - due, self.read_busy_seconds())
+            lag = await sleep_until_tick(SAMPLE_INTERVAL)
+            self.tick(loop.time(), lag, self.read_busy_seconds())
 
     def tick(self, now: float, lag: float, busy_seconds: float) -> None:
         """Take a sample and apply what follows from it.
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -59,6 +59,7 @@
     ZoneChange,
     ZoneEvacuated,
 )
+from kingcuphead.timing import sleep_until_tick
 
 #: Seconds between two sweeps that drop expired entries and idle connections; also the
 #: timeout of one attempt to return credit during shutdown.
@@ -360,7 +361,7 @@
 
     async def _sweep(self) -> None:
         while True:
-            await asyncio.sleep(SWEEP_INTERVAL)
+            await sleep_until_tick(SWEEP_INTERVAL)
             self._targets.tick()
             self._evacuations.tick()
             # Attempts that were running have returned their connections to the pool.
--- a/kingcuphead/entry/_evacuation_exchange.py
+++ b/kingcuphead/entry/_evacuation_exchange.py
@@ -1,11 +1,11 @@
 """Tells daemons that can't reach the store which zones are evacuated."""
 
-import asyncio
 from collections.abc import Callable
 
 from kingcuphead.entry._table_listeners import EvacuationListener
 from kingcuphead.entry._table_watch import Position
 from kingcuphead.targets import ZonesAsked, ZonesReported
+from kingcuphead.timing import sleep_until_tick
 
 #: Seconds without news from the store after which others are asked. A long poll that
 #: works returns within one second.
@@ -37,7 +37,7 @@
     async def run(self) -> None:
         """Ask whenever there is no news, until cancelled."""
         while True:
-            await asyncio.sleep(ASK_INTERVAL)
+            await sleep_until_tick(ASK_INTERVAL)
             self.ask_if_due()
 
     def ask_if_due(self) -> None:
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -1,12 +1,12 @@
 """Sends this daemon's loads to others, when they have changed or are old."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Iterable
 
 from kingcuphead.loads._changes import LoadChanges
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
 from kingcuphead.loads._peer_loads import PeerLoads
+from kingcuphead.timing import compute_next_tick
 
 #: Seconds between two looks at the loads.
 REPORT_INTERVAL = 0.1
@@ -46,7 +46,8 @@
         self._is_cut_off = is_cut_off
         self._number = 0
         self._changes = LoadChanges()
-        self._trigger = asyncio.Event()
+        self._is_triggered = False
+        self._waiter: asyncio.Future[None] | None = None
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -55,7 +56,8 @@
             is_urgent = await self._wait_for_report_time()
             self._peer_loads.expire(loop.time())
             self._send_report(is_urgent)
-            await asyncio.sleep(MIN_REPORT_INTERVAL)
+            if is_urgent:
+                await asyncio.sleep(MIN_REPORT_INTERVAL)
 
     def apply_fleet_size(self, is_large: bool) -> None:
         """Report small changes too, unless reports would reach a part of the fleet."""
@@ -63,7 +65,8 @@
 
     def trigger_report(self) -> None:
         """Send the next report without waiting for `REPORT_INTERVAL`."""
-        self._trigger.set()
+        self._is_triggered = True
+        self._end_wait()
 
     def handle_report(self, report: LoadsReported) -> None:
         """Store a report received from another daemon."""
@@ -71,13 +74,22 @@
 
     async def _wait_for_report_time(self) -> bool:
         """Wait for the next report, and return whether it was triggered."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(REPORT_INTERVAL):
-                await self._trigger.wait()
-        is_triggered = self._trigger.is_set()
-        self._trigger.clear()
+        if not self._is_triggered:
+            loop = asyncio.get_running_loop()
+            self._waiter = loop.create_future()
+            due = compute_next_tick(REPORT_INTERVAL, loop.time())
+            timer = loop.call_at(due, self._end_wait)
+            try:
+                await self._waiter
+            finally:
+                timer.cancel()
+        is_triggered, self._is_triggered = self._is_triggered, False
         return is_triggered
 
+    def _end_wait(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
     def _send_report(self, is_urgent: bool) -> None:
         loads = tuple(self._list_loads())
         is_cut_off = self._is_cut_off()
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -47,6 +47,8 @@
             if previous.report.number >= report.number:
                 return
             self._add(previous.report, -1)
+            # The reports are kept in the order of their receipt.
+            del self._reports[report.sender]
         for announcement in self._announced.pop(report.sender, ()):
             self._add_load(announcement.load, -1)
         self._reports[report.sender] = _ReceivedReport(report, now)
@@ -60,10 +62,13 @@
 
     def expire(self, now: float) -> None:
         """Drop the reports that are older than `REPORT_LIFETIME`."""
-        for sender, received in tuple(self._reports.items()):
-            if now - received.received_at > REPORT_LIFETIME:
-                del self._reports[sender]
-                self._add(received.report, -1)
+        reports = self._reports
+        while reports:
+            sender, oldest = next(iter(reports.items()))
+            if now - oldest.received_at <= REPORT_LIFETIME:
+                break
+            del reports[sender]
+            self._add(oldest.report, -1)
         for sender, announcements in tuple(self._announced.items()):
             while (
                 announcements and now - announcements[0].received_at > REPORT_LIFETIME
--- a/kingcuphead/paths/_connector.py
+++ b/kingcuphead/paths/_connector.py
@@ -20,6 +20,7 @@
 from kingcuphead.paths._messages import TunnelAnswered, TunnelAsked, TunnelOutcome
 from kingcuphead.paths._monitor import PathMonitor
 from kingcuphead.paths._peers import Address, PeerPaths
+from kingcuphead.timing import sleep_until_tick
 
 #: Number of daemons that are asked for one tunnel.
 MAX_HELPERS = 3
@@ -70,7 +71,7 @@
     async def run(self) -> None:
         """Look for the own path while it is lost, until cancelled."""
         while True:
-            await asyncio.sleep(PROBE_INTERVAL)
+            await sleep_until_tick(PROBE_INTERVAL)
             if self._monitor.is_lost:
                 await self._probe_path()
 
--- a/kingcuphead/quarantine/_exchange.py
+++ b/kingcuphead/quarantine/_exchange.py
@@ -22,6 +22,7 @@
 from kingcuphead.quarantine._subjects import RequestIdentity, is_part, split_key
 from kingcuphead.quarantine._table import QuarantineTable
 from kingcuphead.storage import TablePart
+from kingcuphead.timing import sleep_until_tick
 
 #: Seconds between two reports of all quarantined fingerprints to other daemons.
 REPORT_INTERVAL = 1.0
@@ -146,7 +147,7 @@
 
     async def _report_repeatedly(self) -> None:
         while True:
-            await asyncio.sleep(REPORT_INTERVAL)
+            await sleep_until_tick(REPORT_INTERVAL)
             self.report()
 
     async def _synchronise_repeatedly(self) -> None:
--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -22,6 +22,7 @@
 from kingcuphead.resumption._rows import decode_rows, encode_row, make_key
 from kingcuphead.storage import RowSnapshot, TablePart, Transaction, make_removal
 from kingcuphead.targets import Target
+from kingcuphead.timing import sleep_until_tick
 
 #: Seconds for which begun streams are collected before other daemons are told.
 ANNOUNCEMENT_DELAY = 0.02
@@ -154,7 +155,7 @@
             self._registry.expire(_get_time())
             if self._is_synchronisation_due():
                 await self.synchronise()
-            await asyncio.sleep(RETRY_DELAY)
+            await sleep_until_tick(RETRY_DELAY)
 
     async def synchronise(self) -> None:
         """Load the version table, write what it lacks and remove what is gone.
