Keep the connections of long polls to the store

Each of two long polls a second opened a TCP connection of its own, most of what the poll cost. A connection is kept for each table now. A read is repeated once on a new connection if the kept one had ended; any other fault ends as before.

--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -25,6 +25,7 @@
 from kingcuphead.storage import (
     CommitOutcome,
     Exchange,
+    KeptConnection,
     NotSent,
     PlatformConnection,
     PlatformFault,
@@ -64,7 +65,9 @@
 
     def __init__(self, address: str) -> None:
         self._address = address
-        self._connection = _connect(address)
+        self._connection = PlatformConnection(_make_settings(address))
+        #: Connections that no poll uses at the moment, by table.
+        self._idle_polls: dict[str, KeptConnection] = {}
         self._clock = StoreClock()
         self._era: int | None = None
         #: Called with the era of a reply if it is later than those of earlier replies.
@@ -74,8 +77,8 @@
         """Send further calls to another address; calls in flight may still complete."""
         if address != self._address:
             self._address = address
-            self._connection.close()
-            self._connection = _connect(address)
+            self.close()
+            self._connection = PlatformConnection(_make_settings(address))
 
     async def read_table(
         self, table: str, part: str = "", prefix: str = ""
@@ -136,9 +139,7 @@
             "start_after": str(version),
             "wait_ms": str(int(wait * 1000)),
         }
-        reply = await self._exchange(
-            "GET", "/api/rows-feed", None, query, wait + POLL_TIMEOUT_MARGIN
-        )
+        reply = await self._poll(table, query, wait + POLL_TIMEOUT_MARGIN)
         if not isinstance(reply, Replied):
             return Error(decode_page("follow", reply).error)
         if reply.status == GONE:
@@ -168,8 +169,11 @@
         return self._clock.bound_time(moment)
 
     def close(self) -> None:
-        """Close the connection to the store."""
+        """Close the connections to the store; calls in flight may still complete."""
         self._connection.close()
+        for connection in self._idle_polls.values():
+            connection.close()
+        self._idle_polls.clear()
 
     async def _exchange(
         self,
@@ -181,11 +185,30 @@
     ) -> Exchange:
         """Call the store; report a new era before the reply is used."""
         reply = await self._connection.exchange(method, path, body, query, timeout)
-        LINK_TRAFFIC.record_sent(len(body or b"") + MESSAGE_OVERHEAD_BYTES)
+        self._record_exchange(body or b"", reply)
+        return reply
+
+    async def _poll(
+        self, table: str, query: Mapping[str, str], timeout: float
+    ) -> Exchange:
+        """Send a long poll on the connection that the last one of the table left."""
+        connection = self._idle_polls.pop(table, None)
+        if connection is None:
+            connection = KeptConnection(_make_settings(self._address))
+        address = self._address
+        reply = await connection.get("/api/rows-feed", query, timeout)
+        if address == self._address and table not in self._idle_polls:
+            self._idle_polls[table] = connection
+        else:
+            connection.close()
+        self._record_exchange(b"", reply)
+        return reply
+
+    def _record_exchange(self, body: bytes, reply: Exchange) -> None:
+        LINK_TRAFFIC.record_sent(len(body) + MESSAGE_OVERHEAD_BYTES)
         if isinstance(reply, Replied):
             LINK_TRAFFIC.record_received(len(reply.body) + MESSAGE_OVERHEAD_BYTES)
             self._record_era(decode_era(reply))
-        return reply
 
     def _record_era(self, era: int) -> None:
         previous = self._era
@@ -232,12 +255,10 @@
         return await self._store.commit(self._table, self._part, transaction)
 
 
-def _connect(address: str) -> PlatformConnection:
-    return PlatformConnection(
-        PlatformSettings(
-            url=f"http://{address}",
-            connect_timeout=CONNECT_TIMEOUT,
-            request_timeout=CALL_TIMEOUT,
-            content_type="application/json",
-        )
+def _make_settings(address: str) -> PlatformSettings:
+    return PlatformSettings(
+        url=f"http://{address}",
+        connect_timeout=CONNECT_TIMEOUT,
+        request_timeout=CALL_TIMEOUT,
+        content_type="application/json",
     )
--- a/kingcuphead/platform/tests/test_store.py
+++ b/kingcuphead/platform/tests/test_store.py
@@ -121,3 +121,29 @@
             return store.estimate_time()
 
         assert 5_000 <= script.call(measure) < 9_000
+
+
+class TestPolls:
+    def test_polls_of_each_table_share_a_connection(self, script):
+        """Guards against a new connection for each long poll."""
+        script.reply(200, {"rows": [], "ver": 4})
+
+        async def poll(store):
+            for _ in range(3):
+                await asyncio.gather(
+                    store.follow_table("t", 1, 0.1), store.follow_table("u", 1, 0.1)
+                )
+            return {id(each._stream) for each in store._idle_polls.values()}
+
+        assert len(script.call(poll)) == 2
+
+    def test_polls_go_to_the_new_address(self, script):
+        """Guards against a store that was left and still answers."""
+        script.reply(200, {"rows": [], "ver": 4})
+
+        async def poll(store):
+            await store.follow_table("t", 1, 0.1)
+            store.change_address("127.0.0.1:1")
+            return await store.follow_table("t", 1, 0.1)
+
+        assert script.call(poll).is_error()
--- a/kingcuphead/storage/__init__.py
+++ b/kingcuphead/storage/__init__.py
@@ -13,6 +13,7 @@
     Replied,
     ReplyLost,
 )
+from kingcuphead.storage._kept_connection import KeptConnection
 from kingcuphead.storage._memory import MemoryTable, TableCounts
 from kingcuphead.storage._messages import (
     ABSENT,
@@ -52,6 +53,7 @@
     "Instance",
     "InstanceList",
     "InstanceState",
+    "KeptConnection",
     "MemoryTable",
     "ObjectStore",
     "PlatformConnection",
--- a/kingcuphead/storage/_exchange.py
+++ b/kingcuphead/storage/_exchange.py
@@ -90,7 +90,7 @@
         self._settings = settings
         self._client = SimpleAsyncHTTPClient(
             force_instance=True,
-            resolver=_LiteralResolver(),
+            resolver=LiteralResolver(),
             max_clients=settings.max_connections,
             max_body_size=MAX_REPLY_BYTES,
         )
@@ -172,7 +172,7 @@
         )
 
 
-class _LiteralResolver(DefaultLoopResolver):
+class LiteralResolver(DefaultLoopResolver):
     """Resolves IP addresses at once; the default one starts a thread for them too."""
 
     async def resolve(
--- /dev/null
+++ b/kingcuphead/storage/_kept_connection.py
@@ -0,0 +1,146 @@
+"""Reads from the platform over a connection that stays open between them."""
+
+import asyncio
+import contextlib
+import urllib.parse
+from collections.abc import Mapping
+
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.httputil import (
+    HTTPHeaders,
+    HTTPMessageDelegate,
+    RequestStartLine,
+    ResponseStartLine,
+)
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.tcpclient import TCPClient
+
+from kingcuphead.storage._exchange import (
+    MAX_REPLY_BYTES,
+    LiteralResolver,
+    NotSent,
+    PlatformSettings,
+    Replied,
+)
+from kingcuphead.storage.wire import REFUSED_STATUS
+
+#: HTTP version whose connections stay open unless a reply says otherwise.
+KEPT_VERSION = "HTTP/1.1"
+
+
+class KeptConnection:
+    """Sends one read at a time and keeps its connection for the next one.
+
+    A new connection for each read costs more processor time than the read.
+
+    Parameters
+    ----------
+    settings
+        Address and timeouts.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        #: Address and timeouts.
+        self.settings = settings
+        address = urllib.parse.urlsplit(settings.url)
+        self._host, self._port = address.hostname or "", address.port or 80
+        self._headers = {
+            "Host": address.netloc,
+            "Accept-Encoding": "gzip",
+            "Content-Type": settings.content_type,
+        }
+        self._parameters = HTTP1ConnectionParameters(
+            max_body_size=MAX_REPLY_BYTES, decompress=True
+        )
+        self._stream: IOStream | None = None
+
+    async def get(
+        self, path: str, query: Mapping[str, str], timeout: float
+    ) -> Replied | NotSent:
+        """Send a GET request and wait for the reply; never raises for a fault.
+
+        Parameters
+        ----------
+        path
+            Path of the URL, without percent-encoding.
+        query
+            Query parameters.
+        timeout
+            Seconds until the whole reply must have arrived.
+        """
+        target = f"{urllib.parse.quote(path)}?{urllib.parse.urlencode(query)}"
+        collector = None
+        try:
+            async with asyncio.timeout(timeout):
+                collector = await self._exchange(target)
+        # A read has no effect, whatever it fails of.
+        except Exception as error:
+            return NotSent(f"{type(error).__name__}: {error}")
+        finally:
+            if collector is None or not collector.keeps_connection:
+                self.close()
+        if collector.status == REFUSED_STATUS:
+            return NotSent(f"HTTP {collector.status}")
+        return Replied(collector.status, bytes(collector.body), collector.headers)
+
+    def close(self) -> None:
+        """Close the connection; the next read opens a new one."""
+        if self._stream is not None:
+            self._stream.close()
+            self._stream = None
+
+    async def _exchange(self, target: str) -> "_ReplyCollector":
+        if self._stream is not None:
+            # The platform may have closed the connection after the last reply.
+            with contextlib.suppress(StreamClosedError):
+                return await self._send(self._stream, target)
+        self._stream = await self._connect()
+        return await self._send(self._stream, target)
+
+    async def _connect(self) -> IOStream:
+        client = TCPClient(resolver=LiteralResolver())
+        async with asyncio.timeout(self.settings.connect_timeout):
+            stream = await client.connect(
+                self._host, self._port, max_buffer_size=MAX_REPLY_BYTES
+            )
+        stream.set_nodelay(True)
+        return stream
+
+    async def _send(self, stream: IOStream, target: str) -> "_ReplyCollector":
+        connection = HTTP1Connection(stream, True, self._parameters)
+        collector = _ReplyCollector()
+        start_line = RequestStartLine("GET", target, KEPT_VERSION)
+        # A failure to write shows in the read.
+        written = connection.write_headers(start_line, HTTPHeaders(self._headers))
+        written.add_done_callback(lambda future: future.exception())
+        connection.finish()
+        await connection.read_response(collector)
+        if not collector.is_complete:
+            raise ConnectionError("the reply is incomplete")
+        return collector
+
+
+class _ReplyCollector(HTTPMessageDelegate):
+    """Collects the status, the headers and the body of one reply."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers = HTTPHeaders()
+        self.body = bytearray()
+        self.is_complete = False
+        self.keeps_connection = False
+
+    def headers_received(
+        self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
+    ) -> None:
+        if not isinstance(start_line, ResponseStartLine):
+            return
+        self.status, self.headers = start_line.code, headers
+        token = headers.get("Connection", "").lower()
+        self.keeps_connection = start_line.version == KEPT_VERSION and token != "close"
+
+    def data_received(self, chunk: bytes) -> None:
+        self.body += chunk
+
+    def finish(self) -> None:
+        self.is_complete = True
--- a/kingcuphead/storage/tests/test_exchange.py
+++ b/kingcuphead/storage/tests/test_exchange.py
@@ -1,6 +1,6 @@
 import asyncio
 
-from kingcuphead.storage._exchange import _LiteralResolver
+from kingcuphead.storage._exchange import LiteralResolver
 
 
 class TestLiteralResolver:
@@ -10,11 +10,11 @@
         async def run():
             loop = asyncio.get_running_loop()
             monkeypatch.setattr(loop, "run_in_executor", None)
-            return await _LiteralResolver().resolve("127.0.0.1", 8080)
+            return await LiteralResolver().resolve("127.0.0.1", 8080)
 
         ((_, address),) = asyncio.run(run())
         assert address == ("127.0.0.1", 8080)
 
     def test_a_name_is_still_resolved(self):
-        found = asyncio.run(_LiteralResolver().resolve("localhost", 8080))
+        found = asyncio.run(LiteralResolver().resolve("localhost", 8080))
         assert all(address[1] == 8080 for _, address in found)
