Look only at what may have changed in periodic tasks

Ten times a second or less, idle daemons looked at all targets for one that has become warm, made a version object for each target, and copied the reports of their zone. Only cold targets can become warm; targets share few versions; the oldest reports are at the front of the dict.

--- a/kingcuphead/capacity/_zone_loads.py
+++ b/kingcuphead/capacity/_zone_loads.py
@@ -59,21 +59,25 @@
             return
         previous = self._reports.get(report.sender)
         if previous is None or previous.report.number < report.number:
+            # Both are kept in the order of receipt.
+            self._reports.pop(report.sender, None)
             self._reports[report.sender] = _ReceivedReport(report, now)
-            self._heard_at[_get_instance(report.sender)] = now
+            instance = _get_instance(report.sender)
+            self._heard_at.pop(instance, None)
+            self._heard_at[instance] = now
 
     def expire(self, now: float) -> None:
         """Drop the daemons that have not been heard of for too long."""
-        self._reports = {
-            sender: received
-            for sender, received in self._reports.items()
-            if now - received.received_at <= MEMBER_LIFETIME
-        }
-        self._heard_at = {
-            instance: heard_at
-            for instance, heard_at in self._heard_at.items()
-            if now - heard_at <= COUNT_LIFETIME
-        }
+        while self._reports:
+            sender, oldest = next(iter(self._reports.items()))
+            if now - oldest.received_at <= MEMBER_LIFETIME:
+                break
+            del self._reports[sender]
+        while self._heard_at:
+            instance, heard_at = next(iter(self._heard_at.items()))
+            if now - heard_at <= COUNT_LIFETIME:
+                break
+            del self._heard_at[instance]
 
     def find_overload(self, load: float, limit: float, now: float) -> Overload | None:
         """Compare a load with a limit and with the zone.
--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -208,10 +208,12 @@
         logger.debug("write to the version table: {}", type(outcome).__name__)
 
     def _observe(self) -> None:
-        versions = (
-            ServedVersion(target.service, target.software_version)
+        # Many targets serve the same few versions.
+        names = {
+            (target.service, target.software_version)
             for target in self._view.list_all()
-        )
+        }
+        versions = (ServedVersion(*each) for each in names)
         self._history.observe(versions, _get_time())
 
     def _find_only_version(
--- a/kingcuphead/targets/_cold.py
+++ b/kingcuphead/targets/_cold.py
@@ -83,7 +83,8 @@
     def apply_starts(self, starts: Mapping[str, ColdStart], now: float) -> None:
         """Replace what is known of the starts of targets, by service."""
         self._starts = starts
-        self.tick(now)
+        for state in self._states.values():
+            self._update(state, now)
 
     def record_entry(self, target: Target, now: float) -> None:
         """Apply the entry of a target; the same entry read again changes nothing."""
@@ -125,8 +126,8 @@
 
     def tick(self, now: float) -> None:
         """Find out which targets have become warm."""
-        for state in self._states.values():
-            self._update(state, now)
+        for name in tuple(self._cold):
+            self._update(self._states[name], now)
 
     def _bound_start(self, target: Target, now: float) -> float:
         """Return the latest start that the Unix times of two clocks allow."""
