Keep some time between a triggered and a periodic look at the loads

With aligned ticks a periodic look could follow a triggered one within milliseconds, and a change that must be seen twice would count at once.

--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -12,6 +12,9 @@
 REPORT_INTERVAL = 0.1
 #: Minimum seconds between two reports.
 MIN_REPORT_INTERVAL = 0.005
+#: Minimum seconds from a triggered report to the next periodic look. A small change has
+#: to be seen twice, some time apart.
+MIN_LOOK_INTERVAL = REPORT_INTERVAL / 2
 
 
 class LoadExchange:
@@ -48,6 +51,7 @@
         self._changes = LoadChanges()
         self._is_triggered = False
         self._waiter: asyncio.Future[None] | None = None
+        self._triggered_at = float("-inf")
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -57,6 +61,7 @@
             self._peer_loads.expire(loop.time())
             self._send_report(is_urgent)
             if is_urgent:
+                self._triggered_at = loop.time()
                 await asyncio.sleep(MIN_REPORT_INTERVAL)
 
     def apply_fleet_size(self, is_large: bool) -> None:
@@ -77,7 +82,8 @@
         if not self._is_triggered:
             loop = asyncio.get_running_loop()
             self._waiter = loop.create_future()
-            due = compute_next_tick(REPORT_INTERVAL, loop.time())
+            earliest = max(loop.time(), self._triggered_at + MIN_LOOK_INTERVAL)
+            due = compute_next_tick(REPORT_INTERVAL, earliest)
             timer = loop.call_at(due, self._end_wait)
             try:
                 await self._waiter
--- a/kingcuphead/loads/tests/test_loads.py
+++ b/kingcuphead/loads/tests/test_loads.py
@@ -8,7 +8,8 @@
     PlacementAnnounced,
     TargetLoad,
 )
-from kingcuphead.loads._exchange import REPORT_INTERVAL
+from kingcuphead.loads._exchange import MIN_LOOK_INTERVAL, REPORT_INTERVAL
+from kingcuphead.timing import sleep_until_tick
 
 
 def make_report(sender, number, running, unread_tokens=0):
@@ -84,6 +85,30 @@
         sent_at = asyncio.run(run())
         assert sent_at[0] < REPORT_INTERVAL / 2
 
+    def test_a_periodic_look_does_not_follow_a_triggered_one_at_once(self):
+        """Guards against a small change that is seen twice within milliseconds."""
+
+        async def run():
+            looked_at = []
+            loop = asyncio.get_running_loop()
+
+            def list_loads():
+                looked_at.append(loop.time())
+                return ()
+
+            exchange = LoadExchange("d1", PeerLoads(), list_loads, send_nothing)
+            task = asyncio.create_task(exchange.run())
+            await sleep_until_tick(REPORT_INTERVAL)
+            await asyncio.sleep(REPORT_INTERVAL * 0.8)
+            triggered_at = loop.time()
+            exchange.trigger_report()
+            await asyncio.sleep(REPORT_INTERVAL * 3)
+            task.cancel()
+            return [each for each in looked_at if each >= triggered_at]
+
+        triggered, periodic, *_ = asyncio.run(run())
+        assert periodic - triggered >= MIN_LOOK_INTERVAL
+
 
 def send_nothing(report):
     """Discard a report, as a daemon without peers does."""
