--- a/kingcuphead/entry/_evacuation_exchange.py
+++ b/kingcuphead/entry/_evacuation_exchange.py
@@ -1,11 +1,11 @@
 """Exchange of the evacuated zones with daemons that can't reach the store."""
 
-import asyncio
 from collections.abc import Callable
 
 from kingcuphead.entry._table_listeners import EvacuationListener
 from kingcuphead.entry._table_watch import Position
 from kingcuphead.targets import ZonesAsked, ZonesReported
+from kingcuphead.timing import sleep_until_tick
 
 #: Seconds since the last answer of the store after which other daemons are asked. The
 #: store answers a long poll within one second.
@@ -39,7 +39,7 @@
     async def run(self) -> None:
         """Ask while the store doesn't answer, until cancelled."""
         while True:
-            await asyncio.sleep(ASK_INTERVAL)
+            await sleep_until_tick(ASK_INTERVAL)
             self.ask_if_due()
 
     def ask_if_due(self) -> None:
--- a/kingcuphead/targets/_cold.py
+++ b/kingcuphead/targets/_cold.py
@@ -86,7 +86,8 @@
     def apply_starts(self, starts: Mapping[str, ColdStart], now: float) -> None:
         """Replace the cold starts of all services, by service."""
         self._starts = starts
-        self.tick(now)
+        for state in self._states.values():
+            self._update(state, now)
 
     def record_entry(self, target: Target, now: float) -> None:
         """Apply the entry of a target; the same entry read again changes nothing."""
@@ -127,9 +128,9 @@
         self._cold.discard(target.name)
 
     def tick(self, now: float) -> None:
-        """Update which targets are cold, and log those that have become warm."""
-        for state in self._states.values():
-            self._update(state, now)
+        """Update the cold targets, and log those that have become warm."""
+        for name in tuple(self._cold):
+            self._update(self._states[name], now)
 
     def _bound_start(self, target: Target, now: float) -> float:
         """Return the latest start that the Unix times of two clocks allow."""
