--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -20,11 +20,12 @@
 FRESH_BUDGET_MAX_AGE_SECONDS = 0.2
 #: Share of the desired free tokens below which credit is renewed at once.
 LOW_CREDIT_SHARE = 0.5
-#: Seconds for which a request of another daemon for tokens of the reserve is open.
+#: Seconds after which another daemon's request for tokens of the reserve expires.
 RESERVE_REQUEST_SECONDS = 0.3
 #: Seconds of demand that a daemon requests from others while the store doesn't answer.
 TRANSFER_SECONDS = 0.5
-#: Requests of mean cost that other daemons are assumed to have spent.
+#: Requests of mean cost that other daemons are assumed to have spent, so that the first
+#: requests of an organisation don't give one daemon the whole share.
 SPEND_PRIOR_REQUESTS = 20
 #: Weight of the newest request in the moving average of tokens per request.
 REQUEST_TOKENS_WEIGHT = 0.2
@@ -94,6 +95,7 @@
         self.unreported = 0
         #: Tokens that waiting requests need.
         self.waiting_tokens = 0
+        #: Tokens of the reserve that other daemons asked for, until a time in seconds.
         self._requested_reserve = 0
         self._requested_until = float("-inf")
         #: Tokens spent since the incarnation started.
@@ -121,6 +123,20 @@
         settled = self.budget.settled + self.unreported
         return max(0, self.get_limit().tokens - settled)
 
+    @property
+    def interval_factor(self) -> float:
+        """Factor on the time between regular renewals.
+
+        In a large fleet most of the renewals only settle spent tokens and return small
+        amounts, which nobody needs while the budget is ample.
+        """
+        settings = self._settings
+        if not self.is_budget_known:
+            return 1.0
+        is_large = self.daemons > settings.full_share_fleet_size
+        kept = settings.get_kept_share(self.unallocated, self.unspent, self.daemons)
+        return settings.ample_interval_factor if is_large and kept == 1.0 else 1.0
+
     def get_limit(self) -> Limit:
         """Return the newest limit that this daemon or a shard row has."""
         stored = self.budget.newest
@@ -254,7 +270,8 @@
             return False
         if self.waiting_tokens > self.free or self.unreported or self.is_low(now):
             return age > FRESH_BUDGET_MAX_AGE_SECONDS
-        return self.free + self.reserve > 0 and age > BUDGET_MAX_AGE_SECONDS
+        max_age = BUDGET_MAX_AGE_SECONDS * self.interval_factor
+        return self.free + self.reserve > 0 and age > max_age
 
     def plan(self, now: float, may_allocate: bool) -> Adjustment | None:
         """Return the adjustment for the next transaction, or None if none is needed.
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -3,21 +3,18 @@
 import asyncio
 import contextlib
 import random
-import time
-from collections.abc import Sequence
 
 from expression import Result
 from loguru import logger
 
+from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._messages import CreditSettings, Shortage
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
-from kingcuphead.credit._reclaim import Reclaim, find_reclaimable, plan_reclaim
-from kingcuphead.credit._rows import SHARDS_PREFIX, select_shards
-from kingcuphead.invariants import require
+from kingcuphead.credit._reclaimer import Reclaimer
+from kingcuphead.credit._stamp import ReserveStamp
 from kingcuphead.storage import (
     Committed,
     Conflict,
-    Row,
     TablePart,
     Unavailable,
     Unknown,
@@ -25,11 +22,11 @@
 
 #: Seconds before a call to the store that failed is retried.
 RETRY_DELAY_SECONDS = 0.1
+#: Seconds between two renewals while reserves remain to be reclaimed.
+PENDING_RECLAIM_SECONDS = 0.5
 #: Bounds in seconds of the random delay after a conflict; the first doubles with each
 #: further conflict up to the second.
 MIN_CONFLICT_DELAY_SECONDS, MAX_CONFLICT_DELAY_SECONDS = 0.01, 0.3
-#: Maximum number of transactions to reclaim the reserve of one earlier incarnation.
-MAX_RECLAIM_ATTEMPTS = 20
 #: Seconds between two renewals while requests wait for credit.
 WAITING_RENEWAL_SECONDS = 0.02
 #: Share of the renewal interval by which it varies, so that daemons that started at the
@@ -52,6 +49,8 @@
         The part of the store's table with its rows.
     settings
         Renewal interval and release of the reserves.
+    stamp
+        Stamps of this daemon and of its earlier incarnations.
     """
 
     def __init__(
@@ -60,15 +59,15 @@
         ledger: OrganisationLedger,
         table: TablePart,
         settings: CreditSettings,
+        stamp: ReserveStamp,
     ) -> None:
         self._name = name
         self._ledger = ledger
         self._table = table
         self._settings = settings
-        self._started_at = time.monotonic()
         # Daemons and organisations differ in their delays.
         self._rng = random.Random(f"{ledger.holder_key}/{name}")
-        self._is_reclaimed = False
+        self._reclaimer = Reclaimer(ledger, table, settings, stamp, self._rng)
         self._wake = asyncio.Event()
         self._renewed = asyncio.Condition()
         #: Whether the store was unavailable or sent no reply to the last call.
@@ -80,7 +79,7 @@
 
     def wake_if_low(self) -> None:
         """Renew without waiting for the interval if little credit is free."""
-        if not self.is_store_down and self._ledger.account.is_low(_get_time()):
+        if not self.is_store_down and self._ledger.account.is_low(get_time()):
             self._wake.set()
 
     def begin_era(self, era: int) -> None:
@@ -112,13 +111,14 @@
         """
         conflict_delay = MIN_CONFLICT_DELAY_SECONDS
         while True:
-            if self._ledger.needs_rows(_get_time()) and not await self._read_rows():
+            if self._ledger.needs_rows(get_time()) and not await self._read_rows():
                 return False
             transaction = self._ledger.plan_transaction(
-                _get_time(), self._table.estimate_time()
+                get_time(), self._table.estimate_time()
             )
             if transaction is None:
                 await self._notify()
+                await self._reclaimer.run()
                 return True
             outcome = await self._table.commit(transaction)
             self._ledger.handle_outcome(outcome)
@@ -126,7 +126,7 @@
             match outcome:
                 case Committed():
                     await self._notify()
-                    await self._reclaim()
+                    await self._reclaimer.run()
                     return True
                 case Unavailable():
                     return False
@@ -149,10 +149,10 @@
     async def _read_rows(self) -> bool:
         """Read the rows that the ledger needs; return whether the store replied."""
         prefix = self._ledger.rows_prefix
-        self._ledger.start_read(_get_time())
+        self._ledger.start_read(get_time())
         match await self._table.read_prefix(prefix):
             case Result(tag="ok", ok=snapshot):
-                self._ledger.apply_rows(prefix, snapshot, _get_time())
+                self._ledger.apply_rows(prefix, snapshot, get_time())
                 self._update_store_status(is_down=False)
                 return True
             case Result(error=fault):
@@ -163,11 +163,14 @@
     async def _wait_for_next_renewal(self) -> None:
         self._wake.clear()
         account = self._ledger.account
-        if account.waiting_tokens or account.count_requested_reserve(_get_time()):
+        if account.waiting_tokens or account.count_requested_reserve(get_time()):
             await asyncio.sleep(
                 RETRY_DELAY_SECONDS if self.is_store_down else WAITING_RENEWAL_SECONDS
             )
             return
+        if self._reclaimer.is_pending:
+            await self._wait(PENDING_RECLAIM_SECONDS)
+            return
         jitter = self._rng.uniform(1 - INTERVAL_JITTER, 1 + INTERVAL_JITTER)
         await self._wait(self._get_interval() * jitter)
 
@@ -178,59 +181,9 @@
                 await self._wake.wait()
 
     def _get_interval(self) -> float:
-        return self._settings.get_renewal_interval(self._ledger.account.daemons)
-
-    async def _reclaim(self) -> None:
-        """Reclaim the unreleased reserves of earlier incarnations, once."""
-        if self._is_reclaimed:
-            return
-        self._is_reclaimed = True
-        match await self._table.read_prefix(self._ledger.holder_prefix):
-            case Result(tag="ok", ok=snapshot):
-                started_at = require(
-                    self._table.bound_time(self._started_at),
-                    "reclaiming requires an earlier transaction",
-                )
-                earlier = find_reclaimable(
-                    snapshot.rows,
-                    self._ledger.holder_key,
-                    snapshot.era,
-                    started_at,
-                    self._settings,
-                )
-                for reclaim in earlier:
-                    await self._commit_reclaim(reclaim)
-            case Result(error=fault):
-                logger.warning("reserves can't be reclaimed: {}", fault.message)
-
-    async def _commit_reclaim(self, reclaim: Reclaim) -> None:
-        for _ in range(MAX_RECLAIM_ATTEMPTS):
-            shard = await self._read_shard()
-            if shard is None:
-                break
-            outcome = await self._table.commit(plan_reclaim(reclaim, shard))
-            if isinstance(outcome, Committed):
-                logger.info(
-                    "{} tokens of {} were taken back",
-                    reclaim.unreleased,
-                    reclaim.holder.key,
-                )
-                return
-            if isinstance(outcome, Conflict) and not _has_row(
-                outcome.rows, reclaim.holder
-            ):
-                break
-        logger.warning("the reserve of {} stays charged", reclaim.holder.key)
-
-    async def _read_shard(self) -> Row | None:
-        """Return a shard row of the current era, or None if there is none."""
-        match await self._table.read_prefix(SHARDS_PREFIX):
-            case Result(tag="ok", ok=snapshot):
-                rows = select_shards(snapshot.rows, self._ledger.era or 0)
-                return self._rng.choice(rows) if rows else None
-            case Result(error=fault):
-                logger.warning("the shards can't be read: {}", fault.message)
-        return None
+        account = self._ledger.account
+        interval = self._settings.get_renewal_interval(account.daemons)
+        return interval * account.interval_factor
 
     def _update_store_status(self, is_down: bool) -> None:
         if is_down != self.is_store_down:
@@ -244,14 +197,3 @@
     async def _notify(self) -> None:
         async with self._renewed:
             self._renewed.notify_all()
-
-
-def _has_row(rows: Sequence[Row], expected: Row) -> bool:
-    """Whether the rows contain a row in the same version."""
-    return any(
-        row.key == expected.key and row.version == expected.version for row in rows
-    )
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/kingcuphead/dispatch/_target_state.py
+++ b/kingcuphead/dispatch/_target_state.py
@@ -18,10 +18,6 @@
 #: Seconds after the last request with a shared prefix for which the prefix is assumed
 #: to be in the KV cache of the target.
 PREFIX_LIFETIME_SECONDS = 20.0
-#: Weight of the newest observation in the moving average of the latency ratio.
-LATENCY_RATIO_WEIGHT = 0.2
-#: Bounds of an observed latency ratio.
-MIN_LATENCY_RATIO, MAX_LATENCY_RATIO = 0.5, 20.0
 #: Seconds added to the expected wait before it is compared with the observed one; a
 #: wait this short is mostly network latency and says nothing about the target.
 NETWORK_ALLOWANCE_SECONDS = 0.04
@@ -138,11 +134,15 @@
             self._prefixes_sent_at.popitem(last=False)
 
     def record_answer_start(self, placement: Placement, now: float) -> None:
-        """Remove the pending prefill of a request and update the latency ratio."""
+        """Remove the pending prefill of a request, and learn the target's speed.
+
+        The speed is learnt only where daemons compete for engines: elsewhere a few
+        late answers would move prompts away from the target that has their prefix
+        cached.
+        """
         self.pending_prefill_tokens -= placement.prefill.prefill_tokens
         self._waiting.pop(id(placement), None)
         if not self._settings.has_contended_engines:
-            self._update_latency_ratio(placement, now)
             return
         self.speed.record_wait(
             placement.tokens_ahead + placement.prefill.prefill_tokens,
@@ -173,9 +173,3 @@
         self._waiting.pop(id(placement), None)
         if not placement.is_started:
             self.pending_prefill_tokens -= placement.prefill.prefill_tokens
-
-    def _update_latency_ratio(self, placement: Placement, now: float) -> None:
-        seconds = now - placement.placed_at
-        expected = NETWORK_ALLOWANCE_SECONDS + placement.expected_wait
-        ratio = min(max(seconds / expected, MIN_LATENCY_RATIO), MAX_LATENCY_RATIO)
-        self.latency_ratio += LATENCY_RATIO_WEIGHT * (ratio - self.latency_ratio)
--- a/kingcuphead/forwarding/tests/_target.py
+++ b/kingcuphead/forwarding/tests/_target.py
@@ -7,6 +7,10 @@
 
 from kingcuphead.targets import Availability, Target
 
+#: Bytes of an endless step after which the daemon runs, which shares the event loop.
+#: While the kernel takes them, a write doesn't yield, however many follow.
+ENDLESS_BURST_BYTES = 65_536
+
 
 @dataclasses.dataclass
 class Received:
@@ -28,6 +32,13 @@
     block: bytes
 
 
+@dataclasses.dataclass(frozen=True)
+class Unaware:
+    """A step that waits, without noticing that the daemon closes the connection."""
+
+    seconds: float
+
+
 class ScriptedTarget:
     """Answers each request with the next list of steps of its script.
 
@@ -49,6 +60,8 @@
         self.received = []
         #: Bytes that endless steps have sent.
         self.endless_bytes = 0
+        #: Unaware steps that have ended.
+        self.unaware_ends = 0
         self.is_cancelled = asyncio.Event()
         self._server = None
         self._writers = set()
@@ -131,10 +144,11 @@
                 writer.transport.abort()
                 return False
             if isinstance(step, Endless):
-                while True:
-                    writer.write(step.block)
-                    await writer.drain()
-                    self.endless_bytes += len(step.block)
+                await self._send_without_end(writer, step.block)
+            if isinstance(step, Unaware):
+                await asyncio.sleep(step.seconds)
+                self.unaware_ends += 1
+                continue
             if isinstance(step, bytes):
                 writer.write(step.replace(b"@id", request_id))
                 await writer.drain()
@@ -142,6 +156,18 @@
                 return False
         return True
 
+    async def _send_without_end(self, writer, block):
+        """Send a block again and again until the daemon closes the connection."""
+        burst = 0
+        while True:
+            writer.write(block)
+            await writer.drain()
+            self.endless_bytes += len(block)
+            burst += len(block)
+            if burst >= ENDLESS_BURST_BYTES:
+                burst = 0
+                await asyncio.sleep(0)
+
     async def _wait(self, reader, seconds):
         """Wait; return whether the daemon closed the connection during the wait."""
         try:
--- a/kingcuphead/loads/_changes.py
+++ b/kingcuphead/loads/_changes.py
@@ -13,15 +13,15 @@
 #: Maximum number of reports in a row that are skipped while there is or was load. A
 #: report is sent again before `REPORT_LIFETIME` ends.
 MAX_SKIPPED_REPORTS = 4
-#: The same without load. Other daemons take one that sends nothing to be unreachable,
-#: so that reports don't stop altogether.
+#: The same without load. Reports don't stop altogether, because other daemons assume
+#: that a silent one is unreachable.
 MAX_SKIPPED_EMPTY_REPORTS = 6
 
 _NO_LOAD = TargetLoad("", 0, 0)
 
 
 class LoadChanges:
-    """Compares this daemon's loads with those that it last reported; does no I/O.
+    """Compares this daemon's loads with those it last reported; performs no I/O.
 
     While there are few requests, a change counts when it is seen twice in a row: most
     requests to plain services end sooner than a report about them arrives.
@@ -50,13 +50,8 @@
             Whether a change counts that has been seen only once.
         """
         current = {load.target: load for load in loads}
-        is_light = sum(load.running for load in current.values()) <= LIGHT_REQUESTS
-        previous = self._previous if is_light and not is_urgent else current
+        has_new_loads = self._has_new_loads(current, is_urgent)
         self._previous = current
-        if self.reports_all_changes:
-            has_new_loads = current != self._reported
-        else:
-            has_new_loads = self._has_lasting_change(previous, current)
         is_changed = is_cut_off != self._was_cut_off or has_new_loads
         if not is_changed and self._skipped < self._get_skip_limit(current):
             self._skipped += 1
@@ -66,14 +61,23 @@
         self._was_cut_off = is_cut_off
         return True
 
+    def _has_new_loads(self, current: dict[str, TargetLoad], is_urgent: bool) -> bool:
+        if not current and not self._reported:
+            return False
+        if self.reports_all_changes:
+            return current != self._reported
+        is_light = sum(load.running for load in current.values()) <= LIGHT_REQUESTS
+        previous = self._previous if is_light and not is_urgent else current
+        return self._has_lasting_change(previous, current)
+
     def _has_lasting_change(
         self, previous: dict[str, TargetLoad], current: dict[str, TargetLoad]
     ) -> bool:
         for target in self._reported.keys() | (previous.keys() & current.keys()):
             reported = self._reported.get(target, _NO_LOAD)
-            if _is_far(reported, previous.get(target, _NO_LOAD)) and _is_far(
-                reported, current.get(target, _NO_LOAD)
-            ):
+            if _differs_much(
+                reported, previous.get(target, _NO_LOAD)
+            ) and _differs_much(reported, current.get(target, _NO_LOAD)):
                 return True
         return False
 
@@ -82,13 +86,13 @@
         return MAX_SKIPPED_REPORTS if has_load else MAX_SKIPPED_EMPTY_REPORTS
 
 
-def _is_far(reported: TargetLoad, load: TargetLoad) -> bool:
+def _differs_much(reported: TargetLoad, load: TargetLoad) -> bool:
     return (
-        _is_far_amount(reported.running, load.running)
-        or _is_far_amount(reported.unread_tokens, load.unread_tokens)
-        or _is_far_amount(reported.memory_tokens, load.memory_tokens)
+        _has_changed_much(reported.running, load.running)
+        or _has_changed_much(reported.unread_tokens, load.unread_tokens)
+        or _has_changed_much(reported.memory_tokens, load.memory_tokens)
     )
 
 
-def _is_far_amount(reported: int, amount: int) -> bool:
+def _has_changed_much(reported: int, amount: int) -> bool:
     return abs(amount - reported) * CHANGE_DIVISOR > reported
--- a/kingcuphead/loads/_exchange.py
+++ b/kingcuphead/loads/_exchange.py
@@ -1,15 +1,18 @@
-"""Sends this daemon's loads to others, when they have changed or are old."""
+"""Sends this daemon's loads to others when they have changed or would expire."""
 
 import asyncio
-import contextlib
 from collections.abc import Callable, Iterable
 
 from kingcuphead.loads._changes import REPORT_INTERVAL, LoadChanges
 from kingcuphead.loads._messages import LoadsReported, TargetLoad
 from kingcuphead.loads._peer_loads import PeerLoads
+from kingcuphead.timing import compute_next_tick
 
 #: Minimum seconds between two reports.
 MIN_REPORT_INTERVAL = 0.005
+#: Minimum seconds from a triggered report to the next periodic look. A small change has
+#: to be seen twice, some time apart.
+MIN_LOOK_INTERVAL = REPORT_INTERVAL / 2
 
 
 class LoadExchange:
@@ -44,7 +47,9 @@
         self._is_cut_off = is_cut_off
         self._number = 0
         self._changes = LoadChanges()
-        self._trigger = asyncio.Event()
+        self._is_triggered = False
+        self._waiter: asyncio.Future[None] | None = None
+        self._triggered_at = float("-inf")
 
     async def run(self) -> None:
         """Send reports until cancelled."""
@@ -53,7 +58,9 @@
             is_urgent = await self._wait_for_report_time()
             self._peer_loads.expire(loop.time())
             self._send_report(is_urgent)
-            await asyncio.sleep(MIN_REPORT_INTERVAL)
+            if is_urgent:
+                self._triggered_at = loop.time()
+                await asyncio.sleep(MIN_REPORT_INTERVAL)
 
     def apply_report_rounds(self, rounds: int) -> None:
         """Adapt to the number of reports until each other daemon got one.
@@ -65,7 +72,8 @@
 
     def trigger_report(self) -> None:
         """Send the next report without waiting for `REPORT_INTERVAL`."""
-        self._trigger.set()
+        self._is_triggered = True
+        self._end_wait()
 
     def handle_report(self, report: LoadsReported) -> None:
         """Store a report received from another daemon."""
@@ -73,13 +81,23 @@
 
     async def _wait_for_report_time(self) -> bool:
         """Wait for the next report, and return whether it was triggered."""
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(REPORT_INTERVAL):
-                await self._trigger.wait()
-        is_triggered = self._trigger.is_set()
-        self._trigger.clear()
+        if not self._is_triggered:
+            loop = asyncio.get_running_loop()
+            self._waiter = loop.create_future()
+            earliest = max(loop.time(), self._triggered_at + MIN_LOOK_INTERVAL)
+            due = compute_next_tick(REPORT_INTERVAL, earliest)
+            timer = loop.call_at(due, self._end_wait)
+            try:
+                await self._waiter
+            finally:
+                timer.cancel()
+        is_triggered, self._is_triggered = self._is_triggered, False
         return is_triggered
 
+    def _end_wait(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
     def _send_report(self, is_urgent: bool) -> None:
         loads = tuple(self._list_loads())
         is_cut_off = self._is_cut_off()
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -1,7 +1,7 @@
 """The load that other daemons put on targets, from their latest reports."""
 
 from collections import Counter
-from collections.abc import Collection
+from collections.abc import Collection, Iterator
 
 from kingcuphead.frozen import frozen
 from kingcuphead.loads._changes import MAX_SKIPPED_EMPTY_REPORTS, REPORT_INTERVAL
@@ -16,13 +16,20 @@
 
 @frozen
 class _ReceivedReport:
+    """The newest report of a daemon."""
+
     report: LoadsReported
+    #: Time of receipt in seconds.
     received_at: float
 
 
 @frozen
 class _ReceivedAnnouncement:
+    """A placement that the reports of its daemon don't contain yet."""
+
+    #: What the request adds to the load of its target.
     load: TargetLoad
+    #: Time of receipt in seconds.
     received_at: float
 
 
@@ -58,6 +65,8 @@
             if previous.report.number >= report.number:
                 return
             self._add(previous.report, -1)
+            # The reports are kept in the order of their receipt.
+            del self._reports[report.sender]
         for announcement in self._announced.pop(report.sender, ()):
             self._add_load(announcement.load, -1)
         self._reports[report.sender] = _ReceivedReport(report, now)
@@ -72,10 +81,13 @@
 
     def expire(self, now: float) -> None:
         """Drop the reports that are older than `REPORT_LIFETIME`."""
-        for sender, received in tuple(self._reports.items()):
-            if now - received.received_at > REPORT_LIFETIME:
-                del self._reports[sender]
-                self._add(received.report, -1)
+        reports = self._reports
+        while reports:
+            sender, oldest = next(iter(reports.items()))
+            if now - oldest.received_at <= REPORT_LIFETIME:
+                break
+            del reports[sender]
+            self._add(oldest.report, -1)
         self.memory.expire(now)
         for sender, announcements in tuple(self._announced.items()):
             while (
@@ -85,12 +97,12 @@
             if not announcements:
                 del self._announced[sender]
 
-    def count_users(self, targets: Collection[str]) -> int:
-        """Return the number of other daemons that report load on one of the targets."""
-        return sum(
-            any(load.target in targets for load in received.report.loads)
-            for received in self._reports.values()
-        )
+    def list_running(self, targets: Collection[str]) -> Iterator[int]:
+        """Yield the number of requests that each other daemon has on some targets."""
+        for received in self._reports.values():
+            yield sum(
+                load.running for load in received.report.loads if load.target in targets
+            )
 
     def get_load(self, target: str) -> TargetLoad:
         """Return the load of all other daemons on a target."""
--- a/kingcuphead/loads/tests/test_loads.py
+++ b/kingcuphead/loads/tests/test_loads.py
@@ -9,7 +9,9 @@
     TargetLoad,
 )
 from kingcuphead.loads._changes import REPORT_INTERVAL
+from kingcuphead.loads._exchange import MIN_LOOK_INTERVAL
 from kingcuphead.loads._peer_loads import MAX_REPORT_INTERVAL
+from kingcuphead.timing import sleep_until_tick
 
 
 def make_report(sender, number, running, unread_tokens=0):
@@ -36,6 +38,14 @@
         peer_loads.expire(REPORT_LIFETIME + 0.01)
         assert peer_loads.get_load("t1").running == 0
 
+    def test_each_daemon_counts_once_for_the_targets_asked_for(self):
+        """Requests at targets of other services would take its share of these."""
+        peer_loads = PeerLoads()
+        loads = tuple(TargetLoad(f"t{number}", number, 0) for number in (1, 2, 3))
+        peer_loads.apply_report(LoadsReported("a", 1, loads), 0.0)
+        peer_loads.apply_report(make_report("b", 1, 4), 0.0)
+        assert list(peer_loads.list_running({"t1", "t2"})) == [3, 4]
+
 
 class TestPeerMemory:
     ROUNDS = 6
@@ -116,6 +126,30 @@
         sent_at = asyncio.run(run())
         assert sent_at[0] < REPORT_INTERVAL / 2
 
+    def test_a_periodic_look_does_not_follow_a_triggered_one_at_once(self):
+        """Guards against a small change that is seen twice within milliseconds."""
+
+        async def run():
+            looked_at = []
+            loop = asyncio.get_running_loop()
+
+            def list_loads():
+                looked_at.append(loop.time())
+                return ()
+
+            exchange = LoadExchange("d1", PeerLoads(), list_loads, send_nothing)
+            task = asyncio.create_task(exchange.run())
+            await sleep_until_tick(REPORT_INTERVAL)
+            await asyncio.sleep(REPORT_INTERVAL * 0.8)
+            triggered_at = loop.time()
+            exchange.trigger_report()
+            await asyncio.sleep(REPORT_INTERVAL * 3)
+            task.cancel()
+            return [each for each in looked_at if each >= triggered_at]
+
+        triggered, periodic, *_ = asyncio.run(run())
+        assert periodic - triggered >= MIN_LOOK_INTERVAL
+
 
 def send_nothing(report):
     """Discard a report, as a daemon without peers does."""
