credit: renew no stamp over a release from a row without a reply

Cause: the stamp is held back while the reserve is below that of the last row known to be committed. After a restore that is 0, and after a cancelled return it is less than the reserve. If the reply to the next transaction is lost, its row has the whole reserve, a part of it is released, and a later stamp makes that part reclaimable although it may be spent.

Change: rows of transactions without an outcome count too, without the tokens that they allocate.

--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -63,6 +63,11 @@
     #: Reserve in the holder row that it writes.
     reserve: int
 
+    @property
+    def kept_reserve(self) -> int:
+        """Reserve in that row without the tokens that the transaction allocates."""
+        return self.reserve - max(0, self.adjustment.reserve)
+
 
 class OrganisationLedger:
     """State machine for one organisation's credit in a daemon; performs no I/O.
@@ -134,11 +139,14 @@
 
     @property
     def has_unrecorded_release(self) -> bool:
-        """Whether the holder row contains tokens that left the reserve since.
+        """Whether the holder row may contain tokens that left the reserve since.
 
-        A later stamp would make them reclaimable although they may be spent.
+        A later stamp would make them reclaimable although they may be spent. The row
+        may be that of a transaction whose outcome isn't known.
         """
-        return self.account.reserve < self._recorded_reserve
+        unknown = [*self._in_doubt, *([self._sent] if self._sent else [])]
+        recorded = max((each.kept_reserve for each in unknown), default=0)
+        return self.account.reserve < max(self._recorded_reserve, recorded)
 
     @property
     def rows_prefix(self) -> str:
--- a/kingcuphead/credit/tests/test_stamp.py
+++ b/kingcuphead/credit/tests/test_stamp.py
@@ -52,6 +52,11 @@
         """Get an answer of the store that is not about this organisation."""
         self.ledger._contact.record_answer()
 
+    def begin_era(self):
+        """Learn of a restore of the store from the reply to another call."""
+        self.ledger.stamp.begin_era(self.store.era)
+        self.ledger.get_organisation("atelier").begin_era(self.store.era)
+
     def renew_stamp(self, is_reply_lost=False):
         """Renew the stamp if it may be; return whether it was."""
         if self.ledger.has_unrecorded_release:
@@ -117,6 +122,20 @@
         assert daemon.use_reserve()
         assert daemon.count_reclaimable() <= daemon.reserve
 
+    def test_no_stamp_follows_a_release_from_a_row_without_a_reply(self):
+        """The first row of an era may be in the store before it is known to be."""
+        daemon = StampedDaemon()
+        daemon.store.advance(2.0)
+        daemon.store.restore(0.5)
+        daemon.begin_era()
+        daemon.store.lost_share = 1.0
+        daemon.renew_credit()
+        daemon.renew_stamp()
+        daemon.store.advance(OUTAGE)
+        assert daemon.use_reserve()
+        daemon.renew_stamp()
+        assert daemon.count_reclaimable() <= daemon.reserve
+
     @pytest.mark.parametrize(
         "owner, name, value, is_reply_lost",
         [
