credit: stamp a holder row with the call from which releases count

Cause: while the store is silent, a release counts from the first call without an answer, of any organisation. A transaction sent later in that time wrote its own time as the stamp. What was released between it and its reply, or after a lost reply, was reclaimable although it may be spent. Two cases: the first transaction that the store answers after an outage, and one whose reply is lost.

Change: the stamp is that of the earlier of the two calls.

--- a/kingcuphead/credit/_release.py
+++ b/kingcuphead/credit/_release.py
@@ -50,12 +50,14 @@
     def compute_stamp(self, now: float, store_time: int | None) -> int:
         """Return the stamp of a holder row in milliseconds of the store's time.
 
-        It is that of the first transaction that isn't known to be committed, or 0 if
-        the store's time isn't known.
+        It is that of the first transaction that isn't known to be committed, or of an
+        earlier call without an answer, from which a release counts until this row is
+        known to be committed. It is 0 if the store's time isn't known.
         """
         if store_time is None:
             return 0
-        since = now if self._unconfirmed_since is None else self._unconfirmed_since
+        calls = self._unconfirmed_since, self._contact.silent_since
+        since = min((each for each in calls if each is not None), default=now)
         return store_time - math.ceil((now - since) * 1000)
 
     def get_share(self, now: float) -> float:
--- a/kingcuphead/credit/tests/test_stamp.py
+++ b/kingcuphead/credit/tests/test_stamp.py
@@ -52,6 +52,10 @@
         """Get an answer of the store that is not about this organisation."""
         self.ledger._contact.record_answer()
 
+    def lose_another_call(self):
+        """Send a call that is not about this organisation and gets no answer."""
+        self.ledger._contact.record_call(self.store.now)
+
     def begin_era(self):
         """Learn of a restore of the store from the reply to another call."""
         self.ledger.stamp.begin_era(self.store.era)
@@ -136,6 +140,23 @@
         daemon.renew_stamp()
         assert daemon.count_reclaimable() <= daemon.reserve
 
+    @pytest.mark.parametrize("is_reply_lost", [False, True])
+    def test_a_release_during_a_transaction_is_not_reclaimed(self, is_reply_lost):
+        """The release counts from another organisation's call, which was before."""
+        daemon = StampedDaemon()
+        daemon.store.advance(1.0)
+        daemon.lose_another_call()
+        daemon.store.advance(OUTAGE)
+        part = daemon.ledger.get_organisation("atelier")
+        daemon.ledger.add_waiting("atelier", 100_000)
+        transaction = part.plan_transaction(daemon.store.now, daemon.store.time_ms)
+        daemon.ledger.remove_waiting("atelier", 100_000)
+        outcome = daemon.store.apply("atelier", transaction)
+        recorded = part._sent.reserve
+        assert daemon.use_reserve()
+        part.handle_outcome(Unknown() if is_reply_lost else outcome)
+        assert daemon.count_reclaimable() <= recorded - MISSING
+
     @pytest.mark.parametrize(
         "owner, name, value, is_reply_lost",
         [
