credit: never reclaim the reserve of the running incarnation

Cause: its row was told from others by its key, which contains the era. If the store is restored while the holder rows are read, the reply is of the earlier era and the key already of the new one. The own reserve is then reclaimed from rows that the new era takes as its base, and stays in use.

Change: rows of the own incarnation are left out by its identity.

Result: test_the_own_reserve_is_not_reclaimed_after_a_restore fails before (3,600 charged, 23,518 held) and passes now.

--- a/kingcuphead/credit/_reclaim.py
+++ b/kingcuphead/credit/_reclaim.py
@@ -13,7 +13,7 @@
 import msgspec
 
 from kingcuphead.credit._messages import CreditSettings, HolderRow, ShardRow
-from kingcuphead.credit._rows import get_holder_incarnation
+from kingcuphead.credit._rows import get_holder_incarnation, get_holder_prefix
 from kingcuphead.credit._stamp import StampRow
 from kingcuphead.frozen import frozen
 from kingcuphead.storage import Check, Put, Row, Transaction
@@ -47,7 +47,7 @@
     rows
         Holder rows of all incarnations of this daemon.
     own_key
-        Key of the holder row of the running incarnation.
+        Key of the holder row of the running incarnation, in any era.
     era
         Era of the store in which the rows were read.
     started_at
@@ -58,7 +58,9 @@
     stamps
         Stamp rows of earlier incarnations, by incarnation.
     """
-    others = (row for row in rows if row.key != own_key)
+    # The running incarnation may have a row of an earlier era too.
+    own = get_holder_prefix(own_key)
+    others = (row for row in rows if get_holder_prefix(row.key) != own)
     reclaims = (
         Reclaim(row, _count_unreleased(row, era, started_at, settings, stamps))
         for row in others
--- a/kingcuphead/credit/_rows.py
+++ b/kingcuphead/credit/_rows.py
@@ -42,6 +42,11 @@
     return int(key.rpartition("/")[2])
 
 
+def get_holder_prefix(key: str) -> str:
+    """Return the part of the key of a holder row that its incarnation's rows share."""
+    return key.rpartition("/")[0]
+
+
 def get_holder_incarnation(key: str) -> str:
     """Return the incarnation in the key of a holder row."""
     return key.split("/")[-2]
--- a/kingcuphead/credit/tests/test_reclaimer.py
+++ b/kingcuphead/credit/tests/test_reclaimer.py
@@ -4,8 +4,15 @@
 import msgspec
 import pytest
 
-from kingcuphead.credit import CreditLedger, CreditTask, HolderRow, ShardRow
-from kingcuphead.credit.tests._store import FaultyStore
+from kingcuphead.credit import (
+    CreditLedger,
+    CreditSettings,
+    CreditTask,
+    HolderRow,
+    ShardRow,
+)
+from kingcuphead.credit._reclaimer import Reclaimer
+from kingcuphead.credit.tests._store import FaultyStore, renew
 from kingcuphead.credit.tests.test_task import NAME, DisconnectableTable
 from kingcuphead.routing import Organisation
 from kingcuphead.storage import Put, Transaction
@@ -40,6 +47,27 @@
     return held.is_ok()
 
 
+class RestoredTable(DisconnectableTable):
+    """The store is restored just after it has sent the first rows."""
+
+    is_restored = False
+
+    async def read_prefix(self, prefix):
+        rows = await super().read_prefix(prefix)
+        if not self.is_restored:
+            self.is_restored = True
+            self.store.restore(0.0)
+            self.ledger.begin_era(self.store.era)
+        return rows
+
+
+def make_reclaimer(ledger, table):
+    """Return the reclaimer of a daemon and the daemon's part for the organisation."""
+    ledger.stamp.earlier = {}
+    part = table.ledger = ledger.get_organisation(NAME)
+    return Reclaimer(part, table, CreditSettings(), ledger.stamp, random.Random(1))
+
+
 class TestReclaimer:
     """Guards against budgets that stay charged with reserves of crashed daemons."""
 
@@ -64,3 +92,19 @@
 
         # The new incarnation keeps a part of what it reclaimed.
         assert asyncio.run(run()) < LIMIT
+
+    def test_the_own_reserve_is_not_reclaimed_after_a_restore(self):
+        """The own row of an earlier era has another key than the current one."""
+        store = FaultyStore(random.Random(1))
+        store.advance(1.0)
+        ledger = CreditLedger("a", "2")
+        ledger.apply_limits([Organisation(NAME, None, LIMIT)], 1)
+        ledger.record_demand(NAME, 2_000, store.now)
+        renew(ledger, store)
+        store.advance(1.0)
+        account = ledger.get_organisation(NAME).account
+        assert account.reserve
+        asyncio.run(make_reclaimer(ledger, RestoredTable(store)).run())
+        renew(ledger, store)
+        budget = store.read_budget(NAME)
+        assert budget.charged >= account.free + account.reserve
