credit: try a reclaim again if the shards can't be read

Cause: a read of the shards that failed ended the reclaim for good, and the reserve stayed charged. A commit that didn't reach the store was tried again.

Change: both are tried again.

Result: test_it_is_tried_again_when_the_shards_could_not_be_read fails before and passes now.

--- a/kingcuphead/credit/_reclaimer.py
+++ b/kingcuphead/credit/_reclaimer.py
@@ -16,7 +16,6 @@
     Committed,
     Conflict,
     Row,
-    RowSnapshot,
     TablePart,
     Unavailable,
 )
@@ -84,15 +83,19 @@
                     stamps,
                 )
                 for reclaim in earlier:
-                    await self._commit(reclaim, snapshot)
+                    await self._commit(reclaim, snapshot.era)
             case Result(error=fault):
                 logger.debug("reserves can't be reclaimed yet: {}", fault.message)
 
-    async def _commit(self, reclaim: Reclaim, snapshot: RowSnapshot) -> None:
+    async def _commit(self, reclaim: Reclaim, era: int) -> None:
         for _ in range(MAX_ATTEMPTS):
-            shard = await self._read_shard(snapshot.era)
-            if shard is None:
+            shards = await self._read_shards(era)
+            if shards is None:
+                self._is_done = False
+                return
+            if not shards:
                 break
+            shard = self._rng.choice(shards)
             outcome = await self._table.commit(plan_reclaim(reclaim, shard))
             match outcome:
                 case Committed():
@@ -109,14 +112,13 @@
                     return
         logger.warning("the reserve of {} stays charged", reclaim.holder.key)
 
-    async def _read_shard(self, era: int) -> Row | None:
-        """Return a shard row of an era, or None if there is none."""
+    async def _read_shards(self, era: int) -> tuple[Row, ...] | None:
+        """Return the shard rows of an era; None if they can't be read."""
         match await self._table.read_prefix(SHARDS_PREFIX):
             case Result(tag="ok", ok=snapshot):
-                rows = select_shards(snapshot.rows, era)
-                return self._rng.choice(rows) if rows else None
+                return select_shards(snapshot.rows, era)
             case Result(error=fault):
-                logger.warning("the shards can't be read: {}", fault.message)
+                logger.debug("reserves can't be reclaimed yet: {}", fault.message)
         return None
 
 
--- a/kingcuphead/credit/tests/test_reclaimer.py
+++ b/kingcuphead/credit/tests/test_reclaimer.py
@@ -3,6 +3,7 @@
 
 import msgspec
 import pytest
+from expression import Error
 
 from kingcuphead.credit import (
     CreditLedger,
@@ -11,11 +12,12 @@
     HolderRow,
     ShardRow,
 )
+from kingcuphead.credit._organisation_ledger import OrganisationLedger
 from kingcuphead.credit._reclaimer import Reclaimer
 from kingcuphead.credit.tests._store import FaultyStore, renew
 from kingcuphead.credit.tests.test_task import NAME, DisconnectableTable
 from kingcuphead.routing import Organisation
-from kingcuphead.storage import Put, Transaction
+from kingcuphead.storage import PlatformFault, Put, Transaction
 
 LIMIT = 100_000
 RESERVE = 50_000
@@ -50,6 +52,7 @@
 class RestoredTable(DisconnectableTable):
     """The store is restored just after it has sent the first rows."""
 
+    ledger: OrganisationLedger
     is_restored = False
 
     async def read_prefix(self, prefix):
@@ -61,10 +64,22 @@
         return rows
 
 
+class FlakyTable(DisconnectableTable):
+    """A table of which the second read fails."""
+
+    count = 0
+
+    async def read_prefix(self, prefix):
+        self.count += 1
+        if self.count == 2:
+            return Error(PlatformFault("read", "no reply"))
+        return await super().read_prefix(prefix)
+
+
 def make_reclaimer(ledger, table):
     """Return the reclaimer of a daemon and the daemon's part for the organisation."""
     ledger.stamp.earlier = {}
-    part = table.ledger = ledger.get_organisation(NAME)
+    part = ledger.get_organisation(NAME)
     return Reclaimer(part, table, CreditSettings(), ledger.stamp, random.Random(1))
 
 
@@ -104,7 +119,21 @@
         store.advance(1.0)
         account = ledger.get_organisation(NAME).account
         assert account.reserve
-        asyncio.run(make_reclaimer(ledger, RestoredTable(store)).run())
+        table = RestoredTable(store)
+        table.ledger = ledger.get_organisation(NAME)
+        asyncio.run(make_reclaimer(ledger, table).run())
         renew(ledger, store)
         budget = store.read_budget(NAME)
         assert budget.charged >= account.free + account.reserve
+
+    def test_it_is_tried_again_when_the_shards_could_not_be_read(self):
+        store = make_store(RESERVE)
+        ledger = CreditLedger("a", "2")
+        reclaimer = make_reclaimer(ledger, FlakyTable(store))
+
+        async def run():
+            await reclaimer.run()
+            await reclaimer.run()
+
+        asyncio.run(run())
+        assert store.read_budget(NAME).charged == LIMIT - RESERVE
