credit: count unallocated tokens before a request is refused at once

Cause: a request that no transfer can serve is refused without a further wait. What it lacks was compared with what peers have, without the tokens of the budget and of the own reserve that the transaction in flight adds.

Change: these count too.

Result: a request for 9,000 tokens with 4,000 unallocated and 5,000 at a peer is refused before while a commit takes 0.1 s, and served now; with 4,000 at the peer it is refused.

--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -246,10 +246,12 @@
         return renewal.find_shortage(tokens) is Shortage.UNPROVEN
 
     def _is_certainly_short(self, organisation: str, tokens: int) -> bool:
-        """Whether no transfer can serve a request, by what all daemons have said."""
+        """Whether transfers and the budget can't serve a request, by what is known."""
         if self.transfer_client is None:
             return False
-        missing = tokens - self._ledger.get_free_tokens(organisation)
+        account = self._ledger.get_organisation(organisation).account
+        # The next transaction may add what is unallocated and the reserve.
+        missing = tokens - account.free - account.reserve - account.unallocated
         return self.transfer_client.is_certainly_short(organisation, missing)
 
     def _is_store_silent(self, renewal: OrganisationRenewal) -> bool:
--- a/kingcuphead/credit/tests/test_task.py
+++ b/kingcuphead/credit/tests/test_task.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 
+import msgspec
 import pytest
 from expression import Error, Ok
 
@@ -8,18 +9,21 @@
     CreditLedger,
     CreditSettings,
     CreditTask,
+    ShardRow,
     Shortage,
     TransferClient,
     TransferEndpoint,
 )
 from kingcuphead.credit.tests._store import FaultyStore, renew
 from kingcuphead.routing import Organisation
-from kingcuphead.storage import PlatformFault
+from kingcuphead.storage import PlatformFault, Put, Transaction
 
 NAME = "atelier"
 #: Tokens of which the share of one daemon in a large fleet serves several requests.
 LIMIT = 10_000_000
 PEER = ("10.0.0.2", 9000)
+#: Tokens that no daemon has, where others have nearly all.
+UNALLOCATED = 4_000
 
 
 class DisconnectableTable:
@@ -161,3 +165,50 @@
             return table.count - before
 
         assert bool(asyncio.run(count_transactions())) is is_renewed
+
+
+class SlowTable(DisconnectableTable):
+    """A store whose commits take longer than a request waits before it asks peers."""
+
+    async def commit(self, transaction):
+        await asyncio.sleep(0.1)
+        return await super().commit(transaction)
+
+
+class PeerCredit(TransferClient):
+    """Other daemons that have said how much free credit they have."""
+
+    def __init__(self, ledger, free):
+        self.ledger = ledger
+        self.free = free
+
+    async def request_credit(self, organisation, tokens, extra=0):
+        if tokens > self.free:
+            return False
+        self.free -= tokens
+        self.ledger.transfer_in(organisation, tokens)
+        return True
+
+    def is_certainly_short(self, organisation, tokens):
+        return self.free < tokens
+
+
+class TestCreditFromSeveralSources:
+    """Guards against refusals although the sources together have enough."""
+
+    @pytest.mark.parametrize("peer_tokens, is_held", [(5_000, True), (4_000, False)])
+    def test_unallocated_tokens_count_beside_those_of_peers(self, peer_tokens, is_held):
+        async def run():
+            store = FaultyStore(random.Random(1))
+            shard = ShardRow(charged=LIMIT - UNALLOCATED)
+            row = Put("shard/00000000/00", msgspec.json.encode(shard))
+            store.apply(NAME, Transaction((), (row,)))
+            ledger = make_ledger("a", LIMIT)
+            task = CreditTask(ledger, lambda name: SlowTable(store))
+            task.transfer_client = PeerCredit(ledger, peer_tokens)
+            renewal = asyncio.create_task(task.run())
+            held = await task.hold(NAME, UNALLOCATED + 5_000, timeout=1.0)
+            renewal.cancel()
+            return held.is_ok()
+
+        assert asyncio.run(run()) is is_held
