forwarding: withdraw unstarted attempts before waiting for the others

Cause: a request that is cancelled a second time, while it waits for its cancelled attempts, kept the permit and the placement of an attempt whose task had not run.

Change: they are given back first; a task that is cancelled before its first step never runs.

Result: test_it_is_withdrawn_too_if_the_request_is_cancelled_twice fails before and passes now.

--- a/kingcuphead/forwarding/_attempt_race.py
+++ b/kingcuphead/forwarding/_attempt_race.py
@@ -143,10 +143,11 @@
         running = [task for task in self._tasks if not task.done()]
         for task in running:
             task.cancel()
-        if running:
-            await asyncio.wait(running)
+        # Not after the wait, which another cancellation of the request would end.
         for placement in self._unstarted.values():
             self._withdraw(placement)
+        if running:
+            await asyncio.wait(running)
         for task in self._tasks:
             if not task.cancelled():
                 # Marks an error as seen; the request ends with that of the other one.
--- a/kingcuphead/forwarding/tests/test_attempt_race.py
+++ b/kingcuphead/forwarding/tests/test_attempt_race.py
@@ -125,6 +125,23 @@
 
         play(scenario)
 
+    def test_it_is_withdrawn_too_if_the_request_is_cancelled_twice(self):
+        """A caller may close its connection while a time-out ends the request."""
+
+        async def scenario(play):
+            play.race.start(FIRST)
+            await asyncio.sleep(0)
+            play.race.start(SECOND, is_second=True)
+            assert play.driver.send("t1", 1)
+            cancelling = asyncio.create_task(play.race.cancel())
+            await asyncio.sleep(0)
+            cancelling.cancel()
+            with pytest.raises(asyncio.CancelledError):
+                await cancelling
+            assert play.withdrawn == [SECOND]
+
+        play(scenario)
+
     @pytest.mark.parametrize("turns", [0, 1])
     def test_a_first_event_goes_before_an_answer_that_was_not_used_yet(self, turns):
         async def scenario(play):
