--- a/kingcuphead/credit/tests/test_reclaimer.py
+++ b/kingcuphead/credit/tests/test_reclaimer.py
@@ -3,12 +3,21 @@
 
 import msgspec
 import pytest
+from expression import Error
 
-from kingcuphead.credit import CreditLedger, CreditTask, HolderRow, ShardRow
-from kingcuphead.credit.tests._store import FaultyStore
+from kingcuphead.credit import (
+    CreditLedger,
+    CreditSettings,
+    CreditTask,
+    HolderRow,
+    ShardRow,
+)
+from kingcuphead.credit._organisation_ledger import OrganisationLedger
+from kingcuphead.credit._reclaimer import Reclaimer
+from kingcuphead.credit.tests._store import FaultyStore, renew
 from kingcuphead.credit.tests.test_task import NAME, DisconnectableTable
 from kingcuphead.routing import Organisation
-from kingcuphead.storage import Put, Transaction
+from kingcuphead.storage import PlatformFault, Put, Transaction
 
 LIMIT = 100_000
 RESERVE = 50_000
@@ -40,6 +49,40 @@
     return held.is_ok()
 
 
+class RestoredTable(DisconnectableTable):
+    """The store is restored just after it has sent the first rows."""
+
+    ledger: OrganisationLedger
+    is_restored = False
+
+    async def read_prefix(self, prefix):
+        rows = await super().read_prefix(prefix)
+        if not self.is_restored:
+            self.is_restored = True
+            self.store.restore(0.0)
+            self.ledger.begin_era(self.store.era)
+        return rows
+
+
+class FlakyTable(DisconnectableTable):
+    """A table of which the second read fails."""
+
+    count = 0
+
+    async def read_prefix(self, prefix):
+        self.count += 1
+        if self.count == 2:
+            return Error(PlatformFault("read", "no reply"))
+        return await super().read_prefix(prefix)
+
+
+def make_reclaimer(ledger, table):
+    """Return the reclaimer of a daemon and the daemon's part for the organisation."""
+    ledger.stamp.earlier = {}
+    part = ledger.get_organisation(NAME)
+    return Reclaimer(part, table, CreditSettings(), ledger.stamp, random.Random(1))
+
+
 class TestReclaimer:
     """Guards against budgets that stay charged with reserves of crashed daemons."""
 
@@ -64,3 +107,33 @@
 
         # The new incarnation keeps a part of what it reclaimed.
         assert asyncio.run(run()) < LIMIT
+
+    def test_the_own_reserve_is_not_reclaimed_after_a_restore(self):
+        """The own row of an earlier era has another key than the current one."""
+        store = FaultyStore(random.Random(1))
+        store.advance(1.0)
+        ledger = CreditLedger("a", "2")
+        ledger.apply_limits([Organisation(NAME, None, LIMIT)], 1)
+        ledger.record_demand(NAME, 2_000, store.now)
+        renew(ledger, store)
+        store.advance(1.0)
+        account = ledger.get_organisation(NAME).account
+        assert account.reserve
+        table = RestoredTable(store)
+        table.ledger = ledger.get_organisation(NAME)
+        asyncio.run(make_reclaimer(ledger, table).run())
+        renew(ledger, store)
+        budget = store.read_budget(NAME)
+        assert budget.charged >= account.free + account.reserve
+
+    def test_it_is_tried_again_when_the_shards_could_not_be_read(self):
+        store = make_store(RESERVE)
+        ledger = CreditLedger("a", "2")
+        reclaimer = make_reclaimer(ledger, FlakyTable(store))
+
+        async def run():
+            await reclaimer.run()
+            await reclaimer.run()
+
+        asyncio.run(run())
+        assert store.read_budget(NAME).charged == LIMIT - RESERVE
