Dispatch: name pending prefill and hedged requests by one term

Cause: the load of other daemons was called unread tokens in Python code and pending prefill elsewhere; constants with one comment for two values; SPREAD had no unit in its name. Change: names and comments only. The field of the load report keeps its name, since the generated struct has the same one.

--- a/kingcuphead/dispatch/_costs.py
+++ b/kingcuphead/dispatch/_costs.py
@@ -86,7 +86,9 @@
     def estimate_wait(self, target: Target, plan: PrefillPlan) -> float:
         """Return the expected seconds to the first byte at a latency ratio of 1."""
         state, others = self._get_state(target), self._peer_loads
-        pending = state.pending_prefill_tokens + others.get_unread_tokens(target.name)
+        pending = state.pending_prefill_tokens + others.get_pending_prefill_tokens(
+            target.name
+        )
         running = state.running + others.get_running(target.name)
         seconds = pending / state.speed.rate + self.estimate_prefill(target, plan)
         return seconds + running * state.speed.step
@@ -110,7 +112,9 @@
         """Return the seconds that the load of a target adds to any request there."""
         settings, others = self._settings, self._peer_loads
         state = self._get_state(target)
-        pending = state.pending_prefill_tokens + others.get_unread_tokens(target.name)
+        pending = state.pending_prefill_tokens + others.get_pending_prefill_tokens(
+            target.name
+        )
         running = state.running + others.get_running(target.name)
         seconds = pending / settings.prefill_tokens_per_second
         seconds += running * settings.wait_per_running_request
--- a/kingcuphead/dispatch/_hedging.py
+++ b/kingcuphead/dispatch/_hedging.py
@@ -1,4 +1,4 @@
-"""Decides when a second attempt of a request may start while the first still runs."""
+"""Decides about hedged requests: a second attempt starts while the first still runs."""
 
 import dataclasses
 import enum
--- a/kingcuphead/dispatch/_messages.py
+++ b/kingcuphead/dispatch/_messages.py
@@ -122,9 +122,10 @@
     max_subset_wait: float = 0.1
     #: Cost of an engine to which this daemon probably has no open connection.
     connection_cost: float = 0.05
-    #: Cost of sending 1,000 bytes of a body to another availability zone, and its upper
-    #: bound for one request. A body counts as 1,000 bytes at least, for the answer.
+    #: Cost of sending 1,000 bytes of a body to another availability zone. A body counts
+    #: as 1,000 bytes at least, for the answer.
     zone_transfer_cost: float = 0.008
+    #: Upper bound of that cost for one request.
     max_zone_transfer_cost: float = 0.06
     #: Difference of costs at which an engine is chosen 1/e times as often as the
     #: cheapest one.
--- a/kingcuphead/dispatch/_speed.py
+++ b/kingcuphead/dispatch/_speed.py
@@ -5,20 +5,26 @@
 
 from kingcuphead.dispatch._messages import DispatchSettings
 
-#: Weights of a sample in the moving average of a prefill rate. A sample may be too low
-#: because of prompts that this daemon doesn't know of, and is rarely too high.
-RISE_WEIGHT, FALL_WEIGHT = 0.3, 0.1
+#: Weight of a sample above the moving average of a prefill rate.
+RISE_WEIGHT = 0.3
+#: Weight of a sample below it. The sample may be too low because of prompts that this
+#: daemon doesn't know of; it is rarely too high.
+FALL_WEIGHT = 0.1
 #: Weight of a sample in the moving average of the step time.
 STEP_WEIGHT = 0.2
 #: Smallest prefill in tokens from which a rate is learnt; below it, the time of the
 #: steps outweighs that of the prefill.
 MIN_RATE_TOKENS = 2_000
-#: Bounds of a learnt rate, relative to the default.
-MIN_RATE_RATIO, MAX_RATE_RATIO = 0.1, 10.0
+#: Lower bound of a learnt rate, relative to the default.
+MIN_RATE_RATIO = 0.1
+#: Upper bound of a learnt rate, relative to the default.
+MAX_RATE_RATIO = 10.0
 #: Upper bound in seconds of a learnt step time.
 MAX_STEP_SECONDS = 0.02
-#: Observed over expected wait from which a target counts as slow, and its upper bound.
-MIN_SLOWNESS, MAX_SLOWNESS = 1.5, 10.0
+#: Ratio of the observed to the expected wait from which on a target counts as slow.
+MIN_SLOWNESS = 1.5
+#: Upper bound of that ratio.
+MAX_SLOWNESS = 10.0
 #: Time constant in seconds of the decay of an observed slowness. Engines are slow for
 #: about as long.
 SLOWNESS_DECAY_SECONDS = 0.6
--- a/kingcuphead/dispatch/_spread.py
+++ b/kingcuphead/dispatch/_spread.py
@@ -16,7 +16,7 @@
 MIN_BUSY_LOAD = 0.75
 #: Load above that of the targets together, in units of the places of a target, up to
 #: which the target gets requests.
-SPREAD = 0.25
+MAX_EXCESS_LOAD = 0.25
 
 
 def choose_by_room(
@@ -50,7 +50,7 @@
     costs = [option.cost - option.full_cost for option in options]
     lowest = min(costs)
     weights = [
-        max(0.0, (load + SPREAD) * room.places - room.load)
+        max(0.0, (load + MAX_EXCESS_LOAD) * room.places - room.load)
         * math.exp((lowest - cost) / tolerance)
         for room, cost in zip(rooms, costs, strict=True)
     ]
--- a/kingcuphead/loads/_peer_loads.py
+++ b/kingcuphead/loads/_peer_loads.py
@@ -42,7 +42,7 @@
     def __init__(self) -> None:
         self._reports: dict[str, _ReceivedReport] = {}
         self._running: Counter[str] = Counter()
-        self._unread_tokens: Counter[str] = Counter()
+        self._pending_prefill_tokens: Counter[str] = Counter()
         self._memory_tokens: Counter[str] = Counter()
         self._announced: dict[str, list[_ReceivedAnnouncement]] = {}
         #: Memory of engines by the last reports, which count longer than their loads.
@@ -109,7 +109,7 @@
         return TargetLoad(
             target,
             self._running[target],
-            self._unread_tokens[target],
+            self._pending_prefill_tokens[target],
             self._memory_tokens[target],
         )
 
@@ -117,9 +117,9 @@
         """Return the number of requests of all other daemons on a target."""
         return self._running.get(target, 0)
 
-    def get_unread_tokens(self, target: str) -> int:
+    def get_pending_prefill_tokens(self, target: str) -> int:
         """Return the tokens pending prefill of all other daemons on a target."""
-        return self._unread_tokens.get(target, 0)
+        return self._pending_prefill_tokens.get(target, 0)
 
     def get_memory_tokens(self, target: str) -> int:
         """Return the tokens that all other daemons hold in the memory of a target."""
@@ -131,5 +131,5 @@
 
     def _add_load(self, load: TargetLoad, sign: int) -> None:
         self._running[load.target] += sign * load.running
-        self._unread_tokens[load.target] += sign * load.unread_tokens
+        self._pending_prefill_tokens[load.target] += sign * load.unread_tokens
         self._memory_tokens[load.target] += sign * load.memory_tokens
