Admission: clearer names, one delay for retries during shutdown

Cause: Pace, gives_way and is_full had to be explained; the delay for callers refused during shutdown stood twice; a debug line did not tell what had happened. Change: ConcurrencyLimit in _concurrency.py, yields_to_timely (by keyword), full_groups, SETPOINT_LOAD, MIN_RATE_SHARE, MAX_SKIPS; SHUTDOWN_RETRY_AFTER is exported. Behaviour is unchanged.

--- a/kingcuphead/admission/__init__.py
+++ b/kingcuphead/admission/__init__.py
@@ -2,7 +2,7 @@
 
 from kingcuphead.admission._answer_times import AnswerTimes
 from kingcuphead.admission._bounds import QueueBounds, bound_memory
-from kingcuphead.admission._gate import AdmissionGate, RoomQuery
+from kingcuphead.admission._gate import SHUTDOWN_RETRY_AFTER, AdmissionGate, RoomQuery
 from kingcuphead.admission._messages import (
     AdmissionRequest,
     Admitted,
@@ -12,6 +12,7 @@
 )
 
 __all__ = [
+    "SHUTDOWN_RETRY_AFTER",
     "AdmissionGate",
     "AdmissionRequest",
     "Admitted",
--- a/kingcuphead/admission/_concurrency.py
+++ b/kingcuphead/admission/_concurrency.py
@@ -8,9 +8,9 @@
 
 #: Seconds between two changes of the bound, the interval of load reports.
 INTERVAL = 0.1
-#: Load in units of the places that the daemons aim at together. Above 1, a target gets
-#: its next request before a report tells that the last one ended.
-AIMED_LOAD = 1.1
+#: Load in units of the places that the daemons together are held at. Above 1, a target
+#: gets its next request before a report tells that the last one ended.
+SETPOINT_LOAD = 1.1
 #: Load in units of the places above which a daemon takes no more than an equal part of
 #: the places that are left: the others take theirs before they report it.
 MIN_BUSY_LOAD = 1.0
@@ -19,10 +19,10 @@
 LATE_SHARE = 0.75
 
 
-class Pace:
+class ConcurrencyLimit:
     """Bound on the requests in progress at a group of targets; does no I/O.
 
-    It is the max-min fair share of the aimed load: daemons with little demand keep what
+    It is the max-min fair share of the setpoint: daemons with little demand keep what
     they have, and the others share the rest equally.
     """
 
@@ -36,26 +36,26 @@
         return now - self._changed_at >= INTERVAL
 
     def update(self, load: ServiceLoad, now: float) -> None:
-        """Change the bound so that the load of all daemons approaches the aim."""
+        """Change the bound so that the load of all daemons approaches the setpoint."""
         self._changed_at = now
         self._equal_share = max(1.0, load.places / load.daemons)
-        aimed = AIMED_LOAD * load.places
-        self._limit = max(1.0, _compute_fair_share(load, aimed))
+        setpoint = SETPOINT_LOAD * load.places
+        self._limit = max(1.0, _compute_fair_share(load, setpoint))
         if load.total > MIN_BUSY_LOAD * load.places:
-            part = max(0.0, aimed - load.total) / load.daemons
+            part = max(0.0, setpoint - load.total) / load.daemons
             self._limit = min(self._limit, max(self._equal_share, load.own + part))
 
-    def allows(self, own: int, gives_way: bool) -> bool:
+    def allows(self, own: int, yields_to_timely: bool) -> bool:
         """Return whether another request may be in progress beside those that are.
 
         Parameters
         ----------
         own
             Requests that this daemon has in progress.
-        gives_way
+        yields_to_timely
             Whether timely requests of other daemons go first.
         """
-        return own < (LATE_SHARE * self._limit if gives_way else self._limit)
+        return own < (LATE_SHARE * self._limit if yields_to_timely else self._limit)
 
     def has_equal_share(self, own: int) -> bool:
         """Return whether this daemon uses an equal share of the places or more.
--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -50,7 +50,11 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Wait:
+    """A request that waits for its decision."""
+
+    #: Describes the request to the dispatcher.
     query: RoomQuery
+    #: Set when the request is admitted or refused.
     decision: asyncio.Future[Decision]
 
 
@@ -101,7 +105,7 @@
         service = self._get_service(request.service)
         candidates = query.list_candidates()
         if not len(service.queue) and self._is_admissible(
-            query, candidates, request, False, now
+            query, candidates, request, now, yields_to_timely=False
         ):
             service.record_direct(request, now)
             return Admitted()
@@ -180,9 +184,11 @@
         if service is None or not len(service.queue) or name in self._in_transit:
             return
         now = _get_time()
-        is_full: dict[str, bool] = {}
+        full_groups: dict[str, bool] = {}
         request = service.admit(
-            lambda each, gives_way: self._has_room(each, gives_way, is_full, now),
+            lambda each, yields_to_timely: self._has_room(
+                each, yields_to_timely, full_groups, now
+            ),
             now,
         )
         if request is not None:
@@ -197,8 +203,8 @@
     def _has_room(
         self,
         request: AdmissionRequest,
-        gives_way: bool,
-        is_full: dict[str, bool],
+        yields_to_timely: bool,
+        full_groups: dict[str, bool],
         now: float,
     ) -> bool:
         """Return whether there is room for a waiting request.
@@ -207,17 +213,18 @@
         ----------
         request
             The request.
-        gives_way
+        yields_to_timely
             Whether timely requests of other daemons go first.
-        is_full
-            Whether nothing has room, by group; kept for the requests of one admission.
+        full_groups
+            Whether a group of targets has no room at all; kept for the requests of one
+            admission.
         now
             Current time in seconds.
         """
         query = self._waits[request.request_id].query
-        if query.group not in is_full:
+        if query.group not in full_groups:
             candidates = query.list_candidates()
-            is_full[query.group] = bool(candidates) and not self._room.has_room(
+            full_groups[query.group] = bool(candidates) and not self._room.has_room(
                 PlacementRequest(
                     request.service,
                     prompt_tokens=min(1, query.make_placement_request().prompt_tokens),
@@ -227,18 +234,21 @@
                 candidates,
                 now,
             )
-        if is_full[query.group]:
+        if full_groups[query.group]:
             return False
         candidates = query.list_candidates()
-        return self._is_admissible(query, candidates, request, gives_way, now)
+        return self._is_admissible(
+            query, candidates, request, now, yields_to_timely=yields_to_timely
+        )
 
     def _is_admissible(
         self,
         query: RoomQuery,
         candidates: tuple[Target, ...],
         request: AdmissionRequest,
-        gives_way: bool,
         now: float,
+        *,
+        yields_to_timely: bool,
     ) -> bool:
         """Return whether a request may go on.
 
@@ -252,21 +262,22 @@
             objective_ends_at = now
         placement = dataclasses.replace(described, objective_ends_at=objective_ends_at)
         waiting = placement
-        if not gives_way:
+        if not yields_to_timely:
             # Late requests would go ahead of timely ones of other daemons.
             waiting = dataclasses.replace(placement, waiting_since=request.arrived_at)
-        pace = self._get_service(request.service).get_pace(query.group)
-        if pace.is_due(now):
-            pace.update(self._room.describe_load(described, candidates), now)
+        service = self._get_service(request.service)
+        limit = service.get_concurrency_limit(query.group)
+        if limit.is_due(now):
+            limit.update(self._room.describe_load(described, candidates), now)
         own = self._room.count_own(candidates)
-        if pace.allows(own, gives_way) and self._room.has_room(
+        if limit.allows(own, yields_to_timely) and self._room.has_room(
             placement, candidates, now
         ):
             return True
         # Else all daemons that wait would ignore the reports of each other.
-        return not pace.has_equal_share(own) and self._room.accepts_on_old_reports(
-            waiting, candidates, now
-        )
+        if limit.has_equal_share(own):
+            return False
+        return self._room.accepts_on_old_reports(waiting, candidates, now)
 
     def _review_bodies(self) -> Iterator[Rejection]:
         """Yield what is refused for want of memory, the least urgent first."""
@@ -307,7 +318,7 @@
         service = self._services.get(name)
         if service is None:
             service = self._services[name] = ServiceAdmission()
-            logger.debug("requests of {} are admitted as targets have room", name)
+            logger.debug("admission queue of service {} created", name)
         return service
 
 
--- a/kingcuphead/admission/_messages.py
+++ b/kingcuphead/admission/_messages.py
@@ -32,7 +32,7 @@
     fingerprint: str
     #: Time of arrival in seconds.
     arrived_at: float
-    #: Time in seconds at which the latency objective passes.
+    #: Time in seconds at which the latency objective skips.
     objective_ends_at: float
     #: Time in seconds by which the final answer is due.
     deadline: float
--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -5,6 +5,7 @@
 
 from kingcuphead.admission._admission_times import AdmissionTimes
 from kingcuphead.admission._bounds import KEPT_SHARE, LATE_SHARE
+from kingcuphead.admission._concurrency import ConcurrencyLimit
 from kingcuphead.admission._messages import (
     AdmissionRequest,
     QueueFigures,
@@ -12,7 +13,6 @@
     Rejection,
     Standing,
 )
-from kingcuphead.admission._pace import Pace
 from kingcuphead.admission._rate import AdmissionRate
 from kingcuphead.admission._reservations import Reservations
 from kingcuphead.admission._service_queue import AGED_INTERVAL, ServiceQueue
@@ -23,8 +23,9 @@
 #: Lower bound of the time in seconds that is left for an answer when a request is
 #: admitted.
 MIN_ANSWER_SECONDS = 0.02
-#: Seconds after which a request that waits isn't refused in favour of a new one of the
-#: same organisation and rank.
+#: Seconds after its arrival in which a request is refused promptly. Later, it isn't
+#: refused in favour of a new one of the same organisation and rank, and may wait on if
+#: it is late.
 MAX_REFUSAL_DELAY = 0.05
 #: Factor by which the wait of a request that arrives may be longer than estimated, as
 #: other daemons take a varying part of the places.
@@ -42,8 +43,8 @@
 #: Largest part of the objective that an answer is expected to take before one was
 #: measured. The first event of a stream comes long before its end.
 MAX_UNMEASURED_PART = 0.5
-#: Bound on the groups of targets whose bounds are remembered.
-MAX_PACES = 32
+#: Bound on the groups of targets whose concurrency limits are remembered.
+MAX_CONCURRENCY_LIMITS = 32
 
 
 class ServiceAdmission:
@@ -52,7 +53,7 @@
     def __init__(self) -> None:
         #: The waiting requests.
         self.queue = ServiceQueue()
-        self._paces: dict[str, Pace] = {}
+        self._concurrency_limits: dict[str, ConcurrencyLimit] = {}
         self._rate = AdmissionRate()
         self._times = AdmissionTimes()
         self._shares = RankShares()
@@ -63,11 +64,14 @@
         self._overtaking = Counts()
         self._reservations = Reservations()
 
-    def get_pace(self, group: str) -> Pace:
+    def get_concurrency_limit(self, group: str) -> ConcurrencyLimit:
         """Return the bound on the requests in progress at a group of targets."""
-        if group not in self._paces and len(self._paces) >= MAX_PACES:
-            self._paces.clear()
-        return self._paces.setdefault(group, Pace())
+        if (
+            group not in self._concurrency_limits
+            and len(self._concurrency_limits) >= MAX_CONCURRENCY_LIMITS
+        ):
+            self._concurrency_limits.clear()
+        return self._concurrency_limits.setdefault(group, ConcurrencyLimit())
 
     def record_direct(self, request: AdmissionRequest, now: float) -> None:
         """Record a request that was admitted on arrival, as nothing waited."""
@@ -217,8 +221,8 @@
         has_waited = now - request.arrived_at > MAX_REFUSAL_DELAY
         if not has_waited or not self.queue.is_late(request.request_id):
             return False
-        left = rate * self._shares.compute_left(request.rank, now) * OVERTAKING_SHARE
-        begins_at = now + (late_ahead + 1) / left
+        rank_rate = rate * self._shares.compute_rate_share(request.rank, now)
+        begins_at = now + (late_ahead + 1) / (rank_rate * OVERTAKING_SHARE)
         return late_ahead < MAX_KEPT_LATE or begins_at < request.last_start
 
     def _expedite_late(self, request: AdmissionRequest) -> None:
@@ -293,7 +297,7 @@
         self, request: AdmissionRequest, ahead: int, rate: float, now: float
     ) -> float:
         """Return the expected seconds by the number of requests ahead."""
-        wait = (ahead + 1) / (rate * self._shares.compute_left(request.rank, now))
+        wait = (ahead + 1) / (rate * self._shares.compute_rate_share(request.rank, now))
         if not self.queue.is_late(request.request_id):
             return wait
         late_share = self._late.admitted_share
--- a/kingcuphead/admission/_service_queue.py
+++ b/kingcuphead/admission/_service_queue.py
@@ -10,9 +10,9 @@
 
 #: Number of waiting requests that are examined for one admission.
 LOOKAHEAD = 16
-#: Times that a request is passed over before it holds back the requests behind it.
-MAX_PASSES = 16
-#: Seconds for which a request that was passed over holds back others.
+#: Times that a request is skipped before it holds back the requests behind it.
+MAX_SKIPS = 16
+#: Seconds for which a request that was skipped too often holds back others.
 HOLD_BACK_SECONDS = 0.15
 #: One of this number of admissions goes to the request that has waited longest, if it
 #: is aged. A larger share would make more of the timely requests late.
@@ -29,20 +29,20 @@
     waiting: WaitingRequest[AdmissionRequest]
     #: Place among the requests of its rank.
     standing: Standing
-    #: Number of admissions that passed it over.
-    passes: int = 0
+    #: Number of admissions that skipped it.
+    skips: int = 0
     #: End of the time in seconds for which it holds back others; None before it does.
     holds_back_until: float | None = None
 
     def holds_back(self, now: float) -> bool:
         """Return whether the requests behind it have to wait for it."""
-        if self.passes < MAX_PASSES:
+        if self.skips < MAX_SKIPS:
             return False
         if self.holds_back_until is None:
             self.holds_back_until = now + HOLD_BACK_SECONDS
         if now < self.holds_back_until:
             return True
-        self.passes = 0
+        self.skips = 0
         self.holds_back_until = None
         return False
 
@@ -166,22 +166,22 @@
         Parameters
         ----------
         has_room
-            Returns whether a target has room for a request, and for a request that
-            gives way to timely ones of other daemons.
+            Returns whether a target has room for a request; its second argument tells
+            whether the request yields to timely ones of other daemons.
         may_overtake
             Returns whether an aged request of a rank may go ahead of more urgent ones.
         now
             Current time in seconds.
         """
         self.refresh(now)
-        passed: list[Entry] = []
+        skipped: list[Entry] = []
         aged = self._find_overtaking(may_overtake, now)
         for entry in self._list_candidates(aged):
-            gives_way = entry.standing is Standing.LATE and entry is not aged
-            if has_room(entry.request, gives_way):
-                self._record_admission(entry, passed, now)
+            yields_to_timely = entry.standing is Standing.LATE and entry is not aged
+            if has_room(entry.request, yields_to_timely):
+                self._record_admission(entry, skipped, now)
                 return entry
-            passed.append(entry)
+            skipped.append(entry)
             if entry.holds_back(now):
                 return None
         return None
@@ -206,10 +206,10 @@
         return oldest
 
     def _record_admission(
-        self, admitted: Entry, passed: list[Entry], now: float
+        self, admitted: Entry, skipped: list[Entry], now: float
     ) -> None:
-        for entry in passed:
-            entry.passes += 1
+        for entry in skipped:
+            entry.skips += 1
         self._admissions_until_aged -= 1
         if now >= admitted.request.aged_at:
             self._admissions_until_aged = AGED_INTERVAL
--- a/kingcuphead/admission/_shares.py
+++ b/kingcuphead/admission/_shares.py
@@ -9,7 +9,7 @@
 #: Seconds for which a refusal of a rank counts as beside the requests of others.
 REFUSAL_LIFETIME = 0.5
 #: Least share of the rate of admissions that is counted on for a rank.
-MIN_LEFT = 0.05
+MIN_RATE_SHARE = 0.05
 #: Size in units of the mean size from which on a request is large.
 LARGE_SIZES = 2.0
 #: Weight of the newest request in the mean size.
@@ -94,11 +94,11 @@
             if now - counts.refused_at < REFUSAL_LIFETIME
         )
 
-    def compute_left(self, rank: int, now: float) -> float:
+    def compute_rate_share(self, rank: int, now: float) -> float:
         """Return the share of the admissions that more urgent ranks leave to a rank."""
         above = sum(counts.admitted for counts in self._iterate_above(rank, now))
         total = sum(counts.admitted for counts in self._counts.values())
-        return max(MIN_LEFT, 1 - above / max(1.0, total))
+        return max(MIN_RATE_SHARE, 1 - above / max(1.0, total))
 
     def _iterate_above(self, rank: int, now: float) -> Iterator[Counts]:
         for other in self._counts:
--- a/kingcuphead/admission/tests/test_pace.py
+++ b/kingcuphead/admission/tests/test_pace.py
@@ -1,17 +1,17 @@
 import pytest
 
-from kingcuphead.admission._pace import AIMED_LOAD, Pace
+from kingcuphead.admission._concurrency import SETPOINT_LOAD, ConcurrencyLimit
 from kingcuphead.dispatch import ServiceLoad
 
 #: Requests that the daemons aim at together for 100 places.
-AIMED = AIMED_LOAD * 100
+AIMED = SETPOINT_LOAD * 100
 
 
-def count_allowed(load, gives_way=False):
+def count_allowed(load, yields_to_timely=False):
     """Return how many requests may be in progress, at the next interval."""
-    pace = Pace()
-    pace.update(load, 0.0)
-    return sum(pace.allows(own, gives_way) for own in range(1_000))
+    limit = ConcurrencyLimit()
+    limit.update(load, 0.0)
+    return sum(limit.allows(own, yields_to_timely) for own in range(1_000))
 
 
 class TestBound:
@@ -44,19 +44,19 @@
 
     def test_late_requests_leave_a_part_to_timely_ones(self):
         load = ServiceLoad(places=100, own=10, others=0, daemons=1)
-        assert count_allowed(load, gives_way=True) < count_allowed(load)
+        assert count_allowed(load, yields_to_timely=True) < count_allowed(load)
 
 
 class TestEqualShare:
     @pytest.mark.parametrize(("own", "has_share"), [(24, False), (25, True)])
     def test_old_reports_are_ignored_below_it(self, own, has_share):
-        pace = Pace()
-        pace.update(ServiceLoad(100, own, 120, daemons=4, reported=(40,) * 3), 0.0)
-        assert pace.has_equal_share(own) is has_share
+        limit = ConcurrencyLimit()
+        limit.update(ServiceLoad(100, own, 120, daemons=4, reported=(40,) * 3), 0.0)
+        assert limit.has_equal_share(own) is has_share
 
     def test_it_is_at_least_one_request(self):
         """There are more daemons than places at a plain service."""
-        pace = Pace()
-        pace.update(ServiceLoad(10, 0, 40, daemons=40, reported=(1,) * 39), 0.0)
-        assert not pace.has_equal_share(0)
-        assert pace.has_equal_share(1)
+        limit = ConcurrencyLimit()
+        limit.update(ServiceLoad(10, 0, 40, daemons=40, reported=(1,) * 39), 0.0)
+        assert not limit.has_equal_share(0)
+        assert limit.has_equal_share(1)
--- a/kingcuphead/admission/tests/test_service_admission.py
+++ b/kingcuphead/admission/tests/test_service_admission.py
@@ -28,8 +28,8 @@
     for number in range(20):
         now += INTERVAL
         service.push(make_request(f"next{number}", objective=60.0), now)
-        service.admit(lambda request, gives_way: True, now)
-    service.admit(lambda request, gives_way: True, now)
+        service.admit(lambda request, yields_to_timely: True, now)
+    service.admit(lambda request, yields_to_timely: True, now)
     for number in range(late):
         service.push(
             make_request(
@@ -58,7 +58,7 @@
         now += 2 * MAX_REFUSAL_DELAY + 0.02
         service.push(make_request("timely", arrived=now, objective=now + 5.0), now)
         assert not list(service.review(now))
-        admitted = service.admit(lambda request, gives_way: True, now)
+        admitted = service.admit(lambda request, yields_to_timely: True, now)
         assert admitted.request_id == "late1"
 
     def test_few_go_ahead_and_few_are_kept(self):
--- a/kingcuphead/admission/tests/test_service_queue.py
+++ b/kingcuphead/admission/tests/test_service_queue.py
@@ -6,7 +6,7 @@
 from kingcuphead.admission._service_queue import (
     AGED_INTERVAL,
     HOLD_BACK_SECONDS,
-    MAX_PASSES,
+    MAX_SKIPS,
     ServiceQueue,
 )
 
@@ -43,7 +43,7 @@
     return queue
 
 
-def admit(queue, now, has_room=lambda request, gives_way: True, overtakes=True):
+def admit(queue, now, has_room=lambda request, yields_to_timely: True, overtakes=True):
     entry = queue.admit(has_room, lambda rank: overtakes, now)
     return None if entry is None else entry.request.request_id
 
@@ -101,10 +101,10 @@
         """Small requests would use the room for a large one up again and again."""
         queue = make_queue(make_request("large", objective=0.5))
 
-        def has_room(request, gives_way):
+        def has_room(request, yields_to_timely):
             return request.request_id != "large"
 
-        for number in range(MAX_PASSES):
+        for number in range(MAX_SKIPS):
             queue.push(make_request(f"s{number}"), Standing.TIMELY, 0.0)
             assert admit(queue, 0.0, has_room) == f"s{number}"
         queue.push(make_request("next"), Standing.TIMELY, 0.0)
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -19,6 +19,7 @@
 )
 from tornado.iostream import StreamClosedError
 
+from kingcuphead.admission import SHUTDOWN_RETRY_AFTER
 from kingcuphead.capacity import (
     MESSAGE_OVERHEAD_BYTES,
     CallerConnection,
@@ -39,8 +40,6 @@
 
 #: Seconds added to the configured idle timeout before an idle connection is closed.
 IDLE_SLACK = 2.0
-#: Seconds after which a caller refused during shutdown may retry, at another daemon.
-SHUTDOWN_RETRY_AFTER = 0.05
 #: Seconds after which a caller may retry a request that was refused for want of memory.
 MEMORY_RETRY_AFTER = 0.3
 
