Capacity: split readiness checks off, name deflection and the unready budget

Cause: the state machine of load shedding had twelve undocumented private fields, called deflection unready, and logged "ready again" also when the daemon was no longer serving. Change: ReadinessChecks counts failed checks; the state machine has states of its own with DEFLECTING, which other daemons still see as unready; UnreadyBudget; the log lines are "load deflection began", "load shedding ended" and "load deflection ended". Decisions are unchanged.

--- a/kingcuphead/capacity/_decisions.py
+++ b/kingcuphead/capacity/_decisions.py
@@ -35,7 +35,7 @@
 
 
 class EndReason(enum.StrEnum):
-    """Why a daemon is ready again."""
+    """Why a daemon no longer sheds or deflects load."""
 
     #: The chosen connections are closed.
     CLOSED = "connections closed"
@@ -87,12 +87,14 @@
 
 @frozen
 class UnreadyEnded:
-    """The daemon is ready again."""
+    """The daemon no longer sheds or deflects load."""
 
     #: Reason of the end.
     reason: EndReason
     #: Seconds since the begin.
     seconds: float
+    #: Whether it shed load; else it deflected.
+    was_shedding: bool
 
 
 Effect: TypeAlias = SheddingBegan | DeflectionBegan | CloseRequested | UnreadyEnded
--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -163,7 +163,7 @@
             case SheddingBegan():
                 self._log_begin("load shedding began", effect)
             case DeflectionBegan():
-                self._log_begin("unready while other daemons shed load", effect)
+                self._log_begin("load deflection began", effect)
             case CloseRequested(share):
                 chosen = self.connections.mark(share)
                 logger.bind(share=round(share, 3), connections=chosen).info(
@@ -193,7 +193,7 @@
 
     def _record_figures(self, shedder: LoadShedder) -> None:
         figures = CapacityFigures(
-            self._load, self.connections.closed, shedder.unready_time.total
+            self._load, self.connections.closed, shedder.unready_budget.total
         )
         self.record(figures)
 
@@ -209,12 +209,13 @@
         ).info(text)
 
     def _log_end(self, ended: UnreadyEnded) -> None:
+        subject = "load shedding" if ended.was_shedding else "load deflection"
         logger.bind(
             **_describe_load(self._load),
             reason=ended.reason.value,
             seconds=round(ended.seconds, 3),
             still_open=self.connections.marked_count,
-        ).info("ready again")
+        ).info(f"{subject} ended")
 
 
 def _describe_load(load: OwnLoad) -> dict[str, float]:
--- a/kingcuphead/capacity/_messages.py
+++ b/kingcuphead/capacity/_messages.py
@@ -14,7 +14,7 @@
     CANDIDATE = "candidate"
     #: It doesn't, and closes connections of callers.
     SHEDDING = "shedding"
-    #: It doesn't, for any other reason.
+    #: It doesn't: it deflects load, is starting or shuts down.
     UNREADY = "unready"
 
 
--- a/kingcuphead/capacity/_shedder.py
+++ b/kingcuphead/capacity/_shedder.py
@@ -1,5 +1,6 @@
 """Decides when this daemon sheds load: a state machine without I/O."""
 
+import enum
 from collections.abc import Iterator
 
 from kingcuphead.capacity._decisions import (
@@ -12,8 +13,9 @@
     SheddingBegan,
     UnreadyEnded,
 )
-from kingcuphead.capacity._messages import UNREADY_STATES, Readiness
-from kingcuphead.capacity._unready_time import UnreadyTime
+from kingcuphead.capacity._messages import Readiness
+from kingcuphead.capacity._readiness_checks import ReadinessChecks
+from kingcuphead.capacity._unready_budget import UnreadyBudget
 from kingcuphead.capacity._zone_loads import Rank, ZoneLoads
 
 #: Load above which a daemon sheds.
@@ -42,24 +44,38 @@
 DEFLECTION_DELAY = 0.3
 #: Seconds after deflection until a daemon may deflect again.
 DEFLECTION_COOLDOWN = 2.0
-#: Failed readiness checks after which a daemon gets no new connections.
-FAILED_CHECKS = 2
-#: Shortest time in seconds between two checks that count separately.
-MIN_CHECK_INTERVAL = 0.5
-#: Seconds for the last failed check to take effect before connections are closed.
-CHECK_DELAY = 0.2
 #: Seconds after a daemon became unready in which those that deflect fail two checks,
 #: too: a report and `DEFLECTION_DELAY` later than the first moment at which it can.
 DEFLECTION_CHECK_PERIOD = 2.5
 
 
+class _State(enum.Enum):
+    READY = enum.auto()
+    #: Ready, and going to shed unless too many others with more load do.
+    CANDIDATE = enum.auto()
+    #: Unready, and closing connections of callers.
+    SHEDDING = enum.auto()
+    #: Unready while another daemon sheds.
+    DEFLECTING = enum.auto()
+
+
+#: What other daemons are told in each state. Deflection looks like any other reason for
+#: which a daemon accepts no connections.
+_READINESS = {
+    _State.READY: Readiness.READY,
+    _State.CANDIDATE: Readiness.CANDIDATE,
+    _State.SHEDDING: Readiness.SHEDDING,
+    _State.DEFLECTING: Readiness.UNREADY,
+}
+
+
 class LoadShedder:
     """Makes this daemon unready while load should move to others.
 
     A daemon sheds: it closes connections of callers, who connect to others. Daemons
     that have much load themselves, though less, deflect meanwhile: they are unready and
     close nothing. The balancer hashes callers, so without deflection two daemons could
-    pass the same callers to and fro.
+    pass the same callers back and forth.
 
     Parameters
     ----------
@@ -74,22 +90,31 @@
     def __init__(self, sender: str, zone: ZoneLoads, now: float) -> None:
         self._sender = sender
         self._zone = zone
+        self._checks = ReadinessChecks()
+        self._state = _State.READY
+        #: Load by which the others rank this daemon unless it is ready.
         self._decisive_load = 0.0
+        #: Begin of the overload that goes on; None without one.
         self._overloaded_since: float | None = None
+        #: When this daemon became a candidate for the last time.
         self._candidate_at = now
+        #: When this daemon became unready for the last time.
         self._began_at = now
+        #: Daemons that were unready at that time.
         self._earlier: frozenset[str] = frozenset()
+        #: Since when it closes connections; None before it does.
+        self._closing_since: float | None = None
+        #: End of the last shedding, for hysteresis; None before it.
         self._shed_at: float | None = None
+        #: End of the last deflection; None before it.
         self._deflected_at: float | None = None
-        self._failed_checks = 0
-        self._failed_at = now
-        self._is_seen_unready = False
-        self._is_closing = False
-        self._closing_at = now
-        #: Whether this daemon accepts new connections.
-        self.readiness = Readiness.READY
         #: Bound on unready time.
-        self.unready_time = UnreadyTime(now)
+        self.unready_budget = UnreadyBudget(now)
+
+    @property
+    def readiness(self) -> Readiness:
+        """Whether this daemon accepts new connections, as far as load decides it."""
+        return _READINESS[self._state]
 
     def fails_checks(self, now: float) -> bool:
         """Whether this daemon answers that it isn't ready.
@@ -97,42 +122,35 @@
         A daemon that deflects waits before it does, since others may begin to deflect
         at the same moment; those with less load are ready again by then.
         """
-        match self.readiness:
-            case Readiness.SHEDDING:
+        match self._state:
+            case _State.SHEDDING:
                 return True
-            case Readiness.UNREADY:
+            case _State.DEFLECTING:
                 return now - self._began_at >= DEFLECTION_DELAY
             case _:
                 return False
 
     def get_reported_load(self, load: float) -> float:
         """Return the load to report to other daemons."""
-        return load if self.readiness is Readiness.READY else self._decisive_load
+        return load if self._state is _State.READY else self._decisive_load
 
     def record_check(self, is_ready: bool, now: float) -> None:
-        """Record an answer to a readiness check.
-
-        The platform takes this daemon for unready from the first failed check until the
-        next successful one.
-        """
+        """Record an answer to a readiness check."""
         if is_ready:
-            self._is_seen_unready = False
-        elif self.readiness in UNREADY_STATES:
-            self._is_seen_unready = True
-            if not self._failed_checks or now - self._failed_at >= MIN_CHECK_INTERVAL:
-                self._failed_checks += 1
-                self._failed_at = now
+            self._checks.record_success()
+        elif self._state in (_State.SHEDDING, _State.DEFLECTING):
+            self._checks.record_failure(now)
 
     def step(self, observation: Observation) -> Iterator[Effect]:
         """Apply an observation and yield what follows from it."""
-        self.unready_time.advance(observation.now, self._is_seen_unready)
-        match self.readiness:
-            case Readiness.READY | Readiness.CANDIDATE:
+        self.unready_budget.advance(observation.now, self._checks.is_seen_unready)
+        match self._state:
+            case _State.READY | _State.CANDIDATE:
                 yield from self._consider_shedding(observation)
                 yield from self._consider_deflection(observation)
-            case Readiness.SHEDDING:
+            case _State.SHEDDING:
                 yield from self._shed(observation)
-            case Readiness.UNREADY:
+            case _State.DEFLECTING:
                 yield from self._deflect(observation)
 
     def _consider_shedding(self, observation: Observation) -> Iterator[Effect]:
@@ -146,18 +164,18 @@
             or _is_within(COOLDOWN, self._shed_at, now)
         ):
             self._overloaded_since = None
-            self.readiness = Readiness.READY
+            self._state = _State.READY
             return
         if self._overloaded_since is None:
             self._overloaded_since = now
-        if self.readiness is Readiness.CANDIDATE:
+        if self._state is _State.CANDIDATE:
             if now - self._candidate_at >= ANNOUNCEMENT_PERIOD:
                 yield from self._begin_shedding(overload, now)
         elif (
             now - self._overloaded_since >= OVERLOAD_PERIOD - ANNOUNCEMENT_PERIOD
             and now - self._candidate_at >= CANDIDATE_INTERVAL
         ):
-            self.readiness = Readiness.CANDIDATE
+            self._state = _State.CANDIDATE
             self._candidate_at = now
             self._decisive_load = load
 
@@ -166,13 +184,13 @@
         ahead = self._zone.count_candidates_above(self._rank, now)
         allowed = self._zone.count_allowed()
         if unready + ahead < allowed:
-            self._begin(Readiness.SHEDDING, now)
+            self._begin(_State.SHEDDING, now)
             yield SheddingBegan(overload, unready, allowed)
 
     def _consider_deflection(self, observation: Observation) -> Iterator[Effect]:
         load, now = observation.load, observation.now
         if (
-            self.readiness is not Readiness.READY
+            self._state is not _State.READY
             or self._overloaded_since is not None
             or not self._zone.is_any_shedding()
             or not self._may_be_unready(observation)
@@ -187,34 +205,34 @@
         allowed = self._zone.count_allowed()
         if unready + ahead < allowed:
             self._decisive_load = load
-            self._begin(Readiness.UNREADY, now)
+            self._begin(_State.DEFLECTING, now)
             yield DeflectionBegan(overload, unready, allowed)
 
     def _may_be_unready(self, observation: Observation) -> bool:
-        return observation.is_serving and self.unready_time.is_sufficient
+        return observation.is_serving and self.unready_budget.is_sufficient
 
-    def _begin(self, readiness: Readiness, now: float) -> None:
-        self.readiness = readiness
+    def _begin(self, state: _State, now: float) -> None:
+        self._state = state
         self._began_at = now
         self._earlier = self._zone.list_unready()
-        self._failed_checks = 0
-        self._is_closing = False
+        self._closing_since = None
+        self._checks.begin()
 
     def _shed(self, observation: Observation) -> Iterator[Effect]:
         now = observation.now
-        reason = self._find_end(observation)
-        if reason is None and self._is_closing and not observation.open_connections:
+        reason = self._find_end_reason(observation)
+        is_closing = self._closing_since is not None
+        if reason is None and is_closing and not observation.open_connections:
             reason = EndReason.CLOSED
         if reason is not None:
             self._shed_at = now
             yield self._end(reason, now)
-        elif not self._is_closing and self._is_unlisted(now):
-            self._is_closing = True
-            self._closing_at = now
+        elif not is_closing and self._may_close(now):
+            self._closing_since = now
             yield CloseRequested(1 - TARGET_LOAD / observation.load)
 
     def _deflect(self, observation: Observation) -> Iterator[Effect]:
-        reason = self._find_end(observation)
+        reason = self._find_end_reason(observation)
         if reason is None and not self._zone.is_any_shedding():
             reason = EndReason.OTHERS_ENDED
         if reason is not None:
@@ -222,39 +240,40 @@
             yield self._end(reason, observation.now)
 
     def _end(self, reason: EndReason, now: float) -> UnreadyEnded:
-        self.readiness = Readiness.READY
+        was_shedding = self._state is _State.SHEDDING
+        self._state = _State.READY
         self._overloaded_since = None
-        return UnreadyEnded(reason, now - self._began_at)
+        return UnreadyEnded(reason, now - self._began_at, was_shedding)
 
-    def _is_unlisted(self, now: float) -> bool:
+    def _may_close(self, now: float) -> bool:
         """Whether the balancer sends callers to other daemons than the unready ones."""
-        if self._failed_checks < FAILED_CHECKS or now - self._failed_at < CHECK_DELAY:
+        if not self._checks.is_in_effect(now):
             return False
         has_deflecting = bool(self._zone.list_unready())
         return not has_deflecting or now - self._began_at >= DEFLECTION_CHECK_PERIOD
 
-    def _find_end(self, observation: Observation) -> EndReason | None:
+    def _find_end_reason(self, observation: Observation) -> EndReason | None:
         if not observation.is_serving:
             return EndReason.NOT_SERVING
-        if not self._is_closing and observation.load <= TARGET_LOAD:
+        if self._closing_since is None and observation.load <= TARGET_LOAD:
             return EndReason.RELIEVED
         if self._is_expired(observation.now):
             return EndReason.EXPIRED
-        if self.unready_time.is_used_up:
+        if self.unready_budget.is_used_up:
             return EndReason.UNREADY_TOO_LONG
         # Reports of others may be late. Until the last failed check there is time to
         # become ready again with no effect on callers.
-        if self._failed_checks < FAILED_CHECKS and self._is_outranked():
+        if not self._checks.is_unlisted and self._is_outranked():
             return EndReason.OUTRANKED
         return None
 
     def _is_expired(self, now: float) -> bool:
-        if self._is_closing:
-            return now - self._closing_at >= CLOSE_PERIOD
+        if self._closing_since is not None:
+            return now - self._closing_since >= CLOSE_PERIOD
         return now - self._began_at >= MAX_DURATION
 
     def _is_outranked(self) -> bool:
-        if self.readiness is Readiness.SHEDDING:
+        if self._state is _State.SHEDDING:
             ahead = self._zone.count_shedding_above(self._rank)
         else:
             ahead = self._zone.count_unready_before(self._rank, self._earlier)
