Permits: split the decision, call owners of a part owners

Change: checks of memory and room are functions of their own; MAX_OWNERS, NO_OWNER, list_owners; query; EngineMemory. The wire field is_holder keeps its name. Decisions are unchanged.

--- a/kingcuphead/dispatch/tests/_coordination.py
+++ b/kingcuphead/dispatch/tests/_coordination.py
@@ -6,7 +6,7 @@
 from kingcuphead.dispatch.tests._fleet import PlayedDaemon
 from kingcuphead.permits import PermitCoordinator, TargetTerms
 from kingcuphead.permits._coordinator import Decision, PermitClaim
-from kingcuphead.permits._exchange import MAX_QUESTIONS, REPORT_INTERVAL
+from kingcuphead.permits._exchange import MAX_QUERIES, REPORT_INTERVAL
 from kingcuphead.permits._memory import MemoryClaim, compute_memory_share
 from kingcuphead.permits._ranking import ANSWER_TIMEOUT, CoordinatorRanking
 from kingcuphead.permits._room import OpenRequests
@@ -53,7 +53,7 @@
             OpenRequests(str(self.address), next(self._memory_numbers), 1),
             MemoryClaim(memory.held_tokens, memory.capacity, memory.fits_unasked),
         )
-        for _ in range(MAX_QUESTIONS):
+        for _ in range(MAX_QUERIES):
             address = self.ranking.find_coordinator(name, now)
             if address == self.address:
                 break
@@ -64,7 +64,7 @@
                 if not self._fleet.loses(other, self):
                     self.ranking.record_message(address, now)
                     return decision
-            self.ranking.record_question(address, now - ANSWER_TIMEOUT)
+            self.ranking.record_query(address, now - ANSWER_TIMEOUT)
         if self.ranking.is_isolated(now):
             return Decision(memory.fits_isolated)
         if self.ranking.find_coordinator(name, now) != self.address:
--- a/kingcuphead/permits/_claims.py
+++ b/kingcuphead/permits/_claims.py
@@ -1,4 +1,4 @@
-"""Turns questions of daemons into claims."""
+"""Turns queries of daemons into claims."""
 
 from kingcuphead.permits._coordinator import PermitClaim
 from kingcuphead.permits._memory import MemoryClaim
@@ -7,20 +7,20 @@
 from kingcuphead.permits._room import OpenRequests
 
 
-def make_claim(question: PermitAsked, sender: Address) -> PermitClaim:
-    """Return the claim that a question of a daemon makes."""
+def make_claim(query: PermitAsked, sender: Address) -> PermitClaim:
+    """Return the claim that a query of a daemon makes."""
     holder = name_holder(sender)
-    open_requests = OpenRequests(holder, question.number, question.open_requests)
+    open_requests = OpenRequests(holder, query.number, query.open_requests)
     memory = None
-    if question.memory_tokens is not None and question.memory_capacity is not None:
-        memory = MemoryClaim(question.memory_tokens, question.memory_capacity)
+    if query.memory_tokens is not None and query.memory_capacity is not None:
+        memory = MemoryClaim(query.memory_tokens, query.memory_capacity)
     return PermitClaim(
-        question.target,
-        question.terms,
-        question.slots,
+        query.target,
+        query.terms,
+        query.slots,
         open_requests,
         memory,
-        question.is_doubtful,
+        query.is_doubtful,
     )
 
 
--- a/kingcuphead/permits/_cold.py
+++ b/kingcuphead/permits/_cold.py
@@ -17,9 +17,9 @@
 #: Seconds of its rate that each part holds at most, beside one permit.
 SAVED_SECONDS = 0.25
 #: Number of daemons that own a part.
-MAX_HOLDERS = len(RATE_PARTS)
-#: Seconds after which a permit is asked for again when no holder could be asked.
-NO_HOLDER_WAIT = 0.25
+MAX_OWNERS = len(RATE_PARTS)
+#: Seconds after which a permit is asked for again when no owner could be asked.
+NO_OWNER_WAIT = 0.25
 
 
 @frozen
@@ -35,9 +35,9 @@
     extra: float = 5.0
 
     @property
-    def holders(self) -> int:
+    def owners(self) -> int:
         """Number of daemons that own a part; each may grant one permit at once."""
-        return max(1, min(MAX_HOLDERS, int(self.extra) - 1))
+        return max(1, min(MAX_OWNERS, int(self.extra) - 1))
 
     def compute_rate(self, limit: float, position: int) -> float:
         """Return the permits per second that a daemon owns.
@@ -47,7 +47,7 @@
         limit
             Requests per second that the cold target takes.
         position
-            Position of the daemon in the target's order, below `holders`.
+            Position of the daemon in the target's order, below `owners`.
         """
         return RATE_PARTS[position] * self.ratio * limit
 
--- a/kingcuphead/permits/_coordinator.py
+++ b/kingcuphead/permits/_coordinator.py
@@ -5,8 +5,8 @@
 
 from kingcuphead.frozen import frozen
 from kingcuphead.permits._bucket import MIN_RATE, TokenBucket
-from kingcuphead.permits._cold import NO_HOLDER_WAIT, SAVED_SECONDS, ColdBounds
-from kingcuphead.permits._memory import COORDINATOR_SHARE, MemoryAccount, MemoryClaim
+from kingcuphead.permits._cold import NO_OWNER_WAIT, SAVED_SECONDS, ColdBounds
+from kingcuphead.permits._memory import COORDINATOR_SHARE, EngineMemory, MemoryClaim
 from kingcuphead.permits._room import OpenRequests, TargetRoom
 from kingcuphead.permits._terms import TargetTerms
 from kingcuphead.targets import get_target_name
@@ -17,7 +17,7 @@
 #: Seconds after which memory may be free again.
 MEMORY_WAIT = 0.1
 
-#: Seconds without a question after which what is known of a target is dropped.
+#: Seconds without a query after which what is known of a target is dropped.
 ACCOUNT_LIFETIME = 60.0
 #: Number of targets from which on expired accounts are looked for.
 MANY_ACCOUNTS = 256
@@ -32,13 +32,13 @@
     #: Seconds until the next permit may be had; 0 if this one is granted.
     wait: float = 0.0
     #: Whether the daemon that decides owns a part of the permits of the target.
-    is_holder: bool = True
+    is_owner: bool = True
     #: Whether the memory of the target lacks room for this request.
     is_full: bool = False
 
 
 #: Decision of a daemon that owns no part of the permits of a cold target.
-NO_HOLDER = Decision(False, NO_HOLDER_WAIT, is_holder=False)
+NO_OWNER = Decision(False, NO_OWNER_WAIT, is_owner=False)
 
 
 @frozen
@@ -61,9 +61,15 @@
 
 @dataclasses.dataclass(slots=True)
 class _Account:
+    """What is known of one incarnation of a target."""
+
+    #: Permits by the rate that the target states.
     bucket: TokenBucket
+    #: Open requests of all daemons, for a brittle target.
     room: TargetRoom
-    memory: MemoryAccount
+    #: Tokens that all daemons hold in its memory.
+    memory: EngineMemory
+    #: Time in seconds of the last query.
     asked_at: float
 
 
@@ -101,7 +107,7 @@
         claim
             What is wanted.
         share
-            Share of what the target takes that may be granted here.
+            Share of the target's limit that may be granted here.
         now
             Current time in seconds.
         memory_share
@@ -111,38 +117,36 @@
             it is cold; None if it owns none.
         """
         account = self._find_account(claim.target, now)
-        cold_limit = claim.terms.cold_requests_per_second
-        if cold_limit is not None:
-            denial = self._check_cold(claim.target, cold_limit, position, now)
-            if denial is not None:
-                return denial
-        holder = claim.open_requests.holder
-        if claim.memory is not None and not account.memory.has_room(
-            holder, claim.memory, memory_share, now
-        ):
-            return Decision(False, MEMORY_WAIT, is_full=True)
-        if claim.terms.is_brittle:
-            places = max(1, int(claim.slots * share))
-            if not account.room.has_place(claim.open_requests, places, now):
-                return Decision(False, ROOM_WAIT)
+        denial = (
+            self._check_cold(claim, position, now)
+            or _check_memory(account.memory, claim, memory_share, now)
+            or _check_room(account.room, claim, share, now)
+        )
+        if denial is not None:
+            return denial
         decision = _decide_by_rate(account.bucket, claim.terms, share, now)
         if decision.is_granted:
-            account.room.record(claim.open_requests, now)
-            if cold_limit is not None:
-                self._find_cold_bucket(claim.target, now).try_take(now)
-            if claim.memory is not None:
-                account.memory.record(
-                    holder, claim.memory.tokens, claim.open_requests.number, now
-                )
+            self._record_grant(account, claim, now)
         return decision
 
+    def _record_grant(self, account: _Account, claim: PermitClaim, now: float) -> None:
+        account.room.record(claim.open_requests, now)
+        if claim.terms.cold_requests_per_second is not None:
+            self._find_cold_bucket(claim.target, now).try_take(now)
+        if claim.memory is not None:
+            holder, number = claim.open_requests.holder, claim.open_requests.number
+            account.memory.record(holder, claim.memory.tokens, number, now)
+
     def _check_cold(
-        self, target: str, limit: float, position: int | None, now: float
+        self, claim: PermitClaim, position: int | None, now: float
     ) -> Decision | None:
-        """Return why a cold target takes no request now; None if it takes one."""
-        if position is None or position >= self.cold_bounds.holders:
-            return NO_HOLDER
-        bucket = self._find_cold_bucket(target, now)
+        """Return why a cold target takes no request now; None if it may take one."""
+        limit = claim.terms.cold_requests_per_second
+        if limit is None:
+            return None
+        if position is None or position >= self.cold_bounds.owners:
+            return NO_OWNER
+        bucket = self._find_cold_bucket(claim.target, now)
         bucket.apply_rate(self.cold_bounds.compute_rate(limit, position), now)
         wait = bucket.get_wait(now)
         return Decision(False, wait) if wait > 0 else None
@@ -169,7 +173,7 @@
             account = _Account(
                 bucket=TokenBucket(self._rng.random(), now),
                 room=TargetRoom(now),
-                memory=MemoryAccount(),
+                memory=EngineMemory(),
                 asked_at=now,
             )
             self._accounts[target] = account
@@ -203,6 +207,26 @@
         }
 
 
+def _check_memory(
+    memory: EngineMemory, claim: PermitClaim, share: float, now: float
+) -> Decision | None:
+    """Return the denial if the memory of the target lacks room; None if it has room."""
+    holder = claim.open_requests.holder
+    if claim.memory is None or memory.has_room(holder, claim.memory, share, now):
+        return None
+    return Decision(False, MEMORY_WAIT, is_full=True)
+
+
+def _check_room(
+    room: TargetRoom, claim: PermitClaim, share: float, now: float
+) -> Decision | None:
+    """Return the denial if a brittle target has no free place; None if it has one."""
+    places = max(1, int(claim.slots * share))
+    if not claim.terms.is_brittle or room.has_place(claim.open_requests, places, now):
+        return None
+    return Decision(False, ROOM_WAIT)
+
+
 def _decide_by_rate(
     bucket: TokenBucket, terms: TargetTerms, share: float, now: float
 ) -> Decision:
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -1,4 +1,4 @@
-"""Asks coordinators for permits, and answers the questions of other daemons."""
+"""Asks coordinators for permits, and answers the queries of other daemons."""
 
 import asyncio
 import dataclasses
@@ -10,7 +10,7 @@
 from kingcuphead.permits._cold import ColdBounds, ColdView, NoColdTargets
 from kingcuphead.permits._coordinator import (
     MEMORY_WAIT,
-    NO_HOLDER,
+    NO_OWNER,
     Decision,
     PermitClaim,
     PermitCoordinator,
@@ -35,10 +35,10 @@
 #: Seconds after which a denied permit is asked for again, at the latest; by then a
 #: daemon that was cut off may reach the coordinator.
 MAX_WAIT = 1.0
-#: Seconds after the question within which a permit of a cold target is used.
+#: Seconds after the query within which a permit of a cold target is used.
 PERMIT_LIFETIME = 0.2
 #: Number of daemons that are asked for one permit before this one decides by itself.
-MAX_QUESTIONS = 2
+MAX_QUERIES = 2
 #: Seconds between two reports of the open requests at targets that are short of room.
 REPORT_INTERVAL = 1.0
 #: Upper bound in seconds of the time for which a daemon that hears of no other sends
@@ -81,7 +81,7 @@
         self._open_requests: Counter[str] = Counter()
         self._memory_reports = MemoryReports()
         self._numbers = itertools.count(1)
-        self._questions: dict[int, asyncio.Future[Decision]] = {}
+        self._queries: dict[int, asyncio.Future[Decision]] = {}
         #: Which daemon coordinates the permits of a target.
         self.ranking = CoordinatorRanking(own_address, self._probe)
         #: Whether permits are asked for memory of targets.
@@ -212,14 +212,14 @@
                     number,
                     decision.is_granted,
                     decision.wait,
-                    decision.is_holder,
+                    decision.is_owner,
                     decision.is_full,
                 )
                 self._send(answer, sender)
-            case PermitAnswered(number, is_granted, wait, is_holder, is_full):
-                question = self._questions.get(number)
-                if question is not None and not question.done():
-                    question.set_result(Decision(is_granted, wait, is_holder, is_full))
+            case PermitAnswered(number, is_granted, wait, is_owner, is_full):
+                query = self._queries.get(number)
+                if query is not None and not query.done():
+                    query.set_result(Decision(is_granted, wait, is_owner, is_full))
             case RoomReported():
                 self._apply_room(message, sender)
             case CoordinatorProbed():
@@ -243,7 +243,7 @@
                     return decision
             terms = terms.restrict(limit.requests_per_second)
             is_doubtful = not limit.is_certain
-            decision = await self._ask_holders(target, terms, is_doubtful)
+            decision = await self._ask_owners(target, terms, is_doubtful)
             if not decision.is_granted:
                 self.report_cold_denial(target)
             return decision
@@ -251,35 +251,35 @@
             return Decision(True)
         return await self._ask_fleet(target, terms, memory)
 
-    async def _ask_holders(
+    async def _ask_owners(
         self, target: Target, terms: TargetTerms, is_doubtful: bool
     ) -> Decision:
         """Ask the owners of a cold target's permits until one of them decides."""
-        count = self._coordinator.cold_bounds.holders
-        for address in self.ranking.list_holders(target.name, count):
-            question = self._make_question(target, terms, None, is_doubtful)
+        count = self._coordinator.cold_bounds.owners
+        for address in self.ranking.list_owners(target.name, count):
+            query = self._make_query(target, terms, None, is_doubtful)
             if address == self._own_address:
-                claim = make_claim(question, address)
+                claim = make_claim(query, address)
                 decision: Decision | None = self._decide(claim, is_asked=False)
             elif self.ranking.is_passed_over(address, _get_time()):
                 continue
             else:
-                decision = await self._ask_in_time(address, question)
-            if decision is not None and decision.is_holder:
+                decision = await self._ask_in_time(address, query)
+            if decision is not None and decision.is_owner:
                 return decision
-        return NO_HOLDER
+        return NO_OWNER
 
     async def _ask_fleet(
         self, target: Target, terms: TargetTerms, memory: MemoryClaim | None
     ) -> Decision:
         """Ask the coordinator, then the next one; decide alone if none answers."""
         identity = target.incarnation
-        for _ in range(MAX_QUESTIONS):
+        for _ in range(MAX_QUERIES):
             address = self.ranking.find_coordinator(identity, _get_time())
             if address == self._own_address:
                 break
-            question = self._make_question(target, terms, memory)
-            decision = await self._ask(address, question)
+            query = self._make_query(target, terms, memory)
+            decision = await self._ask(address, query)
             if decision is not None:
                 return decision
             if memory is not None:
@@ -289,8 +289,8 @@
             if fits is False:
                 return Decision(False, MEMORY_WAIT, is_full=True)
             memory = None if fits else memory
-        question = self._make_question(target, terms, memory)
-        return self._decide(make_claim(question, self._own_address), is_asked=False)
+        query = self._make_query(target, terms, memory)
+        return self._decide(make_claim(query, self._own_address), is_asked=False)
 
     def _fits_unasked(self, target: str, memory: MemoryClaim) -> bool | None:
         """Return whether a request fits; None if this daemon may coordinate."""
@@ -301,7 +301,7 @@
             return memory.fits_unasked
         return None
 
-    def _make_question(
+    def _make_query(
         self,
         target: Target,
         terms: TargetTerms,
@@ -320,29 +320,29 @@
             is_doubtful,
         )
 
-    async def _ask(self, address: Address, question: PermitAsked) -> Decision | None:
+    async def _ask(self, address: Address, query: PermitAsked) -> Decision | None:
         """Ask one daemon; None if it doesn't answer."""
         answer: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-        self._questions[question.number] = answer
-        self.ranking.record_question(address, _get_time())
-        self._send(question, address)
+        self._queries[query.number] = answer
+        self.ranking.record_query(address, _get_time())
+        self._send(query, address)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 return await answer
         except TimeoutError:
             return None
         finally:
-            del self._questions[question.number]
+            del self._queries[query.number]
 
     async def _ask_in_time(
-        self, address: Address, question: PermitAsked
+        self, address: Address, query: PermitAsked
     ) -> Decision | None:
         """Ask one daemon; None if it doesn't answer, or this one was late to read it.
 
         A daemon that was suspended could else use permits of several seconds at once.
         """
         asked_at = _get_time()
-        decision = await self._ask(address, question)
+        decision = await self._ask(address, query)
         return decision if _get_time() - asked_at <= PERMIT_LIFETIME else None
 
     def _decide(self, claim: PermitClaim, is_asked: bool) -> Decision:
@@ -355,9 +355,9 @@
         share = self.ranking.compute_share(claim.target, is_asked, now)
         position = None
         if claim.terms.cold_requests_per_second is not None:
-            holders = self._coordinator.cold_bounds.holders
+            owners = self._coordinator.cold_bounds.owners
             name = get_target_name(claim.target)
-            position = self.ranking.find_position(name, holders, now)
+            position = self.ranking.find_position(name, owners, now)
         rank = self.ranking.get_position(claim.target)
         memory_share = compute_memory_share(rank, share == 1.0)
         return self._coordinator.decide(claim, share, now, memory_share, position)
--- a/kingcuphead/permits/_memory.py
+++ b/kingcuphead/permits/_memory.py
@@ -52,7 +52,7 @@
     received_at: float
 
 
-class MemoryAccount:
+class EngineMemory:
     """The tokens in the memory of one engine; does no I/O."""
 
     def __init__(self) -> None:
--- a/kingcuphead/permits/_messages.py
+++ b/kingcuphead/permits/_messages.py
@@ -10,7 +10,7 @@
 class PermitAsked:
     """A daemon wants to send one request to a target."""
 
-    #: Number of the question, for the answer.
+    #: Number of the query, which the answer repeats.
     number: int
     #: Incarnation of the target.
     target: str
@@ -31,9 +31,9 @@
 
 @frozen
 class PermitAnswered:
-    """The coordinator's answer to one question."""
+    """The coordinator's answer to one query."""
 
-    #: Number of the question.
+    #: Number of the query.
     number: int
     #: Whether the request may be sent.
     is_granted: bool
@@ -49,7 +49,7 @@
 class RoomReported:
     """A daemon has other requests open at a target than before."""
 
-    #: Number of the report, of the same sequence as those of questions.
+    #: Number of the report, of the same sequence as those of queries.
     number: int
     #: Incarnation of the target.
     target: str
--- a/kingcuphead/permits/_ranking.py
+++ b/kingcuphead/permits/_ranking.py
@@ -2,8 +2,8 @@
 
 All daemons rank each other for a target by rendezvous hashing, and ask the first one
 that answers. Two daemons may take themselves for the coordinator while their lists of
-daemons differ, or when one of them is slow to answer. So a daemon grants the whole of
-what the target takes only if it is certain to be the only one.
+daemons differ, or when one of them is slow to answer. So a daemon grants the whole
+limit of the target only if it is certain to be the only one.
 """
 
 import hashlib
@@ -23,7 +23,7 @@
 #: Seconds between two probes of one daemon.
 PROBE_INTERVAL = 0.5
 #: Share that a daemon grants while another one may grant the whole. With it the two
-#: together stay below one and a half times of what the target takes.
+#: together stay below one and a half times the target's limit.
 UNCERTAIN_SHARE = 0.4
 #: Sum of the shares of daemons that don't hear of each other; the rest is for the one
 #: that has not noticed yet that the others no longer ask it.
@@ -109,7 +109,7 @@
         """Record that this daemon is in the list of another one."""
         self._confirmed.add(sender)
 
-    def record_question(self, receiver: Address, now: float) -> None:
+    def record_query(self, receiver: Address, now: float) -> None:
         """Record that a daemon was asked something; it is silent until it answers."""
         self._silent_since.setdefault(receiver, now)
 
@@ -130,7 +130,7 @@
         return self._own_address
 
     def compute_share(self, target: str, is_asked: bool, now: float) -> float:
-        """Return the share of what a target takes that this daemon may grant.
+        """Return the share of the target's limit that this daemon may grant.
 
         Parameters
         ----------
@@ -156,7 +156,7 @@
             return UNCERTAIN_SHARE
         return 1.0
 
-    def list_holders(self, target: str, count: int) -> tuple[Address, ...]:
+    def list_owners(self, target: str, count: int) -> tuple[Address, ...]:
         """Return the daemons to ask for permits of a cold target, in order."""
         return self._rank(target)[:count]
 
@@ -260,7 +260,7 @@
         if now - self._probed_at.get(address, float("-inf")) < PROBE_INTERVAL:
             return
         self._probed_at[address] = now
-        self.record_question(address, now)
+        self.record_query(address, now)
         self._probe(address)
 
     def _rank(self, target: str) -> tuple[Address, ...]:
--- a/kingcuphead/permits/tests/_cold_fleet.py
+++ b/kingcuphead/permits/tests/_cold_fleet.py
@@ -90,7 +90,7 @@
         #: When requests reached the target, in seconds.
         self.sent_at = []
         #: Number of permits that were asked for.
-        self.questions = 0
+        self.queries = 0
         self._tasks = set()
         for number in range(size):
             self.add(number)
@@ -110,11 +110,11 @@
         daemon.task = self._start(daemon.exchange.run())
         return daemon
 
-    def list_holders(self):
+    def list_owners(self):
         """Return the daemons in the order of the target, by the list in the store."""
         reader = next(each for each in self.daemons.values() if each.has_store)
         ranking = reader.exchange.ranking
-        ranks = ranking.list_holders(TARGET.name, len(self.listed))
+        ranks = ranking.list_owners(TARGET.name, len(self.listed))
         return [self.daemons[each] for each in ranks if each in self.daemons]
 
     def kill(self, daemon):
@@ -124,7 +124,7 @@
 
     def send(self, sender, message, receiver_address):
         """Deliver a datagram unless its receiver can't be reached."""
-        self.questions += isinstance(message, PermitAsked)
+        self.queries += isinstance(message, PermitAsked)
         delay = self.rng.uniform(*DATAGRAM_DELAY)
         loop = asyncio.get_running_loop()
         loop.call_later(delay, self._deliver, sender, message, receiver_address)
--- a/kingcuphead/permits/tests/_simulation.py
+++ b/kingcuphead/permits/tests/_simulation.py
@@ -66,7 +66,7 @@
                 decision = other.decide(terms, is_asked=True)
                 self.ranking.record_message(address, now)
                 return decision
-            self.ranking.record_question(address, now - ANSWER_TIMEOUT)
+            self.ranking.record_query(address, now - ANSWER_TIMEOUT)
         return self.decide(terms, is_asked=False)
 
     def _probe(self, address):
--- a/kingcuphead/permits/tests/test_cold_fleet.py
+++ b/kingcuphead/permits/tests/test_cold_fleet.py
@@ -58,7 +58,7 @@
     def test_while_the_coordinator_dies(self, limit, seed):
         async def scenario(fleet):
             await fleet.run(4)
-            fleet.kill(fleet.list_holders()[0])
+            fleet.kill(fleet.list_owners()[0])
             died_at = fleet.now
             await fleet.run(12)
             assert fleet.count_since(died_at)
@@ -71,7 +71,7 @@
         async def scenario(fleet):
             fleet.is_cold = False
             await fleet.run(4)
-            for daemon in fleet.list_holders()[1:4]:
+            for daemon in fleet.list_owners()[1:4]:
                 fleet.kill(daemon)
             await fleet.run(4)
             fleet.sent_at.clear()
@@ -86,7 +86,7 @@
 
         async def scenario(fleet):
             restarted = dataclasses.replace(TARGET, started_at_ms=2)
-            for daemon in fleet.list_holders()[::2]:
+            for daemon in fleet.list_owners()[::2]:
                 daemon.target = restarted
             await fleet.run(8)
 
@@ -97,7 +97,7 @@
 
         async def scenario(fleet):
             await fleet.run(4)
-            for number, daemon in enumerate(fleet.list_holders()):
+            for number, daemon in enumerate(fleet.list_owners()):
                 daemon.group = number % 3
             await fleet.run(10)
             for daemon in fleet.daemons.values():
@@ -126,11 +126,11 @@
 
         async def scenario(fleet):
             await fleet.run(4)
-            cut_off = set(fleet.list_holders()[: SIZE // 2])
+            cut_off = set(fleet.list_owners()[: SIZE // 2])
             for daemon in cut_off:
                 daemon.group, daemon.has_store = 1, False
             number = SIZE
-            while fleet.list_holders()[0] in cut_off:
+            while fleet.list_owners()[0] in cut_off:
                 fleet.add(number)
                 for daemon in fleet.daemons.values():
                     daemon.poll()
@@ -148,7 +148,7 @@
             fleet.is_cold = False
             await fleet.run(2)
             assert fleet.sent_at
-            assert not fleet.questions
+            assert not fleet.queries
 
         run(scenario_of(scenario))
 
@@ -157,7 +157,7 @@
 
         async def scenario(fleet):
             fleet.is_cold = False
-            for daemon in fleet.list_holders()[3:]:
+            for daemon in fleet.list_owners()[3:]:
                 daemon.has_store = False
             await fleet.run(4)
             assert len(fleet.sent_at) > 10 * (ALLOWED_RATIO * 4 + ALLOWED_EXTRA)
--- a/kingcuphead/permits/tests/test_memory.py
+++ b/kingcuphead/permits/tests/test_memory.py
@@ -16,7 +16,7 @@
     COORDINATOR_SHARE,
     REORDERING_PERIOD,
     REPORT_LIFETIME,
-    MemoryAccount,
+    EngineMemory,
     compute_memory_share,
 )
 from kingcuphead.permits._memory_reports import MemoryReports
@@ -33,7 +33,7 @@
 
     @pytest.mark.parametrize("others, has_room", [(500, True), (501, False)])
     def test_tokens_of_all_daemons_count(self, others, has_room):
-        account = MemoryAccount()
+        account = EngineMemory()
         account.record("b", others, 1, 0.0)
         assert self.has_room(account, 300) is has_room
 
@@ -41,25 +41,25 @@
         "own, others, has_room", [(0, 0, True), (1, 0, False), (0, 1, False)]
     )
     def test_a_single_request_may_take_the_whole_memory(self, own, others, has_room):
-        account = MemoryAccount()
+        account = EngineMemory()
         account.record("a", own, 1, 0.0)
         account.record("b", others, 1, 0.0)
         assert self.has_room(account, CAPACITY) is has_room
 
     def test_a_late_report_changes_nothing(self):
-        account = MemoryAccount()
+        account = EngineMemory()
         account.record("b", 700, 2, 0.0)
         account.record("b", 0, 1, 0.1)
         assert account.count_tokens(0.1) == 700
 
     def test_a_restarted_daemon_reports_with_low_numbers(self):
-        account = MemoryAccount()
+        account = EngineMemory()
         account.record("b", 700, 90, 0.0)
         account.record("b", 10, 1, REORDERING_PERIOD)
         assert account.count_tokens(REORDERING_PERIOD) == 10
 
     def test_the_tokens_of_a_daemon_that_is_silent_expire(self):
-        account = MemoryAccount()
+        account = EngineMemory()
         account.record("b", 700, 1, 0.0)
         assert account.count_tokens(REPORT_LIFETIME) == 700
         assert account.count_tokens(REPORT_LIFETIME + 0.1) == 0
