Forwarding: RequestMemory and its reservations, ranks of ends as an enum

Behaviour is unchanged. Result: all tests of forwarding, and entry's test_caller_server, test_http_caller, test_metrics and test_capacity pass (264 tests).

--- a/kingcuphead/entry/_assembly.py
+++ b/kingcuphead/entry/_assembly.py
@@ -5,7 +5,7 @@
 from kingcuphead.admission import AdmissionGate, QueueBounds, bound_memory
 from kingcuphead.dispatch import Dispatcher, DispatchSettings, RetryAllowance
 from kingcuphead.entry._metrics import DaemonMetrics
-from kingcuphead.forwarding import MemoryAccount, get_account_limit
+from kingcuphead.forwarding import RequestMemory, get_account_limit
 from kingcuphead.loads import PeerLoads
 from kingcuphead.platform import Profile
 
@@ -49,7 +49,7 @@
     return AdmissionGate(dispatcher, bounds)
 
 
-def make_memory_account(profile: Profile, metrics: DaemonMetrics) -> MemoryAccount:
+def make_request_memory(profile: Profile, metrics: DaemonMetrics) -> RequestMemory:
     """Return the account of the bytes held for requests.
 
     Parameters
@@ -60,8 +60,8 @@
         Exposes the bytes, and counts the requests that are ended.
     """
     if not profile.is_constrained:
-        return MemoryAccount()
-    account = MemoryAccount(
+        return RequestMemory()
+    account = RequestMemory(
         get_account_limit(profile.limits.memory_bytes),
         covers_requests=True,
         report_end=metrics.record_memory_end,
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -27,11 +27,11 @@
 )
 from kingcuphead.entry._http_caller import HttpCaller
 from kingcuphead.forwarding import (
-    Holding,
-    MemoryAccount,
+    MemoryReservation,
     OutOfMemoryError,
     Refusal,
     RequestForwarder,
+    RequestMemory,
     refuse,
 )
 from kingcuphead.platform import decode_request, make_refusal_headers
@@ -70,7 +70,7 @@
     def __init__(
         self,
         forwarder: RequestForwarder,
-        memory: MemoryAccount,
+        memory: RequestMemory,
         connections: CallerConnections,
     ) -> None:
         self._forwarder = forwarder
@@ -153,14 +153,14 @@
         refusal: Refusal | None
         try:
             match decode_request(start_line, headers, body, now):
-                case Result(tag="ok", ok=request) if caller.holding.is_ended:
+                case Result(tag="ok", ok=request) if caller.reservation.is_ended:
                     request_id = request.request_id
                     refusal = refuse(503, Reason.MEMORY_FULL, MEMORY_RETRY_AFTER)
                 case Result(tag="ok", ok=request) if self._is_closing:
                     request_id = request.request_id
                     refusal = refuse(503, Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
                 case Result(tag="ok", ok=request):
-                    request_id = caller.holding.request_id = request.request_id
+                    request_id = caller.reservation.request_id = request.request_id
                     refusal = await self._forwarder.serve(request, caller)
                 case Result(error=cause):
                     logger.warning("cannot decode request: {}", cause)
@@ -176,7 +176,7 @@
             )
             caller.abort()
         finally:
-            caller.holding.close()
+            caller.reservation.close()
 
 
 class _RequestReader(HTTPMessageDelegate):
@@ -185,20 +185,20 @@
     def __init__(
         self,
         connection: HTTP1Connection,
-        holding: Holding,
+        reservation: MemoryReservation,
         traffic: CallerConnection,
         start_task: Callable[
             [HttpCaller, RequestStartLine, HTTPHeaders, bytes], asyncio.Task[None]
         ],
     ) -> None:
         self._connection = connection
-        self._holding = holding
+        self._reservation = reservation
         self._traffic = traffic
         self._start_task = start_task
         self._start_line: RequestStartLine | None = None
         self._headers = HTTPHeaders()
         self._chunks: list[bytes] = []
-        holding.on_end = self._chunks.clear
+        reservation.on_end = self._chunks.clear
 
     def headers_received(
         self, start_line: RequestStartLine | ResponseStartLine, headers: HTTPHeaders
@@ -213,24 +213,24 @@
         """Store a part of the body, unless there is no memory for it."""
         self._traffic.record_received(len(chunk))
         with contextlib.suppress(OutOfMemoryError):
-            self._holding.take_request_bytes(len(chunk))
+            self._reservation.take_request_bytes(len(chunk))
             self._chunks.append(chunk)
 
     def finish(self) -> None:
         """Start serving the complete request."""
-        self._holding.on_end = None
+        self._reservation.on_end = None
         if self._start_line is None:
             return
         body = b"".join(self._chunks)
         self._chunks.clear()
-        caller = HttpCaller(self._connection, self._holding, self._traffic)
+        caller = HttpCaller(self._connection, self._reservation, self._traffic)
         task = self._start_task(caller, self._start_line, self._headers, body)
         self._connection.set_close_callback(lambda: _cancel(task))
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
         self._chunks.clear()
-        self._holding.close()
+        self._reservation.close()
 
 
 def _send_refusal(caller: HttpCaller, request_id: str, refusal: Refusal) -> None:
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -14,7 +14,7 @@
 from kingcuphead.entry._assembly import (
     make_admission,
     make_dispatcher,
-    make_memory_account,
+    make_request_memory,
     make_retries,
 )
 from kingcuphead.entry._caller_server import CallerServer
@@ -165,7 +165,7 @@
     def _make_caller_server(self) -> CallerServer:
         return CallerServer(
             self._forwarder,
-            make_memory_account(self._profile, self._metrics),
+            make_request_memory(self._profile, self._metrics),
             self._links.capacity.connections,
         )
 
--- a/kingcuphead/entry/_http_caller.py
+++ b/kingcuphead/entry/_http_caller.py
@@ -9,7 +9,7 @@
 from tornado.iostream import StreamClosedError
 
 from kingcuphead.capacity import MESSAGE_OVERHEAD_BYTES, CallerConnection
-from kingcuphead.forwarding import STREAM_BUFFER_BYTES, Holding
+from kingcuphead.forwarding import STREAM_BUFFER_BYTES, MemoryReservation
 
 #: Largest part of a body in bytes that is copied in order to send it with the head.
 MAX_JOINED_BYTES = 65_536
@@ -28,7 +28,7 @@
     ----------
     connection
         Connection on which the request arrived.
-    holding
+    reservation
         Counts the bytes held for the request.
     traffic
         Counts the bytes of the connection and tells whether it should close.
@@ -37,7 +37,7 @@
     def __init__(
         self,
         connection: HTTP1Connection,
-        holding: Holding,
+        reservation: MemoryReservation,
         traffic: CallerConnection,
     ) -> None:
         self._connection = connection
@@ -49,7 +49,7 @@
         self._unsent_bytes = 0
         self._written_blocks = 0
         #: Counts the bytes held for the request.
-        self.holding = holding
+        self.reservation = reservation
         #: Whether the status and the headers were set.
         self.is_started = False
 
@@ -58,10 +58,10 @@
         """Whether the caller has to read before more is sent."""
         if not self._connection.stream.writing():
             return False
-        if not self.holding.account.covers_requests:
+        if not self.reservation.account.covers_requests:
             return True
         is_full = self._unsent_bytes >= STREAM_BUFFER_BYTES
-        return is_full and self.holding.account.holds_back_streams
+        return is_full and self.reservation.account.applies_backpressure
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Set the status line and the headers of the answer."""
@@ -110,13 +110,13 @@
         stream = self._connection.stream
         if not stream.writing():
             return
-        self.holding.on_end = self.abort
+        self.reservation.on_end = self.abort
         stream.socket.setsockopt(
             socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNREAD_TIMEOUT_MS
         )
         while stream.writing():
             await self._wait_for_write()
-        self.holding.on_end = None
+        self.reservation.on_end = None
 
     def finish(self) -> None:
         """Complete the answer; the rest of it is sent as the caller reads."""
@@ -167,7 +167,7 @@
             self._buffer(data[sent:])
 
     def _buffer(self, data: bytes) -> None:
-        self.holding.take_request_bytes(len(data))
+        self.reservation.take_request_bytes(len(data))
         self._unsent_bytes += len(data)
         self._backlog += data
         if not self._written_blocks:
@@ -186,6 +186,6 @@
     def _handle_written(self, size: int) -> None:
         self._unsent_bytes -= size
         self._written_blocks -= 1
-        self.holding.release_request_bytes(size)
+        self.reservation.release_request_bytes(size)
         if not self._connection.stream.closed():
             self._write_backlog()
--- a/kingcuphead/entry/tests/_played_daemons.py
+++ b/kingcuphead/entry/tests/_played_daemons.py
@@ -9,10 +9,10 @@
 from kingcuphead.entry._daemon import EntryDaemon
 from kingcuphead.forwarding import (
     CallerRequest,
-    MemoryAccount,
     PromptPart,
     PromptSize,
     Refusal,
+    RequestMemory,
 )
 from kingcuphead.forwarding._attempt import StreamDelivered
 from kingcuphead.forwarding._events import Event
@@ -119,7 +119,7 @@
     is_congested = False
 
     def __init__(self):
-        self.holding = MemoryAccount().open()
+        self.reservation = RequestMemory().open()
         self.started_at = 0.0
 
     @property
--- a/kingcuphead/entry/tests/test_caller_server.py
+++ b/kingcuphead/entry/tests/test_caller_server.py
@@ -4,7 +4,7 @@
 
 from kingcuphead.capacity import CallerConnections
 from kingcuphead.entry._caller_server import CallerServer
-from kingcuphead.forwarding import MemoryAccount, RequestForwarder
+from kingcuphead.forwarding import RequestForwarder, RequestMemory
 from kingcuphead.routing import CallerLimits
 
 
@@ -40,7 +40,7 @@
 def run(scenario):
     async def main():
         forwarder = EchoForwarder()
-        server = CallerServer(forwarder, MemoryAccount(), CallerConnections())
+        server = CallerServer(forwarder, RequestMemory(), CallerConnections())
         server.apply_limits(CallerLimits(body_bytes=1_000))
         server.listen("127.0.0.1", 0)
         (socket,) = server._server._sockets.values()
--- a/kingcuphead/entry/tests/test_http_caller.py
+++ b/kingcuphead/entry/tests/test_http_caller.py
@@ -4,7 +4,7 @@
 
 from kingcuphead.capacity import CallerConnection
 from kingcuphead.entry._http_caller import HttpCaller
-from kingcuphead.forwarding import MemoryAccount
+from kingcuphead.forwarding import RequestMemory
 
 
 class FakeStream:
@@ -69,7 +69,7 @@
     def run(self, scenario):
         async def main():
             stream = FakeStream()
-            account = MemoryAccount(1_000, covers_requests=True)
+            account = RequestMemory(1_000, covers_requests=True)
             connection = FakeConnection(stream)
             caller = HttpCaller(connection, account.open(), CallerConnection(""))  # type: ignore[arg-type]
             caller.start(200, HTTPHeaders())
--- a/kingcuphead/entry/tests/test_slow_callers.py
+++ b/kingcuphead/entry/tests/test_slow_callers.py
@@ -6,7 +6,7 @@
 
 from kingcuphead.capacity import CallerConnections
 from kingcuphead.entry._caller_server import CallerServer
-from kingcuphead.forwarding import MemoryAccount, get_account_limit
+from kingcuphead.forwarding import RequestMemory, get_account_limit
 from kingcuphead.forwarding.tests._harness import ONCE, STREAM, Harness, make_route
 from kingcuphead.forwarding.tests._target import ScriptedTarget
 from kingcuphead.routing import CallerLimits
@@ -195,7 +195,7 @@
 
 def make_account(limit=None, ends=None):
     report = (lambda: None) if ends is None else (lambda: ends.append(1))
-    return MemoryAccount(limit or get_account_limit(MEMORY_BYTES), True, report)
+    return RequestMemory(limit or get_account_limit(MEMORY_BYTES), True, report)
 
 
 class TestSlowCallers:
@@ -249,7 +249,7 @@
         run(scenario, memory)
 
     @pytest.mark.parametrize("version", ["HTTP/1.1", "HTTP/1.0"])
-    @pytest.mark.parametrize("memory", [make_account(), MemoryAccount()])
+    @pytest.mark.parametrize("memory", [make_account(), RequestMemory()])
     @pytest.mark.parametrize(
         ("path", "events"),
         [("/stream/large", make_events()), ("/stream/small", make_small_events())],
@@ -294,7 +294,7 @@
 
         run(scenario, memory)
 
-    @pytest.mark.parametrize("memory", [make_account(), MemoryAccount()])
+    @pytest.mark.parametrize("memory", [make_account(), RequestMemory()])
     def test_a_ready_answer_is_delivered_after_the_deadline(self, memory):
         """Guards against a refusal that follows the answer on its connection."""
 
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -12,9 +12,9 @@
 from kingcuphead.forwarding._forwarder import RequestForwarder
 from kingcuphead.forwarding._memory import (
     STREAM_BUFFER_BYTES,
-    Holding,
-    MemoryAccount,
+    MemoryReservation,
     OutOfMemoryError,
+    RequestMemory,
     get_account_limit,
 )
 from kingcuphead.forwarding._messages import (
@@ -46,8 +46,8 @@
     "EvidenceRecorder",
     "HeaderCodec",
     "HedgeRecord",
-    "Holding",
-    "MemoryAccount",
+    "MemoryReservation",
+    "RequestMemory",
     "OutOfMemoryError",
     "PromptPart",
     "PromptSize",
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -9,7 +9,7 @@
 from kingcuphead.dispatch import AttemptResult
 from kingcuphead.forwarding._answer_parser import AnswerEnd
 from kingcuphead.forwarding._connection import TargetAnswer
-from kingcuphead.forwarding._memory import Holding, OutOfMemoryError
+from kingcuphead.forwarding._memory import MemoryReservation, OutOfMemoryError
 from kingcuphead.forwarding._messages import (
     Address,
     AnswerHead,
@@ -78,7 +78,7 @@
     #: Request of the caller.
     request: CallerRequest
     #: Counts the bytes held for the request.
-    holding: Holding
+    reservation: MemoryReservation
     #: Values that this fleet adds to the request.
     options: SendOptions
     #: Address of the target as `IP:port`.
@@ -199,7 +199,7 @@
         if head.is_not_run:
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(
-                    _discard_body(answer, attempt.holding), CONNECT_TIMEOUT
+                    _discard_body(answer, attempt.reservation), CONNECT_TIMEOUT
                 )
             return AttemptFailed(
                 AttemptResult.REFUSED,
@@ -209,7 +209,7 @@
             )
         if head.is_success and stream is not None:
             return await _read_stream(attempt, answer, head, stream)
-        return await _read_whole(answer, head, attempt.holding)
+        return await _read_whole(answer, head, attempt.reservation)
 
 
 def _find_fault(attempt: Attempt, head: AnswerHead) -> AttemptFailed | None:
@@ -266,9 +266,9 @@
 
 
 async def _read_whole(
-    answer: TargetAnswer, head: AnswerHead, holding: Holding
+    answer: TargetAnswer, head: AnswerHead, reservation: MemoryReservation
 ) -> AttemptEnd:
-    body = await _read_body(answer, holding)
+    body = await _read_body(answer, reservation)
     if body is None:
         return _make_broken_failure("the answer is too large")
     if answer.end is AnswerEnd.BROKEN:
@@ -276,7 +276,9 @@
     return Answered(head, body)
 
 
-async def _read_body(answer: TargetAnswer, holding: Holding) -> bytes | None:
+async def _read_body(
+    answer: TargetAnswer, reservation: MemoryReservation
+) -> bytes | None:
     """Collect a body; None if it is larger than its bound or than the memory left.
 
     Its bytes count on where the account covers requests.
@@ -293,25 +295,25 @@
         async for block in answer.iterate_blocks():
             if size + len(block) > MAX_ANSWER_BYTES:
                 return None
-            holding.take(len(block))
+            reservation.take(len(block))
             blocks.append(block)
             size += len(block)
         is_kept = answer.end is not AnswerEnd.BROKEN
         return b"".join(blocks)
     except OutOfMemoryError:
-        if holding.is_ended:
+        if reservation.is_ended:
             raise
         return None
     finally:
-        if not is_kept or not holding.account.covers_requests:
-            holding.release(size)
+        if not is_kept or not reservation.account.covers_requests:
+            reservation.release(size)
 
 
-async def _discard_body(answer: TargetAnswer, holding: Holding) -> None:
+async def _discard_body(answer: TargetAnswer, reservation: MemoryReservation) -> None:
     """Read a body that nobody needs, so that the connection can be used again."""
-    body = await _read_body(answer, holding)
+    body = await _read_body(answer, reservation)
     if body is not None and answer.end is not AnswerEnd.BROKEN:
-        holding.release_request_bytes(len(body))
+        reservation.release_request_bytes(len(body))
 
 
 async def _read_stream(
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -17,7 +17,7 @@
 from kingcuphead.forwarding._context import AttemptRecord, RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EndedAttempt
-from kingcuphead.forwarding._memory import Holding
+from kingcuphead.forwarding._memory import MemoryReservation
 from kingcuphead.forwarding._messages import (
     Address,
     AnswerHead,
@@ -74,7 +74,7 @@
         self,
         context: RequestContext,
         placement: Placement,
-        holding: Holding,
+        reservation: MemoryReservation,
         stream: AnswerStream | None,
         report_first_event: Callable[[], None] = lambda: None,
     ) -> AttemptEnd:
@@ -86,7 +86,7 @@
             Request, which keeps what the attempt shows.
         placement
             Choice of the target.
-        holding
+        reservation
             Counts the bytes held for the request.
         stream
             Receives the events; None for an answer that is returned when complete.
@@ -102,7 +102,7 @@
         context.possible_runs += 1
         end: AttemptEnd | None = None
         try:
-            attempt = self._make_attempt(context, placement, path, holding, stream)
+            attempt = self._make_attempt(context, placement, path, reservation, stream)
             end = await self._dependencies.runner.run(attempt, events)
         finally:
             if events is not None:
@@ -110,15 +110,24 @@
             seconds = get_time() - started_at
             self._record_attempt(context, placement, path, end, seconds)
             checked = self._record_evidence(context, placement, end, events)
-        match end:
-            case AttemptFailed(execution=Execution.NOT_RUN):
-                context.possible_runs -= 1
-            case AttemptFailed(is_connection_lost=True) if checked is not None:
-                await _wait_briefly(checked)
-        if isinstance(end, AttemptFailed) and end.is_misdirected:
-            self._dependencies.directory.mark_replaced(placement.target)
+        if isinstance(end, AttemptFailed):
+            await self._apply_failure(context, placement, end, checked)
         return end
 
+    async def _apply_failure(
+        self,
+        context: RequestContext,
+        placement: Placement,
+        failure: AttemptFailed,
+        checked: asyncio.Event | None,
+    ) -> None:
+        if failure.execution is Execution.NOT_RUN:
+            context.possible_runs -= 1
+        elif failure.is_connection_lost and checked is not None:
+            await _wait_briefly(checked)
+        if failure.is_misdirected:
+            self._dependencies.directory.mark_replaced(placement.target)
+
     def _begin_events(
         self,
         context: RequestContext,
@@ -181,7 +190,7 @@
         context: RequestContext,
         placement: Placement,
         path: AttemptPath,
-        holding: Holding,
+        reservation: MemoryReservation,
         stream: AnswerStream | None,
     ) -> Attempt:
         now = get_time()
@@ -198,7 +207,7 @@
         timeout = FIRST_BYTE_TIMEOUT_OBJECTIVES * context.route.objective
         return Attempt(
             request=context.request,
-            holding=holding,
+            reservation=reservation,
             options=options,
             address=placement.target.address,
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
--- a/kingcuphead/forwarding/_attempt_race.py
+++ b/kingcuphead/forwarding/_attempt_race.py
@@ -1,6 +1,7 @@
 """Runs attempts of one request at the same time, of which one wins."""
 
 import asyncio
+import enum
 from collections.abc import Callable
 from typing import Any
 
@@ -20,7 +21,7 @@
 from kingcuphead.forwarding._attempt_driver import AttemptDriver
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
-from kingcuphead.forwarding._memory import Holding
+from kingcuphead.forwarding._memory import MemoryReservation
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.routing import RequestKind
 from kingcuphead.verdict import Execution
@@ -39,7 +40,7 @@
         Measures the attempts.
     context
         Request, which keeps what the attempts show.
-    holding
+    reservation
         Counts the bytes held for the request.
     stream
         Receives the events; None for an answer that is returned when complete.
@@ -52,14 +53,14 @@
         attempts: AttemptDriver,
         policy: HedgingPolicy,
         context: RequestContext,
-        holding: Holding,
+        reservation: MemoryReservation,
         stream: AnswerStream | None,
         withdraw: Callable[[Placement], None],
     ) -> None:
         self._attempts = attempts
         self._policy = policy
         self._context = context
-        self._holding = holding
+        self._reservation = reservation
         self._stream = stream
         self._withdraw = withdraw
         self._tasks: list[asyncio.Task[AttemptEnd]] = []
@@ -102,7 +103,7 @@
             end = await self._attempts.run(
                 self._context,
                 placement,
-                self._holding,
+                self._reservation,
                 self._stream,
                 handle_first_event,
             )
@@ -133,7 +134,7 @@
                 if self._sender is None:
                     self._record_winner(winner, has_loser=bool(running))
                 return self._use(winner)
-        return self._use(max(self._tasks, key=lambda task: _rate_end(task.result())))
+        return self._use(max(self._tasks, key=lambda task: _rank_end(task.result())))
 
     async def cancel(self) -> None:
         """End the attempts that still run; their connections are closed."""
@@ -187,10 +188,23 @@
                 continue
             match task.result() if task.exception() is None else None:
                 case Answered(body=body):
-                    self._holding.release_request_bytes(len(body))
+                    self._reservation.release_request_bytes(len(body))
         return used.result()
 
 
+class _EndRank(enum.IntEnum):
+    """How much an unusable end of an attempt tells; the highest rank tells most."""
+
+    #: The target has not run the request.
+    NOT_RUN = 0
+    #: The target may have run the request.
+    MAY_HAVE_RUN = 1
+    #: The target sent nothing in time. A retry has been counted for it, which is used.
+    SILENT = 2
+    #: The target answered.
+    ANSWERED = 3
+
+
 class _AttemptTiming:
     """Records once how long an attempt took to its first event or its end.
 
@@ -247,17 +261,13 @@
     return classify_end(end) is AttemptResult.ANSWERED
 
 
-def _rate_end(end: AttemptEnd) -> int:
-    """Return how much an end tells, of attempts none of which was usable.
-
-    After an abandoned attempt a retry has been counted, which is then used.
-    """
+def _rank_end(end: AttemptEnd) -> _EndRank:
     match end:
         case Answered() | StreamDelivered():
-            return 3
+            return _EndRank.ANSWERED
         case AttemptFailed(result=AttemptResult.SILENT):
-            return 2
+            return _EndRank.SILENT
         case AttemptFailed(execution=Execution.MAY_HAVE_RUN):
-            return 1
+            return _EndRank.MAY_HAVE_RUN
         case AttemptFailed():
-            return 0
+            return _EndRank.NOT_RUN
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -156,7 +156,7 @@
         try:
             return await self._serve_until_deadline(context, caller, stream)
         finally:
-            caller.holding.on_end = None
+            caller.reservation.on_end = None
             if stream is not None and stream.is_started:
                 started_after = stream.started_at - context.request.arrived_at
                 context.first_event_seconds = round(started_after, 3)
@@ -169,14 +169,14 @@
         """Run attempts until the deadline, or until the memory is needed elsewhere."""
         try:
             async with asyncio.timeout_at(context.deadline) as scope:
-                if caller.holding.is_ended:
+                if caller.reservation.is_ended:
                     raise OutOfMemoryError
-                caller.holding.on_end = lambda: _expire(scope)
+                caller.reservation.on_end = lambda: _expire(scope)
                 return await self._run_attempts(context, caller, stream)
         except OutOfMemoryError:
             return self._refuse_without_memory(context, caller)
         except TimeoutError:
-            if caller.holding.is_ended:
+            if caller.reservation.is_ended:
                 return self._refuse_without_memory(context, caller)
             return self._time_out(context, caller)
 
@@ -239,13 +239,15 @@
             placement = await self._targets.place(context)
             if placement is None:
                 return self._abandon(context, caller, stream)
-            end = await self._attempts.run(context, placement, caller.holding, stream)
+            end = await self._attempts.run(
+                context, placement, caller.reservation, stream
+            )
             match end:
                 case StreamDelivered():
                     context.status = 200
                     return None
                 case Answered() if self._retries.claim_after_answer(context, end):
-                    caller.holding.release_request_bytes(len(end.body))
+                    caller.reservation.release_request_bytes(len(end.body))
                 case Answered() if stream is not None and stream.is_started:
                     # Events of another target precede it, so the head and the body of
                     # this answer can't be sent any more.
--- a/kingcuphead/forwarding/_hedged_attempts.py
+++ b/kingcuphead/forwarding/_hedged_attempts.py
@@ -14,7 +14,7 @@
 from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import HedgeRecord, RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
-from kingcuphead.forwarding._memory import Holding
+from kingcuphead.forwarding._memory import MemoryReservation
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.forwarding._target_choice import TargetChoice
 
@@ -43,7 +43,7 @@
         self,
         context: RequestContext,
         placement: Placement,
-        holding: Holding,
+        reservation: MemoryReservation,
         stream: AnswerStream | None,
     ) -> AttemptEnd:
         """Send a request to the chosen target, and to another one if that takes long.
@@ -54,7 +54,7 @@
             Request, which keeps what the attempts show.
         placement
             Choice of the first target.
-        holding
+        reservation
             Counts the bytes held for the request.
         stream
             Receives the events; None for an answer that is returned when complete.
@@ -62,9 +62,9 @@
         policy = self._dependencies.hedging
         has_begun = stream is not None and stream.has_begun
         if policy is None or not policy.covers(context.route, has_begun):
-            return await self._attempts.run(context, placement, holding, stream)
+            return await self._attempts.run(context, placement, reservation, stream)
         race = AttemptRace(
-            self._attempts, policy, context, holding, stream, self._targets.withdraw
+            self._attempts, policy, context, reservation, stream, self._targets.withdraw
         )
         delay = policy.get_delay(race.request_class)
         if context.hedge is not None or math.isinf(delay):
--- a/kingcuphead/forwarding/_memory.py
+++ b/kingcuphead/forwarding/_memory.py
@@ -1,4 +1,4 @@
-"""The account of bytes that a daemon holds for its requests."""
+"""Bounds the bytes that a daemon holds for its requests."""
 
 from collections.abc import Callable
 
@@ -17,11 +17,11 @@
 
 
 class OutOfMemoryError(Exception):
-    """The account is full, and no other request holds more bytes."""
+    """The bytes don't fit, or the request was ended to make room for others."""
 
 
-class MemoryAccount:
-    """Counts the bytes held for requests, and ends the largest ones when it is full.
+class RequestMemory:
+    """Account of the bytes held for requests; ends the largest ones when it is full.
 
     Parameters
     ----------
@@ -41,7 +41,7 @@
         report_end: Callable[[], None] = lambda: None,
     ) -> None:
         self._report_end = report_end
-        self._holdings: set[Holding] = set()
+        self._reservations: set[MemoryReservation] = set()
         #: Maximum number of bytes.
         self.limit = limit
         #: Whether bodies and events count too.
@@ -52,56 +52,56 @@
         self.peak = 0
 
     @property
-    def holds_back_streams(self) -> bool:
+    def applies_backpressure(self) -> bool:
         """Whether a stream whose own buffer is full waits for its caller."""
         return not self.covers_requests or self.used >= self.limit * BACKPRESSURE_SHARE
 
-    def open(self, request_id: str = "") -> "Holding":
+    def open(self, request_id: str = "") -> "MemoryReservation":
         """Return the part of one request, which holds no bytes yet."""
-        return Holding(self, request_id)
+        return MemoryReservation(self, request_id)
 
-    def make_room(self, size: int, holding: "Holding") -> bool:
+    def make_room(self, size: int, reservation: "MemoryReservation") -> bool:
         """End larger requests until bytes fit; return whether they do.
 
         Parameters
         ----------
         size
             Number of bytes.
-        holding
+        reservation
             Request that needs them; it is ended if no other one holds more.
         """
         while self.used + size > self.limit:
             if not self.covers_requests:
                 return False
-            largest = max(self._holdings, key=_get_size, default=holding)
-            if largest.size <= holding.size + size:
-                largest = holding
+            largest = max(self._reservations, key=_get_size, default=reservation)
+            if largest.size <= reservation.size + size:
+                largest = reservation
             self._end(largest, size)
-            if largest is holding:
+            if largest is reservation:
                 return False
         return True
 
-    def add(self, holding: "Holding", size: int) -> None:
+    def add(self, reservation: "MemoryReservation", size: int) -> None:
         """Count bytes of a request; a negative number gives them back."""
         self.used += size
         self.peak = max(self.peak, self.used)
-        if holding.size:
-            self._holdings.add(holding)
+        if reservation.size:
+            self._reservations.add(reservation)
         else:
-            self._holdings.discard(holding)
+            self._reservations.discard(reservation)
 
-    def _end(self, holding: "Holding", size: int) -> None:
+    def _end(self, reservation: "MemoryReservation", size: int) -> None:
         self._report_end()
         logger.bind(
-            request_id=holding.request_id,
-            bytes_held=holding.size,
+            request_id=reservation.request_id,
+            bytes_held=reservation.size,
             bytes_needed=size,
             bytes_limit=self.limit,
-        ).warning("memory is full; ending the request that holds most")
-        holding.end()
+        ).warning("memory limit of requests reached; ending the largest request")
+        reservation.end()
 
 
-class Holding:
+class MemoryReservation:
     """The bytes held for one request.
 
     Parameters
@@ -112,7 +112,7 @@
         Id of the request, for the log.
     """
 
-    def __init__(self, account: MemoryAccount, request_id: str) -> None:
+    def __init__(self, account: RequestMemory, request_id: str) -> None:
         #: Account that the bytes count in.
         self.account = account
         #: Id of the request, for the log.
@@ -178,5 +178,5 @@
     return int(memory_bytes * ACCOUNT_SHARE)
 
 
-def _get_size(holding: Holding) -> int:
-    return holding.size
+def _get_size(reservation: MemoryReservation) -> int:
+    return reservation.size
--- a/kingcuphead/forwarding/_ports.py
+++ b/kingcuphead/forwarding/_ports.py
@@ -5,7 +5,7 @@
 from tornado.httputil import HTTPHeaders
 
 from kingcuphead.forwarding._connection import TargetConnection
-from kingcuphead.forwarding._memory import Holding
+from kingcuphead.forwarding._memory import MemoryReservation
 from kingcuphead.forwarding._messages import AnswerHead, CallerRequest, SendOptions
 
 
@@ -62,7 +62,7 @@
     """The connection on which a caller receives its answer."""
 
     @property
-    def holding(self) -> Holding:
+    def reservation(self) -> MemoryReservation:
         """Counts the bytes held for the request."""
         ...
 
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -12,8 +12,8 @@
     ConnectionPool,
     Dependencies,
     EvidenceRecorder,
-    MemoryAccount,
     RequestForwarder,
+    RequestMemory,
     TargetWatch,
     connect_to_target,
 )
@@ -75,7 +75,7 @@
     """Records the answer; `end` is `finished` or `aborted` after its end."""
 
     def __init__(self, memory=None):
-        self.holding = (memory or MemoryAccount()).open()
+        self.reservation = (memory or RequestMemory()).open()
         self.status = 0
         self.headers = None
         self.body = b""
@@ -162,7 +162,7 @@
         for target in (self.first, self.second):
             list(self.directory.put(await target.start()))
         self.pool = ConnectionPool(DirectConnector())
-        self.memory = MemoryAccount()
+        self.memory = RequestMemory()
         self.permits = PermitExchange(
             ("10.0.0.1", 1),
             PermitCoordinator(random.Random(1)),
@@ -243,7 +243,7 @@
     async def serve(self, request):
         caller = RecordingCaller(self.memory)
         refusal = await self.forwarder.serve(request, caller)
-        caller.holding.close()
+        caller.reservation.close()
         return caller, refusal
 
 
--- a/kingcuphead/forwarding/tests/test_attempt_race.py
+++ b/kingcuphead/forwarding/tests/test_attempt_race.py
@@ -13,7 +13,7 @@
     PlacementRequest,
     RetryAllowance,
 )
-from kingcuphead.forwarding import HedgeRecord, MemoryAccount, RequestContext
+from kingcuphead.forwarding import HedgeRecord, RequestContext, RequestMemory
 from kingcuphead.forwarding._attempt import Answered, StreamDelivered
 from kingcuphead.forwarding._attempt_driver import AttemptDriver
 from kingcuphead.forwarding._attempt_race import AttemptRace
@@ -53,7 +53,7 @@
         self.ends = {}
 
     async def run(
-        self, context, placement, holding, stream, report_first_event=lambda: None
+        self, context, placement, reservation, stream, report_first_event=lambda: None
     ):
         name = placement.target.name
         self.events[name] = stream.begin_attempt(report_first_event)
@@ -73,7 +73,7 @@
 
     def __init__(self):
         self.driver = ScriptedDriver()
-        self.caller = RecordingCaller(MemoryAccount(covers_requests=True))
+        self.caller = RecordingCaller(RequestMemory(covers_requests=True))
         self.withdrawn: list[Placement] = []
         self.context = RequestContext(
             make_request(STREAM), make_route(STREAM), "pool", None, 9.0, 1
@@ -83,7 +83,7 @@
             self.driver,
             HedgingPolicy(1.0, RetryAllowance(1.0, 120.0, 10.0), True),
             self.context,
-            self.caller.holding,
+            self.caller.reservation,
             AnswerStream(self.caller, 0),
             self.withdrawn.append,
         )
@@ -95,7 +95,7 @@
 
     def end_with_error(self, name):
         """End an attempt with an answer whose body is held in memory."""
-        self.caller.holding.take_request_bytes(4)
+        self.caller.reservation.take_request_bytes(4)
         self.driver.ends[name].set_result(Answered(NOT_FOUND, b"gone"))
 
 
@@ -171,6 +171,6 @@
             play.driver.ends["t2"].set_result(StreamDelivered(HEAD))
             await play.race.wait()
             await play.race.cancel()
-            assert play.caller.holding.size == 0
+            assert play.caller.reservation.size == 0
 
         play(scenario)
--- a/kingcuphead/forwarding/tests/test_memory.py
+++ b/kingcuphead/forwarding/tests/test_memory.py
@@ -4,8 +4,8 @@
 import pytest
 
 from kingcuphead.forwarding import (
-    MemoryAccount,
     OutOfMemoryError,
+    RequestMemory,
     get_account_limit,
 )
 from kingcuphead.forwarding.tests._harness import (
@@ -19,16 +19,16 @@
 from kingcuphead.verdict import Reason
 
 
-def open_holdings(account, *sizes):
-    holdings = [account.open(f"r{number}") for number in range(len(sizes))]
-    for holding, size in zip(holdings, sizes, strict=True):
-        holding.take_request_bytes(size)
-    return holdings
+def open_reservations(account, *sizes):
+    reservations = [account.open(f"r{number}") for number in range(len(sizes))]
+    for reservation, size in zip(reservations, sizes, strict=True):
+        reservation.take_request_bytes(size)
+    return reservations
 
 
 class TestMemoryAccount:
     def test_answers_are_held_up_to_the_limit(self):
-        account = MemoryAccount(limit=100)
+        account = RequestMemory(limit=100)
         first, second = account.open(), account.open()
         first.take(60)
         with pytest.raises(OutOfMemoryError):
@@ -41,9 +41,9 @@
         assert (account.used, account.peak) == (0, 100)
 
     def test_bodies_and_events_count_only_where_the_account_covers_them(self):
-        account = MemoryAccount(limit=100)
-        (holding,) = open_holdings(account, 1_000)
-        holding.release_request_bytes(1_000)
+        account = RequestMemory(limit=100)
+        (reservation,) = open_reservations(account, 1_000)
+        reservation.release_request_bytes(1_000)
         assert account.used == 0
 
     @pytest.mark.parametrize(
@@ -51,20 +51,20 @@
     )
     def test_the_largest_requests_are_ended_first(self, size, ended):
         """A small request must not be ended while a larger one holds the memory."""
-        account = MemoryAccount(100, covers_requests=True)
-        holdings = open_holdings(account, 30, 50, 10)
+        account = RequestMemory(100, covers_requests=True)
+        reservations = open_reservations(account, 30, 50, 10)
         called = []
-        for number, holding in enumerate(holdings):
-            holding.on_end = lambda number=number: called.append(number)
+        for number, reservation in enumerate(reservations):
+            reservation.on_end = lambda number=number: called.append(number)
         with contextlib.suppress(OutOfMemoryError):
-            holdings[2].take(size)
+            reservations[2].take(size)
         assert called == ended
         assert account.peak <= account.limit
 
     def test_a_request_that_holds_most_is_ended_itself(self):
         ends = []
-        account = MemoryAccount(100, True, lambda: ends.append(1))
-        small, large = open_holdings(account, 40, 50)
+        account = RequestMemory(100, True, lambda: ends.append(1))
+        small, large = open_reservations(account, 40, 50)
         with pytest.raises(OutOfMemoryError):
             large.take(20)
         assert (large.is_ended, small.is_ended, ends) == (True, False, [1])
@@ -74,8 +74,8 @@
 
     def test_bytes_are_given_back_once(self):
         """A write that is done after the end of its request gives nothing back."""
-        account = MemoryAccount(100, covers_requests=True)
-        first, second = open_holdings(account, 40, 50)
+        account = RequestMemory(100, covers_requests=True)
+        first, second = open_reservations(account, 40, 50)
         first.close()
         first.release(40)
         second.end()
@@ -83,11 +83,11 @@
         assert account.used == 0
 
     def test_streams_are_held_back_from_half_of_the_limit_on(self):
-        account = MemoryAccount(100, covers_requests=True)
-        (holding,) = open_holdings(account, 49)
-        assert not account.holds_back_streams
-        holding.take(1)
-        assert account.holds_back_streams
+        account = RequestMemory(100, covers_requests=True)
+        (reservation,) = open_reservations(account, 49)
+        assert not account.applies_backpressure
+        reservation.take(1)
+        assert account.applies_backpressure
 
     def test_it_takes_up_a_third_of_the_memory(self):
         assert get_account_limit(160_000_000) == 53_333_333
@@ -110,8 +110,8 @@
         async def scenario(harness):
             events = harness.first.stream([1], is_complete=False)
             harness.first.script = [[*events, 0.5] if steps == "events" else steps]
-            caller = RecordingCaller(MemoryAccount(100, covers_requests=True))
-            asyncio.get_running_loop().call_later(0.1, caller.holding.end)
+            caller = RecordingCaller(RequestMemory(100, covers_requests=True))
+            asyncio.get_running_loop().call_later(0.1, caller.reservation.end)
             refusal = await harness.forwarder.serve(make_request(kind), caller)
             if status is None:
                 assert (refusal, caller.end) == (None, "aborted")
@@ -126,8 +126,8 @@
 
     def test_one_that_was_ended_before_its_first_attempt_has_not_run(self):
         async def scenario(harness):
-            caller = RecordingCaller(MemoryAccount(100, covers_requests=True))
-            caller.holding.end()
+            caller = RecordingCaller(RequestMemory(100, covers_requests=True))
+            caller.reservation.end()
             refusal = await harness.forwarder.serve(make_request(ONCE), caller)
             assert (refusal.status, refusal.reason) == (503, Reason.MEMORY_FULL)
             assert not harness.first.received
@@ -137,7 +137,7 @@
     def test_an_answer_larger_than_the_memory_is_refused_truthfully(self):
         async def scenario(harness):
             harness.first.script = [harness.first.answer("200 OK", b"x" * 1_000)]
-            caller = RecordingCaller(MemoryAccount(100, covers_requests=True))
+            caller = RecordingCaller(RequestMemory(100, covers_requests=True))
             refusal = await harness.forwarder.serve(make_request(ONCE), caller)
             assert (refusal.status, refusal.reason) == (502, Reason.MEMORY_FULL)
 
