One module for the address of a daemon and one for the clock

Cause: Address = tuple[str, int] stood in seven modules and the function that reads the event loop's clock in six. Change: kingcuphead.addresses.Address and kingcuphead.timing.get_time, which the others import. The quarantine keeps its own function, as a parameter there has the same name. Result: mypy passes; tests of timing, datagrams, resumption and paths, and of admission (test_gate), permits (test_gate, test_memory, test_fleet), forwarding (test_forwarder, test_engine_memory, test_admission) and entry (test_capacity, test_metrics) pass (306 tests), as do credit's test_transfer and test_task and entry's test_peers.

--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -20,6 +20,7 @@
 from kingcuphead.admission._service_admission import ServiceAdmission
 from kingcuphead.dispatch import PlacementRequest, RoomCheck
 from kingcuphead.targets import Target
+from kingcuphead.timing import get_time
 from kingcuphead.verdict import Reason
 
 #: Seconds between two checks for room while requests wait.
@@ -101,7 +102,7 @@
         query
             Describes it to the dispatcher.
         """
-        now = _get_time()
+        now = get_time()
         service = self._get_service(request.service)
         candidates = query.list_candidates()
         if not len(service.queue) and self._is_admissible(
@@ -138,7 +139,7 @@
     def close(self) -> None:
         """Refuse all waiting requests, and later ones that would have to wait."""
         self._is_closed = True
-        now = _get_time()
+        now = get_time()
         for service in self._services.values():
             for request in tuple(service.queue.iterate()):
                 service.withdraw(request.request_id, now)
@@ -157,20 +158,20 @@
     ) -> Decision:
         decision: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
         self._waits[request.request_id] = _Wait(query, decision)
-        service.push(request, _get_time())
+        service.push(request, get_time())
         try:
             self._admit_next(request.service)
             if not decision.done():
                 limit = self.bounds.count_requests(candidates)
                 running = self._room.count_own(candidates)
-                now = _get_time()
+                now = get_time()
                 self._refuse(service.review_arrival(request, limit, running, now))
                 self._refuse(self._review_bodies())
                 self._start_timer()
             return await decision
         finally:
             self._waits.pop(request.request_id, None)
-            service.withdraw(request.request_id, _get_time())
+            service.withdraw(request.request_id, get_time())
             if self._in_transit.get(request.service) == request.request_id:
                 # Runs after the caller has counted the request at a target.
                 asyncio.get_running_loop().call_soon(self._end_transit, request)
@@ -183,7 +184,7 @@
         service = self._services.get(name)
         if service is None or not len(service.queue) or name in self._in_transit:
             return
-        now = _get_time()
+        now = get_time()
         full_groups: dict[str, bool] = {}
         request = service.admit(
             lambda each, yields_to_timely: self._has_room(
@@ -287,7 +288,7 @@
                 (each for each in services if len(each.queue)),
                 key=lambda each: max(each.queue.ranks),
             )
-            yield lowest.reject_last(_get_time())
+            yield lowest.reject_last(get_time())
 
     def _refuse(self, rejections: Iterable[Rejection]) -> None:
         for rejection in rejections:
@@ -308,7 +309,7 @@
         try:
             for name, service in self._services.items():
                 self._admit_next(name)
-                self._refuse(service.review(_get_time()))
+                self._refuse(service.review(get_time()))
         finally:
             # A request whose timer has stopped would wait forever.
             if any(len(service.queue) for service in self._services.values()):
@@ -325,7 +326,3 @@
 def _refuse_at_shutdown(request: AdmissionRequest, now: float) -> Refused:
     figures = QueueFigures(0, 0, None, request.last_start - now)
     return Refused(Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER, figures)
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -25,7 +25,7 @@
 from kingcuphead.capacity._shedder import LoadShedder
 from kingcuphead.capacity._traffic import LINK_TRAFFIC
 from kingcuphead.capacity._zone_loads import ZoneLoads
-from kingcuphead.timing import sleep_until_tick
+from kingcuphead.timing import get_time, sleep_until_tick
 
 #: Seconds between two samples of the load.
 SAMPLE_INTERVAL = 0.2
@@ -88,9 +88,7 @@
     @property
     def is_unready(self) -> bool:
         """Whether this daemon accepts no new connections, to shed or deflect load."""
-        return self._shedder is not None and self._shedder.fails_checks(
-            asyncio.get_running_loop().time()
-        )
+        return self._shedder is not None and self._shedder.fails_checks(get_time())
 
     def apply_limits(self, link_mbps: float, is_enabled: bool) -> None:
         """Apply the settings of the process.
@@ -151,12 +149,12 @@
 
     def handle_report(self, report: CapacityReported) -> None:
         """Store a report received from another daemon."""
-        self._zone_loads.apply_report(report, asyncio.get_running_loop().time())
+        self._zone_loads.apply_report(report, get_time())
 
     def record_check(self, is_ready: bool) -> None:
         """Record an answer to a readiness check of the platform."""
         if self._shedder is not None:
-            self._shedder.record_check(is_ready, asyncio.get_running_loop().time())
+            self._shedder.record_check(is_ready, get_time())
 
     def _apply(self, effect: Effect) -> None:
         match effect:
--- a/kingcuphead/credit/_peer_credit.py
+++ b/kingcuphead/credit/_peer_credit.py
@@ -3,6 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
+from kingcuphead.addresses import Address
 from kingcuphead.credit._transfer import UNSTATED, CreditHanded
 from kingcuphead.frozen import frozen
 
@@ -20,8 +21,6 @@
 #: Maximum number of organisations of which statements are kept.
 MAX_ORGANISATIONS = 256
 
-Address = tuple[str, int]
-
 
 @frozen
 class PeerStatement:
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -7,7 +7,6 @@
 from expression import Result
 from loguru import logger
 
-from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._messages import CreditSettings, Shortage
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
 from kingcuphead.credit._reclaimer import Reclaimer
@@ -19,6 +18,7 @@
     Unavailable,
     Unknown,
 )
+from kingcuphead.timing import get_time
 
 #: Seconds before a call to the store that failed is retried.
 RETRY_DELAY_SECONDS = 0.1
--- a/kingcuphead/credit/_stamp_renewal.py
+++ b/kingcuphead/credit/_stamp_renewal.py
@@ -7,9 +7,9 @@
 from expression import Result
 from loguru import logger
 
-from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._ledger import CreditLedger
 from kingcuphead.storage import TablePart, Unavailable, Unknown
+from kingcuphead.timing import get_time
 
 #: Seconds before a call to the store that failed is retried.
 RETRY_DELAY_SECONDS = 0.5
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -5,7 +5,6 @@
 
 from expression import Error, Ok, Result
 
-from kingcuphead.credit._clock import get_time
 from kingcuphead.credit._ledger import CreditLedger
 from kingcuphead.credit._messages import CreditSettings, CreditState, Hold, Shortage
 from kingcuphead.credit._renewal import (
@@ -17,6 +16,7 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.routing import Organisation
 from kingcuphead.storage import TablePart
+from kingcuphead.timing import get_time
 
 #: Seconds without a renewal after which a waiting request tries a credit transfer.
 TRANSFER_DELAY_SECONDS = 0.06
--- a/kingcuphead/credit/_transfer_client.py
+++ b/kingcuphead/credit/_transfer_client.py
@@ -7,10 +7,11 @@
 
 from loguru import logger
 
-from kingcuphead.credit._clock import get_time
-from kingcuphead.credit._peer_credit import Address, PeerStatements, PlannedRequest
+from kingcuphead.addresses import Address
+from kingcuphead.credit._peer_credit import PeerStatements, PlannedRequest
 from kingcuphead.credit._transfer import CreditAsked, CreditHanded, TransferEndpoint
 from kingcuphead.frozen import frozen
+from kingcuphead.timing import get_time
 
 #: Seconds to wait for a reply before the request is sent again or abandoned.
 REPLY_TIMEOUT_SECONDS = 0.04
--- a/kingcuphead/datagrams/__init__.py
+++ b/kingcuphead/datagrams/__init__.py
@@ -7,11 +7,10 @@
     encode_datagram,
 )
 from kingcuphead.datagrams._peers import MAX_RECEIVERS, PeerSender
-from kingcuphead.datagrams._socket import Address, DatagramSocket
+from kingcuphead.datagrams._socket import DatagramSocket
 
 __all__ = [
     "MAX_RECEIVERS",
-    "Address",
     "Datagram",
     "DatagramError",
     "DatagramSocket",
--- a/kingcuphead/datagrams/_peers.py
+++ b/kingcuphead/datagrams/_peers.py
@@ -3,8 +3,9 @@
 import collections
 import random
 
+from kingcuphead.addresses import Address
 from kingcuphead.datagrams._codec import Datagram
-from kingcuphead.datagrams._socket import Address, DatagramSocket
+from kingcuphead.datagrams._socket import DatagramSocket
 
 #: Maximum number of receivers of gossip; in a larger fleet, a random sample of the
 #: daemons receives it.
--- a/kingcuphead/datagrams/_socket.py
+++ b/kingcuphead/datagrams/_socket.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from kingcuphead.addresses import Address
 from kingcuphead.capacity import LINK_TRAFFIC
 from kingcuphead.datagrams._codec import (
     Datagram,
@@ -13,8 +14,6 @@
     encode_datagram,
 )
 
-Address = tuple[str, int]
-
 #: Bytes of the UDP, IP and Ethernet headers of a datagram.
 PACKET_OVERHEAD_BYTES = 46
 
--- a/kingcuphead/dispatch/_dispatcher.py
+++ b/kingcuphead/dispatch/_dispatcher.py
@@ -12,6 +12,7 @@
 from collections import defaultdict
 from collections.abc import Callable, Collection, Iterable, Iterator, Mapping
 
+from kingcuphead.addresses import Address
 from kingcuphead.dispatch._chooser import OptionChooser
 from kingcuphead.dispatch._cold_costs import ColdCosts
 from kingcuphead.dispatch._costs import CostFunction
@@ -26,7 +27,7 @@
 from kingcuphead.dispatch._prefill import PrefillPlanner
 from kingcuphead.dispatch._room import RoomEstimator, ServiceLoad
 from kingcuphead.dispatch._speed import ServiceSpeed, TargetSpeed
-from kingcuphead.dispatch._subset import Address, EngineSubset
+from kingcuphead.dispatch._subset import EngineSubset
 from kingcuphead.dispatch._target_state import Placement, TargetState
 from kingcuphead.loads import PeerLoads, TargetLoad
 from kingcuphead.routing import Service
--- a/kingcuphead/dispatch/_subset.py
+++ b/kingcuphead/dispatch/_subset.py
@@ -4,10 +4,9 @@
 import math
 from collections.abc import Iterable, Sequence
 
+from kingcuphead.addresses import Address
 from kingcuphead.targets import Target
 
-Address = tuple[str, int]
-
 #: Least average number of subsets that an engine is in; a smaller fleet has none.
 MIN_DAEMONS_PER_ENGINE = 3
 
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from kingcuphead.addresses import Address
 from kingcuphead.admission import AdmissionGate
 from kingcuphead.capacity import CapacityExchange, CapacityReported
 from kingcuphead.credit import (
@@ -19,7 +20,6 @@
 )
 from kingcuphead.datagrams import (
     MAX_RECEIVERS,
-    Address,
     Datagram,
     DatagramSocket,
     PeerSender,
--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -8,6 +8,7 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.addresses import Address
 from kingcuphead.platform import Store
 from kingcuphead.storage import Delete, Put, Row, Transaction
 
@@ -16,8 +17,6 @@
 #: Seconds between two polls of the table.
 POLL_INTERVAL = 5.0
 
-Address = tuple[str, int]
-
 
 class DaemonRow(msgspec.Struct, frozen=True):
     """The address at which a daemon receives datagrams."""
--- a/kingcuphead/forwarding/_admission.py
+++ b/kingcuphead/forwarding/_admission.py
@@ -4,12 +4,12 @@
 
 from kingcuphead.admission import AdmissionGate, AdmissionRequest, Admitted, Refused
 from kingcuphead.dispatch import PlacementRequest
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.forwarding._target_choice import TargetChoice
 from kingcuphead.targets import Target
+from kingcuphead.timing import get_time
 
 #: Seconds before the deadline by which the gate has to decide. It looks for requests
 #: that can't begin any more at intervals of this length, so a refusal may be as late.
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -6,12 +6,12 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias, TypeVar
 
+from kingcuphead.addresses import Address
 from kingcuphead.dispatch import AttemptResult
 from kingcuphead.forwarding._answer_parser import AnswerEnd
 from kingcuphead.forwarding._connection import TargetAnswer
 from kingcuphead.forwarding._memory import MemoryReservation, OutOfMemoryError
 from kingcuphead.forwarding._messages import (
-    Address,
     AnswerHead,
     CallerRequest,
     SendOptions,
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -5,6 +5,7 @@
 import dataclasses
 from collections.abc import Callable
 
+from kingcuphead.addresses import Address
 from kingcuphead.dispatch import AttemptResult, Placement
 from kingcuphead.forwarding._attempt import (
     Attempt,
@@ -13,13 +14,11 @@
     classify_end,
     describe_end,
 )
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import AttemptRecord, RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EndedAttempt
 from kingcuphead.forwarding._memory import MemoryReservation
 from kingcuphead.forwarding._messages import (
-    Address,
     AnswerHead,
     SendOptions,
     TargetStated,
@@ -28,6 +27,7 @@
 from kingcuphead.forwarding._stream import AnswerStream, AttemptStream
 from kingcuphead.resumption import BegunStream
 from kingcuphead.targets import Target
+from kingcuphead.timing import get_time
 from kingcuphead.verdict import Execution
 
 #: Upper bound of the first-byte timeout as a share of the time until the deadline; the
--- a/kingcuphead/forwarding/_attempt_race.py
+++ b/kingcuphead/forwarding/_attempt_race.py
@@ -19,11 +19,11 @@
     classify_end,
 )
 from kingcuphead.forwarding._attempt_driver import AttemptDriver
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.forwarding._memory import MemoryReservation
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.routing import RequestKind
+from kingcuphead.timing import get_time
 from kingcuphead.verdict import Execution
 
 
--- a/kingcuphead/forwarding/_charging.py
+++ b/kingcuphead/forwarding/_charging.py
@@ -3,10 +3,10 @@
 from expression import Error, Ok, Result
 
 from kingcuphead.credit import CreditTask, Hold, Shortage
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._stream import AnswerStream
+from kingcuphead.timing import get_time
 from kingcuphead.verdict import Execution, Reason
 
 #: Bound in seconds on waiting for credit.
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -8,14 +8,15 @@
 from tornado.httputil import HTTPHeaders
 from tornado.iostream import StreamClosedError
 
+from kingcuphead.addresses import Address
 from kingcuphead.capacity import LINK_TRAFFIC
 from kingcuphead.forwarding._answer_parser import AnswerEnd, AnswerParser, RawHead
-from kingcuphead.forwarding._messages import Address
 from kingcuphead.forwarding._target_stream import (
     MAX_BUFFERED_BYTES,
     TargetStream,
     open_stream,
 )
+from kingcuphead.timing import get_time
 
 #: Largest body in bytes that is joined with its head for one write.
 MAX_JOINED_BYTES = 65_536
@@ -257,7 +258,7 @@
         return block
 
     def _pass_on(self, consume: Callable[[bytes], bool]) -> None:
-        self._received_at = asyncio.get_running_loop().time()
+        self._received_at = get_time()
         try:
             takes_more = consume(self._take_blocks())
         except Exception as error:
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -5,6 +5,7 @@
 
 from loguru import logger
 
+from kingcuphead.addresses import Address
 from kingcuphead.admission import QueueFigures
 from kingcuphead.credit import CreditState
 from kingcuphead.dispatch import (
@@ -13,7 +14,7 @@
     PlacementRequest,
     SharedPrefix,
 )
-from kingcuphead.forwarding._messages import Address, CallerRequest
+from kingcuphead.forwarding._messages import CallerRequest
 from kingcuphead.forwarding._refusals import Refusal
 from kingcuphead.frozen import frozen
 from kingcuphead.quarantine import RequestIdentity
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Callable
 
+from kingcuphead.addresses import Address
 from kingcuphead.admission import AdmissionGate
 from kingcuphead.credit import CreditTask
 from kingcuphead.dispatch import Dispatcher, HedgingPolicy, RetryAllowance
 from kingcuphead.forwarding._attempt import AttemptRunner
 from kingcuphead.forwarding._evidence import EvidenceRecorder
-from kingcuphead.forwarding._messages import Address, TargetStated
+from kingcuphead.forwarding._messages import TargetStated
 from kingcuphead.frozen import frozen
 from kingcuphead.permits import PermitExchange
 from kingcuphead.quarantine import QuarantineExchange
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -14,7 +14,6 @@
 )
 from kingcuphead.forwarding._attempt_driver import AttemptDriver
 from kingcuphead.forwarding._charging import Charging
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import (
     RequestContext,
     log_rejection,
@@ -34,6 +33,7 @@
     RoutingTable,
     choose_service,
 )
+from kingcuphead.timing import get_time
 from kingcuphead.verdict import Execution, Reason
 
 #: Seconds after which a caller may retry at a daemon that has no configuration yet.
--- a/kingcuphead/forwarding/_hedged_attempts.py
+++ b/kingcuphead/forwarding/_hedged_attempts.py
@@ -11,12 +11,12 @@
 from kingcuphead.forwarding._attempt import AttemptEnd
 from kingcuphead.forwarding._attempt_driver import AttemptDriver
 from kingcuphead.forwarding._attempt_race import AttemptRace
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import HedgeRecord, RequestContext
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._memory import MemoryReservation
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.forwarding._target_choice import TargetChoice
+from kingcuphead.timing import get_time
 
 
 class HedgedAttempts:
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -1,15 +1,10 @@
 """Types for a caller's request and for a target's answer to one attempt."""
 
-from typing import TypeAlias
-
 from tornado.httputil import HTTPHeaders
 
 from kingcuphead.frozen import frozen
 from kingcuphead.permits import TargetTerms
 
-#: IP address and port of a daemon.
-Address: TypeAlias = tuple[str, int]
-
 
 @frozen
 class PromptPart:
--- a/kingcuphead/forwarding/_pool.py
+++ b/kingcuphead/forwarding/_pool.py
@@ -1,11 +1,11 @@
 """Pool of idle connections to targets."""
 
-import asyncio
 from collections import defaultdict
 
 from kingcuphead.forwarding._connection import TargetConnection
 from kingcuphead.forwarding._ports import TargetConnector
 from kingcuphead.frozen import frozen
+from kingcuphead.timing import get_time
 
 #: Seconds that an idle connection is kept if the target states no timeout.
 IDLE_TIMEOUT = 4.0
@@ -95,7 +95,7 @@
         seconds = IDLE_TIMEOUT
         if idle_timeout is not None:
             seconds = min(seconds, idle_timeout - IDLE_MARGIN)
-        self._keep(lease, asyncio.get_running_loop().time() + seconds)
+        self._keep(lease, get_time() + seconds)
 
     def release_unused(self, lease: Lease) -> None:
         """Return a connection that served no request; close it if it was new.
@@ -109,7 +109,7 @@
 
     def sweep(self) -> None:
         """Close the idle connections that have expired."""
-        now = asyncio.get_running_loop().time()
+        now = get_time()
         for address, idle in tuple(self._idle.items()):
             for entry in [each for each in idle if each.expires_at <= now]:
                 idle.remove(entry)
@@ -130,7 +130,7 @@
             self.close_address(address)
 
     def _take_idle(self, address: str) -> Lease | None:
-        now = asyncio.get_running_loop().time()
+        now = get_time()
         idle = self._idle[address]
         while idle:
             candidate = idle.pop()
--- a/kingcuphead/forwarding/_retry_decision.py
+++ b/kingcuphead/forwarding/_retry_decision.py
@@ -2,9 +2,9 @@
 
 from kingcuphead.dispatch import AttemptResult, RetryAllowance
 from kingcuphead.forwarding._attempt import Answered, AttemptFailed
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.targets import TargetDirectory
+from kingcuphead.timing import get_time
 from kingcuphead.verdict import Execution
 
 #: Number of attempted targets from which on a failure to connect ends the request.
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -2,10 +2,10 @@
 
 from collections.abc import Callable, Sequence
 
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._events import Event
 from kingcuphead.forwarding._messages import AnswerHead
 from kingcuphead.forwarding._ports import Caller
+from kingcuphead.timing import get_time
 
 
 class AnswerStream:
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -10,10 +10,10 @@
     Placement,
     PlacementRequest,
 )
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.permits import Decision, MemoryClaim, PermitExchange
 from kingcuphead.targets import Target, TargetDirectory
+from kingcuphead.timing import get_time
 
 #: Number of targets that a request claims a permit of before it is refused.
 MAX_CLAIMS = 8
--- a/kingcuphead/forwarding/_target_watch.py
+++ b/kingcuphead/forwarding/_target_watch.py
@@ -5,11 +5,11 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding._connection import is_refusal
 from kingcuphead.forwarding._pool import ConnectionPool, Lease
 from kingcuphead.frozen import frozen
 from kingcuphead.targets import Target, TargetDirectory
+from kingcuphead.timing import get_time
 
 #: Seconds for which a target is watched after an attempt; a target that doesn't notice
 #: that the connection was closed may begin the request only then.
--- a/kingcuphead/forwarding/tests/test_admission.py
+++ b/kingcuphead/forwarding/tests/test_admission.py
@@ -6,7 +6,6 @@
 from kingcuphead.admission import AdmissionGate, QueueBounds
 from kingcuphead.dispatch import ServiceLoad
 from kingcuphead.forwarding import PromptPart, PromptSize
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding.tests._harness import (
     IDEMPOTENT,
     STREAM,
@@ -15,6 +14,7 @@
     make_route,
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
+from kingcuphead.timing import get_time
 from kingcuphead.verdict import Execution, Reason
 
 SIZE = PromptSize(100, 20, (PromptPart("own", 100),))
--- a/kingcuphead/forwarding/tests/test_engine_memory.py
+++ b/kingcuphead/forwarding/tests/test_engine_memory.py
@@ -5,10 +5,10 @@
 from kingcuphead.admission import AdmissionGate, QueueBounds
 from kingcuphead.dispatch import DispatchSettings, PlacementRequest, ServiceLoad
 from kingcuphead.forwarding import PromptSize
-from kingcuphead.forwarding._clock import get_time
 from kingcuphead.forwarding.tests._harness import STREAM, make_request, make_route, run
 from kingcuphead.forwarding.tests._target import ScriptedTarget
 from kingcuphead.routing import EngineProfile, Service
+from kingcuphead.timing import get_time
 from kingcuphead.verdict import Reason
 
 CAPACITY = 1_000
--- a/kingcuphead/paths/_connector.py
+++ b/kingcuphead/paths/_connector.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from kingcuphead.addresses import Address
 from kingcuphead.forwarding import (
     TargetConnection,
     TargetStream,
@@ -19,8 +20,8 @@
 )
 from kingcuphead.paths._messages import TunnelAnswered, TunnelAsked, TunnelOutcome
 from kingcuphead.paths._monitor import PathMonitor
-from kingcuphead.paths._peers import Address, PeerPaths
-from kingcuphead.timing import sleep_until_tick
+from kingcuphead.paths._peers import PeerPaths
+from kingcuphead.timing import get_time, sleep_until_tick
 
 #: Number of daemons that are asked for one tunnel.
 MAX_HELPERS = 3
@@ -141,7 +142,7 @@
         try:
             connection = await connect_to_target(address, timeout)
         except (OSError, TimeoutError):
-            self._monitor.record_failure(address, _get_time())
+            self._monitor.record_failure(address, get_time())
             self._check_path()
             raise
         self._monitor.record_success()
@@ -150,7 +151,7 @@
     async def _connect_through_peer(
         self, address: str, timeout: float
     ) -> TargetConnection:
-        helpers = self._peer_paths.list_helpers(_get_time())
+        helpers = self._peer_paths.list_helpers(get_time())
         async with asyncio.timeout(timeout):
             for helper in helpers[:MAX_HELPERS]:
                 connection = await self._open_tunnel(helper, address, timeout / 2)
@@ -187,7 +188,7 @@
                 raise ConnectionRefusedError(f"{helper[0]} is refused by {address}")
             case TunnelOutcome.UNREACHABLE | TunnelOutcome.CLOSED:
                 raise OSError(f"{helper[0]} can't use {address}: {outcome.value}")
-        self._peer_paths.record_failure(helper, _get_time())
+        self._peer_paths.record_failure(helper, get_time())
         return None
 
     def _check_path(self) -> None:
@@ -251,7 +252,3 @@
     await write_message(stream, TunnelAsked(address))
     answer = await read_message(stream, TunnelAnswered)
     return answer.outcome
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/kingcuphead/paths/_peers.py
+++ b/kingcuphead/paths/_peers.py
@@ -2,7 +2,7 @@
 
 import random
 
-Address = tuple[str, int]
+from kingcuphead.addresses import Address
 
 #: Seconds for which what another daemon says of its path counts.
 REPORT_LIFETIME = 2.0
--- a/kingcuphead/permits/_claims.py
+++ b/kingcuphead/permits/_claims.py
@@ -1,9 +1,9 @@
 """Turns queries of daemons into claims."""
 
+from kingcuphead.addresses import Address
 from kingcuphead.permits._coordinator import PermitClaim
 from kingcuphead.permits._memory import MemoryClaim
 from kingcuphead.permits._messages import PermitAsked
-from kingcuphead.permits._ranking import Address
 from kingcuphead.permits._room import OpenRequests
 
 
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -6,6 +6,7 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from kingcuphead.addresses import Address
 from kingcuphead.permits._claims import make_claim, name_holder
 from kingcuphead.permits._cold import ColdBounds, ColdView, NoColdTargets
 from kingcuphead.permits._coordinator import (
@@ -27,10 +28,11 @@
     RoomReported,
     TermsReported,
 )
-from kingcuphead.permits._ranking import ANSWER_TIMEOUT, Address, CoordinatorRanking
+from kingcuphead.permits._ranking import ANSWER_TIMEOUT, CoordinatorRanking
 from kingcuphead.permits._room import OpenRequests
 from kingcuphead.permits._terms import TargetTerms, TermsTable
 from kingcuphead.targets import Target, get_target_name
+from kingcuphead.timing import get_time
 
 #: Seconds after which a denied permit is asked for again, at the latest; by then a
 #: daemon that was cut off may reach the coordinator.
@@ -101,7 +103,7 @@
         while True:
             await asyncio.sleep(REPORT_INTERVAL)
             if self._cold_view.has_cold_limits or self.bounds_memory:
-                self.ranking.probe_unconfirmed(_get_time())
+                self.ranking.probe_unconfirmed(get_time())
             # A report may get lost.
             for target in self._memory_reports.list_repeated():
                 self._report_room(target, was_rejected=False)
@@ -117,11 +119,11 @@
 
     def pause(self, target: Target, seconds: float) -> None:
         """Send nothing to a target for a time that it asked for."""
-        self._gate.close(target, seconds, _get_time())
+        self._gate.close(target, seconds, get_time())
 
     def select_open(self, targets: Iterable[Target]) -> tuple[Target, ...]:
         """Return those targets that aren't closed for now."""
-        now = _get_time()
+        now = get_time()
         return tuple(each for each in targets if self._gate.is_open(each, now))
 
     def select_free(self, targets: Iterable[Target]) -> tuple[Target, ...]:
@@ -135,7 +137,7 @@
 
     def get_delay(self, targets: Iterable[Target]) -> float | None:
         """Return the seconds until the first target opens; None if one is open."""
-        return self._gate.get_delay(targets, _get_time())
+        return self._gate.get_delay(targets, get_time())
 
     async def claim(
         self, target: Target, memory: MemoryClaim | None = None
@@ -165,7 +167,7 @@
             if not decision.is_granted:
                 self._open_requests[identity] -= 1
         if not decision.is_granted and not decision.is_full:
-            self._gate.close(target, min(decision.wait, MAX_WAIT), _get_time())
+            self._gate.close(target, min(decision.wait, MAX_WAIT), get_time())
         return decision
 
     def release(self, target: Target, was_rejected: bool) -> None:
@@ -184,10 +186,10 @@
         if not terms.is_brittle:
             return
         self._report_room(identity, was_rejected)
-        if was_rejected and self.ranking.is_isolated(_get_time()):
+        if was_rejected and self.ranking.is_isolated(get_time()):
             rejections = max(1, terms.rejections_per_second or 0)
             pause = min(MAX_REJECTION_PAUSE, self.ranking.daemons / rejections)
-            self._gate.close(target, pause, _get_time())
+            self._gate.close(target, pause, get_time())
 
     def report_memory(self, target: Target, tokens: int) -> None:
         """Report how many tokens this daemon holds in the memory of a target."""
@@ -261,7 +263,7 @@
             if address == self._own_address:
                 claim = make_claim(query, address)
                 decision: Decision | None = self._decide(claim, is_asked=False)
-            elif self.ranking.is_passed_over(address, _get_time()):
+            elif self.ranking.is_passed_over(address, get_time()):
                 continue
             else:
                 decision = await self._ask_in_time(address, query)
@@ -275,7 +277,7 @@
         """Ask the coordinator, then the next one; decide alone if none answers."""
         identity = target.incarnation
         for _ in range(MAX_QUERIES):
-            address = self.ranking.find_coordinator(identity, _get_time())
+            address = self.ranking.find_coordinator(identity, get_time())
             if address == self._own_address:
                 break
             query = self._make_query(target, terms, memory)
@@ -294,7 +296,7 @@
 
     def _fits_unasked(self, target: str, memory: MemoryClaim) -> bool | None:
         """Return whether a request fits; None if this daemon may coordinate."""
-        now = _get_time()
+        now = get_time()
         if self.ranking.is_isolated(now):
             return memory.fits_isolated
         if self.ranking.find_coordinator(target, now) != self._own_address:
@@ -324,7 +326,7 @@
         """Ask one daemon; None if it doesn't answer."""
         answer: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
         self._queries[query.number] = answer
-        self.ranking.record_query(address, _get_time())
+        self.ranking.record_query(address, get_time())
         self._send(query, address)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT):
@@ -341,12 +343,12 @@
 
         A daemon that was suspended could else use permits of several seconds at once.
         """
-        asked_at = _get_time()
+        asked_at = get_time()
         decision = await self._ask(address, query)
-        return decision if _get_time() - asked_at <= PERMIT_LIFETIME else None
+        return decision if get_time() - asked_at <= PERMIT_LIFETIME else None
 
     def _decide(self, claim: PermitClaim, is_asked: bool) -> Decision:
-        now = _get_time()
+        now = get_time()
         if claim.is_doubtful and self._cold_view.is_known_warm(claim.target):
             terms = self._terms.get(claim.target)
             if terms.is_unlimited:
@@ -371,7 +373,7 @@
             was_rejected,
             self._memory_reports.get(target),
         )
-        receivers = {self.ranking.find_coordinator(target, _get_time())}
+        receivers = {self.ranking.find_coordinator(target, get_time())}
         if report.memory_tokens is not None:
             receivers.update(self.ranking.list_observers(target))
         for address in receivers:
@@ -384,16 +386,12 @@
         holder = name_holder(sender)
         open_requests = OpenRequests(holder, report.number, report.open_requests)
         self._coordinator.record_open_requests(
-            report.target, open_requests, report.was_rejected, _get_time()
+            report.target, open_requests, report.was_rejected, get_time()
         )
         if report.memory_tokens is not None:
             self._coordinator.record_memory(
-                report.target, holder, report.memory_tokens, report.number, _get_time()
+                report.target, holder, report.memory_tokens, report.number, get_time()
             )
 
     def _probe(self, address: Address) -> None:
         self._send(CoordinatorProbed(), address)
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/kingcuphead/permits/_ranking.py
+++ b/kingcuphead/permits/_ranking.py
@@ -9,7 +9,7 @@
 import hashlib
 from collections.abc import Callable, Iterable
 
-Address = tuple[str, int]
+from kingcuphead.addresses import Address
 
 #: Seconds after which a daemon that has not answered is passed over.
 ANSWER_TIMEOUT = 0.05
--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -22,7 +22,7 @@
 from kingcuphead.resumption._rows import decode_rows, encode_row, make_key
 from kingcuphead.storage import RowSnapshot, TablePart, Transaction, make_removal
 from kingcuphead.targets import Target
-from kingcuphead.timing import sleep_until_tick
+from kingcuphead.timing import get_time, sleep_until_tick
 
 #: Seconds for which begun streams are collected before other daemons are told.
 ANNOUNCEMENT_DELAY = 0.02
@@ -103,7 +103,7 @@
 
     def record_start(self, stream: BegunStream) -> None:
         """Record that a caller is about to get the first event of a stream."""
-        now = _get_time()
+        now = get_time()
         self._registry.record(stream, now)
         version = ServedVersion(stream.service_name, stream.software_version)
         self._history.observe([version], now)
@@ -137,7 +137,7 @@
         match message:
             case StreamsBegan(streams):
                 for stream in streams:
-                    self._registry.record(stream, _get_time())
+                    self._registry.record(stream, get_time())
                     waiting = self._waiting.get(stream.request_id)
                     if waiting is not None:
                         waiting.set()
@@ -152,7 +152,7 @@
             self._observe()
             services = {stream.service_name for stream in self._unannounced}
             self._schedule_announcement(services)
-            self._registry.expire(_get_time())
+            self._registry.expire(get_time())
             if self._is_synchronisation_due():
                 await self.synchronise()
             await sleep_until_tick(RETRY_DELAY)
@@ -163,7 +163,7 @@
         A call that fails is repeated later.
         """
         self._observe()
-        started_at = _get_time()
+        started_at = get_time()
         match await self._table.read_prefix(""):
             case Result(tag="ok", ok=snapshot):
                 stored = frozenset(decode_rows(snapshot.rows))
@@ -172,9 +172,9 @@
                 return
         if not self._is_continuous:
             # Any of them may have served until now, unseen by this daemon.
-            self._history.observe(stored, _get_time())
+            self._history.observe(stored, get_time())
         self._synchronised_at = started_at
-        self._saved = frozenset(self._history.list_recent(_get_time()))
+        self._saved = frozenset(self._history.list_recent(get_time()))
         puts = tuple(encode_row(version) for version in self._saved - stored)
         if puts:
             await self._commit(Transaction((), puts))
@@ -191,8 +191,8 @@
     def _is_synchronisation_due(self) -> bool:
         if self._synchronised_at is None or not self._is_continuous:
             return True
-        recent = frozenset(self._history.list_recent(_get_time()))
-        age = _get_time() - self._synchronised_at
+        recent = frozenset(self._history.list_recent(get_time()))
+        age = get_time() - self._synchronised_at
         return recent != self._saved or age >= SYNCHRONISATION_INTERVAL
 
     async def _remove(
@@ -214,7 +214,7 @@
             for target in self._view.list_all()
         }
         versions = (ServedVersion(*each) for each in names)
-        self._history.observe(versions, _get_time())
+        self._history.observe(versions, get_time())
 
     def _find_only_version(
         self, services: Collection[str], is_named: bool
@@ -228,13 +228,13 @@
         is_current = self._view.get_age() <= MAX_VIEW_AGE and self._is_continuous
         if is_named and not is_current:
             return None
-        return self._history.find_only_version(services, _get_time())
+        return self._history.find_only_version(services, get_time())
 
     def _schedule_announcement(self, services: Collection[str]) -> None:
         """Announce soon what other daemons weren't told, if it may matter to them."""
         if self._is_announcing or not self._unannounced:
             return
-        if self._history.find_only_version(services, _get_time()) is None:
+        if self._history.find_only_version(services, get_time()) is None:
             self._is_announcing = True
             asyncio.get_running_loop().call_later(ANNOUNCEMENT_DELAY, self._announce)
 
@@ -260,7 +260,3 @@
                     return
         finally:
             self._waiting.pop(request_id, None)
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/kingcuphead/credit/_clock.py
+++ b/kingcuphead/timing/_clock.py
@@ -1,4 +1,4 @@
-"""The clock of the tasks that renew and transfer credit."""
+"""The clock that deadlines and durations within a process are measured on."""
 
 import asyncio
 
