--- a/kingcuphead/capacity/_shedder.py
+++ b/kingcuphead/capacity/_shedder.py
@@ -50,6 +50,9 @@
 
 
 class _State(enum.Enum):
+    """What this daemon does about its load."""
+
+    #: Ready, and not going to shed.
     READY = enum.auto()
     #: Ready, and going to shed unless too many others with more load do.
     CANDIDATE = enum.auto()
--- a/kingcuphead/forwarding/_hedged_attempts.py
+++ b/kingcuphead/forwarding/_hedged_attempts.py
@@ -1,4 +1,4 @@
-"""Runs a second attempt beside one that takes long, where the operator allows it."""
+"""Runs hedged requests: a second attempt beside one that takes long, if allowed."""
 
 import math
 
--- a/kingcuphead/permits/_memory.py
+++ b/kingcuphead/permits/_memory.py
@@ -47,6 +47,8 @@
 
 @frozen
 class _Report:
+    """The last report of one daemon."""
+
     tokens: int
     number: int
     received_at: float
--- a/kingcuphead/permits/_room.py
+++ b/kingcuphead/permits/_room.py
@@ -25,6 +25,8 @@
 
 @frozen
 class _Report:
+    """The last report of one daemon."""
+
     open_requests: OpenRequests
     received_at: float
 
