--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -20,6 +20,7 @@
 from kingcuphead.admission._service_admission import ServiceAdmission
 from kingcuphead.dispatch import PlacementRequest, RoomCheck
 from kingcuphead.targets import Target
+from kingcuphead.timing import get_time
 from kingcuphead.verdict import Reason
 
 #: Seconds between two checks for room while requests wait.
@@ -50,7 +51,11 @@
 
 @dataclasses.dataclass(slots=True, eq=False)
 class _Wait:
+    """A request that waits for its decision."""
+
+    #: Describes the request to the dispatcher.
     query: RoomQuery
+    #: Set when the request is admitted or refused.
     decision: asyncio.Future[Decision]
 
 
@@ -97,11 +102,11 @@
         query
             Describes it to the dispatcher.
         """
-        now = _get_time()
+        now = get_time()
         service = self._get_service(request.service)
         candidates = query.list_candidates()
         if not len(service.queue) and self._is_admissible(
-            query, candidates, request, False, now
+            query, candidates, request, now, yields_to_timely=False
         ):
             service.record_direct(request, now)
             return Admitted()
@@ -134,7 +139,7 @@
     def close(self) -> None:
         """Refuse all waiting requests, and later ones that would have to wait."""
         self._is_closed = True
-        now = _get_time()
+        now = get_time()
         for service in self._services.values():
             for request in tuple(service.queue.iterate()):
                 service.withdraw(request.request_id, now)
@@ -153,20 +158,20 @@
     ) -> Decision:
         decision: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
         self._waits[request.request_id] = _Wait(query, decision)
-        service.push(request, _get_time())
+        service.push(request, get_time())
         try:
             self._admit_next(request.service)
             if not decision.done():
                 limit = self.bounds.count_requests(candidates)
                 running = self._room.count_own(candidates)
-                now = _get_time()
+                now = get_time()
                 self._refuse(service.review_arrival(request, limit, running, now))
                 self._refuse(self._review_bodies())
                 self._start_timer()
             return await decision
         finally:
             self._waits.pop(request.request_id, None)
-            service.withdraw(request.request_id, _get_time())
+            service.withdraw(request.request_id, get_time())
             if self._in_transit.get(request.service) == request.request_id:
                 # Runs after the caller has counted the request at a target.
                 asyncio.get_running_loop().call_soon(self._end_transit, request)
@@ -179,10 +184,12 @@
         service = self._services.get(name)
         if service is None or not len(service.queue) or name in self._in_transit:
             return
-        now = _get_time()
-        is_full: dict[str, bool] = {}
+        now = get_time()
+        full_groups: dict[str, bool] = {}
         request = service.admit(
-            lambda each, gives_way: self._has_room(each, gives_way, is_full, now),
+            lambda each, yields_to_timely: self._has_room(
+                each, yields_to_timely, full_groups, now
+            ),
             now,
         )
         if request is not None:
@@ -197,8 +204,8 @@
     def _has_room(
         self,
         request: AdmissionRequest,
-        gives_way: bool,
-        is_full: dict[str, bool],
+        yields_to_timely: bool,
+        full_groups: dict[str, bool],
         now: float,
     ) -> bool:
         """Return whether there is room for a waiting request.
@@ -207,17 +214,18 @@
         ----------
         request
             The request.
-        gives_way
+        yields_to_timely
             Whether timely requests of other daemons go first.
-        is_full
-            Whether nothing has room, by group; kept for the requests of one admission.
+        full_groups
+            Whether a group of targets has no room at all; kept for the requests of one
+            admission.
         now
             Current time in seconds.
         """
         query = self._waits[request.request_id].query
-        if query.group not in is_full:
+        if query.group not in full_groups:
             candidates = query.list_candidates()
-            is_full[query.group] = bool(candidates) and not self._room.has_room(
+            full_groups[query.group] = bool(candidates) and not self._room.has_room(
                 PlacementRequest(
                     request.service,
                     prompt_tokens=min(1, query.make_placement_request().prompt_tokens),
@@ -227,18 +235,21 @@
                 candidates,
                 now,
             )
-        if is_full[query.group]:
+        if full_groups[query.group]:
             return False
         candidates = query.list_candidates()
-        return self._is_admissible(query, candidates, request, gives_way, now)
+        return self._is_admissible(
+            query, candidates, request, now, yields_to_timely=yields_to_timely
+        )
 
     def _is_admissible(
         self,
         query: RoomQuery,
         candidates: tuple[Target, ...],
         request: AdmissionRequest,
-        gives_way: bool,
         now: float,
+        *,
+        yields_to_timely: bool,
     ) -> bool:
         """Return whether a request may go on.
 
@@ -252,21 +263,22 @@
             objective_ends_at = now
         placement = dataclasses.replace(described, objective_ends_at=objective_ends_at)
         waiting = placement
-        if not gives_way:
+        if not yields_to_timely:
             # Late requests would go ahead of timely ones of other daemons.
             waiting = dataclasses.replace(placement, waiting_since=request.arrived_at)
-        pace = self._get_service(request.service).get_pace(query.group)
-        if pace.is_due(now):
-            pace.update(self._room.describe_load(described, candidates), now)
+        service = self._get_service(request.service)
+        limit = service.get_concurrency_limit(query.group)
+        if limit.is_due(now):
+            limit.update(self._room.describe_load(described, candidates), now)
         own = self._room.count_own(candidates)
-        if pace.allows(own, gives_way) and self._room.has_room(
+        if limit.allows(own, yields_to_timely) and self._room.has_room(
             placement, candidates, now
         ):
             return True
         # Else all daemons that wait would ignore the reports of each other.
-        return not pace.has_equal_share(own) and self._room.accepts_on_old_reports(
-            waiting, candidates, now
-        )
+        if limit.has_equal_share(own):
+            return False
+        return self._room.accepts_on_old_reports(waiting, candidates, now)
 
     def _review_bodies(self) -> Iterator[Rejection]:
         """Yield what is refused for want of memory, the least urgent first."""
@@ -276,7 +288,7 @@
                 (each for each in services if len(each.queue)),
                 key=lambda each: max(each.queue.ranks),
             )
-            yield lowest.reject_last(_get_time())
+            yield lowest.reject_last(get_time())
 
     def _refuse(self, rejections: Iterable[Rejection]) -> None:
         for rejection in rejections:
@@ -297,7 +309,7 @@
         try:
             for name, service in self._services.items():
                 self._admit_next(name)
-                self._refuse(service.review(_get_time()))
+                self._refuse(service.review(get_time()))
         finally:
             # A request whose timer has stopped would wait forever.
             if any(len(service.queue) for service in self._services.values()):
@@ -307,14 +319,10 @@
         service = self._services.get(name)
         if service is None:
             service = self._services[name] = ServiceAdmission()
-            logger.debug("requests of {} are admitted as targets have room", name)
+            logger.debug("admission queue of service {} created", name)
         return service
 
 
 def _refuse_at_shutdown(request: AdmissionRequest, now: float) -> Refused:
     figures = QueueFigures(0, 0, None, request.last_start - now)
     return Refused(Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER, figures)
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -1,4 +1,4 @@
-"""Asks coordinators for permits, and answers the questions of other daemons."""
+"""Asks coordinators for permits, and answers the queries of other daemons."""
 
 import asyncio
 import dataclasses
@@ -6,11 +6,12 @@
 from collections import Counter
 from collections.abc import Callable, Iterable
 
+from kingcuphead.addresses import Address
 from kingcuphead.permits._claims import make_claim, name_holder
 from kingcuphead.permits._cold import ColdBounds, ColdView, NoColdTargets
 from kingcuphead.permits._coordinator import (
     MEMORY_WAIT,
-    NO_HOLDER,
+    NO_OWNER,
     Decision,
     PermitClaim,
     PermitCoordinator,
@@ -27,18 +28,19 @@
     RoomReported,
     TermsReported,
 )
-from kingcuphead.permits._ranking import ANSWER_TIMEOUT, Address, CoordinatorRanking
+from kingcuphead.permits._ranking import ANSWER_TIMEOUT, CoordinatorRanking
 from kingcuphead.permits._room import OpenRequests
 from kingcuphead.permits._terms import TargetTerms, TermsTable
 from kingcuphead.targets import Target, get_target_name
+from kingcuphead.timing import get_time
 
 #: Seconds after which a denied permit is asked for again, at the latest; by then a
 #: daemon that was cut off may reach the coordinator.
 MAX_WAIT = 1.0
-#: Seconds after the question within which a permit of a cold target is used.
+#: Seconds after the query within which a permit of a cold target is used.
 PERMIT_LIFETIME = 0.2
 #: Number of daemons that are asked for one permit before this one decides by itself.
-MAX_QUESTIONS = 2
+MAX_QUERIES = 2
 #: Seconds between two reports of the open requests at targets that are short of room.
 REPORT_INTERVAL = 1.0
 #: Upper bound in seconds of the time for which a daemon that hears of no other sends
@@ -81,7 +83,7 @@
         self._open_requests: Counter[str] = Counter()
         self._memory_reports = MemoryReports()
         self._numbers = itertools.count(1)
-        self._questions: dict[int, asyncio.Future[Decision]] = {}
+        self._queries: dict[int, asyncio.Future[Decision]] = {}
         #: Which daemon coordinates the permits of a target.
         self.ranking = CoordinatorRanking(own_address, self._probe)
         #: Whether permits are asked for memory of targets.
@@ -101,7 +103,7 @@
         while True:
             await asyncio.sleep(REPORT_INTERVAL)
             if self._cold_view.has_cold_limits or self.bounds_memory:
-                self.ranking.probe_unconfirmed(_get_time())
+                self.ranking.probe_unconfirmed(get_time())
             # A report may get lost.
             for target in self._memory_reports.list_repeated():
                 self._report_room(target, was_rejected=False)
@@ -117,11 +119,11 @@
 
     def pause(self, target: Target, seconds: float) -> None:
         """Send nothing to a target for a time that it asked for."""
-        self._gate.close(target, seconds, _get_time())
+        self._gate.close(target, seconds, get_time())
 
     def select_open(self, targets: Iterable[Target]) -> tuple[Target, ...]:
         """Return those targets that aren't closed for now."""
-        now = _get_time()
+        now = get_time()
         return tuple(each for each in targets if self._gate.is_open(each, now))
 
     def select_free(self, targets: Iterable[Target]) -> tuple[Target, ...]:
@@ -135,7 +137,7 @@
 
     def get_delay(self, targets: Iterable[Target]) -> float | None:
         """Return the seconds until the first target opens; None if one is open."""
-        return self._gate.get_delay(targets, _get_time())
+        return self._gate.get_delay(targets, get_time())
 
     async def claim(
         self, target: Target, memory: MemoryClaim | None = None
@@ -165,7 +167,7 @@
             if not decision.is_granted:
                 self._open_requests[identity] -= 1
         if not decision.is_granted and not decision.is_full:
-            self._gate.close(target, min(decision.wait, MAX_WAIT), _get_time())
+            self._gate.close(target, min(decision.wait, MAX_WAIT), get_time())
         return decision
 
     def release(self, target: Target, was_rejected: bool) -> None:
@@ -184,10 +186,10 @@
         if not terms.is_brittle:
             return
         self._report_room(identity, was_rejected)
-        if was_rejected and self.ranking.is_isolated(_get_time()):
+        if was_rejected and self.ranking.is_isolated(get_time()):
             rejections = max(1, terms.rejections_per_second or 0)
             pause = min(MAX_REJECTION_PAUSE, self.ranking.daemons / rejections)
-            self._gate.close(target, pause, _get_time())
+            self._gate.close(target, pause, get_time())
 
     def report_memory(self, target: Target, tokens: int) -> None:
         """Report how many tokens this daemon holds in the memory of a target."""
@@ -212,14 +214,14 @@
                     number,
                     decision.is_granted,
                     decision.wait,
-                    decision.is_holder,
+                    decision.is_owner,
                     decision.is_full,
                 )
                 self._send(answer, sender)
-            case PermitAnswered(number, is_granted, wait, is_holder, is_full):
-                question = self._questions.get(number)
-                if question is not None and not question.done():
-                    question.set_result(Decision(is_granted, wait, is_holder, is_full))
+            case PermitAnswered(number, is_granted, wait, is_owner, is_full):
+                query = self._queries.get(number)
+                if query is not None and not query.done():
+                    query.set_result(Decision(is_granted, wait, is_owner, is_full))
             case RoomReported():
                 self._apply_room(message, sender)
             case CoordinatorProbed():
@@ -243,7 +245,7 @@
                     return decision
             terms = terms.restrict(limit.requests_per_second)
             is_doubtful = not limit.is_certain
-            decision = await self._ask_holders(target, terms, is_doubtful)
+            decision = await self._ask_owners(target, terms, is_doubtful)
             if not decision.is_granted:
                 self.report_cold_denial(target)
             return decision
@@ -251,35 +253,35 @@
             return Decision(True)
         return await self._ask_fleet(target, terms, memory)
 
-    async def _ask_holders(
+    async def _ask_owners(
         self, target: Target, terms: TargetTerms, is_doubtful: bool
     ) -> Decision:
         """Ask the owners of a cold target's permits until one of them decides."""
-        count = self._coordinator.cold_bounds.holders
-        for address in self.ranking.list_holders(target.name, count):
-            question = self._make_question(target, terms, None, is_doubtful)
+        count = self._coordinator.cold_bounds.owners
+        for address in self.ranking.list_owners(target.name, count):
+            query = self._make_query(target, terms, None, is_doubtful)
             if address == self._own_address:
-                claim = make_claim(question, address)
+                claim = make_claim(query, address)
                 decision: Decision | None = self._decide(claim, is_asked=False)
-            elif self.ranking.is_passed_over(address, _get_time()):
+            elif self.ranking.is_passed_over(address, get_time()):
                 continue
             else:
-                decision = await self._ask_in_time(address, question)
-            if decision is not None and decision.is_holder:
+                decision = await self._ask_in_time(address, query)
+            if decision is not None and decision.is_owner:
                 return decision
-        return NO_HOLDER
+        return NO_OWNER
 
     async def _ask_fleet(
         self, target: Target, terms: TargetTerms, memory: MemoryClaim | None
     ) -> Decision:
         """Ask the coordinator, then the next one; decide alone if none answers."""
         identity = target.incarnation
-        for _ in range(MAX_QUESTIONS):
-            address = self.ranking.find_coordinator(identity, _get_time())
+        for _ in range(MAX_QUERIES):
+            address = self.ranking.find_coordinator(identity, get_time())
             if address == self._own_address:
                 break
-            question = self._make_question(target, terms, memory)
-            decision = await self._ask(address, question)
+            query = self._make_query(target, terms, memory)
+            decision = await self._ask(address, query)
             if decision is not None:
                 return decision
             if memory is not None:
@@ -289,19 +291,19 @@
             if fits is False:
                 return Decision(False, MEMORY_WAIT, is_full=True)
             memory = None if fits else memory
-        question = self._make_question(target, terms, memory)
-        return self._decide(make_claim(question, self._own_address), is_asked=False)
+        query = self._make_query(target, terms, memory)
+        return self._decide(make_claim(query, self._own_address), is_asked=False)
 
     def _fits_unasked(self, target: str, memory: MemoryClaim) -> bool | None:
         """Return whether a request fits; None if this daemon may coordinate."""
-        now = _get_time()
+        now = get_time()
         if self.ranking.is_isolated(now):
             return memory.fits_isolated
         if self.ranking.find_coordinator(target, now) != self._own_address:
             return memory.fits_unasked
         return None
 
-    def _make_question(
+    def _make_query(
         self,
         target: Target,
         terms: TargetTerms,
@@ -320,33 +322,33 @@
             is_doubtful,
         )
 
-    async def _ask(self, address: Address, question: PermitAsked) -> Decision | None:
+    async def _ask(self, address: Address, query: PermitAsked) -> Decision | None:
         """Ask one daemon; None if it doesn't answer."""
         answer: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-        self._questions[question.number] = answer
-        self.ranking.record_question(address, _get_time())
-        self._send(question, address)
+        self._queries[query.number] = answer
+        self.ranking.record_query(address, get_time())
+        self._send(query, address)
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT):
                 return await answer
         except TimeoutError:
             return None
         finally:
-            del self._questions[question.number]
+            del self._queries[query.number]
 
     async def _ask_in_time(
-        self, address: Address, question: PermitAsked
+        self, address: Address, query: PermitAsked
     ) -> Decision | None:
         """Ask one daemon; None if it doesn't answer, or this one was late to read it.
 
         A daemon that was suspended could else use permits of several seconds at once.
         """
-        asked_at = _get_time()
-        decision = await self._ask(address, question)
-        return decision if _get_time() - asked_at <= PERMIT_LIFETIME else None
+        asked_at = get_time()
+        decision = await self._ask(address, query)
+        return decision if get_time() - asked_at <= PERMIT_LIFETIME else None
 
     def _decide(self, claim: PermitClaim, is_asked: bool) -> Decision:
-        now = _get_time()
+        now = get_time()
         if claim.is_doubtful and self._cold_view.is_known_warm(claim.target):
             terms = self._terms.get(claim.target)
             if terms.is_unlimited:
@@ -355,9 +357,9 @@
         share = self.ranking.compute_share(claim.target, is_asked, now)
         position = None
         if claim.terms.cold_requests_per_second is not None:
-            holders = self._coordinator.cold_bounds.holders
+            owners = self._coordinator.cold_bounds.owners
             name = get_target_name(claim.target)
-            position = self.ranking.find_position(name, holders, now)
+            position = self.ranking.find_position(name, owners, now)
         rank = self.ranking.get_position(claim.target)
         memory_share = compute_memory_share(rank, share == 1.0)
         return self._coordinator.decide(claim, share, now, memory_share, position)
@@ -371,7 +373,7 @@
             was_rejected,
             self._memory_reports.get(target),
         )
-        receivers = {self.ranking.find_coordinator(target, _get_time())}
+        receivers = {self.ranking.find_coordinator(target, get_time())}
         if report.memory_tokens is not None:
             receivers.update(self.ranking.list_observers(target))
         for address in receivers:
@@ -384,16 +386,12 @@
         holder = name_holder(sender)
         open_requests = OpenRequests(holder, report.number, report.open_requests)
         self._coordinator.record_open_requests(
-            report.target, open_requests, report.was_rejected, _get_time()
+            report.target, open_requests, report.was_rejected, get_time()
         )
         if report.memory_tokens is not None:
             self._coordinator.record_memory(
-                report.target, holder, report.memory_tokens, report.number, _get_time()
+                report.target, holder, report.memory_tokens, report.number, get_time()
             )
 
     def _probe(self, address: Address) -> None:
         self._send(CoordinatorProbed(), address)
-
-
-def _get_time() -> float:
-    return asyncio.get_running_loop().time()
--- a/kingcuphead/permits/_memory.py
+++ b/kingcuphead/permits/_memory.py
@@ -47,12 +47,14 @@
 
 @frozen
 class _Report:
+    """The last report of one daemon."""
+
     tokens: int
     number: int
     received_at: float
 
 
-class MemoryAccount:
+class EngineMemory:
     """The tokens in the memory of one engine; does no I/O."""
 
     def __init__(self) -> None:
