paths: a full link is no lost path

Cause: on an instance whose link is used to capacity, connections to targets open later than their timeout. Two such failures and five failed probes counted as a lost path, and the daemon then opened tunnels through other daemons, over the same link. Change: while the link's load is 0.85 or more, failures to connect put no path in doubt. Without measurement of the load (deployments without narrow links) nothing changes.

--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -29,6 +29,8 @@
 
 #: Seconds between two samples of the load.
 SAMPLE_INTERVAL = 0.2
+#: Load of the link from which on new connections open late.
+FULL_LINK_LOAD = 0.85
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -90,6 +92,11 @@
         """Whether this daemon accepts no new connections, to shed or deflect load."""
         return self._shedder is not None and self._shedder.fails_checks(get_time())
 
+    @property
+    def is_link_full(self) -> bool:
+        """Whether the link of this instance is used to capacity; never if disabled."""
+        return self._meter is not None and self._load.link >= FULL_LINK_LOAD
+
     def apply_limits(self, link_mbps: float, is_enabled: bool) -> None:
         """Apply the settings of the process.
 
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -125,8 +125,6 @@
         self._datagrams = DatagramSocket(self._handle_datagram)
         self._sender = PeerSender(self._datagrams, rng)
         self._peers = PeerDiscovery(store, self._address, self._apply_peers)
-        #: Whether this daemon can connect to targets itself.
-        self.path_monitor = PathMonitor()
         #: Which daemons can help if it can't.
         self.peer_paths = PeerPaths(rng)
         #: Called with a target whose answer to another daemon says that it leaves.
@@ -137,6 +135,8 @@
         self.evacuations: EvacuationExchange | None = None
         #: Load of this daemon, and whether it sheds.
         self.capacity = self._make_capacity(profile)
+        #: Whether this daemon can connect to targets itself.
+        self.path_monitor = PathMonitor(lambda: self.capacity.is_link_full)
         self._loads = self._make_loads()
         ledger = CreditLedger(instance, incarnation)
         self._transfer_endpoint = TransferEndpoint(ledger, self._identity)
--- a/kingcuphead/paths/_monitor.py
+++ b/kingcuphead/paths/_monitor.py
@@ -1,5 +1,7 @@
 """Tells whether this daemon can open connections to targets."""
 
+from collections.abc import Callable
+
 from loguru import logger
 
 #: Number of targets that can't be connected to, with no other that can in between, from
@@ -14,9 +16,16 @@
 
     Connections that are already open prove nothing: they may go on when new ones are
     refused, and hang without any sign when the path is lost.
+
+    Parameters
+    ----------
+    is_link_full
+        Returns whether the link of this instance is used to capacity. Connections then
+        open too late although the path is sound, and a tunnel would use the same link.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, is_link_full: Callable[[], bool] = lambda: False) -> None:
+        self._is_link_full = is_link_full
         self._failed_at: dict[str, float] = {}
         #: Whether the path is lost.
         self.is_lost = False
@@ -27,7 +36,8 @@
 
         Some targets may also have ended at the same time.
         """
-        return not self.is_lost and len(self._failed_at) >= MIN_FAILED_TARGETS
+        has_failures = len(self._failed_at) >= MIN_FAILED_TARGETS
+        return has_failures and not self.is_lost and not self._is_link_full()
 
     def record_success(self) -> None:
         """Record that a connection to a target was opened."""
