Space the polls of the store's tables by the instance's link

Each version of the configuration was sent whole as soon as it was written: 5.6 versions of 25 KB a second take 0.22 of a link of 5 Mbit/s and more with larger ones. A poll now waits after changes until they have used at most a tenth of the link, at most 0.5 s, where the settings state a link of 200 Mbit/s or less; a change after a quiet time arrives at once. If the feed contains replaced versions, the row is read in place of the feed while they follow each other. The same holds for the table of targets; with more than 500 targets its polls are 0.5 s apart.

A feed reply that is truncated no longer moves the position beyond its last change.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -23,12 +23,13 @@
 from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
 from kingcuphead.entry._readiness import serve_readiness
 from kingcuphead.entry._settings import DEFAULT_SETTINGS, EntrySettings
+from kingcuphead.entry._store_watches import StoreWatches
 from kingcuphead.entry._table_listeners import (
     ConfigurationListener,
     EvacuationListener,
     TargetListener,
 )
-from kingcuphead.entry._table_watch import ListenerGroup, TableWatch
+from kingcuphead.entry._table_watch import ListenerGroup
 from kingcuphead.forwarding import (
     AttemptRunner,
     ConnectionPool,
@@ -40,8 +41,6 @@
 from kingcuphead.loads import PeerLoads
 from kingcuphead.paths import Connector, TunnelServer
 from kingcuphead.platform import (
-    CONFIGURATION_TABLE,
-    TARGETS_TABLE,
     PlatformHeaders,
     Profile,
     Store,
@@ -232,22 +231,21 @@
         return self._failure is None
 
     def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        # Evacuations are applied first, because the configuration makes this daemon
-        # ready for callers.
-        listeners = ListenerGroup(
-            (self._evacuations, ConfigurationListener(self._apply_configuration))
-        )
-        report_failure = self._directory.record_store_failure
-        configuration_watch = TableWatch(
-            self._store, CONFIGURATION_TABLE, listeners, report_failure
-        )
-        self._evacuation_exchange.get_position = lambda: (
-            configuration_watch.last_position
+        watches = StoreWatches(
+            self._store,
+            ListenerGroup(
+                # Evacuations are applied first, because the configuration makes this
+                # daemon ready for callers.
+                (self._evacuations, ConfigurationListener(self._apply_configuration))
+            ),
+            self._targets,
+            self._directory,
+            lambda: self._profile,
         )
+        self._evacuation_exchange.get_position = watches.get_configuration_position
         return [
-            configuration_watch.run(),
+            *watches.list_tasks(),
             self._evacuation_exchange.run(),
-            TableWatch(self._store, TARGETS_TABLE, self._targets, report_failure).run(),
             self._sweep(),
             self._watch_settings(),
             self._connector.run(),
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -8,9 +8,10 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.entry._poll_pacing import PollPacing
 from kingcuphead.frozen import frozen
 from kingcuphead.platform import Change, Changes, HistoryLost, Store
-from kingcuphead.storage import PlatformFault, Row
+from kingcuphead.storage import PlatformFault, Row, RowSnapshot
 
 #: Seconds after which the store replies to a long poll although nothing has changed.
 LONG_POLL_TIMEOUT = 1.0
@@ -82,6 +83,11 @@
         Receives snapshots and changes.
     report_failure
         Called after each failed call to the store, with the call's start time.
+    pacing
+        Delays polls after changes; None for no delay.
+    prefers_rows
+        Whether rows of the table are read in place of its changes while these replace
+        each other. The store sends each change whole, and only the newest one counts.
     """
 
     def __init__(
@@ -90,11 +96,17 @@
         table: str,
         listener: TableListener,
         report_failure: Callable[[float], None],
+        pacing: PollPacing | None = None,
+        prefers_rows: bool = False,
     ) -> None:
         self._store = store
         self._table = table
         self._listener = listener
         self._report_failure = report_failure
+        self._pacing = PollPacing() if pacing is None else pacing
+        self._prefers_rows = prefers_rows
+        #: Whether the next read is one of the rows although the position is known.
+        self._reads_rows = False
         self._position: Position | None = None
         self._is_failing = False
         #: Last position that was read; it is kept while the store is unavailable.
@@ -103,33 +115,54 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
-            if self._position is None:
+            delay = await self._wait_for_turn()
+            if self._position is None or self._reads_rows:
                 await self._read_snapshot()
             else:
-                await self._poll_changes(self._position)
+                # The listeners rely on an answer in each `LONG_POLL_TIMEOUT`.
+                wait = LONG_POLL_TIMEOUT - delay
+                await self._poll_changes(self._position, wait)
+
+    async def _wait_for_turn(self) -> float:
+        """Wait until the next read may be sent, and return the seconds of the wait."""
+        delay = self._pacing.get_delay(time.monotonic())
+        if delay:
+            await asyncio.sleep(delay)
+        return delay
 
     async def _read_snapshot(self) -> None:
         started_at = time.monotonic()
         match await self._store.read_table(self._table):
             case Result(tag="ok", ok=snapshot):
-                self._listener.apply_snapshot(snapshot.rows)
-                self._position = Position(snapshot.version, snapshot.era)
+                self._apply_snapshot(snapshot)
                 self._record_success()
             case Result(error=fault):
                 await self._record_failure(fault, started_at)
 
-    async def _poll_changes(self, position: Position) -> None:
+    def _apply_snapshot(self, snapshot: RowSnapshot) -> None:
+        previous = self._position
+        self._listener.apply_snapshot(snapshot.rows)
+        self._position = Position(snapshot.version, snapshot.era)
+        if not self._reads_rows:
+            return
+        newest = max((row.version for row in snapshot.rows), default=0)
+        self._reads_rows = previous is not None and Position(
+            newest, snapshot.era
+        ).is_after(previous)
+        if self._reads_rows:
+            self._pacing.record_changes(snapshot.size, time.monotonic())
+
+    async def _poll_changes(self, position: Position, wait: float) -> None:
         started_at = time.monotonic()
-        match await self._store.follow_table(
-            self._table, position.version, LONG_POLL_TIMEOUT
-        ):
+        match await self._store.follow_table(self._table, position.version, wait):
             case Result(tag="ok", ok=Changes(era=era)) if era != position.era:
                 logger.info("the store was restored; reading table {}", self._table)
                 self._position = None
-            case Result(tag="ok", ok=Changes(changes, newest)):
-                self._listener.apply_changes(changes)
-                version = max(position.version, newest)
+            case Result(tag="ok", ok=Changes() as changes):
+                self._listener.apply_changes(changes.changes)
+                version = max(position.version, changes.version)
                 self._position = Position(version, position.era)
+                self._record_changes(changes)
                 self._record_success()
             case Result(tag="ok", ok=HistoryLost()):
                 logger.info(
@@ -142,6 +175,17 @@
                 self._position = None
                 await self._record_failure(fault, started_at)
 
+    def _record_changes(self, changes: Changes) -> None:
+        # Changes that the store left out of the reply may be a target that leaves.
+        if not changes.changes or changes.has_more:
+            return
+        now = time.monotonic()
+        self._pacing.record_changes(changes.size, now)
+        keys = {each.key for each in changes.changes}
+        is_replaced = len(keys) < len(changes.changes)
+        is_paced = self._pacing.get_delay(now) > 0
+        self._reads_rows = self._prefers_rows and is_replaced and is_paced
+
     def _record_success(self) -> None:
         self.last_position = self._position
         if self._is_failing:
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -101,6 +101,8 @@
     retries: RetryBudget
     #: Resources of the instance.
     limits: InstanceLimits = InstanceLimits()
+    #: Whether the settings state the capacity of the link.
+    is_link_stated: bool = False
     #: Whether callers may need more than instances or targets can serve.
     has_scarce_capacity: bool = False
     #: Whether an engine that holds more tokens than its memory has room for crashes.
@@ -161,6 +163,9 @@
     def __init__(self, values: Mapping[str, str]) -> None:
         self._values = values
 
+    def has_value(self, key: str) -> bool:
+        return bool(self._values.get(key, ""))
+
     def get_text(self, key: str) -> str:
         return self._values[key]
 
@@ -241,6 +246,7 @@
             window=reader.get_number("bounds.budget_window_s", 10.0),
         ),
         limits=_make_limits(reader),
+        is_link_stated=reader.has_value("limits.link_mbps"),
         has_scarce_capacity=not _SCARCITY_CONTRACTS.isdisjoint(
             reader.get_names("contracts")
         ),
--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -106,12 +106,15 @@
             era = decode_era(reply)
             self._clock.record_read(page.ok.now_ms, era)
             rows = tuple(iterate_rows(page.ok))
+            size = len(reply.body)
             if snapshot is None:
-                snapshot = RowSnapshot(rows, page.ok.ver, era)
+                snapshot = RowSnapshot(rows, page.ok.ver, era, size)
             elif snapshot.era != era:
                 return Error(PlatformFault("read", "the store was restored meanwhile"))
             else:
-                snapshot = RowSnapshot(snapshot.rows + rows, snapshot.version, era)
+                snapshot = RowSnapshot(
+                    snapshot.rows + rows, snapshot.version, era, snapshot.size + size
+                )
             if not page.ok.has_more or not page.ok.rows:
                 return Ok(snapshot)
             query["from"] = page.ok.rows[-1].key + "\0"
@@ -145,7 +148,10 @@
         if reply.status == GONE:
             return Ok(HistoryLost())
         era = decode_era(reply)
-        return decode_page("follow", reply).map(lambda page: make_changes(page, era))
+        size = len(reply.body)
+        return decode_page("follow", reply).map(
+            lambda page: make_changes(page, era, size)
+        )
 
     async def commit(
         self, table: str, part: str, transaction: Transaction
--- a/kingcuphead/platform/_store_codec.py
+++ b/kingcuphead/platform/_store_codec.py
@@ -78,6 +78,10 @@
     version: int
     #: Era of the store from which the changes are.
     era: int = 0
+    #: Bytes of the reply that contained them.
+    size: int = 0
+    #: Whether the store has more changes, which it left out of the reply.
+    has_more: bool = False
 
 
 @frozen
@@ -144,10 +148,25 @@
             logger.warning("cannot decode the value of row {}: {}", each.key, error)
 
 
-def make_changes(page: Page, era: int) -> Changes:
-    """Return the changes of the rows outside of any part, in commit order."""
+def make_changes(page: Page, era: int, size: int) -> Changes:
+    """Return the changes of the rows outside of any part, in commit order.
+
+    Parameters
+    ----------
+    page
+        Decoded reply.
+    era
+        Era that the reply names.
+    size
+        Bytes of the reply.
+    """
     rows = [each for each in page.rows if not each.part]
-    return Changes(tuple(_iterate_changes(rows)), page.ver, era)
+    version = page.ver
+    if page.has_more and page.rows:
+        # The store's version may be that of a change which the reply leaves out.
+        version = min(version, page.rows[-1].ver)
+    changes = tuple(_iterate_changes(rows))
+    return Changes(changes, version, era, size, page.has_more)
 
 
 def encode_transaction(table: str, part: str, transaction: Transaction) -> bytes:
--- a/kingcuphead/storage/_messages.py
+++ b/kingcuphead/storage/_messages.py
@@ -32,6 +32,8 @@
     version: int
     #: Era of the store in which the rows were read.
     era: int = 0
+    #: Bytes of the replies that contained them.
+    size: int = 0
 
 
 @frozen
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -87,6 +87,11 @@
         """Whether the targets of any service have a limit while they are cold."""
         return self._cold.has_limits
 
+    @property
+    def count(self) -> int:
+        """Number of targets that have an entry, usable or not."""
+        return len(self._targets)
+
     @property
     def is_empty(self) -> bool:
         """Whether the directory contains no target."""
