Read Cold-Ms from targets' answers to requests

Cause: a target that becomes cold between two of its entries states it only in the header Cold-Ms, which no code read.

Change: PlatformHeaders decodes the header (decimal milliseconds, at most 60 s); an unreadable value is ignored and logged once, cut to 100 characters. The directory takes the latest of entry, start and header. No health checks are added. Services without cold_per_s are served as before.

--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -239,6 +239,8 @@
             permits.pause(target, head.retry_after)
         if head.request_id == context.request.request_id:
             permits.record_terms(target, head.terms)
+            if head.cold_left is not None:
+                self._dependencies.directory.record_cold(target, head.cold_left)
 
     def _record_start(self, context: RequestContext, placement: Placement) -> None:
         """Record the software version of the first event that the caller gets."""
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -141,6 +141,8 @@
     retry_after: float | None = None
     #: What the target states about the requests that it accepts.
     terms: TargetTerms = TargetTerms()
+    #: Seconds for which the target stays cold; None if it doesn't state them.
+    cold_left: float | None = None
 
     @property
     def is_success(self) -> bool:
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -16,6 +16,8 @@
     SendOptions,
 )
 from kingcuphead.permits import TargetTerms
+from kingcuphead.platform._entries import MAX_COLD_LEFT
+from kingcuphead.platform._numbers import read_stated_number
 
 REQUEST_ID = "Attempt-Id"
 RETRY_AFTER = "Retry-After"
@@ -35,6 +37,7 @@
 _LEAVING = "Server-Leaving"
 _RATE_LIMIT = "Server-Limit"
 _REJECTION_LIMIT = "Server-Brittle"
+_COLD = "Cold-Ms"
 #: Upper bound in seconds of the time for which a target may ask for no requests.
 _MAX_RETRY_AFTER = 30.0
 #: Upper bound of the requests per second that a target may state.
@@ -206,6 +209,7 @@
             is_leaving=headers.get(_LEAVING, "") == "1",
             retry_after=_parse_retry_after(status, headers.get(RETRY_AFTER, "")),
             terms=_parse_terms(headers),
+            cold_left=_parse_cold_left(headers.get(_COLD)),
         )
 
 
@@ -280,6 +284,13 @@
     return min(seconds, _MAX_RETRY_AFTER)
 
 
+def _parse_cold_left(text: str | None) -> float | None:
+    milliseconds = None if text is None else read_stated_number(_COLD, text)
+    if milliseconds is None:
+        return None
+    return min(milliseconds / 1000, MAX_COLD_LEFT)
+
+
 def _parse_terms(headers: HTTPHeaders) -> TargetTerms:
     rate = _parse_number(_RATE_LIMIT, headers.get(_RATE_LIMIT, ""))
     rejections = _parse_number(_REJECTION_LIMIT, headers.get(_REJECTION_LIMIT, ""))
--- a/kingcuphead/platform/_numbers.py
+++ b/kingcuphead/platform/_numbers.py
@@ -36,12 +36,38 @@
     is_valid = math.isfinite(number) and number >= 0
     if is_valid and not (is_positive and number == 0):
         return number
-    _log_once(name, repr(value)[:MAX_LOGGED_VALUE], fallback)
+    _log_once(name, value, f"using {fallback}")
     return fallback
 
 
-def _log_once(name: str, text: str, fallback: float) -> None:
+def read_stated_number(name: str, text: str) -> float | None:
+    """Return a non-negative number from a header; log an invalid value once.
+
+    Parameters
+    ----------
+    name
+        Name of the header, for the log.
+    text
+        Value of the header.
+
+    Returns
+    -------
+    float | None
+        The number, or None if the value is invalid.
+    """
+    try:
+        number = float(text)
+    except ValueError:
+        number = math.nan
+    if math.isfinite(number) and number >= 0:
+        return number
+    _log_once(name, text, "ignoring it")
+    return None
+
+
+def _log_once(name: str, value: Any, effect: str) -> None:
+    text = repr(value)[:MAX_LOGGED_VALUE]
     if (name, text) in _logged or len(_logged) >= MAX_REMEMBERED:
         return
     _logged.add((name, text))
-    logger.bind(value=text).warning("invalid {}; using {}", name, fallback)
+    logger.bind(value=text).warning("invalid {}; {}", name, effect)
--- a/kingcuphead/platform/tests/test_headers.py
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -1,6 +1,7 @@
 import dataclasses
 
 import pytest
+from loguru import logger
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
 from kingcuphead.forwarding import PromptPart, PromptSize, SendOptions
@@ -193,6 +194,36 @@
         headers = HTTPHeaders({"Content-Length": "0", **lines})
         assert PlatformHeaders().decode_answer(200, headers, "GET").terms == terms
 
+    @pytest.mark.parametrize(
+        ("text", "seconds"),
+        [
+            ("1500", 1.5),
+            ("0.5", 0.0005),
+            ("0", 0.0),
+            ("1e9", 60.0),
+            ("", None),
+            ("-1", None),
+            ("nan", None),
+            ("inf", None),
+            ("1,2", None),
+        ],
+    )
+    def test_a_target_states_how_long_it_stays_cold(self, text, seconds):
+        headers = HTTPHeaders({"Content-Length": "0", "Cold-Ms": text})
+        head = PlatformHeaders().decode_answer(200, headers, "GET")
+        assert head.cold_left == seconds
+
+    def test_an_unreadable_cold_header_is_logged_once_and_truncated(self):
+        """Guards against a log line of any length for each answer."""
+        lines = []
+        sink = logger.add(lambda line: lines.append(line.record))
+        headers = HTTPHeaders({"Content-Length": "0", "Cold-Ms": "soon " * 99})
+        for _ in range(3):
+            PlatformHeaders().decode_answer(200, headers, "GET")
+        logger.remove(sink)
+        assert [line["message"] for line in lines] == ["invalid Cold-Ms; ignoring it"]
+        assert len(lines[0]["extra"]["value"]) == 100
+
 
 class TestRefusalHeaders:
     def test_retry_after_keeps_its_fraction(self):
--- a/kingcuphead/targets/_cold.py
+++ b/kingcuphead/targets/_cold.py
@@ -51,6 +51,8 @@
     started_at: float
     #: End of the cold period that the last entry states.
     stated_until: float = float("-inf")
+    #: End of the cold period that the last answer states.
+    answered_until: float = float("-inf")
     #: When the zone was readmitted, unless a later entry states whether it is cold.
     readmitted_at: float = float("-inf")
 
@@ -101,6 +103,13 @@
             state.target = target
         self._update(state, now)
 
+    def record_answer(self, target: Target, seconds: float, now: float) -> None:
+        """Apply what a target states in an answer; it replaces earlier answers."""
+        state = self._states.get(target.name)
+        if state is not None and state.target.incarnation == target.incarnation:
+            state.answered_until = now + seconds
+            self._update(state, now)
+
     def record_readmission(self, target: Target, now: float) -> None:
         """Count a target as cold until its next entry states whether it is."""
         state = self._states.get(target.name)
@@ -147,11 +156,15 @@
 
     def _get_end(self, state: _TargetState) -> float:
         start = self._starts.get(state.target.service, NO_COLD_START)
-        return max(
+        end = max(
             state.stated_until,
             state.started_at + start.period,
             state.readmitted_at + _get_readmission_period(start),
         )
+        # Answers count only where the service has a limit for cold targets.
+        return (
+            end if start.requests_per_second is None else max(end, state.answered_until)
+        )
 
     def _update(self, state: _TargetState, now: float) -> None:
         name = state.target.name
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -267,6 +267,10 @@
         """Replace the cold starts of all services, by service."""
         self._cold.apply_starts(starts, self._read_clock())
 
+    def record_cold(self, target: Target, seconds: float) -> None:
+        """Record for how long a target stays cold, according to its answer."""
+        self._cold.record_answer(target, seconds, self._read_clock())
+
     def is_cold(self, target: Target) -> bool:
         """Whether a target is known to be cold."""
         return self._cold.cold_count > 0 and self._cold.is_cold(
--- a/kingcuphead/targets/tests/test_cold.py
+++ b/kingcuphead/targets/tests/test_cold.py
@@ -112,6 +112,35 @@
             clock.now += 1
         assert clock.now == end
 
+    @pytest.mark.parametrize(
+        ("start", "cold_left", "answers", "end"),
+        [
+            (START, 0.0, [5.0], 5),
+            (START, 0.0, [5.0, 3.0], 3),
+            # The latest of entry and answer counts.
+            (START, 4.0, [0.0], 4),
+            (START, 4.0, [6.0], 6),
+            # A service without a limit is served as before the header was read.
+            (ColdStart(8.0, None), 0.0, [5.0], 0),
+            (ColdStart(8.0, None), 4.0, [6.0], 4),
+        ],
+    )
+    def test_a_target_states_in_an_answer_that_it_is_cold(
+        self, directory, clock, start, cold_left, answers, end
+    ):
+        directory.apply_cold_starts({"pool": start})
+        put(directory, make_entry(cold_left))
+        for seconds in answers:
+            directory.record_cold(TARGET, seconds)
+        assert find_end(directory, clock) == end
+
+    @pytest.mark.parametrize("name", ["t1", "t2"])
+    def test_an_answer_of_an_unknown_incarnation_changes_nothing(self, directory, name):
+        put(directory, make_entry(0.0))
+        earlier = dataclasses.replace(TARGET, name=name, started_at_ms=2)
+        directory.record_cold(earlier, 5.0)
+        assert directory.cold_count == 0
+
     def test_another_incarnation_has_a_state_of_its_own(self, directory):
         put(directory, make_entry(5.0))
         assert not directory.is_cold(make_entry(started_at_ms=2))
