Complete the check of a configuration before it is sent

Cause: a wrong type in a route or an organisation was reported without its index, a misspelled field not at all, and a shadowed route was named the wrong way round: the last route of a host and prefix is used.

Change: syntax errors give line and column, wrong types the path in the file, unknown fields a warning with the nearest known name. Names are escaped and cut.

--- a/kingcuphead/cli/_exit_codes.py
+++ b/kingcuphead/cli/_exit_codes.py
@@ -27,7 +27,7 @@
 
     #: No finding.
     CLEAN = 0
-    #: Warnings only.
+    #: Warnings only, or a difference that takes something away from callers.
     WARNINGS = 1
     #: At least one error.
     ERRORS = 2
--- a/kingcuphead/cli/_parser.py
+++ b/kingcuphead/cli/_parser.py
@@ -23,7 +23,7 @@
   3  conflict with another change; nothing was changed
   4  daemon or platform not reached; nothing was changed
   5  outcome unknown; repeat the command with the id that is shown
-  check: 0 no finding, 1 warnings only, 2 errors
+  check: 0 no finding, 1 warnings or a loss of callers, 2 errors
 
 example:
   kingcuphead model create large --versions 1 --max-output-tokens 4096
@@ -221,7 +221,11 @@
     token.set_defaults(run=None, run_locally=state.print_token)
     check = commands.add_parser("check", help="check a routing configuration file")
     check.add_argument("file", help="routing configuration as JSON")
-    check.add_argument("--against", metavar="FILE", help="the version in force")
+    check.add_argument(
+        "--against",
+        metavar="FILE",
+        help="the version in force: a file, or store:HOST:PORT to read it there",
+    )
     # Without SUPPRESS, the default would override a --json before the command.
     check.add_argument(
         "--json",
--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -2,11 +2,8 @@
 
 from kingcuphead.platform._configuration import (
     ConfigurationDecoder,
-    KeyHolder,
-    StatedValues,
     decode_configuration,
     decode_evacuated_zone,
-    decode_stated_values,
 )
 from kingcuphead.platform._entries import decode_target
 from kingcuphead.platform._headers import (
@@ -25,6 +22,14 @@
     parse_profile,
     read_profile,
 )
+from kingcuphead.platform._stated_values import (
+    FileFault,
+    KeyHolder,
+    StatedValues,
+    decode_stated_values,
+    format_name,
+    format_place,
+)
 from kingcuphead.platform._store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
@@ -41,6 +46,7 @@
     "ConfigurationDecoder",
     "Changes",
     "Endpoint",
+    "FileFault",
     "HistoryLost",
     "InstanceLimits",
     "KeyHolder",
@@ -59,6 +65,8 @@
     "decode_request",
     "decode_stated_values",
     "decode_target",
+    "format_name",
+    "format_place",
     "make_refusal_headers",
     "parse_profile",
     "read_profile",
--- a/kingcuphead/platform/_configuration.py
+++ b/kingcuphead/platform/_configuration.py
@@ -26,19 +26,24 @@
 #: Seconds for which a target is cold after its start if the period is invalid.
 _DEFAULT_COLD_PERIOD = 10.0
 
-_KINDS = {
+#: Kinds of requests by their names in the configuration.
+KINDS = {
     "safe": RequestKind.IDEMPOTENT,
     "unsafe": RequestKind.AT_MOST_ONCE,
     "streaming": RequestKind.STREAM,
 }
 
 
-class _Split(msgspec.Struct):
+class SplitForm(msgspec.Struct):
+    """Share of a service in the requests of a route."""
+
     service: str
     weight: float
 
 
-class _Route(msgspec.Struct):
+class RouteForm(msgspec.Struct):
+    """A route as it is written."""
+
     name: str
     host: str
     prefix: str
@@ -48,36 +53,44 @@
     target_latency_ms: float = 1_000
     priority: int = 5
     service: str = ""
-    traffic_split: list[_Split] = []
+    traffic_split: list[SplitForm] = []
     max_attempts: int = 1
     allow_anonymous: bool = False
     stream_resume: bool = False
     gap_aim_ms: float = 1_000
 
 
-class _Engine(msgspec.Struct):
+class EngineForm(msgspec.Struct):
+    """Properties of engines as they are written."""
+
     slots: int = 1
     kv_capacity_tokens: int = 0
     # Tokens per event of a stream.
     stride: int = 1
 
 
-class _Service(msgspec.Struct):
+class ServiceForm(msgspec.Struct):
+    """A service as it is written."""
+
     name: str
     max_connections: int = 100
-    engine: _Engine | None = None
+    engine: EngineForm | None = None
     cold_start_s: Any = 0
     cold_per_s: Any = 0
 
 
-class _Limits(msgspec.Struct):
+class LimitsForm(msgspec.Struct):
+    """Limits of callers as they are written."""
+
     max_header_bytes: int = 16_384
     max_body_bytes: int = 4_194_304
     header_timeout_ms: float = 3_000
     idle_timeout_ms: float = 15_000
 
 
-class _Tenant(msgspec.Struct):
+class TenantForm(msgspec.Struct):
+    """An organisation as it is written."""
+
     name: str
     api_keys: list[str] = []
     priority: int | None = None
@@ -85,11 +98,13 @@
     prepaid: int | None = None
 
 
-class _Configuration(msgspec.Struct):
+class ConfigurationForm(msgspec.Struct):
+    """A whole configuration as it is written."""
+
     version: int
     routes: list[msgspec.Raw] = []
-    services: list[_Service] = []
-    limits: _Limits = msgspec.field(default_factory=_Limits)
+    services: list[ServiceForm] = []
+    limits: LimitsForm = msgspec.field(default_factory=LimitsForm)
     tenants: list[msgspec.Raw] = []
 
 
@@ -101,9 +116,10 @@
     keys: tuple[str, ...]
 
 
-_DECODER = msgspec.json.Decoder(_Configuration, strict=False)
-_ROUTE_DECODER = msgspec.json.Decoder(_Route, strict=False)
-_TENANT_DECODER = msgspec.json.Decoder(_Tenant, strict=False)
+#: Decoders of the whole configuration and of the parts that it leaves encoded.
+DECODER = msgspec.json.Decoder(ConfigurationForm, strict=False)
+ROUTE_DECODER = msgspec.json.Decoder(RouteForm, strict=False)
+TENANT_DECODER = msgspec.json.Decoder(TenantForm, strict=False)
 
 T = TypeVar("T")
 
@@ -153,7 +169,7 @@
             The configuration, or the decoder's error message.
         """
         try:
-            decoded = _DECODER.decode(content)
+            decoded = DECODER.decode(content)
             routes = self._routes.decode_all(decoded.routes)
             organisations = self._organisations.decode_all(decoded.tenants)
         except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
@@ -189,16 +205,16 @@
 
 
 def _decode_route(content: bytes) -> Route:
-    return _make_route(_ROUTE_DECODER.decode(content))
+    return _make_route(ROUTE_DECODER.decode(content))
 
 
 def _decode_organisation(content: bytes) -> _OrganisationWithKeys:
-    tenant = _TENANT_DECODER.decode(content)
+    tenant = TENANT_DECODER.decode(content)
     organisation = Organisation(tenant.name, tenant.priority, tenant.prepaid)
     return _OrganisationWithKeys(organisation, tuple(tenant.api_keys))
 
 
-def _make_route(route: _Route) -> Route:
+def _make_route(route: RouteForm) -> Route:
     services = tuple(
         WeightedService(each.service, each.weight) for each in route.traffic_split
     )
@@ -207,7 +223,7 @@
         host=route.host.lower(),
         prefix=route.prefix,
         # Requests of an unknown kind may have side effects, so they are not retried.
-        kind=_KINDS.get(route.kind, RequestKind.AT_MOST_ONCE),
+        kind=KINDS.get(route.kind, RequestKind.AT_MOST_ONCE),
         services=services or (WeightedService(route.service, 1.0),),
         timeout=route.timeout_ms / 1000,
         objective=route.target_latency_ms / 1000,
@@ -219,7 +235,7 @@
     )
 
 
-def _make_service(service: _Service) -> Service:
+def _make_service(service: ServiceForm) -> Service:
     engine = service.engine
     profile = None
     if engine is not None:
@@ -242,62 +258,10 @@
     return 0.0 if value is None else read_number(name, value, fallback)
 
 
-def _make_limits(limits: _Limits) -> CallerLimits:
+def _make_limits(limits: LimitsForm) -> CallerLimits:
     return CallerLimits(
         header_bytes=limits.max_header_bytes,
         body_bytes=limits.max_body_bytes,
         header_timeout=limits.header_timeout_ms / 1000,
         idle_timeout=limits.idle_timeout_ms / 1000,
     )
-
-
-@frozen
-class KeyHolder:
-    """An organisation as the configuration states it, with its API keys."""
-
-    #: Name of the organisation.
-    name: str
-    #: Its API keys, which other organisations may hold too by mistake.
-    keys: tuple[str, ...]
-
-
-@frozen
-class StatedValues:
-    """Values that decoding merges or corrects, in the order of the file."""
-
-    #: Stated maximum number of attempts of each route.
-    attempts: tuple[int, ...]
-    #: Name of each service.
-    services: tuple[str, ...]
-    #: Each organisation with its keys.
-    holders: tuple[KeyHolder, ...]
-
-
-def decode_stated_values(content: bytes) -> Result[StatedValues, str]:
-    """Decode the values that `decode_configuration` merges or corrects.
-
-    Parameters
-    ----------
-    content
-        Configuration as JSON; unknown fields are ignored.
-
-    Returns
-    -------
-    Result[StatedValues, str]
-        The values, or the decoder's error message.
-    """
-    try:
-        decoded = _DECODER.decode(content)
-        routes = [_ROUTE_DECODER.decode(each) for each in decoded.routes]
-        tenants = [_TENANT_DECODER.decode(each) for each in decoded.tenants]
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Error(str(error))
-    return Ok(
-        StatedValues(
-            attempts=tuple(each.max_attempts for each in routes),
-            services=tuple(each.name for each in decoded.services),
-            holders=tuple(
-                KeyHolder(each.name, tuple(each.api_keys)) for each in tenants
-            ),
-        )
-    )
--- a/kingcuphead/platform/_numbers.py
+++ b/kingcuphead/platform/_numbers.py
@@ -29,12 +29,8 @@
     is_positive
         Whether zero is invalid, too.
     """
-    try:
-        number = math.nan if isinstance(value, bool) else float(value)
-    except (TypeError, ValueError, OverflowError):
-        number = math.nan
-    is_valid = math.isfinite(number) and number >= 0
-    if is_valid and not (is_positive and number == 0):
+    number = parse_number(value)
+    if number is not None and not (is_positive and number == 0):
         return number
     _log_once(name, value, f"using {fallback}")
     return fallback
@@ -55,14 +51,19 @@
     float | None
         The number, or None if the value is invalid.
     """
+    number = parse_number(text)
+    if number is None:
+        _log_once(name, text, "ignoring it")
+    return number
+
+
+def parse_number(value: Any) -> float | None:
+    """Return a value as a non-negative number; None if it isn't one."""
     try:
-        number = float(text)
-    except ValueError:
-        number = math.nan
-    if math.isfinite(number) and number >= 0:
-        return number
-    _log_once(name, text, "ignoring it")
-    return None
+        number = math.nan if isinstance(value, bool) else float(value)
+    except (TypeError, ValueError, OverflowError):
+        return None
+    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _log_once(name: str, value: Any, effect: str) -> None:
--- a/kingcuphead/review/_checks.py
+++ b/kingcuphead/review/_checks.py
@@ -1,15 +1,17 @@
 """Checks of one configuration version."""
 
+from collections import Counter
 from collections.abc import Iterator
 
-from kingcuphead.platform import StatedValues
+from kingcuphead.platform import StatedValues, format_place
+from kingcuphead.review._costs import (
+    BYTES_PER_TOKEN,
+    estimate_largest_cost,
+    estimate_largest_prompt,
+)
 from kingcuphead.review._findings import Finding, make_error, make_warning
-from kingcuphead.routing import Route, RoutingConfiguration, Service
-
-#: Smallest header limit in bytes that leaves room for the headers of the project.
-MIN_HEADER_BYTES = 4_096
-#: Bytes of a request body for each token of its prompt, as an estimate.
-BYTES_PER_TOKEN = 4
+from kingcuphead.review._limit_checks import check_limits, check_times
+from kingcuphead.routing import Organisation, Route, RoutingConfiguration, Service
 
 
 def check(configuration: RoutingConfiguration, stated: StatedValues) -> list[Finding]:
@@ -23,10 +25,11 @@
         Values of the file that the decoded configuration lacks.
     """
     return [
+        *(make_warning(each.place, each.cause) for each in stated.ignored),
         *_check_routes(configuration, stated),
         *_check_services(configuration, stated),
-        *_check_organisations(stated),
-        *_check_limits(configuration),
+        *_check_organisations(configuration, stated),
+        *check_limits(configuration.limits),
     ]
 
 
@@ -35,22 +38,45 @@
 ) -> Iterator[Finding]:
     seen: dict[tuple[str, str], str] = {}
     for index, route in enumerate(configuration.routes):
-        place = f'routes[{index}] "{route.name}"'
+        place = format_place("routes", index, route.name)
         match = (route.host, route.prefix)
         if match in seen:
-            yield make_error(place, f"same host and prefix as {seen[match]}")
-        seen.setdefault(match, place)
+            cause = f"same host and prefix as {seen[match]}, which can never match"
+            yield make_error(place, cause)
+        # The last route of a host and prefix is used.
+        seen[match] = place
+        yield from _check_match(place, route)
         if stated.attempts[index] < 1:
             yield make_error(place, f"max_attempts {stated.attempts[index]} is below 1")
         yield from _check_split(place, route, configuration)
-        yield from _check_times(place, route)
+        yield from check_times(place, route)
+
+
+def _check_match(place: str, route: Route) -> Iterator[Finding]:
+    """Report why a route can't match any request."""
+    if ":" in route.host:
+        yield make_error(place, "can never match: hosts are compared without a port")
+    if not (route.prefix.startswith("/") and route.prefix.endswith("/")):
+        yield make_error(
+            place, "can never match: a prefix has to begin and end with a slash"
+        )
+    if "?" in route.prefix:
+        yield make_error(
+            place, "can never match: paths are compared without the query string"
+        )
 
 
 def _check_split(
     place: str, route: Route, configuration: RoutingConfiguration
 ) -> Iterator[Finding]:
+    names = Counter(each.service for each in route.services)
+    for name, count in names.items():
+        if count > 1:
+            yield make_warning(place, f'service "{name}" occurs {count} times')
     for each in route.services:
-        if each.service not in configuration.services:
+        if not each.service:
+            yield make_error(place, "names no service")
+        elif each.service not in configuration.services:
             yield make_error(place, f'service "{each.service}" does not exist')
         if not each.weight > 0:
             yield make_warning(
@@ -59,26 +85,13 @@
             )
 
 
-def _check_times(place: str, route: Route) -> Iterator[Finding]:
-    if route.objective > route.timeout:
-        yield make_warning(
-            place, f"objective {route.objective:g} s above timeout {route.timeout:g} s"
-        )
-    if route.event_gap_objective > route.objective:
-        yield make_warning(
-            place,
-            f"pause objective {route.event_gap_objective:g} s above "
-            f"objective {route.objective:g} s",
-        )
-
-
 def _check_services(
     configuration: RoutingConfiguration, stated: StatedValues
 ) -> Iterator[Finding]:
     routed = {each.service for route in configuration.routes for each in route.services}
     seen: set[str] = set()
     for index, name in enumerate(stated.services):
-        place = f'services[{index}] "{name}"'
+        place = format_place("services", index, name)
         if name in seen:
             yield make_error(place, "another service of this name is defined above")
             continue
@@ -90,6 +103,10 @@
             yield make_warning(
                 place, "a cold period without a limit of requests per second"
             )
+        if service.max_connections < 1:
+            yield make_error(
+                place, f"max_connections {service.max_connections} is below 1"
+            )
         yield from _check_engine(place, service, configuration.limits.body_bytes)
 
 
@@ -97,7 +114,15 @@
     engine = service.engine
     if engine is None:
         return
-    prompt = body_bytes // BYTES_PER_TOKEN
+    prompt = estimate_largest_prompt(body_bytes)
+    if engine.slots < 1:
+        yield make_error(place, f"slots {engine.slots} is below 1")
+    elif service.max_connections < engine.slots:
+        yield make_warning(
+            place,
+            f"max_connections {service.max_connections} is below the "
+            f"{engine.slots} slots of an engine",
+        )
     share = engine.kv_cache_tokens // max(1, engine.slots)
     if engine.kv_cache_tokens <= 0:
         yield make_warning(
@@ -113,11 +138,14 @@
         )
 
 
-def _check_organisations(stated: StatedValues) -> Iterator[Finding]:
+def _check_organisations(
+    configuration: RoutingConfiguration, stated: StatedValues
+) -> Iterator[Finding]:
+    cost = estimate_largest_cost(configuration)
     holders: dict[str, str] = {}
     names: set[str] = set()
     for index, holder in enumerate(stated.holders):
-        place = f'tenants[{index}] "{holder.name}"'
+        place = format_place("tenants", index, holder.name)
         if holder.name in names:
             yield make_error(
                 place, "another organisation of this name is defined above"
@@ -125,16 +153,26 @@
         names.add(holder.name)
         if not holder.keys:
             yield make_warning(place, "organisation without keys")
+        if len(set(holder.keys)) < len(holder.keys):
+            yield make_warning(place, "a key occurs more than once")
+        if "" in holder.keys:
+            yield make_error(
+                place, "an empty key: requests without a key would count as its own"
+            )
+        yield from _check_budget(place, configuration.organisations[holder.name], cost)
         others = {holders.setdefault(key, holder.name) for key in holder.keys}
         for other in sorted(others - {holder.name}):
             yield make_error(place, f'a key is also held by "{other}"')
 
 
-def _check_limits(configuration: RoutingConfiguration) -> Iterator[Finding]:
-    header_bytes = configuration.limits.header_bytes
-    if header_bytes < MIN_HEADER_BYTES:
-        yield make_warning(
-            "limits",
-            f"max_header_bytes {header_bytes} is below {MIN_HEADER_BYTES}, "
-            "which the router's own headers need",
-        )
+def _check_budget(
+    place: str, organisation: Organisation, cost: int
+) -> Iterator[Finding]:
+    budget = organisation.prepaid_tokens
+    if budget is None or budget >= cost:
+        return
+    yield make_warning(
+        place,
+        f"a budget of {budget} tokens is below the cost of the largest request, "
+        f"{cost} tokens",
+    )
--- a/kingcuphead/review/_differences.py
+++ b/kingcuphead/review/_differences.py
@@ -8,7 +8,8 @@
 from typing import Any
 
 from kingcuphead.frozen import frozen
-from kingcuphead.routing import EngineProfile, RoutingConfiguration
+from kingcuphead.platform import format_name
+from kingcuphead.routing import EngineProfile, RequestKind, RoutingConfiguration
 
 #: Fields where a lower value takes something away from callers; None means no limit.
 _LOWER_TAKES_AWAY = frozenset(
@@ -28,6 +29,10 @@
         "timeout",
     }
 )
+#: Fields where a higher value takes something away from callers.
+_HIGHER_TAKES_AWAY = frozenset({"event_gap_objective", "objective", "rank"})
+#: Request kinds, from those that are retried most to those that are retried least.
+_KINDS = (RequestKind.IDEMPOTENT, RequestKind.STREAM, RequestKind.AT_MOST_ONCE)
 
 
 class DifferenceKind(enum.StrEnum):
@@ -47,9 +52,23 @@
     #: The part, such as `service "name"`.
     place: str
     #: What has changed in it; empty if the part was added or removed as a whole.
-    detail: str
+    field: str = ""
+    #: Value in the version in force; empty if there was none.
+    before: str = ""
+    #: Value in the new version; empty if there is none.
+    after: str = ""
     #: Whether callers lose something by it, such as a service or a part of a limit.
-    takes_away: bool
+    takes_away: bool = False
+
+    def describe(self) -> str:
+        """Return the difference in words."""
+        if self.kind is DifferenceKind.CHANGED:
+            change = f"{self.field} changes from {self.before} to {self.after}"
+            return f"{self.place}: {change}"
+        count = self.before or self.after
+        if count:
+            return f"{self.place}: {count} {self.kind}"
+        return f"{self.place} is {self.kind}"
 
 
 def compare(old: RoutingConfiguration, new: RoutingConfiguration) -> list[Difference]:
@@ -79,11 +98,11 @@
     kind: str, old: Mapping[str, Any], new: Mapping[str, Any]
 ) -> Iterator[Difference]:
     for name in sorted(old.keys() | new.keys()):
-        place = f'{kind} "{name}"'
+        place = f"{kind} {format_name(name)}"
         if name not in new:
-            yield Difference(DifferenceKind.REMOVED, place, "", takes_away=True)
+            yield Difference(DifferenceKind.REMOVED, place, takes_away=True)
         elif name not in old:
-            yield Difference(DifferenceKind.ADDED, place, "", takes_away=False)
+            yield Difference(DifferenceKind.ADDED, place)
         else:
             yield from _compare_fields(place, old[name], new[name])
 
@@ -96,13 +115,36 @@
         if isinstance(before, EngineProfile) and isinstance(after, EngineProfile):
             yield from _compare_fields(f"{place} engine", before, after)
             continue
-        takes_away = field.name in _LOWER_TAKES_AWAY and _is_lower(before, after)
-        detail = f"{field.name}: {_format(before)} -> {_format(after)}"
-        yield Difference(DifferenceKind.CHANGED, place, detail, takes_away)
+        yield Difference(
+            DifferenceKind.CHANGED,
+            place,
+            field.name,
+            _format(before),
+            _format(after),
+            _takes_away(field.name, before, after),
+        )
+
+
+def _takes_away(field: str, before: Any, after: Any) -> bool:
+    """Whether callers lose something by the change of a field."""
+    if field in _LOWER_TAKES_AWAY:
+        return _is_lower(before, after)
+    if field in _HIGHER_TAKES_AWAY:
+        # Without an override the rank is that of the route, so it can't be compared.
+        return before is not None and after is not None and after > before
+    if field == "kind":
+        return _KINDS.index(after) > _KINDS.index(before)
+    return False
 
 
 def _format(value: Any) -> str:
     match value:
+        case None:
+            return "none"
+        case bool():
+            return "yes" if value else "no"
+        case float():
+            return f"{value:g}"
         case tuple():
             return ", ".join(f"{each.service}={each.weight:g}" for each in value)
         case EngineProfile():
@@ -128,6 +170,11 @@
         (DifferenceKind.ADDED, added),
     ):
         for name, count in sorted(counts.items()):
-            takes_away = kind is DifferenceKind.REMOVED
-            place = f'keys of organisation "{name}"'
-            yield Difference(kind, place, f"number: {count}", takes_away)
+            is_removed = kind is DifferenceKind.REMOVED
+            yield Difference(
+                kind,
+                f"keys of organisation {format_name(name)}",
+                before=str(count) if is_removed else "",
+                after="" if is_removed else str(count),
+                takes_away=is_removed,
+            )
--- a/kingcuphead/review/_review.py
+++ b/kingcuphead/review/_review.py
@@ -1,9 +1,12 @@
 """Review of the content of a configuration file."""
 
+from collections.abc import Iterable, Iterator
+
 from expression import Error, Ok, Result
 
 from kingcuphead.frozen import frozen
 from kingcuphead.platform import (
+    FileFault,
     StatedValues,
     decode_configuration,
     decode_stated_values,
@@ -49,16 +52,16 @@
     in_force
         Content of the version in force; None for no comparison.
     """
-    new = _decode("file", content)
+    new = _decode(content)
     if new.is_error():
-        return Review((new.error,))
+        return Review(new.error)
     configuration = new.ok.configuration
     findings = tuple(check(configuration, new.ok.stated))
     if in_force is None:
         return Review(findings)
-    old = _decode("version in force", in_force)
+    old = _decode(in_force, "version in force: ")
     if old.is_error():
-        return Review((old.error, *findings))
+        return Review((*old.error, *findings))
     current = old.ok.configuration
     if configuration.version <= current.version:
         cause = (
@@ -69,16 +72,22 @@
     return Review(findings, tuple(compare(current, configuration)))
 
 
-def _decode(place: str, content: bytes) -> Result[_Version, Finding]:
+def _decode(content: bytes, prefix: str = "") -> Result[_Version, tuple[Finding, ...]]:
+    source = prefix.removesuffix(": ") or "file"
     if len(content) > MAX_FILE_BYTES:
-        return Error(make_error(place, f"larger than {MAX_FILE_BYTES:,} bytes"))
+        return Error((make_error(source, f"larger than {MAX_FILE_BYTES:,} bytes"),))
     try:
-        configuration = decode_configuration(content)
         stated = decode_stated_values(content)
+        configuration = decode_configuration(content)
     except RecursionError:
-        return Error(make_error(place, "nested too deeply"))
-    if configuration.is_error():
-        return Error(make_error(place, f"can't be decoded: {configuration.error}"))
+        return Error((make_error(source, "nested too deeply"),))
     if stated.is_error():
-        return Error(make_error(place, f"can't be decoded: {stated.error}"))
+        return Error(tuple(_make_findings(prefix, stated.error)))
+    if configuration.is_error():
+        return Error((make_error(source, f"can't be decoded: {configuration.error}"),))
     return Ok(_Version(configuration.ok, stated.ok))
+
+
+def _make_findings(prefix: str, faults: Iterable[FileFault]) -> Iterator[Finding]:
+    for fault in faults:
+        yield make_error(f"{prefix}{fault.place}", f"can't be decoded: {fault.cause}")
--- a/kingcuphead/review/tests/test_review.py
+++ b/kingcuphead/review/tests/test_review.py
@@ -85,6 +85,25 @@
             ),
             ((*S, "engine", "kv_capacity_tokens"), 0, "warning", "services[0]", "is 0"),
             (("limits", "max_header_bytes"), 4095, "warning", "limits", "4095"),
+            (("limits", "max_body_bytes"), 0, "error", "limits", "below 1"),
+            (("limits", "idle_timeout_ms"), 0, "error", "limits", "not above 0"),
+            ((*R, "host"), "api.example:80", "error", "routes[0]", "without a port"),
+            ((*R, "prefix"), "/chat", "error", "routes[0]", "end with a slash"),
+            ((*R, "prefix"), "/chat/?a/", "error", "routes[0]", "query string"),
+            ((*R, "timeout_ms"), "nan", "error", "routes[0]", "not above 0"),
+            ((*R, "kind"), "stream", "warning", "routes[0]", "unsafe is used"),
+            ((*R, "timout_ms"), 1, "warning", "routes[0]", "did you mean timeout_ms"),
+            (("tennants",), [], "warning", "file", "did you mean tenants?"),
+            ((*S, "engine", "x"), 1, "warning", "services[0].engine", '"x"'),
+            ((*S, "cold_per_s"), "many", "warning", "services[0]", 'cold_per_s "many"'),
+            ((*S, "max_connections"), 7, "warning", "services[0]", "8 slots"),
+            ((*T, "prepaid"), 65535, "warning", "tenants[0]", "65536 tokens"),
+            ((*T, "api_keys"), ["a", "a"], "warning", "tenants[0]", "more than once"),
+            ((*T, "api_keys"), [""], "error", "tenants[0]", "an empty key"),
+            ((*R, "timeout_ms"), "soon", "error", "routes[0].timeout_ms", "`float`"),
+            ((*S, "engine", "slots"), [], "error", "services[0].engine.slots", "`int`"),
+            (("tenants",), [TENANT, 5], "error", "tenants[1]", "`object`"),
+            (("routes",), {}, "error", "routes", "`array`"),
         ],
     )
     def test_a_fault_is_reported_at_its_place(
@@ -97,6 +116,34 @@
 
 
 class TestUndecodable:
+    @pytest.mark.parametrize(
+        ("content", "place", "cause"),
+        [
+            (b"  \n", "file", "empty"),
+            (b"[]", "file", "`object`"),
+            (b"routes: chat", "line 1, column 1", "malformed"),
+            (b'{"version": 1,\n "routes": [],}', "line 2, column 15", "trailing comma"),
+            (b'{"version": 1,\n "routes"', "line 2, column 10", "cut off"),
+            (b'{"version": 1, "x": "\xff"}', "file", "UTF-8"),
+            (b'{"routes": []}', "file", "`version`"),
+        ],
+    )
+    def test_the_message_gives_place_and_cause(self, content, place, cause):
+        (finding,) = review(content).findings
+        assert finding.place == place
+        assert cause in finding.cause
+
+    def test_all_parts_of_a_wrong_type_are_reported(self):
+        content = edit(("routes",), [ROUTE | {"host": 1}, ROUTE, {}])
+        places = [each.place for each in review(content).findings]
+        assert places == ["routes[0].host", "routes[2]"]
+
+    def test_a_name_from_the_file_cannot_change_a_terminal(self):
+        content = edit((*R, "name"), "\x1b[31m\x9b\n" * 99)
+        finding = review(content.replace(b'"large"', b'"gone"', 1)).findings[0]
+        assert finding.place.isprintable()
+        assert len(finding.place) < 150
+
     @pytest.mark.parametrize(
         "content",
         [
@@ -140,6 +187,12 @@
             ((*T, "api_keys"), [], "removed", True),
             ((*T, "api_keys"), ["replace-this-key", "k2"], "added", False),
             ((*T, "prepaid"), 5, "changed", True),
+            ((*R, "priority"), 6, "changed", True),
+            ((*R, "priority"), 4, "changed", False),
+            ((*R, "target_latency_ms"), 2000, "changed", True),
+            ((*R, "kind"), "unsafe", "changed", True),
+            ((*R, "kind"), "safe", "changed", False),
+            ((*R, "service"), "other", "changed", False),
             ((*T, "prepaid"), None, "changed", False),
             (("limits", "max_body_bytes"), 4096, "changed", True),
             ((*S, "engine", "slots"), 4, "changed", True),
