--- a/kingcuphead/platform/_stated_values.py
+++ b/kingcuphead/platform/_stated_values.py
@@ -106,7 +106,6 @@
     """
     try:
         decoded = DECODER.decode(content)
-        document = msgspec.json.decode(content)
     except msgspec.ValidationError as error:
         return Error((_locate_type_error("", str(error)),))
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
@@ -117,7 +116,7 @@
     tenants, more = _decode_parts("tenants", decoded.tenants, TENANT_DECODER.decode)
     if faults or more:
         return Error((*faults, *more)[:MAX_FAULTS])
-    unknown = _find_unknown_fields("", document, ConfigurationForm)
+    unknown = _find_all_unknown_fields(content)
     ignored = [
         *itertools.islice(unknown, MAX_FAULTS),
         *_find_replaced_values(routes, decoded.services),
@@ -189,6 +188,19 @@
     return FileFault(f"line {line}, column {column}", cause)
 
 
+def _find_all_unknown_fields(content: bytes) -> Iterator[FileFault]:
+    try:
+        document = msgspec.json.decode(content)
+    except msgspec.MsgspecError as error:
+        # The known fields were decoded, so the value is one that daemons ignore.
+        cause = _PATH.sub("", str(error))
+        yield FileFault(
+            "file", f"a value of an unknown field can't be decoded: {cause}"
+        )
+        return
+    yield from _find_unknown_fields("", document, ConfigurationForm)
+
+
 def _find_unknown_fields(
     place: str, value: Any, form: type[msgspec.Struct]
 ) -> Iterator[FileFault]:
--- a/kingcuphead/review/_checks.py
+++ b/kingcuphead/review/_checks.py
@@ -3,7 +3,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from kingcuphead.platform import StatedValues, format_place
+from kingcuphead.platform import StatedValues, format_name, format_place
 from kingcuphead.review._costs import (
     BYTES_PER_TOKEN,
     estimate_largest_cost,
@@ -72,16 +72,21 @@
     names = Counter(each.service for each in route.services)
     for name, count in names.items():
         if count > 1:
-            yield make_warning(place, f'service "{name}" occurs {count} times')
+            yield make_warning(
+                place, f"service {format_name(name)} occurs {count} times"
+            )
     for each in route.services:
         if not each.service:
             yield make_error(place, "names no service")
         elif each.service not in configuration.services:
-            yield make_error(place, f'service "{each.service}" does not exist')
+            yield make_error(
+                place, f"service {format_name(each.service)} does not exist"
+            )
         if not each.weight > 0:
             yield make_warning(
                 place,
-                f'weight {each.weight:g} of service "{each.service}" is not positive',
+                f"weight {each.weight:g} of service {format_name(each.service)} "
+                "is not positive",
             )
 
 
@@ -162,7 +167,7 @@
         yield from _check_budget(place, configuration.organisations[holder.name], cost)
         others = {holders.setdefault(key, holder.name) for key in holder.keys}
         for other in sorted(others - {holder.name}):
-            yield make_error(place, f'a key is also held by "{other}"')
+            yield make_error(place, f"a key is also held by {format_name(other)}")
 
 
 def _check_budget(
--- a/kingcuphead/review/_differences.py
+++ b/kingcuphead/review/_differences.py
@@ -9,6 +9,7 @@
 
 from kingcuphead.frozen import frozen
 from kingcuphead.platform import format_name
+from kingcuphead.review._labels import describe_field
 from kingcuphead.routing import EngineProfile, RequestKind, RoutingConfiguration
 
 #: Fields where a lower value takes something away from callers; None means no limit.
@@ -63,8 +64,8 @@
     def describe(self) -> str:
         """Return the difference in words."""
         if self.kind is DifferenceKind.CHANGED:
-            change = f"{self.field} changes from {self.before} to {self.after}"
-            return f"{self.place}: {change}"
+            field = describe_field(self.field)
+            return f"{self.place}: {field} changes from {self.before} to {self.after}"
         count = self.before or self.after
         if count:
             return f"{self.place}: {count} {self.kind}"
@@ -144,14 +145,22 @@
         case bool():
             return "yes" if value else "no"
         case float():
-            return f"{value:g}"
+            return _format_number(value)
         case tuple():
-            return ", ".join(f"{each.service}={each.weight:g}" for each in value)
+            return ", ".join(
+                f"{format_name(each.service)}={_format_number(each.weight)}"
+                for each in value
+            )
         case EngineProfile():
             return f"{value.slots} slots, {value.kv_cache_tokens} tokens"
     return str(value)
 
 
+def _format_number(value: float) -> str:
+    # So many digits that values which differ are shown as different.
+    return f"{value:.15g}"
+
+
 def _is_lower(before: float | None, after: float | None) -> bool:
     old_limit, new_limit = (
         math.inf if each is None else each for each in (before, after)
--- a/kingcuphead/review/tests/test_review.py
+++ b/kingcuphead/review/tests/test_review.py
@@ -23,6 +23,24 @@
     return json.dumps(changed).encode()
 
 
+def list_paths(value, path=()):
+    """Return the paths of all values within a value."""
+    if isinstance(value, dict | list):
+        items = value.items() if isinstance(value, dict) else enumerate(value)
+        for key, part in items:
+            yield (*path, key)
+            yield from list_paths(part, (*path, key))
+
+
+PATHS = list(list_paths(CONFIGURATION))
+JSON_VALUES = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=9),
+    lambda part: (
+        st.lists(part, max_size=3)
+        | st.dictionaries(st.sampled_from(["name", "service", "weight", "x"]), part)
+    ),
+    max_leaves=5,
+)
 ROUTE, SERVICE = CONFIGURATION["routes"][0], CONFIGURATION["services"][0]
 TENANT = CONFIGURATION["tenants"][0]
 R, S, T = ("routes", 0), ("services", 0), ("tenants", 0)
@@ -102,6 +120,8 @@
             ((*T, "api_keys"), [""], "error", "tenants[0]", "an empty key"),
             ((*R, "timeout_ms"), "soon", "error", "routes[0].timeout_ms", "`float`"),
             ((*S, "engine", "slots"), [], "error", "services[0].engine.slots", "`int`"),
+            ((*R, "timeout_ms"), 10**400, "error", "routes[0].timeout_ms", "range"),
+            (("x",), 10**400, "warning", "file", "unknown field"),
             (("tenants",), [TENANT, 5], "error", "tenants[1]", "`object`"),
             (("routes",), {}, "error", "routes", "`array`"),
         ],
@@ -160,6 +180,18 @@
         assert review(content).has(Severity.ERROR)
         assert review(CONTENT, content).has(Severity.ERROR)
 
+    @given(st.data(), JSON_VALUES)
+    def test_any_value_at_any_place_is_handled(self, data, value):
+        """Guards against a value that decodes but that a check can't handle."""
+        path = data.draw(st.sampled_from(PATHS))
+        content = edit(path, value)
+        result = review(content, CONTENT)
+        is_decoded = not any("decoded" in each.cause for each in result.findings)
+        assert is_decoded or result.has(Severity.ERROR)
+        assert not review(content, content).differences
+        for each in result.differences:
+            assert each.describe()
+
     @given(
         st.integers(0, len(CONTENT)),
         st.integers(0, len(CONTENT)),
