Read the configuration first at a start and while the store refuses calls

A fleet of 300 daemons that starts exceeds the store's read limit. All refused calls were repeated after the same 0.2 s, each refused poll made a daemon read all rows of the table again, the tables were read in any order, and each daemon read the list of daemons for each daemon that it heard of. A poll on a broken connection took 2 s to fail.

Retries vary by half of their delay, the configuration's first retry comes after 0.1 s on average. Above 500 targets the position in their table outlasts a failed call. Targets are read after the configuration, other tables after the targets or 1 s. Reads of the list of daemons are 0.4 s apart at least. A configuration poll that is overdue by 0.25 s is repeated on another connection.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -250,6 +250,7 @@
             self._watch_settings(),
             self._connector.run(),
             *self._links.list_tasks(),
+            *map(watches.run_after_start, self._links.list_store_tasks()),
         ]
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -161,15 +161,12 @@
         self._datagrams.close()
 
     def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the coroutines that run until the daemon ends."""
-        return [
-            self._loads.run(),
-            self.quarantine.run(),
-            self.resumption.run(),
-            self.permits.run(),
-            self.capacity.run(),
-            self._peers.run(),
-        ]
+        """Return the coroutines that run from the start until the daemon ends."""
+        return [self._loads.run(), self.permits.run(), self.capacity.run()]
+
+    def list_store_tasks(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
+        """Return the functions that read and write tables until the daemon ends."""
+        return [self._peers.run, self.quarantine.run, self.resumption.run]
 
     def apply_profile(self, profile: Profile) -> None:
         """Apply the limits of the instance and of cold targets."""
--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -16,6 +17,10 @@
 DAEMONS_TABLE, DAEMONS_PART = "daemons", "all"
 #: Seconds between two polls of the table.
 POLL_INTERVAL = 5.0
+#: Bounds of the seconds between two polls for daemons that were heard of. Other daemons
+#: are known within a second of their start; the rows of a fleet that starts are read a
+#: few times and not once for each daemon of it.
+MIN_EARLY_INTERVAL, MAX_EARLY_INTERVAL = 0.4, 0.8
 
 
 class DaemonRow(msgspec.Struct, frozen=True):
@@ -63,6 +68,8 @@
         self._is_leaving = False
         self._known: set[Address] = set()
         self._unknown_heard = asyncio.Event()
+        #: Event loop's time before which no poll is made early.
+        self._early_poll_at = float("-inf")
 
     async def run(self) -> None:
         """Register this daemon, then poll for the others until cancelled.
@@ -102,9 +109,13 @@
         await self._commit(Transaction((), (Delete(self._key),)))
 
     async def _wait_for_poll_time(self) -> None:
+        loop = asyncio.get_running_loop()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(self._poll_interval):
                 await self._unknown_heard.wait()
+                await asyncio.sleep(self._early_poll_at - loop.time())
+                pause = random.uniform(MIN_EARLY_INTERVAL, MAX_EARLY_INTERVAL)
+                self._early_poll_at = loop.time() + pause
         self._unknown_heard.clear()
 
     async def _commit(self, transaction: Transaction) -> None:
--- a/kingcuphead/entry/_store_watches.py
+++ b/kingcuphead/entry/_store_watches.py
@@ -1,17 +1,31 @@
 """The tables of the store that a daemon follows: configuration and targets."""
 
+import asyncio
+import contextlib
 from collections.abc import Callable, Coroutine
 from typing import Any
 
 from kingcuphead.entry._poll_pacing import (
+    MANY_TARGETS,
     PollPacing,
     bound_configuration_polls,
     bound_target_polls,
 )
 from kingcuphead.entry._table_watch import Position, TableListener, TableWatch
+from kingcuphead.entry._watch_policy import WatchPolicy
 from kingcuphead.platform import CONFIGURATION_TABLE, TARGETS_TABLE, Profile, Store
 from kingcuphead.targets import TargetDirectory
 
+#: Maximum seconds for which a daemon that starts leaves other tables unread until it
+#: has the targets.
+MAX_START_DELAY = 1.0
+
+#: The daemon refuses requests until it has the configuration, and few rows are read
+#: again after a failed call.
+CONFIGURATION_POLICY = WatchPolicy(
+    prefers_rows=True, repeats_overdue=True, first_retry_delay=0.1
+)
+
 
 class StoreWatches:
     """Follows the tables of the configuration and of the targets.
@@ -44,7 +58,7 @@
             configuration,
             directory.record_store_failure,
             PollPacing(lambda: bound_configuration_polls(get_profile())),
-            prefers_rows=True,
+            CONFIGURATION_POLICY,
         )
         self._targets = TableWatch(
             store,
@@ -52,6 +66,11 @@
             targets,
             directory.record_store_failure,
             PollPacing(lambda: bound_target_polls(get_profile(), directory.count)),
+            WatchPolicy(
+                # Thousands of rows cost most just when the store refuses calls.
+                keeps_position=lambda: directory.count > MANY_TARGETS,
+                retry_delay=0.4,
+            ),
         )
 
     def get_configuration_position(self) -> Position | None:
@@ -60,4 +79,22 @@
 
     def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
         """Return the coroutines that run until the daemon ends."""
-        return [self._configuration.run(), self._targets.run()]
+        return [self._configuration.run(), self._follow_targets()]
+
+    async def run_after_start(
+        self, run: Callable[[], Coroutine[Any, Any, None]]
+    ) -> None:
+        """Run a task once the configuration and the targets have been read.
+
+        At the start of a fleet all daemons read all tables; those without which this
+        daemon can't serve come first.
+        """
+        await self._configuration.has_read.wait()
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(MAX_START_DELAY):
+                await self._targets.has_read.wait()
+        await run()
+
+    async def _follow_targets(self) -> None:
+        await self._configuration.has_read.wait()
+        await self._targets.run()
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -1,22 +1,27 @@
 """Follows a table of the platform's store by long polling."""
 
 import asyncio
+import random
 import time
 from collections.abc import Callable, Iterable, Sequence
-from typing import Protocol
+from typing import Protocol, TypeAlias
 
 from expression import Result
 from loguru import logger
 
 from kingcuphead.entry._poll_pacing import PollPacing
+from kingcuphead.entry._watch_policy import RetryDelays, WatchPolicy
 from kingcuphead.frozen import frozen
 from kingcuphead.platform import Change, Changes, HistoryLost, Store
 from kingcuphead.storage import PlatformFault, Row, RowSnapshot
 
 #: Seconds after which the store replies to a long poll although nothing has changed.
 LONG_POLL_TIMEOUT = 1.0
-#: Seconds before a failed call is retried.
-RETRY_DELAY = 0.2
+#: Seconds after the end of a long poll at which its reply is overdue.
+OVERDUE_MARGIN = 0.25
+
+#: Reply to a poll.
+_Reply: TypeAlias = Result[Changes | HistoryLost, PlatformFault]
 
 
 @frozen
@@ -85,9 +90,8 @@
         Called after each failed call to the store, with the call's start time.
     pacing
         Delays polls after changes; None for no delay.
-    prefers_rows
-        Whether rows of the table are read in place of its changes while these replace
-        each other. The store sends each change whole, and only the newest one counts.
+    policy
+        What happens while calls fail or hang.
     """
 
     def __init__(
@@ -97,18 +101,20 @@
         listener: TableListener,
         report_failure: Callable[[float], None],
         pacing: PollPacing | None = None,
-        prefers_rows: bool = False,
+        policy: WatchPolicy = WatchPolicy(),  # noqa: B008
     ) -> None:
         self._store = store
         self._table = table
         self._listener = listener
         self._report_failure = report_failure
         self._pacing = PollPacing() if pacing is None else pacing
-        self._prefers_rows = prefers_rows
+        self._policy = policy
+        self._retry_delays = RetryDelays(policy, random.Random())
         #: Whether the next read is one of the rows although the position is known.
         self._reads_rows = False
         self._position: Position | None = None
-        self._is_failing = False
+        #: Set once the table has been read.
+        self.has_read = asyncio.Event()
         #: Last position that was read; it is kept while the store is unavailable.
         self.last_position: Position | None = None
 
@@ -119,8 +125,10 @@
             if self._position is None or self._reads_rows:
                 await self._read_snapshot()
             else:
-                # The listeners rely on an answer in each `LONG_POLL_TIMEOUT`.
-                wait = LONG_POLL_TIMEOUT - delay
+                # The listeners rely on an answer in each `LONG_POLL_TIMEOUT`. After a
+                # failure it also shows that the store answers again.
+                is_failing = self._retry_delays.is_failing
+                wait = 0.0 if is_failing else LONG_POLL_TIMEOUT - delay
                 await self._poll_changes(self._position, wait)
 
     async def _wait_for_turn(self) -> float:
@@ -154,7 +162,7 @@
 
     async def _poll_changes(self, position: Position, wait: float) -> None:
         started_at = time.monotonic()
-        match await self._store.follow_table(self._table, position.version, wait):
+        match await self._follow(position.version, wait):
             case Result(tag="ok", ok=Changes(era=era)) if era != position.era:
                 logger.info("the store was restored; reading table {}", self._table)
                 self._position = None
@@ -171,10 +179,45 @@
                 )
                 self._position = None
             case Result(error=fault):
-                # A broken connection may delay changes, so the table is read again.
-                self._position = None
+                if not self._policy.keeps_position():
+                    # A broken connection may delay changes.
+                    self._position = None
                 await self._record_failure(fault, started_at)
 
+    async def _follow(self, version: int, wait: float) -> _Reply:
+        """Poll; repeat the poll on another connection if the reply is overdue.
+
+        The connection may be broken, which would show only after its time-out.
+        """
+        if not self._policy.repeats_overdue:
+            return await self._store.follow_table(self._table, version, wait)
+        poll = self._start_poll(version, wait)
+        try:
+            await asyncio.wait((poll,), timeout=wait + OVERDUE_MARGIN)
+            if poll.done():
+                return poll.result()
+            return await self._await_either(poll, self._start_poll(version, 0.0))
+        finally:
+            poll.cancel()
+
+    def _start_poll(self, version: int, wait: float) -> asyncio.Task[_Reply]:
+        return asyncio.ensure_future(
+            self._store.follow_table(self._table, version, wait)
+        )
+
+    async def _await_either(
+        self, poll: asyncio.Task[_Reply], repetition: asyncio.Task[_Reply]
+    ) -> _Reply:
+        """Return the first reply that isn't a fault, or the fault of both."""
+        try:
+            for reply in asyncio.as_completed((poll, repetition)):
+                outcome = await reply
+                if outcome.is_ok():
+                    break
+            return outcome
+        finally:
+            repetition.cancel()
+
     def _record_changes(self, changes: Changes) -> None:
         # Changes that the store left out of the reply may be a target that leaves.
         if not changes.changes or changes.has_more:
@@ -184,17 +227,17 @@
         keys = {each.key for each in changes.changes}
         is_replaced = len(keys) < len(changes.changes)
         is_paced = self._pacing.get_delay(now) > 0
-        self._reads_rows = self._prefers_rows and is_replaced and is_paced
+        self._reads_rows = self._policy.prefers_rows and is_replaced and is_paced
 
     def _record_success(self) -> None:
         self.last_position = self._position
-        if self._is_failing:
-            self._is_failing = False
+        self.has_read.set()
+        if self._retry_delays.is_failing:
+            self._retry_delays.record_success()
             logger.info("table {} is followed again", self._table)
 
     async def _record_failure(self, fault: PlatformFault, started_at: float) -> None:
         self._report_failure(started_at)
-        if not self._is_failing:
-            self._is_failing = True
+        if not self._retry_delays.is_failing:
             logger.warning("table {} can't be followed: {}", self._table, fault.message)
-        await asyncio.sleep(RETRY_DELAY)
+        await asyncio.sleep(self._retry_delays.record_failure())
--- a/kingcuphead/entry/tests/test_poll_pacing.py
+++ b/kingcuphead/entry/tests/test_poll_pacing.py
@@ -10,6 +10,7 @@
     bound_target_polls,
 )
 from kingcuphead.entry._table_watch import TableWatch
+from kingcuphead.entry._watch_policy import WatchPolicy
 from kingcuphead.platform import Change, Changes, parse_profile
 from kingcuphead.storage import Row, RowSnapshot
 
@@ -121,7 +122,8 @@
 
     def follow(self, store, bounds):
         pacing = PollPacing(lambda: bounds)
-        watch = TableWatch(store, "op", store, print, pacing, prefers_rows=True)
+        policy = WatchPolicy(prefers_rows=True)
+        watch = TableWatch(store, "op", store, print, pacing, policy)
         with pytest.raises(asyncio.CancelledError):
             asyncio.run(watch.run())
 
--- /dev/null
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -0,0 +1,229 @@
+import asyncio
+import random
+import types
+
+import pytest
+from expression import Error, Ok
+
+from kingcuphead.entry._peers import PeerDiscovery
+from kingcuphead.entry._store_watches import CONFIGURATION_POLICY, StoreWatches
+from kingcuphead.entry._table_watch import TableWatch
+from kingcuphead.entry._watch_policy import RetryDelays, WatchPolicy
+from kingcuphead.permits.tests._virtual_time import run
+from kingcuphead.platform import Change, Changes, parse_profile
+from kingcuphead.storage import Committed, PlatformFault, Row, RowSnapshot
+
+PROFILE = parse_profile(
+    "node=n\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:1\n"
+    "listen.ready=127.0.0.1:2\nplatform.address=127.0.0.1:3\n"
+).ok
+REFUSED = PlatformFault("follow", "HTTP 429")
+
+
+def get_time():
+    return asyncio.get_running_loop().time()
+
+
+class SlowStore:
+    """Writes version 2 at 0.5 s, answers after a delay and loses the first poll.
+
+    Parameters
+    ----------
+    delay
+        Seconds that each answer takes.
+    """
+
+    def __init__(self, delay):
+        self.delay = delay
+        self.polls = 0
+        self.applied_at = {}
+
+    def apply_snapshot(self, rows):
+        for row in rows:
+            self.applied_at.setdefault(row.version, get_time())
+
+    def apply_changes(self, changes):
+        for change in changes:
+            self.applied_at.setdefault(int(change.value), get_time())
+
+    def get_newest(self):
+        return 2 if get_time() >= 0.5 else 1
+
+    async def read_table(self, table):
+        await asyncio.sleep(self.delay)
+        return Ok(RowSnapshot((Row("config", self.get_newest(), b""),), 9))
+
+    async def follow_table(self, table, version, wait):
+        self.polls += 1
+        if self.polls == 1:
+            await asyncio.sleep(wait + 1.0)
+            return Error(PlatformFault("follow", "TimeoutError"))
+        await asyncio.sleep(self.delay)
+        change = Change("config", str(self.get_newest()).encode())
+        return Ok(Changes((change,), 9))
+
+
+class TestBrokenConnection:
+    @pytest.mark.parametrize("delay", [0.004, 1.0])
+    def test_a_version_is_in_force_within_three_seconds(self, delay):
+        """Guards against a poll whose connection broke, beside a slow store."""
+        store = SlowStore(delay)
+        run(self.follow(store))
+        assert store.applied_at[2] - 0.5 <= 3.0
+
+    async def follow(self, store):
+        watch = TableWatch(store, "op", store, print, policy=CONFIGURATION_POLICY)
+        task = asyncio.create_task(watch.run())
+        await asyncio.sleep(8.0)
+        task.cancel()
+
+
+class FleetStore:
+    """A store whose calls of a second are limited, and that refuses those beyond.
+
+    Version 2 of the configuration is written at 0.5 s; entries of targets change all
+    the time.
+    """
+
+    #: Calls a second, for a fleet of 300 whose daemons poll three times a second.
+    LIMIT = 1_500
+    TARGETS, PAGE = 3_000, 500
+
+    def __init__(self):
+        self.calls = {}
+        self.reads = {"op": 0, "servers": 0}
+        self.order = []
+
+    def get_newest(self):
+        return 2 if get_time() >= 0.5 else 1
+
+    def is_refused(self):
+        second = int(get_time())
+        self.calls[second] = self.calls.get(second, 0) + 1
+        return self.calls[second] > self.LIMIT
+
+    async def read_table(self, table):
+        self.order.append(table)
+        pages = self.TARGETS // self.PAGE if table == "servers" else 1
+        for _ in range(pages):
+            await asyncio.sleep(0.004)
+            if self.is_refused():
+                return Error(REFUSED)
+        self.reads[table] += 1
+        return Ok(RowSnapshot((Row("config", self.get_newest(), b""),), 1))
+
+    async def follow_table(self, table, version, wait):
+        await asyncio.sleep(0.004)
+        if self.is_refused():
+            return Error(REFUSED)
+        if table == "servers":
+            await asyncio.sleep(0.3)
+            return Ok(Changes((Change("t", b""),), version + 1))
+        until = get_time() + wait
+        while version >= self.get_newest() and get_time() < until:
+            await asyncio.sleep(0.05)
+        newest = self.get_newest()
+        rows = (Change("config", b""),) if newest > version else ()
+        return Ok(Changes(rows, newest))
+
+
+class Versions:
+    """Listener of one daemon: when it has applied each version."""
+
+    def __init__(self):
+        self.applied_at = {}
+
+    def apply_snapshot(self, rows):
+        for row in rows:
+            self.applied_at.setdefault(row.version, get_time())
+
+    def apply_changes(self, changes):
+        if tuple(changes):
+            self.applied_at.setdefault(2, get_time())
+
+
+class TestFleetStart:
+    """300 daemons that start within 0.3 s read 3,000 targets from a limited store."""
+
+    def play(self, store):
+        fleet = [Versions() for _ in range(300)]
+        directory = types.SimpleNamespace(
+            count=3_000, record_store_failure=lambda at: None
+        )
+        run(self.start(store, fleet, directory))
+        return fleet
+
+    async def start(self, store, fleet, directory):
+        tasks: list[asyncio.Task[None]] = []
+        for daemon in fleet:
+            watches = StoreWatches(
+                store, daemon, types.SimpleNamespace(**IGNORE), directory, get_profile
+            )
+            tasks += map(asyncio.create_task, watches.list_tasks())
+            await asyncio.sleep(0.001)
+        await asyncio.sleep(8.0)
+        for task in tasks:
+            task.cancel()
+
+    def test_a_version_is_in_force_everywhere_within_three_seconds(self):
+        """Guards against 404 answers according to an older version."""
+        store = FleetStore()
+        fleet = self.play(store)
+        ages = sorted(each.applied_at[2] - 0.5 for each in fleet)
+        print("in force", ages[150], ages[-1], "refused", store.calls, store.reads)
+        assert ages[-1] <= 3.0
+
+    def test_the_configuration_is_read_first_and_targets_once(self):
+        """Guards against all rows being read again for each refused poll."""
+        store = FleetStore()
+        self.play(store)
+        assert store.order[:10].index("op") == 0
+        assert store.reads["servers"] == 300
+
+
+IGNORE = {"apply_snapshot": lambda rows: None, "apply_changes": lambda changes: None}
+
+
+def get_profile():
+    return PROFILE
+
+
+class TestRetryDelays:
+    def test_daemons_that_were_refused_together_retry_apart(self):
+        policy = WatchPolicy(first_retry_delay=0.1, retry_delay=0.4)
+        fleet = [RetryDelays(policy, random.Random(each)) for each in range(300)]
+        first = [each.record_failure() for each in fleet]
+        later = [each.record_failure() for each in fleet]
+        assert 0.05 <= min(first) < 0.06 < 0.14 < max(first) <= 0.15
+        assert 0.2 <= min(later) < 0.21 < 0.59 < max(later) <= 0.6
+
+
+class CountingStore:
+    """Counts the reads of the table of daemons."""
+
+    def __init__(self):
+        self.reads = 0
+
+    async def commit(self, table, part, transaction):
+        return Committed(1)
+
+    async def read_table(self, table, part):
+        self.reads += 1
+        return Ok(RowSnapshot((), 1))
+
+
+class TestPeersOfAFleetThatStarts:
+    def test_the_list_is_read_a_few_times(self):
+        """Guards against a read of all rows for each of 300 daemons that start."""
+        store = CountingStore()
+        run(self.hear(store))
+        # At the start, and every 0.4 s at most for 3 s.
+        assert 4 <= store.reads <= 9
+
+    async def hear(self, store):
+        discovery = PeerDiscovery(store, ("10.0.0.1", 1), lambda peers: None)
+        task = asyncio.create_task(discovery.run())
+        for number in range(300):
+            await asyncio.sleep(0.01)
+            discovery.record_sender((f"10.0.1.{number}", 1))
+        task.cancel()
--- a/kingcuphead/platform/tests/test_store.py
+++ b/kingcuphead/platform/tests/test_store.py
@@ -94,6 +94,14 @@
         changes = script.call(lambda store: store.follow_table("t", 1, 0.1)).ok
         assert (changes.changes, changes.version) == ((Change("b", b"ok"),), 4)
 
+    @pytest.mark.parametrize("version", [4, 9])
+    def test_a_truncated_feed_goes_on_after_its_last_change(self, script, version):
+        """Guards against lost changes if the reply names the store's own version."""
+        rows = [{**GOOD_ROW, "part": ""}]
+        script.reply(200, {"rows": rows, "ver": version, "has_more": True})
+        changes = script.call(lambda store: store.follow_table("t", 1, 0.1)).ok
+        assert (changes.version, changes.has_more) == (4, True)
+
 
 class TestEra:
     @pytest.mark.parametrize(
