--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -242,6 +242,7 @@
             self._directory,
             lambda: self._profile,
         )
+        self._metrics.observe_polls(watches.pacings)
         self._evacuation_exchange.get_position = watches.get_configuration_position
         return [
             *watches.list_tasks(),
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -1,7 +1,7 @@
 """Prometheus metrics of one daemon and the endpoint that exposes them."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 from tornado.httpserver import HTTPServer
 
@@ -15,6 +15,7 @@
     Registry,
     load_library,
 )
+from kingcuphead.entry._poll_pacing import PollPacing
 from kingcuphead.entry._request_metrics import (
     HedgingMetrics,
     QueueMetrics,
@@ -23,6 +24,7 @@
 from kingcuphead.entry._resource_metrics import (
     LoadMetrics,
     MemoryMetrics,
+    add_poll_gauges,
     add_target_gauges,
 )
 from kingcuphead.forwarding import Refusal, RequestContext
@@ -69,6 +71,10 @@
         """Add gauges that read the directory of targets whenever they are scraped."""
         add_target_gauges(self._registry, directory)
 
+    def observe_polls(self, pacings: Mapping[str, PollPacing]) -> None:
+        """Add gauges of the delays of polls, by table."""
+        add_poll_gauges(self._registry, pacings)
+
     def record_cold_denial(self, target: Target) -> None:
         """Count a permit that was denied because the target is cold."""
         self._cold_denials.labels(self._choose_label(target.service)).inc()
--- a/kingcuphead/entry/_poll_pacing.py
+++ b/kingcuphead/entry/_poll_pacing.py
@@ -76,8 +76,8 @@
     def __init__(self, get_bounds: Callable[[], PacingBounds] = PacingBounds) -> None:
         self._get_bounds = get_bounds
         self._next_poll_at = -math.inf
-        #: Total seconds by which polls were delayed.
-        self.delayed_seconds = 0.0
+        #: Seconds by which the last changes delayed the next poll.
+        self.last_delay = 0.0
 
     def record_changes(self, size: int, now: float) -> None:
         """Delay the next poll after changes.
@@ -89,9 +89,8 @@
         now
             Monotonic time in seconds at which it arrived.
         """
-        delay = self._get_bounds().compute_delay(size)
-        self._next_poll_at = now + delay
-        self.delayed_seconds += delay
+        self.last_delay = self._get_bounds().compute_delay(size)
+        self._next_poll_at = now + self.last_delay
 
     def get_delay(self, now: float) -> float:
         """Return the seconds until the next poll may be sent; 0 if it may be now."""
--- a/kingcuphead/entry/_resource_metrics.py
+++ b/kingcuphead/entry/_resource_metrics.py
@@ -1,9 +1,11 @@
 """Prometheus metrics of a daemon's memory, its load and its view of the targets."""
 
-from collections.abc import Callable
+import functools
+from collections.abc import Callable, Mapping
 
 from kingcuphead.capacity import CapacityFigures, OwnLoad
 from kingcuphead.entry._instruments import Counter, Gauge, Registry
+from kingcuphead.entry._poll_pacing import PollPacing
 from kingcuphead.targets import TargetDirectory
 
 
@@ -101,3 +103,27 @@
         registry=registry,
     )
     cold.set_function(lambda: directory.cold_count)
+
+
+def add_poll_gauges(registry: Registry, pacings: Mapping[str, PollPacing]) -> None:
+    """Add gauges of the delays of polls of the store.
+
+    Parameters
+    ----------
+    registry
+        Receives the metrics.
+    pacings
+        Delays by table.
+    """
+    delays = Gauge(
+        "kingcuphead_poll_delay_seconds",
+        "Seconds by which the last changes of a table delayed its next poll.",
+        ("table",),
+        registry=registry,
+    )
+    for table, pacing in pacings.items():
+        delays.labels(table).set_function(functools.partial(_get_delay, pacing))
+
+
+def _get_delay(pacing: PollPacing) -> float:
+    return pacing.last_delay
--- a/kingcuphead/entry/_store_watches.py
+++ b/kingcuphead/entry/_store_watches.py
@@ -52,12 +52,21 @@
         directory: TargetDirectory,
         get_profile: Callable[[], Profile],
     ) -> None:
+        #: Delays of polls by table.
+        self.pacings = {
+            CONFIGURATION_TABLE: PollPacing(
+                lambda: bound_configuration_polls(get_profile())
+            ),
+            TARGETS_TABLE: PollPacing(
+                lambda: bound_target_polls(get_profile(), directory.count)
+            ),
+        }
         self._configuration = TableWatch(
             store,
             CONFIGURATION_TABLE,
             configuration,
             directory.record_store_failure,
-            PollPacing(lambda: bound_configuration_polls(get_profile())),
+            self.pacings[CONFIGURATION_TABLE],
             CONFIGURATION_POLICY,
         )
         self._targets = TableWatch(
@@ -65,7 +74,7 @@
             TARGETS_TABLE,
             targets,
             directory.record_store_failure,
-            PollPacing(lambda: bound_target_polls(get_profile(), directory.count)),
+            self.pacings[TARGETS_TABLE],
             WatchPolicy(
                 # Thousands of rows cost most just when the store refuses calls.
                 keeps_position=lambda: directory.count > MANY_TARGETS,
--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -25,7 +25,7 @@
 
 
 class SlowStore:
-    """Writes version 2 at 0.5 s, answers after a delay and loses the first poll.
+    """Writes version 2 while the first poll, which is lost, waits for changes.
 
     Parameters
     ----------
@@ -36,6 +36,7 @@
     def __init__(self, delay):
         self.delay = delay
         self.polls = 0
+        self.written_at = float("inf")
         self.applied_at = {}
 
     def apply_snapshot(self, rows):
@@ -47,7 +48,7 @@
             self.applied_at.setdefault(int(change.value), get_time())
 
     def get_newest(self):
-        return 2 if get_time() >= 0.5 else 1
+        return 2 if get_time() >= self.written_at else 1
 
     async def read_table(self, table):
         await asyncio.sleep(self.delay)
@@ -56,6 +57,7 @@
     async def follow_table(self, table, version, wait):
         self.polls += 1
         if self.polls == 1:
+            self.written_at = get_time() + 0.01
             await asyncio.sleep(wait + 1.0)
             return Error(PlatformFault("follow", "TimeoutError"))
         await asyncio.sleep(self.delay)
@@ -69,7 +71,7 @@
         """Guards against a poll whose connection broke, beside a slow store."""
         store = SlowStore(delay)
         run(self.follow(store))
-        assert store.applied_at[2] - 0.5 <= 3.0
+        assert store.applied_at[2] - store.written_at <= 3.0
 
     async def follow(self, store):
         watch = TableWatch(store, "op", store, print, policy=CONFIGURATION_POLICY)
