--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -242,6 +242,7 @@
             self._directory,
             lambda: self._profile,
         )
+        self._metrics.observe_polls(watches.pacings)
         self._evacuation_exchange.get_position = watches.get_configuration_position
         return [
             *watches.list_tasks(),
@@ -250,6 +251,7 @@
             self._watch_settings(),
             self._connector.run(),
             *self._links.list_tasks(),
+            *map(watches.run_after_start, self._links.list_store_tasks()),
         ]
 
     def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
