admission: recognise retries at other daemons; log and count them

Cause: a caller that is refused retries at another daemon, where it counts as a new request whose objective starts anew.

Change: RetryAges learns for each route the remaining time that first tries state and derives the age of a retry.

--- a/kingcuphead/admission/__init__.py
+++ b/kingcuphead/admission/__init__.py
@@ -10,6 +10,7 @@
     QueueFigures,
     Refused,
 )
+from kingcuphead.admission._retry_age import RetryAges
 
 __all__ = [
     "SHUTDOWN_RETRY_AFTER",
@@ -21,6 +22,7 @@
     "QueueBounds",
     "QueueFigures",
     "Refused",
+    "RetryAges",
     "bound_memory",
     "RoomQuery",
 ]
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -56,6 +56,7 @@
         "requests_per_second",
         "resumes",
         "retry_after",
+        "retry_age",
         "revision",
         "route",
         "seconds",
