dispatch: hedging classes with few observations fall back on wider ones

Change: each observation also counts for all sizes of the service and kind, and for the service; a class with a weight below 50 takes the delay of the first of these that has 50.

--- a/kingcuphead/dispatch/_hedging.py
+++ b/kingcuphead/dispatch/_hedging.py
@@ -58,10 +58,15 @@
 
     #: Name of the service.
     service: str
-    #: Kind of the request.
-    kind: str
-    #: Binary logarithm of the size, rounded up.
-    size_class: int
+    #: Kind of the request; None for all kinds.
+    kind: str | None
+    #: Binary logarithm of the size, rounded up; None for all sizes.
+    size_class: int | None
+
+    def list_widening(self) -> tuple["RequestClass", ...]:
+        """Return the class, that of all sizes and that of all kinds."""
+        all_sizes = dataclasses.replace(self, size_class=None)
+        return (self, all_sizes, dataclasses.replace(all_sizes, kind=None))
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,11 +148,15 @@
             self._requests[service].add(now)
 
     def get_delay(self, request_class: RequestClass) -> float:
-        """Return the seconds before a second attempt; infinite if they are unknown."""
-        histogram = self._histograms.get(request_class)
-        if histogram is None or histogram.weight < MIN_OBSERVATIONS:
-            return math.inf
-        return histogram.estimate_quantile(DELAY_QUANTILE)
+        """Return the seconds before a second attempt; infinite if they are unknown.
+
+        A class with few observations takes the delay of a wider one.
+        """
+        for each in request_class.list_widening():
+            histogram = self._histograms.get(each)
+            if histogram is not None and histogram.weight >= MIN_OBSERVATIONS:
+                return histogram.estimate_quantile(DELAY_QUANTILE)
+        return math.inf
 
     def record_end(
         self,
@@ -238,9 +247,14 @@
         return self._started[service].count(now) + 1 <= allowed
 
     def _record_seconds(self, request_class: RequestClass, seconds: float) -> None:
+        for each in request_class.list_widening():
+            histogram = self._get_histogram(each)
+            if histogram is not None:
+                histogram.record(seconds)
+
+    def _get_histogram(self, request_class: RequestClass) -> AnswerHistogram | None:
+        """Return the histogram of a class; None if there are too many classes."""
         histogram = self._histograms.get(request_class)
-        if histogram is None:
-            if len(self._histograms) >= MAX_CLASSES:
-                return
+        if histogram is None and len(self._histograms) < MAX_CLASSES:
             histogram = self._histograms[request_class] = AnswerHistogram()
-        histogram.record(seconds)
+        return histogram
