--- a/kingcuphead/admission/__init__.py
+++ b/kingcuphead/admission/__init__.py
@@ -10,7 +10,6 @@
     QueueFigures,
     Refused,
 )
-from kingcuphead.admission._retry_age import RetryAges
 
 __all__ = [
     "SHUTDOWN_RETRY_AFTER",
@@ -22,7 +21,6 @@
     "QueueBounds",
     "QueueFigures",
     "Refused",
-    "RetryAges",
     "bound_memory",
     "RoomQuery",
 ]
--- a/kingcuphead/admission/_gate.py
+++ b/kingcuphead/admission/_gate.py
@@ -68,16 +68,10 @@
         Tells whether targets have room.
     bounds
         Bounds on the waiting requests.
-    prefers_retries
-        Whether the age of a caller's retry counts for its place in the queue.
     """
 
-    def __init__(
-        self, room: RoomCheck, bounds: QueueBounds, prefers_retries: bool = False
-    ) -> None:
+    def __init__(self, room: RoomCheck, bounds: QueueBounds) -> None:
         self._room = room
-        #: Whether the age of a caller's retry counts for its place in the queue.
-        self.prefers_retries = prefers_retries
         self._services: dict[str, ServiceAdmission] = {}
         self._waits: dict[str, _Wait] = {}
         #: Request of each service that was admitted but not yet counted at a target.
--- a/kingcuphead/admission/_messages.py
+++ b/kingcuphead/admission/_messages.py
@@ -32,40 +32,23 @@
     fingerprint: str
     #: Time of arrival in seconds.
     arrived_at: float
-    #: Time in seconds at which the latency objective ends, which begins with the
-    #: caller's first try.
+    #: Time in seconds at which the latency objective skips.
     objective_ends_at: float
     #: Time in seconds by which the final answer is due.
     deadline: float
     #: Expected seconds from admission to the first answer; 0 if unknown.
     answer_seconds: float = 0.0
-    #: Seconds between the caller's first try and this one; 0 for the first one, and if
-    #: it isn't known.
-    age: float = 0.0
 
     @property
     def is_retry(self) -> bool:
         """Whether it goes ahead of its organisation's requests; never by itself."""
         return False
 
-    @property
-    def objective(self) -> float:
-        """Seconds from the caller's first try in which the first answer is due."""
-        return self.objective_ends_at - self.arrived_at + self.age
-
-    @property
-    def is_retry_in_time(self) -> bool:
-        """Whether it is a retry that arrived within its objective."""
-        return self.age > 0 and self.arrived_at < self.objective_ends_at
-
     @property
     def aged_at(self) -> float:
-        """Time from which on it has waited so long that it may overtake others.
-
-        It may go ahead of more urgent ranks, so that the wait of an earlier try doesn't
-        count.
-        """
-        return self.arrived_at + max(MIN_AGED_SECONDS, AGED_OBJECTIVES * self.objective)
+        """Time from which on it has waited so long that it may overtake others."""
+        objective = self.objective_ends_at - self.arrived_at
+        return self.arrived_at + max(MIN_AGED_SECONDS, AGED_OBJECTIVES * objective)
 
     @property
     def last_start_in_time(self) -> float:
@@ -81,8 +64,8 @@
 class Standing(enum.IntEnum):
     """Place of a request among those of its rank; the lowest value is served first."""
 
-    #: Was refused before and came back when it was told to, is a retry within its
-    #: objective, or is large while large requests get a smaller share of their demand.
+    #: Was refused before and came back when it was told to, or is large while large
+    #: requests get a smaller share of their demand.
     EXPEDITED = 0
     #: Is expected to meet its objective.
     TIMELY = 1
--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -83,7 +83,6 @@
         """Add a request that arrived to the queue."""
         self._record_arrival(request, now)
         has_returned = self._reservations.claim(request.fingerprint, now)
-        has_returned = has_returned or request.is_retry_in_time
         is_expedited = has_returned or self._sizes.is_neglected(request.size)
         standing = Standing.EXPEDITED if is_expedited else Standing.TIMELY
         self.queue.push(request, standing, now)
@@ -246,7 +245,8 @@
         if rate is None and age > 0:
             rate = running / age
         if not answer_seconds:
-            answer_seconds = min(age, MAX_UNMEASURED_PART * request.objective)
+            objective = request.objective_ends_at - request.arrived_at
+            answer_seconds = min(age, MAX_UNMEASURED_PART * objective)
         wait = self._estimate_wait(request, rate, now)
         return now + wait * ARRIVAL_MARGIN + answer_seconds > request.objective_ends_at
 
--- a/kingcuphead/admission/tests/_load.py
+++ b/kingcuphead/admission/tests/_load.py
@@ -12,7 +12,6 @@
     Admitted,
     QueueBounds,
     Refused,
-    RetryAges,
 )
 from kingcuphead.dispatch import (
     AttemptResult,
@@ -75,7 +74,6 @@
     has_tokens: bool = True
     is_queued: bool = True
     daemons: int = 1
-    prefers_retries: bool = False
 
     @property
     def capacity(self):
@@ -138,15 +136,12 @@
         settings = DispatchSettings("z", spreads_load=profile.is_queued)
         self.dispatcher = Dispatcher(settings, self.peer_loads, random.Random(1))
         self.dispatcher.daemons = profile.daemons
-        self.gate = AdmissionGate(
-            self.dispatcher, QueueBounds(profile.daemons), profile.prefers_retries
-        )
+        self.gate = AdmissionGate(self.dispatcher, QueueBounds(profile.daemons))
         self.places = places or {
             target.name: asyncio.Semaphore(target.slots) for target in self.targets
         }
         self.numbers = itertools.count()
         self.outcomes = []
-        self.retry_ages = RetryAges()
         self.group = ""
 
     def list_candidates(self):
@@ -161,9 +156,6 @@
     def make_request(self, outcome, fingerprint, body_bytes, timeout):
         now = asyncio.get_running_loop().time()
         number = next(self.numbers)
-        age = 0.0
-        if self.gate.prefers_retries:
-            age = self.retry_ages.observe(SERVICE, timeout, now)
         return AdmissionRequest(
             request_id=str(number),
             service=SERVICE,
@@ -173,10 +165,9 @@
             body_bytes=body_bytes,
             fingerprint=fingerprint or f"f{number}",
             arrived_at=now,
-            objective_ends_at=now + self.profile.objective - age,
+            objective_ends_at=now + self.profile.objective,
             deadline=now + (timeout or self.profile.timeout),
             answer_seconds=self.gate.answer_times.estimate(SERVICE, outcome.tokens),
-            age=age,
         )
 
     async def send(
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -78,8 +78,6 @@
         self._requests.record(context, refusal)
         if self.admission is not None:
             self._queue.record_wait(context.service, context.queue_seconds)
-        if context.retry_age:
-            self._queue.record_retry(context.service)
         if context.queue_figures is not None:
             reason = "" if refusal is None else refusal.reason.value
             self._queue.record_refusal(context.service, reason)
--- a/kingcuphead/entry/_request_metrics.py
+++ b/kingcuphead/entry/_request_metrics.py
@@ -122,12 +122,6 @@
             ("service", "reason"),
             registry=registry,
         )
-        self._retries = Counter(
-            "kingcuphead_caller_retries",
-            "Requests recognised as a caller's retry, by service.",
-            ("service",),
-            registry=registry,
-        )
         self._length = Gauge(
             "kingcuphead_queue_length",
             "Requests that wait for room, by service.",
@@ -143,10 +137,6 @@
         """Record a request that was refused for want of room."""
         self._refusals.labels(service, reason).inc()
 
-    def record_retry(self, service: str) -> None:
-        """Record a request that was recognised as a caller's retry."""
-        self._retries.labels(service).inc()
-
     def set_length(self, service: str, length: int) -> None:
         """Set the number of requests that wait for a service."""
         self._length.labels(service).set(length)
--- a/kingcuphead/entry/tests/test_metrics.py
+++ b/kingcuphead/entry/tests/test_metrics.py
@@ -74,22 +74,6 @@
         assert f"kingcuphead_queue_refusals_total{labels} 1.0" in text
         assert 'kingcuphead_queue_seconds_count{service="pool"} 1.0' in text
         assert 'kingcuphead_queue_length{service="pool"} 0.0' in text
-        assert "kingcuphead_caller_retries_total{" not in text
-
-    def test_recognised_retries_are_counted_by_service(self):
-        metrics = DaemonMetrics()
-
-        async def scenario():
-            async with Harness([make_route(IDEMPOTENT)]) as harness:
-                harness.first.script = [harness.first.answer("200 OK", b"1")]
-                await harness.serve(make_request(IDEMPOTENT))
-                context, refusal = harness.ended[0]
-                context.retry_age = 0.3
-                metrics.record(context, refusal)
-
-        asyncio.run(scenario())
-        text = metrics.render().decode()
-        assert 'kingcuphead_caller_retries_total{service="pool"} 1.0' in text
 
 
 class TestCapacity:
--- a/kingcuphead/forwarding/_admission.py
+++ b/kingcuphead/forwarding/_admission.py
@@ -2,13 +2,7 @@
 
 import itertools
 
-from kingcuphead.admission import (
-    AdmissionGate,
-    AdmissionRequest,
-    Admitted,
-    Refused,
-    RetryAges,
-)
+from kingcuphead.admission import AdmissionGate, AdmissionRequest, Admitted, Refused
 from kingcuphead.dispatch import PlacementRequest
 from kingcuphead.forwarding._context import RequestContext
 from kingcuphead.forwarding._refusals import Refusal, refuse
@@ -37,7 +31,6 @@
         self._gate = gate
         self._targets = targets
         self._numbers = itertools.count(1)
-        self._retry_ages = RetryAges()
 
     @property
     def is_enabled(self) -> bool:
@@ -77,8 +70,6 @@
     ) -> AdmissionRequest:
         request = context.request
         size = _get_size(context)
-        known_age = self._get_age(context)
-        age = known_age if gate.prefers_retries else 0.0
         return AdmissionRequest(
             request_id=str(next(self._numbers)),
             service=context.service,
@@ -88,27 +79,11 @@
             body_bytes=len(request.body),
             fingerprint=context.identity.fingerprint,
             arrived_at=request.arrived_at,
-            objective_ends_at=request.arrived_at - age + context.route.objective,
+            objective_ends_at=request.arrived_at + context.route.objective,
             deadline=context.deadline - REFUSAL_MARGIN,
             answer_seconds=gate.answer_times.estimate(context.service, size),
-            age=age,
         )
 
-    def _get_age(self, context: RequestContext) -> float:
-        """Return the seconds since the caller's first try; 0 if they aren't known.
-
-        The objective of a stream that is taken up was met, or missed, by the first
-        event of the earlier try.
-        """
-        if context.retry_age is None:
-            context.retry_age = 0.0
-            if not context.takes_up_stream:
-                request = context.request
-                context.retry_age = self._retry_ages.observe(
-                    context.route.name, request.timeout, request.arrived_at
-                )
-        return context.retry_age
-
 
 class _ContextQuery:
     """Describes the request of a context to the dispatcher."""
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -117,9 +117,6 @@
     queue_seconds: float = 0.0
     #: What a refusal for want of room was based on; None without one.
     queue_figures: QueueFigures | None = None
-    #: Seconds since the caller's first try, 0 for that one; None if requests don't wait
-    #: for room.
-    retry_age: float | None = None
     #: Time in seconds at which it was admitted to the targets.
     admitted_at: float = 0.0
     #: Credit of the organisation when the hold was denied; None otherwise.
@@ -225,7 +222,6 @@
             credit_seconds=round(self.credit_seconds, 3),
             queue_seconds=round(self.queue_seconds, 3),
             first_event_seconds=self.first_event_seconds,
-            retry_age=round(self.retry_age or 0.0, 3),
             hedged=str(self.hedge or ""),
             tokens=self.spent,
             seconds=round(now - self.request.arrived_at, 3),
--- a/kingcuphead/forwarding/tests/test_admission.py
+++ b/kingcuphead/forwarding/tests/test_admission.py
@@ -124,27 +124,6 @@
         run(scenario)
 
 
-class TestRetryAge:
-    def play(self, timeouts):
-        ages: list[float | None] = []
-
-        async def scenario(harness, room, gate):
-            room.is_free = True
-            for timeout in timeouts:
-                harness.first.script = [harness.first.answer("200 OK", b"1")]
-                await harness.serve(make_request(IDEMPOTENT, timeout=timeout))
-            ages.extend(context.retry_age for context, _ in harness.ended)
-
-        run(scenario, [make_route(IDEMPOTENT, timeout=2.0)])
-        return ages
-
-    def test_a_shorter_remaining_time_tells_the_age(self):
-        assert self.play([1.5] * 8 + [1.25]) == [0.0] * 8 + [0.25]
-
-    def test_values_that_vary_tell_none(self):
-        assert not any(self.play([1.5 - number / 16 for number in range(12)]))
-
-
 class TestCredit:
     def test_a_request_that_waits_holds_no_credit(self):
         """The credit of an organisation near its end is for requests that run."""
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -56,7 +56,6 @@
         "requests_per_second",
         "resumes",
         "retry_after",
-        "retry_age",
         "revision",
         "route",
         "seconds",
