Bench: cost of a request and of an event of an entry daemon

entry_cost measured only idle daemons. It now compares the processor time of a request for a stream of one event and of each further event. Callers and targets run in a process of their own and are not measured. The requests cost no credit, because the stand-in of the store has no transactions of credit.

--- a/kingcuphead/bench/entry_cost.py
+++ b/kingcuphead/bench/entry_cost.py
@@ -1,4 +1,4 @@
-"""Compare the processor time of two versions' entry daemons without requests.
+"""Compare the processor time of two versions' entry daemons, idle and under load.
 
 Each cost is measured in processes of this checkout and of another one, alternately in
 one run, because figures of two runs on a shared machine can't be compared.
@@ -30,6 +30,8 @@
 COSTS: dict[str, tuple[str, ...]] = {
     "start, ms": (),
     "idle second, ms": ("idle_second",),
+    "request, ms": ("request",),
+    "event of a stream, us": ("event",),
     "encoding a load report, us": ("encoding",),
     "decoding a load report, us": ("decoding",),
 }
@@ -39,14 +41,17 @@
 ROUTES = (250, 1_400)
 #: First lines of the report.
 HEADER = """\
-# Processor time of an entry daemon without requests
+# Processor time of an entry daemon
 
 Written by `python -m kingcuphead.bench.entry_cost CHECKOUT --report FILE`, which
 measures another checkout (before) and this one (now) alternately. The ratio is that of
 the medians. A start is `python -m kingcuphead.entry --help`; an idle second is that of
 one of three daemons in a process, with a third of their stand-in store and target. A
-load report has 12 targets; a version of a configuration has two routes that the one
-before did not have, and an organisation for each five routes.
+request is one for a stream of one event, from one of 16 callers to one of 40 targets,
+which are in a process of their own; it costs no credit. The cost of an event is the
+difference of a stream of 41 events, 10 ms apart, divided by 40. A load report has 12
+targets; a version of a configuration has two routes that the one before did not have,
+and an organisation for each five routes.
 """
 
 
