--- a/kingcuphead/credit/tests/_fleet.py
+++ b/kingcuphead/credit/tests/_fleet.py
@@ -65,6 +65,7 @@
         self.name = name
 
     async def commit(self, transaction):
+        self.fleet.calls += 1
         if self.fleet.is_store_cut():
             await asyncio.sleep(CALL_TIMEOUT_SECONDS)
             return Unknown()
@@ -78,6 +79,7 @@
         return outcome
 
     async def read_prefix(self, prefix):
+        self.fleet.calls += 1
         if self.fleet.is_store_cut():
             await asyncio.sleep(CALL_TIMEOUT_SECONDS)
             return Error(PlatformFault("read", "timeout"))
@@ -90,7 +92,7 @@
         return int(asyncio.get_running_loop().time() * 1000)
 
     def bound_time(self, moment):
-        return self.estimate_time()
+        return int(self.fleet.started_at * 1000)
 
 
 class Fleet:
@@ -113,19 +115,23 @@
         ]
         self.budgets = {each.name: each.prepaid_tokens or 0 for each in self.limits}
         self.held = dict.fromkeys(self.budgets, 0)
+        #: Incarnation of all daemons, and the time at which it started.
+        self.incarnation, self.started_at = 1, 0.0
+        #: Calls to the store.
+        self.calls = 0
         self.requests = self.false_refusals = 0
         self.endpoints: list[TransferEndpoint] = []
         self.clients: list[TransferClient] = []
         self.tasks = [self.make_task(number, daemons) for number in range(daemons)]
 
     def make_task(self, number, daemons):
-        ledger = CreditLedger(f"d{number}", "1")
+        ledger = CreditLedger(f"d{number}", str(self.incarnation))
         ledger.apply_fleet_size(daemons)
         task = CreditTask(
             ledger, lambda name: Part(self, name), stamp_table=Part(self, "stamps")
         )
         task.apply_limits(self.limits, 1)
-        endpoint = TransferEndpoint(ledger, f"d{number}/1")
+        endpoint = TransferEndpoint(ledger, f"d{number}/{self.incarnation}")
         client = TransferClient(
             endpoint,
             lambda request, peer: self.send(number, request, peer[1]),
@@ -156,11 +162,16 @@
         """Return the daemon that gets the next request of an organisation."""
         return self.rng.choice(self.tasks)
 
-    async def serve_request(self):
+    def draw_request(self):
+        """Return the organisation of a random request and its tokens."""
         rng = self.rng
         name = rng.choices(self.limits, self.weights)[0].name
         mean = rng.choices([k[0] for k in KINDS], [k[1] for k in KINDS])[0]
-        tokens = int(mean * rng.uniform(0.5, 1.5))
+        return name, int(mean * rng.uniform(0.5, 1.5))
+
+    async def serve_request(self):
+        rng = self.rng
+        name, tokens = self.draw_request()
         # The least that must be served: what is held and spent, at most, leaves room.
         has_room = self.held[name] + tokens <= 0.97 * self.budgets[name]
         task = self.choose_daemon(name)
