Renew stamps each half second in fleets of up to 35 daemons

Cause: a daemon that starts 0.6 s after a kill finds a stamp of up to 1.2 s before it, so that a part of the reserves counts as released (release begins 1 s after the last answer).

Change: the stamp interval is 0.5 s, and grows from 35 daemons on, so that a fleet still renews at most 70 stamps a second. What a stamp proves and when a reserve is released stay as they were.

--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -105,14 +105,17 @@
     clock_margin: float = 0.2
     #: Seconds between two regular renewals in a fleet of at most `small_fleet_size`.
     renewal_interval: float = 2.5
-    #: Seconds between two renewals of a daemon's stamp in such a fleet. What a crashed
-    #: daemon may have released of its reserves grows by it.
-    stamp_interval: float = 1.0
+    #: Seconds between two renewals of a daemon's stamp in a fleet of at most
+    #: `small_stamp_fleet_size`. What a crashed daemon may have released of its reserves
+    #: grows by it.
+    stamp_interval: float = 0.5
     #: Factor on the renewal interval while a large fleet has an ample budget.
     ample_interval_factor: float = 2.0
     #: Number of daemons above which the interval grows in proportion to the fleet, so
     #: that the renewals per second of the whole fleet stay constant.
     small_fleet_size: int = 70
+    #: The same for stamps. The stamps of all daemons are in one part of the table.
+    small_stamp_fleet_size: int = 35
     #: Time constant, in seconds, of the moving average of the demand.
     demand_period: float = 6.0
     #: Seconds after the first row of a new era during which no credit is allocated;
@@ -128,7 +131,7 @@
 
     def get_stamp_interval(self, daemons: int) -> float:
         """Return the seconds between two stamps for a number of daemons."""
-        return self.stamp_interval * max(1.0, daemons / self.small_fleet_size)
+        return self.stamp_interval * max(1.0, daemons / self.small_stamp_fleet_size)
 
     def get_fleet_share(self, daemons: int) -> float:
         """Return the factor by which the maximum shares of one daemon shrink."""
--- a/kingcuphead/credit/tests/_simulation.py
+++ b/kingcuphead/credit/tests/_simulation.py
@@ -24,7 +24,7 @@
 STEP = 0.1
 #: Part of the table with the stamps of all daemons.
 STAMPS = "stamps"
-#: Share of the renewals of credit that also renew the stamp.
+#: Share of the renewals of credit that also renew the stamp, unless stated.
 STAMP_SHARE = 0.3
 SETTINGS = CreditSettings()
 
@@ -73,7 +73,7 @@
             if isinstance(outcome, Committed):
                 self.simulation.moved_reserves += bool(requested)
                 self.reclaim(name, ledger)
-        if self.simulation.rng.random() < STAMP_SHARE:
+        if self.simulation.rng.random() < self.simulation.stamp_share:
             self.renew_stamp()
 
     def renew_stamp(self):
@@ -164,8 +164,11 @@
 
 
 class Simulation:
-    def __init__(self, seed, reclaim_delay=None, settings=SETTINGS):
+    def __init__(
+        self, seed, reclaim_delay=None, settings=SETTINGS, stamp_share=STAMP_SHARE
+    ):
         self.rng = random.Random(seed)
+        self.stamp_share = stamp_share
         self.settings = settings
         self.reclaim_settings = self.settings
         if reclaim_delay is not None:
--- a/kingcuphead/credit/tests/test_random_runs.py
+++ b/kingcuphead/credit/tests/test_random_runs.py
@@ -129,6 +129,10 @@
             for seed in range(60):
                 Simulation(seed).run(600)
 
+    @pytest.mark.parametrize("seed", range(30))
+    def test_spend_stays_within_the_limit_with_frequent_stamps(self, seed):
+        Simulation(seed, stamp_share=1.0).run(600)
+
     def test_stamps_are_renewed_in_simulations(self):
         simulation = Simulation(1)
         simulation.run(600)
--- a/kingcuphead/credit/tests/test_stamp.py
+++ b/kingcuphead/credit/tests/test_stamp.py
@@ -193,3 +193,15 @@
         daemon.renew_stamp()
         rows = daemon.store.read(STAMPS, daemon.ledger.stamp.prefix).rows
         assert [row.key for row in rows] == ["d1/2"]
+
+
+class TestInterval:
+    """Guards against more stamps than one part of the store's table commits."""
+
+    @pytest.mark.parametrize(
+        "daemons, seconds", [(1, 0.5), (7, 0.5), (35, 0.5), (70, 1.0), (300, 30 / 7)]
+    )
+    def test_a_fleet_renews_at_most_70_stamps_a_second(self, daemons, seconds):
+        interval = CreditSettings().get_stamp_interval(daemons)
+        assert interval == pytest.approx(seconds)
+        assert daemons / interval <= 70.001
