--- a/kingcuphead/entry/tests/test_poll_pacing.py
+++ b/kingcuphead/entry/tests/test_poll_pacing.py
@@ -134,8 +134,8 @@
         before = self.play(monkeypatch, PacingBounds(), keeps_all)
         after = self.play(monkeypatch, bounds, keeps_all)
         assert before.bytes == 57 * VersionStore.SIZE
-        # A tenth of 5 Mbit/s for 10 s, the first version, the one alone, and one more in
-        # a reply whose delay is at its maximum.
+        # A tenth of 5 Mbit/s for 10 s, the first version, the one alone, and one more
+        # in a reply whose delay is at its maximum.
         assert after.bytes <= 10 * 62_500 + 3 * VersionStore.SIZE
         assert after.calls < before.calls
         assert max(after.ages.values()) <= 0.5
