store: repeat calls that an outage has lost as soon as it ends

Cause: a call that is sent during an outage of the store, or while this instance is cut from it, waits for its timeout of 2 s, though the store answers other calls meanwhile. Change: PendingCalls marks the calls that are pending when a reply ends a silence of 1 s; each of them that is overdue by 0.25 s and twice the time of an answered call ends as if its reply was lost, and is repeated by its owner. The outcome of such a transaction is in doubt, as after a timeout, and is resolved the same way. Tests fail before: a lost call ended 1.6 s after the outage.

--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store: transactions, range reads and change feeds."""
 
+import asyncio
 import time
 from collections.abc import Callable, Mapping
 
@@ -27,6 +28,8 @@
     Exchange,
     KeptConnection,
     NotSent,
+    PendingCall,
+    PendingCalls,
     PlatformConnection,
     PlatformFault,
     PlatformSettings,
@@ -69,6 +72,7 @@
         #: Connections that no poll uses at the moment, by table.
         self._idle_polls: dict[str, KeptConnection] = {}
         self._clock = StoreClock()
+        self._pending = PendingCalls()
         self._era: int | None = None
         #: Called with the era of a reply if it is later than those of earlier replies.
         self.report_era: Callable[[int], None] | None = None
@@ -190,8 +194,20 @@
         timeout: float | None = None,
     ) -> Exchange:
         """Call the store; report a new era before the reply is used."""
-        reply = await self._connection.exchange(method, path, body, query, timeout)
-        self._record_exchange(body or b"", reply)
+        call = PendingCall(time.monotonic(), asyncio.get_running_loop().create_future())
+        exchange = asyncio.ensure_future(
+            self._connection.exchange(method, path, body, query, timeout)
+        )
+        self._pending.begin(call)
+        try:
+            await asyncio.wait(
+                (exchange, call.lost), return_when=asyncio.FIRST_COMPLETED
+            )
+            reply = exchange.result() if exchange.done() else _give_up(body)
+        finally:
+            self._pending.end(call)
+            exchange.cancel()
+        self._record_exchange(body or b"", reply, call.sent_at)
         return reply
 
     async def _poll(
@@ -202,19 +218,31 @@
         if connection is None:
             connection = KeptConnection(_make_settings(self._address))
         address = self._address
+        sent_at = time.monotonic()
         reply = await connection.get("/api/rows-feed", query, timeout)
         if address == self._address and table not in self._idle_polls:
             self._idle_polls[table] = connection
         else:
             connection.close()
-        self._record_exchange(b"", reply)
+        self._record_exchange(b"", reply, sent_at)
         return reply
 
-    def _record_exchange(self, body: bytes, reply: Exchange) -> None:
+    def _record_exchange(self, body: bytes, reply: Exchange, sent_at: float) -> None:
         LINK_TRAFFIC.record_sent(len(body) + MESSAGE_OVERHEAD_BYTES)
         if isinstance(reply, Replied):
             LINK_TRAFFIC.record_received(len(reply.body) + MESSAGE_OVERHEAD_BYTES)
             self._record_era(decode_era(reply))
+            self._give_up_lost_calls(sent_at)
+
+    def _give_up_lost_calls(self, sent_at: float) -> None:
+        """End the calls that an outage of the store has lost, so they are repeated."""
+        now = time.monotonic()
+        lost = tuple(self._pending.record_reply(sent_at, now))
+        for call in lost:
+            call.lost.set_result(None)
+            self._pending.end(call)
+        if lost:
+            logger.info("the store answers again; repeating {} lost calls", len(lost))
 
     def _record_era(self, era: int) -> None:
         previous = self._era
@@ -261,6 +289,12 @@
         return await self._store.commit(self._table, self._part, transaction)
 
 
+def _give_up(body: bytes | None) -> NotSent | ReplyLost:
+    """Return the result of a call whose reply is no longer awaited."""
+    cause = "no reply, while the store answered later calls"
+    return NotSent(cause) if body is None else ReplyLost(cause)
+
+
 def _make_settings(address: str) -> PlatformSettings:
     return PlatformSettings(
         url=f"http://{address}",
--- a/kingcuphead/platform/tests/test_store.py
+++ b/kingcuphead/platform/tests/test_store.py
@@ -11,6 +11,9 @@
     Check,
     Committed,
     Conflict,
+    NotSent,
+    Replied,
+    ReplyLost,
     Row,
     Transaction,
     Unknown,
@@ -155,3 +158,54 @@
             return await store.follow_table("t", 1, 0.1)
 
         assert script.call(poll).is_error()
+
+
+class HangingConnection:
+    """Answers no call while the store is out of reach."""
+
+    def __init__(self):
+        self.is_reached = True
+
+    async def exchange(self, method, path, body, query, timeout):
+        if not self.is_reached:
+            await asyncio.sleep(timeout or 2.0)
+            return ReplyLost("timeout") if body else NotSent("timeout")
+        return Replied(200, b'{"rows": [], "ver": 1, "now_ms": 1}')
+
+
+class TestEndOfAnOutage:
+    """Guards against requests that lack credit for 2 s after the store is back."""
+
+    @pytest.mark.parametrize("writes", [True, False])
+    def test_calls_lost_in_the_outage_end_at_the_next_reply(self, writes):
+        times = run_outage(writes)
+        assert times["lost"] - times["back"] <= 0.1
+
+
+def run_outage(writes):
+    """Return the times at which an outage and a call that was lost in it ended."""
+    times = {}
+    store = Store("127.0.0.1:1")
+    connection = HangingConnection()
+    vars(store)["_connection"] = connection
+
+    async def call():
+        if writes:
+            assert isinstance(await store.commit("t", "p", TRANSACTION), Unknown)
+        else:
+            assert (await store.read_table("t")).is_error()
+        times["lost"] = asyncio.get_running_loop().time()
+
+    async def main():
+        await store.read_table("t")
+        connection.is_reached = False
+        await asyncio.sleep(0.7)
+        lost = asyncio.create_task(call())
+        await asyncio.sleep(0.4)
+        connection.is_reached = True
+        times["back"] = asyncio.get_running_loop().time()
+        await store.read_table("t")
+        await lost
+
+    asyncio.run(main())
+    return times
--- a/kingcuphead/storage/__init__.py
+++ b/kingcuphead/storage/__init__.py
@@ -34,6 +34,7 @@
     Unknown,
     make_removal,
 )
+from kingcuphead.storage._pending_calls import PendingCall, PendingCalls
 from kingcuphead.storage._protocols import InstanceList, ObjectStore, Table, TablePart
 
 __all__ = [
@@ -56,6 +57,8 @@
     "KeptConnection",
     "MemoryTable",
     "ObjectStore",
+    "PendingCall",
+    "PendingCalls",
     "PlatformConnection",
     "PlatformFault",
     "PlatformSettings",
