paths: a full link explains failures for at most 2 s

Callers that fill the link of a daemon go on doing so when its path to targets is lost, so the monitor never found the loss: with a link that stays full, failures of two targets over 3 s, and any longer, left the path out of doubt (test_a_loss_is_found_while_callers_fill_the_link failed before). Without an opened connection for MAX_FULL_LINK_PERIOD the path is now in doubt and other targets are tried as with a link that has room; an opened connection ends the period.

--- a/kingcuphead/paths/_monitor.py
+++ b/kingcuphead/paths/_monitor.py
@@ -9,6 +9,9 @@
 MIN_FAILED_TARGETS = 2
 #: Seconds after which a failure no longer counts.
 FAILURE_LIFETIME = 3.0
+#: Seconds without an opened connection for which a full link explains failures.
+#: Afterwards the path may be lost while callers still fill the link.
+MAX_FULL_LINK_PERIOD = 2.0
 
 
 class PathMonitor:
@@ -22,11 +25,15 @@
     is_link_full
         Returns whether the link of this instance is used to capacity. Connections then
         open too late although the path is sound, and a tunnel would use the same link.
+        It explains failures for at most `MAX_FULL_LINK_PERIOD`.
     """
 
     def __init__(self, is_link_full: Callable[[], bool] = lambda: False) -> None:
         self._is_link_full = is_link_full
         self._failed_at: dict[str, float] = {}
+        #: When the first of successive failures occurred.
+        self._failing_since = 0.0
+        self._last_failed_at = 0.0
         #: Whether the path is lost.
         self.is_lost = False
 
@@ -37,7 +44,7 @@
         Some targets may also have ended at the same time.
         """
         has_failures = len(self._failed_at) >= MIN_FAILED_TARGETS
-        return has_failures and not self.is_lost and not self._is_link_full()
+        return has_failures and not self.is_lost and not self._is_explained()
 
     def record_success(self) -> None:
         """Record that a connection to a target was opened."""
@@ -48,15 +55,22 @@
 
     def record_failure(self, address: str, now: float) -> None:
         """Record that a target could not be connected to."""
-        self._failed_at[address] = now
         self._failed_at = {
             each: failed_at
             for each, failed_at in self._failed_at.items()
             if now - failed_at <= FAILURE_LIFETIME
         }
+        if not self._failed_at:
+            self._failing_since = now
+        self._failed_at[address] = self._last_failed_at = now
 
     def record_loss(self) -> None:
         """Record that no target could be connected to when the path was in doubt."""
         if self.is_in_doubt:
             self.is_lost = True
             logger.warning("path to targets is lost: {}", ", ".join(self._failed_at))
+
+    def _is_explained(self) -> bool:
+        """Whether a full link explains that connections fail."""
+        failing_for = self._last_failed_at - self._failing_since
+        return failing_for < MAX_FULL_LINK_PERIOD and self._is_link_full()
--- a/kingcuphead/paths/tests/test_monitor.py
+++ b/kingcuphead/paths/tests/test_monitor.py
@@ -25,3 +25,22 @@
         assert not monitor.is_in_doubt
         loads.append(False)
         assert monitor.is_in_doubt
+
+    def test_a_loss_is_found_while_callers_fill_the_link(self):
+        """Guards against a lost path that is never found as the link stays full."""
+        monitor = PathMonitor(lambda: True)
+        for second in range(4):
+            for target in TARGETS:
+                monitor.record_failure(target, float(second))
+        monitor.record_loss()
+        assert monitor.is_lost
+
+    def test_a_connection_that_opens_late_proves_the_path(self):
+        """Guards against tunnels over a full link whose path is sound."""
+        monitor = PathMonitor(lambda: True)
+        for second in range(6):
+            for target in TARGETS:
+                monitor.record_failure(target, float(second))
+            if second % 2:
+                monitor.record_success()
+            assert not monitor.is_in_doubt
