capacity: only a link that settings state as narrow is full

The capacity of a link that isn't stated is assumed as 5 Mbit/s, and deployments without a stated link measure their load against it. A load of 0.85 of that assumption hid failures of the path to targets there. The same rule as for the spacing of polls applies now, Profile.states_narrow_link. The new test failed for the link that isn't stated as narrow before.

--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -78,6 +78,8 @@
         self._meter: LoadMeter | None = None
         self._zone_loads = ZoneLoads(zone)
         self._shedder: LoadShedder | None = None
+        #: Whether the settings state a link that callers may fill.
+        self.is_link_narrow = False
         #: Connections of callers.
         self.connections = CallerConnections()
         #: Returns the total seconds in which the event loop was busy.
@@ -94,8 +96,12 @@
 
     @property
     def is_link_full(self) -> bool:
-        """Whether the link of this instance is used to capacity; never if disabled."""
-        return self._meter is not None and self._load.link >= FULL_LINK_LOAD
+        """Whether a narrow link is used to capacity; never if disabled.
+
+        The capacity of a link that the settings don't state is only assumed.
+        """
+        is_measured = self.is_link_narrow and self._meter is not None
+        return is_measured and self._load.link >= FULL_LINK_LOAD
 
     def apply_limits(self, link_mbps: float, is_enabled: bool) -> None:
         """Apply the settings of the process.
--- a/kingcuphead/capacity/tests/test_exchange.py
+++ b/kingcuphead/capacity/tests/test_exchange.py
@@ -162,3 +162,17 @@
     def test_reports_survive_the_wire(self, readiness):
         report = CapacityReported("d1@10.0.0.1/ab", 7, "z", 0.625, readiness)
         assert decode_datagram(encode_datagram(report)) == report
+
+
+class TestFullLink:
+    @pytest.mark.parametrize("is_narrow", [False, True])
+    def test_only_a_link_that_is_stated_as_narrow_is_full(self, is_narrow):
+        """Guards against a lost path that is ignored for an assumed capacity."""
+
+        async def play():
+            played = Played()
+            played.exchange.is_link_narrow = is_narrow
+            played.play(3.0, link_load=1.2)
+            assert played.exchange.is_link_full is is_narrow
+
+        asyncio.run(play())
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -171,6 +171,7 @@
     def apply_profile(self, profile: Profile) -> None:
         """Apply the limits of the instance and of cold targets."""
         self.capacity.apply_limits(profile.limits.link_mbps, profile.is_constrained)
+        self.capacity.is_link_narrow = profile.states_narrow_link
         self.permits.apply_cold_bounds(profile.cold_bounds)
 
     def _connect_dispatcher(self) -> None:
--- a/kingcuphead/entry/_poll_pacing.py
+++ b/kingcuphead/entry/_poll_pacing.py
@@ -40,10 +40,10 @@
     profile
         Settings of the process. A link that they don't state bounds nothing.
     """
-    limits = profile.limits
-    if not profile.is_link_stated or not limits.has_narrow_link:
+    if not profile.states_narrow_link:
         return PacingBounds()
-    return PacingBounds(byte_rate=limits.link_mbps * _MEGABIT_BYTES * LINK_SHARE)
+    link_rate = profile.limits.link_mbps * _MEGABIT_BYTES
+    return PacingBounds(byte_rate=link_rate * LINK_SHARE)
 
 
 def bound_target_polls(profile: Profile, targets: int) -> PacingBounds:
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -115,6 +115,11 @@
         """Whether callers may need more than this instance can serve."""
         return self.has_scarce_capacity or self.limits.has_narrow_link
 
+    @property
+    def states_narrow_link(self) -> bool:
+        """Whether the settings state a link that callers may fill."""
+        return self.is_link_stated and self.limits.has_narrow_link
+
 
 @frozen
 class ProfileFault:
