Retry refused reads of few targets as often as before

The second and later retries of the table of targets waited 0.4 s on average, up to 0.6 s, in all deployments, where they waited 0.2 s before. The longer delay now needs more than 500 known targets. 500 targets: the test counts 300 retries a minute within 15%, which failed before; 501 targets keep 150. test_daemons_that_were_refused_together_retry_apart states the delay by a function now, with the same bounds.

--- a/kingcuphead/entry/_store_watches.py
+++ b/kingcuphead/entry/_store_watches.py
@@ -20,6 +20,9 @@
 #: has the targets.
 MAX_START_DELAY = 1.0
 
+#: Mean seconds before later retries of a refused read of few and of many targets.
+RETRY_DELAY, LARGE_RETRY_DELAY = 0.2, 0.4
+
 #: The daemon refuses requests until it has the configuration, and few rows are read
 #: again after a failed call.
 CONFIGURATION_POLICY = WatchPolicy(
@@ -78,7 +81,7 @@
             WatchPolicy(
                 # Thousands of rows cost most just when the store refuses calls.
                 keeps_position=lambda: directory.count > MANY_TARGETS,
-                retry_delay=0.4,
+                get_retry_delay=lambda: _choose_retry_delay(directory.count),
             ),
         )
 
@@ -107,3 +110,7 @@
     async def _follow_targets(self) -> None:
         await self._configuration.has_read.wait()
         await self._targets.run()
+
+
+def _choose_retry_delay(targets: int) -> float:
+    return LARGE_RETRY_DELAY if targets > MANY_TARGETS else RETRY_DELAY
--- a/kingcuphead/entry/_watch_policy.py
+++ b/kingcuphead/entry/_watch_policy.py
@@ -23,8 +23,8 @@
     keeps_position: Callable[[], bool] = lambda: False
     #: Mean seconds before the first retry of a failed call.
     first_retry_delay: float = 0.2
-    #: Mean seconds before later retries.
-    retry_delay: float = 0.2
+    #: Returns the mean seconds before later retries.
+    get_retry_delay: Callable[[], float] = lambda: 0.2
 
 
 class RetryDelays:
@@ -51,6 +51,8 @@
     def record_failure(self) -> float:
         """Return the seconds before the call is retried."""
         policy = self._policy
-        mean = policy.retry_delay if self.is_failing else policy.first_retry_delay
+        mean = policy.first_retry_delay
+        if self.is_failing:
+            mean = policy.get_retry_delay()
         self.is_failing = True
         return mean * self._rng.uniform(_MIN_JITTER, _MAX_JITTER)
--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 import types
+from typing import Any
 
 import pytest
 from expression import Error, Ok
@@ -192,13 +193,48 @@
 
 class TestRetryDelays:
     def test_daemons_that_were_refused_together_retry_apart(self):
-        policy = WatchPolicy(first_retry_delay=0.1, retry_delay=0.4)
+        policy = WatchPolicy(first_retry_delay=0.1, get_retry_delay=lambda: 0.4)
         fleet = [RetryDelays(policy, random.Random(each)) for each in range(300)]
         first = [each.record_failure() for each in fleet]
         later = [each.record_failure() for each in fleet]
         assert 0.05 <= min(first) < 0.06 < 0.14 < max(first) <= 0.15
         assert 0.2 <= min(later) < 0.21 < 0.59 < max(later) <= 0.6
 
+    @pytest.mark.parametrize(("targets", "mean"), [(500, 0.2), (501, 0.4)])
+    def test_few_targets_are_retried_as_often_as_ever(self, targets, mean):
+        """Guards against small fleets that learn of leaving targets later."""
+        store = RefusingStore()
+        run(self.follow(store, targets))
+        # The first retry has another mean; the others vary by half.
+        retries = len(store.read_at["servers"]) - 2
+        assert 0.85 * 60 / mean < retries < 1.15 * 60 / mean
+
+    async def follow(self, store, targets):
+        directory: Any = types.SimpleNamespace(
+            count=targets, record_store_failure=lambda at: None
+        )
+        listener: Any = types.SimpleNamespace(**IGNORE)
+        watches = StoreWatches(store, listener, listener, directory, get_profile)
+        tasks = [asyncio.create_task(each) for each in watches.list_tasks()]
+        await asyncio.sleep(60.0)
+        for task in tasks:
+            task.cancel()
+
+
+class RefusingStore:
+    """Refuses all reads of targets, and records when they are sent."""
+
+    def __init__(self):
+        self.read_at: dict[str, list[float]] = {"op": [], "servers": []}
+
+    async def read_table(self, table):
+        self.read_at[table].append(get_time())
+        return Error(REFUSED) if table == "servers" else Ok(RowSnapshot((), 1))
+
+    async def follow_table(self, table, version, wait):
+        await asyncio.sleep(wait)
+        return Ok(Changes((), version))
+
 
 class CountingStore:
     """Counts the reads of the table of daemons."""
