Peers: a daemon that leaves before its start doesn't register

A daemon that was stopped meanwhile had removed its row before it was written, and the row of the ended daemon stayed in the table: the new test found one write after the removal, none now.

--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -78,7 +78,9 @@
         the store was restored from an earlier copy.
         """
         row = Put(self._key, msgspec.json.encode(DaemonRow(*self._own_address)))
-        await self._commit(Transaction((), (row,)))
+        # The daemon may leave while this task waits for its start.
+        if not self._is_leaving:
+            await self._commit(Transaction((), (row,)))
         while True:
             match await self._store.read_table(DAEMONS_TABLE, DAEMONS_PART):
                 case Result(tag="ok", ok=snapshot):
--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -12,7 +12,7 @@
 from kingcuphead.entry._watch_policy import RetryDelays, WatchPolicy
 from kingcuphead.permits.tests._virtual_time import run
 from kingcuphead.platform import Change, Changes, parse_profile
-from kingcuphead.storage import Committed, PlatformFault, Row, RowSnapshot
+from kingcuphead.storage import Committed, PlatformFault, Put, Row, RowSnapshot
 
 PROFILE = parse_profile(
     "node=n\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:1\n"
@@ -241,8 +241,12 @@
 
     def __init__(self):
         self.reads = 0
+        self.written_keys: list[str] = []
 
     async def commit(self, table, part, transaction):
+        self.written_keys += [
+            each.key for each in transaction.writes if isinstance(each, Put)
+        ]
         return Committed(1)
 
     async def read_table(self, table, part):
@@ -251,6 +255,19 @@
 
 
 class TestPeersOfAFleetThatStarts:
+    def test_a_daemon_that_leaves_before_its_first_read_is_not_listed(self):
+        """Guards against the row of a daemon that has ended."""
+        store = CountingStore()
+        run(self.leave(store))
+        assert not store.written_keys
+
+    async def leave(self, store):
+        discovery = PeerDiscovery(store, ("10.0.0.1", 1), lambda peers: None)
+        await discovery.deregister()
+        task = asyncio.create_task(discovery.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+
     def test_the_list_is_read_a_few_times(self):
         """Guards against a read of all rows for each of 300 daemons that start."""
         store = CountingStore()
