--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -1,6 +1,7 @@
 import asyncio
 import random
 import types
+from typing import Any
 
 import pytest
 from expression import Error, Ok
@@ -11,7 +12,7 @@
 from kingcuphead.entry._watch_policy import RetryDelays, WatchPolicy
 from kingcuphead.permits.tests._virtual_time import run
 from kingcuphead.platform import Change, Changes, parse_profile
-from kingcuphead.storage import Committed, PlatformFault, Row, RowSnapshot
+from kingcuphead.storage import Committed, PlatformFault, Put, Row, RowSnapshot
 
 PROFILE = parse_profile(
     "node=n\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:1\n"
@@ -192,21 +193,60 @@
 
 class TestRetryDelays:
     def test_daemons_that_were_refused_together_retry_apart(self):
-        policy = WatchPolicy(first_retry_delay=0.1, retry_delay=0.4)
+        policy = WatchPolicy(first_retry_delay=0.1, get_retry_delay=lambda: 0.4)
         fleet = [RetryDelays(policy, random.Random(each)) for each in range(300)]
         first = [each.record_failure() for each in fleet]
         later = [each.record_failure() for each in fleet]
         assert 0.05 <= min(first) < 0.06 < 0.14 < max(first) <= 0.15
         assert 0.2 <= min(later) < 0.21 < 0.59 < max(later) <= 0.6
 
+    @pytest.mark.parametrize(("targets", "mean"), [(500, 0.2), (501, 0.4)])
+    def test_few_targets_are_retried_as_often_as_ever(self, targets, mean):
+        """Guards against small fleets that learn of leaving targets later."""
+        store = RefusingStore()
+        run(self.follow(store, targets))
+        # The first retry has another mean; the others vary by half.
+        retries = len(store.read_at["servers"]) - 2
+        assert 0.85 * 60 / mean < retries < 1.15 * 60 / mean
+
+    async def follow(self, store, targets):
+        directory: Any = types.SimpleNamespace(
+            count=targets, record_store_failure=lambda at: None
+        )
+        listener: Any = types.SimpleNamespace(**IGNORE)
+        watches = StoreWatches(store, listener, listener, directory, get_profile)
+        tasks = [asyncio.create_task(each) for each in watches.list_tasks()]
+        await asyncio.sleep(60.0)
+        for task in tasks:
+            task.cancel()
+
+
+class RefusingStore:
+    """Refuses all reads of targets, and records when they are sent."""
+
+    def __init__(self):
+        self.read_at: dict[str, list[float]] = {"op": [], "servers": []}
+
+    async def read_table(self, table):
+        self.read_at[table].append(get_time())
+        return Error(REFUSED) if table == "servers" else Ok(RowSnapshot((), 1))
+
+    async def follow_table(self, table, version, wait):
+        await asyncio.sleep(wait)
+        return Ok(Changes((), version))
+
 
 class CountingStore:
     """Counts the reads of the table of daemons."""
 
     def __init__(self):
         self.reads = 0
+        self.written_keys: list[str] = []
 
     async def commit(self, table, part, transaction):
+        self.written_keys += [
+            each.key for each in transaction.writes if isinstance(each, Put)
+        ]
         return Committed(1)
 
     async def read_table(self, table, part):
@@ -215,6 +255,19 @@
 
 
 class TestPeersOfAFleetThatStarts:
+    def test_a_daemon_that_leaves_before_its_first_read_is_not_listed(self):
+        """Guards against the row of a daemon that has ended."""
+        store = CountingStore()
+        run(self.leave(store))
+        assert not store.written_keys
+
+    async def leave(self, store):
+        discovery = PeerDiscovery(store, ("10.0.0.1", 1), lambda peers: None)
+        await discovery.deregister()
+        task = asyncio.create_task(discovery.run())
+        await asyncio.sleep(1.0)
+        task.cancel()
+
     def test_the_list_is_read_a_few_times(self):
         """Guards against a read of all rows for each of 300 daemons that start."""
         store = CountingStore()
