--- a/kingcuphead/bench/_entry_cost_load.py
+++ b/kingcuphead/bench/_entry_cost_load.py
@@ -1,8 +1,8 @@
 """Callers and targets of a daemon whose cost is measured, in a process of their own.
 
-It listens for requests of the daemon and prints the ports of the targets. For each line
-that it reads, a number of requests, the callers send as many, and it prints one line
-once all of them have been answered.
+The targets listen for requests of the daemon, and their ports are printed. Each line of
+the input is a number of requests, which the callers send; a line is printed once all of
+them have been answered.
 """
 
 import asyncio
@@ -14,13 +14,11 @@
 
 from kingcuphead.platform.tests._documents import (
     make_caller_headers,
-    make_event,
     make_stream_head,
 )
 
 # Test helpers have no type annotations.
 make_headers: Any = make_caller_headers
-encode_event: Any = make_event
 encode_head: Any = make_stream_head
 
 #: Number of targets.
@@ -108,7 +106,7 @@
 
 
 async def main(address: str, events: str) -> None:
-    """Run the targets, and the callers of a daemon at an address whenever asked."""
+    """Run the targets, and the callers of the daemon at an address."""
     loop = asyncio.get_running_loop()
     servers = [
         await loop.create_server(lambda: Target(int(events)), "127.0.0.1", 0)
--- a/kingcuphead/bench/_entry_cost_probe.py
+++ b/kingcuphead/bench/_entry_cost_probe.py
@@ -36,9 +36,9 @@
 make_fleet: Any = Fleet
 make_target: Any = CrashingTarget
 make_daemon_profile: Any = make_profile
+encode_target: Any = encode_entry
 # The two versions export it from different packages.
 make_log_settings: Any = vars(_setup)["LogSettings"]
-encode_target: Any = encode_entry
 
 #: Seconds for which the daemons of the fleet idle before and during the measurement.
 SETTLING_SECONDS, IDLE_SECONDS = 2.0, 10.0
@@ -77,24 +77,22 @@
 
     It includes the idle time of the daemon and its store meanwhile.
     """
-    async with run_loaded_daemon(SHORT_STREAM) as send:
-        await send(WARMING_REQUESTS)
-        return await _measure_requests(send)
+    return await _measure_requests(SHORT_STREAM)
 
 
 async def measure_event() -> float:
     """Return the processor time of one more event of a stream."""
-    short = await measure_request()
-    async with run_loaded_daemon(LONG_STREAM) as send:
-        await send(WARMING_REQUESTS)
-        long = await _measure_requests(send)
+    short = await _measure_requests(SHORT_STREAM)
+    long = await _measure_requests(LONG_STREAM)
     return (long - short) / (LONG_STREAM - SHORT_STREAM)
 
 
-async def _measure_requests(send: Callable[[int], Awaitable[None]]) -> float:
-    started_at = time.process_time()
-    await send(REQUESTS)
-    return (time.process_time() - started_at) / REQUESTS
+async def _measure_requests(events: int) -> float:
+    async with run_loaded_daemon(events) as send:
+        await send(WARMING_REQUESTS)
+        started_at = time.process_time()
+        await send(REQUESTS)
+        return (time.process_time() - started_at) / REQUESTS
 
 
 @contextlib.asynccontextmanager
--- a/kingcuphead/cli/_in_force.py
+++ b/kingcuphead/cli/_in_force.py
@@ -1,4 +1,4 @@
-"""Reads configurations from files and, for comparison, from the platform's store."""
+"""Reads a configuration file, and the version in force from a file or the store."""
 
 import asyncio
 from pathlib import Path
@@ -29,6 +29,7 @@
     """Return the content of a file, cut one byte after the allowed size."""
     try:
         with Path(path).open("rb") as file:
+            # One byte more than allowed shows that the file is too large.
             return Ok(file.read(MAX_FILE_BYTES + 1))
     except (OSError, ValueError) as error:
         return _fail(path, str(error))
--- a/kingcuphead/cli/_parser.py
+++ b/kingcuphead/cli/_parser.py
@@ -23,7 +23,7 @@
   3  conflict with another change; nothing was changed
   4  daemon or platform not reached; nothing was changed
   5  outcome unknown; repeat the command with the id that is shown
-  check: 0 no finding, 1 warnings or a loss of callers, 2 errors
+  check: 0 no finding, 1 warnings or something taken from callers, 2 errors
 
 example:
   kingcuphead model create large --versions 1 --max-output-tokens 4096
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -114,7 +114,8 @@
     #: Number of daemons above which the interval grows in proportion to the fleet, so
     #: that the renewals per second of the whole fleet stay constant.
     small_fleet_size: int = 70
-    #: The same for stamps. The stamps of all daemons are in one part of the table.
+    #: Number of daemons above which the interval of stamps grows in the same way. The
+    #: stamps of all daemons are in one part of the table, which limits their rate.
     small_stamp_fleet_size: int = 35
     #: Time constant, in seconds, of the moving average of the demand.
     demand_period: float = 6.0
--- a/kingcuphead/credit/tests/_kills.py
+++ b/kingcuphead/credit/tests/_kills.py
@@ -1,6 +1,6 @@
-"""Fleets of which all daemons are killed at once, and what of each budget that takes.
+"""Fleets whose daemons are all killed at once, and the loss of each budget.
 
-The daemons start again soon, reclaim reserves and serve further requests.
+The daemons start again after `DOWN_SECONDS`, reclaim reserves and serve requests.
 """
 
 import asyncio
@@ -38,7 +38,7 @@
     rest: int = 0
     #: Reserve at the kill, most of which is reclaimed.
     reserve: int = 0
-    #: Prompts settled whole until then for callers that disconnected, not in the total.
+    #: Prompts charged until the kill for callers that disconnected; not in the total.
     left_prompts: int = 0
 
     @property
@@ -132,7 +132,7 @@
     async def kill(self):
         """Kill all daemons, start them again and record what is lost."""
         before = {name: self.count_charged(name) for name in self.budgets}
-        losses = {name: self.measure(name) for name in self.budgets}
+        losses = {name: self.measure_loss(name) for name in self.budgets}
         self.is_down = True
         await self.stop()
         await asyncio.sleep(DOWN_SECONDS)
@@ -150,8 +150,8 @@
             loss.rest = self.count_charged(name) - before[name] - loss.total
         self.losses.append(losses)
 
-    def measure(self, name):
-        accounts = [task.ledger.get_organisation(name).account for task in self.tasks]
+    def record_in_flight(self, name):
+        """Count as spent what requests in flight have spent, and return it."""
         now = asyncio.get_running_loop().time()
         spent = 0
         for organisation, tokens, begin, seconds in self.in_flight.values():
@@ -159,6 +159,12 @@
                 share = min(1.0, (now - begin) / seconds)
                 spent += int(tokens * (PROMPT_SHARE + (1 - PROMPT_SHARE) * share))
         self.spent[name] += spent
+        return spent
+
+    def measure_loss(self, name):
+        """Return the loss of a budget, without the part known after the restart."""
+        accounts = [task.ledger.get_organisation(name).account for task in self.tasks]
+        spent = self.record_in_flight(name)
         return KillLoss(
             free=sum(each.free for each in accounts),
             held=sum(each.held for each in accounts) - spent,
--- a/kingcuphead/dispatch/_hedging.py
+++ b/kingcuphead/dispatch/_hedging.py
@@ -63,8 +63,8 @@
     #: Binary logarithm of the size, rounded up; None for all sizes.
     size_class: int | None
 
-    def list_widening(self) -> tuple["RequestClass", ...]:
-        """Return the class, that of all sizes and that of all kinds."""
+    def list_fallbacks(self) -> tuple["RequestClass", ...]:
+        """Return the class itself, that over all sizes, and that over all kinds."""
         all_sizes = dataclasses.replace(self, size_class=None)
         return (self, all_sizes, dataclasses.replace(all_sizes, kind=None))
 
@@ -152,7 +152,7 @@
 
         A class with few observations takes the delay of a wider one.
         """
-        for each in request_class.list_widening():
+        for each in request_class.list_fallbacks():
             histogram = self._histograms.get(each)
             if histogram is not None and histogram.weight >= MIN_OBSERVATIONS:
                 return histogram.estimate_quantile(DELAY_QUANTILE)
@@ -247,7 +247,7 @@
         return self._started[service].count(now) + 1 <= allowed
 
     def _record_seconds(self, request_class: RequestClass, seconds: float) -> None:
-        for each in request_class.list_widening():
+        for each in request_class.list_fallbacks():
             histogram = self._get_histogram(each)
             if histogram is not None:
                 histogram.record(seconds)
--- a/kingcuphead/dispatch/tests/test_hedging.py
+++ b/kingcuphead/dispatch/tests/test_hedging.py
@@ -172,12 +172,12 @@
 
     @pytest.mark.parametrize("seed", [1, 2, 3])
     def test_second_attempts_begin_within_seconds(self, seed, monkeypatch):
-        """Each size alone has its 50 observations only after 40 s."""
+        """Guards against no second attempts while each size has few observations."""
         times, unhedged, starts = self.play(seed)
         assert starts[0] < 10
         assert len(starts) <= SHARE * self.REQUESTS
         assert sum(times) < sum(unhedged)
-        monkeypatch.setattr(RequestClass, "list_widening", lambda each: (each,))
+        monkeypatch.setattr(RequestClass, "list_fallbacks", lambda each: (each,))
         times_without, _, starts_without = self.play(seed)
         assert len(starts_without) < len(starts)
         assert get_quantile(times, 0.98) < get_quantile(times_without, 0.98)
--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -17,9 +17,8 @@
 DAEMONS_TABLE, DAEMONS_PART = "daemons", "all"
 #: Seconds between two polls of the table.
 POLL_INTERVAL = 5.0
-#: Bounds of the seconds between two polls for daemons that were heard of. Other daemons
-#: are known within a second of their start; the rows of a fleet that starts are read a
-#: few times and not once for each daemon of it.
+#: Bounds of the seconds between two polls that are made early, because a daemon was
+#: heard of that isn't listed. While a fleet starts, each poll finds several of them.
 MIN_EARLY_INTERVAL, MAX_EARLY_INTERVAL = 0.4, 0.8
 
 
--- a/kingcuphead/entry/_poll_pacing.py
+++ b/kingcuphead/entry/_poll_pacing.py
@@ -8,11 +8,11 @@
 
 #: Share of the instance's link that the changes of one table may take.
 LINK_SHARE = 0.1
-#: Maximum seconds between changes and the next poll. Targets that leave must get
-#: nothing new 2 s after the acknowledgement.
+#: Maximum seconds between changes and the next poll. A longer delay would leave little
+#: of the 3 s after which a target that leaves must get nothing new.
 MAX_POLL_DELAY = 0.5
-#: Number of targets above which polls of their table are always `MAX_POLL_DELAY` apart:
-#: heartbeats change some row all the time, and each poll would return a few of them.
+#: Number of targets above which polls of their table are always `MAX_POLL_DELAY` apart.
+#: Heartbeats change their rows so often that each poll would return at once.
 MANY_TARGETS = 500
 
 _MEGABIT_BYTES = 1_000_000 / 8
@@ -62,7 +62,7 @@
 
 
 class PollPacing:
-    """Tells how long the next poll of a table waits.
+    """Computes how long the next poll of a table is delayed.
 
     Changes accumulate at the store meanwhile. A reply without changes delays nothing,
     so the first change after a quiet time arrives at once.
--- a/kingcuphead/entry/_store_watches.py
+++ b/kingcuphead/entry/_store_watches.py
@@ -16,12 +16,12 @@
 from kingcuphead.platform import CONFIGURATION_TABLE, TARGETS_TABLE, Profile, Store
 from kingcuphead.targets import TargetDirectory
 
-#: Maximum seconds for which a daemon that starts leaves other tables unread until it
-#: has the targets.
+#: Maximum seconds after the configuration was read for which a daemon waits for the
+#: targets before it reads other tables.
 MAX_START_DELAY = 1.0
 
-#: The daemon refuses requests until it has the configuration, and few rows are read
-#: again after a failed call.
+#: Policy for the configuration. The daemon refuses requests until it has been read, so
+#: it is retried early. It has few rows, so all are read again after a failed call.
 CONFIGURATION_POLICY = WatchPolicy(
     prefers_rows=True, repeats_overdue=True, first_retry_delay=0.1
 )
@@ -76,7 +76,8 @@
             directory.record_store_failure,
             self.pacings[TARGETS_TABLE],
             WatchPolicy(
-                # Thousands of rows cost most just when the store refuses calls.
+                # Reading thousands of rows again takes several calls, which a store
+                # that refuses calls would refuse, too.
                 keeps_position=lambda: directory.count > MANY_TARGETS,
                 retry_delay=0.4,
             ),
@@ -95,8 +96,8 @@
     ) -> None:
         """Run a task once the configuration and the targets have been read.
 
-        At the start of a fleet all daemons read all tables; those without which this
-        daemon can't serve come first.
+        The store may refuse calls while a whole fleet starts, so the tables without
+        which this daemon can't serve are read first.
         """
         await self._configuration.has_read.wait()
         with contextlib.suppress(TimeoutError):
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -91,7 +91,7 @@
     pacing
         Delays polls after changes; None for no delay.
     policy
-        What happens while calls fail or hang.
+        How the table is read while calls fail or hang.
     """
 
     def __init__(
@@ -110,7 +110,7 @@
         self._pacing = PollPacing() if pacing is None else pacing
         self._policy = policy
         self._retry_delays = RetryDelays(policy, random.Random())
-        #: Whether the next read is one of the rows although the position is known.
+        #: Whether the next call reads the rows although the position is known.
         self._reads_rows = False
         self._position: Position | None = None
         #: Set once the table has been read.
@@ -187,7 +187,7 @@
     async def _follow(self, version: int, wait: float) -> _Reply:
         """Poll; repeat the poll on another connection if the reply is overdue.
 
-        The connection may be broken, which would show only after its time-out.
+        If the connection is broken, only its time-out would tell.
         """
         if not self._policy.repeats_overdue:
             return await self._store.follow_table(self._table, version, wait)
@@ -208,7 +208,7 @@
     async def _await_either(
         self, poll: asyncio.Task[_Reply], repetition: asyncio.Task[_Reply]
     ) -> _Reply:
-        """Return the first reply that isn't a fault, or the fault of both."""
+        """Return the first reply that isn't a fault, or the last fault."""
         try:
             for reply in asyncio.as_completed((poll, repetition)):
                 outcome = await reply
--- a/kingcuphead/entry/_watch_policy.py
+++ b/kingcuphead/entry/_watch_policy.py
@@ -12,10 +12,10 @@
 
 @frozen
 class WatchPolicy:
-    """How a table is followed."""
+    """How a table is read, and what happens after failed and overdue calls."""
 
-    #: Whether rows are read in place of changes while these replace each other. The
-    #: store sends each change whole, and only the newest one counts.
+    #: Whether rows are read in place of changes if a reply contains several changes of
+    #: one row. The store sends each change whole, and only the newest one counts.
     prefers_rows: bool = False
     #: Whether a poll whose reply is overdue is repeated on another connection.
     repeats_overdue: bool = False
@@ -28,14 +28,14 @@
 
 
 class RetryDelays:
-    """Tells when failed calls are retried.
+    """Computes when failed calls are retried.
 
     Parameters
     ----------
     policy
         Mean delays.
     rng
-        Varies the delays.
+        Source of the jitter.
     """
 
     def __init__(self, policy: WatchPolicy, rng: random.Random) -> None:
--- a/kingcuphead/entry/tests/_played_daemons.py
+++ b/kingcuphead/entry/tests/_played_daemons.py
@@ -248,9 +248,9 @@
         self._outbox.extend((sender, each, message) for each in receivers)
 
     def _deliver(self):
-        """Deliver what was sent in one step of the loop, in an order of its own.
+        """Deliver what was sent in one step of the loop, by sender and receiver.
 
-        Daemons send to the members of a set in the order of their hashes.
+        Daemons send to the members of a set, whose order differs in each process.
         """
         loop = asyncio.get_running_loop()
         datagrams = sorted(self._outbox, key=lambda each: each[:2])
--- a/kingcuphead/entry/tests/test_engine_memory.py
+++ b/kingcuphead/entry/tests/test_engine_memory.py
@@ -35,7 +35,7 @@
     """Engines are a third busy; without the bound they hold a fifth of their memory."""
 
     def test_a_seed_determines_the_play(self):
-        """Bounds would be met or missed by chance."""
+        """Guards against bounds that are met or missed by chance."""
         first, second = (play(True, 50, make_size).outcomes for _ in range(2))
         assert first == second
 
--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -144,6 +144,16 @@
             self.applied_at.setdefault(2, get_time())
 
 
+class IgnoringListener:
+    """Listener for the entries of targets, which these tests don't need."""
+
+    def apply_snapshot(self, rows):
+        pass
+
+    def apply_changes(self, changes):
+        pass
+
+
 class TestFleetStart:
     """300 daemons that start within 0.3 s read 3,000 targets from a limited store."""
 
@@ -159,7 +169,7 @@
         tasks: list[asyncio.Task[None]] = []
         for daemon in fleet:
             watches = StoreWatches(
-                store, daemon, types.SimpleNamespace(**IGNORE), directory, get_profile
+                store, daemon, IgnoringListener(), directory, lambda: PROFILE
             )
             tasks += map(asyncio.create_task, watches.list_tasks())
             await asyncio.sleep(0.001)
@@ -172,8 +182,7 @@
         store = FleetStore()
         fleet = self.play(store)
         ages = sorted(each.applied_at[2] - 0.5 for each in fleet)
-        print("in force", ages[150], ages[-1], "refused", store.calls, store.reads)
-        assert ages[-1] <= 3.0
+        assert ages[-1] <= 3.0, (ages[150], store.calls, store.reads)
 
     def test_the_configuration_is_read_first_and_targets_once(self):
         """Guards against all rows being read again for each refused poll."""
@@ -183,15 +192,9 @@
         assert store.reads["servers"] == 300
 
 
-IGNORE = {"apply_snapshot": lambda rows: None, "apply_changes": lambda changes: None}
-
-
-def get_profile():
-    return PROFILE
-
-
 class TestRetryDelays:
     def test_daemons_that_were_refused_together_retry_apart(self):
+        """Guards against a fleet that repeats refused calls all at once."""
         policy = WatchPolicy(first_retry_delay=0.1, retry_delay=0.4)
         fleet = [RetryDelays(policy, random.Random(each)) for each in range(300)]
         first = [each.record_failure() for each in fleet]
--- a/kingcuphead/paths/tests/test_monitor.py
+++ b/kingcuphead/paths/tests/test_monitor.py
@@ -6,7 +6,7 @@
 
 
 class TestPathMonitor:
-    """A full link delays connections; tunnels through it would fill it further."""
+    """Guards against tunnels that fill a link which is full and only delays."""
 
     @pytest.mark.parametrize("is_link_full", [True, False])
     def test_failures_on_a_full_link_are_no_loss_of_the_path(self, is_link_full):
--- a/kingcuphead/permits/tests/_virtual_time.py
+++ b/kingcuphead/permits/tests/_virtual_time.py
@@ -3,8 +3,8 @@
 import asyncio
 import selectors
 
-#: Least seconds between two rounds of the loop. It runs a timer that is due within the
-#: resolution of its clock, and one that is set again for that moment would never end.
+#: Minimum seconds by which a round of the loop advances the time. The loop runs a timer
+#: slightly early; one that is then set again for the same moment would run forever.
 MIN_STEP = 1e-9
 
 
--- a/kingcuphead/platform/_configuration.py
+++ b/kingcuphead/platform/_configuration.py
@@ -22,9 +22,9 @@
 #: Prefix of the keys of rows that evacuate a zone, in the configuration's table.
 _EVACUATION_PREFIX = "evacuate/"
 #: Requests per second that a cold target takes if its limit is invalid.
-_MIN_COLD_LIMIT = 1.0
+MIN_COLD_LIMIT = 1.0
 #: Seconds for which a target is cold after its start if the period is invalid.
-_DEFAULT_COLD_PERIOD = 10.0
+DEFAULT_COLD_PERIOD = 10.0
 
 #: Kinds of requests by their names in the configuration.
 KINDS = {
@@ -243,10 +243,10 @@
             engine.slots, engine.kv_capacity_tokens, max(1, engine.stride)
         )
     limit = _read_optional(
-        f"cold_per_s of {service.name}", service.cold_per_s, _MIN_COLD_LIMIT
+        f"cold_per_s of {service.name}", service.cold_per_s, MIN_COLD_LIMIT
     )
     period = _read_optional(
-        f"cold_start_s of {service.name}", service.cold_start_s, _DEFAULT_COLD_PERIOD
+        f"cold_start_s of {service.name}", service.cold_start_s, DEFAULT_COLD_PERIOD
     )
     return Service(
         service.name, service.max_connections, profile, limit or None, period
--- a/kingcuphead/platform/_stated_values.py
+++ b/kingcuphead/platform/_stated_values.py
@@ -13,7 +13,9 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.platform._configuration import (
     DECODER,
+    DEFAULT_COLD_PERIOD,
     KINDS,
+    MIN_COLD_LIMIT,
     ROUTE_DECODER,
     TENANT_DECODER,
     ConfigurationForm,
@@ -28,7 +30,7 @@
 
 #: Characters of a name or value from the file that a message repeats.
 MAX_SHOWN = 100
-#: Number of faults of a kind that are listed.
+#: Maximum number of faults, and of unknown fields, that are returned.
 MAX_FAULTS = 1_000
 
 #: Objects within the objects of a configuration, by field.
@@ -42,6 +44,8 @@
     RouteForm: {"traffic_split": SplitForm},
     ServiceForm: {"engine": EngineForm},
 }
+#: Numbers that replace unreadable ones, by field of a service.
+_REPLACEMENTS = {"cold_start_s": DEFAULT_COLD_PERIOD, "cold_per_s": MIN_COLD_LIMIT}
 #: End of a decoder's message that gives the path of a value of the wrong type.
 _PATH = re.compile(r" - at `\$\.?(.*)`\Z", re.DOTALL)
 #: End of a decoder's message that gives the position of a syntax error.
@@ -78,7 +82,7 @@
     services: tuple[str, ...]
     #: Each organisation with its keys.
     holders: tuple[KeyHolder, ...]
-    #: Fields and values that decoding ignores or replaces.
+    #: Fields that decoding ignores, and values that it replaces.
     ignored: tuple[FileFault, ...]
 
 
@@ -179,7 +183,7 @@
         return FileFault("file", "the file is empty")
     if found is None and "truncated" not in message:
         return FileFault("file", message)
-    # A file that was cut off is at fault at its end.
+    # If the file was cut off, the position is its end.
     position = int(found[1]) if found else len(content)
     before = content[:position]
     line = before.count(b"\n") + 1
@@ -232,9 +236,9 @@
             yield FileFault(place, cause)
     for index, service in enumerate(services):
         place = format_place("services", index, service.name)
-        for field in ("cold_start_s", "cold_per_s"):
+        for field, used in _REPLACEMENTS.items():
             value = getattr(service, field)
             if value is not None and parse_number(value) is None:
-                yield FileFault(
-                    place, f"{field} {format_name(value)} is not a number >= 0"
-                )
+                shown = format_name(value)
+                cause = f"{field} {shown} is not a number >= 0; {used:g} is used"
+                yield FileFault(place, cause)
--- a/kingcuphead/review/_checks.py
+++ b/kingcuphead/review/_checks.py
@@ -8,9 +8,10 @@
     BYTES_PER_TOKEN,
     estimate_largest_cost,
     estimate_largest_prompt,
+    find_routed_services,
 )
 from kingcuphead.review._findings import Finding, make_error, make_warning
-from kingcuphead.review._limit_checks import check_limits, check_times
+from kingcuphead.review._limit_checks import check_count, check_limits, check_times
 from kingcuphead.routing import Organisation, Route, RoutingConfiguration, Service
 
 
@@ -46,8 +47,7 @@
         # The last route of a host and prefix is used.
         seen[match] = place
         yield from _check_match(place, route)
-        if stated.attempts[index] < 1:
-            yield make_error(place, f"max_attempts {stated.attempts[index]} is below 1")
+        yield from check_count(place, "max_attempts", stated.attempts[index])
         yield from _check_split(place, route, configuration)
         yield from check_times(place, route)
 
@@ -93,7 +93,7 @@
 def _check_services(
     configuration: RoutingConfiguration, stated: StatedValues
 ) -> Iterator[Finding]:
-    routed = {each.service for route in configuration.routes for each in route.services}
+    routed = find_routed_services(configuration)
     seen: set[str] = set()
     for index, name in enumerate(stated.services):
         place = format_place("services", index, name)
@@ -108,10 +108,7 @@
             yield make_warning(
                 place, "a cold period without a limit of requests per second"
             )
-        if service.max_connections < 1:
-            yield make_error(
-                place, f"max_connections {service.max_connections} is below 1"
-            )
+        yield from check_count(place, "max_connections", service.max_connections)
         yield from _check_engine(place, service, configuration.limits.body_bytes)
 
 
@@ -120,9 +117,8 @@
     if engine is None:
         return
     prompt = estimate_largest_prompt(body_bytes)
-    if engine.slots < 1:
-        yield make_error(place, f"slots {engine.slots} is below 1")
-    elif service.max_connections < engine.slots:
+    yield from check_count(place, "slots", engine.slots)
+    if engine.slots >= 1 and service.max_connections < engine.slots:
         yield make_warning(
             place,
             f"max_connections {service.max_connections} is below the "
--- a/kingcuphead/review/_costs.py
+++ b/kingcuphead/review/_costs.py
@@ -1,4 +1,4 @@
-"""Estimates of the tokens of the largest request that a configuration allows."""
+"""Estimates of the largest request, in tokens, that a configuration allows."""
 
 from kingcuphead.routing import RoutingConfiguration
 
@@ -6,6 +6,11 @@
 BYTES_PER_TOKEN = 4
 
 
+def find_routed_services(configuration: RoutingConfiguration) -> set[str]:
+    """Return the names of the services to which routes lead."""
+    return {each.service for route in configuration.routes for each in route.services}
+
+
 def estimate_largest_prompt(body_bytes: int) -> int:
     """Return the tokens of the largest prompt that the limit of a body allows."""
     return max(0, body_bytes) // BYTES_PER_TOKEN
@@ -18,7 +23,7 @@
     states how long it may be.
     """
     prompt = estimate_largest_prompt(configuration.limits.body_bytes)
-    routed = {each.service for route in configuration.routes for each in route.services}
+    routed = find_routed_services(configuration)
     sizes = [
         min(prompt, service.engine.kv_cache_tokens or prompt)
         for name, service in configuration.services.items()
--- a/kingcuphead/review/_differences.py
+++ b/kingcuphead/review/_differences.py
@@ -157,7 +157,7 @@
 
 
 def _format_number(value: float) -> str:
-    # So many digits that values which differ are shown as different.
+    # Fewer digits would show some different values as equal.
     return f"{value:.15g}"
 
 
--- a/kingcuphead/review/_labels.py
+++ b/kingcuphead/review/_labels.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Mapping
 
-#: Description of each field whose name doesn't tell enough; times are in seconds.
+#: Description of each field whose name isn't plain enough for operators.
 LABELS: Mapping[str, str] = {
     "body_bytes": "largest body in bytes",
     "cold_limit": "requests per second of a cold target",
--- a/kingcuphead/review/_limit_checks.py
+++ b/kingcuphead/review/_limit_checks.py
@@ -1,14 +1,20 @@
-"""Checks of limits that contradict each other."""
+"""Checks of limits and times, each alone and against each other."""
 
 from collections.abc import Iterator
 
 from kingcuphead.review._findings import Finding, make_error, make_warning
 from kingcuphead.routing import CallerLimits, Route
 
-#: Smallest header limit in bytes that leaves room for the headers of the project.
+#: Smallest header limit in bytes that leaves room for the daemons' own headers.
 MIN_HEADER_BYTES = 4_096
 
 
+def check_count(place: str, name: str, count: int) -> Iterator[Finding]:
+    """Return an error if a field that needs at least 1 has less."""
+    if count < 1:
+        yield make_error(place, f"{name} {count} is below 1")
+
+
 def check_times(place: str, route: Route) -> Iterator[Finding]:
     """Return the findings about the timeout and the objectives of a route."""
     times = {
@@ -39,8 +45,7 @@
             f"max_header_bytes {limits.header_bytes} is below {MIN_HEADER_BYTES}, "
             "which the router's own headers need",
         )
-    if limits.body_bytes < 1:
-        yield make_error("limits", f"max_body_bytes {limits.body_bytes} is below 1")
+    yield from check_count("limits", "max_body_bytes", limits.body_bytes)
     times = {
         "header_timeout_ms": limits.header_timeout,
         "idle_timeout_ms": limits.idle_timeout,
--- a/kingcuphead/review/_review.py
+++ b/kingcuphead/review/_review.py
@@ -18,6 +18,8 @@
 
 #: Maximum size of a configuration file in bytes.
 MAX_FILE_BYTES = 40_000_000
+#: Name of the version in force in findings about it.
+_IN_FORCE = "version in force"
 
 
 @frozen
@@ -59,21 +61,21 @@
     findings = tuple(check(configuration, new.ok.stated))
     if in_force is None:
         return Review(findings)
-    old = _decode(in_force, "version in force: ")
+    old = _decode(in_force, source=_IN_FORCE, prefix=f"{_IN_FORCE}: ")
     if old.is_error():
         return Review((*old.error, *findings))
     current = old.ok.configuration
     if configuration.version <= current.version:
         cause = (
-            f"{configuration.version} is not above {current.version}, "
-            "the version in force"
+            f"{configuration.version} is not above {current.version}, the {_IN_FORCE}"
         )
         findings = (make_error("version", cause), *findings)
     return Review(findings, tuple(compare(current, configuration)))
 
 
-def _decode(content: bytes, prefix: str = "") -> Result[_Version, tuple[Finding, ...]]:
-    source = prefix.removesuffix(": ") or "file"
+def _decode(
+    content: bytes, source: str = "file", prefix: str = ""
+) -> Result[_Version, tuple[Finding, ...]]:
     if len(content) > MAX_FILE_BYTES:
         return Error((make_error(source, f"larger than {MAX_FILE_BYTES:,} bytes"),))
     try:
--- a/kingcuphead/targets/_cold.py
+++ b/kingcuphead/targets/_cold.py
@@ -104,7 +104,7 @@
         self._update(state, now)
 
     def record_answer(self, target: Target, seconds: float, now: float) -> None:
-        """Apply what a target states in an answer; it replaces earlier answers."""
+        """Apply the cold period that a target's answer states; the last one counts."""
         state = self._states.get(target.name)
         if state is not None and state.target.incarnation == target.incarnation:
             state.answered_until = now + seconds
@@ -161,10 +161,10 @@
             state.started_at + start.period,
             state.readmitted_at + _get_readmission_period(start),
         )
-        # Answers count only where the service has a limit for cold targets.
-        return (
-            end if start.requests_per_second is None else max(end, state.answered_until)
-        )
+        if start.requests_per_second is None:
+            # Without a limit for cold targets, answers don't count.
+            return end
+        return max(end, state.answered_until)
 
     def _update(self, state: _TargetState, now: float) -> None:
         name = state.target.name
