Tests name their failure; decoding of a checked file in two steps

The settings text in test_store_watches stood twice and is now the profile of _fleet. Doc strings of tests of hedging and of poll spacing name the failure that they guard against.

--- a/kingcuphead/dispatch/tests/test_hedging.py
+++ b/kingcuphead/dispatch/tests/test_hedging.py
@@ -241,7 +241,7 @@
         assert policy.get_delay(KIND) >= SLOW
 
     def test_other_sizes_are_measured_apart(self):
-        """Large requests would all get a second attempt by the delay of small ones."""
+        """Guards against the delay of small requests for large ones."""
         policy, other = make_policy(), dataclasses.replace(KIND, size_class=8)
         usual = policy.get_delay(KIND)
         for _ in range(50):
@@ -262,13 +262,14 @@
     def test_a_class_with_few_observations_takes_that_of_a_wider_one(
         self, changes, is_known
     ):
+        """Guards against small fleets in which no class reaches 50 observations."""
         policy, other = make_policy(), dataclasses.replace(KIND, **changes)
         for _ in range(49):
             policy.record_end(other, "t", AttemptResult.CANCELLED, 0.001, 0.0)
         assert (policy.get_delay(other) == policy.get_delay(KIND)) is is_known
 
     def test_its_own_kind_counts_before_others(self):
-        """Whole answers take longer than first events."""
+        """Guards against the delay of first events for whole answers."""
         policy = make_policy()
         stream = dataclasses.replace(KIND, kind="stream")
         for _ in range(50):
--- a/kingcuphead/entry/tests/test_poll_pacing.py
+++ b/kingcuphead/entry/tests/test_poll_pacing.py
@@ -109,7 +109,7 @@
 
 
 class TestSpacing:
-    """Of 5.6 versions a second in 10 s, and one alone after 5 s without any."""
+    """Versions come 5.6 times a second for 10 s, and once after a pause of 5 s."""
 
     TIMES = tuple(1 + number / 5.6 for number in range(56)) + (16.0,)
 
@@ -142,6 +142,7 @@
         assert len(after.ages) == len(self.TIMES)
 
     def test_a_version_after_a_quiet_time_arrives_at_once(self, monkeypatch):
+        """Guards against a delay of single versions, which need no spacing."""
         store = self.play(monkeypatch, PacingBounds(min_delay=0.5), False)
         assert store.ages[1] <= 0.01
         assert store.ages[57] <= 0.01
--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -9,14 +9,12 @@
 from kingcuphead.entry._store_watches import CONFIGURATION_POLICY, StoreWatches
 from kingcuphead.entry._table_watch import TableWatch
 from kingcuphead.entry._watch_policy import RetryDelays, WatchPolicy
+from kingcuphead.entry.tests._fleet import make_profile
 from kingcuphead.permits.tests._virtual_time import run
-from kingcuphead.platform import Change, Changes, parse_profile
+from kingcuphead.platform import Change, Changes
 from kingcuphead.storage import Committed, PlatformFault, Row, RowSnapshot
 
-PROFILE = parse_profile(
-    "node=n\nzone=z\nip=127.0.0.1\nlisten.front=127.0.0.1:1\n"
-    "listen.ready=127.0.0.1:2\nplatform.address=127.0.0.1:3\n"
-).ok
+PROFILE = make_profile(1, 3)
 REFUSED = PlatformFault("follow", "HTTP 429")
 
 
--- a/kingcuphead/platform/_stated_values.py
+++ b/kingcuphead/platform/_stated_values.py
@@ -108,14 +108,10 @@
     Result[StatedValues, tuple[FileFault, ...]]
         The values, or the faults because of which the file can't be decoded.
     """
-    try:
-        decoded = DECODER.decode(content)
-    except msgspec.ValidationError as error:
-        return Error((_locate_type_error("", str(error)),))
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
-        return Error((_locate_syntax_error(content, str(error)),))
-    except RecursionError:
-        return Error((FileFault("file", "nested too deeply"),))
+    whole = _decode_whole(content)
+    if whole.is_error():
+        return Error((whole.error,))
+    decoded = whole.ok
     routes, faults = _decode_parts("routes", decoded.routes, ROUTE_DECODER.decode)
     tenants, more = _decode_parts("tenants", decoded.tenants, TENANT_DECODER.decode)
     if faults or more:
@@ -156,6 +152,17 @@
     return shown if len(shown) <= MAX_SHOWN else f"{shown[:MAX_SHOWN]}..."
 
 
+def _decode_whole(content: bytes) -> Result[ConfigurationForm, FileFault]:
+    try:
+        return Ok(DECODER.decode(content))
+    except msgspec.ValidationError as error:
+        return Error(_locate_type_error("", str(error)))
+    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        return Error(_locate_syntax_error(content, str(error)))
+    except RecursionError:
+        return Error(FileFault("file", "nested too deeply"))
+
+
 def _decode_parts(
     kind: str, contents: Sequence[msgspec.Raw], decode: Callable[[msgspec.Raw], T]
 ) -> _Decoded[T]:
