Admission: refuse no request late in favour of a new one

Cause: all late refusals traced were queue_full at the arrival of a request. A new request of another rank or organisation put out one that had waited; a request that was admitted, found no engine with memory and waits again was refused as if it were new.

Change: of those over the bound, only one that arrived in the last 0.05 s is refused. One that came back when told to may exceed the bound by the share of the kept places, one that waits again always.

--- a/kingcuphead/admission/_service_admission.py
+++ b/kingcuphead/admission/_service_admission.py
@@ -24,8 +24,7 @@
 #: admitted.
 MIN_ANSWER_SECONDS = 0.02
 #: Seconds after its arrival in which a request is refused promptly. Later, it isn't
-#: refused in favour of a new one of the same organisation and rank, and may wait on if
-#: it is late.
+#: refused in favour of a new one, and may wait on if it is late.
 MAX_REFUSAL_DELAY = 0.05
 #: Factor by which the wait of a request that arrives may be longer than estimated, as
 #: other daemons take a varying part of the places.
@@ -143,12 +142,15 @@
             wait = 0.0
         if now + wait > request.last_start - self._get_reserve(request):
             yield self.reject(request, Reason.DEADLINE, now)
+        elif self._has_waited(request, now):
+            # It was admitted before and waits again. A refusal would be late.
+            return
         elif self._is_refused_less(request, now):
             yield self.reject(request, Reason.QUEUE_FULL, now)
         elif self._is_over(request, limit, now):
-            yield self.reject(
-                self._choose_surplus(request, now), Reason.QUEUE_FULL, now
-            )
+            surplus = self._find_surplus(limit, now)
+            if surplus is not None:
+                yield self.reject(surplus, Reason.QUEUE_FULL, now)
 
     def review(self, now: float) -> Iterator[Rejection]:
         """Yield the waiting requests that can't begin before their deadlines."""
@@ -218,8 +220,9 @@
         self, request: AdmissionRequest, late_ahead: int, rate: float, now: float
     ) -> bool:
         """Return whether a late request is kept because a refusal would be late too."""
-        has_waited = now - request.arrived_at > MAX_REFUSAL_DELAY
-        if not has_waited or not self.queue.is_late(request.request_id):
+        if not self._has_waited(request, now) or not self.queue.is_late(
+            request.request_id
+        ):
             return False
         rank_rate = rate * self._shares.compute_rate_share(request.rank, now)
         begins_at = now + (late_ahead + 1) / (rank_rate * OVERTAKING_SHARE)
@@ -250,19 +253,24 @@
         wait = self._estimate_wait(request, rate, now)
         return now + wait * ARRIVAL_MARGIN + answer_seconds > request.objective_ends_at
 
-    def _choose_surplus(
-        self, request: AdmissionRequest, now: float
-    ) -> AdmissionRequest:
-        """Return the request to refuse when one too many waits."""
-        last = require(self.queue.find_surplus(), "a queue over its bound isn't empty")
-        has_equal_claim = (
-            not self.queue.is_expedited(request.request_id)
-            and last.rank == request.rank
-            and last.organisation == request.organisation
+    def _find_surplus(self, limit: int, now: float) -> AdmissionRequest | None:
+        """Return the request to refuse when one too many waits; None if there is none.
+
+        One that has waited would be refused late. One that came back when it was told
+        to may exceed the bound by the share of the places that are kept.
+        """
+        is_far_over = len(self.queue) > (1 + KEPT_SHARE) * limit
+        return self.queue.find_surplus(
+            lambda each: (
+                not self._has_waited(each, now)
+                and (is_far_over or not self.queue.is_expedited(each.request_id))
+            )
         )
-        if has_equal_claim and now - last.arrived_at > MAX_REFUSAL_DELAY:
-            return request
-        return last
+
+    @staticmethod
+    def _has_waited(request: AdmissionRequest, now: float) -> bool:
+        """Return whether a refusal of a request would be late."""
+        return now - request.arrived_at > MAX_REFUSAL_DELAY
 
     def _is_refused_less(self, request: AdmissionRequest, now: float) -> bool:
         """Return whether more urgent ranks are refused a larger share."""
--- a/kingcuphead/admission/_service_queue.py
+++ b/kingcuphead/admission/_service_queue.py
@@ -133,20 +133,30 @@
         """Return whether no other request of its rank waits."""
         return self._count_rank(request.rank) == 1
 
-    def find_surplus(self) -> AdmissionRequest | None:
-        """Return the request to refuse when one too many waits; None if none waits.
+    def find_surplus(
+        self, is_refusable: Callable[[AdmissionRequest], bool] = lambda _: True
+    ) -> AdmissionRequest | None:
+        """Return the request to refuse when one too many waits; None if there is none.
 
         It is the last one of the organisation with the most waiting requests in the
         least urgent rank. The last waiting request of a rank is refused only if there
         is no other, so that no rank is starved.
+
+        Parameters
+        ----------
+        is_refusable
+            Returns whether a request may be refused.
         """
-        ranks = self.ranks
+        refusable = [each for each in self.iterate() if is_refusable(each)]
+        ranks = {each.rank for each in refusable}
         rank = max((each for each in ranks if self._count_rank(each) > 1), default=None)
         if rank is None:
             rank = max(ranks, default=None)
-        requests = [each for each in self.iterate() if each.rank == rank]
-        lengths = Counter(each.organisation for each in requests)
-        longest = max(lengths.values(), default=0)
+        lengths = Counter(
+            each.organisation for each in self.iterate() if each.rank == rank
+        )
+        requests = [each for each in refusable if each.rank == rank]
+        longest = max((lengths[each.organisation] for each in requests), default=0)
         surplus = (each for each in requests if lengths[each.organisation] == longest)
         return next(reversed(tuple(surplus)), None)
 
--- a/kingcuphead/admission/tests/test_service_admission.py
+++ b/kingcuphead/admission/tests/test_service_admission.py
@@ -79,6 +79,34 @@
         ]
 
 
+class TestFullQueue:
+    """One request too many waits; a caller that is refused late can't retry."""
+
+    @pytest.mark.parametrize(
+        ("age", "rank", "refused"),
+        [(MAX_REFUSAL_DELAY / 2, 0, "w15"), (2 * MAX_REFUSAL_DELAY, 0, "new")],
+    )
+    def test_none_that_has_waited_is_refused(self, age, rank, refused):
+        service = ServiceAdmission()
+        for number in range(16):
+            waiting = make_request(f"w{number}", rank=2, objective=9.0)
+            service.push(waiting, 0.0)
+        for name in ("other", "new"):
+            request = make_request(name, rank=rank, arrived=age, objective=9.0)
+            service.push(request, age)
+        rejected = list(service.review_arrival(request, 17, running=0, now=age))
+        assert [each.request.request_id for each in rejected] == [refused]
+
+    def test_one_that_waits_again_is_kept(self):
+        """It was admitted, and then no engine had memory for it."""
+        service = ServiceAdmission()
+        for number in range(17):
+            request = make_request(f"w{number}", objective=9.0)
+            service.push(request, 0.0)
+        now = 2 * MAX_REFUSAL_DELAY
+        assert not list(service.review_arrival(request, 16, running=0, now=now))
+
+
 class TestUnmeasured:
     """Requests that arrive before anything was measured."""
 
