--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -214,8 +214,8 @@
         directory: Any = types.SimpleNamespace(
             count=targets, record_store_failure=lambda at: None
         )
-        listener: Any = types.SimpleNamespace(**IGNORE)
-        watches = StoreWatches(store, listener, listener, directory, get_profile)
+        listener = IgnoringListener()
+        watches = StoreWatches(store, listener, listener, directory, lambda: PROFILE)
         tasks = [asyncio.create_task(each) for each in watches.list_tasks()]
         await asyncio.sleep(60.0)
         for task in tasks:
