Log whose answer an attempt got, and over which connection

The line of a request gave the status of a refusal, but neither which request its id named, nor whether the target stated that it had not run it, nor whether the connection had carried other requests. Entries of attempts now have earlier=N, status=, id= and stated=not_run, and kingcuphead_target_answers counts them. No decision changes.

--- a/kingcuphead/entry/_request_metrics.py
+++ b/kingcuphead/entry/_request_metrics.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 
 from kingcuphead.entry._instruments import Counter, Gauge, Histogram, Registry
-from kingcuphead.forwarding import HedgeRecord, Refusal, RequestContext
+from kingcuphead.forwarding import (
+    AnswerRecord,
+    HedgeRecord,
+    Refusal,
+    RequestContext,
+)
+from kingcuphead.verdict import Execution
 
 #: Upper bounds of the histogram buckets in seconds.
 BUCKETS = (0.01, 0.03, 0.1, 0.2, 0.3, 0.5, 0.8, 1.0, 1.5, 3.0, 5.0, 15.0)
@@ -41,6 +47,13 @@
             ("service", "result"),
             registry=registry,
         )
+        self._answers = Counter(
+            "kingcuphead_target_answers",
+            "Answers of targets by service, by the request that their id names and by "
+            "whether they state that it was not run.",
+            ("service", "id", "statement"),
+            registry=registry,
+        )
         self._tokens = Counter(
             "kingcuphead_tokens",
             "Tokens settled by organisation.",
@@ -59,9 +72,15 @@
         self._attempts.labels(context.service).inc(len(context.records))
         for record in context.records:
             self._attempt_results.labels(context.service, record.result.value).inc()
+            if record.answer is not None:
+                self._record_answer(context.service, record.answer)
         self._tokens.labels(organisation).inc(context.spent)
         self._times.record(context, work_class)
 
+    def _record_answer(self, service: str, answer: AnswerRecord) -> None:
+        statement = Execution.NOT_RUN.value if answer.is_not_run else ""
+        self._answers.labels(service, answer.identity.value, statement).inc()
+
 
 class _RequestTimes:
     """Records how long completed requests took."""
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -6,7 +6,11 @@
     connect_to_target,
     is_refusal,
 )
-from kingcuphead.forwarding._context import HedgeRecord, RequestContext
+from kingcuphead.forwarding._context import (
+    AnswerRecord,
+    HedgeRecord,
+    RequestContext,
+)
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EvidenceRecorder
 from kingcuphead.forwarding._forwarder import RequestForwarder
@@ -38,6 +42,7 @@
 __all__ = [
     "STREAM_BUFFER_BYTES",
     "AnswerHead",
+    "AnswerRecord",
     "AttemptRunner",
     "Caller",
     "CallerRequest",
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -6,10 +6,9 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias, TypeVar
 
-from kingcuphead.addresses import Address
 from kingcuphead.dispatch import AttemptResult
 from kingcuphead.forwarding._answer_parser import AnswerEnd
-from kingcuphead.forwarding._connection import TargetAnswer
+from kingcuphead.forwarding._connection import TargetAnswer, TargetConnection
 from kingcuphead.forwarding._memory import MemoryReservation, OutOfMemoryError
 from kingcuphead.forwarding._messages import (
     AnswerHead,
@@ -28,9 +27,6 @@
 #: Largest answer in bytes, streams excepted.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
-#: HTTP status of a target that is not the one the request was meant for.
-MISDIRECTED = 421
-
 T = TypeVar("T")
 
 
@@ -92,9 +88,8 @@
     #: Returns whether the request may be retried at another target after it may have
     #: run; a retry that is allowed is counted.
     claim_retry: Callable[[], bool]
-    #: Called with the address of the daemon that passes on the bytes, before the
-    #: request is sent; None without one.
-    record_helper: Callable[[Address | None], None]
+    #: Called with the connection before the request is sent on it.
+    record_connection: Callable[[TargetConnection], None]
     #: Called with the status and headers of an answer of the target.
     record_head: Callable[[AnswerHead], None]
 
@@ -153,7 +148,7 @@
         stream: AttemptStream | None,
     ) -> AttemptEnd:
         request = attempt.request
-        attempt.record_helper(lease.connection.helper)
+        attempt.record_connection(lease.connection)
         exchange.answer = answer = lease.connection.send(
             request.method,
             request.uri,
@@ -168,8 +163,7 @@
         exchange.head = head = self._codec.decode_answer(
             raw.status, raw.headers, request.method
         )
-        if head.status != MISDIRECTED:
-            attempt.record_head(head)
+        attempt.record_head(head)
         return await self._read(attempt, answer, head, stream)
 
     def _release_connection(self, lease: Lease, exchange: "_Exchange") -> None:
@@ -205,7 +199,7 @@
                 AttemptResult.REFUSED,
                 Execution.NOT_RUN,
                 f"refused with status {head.status}",
-                is_misdirected=head.status == MISDIRECTED,
+                is_misdirected=head.is_misdirected,
             )
         if head.is_success and stream is not None:
             return await _read_stream(attempt, answer, head, stream)
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -14,7 +14,12 @@
     classify_end,
     describe_end,
 )
-from kingcuphead.forwarding._context import AttemptRecord, RequestContext
+from kingcuphead.forwarding._connection import TargetConnection
+from kingcuphead.forwarding._context import (
+    AnswerRecord,
+    AttemptRecord,
+    RequestContext,
+)
 from kingcuphead.forwarding._dependencies import Dependencies
 from kingcuphead.forwarding._evidence import EndedAttempt
 from kingcuphead.forwarding._memory import MemoryReservation
@@ -49,10 +54,15 @@
 
     #: Daemon that passes them on; None without one.
     helper: Address | None = None
+    #: Number of requests that were sent on the connection before this one.
+    earlier_requests: int = 0
+    #: What the answer says of itself; None without one.
+    answer: AnswerRecord | None = None
 
-    def record_helper(self, helper: Address | None) -> None:
-        """Record which daemon passes on the bytes; None without one."""
-        self.helper = helper
+    def record_connection(self, connection: TargetConnection) -> None:
+        """Record the connection that the request is sent on."""
+        self.helper = connection.helper
+        self.earlier_requests = connection.request_count
 
 
 class AttemptDriver:
@@ -176,6 +186,8 @@
                 "cancelled" if end is None else describe_end(end),
                 seconds,
                 path.helper,
+                path.earlier_requests,
+                path.answer,
             )
         )
         self._dependencies.dispatcher.record_result(placement, result, get_time())
@@ -213,7 +225,7 @@
             first_byte_timeout=min(timeout, FIRST_BYTE_TIMEOUT_SHARE * remaining),
             stall_timeout=max(MIN_STALL_TIMEOUT, 2 * context.route.event_gap_objective),
             claim_retry=lambda: self._retries.claim(context),
-            record_helper=path.record_helper,
+            record_connection=path.record_connection,
             record_head=lambda head: self._record_head(
                 context, placement.target, path, head
             ),
@@ -227,6 +239,10 @@
         head: AnswerHead,
     ) -> None:
         """Apply what a target says about itself in an answer."""
+        identity = head.identify(context.request)
+        path.answer = AnswerRecord(head.status, identity, head.is_not_run)
+        if head.is_misdirected:
+            return
         is_stated = head.is_leaving or head.retry_after is not None
         if path.helper is not None and is_stated:
             pause = head.retry_after or 0.0
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -73,6 +73,8 @@
         self._stream = stream
         #: Address of the daemon that passes on the bytes; None without one.
         self.helper = helper
+        #: Number of requests that were sent on it.
+        self.request_count = 0
 
     @property
     def stream(self) -> TargetStream:
@@ -100,6 +102,7 @@
         """
         head = _encode_head(method, uri, headers, body)
         LINK_TRAFFIC.record_sent(len(head) + len(body))
+        self.request_count += 1
         answer = TargetAnswer(self._stream, method)
         if len(body) <= MAX_JOINED_BYTES:
             self._stream.send(head + body)
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -14,7 +14,7 @@
     PlacementRequest,
     SharedPrefix,
 )
-from kingcuphead.forwarding._messages import CallerRequest
+from kingcuphead.forwarding._messages import AnswerIdentity, CallerRequest
 from kingcuphead.forwarding._refusals import Refusal
 from kingcuphead.frozen import frozen
 from kingcuphead.quarantine import RequestIdentity
@@ -28,6 +28,23 @@
 MOST_URGENT_RANK = 0
 
 
+@frozen
+class AnswerRecord:
+    """What an answer says of itself, for the log."""
+
+    #: HTTP status.
+    status: int
+    #: Which request its id names.
+    identity: AnswerIdentity
+    #: Whether it states that the request was not run.
+    is_not_run: bool
+
+    def __str__(self) -> str:
+        """Return the record as a part of an entry of the log field `attempts`."""
+        statement = " stated=not_run" if self.is_not_run else ""
+        return f"status={self.status} id={self.identity.value}{statement}"
+
+
 @frozen
 class AttemptRecord:
     """Outcome of one attempt, for the log."""
@@ -50,15 +67,21 @@
     seconds: float
     #: Daemon that passed on the bytes; None if the attempt had a connection of its own.
     helper: Address | None = None
+    #: Number of requests that were sent on the connection before this one.
+    earlier_requests: int = 0
+    #: What the answer says of itself; None without one.
+    answer: AnswerRecord | None = None
 
     def __str__(self) -> str:
         """Return the record as an entry of the log field `attempts`."""
         choice = "home" if self.is_preferred else "other"
         path = f"via={self.helper[0]} " if self.helper else ""
+        earlier = f"earlier={self.earlier_requests} " if self.earlier_requests else ""
+        answer = f"{self.answer} " if self.answer else ""
         return (
             f"{self.target} {self.software_version or '-'} {choice} "
             f"copied={self.copied_tokens} cost={self.cost:.3f} "
-            f"{path}{self.outcome} {self.seconds:.3f}s"
+            f"{path}{earlier}{answer}{self.outcome} {self.seconds:.3f}s"
         )
 
 
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -1,5 +1,8 @@
 """Types for a caller's request and for a target's answer to one attempt."""
 
+import enum
+import http
+
 from tornado.httputil import HTTPHeaders
 
 from kingcuphead.frozen import frozen
@@ -113,6 +116,17 @@
     pause: float
 
 
+class AnswerIdentity(enum.StrEnum):
+    """Which request the id in an answer names."""
+
+    #: The request that was sent last on the connection.
+    OWN = "own"
+    #: Another request.
+    OTHER = "other"
+    #: None; the answer has no id.
+    MISSING = "none"
+
+
 @frozen
 class AnswerHead:
     """Status and headers of a target's answer."""
@@ -144,6 +158,19 @@
     #: Seconds for which the target stays cold; None if it doesn't state them.
     cold_left: float | None = None
 
+    def identify(self, request: CallerRequest) -> AnswerIdentity:
+        """Return whether the answer names the request that was sent."""
+        if not self.request_id:
+            return AnswerIdentity.MISSING
+        if self.request_id == request.request_id:
+            return AnswerIdentity.OWN
+        return AnswerIdentity.OTHER
+
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether the target is not the one that the request was meant for."""
+        return self.status == http.HTTPStatus.MISDIRECTED_REQUEST
+
     @property
     def is_success(self) -> bool:
         """Whether the status is in the 2xx class."""
--- a/kingcuphead/forwarding/tests/test_log.py
+++ b/kingcuphead/forwarding/tests/test_log.py
@@ -1,7 +1,9 @@
+import pytest
 from loguru import logger
 
 from kingcuphead.forwarding.tests._harness import (
     IDEMPOTENT,
+    ONCE,
     make_request,
     make_route,
     run,
@@ -27,3 +29,32 @@
             logger.remove(sink)
         assert {"fingerprint", "answers"} <= fields
         assert fields - {"line", "fields"} <= ALLOWED_FIELDS
+
+
+class TestAttemptEntry:
+    """Guards against entries that can't tell whose refusal an attempt ended with."""
+
+    @pytest.mark.parametrize(
+        ("lines", "entry"),
+        [
+            (["Attempt-Id: @id", "Not-Executed: 1"], "id=own stated=not_run"),
+            (["Attempt-Id: r0", "Not-Executed: 1"], "id=other stated=not_run"),
+            (["Not-Executed: 1"], "id=none stated=not_run"),
+            (["Attempt-Id: @id"], "id=own"),
+        ],
+    )
+    def test_a_refusal_on_a_kept_connection(self, lines, entry):
+        async def scenario(harness):
+            refusal = "\r\n".join(["HTTP/1.1 503 Busy", *lines, "Content-Length: 0"])
+            harness.first.script = [
+                harness.first.answer(),
+                [refusal.encode() + b"\r\n\r\n"],
+            ]
+            harness.second.script = [harness.second.answer()]
+            for request_id in ("r1", "r2"):
+                await harness.serve(make_request(ONCE, request_id=request_id))
+            context, _ = harness.ended[-1]
+            first = str(context.records[0])
+            assert f"earlier=1 status=503 {entry} " in first
+
+        run([make_route(ONCE)], scenario)
