Failing tests: refusals that are not of the request just sent

Three daemons and three small targets on a route whose requests may run once, 30 requests one after the other. A refusal that a target writes again on a kept connection: 3 to 11 requests ran twice. With one target, where the retry goes to it over the same connection: 15 were told not run although they ran. A target that answers 503, 429 or 408 without stating not run: all 30.

--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -7,6 +7,7 @@
 from kingcuphead.platform.tests._documents import (
     make_answer,
     make_event,
+    make_head,
     make_stream_head,
     make_unframed_head,
     parse_headers,
@@ -271,6 +272,54 @@
             self.crash()
 
 
+class RepeatingTarget(LocalTarget):
+    """Refuses the first request of a connection, and writes a refusal again.
+
+    Each later request of the connection is run, with a refusal ahead of its answer.
+
+    Parameters
+    ----------
+    status
+        Status of the refusals that are written again.
+    make_lines
+        Returns their headers, called with the id of the request that was refused and
+        with that of the request that runs.
+    """
+
+    def __init__(self, name, version, register, status, make_lines):
+        super().__init__(name, version, register)
+        self._status = status
+        self._make_lines = make_lines
+        self._refused = {}
+        #: How often each request was run, by its id.
+        self.runs: Counter[str] = Counter()
+
+    async def answer(self, headers, body, writer):
+        request_id = headers["attempt-id"]
+        if writer not in self._refused:
+            self._refused[writer] = request_id
+            lines = [f"Attempt-Id: {request_id}", "Not-Executed: 1"]
+            writer.write(make_head("503 Busy", lines))
+            return
+        self.runs[request_id] += 1
+        lines = self._make_lines(self._refused[writer], request_id)
+        writer.write(make_head(self._status, lines) + make_answer(request_id, b"ok"))
+
+
+class UnstatedTarget(LocalTarget):
+    """Runs each request and answers with a status that callers take for a refusal."""
+
+    def __init__(self, name, version, register, status):
+        super().__init__(name, version, register)
+        self._status = status
+        #: How often each request was run, by its id.
+        self.runs: Counter[str] = Counter()
+
+    async def answer(self, headers, body, writer):
+        self.runs[headers["attempt-id"]] += 1
+        writer.write(make_answer(headers["attempt-id"], b"busy", self._status))
+
+
 class StreamingTarget(LocalTarget):
     """Answers with a stream whose events carry the version of the target."""
 
--- a/kingcuphead/platform/tests/_documents.py
+++ b/kingcuphead/platform/tests/_documents.py
@@ -130,6 +130,12 @@
     return "\r\n".join(head).encode() + b"\r\n\r\n" + body
 
 
+def make_head(status, lines):
+    """Return the bytes of an answer without a body that has just some headers."""
+    head = [f"HTTP/1.1 {status}", *lines, "Content-Length: 0", "", ""]
+    return "\r\n".join(head).encode()
+
+
 def make_unframed_head(request_id):
     """Return the head of an answer that ends with its connection."""
     lines = ["HTTP/1.1 200 OK", f"Attempt-Id: {request_id}", "Response-Seal: s"]
