Take an answer for that of a request only if it names the request

Callers were told that a request that may run once had not run although it ran, or it ran at a second target. Cause: the daemon compared the id of an answer with that of the request, but believed an answer that states "not run" (header or status 421) whatever its id, so a refusal that a target wrote again on a kept connection counted as that of the request just sent. A connection with a complete answer to another request went back to the pool, too, with the own answer still due on it.

Now nothing in an answer counts that doesn't name the request: not its statement, its status, a pause, a limit, that the target leaves, or that it was replaced; the request may have run, and the connection is closed.

Before: 3 to 11 of 30 requests ran twice in the six cases of entry/tests/test_false_refusals.py, and 15 were refused though run where one target is left; 0 now, in all of them. forwarding/tests/test_forwarder.py, TestStatementsOfOtherAnswers: 9 cases failed before. Three tests of refusals had targets that left the id out, which targets don't do; they name it now, and check the same.

Ruled out: a retry at the same target over the same connection, where an id can't tell two refusals apart, doesn't occur: a target that was tried is excluded for the rest of the request (dispatch/_dispatcher.py). The test with one target guards it.

--- a/kingcuphead/entry/tests/test_false_refusals.py
+++ b/kingcuphead/entry/tests/test_false_refusals.py
@@ -50,7 +50,9 @@
                 )
             # A request may run after its caller was told that it never will.
             await asyncio.sleep(0.2)
-            runs = sum((target.runs for target in fleet.targets), Counter())
+            runs: Counter[str] = Counter()
+            for target in fleet.targets:
+                runs += target.runs
             for request_id, status in statuses.items():
                 count = runs[request_id]
                 faults["ran"] += count > 0
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -12,6 +12,7 @@
 from kingcuphead.forwarding._memory import MemoryReservation, OutOfMemoryError
 from kingcuphead.forwarding._messages import (
     AnswerHead,
+    AnswerIdentity,
     CallerRequest,
     SendOptions,
 )
@@ -102,6 +103,8 @@
     answer: TargetAnswer | None = None
     #: Decoded head of the answer; None until it is received.
     head: AnswerHead | None = None
+    #: Whether the answer names the request.
+    is_own: bool = False
 
 
 class AttemptRunner:
@@ -163,18 +166,22 @@
         exchange.head = head = self._codec.decode_answer(
             raw.status, raw.headers, request.method
         )
+        exchange.is_own = head.identify(request) is AnswerIdentity.OWN
         attempt.record_head(head)
         return await self._read(attempt, answer, head, stream)
 
     def _release_connection(self, lease: Lease, exchange: "_Exchange") -> None:
         """Return the connection to the pool after a complete exchange; else close it.
 
-        A target cancels a request whose connection closes.
+        A target cancels a request whose connection closes. After an answer that names
+        another request, the own answer is still due.
         """
         answer, head = exchange.answer, exchange.head
         if answer is not None:
             answer.release()
-        is_complete = answer is not None and answer.is_exchange_complete
+        is_complete = (
+            answer is not None and answer.is_exchange_complete and exchange.is_own
+        )
         if head is not None and is_complete and not head.closes_connection:
             self._pool.release(lease, head.idle_timeout)
         else:
@@ -208,8 +215,11 @@
 
 def _find_fault(attempt: Attempt, head: AnswerHead) -> AttemptFailed | None:
     """Return why an answer can't be sent to the caller, or None."""
-    if head.request_id != attempt.request.request_id and not head.is_not_run:
-        return _make_broken_failure("the answer has the id of another request")
+    match head.identify(attempt.request):
+        case AnswerIdentity.OTHER:
+            return _make_broken_failure("the answer has the id of another request")
+        case AnswerIdentity.MISSING:
+            return _make_broken_failure("the answer has no id")
     if head.is_success and (not head.is_signed or head.is_encoded):
         return _make_broken_failure("the answer has no seal or has a content encoding")
     return None
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -25,6 +25,7 @@
 from kingcuphead.forwarding._memory import MemoryReservation
 from kingcuphead.forwarding._messages import (
     AnswerHead,
+    AnswerIdentity,
     SendOptions,
     TargetStated,
 )
@@ -241,7 +242,7 @@
         """Apply what a target says about itself in an answer."""
         identity = head.identify(context.request)
         path.answer = AnswerRecord(head.status, identity, head.is_not_run)
-        if head.is_misdirected:
+        if identity is not AnswerIdentity.OWN or head.is_misdirected:
             return
         is_stated = head.is_leaving or head.retry_after is not None
         if path.helper is not None and is_stated:
@@ -253,10 +254,9 @@
             self._dependencies.report_leaving(target)
         if head.retry_after is not None:
             permits.pause(target, head.retry_after)
-        if head.request_id == context.request.request_id:
-            permits.record_terms(target, head.terms)
-            if head.cold_left is not None:
-                self._dependencies.directory.record_cold(target, head.cold_left)
+        permits.record_terms(target, head.terms)
+        if head.cold_left is not None:
+            self._dependencies.directory.record_cold(target, head.cold_left)
 
     def _record_start(self, context: RequestContext, placement: Placement) -> None:
         """Record the software version of the first event that the caller gets."""
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -159,8 +159,9 @@
     async def __aenter__(self):
         self.directory = TargetDirectory()
         self.directory.record_read()
-        for target in (self.first, self.second):
-            list(self.directory.put(await target.start()))
+        self.targets = [await each.start() for each in (self.first, self.second)]
+        for target in self.targets:
+            list(self.directory.put(target))
         self.pool = ConnectionPool(DirectConnector())
         self.memory = RequestMemory()
         self.permits = PermitExchange(
--- a/kingcuphead/forwarding/tests/test_forwarder.py
+++ b/kingcuphead/forwarding/tests/test_forwarder.py
@@ -162,8 +162,8 @@
 
     def test_a_request_that_a_target_did_not_run_is_retried_at_another(self):
         async def scenario(harness):
-            refusal = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
-            harness.first.script = [[refusal + b"\r\n"]]
+            refusal = harness.first.answer("503 Busy", b"", "Not-Executed: 1")
+            harness.first.script = [refusal]
             harness.second.script = [harness.second.answer()]
             caller, _ = await harness.serve(make_request(ONCE))
             assert caller.status == 200
@@ -172,8 +172,8 @@
 
     def test_a_request_that_did_not_run_is_refused_with_retry_after(self):
         async def scenario(harness):
-            refusal = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
-            harness.first.script = [[refusal + b"\r\n"]]
+            refusal = harness.first.answer("503 Busy", b"", "Not-Executed: 1")
+            harness.first.script = [refusal]
             _, refused = await harness.serve(make_request(ONCE))
             assert refused.status == 503
             assert refused.retry_after
@@ -182,8 +182,7 @@
 
     def test_a_target_whose_address_was_reassigned_is_not_used_again(self):
         async def scenario(harness):
-            wrong = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
-            harness.first.script = [[wrong]]
+            harness.first.script = [harness.first.answer("421 Misdirected", b"")]
             harness.second.script = [harness.second.answer(), harness.second.answer()]
             for request_id in ("r1", "r2"):
                 request = make_request(ONCE, request_id=request_id)
@@ -194,6 +193,47 @@
         run([make_route(ONCE, attempts=1)], scenario)
 
 
+class TestStatementsOfOtherAnswers:
+    """Guards against believing what stands in the answer to another request."""
+
+    @pytest.mark.parametrize("lines", [("Attempt-Id: r0",), ()])
+    @pytest.mark.parametrize(
+        ("status", "statement"),
+        [
+            ("421 Misdirected", "Server-Limit: 1"),
+            ("503 Busy", "Server-Leaving: 1"),
+            ("503 Busy", "Retry-After: 5"),
+            ("503 Busy", "Server-Limit: 0"),
+        ],
+    )
+    def test_the_target_is_used_as_before(self, lines, status, statement):
+        async def scenario(harness):
+            head = [f"HTTP/1.1 {status}", "Not-Executed: 1", statement, *lines]
+            copy = "\r\n".join([*head, "Content-Length: 0", "", ""]).encode()
+            harness.handle_leaving(harness.targets[1])
+            harness.first.script = [[copy], harness.first.answer()]
+            _, refusal = await harness.serve(make_request(ONCE))
+            assert refusal.status == 502
+            caller, _ = await harness.serve(make_request(ONCE, request_id="r2"))
+            assert caller.status == 200
+
+        run([make_route(ONCE)], scenario)
+
+    def test_the_answer_that_is_still_due_is_not_that_of_the_next_request(self):
+        """The connection was used again after a complete answer to another request."""
+
+        async def scenario(harness):
+            copy = b"HTTP/1.1 503 Busy\r\nAttempt-Id: r0\r\nContent-Length: 0\r\n\r\n"
+            harness.handle_leaving(harness.targets[1])
+            late = harness.first.answer("200 OK", b"late")[0].replace(b"@id", b"r1")
+            harness.first.script = [[copy, 0.1, late], harness.first.answer()]
+            await harness.serve(make_request(ONCE))
+            caller, _ = await harness.serve(make_request(ONCE, request_id="r2"))
+            assert (caller.status, caller.body) == (200, b"whole")
+
+        run([make_route(ONCE)], scenario)
+
+
 class TestTimeouts:
     def test_the_route_timeout_ends_the_request_and_cancels_the_attempt(self):
         async def scenario(harness):
