Pass on no status that promises "not run" unless the target stated it

Callers take 503, 429, 408 and 421 for the promise that a request has not run and never will. A target that answers one of them without the statement may have run the request: its answer counted as "may have run" within the daemon, but its status was passed on, so callers were promised what nobody knows.

Such an answer is dropped now, like any failure after which the request may have run: an idempotent request goes on at another target if it may, others get 502 of this fleet's own.

--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -198,16 +198,15 @@
         if fault is not None:
             return fault
         if head.is_not_run:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    _discard_body(answer, attempt.reservation), CONNECT_TIMEOUT
-                )
+            await _discard_body(answer, attempt.reservation)
             return AttemptFailed(
                 AttemptResult.REFUSED,
                 Execution.NOT_RUN,
                 f"refused with status {head.status}",
                 is_misdirected=head.is_misdirected,
             )
+        if head.is_false_promise:
+            return await _discard_false_promise(answer, head, attempt.reservation)
         if head.is_success and stream is not None:
             return await _read_stream(attempt, answer, head, stream)
         return await _read_whole(answer, head, attempt.reservation)
@@ -313,11 +312,28 @@
             reservation.release(size)
 
 
+async def _discard_false_promise(
+    answer: TargetAnswer, head: AnswerHead, reservation: MemoryReservation
+) -> AttemptFailed:
+    """Drop an answer whose status would promise callers what the target doesn't."""
+    await _discard_body(answer, reservation)
+    return AttemptFailed(
+        AttemptResult.FAILED,
+        Execution.MAY_HAVE_RUN,
+        f"status {head.status} without the statement that the request was not run",
+    )
+
+
 async def _discard_body(answer: TargetAnswer, reservation: MemoryReservation) -> None:
-    """Read a body that nobody needs, so that the connection can be used again."""
-    body = await _read_body(answer, reservation)
-    if body is not None and answer.end is not AnswerEnd.BROKEN:
-        reservation.release_request_bytes(len(body))
+    """Read a body that nobody needs, so that the connection can be used again.
+
+    A target that takes long for it is left, and the connection isn't used again.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            body = await _read_body(answer, reservation)
+            if body is not None and answer.end is not AnswerEnd.BROKEN:
+                reservation.release_request_bytes(len(body))
 
 
 async def _read_stream(
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -8,6 +8,17 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.permits import TargetTerms
 
+#: Statuses by which callers of this fleet are promised that a request hasn't run and
+#: never will. A target's status alone doesn't promise it.
+PROMISING_STATUSES = frozenset(
+    {
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+
 
 @frozen
 class PromptPart:
@@ -171,6 +182,11 @@
         """Whether the target is not the one that the request was meant for."""
         return self.status == http.HTTPStatus.MISDIRECTED_REQUEST
 
+    @property
+    def is_false_promise(self) -> bool:
+        """Whether callers would take the status for a promise that was not given."""
+        return self.status in PROMISING_STATUSES and not self.is_not_run
+
     @property
     def is_success(self) -> bool:
         """Whether the status is in the 2xx class."""
