--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -6,13 +6,13 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeAlias, TypeVar
 
-from kingcuphead.addresses import Address
 from kingcuphead.dispatch import AttemptResult
 from kingcuphead.forwarding._answer_parser import AnswerEnd
-from kingcuphead.forwarding._connection import TargetAnswer
+from kingcuphead.forwarding._connection import TargetAnswer, TargetConnection
 from kingcuphead.forwarding._memory import MemoryReservation, OutOfMemoryError
 from kingcuphead.forwarding._messages import (
     AnswerHead,
+    AnswerIdentity,
     CallerRequest,
     SendOptions,
 )
@@ -28,9 +28,6 @@
 #: Largest answer in bytes, streams excepted.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
-#: HTTP status of a target that is not the one the request was meant for.
-MISDIRECTED = 421
-
 T = TypeVar("T")
 
 
@@ -92,9 +89,8 @@
     #: Returns whether the request may be retried at another target after it may have
     #: run; a retry that is allowed is counted.
     claim_retry: Callable[[], bool]
-    #: Called with the address of the daemon that passes on the bytes, before the
-    #: request is sent; None without one.
-    record_helper: Callable[[Address | None], None]
+    #: Called with the connection before the request is sent on it.
+    record_connection: Callable[[TargetConnection], None]
     #: Called with the status and headers of an answer of the target.
     record_head: Callable[[AnswerHead], None]
 
@@ -107,6 +103,8 @@
     answer: TargetAnswer | None = None
     #: Decoded head of the answer; None until it is received.
     head: AnswerHead | None = None
+    #: Whether the answer names the request.
+    is_own: bool = False
 
 
 class AttemptRunner:
@@ -153,7 +151,7 @@
         stream: AttemptStream | None,
     ) -> AttemptEnd:
         request = attempt.request
-        attempt.record_helper(lease.connection.helper)
+        attempt.record_connection(lease.connection)
         exchange.answer = answer = lease.connection.send(
             request.method,
             request.uri,
@@ -168,19 +166,22 @@
         exchange.head = head = self._codec.decode_answer(
             raw.status, raw.headers, request.method
         )
-        if head.status != MISDIRECTED:
-            attempt.record_head(head)
+        exchange.is_own = head.identify(request) is AnswerIdentity.OWN
+        attempt.record_head(head)
         return await self._read(attempt, answer, head, stream)
 
     def _release_connection(self, lease: Lease, exchange: "_Exchange") -> None:
         """Return the connection to the pool after a complete exchange; else close it.
 
-        A target cancels a request whose connection closes.
+        A target cancels a request whose connection closes. After an answer that names
+        another request, the own answer is still due.
         """
         answer, head = exchange.answer, exchange.head
         if answer is not None:
             answer.release()
-        is_complete = answer is not None and answer.is_exchange_complete
+        is_complete = (
+            answer is not None and answer.is_exchange_complete and exchange.is_own
+        )
         if head is not None and is_complete and not head.closes_connection:
             self._pool.release(lease, head.idle_timeout)
         else:
@@ -197,16 +198,15 @@
         if fault is not None:
             return fault
         if head.is_not_run:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(
-                    _discard_body(answer, attempt.reservation), CONNECT_TIMEOUT
-                )
+            await _discard_body(answer, attempt.reservation)
             return AttemptFailed(
                 AttemptResult.REFUSED,
                 Execution.NOT_RUN,
                 f"refused with status {head.status}",
-                is_misdirected=head.status == MISDIRECTED,
+                is_misdirected=head.is_misdirected,
             )
+        if head.is_false_promise:
+            return await _discard_false_promise(answer, head, attempt.reservation)
         if head.is_success and stream is not None:
             return await _read_stream(attempt, answer, head, stream)
         return await _read_whole(answer, head, attempt.reservation)
@@ -214,8 +214,11 @@
 
 def _find_fault(attempt: Attempt, head: AnswerHead) -> AttemptFailed | None:
     """Return why an answer can't be sent to the caller, or None."""
-    if head.request_id != attempt.request.request_id and not head.is_not_run:
-        return _make_broken_failure("the answer has the id of another request")
+    match head.identify(attempt.request):
+        case AnswerIdentity.OTHER:
+            return _make_broken_failure("the answer has the id of another request")
+        case AnswerIdentity.MISSING:
+            return _make_broken_failure("the answer has no id")
     if head.is_success and (not head.is_signed or head.is_encoded):
         return _make_broken_failure("the answer has no seal or has a content encoding")
     return None
@@ -309,11 +312,28 @@
             reservation.release(size)
 
 
+async def _discard_false_promise(
+    answer: TargetAnswer, head: AnswerHead, reservation: MemoryReservation
+) -> AttemptFailed:
+    """Drop an answer whose status would promise callers what the target doesn't."""
+    await _discard_body(answer, reservation)
+    return AttemptFailed(
+        AttemptResult.FAILED,
+        Execution.MAY_HAVE_RUN,
+        f"status {head.status} without the statement that the request was not run",
+    )
+
+
 async def _discard_body(answer: TargetAnswer, reservation: MemoryReservation) -> None:
-    """Read a body that nobody needs, so that the connection can be used again."""
-    body = await _read_body(answer, reservation)
-    if body is not None and answer.end is not AnswerEnd.BROKEN:
-        reservation.release_request_bytes(len(body))
+    """Read a body that nobody needs, so that the connection can be used again.
+
+    A target that takes long for it is left, and the connection isn't used again.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(CONNECT_TIMEOUT):
+            body = await _read_body(answer, reservation)
+            if body is not None and answer.end is not AnswerEnd.BROKEN:
+                reservation.release_request_bytes(len(body))
 
 
 async def _read_stream(
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -1,10 +1,24 @@
 """Types for a caller's request and for a target's answer to one attempt."""
 
+import enum
+import http
+
 from tornado.httputil import HTTPHeaders
 
 from kingcuphead.frozen import frozen
 from kingcuphead.permits import TargetTerms
 
+#: Statuses by which callers of this fleet are promised that a request hasn't run and
+#: never will. A target's status alone doesn't promise it.
+PROMISING_STATUSES = frozenset(
+    {
+        http.HTTPStatus.REQUEST_TIMEOUT,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
+
 
 @frozen
 class PromptPart:
@@ -113,6 +127,17 @@
     pause: float
 
 
+class AnswerIdentity(enum.StrEnum):
+    """Which request the id in an answer names."""
+
+    #: The request that was sent last on the connection.
+    OWN = "own"
+    #: Another request.
+    OTHER = "other"
+    #: None; the answer has no id.
+    MISSING = "none"
+
+
 @frozen
 class AnswerHead:
     """Status and headers of a target's answer."""
@@ -144,6 +169,24 @@
     #: Seconds for which the target stays cold; None if it doesn't state them.
     cold_left: float | None = None
 
+    def identify(self, request: CallerRequest) -> AnswerIdentity:
+        """Return whether the answer names the request that was sent."""
+        if not self.request_id:
+            return AnswerIdentity.MISSING
+        if self.request_id == request.request_id:
+            return AnswerIdentity.OWN
+        return AnswerIdentity.OTHER
+
+    @property
+    def is_misdirected(self) -> bool:
+        """Whether the target is not the one that the request was meant for."""
+        return self.status == http.HTTPStatus.MISDIRECTED_REQUEST
+
+    @property
+    def is_false_promise(self) -> bool:
+        """Whether callers would take the status for a promise that was not given."""
+        return self.status in PROMISING_STATUSES and not self.is_not_run
+
     @property
     def is_success(self) -> bool:
         """Whether the status is in the 2xx class."""
