Believe "not run" only with a status that refuses a request

A target states "not run" with 503, 429, 421 or 400; no other answer states it. The daemon believed the header with any status, so an order whose sealed answer 200 bore it was sent to a second target. Such an answer contradicts itself: it is dropped now, and the request may have run.

--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -219,6 +219,8 @@
             return _make_broken_failure("the answer has the id of another request")
         case AnswerIdentity.MISSING:
             return _make_broken_failure("the answer has no id")
+    if head.is_contradictory:
+        return _make_broken_failure(f"status {head.status} states 'not run'")
     if head.is_success and (not head.is_signed or head.is_encoded):
         return _make_broken_failure("the answer has no seal or has a content encoding")
     return None
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -168,6 +168,8 @@
     terms: TargetTerms = TargetTerms()
     #: Seconds for which the target stays cold; None if it doesn't state them.
     cold_left: float | None = None
+    #: Whether it states "not run" with a status that is no refusal.
+    is_contradictory: bool = False
 
     def identify(self, request: CallerRequest) -> AnswerIdentity:
         """Return whether the answer names the request that was sent."""
--- a/kingcuphead/forwarding/tests/test_forwarder.py
+++ b/kingcuphead/forwarding/tests/test_forwarder.py
@@ -234,6 +234,29 @@
         run([make_route(ONCE)], scenario)
 
 
+class TestContradictoryStatements:
+    """Guards against "not run" being believed of a status that is no refusal.
+
+    An order whose target answered so was sent to a second one.
+    """
+
+    @pytest.mark.parametrize(
+        "status", ["200 OK", "204 No Content", "404 Not Found", "500 Error", "504 Late"]
+    )
+    def test_the_request_may_have_run(self, status):
+        async def scenario(harness):
+            body = b"" if status.startswith("204") else b"whole"
+            harness.first.script = [
+                harness.first.answer(status, body, "Not-Executed: 1")
+            ]
+            harness.second.script = [harness.second.answer()]
+            _, refusal = await harness.serve(make_request(ONCE))
+            assert not harness.second.received
+            assert refusal.status == 502
+
+        run([make_route(ONCE)], scenario)
+
+
 class TestTimeouts:
     def test_the_route_timeout_ends_the_request_and_cancels_the_attempt(self):
         async def scenario(harness):
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -38,6 +38,15 @@
 _RATE_LIMIT = "Server-Limit"
 _REJECTION_LIMIT = "Server-Brittle"
 _COLD = "Cold-Ms"
+#: Statuses with which a target can state that it has not run a request.
+_STATUSES_NOT_RUN = frozenset(
+    {
+        http.HTTPStatus.BAD_REQUEST,
+        http.HTTPStatus.MISDIRECTED_REQUEST,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
+    }
+)
 #: Upper bound in seconds of the time for which a target may ask for no requests.
 _MAX_RETRY_AFTER = 30.0
 #: Upper bound of the requests per second that a target may state.
@@ -196,11 +205,13 @@
             and method != "HEAD"
             and status not in (204, 304)
         )
+        states_not_run = _NOT_RUN in headers or status == 421
         return AnswerHead(
             status=status,
             headers=_copy_headers(headers, _HOP_BY_HOP),
             request_id=headers.get(REQUEST_ID, ""),
-            is_not_run=_NOT_RUN in headers or status == 421,
+            is_not_run=states_not_run and status in _STATUSES_NOT_RUN,
+            is_contradictory=states_not_run and status not in _STATUSES_NOT_RUN,
             is_signed=_SIGNATURE in headers,
             is_encoded=headers.get("Content-Encoding", "identity") != "identity",
             closes_connection="close" in options or is_unframed,
--- a/kingcuphead/platform/tests/test_headers.py
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -124,7 +124,15 @@
 class TestDecodeAnswer:
     @pytest.mark.parametrize(
         ("status", "headers", "is_not_run"),
-        [(503, {"Not-Executed": "1"}, True), (503, {}, False), (421, {}, True)],
+        [
+            (503, {"Not-Executed": "1"}, True),
+            (429, {"Not-Executed": "1"}, True),
+            (400, {"Not-Executed": "1"}, True),
+            (503, {}, False),
+            (421, {}, True),
+            (200, {"Not-Executed": "1"}, False),
+            (500, {"Not-Executed": "1"}, False),
+        ],
     )
     def test_not_run_needs_its_header_or_status_421(self, status, headers, is_not_run):
         lines = HTTPHeaders({"Content-Length": "0", **headers})
