Reject a head that contains another status line

A target that breaks off a refusal on a kept connection and then answers the next request writes two heads that read as one: status or "not run" of the first with the id of the second. The id was that of the request, so the refusal was believed, and an order that ran was sent to a second target; an answer 500 was passed on as 200.

forwarding/tests/test_forwarder.py, TestRemainsOfOtherAnswers: 4 of 4 cases failed before, none does now.

--- a/kingcuphead/forwarding/_answer_parser.py
+++ b/kingcuphead/forwarding/_answer_parser.py
@@ -24,6 +24,9 @@
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
 _HEAD_END_BYTES = 4
 _LINE_END = b"\r\n"
+#: A status line. Within a head it begins another answer, whose head joins the remains
+#: of one that the target broke off.
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] [1-5][0-9]{2}\b")
 #: Header lines of the usual form, which need no further validation.
 _PLAIN_FIELDS = re.compile(r"(?:[A-Za-z0-9-]+: ?[\x21-\x7e][\x20-\x7e]*\r\n)*\r\n")
 
@@ -134,6 +137,8 @@
 
     def _parse_head(self, data: bytes) -> None:
         text = data.decode("latin1").lstrip("\r\n")
+        if _STATUS_LINE.search(text, 1):
+            raise HTTPInputError("a status line within the head")
         line, _, fields = text.partition("\n")
         start_line = parse_response_start_line(line.rstrip("\r"))
         headers = _parse_fields(fields)
--- a/kingcuphead/forwarding/tests/test_answer_parser.py
+++ b/kingcuphead/forwarding/tests/test_answer_parser.py
@@ -50,6 +50,18 @@
         WHOLE,
         b"\r\n\r\n",
     ),
+    Case(
+        "status line in a header",
+        b"HTTP/1.1 503 Busy\r\nA: b" + OK + b"Content-Length: 0\r\n\r\n",
+        BROKEN,
+        status=None,
+    ),
+    Case(
+        "status line in a status line",
+        b"HTTP/1.1 421 A" + OK + b"Content-Length: 0\r\n\r\n",
+        BROKEN,
+        status=None,
+    ),
     Case("until close", OK + b"\r\nhello", CLOSED, b"hello"),
     Case("bare line feeds", b"HTTP/1.1 200 OK\nContent-Length: 2\n\nhi", WHOLE, b"hi"),
     Case(
--- a/kingcuphead/forwarding/tests/test_forwarder.py
+++ b/kingcuphead/forwarding/tests/test_forwarder.py
@@ -234,6 +234,46 @@
         run([make_route(ONCE)], scenario)
 
 
+class TestRemainsOfOtherAnswers:
+    """Guards against a head that joins a part of another answer with the own one.
+
+    The id is that of the request then, and the status or the statement is not.
+    """
+
+    @pytest.mark.parametrize(
+        "remains",
+        [
+            "HTTP/1.1 503 Busy\r\nNot-Executed: 1",
+            "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 1",
+            "HTTP/1.1 421 Misdir",
+        ],
+    )
+    def test_the_request_is_not_sent_again(self, remains):
+        async def scenario(harness):
+            answer = harness.first.answer()
+            harness.first.script = [answer, [remains.encode(), *answer]]
+            harness.second.script = [harness.second.answer()]
+            await harness.serve(make_request(ONCE))
+            _, refusal = await harness.serve(make_request(ONCE, request_id="r2"))
+            assert not harness.second.received
+            assert refusal.status == 502
+
+        run([make_route(ONCE)], scenario)
+
+    def test_a_failure_is_not_passed_on_as_a_success(self):
+        async def scenario(harness):
+            failure = harness.first.answer("500 Error", b"failed")
+            harness.first.script = [
+                harness.first.answer(),
+                [b"HTTP/1.1 200 O", *failure],
+            ]
+            await harness.serve(make_request(ONCE))
+            caller, refusal = await harness.serve(make_request(ONCE, request_id="r2"))
+            assert (caller.status, refusal.status) == (0, 502)
+
+        run([make_route(ONCE)], scenario)
+
+
 class TestContradictoryStatements:
     """Guards against "not run" being believed of a status that is no refusal.
 
