Send a request again with the same id over another connection only

The id tells an answer from that to another request, not from that to an earlier attempt at the same connection. A target is tried once for a request, but two names can have one address (a target that took it over answers 421 for the old name), and a caller may send an id again. A refusal that was written again counted for the attempt that ran.

forwarding/tests/test_forwarder.py, TestSameIdOnOneConnection: 2 of 2 requests that ran were refused as not run; none is now.

--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -133,7 +133,7 @@
             Receives the events; None for an answer that is returned when complete.
         """
         try:
-            lease = await self._pool.acquire(attempt.address, CONNECT_TIMEOUT)
+            lease = await self._acquire_connection(attempt)
         except (OSError, TimeoutError) as error:
             cause = f"no connection: {type(error).__name__} {error}"
             return AttemptFailed(AttemptResult.UNREACHABLE, Execution.NOT_RUN, cause)
@@ -143,6 +143,20 @@
         finally:
             self._release_connection(lease, exchange)
 
+    async def _acquire_connection(self, attempt: Attempt) -> Lease:
+        """Return a connection on which the id names this attempt and no earlier one.
+
+        Raises
+        ------
+        OSError
+            No connection could be opened; nothing was sent.
+        """
+        lease = await self._pool.acquire(attempt.address, CONNECT_TIMEOUT)
+        if lease.connection.last_request_id != attempt.request.request_id:
+            return lease
+        lease.connection.close()
+        return await self._pool.open(attempt.address, CONNECT_TIMEOUT)
+
     async def _run_exchange(
         self,
         attempt: Attempt,
@@ -152,6 +166,7 @@
     ) -> AttemptEnd:
         request = attempt.request
         attempt.record_connection(lease.connection)
+        lease.connection.last_request_id = request.request_id
         exchange.answer = answer = lease.connection.send(
             request.method,
             request.uri,
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -75,6 +75,8 @@
         self.helper = helper
         #: Number of requests that were sent on it.
         self.request_count = 0
+        #: Id of the request that was sent on it last; empty before the first one.
+        self.last_request_id = ""
 
     @property
     def stream(self) -> TargetStream:
--- a/kingcuphead/forwarding/tests/test_forwarder.py
+++ b/kingcuphead/forwarding/tests/test_forwarder.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -9,7 +10,7 @@
     make_route,
     run,
 )
-from kingcuphead.forwarding.tests._target import ScriptedTarget
+from kingcuphead.forwarding.tests._target import ScriptedTarget, Unaware
 from kingcuphead.verdict import Reason
 
 
@@ -274,6 +275,42 @@
         run([make_route(ONCE)], scenario)
 
 
+class TestSameIdOnOneConnection:
+    """Guards against a refusal that is written again for a request with the same id.
+
+    The id doesn't tell the answers of two attempts at one connection apart.
+    """
+
+    def test_a_target_that_took_over_the_address_of_another(self):
+        async def scenario(harness):
+            old, new = harness.targets
+            new = dataclasses.replace(new, address=old.address, sequence=2)
+            list(harness.directory.put(new))
+            refusal = harness.first.answer("421 Misdirected", b"")
+            harness.first.script = [
+                [*refusal, Unaware(0.05), *refusal],
+                harness.first.answer(),
+            ]
+            caller, _ = await harness.serve(make_request(ONCE))
+            assert caller.status == 200
+
+        run([make_route(ONCE)], scenario)
+
+    def test_a_caller_that_sends_an_id_again(self):
+        async def scenario(harness):
+            harness.handle_leaving(harness.targets[1])
+            refusal = harness.first.answer("503 Busy", b"", "Not-Executed: 1")
+            harness.first.script = [
+                [*refusal, Unaware(0.05), *refusal],
+                harness.first.answer(),
+            ]
+            for _ in range(2):
+                caller, refused = await harness.serve(make_request(ONCE))
+            assert (caller.status, refused) == (200, None)
+
+        run([make_route(ONCE)], scenario)
+
+
 class TestContradictoryStatements:
     """Guards against "not run" being believed of a status that is no refusal.
 
