Count the open requests of a daemon that has restarted

A coordinator keeps the report with the highest number of each address. A daemon that restarts numbers its reports from 1 again, so all of them counted as older than the last one of its predecessor and were dropped, for as long as it took to reach that number; its requests at a brittle target were given to others. Memory reports already had the rule: a lower number is late only shortly after the report before.

permits/tests/test_room.py: 4 of 4 places were taken by a restarted daemon (report 1 after report 900), and a fifth was granted; it is denied now.

--- a/kingcuphead/permits/_room.py
+++ b/kingcuphead/permits/_room.py
@@ -1,6 +1,7 @@
 """Counts the requests that all daemons have open at one target."""
 
 from kingcuphead.frozen import frozen
+from kingcuphead.permits._memory import REORDERING_PERIOD
 
 #: Seconds after its last report in which the requests of a daemon still count.
 REPORT_LIFETIME = 3.0
@@ -67,7 +68,12 @@
     def record(self, open_requests: OpenRequests, now: float) -> None:
         """Replace the report of a daemon, unless a later one has arrived."""
         previous = self._reports.get(open_requests.holder)
-        if previous is None or previous.open_requests.number <= open_requests.number:
+        is_late = (
+            previous is not None
+            and open_requests.number < previous.open_requests.number
+            and now - previous.received_at < REORDERING_PERIOD
+        )
+        if not is_late:
             self._reports[open_requests.holder] = _Report(open_requests, now)
 
     def record_rejection(self, now: float) -> None:
--- a/kingcuphead/permits/tests/test_room.py
+++ b/kingcuphead/permits/tests/test_room.py
@@ -32,6 +32,13 @@
         room = make_room(OpenRequests("a", 2, 4), OpenRequests("a", 1, 0))
         assert not room.has_place(OpenRequests("b", 1, 1), PLACES, RAMPED)
 
+    def test_a_daemon_that_has_restarted_is_counted(self):
+        """It numbers its reports from the start again, at the address it had."""
+        room = make_room(OpenRequests("a", 900, 1))
+        later = RAMPED + REPORT_LIFETIME
+        room.record(OpenRequests("a", 1, 4), later)
+        assert not room.has_place(OpenRequests("b", 1, 1), PLACES, later)
+
     def test_a_daemon_that_reports_no_more_holds_no_places(self):
         room = make_room(OpenRequests("a", 1, 4))
         later = RAMPED + REPORT_LIFETIME + 0.1
