Take an answer about a permit only from the daemon that was asked

Answers were matched to queries by a number, which began at 1 in each process. A coordinator that was frozen answers a process that has ended at the same address; its number can be that of a query of the process now, about another target, which then sends what was not granted, or closes a target that has room. Answers of daemons that were not asked counted, too. The sender is compared now, and numbers begin at random.

--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import itertools
+import random
 from collections import Counter
 from collections.abc import Callable, Iterable
 
@@ -43,6 +44,8 @@
 MAX_QUERIES = 2
 #: Seconds between two reports of the open requests at targets that are short of room.
 REPORT_INTERVAL = 1.0
+#: Bits of the random number of a daemon's first message.
+FIRST_NUMBER_BITS = 31
 #: Upper bound in seconds of the time for which a daemon that hears of no other sends
 #: nothing to a brittle target that had no room.
 MAX_REJECTION_PAUSE = 5.0
@@ -82,8 +85,9 @@
         self._gate = TargetGate()
         self._open_requests: Counter[str] = Counter()
         self._memory_reports = MemoryReports()
-        self._numbers = itertools.count(1)
-        self._queries: dict[int, asyncio.Future[Decision]] = {}
+        # Late answers may be to queries of an earlier process at the same address.
+        self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
+        self._queries: dict[tuple[int, Address], asyncio.Future[Decision]] = {}
         #: Which daemon coordinates the permits of a target.
         self.ranking = CoordinatorRanking(own_address, self._probe)
         #: Whether permits are asked for memory of targets.
@@ -219,7 +223,7 @@
                 )
                 self._send(answer, sender)
             case PermitAnswered(number, is_granted, wait, is_owner, is_full):
-                query = self._queries.get(number)
+                query = self._queries.get((number, sender))
                 if query is not None and not query.done():
                     query.set_result(Decision(is_granted, wait, is_owner, is_full))
             case RoomReported():
@@ -325,7 +329,7 @@
     async def _ask(self, address: Address, query: PermitAsked) -> Decision | None:
         """Ask one daemon; None if it doesn't answer."""
         answer: asyncio.Future[Decision] = asyncio.get_running_loop().create_future()
-        self._queries[query.number] = answer
+        self._queries[query.number, address] = answer
         self.ranking.record_query(address, get_time())
         self._send(query, address)
         try:
@@ -334,7 +338,7 @@
         except TimeoutError:
             return None
         finally:
-            del self._queries[query.number]
+            del self._queries[query.number, address]
 
     async def _ask_in_time(
         self, address: Address, query: PermitAsked
