Take a transaction for refused only after a status that refuses it

The client of the store took every reply other than 200 and 412 for a proof that a transaction had no effect. A reply such as 500 or 504 proves nothing: credit that was given back by a transaction that did take effect stayed with the daemon, too. The outcome is unknown now, as it is in the other client of a table.

platform/tests/test_store.py, TestRefusals: 6 of 11 statuses failed before.

--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -13,6 +13,7 @@
     GONE,
     OK,
     PRECONDITION_FAILED,
+    REFUSING_STATUSES,
     Changes,
     HistoryLost,
     decode_era,
@@ -169,9 +170,12 @@
                 store_time = decode_time(reply.body)
                 self._clock.record_commit(store_time, sent_at, decode_era(reply))
                 return decode_outcome(reply)
-            case Replied() | NotSent():
+            case NotSent():
                 return Unavailable()
-            case ReplyLost():
+            case Replied(status) if status in REFUSING_STATUSES:
+                return Unavailable()
+            # No other reply proves that the transaction had no effect.
+            case Replied() | ReplyLost():
                 return Unknown()
 
     def bound_time(self, moment: float) -> int | None:
--- a/kingcuphead/platform/_store_codec.py
+++ b/kingcuphead/platform/_store_codec.py
@@ -2,6 +2,7 @@
 
 import base64
 import binascii
+import http
 from collections.abc import Iterator, Sequence
 
 import msgspec
@@ -25,6 +26,17 @@
 )
 
 OK, GONE, PRECONDITION_FAILED = 200, 410, 412
+#: Statuses with which the store refuses a transaction, besides 503.
+REFUSING_STATUSES = frozenset(
+    {
+        http.HTTPStatus.BAD_REQUEST,
+        http.HTTPStatus.FORBIDDEN,
+        http.HTTPStatus.NOT_FOUND,
+        http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.INSUFFICIENT_STORAGE,
+    }
+)
 #: Header of all replies with the number of times that the store was restored from a
 #: copy; rows and versions of different eras are unrelated.
 _ERA = "Store-Era"
--- a/kingcuphead/platform/tests/test_store.py
+++ b/kingcuphead/platform/tests/test_store.py
@@ -16,6 +16,7 @@
     ReplyLost,
     Row,
     Transaction,
+    Unavailable,
     Unknown,
 )
 
@@ -76,6 +77,34 @@
     return ScriptedStore()
 
 
+class TestRefusals:
+    """Guards against a transaction that counts as refused and was applied.
+
+    Credit that is given back would stay with the daemon, too.
+    """
+
+    @pytest.mark.parametrize(
+        ("status", "outcome"),
+        [
+            (400, Unavailable()),
+            (403, Unavailable()),
+            (429, Unavailable()),
+            (503, Unavailable()),
+            (507, Unavailable()),
+            (202, Unknown()),
+            (302, Unknown()),
+            (408, Unknown()),
+            (500, Unknown()),
+            (502, Unknown()),
+            (504, Unknown()),
+        ],
+    )
+    def test_only_a_status_that_refuses_proves_no_effect(self, script, status, outcome):
+        script.reply(status, {})
+        committed = script.call(lambda store: store.commit("t", "p", TRANSACTION))
+        assert committed == outcome
+
+
 class TestMalformedReplies:
     def test_transaction_with_an_undecodable_row_is_unknown(self, script):
         script.reply(412, {"rows": [BAD_ROW]})
