Close a connection after an answer without id, as before

Since answers to other requests are skipped, a connection with a whole answer that has no id went back to the pool, with the own answer still due on it. The next request was sent behind a request that still runs, and failed with it.

--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -105,8 +105,8 @@
     answer: TargetAnswer | None = None
     #: Decoded head of the answer; None until it is received.
     head: AnswerHead | None = None
-    #: Whether no answer to another request preceded the answer.
-    is_first_answer: bool = False
+    #: Whether the first answer that arrived names the request, so that none is due.
+    is_first_own: bool = False
 
 
 class AttemptRunner:
@@ -181,13 +181,13 @@
         if raw is None:
             return _make_lost_failure("the connection broke before the answer")
         head = self._decode_head(attempt, raw)
-        if head.identify(request) is AnswerIdentity.OTHER:
+        identity = head.identify(request)
+        exchange.is_first_own = identity is AnswerIdentity.OWN
+        if identity is AnswerIdentity.OTHER:
             own = await self._skip_answers(attempt, answer)
             if isinstance(own, AttemptFailed):
                 return own
             head = own
-        else:
-            exchange.is_first_answer = True
         exchange.head = head
         return await self._read(attempt, answer, head, stream)
 
@@ -231,9 +231,7 @@
         if answer is not None:
             answer.release()
         is_complete = (
-            answer is not None
-            and answer.is_exchange_complete
-            and exchange.is_first_answer
+            answer is not None and answer.is_exchange_complete and exchange.is_first_own
         )
         if head is not None and is_complete and not head.closes_connection:
             self._pool.release(lease, head.idle_timeout)
--- a/kingcuphead/forwarding/tests/test_forwarder.py
+++ b/kingcuphead/forwarding/tests/test_forwarder.py
@@ -236,6 +236,22 @@
         run([make_route(ONCE)], scenario)
 
 
+class TestConnectionsAfterAnAnswerWithoutId:
+    """Guards against a connection on which the own answer is still due."""
+
+    def test_the_connection_is_closed(self):
+        async def scenario(harness):
+            harness.handle_leaving(harness.targets[1])
+            copy = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            harness.first.script = [[copy, 0.1], harness.first.answer()]
+            await harness.serve(make_request(ONCE))
+            await harness.serve(make_request(ONCE, request_id="r2"))
+            context, _ = harness.ended[-1]
+            assert context.records[0].earlier_requests == 0
+
+        run([make_route(ONCE)], scenario)
+
+
 class TestRemainsOfOtherAnswers:
     """Guards against a head that joins a part of another answer with the own one.
 
