Wait for the own answer behind a skipped one as for any answer

A request that may run once was given up at the first-byte timeout after an answer to another request, although the target runs it: the connection was closed on it, and the caller got 502, which it may not repeat. A request that can't be retried waits until its deadline now, as it does without such an answer.

--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -196,23 +196,21 @@
     ) -> AnswerHead | AttemptFailed:
         """Skip whole answers to other requests; return the head of the next answer.
 
-        A target may write an answer again where the next one is due. Without another
-        one within the first-byte timeout, the request is given up.
+        A target may write an answer again where the next one is due. The own answer may
+        take as long as if it were the first one.
         """
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(attempt.first_byte_timeout):
-                for _ in range(MAX_SKIPPED_ANSWERS):
-                    await _discard_body(answer, attempt.reservation)
-                    if not answer.skip():
-                        break
-                    raw = await answer.wait_for_head()
-                    if raw is None:
-                        return _make_lost_failure(
-                            "the connection broke before the own answer"
-                        )
-                    head = self._decode_head(attempt, raw)
-                    if head.identify(attempt.request) is not AnswerIdentity.OTHER:
-                        return head
+        for _ in range(MAX_SKIPPED_ANSWERS):
+            await _discard_body(answer, attempt.reservation)
+            if not answer.skip():
+                break
+            raw = await _wait_for_first_bytes(attempt, answer.wait_for_head)
+            if isinstance(raw, AttemptFailed):
+                return raw
+            if raw is None:
+                return _make_lost_failure("the connection broke before the own answer")
+            head = self._decode_head(attempt, raw)
+            if head.identify(attempt.request) is not AnswerIdentity.OTHER:
+                return head
         return _make_broken_failure("the answer has the id of another request")
 
     def _decode_head(self, attempt: Attempt, raw: RawHead) -> AnswerHead:
