Read on no connection to the store that has bytes after a reply

A reply on a kept connection is told from others by its place alone. Bytes after a reply counted for the next read, and each later read of the connection got the reply of the one before: a daemon would follow a table one change behind.

storage/tests/test_kept_connection.py, TestSurplus: 2 of 2 cases failed before (the reads got one, one, two for one, two, three).

--- a/kingcuphead/storage/_kept_connection.py
+++ b/kingcuphead/storage/_kept_connection.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 import urllib.parse
 from collections.abc import Mapping
 
@@ -90,6 +91,8 @@
             self._stream = None
 
     async def _exchange(self, target: str) -> "_ReplyCollector":
+        if self._stream is not None and _has_unread_bytes(self._stream):
+            self.close()
         if self._stream is not None:
             # The platform may have closed the connection after the last reply.
             with contextlib.suppress(StreamClosedError):
@@ -120,6 +123,19 @@
         return collector
 
 
+def _has_unread_bytes(stream: IOStream) -> bool:
+    """Whether bytes follow the last reply, which would count as the next one."""
+    # Tornado has no public way to find out what it has read ahead.
+    if stream._read_buffer_size:
+        return True
+    if stream.closed():
+        return False
+    try:
+        return bool(stream.socket.recv(1, socket.MSG_PEEK))
+    except OSError:
+        return False
+
+
 class _ReplyCollector(HTTPMessageDelegate):
     """Collects the status, the headers and the body of one reply."""
 
--- a/kingcuphead/storage/tests/test_kept_connection.py
+++ b/kingcuphead/storage/tests/test_kept_connection.py
@@ -74,6 +74,29 @@
     return asyncio.run(run())
 
 
+class TestSurplus:
+    """Guards against a reply that counts for the read after its own.
+
+    Each later read would get the reply of the one before.
+    """
+
+    @pytest.mark.parametrize("pause", [0.0, 0.05])
+    def test_bytes_after_a_reply_belong_to_no_read(self, pause):
+        reply = make_reply(b"one")
+        platform = RawPlatform(reply + reply, make_reply(b"two"), make_reply(b"three"))
+
+        async def run():
+            async with platform:
+                bodies = []
+                for _ in range(3):
+                    bodies.append((await platform.read()).body)
+                    await asyncio.sleep(pause)
+                return bodies
+
+        assert asyncio.run(run()) == [b"one", b"two", b"three"]
+        assert platform.connections == 2
+
+
 class TestReuse:
     def test_reads_share_a_connection(self):
         platform = RawPlatform(make_reply(b"one"), make_reply(b"two"))
