Apply a statement of a target only to the process that made it

A daemon that reads an answer through a tunnel tells the daemon that passed it on what the target said in it, by the name of the target. Read late, by a daemon that was frozen, it counted for the process that has started under the name since: a target that said it leaves got nothing from that daemon any more after its restart. The message names the start time now; 0 stands for a daemon of an earlier release.

--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -46,6 +46,7 @@
     LoadsReported("a/1", 8, ()),
     LoadsReported("a/1", 9, (), is_cut_off=True),
     TargetStated("t1", True, 2.5),
+    TargetStated("t1", True, 2.5, 1_700_000_000_000),
     CreditAsked("a/1", 3, "atelier", 12_000),
     CreditAsked("a/1", 4, "atelier", 0, extra=9_000),
     CreditHanded("a/1", 3, 0),
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -324,6 +324,9 @@
         target = self._directory.find(statement.target)
         if target is None:
             return
+        # The target may have restarted under its name since.
+        if statement.started_at_ms not in (0, target.started_at_ms):
+            return
         if statement.pause:
             self.permits.pause(target, statement.pause)
         if statement.is_leaving and self.report_leaving is not None:
--- a/kingcuphead/forwarding/_attempt_driver.py
+++ b/kingcuphead/forwarding/_attempt_driver.py
@@ -248,7 +248,9 @@
         is_stated = head.is_leaving or head.retry_after is not None
         if path.helper is not None and is_stated:
             pause = head.retry_after or 0.0
-            statement = TargetStated(target.name, head.is_leaving, pause)
+            statement = TargetStated(
+                target.name, head.is_leaving, pause, target.started_at_ms
+            )
             self._dependencies.report_statement(statement, path.helper)
         permits = self._dependencies.permits
         if head.is_leaving:
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -125,6 +125,9 @@
     is_leaving: bool
     #: Seconds for which it wants no requests; 0 if it states none.
     pause: float
+    #: Start time of its process in Unix milliseconds; 0 from a daemon of an earlier
+    #: release.
+    started_at_ms: int = 0
 
 
 class AnswerIdentity(enum.StrEnum):
--- a/kingcuphead/wire/datagram.thrift
+++ b/kingcuphead/wire/datagram.thrift
@@ -132,6 +132,7 @@
   1: string target
   2: bool is_leaving
   3: double pause
+  4: i64 started_at_ms = 0
 }
 
 /* The first messages on a connection between two daemons; see kingcuphead/paths. */
