--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -105,8 +105,8 @@
     answer: TargetAnswer | None = None
     #: Decoded head of the answer; None until it is received.
     head: AnswerHead | None = None
-    #: Whether no answer to another request preceded the answer.
-    is_first_answer: bool = False
+    #: Whether the first answer that arrived names the request, so that none is due.
+    is_first_own: bool = False
 
 
 class AttemptRunner:
@@ -135,7 +135,7 @@
             Receives the events; None for an answer that is returned when complete.
         """
         try:
-            lease = await self._pool.acquire(attempt.address, CONNECT_TIMEOUT)
+            lease = await self._acquire_connection(attempt)
         except (OSError, TimeoutError) as error:
             cause = f"no connection: {type(error).__name__} {error}"
             return AttemptFailed(AttemptResult.UNREACHABLE, Execution.NOT_RUN, cause)
@@ -145,6 +145,20 @@
         finally:
             self._release_connection(lease, exchange)
 
+    async def _acquire_connection(self, attempt: Attempt) -> Lease:
+        """Return a connection on which the id names this attempt and no earlier one.
+
+        Raises
+        ------
+        OSError
+            No connection could be opened; nothing was sent.
+        """
+        lease = await self._pool.acquire(attempt.address, CONNECT_TIMEOUT)
+        if lease.connection.last_request_id != attempt.request.request_id:
+            return lease
+        lease.connection.close()
+        return await self._pool.open(attempt.address, CONNECT_TIMEOUT)
+
     async def _run_exchange(
         self,
         attempt: Attempt,
@@ -154,6 +168,7 @@
     ) -> AttemptEnd:
         request = attempt.request
         attempt.record_connection(lease.connection)
+        lease.connection.last_request_id = request.request_id
         exchange.answer = answer = lease.connection.send(
             request.method,
             request.uri,
@@ -166,13 +181,13 @@
         if raw is None:
             return _make_lost_failure("the connection broke before the answer")
         head = self._decode_head(attempt, raw)
-        if head.identify(request) is AnswerIdentity.OTHER:
+        identity = head.identify(request)
+        exchange.is_first_own = identity is AnswerIdentity.OWN
+        if identity is AnswerIdentity.OTHER:
             own = await self._skip_answers(attempt, answer)
             if isinstance(own, AttemptFailed):
                 return own
             head = own
-        else:
-            exchange.is_first_answer = True
         exchange.head = head
         return await self._read(attempt, answer, head, stream)
 
@@ -181,23 +196,21 @@
     ) -> AnswerHead | AttemptFailed:
         """Skip whole answers to other requests; return the head of the next answer.
 
-        A target may write an answer again where the next one is due. Without another
-        one within the first-byte timeout, the request is given up.
+        A target may write an answer again where the next one is due. The own answer may
+        take as long as if it were the first one.
         """
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(attempt.first_byte_timeout):
-                for _ in range(MAX_SKIPPED_ANSWERS):
-                    await _discard_body(answer, attempt.reservation)
-                    if not answer.skip():
-                        break
-                    raw = await answer.wait_for_head()
-                    if raw is None:
-                        return _make_lost_failure(
-                            "the connection broke before the own answer"
-                        )
-                    head = self._decode_head(attempt, raw)
-                    if head.identify(attempt.request) is not AnswerIdentity.OTHER:
-                        return head
+        for _ in range(MAX_SKIPPED_ANSWERS):
+            await _discard_body(answer, attempt.reservation)
+            if not answer.skip():
+                break
+            raw = await _wait_for_first_bytes(attempt, answer.wait_for_head)
+            if isinstance(raw, AttemptFailed):
+                return raw
+            if raw is None:
+                return _make_lost_failure("the connection broke before the own answer")
+            head = self._decode_head(attempt, raw)
+            if head.identify(attempt.request) is not AnswerIdentity.OTHER:
+                return head
         return _make_broken_failure("the answer has the id of another request")
 
     def _decode_head(self, attempt: Attempt, raw: RawHead) -> AnswerHead:
@@ -216,9 +229,7 @@
         if answer is not None:
             answer.release()
         is_complete = (
-            answer is not None
-            and answer.is_exchange_complete
-            and exchange.is_first_answer
+            answer is not None and answer.is_exchange_complete and exchange.is_first_own
         )
         if head is not None and is_complete and not head.closes_connection:
             self._pool.release(lease, head.idle_timeout)
@@ -254,6 +265,8 @@
     """Return why an answer can't be sent to the caller, or None."""
     if head.identify(attempt.request) is not AnswerIdentity.OWN:
         return _make_broken_failure("the answer has no id")
+    if head.is_contradictory:
+        return _make_broken_failure(f"status {head.status} states 'not run'")
     if head.is_success and (not head.is_signed or head.is_encoded):
         return _make_broken_failure("the answer has no seal or has a content encoding")
     return None
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -125,6 +125,9 @@
     is_leaving: bool
     #: Seconds for which it wants no requests; 0 if it states none.
     pause: float
+    #: Start time of its process in Unix milliseconds; 0 from a daemon of an earlier
+    #: release.
+    started_at_ms: int = 0
 
 
 class AnswerIdentity(enum.StrEnum):
@@ -168,6 +171,8 @@
     terms: TargetTerms = TargetTerms()
     #: Seconds for which the target stays cold; None if it doesn't state them.
     cold_left: float | None = None
+    #: Whether it states "not run" with a status that is no refusal.
+    is_contradictory: bool = False
 
     def identify(self, request: CallerRequest) -> AnswerIdentity:
         """Return whether the answer names the request that was sent."""
--- a/kingcuphead/forwarding/tests/test_forwarder.py
+++ b/kingcuphead/forwarding/tests/test_forwarder.py
@@ -1,4 +1,5 @@
 import asyncio
+import dataclasses
 
 import pytest
 
@@ -10,7 +11,7 @@
     make_route,
     run,
 )
-from kingcuphead.forwarding.tests._target import ScriptedTarget
+from kingcuphead.forwarding.tests._target import ScriptedTarget, Unaware
 from kingcuphead.verdict import Reason
 
 
@@ -123,7 +124,8 @@
             ],
             [
                 b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nResponse-Seal: s\r\n"
-                b"Content-Length: 1\r\n\r\nx"
+                b"Content-Length: 1\r\n\r\nx",
+                ScriptedTarget.CLOSE,
             ],
             [b"HTTP/1.1 200 OK\r\nAttempt-Id: @id\r\nContent-Length: 1\r\n\r\nx"],
             [
@@ -212,7 +214,8 @@
             head = [f"HTTP/1.1 {status}", "Not-Executed: 1", statement, *lines]
             copy = "\r\n".join([*head, "Content-Length: 0", "", ""]).encode()
             harness.handle_leaving(harness.targets[1])
-            harness.first.script = [[copy], harness.first.answer()]
+            steps = [copy, ScriptedTarget.CLOSE]
+            harness.first.script = [steps, harness.first.answer()]
             _, refusal = await harness.serve(make_request(ONCE))
             assert refusal.status == 502
             caller, _ = await harness.serve(make_request(ONCE, request_id="r2"))
@@ -235,6 +238,135 @@
         run([make_route(ONCE)], scenario)
 
 
+class TestConnectionsAfterAnAnswerWithoutId:
+    """Guards against a connection on which the own answer is still due."""
+
+    def test_the_connection_is_closed(self):
+        async def scenario(harness):
+            harness.handle_leaving(harness.targets[1])
+            copy = b"HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+            harness.first.script = [[copy, 0.1], harness.first.answer()]
+            await harness.serve(make_request(ONCE))
+            await harness.serve(make_request(ONCE, request_id="r2"))
+            context, _ = harness.ended[-1]
+            assert context.records[0].earlier_requests == 0
+
+        run([make_route(ONCE)], scenario)
+
+
+class TestSkippedAnswers:
+    """Guards against giving up a request that can't be repeated while it runs."""
+
+    def test_the_own_answer_may_take_until_the_deadline(self):
+        async def scenario(harness):
+            foreign = (
+                b"HTTP/1.1 503 Busy\r\nAttempt-Id: r0\r\nContent-Length: 0\r\n\r\n"
+            )
+            harness.first.script = [[foreign, 0.3, *harness.first.answer()]]
+            caller, _ = await harness.serve(make_request(ONCE))
+            assert caller.status == 200
+
+        # The first-byte timeout is 0.11 s.
+        run([make_route(ONCE, objective=0.05)], scenario)
+
+
+class TestRemainsOfOtherAnswers:
+    """Guards against a head that joins a part of another answer with the own one.
+
+    The id is that of the request then, and the status or the statement is not.
+    """
+
+    @pytest.mark.parametrize(
+        "remains",
+        [
+            "HTTP/1.1 503 Busy\r\nNot-Executed: 1",
+            "HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nRetry-After: 1",
+            "HTTP/1.1 421 Misdir",
+        ],
+    )
+    def test_the_request_is_not_sent_again(self, remains):
+        async def scenario(harness):
+            answer = harness.first.answer()
+            harness.first.script = [answer, [remains.encode(), *answer]]
+            harness.second.script = [harness.second.answer()]
+            await harness.serve(make_request(ONCE))
+            _, refusal = await harness.serve(make_request(ONCE, request_id="r2"))
+            assert not harness.second.received
+            assert refusal.status == 502
+
+        run([make_route(ONCE)], scenario)
+
+    def test_a_failure_is_not_passed_on_as_a_success(self):
+        async def scenario(harness):
+            failure = harness.first.answer("500 Error", b"failed")
+            harness.first.script = [
+                harness.first.answer(),
+                [b"HTTP/1.1 200 O", *failure],
+            ]
+            await harness.serve(make_request(ONCE))
+            caller, refusal = await harness.serve(make_request(ONCE, request_id="r2"))
+            assert (caller.status, refusal.status) == (0, 502)
+
+        run([make_route(ONCE)], scenario)
+
+
+class TestSameIdOnOneConnection:
+    """Guards against a refusal that is written again for a request with the same id.
+
+    The id doesn't tell the answers of two attempts at one connection apart.
+    """
+
+    def test_a_target_that_took_over_the_address_of_another(self):
+        async def scenario(harness):
+            old, new = harness.targets
+            new = dataclasses.replace(new, address=old.address, sequence=2)
+            list(harness.directory.put(new))
+            refusal = harness.first.answer("421 Misdirected", b"")
+            harness.first.script = [
+                [*refusal, Unaware(0.05), *refusal],
+                harness.first.answer(),
+            ]
+            caller, _ = await harness.serve(make_request(ONCE))
+            assert caller.status == 200
+
+        run([make_route(ONCE)], scenario)
+
+    def test_a_caller_that_sends_an_id_again(self):
+        async def scenario(harness):
+            harness.handle_leaving(harness.targets[1])
+            refusal = harness.first.answer("503 Busy", b"", "Not-Executed: 1")
+            harness.first.script = [
+                [*refusal, Unaware(0.05), *refusal],
+                harness.first.answer(),
+            ]
+            for _ in range(2):
+                caller, refused = await harness.serve(make_request(ONCE))
+            assert (caller.status, refused) == (200, None)
+
+        run([make_route(ONCE)], scenario)
+
+
+class TestContradictoryStatements:
+    """Guards against "not run" being believed of a status that is no refusal.
+
+    An order whose target answered so was sent to a second one.
+    """
+
+    @pytest.mark.parametrize(
+        "status", ["200 OK", "204 No Content", "404 Not Found", "500 Error", "504 Late"]
+    )
+    def test_the_request_may_have_run(self, status):
+        async def scenario(harness):
+            body = b"" if status.startswith("204") else b"whole"
+            harness.first.script = [
+                harness.first.answer(status, body, "Not-Executed: 1")
+            ]
+            harness.second.script = [harness.second.answer()]
+            _, refusal = await harness.serve(make_request(ONCE))
+            assert not harness.second.received
+            assert refusal.status == 502
+
+
 class TestAnswersToOtherRequests:
     """Guards against failing a request whose own answer follows a foreign one."""
 
