Send nothing without an id as an event of a stream

Callers saw: an error's text, an event without id or the head of another answer in the middle of their stream, which then went on or ended as complete.

Cause: an event without id followed any other. So whatever a target wrote up to a blank line within an answer with status 200 was sent on as an event.

Every event on these routes has an id that rises by one, so what has none is not sent and ends the attempt.

--- a/kingcuphead/forwarding/_events.py
+++ b/kingcuphead/forwarding/_events.py
@@ -1,5 +1,6 @@
 """Splits the bytes of a server-sent event stream into complete events."""
 
+import enum
 import re
 
 from kingcuphead.frozen import frozen
@@ -12,17 +13,32 @@
 _MAX_END_BYTES = 4
 #: The first `id` field of an event with a numeric value.
 _EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ \t\v\f]*([0-9]+)[ \t\v\f]*(?=[\r\n])")
+#: What has no fields: comments, and blank lines.
+_COMMENT = re.compile(rb"(?:(?::[^\r\n]*)?(?:\n|\r\n))*")
+
+
+class EventKind(enum.Enum):
+    """What the bytes up to a blank line are."""
+
+    #: An event of the stream, which has an id.
+    NUMBERED = "an event"
+    #: Only comments, which belong to no event and may be anywhere in a stream.
+    COMMENT = "a comment"
+    #: Not a part of a stream, whose events all have ids.
+    FOREIGN = "no event of the stream"
 
 
 @frozen
 class Event:
-    """One complete event of a stream."""
+    """One complete event of a stream, or comments."""
 
     #: Value of the id field, which rises by one with each event; None without a
     #: numeric id.
     event_id: int | None
     #: Bytes of the event, including the blank line at its end.
     content: bytes
+    #: What the bytes are.
+    kind: EventKind = EventKind.NUMBERED
 
 
 class EventSplitter:
@@ -60,4 +76,7 @@
 
 def _make_event(content: bytes) -> Event:
     match = _EVENT_ID.search(content)
-    return Event(None if match is None else int(match[1]), content)
+    if match is not None:
+        return Event(int(match[1]), content)
+    is_comment = _COMMENT.fullmatch(content) is not None
+    return Event(None, content, EventKind.COMMENT if is_comment else EventKind.FOREIGN)
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Callable, Sequence
 
-from kingcuphead.forwarding._events import Event
+from kingcuphead.forwarding._events import Event, EventKind
 from kingcuphead.forwarding._messages import AnswerHead
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.timing import get_time
@@ -89,15 +89,16 @@
     def count_next(self, events: Sequence[Event]) -> int:
         """Return how many of the events directly follow the last one and each other.
 
-        An event without id follows any other.
+        Comments follow any event. What has no id is no event of the stream: an error
+        that a target writes into it would reach the caller as a part of it.
         """
         last = self._last_event_id
         for index, event in enumerate(events):
-            if event.event_id is None:
+            if event.kind is EventKind.COMMENT:
                 continue
-            if event.event_id != last + 1:
+            if event.kind is EventKind.FOREIGN or event.event_id != last + 1:
                 return index
-            last = event.event_id
+            last += 1
         return len(events)
 
     def send(self, head: AnswerHead, events: Sequence[Event]) -> None:
@@ -106,7 +107,7 @@
         for event in events:
             if event.event_id is not None:
                 self._last_event_id = event.event_id
-        self.event_count += len(events)
+                self.event_count += 1
         self._caller.send(b"".join([event.content for event in events]))
 
     async def drain(self) -> None:
