Send only well-formed events, and no event of type error

Callers saw: an event whose first part was a target's and whose rest was the head of another answer, or an error event, with the right id.

Cause: an id in sequence was the only condition. A target that stops in the middle of an event and writes a head after it makes one block, which ends at the blank line of the head and has the id of the event.

The lines of an event have to be fields or comments with one kind of line ends. A head has names with capitals, a status line and other line ends than events with plain ones. Names of fields that are not known are allowed, so that a target may add some. An event of type error is an error, not a piece.

--- a/kingcuphead/forwarding/_events.py
+++ b/kingcuphead/forwarding/_events.py
@@ -13,6 +13,16 @@
 _MAX_END_BYTES = 4
 #: The first `id` field of an event with a numeric value.
 _EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ \t\v\f]*([0-9]+)[ \t\v\f]*(?=[\r\n])")
+#: A field or a comment. Names of fields are in lower case, unlike those of headers; an
+#: error is no piece of a stream, even with an id.
+_LINE = (
+    rb"(?:(?!event: ?error[ \t]*[\r\n])[a-z][a-z0-9_.-]*+(?::[^\r\n]*+)?|:[^\r\n]*+)"
+)
+#: An event with one kind of line ends. A head that was written after a part of an event
+#: has others, or lines that are no fields.
+_WELL_FORMED = re.compile(
+    rb"\n*+(?:%b\n)++\n|(?:\r\n)*+(?:%b\r\n)++\r\n" % (_LINE, _LINE)
+)
 #: What has no fields: comments, and blank lines.
 _COMMENT = re.compile(rb"(?:(?::[^\r\n]*)?(?:\n|\r\n))*")
 
@@ -24,7 +34,7 @@
     NUMBERED = "an event"
     #: Only comments, which belong to no event and may be anywhere in a stream.
     COMMENT = "a comment"
-    #: Not a part of a stream, whose events all have ids.
+    #: Not a part of a stream: without an id, or with lines that are no fields.
     FOREIGN = "no event of the stream"
 
 
@@ -77,6 +87,8 @@
 def _make_event(content: bytes) -> Event:
     match = _EVENT_ID.search(content)
     if match is not None:
-        return Event(int(match[1]), content)
+        is_well_formed = _WELL_FORMED.fullmatch(content) is not None
+        kind = EventKind.NUMBERED if is_well_formed else EventKind.FOREIGN
+        return Event(int(match[1]), content, kind)
     is_comment = _COMMENT.fullmatch(content) is not None
     return Event(None, content, EventKind.COMMENT if is_comment else EventKind.FOREIGN)
