Take no other success for the rest of a stream

Callers saw: a stream that had broken off ended as complete, or went on with the body of an answer of another type or status; a caller that took its stream up got a success with status 204, 202 or of type text/plain.

Cause: any status from 200 to 299 of any type was read as a stream, and one that brought no event ended the stream of the attempts before it as complete.

A success counts as a stream only with status 200 and type text/event-stream. A type that is missing is allowed, since its bytes have to be events in sequence all the same. Within one answer to a caller, a target that goes on with a stream has to send an event; otherwise the stream is aborted. A caller that has all events and lost only the end takes the stream up, and gets the target's complete answer without events as before.

--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -208,6 +208,8 @@
         if head.is_false_promise:
             return await _discard_false_promise(answer, head, attempt.reservation)
         if head.is_success and stream is not None:
+            if not head.is_stream:
+                return _make_broken_failure("the answer is not a stream")
             return await _read_stream(attempt, answer, head, stream)
         return await _read_whole(answer, head, attempt.reservation)
 
@@ -371,6 +373,10 @@
         return _make_broken_failure("the stream ended within an event")
     if head.is_unframed and not stream.has_events:
         return _make_broken_failure("the stream ended before its first event")
+    if stream.adds_nothing:
+        # It may be an error without a text. A caller that has all events learns it when
+        # it takes the stream up.
+        return _make_broken_failure("the stream went on without an event")
     if not stream.finish(head):
         return _make_broken_failure(OTHER_ATTEMPT)
     return StreamDelivered(head)
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -19,6 +19,8 @@
     }
 )
 
+_EVENT_STREAM = "text/event-stream"
+
 
 @frozen
 class PromptPart:
@@ -191,3 +193,10 @@
     def is_success(self) -> bool:
         """Whether the status is in the 2xx class."""
         return 200 <= self.status < 300
+
+    @property
+    def is_stream(self) -> bool:
+        """Whether a success may hold events; a missing type is not taken amiss."""
+        content_type = self.headers.get("Content-Type", _EVENT_STREAM)
+        media_type = content_type.partition(";")[0].strip().lower()
+        return self.status == http.HTTPStatus.OK and media_type == _EVENT_STREAM
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -152,6 +152,11 @@
         """Whether an event of the attempt was sent."""
         return self._started_at is not None
 
+    @property
+    def adds_nothing(self) -> bool:
+        """Whether the caller got events in this answer, but none of this attempt."""
+        return self._stream.is_started and not self.has_events
+
     def get_running_seconds(self) -> float | None:
         """Return the seconds since the first event of the attempt; None without one."""
         if self._started_at is None:
