Read the bytes of broken streams from whole daemons

Guards against errors that callers get as a part of their stream, on the daemon's own path and through a tunnel.

--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -202,6 +202,38 @@
         finally:
             writer.close()
 
+    async def read_bytes(self, number, version="HTTP/1.1", lines=()):
+        """Read all bytes that a daemon sends in answer to a request.
+
+        Returns them, and whether the daemon reset the connection rather than ended it.
+
+        Parameters
+        ----------
+        number
+            Number of the daemon.
+        version
+            Version of HTTP that the caller speaks.
+        lines
+            More lines of the head.
+        """
+        headers = make_caller_headers(self._make_request_id())
+        fields = (f"{name}: {value}" for name, value in headers.items())
+        head = [f"POST /r/1 {version}", *fields, *lines, "Content-Length: 0", "", ""]
+        reader, writer = await asyncio.open_connection(
+            f"{NETWORK}.{number}", CALLER_PORT
+        )
+        received = bytearray()
+        is_reset = False
+        try:
+            writer.write("\r\n".join(head).encode())
+            while block := await reader.read(65_536):
+                received += block
+        except ConnectionResetError:
+            is_reset = True
+        finally:
+            writer.close()
+        return bytes(received), is_reset
+
     def _make_request_id(self):
         self._requests += 1
         return f"{self._requests:016x}"
--- a/kingcuphead/entry/tests/_target.py
+++ b/kingcuphead/entry/tests/_target.py
@@ -333,6 +333,43 @@
         writer.write(b"0\r\n\r\n")
 
 
+class BreakingTarget(StreamingTarget):
+    """Breaks streams off after two events, and answers a resumed one with bytes.
+
+    A request with a body gets a whole stream.
+
+    Parameters
+    ----------
+    rest
+        Bytes of the answer to a request that resumes a stream, with `@id` for its id;
+        the connection closes after them.
+    """
+
+    def __init__(self, name, version, register, rest=b""):
+        super().__init__(name, version, register)
+        self._rest = rest
+        #: Number of requests that resumed a stream.
+        self.resumptions = 0
+
+    async def answer(self, headers, body, writer):
+        request_id = headers["attempt-id"]
+        if body:
+            await super().answer(headers, body, writer)
+            return
+        if parse_resumption(headers):
+            self.resumptions += 1
+            writer.write(self._rest.replace(b"@id", request_id.encode()))
+            await writer.drain()
+            writer.close()
+            return
+        writer.write(make_stream_head(request_id))
+        for event_id in (1, 2):
+            writer.write(make_event(event_id, self.version))
+        await writer.drain()
+        await asyncio.sleep(EVENT_GAP)
+        writer.transport.abort()
+
+
 class PromptTarget(StreamingTarget):
     """Streams, and crashes when it begins to answer on a certain part of a prompt."""
 
