Reset streams without chunks that break off

Callers of HTTP/1.0 saw: a stream that broke off, or whose daemon ended, ended like a complete one. One that asked to keep the connection open saw no end of a complete stream, and the next answer on the connection would have followed it.

Cause: an answer to such a caller has no chunks, so only the end of the connection marks its end, and an aborted stream was closed in the same way. Tornado leaves the connection open after any answer if the caller asks for it.

From the head of such an answer on, the socket has a linger time of 0, so that every close resets the connection, also the one by the kernel when the process ends. The time is taken back once the whole answer is written, and the connection closes then whatever the caller asked for.

--- a/kingcuphead/entry/_http_caller.py
+++ b/kingcuphead/entry/_http_caller.py
@@ -1,8 +1,10 @@
 """Writes the answer to one request of a caller."""
 
+import asyncio
 import contextlib
 import http.client
 import socket
+import struct
 
 from tornado.http1connection import HTTP1Connection
 from tornado.httputil import HTTPHeaders, ResponseStartLine
@@ -122,6 +124,8 @@
         """Complete the answer; the rest of it is sent as the caller reads."""
         self._send_head(None)
         self._write_backlog()
+        if self._is_unframed:
+            self._end_cleanly()
         if not self._is_chunked and not self._connection.stream.closed():
             # Tornado closes the connection once its own last write is done, so it has
             # to know of one that follows the backlog. It writes the last chunk itself.
@@ -133,6 +137,32 @@
         self._backlog.clear()
         self._connection.close()
 
+    @property
+    def _is_unframed(self) -> bool:
+        """Whether the body that is sent has neither a length nor chunks."""
+        return not self._is_chunked and not self._has_length
+
+    def _end_cleanly(self) -> None:
+        """Let the connection end without a reset once all bytes are written."""
+        stream = self._connection.stream
+        if not stream.writing():
+            self._set_reset_on_close(False)
+            return
+        written = stream.write(b"")
+        written.add_done_callback(self._handle_end_written)
+
+    def _handle_end_written(self, written: "asyncio.Future[None]") -> None:
+        if written.exception() is None:
+            self._set_reset_on_close(False)
+
+    def _set_reset_on_close(self, is_reset: bool) -> None:
+        """Choose whether the connection is reset when it closes, or ends cleanly."""
+        stream = self._connection.stream
+        if not stream.closed():
+            # With a linger time of 0 the kernel sends a reset.
+            linger = struct.pack("ii", is_reset, 0)
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
     async def _wait_for_write(self) -> None:
         # The future of a write is done once all earlier bytes are sent, too.
         await self._connection.stream.write(b"")
@@ -150,6 +180,12 @@
         # Tornado has added this header unless the answer has a length.
         self._is_chunked = headers.get("Transfer-Encoding") == "chunked"
         self._has_length = "Content-Length" in headers
+        if self._is_unframed:
+            # Only the end of the connection marks that of the answer, so an incomplete
+            # one has to be reset, even if this process ends. Tornado would keep the
+            # connection open if the caller asked for it.
+            self._connection._disconnect_on_finish = True
+            self._set_reset_on_close(True)
         if self._is_chunked:
             # The next event doesn't wait until the caller has acknowledged this one.
             self._connection.stream.set_nodelay(True)
