Send one head for an answer, and end it when serving fails

What callers would see: the head and text of a refusal in the middle of a stream, or a stream that neither goes on nor ends. No path of the forwarder is known that leads there; each of them asks first whether the answer has begun.

Cause: the connection of a caller took a second status and sent it as the next bytes, and left an answer open whose task was cancelled or failed with a closed connection, be it that of a target.

Evidence: 8 of the 10 tests of TestAnswersThatHaveBegun in entry/tests/test_caller_server.py that serve in such a way failed before; all pass now.

A second head is a broken invariant, which aborts the answer like any other error; so do a cancelled task and a connection that has closed.

--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -170,6 +170,10 @@
             await caller.complete()
         except StreamClosedError:
             logger.bind(request_id=request_id).info("caller closed the connection")
+            caller.abort()
+        except asyncio.CancelledError:
+            caller.abort()
+            raise
         except Exception:
             logger.bind(request_id=request_id).exception(
                 "unexpected error while serving a request"
--- a/kingcuphead/entry/_http_caller.py
+++ b/kingcuphead/entry/_http_caller.py
@@ -12,6 +12,7 @@
 
 from kingcuphead.capacity import MESSAGE_OVERHEAD_BYTES, CallerConnection
 from kingcuphead.forwarding import STREAM_BUFFER_BYTES, MemoryReservation
+from kingcuphead.invariants import ensure
 
 #: Largest part of a body in bytes that is copied in order to send it with the head.
 MAX_JOINED_BYTES = 65_536
@@ -66,7 +67,11 @@
         return is_full and self.reservation.account.applies_backpressure
 
     def start(self, status: int, headers: HTTPHeaders) -> None:
-        """Set the status line and the headers of the answer."""
+        """Set the status line and the headers of the answer.
+
+        A second head would reach the caller in the middle of the body.
+        """
+        ensure(not self.is_started, "an answer has one head", status=status)
         reason = http.client.responses.get(status, "Unknown")
         self._unsent_head = (ResponseStartLine("HTTP/1.1", status, reason), headers)
         self.is_started = True
--- a/kingcuphead/entry/tests/test_caller_server.py
+++ b/kingcuphead/entry/tests/test_caller_server.py
@@ -1,11 +1,15 @@
 import asyncio
+import functools
 
 import pytest
+from tornado.httputil import HTTPHeaders
+from tornado.iostream import StreamClosedError
 
 from kingcuphead.capacity import CallerConnections
 from kingcuphead.entry._caller_server import CallerServer
-from kingcuphead.forwarding import RequestForwarder, RequestMemory
+from kingcuphead.forwarding import RequestForwarder, RequestMemory, refuse
 from kingcuphead.routing import CallerLimits
+from kingcuphead.verdict import Reason
 
 
 class EchoForwarder(RequestForwarder):
@@ -37,9 +41,19 @@
         caller.finish()
 
 
-def run(scenario):
+class ScriptedForwarder(RequestForwarder):
+    """Serves each request with a function."""
+
+    def __init__(self, serve):
+        self._serve = serve
+
+    async def serve(self, request, caller):
+        return await self._serve(caller)
+
+
+def run(scenario, make_forwarder=EchoForwarder):
     async def main():
-        forwarder = EchoForwarder()
+        forwarder = make_forwarder()
         server = CallerServer(forwarder, RequestMemory(), CallerConnections())
         server.apply_limits(CallerLimits(body_bytes=1_000))
         server.listen("127.0.0.1", 0)
@@ -204,3 +218,77 @@
             assert connection.caller == "127.0.0.1"
 
         run(scenario)
+
+
+def begin(caller):
+    caller.start(200, HTTPHeaders())
+    caller.send(b"event")
+
+
+async def refuse_after_begin(caller):
+    begin(caller)
+    return refuse(502, Reason.TARGET_FAILED)
+
+
+async def start_again(caller):
+    begin(caller)
+    caller.start(500, HTTPHeaders())
+    caller.send(b"error")
+    caller.finish()
+
+
+async def lose_target(caller):
+    begin(caller)
+    raise StreamClosedError
+
+
+async def fail(caller):
+    begin(caller)
+    raise RuntimeError
+
+
+async def cancel(caller):
+    begin(caller)
+    raise asyncio.CancelledError
+
+
+class TestAnswersThatHaveBegun:
+    @pytest.mark.parametrize(
+        "serve", [refuse_after_begin, start_again, lose_target, fail, cancel]
+    )
+    @pytest.mark.parametrize("version", [b"HTTP/1.1", b"HTTP/1.0"])
+    def test_nothing_follows_and_they_look_incomplete(self, serve, version):
+        """Guards against a refusal, or a second head, in the middle of a stream."""
+
+        async def scenario(forwarder, server, reader, writer):
+            writer.write(make_request().replace(b"HTTP/1.1", version))
+            head = await reader.readuntil(b"\r\n\r\n")
+            assert head.startswith(b"HTTP/1.1 200")
+            body = b""
+            try:
+                async with asyncio.timeout(1):
+                    while block := await reader.read(100):
+                        body += block
+                is_reset = False
+            except ConnectionResetError:
+                is_reset = True
+            assert is_reset is (version == b"HTTP/1.0")
+            assert body == (b"event" if is_reset else b"5\r\nevent\r\n")
+
+        run(scenario, functools.partial(ScriptedForwarder, serve))
+
+    def test_a_whole_one_without_chunks_that_is_not_sent_is_reset(self):
+        async def serve(caller):
+            begin(caller)
+            caller.send(b"x" * 20_000_000)
+            caller.finish()
+
+        async def scenario(forwarder, server, reader, writer):
+            writer.write(make_request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await reader.readuntil(b"event")
+            await server.close()
+            with pytest.raises(ConnectionResetError):
+                while await reader.read(1_000_000):
+                    pass
+
+        run(scenario, functools.partial(ScriptedForwarder, serve))
