Test that a stream that has begun gets no refusal

Guards against a refusal after the first event when the deadline passes, memory runs out or the request is quarantined.

--- a/kingcuphead/forwarding/tests/test_errors_within_streams.py
+++ b/kingcuphead/forwarding/tests/test_errors_within_streams.py
@@ -5,6 +5,7 @@
 from kingcuphead.forwarding import PromptSize
 from kingcuphead.forwarding.tests._harness import (
     STREAM,
+    RecordingCaller,
     make_request,
     make_route,
     run,
@@ -239,3 +240,41 @@
             assert (caller.status, caller.body, caller.end) == (200, b"", "finished")
 
         run([make_route(STREAM, resumable=True)], scenario)
+
+
+class TestEndsOfAStreamThatHasBegun:
+    """Guards against a refusal after the first event, whatever ends the stream."""
+
+    def quarantine(self, harness, caller):
+        harness.quarantine.get_remaining = lambda identity: 5.0
+
+    def end_for_memory(self, harness, caller):
+        caller.reservation.end()
+
+    def reach_deadline(self, harness, caller):
+        pass
+
+    @pytest.mark.parametrize(
+        ("end", "steps"),
+        [
+            ("quarantine", [0.1, ScriptedTarget.RESET]),
+            ("end_for_memory", [2.0]),
+            ("reach_deadline", [2.0]),
+        ],
+    )
+    def test_it_is_aborted(self, end, steps):
+        async def scenario(harness):
+            harness.first.script = [
+                [*harness.first.stream([1, 2], is_complete=False), *steps]
+            ]
+            caller = RecordingCaller(harness.memory)
+            request = make_request(STREAM)
+            serving = asyncio.create_task(harness.forwarder.serve(request, caller))
+            while caller.body != make_events(1, 2):
+                await asyncio.sleep(0.005)
+            getattr(self, end)(harness, caller)
+            assert await serving is None
+            assert (caller.body, caller.end) == (make_events(1, 2), "aborted")
+            assert not harness.second.received
+
+        run([make_route(STREAM, resumable=True, timeout=0.6)], scenario)
