Forward only fields and comments of an engine's answer

Callers of kingcupheadd saw: text of an error, or its whole head, in the middle of their stream.

Cause: a block without data lines was taken for a comment, and a block with one "choices" for each event for text, whatever else was in it.

A line that is neither a field nor a comment ends the answer as truncated. Text is forwarded without decoding only if each event is one line that ends its JSON.

--- a/kingcuphead/api/_answer.py
+++ b/kingcuphead/api/_answer.py
@@ -12,6 +12,7 @@
     EVENT_END,
     EventSplitter,
     OversizedEventError,
+    has_only_fields,
     read_payload,
 )
 from kingcuphead.verdict import Execution, Outcome, Reason, Verdict
@@ -24,6 +25,7 @@
 _DONE_PAYLOAD = b"[DONE]"
 _FINISH_REASON_KEY = b'"finish_reason"'
 _NULL_FINISH_REASONS = (b'"finish_reason":null', b'"finish_reason": null')
+_JSON_END = b"}" + EVENT_END
 _CHOICES_KEY = b'"choices"'
 
 
@@ -174,6 +176,8 @@
     def _process_event(self, event: bytes) -> bool:
         """Process one event; return whether it may be forwarded now."""
         payload = read_payload(event)
+        if self._phase is _Phase.TEXT and not has_only_fields(event):
+            self._fail("held lines that are no fields")
         match self._phase:
             case _Phase.FAILED | _Phase.DONE:
                 return False
@@ -223,9 +227,13 @@
 
     A block with a finish reason, an error, a comment or `[DONE]` fails the check:
     each event must have `choices`, and each `finish_reason` must be null. JSON
-    escapes quotation marks in strings, so text can't contain the searched bytes.
+    escapes quotation marks in strings, so text can't contain the searched bytes. So
+    does one with other lines than those of the events' JSON, as of an error.
     """
-    if block.count(_CHOICES_KEY) != block.count(EVENT_END):
+    events = block.count(EVENT_END)
+    if block.count(_CHOICES_KEY) != events or block.count(_JSON_END) != events:
+        return False
+    if block.count(b"\n") != events * len(EVENT_END):
         return False
     unfinished = block.count(_NULL_FINISH_REASONS[0]) + block.count(
         _NULL_FINISH_REASONS[1]
--- a/kingcuphead/api/_events.py
+++ b/kingcuphead/api/_events.py
@@ -8,6 +8,8 @@
 DONE_EVENT = b"data: [DONE]\n\n"
 
 _DATA = b"data:"
+#: What a line of an event begins with; a comment begins with a colon.
+_FIELDS = (_DATA, b":", b"id:", b"event:", b"retry:")
 
 
 class OversizedEventError(Exception):
@@ -81,3 +83,8 @@
         if line.startswith(_DATA)
     ]
     return b"\n".join(lines) if lines else None
+
+
+def has_only_fields(event: bytes) -> bool:
+    """Return whether all lines of one event are fields or comments."""
+    return all(line.startswith(_FIELDS) for line in event.split(b"\n") if line)
--- a/kingcuphead/api/tests/test_answer.py
+++ b/kingcuphead/api/tests/test_answer.py
@@ -99,6 +99,22 @@
         _, forwarded = feed_chunks([b": alive\n\n" + TEXT[0]])
         assert forwarded == b": alive\n\n" + TEXT[0]
 
+    @pytest.mark.parametrize(
+        "block",
+        [
+            b"no engine\n\n",
+            b"HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nno",
+            TEXT[0][:-2] + b"HTTP/1.1 500 Error\r\nContent-Length: 2\r\n\r\nno",
+            TEXT[0][:-2] + b"HTTP/1.1 500 Error\r\n\r\n",
+            TEXT[0][:-1] + b"HTTP/1.1 500 Error\n\n",
+        ],
+    )
+    def test_an_error_within_the_text_is_not_forwarded(self, block):
+        """Guards against text of an error, or its head, in a caller's stream."""
+        stream, forwarded = feed_chunks([*TEXT, block, FINISH, USAGE, DONE])
+        assert forwarded == b"".join(TEXT)
+        assert stream.finish().is_error()
+
 
 class TestAssembledAnswer:
     def test_text(self):
