--- a/kingcuphead/forwarding/_events.py
+++ b/kingcuphead/forwarding/_events.py
@@ -1,5 +1,6 @@
 """Splits the bytes of a server-sent event stream into complete events."""
 
+import enum
 import re
 
 from kingcuphead.frozen import frozen
@@ -12,17 +13,42 @@
 _MAX_END_BYTES = 4
 #: The first `id` field of an event with a numeric value.
 _EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ \t\v\f]*([0-9]+)[ \t\v\f]*(?=[\r\n])")
+#: A field or a comment. Names of fields are in lower case, unlike those of headers; an
+#: error is no piece of a stream, even with an id.
+_LINE = (
+    rb"(?:(?!event: ?error[ \t]*[\r\n])[a-z][a-z0-9_.-]*+(?::[^\r\n]*+)?|:[^\r\n]*+)"
+)
+#: An event with one kind of line ends. A head that was written after a part of an event
+#: has others, or lines that are no fields.
+_WELL_FORMED = re.compile(
+    rb"\n*+(?:%b\n)++\n|(?:\r\n)*+(?:%b\r\n)++\r\n" % (_LINE, _LINE)
+)
+#: What has no fields: comments, and blank lines.
+_COMMENT = re.compile(rb"(?:(?::[^\r\n]*)?(?:\n|\r\n))*")
+
+
+class EventKind(enum.Enum):
+    """What the bytes up to a blank line are."""
+
+    #: An event of the stream, which has an id.
+    NUMBERED = "an event"
+    #: Only comments, which belong to no event and may be anywhere in a stream.
+    COMMENT = "a comment"
+    #: Not a part of a stream: without an id, or with lines that are no fields.
+    FOREIGN = "no event of the stream"
 
 
 @frozen
 class Event:
-    """One complete event of a stream."""
+    """One complete event of a stream, or comments."""
 
     #: Value of the id field, which rises by one with each event; None without a
     #: numeric id.
     event_id: int | None
     #: Bytes of the event, including the blank line at its end.
     content: bytes
+    #: What the bytes are.
+    kind: EventKind = EventKind.NUMBERED
 
 
 class EventSplitter:
@@ -60,4 +86,9 @@
 
 def _make_event(content: bytes) -> Event:
     match = _EVENT_ID.search(content)
-    return Event(None if match is None else int(match[1]), content)
+    if match is not None:
+        is_well_formed = _WELL_FORMED.fullmatch(content) is not None
+        kind = EventKind.NUMBERED if is_well_formed else EventKind.FOREIGN
+        return Event(int(match[1]), content, kind)
+    is_comment = _COMMENT.fullmatch(content) is not None
+    return Event(None, content, EventKind.COMMENT if is_comment else EventKind.FOREIGN)
