Bound the log lines about datagrams that can't be decoded

An unknown word of 50,000 characters made a line of 50,079. A later version that sends messages new to this one caused a line for each of them; now one a minute and sender, for 256 senders at most.

--- a/kingcuphead/datagrams/_socket.py
+++ b/kingcuphead/datagrams/_socket.py
@@ -13,6 +13,7 @@
     decode_datagram,
     encode_datagram,
 )
+from kingcuphead.logs import RepetitionLimit, quote
 
 #: Bytes of the UDP, IP and Ethernet headers of a datagram.
 PACKET_OVERHEAD_BYTES = 46
@@ -30,6 +31,7 @@
     def __init__(self, handle_message: Callable[[Datagram, Address], None]) -> None:
         self._handle_message = handle_message
         self._transport: asyncio.DatagramTransport | None = None
+        self._repetitions = RepetitionLimit()
 
     async def open(self, address: Address) -> None:
         """Bind the socket to an address and start receiving."""
@@ -60,7 +62,10 @@
         try:
             message = decode_datagram(data)
         except DatagramError as error:
-            logger.warning("cannot decode datagram from {}: {}", addr[0], error)
+            # A later version sends messages that are new to this one all the time.
+            if self._repetitions.allows(addr[0]):
+                cause = quote(error)
+                logger.warning("cannot decode datagram from {}: {}", addr[0], cause)
             return
         self._handle_message(message, addr)
 
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -6,7 +6,10 @@
 from unittest import mock
 
 import pytest
+from loguru import logger
 
+from kingcuphead.capacity import CapacityReported
+from kingcuphead.capacity._messages import Readiness
 from kingcuphead.credit import CreditAsked, CreditHanded
 from kingcuphead.datagrams import (
     Datagram,
@@ -188,3 +191,42 @@
         socket.datagram_received(b"\xff" * 9, ("127.0.0.1", 1))
         socket.datagram_received(encode_datagram(MESSAGES[2]), ("127.0.0.1", 1))
         assert received == [MESSAGES[2]]
+
+
+class TestLogOfMalformedDatagrams:
+    """Guards against a log that another version fills with messages new to this one."""
+
+    @pytest.fixture
+    def lines(self):
+        lines: list[str] = []
+        sink = logger.add(lambda line: lines.append(str(line)), format="{message}")
+        yield lines
+        logger.remove(sink)
+
+    def test_a_line_has_a_bounded_length(self, lines):
+        readiness = b"x" * 50_000
+        report = CapacityReported("a/1", 1, "z", 0.5, Readiness.UNREADY)
+        # Compact protocol: a length of 7 is one byte, one of 50,000 three.
+        datagram = encode_datagram(report).replace(
+            b"\x07unready", b"\xd0\x86\x03" + readiness
+        )
+        socket = DatagramSocket(lambda message, sender: None)
+        socket.datagram_received(datagram, ("127.0.0.1", 1))
+        (line,) = lines
+        assert "readiness" in line.lower()
+        assert len(line) <= 300
+
+    def test_a_daemon_causes_one_line_a_minute(self, lines):
+        socket = DatagramSocket(lambda message, sender: None)
+        for number in range(1_000):
+            socket.datagram_received(b"\xff" * (1 + number % 9), ("127.0.0.1", 1))
+        assert len(lines) == 1
+        socket.datagram_received(b"\xff", ("127.0.0.2", 1))
+        assert len(lines) == 2
+
+    def test_unknown_addresses_cause_a_bounded_number_of_lines(self, lines):
+        socket = DatagramSocket(lambda message, sender: None)
+        for number in range(10_000):
+            sender = (f"10.1.{number // 250}.{number % 250}", 1)
+            socket.datagram_received(b"\xff", sender)
+        assert len(lines) <= 512
