--- a/kingcuphead/paths/_frames.py
+++ b/kingcuphead/paths/_frames.py
@@ -8,6 +8,7 @@
 from tornado.iostream import IOStream
 
 from kingcuphead.forwarding import TargetStream
+from kingcuphead.logs import quote
 from kingcuphead.paths._messages import TunnelAnswered, TunnelAsked
 from kingcuphead.wire import find_codec, make_struct
 from kingcuphead.wire.generated import datagram as structs
@@ -56,5 +57,6 @@
         message: T = find_codec(name, structs).decode(encoded)
     # The accelerated decoder raises exceptions of many types for malformed input.
     except Exception as error:
-        raise MalformedMessageError(f"{type(error).__name__}: {error}") from error
+        cause = quote(error)
+        raise MalformedMessageError(f"{type(error).__name__}: {cause}") from error
     return message
--- a/kingcuphead/wire/tests/test_other_versions.py
+++ b/kingcuphead/wire/tests/test_other_versions.py
@@ -211,6 +211,15 @@
 class TestUndecodableMessages:
     """Guards against bytes that end a daemon, fill its log or become a message."""
 
+    @pytest.mark.parametrize(
+        "content",
+        [b"", b"\xff" * 40, write_struct({1: (TType.STRING, "x" * 1_000)})],
+    )
+    def test_undecodable_tunnel_messages_have_short_errors(self, content):
+        with pytest.raises(MalformedMessageError) as raised:
+            read_tunnel_message(TunnelAnswered, content)
+        assert len(str(raised.value)) <= 200
+
     @pytest.mark.parametrize("message", MESSAGES)
     def test_a_part_of_a_datagram_is_no_message(self, message):
         content = encode_datagram(message)
