Leave out daemon rows whose address can't be used

A row with port 70000 closed the datagram socket of each daemon that read it, and the name of a host was looked up on the event loop.

--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import random
+import socket
 from collections.abc import Callable, Iterator
 
 import msgspec
@@ -10,6 +11,7 @@
 from loguru import logger
 
 from kingcuphead.addresses import Address
+from kingcuphead.logs import RepetitionLimit, quote
 from kingcuphead.platform import Store
 from kingcuphead.storage import Delete, Put, Row, Transaction
 
@@ -20,6 +22,8 @@
 #: Bounds of the seconds between two polls that are made early, because a daemon was
 #: heard of that isn't listed. While a fleet starts, each poll finds several of them.
 MIN_EARLY_INTERVAL, MAX_EARLY_INTERVAL = 0.4, 0.8
+#: Highest number of a port.
+MAX_PORT = 65_535
 
 
 class DaemonRow(msgspec.Struct, frozen=True):
@@ -66,6 +70,7 @@
         self._poll_interval = poll_interval
         self._is_leaving = False
         self._known: set[Address] = set()
+        self._repetitions = RepetitionLimit()
         self._unknown_heard = asyncio.Event()
         #: Event loop's time before which no poll is made early.
         self._early_poll_at = float("-inf")
@@ -129,7 +134,26 @@
                 continue
             try:
                 daemon = _DECODER.decode(row.value)
-            except msgspec.MsgspecError as error:
-                logger.warning("cannot decode daemon row {}: {}", row.key, error)
+                _check_address(daemon, self._own_address)
+            except (msgspec.MsgspecError, ValueError) as error:
+                if self._repetitions.allows(row.key):
+                    key, cause = quote(row.key), quote(error)
+                    logger.warning("cannot decode daemon row {}: {}", key, cause)
                 continue
             yield daemon.host, daemon.port
+
+
+def _check_address(daemon: DaemonRow, own_address: Address) -> None:
+    """Raise `ValueError` unless a datagram can be sent to the address of a daemon.
+
+    A port out of range closes the socket for good, and the name of a host is looked up
+    while the event loop waits.
+    """
+    own_host, _ = own_address
+    family = socket.AF_INET6 if ":" in own_host else socket.AF_INET
+    try:
+        socket.inet_pton(family, daemon.host)
+    except OSError as error:
+        raise ValueError(f"no address of this network: {daemon.host}") from error
+    if not 0 < daemon.port <= MAX_PORT:
+        raise ValueError(f"no port: {daemon.port}")
--- a/kingcuphead/entry/tests/test_peers.py
+++ b/kingcuphead/entry/tests/test_peers.py
@@ -3,7 +3,9 @@
 import msgspec
 import pytest
 from expression import Error, Ok
+from loguru import logger
 
+from kingcuphead.addresses import Address
 from kingcuphead.entry._peers import DaemonRow, PeerDiscovery
 from kingcuphead.storage import (
     Committed,
@@ -119,3 +121,61 @@
         store = ScriptedStore()
         store.is_down = True
         assert self.run(store) == []
+
+
+class TestUndecodableRows:
+    """Guards against a row of another version that stops the exchange of datagrams."""
+
+    def discover(self, value, polls=5):
+        store = ScriptedStore()
+        store.rows["x"] = Row("x", 1, value)
+        found: list[tuple[Address, ...]] = []
+        lines: list[str] = []
+
+        async def run():
+            task = asyncio.create_task(make_discovery(store, found.append).run())
+            async with asyncio.timeout(5):
+                while len(found) < polls and not task.done():
+                    await asyncio.sleep(0.01)
+            if task.done():
+                await task
+            task.cancel()
+
+        sink = logger.add(
+            lambda line: lines.append(str(line)), format="{message}", level="WARNING"
+        )
+        try:
+            asyncio.run(run())
+        finally:
+            logger.remove(sink)
+        return found[-1], lines
+
+    @pytest.mark.parametrize(
+        "value",
+        [
+            b"",
+            b"[]",
+            b"\xff",
+            b'{"host": "\xff", "port": 1}',
+            b'{"host": "10.0.0.3"}',
+            b'{"host": "10.0.0.3", "port": "1"}',
+            b'{"host": "10.0.0.3", "port": 0}',
+            b'{"host": "10.0.0.3", "port": 70000}',
+            b'{"host": "10.0.0.3", "port": -1}',
+            b'{"host": "d3.example", "port": 7340}',
+            b'{"host": "a..b", "port": 7340}',
+            b'{"host": "", "port": 7340}',
+            b'{"host": "fe80::1", "port": 7340}',
+        ],
+    )
+    def test_an_undecodable_row_is_left_out_with_one_line(self, value):
+        peers, lines = self.discover(value)
+        assert peers == (("10.0.0.2", 7340),)
+        assert len(lines) == 1
+        assert len(lines[0]) <= 300
+
+    def test_new_fields_of_a_row_are_ignored(self):
+        row = {"host": "10.0.0.3", "port": 7340, "version": "2", "ports": [1]}
+        peers, lines = self.discover(msgspec.json.encode(row))
+        assert peers == (("10.0.0.2", 7340), ("10.0.0.3", 7340))
+        assert lines == []
