A quarantine row with a huge time ends no daemon

An integer too large for a float raised OverflowError, which ended the task and the daemon. An undecodable row caused a line at each read; now one a minute.

--- a/kingcuphead/quarantine/_rows.py
+++ b/kingcuphead/quarantine/_rows.py
@@ -3,6 +3,7 @@
 import msgspec
 from loguru import logger
 
+from kingcuphead.logs import RepetitionLimit, quote
 from kingcuphead.quarantine._messages import FingerprintQuarantined, SavedCrash
 from kingcuphead.quarantine._subjects import RequestIdentity
 from kingcuphead.storage import Row
@@ -62,7 +63,9 @@
     return msgspec.json.encode(_CrashRow(crashed_ms, crash.request.parts))
 
 
-def decode_row(row: Row, store_time: int) -> FingerprintQuarantined | SavedCrash | None:
+def decode_row(
+    row: Row, store_time: int, repetitions: RepetitionLimit
+) -> FingerprintQuarantined | SavedCrash | None:
     """Return the content of a row; None for a malformed one, which is logged.
 
     Parameters
@@ -71,14 +74,19 @@
         Row of the table; the time left of an expired quarantine is negative.
     store_time
         Time of the store in milliseconds.
+    repetitions
+        Bounds the lines about malformed rows.
     """
     try:
         if row.key.startswith(CRASH_PREFIX):
             return _decode_crash(row, store_time)
         expires_ms = _QUARANTINE_DECODER.decode(row.value).expires_ms
         return FingerprintQuarantined(row.key, (expires_ms - store_time) / 1000)
-    except (msgspec.MsgspecError, ValueError) as error:
-        logger.warning("cannot decode quarantine row {}: {}", row.key, error)
+    # A time may be too large for a float.
+    except (msgspec.MsgspecError, ValueError, OverflowError) as error:
+        if repetitions.allows(row.key):
+            key, cause = quote(row.key), quote(error)
+            logger.warning("cannot decode quarantine row {}: {}", key, cause)
         return None
 
 
--- a/kingcuphead/quarantine/_table.py
+++ b/kingcuphead/quarantine/_table.py
@@ -1,11 +1,12 @@
 """Keeps crashes and quarantined fingerprints in a part of the store's table."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 
 from expression import Result
 from loguru import logger
 
 from kingcuphead.frozen import frozen
+from kingcuphead.logs import RepetitionLimit
 from kingcuphead.quarantine._messages import (
     FingerprintQuarantined,
     QuarantineEntry,
@@ -51,6 +52,7 @@
 
     def __init__(self, part: TablePart) -> None:
         self._part = part
+        self._repetitions = RepetitionLimit()
 
     async def read(self) -> QuarantineRows | None:
         """Return the rows; None while the store doesn't answer."""
@@ -62,7 +64,11 @@
                 return None
         if store_time is None:
             return None
-        return _sort_rows(snapshot.rows, store_time)
+        contents = [
+            (row, decode_row(row, store_time, self._repetitions))
+            for row in snapshot.rows
+        ]
+        return _sort_rows(contents, store_time)
 
     async def save(
         self,
@@ -96,8 +102,10 @@
         logger.debug("write to the quarantine table: {}", type(outcome).__name__)
 
 
-def _sort_rows(rows: tuple[Row, ...], store_time: int) -> QuarantineRows:
-    contents = [(row, decode_row(row, store_time)) for row in rows]
+def _sort_rows(
+    contents: Sequence[tuple[Row, FingerprintQuarantined | SavedCrash | None]],
+    store_time: int,
+) -> QuarantineRows:
     crashes = [each for _, each in contents if isinstance(each, SavedCrash)]
     crashes = [each for each in crashes if each.age <= CRASH_LIFETIME]
     crashes = sorted(crashes, key=lambda crash: crash.age)[:MAX_CRASHES]
--- a/kingcuphead/wire/tests/test_recorded.py
+++ b/kingcuphead/wire/tests/test_recorded.py
@@ -27,6 +27,7 @@
 from kingcuphead.credit._stamp import ReserveStamp
 from kingcuphead.datagrams import _codec, decode_datagram
 from kingcuphead.entry._peers import PeerDiscovery
+from kingcuphead.logs import RepetitionLimit
 from kingcuphead.paths._frames import read_message
 from kingcuphead.paths._messages import TunnelAnswered, TunnelAsked
 from kingcuphead.quarantine._rows import decode_row
@@ -96,10 +97,13 @@
     "stamp": (decode_stamp, _samples.STAMP),
     "daemon": (decode_daemon, (_samples.DAEMON.host, _samples.DAEMON.port)),
     "quarantine": (
-        lambda row: decode_row(row, _samples.STORE_TIME),
+        lambda row: decode_row(row, _samples.STORE_TIME, RepetitionLimit()),
         _samples.QUARANTINED,
     ),
-    "crash": (lambda row: decode_row(row, _samples.STORE_TIME), _samples.CRASH),
+    "crash": (
+        lambda row: decode_row(row, _samples.STORE_TIME, RepetitionLimit()),
+        _samples.CRASH,
+    ),
     "version": (lambda row: next(iter(decode_rows((row,)))), _samples.VERSION),
 }
 
