--- a/kingcuphead/quarantine/tests/test_rows.py
+++ b/kingcuphead/quarantine/tests/test_rows.py
@@ -42,6 +42,9 @@
     def estimate_time(self):
         return STORE_TIME
 
+    def bound_time(self, moment):
+        return STORE_TIME
+
     async def commit(self, transaction):
         self.commits.append(transaction)
 
