A credit row that can't be decoded ends no daemon

A shard row of another form ended the credit task, and with it each daemon that read it. A key with a further segment was taken for that of a shard. Now nothing is allocated from the budget until the row can be decoded, with a line a minute; other organisations are served.

--- a/kingcuphead/credit/_era.py
+++ b/kingcuphead/credit/_era.py
@@ -8,8 +8,10 @@
 from collections.abc import Mapping
 
 import msgspec
+from loguru import logger
 
 from kingcuphead.credit._budget import Budget, Limit, Shard
+from kingcuphead.credit._decoding import UndecodableRowError, decode_row
 from kingcuphead.credit._messages import HolderRow, ShardRow
 from kingcuphead.credit._rows import (
     SHARDS_PREFIX,
@@ -60,7 +62,7 @@
     def budget(self) -> Budget:
         """The budget in the earlier era, with no row of the current one."""
         shards = {
-            get_shard_index(row.key): Shard(_SHARD.decode(row.value))
+            get_shard_index(row.key): Shard(decode_row(row, _SHARD))
             for row in self.rows
         }
         return Budget().with_shards(shards)
@@ -115,7 +117,13 @@
         return True
 
     def apply_rows(self, snapshot: RowSnapshot) -> Budget:
-        """Apply rows that were read in this era, and return the budget by them."""
+        """Apply rows that were read in this era, and return the budget by them.
+
+        Raises
+        ------
+        UndecodableRowError
+            What the budget has left isn't known, since a row is malformed.
+        """
         budget = read_budget(snapshot)
         self.earlier = None if budget.exists else find_earlier_shards(snapshot)
         if self._must_record and self._recorded is None:
@@ -181,9 +189,15 @@
 
 
 def decode_shards(rows: Mapping[int, Row]) -> dict[int, Shard]:
-    """Decode shard rows, by index."""
+    """Decode shard rows, by index.
+
+    Raises
+    ------
+    UndecodableRowError
+        What the budget has left isn't known, since a row is malformed.
+    """
     return {
-        index: Shard(_SHARD.decode(row.value), row.version)
+        index: Shard(decode_row(row, _SHARD), row.version)
         for index, row in rows.items()
     }
 
@@ -231,7 +245,11 @@
         base_version, base_era = earlier.version, earlier.era
     if row is None or row.version > base_version or get_holder_era(row.key) != base_era:
         return Received()
-    holder = _HOLDER.decode(row.value)
+    try:
+        holder = decode_row(row, _HOLDER)
+    except UndecodableRowError as error:
+        logger.warning("{}", error)
+        return Received()
     return Received(holder.received, holder.settled)
 
 
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -22,6 +22,7 @@
 from kingcuphead.credit._account import Account, Adjustment
 from kingcuphead.credit._budget import Shard
 from kingcuphead.credit._contact import StoreContact
+from kingcuphead.credit._decoding import decode_row
 from kingcuphead.credit._era import (
     EraState,
     Received,
@@ -196,6 +197,11 @@
             All rows whose keys begin with it.
         now
             Time in seconds.
+
+        Raises
+        ------
+        UndecodableRowError
+            What the budget has left isn't known, since a row is malformed.
         """
         self._contact.record_answer()
         if self._era.number is None:
@@ -204,6 +210,10 @@
         if snapshot.era == self.era and prefix == self.rows_prefix:
             self.account.update_budget(self._era.apply_rows(snapshot), now)
 
+    def forget_budget(self) -> None:
+        """Allocate nothing until rows are read again, since one can't be decoded."""
+        self.account.is_budget_known = False
+
     def find_shortage(self, tokens: int, store_time: int | None) -> Shortage | None:
         """Return why a transaction can't serve a request, or None if it may."""
         account = self.account
@@ -264,6 +274,11 @@
 
         An outcome in another era than that of the transaction proves nothing about the
         rows of the new one, because versions are given out again.
+
+        Raises
+        ------
+        UndecodableRowError
+            What the budget has left isn't known, since a row is malformed.
         """
         if isinstance(outcome, Committed | Conflict):
             self._contact.record_answer()
@@ -403,7 +418,7 @@
 
         Only this daemon writes its holder row, so a changed row names one of them.
         """
-        attempt = _HOLDER.decode(holder.value).attempt
+        attempt = decode_row(holder, _HOLDER).attempt
         applied = [each for each in self._in_doubt if each.attempt == attempt]
         ensure(
             len(applied) == 1,
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -7,10 +7,12 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.credit._decoding import UndecodableRowError
 from kingcuphead.credit._messages import CreditSettings, Shortage
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
 from kingcuphead.credit._reclaimer import Reclaimer
 from kingcuphead.credit._stamp import ReserveStamp
+from kingcuphead.logs import RepetitionLimit
 from kingcuphead.storage import (
     Committed,
     Conflict,
@@ -70,7 +72,9 @@
         self._reclaimer = Reclaimer(ledger, table, settings, stamp, self._rng)
         self._wake = asyncio.Event()
         self._renewed = asyncio.Condition()
-        #: Whether the store was unavailable or sent no reply to the last call.
+        self._repetitions = RepetitionLimit()
+        #: Whether the store was unavailable, sent no reply to the last call, or has a
+        #: row of the organisation that can't be decoded.
         self.is_store_down = False
 
     def wake(self) -> None:
@@ -107,8 +111,21 @@
         Returns
         -------
         bool
-            Whether the credit is as planned; False if the store is unavailable.
+            Whether the credit is as planned; False if the store is unavailable or has a
+            row that can't be decoded.
         """
+        try:
+            return await self._renew()
+        except UndecodableRowError as error:
+            # Nothing is allocated, since any other assumption about the row might let
+            # the fleet spend more than the budget.
+            self._ledger.forget_budget()
+            self.is_store_down = True
+            if self._repetitions.allows(error.key):
+                logger.bind(organisation=self._name).warning("{}", error)
+            return False
+
+    async def _renew(self) -> bool:
         conflict_delay = MIN_CONFLICT_DELAY_SECONDS
         while True:
             if self._ledger.needs_rows(get_time()) and not await self._read_rows():
--- a/kingcuphead/credit/_rows.py
+++ b/kingcuphead/credit/_rows.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+from kingcuphead.credit._budget import SHARD_COUNT
+from kingcuphead.credit._decoding import UndecodableRowError
 from kingcuphead.storage import Row
 
 #: Prefix of the keys of all shard rows.
@@ -29,12 +31,14 @@
 
 def get_shard_era(key: str) -> int:
     """Return the era in the key of a shard row."""
-    return int(key.split("/")[1])
+    era, _ = _parse_shard_key(key)
+    return era
 
 
 def get_shard_index(key: str) -> int:
     """Return the index in the key of a shard row."""
-    return int(key.split("/")[2])
+    _, index = _parse_shard_key(key)
+    return index
 
 
 def get_holder_era(key: str) -> int:
@@ -72,5 +76,18 @@
     return max(holders, key=lambda row: row.key, default=None)
 
 
+def _parse_shard_key(key: str) -> tuple[int, int]:
+    """Return the era and the index in the key of a shard row.
+
+    A key of another form, or of a shard beyond the last one, is an error: the budget
+    would have parts that this version doesn't count.
+    """
+    match key.removeprefix(SHARDS_PREFIX).split("/"):
+        case [era, index] if era.isdecimal() and index.isdecimal():
+            if make_shard_key(int(era), int(index)) == key and int(index) < SHARD_COUNT:
+                return int(era), int(index)
+    raise UndecodableRowError(key, "no key of a shard")
+
+
 def _make_shards_prefix(era: int) -> str:
     return f"{SHARDS_PREFIX}{era:0{_ERA_DIGITS}}/"
