An undecodable row of an earlier incarnation ends no daemon

The holder row of an earlier incarnation, which may have run another version, ended the next one soon after each start. Its reserve now stays charged.

--- a/kingcuphead/credit/_reclaim.py
+++ b/kingcuphead/credit/_reclaim.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from kingcuphead.credit._decoding import decode_row
 from kingcuphead.credit._messages import CreditSettings, HolderRow, ShardRow
 from kingcuphead.credit._rows import get_holder_incarnation, get_holder_prefix
 from kingcuphead.credit._stamp import StampRow
@@ -32,6 +33,17 @@
     unreleased: int
 
 
+def decode_holder(row: Row) -> HolderRow:
+    """Return the content of a holder row.
+
+    Raises
+    ------
+    UndecodableRowError
+        The row is malformed.
+    """
+    return decode_row(row, _HOLDER)
+
+
 def find_reclaimable(
     rows: Iterable[Row],
     own_key: str,
@@ -79,10 +91,8 @@
         A shard row of the organisation's budget in the same era.
     """
     holder = reclaim.holder
-    closed = msgspec.structs.replace(
-        _HOLDER.decode(holder.value), reserve=0, is_closed=True
-    )
-    row = _SHARD.decode(shard.value)
+    closed = msgspec.structs.replace(decode_holder(holder), reserve=0, is_closed=True)
+    row = decode_row(shard, _SHARD)
     row = msgspec.structs.replace(row, charged=row.charged - reclaim.unreleased)
     return Transaction(
         (Check(holder.key, holder.version), Check(shard.key, shard.version)),
@@ -101,7 +111,7 @@
     stamps: Mapping[str, StampRow],
 ) -> int:
     """Return the tokens not yet released when the next incarnation started."""
-    row = _HOLDER.decode(holder.value)
+    row = decode_holder(holder)
     if row.is_closed or not row.stamp_ms or row.era != era:
         return 0
     stamp_ms = row.stamp_ms
--- a/kingcuphead/credit/_reclaimer.py
+++ b/kingcuphead/credit/_reclaimer.py
@@ -7,9 +7,15 @@
 from expression import Result
 from loguru import logger
 
+from kingcuphead.credit._decoding import UndecodableRowError
 from kingcuphead.credit._messages import CreditSettings
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
-from kingcuphead.credit._reclaim import Reclaim, find_reclaimable, plan_reclaim
+from kingcuphead.credit._reclaim import (
+    Reclaim,
+    decode_holder,
+    find_reclaimable,
+    plan_reclaim,
+)
 from kingcuphead.credit._rows import SHARDS_PREFIX, select_shards
 from kingcuphead.credit._stamp import ReserveStamp
 from kingcuphead.storage import (
@@ -75,7 +81,7 @@
             case Result(tag="ok", ok=snapshot):
                 self._is_done = True
                 earlier = find_reclaimable(
-                    snapshot.rows,
+                    filter(_is_decodable, snapshot.rows),
                     self._ledger.holder_key,
                     snapshot.era,
                     started_at,
@@ -122,6 +128,16 @@
         return None
 
 
+def _is_decodable(holder: Row) -> bool:
+    """Whether a holder row can be decoded; otherwise its reserve stays charged."""
+    try:
+        decode_holder(holder)
+    except UndecodableRowError as error:
+        logger.warning("{}", error)
+        return False
+    return True
+
+
 def _has_row(rows: Sequence[Row], expected: Row) -> bool:
     """Whether the rows contain a row in the same version."""
     return any(
--- a/kingcuphead/credit/tests/test_other_versions.py
+++ b/kingcuphead/credit/tests/test_other_versions.py
@@ -8,7 +8,7 @@
 import pytest
 from loguru import logger
 
-from kingcuphead.credit import CreditLedger, CreditTask, ShardRow
+from kingcuphead.credit import CreditLedger, CreditTask, HolderRow, ShardRow
 from kingcuphead.credit._budget import SHARD_COUNT
 from kingcuphead.credit.tests._store import FaultyStore
 from kingcuphead.credit.tests.test_task import NAME, DisconnectableTable
@@ -186,3 +186,49 @@
 
         asyncio.run(run_daemon(store, scenario))
         assert lines == []
+
+
+class TestHolderRows:
+    """Guards against a row of an earlier incarnation that ends the next one."""
+
+    KEY = "holder/a/1/00000000"
+
+    def restart(self, store):
+        async def scenario(task):
+            assert (await task.hold(NAME, TOKENS, timeout=1.0)).is_ok()
+            await asyncio.sleep(0.7)
+
+        asyncio.run(run_daemon(store, scenario))
+
+    @pytest.mark.parametrize(
+        "value", [b"", b"\xff", b"[]", b"{}", b'{"attempt": "1"}', b'{"era": 0}']
+    )
+    def test_an_undecodable_reserve_stays_charged(self, lines, value):
+        store = make_store()
+        put(store, NAME, self.KEY, value)
+        self.restart(store)
+        (row,) = store.read(NAME, self.KEY).rows
+        assert row.value == value
+        assert len([line for line in lines if "cannot decode" in line]) == 1
+
+    def test_other_reserves_are_reclaimed(self, lines):
+        store = make_store()
+        put(store, NAME, self.KEY, b"{}")
+        holder = HolderRow(1, stamp_ms=store.time_ms, reserve=3_000, received=3_000)
+        put(store, NAME, "holder/a/0/00000000", msgspec.json.encode(holder))
+        shard = msgspec.json.encode(ShardRow(charged=3_000))
+        put(store, NAME, "shard/00000000/00", shard)
+        self.restart(store)
+        (row,) = store.read(NAME, "holder/a/0/").rows
+        assert msgspec.json.decode(row.value, type=HolderRow).is_closed
+
+    def test_new_fields_are_ignored(self, lines):
+        store = make_store()
+        shard = msgspec.json.encode(ShardRow(charged=3_000))
+        put(store, NAME, "shard/00000000/00", shard)
+        holder = {"attempt": 1, "stamp_ms": store.time_ms, "reserve": 3_000}
+        put(store, NAME, self.KEY, json.dumps(holder | {"cause": {"a": 1}}).encode())
+        self.restart(store)
+        (row,) = store.read(NAME, self.KEY).rows
+        assert msgspec.json.decode(row.value, type=HolderRow).is_closed
+        assert lines == []
