--- a/kingcuphead/credit/_stamp.py
+++ b/kingcuphead/credit/_stamp.py
@@ -6,11 +6,13 @@
 """
 
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import msgspec
+from loguru import logger
 
 from kingcuphead.credit._contact import StoreContact
+from kingcuphead.credit._decoding import UndecodableRowError, decode_row
 from kingcuphead.storage import (
     CommitOutcome,
     Committed,
@@ -86,10 +88,13 @@
         """Apply the rows of all incarnations of this daemon."""
         self.begin_era(snapshot.era)
         rows = [row for row in snapshot.rows if row.key != self._key]
+        stamps = dict(_decode_stamps(rows))
         self.earlier = {
-            row.key.removeprefix(self.prefix): _STAMP.decode(row.value) for row in rows
+            key.removeprefix(self.prefix): stamp for key, stamp in stamps.items()
         }
-        self._expired_keys = tuple(row.key for row in rows if _is_old(row, store_time))
+        self._expired_keys = tuple(
+            key for key, stamp in stamps.items() if _is_old(stamp, store_time)
+        )
 
     def begin_era(self, era: int) -> None:
         """Handle a restore of the store from a copy; an earlier era is ignored."""
@@ -133,5 +138,14 @@
         self.is_established = True
 
 
-def _is_old(row: Row, store_time: int) -> bool:
-    return store_time - _STAMP.decode(row.value).stamp_ms > STAMP_RETENTION_MS
+def _decode_stamps(rows: Iterable[Row]) -> Iterator[tuple[str, StampRow]]:
+    """Yield key and content of each row; a malformed one counts as no stamp."""
+    for row in rows:
+        try:
+            yield row.key, decode_row(row, _STAMP)
+        except UndecodableRowError as error:
+            logger.warning("{}", error)
+
+
+def _is_old(stamp: StampRow, store_time: int) -> bool:
+    return store_time - stamp.stamp_ms > STAMP_RETENTION_MS
--- a/kingcuphead/credit/tests/test_other_versions.py
+++ b/kingcuphead/credit/tests/test_other_versions.py
@@ -10,6 +10,7 @@
 
 from kingcuphead.credit import CreditLedger, CreditTask, HolderRow, ShardRow
 from kingcuphead.credit._budget import SHARD_COUNT
+from kingcuphead.credit._stamp import StampRow
 from kingcuphead.credit.tests._store import FaultyStore
 from kingcuphead.credit.tests.test_task import NAME, DisconnectableTable
 from kingcuphead.routing import Organisation
@@ -232,3 +233,34 @@
         (row,) = store.read(NAME, self.KEY).rows
         assert msgspec.json.decode(row.value, type=HolderRow).is_closed
         assert lines == []
+
+
+class TestStampRows:
+    """Guards against a stamp of an earlier incarnation that ends the next one."""
+
+    def restart(self, store):
+        async def scenario(task):
+            assert (await task.hold(NAME, TOKENS, timeout=1.0)).is_ok()
+            await asyncio.sleep(0.7)
+
+        return asyncio.run(run_daemon(store, scenario))
+
+    @pytest.mark.parametrize(
+        "value", [b"", b"\xff", b"[]", b"{}", b'{"era": 0}', b'{"stamp_ms": 1}']
+    )
+    def test_an_undecodable_stamp_counts_as_none(self, lines, value):
+        store = make_store()
+        put(store, STAMPS, "a/1", value)
+        put(store, STAMPS, "a/0", msgspec.json.encode(StampRow(0, 900)))
+        task = self.restart(store)
+        assert task.ledger.stamp.earlier == {"0": StampRow(0, 900)}
+        # The row of the running incarnation is written all the same.
+        assert store.read(STAMPS, "a/2").rows
+        assert len([line for line in lines if "cannot decode" in line]) == 1
+
+    def test_new_fields_are_ignored(self, lines):
+        store = make_store()
+        put(store, STAMPS, "a/1", b'{"era": 0, "stamp_ms": 900, "new": [1]}')
+        task = self.restart(store)
+        assert task.ledger.stamp.earlier == {"1": StampRow(0, 900)}
+        assert lines == []
