--- a/kingcuphead/platform/tests/_table_store.py
+++ b/kingcuphead/platform/tests/_table_store.py
@@ -21,6 +21,15 @@
     def put(self, table, part, key, value):
         """Write a row; `value` is base64, None removes the row."""
         self.version += 1
+        self._write(table, part, key, value)
+
+    def apply(self, writes):
+        """Write several rows, which get the same version."""
+        self.version += 1
+        for write in writes:
+            self._write(*write)
+
+    def _write(self, table, part, key, value):
         scope = {"table": table, "part": part, "key": key}
         content = {"value": "", "removed": True} if value is None else {"value": value}
         row = {**scope, "ver": self.version, **content}
@@ -111,8 +120,8 @@
             self.set_status(412)
             self.reply(rows=[row for row in current if row["ver"]])
             return
-        for row in call["puts"]:
-            self.store.put(row["table"], row["part"], row["key"], row["value"])
-        for row in call["remove"]:
-            self.store.put(row["table"], row["part"], row["key"], None)
+        writes = [*call["puts"], *call["remove"]]
+        self.store.apply(
+            (row["table"], row["part"], row["key"], row.get("value")) for row in writes
+        )
         self.reply()
