--- a/kingcuphead/credit/_decoding.py
+++ b/kingcuphead/credit/_decoding.py
@@ -7,7 +7,10 @@
 from kingcuphead.logs import quote
 from kingcuphead.storage import Row
 
-T = TypeVar("T")
+T = TypeVar("T", bound=msgspec.Struct)
+
+#: Largest number in a row; sums of several can still be turned into floats.
+MAX_NUMBER = 10**300
 
 
 class UndecodableRowError(ValueError):
@@ -20,14 +23,17 @@
 
 
 def decode_row(row: Row, decoder: "msgspec.json.Decoder[T]") -> T:
-    """Return the content of a row.
+    """Return the content of a row, all of whose fields are numbers.
 
     Raises
     ------
     UndecodableRowError
-        The value of the row is malformed.
+        The value of the row is malformed, or a number in it is too large.
     """
     try:
-        return decoder.decode(row.value)
+        content = decoder.decode(row.value)
     except (msgspec.MsgspecError, UnicodeDecodeError) as error:
         raise UndecodableRowError(row.key, error) from error
+    if any(abs(number) > MAX_NUMBER for number in msgspec.structs.astuple(content)):
+        raise UndecodableRowError(row.key, "a number is too large")
+    return content
--- a/kingcuphead/credit/tests/test_other_versions.py
+++ b/kingcuphead/credit/tests/test_other_versions.py
@@ -20,7 +20,18 @@
 LIMIT = 240_000
 TOKENS = 2_000
 STAMPS = "stamps"
-UNDECODABLE = [b"", b"\xff", b"{}", b'["900"]', b"[900.5]", b'[900, 1, {"a": 1}]']
+#: An integer that is too large for a float.
+HUGE = b"1" + b"0" * 400
+UNDECODABLE = [
+    b"",
+    b"\xff",
+    b"{}",
+    b'["900"]',
+    b"[900.5]",
+    b'[900, 1, {"a": 1}]',
+    b"[%s]" % HUGE,
+    b"[-%s]" % HUGE,
+]
 
 
 class PartTable(DisconnectableTable):
@@ -202,7 +213,17 @@
         asyncio.run(run_daemon(store, scenario))
 
     @pytest.mark.parametrize(
-        "value", [b"", b"\xff", b"[]", b"{}", b'{"attempt": "1"}', b'{"era": 0}']
+        "value",
+        [
+            b"",
+            b"\xff",
+            b"[]",
+            b"{}",
+            b'{"attempt": "1"}',
+            b'{"era": 0}',
+            b'{"attempt": 1, "reserve": 9, "stamp_ms": %s}' % HUGE,
+            b'{"attempt": 1, "stamp_ms": 1000, "reserve": %s}' % HUGE,
+        ],
     )
     def test_an_undecodable_reserve_stays_charged(self, lines, value):
         store = make_store()
@@ -246,7 +267,16 @@
         return asyncio.run(run_daemon(store, scenario))
 
     @pytest.mark.parametrize(
-        "value", [b"", b"\xff", b"[]", b"{}", b'{"era": 0}', b'{"stamp_ms": 1}']
+        "value",
+        [
+            b"",
+            b"\xff",
+            b"[]",
+            b"{}",
+            b'{"era": 0}',
+            b'{"stamp_ms": 1}',
+            b'{"era": 0, "stamp_ms": %s}' % HUGE,
+        ],
     )
     def test_an_undecodable_stamp_counts_as_none(self, lines, value):
         store = make_store()
