--- a/kingcuphead/permits/_bucket.py
+++ b/kingcuphead/permits/_bucket.py
@@ -5,6 +5,9 @@
 #: Tokens per second of a target that states a limit of 0 or nearly so; without any
 #: request it could not state the end of the limit.
 MIN_RATE = 0.2
+#: Tokens per second of a bucket whose rate is 0 or invalid. The terms of a target come
+#: from other daemons, too, which may run another version.
+LEAST_RATE = 0.001
 
 
 class TokenBucket:
@@ -31,7 +34,8 @@
     def apply_rate(self, rate: float, now: float) -> None:
         """Change the rate in tokens per second, from now on."""
         self._fill(now)
-        self._rate = rate
+        # In this order, a rate that is not a number is replaced, too.
+        self._rate = max(LEAST_RATE, rate)
 
     def try_take(self, now: float) -> bool:
         """Take a token if there is one."""
