--- a/kingcuphead/wire/tests/test_other_versions.py
+++ b/kingcuphead/wire/tests/test_other_versions.py
@@ -50,6 +50,7 @@
     ("PermitAsked", "memory_capacity"): None,
     ("PermitAsked", "is_doubtful"): False,
     ("RoomReported", "memory_tokens"): None,
+    ("TargetStated", "started_at_ms"): 0,
     ("PermitAnswered", "is_holder"): True,
     ("PermitAnswered", "is_full"): False,
 }
