Guess no version before the table of versions was read

Callers that name no try got text that was joined from two versions, in answers with status 200, when all daemons were killed shortly after the older version's targets had gone. A daemon that starts reads configuration and targets first and serves from then on. Until it had read which versions served before its start it took the only version that it saw for the only one there was; callers that name their try were refused meanwhile, the others were not.

A request now waits until the table was read, 1 s at most, and is then refused as not run. What a daemon that has read it does when it is cut from the store later is unchanged.

--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -40,6 +40,9 @@
 #: Age in seconds from which on the view of the targets may lack a version. The store
 #: answers the feed of entries at least once a second.
 MAX_VIEW_AGE = 1.5
+#: Seconds for which a request waits until the version table was read after a start. A
+#: slow store answers within them, and a caller has time left for another daemon.
+FIRST_READ_TIMEOUT = 1.0
 #: Seconds between two comparisons of the version table with what this daemon saw.
 SYNCHRONISATION_INTERVAL = 30.0
 #: Seconds before a comparison that failed is repeated.
@@ -97,6 +100,7 @@
         self._history = VersionHistory()
         self._saved: frozenset[ServedVersion] = frozenset()
         self._synchronised_at: float | None = None
+        self._has_read_versions = asyncio.Event()
         self._unannounced: deque[BegunStream] = deque(maxlen=MAX_UNANNOUNCED)
         self._is_announcing = False
         self._waiting: dict[str, asyncio.Event] = {}
@@ -122,8 +126,11 @@
         services
             Services that the stream may have begun at.
         """
-        if self._registry.find(request_id) is None and request_id:
-            await self._ask(request_id, services)
+        if self._registry.find(request_id) is None:
+            if not await _wait_for(self._has_read_versions):
+                return None
+            if request_id:
+                await self._ask(request_id, services)
         stream = self._registry.find(request_id)
         if stream is not None:
             return StreamOrigin(stream.software_version, stream.service_name)
@@ -174,6 +181,7 @@
             # Any of them may have served until now, unseen by this daemon.
             self._history.observe(stored, get_time())
         self._synchronised_at = started_at
+        self._has_read_versions.set()
         self._saved = frozenset(self._history.list_recent(get_time()))
         puts = tuple(encode_row(version) for version in self._saved - stored)
         if puts:
@@ -222,7 +230,8 @@
         """Return the version of some services if there was just one.
 
         Callers that name the try that began their stream know of versions, so that it
-        has to be certain for them.
+        has to be certain for them. For the others it counts what this daemon saw since
+        it read which versions served before its start.
         """
         self._observe()
         is_current = self._view.get_age() <= MAX_VIEW_AGE and self._is_continuous
@@ -260,3 +269,11 @@
                     return
         finally:
             self._waiting.pop(request_id, None)
+
+
+async def _wait_for(event: asyncio.Event) -> bool:
+    """Wait for an event, bounded; return whether it has occurred."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(FIRST_READ_TIMEOUT):
+            await event.wait()
+    return event.is_set()
--- a/kingcuphead/resumption/tests/test_exchange.py
+++ b/kingcuphead/resumption/tests/test_exchange.py
@@ -165,6 +165,35 @@
 
         run(scenario)
 
+    def test_nor_for_callers_that_name_no_try(self):
+        """Streams were joined from two versions: the older one's targets had gone."""
+
+        async def scenario(network):
+            row = encode_row(ServedVersion("pool", "v2"))
+            network.table.rows[row.key] = row.value
+            network.table.is_down = True
+            daemon = await network.start("a")
+            assert await daemon.find_origin("", ["pool"]) is None
+            asking = asyncio.create_task(daemon.find_origin("", ["pool"]))
+            await asyncio.sleep(0.05)
+            network.table.is_down = False
+            await daemon.synchronise()
+            assert await asking is None
+
+        run(scenario)
+
+    def test_requests_wait_briefly_until_the_table_was_read(self):
+        async def scenario(network):
+            network.table.is_down = True
+            daemon = await network.start("a")
+            asking = asyncio.create_task(daemon.find_origin("", ["pool"]))
+            await asyncio.sleep(0.05)
+            network.table.is_down = False
+            await daemon.synchronise()
+            assert await asking == StreamOrigin("v1")
+
+        run(scenario)
+
 
 class TestSeveralVersions:
     def test_another_daemon_is_asked(self):
