Keep the row of a version that only another daemon has seen

A daemon whose entries lacked a new version, as polls of a large table are up to 0.5 s apart, took the row that another daemon had written for that of a version that is gone, and removed it. The writer looks at the table again after 30 s only. If all daemons are killed meanwhile and the targets of that version are gone, those that start see one version, and a stream of the other is joined from both. Found by reading the code, not seen in a run of whole daemons.

A version that was never observed here counts as seen when its row is read, and lives on for the lifetime of its streams.

resumption/tests/test_exchange.py, test_a_version_that_only_another_daemon_saw_is_kept failed before: one row of two was left.

--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -180,6 +180,8 @@
         if not self._is_continuous:
             # Any of them may have served until now, unseen by this daemon.
             self._history.observe(stored, get_time())
+        # Another daemon has seen a target whose entry never came here.
+        self._history.observe_unseen(stored, get_time())
         self._synchronised_at = started_at
         self._has_read_versions.set()
         self._saved = frozenset(self._history.list_recent(get_time()))
--- a/kingcuphead/resumption/_history.py
+++ b/kingcuphead/resumption/_history.py
@@ -21,6 +21,11 @@
         for version in versions:
             self._seen_at[version] = now
 
+    def observe_unseen(self, versions: Iterable[ServedVersion], now: float) -> None:
+        """Record those of some versions that were never observed here."""
+        for version in versions:
+            self._seen_at.setdefault(version, now)
+
     def list_recent(self, now: float) -> Iterator[ServedVersion]:
         """Yield the versions whose streams callers may still take up."""
         for version, seen_at in self._seen_at.items():
--- a/kingcuphead/resumption/tests/test_exchange.py
+++ b/kingcuphead/resumption/tests/test_exchange.py
@@ -274,6 +274,19 @@
 
         run(scenario)
 
+    def test_a_version_that_only_another_daemon_saw_is_kept(self):
+        """Without its row a daemon that starts takes the other for the only one."""
+
+        async def scenario(network):
+            daemon = await network.start("a")
+            row = encode_row(ServedVersion("pool", "v2"))
+            network.table.rows[row.key] = row.value
+            await daemon.synchronise()
+            assert len(network.table.rows) == 2
+            assert await daemon.find_origin("r1", ["pool"]) is None
+
+        run(scenario)
+
     @pytest.mark.parametrize("value", [b"", b"{}", b'{"service":1}', b"\xff"])
     def test_a_malformed_row_is_left_out(self, value):
         async def scenario(network):
