Keep the origins of streams in the store while a service has several versions

Each daemon now writes the origins of the streams that it began in batches: every 0.25 s, in large fleets so rarely that all together write 80 times a second, where a part of the store applies 200. Nothing is written while a service has one version or when no stream began. A daemon reads the table at its start, once a daemon, and again at most once a second when neither it nor another one knows a stream. No request and no event waits for a write; a search ends after 1 s, and what is not found by then is refused as not run. Ids are kept as digests of 8 bytes, since callers choose them and bytes are priced.

A write without a reply may be applied seconds later. Its streams get another key, or it would replace a row that holds more of them by then.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -179,6 +179,7 @@
         self._dispatcher.observer = self._metrics.engines
         self._dispatcher.cold_costs.is_cold = self._directory.is_cold
         self._metrics.observe_targets(self._directory)
+        self._metrics.resumption.observe(self._links.resumption)
 
     def measure_load(self, read_busy_seconds: Callable[[], float]) -> None:
         """Measure the load of the processor by the busy time of the event loop.
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -55,6 +55,7 @@
     QuarantineSettings,
 )
 from kingcuphead.resumption import (
+    OriginStore,
     ResumptionExchange,
     StreamAsked,
     StreamsBegan,
@@ -70,6 +71,9 @@
 QUARANTINE_TABLE, QUARANTINE_PART = "quarantine", "all"
 #: Table of the store that contains the software versions that serve, and its only part.
 VERSIONS_TABLE, VERSIONS_PART = "versions", "all"
+#: Table of the store that contains the origins of streams. Its only part has a name of
+#: its own, as the store bounds the transactions of a part over all tables.
+ORIGINS_TABLE, ORIGINS_PART = "origins", "streams"
 #: One crash more is required than in daemons that probe their targets, because here a
 #: target may also have ended for another reason. Crashes are kept for longer than a
 #: quarantine lasts, so that the next one renews it.
@@ -237,6 +241,7 @@
             self._directory,
             self._sender.broadcast,
             self._sender.gossip,
+            OriginStore(StoreTable(store, ORIGINS_TABLE, ORIGINS_PART), self._identity),
         )
 
     async def deregister(self) -> None:
@@ -339,6 +344,7 @@
         daemons = len(peers) + 1
         self.credit.ledger.apply_fleet_size(daemons)
         self._retries.apply_fleet_size(daemons)
+        self.resumption.origins.apply_fleet_size(daemons)
         if self.admission is not None:
             self.admission.bounds.daemons = daemons
             self._dispatcher.daemons = daemons
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -27,6 +27,7 @@
     add_poll_gauges,
     add_target_gauges,
 )
+from kingcuphead.entry._resumption_metrics import ResumptionMetrics
 from kingcuphead.forwarding import Refusal, RequestContext
 from kingcuphead.targets import Target, TargetDirectory
 
@@ -58,6 +59,8 @@
         )
         self._queue = QueueMetrics(self._registry)
         self._hedging = HedgingMetrics(self._registry)
+        #: Streams that callers take up again.
+        self.resumption = ResumptionMetrics(self._registry)
         #: Placements on engines.
         self.engines = EngineMetrics(self._registry, self._choose_label)
         #: Holds requests back until targets have room; None if none wait.
--- a/kingcuphead/entry/tests/test_metrics.py
+++ b/kingcuphead/entry/tests/test_metrics.py
@@ -16,6 +16,7 @@
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
 from kingcuphead.forwarding.tests.test_admission import NoRoom
+from kingcuphead.resumption import BegunStream
 from kingcuphead.targets import Availability, Target, TargetDirectory
 
 
@@ -54,6 +55,28 @@
         assert 'kingcuphead_cold_denials_total{service="pool"} 1.0' in lines
 
 
+class TestStreamOrigins:
+    def test_searches_are_counted_by_how_they_ended(self):
+        """An operator sees by them whether streams outlast their daemons."""
+        metrics = DaemonMetrics()
+
+        async def scenario(harness):
+            metrics.resumption.observe(harness.resumption)
+            await harness.resumption.synchronise()
+            harness.resumption.record_start(BegunStream("r0", "pool", "v1"))
+            await harness.resumption.find_origin("r0", ["pool"])
+            await harness.resumption.find_origin("r1", ["nowhere"])
+            await harness.resumption.origins.save(["pool"])
+
+        run_forwarder([make_route(IDEMPOTENT)], scenario)
+        lines = metrics.render().decode().splitlines()
+        name = "kingcuphead_stream_origins_total"
+        assert f'{name}{{source="known"}} 1.0' in lines
+        assert f'{name}{{source="unknown"}} 1.0' in lines
+        assert "kingcuphead_saved_origins 1.0" in lines
+        assert "kingcuphead_unsaved_origins 0.0" in lines
+
+
 class TestQueue:
     def test_waits_and_refusals_are_counted_by_service(self):
         metrics = DaemonMetrics()
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -22,7 +22,7 @@
 from kingcuphead.permits import PermitCoordinator, PermitExchange
 from kingcuphead.platform import PlatformHeaders
 from kingcuphead.quarantine import QuarantineExchange, QuarantineSettings
-from kingcuphead.resumption import ResumptionExchange
+from kingcuphead.resumption import OriginStore, ResumptionExchange
 from kingcuphead.routing import (
     CallerLimits,
     Organisation,
@@ -193,6 +193,7 @@
             self.directory,
             self.broadcasts.append,
             self.broadcasts.append,
+            OriginStore(CommittingTable(), "d1/1"),
         )
         self.enable_hedging(None)
         return self
--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -12,12 +12,14 @@
 from kingcuphead.resumption._history import VersionHistory
 from kingcuphead.resumption._messages import (
     BegunStream,
+    OriginSource,
     ResumptionMessage,
     ServedVersion,
     StreamAsked,
     StreamOrigin,
     StreamsBegan,
 )
+from kingcuphead.resumption._origin_store import OriginStore
 from kingcuphead.resumption._registry import StreamRegistry
 from kingcuphead.resumption._rows import decode_rows, encode_row, make_key
 from kingcuphead.storage import RowSnapshot, TablePart, Transaction, make_removal
@@ -40,9 +42,9 @@
 #: Age in seconds from which on the view of the targets may lack a version. The store
 #: answers the feed of entries at least once a second.
 MAX_VIEW_AGE = 1.5
-#: Seconds for which a request waits until the version table was read after a start. A
-#: slow store answers within them, and a caller has time left for another daemon.
-FIRST_READ_TIMEOUT = 1.0
+#: Seconds after which a stream that was not found counts as unknown, whatever is still
+#: awaited. A slow store answers within them, and callers have time left.
+SEARCH_TIMEOUT = 1.0
 #: Seconds between two comparisons of the version table with what this daemon saw.
 SYNCHRONISATION_INTERVAL = 30.0
 #: Seconds before a comparison that failed is repeated.
@@ -71,7 +73,8 @@
 
     While a service has one software version, a stream can only have begun there. Once
     it has several, other daemons are told of each begun stream, so that it can go on
-    although the daemon that began it was killed.
+    although the daemon that began it was killed, and its origin is written to the
+    store, in case all daemons are killed at once.
 
     Parameters
     ----------
@@ -83,6 +86,8 @@
         Sends a message to all other daemons, unacknowledged.
     gossip
         Sends a message to some of the other daemons, unacknowledged.
+    origins
+        Keeps the origins of streams while no daemon runs.
     """
 
     def __init__(
@@ -91,8 +96,14 @@
         view: TargetView,
         broadcast: Callable[[ResumptionMessage], None],
         gossip: Callable[[ResumptionMessage], None],
+        origins: OriginStore,
     ) -> None:
         self._table = table
+        #: Origins of streams that outlast the daemons.
+        self.origins = origins
+        #: Called with the end of each search for the origin of a stream.
+        self.report_search: Callable[[OriginSource], None] | None = None
+        origins.report_read = self._wake_found
         self._view = view
         self._broadcast = broadcast
         self._gossip = gossip
@@ -112,6 +123,7 @@
         version = ServedVersion(stream.service_name, stream.software_version)
         self._history.observe([version], now)
         self._unannounced.append(stream)
+        self.origins.record(stream)
         self._schedule_announcement([stream.service_name])
 
     async def find_origin(
@@ -126,16 +138,21 @@
         services
             Services that the stream may have begun at.
         """
-        if self._registry.find(request_id) is None:
-            if not await _wait_for(self._has_read_versions):
-                return None
-            if request_id:
-                await self._ask(request_id, services)
-        stream = self._registry.find(request_id)
+        source = OriginSource.KNOWN
+        if self._find(request_id) is None:
+            source = await self._search(request_id, services)
+        stream = self._find(request_id)
         if stream is not None:
+            self._count(source)
             return StreamOrigin(stream.software_version, stream.service_name)
-        only_version = self._find_only_version(services, is_named=bool(request_id))
-        return None if only_version is None else StreamOrigin(only_version)
+        only_version = None
+        if self._has_read_versions.is_set():
+            only_version = self._find_only_version(services, bool(request_id))
+        if only_version is None:
+            self._count(OriginSource.UNKNOWN)
+            return None
+        self._count(OriginSource.ONLY_VERSION)
+        return StreamOrigin(only_version)
 
     def handle_message(
         self, message: ResumptionMessage, reply: Callable[[StreamsBegan], None]
@@ -149,12 +166,34 @@
                     if waiting is not None:
                         waiting.set()
             case StreamAsked(request_id):
-                known = self._registry.find(request_id)
+                known = self._find(request_id)
                 if known is not None:
                     reply(StreamsBegan((known,)))
 
     async def run(self) -> None:
-        """Keep the version table up to date until cancelled."""
+        """Keep the tables up to date until cancelled."""
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(self._synchronise_repeatedly())
+            tasks.create_task(self._save_repeatedly())
+
+    async def _save_repeatedly(self) -> None:
+        """Write the origins of streams while their services have several versions."""
+        await self._has_read_versions.wait()
+        while True:
+            await self._read_origins_once()
+            await self.origins.save(
+                name
+                for name in self.origins.list_services()
+                if self._has_several_versions([name])
+            )
+            await self.origins.remove_expired()
+            await sleep_until_tick(self.origins.write_interval)
+
+    async def _read_origins_once(self) -> None:
+        if not self.origins.has_read:
+            await self.origins.read()
+
+    async def _synchronise_repeatedly(self) -> None:
         while True:
             self._observe()
             services = {stream.service_name for stream in self._unannounced}
@@ -171,7 +210,10 @@
         """
         self._observe()
         started_at = get_time()
-        match await self._table.read_prefix(""):
+        _, reply = await asyncio.gather(
+            self._read_origins_once(), self._table.read_prefix("")
+        )
+        match reply:
             case Result(tag="ok", ok=snapshot):
                 stored = frozenset(decode_rows(snapshot.rows))
             case Result(error=fault):
@@ -182,6 +224,8 @@
             self._history.observe(stored, get_time())
         # Another daemon has seen a target whose entry never came here.
         self._history.observe_unseen(stored, get_time())
+        # The row of a version may be missing although that of a stream was written.
+        self._history.observe_unseen(self.origins.list_versions(), get_time())
         self._synchronised_at = started_at
         self._has_read_versions.set()
         self._saved = frozenset(self._history.list_recent(get_time()))
@@ -241,6 +285,44 @@
             return None
         return self._history.find_only_version(services, get_time())
 
+    def _has_several_versions(self, services: Iterable[str]) -> bool:
+        """Whether any of some services lately had more than one version."""
+        now = get_time()
+        return any(
+            len(self._history.list_versions([name], now)) > 1 for name in services
+        )
+
+    def _find(self, request_id: str) -> BegunStream | None:
+        return self._registry.find(request_id) or self.origins.find(request_id)
+
+    async def _search(self, request_id: str, services: Collection[str]) -> OriginSource:
+        """Search for a stream, for a bounded time; return where it was searched last.
+
+        Other daemons are asked first. The first read of the store that follows a start
+        ends the question if it finds the stream.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(SEARCH_TIMEOUT):
+                await self._has_read_versions.wait()
+                if request_id:
+                    await self._ask(request_id, services)
+                    if self._find(request_id) is None and self._has_several_versions(
+                        services
+                    ):
+                        await self.origins.read()
+        is_told = self._registry.find(request_id) is not None
+        return OriginSource.PEER if is_told else OriginSource.STORE
+
+    def _wake_found(self) -> None:
+        """End the questions to other daemons that a read of the store has answered."""
+        for request_id, answered in self._waiting.items():
+            if self.origins.find(request_id) is not None:
+                answered.set()
+
+    def _count(self, source: OriginSource) -> None:
+        if self.report_search is not None:
+            self.report_search(source)
+
     def _schedule_announcement(self, services: Collection[str]) -> None:
         """Announce soon what other daemons weren't told, if it may matter to them."""
         if self._is_announcing or not self._unannounced:
@@ -271,11 +353,3 @@
                     return
         finally:
             self._waiting.pop(request_id, None)
-
-
-async def _wait_for(event: asyncio.Event) -> bool:
-    """Wait for an event, bounded; return whether it has occurred."""
-    with contextlib.suppress(TimeoutError):
-        async with asyncio.timeout(FIRST_READ_TIMEOUT):
-            await event.wait()
-    return event.is_set()
--- a/kingcuphead/resumption/_messages.py
+++ b/kingcuphead/resumption/_messages.py
@@ -1,5 +1,6 @@
 """What daemons tell each other about streams that have begun."""
 
+import enum
 from typing import TypeAlias
 
 from kingcuphead.frozen import frozen
@@ -47,6 +48,21 @@
     service: str | None = None
 
 
+class OriginSource(enum.StrEnum):
+    """How the origin of a stream that a caller takes up became known."""
+
+    #: The stream began here, another daemon had told of it, or it had been read.
+    KNOWN = "known"
+    #: Another daemon was asked.
+    PEER = "peer"
+    #: The store was read.
+    STORE = "store"
+    #: The service had one version only.
+    ONLY_VERSION = "only_version"
+    #: Nobody knows it.
+    UNKNOWN = "unknown"
+
+
 @frozen
 class ServedVersion:
     """A software version of a service."""
--- /dev/null
+++ b/kingcuphead/resumption/_origin_store.py
@@ -0,0 +1,187 @@
+"""Writes the origins of streams to the platform's store, and reads those of others."""
+
+import asyncio
+import random
+from collections.abc import Callable, Iterable
+
+from expression import Result
+from loguru import logger
+
+from kingcuphead.resumption._messages import BegunStream, ServedVersion
+from kingcuphead.resumption._origin_journal import Batch, OriginJournal
+from kingcuphead.resumption._origin_rows import (
+    SavedOrigins,
+    decode_origins,
+    digest_id,
+)
+from kingcuphead.resumption._registry import STREAM_LIFETIME
+from kingcuphead.storage import Committed, Row, TablePart, Unknown, make_removal
+from kingcuphead.timing import get_time
+
+#: Minimum seconds between two writes of a daemon.
+MIN_WRITE_INTERVAL = 0.25
+#: Writes a second of all daemons together; a part of the store applies 200.
+FLEET_WRITE_RATE = 80.0
+#: Reads a second of all daemons together while callers name streams that none knows.
+FLEET_READ_RATE = 50.0
+#: Minimum seconds between two reads of a daemon.
+MIN_READ_INTERVAL = 1.0
+#: Seconds by which a row has outlived its lifetime before another daemon removes it, so
+#: that its writer does it, in a call that it makes anyway.
+REMOVAL_DELAY = 5.0
+#: Seconds over which the daemons of a small fleet that started together spread their
+#: removals.
+MIN_REMOVAL_SPREAD = 10.0
+#: Maximum number of rows that one transaction removes: each has a check, too, and the
+#: store takes 100 entries.
+MAX_REMOVED = 50
+
+
+class OriginStore:
+    """Keeps the origins of streams in one part of a table.
+
+    Parameters
+    ----------
+    table
+        Rows that outlast the daemons.
+    identity
+        Identity of this daemon's process.
+    """
+
+    def __init__(self, table: TablePart, identity: str) -> None:
+        self._table = table
+        self._journal = OriginJournal(identity)
+        self._origins: dict[bytes, ServedVersion] = {}
+        self._reading = asyncio.Lock()
+        self._tried_at = float("-inf")
+        self._removal_at: float | None = None
+        self._daemons = 1
+        self._is_failing = False
+        self._is_unreadable = False
+        #: Whether the table was read since the start.
+        self.has_read = False
+        #: Number of streams whose origins were written.
+        self.written_count = 0
+        #: Called after each read of the table.
+        self.report_read: Callable[[], None] | None = None
+
+    @property
+    def write_interval(self) -> float:
+        """Seconds between two writes."""
+        return max(MIN_WRITE_INTERVAL, self._daemons / FLEET_WRITE_RATE)
+
+    @property
+    def unsaved_count(self) -> int:
+        """Number of streams whose origins should be in the store and may not be."""
+        return self._journal.count_unsaved()
+
+    def apply_fleet_size(self, daemons: int) -> None:
+        """Divide the rates of calls by the number of daemons."""
+        self._daemons = daemons
+
+    def record(self, stream: BegunStream) -> None:
+        """Record a stream that began here."""
+        self._journal.record(stream, get_time())
+
+    def list_services(self) -> set[str]:
+        """Return the services of the streams whose origins aren't written."""
+        return self._journal.list_services()
+
+    def list_versions(self) -> frozenset[ServedVersion]:
+        """Return the versions that began streams, by the rows that were read."""
+        return frozenset(self._origins.values())
+
+    def find(self, request_id: str) -> BegunStream | None:
+        """Return the stream that a try began, by the rows that were read."""
+        version = self._origins.get(digest_id(request_id)) if request_id else None
+        if version is None:
+            return None
+        return BegunStream(request_id, version.service, version.software_version)
+
+    async def read(self) -> None:
+        """Read the table, unless it was read or tried lately."""
+        interval = max(MIN_READ_INTERVAL, self._daemons / FLEET_READ_RATE)
+        async with self._reading:
+            if get_time() - self._tried_at >= interval:
+                await self._load()
+
+    async def save(self, services: Iterable[str]) -> None:
+        """Write what is due.
+
+        Parameters
+        ----------
+        services
+            Services that have several software versions.
+        """
+        store_time = self._table.estimate_time()
+        if store_time is None:
+            return
+        batch = self._journal.prepare(services, get_time(), store_time)
+        if batch is None:
+            return
+        outcome = await self._table.commit(batch.transaction)
+        match outcome:
+            case Committed():
+                self._confirm(batch)
+            case Unknown():
+                self._journal.abandon(batch)
+        self._log_outcome(isinstance(outcome, Committed), type(outcome).__name__)
+
+    async def remove_expired(self) -> None:
+        """Remove the rows of daemons that ended, once after the start."""
+        now = get_time()
+        if self._removal_at is None or now < self._removal_at:
+            return
+        self._removal_at = None
+        rows = await self._load()
+        store_time = self._table.estimate_time()
+        if store_time is None:
+            return
+        bound = store_time - int(REMOVAL_DELAY * 1000)
+        expired = [each.row for each in rows if each.expires_ms < bound]
+        await self._remove(expired)
+
+    async def _load(self) -> tuple[SavedOrigins, ...]:
+        self._tried_at = get_time()
+        match await self._table.read_prefix(""):
+            case Result(tag="ok", ok=snapshot):
+                rows = tuple(decode_origins(snapshot.rows))
+            case Result(error=fault):
+                if not self._is_unreadable:
+                    logger.warning("origins of streams can't be read: {}", fault.cause)
+                self._is_unreadable = True
+                return ()
+        self._is_unreadable = False
+        self._origins = {}
+        for each in rows:
+            self._origins.update(each.origins)
+        if rows:
+            count = len(self._origins)
+            logger.info("origins of {} streams read, in {} rows", count, len(rows))
+        if not self.has_read and rows:
+            spread = random.uniform(0.0, max(MIN_REMOVAL_SPREAD, self._daemons))
+            delay = STREAM_LIFETIME + REMOVAL_DELAY + spread
+            self._removal_at = get_time() + delay
+        self.has_read = True
+        if self.report_read is not None:
+            self.report_read()
+        return rows
+
+    async def _remove(self, rows: list[Row]) -> None:
+        for start in range(0, len(rows), MAX_REMOVED):
+            removal = make_removal(rows[start : start + MAX_REMOVED])
+            outcome = await self._table.commit(removal)
+            name = type(outcome).__name__
+            logger.info("removal of {} expired origin rows: {}", len(rows), name)
+
+    def _confirm(self, batch: Batch) -> None:
+        before = self._journal.count_unsaved()
+        self._journal.confirm(batch)
+        self.written_count += before - self._journal.count_unsaved()
+
+    def _log_outcome(self, is_applied: bool, outcome: str) -> None:
+        if is_applied and self._is_failing:
+            logger.info("origins of streams are written again")
+        elif not is_applied and not self._is_failing:
+            logger.warning("origins of streams can't be written: {}", outcome)
+        self._is_failing = not is_applied
