Fill rows of origins by writes, not by seconds

A row took the streams of 5 s, in any fleet. In one of 195 daemons, each of which writes every 2.4 s, that is a row for every two or three writes: at most 13 for each daemon, which every daemon that starts reads.

--- a/kingcuphead/resumption/_origin_journal.py
+++ b/kingcuphead/resumption/_origin_journal.py
@@ -12,9 +12,12 @@
 
 #: Streams that are kept to be written once their service has a second version.
 MAX_PENDING = 2_000
-#: Seconds for which streams are added to a row. It is written again with each addition,
-#: so a longer time costs bytes, and a shorter one rows that every start has to read.
-ROW_PERIOD = 5.0
+#: Number of writes after which a row gets no more streams. It is written whole each
+#: time, so more of them cost bytes, and fewer cost rows that every start has to read:
+#: 80 writes a second of all daemons leave 480 rows, and those that are being filled.
+MAX_ROW_WRITES = 10
+#: Seconds after which a row gets no more streams, so that it can expire.
+ROW_PERIOD = STREAM_LIFETIME / 2
 #: Maximum number of streams in a row, about 8 kB.
 MAX_ROW_STREAMS = 512
 #: Maximum number of rows of a daemon that have not expired.
@@ -31,6 +34,7 @@
     expires_at: float = 0.0
     streams: list[BegunStream] = dataclasses.field(default_factory=list)
     saved: int = 0
+    writes: int = 0
     #: Whether the store may contain it.
     is_sent: bool = False
 
@@ -128,6 +132,7 @@
     ) -> Iterator[Put]:
         for row in rows:
             row.is_sent = True
+            row.writes += 1
             expires_ms = store_time + int((row.expires_at - now) * 1000)
             yield encode_origins(row.key, row.streams, expires_ms)
 
@@ -159,7 +164,8 @@
         if self._rows:
             row = self._rows[-1]
             is_recent = now - row.opened_at < ROW_PERIOD
-            if is_recent and len(row.streams) < MAX_ROW_STREAMS:
+            is_short = len(row.streams) < MAX_ROW_STREAMS
+            if is_recent and is_short and row.writes < MAX_ROW_WRITES:
                 return row
         row = _OpenRow(self._make_key(), now)
         self._rows.append(row)
