Write the row of a version again soon after a refused write

A daemon noted a version as saved before its row was written. If the store refused the write, it looked at the table again after 30 s only; were all daemons killed meanwhile and the targets of that version gone, those that start would see one version and join a stream from both. Found by reading the code, not seen in a run of whole daemons.

resumption/tests/test_exchange.py, test_a_refused_write_is_repeated_soon failed before: one row of two a second after the refusals ended.

--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -22,7 +22,13 @@
 from kingcuphead.resumption._origin_store import OriginStore
 from kingcuphead.resumption._registry import StreamRegistry
 from kingcuphead.resumption._rows import decode_rows, encode_row, make_key
-from kingcuphead.storage import RowSnapshot, TablePart, Transaction, make_removal
+from kingcuphead.storage import (
+    Committed,
+    RowSnapshot,
+    TablePart,
+    Transaction,
+    make_removal,
+)
 from kingcuphead.targets import Target
 from kingcuphead.timing import get_time, sleep_until_tick
 
@@ -228,11 +234,12 @@
         self._history.observe_unseen(self.origins.list_versions(), get_time())
         self._synchronised_at = started_at
         self._has_read_versions.set()
-        self._saved = frozenset(self._history.list_recent(get_time()))
-        puts = tuple(encode_row(version) for version in self._saved - stored)
-        if puts:
-            await self._commit(Transaction((), puts))
-        await self._remove(snapshot, stored - self._saved)
+        recent = frozenset(self._history.list_recent(get_time()))
+        puts = tuple(encode_row(version) for version in recent - stored)
+        is_saved = not puts or await self._commit(Transaction((), puts))
+        # What may be missing is written again soon.
+        self._saved = recent if is_saved else recent & stored
+        await self._remove(snapshot, stored - recent)
 
     @property
     def _is_continuous(self) -> bool:
@@ -257,9 +264,10 @@
         if rows:
             await self._commit(make_removal(rows))
 
-    async def _commit(self, transaction: Transaction) -> None:
+    async def _commit(self, transaction: Transaction) -> bool:
         outcome = await self._table.commit(transaction)
         logger.debug("write to the version table: {}", type(outcome).__name__)
+        return isinstance(outcome, Committed)
 
     def _observe(self) -> None:
         # Many targets serve the same few versions.
--- a/kingcuphead/resumption/tests/test_exchange.py
+++ b/kingcuphead/resumption/tests/test_exchange.py
@@ -11,7 +11,11 @@
     StreamOrigin,
     StreamsBegan,
 )
-from kingcuphead.resumption._exchange import ANNOUNCEMENT_DELAY, MAX_VIEW_AGE
+from kingcuphead.resumption._exchange import (
+    ANNOUNCEMENT_DELAY,
+    MAX_VIEW_AGE,
+    RETRY_DELAY,
+)
 from kingcuphead.resumption._rows import encode_row
 from kingcuphead.storage.tests._memory_part import MemoryTablePart
 from kingcuphead.targets import Availability, Target
@@ -277,6 +281,22 @@
 
         run(scenario)
 
+    def test_a_refused_write_is_repeated_soon(self):
+        """The row was missing for 30 s, in which all daemons might be killed."""
+
+        async def scenario(network):
+            daemon = await network.start("a")
+            network.versions = [V1, V2]
+            network.table.refuses_writes = True
+            task = asyncio.create_task(daemon.run())
+            await asyncio.sleep(0.1)
+            network.table.refuses_writes = False
+            await asyncio.sleep(2 * RETRY_DELAY)
+            task.cancel()
+            assert len(network.table.rows) == 2
+
+        run(scenario)
+
     def test_a_version_that_only_another_daemon_saw_is_kept(self):
         """Without its row a daemon that starts takes the other for the only one."""
 
--- a/kingcuphead/storage/tests/_memory_part.py
+++ b/kingcuphead/storage/tests/_memory_part.py
@@ -25,6 +25,8 @@
         self._get_time = get_time
         self.rows = {}
         self.is_down = False
+        #: Whether transactions are refused although reads are answered.
+        self.refuses_writes = False
 
     async def read_prefix(self, prefix):
         if self.is_down:
@@ -33,7 +35,7 @@
         return Ok(RowSnapshot(tuple(rows), 1))
 
     async def commit(self, transaction):
-        if self.is_down:
+        if self.is_down or self.refuses_writes:
             return Unavailable()
         for write in transaction.writes:
             if isinstance(write, Delete):
