Leave expired rows of origins out of what was read

Rows of daemons that ended stay until another one starts. Their versions would count as seen at that start, and their service as one of several versions for a minute, so that streams of unknown origin were refused and origins written.

resumption/tests/test_origin_store.py, test_versions_of_expired_rows_do_not_count failed before. A version of a row counts from any later read on, too.

--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -109,7 +109,7 @@
         self.origins = origins
         #: Called with the end of each search for the origin of a stream.
         self.report_search: Callable[[OriginSource], None] | None = None
-        origins.report_read = self._wake_found
+        origins.report_read = self._apply_origins
         self._view = view
         self._broadcast = broadcast
         self._gossip = gossip
@@ -230,8 +230,6 @@
             self._history.observe(stored, get_time())
         # Another daemon has seen a target whose entry never came here.
         self._history.observe_unseen(stored, get_time())
-        # The row of a version may be missing although that of a stream was written.
-        self._history.observe_unseen(self.origins.list_versions(), get_time())
         self._synchronised_at = started_at
         self._has_read_versions.set()
         recent = frozenset(self._history.list_recent(get_time()))
@@ -321,8 +319,13 @@
         is_told = self._registry.find(request_id) is not None
         return OriginSource.PEER if is_told else OriginSource.STORE
 
-    def _wake_found(self) -> None:
-        """End the questions to other daemons that a read of the store has answered."""
+    def _apply_origins(self) -> None:
+        """Apply the origins that were just read.
+
+        The row of a version may be missing although that of a stream was written.
+        Questions to other daemons end if the read has answered them.
+        """
+        self._history.observe_unseen(self.origins.list_versions(), get_time())
         for request_id, answered in self._waiting.items():
             if self.origins.find(request_id) is not None:
                 answered.set()
--- a/kingcuphead/resumption/_origin_store.py
+++ b/kingcuphead/resumption/_origin_store.py
@@ -152,9 +152,11 @@
                 self._is_unreadable = True
                 return ()
         self._is_unreadable = False
+        store_time = self._table.estimate_time() or 0
         self._origins = {}
         for each in rows:
-            self._origins.update(each.origins)
+            if each.expires_ms >= store_time:
+                self._origins.update(each.origins)
         if rows:
             count = len(self._origins)
             logger.info("origins of {} streams read, in {} rows", count, len(rows))
--- a/kingcuphead/resumption/tests/test_origin_store.py
+++ b/kingcuphead/resumption/tests/test_origin_store.py
@@ -5,6 +5,7 @@
 
 from kingcuphead.resumption import BegunStream, OriginStore, StreamOrigin
 from kingcuphead.resumption._exchange import SEARCH_TIMEOUT
+from kingcuphead.resumption._origin_rows import encode_origins
 from kingcuphead.resumption._origin_store import MIN_WRITE_INTERVAL
 from kingcuphead.resumption.tests.test_exchange import V1, V2, run
 from kingcuphead.storage import Unknown
@@ -88,6 +89,18 @@
 
         run_origins(scenario)
 
+    def test_versions_of_expired_rows_do_not_count(self):
+        """A service would have several versions for a minute after each start."""
+
+        async def scenario(part):
+            row = encode_origins("d1/1/000001", [STREAM], 1)
+            part.rows[row.key] = row.value
+            store = OriginStore(part, "d2/1")
+            await store.read()
+            assert store.list_versions() == frozenset()
+
+        run_origins(scenario)
+
     def test_rows_of_daemons_that_ended_are_removed_after_their_lifetime(
         self, monkeypatch
     ):
