--- a/kingcuphead/resumption/tests/test_exchange.py
+++ b/kingcuphead/resumption/tests/test_exchange.py
@@ -4,13 +4,18 @@
 
 from kingcuphead.resumption import (
     BegunStream,
+    OriginStore,
     ResumptionExchange,
     ServedVersion,
     StreamAsked,
     StreamOrigin,
     StreamsBegan,
 )
-from kingcuphead.resumption._exchange import ANNOUNCEMENT_DELAY, MAX_VIEW_AGE
+from kingcuphead.resumption._exchange import (
+    ANNOUNCEMENT_DELAY,
+    MAX_VIEW_AGE,
+    RETRY_DELAY,
+)
 from kingcuphead.resumption._rows import encode_row
 from kingcuphead.storage.tests._memory_part import MemoryTablePart
 from kingcuphead.targets import Availability, Target
@@ -52,6 +57,7 @@
 
     def __init__(self):
         self.table = MemoryTablePart()
+        self.origin_table = MemoryTablePart()
         self.versions = [V1]
         self.views = {}
         self.sent = []
@@ -66,7 +72,8 @@
                 )
 
         view = self.views[name] = View(self)
-        exchange = ResumptionExchange(self.table, view, broadcast, broadcast)
+        origins = OriginStore(self.origin_table, name)
+        exchange = ResumptionExchange(self.table, view, broadcast, broadcast, origins)
         self.exchanges[name] = exchange
         await exchange.synchronise()
         return exchange
@@ -165,6 +172,35 @@
 
         run(scenario)
 
+    def test_nor_for_callers_that_name_no_try(self):
+        """Streams were joined from two versions: the older one's targets had gone."""
+
+        async def scenario(network):
+            row = encode_row(ServedVersion("pool", "v2"))
+            network.table.rows[row.key] = row.value
+            network.table.is_down = True
+            daemon = await network.start("a")
+            assert await daemon.find_origin("", ["pool"]) is None
+            asking = asyncio.create_task(daemon.find_origin("", ["pool"]))
+            await asyncio.sleep(0.05)
+            network.table.is_down = False
+            await daemon.synchronise()
+            assert await asking is None
+
+        run(scenario)
+
+    def test_requests_wait_briefly_until_the_table_was_read(self):
+        async def scenario(network):
+            network.table.is_down = True
+            daemon = await network.start("a")
+            asking = asyncio.create_task(daemon.find_origin("", ["pool"]))
+            await asyncio.sleep(0.05)
+            network.table.is_down = False
+            await daemon.synchronise()
+            assert await asking == StreamOrigin("v1")
+
+        run(scenario)
+
 
 class TestSeveralVersions:
     def test_another_daemon_is_asked(self):
@@ -245,6 +281,35 @@
 
         run(scenario)
 
+    def test_a_refused_write_is_repeated_soon(self):
+        """The row was missing for 30 s, in which all daemons might be killed."""
+
+        async def scenario(network):
+            daemon = await network.start("a")
+            network.versions = [V1, V2]
+            network.table.refuses_writes = True
+            task = asyncio.create_task(daemon.run())
+            await asyncio.sleep(0.1)
+            network.table.refuses_writes = False
+            await asyncio.sleep(2 * RETRY_DELAY)
+            task.cancel()
+            assert len(network.table.rows) == 2
+
+        run(scenario)
+
+    def test_a_version_that_only_another_daemon_saw_is_kept(self):
+        """Without its row a daemon that starts takes the other for the only one."""
+
+        async def scenario(network):
+            daemon = await network.start("a")
+            row = encode_row(ServedVersion("pool", "v2"))
+            network.table.rows[row.key] = row.value
+            await daemon.synchronise()
+            assert len(network.table.rows) == 2
+            assert await daemon.find_origin("r1", ["pool"]) is None
+
+        run(scenario)
+
     @pytest.mark.parametrize("value", [b"", b"{}", b'{"service":1}', b"\xff"])
     def test_a_malformed_row_is_left_out(self, value):
         async def scenario(network):
