Rolling runs: a daemon without configuration knows no route

The check took any status but 404 for a proof that a daemon knows the newer configuration. A daemon that has none yet answers 503 whatever the route is, and applies the older version then, if the newer one isn't written yet.

The check leaves out this reason only; other refusals come after the choice of a route.

--- a/kingcuphead/entry/tests/rolling.py
+++ b/kingcuphead/entry/tests/rolling.py
@@ -45,6 +45,7 @@
     parse_resumption,
 )
 from kingcuphead.platform.tests._table_store import TableStore
+from kingcuphead.verdict import Reason
 
 TODAY = pathlib.Path(kingcuphead.__file__).parents[1]
 #: Number of daemons.
@@ -171,6 +172,7 @@
     """What a caller got in one try; the status is 0 without an answer."""
 
     status: int = 0
+    content: str = ""
     is_sent: bool = False
     event_ids: list[int] = dataclasses.field(default_factory=list)
     versions: list[str] = dataclasses.field(default_factory=list)
@@ -274,7 +276,7 @@
             self.statuses[kind][answer.status] += 1
             statuses.append(answer.status)
             if route == "late" and answer.status:
-                self._check_route(process, answer.status)
+                self._check_route(process, answer)
             if answer.status == 200:
                 self.answered.add(body)
             is_safe = kind == "safe" and answer.status != 200
@@ -328,11 +330,12 @@
         number = self._rng.randint(1, SIZE)
         return number, self._fleet.processes.get(number)
 
-    def _check_route(self, process: Any, status: int) -> None:
-        if status != 404:
+    def _check_route(self, process: Any, answer: Answer) -> None:
+        if answer.status == 404:
+            self.reverted += process in self.knows_late_route
+        elif answer.content != Reason.CONFIGURATION_STALE.value:
+            # A daemon without any configuration refuses whatever the route is.
             self.knows_late_route.add(process)
-        elif process in self.knows_late_route:
-            self.reverted += 1
 
     async def _try(
         self,
@@ -382,8 +385,8 @@
         name, _, value = line.partition(": ")
         headers[name.lower()] = value
     if "content-length" in headers:
-        await reader.readexactly(int(headers["content-length"]))
-        answer.status = status
+        content = await reader.readexactly(int(headers["content-length"]))
+        answer.status, answer.content = status, content.decode().strip()
         return
     answer.status = status
     # A last event without its data may be cut off; both are in one chunk.
--- a/kingcuphead/entry/tests/test_rolling.py
+++ b/kingcuphead/entry/tests/test_rolling.py
@@ -7,6 +7,7 @@
     BUDGET,
     OUTPUT_TOKENS,
     PROMPT_TOKENS,
+    Answer,
     Callers,
     Run,
     check,
@@ -73,8 +74,12 @@
 
     def test_a_route_that_is_gone(self):
         callers = self.make()
-        for status in (404, 503, 200):
-            callers._check_route("daemon", status)
+        for status, content in (
+            (503, "configuration_stale"),
+            (404, "service_not_found"),
+            (503, "credit_unavailable"),
+        ):
+            callers._check_route("daemon", Answer(status, content))
         assert find_violations([], callers) == set()
-        callers._check_route("daemon", 404)
+        callers._check_route("daemon", Answer(404, "service_not_found"))
         assert find_violations([], callers) == {"configuration reverted"}
