--- a/kingcuphead/api/_events.py
+++ b/kingcuphead/api/_events.py
@@ -8,7 +8,7 @@
 DONE_EVENT = b"data: [DONE]\n\n"
 
 _DATA = b"data:"
-#: What a line of an event begins with; a comment begins with a colon.
+#: Prefixes of the valid lines of an event; a comment begins with a colon.
 _FIELDS = (_DATA, b":", b"id:", b"event:", b"retry:")
 
 
@@ -86,5 +86,5 @@
 
 
 def has_only_fields(event: bytes) -> bool:
-    """Return whether all lines of one event are fields or comments."""
+    """Return whether all non-empty lines of one event are fields or comments."""
     return all(line.startswith(_FIELDS) for line in event.split(b"\n") if line)
--- a/kingcuphead/credit/_decoding.py
+++ b/kingcuphead/credit/_decoding.py
@@ -9,7 +9,7 @@
 
 T = TypeVar("T", bound=msgspec.Struct)
 
-#: Largest number in a row; sums of several can still be turned into floats.
+#: Largest absolute value of a number in a row; sums of several still fit into floats.
 MAX_NUMBER = 10**300
 
 
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -211,7 +211,7 @@
             self.account.update_budget(self._era.apply_rows(snapshot), now)
 
     def forget_budget(self) -> None:
-        """Allocate nothing until rows are read again, since one can't be decoded."""
+        """Stop allocating until the rows are read again, since one can't be decoded."""
         self.account.is_budget_known = False
 
     def find_shortage(self, tokens: int, store_time: int | None) -> Shortage | None:
--- a/kingcuphead/credit/_rows.py
+++ b/kingcuphead/credit/_rows.py
@@ -79,14 +79,17 @@
 def _parse_shard_key(key: str) -> tuple[int, int]:
     """Return the era and the index in the key of a shard row.
 
-    A key of another form, or of a shard beyond the last one, is an error: the budget
-    would have parts that this version doesn't count.
+    Raises
+    ------
+    UndecodableRowError
+        The key has another form, or names a shard beyond the last one: the budget would
+        have parts that this version doesn't count.
     """
     match key.removeprefix(SHARDS_PREFIX).split("/"):
         case [era, index] if era.isdecimal() and index.isdecimal():
             if make_shard_key(int(era), int(index)) == key and int(index) < SHARD_COUNT:
                 return int(era), int(index)
-    raise UndecodableRowError(key, "no key of a shard")
+    raise UndecodableRowError(key, "not a key of a shard row")
 
 
 def _make_shards_prefix(era: int) -> str:
--- a/kingcuphead/datagrams/_socket.py
+++ b/kingcuphead/datagrams/_socket.py
@@ -62,7 +62,7 @@
         try:
             message = decode_datagram(data)
         except DatagramError as error:
-            # A later version sends messages that are new to this one all the time.
+            # A later version may continually send messages that this one doesn't know.
             if self._repetitions.allows(addr[0]):
                 cause = quote(error)
                 logger.warning("cannot decode datagram from {}: {}", addr[0], cause)
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -71,8 +71,9 @@
 QUARANTINE_TABLE, QUARANTINE_PART = "quarantine", "all"
 #: Table of the store that contains the software versions that serve, and its only part.
 VERSIONS_TABLE, VERSIONS_PART = "versions", "all"
-#: Table of the store that contains the origins of streams. Its only part has a name of
-#: its own, as the store bounds the transactions of a part over all tables.
+#: Table of the store that contains the origins of streams. Its only part has a name
+#: that no other table uses, as the store limits the transactions of a part over all
+#: tables.
 ORIGINS_TABLE, ORIGINS_PART = "origins", "streams"
 #: One crash more is required than in daemons that probe their targets, because here a
 #: target may also have ended for another reason. Crashes are kept for longer than a
@@ -329,7 +330,7 @@
         target = self._directory.find(statement.target)
         if target is None:
             return
-        # The target may have restarted under its name since.
+        # The target may have restarted under the same name since; 0 means unknown.
         if statement.started_at_ms not in (0, target.started_at_ms):
             return
         if statement.pause:
--- a/kingcuphead/entry/_http_caller.py
+++ b/kingcuphead/entry/_http_caller.py
@@ -148,7 +148,7 @@
         return not self._is_chunked and not self._has_length
 
     def _end_cleanly(self) -> None:
-        """Let the connection end without a reset once all bytes are written."""
+        """Let the connection close without a reset once all bytes are written."""
         stream = self._connection.stream
         if not stream.writing():
             self._set_reset_on_close(False)
@@ -161,7 +161,7 @@
             self._set_reset_on_close(False)
 
     def _set_reset_on_close(self, is_reset: bool) -> None:
-        """Choose whether the connection is reset when it closes, or ends cleanly."""
+        """Set whether closing the connection resets it."""
         stream = self._connection.stream
         if not stream.closed():
             # With a linger time of 0 the kernel sends a reset.
@@ -187,8 +187,8 @@
         self._has_length = "Content-Length" in headers
         if self._is_unframed:
             # Only the end of the connection marks that of the answer, so an incomplete
-            # one has to be reset, even if this process ends. Tornado would keep the
-            # connection open if the caller asked for it.
+            # one has to be reset, even if this process is killed. Tornado would keep
+            # the connection open if the caller asked for it.
             self._connection._disconnect_on_finish = True
             self._set_reset_on_close(True)
         if self._is_chunked:
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -59,7 +59,7 @@
         )
         self._queue = QueueMetrics(self._registry)
         self._hedging = HedgingMetrics(self._registry)
-        #: Streams that callers take up again.
+        #: Streams that callers resume.
         self.resumption = ResumptionMetrics(self._registry)
         #: Placements on engines.
         self.engines = EngineMetrics(self._registry, self._choose_label)
--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -22,7 +22,7 @@
 #: Bounds of the seconds between two polls that are made early, because a daemon was
 #: heard of that isn't listed. While a fleet starts, each poll finds several of them.
 MIN_EARLY_INTERVAL, MAX_EARLY_INTERVAL = 0.4, 0.8
-#: Highest number of a port.
+#: Highest port number.
 MAX_PORT = 65_535
 
 
@@ -146,14 +146,16 @@
 def _check_address(daemon: DaemonRow, own_address: Address) -> None:
     """Raise `ValueError` unless a datagram can be sent to the address of a daemon.
 
-    A port out of range closes the socket for good, and the name of a host is looked up
-    while the event loop waits.
+    Sending to a port out of range closes the socket for good, and a host name would
+    block the event loop while it is resolved.
     """
     own_host, _ = own_address
     family = socket.AF_INET6 if ":" in own_host else socket.AF_INET
     try:
         socket.inet_pton(family, daemon.host)
     except OSError as error:
-        raise ValueError(f"no address of this network: {daemon.host}") from error
+        raise ValueError(
+            f"not an IP address of this daemon's address family: {daemon.host}"
+        ) from error
     if not 0 < daemon.port <= MAX_PORT:
-        raise ValueError(f"no port: {daemon.port}")
+        raise ValueError(f"not a port: {daemon.port}")
--- a/kingcuphead/entry/_resumption_metrics.py
+++ b/kingcuphead/entry/_resumption_metrics.py
@@ -1,4 +1,4 @@
-"""Prometheus metrics of streams that callers take up again."""
+"""Prometheus metrics of streams that callers resume."""
 
 from kingcuphead.entry._instruments import Counter, Gauge, Registry
 from kingcuphead.resumption import OriginSource, ResumptionExchange
--- a/kingcuphead/entry/tests/test_loss_of_all_daemons.py
+++ b/kingcuphead/entry/tests/test_loss_of_all_daemons.py
@@ -5,7 +5,7 @@
 from kingcuphead.entry.tests._fleet import Fleet
 from kingcuphead.entry.tests._target import STREAM_EVENTS, StreamingTarget
 
-#: Streams that are begun and taken up again in each test.
+#: Streams that are begun and resumed in each test.
 STREAMS = 24
 #: Seconds before the kill from which on all origins have to be kept.
 SAVE_SECONDS = 1.0
--- a/kingcuphead/entry/tests/test_versions.py
+++ b/kingcuphead/entry/tests/test_versions.py
@@ -3,7 +3,7 @@
 from kingcuphead.entry.tests._fleet import Fleet
 from kingcuphead.entry.tests._target import DOWN_SECONDS, StreamingTarget
 
-#: Streams that are begun and taken up again in each test.
+#: Streams that are begun and resumed in each test.
 STREAMS = 16
 
 
--- a/kingcuphead/forwarding/_answer_parser.py
+++ b/kingcuphead/forwarding/_answer_parser.py
@@ -18,7 +18,8 @@
 MAX_BODY_BYTES = 64 * 1024 * 1024
 #: Largest line with the size of a chunk in bytes, its line end included.
 MAX_CHUNK_LINE_BYTES = 64
-#: Bytes after the end of an answer that are kept; they may begin another answer.
+#: Maximum number of bytes after the end of an answer that are kept; they may begin
+#: another answer.
 MAX_SURPLUS_BYTES = 262_144
 #: Maximum number of informational answers before the final one.
 MAX_INTERIM_ANSWERS = 10
@@ -26,8 +27,8 @@
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
 _HEAD_END_BYTES = 4
 _LINE_END = b"\r\n"
-#: A status line. Within a head it begins another answer, whose head joins the remains
-#: of one that the target broke off.
+#: A status line. Within a head it begins the head of another answer, which follows a
+#: head that the target left incomplete.
 _STATUS_LINE = re.compile(r"HTTP/1\.[01] [1-5][0-9]{2}\b")
 #: Header lines of the usual form, which need no further validation.
 _PLAIN_FIELDS = re.compile(r"(?:[A-Za-z0-9-]+: ?[\x21-\x7e][\x20-\x7e]*\r\n)*\r\n")
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -25,7 +25,8 @@
 
 #: Bound in seconds on opening a connection to a target.
 CONNECT_TIMEOUT = 0.4
-#: Answers to other requests that are skipped until the own one is given up.
+#: Maximum number of answers to other requests that are skipped while waiting for the
+#: answer to the own one.
 MAX_SKIPPED_ANSWERS = 4
 #: Largest answer in bytes, streams excepted.
 MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -105,7 +106,8 @@
     answer: TargetAnswer | None = None
     #: Decoded head of the answer; None until it is received.
     head: AnswerHead | None = None
-    #: Whether the first answer that arrived names the request, so that none is due.
+    #: Whether the first answer that arrived names the request; otherwise the target may
+    #: still send answers that nobody waits for.
     is_first_own: bool = False
 
 
@@ -146,7 +148,10 @@
             self._release_connection(lease, exchange)
 
     async def _acquire_connection(self, attempt: Attempt) -> Lease:
-        """Return a connection on which the id names this attempt and no earlier one.
+        """Return a connection whose last request had another id.
+
+        An answer is matched to its request by the id, so a late answer to an earlier
+        attempt of the same request couldn't be told from that to this one.
 
         Raises
         ------
@@ -196,8 +201,8 @@
     ) -> AnswerHead | AttemptFailed:
         """Skip whole answers to other requests; return the head of the next answer.
 
-        A target may write an answer again where the next one is due. The own answer may
-        take as long as if it were the first one.
+        A target may repeat an earlier answer ahead of the own one. The timeout of the
+        own answer starts anew after each of them.
         """
         for _ in range(MAX_SKIPPED_ANSWERS):
             await _discard_body(answer, attempt.reservation)
@@ -223,7 +228,7 @@
         """Return the connection to the pool after a complete exchange; else close it.
 
         A target cancels a request whose connection closes. After an answer that names
-        another request, more of them may be due.
+        another request, more of them may follow, so the connection is closed.
         """
         answer, head = exchange.answer, exchange.head
         if answer is not None:
@@ -254,8 +259,8 @@
                 f"refused with status {head.status}",
                 is_misdirected=head.is_misdirected,
             )
-        if head.is_false_promise:
-            return await _discard_false_promise(answer, head, attempt.reservation)
+        if head.is_unconfirmed_refusal:
+            return await _discard_unconfirmed_refusal(answer, head, attempt.reservation)
         if head.is_success and stream is not None:
             if not head.is_stream:
                 return _make_broken_failure("the answer is not a stream")
@@ -268,7 +273,7 @@
     if head.identify(attempt.request) is not AnswerIdentity.OWN:
         return _make_broken_failure("the answer has no id")
     if head.is_contradictory:
-        return _make_broken_failure(f"status {head.status} states 'not run'")
+        return _make_broken_failure(f"states 'not run' with status {head.status}")
     if head.is_success and (not head.is_signed or head.is_encoded):
         return _make_broken_failure("the answer has no seal or has a content encoding")
     return None
@@ -362,10 +367,10 @@
             reservation.release(size)
 
 
-async def _discard_false_promise(
+async def _discard_unconfirmed_refusal(
     answer: TargetAnswer, head: AnswerHead, reservation: MemoryReservation
 ) -> AttemptFailed:
-    """Drop an answer whose status would promise callers what the target doesn't."""
+    """Drop an answer that callers would read as "not run" without its saying so."""
     await _discard_body(answer, reservation)
     return AttemptFailed(
         AttemptResult.FAILED,
@@ -377,7 +382,7 @@
 async def _discard_body(answer: TargetAnswer, reservation: MemoryReservation) -> None:
     """Read a body that nobody needs, so that the connection can be used again.
 
-    A target that takes long for it is left, and the connection isn't used again.
+    After `CONNECT_TIMEOUT` the rest is not awaited and the connection isn't reused.
     """
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(CONNECT_TIMEOUT):
@@ -421,10 +426,10 @@
         return _make_broken_failure("the stream ended within an event")
     if head.is_unframed and not stream.has_events:
         return _make_broken_failure("the stream ended before its first event")
-    if stream.adds_nothing:
-        # It may be an error without a text. A caller that has all events learns it when
-        # it takes the stream up.
-        return _make_broken_failure("the stream went on without an event")
+    if stream.is_empty_continuation:
+        # It may be an error without a body. A caller that already has all events gets
+        # the end of the stream when it resumes.
+        return _make_broken_failure("the stream was continued without an event")
     if not stream.finish(head):
         return _make_broken_failure(OTHER_ATTEMPT)
     return StreamDelivered(head)
--- a/kingcuphead/forwarding/_events.py
+++ b/kingcuphead/forwarding/_events.py
@@ -13,29 +13,29 @@
 _MAX_END_BYTES = 4
 #: The first `id` field of an event with a numeric value.
 _EVENT_ID = re.compile(rb"(?:\A|[\r\n])id:[ \t\v\f]*([0-9]+)[ \t\v\f]*(?=[\r\n])")
-#: A field or a comment. Names of fields are in lower case, unlike those of headers; an
-#: error is no piece of a stream, even with an id.
+#: A field or a comment. Names of fields are in lower case, unlike those of HTTP
+#: headers. An event of type `error` is not a part of the stream, even with an id.
 _LINE = (
     rb"(?:(?!event: ?error[ \t]*[\r\n])[a-z][a-z0-9_.-]*+(?::[^\r\n]*+)?|:[^\r\n]*+)"
 )
-#: An event with one kind of line ends. A head that was written after a part of an event
-#: has others, or lines that are no fields.
+#: An event whose lines are fields or comments and have the same line ends. An HTTP head
+#: that follows an incomplete event has other line ends, or lines that aren't fields.
 _WELL_FORMED = re.compile(
     rb"\n*+(?:%b\n)++\n|(?:\r\n)*+(?:%b\r\n)++\r\n" % (_LINE, _LINE)
 )
-#: What has no fields: comments, and blank lines.
+#: Only comments and blank lines.
 _COMMENT = re.compile(rb"(?:(?::[^\r\n]*)?(?:\n|\r\n))*")
 
 
 class EventKind(enum.Enum):
-    """What the bytes up to a blank line are."""
+    """Kind of a block, the bytes up to and including a blank line."""
 
     #: An event of the stream, which has an id.
-    NUMBERED = "an event"
+    NUMBERED = enum.auto()
     #: Only comments, which belong to no event and may be anywhere in a stream.
-    COMMENT = "a comment"
-    #: Not a part of a stream: without an id, or with lines that are no fields.
-    FOREIGN = "no event of the stream"
+    COMMENT = enum.auto()
+    #: Not a part of the stream: without an id, malformed, or of type `error`.
+    INVALID = enum.auto()
 
 
 @frozen
@@ -88,7 +88,7 @@
     match = _EVENT_ID.search(content)
     if match is not None:
         is_well_formed = _WELL_FORMED.fullmatch(content) is not None
-        kind = EventKind.NUMBERED if is_well_formed else EventKind.FOREIGN
+        kind = EventKind.NUMBERED if is_well_formed else EventKind.INVALID
         return Event(int(match[1]), content, kind)
     is_comment = _COMMENT.fullmatch(content) is not None
-    return Event(None, content, EventKind.COMMENT if is_comment else EventKind.FOREIGN)
+    return Event(None, content, EventKind.COMMENT if is_comment else EventKind.INVALID)
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -38,7 +38,7 @@
 
 #: Seconds after which a caller may retry at a daemon that has no configuration yet.
 CONFIGURATION_RETRY_AFTER = 0.5
-#: Seconds after which a caller may take up a stream of unknown origin again, in case
+#: Seconds after which a caller may resume a stream of unknown origin again, in case
 #: the daemon that knows it can be reached then.
 ORIGIN_RETRY_AFTER = 1.0
 #: Seconds after which a caller may retry if no target ran the request.
@@ -212,7 +212,7 @@
         return Ok(context)
 
     async def _find_origin(self, context: RequestContext) -> bool:
-        """Bind a stream that a caller takes up to the version that began it.
+        """Bind a stream that a caller resumes to the version that began it.
 
         Returns
         -------
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -8,9 +8,10 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.permits import TargetTerms
 
-#: Statuses by which callers of this fleet are promised that a request hasn't run and
-#: never will. A target's status alone doesn't promise it.
-PROMISING_STATUSES = frozenset(
+#: Statuses that tell callers of this fleet that a request hasn't run and never will. A
+#: target's status alone doesn't: it has to state "not run" by a header, too, except for
+#: 421.
+NOT_RUN_STATUSES = frozenset(
     {
         http.HTTPStatus.REQUEST_TIMEOUT,
         http.HTTPStatus.MISDIRECTED_REQUEST,
@@ -71,15 +72,15 @@
     resume_after: int
     #: Time of arrival in seconds of the event loop's clock.
     arrived_at: float
-    #: Id of the try that brought the first event of the stream that this one takes up;
+    #: Id of the try that brought the first event of the stream that this one resumes;
     #: empty if the caller names none.
     resumed_id: str = ""
 
     @property
     def stream_id(self) -> str:
-        """Id of the try that began the stream: this one, or that which it takes up.
+        """Id of the try that began the stream: this one, or the one that it resumes.
 
-        Empty if it takes up a stream and names no try.
+        Empty if it resumes a stream and names no try.
         """
         return self.resumed_id if self.resume_after else self.request_id
 
@@ -139,7 +140,7 @@
     OWN = "own"
     #: Another request.
     OTHER = "other"
-    #: None; the answer has no id.
+    #: The answer has no id.
     MISSING = "none"
 
 
@@ -173,7 +174,7 @@
     terms: TargetTerms = TargetTerms()
     #: Seconds for which the target stays cold; None if it doesn't state them.
     cold_left: float | None = None
-    #: Whether it states "not run" with a status that is no refusal.
+    #: Whether it states "not run" with a status that doesn't allow this statement.
     is_contradictory: bool = False
 
     def identify(self, request: CallerRequest) -> AnswerIdentity:
@@ -190,9 +191,9 @@
         return self.status == http.HTTPStatus.MISDIRECTED_REQUEST
 
     @property
-    def is_false_promise(self) -> bool:
-        """Whether callers would take the status for a promise that was not given."""
-        return self.status in PROMISING_STATUSES and not self.is_not_run
+    def is_unconfirmed_refusal(self) -> bool:
+        """Whether to callers the status means "not run" without its saying so."""
+        return self.status in NOT_RUN_STATUSES and not self.is_not_run
 
     @property
     def is_success(self) -> bool:
@@ -201,7 +202,7 @@
 
     @property
     def is_stream(self) -> bool:
-        """Whether a success may hold events; a missing type is not taken amiss."""
+        """Whether the answer may contain events; a missing content type is accepted."""
         content_type = self.headers.get("Content-Type", _EVENT_STREAM)
         media_type = content_type.partition(";")[0].strip().lower()
         return self.status == http.HTTPStatus.OK and media_type == _EVENT_STREAM
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -89,14 +89,14 @@
     def count_next(self, events: Sequence[Event]) -> int:
         """Return how many of the events directly follow the last one and each other.
 
-        Comments follow any event. What has no id is no event of the stream: an error
-        that a target writes into it would reach the caller as a part of it.
+        Comments may follow any event. Data without an id is rejected, because an error
+        that a target writes into a stream would reach the caller as a part of it.
         """
         last = self._last_event_id
         for index, event in enumerate(events):
             if event.kind is EventKind.COMMENT:
                 continue
-            if event.kind is EventKind.FOREIGN or event.event_id != last + 1:
+            if event.kind is EventKind.INVALID or event.event_id != last + 1:
                 return index
             last += 1
         return len(events)
@@ -153,7 +153,7 @@
         return self._started_at is not None
 
     @property
-    def adds_nothing(self) -> bool:
+    def is_empty_continuation(self) -> bool:
         """Whether the caller got events in this answer, but none of this attempt."""
         return self._stream.is_started and not self.has_events
 
--- a/kingcuphead/forwarding/_transfer.py
+++ b/kingcuphead/forwarding/_transfer.py
@@ -30,17 +30,17 @@
         self._head = head
         self._stream = stream
         self._splitter = EventSplitter()
-        # Comments ahead of the first event. They prove nothing about the answer, so
-        # they don't begin the stream to the caller.
-        self._held: list[Event] = []
-        self._held_bytes = 0
+        # Comments ahead of the first event, kept until it arrives: an answer with only
+        # comments must not begin the stream to the caller.
+        self._early_comments: list[Event] = []
+        self._early_comment_bytes = 0
         #: Why the answer can't be sent on; None while it can.
         self.fault: str | None = None
 
     @property
     def has_partial_event(self) -> bool:
         """Whether the last event is incomplete, or comments still wait for one."""
-        return self._splitter.has_partial_event or bool(self._held)
+        return self._splitter.has_partial_event or bool(self._early_comments)
 
     def consume(self, block: bytes) -> bool:
         """Send the events that are now complete, in one write.
@@ -57,23 +57,27 @@
             self.fault = OTHER_ATTEMPT
         elif count < len(events):
             self.fault = _describe_fault(events[count])
-        elif self._splitter.is_oversized or self._held_bytes > MAX_EVENT_BYTES:
+        elif self._splitter.is_oversized or self._early_comment_bytes > MAX_EVENT_BYTES:
             self.fault = f"an event is larger than {MAX_EVENT_BYTES} bytes"
         return self.fault is None and not self._stream.is_congested
 
     def _deliver(self, events: Sequence[Event]) -> bool:
-        """Send events, and comments once there is an event; false if it has lost."""
+        """Send events, and comments once there is an event.
+
+        Return false if another attempt sends the stream.
+        """
         if self._stream.has_events:
             return self._stream.deliver(self._head, events)
         if all(event.kind is EventKind.COMMENT for event in events):
-            self._held += events
-            self._held_bytes += sum(len(event.content) for event in events)
+            self._early_comments += events
+            self._early_comment_bytes += sum(len(event.content) for event in events)
             return True
-        held, self._held, self._held_bytes = self._held, [], 0
-        return self._stream.deliver(self._head, [*held, *events])
+        comments, self._early_comments = self._early_comments, []
+        self._early_comment_bytes = 0
+        return self._stream.deliver(self._head, [*comments, *events])
 
 
 def _describe_fault(event: Event) -> str:
-    if event.kind is EventKind.FOREIGN:
-        return f"the stream holds what is {event.kind.value}"
+    if event.kind is EventKind.INVALID:
+        return "the stream contains data that is not a valid event"
     return "an event id is not in sequence"
--- a/kingcuphead/logs/_repetition.py
+++ b/kingcuphead/logs/_repetition.py
@@ -1,9 +1,9 @@
-"""Bounds on log lines about data that this version can't decode."""
+"""Limits the number and length of log lines about data that can't be decoded."""
 
 import time
 from collections.abc import Callable
 
-#: Seconds between two lines about the same subject.
+#: Minimum seconds between two lines about the same subject.
 REPETITION_INTERVAL = 60.0
 #: Number of subjects that may have a line within that interval.
 MAX_SUBJECTS = 256
@@ -14,8 +14,8 @@
 class RepetitionLimit:
     """Decides whether another line about a subject is logged.
 
-    While daemons of two versions run, one of them may send or write again and again
-    what the other one can't decode.
+    While daemons of two versions run, one of them may repeatedly send or write what the
+    other one can't decode.
 
     Parameters
     ----------
@@ -50,7 +50,7 @@
 
 
 def quote(content: object) -> str:
-    """Return a text whose length another process decides, without its middle."""
+    """Return the text of untrusted content, shortened in the middle if it is long."""
     text = str(content)
     if len(text) <= QUOTED_BEGINNING + QUOTED_END:
         return text
--- a/kingcuphead/permits/_bucket.py
+++ b/kingcuphead/permits/_bucket.py
@@ -5,9 +5,9 @@
 #: Tokens per second of a target that states a limit of 0 or nearly so; without any
 #: request it could not state the end of the limit.
 MIN_RATE = 0.2
-#: Tokens per second of a bucket whose rate is 0 or invalid. The terms of a target come
-#: from other daemons, too, which may run another version.
-LEAST_RATE = 0.001
+#: Lower bound of a bucket's rate in tokens per second, which also replaces an invalid
+#: rate. Daemons of another version may pass on terms that this one would not accept.
+MIN_BUCKET_RATE = 0.001
 
 
 class TokenBucket:
@@ -34,8 +34,8 @@
     def apply_rate(self, rate: float, now: float) -> None:
         """Change the rate in tokens per second, from now on."""
         self._fill(now)
-        # In this order, a rate that is not a number is replaced, too.
-        self._rate = max(LEAST_RATE, rate)
+        # With the arguments in this order, `max` also replaces NaN.
+        self._rate = max(MIN_BUCKET_RATE, rate)
 
     def try_take(self, now: float) -> bool:
         """Take a token if there is one."""
--- a/kingcuphead/permits/_exchange.py
+++ b/kingcuphead/permits/_exchange.py
@@ -85,7 +85,8 @@
         self._gate = TargetGate()
         self._open_requests: Counter[str] = Counter()
         self._memory_reports = MemoryReports()
-        # Late answers may be to queries of an earlier process at the same address.
+        # Numbers begin at random, because a late answer may belong to a query of an
+        # earlier process at the same address.
         self._numbers = itertools.count(random.getrandbits(FIRST_NUMBER_BITS))
         self._queries: dict[tuple[int, Address], asyncio.Future[Decision]] = {}
         #: Which daemon coordinates the permits of a target.
@@ -380,6 +381,7 @@
         receivers = [self.ranking.find_coordinator(target, get_time())]
         if report.memory_tokens is not None:
             receivers += self.ranking.list_observers(target)
+        # Without duplicates and in a fixed order, so that simulations are reproducible.
         for address in dict.fromkeys(receivers):
             if address == self._own_address:
                 self._apply_room(report, address)
--- a/kingcuphead/permits/_ranking.py
+++ b/kingcuphead/permits/_ranking.py
@@ -208,7 +208,7 @@
 
         Those that have crashed by then can't confirm it any more.
         """
-        # Sorted, so that a seed determines what a played fleet does.
+        # Sorted, so that simulations are reproducible by their seed.
         for address in sorted((self._peers or frozenset()) - self._confirmed):
             probed_at = self._probed_at.get(address, float("-inf"))
             if now - probed_at >= CONFIRMATION_INTERVAL:
--- a/kingcuphead/permits/_room.py
+++ b/kingcuphead/permits/_room.py
@@ -66,7 +66,10 @@
         return others + wanted.count <= self._limit(places, now)
 
     def record(self, open_requests: OpenRequests, now: float) -> None:
-        """Replace the report of a daemon, unless a later one has arrived."""
+        """Replace the report of a daemon, unless a later one has arrived.
+
+        A lower number after `REORDERING_PERIOD` is from a restarted daemon.
+        """
         previous = self._reports.get(open_requests.holder)
         is_late = (
             previous is not None
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -38,7 +38,8 @@
 _RATE_LIMIT = "Server-Limit"
 _REJECTION_LIMIT = "Server-Brittle"
 _COLD = "Cold-Ms"
-#: Statuses with which a target can state that it has not run a request.
+#: Statuses with which a target can state that it has not run a request. Not the same as
+#: `NOT_RUN_STATUSES` (package `forwarding`), by which this fleet tells its callers so.
 _STATUSES_NOT_RUN = frozenset(
     {
         http.HTTPStatus.BAD_REQUEST,
--- a/kingcuphead/platform/_store_codec.py
+++ b/kingcuphead/platform/_store_codec.py
@@ -26,7 +26,7 @@
 )
 
 OK, GONE, PRECONDITION_FAILED = 200, 410, 412
-#: Statuses with which the store refuses a transaction, besides 503.
+#: Statuses, besides 503, with which the store states that a transaction had no effect.
 REFUSING_STATUSES = frozenset(
     {
         http.HTTPStatus.BAD_REQUEST,
--- a/kingcuphead/quarantine/_rows.py
+++ b/kingcuphead/quarantine/_rows.py
@@ -75,7 +75,7 @@
     store_time
         Time of the store in milliseconds.
     repetitions
-        Bounds the lines about malformed rows.
+        Limits the log lines about malformed rows.
     """
     try:
         if row.key.startswith(CRASH_PREFIX):
--- a/kingcuphead/resumption/__init__.py
+++ b/kingcuphead/resumption/__init__.py
@@ -1,4 +1,4 @@
-"""Which software version began a stream that a caller takes up again."""
+"""Which software version began a stream that a caller resumes."""
 
 from kingcuphead.resumption._exchange import ResumptionExchange
 from kingcuphead.resumption._history import VersionHistory
--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -1,4 +1,4 @@
-"""Finds out which software version began a stream that a caller takes up again."""
+"""Finds out which software version began a stream that a caller resumes."""
 
 import asyncio
 import contextlib
@@ -48,8 +48,8 @@
 #: Age in seconds from which on the view of the targets may lack a version. The store
 #: answers the feed of entries at least once a second.
 MAX_VIEW_AGE = 1.5
-#: Seconds after which a stream that was not found counts as unknown, whatever is still
-#: awaited. A slow store answers within them, and callers have time left.
+#: Bound in seconds on the search for the origin of a stream; one that isn't found by
+#: then counts as unknown. A slow store answers in time, and callers have time left.
 SEARCH_TIMEOUT = 1.0
 #: Seconds between two comparisons of the version table with what this daemon saw.
 SYNCHRONISATION_INTERVAL = 30.0
@@ -107,7 +107,7 @@
         self._table = table
         #: Origins of streams that outlast the daemons.
         self.origins = origins
-        #: Called with the end of each search for the origin of a stream.
+        #: Called with how each origin was found, or that it is unknown.
         self.report_search: Callable[[OriginSource], None] | None = None
         origins.report_read = self._apply_origins
         self._view = view
@@ -149,15 +149,15 @@
             source = await self._search(request_id, services)
         stream = self._find(request_id)
         if stream is not None:
-            self._count(source)
+            self._report_source(source)
             return StreamOrigin(stream.software_version, stream.service_name)
         only_version = None
         if self._has_read_versions.is_set():
             only_version = self._find_only_version(services, bool(request_id))
         if only_version is None:
-            self._count(OriginSource.UNKNOWN)
+            self._report_source(OriginSource.UNKNOWN)
             return None
-        self._count(OriginSource.ONLY_VERSION)
+        self._report_source(OriginSource.ONLY_VERSION)
         return StreamOrigin(only_version)
 
     def handle_message(
@@ -228,14 +228,14 @@
         if not self._is_continuous:
             # Any of them may have served until now, unseen by this daemon.
             self._history.observe(stored, get_time())
-        # Another daemon has seen a target whose entry never came here.
-        self._history.observe_unseen(stored, get_time())
+        # Another daemon may have seen a target whose entry never arrived here.
+        self._history.add_missing(stored, get_time())
         self._synchronised_at = started_at
         self._has_read_versions.set()
         recent = frozenset(self._history.list_recent(get_time()))
         puts = tuple(encode_row(version) for version in recent - stored)
         is_saved = not puts or await self._commit(Transaction((), puts))
-        # What may be missing is written again soon.
+        # After a failed write, the versions not counted as saved are written again.
         self._saved = recent if is_saved else recent & stored
         await self._remove(snapshot, stored - recent)
 
@@ -282,8 +282,8 @@
         """Return the version of some services if there was just one.
 
         Callers that name the try that began their stream know of versions, so that it
-        has to be certain for them. For the others it counts what this daemon saw since
-        it read which versions served before its start.
+        has to be certain for them. For other callers the versions that this daemon has
+        read and seen since its start are enough.
         """
         self._observe()
         is_current = self._view.get_age() <= MAX_VIEW_AGE and self._is_continuous
@@ -302,10 +302,12 @@
         return self._registry.find(request_id) or self.origins.find(request_id)
 
     async def _search(self, request_id: str, services: Collection[str]) -> OriginSource:
-        """Search for a stream, for a bounded time; return where it was searched last.
+        """Search for a stream for a bounded time; return which source supplied it.
 
-        Other daemons are asked first. The first read of the store that follows a start
-        ends the question if it finds the stream.
+        Other daemons are asked first. If they don't know it, the store is read. The
+        first read after the start may complete while they are asked; if it contains the
+        stream, their answers are no longer awaited. The result is meaningful only if
+        the stream was found.
         """
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(SEARCH_TIMEOUT):
@@ -316,21 +318,22 @@
                         services
                     ):
                         await self.origins.read()
-        is_told = self._registry.find(request_id) is not None
-        return OriginSource.PEER if is_told else OriginSource.STORE
+        is_from_peer = self._registry.find(request_id) is not None
+        return OriginSource.PEER if is_from_peer else OriginSource.STORE
 
     def _apply_origins(self) -> None:
         """Apply the origins that were just read.
 
-        The row of a version may be missing although that of a stream was written.
-        Questions to other daemons end if the read has answered them.
+        Their versions count as served, because the row of a version may be missing
+        although that of a stream was written. Queries to other daemons for streams that
+        the read has found end.
         """
-        self._history.observe_unseen(self.origins.list_versions(), get_time())
+        self._history.add_missing(self.origins.list_versions(), get_time())
         for request_id, answered in self._waiting.items():
             if self.origins.find(request_id) is not None:
                 answered.set()
 
-    def _count(self, source: OriginSource) -> None:
+    def _report_source(self, source: OriginSource) -> None:
         if self.report_search is not None:
             self.report_search(source)
 
--- a/kingcuphead/resumption/_history.py
+++ b/kingcuphead/resumption/_history.py
@@ -1,4 +1,4 @@
-"""The software versions that may have begun a stream that a caller takes up."""
+"""The software versions that may have begun a stream that a caller resumes."""
 
 from collections.abc import Iterable, Iterator
 
@@ -21,13 +21,13 @@
         for version in versions:
             self._seen_at[version] = now
 
-    def observe_unseen(self, versions: Iterable[ServedVersion], now: float) -> None:
-        """Record those of some versions that were never observed here."""
+    def add_missing(self, versions: Iterable[ServedVersion], now: float) -> None:
+        """Record versions that have no entry yet; later observations are kept."""
         for version in versions:
             self._seen_at.setdefault(version, now)
 
     def list_recent(self, now: float) -> Iterator[ServedVersion]:
-        """Yield the versions whose streams callers may still take up."""
+        """Yield the versions whose streams callers may still resume."""
         for version, seen_at in self._seen_at.items():
             if now - seen_at <= STREAM_LIFETIME:
                 yield version
--- a/kingcuphead/resumption/_messages.py
+++ b/kingcuphead/resumption/_messages.py
@@ -49,17 +49,18 @@
 
 
 class OriginSource(enum.StrEnum):
-    """How the origin of a stream that a caller takes up became known."""
+    """How the origin of a stream that a caller resumes became known."""
 
-    #: The stream began here, another daemon had told of it, or it had been read.
+    #: Known before the search: the stream began here, was announced by another daemon,
+    #: or had been read from the store.
     KNOWN = "known"
-    #: Another daemon was asked.
+    #: Another daemon answered a query.
     PEER = "peer"
     #: The store was read.
     STORE = "store"
     #: The service had one version only.
     ONLY_VERSION = "only_version"
-    #: Nobody knows it.
+    #: Not found.
     UNKNOWN = "unknown"
 
 
--- a/kingcuphead/resumption/_origin_journal.py
+++ b/kingcuphead/resumption/_origin_journal.py
@@ -12,9 +12,10 @@
 
 #: Streams that are kept to be written once their service has a second version.
 MAX_PENDING = 2_000
-#: Number of writes after which a row gets no more streams. It is written whole each
-#: time, so more of them cost bytes, and fewer cost rows that every start has to read:
-#: 80 writes a second of all daemons leave 480 rows, and those that are being filled.
+#: Number of writes after which a row gets no more streams. Each write contains the
+#: whole row, so a larger number costs bytes; a smaller one leaves more rows, which each
+#: daemon reads at its start. At 80 writes a second of all daemons there are 480 full
+#: rows, and those that are being filled.
 MAX_ROW_WRITES = 10
 #: Seconds after which a row gets no more streams, so that it can expire.
 ROW_PERIOD = STREAM_LIFETIME / 2
@@ -24,7 +25,7 @@
 MAX_ROWS = 40
 #: Maximum number of rows that one transaction writes, and of those that it removes. The
 #: store takes 100 entries.
-MAX_WRITES = 40
+MAX_BATCH_ROWS = 40
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -33,8 +34,9 @@
     opened_at: float
     expires_at: float = 0.0
     streams: list[BegunStream] = dataclasses.field(default_factory=list)
-    saved: int = 0
-    writes: int = 0
+    #: Number of its first streams that the store is known to contain.
+    saved_count: int = 0
+    write_count: int = 0
     #: Whether the store may contain it.
     is_sent: bool = False
 
@@ -64,8 +66,8 @@
         self._identity = identity
         self._pending: deque[tuple[BegunStream, float]] = deque(maxlen=MAX_PENDING)
         self._rows: deque[_OpenRow] = deque()
-        self._gone: dict[str, None] = {}
-        self._keys = 0
+        self._removable_keys: dict[str, None] = {}
+        self._key_count = 0
 
     def record(self, stream: BegunStream, now: float) -> None:
         """Record a stream that has begun."""
@@ -77,7 +79,7 @@
 
     def count_unsaved(self) -> int:
         """Return the number of streams that should be in the store and may not be."""
-        return sum(len(row.streams) - row.saved for row in self._rows)
+        return sum(len(row.streams) - row.saved_count for row in self._rows)
 
     def prepare(
         self, services: Iterable[str], now: float, store_time: int
@@ -98,12 +100,12 @@
         """
         self._expire(now)
         self._fill_rows(frozenset(services), now)
-        unsaved = [row for row in self._rows if len(row.streams) > row.saved]
-        unsaved = unsaved[:MAX_WRITES]
-        if not unsaved and (self._rows or not self._gone):
+        unsaved = [row for row in self._rows if len(row.streams) > row.saved_count]
+        unsaved = unsaved[:MAX_BATCH_ROWS]
+        if not unsaved and (self._rows or not self._removable_keys):
             return None
         puts = tuple(self._encode(unsaved, now, store_time))
-        removed = tuple(self._gone)[:MAX_WRITES]
+        removed = tuple(self._removable_keys)[:MAX_BATCH_ROWS]
         transaction = Transaction((), (*puts, *map(Delete, removed)))
         counts = {row.key: len(row.streams) for row in unsaved}
         return Batch(transaction, counts, frozenset(removed))
@@ -111,32 +113,34 @@
     def confirm(self, batch: Batch) -> None:
         """Record that a batch was written."""
         for row in self._rows:
-            row.saved = max(row.saved, batch.counts.get(row.key, 0))
+            row.saved_count = max(row.saved_count, batch.counts.get(row.key, 0))
         for key in batch.removed:
-            self._gone.pop(key, None)
+            self._removable_keys.pop(key, None)
 
     def abandon(self, batch: Batch) -> None:
-        """Record that nobody knows whether a batch was or will still be written.
+        """Handle a batch whose outcome is unknown.
 
-        Its rows get other keys, because it may yet be applied, and would then replace
-        rows that contain more streams.
+        Its rows get new keys and are written again. The store may still apply the batch
+        later, and under the same keys it would replace rows that contain more streams
+        by then.
         """
         for row in self._rows:
             if row.key in batch.counts:
-                self._gone[row.key] = None
+                self._removable_keys[row.key] = None
                 row.key = self._make_key()
-                row.saved = 0
+                row.saved_count = 0
 
     def _encode(
         self, rows: Iterable[_OpenRow], now: float, store_time: int
     ) -> Iterator[Put]:
         for row in rows:
             row.is_sent = True
-            row.writes += 1
+            row.write_count += 1
             expires_ms = store_time + int((row.expires_at - now) * 1000)
             yield encode_origins(row.key, row.streams, expires_ms)
 
     def _expire(self, now: float) -> None:
+        """Drop expired streams and rows, and the oldest rows beyond `MAX_ROWS`."""
         while self._pending and now - self._pending[0][1] >= STREAM_LIFETIME:
             self._pending.popleft()
         while self._rows and (
@@ -144,10 +148,10 @@
         ):
             row = self._rows.popleft()
             if row.is_sent:
-                self._gone[row.key] = None
+                self._removable_keys[row.key] = None
 
     def _fill_rows(self, services: frozenset[str], now: float) -> None:
-        """Move the streams of some services into rows."""
+        """Move the pending streams of some services into rows."""
         if not services:
             return
         pending = tuple(self._pending)
@@ -165,12 +169,12 @@
             row = self._rows[-1]
             is_recent = now - row.opened_at < ROW_PERIOD
             is_short = len(row.streams) < MAX_ROW_STREAMS
-            if is_recent and is_short and row.writes < MAX_ROW_WRITES:
+            if is_recent and is_short and row.write_count < MAX_ROW_WRITES:
                 return row
         row = _OpenRow(self._make_key(), now)
         self._rows.append(row)
         return row
 
     def _make_key(self) -> str:
-        self._keys += 1
-        return f"{self._identity}/{self._keys:06d}"
+        self._key_count += 1
+        return f"{self._identity}/{self._key_count:06d}"
--- a/kingcuphead/resumption/_origin_store.py
+++ b/kingcuphead/resumption/_origin_store.py
@@ -22,18 +22,19 @@
 MIN_WRITE_INTERVAL = 0.25
 #: Writes a second of all daemons together; a part of the store applies 200.
 FLEET_WRITE_RATE = 80.0
-#: Reads a second of all daemons together while callers name streams that none knows.
+#: Reads a second of all daemons together while callers resume streams that no daemon
+#: knows.
 FLEET_READ_RATE = 50.0
 #: Minimum seconds between two reads of a daemon.
 MIN_READ_INTERVAL = 1.0
-#: Seconds by which a row has outlived its lifetime before another daemon removes it, so
-#: that its writer does it, in a call that it makes anyway.
+#: Seconds after the end of a row's lifetime before another daemon removes it. Within
+#: them its writer removes it, in a transaction that it commits anyway.
 REMOVAL_DELAY = 5.0
 #: Seconds over which the daemons of a small fleet that started together spread their
 #: removals.
 MIN_REMOVAL_SPREAD = 10.0
-#: Maximum number of rows that one transaction removes: each has a check, too, and the
-#: store takes 100 entries.
+#: Maximum number of rows that one transaction removes: each removal also has a check,
+#: and the store accepts 100 entries.
 MAX_REMOVED = 50
 
 
@@ -52,12 +53,12 @@
         self._table = table
         self._journal = OriginJournal(identity)
         self._origins: dict[bytes, ServedVersion] = {}
-        self._reading = asyncio.Lock()
-        self._tried_at = float("-inf")
+        self._read_lock = asyncio.Lock()
+        self._last_read_at = float("-inf")
         self._removal_at: float | None = None
         self._daemons = 1
-        self._is_failing = False
-        self._is_unreadable = False
+        self._is_write_failing = False
+        self._is_read_failing = False
         #: Whether the table was read since the start.
         self.has_read = False
         #: Number of streams whose origins were written.
@@ -88,25 +89,25 @@
         return self._journal.list_services()
 
     def list_versions(self) -> frozenset[ServedVersion]:
-        """Return the versions that began streams, by the rows that were read."""
+        """Return the versions of the streams in the rows that were read."""
         return frozenset(self._origins.values())
 
     def find(self, request_id: str) -> BegunStream | None:
-        """Return the stream that a try began, by the rows that were read."""
+        """Return the stream that a try began if a row that was read contains it."""
         version = self._origins.get(digest_id(request_id)) if request_id else None
         if version is None:
             return None
         return BegunStream(request_id, version.service, version.software_version)
 
     async def read(self) -> None:
-        """Read the table, unless it was read or tried lately."""
+        """Read the table, unless a read began within the minimum interval."""
         interval = max(MIN_READ_INTERVAL, self._daemons / FLEET_READ_RATE)
-        async with self._reading:
-            if get_time() - self._tried_at >= interval:
+        async with self._read_lock:
+            if get_time() - self._last_read_at >= interval:
                 await self._load()
 
     async def save(self, services: Iterable[str]) -> None:
-        """Write what is due.
+        """Write the origins of new streams, and remove rows that have expired.
 
         Parameters
         ----------
@@ -128,7 +129,7 @@
         self._log_outcome(isinstance(outcome, Committed), type(outcome).__name__)
 
     async def remove_expired(self) -> None:
-        """Remove the rows of daemons that ended, once after the start."""
+        """Remove expired rows of daemons that ended, once per daemon lifetime."""
         now = get_time()
         if self._removal_at is None or now < self._removal_at:
             return
@@ -142,16 +143,27 @@
         await self._remove(expired)
 
     async def _load(self) -> tuple[SavedOrigins, ...]:
-        self._tried_at = get_time()
+        """Read and apply the rows; return none of them if the read failed."""
+        self._last_read_at = get_time()
         match await self._table.read_prefix(""):
             case Result(tag="ok", ok=snapshot):
                 rows = tuple(decode_origins(snapshot.rows))
             case Result(error=fault):
-                if not self._is_unreadable:
+                if not self._is_read_failing:
                     logger.warning("origins of streams can't be read: {}", fault.cause)
-                self._is_unreadable = True
+                self._is_read_failing = True
                 return ()
-        self._is_unreadable = False
+        self._is_read_failing = False
+        self._apply_rows(rows)
+        if not self.has_read and rows:
+            self._schedule_removal()
+        self.has_read = True
+        if self.report_read is not None:
+            self.report_read()
+        return rows
+
+    def _apply_rows(self, rows: tuple[SavedOrigins, ...]) -> None:
+        """Replace the known origins by those of the rows that have not expired."""
         store_time = self._table.estimate_time() or 0
         self._origins = {}
         for each in rows:
@@ -160,14 +172,11 @@
         if rows:
             count = len(self._origins)
             logger.info("origins of {} streams read, in {} rows", count, len(rows))
-        if not self.has_read and rows:
-            spread = random.uniform(0.0, max(MIN_REMOVAL_SPREAD, self._daemons))
-            delay = STREAM_LIFETIME + REMOVAL_DELAY + spread
-            self._removal_at = get_time() + delay
-        self.has_read = True
-        if self.report_read is not None:
-            self.report_read()
-        return rows
+
+    def _schedule_removal(self) -> None:
+        """Choose when to remove rows whose writers ended, at random to spread calls."""
+        spread = random.uniform(0.0, max(MIN_REMOVAL_SPREAD, self._daemons))
+        self._removal_at = get_time() + STREAM_LIFETIME + REMOVAL_DELAY + spread
 
     async def _remove(self, rows: list[Row]) -> None:
         for start in range(0, len(rows), MAX_REMOVED):
@@ -182,8 +191,8 @@
         self.written_count += before - self._journal.count_unsaved()
 
     def _log_outcome(self, is_applied: bool, outcome: str) -> None:
-        if is_applied and self._is_failing:
+        if is_applied and self._is_write_failing:
             logger.info("origins of streams are written again")
-        elif not is_applied and not self._is_failing:
+        elif not is_applied and not self._is_write_failing:
             logger.warning("origins of streams can't be written: {}", outcome)
-        self._is_failing = not is_applied
+        self._is_write_failing = not is_applied
--- a/kingcuphead/resumption/_registry.py
+++ b/kingcuphead/resumption/_registry.py
@@ -5,7 +5,7 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.resumption._messages import BegunStream
 
-#: Seconds for which a caller may take a stream up again after it began.
+#: Seconds for which a caller may resume a stream after it began.
 STREAM_LIFETIME = 60.0
 #: Streams that are remembered; the oldest is evicted first.
 MAX_STREAMS = 20_000
--- a/kingcuphead/storage/_kept_connection.py
+++ b/kingcuphead/storage/_kept_connection.py
@@ -124,7 +124,7 @@
 
 
 def _has_unread_bytes(stream: IOStream) -> bool:
-    """Whether bytes follow the last reply, which would count as the next one."""
+    """Whether bytes follow the last reply; they would be read as the next reply."""
     # Tornado has no public way to find out what it has read ahead.
     if stream._read_buffer_size:
         return True
