Log what each ending charged and what killed daemons had of a budget

Cause: a request's line had one sum, and of a killed daemon only its reserve was logged when it was reclaimed. Free credit, credit of requests in flight and what was spent and not settled could not be told apart after a kill.

Change: the line of a request has the field charge (held, prompt, output).

--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -47,6 +47,17 @@
     reserve: int = 0
     #: Whether a later incarnation of the daemon has reclaimed the reserve.
     is_closed: bool = False
+    #: Free tokens, for the log of a later incarnation; 0 in rows of older versions.
+    free: int = 0
+    #: Tokens in unsettled holds, for the same log.
+    held: int = 0
+
+    def __str__(self) -> str:
+        """Return the credit as part of a log line."""
+        return (
+            f"received={self.received} settled={self.settled} free={self.free} "
+            f"held={self.held} reserve={self.reserve}"
+        )
 
 
 class Shortage(enum.StrEnum):
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -395,6 +395,8 @@
             settled=received.settled,
             stamp_ms=stamp,
             reserve=reserve if stamp else 0,
+            free=self.account.free + max(0, adjustment.free),
+            held=self.account.held,
         )
 
     def _apply_conflict(self, rows: Mapping[str, Row]) -> None:
--- a/kingcuphead/credit/_reclaimer.py
+++ b/kingcuphead/credit/_reclaimer.py
@@ -2,7 +2,7 @@
 
 import random
 import time
-from collections.abc import Sequence
+from collections.abc import Iterable, Mapping, Sequence
 
 from expression import Result
 from loguru import logger
@@ -16,8 +16,12 @@
     find_reclaimable,
     plan_reclaim,
 )
-from kingcuphead.credit._rows import SHARDS_PREFIX, select_shards
-from kingcuphead.credit._stamp import ReserveStamp
+from kingcuphead.credit._rows import (
+    SHARDS_PREFIX,
+    get_holder_incarnation,
+    select_shards,
+)
+from kingcuphead.credit._stamp import ReserveStamp, StampRow
 from kingcuphead.storage import (
     Committed,
     Conflict,
@@ -38,8 +42,10 @@
 
     Parameters
     ----------
+    name
+        Name of the organisation.
     ledger
-        The organisation's credit in this daemon.
+        Its credit in this daemon.
     table
         The part of the store's table with its rows.
     settings
@@ -52,12 +58,14 @@
 
     def __init__(
         self,
+        name: str,
         ledger: OrganisationLedger,
         table: TablePart,
         settings: CreditSettings,
         stamp: ReserveStamp,
         rng: random.Random,
     ) -> None:
+        self._log = logger.bind(organisation=name)
         self._ledger = ledger
         self._table = table
         self._settings = settings
@@ -80,8 +88,10 @@
         match await self._table.read_prefix(self._ledger.holder_prefix):
             case Result(tag="ok", ok=snapshot):
                 self._is_done = True
+                rows = tuple(filter(_is_decodable, snapshot.rows))
+                self._log_earlier(rows, stamps)
                 earlier = find_reclaimable(
-                    filter(_is_decodable, snapshot.rows),
+                    rows,
                     self._ledger.holder_key,
                     snapshot.era,
                     started_at,
@@ -105,7 +115,7 @@
             outcome = await self._table.commit(plan_reclaim(reclaim, shard))
             match outcome:
                 case Committed():
-                    logger.info(
+                    self._log.info(
                         "{} tokens of {} were taken back",
                         reclaim.unreleased,
                         reclaim.holder.key,
@@ -116,7 +126,17 @@
                 case Unavailable():
                     self._is_done = False
                     return
-        logger.warning("the reserve of {} stays charged", reclaim.holder.key)
+        self._log.warning("the reserve of {} stays charged", reclaim.holder.key)
+
+    def _log_earlier(
+        self, holders: Iterable[Row], stamps: Mapping[str, StampRow]
+    ) -> None:
+        """Log what recent incarnations had of the budget at their last transactions."""
+        for holder in holders:
+            row = decode_holder(holder)
+            is_recent = get_holder_incarnation(holder.key) in stamps
+            if is_recent and not row.is_closed and row.received > row.settled:
+                self._log.info("credit that {} left: {}", holder.key, row)
 
     async def _read_shards(self, era: int) -> tuple[Row, ...] | None:
         """Return the shard rows of an era; None if they can't be read."""
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -69,7 +69,7 @@
         self._settings = settings
         # Daemons and organisations differ in their delays.
         self._rng = random.Random(f"{ledger.holder_key}/{name}")
-        self._reclaimer = Reclaimer(ledger, table, settings, stamp, self._rng)
+        self._reclaimer = Reclaimer(name, ledger, table, settings, stamp, self._rng)
         self._wake = asyncio.Event()
         self._renewed = asyncio.Condition()
         self._repetitions = RepetitionLimit()
--- a/kingcuphead/credit/tests/test_reclaimer.py
+++ b/kingcuphead/credit/tests/test_reclaimer.py
@@ -4,6 +4,7 @@
 import msgspec
 import pytest
 from expression import Error
+from loguru import logger
 
 from kingcuphead.credit import (
     CreditLedger,
@@ -14,6 +15,7 @@
 )
 from kingcuphead.credit._organisation_ledger import OrganisationLedger
 from kingcuphead.credit._reclaimer import Reclaimer
+from kingcuphead.credit._stamp import StampRow
 from kingcuphead.credit.tests._store import FaultyStore, renew
 from kingcuphead.credit.tests.test_task import NAME, DisconnectableTable
 from kingcuphead.routing import Organisation
@@ -80,7 +82,8 @@
     """Return the reclaimer of a daemon and the daemon's part for the organisation."""
     ledger.stamp.earlier = {}
     part = ledger.get_organisation(NAME)
-    return Reclaimer(part, table, CreditSettings(), ledger.stamp, random.Random(1))
+    rng = random.Random(1)
+    return Reclaimer(NAME, part, table, CreditSettings(), ledger.stamp, rng)
 
 
 class TestReclaimer:
@@ -126,6 +129,37 @@
         budget = store.read_budget(NAME)
         assert budget.charged >= account.free + account.reserve
 
+    def test_what_a_killed_daemon_had_is_logged(self):
+        """Otherwise nothing tells free credit that was lost from credit in use."""
+        store = FaultyStore(random.Random(1))
+        store.advance(1.0)
+        killed = CreditLedger("a", "1")
+        killed.apply_limits([Organisation(NAME, None, LIMIT)], 1)
+        assert killed.hold(NAME, 3_000, store.now) is None
+        killed.add_waiting(NAME, 3_000)
+        renew(killed, store)
+        killed.remove_waiting(NAME, 3_000)
+        assert killed.hold(NAME, 3_000, store.now) is not None
+        store.advance(5.0)
+        killed.record_demand(NAME, 3_000, store.now)
+        renew(killed, store)
+        free = killed.get_organisation(NAME).account.free
+        ledger = CreditLedger("a", "2")
+        reclaimer = make_reclaimer(ledger, DisconnectableTable(store))
+        ledger.stamp.earlier = {"1": StampRow(0, store.time_ms)}
+        lines: list[str] = []
+        sink = logger.add(
+            lambda line: lines.append(str(line)),
+            format="{extra[organisation]} {message}",
+        )
+        asyncio.run(reclaimer.run())
+        logger.remove(sink)
+        (line,) = [each for each in lines if "credit that" in each]
+        assert line.startswith(
+            f"{NAME} credit that holder/a/1/00000000 left: received="
+        )
+        assert f"free={free} held=3000 " in line
+
     def test_it_is_tried_again_when_the_shards_could_not_be_read(self):
         store = make_store(RESERVE)
         ledger = CreditLedger("a", "2")
--- a/kingcuphead/entry/_request_metrics.py
+++ b/kingcuphead/entry/_request_metrics.py
@@ -74,7 +74,7 @@
             self._attempt_results.labels(context.service, record.result.value).inc()
             if record.answer is not None:
                 self._record_answer(context.service, record.answer)
-        self._tokens.labels(organisation).inc(context.spent)
+        self._tokens.labels(organisation).inc(context.charge.tokens)
         self._times.record(context, work_class)
 
     def _record_answer(self, service: str, answer: AnswerRecord) -> None:
--- a/kingcuphead/forwarding/_charging.py
+++ b/kingcuphead/forwarding/_charging.py
@@ -3,7 +3,7 @@
 from expression import Error, Ok, Result
 
 from kingcuphead.credit import CreditTask, Hold, Shortage
-from kingcuphead.forwarding._context import RequestContext
+from kingcuphead.forwarding._context import Charge, RequestContext
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.timing import get_time
@@ -65,11 +65,17 @@
         """Settle the hold with the prompt and the events sent, or 0 if nothing ran."""
         if hold is None:
             return
-        spent = 0
-        size = context.request.size
-        if context.execution is not Execution.NOT_RUN and size is not None:
-            event_count = stream.event_count if stream is not None else 0
-            output = min(event_count * context.tokens_per_event, size.output_tokens)
-            spent = size.prompt_tokens + output
-        context.spent = spent
-        self._credit.settle(hold, spent)
+        context.charge = _compute_charge(context, hold, stream)
+        self._credit.settle(hold, context.charge.tokens)
+
+
+def _compute_charge(
+    context: RequestContext, hold: Hold, stream: AnswerStream | None
+) -> Charge:
+    """Return what a request costs that has ended."""
+    size = context.request.size
+    if context.execution is Execution.NOT_RUN or size is None:
+        return Charge(hold.tokens, 0, 0)
+    event_count = stream.event_count if stream is not None else 0
+    output = min(event_count * context.tokens_per_event, size.output_tokens)
+    return Charge(hold.tokens, size.prompt_tokens, output)
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -88,6 +88,31 @@
         )
 
 
+@frozen
+class Charge:
+    """What a request was charged when it ended, as logged."""
+
+    #: Tokens held for the request.
+    held: int
+    #: Tokens of the prompt that were charged.
+    prompt: int
+    #: Tokens of delivered events that were charged.
+    output: int
+
+    @property
+    def tokens(self) -> int:
+        """Tokens charged in all."""
+        return self.prompt + self.output
+
+    def __str__(self) -> str:
+        """Return the charge as a log field."""
+        return f"held={self.held} prompt={self.prompt} output={self.output}"
+
+
+#: Charge of a request that held no credit.
+NO_CHARGE = Charge(0, 0, 0)
+
+
 @dataclasses.dataclass(slots=True)
 class HedgeRecord:
     """What became of the second attempt of a request beside its first one."""
@@ -151,8 +176,8 @@
     first_event_seconds: float | None = None
     #: Whether no target had memory left for the request.
     lacks_memory: bool = False
-    #: Tokens charged when the hold was settled.
-    spent: int = 0
+    #: What was charged when the hold was settled.
+    charge: Charge = NO_CHARGE
     #: HTTP status of the target's answer that was sent to the caller; 0 for none.
     status: int = 0
 
@@ -249,7 +274,8 @@
             queue_seconds=round(self.queue_seconds, 3),
             first_event_seconds=self.first_event_seconds,
             hedged=str(self.hedge or ""),
-            tokens=self.spent,
+            tokens=self.charge.tokens,
+            charge=str(self.charge) if self.charge.held else "",
             seconds=round(now - self.request.arrived_at, 3),
         )
         if refusal is None and not self.status:
--- a/kingcuphead/forwarding/tests/test_admission.py
+++ b/kingcuphead/forwarding/tests/test_admission.py
@@ -136,6 +136,6 @@
             assert not harness.ledger.get_organisation("atelier").account.held
             _, refusal = await waiting
             assert refusal.reason is Reason.DEADLINE
-            assert harness.ended[0][0].spent == 0
+            assert harness.ended[0][0].charge.tokens == 0
 
         run(scenario, [make_route(STREAM, timeout=0.3)], prepaid=1_000)
--- a/kingcuphead/forwarding/tests/test_hedged_streams.py
+++ b/kingcuphead/forwarding/tests/test_hedged_streams.py
@@ -162,7 +162,7 @@
             first.script = [[SLOW, *stream(first, [1, 2, 3])]]
             second.script = [stream(second, [1, 2])]
             await harness.serve(make_request(STREAM, SIZE))
-            assert get_context(harness).spent == SIZE.prompt_tokens + 2
+            assert get_context(harness).charge.tokens == SIZE.prompt_tokens + 2
             account = harness.ledger.get_organisation("atelier").account
             assert (account.spent, account.held) == (SIZE.prompt_tokens + 2, 0)
 
@@ -288,7 +288,7 @@
             # It went on to its events while the winner sent its own.
             assert first.unaware_ends == 1
             assert caller.body == make_events(second, [1, 2])
-            assert get_context(harness).spent == SIZE.prompt_tokens + 2
+            assert get_context(harness).charge.tokens == SIZE.prompt_tokens + 2
             assert not list(harness.dispatcher.list_loads())
 
         play_streams(scenario)
--- a/kingcuphead/forwarding/tests/test_hedging.py
+++ b/kingcuphead/forwarding/tests/test_hedging.py
@@ -95,7 +95,7 @@
             assert context.hedge.is_cancelled
             assert context.execution is Execution.MAY_HAVE_RUN
             # The request is billed once, although it may have run twice.
-            assert context.spent == SIZE.prompt_tokens
+            assert context.charge.tokens == SIZE.prompt_tokens
             assert not list(harness.dispatcher.list_loads())
 
         play(scenario)
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -29,6 +29,7 @@
         "bytes_limit",
         "bytes_needed",
         "cause",
+        "charge",
         "connections",
         "credit",
         "credit_seconds",
