Charge nothing for a request of which nothing was delivered

Callers saw refusals for want of credit while their budget wasn't spent.

Change: a request costs its prompt and its output once an event, or a whole answer, was delivered.

Evidence: 9 of 19 cases of forwarding/tests/test_charges.py failed before, none after; 471 tests of forwarding pass.

--- a/kingcuphead/forwarding/_charging.py
+++ b/kingcuphead/forwarding/_charging.py
@@ -7,7 +7,7 @@
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._stream import AnswerStream
 from kingcuphead.timing import get_time
-from kingcuphead.verdict import Execution, Reason
+from kingcuphead.verdict import Reason
 
 #: Bound in seconds on waiting for credit.
 CREDIT_TIMEOUT = 1.0
@@ -62,7 +62,7 @@
     def settle(
         self, context: RequestContext, hold: Hold | None, stream: AnswerStream | None
     ) -> None:
-        """Settle the hold with the prompt and the events sent, or 0 if nothing ran."""
+        """Settle the hold with the prompt and the events sent; 0 if none was."""
         if hold is None:
             return
         context.charge = _compute_charge(context, hold, stream)
@@ -72,10 +72,15 @@
 def _compute_charge(
     context: RequestContext, hold: Hold, stream: AnswerStream | None
 ) -> Charge:
-    """Return what a request costs that has ended."""
+    """Return what a request costs that has ended.
+
+    A request of which nothing was delivered is free, also if targets ran it. Prompt
+    and output are charged from the first event or with a whole answer.
+    """
     size = context.request.size
-    if context.execution is Execution.NOT_RUN or size is None:
-        return Charge(hold.tokens, 0, 0)
     event_count = stream.event_count if stream is not None else 0
+    is_delivered = event_count > 0 or context.is_answered
+    if size is None or not is_delivered:
+        return Charge(hold.tokens, 0, 0)
     output = min(event_count * context.tokens_per_event, size.output_tokens)
     return Charge(hold.tokens, size.prompt_tokens, output)
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 from collections.abc import Iterable
+from http import HTTPStatus
 
 from loguru import logger
 
@@ -186,6 +187,11 @@
         """Whether a target may have run the request."""
         return Execution.MAY_HAVE_RUN if self.possible_runs else Execution.NOT_RUN
 
+    @property
+    def is_answered(self) -> bool:
+        """Whether a target's success was sent to the caller as a whole."""
+        return HTTPStatus.OK <= self.status < HTTPStatus.MULTIPLE_CHOICES
+
     @property
     def rank(self) -> int:
         """Priority; 0 is the most urgent."""
