Keep the credit of unanswered requests reclaimable until their first event

Cause: credit of a request became spendable when it was admitted, long before it could cost anything, and each daemon kept free credit whatever the budget. What is spendable is lost with its holder, since nothing tells whether it was spent.

Change: a request is pledged tokens of the reserve, which stay reclaimable, and one transaction activates them before its first event is sent. Free credit of the fleet is at most 0.75 in 100 of a budget up to 10 daemons, 3 in 100 from 20 on. What requests leave over returns to the reserve. A smaller part of a budget is reserved in small fleets (two fifths stay unallocated), so that large requests find credit in the store.

Forty random runs with pledges, cuts, crashes and restores keep within the limits, and detect an activation without a transaction.

--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -20,6 +20,9 @@
 FRESH_BUDGET_MAX_AGE_SECONDS = 0.2
 #: Share of the desired free tokens below which credit is renewed at once.
 LOW_CREDIT_SHARE = 0.5
+#: Share of a budget above which the daemons' free tokens that nobody needs, such as
+#: what requests have left over, are moved to the reserves without delay.
+EXPOSED_SURPLUS_SHARE = 0.003
 #: Seconds after which another daemon's request for tokens of the reserve expires.
 RESERVE_REQUEST_SECONDS = 0.3
 #: Seconds of demand that a daemon requests from others while the store doesn't answer.
@@ -89,15 +92,25 @@
         self.reserve = 0
         #: Tokens released from the reserve since the last committed transaction.
         self.released_reserve = 0
-        #: Tokens in unsettled holds.
+        #: Tokens in unsettled holds, without those that are pledged.
         self.held = 0
+        #: Tokens of holds that are in the reserve or, until the next transaction moves
+        #: them there, among the free tokens.
+        self.pledged = 0
+        #: Pledged tokens that are to leave the reserve, as their requests are about to
+        #: spend them.
+        self.activating = 0
         #: Tokens spent and not yet recorded in the store.
         self.unreported = 0
         #: Tokens that waiting requests need.
         self.waiting_tokens = 0
+        #: Those of them that may be allocated to the reserve and pledged.
+        self.waiting_pledges = 0
         #: Tokens of the reserve that other daemons asked for, until a time in seconds.
         self._requested_reserve = 0
         self._requested_until = float("-inf")
+        #: Whether the next transaction moves the surplus to the reserve.
+        self.is_surplus_due = False
         #: Tokens spent since the incarnation started.
         self.spent = 0
         #: Tokens transferred to other daemons, less those transferred from them, since
@@ -109,6 +122,21 @@
         """Tokens of the budget that may be allocated, by the cached shards."""
         return self.budget.count_unallocated(self.get_limit())
 
+    @property
+    def unpledged(self) -> int:
+        """Tokens of the reserve that belong to no hold."""
+        return max(0, self.reserve - self.pledged)
+
+    @property
+    def claimed_free(self) -> int:
+        """Free tokens that belong to pledged holds."""
+        return max(self.activating, self.pledged - self.reserve)
+
+    @property
+    def pledgeable(self) -> int:
+        """Tokens that a new hold may be pledged."""
+        return 0 if self._is_overdrawn() else self.reserve + self.free - self.pledged
+
     @property
     def received(self) -> int:
         """Tokens received from the budget less those returned to it.
@@ -169,14 +197,42 @@
             age=now - self._budget_read_at,
         )
 
+    def can_hold(self, tokens: int) -> bool:
+        """Whether enough tokens are free that no other request is about to use."""
+        return tokens <= self.free - self.claimed_free and not self._is_overdrawn()
+
     def hold(self, tokens: int) -> bool:
         """Hold tokens for a request, or return False if too few are free."""
-        if tokens > self.free or self._is_overdrawn():
+        if not self.can_hold(tokens):
+            return False
+        self.free -= tokens
+        self.held += tokens
+        return True
+
+    def pledge(self, tokens: int) -> bool:
+        """Pledge tokens to a request, or return False if there are too few.
+
+        They stay in the holder row's reserve until `activate`, so that a crash before
+        the request spends anything doesn't lose them.
+        """
+        if tokens > self.pledgeable:
+            return False
+        self.pledged += tokens
+        return True
+
+    def activate(self, tokens: int) -> bool:
+        """Replace pledged tokens by free ones; return False if too few are free."""
+        if tokens > self.free:
             return False
         self.free -= tokens
         self.held += tokens
+        self.pledged -= tokens
         return True
 
+    def unpledge(self, tokens: int) -> None:
+        """Return pledged tokens to the rest of the reserve."""
+        self.pledged -= tokens
+
     def settle(self, held: int, spent: int) -> None:
         """End a hold; unspent tokens become free again."""
         self.held -= held
@@ -198,7 +254,7 @@
         """Return the free tokens that no local request waits for."""
         if self._is_overdrawn():
             return 0
-        return max(0, self.free - self.waiting_tokens)
+        return max(0, self.free - self.waiting_tokens - self.claimed_free)
 
     def count_surplus(self, now: float) -> int:
         """Return the free tokens beyond what the demand here needs."""
@@ -223,7 +279,7 @@
         """Return the tokens of the reserve that other daemons have asked for."""
         if now > self._requested_until or self._is_overdrawn():
             return 0
-        return min(self._requested_reserve, self.reserve)
+        return min(self._requested_reserve, self.unpledged)
 
     def transfer_in(self, tokens: int) -> None:
         """Add tokens received from another daemon."""
@@ -234,9 +290,18 @@
         """Release what a request lacks, up to a share of the outage reserve.
 
         Tokens released since the last committed transaction count towards the share.
+        Pledged tokens are left to their requests.
         """
-        missing = max(0, tokens - self.free)
-        released = min(missing, self.count_releasable(share))
+        missing = max(0, tokens + self.claimed_free - self.free)
+        self._release(min(missing, self.count_releasable(share), self.unpledged))
+
+    def release_pledged(self, share: float) -> None:
+        """Release what the holds lack that are to be activated, up to a share."""
+        self._release(
+            min(self._count_missing_activation(), self.count_releasable(share))
+        )
+
+    def _release(self, released: int) -> None:
         self.free += released
         self.reserve -= released
         self.released_reserve += released
@@ -251,11 +316,7 @@
 
         Free credit has to last from the loss of the store until the reserve's release.
         """
-        settings = self._settings
-        desired = self._compute_desired_tokens(
-            settings.free_seconds, settings.free_requests, now
-        )
-        return self.free < LOW_CREDIT_SHARE * desired
+        return self.free < LOW_CREDIT_SHARE * self.compute_desired_free(now)
 
     def needs_budget(self, now: float) -> bool:
         """Whether the shards have to be read before the next transaction.
@@ -266,7 +327,7 @@
         age = now - self._budget_read_at
         if not self.is_budget_known:
             return self._has_use_for_credit(now)
-        if self.count_requested_reserve(now):
+        if self.count_moved_reserve(now):
             return False
         if self.waiting_tokens > self.free or self.unreported or self.is_low(now):
             return age > FRESH_BUDGET_MAX_AGE_SECONDS
@@ -284,10 +345,15 @@
             Whether tokens may be allocated; they may always be returned.
         """
         if self._is_overdrawn():
-            adjustment = Adjustment(-self.free, -self.reserve, self.unreported)
-        elif requested := self.count_requested_reserve(now):
+            moved = self._count_missing_activation()
+            free = moved or min(0, self.claimed_free - self.free)
+            adjustment = Adjustment(free, -moved - self.unpledged, self.unreported)
+        elif moved := self.count_moved_reserve(now):
             # Changes no shard, so it can't conflict with other daemons.
-            adjustment = Adjustment(requested, -requested, 0)
+            adjustment = Adjustment(moved, -moved, 0)
+        elif surplus := self._take_due_surplus(now):
+            # Changes no shard either.
+            adjustment = Adjustment(-surplus, surplus, 0)
         else:
             free, reserve = self._plan_changes(now)
             if not may_allocate and free + reserve > 0:
@@ -297,6 +363,41 @@
             return None
         return adjustment
 
+    def count_moved_reserve(self, now: float) -> int:
+        """Return the tokens of the reserve that the next transaction has to free."""
+        moved = self._count_missing_activation() + self.count_requested_reserve(now)
+        return min(moved, self.reserve)
+
+    def count_exposed_surplus(self, now: float) -> int:
+        """Return the free tokens that nobody needs, if a crash shouldn't lose them."""
+        surplus = self.free - self._count_needed_free() - self.compute_desired_free(now)
+        most = self.get_limit().tokens * EXPOSED_SURPLUS_SHARE / self.daemons
+        return surplus if surplus > most else 0
+
+    def _take_due_surplus(self, now: float) -> int:
+        """Return the surplus that is to move to the reserve now, once."""
+        is_due, self.is_surplus_due = self.is_surplus_due, False
+        if not is_due or self.waiting_tokens:
+            return 0
+        return self.count_exposed_surplus(now)
+
+    def _count_missing_activation(self) -> int:
+        """Return what the free tokens lack for the holds that are to be activated."""
+        return min(max(0, self.activating - max(0, self.free)), self.reserve)
+
+    def compute_share_for(self, tokens: int) -> float:
+        """Return the share of the reserve whose release covers a new pledge, too."""
+        whole = self.reserve + self.released_reserve
+        return (self.released_reserve + self.activating + tokens) / max(1, whole)
+
+    def abandon(self, adjustment: Adjustment) -> None:
+        """Free what a transaction of an earlier era moved from the reserve.
+
+        Rows of that era are never reclaimed. What it would have allocated isn't used.
+        """
+        if adjustment.reserve < 0 < adjustment.free:
+            self.free += min(adjustment.free, -adjustment.reserve)
+
     def begin(self, adjustment: Adjustment) -> None:
         """Deduct what a transaction returns or settles, before it is sent.
 
@@ -331,22 +432,43 @@
     def _plan_changes(self, now: float) -> tuple[int, int]:
         """Return the changes of the free tokens and of the reserve."""
         settings = self._settings
-        desired_free = self._compute_desired_tokens(
-            settings.free_seconds, settings.free_requests, now
-        )
+        desired_free = self.compute_desired_free(now)
         desired_total = self._compute_desired_tokens(
             settings.combined_seconds, settings.combined_requests, now
         )
         free = _suppress_small_change(
-            self.waiting_tokens + desired_free - self.free, desired_free
+            self._count_needed_free() + desired_free - self.free, desired_free
         )
         # Waiting requests may be served from the reserve.
-        free = min(free, self.unallocated + self.reserve)
+        free = min(free, self.unallocated + self.unpledged)
         remaining = self.unallocated - free
         reserve = _suppress_small_change(
-            desired_total - desired_free - self.reserve, desired_total
+            desired_total - desired_free - self.unpledged, desired_total
+        )
+        reserve = max(
+            reserve,
+            self.waiting_pledges - self.unpledged,
+            self.pledged - self.activating - self.reserve,
         )
-        return free, max(min(reserve, remaining), -self.reserve)
+        return free, max(min(reserve, remaining), -self.unpledged)
+
+    def _count_needed_free(self) -> int:
+        """Return the free tokens that requests are about to use."""
+        return self.waiting_tokens - self.waiting_pledges + self.activating
+
+    def compute_desired_free(self, now: float) -> int:
+        """Return the free tokens to keep.
+
+        All daemons together keep a small share of the budget, since a crash of the
+        fleet loses them.
+        """
+        settings = self._settings
+        desired = self._compute_desired_tokens(
+            settings.free_seconds, settings.free_requests, now
+        )
+        share = max(self._get_spend_share(now), 1 / self.daemons)
+        most = self.get_limit().tokens * settings.get_free_share(self.daemons) * share
+        return min(desired, int(most))
 
     def _compute_desired_tokens(
         self, seconds: float, requests: float, now: float
@@ -358,7 +480,7 @@
         request needs is not kept, since it would be missing elsewhere.
         """
         settings = self._settings
-        obtainable = self.unallocated + self.free + self.reserve
+        obtainable = self.unallocated + self.free + self.unpledged
         share = self._get_fleet_share(now)
         demand = min(
             self._demand.get_rate(now) * seconds,
@@ -378,10 +500,14 @@
 
         A daemon that spends more than its part of the fleet's spend keeps more.
         """
-        prior = SPEND_PRIOR_REQUESTS * self._mean_request_tokens
-        own = self._spend_share.get(prior, now)
+        own = self._get_spend_share(now)
         return max(own, self._settings.get_fleet_share(self.daemons))
 
+    def _get_spend_share(self, now: float) -> float:
+        """Return the share of this daemon in what the fleet spent lately."""
+        prior = SPEND_PRIOR_REQUESTS * self._mean_request_tokens
+        return self._spend_share.get(prior, now)
+
     def record_demand(self, tokens: int, now: float) -> None:
         """Add the tokens of a new request to the demand and to the mean request."""
         self._demand.record(tokens, now)
--- a/kingcuphead/credit/_ledger.py
+++ b/kingcuphead/credit/_ledger.py
@@ -9,6 +9,10 @@
 from kingcuphead.invariants import ensure
 from kingcuphead.routing import Organisation
 
+#: Seconds for which a request may have to wait at its first event until the release of
+#: reserves covers it, while the store doesn't answer.
+MAX_RELEASE_WAIT = 2.5
+
 
 class CreditLedger:
     """Holds, settlements and transfers of one daemon incarnation; performs no I/O.
@@ -111,27 +115,85 @@
             return Hold(organisation, tokens, now)
         return None
 
-    def add_waiting(self, organisation: str, tokens: int) -> None:
+    def pledge(self, organisation: str, tokens: int, now: float) -> Hold | None:
+        """Hold a request's maximum cost by credit that it needs only later.
+
+        A small one is held by free credit, a larger one stays in the outage reserve
+        until `activate`. While the store doesn't answer, free credit is used for both,
+        and only what the release of reserves covers soon is pledged.
+
+        Returns
+        -------
+        Hold or None
+            The hold; None if there is too little credit.
+        """
+        ledger = self.get_organisation(organisation)
+        account = ledger.account
+        is_silent = self.is_store_silent(now)
+        if is_silent or tokens <= account.compute_desired_free(now):
+            hold = self.hold(organisation, tokens, now)
+            if hold is not None:
+                return hold
+        if is_silent and ledger.get_release_wait(tokens, now) > MAX_RELEASE_WAIT:
+            return None
+        if not account.pledge(tokens):
+            return None
+        return Hold(organisation, tokens, now, pledged=tokens)
+
+    def activate(self, hold: Hold, now: float) -> bool:
+        """Make a hold spendable; return False while a transaction has to precede."""
+        if not hold.pledged:
+            return True
+        ledger = self.get_organisation(hold.organisation)
+        account = ledger.account
+        if not hold.is_activating:
+            hold.is_activating = True
+            account.activating += hold.pledged
+        account.release_pledged(ledger.get_released_share(now))
+        if not account.activate(hold.pledged):
+            return False
+        account.activating -= hold.pledged
+        hold.pledged = 0
+        return True
+
+    def add_waiting(
+        self, organisation: str, tokens: int, may_pledge: bool = False
+    ) -> None:
         """Add a waiting request's tokens to what the next transaction allocates."""
-        self.get_organisation(organisation).account.waiting_tokens += tokens
+        account = self.get_organisation(organisation).account
+        account.waiting_tokens += tokens
+        account.waiting_pledges += tokens if may_pledge else 0
 
-    def remove_waiting(self, organisation: str, tokens: int) -> None:
+    def remove_waiting(
+        self, organisation: str, tokens: int, may_pledge: bool = False
+    ) -> None:
         """Remove the tokens of a request that no longer waits."""
-        self.get_organisation(organisation).account.waiting_tokens -= tokens
+        account = self.get_organisation(organisation).account
+        account.waiting_tokens -= tokens
+        account.waiting_pledges -= tokens if may_pledge else 0
 
     def settle(self, hold: Hold, spent: int, now: float) -> None:
         """End a hold with the tokens that the request spent."""
         ensure(not hold.is_settled, "a hold must not be settled twice")
-        ensure(0 <= spent <= hold.tokens, "spent tokens must not exceed the hold")
+        active = hold.tokens - hold.pledged
+        ensure(0 <= spent <= active, "spent tokens must not exceed the active hold")
         hold.is_settled = True
         account = self.get_organisation(hold.organisation).account
-        account.settle(hold.tokens, spent)
+        if hold.is_activating:
+            account.activating -= hold.pledged
+        account.unpledge(hold.pledged)
+        account.settle(active, spent)
         account.correct_demand(hold.tokens - spent, hold.held_at, now)
 
     def get_free_tokens(self, organisation: str) -> int:
         """Return the free tokens of an organisation."""
         return self.get_organisation(organisation).account.free
 
+    def count_available(self, organisation: str, may_pledge: bool) -> int:
+        """Return the tokens of this daemon that a new request may hold."""
+        account = self.get_organisation(organisation).account
+        return account.pledgeable if may_pledge else account.free
+
     def transfer_out(self, organisation: str, tokens: int, now: float) -> int:
         """Deduct at most `tokens` for another daemon and return the amount deducted."""
         ledger = self.get_organisation(organisation)
@@ -167,7 +229,7 @@
         ledger = self.get_organisation(organisation)
         if not ledger.can_move_reserve(now):
             return 0
-        return ledger.account.reserve
+        return ledger.account.unpledged
 
     def request_reserve(self, organisation: str, tokens: int, now: float) -> None:
         """Move tokens from the reserve to the free credit by the next transaction."""
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -49,7 +49,7 @@
     is_closed: bool = False
     #: Free tokens, for the log of a later incarnation; 0 in rows of older versions.
     free: int = 0
-    #: Tokens in unsettled holds, for the same log.
+    #: Tokens in unsettled holds that aren't in the reserve, for the same log.
     held: int = 0
 
     def __str__(self) -> str:
@@ -86,6 +86,12 @@
     free_seconds: float = 2.0
     #: Seconds of average demand kept as free credit and reserve together.
     combined_seconds: float = 20.0
+    #: Maximum share of a budget that all daemons of a small fleet together keep as free
+    #: credit, which a crash of the fleet loses. It binds for budgets of a few minutes
+    #: of demand.
+    max_free_share: float = 0.0075
+    #: The same share in a large fleet, whose daemons transfer credit in an outage.
+    large_fleet_free_share: float = 0.03
     #: Requests of mean cost kept as free credit without recent demand.
     free_requests: float = 1.0
     #: Requests of mean cost kept as free credit and reserve together without recent
@@ -106,7 +112,7 @@
     full_unallocated_share: float = 0.5
     #: The same share at which daemons of a small fleet keep all that they want. What a
     #: daemon keeps there is used where it lies, as each serves many of the callers.
-    small_fleet_unallocated_share: float = 0.2
+    small_fleet_unallocated_share: float = 0.4
     #: Seconds without a reply from the store before the release of reserves starts.
     release_delay: float = 1.0
     #: Seconds from the start of the release until all of the reserves are released.
@@ -161,14 +167,23 @@
         daemons
             Number of daemons in the fleet.
         """
-        # 0 up to the size at which one daemon's share shrinks, 1 from twice that on.
-        largeness = min(1.0, max(0.0, daemons / self.full_share_fleet_size - 1))
+        largeness = self._get_largeness(daemons)
         least = self.min_unallocated_share * largeness
         small, large = self.small_fleet_unallocated_share, self.full_unallocated_share
         full = small + (large - small) * largeness
         share = unallocated / max(1, unspent)
         return min(1.0, max(0.0, (share - least) / (full - least)))
 
+    def get_free_share(self, daemons: int) -> float:
+        """Return the share of a budget that all daemons keep as free credit."""
+        largeness = self._get_largeness(daemons)
+        small, large = self.max_free_share, self.large_fleet_free_share
+        return small + (large - small) * largeness
+
+    def _get_largeness(self, daemons: int) -> float:
+        """Return 0 up to `full_share_fleet_size`, rising to 1 at twice that size."""
+        return min(1.0, max(0.0, daemons / self.full_share_fleet_size - 1))
+
     def get_released_share(self, age: float) -> float:
         """Return the share of the reserves that is released after `age` seconds.
 
@@ -207,7 +222,11 @@
 
 @dataclasses.dataclass(slots=True)
 class Hold:
-    """Tokens reserved for the maximum cost of one request."""
+    """Tokens reserved for the maximum cost of one request.
+
+    Nothing may be spent of a hold while a part of it is pledged, since that part is
+    reclaimed if the daemon crashes.
+    """
 
     #: Organisation that pays.
     organisation: str
@@ -215,5 +234,9 @@
     tokens: int
     #: Time in seconds, by the event loop's clock, at which the hold was acquired.
     held_at: float
+    #: Tokens of it that are still in the outage reserve.
+    pledged: int = 0
+    #: Whether those tokens are to leave the reserve.
+    is_activating: bool = False
     #: Whether the hold has been settled, which happens once.
     is_settled: bool = False
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -145,9 +145,15 @@
         A later stamp would make them reclaimable although they may be spent. The row
         may be that of a transaction whose outcome isn't known.
         """
-        unknown = [*self._in_doubt, *([self._sent] if self._sent else [])]
+        unknown = self._list_unknown()
         recorded = max((each.kept_reserve for each in unknown), default=0)
-        return self.account.reserve < max(self._recorded_reserve, recorded)
+        # What they take from the reserve can't be spent before their outcome is known.
+        moving = sum(max(0, -each.adjustment.reserve) for each in unknown)
+        return self.account.reserve + moving < max(self._recorded_reserve, recorded)
+
+    def _list_unknown(self) -> list[_SentTransaction]:
+        """Return the transactions whose outcome isn't known."""
+        return [*self._in_doubt, *([self._sent] if self._sent else [])]
 
     @property
     def rows_prefix(self) -> str:
@@ -164,10 +170,12 @@
         """Handle a restore of the store from a copy; an earlier era is ignored.
 
         Transactions without a known outcome are abandoned: tokens that they allocate
-        are not used, and tokens that they return stay deducted.
+        are not used, and tokens that they return to the budget stay deducted.
         """
         if not self._era.begin(era, has_written=bool(self._attempt)):
             return
+        for sent in self._list_unknown():
+            self.account.abandon(sent.adjustment)
         self._sent = None
         self._in_doubt.clear()
         self._holder_version = ABSENT
@@ -223,7 +231,7 @@
             return Shortage.EXHAUSTED
         if account.free < tokens and not self._may_allocate(store_time):
             return Shortage.RESTORING
-        if account.unallocated + account.free + account.reserve < tokens:
+        if account.unallocated + account.pledgeable < tokens:
             return Shortage.UNPROVEN
         return None
 
@@ -231,6 +239,10 @@
         """Return the share of the reserve that is released at the time `now`."""
         return self._release.get_share(now)
 
+    def get_release_wait(self, tokens: int, now: float) -> float:
+        """Return the seconds until a pledge could be activated without the store."""
+        return self._release.get_wait(self.account.compute_share_for(tokens), now)
+
     def can_move_reserve(self, now: float) -> bool:
         """Whether a transaction can move tokens from the reserve to the free credit."""
         if self._is_closing or self._in_doubt or not self.account.is_budget_known:
@@ -314,9 +326,10 @@
 
     def _plan_adjustment(self, now: float, store_time: int | None) -> Adjustment | None:
         account = self.account
-        if not self._is_closing:
+        if not self._is_closing or account.count_moved_reserve(now):
             return account.plan(now, self._may_allocate(store_time))
-        adjustment = Adjustment(-account.free, -account.reserve, account.unreported)
+        free = min(0, account.claimed_free - account.free)
+        adjustment = Adjustment(free, -account.unpledged, account.unreported)
         return adjustment if adjustment.changes_budget else None
 
     def _must_write(self) -> bool:
--- a/kingcuphead/credit/_release.py
+++ b/kingcuphead/credit/_release.py
@@ -62,13 +62,31 @@
 
     def get_share(self, now: float) -> float:
         """Return the share of the reserve that is released at the time `now`."""
+        start = self._find_start()
+        if start is None:
+            return 0.0
+        age = now - start - self._settings.clock_margin
+        return self._settings.get_released_share(age)
+
+    def get_wait(self, share: float, now: float) -> float:
+        """Return the seconds until a share of the reserve is released.
+
+        It is infinite for a share above 1, or while the store answers.
+        """
+        start = self._find_start()
+        if start is None or share > 1:
+            return math.inf
+        settings = self._settings
+        delay = settings.clock_margin + settings.release_delay
+        return start + delay + share * settings.release_period - now
+
+    def _find_start(self) -> float | None:
+        """Return the time in seconds from which a release counts, or None."""
         times = []
         if self._unconfirmed_since is not None:
             times.append(self._unconfirmed_since)
         if self._contact.silent_since is not None:
             times.append(max(self._contact.silent_since, self._confirmed_at))
         if not times:
-            return 0.0
-        start = max(min(times), self._stamp.release_bound)
-        age = now - start - self._settings.clock_margin
-        return self._settings.get_released_share(age)
+            return None
+        return max(min(times), self._stamp.release_bound)
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -29,8 +29,13 @@
 #: Bounds in seconds of the random delay after a conflict; the first doubles with each
 #: further conflict up to the second.
 MIN_CONFLICT_DELAY_SECONDS, MAX_CONFLICT_DELAY_SECONDS = 0.01, 0.3
+#: Seconds between two renewals while holds are to be activated. Those that come
+#: meanwhile share a transaction.
+ACTIVATION_RENEWAL_SECONDS = 0.005
 #: Seconds between two renewals while requests wait for credit.
 WAITING_RENEWAL_SECONDS = 0.02
+#: Seconds for which credit that requests have left over stays at hand for others.
+SURPLUS_SECONDS = 0.25
 #: Share of the renewal interval by which it varies, so that daemons that started at the
 #: same time don't keep renewing at the same time.
 INTERVAL_JITTER = 0.2
@@ -73,6 +78,7 @@
         self._wake = asyncio.Event()
         self._renewed = asyncio.Condition()
         self._repetitions = RepetitionLimit()
+        self._is_surplus_timer_set = False
         #: Whether the store was unavailable, sent no reply to the last call, or has a
         #: row of the organisation that can't be decoded.
         self.is_store_down = False
@@ -86,6 +92,22 @@
         if not self.is_store_down and self._ledger.account.is_low(get_time()):
             self._wake.set()
 
+    def wake_for_surplus(self) -> None:
+        """Renew soon if requests have left credit over that a crash would lose."""
+        if self._is_surplus_timer_set or self.is_store_down:
+            return
+        if self._ledger.account.count_exposed_surplus(get_time()):
+            self._is_surplus_timer_set = True
+            # Large requests are pledged what other daemons transferred for them.
+            is_pledged = self._ledger.account.pledged > self._ledger.account.reserve
+            delay = 0.0 if is_pledged else SURPLUS_SECONDS
+            asyncio.get_running_loop().call_later(delay, self._move_surplus)
+
+    def _move_surplus(self) -> None:
+        self._is_surplus_timer_set = False
+        self._ledger.account.is_surplus_due = True
+        self._wake.set()
+
     def begin_era(self, era: int) -> None:
         """Record this daemon's credit again after a restore of the store."""
         if self._ledger.era is None or era <= self._ledger.era:
@@ -143,6 +165,7 @@
             match outcome:
                 case Committed():
                     await self._notify()
+                    self.wake_for_surplus()
                     await self._reclaimer.run()
                     return True
                 case Unavailable():
@@ -180,6 +203,9 @@
     async def _wait_for_next_renewal(self) -> None:
         self._wake.clear()
         account = self._ledger.account
+        if account.activating and not self.is_store_down:
+            await self._wait(ACTIVATION_RENEWAL_SECONDS)
+            return
         if account.waiting_tokens or account.count_requested_reserve(get_time()):
             await asyncio.sleep(
                 RETRY_DELAY_SECONDS if self.is_store_down else WAITING_RENEWAL_SECONDS
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -20,6 +20,8 @@
 
 #: Seconds without a renewal after which a waiting request tries a credit transfer.
 TRANSFER_DELAY_SECONDS = 0.06
+#: Seconds between two checks whether released reserves cover a hold.
+ACTIVATION_CHECK_SECONDS = 0.05
 #: Seconds for which a request waits although other daemons hold the missing credit: the
 #: credit may be in transit from one of them to the store or to another daemon.
 UNPROVEN_SECONDS = 0.25
@@ -38,6 +40,18 @@
     state: CreditState
 
 
+@frozen
+class _Need:
+    """Credit that a request needs."""
+
+    #: Organisation that pays.
+    organisation: str
+    #: Maximum cost of the request.
+    tokens: int
+    #: Whether nothing is spent of it before `activate`.
+    may_pledge: bool
+
+
 class CreditTask:
     """Renews a credit ledger from the store and acquires holds from it.
 
@@ -89,7 +103,7 @@
             renewal.begin_era(era)
 
     async def hold(
-        self, organisation: str, tokens: int, timeout: float
+        self, organisation: str, tokens: int, timeout: float, may_pledge: bool = False
     ) -> Result[Hold, CreditRefused]:
         """Hold a request's maximum cost, waiting for a renewal or transfer if needed.
 
@@ -101,10 +115,12 @@
             Maximum cost of the request.
         timeout
             Maximum time to wait, in seconds.
+        may_pledge
+            Whether nothing is spent of the hold before `activate`.
         """
         requested_at = get_time()
         self._ledger.record_demand(organisation, tokens, requested_at)
-        held = await self._acquire_hold(organisation, tokens, timeout)
+        held = await self._acquire_hold(organisation, tokens, timeout, may_pledge)
         if held.is_error():
             self._ledger.retract_demand(organisation, tokens, requested_at, get_time())
             # Returns what was allocated or transferred for the request.
@@ -114,6 +130,18 @@
     def settle(self, hold: Hold, spent: int) -> None:
         """End a hold with the tokens that the request spent, capped at the hold."""
         self._ledger.settle(hold, min(spent, hold.tokens), get_time())
+        self._get_renewal(hold.organisation).wake_for_surplus()
+
+    async def activate(self, hold: Hold) -> None:
+        """Wait until a hold may be spent.
+
+        One transaction takes its tokens from the reserve. While the store doesn't
+        answer, they are released like the rest of the reserve.
+        """
+        renewal = self._get_renewal(hold.organisation)
+        while not self._ledger.activate(hold, get_time()):
+            renewal.wake()
+            await renewal.wait_for_renewal(ACTIVATION_CHECK_SECONDS)
 
     async def run(self) -> None:
         """Renew the credit of every organisation until cancelled."""
@@ -173,18 +201,28 @@
         self._get_renewal(organisation).wake()
 
     async def _acquire_hold(
-        self, organisation: str, tokens: int, timeout: float
+        self, organisation: str, tokens: int, timeout: float, may_pledge: bool
     ) -> Result[Hold, CreditRefused]:
         renewal = self._get_renewal(organisation)
-        hold = self._ledger.hold(organisation, tokens, get_time())
+        need = _Need(organisation, tokens, may_pledge)
+        hold = self._try_hold(need)
         if hold is not None:
             self._refill(renewal, organisation)
+            if self._is_store_silent(renewal) and not self._ledger.activate(
+                hold, get_time()
+            ):
+                # The transaction takes long, so that it isn't left to the first event.
+                renewal.wake()
             return Ok(hold)
-        self._ledger.add_waiting(organisation, tokens)
+        self._ledger.add_waiting(organisation, tokens, may_pledge)
         try:
-            return await self._obtain_credit(renewal, organisation, tokens, timeout)
+            return await self._obtain_credit(renewal, need, timeout)
         finally:
-            self._ledger.remove_waiting(organisation, tokens)
+            self._ledger.remove_waiting(organisation, tokens, may_pledge)
+
+    def _try_hold(self, need: _Need) -> Hold | None:
+        acquire = self._ledger.pledge if need.may_pledge else self._ledger.hold
+        return acquire(need.organisation, need.tokens, get_time())
 
     def _refill(self, renewal: OrganisationRenewal, organisation: str) -> None:
         """Obtain credit for the next requests if little is left."""
@@ -195,29 +233,22 @@
             self.transfer_client.prefetch_credit(organisation, lacking)
 
     async def _obtain_credit(
-        self,
-        renewal: OrganisationRenewal,
-        organisation: str,
-        tokens: int,
-        timeout: float,
+        self, renewal: OrganisationRenewal, need: _Need, timeout: float
     ) -> Result[Hold, CreditRefused]:
         is_silent = self._is_store_silent(renewal)
-        if is_silent or self._is_held_elsewhere(renewal, tokens):
+        if is_silent or self._is_held_elsewhere(renewal, need.tokens):
             renewal.wake()
-            hold = await self._request_transfer(organisation, tokens)
+            hold = await self._request_transfer(need)
             if hold is not None:
                 return Ok(hold)
         if renewal.is_store_down:
-            return Error(self._refuse(organisation, Shortage.UNREACHABLE))
-        return await self._wait_for_credit(renewal, organisation, tokens, timeout)
+            return Error(self._refuse(need.organisation, Shortage.UNREACHABLE))
+        return await self._wait_for_credit(renewal, need, timeout)
 
     async def _wait_for_credit(
-        self,
-        renewal: OrganisationRenewal,
-        organisation: str,
-        tokens: int,
-        timeout: float,
+        self, renewal: OrganisationRenewal, need: _Need, timeout: float
     ) -> Result[Hold, CreditRefused]:
+        organisation, tokens = need.organisation, need.tokens
         deadline = get_time() + timeout
         unproven_until = get_time() + UNPROVEN_SECONDS
         while get_time() < deadline and not renewal.is_store_down:
@@ -226,10 +257,10 @@
             renewed = await renewal.wait_for_renewal(
                 min(remaining, TRANSFER_DELAY_SECONDS)
             )
-            hold = self._ledger.hold(organisation, tokens, get_time())
+            hold = self._try_hold(need)
             shortage = renewal.find_shortage(tokens)
             if hold is None and (not renewed or shortage is Shortage.UNPROVEN):
-                hold = await self._request_transfer(organisation, tokens)
+                hold = await self._request_transfer(need)
             if hold is not None:
                 return Ok(hold)
             is_unproven = shortage is Shortage.UNPROVEN
@@ -252,21 +283,23 @@
             return False
         account = self._ledger.get_organisation(organisation).account
         # The next transaction may add what is unallocated and the reserve.
-        missing = tokens - account.free - account.reserve - account.unallocated
+        missing = tokens - account.pledgeable - account.unallocated
         return self.transfer_client.is_certainly_short(organisation, missing)
 
     def _is_store_silent(self, renewal: OrganisationRenewal) -> bool:
         """Whether the store doesn't answer, by any organisation's calls."""
         return renewal.is_store_down or self._ledger.is_store_silent(get_time())
 
-    async def _request_transfer(self, organisation: str, tokens: int) -> Hold | None:
+    async def _request_transfer(self, need: _Need) -> Hold | None:
         """Request the tokens a request lacks from other daemons, then try to hold."""
         if self.transfer_client is None:
             return None
+        organisation = need.organisation
         now = get_time()
         until = now + MAX_TRANSFER_SECONDS
         while now < until:
-            missing = tokens - self._ledger.get_free_tokens(organisation)
+            available = self._ledger.count_available(organisation, need.may_pledge)
+            missing = need.tokens - available
             if missing <= 0:
                 # More is allocated than a lowered limit allows.
                 return None
@@ -277,8 +310,9 @@
                 organisation, missing, extra
             )
             now = get_time()
-            hold = self._ledger.hold(organisation, tokens, now)
+            hold = self._try_hold(need)
             if hold is not None or not is_received:
+                self._get_renewal(organisation).wake_for_surplus()
                 return hold
         return None
 
--- a/kingcuphead/credit/tests/_kills.py
+++ b/kingcuphead/credit/tests/_kills.py
@@ -46,6 +46,28 @@
         return self.free + self.held + self.in_flight + self.unreported + self.rest
 
 
+@dataclasses.dataclass(frozen=True)
+class RequestKind:
+    """Requests that may be large against a budget."""
+
+    #: Share of all requests.
+    share: float
+    #: Prompt tokens in the mean, and the maximum of output tokens.
+    prompt: int
+    max_output: int
+    #: Seconds to the first event, and from there to the last one.
+    first_event: float
+    duration: float
+
+
+#: Prompts of one kind vary, the largest is about four times the mean.
+LARGE_KINDS = (
+    RequestKind(0.25, 12_000, 1_100, 0.3, 1.5),
+    RequestKind(0.4, 800, 950, 0.05, 1.2),
+    RequestKind(0.35, 2_400, 90, 0.07, 0.1),
+)
+
+
 class KilledFleet(Fleet):
     """A fleet whose daemons are all killed at some times of the day."""
 
@@ -192,3 +214,72 @@
         for moment in self.kills:
             await asyncio.sleep(START_SECONDS + moment - loop.time())
             await self.kill()
+
+
+@dataclasses.dataclass
+class Delivery:
+    """A request in flight, and what a stand-in of a caller has got of it."""
+
+    #: Organisation that pays.
+    organisation: str
+    #: Tokens of the prompt.
+    prompt: int
+    #: Tokens of its whole output.
+    output: int
+    #: Seconds in which they are delivered.
+    duration: float
+    #: Time of the first event; None before.
+    begun_at: float | None = None
+
+    def count_spent(self, now):
+        """Return what the caller has cost so far: nothing before the first event."""
+        if self.begun_at is None:
+            return 0
+        share = min(1.0, (now - self.begun_at) / self.duration)
+        return self.prompt + int(share * self.output)
+
+
+class LargeRequestFleet(KilledFleet):
+    """A fleet with requests that are large against small budgets.
+
+    Some callers leave before or after the first event, some answers are lost.
+    """
+
+    #: Shares of callers that leave early, and of answers that are lost.
+    leaving_share = 0.1
+    lost_share = 0.05
+
+    async def serve(self):
+        rng, loop = self.rng, asyncio.get_running_loop()
+        name = rng.choices(self.limits, self.weights)[0].name
+        kind = rng.choices(LARGE_KINDS, [each.share for each in LARGE_KINDS])[0]
+        prompt = min(4 * kind.prompt, int(kind.prompt * rng.lognormvariate(-0.2, 0.6)))
+        task = self.choose_daemon(name)
+        self.requests += 1
+        held = await task.hold(name, prompt + kind.max_output, 1.0, may_pledge=True)
+        if held.is_error():
+            self.refused += 1
+            return
+        output = int(rng.uniform(0.1, 0.5) * kind.max_output)
+        delivery = Delivery(name, prompt, output, kind.duration)
+        self.in_flight[asyncio.current_task()] = delivery
+        leaves_after = kind.first_event + kind.duration
+        if rng.random() < self.leaving_share:
+            leaves_after *= rng.random()
+        if rng.random() < self.lost_share or leaves_after <= kind.first_event:
+            await asyncio.sleep(min(leaves_after, kind.first_event))
+        else:
+            await asyncio.sleep(kind.first_event)
+            await task.activate(held.ok)
+            delivery.begun_at = loop.time()
+            await asyncio.sleep(leaves_after - kind.first_event)
+        spent = delivery.count_spent(loop.time())
+        task.settle(held.ok, spent)
+        self.spent[name] += spent
+
+    def record_in_flight(self, name):
+        now = asyncio.get_running_loop().time()
+        deliveries = [x for x in self.in_flight.values() if x.organisation == name]
+        spent = sum(each.count_spent(now) for each in deliveries)
+        self.spent[name] += spent
+        return spent
--- a/kingcuphead/credit/tests/_simulation.py
+++ b/kingcuphead/credit/tests/_simulation.py
@@ -127,10 +127,14 @@
         name = rng.choice(NAMES)
         tokens = rng.randint(1, 900)
         self.ledger.record_demand(name, tokens, self.simulation.store.now)
-        hold = self.ledger.hold(name, tokens, self.simulation.store.now)
+        may_pledge = rng.random() < self.simulation.pledge_share
+        acquire = self.ledger.pledge if may_pledge else self.ledger.hold
+        hold = acquire(name, tokens, self.simulation.store.now)
         if hold is not None:
             self.holds.append(hold)
-            self.simulation.spent[name] += tokens
+            self.simulation.pledges += bool(hold.pledged)
+            # Nothing is spent of a hold before it is active.
+            self.simulation.spent[name] += 0 if hold.pledged else tokens
         else:
             self.ledger.add_waiting(name, tokens)
             self.renew()
@@ -158,15 +162,37 @@
         if not self.holds:
             return
         hold = self.holds.pop(self.simulation.rng.randrange(len(self.holds)))
+        if hold.pledged:
+            self.end_pledge(hold)
+            return
         spent = self.simulation.rng.randint(0, hold.tokens)
         self.ledger.settle(hold, spent, self.simulation.store.now)
         self.simulation.spent[hold.organisation] -= hold.tokens - spent
 
+    def end_pledge(self, hold):
+        """End a request without spending, or begin to spend what it holds."""
+        now = self.simulation.store.now
+        if self.simulation.rng.random() < 0.3:
+            self.ledger.settle(hold, 0, now)
+            return
+        self.holds.append(hold)
+        if self.ledger.activate(hold, now):
+            self.simulation.spent[hold.organisation] += hold.tokens
+            self.simulation.activations += 1
+
 
 class Simulation:
     def __init__(
-        self, seed, reclaim_delay=None, settings=SETTINGS, stamp_share=STAMP_SHARE
+        self,
+        seed,
+        reclaim_delay=None,
+        settings=SETTINGS,
+        stamp_share=STAMP_SHARE,
+        pledge_share=0.0,
     ):
+        #: Share of the requests that pledge credit, and how many did and spent it.
+        self.pledge_share = pledge_share
+        self.pledges = self.activations = 0
         self.rng = random.Random(seed)
         self.stamp_share = stamp_share
         self.settings = settings
--- a/kingcuphead/credit/tests/test_kills.py
+++ b/kingcuphead/credit/tests/test_kills.py
@@ -10,12 +10,14 @@
 import pytest
 
 from kingcuphead.credit.tests._fleet import SimulatedTimeLoop
-from kingcuphead.credit.tests._kills import KilledFleet
+from kingcuphead.credit.tests._kills import KilledFleet, LargeRequestFleet
 
 #: Daemons, organisations and requests a second.
 FLEETS = [(7, 10, 40.0), (67, 24, 150.0)]
 #: Seconds of demand that the budgets cover.
 BUDGET_SECONDS = 40.0
+#: The same for large requests.
+LARGE_BUDGET_SECONDS = 28.0
 #: Seconds from the first request to each kill, and to the last request.
 KILLS, SECONDS = (7.0, 14.0, 21.0), 27.0
 #: Share of a budget that a kill may leave charged and not settled.
@@ -62,3 +64,25 @@
     def test_calls_to_the_store_are_few(self, daemons, organisations, rate):
         fleet = play(daemons, organisations, rate)
         assert fleet.calls <= MAX_CALLS * daemons * SECONDS
+
+
+class TestLargeRequests:
+    """Guards against budgets that a kill takes though callers got nothing for them."""
+
+    @pytest.mark.parametrize("seed", range(1, 6))
+    def test_a_kill_takes_little_beyond_what_callers_got(self, seed):
+        with asyncio.Runner(loop_factory=SimulatedTimeLoop) as runner:
+            fleet = LargeRequestFleet(
+                7, 10, 36.0, LARGE_BUDGET_SECONDS, kills=(14.0,), seed=seed
+            )
+            runner.run(fleet.run(21.0))
+        (losses,) = fleet.losses
+        lost = {
+            name: ((loss.free + loss.held + loss.rest) / fleet.budgets[name], loss)
+            for name, loss in losses.items()
+        }
+        worst = max(lost, key=lambda name: lost[name][0])
+        assert fleet.requests > 300
+        assert lost[worst][0] <= MAX_LOST_SHARE, (worst, lost[worst], fleet.summary)
+        for name, limit in fleet.budgets.items():
+            assert fleet.spent[name] <= fleet.store.read_budget(name).charged <= limit
--- a/kingcuphead/credit/tests/test_random_runs.py
+++ b/kingcuphead/credit/tests/test_random_runs.py
@@ -150,3 +150,33 @@
         simulation.run(3_000)
         for name in NAMES:
             assert simulation.spent[name] >= 0.9 * simulation.limits[name]
+
+
+def activate_without_a_transaction(account, tokens):
+    account.reserve -= tokens
+    account.held += tokens
+    account.pledged -= tokens
+    return True
+
+
+class TestPledges:
+    """Guards against pledged credit that is reclaimed although it was spent."""
+
+    @pytest.mark.parametrize("seed", range(30))
+    def test_spend_stays_within_the_limit(self, seed):
+        simulation = Simulation(seed, pledge_share=0.8)
+        simulation.run(600)
+        assert simulation.pledges > simulation.activations > 0
+
+    @pytest.mark.parametrize("seed", range(10))
+    def test_a_restored_store_changes_nothing_of_it(self, seed):
+        simulation = RestoreSimulation(seed)
+        simulation.pledge_share = 0.8
+        simulation.run(600)
+        assert simulation.activations
+
+    def test_simulations_detect_an_activation_without_a_transaction(self, monkeypatch):
+        monkeypatch.setattr(Account, "activate", activate_without_a_transaction)
+        with pytest.raises(AssertionError, match="atelier|builder"):
+            for seed in range(60):
+                Simulation(seed, pledge_share=0.8).run(600)
--- a/kingcuphead/forwarding/_attempt.py
+++ b/kingcuphead/forwarding/_attempt.py
@@ -398,6 +398,7 @@
     block = await _wait_for_first_bytes(attempt, answer.read)
     if isinstance(block, AttemptFailed):
         return block
+    await stream.prepare()
     takes_more = not block or transfer.consume(block)
     while transfer.fault is None:
         if not takes_more:
--- a/kingcuphead/forwarding/_charging.py
+++ b/kingcuphead/forwarding/_charging.py
@@ -46,7 +46,9 @@
         tokens = size.prompt_tokens + size.output_tokens
         timeout = min(CREDIT_TIMEOUT, context.deadline - get_time())
         requested_at = get_time()
-        held = await self._credit.hold(organisation.name, tokens, timeout)
+        held = await self._credit.hold(
+            organisation.name, tokens, timeout, may_pledge=True
+        )
         context.credit_seconds += get_time() - requested_at
         if held.is_ok():
             return Ok(held.ok)
@@ -59,6 +61,11 @@
             case Shortage.UNREACHABLE | Shortage.RESTORING:
                 return Error(refuse(503, Reason.CREDIT_UNAVAILABLE, STORE_RETRY_AFTER))
 
+    async def activate(self, hold: Hold | None) -> None:
+        """Wait until a request's credit may be spent; call it before any delivery."""
+        if hold is not None:
+            await self._credit.activate(hold)
+
     def settle(
         self, context: RequestContext, hold: Hold | None, stream: AnswerStream | None
     ) -> None:
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -6,6 +6,7 @@
 
 from expression import Error, Ok, Result
 
+from kingcuphead.credit import Hold
 from kingcuphead.forwarding._admission import AdmissionStep
 from kingcuphead.forwarding._attempt import (
     Answered,
@@ -152,9 +153,13 @@
             return held.error
         stream = None
         if context.route.kind is RequestKind.STREAM:
-            stream = AnswerStream(caller, context.request.resume_after)
+            stream = AnswerStream(
+                caller,
+                context.request.resume_after,
+                lambda: self._charging.activate(held.ok),
+            )
         try:
-            return await self._serve_until_deadline(context, caller, stream)
+            return await self._serve_until_deadline(context, caller, stream, held.ok)
         finally:
             caller.reservation.on_end = None
             if stream is not None and stream.is_started:
@@ -164,7 +169,11 @@
             self._charging.settle(context, held.ok, stream)
 
     async def _serve_until_deadline(
-        self, context: RequestContext, caller: Caller, stream: AnswerStream | None
+        self,
+        context: RequestContext,
+        caller: Caller,
+        stream: AnswerStream | None,
+        hold: Hold | None,
     ) -> Refusal | None:
         """Run attempts until the deadline, or until the memory is needed elsewhere."""
         try:
@@ -172,7 +181,7 @@
                 if caller.reservation.is_ended:
                     raise OutOfMemoryError
                 caller.reservation.on_end = lambda: _expire(scope)
-                return await self._run_attempts(context, caller, stream)
+                return await self._run_attempts(context, caller, stream, hold)
         except OutOfMemoryError:
             return self._refuse_without_memory(context, caller)
         except TimeoutError:
@@ -231,7 +240,11 @@
         return True
 
     async def _run_attempts(
-        self, context: RequestContext, caller: Caller, stream: AnswerStream | None
+        self,
+        context: RequestContext,
+        caller: Caller,
+        stream: AnswerStream | None,
+        hold: Hold | None,
     ) -> Refusal | None:
         while True:
             if self._is_quarantined(context):
@@ -253,6 +266,7 @@
                     # this answer can't be sent any more.
                     return self._abandon(context, caller, stream)
                 case Answered():
+                    await self._charging.activate(hold)
                     context.status = end.head.status
                     _send_answer(caller, end)
                     return None
--- a/kingcuphead/forwarding/_stream.py
+++ b/kingcuphead/forwarding/_stream.py
@@ -1,6 +1,6 @@
 """The event stream sent to one caller, across all attempts of its request."""
 
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from kingcuphead.forwarding._events import Event, EventKind
 from kingcuphead.forwarding._messages import AnswerHead
@@ -21,10 +21,18 @@
         Connection on which the events are sent.
     resume_after
         Id of the last event that the caller already has; 0 for none.
+    prepare
+        Awaited before the first event is sent, for the credit that it costs.
     """
 
-    def __init__(self, caller: Caller, resume_after: int) -> None:
+    def __init__(
+        self,
+        caller: Caller,
+        resume_after: int,
+        prepare: Callable[[], Awaitable[None]] | None = None,
+    ) -> None:
         self._caller = caller
+        self._prepare = prepare
         self._last_event_id = resume_after
         #: Whether the status and the headers were sent to the caller.
         self.is_started = False
@@ -110,6 +118,11 @@
                 self.event_count += 1
         self._caller.send(b"".join([event.content for event in events]))
 
+    async def prepare(self) -> None:
+        """Wait until the first event may be sent."""
+        if self._prepare is not None and not self.is_started:
+            await self._prepare()
+
     async def drain(self) -> None:
         """Wait until the caller has taken most of what was sent."""
         await self._caller.drain()
@@ -163,6 +176,10 @@
             return None
         return get_time() - self._started_at
 
+    async def prepare(self) -> None:
+        """Wait until the first event may be sent."""
+        await self._stream.prepare()
+
     def count_next(self, events: Sequence[Event]) -> int:
         """Return how many of the events directly follow the last one and each other."""
         return self._stream.count_next(events)
