Refuse a hostile row of another writer instead of ending the daemons that read it

Reported by other operators: one odd entry among those of the targets, deeply nested, with a number too large or a port out of range, ended the machines that read the list again and again, or broke requests. It happened here.

Cause: one writer's row decided over every reader. Decoders caught the errors that their authors had met, not RecursionError and OverflowError, and what they decoded was used unbounded: ports and host names reached the socket, where they raise errors that an attempt doesn't expect, so that no other target was tried.

Change: DECODING_ERRORS names what decoding untrusted content may raise, and each decoder of rows uses it: entries, configurations, daemons, versions, origins, quarantines, crashes, credit, replies of the store. Addresses, numbers and texts of entries are bounded where they are decoded, and an entry that is refused is logged. An attempt reports an address that no connection can be opened to as one that can't be reached.

--- a/kingcuphead/credit/_decoding.py
+++ b/kingcuphead/credit/_decoding.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from kingcuphead.decoding import DECODING_ERRORS
 from kingcuphead.logs import quote
 from kingcuphead.storage import Row
 
@@ -32,7 +33,7 @@
     """
     try:
         content = decoder.decode(row.value)
-    except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         raise UndecodableRowError(row.key, error) from error
     if any(abs(number) > MAX_NUMBER for number in msgspec.structs.astuple(content)):
         raise UndecodableRowError(row.key, "a number is too large")
--- /dev/null
+++ b/kingcuphead/decoding/__init__.py
@@ -0,0 +1,6 @@
+"""What decoders of content that other processes wrote have in common."""
+
+from kingcuphead.decoding._errors import DECODING_ERRORS
+from kingcuphead.decoding._network import MAX_PORT, parse_target_address
+
+__all__ = ["DECODING_ERRORS", "MAX_PORT", "parse_target_address"]
--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -11,6 +11,7 @@
 from loguru import logger
 
 from kingcuphead.addresses import Address
+from kingcuphead.decoding import DECODING_ERRORS, MAX_PORT
 from kingcuphead.logs import RepetitionLimit, quote
 from kingcuphead.platform import Store
 from kingcuphead.storage import Delete, Put, Row, Transaction
@@ -23,7 +24,6 @@
 #: heard of that isn't listed. While a fleet starts, each poll finds several of them.
 MIN_EARLY_INTERVAL, MAX_EARLY_INTERVAL = 0.4, 0.8
 #: Highest port number.
-MAX_PORT = 65_535
 
 
 class DaemonRow(msgspec.Struct, frozen=True):
@@ -135,7 +135,7 @@
             try:
                 daemon = _DECODER.decode(row.value)
                 _check_address(daemon, self._own_address)
-            except (msgspec.MsgspecError, ValueError) as error:
+            except DECODING_ERRORS as error:
                 if self._repetitions.allows(row.key):
                     key, cause = quote(row.key), quote(error)
                     logger.warning("cannot decode daemon row {}: {}", key, cause)
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -10,12 +10,14 @@
 
 from kingcuphead.addresses import Address
 from kingcuphead.capacity import LINK_TRAFFIC
+from kingcuphead.decoding import parse_target_address
 from kingcuphead.forwarding._answer_parser import AnswerEnd, AnswerParser, RawHead
 from kingcuphead.forwarding._target_stream import (
     MAX_BUFFERED_BYTES,
     TargetStream,
     open_stream,
 )
+from kingcuphead.logs import quote
 from kingcuphead.timing import get_time
 
 #: Largest body in bytes that is joined with its head for one write.
@@ -41,11 +43,13 @@
     TimeoutError
         The connection was not opened in time; nothing was sent.
     """
-    host, _, port = address.rpartition(":")
+    parsed = parse_target_address(address)
+    if parsed is None:
+        raise OSError(f"no IP address and port: {quote(address)}")
     stream = open_stream()
     try:
         async with asyncio.timeout(timeout):
-            await stream.connect((host, int(port)))
+            await stream.connect(parsed)
     except BaseException:
         stream.close()
         raise
--- a/kingcuphead/platform/_configuration.py
+++ b/kingcuphead/platform/_configuration.py
@@ -6,6 +6,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuphead.decoding import DECODING_ERRORS
 from kingcuphead.frozen import frozen
 from kingcuphead.platform._numbers import read_number
 from kingcuphead.routing import (
@@ -172,7 +173,7 @@
             decoded = DECODER.decode(content)
             routes = self._routes.decode_all(decoded.routes)
             organisations = self._organisations.decode_all(decoded.tenants)
-        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        except DECODING_ERRORS as error:
             return Error(str(error))
         return Ok(
             RoutingConfiguration(
--- a/kingcuphead/platform/_entries.py
+++ b/kingcuphead/platform/_entries.py
@@ -1,34 +1,45 @@
 """Decoder of the entries that targets write to the platform's store."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
+from loguru import logger
 
+from kingcuphead.decoding import DECODING_ERRORS, parse_target_address
+from kingcuphead.logs import RepetitionLimit, quote
 from kingcuphead.platform._numbers import read_number
 from kingcuphead.targets import Availability, Target
 
 #: Longest time in seconds for which an entry may state that its target stays cold; an
 #: invalid value is replaced by it.
 MAX_COLD_LEFT = 60.0
+#: Largest number in an entry; a float represents all integers up to it exactly.
+MAX_NUMBER = 2**53
+#: Largest number of characters of a text in an entry.
+MAX_TEXT_LENGTH = 1_000
 
 _STATES = {"ready": Availability.READY, "draining": Availability.DRAINING}
 
+_Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_LENGTH)]
+_Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+
 
 class _Entry(msgspec.Struct):
-    service: str
-    address: str
-    state: str
-    zone: str = ""
-    slots: int = 1
+    service: _Text
+    address: _Text
+    state: _Text
+    zone: _Text = ""
+    slots: _Number = 1
     # Process start in Unix milliseconds; older target versions don't set it.
-    born: int = 0
-    sequence: int = 0
+    born: _Number = 0
+    sequence: _Number = 0
     # Version of the target's software, not of the model weights.
-    version: str = ""
+    version: _Text = ""
     cold_left_ms: Any = None
 
 
 _DECODER = msgspec.json.Decoder(_Entry)
+_repetitions = RepetitionLimit()
 
 
 def decode_target(name: str, content: bytes) -> Target | None:
@@ -44,23 +55,33 @@
     Returns
     -------
     Target | None
-        The target, or None if the entry is malformed or has an invalid field.
+        The target, or None if the entry is malformed or has an invalid field, which is
+        logged.
     """
     try:
-        entry = _DECODER.decode(content)
-    except (msgspec.MsgspecError, UnicodeDecodeError):
-        return None
-    availability = _STATES.get(entry.state)
-    host, _, port = entry.address.rpartition(":")
-    if availability is None or not host or not port.isdecimal():
+        return _decode_entry(name, content)
+    except DECODING_ERRORS as error:
+        if _repetitions.allows(name):
+            logger.warning(
+                "cannot decode entry of target {}: {}", quote(name), quote(error)
+            )
         return None
+
+
+def _decode_entry(name: str, content: bytes) -> Target:
+    """Decode an entry, or raise one of the errors of decoders."""
+    entry = _DECODER.decode(content)
+    if entry.state not in _STATES:
+        raise ValueError(f"unknown state {entry.state}")
+    if parse_target_address(entry.address) is None:
+        raise ValueError(f"no IP address and port: {entry.address}")
     return Target(
         name=name,
         service=entry.service,
         address=entry.address,
         zone=entry.zone,
         slots=entry.slots,
-        availability=availability,
+        availability=_STATES[entry.state],
         started_at_ms=entry.born,
         sequence=entry.sequence,
         software_version=entry.version,
--- a/kingcuphead/platform/_numbers.py
+++ b/kingcuphead/platform/_numbers.py
@@ -67,7 +67,9 @@
 
 
 def _log_once(name: str, value: Any, effect: str) -> None:
-    text = repr(value)[:MAX_LOGGED_VALUE]
+    # A nested value may be too deep for `repr`, an integer too long.
+    is_plain = value is None or isinstance(value, str | float | bool)
+    text = repr(value)[:MAX_LOGGED_VALUE] if is_plain else type(value).__name__
     if (name, text) in _logged or len(_logged) >= MAX_REMEMBERED:
         return
     _logged.add((name, text))
--- a/kingcuphead/platform/_stated_values.py
+++ b/kingcuphead/platform/_stated_values.py
@@ -10,6 +10,7 @@
 import msgspec
 from expression import Error, Ok, Result
 
+from kingcuphead.decoding import DECODING_ERRORS
 from kingcuphead.frozen import frozen
 from kingcuphead.platform._configuration import (
     DECODER,
@@ -171,7 +172,7 @@
     for index, content in enumerate(contents):
         try:
             parts.append(decode(content))
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODING_ERRORS as error:
             faults.append(_locate_type_error(f"{kind}[{index}]", str(error)))
     return parts, faults
 
@@ -202,7 +203,7 @@
 def _find_all_unknown_fields(content: bytes) -> Iterator[FileFault]:
     try:
         document = msgspec.json.decode(content)
-    except msgspec.MsgspecError as error:
+    except DECODING_ERRORS as error:
         # The known fields were decoded, so the value is one that daemons ignore.
         cause = _PATH.sub("", str(error))
         yield FileFault(
--- a/kingcuphead/platform/_store_codec.py
+++ b/kingcuphead/platform/_store_codec.py
@@ -9,6 +9,7 @@
 from expression import Error, Ok, Result
 from loguru import logger
 
+from kingcuphead.decoding import DECODING_ERRORS
 from kingcuphead.frozen import frozen
 from kingcuphead.storage import (
     CommitOutcome,
@@ -116,7 +117,7 @@
     """Return the store's time in milliseconds; 0 if the reply has none."""
     try:
         return _VERSION.decode(content).now_ms
-    except (msgspec.MsgspecError, UnicodeDecodeError):
+    except DECODING_ERRORS:
         # `decode_outcome` logs the decoding error.
         return 0
 
@@ -129,7 +130,7 @@
             return Committed(_VERSION.decode(reply.body).ver, era)
         existing = _list_existing(_PAGE.decode(reply.body))
         rows = tuple(_make_row(each) for each in existing)
-    except (msgspec.MsgspecError, UnicodeDecodeError, binascii.Error) as error:
+    except DECODING_ERRORS as error:
         logger.error("cannot decode the store's reply to a transaction: {}", error)
         return Unknown()
     return Conflict(rows, era)
@@ -143,7 +144,7 @@
         case Replied(status, content) if status == OK:
             try:
                 return Ok(_PAGE.decode(content))
-            except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+            except DECODING_ERRORS as error:
                 return Error(PlatformFault(operation, str(error)))
         case Replied(status):
             return Error(PlatformFault(operation, f"HTTP {status}"))
--- a/kingcuphead/quarantine/_rows.py
+++ b/kingcuphead/quarantine/_rows.py
@@ -3,6 +3,7 @@
 import msgspec
 from loguru import logger
 
+from kingcuphead.decoding import DECODING_ERRORS
 from kingcuphead.logs import RepetitionLimit, quote
 from kingcuphead.quarantine._messages import FingerprintQuarantined, SavedCrash
 from kingcuphead.quarantine._subjects import RequestIdentity
@@ -83,7 +84,7 @@
         expires_ms = _QUARANTINE_DECODER.decode(row.value).expires_ms
         return FingerprintQuarantined(row.key, (expires_ms - store_time) / 1000)
     # A time may be too large for a float.
-    except (msgspec.MsgspecError, ValueError, OverflowError) as error:
+    except DECODING_ERRORS as error:
         if repetitions.allows(row.key):
             key, cause = quote(row.key), quote(error)
             logger.warning("cannot decode quarantine row {}: {}", key, cause)
--- a/kingcuphead/resumption/_origin_rows.py
+++ b/kingcuphead/resumption/_origin_rows.py
@@ -6,6 +6,7 @@
 import msgspec
 from loguru import logger
 
+from kingcuphead.decoding import DECODING_ERRORS
 from kingcuphead.frozen import frozen
 from kingcuphead.resumption._messages import BegunStream, ServedVersion
 from kingcuphead.storage import Put, Row
@@ -74,7 +75,7 @@
         try:
             content = _DECODER.decode(row.value)
             origins = dict(_list_origins(content.groups))
-        except (msgspec.MsgspecError, ValueError) as error:
+        except DECODING_ERRORS as error:
             logger.warning("cannot decode origin row {}: {}", row.key, error)
             continue
         yield SavedOrigins(row, content.expires_ms, origins)
--- a/kingcuphead/resumption/_rows.py
+++ b/kingcuphead/resumption/_rows.py
@@ -6,6 +6,7 @@
 import msgspec
 from loguru import logger
 
+from kingcuphead.decoding import DECODING_ERRORS
 from kingcuphead.resumption._messages import ServedVersion
 from kingcuphead.storage import Put, Row
 
@@ -38,7 +39,7 @@
     for row in rows:
         try:
             decoded = _DECODER.decode(row.value)
-        except (msgspec.MsgspecError, UnicodeDecodeError) as error:
+        except DECODING_ERRORS as error:
             logger.warning("cannot decode version row {}: {}", row.key, error)
             continue
         yield ServedVersion(decoded.service, decoded.software_version)
