Read which versions serve before a stream goes on at the only known one

Cause: the view of the targets counted as current for 1.5 s, from when a reply was handled, so that a reply that lay in the socket of a standing process made an old view fresh.

Change: a caller that names the try of its stream, which nobody knows, waits for a read of the entries and of the versions that begins after it came back. A target registers before it begins a stream, so the read shows its version. Callers share reads; without a reply within 0.5 s they are refused as before.

--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -7,6 +7,9 @@
 from collections.abc import Callable, Coroutine
 from typing import Any
 
+from expression import Result
+from loguru import logger
+
 from kingcuphead.addresses import Address
 from kingcuphead.admission import AdmissionGate
 from kingcuphead.capacity import CapacityExchange, CapacityReported
@@ -46,7 +49,13 @@
     RoomReported,
     TermsReported,
 )
-from kingcuphead.platform import Profile, Store, StoreTable
+from kingcuphead.platform import (
+    TARGETS_TABLE,
+    Profile,
+    Store,
+    StoreTable,
+    decode_target,
+)
 from kingcuphead.quarantine import (
     AnswersReported,
     CrashReported,
@@ -57,6 +66,7 @@
 from kingcuphead.resumption import (
     OriginStore,
     ResumptionExchange,
+    ServedVersion,
     StreamAsked,
     StreamsBegan,
 )
@@ -243,6 +253,7 @@
             self._sender.broadcast,
             self._sender.gossip,
             OriginStore(StoreTable(store, ORIGINS_TABLE, ORIGINS_PART), self._identity),
+            lambda: _read_served_versions(store),
         )
 
     async def deregister(self) -> None:
@@ -352,3 +363,18 @@
         if self.admission is not None:
             self.admission.bounds.daemons = daemons
             self._dispatcher.daemons = daemons
+
+
+async def _read_served_versions(store: Store) -> frozenset[ServedVersion] | None:
+    """Return the versions of all targets that have an entry; None without a reply."""
+    match await store.read_table(TARGETS_TABLE):
+        case Result(tag="ok", ok=snapshot):
+            targets = (decode_target(row.key, row.value) for row in snapshot.rows)
+            return frozenset(
+                ServedVersion(target.service, target.software_version)
+                for target in targets
+                if target is not None
+            )
+        case Result(error=fault):
+            logger.debug("cannot read the entries of targets: {}", fault.message)
+    return None
--- a/kingcuphead/resumption/_exchange.py
+++ b/kingcuphead/resumption/_exchange.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 from collections import deque
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Awaitable, Callable, Collection, Iterable
 from typing import Protocol
 
 from expression import Result
@@ -22,6 +22,7 @@
 from kingcuphead.resumption._origin_store import OriginStore
 from kingcuphead.resumption._registry import StreamRegistry
 from kingcuphead.resumption._rows import decode_rows, encode_row, make_key
+from kingcuphead.resumption._shared_read import SharedRead
 from kingcuphead.storage import (
     Committed,
     RowSnapshot,
@@ -51,6 +52,8 @@
 #: Bound in seconds on the search for the origin of a stream; one that isn't found by
 #: then counts as unknown. A slow store answers in time, and callers have time left.
 SEARCH_TIMEOUT = 1.0
+#: Bound in seconds on reading the versions of all targets for callers that come back.
+CONFIRMATION_TIMEOUT = 0.5
 #: Seconds between two comparisons of the version table with what this daemon saw.
 SYNCHRONISATION_INTERVAL = 30.0
 #: Seconds before a comparison that failed is repeated.
@@ -94,6 +97,9 @@
         Sends a message to some of the other daemons, unacknowledged.
     origins
         Keeps the origins of streams while no daemon runs.
+    read_served
+        Reads the versions of all targets from the store, or returns None if it doesn't
+        answer; without it, the view is taken for current.
     """
 
     def __init__(
@@ -103,8 +109,14 @@
         broadcast: Callable[[ResumptionMessage], None],
         gossip: Callable[[ResumptionMessage], None],
         origins: OriginStore,
+        read_served: Callable[[], Awaitable[frozenset[ServedVersion] | None]]
+        | None = None,
     ) -> None:
         self._table = table
+        self._confirmation = (
+            None if read_served is None else SharedRead(self._confirm_versions)
+        )
+        self._read_served = read_served
         #: Origins of streams that outlast the daemons.
         self.origins = origins
         #: Called with how each origin was found, or that it is unknown.
@@ -152,7 +164,7 @@
             self._report_source(source)
             return StreamOrigin(stream.software_version, stream.service_name)
         only_version = None
-        if self._has_read_versions.is_set():
+        if self._has_read_versions.is_set() and await self._is_confirmed(request_id):
             only_version = self._find_only_version(services, bool(request_id))
         if only_version is None:
             self._report_source(OriginSource.UNKNOWN)
@@ -291,6 +303,33 @@
             return None
         return self._history.find_only_version(services, get_time())
 
+    async def _is_confirmed(self, request_id: str) -> bool:
+        """Whether the versions of all targets were read since a caller came back.
+
+        A target registers before it begins a stream, so that the read shows its
+        version. How old the view is doesn't suffice: it may be a moment too old, or its
+        last reply may have arrived late. Callers that name no try get what is known.
+        """
+        if not request_id or self._confirmation is None:
+            return True
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CONFIRMATION_TIMEOUT):
+                return await self._confirmation.run()
+        return False
+
+    async def _confirm_versions(self) -> bool:
+        """Read which versions serve, and which did; return whether that succeeded."""
+        if self._read_served is None:
+            return False
+        served, reply = await asyncio.gather(
+            self._read_served(), self._table.read_prefix("")
+        )
+        if served is None or reply.is_error():
+            return False
+        self._history.observe(served, get_time())
+        self._history.add_missing(decode_rows(reply.ok.rows), get_time())
+        return True
+
     def _has_several_versions(self, services: Iterable[str]) -> bool:
         """Whether any of some services lately had more than one version."""
         now = get_time()
--- a/kingcuphead/resumption/tests/test_exchange.py
+++ b/kingcuphead/resumption/tests/test_exchange.py
@@ -17,6 +17,7 @@
     RETRY_DELAY,
 )
 from kingcuphead.resumption._rows import encode_row
+from kingcuphead.resumption._shared_read import SharedRead
 from kingcuphead.storage.tests._memory_part import MemoryTablePart
 from kingcuphead.targets import Availability, Target
 
@@ -59,6 +60,9 @@
         self.table = MemoryTablePart()
         self.origin_table = MemoryTablePart()
         self.versions = [V1]
+        #: Versions by the entries of targets in the store; None while it is away.
+        self.served = None
+        self.reads_served = False
         self.views = {}
         self.sent = []
         self.exchanges = {}
@@ -73,7 +77,19 @@
 
         view = self.views[name] = View(self)
         origins = OriginStore(self.origin_table, name)
-        exchange = ResumptionExchange(self.table, view, broadcast, broadcast, origins)
+
+        async def read_served():
+            await asyncio.sleep(0.01)
+            return self.served
+
+        exchange = ResumptionExchange(
+            self.table,
+            view,
+            broadcast,
+            broadcast,
+            origins,
+            read_served if self.reads_served else None,
+        )
         self.exchanges[name] = exchange
         await exchange.synchronise()
         return exchange
@@ -318,3 +334,48 @@
             assert await daemon.find_origin("r1", ["pool"]) == StreamOrigin("v1")
 
         run(scenario)
+
+
+class TestOutOfStep:
+    """Guards against streams of two versions at a daemon whose view is too old."""
+
+    @pytest.mark.parametrize("age", [0.0, 0.2, 1.0])
+    @pytest.mark.parametrize(
+        ("served", "origin"),
+        [([V1], StreamOrigin("v1")), ([V1, V2], None), ([V2], None), (None, None)],
+        ids=["one", "new version joined", "new version only", "store away"],
+    )
+    def test_the_store_is_asked_which_versions_serve(self, age, served, origin):
+        """Other daemons are out of reach, and know that the stream began at `v2`."""
+
+        async def scenario(network):
+            network.reads_served = True
+            daemon = await network.start("a")
+            network.views["a"].age = age
+            if served is not None:
+                network.served = frozenset(ServedVersion("pool", v) for v in served)
+            assert await daemon.find_origin("r1", ["pool"]) == origin
+
+        run(scenario)
+
+    def test_callers_that_come_back_together_share_reads(self):
+        reads = []
+
+        async def read():
+            reads.append(asyncio.get_running_loop().time())
+            await asyncio.sleep(0.02)
+            return True
+
+        async def main():
+            shared = SharedRead(read)
+            await asyncio.gather(*(shared.run() for _ in range(50)))
+            begun_at = asyncio.get_running_loop().time()
+            first = asyncio.create_task(shared.run())
+            await asyncio.sleep(0.01)
+            asked_at = asyncio.get_running_loop().time()
+            await asyncio.gather(first, shared.run())
+            assert len(reads) == 3
+            assert reads[1] >= begun_at
+            assert reads[2] >= asked_at
+
+        asyncio.run(main())
