Serve large requests in an outage of the store as before pledges

Cause: a request that may pledge counted the reserve of its daemon as available although the store was silent, and so asked no other daemon for credit; activations used up the free credit that is kept for outages; a move from the reserve whose reply was lost kept its tokens out of reach for the whole outage.

Change: in silence only free credit counts; an activation refills the free credit by the same transaction; a move without an outcome is withdrawn, since a row that states less than the reserve is safe. Free credit is 1 in 100 of a budget in small fleets, in place of 0.75.

--- a/kingcuphead/credit/_account.py
+++ b/kingcuphead/credit/_account.py
@@ -55,6 +55,11 @@
         """Tokens deducted from free credit and reserve before the transaction."""
         return -min(0, self.free) - min(0, self.reserve)
 
+    @property
+    def is_move(self) -> bool:
+        """Whether it moves tokens from the reserve to the free credit, and no more."""
+        return self.reserve < 0 < self.free and not self.changes_budget
+
     @property
     def changes_budget(self) -> bool:
         """Whether the values in the shards change."""
@@ -109,6 +114,8 @@
         #: Tokens of the reserve that other daemons asked for, until a time in seconds.
         self._requested_reserve = 0
         self._requested_until = float("-inf")
+        #: Whether activations have used free credit since the last transaction.
+        self.is_refill_due = False
         #: Whether the next transaction moves the surplus to the reserve.
         self.is_surplus_due = False
         #: Tokens spent since the incarnation started.
@@ -227,6 +234,7 @@
         self.free -= tokens
         self.held += tokens
         self.pledged -= tokens
+        self.is_refill_due = True
         return True
 
     def unpledge(self, tokens: int) -> None:
@@ -365,8 +373,8 @@
 
     def count_moved_reserve(self, now: float) -> int:
         """Return the tokens of the reserve that the next transaction has to free."""
-        moved = self._count_missing_activation() + self.count_requested_reserve(now)
-        return min(moved, self.reserve)
+        moved = self._count_missing_activation() + self._count_refill(now)
+        return min(moved + self.count_requested_reserve(now), self.reserve)
 
     def count_exposed_surplus(self, now: float) -> int:
         """Return the free tokens that nobody needs, if a crash shouldn't lose them."""
@@ -385,6 +393,14 @@
         """Return what the free tokens lack for the holds that are to be activated."""
         return min(max(0, self.activating - max(0, self.free)), self.reserve)
 
+    def _count_refill(self, now: float) -> int:
+        """Return what activations took from the free credit that is kept."""
+        if not self.activating and not self.is_refill_due:
+            return 0
+        left = max(0, self.free - self.activating)
+        refill = max(0, self.compute_desired_free(now) - left)
+        return min(refill, self.unpledged) if not self._is_overdrawn() else 0
+
     def compute_share_for(self, tokens: int) -> float:
         """Return the share of the reserve whose release covers a new pledge, too."""
         whole = self.reserve + self.released_reserve
@@ -403,6 +419,7 @@
 
         Otherwise returned tokens could be spent.
         """
+        self.is_refill_due = False
         self.free += min(0, adjustment.free)
         self.reserve += min(0, adjustment.reserve)
         self.unreported -= adjustment.settled
--- a/kingcuphead/credit/_ledger.py
+++ b/kingcuphead/credit/_ledger.py
@@ -11,7 +11,7 @@
 
 #: Seconds for which a request may have to wait at its first event until the release of
 #: reserves covers it, while the store doesn't answer.
-MAX_RELEASE_WAIT = 2.5
+MAX_RELEASE_WAIT = 1.0
 
 
 class CreditLedger:
@@ -189,10 +189,12 @@
         """Return the free tokens of an organisation."""
         return self.get_organisation(organisation).account.free
 
-    def count_available(self, organisation: str, may_pledge: bool) -> int:
-        """Return the tokens of this daemon that a new request may hold."""
+    def count_available(self, organisation: str, may_pledge: bool, now: float) -> int:
+        """Return the tokens of this daemon that a new request may hold at once."""
         account = self.get_organisation(organisation).account
-        return account.pledgeable if may_pledge else account.free
+        if may_pledge and not self.is_store_silent(now):
+            return account.pledgeable
+        return account.free - account.claimed_free
 
     def transfer_out(self, organisation: str, tokens: int, now: float) -> int:
         """Deduct at most `tokens` for another daemon and return the amount deducted."""
--- a/kingcuphead/credit/_messages.py
+++ b/kingcuphead/credit/_messages.py
@@ -89,7 +89,7 @@
     #: Maximum share of a budget that all daemons of a small fleet together keep as free
     #: credit, which a crash of the fleet loses. It binds for budgets of a few minutes
     #: of demand.
-    max_free_share: float = 0.0075
+    max_free_share: float = 0.01
     #: The same share in a large fleet, whose daemons transfer credit in an outage.
     large_fleet_free_share: float = 0.03
     #: Requests of mean cost kept as free credit without recent demand.
--- a/kingcuphead/credit/_organisation_ledger.py
+++ b/kingcuphead/credit/_organisation_ledger.py
@@ -16,6 +16,7 @@
 import math
 import random
 from collections.abc import Mapping
+from dataclasses import replace
 
 import msgspec
 
@@ -312,7 +313,18 @@
             case Unavailable():
                 self.account.cancel(sent.adjustment)
             case Unknown():
-                self._in_doubt.append(sent)
+                self._in_doubt.append(self._withdraw_move(sent))
+
+    def _withdraw_move(self, sent: _SentTransaction) -> _SentTransaction:
+        """Return the tokens of a move from the reserve without an outcome to it.
+
+        If the row was written, it states less than the reserve has, which is safe. So
+        an outage doesn't keep these tokens from being released.
+        """
+        if not sent.adjustment.is_move:
+            return sent
+        self.account.cancel(sent.adjustment)
+        return replace(sent, adjustment=Adjustment(0, 0, 0))
 
     def _may_allocate(self, store_time: int | None) -> bool:
         """Whether daemons had time to record what they hold since a restore."""
--- a/kingcuphead/credit/_renewal.py
+++ b/kingcuphead/credit/_renewal.py
@@ -92,6 +92,12 @@
         if not self.is_store_down and self._ledger.account.is_low(get_time()):
             self._wake.set()
 
+    def wake_for_refill(self) -> None:
+        """Renew if activations have taken free credit that is kept for an outage."""
+        account = self._ledger.account
+        if account.is_refill_due and not self.is_store_down:
+            self._wake.set()
+
     def wake_for_surplus(self) -> None:
         """Renew soon if requests have left credit over that a crash would lose."""
         if self._is_surplus_timer_set or self.is_store_down:
--- a/kingcuphead/credit/_task.py
+++ b/kingcuphead/credit/_task.py
@@ -142,6 +142,7 @@
         while not self._ledger.activate(hold, get_time()):
             renewal.wake()
             await renewal.wait_for_renewal(ACTIVATION_CHECK_SECONDS)
+        renewal.wake_for_refill()
 
     async def run(self) -> None:
         """Renew the credit of every organisation until cancelled."""
@@ -298,7 +299,7 @@
         now = get_time()
         until = now + MAX_TRANSFER_SECONDS
         while now < until:
-            available = self._ledger.count_available(organisation, need.may_pledge)
+            available = self._ledger.count_available(organisation, need.may_pledge, now)
             missing = need.tokens - available
             if missing <= 0:
                 # More is allocated than a lowered limit allows.
--- a/kingcuphead/credit/tests/test_pledges.py
+++ b/kingcuphead/credit/tests/test_pledges.py
@@ -11,6 +11,7 @@
 from kingcuphead.credit.tests.test_ledger import DELAY, SETTINGS
 from kingcuphead.invariants import InvariantError
 from kingcuphead.routing import Organisation
+from kingcuphead.storage import Unknown
 
 NAME = "atelier"
 LIMIT = 100_000
@@ -120,8 +121,9 @@
         hold = daemon.pledge()
         daemon.activate(hold)
         part = daemon.ledger.get_organisation(NAME)
-        # This transaction has no outcome, and its tokens are out of reach.
+        # This transaction has no outcome during the outage.
         part.plan_transaction(daemon.store.now, daemon.store.time_ms)
+        part.handle_outcome(Unknown())
         daemon.store.advance(DELAY - 0.1)
         assert not daemon.activate(hold)
         daemon.store.advance(SETTINGS.release_period)
