--- a/kingcuphead/forwarding/tests/test_cut_heads.py
+++ b/kingcuphead/forwarding/tests/test_cut_heads.py
@@ -5,6 +5,7 @@
 import pytest
 
 from kingcuphead.forwarding import _connection
+from kingcuphead.forwarding._target_stream import open_stream
 from kingcuphead.forwarding.tests._harness import (
     IDEMPOTENT,
     ONCE,
@@ -91,7 +92,6 @@
     def test_nor_through_another_daemon(self, name, end, monkeypatch):
         """A close that a helper passes on looks the same as a close of the helper."""
         head = HEADS[name]
-        open_stream = _connection.open_stream
         monkeypatch.setattr(
             _connection, "open_stream", lambda: open_stream(is_tunnel=True)
         )
