--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,6 +1,7 @@
 """A quarantine that answers have lifted is back after a restart of all daemons."""
 
 import asyncio
+import os
 import pathlib
 import random
 import signal
@@ -12,6 +13,8 @@
 
 import harness  # noqa: E402
 
+#: Whether the disruption is brought about; `TROUBLE=0` leaves it out.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 DAEMONS = tuple(f"127.0.61.{number}" for number in range(1, 4))
 RUNNERS = tuple(f"127.0.62.{number}" for number in range(1, 17))
 #: Runners that crash at the same time: share 0.25 at most; seconds until they are back.
@@ -126,7 +129,7 @@
         await asyncio.gather(*(daemons.start(ip) for ip in DAEMONS))
         # Traffic starts some seconds after the machines do.
         await asyncio.sleep(3.0)
-        if harness.is_troubled():
+        if IS_TROUBLED:
             crashes = asyncio.create_task(crash_runners(runners, record))
         before = await send_all(DAY, record)
         record.write(f"served before the final fault: {sum(before)} of {len(before)}")
--- a/review/lib/harness.py
+++ b/review/lib/harness.py
@@ -25,11 +25,6 @@
 TENANT = "tenant-a"
 
 
-def is_troubled() -> bool:
-    """Whether the disruption of the case is to be brought about."""
-    return os.environ.get("TROUBLE", "1") != "0"
-
-
 class Record:
     """Writes `record.txt`: what was sent, answered and run."""
 
--- a/review/other/retry-budget.py
+++ b/review/other/retry-budget.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import os
 import pathlib
 import random
 import signal
@@ -13,6 +14,8 @@
 
 import harness  # noqa: E402
 
+#: Whether the disruption is brought about; `TROUBLE=0` leaves it out.
+IS_TROUBLED = os.environ.get("TROUBLE", "1") != "0"
 DAEMONS = tuple(f"127.0.51.{number}" for number in range(1, 8))
 RUNNERS = tuple(f"127.0.52.{number}" for number in range(1, 4))
 #: Requests a second of all clients.
@@ -151,7 +154,7 @@
     kills = None
     try:
         await asyncio.gather(*(daemons.start(ip) for ip in DAEMONS))
-        if harness.is_troubled():
+        if IS_TROUBLED:
             kills = asyncio.create_task(kill_herds(daemons, clients, record))
         await clients.run()
     finally:
