Tell removed entries of targets from expired ones

Cause: a read that was answered showed that the entry is gone, and a rule for failed calls overruled it. Ruled out: that the daemon learnt late of the removal.

Change: EntryExpiry decides from the store's answers. A target writes its entry with each heartbeat, and an entry outlasts three of them, so an entry can't have expired soon after the store has answered through a whole heartbeat. Calls for another table that fail beside answered reads show no outage. Entries that may have expired are kept until 2 s after the first answered read and, as before, 3 s after the last failed call at most, and a timer drops them. The heartbeat is read from the settings.

Bounds of the earlier tests are unchanged; record_read takes the time.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -98,7 +98,7 @@
         self._failure: BaseException | None = None
         rng = random.Random()
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
-        self._directory = TargetDirectory()
+        self._directory = TargetDirectory(heartbeat=profile.heartbeat)
         self._metrics = DaemonMetrics()
         peer_loads = PeerLoads()
         self._dispatcher = make_dispatcher(profile, peer_loads, rng)
--- a/kingcuphead/entry/_table_listeners.py
+++ b/kingcuphead/entry/_table_listeners.py
@@ -1,5 +1,6 @@
 """Listeners that decode table rows into configurations, evacuations and targets."""
 
+import asyncio
 import time
 from collections.abc import Callable, Iterable, Iterator
 
@@ -171,23 +172,28 @@
     ) -> None:
         self._directory = directory
         self._handle_change = handle_change
+        self._timer: asyncio.TimerHandle | None = None
 
     def apply_snapshot(self, rows: Iterable[Row]) -> None:
         """Apply the complete contents of the table."""
         targets = _decode_targets((row.key, row.value) for row in rows)
-        self._directory.record_read()
-        self._publish(self._directory.replace_all(targets, time.monotonic()))
+        now = time.monotonic()
+        self._directory.record_read(now)
+        self._publish(self._directory.replace_all(targets, now))
+        self._schedule_tick()
 
     def apply_changes(self, changes: Iterable[Change]) -> None:
         """Apply changes in the order in which they were committed."""
-        self._directory.record_read()
+        now = time.monotonic()
+        self._directory.record_read(now)
         for change in changes:
             if change.value is None:
-                self._publish(self._directory.remove(change.key, time.monotonic()))
+                self._publish(self._directory.remove(change.key, now))
                 continue
             target = decode_target(change.key, change.value)
             if target is not None:
                 self._publish(self._directory.put(target))
+        self._schedule_tick()
 
     def handle_leaving(self, target: Target) -> None:
         """Handle an answer in which a target says that it leaves."""
@@ -196,6 +202,16 @@
     def tick(self) -> None:
         """Drop targets whose expired entries weren't written again in time."""
         self._publish(self._directory.tick(time.monotonic()))
+        self._schedule_tick()
+
+    def _schedule_tick(self) -> None:
+        """Drop such targets when their time is up, not at the next sweep."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+        if (deadline := self._directory.expiry_deadline) is not None:
+            loop = asyncio.get_running_loop()
+            self._timer = loop.call_at(deadline, self.tick)
 
     def _publish(self, changes: Iterator[DirectoryChange]) -> None:
         for change in changes:
--- a/kingcuphead/entry/tests/_played_daemons.py
+++ b/kingcuphead/entry/tests/_played_daemons.py
@@ -266,7 +266,7 @@
         """Apply the configuration, and wait until the daemons know each other."""
         self._phase.start()
         for address, daemon in self.daemons.items():
-            daemon._directory.record_read()
+            daemon._directory.record_read(0.0)
             for target in self.targets:
                 list(daemon._directory.put(target))
             daemon._apply_configuration(make_configuration(capacity))
--- a/kingcuphead/entry/tests/test_slow_callers.py
+++ b/kingcuphead/entry/tests/test_slow_callers.py
@@ -168,7 +168,7 @@
         end = loop.time() + seconds
         longest = 0.0
         while (started_at := loop.time()) < end:
-            self.harness.directory.record_read()
+            self.harness.directory.record_read(0.0)
             writer.write(make_request("/stream/x"))
             head = await reader.readuntil(b"\r\n\r\n")
             assert head.startswith(b"HTTP/1.1 200"), head
--- a/kingcuphead/entry/tests/test_table_listeners.py
+++ b/kingcuphead/entry/tests/test_table_listeners.py
@@ -1,5 +1,6 @@
 import asyncio
 import json
+import time
 
 import pytest
 from expression import Error, Ok
@@ -71,6 +72,22 @@
         listener.apply_changes([Change("t2", b"\xff"), Change("t1", b"{}")])
         assert [each.name for each in directory.list_usable("s")] == ["t1"]
 
+    def test_a_target_is_dropped_when_its_time_is_up_not_at_the_next_sweep(self):
+        """Guards against requests to it after the daemon is bound by its removal."""
+
+        async def play():
+            directory = TargetDirectory()
+            listener = TargetListener(directory, lambda change: None)
+            entry = {"service": "s", "address": "10.0.0.1:80", "state": "ready"}
+            listener.apply_changes([Change("t1", json.dumps(entry).encode())])
+            directory.record_store_failure(time.monotonic() - 2.9)
+            listener.apply_changes([Change("t1", None)])
+            assert directory.list_usable("s")
+            await asyncio.sleep(0.15)
+            assert directory.list_usable("s") == ()
+
+        asyncio.run(play())
+
 
 class TestEvacuationListener:
     """A zone stays evacuated exactly as long as its row exists."""
--- a/kingcuphead/entry/tests/test_target_statements.py
+++ b/kingcuphead/entry/tests/test_target_statements.py
@@ -24,7 +24,7 @@
     @pytest.mark.parametrize("started_at_ms", [1, 2])
     def test_it_counts_for_the_process_that_made_it(self, started_at_ms):
         directory = TargetDirectory()
-        directory.record_read()
+        directory.record_read(0.0)
         target = make_target(started_at_ms)
         list(directory.put(target))
         paused = []
--- a/kingcuphead/forwarding/tests/_harness.py
+++ b/kingcuphead/forwarding/tests/_harness.py
@@ -158,7 +158,7 @@
 
     async def __aenter__(self):
         self.directory = TargetDirectory()
-        self.directory.record_read()
+        self.directory.record_read(0.0)
         self.targets = [await each.start() for each in (self.first, self.second)]
         for target in self.targets:
             list(self.directory.put(target))
--- a/kingcuphead/platform/_profile.py
+++ b/kingcuphead/platform/_profile.py
@@ -9,6 +9,7 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.permits import ColdBounds
 from kingcuphead.platform._numbers import read_number
+from kingcuphead.targets import DEFAULT_HEARTBEAT
 
 #: Environment variable that holds the path of the settings file.
 SETTINGS_VARIABLE = "KINGCUPHEAD_CONFIG"
@@ -107,6 +108,8 @@
     has_scarce_capacity: bool = False
     #: Whether an engine that holds more tokens than its memory has room for crashes.
     engines_crash_when_full: bool = False
+    #: Seconds between two writes of a target's entry.
+    heartbeat: float = DEFAULT_HEARTBEAT
     #: Bound on the requests that a cold target gets in one second.
     cold_bounds: ColdBounds = ColdBounds()
 
@@ -233,6 +236,11 @@
     )
 
 
+def _read_heartbeat(reader: _ValueReader) -> float:
+    default = DEFAULT_HEARTBEAT * 1000
+    return reader.get_lenient_number("heartbeat_ms", default, default, True) / 1000
+
+
 def _make_profile(reader: _ValueReader) -> Profile:
     return Profile(
         instance=reader.get_text("node"),
@@ -256,6 +264,7 @@
             reader.get_names("contracts")
         ),
         engines_crash_when_full=_CRASH_CONTRACT in reader.get_names("contracts"),
+        heartbeat=_read_heartbeat(reader),
         cold_bounds=ColdBounds(
             ratio=reader.get_lenient_number("bounds.cold_over", 1.5, 1.0),
             extra=reader.get_lenient_number("bounds.cold_slack", 5.0, 1.0),
--- a/kingcuphead/targets/__init__.py
+++ b/kingcuphead/targets/__init__.py
@@ -9,7 +9,11 @@
     ZoneReadmitted,
 )
 from kingcuphead.targets._cold import ColdLimit, ColdStart
-from kingcuphead.targets._directory import TargetDirectory, read_boot_clock
+from kingcuphead.targets._directory import (
+    DEFAULT_HEARTBEAT,
+    TargetDirectory,
+    read_boot_clock,
+)
 from kingcuphead.targets._messages import (
     Availability,
     Target,
@@ -19,6 +23,7 @@
 )
 
 __all__ = [
+    "DEFAULT_HEARTBEAT",
     "Availability",
     "ColdLimit",
     "ColdStart",
--- a/kingcuphead/targets/_directory.py
+++ b/kingcuphead/targets/_directory.py
@@ -16,11 +16,11 @@
     ZoneReadmitted,
 )
 from kingcuphead.targets._cold import ColdLimit, ColdStart, ColdTargets
+from kingcuphead.targets._expiry import EntryExpiry
 from kingcuphead.targets._messages import Availability, Target, get_target_name
 
-#: Seconds after the start of the last failed call to the store within which targets
-#: write their expired entries again.
-REREGISTRATION_PERIOD = 3.0
+#: Seconds between two writes of a target's entry, unless the settings state another.
+DEFAULT_HEARTBEAT = 1.2
 #: Number of removed incarnations that are remembered.
 MAX_REMOVED = 4_096
 #: Seconds without an answer of the store after which a target may have become cold
@@ -38,8 +38,8 @@
 
     An entry that is removed means that its target shuts down. Entries also expire when
     their targets can't reach the store. A target whose entry disappears during or soon
-    after an outage of the store therefore stays usable for `REREGISTRATION_PERIOD`, and
-    is dropped if the entry is still missing afterwards.
+    after an outage that was long enough for that therefore stays usable for as long as
+    targets take to write their entries again, and is dropped if it is still missing.
 
     Parameters
     ----------
@@ -48,14 +48,18 @@
         suspended.
     read_unix_time
         Returns the Unix time in seconds.
+    heartbeat
+        Seconds between two writes of a target's entry.
     """
 
     def __init__(
         self,
         read_clock: Callable[[], float] = read_boot_clock,
         read_unix_time: Callable[[], float] = time.time,
+        heartbeat: float = DEFAULT_HEARTBEAT,
     ) -> None:
         self._read_clock = read_clock
+        self._expiry = EntryExpiry(heartbeat)
         self._cold = ColdTargets(read_unix_time)
         #: Zones that the operator has evacuated, also those without known targets.
         self._evacuated: set[str] = set()
@@ -69,13 +73,17 @@
         #: Sequence numbers of the last entries of removed incarnations.
         self._removed: OrderedDict[str, int] = OrderedDict()
         self._usable: dict[str, tuple[Target, ...]] = {}
-        self._store_failed_at = float("-inf")
         self._read_at = float("-inf")
 
     @property
     def store_failed_at(self) -> float:
         """Start of the last call to the store that failed, on the monotonic clock."""
-        return self._store_failed_at
+        return self._expiry.failed_at
+
+    @property
+    def expiry_deadline(self) -> float | None:
+        """Time at which targets without an entry are dropped; None without such."""
+        return self._expiry.get_deadline() if self._expired else None
 
     @property
     def cold_count(self) -> int:
@@ -104,11 +112,12 @@
 
     def record_store_failure(self, started_at: float) -> None:
         """Record the start time of a call that the store didn't answer."""
-        self._store_failed_at = max(self._store_failed_at, started_at)
+        self._expiry.record_failure(started_at)
 
-    def record_read(self) -> None:
+    def record_read(self, now: float) -> None:
         """Record that the store has just answered a read of the entries or changes."""
         self._read_at = self._read_clock()
+        self._expiry.record_answer(now)
 
     def get_age(self) -> float:
         """Return the seconds since the store last answered such a read.
@@ -150,11 +159,11 @@
         previous = self._targets.get(name)
         if previous is None or name in self._expired:
             return
-        is_store_healthy = now - self._store_failed_at > REREGISTRATION_PERIOD
-        if is_store_healthy or previous.availability is Availability.DRAINING:
-            yield from self._drop(previous)
-        else:
+        is_leaving = previous.availability is Availability.DRAINING
+        if not is_leaving and self._expiry.may_have_expired(name, now):
             self._expired.add(name)
+        else:
+            yield from self._drop(previous)
 
     def replace_all(
         self, targets: Iterable[Target], now: float
@@ -310,7 +319,7 @@
         """Drop targets whose expired entries weren't written again in time."""
         self._cold.tick(self._read_clock())
         self._log_doubt()
-        if now - self._store_failed_at > REREGISTRATION_PERIOD:
+        if now >= self._expiry.get_deadline():
             for name in tuple(self._expired):
                 yield from self._drop(self._targets[name])
 
--- a/kingcuphead/targets/tests/test_cold.py
+++ b/kingcuphead/targets/tests/test_cold.py
@@ -51,7 +51,7 @@
 
 
 def put(directory, *entries):
-    directory.record_read()
+    directory.record_read(0.0)
     for entry in entries:
         list(directory.put(entry))
 
--- a/kingcuphead/targets/tests/test_directory.py
+++ b/kingcuphead/targets/tests/test_directory.py
@@ -66,6 +66,107 @@
         assert directory.list_usable("pool") == ()
 
 
+class TestRemovalsBesideFailedCalls:
+    """Guards against requests to targets that left while this daemon's calls failed.
+
+    Only an outage in which targets may have missed three heartbeats makes entries
+    expire; a daemon whose calls alone fail, or fail for a moment, sees removals.
+    """
+
+    def read(self, directory, start, end):
+        """Record answers of the store, as a daemon that polls has them."""
+        for number in range(int((end - start) * 5) + 1):
+            directory.record_read(start + number / 5)
+
+    def is_usable(self, directory):
+        return bool(directory.list_usable("pool"))
+
+    @pytest.mark.parametrize(
+        ("failed_at", "returned_at", "removed_at"),
+        [
+            pytest.param(100.1, 100.9, 100.9, id="removed in an outage"),
+            pytest.param(100.1, 100.9, 101.7, id="removed after an outage"),
+            pytest.param(100.1, 101.9, 101.9, id="removed in the longest such outage"),
+            pytest.param(100.1, 100.2, 100.2, id="one call failed"),
+        ],
+    )
+    def test_it_counts_at_once_after_an_outage_too_short_for_expiry(
+        self, directory, failed_at, returned_at, removed_at
+    ):
+        self.read(directory, 90.0, 100.0)
+        directory.record_store_failure(failed_at)
+        self.read(directory, returned_at, removed_at)
+        assert list(directory.remove("t1", removed_at)) == [TargetLeft(READY, True)]
+        assert not self.is_usable(directory)
+
+    def test_it_counts_at_once_in_the_second_of_two_short_outages(self, directory):
+        self.read(directory, 90.0, 100.0)
+        directory.record_store_failure(100.1)
+        self.read(directory, 100.8, 102.4)
+        directory.record_store_failure(102.5)
+        directory.record_read(103.2)
+        assert list(directory.replace_all([], 103.2)) == [TargetLeft(READY, True)]
+
+    def test_it_counts_at_once_while_calls_for_another_table_fail(self, directory):
+        """The reads of the entries that go on show that the store answers."""
+        for number in range(100):
+            directory.record_read(90.0 + number / 10)
+            directory.record_store_failure(90.0 + (number - 0.5) / 10)
+        assert list(directory.remove("t1", 99.9)) == [TargetLeft(READY, True)]
+
+    @pytest.mark.parametrize(
+        ("heartbeat", "is_kept"), [(1.2, True), (2.4, False), (0.5, True)]
+    )
+    def test_the_heartbeat_decides_which_outage_is_too_short(self, heartbeat, is_kept):
+        directory = TargetDirectory(heartbeat=heartbeat)
+        list(directory.put(READY))
+        self.read(directory, 90.0, 100.0)
+        directory.record_store_failure(100.1)
+        directory.record_store_failure(102.2)
+        directory.record_read(102.4)
+        list(directory.remove("t1", 102.4))
+        assert self.is_usable(directory) is is_kept
+
+    def test_outages_that_leave_no_time_for_a_heartbeat_add_up(self, directory):
+        self.read(directory, 90.0, 100.0)
+        for outage in (100.1, 101.4, 102.7):
+            directory.record_store_failure(outage)
+            self.read(directory, outage + 1.0, outage + 1.2)
+        assert list(directory.remove("t1", 103.9)) == []
+        assert self.is_usable(directory)
+
+    def test_reads_with_a_long_pause_show_nothing_about_the_pause(self, directory):
+        """The daemon may have been suspended while the store was away."""
+        self.read(directory, 90.0, 100.0)
+        directory.record_read(104.0)
+        directory.record_store_failure(104.1)
+        directory.record_read(104.3)
+        assert list(directory.remove("t1", 104.3)) == []
+
+    @pytest.mark.parametrize(
+        ("returned_at", "dropped_at"),
+        [
+            pytest.param(104.0, 106.0, id="two seconds after the return"),
+            pytest.param(105.9, 106.8, id="three after the last failed call"),
+        ],
+    )
+    def test_one_that_may_have_expired_is_kept_until_targets_have_returned(
+        self, directory, returned_at, dropped_at
+    ):
+        self.read(directory, 90.0, 100.0)
+        for failed_at in (100.1, 102.0, 103.8):
+            directory.record_store_failure(failed_at)
+        self.read(directory, returned_at, returned_at)
+        assert list(directory.remove("t1", returned_at)) == []
+        self.read(directory, returned_at + 0.2, dropped_at - 0.1)
+        assert directory.expiry_deadline == pytest.approx(dropped_at)
+        list(directory.tick(dropped_at - 0.01))
+        assert self.is_usable(directory)
+        list(directory.tick(dropped_at))
+        assert not self.is_usable(directory)
+        assert directory.expiry_deadline is None
+
+
 class TestTargetDirectory:
     def test_a_draining_target_is_not_usable(self, directory):
         assert list(directory.put(DRAINING)) == [TargetLeft(DRAINING, False)]
