Answer open requests before a planned stop ends

What callers saw (a report of another operator, LOST): at the end of the grace period of a planned stop requests were cut without an answer, also those that may run only once, and those that had only waited in the daemon.

Cause: a shutdown waited for open requests and then closed their connections. Its times counted from the handling of the signal, so that a process that was suspended or busy when it came got SIGKILL before its own end.

Change: each request is bounded by the end of the shutdown. Those that a target may have run are answered 502, those that waited are refused 503 as not run a second earlier, from which on nothing is passed on, and streams that have begun are aborted.

Fleet.stop_daemon calls the daemon's new stop() in place of setting its event.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -56,11 +56,13 @@
     ZoneChange,
     ZoneEvacuated,
 )
-from kingcuphead.timing import sleep_until_tick
+from kingcuphead.timing import get_time, sleep_until_tick
 
 #: Seconds between two sweeps that drop expired entries and idle connections; also the
 #: timeout of one attempt to return credit during shutdown.
 SWEEP_INTERVAL = 0.25
+#: Seconds after a process went on within which signals that waited are handled.
+SIGNAL_DELAY = 0.05
 #: Seconds after which the settings file is read again without SIGHUP.
 SETTINGS_INTERVAL = 2.0
 #: Seconds after SIGTERM in which new connections are still accepted, while callers
@@ -68,6 +70,11 @@
 SHUTDOWN_ACCEPT_PERIOD = 3.0
 #: Seconds before the end of the grace period at which shutdown stops waiting.
 GRACE_MARGIN = 0.5
+#: Seconds before that at which open requests get their final answers.
+ANSWER_MARGIN = 0.1
+#: Seconds before these in which no request is passed on any more, but no more than
+#: this share of the grace period; most requests that begin earlier are answered.
+LAST_START_MARGIN, LAST_START_SHARE = 1.0, 1 / 8
 
 
 class EntryDaemon:
@@ -94,6 +101,7 @@
         self._reload = asyncio.Event()
         self._stop = asyncio.Event()
         self._is_stopping = False
+        self._swept_at = self._stopped_at = float("inf")
         self._has_configuration = False
         self._failure: BaseException | None = None
         rng = random.Random()
@@ -231,6 +239,16 @@
         logger.info("entry daemon ended")
         return self._failure is None
 
+    def stop(self) -> None:
+        """Begin a graceful shutdown, as a signal does.
+
+        While the process is suspended or busy, signals wait, but the platform counts
+        the grace period from their sending. A sweep that is overdue shows such a time.
+        """
+        if not self._stop.is_set():
+            self._stopped_at = min(get_time(), self._swept_at + SWEEP_INTERVAL)
+            self._stop.set()
+
     def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
         watches = StoreWatches(
             self._store,
@@ -273,7 +291,7 @@
     def _watch_signals(self) -> None:
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop.set)
+            loop.add_signal_handler(number, self.stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload.set)
 
     async def _watch_settings(self) -> None:
@@ -350,19 +368,29 @@
 
     async def _sweep(self) -> None:
         while True:
-            await sleep_until_tick(SWEEP_INTERVAL)
+            late = await sleep_until_tick(SWEEP_INTERVAL)
             self._targets.tick()
             self._evacuations.tick()
             # Attempts that were running have returned their connections to the pool.
             for target in self._directory.list_evacuated():
                 self._pool.close_address(target.address)
             self._pool.sweep()
+            if late > SWEEP_INTERVAL:
+                # The process was suspended; signals of that time are handled first.
+                await asyncio.sleep(SIGNAL_DELAY)
+            self._swept_at = get_time()
 
     async def _drain(self, renewal: asyncio.Task[None]) -> None:
         """Finish open requests and return credit before the grace period ends."""
         loop = asyncio.get_running_loop()
-        end = loop.time() + self._profile.grace - GRACE_MARGIN
-        logger.info("shutdown started; grace period {} s", self._profile.grace)
+        grace = self._profile.grace
+        end = self._stopped_at + grace - GRACE_MARGIN
+        answers_end = end - ANSWER_MARGIN
+        last_start_at = answers_end - min(LAST_START_MARGIN, LAST_START_SHARE * grace)
+        logger.bind(lag=round(loop.time() - self._stopped_at, 3)).info(
+            "shutdown started; grace period {} s", grace
+        )
+        self._forwarder.finish_by(last_start_at, answers_end)
         self._is_stopping = True
         self._links.permits.ranking.begin_leaving()
         # Another daemon can help; a stream that begins here might be cut off.
@@ -371,7 +399,8 @@
         if self._admission is not None:
             self._admission.close()
         self._start_task(self._links.deregister())
-        await asyncio.sleep(min(SHUTDOWN_ACCEPT_PERIOD, self._profile.grace / 2))
+        accept_end = self._stopped_at + min(SHUTDOWN_ACCEPT_PERIOD, grace / 2)
+        await asyncio.sleep(max(0.0, accept_end - loop.time()))
         self._callers.stop_listening()
         renewal.cancel()
         await asyncio.gather(renewal, return_exceptions=True)
--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -143,7 +143,7 @@
     async def stop_daemon(self, number):
         """Shut a daemon down gracefully."""
         daemon, task = self.daemons.pop(number)
-        daemon._stop.set()
+        daemon.stop()
         await task
 
     def cut_datagrams(self):
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -6,7 +6,9 @@
 
 from expression import Error, Ok, Result
 
+from kingcuphead.admission import SHUTDOWN_RETRY_AFTER
 from kingcuphead.credit import Hold
+from kingcuphead.dispatch import Placement
 from kingcuphead.forwarding._admission import AdmissionStep
 from kingcuphead.forwarding._attempt import (
     Answered,
@@ -24,6 +26,7 @@
 from kingcuphead.forwarding._hedged_attempts import HedgedAttempts
 from kingcuphead.forwarding._memory import OutOfMemoryError
 from kingcuphead.forwarding._messages import CallerRequest
+from kingcuphead.forwarding._open_requests import OpenRequests, ShutdownError
 from kingcuphead.forwarding._ports import Caller
 from kingcuphead.forwarding._refusals import Refusal, refuse
 from kingcuphead.forwarding._retry_decision import RetryDecision
@@ -87,11 +90,24 @@
             dependencies, AttemptDriver(dependencies, self._retries), self._targets
         )
         self._admission = AdmissionStep(dependencies.admission, self._targets)
+        self._open_requests = OpenRequests()
 
     def apply(self, table: RoutingTable) -> None:
         """Replace the configuration for requests that arrive from now on."""
         self._table = table
 
+    def finish_by(self, last_start_at: float, end_at: float) -> None:
+        """End all requests with a final answer before the process ends.
+
+        Parameters
+        ----------
+        last_start_at
+            Time of the event loop from which on no request is passed on to a target.
+        end_at
+            Time at which the requests that targets still run are ended.
+        """
+        self._open_requests.finish_by(last_start_at, end_at)
+
     async def serve(self, request: CallerRequest, caller: Caller) -> Refusal | None:
         """Serve a request until its final answer.
 
@@ -108,7 +124,10 @@
         context = admitted.ok
         refusal = None
         try:
-            refusal = await self._serve_admitted(context, caller)
+            async with self._open_requests.track(context):
+                refusal = await self._serve_admitted(context, caller)
+        except ShutdownError:
+            refusal = self._end_at_shutdown(context, caller)
         finally:
             context.log_end(refusal, get_time())
             self._record_end(context, refusal)
@@ -247,9 +266,7 @@
         hold: Hold | None,
     ) -> Refusal | None:
         while True:
-            if self._is_quarantined(context):
-                return self._abandon(context, caller, stream)
-            placement = await self._targets.place(context)
+            placement = await self._place(context)
             if placement is None:
                 return self._abandon(context, caller, stream)
             end = await self._attempts.run(
@@ -274,6 +291,12 @@
                     if not self._retries.claim_after_failure(context, failure):
                         return self._abandon(context, caller, stream)
 
+    async def _place(self, context: RequestContext) -> Placement | None:
+        """Choose a target; None if the request may not or can't be passed on."""
+        if self._is_quarantined(context) or not self._open_requests.accepts_attempts:
+            return None
+        return await self._targets.place(context)
+
     def _is_quarantined(self, context: RequestContext) -> bool:
         remaining = self._dependencies.quarantine.get_remaining(context.identity)
         return remaining > 0
@@ -291,6 +314,8 @@
             return None
         if context.execution is Execution.NOT_RUN and self._is_quarantined(context):
             return self._refuse_quarantined(context)
+        if not self._open_requests.accepts_attempts:
+            return self._end_at_shutdown(context, caller)
         if context.execution is Execution.NOT_RUN:
             return self._refuse_without_target(context)
         return refuse(502, Reason.TARGET_FAILED)
@@ -312,6 +337,17 @@
             return refuse(503, Reason.DEADLINE, TARGET_RETRY_AFTER)
         return refuse(504, Reason.TARGET_TIMED_OUT)
 
+    def _end_at_shutdown(
+        self, context: RequestContext, caller: Caller
+    ) -> Refusal | None:
+        """Abort an answer that has begun; else return a refusal for the shutdown."""
+        if caller.is_started:
+            caller.abort()
+            return None
+        if context.execution is Execution.NOT_RUN:
+            return refuse(503, Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
+        return refuse(502, Reason.SHUTTING_DOWN)
+
     def _refuse_without_memory(
         self, context: RequestContext, caller: Caller
     ) -> Refusal | None:
