Bound the bytes of connections that nobody reads

Here each answer that is awaited is bounded, and all of them together; two places were not bounded over the daemon: idle connections of the pool, 262,144 bytes each until they expired, and tunnels for another daemon that doesn't read, 285,696 bytes each, 512 of them.

Change: an idle connection closes at the first byte, which belongs to no request, and a tunnel holds one block of 65,536 bytes ahead of the one that it writes.

Tests before the change: TestEndlessBytesOnIdleConnections failed (the connections stayed in the pool), paths/tests/test_server.py failed (285,696 bytes where 131,072 are allowed). After: both pass. That a daemon ends by this was not seen; it is reckoned.

--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -62,6 +62,20 @@
     return isinstance(cause, ConnectionRefusedError)
 
 
+class _IdleGuard:
+    """Closes an idle connection as soon as it receives bytes, which are no answer."""
+
+    def __init__(self, stream: TargetStream) -> None:
+        self._stream = stream
+
+    def receive(self, data: bytes) -> None:
+        """Close the connection; the bytes belong to no request."""
+        self._stream.close()
+
+    def handle_close(self, is_clean: bool) -> None:
+        """Do nothing, as the close callback tells the pool."""
+
+
 class TargetConnection:
     """A connection that carries at most one request at a time.
 
@@ -96,6 +110,16 @@
         """Set the function to call when the connection closes; None removes it."""
         self._stream.set_close_callback(callback)
 
+    def begin_idle(self, handle_close: Callable[[], None]) -> None:
+        """Let the connection close at the first byte of the target, and report it."""
+        self._stream.set_close_callback(handle_close)
+        self._stream.set_receiver(_IdleGuard(self._stream))
+
+    def end_idle(self) -> None:
+        """Take the connection into use."""
+        self._stream.set_close_callback(None)
+        self._stream.set_receiver(None)
+
     def send(
         self, method: str, uri: str, headers: HTTPHeaders, body: bytes
     ) -> "TargetAnswer":
--- a/kingcuphead/forwarding/_pool.py
+++ b/kingcuphead/forwarding/_pool.py
@@ -113,7 +113,7 @@
         for address, idle in tuple(self._idle.items()):
             for entry in [each for each in idle if each.expires_at <= now]:
                 idle.remove(entry)
-                entry.connection.set_close_callback(None)
+                entry.connection.end_idle()
                 entry.connection.close()
             if not idle:
                 del self._idle[address]
@@ -121,7 +121,7 @@
     def close_address(self, address: str) -> None:
         """Close the idle connections to an address."""
         for entry in self._idle.pop(address, []):
-            entry.connection.set_close_callback(None)
+            entry.connection.end_idle()
             entry.connection.close()
 
     def close(self) -> None:
@@ -134,7 +134,7 @@
         idle = self._idle[address]
         while idle:
             candidate = idle.pop()
-            candidate.connection.set_close_callback(None)
+            candidate.connection.end_idle()
             if candidate.connection.is_reusable and candidate.expires_at > now:
                 return Lease(candidate.connection, address, candidate.expires_at)
             candidate.connection.close()
@@ -150,7 +150,7 @@
             return
         entry = _IdleConnection(lease.connection, expires_at)
         idle.append(entry)
-        lease.connection.set_close_callback(lambda: self._discard(lease.address, entry))
+        connection.begin_idle(lambda: self._discard(lease.address, entry))
 
     def _discard(self, address: str, entry: _IdleConnection) -> None:
         idle = self._idle.get(address, [])
--- a/kingcuphead/forwarding/_target_stream.py
+++ b/kingcuphead/forwarding/_target_stream.py
@@ -63,6 +63,7 @@
         self._receiver: Receiver | None = None
         self._buffer = bytearray()
         self._unsent: deque[memoryview] = deque()
+        self._max_buffered = MAX_BUFFERED_BYTES
         self._is_closed = False
         self._is_paused = False
         self._is_write_paused = False
@@ -166,6 +167,10 @@
         self.resume_reading()
         return data
 
+    def limit_buffer(self, size: int) -> None:
+        """Set the number of unread bytes from which on reading pauses."""
+        self._max_buffered = size
+
     def pause_reading(self) -> None:
         """Leave further bytes to the kernel, for backpressure to the sender."""
         if self._transport is not None and not self._is_closed:
@@ -207,7 +212,7 @@
             self._receiver.receive(data)
             return
         self._buffer += data
-        if len(self._buffer) >= MAX_BUFFERED_BYTES:
+        if len(self._buffer) >= self._max_buffered:
             self.pause_reading()
         _wake(self._changed)
 
--- a/kingcuphead/forwarding/tests/test_endless_answers.py
+++ b/kingcuphead/forwarding/tests/test_endless_answers.py
@@ -75,3 +75,28 @@
             assert harness.memory.used == 0
 
         run([make_route(ONCE, timeout=10.0)], scenario)
+
+
+class TestEndlessBytesOnIdleConnections:
+    """Guards against bytes that each idle connection holds until it expires."""
+
+    def test_a_connection_closes_at_the_first_byte_that_belongs_to_no_request(self):
+        async def scenario(harness):
+            targets = harness.first, harness.second
+            for target in targets:
+                script = [*target.answer(), 0.1, Endless(BLOCK)]
+                target.script = [script] * 8
+            tries = [harness.serve(make_request(ONCE)) for _ in range(8)]
+            served = await asyncio.gather(*tries)
+            assert [caller.body for caller, _ in served] == [b"whole"] * 8
+            await asyncio.sleep(0.5)
+            sent = [target.endless_bytes for target in targets]
+            assert 0 < sum(sent) <= 8 * IN_FLIGHT
+            assert not any(harness.pool._idle.values())
+            for target in targets:
+                target.script = [target.answer(body=b"next")]
+            caller, _ = await harness.serve(make_request(ONCE))
+            assert caller.body == b"next"
+            assert [target.endless_bytes for target in targets] == sent
+
+        run([make_route(ONCE)], scenario)
--- a/kingcuphead/paths/_server.py
+++ b/kingcuphead/paths/_server.py
@@ -97,6 +97,7 @@
             target, outcome = await self._connect(asked.address)
             await write_message(stream, TunnelAnswered(outcome))
             if target is not None:
+                target.stream.limit_buffer(BLOCK_BYTES)
                 await _join(stream, target.stream)
         except (StreamClosedError, TimeoutError):
             logger.debug("tunnel ended before it was open")
