Require the fields of entries that all targets write

Cause: the other fields had defaults. Change: zone, version, slots and sequence have to be there, as in the entries of all targets; born and cold_left_ms may be missing.

Test before the change: test_entry_that_lacks_a_field_names_no_target failed for 4 of 7 fields. After: passes. The entry of the other decoding tests has these fields now; that a version may be empty is tested with an empty one in place of a missing one. The listener's tests use one complete entry.

--- a/kingcuphead/entry/tests/test_table_listeners.py
+++ b/kingcuphead/entry/tests/test_table_listeners.py
@@ -63,12 +63,24 @@
         assert decoded == [make_content(3)]
 
 
+ENTRY = json.dumps(
+    {
+        "service": "s",
+        "address": "10.0.0.1:80",
+        "zone": "z",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "sequence": 1,
+    }
+).encode()
+
+
 class TestTargetListener:
     def test_undecodable_entries_leave_the_targets_unchanged(self):
         directory = TargetDirectory()
         listener = TargetListener(directory, lambda change: None)
-        entry = {"service": "s", "address": "10.0.0.1:80", "state": "ready"}
-        listener.apply_changes([Change("t1", json.dumps(entry).encode())])
+        listener.apply_changes([Change("t1", ENTRY)])
         listener.apply_changes([Change("t2", b"\xff"), Change("t1", b"{}")])
         assert [each.name for each in directory.list_usable("s")] == ["t1"]
 
@@ -78,8 +90,7 @@
         async def play():
             directory = TargetDirectory()
             listener = TargetListener(directory, lambda change: None)
-            entry = {"service": "s", "address": "10.0.0.1:80", "state": "ready"}
-            listener.apply_changes([Change("t1", json.dumps(entry).encode())])
+            listener.apply_changes([Change("t1", ENTRY)])
             directory.record_store_failure(time.monotonic() - 2.9)
             listener.apply_changes([Change("t1", None)])
             assert directory.list_usable("s")
--- a/kingcuphead/platform/_entries.py
+++ b/kingcuphead/platform/_entries.py
@@ -25,16 +25,17 @@
 
 
 class _Entry(msgspec.Struct):
+    # Each target writes these fields; an entry that lacks one is another writer's.
     service: _Text
     address: _Text
+    zone: _Text
+    # Version of the target's software, not of the model weights.
+    version: _Text
+    slots: _Number
     state: _Text
-    zone: _Text = ""
-    slots: _Number = 1
+    sequence: _Number
     # Process start in Unix milliseconds; older target versions don't set it.
     born: _Number = 0
-    sequence: _Number = 0
-    # Version of the target's software, not of the model weights.
-    version: _Text = ""
     cold_left_ms: Any = None
 
 
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -63,7 +63,9 @@
     "address": "10.0.0.1:80",
     "state": "ready",
     "zone": "z",
+    "version": "v1",
     "slots": 4,
+    "sequence": 1,
     "born": 5,
 }
 PROFILE = """
@@ -205,7 +207,8 @@
         assert target.availability is Availability.READY
 
     @pytest.mark.parametrize(
-        ("changes", "version"), [({}, ""), ({"version": "v2"}, "v2")]
+        ("changes", "version"),
+        [({}, "v1"), ({"version": ""}, ""), ({"version": "v2"}, "v2")],
     )
     def test_entry_names_the_version_of_the_software(self, changes, version):
         models = [{"name": "m", "version": 7}]
@@ -247,6 +250,20 @@
         content = json.dumps({**ENTRY, **changes}).encode()
         assert decode_target("i-1", content) is None
 
+    @pytest.mark.parametrize(
+        "name", ["service", "address", "zone", "version", "slots", "state", "sequence"]
+    )
+    def test_entry_that_lacks_a_field_names_no_target(self, name):
+        """Guards against requests to a server that another writer registered."""
+        fields = {key: value for key, value in ENTRY.items() if key != name}
+        assert decode_target("i-1", json.dumps(fields).encode()) is None
+
+    def test_entry_of_an_older_target_lacks_its_start_time(self):
+        fields = {key: value for key, value in ENTRY.items() if key != "born"}
+        target = decode_target("i-1", json.dumps(fields).encode())
+        assert target is not None
+        assert target.started_at_ms == 0
+
     @pytest.mark.parametrize("content", [b"", b"\xff\x00", b"[]", b"null"])
     def test_malformed_entry_is_ignored(self, content):
         assert decode_target("i-1", content) is None
