Write each row of the quarantine once in a transaction

Two quarantines that are narrowed to the same parts were replaced by two writes of one row in one transaction, which a store may refuse, so that neither would ever be withdrawn. The second one is only removed now.

The table of the tests refuses transactions that write a row twice; with this check alone test_quarantines_that_are_narrowed_to_the_same_part_become_one is refused by the table.

--- a/kingcuphead/quarantine/_table.py
+++ b/kingcuphead/quarantine/_table.py
@@ -175,14 +175,18 @@
     rows: QuarantineRows, quarantine: Quarantine, now: float
 ) -> Iterator[_Revision]:
     """Yield the revisions of rows that accuse what was answered since."""
+    # Several quarantines may be narrowed to the same parts.
+    known = set(rows.rows)
     for entry in rows.quarantined:
         key = quarantine.revise_key(entry.fingerprint, now)
-        if split_key(key) != split_key(entry.fingerprint):
+        if split_key(key) == split_key(entry.fingerprint):
+            continue
+        replacement = None
+        if key and key not in known:
+            known.add(key)
             value = encode_quarantine(entry.remaining, rows.store_time)
-            is_missing = bool(key) and key not in rows.rows
-            yield _Revision(
-                rows.rows[entry.fingerprint], Put(key, value) if is_missing else None
-            )
+            replacement = Put(key, value)
+        yield _Revision(rows.rows[entry.fingerprint], replacement)
     for crash in rows.crashes:
         key = make_crash_key(crash)
         revised = quarantine.revise_crash(crash, now)
--- a/kingcuphead/quarantine/tests/test_exchange.py
+++ b/kingcuphead/quarantine/tests/test_exchange.py
@@ -10,6 +10,7 @@
     RequestIdentity,
 )
 from kingcuphead.quarantine._answers import AnswerCounts
+from kingcuphead.quarantine._rows import encode_quarantine
 from kingcuphead.quarantine._table import CRASH_LIFETIME, MAX_CRASHES
 from kingcuphead.quarantine.tests._daemon import REQUEST, SETTINGS, Clock, Daemon
 from kingcuphead.storage.tests._memory_part import MemoryTablePart
@@ -274,6 +275,18 @@
             assert self.is_refused(each, "part:q")
             assert not self.is_refused(each, "part:p")
 
+    def test_quarantines_that_are_narrowed_to_the_same_part_become_one(
+        self, table, daemon
+    ):
+        for other in ("part:p", "part:r"):
+            entry = FingerprintQuarantined(f"{other}+part:s", 60.0)
+            value = encode_quarantine(entry.remaining, 1_000_000)
+            table.rows[entry.fingerprint] = value
+        daemon.handle(AnswersReported("part:p", "d3/1", 1))
+        daemon.handle(AnswersReported("part:r", "d3/1", 1))
+        self.synchronise(daemon)
+        assert list(table.rows) == ["part:s"]
+
     def test_crashes_before_a_verdict_are_withdrawn_too(self, clock, table, daemon):
         self.lose(daemon, count=3)
         self.synchronise(daemon)
--- a/kingcuphead/storage/tests/_memory_part.py
+++ b/kingcuphead/storage/tests/_memory_part.py
@@ -21,7 +21,8 @@
 class MemoryTablePart:
     """Rows that all daemons of a test see; calls fail while the store is down.
 
-    A row's version counts its writes; a transaction whose checks fail has no effect.
+    A row's version counts its writes. A transaction whose checks fail has no effect, nor
+    one that writes a row twice or has too many entries.
 
     Parameters
     ----------
@@ -44,9 +45,7 @@
         return Ok(RowSnapshot(tuple(rows), 1))
 
     async def commit(self, transaction):
-        if self.is_down or self.refuses_writes:
-            return Unavailable()
-        if len(transaction.checks) + len(transaction.writes) > MAX_ENTRIES:
+        if self.is_down or self.refuses_writes or not _is_valid(transaction):
             return Unavailable()
         if not all(map(self._holds, transaction.checks)):
             keys = sorted(each.key for each in transaction.checks)
@@ -71,3 +70,9 @@
     def _holds(self, check):
         version = self._make_row(check.key).version if check.key in self.rows else 0
         return check.version == version
+
+
+def _is_valid(transaction):
+    written = [each.key for each in transaction.writes]
+    entries = len(transaction.checks) + len(written)
+    return entries <= MAX_ENTRIES and len(set(written)) == len(written)
