--- a/kingcuphead/storage/tests/_memory_part.py
+++ b/kingcuphead/storage/tests/_memory_part.py
@@ -21,8 +21,8 @@
 class MemoryTablePart:
     """Rows that all daemons of a test see; calls fail while the store is down.
 
-    A row's version counts its writes. A transaction has no effect if its checks fail, if
-    it writes a row twice or if it has too many entries.
+    A row's version counts its writes. A transaction whose checks fail, that writes a
+    row twice or that has too many entries has no effect.
 
     Parameters
     ----------
