Review: a stream that crashes its runner after 2.5 s is never held back

Cause: a crash is attributed to the requests in their first two seconds, which a runner with traffic always has. Ruled out: a crash 0.1 s after the first event, after which the request is held back.

--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -49,12 +49,12 @@
             )
             return True
         say(f"runs {identity}")
-        if self._crash_marker and self._crash_marker in body:
+        if self._crash_marker and self._crash_marker in body and not self._events:
             await asyncio.sleep(self._crash_after)
             say(f"crashes under {identity}")
             os._exit(70)
         if self._events and "token-counts" in headers:
-            return await self._stream(identity, headers, reader, writer)
+            return await self._stream(identity, headers, reader, writer, body)
         await asyncio.sleep(self._work)
         say(f"ends {identity}")
         seal = f"seal.{self._name}.{identity}"
@@ -66,7 +66,8 @@
         )
         return True
 
-    async def _stream(self, identity, headers, reader, writer):
+    async def _stream(self, identity, headers, reader, writer, body=b""):
+        marked = self._crash_marker and self._crash_marker in body
         """Send events until the end, or until the connection closes."""
         first = int(headers.get("last-event-id", 0)) + 1
         writer.write(
@@ -80,6 +81,9 @@
             event = b"id: %d\ndata: %b.%d\n\n" % (number, identity.encode(), number)
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await asyncio.wait((closed,), timeout=self._gap)
+            if marked and number - first >= self._crash_after / self._gap:
+                say(f"crashes under {identity}")
+                os._exit(70)
             if closed.done():
                 say(f"drops {identity}")
                 return False
