--- a/review/lib-2/fleet.py
+++ b/review/lib-2/fleet.py
@@ -255,6 +255,11 @@
             )
             await asyncio.sleep(self.down_seconds)
 
+    def crash(self):
+        """Kill the process."""
+        with contextlib.suppress(ProcessLookupError):
+            self._process.kill()
+
     def _register(self, name, born):
         self.fleet.store.put(
             "servers",
--- a/review/lib-2/runner.py
+++ b/review/lib-2/runner.py
@@ -85,6 +85,7 @@
                 say(f"crashes under {identity}")
                 os._exit(70)
             if closed.done():
+                closed.exception()
                 say(f"drops {identity}")
                 return False
         writer.write(b"0\r\n\r\n")
