Count crashes beside daemons that don't answer

Cause: a refused connection counts as a crash once another daemon confirms it. Daemons were asked one after the other within one bound of 0.4 s, half of it each, so two that don't answer used it up, and the timeout counted as "the target lives". Lost daemons keep their rows, so they were asked each time. Evidence: TestLostDaemons on the unchanged code at 1.1 s between tries counts no crash while both are asked, and counts the next one, 2 ms after the first question fails, while one of them is passed over. Ruled out: a path taken for lost (no such line), a crash that isn't seen (the questions are asked).

Change: daemons are asked 0.1 s apart and the first answer decides; silence of all leaves it to the daemon's own path, as if nobody could help. A daemon that didn't answer is passed over for 10 s or until it is heard of. New log line with the judgement.

The reverse is tested, too: a daemon without a path doesn't take living targets for crashed ones.

--- a/kingcuphead/entry/tests/test_crashing_requests.py
+++ b/kingcuphead/entry/tests/test_crashing_requests.py
@@ -1,13 +1,16 @@
 import asyncio
+import contextlib
 import itertools
 
 import pytest
 
-from kingcuphead.entry.tests._fleet import Fleet
+from kingcuphead.entry.tests._cut import TargetCut
+from kingcuphead.entry.tests._fleet import INTERNAL_PORT, NETWORK, Fleet
 from kingcuphead.entry.tests._target import (
     CRASHING_BODY,
     DOWN_SECONDS,
     SLOW_SECONDS,
+    ClosingTarget,
     CrashingTarget,
     OftenAnsweringTarget,
     OnceAnsweringTarget,
@@ -15,6 +18,7 @@
     SlowTarget,
     UnframedTarget,
 )
+from kingcuphead.paths._peers import FAILURE_PERIOD
 
 #: Targets that a request may crash: three, and three more until all daemons know of it.
 MAX_CRASHES = 6
@@ -155,3 +159,69 @@
             assert fleet.crashes <= MAX_CRASHES
 
         run(scenario, kind="unsafe")
+
+
+@contextlib.asynccontextmanager
+async def freeze_daemons(fleet, numbers):
+    """End daemons; their addresses accept connections, and nothing answers.
+
+    So does a process that is stopped, or whose machine is suspended.
+    """
+    await fleet.kill_daemons(numbers)
+    servers = [
+        await asyncio.start_server(_read_all, f"{NETWORK}.{number}", INTERNAL_PORT)
+        for number in numbers
+    ]
+    try:
+        yield
+    finally:
+        for server in servers:
+            server.close()
+
+
+async def _read_all(reader, writer):
+    with contextlib.suppress(ConnectionError):
+        await reader.read()
+    writer.close()
+
+
+class TestLostDaemons:
+    """Guards against crashes that no daemon counts because others don't confirm them.
+
+    And against a daemon without a path that takes living targets for crashed ones.
+    """
+
+    @pytest.mark.parametrize("is_frozen", [True, False], ids=["frozen", "ended"])
+    def test_the_one_that_is_left_holds_a_crashing_request_back(self, is_frozen):
+        async def scenario(fleet):
+            async with contextlib.AsyncExitStack() as stack:
+                if is_frozen:
+                    await stack.enter_async_context(freeze_daemons(fleet, (2, 3)))
+                else:
+                    await fleet.kill_daemons((2, 3))
+                # By then, a daemon that couldn't help would be asked again.
+                for _ in range(MAX_CRASHES + 2):
+                    await fleet.send(1, CRASHING_BODY)
+                    await asyncio.sleep(FAILURE_PERIOD + 0.4)
+            assert fleet.crashes <= MAX_CRASHES
+
+        run(scenario, kind="unsafe")
+
+    def test_requests_of_a_daemon_without_a_path_are_not_taken_for_crashing(self):
+        async def scenario(fleet):
+            async with freeze_daemons(fleet, (2, 3)):
+                with TargetCut(fleet, (1,), is_hanging=False) as cut:
+                    for _ in range(6):
+                        cut.is_active = False
+                        sending = asyncio.create_task(
+                            fleet.send(1, b"1.0", patience=0.2)
+                        )
+                        await asyncio.sleep(0.1)
+                        cut.is_active = True
+                        await sending
+                        await asyncio.sleep(0.6)
+                    cut.is_active = False
+                    await asyncio.sleep(1.0)
+                assert await fleet.send(1, b"1.0") == 200
+
+        run(scenario, ClosingTarget)
--- a/kingcuphead/paths/_connector.py
+++ b/kingcuphead/paths/_connector.py
@@ -1,30 +1,18 @@
 """Opens connections to targets, on the daemon's own path or through another daemon."""
 
 import asyncio
+import enum
 import random
 from collections.abc import Callable, Iterable
 
 from loguru import logger
 
-from kingcuphead.addresses import Address
-from kingcuphead.forwarding import (
-    TargetConnection,
-    TargetStream,
-    connect_to_target,
-    open_stream,
-)
-from kingcuphead.paths._frames import (
-    MalformedMessageError,
-    read_message,
-    write_message,
-)
-from kingcuphead.paths._messages import TunnelAnswered, TunnelAsked, TunnelOutcome
+from kingcuphead.forwarding import TargetConnection, connect_to_target
 from kingcuphead.paths._monitor import PathMonitor
 from kingcuphead.paths._peers import PeerPaths
+from kingcuphead.paths._tunnel_client import NoHelperError, TunnelClient
 from kingcuphead.timing import get_time, sleep_until_tick
 
-#: Number of daemons that are asked for one tunnel.
-MAX_HELPERS = 3
 #: Number of targets that are tried at once to find out about a path.
 MAX_PROBED = 5
 #: Seconds between two attempts to connect to targets while the path is lost.
@@ -33,6 +21,27 @@
 PROBE_TIMEOUT = 0.4
 
 
+class RefusalJudgement(enum.Enum):
+    """What is known about a target that refused a connection."""
+
+    #: Another daemon is refused as well.
+    REFUSED_ELSEWHERE = "refused_elsewhere"
+    #: Another daemon reaches it, or can't tell.
+    NOT_CONFIRMED = "not_confirmed"
+    #: No other daemon answers; this one reaches other targets.
+    OWN_PATH_SOUND = "own_path_sound"
+    #: No other daemon answers, and this one reaches no other target.
+    OWN_PATH_LOST = "own_path_lost"
+
+    @property
+    def means_loss(self) -> bool:
+        """Whether the target has ended."""
+        return self in (
+            RefusalJudgement.REFUSED_ELSEWHERE,
+            RefusalJudgement.OWN_PATH_SOUND,
+        )
+
+
 class Connector:
     """Connects to targets, and finds out when the daemon's own path is back.
 
@@ -56,7 +65,7 @@
         rng: random.Random,
     ) -> None:
         self._monitor = monitor
-        self._peer_paths = peer_paths
+        self._tunnels = TunnelClient(peer_paths)
         self._list_addresses = list_addresses
         self._rng = rng
         self._check: asyncio.Task[None] | None = None
@@ -94,31 +103,41 @@
             The connection was not opened in time; nothing was sent.
         """
         if self._monitor.is_lost:
-            return await self._connect_through_peer(address, timeout)
+            return await self._tunnels.connect(address, timeout)
         try:
             return await self.connect_directly(address, timeout)
         except (OSError, TimeoutError):
             if not await self._learn_of_loss():
                 raise
-        return await self._connect_through_peer(address, timeout)
+        return await self._tunnels.connect(address, timeout)
 
     async def confirm_refusal(self, address: str, timeout: float) -> bool:
         """Return whether a target refuses connections because it has ended.
 
         A daemon whose path is lost may be refused connections to living targets, so a
         refusal counts only at a daemon that reaches other targets: another one, or this
-        one if nobody else helps.
+        one if no other answers. Silence of other daemons says nothing about a target,
+        as they may be lost themselves.
         """
+        judgement = await self._judge_refusal(address, timeout)
+        logger.bind(address=address, judgement=judgement.value).info(
+            "connection refused by a target that was sent requests"
+        )
+        return judgement.means_loss
+
+    async def _judge_refusal(self, address: str, timeout: float) -> RefusalJudgement:
         try:
-            connection = await self._connect_through_peer(address, timeout)
+            connection = await self._tunnels.connect(address, timeout)
         except ConnectionRefusedError:
-            return True
+            return RefusalJudgement.REFUSED_ELSEWHERE
         except NoHelperError:
-            return await self.reaches_others(address)
-        except (OSError, TimeoutError):
-            return False
+            if await self.reaches_others(address):
+                return RefusalJudgement.OWN_PATH_SOUND
+            return RefusalJudgement.OWN_PATH_LOST
+        except OSError:
+            return RefusalJudgement.NOT_CONFIRMED
         connection.close()
-        return False
+        return RefusalJudgement.NOT_CONFIRMED
 
     async def reaches_others(self, address: str) -> bool:
         """Return whether this daemon can connect to targets at other addresses.
@@ -148,49 +167,6 @@
         self._monitor.record_success()
         return connection
 
-    async def _connect_through_peer(
-        self, address: str, timeout: float
-    ) -> TargetConnection:
-        helpers = self._peer_paths.list_helpers(get_time())
-        async with asyncio.timeout(timeout):
-            for helper in helpers[:MAX_HELPERS]:
-                connection = await self._open_tunnel(helper, address, timeout / 2)
-                if connection is not None:
-                    return connection
-        raise NoHelperError(address)
-
-    async def _open_tunnel(
-        self, helper: Address, address: str, timeout: float
-    ) -> TargetConnection | None:
-        """Open a connection through a daemon; None if that daemon can't help.
-
-        Raises
-        ------
-        OSError
-            The helping daemon could not connect to the target.
-        """
-        stream = open_stream(is_tunnel=True)
-        try:
-            async with asyncio.timeout(timeout):
-                outcome = await _ask_for_tunnel(stream, helper, address)
-        except (OSError, TimeoutError, MalformedMessageError) as error:
-            cause = f"{type(error).__name__} {error}"
-            logger.bind(peer=helper[0], cause=cause).warning("no tunnel")
-            outcome = TunnelOutcome.UNAVAILABLE
-        except BaseException:
-            stream.close()
-            raise
-        if outcome is TunnelOutcome.OPENED:
-            return TargetConnection(stream, helper)
-        stream.close()
-        match outcome:
-            case TunnelOutcome.REFUSED:
-                raise ConnectionRefusedError(f"{helper[0]} is refused by {address}")
-            case TunnelOutcome.UNREACHABLE | TunnelOutcome.CLOSED:
-                raise OSError(f"{helper[0]} can't use {address}: {outcome.value}")
-        self._peer_paths.record_failure(helper, get_time())
-        return None
-
     def _check_path(self) -> None:
         """Start to find out whether the path is lost, if it is in doubt."""
         if self._monitor.is_in_doubt and self._check is None:
@@ -234,21 +210,3 @@
             return False
         connection.close()
         return True
-
-
-class NoHelperError(OSError):
-    """No other daemon helps to connect to a target."""
-
-    def __init__(self, address: str) -> None:
-        super().__init__(f"no other daemon connects to {address}")
-        #: Address of the target.
-        self.address = address
-
-
-async def _ask_for_tunnel(
-    stream: TargetStream, helper: Address, address: str
-) -> TunnelOutcome:
-    await stream.connect(helper)
-    await write_message(stream, TunnelAsked(address))
-    answer = await read_message(stream, TunnelAnswered)
-    return answer.outcome
