Write the fields of the judgement on refusals

The line of lost `judgement` and `address`: fields that aren't on the list of allowed ones are left out of lines. The test of the judgement now asks for them; it failed before with both missing.

--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -19,6 +19,7 @@
 #: by mistake cannot write prompt text or keys to the log.
 ALLOWED_FIELDS = frozenset(
     {
+        "address",
         "age_seconds",
         "allowed",
         "answers",
@@ -39,6 +40,7 @@
         "first_event_seconds",
         "hedged",
         "instance",
+        "judgement",
         "lag",
         "link",
         "load",
--- a/kingcuphead/paths/tests/test_refusals.py
+++ b/kingcuphead/paths/tests/test_refusals.py
@@ -6,7 +6,9 @@
 from typing import Any
 
 import pytest
+from loguru import logger
 
+from kingcuphead.logs import ALLOWED_FIELDS
 from kingcuphead.paths import Connector, PathMonitor, PeerPaths
 from kingcuphead.paths._connector import PROBE_TIMEOUT
 from kingcuphead.paths._frames import read_message, write_message
@@ -152,6 +154,15 @@
         assert play(Judge.judge, outcomes)
         assert not play(Judge.judge, outcomes, has_path=False)
 
+    def test_the_judgement_reaches_the_log(self):
+        fields = set()
+        sink = logger.add(lambda message: fields.update(message.record["extra"]))
+        try:
+            play(Judge.judge, [SILENT])
+        finally:
+            logger.remove(sink)
+        assert {"judgement", "address"} <= fields & ALLOWED_FIELDS
+
     def test_the_judgement_comes_in_time(self):
         async def scenario(judge):
             began_at = get_time()
