Let single trials clear quarantined parts of prompts

Cause: a verdict on a part ends by an answer only, and no request with the part is run, so none is answered. The streams that would have brought one ended with the daemons. Ruled out: rows that answers had contradicted (no answer precedes the kill), a new accusation after the restart (the first request is refused already).

Change: from 3 s after the verdict on, one request at a time may be run as a trial. The store counts each trial, on condition of the row's version, before a daemon uses it: two for each quarantine over all daemons and kills. A crash under a trial ends the trials while its row lasts, unused ones included. A trial reaches one target and isn't hedged. Requests that are quarantined as a whole get none, as one answer proves nothing there. A new verdict is written only if it has no row, or it would undo a count. The row gets two optional fields that the version before ignores.

Changed test: test_new_fields_are_ignored compares with SavedQuarantine, the new type of a decoded row; the values are the same.

--- a/kingcuphead/entry/tests/test_crashing_parts.py
+++ b/kingcuphead/entry/tests/test_crashing_parts.py
@@ -8,18 +8,39 @@
     CRASHING_PART,
     DOWN_SECONDS,
     PromptTarget,
+    StreamingTarget,
 )
+from kingcuphead.quarantine._trials import TRIAL_DELAY
 
 #: Targets that requests with one part may crash: five, and three more until all daemons
 #: know of it.
 MAX_CRASHES = 8
 
+#: Seconds until a target begins to answer, in which a test lets it crash.
+PREFILL_SECONDS = 1.0
+
+
+class SlowStreamTarget(StreamingTarget):
+    """Begins to stream after `PREFILL_SECONDS`; crashes when it is told to."""
+
+    #: Number of requests that it has begun to read.
+    begun = 0
+
+    async def answer(self, headers, body, writer):
+        self.begun += 1
+        await asyncio.sleep(PREFILL_SECONDS)
+        await super().answer(headers, body, writer)
+
 
 def make_targets(register):
     return [PromptTarget(f"t{number}", "v1", register) for number in range(6)]
 
 
-def run(scenario, **options):
+def make_sound_targets(register):
+    return [SlowStreamTarget(f"t{number}", "v1", register) for number in range(6)]
+
+
+def run(scenario, make_targets=make_targets, **options):
     async def main():
         fleet = Fleet(make_targets, kind="streaming", **options)
         async with asyncio.timeout(60), fleet:
@@ -112,3 +133,49 @@
                 assert await send_sound(fleet, ("a0", f"b{neighbour}", "last"))
 
         run(scenario)
+
+
+class TestPartsThatWereBesideCrashes:
+    """Guards against parts that stay refused since no request with them may run."""
+
+    async def crash_targets(self, fleet):
+        """Let targets crash by themselves while they read a new part."""
+        for target in fleet.targets:
+            target.begun = 0
+        # Each has a second part of its own, so that they are spread over the targets.
+        streams = [
+            asyncio.create_task(
+                fleet.read_stream(
+                    number % 3 + 1, parts=("n0", f"b{number}", f"{number}")
+                )
+            )
+            for number in range(24)
+        ]
+        await asyncio.sleep(PREFILL_SECONDS / 2)
+        reading = [target for target in fleet.targets if target.begun]
+        assert len(reading) >= 5, "requests with the part are at too few targets"
+        for target in reading[:4]:
+            target.crash()
+        # The rows are written by then, and the other targets haven't answered yet.
+        await asyncio.sleep(PREFILL_SECONDS * 0.4)
+        await fleet.kill_daemons()
+        # Their connections end without an answer.
+        await asyncio.gather(*streams, return_exceptions=True)
+
+    def test_they_are_served_again_after_the_loss_of_all_daemons(self):
+        async def scenario(fleet):
+            await self.crash_targets(fleet)
+            await fleet.start_daemons()
+            parts = ("n0", "early", "1")
+            early = await fleet.read_stream(1, parts=parts)
+            assert early.status == 503, "the part was not quarantined"
+            deadline = asyncio.get_running_loop().time() + 4 * TRIAL_DELAY
+            served = 0
+            while served < 6 and asyncio.get_running_loop().time() < deadline:
+                parts = ("n0", f"c{served}", f"{deadline}")
+                daemon = served % 3 + 1
+                served += (await fleet.read_stream(daemon, parts=parts)).is_whole
+                await asyncio.sleep(0.1)
+            assert served == 6
+
+        run(scenario, make_sound_targets)
--- a/kingcuphead/forwarding/_context.py
+++ b/kingcuphead/forwarding/_context.py
@@ -18,7 +18,7 @@
 from kingcuphead.forwarding._messages import AnswerIdentity, CallerRequest
 from kingcuphead.forwarding._refusals import Refusal
 from kingcuphead.frozen import frozen
-from kingcuphead.quarantine import RequestIdentity
+from kingcuphead.quarantine import RequestIdentity, Trial
 from kingcuphead.routing import Organisation, Route
 from kingcuphead.targets import Target
 from kingcuphead.verdict import Execution
@@ -150,6 +150,8 @@
     revision: int
     #: What recognises the request, or one that shares parts of its prompt.
     identity: RequestIdentity = RequestIdentity("")
+    #: Allows one attempt although parts of the prompt are quarantined.
+    trial: Trial | None = None
     #: Output tokens in one event of a stream.
     tokens_per_event: int = 1
     #: Software version whose events the caller has; only targets of that version may
@@ -187,6 +189,14 @@
         """Whether a target may have run the request."""
         return Execution.MAY_HAVE_RUN if self.possible_runs else Execution.NOT_RUN
 
+    @property
+    def is_trial_open(self) -> bool:
+        """Whether a trial was claimed that no target has got yet."""
+        unreachable = [
+            each.result is AttemptResult.UNREACHABLE for each in self.records
+        ]
+        return self.trial is not None and len(self.tried) == sum(unreachable)
+
     @property
     def is_answered(self) -> bool:
         """Whether a target's success was sent to the caller as a whole."""
@@ -280,6 +290,7 @@
             queue_seconds=round(self.queue_seconds, 3),
             first_event_seconds=self.first_event_seconds,
             hedged=str(self.hedge or ""),
+            is_trial=self.trial is not None,
             tokens=self.charge.tokens,
             charge=str(self.charge) if self.charge.held else "",
             seconds=round(now - self.request.arrived_at, 3),
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -131,13 +131,17 @@
         finally:
             context.log_end(refusal, get_time())
             self._record_end(context, refusal)
+            if context.trial is not None and context.is_trial_open:
+                self._dependencies.quarantine.give_back(context.trial)
         return refusal
 
     async def _serve_admitted(
         self, context: RequestContext, caller: Caller
     ) -> Refusal | None:
         if self._is_quarantined(context):
-            return self._refuse_quarantined(context)
+            context.trial = self._dependencies.quarantine.claim_trial(context.identity)
+            if context.trial is None:
+                return self._refuse_quarantined(context)
         if context.takes_up_stream and not await self._find_origin(context):
             return refuse(503, Reason.STREAM_UNKNOWN, ORIGIN_RETRY_AFTER)
         if self._targets.is_too_large(context):
@@ -293,10 +297,17 @@
 
     async def _place(self, context: RequestContext) -> Placement | None:
         """Choose a target; None if the request may not or can't be passed on."""
-        if self._is_quarantined(context) or not self._open_requests.accepts_attempts:
+        if self._is_held_back(context) or not self._open_requests.accepts_attempts:
             return None
         return await self._targets.place(context)
 
+    def _is_held_back(self, context: RequestContext) -> bool:
+        """Whether the next attempt is refused; a trial reaches one target only."""
+        quarantine = self._dependencies.quarantine
+        if context.trial is not None and context.is_trial_open:
+            return not quarantine.covers(context.trial, context.identity)
+        return self._is_quarantined(context)
+
     def _is_quarantined(self, context: RequestContext) -> bool:
         remaining = self._dependencies.quarantine.get_remaining(context.identity)
         return remaining > 0
--- a/kingcuphead/forwarding/tests/test_quarantine.py
+++ b/kingcuphead/forwarding/tests/test_quarantine.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from kingcuphead.forwarding import PromptSize
+from kingcuphead.forwarding import PromptPart, PromptSize
 from kingcuphead.forwarding._fingerprint import identify_request
 from kingcuphead.forwarding._target_watch import WATCH_PERIOD
 from kingcuphead.forwarding.tests._harness import (
@@ -14,7 +14,12 @@
     run,
 )
 from kingcuphead.forwarding.tests._target import ScriptedTarget
-from kingcuphead.quarantine import AnswersReported, CrashReported
+from kingcuphead.quarantine import (
+    AnswersReported,
+    CrashReported,
+    FingerprintQuarantined,
+    QuarantineReported,
+)
 from kingcuphead.verdict import Reason
 
 OTHER_ID = b"HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nContent-Length: 0\r\n\r\n"
@@ -166,3 +171,67 @@
             assert bool(harness.broadcasts) is is_suspect
 
         run([make_route(STREAM, timeout=5.0)], scenario)
+
+
+class TestTrials:
+    """Guards against trials of quarantined parts that reach more than one target."""
+
+    SIZE = PromptSize(10, 10, (PromptPart("a0", 5), PromptPart("b0", 5)))
+
+    def make_request(self, name):
+        return make_request(STREAM, self.SIZE, name, body=name.encode())
+
+    async def grant_trial(self, harness):
+        """Quarantine the shared part some time ago, and get a trial of it."""
+        key = FingerprintQuarantined("part:a0", 3_000.0)
+        harness.quarantine.handle_message(
+            QuarantineReported((key,)), lambda reply: None
+        )
+        _, refusal = await harness.serve(self.make_request("asks"))
+        assert refusal.reason is Reason.QUARANTINED
+        await harness.quarantine.synchronise()
+
+    def set_scripts(self, harness, script):
+        """Give both targets the same script; the prompt decides which is chosen."""
+        harness.first.script, harness.second.script = list(script), list(script)
+
+    def count_received(self, harness):
+        return len(harness.first.received) + len(harness.second.received)
+
+    def test_an_answer_clears_the_part(self):
+        async def scenario(harness):
+            await self.grant_trial(harness)
+            self.set_scripts(harness, [harness.first.stream([1, 2])] * 2)
+            for name in ("trial", "next"):
+                caller, refusal = await harness.serve(self.make_request(name))
+                assert (refusal, caller.end) == (None, "finished")
+
+        run([make_route(STREAM, resumable=True)], scenario)
+
+    @pytest.mark.parametrize("events", [[], [1]])
+    def test_a_crash_is_not_followed_by_another_attempt(self, events):
+        async def scenario(harness):
+            await self.grant_trial(harness)
+            begun = harness.first.stream(events, is_complete=False) if events else []
+            self.set_scripts(harness, [[*begun, ScriptedTarget.CRASH]])
+            await harness.serve(self.make_request("trial"))
+            _, refusal = await harness.serve(self.make_request("next"))
+            assert refusal.reason is Reason.QUARANTINED
+            assert self.count_received(harness) == 1
+
+        run([make_route(STREAM, resumable=True)], scenario)
+
+    def test_a_target_that_cannot_be_reached_does_not_use_it_up(self):
+        async def scenario(harness):
+            await self.grant_trial(harness)
+            harness.first.end()
+            harness.second.end()
+            _, refusal = await harness.serve(self.make_request("early"))
+            assert refusal.status == 503
+            self.set_scripts(harness, [harness.first.stream([1])])
+            for each in (harness.first, harness.second):
+                list(harness.directory.put(await each.start()))
+            caller, refusal = await harness.serve(self.make_request("trial"))
+            assert (refusal, caller.end) == (None, "finished")
+
+        run([make_route(STREAM)], scenario)
--- a/kingcuphead/quarantine/__init__.py
+++ b/kingcuphead/quarantine/__init__.py
@@ -18,6 +18,7 @@
 from kingcuphead.quarantine._quarantine import Quarantine
 from kingcuphead.quarantine._settings import QuarantineSettings
 from kingcuphead.quarantine._subjects import RequestIdentity, name_parts
+from kingcuphead.quarantine._trials import Trial
 
 __all__ = [
     "AnswersReported",
@@ -34,5 +35,6 @@
     "QuarantineReported",
     "QuarantineSettings",
     "RequestIdentity",
+    "Trial",
     "name_parts",
 ]
--- a/kingcuphead/quarantine/_exchange.py
+++ b/kingcuphead/quarantine/_exchange.py
@@ -20,7 +20,8 @@
 from kingcuphead.quarantine._quarantine import Quarantine
 from kingcuphead.quarantine._settings import QuarantineSettings
 from kingcuphead.quarantine._subjects import RequestIdentity, is_part, split_key
-from kingcuphead.quarantine._table import QuarantineTable
+from kingcuphead.quarantine._table import QuarantineRows, QuarantineTable
+from kingcuphead.quarantine._trials import TRIAL_DELAY, Trial, Trials
 from kingcuphead.storage import TablePart
 from kingcuphead.timing import sleep_until_tick
 
@@ -74,6 +75,7 @@
         self._settings = settings
         self._quarantine = Quarantine(settings)
         self._table = QuarantineTable(table)
+        self._trials = Trials()
         self._broadcast = broadcast
         self._gossip = gossip
         self._get_time = get_time or _get_loop_time
@@ -82,13 +84,45 @@
 
     @property
     def is_unsaved(self) -> bool:
-        """Whether a crash, a verdict or an answer came since the last `synchronise`."""
+        """Whether the table has to be read or written before the next regular time."""
         return self._unsaved.is_set()
 
     def get_remaining(self, request: RequestIdentity) -> float:
         """Return the seconds until the quarantine of a request ends; 0 without one."""
         return self._quarantine.get_remaining(request, self._get_time())
 
+    def claim_trial(self, request: RequestIdentity) -> Trial | None:
+        """Return a trial for a request that is quarantined by parts of its prompt.
+
+        Without one, it is asked of the store, for requests that come later. Requests
+        that are quarantined as a whole get none: only more answers than crashes would
+        clear them, which are more trials than such a request may have.
+        """
+        now = self._get_time()
+        keys = self._quarantine.list_covering(request, now)
+        if not all(map(is_part, (part for key in keys for part in split_key(key)))):
+            return None
+        trial = self._trials.claim(keys)
+        if trial is not None:
+            logger.bind(fingerprint=request.fingerprint, keys=trial.keys).info(
+                "request sent as a trial of quarantined parts"
+            )
+            return trial
+        for key in keys:
+            is_due = self._quarantine.get_age(key, now) >= TRIAL_DELAY
+            if is_due and self._trials.request(key, now):
+                self._unsaved.set()
+        return None
+
+    def covers(self, trial: Trial, request: RequestIdentity) -> bool:
+        """Return whether a trial still includes all that a request is rejected for."""
+        keys = self._quarantine.list_covering(request, self._get_time())
+        return set(keys) <= set(trial.keys)
+
+    def give_back(self, trial: Trial) -> None:
+        """Take back a trial whose request was sent to no target."""
+        self._trials.give_back(trial)
+
     def record_crash(
         self, request: RequestIdentity, target: str, running_seconds: float
     ) -> None:
@@ -111,6 +145,7 @@
         )
         is_early = running_seconds < self._settings.early_phase
         crash = Crash(target, request, is_early)
+        self._revoke_trials(request)
         self._publish(self._quarantine.record_crash(crash, now))
 
     def record_answer(self, request: RequestIdentity) -> None:
@@ -128,6 +163,7 @@
         match message:
             case CrashReported(target, request):
                 self._object(request.subjects, reply)
+                self._revoke_trials(request)
                 self._publish(self._quarantine.apply_peer_crash(target, request, now))
             case AnswersReported():
                 self._apply_answers(message)
@@ -167,6 +203,11 @@
             await asyncio.sleep(OBJECTION_PERIOD)
             self.judge_parts()
 
+    def _revoke_trials(self, request: RequestIdentity) -> None:
+        """Drop the trials of all that a request was quarantined for, as it crashed."""
+        now = self._get_time()
+        self._trials.revoke(self._quarantine.list_covering(request, now))
+
     def _object(
         self, subjects: Iterable[str], reply: Callable[[QuarantineMessage], None]
     ) -> None:
@@ -220,6 +261,7 @@
             FingerprintQuarantined(entry.fingerprint, entry.remaining)
             for entry in self._quarantine.describe(self._get_time())
         ]
+        self._trials.retain(entry.fingerprint for entry in entries)
         for start in range(0, len(entries), MAX_REPORTED):
             batch = tuple(entries[start : start + MAX_REPORTED])
             self._gossip(QuarantineReported(batch))
@@ -242,7 +284,10 @@
         if rows is None:
             return
         now = self._get_time()
-        self._apply_entries(rows.quarantined)
+        self._apply_entries(
+            FingerprintQuarantined(each.fingerprint, each.remaining)
+            for each in rows.quarantined
+        )
         for crash in rows.crashes:
             self._publish(
                 self._quarantine.apply_peer_crash(
@@ -250,6 +295,23 @@
                 )
             )
         await self._table.save(rows, self._quarantine, now)
+        await self._take_trials(rows, now)
+
+    async def _take_trials(self, rows: QuarantineRows, now: float) -> None:
+        """Get a trial of each quarantine that requests need one of, if it is due."""
+        self._trials.revoke(filter(rows.is_confirmed, self._trials.list_granted()))
+        for key in self._trials.take_wanted():
+            remaining = self._quarantine.get_key_remaining(key, now)
+            trials = rows.find_trials(key)
+            if trials.is_exhausted:
+                self._trials.postpone(key, now + remaining)
+            if not remaining or not trials.is_due or rows.is_confirmed(key):
+                continue
+            if await self._table.count_trial(rows, key, remaining):
+                self._trials.grant(key)
+                logger.bind(fingerprint=key, trials=trials.count + 1).info(
+                    "trial of quarantined parts granted"
+                )
 
 
 def _get_loop_time() -> float:
--- a/kingcuphead/quarantine/_messages.py
+++ b/kingcuphead/quarantine/_messages.py
@@ -4,6 +4,7 @@
 
 from kingcuphead.frozen import frozen
 from kingcuphead.quarantine._subjects import RequestIdentity
+from kingcuphead.quarantine._trials import TrialHistory
 
 
 @frozen
@@ -89,6 +90,18 @@
     age: float
 
 
+@frozen
+class SavedQuarantine:
+    """A quarantine, as kept in the table."""
+
+    #: Key of the quarantine: fingerprint of the requests, or parts that they contain.
+    fingerprint: str
+    #: Seconds until the quarantine ends.
+    remaining: float
+    #: Trials that daemons were granted.
+    trials: TrialHistory = TrialHistory()
+
+
 @frozen
 class QuarantineEntry:
     """What is quarantined, in the form shown to operators."""
--- a/kingcuphead/quarantine/_quarantine.py
+++ b/kingcuphead/quarantine/_quarantine.py
@@ -89,6 +89,19 @@
         keys = self._keys.find_covering(request.subjects)
         return max((self._keys.get_remaining(key, now) for key in keys), default=0.0)
 
+    def get_key_remaining(self, key: str, now: float) -> float:
+        """Return the seconds until the quarantine of a key ends; 0 without one."""
+        return self._keys.get_remaining(key, now)
+
+    def get_age(self, key: str, now: float) -> float:
+        """Return the seconds since the verdict on a key that is quarantined."""
+        return self._settings.expiry - self._keys.get_remaining(key, now)
+
+    def list_covering(self, request: RequestIdentity, now: float) -> tuple[str, ...]:
+        """Return the keys because of which a request is rejected."""
+        keys = self._keys.find_covering(request.subjects)
+        return tuple(sorted(each for each in keys if self.is_quarantined(each, now)))
+
     def is_suspect(self, fingerprint: str) -> bool:
         """Return whether a crash is, or can still be, attributed to a fingerprint."""
         return fingerprint in self._suspicions or fingerprint in self._pending
--- a/kingcuphead/quarantine/_rows.py
+++ b/kingcuphead/quarantine/_rows.py
@@ -5,19 +5,26 @@
 
 from kingcuphead.decoding import DECODING_ERRORS
 from kingcuphead.logs import RepetitionLimit, quote
-from kingcuphead.quarantine._messages import FingerprintQuarantined, SavedCrash
+from kingcuphead.quarantine._messages import SavedCrash, SavedQuarantine
 from kingcuphead.quarantine._subjects import RequestIdentity
+from kingcuphead.quarantine._trials import TrialHistory
 from kingcuphead.storage import Row
 
 #: First part of the keys of crashes; the other keys are quarantined fingerprints.
 CRASH_PREFIX = "crash/"
 #: Maximum size of a key in bytes.
 MAX_KEY_BYTES = 200
+#: History of a quarantine without trials.
+NO_TRIALS = TrialHistory()
 
 
-class _QuarantineRow(msgspec.Struct, frozen=True):
+class _QuarantineRow(msgspec.Struct, frozen=True, omit_defaults=True):
     # End of the quarantine on the store's clock, in milliseconds.
     expires_ms: int
+    # Trials that daemons were granted; versions without trials leave it out.
+    trials: int = 0
+    # Time of the latest on the store's clock, in milliseconds.
+    tried_ms: int = 0
 
 
 class _CrashRow(msgspec.Struct, frozen=True):
@@ -36,7 +43,9 @@
     return f"{CRASH_PREFIX}{crash.request.fingerprint}/{crash.target}"
 
 
-def encode_quarantine(remaining: float, store_time: int) -> bytes:
+def encode_quarantine(
+    remaining: float, store_time: int, trials: TrialHistory = NO_TRIALS
+) -> bytes:
     """Return the value of the row of a quarantine.
 
     Parameters
@@ -45,9 +54,12 @@
         Seconds until the quarantine ends.
     store_time
         Time of the store in milliseconds.
+    trials
+        Trials that daemons were granted.
     """
     expires_ms = store_time + int(remaining * 1000)
-    return msgspec.json.encode(_QuarantineRow(expires_ms))
+    tried_ms = store_time - int(trials.age * 1000) if trials.count else 0
+    return msgspec.json.encode(_QuarantineRow(expires_ms, trials.count, tried_ms))
 
 
 def encode_crash(crash: SavedCrash, store_time: int) -> bytes:
@@ -66,7 +78,7 @@
 
 def decode_row(
     row: Row, store_time: int, repetitions: RepetitionLimit
-) -> FingerprintQuarantined | SavedCrash | None:
+) -> SavedQuarantine | SavedCrash | None:
     """Return the content of a row; None for a malformed one, which is logged.
 
     Parameters
@@ -81,8 +93,7 @@
     try:
         if row.key.startswith(CRASH_PREFIX):
             return _decode_crash(row, store_time)
-        expires_ms = _QUARANTINE_DECODER.decode(row.value).expires_ms
-        return FingerprintQuarantined(row.key, (expires_ms - store_time) / 1000)
+        return _decode_quarantine(row, store_time)
     # A time may be too large for a float.
     except DECODING_ERRORS as error:
         if repetitions.allows(row.key):
@@ -91,6 +102,16 @@
         return None
 
 
+def _decode_quarantine(row: Row, store_time: int) -> SavedQuarantine:
+    content = _QUARANTINE_DECODER.decode(row.value)
+    trials = NO_TRIALS
+    if content.trials > 0:
+        age = (store_time - content.tried_ms) / 1000
+        trials = TrialHistory(content.trials, age)
+    remaining = (content.expires_ms - store_time) / 1000
+    return SavedQuarantine(row.key, remaining, trials)
+
+
 def _decode_crash(row: Row, store_time: int) -> SavedCrash:
     content = _CRASH_DECODER.decode(row.value)
     fingerprint, separator, target = row.key.removeprefix(CRASH_PREFIX).partition("/")
--- a/kingcuphead/quarantine/_table.py
+++ b/kingcuphead/quarantine/_table.py
@@ -9,20 +9,32 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.logs import RepetitionLimit
 from kingcuphead.quarantine._messages import (
-    FingerprintQuarantined,
     QuarantineEntry,
     SavedCrash,
+    SavedQuarantine,
 )
 from kingcuphead.quarantine._quarantine import Quarantine
 from kingcuphead.quarantine._rows import (
     MAX_KEY_BYTES,
+    NO_TRIALS,
     decode_row,
     encode_crash,
     encode_quarantine,
     make_crash_key,
 )
 from kingcuphead.quarantine._subjects import split_key
-from kingcuphead.storage import Check, Delete, Put, Row, TablePart, Transaction
+from kingcuphead.quarantine._trials import TrialHistory
+from kingcuphead.storage import (
+    ABSENT,
+    Check,
+    CommitOutcome,
+    Committed,
+    Delete,
+    Put,
+    Row,
+    TablePart,
+    Transaction,
+)
 
 #: Seconds for which a crash is kept in the table, so that it outlasts restarts.
 CRASH_LIFETIME = 600.0
@@ -41,8 +53,8 @@
 
     #: Time of the store in milliseconds.
     store_time: int
-    #: Fingerprints whose quarantine has not ended.
-    quarantined: tuple[FingerprintQuarantined, ...]
+    #: Quarantines that have not ended.
+    quarantined: tuple[SavedQuarantine, ...]
     #: Crashes that still count, the latest first.
     crashes: tuple[SavedCrash, ...]
     #: Rows to be removed.
@@ -50,6 +62,27 @@
     #: All rows, by key.
     rows: Mapping[str, Row]
 
+    def find_quarantine(self, key: str) -> SavedQuarantine | None:
+        """Return a quarantine; None if it has no row."""
+        saved = (each for each in self.quarantined if each.fingerprint == key)
+        return next(saved, None)
+
+    def find_trials(self, key: str) -> TrialHistory:
+        """Return the trials of a quarantine."""
+        saved = self.find_quarantine(key)
+        return NO_TRIALS if saved is None else saved.trials
+
+    def is_confirmed(self, key: str) -> bool:
+        """Return whether a target crashed under a trial of a quarantine.
+
+        The row of that crash lasts for `CRASH_LIFETIME`.
+        """
+        trials, parts = self.find_trials(key), split_key(key)
+        return trials.count > 0 and any(
+            crash.age <= trials.age and parts.issubset(crash.request.subjects)
+            for crash in self.crashes
+        )
+
 
 @frozen
 class _Revision:
@@ -79,8 +112,9 @@
     Parameters
     ----------
     part
-        Part of the table. A row that was read is revised only if it is unchanged;
-        other writes need no condition, as all daemons write the same.
+        Part of the table. A row that was read is revised only if it is unchanged, and
+        a quarantine is written only if it has no row, which may count trials by then.
+        Crashes need no condition, as all daemons write the same.
     """
 
     def __init__(self, part: TablePart) -> None:
@@ -131,21 +165,50 @@
             writes = tuple(write for each in batch for write in each.writes)
             await self._commit(Transaction(checks, writes))
         announced = (each for each in quarantine.describe(now) if each.is_announced)
-        puts = (
-            *_list_missing_quarantines(rows, announced),
-            *_list_missing_crashes(rows, quarantine.list_own_crashes(now)),
-        )
-        for missing in _split(puts):
+        # One by one, as another daemon may have written some of them.
+        for put in _list_missing_quarantines(rows, announced):
+            await self._commit(Transaction((Check(put.key, ABSENT),), (put,)))
+        crashes = _list_missing_crashes(rows, quarantine.list_own_crashes(now))
+        for missing in _split(tuple(crashes)):
             await self._commit(Transaction((), missing))
 
-    async def _commit(self, transaction: Transaction) -> None:
+    async def count_trial(
+        self, rows: QuarantineRows, key: str, remaining: float
+    ) -> bool:
+        """Count one more trial of a quarantine, unless its row has changed.
+
+        Parameters
+        ----------
+        rows
+            What the table has.
+        key
+            Key of the quarantine.
+        remaining
+            Seconds until it ends, if it has no row.
+
+        Returns
+        -------
+        bool
+            Whether the trial is this daemon's. A trial whose write has an unknown
+            outcome may be counted and is nobody's.
+        """
+        saved = rows.find_quarantine(key) or SavedQuarantine(key, remaining)
+        history = TrialHistory(saved.trials.count + 1, 0.0)
+        value = encode_quarantine(saved.remaining, rows.store_time, history)
+        row = rows.rows.get(key)
+        version = ABSENT if row is None else row.version
+        transaction = Transaction((Check(key, version),), (Put(key, value),))
+        return isinstance(await self._commit(transaction), Committed)
+
+    async def _commit(self, transaction: Transaction) -> CommitOutcome:
         # A write that fails is repeated after the next read.
         outcome = await self._part.commit(transaction)
         logger.debug("write to the quarantine table: {}", type(outcome).__name__)
+        return outcome
 
 
 def _sort_rows(
-    contents: Sequence[tuple[Row, FingerprintQuarantined | SavedCrash | None]],
+    contents: Sequence[tuple[Row, SavedQuarantine | SavedCrash | None]],
     store_time: int,
 ) -> QuarantineRows:
     crashes = [each for _, each in contents if isinstance(each, SavedCrash)]
@@ -154,7 +217,7 @@
     quarantined = [
         each
         for _, each in contents
-        if isinstance(each, FingerprintQuarantined) and each.remaining > 0
+        if isinstance(each, SavedQuarantine) and each.remaining > 0
     ]
     kept = set(map(make_crash_key, crashes)) | {
         each.fingerprint for each in quarantined
@@ -184,7 +247,7 @@
         replacement = None
         if key and key not in known:
             known.add(key)
-            value = encode_quarantine(entry.remaining, rows.store_time)
+            value = encode_quarantine(entry.remaining, rows.store_time, entry.trials)
             replacement = Put(key, value)
         yield _Revision(rows.rows[entry.fingerprint], replacement)
     for crash in rows.crashes:
--- a/kingcuphead/quarantine/tests/test_random_runs.py
+++ b/kingcuphead/quarantine/tests/test_random_runs.py
@@ -155,7 +155,7 @@
     def _send_crashing(self):
         index = self.rng.randrange(self.SIZE)
         request = self._make_request("part:bad")
-        if self.daemons[index].exchange.get_remaining(request):
+        if not _may_run(self.daemons[index], request):
             return
         target = self._crash_target(index, request)
         for _ in range(self.rng.randrange(6)):
@@ -167,6 +167,62 @@
         return RequestIdentity(f"f{self.requests}", ("part:a", part))
 
 
+class WrongVerdictFleet(SharingFleet):
+    """Targets crash by themselves while no request with their new part has ended.
+
+    All daemons are killed a second later; requests with the part come all the time.
+    """
+
+    CRASHED_AT, KILLED_AT = 5.0, 6.0
+    #: Seconds until an answer is complete.
+    ANSWER_SECONDS = 2.0
+
+    def __init__(self, seed):
+        super().__init__(seed)
+        self.began_at = self.clock.now
+        self.is_crashed = self.is_killed = False
+        self.running = []
+        #: When requests were run after the kill.
+        self.served_at = []
+
+    def _send_requests(self):
+        elapsed = self.clock.now - self.began_at
+        if elapsed >= self.CRASHED_AT and not self.is_crashed:
+            self.is_crashed = True
+            for number in range(4):
+                request = self._make_request(f"part:b{number}")
+                daemon = self.rng.choice(self.daemons)
+                daemon.exchange.record_crash(request, f"t{number}", 0.0)
+        if elapsed >= self.KILLED_AT and not self.is_killed:
+            self.is_killed = True
+            self.daemons = [Daemon(self.clock, self.table) for _ in self.daemons]
+        if self.is_killed:
+            self._send_one(elapsed)
+            self._end_requests()
+
+    def _send_one(self, elapsed):
+        daemon = self.rng.choice(self.daemons)
+        request = self._make_request(f"part:c{self.requests}")
+        if _may_run(daemon, request):
+            self.served_at.append(elapsed)
+            self.running.append((self.clock.now + self.ANSWER_SECONDS, daemon, request))
+
+    def _end_requests(self):
+        for each in tuple(self.running):
+            end, daemon, request = each
+            if end <= self.clock.now:
+                self.running.remove(each)
+                # Requests of a daemon that was killed are lost with it.
+                if daemon in self.daemons:
+                    daemon.exchange.record_answer(request)
+
+
+def _may_run(daemon, request):
+    """Return whether a daemon runs a request, perhaps as a trial."""
+    is_refused = daemon.exchange.get_remaining(request) > 0
+    return not is_refused or daemon.exchange.claim_trial(request) is not None
+
+
 class TestRandomRuns:
     @pytest.mark.parametrize("seed", range(40))
     def test_a_request_that_crashed_three_targets_reaches_three_more_at_most(
@@ -184,3 +240,13 @@
         assert len(fleet.arrivals) >= 3
         assert len(fleet.arrivals) <= 5 or len(fleet.list_late(5)) <= 3
         assert fleet.refused == 0
+
+    @pytest.mark.parametrize("seed", range(40))
+    def test_a_part_that_crashes_nothing_is_served_again_after_a_kill_of_all(
+        self, seed
+    ):
+        fleet = WrongVerdictFleet(seed)
+        asyncio.run(fleet.run(steps=1_200))
+        late = [at for at in fleet.served_at if at > 40.0]
+        # Of twenty requests a second; daemons that are cut off learn of it later.
+        assert len(late) >= 300
--- a/kingcuphead/quarantine/tests/test_rows.py
+++ b/kingcuphead/quarantine/tests/test_rows.py
@@ -6,7 +6,7 @@
 
 from kingcuphead.logs import RepetitionLimit
 from kingcuphead.quarantine import Quarantine, QuarantineSettings
-from kingcuphead.quarantine._messages import FingerprintQuarantined, SavedCrash
+from kingcuphead.quarantine._messages import SavedCrash, SavedQuarantine
 from kingcuphead.quarantine._rows import decode_row
 from kingcuphead.quarantine._subjects import RequestIdentity
 from kingcuphead.quarantine._table import QuarantineTable
@@ -64,9 +64,9 @@
 
     def test_new_fields_are_ignored(self):
         row = Row("f", 1, b'{"expires_ms": 5001000, "cause": {"by": ["d1"]}}')
-        assert decode_row(row, STORE_TIME, RepetitionLimit()) == FingerprintQuarantined(
-            "f", 1.0
-        )
+        expected_quarantine = SavedQuarantine("f", 1.0)
+        decoded = decode_row(row, STORE_TIME, RepetitionLimit())
+        assert decoded == expected_quarantine
         row = Row("crash/f/t1@5", 1, b'{"crashed_ms": 4999000, "cause": 1}')
         expected = SavedCrash("t1@5", RequestIdentity("f"), 1.0)
         assert decode_row(row, STORE_TIME, RepetitionLimit()) == expected
