Refuse answers whose status is none of HTTP's

Change: one check for both daemons, 100 to 599 and not 101; anything else is a malformed answer, so 502, or another target where the request may run again. kingcupheadd reads exactly three digits, and the size of an upload by libcurl's current option.

--- a/kingcuphead/forwarding/_answer_parser.py
+++ b/kingcuphead/forwarding/_answer_parser.py
@@ -10,6 +10,7 @@
 )
 from tornado.httputil import HTTPHeaders, HTTPInputError, parse_response_start_line
 
+from kingcuphead.decoding import check_answer_status
 from kingcuphead.frozen import frozen
 
 #: Largest status line and headers of an answer in bytes.
@@ -151,6 +152,7 @@
             raise HTTPInputError("a status line within the head")
         line, _, fields = text.partition("\n")
         start_line = parse_response_start_line(line.rstrip("\r"))
+        check_answer_status(start_line.code)
         headers = _parse_fields(fields)
         if start_line.code < 200:
             self._count_interim(headers)
--- a/kingcuphead/forwarding/tests/test_answer_parser.py
+++ b/kingcuphead/forwarding/tests/test_answer_parser.py
@@ -35,6 +35,12 @@
     method: str = "POST"
 
 
+#: What may follow the head of an answer with an odd status.
+FOLLOWING = (
+    (" alone", b""),
+    (" and text", b"text"),
+    (" and a sound answer", OK + b"Content-Length: 2\r\n\r\nhi"),
+)
 CASES = (
     Case("length", OK + b"Content-Length: 5\r\n\r\nhello", WHOLE, b"hello"),
     Case("no body", OK + b"Content-Length: 0\r\n\r\n", WHOLE),
@@ -115,6 +121,18 @@
         BROKEN,
         status=None,
     ),
+    *(
+        Case(
+            f"status {status}{followed_by[0]}",
+            head + followed_by[1],
+            BROKEN,
+            status=None,
+        )
+        for status in ("000", "00", "42", "099", "0200", "1000", "2oo", "-20", "+200")
+        + ("600", "999", "101")
+        for head in (b"HTTP/1.1 %b X\r\n\r\n" % status.encode(),)
+        for followed_by in FOLLOWING
+    ),
     Case("interim only", INTERIM * (MAX_INTERIM_ANSWERS + 1), BROKEN, status=None),
 )
 
--- a/kingcuphead/relay/_handle.py
+++ b/kingcuphead/relay/_handle.py
@@ -66,7 +66,7 @@
     """
     sent = int(handle.getinfo(pycurl.REQUEST_SIZE))
     received = transfer.received_bytes
-    uploaded = int(handle.getinfo(pycurl.SIZE_UPLOAD))
+    uploaded = int(handle.getinfo(pycurl.SIZE_UPLOAD_T))
     match code:
         # A target that closes the connection before it has the request resets it next,
         # and may have done so within its answer.
--- a/kingcuphead/relay/_transfer.py
+++ b/kingcuphead/relay/_transfer.py
@@ -1,14 +1,17 @@
 """State of one transfer: buffered response bytes and the result."""
 
 import asyncio
+import re
 from collections.abc import AsyncIterator, Callable
 
+from kingcuphead.decoding import check_answer_status
 from kingcuphead.relay._ending import EndCause, TransferEnd, classify_end
 from kingcuphead.relay._headers import filter_hop_by_hop
 from kingcuphead.relay._messages import RelayLimits, ResponseHead, Timeouts
 from kingcuphead.verdict import Verdict
 
 _LAST_INTERIM_STATUS = 199
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] ([0-9]{3})(?: |$)")
 #: Statuses of responses without a body.
 _BODILESS_STATUSES = frozenset({204, 304})
 #: Headers that state where the body of a response ends.
@@ -137,8 +140,8 @@
     def _finish_head(self) -> bool:
         lines, self._header_lines = self._header_lines, []
         try:
-            status = int(lines[0].split(" ", 2)[1])
-        except (IndexError, ValueError):
+            status = _parse_status(lines[0])
+        except ValueError:
             return False
         if status <= _LAST_INTERIM_STATUS:
             return True
@@ -159,6 +162,22 @@
             self._waiter = None
 
 
+def _parse_status(line: str) -> int:
+    """Return the status that a start line states.
+
+    Raises
+    ------
+    ValueError
+        It states none.
+    """
+    match = _STATUS_LINE.match(line)
+    if match is None:
+        raise ValueError("no status line")
+    status = int(match[1])
+    check_answer_status(status)
+    return status
+
+
 class RelayStream(AsyncIterator[bytes]):
     """The response of a target as an asynchronous iterator over body blocks.
 
--- a/kingcuphead/relay/tests/test_relay.py
+++ b/kingcuphead/relay/tests/test_relay.py
@@ -319,6 +319,28 @@
         assert (received, complete) == (size, True)
 
 
+class TestOddStatuses:
+    """Guards against answers of a target in trouble that callers get as answers."""
+
+    @pytest.mark.parametrize(
+        "status",
+        ["000", "00", "42", "099", "0200", "1000", "2oo", "-20", "600", "999", "101"],
+    )
+    @pytest.mark.parametrize(
+        "rest",
+        [b"Content-Length: 2\r\n\r\nhi", b"\r\nhi", b"\r\n" + EMPTY],
+        ids=["length", "unframed", "followed"],
+    )
+    def test_they_are_no_answers(self, status, rest):
+        async def scenario(relay, target):
+            return await fetch(relay, target.address)
+
+        answer = f"HTTP/1.1 {status} X\r\n".encode() + rest
+        stream, body, verdict = run(respond_with(answer, close=True), scenario)
+        assert (stream, body) == (None, b"")
+        assert verdict.execution is Execution.MAY_HAVE_RUN
+
+
 #: Bytes that fit neither into libcurl's buffers nor into the kernel's.
 LONG_UPLOAD = b"x" * 12_000_000
 
