Split the quarantine: own crashes and answers in modules of their own

OwnCrashes keeps what this daemon lost, SubjectAnswers chooses between counts of requests and of parts. No change of behaviour; the tests of the package pass unchanged.

--- a/kingcuphead/quarantine/_answers.py
+++ b/kingcuphead/quarantine/_answers.py
@@ -2,8 +2,10 @@
 
 import dataclasses
 from collections import OrderedDict
+from collections.abc import Iterable
 
 from kingcuphead.frozen import frozen
+from kingcuphead.quarantine._subjects import RequestIdentity, is_part
 
 
 @frozen
@@ -75,3 +77,53 @@
         self._answers.move_to_end(fingerprint)
         if len(self._answers) > self._capacity:
             self._answers.popitem(last=False)
+
+
+class SubjectAnswers:
+    """Counts answers to requests and to parts of their prompts; does no I/O.
+
+    Parameters
+    ----------
+    retention
+        Seconds after the last answer for which a count is kept.
+    capacity
+        Maximum number of counts of requests, and of parts.
+    """
+
+    def __init__(self, retention: float, capacity: int) -> None:
+        self._requests = AnswerCounts(retention, capacity)
+        self._parts = AnswerCounts(retention, capacity)
+
+    def record(self, request: RequestIdentity, now: float) -> None:
+        """Count a complete answer of this daemon."""
+        self._requests.record(request.fingerprint, now)
+        for part in request.parts:
+            self._parts.record(part, now)
+
+    def apply_report(
+        self, subject: str, reporter: str, answers: int, now: float
+    ) -> bool:
+        """Apply the count of another daemon; return whether that is new."""
+        counts = self._select(subject)
+        return counts.apply_report(subject, reporter, answers, now)
+
+    def count_own(self, subject: str, now: float) -> int:
+        """Return the number of answers that this daemon passed on."""
+        return self._select(subject).count_own(subject, now)
+
+    def count_all(self, subject: str, now: float) -> int:
+        """Return the number of answers of all daemons that reported theirs."""
+        return self._select(subject).count_all(subject, now)
+
+    def leave_out_answered_parts(
+        self, subjects: Iterable[str], now: float
+    ) -> tuple[str, ...]:
+        """Return the subjects without the parts that were answered."""
+        return tuple(
+            each
+            for each in subjects
+            if not is_part(each) or not self._parts.count_all(each, now)
+        )
+
+    def _select(self, subject: str) -> AnswerCounts:
+        return self._parts if is_part(subject) else self._requests
--- a/kingcuphead/quarantine/_quarantine.py
+++ b/kingcuphead/quarantine/_quarantine.py
@@ -3,8 +3,7 @@
 from collections import OrderedDict
 from collections.abc import Iterable, Iterator
 
-from kingcuphead.frozen import frozen
-from kingcuphead.quarantine._answers import AnswerCounts
+from kingcuphead.quarantine._answers import SubjectAnswers
 from kingcuphead.quarantine._culprits import Crashes, find_culprits, is_any_accused
 from kingcuphead.quarantine._entries import QuarantinedKeys
 from kingcuphead.quarantine._messages import (
@@ -17,6 +16,7 @@
     QuarantineEntry,
     SavedCrash,
 )
+from kingcuphead.quarantine._own_crashes import OwnCrashes
 from kingcuphead.quarantine._pending import LostRequest, PendingCrashes
 from kingcuphead.quarantine._settings import QuarantineSettings
 from kingcuphead.quarantine._subjects import (
@@ -31,24 +31,10 @@
     Suspicions,
 )
 
-#: Crashes of this daemon that are kept for the table.
-MAX_OWN_CRASHES = 100
 #: Targets that are remembered because the cause of their crash is known.
 MAX_EXPLAINED = 256
 
 
-@frozen
-class _OwnCrash:
-    """A request that this daemon lost with a target."""
-
-    #: Incarnation of the target.
-    target: str
-    #: The request.
-    request: RequestIdentity
-    #: When the target crashed, in seconds on the monotonic clock.
-    crashed_at: float
-
-
 class Quarantine:
     """Quarantines requests and parts of prompts under which several targets crashed.
 
@@ -70,14 +56,13 @@
         retention, capacity = settings.crash_retention, settings.capacity
         self._settings = settings
         self._suspicions = Suspicions(retention, capacity)
-        self._request_answers = AnswerCounts(retention, capacity)
-        self._part_answers = AnswerCounts(retention, capacity)
+        self._answers = SubjectAnswers(retention, capacity)
         self._keys = QuarantinedKeys(retention - settings.expiry, capacity)
         self._pending = PendingCrashes(settings.crash_window)
         self._explained: OrderedDict[str, None] = OrderedDict()
         #: Keys whose quarantine this daemon announced.
         self._announced: set[str] = set()
-        self._own_crashes: OrderedDict[CrashedRequest, _OwnCrash] = OrderedDict()
+        self._own_crashes = OwnCrashes()
         self._releases: dict[str, float] = {}
 
     def is_quarantined(self, fingerprint: str, now: float) -> bool:
@@ -123,10 +108,7 @@
         These are the crashes that quarantined parts explain, and those that may yet
         lead to a quarantine.
         """
-        own = (
-            SavedCrash(crash.target, crash.request, now - crash.crashed_at)
-            for crash in self._own_crashes.values()
-        )
+        own = self._own_crashes.list_all(now)
         revised = (self.revise_crash(crash, now) for crash in own)
         return tuple(
             crash
@@ -143,7 +125,7 @@
             None if answers outweigh the request's crashes, too, so that nothing
             remains to be suspected.
         """
-        parts = self._leave_out_cleared(crash.request.parts, now)
+        parts = self._answers.leave_out_answered_parts(crash.request.parts, now)
         if not parts and self._is_outweighed(crash.request.fingerprint, now):
             return None
         request = RequestIdentity(crash.request.fingerprint, parts)
@@ -151,7 +133,9 @@
 
     def revise_key(self, key: str, now: float) -> str:
         """Return a key without the parts that were answered; empty if none is left."""
-        return join_subjects(self._leave_out_cleared(split_key(key), now))
+        return join_subjects(
+            self._answers.leave_out_answered_parts(split_key(key), now)
+        )
 
     def record_crash(self, crash: Crash, now: float) -> tuple[QuarantineEffect, ...]:
         """Record a request that was lost because its target crashed."""
@@ -191,9 +175,8 @@
         needed = tuple(
             each for each in request.subjects if self.needs_answers(each, now)
         )
-        self._request_answers.record(request.fingerprint, now)
+        self._answers.record(request, now)
         for part in request.parts:
-            self._part_answers.record(part, now)
             self._clear_part(part)
         return needed
 
@@ -201,15 +184,14 @@
         self, subject: str, reporter: str, answers: int, now: float
     ) -> bool:
         """Apply a peer's number of answers; return whether it is new."""
-        counts = self._get_answers(subject)
-        is_new = counts.apply_report(subject, reporter, answers, now)
+        is_new = self._answers.apply_report(subject, reporter, answers, now)
         if is_part(subject):
             self._clear_part(subject)
         return is_new
 
     def count_answers(self, subject: str, now: float) -> int:
         """Return the number of complete answers that this daemon passed on."""
-        return self._get_answers(subject).count_own(subject, now)
+        return self._answers.count_own(subject, now)
 
     def needs_answers(self, subject: str, now: float) -> bool:
         """Return whether another answer may decide about a suspect subject."""
@@ -278,13 +260,11 @@
     def _attribute_own(
         self, target: str, request: RequestIdentity, now: float
     ) -> Iterator[QuarantineEffect]:
-        parts = self._leave_out_cleared(request.parts, now)
+        parts = self._answers.leave_out_answered_parts(request.parts, now)
         request = RequestIdentity(request.fingerprint, parts)
         yield CrashReported(target, request)
         crashed = CrashedRequest(target, request.fingerprint)
-        self._own_crashes[crashed] = _OwnCrash(target, request, now)
-        if len(self._own_crashes) > MAX_OWN_CRASHES:
-            self._own_crashes.popitem(last=False)
+        self._own_crashes.add(crashed, request, now)
         crash = RecordedCrash(crashed, now, is_own=True)
         yield from self._attribute(crash, request, now)
 
@@ -302,7 +282,7 @@
         self._suspicions.add(fingerprint, crash, now)
         if self._is_repeated(fingerprint, now):
             yield from self._quarantine(fingerprint, now)
-        parts = self._leave_out_cleared(request.parts, now)
+        parts = self._answers.leave_out_answered_parts(request.parts, now)
         for part in parts:
             self._suspicions.add(part, crash, now)
         if is_any_accused(
@@ -333,7 +313,7 @@
 
     def _find_culprits(self, now: float) -> tuple[frozenset[str], ...]:
         subjects = filter(is_part, self._suspicions.list_subjects())
-        parts = self._leave_out_cleared(subjects, now)
+        parts = self._answers.leave_out_answered_parts(subjects, now)
         return find_culprits(
             self._list_crashes(parts),
             self._settings.min_targets_of_part,
@@ -386,28 +366,16 @@
                 self._announced.remove(key)
                 self._announced.add(join_subjects(others))
 
-    def _leave_out_cleared(
-        self, subjects: Iterable[str], now: float
-    ) -> tuple[str, ...]:
-        """Return the subjects without the parts that were answered."""
-        return tuple(each for each in subjects if not self._is_cleared(each, now))
-
-    def _is_cleared(self, subject: str, now: float) -> bool:
-        return is_part(subject) and self._part_answers.count_all(subject, now) > 0
-
     def _is_outweighed(self, fingerprint: str, now: float) -> bool:
         """Whether the answers to a request, not quarantined, outweigh its crashes."""
-        is_answered = self._request_answers.count_all(fingerprint, now) > 0
+        is_answered = self._answers.count_all(fingerprint, now) > 0
         is_innocent = is_answered and self._count_excess(fingerprint, now) <= 0
         return is_innocent and fingerprint not in self._keys
 
-    def _get_answers(self, subject: str) -> AnswerCounts:
-        return self._part_answers if is_part(subject) else self._request_answers
-
     def _count_excess(self, fingerprint: str, now: float) -> int:
         """Return by how much the crashes of a request outnumber its answers."""
         crashes = len(self._suspicions.get(fingerprint).targets)
-        return crashes - self._request_answers.count_all(fingerprint, now)
+        return crashes - self._answers.count_all(fingerprint, now)
 
     def _describe_entry(self, key: str, remaining: float) -> QuarantineEntry:
         suspicions = [self._suspicions.get(subject) for subject in split_key(key)]
