Join two ends of requests that had the same shape

The ends at a shutdown and for lack of memory differed in reason and delay only. A comment of a constant that had moved is dropped.

--- a/kingcuphead/entry/_peers.py
+++ b/kingcuphead/entry/_peers.py
@@ -23,7 +23,6 @@
 #: Bounds of the seconds between two polls that are made early, because a daemon was
 #: heard of that isn't listed. While a fleet starts, each poll finds several of them.
 MIN_EARLY_INTERVAL, MAX_EARLY_INTERVAL = 0.4, 0.8
-#: Highest port number.
 
 
 class DaemonRow(msgspec.Struct, frozen=True):
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -127,7 +127,7 @@
             async with self._open_requests.track(context):
                 refusal = await self._serve_admitted(context, caller)
         except ShutdownError:
-            refusal = self._end_at_shutdown(context, caller)
+            refusal = _end_at_shutdown(context, caller)
         finally:
             context.log_end(refusal, get_time())
             self._record_end(context, refusal)
@@ -206,10 +206,10 @@
                 caller.reservation.on_end = lambda: _expire(scope)
                 return await self._run_attempts(context, caller, stream, hold)
         except OutOfMemoryError:
-            return self._refuse_without_memory(context, caller)
+            return _end_without_memory(context, caller)
         except TimeoutError:
             if caller.reservation.is_ended:
-                return self._refuse_without_memory(context, caller)
+                return _end_without_memory(context, caller)
             return self._time_out(context, caller)
 
     def _admit(self, request: CallerRequest) -> Result[RequestContext, Refusal]:
@@ -326,7 +326,7 @@
         if context.execution is Execution.NOT_RUN and self._is_quarantined(context):
             return self._refuse_quarantined(context)
         if not self._open_requests.accepts_attempts:
-            return self._end_at_shutdown(context, caller)
+            return _end_at_shutdown(context, caller)
         if context.execution is Execution.NOT_RUN:
             return self._refuse_without_target(context)
         return refuse(502, Reason.TARGET_FAILED)
@@ -348,27 +348,25 @@
             return refuse(503, Reason.DEADLINE, TARGET_RETRY_AFTER)
         return refuse(504, Reason.TARGET_TIMED_OUT)
 
-    def _end_at_shutdown(
-        self, context: RequestContext, caller: Caller
-    ) -> Refusal | None:
-        """Abort an answer that has begun; else return a refusal for the shutdown."""
-        if caller.is_started:
-            caller.abort()
-            return None
-        if context.execution is Execution.NOT_RUN:
-            return refuse(503, Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
-        return refuse(502, Reason.SHUTTING_DOWN)
 
-    def _refuse_without_memory(
-        self, context: RequestContext, caller: Caller
-    ) -> Refusal | None:
-        """Abort an answer that has begun; else return a refusal for lack of memory."""
-        if caller.is_started:
-            caller.abort()
-            return None
-        if context.execution is Execution.NOT_RUN:
-            return refuse(503, Reason.MEMORY_FULL, TARGET_RETRY_AFTER)
-        return refuse(502, Reason.MEMORY_FULL)
+def _end_at_shutdown(context: RequestContext, caller: Caller) -> Refusal | None:
+    return _end(context, caller, Reason.SHUTTING_DOWN, SHUTDOWN_RETRY_AFTER)
+
+
+def _end_without_memory(context: RequestContext, caller: Caller) -> Refusal | None:
+    return _end(context, caller, Reason.MEMORY_FULL, TARGET_RETRY_AFTER)
+
+
+def _end(
+    context: RequestContext, caller: Caller, reason: Reason, retry_after: float
+) -> Refusal | None:
+    """Abort an answer that has begun; else return a refusal by what may have run."""
+    if caller.is_started:
+        caller.abort()
+        return None
+    if context.execution is Execution.NOT_RUN:
+        return refuse(503, reason, retry_after)
+    return refuse(502, reason)
 
 
 def _expire(scope: asyncio.Timeout) -> None:
