--- a/kingcuphead/wire/tests/_samples.py
+++ b/kingcuphead/wire/tests/_samples.py
@@ -34,7 +34,7 @@
     QuarantineReported,
     RequestIdentity,
 )
-from kingcuphead.quarantine._messages import SavedCrash
+from kingcuphead.quarantine._messages import SavedCrash, SavedQuarantine
 from kingcuphead.quarantine._rows import (
     encode_crash,
     encode_quarantine,
@@ -109,7 +109,7 @@
 HOLDER = HolderRow(17, 3, 5_000, 4_000, 4_999_000, 600, True)
 STAMP = StampRow(3, 4_999_500)
 DAEMON = DaemonRow("10.0.0.1", 7_340)
-QUARANTINED = FingerprintQuarantined("9f86d081", 3_599.5)
+QUARANTINED = SavedQuarantine("9f86d081", 3_599.5)
 CRASH = SavedCrash(TARGET, RequestIdentity("9f86d081", ("part:a0", "part:b")), 2.5)
 VERSION = ServedVersion("pool", "v1.1")
 
