--- a/kingcuphead/capacity/__init__.py
+++ b/kingcuphead/capacity/__init__.py
@@ -9,6 +9,7 @@
     LINK_TRAFFIC,
     MESSAGE_OVERHEAD_BYTES,
     LinkTraffic,
+    TrafficKind,
 )
 
 __all__ = [
@@ -23,4 +24,5 @@
     "OwnLoad",
     "Readiness",
     "TimedSelector",
+    "TrafficKind",
 ]
--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -15,6 +15,7 @@
     SheddingBegan,
     UnreadyEnded,
 )
+from kingcuphead.capacity._link_log import LinkLog
 from kingcuphead.capacity._messages import CapacityReported, Readiness
 from kingcuphead.capacity._meter import (
     LoadMeter,
@@ -78,6 +79,7 @@
         self._meter: LoadMeter | None = None
         self._zone_loads = ZoneLoads(zone)
         self._shedder: LoadShedder | None = None
+        self._link_log: LinkLog | None = None
         #: Whether the settings state a link that callers may fill.
         self.is_link_narrow = False
         #: Connections of callers.
@@ -147,10 +149,13 @@
             return
         if self._shedder is None:
             self._shedder = LoadShedder(self._sender, self._zone_loads, now)
+        if self._link_log is None:
+            self._link_log = LinkLog(LINK_TRAFFIC, now)
         traffic = LINK_TRAFFIC
         self._load = self._meter.measure(
             Sample(now, busy_seconds, traffic.sent, traffic.received, lag)
         )
+        self._link_log.step(self.is_link_full, now)
         self._zone_loads.expire(now)
         self.connections.rotate(now)
         observation = Observation(
@@ -169,6 +174,10 @@
         if self._shedder is not None:
             self._shedder.record_check(is_ready, get_time())
 
+    def describe_load(self) -> dict[str, float]:
+        """Return the load of this daemon as log fields."""
+        return _describe_load(self._load)
+
     def _apply(self, effect: Effect) -> None:
         match effect:
             case SheddingBegan():
--- a/kingcuphead/capacity/tests/test_busy_time.py
+++ b/kingcuphead/capacity/tests/test_busy_time.py
@@ -33,3 +33,20 @@
             spent, busy_in_wait, waited = runner.run(work())
         assert spent >= busy
         assert busy_in_wait <= 0.5 * waited
+
+    def test_the_longest_turn_shows_for_some_seconds(self):
+        """Guards against a late event loop that no metric shows."""
+        selector = TimedSelector()
+
+        async def work():
+            await asyncio.sleep(0.05)
+            end = time.monotonic() + 0.2
+            while time.monotonic() < end:
+                pass
+            await asyncio.sleep(0.05)
+            return selector.longest_turn
+
+        with asyncio.Runner(
+            loop_factory=lambda: asyncio.SelectorEventLoop(selector)
+        ) as runner:
+            assert runner.run(work()) >= 0.2
--- /dev/null
+++ b/kingcuphead/capacity/tests/test_link_log.py
@@ -0,0 +1,24 @@
+from loguru import logger
+
+from kingcuphead.capacity import LinkTraffic, TrafficKind
+from kingcuphead.capacity._link_log import LinkLog
+
+
+class TestLinkLog:
+    def test_a_full_link_shows_what_fills_it(self):
+        """Guards against a full link whose traffic no log tells apart."""
+        traffic = LinkTraffic()
+        log = LinkLog(traffic, 0.0)
+        lines = []
+        sink = logger.add(lambda line: lines.append(line.record["extra"]))
+        try:
+            for second in range(1, 9):
+                traffic.record_received(TrafficKind.STORE, 25_000)
+                traffic.record_sent(TrafficKind.CALLERS, 600_000)
+                log.step(second > 2, float(second))
+        finally:
+            logger.remove(sink)
+        assert len(lines) == 2
+        assert lines[0]["store_received"] == 25_000
+        assert lines[0]["callers_sent"] == 600_000
+        assert lines[0]["targets_sent"] == 0
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -4,12 +4,13 @@
 import contextlib
 import random
 import signal
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from typing import Any
 
 from expression import Result
 from loguru import logger
 
+from kingcuphead.capacity import LINK_TRAFFIC, TimedSelector
 from kingcuphead.dispatch import HedgingPolicy
 from kingcuphead.entry._assembly import (
     make_admission,
@@ -30,6 +31,7 @@
     TargetListener,
 )
 from kingcuphead.entry._table_watch import ListenerGroup
+from kingcuphead.entry._view_age import ViewAge
 from kingcuphead.forwarding import (
     AttemptRunner,
     ConnectionPool,
@@ -108,6 +110,8 @@
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory(heartbeat=profile.heartbeat)
         self._metrics = DaemonMetrics()
+        self._selector: TimedSelector | None = None
+        self._view_age = ViewAge(self._describe_load)
         peer_loads = PeerLoads()
         self._dispatcher = make_dispatcher(profile, peer_loads, rng)
         self._retries = make_retries(profile)
@@ -187,17 +191,21 @@
         self._dispatcher.observer = self._metrics.engines
         self._dispatcher.cold_costs.is_cold = self._directory.is_cold
         self._metrics.observe_targets(self._directory)
+        self._metrics.observe_view(self._view_age)
+        self._metrics.observe_traffic(LINK_TRAFFIC)
         self._metrics.resumption.observe(self._links.resumption)
 
-    def measure_load(self, read_busy_seconds: Callable[[], float]) -> None:
-        """Measure the load of the processor by the busy time of the event loop.
+    def observe_loop(self, selector: TimedSelector) -> None:
+        """Measure the load of the processor by the event loop's use of its selector."""
+        self._selector = selector
+        self._links.capacity.read_busy_seconds = selector.get_busy_seconds
+        self._metrics.observe_loop(selector)
 
-        Parameters
-        ----------
-        read_busy_seconds
-            Returns the total seconds in which the event loop was busy.
-        """
-        self._links.capacity.read_busy_seconds = read_busy_seconds
+    def _describe_load(self) -> dict[str, float]:
+        """Return log fields that tell why this daemon may be late."""
+        turn = 0.0 if self._selector is None else self._selector.longest_turn
+        load = self._links.capacity.describe_load()
+        return load | {"longest_turn": round(turn, 3)}
 
     async def run(self) -> bool:
         """Run until a signal arrives or a background task fails.
@@ -260,6 +268,7 @@
             self._targets,
             self._directory,
             lambda: self._profile,
+            self._view_age,
         )
         self._metrics.observe_polls(watches.pacings)
         self._evacuation_exchange.get_position = watches.get_configuration_position
--- a/kingcuphead/entry/_main.py
+++ b/kingcuphead/entry/_main.py
@@ -61,7 +61,7 @@
 def _run_daemon(daemon: EntryDaemon) -> bool:
     """Run a daemon on an event loop that measures its own load."""
     selector = TimedSelector()
-    daemon.measure_load(selector.get_busy_seconds)
+    daemon.observe_loop(selector)
     with asyncio.Runner(
         loop_factory=lambda: asyncio.SelectorEventLoop(selector)
     ) as runner:
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -6,7 +6,7 @@
 from tornado.httpserver import HTTPServer
 
 from kingcuphead.admission import AdmissionGate
-from kingcuphead.capacity import CapacityFigures
+from kingcuphead.capacity import CapacityFigures, LinkTraffic, TimedSelector
 from kingcuphead.entry._engine_metrics import EngineMetrics
 from kingcuphead.entry._get_server import Answer, serve_get
 from kingcuphead.entry._instruments import (
@@ -24,10 +24,14 @@
 from kingcuphead.entry._resource_metrics import (
     LoadMetrics,
     MemoryMetrics,
+    add_loop_gauge,
     add_poll_gauges,
     add_target_gauges,
+    add_traffic_gauges,
+    add_view_gauge,
 )
 from kingcuphead.entry._resumption_metrics import ResumptionMetrics
+from kingcuphead.entry._view_age import ViewAge
 from kingcuphead.forwarding import Refusal, RequestContext
 from kingcuphead.targets import Target, TargetDirectory
 
@@ -78,6 +82,18 @@
         """Add gauges of the delays of polls, by table."""
         add_poll_gauges(self._registry, pacings)
 
+    def observe_view(self, view_age: ViewAge) -> None:
+        """Add a gauge of the age of the view of the configuration."""
+        add_view_gauge(self._registry, view_age)
+
+    def observe_loop(self, selector: TimedSelector) -> None:
+        """Add a gauge of the longest turn of the event loop."""
+        add_loop_gauge(self._registry, selector)
+
+    def observe_traffic(self, traffic: LinkTraffic) -> None:
+        """Add gauges of the bytes on the link, by kind and direction."""
+        add_traffic_gauges(self._registry, traffic)
+
     def record_cold_denial(self, target: Target) -> None:
         """Count a permit that was denied because the target is cold."""
         self._cold_denials.labels(self._choose_label(target.service)).inc()
--- a/kingcuphead/entry/_resource_metrics.py
+++ b/kingcuphead/entry/_resource_metrics.py
@@ -3,9 +3,16 @@
 import functools
 from collections.abc import Callable, Mapping
 
-from kingcuphead.capacity import CapacityFigures, OwnLoad
+from kingcuphead.capacity import (
+    CapacityFigures,
+    LinkTraffic,
+    OwnLoad,
+    TimedSelector,
+    TrafficKind,
+)
 from kingcuphead.entry._instruments import Counter, Gauge, Registry
 from kingcuphead.entry._poll_pacing import PollPacing
+from kingcuphead.entry._view_age import ViewAge
 from kingcuphead.targets import TargetDirectory
 
 
@@ -125,5 +132,40 @@
         delays.labels(table).set_function(functools.partial(_get_delay, pacing))
 
 
+def add_view_gauge(registry: Registry, view_age: ViewAge) -> None:
+    """Add a gauge of the age of the view of the configuration."""
+    age = Gauge(
+        "kingcuphead_configuration_age_seconds",
+        "Seconds since the store confirmed that the version in force is the newest.",
+        registry=registry,
+    )
+    age.set_function(view_age.get_age)
+
+
+def add_loop_gauge(registry: Registry, selector: TimedSelector) -> None:
+    """Add a gauge of the longest turn of the event loop."""
+    turn = Gauge(
+        "kingcuphead_longest_turn_seconds",
+        "Longest recent seconds in which the event loop looked for no new events.",
+        registry=registry,
+    )
+    turn.set_function(lambda: selector.longest_turn)
+
+
+def add_traffic_gauges(registry: Registry, traffic: LinkTraffic) -> None:
+    """Add gauges of the bytes on the link since the start, by kind and direction."""
+    total = Gauge(
+        "kingcuphead_link_bytes",
+        "Bytes on the link since the start, by kind of traffic and direction.",
+        ("kind", "direction"),
+        registry=registry,
+    )
+    for kind in TrafficKind:
+        sent = functools.partial(traffic.get_sent, kind)
+        total.labels(kind, "sent").set_function(sent)
+        received = functools.partial(traffic.get_received, kind)
+        total.labels(kind, "received").set_function(received)
+
+
 def _get_delay(pacing: PollPacing) -> float:
     return pacing.last_delay
--- a/kingcuphead/entry/_store_watches.py
+++ b/kingcuphead/entry/_store_watches.py
@@ -12,6 +12,7 @@
     bound_target_polls,
 )
 from kingcuphead.entry._table_watch import Position, TableListener, TableWatch
+from kingcuphead.entry._view_age import ViewAge
 from kingcuphead.entry._watch_policy import WatchPolicy
 from kingcuphead.platform import CONFIGURATION_TABLE, TARGETS_TABLE, Profile, Store
 from kingcuphead.targets import TargetDirectory
@@ -45,6 +46,8 @@
         The targets that are known; it records failed calls.
     get_profile
         Returns the current settings of the process.
+    view_age
+        Records when the configuration in force was confirmed.
     """
 
     def __init__(
@@ -54,6 +57,7 @@
         targets: TableListener,
         directory: TargetDirectory,
         get_profile: Callable[[], Profile],
+        view_age: ViewAge,
     ) -> None:
         #: Delays of polls by table.
         self.pacings = {
@@ -71,6 +75,7 @@
             directory.record_store_failure,
             self.pacings[CONFIGURATION_TABLE],
             CONFIGURATION_POLICY,
+            view_age.confirm,
         )
         self._targets = TableWatch(
             store,
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -92,6 +92,9 @@
         Delays polls after changes; None for no delay.
     policy
         How the table is read while calls fail or hang.
+    confirm
+        Called after each read with a time at which the table had no later change than
+        those that were passed on.
     """
 
     def __init__(
@@ -102,6 +105,7 @@
         report_failure: Callable[[float], None],
         pacing: PollPacing | None = None,
         policy: WatchPolicy = WatchPolicy(),  # noqa: B008
+        confirm: Callable[[float], None] = lambda confirmed_at: None,
     ) -> None:
         self._store = store
         self._table = table
@@ -109,6 +113,7 @@
         self._report_failure = report_failure
         self._pacing = PollPacing() if pacing is None else pacing
         self._policy = policy
+        self._confirm = confirm
         self._retry_delays = RetryDelays(policy, random.Random())
         #: Whether the next call reads the rows although the position is known.
         self._reads_rows = False
@@ -143,6 +148,8 @@
         match await self._store.read_table(self._table):
             case Result(tag="ok", ok=snapshot):
                 self._apply_snapshot(snapshot)
+                if not self._reads_rows:
+                    self._confirm(started_at)
                 self._record_success()
             case Result(error=fault):
                 await self._record_failure(fault, started_at)
@@ -171,6 +178,7 @@
                 version = max(position.version, changes.version)
                 self._position = Position(version, position.era)
                 self._record_changes(changes)
+                self._record_confirmation(changes, started_at, wait)
                 self._record_success()
             case Result(tag="ok", ok=HistoryLost()):
                 logger.info(
@@ -229,6 +237,19 @@
         is_paced = self._pacing.get_delay(now) > 0
         self._reads_rows = self._policy.prefers_rows and is_replaced and is_paced
 
+    def _record_confirmation(
+        self, changes: Changes, started_at: float, wait: float
+    ) -> None:
+        """Report up to which time the changes of a poll are complete.
+
+        The reply may have waited in this process, so the time of its arrival says
+        nothing; but the store replies without changes only after the whole wait.
+        """
+        if not changes.changes:
+            self._confirm(started_at + wait)
+        elif not changes.has_more:
+            self._confirm(started_at)
+
     def _record_success(self) -> None:
         self.last_position = self._position
         self.has_read.set()
--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -9,6 +9,7 @@
 from kingcuphead.entry._peers import PeerDiscovery
 from kingcuphead.entry._store_watches import CONFIGURATION_POLICY, StoreWatches
 from kingcuphead.entry._table_watch import TableWatch
+from kingcuphead.entry._view_age import ViewAge
 from kingcuphead.entry._watch_policy import RetryDelays, WatchPolicy
 from kingcuphead.entry.tests._fleet import make_profile
 from kingcuphead.permits.tests._virtual_time import run
@@ -168,7 +169,12 @@
         tasks: list[asyncio.Task[None]] = []
         for daemon in fleet:
             watches = StoreWatches(
-                store, daemon, IgnoringListener(), directory, lambda: PROFILE
+                store,
+                daemon,
+                IgnoringListener(),
+                directory,
+                lambda: PROFILE,
+                ViewAge(),
             )
             tasks += map(asyncio.create_task, watches.list_tasks())
             await asyncio.sleep(0.001)
@@ -215,7 +221,9 @@
             count=targets, record_store_failure=lambda at: None
         )
         listener = IgnoringListener()
-        watches = StoreWatches(store, listener, listener, directory, lambda: PROFILE)
+        watches = StoreWatches(
+            store, listener, listener, directory, lambda: PROFILE, ViewAge()
+        )
         tasks = [asyncio.create_task(each) for each in watches.list_tasks()]
         await asyncio.sleep(60.0)
         for task in tasks:
