--- a/kingcuphead/platform/tests/_table_store.py
+++ b/kingcuphead/platform/tests/_table_store.py
@@ -79,7 +79,7 @@
             remaining = deadline - asyncio.get_running_loop().time()
             if changes or remaining <= 0:
                 return changes
-            # A change at the very end of the wait is part of the reply, as its version is.
+            # The reply has the version of a change at the end of the wait, so that too.
             with contextlib.suppress(TimeoutError):
                 await asyncio.wait_for(changed.wait(), remaining)
 
