--- a/kingcuphead/capacity/_link_log.py
+++ b/kingcuphead/capacity/_link_log.py
@@ -44,15 +44,17 @@
         self._counted_at = now
         if is_full and now - self._logged_at >= LINE_INTERVAL:
             self._logged_at = now
-            rates = {
-                name: round((total - totals[name]) / seconds)
+            rates = (
+                f"{name}={(total - totals[name]) / seconds:.0f}"
                 for name, total in self._totals.items()
-            }
-            logger.bind(**rates).info("link is full; traffic in bytes a second")
+            )
+            logger.bind(traffic=" ".join(rates)).info(
+                "link is full; traffic in bytes a second"
+            )
 
 
 def _read_totals(traffic: LinkTraffic) -> dict[str, int]:
-    """Return the totals by the names of log fields."""
+    """Return the totals by kind and direction."""
     sent = {f"{kind}_sent": traffic.get_sent(kind) for kind in TrafficKind}
     received = {f"{kind}_received": traffic.get_received(kind) for kind in TrafficKind}
     return sent | received
--- a/kingcuphead/entry/_view_age.py
+++ b/kingcuphead/entry/_view_age.py
@@ -38,7 +38,7 @@
         if self._confirmed_at is not None and confirmed_at <= self._confirmed_at:
             return
         if self._confirmed_at is not None and age >= OVERDUE_AGE:
-            logger.bind(age=round(age, 3), **self._describe_load()).warning(
+            logger.bind(age_seconds=round(age, 3), **self._describe_load()).warning(
                 "view of the configuration was overdue"
             )
         self._confirmed_at = confirmed_at
