--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import socket
 from collections.abc import Callable
 from typing import cast
 
@@ -17,13 +18,15 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import StreamClosedError
+from tornado.iostream import IOStream, StreamClosedError
+from tornado.netutil import bind_sockets
 
 from kingcuphead.admission import SHUTDOWN_RETRY_AFTER
 from kingcuphead.capacity import (
     MESSAGE_OVERHEAD_BYTES,
     CallerConnection,
     CallerConnections,
+    CallerIntake,
 )
 from kingcuphead.entry._http_caller import HttpCaller
 from kingcuphead.forwarding import (
@@ -44,6 +47,20 @@
 MEMORY_RETRY_AFTER = 0.3
 
 
+class _CallerStream(IOStream):
+    """The stream of a caller's connection, which the event loop serves in its turn."""
+
+    def __init__(self, connection: socket.socket, intake: CallerIntake) -> None:
+        super().__init__(connection)
+        self._intake = intake
+        intake.add(connection.fileno())
+
+    def close_fd(self) -> None:
+        """Close the socket."""
+        self._intake.remove(self.socket.fileno())
+        super().close_fd()
+
+
 class _ConnectionServer(HTTPServer):
     """An HTTP server that notifies its delegate of closed connections."""
 
@@ -80,6 +97,9 @@
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closing = False
         self._server = _ConnectionServer(self)
+        self._listeners: list[socket.socket] = []
+        #: Bounds what one turn of the event loop takes in.
+        self.intake = CallerIntake()
 
     @property
     def open_requests(self) -> int:
@@ -88,7 +108,11 @@
 
     def listen(self, host: str, port: int) -> None:
         """Bind the port and accept connections."""
-        self._server.listen(port, host, backlog=1024)
+        for listener in bind_sockets(port, host, backlog=1024):
+            self.intake.add(listener.fileno())
+            loop = asyncio.get_running_loop()
+            loop.add_reader(listener.fileno(), self._accept, listener)
+            self._listeners.append(listener)
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the limits of a new configuration version to connections."""
@@ -105,7 +129,11 @@
     def stop_listening(self) -> None:
         """Close the port and refuse new requests on connections that are still open."""
         self._is_closing = True
-        self._server.stop()
+        for listener in self._listeners:
+            asyncio.get_running_loop().remove_reader(listener.fileno())
+            self.intake.remove(listener.fileno())
+            listener.close()
+        self._listeners.clear()
 
     async def close(self) -> None:
         """Cancel all requests and close all connections."""
@@ -113,6 +141,19 @@
             task.cancel()
         await self._server.close_all_connections()
 
+    def _accept(self, listener: socket.socket) -> None:
+        """Accept some connections; a request that has arrived is read at once.
+
+        Tornado would accept up to 128 connections in one turn of the event loop.
+        """
+        for _ in range(self.intake.max_served):
+            try:
+                connection, address = listener.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return
+            stream = _CallerStream(connection, self.intake)
+            self._server.handle_stream(stream, address)
+
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -199,6 +199,7 @@
         """Measure the load of the processor by the event loop's use of its selector."""
         self._selector = selector
         self._links.capacity.read_busy_seconds = selector.get_busy_seconds
+        self._callers.intake = selector.intake
         self._metrics.observe_loop(selector)
 
     def _describe_load(self) -> dict[str, float]:
