--- a/kingcuphead/capacity/_intake.py
+++ b/kingcuphead/capacity/_intake.py
@@ -24,6 +24,8 @@
         self._sockets: set[int] = set()
         #: Sockets that are ready and not served yet, since when; the longest first.
         self._waiting: dict[int, float] = {}
+        #: Sockets that are served in this turn; None before the first one.
+        self._served: frozenset[int] | None = None
         self._max_served = MAX_SOCKETS
 
     @property
@@ -40,6 +42,10 @@
         self._sockets.discard(descriptor)
         self._waiting.pop(descriptor, None)
 
+    def may_read(self, descriptor: int) -> bool:
+        """Return whether a socket is read in this turn."""
+        return self._served is None or descriptor in self._served
+
     def record_turn(self, seconds: float) -> None:
         """Adapt the number of sockets to the time that a turn took."""
         if seconds > TURN_SECONDS:
@@ -60,11 +66,14 @@
         """
         callers = [each for each in ready if each in self._sockets]
         if not self._waiting and len(callers) <= self._max_served:
+            self._served = frozenset(callers)
             return frozenset()
         self._update_waiting(callers, now)
         for descriptor in tuple(self._choose_served()):
             del self._waiting[descriptor]
-        return frozenset(self._waiting)
+        postponed = frozenset(self._waiting)
+        self._served = frozenset(callers) - postponed
+        return postponed
 
     def _update_waiting(self, callers: Collection[int], now: float) -> None:
         gone = self._waiting.keys() - set(callers)
--- a/kingcuphead/capacity/tests/test_intake.py
+++ b/kingcuphead/capacity/tests/test_intake.py
@@ -56,3 +56,13 @@
         intake.find_postponed(CALLERS, 0.0)
         intake.remove(CALLERS[-1])
         assert CALLERS[-1] not in intake.find_postponed(CALLERS, 1.0)
+
+    def test_sockets_that_wait_are_not_read(self):
+        """Guards against requests that are read without an event after an answer."""
+        intake = make_intake()
+        assert intake.may_read(CALLERS[0])
+        postponed = intake.find_postponed(CALLERS, 0.0)
+        assert not any(map(intake.may_read, postponed))
+        assert all(map(intake.may_read, set(CALLERS) - postponed))
+        intake.find_postponed((), 1.0)
+        assert not intake.may_read(CALLERS[0])
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -55,6 +55,15 @@
         self._intake = intake
         intake.add(connection.fileno())
 
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        """Read bytes, unless the socket has to wait for a later turn.
+
+        Tornado tries to read at once after each answer, without an event.
+        """
+        if not self._intake.may_read(self.socket.fileno()):
+            return None
+        return super().read_from_fd(buf)
+
     def close_fd(self) -> None:
         """Close the socket."""
         self._intake.remove(self.socket.fileno())
@@ -142,10 +151,7 @@
         await self._server.close_all_connections()
 
     def _accept(self, listener: socket.socket) -> None:
-        """Accept some connections; a request that has arrived is read at once.
-
-        Tornado would accept up to 128 connections in one turn of the event loop.
-        """
+        """Accept some connections; Tornado would accept up to 128 in one turn."""
         for _ in range(self.intake.max_served):
             try:
                 connection, address = listener.accept()
