--- a/kingcuphead/capacity/tests/test_intake.py
+++ b/kingcuphead/capacity/tests/test_intake.py
@@ -66,3 +66,23 @@
         assert all(map(intake.may_read, set(CALLERS) - postponed))
         intake.find_postponed((), 1.0)
         assert not intake.may_read(CALLERS[0])
+
+    def test_requests_are_refused_only_while_a_backlog_lasts(self):
+        """Guards against refusals in short bursts, and against those that go on."""
+        intake = make_intake()
+        intake.find_postponed(CALLERS, 0.0)
+        assert all(intake.admit(0.2) for _ in CALLERS)
+        intake.find_postponed(CALLERS, 0.3)
+        intake.record_turn(0.2)
+        assert not any(intake.admit(0.3) for _ in CALLERS)
+        intake.find_postponed(CALLERS[:1], 0.4)
+        assert all(intake.admit(0.4) for _ in CALLERS)
+
+    def test_one_request_is_served_after_each_short_turn(self):
+        """Guards against an overloaded daemon that serves nobody."""
+        intake = make_intake()
+        intake.find_postponed(CALLERS, 0.0)
+        for turn in range(1, 5):
+            intake.record_turn(0.03)
+            intake.find_postponed(CALLERS, float(turn))
+            assert [intake.admit(float(turn)) for _ in range(3)] == [True, False, False]
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import time
 from collections.abc import Callable
 from typing import cast
 
@@ -37,7 +38,7 @@
     RequestMemory,
     refuse,
 )
-from kingcuphead.platform import decode_request, make_refusal_headers
+from kingcuphead.platform import decode_request, get_request_id, make_refusal_headers
 from kingcuphead.routing import CallerLimits
 from kingcuphead.verdict import Reason
 
@@ -45,6 +46,9 @@
 IDLE_SLACK = 2.0
 #: Seconds after which a caller may retry a request that was refused for want of memory.
 MEMORY_RETRY_AFTER = 0.3
+#: Seconds after which a caller may retry a request that was refused as this daemon is
+#: behind. The retry mostly reaches another daemon, so it need not wait.
+OVERLOAD_RETRY_AFTER = 0.05
 
 
 class _CallerStream(IOStream):
@@ -91,6 +95,8 @@
         Counts the bytes held for requests.
     connections
         Counts the bytes of each open connection.
+    report_overload
+        Called with each request that is refused as this daemon is behind.
     """
 
     def __init__(
@@ -98,8 +104,10 @@
         forwarder: RequestForwarder,
         memory: RequestMemory,
         connections: CallerConnections,
+        report_overload: Callable[[], None] = lambda: None,
     ) -> None:
         self._forwarder = forwarder
+        self._report_overload = report_overload
         self._memory = memory
         self._connections = connections
         self._limits = CallerLimits()
@@ -182,12 +190,27 @@
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
-    ) -> asyncio.Task[None]:
+    ) -> asyncio.Task[None] | None:
+        """Start serving a request; refuse it at once while others wait to be read."""
+        if not self.intake.admit(time.monotonic()):
+            self._refuse_overload(caller, headers)
+            return None
         task = asyncio.create_task(self._serve(caller, start_line, headers, body))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
+    def _refuse_overload(self, caller: HttpCaller, headers: HTTPHeaders) -> None:
+        """Refuse a request with as little work as possible."""
+        self._report_overload()
+        refusal = refuse(503, Reason.OVERLOADED, OVERLOAD_RETRY_AFTER)
+        try:
+            _send_refusal(caller, get_request_id(headers), refusal)
+        except StreamClosedError:
+            caller.abort()
+        finally:
+            caller.reservation.close()
+
     async def _serve(
         self,
         caller: HttpCaller,
@@ -239,7 +262,8 @@
         reservation: MemoryReservation,
         traffic: CallerConnection,
         start_task: Callable[
-            [HttpCaller, RequestStartLine, HTTPHeaders, bytes], asyncio.Task[None]
+            [HttpCaller, RequestStartLine, HTTPHeaders, bytes],
+            asyncio.Task[None] | None,
         ],
     ) -> None:
         self._connection = connection
@@ -276,7 +300,8 @@
         self._chunks.clear()
         caller = HttpCaller(self._connection, self._reservation, self._traffic)
         task = self._start_task(caller, self._start_line, self._headers, body)
-        self._connection.set_close_callback(lambda: _cancel(task))
+        if task is not None:
+            self._connection.set_close_callback(lambda: _cancel(task))
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -178,6 +178,7 @@
             self._forwarder,
             make_request_memory(self._profile, self._metrics),
             self._links.capacity.connections,
+            self._metrics.record_overload,
         )
 
     def _connect_components(self) -> None:
--- a/kingcuphead/entry/tests/_busy_daemon.py
+++ b/kingcuphead/entry/tests/_busy_daemon.py
@@ -46,7 +46,8 @@
 
     def __init__(self, number=9):
         self._number = number
-        self._requests = 0
+        #: Number of requests that callers sent.
+        self.requests = 0
         #: Time at which each version of the configuration took effect.
         self.applied_at = {}
         #: Seconds that each answer took, by status.
@@ -145,8 +146,8 @@
 
     async def _call_on(self, reader, writer):
         while True:
-            self._requests += 1
-            headers = make_caller_headers(f"{self._requests:016x}")
+            self.requests += 1
+            headers = make_caller_headers(f"{self.requests:016x}")
             lines = [f"{name}: {value}" for name, value in headers.items()]
             head = "\r\n".join(["GET /r/1 HTTP/1.1", *lines, "", ""])
             began_at = time.monotonic()
