--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -170,6 +170,7 @@
             permits=self._links.permits,
             admission=self._admission,
             hedging=self._hedging,
+            is_configuration_current=lambda: self._view_age.is_current,
         )
         return RequestForwarder(dependencies, rng, self._metrics.record)
 
--- a/kingcuphead/entry/_view_age.py
+++ b/kingcuphead/entry/_view_age.py
@@ -43,6 +43,11 @@
             )
         self._confirmed_at = confirmed_at
 
+    @property
+    def is_current(self) -> bool:
+        """Whether the version in force is known to be the newest one."""
+        return self.get_age() < OVERDUE_AGE
+
     def get_age(self) -> float:
         """Return the seconds since the last confirmation; infinite before it."""
         if self._confirmed_at is None:
--- a/kingcuphead/entry/tests/test_view_age.py
+++ b/kingcuphead/entry/tests/test_view_age.py
@@ -65,6 +65,16 @@
         earliest, latest = expected
         assert earliest <= confirmed[1] - started_at <= latest + 0.1
 
+    def test_a_view_is_current_until_a_poll_is_overdue(self):
+        """Guards against final refusals by a version that may be an older one."""
+        age = ViewAge()
+        assert not age.is_current
+        age.confirm(time.monotonic() - 1.6)
+        assert age.is_current
+        age = ViewAge()
+        age.confirm(time.monotonic() - 2.1)
+        assert not age.is_current
+
     def test_the_age_counts_from_the_last_confirmation(self):
         """Guards against a late confirmation of an earlier time that hides an age."""
         age = ViewAge()
--- a/kingcuphead/forwarding/_dependencies.py
+++ b/kingcuphead/forwarding/_dependencies.py
@@ -46,3 +46,5 @@
     admission: AdmissionGate | None = None
     #: Decides on second attempts beside running ones; None for no such attempts.
     hedging: HedgingPolicy | None = None
+    #: Whether the configuration in force is known to be the newest one.
+    is_configuration_current: Callable[[], bool] = lambda: True
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -40,7 +40,8 @@
 from kingcuphead.timing import get_time
 from kingcuphead.verdict import Execution, Reason
 
-#: Seconds after which a caller may retry at a daemon that has no configuration yet.
+#: Seconds after which a caller may retry at a daemon that has no configuration yet, or
+#: that may lack the newest one.
 CONFIGURATION_RETRY_AFTER = 0.5
 #: Seconds after which a caller may resume a stream of unknown origin again, in case
 #: the daemon that knows it can be reached then.
@@ -220,10 +221,10 @@
             )
         route = table.find_route(request.host, request.path)
         if route is None:
-            return Error(refuse(404, Reason.SERVICE_NOT_FOUND))
+            return Error(self._refuse_unknown(404, Reason.SERVICE_NOT_FOUND))
         organisation = table.find_organisation(request.key)
         if organisation is None and not route.is_anonymous:
-            return Error(refuse(401, Reason.UNAUTHENTICATED))
+            return Error(self._refuse_unknown(401, Reason.UNAUTHENTICATED))
         timeout = route.timeout
         if request.timeout is not None:
             timeout = min(timeout, request.timeout)
@@ -243,6 +244,15 @@
             self._dependencies.hedging.count_request(service, get_time())
         return Ok(context)
 
+    def _refuse_unknown(self, status: int, reason: Reason) -> Refusal:
+        """Refuse a route or a key that the configuration in force doesn't have.
+
+        A later version may have it, so the refusal is final only if there is none.
+        """
+        if self._dependencies.is_configuration_current():
+            return refuse(status, reason)
+        return refuse(503, Reason.CONFIGURATION_STALE, CONFIGURATION_RETRY_AFTER)
+
     async def _find_origin(self, context: RequestContext) -> bool:
         """Bind a stream that a caller resumes to the version that began it.
 
--- a/kingcuphead/forwarding/tests/test_forwarder.py
+++ b/kingcuphead/forwarding/tests/test_forwarder.py
@@ -86,6 +86,25 @@
 
         run([make_route(IDEMPOTENT)], scenario)
 
+    @pytest.mark.parametrize(
+        "changes",
+        [{"host": "other"}, {"uri": "/nowhere/x"}, {"key": "new"}, {"key": ""}],
+    )
+    def test_what_a_later_version_may_have_is_not_refused_for_good(self, changes):
+        """Guards against 404 and 401 for routes and keys that were just added."""
+
+        async def scenario(harness):
+            forwarder = harness.forwarder
+            forwarder._dependencies = dataclasses.replace(
+                forwarder._dependencies, is_configuration_current=lambda: False
+            )
+            _, refusal = await harness.serve(make_request(IDEMPOTENT, **changes))
+            assert (refusal.status, refusal.reason) == (503, Reason.CONFIGURATION_STALE)
+            assert refusal.retry_after
+            assert not harness.first.received
+
+        run([make_route(IDEMPOTENT)], scenario)
+
     def test_without_a_configuration_the_refusal_advises_a_retry(self):
         async def scenario(harness):
             harness.forwarder._table = None
