--- a/kingcuphead/api/_refusal.py
+++ b/kingcuphead/api/_refusal.py
@@ -38,7 +38,6 @@
     Reason.PLATFORM_UNAVAILABLE: 503,
     Reason.SHUTTING_DOWN: 503,
     Reason.MEMORY_FULL: 503,
-    Reason.OVERLOADED: 503,
     Reason.STREAM_UNKNOWN: 503,
 }
 
--- a/kingcuphead/capacity/__init__.py
+++ b/kingcuphead/capacity/__init__.py
@@ -3,7 +3,6 @@
 from kingcuphead.capacity._busy_time import TimedSelector
 from kingcuphead.capacity._connections import CallerConnection, CallerConnections
 from kingcuphead.capacity._exchange import CapacityExchange, CapacityFigures
-from kingcuphead.capacity._intake import CallerIntake
 from kingcuphead.capacity._messages import CapacityReported, Readiness
 from kingcuphead.capacity._meter import OwnLoad
 from kingcuphead.capacity._traffic import (
@@ -18,7 +17,6 @@
     "MESSAGE_OVERHEAD_BYTES",
     "CallerConnection",
     "CallerConnections",
-    "CallerIntake",
     "CapacityExchange",
     "CapacityFigures",
     "CapacityReported",
--- a/kingcuphead/capacity/_busy_time.py
+++ b/kingcuphead/capacity/_busy_time.py
@@ -1,18 +1,14 @@
-"""Selects events for the event loop of this process and measures its turns."""
+"""Measures how long the event loop of this process is busy."""
 
 import selectors
 import time
 
-from kingcuphead.capacity._intake import CallerIntake
-
 #: Seconds after which the longest turns are counted anew.
 TURN_PERIOD = 2.5
 
 
 class TimedSelector(selectors.DefaultSelector):
-    """A selector that bounds callers' work in a turn, and measures the turns.
-
-    Sockets that it leaves out remain ready, so the next selection returns at once.
+    """A selector that counts the time in which the event loop waits for events.
 
     The processor clock of a process doesn't tell how much of its share is left: on a
     platform that limits processes to a share of a core, it may count the time in which
@@ -25,8 +21,6 @@
         self._idle_seconds = 0.0
         self._turn_began_at = self._rotated_at = self._started_at
         self._longest_turns = (0.0, 0.0)
-        #: Decides which sockets of callers are served in a turn.
-        self.intake = CallerIntake()
 
     @property
     def longest_turn(self) -> float:
@@ -39,26 +33,20 @@
     def select(
         self, timeout: float | None = None
     ) -> list[tuple[selectors.SelectorKey, int]]:
-        """Wait for events, as the base class does, and leave some of callers out."""
+        """Wait for events, as the base class does."""
         began_at = time.monotonic()
         self._record_turn(began_at)
         try:
-            events = super().select(timeout)
+            return super().select(timeout)
         finally:
             self._turn_began_at = time.monotonic()
             self._idle_seconds += self._turn_began_at - began_at
-        ready = [key.fd for key, _ in events]
-        postponed = self.intake.find_postponed(ready, self._turn_began_at)
-        if not postponed:
-            return events
-        return [(key, mask) for key, mask in events if key.fd not in postponed]
 
     def get_busy_seconds(self) -> float:
         """Return the seconds since the start in which callbacks have run."""
         return time.monotonic() - self._started_at - self._idle_seconds
 
     def _record_turn(self, ended_at: float) -> None:
-        self.intake.record_turn(ended_at - self._turn_began_at)
         current, previous = self._longest_turns
         if ended_at - self._rotated_at >= TURN_PERIOD:
             self._rotated_at = ended_at
--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
-import time
 from collections.abc import Callable
 from typing import cast
 
@@ -19,15 +17,13 @@
     RequestStartLine,
     ResponseStartLine,
 )
-from tornado.iostream import IOStream, StreamClosedError
-from tornado.netutil import bind_sockets
+from tornado.iostream import StreamClosedError
 
 from kingcuphead.admission import SHUTDOWN_RETRY_AFTER
 from kingcuphead.capacity import (
     MESSAGE_OVERHEAD_BYTES,
     CallerConnection,
     CallerConnections,
-    CallerIntake,
 )
 from kingcuphead.entry._http_caller import HttpCaller
 from kingcuphead.forwarding import (
@@ -38,7 +34,7 @@
     RequestMemory,
     refuse,
 )
-from kingcuphead.platform import decode_request, get_request_id, make_refusal_headers
+from kingcuphead.platform import decode_request, make_refusal_headers
 from kingcuphead.routing import CallerLimits
 from kingcuphead.verdict import Reason
 
@@ -46,32 +42,6 @@
 IDLE_SLACK = 2.0
 #: Seconds after which a caller may retry a request that was refused for want of memory.
 MEMORY_RETRY_AFTER = 0.3
-#: Seconds after which a caller may retry a request that was refused as this daemon is
-#: behind. The retry mostly reaches another daemon, so it need not wait.
-OVERLOAD_RETRY_AFTER = 0.05
-
-
-class _CallerStream(IOStream):
-    """The stream of a caller's connection, which the event loop serves in its turn."""
-
-    def __init__(self, connection: socket.socket, intake: CallerIntake) -> None:
-        super().__init__(connection)
-        self._intake = intake
-        intake.add(connection.fileno())
-
-    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
-        """Read bytes, unless the socket has to wait for a later turn.
-
-        Tornado tries to read at once after each answer, without an event.
-        """
-        if not self._intake.may_read(self.socket.fileno()):
-            return None
-        return super().read_from_fd(buf)
-
-    def close_fd(self) -> None:
-        """Close the socket."""
-        self._intake.remove(self.socket.fileno())
-        super().close_fd()
 
 
 class _ConnectionServer(HTTPServer):
@@ -95,8 +65,6 @@
         Counts the bytes held for requests.
     connections
         Counts the bytes of each open connection.
-    report_overload
-        Called with each request that is refused as this daemon is behind.
     """
 
     def __init__(
@@ -104,19 +72,14 @@
         forwarder: RequestForwarder,
         memory: RequestMemory,
         connections: CallerConnections,
-        report_overload: Callable[[], None] = lambda: None,
     ) -> None:
         self._forwarder = forwarder
-        self._report_overload = report_overload
         self._memory = memory
         self._connections = connections
         self._limits = CallerLimits()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closing = False
         self._server = _ConnectionServer(self)
-        self._listeners: list[socket.socket] = []
-        #: Bounds what one turn of the event loop takes in.
-        self.intake = CallerIntake()
 
     @property
     def open_requests(self) -> int:
@@ -125,11 +88,7 @@
 
     def listen(self, host: str, port: int) -> None:
         """Bind the port and accept connections."""
-        for listener in bind_sockets(port, host, backlog=1024):
-            self.intake.add(listener.fileno())
-            loop = asyncio.get_running_loop()
-            loop.add_reader(listener.fileno(), self._accept, listener)
-            self._listeners.append(listener)
+        self._server.listen(port, host, backlog=1024)
 
     def apply_limits(self, limits: CallerLimits) -> None:
         """Apply the limits of a new configuration version to connections."""
@@ -146,11 +105,7 @@
     def stop_listening(self) -> None:
         """Close the port and refuse new requests on connections that are still open."""
         self._is_closing = True
-        for listener in self._listeners:
-            asyncio.get_running_loop().remove_reader(listener.fileno())
-            self.intake.remove(listener.fileno())
-            listener.close()
-        self._listeners.clear()
+        self._server.stop()
 
     async def close(self) -> None:
         """Cancel all requests and close all connections."""
@@ -158,16 +113,6 @@
             task.cancel()
         await self._server.close_all_connections()
 
-    def _accept(self, listener: socket.socket) -> None:
-        """Accept some connections; Tornado would accept up to 128 in one turn."""
-        for _ in range(self.intake.max_served):
-            try:
-                connection, address = listener.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return
-            stream = _CallerStream(connection, self.intake)
-            self._server.handle_stream(stream, address)
-
     def start_request(
         self, server_conn: object, request_conn: HTTPConnection
     ) -> HTTPMessageDelegate:
@@ -190,27 +135,12 @@
         start_line: RequestStartLine,
         headers: HTTPHeaders,
         body: bytes,
-    ) -> asyncio.Task[None] | None:
-        """Start serving a request; refuse it at once while others wait to be read."""
-        if not self.intake.admit(time.monotonic()):
-            self._refuse_overload(caller, headers)
-            return None
+    ) -> asyncio.Task[None]:
         task = asyncio.create_task(self._serve(caller, start_line, headers, body))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
         return task
 
-    def _refuse_overload(self, caller: HttpCaller, headers: HTTPHeaders) -> None:
-        """Refuse a request with as little work as possible."""
-        self._report_overload()
-        refusal = refuse(503, Reason.OVERLOADED, OVERLOAD_RETRY_AFTER)
-        try:
-            _send_refusal(caller, get_request_id(headers), refusal)
-        except StreamClosedError:
-            caller.abort()
-        finally:
-            caller.reservation.close()
-
     async def _serve(
         self,
         caller: HttpCaller,
@@ -262,8 +192,7 @@
         reservation: MemoryReservation,
         traffic: CallerConnection,
         start_task: Callable[
-            [HttpCaller, RequestStartLine, HTTPHeaders, bytes],
-            asyncio.Task[None] | None,
+            [HttpCaller, RequestStartLine, HTTPHeaders, bytes], asyncio.Task[None]
         ],
     ) -> None:
         self._connection = connection
@@ -300,8 +229,7 @@
         self._chunks.clear()
         caller = HttpCaller(self._connection, self._reservation, self._traffic)
         task = self._start_task(caller, self._start_line, self._headers, body)
-        if task is not None:
-            self._connection.set_close_callback(lambda: _cancel(task))
+        self._connection.set_close_callback(lambda: _cancel(task))
 
     def on_connection_close(self) -> None:
         """Discard an incomplete request."""
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -179,7 +179,6 @@
             self._forwarder,
             make_request_memory(self._profile, self._metrics),
             self._links.capacity.connections,
-            self._metrics.record_overload,
         )
 
     def _connect_components(self) -> None:
@@ -201,7 +200,6 @@
         """Measure the load of the processor by the event loop's use of its selector."""
         self._selector = selector
         self._links.capacity.read_busy_seconds = selector.get_busy_seconds
-        self._callers.intake = selector.intake
         self._metrics.observe_loop(selector)
 
     def _describe_load(self) -> dict[str, float]:
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -24,7 +24,6 @@
 from kingcuphead.entry._resource_metrics import (
     LoadMetrics,
     MemoryMetrics,
-    OverloadMetrics,
     add_loop_gauge,
     add_poll_gauges,
     add_target_gauges,
@@ -56,7 +55,6 @@
         self._requests = RequestMetrics(self._registry, self._choose_label)
         self._memory = MemoryMetrics(self._registry)
         self._load = LoadMetrics(self._registry)
-        self._overload = OverloadMetrics(self._registry)
         self._cold_denials = Counter(
             "kingcuphead_cold_denials",
             "Permits denied because the target is or may be cold, by service.",
@@ -115,10 +113,6 @@
         """Expose the bytes that are held for requests."""
         self._memory.watch(get_bytes)
 
-    def record_overload(self) -> None:
-        """Record a request that was refused as this daemon is behind."""
-        self._overload.record()
-
     def record_memory_end(self) -> None:
         """Record a request that was ended because the memory was full."""
         self._memory.record_end()
--- a/kingcuphead/entry/_resource_metrics.py
+++ b/kingcuphead/entry/_resource_metrics.py
@@ -1,11 +1,8 @@
 """Prometheus metrics of a daemon's memory, its load and its view of the targets."""
 
 import functools
-import time
 from collections.abc import Callable, Mapping
 
-from loguru import logger
-
 from kingcuphead.capacity import (
     CapacityFigures,
     LinkTraffic,
@@ -18,9 +15,6 @@
 from kingcuphead.entry._view_age import ViewAge
 from kingcuphead.targets import TargetDirectory
 
-#: Minimum seconds between two lines about refused requests.
-OVERLOAD_LINE_INTERVAL = 1.0
-
 
 class MemoryMetrics:
     """Shows the bytes held for requests, and counts those ended for want of memory.
@@ -94,38 +88,6 @@
         )
 
 
-class OverloadMetrics:
-    """Counts and logs requests that are refused as this daemon is behind.
-
-    A line for each would cost more than the refusal.
-
-    Parameters
-    ----------
-    registry
-        Receives the metrics.
-    """
-
-    def __init__(self, registry: Registry) -> None:
-        self._refusals = Counter(
-            "kingcuphead_overload_refusals",
-            "Requests refused because this daemon was behind with those before.",
-            registry=registry,
-        )
-        self._unlogged = 0
-        self._logged_at = float("-inf")
-
-    def record(self) -> None:
-        """Record one request."""
-        self._refusals.inc()
-        self._unlogged += 1
-        now = time.monotonic()
-        if now - self._logged_at >= OVERLOAD_LINE_INTERVAL:
-            logger.bind(requests=self._unlogged).warning(
-                "requests are refused: this daemon is behind"
-            )
-            self._logged_at, self._unlogged = now, 0
-
-
 def add_target_gauges(registry: Registry, directory: TargetDirectory) -> None:
     """Add gauges that read the directory of targets whenever they are scraped.
 
--- a/kingcuphead/platform/__init__.py
+++ b/kingcuphead/platform/__init__.py
@@ -9,7 +9,6 @@
 from kingcuphead.platform._headers import (
     PlatformHeaders,
     decode_request,
-    get_request_id,
     make_refusal_headers,
 )
 from kingcuphead.platform._profile import (
@@ -64,7 +63,6 @@
     "decode_configuration",
     "decode_evacuated_zone",
     "decode_request",
-    "get_request_id",
     "decode_stated_values",
     "decode_target",
     "format_name",
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -105,11 +105,6 @@
 _NOT_FROM_CALLERS = _HOP_BY_HOP | _FLEET_ONLY
 
 
-def get_request_id(headers: HTTPHeaders) -> str:
-    """Return the id of a caller's request; empty if it has none."""
-    return headers.get(REQUEST_ID, "")
-
-
 def decode_request(
     start_line: RequestStartLine, headers: HTTPHeaders, body: bytes, now: float
 ) -> Result[CallerRequest, str]:
--- a/kingcuphead/verdict/_verdict.py
+++ b/kingcuphead/verdict/_verdict.py
@@ -49,7 +49,6 @@
     BILL_UNCERTAIN = "bill_uncertain"
     CALLER_GONE = "caller_gone"
     MEMORY_FULL = "memory_full"
-    OVERLOADED = "overloaded"
 
 
 @frozen
