--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -17,7 +17,7 @@
 
 #: Seconds after which the store replies to a long poll although nothing has changed.
 LONG_POLL_TIMEOUT = 1.0
-#: Seconds after the end of a long poll at which its reply is overdue.
+#: Seconds after the end of a long poll at which a reply that hasn't begun is overdue.
 OVERDUE_MARGIN = 0.25
 
 #: Reply to a poll.
@@ -197,24 +197,31 @@
                 await self._record_failure(fault, started_at)
 
     async def _follow(self, version: int, wait: float) -> _Reply:
-        """Poll; repeat the poll on another connection if the reply is overdue.
+        """Poll; repeat the poll on another connection if no reply begins in time.
 
-        If the connection is broken, only its time-out would tell.
+        If the connection is broken, only its time-out would tell. A reply that arrives
+        slowly would be slowed down further by another one.
         """
         if not self._policy.repeats_overdue:
             return await self._store.follow_table(self._table, version, wait)
-        poll = self._start_poll(version, wait)
+        begun = asyncio.Event()
+        poll = self._start_poll(version, wait, begun.set)
         try:
             await asyncio.wait((poll,), timeout=wait + OVERDUE_MARGIN)
-            if poll.done():
-                return poll.result()
+            if poll.done() or begun.is_set():
+                return await poll
             return await self._await_either(poll, self._start_poll(version, 0.0))
         finally:
             poll.cancel()
 
-    def _start_poll(self, version: int, wait: float) -> asyncio.Task[_Reply]:
+    def _start_poll(
+        self,
+        version: int,
+        wait: float,
+        report_begin: Callable[[], None] = lambda: None,
+    ) -> asyncio.Task[_Reply]:
         return asyncio.ensure_future(
-            self._store.follow_table(self._table, version, wait)
+            self._store.follow_table(self._table, version, wait, report_begin)
         )
 
     async def _await_either(
--- a/kingcuphead/entry/tests/test_poll_pacing.py
+++ b/kingcuphead/entry/tests/test_poll_pacing.py
@@ -85,7 +85,7 @@
         self.bytes += size
         return Ok(RowSnapshot(rows, newest, 0, size))
 
-    async def follow_table(self, table, version, wait):
+    async def follow_table(self, table, version, wait, report_begin=None):
         self._count()
         if self._get_newest() == version:
             due = self.times[version] if version < len(self.times) else float("inf")
--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -53,7 +53,7 @@
         await asyncio.sleep(self.delay)
         return Ok(RowSnapshot((Row("config", self.get_newest(), b""),), 9))
 
-    async def follow_table(self, table, version, wait):
+    async def follow_table(self, table, version, wait, report_begin=None):
         self.polls += 1
         if self.polls == 1:
             self.written_at = get_time() + 0.01
@@ -113,7 +113,7 @@
         self.reads[table] += 1
         return Ok(RowSnapshot((Row("config", self.get_newest(), b""),), 1))
 
-    async def follow_table(self, table, version, wait):
+    async def follow_table(self, table, version, wait, report_begin=None):
         await asyncio.sleep(0.004)
         if self.is_refused():
             return Error(REFUSED)
@@ -241,7 +241,7 @@
         self.read_at[table].append(get_time())
         return Error(REFUSED) if table == "servers" else Ok(RowSnapshot((), 1))
 
-    async def follow_table(self, table, version, wait):
+    async def follow_table(self, table, version, wait, report_begin=None):
         await asyncio.sleep(wait)
         return Ok(Changes((), version))
 
--- a/kingcuphead/entry/tests/test_table_listeners.py
+++ b/kingcuphead/entry/tests/test_table_listeners.py
@@ -151,7 +151,7 @@
         self.calls.append("read")
         return self._pop_reply()
 
-    async def follow_table(self, table, version, wait):
+    async def follow_table(self, table, version, wait, report_begin=None):
         self.calls.append(version)
         return self._pop_reply()
 
--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -50,7 +50,7 @@
 TARGETS_TABLE = "servers"
 #: Appended to a prefix, sorts after every key with that prefix.
 _AFTER_ALL_KEYS = "\x7f"
-#: Seconds beyond the wait of a long poll before the call times out.
+#: Seconds beyond the wait of a long poll until its reply must have begun.
 POLL_TIMEOUT_MARGIN = 1.0
 #: Request timeout of all other calls, in seconds.
 CALL_TIMEOUT = 2.0
@@ -129,7 +129,11 @@
         return self._clock.estimate_time()
 
     async def follow_table(
-        self, table: str, version: int, wait: float
+        self,
+        table: str,
+        version: int,
+        wait: float,
+        report_begin: Callable[[], None] = lambda: None,
     ) -> Result[Changes | HistoryLost, PlatformFault]:
         """Long-poll the changes of a table after a version.
 
@@ -141,13 +145,16 @@
             Last version that the caller has received.
         wait
             Maximum time in seconds to wait for a change.
+        report_begin
+            Called when the reply begins to arrive.
         """
         query = {
             "table": table,
             "start_after": str(version),
             "wait_ms": str(int(wait * 1000)),
         }
-        reply = await self._poll(table, query, wait + POLL_TIMEOUT_MARGIN)
+        timeout = wait + POLL_TIMEOUT_MARGIN
+        reply = await self._poll(table, query, timeout, report_begin)
         if not isinstance(reply, Replied):
             return Error(decode_page("follow", reply).error)
         if reply.status == GONE:
@@ -215,7 +222,11 @@
         return reply
 
     async def _poll(
-        self, table: str, query: Mapping[str, str], timeout: float
+        self,
+        table: str,
+        query: Mapping[str, str],
+        timeout: float,
+        report_begin: Callable[[], None],
     ) -> Exchange:
         """Send a long poll on the connection that the last one of the table left."""
         connection = self._idle_polls.pop(table, None)
@@ -223,7 +234,7 @@
             connection = KeptConnection(_make_settings(self._address))
         address = self._address
         sent_at = time.monotonic()
-        reply = await connection.get("/api/rows-feed", query, timeout)
+        reply = await connection.get("/api/rows-feed", query, timeout, report_begin)
         if address == self._address and table not in self._idle_polls:
             self._idle_polls[table] = connection
         else:
--- a/kingcuphead/storage/_kept_connection.py
+++ b/kingcuphead/storage/_kept_connection.py
@@ -4,7 +4,7 @@
 import contextlib
 import socket
 import urllib.parse
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
 from tornado.httputil import (
@@ -24,7 +24,13 @@
     Replied,
 )
 from kingcuphead.storage.wire import REFUSED_STATUS
+from kingcuphead.timing import get_time
 
+#: Seconds without a byte after which a reply that has begun counts as lost. A slow link
+#: delays a reply, and reading it again would take as long.
+SILENCE_TIMEOUT = 1.0
+#: Seconds that a reply may take in all from its begin.
+MAX_REPLY_SECONDS = 10.0
 #: HTTP version whose connections stay open unless a reply says otherwise.
 KEPT_VERSION = "HTTP/1.1"
 
@@ -56,7 +62,11 @@
         self._stream: IOStream | None = None
 
     async def get(
-        self, path: str, query: Mapping[str, str], timeout: float
+        self,
+        path: str,
+        query: Mapping[str, str],
+        timeout: float,
+        report_begin: Callable[[], None] = lambda: None,
     ) -> Replied | NotSent:
         """Send a GET request and wait for the reply; never raises for a fault.
 
@@ -67,13 +77,16 @@
         query
             Query parameters.
         timeout
-            Seconds until the whole reply must have arrived.
+            Seconds until the reply must have begun to arrive.
+        report_begin
+            Called when it has.
         """
         target = f"{urllib.parse.quote(path)}?{urllib.parse.urlencode(query)}"
         collector = None
         try:
-            async with asyncio.timeout(timeout):
-                collector = await self._exchange(target)
+            async with asyncio.timeout(timeout) as scope:
+                progress = _ReplyProgress(scope, report_begin)
+                collector = await self._exchange(target, progress)
         # A read has no effect, whatever it fails of.
         except Exception as error:
             return NotSent(f"{type(error).__name__}: {error}")
@@ -90,15 +103,17 @@
             self._stream.close()
             self._stream = None
 
-    async def _exchange(self, target: str) -> "_ReplyCollector":
+    async def _exchange(
+        self, target: str, progress: "_ReplyProgress"
+    ) -> "_ReplyCollector":
         if self._stream is not None and _has_unread_bytes(self._stream):
             self.close()
         if self._stream is not None:
             # The platform may have closed the connection after the last reply.
             with contextlib.suppress(StreamClosedError):
-                return await self._send(self._stream, target)
+                return await self._send(self._stream, target, progress)
         self._stream = await self._connect()
-        return await self._send(self._stream, target)
+        return await self._send(self._stream, target, progress)
 
     async def _connect(self) -> IOStream:
         client = TCPClient(resolver=LiteralResolver())
@@ -109,9 +124,11 @@
         stream.set_nodelay(True)
         return stream
 
-    async def _send(self, stream: IOStream, target: str) -> "_ReplyCollector":
+    async def _send(
+        self, stream: IOStream, target: str, progress: "_ReplyProgress"
+    ) -> "_ReplyCollector":
         connection = HTTP1Connection(stream, True, self._parameters)
-        collector = _ReplyCollector()
+        collector = _ReplyCollector(progress)
         start_line = RequestStartLine("GET", target, KEPT_VERSION)
         # A failure to write shows in the read.
         written = connection.write_headers(start_line, HTTPHeaders(self._headers))
@@ -136,10 +153,42 @@
         return False
 
 
+class _ReplyProgress:
+    """Extends the timeout of a read while its reply arrives.
+
+    Parameters
+    ----------
+    scope
+        The timeout of the read.
+    report_begin
+        Called when the reply begins.
+    """
+
+    def __init__(
+        self, scope: asyncio.Timeout, report_begin: Callable[[], None]
+    ) -> None:
+        self._scope = scope
+        self._report_begin = report_begin
+        self._ends_at = 0.0
+
+    def begin(self) -> None:
+        """Record the head of the reply."""
+        self._ends_at = get_time() + MAX_REPLY_SECONDS
+        self.extend()
+        self._report_begin()
+
+    def extend(self) -> None:
+        """Record a part of the reply."""
+        if not self._scope.expired():
+            silent_at = get_time() + SILENCE_TIMEOUT
+            self._scope.reschedule(min(silent_at, self._ends_at))
+
+
 class _ReplyCollector(HTTPMessageDelegate):
     """Collects the status, the headers and the body of one reply."""
 
-    def __init__(self) -> None:
+    def __init__(self, progress: "_ReplyProgress") -> None:
+        self._progress = progress
         self.status = 0
         self.headers = HTTPHeaders()
         self.body = bytearray()
@@ -151,12 +200,14 @@
     ) -> None:
         if not isinstance(start_line, ResponseStartLine):
             return
+        self._progress.begin()
         self.status, self.headers = start_line.code, headers
         token = headers.get("Connection", "").lower()
         self.keeps_connection = start_line.version == KEPT_VERSION and token != "close"
 
     def data_received(self, chunk: bytes) -> None:
         self.body += chunk
+        self._progress.extend()
 
     def finish(self) -> None:
         self.is_complete = True
--- a/kingcuphead/storage/tests/test_kept_connection.py
+++ b/kingcuphead/storage/tests/test_kept_connection.py
@@ -3,7 +3,7 @@
 
 import pytest
 
-from kingcuphead.storage import KeptConnection, NotSent, PlatformSettings
+from kingcuphead.storage import KeptConnection, NotSent, PlatformSettings, Replied
 
 #: Seconds until a read of these tests must have ended.
 TIMEOUT = 0.5
@@ -59,6 +59,24 @@
             writer.close()
 
 
+class SlowPlatform(RawPlatform):
+    """Sends a reply in five parts, with a pause in seconds before all but the first."""
+
+    def __init__(self, reply, pause):
+        super().__init__(reply)
+        self._pause = pause
+
+    async def _serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        (reply,) = self._replies
+        head = len(reply) - 40
+        writer.write(reply[:head])
+        for start in range(head, len(reply), 10):
+            await asyncio.sleep(self._pause)
+            writer.write(reply[start : start + 10])
+            await writer.drain()
+
+
 def make_reply(body, *headers, version="1.1", status="200 OK"):
     lines = [f"HTTP/{version} {status}", f"Content-Length: {len(body)}", *headers]
     return "\r\n".join([*lines, "", ""]).encode() + body
@@ -158,6 +176,19 @@
         assert second.body == b"new"
         assert connections == 2
 
+    @pytest.mark.parametrize(
+        ("pause", "is_read"), [(TIMEOUT / 2, True), (3 * TIMEOUT, False)]
+    )
+    def test_only_a_reply_that_stops_is_given_up(self, pause, is_read):
+        """Guards against slow replies that are thrown away and begun again."""
+
+        async def run():
+            async with SlowPlatform(make_reply(b"x" * 40), pause) as platform:
+                return await platform.read()
+
+        reply = asyncio.run(run())
+        assert isinstance(reply, Replied) is is_read
+
     def test_a_read_that_is_cancelled_leaves_no_connection(self):
         async def run():
             async with RawPlatform(b"", make_reply(b"new")) as platform:
