--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -19,18 +19,18 @@
     make_retries,
 )
 from kingcuphead.entry._caller_server import CallerServer
-from kingcuphead.entry._configuration_watch import ConfigurationWatch
 from kingcuphead.entry._evacuation_exchange import EvacuationExchange
 from kingcuphead.entry._fleet_links import FleetLinks
 from kingcuphead.entry._metrics import DaemonMetrics, serve_metrics
-from kingcuphead.entry._poll_pacing import PollPacing, bound_configuration_polls
 from kingcuphead.entry._readiness import serve_readiness
 from kingcuphead.entry._settings import DEFAULT_SETTINGS, EntrySettings
 from kingcuphead.entry._store_watches import StoreWatches
 from kingcuphead.entry._table_listeners import (
+    ConfigurationListener,
     EvacuationListener,
     TargetListener,
 )
+from kingcuphead.entry._table_watch import ListenerGroup
 from kingcuphead.entry._view_age import ViewAge
 from kingcuphead.forwarding import (
     AttemptRunner,
@@ -43,14 +43,12 @@
 from kingcuphead.loads import PeerLoads
 from kingcuphead.paths import Connector, TunnelServer
 from kingcuphead.platform import (
-    CONFIGURATION_TABLE,
-    TARGETS_TABLE,
     PlatformHeaders,
     Profile,
     Store,
     read_profile,
 )
-from kingcuphead.routing import RoutingTable
+from kingcuphead.routing import RoutingConfiguration, RoutingTable
 from kingcuphead.targets import (
     ColdStart,
     DirectoryChange,
@@ -134,10 +132,6 @@
         self._evacuations = EvacuationListener(
             self._directory, self._handle_zone_change
         )
-        self._configuration_pacing = PollPacing(
-            lambda: bound_configuration_polls(self._profile)
-        )
-        self._configuration_watch = self._make_configuration_watch()
         self._evacuation_exchange = EvacuationExchange(
             self._evacuations, self._links.ask_zones
         )
@@ -161,17 +155,6 @@
         )
         return connector, tunnels
 
-    def _make_configuration_watch(self) -> ConfigurationWatch:
-        return ConfigurationWatch(
-            f"{self._profile.store.host}:{self._profile.store.port}",
-            self._evacuations,
-            self._apply_routes,
-            self._apply_configuration,
-            self._directory.record_store_failure,
-            self._configuration_pacing,
-            self._view_age,
-        )
-
     def _make_forwarder(self, rng: random.Random) -> RequestForwarder:
         dependencies = Dependencies(
             directory=self._directory,
@@ -278,17 +261,17 @@
     def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
         watches = StoreWatches(
             self._store,
-            self._configuration_watch,
+            ListenerGroup(
+                # Evacuations are applied first, because the configuration makes this
+                # daemon ready for callers.
+                (self._evacuations, ConfigurationListener(self._apply_configuration))
+            ),
             self._targets,
             self._directory,
             lambda: self._profile,
+            self._view_age,
         )
-        self._metrics.observe_polls(
-            {
-                CONFIGURATION_TABLE: self._configuration_pacing,
-                TARGETS_TABLE: watches.target_pacing,
-            }
-        )
+        self._metrics.observe_polls(watches.pacings)
         self._evacuation_exchange.get_position = watches.get_configuration_position
         return [
             *watches.list_tasks(),
@@ -343,9 +326,7 @@
             return
         self._profile = profile
         logger.info("settings changed")
-        address = f"{profile.store.host}:{profile.store.port}"
-        self._store.change_address(address)
-        self._configuration_watch.change_address(address)
+        self._store.change_address(f"{profile.store.host}:{profile.store.port}")
         retries = profile.retries
         self._retries.apply(retries.ratio, retries.burst, retries.window)
         self._links.apply_profile(profile)
@@ -365,15 +346,8 @@
         target = self._directory.find_usable(address)
         return target is not None and bool(self._links.permits.select_open([target]))
 
-    def _apply_routes(self, table: RoutingTable) -> None:
-        """Put routes and keys in force; called in the thread that follows the table."""
-        # A daemon that has no configuration yet waits for all of it.
-        if self._has_configuration:
-            self._forwarder.apply(table)
-
-    def _apply_configuration(self, table: RoutingTable) -> None:
-        self._forwarder.apply(table)
-        configuration = table.configuration
+    def _apply_configuration(self, configuration: RoutingConfiguration) -> None:
+        self._forwarder.apply(RoutingTable(configuration))
         self._directory.apply_cold_starts(
             {
                 service.name: ColdStart(service.cold_period, service.cold_limit)
--- a/kingcuphead/entry/_store_watches.py
+++ b/kingcuphead/entry/_store_watches.py
@@ -3,16 +3,18 @@
 import asyncio
 import contextlib
 from collections.abc import Callable, Coroutine
-from typing import Any, Protocol
+from typing import Any
 
 from kingcuphead.entry._poll_pacing import (
     MANY_TARGETS,
     PollPacing,
+    bound_configuration_polls,
     bound_target_polls,
 )
 from kingcuphead.entry._table_watch import Position, TableListener, TableWatch
+from kingcuphead.entry._view_age import ViewAge
 from kingcuphead.entry._watch_policy import WatchPolicy
-from kingcuphead.platform import TARGETS_TABLE, Profile, Store
+from kingcuphead.platform import CONFIGURATION_TABLE, TARGETS_TABLE, Profile, Store
 from kingcuphead.targets import TargetDirectory
 
 #: Maximum seconds after the configuration was read for which a daemon waits for the
@@ -29,19 +31,6 @@
 )
 
 
-class TableFollower(Protocol):
-    """Follows a table until cancelled."""
-
-    #: Set once the table has been read.
-    has_read: asyncio.Event
-    #: Last position that was read.
-    last_position: Position | None
-
-    async def run(self) -> None:
-        """Follow the table until cancelled."""
-        ...
-
-
 class StoreWatches:
     """Follows the tables of the configuration and of the targets.
 
@@ -50,34 +39,50 @@
     store
         The platform's store.
     configuration
-        Follows the configuration's table.
+        Receives the configuration's table.
     targets
         Receives the entries of targets.
     directory
         The targets that are known; it records failed calls.
     get_profile
         Returns the current settings of the process.
+    view_age
+        Records when the configuration in force was confirmed.
     """
 
     def __init__(
         self,
         store: Store,
-        configuration: TableFollower,
+        configuration: TableListener,
         targets: TableListener,
         directory: TargetDirectory,
         get_profile: Callable[[], Profile],
+        view_age: ViewAge,
     ) -> None:
-        #: Delays of polls of the targets.
-        self.target_pacing = PollPacing(
-            lambda: bound_target_polls(get_profile(), directory.count)
+        #: Delays of polls by table.
+        self.pacings = {
+            CONFIGURATION_TABLE: PollPacing(
+                lambda: bound_configuration_polls(get_profile())
+            ),
+            TARGETS_TABLE: PollPacing(
+                lambda: bound_target_polls(get_profile(), directory.count)
+            ),
+        }
+        self._configuration = TableWatch(
+            store,
+            CONFIGURATION_TABLE,
+            configuration,
+            directory.record_store_failure,
+            self.pacings[CONFIGURATION_TABLE],
+            CONFIGURATION_POLICY,
+            view_age.confirm,
         )
-        self._configuration = configuration
         self._targets = TableWatch(
             store,
             TARGETS_TABLE,
             targets,
             directory.record_store_failure,
-            self.target_pacing,
+            self.pacings[TARGETS_TABLE],
             WatchPolicy(
                 # Reading thousands of rows again takes several calls, which a store
                 # that refuses calls would refuse, too.
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -95,8 +95,6 @@
     confirm
         Called after each read with a time at which the table had no later change than
         those that were passed on.
-    report_read
-        Called after each read with its position.
     """
 
     def __init__(
@@ -108,7 +106,6 @@
         pacing: PollPacing | None = None,
         policy: WatchPolicy = WatchPolicy(),  # noqa: B008
         confirm: Callable[[float], None] = lambda confirmed_at: None,
-        report_read: Callable[[Position], None] = lambda position: None,
     ) -> None:
         self._store = store
         self._table = table
@@ -117,7 +114,6 @@
         self._pacing = PollPacing() if pacing is None else pacing
         self._policy = policy
         self._confirm = confirm
-        self._report_read = report_read
         self._retry_delays = RetryDelays(policy, random.Random())
         #: Whether the next call reads the rows although the position is known.
         self._reads_rows = False
@@ -264,8 +260,6 @@
     def _record_success(self) -> None:
         self.last_position = self._position
         self.has_read.set()
-        if self._position is not None:
-            self._report_read(self._position)
         if self._retry_delays.is_failing:
             self._retry_delays.record_success()
             logger.info("table {} is followed again", self._table)
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import threading
 from collections.abc import Callable
 
 from expression import Error, Ok, Result
@@ -83,7 +82,6 @@
         self._rng = rng
         self._record_end = record_end
         self._table: RoutingTable | None = None
-        self._table_lock = threading.Lock()
         self._charging = Charging(dependencies.credit)
         self._retries = RetryDecision(dependencies.directory, dependencies.retries)
         self._targets = TargetChoice(
@@ -96,17 +94,8 @@
         self._open_requests = OpenRequests()
 
     def apply(self, table: RoutingTable) -> None:
-        """Replace the configuration for requests that are read from now on.
-
-        May be called in any thread; an earlier version than the current one is ignored.
-        """
-        with self._table_lock:
-            current = self._table
-            if (
-                current is None
-                or table.configuration.version >= current.configuration.version
-            ):
-                self._table = table
+        """Replace the configuration for requests that arrive from now on."""
+        self._table = table
 
     def finish_by(self, last_start_at: float, end_at: float) -> None:
         """End all requests with a final answer before the process ends.
