--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -14,6 +14,7 @@
 from kingcuphead.frozen import frozen
 from kingcuphead.platform import Change, Changes, HistoryLost, Store
 from kingcuphead.storage import PlatformFault, Row, RowSnapshot
+from kingcuphead.timing import wait_turns
 
 #: Seconds after which the store replies to a long poll although nothing has changed.
 LONG_POLL_TIMEOUT = 1.0
@@ -204,7 +205,7 @@
         poll = self._start_poll(version, wait, begun.set)
         try:
             await asyncio.wait((poll,), timeout=wait + OVERDUE_MARGIN)
-            if poll.done() or begun.is_set():
+            if await wait_turns(lambda: poll.done() or begun.is_set()):
                 return await poll
             return await self._await_either(poll, self._start_poll(version, 0.0))
         finally:
--- a/kingcuphead/storage/_kept_connection.py
+++ b/kingcuphead/storage/_kept_connection.py
@@ -24,7 +24,7 @@
     Replied,
 )
 from kingcuphead.storage.wire import REFUSED_STATUS
-from kingcuphead.timing import get_time
+from kingcuphead.timing import get_time, wait_turns
 
 #: Seconds without a byte after which a reply that has begun counts as lost. A slow link
 #: delays a reply, and reading it again would take as long.
@@ -83,14 +83,15 @@
         """
         target = f"{urllib.parse.quote(path)}?{urllib.parse.urlencode(query)}"
         collector = None
+        progress = _ReplyProgress(get_time() + timeout, report_begin)
+        exchange = asyncio.ensure_future(self._exchange(target, progress))
         try:
-            async with asyncio.timeout(timeout) as scope:
-                progress = _ReplyProgress(scope, report_begin)
-                collector = await self._exchange(target, progress)
+            collector = await _await_reply(exchange, progress)
         # A read has no effect, whatever it fails of.
         except Exception as error:
             return NotSent(f"{type(error).__name__}: {error}")
         finally:
+            exchange.cancel()
             if collector is None or not collector.keeps_connection:
                 self.close()
         if collector.status == REFUSED_STATUS:
@@ -140,6 +141,28 @@
         return collector
 
 
+async def _await_reply(
+    exchange: "asyncio.Task[_ReplyCollector]", progress: "_ReplyProgress"
+) -> "_ReplyCollector":
+    """Wait for a reply as long as more of it arrives in time.
+
+    Raises
+    ------
+    TimeoutError
+        The platform is silent.
+    """
+    while not exchange.done():
+        deadline = progress.deadline
+        remaining = deadline - get_time()
+        if remaining > 0:
+            await asyncio.wait((exchange,), timeout=remaining)
+        elif not await wait_turns(
+            lambda: exchange.done() or progress.deadline > deadline  # noqa: B023
+        ):
+            raise TimeoutError
+    return exchange.result()
+
+
 def _has_unread_bytes(stream: IOStream) -> bool:
     """Whether bytes follow the last reply; they would be read as the next reply."""
     # Tornado has no public way to find out what it has read ahead.
@@ -154,20 +177,19 @@
 
 
 class _ReplyProgress:
-    """Extends the timeout of a read while its reply arrives.
+    """Extends the deadline of a read while its reply arrives.
 
     Parameters
     ----------
-    scope
-        The timeout of the read.
+    deadline
+        Time at which the reply must have begun.
     report_begin
-        Called when the reply begins.
+        Called when it has.
     """
 
-    def __init__(
-        self, scope: asyncio.Timeout, report_begin: Callable[[], None]
-    ) -> None:
-        self._scope = scope
+    def __init__(self, deadline: float, report_begin: Callable[[], None]) -> None:
+        #: Time at which more of the reply must have arrived.
+        self.deadline = deadline
         self._report_begin = report_begin
         self._ends_at = 0.0
 
@@ -179,9 +201,7 @@
 
     def extend(self) -> None:
         """Record a part of the reply."""
-        if not self._scope.expired():
-            silent_at = get_time() + SILENCE_TIMEOUT
-            self._scope.reschedule(min(silent_at, self._ends_at))
+        self.deadline = min(get_time() + SILENCE_TIMEOUT, self._ends_at)
 
 
 class _ReplyCollector(HTTPMessageDelegate):
--- a/kingcuphead/storage/tests/test_kept_connection.py
+++ b/kingcuphead/storage/tests/test_kept_connection.py
@@ -1,5 +1,6 @@
 import asyncio
 import gzip
+import time
 
 import pytest
 
@@ -189,6 +190,26 @@
         reply = asyncio.run(run())
         assert isinstance(reply, Replied) is is_read
 
+    def test_a_reply_that_a_late_event_loop_has_not_seen_is_read(self):
+        """Guards against a busy daemon that takes the platform for silent."""
+
+        async def keep_busy():
+            while True:
+                time.sleep(TIMEOUT / 2)
+                await asyncio.sleep(0)
+
+        async def run():
+            async with RawPlatform(make_reply(b"new"), make_reply(b"new")) as platform:
+                await platform.read()
+                busy = asyncio.create_task(keep_busy())
+                try:
+                    return await platform.read()
+                finally:
+                    busy.cancel()
+
+        reply = asyncio.run(run())
+        assert isinstance(reply, Replied)
+
     def test_a_read_that_is_cancelled_leaves_no_connection(self):
         async def run():
             async with RawPlatform(b"", make_reply(b"new")) as platform:
