--- a/kingcuphead/capacity/__init__.py
+++ b/kingcuphead/capacity/__init__.py
@@ -9,7 +9,6 @@
     LINK_TRAFFIC,
     MESSAGE_OVERHEAD_BYTES,
     LinkTraffic,
-    TrafficKind,
 )
 
 __all__ = [
@@ -24,5 +23,4 @@
     "OwnLoad",
     "Readiness",
     "TimedSelector",
-    "TrafficKind",
 ]
--- a/kingcuphead/capacity/_connections.py
+++ b/kingcuphead/capacity/_connections.py
@@ -4,7 +4,7 @@
 from collections import Counter
 from collections.abc import Iterator
 
-from kingcuphead.capacity._traffic import LINK_TRAFFIC, TrafficKind
+from kingcuphead.capacity._traffic import LINK_TRAFFIC
 
 #: Seconds after which the counts of connections rotate. A count covers the current
 #: period and the one before.
@@ -38,12 +38,12 @@
     def record_received(self, count: int) -> None:
         """Count bytes of requests."""
         self._bytes += count
-        LINK_TRAFFIC.record_received(TrafficKind.CALLERS, count)
+        LINK_TRAFFIC.callers.record_received(count)
 
     def record_sent(self, count: int) -> None:
         """Count bytes of answers."""
         self._bytes += count
-        LINK_TRAFFIC.record_sent(TrafficKind.CALLERS, count)
+        LINK_TRAFFIC.callers.record_sent(count)
 
     def rotate(self) -> None:
         """Begin a new period."""
--- a/kingcuphead/capacity/_link_log.py
+++ b/kingcuphead/capacity/_link_log.py
@@ -2,7 +2,7 @@
 
 from loguru import logger
 
-from kingcuphead.capacity._traffic import LinkTraffic, TrafficKind
+from kingcuphead.capacity._traffic import LinkTraffic
 
 #: Seconds over which the traffic in a line is counted.
 PERIOD = 1.0
@@ -55,6 +55,7 @@
 
 def _read_totals(traffic: LinkTraffic) -> dict[str, int]:
     """Return the totals by kind and direction."""
-    sent = {f"{kind}_sent": traffic.get_sent(kind) for kind in TrafficKind}
-    received = {f"{kind}_received": traffic.get_received(kind) for kind in TrafficKind}
+    counts = tuple(traffic.list_counts())
+    sent = {f"{name}_sent": count.sent for name, count in counts}
+    received = {f"{name}_received": count.received for name, count in counts}
     return sent | received
--- a/kingcuphead/capacity/_traffic.py
+++ b/kingcuphead/capacity/_traffic.py
@@ -1,56 +1,60 @@
 """Counts of the bytes that this process sends and receives, by kind of traffic."""
 
-import enum
+from collections.abc import Iterator
 
 #: Bytes assumed for the headers of an HTTP message and the packets that carry it.
 MESSAGE_OVERHEAD_BYTES = 500
 
 
-class TrafficKind(enum.StrEnum):
-    """Whom this process exchanges bytes with."""
+class TrafficCount:
+    """Totals of one kind of traffic in both directions."""
 
-    #: Requests of callers and their answers.
-    CALLERS = "callers"
-    #: Requests passed on to targets and their answers.
-    TARGETS = "targets"
-    #: Calls to the platform's store.
-    STORE = "store"
-    #: Datagrams of other daemons.
-    DAEMONS = "daemons"
+    __slots__ = ("received", "sent")
+
+    def __init__(self) -> None:
+        #: Bytes sent.
+        self.sent = 0
+        #: Bytes received.
+        self.received = 0
+
+    def record_sent(self, count: int) -> None:
+        """Add bytes that were sent."""
+        self.sent += count
+
+    def record_received(self, count: int) -> None:
+        """Add bytes that were received."""
+        self.received += count
 
 
 class LinkTraffic:
-    """Totals of bytes in both directions."""
+    """Totals of bytes in both directions, by whom they are exchanged with."""
 
     def __init__(self) -> None:
-        self._sent = dict.fromkeys(TrafficKind, 0)
-        self._received = dict.fromkeys(TrafficKind, 0)
+        #: Requests of callers and their answers.
+        self.callers = TrafficCount()
+        #: Requests passed on to targets and their answers.
+        self.targets = TrafficCount()
+        #: Calls to the platform's store.
+        self.store = TrafficCount()
+        #: Datagrams of other daemons.
+        self.daemons = TrafficCount()
 
     @property
     def sent(self) -> int:
         """Bytes sent, of all kinds."""
-        return sum(self._sent.values())
+        return sum(count.sent for _, count in self.list_counts())
 
     @property
     def received(self) -> int:
         """Bytes received, of all kinds."""
-        return sum(self._received.values())
-
-    def record_sent(self, kind: TrafficKind, count: int) -> None:
-        """Add bytes that were sent."""
-        self._sent[kind] += count
-
-    def record_received(self, kind: TrafficKind, count: int) -> None:
-        """Add bytes that were received."""
-        self._received[kind] += count
-
-    def get_sent(self, kind: TrafficKind) -> int:
-        """Return the bytes of a kind that were sent."""
-        return self._sent[kind]
-
-    def get_received(self, kind: TrafficKind) -> int:
-        """Return the bytes of a kind that were received."""
-        return self._received[kind]
+        return sum(count.received for _, count in self.list_counts())
+
+    def list_counts(self) -> Iterator[tuple[str, TrafficCount]]:
+        """Return the totals by the names of their kinds, for logs and metrics."""
+        yield "callers", self.callers
+        yield "targets", self.targets
+        yield "store", self.store
+        yield "daemons", self.daemons
 
 
 #: Traffic of this process on the link of its instance.
--- a/kingcuphead/capacity/tests/test_exchange.py
+++ b/kingcuphead/capacity/tests/test_exchange.py
@@ -9,7 +9,6 @@
     CapacityFigures,
     CapacityReported,
     Readiness,
-    TrafficKind,
 )
 from kingcuphead.datagrams import decode_datagram, encode_datagram
 
@@ -43,9 +42,7 @@
                     f"o{other}", self._number, "z", 0.1, Readiness.READY
                 )
                 self.exchange._zone_loads.apply_report(report, self.now)
-            LINK_TRAFFIC.record_sent(
-                TrafficKind.CALLERS, round(link_load * LINK_RATE * TICK)
-            )
+            LINK_TRAFFIC.callers.record_sent(round(link_load * LINK_RATE * TICK))
             self.exchange.tick(self.now, 0.0, 0.0)
 
     def shed(self):
--- a/kingcuphead/capacity/tests/test_link_log.py
+++ b/kingcuphead/capacity/tests/test_link_log.py
@@ -1,6 +1,6 @@
 from loguru import logger
 
-from kingcuphead.capacity import LinkTraffic, TrafficKind
+from kingcuphead.capacity import LinkTraffic
 from kingcuphead.capacity._link_log import LinkLog
 
 
@@ -13,8 +13,8 @@
         sink = logger.add(lambda line: lines.append(line.record["extra"]))
         try:
             for second in range(1, 9):
-                traffic.record_received(TrafficKind.STORE, 25_000)
-                traffic.record_sent(TrafficKind.CALLERS, 600_000)
+                traffic.store.record_received(25_000)
+                traffic.callers.record_sent(600_000)
                 log.step(second > 2, float(second))
         finally:
             logger.remove(sink)
--- a/kingcuphead/datagrams/_socket.py
+++ b/kingcuphead/datagrams/_socket.py
@@ -6,7 +6,7 @@
 from loguru import logger
 
 from kingcuphead.addresses import Address
-from kingcuphead.capacity import LINK_TRAFFIC, TrafficKind
+from kingcuphead.capacity import LINK_TRAFFIC
 from kingcuphead.datagrams._codec import (
     Datagram,
     DatagramError,
@@ -52,15 +52,13 @@
             return
         datagram = encode_datagram(message)
         size = len(datagram) + PACKET_OVERHEAD_BYTES
-        LINK_TRAFFIC.record_sent(TrafficKind.DAEMONS, size * len(receivers))
+        LINK_TRAFFIC.daemons.record_sent(size * len(receivers))
         for receiver in receivers:
             transport.sendto(datagram, receiver)
 
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Decode a datagram and pass its message on; log and drop a malformed one."""
-        LINK_TRAFFIC.record_received(
-            TrafficKind.DAEMONS, len(data) + PACKET_OVERHEAD_BYTES
-        )
+        LINK_TRAFFIC.daemons.record_received(len(data) + PACKET_OVERHEAD_BYTES)
         try:
             message = decode_datagram(data)
         except DatagramError as error:
--- a/kingcuphead/entry/_resource_metrics.py
+++ b/kingcuphead/entry/_resource_metrics.py
@@ -8,7 +8,6 @@
     LinkTraffic,
     OwnLoad,
     TimedSelector,
-    TrafficKind,
 )
 from kingcuphead.entry._instruments import Counter, Gauge, Registry
 from kingcuphead.entry._poll_pacing import PollPacing
@@ -160,11 +159,11 @@
         ("kind", "direction"),
         registry=registry,
     )
-    for kind in TrafficKind:
-        sent = functools.partial(traffic.get_sent, kind)
-        total.labels(kind, "sent").set_function(sent)
-        received = functools.partial(traffic.get_received, kind)
-        total.labels(kind, "received").set_function(received)
+    for name, count in traffic.list_counts():
+        sent = functools.partial(getattr, count, "sent")
+        total.labels(name, "sent").set_function(sent)
+        received = functools.partial(getattr, count, "received")
+        total.labels(name, "received").set_function(received)
 
 
 def _get_delay(pacing: PollPacing) -> float:
--- a/kingcuphead/forwarding/_connection.py
+++ b/kingcuphead/forwarding/_connection.py
@@ -9,7 +9,7 @@
 from tornado.iostream import StreamClosedError
 
 from kingcuphead.addresses import Address
-from kingcuphead.capacity import LINK_TRAFFIC, TrafficKind
+from kingcuphead.capacity import LINK_TRAFFIC
 from kingcuphead.decoding import parse_target_address
 from kingcuphead.forwarding._answer_parser import AnswerEnd, AnswerParser, RawHead
 from kingcuphead.forwarding._target_stream import (
@@ -131,7 +131,7 @@
             Answer that becomes available while it is received.
         """
         head = _encode_head(method, uri, headers, body)
-        LINK_TRAFFIC.record_sent(TrafficKind.TARGETS, len(head) + len(body))
+        LINK_TRAFFIC.targets.record_sent(len(head) + len(body))
         self.request_count += 1
         answer = TargetAnswer(self._stream, method)
         if len(body) <= MAX_JOINED_BYTES:
@@ -190,7 +190,7 @@
 
     def receive(self, data: bytes) -> None:
         """Parse received bytes; reading pauses while many of them are unread."""
-        LINK_TRAFFIC.record_received(TrafficKind.TARGETS, len(data))
+        LINK_TRAFFIC.targets.record_received(len(data))
         self._parse(data)
 
     def _parse(self, data: bytes) -> None:
--- a/kingcuphead/platform/_store.py
+++ b/kingcuphead/platform/_store.py
@@ -7,7 +7,7 @@
 from expression import Error, Ok, Result
 from loguru import logger
 
-from kingcuphead.capacity import LINK_TRAFFIC, MESSAGE_OVERHEAD_BYTES, TrafficKind
+from kingcuphead.capacity import LINK_TRAFFIC, MESSAGE_OVERHEAD_BYTES
 from kingcuphead.platform._store_clock import StoreClock
 from kingcuphead.platform._store_codec import (
     GONE,
@@ -243,11 +243,9 @@
         return reply
 
     def _record_exchange(self, body: bytes, reply: Exchange, sent_at: float) -> None:
-        LINK_TRAFFIC.record_sent(TrafficKind.STORE, len(body) + MESSAGE_OVERHEAD_BYTES)
+        LINK_TRAFFIC.store.record_sent(len(body) + MESSAGE_OVERHEAD_BYTES)
         if isinstance(reply, Replied):
-            LINK_TRAFFIC.record_received(
-                TrafficKind.STORE, len(reply.body) + MESSAGE_OVERHEAD_BYTES
-            )
+            LINK_TRAFFIC.store.record_received(len(reply.body) + MESSAGE_OVERHEAD_BYTES)
             self._record_era(decode_era(reply))
             self._give_up_lost_calls(sent_at)
 
