--- a/kingcuphead/capacity/_exchange.py
+++ b/kingcuphead/capacity/_exchange.py
@@ -32,6 +32,8 @@
 SAMPLE_INTERVAL = 0.2
 #: Load of the link from which on new connections open late.
 FULL_LINK_LOAD = 0.85
+#: Load that is the whole capacity.
+FULL_LOAD = 1.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -105,6 +107,11 @@
         is_measured = self.is_link_narrow and self._meter is not None
         return is_measured and self._load.link >= FULL_LINK_LOAD
 
+    @property
+    def is_loop_late(self) -> bool:
+        """Whether the event loop is so late that calls of this daemon time out."""
+        return self._meter is not None and self._load.lag >= FULL_LOAD
+
     def apply_limits(self, link_mbps: float, is_enabled: bool) -> None:
         """Apply the settings of the process.
 
--- a/kingcuphead/capacity/tests/test_exchange.py
+++ b/kingcuphead/capacity/tests/test_exchange.py
@@ -176,3 +176,20 @@
             assert played.exchange.is_link_full is is_narrow
 
         asyncio.run(play())
+
+
+class TestLateLoop:
+    @pytest.mark.parametrize(
+        ("lags", "is_late"), [((0.06,), True), ((0.0,) * 6 + (2.0,), False)]
+    )
+    def test_the_loop_is_late_if_most_ticks_are(self, lags, is_late):
+        """Guards against one long callback that explains failures of other daemons."""
+
+        async def play():
+            played = Played()
+            for number in range(30):
+                played.now += TICK
+                played.exchange.tick(played.now, lags[number % len(lags)], 0.0)
+            assert played.exchange.is_loop_late is is_late
+
+        asyncio.run(play())
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -151,7 +151,9 @@
         #: Load of this daemon, and whether it sheds.
         self.capacity = self._make_capacity(profile)
         #: Whether this daemon can connect to targets itself.
-        self.path_monitor = PathMonitor(lambda: self.capacity.is_link_full)
+        self.path_monitor = PathMonitor(
+            lambda: self.capacity.is_link_full or self.capacity.is_loop_late
+        )
         self._loads = self._make_loads()
         ledger = CreditLedger(instance, incarnation)
         self._transfer_endpoint = TransferEndpoint(ledger, self._identity)
--- a/kingcuphead/paths/_monitor.py
+++ b/kingcuphead/paths/_monitor.py
@@ -9,9 +9,9 @@
 MIN_FAILED_TARGETS = 2
 #: Seconds after which a failure no longer counts.
 FAILURE_LIFETIME = 3.0
-#: Seconds without an opened connection for which a full link explains failures.
-#: Afterwards the path may be lost while callers still fill the link.
-MAX_FULL_LINK_PERIOD = 2.0
+#: Seconds without an opened connection for which the load of this daemon explains
+#: failures. Afterwards the path may be lost while callers still cause that load.
+MAX_EXPLAINED_PERIOD = 2.0
 
 
 class PathMonitor:
@@ -22,14 +22,14 @@
 
     Parameters
     ----------
-    is_link_full
-        Returns whether the link of this instance is used to capacity. Connections then
-        open too late although the path is sound, and a tunnel would use the same link.
-        It explains failures for at most `MAX_FULL_LINK_PERIOD`.
+    is_overloaded
+        Returns whether the link or the event loop of this daemon is used to capacity.
+        Connections then open too late although the path is sound, and tunnels would
+        only add to the load. It explains failures for at most `MAX_EXPLAINED_PERIOD`.
     """
 
-    def __init__(self, is_link_full: Callable[[], bool] = lambda: False) -> None:
-        self._is_link_full = is_link_full
+    def __init__(self, is_overloaded: Callable[[], bool] = lambda: False) -> None:
+        self._is_overloaded = is_overloaded
         self._failed_at: dict[str, float] = {}
         #: When the first of successive failures occurred.
         self._failing_since = 0.0
@@ -71,6 +71,6 @@
             logger.warning("path to targets is lost: {}", ", ".join(self._failed_at))
 
     def _is_explained(self) -> bool:
-        """Whether a full link explains that connections fail."""
+        """Whether the load of this daemon explains that connections fail."""
         failing_for = self._last_failed_at - self._failing_since
-        return failing_for < MAX_FULL_LINK_PERIOD and self._is_link_full()
+        return failing_for < MAX_EXPLAINED_PERIOD and self._is_overloaded()
