--- a/kingcuphead/entry/tests/_busy_daemon.py
+++ b/kingcuphead/entry/tests/_busy_daemon.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import base64
+import concurrent.futures
 import contextlib
 import json
 import os
@@ -58,13 +59,10 @@
     def play(self, scenario):
         """Run the daemon until a scenario on the other loop ends; return its result."""
         started = threading.Event()
-        results = []
-        thread = threading.Thread(
-            target=lambda: results.append(
-                asyncio.run(self._play_outside(scenario, started))
-            )
+        executor = concurrent.futures.ThreadPoolExecutor(max_workers=1)
+        result = executor.submit(
+            lambda: asyncio.run(self._play_outside(scenario, started))
         )
-        thread.start()
         started.wait()
         self._daemon = EntryDaemon(make_profile(self._number, self._store_port), "")
         forwarder = vars(self._daemon._forwarder)
@@ -77,8 +75,7 @@
         forwarder["apply"] = record
         forwarder["serve"] = self._serve
         _run_daemon(self._daemon)
-        thread.join()
-        return results[0]
+        return result.result()
 
     async def write_version(self, version):
         """Write a version of the configuration and return the time."""
