--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -62,7 +62,9 @@
             lines = [f"Instance-Id: {own_id}", f"Attempt-Id: {request_id}"]
             await self.answer(writer, 421, b"", lines)
             return True
-        if self.running >= self.options.slots:
+        counts = headers.get("token-counts", "0").split(",")
+        is_too_large = sum(map(int, counts)) > self.options.memory
+        if self.running >= self.options.slots or is_too_large:
             say(refused=request_id, id=own_id)
             lines = ["Not-Executed: 1", f"Attempt-Id: {request_id}"]
             await self.answer(writer, 503, b"", lines)
@@ -134,6 +136,7 @@
     parser.add_argument("--port", type=int, required=True)
     parser.add_argument("--mode", choices=("stream", "whole", "both"), default="whole")
     parser.add_argument("--slots", type=int, default=64)
+    parser.add_argument("--memory", type=int, default=1 << 40)
     parser.add_argument("--work-ms", type=float, default=20.0)
     parser.add_argument("--long-ms", type=float, default=20.0)
     parser.add_argument("--unframed", type=float, default=0.0)
