--- a/review/lib-3/fleet.py
+++ b/review/lib-3/fleet.py
@@ -399,11 +399,14 @@
         self.body = bytearray()
         self.is_complete = False
 
-    async def read(self, reader):
+    async def read(self, reader, has_body=True):
         self.status = int((await reader.readuntil(b"\r\n")).split()[1])
         while (line := await reader.readuntil(b"\r\n")) != b"\r\n":
             name, _, value = line.decode("latin1").partition(":")
             self.headers[name.lower()] = value.strip()
+        if not has_body:
+            self.is_complete = True
+            return
         if self.headers.get("transfer-encoding", "").lower() == "chunked":
             while size := int(await reader.readuntil(b"\r\n"), 16):
                 self.body += (await reader.readexactly(size + 2))[:size]
--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -71,17 +71,17 @@
             return True
         self.running += 1
         try:
-            return await self.run(writer, request_id, headers, path)
+            return await self.run(writer, request_id, headers, path, method)
         finally:
             self.running -= 1
 
-    async def run(self, writer, request_id, headers, path):
+    async def run(self, writer, request_id, headers, path, method):
         is_stream = path.startswith(STREAM_PREFIX)
         if self.options.mode == "stream" or self.options.mode == "both" and is_stream:
             return await self.stream(writer, request_id, headers)
-        return await self.whole(writer, request_id, headers, path)
+        return await self.whole(writer, request_id, headers, path, method)
 
-    async def whole(self, writer, request_id, headers, path):
+    async def whole(self, writer, request_id, headers, path, method):
         """Answer as a whole; a generation uses up its output tokens."""
         prompt, output = 0, 0
         if "token-counts" in headers:
@@ -93,7 +93,7 @@
         body = b"word" * max(1, output)
         lines = [f"Attempt-Id: {request_id}", f"Response-Seal: s.{len(body):x}"]
         say(end=request_id, id=self.options.id, prompt=prompt, output=output)
-        await self.answer(writer, 200, body, lines)
+        await self.answer(writer, 200, body, lines, method)
         return True
 
     async def stream(self, writer, request_id, headers):
@@ -123,9 +123,10 @@
             await writer.drain()
         return not is_unframed
 
-    async def answer(self, writer, status, body, lines):
+    async def answer(self, writer, status, body, lines, method="GET"):
         head = [f"HTTP/1.1 {status} x", *lines, f"Content-Length: {len(body)}", "", ""]
-        writer.write("\r\n".join(head).encode() + body)
+        sent = b"" if method == "HEAD" else body
+        writer.write("\r\n".join(head).encode() + sent)
         await writer.drain()
 
 
