--- a/review/lib-3/runner.py
+++ b/review/lib-3/runner.py
@@ -7,6 +7,7 @@
 import argparse
 import asyncio
 import json
+import os
 import sys
 import time
 import zlib
@@ -51,7 +52,7 @@
         for line in filter(None, head[1:]):
             name, _, value = line.partition(":")
             headers[name.lower()] = value.strip()
-        await reader.readexactly(int(headers.get("content-length", 0)))
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
         own_id = self.options.id
         request_id = headers.get("attempt-id", "")
         if not request_id:
@@ -69,6 +70,10 @@
             lines = ["Not-Executed: 1", f"Attempt-Id: {request_id}"]
             await self.answer(writer, 503, b"", lines)
             return True
+        if self.options.crash_body and body == self.options.crash_body.encode():
+            # It crashes each runner that begins to run it.
+            say(run=request_id, id=own_id, crashes=True)
+            os._exit(70)
         self.running += 1
         try:
             return await self.run(writer, request_id, headers, path, method)
@@ -140,6 +145,7 @@
     parser.add_argument("--memory", type=int, default=1 << 40)
     parser.add_argument("--work-ms", type=float, default=20.0)
     parser.add_argument("--long-ms", type=float, default=20.0)
+    parser.add_argument("--crash-body", default="")
     parser.add_argument("--unframed", type=float, default=0.0)
     options = parser.parse_args()
     runner = Runner(options)
