Keep the numbers of callers and targets within the range of messages

Cause: `decode_request` took any whole number that Python can parse. The prompt's tokens are added to the load of its target, and the next load report can't carry them: Thrift raises OverflowError for 2**63 and more, the task of the load reports fails, and the daemon ends. Ruled out: the memory of the process (it ends with status 1 and a log line), the answer of the target (it is a plain 503).

Change: one decoder of numbers in texts, `decoding.parse_count` and `parse_decimal`, takes ASCII digits only and limits the result to a range. Token counts beyond it can't be held by any target, so the request is refused at once as too large (503, not run). The parts of a prompt end where the prompt ends: longer ones made the tokens that are still to be read negative. Last-Event-Id beyond any event, or negative, is 400; an event of a target with such an id is invalid, where it ended the request with an unexpected error before. Deadlines and terms of targets are read by the same decoder; `1_0` was taken for 10.

--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -151,13 +151,14 @@
         for daemon, _ in self.daemons.values():
             daemon._links._datagrams._handle_message = _lose
 
-    async def send(self, number, body, patience=20.0, request_id=None):
+    async def send(self, number, body, patience=20.0, request_id=None, lines=None):
         """Send a request to a daemon, with an id of its own unless one is given.
 
         Returns the status of the answer, or 0 if the daemon sent none. The caller
-        leaves after `patience` seconds.
+        leaves after `patience` seconds. `lines` are more headers.
         """
         headers = make_caller_headers(request_id or self._make_request_id())
+        headers |= lines or {}
         url = f"http://{NETWORK}.{number}:{CALLER_PORT}/r/1"
         try:
             answer = await AsyncHTTPClient().fetch(
--- a/kingcuphead/forwarding/__init__.py
+++ b/kingcuphead/forwarding/__init__.py
@@ -22,6 +22,8 @@
     get_account_limit,
 )
 from kingcuphead.forwarding._messages import (
+    MAX_EVENT_ID,
+    MAX_TOKENS,
     AnswerHead,
     CallerRequest,
     PromptPart,
@@ -40,6 +42,8 @@
 from kingcuphead.forwarding._target_watch import TargetWatch
 
 __all__ = [
+    "MAX_EVENT_ID",
+    "MAX_TOKENS",
     "STREAM_BUFFER_BYTES",
     "AnswerHead",
     "AnswerRecord",
--- a/kingcuphead/forwarding/_events.py
+++ b/kingcuphead/forwarding/_events.py
@@ -3,6 +3,8 @@
 import enum
 import re
 
+from kingcuphead.decoding import parse_count
+from kingcuphead.forwarding._messages import MAX_EVENT_ID
 from kingcuphead.frozen import frozen
 
 #: Upper bound of an event in bytes.
@@ -87,8 +89,10 @@
 def _make_event(content: bytes) -> Event:
     match = _EVENT_ID.search(content)
     if match is not None:
+        event_id = parse_count(match[1].decode(), MAX_EVENT_ID + 1)
         is_well_formed = _WELL_FORMED.fullmatch(content) is not None
-        kind = EventKind.NUMBERED if is_well_formed else EventKind.INVALID
-        return Event(int(match[1]), content, kind)
+        is_valid = is_well_formed and event_id <= MAX_EVENT_ID
+        kind = EventKind.NUMBERED if is_valid else EventKind.INVALID
+        return Event(event_id, content, kind)
     is_comment = _COMMENT.fullmatch(content) is not None
     return Event(None, content, EventKind.COMMENT if is_comment else EventKind.INVALID)
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -20,6 +20,13 @@
     }
 )
 
+#: Largest token count that a request has; a larger number counts as this one. No
+#: target's memory holds as many tokens, and the sum of a million such counts still fits
+#: into the 64 bits of a number in a message between daemons.
+MAX_TOKENS = 2**31 - 1
+#: Largest id of an event; a float, which JSON clients use, represents all ids up to it.
+MAX_EVENT_ID = 2**53
+
 _EVENT_STREAM = "text/event-stream"
 
 
@@ -35,7 +42,10 @@
 
 @frozen
 class PromptSize:
-    """Token counts that bound the cost of a request for generated text."""
+    """Token counts that bound the cost of a request for generated text.
+
+    Each is at most `MAX_TOKENS`, and the parts are at most as long as the prompt.
+    """
 
     #: Length of the prompt in tokens.
     prompt_tokens: int
@@ -44,6 +54,11 @@
     #: Parts of the prompt in order; the last one is specific to the request.
     parts: tuple[PromptPart, ...]
 
+    @property
+    def exceeds_all_targets(self) -> bool:
+        """Whether a count is so large that no target can run the request."""
+        return max(self.prompt_tokens, self.output_tokens) >= MAX_TOKENS
+
 
 @frozen
 class CallerRequest:
--- a/kingcuphead/forwarding/_target_choice.py
+++ b/kingcuphead/forwarding/_target_choice.py
@@ -123,7 +123,9 @@
     def is_too_large(self, context: RequestContext) -> bool:
         """Whether no target of the service can ever run a request."""
         request = context.make_placement_request()
-        is_too_large = self._dispatcher.memory.is_too_large(request)
+        size = context.request.size
+        exceeds_all = size is not None and size.exceeds_all_targets
+        is_too_large = exceeds_all or self._dispatcher.memory.is_too_large(request)
         if is_too_large:
             self._dispatcher.record_denial(request, MemoryDenial.TOO_LARGE)
         return is_too_large
--- a/kingcuphead/forwarding/tests/test_streams.py
+++ b/kingcuphead/forwarding/tests/test_streams.py
@@ -5,7 +5,11 @@
 from kingcuphead.forwarding import (
     PromptSize,
 )
-from kingcuphead.forwarding._events import MAX_EVENT_BYTES, EventSplitter
+from kingcuphead.forwarding._events import (
+    MAX_EVENT_BYTES,
+    EventKind,
+    EventSplitter,
+)
 from kingcuphead.forwarding.tests._harness import (
     STREAM,
     RecordingCaller,
@@ -141,6 +145,12 @@
         assert list(splitter.feed(b"x" * size)) == []
         assert splitter.is_oversized is is_oversized
 
+    @pytest.mark.parametrize("digits", [17, 5_000, MAX_EVENT_BYTES // 2])
+    def test_an_event_with_an_id_out_of_range_is_invalid(self, digits):
+        """Guards against ids that Python can't parse, which ended the request."""
+        (event,) = EventSplitter().feed(b"id: %b\ndata: x\n\n" % (b"9" * digits))
+        assert event.kind is EventKind.INVALID
+
 
 class TestSettlement:
     SIZE = PromptSize(100, 50, ())
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -8,7 +8,10 @@
 from loguru import logger
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
+from kingcuphead.decoding import parse_count, parse_decimal
 from kingcuphead.forwarding import (
+    MAX_EVENT_ID,
+    MAX_TOKENS,
     AnswerHead,
     CallerRequest,
     PromptPart,
@@ -52,6 +55,8 @@
 _MAX_RETRY_AFTER = 30.0
 #: Upper bound of the requests per second that a target may state.
 _MAX_PER_SECOND = 1_000_000.0
+#: Value with which a target states that it sets no limit.
+_NO_LIMIT = "inf"
 #: Least urgent rank; targets accept 0 (most urgent) to 9.
 _LOWEST_RANK = 9
 
@@ -132,7 +137,7 @@
     try:
         caller_timeout = _parse_caller_timeout(headers)
         size = _parse_prompt_size(headers)
-        resume_after = int(headers.get(_LAST_EVENT_ID) or 0)
+        resume_after = _parse_event_id(headers.get(_LAST_EVENT_ID) or "0")
     except ValueError as error:
         return Error(f"invalid number in a header: {error}")
     return Ok(
@@ -247,9 +252,9 @@
     text = headers.get(_DEADLINE)
     if text is None:
         return None
-    milliseconds = float(text)
-    if not math.isfinite(milliseconds) or milliseconds < 0:
-        raise ValueError(f"{_DEADLINE} {text!r} is not a non-negative number")
+    milliseconds = parse_decimal(text)
+    if milliseconds is None:
+        raise ValueError(f"{_DEADLINE} {text[:40]!r} is not a non-negative number")
     return milliseconds / 1000
 
 
@@ -258,28 +263,36 @@
     if text is None:
         return None
     prompt, _, output = text.partition(",")
-    parts = tuple(_parse_prompt_parts(headers.get(_PROMPT_PREFIX, "")))
-    return PromptSize(_parse_count(prompt), _parse_count(output), parts)
-
+    prompt_tokens = parse_count(prompt, MAX_TOKENS)
+    parts = tuple(_parse_parts(headers.get(_PROMPT_PREFIX, ""), prompt_tokens))
+    return PromptSize(prompt_tokens, parse_count(output, MAX_TOKENS), parts)
 
-def _parse_count(text: str) -> int:
-    count = int(text)
-    if count < 0:
-        raise ValueError(f"token count {count} is negative")
-    return count
 
+def _parse_parts(text: str, prompt_tokens: int) -> Iterator[PromptPart]:
+    """Yield the parts of a prompt, as far as they lie within its length.
 
-def _parse_prompt_parts(text: str) -> Iterator[PromptPart]:
+    Longer parts would count as a negative number of tokens that are still to be read.
+    """
+    remaining = prompt_tokens
     for entry in filter(None, text.split(",")):
         name, _, tokens = entry.strip().partition(":")
-        yield PromptPart(name, _parse_count(tokens))
+        length = parse_count(tokens, remaining)
+        remaining -= length
+        yield PromptPart(name, length)
+
+
+def _parse_event_id(text: str) -> int:
+    event_id = parse_count(text, MAX_EVENT_ID + 1)
+    if event_id > MAX_EVENT_ID:
+        raise ValueError(f"{_LAST_EVENT_ID} is larger than that of any event")
+    return event_id
 
 
 def _parse_idle_timeout(text: str) -> float | None:
     for parameter in text.split(","):
         name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout" and value.isdecimal():
-            return float(value)
+        if name.lower() == "timeout":
+            return parse_decimal(value)
     return None
 
 
@@ -316,13 +329,9 @@
     """Return a number that a target states in a header; None without a valid one."""
     if not text:
         return None
-    try:
-        number = float(text)
-    except ValueError:
-        number = math.nan
-    if not number >= 0:
+    number = math.inf if text == _NO_LIMIT else parse_decimal(text)
+    if number is None:
         logger.warning("invalid {} of a target: {!r}", name, text[:40])
-        return None
     return number
 
 
--- a/kingcuphead/platform/_numbers.py
+++ b/kingcuphead/platform/_numbers.py
@@ -5,6 +5,8 @@
 
 from loguru import logger
 
+from kingcuphead.decoding import parse_decimal
+
 #: Characters of an invalid value in a log line.
 MAX_LOGGED_VALUE = 100
 #: Number of invalid values that are remembered so that each is logged once.
@@ -59,11 +61,25 @@
 
 def parse_number(value: Any) -> float | None:
     """Return a value as a non-negative number; None if it isn't one."""
+    number: float | None
+    match value:
+        case bool():
+            return None
+        case str():
+            number = parse_decimal(value)
+        case int() | float():
+            number = _convert(value)
+        case _:
+            return None
+    is_valid = number is not None and math.isfinite(number) and number >= 0
+    return number if is_valid else None
+
+
+def _convert(value: int | float) -> float | None:
     try:
-        number = math.nan if isinstance(value, bool) else float(value)
-    except (TypeError, ValueError, OverflowError):
+        return float(value)
+    except OverflowError:
         return None
-    return number if math.isfinite(number) and number >= 0 else None
 
 
 def _log_once(name: str, value: Any, effect: str) -> None:
--- a/kingcuphead/platform/tests/test_headers.py
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -4,7 +4,12 @@
 from loguru import logger
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from kingcuphead.forwarding import PromptPart, PromptSize, SendOptions
+from kingcuphead.forwarding import (
+    MAX_TOKENS,
+    PromptPart,
+    PromptSize,
+    SendOptions,
+)
 from kingcuphead.permits import TargetTerms
 from kingcuphead.platform import (
     PlatformHeaders,
@@ -63,12 +68,40 @@
             {"Token_Counts": "many"},
             {"Prompt_Prefix": "5c:x", "Token_Counts": "1,1"},
             {"Last_Event_Id": "x"},
+            {"Last_Event_Id": "-5"},
+            {"Last_Event_Id": str(2**53 + 1)},
+            {"Last_Event_Id": "9" * 5_000},
+            {"Token_Counts": "1_0,80"},
+            {"Token_Counts": "10"},
+            {"Deadline_Ms": "1_0"},
         ],
     )
     def test_invalid_headers_are_an_error(self, headers):
         assert decode(**headers).is_error()
 
 
+    @pytest.mark.parametrize("number", [str(2**64 - 1), str(2**31), "9" * 5_000])
+    def test_token_counts_beyond_the_range_exceed_all_targets(self, number):
+        """Guards against counts that no message between daemons can carry."""
+        for counts in (f"{number},80", f"100,{number}"):
+            size = decode(Token_Counts=counts).ok.size
+            assert size.exceeds_all_targets
+            assert max(size.prompt_tokens, size.output_tokens) == MAX_TOKENS
+
+    @pytest.mark.parametrize(
+        ("prefix", "lengths"),
+        [
+            ("5c:60,e4:40", [60, 40]),
+            ("5c:60,91:60,e4:5", [60, 40, 0]),
+            (f"5c:{2**64},e4:1", [100, 0]),
+        ],
+    )
+    def test_parts_are_at_most_as_long_as_their_prompt(self, prefix, lengths):
+        """Guards against a negative number of tokens that are still to be read."""
+        size = decode(Token_Counts="100,80", Prompt_Prefix=prefix).ok.size
+        assert [part.tokens for part in size.parts] == lengths
+
+
 class TestEncodeRequest:
     def test_kv_fetch_names_the_source_target(self):
         request = decode(Kv_Fetch="10.9.9.9:1").ok
