Count the length of a shared part of prompts as it was added

Cause: the tokens of a part were added with the length that the first request states and removed with that of the last one, so the total of a target stayed wrong until its process ended, negative for the larger ones.

Change: the length that was added is kept with the part and removed with it.

Measured: the new test of dispatch/tests/test_memory.py fails before and passes now; the other tests of the package are as before (one known failure).

--- a/kingcuphead/dispatch/_memory.py
+++ b/kingcuphead/dispatch/_memory.py
@@ -26,32 +26,46 @@
 class HeldTokens:
     """The tokens that this daemon's requests hold on one engine.
 
-    The parts of prompts that several requests share count once.
+    The parts of prompts that several requests share count once, with the length that
+    the first of these requests states.
     """
 
     def __init__(self) -> None:
-        self._segments: Counter[str] = Counter()
+        self._requests: Counter[str] = Counter()
+        self._lengths: dict[str, int] = {}
         #: Tokens of all requests.
         self.total = 0
 
     def count_added(self, request: PlacementRequest) -> int:
         """Return the tokens that one more request would add."""
-        tokens = request.prompt_tokens - request.shared_tokens + request.output_tokens
+        tokens = _count_own(request)
         for key, length in _list_segments(request):
-            if not self._segments[key]:
+            if key not in self._lengths:
                 tokens += length
         return tokens
 
     def add(self, request: PlacementRequest) -> None:
         """Count a request that is sent to the engine."""
-        self.total += self.count_added(request)
-        self._segments.update(key for key, _ in _list_segments(request))
+        self.total += _count_own(request)
+        for key, length in _list_segments(request):
+            self._requests[key] += 1
+            if key not in self._lengths:
+                self._lengths[key] = length
+                self.total += length
 
     def remove(self, request: PlacementRequest) -> None:
         """Stop counting a request that has ended."""
-        self._segments.subtract(key for key, _ in _list_segments(request))
-        self._segments = +self._segments
-        self.total -= self.count_added(request)
+        self.total -= _count_own(request)
+        for key, _ in _list_segments(request):
+            self._requests[key] -= 1
+            if not self._requests[key]:
+                del self._requests[key]
+                self.total -= self._lengths.pop(key)
+
+
+def _count_own(request: PlacementRequest) -> int:
+    """Return the tokens of a request that it shares with no other one."""
+    return request.prompt_tokens - request.shared_tokens + request.output_tokens
 
 
 def _list_segments(request: PlacementRequest) -> list[tuple[str, int]]:
--- a/kingcuphead/dispatch/tests/test_memory.py
+++ b/kingcuphead/dispatch/tests/test_memory.py
@@ -56,6 +56,19 @@
         held.remove(second)
         assert held.total == 0
 
+    def test_callers_that_state_other_lengths_of_a_part_leave_nothing(self):
+        """Guards against a total that stays wrong, so that an engine is overfilled."""
+        held = HeldTokens()
+        first = make_request(1_000, ("/a", 200))
+        second = make_request(60_000, ("/a", 50_000), ("/a/b", 50_010))
+        held.add(first)
+        held.add(second)
+        assert held.total == 1_000 + 10_000 + 2 * EVENTS
+        held.remove(first)
+        assert held.total == 200 + 10_000 + EVENTS
+        held.remove(second)
+        assert held.total == 0
+
 
 class TestMemoryUse:
     USE = MemoryUse(100, 0, 0, 0, known_share=0.7, slots=1)
