Restart background tasks that fail, and end by the steps of a shutdown

Cause: `_handle_task_end` stopped the daemon after any failure of any task, and a stop after a failure skipped the graceful shutdown. A task that ended without an exception, or because something it waited for was cancelled, was not noticed at all.

Failures are logged and counted by task (`kingcuphead_task_failures_total`). Tables are read anew after a failure, since a part of the last changes may have been applied.

Tests that kill daemons cancel their run, which skips the shutdown as before.

--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -102,9 +102,13 @@
         """Add `Connection: close` to the following answers."""
         self._server.conn_params.no_keep_alive = True
 
+    def refuse_requests(self) -> None:
+        """Refuse new requests as not run, while the port stays open."""
+        self._is_closing = True
+
     def stop_listening(self) -> None:
         """Close the port and refuse new requests on connections that are still open."""
-        self._is_closing = True
+        self.refuse_requests()
         self._server.stop()
 
     async def close(self) -> None:
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -4,8 +4,6 @@
 import contextlib
 import random
 import signal
-from collections.abc import Coroutine
-from typing import Any
 
 from expression import Result
 from loguru import logger
@@ -18,6 +16,7 @@
     make_request_memory,
     make_retries,
 )
+from kingcuphead.entry._background_tasks import BackgroundTask, TaskSupervisor
 from kingcuphead.entry._caller_server import CallerServer
 from kingcuphead.entry._evacuation_exchange import EvacuationExchange
 from kingcuphead.entry._fleet_links import FleetLinks
@@ -74,6 +73,8 @@
 GRACE_MARGIN = 0.5
 #: Seconds before that at which open requests get their final answers.
 ANSWER_MARGIN = 0.1
+#: Name of the task that renews credit.
+CREDIT_TASK = "credit"
 #: Seconds before these in which no request is passed on any more, but no more than
 #: this share of the grace period; most requests that begin earlier are answered.
 LAST_START_MARGIN, LAST_START_SHARE = 1.0, 1 / 8
@@ -105,11 +106,16 @@
         self._is_stopping = False
         self._swept_at = self._stopped_at = float("inf")
         self._has_configuration = False
-        self._failure: BaseException | None = None
+        self._failure: Exception | None = None
+        #: Whether the credit of this daemon can still be accounted for.
+        self._is_credit_trusted = True
         rng = random.Random()
         self._store = Store(f"{profile.store.host}:{profile.store.port}")
         self._directory = TargetDirectory(heartbeat=profile.heartbeat)
         self._metrics = DaemonMetrics()
+        self._supervisor = TaskSupervisor(
+            self._metrics.record_task_failure, self._handle_task_loss
+        )
         self._selector: TimedSelector | None = None
         self._view_age = ViewAge(self._describe_load)
         peer_loads = PeerLoads()
@@ -209,7 +215,10 @@
         return load | {"longest_turn": round(turn, 3)}
 
     async def run(self) -> bool:
-        """Run until a signal arrives or a background task fails.
+        """Run until a signal arrives or a background task is lost.
+
+        Both end it by the steps of a graceful shutdown; to cancel the call ends it
+        without them.
 
         Returns
         -------
@@ -218,8 +227,8 @@
         """
         self._watch_signals()
         await self._links.open()
-        tasks = [self._start_task(each) for each in self._list_tasks()]
-        renewal = self._start_task(self._links.credit.run())
+        for task in self._list_tasks():
+            self._supervisor.start(task)
         profile = self._profile
         readiness = serve_readiness(
             profile.readiness.host,
@@ -231,22 +240,26 @@
         self._callers.listen(profile.callers.host, profile.callers.port)
         self._tunnels.listen(profile.ip, profile.internal_port)
         logger.info("entry daemon started")
-        await self._stop.wait()
-        if self._failure is None:
-            await self._drain(renewal)
-        self._callers.stop_listening()
-        await self._callers.close()
-        readiness.stop()
-        metrics.stop()
-        for task in tasks:
-            task.cancel()
+        try:
+            await self._stop.wait()
+            await self._drain()
+        finally:
+            self._callers.stop_listening()
+            await self._callers.close()
+            readiness.stop()
+            metrics.stop()
+            self._close()
+        logger.info("entry daemon ended")
+        return self._failure is None
+
+    def _close(self) -> None:
+        """End what runs in the background, and close all other connections."""
+        self._supervisor.close()
         self._links.close()
         self._tunnels.close()
         self._watch.close()
         self._pool.close()
         self._store.close()
-        logger.info("entry daemon ended")
-        return self._failure is None
 
     def stop(self) -> None:
         """Begin a graceful shutdown, as a signal does.
@@ -258,7 +271,7 @@
             self._stopped_at = min(get_time(), self._swept_at + SWEEP_INTERVAL)
             self._stop.set()
 
-    def _list_tasks(self) -> list[Coroutine[Any, Any, None]]:
+    def _list_tasks(self) -> list[BackgroundTask]:
         watches = StoreWatches(
             self._store,
             ListenerGroup(
@@ -275,28 +288,24 @@
         self._evacuation_exchange.get_position = watches.get_configuration_position
         return [
             *watches.list_tasks(),
-            self._evacuation_exchange.run(),
-            self._sweep(),
-            self._watch_settings(),
-            self._connector.run(),
+            BackgroundTask("evacuations", self._evacuation_exchange.run),
+            BackgroundTask("sweep", self._sweep),
+            BackgroundTask("settings", self._watch_settings),
+            BackgroundTask("paths", self._connector.run),
             *self._links.list_tasks(),
             *map(watches.run_after_start, self._links.list_store_tasks()),
+            # A failure may leave tokens that are counted twice or not at all.
+            BackgroundTask(CREDIT_TASK, self._links.credit.run, is_restartable=False),
         ]
 
-    def _start_task(self, coroutine: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
-        task = asyncio.create_task(coroutine)
-        task.add_done_callback(self._handle_task_end)
-        return task
-
-    def _handle_task_end(self, task: asyncio.Task[None]) -> None:
-        """Stop the daemon if a background task has failed."""
-        if task.cancelled() or task.exception() is None:
-            return
-        self._failure = task.exception()
-        logger.opt(exception=self._failure).critical(
-            "background task failed; stopping the daemon"
-        )
-        self._stop.set()
+    def _handle_task_loss(self, task: BackgroundTask, failure: Exception) -> None:
+        """Shut the daemon down, as it can't go on without a background task."""
+        self._failure = failure
+        if task.name == CREDIT_TASK:
+            self._is_credit_trusted = False
+        if not self._stop.is_set():
+            self._stopped_at = get_time()
+            self._stop.set()
 
     def _watch_signals(self) -> None:
         loop = asyncio.get_running_loop()
@@ -390,7 +399,7 @@
                 await asyncio.sleep(SIGNAL_DELAY)
             self._swept_at = get_time()
 
-    async def _drain(self, renewal: asyncio.Task[None]) -> None:
+    async def _drain(self) -> None:
         """Finish open requests and return credit before the grace period ends."""
         loop = asyncio.get_running_loop()
         grace = self._profile.grace
@@ -408,17 +417,42 @@
         self._callers.announce_close()
         if self._admission is not None:
             self._admission.close()
-        self._start_task(self._links.deregister())
+        if not self._is_credit_trusted:
+            self._callers.refuse_requests()
+        deregistration = asyncio.create_task(self._deregister())
         accept_end = self._stopped_at + min(SHUTDOWN_ACCEPT_PERIOD, grace / 2)
         await asyncio.sleep(max(0.0, accept_end - loop.time()))
         self._callers.stop_listening()
-        renewal.cancel()
-        await asyncio.gather(renewal, return_exceptions=True)
+        await self._supervisor.cancel(CREDIT_TASK)
         is_returned = False
         while loop.time() < end and not is_returned:
-            is_returned = await self._links.credit.shut_down(SWEEP_INTERVAL)
+            is_returned = await self._return_credit()
             if self._callers.open_requests or self._tunnels.open_tunnels:
                 is_returned = False
                 await asyncio.sleep(SWEEP_INTERVAL / 5)
-        if not is_returned:
-            logger.warning("grace period ended before all credit was returned")
+        deregistration.cancel()
+        if not (is_returned and self._is_credit_trusted):
+            logger.warning("the daemon ends before all credit was returned")
+
+    async def _deregister(self) -> None:
+        """Remove this daemon from the list of daemons, if the store can be reached."""
+        try:
+            await self._links.deregister()
+        except Exception as error:
+            # The other daemons drop the row once this one no longer renews it.
+            logger.opt(exception=error).error("cannot remove this daemon's row")
+
+    async def _return_credit(self) -> bool:
+        """Return credit to the store; return whether nothing is left to be returned.
+
+        Credit that can't be accounted for stays charged, lest it be spent twice.
+        """
+        if not self._is_credit_trusted:
+            return True
+        try:
+            return await self._links.credit.shut_down(SWEEP_INTERVAL)
+        except Exception as error:
+            logger.opt(exception=error).critical("cannot return credit; it is charged")
+            self._failure = error
+            self._is_credit_trusted = False
+            return True
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -4,8 +4,7 @@
 import math
 import random
 import secrets
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Callable
 
 from expression import Result
 from loguru import logger
@@ -28,6 +27,7 @@
     PeerSender,
 )
 from kingcuphead.dispatch import Dispatcher, RetryAllowance
+from kingcuphead.entry._background_tasks import BackgroundTask
 from kingcuphead.entry._evacuation_exchange import EvacuationExchange
 from kingcuphead.entry._peers import PeerDiscovery
 from kingcuphead.forwarding import TargetStated
@@ -177,13 +177,21 @@
         """Stop receiving datagrams."""
         self._datagrams.close()
 
-    def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the coroutines that run from the start until the daemon ends."""
-        return [self._loads.run(), self.permits.run(), self.capacity.run()]
-
-    def list_store_tasks(self) -> list[Callable[[], Coroutine[Any, Any, None]]]:
-        """Return the functions that read and write tables until the daemon ends."""
-        return [self._peers.run, self.quarantine.run, self.resumption.run]
+    def list_tasks(self) -> list[BackgroundTask]:
+        """Return the tasks that run from the start until the daemon ends."""
+        return [
+            BackgroundTask("loads", self._loads.run),
+            BackgroundTask("permits", self.permits.run),
+            BackgroundTask("capacity", self.capacity.run),
+        ]
+
+    def list_store_tasks(self) -> list[BackgroundTask]:
+        """Return the tasks that read and write tables until the daemon ends."""
+        return [
+            BackgroundTask("daemons_table", self._peers.run),
+            BackgroundTask("quarantine", self.quarantine.run),
+            BackgroundTask("resumption", self.resumption.run),
+        ]
 
     def apply_profile(self, profile: Profile) -> None:
         """Apply the limits of the instance and of cold targets."""
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -61,6 +61,12 @@
             ("service",),
             registry=self._registry,
         )
+        self._task_failures = Counter(
+            "kingcuphead_task_failures",
+            "Failures of background tasks, which are restarted, by task.",
+            ("task",),
+            registry=self._registry,
+        )
         self._queue = QueueMetrics(self._registry)
         self._hedging = HedgingMetrics(self._registry)
         #: Streams that callers resume.
@@ -98,6 +104,10 @@
         """Count a permit that was denied because the target is cold."""
         self._cold_denials.labels(self._choose_label(target.service)).inc()
 
+    def record_task_failure(self, task: str) -> None:
+        """Count a failure of a background task."""
+        self._task_failures.labels(task).inc()
+
     def record(self, context: RequestContext, refusal: Refusal | None) -> None:
         """Record a request that ended, with its refusal if it was refused."""
         self._requests.record(context, refusal)
--- a/kingcuphead/entry/_store_watches.py
+++ b/kingcuphead/entry/_store_watches.py
@@ -2,9 +2,10 @@
 
 import asyncio
 import contextlib
-from collections.abc import Callable, Coroutine
-from typing import Any
+import dataclasses
+from collections.abc import Callable
 
+from kingcuphead.entry._background_tasks import BackgroundTask
 from kingcuphead.entry._poll_pacing import (
     MANY_TARGETS,
     PollPacing,
@@ -95,23 +96,31 @@
         """Return the position of the last read of the configuration's table."""
         return self._configuration.last_position
 
-    def list_tasks(self) -> list[Coroutine[Any, Any, None]]:
-        """Return the coroutines that run until the daemon ends."""
-        return [self._configuration.run(), self._follow_targets()]
+    def list_tasks(self) -> list[BackgroundTask]:
+        """Return the tasks that follow the tables until the daemon ends."""
+        return [
+            BackgroundTask("configuration_table", self._configuration.run),
+            BackgroundTask("targets_table", self._follow_targets),
+        ]
 
-    async def run_after_start(
-        self, run: Callable[[], Coroutine[Any, Any, None]]
-    ) -> None:
-        """Run a task once the configuration and the targets have been read.
+    def run_after_start(self, task: BackgroundTask) -> BackgroundTask:
+        """Return a task that begins once the configuration and targets were read.
 
         The store may refuse calls while a whole fleet starts, so the tables without
         which this daemon can't serve are read first.
         """
+
+        async def run() -> None:
+            await self._wait_for_start()
+            await task.run()
+
+        return dataclasses.replace(task, run=run)
+
+    async def _wait_for_start(self) -> None:
         await self._configuration.has_read.wait()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(MAX_START_DELAY):
                 await self._targets.has_read.wait()
-        await run()
 
     async def _follow_targets(self) -> None:
         await self._configuration.has_read.wait()
--- a/kingcuphead/entry/_table_watch.py
+++ b/kingcuphead/entry/_table_watch.py
@@ -125,7 +125,9 @@
         self.last_position: Position | None = None
 
     async def run(self) -> None:
-        """Follow the table until cancelled."""
+        """Follow the table until cancelled, from a read of all its rows on."""
+        # A run that failed may have applied only a part of the last changes.
+        self._position = None
         while True:
             delay = await self._wait_for_turn()
             if self._position is None or self._reads_rows:
--- a/kingcuphead/entry/tests/_fleet.py
+++ b/kingcuphead/entry/tests/_fleet.py
@@ -134,11 +134,10 @@
         for number in numbers:
             if number not in self.daemons:
                 continue
-            daemon, task = self.daemons.pop(number)
-            # A daemon that fails skips the steps of a graceful shutdown.
-            daemon._failure = RuntimeError("killed by the test")
-            daemon._stop.set()
-            await task
+            _, task = self.daemons.pop(number)
+            # A daemon whose run is cancelled skips the steps of a graceful shutdown.
+            task.cancel()
+            await asyncio.wait((task,))
 
     async def stop_daemon(self, number):
         """Shut a daemon down gracefully."""
--- a/kingcuphead/entry/tests/test_store_watches.py
+++ b/kingcuphead/entry/tests/test_store_watches.py
@@ -176,7 +176,7 @@
                 lambda: PROFILE,
                 ViewAge(),
             )
-            tasks += map(asyncio.create_task, watches.list_tasks())
+            tasks += (asyncio.create_task(each.run()) for each in watches.list_tasks())
             await asyncio.sleep(0.001)
         await asyncio.sleep(8.0)
         for task in tasks:
@@ -224,7 +224,7 @@
         watches = StoreWatches(
             store, listener, listener, directory, lambda: PROFILE, ViewAge()
         )
-        tasks = [asyncio.create_task(each) for each in watches.list_tasks()]
+        tasks = [asyncio.create_task(each.run()) for each in watches.list_tasks()]
         await asyncio.sleep(60.0)
         for task in tasks:
             task.cancel()
--- a/kingcuphead/logs/_setup.py
+++ b/kingcuphead/logs/_setup.py
@@ -75,6 +75,7 @@
         "still_open",
         "target",
         "targets",
+        "task",
         "threshold",
         "tokens",
         "traffic",
--- a/kingcuphead/platform/tests/test_headers.py
+++ b/kingcuphead/platform/tests/test_headers.py
@@ -79,7 +79,6 @@
     def test_invalid_headers_are_an_error(self, headers):
         assert decode(**headers).is_error()
 
-
     @pytest.mark.parametrize("number", [str(2**64 - 1), str(2**31), "9" * 5_000])
     def test_token_counts_beyond_the_range_exceed_all_targets(self, number):
         """Guards against counts that no message between daemons can carry."""
