Answer HEAD requests that the fleet refuses

What callers saw: a HEAD request that a daemon refuses itself, for whatever reason, got no answer: the connection was closed, and with it the requests that followed on it.

Cause: `_send_refusal` wrote the body of the refusal whatever the method. Tornado expects no byte after the head of an answer to HEAD, raises HTTPOutputError, and `_serve` closed the connection after "unexpected error while serving a request". Ruled out: the answer of the target (its 503 is passed on to the decision as it should be), the deadline (answers come within ms of the refusal).

Change: the writer of answers knows by method and status (`decoding.allows_body`) whether there is a body, and leaves out what is sent of one. The length of an answer without a body is what the target states for it; it was 0 for HEAD and 304, and a 204 had one although it may not. An unexpected error before the answer has begun is answered by 502 `internal_error`, the connection stays, and `kingcuphead_unexpected_errors_total` counts it by whether the caller got an answer.

--- a/kingcuphead/entry/_caller_server.py
+++ b/kingcuphead/entry/_caller_server.py
@@ -65,6 +65,9 @@
         Counts the bytes held for requests.
     connections
         Counts the bytes of each open connection.
+    record_error
+        Called after each request that ended with an unexpected error, with whether the
+        caller got an answer.
     """
 
     def __init__(
@@ -72,10 +75,12 @@
         forwarder: RequestForwarder,
         memory: RequestMemory,
         connections: CallerConnections,
+        record_error: Callable[[bool], None] = lambda is_answered: None,
     ) -> None:
         self._forwarder = forwarder
         self._memory = memory
         self._connections = connections
+        self._record_error = record_error
         self._limits = CallerLimits()
         self._tasks: set[asyncio.Task[None]] = set()
         self._is_closing = False
@@ -182,10 +187,21 @@
             logger.bind(request_id=request_id).exception(
                 "unexpected error while serving a request"
             )
-            caller.abort()
+            self._answer_error(caller, request_id)
         finally:
             caller.reservation.close()
 
+    def _answer_error(self, caller: HttpCaller, request_id: str) -> None:
+        """Refuse a request that met an unexpected error, unless an answer has begun."""
+        self._record_error(not caller.is_started)
+        if caller.is_started:
+            caller.abort()
+            return
+        try:
+            _send_refusal(caller, request_id, refuse(502, Reason.INTERNAL_ERROR))
+        except StreamClosedError:
+            caller.abort()
+
 
 class _RequestReader(HTTPMessageDelegate):
     """Reads one request, and starts a task for it once it is complete."""
@@ -231,7 +247,12 @@
             return
         body = b"".join(self._chunks)
         self._chunks.clear()
-        caller = HttpCaller(self._connection, self._reservation, self._traffic)
+        caller = HttpCaller(
+            self._connection,
+            self._reservation,
+            self._traffic,
+            self._start_line.method,
+        )
         task = self._start_task(caller, self._start_line, self._headers, body)
         self._connection.set_close_callback(lambda: _cancel(task))
 
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -185,6 +185,7 @@
             self._forwarder,
             make_request_memory(self._profile, self._metrics),
             self._links.capacity.connections,
+            self._metrics.record_unexpected_error,
         )
 
     def _connect_components(self) -> None:
--- a/kingcuphead/entry/_http_caller.py
+++ b/kingcuphead/entry/_http_caller.py
@@ -11,6 +11,7 @@
 from tornado.iostream import StreamClosedError
 
 from kingcuphead.capacity import MESSAGE_OVERHEAD_BYTES, CallerConnection
+from kingcuphead.decoding import allows_body
 from kingcuphead.forwarding import STREAM_BUFFER_BYTES, MemoryReservation
 from kingcuphead.invariants import ensure
 
@@ -35,6 +36,8 @@
         Counts the bytes held for the request.
     traffic
         Counts the bytes of the connection and tells whether it should close.
+    method
+        Method of the request; the answer to HEAD has no body.
     """
 
     def __init__(
@@ -42,8 +45,11 @@
         connection: HTTP1Connection,
         reservation: MemoryReservation,
         traffic: CallerConnection,
+        method: str = "GET",
     ) -> None:
         self._connection = connection
+        self._method = method
+        self._has_body = True
         self._traffic = traffic
         self._unsent_head: tuple[ResponseStartLine, HTTPHeaders] | None = None
         self._is_chunked = False
@@ -69,10 +75,13 @@
     def start(self, status: int, headers: HTTPHeaders) -> None:
         """Set the status line and the headers of the answer.
 
-        A second head would reach the caller in the middle of the body.
+        A second head would reach the caller in the middle of the body. If the request
+        or the status allows no body, what is sent of it is left out, and the length is
+        that of the answer to a GET request.
         """
         ensure(not self.is_started, "an answer has one head", status=status)
         reason = http.client.responses.get(status, "Unknown")
+        self._has_body = allows_body(self._method, status)
         self._unsent_head = (ResponseStartLine("HTTP/1.1", status, reason), headers)
         self.is_started = True
 
@@ -86,10 +95,13 @@
         OutOfMemoryError
             No memory is left for the buffer.
         """
-        self._traffic.record_sent(len(chunk))
         stream = self._connection.stream
         if stream.closed():
             raise StreamClosedError(real_error=stream.error)
+        if not self._has_body:
+            self._send_head(None)
+            return
+        self._traffic.record_sent(len(chunk))
         if self._unsent_head is not None and len(chunk) <= MAX_JOINED_BYTES:
             self._send_head(chunk)
             return
@@ -145,7 +157,7 @@
     @property
     def _is_unframed(self) -> bool:
         """Whether the body that is sent has neither a length nor chunks."""
-        return not self._is_chunked and not self._has_length
+        return self._has_body and not self._is_chunked and not self._has_length
 
     def _end_cleanly(self) -> None:
         """Let the connection close without a reset once all bytes are written."""
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -67,6 +67,12 @@
             ("task",),
             registry=self._registry,
         )
+        self._unexpected_errors = Counter(
+            "kingcuphead_unexpected_errors",
+            "Requests that ended with an unexpected error, by what the caller got.",
+            ("answer",),
+            registry=self._registry,
+        )
         self._queue = QueueMetrics(self._registry)
         self._hedging = HedgingMetrics(self._registry)
         #: Streams that callers resume.
@@ -108,6 +114,10 @@
         """Count a failure of a background task."""
         self._task_failures.labels(task).inc()
 
+    def record_unexpected_error(self, is_answered: bool) -> None:
+        """Count a request that met an unexpected error, refused or closed."""
+        self._unexpected_errors.labels("refused" if is_answered else "closed").inc()
+
     def record(self, context: RequestContext, refusal: Refusal | None) -> None:
         """Record a request that ended, with its refusal if it was refused."""
         self._requests.record(context, refusal)
--- a/kingcuphead/entry/tests/test_background_tasks.py
+++ b/kingcuphead/entry/tests/test_background_tasks.py
@@ -48,8 +48,8 @@
     def __init__(self, run, is_restartable=True):
         self._run = run
         self.runs = 0
-        self.failures = []
-        self.lost = []
+        self.failures: list[str] = []
+        self.lost: list[Exception] = []
         self._task = BackgroundTask("t", self._count_run, is_restartable)
         self.supervisor = TaskSupervisor(self.failures.append, self._record_loss)
 
@@ -84,8 +84,9 @@
 
         async def run(recorder):
             if recorder.runs == 1:
-                return await fault()
-            await asyncio.sleep(60)
+                await fault()
+            else:
+                await asyncio.sleep(60)
 
         recorder = supervise(run, 0.2)
         assert (recorder.runs, recorder.failures, recorder.lost) == (2, ["t"], [])
@@ -159,7 +160,8 @@
         async def scenario(fleet):
             daemon, task = fleet.daemons[1]
             exchange = daemon._links._loads
-            send, failures = exchange._send, []
+            send = exchange._send
+            failures: list[object] = []
 
             def send_once_failing(report):
                 if not failures:
@@ -196,7 +198,7 @@
             daemon, task = fleet.daemons[1]
             answer = asyncio.create_task(fleet.send(1, b"0.3"))
             await asyncio.sleep(0.1)
-            returned = []
+            returned: list[float] = []
             daemon._links.credit.shut_down = returned.append
             daemon._links.credit._tasks.create_task(fail())
             await daemon._stop.wait()
--- a/kingcuphead/entry/tests/test_task_outage.py
+++ b/kingcuphead/entry/tests/test_task_outage.py
@@ -15,7 +15,7 @@
     """Return the delays of a task whose runs all last the same, and when it ended."""
     outage = TaskOutage()
     now = 100.0
-    delays = []
+    delays: list[float] = []
     while len(delays) < limit:
         started_at, now = now, now + run_seconds
         match outage.record_failure(started_at, now):
--- a/kingcuphead/forwarding/_forwarder.py
+++ b/kingcuphead/forwarding/_forwarder.py
@@ -387,7 +387,9 @@
 
 def _send_answer(caller: Caller, answer: Answered) -> None:
     headers = answer.head.headers
-    headers["Content-Length"] = str(len(answer.body))
+    length = len(answer.body) if answer.head.has_body else answer.head.stated_length
+    if length is not None:
+        headers["Content-Length"] = str(length)
     caller.start(answer.head.status, headers)
     if answer.body:
         caller.send(answer.body)
--- a/kingcuphead/forwarding/_messages.py
+++ b/kingcuphead/forwarding/_messages.py
@@ -191,6 +191,11 @@
     cold_left: float | None = None
     #: Whether it states "not run" with a status that doesn't allow this statement.
     is_contradictory: bool = False
+    #: Whether the answer has a body, if an empty one.
+    has_body: bool = True
+    #: Length that an answer without a body states for that of a GET request; None if it
+    #: states none.
+    stated_length: int | None = None
 
     def identify(self, request: CallerRequest) -> AnswerIdentity:
         """Return whether the answer names the request that was sent."""
--- a/kingcuphead/platform/_headers.py
+++ b/kingcuphead/platform/_headers.py
@@ -8,7 +8,7 @@
 from loguru import logger
 from tornado.httputil import HTTPHeaders, RequestStartLine
 
-from kingcuphead.decoding import parse_count, parse_decimal
+from kingcuphead.decoding import allows_body, parse_count, parse_decimal
 from kingcuphead.forwarding import (
     MAX_EVENT_ID,
     MAX_TOKENS,
@@ -55,6 +55,9 @@
 _MAX_RETRY_AFTER = 30.0
 #: Upper bound of the requests per second that a target may state.
 _MAX_PER_SECOND = 1_000_000.0
+#: Largest length of a body that is passed on without the body; larger ones are left
+#: out, as clients may not be able to parse them.
+_MAX_STATED_LENGTH = 2**53
 #: Value with which a target states that it sets no limit.
 _NO_LIMIT = "inf"
 #: Least urgent rank; targets accept 0 (most urgent) to 9.
@@ -205,11 +208,11 @@
             HTTP method of the request; a response to HEAD has no body.
         """
         options = headers.get("Connection", "").lower()
+        has_body = allows_body(method, status)
         is_unframed = (
             "Content-Length" not in headers
             and "Transfer-Encoding" not in headers
-            and method != "HEAD"
-            and status not in (204, 304)
+            and has_body
         )
         states_not_run = _NOT_RUN in headers or status == 421
         return AnswerHead(
@@ -227,6 +230,8 @@
             retry_after=_parse_retry_after(status, headers.get(RETRY_AFTER, "")),
             terms=_parse_terms(headers),
             cold_left=_parse_cold_left(headers.get(_COLD)),
+            has_body=has_body,
+            stated_length=_parse_stated_length(status, headers),
         )
 
 
@@ -288,6 +293,18 @@
     return event_id
 
 
+def _parse_stated_length(status: int, headers: HTTPHeaders) -> int | None:
+    """Return the length that an answer without a body may state; None without one."""
+    text = headers.get("Content-Length")
+    if text is None or status == http.HTTPStatus.NO_CONTENT:
+        return None
+    try:
+        length = parse_count(text, _MAX_STATED_LENGTH + 1)
+    except ValueError:
+        return None
+    return length if length <= _MAX_STATED_LENGTH else None
+
+
 def _parse_idle_timeout(text: str) -> float | None:
     for parameter in text.split(","):
         name, _, value = parameter.strip().partition("=")
--- a/kingcuphead/verdict/_verdict.py
+++ b/kingcuphead/verdict/_verdict.py
@@ -49,6 +49,7 @@
     BILL_UNCERTAIN = "bill_uncertain"
     CALLER_GONE = "caller_gone"
     MEMORY_FULL = "memory_full"
+    INTERNAL_ERROR = "internal_error"
 
 
 @frozen
