Limit the numbers of the store and the configuration, too

The slots of an entry were limited to 2**53, a permit query has 32 bits for them; the store's era was parsed with as many digits as came, which raises ValueError beyond 4,300; budgets and memory sizes of a configuration had no bound, and neither rows nor messages carry 2**64.

Change: each has the range of what carries it on. A message that can't be encoded all the same counts as a lost datagram, which every exchange expects; it is logged and counted (`kingcuphead_unsent_datagrams_total`).

Measured: the 8 new cases fail before (2 for the era, 1 for the slots, 1 for the configuration, 4 for the socket) and pass now.

--- a/kingcuphead/datagrams/_socket.py
+++ b/kingcuphead/datagrams/_socket.py
@@ -32,6 +32,8 @@
         self._handle_message = handle_message
         self._transport: asyncio.DatagramTransport | None = None
         self._repetitions = RepetitionLimit()
+        #: Called with the name of each message that can't be encoded.
+        self.report_unsent: Callable[[str], None] = lambda name: None
 
     async def open(self, address: Address) -> None:
         """Bind the socket to an address and start receiving."""
@@ -46,16 +48,29 @@
             self._transport.close()
 
     def send(self, message: Datagram, *receivers: Address) -> None:
-        """Send a message, unacknowledged; discard it if the socket isn't open."""
+        """Send a message, unacknowledged; discard it if the socket isn't open.
+
+        A message with a number beyond the range of its field counts as lost, as any
+        datagram may be; the receivers' state is that of the message before.
+        """
         transport = self._transport
         if transport is None or transport.is_closing() or not receivers:
             return
-        datagram = encode_datagram(message)
+        try:
+            datagram = encode_datagram(message)
+        except OverflowError as error:
+            self._record_unsent(type(message).__name__, error)
+            return
         size = len(datagram) + PACKET_OVERHEAD_BYTES
         LINK_TRAFFIC.daemons.record_sent(size * len(receivers))
         for receiver in receivers:
             transport.sendto(datagram, receiver)
 
+    def _record_unsent(self, name: str, error: OverflowError) -> None:
+        self.report_unsent(name)
+        if self._repetitions.allows(name):
+            logger.error("cannot encode a datagram {}: {}", name, error)
+
     def datagram_received(self, data: bytes, addr: Address) -> None:
         """Decode a datagram and pass its message on; log and drop a malformed one."""
         LINK_TRAFFIC.daemons.record_received(len(data) + PACKET_OVERHEAD_BYTES)
--- a/kingcuphead/datagrams/tests/test_datagrams.py
+++ b/kingcuphead/datagrams/tests/test_datagrams.py
@@ -186,6 +186,19 @@
         assert encoded == [MESSAGES[0]]
         assert socket._transport.sendto.call_count == 2
 
+    @pytest.mark.parametrize("number", [2**63, -(2**63) - 1, 2**64, 10**400])
+    def test_a_message_that_cannot_be_encoded_counts_as_lost(self, number):
+        """Guards against one number that ends the task which sends it."""
+        unsent: list[str] = []
+        socket = DatagramSocket(lambda message, sender: None)
+        socket.report_unsent = unsent.append
+        socket._transport = mock.Mock(is_closing=lambda: False)
+        load = TargetLoad("t1", 3, number)
+        for message in (LoadsReported("a/1", 7, (load,)), MESSAGES[0]):
+            socket.send(message, ("127.0.0.1", 1))
+        assert unsent == ["LoadsReported"]
+        assert socket._transport.sendto.call_count == 1
+
     def test_malformed_datagrams_are_dropped(self):
         received = []
         socket = DatagramSocket(lambda message, sender: received.append(message))
--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -198,6 +198,7 @@
         self._links.capacity.record = self._metrics.record_capacity
         self._dispatcher.observer = self._metrics.engines
         self._dispatcher.cold_costs.is_cold = self._directory.is_cold
+        self._links.observe_unsent(self._metrics.record_unsent_datagram)
         self._metrics.observe_targets(self._directory)
         self._metrics.observe_view(self._view_age)
         self._metrics.observe_traffic(LINK_TRAFFIC)
--- a/kingcuphead/entry/_fleet_links.py
+++ b/kingcuphead/entry/_fleet_links.py
@@ -169,6 +169,10 @@
         self.apply_profile(profile)
         self._connect_dispatcher()
 
+    def observe_unsent(self, record: Callable[[str], None]) -> None:
+        """Set what is called with each message that can't be encoded."""
+        self._datagrams.report_unsent = record
+
     async def open(self) -> None:
         """Start receiving datagrams."""
         await self._datagrams.open(self._address)
--- a/kingcuphead/entry/_metrics.py
+++ b/kingcuphead/entry/_metrics.py
@@ -67,6 +67,12 @@
             ("task",),
             registry=self._registry,
         )
+        self._unsent_datagrams = Counter(
+            "kingcuphead_unsent_datagrams",
+            "Messages to other daemons that could not be encoded, by kind.",
+            ("message",),
+            registry=self._registry,
+        )
         self._unexpected_errors = Counter(
             "kingcuphead_unexpected_errors",
             "Requests that ended with an unexpected error, by what the caller got.",
@@ -114,6 +120,10 @@
         """Count a failure of a background task."""
         self._task_failures.labels(task).inc()
 
+    def record_unsent_datagram(self, message: str) -> None:
+        """Count a message to other daemons that could not be encoded."""
+        self._unsent_datagrams.labels(message).inc()
+
     def record_unexpected_error(self, is_answered: bool) -> None:
         """Count a request that met an unexpected error, refused or closed."""
         self._unexpected_errors.labels("refused" if is_answered else "closed").inc()
--- a/kingcuphead/platform/_configuration.py
+++ b/kingcuphead/platform/_configuration.py
@@ -27,6 +27,10 @@
 #: Seconds for which a target is cold after its start if the period is invalid.
 DEFAULT_COLD_PERIOD = 10.0
 
+#: Largest number of tokens in a budget or in an engine's memory; a larger one counts as
+#: this. Sums of several still fit into the numbers of rows and messages.
+MAX_CONFIGURED_TOKENS = 2**53
+
 #: Kinds of requests by their names in the configuration.
 KINDS = {
     "safe": RequestKind.IDEMPOTENT,
@@ -211,7 +215,10 @@
 
 def _decode_organisation(content: bytes) -> _OrganisationWithKeys:
     tenant = TENANT_DECODER.decode(content)
-    organisation = Organisation(tenant.name, tenant.priority, tenant.prepaid)
+    prepaid = tenant.prepaid
+    if prepaid is not None:
+        prepaid = min(prepaid, MAX_CONFIGURED_TOKENS)
+    organisation = Organisation(tenant.name, tenant.priority, prepaid)
     return _OrganisationWithKeys(organisation, tuple(tenant.api_keys))
 
 
@@ -241,7 +248,9 @@
     profile = None
     if engine is not None:
         profile = EngineProfile(
-            engine.slots, engine.kv_capacity_tokens, max(1, engine.stride)
+            engine.slots,
+            min(engine.kv_capacity_tokens, MAX_CONFIGURED_TOKENS),
+            max(1, engine.stride),
         )
     limit = _read_optional(
         f"cold_per_s of {service.name}", service.cold_per_s, MIN_COLD_LIMIT
--- a/kingcuphead/platform/_entries.py
+++ b/kingcuphead/platform/_entries.py
@@ -15,6 +15,8 @@
 MAX_COLD_LEFT = 60.0
 #: Largest number in an entry; a float represents all integers up to it exactly.
 MAX_NUMBER = 2**53
+#: Largest number of slots in an entry; messages between daemons have 32 bits for it.
+MAX_SLOTS = 2**31 - 1
 #: Largest number of characters of a text in an entry.
 MAX_TEXT_LENGTH = 1_000
 
@@ -22,6 +24,7 @@
 
 _Text = Annotated[str, msgspec.Meta(max_length=MAX_TEXT_LENGTH)]
 _Number = Annotated[int, msgspec.Meta(ge=0, le=MAX_NUMBER)]
+_Slots = Annotated[int, msgspec.Meta(ge=0, le=MAX_SLOTS)]
 
 
 class _Entry(msgspec.Struct):
@@ -31,7 +34,7 @@
     zone: _Text
     # Version of the target's software, not of the model weights.
     version: _Text
-    slots: _Number
+    slots: _Slots
     state: _Text
     sequence: _Number
     # Process start in Unix milliseconds; older target versions don't set it.
--- a/kingcuphead/platform/_store_codec.py
+++ b/kingcuphead/platform/_store_codec.py
@@ -9,8 +9,9 @@
 from expression import Error, Ok, Result
 from loguru import logger
 
-from kingcuphead.decoding import DECODING_ERRORS
+from kingcuphead.decoding import DECODING_ERRORS, parse_count
 from kingcuphead.frozen import frozen
+from kingcuphead.logs import quote
 from kingcuphead.storage import (
     CommitOutcome,
     Committed,
@@ -41,6 +42,8 @@
 #: Header of all replies with the number of times that the store was restored from a
 #: copy; rows and versions of different eras are unrelated.
 _ERA = "Store-Era"
+#: Largest era; messages between daemons and rows can carry it.
+_MAX_ERA = 2**53
 
 
 class _Row(msgspec.Struct):
@@ -107,9 +110,14 @@
     values = reply.headers.get_list(_ERA)
     if not values:
         return 0
-    if len(values) == 1 and values[0].isascii() and values[0].isdecimal():
-        return int(values[0])
-    logger.warning("invalid era of the store: {}", values)
+    try:
+        (value,) = values
+        era = parse_count(value, _MAX_ERA + 1)
+    except ValueError:
+        era = _MAX_ERA + 1
+    if era <= _MAX_ERA:
+        return era
+    logger.warning("invalid era of the store: {}", quote(values))
     return 0
 
 
--- a/kingcuphead/platform/tests/test_decoding.py
+++ b/kingcuphead/platform/tests/test_decoding.py
@@ -15,6 +15,7 @@
     decode_target,
     parse_profile,
 )
+from kingcuphead.platform._configuration import MAX_CONFIGURED_TOKENS
 from kingcuphead.platform.tests._documents import encode_large_configuration
 from kingcuphead.routing import RequestKind, RoutingTable, choose_service
 from kingcuphead.targets import Availability
@@ -124,6 +125,20 @@
         content = json.dumps({"version": 8} | part).encode()
         assert decode_configuration(content).is_error()
 
+    def test_numbers_of_tokens_are_limited(self):
+        """Guards against numbers that no row and no message can carry."""
+        content = {
+            "version": 1,
+            "services": [{"name": "s", "engine": {"kv_capacity_tokens": 2**70}}],
+            "tenants": [{"name": "t", "prepaid": 10**300}],
+        }
+        configuration = decode_configuration(json.dumps(content).encode()).ok
+        engine = configuration.services["s"].engine
+        assert engine is not None
+        assert engine.kv_cache_tokens == MAX_CONFIGURED_TOKENS
+        budget = configuration.organisations["t"].prepaid_tokens
+        assert budget == MAX_CONFIGURED_TOKENS
+
     @pytest.mark.parametrize(
         ("fields", "limit", "period"),
         [
@@ -242,6 +257,7 @@
             {"address": 5},
             {"service": None},
             {"slots": "many"},
+            {"slots": 2**31},
             {"born": "x"},
             {"version": 2},
         ],
--- a/kingcuphead/platform/tests/test_store.py
+++ b/kingcuphead/platform/tests/test_store.py
@@ -138,7 +138,16 @@
 class TestEra:
     @pytest.mark.parametrize(
         ("values", "era"),
-        [((), 0), (("3",), 3), (("x",), 0), (("-1",), 0), (("3", "4"), 0), (("",), 0)],
+        [
+            ((), 0),
+            (("3",), 3),
+            (("x",), 0),
+            (("-1",), 0),
+            (("3", "4"), 0),
+            (("",), 0),
+            ((str(2**63),), 0),
+            (("9" * 5_000,), 0),
+        ],
     )
     def test_every_reply_names_the_era_it_is_from(self, script, values, era):
         """A malformed era counts as absent, which is era 0."""
