Keep constants beside what they refer to, and correct a comment

No change of behaviour: a constant stood between two whose comments refer to each other, and a comment named an expiry that rows of daemons don't have.

--- a/kingcuphead/entry/_daemon.py
+++ b/kingcuphead/entry/_daemon.py
@@ -59,6 +59,8 @@
 )
 from kingcuphead.timing import get_time, sleep_until_tick
 
+#: Name of the task that renews credit.
+CREDIT_TASK = "credit"
 #: Seconds between two sweeps that drop expired entries and idle connections; also the
 #: timeout of one attempt to return credit during shutdown.
 SWEEP_INTERVAL = 0.25
@@ -73,8 +75,6 @@
 GRACE_MARGIN = 0.5
 #: Seconds before that at which open requests get their final answers.
 ANSWER_MARGIN = 0.1
-#: Name of the task that renews credit.
-CREDIT_TASK = "credit"
 #: Seconds before these in which no request is passed on any more, but no more than
 #: this share of the grace period; most requests that begin earlier are answered.
 LAST_START_MARGIN, LAST_START_SHARE = 1.0, 1 / 8
@@ -441,7 +441,7 @@
         try:
             await self._links.deregister()
         except Exception as error:
-            # The other daemons drop the row once this one no longer renews it.
+            # The others go on sending datagrams to this daemon, which has ended.
             logger.opt(exception=error).error("cannot remove this daemon's row")
 
     async def _return_credit(self) -> bool:
