--- a/kingcuphead/api/_refusal.py
+++ b/kingcuphead/api/_refusal.py
@@ -38,6 +38,7 @@
     Reason.PLATFORM_UNAVAILABLE: 503,
     Reason.SHUTTING_DOWN: 503,
     Reason.MEMORY_FULL: 503,
+    Reason.INTERNAL_ERROR: 502,
     Reason.STREAM_UNKNOWN: 503,
 }
 
